--- /dev/null
+++ b/crates/chicoryctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command line over the administration API.
+
+fn main() {}
--- /dev/null
+++ b/crates/chicoryrail-admin/src/main.rs
@@ -0,0 +1,3 @@
+//! The administration API: bundles, sign-off, roll, moves, status.
+
+fn main() {}
--- /dev/null
+++ b/crates/chicoryrail-core/tests/slice.rs
@@ -0,0 +1,26 @@
+//! Slices: parts cover the space once.
+
+use chicoryrail_core::KeyHash;
+use chicoryrail_core::Slice;
+use rstest::rstest;
+
+#[rstest]
+#[case(1)]
+#[case(3)]
+#[case(64)]
+#[case(1_000)]
+fn parts_follow_one_another_without_gap(#[case] n: u32) {
+    let parts: Vec<Slice> = (0..n).map(|i| Slice::FULL.part(i, n)).collect();
+    assert_eq!((parts[0].first, parts[n as usize - 1].last), (0, u64::MAX));
+    for pair in parts.windows(2) {
+        assert_eq!(pair[0].last + 1, pair[1].first);
+    }
+}
+
+#[rstest]
+#[case("kit-1")]
+#[case("cask-77")]
+fn a_key_lies_in_the_part_that_its_hash_names(#[case] key: &str) {
+    let hash = KeyHash::of(key);
+    assert!(Slice::FULL.part(hash.part(16), 16).contains(hash));
+}
--- /dev/null
+++ b/crates/chicoryrail-gate/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry process: admits, queues, routes and retries callers' requests.
+
+fn main() {}
--- /dev/null
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -0,0 +1,165 @@
+//! A small HTTP/1.1 client for the platform, targets' control and tools.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use chicoryrail_core::Millis;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+use monoio_compat::hyper::MonoioIo;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::collect;
+
+/// Idle connections kept for each address. Control calls rarely overlap; more would count against
+/// the connection limit of a target.
+const IDLE_KEPT: usize = 4;
+
+/// Why a call has no answer.
+#[derive(Debug, Snafu)]
+pub enum HttpError {
+    /// The connection could not be made; nothing was sent.
+    #[snafu(display("connect to {addr}: {source}"))]
+    Connect {
+        /// Address called.
+        addr: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The call was sent, wholly or in part, and has no whole answer.
+    #[snafu(display("call to {addr}: {source}"))]
+    Call {
+        /// Address called.
+        addr: SocketAddr,
+        /// What the HTTP layer says.
+        source: hyper::Error,
+    },
+    /// The answer's body was cut or too long.
+    #[snafu(display("answer of {addr}: {source}"))]
+    Answer {
+        /// Address called.
+        addr: SocketAddr,
+        /// What went wrong.
+        source: io::Error,
+    },
+    /// No whole answer came in time.
+    #[snafu(display("no answer from {addr} in time"))]
+    Timeout {
+        /// Address called.
+        addr: SocketAddr,
+    },
+}
+
+type Idle = HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>;
+
+/// A client that keeps idle connections; clones share them.
+///
+/// Bodies are held whole, up to a limit, so it is for control traffic and tools; callers' requests
+/// are streamed by the gate.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    idle: Rc<RefCell<Idle>>,
+    limit: usize,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self {
+            idle: Rc::default(),
+            limit: 8 << 20,
+        }
+    }
+}
+
+impl HttpClient {
+    /// Sets the longest answer that is taken, in bytes.
+    #[must_use]
+    pub fn with_limit(mut self, bytes: usize) -> Self {
+        self.limit = bytes;
+        self
+    }
+
+    /// Sends a request and returns the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`HttpError`] where no whole answer came within `limit`.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        request: http::Request<Bytes>,
+        limit: Millis,
+    ) -> Result<http::Response<Bytes>, HttpError> {
+        match timeout(limit.duration(), self.exchange(addr, request)).await {
+            Ok(result) => result,
+            Err(_) => Err(HttpError::Timeout { addr }),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: http::Request<Bytes>,
+    ) -> Result<http::Response<Bytes>, HttpError> {
+        let (mut head, body) = request.into_parts();
+        if !head.headers.contains_key(http::header::HOST) {
+            let host = addr
+                .to_string()
+                .parse()
+                .expect("an address is a valid header");
+            head.headers.insert(http::header::HOST, host);
+        }
+        let mut send = self.connection(addr).await?;
+        let request = http::Request::from_parts(head, Full::new(body));
+        let answer = send
+            .send_request(request)
+            .await
+            .context(CallSnafu { addr })?;
+        let (head, body) = answer.into_parts();
+        let body = collect(body, self.limit)
+            .await
+            .context(AnswerSnafu { addr })?;
+        if send.is_ready() {
+            let mut idle = self.idle.borrow_mut();
+            let kept = idle.entry(addr).or_default();
+            if kept.len() < IDLE_KEPT {
+                kept.push(send);
+            }
+        }
+        Ok(http::Response::from_parts(head, body))
+    }
+
+    async fn connection(&self, addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, HttpError> {
+        loop {
+            let kept = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
+            match kept {
+                Some(send) if send.is_ready() => return Ok(send),
+                Some(_) => {}
+                None => break,
+            }
+        }
+        let stream = TcpStream::connect(addr)
+            .await
+            .context(ConnectSnafu { addr })?;
+        stream.set_nodelay(true).context(ConnectSnafu { addr })?;
+        let io = stream
+            .try_into_poll_io()
+            .map_err(|(e, _)| e)
+            .context(ConnectSnafu { addr })?;
+        let (send, connection) = http1::handshake(MonoioIo::new(io))
+            .await
+            .context(CallSnafu { addr })?;
+        monoio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(send)
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -0,0 +1,55 @@
+//! What every chicoryrail process needs to run, and no decision of its own.
+//!
+//! Start-up on monoio's `LegacyDriver`, one clock, cancellation, HTTP for callers and operators,
+//! metrics, the ring of events and the common settings.
+//!
+//! # Example
+//!
+//! ```
+//! use chicoryrail_runtime::Clock;
+//!
+//! let seen = chicoryrail_runtime::block_on(async {
+//!     let clock = Clock::start();
+//!     clock.sleep(chicoryrail_core::Millis(2)).await;
+//!     clock.now()
+//! });
+//! assert!(seen >= chicoryrail_core::Millis(2));
+//! ```
+
+mod body;
+mod clock;
+mod event;
+mod event_ring;
+mod http_client;
+mod http_server;
+mod json;
+mod metrics;
+mod process;
+mod settings;
+mod start;
+
+pub use body::Body;
+pub use body::collect;
+pub use body::empty;
+pub use body::full;
+pub use clock::Clock;
+pub use event::Event;
+pub use event::EventKind;
+pub use event::Stamp;
+pub use event_ring::EventRing;
+pub use http_client::HttpClient;
+pub use http_client::HttpError;
+pub use http_server::HttpLimits;
+pub use http_server::serve_http;
+pub use json::error_answer;
+pub use json::json_answer;
+pub use metrics::Metrics;
+pub use process::Process;
+pub use settings::HostSettings;
+pub use settings::SettingError;
+pub use settings::host_settings;
+pub use start::block_on;
+pub use start::exit_with;
+pub use start::init_logs;
+pub use start::stop_on_signal;
+pub use tokio_util::sync::CancellationToken;
--- /dev/null
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins of the platform, fault-injecting proxy, load generator, checker.
--- /dev/null
+++ b/crates/chicoryrail-timeline/src/main.rs
@@ -0,0 +1,3 @@
+//! One ordered time line of the events of all processes.
+
+fn main() {}
--- /dev/null
+++ b/crates/chicoryrail-wire/src/lib.rs
@@ -0,0 +1,63 @@
+//! The protocol between chicoryrail's own processes.
+//!
+//! Typed messages, encoded with `bincode`, travel over `h2` streams: one stream a call. A caller's
+//! request that another gate must send on travels as an ordinary HTTP/2 request on the same
+//! connection, so that its body is streamed and never collected.
+//!
+//! # Example
+//!
+//! ```
+//! use chicoryrail_wire::Request;
+//! use chicoryrail_wire::decode;
+//! use chicoryrail_wire::encode;
+//!
+//! let bytes = encode(&Request::Ping).unwrap();
+//! assert_eq!(decode::<Request>(&bytes).unwrap(), Request::Ping);
+//! ```
+
+mod codec;
+mod config;
+mod error;
+mod membership;
+mod message;
+mod order;
+mod peer;
+mod route;
+mod server;
+mod witness;
+
+pub use codec::MAX_MESSAGE;
+pub use codec::decode;
+pub use codec::encode;
+pub use config::ConfigReply;
+pub use config::ConfigRequest;
+pub use error::WireError;
+pub use membership::Heartbeat;
+pub use membership::HeartbeatReply;
+pub use membership::HostState;
+pub use membership::Role;
+pub use message::Reply;
+pub use message::Request;
+pub use order::OrderAnswer;
+pub use order::OrderClaim;
+pub use order::OrderClose;
+pub use order::OrderCopy;
+pub use order::OrderOutcome;
+pub use order::OrderReply;
+pub use peer::Forward;
+pub use peer::Peer;
+pub use route::RouteEntry;
+pub use route::RouteReply;
+pub use route::RouteRequest;
+pub use route::RouteTable;
+pub use route::ServerRoute;
+pub use route::ServerSeen;
+pub use route::ServerState;
+pub use route::SliceState;
+pub use server::Handler;
+pub use server::PeerLimits;
+pub use server::serve;
+pub use witness::Confirm;
+pub use witness::Confirmed;
+pub use witness::Promise;
+pub use witness::PromiseReply;
