refactor: only processes that call the store take its address

Cause: gates never call the store, yet had to be given its address. Change: store_setting() stands apart from host_settings().

--- a/crates/chicoryrail-runtime/src/settings.rs
+++ b/crates/chicoryrail-runtime/src/settings.rs
@@ -29,8 +29,6 @@
     pub host: HostName,
     /// Data centre of the host.
     pub dc: DcName,
-    /// Address of the platform's store.
-    pub store: SocketAddr,
     /// Address of the platform's host list.
     pub list: SocketAddr,
 }
@@ -53,18 +51,17 @@
             DcName::is_valid,
             "must be 1 to 64 characters of a-z 0-9 - _ .",
         );
-    let store = long("store")
-        .env("CHICORYRAIL_STORE")
-        .help("IP address and port of the platform's key-value service")
-        .argument::<SocketAddr>("ADDR");
     let list = long("host-list")
         .env("CHICORYRAIL_HOST_LIST")
         .help("IP address and port of the platform's list of hosts")
         .argument::<SocketAddr>("ADDR");
-    construct!(HostSettings {
-        host,
-        dc,
-        store,
-        list
-    })
+    construct!(HostSettings { host, dc, list })
+}
+
+/// Parses the address of the platform's store, for the processes that call it.
+pub fn store_setting() -> impl Parser<SocketAddr> {
+    long("store")
+        .env("CHICORYRAIL_STORE")
+        .help("IP address and port of the platform's key-value service")
+        .argument::<SocketAddr>("ADDR")
 }
