--- a/crates/chicoryrail-runtime/src/settings.rs
+++ b/crates/chicoryrail-runtime/src/settings.rs
@@ -59,6 +59,7 @@
 }
 
 /// Parses the address of the platform's store, for the processes that call it.
+#[must_use]
 pub fn store_setting() -> impl Parser<SocketAddr> {
     long("store")
         .env("CHICORYRAIL_STORE")
