feat(wire): status call for the administration API

Cause: the admin process must tell owners, peers and pending hosts without a state of its own. Change: Request::Status and StatusReply.

--- a/crates/chicoryrail-wire/src/lib.rs
+++ b/crates/chicoryrail-wire/src/lib.rs
@@ -24,6 +24,7 @@
 mod peer;
 mod route;
 mod server;
+mod status;
 mod witness;
 
 pub use codec::MAX_MESSAGE;
@@ -57,6 +58,8 @@
 pub use server::Handler;
 pub use server::PeerLimits;
 pub use server::serve;
+pub use status::PeerSeen;
+pub use status::StatusReply;
 pub use witness::Confirm;
 pub use witness::Confirmed;
 pub use witness::Promise;
--- a/crates/chicoryrail-wire/src/message.rs
+++ b/crates/chicoryrail-wire/src/message.rs
@@ -18,6 +18,7 @@
 use crate::PromiseReply;
 use crate::RouteReply;
 use crate::RouteRequest;
+use crate::StatusReply;
 
 /// A call from one process to another.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -45,6 +46,11 @@
     },
     /// Copies a claim or an outcome to the deputy of the shard before it takes effect.
     OrderCopy(OrderCopy),
+    /// Asks what a controller knows; admin to controller.
+    Status {
+        /// Whether the tables of the held shards are wanted.
+        tables: bool,
+    },
 }
 
 /// The answer to a [`Request`].
@@ -64,6 +70,8 @@
     Promise(PromiseReply),
     /// Answers [`Request::OrderClaim`], [`Request::OrderClose`] and [`Request::OrderLookup`].
     Order(OrderReply),
+    /// Answers [`Request::Status`].
+    Status(StatusReply),
     /// The peer can't act on the call; the number is a [`ResultCode`].
     Refused(u16),
 }
