--- a/crates/chicoryrail-wire/src/route.rs
+++ b/crates/chicoryrail-wire/src/route.rs
@@ -7,6 +7,7 @@
 use chicoryrail_core::DcName;
 use chicoryrail_core::Fence;
 use chicoryrail_core::HostName;
+use chicoryrail_core::KeyHash;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
 use chicoryrail_core::ShardId;
@@ -77,6 +78,17 @@
     pub entries: Vec<RouteEntry>,
 }
 
+impl RouteTable {
+    /// Returns the entry whose slice holds `key`; `None` for a free service's table.
+    ///
+    /// A binary search over the sorted slices: its cost grows with the logarithm of their number.
+    #[must_use]
+    pub fn entry(&self, key: KeyHash) -> Option<&RouteEntry> {
+        let i = self.entries.partition_point(|e| e.slice.last < key.0);
+        self.entries.get(i).filter(|e| e.slice.contains(key))
+    }
+}
+
 /// A slice and its owner, in 24 bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct RouteEntry {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,18 @@
-//! Every chore of the project: `cargo xtask ci`, `cargo xtask test`.
+//! Every chore of the project; `cargo xtask --help` lists them.
+
+mod bench;
+mod tools;
 
-use std::process::Command;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 
+use crate::bench::Bench;
+use crate::bench::bench;
+use crate::tools::cargo;
+use crate::tools::documentation;
+use crate::tools::in_release;
+
 /// The chores of the project
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
@@ -18,13 +26,19 @@
     /// Formats the workspace
     #[bpaf(command)]
     Fmt,
+    /// Measures; the last line printed is JSON
+    #[bpaf(command)]
+    Bench(#[bpaf(external(bench))] Bench),
 }
 
 fn main() -> ExitCode {
-    let done = match chore().run() {
+    let chore = chore().run();
+    let done = match &chore {
         Chore::Ci => lint() && test(),
         Chore::Test => test(),
         Chore::Fmt => cargo(&["+nightly", "fmt", "--all"]),
+        Chore::Bench(_) if cfg!(debug_assertions) => in_release(),
+        Chore::Bench(bench) => bench.run(),
     };
     if done {
         ExitCode::SUCCESS
@@ -47,29 +61,8 @@
         && documentation()
 }
 
-fn documentation() -> bool {
-    let mut doc = Command::new("cargo");
-    doc.args(["doc", "--workspace", "--no-deps", "--locked"])
-        .env("RUSTDOCFLAGS", "-D warnings");
-    run(&mut doc)
-}
-
 /// The programs are built first: the process tests start them from the target folder.
 fn test() -> bool {
     cargo(&["build", "--workspace", "--bins", "--locked"])
         && cargo(&["test", "--workspace", "--locked", "--no-fail-fast"])
 }
-
-fn cargo(args: &[&str]) -> bool {
-    run(Command::new("cargo").args(args))
-}
-
-fn run(command: &mut Command) -> bool {
-    match command.status() {
-        Ok(status) => status.success(),
-        Err(e) => {
-            eprintln!("can't start {command:?}: {e}");
-            false
-        }
-    }
-}
--- /dev/null
+++ b/xtask/src/tools.rs
@@ -0,0 +1,44 @@
+//! Starting other programs.
+
+use std::env;
+use std::process::Command;
+
+/// Runs cargo and tells whether it succeeded.
+pub(crate) fn cargo(args: &[&str]) -> bool {
+    run(Command::new("cargo").args(args))
+}
+
+/// Builds the documentation; a warning is an error.
+pub(crate) fn documentation() -> bool {
+    let mut doc = Command::new("cargo");
+    doc.args(["doc", "--workspace", "--no-deps", "--locked"])
+        .env("RUSTDOCFLAGS", "-D warnings");
+    run(&mut doc)
+}
+
+/// Builds every program in release and runs this very chore again in release, since a figure of a
+/// debug build says nothing.
+pub(crate) fn in_release() -> bool {
+    let mut again = Command::new("cargo");
+    again
+        .args(["run", "--quiet", "--release", "--package", "xtask", "--"])
+        .args(env::args_os().skip(1));
+    cargo(&[
+        "build",
+        "--quiet",
+        "--release",
+        "--workspace",
+        "--bins",
+        "--locked",
+    ]) && run(&mut again)
+}
+
+fn run(command: &mut Command) -> bool {
+    match command.status() {
+        Ok(status) => status.success(),
+        Err(e) => {
+            eprintln!("can't start {command:?}: {e}");
+            false
+        }
+    }
+}
