--- a/crates/chicoryrail-slopes/src/spread.rs
+++ b/crates/chicoryrail-slopes/src/spread.rs
@@ -44,9 +44,9 @@
 /// A plan to spread by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Spread {
-    /// Each node sends the whole to [`FAN_OUT`] others.
+    /// Each node sends the whole to four others.
     Tree,
-    /// The structured mesh with [`FAN_OUT`] trunks.
+    /// The structured mesh with four trunks.
     Mesh,
 }
 
