feat(testkit): store, host list and target as processes

The programs need the platform around them before anything can run end to end. The store has compare-and-swap, leases, long-poll watches, call counts, rates and faults; the list lags; the target checks sessions, fences and deadlines, sheds, starts cold and writes each run to a ledger.

--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -1,1 +1,47 @@
 //! Stand-ins of the platform, fault-injecting proxy, load generator, checker.
+//!
+//! Everything that a test, the demo or a chaos run needs around the real processes: a key-value
+//! store, a lagging host list and targets that speak the protocols of `chicoryrail-platform`, each
+//! as a library and as a small program, with faults that a test switches on over HTTP.
+//!
+//! # Example
+//!
+//! ```
+//! use chicoryrail_platform::CasBody;
+//! use chicoryrail_testkit::Kv;
+//!
+//! let mut kv = Kv::default();
+//! let body = CasBody { value: "1".to_owned(), expect: 0, lease: None };
+//! assert_eq!(kv.swap("config/head", &body), Ok(1));
+//! ```
+
+mod list;
+mod listener;
+mod query;
+mod store;
+mod target;
+mod wall;
+
+pub use list::ListServer;
+pub use listener::Cut;
+pub use listener::Listener;
+pub use listener::stand_in;
+pub use query::query;
+pub use store::Change;
+pub use store::Kv;
+pub use store::StoreFault;
+pub use store::StoreOptions;
+pub use store::StoreServer;
+pub use store::StoreStats;
+pub use store::SwapError;
+pub use target::AnswerHead;
+pub use target::Ledger;
+pub use target::Overrun;
+pub use target::Ownership;
+pub use target::Permit;
+pub use target::Refusal;
+pub use target::Run;
+pub use target::TargetFault;
+pub use target::TargetOptions;
+pub use target::TargetServer;
+pub use wall::wall_micros;
--- /dev/null
+++ b/crates/chicoryrail-testkit/src/listener.rs
@@ -0,0 +1,147 @@
+//! An HTTP/1.1 listener whose handler may close the connection in place of an answer.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use chicoryrail_core::ResultCode;
+use chicoryrail_runtime::Body;
+use chicoryrail_runtime::CancellationToken;
+use chicoryrail_runtime::block_on;
+use chicoryrail_runtime::exit_with;
+use chicoryrail_runtime::init_logs;
+use chicoryrail_runtime::stop_on_signal;
+use futures_util::future::Either;
+use futures_util::future::select;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use monoio::net::TcpListener;
+use monoio::net::TcpStream;
+use monoio_compat::hyper::MonoioIo;
+use snafu::Snafu;
+
+/// Says that the connection is closed without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("the connection is closed without an answer"))]
+pub struct Cut;
+
+/// A bound listener with a limit on its connections.
+///
+/// [`chicoryrail_runtime::serve_http`] always answers; a stand-in must be able to lose an answer.
+pub struct Listener {
+    tcp: TcpListener,
+    most: u32,
+    open: Rc<Cell<u32>>,
+    refused: Rc<Cell<u64>>,
+}
+
+impl Listener {
+    /// Binds `addr`; port 0 lets the system choose.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn bind(addr: SocketAddr) -> io::Result<Self> {
+        Ok(Self {
+            tcp: TcpListener::bind(addr)?,
+            most: u32::MAX,
+            open: Rc::default(),
+            refused: Rc::default(),
+        })
+    }
+
+    /// Sets the most connections that are open at a time; one more is closed at once.
+    #[must_use]
+    pub fn with_connections(mut self, most: u32) -> Self {
+        self.most = most;
+        self
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn addr(&self) -> io::Result<SocketAddr> {
+        self.tcp.local_addr()
+    }
+
+    /// Returns a counter of the connections that were closed because of the limit.
+    #[must_use]
+    pub fn refused(&self) -> Rc<Cell<u64>> {
+        Rc::clone(&self.refused)
+    }
+
+    /// Serves until `stop` is cancelled; the connections end with the process.
+    pub async fn serve<H, F>(self, stop: CancellationToken, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + 'static,
+        F: Future<Output = Result<Response<Body>, Cut>> + 'static,
+    {
+        let handler = Rc::new(handler);
+        loop {
+            let accepted = std::pin::pin!(self.tcp.accept());
+            let stopped = std::pin::pin!(stop.cancelled());
+            let stream = match select(accepted, stopped).await {
+                Either::Left((Ok((stream, _)), _)) => stream,
+                Either::Left((Err(_), _)) => continue,
+                Either::Right(_) => return,
+            };
+            if self.open.get() >= self.most {
+                self.refused.set(self.refused.get() + 1);
+                continue;
+            }
+            self.open.set(self.open.get() + 1);
+            let (open, handler) = (Rc::clone(&self.open), Rc::clone(&handler));
+            monoio::spawn(async move {
+                connection(stream, handler).await;
+                open.set(open.get() - 1);
+            });
+        }
+    }
+}
+
+async fn connection<H, F>(stream: TcpStream, handler: Rc<H>)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Result<Response<Body>, Cut>> + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let Ok(io) = stream.try_into_poll_io() else {
+        return;
+    };
+    let service = service_fn(move |request| handler(request));
+    let _ = http1::Builder::new()
+        .half_close(false)
+        .serve_connection(MonoioIo::new(io), service)
+        .await;
+}
+
+/// Runs a stand-in as a process: binds, prints `listening ADDR`, serves until SIGTERM or SIGINT.
+pub fn stand_in<S, F>(addr: SocketAddr, serve: S) -> ExitCode
+where
+    S: FnOnce(Listener, CancellationToken) -> F,
+    F: Future<Output = ()>,
+{
+    init_logs();
+    let result = block_on(async {
+        let stop = CancellationToken::new();
+        stop_on_signal(stop.clone())?;
+        let listener = Listener::bind(addr)?;
+        println!("listening {}", listener.addr()?);
+        serve(listener, stop).await;
+        io::Result::Ok(())
+    });
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => exit_with(
+            ResultCode::SettingInvalid,
+            &format!("--listen = {addr}: {e}"),
+        ),
+    }
+}
