feat(core): find what two teams' bundles may not share

Cause: several teams share one platform, and nothing told when a bundle claims another team's service name, path, server name or address. Change: Bundle::clash names the field, the value and the team; nested paths count as a clash, since the longer one would take requests of the shorter one.

--- a/crates/chicoryrail-core/src/lib.rs
+++ b/crates/chicoryrail-core/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod bundle;
+mod bundle_clash;
 mod bundle_error;
 mod config;
 mod digest;
@@ -34,6 +35,7 @@
 pub use bundle::Kind;
 pub use bundle::Server;
 pub use bundle::Service;
+pub use bundle_clash::Clash;
 pub use bundle_error::BundleError;
 pub use config::Config;
 pub use config::Head;
