--- a/crates/chicoryctl/src/main.rs
+++ b/crates/chicoryctl/src/main.rs
@@ -1,3 +1,7 @@
 //! The operator's command line over the administration API.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chicoryctl::main()
+}
--- a/crates/chicoryrail-admin/src/main.rs
+++ b/crates/chicoryrail-admin/src/main.rs
@@ -1,3 +1,7 @@
-//! The administration API: bundles, sign-off, roll, moves, status.
+//! The administration API of one host.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chicoryrail_admin::main()
+}
