feat(testkit): load generator that checks its answers

Callers are needed that know which answer is theirs. The load runs open-loop (latency from the intended start) or closed-loop, mixes lookups, orders with unique ids, deliberate duplicates and reports over several gates behind a health-checking balancer, and judges each answer by the key, request id, order id and filler that the target puts in.

--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod list;
 mod listener;
+mod load;
 mod query;
 mod store;
 mod target;
@@ -26,6 +27,15 @@
 pub use listener::Cut;
 pub use listener::Listener;
 pub use listener::stand_in;
+pub use load::CallRecord;
+pub use load::Load;
+pub use load::LoadGate;
+pub use load::LoadKind;
+pub use load::LoadOptions;
+pub use load::LoadService;
+pub use load::LoadSummary;
+pub use load::Outcome;
+pub use load::Progress;
 pub use query::query;
 pub use store::Change;
 pub use store::Kv;
--- /dev/null
+++ b/crates/chicoryrail-testkit/src/load.rs
@@ -0,0 +1,18 @@
+//! The load generator: callers that check what they are given.
+
+mod balancer;
+mod call;
+mod mix;
+mod pool;
+mod run;
+mod summary;
+
+pub use call::CallRecord;
+pub use call::Outcome;
+pub use mix::LoadKind;
+pub use mix::LoadService;
+pub use run::Load;
+pub use run::LoadGate;
+pub use run::LoadOptions;
+pub use run::Progress;
+pub use summary::LoadSummary;
--- /dev/null
+++ b/crates/chicoryrail-testkit/src/load/run.rs
@@ -0,0 +1,242 @@
+//! Open-loop and closed-loop runs.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+
+use chicoryrail_core::Millis;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::CallRecord;
+use crate::LoadService;
+use crate::Outcome;
+use crate::load::balancer::Balancer;
+use crate::load::call::call;
+use crate::load::mix::Mix;
+use crate::load::pool::Pool;
+use crate::wall_micros;
+
+/// Requests in flight at a time in an open loop; the next ones wait, and their latency counts from
+/// their intended start all the same.
+const IN_FLIGHT_MOST: u32 = 2_000;
+
+/// A gate as callers know it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadGate {
+    /// Address of the listener for callers.
+    pub callers: SocketAddr,
+    /// Address where the balancer checks `/readyz`; `None` to use the gate always.
+    pub observe: Option<SocketAddr>,
+}
+
+/// Settings of a run of load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadOptions {
+    /// Gates that requests are spread over.
+    pub gates: Vec<LoadGate>,
+    /// Services that requests go to.
+    pub services: Vec<LoadService>,
+    /// Length of the run.
+    pub length: Millis,
+    /// Requests a second in an open loop; `None` for a closed loop.
+    pub rate: Option<f64>,
+    /// Callers in a closed loop.
+    pub callers: u32,
+    /// Share of the orders that repeat an earlier order id.
+    pub duplicates: f64,
+    /// Deadline of each request.
+    pub deadline: Millis,
+    /// Seed of all draws.
+    pub seed: u64,
+}
+
+impl Default for LoadOptions {
+    fn default() -> Self {
+        Self {
+            gates: Vec::new(),
+            services: Vec::new(),
+            length: Millis(5_000),
+            rate: None,
+            callers: 8,
+            duplicates: 0.02,
+            deadline: Millis(1_000),
+            seed: 1,
+        }
+    }
+}
+
+/// Counts of a run that another thread may read while it goes on.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Requests that ended.
+    pub ended: AtomicU64,
+    /// Requests answered.
+    pub done: AtomicU64,
+    /// Requests refused before they ran.
+    pub not_run: AtomicU64,
+    /// Requests that may have run.
+    pub unknown: AtomicU64,
+    /// Answers that were not the request's own or not whole.
+    pub wrong: AtomicU64,
+    /// Set by another thread to end the run early.
+    pub stop: AtomicBool,
+}
+
+/// A run of load; it is driven by [`chicoryrail_runtime::block_on`].
+#[derive(Debug)]
+pub struct Load {
+    options: LoadOptions,
+    progress: Arc<Progress>,
+}
+
+struct Shared {
+    options: LoadOptions,
+    progress: Arc<Progress>,
+    pool: Pool,
+    balancer: Balancer,
+    mix: RefCell<Mix>,
+    rng: RefCell<Pcg64Mcg>,
+    records: RefCell<Vec<CallRecord>>,
+    in_flight: Cell<u32>,
+    ends: u64,
+}
+
+impl Load {
+    /// Builds a run.
+    #[must_use]
+    pub fn new(options: LoadOptions) -> Self {
+        Self {
+            options,
+            progress: Arc::default(),
+        }
+    }
+
+    /// Returns the counts, for another thread.
+    #[must_use]
+    pub fn progress(&self) -> Arc<Progress> {
+        Arc::clone(&self.progress)
+    }
+
+    /// Sends the load and returns a record of each request.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the options name no gate or no service.
+    pub async fn run(self) -> Vec<CallRecord> {
+        assert!(!self.options.gates.is_empty(), "the load needs a gate");
+        assert!(
+            !self.options.services.is_empty(),
+            "the load needs a service"
+        );
+        let seed = self.options.seed;
+        let start = wall_micros();
+        let prefix = format!("r{seed}-{:x}", start / 1000);
+        let mix = Mix::new(&self.options.services, self.options.duplicates, &prefix);
+        let shared = Rc::new(Shared {
+            progress: self.progress,
+            pool: Pool::default(),
+            balancer: Balancer::start(&self.options.gates),
+            mix: RefCell::new(mix),
+            rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            records: RefCell::default(),
+            in_flight: Cell::new(0),
+            ends: start + self.options.length.0 * 1000,
+            options: self.options,
+        });
+        match shared.options.rate {
+            Some(rate) => open_loop(&shared, rate, start).await,
+            None => closed_loop(&shared).await,
+        }
+        shared.records.take()
+    }
+}
+
+async fn open_loop(shared: &Rc<Shared>, rate: f64, start: u64) {
+    let mut next = start as f64;
+    loop {
+        let drawn: f64 = shared.rng.borrow_mut().random_range(f64::MIN_POSITIVE..1.0);
+        next += -drawn.ln() / rate * 1e6;
+        let intended = next as u64;
+        if intended >= shared.ends || shared.progress.stop.load(Relaxed) {
+            break;
+        }
+        let wait = intended.saturating_sub(wall_micros());
+        if wait > 0 {
+            monoio::time::sleep(Duration::from_micros(wait)).await;
+        }
+        while shared.in_flight.get() >= IN_FLIGHT_MOST {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+        shared.in_flight.set(shared.in_flight.get() + 1);
+        let shared = Rc::clone(shared);
+        monoio::spawn(async move {
+            one(&shared, intended).await;
+            shared.in_flight.set(shared.in_flight.get() - 1);
+        });
+    }
+    // Every request ends by its deadline, so the wait is bounded.
+    while shared.in_flight.get() > 0 {
+        monoio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+async fn closed_loop(shared: &Rc<Shared>) {
+    let callers = (0..shared.options.callers).map(|_| {
+        let shared = Rc::clone(shared);
+        monoio::spawn(async move {
+            while wall_micros() < shared.ends && !shared.progress.stop.load(Relaxed) {
+                one(&shared, wall_micros()).await;
+            }
+        })
+    });
+    for caller in callers.collect::<Vec<_>>() {
+        caller.await;
+    }
+}
+
+async fn one(shared: &Shared, intended: u64) {
+    let (ask, gates) = {
+        let mut rng = shared.rng.borrow_mut();
+        let ask = shared.mix.borrow_mut().next(&mut rng);
+        (ask, shared.balancer.order(&mut rng))
+    };
+    let record = call(
+        &shared.pool,
+        &gates,
+        &ask,
+        intended,
+        shared.options.deadline,
+    )
+    .await;
+    let progress = &shared.progress;
+    let counter = match record.outcome {
+        Outcome::Done => &progress.done,
+        Outcome::NotRun => &progress.not_run,
+        Outcome::Unknown => &progress.unknown,
+    };
+    counter.fetch_add(1, Relaxed);
+    if record.wrong.is_some() {
+        progress.wrong.fetch_add(1, Relaxed);
+    }
+    progress.ended.fetch_add(1, Relaxed);
+    shared.records.borrow_mut().push(record);
+    // A refusal that comes at once would make a closed loop spin.
+    if shared.options.rate.is_none() && shared.gave_up() {
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+impl Shared {
+    fn gave_up(&self) -> bool {
+        let records = self.records.borrow();
+        records.last().is_some_and(|r| r.outcome != Outcome::Done)
+    }
+}
