feat(runtime): settings name their flag in errors

A bad value was reported without the flag it stood in (bpaf prints only the value). setting() parses one flag or variable and reports '--flag = value: reason'; the host and store settings use it. Messages of the host names' bounds carry the flag too.

--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -48,6 +48,7 @@
 pub use settings::HostSettings;
 pub use settings::SettingError;
 pub use settings::host_settings;
+pub use settings::setting;
 pub use settings::store_setting;
 pub use start::block_on;
 pub use start::exit_with;
--- a/crates/chicoryrail-runtime/src/settings.rs
+++ b/crates/chicoryrail-runtime/src/settings.rs
@@ -1,6 +1,8 @@
 //! Settings that every process of a host has.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use bpaf::Parser;
 use bpaf::construct;
@@ -33,36 +35,68 @@
     pub list: SocketAddr,
 }
 
+/// Parses one setting from its flag or, where that is missing, its environment variable.
+///
+/// An unusable value is reported with the flag and the value, which the command line library does
+/// not do by itself.
+pub fn setting<T>(
+    flag: &'static str,
+    env: &'static str,
+    kind: &'static str,
+    help: &'static str,
+) -> impl Parser<T>
+where
+    T: FromStr + 'static,
+    T::Err: Display,
+{
+    long(flag)
+        .env(env)
+        .help(help)
+        .argument::<String>(kind)
+        .parse(move |text| {
+            text.parse()
+                .map_err(|e: T::Err| format!("--{flag} = {text}: {e}"))
+        })
+}
+
 /// Parses the settings from flags and, where a flag is missing, environment variables.
 pub fn host_settings() -> impl Parser<HostSettings> {
-    let host = long("host")
-        .env("CHICORYRAIL_HOST")
-        .help("Name of this host, as the platform's host list has it")
-        .argument::<HostName>("NAME")
-        .guard(
-            HostName::is_valid,
-            "must be 1 to 64 characters of a-z 0-9 - _ .",
-        );
-    let dc = long("data-centre")
-        .env("CHICORYRAIL_DATA_CENTRE")
-        .help("Data centre that this host stands in")
-        .argument::<DcName>("NAME")
-        .guard(
-            DcName::is_valid,
-            "must be 1 to 64 characters of a-z 0-9 - _ .",
-        );
-    let list = long("host-list")
-        .env("CHICORYRAIL_HOST_LIST")
-        .help("IP address and port of the platform's list of hosts")
-        .argument::<SocketAddr>("ADDR");
+    let host = setting(
+        "host",
+        "CHICORYRAIL_HOST",
+        "NAME",
+        "Name of this host, as the platform's host list has it",
+    )
+    .guard(
+        HostName::is_valid,
+        "--host must be 1 to 64 characters of a-z 0-9 - _ .",
+    );
+    let dc = setting(
+        "data-centre",
+        "CHICORYRAIL_DATA_CENTRE",
+        "NAME",
+        "Data centre that this host stands in",
+    )
+    .guard(
+        DcName::is_valid,
+        "--data-centre must be 1 to 64 characters of a-z 0-9 - _ .",
+    );
+    let list = setting(
+        "host-list",
+        "CHICORYRAIL_HOST_LIST",
+        "ADDR",
+        "IP address and port of the platform's list of hosts",
+    );
     construct!(HostSettings { host, dc, list })
 }
 
 /// Parses the address of the platform's store, for the processes that call it.
 #[must_use]
 pub fn store_setting() -> impl Parser<SocketAddr> {
-    long("store")
-        .env("CHICORYRAIL_STORE")
-        .help("IP address and port of the platform's key-value service")
-        .argument::<SocketAddr>("ADDR")
+    setting(
+        "store",
+        "CHICORYRAIL_STORE",
+        "ADDR",
+        "IP address and port of the platform's key-value service",
+    )
 }
