feat(gate): thin whole path of a gate

Callers had no entry process. The gate follows the host list, configuration and routes, finds the owner or a free server, holds requests while routes are missing or move, sends over pooled HTTP/1.1 connections with slots as a hard limit or through the gate that holds them over h2, claims orders before it sends them, and stops without cutting requests.

--- /dev/null
+++ b/crates/chicoryrail-gate/src/answer_body.rs
@@ -0,0 +1,204 @@
+//! The body of a server's answer, and what is held until its end.
+
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use chicoryrail_core::Millis;
+use http::HeaderValue;
+use hyper::body::Body as HttpBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use monoio::time::Sleep;
+use monoio::time::sleep;
+
+use crate::gate::Gate;
+use crate::pool::Conn;
+use crate::send;
+use crate::server::Server;
+use crate::server::UnderWay;
+use crate::shard::InFlight;
+use crate::slots::Permit;
+
+/// A request under way on a connection. Dropped before its end it closes the connection and tells
+/// the server to give up.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    server: Rc<Server>,
+    conn: Option<Conn>,
+    cancel: Option<(Rc<Gate>, HeaderValue)>,
+    _under_way: UnderWay,
+    _permit: Permit,
+    _flight: InFlight,
+}
+
+impl Exchange {
+    /// Binds a connection, a slot and the count in flight together.
+    pub(crate) fn new(conn: Conn, permit: Permit, flight: InFlight, server: &Rc<Server>) -> Self {
+        Self {
+            server: Rc::clone(server),
+            conn: Some(conn),
+            cancel: None,
+            _under_way: UnderWay::new(server),
+            _permit: permit,
+            _flight: flight,
+        }
+    }
+
+    /// Cancels the request at the server where it does not come to its end. Orders are left to run:
+    /// their outcome is wanted by the caller's next try.
+    #[must_use]
+    pub(crate) fn with_cancel(mut self, gate: &Rc<Gate>, attempt: &HeaderValue) -> Self {
+        self.cancel = Some((Rc::clone(gate), attempt.clone()));
+        self
+    }
+
+    /// Returns the connection.
+    pub(crate) fn conn(&mut self) -> &mut Conn {
+        self.conn
+            .as_mut()
+            .expect("the connection is held until the end")
+    }
+
+    /// Ends without an answer; `cancel` tells whether the server may still be at work.
+    pub(crate) fn abandon(mut self, cancel: bool) {
+        if !cancel {
+            self.cancel = None;
+        }
+    }
+
+    /// Ends after the whole answer: the connection may carry the next request.
+    fn complete(mut self) {
+        self.cancel = None;
+        if let Some(conn) = self.conn.take() {
+            self.server.pool.put(conn);
+        }
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        if let Some((gate, attempt)) = self.cancel.take() {
+            send::cancel(&gate, &self.server, &attempt);
+        }
+    }
+}
+
+/// An answer's body on its way to the caller, bounded by the deadline.
+#[derive(Debug)]
+pub(crate) struct AnswerBody {
+    inner: Incoming,
+    exchange: Option<Exchange>,
+    left: Millis,
+    since: std::time::Instant,
+    sleep: Option<Pin<Box<Sleep>>>,
+    blame: Option<Rc<Server>>,
+}
+
+impl AnswerBody {
+    /// Wraps a body that must end within `left`; a cut counts against `blame`.
+    pub(crate) fn new(
+        inner: Incoming,
+        exchange: Exchange,
+        left: Millis,
+        blame: Option<Rc<Server>>,
+    ) -> Self {
+        let mut body = Self {
+            inner,
+            exchange: Some(exchange),
+            left,
+            since: std::time::Instant::now(),
+            sleep: None,
+            blame,
+        };
+        body.end_if_whole();
+        body
+    }
+
+    /// Reads an unwanted body to its end, so that the connection can be used again.
+    pub(crate) fn drain(mut self) {
+        if self.exchange.is_none() {
+            return;
+        }
+        self.left = Millis(100);
+        monoio::spawn(async move {
+            while let Some(Ok(_)) = poll_fn(|cx| Pin::new(&mut self).poll_frame(cx)).await {}
+        });
+    }
+
+    fn end_if_whole(&mut self) {
+        if self.inner.is_end_stream() {
+            self.end();
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some(exchange) = self.exchange.take() {
+            exchange.complete();
+        }
+    }
+
+    fn fail(&mut self, error: io::Error) -> io::Error {
+        if let Some(server) = &self.blame {
+            server.failed();
+        }
+        self.exchange = None;
+        error
+    }
+
+    fn is_late(&mut self, cx: &mut Context<'_>) -> bool {
+        let left = self.left.duration();
+        let since = self.since;
+        let timer = self
+            .sleep
+            .get_or_insert_with(|| Box::pin(sleep(left.saturating_sub(since.elapsed()))));
+        timer.as_mut().poll(cx).is_ready()
+    }
+}
+
+impl HttpBody for AnswerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        loop {
+            match Pin::new(&mut self.inner).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    if !frame.is_data() {
+                        continue;
+                    }
+                    self.end_if_whole();
+                    return Poll::Ready(Some(Ok(frame)));
+                }
+                Poll::Ready(Some(Err(e))) => {
+                    return Poll::Ready(Some(Err(self.fail(io::Error::other(e)))));
+                }
+                Poll::Ready(None) => {
+                    self.end();
+                    return Poll::Ready(None);
+                }
+                Poll::Pending if self.exchange.is_some() && self.is_late(cx) => {
+                    let late = io::Error::from(io::ErrorKind::TimedOut);
+                    return Poll::Ready(Some(Err(self.fail(late))));
+                }
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-gate/src/forward.rs
@@ -0,0 +1,257 @@
+//! Sends a request through the gate that holds the server's slots.
+
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ResultCode;
+use chicoryrail_platform::header;
+use chicoryrail_runtime::Body;
+use chicoryrail_runtime::collect;
+use chicoryrail_wire::Forward;
+use chicoryrail_wire::Peer;
+use h2::Reason;
+use h2::RecvStream;
+use h2::SendStream;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use hyper::body::Body as HttpBody;
+use hyper::body::Frame;
+use monoio::time::Sleep;
+use monoio::time::sleep;
+use monoio::time::timeout;
+
+use crate::call::Call;
+use crate::dispatch::Choice;
+use crate::gate::Gate;
+use crate::headers;
+use crate::headers::inner;
+use crate::refusal::Refusal;
+use crate::server::UnderWay;
+use crate::shard::InFlight;
+use crate::source::Source;
+
+/// Longest text of another gate's refusal.
+const REFUSAL_TEXT: usize = 4 << 10;
+
+/// Time by which the other gate's own answer at the deadline may come later.
+const GRACE: Millis = Millis(20);
+
+/// Sends the request once.
+///
+/// # Errors
+///
+/// Returns the refusal; its code tells what is known of the run.
+pub(crate) async fn to_gate(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
+    choice: &Choice,
+    peer: &Peer,
+) -> Result<Response<Body>, Refusal> {
+    gate.counters.forwards.inc();
+    let server = &choice.route.server;
+    let flight = choice.shard.fly(call.key, &server.name, false);
+    let under_way = UnderWay::new(server);
+    let now = gate.now();
+    if now >= call.deadline {
+        return Err(ResultCode::DeadlinePassed.into());
+    }
+    let head = head(call, choice, peer, now);
+    let limit = call.left(now) + GRACE;
+    let opened = timeout(limit.duration(), peer.forward(head, source.is_empty())).await;
+    let Forward { body, answer } = match opened {
+        Ok(Ok(forward)) => forward,
+        Ok(Err(_)) => return Err(ResultCode::NoServer.into()),
+        Err(_) => return Err(ResultCode::DeadlinePassed.into()),
+    };
+    if !source.is_empty() {
+        monoio::spawn(pump(source.body(), body));
+    }
+    let limit = call.left(gate.now()) + GRACE;
+    let answer = match timeout(limit.duration(), answer).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(e)) if e.is_reset() && e.reason() == Some(Reason::REFUSED_STREAM) => {
+            return Err(ResultCode::NoServer.into());
+        }
+        Ok(Err(_)) => return Err(ResultCode::OutcomeUnknown.into()),
+        Err(_) => return Err(ResultCode::AnswerLate.into()),
+    };
+    let (mut head, body) = answer.into_parts();
+    let load = head.headers.remove(inner::LOAD);
+    if let Some(load) = load.and_then(|v| v.to_str().ok()?.parse().ok()) {
+        server.hint(load, gate.now());
+    }
+    let left = call.left(gate.now()) + GRACE;
+    let body = StreamBody::new(body, left, Some((flight, under_way)));
+    if let Some(code) = head.headers.get(inner::CODE) {
+        let code = code.to_str().ok().and_then(|c| c.parse().ok());
+        let code = code.and_then(ResultCode::from_number);
+        return Err(refusal(code, body, head.headers).await);
+    }
+    head.headers = headers::end_to_end(head.headers);
+    head.version = http::Version::HTTP_11;
+    head.extensions.clear();
+    Ok(Response::from_parts(head, Box::pin(body)))
+}
+
+/// Reads another gate's refusal.
+async fn refusal(code: Option<ResultCode>, body: StreamBody, headers: http::HeaderMap) -> Refusal {
+    let mut refusal = Refusal::new(code.unwrap_or(ResultCode::OutcomeUnknown));
+    let text = collect(body, REFUSAL_TEXT).await.unwrap_or_default();
+    let value: Option<serde_json::Value> = serde_json::from_slice(&text).ok();
+    if let Some(message) = value.as_ref().and_then(|v| v["error"].as_str()) {
+        refusal.message = message.to_owned();
+    }
+    let after = headers.get(http::header::RETRY_AFTER);
+    let after = after.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    refusal.after = after.map(|s| Millis(s * 1_000));
+    refusal
+}
+
+fn head(call: &Call, choice: &Choice, peer: &Peer, now: Millis) -> Request<()> {
+    let uri = http::Uri::builder()
+        .scheme("http")
+        .authority(peer.addr().to_string())
+        .path_and_query(call.path.clone())
+        .build()
+        .expect("an address and a path are a valid URI");
+    let mut head = Request::new(());
+    *head.method_mut() = call.method.clone();
+    *head.uri_mut() = uri;
+    let mut headers = call.headers.clone();
+    headers.remove(http::header::HOST);
+    headers.insert(header::REQUEST_ID, call.id.clone());
+    headers.insert(header::DEADLINE, HeaderValue::from(call.left(now).0));
+    if let Ok(name) = HeaderValue::from_str(choice.route.server.name.as_str()) {
+        headers.insert(inner::SERVER, name);
+    }
+    *head.headers_mut() = headers;
+    head
+}
+
+/// Streams a body into an h2 stream, no faster than the other side reads it.
+///
+/// A body that fails resets the stream, so that its start is never taken for the whole.
+pub(crate) async fn pump(mut body: Body, mut stream: SendStream<Bytes>) {
+    loop {
+        let frame = poll_fn(|cx| match body.as_mut().poll_frame(cx) {
+            Poll::Ready(frame) => Poll::Ready(Some(frame)),
+            // The other side gave up: dropping the body gives up the work behind it.
+            Poll::Pending => match stream.poll_reset(cx) {
+                Poll::Ready(_) => Poll::Ready(None),
+                Poll::Pending => Poll::Pending,
+            },
+        });
+        let Some(frame) = frame.await else {
+            return;
+        };
+        let data = match frame {
+            None => {
+                let _ = stream.send_data(Bytes::new(), true);
+                return;
+            }
+            Some(Err(_)) => {
+                stream.send_reset(Reason::INTERNAL_ERROR);
+                return;
+            }
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) => data,
+                Err(_) => continue,
+            },
+        };
+        if !send_all(&mut stream, data, body.is_end_stream()).await || body.is_end_stream() {
+            return;
+        }
+    }
+}
+
+async fn send_all(stream: &mut SendStream<Bytes>, mut data: Bytes, end: bool) -> bool {
+    while !data.is_empty() {
+        stream.reserve_capacity(data.len());
+        let room = match poll_fn(|cx| stream.poll_capacity(cx)).await {
+            Some(Ok(room)) => room,
+            _ => return false,
+        };
+        let part = data.split_to(room.min(data.len()));
+        let last = end && data.is_empty();
+        if stream.send_data(part, last).is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// A body that arrives on an h2 stream. Dropped before its end it resets the stream.
+pub(crate) struct StreamBody {
+    inner: RecvStream,
+    left: Millis,
+    since: std::time::Instant,
+    sleep: Option<Pin<Box<Sleep>>>,
+    held: Option<(InFlight, UnderWay)>,
+    ended: bool,
+}
+
+impl StreamBody {
+    /// Wraps a stream that must end within `left`.
+    pub(crate) fn new(inner: RecvStream, left: Millis, held: Option<(InFlight, UnderWay)>) -> Self {
+        Self {
+            ended: inner.is_end_stream(),
+            inner,
+            left,
+            since: std::time::Instant::now(),
+            sleep: None,
+            held,
+        }
+    }
+}
+
+impl HttpBody for StreamBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        match self.inner.poll_data(cx) {
+            Poll::Ready(Some(Ok(data))) => {
+                let _ = self.inner.flow_control().release_capacity(data.len());
+                self.ended = self.inner.is_end_stream();
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Poll::Ready(Some(Err(e))) => {
+                self.ended = true;
+                self.held = None;
+                Poll::Ready(Some(Err(io::Error::other(e))))
+            }
+            Poll::Ready(None) => {
+                self.ended = true;
+                self.held = None;
+                Poll::Ready(None)
+            }
+            Poll::Pending => {
+                let left = self.left.duration().saturating_sub(self.since.elapsed());
+                let timer = self.sleep.get_or_insert_with(|| Box::pin(sleep(left)));
+                if timer.as_mut().poll(cx).is_pending() {
+                    return Poll::Pending;
+                }
+                self.ended = true;
+                Poll::Ready(Some(Err(io::Error::from(io::ErrorKind::TimedOut))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.ended
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-gate/src/headers.rs
@@ -0,0 +1,54 @@
+//! Which headers go on.
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::header;
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Names of the headers between gates.
+pub(crate) mod inner {
+    /// Server that the request is for.
+    pub(crate) const SERVER: &str = "chicoryrail-server";
+    /// Result code of a gate's own answer.
+    pub(crate) const CODE: &str = "chicoryrail-code";
+    /// Requests in flight and waiting at the server, as the gate that holds its slots counts them.
+    pub(crate) const LOAD: &str = "chicoryrail-load";
+    /// Start of the names that only chicoryrail sets.
+    pub(crate) const PREFIX: &str = "chicoryrail-";
+}
+
+/// Removes the headers that concern one connection only, and those that only chicoryrail sets: a
+/// caller or a server that sent them could pass for a gate.
+pub(crate) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    if let Some(named) = headers.remove(header::CONNECTION) {
+        let names = named.to_str().unwrap_or("").split(',');
+        for name in names {
+            headers.remove(name.trim());
+        }
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+    headers.remove(header::EXPECT);
+    let ours: Vec<HeaderName> = headers
+        .keys()
+        .filter(|n| n.as_str().starts_with(inner::PREFIX))
+        .cloned()
+        .collect();
+    for name in ours {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/chicoryrail-gate/src/inner.rs
@@ -0,0 +1,131 @@
+//! What other processes ask of this gate.
+
+use std::future::poll_fn;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ResultCode;
+use chicoryrail_core::ServerName;
+use chicoryrail_runtime::Body;
+use chicoryrail_wire::Handler;
+use chicoryrail_wire::HeartbeatReply;
+use chicoryrail_wire::Reply;
+use chicoryrail_wire::Request;
+use futures_util::future::Either;
+use futures_util::future::select;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::Response;
+use http::request::Parts;
+
+use crate::call;
+use crate::call::Call;
+use crate::dispatch::Choice;
+use crate::forward;
+use crate::forward::StreamBody;
+use crate::gate::Gate;
+use crate::gate::Serving;
+use crate::headers::inner;
+use crate::refusal::Refusal;
+use crate::send;
+use crate::shard::Via;
+use crate::source::Source;
+
+/// Answers other processes.
+pub(crate) struct Inner(pub(crate) Rc<Gate>);
+
+impl Handler for Inner {
+    async fn call(&self, request: Request) -> Reply {
+        match request {
+            Request::Ping => Reply::Done,
+            Request::Heartbeat(_) => Reply::Heartbeat(HeartbeatReply {
+                own: self.0.heartbeat(),
+            }),
+            _ => Reply::refused(ResultCode::BadRequest),
+        }
+    }
+
+    async fn forward(&self, request: http::Request<RecvStream>, mut respond: SendResponse<Bytes>) {
+        let _serving = Serving::new(&self.0);
+        let (head, body) = request.into_parts();
+        let answer = {
+            let work = std::pin::pin!(serve(&self.0, head, body));
+            // The other gate gives up when its caller leaves; dropping the work cancels it here.
+            let left = poll_fn(|cx| respond.poll_reset(cx));
+            match select(work, left).await {
+                Either::Left((answer, _)) => answer,
+                Either::Right(_) => return,
+            }
+        };
+        let (mut head, body) = answer.into_parts();
+        head.version = http::Version::HTTP_2;
+        head.headers = without_connection(head.headers);
+        let end = hyper::body::Body::is_end_stream(&body);
+        if let Ok(stream) = respond.send_response(Response::from_parts(head, ()), end)
+            && !end
+        {
+            forward::pump(body, stream).await;
+        }
+    }
+}
+
+async fn serve(gate: &Rc<Gate>, head: Parts, body: RecvStream) -> Response<Body> {
+    match send(gate, head, body).await {
+        Ok(answer) => answer,
+        Err(refusal) => refusal.answer(),
+    }
+}
+
+async fn send(gate: &Rc<Gate>, head: Parts, body: RecvStream) -> Result<Response<Body>, Refusal> {
+    let server = head.headers.get(inner::SERVER);
+    let server = server.and_then(|v| v.to_str().ok()).map(ServerName::new);
+    let server = server.ok_or(ResultCode::BadRequest)?;
+    let id = call::request_id(gate, &head.headers);
+    let call = Call::read(gate, head, id).map_err(rerouted)?;
+    let choice = named(&call, &server, gate.now())?;
+    let left = call.left(gate.now());
+    let body: Body = Box::pin(StreamBody::new(body, left, None));
+    let source = Source::new(body, call.entry.service.max_body);
+    send::to_server(gate, &call, &source, &choice).await
+}
+
+/// A service that this gate does not know may be in a configuration that it does not have yet.
+fn rerouted(refusal: Refusal) -> Refusal {
+    match refusal.code {
+        ResultCode::UnknownService => Refusal::new(ResultCode::NotReady),
+        _ => refusal,
+    }
+}
+
+/// Finds the server that the other gate chose. This gate's own routes must say the same: the other
+/// may have older ones.
+fn named(call: &Call, name: &ServerName, now: Millis) -> Result<Choice, ResultCode> {
+    let part = call.key.map(|k| k.part(call.entry.service.parts) as usize);
+    for (i, shard) in call.entry.shards.iter().enumerate() {
+        if part.is_some_and(|p| p != i) {
+            continue;
+        }
+        let Some(table) = shard.routes(now) else {
+            continue;
+        };
+        let Some(route) = table.route(name).cloned() else {
+            continue;
+        };
+        if route.via == Via::Own && table.allows(call.key, name) {
+            return Ok(Choice {
+                shard: Rc::clone(shard),
+                table,
+                route,
+            });
+        }
+    }
+    Err(ResultCode::OwnerMoving)
+}
+
+/// Removes what HTTP/2 does not allow.
+fn without_connection(mut headers: http::HeaderMap) -> http::HeaderMap {
+    headers.remove(http::header::CONNECTION);
+    headers.remove(http::header::TRANSFER_ENCODING);
+    headers
+}
--- a/crates/chicoryrail-gate/src/main.rs
+++ b/crates/chicoryrail-gate/src/main.rs
@@ -1,3 +1,7 @@
 //! The entry process: admits, queues, routes and retries callers' requests.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chicoryrail_gate::run_from_args()
+}
--- /dev/null
+++ b/crates/chicoryrail-gate/src/pool.rs
@@ -0,0 +1,128 @@
+//! Connections to one server.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::Body;
+use chicoryrail_runtime::CancellationToken;
+use futures_util::future::select;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+use monoio_compat::hyper::MonoioIo;
+
+/// Connections kept above the slots. A connection that was given up still counts until its end, and
+/// its successor must not wait for that.
+const SPARE: u32 = 4;
+
+/// Longest time a connect may take. Servers are about 1 ms away; a longer wait means that nobody is
+/// there, and the request must have time left for another server.
+const CONNECT_LIMIT: Millis = Millis(300);
+
+/// Idle and open connections of one server.
+#[derive(Debug, Default)]
+pub(crate) struct Pool {
+    idle: RefCell<Vec<Conn>>,
+    open: Rc<Cell<u32>>,
+    cap: Cell<u32>,
+}
+
+/// A connection that carries at most one request at a time; dropping it closes it.
+#[derive(Debug)]
+pub(crate) struct Conn {
+    pub(crate) send: SendRequest<Body>,
+    closed: CancellationToken,
+}
+
+impl Pool {
+    /// Sets the limit from the server's slots and the service's connections.
+    pub(crate) fn set_cap(&self, slots: u32, connections: u32) {
+        self.cap.set(connections.min(slots + SPARE).max(1));
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn open(&self) -> u32 {
+        self.open.get()
+    }
+
+    /// Closes the idle connections.
+    pub(crate) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Takes an idle connection, or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason where none can be had; nothing was sent.
+    pub(crate) async fn take(&self, addr: SocketAddr) -> io::Result<Conn> {
+        loop {
+            let Some(mut conn) = self.idle.borrow_mut().pop() else {
+                break;
+            };
+            if !conn.send.is_closed() && conn.send.ready().await.is_ok() {
+                return Ok(conn);
+            }
+        }
+        self.connect(addr).await
+    }
+
+    /// Gives a connection back after a whole answer.
+    pub(crate) fn put(&self, conn: Conn) {
+        if !conn.send.is_closed() && (self.idle.borrow().len() as u32) < self.cap.get() {
+            self.idle.borrow_mut().push(conn);
+        }
+    }
+
+    /// Opens a connection where the limit allows it.
+    pub(crate) async fn connect(&self, addr: SocketAddr) -> io::Result<Conn> {
+        if self.open.get() >= self.cap.get() {
+            return Err(io::Error::other("the server's connections are in use"));
+        }
+        let open = Open::new(&self.open);
+        let stream = timeout(CONNECT_LIMIT.duration(), TcpStream::connect(addr))
+            .await
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        stream.set_nodelay(true)?;
+        let io = stream.try_into_poll_io().map_err(|(e, _)| e)?;
+        let (send, connection) = http1::handshake(MonoioIo::new(io))
+            .await
+            .map_err(io::Error::other)?;
+        let closed = CancellationToken::new();
+        let stop = closed.clone();
+        monoio::spawn(async move {
+            let stopped = std::pin::pin!(stop.cancelled());
+            select(connection, stopped).await;
+            drop(open);
+        });
+        Ok(Conn { send, closed })
+    }
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.closed.cancel();
+    }
+}
+
+/// Counts an open connection until its task has ended.
+#[derive(Debug)]
+struct Open(Rc<Cell<u32>>);
+
+impl Open {
+    fn new(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get() + 1);
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-gate/src/send.rs
@@ -0,0 +1,219 @@
+//! Sends a request to a server whose slots this gate holds.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use chicoryrail_core::Millis;
+use chicoryrail_core::ResultCode;
+use chicoryrail_platform::Targets;
+use chicoryrail_platform::header;
+use chicoryrail_runtime::Body;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::Uri;
+use hyper::body::Incoming;
+use monoio::time::timeout;
+
+use crate::answer_body::AnswerBody;
+use crate::answer_body::Exchange;
+use crate::call::Call;
+use crate::dispatch::Choice;
+use crate::gate::Gate;
+use crate::headers;
+use crate::headers::inner;
+use crate::pool::Conn;
+use crate::refusal::Refusal;
+use crate::server::Server;
+use crate::source::Source;
+
+/// Sends the request once, after it has got a slot and a connection.
+///
+/// # Errors
+///
+/// Returns the refusal; its code tells what is known of the run.
+pub(crate) async fn to_server(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
+    choice: &Choice,
+) -> Result<Response<Body>, Refusal> {
+    let server = &choice.route.server;
+    let left = call.left(gate.now());
+    if left == Millis::ZERO {
+        return Err(ResultCode::DeadlinePassed.into());
+    }
+    let permit = server.slots.enter(call.key, call.deadline, left).await?;
+    let flight = choice.shard.fly(call.key, &server.name, true);
+    let conn = match server.pool.take(server.addr.get()).await {
+        Ok(conn) => conn,
+        Err(_) => {
+            server.failed();
+            return Err(ResultCode::NoServer.into());
+        }
+    };
+    // The last moment before the write: the waits for a slot and a connection may have outlasted
+    // the routes, or the process may have been stopped for a while. A server that does not check
+    // fences would run the request although another owns the key by now.
+    let now = gate.now();
+    if !choice.holds(call.key, now) {
+        server.pool.put(conn);
+        return Err(ResultCode::OwnerMoving.into());
+    }
+    if now >= call.deadline {
+        server.pool.put(conn);
+        return Err(ResultCode::DeadlinePassed.into());
+    }
+    let attempt = attempt_id(gate, call);
+    let request = request(call, source, choice, &attempt, now);
+    server.sent();
+    let exchange = Exchange::new(conn, permit, flight, server);
+    let exchange = match call.is_idempotent() {
+        true => exchange.with_cancel(gate, &attempt),
+        false => exchange,
+    };
+    exchange_once(gate, call, source, server, exchange, request, &attempt).await
+}
+
+async fn exchange_once(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Source,
+    server: &Rc<Server>,
+    mut exchange: Exchange,
+    request: Request<Body>,
+    attempt: &HeaderValue,
+) -> Result<Response<Body>, Refusal> {
+    let started = Instant::now();
+    let conn: &mut Conn = exchange.conn();
+    let sent = conn.send.try_send_request(request);
+    let answer = match timeout(call.left(gate.now()).duration(), sent).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(mut error)) => {
+            server.failed();
+            let unsent = error.take_message().is_some();
+            // The connection is at its end, and so is the server's work for it.
+            exchange.abandon(false);
+            let code = match (unsent, source.fault()) {
+                (true, _) => ResultCode::NoServer,
+                (false, Some(fault)) if call.is_idempotent() => fault,
+                (false, _) => ResultCode::OutcomeUnknown,
+            };
+            return Err(code.into());
+        }
+        Err(_) => {
+            server.failed();
+            exchange.abandon(true);
+            return Err(ResultCode::AnswerLate.into());
+        }
+    };
+    let us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+    if answer.headers().get(header::REQUEST_ID) != Some(attempt) {
+        // A late answer to an earlier request, or an answer to somebody else's: whoever it belongs
+        // to, it is not this caller's, and nothing that follows on the connection can be trusted.
+        gate.counters.mismatches.inc();
+        server.failed();
+        exchange.abandon(true);
+        return Err(Refusal::with(
+            ResultCode::OutcomeUnknown,
+            format!("the answer of {} belongs to another request", server.name),
+        ));
+    }
+    server.answered(us, instance(answer.headers()));
+    if answer.headers().contains_key(header::NOT_RUN) {
+        return Err(refused(answer, exchange, server));
+    }
+    Ok(pass(gate, call, server, answer, exchange))
+}
+
+/// Reads the refusal of a server that says it did not run the request.
+fn refused(answer: Response<Incoming>, exchange: Exchange, server: &Server) -> Refusal {
+    server.failed();
+    let status = answer.status();
+    let (head, body) = answer.into_parts();
+    AnswerBody::new(body, exchange, Millis::ZERO, None).drain();
+    let code = if status == http::StatusCode::CONFLICT {
+        ResultCode::FenceOld
+    } else {
+        ResultCode::Shed
+    };
+    let mut refusal = Refusal::new(code);
+    let after = head.headers.get(http::header::RETRY_AFTER);
+    let after = after.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    if let Some(seconds) = after {
+        refusal.after = Some(Millis(seconds.min(3_600) * 1_000));
+    }
+    refusal
+}
+
+fn pass(
+    gate: &Rc<Gate>,
+    call: &Call,
+    server: &Rc<Server>,
+    answer: Response<Incoming>,
+    exchange: Exchange,
+) -> Response<Body> {
+    let (mut head, body) = answer.into_parts();
+    head.headers = headers::end_to_end(head.headers);
+    head.headers.insert(header::REQUEST_ID, call.id.clone());
+    head.headers
+        .insert(inner::LOAD, HeaderValue::from(server.slots.load()));
+    if let Ok(name) = HeaderValue::from_str(server.name.as_str()) {
+        head.headers.insert(header::SERVER, name);
+    }
+    head.version = http::Version::HTTP_11;
+    head.extensions.clear();
+    let left = call.left(gate.now());
+    let body = AnswerBody::new(body, exchange, left, Some(Rc::clone(server)));
+    Response::from_parts(head, Box::pin(body))
+}
+
+/// Returns an id that no other send has, so that an answer to another send of the same caller's id
+/// is told apart.
+fn attempt_id(gate: &Gate, call: &Call) -> HeaderValue {
+    let id = call.id.to_str().unwrap_or("");
+    let text = format!(
+        "{id}.{:x}{:08x}",
+        gate.serial(),
+        gate.process.instance as u32
+    );
+    HeaderValue::try_from(text).expect("a header and hexadecimal digits are a valid header")
+}
+
+fn request(
+    call: &Call,
+    source: &Rc<Source>,
+    choice: &Choice,
+    attempt: &HeaderValue,
+    now: Millis,
+) -> Request<Body> {
+    let mut request = Request::new(source.body());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = Uri::from(call.path.clone());
+    let mut headers = call.headers.clone();
+    let host = choice.route.server.host.clone();
+    headers.insert(http::header::HOST, host);
+    headers.insert(header::REQUEST_ID, attempt.clone());
+    headers.insert(header::DEADLINE, HeaderValue::from(call.left(now).0));
+    if call.key.is_some() {
+        let fence = choice.table.fence.to_string();
+        if let Ok(fence) = HeaderValue::try_from(fence) {
+            headers.insert(header::FENCE, fence);
+        }
+    }
+    *request.headers_mut() = headers;
+    request
+}
+
+fn instance(headers: &HeaderMap) -> Option<u64> {
+    headers.get(header::INSTANCE)?.to_str().ok()?.parse().ok()
+}
+
+/// Tells a server to give up a request.
+pub(crate) fn cancel(gate: &Rc<Gate>, server: &Rc<Server>, attempt: &HeaderValue) {
+    gate.counters.cancels.inc();
+    let (gate, addr) = (Rc::clone(gate), server.addr.get());
+    let attempt = attempt.to_str().unwrap_or("").to_owned();
+    monoio::spawn(async move { gate.targets.cancel(addr, &attempt).await });
+}
--- /dev/null
+++ b/crates/chicoryrail-gate/src/shard.rs
@@ -0,0 +1,226 @@
+//! The routes of one shard and the requests in flight under them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use chicoryrail_core::Fence;
+use chicoryrail_core::HostName;
+use chicoryrail_core::KeyHash;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ServerName;
+use chicoryrail_core::ShardId;
+use chicoryrail_wire::RouteEntry;
+use chicoryrail_wire::ServerState;
+use chicoryrail_wire::SliceState;
+
+use crate::server::Server;
+use crate::signal::Signal;
+
+/// A table in force.
+#[derive(Debug)]
+pub(crate) struct Table {
+    pub(crate) fence: Fence,
+    pub(crate) routes: Vec<Route>,
+    pub(crate) entries: Vec<RouteEntry>,
+}
+
+/// A server in a table.
+#[derive(Clone, Debug)]
+pub(crate) struct Route {
+    pub(crate) server: Rc<Server>,
+    pub(crate) state: ServerState,
+    pub(crate) via: Via,
+}
+
+/// Which gate speaks to a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Via {
+    /// This one.
+    Own,
+    /// Another one.
+    Gate(HostName),
+    /// None may.
+    Nobody,
+}
+
+/// What a table says of a key.
+#[derive(Debug)]
+pub(crate) enum Owner {
+    /// Requests go to this server.
+    Is(Route),
+    /// Requests must wait.
+    Moving,
+}
+
+impl Route {
+    /// Tells whether the server takes new work through some gate.
+    pub(crate) fn takes_work(&self) -> bool {
+        matches!(self.state, ServerState::Up | ServerState::Cold) && self.via != Via::Nobody
+    }
+}
+
+impl Table {
+    /// Finds the owner of a key.
+    pub(crate) fn owner(&self, key: KeyHash) -> Owner {
+        let after = self.entries.partition_point(|e| e.slice.first <= key.0);
+        let Some(entry) = after.checked_sub(1).and_then(|i| self.entries.get(i)) else {
+            return Owner::Moving;
+        };
+        if !entry.slice.contains(key) || entry.state == SliceState::Moving {
+            return Owner::Moving;
+        }
+        match self.routes.get(entry.owner as usize) {
+            Some(route) if route.takes_work() => Owner::Is(route.clone()),
+            _ => Owner::Moving,
+        }
+    }
+
+    /// Finds the route of a server.
+    pub(crate) fn route(&self, name: &ServerName) -> Option<&Route> {
+        self.routes.iter().find(|r| r.server.name == *name)
+    }
+
+    /// Tells whether new work for the key may go to the server; `key` is `None` in a free service.
+    pub(crate) fn allows(&self, key: Option<KeyHash>, server: &ServerName) -> bool {
+        match key {
+            Some(key) => matches!(self.owner(key), Owner::Is(r) if r.server.name == *server),
+            None => self.route(server).is_some_and(Route::takes_work),
+        }
+    }
+}
+
+/// A shard: its table, how long that is valid, and what is in flight under it.
+#[derive(Debug)]
+pub(crate) struct Shard {
+    pub(crate) id: ShardId,
+    pub(crate) table: RefCell<Option<Rc<Table>>>,
+    /// Highest fence that a holder reported.
+    pub(crate) held: Cell<Fence>,
+    /// Controller that reported it.
+    pub(crate) holder: RefCell<Option<HostName>>,
+    valid: Cell<Millis>,
+    acked: Cell<Option<Fence>>,
+    /// Notified when the routes of the service change.
+    pub(crate) signal: Rc<Signal>,
+    flights: RefCell<HashMap<u64, Flight>>,
+    next: Cell<u64>,
+}
+
+#[derive(Debug)]
+struct Flight {
+    key: Option<KeyHash>,
+    server: ServerName,
+    direct: bool,
+}
+
+impl Shard {
+    /// Builds a shard without routes.
+    pub(crate) fn new(id: ShardId, signal: Rc<Signal>) -> Self {
+        Self {
+            id,
+            table: RefCell::default(),
+            held: Cell::default(),
+            holder: RefCell::default(),
+            valid: Cell::default(),
+            acked: Cell::default(),
+            signal,
+            flights: RefCell::default(),
+            next: Cell::default(),
+        }
+    }
+
+    /// Returns the table where it is valid now.
+    pub(crate) fn routes(&self, now: Millis) -> Option<Rc<Table>> {
+        if now >= self.valid.get() {
+            return None;
+        }
+        self.table.borrow().clone()
+    }
+
+    /// Tells whether the holder's word is fresh.
+    pub(crate) fn is_valid(&self, now: Millis) -> bool {
+        now < self.valid.get()
+    }
+
+    /// Returns the controller that holds the shard, where its word is fresh.
+    pub(crate) fn fresh_holder(&self, now: Millis) -> Option<HostName> {
+        if !self.is_valid(now) {
+            return None;
+        }
+        self.holder.borrow().clone()
+    }
+
+    /// Lengthens the validity; an older call that is answered late can't shorten it.
+    pub(crate) fn renew(&self, holder: &HostName, fence: Fence, until: Millis) {
+        let newer = fence.epoch > self.held.get().epoch;
+        if newer || self.holder.borrow().is_none() {
+            *self.holder.borrow_mut() = Some(holder.clone());
+        }
+        self.held.set(self.held.get().max(fence));
+        // Validity that an earlier epoch gave ends with it.
+        let until = if newer {
+            until
+        } else {
+            until.max(self.valid.get())
+        };
+        self.valid.set(until);
+    }
+
+    /// Returns the version to acknowledge: the table's, or while requests that it forbids are in
+    /// flight the one before.
+    pub(crate) fn known(&self) -> Option<Fence> {
+        if let Some(fence) = self.settled() {
+            self.acked.set(Some(fence));
+        }
+        self.acked.get()
+    }
+
+    /// Returns the table's version where no request that it forbids is in flight.
+    pub(crate) fn settled(&self) -> Option<Fence> {
+        let table = self.table.borrow();
+        let table = table.as_ref()?;
+        let flights = self.flights.borrow();
+        let clear = flights.values().all(|f| {
+            let owned = f.key.is_none_or(|_| table.allows(f.key, &f.server));
+            let ours = !f.direct || table.route(&f.server).is_some_and(|r| r.via == Via::Own);
+            owned && ours
+        });
+        clear.then_some(table.fence)
+    }
+
+    /// Counts a request as in flight until the returned value is dropped.
+    pub(crate) fn fly(
+        self: &Rc<Self>,
+        key: Option<KeyHash>,
+        server: &ServerName,
+        direct: bool,
+    ) -> InFlight {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let flight = Flight {
+            key,
+            server: server.clone(),
+            direct,
+        };
+        self.flights.borrow_mut().insert(id, flight);
+        InFlight {
+            shard: Rc::clone(self),
+            id,
+        }
+    }
+}
+
+/// A request in flight under a shard's routes.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    shard: Rc<Shard>,
+    id: u64,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shard.flights.borrow_mut().remove(&self.id);
+    }
+}
