--- /dev/null
+++ b/crates/chicoryrail-testkit/src/target/fault.rs
@@ -0,0 +1,151 @@
+//! Faults of a target.
+
+use chicoryrail_core::Millis;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A fault, as `PUT /testkit/fault` takes it in JSON.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum TargetFault {
+    /// Requests take longer.
+    Slow {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+        /// Factor on the service time.
+        factor: f64,
+    },
+    /// The caches are empty again.
+    Cold {
+        /// Length of the cold phase; the program's own where absent.
+        #[serde(default)]
+        for_ms: Option<u64>,
+        /// Whether the server shows a new instance id.
+        #[serde(default)]
+        new_instance: bool,
+    },
+    /// Answers are held until the fault ends.
+    Freeze {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+    },
+    /// Answers come late.
+    Late {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+        /// Share of the answers concerned.
+        #[serde(default = "always")]
+        share: f64,
+        /// Delay of an answer in milliseconds.
+        delay_ms: u64,
+    },
+    /// Answers are cut within their body.
+    Cut {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+        /// Share of the answers concerned.
+        #[serde(default = "always")]
+        share: f64,
+        /// Bytes of the body that are sent.
+        after: u64,
+    },
+    /// Requests run and their connection is closed without an answer.
+    LoseAnswers {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+        /// Share of the answers concerned.
+        #[serde(default = "always")]
+        share: f64,
+    },
+    /// A request is given the answer of an earlier request.
+    Crossed {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+        /// Share of the answers concerned.
+        #[serde(default = "always")]
+        share: f64,
+    },
+}
+
+const fn always() -> f64 {
+    1.0
+}
+
+/// What befalls one answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Fate {
+    pub(crate) delay: Millis,
+    pub(crate) cut: Option<u64>,
+    pub(crate) lost: bool,
+    pub(crate) crossed: bool,
+}
+
+/// The faults that are on.
+#[derive(Debug)]
+pub(crate) struct TargetFaults {
+    on: Vec<(Millis, TargetFault)>,
+    rng: Pcg64Mcg,
+}
+
+impl TargetFaults {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            on: Vec::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Switches a fault on, beside those that are on.
+    pub(crate) fn add(&mut self, now: Millis, fault: TargetFault) {
+        let for_ms = match &fault {
+            TargetFault::Slow { for_ms, .. }
+            | TargetFault::Freeze { for_ms }
+            | TargetFault::Late { for_ms, .. }
+            | TargetFault::Cut { for_ms, .. }
+            | TargetFault::LoseAnswers { for_ms, .. }
+            | TargetFault::Crossed { for_ms, .. } => *for_ms,
+            TargetFault::Cold { .. } => return,
+        };
+        self.on.push((now + Millis(for_ms), fault));
+    }
+
+    /// Switches all faults off.
+    pub(crate) fn clear(&mut self) {
+        self.on.clear();
+    }
+
+    /// Returns the factor on the service time.
+    pub(crate) fn factor(&mut self, now: Millis) -> f64 {
+        self.on.retain(|(ends, _)| *ends > now);
+        self.on
+            .iter()
+            .filter_map(|(_, f)| match f {
+                TargetFault::Slow { factor, .. } => Some(*factor),
+                _ => None,
+            })
+            .product()
+    }
+
+    /// Draws what befalls the next answer.
+    pub(crate) fn draw(&mut self, now: Millis) -> Fate {
+        self.on.retain(|(ends, _)| *ends > now);
+        let mut fate = Fate::default();
+        for (ends, fault) in &self.on {
+            let mut hit = |share: &f64| self.rng.random_bool(share.clamp(0.0, 1.0));
+            match fault {
+                TargetFault::Freeze { .. } => fate.delay = fate.delay.max(ends.since(now)),
+                TargetFault::Late {
+                    share, delay_ms, ..
+                } if hit(share) => fate.delay = fate.delay.max(Millis(*delay_ms)),
+                TargetFault::Cut { share, after, .. } if hit(share) => fate.cut = Some(*after),
+                TargetFault::LoseAnswers { share, .. } if hit(share) => fate.lost = true,
+                TargetFault::Crossed { share, .. } if hit(share) => fate.crossed = true,
+                _ => {}
+            }
+        }
+        fate
+    }
+}
