--- a/crates/chicoryrail-runtime/src/settings.rs
+++ b/crates/chicoryrail-runtime/src/settings.rs
@@ -39,6 +39,7 @@
 ///
 /// An unusable value is reported with the flag and the value, which the command line library does
 /// not do by itself.
+#[must_use]
 pub fn setting<T>(
     flag: &'static str,
     env: &'static str,
