feat(wire): a witness names its run when it confirms

Cause: a holder that slept past its validity could be confirmed again by witnesses that restarted meanwhile and had forgotten the promise given to a newcomer. Silence after a start protects only as long as the old validity lasts; a holder that sleeps for minutes comes back after it. Change: `Confirmed::instance`. A holder whose validity has run out counts only runs that have confirmed its epoch before, or the store.

--- a/crates/chicoryrail-wire/src/witness.rs
+++ b/crates/chicoryrail-wire/src/witness.rs
@@ -18,6 +18,9 @@
 /// Answers a [`Confirm`], in the same order.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Confirmed {
+    /// Random number of the witness's run: a holder whose validity has run out counts only runs
+    /// that have confirmed its epoch before, since a restarted witness may have lost a promise.
+    pub instance: u64,
     /// Whether the witness has promised no higher epoch; `false` too while it is silent after a
     /// start.
     pub shards: Vec<bool>,
