feat(controller): first controller that works end to end

Change: pure state machines in chicoryrail-ownership (Timing, Witness, Holder, Takeover, Members, Session, Assignment, Placement, Section with its handoffs, GateRoutes, OrderWindow); thin tasks in chicoryrail-controller (configuration from the store or peers, heartbeats, claims by compare-and-swap with promises, confirmations, sessions and grants, routes with one gate a server, order claims, status, hand-on at a stop). Witnesses stay silent for validity plus the window in which a newcomer collects promises: with validity alone, a promise given early in the window could be forgotten and the old holder never lapse.

--- /dev/null
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -0,0 +1,396 @@
+//! Taking shards over, and handing them on.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use chicoryrail_core::Epoch;
+use chicoryrail_core::HostName;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ShardId;
+use chicoryrail_ownership::Holder;
+use chicoryrail_ownership::Liveness;
+use chicoryrail_ownership::OrderWindow;
+use chicoryrail_ownership::ShardRecord;
+use chicoryrail_ownership::Takeover;
+use chicoryrail_ownership::Vote;
+use chicoryrail_platform::Record;
+use chicoryrail_runtime::CancellationToken;
+use chicoryrail_runtime::EventKind;
+use chicoryrail_wire::Promise;
+use chicoryrail_wire::PromiseReply;
+use chicoryrail_wire::Reply;
+use chicoryrail_wire::Request;
+use futures_util::future::join_all;
+
+use crate::Controller;
+use crate::held::Content;
+use crate::held::Held;
+use crate::signal::Signal;
+use crate::store::Swap;
+
+/// Time between two looks at what is unheld.
+const LOOK_EVERY: Millis = Millis(100);
+/// Head start of each controller over the next in a shard's rendezvous order, so that one store
+/// record is not fought over by all.
+const HEAD_START: Millis = Millis(300);
+/// Longest time a promise may take.
+const PROMISE_LIMIT: Millis = Millis(150);
+/// Most witnesses of a shard. Five bear the loss of two; more would only add messages.
+const WITNESSES: usize = 5;
+/// How long an order id is remembered.
+pub(crate) const WINDOW: Millis = Millis(120_000);
+/// Most order ids of a part that are remembered; 200,000 take some 50 MB at the very most.
+pub(crate) const WINDOW_MOST: usize = 200_000;
+
+/// Takes over every shard that is unheld and falls to this controller, until the process ends.
+pub(crate) async fn claim_all(controller: Rc<Controller>) {
+    let mut unheld: BTreeMap<ShardId, Millis> = BTreeMap::new();
+    let busy: Rc<RefCell<BTreeSet<ShardId>>> = Rc::default();
+    loop {
+        controller.process.clock.sleep(LOOK_EVERY).await;
+        let shards = wanted(&controller);
+        drop_unwanted(&controller, &shards);
+        let now = controller.now();
+        if controller.leaving.get() {
+            continue;
+        }
+        for shard in shards {
+            let ours = controller.held.borrow().contains_key(&shard);
+            if ours || busy.borrow().contains(&shard) || is_held(&controller, &shard, now) {
+                unheld.remove(&shard);
+                continue;
+            }
+            let since = *unheld.entry(shard.clone()).or_insert(now);
+            let Some(rank) = rank(&controller, &shard, now) else {
+                continue;
+            };
+            if now.since(since) < HEAD_START.times(rank) {
+                continue;
+            }
+            unheld.remove(&shard);
+            busy.borrow_mut().insert(shard.clone());
+            let (controller, busy) = (Rc::clone(&controller), Rc::clone(&busy));
+            monoio::spawn(async move {
+                claim(&controller, &shard).await;
+                busy.borrow_mut().remove(&shard);
+            });
+        }
+    }
+}
+
+/// Hands every held shard on: stops acting, then says so in the store.
+pub(crate) async fn hand_on(controller: &Controller) {
+    let all = controller.all_held();
+    join_all(all.iter().map(|held| give(controller, held))).await;
+}
+
+async fn give(controller: &Controller, held: &Held) {
+    held.given.set(true);
+    held.stop.cancel();
+    let (mut record, version) = held.record.borrow().clone();
+    record.released = true;
+    record.attempt = attempt(controller);
+    if let Ok(text) = serde_json::to_string(&record) {
+        let key = key(&held.shard);
+        let _ = controller
+            .store
+            .swap(&key, version, &text, &record.attempt)
+            .await;
+    }
+    drop_held(controller, &held.shard, "released");
+}
+
+pub(crate) fn drop_held(controller: &Controller, shard: &ShardId, why: &str) {
+    let held = controller.held.borrow_mut().remove(shard);
+    if let Some(held) = held {
+        held.given.set(true);
+        held.stop.cancel();
+        held.news.raise();
+        let detail = format!("epoch={} why={why}", held.holder.borrow().epoch());
+        let events = &controller.process.events;
+        events.record(EventKind::ShardLost, shard.to_string(), detail);
+    }
+}
+
+pub(crate) fn key(shard: &ShardId) -> String {
+    format!("shard/{shard}")
+}
+
+/// Returns a text that no other write carries.
+pub(crate) fn attempt(controller: &Controller) -> String {
+    format!("{}-{:016x}", controller.own(), rand::random::<u64>())
+}
+
+fn wanted(controller: &Controller) -> Vec<ShardId> {
+    let config = controller.config();
+    if config.version() == 0 {
+        return Vec::new();
+    }
+    let parts = |s: &chicoryrail_core::Service| {
+        let service = s.name.clone();
+        (0..s.parts.max(1)).map(move |part| ShardId::Service {
+            service: service.clone(),
+            part,
+        })
+    };
+    let mut all: Vec<ShardId> = config.services().flat_map(parts).collect();
+    all.extend((0..config.order_parts()).map(|part| ShardId::Orders { part }));
+    all
+}
+
+fn drop_unwanted(controller: &Controller, wanted: &[ShardId]) {
+    for held in controller.all_held() {
+        if !wanted.contains(&held.shard) && controller.config().version() > 0 {
+            drop_held(controller, &held.shard, "not in the configuration");
+        }
+    }
+}
+
+/// Tells whether the shard's last known holder may still act.
+fn is_held(controller: &Controller, shard: &ShardId, now: Millis) -> bool {
+    let records = controller.records.borrow();
+    let Some(record) = records.get(shard) else {
+        return false;
+    };
+    if record.released || record.holder == *controller.own() {
+        return false;
+    }
+    let members = controller.controllers.borrow();
+    let silent = members.silent(now, &record.holder);
+    let deputy = record.deputy.as_ref() == Some(controller.own());
+    match members.state(now, &record.holder, &controller.timing) {
+        Liveness::Live => true,
+        // Its release is looked for, at the pace of the head start.
+        Liveness::Leaving => false,
+        Liveness::Suspect => !deputy,
+        // A controller that has just started has heard nobody yet.
+        Liveness::Gone => silent == Millis::MAX && now < controller.timing.gone,
+    }
+}
+
+/// Returns this controller's place in the shard's order of candidates.
+fn rank(controller: &Controller, shard: &ShardId, now: Millis) -> Option<u64> {
+    let order = order(controller, shard, now);
+    let place = order.iter().position(|h| h == controller.own())?;
+    Some(place as u64)
+}
+
+/// Returns the live controllers in the shard's rendezvous order.
+pub(crate) fn order(controller: &Controller, shard: &ShardId, now: Millis) -> Vec<HostName> {
+    let at = shard.position();
+    let mut live = controller.live_controllers(now);
+    live.sort_by_key(|h| std::cmp::Reverse(at.weight(h.as_str())));
+    live
+}
+
+async fn claim(controller: &Rc<Controller>, shard: &ShardId) {
+    let key = key(shard);
+    let Ok(found) = controller.store.get(&key).await else {
+        return;
+    };
+    let old = found.as_ref().and_then(parse);
+    if let Some(old) = &old {
+        let known = controller
+            .records
+            .borrow_mut()
+            .insert(shard.clone(), old.clone());
+        let fresh = known.as_ref() != Some(old);
+        let now = controller.now();
+        let leaving = {
+            let members = controller.controllers.borrow();
+            let state = members.state(now, &old.holder, &controller.timing);
+            state == Liveness::Leaving && old.holder != *controller.own()
+        };
+        if (fresh && is_held(controller, shard, now)) || (leaving && !old.released) {
+            return;
+        }
+    }
+    let record = next_record(controller, shard, old.as_ref());
+    let Ok(text) = serde_json::to_string(&record) else {
+        return;
+    };
+    let asked = controller.now();
+    let expect = found.map_or(0, |r| r.version);
+    match controller
+        .store
+        .swap(&key, expect, &text, &record.attempt)
+        .await
+    {
+        Swap::Done(version) => take(controller, shard, old, record, version, asked).await,
+        Swap::Conflict | Swap::Unsettled => {}
+    }
+}
+
+pub(crate) fn parse(record: &Record) -> Option<ShardRecord> {
+    serde_json::from_str(record.value.as_deref()?).ok()
+}
+
+/// Builds the next epoch's record. The witnesses stay: the take-over needs the old ones, and a
+/// record that named others before it is complete would let the next newcomer ask the wrong ones.
+fn next_record(controller: &Controller, shard: &ShardId, old: Option<&ShardRecord>) -> ShardRecord {
+    let order = order(controller, shard, controller.now());
+    let others = order.iter().filter(|h| *h != controller.own());
+    let released = old.is_none_or(|o| o.released);
+    let witnesses = match old {
+        Some(old) if !released => old.witnesses.clone(),
+        _ => spread(controller, &order),
+    };
+    ShardRecord {
+        epoch: old.map_or(Epoch(1), |o| o.epoch.next()),
+        holder: controller.own().clone(),
+        deputy: others.clone().next().cloned(),
+        witnesses,
+        attempt: attempt(controller),
+        released: false,
+    }
+}
+
+/// Picks witnesses by turns from the data centres, so that the loss of one leaves a majority.
+fn spread(controller: &Controller, order: &[HostName]) -> Vec<HostName> {
+    let hosts = controller.hosts.borrow();
+    let mut by_dc: BTreeMap<_, Vec<HostName>> = BTreeMap::new();
+    for host in order {
+        let dc = hosts.get(host).map(|h| h.data_centre.clone());
+        by_dc.entry(dc).or_default().push(host.clone());
+    }
+    let longest = by_dc.values().map(Vec::len).max().unwrap_or(0);
+    let turns = (0..longest).flat_map(|i| by_dc.values().filter_map(move |d| d.get(i)));
+    let mut picked: Vec<HostName> = turns.take(WITNESSES).cloned().collect();
+    if picked.is_empty() {
+        picked.push(controller.own().clone());
+    }
+    picked
+}
+
+/// Completes a take-over: the promises, then the wait, then the shard is driven.
+async fn take(
+    controller: &Rc<Controller>,
+    shard: &ShardId,
+    old: Option<ShardRecord>,
+    record: ShardRecord,
+    version: u64,
+    asked: Millis,
+) {
+    let from = match old.as_ref().filter(|o| !o.released) {
+        None => controller.now(),
+        Some(old) => match promises(controller, shard, old, record.epoch).await {
+            Some(from) => from,
+            None => return,
+        },
+    };
+    let holder = Holder::new(
+        record.epoch,
+        record.witnesses.clone(),
+        asked,
+        from,
+        &controller.timing,
+    );
+    let content = match shard {
+        ShardId::Service { .. } => Content::Section(RefCell::new(None)),
+        ShardId::Orders { .. } => {
+            let window = OrderWindow::new(WINDOW, WINDOW_MOST);
+            let first = record.epoch == Epoch(1);
+            Content::Orders(RefCell::new(if first {
+                window
+            } else {
+                window.blind_since(from)
+            }))
+        }
+    };
+    let held = Rc::new(Held {
+        shard: shard.clone(),
+        holder: RefCell::new(holder),
+        record: RefCell::new((record.clone(), version)),
+        content,
+        news: Signal::default(),
+        stop: CancellationToken::new(),
+        given: Cell::new(false),
+    });
+    controller
+        .records
+        .borrow_mut()
+        .insert(shard.clone(), record.clone());
+    controller
+        .held
+        .borrow_mut()
+        .insert(shard.clone(), Rc::clone(&held));
+    let detail = format!(
+        "epoch={} from_ms={}",
+        record.epoch,
+        from.since(controller.now()).0
+    );
+    let events = &controller.process.events;
+    events.record(EventKind::ShardTaken, shard.to_string(), detail);
+    monoio::spawn(crate::shard::drive(Rc::clone(controller), held, from));
+}
+
+/// Collects the promises of the old witnesses; `None` where another newcomer came.
+async fn promises(
+    controller: &Controller,
+    shard: &ShardId,
+    old: &ShardRecord,
+    epoch: Epoch,
+) -> Option<Millis> {
+    let mut takeover = Takeover::new(old.witnesses.clone());
+    for _ in 0..200 {
+        let asked = controller.now();
+        let missing: Vec<HostName> = takeover
+            .missing(asked, &controller.timing)
+            .cloned()
+            .collect();
+        let votes = missing
+            .iter()
+            .map(|w| ask_promise(controller, w, shard, epoch));
+        for (witness, vote) in missing.iter().zip(join_all(votes).await) {
+            match vote {
+                Some(Vote::Promised) => takeover.promised(witness, asked),
+                Some(Vote::Higher(_)) => return None,
+                Some(Vote::Silent) | None => {}
+            }
+        }
+        let from = acts_from(controller, &takeover);
+        if from.is_some() {
+            return from;
+        }
+        if controller.leaving.get() {
+            return None;
+        }
+        controller.process.clock.sleep(LOOK_EVERY).await;
+    }
+    None
+}
+
+fn acts_from(controller: &Controller, takeover: &Takeover) -> Option<Millis> {
+    let now = controller.now();
+    let members = controller.controllers.borrow();
+    let removed = |w: &HostName| members.is_removed(now, w, &controller.timing);
+    takeover.acts_from(now, removed, &controller.timing)
+}
+
+async fn ask_promise(
+    controller: &Controller,
+    witness: &HostName,
+    shard: &ShardId,
+    epoch: Epoch,
+) -> Option<Vote> {
+    if witness == controller.own() {
+        let now = controller.now();
+        let mut own = controller.witness.borrow_mut();
+        return Some(own.promise(now, shard, epoch));
+    }
+    let request = Request::Promise(Promise {
+        newcomer: controller.own().clone(),
+        shard: shard.clone(),
+        epoch,
+    });
+    let peer = controller.controller_of(witness)?;
+    match peer.call(&request, PROMISE_LIMIT).await {
+        Ok(Reply::Promise(PromiseReply::Promised)) => Some(Vote::Promised),
+        Ok(Reply::Promise(PromiseReply::Higher(e))) => Some(Vote::Higher(e)),
+        Ok(Reply::Promise(PromiseReply::Silent)) => Some(Vote::Silent),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-controller/src/keep.rs
@@ -0,0 +1,148 @@
+//! Keeping held shards: fresh confirmations from witnesses, else from the store.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use chicoryrail_core::Epoch;
+use chicoryrail_core::HostName;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ShardId;
+use chicoryrail_ownership::Confirmation;
+use chicoryrail_wire::Confirm;
+use chicoryrail_wire::Confirmed;
+use chicoryrail_wire::Reply;
+use chicoryrail_wire::Request;
+use futures_util::future::join_all;
+
+use crate::Controller;
+use crate::claims;
+use crate::held::Held;
+
+/// Time between two rounds. Four rounds lie within a validity, so one lost packet ends nothing.
+const ROUND: Millis = Millis(150);
+/// Longest time of one witness's answer, below a round.
+const CONFIRM_LIMIT: Millis = Millis(140);
+/// Time left below which the store is asked too.
+const SHORT: Millis = Millis(300);
+/// Time between two readings of the store, which serves all controllers.
+const STORE_EVERY: Millis = Millis(250);
+
+type Question = Vec<(ShardId, Epoch)>;
+
+/// Confirms all held shards until the process ends.
+pub(crate) async fn keep(controller: Rc<Controller>) {
+    let mut store_at = Millis::ZERO;
+    loop {
+        let round = controller.now();
+        let all = controller.all_held();
+        if !all.is_empty() {
+            confirm(&controller, &all).await;
+            let now = controller.now();
+            let short = |h: &&Rc<Held>| h.holder.borrow().left(now) < SHORT;
+            if all.iter().any(|h| short(&h)) && now.since(store_at) >= STORE_EVERY {
+                store_at = now;
+                monoio::spawn(read_back(Rc::clone(&controller)));
+            }
+        }
+        controller.process.clock.sleep_until(round + ROUND).await;
+    }
+}
+
+async fn confirm(controller: &Controller, all: &[Rc<Held>]) {
+    let mut questions: BTreeMap<HostName, Question> = BTreeMap::new();
+    for held in all {
+        let holder = held.holder.borrow();
+        for witness in holder.witnesses() {
+            let question = questions.entry(witness.clone()).or_default();
+            question.push((held.shard.clone(), holder.epoch()));
+        }
+    }
+    let asked = controller.now();
+    let answers = questions.into_iter().map(|(w, q)| ask(controller, w, q));
+    let mut by_shard: BTreeMap<ShardId, Vec<Confirmation>> = BTreeMap::new();
+    for (shard, confirmation) in join_all(answers).await.into_iter().flatten() {
+        by_shard.entry(shard).or_default().push(confirmation);
+    }
+    let now = controller.now();
+    for held in all {
+        if let Some(answers) = by_shard.get(&held.shard) {
+            let mut holder = held.holder.borrow_mut();
+            holder.confirmed(now, asked, answers, &controller.timing);
+        }
+    }
+}
+
+async fn ask(
+    controller: &Controller,
+    witness: HostName,
+    question: Question,
+) -> Vec<(ShardId, Confirmation)> {
+    let confirm = Confirm {
+        holder: controller.own().clone(),
+        shards: question.clone(),
+    };
+    let answer = if witness == *controller.own() {
+        Some(answer(controller, &confirm))
+    } else {
+        match controller.controller_of(&witness) {
+            Some(peer) => match peer.call(&Request::Confirm(confirm), CONFIRM_LIMIT).await {
+                Ok(Reply::Confirmed(confirmed)) => Some(confirmed),
+                _ => None,
+            },
+            None => None,
+        }
+    };
+    let Some(answer) = answer else {
+        return Vec::new();
+    };
+    controller
+        .highest
+        .set(controller.highest.get().max(answer.version));
+    let rows = question.into_iter().zip(answer.shards);
+    rows.map(|((shard, _), agrees)| {
+        let confirmation = Confirmation {
+            witness: witness.clone(),
+            instance: answer.instance,
+            agrees,
+        };
+        (shard, confirmation)
+    })
+    .collect()
+}
+
+/// Answers a holder as its witness.
+pub(crate) fn answer(controller: &Controller, confirm: &Confirm) -> Confirmed {
+    let now = controller.now();
+    let witness = controller.witness.borrow();
+    let agree = |(shard, epoch): &(ShardId, Epoch)| witness.confirm(now, shard, *epoch);
+    Confirmed {
+        instance: controller.process.instance,
+        shards: confirm.shards.iter().map(agree).collect(),
+        version: controller.highest.get(),
+    }
+}
+
+/// Reads all shards' records in one call; they confirm this holder, or show that it lost a shard.
+async fn read_back(controller: Rc<Controller>) {
+    let asked = controller.now();
+    let Ok(records) = controller.store.list("shard/").await else {
+        return;
+    };
+    for held in controller.all_held() {
+        let key = claims::key(&held.shard);
+        let Some(found) = records.iter().find(|r| r.key == key) else {
+            continue;
+        };
+        let Some(record) = claims::parse(found) else {
+            continue;
+        };
+        let epoch = held.holder.borrow().epoch();
+        if record.epoch == epoch && record.holder == *controller.own() {
+            held.holder.borrow_mut().stored(asked, &controller.timing);
+        } else if record.epoch > epoch && !held.holder.borrow().may_act(controller.now()) {
+            claims::drop_held(&controller, &held.shard, "taken over");
+            let mut records = controller.records.borrow_mut();
+            records.insert(held.shard.clone(), record);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-controller/tests/end_to_end.rs
@@ -0,0 +1,47 @@
+//! Controllers against the platform's stand-ins: every key gets one owner.
+
+mod support;
+
+use chicoryrail_core::Millis;
+use chicoryrail_wire::Peer;
+use chicoryrail_wire::Reply;
+use chicoryrail_wire::Request;
+use chicoryrail_wire::RouteRequest;
+use rstest::rstest;
+use support::Cluster;
+use support::wait_until;
+
+#[rstest]
+#[case::one_host(1, 4)]
+#[case::three_hosts(3, 6)]
+fn every_key_gets_one_owner_and_a_route(#[case] hosts: usize, #[case] servers: usize) {
+    chicoryrail_runtime::block_on(async move {
+        let cluster = Cluster::start(hosts, servers);
+        wait_until("every key has an owner", async || cluster.served() == 64).await;
+        let request = Request::Routes(RouteRequest {
+            gate: "g1".into(),
+            instance: 1,
+            leaving: false,
+            known: Vec::new(),
+            seen: Vec::new(),
+            wait: Millis(0),
+        });
+        let settled =
+            async || {
+                for addr in &cluster.inner {
+                    let reply = Peer::new(*addr).call(&request, Millis(500)).await;
+                    let Ok(Reply::Routes(reply)) = reply else {
+                        continue;
+                    };
+                    let moving = chicoryrail_wire::SliceState::Moving;
+                    if reply.tables.iter().any(|t| {
+                        t.entries.len() == 16 && t.entries.iter().all(|e| e.state != moving)
+                    }) {
+                        return true;
+                    }
+                }
+                false
+            };
+        wait_until("a table of 16 settled slices", settled).await;
+    });
+}
--- /dev/null
+++ b/crates/chicoryrail-ownership/src/section/mod.rs
@@ -0,0 +1,197 @@
+//! One section of a service, as its holder drives it.
+
+mod act;
+mod calls;
+mod gates;
+mod moves;
+mod view;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+pub use act::Act;
+use chicoryrail_core::Epoch;
+use chicoryrail_core::Fence;
+use chicoryrail_core::Kind;
+use chicoryrail_core::Millis;
+use chicoryrail_core::Server;
+use chicoryrail_core::ServerName;
+use chicoryrail_core::Service;
+use chicoryrail_core::Slice;
+pub use gates::GateSeat;
+pub use moves::Handoff;
+pub use view::Routes;
+pub use view::ServerView;
+pub use view::SliceView;
+pub use view::Work;
+
+use crate::Answer;
+use crate::AssignRecord;
+use crate::Assignment;
+use crate::GateRoutes;
+use crate::Health;
+use crate::Session;
+use crate::Timing;
+
+/// The servers, sessions, slices and moves of one section.
+///
+/// All that happens comes in as a call with the time; all that has to be done goes out as [`Act`]s.
+/// The caller of [`Section::tick`] checks right before it that it may act as the holder.
+#[derive(Clone, Debug)]
+pub struct Section {
+    timing: Timing,
+    service: Service,
+    part: u32,
+    fence: Fence,
+    table: Assignment,
+    servers: BTreeMap<ServerName, Server>,
+    sessions: BTreeMap<ServerName, Session>,
+    outs: BTreeSet<ServerName>,
+    moves: BTreeMap<usize, Handoff>,
+    gates: GateRoutes,
+    seats: BTreeMap<ServerName, GateSeat>,
+    writing: bool,
+    fresh: bool,
+    inherited: Millis,
+    view: Routes,
+}
+
+impl Section {
+    /// Takes a section over at `now`, in `epoch`, with the stored table where there is one.
+    ///
+    /// Whatever an earlier holder granted or told gates may be valid until the lengths of a session
+    /// and of a route after `now`.
+    #[must_use]
+    pub fn new(
+        now: Millis,
+        epoch: Epoch,
+        service: Service,
+        part: u32,
+        stored: Option<&AssignRecord>,
+        timing: Timing,
+    ) -> Self {
+        let section = Slice::FULL.part(part, service.parts.max(1));
+        let mut table = stored.map_or_else(
+            || Assignment::cut(&service, part),
+            |r| Assignment::from_record(r, section),
+        );
+        if service.kind == Kind::Free {
+            table = Assignment::empty();
+        } else {
+            table.split(&service);
+        }
+        let inherited = match stored {
+            Some(_) => now + timing.others(timing.route.max(timing.session)),
+            None if epoch > Epoch(1) => now + timing.others(timing.route),
+            None => now,
+        };
+        let version = stored.map_or(0, |r| r.fence.version);
+        let mut all = Self {
+            timing,
+            part,
+            fence: Fence { epoch, version },
+            table,
+            servers: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            outs: BTreeSet::new(),
+            moves: BTreeMap::new(),
+            gates: GateRoutes::default(),
+            seats: BTreeMap::new(),
+            writing: false,
+            fresh: true,
+            inherited,
+            view: Routes::default(),
+            service,
+        };
+        all.take_servers(now);
+        all
+    }
+
+    /// Takes in a new configuration of the service, and the servers that are out.
+    pub fn configure(&mut self, now: Millis, service: &Service, outs: BTreeSet<ServerName>) {
+        self.outs = outs;
+        if self.service != *service {
+            self.service = service.clone();
+            self.take_servers(now);
+            if self.service.kind == Kind::Keyed && self.moves.is_empty() && !self.writing {
+                self.table.split(&self.service);
+            }
+        }
+    }
+
+    /// Returns the order of the table in force.
+    #[must_use]
+    pub const fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Returns the routes in force.
+    #[must_use]
+    pub const fn routes(&self) -> &Routes {
+        &self.view
+    }
+
+    /// Returns the slices with their owners.
+    #[must_use]
+    pub const fn table(&self) -> &Assignment {
+        &self.table
+    }
+
+    /// Returns what gates believe.
+    pub const fn gates_mut(&mut self) -> &mut GateRoutes {
+        &mut self.gates
+    }
+
+    /// Returns the session of a server.
+    #[must_use]
+    pub fn session(&self, server: &ServerName) -> Option<&Session> {
+        self.sessions.get(server)
+    }
+
+    /// Takes in a server's answer to a call.
+    pub fn answered(&mut self, now: Millis, server: &ServerName, answer: Answer) {
+        if let Some(session) = self.sessions.get_mut(server) {
+            session.answered(now, answer);
+        }
+    }
+
+    /// Takes in that a server gave no answer.
+    pub fn silent(&mut self, server: &ServerName) {
+        if let Some(session) = self.sessions.get_mut(server) {
+            session.silent();
+        }
+    }
+
+    fn take_servers(&mut self, now: Millis) {
+        let section: Vec<Server> = self.service.section(self.part).cloned().collect();
+        self.servers = section.into_iter().map(|s| (s.name.clone(), s)).collect();
+        // A server that was dropped from the bundle keeps its session until its slices have moved.
+        let owners: BTreeSet<&ServerName> = self
+            .table
+            .entries()
+            .iter()
+            .filter_map(|e| e.owner.as_ref())
+            .collect();
+        self.sessions
+            .retain(|name, _| self.servers.contains_key(name) || owners.contains(name));
+        for server in self.servers.values() {
+            let bound = self.inherited.max(now + self.timing.suspect);
+            self.sessions
+                .entry(server.name.clone())
+                .or_insert_with(|| Session::new(server, bound));
+        }
+    }
+
+    fn health(&self, now: Millis, server: &ServerName) -> Health {
+        self.sessions
+            .get(server)
+            .map_or(Health::Lost, |s| s.health(now, &self.timing))
+    }
+
+    /// Tells whether a server may be given slices.
+    fn is_eligible(&self, now: Millis, server: &ServerName) -> bool {
+        self.servers.contains_key(server)
+            && !self.outs.contains(server)
+            && self.health(now, server) == Health::Up
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-ownership/src/sessions.rs
@@ -0,0 +1,160 @@
+//! Sessions of servers, with the upper bound of each one's validity.
+
+use std::net::SocketAddr;
+
+use chicoryrail_core::DcName;
+use chicoryrail_core::Millis;
+use chicoryrail_core::Server;
+use chicoryrail_core::Slice;
+
+use crate::Timing;
+
+/// Whether a server answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Health {
+    /// No answer yet.
+    New,
+    /// It answers.
+    Up,
+    /// It has been silent for a while.
+    Suspect,
+    /// It has been silent until its session ran out.
+    Lost,
+}
+
+/// What a server answered.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Answer {
+    /// The server's own time.
+    pub now: Millis,
+    /// Random number of its run.
+    pub instance: u64,
+    /// Slices that it holds, sorted.
+    pub slices: Vec<Slice>,
+}
+
+/// The session of one server with the shard's controller.
+///
+/// The server counts validity from a time of its own clock that it gave in an earlier answer. That
+/// moment lies before the answer's receipt here, so receipt plus validity plus margin is an upper
+/// bound, whatever happens to renewals on their way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Session {
+    dc: DcName,
+    addr: SocketAddr,
+    asof: Millis,
+    seen: Millis,
+    heard: Option<Millis>,
+    bound: Millis,
+    instance: u64,
+    held: Vec<Slice>,
+    due: Millis,
+    calling: bool,
+}
+
+impl Session {
+    /// Starts without any knowledge; `until` bounds what an earlier holder may have granted.
+    #[must_use]
+    pub fn new(server: &Server, until: Millis) -> Self {
+        Self {
+            dc: server.data_centre.clone(),
+            addr: server.addr,
+            asof: Millis::ZERO,
+            seen: Millis::ZERO,
+            heard: None,
+            bound: until,
+            instance: 0,
+            held: Vec::new(),
+            due: Millis::ZERO,
+            calling: false,
+        }
+    }
+
+    /// Returns the server's data centre.
+    #[must_use]
+    pub const fn dc(&self) -> &DcName {
+        &self.dc
+    }
+
+    /// Returns the server's address.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Returns the server's state.
+    #[must_use]
+    pub fn health(&self, now: Millis, timing: &Timing) -> Health {
+        match self.heard {
+            None if now < self.bound => Health::New,
+            None => Health::Lost,
+            Some(heard) if now.since(heard) < timing.suspect => Health::Up,
+            Some(_) if now < self.bound => Health::Suspect,
+            Some(_) => Health::Lost,
+        }
+    }
+
+    /// Returns the random number of the server's run; 0 where it never answered.
+    #[must_use]
+    pub const fn instance(&self) -> u64 {
+        self.instance
+    }
+
+    /// Returns the slices that the server said it holds.
+    #[must_use]
+    pub fn held(&self) -> &[Slice] {
+        &self.held
+    }
+
+    /// Returns the time by which the server's session has run out unless it is renewed.
+    #[must_use]
+    pub const fn bound(&self) -> Millis {
+        self.bound
+    }
+
+    /// Tells whether a call is due.
+    #[must_use]
+    pub fn is_due(&self, now: Millis) -> bool {
+        !self.calling && now >= self.due
+    }
+
+    /// Makes the next call due at once.
+    pub const fn hurry(&mut self) {
+        self.due = Millis::ZERO;
+    }
+
+    /// Marks a call as sent; returns the server's time to count from, or `None` where the server
+    /// has to be asked for it first.
+    ///
+    /// `renew` says whether the call gives validity.
+    pub fn asked(&mut self, now: Millis, renew: bool, timing: &Timing) -> Option<Millis> {
+        self.calling = true;
+        self.due = now + timing.renewal;
+        let fresh = self.heard.is_some() && now.since(self.seen) < timing.session;
+        if !(renew && fresh) {
+            return None;
+        }
+        self.bound = self.bound.max(self.seen + timing.others(timing.session));
+        Some(self.asof)
+    }
+
+    /// Takes in an answer; tells whether the server is another run than before.
+    pub fn answered(&mut self, now: Millis, answer: Answer) -> bool {
+        self.calling = false;
+        let changed = self.instance != 0 && self.instance != answer.instance;
+        if self.heard.is_none() || changed {
+            self.due = Millis::ZERO;
+        }
+        self.asof = answer.now;
+        self.seen = now;
+        self.heard = Some(now);
+        self.instance = answer.instance;
+        self.held = answer.slices;
+        changed
+    }
+
+    /// Takes in that a call had no answer.
+    pub const fn silent(&mut self) {
+        self.calling = false;
+    }
+}
