--- a/crates/chicoryctl/src/settings.rs
+++ b/crates/chicoryctl/src/settings.rs
@@ -127,11 +127,12 @@
         .help("IP address and port of the administration API of any host")
         .argument::<SocketAddr>("ADDR")
         .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
+    // Not read from the environment by the parser: its help would show the secret.
     let token = long("token")
-        .env("CHICORYRAIL_TOKEN")
-        .help("Bearer token")
+        .help("Bearer token [env:CHICORYRAIL_TOKEN]")
         .argument::<String>("TOKEN")
-        .optional();
+        .optional()
+        .map(|token| token.or_else(|| std::env::var("CHICORYRAIL_TOKEN").ok()));
     let operator = long("operator")
         .env("CHICORYRAIL_OPERATOR")
         .help("Name of the operator, where the API has no tokens")
--- a/crates/chicoryrail-admin/src/capacity.rs
+++ b/crates/chicoryrail-admin/src/capacity.rs
@@ -11,8 +11,10 @@
 /// use nears the whole; the last fifth is what bursts and a straggler need.
 const USE_LIMIT: f64 = 0.8;
 
-/// Share of the capacity that must remain where the use is not known. The platform's services are
-/// sized to bear the loss of one data centre; more than half at a time is not a planned case.
+/// Share of the whole capacity that must remain where the use is not known. Services are sized to
+/// bear the loss of one data centre; more than half is not a planned case. It is counted against the
+/// whole and not against what is in service now: else several take-outs, each of half the rest, would
+/// leave next to nothing.
 const BLIND_LIMIT: f64 = 0.5;
 
 /// Slots in use of each service, as far as it is known.
@@ -25,7 +27,8 @@
         let now = capacity(service, &config.head.outs);
         let left = capacity(service, after);
         if left < now {
-            warnings.extend(warning(service, now, left, in_use.get(&service.name)));
+            let whole = capacity(service, &Outs::default());
+            warnings.extend(warning(service, whole, left, in_use.get(&service.name)));
         }
     }
     warnings
@@ -41,17 +44,17 @@
     up.map(|s| s.weight * slots).sum()
 }
 
-fn warning(service: &Service, now: f64, left: f64, used: Option<&f64>) -> Option<String> {
+fn warning(service: &Service, whole: f64, left: f64, used: Option<&f64>) -> Option<String> {
     let name = &service.name;
     if left <= 0.0 {
         return Some(format!("service {name} would have no server left"));
     }
     match used {
         Some(used) if *used > left * USE_LIMIT => Some(format!(
-            "service {name}: {used:.1} of {now:.1} slots are in use and {left:.1} would be left"
+            "service {name}: {used:.1} of {whole:.1} slots are in use and {left:.1} would be left"
         )),
-        None if left < now * BLIND_LIMIT => Some(format!(
-            "service {name}: {left:.1} of {now:.1} slots would be left; the use is not known"
+        None if left < whole * BLIND_LIMIT => Some(format!(
+            "service {name}: {left:.1} of {whole:.1} slots would be left; the use is not known"
         )),
         _ => None,
     }
--- a/crates/chicoryrail-admin/src/endpoints.rs
+++ b/crates/chicoryrail-admin/src/endpoints.rs
@@ -228,7 +228,12 @@
         .map_err(|e| ApiError::new(ResultCode::BadRequest, format!("body: {}", e.utf8_error())))
 }
 
+/// Reads a JSON object; serde alone would take an array for a struct too.
 fn parse<T: DeserializeOwned>(text: &str) -> Result<T, ApiError> {
+    if !text.trim_start().starts_with('{') {
+        let reason = "body: is no JSON object";
+        return Err(ApiError::new(ResultCode::BadRequest, reason));
+    }
     serde_json::from_str(text)
         .map_err(|e| ApiError::new(ResultCode::BadRequest, format!("body: {e}")))
 }
--- a/crates/chicoryrail-admin/src/roll.rs
+++ b/crates/chicoryrail-admin/src/roll.rs
@@ -91,8 +91,11 @@
             if record != self.record {
                 return Err(self.overtaken(&found));
             }
-            if records.swap(HEAD, self.record, text).await.is_ok() {
-                return Ok(self.next.version);
+            match records.swap(HEAD, self.record, text).await {
+                Ok(_) => return Ok(self.next.version),
+                // Something stands in its place; the next reading tells what.
+                Err(StoreError::Conflict { .. }) => {}
+                Err(_) => clock.sleep(REST).await,
             }
         }
         let reason = format!(
--- a/crates/chicoryrail-admin/src/run.rs
+++ b/crates/chicoryrail-admin/src/run.rs
@@ -46,6 +46,10 @@
 }
 
 async fn run(settings: Settings) -> ExitCode {
+    let tokens = match settings.tokens() {
+        Ok(tokens) => tokens,
+        Err(e) => return exit_with(ResultCode::SettingInvalid, &e.to_string()),
+    };
     let process = Process::new(&settings.host.host, "chicoryrail-admin");
     if let Err(e) = stop_on_signal(process.stop.clone()) {
         return exit_with(ResultCode::Internal, &format!("signals: {e}"));
@@ -58,7 +62,7 @@
         }
     };
     let store = HttpStore::new(settings.store);
-    let access = Access::new(settings.operators, settings.tokens);
+    let access = Access::new(settings.operators, tokens);
     let admin = Admin::new(
         process,
         store,
--- a/crates/chicoryrail-admin/src/settings.rs
+++ b/crates/chicoryrail-admin/src/settings.rs
@@ -8,6 +8,7 @@
 use bpaf::construct;
 use bpaf::long;
 use chicoryrail_runtime::HostSettings;
+use chicoryrail_runtime::SettingError;
 use chicoryrail_runtime::host_settings;
 use chicoryrail_runtime::store_setting;
 
@@ -25,8 +26,24 @@
     pub listen: SocketAddr,
     /// Operators whose signatures count.
     pub operators: Vec<Operator>,
-    /// Bearer tokens; none leaves the API open.
-    pub tokens: Vec<Token>,
+    /// Bearer tokens as they were given; none leaves the API open.
+    pub tokens: Vec<String>,
+}
+
+impl Settings {
+    /// Reads the bearer tokens.
+    ///
+    /// # Errors
+    ///
+    /// Tells what is wrong with one, without the secret.
+    pub fn tokens(&self) -> Result<Vec<Token>, SettingError> {
+        let several: Result<Several<Token>, _> = self.tokens.join(" ").parse();
+        several.map(|s| s.0).map_err(|reason| SettingError {
+            flag: "token",
+            value: "(not shown)".to_owned(),
+            reason,
+        })
+    }
 }
 
 /// Parses the settings from flags and, where a flag is missing, environment variables.
@@ -48,16 +65,20 @@
         .argument::<Several<Operator>>("NAME=ROLE:TEAM:PUBLICKEY")
         .many()
         .map(flat);
+    // Neither parsed nor read from the environment by the parser: its errors and its help would show
+    // the secrets.
     let tokens = long("token")
-        .env("CHICORYRAIL_TOKENS")
         .help(
             "Bearer token of at least 8 characters and whom it stands for; may be given several \
              times, or several separated by spaces; without any the API is open and the header \
-             operator names the caller",
+             operator names the caller [env:CHICORYRAIL_TOKENS]",
         )
-        .argument::<Several<Token>>("TOKEN=ROLE:OPERATOR:TEAM")
+        .argument::<String>("TOKEN=ROLE:OPERATOR:TEAM")
         .many()
-        .map(flat);
+        .map(|texts| match std::env::var("CHICORYRAIL_TOKENS") {
+            Ok(text) if texts.is_empty() => vec![text],
+            _ => texts,
+        });
     construct!(Settings {
         host,
         store,
