--- a/crates/chicoryrail-slopes/src/calls.rs
+++ b/crates/chicoryrail-slopes/src/calls.rs
@@ -63,6 +63,7 @@
             Request::Confirm(confirm) => Reply::Confirmed(Confirmed {
                 shards: vec![true; confirm.shards.len()],
                 version: 1,
+                instance: u64::MAX / 3,
             }),
             Request::Routes(routes) => Reply::Routes(RouteReply {
                 tables: Vec::new(),
