--- /dev/null
+++ b/crates/chicoryrail-testkit/src/cluster.rs
@@ -0,0 +1,22 @@
+//! Real processes of a whole deployment, started and stopped by a test or a chore.
+
+mod deployment;
+mod error;
+mod harness;
+mod http;
+mod member;
+mod options;
+mod plan;
+mod ports;
+mod process;
+
+pub use deployment::Deployment;
+pub use deployment::ServiceShape;
+pub use error::ClusterError;
+pub use harness::Cluster;
+pub use http::call_blocking;
+pub use member::HostPlan;
+pub use member::Member;
+pub use member::TargetPlan;
+pub use options::ClusterOptions;
+pub use ports::free_port;
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(kv.swap("config/head", &body), Ok(1));
 //! ```
 
+mod cluster;
 mod list;
 mod listener;
 mod load;
@@ -23,6 +24,16 @@
 mod target;
 mod wall;
 
+pub use cluster::Cluster;
+pub use cluster::ClusterError;
+pub use cluster::ClusterOptions;
+pub use cluster::Deployment;
+pub use cluster::HostPlan;
+pub use cluster::Member;
+pub use cluster::ServiceShape;
+pub use cluster::TargetPlan;
+pub use cluster::call_blocking;
+pub use cluster::free_port;
 pub use list::ListServer;
 pub use listener::Cut;
 pub use listener::Listener;
