feat(testkit): fault-injecting TCP proxy

Faults between processes need a place to be made. A Net carries many links in one thread; each link can be delayed, jittered, cut either way, closed, reset at byte N, dripped, or made to lose answers that the upstream process has given, and is scripted by any thread or through testkit-proxy.

--- /dev/null
+++ b/crates/chicoryrail-testkit/src/bin/testkit-proxy.rs
@@ -0,0 +1,107 @@
+//! The fault-injecting TCP proxy, for one link.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+use chicoryrail_core::ResultCode;
+use chicoryrail_runtime::Body;
+use chicoryrail_runtime::collect;
+use chicoryrail_runtime::error_answer;
+use chicoryrail_runtime::exit_with;
+use chicoryrail_runtime::json_answer;
+use chicoryrail_testkit::Link;
+use chicoryrail_testkit::Net;
+use chicoryrail_testkit::stand_in;
+use http::Method;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+
+/// Largest body of a control call in bytes.
+const BODY_MOST: usize = 64 << 10;
+
+#[derive(Clone, Debug)]
+struct Settings {
+    listen: SocketAddr,
+    upstream: SocketAddr,
+    control: SocketAddr,
+    seed: u64,
+}
+
+fn settings() -> Settings {
+    let addr = |flag: &'static str, env: &'static str, help: &'static str| {
+        long(flag)
+            .env(env)
+            .help(help)
+            .argument::<SocketAddr>("ADDR")
+    };
+    let listen = addr(
+        "listen",
+        "CHICORYRAIL_TESTKIT_LISTEN",
+        "IP address and port that callers use",
+    );
+    let upstream = addr(
+        "upstream",
+        "CHICORYRAIL_TESTKIT_UPSTREAM",
+        "IP address and port of the process behind the link",
+    );
+    let control = addr(
+        "control",
+        "CHICORYRAIL_TESTKIT_CONTROL",
+        "IP address and port for PUT /fault (JSON), DELETE /fault, POST /reset, GET /stats",
+    );
+    let seed = long("seed")
+        .env("CHICORYRAIL_TESTKIT_SEED")
+        .help("Seed of the jitter")
+        .argument::<u64>("N")
+        .fallback(1)
+        .display_fallback();
+    construct!(Settings {
+        listen,
+        upstream,
+        control,
+        seed
+    })
+    .to_options()
+    .descr("Fault-injecting TCP proxy for one link")
+    .run()
+}
+
+async fn answer(link: Link, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    match (request.method().clone(), path.as_str()) {
+        (Method::PUT, "/fault") => {
+            let body = collect(request.into_body(), BODY_MOST).await;
+            match serde_json::from_slice(&body.unwrap_or_default()) {
+                Ok(fault) => link.set(fault),
+                Err(e) => return error_answer(ResultCode::BadRequest, &format!("fault: {e}")),
+            }
+        }
+        (Method::DELETE, "/fault") => link.heal(),
+        (Method::POST, "/reset") => link.reset(),
+        (Method::GET, "/stats") => return json_answer(200, &link.stats()),
+        _ => return error_answer(ResultCode::BadRequest, "the proxy has no such call"),
+    }
+    json_answer(200, &link.fault())
+}
+
+fn main() -> ExitCode {
+    let settings = settings();
+    let mut net = Net::start(settings.seed);
+    let link = match net.link_at("link", settings.listen, settings.upstream) {
+        Ok(link) => link,
+        Err(e) => {
+            let text = format!("--listen = {}: {e}", settings.listen);
+            return exit_with(ResultCode::SettingInvalid, &text);
+        }
+    };
+    stand_in(settings.control, |listener, stop| {
+        listener.serve(stop, move |request| {
+            let link = link.clone();
+            async move { Ok(answer(link, request).await) }
+        })
+    })
+}
--- /dev/null
+++ b/crates/chicoryrail-testkit/src/proxy.rs
@@ -0,0 +1,11 @@
+//! The fault-injecting TCP proxy.
+
+mod connection;
+mod fault;
+mod link;
+mod net;
+
+pub use fault::LinkFault;
+pub use link::Link;
+pub use link::LinkStats;
+pub use net::Net;
