--- /dev/null
+++ b/crates/chicoryrail-gate/tests/callers.rs
@@ -0,0 +1,210 @@
+//! What callers get from a gate whose targets are well.
+
+mod support;
+
+use chicoryrail_runtime::block_on;
+use rstest::rstest;
+use support::Act;
+use support::Target;
+use support::World;
+use support::call;
+use support::code;
+use support::get;
+use support::order;
+use support::outcome;
+use support::route;
+use support::until;
+
+/// Kits are keyed, lessons free; the limits are small so that tests can pass them.
+const BUNDLE: &str = r#"
+team = "updraft"
+order_parts = 2
+[[data_centre]]
+name = "north"
+[[service]]
+name = "kits"
+path = "/v1/kits/"
+kind = "keyed"
+class = "interactive"
+deadline_ms = 3000
+slots = 2
+max_body = 65536
+[[service.server]]
+name = "s0"
+data_centre = "north"
+addr = "127.0.0.1:1"
+[[service.server]]
+name = "s1"
+data_centre = "north"
+addr = "127.0.0.1:2"
+[[service]]
+name = "lessons"
+path = "/v1/kits/lessons/"
+kind = "free"
+class = "interactive"
+deadline_ms = 3000
+[[service.server]]
+name = "s2"
+data_centre = "north"
+addr = "127.0.0.1:3"
+"#;
+
+struct Set {
+    world: World,
+    kits: [Target; 2],
+    lessons: Target,
+}
+
+/// One or two gates; `g0` holds the slots of `s0` and `s2`, the last gate those of `s1`. Server
+/// `s1` owns all kits.
+async fn start(gates: usize) -> Set {
+    let world = World::start(gates, &["--hold-ms", "1000"]);
+    let set = Set {
+        world,
+        kits: [Target::start("s0"), Target::start("s1")],
+        lessons: Target::start("s2"),
+    };
+    let control = &set.world.control;
+    let last = format!("g{}", gates - 1);
+    let kits = [route(&set.kits[0], "g0", 2), route(&set.kits[1], &last, 2)];
+    control.publish("kits", 1, &kits, 1);
+    control.publish("lessons", 1, &[route(&set.lessons, "g0", 2)], 0);
+    control.set_bundle(1, BUNDLE);
+    set.world.ready().await;
+    set
+}
+
+#[rstest]
+#[case::through_one_gate(1)]
+#[case::through_the_gate_that_holds_the_server(2)]
+fn a_lookup_reaches_the_owner(#[case] gates: usize) {
+    block_on(async {
+        let set = start(gates).await;
+        let answer = get(set.world.callers(0), "/v1/kits/k1?x=1").await.unwrap();
+        let body = "s1 GET /v1/kits/k1?x=1 0".to_owned();
+        assert_eq!(outcome(&answer), (200, None, body));
+        assert_eq!(answer.headers()["server-name"], "s1");
+        assert!(answer.headers().contains_key("request-id"));
+        assert!(!answer.headers().contains_key("chicoryrail-load"));
+        assert_eq!(set.kits[0].runs(), 0);
+    });
+}
+
+#[test]
+fn the_longest_path_prefix_decides_the_service() {
+    block_on(async {
+        let set = start(1).await;
+        let answer = get(set.world.callers(0), "/v1/kits/lessons/a")
+            .await
+            .unwrap();
+        let body = "s2 GET /v1/kits/lessons/a 0".to_owned();
+        assert_eq!(outcome(&answer), (200, None, body));
+    });
+}
+
+#[rstest]
+#[case::unknown_service("GET", "/v1/casks/c1", &[], 0, 404, 1003)]
+#[case::missing_key("GET", "/v1/kits/", &[], 0, 400, 1004)]
+#[case::missing_order_id("POST", "/v1/kits/k1", &[], 2, 400, 1005)]
+#[case::unusable_order_id("POST", "/v1/kits/k1", &[("order-id", "a b")], 2, 400, 1005)]
+#[case::oversized_body("POST", "/v1/kits/k1", &[("order-id", "o1")], 65_537, 413, 1002)]
+#[case::unusable_deadline("GET", "/v1/kits/k1", &[("deadline-ms", "0")], 0, 400, 1000)]
+#[case::unknown_order("GET", "/v1/orders/o9", &[], 0, 404, 1007)]
+fn an_unusable_request_is_answered_with_its_code(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] headers: &[(&str, &str)],
+    #[case] body: usize,
+    #[case] status: u16,
+    #[case] number: u16,
+) {
+    block_on(async {
+        let set = start(1).await;
+        let body = vec![b'x'; body];
+        let answer = call(set.world.callers(0), method, path, headers, &body).await;
+        let answer = answer.unwrap();
+        let (found, code, _) = outcome(&answer);
+        assert_eq!((found, code), (status, Some(number)));
+        assert_eq!(set.kits[1].runs(), 0);
+    });
+}
+
+#[test]
+fn an_oversized_head_is_refused() {
+    block_on(async {
+        let set = start(1).await;
+        let long = "x".repeat(20_000);
+        let headers = [("x-long", long.as_str())];
+        let answer = call(set.world.callers(0), "GET", "/v1/kits/k1", &headers, b"").await;
+        assert_eq!(answer.unwrap().status(), 431);
+        assert_eq!(set.kits[1].runs(), 0);
+    });
+}
+
+#[rstest]
+#[case::one_gate(1)]
+#[case::two_gates(2)]
+fn an_order_with_a_body_runs_once_and_its_answer_is_replayed(#[case] gates: usize) {
+    block_on(async {
+        let set = start(gates).await;
+        let callers = set.world.callers(0);
+        let body = vec![b'x'; 60_000];
+        let send = || call(callers, "POST", "/v1/kits/k1", &[("order-id", "o1")], &body);
+        let first = send().await.unwrap();
+        assert_eq!(outcome(&first).2, "s1 POST /v1/kits/k1 60000");
+        let control = &set.world.control;
+        until("the outcome is reported", || control.closed("o1").is_some()).await;
+        let second = send().await.unwrap();
+        assert_eq!(outcome(&second), outcome(&first));
+        assert_eq!(second.headers()["order-replayed"], "1");
+        assert_eq!(set.kits[1].runs(), 1);
+        let known = get(callers, "/v1/orders/o1").await.unwrap();
+        assert!(outcome(&known).2.contains("\"run\":\"done\""));
+    });
+}
+
+#[rstest]
+#[case::one_gate(1)]
+#[case::two_gates(2)]
+fn a_chunked_answer_arrives_whole(#[case] gates: usize) {
+    block_on(async {
+        let set = start(gates).await;
+        set.kits[1].then(Act::Chunks(20, 2));
+        let answer = get(set.world.callers(0), "/v1/kits/k1").await.unwrap();
+        assert_eq!(outcome(&answer), (200, None, "chunk".repeat(20)));
+    });
+}
+
+/// Twenty callers at once meet a server with two slots, from two gates. One gate holds the slots,
+/// so the server never has more than two at work, and nobody is refused.
+#[test]
+fn slots_are_a_hard_limit_over_all_gates() {
+    block_on(async {
+        let set = start(2).await;
+        let target = &set.kits[1];
+        (0..20).for_each(|_| target.then(Act::Slow(20)));
+        let calls = (0..20).map(|i| get(set.world.callers(i % 2), "/v1/kits/k1"));
+        for answer in futures_util::future::join_all(calls).await {
+            assert_eq!(code(&answer.unwrap()), None);
+        }
+        assert_eq!(target.busy.get(), (0, 2));
+    });
+}
+
+#[test]
+fn the_process_uses_no_io_uring() {
+    block_on(async {
+        let set = start(1).await;
+        order(set.world.callers(0), "/v1/kits/k1", "o1")
+            .await
+            .unwrap();
+        let fds = format!("/proc/{}/fd", set.world.gates[0].child.id());
+        let links = std::fs::read_dir(fds).unwrap();
+        let names: Vec<_> = links
+            .filter_map(|l| std::fs::read_link(l.ok()?.path()).ok())
+            .map(|p| p.to_string_lossy().into_owned())
+            .collect();
+        assert!(names.iter().any(|n| n.contains("eventpoll")), "{names:?}");
+        assert!(!names.iter().any(|n| n.contains("io_uring")), "{names:?}");
+    });
+}
