fix(policy): a cold server's quick answers no longer end its ramp

Cause: hedging cancels the slow answers of a cold server, so the ramp saw rows of quick ones; and each quick answer of a slow server raised the 'usual' service time it was then held against. Change: a cancelled request ends a row; only answers of sound servers count as usual, others move it by elapsed time.

--- a/crates/chicoryrail-bench/src/policy/world.rs
+++ b/crates/chicoryrail-bench/src/policy/world.rs
@@ -192,6 +192,8 @@
         if !self.core.end(copy) {
             return;
         }
+        let server = self.core.copies[copy].server;
+        self.core.targets[server].saw_end(self.core.now);
         match &mut self.router {
             Router::Ours(g) => g.ended(&mut self.core, copy, end),
             Router::Baseline(b) => b.ended(&mut self.core, copy, end),
@@ -338,7 +340,7 @@
             return false;
         }
         c.state = State::Ended;
-        self.targets[c.server].end(self.now, copy);
+        self.targets[c.server].end(copy);
         true
     }
 
--- a/crates/chicoryrail-policy/src/estimate.rs
+++ b/crates/chicoryrail-policy/src/estimate.rs
@@ -1,5 +1,7 @@
 //! A running estimate of service time.
 
+use chicoryrail_core::Millis;
+
 /// A running estimate of service time in microseconds, for the limits of a queue.
 ///
 /// An exponentially weighted mean: one part in sixteen follows a change within some tens of
@@ -10,11 +12,13 @@
 pub struct Estimate {
     us: f64,
     known: bool,
+    slow: Millis,
 }
 
 impl Estimate {
     const WEIGHT: f64 = 1.0 / 16.0;
-    const SLOW_WEIGHT: f64 = 1.0 / 512.0;
+    const SLOW_TIME: Millis = Millis(30_000);
+    const SLOW_GAP: Millis = Millis(100);
     const CLIP: f64 = 4.0;
 
     /// Starts from an assumption that the first sample replaces.
@@ -23,6 +27,7 @@
         Self {
             us: f64::from(prior_us.max(1)),
             known: false,
+            slow: Millis::ZERO,
         }
     }
 
@@ -37,16 +42,22 @@
         }
     }
 
-    /// Takes in a service time where slow ones are the exception: a slow one counts very little, so
-    /// that a straggler's answers do not become what is usual; a service that got slower for good is
-    /// followed within some hundred answers.
-    pub fn add_usual(&mut self, us: u32, quick: bool) {
-        if quick || !self.known {
+    /// Takes in a service time; `sound` tells that neither the answer nor its server is slow.
+    ///
+    /// One that is not moves the estimate by the time since the last such one, not by its count: cold
+    /// servers or stragglers that answer for some seconds must not become what is usual, while a
+    /// service that got slower for good is followed within a minute. Their quick answers are no
+    /// exception: only the quickest of a slow server pass for quick, and each would raise the limit
+    /// that the next one is held against.
+    pub fn add_usual(&mut self, now: Millis, us: u32, sound: bool) {
+        if sound || !self.known {
             self.add(us);
-        } else {
-            let us = f64::from(us).min(self.us * Self::CLIP);
-            self.us += (us - self.us) * Self::SLOW_WEIGHT;
+            return;
         }
+        let gap = now.since(self.slow).min(Self::SLOW_GAP);
+        let us = f64::from(us).min(self.us * Self::CLIP);
+        self.us += (us - self.us) * gap.0 as f64 / Self::SLOW_TIME.0 as f64;
+        self.slow = now;
     }
 
     /// Returns the estimate in microseconds.
--- a/crates/chicoryrail-policy/src/ramp.rs
+++ b/crates/chicoryrail-policy/src/ramp.rs
@@ -55,6 +55,14 @@
         }
     }
 
+    /// Takes in a request that was cancelled before its answer came.
+    ///
+    /// It ends a row of quick answers: the loser of a hedge was slow, and if only the quick answers
+    /// counted, the hedge would make a cold server look warm.
+    pub const fn cancelled(&mut self) {
+        self.quick = 0;
+    }
+
     /// Returns the most requests in flight of a server with `slots` slots.
     #[must_use]
     pub const fn limit(&self, slots: u32) -> u32 {
--- a/crates/chicoryrail-policy/src/server.rs
+++ b/crates/chicoryrail-policy/src/server.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Tells whether its answers show what is usual: neither suspected nor on a ramp.
+    pub(crate) const fn is_sound(&self) -> bool {
+        !self.health.is_suspect() && self.limit() == self.slots
+    }
+
     pub(crate) const fn limit(&self) -> u32 {
         self.ramp.limit(self.slots)
     }
--- a/crates/chicoryrail-policy/src/server_queue.rs
+++ b/crates/chicoryrail-policy/src/server_queue.rs
@@ -155,10 +155,11 @@
         let class = flight.class as usize;
         match outcome {
             Outcome::Answered { us } => {
+                let sound = server.is_sound();
                 let quick = server.health.answered(now, us, self.usual[class].us());
                 server.ramp.answered(quick, server.slots);
                 self.present[class].add(us);
-                self.usual[class].add_usual(us, quick);
+                self.usual[class].add_usual(now, us, quick && sound);
             }
             Outcome::Shed => server.health.failed(now),
             // A lost connection is the only sign of a restart before its first answer.
@@ -169,6 +170,7 @@
             Outcome::Cancelled => {
                 let age = now.since(flight.sent);
                 server.health.oldest(now, age, self.usual[class].us());
+                server.ramp.cancelled();
             }
         }
         self.servers.retain(|s| !s.leaving || s.in_flight() > 0);
