--- a/crates/chicoryrail-core/src/bundle.rs
+++ b/crates/chicoryrail-core/src/bundle.rs
@@ -74,9 +74,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Encode, Decode)]
 #[serde(deny_unknown_fields)]
 pub struct KeyRange {
-    /// First position, 16 hexadecimal characters.
+    /// First position, 1 to 16 hexadecimal characters.
     pub first: String,
-    /// Last position, 16 hexadecimal characters.
+    /// Last position, 1 to 16 hexadecimal characters.
     pub last: String,
     /// Preferred data centre.
     pub data_centre: DcName,
@@ -87,8 +87,13 @@
     /// the wrong way round.
     #[must_use]
     pub fn slice(&self) -> Option<Slice> {
-        let first = u64::from_str_radix(&self.first, 16).ok()?;
-        let last = u64::from_str_radix(&self.last, 16).ok()?;
+        let position = |text: &str| {
+            // The parser alone would take a sign.
+            let hex = text.bytes().all(|b| b.is_ascii_hexdigit());
+            hex.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+        };
+        let first = position(&self.first)?;
+        let last = position(&self.last)?;
         (first <= last).then_some(Slice { first, last })
     }
 }
--- a/crates/chicoryrail-core/tests/bundle.rs
+++ b/crates/chicoryrail-core/tests/bundle.rs
@@ -62,6 +62,10 @@
     "[[service.key_range]]\nfirst=\"80\"\nlast=\"100\"\ndata_centre=\"a\"",
     "key_range = 80-100: overlaps key_range 0000000000000000-00000000000000ff"
 )]
+#[case::sign(
+    "[[service.key_range]]\nfirst=\"+200\"\nlast=\"300\"\ndata_centre=\"a\"",
+    "key_range = +200-300: is no range"
+)]
 #[case::order(
     "[[service.key_range]]\nfirst=\"200\"\nlast=\"100\"\ndata_centre=\"a\"",
     "key_range = 200-100: is no range"
