--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,269 @@
+//! The main job on embedded stand-ins.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::CallRecord;
+use chicoryrail_testkit::Cluster;
+use chicoryrail_testkit::ClusterError;
+use chicoryrail_testkit::ClusterOptions;
+use chicoryrail_testkit::Deployment;
+use chicoryrail_testkit::Ledger;
+use chicoryrail_testkit::Load;
+use chicoryrail_testkit::LoadKind;
+use chicoryrail_testkit::LoadOptions;
+use chicoryrail_testkit::LoadSummary;
+use chicoryrail_testkit::Outcome;
+use chicoryrail_testkit::Progress;
+use serde::Serialize;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+
+use crate::tools::print_json;
+
+/// Time in which a bundle must be in force everywhere and every gate ready.
+const ROLL_LIMIT: Millis = Millis(20_000);
+
+/// Requests a second to each deployment: a fifth to a quarter of what its servers bear.
+const RATE: f64 = 1_500.0;
+
+/// How the demo runs
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct Demo {
+    /// Length of the load in seconds
+    #[bpaf(argument("N"), fallback(10), display_fallback)]
+    seconds: u64,
+    /// Seed of the load
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
+}
+
+/// What the demo came to, over both deployments.
+#[derive(Clone, Debug, Default, Serialize)]
+struct Outcomes {
+    seed: u64,
+    requests: u64,
+    ok: u64,
+    refused: u64,
+    unknown: u64,
+    wrong_answer: u64,
+    wrong_owner: u64,
+    orders_sent: u64,
+    orders_doubled: u64,
+    orders_lost: u64,
+    p50_ms: f64,
+    p99_ms: f64,
+}
+
+impl Demo {
+    /// Runs the demo; false where an invariant did not hold, a step failed or it was interrupted.
+    pub(crate) fn run(&self) -> bool {
+        let Ok(stop) = stop_flag() else {
+            eprintln!("the signals can't be caught");
+            return false;
+        };
+        match self.both(&stop) {
+            Ok(outcomes) => {
+                let held = outcomes.wrong_owner == 0
+                    && outcomes.wrong_answer == 0
+                    && outcomes.orders_doubled == 0
+                    && outcomes.orders_lost == 0;
+                print_json(&outcomes) && held && !stop.load(Ordering::Relaxed)
+            }
+            Err(e) => {
+                eprintln!("the demo stopped: {e}");
+                false
+            }
+        }
+    }
+
+    fn both(&self, stop: &AtomicBool) -> Result<Outcomes, ClusterError> {
+        let mut clusters = Vec::new();
+        for deployment in [Deployment::Updraft, Deployment::Tanduay] {
+            let shape: usize = deployment.services().iter().map(|s| s.servers).sum();
+            println!(
+                "{deployment}: starting {shape} servers in {} data centres, {} entry hosts",
+                deployment.data_centres().len(),
+                deployment.data_centres().len()
+            );
+            let cluster = Cluster::start(ClusterOptions::new(deployment))?;
+            println!("{deployment}: bundle put, signed off by a second operator, rolled");
+            cluster.roll(ROLL_LIMIT)?;
+            println!(
+                "{deployment}: in force on every host; logs in {}",
+                cluster.dir().display()
+            );
+            clusters.push(cluster);
+            if stop.load(Ordering::Relaxed) {
+                return Ok(Outcomes::default());
+            }
+        }
+        let records = self.load(&clusters, stop);
+        let mut all = Vec::new();
+        let mut outcomes = Outcomes {
+            seed: self.seed,
+            ..Outcomes::default()
+        };
+        print_head();
+        for (cluster, records) in clusters.iter_mut().zip(records) {
+            cluster.check()?;
+            print_summary(cluster.options().deployment, &LoadSummary::of(&records));
+            if let Some(wrong) = records.iter().find_map(|r| r.wrong.as_deref()) {
+                println!("first wrong answer: {wrong}");
+            }
+            outcomes.add(&records, &cluster.ledgers()?);
+            all.extend(records);
+        }
+        let summary = LoadSummary::of(&all);
+        outcomes.p50_ms = summary.p50_ms;
+        outcomes.p99_ms = summary.p99_ms;
+        Ok(outcomes)
+    }
+
+    fn load(&self, clusters: &[Cluster], stop: &AtomicBool) -> Vec<Vec<CallRecord>> {
+        let mut progress = Vec::new();
+        let mut threads = Vec::new();
+        for cluster in clusters {
+            let load = Load::new(LoadOptions {
+                gates: cluster.gates(),
+                services: cluster.options().deployment.load(),
+                length: Millis(self.seconds * 1_000),
+                rate: Some(RATE),
+                seed: self.seed,
+                ..LoadOptions::default()
+            });
+            progress.push(load.progress());
+            threads.push(thread::spawn(move || block_on(load.run())));
+        }
+        while threads.iter().any(|t| !t.is_finished()) {
+            thread::sleep(Duration::from_millis(500));
+            print_progress(&progress);
+            if stop.load(Ordering::Relaxed) {
+                progress
+                    .iter()
+                    .for_each(|p| p.stop.store(true, Ordering::Relaxed));
+            }
+        }
+        threads
+            .into_iter()
+            .map(|t| t.join().unwrap_or_default())
+            .collect()
+    }
+}
+
+impl Outcomes {
+    /// Adds a deployment's records, judged by what its servers saw.
+    fn add(&mut self, records: &[CallRecord], ledgers: &[Ledger]) {
+        let summary = LoadSummary::of(records);
+        self.requests += summary.requests;
+        self.ok += summary.ok;
+        self.refused += summary.not_run;
+        self.unknown += summary.unknown;
+        self.wrong_answer += summary.wrong;
+        self.orders_sent += summary.orders_sent;
+        let mut runs: HashMap<&str, u64> = HashMap::new();
+        for order in ledgers
+            .iter()
+            .flat_map(|l| l.runs.iter())
+            .filter_map(|r| r.order.as_deref())
+        {
+            *runs.entry(order).or_default() += 1;
+        }
+        self.orders_doubled += runs.values().filter(|n| **n > 1).count() as u64;
+        let told: HashSet<&str> = records
+            .iter()
+            .filter(|r| r.kind == LoadKind::Order && r.outcome == Outcome::Done)
+            .filter_map(|r| r.order.as_deref())
+            .collect();
+        self.orders_lost += told.iter().filter(|o| !runs.contains_key(*o)).count() as u64;
+        self.wrong_owner += two_owners(ledgers);
+    }
+}
+
+/// Counts the runs on a keyed server that began while another server ran the same key.
+fn two_owners(ledgers: &[Ledger]) -> u64 {
+    /// Start, end and server of a run.
+    type Span<'a> = (u64, u64, &'a str);
+    let mut keys: HashMap<(&str, &str), Vec<Span<'_>>> = HashMap::new();
+    for run in ledgers
+        .iter()
+        .flat_map(|l| l.runs.iter())
+        .filter(|r| r.sent.is_some())
+    {
+        let service = run
+            .server
+            .rsplit_once('-')
+            .map_or("", |(service, _)| service);
+        keys.entry((service, &run.key))
+            .or_default()
+            .push((run.start, run.end, &run.server));
+    }
+    let mut count = 0;
+    for runs in keys.values_mut() {
+        runs.sort_unstable();
+        let pairs = runs.windows(2);
+        count += pairs
+            .filter(|p| p[0].1 > p[1].0 && p[0].2 != p[1].2)
+            .count() as u64;
+    }
+    count
+}
+
+fn stop_flag() -> io::Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register(signal, Arc::clone(&stop))?;
+    }
+    Ok(stop)
+}
+
+fn print_progress(progress: &[Arc<Progress>]) {
+    let sum = |f: fn(&Progress) -> u64| progress.iter().map(|p| f(p)).sum::<u64>();
+    println!(
+        "load: {:>7} ended, {:>7} answered, {:>4} refused, {:>3} unknown, {:>3} wrong",
+        sum(|p| p.ended.load(Ordering::Relaxed)),
+        sum(|p| p.done.load(Ordering::Relaxed)),
+        sum(|p| p.not_run.load(Ordering::Relaxed)),
+        sum(|p| p.unknown.load(Ordering::Relaxed)),
+        sum(|p| p.wrong.load(Ordering::Relaxed)),
+    );
+}
+
+fn print_head() {
+    println!(
+        "\n{:<10} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>9} {:>9}",
+        "deployment",
+        "requests",
+        "answered",
+        "refused",
+        "unknown",
+        "orders",
+        "p50 ms",
+        "p99 ms",
+        "p999 ms"
+    );
+}
+
+fn print_summary(deployment: Deployment, s: &LoadSummary) {
+    println!(
+        "{:<10} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9.2} {:>9.2} {:>9.2}",
+        deployment.name(),
+        s.requests,
+        s.ok,
+        s.not_run,
+        s.unknown,
+        s.orders_sent,
+        s.p50_ms,
+        s.p99_ms,
+        s.p999_ms
+    );
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Every chore of the project; `cargo xtask --help` lists them.
 
 mod bench;
+mod demo;
 mod tools;
 
 use std::process::ExitCode;
@@ -9,6 +10,8 @@
 
 use crate::bench::Bench;
 use crate::bench::bench;
+use crate::demo::Demo;
+use crate::demo::demo;
 use crate::tools::cargo;
 use crate::tools::documentation;
 use crate::tools::in_release;
@@ -26,6 +29,9 @@
     /// Formats the workspace
     #[bpaf(command)]
     Fmt,
+    /// Starts both deployments on stand-ins, rolls a bundle, runs mixed load and checks the outcome
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo))] Demo),
     /// Measures; the last line printed is JSON
     #[bpaf(command)]
     Bench(#[bpaf(external(bench))] Bench),
@@ -37,8 +43,9 @@
         Chore::Ci => lint() && test(),
         Chore::Test => test(),
         Chore::Fmt => cargo(&["+nightly", "fmt", "--all"]),
-        Chore::Bench(_) if cfg!(debug_assertions) => in_release(),
+        Chore::Bench(_) | Chore::Demo(_) if cfg!(debug_assertions) => in_release(),
         Chore::Bench(bench) => bench.run(),
+        Chore::Demo(demo) => demo.run(),
     };
     if done {
         ExitCode::SUCCESS
--- a/xtask/src/tools.rs
+++ b/xtask/src/tools.rs
@@ -3,6 +3,8 @@
 use std::env;
 use std::process::Command;
 
+use serde::Serialize;
+
 /// Runs cargo and tells whether it succeeded.
 pub(crate) fn cargo(args: &[&str]) -> bool {
     run(Command::new("cargo").args(args))
@@ -33,6 +35,20 @@
     ]) && run(&mut again)
 }
 
+/// Prints a value as one line of JSON and tells whether that worked.
+pub(crate) fn print_json<T: Serialize>(value: &T) -> bool {
+    match serde_json::to_string(value) {
+        Ok(line) => {
+            println!("{line}");
+            true
+        }
+        Err(e) => {
+            eprintln!("the result can't be written: {e}");
+            false
+        }
+    }
+}
+
 fn run(command: &mut Command) -> bool {
     match command.status() {
         Ok(status) => status.success(),
