fix(testkit): a gate may add its attempt to a request id

The first runs of the cluster against real gates judged 1,485 of 1,490 answers as another request's: the gate sends the caller's id followed by a full stop and a mark of the attempt, so that two attempts can be told apart. The load now compares the caller's part.

--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -48,6 +48,7 @@
 pub use load::LoadSummary;
 pub use load::Outcome;
 pub use load::Progress;
+pub use load::caller_id;
 pub use proxy::Link;
 pub use proxy::LinkFault;
 pub use proxy::LinkStats;
--- a/crates/chicoryrail-testkit/src/load.rs
+++ b/crates/chicoryrail-testkit/src/load.rs
@@ -9,6 +9,7 @@
 
 pub use call::CallRecord;
 pub use call::Outcome;
+pub use call::caller_id;
 pub use mix::LoadKind;
 pub use mix::LoadService;
 pub use run::Load;
--- a/crates/chicoryrail-testkit/src/load/call.rs
+++ b/crates/chicoryrail-testkit/src/load/call.rs
@@ -73,6 +73,13 @@
     pub hung: bool,
 }
 
+/// Returns the id that the caller gave, of one that a target saw: a gate may add a full stop and a
+/// mark of its attempt.
+#[must_use]
+pub fn caller_id(seen: &str) -> &str {
+    seen.split_once('.').map_or(seen, |(id, _)| id)
+}
+
 #[derive(Deserialize)]
 struct RunBody {
     run: String,
@@ -201,7 +208,7 @@
     if ask.duplicate {
         return None;
     }
-    if head.request != ask.request {
+    if caller_id(&head.request) != ask.request {
         return Some(format!("answer of request {}", head.request));
     }
     if head.length != ask.length {
