feat(testkit): checker of promises, links of a cluster behind the proxy

A long run is worth what is checked after it.

A cluster may now put every link between its processes through the proxy; each host reads a host list of its own with the addresses of its own links.

--- /dev/null
+++ b/crates/chicoryrail-testkit/src/checker.rs
@@ -0,0 +1,18 @@
+//! What must hold over what callers, targets and the store saw.
+
+mod answers;
+mod assigned;
+mod availability;
+mod evidence;
+mod orders;
+mod owners;
+mod placement;
+mod stored;
+mod violation;
+
+pub use availability::Availability;
+pub use evidence::Evidence;
+pub use evidence::OutPeriod;
+pub use evidence::Pause;
+pub use violation::Checker;
+pub use violation::Violation;
--- /dev/null
+++ b/crates/chicoryrail-testkit/src/checker/evidence.rs
@@ -0,0 +1,61 @@
+//! What was seen.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::CallRecord;
+use crate::Change;
+use crate::Ledger;
+use crate::Overrun;
+use crate::Run;
+
+/// What callers, targets and the store saw, and what the harness did; never the product's own word.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Requests as their callers saw them.
+    pub records: Vec<CallRecord>,
+    /// Requests that took effect, of all targets.
+    pub runs: Vec<Run>,
+    /// Overruns of cold targets.
+    pub overruns: Vec<Overrun>,
+    /// Writes of the store, oldest first.
+    pub history: Vec<Change>,
+    /// Times in which servers were out of service.
+    pub outs: Vec<OutPeriod>,
+    /// Times in which servers were paused.
+    pub pauses: Vec<Pause>,
+}
+
+impl Evidence {
+    /// Adds what the targets saw.
+    #[must_use]
+    pub fn with_ledgers(mut self, ledgers: Vec<Ledger>) -> Self {
+        for ledger in ledgers {
+            self.runs.extend(ledger.runs);
+            self.overruns.extend(ledger.overruns);
+        }
+        self
+    }
+}
+
+/// A time in which servers were out of service, wall clock in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutPeriod {
+    /// Names of the servers.
+    pub servers: Vec<String>,
+    /// When the operator was told that the change is accepted.
+    pub from: u64,
+    /// When the operator asked for them back.
+    pub until: u64,
+}
+
+/// A time in which a server was paused, wall clock in microseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pause {
+    /// Name of the server.
+    pub server: String,
+    /// When it was paused.
+    pub from: u64,
+    /// When it went on.
+    pub until: u64,
+}
--- a/crates/chicoryrail-testkit/src/cluster/member.rs
+++ b/crates/chicoryrail-testkit/src/cluster/member.rs
@@ -9,8 +9,8 @@
 pub enum Member {
     /// The store.
     Store,
-    /// The host list.
-    List,
+    /// A host list: the only one, or behind a proxy one for each host.
+    List(usize),
     /// A target.
     Target(usize),
     /// The gate of a host.
@@ -25,7 +25,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Store => f.write_str("store"),
-            Self::List => f.write_str("list"),
+            Self::List(i) => write!(f, "list-{i}"),
             Self::Target(i) => write!(f, "target-{i}"),
             Self::Gate(i) => write!(f, "gate-{i}"),
             Self::Controller(i) => write!(f, "controller-{i}"),
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(kv.swap("config/head", &body), Ok(1));
 //! ```
 
+mod checker;
 mod cluster;
 mod list;
 mod listener;
@@ -25,11 +26,18 @@
 mod target;
 mod wall;
 
+pub use checker::Availability;
+pub use checker::Checker;
+pub use checker::Evidence;
+pub use checker::OutPeriod;
+pub use checker::Pause;
+pub use checker::Violation;
 pub use cluster::Cluster;
 pub use cluster::ClusterError;
 pub use cluster::ClusterOptions;
 pub use cluster::Deployment;
 pub use cluster::HostPlan;
+pub use cluster::Links;
 pub use cluster::Member;
 pub use cluster::ServiceShape;
 pub use cluster::TargetPlan;
--- a/crates/chicoryrail-testkit/src/target/cold.rs
+++ b/crates/chicoryrail-testkit/src/target/cold.rs
@@ -39,6 +39,6 @@
     pub(crate) fn bears(&self, now: Millis, slots: u32) -> Option<u32> {
         let age = self.age(now)?;
         let share = u64::from(slots) * age.0 / self.length.0.max(1);
-        Some((share as u32).max(1))
+        Some(slots.min(share as u32 + 1))
     }
 }
