--- a/crates/chicoryrail-gate/src/answer_body.rs
+++ b/crates/chicoryrail-gate/src/answer_body.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
+use chicoryrail_policy::Outcome;
 use http::HeaderValue;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
@@ -18,12 +19,12 @@
 use monoio::time::sleep;
 
 use crate::gate::Gate;
+use crate::lane::Permit;
 use crate::pool::Conn;
 use crate::send;
 use crate::server::Server;
 use crate::server::UnderWay;
 use crate::shard::InFlight;
-use crate::slots::Permit;
 
 /// A request under way on a connection. Dropped before its end it closes the connection and tells
 /// the server to give up.
@@ -33,7 +34,7 @@
     conn: Option<Conn>,
     cancel: Option<(Rc<Gate>, HeaderValue)>,
     _under_way: UnderWay,
-    _permit: Permit,
+    permit: Permit,
     _flight: InFlight,
 }
 
@@ -45,7 +46,7 @@
             conn: Some(conn),
             cancel: None,
             _under_way: UnderWay::new(server),
-            _permit: permit,
+            permit,
             _flight: flight,
         }
     }
@@ -65,8 +66,22 @@
             .expect("the connection is held until the end")
     }
 
+    /// Notes the time to the answer's head. It stands for the service time: the time to the body's
+    /// end is the caller's as much as the server's, and a caller that reads slowly must not make the
+    /// server look slow.
+    pub(crate) fn answered(&mut self, us: u64) {
+        let us = u32::try_from(us).unwrap_or(u32::MAX);
+        self.permit.note(Outcome::Answered { us });
+    }
+
+    /// Notes how the request ends.
+    pub(crate) fn note(&mut self, outcome: Outcome) {
+        self.permit.note(outcome);
+    }
+
     /// Ends without an answer; `cancel` tells whether the server may still be at work.
-    pub(crate) fn abandon(mut self, cancel: bool) {
+    pub(crate) fn abandon(mut self, outcome: Outcome, cancel: bool) {
+        self.permit.note(outcome);
         if !cancel {
             self.cancel = None;
         }
@@ -97,24 +112,17 @@
     left: Millis,
     since: std::time::Instant,
     sleep: Option<Pin<Box<Sleep>>>,
-    blame: Option<Rc<Server>>,
 }
 
 impl AnswerBody {
-    /// Wraps a body that must end within `left`; a cut counts against `blame`.
-    pub(crate) fn new(
-        inner: Incoming,
-        exchange: Exchange,
-        left: Millis,
-        blame: Option<Rc<Server>>,
-    ) -> Self {
+    /// Wraps a body that must end within `left`.
+    pub(crate) fn new(inner: Incoming, exchange: Exchange, left: Millis) -> Self {
         let mut body = Self {
             inner,
             exchange: Some(exchange),
             left,
             since: std::time::Instant::now(),
             sleep: None,
-            blame,
         };
         body.end_if_whole();
         body
@@ -144,10 +152,10 @@
     }
 
     fn fail(&mut self, error: io::Error) -> io::Error {
-        if let Some(server) = &self.blame {
-            server.failed();
+        if let Some(mut exchange) = self.exchange.take() {
+            exchange.server.failed();
+            exchange.note(Outcome::Failed);
         }
-        self.exchange = None;
         error
     }
 
--- a/crates/chicoryrail-gate/src/counters.rs
+++ b/crates/chicoryrail-gate/src/counters.rs
@@ -17,6 +17,7 @@
     pub(crate) pooled: IntGauge,
     pub(crate) holds: IntCounter,
     pub(crate) retries: IntCounter,
+    pub(crate) hedges: IntCounter,
     pub(crate) forwards: IntCounter,
     pub(crate) cancels: IntCounter,
     pub(crate) mismatches: IntCounter,
@@ -40,6 +41,7 @@
                 "Requests that had to wait for a valid route",
             ),
             retries: m.counter("gate_retries_total", "Second sends of requests"),
+            hedges: m.counter("gate_hedges_total", "Late lookups tried a second time"),
             forwards: m.counter("gate_forwards_total", "Requests sent through another gate"),
             cancels: m.counter("gate_cancels_total", "Requests cancelled at their server"),
             mismatches: m.counter(
--- a/crates/chicoryrail-gate/src/dispatch.rs
+++ b/crates/chicoryrail-gate/src/dispatch.rs
@@ -1,25 +1,28 @@
-//! Finds the server of a request, holds the request while there is none, and sends it.
+//! Gets a request its answer: finds a way, sends, and sends again where that is safe.
 
 use std::rc::Rc;
 
-use chicoryrail_core::KeyHash;
+use chicoryrail_core::Class;
+use chicoryrail_core::Kind;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
+use chicoryrail_policy::PeerId;
 use chicoryrail_runtime::Body;
 use http::Response;
 use monoio::time::timeout;
 
 use crate::call::Call;
 use crate::forward;
+use crate::forward::Hop;
+use crate::free::Place;
 use crate::gate::Gate;
+use crate::hedge;
 use crate::refusal::Refusal;
 use crate::send;
-use crate::shard::Owner;
-use crate::shard::Route;
 use crate::shard::Shard;
-use crate::shard::Table;
-use crate::shard::Via;
 use crate::source::Source;
+use crate::way;
+use crate::way::Way;
 
 /// Longest wait for a change of routes before they are looked at again: another gate may have the
 /// change before this one.
@@ -29,26 +32,6 @@
 /// cost.
 const MOST_SENDS: u32 = 3;
 
-/// A server to send to, under the routes of a shard.
-#[derive(Clone, Debug)]
-pub(crate) struct Choice {
-    pub(crate) shard: Rc<Shard>,
-    pub(crate) table: Rc<Table>,
-    pub(crate) route: Route,
-}
-
-impl Choice {
-    /// Tells whether the routes still allow the send: they are valid now, and the table in force,
-    /// which may be a later one, sends the key to the same server by the same way.
-    pub(crate) fn holds(&self, key: Option<KeyHash>, now: Millis) -> bool {
-        let Some(table) = self.shard.routes(now) else {
-            return false;
-        };
-        let name = &self.route.server.name;
-        table.allows(key, name) && table.route(name).is_some_and(|r| r.via == self.route.via)
-    }
-}
-
 /// Gets a request its answer.
 ///
 /// # Errors
@@ -62,176 +45,91 @@
     call.entry.budget.borrow_mut().earn();
     let hold_end = call.deadline.min(call.came + gate.settings.limits.hold);
     let mut sends = 0;
-    let mut avoid = None;
+    let mut avoid: Vec<PeerId> = Vec::new();
     loop {
-        let choice = find(gate, call, hold_end, avoid.as_ref()).await?;
-        let refusal = match attempt(gate, call, source, &choice).await {
+        let way = way::find(gate, call, hold_end, &avoid).await?;
+        let result = match hedge::applies(call, source, &way) {
+            Some(free) => hedge::race(gate, call, source, &way, &free).await,
+            None => attempt(gate, call, source, &way).await,
+        };
+        let refusal = match result {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
         if !source.is_whole() || !(refusal.not_run() || call.is_idempotent()) {
             return Err(refusal);
         }
+        if let Way::Free(_, Place::Gate(peer, _)) = &way {
+            avoid.push(*peer);
+        }
         let now = gate.now();
         if refusal.is_rerouted() && refusal.not_run() {
             if now >= hold_end {
                 return Err(refusal);
             }
-            pause(&choice.shard, hold_end.since(now).min(LOOK_EVERY)).await;
-            avoid = Some(choice.route.server.name.clone());
+            let shard = &call.entry.shards[0];
+            pause(shard, hold_end.since(now).min(LOOK_EVERY)).await;
             continue;
         }
         sends += 1;
-        let again = is_transient(&refusal)
-            && sends < MOST_SENDS
-            && now < call.deadline
-            && call.entry.budget.borrow_mut().spend();
-        if !again {
+        if !may_repeat(call, &refusal, sends, now) {
             return Err(refusal);
         }
         gate.counters.retries.inc();
-        avoid = Some(choice.route.server.name.clone());
     }
 }
 
-/// Tells whether another send may end better. A refusal for want of time or room would only be
-/// repeated.
-fn is_transient(refusal: &Refusal) -> bool {
-    matches!(
-        refusal.code,
-        ResultCode::OutcomeUnknown | ResultCode::AnswerCut | ResultCode::Shed
-    ) || refusal.code == ResultCode::Internal
-}
-
-async fn attempt(
+/// Sends the request once.
+pub(crate) async fn attempt(
     gate: &Rc<Gate>,
     call: &Call,
     source: &Rc<Source>,
-    choice: &Choice,
+    way: &Way,
 ) -> Result<Response<Body>, Refusal> {
-    match &choice.route.via {
-        Via::Own => send::to_server(gate, call, source, choice).await,
-        Via::Gate(host) => {
-            let peer = gate.gates.borrow().get(host).cloned();
-            match peer {
-                Some(peer) => forward::to_gate(gate, call, source, choice, &peer).await,
-                None => Err(ResultCode::NoServer.into()),
-            }
+    let (hop, peer) = match way {
+        Way::Own(choice) => {
+            let lane = &choice.route.server.lane;
+            return send::to_server(gate, call, source, lane).await;
         }
-        Via::Nobody => Err(ResultCode::NoServer.into()),
-    }
-}
-
-/// Finds a server, waiting until `end` for routes.
-///
-/// Made for moves: callers wait some hundred milliseconds for the new owner instead of being
-/// refused. The bound keeps a lost shard from filling the gate with waiting requests.
-async fn find(
-    gate: &Rc<Gate>,
-    call: &Call,
-    end: Millis,
-    avoid: Option<&chicoryrail_core::ServerName>,
-) -> Result<Choice, Refusal> {
-    let mut held = None;
-    loop {
-        let now = gate.now();
-        let signal = Rc::clone(&call.entry.shards[0].signal);
-        let seen = signal.count();
-        let code = match look(gate, call, now, avoid) {
-            Ok(choice) => return Ok(choice),
-            Err(code) => code,
-        };
-        if now >= end {
-            let code = if now >= call.deadline {
-                ResultCode::DeadlinePassed
-            } else {
-                code
-            };
-            return Err(code.into());
+        Way::Free(free, Place::Own) => {
+            return send::to_server(gate, call, source, &free.lane).await;
         }
-        held.get_or_insert_with(|| Held::new(gate));
-        let _ = timeout(end.since(now).duration(), signal.after(seen)).await;
+        Way::Gate(choice, host) => (Hop::Server(choice), host),
+        Way::Free(free, Place::Gate(id, host)) => (Hop::Service(free, *id), host),
+    };
+    let peer = gate.gates.borrow().get(peer).cloned();
+    match peer {
+        Some(peer) => forward::to_gate(gate, call, source, hop, &peer).await,
+        None => Err(ResultCode::NoServer.into()),
     }
 }
 
-fn look(
-    gate: &Gate,
-    call: &Call,
-    now: Millis,
-    avoid: Option<&chicoryrail_core::ServerName>,
-) -> Result<Choice, ResultCode> {
-    match call.key {
-        Some(key) => look_owner(call, key, now),
-        None => look_free(gate, call, now, avoid),
-    }
+/// Tells whether the request may be sent again, and takes it from the budget. A refusal for want of
+/// time or room would only be repeated.
+fn may_repeat(call: &Call, refusal: &Refusal, sends: u32, now: Millis) -> bool {
+    let transient = matches!(
+        refusal.code,
+        ResultCode::OutcomeUnknown
+            | ResultCode::AnswerCut
+            | ResultCode::Shed
+            | ResultCode::Internal
+    );
+    transient
+        && sends < MOST_SENDS
+        && now < call.deadline
+        && call
+            .entry
+            .budget
+            .borrow_mut()
+            .take(refusal.not_run(), call.is_idempotent())
 }
 
-fn look_owner(call: &Call, key: KeyHash, now: Millis) -> Result<Choice, ResultCode> {
-    let part = key.part(call.entry.service.parts) as usize;
-    let shard = &call.entry.shards[part];
-    let table = shard.routes(now).ok_or(ResultCode::NoServer)?;
-    match table.owner(key) {
-        Owner::Is(route) => Ok(Choice {
-            shard: Rc::clone(shard),
-            table,
-            route,
-        }),
-        Owner::Moving => Err(ResultCode::OwnerMoving),
-    }
-}
-
-/// Chooses the server with the fewest requests that this gate knows of.
-fn look_free(
-    gate: &Gate,
-    call: &Call,
-    now: Millis,
-    avoid: Option<&chicoryrail_core::ServerName>,
-) -> Result<Choice, ResultCode> {
-    let shards = &call.entry.shards;
-    let first = gate.serial() as usize % shards.len();
-    for i in 0..shards.len() {
-        let shard = &shards[(first + i) % shards.len()];
-        let Some(table) = shard.routes(now) else {
-            continue;
-        };
-        let n = table.routes.len();
-        let start = gate.serial() as usize;
-        let best = (0..n)
-            .map(|i| &table.routes[(start + i) % n])
-            .filter(|r| r.takes_work())
-            .min_by_key(|r| {
-                let avoided = avoid == Some(&r.server.name);
-                (avoided, r.server.load(now), r.server.under_way.get())
-            });
-        if let Some(route) = best.cloned() {
-            return Ok(Choice {
-                shard: Rc::clone(shard),
-                table,
-                route,
-            });
-        }
-    }
-    Err(ResultCode::NoServer)
+/// Tells whether a late request may be tried a second time.
+pub(crate) fn is_hedged(call: &Call) -> bool {
+    call.class == Class::Interactive && call.entry.service.kind == Kind::Free
 }
 
 async fn pause(shard: &Shard, length: Millis) {
     let seen = shard.signal.count();
     let _ = timeout(length.duration(), shard.signal.after(seen)).await;
 }
-
-/// Counts a held request until it is dropped.
-struct Held(Rc<Gate>);
-
-impl Held {
-    fn new(gate: &Rc<Gate>) -> Self {
-        gate.counters.holds.inc();
-        gate.counters.held.inc();
-        Self(Rc::clone(gate))
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0.counters.held.dec();
-    }
-}
--- a/crates/chicoryrail-gate/src/forward.rs
+++ b/crates/chicoryrail-gate/src/forward.rs
@@ -11,6 +11,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
 use chicoryrail_platform::header;
+use chicoryrail_policy::PeerId;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::collect;
 use chicoryrail_wire::Forward;
@@ -28,7 +29,8 @@
 use monoio::time::timeout;
 
 use crate::call::Call;
-use crate::dispatch::Choice;
+use crate::free::Free;
+use crate::free::read_load;
 use crate::gate::Gate;
 use crate::headers;
 use crate::headers::inner;
@@ -36,6 +38,7 @@
 use crate::server::UnderWay;
 use crate::shard::InFlight;
 use crate::source::Source;
+use crate::way::Choice;
 
 /// Longest text of another gate's refusal.
 const REFUSAL_TEXT: usize = 4 << 10;
@@ -43,6 +46,15 @@
 /// Time by which the other gate's own answer at the deadline may come later.
 const GRACE: Millis = Millis(20);
 
+/// What the other gate is asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Hop<'a> {
+    /// A certain server.
+    Server(&'a Choice),
+    /// Any of its servers of a free service.
+    Service(&'a Free, PeerId),
+}
+
 /// Sends the request once.
 ///
 /// # Errors
@@ -52,18 +64,26 @@
     gate: &Rc<Gate>,
     call: &Call,
     source: &Rc<Source>,
-    choice: &Choice,
+    hop: Hop<'_>,
     peer: &Peer,
 ) -> Result<Response<Body>, Refusal> {
     gate.counters.forwards.inc();
-    let server = &choice.route.server;
-    let flight = choice.shard.fly(call.key, &server.name, false);
-    let under_way = UnderWay::new(server);
+    let held = match hop {
+        Hop::Server(choice) => {
+            let server = &choice.route.server;
+            let flight = choice.shard.fly(call.key, &server.name, false);
+            Some((flight, UnderWay::new(server)))
+        }
+        Hop::Service(free, id) => {
+            free.sent(id);
+            None
+        }
+    };
     let now = gate.now();
     if now >= call.deadline {
         return Err(ResultCode::DeadlinePassed.into());
     }
-    let head = head(call, choice, peer, now);
+    let head = head(call, hop, peer, now);
     let limit = call.left(now) + GRACE;
     let opened = timeout(limit.duration(), peer.forward(head, source.is_empty())).await;
     let Forward { body, answer } = match opened {
@@ -85,11 +105,13 @@
     };
     let (mut head, body) = answer.into_parts();
     let load = head.headers.remove(inner::LOAD);
-    if let Some(load) = load.and_then(|v| v.to_str().ok()?.parse().ok()) {
-        server.hint(load, gate.now());
+    if let Hop::Service(free, id) = hop
+        && let Some(load) = load.as_ref().and_then(read_load)
+    {
+        free.heard(gate.now(), id, load);
     }
     let left = call.left(gate.now()) + GRACE;
-    let body = StreamBody::new(body, left, Some((flight, under_way)));
+    let body = StreamBody::new(body, left, held);
     if let Some(code) = head.headers.get(inner::CODE) {
         let code = code.to_str().ok().and_then(|c| c.parse().ok());
         let code = code.and_then(ResultCode::from_number);
@@ -115,7 +137,7 @@
     refusal
 }
 
-fn head(call: &Call, choice: &Choice, peer: &Peer, now: Millis) -> Request<()> {
+fn head(call: &Call, hop: Hop<'_>, peer: &Peer, now: Millis) -> Request<()> {
     let uri = http::Uri::builder()
         .scheme("http")
         .authority(peer.addr().to_string())
@@ -129,7 +151,9 @@
     headers.remove(http::header::HOST);
     headers.insert(header::REQUEST_ID, call.id.clone());
     headers.insert(header::DEADLINE, HeaderValue::from(call.left(now).0));
-    if let Ok(name) = HeaderValue::from_str(choice.route.server.name.as_str()) {
+    if let Hop::Server(choice) = hop
+        && let Ok(name) = HeaderValue::from_str(choice.route.server.name.as_str())
+    {
         headers.insert(inner::SERVER, name);
     }
     *head.headers_mut() = headers;
--- a/crates/chicoryrail-gate/src/gate.rs
+++ b/crates/chicoryrail-gate/src/gate.rs
@@ -3,13 +3,14 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use chicoryrail_core::Config;
 use chicoryrail_core::HostName;
+use chicoryrail_core::Kind;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
+use chicoryrail_core::Service;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::ShardId;
 use chicoryrail_platform::HttpTargets;
@@ -19,18 +20,15 @@
 use chicoryrail_wire::HostState;
 use chicoryrail_wire::Peer;
 use chicoryrail_wire::Role;
-use chicoryrail_wire::RouteTable;
 
+use crate::Placement;
 use crate::Settings;
 use crate::counters::Counters;
-use crate::decide::RetryBudget;
+use crate::free::Free;
 use crate::server::Server;
 use crate::service::Entry;
 use crate::service::Services;
-use crate::shard::Route;
 use crate::shard::Shard;
-use crate::shard::Table;
-use crate::shard::Via;
 use crate::signal::Signal;
 
 /// A gate.
@@ -53,6 +51,7 @@
     pub(crate) closing: Cell<u32>,
     services: RefCell<Rc<Services>>,
     shards: RefCell<HashMap<ShardId, Rc<Shard>>>,
+    frees: RefCell<HashMap<ServiceName, Rc<Free>>>,
     signals: RefCell<HashMap<Option<ServiceName>, Rc<Signal>>>,
     serial: Cell<u64>,
 }
@@ -73,6 +72,7 @@
             closing: Cell::new(0),
             services: RefCell::default(),
             shards: RefCell::default(),
+            frees: RefCell::default(),
             signals: RefCell::default(),
             serial: Cell::new(0),
             process,
@@ -140,8 +140,8 @@
         }
     }
 
-    fn entry(&self, service: &chicoryrail_core::Service) -> Entry {
-        let shards = (0..service.parts)
+    fn entry(&self, service: &Service) -> Entry {
+        let shards: Vec<_> = (0..service.parts)
             .map(|part| {
                 self.shard(&ShardId::Service {
                     service: service.name.clone(),
@@ -149,11 +149,18 @@
                 })
             })
             .collect();
-        Entry {
-            service: service.clone(),
-            shards,
-            budget: RefCell::new(RetryBudget::default()),
-        }
+        let shared = service.kind == Kind::Free && self.settings.placement == Placement::Policy;
+        let free = shared.then(|| self.free(&service.name));
+        Entry::new(service, shards, free)
+    }
+
+    /// Returns the shared queue of a free service.
+    pub(crate) fn free(&self, service: &ServiceName) -> Rc<Free> {
+        let mut frees = self.frees.borrow_mut();
+        let free = frees
+            .entry(service.clone())
+            .or_insert_with(|| Free::new(self.process.clock));
+        Rc::clone(free)
     }
 
     /// Returns a shard, without routes where it is new.
@@ -177,93 +184,6 @@
     pub(crate) fn shards(&self) -> Vec<Rc<Shard>> {
         self.shards.borrow().values().cloned().collect()
     }
-
-    /// Brings a route table into force where its fence is higher.
-    pub(crate) fn apply_table(&self, table: &RouteTable) {
-        let shard = self.shard(&table.shard);
-        let old = shard.table.borrow().clone();
-        if old.as_ref().is_some_and(|t| t.fence >= table.fence) {
-            return;
-        }
-        let connections = self.connections(&table.shard);
-        let routes: Vec<Route> = table
-            .servers
-            .iter()
-            .map(|s| {
-                let server = self.server(&s.name, s.addr);
-                let via = match &s.gate {
-                    Some(host) if *host == self.settings.host.host => Via::Own,
-                    Some(host) => Via::Gate(host.clone()),
-                    None => Via::Nobody,
-                };
-                server.pool.set_cap(s.slots, connections);
-                let own = if via == Via::Own { s.slots } else { 0 };
-                server.slots.set_limit(own);
-                Route {
-                    server,
-                    state: s.state,
-                    via,
-                }
-            })
-            .collect();
-        let new = Rc::new(Table {
-            fence: table.fence,
-            routes,
-            entries: table.entries.clone(),
-        });
-        *shard.table.borrow_mut() = Some(Rc::clone(&new));
-        self.settle(&shard, old.as_deref(), &new);
-        shard.signal.notify();
-    }
-
-    /// Sends away what the new table forbids, and gives up servers that another gate holds now.
-    fn settle(&self, shard: &Shard, old: Option<&Table>, new: &Table) {
-        let gone = old.iter().flat_map(|t| &t.routes);
-        for route in gone.filter(|r| new.route(&r.server.name).is_none()) {
-            route.server.slots.set_limit(0);
-            route.server.slots.recheck(|_| false);
-            route.server.pool.clear();
-            self.servers.borrow_mut().remove(&route.server.name);
-        }
-        for route in &new.routes {
-            let name = &route.server.name;
-            let own = route.via == Via::Own;
-            route
-                .server
-                .slots
-                .recheck(|key| own && new.allows(key, name));
-            if !own {
-                route.server.pool.clear();
-            }
-        }
-        self.process.events.record(
-            EventKind::RoutesApplied,
-            shard.id.to_string(),
-            format!("fence={}", new.fence),
-        );
-    }
-
-    fn connections(&self, shard: &ShardId) -> u32 {
-        let services = self.services.borrow();
-        match shard {
-            ShardId::Service { service, .. } => services
-                .config
-                .service(service)
-                .map_or(u32::MAX, |s| s.connections),
-            ShardId::Orders { .. } => u32::MAX,
-        }
-    }
-
-    fn server(&self, name: &ServerName, addr: SocketAddr) -> Rc<Server> {
-        let mut servers = self.servers.borrow_mut();
-        let server = servers
-            .entry(name.clone())
-            .or_insert_with(|| Rc::new(Server::new(name, addr)));
-        if server.addr.replace(addr) != addr {
-            server.pool.clear();
-        }
-        Rc::clone(server)
-    }
 }
 
 /// Counts a request being served until it is dropped.
--- a/crates/chicoryrail-gate/src/inner.rs
+++ b/crates/chicoryrail-gate/src/inner.rs
@@ -21,16 +21,17 @@
 
 use crate::call;
 use crate::call::Call;
-use crate::dispatch::Choice;
 use crate::forward;
 use crate::forward::StreamBody;
 use crate::gate::Gate;
 use crate::gate::Serving;
 use crate::headers::inner;
+use crate::lane::Lane;
 use crate::refusal::Refusal;
 use crate::send;
 use crate::shard::Via;
 use crate::source::Source;
+use crate::way;
 
 /// Answers other processes.
 pub(crate) struct Inner(pub(crate) Rc<Gate>);
@@ -80,14 +81,28 @@
 async fn send(gate: &Rc<Gate>, head: Parts, body: RecvStream) -> Result<Response<Body>, Refusal> {
     let server = head.headers.get(inner::SERVER);
     let server = server.and_then(|v| v.to_str().ok()).map(ServerName::new);
-    let server = server.ok_or(ResultCode::BadRequest)?;
     let id = call::request_id(gate, &head.headers);
     let call = Call::read(gate, head, id).map_err(rerouted)?;
-    let choice = named(&call, &server, gate.now())?;
+    let lane = lane(&call, server.as_ref(), gate.now())?;
     let left = call.left(gate.now());
     let body: Body = Box::pin(StreamBody::new(body, left, None));
     let source = Source::new(body, call.entry.service.max_body);
-    send::to_server(gate, &call, &source, &choice).await
+    send::to_server(gate, &call, &source, &lane).await
+}
+
+/// Finds the queue of the server that the other gate chose, or of the free service. This gate's own
+/// routes decide: the other's may be older.
+fn lane(call: &Call, server: Option<&ServerName>, now: Millis) -> Result<Rc<Lane>, ResultCode> {
+    let choice = match (call.key, &call.entry.free, server) {
+        (Some(key), _, _) => way::owner(call, key, now)?,
+        (None, Some(free), _) => return Ok(Rc::clone(&free.lane)),
+        (None, None, Some(name)) => way::named(call, name, now)?,
+        (None, None, None) => return Err(ResultCode::NoServer),
+    };
+    if choice.route.via != Via::Own {
+        return Err(ResultCode::OwnerMoving);
+    }
+    Ok(Rc::clone(&choice.route.server.lane))
 }
 
 /// A service that this gate does not know may be in a configuration that it does not have yet.
@@ -98,31 +113,6 @@
     }
 }
 
-/// Finds the server that the other gate chose. This gate's own routes must say the same: the other
-/// may have older ones.
-fn named(call: &Call, name: &ServerName, now: Millis) -> Result<Choice, ResultCode> {
-    let part = call.key.map(|k| k.part(call.entry.service.parts) as usize);
-    for (i, shard) in call.entry.shards.iter().enumerate() {
-        if part.is_some_and(|p| p != i) {
-            continue;
-        }
-        let Some(table) = shard.routes(now) else {
-            continue;
-        };
-        let Some(route) = table.route(name).cloned() else {
-            continue;
-        };
-        if route.via == Via::Own && table.allows(call.key, name) {
-            return Ok(Choice {
-                shard: Rc::clone(shard),
-                table,
-                route,
-            });
-        }
-    }
-    Err(ResultCode::OwnerMoving)
-}
-
 /// Removes what HTTP/2 does not allow.
 fn without_connection(mut headers: http::HeaderMap) -> http::HeaderMap {
     headers.remove(http::header::CONNECTION);
--- a/crates/chicoryrail-gate/src/refusal.rs
+++ b/crates/chicoryrail-gate/src/refusal.rs
@@ -8,6 +8,10 @@
 use http::Response;
 use http::header::RETRY_AFTER;
 
+/// When to come back in milliseconds; the standard header has whole seconds only, which is long for a
+/// burst that is over in a tenth of one.
+pub(crate) const RETRY_AFTER_MS: &str = "retry-after-ms";
+
 /// Why a request has no server's answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Refusal {
@@ -64,9 +68,9 @@
         let mut answer = error_answer(self.code, &self.message);
         if let Some(after) = self.after {
             let seconds = after.0.div_ceil(1_000).max(1);
-            answer
-                .headers_mut()
-                .insert(RETRY_AFTER, HeaderValue::from(seconds));
+            let headers = answer.headers_mut();
+            headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
+            headers.insert(RETRY_AFTER_MS, HeaderValue::from(after.0));
         }
         answer
     }
@@ -77,3 +81,13 @@
         Self::new(code)
     }
 }
+
+impl From<chicoryrail_policy::Refusal> for Refusal {
+    fn from(refusal: chicoryrail_policy::Refusal) -> Self {
+        Self {
+            code: refusal.code,
+            message: String::new(),
+            after: Some(refusal.retry),
+        }
+    }
+}
--- a/crates/chicoryrail-gate/src/route_task.rs
+++ b/crates/chicoryrail-gate/src/route_task.rs
@@ -41,15 +41,16 @@
         gate.counters.routes.inc();
         match peer.call(&request, CALL_LIMIT).await {
             Ok(Reply::Routes(reply)) => {
-                take(&gate, &host, asked, &reply);
+                let whole = take(&gate, &host, asked, &reply);
                 mine = reply.held.into_iter().map(|(shard, _)| shard).collect();
                 if reply.version > gate.version() {
                     config_task::ask(&gate, &peer, Millis::ZERO).await;
                 }
                 await_landing(&gate, &mine).await;
                 // A controller that answers at once without news must not keep this task busy.
-                if gate.now().since(asked) < ACK_EVERY {
-                    gate.process.clock.sleep(ACK_EVERY).await;
+                let rest = if whole { ACK_EVERY } else { PAUSE };
+                if gate.now().since(asked) < rest {
+                    gate.process.clock.sleep(rest).await;
                 }
             }
             _ => gate.process.clock.sleep(PAUSE).await,
@@ -98,10 +99,12 @@
 }
 
 /// Brings a reply into force. Validity counts from before the call was sent, on this process's
-/// clock, and is cut by the drift margin, so it ends before the controller's own count does.
-fn take(gate: &Gate, host: &HostName, asked: Millis, reply: &RouteReply) {
+/// clock, and is cut by the drift margin, so it ends before the controller's own count does. Returns
+/// `false` where a table needs a configuration that is not in force yet.
+fn take(gate: &Gate, host: &HostName, asked: Millis, reply: &RouteReply) -> bool {
+    let mut whole = true;
     for table in &reply.tables {
-        gate.apply_table(table);
+        whole &= gate.apply_table(table);
     }
     let until = asked + reply.valid.since(margin(reply.valid));
     for (id, fence) in &reply.held {
@@ -117,6 +120,7 @@
             }
         }
     }
+    whole
 }
 
 /// Drift of two machines' clocks over `length`: 2 % and 10 ms.
--- a/crates/chicoryrail-gate/src/run.rs
+++ b/crates/chicoryrail-gate/src/run.rs
@@ -201,6 +201,8 @@
         } else if ready && now.since(good) > LOST_AFTER {
             gate.process.set_ready(false);
         }
+        gate.check_routes(now);
+        gate.check_speeds();
         measure(&gate);
     }
 }
@@ -223,7 +225,11 @@
 
 fn measure(gate: &Gate) {
     let servers = gate.servers.borrow();
-    let queued: usize = servers.values().map(|s| s.slots.waiting()).sum();
+    // Servers of a free service share a queue; each queue counts once.
+    let mut lanes: Vec<_> = servers.values().map(|s| &s.lane).collect();
+    lanes.sort_by_key(|l| Rc::as_ptr(l));
+    lanes.dedup_by(|a, b| Rc::ptr_eq(a, b));
+    let queued: usize = lanes.iter().map(|l| l.waiting()).sum();
     let pooled: u32 = servers.values().map(|s| s.pool.open()).sum();
     gate.counters.queued.set(queued as i64);
     gate.counters.pooled.set(i64::from(pooled));
--- a/crates/chicoryrail-gate/src/send.rs
+++ b/crates/chicoryrail-gate/src/send.rs
@@ -3,10 +3,14 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use chicoryrail_core::Fence;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
 use chicoryrail_platform::Targets;
 use chicoryrail_platform::header;
+use chicoryrail_policy::Ask;
+use chicoryrail_policy::Outcome;
+use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -19,10 +23,12 @@
 use crate::answer_body::AnswerBody;
 use crate::answer_body::Exchange;
 use crate::call::Call;
-use crate::dispatch::Choice;
+use crate::free::write_load;
 use crate::gate::Gate;
 use crate::headers;
 use crate::headers::inner;
+use crate::lane::Lane;
+use crate::lane::Permit;
 use crate::pool::Conn;
 use crate::refusal::Refusal;
 use crate::server::Server;
@@ -37,19 +43,32 @@
     gate: &Rc<Gate>,
     call: &Call,
     source: &Rc<Source>,
-    choice: &Choice,
+    lane: &Rc<Lane>,
 ) -> Result<Response<Body>, Refusal> {
-    let server = &choice.route.server;
-    let left = call.left(gate.now());
-    if left == Millis::ZERO {
-        return Err(ResultCode::DeadlinePassed.into());
-    }
-    let permit = server.slots.enter(call.key, call.deadline, left).await?;
-    let flight = choice.shard.fly(call.key, &server.name, true);
+    let ask = Ask::new(Ticket(gate.serial()), call.class, call.deadline);
+    let ask = call.key.map_or(ask, |key| ask.key(key.0));
+    let permit = lane.enter(ask, call.key).await?;
+    with_permit(gate, call, source, permit).await
+}
+
+/// Sends the request once, in a slot that it already has.
+///
+/// # Errors
+///
+/// Returns the refusal; its code tells what is known of the run.
+pub(crate) async fn with_permit(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
+    mut permit: Permit,
+) -> Result<Response<Body>, Refusal> {
+    let server = Rc::clone(&permit.server);
+    let flight = permit.shard.fly(call.key, &server.name, true);
     let conn = match server.pool.take(server.addr.get()).await {
         Ok(conn) => conn,
         Err(_) => {
             server.failed();
+            permit.note(Outcome::Shed);
             return Err(ResultCode::NoServer.into());
         }
     };
@@ -57,23 +76,26 @@
     // the routes, or the process may have been stopped for a while. A server that does not check
     // fences would run the request although another owns the key by now.
     let now = gate.now();
-    if !choice.holds(call.key, now) {
-        server.pool.put(conn);
-        return Err(ResultCode::OwnerMoving.into());
-    }
-    if now >= call.deadline {
+    let table = permit.shard.routes(now);
+    let table = table.filter(|t| t.sends(call.key, &server.name));
+    let late = now >= call.deadline;
+    let Some(table) = table.filter(|_| !late) else {
         server.pool.put(conn);
-        return Err(ResultCode::DeadlinePassed.into());
-    }
+        let code = if late {
+            ResultCode::DeadlinePassed
+        } else {
+            ResultCode::OwnerMoving
+        };
+        return Err(code.into());
+    };
     let attempt = attempt_id(gate, call);
-    let request = request(call, source, choice, &attempt, now);
+    let request = request(call, source, &server, table.fence, &attempt, now);
     server.sent();
-    let exchange = Exchange::new(conn, permit, flight, server);
-    let exchange = match call.is_idempotent() {
-        true => exchange.with_cancel(gate, &attempt),
-        false => exchange,
-    };
-    exchange_once(gate, call, source, server, exchange, request, &attempt).await
+    let mut exchange = Exchange::new(conn, permit, flight, &server);
+    if call.is_idempotent() {
+        exchange = exchange.with_cancel(gate, &attempt);
+    }
+    exchange_once(gate, call, source, &server, exchange, request, &attempt).await
 }
 
 async fn exchange_once(
@@ -94,7 +116,7 @@
             server.failed();
             let unsent = error.take_message().is_some();
             // The connection is at its end, and so is the server's work for it.
-            exchange.abandon(false);
+            exchange.abandon(Outcome::Failed, false);
             let code = match (unsent, source.fault()) {
                 (true, _) => ResultCode::NoServer,
                 (false, Some(fault)) if call.is_idempotent() => fault,
@@ -104,7 +126,7 @@
         }
         Err(_) => {
             server.failed();
-            exchange.abandon(true);
+            exchange.abandon(Outcome::Cancelled, true);
             return Err(ResultCode::AnswerLate.into());
         }
     };
@@ -114,13 +136,14 @@
         // to, it is not this caller's, and nothing that follows on the connection can be trusted.
         gate.counters.mismatches.inc();
         server.failed();
-        exchange.abandon(true);
+        exchange.abandon(Outcome::Failed, true);
         return Err(Refusal::with(
             ResultCode::OutcomeUnknown,
             format!("the answer of {} belongs to another request", server.name),
         ));
     }
     server.answered(us, instance(answer.headers()));
+    exchange.answered(us);
     if answer.headers().contains_key(header::NOT_RUN) {
         return Err(refused(answer, exchange, server));
     }
@@ -128,16 +151,18 @@
 }
 
 /// Reads the refusal of a server that says it did not run the request.
-fn refused(answer: Response<Incoming>, exchange: Exchange, server: &Server) -> Refusal {
+fn refused(answer: Response<Incoming>, mut exchange: Exchange, server: &Server) -> Refusal {
     server.failed();
-    let status = answer.status();
-    let (head, body) = answer.into_parts();
-    AnswerBody::new(body, exchange, Millis::ZERO, None).drain();
-    let code = if status == http::StatusCode::CONFLICT {
-        ResultCode::FenceOld
+    // A server that has seen a higher fence is well; this gate's routes are old.
+    let old = answer.status() == http::StatusCode::CONFLICT;
+    let (code, outcome) = if old {
+        (ResultCode::FenceOld, Outcome::Cancelled)
     } else {
-        ResultCode::Shed
+        (ResultCode::Shed, Outcome::Shed)
     };
+    exchange.note(outcome);
+    let (head, body) = answer.into_parts();
+    AnswerBody::new(body, exchange, Millis::ZERO).drain();
     let mut refusal = Refusal::new(code);
     let after = head.headers.get(http::header::RETRY_AFTER);
     let after = after.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
@@ -157,15 +182,16 @@
     let (mut head, body) = answer.into_parts();
     head.headers = headers::end_to_end(head.headers);
     head.headers.insert(header::REQUEST_ID, call.id.clone());
-    head.headers
-        .insert(inner::LOAD, HeaderValue::from(server.slots.load()));
+    if let Some(load) = server.lane.load() {
+        head.headers.insert(inner::LOAD, write_load(load));
+    }
     if let Ok(name) = HeaderValue::from_str(server.name.as_str()) {
         head.headers.insert(header::SERVER, name);
     }
     head.version = http::Version::HTTP_11;
     head.extensions.clear();
     let left = call.left(gate.now());
-    let body = AnswerBody::new(body, exchange, left, Some(Rc::clone(server)));
+    let body = AnswerBody::new(body, exchange, left);
     Response::from_parts(head, Box::pin(body))
 }
 
@@ -184,7 +210,8 @@
 fn request(
     call: &Call,
     source: &Rc<Source>,
-    choice: &Choice,
+    server: &Server,
+    fence: Fence,
     attempt: &HeaderValue,
     now: Millis,
 ) -> Request<Body> {
@@ -192,15 +219,14 @@
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = Uri::from(call.path.clone());
     let mut headers = call.headers.clone();
-    let host = choice.route.server.host.clone();
+    let host = server.host.clone();
     headers.insert(http::header::HOST, host);
     headers.insert(header::REQUEST_ID, attempt.clone());
     headers.insert(header::DEADLINE, HeaderValue::from(call.left(now).0));
-    if call.key.is_some() {
-        let fence = choice.table.fence.to_string();
-        if let Ok(fence) = HeaderValue::try_from(fence) {
-            headers.insert(header::FENCE, fence);
-        }
+    if call.key.is_some()
+        && let Ok(fence) = HeaderValue::try_from(fence.to_string())
+    {
+        headers.insert(header::FENCE, fence);
     }
     *request.headers_mut() = headers;
     request
--- a/crates/chicoryrail-gate/src/server.rs
+++ b/crates/chicoryrail-gate/src/server.rs
@@ -6,11 +6,13 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
+use chicoryrail_policy::ServerId;
+use chicoryrail_policy::Verdict;
 use chicoryrail_wire::ServerSeen;
 use http::HeaderValue;
 
+use crate::lane::Lane;
 use crate::pool::Pool;
-use crate::slots::Slots;
 
 /// Slots, connections and observation of one server.
 #[derive(Debug)]
@@ -19,12 +21,21 @@
     pub(crate) addr: Cell<SocketAddr>,
     /// Value of the `host` header.
     pub(crate) host: HeaderValue,
-    pub(crate) slots: Rc<Slots>,
+    /// Number of the server in this run.
+    pub(crate) id: ServerId,
+    /// The queue before the server's slots.
+    pub(crate) lane: Rc<Lane>,
+    /// Whether other servers of a free service stand behind the same queue.
+    pub(crate) shared: bool,
+    /// Most requests in flight; 0 while another gate holds the slots.
+    pub(crate) slots: Cell<u32>,
+    /// Whether the routes say that it is in cold start.
+    pub(crate) cold: Cell<bool>,
     pub(crate) pool: Pool,
     /// Requests that this gate has under way to the server, directly or through another gate.
     pub(crate) under_way: Cell<u32>,
     seen: Seen,
-    hint: Cell<Option<(u32, Millis)>>,
+    verdict: Cell<Option<Verdict>>,
 }
 
 #[derive(Debug, Default)]
@@ -38,16 +49,26 @@
 
 impl Server {
     /// Builds a server without slots.
-    pub(crate) fn new(name: &ServerName, addr: SocketAddr) -> Self {
+    pub(crate) fn new(
+        name: &ServerName,
+        addr: SocketAddr,
+        id: ServerId,
+        lane: &Rc<Lane>,
+        shared: bool,
+    ) -> Self {
         Self {
             name: name.clone(),
             addr: Cell::new(addr),
             host: HeaderValue::try_from(addr.to_string()).expect("an address is a valid header"),
-            slots: Rc::default(),
+            id,
+            lane: Rc::clone(lane),
+            shared,
+            slots: Cell::default(),
+            cold: Cell::default(),
             pool: Pool::default(),
             under_way: Cell::new(0),
             seen: Seen::default(),
-            hint: Cell::default(),
+            verdict: Cell::default(),
         }
     }
 
@@ -67,21 +88,16 @@
         self.seen.sum_us.set(self.seen.sum_us.get() + us);
         if let Some(instance) = instance {
             self.seen.instance.set(instance);
+            self.lane.set_instance(self, instance);
         }
-        self.slots.learn(u32::try_from(us).unwrap_or(u32::MAX));
     }
 
-    /// Notes the load that the gate that holds the server's slots gave with an answer.
-    pub(crate) fn hint(&self, load: u32, now: Millis) {
-        self.hint.set(Some((load, now)));
-    }
-
-    /// Returns the requests that this gate believes to be at the server: its own, and those of a
-    /// hint that is fresh.
-    pub(crate) fn load(&self, now: Millis) -> u32 {
-        let hint = self.hint.get();
-        let hinted = hint.filter(|(_, at)| now.since(*at) < HINT_VALID);
-        self.under_way.get().max(hinted.map_or(0, |(load, _)| load))
+    /// Returns what is thought of the server's speed, where that has changed since the last call.
+    pub(crate) fn new_verdict(&self) -> Option<Verdict> {
+        let now = self.lane.verdict(self);
+        let was = self.verdict.replace(now);
+        let sound = |v: Option<Verdict>| v.unwrap_or(Verdict::Sound);
+        (sound(was) != sound(now)).then(|| sound(now))
     }
 
     /// Takes the observation since the last report.
@@ -91,7 +107,7 @@
         let mean = sum_us.checked_div(u64::from(answered)).unwrap_or(0);
         ServerSeen {
             server: self.name.clone(),
-            waiting: self.slots.load(),
+            waiting: self.lane.load_of(self),
             latency_us: u32::try_from(mean).unwrap_or(u32::MAX),
             sent: self.seen.sent.take(),
             failed: self.seen.failed.take(),
@@ -101,7 +117,7 @@
 
     /// Tells whether a connection should be opened before a request needs it.
     pub(crate) fn wants_connection(&self) -> bool {
-        self.pool.open() < self.slots.limit().min(MOST_WARM)
+        self.pool.open() < self.slots.get().min(MOST_WARM)
     }
 
     /// Opens a connection that stands idle until a request needs it.
@@ -116,9 +132,6 @@
 /// further ones as its load grows.
 const MOST_WARM: u32 = 8;
 
-/// Time for which a load that another gate gave says something; queues turn over within it.
-const HINT_VALID: Millis = Millis(50);
-
 /// Counts a request under way to a server until it is dropped.
 #[derive(Debug)]
 pub(crate) struct UnderWay(Rc<Server>);
--- a/crates/chicoryrail-gate/src/service.rs
+++ b/crates/chicoryrail-gate/src/service.rs
@@ -1,13 +1,15 @@
 //! The services in force, found by path.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 
 use chicoryrail_core::Config;
 use chicoryrail_core::Service;
+use chicoryrail_policy::RetryBudget;
 
-use crate::decide::RetryBudget;
+use crate::free::Free;
 use crate::shard::Shard;
 
 /// A service and its shards.
@@ -17,6 +19,29 @@
     /// Section `i` at index `i`.
     pub(crate) shards: Vec<Rc<Shard>>,
     pub(crate) budget: RefCell<RetryBudget>,
+    /// The shared queue of a free service; `None` for a keyed one and under a baseline placement.
+    pub(crate) free: Option<Rc<Free>>,
+    turn: Cell<usize>,
+}
+
+impl Entry {
+    /// Builds a service with its shards.
+    pub(crate) fn new(service: &Service, shards: Vec<Rc<Shard>>, free: Option<Rc<Free>>) -> Self {
+        Self {
+            service: service.clone(),
+            shards,
+            budget: RefCell::default(),
+            free,
+            turn: Cell::default(),
+        }
+    }
+
+    /// Counts up for choices that go round.
+    pub(crate) fn next_turn(&self) -> usize {
+        let turn = self.turn.get();
+        self.turn.set(turn.wrapping_add(1));
+        turn
+    }
 }
 
 /// All services of a configuration.
--- a/crates/chicoryrail-gate/src/shard.rs
+++ b/crates/chicoryrail-gate/src/shard.rs
@@ -32,6 +32,7 @@
     pub(crate) server: Rc<Server>,
     pub(crate) state: ServerState,
     pub(crate) via: Via,
+    pub(crate) slots: u32,
 }
 
 /// Which gate speaks to a server.
@@ -82,6 +83,12 @@
         self.routes.iter().find(|r| r.server.name == *name)
     }
 
+    /// Tells whether this gate may send new work for the key to the server.
+    pub(crate) fn sends(&self, key: Option<KeyHash>, server: &ServerName) -> bool {
+        let own = self.route(server).is_some_and(|r| r.via == Via::Own);
+        own && self.allows(key, server)
+    }
+
     /// Tells whether new work for the key may go to the server; `key` is `None` in a free service.
     pub(crate) fn allows(&self, key: Option<KeyHash>, server: &ServerName) -> bool {
         match key {
@@ -102,6 +109,8 @@
     pub(crate) holder: RefCell<Option<HostName>>,
     valid: Cell<Millis>,
     acked: Cell<Option<Fence>>,
+    /// Whether the routes were valid when the lanes were last brought in line with them.
+    pub(crate) was_valid: Cell<bool>,
     /// Notified when the routes of the service change.
     pub(crate) signal: Rc<Signal>,
     flights: RefCell<HashMap<u64, Flight>>,
@@ -125,6 +134,7 @@
             holder: RefCell::default(),
             valid: Cell::default(),
             acked: Cell::default(),
+            was_valid: Cell::default(),
             signal,
             flights: RefCell::default(),
             next: Cell::default(),
--- a/crates/chicoryrail-gate/tests/callers.rs
+++ b/crates/chicoryrail-gate/tests/callers.rs
@@ -68,7 +68,7 @@
     let last = format!("g{}", gates - 1);
     let kits = [route(&set.kits[0], "g0", 2), route(&set.kits[1], &last, 2)];
     control.publish("kits", 1, &kits, 1);
-    control.publish("lessons", 1, &[route(&set.lessons, "g0", 2)], 0);
+    control.publish_free("lessons", 1, &[route(&set.lessons, "g0", 2)]);
     control.set_bundle(1, BUNDLE);
     set.world.ready().await;
     set
--- a/crates/chicoryrail-gate/tests/support/control.rs
+++ b/crates/chicoryrail-gate/tests/support/control.rs
@@ -64,6 +64,14 @@
         self.publish_as(service, version, servers, owner, SliceState::Settled);
     }
 
+    /// Publishes the only section of a free service.
+    pub fn publish_free(&self, service: &str, version: u64, servers: &[ServerRoute]) {
+        self.publish(service, version, servers, 0);
+        let mut tables = self.tables.borrow_mut();
+        let table = tables.last_mut().expect("a table was published");
+        table.entries.clear();
+    }
+
     /// Publishes as [`Control::publish`] does, with the state of the only slice.
     pub fn publish_as(
         &self,
