--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -15,14 +15,26 @@
 //! assert_eq!(kv.swap("config/head", &body), Ok(1));
 //! ```
 
+mod cluster;
 mod list;
 mod listener;
 mod load;
+mod proxy;
 mod query;
 mod store;
 mod target;
 mod wall;
 
+pub use cluster::Cluster;
+pub use cluster::ClusterError;
+pub use cluster::ClusterOptions;
+pub use cluster::Deployment;
+pub use cluster::HostPlan;
+pub use cluster::Member;
+pub use cluster::ServiceShape;
+pub use cluster::TargetPlan;
+pub use cluster::call_blocking;
+pub use cluster::free_port;
 pub use list::ListServer;
 pub use listener::Cut;
 pub use listener::Listener;
@@ -36,6 +48,10 @@
 pub use load::LoadSummary;
 pub use load::Outcome;
 pub use load::Progress;
+pub use proxy::Link;
+pub use proxy::LinkFault;
+pub use proxy::LinkStats;
+pub use proxy::Net;
 pub use query::query;
 pub use store::Change;
 pub use store::Kv;
