perf(policy): a suspected server's first rest is short

Cause: one answer in 600 is late by chance; each cost its server 100 ms of rest, 3 % of a saturated service. Change: the first rest is the age that counts as late (12 ms at 4 ms of service), doubling to 400.

--- a/crates/chicoryrail-policy/src/health.rs
+++ b/crates/chicoryrail-policy/src/health.rs
@@ -9,12 +9,11 @@
 const LATE: f64 = 3.0;
 /// Shortest age that counts as late; the clock has steps of a millisecond.
 const LATE_FLOOR: Millis = Millis(3);
-/// First rest of a suspected server before a probe; it doubles up to the longest.
+/// Longest rest of a suspected server before a probe; the first is the age that counts as late, and
+/// it doubles.
 ///
-/// A straggler of a moment lasts 200 to 800 ms. A shorter rest sends more requests to a server that
-/// is still slow, a longer one leaves capacity idle that is back.
-const REST: Millis = Millis(100);
-/// Longest rest.
+/// One long answer is mostly chance, so the first rest is short: a long one took 3 % of a saturated
+/// service's capacity. A straggler of a moment lasts 200 to 800 ms; it is probed some five times.
 const REST_LONGEST: Millis = Millis(400);
 /// A server that stayed suspect for longer is no momentary straggler: its slices should move.
 const PERSISTENT: Millis = Millis(2_000);
@@ -47,7 +46,7 @@
         Self {
             since: None,
             probe: Millis::ZERO,
-            rest: REST,
+            rest: LATE_FLOOR,
         }
     }
 }
@@ -61,8 +60,9 @@
 
     /// Takes in the age of the oldest request in flight.
     pub fn oldest(&mut self, now: Millis, age: Millis, usual_us: f64) {
-        if age >= Self::late(usual_us) {
-            self.suspect(now);
+        let late = Self::late(usual_us);
+        if age >= late {
+            self.suspect(now, late);
         }
     }
 
@@ -71,16 +71,15 @@
         let quick = f64::from(us) < usual_us * LATE;
         if quick {
             self.since = None;
-            self.rest = REST;
         } else {
-            self.suspect(now);
+            self.suspect(now, Self::late(usual_us));
         }
         quick
     }
 
     /// Takes in a failure: no answer is no better than a slow one.
-    pub fn failed(&mut self, now: Millis) {
-        self.suspect(now);
+    pub fn failed(&mut self, now: Millis, usual_us: f64) {
+        self.suspect(now, Self::late(usual_us));
     }
 
     /// Takes in that a request is sent although the server is suspected; the next one must wait.
@@ -111,10 +110,11 @@
         }
     }
 
-    fn suspect(&mut self, now: Millis) {
+    fn suspect(&mut self, now: Millis, rest: Millis) {
         if self.since.is_none() {
             self.since = Some(now);
-            self.probe = now + self.rest;
+            self.probe = now + rest;
+            self.rest = rest.times(2);
         }
     }
 }
--- a/crates/chicoryrail-policy/src/server_queue.rs
+++ b/crates/chicoryrail-policy/src/server_queue.rs
@@ -161,10 +161,10 @@
                 self.present[class].add(us);
                 self.usual[class].add_usual(now, us, quick && sound);
             }
-            Outcome::Shed => server.health.failed(now),
+            Outcome::Shed => server.health.failed(now, self.usual[class].us()),
             // A lost connection is the only sign of a restart before its first answer.
             Outcome::Failed => {
-                server.health.failed(now);
+                server.health.failed(now, self.usual[class].us());
                 server.ramp = Ramp::cold();
             }
             Outcome::Cancelled => {
