feat(policy): loads travel on forwarded requests too, a hedge tries several places

Cause: with 11 gates most hold one server; a hedge met a busy one in about half of the cases and was given up, and hints were older than their horizon. Change: Picker takes in a load from requests as well as answers; pick_free looks at up to 16 peers and also takes unknown ones; Hedge::PLACES places are offered one after the other.

--- a/crates/chicoryrail-bench/src/policy/world.rs
+++ b/crates/chicoryrail-bench/src/policy/world.rs
@@ -61,6 +61,8 @@
     Asked,
     Waiting,
     Running,
+    /// Its end is on the way to the home gate.
+    Returning,
     Ended,
 }
 
@@ -82,8 +84,8 @@
     Unseen(usize),
     Deadline(usize),
     /// A forwarded copy reaches the gate that holds the servers; whether it may only take a slot
-    /// that is free.
-    Offer(usize, bool),
+    /// that is free, and the load at its home gate.
+    Offer(usize, bool, Load),
     /// A forwarded copy's end, or `None` for a refusal, is back at its home gate.
     Back(usize, Option<End>, Load),
     Cancel(usize),
@@ -353,9 +355,9 @@
 
     /// Tells whether any other copy may still bring the answer.
     pub(crate) fn has_other(&self, request: usize, but: usize) -> bool {
-        [State::Asked, State::Waiting, State::Running]
-            .into_iter()
-            .any(|s| self.lives(request, but, s))
+        let copies = &self.requests[request].copies;
+        let mut others = copies.iter().filter(|c| **c != but);
+        others.any(|c| self.copies[*c].state != State::Ended)
     }
 
     pub(crate) fn answer(&mut self, request: usize) {
--- a/crates/chicoryrail-policy/src/hedge.rs
+++ b/crates/chicoryrail-policy/src/hedge.rs
@@ -38,6 +38,12 @@
 }
 
 impl Hedge {
+    /// Places that a hedge is offered to, one after the other, until one has a free slot.
+    ///
+    /// Where a gate holds a single server, about half of the places are busy at a usual load; four
+    /// leave a late lookup alone in one of sixteen cases. A place that is busy runs nothing.
+    pub const PLACES: usize = 4;
+
     /// Earns the share of a request that came from a caller.
     pub fn earn(&mut self) {
         self.tokens = (self.tokens + SHARE).min(RESERVE);
--- a/crates/chicoryrail-policy/src/picker.rs
+++ b/crates/chicoryrail-policy/src/picker.rs
@@ -12,6 +12,8 @@
 /// Peers that are compared. With the whole fleet in view every gate would send to the same best
 /// one; three at random come close to the best and spread the choice.
 const TRIES: usize = 3;
+/// Peers that a hedge looks at: it is rare, and is lost where no free slot is found.
+const HEDGE_TRIES: usize = 16;
 /// Cost of a forward in microseconds: one turn through another gate within a region.
 const HOP_US: u32 = 500;
 
@@ -40,14 +42,15 @@
 /// Load: one gate's servers are busy or slow while another's are idle. Harm prevented: requests
 /// wait in one queue beside free slots elsewhere. The gate's own queue is known exactly and goes
 /// first while it has a free slot; the others are known by the [`Load`] that came with the last
-/// forwarded answer, corrected by what was sent since.
+/// forwarded request or answer, corrected by what was sent since. Requests carry it too: a gate whose
+/// servers turned slow forwards what it gets, and so tells the others at once.
 #[derive(Clone, Debug, Default)]
 pub struct Picker {
     hints: HashMap<PeerId, Hint>,
 }
 
 impl Picker {
-    /// Takes in the load that came with a forwarded answer.
+    /// Takes in the load that came with a request or an answer from `peer`.
     pub fn heard(&mut self, now: Millis, peer: PeerId, load: Load) {
         let hint = Hint {
             load,
@@ -81,7 +84,7 @@
             return Some(Choice::Own);
         }
         let guess = own.map_or(1_000, |l| l.service_us);
-        let best = sample(rng, peers)
+        let best = sample(rng, peers, TRIES)
             .map(|p| (self.cost(now, p, guess), Choice::Peer(p)))
             .min_by_key(|(cost, _)| *cost);
         match (own, best) {
@@ -92,7 +95,8 @@
         }
     }
 
-    /// Chooses where a hedge goes: only to a place that is thought to have a free slot.
+    /// Chooses where a hedge goes: to a place that is thought to have a free slot, or to one that
+    /// nothing is known of; the gate there sends it only if a slot is free.
     pub fn pick_free(
         &self,
         now: Millis,
@@ -104,16 +108,18 @@
         if own.is_some_and(|l| l.free > 0) {
             return Some(Choice::Own);
         }
-        sample(rng, peers)
-            .filter(|p| Choice::Peer(*p) != not && self.free(now, *p) > 0)
-            .max_by_key(|p| self.free(now, *p))
-            .map(Choice::Peer)
+        sample(rng, peers, HEDGE_TRIES)
+            .filter(|p| Choice::Peer(*p) != not)
+            .map(|p| (self.free(now, p), p))
+            .filter(|(free, _)| *free != Some(0))
+            .max_by_key(|(free, _)| *free)
+            .map(|(_, p)| Choice::Peer(p))
     }
 
-    fn free(&self, now: Millis, peer: PeerId) -> u32 {
+    fn free(&self, now: Millis, peer: PeerId) -> Option<u32> {
         match self.hints.get(&peer) {
-            Some(h) if now.since(h.at) < HORIZON => h.load.free.saturating_sub(h.sent),
-            _ => 0,
+            Some(h) if now.since(h.at) < HORIZON => Some(h.load.free.saturating_sub(h.sent)),
+            _ => None,
         }
     }
 
@@ -130,10 +136,9 @@
     }
 }
 
-fn sample(rng: &mut impl Rng, peers: &[PeerId]) -> impl Iterator<Item = PeerId> {
+/// Takes up to `most` peers in a row from a random one on.
+fn sample(rng: &mut impl Rng, peers: &[PeerId], most: usize) -> impl Iterator<Item = PeerId> {
     let n = peers.len();
     let start = rng.random_range(0..n.max(1));
-    let picks: [usize; TRIES] = std::array::from_fn(|i| start + i);
-    let some: Vec<PeerId> = picks.iter().take(n).map(|i| peers[i % n]).collect();
-    some.into_iter()
+    (start..start + most.min(n)).map(move |i| peers[i % n])
 }
