feat(runtime): switches that read 0 and false of a variable as off

Cause: the command line library takes any value of a switch's environment variable for yes, and two programs had the same remedy. Change: switch_setting stands in the runtime, next to setting.

--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -50,6 +50,7 @@
 pub use settings::host_settings;
 pub use settings::setting;
 pub use settings::store_setting;
+pub use settings::switch_setting;
 pub use start::block_on;
 pub use start::exit_with;
 pub use start::init_logs;
--- a/crates/chicoryrail-runtime/src/settings.rs
+++ b/crates/chicoryrail-runtime/src/settings.rs
@@ -60,6 +60,22 @@
         })
 }
 
+/// Parses a switch that stands as a flag, or is `1` or `true` in the environment variable.
+///
+/// The command line library alone takes any value of the variable for yes, `0` and `false` too.
+#[must_use]
+pub fn switch_setting(
+    flag: &'static str,
+    env: &'static str,
+    help: &'static str,
+) -> impl Parser<bool> {
+    let text = format!("{help} [env:{env}=1]");
+    long(flag)
+        .help(text.as_str())
+        .switch()
+        .map(move |on| on || std::env::var(env).is_ok_and(|v| v == "1" || v == "true"))
+}
+
 /// Parses the settings from flags and, where a flag is missing, environment variables.
 pub fn host_settings() -> impl Parser<HostSettings> {
     let host = setting(
