--- a/crates/chicoryctl/src/settings.rs
+++ b/crates/chicoryctl/src/settings.rs
@@ -11,6 +11,8 @@
 use bpaf::positional;
 use chicoryrail_core::Digest;
 use chicoryrail_core::Millis;
+use chicoryrail_runtime::setting;
+use chicoryrail_runtime::switch_setting;
 
 /// Settings of a run of `chicoryctl`.
 #[derive(Clone, Debug)]
@@ -122,11 +124,13 @@
 /// Parses flags, environment variables and the command.
 #[must_use]
 pub fn settings() -> OptionParser<Settings> {
-    let admin = long("admin")
-        .env("CHICORYRAIL_ADMIN")
-        .help("IP address and port of the administration API of any host")
-        .argument::<SocketAddr>("ADDR")
-        .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let admin = setting::<SocketAddr>(
+        "admin",
+        "CHICORYRAIL_ADMIN",
+        "ADDR",
+        "IP address and port of the administration API of any host",
+    )
+    .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
     // Not read from the environment by the parser: its help would show the secret.
     let token = long("token")
         .help("Bearer token [env:CHICORYRAIL_TOKEN]")
@@ -138,7 +142,7 @@
         .help("Name of the operator, where the API has no tokens")
         .argument::<String>("NAME")
         .optional();
-    let json = switch("json", "CHICORYRAIL_JSON", "Prints answers as JSON");
+    let json = switch_setting("json", "CHICORYRAIL_JSON", "Prints answers as JSON");
     let command = command();
     construct!(Settings {
         admin,
@@ -249,7 +253,7 @@
 
 fn place(name: &'static str, kind: &'static str, text: &'static str) -> impl Parser<Command> {
     let direction = |way: Way, command: &'static str, text: &'static str| {
-        let force = switch(
+        let force = switch_setting(
             "force",
             "CHICORYRAIL_FORCE",
             "Goes on where the rest could not bear it",
@@ -281,7 +285,7 @@
 }
 
 fn wait() -> impl Parser<Wait> {
-    let wait = switch(
+    let wait = switch_setting(
         "wait",
         "CHICORYRAIL_WAIT",
         "Prints the hosts that are missing until the change is in force everywhere",
@@ -304,12 +308,3 @@
                 .ok_or_else(|| format!("{text:?} is not 64 lower-case hexadecimal characters"))
         })
 }
-
-/// A switch that the values `1` and `true` of an environment variable turn on too.
-fn switch(name: &'static str, env: &'static str, help: &'static str) -> impl Parser<bool> {
-    let text = format!("{help} [env:{env}=1]");
-    long(name)
-        .help(text.as_str())
-        .switch()
-        .map(move |on| on || std::env::var(env).is_ok_and(|v| v == "1" || v == "true"))
-}
--- a/crates/chicoryrail-admin/src/settings.rs
+++ b/crates/chicoryrail-admin/src/settings.rs
@@ -10,6 +10,7 @@
 use chicoryrail_runtime::HostSettings;
 use chicoryrail_runtime::SettingError;
 use chicoryrail_runtime::host_settings;
+use chicoryrail_runtime::setting;
 use chicoryrail_runtime::store_setting;
 
 use crate::Operator;
@@ -51,10 +52,12 @@
 pub fn settings() -> OptionParser<Settings> {
     let host = host_settings();
     let store = store_setting();
-    let listen = long("listen")
-        .env("CHICORYRAIL_ADMIN_LISTEN")
-        .help("IP address and port of the administration API, health, metrics and events")
-        .argument::<SocketAddr>("ADDR");
+    let listen = setting::<SocketAddr>(
+        "listen",
+        "CHICORYRAIL_ADMIN_LISTEN",
+        "ADDR",
+        "IP address and port of the administration API, health, metrics and events",
+    );
     let operators = long("operator")
         .env("CHICORYRAIL_OPERATORS")
         .help(
--- a/crates/chicoryrail-timeline/src/main.rs
+++ b/crates/chicoryrail-timeline/src/main.rs
@@ -1,3 +1,7 @@
 //! One ordered time line of the events of all processes.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chicoryrail_timeline::main()
+}
