feat(admin): take-outs weighed against the load of now

Cause: a take-out was judged by capacity alone, so an idle platform could not lose more than half, and a busy one could lose half without a word. Change: the gates' counters are read twice, half a second apart; rate times mean time gives the slots in use of each service. Above 0.8 of what would be left the take-out is refused with 2008; without load it is noted only; where fewer than half of the gates answer, the rule of before holds. Conclusion: the warning gives figures; what accepted, pending and owner say is tested with hosts that are late, silent, unheard or forgotten by the list.

--- a/crates/chicoryrail-admin/src/capacity.rs
+++ b/crates/chicoryrail-admin/src/capacity.rs
@@ -17,21 +17,60 @@
 /// leave next to nothing.
 const BLIND_LIMIT: f64 = 0.5;
 
-/// Slots in use of each service, as far as it is known.
+/// Requests in flight or queued of each service, as far as it is known.
 pub(crate) type InUse = BTreeMap<ServiceName, f64>;
 
-/// Returns a plain warning for each service that the take-out would overload.
-pub(crate) fn warnings(config: &Config, after: &Outs, in_use: &InUse) -> Vec<String> {
-    let mut warnings = Vec::new();
+/// What a take-out means for the services.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Verdict {
+    /// Why the rest can't bear it; the operator must force it.
+    pub(crate) refusals: Vec<String>,
+    /// What the operator should know.
+    pub(crate) notes: Vec<String>,
+}
+
+/// Judges a take-out; `in_use` is `None` where the load is not known.
+pub(crate) fn judge(config: &Config, after: &Outs, in_use: Option<&InUse>) -> Verdict {
+    let mut verdict = Verdict::default();
     for service in config.services() {
-        let now = capacity(service, &config.head.outs);
         let left = capacity(service, after);
-        if left < now {
-            let whole = capacity(service, &Outs::default());
-            warnings.extend(warning(service, whole, left, in_use.get(&service.name)));
+        if left < capacity(service, &config.head.outs) {
+            let used = in_use.map(|all| all.get(&service.name).copied().unwrap_or_default());
+            judge_service(service, left, used, &mut verdict);
         }
     }
-    warnings
+    verdict
+}
+
+fn judge_service(service: &Service, left: f64, used: Option<f64>, verdict: &mut Verdict) {
+    let name = &service.name;
+    let whole = capacity(service, &Outs::default());
+    let short = left < whole * BLIND_LIMIT;
+    match used {
+        _ if left <= 0.0 => {
+            let text = format!("service {name} would have no server left");
+            verdict.refusals.push(text);
+        }
+        Some(used) if used > left * USE_LIMIT => {
+            let text = format!(
+                "service {name}: {used:.1} slots are in use and {left:.1} of {whole:.1} would be left"
+            );
+            verdict.refusals.push(text);
+        }
+        Some(used) if short => {
+            let text = format!(
+                "service {name}: {left:.1} of {whole:.1} slots are left; {used:.1} were in use"
+            );
+            verdict.notes.push(text);
+        }
+        None if short => {
+            let text = format!(
+                "service {name}: {left:.1} of {whole:.1} slots would be left; the use is not known"
+            );
+            verdict.refusals.push(text);
+        }
+        _ => {}
+    }
 }
 
 /// Returns the slots of the servers that are in service, each times its weight.
@@ -43,19 +82,3 @@
         .filter(|s| !outs.servers.contains(&s.name) && !outs.data_centres.contains(&s.data_centre));
     up.map(|s| s.weight * slots).sum()
 }
-
-fn warning(service: &Service, whole: f64, left: f64, used: Option<&f64>) -> Option<String> {
-    let name = &service.name;
-    if left <= 0.0 {
-        return Some(format!("service {name} would have no server left"));
-    }
-    match used {
-        Some(used) if *used > left * USE_LIMIT => Some(format!(
-            "service {name}: {used:.1} of {whole:.1} slots are in use and {left:.1} would be left"
-        )),
-        None if left < whole * BLIND_LIMIT => Some(format!(
-            "service {name}: {left:.1} of {whole:.1} slots would be left; the use is not known"
-        )),
-        _ => None,
-    }
-}
--- a/crates/chicoryrail-admin/src/lib.rs
+++ b/crates/chicoryrail-admin/src/lib.rs
@@ -22,6 +22,7 @@
 mod endpoints;
 mod error;
 mod fleet;
+mod load;
 mod moves;
 mod owner;
 mod query;
--- a/crates/chicoryrail-admin/src/moves.rs
+++ b/crates/chicoryrail-admin/src/moves.rs
@@ -4,6 +4,7 @@
 
 use chicoryrail_core::Config;
 use chicoryrail_core::DcName;
+use chicoryrail_core::Head;
 use chicoryrail_core::HostName;
 use chicoryrail_core::Outs;
 use chicoryrail_core::ResultCode;
@@ -16,7 +17,9 @@
 use crate::Caller;
 use crate::Change;
 use crate::capacity;
+use crate::capacity::Verdict;
 use crate::fleet::Snapshot;
+use crate::load;
 use crate::roll::HeadChange;
 
 /// What operators take out of service and bring back.
@@ -117,19 +120,26 @@
         if !place.apply(&mut change.head_mut().outs, out) {
             return Ok(self.change(config.head.version, true, Vec::new()).await);
         }
-        let mut warnings = Vec::new();
-        if out {
-            let outs = &change.head().outs;
-            warnings = capacity::warnings(&config, outs, &capacity::InUse::new());
-            warnings.extend(hosts_left(outs, &fleet));
-        }
-        if !warnings.is_empty() && !force {
-            let text = format!("{kind} {name}: {}", warnings.join("; "));
+        let verdict = if out {
+            self.judge(&config, change.head(), &fleet).await
+        } else {
+            Verdict::default()
+        };
+        if !verdict.refusals.is_empty() && !force {
+            let text = format!("{kind} {name}: {}", verdict.refusals.join("; "));
             return Err(ApiError::new(ResultCode::CapacityShort, text));
         }
+        let warnings = [verdict.refusals, verdict.notes].concat();
         let version = change.write(&self.records, &self.process.clock).await?;
         Ok(self.change(version, false, warnings).await)
     }
+
+    async fn judge(&self, config: &Config, next: &Head, fleet: &Snapshot) -> Verdict {
+        let in_use = load::measure(&self.process.clock, &fleet.hosts).await;
+        let mut verdict = capacity::judge(config, &next.outs, in_use.as_ref());
+        verdict.refusals.extend(hosts_left(&next.outs, fleet));
+        verdict
+    }
 }
 
 /// Warns where no host would be left to serve callers.
--- a/crates/chicoryrail-admin/tests/bench/mod.rs
+++ b/crates/chicoryrail-admin/tests/bench/mod.rs
@@ -6,6 +6,8 @@
     reason = "each test file takes it in whole and uses a part of it"
 )]
 
+pub mod hosts;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -278,9 +280,13 @@
 
     /// Starts an API over a store.
     pub fn over(store: MemoryStore, tokens: Vec<Token>) -> Self {
-        let host = HostName::new("entry-1");
         // Nothing listens on port 1: the host list does not answer.
-        let list = SocketAddr::from(([127, 0, 0, 1], 1));
+        Self::among(store, tokens, SocketAddr::from(([127, 0, 0, 1], 1)))
+    }
+
+    /// Starts an API over a store and a host list.
+    pub fn among(store: MemoryStore, tokens: Vec<Token>, list: SocketAddr) -> Self {
+        let host = HostName::new("entry-1");
         let process = Process::new(&host, "chicoryrail-admin");
         let access = Access::new(operators(), tokens);
         let admin = Admin::new(process, store.clone(), access, host, list);
