test(admin): a stop under a call waits for the listener's word, not for time

Cause: the test slept 50 ms for the call to be under way, which a busy machine can outlast. Change: expect: 100-continue; the listener's interim answer is the sign.

--- a/crates/chicoryrail-admin/tests/listener.rs
+++ b/crates/chicoryrail-admin/tests/listener.rs
@@ -155,10 +155,14 @@
 fn a_planned_stop_answers_the_call_under_way() {
     let api = Api::start();
     let mut stream = api.connect();
-    let head =
-        b"POST /v1/rolls HTTP/1.1\r\nhost: a\r\noperator: alice\r\ncontent-length: 2\r\n\r\n";
+    let head = b"POST /v1/rolls HTTP/1.1\r\nhost: a\r\noperator: alice\r\n";
     stream.write_all(head).unwrap();
-    std::thread::sleep(Duration::from_millis(50));
+    let rest = b"expect: 100-continue\r\ncontent-length: 2\r\n\r\n";
+    stream.write_all(rest).unwrap();
+    // The listener asks for the body: the call is under way.
+    let mut told = [0; 25];
+    stream.read_exact(&mut told).unwrap();
+    assert_eq!(&told, b"HTTP/1.1 100 Continue\r\n\r\n");
     api.stop.cancel();
     std::thread::sleep(Duration::from_millis(50));
     stream.write_all(b"{}").unwrap();
