feat(xtask): bench gate and bench policy, demo judged by the checker

Cause: the cost of a gate was not measured, and the demo judged owners by a rule of its own. Change: 'cargo xtask bench gate' calls a server directly and through one gate in turn; 'bench policy' runs the step-driven cases; the demo takes the testkit's checker and shows lookups and orders apart.

--- a/crates/chicoryrail-testkit/src/cluster/harness.rs
+++ b/crates/chicoryrail-testkit/src/cluster/harness.rs
@@ -328,6 +328,11 @@
             .is_some_and(Process::is_running)
     }
 
+    /// Returns the system's id of a process that runs.
+    pub fn pid(&mut self, member: Member) -> Option<u32> {
+        self.processes.get_mut(&member).and_then(Process::pid)
+    }
+
     /// Returns the first process that has ended although nobody killed or stopped it.
     ///
     /// # Errors
--- a/crates/chicoryrail-testkit/src/cluster/process.rs
+++ b/crates/chicoryrail-testkit/src/cluster/process.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// Returns the system's id of the process while it runs.
+    pub(crate) fn pid(&mut self) -> Option<u32> {
+        if self.is_running() {
+            return self.child.as_ref().map(Child::id);
+        }
+        None
+    }
+
     /// Fails where the process has ended.
     pub(crate) fn check(&mut self) -> Result<(), ClusterError> {
         if self.is_running() {
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -2,11 +2,29 @@
 
 use bpaf::Bpaf;
 
+use crate::bench_gate::GateBench;
+use crate::bench_gate::gate_bench;
 use crate::tools::print_json;
 
 /// What to measure
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum Bench {
+    /// One gate beside direct calls to the same server, in one run
+    #[bpaf(command)]
+    Gate(#[bpaf(external(gate_bench))] GateBench),
+    /// The decisions under load beside plain baselines, step-driven
+    #[bpaf(command)]
+    Policy {
+        /// Only this case
+        #[bpaf(argument("NAME"))]
+        case: Option<String>,
+        /// First seed
+        #[bpaf(argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Number of seeds
+        #[bpaf(argument("N"), fallback(10), display_fallback)]
+        seeds: u32,
+    },
     /// Costs per slice, server, peer and connection, behind docs/CAPACITY.md
     #[bpaf(command)]
     Slopes {
@@ -22,6 +40,19 @@
     /// Runs the measurement and tells whether it succeeded.
     pub(crate) fn run(&self) -> bool {
         match self {
+            Self::Gate(bench) => bench.run(),
+            Self::Policy { case, seed, seeds } => {
+                match chicoryrail_bench::policy::run(case.as_deref(), *seed, *seeds) {
+                    Ok(report) => {
+                        println!("{report}");
+                        true
+                    }
+                    Err(e) => {
+                        eprintln!("{e}");
+                        false
+                    }
+                }
+            }
             Self::Slopes { seed, quick } => {
                 let report = chicoryrail_slopes::run(*seed, *quick);
                 println!("{report}");
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,7 +1,5 @@
 //! The main job on embedded stand-ins.
 
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::io;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -13,17 +11,16 @@
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::CallRecord;
+use chicoryrail_testkit::Checker;
 use chicoryrail_testkit::Cluster;
 use chicoryrail_testkit::ClusterError;
 use chicoryrail_testkit::ClusterOptions;
 use chicoryrail_testkit::Deployment;
-use chicoryrail_testkit::Ledger;
 use chicoryrail_testkit::Load;
-use chicoryrail_testkit::LoadKind;
 use chicoryrail_testkit::LoadOptions;
 use chicoryrail_testkit::LoadSummary;
-use chicoryrail_testkit::Outcome;
 use chicoryrail_testkit::Progress;
+use chicoryrail_testkit::Violation;
 use serde::Serialize;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
@@ -60,6 +57,7 @@
     orders_sent: u64,
     orders_doubled: u64,
     orders_lost: u64,
+    other_violations: u64,
     p50_ms: f64,
     p99_ms: f64,
 }
@@ -76,7 +74,8 @@
                 let held = outcomes.wrong_owner == 0
                     && outcomes.wrong_answer == 0
                     && outcomes.orders_doubled == 0
-                    && outcomes.orders_lost == 0;
+                    && outcomes.orders_lost == 0
+                    && outcomes.other_violations == 0;
                 print_json(&outcomes) && held && !stop.load(Ordering::Relaxed)
             }
             Err(e) => {
@@ -116,11 +115,11 @@
         print_head();
         for (cluster, records) in clusters.iter_mut().zip(records) {
             cluster.check()?;
-            print_summary(cluster.options().deployment, &LoadSummary::of(&records));
-            if let Some(wrong) = records.iter().find_map(|r| r.wrong.as_deref()) {
-                println!("first wrong answer: {wrong}");
-            }
-            outcomes.add(&records, &cluster.ledgers()?);
+            let summary = LoadSummary::of(&records);
+            print_summary(cluster.options().deployment, &summary);
+            let violations =
+                Checker::new(&cluster.bundle()).check(&cluster.evidence(records.clone())?);
+            outcomes.add(&summary, &violations);
             all.extend(records);
         }
         let summary = LoadSummary::of(&all);
@@ -161,61 +160,28 @@
 }
 
 impl Outcomes {
-    /// Adds a deployment's records, judged by what its servers saw.
-    fn add(&mut self, records: &[CallRecord], ledgers: &[Ledger]) {
-        let summary = LoadSummary::of(records);
+    /// Adds a deployment's summary and what the checker found in what callers, servers and the store
+    /// saw.
+    fn add(&mut self, summary: &LoadSummary, violations: &[Violation]) {
         self.requests += summary.requests;
         self.ok += summary.ok;
         self.refused += summary.not_run;
         self.unknown += summary.unknown;
         self.wrong_answer += summary.wrong;
         self.orders_sent += summary.orders_sent;
-        let mut runs: HashMap<&str, u64> = HashMap::new();
-        for order in ledgers
-            .iter()
-            .flat_map(|l| l.runs.iter())
-            .filter_map(|r| r.order.as_deref())
-        {
-            *runs.entry(order).or_default() += 1;
+        for violation in violations {
+            match violation {
+                Violation::OrderTwice { .. } => self.orders_doubled += 1,
+                Violation::OrderLost { .. } => self.orders_lost += 1,
+                Violation::OwnersOverlap { .. }
+                | Violation::FenceBack { .. }
+                | Violation::OwnerNotStored { .. } => self.wrong_owner += 1,
+                Violation::AnswerWrong { .. } => {}
+                _ => self.other_violations += 1,
+            }
+            println!("violation: {violation:?}");
         }
-        self.orders_doubled += runs.values().filter(|n| **n > 1).count() as u64;
-        let told: HashSet<&str> = records
-            .iter()
-            .filter(|r| r.kind == LoadKind::Order && r.outcome == Outcome::Done)
-            .filter_map(|r| r.order.as_deref())
-            .collect();
-        self.orders_lost += told.iter().filter(|o| !runs.contains_key(*o)).count() as u64;
-        self.wrong_owner += two_owners(ledgers);
-    }
-}
-
-/// Counts the runs on a keyed server that began while another server ran the same key.
-fn two_owners(ledgers: &[Ledger]) -> u64 {
-    /// Start, end and server of a run.
-    type Span<'a> = (u64, u64, &'a str);
-    let mut keys: HashMap<(&str, &str), Vec<Span<'_>>> = HashMap::new();
-    for run in ledgers
-        .iter()
-        .flat_map(|l| l.runs.iter())
-        .filter(|r| r.sent.is_some())
-    {
-        let service = run
-            .server
-            .rsplit_once('-')
-            .map_or("", |(service, _)| service);
-        keys.entry((service, &run.key))
-            .or_default()
-            .push((run.start, run.end, &run.server));
-    }
-    let mut count = 0;
-    for runs in keys.values_mut() {
-        runs.sort_unstable();
-        let pairs = runs.windows(2);
-        count += pairs
-            .filter(|p| p[0].1 > p[1].0 && p[0].2 != p[1].2)
-            .count() as u64;
     }
-    count
 }
 
 fn stop_flag() -> io::Result<Arc<AtomicBool>> {
@@ -240,30 +206,36 @@
 
 fn print_head() {
     println!(
-        "\n{:<10} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>9} {:>9}",
+        "\n{:<10} {:>8} {:>8} {:>8} {:>8} {:>8} | {:^19} | {:^19}",
+        "", "", "", "", "", "", "lookups, ms", "orders, ms"
+    );
+    println!(
+        "{:<10} {:>8} {:>8} {:>8} {:>8} {:>8} | {:>9} {:>9} | {:>9} {:>9}",
         "deployment",
         "requests",
         "answered",
         "refused",
         "unknown",
         "orders",
-        "p50 ms",
-        "p99 ms",
-        "p999 ms"
+        "p50",
+        "p99",
+        "p50",
+        "p99"
     );
 }
 
 fn print_summary(deployment: Deployment, s: &LoadSummary) {
     println!(
-        "{:<10} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9.2} {:>9.2} {:>9.2}",
+        "{:<10} {:>8} {:>8} {:>8} {:>8} {:>8} | {:>9.2} {:>9.2} | {:>9.2} {:>9.2}",
         deployment.name(),
         s.requests,
         s.ok,
         s.not_run,
         s.unknown,
         s.orders_sent,
-        s.p50_ms,
-        s.p99_ms,
-        s.p999_ms
+        s.lookup_p50_ms,
+        s.lookup_p99_ms,
+        s.order_p50_ms,
+        s.order_p99_ms
     );
 }
