feat(testkit): chaos runs, drawn from a seed

Promises are worth what they hold under faults that nobody thought of. A run starts a deployment behind the proxy, sends mixed load with duplicate orders, and makes 23 kinds of faults in two lanes drawn from the seed: kills, pauses, partitions one way and both, the store away, down, slow or losing answers, targets slow, cold, crossed, cut or away, racing operators, a data centre out and back, a rolling restart. Then the checker reads the evidence; a planned stop that cuts a request is one more broken promise. On a violation the time line, the faults and the evidence are kept.

--- /dev/null
+++ b/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
@@ -0,0 +1,85 @@
+//! A chaos run by hand.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use bpaf::Parser;
+use bpaf::construct;
+use bpaf::long;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ResultCode;
+use chicoryrail_runtime::exit_with;
+use chicoryrail_runtime::init_logs;
+use chicoryrail_testkit::ChaosOptions;
+use chicoryrail_testkit::Deployment;
+use chicoryrail_testkit::run_chaos;
+
+fn main() -> ExitCode {
+    let deployment = long("deployment")
+        .env("CHICORYRAIL_TESTKIT_DEPLOYMENT")
+        .help("updraft or tanduay")
+        .argument::<Deployment>("NAME")
+        .fallback(Deployment::Updraft)
+        .display_fallback();
+    let seed = long("seed")
+        .env("CHICORYRAIL_TESTKIT_SEED")
+        .help("Seed of the faults and the load")
+        .argument::<u64>("N")
+        .fallback(1)
+        .display_fallback();
+    let seconds = long("seconds")
+        .env("CHICORYRAIL_TESTKIT_SECONDS")
+        .help("Length of the load")
+        .argument::<u64>("N")
+        .fallback(20)
+        .display_fallback();
+    let only = long("only")
+        .env("CHICORYRAIL_TESTKIT_ONLY")
+        .help("Names of the faults that are drawn, separated by commas; all where absent")
+        .argument::<String>("NAMES")
+        .optional();
+    let bin = long("programs")
+        .env("CHICORYRAIL_TESTKIT_PROGRAMS")
+        .help("Folder of the programs; that of this one where absent")
+        .argument::<PathBuf>("DIR")
+        .optional();
+    let keep = long("keep")
+        .env("CHICORYRAIL_TESTKIT_KEEP")
+        .help("Keeps logs and ledgers of a clean run too")
+        .switch();
+    let (deployment, seed, seconds, only, bin, keep) =
+        construct!(deployment, seed, seconds, only, bin, keep)
+            .to_options()
+            .descr("Runs a deployment under faults; the last line is a summary in JSON")
+            .run();
+    init_logs();
+    let mut options = ChaosOptions::new(deployment, seed).with_length(Millis(seconds * 1000));
+    options.only = only
+        .iter()
+        .flat_map(|names| names.split(','))
+        .map(str::to_owned)
+        .collect();
+    options.bin = bin;
+    options.keep = keep;
+
+    if let Err(e) = stop_on_signal(&options.stop) {
+        return exit_with(ResultCode::Internal, &e.to_string());
+    }
+    match run_chaos(&options) {
+        Ok(summary) => {
+            println!("{}", serde_json::to_string(&summary).unwrap_or_default());
+            ExitCode::from(u8::from(!summary.is_clean()))
+        }
+        Err(e) => exit_with(ResultCode::Internal, &e.to_string()),
+    }
+}
+
+/// Sets the flag at SIGTERM or SIGINT, so that the cluster is dropped and leaves nothing behind.
+fn stop_on_signal(stop: &Arc<AtomicBool>) -> std::io::Result<()> {
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        signal_hook::flag::register(signal, Arc::clone(stop))?;
+    }
+    Ok(())
+}
--- a/crates/chicoryrail-testkit/src/checker.rs
+++ b/crates/chicoryrail-testkit/src/checker.rs
@@ -14,5 +14,6 @@
 pub use evidence::Evidence;
 pub use evidence::OutPeriod;
 pub use evidence::Pause;
+pub use evidence::PlannedStop;
 pub use violation::Checker;
 pub use violation::Violation;
--- a/crates/chicoryrail-testkit/src/checker/answers.rs
+++ b/crates/chicoryrail-testkit/src/checker/answers.rs
@@ -1,8 +1,14 @@
 //! Whole and own answers, in time.
 
+use crate::CallRecord;
 use crate::Evidence;
+use crate::Outcome;
+use crate::PlannedStop;
 use crate::Violation;
 
+/// Time after a gate's end in which a caller notices that its connection has ended.
+const AFTER_STOP: u64 = 100_000;
+
 pub(crate) fn check(seen: &Evidence) -> Vec<Violation> {
     let mut found = Vec::new();
     for record in &seen.records {
@@ -17,6 +23,20 @@
                 request: record.request.clone(),
             });
         }
+        if seen.stops.iter().any(|s| is_cut(record, s)) {
+            found.push(Violation::CutByStop {
+                request: record.request.clone(),
+            });
+        }
     }
     found
 }
+
+/// Tells whether the connection of a request to the stopping gate ended without an answer.
+fn is_cut(record: &CallRecord, stop: &PlannedStop) -> bool {
+    record.gate == stop.gate
+        && record.outcome == Outcome::Unknown
+        && record.status == 0
+        && record.ended >= stop.from
+        && record.ended <= stop.until + AFTER_STOP
+}
--- a/crates/chicoryrail-testkit/src/checker/evidence.rs
+++ b/crates/chicoryrail-testkit/src/checker/evidence.rs
@@ -1,5 +1,7 @@
 //! What was seen.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -24,6 +26,8 @@
     pub outs: Vec<OutPeriod>,
     /// Times in which servers were paused.
     pub pauses: Vec<Pause>,
+    /// Planned stops of gates during which nothing else was wrong.
+    pub stops: Vec<PlannedStop>,
 }
 
 impl Evidence {
@@ -49,6 +53,17 @@
     pub until: u64,
 }
 
+/// A planned stop of a gate, wall clock in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlannedStop {
+    /// The gate's listener for callers.
+    pub gate: SocketAddr,
+    /// When it was asked to stop.
+    pub from: u64,
+    /// When it had ended.
+    pub until: u64,
+}
+
 /// A time in which a server was paused, wall clock in microseconds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pause {
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -81,6 +81,11 @@
         /// Id of the request.
         request: String,
     },
+    /// A planned stop of a gate cut a request.
+    CutByStop {
+        /// Id of the request.
+        request: String,
+    },
     /// A record of the store that only grows went back, changed in place or was deleted.
     StoredBack {
         /// Key of the record.
--- a/crates/chicoryrail-testkit/src/cluster.rs
+++ b/crates/chicoryrail-testkit/src/cluster.rs
@@ -16,6 +16,7 @@
 pub use error::ClusterError;
 pub use harness::Cluster;
 pub use http::call_blocking;
+pub(crate) use http::is_ok;
 pub use links::Links;
 pub use member::HostPlan;
 pub use member::Member;
--- a/crates/chicoryrail-testkit/src/cluster/harness.rs
+++ b/crates/chicoryrail-testkit/src/cluster/harness.rs
@@ -36,6 +36,7 @@
 use crate::cluster::error::FileSnafu;
 use crate::cluster::error::PortSnafu;
 use crate::cluster::error::SpawnSnafu;
+use crate::cluster::http::is_ok;
 use crate::cluster::plan;
 use crate::cluster::plan::pair;
 use crate::cluster::process::Process;
@@ -111,6 +112,12 @@
         &self.options
     }
 
+    /// Returns the folder of the programs.
+    #[must_use]
+    pub fn bin(&self) -> &Path {
+        &self.bin
+    }
+
     /// Returns the folder of logs and ledgers.
     #[must_use]
     pub fn dir(&self) -> &Path {
@@ -293,6 +300,11 @@
         self.with(member, |p| p.signal(Signal::SIGCONT));
     }
 
+    /// Asks a process to stop and returns at once.
+    pub fn ask_to_stop(&mut self, member: Member) {
+        self.with(member, |p| p.signal(Signal::SIGTERM));
+    }
+
     /// Asks a process to stop and waits until it has; kills it after `limit`.
     ///
     /// # Errors
@@ -529,8 +541,7 @@
 ) -> Result<(), ClusterError> {
     let until = Instant::now() + limit.duration();
     while Instant::now() < until {
-        let answer = call_blocking(&Method::GET, addr, path, "", Millis(1_000));
-        if matches!(answer, Ok((200, _))) {
+        if is_ok(addr, path, Millis(1_000)) {
             return Ok(());
         }
         std::thread::sleep(Duration::from_millis(20));
--- a/crates/chicoryrail-testkit/src/cluster/http.rs
+++ b/crates/chicoryrail-testkit/src/cluster/http.rs
@@ -46,3 +46,11 @@
         Err(_) => Err(fail("the calling thread panicked".to_owned())),
     }
 }
+
+/// Tells whether a `GET` is answered with status 200.
+pub(crate) fn is_ok(addr: SocketAddr, path: &str, limit: Millis) -> bool {
+    matches!(
+        call_blocking(&Method::GET, addr, path, "", limit),
+        Ok((200, _))
+    )
+}
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(kv.swap("config/head", &body), Ok(1));
 //! ```
 
+mod chaos;
 mod checker;
 mod cluster;
 mod list;
@@ -26,11 +27,15 @@
 mod target;
 mod wall;
 
+pub use chaos::ChaosOptions;
+pub use chaos::Summary;
+pub use chaos::run as run_chaos;
 pub use checker::Availability;
 pub use checker::Checker;
 pub use checker::Evidence;
 pub use checker::OutPeriod;
 pub use checker::Pause;
+pub use checker::PlannedStop;
 pub use checker::Violation;
 pub use cluster::Cluster;
 pub use cluster::ClusterError;
--- a/crates/chicoryrail-testkit/tests/checker.rs
+++ b/crates/chicoryrail-testkit/tests/checker.rs
@@ -11,6 +11,7 @@
 use chicoryrail_testkit::Outcome;
 use chicoryrail_testkit::Overrun;
 use chicoryrail_testkit::Pause;
+use chicoryrail_testkit::PlannedStop;
 use chicoryrail_testkit::Run;
 use chicoryrail_testkit::Violation;
 use rstest::rstest;
@@ -167,6 +168,7 @@
         ],
         outs: Vec::new(),
         pauses: Vec::new(),
+        stops: Vec::new(),
     }
 }
 
@@ -301,6 +303,32 @@
     assert_eq!(check(&seen), [Violation::Hung { request }]);
 }
 
+/// A gate is told to stop; a caller's connection to it ends without an answer. The same outcome with
+/// an answer, or at another time, is not the stop's doing.
+#[rstest]
+#[case::cut(0, 5_000, 1)]
+#[case::answered(502, 5_000, 0)]
+#[case::before(0, 900, 0)]
+fn a_request_cut_by_a_planned_stop_is_found(
+    #[case] status: u16,
+    #[case] ended: u64,
+    #[case] expected: usize,
+) {
+    let mut seen = clean();
+    seen.records[4].status = status;
+    seen.records[4].ended = ended;
+    seen.stops.push(PlannedStop {
+        gate: seen.records[4].gate,
+        from: 1_000,
+        until: 6_000,
+    });
+    let request = "r5".to_owned();
+    assert_eq!(
+        check(&seen),
+        vec![Violation::CutByStop { request }; expected]
+    );
+}
+
 #[rstest]
 #[case::assignment_back(assign("kits", 1, 0))]
 #[case::epoch_back(shard(1, "a"))]
