feat(policy): a hot key waits for its own requests, not the owner's other keys

Cause: in skew the most wanted key overloads its owner, and the owner's other keys waited and were refused with it. Change: a request's place is its deadline put back by what its key has waiting, at half of the slots; admission counts that wait; a second index keeps dropping by the true deadline. Conclusion: only moving the key's neighbours away could do more; the hot key itself has one owner.

--- a/crates/chicoryrail-bench/src/policy/report.rs
+++ b/crates/chicoryrail-bench/src/policy/report.rs
@@ -60,6 +60,10 @@
     pub p99_ms: Spread,
     /// 99.9th percentile.
     pub p999_ms: Spread,
+    /// 99th percentile of the lookups of all keys but the most wanted one.
+    pub others_p99_ms: Spread,
+    /// Part of the requests of those keys that was refused.
+    pub others_refused: Spread,
     /// Requests answered in time, a second.
     pub goodput: Spread,
     /// Batch among them.
@@ -88,6 +92,8 @@
             p50_ms: of(|s| s.p50_ms),
             p99_ms: of(|s| s.p99_ms),
             p999_ms: of(|s| s.p999_ms),
+            others_p99_ms: of(|s| s.others_p99_ms),
+            others_refused: of(|s| s.others_refused),
             goodput: of(|s| s.goodput),
             batch_goodput: of(|s| s.batch_goodput),
             refused: of(|s| s.refused),
--- a/crates/chicoryrail-bench/src/policy/score.rs
+++ b/crates/chicoryrail-bench/src/policy/score.rs
@@ -11,6 +11,10 @@
     pub p99_ms: f64,
     /// The 99.9th percentile.
     pub p999_ms: f64,
+    /// The 99th percentile of the lookups of all keys but the most wanted one.
+    pub others_p99_ms: f64,
+    /// Part of the requests of those keys that was refused.
+    pub others_refused: f64,
     /// Requests answered in time, a second.
     pub goodput: f64,
     /// Batch requests answered in time, a second.
@@ -37,6 +41,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Tally {
     latency: Vec<u64>,
+    others: Vec<u64>,
+    others_refused: u64,
+    pub(crate) others_offered: u64,
     refusals: Vec<u64>,
     good: u64,
     good_batch: u64,
@@ -49,26 +56,29 @@
 
 impl Tally {
     /// `counts` is false for an answer after the last arrival: working off a queue then is no rate.
-    pub(crate) fn answered(&mut self, class: Class, us: u64, counts: bool) {
-        if class == Class::Interactive {
-            self.latency.push(us);
-        }
+    pub(crate) fn answered(&mut self, class: Class, hot: bool, us: u64, counts: bool) {
+        self.late(class, hot, us);
         self.good += u64::from(counts);
         self.good_batch += u64::from(counts && class == Class::Batch);
     }
 
-    pub(crate) fn late(&mut self, class: Class, us: u64) {
+    pub(crate) fn late(&mut self, class: Class, hot: bool, us: u64) {
         if class == Class::Interactive {
             self.latency.push(us);
+            if !hot {
+                self.others.push(us);
+            }
         }
     }
 
-    pub(crate) fn refused(&mut self, us: u64) {
+    pub(crate) fn refused(&mut self, hot: bool, us: u64) {
+        self.others_refused += u64::from(!hot);
         self.refusals.push(us);
     }
 
     pub(crate) fn score(mut self, length_us: u64, over: u32, over_known: u32) -> Score {
         self.latency.sort_unstable();
+        self.others.sort_unstable();
         self.refusals.sort_unstable();
         let seconds = length_us as f64 / 1e6;
         let part = |n: u64, of: u64| n as f64 / of.max(1) as f64;
@@ -76,6 +86,8 @@
             p50_ms: quantile(&self.latency, 0.5),
             p99_ms: quantile(&self.latency, 0.99),
             p999_ms: quantile(&self.latency, 0.999),
+            others_p99_ms: quantile(&self.others, 0.99),
+            others_refused: part(self.others_refused, self.others_offered),
             goodput: self.good as f64 / seconds,
             batch_goodput: self.good_batch as f64 / seconds,
             offered: self.offered,
--- a/crates/chicoryrail-bench/src/policy/verdict.rs
+++ b/crates/chicoryrail-bench/src/policy/verdict.rs
@@ -145,6 +145,20 @@
             5.0,
         ));
     }
+    if case.keys > 0 {
+        let p99 = over_least(|s| s.others_p99_ms);
+        all.push(Verdict::most(
+            "p99 of all but the hot key over best",
+            p99,
+            0.5,
+        ));
+        let refused = of(|s| s.others_refused);
+        all.push(Verdict::most(
+            "refused of all but the hot key",
+            refused,
+            0.001,
+        ));
+    }
     all.push(Verdict::most("extra requests", of(|s| s.extra), 0.03));
     all.push(Verdict::most(
         "orders doubled",
--- a/crates/chicoryrail-bench/src/policy/world.rs
+++ b/crates/chicoryrail-bench/src/policy/world.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Request {
     pub(crate) class: Class,
     pub(crate) key: u64,
+    /// Whether it asks for the most wanted key.
+    pub(crate) hot: bool,
     /// Server that owns the key; `None` for a free service.
     pub(crate) owner: Option<usize>,
     /// Gate that the caller's request came to.
@@ -267,6 +269,7 @@
         self.requests.push(Request {
             class: work.class,
             key: if keyed { hash } else { 0 },
+            hot: keyed && key == 0,
             owner: keyed.then_some((hash % self.case.servers as u64) as usize),
             home: 0,
             at: self.now,
@@ -279,6 +282,7 @@
             ran: 0,
         });
         self.tally.offered += 1;
+        self.tally.others_offered += u64::from(!keyed || key != 0);
         self.at(self.now + work.deadline_us, Event::Deadline(id));
         id
     }
@@ -364,14 +368,14 @@
         let r = &mut self.requests[request];
         r.done = true;
         let counts = self.now <= self.case.length_us;
-        self.tally.answered(r.class, self.now - r.at, counts);
+        self.tally.answered(r.class, r.hot, self.now - r.at, counts);
     }
 
     pub(crate) fn refuse(&mut self, request: usize) {
         let r = &mut self.requests[request];
         if !r.done {
             r.done = true;
-            self.tally.refused(self.now - r.at);
+            self.tally.refused(r.hot, self.now - r.at);
         }
     }
 
@@ -382,7 +386,7 @@
     fn late(&mut self, request: usize) {
         let r = &mut self.requests[request];
         r.done = true;
-        self.tally.late(r.class, self.now - r.at);
+        self.tally.late(r.class, r.hot, self.now - r.at);
     }
 
     fn turn_cold(&mut self, server: usize, known: bool) {
--- a/crates/chicoryrail-policy/src/backlog.rs
+++ b/crates/chicoryrail-policy/src/backlog.rs
@@ -1,6 +1,7 @@
 //! Requests that wait, by deadline.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use chicoryrail_core::Class;
@@ -14,11 +15,18 @@
 pub(crate) struct Waiting {
     pub(crate) ask: Ask,
     pub(crate) since: Millis,
+    /// Its place in the order; the deadline, and later by what its key has waiting before it.
+    pub(crate) rank: Millis,
 }
 
-type Lane = BTreeMap<(Millis, Ticket), Waiting>;
+/// Requests of one kind that wait, by rank.
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    order: BTreeMap<(Millis, Ticket), Waiting>,
+    deadlines: BTreeSet<(Millis, Ticket)>,
+}
 
-/// Requests that wait: lookups and orders in one lane, batch in another, each by deadline.
+/// Requests that wait: lookups and orders in one lane, batch in another.
 ///
 /// The earliest deadline goes first, which misses the fewest as long as the load can be borne; that
 /// it can is what admission sees to.
@@ -27,41 +35,68 @@
     urgent: Lane,
     batch: Lane,
     places: HashMap<Ticket, (bool, Millis)>,
+    keys: HashMap<u64, u32>,
 }
 
 impl Backlog {
-    pub(crate) fn insert(&mut self, ask: Ask, now: Millis) {
+    pub(crate) fn insert(&mut self, w: Waiting) {
+        let ask = w.ask;
         let batch = ask.class == Class::Batch;
-        self.places.insert(ask.ticket, (batch, ask.deadline));
-        let waiting = Waiting { ask, since: now };
-        self.lane(batch).insert((ask.deadline, ask.ticket), waiting);
+        self.places.insert(ask.ticket, (batch, w.rank));
+        *self.keys.entry(ask.key).or_default() += 1;
+        let lane = self.lane_mut(batch);
+        lane.order.insert((w.rank, ask.ticket), w);
+        lane.deadlines.insert((ask.deadline, ask.ticket));
     }
 
     pub(crate) fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
-        let (batch, deadline) = self.places.remove(&ticket)?;
-        self.lane(batch).remove(&(deadline, ticket))
+        let (batch, rank) = self.places.remove(&ticket)?;
+        let lane = self.lane_mut(batch);
+        let w = lane.order.remove(&(rank, ticket))?;
+        lane.deadlines.remove(&(w.ask.deadline, ticket));
+        if let Some(n) = self.keys.get_mut(&w.ask.key) {
+            *n -= 1;
+            if *n == 0 {
+                self.keys.remove(&w.ask.key);
+            }
+        }
+        Some(w)
     }
 
+    /// Returns the next to be sent.
     pub(crate) fn first(&self, batch: bool) -> Option<&Waiting> {
-        self.lane_ref(batch).first_key_value().map(|(_, w)| w)
+        self.lane(batch).order.first_key_value().map(|(_, w)| w)
+    }
+
+    /// Returns the one with the earliest deadline.
+    pub(crate) fn earliest(&self, batch: bool) -> Option<&Waiting> {
+        let lane = self.lane(batch);
+        let (_, ticket) = lane.deadlines.first()?;
+        let (_, rank) = self.places.get(ticket)?;
+        lane.order.get(&(*rank, *ticket))
     }
 
     pub(crate) fn len(&self, batch: bool) -> usize {
-        self.lane_ref(batch).len()
+        self.lane(batch).order.len()
+    }
+
+    /// Counts the waiting requests of a key.
+    pub(crate) fn of_key(&self, key: u64) -> u32 {
+        self.keys.get(&key).copied().unwrap_or(0)
     }
 
-    /// Counts the requests that would go before one with `deadline`.
-    pub(crate) fn ahead(&self, batch: bool, deadline: Millis) -> usize {
-        let lane = self.lane_ref(batch);
-        match lane.last_key_value() {
-            Some((&(last, _), _)) if last > deadline => {
-                lane.range(..=(deadline, Ticket(u64::MAX))).count()
+    /// Counts the requests that would go before one with `rank`.
+    pub(crate) fn ahead(&self, batch: bool, rank: Millis) -> usize {
+        let order = &self.lane(batch).order;
+        match order.last_key_value() {
+            Some((&(last, _), _)) if last > rank => {
+                order.range(..=(rank, Ticket(u64::MAX))).count()
             }
-            _ => lane.len(),
+            _ => order.len(),
         }
     }
 
-    fn lane(&mut self, batch: bool) -> &mut Lane {
+    const fn lane_mut(&mut self, batch: bool) -> &mut Lane {
         if batch {
             &mut self.batch
         } else {
@@ -69,7 +104,7 @@
         }
     }
 
-    const fn lane_ref(&self, batch: bool) -> &Lane {
+    const fn lane(&self, batch: bool) -> &Lane {
         if batch { &self.batch } else { &self.urgent }
     }
 }
--- a/crates/chicoryrail-policy/src/server_queue.rs
+++ b/crates/chicoryrail-policy/src/server_queue.rs
@@ -24,6 +24,12 @@
 /// the exception and avoiding them would only push their load onto the rest.
 const AVOIDED: usize = 3;
 
+/// Share of an owner's slots that a key with many waiting requests gets beside other keys.
+///
+/// Half: the owner's other keys together go undelayed up to half of its slots, and the hot key, which
+/// no other server may serve, is never starved by them.
+const KEY_SHARE: f64 = 0.5;
+
 /// The one queue in front of servers whose slots this gate holds.
 ///
 /// A keyed service has a queue for each server, since a key has one owner. A free service has one
@@ -125,12 +131,15 @@
             self.start(now, id, &ask);
             return Decision::Send(id);
         }
-        let ahead = self.backlog.ahead(batch, ask.deadline) as f64;
-        let wait = (ahead + 1.0) * service / self.lane_slots(batch);
+        let rank = self.rank(&ask);
+        let ahead = self.backlog.ahead(batch, rank) as f64;
+        let own = rank.since(ask.deadline).0 as f64 * 1_000.0;
+        let wait = own.max((ahead + 1.0) * service / self.lane_slots(batch));
         if wait + service > left * self.limits.patience {
             return Decision::Refuse(self.refusal(ResultCode::Overloaded, ask));
         }
-        self.backlog.insert(ask, now);
+        let since = now;
+        self.backlog.insert(Waiting { ask, since, rank });
         Decision::Wait
     }
 
@@ -208,7 +217,7 @@
     pub fn wake(&self, now: Millis) -> Option<Millis> {
         let expiry = [false, true]
             .into_iter()
-            .filter_map(|batch| self.backlog.first(batch))
+            .filter_map(|batch| self.backlog.earliest(batch))
             .map(|w| self.last_start(w))
             .min()?;
         let suspect = self.servers.iter().any(|s| s.health.is_suspect());
@@ -313,9 +322,26 @@
         Some(Action::Send(ticket, id))
     }
 
+    /// Returns a request's place in the order: its deadline, put back by the time that the requests
+    /// of its own key need which wait already.
+    ///
+    /// Load: one key of an owner gets more than the owner can do. Harm prevented: the owner's other
+    /// keys wait behind it and are refused with it. Each key so waits for its own requests and is
+    /// overtaken by keys that have none waiting, down to [`KEY_SHARE`]; a free service has no keys
+    /// and keeps the order of deadlines.
+    fn rank(&self, ask: &Ask) -> Millis {
+        if ask.key == 0 {
+            return ask.deadline;
+        }
+        let service = self.present[ask.class as usize].us();
+        let own = f64::from(self.backlog.of_key(ask.key));
+        let us = own * service / (self.lane_slots(ask.class == Class::Batch) * KEY_SHARE);
+        ask.deadline + Millis((us / 1_000.0) as u64)
+    }
+
     /// Refuses the oldest request that can't finish in time any more.
     fn expire(&mut self, now: Millis, batch: bool) -> Option<Action> {
-        let w = self.backlog.first(batch)?;
+        let w = self.backlog.earliest(batch)?;
         if now <= self.last_start(w) {
             return None;
         }
