feat(policy): a standing queue is kept short

Cause: under saturation all that was answered had waited half its deadline, for nothing. Change: once lookups and orders have waited without a break for a second, a twentieth of the spare time is the limit in place of half; as many as there are slots may always wait. Waits are computed from all slots where every server is suspected.

--- a/crates/chicoryrail-policy/src/server_queue.rs
+++ b/crates/chicoryrail-policy/src/server_queue.rs
@@ -47,6 +47,8 @@
     present: [Estimate; 3],
     /// Service time of sound servers by class: what slowness is measured against.
     usual: [Estimate; 3],
+    /// When the last request found no lookup or order waiting.
+    empty: Millis,
     /// Slot time in microseconds that batch has earned by its guaranteed share.
     credit: f64,
     earned: Millis,
@@ -68,6 +70,7 @@
             backlog: Backlog::default(),
             present: [Estimate::new(limits.prior_us); 3],
             usual: [Estimate::new(limits.prior_us); 3],
+            empty: Millis::ZERO,
             credit: 0.0,
             earned: Millis::ZERO,
         }
@@ -135,10 +138,14 @@
         let ahead = self.backlog.ahead(batch, rank) as f64;
         let own = rank.since(ask.deadline).0 as f64 * 1_000.0;
         let wait = own.max((ahead + 1.0) * service / self.lane_slots(batch));
-        if wait + service > left * self.limits.patience {
+        let full = wait > (left - service) * self.patience(now, batch);
+        if full && ahead >= self.lane_slots(batch) {
             return Decision::Refuse(self.refusal(ResultCode::Overloaded, ask));
         }
         let since = now;
+        if self.backlog.len(false) == 0 {
+            self.empty = now;
+        }
         self.backlog.insert(Waiting { ask, since, rank });
         Decision::Wait
     }
@@ -322,6 +329,20 @@
         Some(Action::Send(ticket, id))
     }
 
+    /// Returns the part of its spare time that a request may be expected to wait.
+    ///
+    /// Load: twice or five times what the servers can do, for minutes. Harm prevented: a long queue
+    /// stands in front of them, and everybody whose request is done has waited half a deadline for
+    /// it. Batch may lag and keeps its queue.
+    fn patience(&self, now: Millis, batch: bool) -> f64 {
+        let stood = now.since(self.empty);
+        if !batch && self.backlog.len(false) > 0 && stood >= self.limits.standing {
+            self.limits.standing_patience
+        } else {
+            self.limits.patience
+        }
+    }
+
     /// Returns a request's place in the order: its deadline, put back by the time that the requests
     /// of its own key need which wait already.
     ///
@@ -381,11 +402,14 @@
         w.since + quarter.min(self.limits.batch_age)
     }
 
+    /// Returns the slots that a lane's waits are computed from: those of servers that are not
+    /// suspected, or all where every one is.
     fn lane_slots(&self, batch: bool) -> f64 {
-        let usable = |s: &&Server| !s.leaving && !s.health.is_suspect();
         let slots = |s: &Server| s.limit() - u32::from(batch && s.limit() > 1);
-        let sum: u32 = self.servers.iter().filter(usable).map(slots).sum();
-        f64::from(sum.max(1))
+        let open = || self.servers.iter().filter(|s| !s.leaving);
+        let sound: u32 = open().filter(|s| !s.health.is_suspect()).map(slots).sum();
+        let all: u32 = open().map(slots).sum();
+        f64::from(if sound > 0 { sound } else { all.max(1) })
     }
 
     fn refusal(&self, code: ResultCode, ask: Ask) -> Refusal {
