refactor(policy): one small file for each decision

Change: servers.rs (choice), admission.rs, batch_share.rs, service_times.rs; the bench's requests and events out of world.rs.

--- a/crates/chicoryrail-bench/src/policy.rs
+++ b/crates/chicoryrail-bench/src/policy.rs
@@ -3,8 +3,10 @@
 
 mod baseline;
 mod case;
+mod event;
 mod gates;
 mod report;
+mod request;
 mod scheme;
 mod score;
 mod spell;
--- a/crates/chicoryrail-bench/src/policy/baseline.rs
+++ b/crates/chicoryrail-bench/src/policy/baseline.rs
@@ -10,10 +10,10 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::policy::case::Case;
+use crate::policy::request::End;
+use crate::policy::request::State;
 use crate::policy::scheme::Scheme;
 use crate::policy::world::Core;
-use crate::policy::world::End;
-use crate::policy::world::State;
 
 /// Age of a load report when it is used.
 const REPORT_AGE_US: u64 = 1_000_000;
--- a/crates/chicoryrail-bench/src/policy/gates.rs
+++ b/crates/chicoryrail-bench/src/policy/gates.rs
@@ -20,10 +20,10 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::policy::case::Case;
+use crate::policy::event::Event;
+use crate::policy::request::End;
+use crate::policy::request::State;
 use crate::policy::world::Core;
-use crate::policy::world::End;
-use crate::policy::world::Event;
-use crate::policy::world::State;
 
 /// One way between two gates, in microseconds.
 const HOP_US: u64 = 250;
--- a/crates/chicoryrail-bench/src/policy/world.rs
+++ b/crates/chicoryrail-bench/src/policy/world.rs
@@ -6,14 +6,19 @@
 use chicoryrail_core::Class;
 use chicoryrail_core::KeyHash;
 use chicoryrail_core::Millis;
-use chicoryrail_policy::Load;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 use crate::policy::baseline::Baseline;
 use crate::policy::case::Case;
+use crate::policy::event::At;
+use crate::policy::event::Event;
 use crate::policy::gates::Gates;
+use crate::policy::request::Copy;
+use crate::policy::request::End;
+use crate::policy::request::Request;
+use crate::policy::request::State;
 use crate::policy::scheme::Scheme;
 use crate::policy::score::Score;
 use crate::policy::score::Tally;
@@ -25,91 +30,6 @@
 /// Time to a refused connection.
 const REFUSED_US: u64 = 200;
 
-/// A caller's request.
-#[derive(Clone, Debug)]
-pub(crate) struct Request {
-    pub(crate) class: Class,
-    pub(crate) key: u64,
-    /// Whether it asks for the most wanted key.
-    pub(crate) hot: bool,
-    /// Server that owns the key; `None` for a free service.
-    pub(crate) owner: Option<usize>,
-    /// Gate that the caller's request came to.
-    pub(crate) home: usize,
-    pub(crate) at: u64,
-    pub(crate) deadline: u64,
-    pub(crate) work: u64,
-    pub(crate) done: bool,
-    pub(crate) retried: bool,
-    pub(crate) copies: Vec<usize>,
-    sent: u32,
-    ran: u32,
-}
-
-/// One try of a request; the index is its ticket.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Copy {
-    pub(crate) request: usize,
-    /// Gate that holds the queue it is offered to.
-    pub(crate) gate: usize,
-    pub(crate) server: usize,
-    pub(crate) sent: u64,
-    pub(crate) state: State,
-}
-
-/// Where a copy is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum State {
-    Asked,
-    Waiting,
-    Running,
-    /// Its end is on the way to the home gate.
-    Returning,
-    Ended,
-}
-
-/// How a copy ended at its target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum End {
-    Answered,
-    /// Refused before it ran, certainly.
-    Refused,
-    /// The connection broke; it may have run.
-    Cut,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Event {
-    Arrive(usize),
-    End(usize, End),
-    Restart(usize),
-    Unseen(usize),
-    Deadline(usize),
-    /// A forwarded copy reaches the gate that holds the servers; whether it may only take a slot
-    /// that is free, and the load at its home gate.
-    Offer(usize, bool, Load),
-    /// A forwarded copy's end, or `None` for a refusal, is back at its home gate.
-    Back(usize, Option<End>, Load),
-    Cancel(usize),
-    Hedge(usize),
-    Wake(usize, usize),
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct At(u64, u64, Event);
-
-impl Ord for At {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
-impl PartialOrd for At {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
 /// Everything but the scheme.
 pub(crate) struct Core {
     pub(crate) case: Case,
@@ -278,8 +198,8 @@
             done: false,
             retried: false,
             copies: Vec::new(),
-            sent: 0,
-            ran: 0,
+            tries: 0,
+            runs: 0,
         });
         self.tally.offered += 1;
         self.tally.others_offered += u64::from(!keyed || key != 0);
@@ -318,8 +238,8 @@
         self.copies[copy].state = State::Running;
         self.tally.hedged += u64::from(both);
         let r = &mut self.requests[request];
-        r.sent += 1;
-        let (first, work) = (r.sent == 1, r.work);
+        r.tries += 1;
+        let (first, work) = (r.tries == 1, r.work);
         let target = &mut self.targets[server];
         target.start(now, copy);
         let down = target.is_down(now);
@@ -333,8 +253,8 @@
             }
         }
         let r = &mut self.requests[request];
-        r.ran += 1;
-        self.tally.doubled += u64::from(r.class == Class::Order && r.ran == 2);
+        r.runs += 1;
+        self.tally.doubled += u64::from(r.class == Class::Order && r.runs == 2);
         let end = if down { End::Cut } else { End::Answered };
         self.at(ends, Event::End(copy, end));
     }
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -30,8 +30,10 @@
 //! ```
 
 mod action;
+mod admission;
 mod ask;
 mod backlog;
+mod batch_share;
 mod decision;
 mod estimate;
 mod health;
@@ -46,6 +48,8 @@
 mod retry_budget;
 mod server;
 mod server_queue;
+mod servers;
+mod service_times;
 
 pub use action::Action;
 pub use ask::Ask;
--- a/crates/chicoryrail-policy/src/server.rs
+++ b/crates/chicoryrail-policy/src/server.rs
@@ -85,6 +85,12 @@
         self.limit().saturating_sub(self.in_flight())
     }
 
+    /// Tells whether it is suspected, rested and idle, so that one lookup may show how it is.
+    pub(crate) fn wants_probe(&self, now: Millis) -> bool {
+        let rested = self.health.is_suspect() && self.health.may_probe(now);
+        rested && self.in_flight() == 0 && self.free() > 0
+    }
+
     /// Tells whether a batch request may start.
     ///
     /// Load: reports of 200 ms beside lookups of 1 ms. Harm prevented: reports hold every slot and
--- a/crates/chicoryrail-policy/src/server_queue.rs
+++ b/crates/chicoryrail-policy/src/server_queue.rs
@@ -7,7 +7,6 @@
 use crate::Action;
 use crate::Ask;
 use crate::Decision;
-use crate::Estimate;
 use crate::Limits;
 use crate::Load;
 use crate::Outcome;
@@ -16,13 +15,14 @@
 use crate::ServerId;
 use crate::Ticket;
 use crate::Verdict;
+use crate::admission::Admission;
+use crate::admission::Prospect;
 use crate::backlog::Backlog;
 use crate::backlog::Waiting;
+use crate::batch_share::BatchShare;
 use crate::server::Server;
-
-/// One in this many servers of a queue may be avoided as slow; with more, slowness is no longer
-/// the exception and avoiding them would only push their load onto the rest.
-const AVOIDED: usize = 3;
+use crate::servers::Servers;
+use crate::service_times::ServiceTimes;
 
 /// Share of an owner's slots that a key with many waiting requests gets beside other keys.
 ///
@@ -41,17 +41,11 @@
 #[derive(Clone, Debug)]
 pub struct ServerQueue {
     limits: Limits,
-    servers: Vec<Server>,
+    servers: Servers,
     backlog: Backlog,
-    /// Present service time, slow servers included, by class: what a wait is computed from.
-    present: [Estimate; 3],
-    /// Service time of sound servers by class: what slowness is measured against.
-    usual: [Estimate; 3],
-    /// When the last request found no lookup or order waiting.
-    empty: Millis,
-    /// Slot time in microseconds that batch has earned by its guaranteed share.
-    credit: f64,
-    earned: Millis,
+    admission: Admission,
+    share: BatchShare,
+    times: ServiceTimes,
 }
 
 impl Default for ServerQueue {
@@ -66,38 +60,30 @@
     pub fn new(limits: Limits) -> Self {
         Self {
             limits,
-            servers: Vec::new(),
+            servers: Servers::default(),
             backlog: Backlog::default(),
-            present: [Estimate::new(limits.prior_us); 3],
-            usual: [Estimate::new(limits.prior_us); 3],
-            empty: Millis::ZERO,
-            credit: 0.0,
-            earned: Millis::ZERO,
+            admission: Admission::default(),
+            share: BatchShare::default(),
+            times: ServiceTimes::new(limits.prior_us),
         }
     }
 
     /// Adds a server, or changes its slots: `ServerRoute.slots` of the route table.
     pub fn set_server(&mut self, id: ServerId, slots: u32) {
-        match self.server(id) {
-            Some(s) => {
-                s.slots = slots;
-                s.leaving = false;
-            }
-            None => self.servers.push(Server::new(id, slots)),
-        }
+        self.servers.add(id, slots);
     }
 
     /// Starts a server's ramp from one in flight: the route table says `Cold`, or all of its
     /// connections broke and the next one may meet a fresh process.
     pub fn set_cold(&mut self, id: ServerId) {
-        if let Some(s) = self.server(id) {
+        if let Some(s) = self.servers.get_mut(id) {
             s.ramp = Ramp::cold();
         }
     }
 
     /// Takes a server's instance id from an answer; a fresh one starts the ramp.
     pub fn set_instance(&mut self, id: ServerId, instance: u64) {
-        if let Some(s) = self.server(id) {
+        if let Some(s) = self.servers.get_mut(id) {
             if s.instance != 0 && s.instance != instance {
                 s.ramp = Ramp::cold();
             }
@@ -107,25 +93,20 @@
 
     /// Sends a server no new work; what is in flight ends in its own time.
     pub fn remove_server(&mut self, id: ServerId) {
-        if let Some(s) = self.server(id) {
+        if let Some(s) = self.servers.get_mut(id) {
             s.leaving = true;
         }
-        self.servers.retain(|s| !s.leaving || s.in_flight() > 0);
+        self.servers.forget_left();
     }
 
-    /// Offers a request: it is sent, waits, or is refused at once.
-    ///
-    /// Load: more work than the servers can do. Harm prevented: requests that wait, die, and take
-    /// slots from those that could still be answered. A request is admitted only if its expected
-    /// wait and service fit into a part of its remaining time ([`Limits::patience`]); what does not
-    /// fit is refused in the same moment, with the time at which a return makes sense.
+    /// Offers a request: it is sent, waits, or is refused at once with the time at which a return
+    /// makes sense.
     pub fn offer(&mut self, now: Millis, ask: Ask) -> Decision {
-        if self.servers.iter().all(|s| s.leaving) {
+        if self.servers.all_leave() {
             return Decision::Refuse(Refusal::new(ResultCode::NoServer, 0, ask.ticket));
         }
-        let service = self.present[ask.class as usize].us();
-        let left = ask.deadline.since(now).0 as f64 * 1_000.0;
-        if left < service {
+        let spare = ask.deadline.since(now).0 as f64 * 1_000.0 - self.times.present(ask.class);
+        if spare < 0.0 {
             return Decision::Refuse(self.refusal(ResultCode::DeadlinePassed, ask));
         }
         let batch = ask.class == Class::Batch;
@@ -135,17 +116,14 @@
             return Decision::Send(id);
         }
         let rank = self.rank(&ask);
-        let ahead = self.backlog.ahead(batch, rank) as f64;
-        let own = rank.since(ask.deadline).0 as f64 * 1_000.0;
-        let wait = own.max((ahead + 1.0) * service / self.lane_slots(batch));
-        let full = wait > (left - service) * self.patience(now, batch);
-        if full && ahead >= self.lane_slots(batch) {
+        let prospect = self.prospect(&ask, rank, spare);
+        if self.backlog.len(false) == 0 {
+            self.admission.found_empty(now);
+        }
+        if !self.admission.admits(now, &self.limits, prospect) {
             return Decision::Refuse(self.refusal(ResultCode::Overloaded, ask));
         }
         let since = now;
-        if self.backlog.len(false) == 0 {
-            self.empty = now;
-        }
         self.backlog.insert(Waiting { ask, since, rank });
         Decision::Wait
     }
@@ -162,34 +140,32 @@
 
     /// Takes in how a request ended at its server and frees the slot.
     pub fn done(&mut self, now: Millis, id: ServerId, ticket: Ticket, outcome: Outcome) {
-        let Some(server) = self.servers.iter_mut().find(|s| s.id == id) else {
+        let Some(server) = self.servers.get_mut(id) else {
             return;
         };
         let Some(flight) = server.end(ticket) else {
             return;
         };
-        let class = flight.class as usize;
+        let usual = self.times.usual(flight.class);
         match outcome {
             Outcome::Answered { us } => {
                 let sound = server.is_sound();
-                let quick = server.health.answered(now, us, self.usual[class].us());
+                let quick = server.health.answered(now, us, usual);
                 server.ramp.answered(quick, server.slots);
-                self.present[class].add(us);
-                self.usual[class].add_usual(now, us, quick && sound);
+                self.times.add(now, flight.class, us, quick && sound);
             }
-            Outcome::Shed => server.health.failed(now, self.usual[class].us()),
+            Outcome::Shed => server.health.failed(now, usual),
             // A lost connection is the only sign of a restart before its first answer.
             Outcome::Failed => {
-                server.health.failed(now, self.usual[class].us());
+                server.health.failed(now, usual);
                 server.ramp = Ramp::cold();
             }
             Outcome::Cancelled => {
-                let age = now.since(flight.sent);
-                server.health.oldest(now, age, self.usual[class].us());
+                server.health.oldest(now, now.since(flight.sent), usual);
                 server.ramp.cancelled();
             }
         }
-        self.servers.retain(|s| !s.leaving || s.in_flight() > 0);
+        self.servers.forget_left();
     }
 
     /// Gives up a waiting request; tells whether it waited, in which case it has not run.
@@ -199,24 +175,23 @@
 
     /// Returns the next request to send or to refuse.
     pub fn poll(&mut self, now: Millis) -> Option<Action> {
-        self.earn(now);
+        let cost = self.times.present(Class::Batch);
+        let slots = self.servers.lane_slots(false);
+        self.share.earn(now, &self.limits, slots, cost);
         if let Some(action) = self.expire(now, false).or_else(|| self.expire(now, true)) {
             return Some(action);
         }
         if self.batch_due(now)
+            && self.share.covers(cost)
             && let Some(id) = self.choose(now, Class::Batch, true)
         {
-            self.credit -= self.present[Class::Batch as usize].us();
+            self.share.spend(cost);
             return self.dispatch(now, true, id);
         }
-        if let Some(w) = self.backlog.first(false) {
-            let class = w.ask.class;
-            let id = self.choose(now, class, false)?;
-            return self.dispatch(now, false, id);
-        }
-        self.backlog.first(true)?;
-        let id = self.choose(now, Class::Batch, false)?;
-        self.dispatch(now, true, id)
+        let urgent = self.backlog.first(false).map(|w| w.ask.class);
+        let class = urgent.or_else(|| self.backlog.first(true).map(|w| w.ask.class))?;
+        let id = self.choose(now, class, false)?;
+        self.dispatch(now, urgent.is_none(), id)
     }
 
     /// Returns the time at which [`Self::poll`] must be called even if nothing happens.
@@ -225,37 +200,38 @@
         let expiry = [false, true]
             .into_iter()
             .filter_map(|batch| self.backlog.earliest(batch))
-            .map(|w| self.last_start(w))
+            .map(|w| self.last_start(w) + Millis(1))
             .min()?;
-        let suspect = self.servers.iter().any(|s| s.health.is_suspect());
-        let due = self.backlog.first(true).map(|w| self.due_at(w));
-        let early = if suspect { now + Millis(10) } else { expiry };
-        let next = expiry.min(early).min(due.unwrap_or(Millis::MAX));
-        Some(next.max(now + Millis(1)))
+        let due = self.backlog.first(true);
+        let due = due.map_or(Millis::MAX, |w| BatchShare::due_at(&self.limits, w));
+        // A rest or a ramp may end; ten milliseconds are a small part of the shortest rest.
+        let rested = if self.servers.any_suspect() || due <= now {
+            now + Millis(10)
+        } else {
+            due
+        };
+        Some(expiry.min(rested).max(now + Millis(1)))
     }
 
     /// Returns the load, exact for this gate and a hint for others.
     #[must_use]
     pub fn load(&mut self, now: Millis) -> Load {
-        self.observe(now);
-        let sound = || self.servers.iter().filter(|s| !s.health.is_suspect());
-        let free = sound().map(Server::free).sum();
-        let service = self.present[Class::Interactive as usize].us();
-        let slots = self.lane_slots(false);
+        self.servers.observe(now, &self.times);
+        let free = self.servers.sound_free();
+        let service = self.times.present(Class::Interactive);
         let waiting = self.backlog.len(false) as u32;
         let wait = if free > 0 {
             0.0
         } else {
-            f64::from(waiting + 1) * service / slots
+            f64::from(waiting + 1) * service / self.servers.lane_slots(false)
         };
-        let probe = self.servers.iter().any(|s| probe(s, now));
         Load {
             free,
-            slots: sound().map(Server::limit).sum(),
+            slots: self.servers.sound_slots(),
             waiting: waiting + self.backlog.len(true) as u32,
             wait_us: wait as u32,
             service_us: service as u32,
-            probe,
+            probe: self.servers.wants_probe(now),
         }
     }
 
@@ -263,61 +239,22 @@
     /// move its slices.
     #[must_use]
     pub fn verdict(&self, now: Millis, id: ServerId) -> Option<Verdict> {
-        let server = self.servers.iter().find(|s| s.id == id)?;
-        Some(server.health.verdict(now))
+        self.servers.get(id).map(|s| s.health.verdict(now))
     }
 
     /// Returns a server's requests in flight.
     #[must_use]
     pub fn in_flight(&self, id: ServerId) -> u32 {
-        let server = self.servers.iter().find(|s| s.id == id);
-        server.map_or(0, Server::in_flight)
+        self.servers.get(id).map_or(0, Server::in_flight)
     }
 
-    /// Chooses a free slot.
-    ///
-    /// Load: one of several servers turns slow. Harm prevented: the slow server, which has free
-    /// slots like any other, keeps getting work. A sound server goes first, the one with the
-    /// smallest part of its slots in use. A suspected one gets a single lookup as a probe when its
-    /// rest is over, and otherwise work only where more than [`AVOIDED`] allows are suspected.
     fn choose(&mut self, now: Millis, class: Class, due: bool) -> Option<ServerId> {
-        self.observe(now);
-        let batch = class == Class::Batch;
-        if class == Class::Interactive
-            && let Some(s) = self.servers.iter().find(|s| probe(s, now))
-        {
-            return Some(s.id);
-        }
-        let suspects = self
-            .servers
-            .iter()
-            .filter(|s| s.health.is_suspect())
-            .count();
-        let floor = suspects * AVOIDED > self.servers.len();
-        let fits = |s: &&Server| s.free() > 0 && (!batch || s.takes_batch(due));
-        let open = |s: &&Server| floor || !s.health.is_suspect();
-        let rank = |s: &&Server| {
-            let part = s.in_flight() * 1_024 / s.limit().max(1);
-            (s.health.is_suspect(), part)
-        };
-        let best = self
-            .servers
-            .iter()
-            .filter(fits)
-            .filter(open)
-            .min_by_key(rank);
-        best.map(|s| s.id)
-    }
-
-    fn observe(&mut self, now: Millis) {
-        let usual = self.usual;
-        for s in &mut self.servers {
-            s.observe(now, |class| usual[class as usize].us());
-        }
+        self.servers.observe(now, &self.times);
+        self.servers.choose(now, class, due)
     }
 
     fn start(&mut self, now: Millis, id: ServerId, ask: &Ask) {
-        if let Some(s) = self.server(id) {
+        if let Some(s) = self.servers.get_mut(id) {
             s.start(now, ask.ticket, ask.class);
         }
     }
@@ -329,20 +266,6 @@
         Some(Action::Send(ticket, id))
     }
 
-    /// Returns the part of its spare time that a request may be expected to wait.
-    ///
-    /// Load: twice or five times what the servers can do, for minutes. Harm prevented: a long queue
-    /// stands in front of them, and everybody whose request is done has waited half a deadline for
-    /// it. Batch may lag and keeps its queue.
-    fn patience(&self, now: Millis, batch: bool) -> f64 {
-        let stood = now.since(self.empty);
-        if !batch && self.backlog.len(false) > 0 && stood >= self.limits.standing {
-            self.limits.standing_patience
-        } else {
-            self.limits.patience
-        }
-    }
-
     /// Returns a request's place in the order: its deadline, put back by the time that the requests
     /// of its own key need which wait already.
     ///
@@ -354,12 +277,27 @@
         if ask.key == 0 {
             return ask.deadline;
         }
-        let service = self.present[ask.class as usize].us();
         let own = f64::from(self.backlog.of_key(ask.key));
-        let us = own * service / (self.lane_slots(ask.class == Class::Batch) * KEY_SHARE);
+        let slots = self.servers.lane_slots(ask.class == Class::Batch) * KEY_SHARE;
+        let us = own * self.times.present(ask.class) / slots;
         ask.deadline + Millis((us / 1_000.0) as u64)
     }
 
+    fn prospect(&self, ask: &Ask, rank: Millis, spare: f64) -> Prospect {
+        let batch = ask.class == Class::Batch;
+        let ahead = self.backlog.ahead(batch, rank) as f64;
+        let slots = self.servers.lane_slots(batch);
+        let own = rank.since(ask.deadline).0 as f64 * 1_000.0;
+        let wait = own.max((ahead + 1.0) * self.times.present(ask.class) / slots);
+        Prospect {
+            ahead,
+            slots,
+            wait,
+            spare,
+            batch,
+        }
+    }
+
     /// Refuses the oldest request that can't finish in time any more.
     fn expire(&mut self, now: Millis, batch: bool) -> Option<Action> {
         let w = self.backlog.earliest(batch)?;
@@ -368,62 +306,24 @@
         }
         let ask = w.ask;
         self.backlog.remove(ask.ticket);
-        Some(Action::Refuse(
-            ask.ticket,
-            self.refusal(ResultCode::Overloaded, ask),
-        ))
+        let refusal = self.refusal(ResultCode::Overloaded, ask);
+        Some(Action::Refuse(ask.ticket, refusal))
     }
 
     fn last_start(&self, w: &Waiting) -> Millis {
-        let service = self.present[w.ask.class as usize].us() / 1_000.0;
+        let service = self.times.present(w.ask.class) / 1_000.0;
         w.ask.deadline - Millis(service as u64)
     }
 
-    /// Earns batch its share of slot time; it saves up no more than for two requests.
-    fn earn(&mut self, now: Millis) {
-        let us = now.since(self.earned).0 as f64 * 1_000.0;
-        self.earned = now;
-        let most = 2.0 * self.present[Class::Batch as usize].us();
-        let share = us * self.lane_slots(false) * self.limits.batch_share;
-        self.credit = (self.credit + share).min(most);
-    }
-
-    /// Tells whether the oldest batch request has waited so long that its guaranteed share counts.
     fn batch_due(&self, now: Millis) -> bool {
-        let cost = self.present[Class::Batch as usize].us();
         let oldest = self.backlog.first(true);
-        oldest.is_some_and(|w| now >= self.due_at(w)) && self.credit >= cost
-    }
-
-    /// A quarter of the time that its caller gave it, where that is shorter than the limit: batch
-    /// with a short deadline would otherwise die before its share counts.
-    fn due_at(&self, w: &Waiting) -> Millis {
-        let quarter = Millis(w.ask.deadline.since(w.since).0 / 4);
-        w.since + quarter.min(self.limits.batch_age)
-    }
-
-    /// Returns the slots that a lane's waits are computed from: those of servers that are not
-    /// suspected, or all where every one is.
-    fn lane_slots(&self, batch: bool) -> f64 {
-        let slots = |s: &Server| s.limit() - u32::from(batch && s.limit() > 1);
-        let open = || self.servers.iter().filter(|s| !s.leaving);
-        let sound: u32 = open().filter(|s| !s.health.is_suspect()).map(slots).sum();
-        let all: u32 = open().map(slots).sum();
-        f64::from(if sound > 0 { sound } else { all.max(1) })
+        oldest.is_some_and(|w| now >= BatchShare::due_at(&self.limits, w))
     }
 
     fn refusal(&self, code: ResultCode, ask: Ask) -> Refusal {
         let batch = ask.class == Class::Batch;
         let waiting = self.backlog.len(batch) as f64;
-        let drain = waiting * self.present[ask.class as usize].us() / self.lane_slots(batch);
+        let drain = waiting * self.times.present(ask.class) / self.servers.lane_slots(batch);
         Refusal::new(code, drain as u64, ask.ticket)
     }
-
-    fn server(&mut self, id: ServerId) -> Option<&mut Server> {
-        self.servers.iter_mut().find(|s| s.id == id)
-    }
-}
-
-fn probe(s: &Server, now: Millis) -> bool {
-    s.health.is_suspect() && s.health.may_probe(now) && s.in_flight() == 0 && s.free() > 0
 }
