--- a/crates/chicoryrail-admin/src/admin.rs
+++ b/crates/chicoryrail-admin/src/admin.rs
@@ -122,29 +122,32 @@
         })
     }
 
-    /// Writes the audit record of a call; `false` where the store did not take it.
+    /// Writes the audit record of a call, given what it was about and its detail or refusal; `false`
+    /// where the store did not take it.
     pub(crate) async fn audit(
         &self,
         who: &OperatorName,
-        what: String,
-        subject: String,
-        result: Result<String, &ApiError>,
+        call: &str,
+        outcome: Result<(&str, &str), (&str, &ApiError)>,
     ) -> bool {
         let number = self.audits.replace(self.audits.get() + 1);
-        let (code, detail) = match result {
-            Ok(detail) => (ResultCode::Ok, detail),
-            Err(e) => (e.code, e.message.clone()),
+        let (code, subject, detail) = match outcome {
+            Ok((subject, detail)) => (ResultCode::Ok, subject, detail),
+            Err((subject, e)) => (e.code, subject, e.message.as_str()),
         };
         let events = &self.process.events;
-        let words = format!("who={who} what={what:?} code={}", code.number());
-        events.record(EventKind::Operator, subject.as_str(), words);
+        let mut words = format!("who={who} call={call} code={}", code.number());
+        if code == ResultCode::Ok && !detail.is_empty() {
+            words = format!("{words} {detail}");
+        }
+        events.record(EventKind::Operator, subject, words);
         let record = AuditRecord {
             who: who.clone(),
-            what,
-            subject,
+            what: call.to_owned(),
+            subject: subject.to_owned(),
             when_ms: events.stamp().wall,
             code: code.number(),
-            detail,
+            detail: detail.to_owned(),
         };
         let written = audit::write(&self.records, self.process.instance, number, &record).await;
         if written.is_err() {
--- a/crates/chicoryrail-admin/src/audit.rs
+++ b/crates/chicoryrail-admin/src/audit.rs
@@ -13,7 +13,7 @@
 pub struct AuditRecord {
     /// Operator who called.
     pub who: OperatorName,
-    /// The call, for example `POST /v1/rolls`.
+    /// Name of the call, as in the metric `admin_calls_total`, for example `roll`.
     pub what: String,
     /// What it was about: a digest, a data centre, a host or a server.
     pub subject: String,
--- a/crates/chicoryrail-admin/src/endpoints.rs
+++ b/crates/chicoryrail-admin/src/endpoints.rs
@@ -34,6 +34,8 @@
 /// What a call did, for the answer and the audit record.
 struct Done {
     answer: Response<Body>,
+    /// What it was about, where the path does not name it.
+    subject: Option<String>,
     detail: String,
 }
 
@@ -118,10 +120,15 @@
     );
     let mut written = None;
     if let Some(who) = caller.name.as_ref().filter(|_| !shapeless) {
-        let what = format!("{} {}", head.method, head.uri.path());
-        let subject = path.get(2).unwrap_or(&call).to_string();
-        let outcome = result.as_ref().map(|done| done.detail.clone());
-        written = Some(admin.audit(who, what, subject, outcome).await);
+        let named = path.get(2).copied().unwrap_or_default();
+        let outcome = match &result {
+            Ok(done) => Ok((
+                done.subject.as_deref().unwrap_or(named),
+                done.detail.as_str(),
+            )),
+            Err(e) => Err((named, e)),
+        };
+        written = Some(admin.audit(who, call, outcome).await);
     }
     let mut answer = result.map_or_else(|e| refuse(&e), |done| done.answer);
     if let Some(written) = written {
@@ -149,9 +156,8 @@
     match path {
         ["v1", "bundles"] => {
             let view = admin.put_bundle(caller, text).await?;
-            let detail = format!("digest={}", view.digest);
             Ok(Done {
-                detail,
+                subject: Some(view.digest.to_string()),
                 ..ok(200, &view)?
             })
         }
@@ -163,7 +169,7 @@
             let body: RollBody = parse(text)?;
             let done = changed(&admin.roll(caller, &body).await?)?;
             Ok(Done {
-                detail: format!("{} digest={}", done.detail, body.digest),
+                subject: Some(body.digest),
                 ..done
             })
         }
@@ -193,8 +199,12 @@
         ("POST", ["v1", "bundles"]) => "bundle-put",
         ("POST", ["v1", "bundles", _, "signatures"]) => "bundle-sign",
         ("POST", ["v1", "rolls"]) => "roll",
-        ("POST", ["v1", _, _, "out"]) => "out",
-        ("POST", ["v1", _, _, "in"]) => "in",
+        ("POST", ["v1", "data-centres", _, "out"]) => "data-centre-out",
+        ("POST", ["v1", "data-centres", _, "in"]) => "data-centre-in",
+        ("POST", ["v1", "hosts", _, "out"]) => "host-out",
+        ("POST", ["v1", "hosts", _, "in"]) => "host-in",
+        ("POST", ["v1", "servers", _, "out"]) => "server-out",
+        ("POST", ["v1", "servers", _, "in"]) => "server-in",
         _ => "other",
     }
 }
@@ -252,6 +262,7 @@
 fn ok<T: Serialize>(status: u16, value: &T) -> Outcome {
     Ok(Done {
         answer: json_answer(status, value),
+        subject: None,
         detail: String::new(),
     })
 }
--- a/crates/chicoryrail-admin/tests/access.rs
+++ b/crates/chicoryrail-admin/tests/access.rs
@@ -75,19 +75,17 @@
             .map(|r| {
                 let text = |field: &str| r[field].as_str().unwrap().to_owned();
                 assert!(r["when_ms"].as_u64().unwrap() > 1_700_000_000_000);
-                (text("who"), text("what"), r["code"].as_u64().unwrap())
+                let code = r["code"].as_u64().unwrap();
+                [text("who"), text("what"), text("subject"), code.to_string()].join(" ")
             })
             .collect();
         let expected = [
-            ("alice", "POST /v1/bundles".to_owned(), 0),
-            ("bob", format!("POST /v1/bundles/{digest}/signatures"), 0),
-            ("alice", "POST /v1/rolls".to_owned(), 0),
-            ("carol", "POST /v1/servers/kits-0/out".to_owned(), 2009),
+            format!("alice bundle-put {digest} 0"),
+            format!("bob bundle-sign {digest} 0"),
+            format!("alice roll {digest} 0"),
+            "carol server-out kits-0 2009".to_owned(),
         ];
-        assert_eq!(
-            trail,
-            expected.map(|(who, what, code)| (who.to_owned(), what, code))
-        );
+        assert_eq!(trail, expected);
     });
 }
 
--- a/crates/chicoryrail-core/tests/bundle.rs
+++ b/crates/chicoryrail-core/tests/bundle.rs
@@ -83,3 +83,39 @@
         "{error}"
     );
 }
+
+/// The format's page can't show an example that is refused.
+#[test]
+fn the_example_of_the_page_is_a_bundle() {
+    let page = include_str!("../../../docs/BUNDLE.md");
+    let example = page.split("```toml\n").nth(1).unwrap();
+    let bundle = Bundle::parse(example.split("```").next().unwrap()).unwrap();
+    assert_eq!((bundle.services.len(), bundle.servers().count()), (1, 2));
+}
+
+/// A field that the code takes and the page does not list would be one that nobody knows of.
+#[test]
+fn the_page_lists_every_field() {
+    let page = include_str!("../../../docs/BUNDLE.md");
+    let example = page.split("```toml\n").nth(1).unwrap();
+    let bundle = Bundle::parse(example.split("```").next().unwrap()).unwrap();
+    let mut fields = Vec::new();
+    collect(&toml::Value::try_from(&bundle).unwrap(), &mut fields);
+    assert!(fields.len() > 20, "{fields:?}");
+    for field in fields {
+        assert!(page.contains(&format!("`{field}`")), "{field}");
+    }
+}
+
+fn collect(value: &toml::Value, fields: &mut Vec<String>) {
+    match value {
+        toml::Value::Table(table) => {
+            for (name, inner) in table {
+                fields.push(name.clone());
+                collect(inner, fields);
+            }
+        }
+        toml::Value::Array(list) => list.iter().for_each(|inner| collect(inner, fields)),
+        _ => {}
+    }
+}
