feat(core): one position for every way of writing a key

Cause: the administration API decodes percent-encoding in a key and the gate hashes the path segment as it stands, so kit-1 and kit%2D1 have two positions and two servers could each own what callers mean by one key. Conclusion: the gate has to call of_segment in call.rs; until then only keys that need no escape are safe.

--- a/crates/chicoryctl/src/commands.rs
+++ b/crates/chicoryctl/src/commands.rs
@@ -16,10 +16,10 @@
 use chicoryrail_admin::StatusView;
 use chicoryrail_admin::StoredBundle;
 use chicoryrail_admin::StoredSign;
-use chicoryrail_admin::encode;
 use chicoryrail_core::Digest;
 use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
+use chicoryrail_core::percent_encode;
 use chicoryrail_runtime::Clock;
 use serde::Serialize;
 use serde_json::json;
@@ -92,7 +92,7 @@
                 Way::Out => "out",
                 Way::In => "in",
             };
-            let path = format!("/v1/{kind}/{}/{way}", encode(name));
+            let path = format!("/v1/{kind}/{}/{way}", percent_encode(name));
             let change = client.post(&path, &MoveBody { force: *force }).await?;
             follow(&client, json, change, *wait).await
         }
@@ -101,7 +101,11 @@
             show(json, &status, views::status)
         }
         Command::Owner { service, key } => {
-            let path = format!("/v1/owner?service={}&key={}", encode(service), encode(key));
+            let path = format!(
+                "/v1/owner?service={}&key={}",
+                percent_encode(service),
+                percent_encode(key)
+            );
             let owner: OwnerView = client.get(&path).await?;
             show(json, &owner, views::owner)
         }
--- a/crates/chicoryrail-admin/src/lib.rs
+++ b/crates/chicoryrail-admin/src/lib.rs
@@ -58,8 +58,6 @@
 pub use endpoints::handle;
 pub use error::ApiError;
 pub use moves::Place;
-pub use query::decode;
-pub use query::encode;
 pub use records::Records;
 pub use records::StoredBundle;
 pub use records::StoredSign;
--- a/crates/chicoryrail-core/src/key_hash.rs
+++ b/crates/chicoryrail-core/src/key_hash.rs
@@ -8,6 +8,8 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::percent_decode;
+
 /// The 64-bit position of a key (XXH3), the same in every process and release.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Encode, Decode,
@@ -22,6 +24,18 @@
         Self(xxh3_64(key.as_bytes()))
     }
 
+    /// Hashes the key that a path segment stands for; `None` where its percent-encoding is broken.
+    ///
+    /// `kit%2D1` and `kit-1` are the same key to a server, so they must have the same owner: without
+    /// decoding, two servers would each take themselves for the one owner of what callers mean.
+    #[must_use]
+    pub fn of_segment(segment: &str) -> Option<Self> {
+        if !segment.contains('%') {
+            return Some(Self::of(segment));
+        }
+        percent_decode(segment).map(|key| Self(xxh3_64(&key)))
+    }
+
     /// Returns which of `n` equal parts of the space holds the position; `n` of 0 counts as 1.
     #[must_use]
     pub fn part(self, n: u32) -> u32 {
--- /dev/null
+++ b/crates/chicoryrail-core/src/percent.rs
@@ -0,0 +1,42 @@
+//! Percent-encoding of names and keys in request targets.
+
+use std::fmt::Write as _;
+
+/// Decodes `%XX`; `None` for a `%` without two hexadecimal digits.
+///
+/// A plus sign stands for itself, as in paths. The bytes need not be UTF-8.
+#[must_use]
+pub fn percent_decode(text: &str) -> Option<Vec<u8>> {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((&first, tail)) = rest.split_first() {
+        rest = tail;
+        if first != b'%' {
+            bytes.push(first);
+            continue;
+        }
+        let (hex, tail) = tail.split_at_checked(2)?;
+        bytes.push(digit(hex[0])? << 4 | digit(hex[1])?);
+        rest = tail;
+    }
+    Some(bytes)
+}
+
+/// Encodes everything but `A-Z a-z 0-9 - _ . ~`.
+#[must_use]
+pub fn percent_encode(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    for b in text.bytes() {
+        if b.is_ascii_alphanumeric() || b"-_.~".contains(&b) {
+            out.push(char::from(b));
+        } else {
+            let _ = write!(out, "%{b:02X}");
+        }
+    }
+    out
+}
+
+fn digit(b: u8) -> Option<u8> {
+    let digit = char::from(b).to_digit(16)?;
+    u8::try_from(digit).ok()
+}
