feat(xtask): chaos runs real processes under drawn faults

Cause: the randomised runs of the testkit had no command. Change: 'cargo xtask chaos [--seed N] [--seeds N] [--seconds N] [--deployment NAME] [--only FAULT]'.

--- /dev/null
+++ b/xtask/src/chaos.rs
@@ -0,0 +1,64 @@
+//! Randomised runs under faults.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bpaf::Bpaf;
+use chicoryrail_core::Millis;
+use chicoryrail_testkit::ChaosOptions;
+use chicoryrail_testkit::Deployment;
+use chicoryrail_testkit::run_chaos;
+
+use crate::tools::print_json;
+use crate::tools::stop_flag;
+
+/// What to run
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct Chaos {
+    /// Seed of the faults and the load
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Number of runs, each with the next seed
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seeds: u64,
+    /// Length of the load of each run in seconds
+    #[bpaf(argument("N"), fallback(20), display_fallback)]
+    seconds: u64,
+    /// updraft or tanduay
+    #[bpaf(argument("NAME"), fallback(Deployment::Updraft), display_fallback)]
+    deployment: Deployment,
+    /// Draws only faults of this name; may be given several times
+    #[bpaf(argument("FAULT"))]
+    only: Vec<String>,
+    /// Keeps logs and ledgers where nothing was found, too
+    keep: bool,
+}
+
+impl Chaos {
+    /// Runs and prints a line of JSON a run; false where a promise was broken or a run failed.
+    pub(crate) fn run(&self) -> bool {
+        let Ok(stop) = stop_flag() else {
+            eprintln!("the signals can't be caught");
+            return false;
+        };
+        let mut clean = true;
+        for seed in self.seed..self.seed + self.seeds {
+            let mut options =
+                ChaosOptions::new(self.deployment, seed).with_length(Millis(self.seconds * 1_000));
+            options.only.clone_from(&self.only);
+            options.keep = self.keep;
+            options.stop = Arc::clone(&stop);
+            match run_chaos(&options) {
+                Ok(summary) => clean &= print_json(&summary) && summary.is_clean(),
+                Err(e) => {
+                    eprintln!("seed {seed} stopped: {e}");
+                    clean = false;
+                }
+            }
+            if stop.load(Ordering::Relaxed) {
+                return false;
+            }
+        }
+        clean
+    }
+}
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,6 +1,5 @@
 //! The main job on embedded stand-ins.
 
-use std::io;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -22,10 +21,9 @@
 use chicoryrail_testkit::Progress;
 use chicoryrail_testkit::Violation;
 use serde::Serialize;
-use signal_hook::consts::SIGINT;
-use signal_hook::consts::SIGTERM;
 
 use crate::tools::print_json;
+use crate::tools::stop_flag;
 
 /// Time in which a bundle must be in force everywhere and every gate ready.
 const ROLL_LIMIT: Millis = Millis(20_000);
@@ -184,14 +182,6 @@
     }
 }
 
-fn stop_flag() -> io::Result<Arc<AtomicBool>> {
-    let stop = Arc::new(AtomicBool::new(false));
-    for signal in [SIGINT, SIGTERM] {
-        signal_hook::flag::register(signal, Arc::clone(&stop))?;
-    }
-    Ok(stop)
-}
-
 fn print_progress(progress: &[Arc<Progress>]) {
     let sum = |f: fn(&Progress) -> u64| progress.iter().map(|p| f(p)).sum::<u64>();
     println!(
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod bench_gate;
+mod chaos;
 mod demo;
 mod tools;
 
@@ -11,6 +12,8 @@
 
 use crate::bench::Bench;
 use crate::bench::bench;
+use crate::chaos::Chaos;
+use crate::chaos::chaos;
 use crate::demo::Demo;
 use crate::demo::demo;
 use crate::tools::cargo;
@@ -33,6 +36,9 @@
     /// Starts both deployments on stand-ins, rolls a bundle, runs mixed load and checks the outcome
     #[bpaf(command)]
     Demo(#[bpaf(external(demo))] Demo),
+    /// Real processes behind a fault-injecting proxy under mixed load, judged by a checker
+    #[bpaf(command)]
+    Chaos(#[bpaf(external(chaos))] Chaos),
     /// Measures; the last line printed is JSON
     #[bpaf(command)]
     Bench(#[bpaf(external(bench))] Bench),
@@ -44,8 +50,11 @@
         Chore::Ci => lint() && test(),
         Chore::Test => test(),
         Chore::Fmt => cargo(&["+nightly", "fmt", "--all"]),
-        Chore::Bench(_) | Chore::Demo(_) if cfg!(debug_assertions) => in_release(),
+        Chore::Bench(_) | Chore::Chaos(_) | Chore::Demo(_) if cfg!(debug_assertions) => {
+            in_release()
+        }
         Chore::Bench(bench) => bench.run(),
+        Chore::Chaos(chaos) => chaos.run(),
         Chore::Demo(demo) => demo.run(),
     };
     if done {
--- a/xtask/src/tools.rs
+++ b/xtask/src/tools.rs
@@ -1,9 +1,14 @@
 //! Starting other programs.
 
 use std::env;
+use std::io;
 use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use serde::Serialize;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
 
 /// Runs cargo and tells whether it succeeded.
 pub(crate) fn cargo(args: &[&str]) -> bool {
@@ -49,6 +54,15 @@
     }
 }
 
+/// Returns a flag that SIGINT and SIGTERM set, so that a chore can end its processes.
+pub(crate) fn stop_flag() -> io::Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::flag::register(signal, Arc::clone(&stop))?;
+    }
+    Ok(stop)
+}
+
 fn run(command: &mut Command) -> bool {
     match command.status() {
         Ok(status) => status.success(),
