--- a/crates/chicoryrail-testkit/src/load/call.rs
+++ b/crates/chicoryrail-testkit/src/load/call.rs
@@ -201,7 +201,8 @@
 /// first, the others are given its outcome, and a duplicate may overtake the first request.
 fn mismatch(ask: &Ask, echoed: Option<&str>, body: &[u8]) -> Option<String> {
     let Some(head) = AnswerHead::check(body) else {
-        let whole = ask.order.is_some() && serde_json::from_slice::<serde_json::Value>(body).is_ok();
+        let whole =
+            ask.order.is_some() && serde_json::from_slice::<serde_json::Value>(body).is_ok();
         return (!whole).then(|| format!("body of {} bytes is not whole", body.len()));
     };
     if head.order != ask.order || head.key != ask.key {
