--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -127,7 +127,9 @@
         let body = collect(body, self.limit)
             .await
             .context(AnswerSnafu { addr })?;
-        if send.is_ready() {
+        // A connection that the other side closes after this answer still looks ready until its
+        // close is read; the next call on it would be lost.
+        if send.is_ready() && !says_close(&head.headers) {
             let mut idle = self.idle.borrow_mut();
             let kept = idle.entry(addr).or_default();
             if kept.len() < IDLE_KEPT {
@@ -163,3 +165,14 @@
         Ok(send)
     }
 }
+
+/// Tells whether the sender of a message closes the connection after it.
+#[must_use]
+pub fn says_close(headers: &http::HeaderMap) -> bool {
+    headers
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .any(|v| v.trim().eq_ignore_ascii_case("close"))
+}
--- a/crates/chicoryrail-runtime/src/http_server.rs
+++ b/crates/chicoryrail-runtime/src/http_server.rs
@@ -18,6 +18,7 @@
 use hyper::service::service_fn;
 use monoio::net::TcpListener;
 use monoio::net::TcpStream;
+use monoio::time::timeout;
 use monoio_compat::hyper::MonoioIo;
 use monoio_compat::hyper::MonoioTimer;
 use tokio_util::sync::CancellationToken;
@@ -49,6 +50,18 @@
     }
 }
 
+/// Most connections that are taken in after the stop; the system keeps about a thousand of them
+/// ready.
+const LAST_ACCEPTS: u32 = 1_024;
+
+/// Looks at a connection without a request before it is closed at a stop, and the time between two
+/// of them: together far above the time that a first request is on its way after its connect.
+const FIRST_LOOKS: u32 = 20;
+const FIRST_WAIT: Millis = Millis(5);
+
+/// Time without a new connection after which the listener is closed at a stop.
+const LAST_WAIT: Millis = Millis(10);
+
 /// Serves a listener until `stop` is cancelled and the connections then open have ended.
 ///
 /// At the stop each connection finishes the request it is in, says `connection: close` and ends, so
@@ -85,6 +98,19 @@
             },
         }
     }
+    // Connections that the system has accepted already have sent a request, or are about to: closing
+    // the listener would reset them. They get their first answer.
+    for _ in 0..LAST_ACCEPTS {
+        let Ok(Ok((stream, addr))) = timeout(LAST_WAIT.duration(), listener.accept()).await else {
+            break;
+        };
+        open.set(open.get() + 1);
+        let (open, handler, stop) = (Rc::clone(&open), Rc::clone(&handler), stop.clone());
+        monoio::spawn(async move {
+            connection(stream, addr, limits, stop, handler).await;
+            open.set(open.get() - 1);
+        });
+    }
     drop(listener);
     while open.get() > 0 {
         monoio::time::sleep(Millis(5).duration()).await;
@@ -105,7 +131,10 @@
     let Ok(io) = stream.try_into_poll_io() else {
         return;
     };
+    let asked = Rc::new(Cell::new(false));
+    let seen = Rc::clone(&asked);
     let service = service_fn(move |request| {
+        asked.set(true);
         let answer = handler(request, addr);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -121,6 +150,19 @@
     match select(served.as_mut(), stopped).await {
         Either::Left(_) => {}
         Either::Right(_) => {
+            // A connection without a request so far is closed by the shutdown at once, although its
+            // first request may be on its way.
+            for _ in 0..FIRST_LOOKS {
+                if seen.get() {
+                    break;
+                }
+                if timeout(FIRST_WAIT.duration(), served.as_mut())
+                    .await
+                    .is_ok()
+                {
+                    return;
+                }
+            }
             served.as_mut().graceful_shutdown();
             let _ = served.await;
         }
