feat(gate): answers of a stopping gate close their connections

Idle connections were closed at the end of the stop, and a request that crossed the close on its way was lost. From the stop signal on each answer says 'connection: close', so that callers leave between two requests; a stop ends half a second after the last request even where a caller holds an unused connection.

--- a/crates/chicoryrail-gate/src/answer_body.rs
+++ b/crates/chicoryrail-gate/src/answer_body.rs
@@ -32,6 +32,7 @@
 pub(crate) struct Exchange {
     server: Rc<Server>,
     conn: Option<Conn>,
+    closes: bool,
     cancel: Option<(Rc<Gate>, HeaderValue)>,
     _under_way: UnderWay,
     permit: Permit,
@@ -44,6 +45,7 @@
         Self {
             server: Rc::clone(server),
             conn: Some(conn),
+            closes: false,
             cancel: None,
             _under_way: UnderWay::new(server),
             permit,
@@ -74,6 +76,11 @@
         self.permit.note(Outcome::Answered { us });
     }
 
+    /// Notes that the server closes the connection after the answer.
+    pub(crate) fn closes_after(&mut self) {
+        self.closes = true;
+    }
+
     /// Notes how the request ends.
     pub(crate) fn note(&mut self, outcome: Outcome) {
         self.permit.note(outcome);
@@ -90,7 +97,8 @@
     /// Ends after the whole answer: the connection may carry the next request.
     fn complete(mut self) {
         self.cancel = None;
-        if let Some(conn) = self.conn.take() {
+        let conn = self.conn.take().filter(|_| !self.closes);
+        if let Some(conn) = conn {
             self.server.pool.put(conn);
         }
     }
--- a/crates/chicoryrail-gate/src/caller.rs
+++ b/crates/chicoryrail-gate/src/caller.rs
@@ -12,6 +12,7 @@
 use http::Method;
 use http::Request;
 use http::Response;
+use http::header::CONNECTION;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -24,30 +25,36 @@
 use crate::order;
 use crate::refusal::Refusal;
 use crate::source::Source;
+use crate::tracked::Tracked;
 
 /// Path of what is known of an order, before its id.
 const ORDERS: &str = "/v1/orders/";
 
 /// Answers a caller's request.
 pub(crate) async fn serve(gate: Rc<Gate>, request: Request<Incoming>) -> Response<Body> {
-    let _serving = Serving::new(&gate);
+    let serving = Serving::new(&gate);
+    let answer = respond(&gate, request).await;
+    answer.map(|body| Tracked::wrap(body, serving))
+}
+
+async fn respond(gate: &Rc<Gate>, request: Request<Incoming>) -> Response<Body> {
     let started = Instant::now();
     let (head, body) = request.into_parts();
-    let id = call::request_id(&gate, &head.headers);
+    let id = call::request_id(gate, &head.headers);
     let lookup = head.uri.path().strip_prefix(ORDERS);
     if let (Some(order), &Method::GET) = (lookup, &head.method) {
-        let result = order::lookup(&gate, order).await;
-        return finish(&gate, None, result, id, started);
+        let result = order::lookup(gate, order).await;
+        return finish(gate, None, result, id, started);
     }
-    let call = match Call::read(&gate, head, id.clone()) {
+    let call = match Call::read(gate, head, id.clone()) {
         Ok(call) => call,
-        Err(refusal) => return finish(&gate, None, Err(refusal), id, started),
+        Err(refusal) => return finish(gate, None, Err(refusal), id, started),
     };
     let body = body.map_err(io::Error::other).boxed_unsync();
     let source = Source::new(Box::pin(body), call.entry.service.max_body);
     let labels = (Rc::clone(&call.entry), call.class);
-    let result = answer(&gate, call, &source).await;
-    finish(&gate, Some(labels), result, id, started)
+    let result = answer(gate, call, &source).await;
+    finish(gate, Some(labels), result, id, started)
 }
 
 async fn answer(
@@ -78,6 +85,12 @@
     };
     answer.headers_mut().insert(header::REQUEST_ID, id);
     answer.headers_mut().remove(inner::LOAD);
+    if gate.process.stop.is_cancelled() {
+        // The caller goes elsewhere with its next request. Were its idle connection closed instead,
+        // the next request could cross the close on its way and be lost.
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
     let seconds = started.elapsed().as_secs_f64();
     match labels {
         Some((entry, class)) => {
--- a/crates/chicoryrail-gate/src/lib.rs
+++ b/crates/chicoryrail-gate/src/lib.rs
@@ -42,6 +42,7 @@
 mod signal;
 mod source;
 mod tables;
+mod tracked;
 mod way;
 
 pub use placement::Placement;
--- a/crates/chicoryrail-gate/src/run.rs
+++ b/crates/chicoryrail-gate/src/run.rs
@@ -16,10 +16,12 @@
 use chicoryrail_runtime::error_answer;
 use chicoryrail_runtime::exit_with;
 use chicoryrail_runtime::init_logs;
+use chicoryrail_runtime::listen;
 use chicoryrail_runtime::serve_http;
 use chicoryrail_runtime::stop_on_signal;
 use chicoryrail_wire::PeerLimits;
 use chicoryrail_wire::serve;
+use futures_util::future::select;
 use monoio::net::TcpListener;
 
 use crate::Settings;
@@ -41,6 +43,9 @@
 /// Time without any valid route after which a gate that was ready says that it is not.
 const LOST_AFTER: Millis = Millis(2_000);
 
+/// Time without a request after which connections that are still open are taken for unused.
+const QUIET: Millis = Millis(500);
+
 /// Longest time for requests of other gates and for reports of orders to end at a stop; longer than
 /// the longest default deadline.
 const END_LIMIT: Millis = Millis(10_000);
@@ -108,7 +113,8 @@
         .await;
     hand_over(&gate).await;
     callers_stop.cancel();
-    served.await;
+    let quiet = std::pin::pin!(wait_quiet(&gate));
+    select(std::pin::pin!(served), quiet).await;
     wait_until(&gate, || gate.serving.get() == 0).await;
     inner_stop.cancel();
     wait_until(&gate, || gate.serving.get() == 0 && gate.closing.get() == 0).await;
@@ -118,7 +124,7 @@
 }
 
 fn bind(flag: &'static str, addr: SocketAddr) -> Result<TcpListener, SettingError> {
-    TcpListener::bind(addr).map_err(|e: io::Error| SettingError {
+    listen(addr).map_err(|e: io::Error| SettingError {
         flag,
         value: addr.to_string(),
         reason: e.to_string(),
@@ -168,6 +174,18 @@
     })
 }
 
+/// Waits until nothing was served for a while. A caller that opened a connection and never sent a
+/// request would otherwise hold the stop up for the whole time limit of a head.
+async fn wait_quiet(gate: &Gate) {
+    let mut since = gate.now();
+    while gate.now().since(since) < QUIET {
+        gate.process.clock.sleep(Millis(5)).await;
+        if gate.serving.get() > 0 {
+            since = gate.now();
+        }
+    }
+}
+
 async fn wait_until(gate: &Gate, done: impl Fn() -> bool) {
     let end = gate.now() + END_LIMIT;
     while gate.now() < end && !done() {
--- a/crates/chicoryrail-gate/src/send.rs
+++ b/crates/chicoryrail-gate/src/send.rs
@@ -12,6 +12,7 @@
 use chicoryrail_policy::Outcome;
 use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::says_close;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -144,6 +145,9 @@
     }
     server.answered(us, instance(answer.headers()));
     exchange.answered(us);
+    if says_close(answer.headers()) {
+        exchange.closes_after();
+    }
     if answer.headers().contains_key(header::NOT_RUN) {
         return Err(refused(answer, exchange, server));
     }
--- a/crates/chicoryrail-gate/src/settings.rs
+++ b/crates/chicoryrail-gate/src/settings.rs
@@ -72,10 +72,10 @@
 pub fn settings() -> OptionParser<Settings> {
     let host = host_settings();
     let callers = address("callers", "CHICORYRAIL_CALLERS", "Listener for callers");
-    let inner = address("inner", "CHICORYRAIL_INNER", "Listener for peers");
+    let inner = address("inner", "CHICORYRAIL_GATE_INNER", "Listener for peers");
     let observe = address(
         "observe",
-        "CHICORYRAIL_OBSERVE",
+        "CHICORYRAIL_GATE_OBSERVE",
         "Listener for health, metrics and events",
     );
     let limits = limits();
--- a/crates/chicoryrail-gate/tests/support/gate.rs
+++ b/crates/chicoryrail-gate/tests/support/gate.rs
@@ -1,10 +1,12 @@
 //! Gate processes.
 
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 use std::rc::Rc;
+use std::time::Duration;
 
 use chicoryrail_platform::HostEntry;
 use chicoryrail_platform::ListedState;
@@ -95,6 +97,33 @@
 
 impl Gate {
     fn start(i: usize, list: SocketAddr, flags: &[&str]) -> Self {
+        // Another test on the machine may take a port between the choice and the gate's start; the
+        // gate ends then, and gets other ports.
+        for _ in 0..20 {
+            let mut gate = Self::spawn(i, list, flags);
+            if gate.has_listeners() {
+                return gate;
+            }
+        }
+        panic!("the gate found no free ports");
+    }
+
+    fn has_listeners(&mut self) -> bool {
+        for _ in 0..4_000 {
+            if self.child.try_wait().unwrap().is_some() {
+                return false;
+            }
+            // The observing listener is opened last.
+            if TcpStream::connect(self.observe).is_ok() {
+                std::thread::sleep(Duration::from_millis(10));
+                return self.child.try_wait().unwrap().is_none();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        false
+    }
+
+    fn spawn(i: usize, list: SocketAddr, flags: &[&str]) -> Self {
         let (callers, inner, observe) = (free_addr(), free_addr(), free_addr());
         let child = Command::new(env!("CARGO_BIN_EXE_chicoryrail-gate"))
             .args(["--host", &format!("g{i}"), "--data-centre", "north"])
@@ -120,7 +149,7 @@
             if self.is_ready().await {
                 return;
             }
-            monoio::time::sleep(std::time::Duration::from_millis(5)).await;
+            monoio::time::sleep(Duration::from_millis(5)).await;
         }
         panic!("the gate did not become ready");
     }
--- a/crates/chicoryrail-gate/tests/support/mod.rs
+++ b/crates/chicoryrail-gate/tests/support/mod.rs
@@ -37,7 +37,7 @@
     static NEXT: AtomicU32 = AtomicU32::new(0);
     for _ in 0..PORTS {
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
-        let offset = (std::process::id().wrapping_mul(61) + n) % PORTS;
+        let offset = (std::process::id().wrapping_mul(401).wrapping_add(n)) % PORTS;
         let addr = SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + offset) as u16));
         if TcpListener::bind(addr).is_ok() {
             return addr;
