feat(gate): lookups leave lost servers and gates, acknowledgements don't hang

A frozen server or gate held lookups until their deadline, and a request in flight to it kept the gate from acknowledging the very move that the loss calls for, so that keys stayed unserved for the length of a deadline. A lookup now leaves as soon as the routes say that its server is lost or that another gate holds it. Requests count as in flight only at the gate that sends them to the server; at a server that checks fences a loss ends the count, at one that does not it lasts until the deadline, since the server would still run the request. Keys are hashed after percent-decoding (a%62 and ab had two owners), a second order-id and a caller's own fence are refused and dropped.

--- a/crates/chicoryrail-gate/src/answer_body.rs
+++ b/crates/chicoryrail-gate/src/answer_body.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_policy::Outcome;
+use chicoryrail_runtime::Clock;
 use http::HeaderValue;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
@@ -25,6 +26,7 @@
 use crate::server::Server;
 use crate::server::UnderWay;
 use crate::shard::InFlight;
+use crate::shard::Shard;
 
 /// A request under way on a connection. Dropped before its end it closes the connection and tells
 /// the server to give up.
@@ -36,7 +38,8 @@
     cancel: Option<(Rc<Gate>, HeaderValue)>,
     _under_way: UnderWay,
     permit: Permit,
-    _flight: InFlight,
+    flight: Option<InFlight>,
+    linger: Option<(Clock, Millis)>,
 }
 
 impl Exchange {
@@ -49,7 +52,8 @@
             cancel: None,
             _under_way: UnderWay::new(server),
             permit,
-            _flight: flight,
+            flight: Some(flight),
+            linger: None,
         }
     }
 
@@ -61,6 +65,20 @@
         self
     }
 
+    /// Counts the request as in flight until `deadline` where it does not come to its end: an
+    /// unfenced server that froze with the request in its buffers runs it when it wakes up, unless
+    /// its deadline has passed. The move to another owner waits for that.
+    #[must_use]
+    pub(crate) fn with_linger(mut self, clock: Clock, deadline: Millis) -> Self {
+        self.linger = Some((clock, deadline));
+        self
+    }
+
+    /// Returns the shard that the server belongs to.
+    pub(crate) fn shard(&self) -> &Rc<Shard> {
+        &self.permit.shard
+    }
+
     /// Returns the connection.
     pub(crate) fn conn(&mut self) -> &mut Conn {
         self.conn
@@ -94,9 +112,16 @@
         }
     }
 
+    /// Ends before a byte was written.
+    pub(crate) fn abandon_unsent(mut self) {
+        self.linger = None;
+        self.abandon(Outcome::Failed, false);
+    }
+
     /// Ends after the whole answer: the connection may carry the next request.
     fn complete(mut self) {
         self.cancel = None;
+        self.linger = None;
         let conn = self.conn.take().filter(|_| !self.closes);
         if let Some(conn) = conn {
             self.server.pool.put(conn);
@@ -109,6 +134,13 @@
         if let Some((gate, attempt)) = self.cancel.take() {
             send::cancel(&gate, &self.server, &attempt);
         }
+        if let Some((clock, deadline)) = self.linger {
+            let flight = self.flight.take();
+            monoio::spawn(async move {
+                clock.sleep_until(deadline).await;
+                drop(flight);
+            });
+        }
     }
 }
 
--- a/crates/chicoryrail-gate/src/call.rs
+++ b/crates/chicoryrail-gate/src/call.rs
@@ -99,7 +99,7 @@
             came,
             method: head.method,
             path,
-            headers: headers::end_to_end(head.headers),
+            headers: headers::for_server(head.headers),
             length,
         })
     }
@@ -139,21 +139,50 @@
     lookups
 }
 
+/// Reads the key, the path segment after the service's prefix.
+///
+/// Percent-encoding is undone first: `a%62` and `ab` are the same key to a server, and must not have
+/// two owners.
 fn key(rest: &str) -> Result<KeyHash, Refusal> {
     let key = rest.split('/').next().unwrap_or("");
     if key.is_empty() {
         return Err(Refusal::new(ResultCode::KeyMissing));
     }
-    Ok(KeyHash::of(key))
+    if !key.contains('%') {
+        return Ok(KeyHash::of(key));
+    }
+    let decoded = decode(key.as_bytes()).and_then(|k| String::from_utf8(k).ok());
+    decoded
+        .map(|key| KeyHash::of(&key))
+        .ok_or_else(|| Refusal::with(ResultCode::BadRequest, format!("key = {key}")))
+}
+
+fn decode(text: &[u8]) -> Option<Vec<u8>> {
+    let mut plain = Vec::with_capacity(text.len());
+    let mut rest = text;
+    while let Some((&byte, after)) = rest.split_first() {
+        if byte == b'%' {
+            let digits = std::str::from_utf8(after.get(..2)?).ok()?;
+            plain.push(u8::from_str_radix(digits, 16).ok()?);
+            rest = &after[2..];
+        } else {
+            plain.push(byte);
+            rest = after;
+        }
+    }
+    Some(plain)
 }
 
 fn order_id(headers: &HeaderMap) -> Result<String, Refusal> {
-    let id = headers.get(header::ORDER_ID).and_then(|v| v.to_str().ok());
+    let mut ids = headers.get_all(header::ORDER_ID).iter();
+    let id = ids.next().and_then(|v| v.to_str().ok());
+    // With two ids the gate and the server could each take another one for the order's.
+    let id = if ids.next().is_some() { Some("") } else { id };
     match id {
         Some(id) if is_order_id(id) => Ok(id.to_owned()),
         Some(_) => Err(Refusal::with(
             ResultCode::OrderIdMissing,
-            "order-id: is not 1 to 128 visible ASCII characters".to_owned(),
+            "order-id: is not one value of 1 to 128 visible ASCII characters".to_owned(),
         )),
         None => Err(Refusal::new(ResultCode::OrderIdMissing)),
     }
--- a/crates/chicoryrail-gate/src/dispatch.rs
+++ b/crates/chicoryrail-gate/src/dispatch.rs
@@ -94,8 +94,8 @@
         Way::Free(free, Place::Own) => {
             return send::to_server(gate, call, source, &free.lane).await;
         }
-        Way::Gate(choice, host) => (Hop::Server(choice), host),
-        Way::Free(free, Place::Gate(id, host)) => (Hop::Service(free, *id), host),
+        Way::Gate(choice, host) => (Hop::Server(choice, host), host),
+        Way::Free(free, Place::Gate(id, host)) => (Hop::Service(free, *id, host), host),
     };
     let peer = gate.gates.borrow().get(peer).cloned();
     match peer {
--- a/crates/chicoryrail-gate/src/forward.rs
+++ b/crates/chicoryrail-gate/src/forward.rs
@@ -1,13 +1,16 @@
 //! Sends a request through the gate that holds the server's slots.
 
+use std::future::pending;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
+use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
 use chicoryrail_platform::header;
@@ -16,6 +19,8 @@
 use chicoryrail_runtime::collect;
 use chicoryrail_wire::Forward;
 use chicoryrail_wire::Peer;
+use futures_util::future::Either;
+use futures_util::future::select;
 use h2::Reason;
 use h2::RecvStream;
 use h2::SendStream;
@@ -36,7 +41,6 @@
 use crate::headers::inner;
 use crate::refusal::Refusal;
 use crate::server::UnderWay;
-use crate::shard::InFlight;
 use crate::source::Source;
 use crate::way::Choice;
 
@@ -50,9 +54,33 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Hop<'a> {
     /// A certain server.
-    Server(&'a Choice),
+    Server(&'a Choice, &'a HostName),
     /// Any of its servers of a free service.
-    Service(&'a Free, PeerId),
+    Service(&'a Free, PeerId, &'a HostName),
+}
+
+impl Hop<'_> {
+    /// Waits until the routes show that the other gate is gone. A lookup then goes another way in
+    /// place of waiting for its deadline.
+    async fn ends(&self, call: &Call) {
+        match self {
+            _ if !call.is_idempotent() => pending().await,
+            Self::Server(choice, host) => {
+                let name = &choice.route.server.name;
+                choice.shard.leaves(name, host).await;
+            }
+            Self::Service(_, _, host) => {
+                let signal = Rc::clone(&call.entry.shards[0].signal);
+                loop {
+                    let seen = signal.count();
+                    if call.entry.shards.iter().all(|s| !s.leads_through(host)) {
+                        return;
+                    }
+                    signal.after(seen).await;
+                }
+            }
+        }
+    }
 }
 
 /// Sends the request once.
@@ -69,12 +97,8 @@
 ) -> Result<Response<Body>, Refusal> {
     gate.counters.forwards.inc();
     let held = match hop {
-        Hop::Server(choice) => {
-            let server = &choice.route.server;
-            let flight = choice.shard.fly(call.key, &server.name, false);
-            Some((flight, UnderWay::new(server)))
-        }
-        Hop::Service(free, id) => {
+        Hop::Server(choice, _) => Some(UnderWay::new(&choice.route.server)),
+        Hop::Service(free, id, _) => {
             free.sent(id);
             None
         }
@@ -95,7 +119,12 @@
         monoio::spawn(pump(source.body(), body));
     }
     let limit = call.left(gate.now()) + GRACE;
-    let answer = match timeout(limit.duration(), answer).await {
+    let answer = pin!(timeout(limit.duration(), answer));
+    let answer = match select(answer, pin!(hop.ends(call))).await {
+        Either::Left((answer, _)) => answer,
+        Either::Right(_) => return Err(ResultCode::OutcomeUnknown.into()),
+    };
+    let answer = match answer {
         Ok(Ok(answer)) => answer,
         Ok(Err(e)) if e.is_reset() && e.reason() == Some(Reason::REFUSED_STREAM) => {
             return Err(ResultCode::NoServer.into());
@@ -105,7 +134,7 @@
     };
     let (mut head, body) = answer.into_parts();
     let load = head.headers.remove(inner::LOAD);
-    if let Hop::Service(free, id) = hop
+    if let Hop::Service(free, id, _) = hop
         && let Some(load) = load.as_ref().and_then(read_load)
     {
         free.heard(gate.now(), id, load);
@@ -151,7 +180,7 @@
     headers.remove(http::header::HOST);
     headers.insert(header::REQUEST_ID, call.id.clone());
     headers.insert(header::DEADLINE, HeaderValue::from(call.left(now).0));
-    if let Hop::Server(choice) = hop
+    if let Hop::Server(choice, _) = hop
         && let Ok(name) = HeaderValue::from_str(choice.route.server.name.as_str())
     {
         headers.insert(inner::SERVER, name);
@@ -218,13 +247,13 @@
     left: Millis,
     since: std::time::Instant,
     sleep: Option<Pin<Box<Sleep>>>,
-    held: Option<(InFlight, UnderWay)>,
+    held: Option<UnderWay>,
     ended: bool,
 }
 
 impl StreamBody {
     /// Wraps a stream that must end within `left`.
-    pub(crate) fn new(inner: RecvStream, left: Millis, held: Option<(InFlight, UnderWay)>) -> Self {
+    pub(crate) fn new(inner: RecvStream, left: Millis, held: Option<UnderWay>) -> Self {
         Self {
             ended: inner.is_end_stream(),
             inner,
--- a/crates/chicoryrail-gate/src/headers.rs
+++ b/crates/chicoryrail-gate/src/headers.rs
@@ -27,6 +27,14 @@
     pub(crate) const PREFIX: &str = "chicoryrail-";
 }
 
+/// Leaves what a caller may send on to a server. A fence of a caller's own would make a server that
+/// checks fences refuse the owner's requests after it.
+pub(crate) fn for_server(headers: HeaderMap) -> HeaderMap {
+    let mut headers = end_to_end(headers);
+    headers.remove(chicoryrail_platform::header::FENCE);
+    headers
+}
+
 /// Removes the headers that concern one connection only, and those that only chicoryrail sets: a
 /// caller or a server that sent them could pass for a gate.
 pub(crate) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
--- a/crates/chicoryrail-gate/src/send.rs
+++ b/crates/chicoryrail-gate/src/send.rs
@@ -1,5 +1,7 @@
 //! Sends a request to a server whose slots this gate holds.
 
+use std::future::pending;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -13,6 +15,8 @@
 use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::says_close;
+use futures_util::future::Either;
+use futures_util::future::select;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -64,7 +68,9 @@
     mut permit: Permit,
 ) -> Result<Response<Body>, Refusal> {
     let server = Rc::clone(&permit.server);
-    let flight = permit.shard.fly(call.key, &server.name, true);
+    let flight = permit
+        .shard
+        .fly(call.key, &server.name, call.entry.service.fenced);
     let conn = match server.pool.take(server.addr.get()).await {
         Ok(conn) => conn,
         Err(_) => {
@@ -96,6 +102,9 @@
     if call.is_idempotent() {
         exchange = exchange.with_cancel(gate, &attempt);
     }
+    if call.key.is_some() && !call.entry.service.fenced {
+        exchange = exchange.with_linger(gate.process.clock, call.deadline);
+    }
     exchange_once(gate, call, source, &server, exchange, request, &attempt).await
 }
 
@@ -109,21 +118,37 @@
     attempt: &HeaderValue,
 ) -> Result<Response<Body>, Refusal> {
     let started = Instant::now();
+    let left = call.left(gate.now()).duration();
+    let shard = Rc::clone(exchange.shard());
     let conn: &mut Conn = exchange.conn();
-    let sent = conn.send.try_send_request(request);
-    let answer = match timeout(call.left(gate.now()).duration(), sent).await {
+    let sent = timeout(left, conn.send.try_send_request(request));
+    let lost = async {
+        match call.is_idempotent() {
+            true => shard.loses(&server.name).await,
+            false => pending().await,
+        }
+    };
+    let sent = match select(pin!(sent), pin!(lost)).await {
+        Either::Left((sent, _)) => sent,
+        // The lookup goes to the new owner in place of waiting for its deadline here.
+        Either::Right(_) => {
+            exchange.abandon(Outcome::Failed, false);
+            let message = format!("{} is lost", server.name);
+            return Err(Refusal::with(ResultCode::OutcomeUnknown, message));
+        }
+    };
+    let answer = match sent {
         Ok(Ok(answer)) => answer,
         Ok(Err(mut error)) => {
             server.failed();
-            let unsent = error.take_message().is_some();
+            if error.take_message().is_some() {
+                exchange.abandon_unsent();
+                return Err(ResultCode::NoServer.into());
+            }
             // The connection is at its end, and so is the server's work for it.
             exchange.abandon(Outcome::Failed, false);
-            let code = match (unsent, source.fault()) {
-                (true, _) => ResultCode::NoServer,
-                (false, Some(fault)) if call.is_idempotent() => fault,
-                (false, _) => ResultCode::OutcomeUnknown,
-            };
-            return Err(code.into());
+            let fault = source.fault().filter(|_| call.is_idempotent());
+            return Err(fault.unwrap_or(ResultCode::OutcomeUnknown).into());
         }
         Err(_) => {
             server.failed();
--- a/crates/chicoryrail-gate/src/shard.rs
+++ b/crates/chicoryrail-gate/src/shard.rs
@@ -121,7 +121,7 @@
 struct Flight {
     key: Option<KeyHash>,
     server: ServerName,
-    direct: bool,
+    fenced: bool,
 }
 
 impl Shard {
@@ -188,31 +188,31 @@
     }
 
     /// Returns the table's version where no request that it forbids is in flight.
+    ///
+    /// Only requests that this gate sent to a server itself count. One that goes through another
+    /// gate is counted there, and is sent only if that gate's own routes allow it.
     pub(crate) fn settled(&self) -> Option<Fence> {
         let table = self.table.borrow();
         let table = table.as_ref()?;
         let flights = self.flights.borrow();
-        let clear = flights.values().all(|f| {
-            let owned = f.key.is_none_or(|_| table.allows(f.key, &f.server));
-            let ours = !f.direct || table.route(&f.server).is_some_and(|r| r.via == Via::Own);
-            owned && ours
-        });
+        let clear = flights.values().all(|f| f.is_allowed(table));
         clear.then_some(table.fence)
     }
 
-    /// Counts a request as in flight until the returned value is dropped.
+    /// Counts a request that this gate sends to a server as in flight until the returned value is
+    /// dropped.
     pub(crate) fn fly(
         self: &Rc<Self>,
         key: Option<KeyHash>,
         server: &ServerName,
-        direct: bool,
+        fenced: bool,
     ) -> InFlight {
         let id = self.next.get();
         self.next.set(id + 1);
         let flight = Flight {
             key,
             server: server.clone(),
-            direct,
+            fenced,
         };
         self.flights.borrow_mut().insert(id, flight);
         InFlight {
@@ -220,6 +220,53 @@
             id,
         }
     }
+
+    /// Tells whether a server is reached through that gate.
+    pub(crate) fn leads_through(&self, gate: &HostName) -> bool {
+        let table = self.table.borrow();
+        let mut routes = table.iter().flat_map(|t| &t.routes);
+        routes.any(|r| matches!(&r.via, Via::Gate(host) if host == gate))
+    }
+
+    /// Waits until the routes say that the server is lost, or no longer have it.
+    pub(crate) async fn loses(&self, server: &ServerName) {
+        self.until(|t| t.route(server).is_none_or(|r| r.state == ServerState::Lost))
+            .await;
+    }
+
+    /// Waits until the routes lead to the server by another way than through that gate. A server
+    /// that is handed over in good order has no gate for a moment; that does not count.
+    pub(crate) async fn leaves(&self, server: &ServerName, gate: &HostName) {
+        self.until(|t| match t.route(server).map(|r| &r.via) {
+            None | Some(Via::Own) => true,
+            Some(Via::Gate(host)) => host != gate,
+            Some(Via::Nobody) => false,
+        })
+        .await;
+    }
+
+    async fn until(&self, holds: impl Fn(&Table) -> bool) {
+        loop {
+            let seen = self.signal.count();
+            if self.table.borrow().as_ref().is_some_and(|t| holds(t)) {
+                return;
+            }
+            self.signal.after(seen).await;
+        }
+    }
+}
+
+impl Flight {
+    fn is_allowed(&self, table: &Table) -> bool {
+        let route = table.route(&self.server);
+        // A lost server that checks fences refuses the request when it comes back. Waiting for its
+        // answer would hold up the move that the loss calls for.
+        if self.fenced && route.is_some_and(|r| r.state == ServerState::Lost) {
+            return true;
+        }
+        let owned = self.key.is_none() || table.allows(self.key, &self.server);
+        owned && route.is_some_and(|r| r.via == Via::Own)
+    }
 }
 
 /// A request in flight under a shard's routes.
--- a/crates/chicoryrail-gate/tests/callers.rs
+++ b/crates/chicoryrail-gate/tests/callers.rs
@@ -90,6 +90,25 @@
     });
 }
 
+#[rstest]
+#[case::plain("k1", "s0")]
+#[case::encoded("k%31", "s0")]
+#[case::another_key("k2", "s1")]
+fn a_key_has_one_owner_however_it_is_written(#[case] key: &str, #[case] server: &str) {
+    block_on(async {
+        let set = start(1).await;
+        let servers = set.kits.each_ref().map(|k| route(k, "g0", 2));
+        set.world.control.publish_hot("kits", 2, &servers, "k1");
+        until("the slices are known", || {
+            set.world.control.knows("g0", "kits", 2)
+        })
+        .await;
+        let path = format!("/v1/kits/{key}");
+        let answer = get(set.world.callers(0), &path).await.unwrap();
+        assert_eq!(answer.headers()["server-name"], server);
+    });
+}
+
 #[test]
 fn the_longest_path_prefix_decides_the_service() {
     block_on(async {
@@ -108,6 +127,8 @@
 #[case::missing_order_id("POST", "/v1/kits/k1", &[], 2, 400, 1005)]
 #[case::unusable_order_id("POST", "/v1/kits/k1", &[("order-id", "a b")], 2, 400, 1005)]
 #[case::oversized_body("POST", "/v1/kits/k1", &[("order-id", "o1")], 65_537, 413, 1002)]
+#[case::unusable_key("GET", "/v1/kits/k%zz", &[], 0, 400, 1000)]
+#[case::two_order_ids("POST", "/v1/kits/k", &[("order-id", "a"), ("order-id", "b")], 2, 400, 1005)]
 #[case::unusable_deadline("GET", "/v1/kits/k1", &[("deadline-ms", "0")], 0, 400, 1000)]
 #[case::unknown_order("GET", "/v1/orders/o9", &[], 0, 404, 1007)]
 fn an_unusable_request_is_answered_with_its_code(
--- a/crates/chicoryrail-gate/tests/faults.rs
+++ b/crates/chicoryrail-gate/tests/faults.rs
@@ -293,7 +293,7 @@
             until("it is in flight", || old.runs() == 1).await;
             control.publish_as("casks", 2, &servers, 0, SliceState::Moving);
             monoio::time::sleep(Millis(100).duration()).await;
-            assert!(!control.knows("g0", "casks", 2));
+            assert!(!control.knows(&last, "casks", 2));
             let held = get(world.callers(0), "/v1/casks/c2");
             let moved = async {
                 for gate in 0..gates {
@@ -313,6 +313,99 @@
     });
 }
 
+/// A server freezes with a lookup in flight, and the controller gives its keys to another one. The
+/// server checks fences, so the gate acknowledges the move without waiting for the frozen answer,
+/// and the lookup goes to the new owner long before its deadline.
+#[test]
+fn a_lookup_leaves_a_lost_server() {
+    block_on(async {
+        let (old, new) = (Target::start("s0"), Target::start("s9"));
+        let world = start(1, &[], &old).await;
+        let control = &world.control;
+        control.set_bundle(
+            2,
+            &BUNDLE.replace("deadline_ms", "fenced = true\ndeadline_ms"),
+        );
+        until("the bundle is in force", || control.asked(2)).await;
+        old.then(Act::Slow(1_900));
+        let lookup = get(world.callers(0), "/v1/casks/c1");
+        let loss = async {
+            until("it is in flight", || old.runs() == 1).await;
+            let lost = ServerRoute {
+                state: ServerState::Lost,
+                ..route(&old, "g0", 2)
+            };
+            let servers = [lost, route(&new, "g0", 2)];
+            control.publish_as("casks", 2, &servers, 0, SliceState::Moving);
+            until("the move is known", || control.knows("g0", "casks", 2)).await;
+            assert_eq!(old.busy.get().0, 1);
+            control.publish("casks", 3, &servers, 1);
+        };
+        let (answer, ()) = futures_util::join!(lookup, loss);
+        assert_eq!(outcome(&answer.unwrap()).2, "s9 GET /v1/casks/c1 0");
+        assert_eq!((old.busy.get().0, old.runs()), (1, 1));
+    });
+}
+
+/// The server checks no fences and freezes with a lookup in flight. It would run the lookup when it
+/// wakes up, so the gate acknowledges the move only when the lookup's deadline has passed, although
+/// its caller has long left.
+#[test]
+fn a_move_waits_for_what_an_unfenced_server_may_still_run() {
+    block_on(async {
+        let (old, new) = (Target::start("s0"), Target::start("s9"));
+        let world = start(1, &[], &old).await;
+        let control = &world.control;
+        old.then(Act::Slow(10_000));
+        let lookup = get(world.callers(0), "/v1/casks/c1");
+        let left = monoio::time::timeout(Millis(200).duration(), lookup).await;
+        assert!(left.is_err());
+        let lost = ServerRoute {
+            state: ServerState::Lost,
+            ..route(&old, "g0", 2)
+        };
+        let servers = [lost, route(&new, "g0", 2)];
+        let moved = std::time::Instant::now();
+        control.publish_as("casks", 2, &servers, 0, SliceState::Moving);
+        until("the move is known", || control.knows("g0", "casks", 2)).await;
+        // Two seconds of deadline, of which some 200 ms had passed at the move.
+        assert!(moved.elapsed() >= Millis(1_000).duration());
+    });
+}
+
+/// The gate is stopped while a lookup waits behind another one for the server's only slot, and the
+/// routes run out meanwhile. When it goes on it reads the first answer, and the waiting lookup gets
+/// the slot: it must not be sent to the server that has lost the key.
+#[test]
+fn a_gate_that_slept_sends_nothing_to_an_old_owner() {
+    block_on(async {
+        let (old, new) = (Target::start("s0"), Target::start("s9"));
+        let world = start(1, &[], &old).await;
+        let control = &world.control;
+        control.publish("casks", 2, &[route(&old, "g0", 1)], 0);
+        until("one slot", || control.knows("g0", "casks", 2)).await;
+        old.then(Act::Slow(300));
+        let first = get(world.callers(0), "/v1/casks/c1");
+        let second = async {
+            until("the first is in flight", || old.runs() == 1).await;
+            get(world.callers(0), "/v1/casks/c2").await
+        };
+        let pause = async {
+            until("the first is in flight", || old.runs() == 1).await;
+            monoio::time::sleep(Millis(100).duration()).await;
+            world.gates[0].signal(nix::sys::signal::Signal::SIGSTOP);
+            monoio::time::sleep(Millis(1_000).duration()).await;
+            let servers = [route(&old, "g0", 1), route(&new, "g0", 1)];
+            control.publish("casks", 3, &servers, 1);
+            world.gates[0].signal(nix::sys::signal::Signal::SIGCONT);
+        };
+        let (first, second, ()) = futures_util::join!(first, second, pause);
+        assert_eq!(outcome(&first.unwrap()).2, "s0 GET /v1/casks/c1 0");
+        assert_eq!(outcome(&second.unwrap()).2, "s9 GET /v1/casks/c2 0");
+        assert_eq!((old.runs(), new.runs()), (1, 1));
+    });
+}
+
 /// The controller falls silent. When the routes have run out the gate sends nothing more, holds a
 /// request for the bounded time and refuses it with the time to come back.
 #[test]
@@ -386,7 +479,14 @@
             monoio::time::sleep(Millis(100).duration()).await;
             gate.signal(nix::sys::signal::Signal::SIGTERM);
             until("the gate leaves", || !control.leaving.borrow().is_empty()).await;
-            control.publish("casks", 2, &[route(&target, "g0", 2)], 0);
+            // As the controller does it: nobody holds the slots until the old gate has none in use.
+            let nobody = ServerRoute {
+                gate: None,
+                ..route(&target, "g1", 2)
+            };
+            control.publish("casks", 2, &[nobody], 0);
+            until("the gate lets go", || control.knows("g1", "casks", 2)).await;
+            control.publish("casks", 3, &[route(&target, "g0", 2)], 0);
             control.publish_free("history", 2, &[history(&target, "g0")]);
             assert_eq!(gate.exit_code().await, Some(0));
         };
--- a/crates/chicoryrail-gate/tests/support/control.rs
+++ b/crates/chicoryrail-gate/tests/support/control.rs
@@ -11,6 +11,7 @@
 use chicoryrail_core::Epoch;
 use chicoryrail_core::Fence;
 use chicoryrail_core::HostName;
+use chicoryrail_core::KeyHash;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
 use chicoryrail_core::ShardId;
@@ -47,6 +48,8 @@
     pub orders: RefCell<HashMap<String, (u64, Option<OrderOutcome>)>>,
     /// Whether calls are left without an answer.
     pub silent: Cell<bool>,
+    /// Highest version of the configuration that a gate said to have.
+    pub applied: Cell<u64>,
 }
 
 impl Control {
@@ -72,6 +75,24 @@
         table.entries.clear();
     }
 
+    /// Publishes a keyed service in which one key has a slice of its own, owned by server 0; server
+    /// 1 owns the rest.
+    pub fn publish_hot(&self, service: &str, version: u64, servers: &[ServerRoute], key: &str) {
+        self.publish(service, version, servers, 1);
+        let at = KeyHash::of(key).0;
+        let slices = [(0, at - 1, 1), (at, at, 0), (at + 1, u64::MAX, 1)];
+        let mut tables = self.tables.borrow_mut();
+        let table = tables.last_mut().expect("a table was published");
+        table.entries = slices
+            .iter()
+            .map(|&(first, last, owner)| RouteEntry {
+                slice: Slice { first, last },
+                owner,
+                state: SliceState::Settled,
+            })
+            .collect();
+    }
+
     /// Publishes as [`Control::publish`] does, with the state of the only slice.
     pub fn publish_as(
         &self,
@@ -100,6 +121,11 @@
         tables.push(table);
     }
 
+    /// Tells whether a gate said that it has the version of the configuration.
+    pub fn asked(&self, version: u64) -> bool {
+        self.applied.get() >= version
+    }
+
     /// Tells whether the gate acknowledged a version of the service.
     pub fn knows(&self, gate: &str, service: &str, version: u64) -> bool {
         let known = self.known.borrow();
@@ -200,6 +226,7 @@
         }
         match request {
             Request::Config(request) => {
+                self.0.applied.set(self.0.applied.get().max(request.known));
                 let config = self.0.config.borrow().clone();
                 let newer = config.version() > request.known;
                 if !newer {
