feat(wire): a holder copies its shard to the deputy

Cause: a lost controller must not be noticed by callers, so somebody has to keep its sessions and routes valid until the take-over is through. Change: `DeputyCopy` (epoch, version, table, servers that may be renewed) and `DeputyReply` (version the deputy acts on, time since it last kept anything valid). The reply is what lets the holder take a slice away: no older version is acted on any more. New variants stand at the end of the two enums, so other messages keep their bytes.

--- a/crates/chicoryrail-wire/src/lib.rs
+++ b/crates/chicoryrail-wire/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod codec;
 mod config;
+mod deputy;
 mod error;
 mod membership;
 mod message;
@@ -32,6 +33,8 @@
 pub use codec::encode;
 pub use config::ConfigReply;
 pub use config::ConfigRequest;
+pub use deputy::DeputyCopy;
+pub use deputy::DeputyReply;
 pub use error::WireError;
 pub use membership::Heartbeat;
 pub use membership::HeartbeatReply;
--- a/crates/chicoryrail-wire/src/message.rs
+++ b/crates/chicoryrail-wire/src/message.rs
@@ -8,6 +8,8 @@
 use crate::ConfigRequest;
 use crate::Confirm;
 use crate::Confirmed;
+use crate::DeputyCopy;
+use crate::DeputyReply;
 use crate::Heartbeat;
 use crate::HeartbeatReply;
 use crate::OrderClaim;
@@ -51,6 +53,8 @@
         /// Whether the tables of the held shards are wanted.
         tables: bool,
     },
+    /// Copies a held shard to its deputy; controller to controller.
+    DeputyCopy(DeputyCopy),
 }
 
 /// The answer to a [`Request`].
@@ -74,6 +78,8 @@
     Status(StatusReply),
     /// The peer can't act on the call; the number is a [`ResultCode`].
     Refused(u16),
+    /// Answers [`Request::DeputyCopy`].
+    Deputy(DeputyReply),
 }
 
 impl Reply {
