--- a/crates/chicoryrail-core/src/lib.rs
+++ b/crates/chicoryrail-core/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod bundle;
+mod bundle_clash;
 mod bundle_error;
 mod config;
 mod digest;
@@ -22,6 +23,7 @@
 mod key_hash;
 mod millis;
 mod names;
+mod percent;
 mod result_code;
 mod shard;
 mod slice;
@@ -34,6 +36,7 @@
 pub use bundle::Kind;
 pub use bundle::Server;
 pub use bundle::Service;
+pub use bundle_clash::Clash;
 pub use bundle_error::BundleError;
 pub use config::Config;
 pub use config::Head;
@@ -49,6 +52,8 @@
 pub use names::ServerName;
 pub use names::ServiceName;
 pub use names::TeamName;
+pub use percent::percent_decode;
+pub use percent::percent_encode;
 pub use result_code::ResultCode;
 pub use shard::ShardId;
 pub use slice::Slice;
