--- a/crates/chicoryrail-policy/src/picker.rs
+++ b/crates/chicoryrail-policy/src/picker.rs
@@ -126,8 +126,8 @@
     fn cost(&self, now: Millis, peer: PeerId, guess: u32) -> u32 {
         match self.hints.get(&peer) {
             Some(h) if now.since(h.at) < HORIZON => {
-                let beyond = h.sent.saturating_sub(h.load.free);
                 let slots = h.load.slots.max(1);
+                let beyond = (h.sent + 1).saturating_sub(h.load.free.max(1));
                 let blocked = if h.load.slots == 0 { 8 } else { 1 };
                 HOP_US + (h.load.wait_us + beyond * h.load.service_us / slots) * blocked
             }
