feat(bench): cases cold-all and one-fails

Cause: a whole data centre that returns cold, and a server that fails quickly and so looks idle, had no figures. Change: two cases, the share of failed requests, a fake target that warms up anew where it gets more than it bears (cold-all only), and two regression tests.

--- a/crates/chicoryrail-bench/src/policy.rs
+++ b/crates/chicoryrail-bench/src/policy.rs
@@ -15,6 +15,7 @@
 mod world;
 
 pub use case::Case;
+pub use case::Sign;
 pub use case::Trouble;
 pub use case::Work;
 pub use report::CaseReport;
--- a/crates/chicoryrail-bench/src/policy/case.rs
+++ b/crates/chicoryrail-bench/src/policy/case.rs
@@ -6,6 +6,7 @@
 
 use crate::policy::spell::Spell;
 use crate::policy::spell::SpellKind;
+use crate::policy::target::COLD_US;
 
 /// One kind of work in a case.
 #[derive(Clone, Copy, Debug)]
@@ -20,6 +21,15 @@
     pub deadline_us: u64,
 }
 
+/// What shows that a target turned cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It restarts, which breaks its connections.
+    Restart,
+    /// Nothing but its next answers.
+    Answers,
+}
+
 /// What goes wrong in a case.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Trouble {
@@ -29,13 +39,31 @@
     Straggler,
     /// Every fifth second, half a second of four times the load.
     Burst,
-    /// A quarter of the targets turn cold at a quarter of the run, for three seconds.
+    /// Targets turn cold at a quarter of the run, for three seconds.
     Cold {
-        /// Whether they restart, which breaks their connections.
-        restart: bool,
+        /// One in how many.
+        one_in: usize,
+        /// What shows it.
+        sign: Sign,
+        /// Whether one that gets more than it bears starts to warm up anew.
+        falls: bool,
     },
-    /// Every target fails in the middle half of the run.
-    AllFail,
+    /// Targets fail in the middle half of the run.
+    Fail {
+        /// One in how many.
+        one_in: usize,
+    },
+}
+
+impl Trouble {
+    /// Tells whether every target is in it at the same time.
+    #[must_use]
+    pub const fn takes_all(self) -> bool {
+        matches!(
+            self,
+            Self::Cold { one_in: 1, .. } | Self::Fail { one_in: 1 }
+        )
+    }
 }
 
 /// A load, targets and what goes wrong.
@@ -60,6 +88,8 @@
 }
 
 const SECOND: u64 = 1_000_000;
+/// How much longer work takes at a cold target.
+const COLD_FACTOR: f64 = 5.0;
 
 const fn lookups(mean_us: f64, load: f64) -> Work {
     Work {
@@ -79,6 +109,14 @@
     }
 }
 
+const fn cold(one_in: usize, sign: Sign, falls: bool) -> Trouble {
+    Trouble::Cold {
+        one_in,
+        sign,
+        falls,
+    }
+}
+
 impl Case {
     fn new(name: &'static str, trouble: Trouble, work: &[Work]) -> Self {
         Self {
@@ -127,9 +165,11 @@
             ),
             new("saturation-2x", Trouble::None, &[lookups(4_000.0, 2.0)]),
             new("saturation-5x", Trouble::None, &[lookups(4_000.0, 5.0)]),
-            new("cold", Trouble::Cold { restart: true }, &usual),
-            new("cold-unseen", Trouble::Cold { restart: false }, &usual),
-            new("all-fail", Trouble::AllFail, &usual),
+            new("cold", cold(4, Sign::Restart, false), &usual),
+            new("cold-unseen", cold(4, Sign::Answers, false), &usual),
+            new("cold-all", cold(1, Sign::Restart, true), &usual),
+            new("one-fails", Trouble::Fail { one_in: 12 }, &usual),
+            new("all-fail", Trouble::Fail { one_in: 1 }, &usual),
         ]
     }
 
@@ -146,6 +186,15 @@
         self.servers as f64 * f64::from(self.slots) * 1e6 / self.work[0].mean_us
     }
 
+    /// Returns the requests a second that can be done where all targets turn cold together: the
+    /// offered ones while they are warm, one at a time and five times as slow while they are cold.
+    pub(crate) fn borne_while_cold(&self) -> f64 {
+        let load: f64 = self.work.iter().map(|w| w.load).sum();
+        let cold = COLD_US as f64 / self.length_us as f64;
+        let alone = self.servers as f64 * 1e6 / (self.work[0].mean_us * COLD_FACTOR);
+        self.capacity() * load * (1.0 - cold) + alone * cold
+    }
+
     /// Returns the factor on the load at `now`.
     pub(crate) fn factor(&self, now: u64) -> f64 {
         let burst = self.trouble == Trouble::Burst && now % (5 * SECOND) >= 9 * SECOND / 2;
@@ -167,20 +216,30 @@
                     t = to;
                 }
             }
-            Trouble::Cold { restart } => {
-                let (from, factor) = (end / 4, 5.0);
-                for spells in all.iter_mut().step_by(4) {
+            Trouble::Cold {
+                one_in,
+                sign,
+                falls,
+            } => {
+                let (from, factor) = (end / 4, COLD_FACTOR);
+                for spells in all.iter_mut().step_by(one_in) {
                     spells.push(Spell {
                         from: from + rng.random_range(0..SECOND / 2),
-                        to: from + 3 * SECOND,
-                        kind: SpellKind::Cold { factor, restart },
+                        to: from + COLD_US,
+                        kind: SpellKind::Cold {
+                            factor,
+                            sign,
+                            falls,
+                        },
                     });
                 }
             }
-            Trouble::AllFail => {
+            Trouble::Fail { one_in } => {
                 let (from, to) = (end / 4, end * 3 / 4);
-                let kind = SpellKind::Down;
-                all.fill(vec![Spell { from, to, kind }]);
+                for spells in all.iter_mut().step_by(one_in) {
+                    let kind = SpellKind::Down;
+                    spells.push(Spell { from, to, kind });
+                }
             }
         }
         all
--- a/crates/chicoryrail-bench/src/policy/report.rs
+++ b/crates/chicoryrail-bench/src/policy/report.rs
@@ -70,6 +70,8 @@
     pub batch_goodput: Spread,
     /// Part of the requests refused.
     pub refused: Spread,
+    /// Part of the requests that failed.
+    pub failed: Spread,
     /// Median time to a refusal in milliseconds.
     pub refused_ms: Spread,
     /// Part of the requests sent a second time while the first try was out.
@@ -97,6 +99,7 @@
             goodput: of(|s| s.goodput),
             batch_goodput: of(|s| s.batch_goodput),
             refused: of(|s| s.refused),
+            failed: of(|s| s.failed),
             refused_ms: of(|s| s.refused_ms),
             extra: of(|s| s.extra),
             cold_over: of(|s| s.cold_over),
@@ -178,7 +181,7 @@
             )?;
             writeln!(
                 f,
-                "  {:<15}{:>8}{:>9}{:>9}{:>9}{:>8}{:>9}{:>9}{:>8}{:>6}{:>7}{:>8}{:>8}",
+                "  {:<15}{:>8}{:>9}{:>9}{:>9}{:>8}{:>9}{:>9}{:>8}{:>8}{:>6}{:>7}{:>8}{:>8}",
                 "scheme",
                 "p50 ms",
                 "p99 ms",
@@ -187,6 +190,7 @@
                 "batch",
                 "refused",
                 "ref. ms",
+                "failed",
                 "extra",
                 "cold",
                 "known",
@@ -209,7 +213,7 @@
 fn row(f: &mut fmt::Formatter<'_>, s: &SchemeReport) -> fmt::Result {
     writeln!(
         f,
-        "  {:<15}{:>8.2}{:>9.2}{:>9.2}{:>9.0}{:>8.1}{:>8.2}%{:>9.2}{:>7.2}%{:>6.1}{:>7.1}{:>8.3}{:>8}",
+        "  {:<15}{:>8.2}{:>9.2}{:>9.2}{:>9.0}{:>8.1}{:>8.2}%{:>9.2}{:>7.2}%{:>7.2}%{:>6.1}{:>7.1}{:>8.3}{:>8}",
         s.name,
         s.p50_ms.median,
         s.p99_ms.median,
@@ -218,6 +222,7 @@
         s.batch_goodput.median,
         s.refused.median * 100.0,
         s.refused_ms.median,
+        s.failed.median * 100.0,
         s.extra.median * 100.0,
         s.cold_over.max,
         s.cold_over_known.max,
--- a/crates/chicoryrail-bench/src/policy/score.rs
+++ b/crates/chicoryrail-bench/src/policy/score.rs
@@ -23,6 +23,8 @@
     pub offered: u64,
     /// Part of the requests that were refused.
     pub refused: f64,
+    /// Part of the requests that failed: neither answered, refused nor late.
+    pub failed: f64,
     /// Median time to a refusal in milliseconds.
     pub refused_ms: f64,
     /// Part of the requests that were sent to a second target while a first one had them.
@@ -48,6 +50,7 @@
     good: u64,
     good_batch: u64,
     pub(crate) offered: u64,
+    pub(crate) failed: u64,
     pub(crate) hedged: u64,
     pub(crate) fail_first: u64,
     pub(crate) fail_sent: u64,
@@ -92,6 +95,7 @@
             batch_goodput: self.good_batch as f64 / seconds,
             offered: self.offered,
             refused: part(self.refusals.len() as u64, self.offered),
+            failed: part(self.failed, self.offered),
             refused_ms: quantile(&self.refusals, 0.5),
             extra: part(self.hedged, self.offered),
             cold_over: f64::from(over),
--- a/crates/chicoryrail-bench/src/policy/spell.rs
+++ b/crates/chicoryrail-bench/src/policy/spell.rs
@@ -1,5 +1,7 @@
 //! Stretches of time in which a fake target behaves badly.
 
+use crate::policy::Sign;
+
 /// A stretch of time in which a fake target behaves badly; times in microseconds.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Spell {
@@ -17,8 +19,10 @@
     Cold {
         /// How much longer work takes.
         factor: f64,
-        /// Whether the process restarted, which breaks its connections.
-        restart: bool,
+        /// What shows it.
+        sign: Sign,
+        /// Whether more than that makes it warm up anew.
+        falls: bool,
     },
     /// Half of the requests are refused at once, the others run and their answers are cut.
     Down,
--- a/crates/chicoryrail-bench/src/policy/target.rs
+++ b/crates/chicoryrail-bench/src/policy/target.rs
@@ -3,6 +3,9 @@
 use crate::policy::spell::Spell;
 use crate::policy::spell::SpellKind;
 
+/// Time in which a cold target warms up where it gets no more than it bears.
+pub(crate) const COLD_US: u64 = 3_000_000;
+
 /// A fake target with its bad spells laid out before the run.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Target {
@@ -37,12 +40,25 @@
         if self.is_cold(now) {
             let n = self.flight.len() as u32;
             self.over = self.over.max(n);
+            if n > 1 {
+                self.fall(now);
+            }
             if self.known {
                 self.over_known = self.over_known.max(n);
             }
         }
     }
 
+    /// Starts a cold spell anew, as long as it was at first.
+    fn fall(&mut self, now: u64) {
+        let spell = self.spells.iter_mut().find(|s| s.from <= now && now < s.to);
+        if let Some(s) = spell
+            && matches!(s.kind, SpellKind::Cold { falls: true, .. })
+        {
+            s.to = s.to.max(now + COLD_US);
+        }
+    }
+
     pub(crate) fn end(&mut self, copy: usize) {
         self.flight.retain(|c| *c != copy);
     }
--- a/crates/chicoryrail-bench/src/policy/verdict.rs
+++ b/crates/chicoryrail-bench/src/policy/verdict.rs
@@ -7,6 +7,7 @@
 
 use crate::policy::Case;
 use crate::policy::Score;
+use crate::policy::Sign;
 use crate::policy::Spread;
 use crate::policy::case::Trouble;
 
@@ -105,9 +106,9 @@
                 0.6,
             ));
         }
-        Trouble::Cold { restart } => {
+        Trouble::Cold { sign, .. } => {
             let over = Verdict::most("in flight over borne", of(|s| s.cold_over), 1.0);
-            all.push(if restart {
+            all.push(if sign == Sign::Restart {
                 over
             } else {
                 over.bound(
@@ -115,14 +116,23 @@
                      told from a warm one; its first answer is the first sign",
                 )
             });
+            if case.trouble.takes_all() {
+                let borne = case.borne_while_cold();
+                let goodput = ours.iter().map(|s| s.goodput / borne).collect();
+                all.push(Verdict::least("goodput over what is borne", goodput, 0.95));
+            }
             let known = of(|s| s.cold_over_known);
             all.push(Verdict::most("the same from the first sign", known, 1.0));
         }
-        Trouble::AllFail => {
+        Trouble::Fail { one_in: 1 } => {
+            let sent = of(|s| s.amplification);
+            all.push(Verdict::most("retry amplification", sent, 1.1));
+        }
+        Trouble::Fail { .. } => {
             all.push(Verdict::most(
-                "retry amplification",
-                of(|s| s.amplification),
-                1.1,
+                "failed over best",
+                over_least(|s| s.failed),
+                0.5,
             ));
         }
         Trouble::None | Trouble::Burst => {}
--- a/crates/chicoryrail-bench/src/policy/world.rs
+++ b/crates/chicoryrail-bench/src/policy/world.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::policy::Sign;
 use crate::policy::baseline::Baseline;
 use crate::policy::case::Case;
 use crate::policy::event::At;
@@ -150,12 +151,12 @@
         }
         for server in 0..case.servers {
             for spell in core.targets[server].spells.clone() {
-                match spell.kind {
-                    SpellKind::Cold { restart: true, .. } => {
-                        core.at(spell.from, Event::Restart(server));
-                    }
-                    SpellKind::Cold { .. } => core.at(spell.from, Event::Unseen(server)),
-                    SpellKind::Slow(_) | SpellKind::Down => {}
+                if let SpellKind::Cold { sign, .. } = spell.kind {
+                    let event = match sign {
+                        Sign::Restart => Event::Restart(server),
+                        Sign::Answers => Event::Unseen(server),
+                    };
+                    core.at(spell.from, event);
                 }
             }
         }
@@ -300,7 +301,9 @@
     }
 
     pub(crate) fn fail(&mut self, request: usize) {
-        self.requests[request].done = true;
+        let r = &mut self.requests[request];
+        self.tally.failed += u64::from(!r.done);
+        r.done = true;
     }
 
     fn late(&mut self, request: usize) {
--- a/crates/chicoryrail-bench/tests/policy.rs
+++ b/crates/chicoryrail-bench/tests/policy.rs
@@ -197,3 +197,25 @@
         assert!(ours.extra <= 0.03, "{ours:?}");
     }
 }
+
+// All targets restart at once, and one that gets more than it bears starts to warm up anew. Callers
+// beyond what cold targets bear are refused for the three seconds of the warm-up, and then served;
+// plain schemes keep the targets cold for good.
+#[test]
+fn service_returns_from_a_cold_start_of_all_targets() {
+    let case = case("cold-all", 12);
+    for (ours, best) in against(&case, f64::max, |s| s.goodput) {
+        assert!(ours.cold_over <= 1.0, "{ours:?}");
+        assert!(ours.goodput >= 1.3 * best, "{ours:?} against {best}");
+    }
+}
+
+// One server refuses or cuts every request, and so always looks idle. It is left alone but for a
+// probe now and then, and what it refused is done elsewhere.
+#[test]
+fn failing_server_draws_no_work() {
+    let case = case("one-fails", 8);
+    for (ours, best) in against(&case, f64::min, |s| s.failed) {
+        assert!(ours.failed <= 0.1 * best, "{ours:?} against {best}");
+    }
+}
