--- a/crates/chicoryrail-admin/src/admin.rs
+++ b/crates/chicoryrail-admin/src/admin.rs
@@ -59,7 +59,7 @@
             "Audit records that could not be written to the store",
         );
         Self {
-            records: Records::new(store, process.events.clone()),
+            records: Records::new(store, &process),
             access,
             fleet: Fleet::new(own, list),
             calls,
--- a/crates/chicoryrail-admin/src/records.rs
+++ b/crates/chicoryrail-admin/src/records.rs
@@ -23,6 +23,8 @@
 use chicoryrail_platform::StoreError;
 use chicoryrail_runtime::EventKind;
 use chicoryrail_runtime::EventRing;
+use chicoryrail_runtime::Process;
+use prometheus::IntCounterVec;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -69,6 +71,7 @@
 #[derive(Clone, Debug)]
 pub struct Records<S> {
     store: S,
+    calls: IntCounterVec,
     events: EventRing,
     down: Rc<Cell<bool>>,
 }
@@ -76,10 +79,16 @@
 impl<S: Store> Records<S> {
     /// Wraps a store.
     #[must_use]
-    pub fn new(store: S, events: EventRing) -> Self {
+    pub fn new(store: S, process: &Process) -> Self {
+        let calls = process.metrics.counters(
+            "store_calls_total",
+            "Calls to the platform's store, a waiting watch as one",
+            &["call"],
+        );
         Self {
             store,
-            events,
+            calls,
+            events: process.events.clone(),
             down: Rc::default(),
         }
     }
@@ -179,16 +188,19 @@
         expect: u64,
         value: &str,
     ) -> Result<u64, StoreError> {
+        self.calls.with_label_values(&["swap"]).inc();
         let result = self.store.swap(key, expect, value).await;
         self.note(result)
     }
 
     pub(crate) async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
+        self.calls.with_label_values(&["get"]).inc();
         let result = self.store.get(key).await;
         self.note(result)
     }
 
     async fn all<T: DeserializeOwned>(&self, prefix: &str) -> Result<Vec<(Digest, T)>, ApiError> {
+        self.calls.with_label_values(&["list"]).inc();
         let result = self.store.list(prefix).await;
         let mut found = Vec::new();
         for record in self.note(result)? {
