--- a/crates/chicoryrail-admin/src/records.rs
+++ b/crates/chicoryrail-admin/src/records.rs
@@ -58,6 +58,10 @@
     pub signature: String,
 }
 
+/// How often a read is tried. One lost answer must not refuse an operator's call; a store that is
+/// down is told after two limits of a call, a second.
+const READ_TRIES: u32 = 2;
+
 /// What a list tells of a bundle.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct BundleInfo {
@@ -194,16 +198,28 @@
     }
 
     pub(crate) async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
-        self.calls.with_label_values(&["get"]).inc();
-        let result = self.store.get(key).await;
-        self.note(result)
+        self.read("get", || self.store.get(key)).await
+    }
+
+    /// Repeats a read whose answer was lost: reads change nothing.
+    async fn read<T, F>(&self, call: &str, read: impl Fn() -> F) -> Result<T, StoreError>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let mut tries = 1;
+        loop {
+            self.calls.with_label_values(&[call]).inc();
+            let result = self.note(read().await);
+            if tries == READ_TRIES || !matches!(result, Err(StoreError::Down { .. })) {
+                return result;
+            }
+            tries += 1;
+        }
     }
 
     async fn all<T: DeserializeOwned>(&self, prefix: &str) -> Result<Vec<(Digest, T)>, ApiError> {
-        self.calls.with_label_values(&["list"]).inc();
-        let result = self.store.list(prefix).await;
         let mut found = Vec::new();
-        for record in self.note(result)? {
+        for record in self.read("list", || self.store.list(prefix)).await? {
             let digest = record.key.strip_prefix(prefix).and_then(Digest::parse);
             if let Some(digest) = digest {
                 found.push((digest, parse(&record)?));
