--- a/crates/chicoryrail-testkit/tests/proxy.rs
+++ b/crates/chicoryrail-testkit/tests/proxy.rs
@@ -11,6 +11,7 @@
 
 use chicoryrail_testkit::Link;
 use chicoryrail_testkit::LinkFault;
+use chicoryrail_testkit::LinkStats;
 use chicoryrail_testkit::Net;
 
 /// Answers each connection's bytes with the same bytes.
@@ -52,8 +53,12 @@
 
 /// Waits until the link has passed `up` bytes up.
 fn wait_up(link: &Link, up: u64) {
+    wait_for(link, |s| s.up >= up);
+}
+
+fn wait_for(link: &Link, met: impl Fn(&LinkStats) -> bool) {
     let until = Instant::now() + Duration::from_secs(20);
-    while link.stats().up < up {
+    while !met(&link.stats()) {
         assert!(Instant::now() < until, "{:?}", link.stats());
         std::thread::sleep(Duration::from_millis(1));
     }
@@ -107,6 +112,8 @@
     let mut answer = Vec::new();
     let _ = stream.read_to_end(&mut answer);
     assert_eq!(answer, b"");
+    // The link counts the break after it has closed the connection.
+    wait_for(&link, |s| s.broken > 0);
     let stats = link.stats();
     assert_eq!((stats.up, stats.down, stats.broken), (5, 0, 1));
 }
