--- a/crates/chicoryrail-testkit/src/cluster/ports.rs
+++ b/crates/chicoryrail-testkit/src/cluster/ports.rs
@@ -1,4 +1,4 @@
-//! Free ports of the loopback address.
+//! Free ports of a loopback address.
 
 use std::collections::HashSet;
 use std::io;
@@ -19,7 +19,18 @@
 
 static TAKEN: LazyLock<Mutex<HashSet<u16>>> = LazyLock::new(Mutex::default);
 
-/// Returns an address on the loopback address that nobody listens on, once in this process.
+/// Returns the loopback address that is this process's own.
+///
+/// Several test processes run clusters at a time. With one address for all, a port that was free when
+/// it was drawn was another cluster's a moment later; callers of one then reached servers of both,
+/// and the checker found two owners. Ids of living processes differ, and so do these addresses.
+fn own_address() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 0x40 | (high & 0x3f), middle, low)
+}
+
+/// Returns an address of this process's own loopback address that nobody listens on, once in this
+/// process.
 ///
 /// # Errors
 ///
@@ -30,7 +41,7 @@
         .unwrap_or_else(std::sync::PoisonError::into_inner);
     for _ in 0..DRAWS {
         let port = rand::rng().random_range(RANGE);
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        let addr = SocketAddr::from((own_address(), port));
         if !taken.contains(&port) && TcpListener::bind(addr).is_ok() {
             taken.insert(port);
             return Ok(addr);
