feat(runtime): bind a listener alone on its address

Cause: monoio's TcpListener::bind sets SO_REUSEPORT. Change: bind(flag, addr) opens the listener without it and names the flag in the error. Conclusion: the administration API uses it next; gate, controller and stand-ins still call TcpListener::bind.

--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(seen >= chicoryrail_core::Millis(2));
 //! ```
 
+mod bind;
 mod body;
 mod clock;
 mod event;
@@ -28,6 +29,7 @@
 mod settings;
 mod start;
 
+pub use bind::bind;
 pub use body::Body;
 pub use body::collect;
 pub use body::empty;
