--- a/crates/chicoryrail-admin/src/run.rs
+++ b/crates/chicoryrail-admin/src/run.rs
@@ -9,6 +9,7 @@
 use chicoryrail_runtime::EventKind;
 use chicoryrail_runtime::HttpLimits;
 use chicoryrail_runtime::Process;
+use chicoryrail_runtime::bind;
 use chicoryrail_runtime::block_on;
 use chicoryrail_runtime::exit_with;
 use chicoryrail_runtime::init_logs;
@@ -54,12 +55,9 @@
     if let Err(e) = stop_on_signal(process.stop.clone()) {
         return exit_with(ResultCode::Internal, &format!("signals: {e}"));
     }
-    let listener = match TcpListener::bind(settings.listen) {
+    let listener = match bind("listen", settings.listen) {
         Ok(listener) => listener,
-        Err(e) => {
-            let text = format!("--listen = {}: {e}", settings.listen);
-            return exit_with(ResultCode::SettingInvalid, &text);
-        }
+        Err(e) => return exit_with(ResultCode::SettingInvalid, &e.to_string()),
     };
     let store = HttpStore::new(settings.store);
     let access = Access::new(settings.operators, tokens);
--- a/crates/chicoryrail-admin/tests/process.rs
+++ b/crates/chicoryrail-admin/tests/process.rs
@@ -279,6 +279,30 @@
     assert_eq!(child.wait().unwrap().code(), Some(0));
 }
 
+/// A second process is given the address of the first by mistake. It must not take a part of the
+/// first one's calls.
+#[test]
+fn an_address_in_use_is_refused() {
+    let platform = Platform::start();
+    let listen = platform.admins[0].0.to_string();
+    let output = Command::new(env!("CARGO_BIN_EXE_chicoryrail-admin"))
+        .args([
+            "--host",
+            "entry-1",
+            "--data-centre",
+            "a",
+            "--listen",
+            &listen,
+        ])
+        .args(["--store", "127.0.0.1:1", "--host-list", "127.0.0.1:1"])
+        .output()
+        .unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    let expected = format!("error 4000: --listen = {listen}: ");
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text.starts_with(&expected), "{text}");
+}
+
 #[rstest]
 #[case::port(&["--listen", "127.0.0.1:99999"], "--listen = 127.0.0.1:99999")]
 #[case::host(&["--host", "Entry 1"], "--host")]
