--- a/crates/chicoryrail-bench/src/policy.rs
+++ b/crates/chicoryrail-bench/src/policy.rs
@@ -3,8 +3,10 @@
 
 mod baseline;
 mod case;
+mod event;
 mod gates;
 mod report;
+mod request;
 mod scheme;
 mod score;
 mod spell;
@@ -13,6 +15,7 @@
 mod world;
 
 pub use case::Case;
+pub use case::Sign;
 pub use case::Trouble;
 pub use case::Work;
 pub use report::CaseReport;
--- a/crates/chicoryrail-bench/src/policy/report.rs
+++ b/crates/chicoryrail-bench/src/policy/report.rs
@@ -60,12 +60,18 @@
     pub p99_ms: Spread,
     /// 99.9th percentile.
     pub p999_ms: Spread,
+    /// 99th percentile of the lookups of all keys but the most wanted one.
+    pub others_p99_ms: Spread,
+    /// Part of the requests of those keys that was refused.
+    pub others_refused: Spread,
     /// Requests answered in time, a second.
     pub goodput: Spread,
     /// Batch among them.
     pub batch_goodput: Spread,
     /// Part of the requests refused.
     pub refused: Spread,
+    /// Part of the requests that failed.
+    pub failed: Spread,
     /// Median time to a refusal in milliseconds.
     pub refused_ms: Spread,
     /// Part of the requests sent a second time while the first try was out.
@@ -88,9 +94,12 @@
             p50_ms: of(|s| s.p50_ms),
             p99_ms: of(|s| s.p99_ms),
             p999_ms: of(|s| s.p999_ms),
+            others_p99_ms: of(|s| s.others_p99_ms),
+            others_refused: of(|s| s.others_refused),
             goodput: of(|s| s.goodput),
             batch_goodput: of(|s| s.batch_goodput),
             refused: of(|s| s.refused),
+            failed: of(|s| s.failed),
             refused_ms: of(|s| s.refused_ms),
             extra: of(|s| s.extra),
             cold_over: of(|s| s.cold_over),
@@ -172,7 +181,7 @@
             )?;
             writeln!(
                 f,
-                "  {:<15}{:>8}{:>9}{:>9}{:>9}{:>8}{:>9}{:>9}{:>8}{:>6}{:>7}{:>8}{:>8}",
+                "  {:<15}{:>8}{:>9}{:>9}{:>9}{:>8}{:>9}{:>9}{:>8}{:>8}{:>6}{:>7}{:>8}{:>8}",
                 "scheme",
                 "p50 ms",
                 "p99 ms",
@@ -181,6 +190,7 @@
                 "batch",
                 "refused",
                 "ref. ms",
+                "failed",
                 "extra",
                 "cold",
                 "known",
@@ -203,7 +213,7 @@
 fn row(f: &mut fmt::Formatter<'_>, s: &SchemeReport) -> fmt::Result {
     writeln!(
         f,
-        "  {:<15}{:>8.2}{:>9.2}{:>9.2}{:>9.0}{:>8.1}{:>8.2}%{:>9.2}{:>7.2}%{:>6.1}{:>7.1}{:>8.3}{:>8}",
+        "  {:<15}{:>8.2}{:>9.2}{:>9.2}{:>9.0}{:>8.1}{:>8.2}%{:>9.2}{:>7.2}%{:>7.2}%{:>6.1}{:>7.1}{:>8.3}{:>8}",
         s.name,
         s.p50_ms.median,
         s.p99_ms.median,
@@ -212,6 +222,7 @@
         s.batch_goodput.median,
         s.refused.median * 100.0,
         s.refused_ms.median,
+        s.failed.median * 100.0,
         s.extra.median * 100.0,
         s.cold_over.max,
         s.cold_over_known.max,
