fix(gate): a gate without servers of a free service knows the others at once

Cause: a table was applied, and the other gates taken from it, before its validity was renewed; with no later table the list of gates stayed empty. Conclusion: 'held' requests at a gate without a fault are worth an alert.

--- a/crates/chicoryrail-gate/src/route_task.rs
+++ b/crates/chicoryrail-gate/src/route_task.rs
@@ -120,6 +120,9 @@
             }
         }
     }
+    // The tables above were applied before their validity was known; without this a gate that holds
+    // no server of a free service knew no way to it for as long as its table stayed the same.
+    gate.check_routes(gate.now());
     whole
 }
 
--- a/crates/chicoryrail-gate/tests/callers.rs
+++ b/crates/chicoryrail-gate/tests/callers.rs
@@ -212,6 +212,37 @@
     });
 }
 
+/// The first table of a free service comes after the configuration, names only servers of the other
+/// gate, and stays as it is. A caller of the gate without servers is answered all the same, through
+/// the other gate; before, its requests were held until their deadline, since the table was read
+/// before its validity was known.
+#[test]
+fn a_gate_without_servers_sends_through_the_other_from_the_first_table_on() {
+    block_on(async {
+        let world = World::start(2, &["--hold-ms", "1000"]);
+        let kits = Target::start("s1");
+        let lessons = Target::start("s2");
+        world.control.set_bundle(1, BUNDLE);
+        for gate in &world.gates {
+            while !outcome(&get(gate.observe, "/events").await.unwrap())
+                .2
+                .contains("config-applied")
+            {
+                monoio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+        }
+        let servers = [route(&kits, "g0", 2), route(&kits, "g0", 2)];
+        world.control.publish("kits", 1, &servers, 1);
+        world
+            .control
+            .publish_free("lessons", 1, &[route(&lessons, "g0", 2)]);
+        world.ready().await;
+        let answer = get(world.callers(1), "/v1/kits/lessons/x").await.unwrap();
+        let body = "s2 GET /v1/kits/lessons/x 0".to_owned();
+        assert_eq!(outcome(&answer), (200, None, body));
+    });
+}
+
 #[test]
 fn the_process_uses_no_io_uring() {
     block_on(async {
