--- a/crates/chicoryrail-testkit/src/cluster.rs
+++ b/crates/chicoryrail-testkit/src/cluster.rs
@@ -1,13 +1,16 @@
 //! Real processes of a whole deployment, started and stopped by a test or a chore.
 
+mod control;
 mod deployment;
 mod error;
 mod harness;
 mod http;
 mod links;
 mod member;
+mod operate;
 mod options;
 mod plan;
+mod platform;
 mod ports;
 mod process;
 
--- a/crates/chicoryrail-testkit/src/cluster/http.rs
+++ b/crates/chicoryrail-testkit/src/cluster/http.rs
@@ -1,6 +1,8 @@
 //! Calls from code that runs on no runtime.
 
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
@@ -54,3 +56,23 @@
         Ok((200, _))
     )
 }
+
+/// Waits until a `GET` is answered with status 200.
+pub(crate) fn wait_answer(
+    addr: SocketAddr,
+    path: &str,
+    limit: Millis,
+    what: &str,
+) -> Result<(), ClusterError> {
+    let until = Instant::now() + limit.duration();
+    while Instant::now() < until {
+        if is_ok(addr, path, Millis(1_000)) {
+            return Ok(());
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    Err(ClusterError::Late {
+        what: what.to_owned(),
+        limit_ms: limit.0,
+    })
+}
