--- a/crates/chicoryrail-testkit/src/chaos/act.rs
+++ b/crates/chicoryrail-testkit/src/chaos/act.rs
@@ -2,12 +2,12 @@
 
 use chicoryrail_core::Millis;
 
+use crate::GateTime;
 use crate::Link;
 use crate::LinkFault;
 use crate::Member;
 use crate::OutPeriod;
 use crate::Pause;
-use crate::PlannedStop;
 use crate::StoreFault;
 use crate::TargetFault;
 use crate::chaos::Fault;
@@ -31,7 +31,7 @@
         Fault::KillController { host, for_ms } => kill(scene, &[Member::Controller(host)], for_ms),
         Fault::KillHost { host, for_ms } => kill(scene, &host_members(host), for_ms),
         Fault::KillTarget { target, for_ms } => kill(scene, &[Member::Target(target)], for_ms),
-        Fault::PauseGate { host, for_ms } => pause(scene, Member::Gate(host), for_ms),
+        Fault::PauseGate { host, for_ms } => pause_gate(scene, host, for_ms),
         Fault::PauseController { host, for_ms } => pause(scene, Member::Controller(host), for_ms),
         Fault::PauseTarget { target, for_ms } => pause_target(scene, target, for_ms),
         Fault::Partition { host, ways, for_ms } => {
@@ -109,6 +109,15 @@
     Ok(())
 }
 
+fn pause_gate(scene: &Scene, host: usize, for_ms: u64) -> Result<(), String> {
+    let from = wall_micros();
+    pause(scene, Member::Gate(host), for_ms)?;
+    let gate = scene.cluster().hosts()[host].callers;
+    let until = wall_micros();
+    scene.done().frozen.push(GateTime { gate, from, until });
+    Ok(())
+}
+
 fn pause_target(scene: &Scene, target: usize, for_ms: u64) -> Result<(), String> {
     let from = wall_micros();
     pause(scene, Member::Target(target), for_ms)?;
@@ -348,7 +357,7 @@
     scene.cluster().kill(member);
     if let Member::Gate(host) = member {
         let gate = scene.cluster().hosts()[host].callers;
-        scene.done().stops.push(PlannedStop { gate, from, until });
+        scene.done().stops.push(GateTime { gate, from, until });
     }
     if ended {
         Ok(())
--- a/crates/chicoryrail-testkit/src/chaos/run.rs
+++ b/crates/chicoryrail-testkit/src/chaos/run.rs
@@ -12,10 +12,10 @@
 use crate::ClusterError;
 use crate::ClusterOptions;
 use crate::Evidence;
+use crate::GateTime;
 use crate::Load;
 use crate::LoadOptions;
 use crate::LoadService;
-use crate::PlannedStop;
 use crate::Summary;
 use crate::chaos::FaultRecord;
 use crate::chaos::fault::Sizes;
@@ -118,11 +118,13 @@
         outs,
         pauses,
         stops,
+        frozen,
     } = std::mem::take(&mut *scene.done());
     faults.sort_by_key(|f| f.from);
     let seen = Evidence {
         outs,
         pauses,
+        frozen,
         stops: undisturbed(stops, &faults),
         ..cluster.evidence(records)?
     };
@@ -153,8 +155,8 @@
 }
 
 /// Returns the planned stops during which no other fault was on: only those must cut no request.
-fn undisturbed(stops: Vec<PlannedStop>, faults: &[FaultRecord]) -> Vec<PlannedStop> {
-    let disturbed = |s: &PlannedStop| {
+fn undisturbed(stops: Vec<GateTime>, faults: &[FaultRecord]) -> Vec<GateTime> {
+    let disturbed = |s: &GateTime| {
         faults
             .iter()
             .filter(|f| !f.fault.is_planned())
--- a/crates/chicoryrail-testkit/src/chaos/scene.rs
+++ b/crates/chicoryrail-testkit/src/chaos/scene.rs
@@ -10,9 +10,9 @@
 use std::time::Instant;
 
 use crate::Cluster;
+use crate::GateTime;
 use crate::OutPeriod;
 use crate::Pause;
-use crate::PlannedStop;
 use crate::chaos::lane::FaultRecord;
 use crate::chaos::operator::Operator;
 
@@ -25,7 +25,8 @@
     pub(crate) faults: Vec<FaultRecord>,
     pub(crate) outs: Vec<OutPeriod>,
     pub(crate) pauses: Vec<Pause>,
-    pub(crate) stops: Vec<PlannedStop>,
+    pub(crate) stops: Vec<GateTime>,
+    pub(crate) frozen: Vec<GateTime>,
 }
 
 /// A cluster under faults.
--- a/crates/chicoryrail-testkit/src/checker/answers.rs
+++ b/crates/chicoryrail-testkit/src/checker/answers.rs
@@ -2,8 +2,8 @@
 
 use crate::CallRecord;
 use crate::Evidence;
+use crate::GateTime;
 use crate::Outcome;
-use crate::PlannedStop;
 use crate::Violation;
 
 /// Time after a gate's end in which a caller notices that its connection has ended.
@@ -18,7 +18,7 @@
                 reason: reason.clone(),
             });
         }
-        if record.hung {
+        if record.hung && !seen.frozen.iter().any(|f| was_frozen(record, f)) {
             found.push(Violation::Hung {
                 request: record.request.clone(),
             });
@@ -32,8 +32,13 @@
     found
 }
 
+/// Tells whether the gate was paused while the request was there; a paused gate can answer nobody.
+fn was_frozen(record: &CallRecord, frozen: &GateTime) -> bool {
+    record.gate == frozen.gate && record.ended >= frozen.from && record.intended <= frozen.until
+}
+
 /// Tells whether the connection of a request to the stopping gate ended without an answer.
-fn is_cut(record: &CallRecord, stop: &PlannedStop) -> bool {
+fn is_cut(record: &CallRecord, stop: &GateTime) -> bool {
     record.gate == stop.gate
         && record.outcome == Outcome::Unknown
         && record.status == 0
--- a/crates/chicoryrail-testkit/src/checker/evidence.rs
+++ b/crates/chicoryrail-testkit/src/checker/evidence.rs
@@ -27,7 +27,9 @@
     /// Times in which servers were paused.
     pub pauses: Vec<Pause>,
     /// Planned stops of gates during which nothing else was wrong.
-    pub stops: Vec<PlannedStop>,
+    pub stops: Vec<GateTime>,
+    /// Times in which gates were paused.
+    pub frozen: Vec<GateTime>,
 }
 
 impl Evidence {
@@ -53,14 +55,14 @@
     pub until: u64,
 }
 
-/// A planned stop of a gate, wall clock in microseconds.
+/// A time of a gate, wall clock in microseconds: of a planned stop or of a pause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlannedStop {
+pub struct GateTime {
     /// The gate's listener for callers.
     pub gate: SocketAddr,
-    /// When it was asked to stop.
+    /// When it was asked to stop, or was paused.
     pub from: u64,
-    /// When it had ended.
+    /// When it had ended, or went on.
     pub until: u64,
 }
 
