fix(testkit): a data centre is out for one lane at a time

tanduay data-centre-out reported 44 times work on a server that was out. A lane now leaves a data centre that the other has taken out.

--- a/crates/chicoryrail-testkit/src/chaos/act.rs
+++ b/crates/chicoryrail-testkit/src/chaos/act.rs
@@ -76,7 +76,14 @@
             Ok(())
         }
         Fault::RacingOperators => race(scene),
-        Fault::DataCentreOut { centre, for_ms } => centre_out(scene, centre, for_ms, seed),
+        Fault::DataCentreOut { centre, for_ms } => {
+            if !scene.claim_centre(centre) {
+                return Err("another lane has it out".to_owned());
+            }
+            let result = centre_out(scene, centre, for_ms, seed);
+            scene.free_centre(centre);
+            result
+        }
         Fault::RollingRestart => rolling_restart(scene),
         _ => target_fault(scene, fault),
     }
--- a/crates/chicoryrail-testkit/src/chaos/scene.rs
+++ b/crates/chicoryrail-testkit/src/chaos/scene.rs
@@ -1,5 +1,6 @@
 //! The cluster as the lanes of a chaos run share it.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -37,6 +38,8 @@
 pub(crate) struct Scene {
     cluster: Mutex<Cluster>,
     done: Mutex<Done>,
+    /// Data centres that a lane has taken out.
+    out: Mutex<BTreeSet<usize>>,
     stop: Arc<AtomicBool>,
     /// Acts of operators; they don't need the cluster's lock.
     pub(crate) operator: Operator,
@@ -48,6 +51,7 @@
             operator: Operator::new(&cluster),
             cluster: Mutex::new(cluster),
             done: Mutex::default(),
+            out: Mutex::default(),
             stop,
         }
     }
@@ -60,6 +64,19 @@
         self.done.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes a data centre for one lane; `false` where another lane has it out. Two lanes with the
+    /// same one would each bring it back while the other holds it to be out.
+    pub(crate) fn claim_centre(&self, centre: usize) -> bool {
+        let mut out = self.out.lock().unwrap_or_else(PoisonError::into_inner);
+        out.insert(centre)
+    }
+
+    /// Gives a data centre back.
+    pub(crate) fn free_centre(&self, centre: usize) {
+        let mut out = self.out.lock().unwrap_or_else(PoisonError::into_inner);
+        out.remove(&centre);
+    }
+
     pub(crate) fn is_stopped(&self) -> bool {
         self.stop.load(Relaxed)
     }
