feat(testkit): chaos tells how many orders were answered

The summary now has order_share and orders_by_fault. Acts of operators are made by one lane at a time: with rolling restarts only, one lane started the admin process whose end the other waited for, and reported that it did not stop.

--- a/crates/chicoryrail-testkit/src/chaos/act.rs
+++ b/crates/chicoryrail-testkit/src/chaos/act.rs
@@ -77,14 +77,10 @@
         }
         Fault::RacingOperators => race(scene),
         Fault::DataCentreOut { centre, for_ms } => {
-            if !scene.claim_centre(centre) {
-                return Err("another lane has it out".to_owned());
-            }
-            let result = centre_out(scene, centre, for_ms, seed);
-            scene.free_centre(centre);
-            result
+            let name = format!("data centre {centre}");
+            scene.alone(&name, || centre_out(scene, centre, for_ms, seed))
         }
-        Fault::RollingRestart => rolling_restart(scene),
+        Fault::RollingRestart => scene.alone("a rolling restart", || rolling_restart(scene)),
         _ => target_fault(scene, fault),
     }
 }
--- a/crates/chicoryrail-testkit/src/chaos/scene.rs
+++ b/crates/chicoryrail-testkit/src/chaos/scene.rs
@@ -38,8 +38,8 @@
 pub(crate) struct Scene {
     cluster: Mutex<Cluster>,
     done: Mutex<Done>,
-    /// Data centres that a lane has taken out.
-    out: Mutex<BTreeSet<usize>>,
+    /// Acts of operators that a lane is at.
+    claims: Mutex<BTreeSet<String>>,
     stop: Arc<AtomicBool>,
     /// Acts of operators; they don't need the cluster's lock.
     pub(crate) operator: Operator,
@@ -51,7 +51,7 @@
             operator: Operator::new(&cluster),
             cluster: Mutex::new(cluster),
             done: Mutex::default(),
-            out: Mutex::default(),
+            claims: Mutex::default(),
             stop,
         }
     }
@@ -64,17 +64,23 @@
         self.done.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes a data centre for one lane; `false` where another lane has it out. Two lanes with the
-    /// same one would each bring it back while the other holds it to be out.
-    pub(crate) fn claim_centre(&self, centre: usize) -> bool {
-        let mut out = self.out.lock().unwrap_or_else(PoisonError::into_inner);
-        out.insert(centre)
+    /// Does an act of operators, where no other lane is at the same one: it would bring back what
+    /// this one took out, or start what this one waits to see ended.
+    pub(crate) fn alone(
+        &self,
+        name: &str,
+        act: impl FnOnce() -> Result<(), String>,
+    ) -> Result<(), String> {
+        if !self.claims().insert(name.to_owned()) {
+            return Err(format!("another lane is at {name}"));
+        }
+        let result = act();
+        self.claims().remove(name);
+        result
     }
 
-    /// Gives a data centre back.
-    pub(crate) fn free_centre(&self, centre: usize) {
-        let mut out = self.out.lock().unwrap_or_else(PoisonError::into_inner);
-        out.remove(&centre);
+    fn claims(&self) -> MutexGuard<'_, BTreeSet<String>> {
+        self.claims.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn is_stopped(&self) -> bool {
--- a/crates/chicoryrail-testkit/src/chaos/summary.rs
+++ b/crates/chicoryrail-testkit/src/chaos/summary.rs
@@ -6,7 +6,10 @@
 use serde::Serialize;
 
 use crate::Availability;
+use crate::CallRecord;
+use crate::LoadKind;
 use crate::LoadSummary;
+use crate::Outcome;
 use crate::Violation;
 use crate::chaos::FaultRecord;
 
@@ -43,6 +46,10 @@
     pub unavailable_ms_p99: u64,
     /// The longest time in which a key was unavailable.
     pub unavailable_ms_max: u64,
+    /// Share of the orders that were answered.
+    pub order_share: f64,
+    /// Share of the orders that were answered while faults of a kind lasted, and a second longer.
+    pub orders_by_fault: BTreeMap<String, f64>,
     /// Median latency of lookups.
     pub lookup_p50_ms: f64,
     /// Latency that 99 in 100 lookups stay within.
@@ -57,7 +64,7 @@
 
 impl Summary {
     /// Sums up the load and the faults.
-    pub(crate) fn of(records: &[crate::CallRecord], faults: &[FaultRecord]) -> Self {
+    pub(crate) fn of(records: &[CallRecord], faults: &[FaultRecord]) -> Self {
         let load = LoadSummary::of(records);
         let all = Availability::of(records);
         let first = records.iter().map(|r| r.intended).min().unwrap_or(0);
@@ -71,7 +78,9 @@
             lookup_p50_ms: load.lookup_p50_ms,
             lookup_p99_ms: load.lookup_p99_ms,
             faults: faults.iter().map(|f| line(f, first)).collect(),
-            by_fault: by_fault(records, faults),
+            order_share: order_share(records),
+            orders_by_fault: by_fault(records, faults, order_share),
+            by_fault: by_fault(records, faults, Availability::of),
             ..Self::default()
         }
     }
@@ -112,27 +121,42 @@
     text
 }
 
-fn by_fault(
-    records: &[crate::CallRecord],
+/// Judges the requests that started while faults of a kind lasted, kind by kind.
+fn by_fault<'a, T>(
+    records: &'a [CallRecord],
     faults: &[FaultRecord],
-) -> BTreeMap<String, Availability> {
-    let mut kinds: BTreeMap<String, Vec<&FaultRecord>> = BTreeMap::new();
+    judge: impl Fn(Vec<&'a CallRecord>) -> T,
+) -> BTreeMap<String, T> {
+    let mut kinds: BTreeMap<&str, Vec<&FaultRecord>> = BTreeMap::new();
     for fault in faults {
-        kinds
-            .entry(fault.fault.name().to_owned())
-            .or_default()
-            .push(fault);
+        kinds.entry(fault.fault.name()).or_default().push(fault);
     }
     let during = |faults: &[&FaultRecord]| {
-        let within = records.iter().filter(|r| {
+        let at = |r: &&CallRecord| {
             faults
                 .iter()
                 .any(|f| r.intended >= f.from && r.intended <= f.until + AFTER)
-        });
-        Availability::of(within)
+        };
+        judge(records.iter().filter(at).collect())
     };
-    kinds
-        .into_iter()
-        .map(|(kind, faults)| (kind, during(&faults)))
+    let judged = kinds.into_iter();
+    judged
+        .map(|(kind, of)| (kind.to_owned(), during(&of)))
         .collect()
 }
+
+/// Returns the share of the orders that were answered.
+fn order_share<'a>(records: impl IntoIterator<Item = &'a CallRecord>) -> f64 {
+    let (mut orders, mut done) = (0_u64, 0_u64);
+    for record in records {
+        if record.kind == LoadKind::Order {
+            orders += 1;
+            done += u64::from(record.outcome == Outcome::Done);
+        }
+    }
+    if orders == 0 {
+        1.0
+    } else {
+        done as f64 / orders as f64
+    }
+}
