--- a/crates/chicoryrail-testkit/src/cluster/ports.rs
+++ b/crates/chicoryrail-testkit/src/cluster/ports.rs
@@ -1,4 +1,4 @@
-//! Free ports of the loopback address.
+//! Free ports of a loopback address.
 
 use std::collections::HashSet;
 use std::io;
@@ -10,23 +10,27 @@
 
 use rand::Rng;
 
-/// First port drawn. The ports lie below the system's range for outgoing connections, so that a
-/// process that restarts on its port never finds it taken by one.
-const FIRST: u16 = 10_000;
-
-/// Ports of a block. Each test process draws from a block of its own, by its process id: a port is
-/// free between its draw and its use, and two clusters that start together would draw the same one.
-const BLOCK: u16 = 500;
-
-/// Blocks below port 32,000.
-const BLOCKS: u16 = 44;
+/// Ports drawn from. They lie below the system's range for outgoing connections, so that a process
+/// that restarts on its port never finds it taken by one.
+const RANGE: std::ops::Range<u16> = 10_000..32_000;
 
 /// Draws tried before giving up.
-const DRAWS: u16 = 3_000;
+const DRAWS: u32 = 1_000;
 
 static TAKEN: LazyLock<Mutex<HashSet<u16>>> = LazyLock::new(Mutex::default);
 
-/// Returns an address on the loopback address that nobody listens on, once in this process.
+/// Returns the loopback address that is this process's own.
+///
+/// Several test processes run clusters at a time. With one address for all, a port that was free when
+/// it was drawn was another cluster's a moment later; callers of one then reached servers of both,
+/// and the checker found two owners. Ids of living processes differ, and so do these addresses.
+fn own_address() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 0x40 | (high & 0x3f), middle, low)
+}
+
+/// Returns an address of this process's own loopback address that nobody listens on, once in this
+/// process.
 ///
 /// # Errors
 ///
@@ -35,12 +39,9 @@
     let mut taken = TAKEN
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner);
-    let own = (std::process::id() % u32::from(BLOCKS)) as u16;
-    for draw in 0..DRAWS {
-        // The next blocks are used where the own one has no port left.
-        let block = (own + draw / BLOCK) % BLOCKS;
-        let port = FIRST + block * BLOCK + rand::rng().random_range(0..BLOCK);
-        let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    for _ in 0..DRAWS {
+        let port = rand::rng().random_range(RANGE);
+        let addr = SocketAddr::from((own_address(), port));
         if !taken.contains(&port) && TcpListener::bind(addr).is_ok() {
             taken.insert(port);
             return Ok(addr);
