--- a/crates/chicoryrail-testkit/src/chaos/scene.rs
+++ b/crates/chicoryrail-testkit/src/chaos/scene.rs
@@ -1,5 +1,6 @@
 //! The cluster as the lanes of a chaos run share it.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -10,9 +11,9 @@
 use std::time::Instant;
 
 use crate::Cluster;
+use crate::GateTime;
 use crate::OutPeriod;
 use crate::Pause;
-use crate::PlannedStop;
 use crate::chaos::lane::FaultRecord;
 use crate::chaos::operator::Operator;
 
@@ -25,7 +26,8 @@
     pub(crate) faults: Vec<FaultRecord>,
     pub(crate) outs: Vec<OutPeriod>,
     pub(crate) pauses: Vec<Pause>,
-    pub(crate) stops: Vec<PlannedStop>,
+    pub(crate) stops: Vec<GateTime>,
+    pub(crate) frozen: Vec<GateTime>,
 }
 
 /// A cluster under faults.
@@ -36,6 +38,8 @@
 pub(crate) struct Scene {
     cluster: Mutex<Cluster>,
     done: Mutex<Done>,
+    /// Acts of operators that a lane is at.
+    claims: Mutex<BTreeSet<String>>,
     stop: Arc<AtomicBool>,
     /// Acts of operators; they don't need the cluster's lock.
     pub(crate) operator: Operator,
@@ -47,6 +51,7 @@
             operator: Operator::new(&cluster),
             cluster: Mutex::new(cluster),
             done: Mutex::default(),
+            claims: Mutex::default(),
             stop,
         }
     }
@@ -59,6 +64,25 @@
         self.done.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Does an act of operators, where no other lane is at the same one: it would bring back what
+    /// this one took out, or start what this one waits to see ended.
+    pub(crate) fn alone(
+        &self,
+        name: &str,
+        act: impl FnOnce() -> Result<(), String>,
+    ) -> Result<(), String> {
+        if !self.claims().insert(name.to_owned()) {
+            return Err(format!("another lane is at {name}"));
+        }
+        let result = act();
+        self.claims().remove(name);
+        result
+    }
+
+    fn claims(&self) -> MutexGuard<'_, BTreeSet<String>> {
+        self.claims.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn is_stopped(&self) -> bool {
         self.stop.load(Relaxed)
     }
