feat(gate): second tries ask several gates, loads travel with requests

A late lookup was tried at one place, busy or not, and the load of another gate was known from its answers only.

--- a/crates/chicoryrail-gate/src/counters.rs
+++ b/crates/chicoryrail-gate/src/counters.rs
@@ -22,6 +22,7 @@
     pub(crate) cancels: IntCounter,
     pub(crate) mismatches: IntCounter,
     pub(crate) routes: IntCounter,
+    pub(crate) hedges_refused: IntCounterVec,
     requests: IntCounterVec,
     interactive: Histogram,
     order: Histogram,
@@ -52,6 +53,11 @@
                 "gate_route_calls_total",
                 "Renewals of routes at controllers",
             ),
+            hedges_refused: m.counters(
+                "gate_hedges_refused_total",
+                "Late lookups not tried a second time, for want of budget or of a free slot",
+                &["want"],
+            ),
             requests: m.counters(
                 "gate_requests_total",
                 "Ended requests by service, class and result code",
--- a/crates/chicoryrail-gate/src/forward.rs
+++ b/crates/chicoryrail-gate/src/forward.rs
@@ -36,6 +36,7 @@
 use crate::call::Call;
 use crate::free::Free;
 use crate::free::read_load;
+use crate::free::write_load;
 use crate::gate::Gate;
 use crate::headers;
 use crate::headers::inner;
@@ -57,6 +58,8 @@
     Server(&'a Choice, &'a HostName),
     /// Any of its servers of a free service.
     Service(&'a Free, PeerId, &'a HostName),
+    /// A free slot of one of its servers, for a second try.
+    Slot(&'a Free, PeerId, &'a HostName),
 }
 
 impl Hop<'_> {
@@ -69,7 +72,7 @@
                 let name = &choice.route.server.name;
                 choice.shard.leaves(name, host).await;
             }
-            Self::Service(_, _, host) => {
+            Self::Service(_, _, host) | Self::Slot(_, _, host) => {
                 let signal = Rc::clone(&call.entry.shards[0].signal);
                 loop {
                     let seen = signal.count();
@@ -98,7 +101,7 @@
     gate.counters.forwards.inc();
     let held = match hop {
         Hop::Server(choice, _) => Some(UnderWay::new(&choice.route.server)),
-        Hop::Service(free, id, _) => {
+        Hop::Service(free, id, _) | Hop::Slot(free, id, _) => {
             free.sent(id);
             None
         }
@@ -107,7 +110,7 @@
     if now >= call.deadline {
         return Err(ResultCode::DeadlinePassed.into());
     }
-    let head = head(call, hop, peer, now);
+    let head = head(gate, call, hop, peer, now);
     let limit = call.left(now) + GRACE;
     let opened = timeout(limit.duration(), peer.forward(head, source.is_empty())).await;
     let Forward { body, answer } = match opened {
@@ -134,7 +137,7 @@
     };
     let (mut head, body) = answer.into_parts();
     let load = head.headers.remove(inner::LOAD);
-    if let Hop::Service(free, id, _) = hop
+    if let Hop::Service(free, id, _) | Hop::Slot(free, id, _) = hop
         && let Some(load) = load.as_ref().and_then(read_load)
     {
         free.heard(gate.now(), id, load);
@@ -166,7 +169,7 @@
     refusal
 }
 
-fn head(call: &Call, hop: Hop<'_>, peer: &Peer, now: Millis) -> Request<()> {
+fn head(gate: &Gate, call: &Call, hop: Hop<'_>, peer: &Peer, now: Millis) -> Request<()> {
     let uri = http::Uri::builder()
         .scheme("http")
         .authority(peer.addr().to_string())
@@ -180,10 +183,23 @@
     headers.remove(http::header::HOST);
     headers.insert(header::REQUEST_ID, call.id.clone());
     headers.insert(header::DEADLINE, HeaderValue::from(call.left(now).0));
-    if let Hop::Server(choice, _) = hop
-        && let Ok(name) = HeaderValue::from_str(choice.route.server.name.as_str())
-    {
-        headers.insert(inner::SERVER, name);
+    match hop {
+        Hop::Server(choice, _) => {
+            if let Ok(name) = HeaderValue::from_str(choice.route.server.name.as_str()) {
+                headers.insert(inner::SERVER, name);
+            }
+        }
+        Hop::Service(free, ..) | Hop::Slot(free, ..) => {
+            if matches!(hop, Hop::Slot(..)) {
+                headers.insert(inner::HEDGE, HeaderValue::from_static("1"));
+            }
+            if let Ok(host) = HeaderValue::from_str(gate.settings.host.host.as_str()) {
+                headers.insert(inner::GATE, host);
+            }
+            if let Some(load) = free.lane.load() {
+                headers.insert(inner::LOAD, write_load(load));
+            }
+        }
     }
     *head.headers_mut() = headers;
     head
--- a/crates/chicoryrail-gate/src/free.rs
+++ b/crates/chicoryrail-gate/src/free.rs
@@ -91,17 +91,22 @@
         self.place(choice)
     }
 
-    /// Chooses where a second try goes, and takes it from the budget.
-    pub(crate) fn pick_hedge(&self, now: Millis, first: &Place) -> Option<Place> {
-        let peers = self.ids(&[]);
+    /// Chooses where a second try goes, not through the gates of `avoid`.
+    pub(crate) fn pick_hedge(&self, now: Millis, first: &Place, avoid: &[PeerId]) -> Option<Place> {
+        let peers = self.ids(avoid);
         let own = self.lane.load();
         let mut rng = self.rng.borrow_mut();
         let picker = self.picker.borrow();
         let choice = picker.pick_free(now, &mut *rng, own, &peers, first.choice())?;
-        self.hedge
-            .borrow_mut()
-            .take(1)
-            .then(|| self.place(choice))?
+        self.place(choice)
+    }
+
+    /// Takes in the load that came with another gate's request.
+    pub(crate) fn heard_from(&self, now: Millis, host: &HostName, load: Load) {
+        let id = self.hosts.borrow().get(host).copied();
+        if let Some(id) = id {
+            self.heard(now, id, load);
+        }
     }
 
     /// Takes in that a request goes through another gate.
--- a/crates/chicoryrail-gate/src/headers.rs
+++ b/crates/chicoryrail-gate/src/headers.rs
@@ -19,9 +19,13 @@
 pub(crate) mod inner {
     /// Server that the request is for.
     pub(crate) const SERVER: &str = "chicoryrail-server";
+    /// Host of the gate that sends the request on.
+    pub(crate) const GATE: &str = "chicoryrail-gate";
+    /// Marks a second try, which is sent only where a slot is free.
+    pub(crate) const HEDGE: &str = "chicoryrail-hedge";
     /// Result code of a gate's own answer.
     pub(crate) const CODE: &str = "chicoryrail-code";
-    /// Requests in flight and waiting at the server, as the gate that holds its slots counts them.
+    /// Load in front of the servers of the service that the sending gate holds.
     pub(crate) const LOAD: &str = "chicoryrail-load";
     /// Start of the names that only chicoryrail sets.
     pub(crate) const PREFIX: &str = "chicoryrail-";
--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use chicoryrail_policy::Ask;
+use chicoryrail_policy::Hedge;
 use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
 use futures_util::future::Either;
@@ -14,6 +15,8 @@
 
 use crate::call::Call;
 use crate::dispatch;
+use crate::forward;
+use crate::forward::Hop;
 use crate::free::Free;
 use crate::free::Place;
 use crate::gate::Gate;
@@ -55,13 +58,10 @@
             let timer = std::pin::pin!(sleep(Duration::from_micros(u64::from(us))));
             match select(first, timer).await {
                 Either::Left((result, _)) => result,
-                Either::Right(((), first)) => match second(gate, call, source, way, free) {
-                    None => first.await,
-                    Some(second) => {
-                        gate.counters.hedges.inc();
-                        best(first, std::pin::pin!(second)).await
-                    }
-                },
+                Either::Right(((), first)) => {
+                    let second = std::pin::pin!(second(gate, call, source, way, free));
+                    best(first, second).await
+                }
             }
         }
     };
@@ -76,44 +76,65 @@
 async fn best<A, B>(first: A, second: B) -> Result<Response<Body>, Refusal>
 where
     A: Future<Output = Result<Response<Body>, Refusal>> + Unpin,
-    B: Future<Output = Result<Response<Body>, Refusal>> + Unpin,
+    B: Future<Output = Option<Response<Body>>> + Unpin,
 {
     match select(first, second).await {
-        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
-        Either::Left((Err(refusal), second)) => second.await.map_err(|_| refusal),
-        Either::Right((Err(_), first)) => first.await,
+        Either::Left((Ok(answer), _)) | Either::Right((Some(answer), _)) => Ok(answer),
+        Either::Left((Err(refusal), second)) => second.await.ok_or(refusal),
+        Either::Right((None, first)) => first.await,
     }
 }
 
-/// Returns the second try, where there is budget and a free slot for it.
-fn second<'a>(
-    gate: &'a Rc<Gate>,
-    call: &'a Call,
-    source: &'a Rc<Source>,
+/// Makes the second try, where there is budget and a free slot for it; a place without one says so,
+/// and the next is asked.
+async fn second(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
     way: &Way,
-    free: &'a Rc<Free>,
-) -> Option<impl Future<Output = Result<Response<Body>, Refusal>> + 'a> {
+    free: &Rc<Free>,
+) -> Option<Response<Body>> {
     let Way::Free(_, first) = way else {
         return None;
     };
-    let place = free.pick_hedge(gate.now(), first)?;
-    let permit = match place {
-        Place::Own => {
-            let ask = Ask::new(Ticket(gate.serial()), call.class, call.deadline);
-            let permit = free.lane.enter_now(ask);
-            if permit.is_none() {
-                free.hedge.borrow_mut().give_back();
-                return None;
+    if !free.hedge.borrow_mut().take(1) {
+        gate.counters
+            .hedges_refused
+            .with_label_values(&["budget"])
+            .inc();
+        return None;
+    }
+    let mut avoid = Vec::new();
+    for _ in 0..Hedge::PLACES {
+        let Some(place) = free.pick_hedge(gate.now(), first, &avoid) else {
+            break;
+        };
+        let result = match &place {
+            Place::Own => {
+                let ask = Ask::new(Ticket(gate.serial()), call.class, call.deadline);
+                let Some(permit) = free.lane.enter_now(ask) else {
+                    break;
+                };
+                gate.counters.hedges.inc();
+                send::with_permit(gate, call, source, permit).await
             }
-            permit
-        }
-        Place::Gate(..) => None,
-    };
-    let way = Way::Free(Rc::clone(free), place);
-    Some(async move {
-        match permit {
-            Some(permit) => send::with_permit(gate, call, source, permit).await,
-            None => dispatch::attempt(gate, call, source, &way).await,
+            Place::Gate(id, host) => {
+                let peer = gate.gates.borrow().get(host).cloned()?;
+                avoid.push(*id);
+                let hop = Hop::Slot(free, *id, host);
+                forward::to_gate(gate, call, source, hop, &peer).await
+            }
+        };
+        match result {
+            // A place without a free slot runs nothing.
+            Err(refusal) if refusal.not_run() => {}
+            result => return result.ok(),
         }
-    })
+    }
+    free.hedge.borrow_mut().give_back();
+    gate.counters
+        .hedges_refused
+        .with_label_values(&["slots"])
+        .inc();
+    None
 }
--- a/crates/chicoryrail-gate/src/inner.rs
+++ b/crates/chicoryrail-gate/src/inner.rs
@@ -4,9 +4,13 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
 use chicoryrail_core::ServerName;
+use chicoryrail_policy::Ask;
+use chicoryrail_policy::Load;
+use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
 use chicoryrail_wire::Handler;
 use chicoryrail_wire::HeartbeatReply;
@@ -16,6 +20,7 @@
 use futures_util::future::select;
 use h2::RecvStream;
 use h2::server::SendResponse;
+use http::HeaderMap;
 use http::Response;
 use http::request::Parts;
 
@@ -23,6 +28,7 @@
 use crate::call::Call;
 use crate::forward;
 use crate::forward::StreamBody;
+use crate::free::read_load;
 use crate::gate::Gate;
 use crate::gate::Serving;
 use crate::headers::inner;
@@ -79,15 +85,43 @@
 }
 
 async fn send(gate: &Rc<Gate>, head: Parts, body: RecvStream) -> Result<Response<Body>, Refusal> {
-    let server = head.headers.get(inner::SERVER);
-    let server = server.and_then(|v| v.to_str().ok()).map(ServerName::new);
+    let sent = Sent::read(&head.headers);
     let id = call::request_id(gate, &head.headers);
     let call = Call::read(gate, head, id).map_err(rerouted)?;
-    let lane = lane(&call, server.as_ref(), gate.now())?;
-    let left = call.left(gate.now());
-    let body: Body = Box::pin(StreamBody::new(body, left, None));
+    let now = gate.now();
+    if let (Some(free), Some((host, load))) = (&call.entry.free, &sent.load) {
+        free.heard_from(now, host, *load);
+    }
+    let lane = lane(&call, sent.server.as_ref(), now)?;
+    let body: Body = Box::pin(StreamBody::new(body, call.left(now), None));
     let source = Source::new(body, call.entry.service.max_body);
-    send::to_server(gate, &call, &source, &lane).await
+    if !sent.hedge {
+        return send::to_server(gate, &call, &source, &lane).await;
+    }
+    let ask = Ask::new(Ticket(gate.serial()), call.class, call.deadline);
+    let permit = lane.enter_now(ask).ok_or(ResultCode::Overloaded)?;
+    gate.counters.hedges.inc();
+    send::with_permit(gate, &call, &source, permit).await
+}
+
+/// What the other gate says with a request.
+struct Sent {
+    server: Option<ServerName>,
+    hedge: bool,
+    load: Option<(HostName, Load)>,
+}
+
+impl Sent {
+    fn read(headers: &HeaderMap) -> Self {
+        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+        let load = headers.get(inner::LOAD).and_then(read_load);
+        let host = text(inner::GATE).map(HostName::new);
+        Self {
+            server: text(inner::SERVER).map(ServerName::new),
+            hedge: headers.contains_key(inner::HEDGE),
+            load: host.zip(load),
+        }
+    }
 }
 
 /// Finds the queue of the server that the other gate chose, or of the free service. This gate's own
@@ -114,7 +148,7 @@
 }
 
 /// Removes what HTTP/2 does not allow.
-fn without_connection(mut headers: http::HeaderMap) -> http::HeaderMap {
+fn without_connection(mut headers: HeaderMap) -> HeaderMap {
     headers.remove(http::header::CONNECTION);
     headers.remove(http::header::TRANSFER_ENCODING);
     headers
--- a/crates/chicoryrail-testkit/src/cluster/harness.rs
+++ b/crates/chicoryrail-testkit/src/cluster/harness.rs
@@ -465,7 +465,8 @@
         for i in 0..self.hosts.len() {
             let host = &self.hosts[i];
             let (list, store) = (self.list(i), self.store_seen(i));
-            let gate = host.gate_args(list);
+            let mut gate = host.gate_args(list);
+            gate.extend(self.options.gate_flags.iter().cloned());
             let controller = host.controller_args(list, store);
             let admin = host.admin_args(list, store, &operators);
             self.spawn(Member::Controller(i), "chicoryrail-controller", controller)?;
--- a/crates/chicoryrail-testkit/src/cluster/options.rs
+++ b/crates/chicoryrail-testkit/src/cluster/options.rs
@@ -33,6 +33,8 @@
     pub seed: u64,
     /// Whether every link runs through a fault-injecting proxy.
     pub proxied: bool,
+    /// Further flags of every gate.
+    pub gate_flags: Vec<String>,
     /// Level of the programs' logs.
     pub log: String,
 }
@@ -54,6 +56,7 @@
             reads: None,
             seed: 1,
             proxied: false,
+            gate_flags: Vec::new(),
             log: "info".to_owned(),
         }
     }
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -4,6 +4,8 @@
 
 use crate::bench_gate::GateBench;
 use crate::bench_gate::gate_bench;
+use crate::bench_straggler::StragglerBench;
+use crate::bench_straggler::straggler_bench;
 use crate::tools::print_json;
 
 /// What to measure
@@ -25,6 +27,9 @@
         #[bpaf(argument("N"), fallback(10), display_fallback)]
         seeds: u32,
     },
+    /// The gate's placements beside each other while servers turn slow for moments
+    #[bpaf(command)]
+    Straggler(#[bpaf(external(straggler_bench))] StragglerBench),
     /// Costs per slice, server, peer and connection, behind docs/CAPACITY.md
     #[bpaf(command)]
     Slopes {
@@ -41,6 +46,7 @@
     pub(crate) fn run(&self) -> bool {
         match self {
             Self::Gate(bench) => bench.run(),
+            Self::Straggler(bench) => bench.run(),
             Self::Policy { case, seed, seeds } => {
                 match chicoryrail_bench::policy::run(case.as_deref(), *seed, *seeds) {
                     Ok(report) => {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod bench_gate;
+mod bench_straggler;
 mod demo;
 mod tools;
 
