--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chicoryrail_core::Millis;
 use chicoryrail_policy::Ask;
 use chicoryrail_policy::Hedge;
 use chicoryrail_policy::Ticket;
@@ -25,6 +26,11 @@
 use crate::source::Source;
 use crate::way::Way;
 
+/// Looks for a free slot before a second try is given up, and the time between two of them: together
+/// some service times of a lookup, after which the first answer is as near as a second one.
+const LOOKS: u32 = 10;
+const LOOK_EVERY: Millis = Millis(2);
+
 /// Returns the service where the request is one that may be tried twice at the same time.
 pub(crate) fn applies(call: &Call, source: &Source, way: &Way) -> Option<Rc<Free>> {
     match way {
@@ -85,8 +91,10 @@
     }
 }
 
-/// Makes the second try, where there is budget and a free slot for it; a place without one says so,
-/// and the next is asked.
+/// Makes the second try, where there is budget and a free slot for it.
+///
+/// Made for a server that turns slow while the others are busy: slots turn over within milliseconds,
+/// so a try that finds none is made again a little later, as long as the request is late.
 async fn second(
     gate: &Rc<Gate>,
     call: &Call,
@@ -97,44 +105,55 @@
     let Way::Free(_, first) = way else {
         return None;
     };
-    if !free.hedge.borrow_mut().take(1) {
-        gate.counters
-            .hedges_refused
-            .with_label_values(&["budget"])
-            .inc();
-        return None;
+    let mut want = "budget";
+    for _ in 0..LOOKS {
+        if free.hedge.borrow_mut().take(1) {
+            match try_places(gate, call, source, free, first).await {
+                Ok(answer) => return answer,
+                Err(NoSlot) => free.hedge.borrow_mut().give_back(),
+            }
+            want = "slots";
+        }
+        sleep(LOOK_EVERY.duration()).await;
     }
+    let refused = &gate.counters.hedges_refused;
+    refused.with_label_values(&[want]).inc();
+    None
+}
+
+/// No place had a free slot; nothing was sent.
+struct NoSlot;
+
+/// Offers the second try to one place after the other, until one has a free slot.
+async fn try_places(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
+    free: &Rc<Free>,
+    first: &Place,
+) -> Result<Option<Response<Body>>, NoSlot> {
     let mut avoid = Vec::new();
     for _ in 0..Hedge::PLACES {
-        let Some(place) = free.pick_hedge(gate.now(), first, &avoid) else {
-            break;
-        };
-        let result = match &place {
+        let place = free.pick_hedge(gate.now(), first, &avoid);
+        let result = match place.ok_or(NoSlot)? {
             Place::Own => {
                 let ask = Ask::new(Ticket(gate.serial()), call.class, call.deadline);
-                let Some(permit) = free.lane.enter_now(ask) else {
-                    break;
-                };
+                let permit = free.lane.enter_now(ask).ok_or(NoSlot)?;
                 gate.counters.hedges.inc();
                 send::with_permit(gate, call, source, permit).await
             }
             Place::Gate(id, host) => {
-                let peer = gate.gates.borrow().get(host).cloned()?;
-                avoid.push(*id);
-                let hop = Hop::Slot(free, *id, host);
-                forward::to_gate(gate, call, source, hop, &peer).await
+                avoid.push(id);
+                let peer = gate.gates.borrow().get(&host).cloned();
+                let hop = Hop::Slot(free, id, &host);
+                forward::to_gate(gate, call, source, hop, &peer.ok_or(NoSlot)?).await
             }
         };
         match result {
             // A place without a free slot runs nothing.
             Err(refusal) if refusal.not_run() => {}
-            result => return result.ok(),
+            result => return Ok(result.ok()),
         }
     }
-    free.hedge.borrow_mut().give_back();
-    gate.counters
-        .hedges_refused
-        .with_label_values(&["slots"])
-        .inc();
-    None
+    Err(NoSlot)
 }
