--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chicoryrail_core::Millis;
 use chicoryrail_policy::Ask;
+use chicoryrail_policy::Hedge;
 use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
 use futures_util::future::Either;
@@ -14,6 +16,8 @@
 
 use crate::call::Call;
 use crate::dispatch;
+use crate::forward;
+use crate::forward::Hop;
 use crate::free::Free;
 use crate::free::Place;
 use crate::gate::Gate;
@@ -22,6 +26,11 @@
 use crate::source::Source;
 use crate::way::Way;
 
+/// Looks for a free slot before a second try is given up, and the time between two of them: together
+/// some service times of a lookup, after which the first answer is as near as a second one.
+const LOOKS: u32 = 10;
+const LOOK_EVERY: Millis = Millis(2);
+
 /// Returns the service where the request is one that may be tried twice at the same time.
 pub(crate) fn applies(call: &Call, source: &Source, way: &Way) -> Option<Rc<Free>> {
     match way {
@@ -55,13 +64,10 @@
             let timer = std::pin::pin!(sleep(Duration::from_micros(u64::from(us))));
             match select(first, timer).await {
                 Either::Left((result, _)) => result,
-                Either::Right(((), first)) => match second(gate, call, source, way, free) {
-                    None => first.await,
-                    Some(second) => {
-                        gate.counters.hedges.inc();
-                        best(first, std::pin::pin!(second)).await
-                    }
-                },
+                Either::Right(((), first)) => {
+                    let second = std::pin::pin!(second(gate, call, source, way, free));
+                    best(first, second).await
+                }
             }
         }
     };
@@ -76,44 +82,78 @@
 async fn best<A, B>(first: A, second: B) -> Result<Response<Body>, Refusal>
 where
     A: Future<Output = Result<Response<Body>, Refusal>> + Unpin,
-    B: Future<Output = Result<Response<Body>, Refusal>> + Unpin,
+    B: Future<Output = Option<Response<Body>>> + Unpin,
 {
     match select(first, second).await {
-        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
-        Either::Left((Err(refusal), second)) => second.await.map_err(|_| refusal),
-        Either::Right((Err(_), first)) => first.await,
+        Either::Left((Ok(answer), _)) | Either::Right((Some(answer), _)) => Ok(answer),
+        Either::Left((Err(refusal), second)) => second.await.ok_or(refusal),
+        Either::Right((None, first)) => first.await,
     }
 }
 
-/// Returns the second try, where there is budget and a free slot for it.
-fn second<'a>(
-    gate: &'a Rc<Gate>,
-    call: &'a Call,
-    source: &'a Rc<Source>,
+/// Makes the second try, where there is budget and a free slot for it.
+///
+/// Made for a server that turns slow while the others are busy: slots turn over within milliseconds,
+/// so a try that finds none is made again a little later, as long as the request is late.
+async fn second(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
     way: &Way,
-    free: &'a Rc<Free>,
-) -> Option<impl Future<Output = Result<Response<Body>, Refusal>> + 'a> {
+    free: &Rc<Free>,
+) -> Option<Response<Body>> {
     let Way::Free(_, first) = way else {
         return None;
     };
-    let place = free.pick_hedge(gate.now(), first)?;
-    let permit = match place {
-        Place::Own => {
-            let ask = Ask::new(Ticket(gate.serial()), call.class, call.deadline);
-            let permit = free.lane.enter_now(ask);
-            if permit.is_none() {
-                free.hedge.borrow_mut().give_back();
-                return None;
+    let mut want = "budget";
+    for _ in 0..LOOKS {
+        if free.hedge.borrow_mut().take(1) {
+            match try_places(gate, call, source, free, first).await {
+                Ok(answer) => return answer,
+                Err(NoSlot) => free.hedge.borrow_mut().give_back(),
             }
-            permit
+            want = "slots";
         }
-        Place::Gate(..) => None,
-    };
-    let way = Way::Free(Rc::clone(free), place);
-    Some(async move {
-        match permit {
-            Some(permit) => send::with_permit(gate, call, source, permit).await,
-            None => dispatch::attempt(gate, call, source, &way).await,
+        sleep(LOOK_EVERY.duration()).await;
+    }
+    let refused = &gate.counters.hedges_refused;
+    refused.with_label_values(&[want]).inc();
+    None
+}
+
+/// No place had a free slot; nothing was sent.
+struct NoSlot;
+
+/// Offers the second try to one place after the other, until one has a free slot.
+async fn try_places(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
+    free: &Rc<Free>,
+    first: &Place,
+) -> Result<Option<Response<Body>>, NoSlot> {
+    let mut avoid = Vec::new();
+    for _ in 0..Hedge::PLACES {
+        let place = free.pick_hedge(gate.now(), first, &avoid);
+        let result = match place.ok_or(NoSlot)? {
+            Place::Own => {
+                let ask = Ask::new(Ticket(gate.serial()), call.class, call.deadline);
+                let permit = free.lane.enter_now(ask).ok_or(NoSlot)?;
+                gate.counters.hedges.inc();
+                send::with_permit(gate, call, source, permit).await
+            }
+            Place::Gate(id, host) => {
+                avoid.push(id);
+                let peer = gate.gates.borrow().get(&host).cloned();
+                let hop = Hop::Slot(free, id, &host);
+                forward::to_gate(gate, call, source, hop, &peer.ok_or(NoSlot)?).await
+            }
+        };
+        match result {
+            // A place without a free slot runs nothing.
+            Err(refusal) if refusal.not_run() => {}
+            result => return Ok(result.ok()),
         }
-    })
+    }
+    Err(NoSlot)
 }
