feat(controller): ramps, moves for balance, shards handed back

Cause: cold servers fall over under full load; a persistent straggler or a hot key stays where it was placed; after a round of restarts the shards gather on the hosts that stayed longest. Change: Ramp (one request in flight over all gates, doubling after four successes for each, halved on a failure; started by another run, a return from silence or from being out, or slowness of 5x for 2 s; a deputy that takes over goes on with the budgets). Balance (means over 5 s; at most one move in 2 s; slow servers weigh less, at least a quarter).

--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -14,21 +14,16 @@
 use chicoryrail_ownership::Liveness;
 use chicoryrail_ownership::OrderWindow;
 use chicoryrail_ownership::ShardRecord;
-use chicoryrail_ownership::Takeover;
-use chicoryrail_ownership::Vote;
 use chicoryrail_platform::Record;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::EventKind;
 use chicoryrail_wire::OrderAnswer;
-use chicoryrail_wire::Promise;
-use chicoryrail_wire::PromiseReply;
-use chicoryrail_wire::Reply;
-use chicoryrail_wire::Request;
 use futures_util::future::join_all;
 
 use crate::Controller;
 use crate::held::Content;
 use crate::held::Held;
+use crate::promises;
 use crate::signal::Signal;
 use crate::store::Swap;
 
@@ -37,8 +32,6 @@
 /// Head start of each controller over the next in a shard's rendezvous order, so that one store
 /// record is not fought over by all.
 const HEAD_START: Millis = Millis(300);
-/// Longest time a promise may take.
-const PROMISE_LIMIT: Millis = Millis(150);
 /// Most witnesses of a shard. Five bear the loss of two; more would only add messages.
 const WITNESSES: usize = 5;
 /// How long an order id is remembered.
@@ -90,7 +83,7 @@
     join_all(all.iter().map(|held| give(controller, held))).await;
 }
 
-async fn give(controller: &Controller, held: &Held) {
+pub(crate) async fn give(controller: &Controller, held: &Held) {
     held.given.set(true);
     held.stop.cancel();
     let (mut record, version) = held.record.borrow().clone();
@@ -164,6 +157,15 @@
     let members = controller.controllers.borrow();
     let silent = members.silent(now, &record.holder);
     let deputy = record.deputy.as_ref() == Some(controller.own());
+    if deputy
+        && controller
+            .deputies
+            .borrow()
+            .get(shard)
+            .is_some_and(|d| d.is_lost(controller, now))
+    {
+        return false;
+    }
     match members.state(now, &record.holder, &controller.timing) {
         Liveness::Live => true,
         // Its release is looked for, at the pace of the head start.
@@ -286,7 +288,7 @@
 ) {
     let from = match old.as_ref().filter(|o| !o.released) {
         None => controller.now(),
-        Some(old) => match promises(controller, shard, old, record.epoch).await {
+        Some(old) => match promises::collect(controller, shard, old, record.epoch).await {
             Some(from) => from,
             None => return,
         },
@@ -354,71 +356,3 @@
     });
     copy.map_or_else(|| empty.blind_since(from), |d| d.window.borrow().clone())
 }
-
-/// Collects the promises of the old witnesses; `None` where another newcomer came.
-pub(crate) async fn promises(
-    controller: &Controller,
-    shard: &ShardId,
-    old: &ShardRecord,
-    epoch: Epoch,
-) -> Option<Millis> {
-    let mut takeover = Takeover::new(old.witnesses.clone());
-    for _ in 0..200 {
-        let asked = controller.now();
-        let missing: Vec<HostName> = takeover
-            .missing(asked, &controller.timing)
-            .cloned()
-            .collect();
-        let votes = missing
-            .iter()
-            .map(|w| ask_promise(controller, w, shard, epoch));
-        for (witness, vote) in missing.iter().zip(join_all(votes).await) {
-            match vote {
-                Some(Vote::Promised) => takeover.promised(witness, asked),
-                Some(Vote::Higher(_)) => return None,
-                Some(Vote::Silent) | None => {}
-            }
-        }
-        let from = acts_from(controller, &takeover);
-        if from.is_some() {
-            return from;
-        }
-        if controller.leaving.get() {
-            return None;
-        }
-        controller.process.clock.sleep(LOOK_EVERY).await;
-    }
-    None
-}
-
-fn acts_from(controller: &Controller, takeover: &Takeover) -> Option<Millis> {
-    let now = controller.now();
-    let members = controller.controllers.borrow();
-    let removed = |w: &HostName| members.is_removed(now, w, &controller.timing);
-    takeover.acts_from(now, removed, &controller.timing)
-}
-
-async fn ask_promise(
-    controller: &Controller,
-    witness: &HostName,
-    shard: &ShardId,
-    epoch: Epoch,
-) -> Option<Vote> {
-    if witness == controller.own() {
-        let now = controller.now();
-        let mut own = controller.witness.borrow_mut();
-        return Some(own.promise(now, shard, epoch));
-    }
-    let request = Request::Promise(Promise {
-        newcomer: controller.own().clone(),
-        shard: shard.clone(),
-        epoch,
-    });
-    let peer = controller.controller_of(witness)?;
-    match peer.call(&request, PROMISE_LIMIT).await {
-        Ok(Reply::Promise(PromiseReply::Promised)) => Some(Vote::Promised),
-        Ok(Reply::Promise(PromiseReply::Higher(e))) => Some(Vote::Higher(e)),
-        Ok(Reply::Promise(PromiseReply::Silent)) => Some(Vote::Silent),
-        _ => None,
-    }
-}
--- a/crates/chicoryrail-controller/src/copies.rs
+++ b/crates/chicoryrail-controller/src/copies.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use chicoryrail_core::Fence;
+use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ShardId;
 use chicoryrail_ownership::Holder;
@@ -19,6 +20,7 @@
 use crate::claims;
 use crate::held::Held;
 use crate::orders;
+use crate::promises;
 use crate::routes;
 use crate::store::Swap;
 
@@ -29,12 +31,18 @@
 /// Silence of a deputy after which it is replaced. Shorter would replace deputies for a moment's
 /// stall, longer would hold moves up, which wait for the deputy's acknowledgement.
 const REPLACE_AFTER: Millis = Millis(600);
+/// How long another controller must have come first before a shard is handed to it: a host that
+/// restarts again and again must not draw shards to and fro.
+const BACK_AFTER: Millis = Millis(10_000);
+/// The same where operators have taken this host out.
+const OUT_AFTER: Millis = Millis(500);
 
 /// Copies a shard to its deputy until it is lost or given up.
 pub(crate) async fn copy_all(controller: Rc<Controller>, held: Rc<Held>) {
     let mut acked = controller.now();
     let mut known = Fence::default();
     let mut named = None;
+    let mut preferred = None;
     while !held.stop.is_cancelled() {
         let seen = held.news.count();
         let now = controller.now();
@@ -59,6 +67,9 @@
             replace(&controller, &held).await;
             acked = controller.now();
         }
+        if hands_back(&controller, &held, &mut preferred, known).await {
+            return;
+        }
         if held.news.count() == seen {
             held.news.wait(seen, COPY_EVERY).await;
         } else {
@@ -88,11 +99,7 @@
     copy
 }
 
-async fn send(
-    controller: &Controller,
-    host: &chicoryrail_core::HostName,
-    copy: DeputyCopy,
-) -> Option<DeputyReply> {
+async fn send(controller: &Controller, host: &HostName, copy: DeputyCopy) -> Option<DeputyReply> {
     let peer = controller.controller_of(host)?;
     match peer.call(&Request::DeputyCopy(copy), COPY_LIMIT).await {
         Ok(Reply::Deputy(reply)) => Some(reply),
@@ -172,11 +179,63 @@
     }
 }
 
-fn candidate(
-    controller: &Controller,
-    held: &Held,
-    now: Millis,
-) -> Option<chicoryrail_core::HostName> {
+/// Hands the shard to the live controller that comes first in its order, once that has been so for
+/// a while and it is the deputy with the whole copy; tells whether it did.
+///
+/// Hosts are replaced all the time; without this the shards would gather on those that stay.
+async fn hands_back(
+    controller: &Rc<Controller>,
+    held: &Rc<Held>,
+    preferred: &mut Option<(HostName, Millis)>,
+    known: Fence,
+) -> bool {
+    let now = controller.now();
+    let first = claims::order(controller, &held.shard, now)
+        .into_iter()
+        .next();
+    let Some(first) = first.filter(|h| h != controller.own()) else {
+        *preferred = None;
+        return false;
+    };
+    let since = match preferred.as_ref() {
+        Some((host, since)) if *host == first => *since,
+        _ => now,
+    };
+    *preferred = Some((first.clone(), since));
+    let out = controller
+        .config()
+        .head
+        .outs
+        .hosts
+        .contains(controller.own());
+    let steady = now.since(since) >= if out { OUT_AFTER } else { BACK_AFTER };
+    if !steady || !controller.store.is_up() || !held.may_act(now) || !is_still(held) {
+        return false;
+    }
+    if held.record.borrow().0.deputy.as_ref() != Some(&first) {
+        replace(controller, held).await;
+        return false;
+    }
+    let whole = match held.section() {
+        Some(cell) => cell.borrow().as_ref().is_some_and(|s| s.fence() == known),
+        None => known.epoch == held.holder.borrow().epoch() && known.version > 0,
+    };
+    if whole {
+        claims::give(controller, held).await;
+    }
+    whole
+}
+
+/// Tells whether nothing of the shard is on the move.
+fn is_still(held: &Held) -> bool {
+    let Some(cell) = held.section() else {
+        return true;
+    };
+    let section = cell.borrow();
+    section.as_ref().is_some_and(|s| s.is_still())
+}
+
+fn candidate(controller: &Controller, held: &Held, now: Millis) -> Option<HostName> {
     let old = held.record.borrow().0.deputy.clone();
     let order = claims::order(controller, &held.shard, now);
     let mut others = order
@@ -204,7 +263,7 @@
     let Swap::Done(version) = swap.await else {
         return;
     };
-    let Some(from) = claims::promises(controller, &held.shard, &old, record.epoch).await else {
+    let Some(from) = promises::collect(controller, &held.shard, &old, record.epoch).await else {
         return;
     };
     if held.given.get() {
--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -70,6 +70,11 @@
         now.since(self.heard.get()) >= controller.timing.deputy
     }
 
+    /// Tells whether the holder has been silent for so long that its shard is claimed.
+    pub(crate) fn is_lost(&self, controller: &Controller, now: Millis) -> bool {
+        now.since(self.heard.get()) >= controller.timing.suspect
+    }
+
     /// Tells whether this process may act on the copy now.
     pub(crate) fn may_act(&self, controller: &Controller, now: Millis) -> bool {
         self.is_needed(controller, now) && self.holder.borrow().may_act(now)
--- a/crates/chicoryrail-controller/src/lib.rs
+++ b/crates/chicoryrail-controller/src/lib.rs
@@ -23,6 +23,7 @@
 mod keep;
 mod members;
 mod orders;
+mod promises;
 mod routes;
 mod run;
 mod settings;
--- a/crates/chicoryrail-controller/src/routes.rs
+++ b/crates/chicoryrail-controller/src/routes.rs
@@ -3,6 +3,7 @@
 use chicoryrail_core::Fence;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::Section;
+use chicoryrail_ownership::Seen;
 use chicoryrail_ownership::Work;
 use chicoryrail_wire::RouteEntry;
 use chicoryrail_wire::RouteReply;
@@ -51,6 +52,25 @@
             gates.acknowledged(&request.gate, request.instance, *fence);
         }
     }
+    for held in controller.all_held() {
+        if let Some(cell) = held.section()
+            && let Some(section) = cell.borrow_mut().as_mut()
+        {
+            take_seen(section, now, request);
+        }
+    }
+}
+
+fn take_seen(section: &mut Section, now: Millis, request: &RouteRequest) {
+    for seen in &request.seen {
+        let own = Seen {
+            sent: seen.sent,
+            failed: seen.failed,
+            latency: seen.latency_us,
+            waiting: seen.waiting,
+        };
+        section.seen(now, &request.gate, &seen.server, seen.instance, own);
+    }
 }
 
 fn build(controller: &Controller, request: &RouteRequest) -> RouteReply {
--- a/crates/chicoryrail-controller/src/shard.rs
+++ b/crates/chicoryrail-controller/src/shard.rs
@@ -12,6 +12,7 @@
 use chicoryrail_ownership::AssignRecord;
 use chicoryrail_ownership::Section;
 use chicoryrail_runtime::EventKind;
+use chicoryrail_wire::ServerState;
 
 use crate::Controller;
 use crate::calls;
@@ -49,6 +50,7 @@
     };
     let mut section = section;
     section.set_deputy(held.record.borrow().0.deputy.is_some());
+    resume_ramps(&controller, &held, &mut section);
     *cell.borrow_mut() = Some(Box::new(section));
     let mut version = stored.version;
     let mut applied = 0;
@@ -92,6 +94,20 @@
     }
 }
 
+/// Goes on with the budgets of cold servers where this process was the shard's deputy; full load at
+/// the take-over would fell them.
+fn resume_ramps(controller: &Controller, held: &Held, section: &mut Section) {
+    let deputies = controller.deputies.borrow();
+    let Some(deputy) = deputies.get(&held.shard) else {
+        return;
+    };
+    let table = deputy.table.borrow();
+    let servers = table.iter().flat_map(|t| &t.servers);
+    for server in servers.filter(|s| s.state == ServerState::Cold) {
+        section.resume(controller.now(), &server.name, server.slots);
+    }
+}
+
 struct Stored {
     record: Option<AssignRecord>,
     version: u64,
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -19,11 +19,13 @@
 //! ```
 
 mod assignment;
+mod balance;
 mod gate_routes;
 mod holder;
 mod members;
 mod order_window;
 mod placement;
+mod ramp;
 mod record;
 mod section;
 mod sessions;
@@ -33,6 +35,7 @@
 
 pub use assignment::Assignment;
 pub use assignment::Owned;
+pub use balance::Balance;
 pub use gate_routes::GateRoutes;
 pub use holder::Confirmation;
 pub use holder::Holder;
@@ -45,6 +48,8 @@
 pub use placement::Candidate;
 pub use placement::Placement;
 pub use placement::Shift;
+pub use ramp::Ramp;
+pub use ramp::Seen;
 pub use record::AssignRecord;
 pub use record::ShardRecord;
 pub use section::Act;
--- a/crates/chicoryrail-ownership/src/section/mod.rs
+++ b/crates/chicoryrail-ownership/src/section/mod.rs
@@ -3,6 +3,7 @@
 mod act;
 mod calls;
 mod gates;
+mod load;
 mod moves;
 mod view;
 
@@ -28,8 +29,10 @@
 use crate::Answer;
 use crate::AssignRecord;
 use crate::Assignment;
+use crate::Balance;
 use crate::GateRoutes;
 use crate::Health;
+use crate::Ramp;
 use crate::Session;
 use crate::Timing;
 
@@ -54,6 +57,10 @@
     fresh: bool,
     inherited: Millis,
     deputy: Option<Fence>,
+    ramps: BTreeMap<ServerName, Ramp>,
+    away: BTreeSet<ServerName>,
+    balance: Balance,
+    split: bool,
     ticked: Millis,
     view: Routes,
 }
@@ -103,6 +110,10 @@
             fresh: true,
             inherited,
             deputy: None,
+            ramps: BTreeMap::new(),
+            away: BTreeSet::new(),
+            balance: Balance::default(),
+            split: false,
             ticked: now,
             view: Routes::default(),
             service,
@@ -117,9 +128,7 @@
         if self.service != *service {
             self.service = service.clone();
             self.take_servers(now);
-            if self.service.kind == Kind::Keyed && self.moves.is_empty() && !self.writing {
-                self.table.split(&self.service);
-            }
+            self.split = true;
         }
     }
 
@@ -146,6 +155,12 @@
         &mut self.gates
     }
 
+    /// Tells whether nothing moves and nothing is being written.
+    #[must_use]
+    pub fn is_still(&self) -> bool {
+        self.moves.is_empty() && !self.writing
+    }
+
     /// Returns the session of a server.
     #[must_use]
     pub fn session(&self, server: &ServerName) -> Option<&Session> {
@@ -155,7 +170,10 @@
     /// Takes in a server's answer to a call.
     pub fn answered(&mut self, now: Millis, server: &ServerName, answer: Answer) {
         if let Some(session) = self.sessions.get_mut(server) {
-            session.answered(now, answer);
+            let changed = session.answered(now, answer);
+            if changed {
+                self.ramps.entry(server.clone()).or_default().chill(now);
+            }
         }
     }
 
@@ -240,7 +258,15 @@
             .collect();
         self.sessions
             .retain(|name, _| self.servers.contains_key(name) || owners.contains(name));
+        // Servers of a section that was never held before, and servers added to one, are cold.
+        let first = self.fresh && self.fence.epoch == Epoch(1);
         for server in self.servers.values() {
+            if !self.sessions.contains_key(&server.name) && (first || !self.fresh) {
+                self.ramps
+                    .entry(server.name.clone())
+                    .or_default()
+                    .chill(now);
+            }
             let bound = self.inherited.max(now + self.timing.suspect);
             self.sessions
                 .entry(server.name.clone())
--- a/crates/chicoryrail-ownership/src/section/moves.rs
+++ b/crates/chicoryrail-ownership/src/section/moves.rs
@@ -17,7 +17,6 @@
 use super::calls::merged;
 use crate::AssignRecord;
 use crate::Assignment;
-use crate::Candidate;
 use crate::Health;
 use crate::Placement;
 
@@ -55,16 +54,31 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Handoff {
     pub(super) stage: Stage,
+    /// Next owner, where the move is for balance; otherwise it is chosen once the slice is free.
+    pub(super) shift: Option<ServerName>,
     /// When the move began.
     pub since: Millis,
 }
 
+impl Handoff {
+    const fn new(stage: Stage, since: Millis) -> Self {
+        Self {
+            stage,
+            shift: None,
+            since,
+        }
+    }
+}
+
 impl Section {
     /// Advances everything and returns what has to be done; `store` tells whether the store answers.
     pub fn tick(&mut self, now: Millis, store: bool, gates: &[(HostName, DcName)]) -> Vec<Act> {
         self.wake(now);
+        self.chill_returned(now);
         if self.service.kind == Kind::Keyed {
+            self.resplit();
             self.start_moves(now, store);
+            self.rebalance(now, store);
             self.advance(now);
         }
         self.seat(now, gates);
@@ -163,11 +177,19 @@
             };
             if start {
                 let stage = Stage::Draining { fence: None };
-                self.moves.insert(i, Handoff { stage, since: now });
+                self.moves.insert(i, Handoff::new(stage, now));
             }
         }
     }
 
+    /// Cuts the table anew after a change of hot keys or ranges, once nothing refers to its indexes.
+    fn resplit(&mut self) {
+        if self.split && self.moves.is_empty() && !self.writing {
+            self.split = false;
+            self.table.split(&self.service);
+        }
+    }
+
     fn must_leave(&self, owner: &ServerName) -> bool {
         self.outs.contains(owner) || !self.servers.contains_key(owner)
     }
@@ -185,7 +207,7 @@
             let health = owner.map(|o| self.health(now, o));
             match (&handoff.stage, health) {
                 (Stage::Draining { .. }, Some(Health::Up))
-                    if owner.is_some_and(|o| !self.must_leave(o)) =>
+                    if handoff.shift.is_none() && owner.is_some_and(|o| !self.must_leave(o)) =>
                 {
                     ended.push(*i);
                 }
@@ -211,7 +233,7 @@
         // The deputy may still renew this server's session, so it has to know of the doubt too.
         for i in doubted {
             let stage = Stage::Draining { fence: None };
-            self.moves.insert(i, Handoff { stage, since: now });
+            self.moves.insert(i, Handoff::new(stage, now));
         }
         let mut free = Vec::new();
         for (i, health) in ready {
@@ -239,7 +261,7 @@
         let indexes: Vec<usize> = self.moves.keys().copied().filter(lost).collect();
         for i in indexes {
             let stage = Stage::Draining { fence: None };
-            self.moves.insert(i, Handoff { stage, since: now });
+            self.moves.insert(i, Handoff::new(stage, now));
         }
     }
 
@@ -296,26 +318,19 @@
         if indexes.is_empty() || self.servers.values().any(|s| unheard(&s)) {
             return;
         }
-        let eligible = self
-            .servers
-            .values()
-            .filter(|s| self.is_eligible(now, &s.name));
-        let servers: Vec<Candidate> = eligible
-            .map(|s| Candidate {
-                name: s.name.clone(),
-                dc: s.data_centre.clone(),
-                weight: s.weight,
-            })
-            .collect();
+        let servers = self.candidates(now);
         let mut table = self.next_table();
         for i in indexes {
             table.set_owner(*i, None);
         }
-        let loads = table.entries().iter().map(|e| e.slice.share()).collect();
+        let loads = self.balance.slices(&self.table);
         let plan = Placement::new(&servers, &self.service, loads).orphans(&table, indexes);
         for shift in plan {
             if let Some(handoff) = self.moves.get_mut(&shift.index) {
-                handoff.stage = Stage::Storing { to: shift.to };
+                let named = handoff.shift.take();
+                let able = named.filter(|n| servers.iter().any(|s| s.name == *n));
+                let to = able.unwrap_or(shift.to);
+                handoff.stage = Stage::Storing { to };
             }
         }
     }
--- a/crates/chicoryrail-ownership/src/section/view.rs
+++ b/crates/chicoryrail-ownership/src/section/view.rs
@@ -11,6 +11,7 @@
 use super::Section;
 use super::moves::Stage;
 use crate::Health;
+use crate::Ramp;
 
 /// Whether a server takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -104,9 +105,11 @@
     fn server_view(&self, now: Millis, name: &ServerName) -> ServerView {
         let session = &self.sessions[name];
         let out = self.outs.contains(name) || !self.servers.contains_key(name);
+        let ramp = self.ramps.get(name);
         let work = match session.health(now, &self.timing) {
             Health::Lost => Work::Lost,
             _ if out => Work::Out,
+            _ if ramp.is_some_and(Ramp::is_cold) => Work::Cold,
             _ => Work::Up,
         };
         ServerView {
@@ -115,7 +118,7 @@
             addr: session.addr(),
             work,
             gate: self.seats.get(name).and_then(|s| s.gate.clone()),
-            slots: self.service.slots,
+            slots: ramp.map_or(self.service.slots, |r| r.slots(self.service.slots)),
         }
     }
 }
