--- a/crates/chicoryrail-admin/src/records.rs
+++ b/crates/chicoryrail-admin/src/records.rs
@@ -23,6 +23,8 @@
 use chicoryrail_platform::StoreError;
 use chicoryrail_runtime::EventKind;
 use chicoryrail_runtime::EventRing;
+use chicoryrail_runtime::Process;
+use prometheus::IntCounterVec;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -56,6 +58,10 @@
     pub signature: String,
 }
 
+/// How often a read is tried. One lost answer must not refuse an operator's call; a store that is
+/// down is told after two limits of a call, a second.
+const READ_TRIES: u32 = 2;
+
 /// What a list tells of a bundle.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct BundleInfo {
@@ -69,6 +75,7 @@
 #[derive(Clone, Debug)]
 pub struct Records<S> {
     store: S,
+    calls: IntCounterVec,
     events: EventRing,
     down: Rc<Cell<bool>>,
 }
@@ -76,10 +83,16 @@
 impl<S: Store> Records<S> {
     /// Wraps a store.
     #[must_use]
-    pub fn new(store: S, events: EventRing) -> Self {
+    pub fn new(store: S, process: &Process) -> Self {
+        let calls = process.metrics.counters(
+            "store_calls_total",
+            "Calls to the platform's store, a waiting watch as one",
+            &["call"],
+        );
         Self {
             store,
-            events,
+            calls,
+            events: process.events.clone(),
             down: Rc::default(),
         }
     }
@@ -179,19 +192,34 @@
         expect: u64,
         value: &str,
     ) -> Result<u64, StoreError> {
+        self.calls.with_label_values(&["swap"]).inc();
         let result = self.store.swap(key, expect, value).await;
         self.note(result)
     }
 
     pub(crate) async fn get(&self, key: &str) -> Result<Option<Record>, StoreError> {
-        let result = self.store.get(key).await;
-        self.note(result)
+        self.read("get", || self.store.get(key)).await
+    }
+
+    /// Repeats a read whose answer was lost: reads change nothing.
+    async fn read<T, F>(&self, call: &str, read: impl Fn() -> F) -> Result<T, StoreError>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let mut tries = 1;
+        loop {
+            self.calls.with_label_values(&[call]).inc();
+            let result = self.note(read().await);
+            if tries == READ_TRIES || !matches!(result, Err(StoreError::Down { .. })) {
+                return result;
+            }
+            tries += 1;
+        }
     }
 
     async fn all<T: DeserializeOwned>(&self, prefix: &str) -> Result<Vec<(Digest, T)>, ApiError> {
-        let result = self.store.list(prefix).await;
         let mut found = Vec::new();
-        for record in self.note(result)? {
+        for record in self.read("list", || self.store.list(prefix)).await? {
             let digest = record.key.strip_prefix(prefix).and_then(Digest::parse);
             if let Some(digest) = digest {
                 found.push((digest, parse(&record)?));
