--- a/crates/chicoryrail-ownership/src/balance.rs
+++ b/crates/chicoryrail-ownership/src/balance.rs
@@ -1,20 +1,30 @@
 //! Loads of servers over time, for moves off the overloaded and the persistently slow.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
 
 use crate::Assignment;
 use crate::Candidate;
+use crate::Owned;
 use crate::Seen;
+use crate::Shift;
 
 /// Time constant of the means. Momentary stragglers last 200 to 800 ms and are waited out; what is
 /// still there after some seconds is moved away from.
-const MEMORY: Millis = Millis(5_000);
-/// Time between two moves for balance. Each holds a slice's requests for some 80 ms; one in two
-/// seconds is a churn of at most 1,800 slices an hour and settles a new hot key within a minute.
-const MOVE_EVERY: Millis = Millis(2_000);
+const MEMORY: Millis = Millis(2_500);
+/// Time between two moves for balance, twice the time constant, so that the effect of one is seen
+/// before the next. Each holds a slice's requests for some 80 ms.
+const MOVE_EVERY: Millis = Millis(5_000);
+/// Part of a move's effect that is seen after [`MOVE_EVERY`]: 1 - e^-2.
+const EFFECT: f64 = 0.86;
+/// How long a slice's load that a move has shown is believed.
+const LEARNED: Millis = Millis(600_000);
+/// Load of a hot key's slice, as a part of a server's fair share, while nothing is known of it. Its
+/// share of the hash space is nothing, so without this all hot keys would be given to one server.
+const HOT: f64 = 0.4;
 /// Least share of its weight that a slow server keeps, so that it is still observed.
 const LEAST: f64 = 0.25;
 /// Latency over the median of the section from which a server counts as slow.
@@ -35,6 +45,8 @@
 pub struct Balance {
     loads: BTreeMap<ServerName, Load>,
     moved: Millis,
+    last: Option<(u64, ServerName, f64)>,
+    learned: BTreeMap<u64, (f64, Millis)>,
 }
 
 impl Balance {
@@ -72,9 +84,26 @@
             return false;
         }
         self.moved = now;
+        self.learn(now);
         true
     }
 
+    /// Remembers a move, to learn from its effect what the slice's load is.
+    pub fn planned(&mut self, table: &Assignment, shift: &Shift) {
+        let first = table.entries()[shift.index].slice.first;
+        let rate = self.loads.get(&shift.to).map_or(0.0, |l| l.rate);
+        self.last = Some((first, shift.to.clone(), rate));
+    }
+
+    fn learn(&mut self, now: Millis) {
+        self.learned.retain(|_, (_, at)| now.since(*at) < LEARNED);
+        if let Some((first, to, before)) = self.last.take() {
+            let rate = self.loads.get(&to).map_or(0.0, |l| l.rate);
+            let load = (rate - before).max(0.0) / EFFECT;
+            self.learned.insert(first, (load, now));
+        }
+    }
+
     /// Lowers the weight of servers that are slow over seconds.
     pub fn weigh(&self, servers: &mut [Candidate]) {
         let mut all: Vec<f64> = servers
@@ -95,25 +124,48 @@
         }
     }
 
-    /// Estimates each slice's load: its owner's rate, dealt by the share of the hash space; the
-    /// share alone where nothing was seen.
+    /// Estimates each slice's load: what a move has shown, and for the others their owner's remaining
+    /// rate, dealt by the share of the hash space; the share alone where nothing was seen.
     #[must_use]
     pub fn slices(&self, table: &Assignment) -> Vec<f64> {
-        let mut shares: BTreeMap<&ServerName, f64> = BTreeMap::new();
-        for entry in table.entries() {
-            if let Some(owner) = &entry.owner {
-                *shares.entry(owner).or_default() += entry.slice.share();
-            }
-        }
         let total: f64 = self.loads.values().map(|l| l.rate).sum();
         let known = total >= QUIET;
-        let load = |entry: &crate::Owned| {
-            let share = entry.slice.share();
-            let seen = entry.owner.as_ref().filter(|_| known);
-            let Some((owner, load)) = seen.and_then(|o| Some((o, self.loads.get(o)?))) else {
-                return if known { share * total } else { share };
+        let owners: BTreeSet<&ServerName> = table
+            .entries()
+            .iter()
+            .filter_map(|e| e.owner.as_ref())
+            .collect();
+        let fair = 1.0 / owners.len().max(self.loads.len()).max(1) as f64;
+        let share = |entry: &Owned| {
+            let hot = entry.slice.first == entry.slice.last;
+            if hot { HOT * fair } else { entry.slice.share() }
+        };
+        let learned = |entry: &Owned| {
+            let load = self.learned.get(&entry.slice.first).map(|l| l.0);
+            load.filter(|_| known)
+        };
+        let mut rests: BTreeMap<&ServerName, (f64, f64)> = BTreeMap::new();
+        for entry in table.entries() {
+            let Some(owner) = &entry.owner else {
+                continue;
             };
-            load.rate * share / shares[owner].max(f64::MIN_POSITIVE)
+            let rate = self.loads.get(owner).map_or(0.0, |l| l.rate);
+            let rest = rests.entry(owner).or_insert((rate, 0.0));
+            match learned(entry) {
+                Some(load) => rest.0 -= load,
+                None => rest.1 += share(entry),
+            }
+        }
+        let load = |entry: &Owned| {
+            if let Some(load) = learned(entry) {
+                return load;
+            }
+            let rest = entry.owner.as_ref().filter(|_| known).map(|o| rests[o]);
+            match rest {
+                Some((rate, shares)) => rate.max(0.0) * share(entry) / shares,
+                None if known => share(entry) * total,
+                None => share(entry),
+            }
         };
         table.entries().iter().map(load).collect()
     }
--- a/crates/chicoryrail-ownership/src/placement.rs
+++ b/crates/chicoryrail-ownership/src/placement.rs
@@ -13,6 +13,10 @@
 /// cold caches at the new owner) than the balance gains.
 const TOLERATED: f64 = 1.2;
 
+/// Load of a server, as a part of its fair share, below which it is filled: one that has joined or
+/// come back.
+const EMPTY: f64 = 0.5;
+
 /// A server that may own slices.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -158,7 +162,8 @@
             .iter()
             .max_by(|a, b| per(a).total_cmp(&per(b)))?;
         let high = per(worst);
-        if high <= fair * TOLERATED {
+        let low = self.servers.iter().map(per).fold(f64::INFINITY, f64::min);
+        if high <= fair * TOLERATED && low >= fair * EMPTY {
             return None;
         }
         let mut best: Option<(f64, Shift)> = None;
@@ -173,13 +178,11 @@
             let Some(target) = self.servers.iter().find(|s| s.name == to) else {
                 continue;
             };
-            // The higher of the two after the move must lie clearly below the height before it, or
-            // slices would go to and fro.
+            // The new owner must stay below the old one, or slices would go to and fro.
             let there = per(target) + self.loads[index] / target.weight;
             let here = high - self.loads[index] / worst.weight;
-            let after = there.max(here);
-            let gain = high - after;
-            if to != worst.name && gain > 0.05 * fair && best.as_ref().is_none_or(|b| gain > b.0) {
+            let gain = high - here;
+            if to != worst.name && there < here && best.as_ref().is_none_or(|b| gain > b.0) {
                 best = Some((gain, Shift { index, to }));
             }
         }
--- a/crates/chicoryrail-ownership/src/ramp.rs
+++ b/crates/chicoryrail-ownership/src/ramp.rs
@@ -7,6 +7,9 @@
 const PROOF: u32 = 4;
 /// Longest length of a step with traffic: a server whose service is slow by nature still warms up.
 const STEP_MOST: Millis = Millis(3_000);
+/// Time without a failure after which a single request in flight becomes two without proof. Batch
+/// leaves a server's last slot alone, so a server that only gets batch would stay cold for ever.
+const ALONE_MOST: Millis = Millis(2_000);
 /// Latency over the warm one up to which an answer counts as warm.
 const WARM_FACTOR: u32 = 3;
 /// Latency over the warm one that is suspected to be cold.
@@ -84,8 +87,10 @@
         }
         let warm = self.warm == 0 || seen.latency <= self.warm.saturating_mul(WARM_FACTOR);
         self.proven = self.proven.saturating_add(seen.sent);
-        let late = now.since(self.since) >= STEP_MOST;
-        if self.proven < budget.saturating_mul(PROOF) || !(warm || late) {
+        let passed = now.since(self.since);
+        let proven = self.proven >= budget.saturating_mul(PROOF) && (warm || passed >= STEP_MOST);
+        let alone = budget == 1 && passed >= ALONE_MOST;
+        if !(proven || alone) {
             return;
         }
         let next = budget.saturating_mul(2);
--- a/crates/chicoryrail-ownership/src/section/load.rs
+++ b/crates/chicoryrail-ownership/src/section/load.rs
@@ -87,6 +87,7 @@
         let loads = self.balance.slices(&self.table);
         let plan = Placement::new(&servers, &self.service, loads).plan(&self.table, 1);
         for shift in plan {
+            self.balance.planned(&self.table, &shift);
             let handoff = Handoff {
                 stage: Stage::Draining { fence: None },
                 shift: Some(shift.to),
