fix(wire): a witness names the version that it has in force

Cause: `Confirmed::version` was the highest version a witness had heard of. A holder that must not act on an older version than a majority has needs to know what the witnesses have in force, not what they heard. Change: the meaning of the field, in its documentation; the bytes stay.

--- a/crates/chicoryrail-wire/src/witness.rs
+++ b/crates/chicoryrail-wire/src/witness.rs
@@ -24,8 +24,8 @@
     /// Whether the witness has promised no higher epoch; `false` too while it is silent after a
     /// start.
     pub shards: Vec<bool>,
-    /// Highest version of the configuration that the witness knows to be stored; a holder that
-    /// knows less fetches it, so that a holder cut off from the store still learns of a roll.
+    /// Version of the configuration that the witness has in force; a holder that has a lower one
+    /// fetches it, so that a holder cut off from the store still learns of a roll.
     pub version: u64,
 }
 
