--- a/crates/chicoryrail-controller/src/config.rs
+++ b/crates/chicoryrail-controller/src/config.rs
@@ -10,6 +10,7 @@
 use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
 use chicoryrail_core::TeamName;
+use chicoryrail_ownership::RollOut;
 use chicoryrail_platform::Record;
 use chicoryrail_runtime::EventKind;
 use chicoryrail_wire::ConfigReply;
@@ -21,7 +22,7 @@
 
 use crate::Controller;
 
-const HEAD: &str = "config/head";
+pub(crate) const HEAD: &str = "config/head";
 /// Length of one watch; a call a minute and a half for each watching controller.
 const WATCH: Millis = Millis(30_000);
 /// Rest after a call that failed.
@@ -84,13 +85,25 @@
     }
 }
 
-/// Returns the hosts whose controllers have a newer version in force.
+/// Returns the hosts whose controllers have a newer version in force, the highest first.
+///
+/// A process that has just started needs so many of them that one has every accepted version: it
+/// may itself have been in the majority that made it accepted, and one late peer would take it back.
 fn newer(controller: &Controller, known: u64) -> Vec<HostName> {
     let beats = controller.beats.borrow();
-    let newer = beats
+    let now = controller.now();
+    let alive = beats
         .values()
-        .filter(|(b, _)| b.role == Role::Controller && b.version > known);
-    newer.map(|(b, _)| b.host.clone()).collect()
+        .filter(|(b, at)| b.role == Role::Controller && now.since(*at) < controller.timing.suspect);
+    let mut newer: Vec<(u64, HostName)> = alive
+        .filter(|(b, _)| b.version > known)
+        .map(|(b, _)| (b.version, b.host.clone()))
+        .collect();
+    if known == 0 && newer.len() < RollOut::sources(controller.hosts.borrow().len()) {
+        return Vec::new();
+    }
+    newer.sort_by(|a, b| b.cmp(a));
+    newer.into_iter().map(|(_, host)| host).collect()
 }
 
 /// Answers a peer that asks for a newer configuration, holding the call for at most its wait.
@@ -134,6 +147,16 @@
     true
 }
 
+/// Tells whether the store has no newer version than the one in force; for a holder that relies on
+/// the store's confirmation.
+pub(crate) async fn is_newest(controller: &Controller) -> bool {
+    let Ok(Some(found)) = controller.store.get(HEAD).await else {
+        return false;
+    };
+    let head = found.value.as_deref().map(serde_json::from_str::<Head>);
+    matches!(head, Some(Ok(head)) if head.version <= controller.config().version())
+}
+
 /// Collects the head's bundles: those in force by their digests, the others from the store.
 async fn bundles(controller: &Controller, head: &Head) -> Option<BTreeMap<TeamName, Bundle>> {
     let current = controller.config();
--- a/crates/chicoryrail-controller/src/keep.rs
+++ b/crates/chicoryrail-controller/src/keep.rs
@@ -16,6 +16,7 @@
 
 use crate::Controller;
 use crate::claims;
+use crate::config;
 use crate::deputy;
 use crate::deputy::Deputy;
 use crate::held::Held;
@@ -108,12 +109,16 @@
     controller
         .highest
         .set(controller.highest.get().max(answer.version));
+    // A version that a majority has in force was told to operators as accepted. A holder that missed
+    // it must not act on an older one, so a witness that is ahead does not count; where no majority is
+    // ahead the old version goes on, also when the store is down in the middle of a roll.
+    let current = answer.version <= controller.config().version();
     let rows = question.into_iter().zip(answer.shards);
     rows.map(|(right, agrees)| {
         let confirmation = Confirmation {
             witness: witness.clone(),
             instance: answer.instance,
-            agrees,
+            agrees: agrees && current,
         };
         (right, confirmation)
     })
@@ -124,11 +129,13 @@
 pub(crate) fn answer(controller: &Controller, confirm: &Confirm) -> Confirmed {
     let now = controller.now();
     let witness = controller.witness.borrow();
-    let agree = |(shard, epoch): &(ShardId, Epoch)| witness.confirm(now, shard, *epoch);
+    // Without a configuration this process does not know whether the holder's is too old.
+    let ready = controller.config().version() > 0;
+    let agree = |(shard, epoch): &(ShardId, Epoch)| ready && witness.confirm(now, shard, *epoch);
     Confirmed {
         instance: controller.process.instance,
         shards: confirm.shards.iter().map(agree).collect(),
-        version: controller.highest.get(),
+        version: controller.config().version(),
     }
 }
 
@@ -138,6 +145,9 @@
     let Ok(records) = controller.store.list("shard/").await else {
         return;
     };
+    if !config::is_newest(&controller).await {
+        return;
+    }
     for deputy in deputy::all(&controller) {
         let key = claims::key(&deputy.shard);
         let found = records.iter().find(|r| r.key == key);
