feat(controller): two watches of the store for each data centre

Cause: every controller watched the head; a waiting watch is a paid call, so the number grew with the hosts. Change: two controllers of each data centre watch, the others learn of a version from the next heartbeat and fetch it from the peer that has it.

--- a/crates/chicoryrail-controller/src/config.rs
+++ b/crates/chicoryrail-controller/src/config.rs
@@ -8,6 +8,7 @@
 use chicoryrail_core::Digest;
 use chicoryrail_core::Head;
 use chicoryrail_core::HostName;
+use chicoryrail_core::KeyHash;
 use chicoryrail_core::Millis;
 use chicoryrail_core::TeamName;
 use chicoryrail_ownership::RollOut;
@@ -25,6 +26,8 @@
 pub(crate) const HEAD: &str = "config/head";
 /// Length of one watch; a call a minute and a half for each watching controller.
 const WATCH: Millis = Millis(30_000);
+/// Controllers of a data centre that watch; two, so that one may be lost.
+const WATCHERS: usize = 2;
 /// Rest after a call that failed.
 const AGAIN: Millis = Millis(300);
 /// Longest time a peer may take to hand a configuration on.
@@ -40,6 +43,10 @@
     monoio::spawn(follow_peers(Rc::clone(&controller)));
     let mut after = 0;
     loop {
+        if after > 0 && !watches(&controller) {
+            controller.process.clock.sleep(AGAIN).await;
+            continue;
+        }
         match controller.store.watch(HEAD, after, WATCH).await {
             Ok((revision, records)) => {
                 let whole = take_records(&controller, &records).await;
@@ -54,6 +61,26 @@
     }
 }
 
+/// Tells whether this process is one of the few of its data centre that watch the store.
+///
+/// A waiting watch is a paid call, so their number must not grow with the hosts; the others learn of
+/// a version from the next heartbeat and fetch it from the peer that has it.
+fn watches(controller: &Controller) -> bool {
+    let at = KeyHash::of(HEAD);
+    let own = controller.own();
+    let near = {
+        let beats = controller.beats.borrow();
+        let same = |h: &HostName| {
+            let beat = beats.get(&(h.clone(), Role::Controller));
+            h == own || beat.is_some_and(|(b, _)| b.dc == controller.settings.host.dc)
+        };
+        let live = controller.live_controllers(controller.now());
+        live.into_iter().filter(|h| same(h)).collect::<Vec<_>>()
+    };
+    let weight = |h: &HostName| at.weight(h.as_str());
+    near.iter().filter(|h| weight(h) > weight(own)).count() < WATCHERS
+}
+
 /// Asks peers as soon as a heartbeat or a witness shows a newer version, and while there is none.
 async fn follow_peers(controller: Rc<Controller>) {
     loop {
--- a/crates/chicoryrail-controller/tests/faults.rs
+++ b/crates/chicoryrail-controller/tests/faults.rs
@@ -135,3 +135,36 @@
         assert!(took < Millis(3_000), "{took}");
     });
 }
+
+/// The platform bills each call. While nothing changes only the watches are made, two for each data
+/// centre, however many hosts, servers and keys there are.
+#[test]
+fn an_idle_system_only_watches() {
+    chicoryrail_runtime::block_on(async {
+        let (cluster, _watch, _) = settled(5, 6).await;
+        let before = cluster.store.calls.get();
+        Clock::start().sleep(Millis(4_000)).await;
+        let calls = cluster.store.calls.get() - before;
+        println!("{calls} store calls in 4 s idle, 5 hosts");
+        assert!(calls <= 4, "{calls}");
+    });
+}
+
+/// Operators roll a version; the controllers that do not watch the store have it too.
+#[test]
+fn a_roll_reaches_every_controller() {
+    chicoryrail_runtime::block_on(async {
+        let (cluster, _watch, _) = settled(5, 6).await;
+        cluster.roll(|_| {});
+        let everywhere = async || {
+            for i in 0..5 {
+                if cluster.status(i).await.is_none_or(|s| s.own.version < 2) {
+                    return false;
+                }
+            }
+            true
+        };
+        let took = wait_until("version 2 everywhere", everywhere).await;
+        println!("in force on 5 hosts after {took}");
+    });
+}
