--- a/crates/chicoryrail-controller/src/config.rs
+++ b/crates/chicoryrail-controller/src/config.rs
@@ -8,8 +8,10 @@
 use chicoryrail_core::Digest;
 use chicoryrail_core::Head;
 use chicoryrail_core::HostName;
+use chicoryrail_core::KeyHash;
 use chicoryrail_core::Millis;
 use chicoryrail_core::TeamName;
+use chicoryrail_ownership::RollOut;
 use chicoryrail_platform::Record;
 use chicoryrail_runtime::EventKind;
 use chicoryrail_wire::ConfigReply;
@@ -21,9 +23,11 @@
 
 use crate::Controller;
 
-const HEAD: &str = "config/head";
+pub(crate) const HEAD: &str = "config/head";
 /// Length of one watch; a call a minute and a half for each watching controller.
 const WATCH: Millis = Millis(30_000);
+/// Controllers of a data centre that watch; two, so that one may be lost.
+const WATCHERS: usize = 2;
 /// Rest after a call that failed.
 const AGAIN: Millis = Millis(300);
 /// Longest time a peer may take to hand a configuration on.
@@ -39,6 +43,10 @@
     monoio::spawn(follow_peers(Rc::clone(&controller)));
     let mut after = 0;
     loop {
+        if after > 0 && !watches(&controller) {
+            controller.process.clock.sleep(AGAIN).await;
+            continue;
+        }
         match controller.store.watch(HEAD, after, WATCH).await {
             Ok((revision, records)) => {
                 let whole = take_records(&controller, &records).await;
@@ -53,6 +61,26 @@
     }
 }
 
+/// Tells whether this process is one of the few of its data centre that watch the store.
+///
+/// A waiting watch is a paid call, so their number must not grow with the hosts; the others learn of
+/// a version from the next heartbeat and fetch it from the peer that has it.
+fn watches(controller: &Controller) -> bool {
+    let at = KeyHash::of(HEAD);
+    let own = controller.own();
+    let near = {
+        let beats = controller.beats.borrow();
+        let same = |h: &HostName| {
+            let beat = beats.get(&(h.clone(), Role::Controller));
+            h == own || beat.is_some_and(|(b, _)| b.dc == controller.settings.host.dc)
+        };
+        let live = controller.live_controllers(controller.now());
+        live.into_iter().filter(|h| same(h)).collect::<Vec<_>>()
+    };
+    let weight = |h: &HostName| at.weight(h.as_str());
+    near.iter().filter(|h| weight(h) > weight(own)).count() < WATCHERS
+}
+
 /// Asks peers as soon as a heartbeat or a witness shows a newer version, and while there is none.
 async fn follow_peers(controller: Rc<Controller>) {
     loop {
@@ -84,13 +112,25 @@
     }
 }
 
-/// Returns the hosts whose controllers have a newer version in force.
+/// Returns the hosts whose controllers have a newer version in force, the highest first.
+///
+/// A process that has just started needs so many of them that one has every accepted version: it
+/// may itself have been in the majority that made it accepted, and one late peer would take it back.
 fn newer(controller: &Controller, known: u64) -> Vec<HostName> {
     let beats = controller.beats.borrow();
-    let newer = beats
+    let now = controller.now();
+    let alive = beats
         .values()
-        .filter(|(b, _)| b.role == Role::Controller && b.version > known);
-    newer.map(|(b, _)| b.host.clone()).collect()
+        .filter(|(b, at)| b.role == Role::Controller && now.since(*at) < controller.timing.suspect);
+    let mut newer: Vec<(u64, HostName)> = alive
+        .filter(|(b, _)| b.version > known)
+        .map(|(b, _)| (b.version, b.host.clone()))
+        .collect();
+    if known == 0 && newer.len() < RollOut::sources(controller.hosts.borrow().len()) {
+        return Vec::new();
+    }
+    newer.sort_by(|a, b| b.cmp(a));
+    newer.into_iter().map(|(_, host)| host).collect()
 }
 
 /// Answers a peer that asks for a newer configuration, holding the call for at most its wait.
@@ -134,6 +174,16 @@
     true
 }
 
+/// Tells whether the store has no newer version than the one in force; for a holder that relies on
+/// the store's confirmation.
+pub(crate) async fn is_newest(controller: &Controller) -> bool {
+    let Ok(Some(found)) = controller.store.get(HEAD).await else {
+        return false;
+    };
+    let head = found.value.as_deref().map(serde_json::from_str::<Head>);
+    matches!(head, Some(Ok(head)) if head.version <= controller.config().version())
+}
+
 /// Collects the head's bundles: those in force by their digests, the others from the store.
 async fn bundles(controller: &Controller, head: &Head) -> Option<BTreeMap<TeamName, Bundle>> {
     let current = controller.config();
