perf(policy): a queue that stood stands again at once

Cause: at a small overload the short queue runs empty for moments, and each moment allowed another second of a long queue. Change: for two seconds after it stood, a queue counts as standing after a tenth of the usual time.

--- a/crates/chicoryrail-policy/src/admission.rs
+++ b/crates/chicoryrail-policy/src/admission.rs
@@ -33,20 +33,42 @@
 pub(crate) struct Admission {
     /// When a lookup or an order last found none of its kind waiting.
     empty: Millis,
+    /// When the queue last stood.
+    stood: Option<Millis>,
 }
 
+/// Time for which a queue that stood is expected to stand again: an overload that just exceeds what
+/// the servers can do lets the short queue run empty for moments, and each would otherwise bring a
+/// second of a long one. Bursts that are further apart are absorbed each time.
+const RELAPSE: Millis = Millis(2_000);
+/// Part of the usual time after which such a queue counts as standing.
+const RELAPSE_PART: u64 = 10;
+
 impl Admission {
     pub(crate) fn found_empty(&mut self, now: Millis) {
         self.empty = now;
     }
 
-    pub(crate) fn admits(&self, now: Millis, limits: &Limits, p: Prospect) -> bool {
-        let stands = !p.batch && now.since(self.empty) >= limits.standing;
-        let patience = if stands {
+    pub(crate) fn admits(&mut self, now: Millis, limits: &Limits, p: Prospect) -> bool {
+        let patience = if !p.batch && self.stands(now, limits) {
             limits.standing_patience
         } else {
             limits.patience
         };
         p.ahead < p.slots && p.wait <= p.spare || p.wait <= p.spare * patience
     }
+
+    fn stands(&mut self, now: Millis, limits: &Limits) -> bool {
+        let again = self.stood.is_some_and(|t| now.since(t) < RELAPSE);
+        let after = if again {
+            Millis(limits.standing.0 / RELAPSE_PART)
+        } else {
+            limits.standing
+        };
+        let stands = now.since(self.empty) >= after;
+        if stands {
+            self.stood = Some(now);
+        }
+        stands
+    }
 }
--- a/crates/chicoryrail-policy/tests/server_queue.rs
+++ b/crates/chicoryrail-policy/tests/server_queue.rs
@@ -313,3 +313,64 @@
     assert_eq!(q.poll(Millis(4)), None);
     assert_eq!(q.verdict(Millis(4), A), None);
 }
+
+/// Offers `each` lookups every millisecond to a server that does one in 4 ms, and returns the most
+/// that waited in each second.
+fn longest_queues(q: &mut ServerQueue, each: impl Fn(u64) -> u64, seconds: u64) -> Vec<u32> {
+    let mut running: Option<(Ticket, u64)> = None;
+    let mut next = 0;
+    let mut longest = vec![0; seconds as usize];
+    for ms in 0..seconds * 1_000 {
+        let now = Millis(ms);
+        if let Some((ticket, end)) = running
+            && ms >= end
+        {
+            q.done(now, A, ticket, quick());
+            running = None;
+        }
+        while let Some(action) = q.poll(now) {
+            if let Action::Send(ticket, _) = action {
+                running = Some((ticket, ms + 4));
+            }
+        }
+        for _ in 0..each(ms) {
+            next += 1;
+            if let Decision::Send(_) = q.offer(now, lookup(next, ms + 1_000)) {
+                running = Some((Ticket(next), ms + 4));
+            }
+        }
+        let second = &mut longest[(ms / 1_000) as usize];
+        *second = q.load(now).waiting.max(*second);
+    }
+    longest
+}
+
+// Twice what the server can do, for seconds. The queue absorbs the first second as if it were a
+// burst; then it stands and is kept short, so that what is done has waited 50 ms and not 500.
+#[test]
+fn standing_queue_is_kept_short() {
+    let mut q = queue(&[(A, 1)]);
+    let longest = longest_queues(&mut q, |ms| u64::from(ms.is_multiple_of(2)), 4);
+    assert!(longest[0] > 100, "{longest:?}");
+    assert!(longest[3] < 20, "{longest:?}");
+}
+
+// The overload ends for a moment, the short queue runs empty, and the overload is back.
+#[test]
+fn queue_that_ran_empty_for_a_moment_still_stands() {
+    let mut q = queue(&[(A, 1)]);
+    let gap = |ms: u64| (3_000..3_200).contains(&ms);
+    let each = |ms: u64| u64::from(ms.is_multiple_of(2) && !gap(ms));
+    let longest = longest_queues(&mut q, each, 5);
+    assert!(longest[4] < 20, "{longest:?}");
+}
+
+// Bursts of half a second, seconds apart: each finds the whole queue.
+#[test]
+fn bursts_apart_are_absorbed_each_time() {
+    let mut q = queue(&[(A, 1)]);
+    let each = |ms: u64| u64::from(ms % 4_000 < 400 && ms.is_multiple_of(2));
+    let longest = longest_queues(&mut q, each, 9);
+    let bursts = [longest[0], longest[4], longest[8]];
+    assert!(bursts.iter().all(|n| (90..=110).contains(n)), "{longest:?}");
+}
