--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(seen >= chicoryrail_core::Millis(2));
 //! ```
 
+mod bind;
 mod body;
 mod clock;
 mod event;
@@ -23,11 +24,13 @@
 mod http_client;
 mod http_server;
 mod json;
+mod listen;
 mod metrics;
 mod process;
 mod settings;
 mod start;
 
+pub use bind::bind;
 pub use body::Body;
 pub use body::collect;
 pub use body::empty;
@@ -39,16 +42,20 @@
 pub use event_ring::EventRing;
 pub use http_client::HttpClient;
 pub use http_client::HttpError;
+pub use http_client::says_close;
 pub use http_server::HttpLimits;
 pub use http_server::serve_http;
 pub use json::error_answer;
 pub use json::json_answer;
+pub use listen::listen;
 pub use metrics::Metrics;
 pub use process::Process;
 pub use settings::HostSettings;
 pub use settings::SettingError;
 pub use settings::host_settings;
+pub use settings::setting;
 pub use settings::store_setting;
+pub use settings::switch_setting;
 pub use start::block_on;
 pub use start::exit_with;
 pub use start::init_logs;
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -1,1 +1,87 @@
 //! Stand-ins of the platform, fault-injecting proxy, load generator, checker.
+//!
+//! Everything that a test, the demo or a chaos run needs around the real processes: a key-value
+//! store, a lagging host list and targets that speak the protocols of `chicoryrail-platform`, each
+//! as a library and as a small program, with faults that a test switches on over HTTP.
+//!
+//! # Example
+//!
+//! ```
+//! use chicoryrail_platform::CasBody;
+//! use chicoryrail_testkit::Kv;
+//!
+//! let mut kv = Kv::default();
+//! let body = CasBody { value: "1".to_owned(), expect: 0, lease: None };
+//! assert_eq!(kv.swap("config/head", &body), Ok(1));
+//! ```
+
+mod chaos;
+mod checker;
+mod cluster;
+mod list;
+mod listener;
+mod load;
+mod proxy;
+mod query;
+mod store;
+mod target;
+mod wall;
+
+pub use chaos::ChaosOptions;
+pub use chaos::Summary;
+pub use chaos::run as run_chaos;
+pub use checker::Availability;
+pub use checker::Checker;
+pub use checker::Evidence;
+pub use checker::OutPeriod;
+pub use checker::Pause;
+pub use checker::PlannedStop;
+pub use checker::Violation;
+pub use cluster::Cluster;
+pub use cluster::ClusterError;
+pub use cluster::ClusterOptions;
+pub use cluster::Deployment;
+pub use cluster::HostPlan;
+pub use cluster::Links;
+pub use cluster::Member;
+pub use cluster::ServiceShape;
+pub use cluster::TargetPlan;
+pub use cluster::call_blocking;
+pub use cluster::free_port;
+pub use list::ListServer;
+pub use listener::Cut;
+pub use listener::Listener;
+pub use listener::stand_in;
+pub use load::CallRecord;
+pub use load::Load;
+pub use load::LoadGate;
+pub use load::LoadKind;
+pub use load::LoadOptions;
+pub use load::LoadService;
+pub use load::LoadSummary;
+pub use load::Outcome;
+pub use load::Progress;
+pub use load::caller_id;
+pub use proxy::Link;
+pub use proxy::LinkFault;
+pub use proxy::LinkStats;
+pub use proxy::Net;
+pub use query::query;
+pub use store::Change;
+pub use store::Kv;
+pub use store::StoreFault;
+pub use store::StoreOptions;
+pub use store::StoreServer;
+pub use store::StoreStats;
+pub use store::SwapError;
+pub use target::AnswerHead;
+pub use target::Ledger;
+pub use target::Overrun;
+pub use target::Ownership;
+pub use target::Permit;
+pub use target::Refusal;
+pub use target::Run;
+pub use target::TargetFault;
+pub use target::TargetOptions;
+pub use target::TargetServer;
+pub use wall::wall_micros;
