fix(gate): "not run" is said of every send of a request

Change: a lookup of which any send may have run ends as 1200 (outcome unknown) whatever refused its last send; when to come back stays. The race of two tries tells "may have run" of the second one, too.

--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -46,7 +46,8 @@
 ///
 /// # Errors
 ///
-/// Returns the refusal of the first try where neither got an answer.
+/// Returns the refusal of the first try where neither got an answer; it says "not run" only where
+/// that is certain of both.
 pub(crate) async fn race(
     gate: &Rc<Gate>,
     call: &Call,
@@ -78,16 +79,35 @@
     result
 }
 
+/// How a second try ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoAnswer {
+    /// It is certain that no server ran it.
+    NotRun,
+    /// A server may have run it.
+    MayHaveRun,
+}
+
 /// Waits for the first answer of two tries.
 async fn best<A, B>(first: A, second: B) -> Result<Response<Body>, Refusal>
 where
     A: Future<Output = Result<Response<Body>, Refusal>> + Unpin,
-    B: Future<Output = Option<Response<Body>>> + Unpin,
+    B: Future<Output = Result<Response<Body>, NoAnswer>> + Unpin,
 {
-    match select(first, second).await {
-        Either::Left((Ok(answer), _)) | Either::Right((Some(answer), _)) => Ok(answer),
-        Either::Left((Err(refusal), second)) => second.await.ok_or(refusal),
-        Either::Right((None, first)) => first.await,
+    let (refusal, none) = match select(first, second).await {
+        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => return Ok(answer),
+        Either::Left((Err(refusal), second)) => match second.await {
+            Ok(answer) => return Ok(answer),
+            Err(none) => (refusal, none),
+        },
+        Either::Right((Err(none), first)) => match first.await {
+            Ok(answer) => return Ok(answer),
+            Err(refusal) => (refusal, none),
+        },
+    };
+    match none {
+        NoAnswer::NotRun => Err(refusal),
+        NoAnswer::MayHaveRun => Err(refusal.after_a_run()),
     }
 }
 
@@ -101,15 +121,15 @@
     source: &Rc<Source>,
     way: &Way,
     free: &Rc<Free>,
-) -> Option<Response<Body>> {
+) -> Result<Response<Body>, NoAnswer> {
     let Way::Free(_, first) = way else {
-        return None;
+        return Err(NoAnswer::NotRun);
     };
     let mut want = "budget";
     for _ in 0..LOOKS {
         if free.hedge.borrow_mut().take(1) {
             match try_places(gate, call, source, free, first).await {
-                Ok(answer) => return answer,
+                Ok(answer) => return answer.ok_or(NoAnswer::MayHaveRun),
                 Err(NoSlot) => free.hedge.borrow_mut().give_back(),
             }
             want = "slots";
@@ -118,13 +138,14 @@
     }
     let refused = &gate.counters.hedges_refused;
     refused.with_label_values(&[want]).inc();
-    None
+    Err(NoAnswer::NotRun)
 }
 
 /// No place had a free slot; nothing was sent.
 struct NoSlot;
 
-/// Offers the second try to one place after the other, until one has a free slot.
+/// Offers the second try to one place after the other, until one has a free slot; `None` where the
+/// one that took it gave no answer, so that it may have run.
 async fn try_places(
     gate: &Rc<Gate>,
     call: &Call,
--- a/crates/chicoryrail-gate/tests/faults.rs
+++ b/crates/chicoryrail-gate/tests/faults.rs
@@ -122,6 +122,23 @@
     });
 }
 
+/// A lookup runs and its answer is lost; the sends that follow are refused by the server, which runs
+/// none of them. The caller must not hear "not run" from the last refusal: the first send did run.
+#[rstest]
+#[case::through_one_gate(1, "/v1/casks/c1")]
+#[case::through_two_gates(2, "/v1/casks/c1")]
+#[case::of_a_free_service(2, "/v1/history/h1")]
+fn not_run_is_said_of_every_send(#[case] gates: usize, #[case] path: &str) {
+    block_on(async {
+        let target = Target::start("s0");
+        let world = start(gates, &[], &target).await;
+        target.then(Act::Cut(0));
+        (0..10).for_each(|_| target.then(Act::NotRun));
+        let answer = get(world.callers(0), path).await.unwrap();
+        assert_eq!((code(&answer), target.runs()), (Some(1200), 1));
+    });
+}
+
 /// The answer comes after the caller's deadline: the caller is told so in time, the server is told
 /// to give up, and the late answer meets a closed connection.
 #[test]
