--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -2,6 +2,8 @@
 
 use bpaf::Bpaf;
 
+use crate::bench_control::ControlBench;
+use crate::bench_control::control_bench;
 use crate::bench_gate::GateBench;
 use crate::bench_gate::gate_bench;
 use crate::bench_straggler::StragglerBench;
@@ -11,6 +13,9 @@
 /// What to measure
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum Bench {
+    /// What control costs while nobody calls, and what it asks of the store
+    #[bpaf(command)]
+    Control(#[bpaf(external(control_bench))] ControlBench),
     /// One gate beside direct calls to the same server, in one run
     #[bpaf(command)]
     Gate(#[bpaf(external(gate_bench))] GateBench),
@@ -45,6 +50,7 @@
     /// Runs the measurement and tells whether it succeeded.
     pub(crate) fn run(&self) -> bool {
         match self {
+            Self::Control(bench) => bench.run(),
             Self::Gate(bench) => bench.run(),
             Self::Straggler(bench) => bench.run(),
             Self::Policy { case, seed, seeds } => {
--- a/xtask/src/bench_gate.rs
+++ b/xtask/src/bench_gate.rs
@@ -1,6 +1,5 @@
 //! What one gate adds to a call.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -24,6 +23,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use crate::tools::cpu;
 use crate::tools::print_json;
 
 /// Time in which the bundle must be in force and the gate ready.
@@ -35,9 +35,6 @@
 /// Callers of the run that finds what the gate bears.
 const CALLERS: u32 = 24;
 
-/// Clock ticks a second in which the system counts processor time.
-const TICKS: f64 = 100.0;
-
 /// How long to measure
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) struct GateBench {
@@ -166,14 +163,3 @@
 fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("constant bounds are valid")
 }
-
-/// Reads the processor time of a process; zero where it has ended.
-fn cpu(pid: Option<u32>) -> Duration {
-    let read = || {
-        let text = fs::read_to_string(format!("/proc/{}/stat", pid?)).ok()?;
-        let fields: Vec<&str> = text.rsplit(')').next()?.split_whitespace().collect();
-        let ticks = |i: usize| fields.get(i)?.parse::<f64>().ok();
-        Some((ticks(11)? + ticks(12)?) / TICKS)
-    };
-    Duration::from_secs_f64(read().unwrap_or(0.0))
-}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Every chore of the project; `cargo xtask --help` lists them.
 
 mod bench;
+mod bench_control;
 mod bench_gate;
 mod bench_straggler;
 mod chaos;
