fix(ownership): three ways to two owners, found by random runs of a section

It found: (1) a grant still on its way when its slice is released has the release's fence and undoes it at the server; (2) a deputy renews a server that thawed with slices it had lost, since a renewal makes all that a server holds valid; (3) the answer to an old queued call of a thawed server says that it holds nothing, the renewal then validates the old grant queued behind it. Change: whenever a slice leaves a server the version rises, and the server gets no validity before an answer shows that it has seen that fence: it then refuses everything older. Holder and deputy renew only servers that hold nothing beyond what the table gives them.

--- a/crates/chicoryrail-controller/src/calls.rs
+++ b/crates/chicoryrail-controller/src/calls.rs
@@ -104,6 +104,7 @@
                     Answer {
                         now: Millis::ZERO,
                         instance: report.instance,
+                        fence: Fence::default(),
                         slices: Vec::new(),
                     },
                 ),
@@ -127,6 +128,7 @@
             let answer = Answer {
                 now: answer.now,
                 instance: answer.instance,
+                fence: answer.fence,
                 slices: answer.slices,
             };
             with_section(held, |s| s.answered(now, server, answer));
--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -10,6 +10,7 @@
 use chicoryrail_core::Server;
 use chicoryrail_core::ServerName;
 use chicoryrail_core::ShardId;
+use chicoryrail_core::Slice;
 use chicoryrail_ownership::Answer;
 use chicoryrail_ownership::Holder;
 use chicoryrail_ownership::OrderWindow;
@@ -20,6 +21,7 @@
 use chicoryrail_wire::DeputyCopy;
 use chicoryrail_wire::DeputyReply;
 use chicoryrail_wire::OrderAnswer;
+use chicoryrail_wire::RouteEntry;
 use chicoryrail_wire::RouteTable;
 
 use crate::Controller;
@@ -207,13 +209,26 @@
             .entry(server.name.clone())
             .or_insert_with(|| Session::new(server, now));
         if session.is_due(now) {
-            let asof = session.asked(now, true, &controller.timing);
+            session.set_floor(deputy.fence.get());
+            let sound = session.holds_within(&owned_by(deputy, &server.name));
+            let asof = session.asked(now, sound, &controller.timing);
             let (controller, deputy) = (Rc::clone(controller), Rc::clone(deputy));
             monoio::spawn(call(controller, deputy, server.clone(), asof));
         }
     }
 }
 
+/// Returns the slices that the copy gives to a server, the moving ones among them.
+fn owned_by(deputy: &Deputy, server: &ServerName) -> Vec<Slice> {
+    let table = deputy.table.borrow();
+    let Some(table) = table.as_ref() else {
+        return Vec::new();
+    };
+    let index = table.servers.iter().position(|s| s.name == *server);
+    let own = |e: &&RouteEntry| Some(e.owner as usize) == index;
+    table.entries.iter().filter(own).map(|e| e.slice).collect()
+}
+
 async fn call(
     controller: Rc<Controller>,
     deputy: Rc<Deputy>,
@@ -240,6 +255,7 @@
             let answer = Answer {
                 now: answer.now,
                 instance: answer.instance,
+                fence: answer.fence,
                 slices: answer.slices,
             };
             session.answered(controller.now(), answer);
--- a/crates/chicoryrail-ownership/src/section/calls.rs
+++ b/crates/chicoryrail-ownership/src/section/calls.rs
@@ -8,6 +8,7 @@
 use super::Act;
 use super::Section;
 use super::moves::Stage;
+use crate::sessions::merged;
 
 impl Section {
     /// Returns the calls that are due.
@@ -67,22 +68,3 @@
         (wanted, releasing)
     }
 }
-
-/// Sorts slices and joins neighbours, so that two writings of one set compare equal.
-pub(super) fn merged(mut slices: Vec<Slice>) -> Vec<Slice> {
-    slices.sort_unstable();
-    let mut all: Vec<Slice> = Vec::with_capacity(slices.len());
-    for slice in slices {
-        match all.last_mut() {
-            Some(last) if last.last.checked_add(1) == Some(slice.first) => last.last = slice.last,
-            _ => all.push(slice),
-        }
-    }
-    all
-}
-
-/// Tells whether a sorted, joined set covers a slice.
-pub(super) fn covers(set: &[Slice], slice: Slice) -> bool {
-    set.iter()
-        .any(|s| s.first <= slice.first && slice.last <= s.last)
-}
--- a/crates/chicoryrail-ownership/src/section/mod.rs
+++ b/crates/chicoryrail-ownership/src/section/mod.rs
@@ -61,6 +61,8 @@
     away: BTreeSet<ServerName>,
     balance: Balance,
     split: bool,
+    /// Servers that a slice was taken from since the last version.
+    left: Vec<ServerName>,
     ticked: Millis,
     view: Routes,
 }
@@ -114,6 +116,7 @@
             away: BTreeSet::new(),
             balance: Balance::default(),
             split: false,
+            left: Vec::new(),
             ticked: now,
             view: Routes::default(),
             service,
@@ -215,11 +218,16 @@
         );
     }
 
-    /// Returns the servers whose sessions the deputy may renew: those that answer.
+    /// Returns the servers whose sessions the deputy may renew: those that answer, and hold nothing
+    /// that they should not.
     #[must_use]
     pub fn renewable(&self, now: Millis) -> Vec<ServerName> {
-        let up = |n: &&ServerName| self.health(now, n) == Health::Up;
-        self.sessions.keys().filter(up).cloned().collect()
+        let sound = |n: &&ServerName| {
+            let (mut owned, releasing) = self.wanted(n);
+            owned.extend(releasing);
+            self.health(now, n) == Health::Up && self.sessions[*n].holds_within(&owned)
+        };
+        self.sessions.keys().filter(sound).cloned().collect()
     }
 
     /// Takes in that somebody else may have kept routes and sessions valid until `until`.
@@ -260,6 +268,14 @@
             .retain(|name, _| self.servers.contains_key(name) || owners.contains(name));
         // Servers of a section that was never held before, and servers added to one, are cold.
         let first = self.fresh && self.fence.epoch == Epoch(1);
+        // Servers of a free service see no fences.
+        let floor = match self.service.kind {
+            Kind::Keyed => Fence {
+                epoch: self.fence.epoch,
+                version: 0,
+            },
+            Kind::Free => Fence::default(),
+        };
         for server in self.servers.values() {
             if !self.sessions.contains_key(&server.name) && (first || !self.fresh) {
                 self.ramps
@@ -270,7 +286,8 @@
             let bound = self.inherited.max(now + self.timing.suspect);
             self.sessions
                 .entry(server.name.clone())
-                .or_insert_with(|| Session::new(server, bound));
+                .or_insert_with(|| Session::new(server, bound))
+                .set_floor(floor);
         }
     }
 
--- a/crates/chicoryrail-ownership/src/section/moves.rs
+++ b/crates/chicoryrail-ownership/src/section/moves.rs
@@ -13,12 +13,12 @@
 
 use super::Act;
 use super::Section;
-use super::calls::covers;
-use super::calls::merged;
 use crate::AssignRecord;
 use crate::Assignment;
 use crate::Health;
 use crate::Placement;
+use crate::sessions::covers;
+use crate::sessions::merged;
 
 /// Planned moves under way at a time, as a share of the section's slices. Requests of a moving slice
 /// are held; with an eighth at a time a whole data centre leaves in some 8 rounds of about 100 ms,
@@ -242,6 +242,9 @@
                 Some(Health::Up) => {
                     if let Some(m) = self.moves.get_mut(&i) {
                         m.stage = Stage::Releasing { again: now };
+                        // A grant that is still on its way would undo the release at the server; with a
+                        // higher fence on the release it is refused.
+                        self.left.extend(self.table.owner(i).cloned());
                     }
                 }
                 Some(Health::Suspect | Health::New) => {}
@@ -330,6 +333,7 @@
                 let named = handoff.shift.take();
                 let able = named.filter(|n| servers.iter().any(|s| s.name == *n));
                 let to = able.unwrap_or(shift.to);
+                self.left.extend(self.table.owner(shift.index).cloned());
                 handoff.stage = Stage::Storing { to };
             }
         }
--- a/crates/chicoryrail-ownership/src/section/view.rs
+++ b/crates/chicoryrail-ownership/src/section/view.rs
@@ -63,15 +63,30 @@
     pub slices: Vec<SliceView>,
 }
 
+impl Routes {
+    /// Returns the slices of a server, the moving ones among them.
+    #[must_use]
+    pub fn owned_by(&self, server: &ServerName) -> Vec<Slice> {
+        let index = self.servers.iter().position(|s| s.name == *server);
+        let own = |s: &&SliceView| Some(s.owner as usize) == index;
+        self.slices.iter().filter(own).map(|s| s.slice).collect()
+    }
+}
+
 impl Section {
-    /// Raises the table's version where its content has changed.
+    /// Raises the table's version where its content has changed, or a release needs a higher fence.
     pub(super) fn publish(&mut self, now: Millis) {
         let view = self.build(now);
-        if view == self.view {
+        if view == self.view && self.left.is_empty() {
             return;
         }
         self.view = view;
         self.fence.version += 1;
+        for name in self.left.drain(..) {
+            if let Some(session) = self.sessions.get_mut(&name) {
+                session.set_floor(self.fence);
+            }
+        }
         for handoff in self.moves.values_mut() {
             if let Stage::Draining {
                 fence: fence @ None,
--- a/crates/chicoryrail-ownership/src/sessions.rs
+++ b/crates/chicoryrail-ownership/src/sessions.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use chicoryrail_core::DcName;
+use chicoryrail_core::Fence;
 use chicoryrail_core::Millis;
 use chicoryrail_core::Server;
 use chicoryrail_core::Slice;
@@ -29,6 +30,8 @@
     pub now: Millis,
     /// Random number of its run.
     pub instance: u64,
+    /// Highest fence that it had seen.
+    pub fence: Fence,
     /// Slices that it holds, sorted.
     pub slices: Vec<Slice>,
 }
@@ -48,6 +51,8 @@
     bound: Millis,
     instance: u64,
     held: Vec<Slice>,
+    fence: Fence,
+    floor: Fence,
     due: Millis,
     calling: bool,
 }
@@ -65,6 +70,8 @@
             bound: until,
             instance: 0,
             held: Vec::new(),
+            fence: Fence::default(),
+            floor: Fence::default(),
             due: Millis::ZERO,
             calling: false,
         }
@@ -118,6 +125,16 @@
         !self.calling && now >= self.due
     }
 
+    /// Tells whether everything that the server said it holds lies in `owned`, sorted or not.
+    ///
+    /// A renewal makes all that a server holds valid. One that thawed still holds what it has lost,
+    /// so without this check a renewal would bring it back beside the new owner.
+    #[must_use]
+    pub fn holds_within(&self, owned: &[Slice]) -> bool {
+        let owned = merged(owned.to_vec());
+        self.held.iter().all(|slice| covers(&owned, *slice))
+    }
+
     /// Takes in that somebody else may have renewed the session until `until`.
     pub fn inherit(&mut self, until: Millis) {
         self.bound = self.bound.max(until);
@@ -129,6 +146,15 @@
         self.due = Millis::ZERO;
     }
 
+    /// Takes in that a slice was taken from the server at `fence`.
+    ///
+    /// A frozen server has old calls queued: the answer to one shows what it held before it ran the
+    /// next, perhaps an old grant. Once it has seen this fence it refuses all of those; until its
+    /// answer says so no call gives it validity.
+    pub fn set_floor(&mut self, fence: Fence) {
+        self.floor = self.floor.max(fence);
+    }
+
     /// Makes the next call due at once.
     pub const fn hurry(&mut self) {
         self.due = Millis::ZERO;
@@ -142,6 +168,7 @@
         self.calling = true;
         self.due = now + timing.renewal;
         let fresh = self.heard.is_some() && now.since(self.seen) < timing.session;
+        let fresh = fresh && self.fence >= self.floor;
         if !(renew && fresh) {
             return None;
         }
@@ -161,6 +188,7 @@
         self.heard = Some(now);
         self.instance = answer.instance;
         self.held = answer.slices;
+        self.fence = answer.fence;
         changed
     }
 
@@ -169,3 +197,22 @@
         self.calling = false;
     }
 }
+
+/// Sorts slices and joins neighbours, so that two writings of one set compare equal.
+pub(crate) fn merged(mut slices: Vec<Slice>) -> Vec<Slice> {
+    slices.sort_unstable();
+    let mut all: Vec<Slice> = Vec::with_capacity(slices.len());
+    for slice in slices {
+        match all.last_mut() {
+            Some(last) if last.last.checked_add(1) == Some(slice.first) => last.last = slice.last,
+            _ => all.push(slice),
+        }
+    }
+    all
+}
+
+/// Tells whether a sorted, joined set covers a slice.
+pub(crate) fn covers(set: &[Slice], slice: Slice) -> bool {
+    set.iter()
+        .any(|s| s.first <= slice.first && slice.last <= s.last)
+}
