test(controller): a lost gate and a host that is taken out

Cause: handing on a lost gate's servers, and a host's shards at a take-out, had code and no run that shows them. Change: two tests with real controller processes.

--- a/crates/chicoryrail-controller/tests/faults.rs
+++ b/crates/chicoryrail-controller/tests/faults.rs
@@ -168,3 +168,47 @@
         println!("in force on 5 hosts after {took}");
     });
 }
+
+/// Callers whose requests went through the lost gate go through another one. Its heartbeats end, its
+/// routes run out, and only then each of its servers gets its next gate.
+#[test]
+fn a_lost_gates_servers_are_handed_on() {
+    chicoryrail_runtime::block_on(async {
+        let (cluster, watch, holder) = settled(3, 6).await;
+        let gates = async || {
+            let tables = cluster.status(holder).await.map(|s| s.tables);
+            let servers = tables.into_iter().flatten().flat_map(|t| t.servers);
+            servers.map(|s| s.gate).collect::<Vec<_>>()
+        };
+        let before = gates().await;
+        assert!(before.contains(&Some("h1".into())), "{before:?}");
+        cluster.gates[1].cancel();
+        let others = async || {
+            let now = gates().await;
+            now.len() == 6 && now.iter().all(|g| g.is_some() && *g != Some("h1".into()))
+        };
+        let took = wait_until("no server has the lost gate", others).await;
+        println!("lost gate's servers handed on after {took}");
+        assert_eq!(watch.doubled.get(), 0);
+    });
+}
+
+/// The caller sees nothing. Operators take the holder's host out; it makes the next controller its
+/// deputy, waits until that has the whole copy, stops acting and says so in the store.
+#[test]
+fn a_host_taken_out_hands_its_shards_on() {
+    chicoryrail_runtime::block_on(async {
+        let (cluster, watch, holder) = settled(3, 6).await;
+        let name = format!("h{holder}");
+        cluster.roll(|head| {
+            head.outs.hosts.insert(name.as_str().into());
+        });
+        let other = async || cluster.holder().await.is_some_and(|h| h != holder);
+        let took = wait_until("another holder", other).await;
+        Clock::start().sleep(Millis(1_000)).await;
+        println!("host out: shard handed on after {took}");
+        let worst = watch.report("host out");
+        assert!(worst < Millis(1_000), "{worst}");
+        assert_eq!((watch.served(), watch.doubled.get()), (64, 0));
+    });
+}
--- a/crates/chicoryrail-controller/tests/support/cluster.rs
+++ b/crates/chicoryrail-controller/tests/support/cluster.rs
@@ -35,6 +35,8 @@
     pub targets: Vec<Rc<FakeTarget>>,
     pub processes: Vec<Child>,
     pub inner: Vec<SocketAddr>,
+    /// Each ends the gate of a host.
+    pub gates: Vec<CancellationToken>,
     pub hosts: Rc<RefCell<Vec<HostEntry>>>,
     store_addr: SocketAddr,
     list_addr: SocketAddr,
@@ -66,6 +68,7 @@
             targets,
             processes: Vec::new(),
             inner: Vec::new(),
+            gates: Vec::new(),
             hosts: list,
             store_addr,
             list_addr,
@@ -97,7 +100,9 @@
         let name = format!("h{i}");
         let dc = ["a", "b"][i % 2];
         let inner = free_addr();
-        let gate = FakeGate::listen(&self.stop, &name, dc);
+        let stop = self.stop.child_token();
+        let gate = FakeGate::listen(&stop, &name, dc);
+        self.gates.push(stop);
         let process = Command::new(env!("CARGO_BIN_EXE_chicoryrail-controller"))
             .args(["--host", &name, "--data-centre", dc])
             .args(["--host-list", &self.list_addr.to_string()])
