fix(policy): a server that joins again keeps its ramp and instance id

Cause: a route that ran out for a moment made the queue forget a server; back again, one on its ramp counted as warm, and a fresh process could not be told from the old one.

--- a/crates/chicoryrail-policy/tests/server_queue.rs
+++ b/crates/chicoryrail-policy/tests/server_queue.rs
@@ -222,6 +222,32 @@
     assert_eq!(levels, [1, 2, 4]);
 }
 
+// A server on its ramp leaves the queue, since its route ran out for a moment, and joins again. It is
+// still cold; and if it restarted meanwhile, its first answer still shows that.
+#[rstest]
+#[case::on_its_ramp(true, 7, 1)]
+#[case::restarted(false, 8, 1)]
+#[case::as_before(false, 7, 2)]
+fn server_that_joins_again_is_remembered(
+    #[case] cold: bool,
+    #[case] instance: u64,
+    #[case] slots: usize,
+) {
+    let mut q = queue(&[(A, 2)]);
+    q.set_instance(A, 7);
+    if cold {
+        q.set_cold(A);
+    }
+    q.remove_server(A);
+    q.set_server(A, 2);
+    assert_eq!(q.offer(Millis(0), lookup(1, 1_000)), Decision::Send(A));
+    q.done(Millis(4), A, Ticket(1), quick());
+    q.set_instance(A, instance);
+    let sent = [2, 3].map(|n| q.offer(Millis(5), lookup(n, 1_000)));
+    let sent = sent.iter().filter(|d| matches!(d, Decision::Send(_)));
+    assert_eq!(sent.count(), slots);
+}
+
 // One of three servers holds a request far longer than usual. Nothing more is sent there but a
 // single lookup now and then to see whether it is quick again; an order never is that probe.
 #[test]
