fix(gate): a first table counts other gates as ways once it is valid

Cause: the first routes of a shard were settled as valid before the reply made them so. Gates that hold no server of a free service then saw no valid table, so knew no other gate either, and nothing settled again, since the shard counted as valid already. Ruled out: slots (0 waiting in lanes), the ramp, the order claims (554 claimed, 554 closed), connections. Change: a table is settled as valid only where it is, and again on the reply that makes it valid. The new test fails without the change (503, result 1102) and passes with it.

--- a/crates/chicoryrail-gate/src/route_task.rs
+++ b/crates/chicoryrail-gate/src/route_task.rs
@@ -116,6 +116,9 @@
             let was = shard.is_valid(gate.now());
             shard.renew(host, *fence, until);
             if !was {
+                // A first table came before its validity: until now no lane and no other gate
+                // counted as a way, and a request would wait out its deadline.
+                gate.check_routes(gate.now());
                 shard.signal.notify();
             }
         }
--- a/crates/chicoryrail-gate/src/tables.rs
+++ b/crates/chicoryrail-gate/src/tables.rs
@@ -53,7 +53,7 @@
             give_up(&route.server);
             self.servers.borrow_mut().remove(&route.server.name);
         }
-        self.settle(&shard, true);
+        self.settle(&shard, shard.is_valid(self.now()));
         self.process.events.record(
             EventKind::RoutesApplied,
             shard.id.to_string(),
--- a/crates/chicoryrail-gate/tests/callers.rs
+++ b/crates/chicoryrail-gate/tests/callers.rs
@@ -90,6 +90,31 @@
     });
 }
 
+/// The caller's lookup is answered through the gate that holds the service's only server. The
+/// configuration is in force before the first routes come, so these come before they are valid; a
+/// gate that counted the other gates at that moment alone would know no way, and hold each request
+/// until its deadline.
+#[test]
+fn a_gate_without_servers_of_a_free_service_finds_the_gate_that_has_them() {
+    block_on(async {
+        let world = World::start(2, &[]);
+        world.control.set_bundle(1, BUNDLE);
+        // Without a configuration the gate is not ready to look an order up.
+        while code(&get(world.callers(1), "/v1/orders/o1").await.unwrap()) == Some(1105) {}
+        let (kits, lessons) = (Target::start("s0"), Target::start("s2"));
+        world
+            .control
+            .publish("kits", 1, &[route(&kits, "g0", 2)], 0);
+        world
+            .control
+            .publish_free("lessons", 1, &[route(&lessons, "g0", 2)]);
+        world.ready().await;
+        let answer = get(world.callers(1), "/v1/kits/lessons/l1").await;
+        let body = "s2 GET /v1/kits/lessons/l1 0".to_owned();
+        assert_eq!(outcome(&answer.unwrap()), (200, None, body));
+    });
+}
+
 #[rstest]
 #[case::plain("k1", "s0")]
 #[case::encoded("k%31", "s0")]
