fix(gate): a lookup is "not run" only if no try of it ran

Cause: a lookup was sent, its answer was lost, and it was tried again; the last try was refused before it ran, and its code was what the caller heard. The same held for a second try of the hedge that was sent and lost. Ruled out: the other gate refusing what it had sent (each of its answers is for its one try), a forward that times out before it is sent. Change: a call keeps whether a try was sent and nothing is known of its run; the refusal is then 1202 (deadline) or 1200.

--- a/crates/chicoryrail-gate/src/call.rs
+++ b/crates/chicoryrail-gate/src/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request, classified.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use chicoryrail_core::Class;
@@ -44,6 +45,8 @@
     pub(crate) headers: HeaderMap,
     /// Announced length of the body.
     pub(crate) length: Option<u64>,
+    /// Whether a try was sent and nothing is known of its run.
+    unsure: Cell<bool>,
 }
 
 impl Call {
@@ -101,6 +104,7 @@
             path,
             headers: headers::for_server(head.headers),
             length,
+            unsure: Cell::new(false),
         })
     }
 
@@ -109,6 +113,27 @@
         self.class != Class::Order
     }
 
+    /// Takes in how a try ended.
+    pub(crate) fn tried(&self, refusal: &Refusal) {
+        if !refusal.not_run() {
+            self.unsure.set(true);
+        }
+    }
+
+    /// Returns what the caller is told in place of `refusal`.
+    ///
+    /// The last try of a lookup may be refused before it ran while an earlier one was sent and its
+    /// answer lost. "Not run" would then be false: the earlier one may have run.
+    pub(crate) fn told(&self, refusal: Refusal) -> Refusal {
+        if !(self.unsure.get() && refusal.not_run()) {
+            return refusal;
+        }
+        match refusal.code {
+            ResultCode::DeadlinePassed => ResultCode::AnswerLate.into(),
+            _ => ResultCode::OutcomeUnknown.into(),
+        }
+    }
+
     /// Returns the time left.
     pub(crate) fn left(&self, now: Millis) -> Millis {
         self.deadline.since(now)
--- a/crates/chicoryrail-gate/src/dispatch.rs
+++ b/crates/chicoryrail-gate/src/dispatch.rs
@@ -36,11 +36,20 @@
 ///
 /// # Errors
 ///
-/// Returns the refusal to answer with.
+/// Returns the refusal to answer with; "not run" covers every try that was made.
 pub(crate) async fn run(
     gate: &Rc<Gate>,
     call: &Call,
     source: &Rc<Source>,
+) -> Result<Response<Body>, Refusal> {
+    let result = run_tries(gate, call, source).await;
+    result.map_err(|refusal| call.told(refusal))
+}
+
+async fn run_tries(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
 ) -> Result<Response<Body>, Refusal> {
     call.entry.budget.borrow_mut().earn();
     let hold_end = call.deadline.min(call.came + gate.settings.limits.hold);
@@ -56,6 +65,7 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
+        call.tried(&refusal);
         if !source.is_whole() || !(refusal.not_run() || call.is_idempotent()) {
             return Err(refusal);
         }
--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -152,7 +152,11 @@
         match result {
             // A place without a free slot runs nothing.
             Err(refusal) if refusal.not_run() => {}
-            result => return Ok(result.ok()),
+            Err(refusal) => {
+                call.tried(&refusal);
+                return Ok(None);
+            }
+            Ok(answer) => return Ok(Some(answer)),
         }
     }
     Err(NoSlot)
--- a/crates/chicoryrail-gate/tests/faults.rs
+++ b/crates/chicoryrail-gate/tests/faults.rs
@@ -197,6 +197,23 @@
 
 /// Nobody listens at the server's address: no byte of the order was written, so the refusal says
 /// "not run" and tells when to come back, and the same id runs once after the server is back.
+/// A lookup runs and its answer is lost; it is sent again, and each further try is refused before
+/// it runs. The caller must not hear "not run" because the last try was not: the first one was.
+#[rstest]
+#[case::through_one_gate(1)]
+#[case::through_two_gates(2)]
+fn a_lookup_is_not_run_only_if_no_try_of_it_ran(#[case] gates: usize) {
+    block_on(async {
+        let target = Target::start("s0");
+        let world = start(gates, &[], &target).await;
+        target.then(Act::Cut(0));
+        (0..5).for_each(|_| target.then(Act::NotRun));
+        let answer = get(world.callers(0), "/v1/casks/c1").await.unwrap();
+        assert_eq!(target.runs(), 1);
+        assert_eq!(code(&answer), Some(1200));
+    });
+}
+
 #[test]
 fn an_order_that_was_not_written_may_be_sent_again() {
     block_on(async {
