feat(runtime): invariants are counted, recorded and abort tests

Cause: a broken promise was seen only where a test happened to look. Change: Process::invariants asserts a closed set of 12; a broken one raises chicoryrail_invariant_violations_total, records EventKind::Violation (logged at error level so the testkit's own_violations counts it at any log level) and aborts where CHICORYRAIL_ABORT_ON_VIOLATION=1, which the testkit's cluster sets.

--- a/crates/chicoryrail-runtime/src/event_ring.rs
+++ b/crates/chicoryrail-runtime/src/event_ring.rs
@@ -51,7 +51,12 @@
     pub fn record(&self, kind: EventKind, subject: impl Into<String>, detail: impl Into<String>) {
         let subject = subject.into();
         let detail = detail.into();
-        log::info!(subject = subject.as_str(), detail = detail.as_str(); "{kind:?}");
+        // A broken invariant must reach the log at its default level.
+        let level = match kind {
+            EventKind::Violation => log::Level::Error,
+            _ => log::Level::Info,
+        };
+        log::log!(level, subject = subject.as_str(), detail = detail.as_str(); "{kind:?}");
         let mut inner = self.inner.borrow_mut();
         let stamp = inner.tick();
         let event = Event {
--- a/crates/chicoryrail-runtime/src/process.rs
+++ b/crates/chicoryrail-runtime/src/process.rs
@@ -12,6 +12,7 @@
 use crate::Clock;
 use crate::EventKind;
 use crate::EventRing;
+use crate::Invariants;
 use crate::Metrics;
 use crate::error_answer;
 use crate::full;
@@ -29,6 +30,8 @@
     pub metrics: Metrics,
     /// Events shown at `/events`.
     pub events: EventRing,
+    /// Assertions, counted in the metrics and shown among the events.
+    pub invariants: Invariants,
     /// Cancelled when the process is told to stop.
     pub stop: CancellationToken,
     /// Random number of this run.
@@ -46,9 +49,11 @@
             program,
             format!("pid={}", std::process::id()),
         );
+        let metrics = Metrics::default();
         Self {
             clock: Clock::start(),
-            metrics: Metrics::default(),
+            invariants: Invariants::new(&metrics, &events),
+            metrics,
             events,
             stop: CancellationToken::new(),
             instance: rand::random::<u64>().max(1),
