fix(gate): a lookup that may have run is never called not run

Cause: the gate's new assertions (one owner, slots, out and leaving servers, own answer, order once, not run, config and fence forward, whole stop) aborted on a lookup whose first try was cut and whose second one the server refused: the caller was told 'not run' (3004) although the first try had run. Change: dispatch says 'unknown' (1200) for a lookup of which any try may have run; Trace counts the sends that have no proof of not having run. ServerQueue::limit is new in the policy.

--- a/crates/chicoryrail-controller/tests/support/cluster.rs
+++ b/crates/chicoryrail-controller/tests/support/cluster.rs
@@ -104,6 +104,7 @@
             .args(["--store", &self.store_addr.to_string()])
             .args(["--inner", &inner.to_string()])
             .args(["--observe", &free_addr().to_string()])
+            .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .spawn()
             .unwrap();
         self.hosts.borrow_mut().push(HostEntry {
--- a/crates/chicoryrail-gate/src/call.rs
+++ b/crates/chicoryrail-gate/src/call.rs
@@ -18,6 +18,7 @@
 use crate::headers;
 use crate::refusal::Refusal;
 use crate::service::Entry;
+use crate::trace::Trace;
 
 /// Longest order id in bytes.
 const MAX_ORDER_ID: usize = 128;
@@ -44,6 +45,8 @@
     pub(crate) headers: HeaderMap,
     /// Announced length of the body.
     pub(crate) length: Option<u64>,
+    /// What is known of its sends.
+    pub(crate) trace: Rc<Trace>,
 }
 
 impl Call {
@@ -101,6 +104,7 @@
             path,
             headers: headers::for_server(head.headers),
             length,
+            trace: Rc::default(),
         })
     }
 
--- a/crates/chicoryrail-gate/src/caller.rs
+++ b/crates/chicoryrail-gate/src/caller.rs
@@ -16,6 +16,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::asserts;
 use crate::call;
 use crate::call::Call;
 use crate::dispatch;
@@ -53,7 +54,10 @@
     let body = body.map_err(io::Error::other).boxed_unsync();
     let source = Source::new(Box::pin(body), call.entry.service.max_body);
     let labels = (Rc::clone(&call.entry), call.class);
-    let result = answer(gate, call, &source).await;
+    let result = answer(gate, call.clone(), &source).await;
+    if let Err(refusal) = &result {
+        asserts::before_refusal(gate, &call, refusal);
+    }
     finish(gate, Some(labels), result, id, started)
 }
 
--- a/crates/chicoryrail-gate/src/dispatch.rs
+++ b/crates/chicoryrail-gate/src/dispatch.rs
@@ -41,6 +41,28 @@
     gate: &Rc<Gate>,
     call: &Call,
     source: &Rc<Source>,
+) -> Result<Response<Body>, Refusal> {
+    let result = send_and_repeat(gate, call, source).await;
+    result.map_err(|refusal| of_all_tries(call, refusal))
+}
+
+/// Says of a lookup what holds for all its tries: the last one may be refused as not run after an
+/// earlier one, or the second of two at a time, reached a server that may have run it. An order is
+/// not sent again after such a try, so its last refusal stands.
+fn of_all_tries(call: &Call, refusal: Refusal) -> Refusal {
+    if refusal.not_run() && call.is_idempotent() && call.trace.may_have_run() {
+        return Refusal {
+            code: ResultCode::OutcomeUnknown,
+            ..refusal
+        };
+    }
+    refusal
+}
+
+async fn send_and_repeat(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
 ) -> Result<Response<Body>, Refusal> {
     call.entry.budget.borrow_mut().earn();
     let hold_end = call.deadline.min(call.came + gate.settings.limits.hold);
--- a/crates/chicoryrail-gate/src/forward.rs
+++ b/crates/chicoryrail-gate/src/forward.rs
@@ -16,6 +16,7 @@
 use chicoryrail_platform::header;
 use chicoryrail_policy::PeerId;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::collect;
 use chicoryrail_wire::Forward;
 use chicoryrail_wire::Peer;
@@ -33,6 +34,7 @@
 use monoio::time::sleep;
 use monoio::time::timeout;
 
+use crate::asserts;
 use crate::call::Call;
 use crate::free::Free;
 use crate::free::read_load;
@@ -110,6 +112,7 @@
     if now >= call.deadline {
         return Err(ResultCode::DeadlinePassed.into());
     }
+    asserts::before_send(gate, call);
     let head = head(gate, call, hop, peer, now);
     let limit = call.left(now) + GRACE;
     let opened = timeout(limit.duration(), peer.forward(head, source.is_empty())).await;
@@ -118,6 +121,7 @@
         Ok(Err(_)) => return Err(ResultCode::NoServer.into()),
         Err(_) => return Err(ResultCode::DeadlinePassed.into()),
     };
+    call.trace.wrote();
     if !source.is_empty() {
         monoio::spawn(pump(source.body(), body));
     }
@@ -130,6 +134,7 @@
     let answer = match answer {
         Ok(Ok(answer)) => answer,
         Ok(Err(e)) if e.is_reset() && e.reason() == Some(Reason::REFUSED_STREAM) => {
+            call.trace.unran();
             return Err(ResultCode::NoServer.into());
         }
         Ok(Err(_)) => return Err(ResultCode::OutcomeUnknown.into()),
@@ -147,8 +152,18 @@
     if let Some(code) = head.headers.get(inner::CODE) {
         let code = code.to_str().ok().and_then(|c| c.parse().ok());
         let code = code.and_then(ResultCode::from_number);
-        return Err(refusal(code, body, head.headers).await);
+        let refusal = refusal(code, body, head.headers).await;
+        if refusal.not_run() {
+            call.trace.unran();
+        }
+        return Err(refusal);
     }
+    let own = head.headers.get(header::REQUEST_ID) == Some(&call.id);
+    gate.process
+        .invariants
+        .check(Invariant::OwnAnswer, own, || {
+            format!("peer={} request={:?}", peer.addr(), call.id)
+        });
     head.headers = headers::end_to_end(head.headers);
     head.version = http::Version::HTTP_11;
     head.extensions.clear();
--- a/crates/chicoryrail-gate/src/free.rs
+++ b/crates/chicoryrail-gate/src/free.rs
@@ -11,7 +11,7 @@
 use chicoryrail_policy::Load;
 use chicoryrail_policy::PeerId;
 use chicoryrail_policy::Picker;
-use chicoryrail_runtime::Clock;
+use chicoryrail_runtime::Process;
 use http::HeaderValue;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -52,9 +52,9 @@
 
 impl Free {
     /// Builds a service without servers.
-    pub(crate) fn new(clock: Clock) -> Rc<Self> {
+    pub(crate) fn new(process: &Process) -> Rc<Self> {
         Rc::new(Self {
-            lane: Lane::new(clock),
+            lane: Lane::new(process),
             hedge: RefCell::default(),
             picker: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
--- a/crates/chicoryrail-gate/src/gate.rs
+++ b/crates/chicoryrail-gate/src/gate.rs
@@ -15,6 +15,7 @@
 use chicoryrail_core::ShardId;
 use chicoryrail_platform::HttpTargets;
 use chicoryrail_runtime::EventKind;
+use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::Process;
 use chicoryrail_wire::Heartbeat;
 use chicoryrail_wire::HostState;
@@ -125,6 +126,8 @@
             return;
         }
         let version = config.version();
+        let all = &self.process.invariants;
+        all.rises(Invariant::ConfigForward, &self.version(), &version);
         let orders = (0..config.order_parts())
             .map(|part| self.shard(&ShardId::Orders { part }))
             .collect();
@@ -159,7 +162,7 @@
         let mut frees = self.frees.borrow_mut();
         let free = frees
             .entry(service.clone())
-            .or_insert_with(|| Free::new(self.process.clock));
+            .or_insert_with(|| Free::new(&self.process));
         Rc::clone(free)
     }
 
--- a/crates/chicoryrail-gate/src/inner.rs
+++ b/crates/chicoryrail-gate/src/inner.rs
@@ -24,6 +24,7 @@
 use http::Response;
 use http::request::Parts;
 
+use crate::asserts;
 use crate::call;
 use crate::call::Call;
 use crate::forward;
@@ -88,20 +89,32 @@
     let sent = Sent::read(&head.headers);
     let id = call::request_id(gate, &head.headers);
     let call = Call::read(gate, head, id).map_err(rerouted)?;
+    // The gate at which the caller is asked for the claim.
+    call.trace.claim();
+    let result = send_on(gate, &call, &sent, body).await;
+    result.inspect_err(|refusal| asserts::before_refusal(gate, &call, refusal))
+}
+
+async fn send_on(
+    gate: &Rc<Gate>,
+    call: &Call,
+    sent: &Sent,
+    body: RecvStream,
+) -> Result<Response<Body>, Refusal> {
     let now = gate.now();
     if let (Some(free), Some((host, load))) = (&call.entry.free, &sent.load) {
         free.heard_from(now, host, *load);
     }
-    let lane = lane(&call, sent.server.as_ref(), now)?;
+    let lane = lane(call, sent.server.as_ref(), now)?;
     let body: Body = Box::pin(StreamBody::new(body, call.left(now), None));
     let source = Source::new(body, call.entry.service.max_body);
     if !sent.hedge {
-        return send::to_server(gate, &call, &source, &lane).await;
+        return send::to_server(gate, call, &source, &lane).await;
     }
     let ask = Ask::new(Ticket(gate.serial()), call.class, call.deadline);
     let permit = lane.enter_now(ask).ok_or(ResultCode::Overloaded)?;
     gate.counters.hedges.inc();
-    send::with_permit(gate, &call, &source, permit).await
+    send::with_permit(gate, call, &source, permit).await
 }
 
 /// What the other gate says with a request.
--- a/crates/chicoryrail-gate/src/lane.rs
+++ b/crates/chicoryrail-gate/src/lane.rs
@@ -22,6 +22,9 @@
 use chicoryrail_policy::Ticket;
 use chicoryrail_policy::Verdict;
 use chicoryrail_runtime::Clock;
+use chicoryrail_runtime::Invariant;
+use chicoryrail_runtime::Invariants;
+use chicoryrail_runtime::Process;
 
 use crate::refusal::Refusal;
 use crate::server::Server;
@@ -32,6 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct Lane {
     clock: Clock,
+    invariants: Invariants,
     queue: RefCell<ServerQueue>,
     members: RefCell<HashMap<ServerId, Member>>,
     waiters: RefCell<HashMap<Ticket, Rc<Waiter>>>,
@@ -62,9 +66,10 @@
 
 impl Lane {
     /// Builds a lane without servers.
-    pub(crate) fn new(clock: Clock) -> Rc<Self> {
+    pub(crate) fn new(process: &Process) -> Rc<Self> {
         Rc::new(Self {
-            clock,
+            clock: process.clock,
+            invariants: process.invariants.clone(),
             queue: RefCell::default(),
             members: RefCell::default(),
             waiters: RefCell::default(),
@@ -152,7 +157,10 @@
     ) -> Result<Permit, Refusal> {
         let decision = self.queue.borrow_mut().offer(self.clock.now(), ask);
         match decision {
-            Decision::Send(id) => Permit::new(self, id, ask.ticket),
+            Decision::Send(id) => {
+                self.check_start(id);
+                Permit::new(self, id, ask.ticket)
+            }
             Decision::Refuse(refusal) => Err(refusal.into()),
             Decision::Wait => {
                 let waiter = Rc::new(Waiter {
@@ -177,6 +185,7 @@
     /// Takes a free slot for a second try; it never waits.
     pub(crate) fn enter_now(self: &Rc<Self>, ask: Ask) -> Option<Permit> {
         let id = self.queue.borrow_mut().offer_now(self.clock.now(), ask)?;
+        self.check_start(id);
         Permit::new(self, id, ask.ticket).ok()
     }
 
@@ -201,7 +210,10 @@
             let action = self.queue.borrow_mut().poll(self.clock.now());
             match action {
                 None => return,
-                Some(Action::Send(ticket, id)) => self.turn(ticket, State::Granted(id)),
+                Some(Action::Send(ticket, id)) => {
+                    self.check_start(id);
+                    self.turn(ticket, State::Granted(id));
+                }
                 Some(Action::Refuse(ticket, refusal)) => {
                     self.turn(ticket, State::Refused(refusal));
                 }
@@ -209,6 +221,19 @@
         }
     }
 
+    /// Asserts right after a start that the server bears it and has not left.
+    fn check_start(&self, id: ServerId) {
+        let queue = self.queue.borrow();
+        let (flights, limit) = (queue.in_flight(id), queue.limit(id));
+        drop(queue);
+        let subject = || format!("server={} in_flight={flights} limit={limit}", id.0);
+        self.invariants
+            .check(Invariant::WithinSlots, flights <= limit, subject);
+        let stays = self.members.borrow().contains_key(&id);
+        self.invariants
+            .check(Invariant::LeavingIdle, stays, subject);
+    }
+
     fn turn(&self, ticket: Ticket, state: State) {
         let Some(waiter) = self.waiters.borrow_mut().remove(&ticket) else {
             return;
--- a/crates/chicoryrail-gate/src/lib.rs
+++ b/crates/chicoryrail-gate/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod answer_body;
+mod asserts;
 mod call;
 mod caller;
 mod config_task;
@@ -42,6 +43,7 @@
 mod signal;
 mod source;
 mod tables;
+mod trace;
 mod tracked;
 mod way;
 
--- a/crates/chicoryrail-gate/src/order.rs
+++ b/crates/chicoryrail-gate/src/order.rs
@@ -82,7 +82,7 @@
         token: rand::random(),
     };
     match obtain(gate, call, &claim).await? {
-        OrderReply::Send => {}
+        OrderReply::Send => call.trace.claim(),
         OrderReply::Closed(OrderOutcome::Done(answer)) => return Ok(replay(answer)),
         OrderReply::Closed(OrderOutcome::NotRun) => return Err(ResultCode::NoServer.into()),
         OrderReply::Closed(OrderOutcome::Unknown) => {
--- a/crates/chicoryrail-gate/src/run.rs
+++ b/crates/chicoryrail-gate/src/run.rs
@@ -11,6 +11,7 @@
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::EventKind;
 use chicoryrail_runtime::HttpLimits;
+use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::SettingError;
 use chicoryrail_runtime::block_on;
 use chicoryrail_runtime::error_answer;
@@ -118,6 +119,11 @@
     wait_until(&gate, || gate.serving.get() == 0).await;
     inner_stop.cancel();
     wait_until(&gate, || gate.serving.get() == 0 && gate.closing.get() == 0).await;
+    let serving = gate.serving.get();
+    let all = &gate.process.invariants;
+    all.check(Invariant::StopWhole, serving == 0, || {
+        format!("serving={serving}")
+    });
     gate.process.events.record(EventKind::Stopped, "gate", "");
     ends.cancel();
     Ok(())
--- a/crates/chicoryrail-gate/src/send.rs
+++ b/crates/chicoryrail-gate/src/send.rs
@@ -14,6 +14,7 @@
 use chicoryrail_policy::Outcome;
 use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::says_close;
 use futures_util::future::Either;
 use futures_util::future::select;
@@ -27,6 +28,7 @@
 
 use crate::answer_body::AnswerBody;
 use crate::answer_body::Exchange;
+use crate::asserts;
 use crate::call::Call;
 use crate::free::write_load;
 use crate::gate::Gate;
@@ -97,6 +99,8 @@
     };
     let attempt = attempt_id(gate, call);
     let request = request(call, source, &server, table.fence, &attempt, now);
+    asserts::before_write(gate, call, &permit.shard, &table, &server.name, now);
+    call.trace.wrote();
     server.sent();
     let mut exchange = Exchange::new(conn, permit, flight, &server);
     if call.is_idempotent() {
@@ -143,6 +147,7 @@
             server.failed();
             if error.take_message().is_some() {
                 exchange.abandon_unsent();
+                call.trace.unran();
                 return Err(ResultCode::NoServer.into());
             }
             // The connection is at its end, and so is the server's work for it.
@@ -174,8 +179,15 @@
         exchange.closes_after();
     }
     if answer.headers().contains_key(header::NOT_RUN) {
+        call.trace.unran();
         return Err(refused(answer, exchange, server));
     }
+    let own = answer.headers().get(header::REQUEST_ID) == Some(attempt);
+    gate.process
+        .invariants
+        .check(Invariant::OwnAnswer, own, || {
+            format!("server={} request={:?}", server.name, call.id)
+        });
     Ok(pass(gate, call, server, answer, exchange))
 }
 
--- a/crates/chicoryrail-gate/src/tables.rs
+++ b/crates/chicoryrail-gate/src/tables.rs
@@ -12,6 +12,7 @@
 use chicoryrail_policy::ServerId;
 use chicoryrail_policy::Verdict;
 use chicoryrail_runtime::EventKind;
+use chicoryrail_runtime::Invariant;
 use chicoryrail_wire::RouteTable;
 use chicoryrail_wire::ServerRoute;
 use chicoryrail_wire::ServerState;
@@ -47,6 +48,10 @@
             routes: routes.map(|s| self.route(service, s)).collect(),
             entries: table.entries.clone(),
         });
+        if let Some(old) = &old {
+            let all = &self.process.invariants;
+            all.rises(Invariant::FenceForward, &old.fence, &new.fence);
+        }
         *shard.table.borrow_mut() = Some(Rc::clone(&new));
         let gone = old.iter().flat_map(|t| &t.routes);
         for route in gone.filter(|r| new.route(&r.server.name).is_none()) {
@@ -163,7 +168,7 @@
             }
             give_up(&server);
         }
-        let lane = common.unwrap_or_else(|| Lane::new(self.process.clock));
+        let lane = common.unwrap_or_else(|| Lane::new(&self.process));
         let id = ServerId(self.serial() as u32);
         let server = Rc::new(Server::new(name, addr, id, &lane, shared));
         let mut servers = self.servers.borrow_mut();
--- a/crates/chicoryrail-gate/tests/support/gate.rs
+++ b/crates/chicoryrail-gate/tests/support/gate.rs
@@ -132,6 +132,7 @@
             .args(["--inner", &inner.to_string()])
             .args(["--observe", &observe.to_string()])
             .args(flags)
+            .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .stdin(Stdio::null())
             .spawn()
             .unwrap();
--- a/crates/chicoryrail-policy/src/server_queue.rs
+++ b/crates/chicoryrail-policy/src/server_queue.rs
@@ -248,6 +248,13 @@
         self.servers.get(id).map_or(0, Server::in_flight)
     }
 
+    /// Returns the most requests that a server may have in flight now: its slots, or what its ramp
+    /// allows.
+    #[must_use]
+    pub fn limit(&self, id: ServerId) -> u32 {
+        self.servers.get(id).map_or(0, Server::limit)
+    }
+
     fn choose(&mut self, now: Millis, class: Class, due: bool) -> Option<ServerId> {
         self.servers.observe(now, &self.times);
         self.servers.choose(now, class, due)
