feat(controller): invariants asserted next to each safeguard

Cause: a grant of a slice that another server may hold, a call past the validity, an assignment that the store lacks or a table that still sends work to a server taken out showed only where a test looked. Change: asserts.rs checks them at the call and at the published table, from a ledger of this holder's own grants kept apart from the section that decides; configuration and fence only rise.

--- a/crates/chicoryrail-controller/src/calls.rs
+++ b/crates/chicoryrail-controller/src/calls.rs
@@ -16,6 +16,7 @@
 use chicoryrail_runtime::EventKind;
 
 use crate::Controller;
+use crate::asserts;
 use crate::claims;
 use crate::held::Held;
 
@@ -25,7 +26,8 @@
 /// Makes one call. The clock is read again right before it: a process that was paused between the
 /// decision and the call must not give validity that it no longer has.
 pub(crate) async fn perform(controller: Rc<Controller>, held: Rc<Held>, act: Act) {
-    if !held.may_act(controller.now()) {
+    let now = controller.now();
+    if !held.may_act(now) {
         if let Act::Session { server, .. } | Act::Grant { server, .. } | Act::Load { server, .. } =
             &act
         {
@@ -33,6 +35,8 @@
         }
         return;
     }
+    let all = &controller.process.invariants;
+    asserts::before_call(all, &held, &act, now);
     let valid = controller.timing.session;
     match act {
         Act::Session {
@@ -71,6 +75,9 @@
                 result.is_ok()
             );
             events.record(EventKind::Granted, server.as_str(), detail);
+            if result.is_ok() {
+                held.grants.borrow_mut().granted(&server, &body.slices);
+            }
             settle(&controller, &held, &server, fence, result);
         }
         Act::Release {
@@ -91,6 +98,7 @@
             events.record(EventKind::Released, server.as_str(), detail);
             if result.is_ok() {
                 let now = controller.now();
+                held.grants.borrow_mut().released(&server, &body.slices);
                 with_section(&held, |s| s.released(now, &body.slices));
             }
         }
--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -311,6 +311,7 @@
         holder: RefCell::new(holder),
         record: RefCell::new((record.clone(), version)),
         content,
+        grants: RefCell::default(),
         news: Signal::default(),
         stop: CancellationToken::new(),
         given: Cell::new(false),
--- a/crates/chicoryrail-controller/src/config.rs
+++ b/crates/chicoryrail-controller/src/config.rs
@@ -14,6 +14,7 @@
 use chicoryrail_ownership::RollOut;
 use chicoryrail_platform::Record;
 use chicoryrail_runtime::EventKind;
+use chicoryrail_runtime::Invariant;
 use chicoryrail_wire::ConfigReply;
 use chicoryrail_wire::ConfigRequest;
 use chicoryrail_wire::Reply;
@@ -219,6 +220,12 @@
         return;
     }
     let version = config.version();
+    let all = &controller.process.invariants;
+    all.rises(
+        Invariant::ConfigForward,
+        &controller.config().version(),
+        &version,
+    );
     let outs = config.head.outs.hosts.clone();
     *controller.config.borrow_mut() = Rc::new(config);
     controller
--- a/crates/chicoryrail-controller/src/held.rs
+++ b/crates/chicoryrail-controller/src/held.rs
@@ -12,6 +12,7 @@
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_wire::OrderAnswer;
 
+use crate::asserts::Grants;
 use crate::signal::Signal;
 
 /// What is driven while a shard is held.
@@ -30,6 +31,8 @@
     pub(crate) holder: RefCell<Holder>,
     pub(crate) record: RefCell<(ShardRecord, u64)>,
     pub(crate) content: Content,
+    /// What servers may hold by this holder's grants, for assertions only.
+    pub(crate) grants: RefCell<Grants>,
     pub(crate) news: Signal,
     pub(crate) stop: CancellationToken,
     /// Whether the holder has given the shard up; it never acts again in this epoch.
--- a/crates/chicoryrail-controller/src/lib.rs
+++ b/crates/chicoryrail-controller/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert!(Settings::parser().run_inner(args).is_err());
 //! ```
 
+mod asserts;
 mod calls;
 mod claims;
 mod config;
--- a/crates/chicoryrail-controller/src/shard.rs
+++ b/crates/chicoryrail-controller/src/shard.rs
@@ -15,6 +15,7 @@
 use chicoryrail_wire::ServerState;
 
 use crate::Controller;
+use crate::asserts;
 use crate::calls;
 use crate::held::Held;
 use crate::store::Swap;
@@ -53,6 +54,7 @@
     resume_ramps(&controller, &held, &mut section);
     *cell.borrow_mut() = Some(Box::new(section));
     let mut version = stored.version;
+    held.grants.borrow_mut().stored = stored.record;
     let mut applied = 0;
     while !held.stop.is_cancelled() {
         let now = controller.now();
@@ -72,6 +74,10 @@
                 let before = section.fence();
                 let gates = controller.live_gates(now);
                 let acts = section.tick(now, controller.store.is_up(), &gates);
+                if let Some(found) = config.service(service) {
+                    let all = &controller.process.invariants;
+                    asserts::published(all, &config, found, section, before);
+                }
                 if section.fence() != before {
                     held.news.raise();
                     controller.route_news.raise();
@@ -170,6 +176,7 @@
     match result {
         Swap::Done(version) => {
             section.stored(Some(&record));
+            held.grants.borrow_mut().stored = Some(record);
             version
         }
         // Somebody else wrote: a newer holder. This one acts no more; its lapse will show.
