--- a/crates/chicoryrail-gate/src/dispatch.rs
+++ b/crates/chicoryrail-gate/src/dispatch.rs
@@ -42,11 +42,25 @@
     call: &Call,
     source: &Rc<Source>,
 ) -> Result<Response<Body>, Refusal> {
-    let result = run_tries(gate, call, source).await;
-    result.map_err(|refusal| call.told(refusal))
+    let result = send_and_repeat(gate, call, source).await;
+    result.map_err(|refusal| of_all_tries(call, refusal))
 }
 
-async fn run_tries(
+/// Says of a lookup what holds for all its tries: the last one may be refused as not run after an
+/// earlier one, or the second of two at a time, reached a server that may have run it. An order is
+/// not sent again after such a try, so its last refusal stands.
+fn of_all_tries(call: &Call, refusal: Refusal) -> Refusal {
+    if refusal.not_run() && call.is_idempotent() && call.trace.may_have_run() {
+        let code = match refusal.code {
+            ResultCode::DeadlinePassed => ResultCode::AnswerLate,
+            _ => ResultCode::OutcomeUnknown,
+        };
+        return Refusal { code, ..refusal };
+    }
+    refusal
+}
+
+async fn send_and_repeat(
     gate: &Rc<Gate>,
     call: &Call,
     source: &Rc<Source>,
@@ -65,7 +79,6 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
-        call.tried(&refusal);
         if !source.is_whole() || !(refusal.not_run() || call.is_idempotent()) {
             return Err(refusal);
         }
--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -152,11 +152,7 @@
         match result {
             // A place without a free slot runs nothing.
             Err(refusal) if refusal.not_run() => {}
-            Err(refusal) => {
-                call.tried(&refusal);
-                return Ok(None);
-            }
-            Ok(answer) => return Ok(Some(answer)),
+            result => return Ok(result.ok()),
         }
     }
     Err(NoSlot)
