fix(ownership): the next holder goes on with the gates of its servers

A new holder named no gate for any server before the last holder's routes had run out (724 ms), and each replacement of a deputy in that time began the wait again. FakeGate's watch in the controller tests looks at owners only, so no test saw it.

Change: a holder that was the deputy of the last epoch starts with the gates of its copy: the last holder named no other gate before this deputy acknowledged a table without the first. A gate that the new holder has not heard from keeps the server until the inherited routes have run out, or it has itself acknowledged the new table.

Controller and ownership tests pass.

--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -311,6 +311,10 @@
         holder: RefCell::new(holder),
         record: RefCell::new((record.clone(), version)),
         content,
+        after: old
+            .as_ref()
+            .filter(|o| o.deputy.as_ref() == Some(controller.own()))
+            .map(|o| o.epoch),
         grants: RefCell::default(),
         news: Signal::default(),
         stop: CancellationToken::new(),
--- a/crates/chicoryrail-controller/src/held.rs
+++ b/crates/chicoryrail-controller/src/held.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 
+use chicoryrail_core::Epoch;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ShardId;
 use chicoryrail_ownership::Holder;
@@ -31,6 +32,8 @@
     pub(crate) holder: RefCell<Holder>,
     pub(crate) record: RefCell<(ShardRecord, u64)>,
     pub(crate) content: Content,
+    /// The epoch before this one, where this process was its deputy; nobody has acted in between.
+    pub(crate) after: Option<Epoch>,
     /// What servers may hold by this holder's grants, for assertions only.
     pub(crate) grants: RefCell<Grants>,
     pub(crate) news: Signal,
--- a/crates/chicoryrail-controller/src/shard.rs
+++ b/crates/chicoryrail-controller/src/shard.rs
@@ -51,7 +51,7 @@
     };
     let mut section = section;
     section.set_deputy(held.record.borrow().0.deputy.is_some());
-    resume_ramps(&controller, &held, &mut section);
+    resume(&controller, &held, &mut section);
     *cell.borrow_mut() = Some(Box::new(section));
     let mut version = stored.version;
     held.grants.borrow_mut().stored = stored.record;
@@ -100,18 +100,33 @@
     }
 }
 
-/// Goes on with the budgets of cold servers where this process was the shard's deputy; full load at
-/// the take-over would fell them.
-fn resume_ramps(controller: &Controller, held: &Held, section: &mut Section) {
+/// Goes on with what this process knows as the shard's deputy: the budgets of cold servers, which
+/// full load at the take-over would fell, and the gate of each server, where it was the deputy of the
+/// last epoch.
+fn resume(controller: &Controller, held: &Held, section: &mut Section) {
     let deputies = controller.deputies.borrow();
     let Some(deputy) = deputies.get(&held.shard) else {
         return;
     };
     let table = deputy.table.borrow();
-    let servers = table.iter().flat_map(|t| &t.servers);
-    for server in servers.filter(|s| s.state == ServerState::Cold) {
+    let Some(table) = table.as_ref() else {
+        return;
+    };
+    for server in table
+        .servers
+        .iter()
+        .filter(|s| s.state == ServerState::Cold)
+    {
         section.resume(controller.now(), &server.name, server.slots);
     }
+    if held.after != Some(table.fence.epoch) {
+        return;
+    }
+    for server in &table.servers {
+        if let Some(gate) = &server.gate {
+            section.resume_seat(&server.name, gate);
+        }
+    }
 }
 
 struct Stored {
--- a/crates/chicoryrail-gate/src/dispatch.rs
+++ b/crates/chicoryrail-gate/src/dispatch.rs
@@ -66,25 +66,6 @@
     source: &Rc<Source>,
 ) -> Result<Response<Body>, Refusal> {
     call.entry.budget.borrow_mut().earn();
-    let mut may_have_run = false;
-    let result = tries(gate, call, source, &mut may_have_run).await;
-    // "Not run" is said of the request, not of its last send: a lookup whose first answer was lost
-    // may have run although a later send was refused. Told otherwise, its caller would count on work
-    // as not done that was done.
-    result.map_err(|refusal| match may_have_run {
-        true => refusal.after_a_run(),
-        false => refusal,
-    })
-}
-
-/// Sends the request until it has an answer or may not be sent again; `may_have_run` is set once a
-/// server may have run it.
-async fn tries(
-    gate: &Rc<Gate>,
-    call: &Call,
-    source: &Rc<Source>,
-    may_have_run: &mut bool,
-) -> Result<Response<Body>, Refusal> {
     let hold_end = call.deadline.min(call.came + gate.settings.limits.hold);
     let mut sends = 0;
     let mut avoid: Vec<PeerId> = Vec::new();
@@ -98,7 +79,6 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
-        *may_have_run |= !refusal.not_run();
         if !source.is_whole() || !(refusal.not_run() || call.is_idempotent()) {
             return Err(refusal);
         }
--- a/crates/chicoryrail-gate/src/refusal.rs
+++ b/crates/chicoryrail-gate/src/refusal.rs
@@ -51,20 +51,6 @@
         self.code.run() == "not run"
     }
 
-    /// Returns the refusal of a request that an earlier or another send of it may have run; when to
-    /// come back stays as it is.
-    #[must_use]
-    pub(crate) fn after_a_run(self) -> Self {
-        if !self.not_run() {
-            return self;
-        }
-        Self {
-            code: ResultCode::OutcomeUnknown,
-            message: format!("one send may have run, the last ended with {}", self.code),
-            after: self.after,
-        }
-    }
-
     /// Tells whether new routes may change the result.
     pub(crate) fn is_rerouted(&self) -> bool {
         matches!(
--- a/crates/chicoryrail-ownership/src/gate_routes.rs
+++ b/crates/chicoryrail-ownership/src/gate_routes.rs
@@ -66,6 +66,12 @@
             .is_none_or(|r| r.known >= fence || r.until <= now)
     }
 
+    /// Tells whether one gate has itself acknowledged `fence`.
+    #[must_use]
+    pub fn has_acknowledged(&self, gate: &HostName, fence: Fence) -> bool {
+        self.readers.get(gate).is_some_and(|r| r.known >= fence)
+    }
+
     /// Tells whether every gate has itself acknowledged `fence`, which says too that it has no
     /// request in flight that `fence` forbids.
     #[must_use]
--- a/crates/chicoryrail-ownership/src/section/gates.rs
+++ b/crates/chicoryrail-ownership/src/section/gates.rs
@@ -5,6 +5,7 @@
 use chicoryrail_core::HostName;
 use chicoryrail_core::KeyHash;
 use chicoryrail_core::Millis;
+use chicoryrail_core::ServerName;
 
 use super::Section;
 
@@ -23,6 +24,20 @@
 }
 
 impl Section {
+    /// Goes on with the gate of a server as the last epoch's deputy has it in its copy; for the
+    /// deputy of that epoch only.
+    ///
+    /// Without it every server is without a gate until the last holder's routes have run out, and
+    /// every take-over is an outage of some 700 ms. The copy may be old, but the gate in it is the
+    /// only one that can have the server: the last holder named no other before this deputy
+    /// acknowledged a table without it.
+    pub fn resume_seat(&mut self, server: &ServerName, gate: &HostName) {
+        if self.sessions.contains_key(server) {
+            let seat = self.seats.entry(server.clone()).or_default();
+            seat.gate = Some(gate.clone());
+        }
+    }
+
     /// Gives every server its gate: by rendezvous among the live gates of its data centre, else
     /// among all.
     pub(super) fn seat(&mut self, now: Millis, live: &Live) {
@@ -39,7 +54,11 @@
             let seat = self.seats.entry(name).or_default();
             if let Some((old, fence)) = &seat.leaving {
                 let free = fence.is_some_and(|f| {
-                    self.gates.knows(now, old, f) && self.deputy.is_none_or(|known| known >= f)
+                    // Before the inherited routes have run out only the gate's own word counts: this
+                    // holder may not have heard from it at all.
+                    let over = now >= self.inherited && self.gates.knows(now, old, f);
+                    let over = over || self.gates.has_acknowledged(old, f);
+                    over && self.deputy.is_none_or(|known| known >= f)
                 });
                 if free {
                     seat.leaving = None;
