fix(controller): no claim is lost while a deputy takes over

Host 3 was paused for 413 ms, took the holder of orders.1 for lost and took over at 16.125 s, to act 621 ms later. It took its window from its copy at once; the old holder acted until its right ran out and its copies went into the deputy's window only. The test for that found a second hole: a deputy that copied the window of a blind holder (one that took over without the claims) was not blind itself, so the take-over after the next let every earlier id be sent again.

Change: copies that come before the newcomer's right begins go into its window too; later ones are refused, so their claims are not given. A copy of a window names for how long the holder is blind, and the deputy's window is blind for as long.

--- a/crates/chicoryrail-controller/src/copies.rs
+++ b/crates/chicoryrail-controller/src/copies.rs
@@ -88,6 +88,10 @@
         fence: routes::fence(held, None),
         table: None,
         renew: Vec::new(),
+        blind: held
+            .orders()
+            .map(|w| w.borrow().blind_left(now))
+            .unwrap_or_default(),
     };
     if let Some(cell) = held.section()
         && let Some(section) = cell.borrow().as_ref()
--- a/crates/chicoryrail-controller/src/orders.rs
+++ b/crates/chicoryrail-controller/src/orders.rs
@@ -8,6 +8,7 @@
 use chicoryrail_core::ResultCode;
 use chicoryrail_core::ShardId;
 use chicoryrail_ownership::Claim;
+use chicoryrail_ownership::OrderWindow;
 use chicoryrail_ownership::Outcome;
 use chicoryrail_runtime::EventKind;
 use chicoryrail_wire::OrderAnswer;
@@ -168,7 +169,24 @@
     let Some(deputy) = deputy.filter(|d| d.fence.get().epoch.0 == copy.epoch) else {
         return Reply::refused(ResultCode::NotHolder);
     };
-    let mut window = deputy.window.borrow_mut();
+    // A deputy that takes over has its own window from the promises on, while the last holder may act
+    // and send copies until its right has run out. A copy that reached only the deputy's window would
+    // be missing from the next one, and the order would be sent a second time. One that comes after
+    // the wait is refused, so its claim is not given.
+    let next = controller.held.borrow().get(&shard).cloned();
+    if let Some(next) = &next {
+        if next.may_act(controller.now()) {
+            return Reply::refused(ResultCode::NotHolder);
+        }
+        if let Some(window) = next.orders() {
+            copy_into(controller, &mut window.borrow_mut(), copy);
+        }
+    }
+    copy_into(controller, &mut deputy.window.borrow_mut(), copy);
+    Reply::Done
+}
+
+fn copy_into(controller: &Controller, window: &mut OrderWindow<OrderAnswer>, copy: &OrderCopy) {
     let claim = &copy.claim;
     match &copy.outcome {
         // The print came with the claim.
@@ -183,7 +201,6 @@
             outcome.as_ref().map(from_wire),
         ),
     }
-    Reply::Done
 }
 
 /// Tells what is known of an id.
--- a/crates/chicoryrail-ownership/src/order_window.rs
+++ b/crates/chicoryrail-ownership/src/order_window.rs
@@ -74,6 +74,20 @@
         self
     }
 
+    /// Returns for how long claims may still be missing.
+    #[must_use]
+    pub fn blind_left(&self, now: Millis) -> Millis {
+        self.blind.since(now)
+    }
+
+    /// Takes in from the holder that its claims may be missing for `left`: a copy of a window can't
+    /// know more than the window.
+    pub fn blind_for(&mut self, now: Millis, left: Millis) {
+        if left > Millis::ZERO {
+            self.blind = self.blind.max(now + left);
+        }
+    }
+
     /// Returns the number of entries.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/chicoryrail-ownership/tests/order_window.rs
+++ b/crates/chicoryrail-ownership/tests/order_window.rs
@@ -80,3 +80,15 @@
         |w: &mut OrderWindow<u8>| ["a", "b"].map(|order| w.claim(Millis(3), order, 1, 99));
     assert_eq!(answers(&mut copy), answers(&mut window));
 }
+
+/// The caller's order runs twice where this fails. A holder took over without the claims; its deputy
+/// copies its window and takes over in turn. An id from before both was never copied, so the second
+/// window must answer `unknown` for as long as the first one would have.
+#[test]
+fn a_copy_of_a_blind_window_is_blind_for_as_long() {
+    let first: OrderWindow<u8> = OrderWindow::new(LENGTH, 2).blind_since(Millis(100));
+    let mut copy: OrderWindow<u8> = OrderWindow::new(LENGTH, 2);
+    copy.blind_for(Millis(400), first.blind_left(Millis(400)));
+    let claims = [1_099, 1_100].map(|now| copy.claim(Millis(now), "a", 1, 10));
+    assert_eq!(claims, [Claim::Closed(Outcome::Unknown), Claim::Send]);
+}
--- a/crates/chicoryrail-wire/src/deputy.rs
+++ b/crates/chicoryrail-wire/src/deputy.rs
@@ -28,6 +28,9 @@
     pub table: Option<RouteTable>,
     /// Servers whose sessions the deputy may renew.
     pub renew: Vec<ServerName>,
+    /// For a part of the order ids: how long the holder still answers unknown to ids that it does not
+    /// know, since it took over without all claims. A deputy that takes over goes on with it.
+    pub blind: Millis,
 }
 
 /// Answers a [`DeputyCopy`]: the deputy acts on nothing older than `known` any more.
