fix(controller): the shards of a controller that restarts are claimed

Others look at unheld shards every 100 ms; to those that missed the moment the record named host 3, which was live, so they counted its shards as held. Host 3 itself took them 1.4 s after the release, as a stranger, and answered unknown to orders of these parts.

Change: when a heartbeat shows another run of a controller, the shards that its last run held are looked up in the store again, the deputy first.

Test: none of its own; the process test would have to restart a controller within 100 ms.

--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -167,7 +167,7 @@
         return false;
     }
     match members.state(now, &record.holder, &controller.timing) {
-        Liveness::Live => true,
+        Liveness::Live => !controller.stale.borrow().contains(shard),
         // Its release is looked for, at the pace of the head start.
         Liveness::Leaving => false,
         Liveness::Suspect => !deputy,
@@ -204,6 +204,7 @@
         return;
     };
     let old = found.as_ref().and_then(parse);
+    controller.stale.borrow_mut().remove(shard);
     if let Some(old) = &old {
         let known = controller
             .records
--- a/crates/chicoryrail-controller/src/controller.rs
+++ b/crates/chicoryrail-controller/src/controller.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::rc::Weak;
@@ -53,6 +54,8 @@
     pub(crate) held: RefCell<BTreeMap<ShardId, Rc<Held>>>,
     pub(crate) deputies: RefCell<BTreeMap<ShardId, Rc<Deputy>>>,
     pub(crate) records: RefCell<BTreeMap<ShardId, ShardRecord>>,
+    /// Shards whose holder, as `records` has it, is another run by now.
+    pub(crate) stale: RefCell<BTreeSet<ShardId>>,
     pub(crate) route_news: Signal,
     pub(crate) leaving: Cell<bool>,
     own: Weak<Self>,
@@ -82,6 +85,7 @@
             held: RefCell::default(),
             deputies: RefCell::default(),
             records: RefCell::default(),
+            stale: RefCell::default(),
             route_news: Signal::default(),
             leaving: Cell::new(false),
             own: own.clone(),
@@ -155,6 +159,13 @@
         self.highest.set(self.highest.get().max(beat.version));
         let key = (beat.host.clone(), beat.role);
         let known = self.beats.borrow_mut().insert(key, (beat.clone(), now));
+        if beat.role == Role::Controller
+            && known
+                .as_ref()
+                .is_some_and(|(b, _)| b.instance != beat.instance)
+        {
+            self.doubt(&beat.host);
+        }
         if known.is_none_or(|(b, _)| b.instance != beat.instance || b.state != beat.state) {
             let detail = format!(
                 "role={:?} state={:?} instance={}",
@@ -167,6 +178,17 @@
         }
     }
 
+    /// Takes in that a host's controller is another run, which holds nothing of what the last one
+    /// held.
+    ///
+    /// One that restarts within the 100 ms between two looks at its shards would count as their holder
+    /// from then on: neither its release nor its silence is seen, and nobody claims them.
+    fn doubt(&self, host: &HostName) {
+        let records = self.records.borrow();
+        let of = records.iter().filter(|(_, r)| r.holder == *host);
+        self.stale.borrow_mut().extend(of.map(|(s, _)| s.clone()));
+    }
+
     /// Returns the gates that may be given servers.
     pub(crate) fn live_gates(&self, now: Millis) -> Vec<(HostName, DcName)> {
         let gates = self.gates.borrow();
