feat(controller): witnesses are replaced one host at a time

Cause: the witness list of a shard never changed, so with 3 of 4 hosts as witnesses a second loss left no majority, and the shard was not taken over until the platform's list dropped the dead. Change: the acting holder drops a witness that was silent for 1.5 s and adds a live one, one host a write, the next only after the deputy has the last: majorities of two lists that differ by one share a host.

--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -26,14 +26,13 @@
 use crate::promises;
 use crate::signal::Signal;
 use crate::store::Swap;
+use crate::witnesses;
 
 /// Time between two looks at what is unheld.
 const LOOK_EVERY: Millis = Millis(100);
 /// Head start of each controller over the next in a shard's rendezvous order, so that one store
 /// record is not fought over by all.
 const HEAD_START: Millis = Millis(300);
-/// Most witnesses of a shard. Five bear the loss of two; more would only add messages.
-const WITNESSES: usize = 5;
 /// How long an order id is remembered.
 pub(crate) const WINDOW: Millis = Millis(120_000);
 /// Most order ids of a part that are remembered; 200,000 take some 50 MB at the very most.
@@ -248,7 +247,7 @@
     let released = old.is_none_or(|o| o.released);
     let witnesses = match old {
         Some(old) if !released => old.witnesses.clone(),
-        _ => spread(controller, &order),
+        _ => witnesses::pick(controller, &order),
     };
     ShardRecord {
         epoch: old.map_or(Epoch(1), |o| o.epoch.next()),
@@ -260,23 +259,6 @@
     }
 }
 
-/// Picks witnesses by turns from the data centres, so that the loss of one leaves a majority.
-fn spread(controller: &Controller, order: &[HostName]) -> Vec<HostName> {
-    let hosts = controller.hosts.borrow();
-    let mut by_dc: BTreeMap<_, Vec<HostName>> = BTreeMap::new();
-    for host in order {
-        let dc = hosts.get(host).map(|h| h.data_centre.clone());
-        by_dc.entry(dc).or_default().push(host.clone());
-    }
-    let longest = by_dc.values().map(Vec::len).max().unwrap_or(0);
-    let turns = (0..longest).flat_map(|i| by_dc.values().filter_map(move |d| d.get(i)));
-    let mut picked: Vec<HostName> = turns.take(WITNESSES).cloned().collect();
-    if picked.is_empty() {
-        picked.push(controller.own().clone());
-    }
-    picked
-}
-
 /// Completes a take-over: the promises, then the wait, then the shard is driven.
 async fn take(
     controller: &Rc<Controller>,
--- a/crates/chicoryrail-controller/src/copies.rs
+++ b/crates/chicoryrail-controller/src/copies.rs
@@ -23,6 +23,7 @@
 use crate::promises;
 use crate::routes;
 use crate::store::Swap;
+use crate::witnesses;
 
 /// Time between two copies while nothing changes; the deputy acts after two and a half of them.
 const COPY_EVERY: Millis = Millis(100);
@@ -43,6 +44,8 @@
     let mut known = Fence::default();
     let mut named = None;
     let mut preferred = None;
+    let mut asked = Millis::ZERO;
+    let mut healed = controller.now();
     while !held.stop.is_cancelled() {
         let seen = held.news.count();
         let now = controller.now();
@@ -50,6 +53,7 @@
         if deputy != named {
             (named, known, acked) = (deputy.clone(), Fence::default(), now);
         }
+        let sent = controller.now();
         let reply = match &deputy {
             Some(host) if held.may_act(now) => {
                 let copy = build(&controller, &held, known);
@@ -59,6 +63,7 @@
         };
         let now = controller.now();
         if let Some(reply) = reply {
+            asked = sent;
             acked = now;
             known = reply.known;
             take_reply(&controller, &held, reply).await;
@@ -67,6 +72,7 @@
             replace(&controller, &held).await;
             acked = controller.now();
         }
+        witnesses::heal(&controller, &held, asked, &mut healed).await;
         if hands_back(&controller, &held, &mut preferred, known).await {
             return;
         }
--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -104,8 +104,10 @@
     } else if matches!(deputy.shard, ShardId::Orders { .. }) && copy.fence.version > 0 {
         deputy.fence.set(copy.fence);
     }
-    if copy.fence == deputy.fence.get() {
+    let orders = matches!(deputy.shard, ShardId::Orders { .. });
+    if orders || copy.fence == deputy.fence.get() {
         *deputy.renew.borrow_mut() = copy.renew;
+        deputy.holder.borrow_mut().set_witnesses(copy.witnesses);
     }
     Some(DeputyReply {
         known: deputy.fence.get(),
--- a/crates/chicoryrail-controller/src/lib.rs
+++ b/crates/chicoryrail-controller/src/lib.rs
@@ -30,6 +30,7 @@
 mod shard;
 mod signal;
 mod store;
+mod witnesses;
 
 pub use controller::Controller;
 pub use run::run;
