--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -156,20 +156,16 @@
     let members = controller.controllers.borrow();
     let silent = members.silent(now, &record.holder);
     let deputy = record.deputy.as_ref() == Some(controller.own());
-    if deputy
-        && controller
-            .deputies
-            .borrow()
-            .get(shard)
-            .is_some_and(|d| d.is_lost(controller, now))
+    let deputies = controller.deputies.borrow();
+    if let Some(copy) = deputies.get(shard).filter(|_| deputy)
+        && copy.is_lost(controller, now)
     {
         return false;
     }
     match members.state(now, &record.holder, &controller.timing) {
-        Liveness::Live => true,
+        Liveness::Live | Liveness::Suspect => true,
         // Its release is looked for, at the pace of the head start.
         Liveness::Leaving => false,
-        Liveness::Suspect => !deputy,
         // A controller that has just started has heard nobody yet.
         Liveness::Gone => silent == Millis::MAX && now < controller.timing.gone,
     }
@@ -333,7 +329,7 @@
     };
     let deputies = controller.deputies.borrow();
     let copy = deputies.get(shard).filter(|d| {
-        let whole = d.fence.get().version > 0 && d.fence.get().epoch == old.epoch;
+        let whole = d.is_whole() && d.fence.get().epoch == old.epoch;
         whole && old.deputy.as_ref() == Some(controller.own())
     });
     copy.map_or_else(|| empty.blind_since(from), |d| d.window.borrow().clone())
--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -73,8 +73,20 @@
     }
 
     /// Tells whether the holder has been silent for so long that its shard is claimed.
+    ///
+    /// Routes and sessions are kept meanwhile, so a section does not hurry and a holder's stall of a
+    /// second moves nothing. Order ids can't be claimed meanwhile, so they do; but without the whole
+    /// copy a take-over would answer `unknown` to every new id for the length of the window.
     pub(crate) fn is_lost(&self, controller: &Controller, now: Millis) -> bool {
-        now.since(self.heard.get()) >= controller.timing.suspect
+        let timing = &controller.timing;
+        let hurries = matches!(self.shard, ShardId::Orders { .. }) && self.is_whole();
+        let limit = if hurries { timing.suspect } else { timing.gone };
+        now.since(self.heard.get()) >= limit
+    }
+
+    /// Tells whether every claim of a part of the order ids has been copied.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.fence.get().version > 0
     }
 
     /// Tells whether this process may act on the copy now.
