fix(controller): no planned move starts without a sign of life of the store

Cause: only two controllers of a data centre talk to the idle store, so a holder believed in it long after it was gone; a move for balance would have started, and its slice would have been held until the store was back. Change: a planned move waits for an answer of the store within 500 ms, and asks for one where there is none.

--- a/crates/chicoryrail-controller/src/shard.rs
+++ b/crates/chicoryrail-controller/src/shard.rs
@@ -22,6 +22,8 @@
 
 /// Time between two looks at a section. A move has some five steps, so it adds about 50 ms to one.
 const TICK: Millis = Millis(10);
+/// Time between two questions whether the store is there, while a planned move waits for it.
+const PROBE_EVERY: Millis = Millis(250);
 /// Rest after the store gave no answer.
 const AGAIN: Millis = Millis(100);
 
@@ -56,6 +58,7 @@
     let mut version = stored.version;
     held.grants.borrow_mut().stored = stored.record;
     let mut applied = 0;
+    let mut probed = Millis::ZERO;
     while !held.stop.is_cancelled() {
         let now = controller.now();
         if held.may_act(now) {
@@ -73,11 +76,15 @@
                 }
                 let before = section.fence();
                 let gates = controller.live_gates(now);
-                let acts = section.tick(now, controller.store.is_up(), &gates);
+                let acts = section.tick(now, controller.store.is_fresh(), &gates);
                 if let Some(found) = config.service(service) {
                     let all = &controller.process.invariants;
                     asserts::published(all, &config, found, section, before);
                 }
+                if section.asks_store() && now.since(probed) >= PROBE_EVERY {
+                    probed = now;
+                    monoio::spawn(probe(Rc::clone(&controller)));
+                }
                 if section.fence() != before {
                     held.news.raise();
                     controller.route_news.raise();
@@ -114,6 +121,10 @@
     }
 }
 
+async fn probe(controller: Rc<Controller>) {
+    let _ = controller.store.get(crate::config::HEAD).await;
+}
+
 struct Stored {
     record: Option<AssignRecord>,
     version: u64,
--- a/crates/chicoryrail-controller/src/store.rs
+++ b/crates/chicoryrail-controller/src/store.rs
@@ -12,6 +12,9 @@
 use chicoryrail_runtime::Process;
 use prometheus::IntCounterVec;
 
+/// How long an answer shows that the store is there. A planned move takes some 100 ms.
+const FRESH: Millis = Millis(500);
+
 /// The platform's store as the controller calls it.
 #[derive(Debug)]
 pub(crate) struct CountedStore {
@@ -21,6 +24,7 @@
     clock: Clock,
     up: Cell<bool>,
     told: Cell<Millis>,
+    answered: Cell<Millis>,
 }
 
 /// What became of a compare-and-swap.
@@ -48,9 +52,16 @@
             clock: process.clock,
             up: Cell::new(true),
             told: Cell::new(Millis::ZERO),
+            answered: Cell::new(Millis::ZERO),
         }
     }
 
+    /// Tells whether the store has answered within [`FRESH`].
+    pub(crate) fn is_fresh(&self) -> bool {
+        let silent = self.clock.now().since(self.answered.get());
+        self.up.get() && silent < FRESH
+    }
+
     /// Tells whether the last call was answered.
     pub(crate) fn is_up(&self) -> bool {
         self.up.get()
@@ -114,6 +125,9 @@
 
     fn seen(&self, error: Option<&StoreError>) {
         let down = matches!(error, Some(StoreError::Down { .. }));
+        if !down {
+            self.answered.set(self.clock.now());
+        }
         if down == self.up.get() {
             self.up.set(!down);
             let kind = if down {
--- a/crates/chicoryrail-ownership/src/balance.rs
+++ b/crates/chicoryrail-ownership/src/balance.rs
@@ -88,6 +88,11 @@
         true
     }
 
+    /// Takes back that a move was planned.
+    pub const fn put_off(&mut self) {
+        self.moved = Millis::ZERO;
+    }
+
     /// Remembers a move, to learn from its effect what the slice's load is.
     pub fn planned(&mut self, table: &Assignment, shift: &Shift) {
         let first = table.entries()[shift.index].slice.first;
--- a/crates/chicoryrail-ownership/src/section/load.rs
+++ b/crates/chicoryrail-ownership/src/section/load.rs
@@ -78,7 +78,7 @@
 
     /// Starts at most one move for balance, while nothing else moves.
     pub(super) fn rebalance(&mut self, now: Millis, store: bool) {
-        let quiet = self.moves.is_empty() && !self.writing && store;
+        let quiet = self.moves.is_empty() && !self.writing;
         let cold = self.ramps.values().any(crate::Ramp::is_cold);
         if self.service.kind == Kind::Free || !quiet || cold || !self.balance.may_move(now) {
             return;
@@ -86,6 +86,11 @@
         let servers = self.candidates(now);
         let loads = self.balance.slices(&self.table);
         let plan = Placement::new(&servers, &self.service, loads).plan(&self.table, 1);
+        if !store && !plan.is_empty() {
+            self.asks = true;
+            self.balance.put_off();
+            return;
+        }
         for shift in plan {
             self.balance.planned(&self.table, &shift);
             let handoff = Handoff {
--- a/crates/chicoryrail-ownership/src/section/mod.rs
+++ b/crates/chicoryrail-ownership/src/section/mod.rs
@@ -61,6 +61,7 @@
     away: BTreeSet<ServerName>,
     balance: Balance,
     split: bool,
+    asks: bool,
     /// Servers that a slice was taken from since the last version.
     left: Vec<ServerName>,
     ticked: Millis,
@@ -116,6 +117,7 @@
             away: BTreeSet::new(),
             balance: Balance::default(),
             split: false,
+            asks: false,
             left: Vec::new(),
             ticked: now,
             view: Routes::default(),
@@ -158,6 +160,11 @@
         &mut self.gates
     }
 
+    /// Tells whether a planned move waits for a sign of life of the store, and forgets it.
+    pub const fn asks_store(&mut self) -> bool {
+        std::mem::replace(&mut self.asks, false)
+    }
+
     /// Tells whether nothing moves and nothing is being written.
     #[must_use]
     pub fn is_still(&self) -> bool {
--- a/crates/chicoryrail-ownership/src/section/moves.rs
+++ b/crates/chicoryrail-ownership/src/section/moves.rs
@@ -71,7 +71,9 @@
 }
 
 impl Section {
-    /// Advances everything and returns what has to be done; `store` tells whether the store answers.
+    /// Advances everything and returns what has to be done; `store` tells whether the store has
+    /// answered just now. Without that no planned move starts: its slice would be held until the
+    /// store is back.
     pub fn tick(&mut self, now: Millis, store: bool, gates: &[(HostName, DcName)]) -> Vec<Act> {
         self.wake(now);
         self.chill_returned(now);
@@ -171,7 +173,9 @@
                     Health::Up | Health::New if !self.must_leave(owner) => false,
                     _ => {
                         planned += 1;
-                        store && planned <= most && self.has_room(now)
+                        let wanted = planned <= most && self.has_room(now);
+                        self.asks |= wanted && !store;
+                        wanted && store
                     }
                 },
             };
