feat(controller): holder and deputy stand in different data centres

Cause: a lost data centre could take a shard's holder and its deputy; and a deputy waited 1,200 ms before it took over although servers were silent too, whose keys only a holder may move. Change: the deputy is chosen in another data centre where there is one, and claims after 400 ms where a server does not answer its renewals. A test loses half of 6 hosts, their gates and half of 6 servers at once.

--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -239,7 +239,6 @@
 /// record that named others before it is complete would let the next newcomer ask the wrong ones.
 fn next_record(controller: &Controller, shard: &ShardId, old: Option<&ShardRecord>) -> ShardRecord {
     let order = order(controller, shard, controller.now());
-    let others = order.iter().filter(|h| *h != controller.own());
     let released = old.is_none_or(|o| o.released);
     let witnesses = match old {
         Some(old) if !released => old.witnesses.clone(),
@@ -248,13 +247,26 @@
     ShardRecord {
         epoch: old.map_or(Epoch(1), |o| o.epoch.next()),
         holder: controller.own().clone(),
-        deputy: others.clone().next().cloned(),
+        deputy: deputy_of(controller, order),
         witnesses,
         attempt: attempt(controller),
         released: false,
     }
 }
 
+/// Returns the first of `order` that stands in another data centre, else the first other host: the
+/// loss of a data centre must not take the holder and its deputy.
+pub(crate) fn deputy_of(controller: &Controller, mut order: Vec<HostName>) -> Option<HostName> {
+    order.retain(|h| h != controller.own());
+    let hosts = controller.hosts.borrow();
+    let near = |h: &HostName| {
+        let host = hosts.get(h);
+        host.is_none_or(|h| h.data_centre == controller.settings.host.dc)
+    };
+    let far = order.iter().position(|h| !near(h)).unwrap_or(0);
+    order.into_iter().nth(far)
+}
+
 /// Completes a take-over: the promises, then the wait, then the shard is driven.
 async fn take(
     controller: &Rc<Controller>,
--- a/crates/chicoryrail-controller/src/copies.rs
+++ b/crates/chicoryrail-controller/src/copies.rs
@@ -69,7 +69,8 @@
             take_reply(&controller, &held, reply).await;
         }
         if held.may_act(now) && wants_other(&controller, &held, now, now.since(acked)) {
-            replace(&controller, &held).await;
+            let next = candidate(&controller, &held, now);
+            replace(&controller, &held, next).await;
             acked = controller.now();
         }
         witnesses::heal(&controller, &held, asked, &mut healed).await;
@@ -219,7 +220,7 @@
         return false;
     }
     if held.record.borrow().0.deputy.as_ref() != Some(&first) {
-        replace(controller, held).await;
+        replace(controller, held, Some(first)).await;
         return false;
     }
     let whole = match held.section() {
@@ -244,21 +245,19 @@
 fn candidate(controller: &Controller, held: &Held, now: Millis) -> Option<HostName> {
     let old = held.record.borrow().0.deputy.clone();
     let order = claims::order(controller, &held.shard, now);
-    let mut others = order
-        .into_iter()
-        .filter(|h| h != controller.own() && Some(h) != old.as_ref());
-    others.next()
+    let others = order.into_iter().filter(|h| Some(h) != old.as_ref());
+    claims::deputy_of(controller, others.collect())
 }
 
 /// Takes the next epoch from itself with another deputy.
 ///
 /// A deputy acts on confirmations of the old epoch, so naming another one is not enough: with the
 /// promise of a majority the old epoch can't be confirmed any more, and after the wait it is over.
-async fn replace(controller: &Rc<Controller>, held: &Rc<Held>) {
+async fn replace(controller: &Rc<Controller>, held: &Rc<Held>, deputy: Option<HostName>) {
     let (old, version) = held.record.borrow().clone();
     let mut record = old.clone();
     record.epoch = old.epoch.next();
-    record.deputy = candidate(controller, held, controller.now());
+    record.deputy = deputy;
     record.attempt = claims::attempt(controller);
     let Ok(text) = serde_json::to_string(&record) else {
         return;
--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -12,9 +12,11 @@
 use chicoryrail_core::ShardId;
 use chicoryrail_core::Slice;
 use chicoryrail_ownership::Answer;
+use chicoryrail_ownership::Health;
 use chicoryrail_ownership::Holder;
 use chicoryrail_ownership::OrderWindow;
 use chicoryrail_ownership::Session;
+use chicoryrail_ownership::Timing;
 use chicoryrail_platform::SessionBody;
 use chicoryrail_platform::Targets;
 use chicoryrail_runtime::EventKind;
@@ -79,11 +81,21 @@
     /// copy a take-over would answer `unknown` to every new id for the length of the window.
     pub(crate) fn is_lost(&self, controller: &Controller, now: Millis) -> bool {
         let timing = &controller.timing;
-        let hurries = matches!(self.shard, ShardId::Orders { .. }) && self.is_whole();
+        let orders = matches!(self.shard, ShardId::Orders { .. });
+        let hurries = orders && self.is_whole() || self.sees_silence(now, timing);
         let limit = if hurries { timing.suspect } else { timing.gone };
         now.since(self.heard.get()) >= limit
     }
 
+    /// Tells whether a server does not answer the deputy's renewals either: its keys wait for a holder
+    /// that may move them.
+    fn sees_silence(&self, now: Millis, timing: &Timing) -> bool {
+        let sessions = self.sessions.borrow();
+        sessions
+            .values()
+            .any(|s| s.health(now, timing) != Health::Up)
+    }
+
     /// Tells whether every claim of a part of the order ids has been copied.
     pub(crate) fn is_whole(&self) -> bool {
         self.fence.get().version > 0
--- a/crates/chicoryrail-controller/tests/faults.rs
+++ b/crates/chicoryrail-controller/tests/faults.rs
@@ -212,3 +212,24 @@
         assert_eq!((watch.served(), watch.doubled.get()), (64, 0));
     });
 }
+
+/// The callers of the lost servers' keys wait until those are taken over; the others notice nothing.
+/// A data centre loses its controllers, gates and servers at once; holder and deputy stand in
+/// different data centres, and a majority of the witnesses is left.
+#[test]
+fn a_lost_data_centre_is_replaced() {
+    chicoryrail_runtime::block_on(async {
+        let (cluster, watch, _) = settled(6, 6).await;
+        for i in (1..6).step_by(2) {
+            cluster.targets[i].frozen.set(true);
+            cluster.gates[i].cancel();
+            cluster.signal(i, Signal::SIGKILL);
+        }
+        let clock = Clock::start();
+        wait_until("every key is served", async || watch.served() == 64).await;
+        clock.sleep(Millis(3_000)).await;
+        let worst = watch.report("data centre lost");
+        assert_eq!((watch.served(), watch.doubled.get()), (64, 0));
+        assert!(worst < Millis(8_000), "{worst}");
+    });
+}
