fix(policy): a slow spell no longer refuses requests for good

Cause: once the service time of a class was above the deadlines, every request of it was refused as hopeless, no answer came, and the estimate stayed.

--- a/crates/chicoryrail-policy/src/server_queue.rs
+++ b/crates/chicoryrail-policy/src/server_queue.rs
@@ -105,7 +105,8 @@
         if self.servers.all_leave() {
             return Decision::Refuse(Refusal::new(ResultCode::NoServer, 0, ask.ticket));
         }
-        let spare = ask.deadline.since(now).0 as f64 * 1_000.0 - self.times.present(ask.class);
+        let left = ask.deadline.since(now).0 as f64 * 1_000.0;
+        let spare = left - self.times.hopeless(now, ask.class);
         if spare < 0.0 {
             return Decision::Refuse(self.refusal(ResultCode::DeadlinePassed, ask));
         }
@@ -200,7 +201,7 @@
         let expiry = [false, true]
             .into_iter()
             .filter_map(|batch| self.backlog.earliest(batch))
-            .map(|w| self.last_start(w) + Millis(1))
+            .map(|w| self.last_start(now, w) + Millis(1))
             .min()?;
         let due = self.backlog.first(true);
         let due = due.map_or(Millis::MAX, |w| BatchShare::due_at(&self.limits, w));
@@ -301,7 +302,7 @@
     /// Refuses the oldest request that can't finish in time any more.
     fn expire(&mut self, now: Millis, batch: bool) -> Option<Action> {
         let w = self.backlog.earliest(batch)?;
-        if now <= self.last_start(w) {
+        if now <= self.last_start(now, w) {
             return None;
         }
         let ask = w.ask;
@@ -310,8 +311,8 @@
         Some(Action::Refuse(ask.ticket, refusal))
     }
 
-    fn last_start(&self, w: &Waiting) -> Millis {
-        let service = self.times.present(w.ask.class) / 1_000.0;
+    fn last_start(&self, now: Millis, w: &Waiting) -> Millis {
+        let service = self.times.hopeless(now, w.ask.class) / 1_000.0;
         w.ask.deadline - Millis(service as u64)
     }
 
--- a/crates/chicoryrail-policy/tests/server_queue.rs
+++ b/crates/chicoryrail-policy/tests/server_queue.rs
@@ -139,6 +139,25 @@
     assert_eq!(q.poll(Millis(97)), None);
 }
 
+// A server answers so slowly for a while that no request could finish in time; each is refused. It
+// then is quick again, but only an answer can show that: some request has to be let through.
+#[test]
+fn slow_spell_does_not_refuse_for_good() {
+    let mut q = queue(&[(A, 1)]);
+    for n in 0..40 {
+        let now = Millis(n * 3_000);
+        let _ = q.offer(now, lookup(n, u64::MAX));
+        let slow = Outcome::Answered { us: 3_000 * MS };
+        q.done(now + Millis(3_000), A, Ticket(n), slow);
+    }
+    let start = 120_000;
+    let decide = |q: &mut ServerQueue, ms: u64| q.offer(Millis(ms), lookup(ms, ms + 1_000));
+    let refused = decide(&mut q, start);
+    assert_eq!(refusal(refused).0, ResultCode::DeadlinePassed);
+    let sent = (start..start + 5_000).find(|ms| decide(&mut q, *ms) == Decision::Send(A));
+    assert!(sent.is_some(), "refused for five seconds");
+}
+
 // Refused callers of one burst must not come back as one burst.
 #[test]
 fn advice_to_return_is_spread() {
