fix(policy): callers are told to stay away longer while the queue stands

Cause: a standing queue drains in some 50 ms, so callers of a lasting overload were told 100 to 200 ms and would have met the same queue several times a second. Change: at least a second (Limits::standing), spread to two, while the queue stood in the last two seconds.

--- a/crates/chicoryrail-policy/src/admission.rs
+++ b/crates/chicoryrail-policy/src/admission.rs
@@ -58,9 +58,13 @@
         p.ahead < p.slots && p.wait <= p.spare || p.wait <= p.spare * patience
     }
 
+    /// Tells whether the queue stood a moment ago.
+    pub(crate) fn stood(&self, now: Millis) -> bool {
+        self.stood.is_some_and(|t| now.since(t) < RELAPSE)
+    }
+
     fn stands(&mut self, now: Millis, limits: &Limits) -> bool {
-        let again = self.stood.is_some_and(|t| now.since(t) < RELAPSE);
-        let after = if again {
+        let after = if self.stood(now) {
             Millis(limits.standing.0 / RELAPSE_PART)
         } else {
             limits.standing
--- a/crates/chicoryrail-policy/src/server_queue.rs
+++ b/crates/chicoryrail-policy/src/server_queue.rs
@@ -108,7 +108,7 @@
         let left = ask.deadline.since(now).0 as f64 * 1_000.0;
         let spare = left - self.times.hopeless(now, ask.class);
         if spare < 0.0 {
-            return Decision::Refuse(self.refusal(ResultCode::DeadlinePassed, ask));
+            return Decision::Refuse(self.refusal(now, ResultCode::DeadlinePassed, ask));
         }
         let batch = ask.class == Class::Batch;
         let first = self.backlog.len(false) == 0 && (!batch || self.backlog.len(true) == 0);
@@ -122,7 +122,7 @@
             self.admission.found_empty(now);
         }
         if !self.admission.admits(now, &self.limits, prospect) {
-            return Decision::Refuse(self.refusal(ResultCode::Overloaded, ask));
+            return Decision::Refuse(self.refusal(now, ResultCode::Overloaded, ask));
         }
         let since = now;
         self.backlog.insert(Waiting { ask, since, rank });
@@ -307,7 +307,7 @@
         }
         let ask = w.ask;
         self.backlog.remove(ask.ticket);
-        let refusal = self.refusal(ResultCode::Overloaded, ask);
+        let refusal = self.refusal(now, ResultCode::Overloaded, ask);
         Some(Action::Refuse(ask.ticket, refusal))
     }
 
@@ -321,10 +321,18 @@
         oldest.is_some_and(|w| now >= BatchShare::due_at(&self.limits, w))
     }
 
-    fn refusal(&self, code: ResultCode, ask: Ask) -> Refusal {
+    /// Advises a return when the present queue is worked off. A queue that stands is short, and
+    /// tells nothing of when the load ends; a return before the time after which it counted as
+    /// standing would only meet it again.
+    fn refusal(&self, now: Millis, code: ResultCode, ask: Ask) -> Refusal {
         let batch = ask.class == Class::Batch;
         let waiting = self.backlog.len(batch) as f64;
         let drain = waiting * self.times.present(ask.class) / self.servers.lane_slots(batch);
-        Refusal::new(code, drain as u64, ask.ticket)
+        let least = if self.admission.stood(now) {
+            self.limits.standing.0 * 1_000
+        } else {
+            0
+        };
+        Refusal::new(code, least.max(drain as u64), ask.ticket)
     }
 }
--- a/crates/chicoryrail-policy/tests/server_queue.rs
+++ b/crates/chicoryrail-policy/tests/server_queue.rs
@@ -171,6 +171,26 @@
     assert!(seen.iter().all(|r| (100..=200).contains(&r.0)), "{seen:?}");
 }
 
+// Overload goes on for seconds. The queue is short by then, but coming back as soon as it has drained
+// would meet the same: callers are told a second or two.
+#[test]
+fn advice_is_longer_where_the_queue_stands() {
+    let mut q = queue(&[(A, 1)]);
+    let _ = longest_queues(&mut q, |ms| u64::from(ms.is_multiple_of(2)), 3);
+    let decisions = (0..100).map(|n| q.offer(Millis(3_000), lookup(9_000 + n, 4_000)));
+    let mut advice: Vec<Millis> = decisions
+        .filter(|d| matches!(d, Decision::Refuse(_)))
+        .map(|d| refusal(d).1)
+        .collect();
+    advice.sort_unstable();
+    assert!(advice.len() > 80, "{advice:?}");
+    let (first, last) = (advice[0], advice[advice.len() - 1]);
+    assert!(
+        first >= Millis(1_000) && last <= Millis(2_000),
+        "{advice:?}"
+    );
+}
+
 #[rstest]
 #[case::two_slots(2, 1)]
 #[case::three_slots(3, 2)]
