--- a/crates/chicoryrail-controller/src/lib.rs
+++ b/crates/chicoryrail-controller/src/lib.rs
@@ -12,6 +12,7 @@
 //! assert!(Settings::parser().run_inner(args).is_err());
 //! ```
 
+mod asserts;
 mod calls;
 mod claims;
 mod config;
@@ -23,6 +24,7 @@
 mod keep;
 mod members;
 mod orders;
+mod promises;
 mod routes;
 mod run;
 mod settings;
--- a/crates/chicoryrail-controller/src/shard.rs
+++ b/crates/chicoryrail-controller/src/shard.rs
@@ -12,8 +12,10 @@
 use chicoryrail_ownership::AssignRecord;
 use chicoryrail_ownership::Section;
 use chicoryrail_runtime::EventKind;
+use chicoryrail_wire::ServerState;
 
 use crate::Controller;
+use crate::asserts;
 use crate::calls;
 use crate::held::Held;
 use crate::store::Swap;
@@ -49,8 +51,10 @@
     };
     let mut section = section;
     section.set_deputy(held.record.borrow().0.deputy.is_some());
+    resume_ramps(&controller, &held, &mut section);
     *cell.borrow_mut() = Some(Box::new(section));
     let mut version = stored.version;
+    held.grants.borrow_mut().stored = stored.record;
     let mut applied = 0;
     while !held.stop.is_cancelled() {
         let now = controller.now();
@@ -70,6 +74,10 @@
                 let before = section.fence();
                 let gates = controller.live_gates(now);
                 let acts = section.tick(now, controller.store.is_up(), &gates);
+                if let Some(found) = config.service(service) {
+                    let all = &controller.process.invariants;
+                    asserts::published(all, &config, found, section, before);
+                }
                 if section.fence() != before {
                     held.news.raise();
                     controller.route_news.raise();
@@ -92,6 +100,20 @@
     }
 }
 
+/// Goes on with the budgets of cold servers where this process was the shard's deputy; full load at
+/// the take-over would fell them.
+fn resume_ramps(controller: &Controller, held: &Held, section: &mut Section) {
+    let deputies = controller.deputies.borrow();
+    let Some(deputy) = deputies.get(&held.shard) else {
+        return;
+    };
+    let table = deputy.table.borrow();
+    let servers = table.iter().flat_map(|t| &t.servers);
+    for server in servers.filter(|s| s.state == ServerState::Cold) {
+        section.resume(controller.now(), &server.name, server.slots);
+    }
+}
+
 struct Stored {
     record: Option<AssignRecord>,
     version: u64,
@@ -154,6 +176,7 @@
     match result {
         Swap::Done(version) => {
             section.stored(Some(&record));
+            held.grants.borrow_mut().stored = Some(record);
             version
         }
         // Somebody else wrote: a newer holder. This one acts no more; its lapse will show.
--- a/crates/chicoryrail-gate/src/free.rs
+++ b/crates/chicoryrail-gate/src/free.rs
@@ -11,7 +11,7 @@
 use chicoryrail_policy::Load;
 use chicoryrail_policy::PeerId;
 use chicoryrail_policy::Picker;
-use chicoryrail_runtime::Clock;
+use chicoryrail_runtime::Process;
 use http::HeaderValue;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -52,9 +52,9 @@
 
 impl Free {
     /// Builds a service without servers.
-    pub(crate) fn new(clock: Clock) -> Rc<Self> {
+    pub(crate) fn new(process: &Process) -> Rc<Self> {
         Rc::new(Self {
-            lane: Lane::new(clock),
+            lane: Lane::new(process),
             hedge: RefCell::default(),
             picker: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -91,17 +91,22 @@
         self.place(choice)
     }
 
-    /// Chooses where a second try goes, and takes it from the budget.
-    pub(crate) fn pick_hedge(&self, now: Millis, first: &Place) -> Option<Place> {
-        let peers = self.ids(&[]);
+    /// Chooses where a second try goes, not through the gates of `avoid`.
+    pub(crate) fn pick_hedge(&self, now: Millis, first: &Place, avoid: &[PeerId]) -> Option<Place> {
+        let peers = self.ids(avoid);
         let own = self.lane.load();
         let mut rng = self.rng.borrow_mut();
         let picker = self.picker.borrow();
         let choice = picker.pick_free(now, &mut *rng, own, &peers, first.choice())?;
-        self.hedge
-            .borrow_mut()
-            .take(1)
-            .then(|| self.place(choice))?
+        self.place(choice)
+    }
+
+    /// Takes in the load that came with another gate's request.
+    pub(crate) fn heard_from(&self, now: Millis, host: &HostName, load: Load) {
+        let id = self.hosts.borrow().get(host).copied();
+        if let Some(id) = id {
+            self.heard(now, id, load);
+        }
     }
 
     /// Takes in that a request goes through another gate.
--- a/crates/chicoryrail-gate/tests/callers.rs
+++ b/crates/chicoryrail-gate/tests/callers.rs
@@ -90,6 +90,31 @@
     });
 }
 
+/// The caller's lookup is answered through the gate that holds the service's only server. The
+/// configuration is in force before the first routes come, so these come before they are valid; a
+/// gate that counted the other gates at that moment alone would know no way, and hold each request
+/// until its deadline.
+#[test]
+fn a_gate_without_servers_of_a_free_service_finds_the_gate_that_has_them() {
+    block_on(async {
+        let world = World::start(2, &[]);
+        world.control.set_bundle(1, BUNDLE);
+        // Without a configuration the gate is not ready to look an order up.
+        while code(&get(world.callers(1), "/v1/orders/o1").await.unwrap()) == Some(1105) {}
+        let (kits, lessons) = (Target::start("s0"), Target::start("s2"));
+        world
+            .control
+            .publish("kits", 1, &[route(&kits, "g0", 2)], 0);
+        world
+            .control
+            .publish_free("lessons", 1, &[route(&lessons, "g0", 2)]);
+        world.ready().await;
+        let answer = get(world.callers(1), "/v1/kits/lessons/l1").await;
+        let body = "s2 GET /v1/kits/lessons/l1 0".to_owned();
+        assert_eq!(outcome(&answer.unwrap()), (200, None, body));
+    });
+}
+
 #[rstest]
 #[case::plain("k1", "s0")]
 #[case::encoded("k%31", "s0")]
@@ -212,6 +237,37 @@
     });
 }
 
+/// The first table of a free service comes after the configuration, names only servers of the other
+/// gate, and stays as it is. A caller of the gate without servers is answered all the same, through
+/// the other gate; before, its requests were held until their deadline, since the table was read
+/// before its validity was known.
+#[test]
+fn a_gate_without_servers_sends_through_the_other_from_the_first_table_on() {
+    block_on(async {
+        let world = World::start(2, &["--hold-ms", "1000"]);
+        let kits = Target::start("s1");
+        let lessons = Target::start("s2");
+        world.control.set_bundle(1, BUNDLE);
+        for gate in &world.gates {
+            while !outcome(&get(gate.observe, "/events").await.unwrap())
+                .2
+                .contains("config-applied")
+            {
+                monoio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+        }
+        let servers = [route(&kits, "g0", 2), route(&kits, "g0", 2)];
+        world.control.publish("kits", 1, &servers, 1);
+        world
+            .control
+            .publish_free("lessons", 1, &[route(&lessons, "g0", 2)]);
+        world.ready().await;
+        let answer = get(world.callers(1), "/v1/kits/lessons/x").await.unwrap();
+        let body = "s2 GET /v1/kits/lessons/x 0".to_owned();
+        assert_eq!(outcome(&answer), (200, None, body));
+    });
+}
+
 #[test]
 fn the_process_uses_no_io_uring() {
     block_on(async {
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -19,12 +19,15 @@
 //! ```
 
 mod assignment;
+mod balance;
 mod gate_routes;
 mod holder;
 mod members;
 mod order_window;
 mod placement;
+mod ramp;
 mod record;
+mod roll_out;
 mod section;
 mod sessions;
 mod takeover;
@@ -33,6 +36,7 @@
 
 pub use assignment::Assignment;
 pub use assignment::Owned;
+pub use balance::Balance;
 pub use gate_routes::GateRoutes;
 pub use holder::Confirmation;
 pub use holder::Holder;
@@ -45,8 +49,12 @@
 pub use placement::Candidate;
 pub use placement::Placement;
 pub use placement::Shift;
+pub use ramp::Ramp;
+pub use ramp::Seen;
 pub use record::AssignRecord;
 pub use record::ShardRecord;
+pub use roll_out::RollOut;
+pub use roll_out::RollState;
 pub use section::Act;
 pub use section::GateSeat;
 pub use section::Handoff;
--- a/crates/chicoryrail-ownership/src/section/mod.rs
+++ b/crates/chicoryrail-ownership/src/section/mod.rs
@@ -3,6 +3,7 @@
 mod act;
 mod calls;
 mod gates;
+mod load;
 mod moves;
 mod view;
 
@@ -28,8 +29,10 @@
 use crate::Answer;
 use crate::AssignRecord;
 use crate::Assignment;
+use crate::Balance;
 use crate::GateRoutes;
 use crate::Health;
+use crate::Ramp;
 use crate::Session;
 use crate::Timing;
 
@@ -54,6 +57,12 @@
     fresh: bool,
     inherited: Millis,
     deputy: Option<Fence>,
+    ramps: BTreeMap<ServerName, Ramp>,
+    away: BTreeSet<ServerName>,
+    balance: Balance,
+    split: bool,
+    /// Servers that a slice was taken from since the last version.
+    left: Vec<ServerName>,
     ticked: Millis,
     view: Routes,
 }
@@ -103,6 +112,11 @@
             fresh: true,
             inherited,
             deputy: None,
+            ramps: BTreeMap::new(),
+            away: BTreeSet::new(),
+            balance: Balance::default(),
+            split: false,
+            left: Vec::new(),
             ticked: now,
             view: Routes::default(),
             service,
@@ -117,9 +131,7 @@
         if self.service != *service {
             self.service = service.clone();
             self.take_servers(now);
-            if self.service.kind == Kind::Keyed && self.moves.is_empty() && !self.writing {
-                self.table.split(&self.service);
-            }
+            self.split = true;
         }
     }
 
@@ -146,6 +158,12 @@
         &mut self.gates
     }
 
+    /// Tells whether nothing moves and nothing is being written.
+    #[must_use]
+    pub fn is_still(&self) -> bool {
+        self.moves.is_empty() && !self.writing
+    }
+
     /// Returns the session of a server.
     #[must_use]
     pub fn session(&self, server: &ServerName) -> Option<&Session> {
@@ -155,7 +173,10 @@
     /// Takes in a server's answer to a call.
     pub fn answered(&mut self, now: Millis, server: &ServerName, answer: Answer) {
         if let Some(session) = self.sessions.get_mut(server) {
-            session.answered(now, answer);
+            let changed = session.answered(now, answer);
+            if changed {
+                self.ramps.entry(server.clone()).or_default().chill(now);
+            }
         }
     }
 
@@ -197,11 +218,16 @@
         );
     }
 
-    /// Returns the servers whose sessions the deputy may renew: those that answer.
+    /// Returns the servers whose sessions the deputy may renew: those that answer, and hold nothing
+    /// that they should not.
     #[must_use]
     pub fn renewable(&self, now: Millis) -> Vec<ServerName> {
-        let up = |n: &&ServerName| self.health(now, n) == Health::Up;
-        self.sessions.keys().filter(up).cloned().collect()
+        let sound = |n: &&ServerName| {
+            let (mut owned, releasing) = self.wanted(n);
+            owned.extend(releasing);
+            self.health(now, n) == Health::Up && self.sessions[*n].holds_within(&owned)
+        };
+        self.sessions.keys().filter(sound).cloned().collect()
     }
 
     /// Takes in that somebody else may have kept routes and sessions valid until `until`.
@@ -240,11 +266,28 @@
             .collect();
         self.sessions
             .retain(|name, _| self.servers.contains_key(name) || owners.contains(name));
+        // Servers of a section that was never held before, and servers added to one, are cold.
+        let first = self.fresh && self.fence.epoch == Epoch(1);
+        // Servers of a free service see no fences.
+        let floor = match self.service.kind {
+            Kind::Keyed => Fence {
+                epoch: self.fence.epoch,
+                version: 0,
+            },
+            Kind::Free => Fence::default(),
+        };
         for server in self.servers.values() {
+            if !self.sessions.contains_key(&server.name) && (first || !self.fresh) {
+                self.ramps
+                    .entry(server.name.clone())
+                    .or_default()
+                    .chill(now);
+            }
             let bound = self.inherited.max(now + self.timing.suspect);
             self.sessions
                 .entry(server.name.clone())
-                .or_insert_with(|| Session::new(server, bound));
+                .or_insert_with(|| Session::new(server, bound))
+                .set_floor(floor);
         }
     }
 
--- a/crates/chicoryrail-ownership/src/section/view.rs
+++ b/crates/chicoryrail-ownership/src/section/view.rs
@@ -11,6 +11,7 @@
 use super::Section;
 use super::moves::Stage;
 use crate::Health;
+use crate::Ramp;
 
 /// Whether a server takes work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -62,15 +63,30 @@
     pub slices: Vec<SliceView>,
 }
 
+impl Routes {
+    /// Returns the slices of a server, the moving ones among them.
+    #[must_use]
+    pub fn owned_by(&self, server: &ServerName) -> Vec<Slice> {
+        let index = self.servers.iter().position(|s| s.name == *server);
+        let own = |s: &&SliceView| Some(s.owner as usize) == index;
+        self.slices.iter().filter(own).map(|s| s.slice).collect()
+    }
+}
+
 impl Section {
-    /// Raises the table's version where its content has changed.
+    /// Raises the table's version where its content has changed, or a release needs a higher fence.
     pub(super) fn publish(&mut self, now: Millis) {
         let view = self.build(now);
-        if view == self.view {
+        if view == self.view && self.left.is_empty() {
             return;
         }
         self.view = view;
         self.fence.version += 1;
+        for name in self.left.drain(..) {
+            if let Some(session) = self.sessions.get_mut(&name) {
+                session.set_floor(self.fence);
+            }
+        }
         for handoff in self.moves.values_mut() {
             if let Stage::Draining {
                 fence: fence @ None,
@@ -104,9 +120,11 @@
     fn server_view(&self, now: Millis, name: &ServerName) -> ServerView {
         let session = &self.sessions[name];
         let out = self.outs.contains(name) || !self.servers.contains_key(name);
+        let ramp = self.ramps.get(name);
         let work = match session.health(now, &self.timing) {
             Health::Lost => Work::Lost,
             _ if out => Work::Out,
+            _ if ramp.is_some_and(Ramp::is_cold) => Work::Cold,
             _ => Work::Up,
         };
         ServerView {
@@ -115,7 +133,7 @@
             addr: session.addr(),
             work,
             gate: self.seats.get(name).and_then(|s| s.gate.clone()),
-            slots: self.service.slots,
+            slots: ramp.map_or(self.service.slots, |r| r.slots(self.service.slots)),
         }
     }
 }
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -2,13 +2,20 @@
 
 use bpaf::Bpaf;
 
+use crate::bench_control::ControlBench;
+use crate::bench_control::control_bench;
 use crate::bench_gate::GateBench;
 use crate::bench_gate::gate_bench;
+use crate::bench_straggler::StragglerBench;
+use crate::bench_straggler::straggler_bench;
 use crate::tools::print_json;
 
 /// What to measure
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum Bench {
+    /// What control costs while nobody calls, and what it asks of the store
+    #[bpaf(command)]
+    Control(#[bpaf(external(control_bench))] ControlBench),
     /// One gate beside direct calls to the same server, in one run
     #[bpaf(command)]
     Gate(#[bpaf(external(gate_bench))] GateBench),
@@ -25,6 +32,9 @@
         #[bpaf(argument("N"), fallback(10), display_fallback)]
         seeds: u32,
     },
+    /// The gate's placements beside each other while servers turn slow for moments
+    #[bpaf(command)]
+    Straggler(#[bpaf(external(straggler_bench))] StragglerBench),
     /// Costs per slice, server, peer and connection, behind docs/CAPACITY.md
     #[bpaf(command)]
     Slopes {
@@ -40,7 +50,9 @@
     /// Runs the measurement and tells whether it succeeded.
     pub(crate) fn run(&self) -> bool {
         match self {
+            Self::Control(bench) => bench.run(),
             Self::Gate(bench) => bench.run(),
+            Self::Straggler(bench) => bench.run(),
             Self::Policy { case, seed, seeds } => {
                 match chicoryrail_bench::policy::run(case.as_deref(), *seed, *seeds) {
                     Ok(report) => {
