--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -73,8 +73,20 @@
     }
 
     /// Tells whether the holder has been silent for so long that its shard is claimed.
+    ///
+    /// Routes and sessions are kept meanwhile, so a section does not hurry and a holder's stall of a
+    /// second moves nothing. Order ids can't be claimed meanwhile, so they do; but without the whole
+    /// copy a take-over would answer `unknown` to every new id for the length of the window.
     pub(crate) fn is_lost(&self, controller: &Controller, now: Millis) -> bool {
-        now.since(self.heard.get()) >= controller.timing.suspect
+        let timing = &controller.timing;
+        let hurries = matches!(self.shard, ShardId::Orders { .. }) && self.is_whole();
+        let limit = if hurries { timing.suspect } else { timing.gone };
+        now.since(self.heard.get()) >= limit
+    }
+
+    /// Tells whether every claim of a part of the order ids has been copied.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.fence.get().version > 0
     }
 
     /// Tells whether this process may act on the copy now.
@@ -104,8 +116,10 @@
     } else if matches!(deputy.shard, ShardId::Orders { .. }) && copy.fence.version > 0 {
         deputy.fence.set(copy.fence);
     }
-    if copy.fence == deputy.fence.get() {
+    let orders = matches!(deputy.shard, ShardId::Orders { .. });
+    if orders || copy.fence == deputy.fence.get() {
         *deputy.renew.borrow_mut() = copy.renew;
+        deputy.holder.borrow_mut().set_witnesses(copy.witnesses);
     }
     Some(DeputyReply {
         known: deputy.fence.get(),
