fix(controller): the deputy of a blind holder is blind too

Cause: a controller that takes a part of the order ids over without a copy answers "unknown" for the length of the window, since claims may be missing. It copied its entries to its own deputy and called the copy complete, without the gap; the deputy took over in its turn and let an order be sent that an earlier holder had let be sent. The store shows its part go from host-3 to host-2, which was no deputy, and on to host-4, its deputy. Ruled out: a second send by a gate (two claims, both given, at host-3 and host-4), a lost copy of the claim to the first deputy. Change: a copy says how long claims may still be missing, and the deputy takes that over; it counts from the receipt, so never shorter than at the holder.

--- a/crates/chicoryrail-controller/src/copies.rs
+++ b/crates/chicoryrail-controller/src/copies.rs
@@ -88,7 +88,11 @@
         fence: routes::fence(held, None),
         table: None,
         renew: Vec::new(),
+        blind: Millis::ZERO,
     };
+    if let Some(window) = held.orders() {
+        copy.blind = window.borrow().blind_left(now);
+    }
     if let Some(cell) = held.section()
         && let Some(section) = cell.borrow().as_ref()
     {
--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -98,6 +98,7 @@
     let deputy = find(controller, &copy, now)?;
     deputy.heard.set(now);
     deputy.told.set(false);
+    deputy.window.borrow_mut().blind_for(now, copy.blind);
     if copy.table.is_some() && copy.fence >= deputy.fence.get() {
         *deputy.table.borrow_mut() = copy.table;
         deputy.fence.set(copy.fence);
--- a/crates/chicoryrail-ownership/src/order_window.rs
+++ b/crates/chicoryrail-ownership/src/order_window.rs
@@ -74,6 +74,23 @@
         self
     }
 
+    /// Returns how long claims may still be missing.
+    #[must_use]
+    pub const fn blind_left(&self, now: Millis) -> Millis {
+        self.blind.since(now)
+    }
+
+    /// Takes in that claims may be missing for `left` more, as they are from the holder's window that
+    /// this one is a copy of.
+    ///
+    /// A whole copy of a window that is itself not whole would else count as whole: the deputy that
+    /// takes over would let an id be sent that an earlier holder had let be sent.
+    pub fn blind_for(&mut self, now: Millis, left: Millis) {
+        if left > Millis::ZERO {
+            self.blind = self.blind.max(now + left);
+        }
+    }
+
     /// Returns the number of entries.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/chicoryrail-wire/src/deputy.rs
+++ b/crates/chicoryrail-wire/src/deputy.rs
@@ -28,6 +28,9 @@
     pub table: Option<RouteTable>,
     /// Servers whose sessions the deputy may renew.
     pub renew: Vec<ServerName>,
+    /// How long claims may still be missing from the holder's own window of order ids; zero for a
+    /// section.
+    pub blind: Millis,
 }
 
 /// Answers a [`DeputyCopy`]: the deputy acts on nothing older than `known` any more.
