fix(gate): a gate that lacks the routes of one section becomes ready

Cause: a gate that starts while a section can't be held (its holder lost in a store outage) waited for all routes and never said that it is ready, so each restart took a host from the callers of every service. Change: with some valid routes for 3 s it is ready.

--- a/crates/chicoryrail-gate/src/run.rs
+++ b/crates/chicoryrail-gate/src/run.rs
@@ -44,6 +44,11 @@
 /// Time without any valid route after which a gate that was ready says that it is not.
 const LOST_AFTER: Millis = Millis(2_000);
 
+/// Time with some valid routes after which a gate that never had all says that it is ready: a section
+/// that nobody can hold, as in a store outage, must not keep it from callers of the others. A gate
+/// that starts in a healthy system has all routes within a second.
+const SOME_AFTER: Millis = Millis(3_000);
+
 /// Time without a request after which connections that are still open are taken for unused.
 const QUIET: Millis = Millis(500);
 
@@ -203,6 +208,7 @@
 async fn keep_up(gate: Rc<Gate>) {
     let mut last = gate.now();
     let mut good = gate.now();
+    let mut none = gate.now();
     loop {
         gate.process.clock.sleep(UPKEEP_EVERY).await;
         let now = gate.now();
@@ -216,11 +222,14 @@
         let (valid, all) = validity(&gate, now);
         if valid > 0 {
             good = now;
+        } else {
+            none = now;
         }
+        let enough = valid == all || now.since(none) > SOME_AFTER;
         // A gate that lost some shards still serves the others; with every gate in the same state
         // the balancer would have none left.
         let ready = gate.process.is_ready();
-        if valid == all && all > 0 && !ready {
+        if enough && valid > 0 && !ready {
             gate.process.set_ready(true);
         } else if ready && now.since(good) > LOST_AFTER {
             gate.process.set_ready(false);
