--- a/crates/chicoryrail-controller/tests/support/cluster.rs
+++ b/crates/chicoryrail-controller/tests/support/cluster.rs
@@ -97,13 +97,14 @@
         let name = format!("h{i}");
         let dc = ["a", "b"][i % 2];
         let inner = free_addr();
+        let observe = free_addr();
         let gate = FakeGate::listen(&self.stop, &name, dc);
         let process = Command::new(env!("CARGO_BIN_EXE_chicoryrail-controller"))
             .args(["--host", &name, "--data-centre", dc])
             .args(["--host-list", &self.list_addr.to_string()])
             .args(["--store", &self.store_addr.to_string()])
             .args(["--inner", &inner.to_string()])
-            .args(["--observe", &free_addr().to_string()])
+            .args(["--observe", &observe.to_string()])
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .spawn()
             .unwrap();
@@ -114,7 +115,7 @@
             gate,
             controller: inner,
             admin: free_addr(),
-            observe: Vec::new(),
+            observe: vec![observe],
         });
         self.processes.push(process);
         self.inner.push(inner);
