--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -10,6 +10,7 @@
 use chicoryrail_core::Server;
 use chicoryrail_core::ServerName;
 use chicoryrail_core::ShardId;
+use chicoryrail_core::Slice;
 use chicoryrail_ownership::Answer;
 use chicoryrail_ownership::Holder;
 use chicoryrail_ownership::OrderWindow;
@@ -20,6 +21,7 @@
 use chicoryrail_wire::DeputyCopy;
 use chicoryrail_wire::DeputyReply;
 use chicoryrail_wire::OrderAnswer;
+use chicoryrail_wire::RouteEntry;
 use chicoryrail_wire::RouteTable;
 
 use crate::Controller;
@@ -71,8 +73,20 @@
     }
 
     /// Tells whether the holder has been silent for so long that its shard is claimed.
+    ///
+    /// Routes and sessions are kept meanwhile, so a section does not hurry and a holder's stall of a
+    /// second moves nothing. Order ids can't be claimed meanwhile, so they do; but without the whole
+    /// copy a take-over would answer `unknown` to every new id for the length of the window.
     pub(crate) fn is_lost(&self, controller: &Controller, now: Millis) -> bool {
-        now.since(self.heard.get()) >= controller.timing.suspect
+        let timing = &controller.timing;
+        let hurries = matches!(self.shard, ShardId::Orders { .. }) && self.is_whole();
+        let limit = if hurries { timing.suspect } else { timing.gone };
+        now.since(self.heard.get()) >= limit
+    }
+
+    /// Tells whether every claim of a part of the order ids has been copied.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.fence.get().version > 0
     }
 
     /// Tells whether this process may act on the copy now.
@@ -102,8 +116,10 @@
     } else if matches!(deputy.shard, ShardId::Orders { .. }) && copy.fence.version > 0 {
         deputy.fence.set(copy.fence);
     }
-    if copy.fence == deputy.fence.get() {
+    let orders = matches!(deputy.shard, ShardId::Orders { .. });
+    if orders || copy.fence == deputy.fence.get() {
         *deputy.renew.borrow_mut() = copy.renew;
+        deputy.holder.borrow_mut().set_witnesses(copy.witnesses);
     }
     Some(DeputyReply {
         known: deputy.fence.get(),
@@ -207,13 +223,26 @@
             .entry(server.name.clone())
             .or_insert_with(|| Session::new(server, now));
         if session.is_due(now) {
-            let asof = session.asked(now, true, &controller.timing);
+            session.set_floor(deputy.fence.get());
+            let sound = session.holds_within(&owned_by(deputy, &server.name));
+            let asof = session.asked(now, sound, &controller.timing);
             let (controller, deputy) = (Rc::clone(controller), Rc::clone(deputy));
             monoio::spawn(call(controller, deputy, server.clone(), asof));
         }
     }
 }
 
+/// Returns the slices that the copy gives to a server, the moving ones among them.
+fn owned_by(deputy: &Deputy, server: &ServerName) -> Vec<Slice> {
+    let table = deputy.table.borrow();
+    let Some(table) = table.as_ref() else {
+        return Vec::new();
+    };
+    let index = table.servers.iter().position(|s| s.name == *server);
+    let own = |e: &&RouteEntry| Some(e.owner as usize) == index;
+    table.entries.iter().filter(own).map(|e| e.slice).collect()
+}
+
 async fn call(
     controller: Rc<Controller>,
     deputy: Rc<Deputy>,
@@ -240,6 +269,7 @@
             let answer = Answer {
                 now: answer.now,
                 instance: answer.instance,
+                fence: answer.fence,
                 slices: answer.slices,
             };
             session.answered(controller.now(), answer);
--- a/crates/chicoryrail-gate/src/dispatch.rs
+++ b/crates/chicoryrail-gate/src/dispatch.rs
@@ -36,7 +36,7 @@
 ///
 /// # Errors
 ///
-/// Returns the refusal to answer with.
+/// Returns the refusal to answer with; "not run" covers every try that was made.
 pub(crate) async fn run(
     gate: &Rc<Gate>,
     call: &Call,
@@ -51,10 +51,11 @@
 /// not sent again after such a try, so its last refusal stands.
 fn of_all_tries(call: &Call, refusal: Refusal) -> Refusal {
     if refusal.not_run() && call.is_idempotent() && call.trace.may_have_run() {
-        return Refusal {
-            code: ResultCode::OutcomeUnknown,
-            ..refusal
+        let code = match refusal.code {
+            ResultCode::DeadlinePassed => ResultCode::AnswerLate,
+            _ => ResultCode::OutcomeUnknown,
         };
+        return Refusal { code, ..refusal };
     }
     refusal
 }
@@ -65,6 +66,25 @@
     source: &Rc<Source>,
 ) -> Result<Response<Body>, Refusal> {
     call.entry.budget.borrow_mut().earn();
+    let mut may_have_run = false;
+    let result = tries(gate, call, source, &mut may_have_run).await;
+    // "Not run" is said of the request, not of its last send: a lookup whose first answer was lost
+    // may have run although a later send was refused. Told otherwise, its caller would count on work
+    // as not done that was done.
+    result.map_err(|refusal| match may_have_run {
+        true => refusal.after_a_run(),
+        false => refusal,
+    })
+}
+
+/// Sends the request until it has an answer or may not be sent again; `may_have_run` is set once a
+/// server may have run it.
+async fn tries(
+    gate: &Rc<Gate>,
+    call: &Call,
+    source: &Rc<Source>,
+    may_have_run: &mut bool,
+) -> Result<Response<Body>, Refusal> {
     let hold_end = call.deadline.min(call.came + gate.settings.limits.hold);
     let mut sends = 0;
     let mut avoid: Vec<PeerId> = Vec::new();
@@ -78,6 +98,7 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
+        *may_have_run |= !refusal.not_run();
         if !source.is_whole() || !(refusal.not_run() || call.is_idempotent()) {
             return Err(refusal);
         }
--- a/crates/chicoryrail-policy/tests/server_queue.rs
+++ b/crates/chicoryrail-policy/tests/server_queue.rs
@@ -139,6 +139,25 @@
     assert_eq!(q.poll(Millis(97)), None);
 }
 
+// A server answers so slowly for a while that no request could finish in time; each is refused. It
+// then is quick again, but only an answer can show that: some request has to be let through.
+#[test]
+fn slow_spell_does_not_refuse_for_good() {
+    let mut q = queue(&[(A, 1)]);
+    for n in 0..40 {
+        let now = Millis(n * 3_000);
+        let _ = q.offer(now, lookup(n, u64::MAX));
+        let slow = Outcome::Answered { us: 3_000 * MS };
+        q.done(now + Millis(3_000), A, Ticket(n), slow);
+    }
+    let start = 120_000;
+    let decide = |q: &mut ServerQueue, ms: u64| q.offer(Millis(ms), lookup(ms, ms + 1_000));
+    let refused = decide(&mut q, start);
+    assert_eq!(refusal(refused).0, ResultCode::DeadlinePassed);
+    let sent = (start..start + 5_000).find(|ms| decide(&mut q, *ms) == Decision::Send(A));
+    assert!(sent.is_some(), "refused for five seconds");
+}
+
 // Refused callers of one burst must not come back as one burst.
 #[test]
 fn advice_to_return_is_spread() {
@@ -152,6 +171,26 @@
     assert!(seen.iter().all(|r| (100..=200).contains(&r.0)), "{seen:?}");
 }
 
+// Overload goes on for seconds. The queue is short by then, but coming back as soon as it has drained
+// would meet the same: callers are told a second or two.
+#[test]
+fn advice_is_longer_where_the_queue_stands() {
+    let mut q = queue(&[(A, 1)]);
+    let _ = longest_queues(&mut q, |ms| u64::from(ms.is_multiple_of(2)), 3);
+    let decisions = (0..100).map(|n| q.offer(Millis(3_000), lookup(9_000 + n, 4_000)));
+    let mut advice: Vec<Millis> = decisions
+        .filter(|d| matches!(d, Decision::Refuse(_)))
+        .map(|d| refusal(d).1)
+        .collect();
+    advice.sort_unstable();
+    assert!(advice.len() > 80, "{advice:?}");
+    let (first, last) = (advice[0], advice[advice.len() - 1]);
+    assert!(
+        first >= Millis(1_000) && last <= Millis(2_000),
+        "{advice:?}"
+    );
+}
+
 #[rstest]
 #[case::two_slots(2, 1)]
 #[case::three_slots(3, 2)]
@@ -222,6 +261,32 @@
     assert_eq!(levels, [1, 2, 4]);
 }
 
+// A server on its ramp leaves the queue, since its route ran out for a moment, and joins again. It is
+// still cold; and if it restarted meanwhile, its first answer still shows that.
+#[rstest]
+#[case::on_its_ramp(true, 7, 1)]
+#[case::restarted(false, 8, 1)]
+#[case::as_before(false, 7, 2)]
+fn server_that_joins_again_is_remembered(
+    #[case] cold: bool,
+    #[case] instance: u64,
+    #[case] slots: usize,
+) {
+    let mut q = queue(&[(A, 2)]);
+    q.set_instance(A, 7);
+    if cold {
+        q.set_cold(A);
+    }
+    q.remove_server(A);
+    q.set_server(A, 2);
+    assert_eq!(q.offer(Millis(0), lookup(1, 1_000)), Decision::Send(A));
+    q.done(Millis(4), A, Ticket(1), quick());
+    q.set_instance(A, instance);
+    let sent = [2, 3].map(|n| q.offer(Millis(5), lookup(n, 1_000)));
+    let sent = sent.iter().filter(|d| matches!(d, Decision::Send(_)));
+    assert_eq!(sent.count(), slots);
+}
+
 // One of three servers holds a request far longer than usual. Nothing more is sent there but a
 // single lookup now and then to see whether it is quick again; an order never is that probe.
 #[test]
