--- a/crates/chicoryrail-admin/tests/process.rs
+++ b/crates/chicoryrail-admin/tests/process.rs
@@ -200,6 +200,12 @@
     };
     platform.fault(&down);
     let during = platform.post(0, "alice", "/v1/rolls", &roll(&digest));
+    // The API is needed in an outage too: it tells operators what is in force.
+    let status = |path| {
+        let answer = call_blocking(&Method::GET, platform.admins[0].0, path, "", LIMIT);
+        answer.unwrap().0
+    };
+    assert_eq!((status("/healthz"), status("/readyz")), (200, 200));
     let end = Instant::now() + LIMIT.duration();
     let after = loop {
         let after = platform.post(0, "alice", "/v1/rolls", &roll(&digest));
