--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -26,14 +26,13 @@
 use crate::promises;
 use crate::signal::Signal;
 use crate::store::Swap;
+use crate::witnesses;
 
 /// Time between two looks at what is unheld.
 const LOOK_EVERY: Millis = Millis(100);
 /// Head start of each controller over the next in a shard's rendezvous order, so that one store
 /// record is not fought over by all.
 const HEAD_START: Millis = Millis(300);
-/// Most witnesses of a shard. Five bear the loss of two; more would only add messages.
-const WITNESSES: usize = 5;
 /// How long an order id is remembered.
 pub(crate) const WINDOW: Millis = Millis(120_000);
 /// Most order ids of a part that are remembered; 200,000 take some 50 MB at the very most.
@@ -157,20 +156,16 @@
     let members = controller.controllers.borrow();
     let silent = members.silent(now, &record.holder);
     let deputy = record.deputy.as_ref() == Some(controller.own());
-    if deputy
-        && controller
-            .deputies
-            .borrow()
-            .get(shard)
-            .is_some_and(|d| d.is_lost(controller, now))
+    let deputies = controller.deputies.borrow();
+    if let Some(copy) = deputies.get(shard).filter(|_| deputy)
+        && copy.is_lost(controller, now)
     {
         return false;
     }
     match members.state(now, &record.holder, &controller.timing) {
-        Liveness::Live => !controller.stale.borrow().contains(shard),
+        Liveness::Live | Liveness::Suspect => !controller.stale.borrow().contains(shard),
         // Its release is looked for, at the pace of the head start.
         Liveness::Leaving => false,
-        Liveness::Suspect => !deputy,
         // A controller that has just started has heard nobody yet.
         Liveness::Gone => silent == Millis::MAX && now < controller.timing.gone,
     }
@@ -245,37 +240,32 @@
 /// record that named others before it is complete would let the next newcomer ask the wrong ones.
 fn next_record(controller: &Controller, shard: &ShardId, old: Option<&ShardRecord>) -> ShardRecord {
     let order = order(controller, shard, controller.now());
-    let others = order.iter().filter(|h| *h != controller.own());
     let released = old.is_none_or(|o| o.released);
     let witnesses = match old {
         Some(old) if !released => old.witnesses.clone(),
-        _ => spread(controller, &order),
+        _ => witnesses::pick(controller, &order),
     };
     ShardRecord {
         epoch: old.map_or(Epoch(1), |o| o.epoch.next()),
         holder: controller.own().clone(),
-        deputy: others.clone().next().cloned(),
+        deputy: deputy_of(controller, order),
         witnesses,
         attempt: attempt(controller),
         released: false,
     }
 }
 
-/// Picks witnesses by turns from the data centres, so that the loss of one leaves a majority.
-fn spread(controller: &Controller, order: &[HostName]) -> Vec<HostName> {
+/// Returns the first of `order` that stands in another data centre, else the first other host: the
+/// loss of a data centre must not take the holder and its deputy.
+pub(crate) fn deputy_of(controller: &Controller, mut order: Vec<HostName>) -> Option<HostName> {
+    order.retain(|h| h != controller.own());
     let hosts = controller.hosts.borrow();
-    let mut by_dc: BTreeMap<_, Vec<HostName>> = BTreeMap::new();
-    for host in order {
-        let dc = hosts.get(host).map(|h| h.data_centre.clone());
-        by_dc.entry(dc).or_default().push(host.clone());
-    }
-    let longest = by_dc.values().map(Vec::len).max().unwrap_or(0);
-    let turns = (0..longest).flat_map(|i| by_dc.values().filter_map(move |d| d.get(i)));
-    let mut picked: Vec<HostName> = turns.take(WITNESSES).cloned().collect();
-    if picked.is_empty() {
-        picked.push(controller.own().clone());
-    }
-    picked
+    let near = |h: &HostName| {
+        let host = hosts.get(h);
+        host.is_none_or(|h| h.data_centre == controller.settings.host.dc)
+    };
+    let far = order.iter().position(|h| !near(h)).unwrap_or(0);
+    order.into_iter().nth(far)
 }
 
 /// Completes a take-over: the promises, then the wait, then the shard is driven.
@@ -357,7 +347,7 @@
     };
     let deputies = controller.deputies.borrow();
     let copy = deputies.get(shard).filter(|d| {
-        let whole = d.fence.get().version > 0 && d.fence.get().epoch == old.epoch;
+        let whole = d.is_whole() && d.fence.get().epoch == old.epoch;
         whole && old.deputy.as_ref() == Some(controller.own())
     });
     copy.map_or_else(|| empty.blind_since(from), |d| d.window.borrow().clone())
--- a/crates/chicoryrail-controller/src/copies.rs
+++ b/crates/chicoryrail-controller/src/copies.rs
@@ -23,6 +23,7 @@
 use crate::promises;
 use crate::routes;
 use crate::store::Swap;
+use crate::witnesses;
 
 /// Time between two copies while nothing changes; the deputy acts after two and a half of them.
 const COPY_EVERY: Millis = Millis(100);
@@ -43,6 +44,8 @@
     let mut known = Fence::default();
     let mut named = None;
     let mut preferred = None;
+    let mut asked = Millis::ZERO;
+    let mut healed = controller.now();
     while !held.stop.is_cancelled() {
         let seen = held.news.count();
         let now = controller.now();
@@ -50,6 +53,7 @@
         if deputy != named {
             (named, known, acked) = (deputy.clone(), Fence::default(), now);
         }
+        let sent = controller.now();
         let reply = match &deputy {
             Some(host) if held.may_act(now) => {
                 let copy = build(&controller, &held, known);
@@ -59,14 +63,17 @@
         };
         let now = controller.now();
         if let Some(reply) = reply {
+            asked = sent;
             acked = now;
             known = reply.known;
             take_reply(&controller, &held, reply).await;
         }
         if held.may_act(now) && wants_other(&controller, &held, now, now.since(acked)) {
-            replace(&controller, &held).await;
+            let next = candidate(&controller, &held, now);
+            replace(&controller, &held, next).await;
             acked = controller.now();
         }
+        witnesses::heal(&controller, &held, asked, &mut healed).await;
         if hands_back(&controller, &held, &mut preferred, known).await {
             return;
         }
@@ -88,11 +95,11 @@
         fence: routes::fence(held, None),
         table: None,
         renew: Vec::new(),
-        blind: held
-            .orders()
-            .map(|w| w.borrow().blind_left(now))
-            .unwrap_or_default(),
+        blind: Millis::ZERO,
     };
+    if let Some(window) = held.orders() {
+        copy.blind = window.borrow().blind_left(now);
+    }
     if let Some(cell) = held.section()
         && let Some(section) = cell.borrow().as_ref()
     {
@@ -217,7 +224,7 @@
         return false;
     }
     if held.record.borrow().0.deputy.as_ref() != Some(&first) {
-        replace(controller, held).await;
+        replace(controller, held, Some(first)).await;
         return false;
     }
     let whole = match held.section() {
@@ -242,21 +249,19 @@
 fn candidate(controller: &Controller, held: &Held, now: Millis) -> Option<HostName> {
     let old = held.record.borrow().0.deputy.clone();
     let order = claims::order(controller, &held.shard, now);
-    let mut others = order
-        .into_iter()
-        .filter(|h| h != controller.own() && Some(h) != old.as_ref());
-    others.next()
+    let others = order.into_iter().filter(|h| Some(h) != old.as_ref());
+    claims::deputy_of(controller, others.collect())
 }
 
 /// Takes the next epoch from itself with another deputy.
 ///
 /// A deputy acts on confirmations of the old epoch, so naming another one is not enough: with the
 /// promise of a majority the old epoch can't be confirmed any more, and after the wait it is over.
-async fn replace(controller: &Rc<Controller>, held: &Rc<Held>) {
+async fn replace(controller: &Rc<Controller>, held: &Rc<Held>, deputy: Option<HostName>) {
     let (old, version) = held.record.borrow().clone();
     let mut record = old.clone();
     record.epoch = old.epoch.next();
-    record.deputy = candidate(controller, held, controller.now());
+    record.deputy = deputy;
     record.attempt = claims::attempt(controller);
     let Ok(text) = serde_json::to_string(&record) else {
         return;
--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -12,9 +12,11 @@
 use chicoryrail_core::ShardId;
 use chicoryrail_core::Slice;
 use chicoryrail_ownership::Answer;
+use chicoryrail_ownership::Health;
 use chicoryrail_ownership::Holder;
 use chicoryrail_ownership::OrderWindow;
 use chicoryrail_ownership::Session;
+use chicoryrail_ownership::Timing;
 use chicoryrail_platform::SessionBody;
 use chicoryrail_platform::Targets;
 use chicoryrail_runtime::EventKind;
@@ -73,8 +75,30 @@
     }
 
     /// Tells whether the holder has been silent for so long that its shard is claimed.
+    ///
+    /// Routes and sessions are kept meanwhile, so a section does not hurry and a holder's stall of a
+    /// second moves nothing. Order ids can't be claimed meanwhile, so they do; but without the whole
+    /// copy a take-over would answer `unknown` to every new id for the length of the window.
     pub(crate) fn is_lost(&self, controller: &Controller, now: Millis) -> bool {
-        now.since(self.heard.get()) >= controller.timing.suspect
+        let timing = &controller.timing;
+        let orders = matches!(self.shard, ShardId::Orders { .. });
+        let hurries = orders && self.is_whole() || self.sees_silence(now, timing);
+        let limit = if hurries { timing.suspect } else { timing.gone };
+        now.since(self.heard.get()) >= limit
+    }
+
+    /// Tells whether a server does not answer the deputy's renewals either: its keys wait for a holder
+    /// that may move them.
+    fn sees_silence(&self, now: Millis, timing: &Timing) -> bool {
+        let sessions = self.sessions.borrow();
+        sessions
+            .values()
+            .any(|s| s.health(now, timing) != Health::Up)
+    }
+
+    /// Tells whether every claim of a part of the order ids has been copied.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.fence.get().version > 0
     }
 
     /// Tells whether this process may act on the copy now.
@@ -105,8 +129,10 @@
     } else if matches!(deputy.shard, ShardId::Orders { .. }) && copy.fence.version > 0 {
         deputy.fence.set(copy.fence);
     }
-    if copy.fence == deputy.fence.get() {
+    let orders = matches!(deputy.shard, ShardId::Orders { .. });
+    if orders || copy.fence == deputy.fence.get() {
         *deputy.renew.borrow_mut() = copy.renew;
+        deputy.holder.borrow_mut().set_witnesses(copy.witnesses);
     }
     Some(DeputyReply {
         known: deputy.fence.get(),
--- a/crates/chicoryrail-controller/tests/support/cluster.rs
+++ b/crates/chicoryrail-controller/tests/support/cluster.rs
@@ -100,6 +100,7 @@
         let name = format!("h{i}");
         let dc = ["a", "b"][i % 2];
         let inner = free_addr();
+        let observe = free_addr();
         let stop = self.stop.child_token();
         let gate = FakeGate::listen(&stop, &name, dc);
         self.gates.push(stop);
@@ -108,7 +109,7 @@
             .args(["--host-list", &self.list_addr.to_string()])
             .args(["--store", &self.store_addr.to_string()])
             .args(["--inner", &inner.to_string()])
-            .args(["--observe", &free_addr().to_string()])
+            .args(["--observe", &observe.to_string()])
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .spawn()
             .unwrap();
@@ -119,7 +120,7 @@
             gate,
             controller: inner,
             admin: free_addr(),
-            observe: Vec::new(),
+            observe: vec![observe],
         });
         self.processes.push(process);
         self.inner.push(inner);
--- a/crates/chicoryrail-wire/src/deputy.rs
+++ b/crates/chicoryrail-wire/src/deputy.rs
@@ -28,8 +28,8 @@
     pub table: Option<RouteTable>,
     /// Servers whose sessions the deputy may renew.
     pub renew: Vec<ServerName>,
-    /// For a part of the order ids: how long the holder still answers unknown to ids that it does not
-    /// know, since it took over without all claims. A deputy that takes over goes on with it.
+    /// How long claims may still be missing from the holder's own window of order ids; zero for a
+    /// section.
     pub blind: Millis,
 }
 
