fix(controller): a stopping controller waits until its deputy has all of a shard

A controller that had just restarted claimed a released part by an old record, before the deputy with the copy; and shards were given up while the deputy restarted too. Change: hand-on waits, at most 2.5 s, for a live deputy with a whole copy; a claim steps back when the record names another deputy; claims are copied 64 at a time.

--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -33,6 +33,10 @@
 /// Head start of each controller over the next in a shard's rendezvous order, so that one store
 /// record is not fought over by all.
 const HEAD_START: Millis = Millis(300);
+/// Longest time in which a stopping controller waits for the copies of its shards.
+const COPY_WAIT: Millis = Millis(2_500);
+/// Time between two looks at them.
+const COPY_LOOK: Millis = Millis(10);
 /// How long an order id is remembered.
 pub(crate) const WINDOW: Millis = Millis(120_000);
 /// Most order ids of a part that are remembered; 200,000 take some 50 MB at the very most.
@@ -76,10 +80,38 @@
     }
 }
 
-/// Hands every held shard on: stops acting, then says so in the store.
+/// Hands every held shard on: waits until a live deputy has all of it, stops acting, then says so
+/// in the store.
+///
+/// Made for hosts that are restarted one after another: a shard that is given up while its deputy
+/// restarts, or has not all claims yet, leaves order ids of the last minutes unknown.
 pub(crate) async fn hand_on(controller: &Controller) {
     let all = controller.all_held();
-    join_all(all.iter().map(|held| give(controller, held))).await;
+    join_all(all.iter().map(|held| async move {
+        let until = controller.now() + COPY_WAIT;
+        while controller.now() < until && !is_copied(controller, held) {
+            controller.process.clock.sleep(COPY_LOOK).await;
+        }
+        give(controller, held).await;
+    }))
+    .await;
+}
+
+/// Tells whether a live deputy has all of the shard, or nobody can.
+fn is_copied(controller: &Controller, held: &Held) -> bool {
+    let now = controller.now();
+    if !held.may_act(now) || !controller.store.is_up() {
+        return true;
+    }
+    let Some(deputy) = held.record.borrow().0.deputy.clone() else {
+        return controller
+            .live_controllers(now)
+            .iter()
+            .all(|h| h == controller.own());
+    };
+    let members = controller.controllers.borrow();
+    let live = members.state(now, &deputy, &controller.timing) == Liveness::Live;
+    live && held.copied.get()
 }
 
 pub(crate) async fn give(controller: &Controller, held: &Held) {
@@ -177,7 +209,12 @@
     let place = order.iter().position(|h| h == controller.own())?;
     let records = controller.records.borrow();
     let deputy = records.get(shard).and_then(|r| r.deputy.as_ref());
-    if deputy == Some(controller.own()) {
+    let copies = controller.deputies.borrow();
+    let copied = copies.get(shard).is_some_and(|d| {
+        let epoch = d.fence.get().epoch;
+        records.get(shard).is_none_or(|r| r.epoch < epoch)
+    });
+    if copied || deputy == Some(controller.own()) {
         return Some(0);
     }
     // A live deputy has the copy of the shard, so it goes first.
@@ -214,6 +251,12 @@
         if (fresh && is_held(controller, shard, now)) || (leaving && !old.released) {
             return;
         }
+        // This process had decided by an older record, that named another deputy or none. The one
+        // named now has the copy and goes first; without this a controller that had just restarted
+        // took parts of the order ids whose claims it did not know, and answered unknown to all.
+        if fresh && rank(controller, shard, now) != Some(0) {
+            return;
+        }
     }
     let record = next_record(controller, shard, old.as_ref());
     let Ok(text) = serde_json::to_string(&record) else {
@@ -309,6 +352,7 @@
         news: Signal::default(),
         stop: CancellationToken::new(),
         given: Cell::new(false),
+        copied: Cell::new(false),
     });
     controller
         .records
--- a/crates/chicoryrail-controller/src/copies.rs
+++ b/crates/chicoryrail-controller/src/copies.rs
@@ -15,6 +15,7 @@
 use chicoryrail_wire::OrderCopy;
 use chicoryrail_wire::Reply;
 use chicoryrail_wire::Request;
+use futures_util::future::join_all;
 
 use crate::Controller;
 use crate::claims;
@@ -27,6 +28,9 @@
 
 /// Time between two copies while nothing changes; the deputy acts after two and a half of them.
 const COPY_EVERY: Millis = Millis(100);
+/// Claims that are copied at a time. One after the other, a window of 10,000 claims took longer than
+/// a host's restart; more at a time would hold up the claims of callers that wait.
+const AT_A_TIME: usize = 64;
 /// Longest time of one copy.
 const COPY_LIMIT: Millis = Millis(200);
 /// Silence of a deputy after which it is replaced. Shorter would replace deputies for a moment's
@@ -52,6 +56,7 @@
         let deputy = held.record.borrow().0.deputy.clone();
         if deputy != named {
             (named, known, acked) = (deputy.clone(), Fence::default(), now);
+            held.copied.set(false);
         }
         let sent = controller.now();
         let reply = match &deputy {
@@ -66,6 +71,7 @@
             asked = sent;
             acked = now;
             known = reply.known;
+            held.copied.set(is_whole(&held, known));
             take_reply(&controller, &held, reply).await;
         }
         if held.may_act(now) && wants_other(&controller, &held, now, now.since(acked)) {
@@ -163,8 +169,11 @@
             outcome: outcome.cloned().map(orders::to_wire),
         })
         .collect();
-    for copy in copies {
-        if !orders::copy(controller, &deputy, copy).await {
+    for chunk in copies.chunks(AT_A_TIME) {
+        let sent = chunk
+            .iter()
+            .map(|c| orders::copy(controller, &deputy, c.clone()));
+        if join_all(sent).await.contains(&false) {
             return;
         }
     }
@@ -176,7 +185,7 @@
 /// Tells whether the shard should have another deputy: the named one is silent or leaves, or there
 /// is none and a live controller could be it.
 fn wants_other(controller: &Controller, held: &Held, now: Millis, silent: Millis) -> bool {
-    if !controller.store.is_up() || controller.leaving.get() {
+    if !controller.store.is_up() {
         return false;
     }
     let deputy = held.record.borrow().0.deputy.clone();
@@ -227,16 +236,21 @@
         replace(controller, held, Some(first)).await;
         return false;
     }
-    let whole = match held.section() {
-        Some(cell) => cell.borrow().as_ref().is_some_and(|s| s.fence() == known),
-        None => known.epoch == held.holder.borrow().epoch() && known.version > 0,
-    };
+    let whole = is_whole(held, known);
     if whole {
         claims::give(controller, held).await;
     }
     whole
 }
 
+/// Tells whether the deputy that has `known` has all of the shard.
+fn is_whole(held: &Held, known: Fence) -> bool {
+    match held.section() {
+        Some(cell) => cell.borrow().as_ref().is_some_and(|s| s.fence() == known),
+        None => known.epoch == held.holder.borrow().epoch() && known.version > 0,
+    }
+}
+
 /// Tells whether nothing of the shard is on the move.
 fn is_still(held: &Held) -> bool {
     let Some(cell) = held.section() else {
--- a/crates/chicoryrail-controller/src/held.rs
+++ b/crates/chicoryrail-controller/src/held.rs
@@ -40,6 +40,8 @@
     pub(crate) stop: CancellationToken,
     /// Whether the holder has given the shard up; it never acts again in this epoch.
     pub(crate) given: Cell<bool>,
+    /// Whether the deputy has all of the shard.
+    pub(crate) copied: Cell<bool>,
 }
 
 impl Held {
--- a/crates/chicoryrail-controller/src/run.rs
+++ b/crates/chicoryrail-controller/src/run.rs
@@ -18,7 +18,7 @@
 use crate::Settings;
 
 /// Longest time in which a stopping controller hands its shards on.
-const HAND_ON: Millis = Millis(2_000);
+const HAND_ON: Millis = Millis(4_000);
 
 /// Runs a controller until it is told to stop and has handed its shards on.
 ///
