fix(core): a part of the space holds just the keys that name it

Slice::part rounded its borders down, KeyHash::part rounds its answer down: where the number of parts is no power of two, the position at a border lay in the slice of part i while the key named part i - 1. Such a key was routed to a section without an owner for it. Borders are rounded up now.

--- a/crates/chicoryrail-core/src/slice.rs
+++ b/crates/chicoryrail-core/src/slice.rs
@@ -38,13 +38,17 @@
         }
     }
 
-    /// Returns part `i` of `n` equal parts of the slice; the last takes the remainder.
+    /// Returns part `i` of `n` equal parts of the slice, whose lengths differ by one at most.
+    ///
+    /// Borders are rounded up, as [`KeyHash::part`] rounds its answer down: a border rounded down
+    /// would give the position at it to a part that the key's own answer doesn't name, and the key
+    /// would be asked for at a section whose slices don't hold it.
     #[must_use]
     pub fn part(self, i: u32, n: u32) -> Self {
         let n = u128::from(n.max(1));
         let i = u128::from(i);
         let size = u128::from(self.last - self.first) + 1;
-        let at = |i: u128| self.first + (size * i / n) as u64;
+        let at = |i: u128| self.first + (size * i).div_ceil(n) as u64;
         let last = if i + 1 == n { self.last } else { at(i + 1) - 1 };
         Self { first: at(i), last }
     }
