--- a/crates/chicoryrail-controller/src/run.rs
+++ b/crates/chicoryrail-controller/src/run.rs
@@ -1,6 +1,5 @@
 //! Start and stop of the controller.
 
-use std::io;
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
@@ -8,11 +7,12 @@
 use chicoryrail_runtime::EventKind;
 use chicoryrail_runtime::HttpLimits;
 use chicoryrail_runtime::Process;
+use chicoryrail_runtime::SettingError;
+use chicoryrail_runtime::bind;
 use chicoryrail_runtime::error_answer;
 use chicoryrail_runtime::serve_http;
 use chicoryrail_runtime::stop_on_signal;
 use chicoryrail_wire::PeerLimits;
-use monoio::net::TcpListener;
 
 use crate::Controller;
 use crate::Settings;
@@ -24,10 +24,12 @@
 ///
 /// # Errors
 ///
-/// Returns the system's error where an address can't be listened at.
-pub async fn run(settings: Settings) -> io::Result<()> {
+/// Returns the flag and the value of an address that can't be listened at.
+pub async fn run(settings: Settings) -> Result<(), SettingError> {
     let process = Process::new(&settings.host.host, "chicoryrail-controller");
-    stop_on_signal(process.stop.clone())?;
+    if let Err(e) = stop_on_signal(process.stop.clone()) {
+        log::error!("signals can't be caught: {e}");
+    }
     run_process(settings, process).await
 }
 
@@ -35,10 +37,10 @@
 ///
 /// # Errors
 ///
-/// Returns the system's error where an address can't be listened at.
-pub async fn run_process(settings: Settings, process: Process) -> io::Result<()> {
-    let inner = TcpListener::bind(settings.inner)?;
-    let observe = TcpListener::bind(settings.observe)?;
+/// Returns the flag and the value of an address that can't be listened at.
+pub async fn run_process(settings: Settings, process: Process) -> Result<(), SettingError> {
+    let inner = bind("inner", settings.inner)?;
+    let observe = bind("observe", settings.observe)?;
     let controller = Controller::new(settings, process.clone());
     let done = process.stop.child_token();
     let ended = chicoryrail_runtime::CancellationToken::new();
--- a/crates/chicoryrail-gate/src/run.rs
+++ b/crates/chicoryrail-gate/src/run.rs
@@ -1,7 +1,5 @@
 //! Start, upkeep and stop of the process.
 
-use std::io;
-use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -13,11 +11,11 @@
 use chicoryrail_runtime::HttpLimits;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::SettingError;
+use chicoryrail_runtime::bind;
 use chicoryrail_runtime::block_on;
 use chicoryrail_runtime::error_answer;
 use chicoryrail_runtime::exit_with;
 use chicoryrail_runtime::init_logs;
-use chicoryrail_runtime::listen;
 use chicoryrail_runtime::serve_http;
 use chicoryrail_runtime::stop_on_signal;
 use chicoryrail_wire::PeerLimits;
@@ -129,14 +127,6 @@
     Ok(())
 }
 
-fn bind(flag: &'static str, addr: SocketAddr) -> Result<TcpListener, SettingError> {
-    listen(addr).map_err(|e: io::Error| SettingError {
-        flag,
-        value: addr.to_string(),
-        reason: e.to_string(),
-    })
-}
-
 async fn serve_callers(gate: Rc<Gate>, listener: TcpListener, stop: CancellationToken) {
     let limits = &gate.settings.limits;
     let limits = HttpLimits {
--- a/crates/chicoryrail-testkit/src/bin/testkit-list.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-list.rs
@@ -26,7 +26,7 @@
         .to_options()
         .descr("Stand-in of the platform's list of hosts")
         .run();
-    stand_in(listen, |listener, stop| {
+    stand_in("listen", listen, |listener, stop| {
         ListServer::new(lag).serve(listener, stop)
     })
 }
--- a/crates/chicoryrail-testkit/src/bin/testkit-proxy.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-proxy.rs
@@ -98,7 +98,7 @@
             return exit_with(ResultCode::SettingInvalid, &text);
         }
     };
-    stand_in(settings.control, |listener, stop| {
+    stand_in("control", settings.control, |listener, stop| {
         listener.serve(stop, move |request| {
             let link = link.clone();
             async move { Ok(answer(link, request).await) }
--- a/crates/chicoryrail-testkit/src/bin/testkit-store.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-store.rs
@@ -40,7 +40,7 @@
         .to_options()
         .descr("Stand-in of the platform's key-value service")
         .run();
-    stand_in(listen, |listener, stop| {
+    stand_in("listen", listen, |listener, stop| {
         StoreServer::new(options).serve(listener, stop)
     })
 }
--- a/crates/chicoryrail-testkit/src/bin/testkit-target.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-target.rs
@@ -117,7 +117,7 @@
         .to_options()
         .descr("Stand-in of a target (server)")
         .run();
-    stand_in(listen, |listener, stop| async {
+    stand_in("listen", listen, |listener, stop| async {
         if let Err(e) = TargetServer::serve(options, listener, stop).await {
             log::error!("ledger: {e}");
         }
--- a/crates/chicoryrail-testkit/src/listener.rs
+++ b/crates/chicoryrail-testkit/src/listener.rs
@@ -9,6 +9,8 @@
 use chicoryrail_core::ResultCode;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::CancellationToken;
+use chicoryrail_runtime::SettingError;
+use chicoryrail_runtime::bind;
 use chicoryrail_runtime::block_on;
 use chicoryrail_runtime::exit_with;
 use chicoryrail_runtime::init_logs;
@@ -41,14 +43,18 @@
 }
 
 impl Listener {
-    /// Binds `addr`; port 0 lets the system choose.
+    /// Binds `addr`, the value of `--listen`; port 0 lets the system choose.
     ///
     /// # Errors
     ///
-    /// Returns the system's error.
-    pub fn bind(addr: SocketAddr) -> io::Result<Self> {
+    /// Returns the flag and the value where the address can't be listened at.
+    pub fn bind(addr: SocketAddr) -> Result<Self, SettingError> {
+        Self::of_flag("listen", addr)
+    }
+
+    fn of_flag(flag: &'static str, addr: SocketAddr) -> Result<Self, SettingError> {
         Ok(Self {
-            tcp: TcpListener::bind(addr)?,
+            tcp: bind(flag, addr)?,
             most: u32::MAX,
             open: Rc::default(),
             refused: Rc::default(),
@@ -123,7 +129,9 @@
 }
 
 /// Runs a stand-in as a process: binds, prints `listening ADDR`, serves until SIGTERM or SIGINT.
-pub fn stand_in<S, F>(addr: SocketAddr, serve: S) -> ExitCode
+///
+/// `flag` is the one that names `addr`.
+pub fn stand_in<S, F>(flag: &'static str, addr: SocketAddr, serve: S) -> ExitCode
 where
     S: FnOnce(Listener, CancellationToken) -> F,
     F: Future<Output = ()>,
@@ -131,17 +139,14 @@
     init_logs();
     let result = block_on(async {
         let stop = CancellationToken::new();
-        stop_on_signal(stop.clone())?;
-        let listener = Listener::bind(addr)?;
-        println!("listening {}", listener.addr()?);
+        stop_on_signal(stop.clone()).map_err(|e| format!("signals: {e}"))?;
+        let listener = Listener::of_flag(flag, addr).map_err(|e| e.to_string())?;
+        println!("listening {}", listener.addr().map_err(|e| e.to_string())?);
         serve(listener, stop).await;
-        io::Result::Ok(())
+        Ok::<_, String>(())
     });
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => exit_with(
-            ResultCode::SettingInvalid,
-            &format!("--listen = {addr}: {e}"),
-        ),
+        Err(text) => exit_with(ResultCode::SettingInvalid, &text),
     }
 }
