fix(gate): a late forward gives up its connection to the other gate

A gate whose machine is gone closes nothing: its connection looked well, and each later request on it waited for its own deadline. A forward that gets no answer in time, or whose routes lead through another gate by now, gives the connection up (Peer::give_up, by serial, so that a newer one stays); requests still under way on it go on. The next request opens a new connection.

--- a/crates/chicoryrail-gate/src/forward.rs
+++ b/crates/chicoryrail-gate/src/forward.rs
@@ -116,11 +116,13 @@
     let head = head(gate, call, hop, peer, now);
     let limit = call.left(now) + GRACE;
     let opened = timeout(limit.duration(), peer.forward(head, source.is_empty())).await;
-    let Forward { body, answer } = match opened {
+    let forward = match opened {
         Ok(Ok(forward)) => forward,
         Ok(Err(_)) => return Err(ResultCode::NoServer.into()),
         Err(_) => return Err(ResultCode::DeadlinePassed.into()),
     };
+    let serial = forward.serial();
+    let Forward { body, answer, .. } = forward;
     call.trace.wrote();
     if !source.is_empty() {
         monoio::spawn(pump(source.body(), body));
@@ -129,7 +131,10 @@
     let answer = pin!(timeout(limit.duration(), answer));
     let answer = match select(answer, pin!(hop.ends(call))).await {
         Either::Left((answer, _)) => answer,
-        Either::Right(_) => return Err(ResultCode::OutcomeUnknown.into()),
+        Either::Right(_) => {
+            peer.give_up(serial);
+            return Err(ResultCode::OutcomeUnknown.into());
+        }
     };
     let answer = match answer {
         Ok(Ok(answer)) => answer,
@@ -138,7 +143,12 @@
             return Err(ResultCode::NoServer.into());
         }
         Ok(Err(_)) => return Err(ResultCode::OutcomeUnknown.into()),
-        Err(_) => return Err(ResultCode::AnswerLate.into()),
+        Err(_) => {
+            // A gate that is well answers at the deadline itself; this one may have gone without a
+            // word, and the next order must not wait on the same connection.
+            peer.give_up(serial);
+            return Err(ResultCode::AnswerLate.into());
+        }
     };
     let (mut head, body) = answer.into_parts();
     let load = head.headers.remove(inner::LOAD);
--- a/crates/chicoryrail-gate/tests/support/gate.rs
+++ b/crates/chicoryrail-gate/tests/support/gate.rs
@@ -44,6 +44,11 @@
 impl World {
     /// Starts gates `g0`, `g1`, … with further flags; they are not ready yet.
     pub fn start(gates: usize, flags: &[&str]) -> Self {
+        Self::start_beside(gates, flags, &[])
+    }
+
+    /// Starts gates beside others that the test plays, which are listed by name and address.
+    pub fn start_beside(gates: usize, flags: &[&str], played: &[(&str, SocketAddr)]) -> Self {
         let control = Rc::new(Control::default());
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let controller = listener.local_addr().unwrap();
@@ -56,19 +61,22 @@
         let list = TcpListener::bind("127.0.0.1:0").unwrap();
         let listed = list.local_addr().unwrap();
         let gates: Vec<_> = (0..gates).map(|i| Gate::start(i, listed, flags)).collect();
-        let hosts: Vec<_> = gates
-            .iter()
-            .enumerate()
-            .map(|(i, g)| HostEntry {
-                name: format!("g{i}").as_str().into(),
-                data_centre: "north".into(),
-                state: ListedState::Live,
-                gate: g.inner,
-                controller: if i == 0 { controller } else { free_addr() },
-                admin: g.observe,
-                observe: vec![g.observe],
-            })
-            .collect();
+        let entry = |name: &str, gate, controller, observe| HostEntry {
+            name: name.into(),
+            data_centre: "north".into(),
+            state: ListedState::Live,
+            gate,
+            controller,
+            admin: observe,
+            observe: vec![observe],
+        };
+        let own = gates.iter().enumerate().map(|(i, g)| {
+            let controller = if i == 0 { controller } else { free_addr() };
+            entry(&format!("g{i}"), g.inner, controller, g.observe)
+        });
+        let played = played.iter();
+        let played = played.map(|(name, gate)| entry(name, *gate, free_addr(), free_addr()));
+        let hosts: Vec<_> = own.chain(played).collect();
         let stop = CancellationToken::new();
         monoio::spawn(serve_http(
             list,
--- a/crates/chicoryrail-wire/src/peer.rs
+++ b/crates/chicoryrail-wire/src/peer.rs
@@ -49,6 +49,15 @@
     pub body: h2::SendStream<Bytes>,
     /// Gives the answer.
     pub answer: ResponseFuture,
+    serial: u64,
+}
+
+impl Forward {
+    /// Returns which connection of the peer carries the request, for [`Peer::give_up`].
+    #[must_use]
+    pub const fn serial(&self) -> u64 {
+        self.serial
+    }
 }
 
 impl Peer {
@@ -91,16 +100,29 @@
     /// Returns a [`WireError`] whose [`WireError::not_run`] is exact here: nothing of the request
     /// left this process unless the stream was opened.
     pub async fn forward(&self, head: http::Request<()>, end: bool) -> Result<Forward, WireError> {
-        let mut send = self.ready().await?;
+        let (mut send, serial) = self.ready().await?;
         let (answer, body) = send
             .send_request(head, end)
             .context(StreamSnafu { addr: self.addr })?;
-        Ok(Forward { body, answer })
+        Ok(Forward {
+            body,
+            answer,
+            serial,
+        })
+    }
+
+    /// Gives up the connection with this serial, see [`Forward::serial`]; what is under way on it
+    /// goes on, and the next request opens a new one.
+    ///
+    /// A peer whose machine has gone sends nothing, so its connection looks well, and each further
+    /// request on it would wait for its own deadline.
+    pub fn give_up(&self, serial: u64) {
+        self.drop_link(serial);
     }
 
     async fn exchange(&self, bytes: Bytes) -> Result<Reply, WireError> {
         let addr = self.addr;
-        let mut send = self.ready().await?;
+        let (mut send, _) = self.ready().await?;
         let head = http::Request::post(format!("http://{addr}{CALL_PATH}"))
             .body(())
             .expect("a request of constant parts is valid");
@@ -119,13 +141,16 @@
         decode(&bytes)
     }
 
-    async fn ready(&self) -> Result<SendRequest<Bytes>, WireError> {
+    async fn ready(&self) -> Result<(SendRequest<Bytes>, u64), WireError> {
         let addr = self.addr;
-        let kept = self.link.borrow().send.clone();
+        let (kept, serial) = {
+            let link = self.link.borrow();
+            (link.send.clone(), link.serial)
+        };
         if let Some(send) = kept {
             match send.ready().await {
-                Ok(send) => return Ok(send),
-                Err(_) => self.link.borrow_mut().send = None,
+                Ok(send) => return Ok((send, serial)),
+                Err(_) => self.drop_link(serial),
             }
         }
         let stream = TcpStream::connect(addr)
@@ -158,7 +183,8 @@
                 }
             }
         });
-        send.ready().await.context(StreamSnafu { addr })
+        let send = send.ready().await.context(StreamSnafu { addr })?;
+        Ok((send, serial))
     }
 
     fn drop_link(&self, serial: u64) {
