--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -195,7 +195,7 @@
         return false;
     }
     match members.state(now, &record.holder, &controller.timing) {
-        Liveness::Live | Liveness::Suspect => true,
+        Liveness::Live | Liveness::Suspect => !controller.stale.borrow().contains(shard),
         // Its release is looked for, at the pace of the head start.
         Liveness::Leaving => false,
         // A controller that has just started has heard nobody yet.
@@ -236,6 +236,7 @@
         return;
     };
     let old = found.as_ref().and_then(parse);
+    controller.stale.borrow_mut().remove(shard);
     if let Some(old) = &old {
         let known = controller
             .records
