fix(controller): a stopping deputy takes what was given up in its favour

Cause: host after host is restarted: a holder gave a part of the order ids up while its deputy was live and whole, and the deputy was told to stop before it had claimed; another controller then claimed the part without the claims and answered 'unknown' for the length of the window. Change: a stopping controller still claims shards of which it is the deputy with all of the copy, and hands them on with the rest, within the same 2.5 s.

--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -53,10 +53,11 @@
         let shards = wanted(&controller);
         drop_unwanted(&controller, &shards);
         let now = controller.now();
-        if controller.leaving.get() {
-            continue;
-        }
+        let leaving = controller.leaving.get();
         for shard in shards {
+            if leaving && !has_copy(&controller, &shard) {
+                continue;
+            }
             let ours = controller.held.borrow().contains_key(&shard);
             if ours || busy.borrow().contains(&shard) || is_held(&controller, &shard, now) {
                 unheld.remove(&shard);
@@ -84,17 +85,39 @@
 /// in the store.
 ///
 /// Made for hosts that are restarted one after another: a shard that is given up while its deputy
-/// restarts, or has not all claims yet, leaves order ids of the last minutes unknown.
+/// restarts, or has not all claims yet, leaves order ids of the last minutes unknown. For the same
+/// reason a stopping deputy first takes what was given up in its favour, and hands that on.
 pub(crate) async fn hand_on(controller: &Controller) {
-    let all = controller.all_held();
-    join_all(all.iter().map(|held| async move {
-        let until = controller.now() + COPY_WAIT;
-        while controller.now() < until && !is_copied(controller, held) {
-            controller.process.clock.sleep(COPY_LOOK).await;
+    let until = controller.now() + COPY_WAIT;
+    while controller.now() < until {
+        let all = controller.all_held();
+        if all.is_empty() && !wanted(controller).iter().any(|s| awaits(controller, s)) {
+            return;
         }
-        give(controller, held).await;
-    }))
-    .await;
+        let copied = all.iter().filter(|held| is_copied(controller, held));
+        join_all(copied.map(|held| give(controller, held))).await;
+        controller.process.clock.sleep(COPY_LOOK).await;
+    }
+    let left = controller.all_held();
+    join_all(left.iter().map(|held| give(controller, held))).await;
+}
+
+/// Tells whether a shard that nobody holds waits for this process, its deputy.
+fn awaits(controller: &Controller, shard: &ShardId) -> bool {
+    has_copy(controller, shard) && !is_held(controller, shard, controller.now())
+}
+
+/// Tells whether this process is the deputy of the shard, as far as it knows, and has all of it.
+fn has_copy(controller: &Controller, shard: &ShardId) -> bool {
+    let copies = controller.deputies.borrow();
+    let Some(copy) = copies.get(shard).filter(|d| d.is_whole()) else {
+        return false;
+    };
+    let records = controller.records.borrow();
+    let epoch = copy.fence.get().epoch;
+    records.get(shard).is_none_or(|r| {
+        r.epoch < epoch || r.epoch == epoch && r.deputy.as_ref() == Some(controller.own())
+    })
 }
 
 /// Tells whether a live deputy has all of the shard, or nobody can.
@@ -206,7 +229,6 @@
 /// Returns this controller's place in the shard's order of candidates.
 fn rank(controller: &Controller, shard: &ShardId, now: Millis) -> Option<u64> {
     let order = order(controller, shard, now);
-    let place = order.iter().position(|h| h == controller.own())?;
     let records = controller.records.borrow();
     let deputy = records.get(shard).and_then(|r| r.deputy.as_ref());
     let copies = controller.deputies.borrow();
@@ -217,6 +239,7 @@
     if copied || deputy == Some(controller.own()) {
         return Some(0);
     }
+    let place = order.iter().position(|h| h == controller.own())?;
     // A live deputy has the copy of the shard, so it goes first.
     let behind = deputy.is_some_and(|d| order.contains(d));
     Some(place as u64 + u64::from(behind))
