refactor(gate): the trace of sends alone decides about not run

Three mechanisms said of a request whether it may have run: the trace of its sends, a flag of the tries in dispatch and the result of the second try in hedge. The trace covers them all, so the flag, of_all_tries and NoAnswer are gone. A refusal that would say not run becomes 1200, or 1202 where the deadline has passed, once the trace has an open send; that holds for orders too now.

--- a/crates/chicoryrail-gate/src/dispatch.rs
+++ b/crates/chicoryrail-gate/src/dispatch.rs
@@ -41,49 +41,23 @@
     gate: &Rc<Gate>,
     call: &Call,
     source: &Rc<Source>,
-) -> Result<Response<Body>, Refusal> {
-    let result = send_and_repeat(gate, call, source).await;
-    result.map_err(|refusal| of_all_tries(call, refusal))
-}
-
-/// Says of a lookup what holds for all its tries: the last one may be refused as not run after an
-/// earlier one, or the second of two at a time, reached a server that may have run it. An order is
-/// not sent again after such a try, so its last refusal stands.
-fn of_all_tries(call: &Call, refusal: Refusal) -> Refusal {
-    if refusal.not_run() && call.is_idempotent() && call.trace.may_have_run() {
-        let code = match refusal.code {
-            ResultCode::DeadlinePassed => ResultCode::AnswerLate,
-            _ => ResultCode::OutcomeUnknown,
-        };
-        return Refusal { code, ..refusal };
-    }
-    refusal
-}
-
-async fn send_and_repeat(
-    gate: &Rc<Gate>,
-    call: &Call,
-    source: &Rc<Source>,
 ) -> Result<Response<Body>, Refusal> {
     call.entry.budget.borrow_mut().earn();
-    let mut may_have_run = false;
-    let result = tries(gate, call, source, &mut may_have_run).await;
+    let result = tries(gate, call, source).await;
     // "Not run" is said of the request, not of its last send: a lookup whose first answer was lost
     // may have run although a later send was refused. Told otherwise, its caller would count on work
     // as not done that was done.
-    result.map_err(|refusal| match may_have_run {
+    result.map_err(|refusal| match call.trace.may_have_run() {
         true => refusal.after_a_run(),
         false => refusal,
     })
 }
 
-/// Sends the request until it has an answer or may not be sent again; `may_have_run` is set once a
-/// server may have run it.
+/// Sends the request until it has an answer or may not be sent again.
 async fn tries(
     gate: &Rc<Gate>,
     call: &Call,
     source: &Rc<Source>,
-    may_have_run: &mut bool,
 ) -> Result<Response<Body>, Refusal> {
     let hold_end = call.deadline.min(call.came + gate.settings.limits.hold);
     let mut sends = 0;
@@ -98,7 +72,6 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
-        *may_have_run |= !refusal.not_run();
         if !source.is_whole() || !(refusal.not_run() || call.is_idempotent()) {
             return Err(refusal);
         }
--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -46,8 +46,8 @@
 ///
 /// # Errors
 ///
-/// Returns the refusal of the first try where neither got an answer; it says "not run" only where
-/// that is certain of both.
+/// Returns the refusal of the first try where neither got an answer. What is known of the run of
+/// both stands in the call's trace.
 pub(crate) async fn race(
     gate: &Rc<Gate>,
     call: &Call,
@@ -79,35 +79,16 @@
     result
 }
 
-/// How a second try ended without an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NoAnswer {
-    /// It is certain that no server ran it.
-    NotRun,
-    /// A server may have run it.
-    MayHaveRun,
-}
-
 /// Waits for the first answer of two tries.
 async fn best<A, B>(first: A, second: B) -> Result<Response<Body>, Refusal>
 where
     A: Future<Output = Result<Response<Body>, Refusal>> + Unpin,
-    B: Future<Output = Result<Response<Body>, NoAnswer>> + Unpin,
+    B: Future<Output = Option<Response<Body>>> + Unpin,
 {
-    let (refusal, none) = match select(first, second).await {
-        Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => return Ok(answer),
-        Either::Left((Err(refusal), second)) => match second.await {
-            Ok(answer) => return Ok(answer),
-            Err(none) => (refusal, none),
-        },
-        Either::Right((Err(none), first)) => match first.await {
-            Ok(answer) => return Ok(answer),
-            Err(refusal) => (refusal, none),
-        },
-    };
-    match none {
-        NoAnswer::NotRun => Err(refusal),
-        NoAnswer::MayHaveRun => Err(refusal.after_a_run()),
+    match select(first, second).await {
+        Either::Left((Ok(answer), _)) | Either::Right((Some(answer), _)) => Ok(answer),
+        Either::Left((Err(refusal), second)) => second.await.ok_or(refusal),
+        Either::Right((None, first)) => first.await,
     }
 }
 
@@ -121,15 +102,15 @@
     source: &Rc<Source>,
     way: &Way,
     free: &Rc<Free>,
-) -> Result<Response<Body>, NoAnswer> {
+) -> Option<Response<Body>> {
     let Way::Free(_, first) = way else {
-        return Err(NoAnswer::NotRun);
+        return None;
     };
     let mut want = "budget";
     for _ in 0..LOOKS {
         if free.hedge.borrow_mut().take(1) {
             match try_places(gate, call, source, free, first).await {
-                Ok(answer) => return answer.ok_or(NoAnswer::MayHaveRun),
+                Ok(answer) => return answer,
                 Err(NoSlot) => free.hedge.borrow_mut().give_back(),
             }
             want = "slots";
@@ -138,7 +119,7 @@
     }
     let refused = &gate.counters.hedges_refused;
     refused.with_label_values(&[want]).inc();
-    Err(NoAnswer::NotRun)
+    None
 }
 
 /// No place had a free slot; nothing was sent.
--- a/crates/chicoryrail-gate/src/refusal.rs
+++ b/crates/chicoryrail-gate/src/refusal.rs
@@ -58,8 +58,12 @@
         if !self.not_run() {
             return self;
         }
+        let code = match self.code {
+            ResultCode::DeadlinePassed => ResultCode::AnswerLate,
+            _ => ResultCode::OutcomeUnknown,
+        };
         Self {
-            code: ResultCode::OutcomeUnknown,
+            code,
             message: format!("one send may have run, the last ended with {}", self.code),
             after: self.after,
         }
