fix(gate): keys are read by core's own decoder, also at the stand-in target

The gate had a decoder of its own, which took a signed digit: k%+1 was a key. It uses KeyHash::of_segment now, and refuses a key that is no text as before. The stand-in target hashed the raw segment: key%2D1 and key-1 were two keys to it, so it refused the first as not its own. It reads the key decoded.

New cases in callers.rs (k%+1, k%ff) and a test of the target; tests of gate, testkit, timeline and admin pass.

--- a/crates/chicoryrail-gate/src/call.rs
+++ b/crates/chicoryrail-gate/src/call.rs
@@ -7,6 +7,7 @@
 use chicoryrail_core::Kind;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
+use chicoryrail_core::percent_decode;
 use chicoryrail_platform::header;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -152,31 +153,14 @@
     if key.is_empty() {
         return Err(Refusal::new(ResultCode::KeyMissing));
     }
-    if !key.contains('%') {
-        return Ok(KeyHash::of(key));
-    }
-    let decoded = decode(key.as_bytes()).and_then(|k| String::from_utf8(k).ok());
-    decoded
-        .map(|key| KeyHash::of(&key))
+    // Text only: a server that reads keys as text has no one meaning for other bytes.
+    let is_text =
+        |key: &str| percent_decode(key).is_some_and(|key| std::str::from_utf8(&key).is_ok());
+    KeyHash::of_segment(key)
+        .filter(|_| !key.contains('%') || is_text(key))
         .ok_or_else(|| Refusal::with(ResultCode::BadRequest, format!("key = {key}")))
 }
 
-fn decode(text: &[u8]) -> Option<Vec<u8>> {
-    let mut plain = Vec::with_capacity(text.len());
-    let mut rest = text;
-    while let Some((&byte, after)) = rest.split_first() {
-        if byte == b'%' {
-            let digits = std::str::from_utf8(after.get(..2)?).ok()?;
-            plain.push(u8::from_str_radix(digits, 16).ok()?);
-            rest = &after[2..];
-        } else {
-            plain.push(byte);
-            rest = after;
-        }
-    }
-    Some(plain)
-}
-
 fn order_id(headers: &HeaderMap) -> Result<String, Refusal> {
     let mut ids = headers.get_all(header::ORDER_ID).iter();
     let id = ids.next().and_then(|v| v.to_str().ok());
--- a/crates/chicoryrail-gate/tests/callers.rs
+++ b/crates/chicoryrail-gate/tests/callers.rs
@@ -153,6 +153,8 @@
 #[case::unusable_order_id("POST", "/v1/kits/k1", &[("order-id", "a b")], 2, 400, 1005)]
 #[case::oversized_body("POST", "/v1/kits/k1", &[("order-id", "o1")], 65_537, 413, 1002)]
 #[case::unusable_key("GET", "/v1/kits/k%zz", &[], 0, 400, 1000)]
+#[case::signed_digit_in_key("GET", "/v1/kits/k%+1", &[], 0, 400, 1000)]
+#[case::no_text_as_key("GET", "/v1/kits/k%ff", &[], 0, 400, 1000)]
 #[case::two_order_ids("POST", "/v1/kits/k", &[("order-id", "a"), ("order-id", "b")], 2, 400, 1005)]
 #[case::unusable_deadline("GET", "/v1/kits/k1", &[("deadline-ms", "0")], 0, 400, 1000)]
 #[case::unknown_order("GET", "/v1/orders/o9", &[], 0, 404, 1007)]
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -8,6 +8,7 @@
 use chicoryrail_core::Fence;
 use chicoryrail_core::KeyHash;
 use chicoryrail_core::Millis;
+use chicoryrail_core::percent_decode;
 use chicoryrail_platform::header;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::CancellationToken;
@@ -233,9 +234,11 @@
     fn read(state: &State, head: &Parts) -> Self {
         let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
         let limit = text(header::DEADLINE).and_then(|v| v.parse().ok());
-        let key = head.uri.path().rsplit('/').next().unwrap_or_default();
+        let segment = head.uri.path().rsplit('/').next().unwrap_or_default();
+        // Callers may write one key in several ways; it is checked and recorded by what it means.
+        let key = percent_decode(segment).and_then(|key| String::from_utf8(key).ok());
         Self {
-            key: key.to_owned(),
+            key: key.unwrap_or_else(|| segment.to_owned()),
             request: text(header::REQUEST_ID).unwrap_or_default().to_owned(),
             order: text(header::ORDER_ID).map(str::to_owned),
             fence: text(header::FENCE).and_then(fence),
--- a/crates/chicoryrail-testkit/tests/target.rs
+++ b/crates/chicoryrail-testkit/tests/target.rs
@@ -74,6 +74,20 @@
     });
 }
 
+/// `key%2D1` and `key-1` are one key to every process, so also to the server that checks its owner.
+#[test]
+fn a_key_is_known_by_what_its_segment_means() {
+    block_on(async {
+        let addr = start(options()).await;
+        let request = Request::get("/v1/kits/key%2D1?body=100")
+            .header(header::REQUEST_ID, "r1")
+            .body(Bytes::new())
+            .unwrap();
+        let answer = send(addr, request).await;
+        assert_eq!(&*AnswerHead::check(answer.body()).unwrap().key, "key-1");
+    });
+}
+
 /// One slot and a queue of one: of three requests at once one runs, one waits, and one is shed with
 /// a true "not run".
 #[test]
