--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -46,7 +46,8 @@
 ///
 /// # Errors
 ///
-/// Returns the refusal of the first try where neither got an answer.
+/// Returns the refusal of the first try where neither got an answer. What is known of the run of
+/// both stands in the call's trace.
 pub(crate) async fn race(
     gate: &Rc<Gate>,
     call: &Call,
@@ -124,7 +125,8 @@
 /// No place had a free slot; nothing was sent.
 struct NoSlot;
 
-/// Offers the second try to one place after the other, until one has a free slot.
+/// Offers the second try to one place after the other, until one has a free slot; `None` where the
+/// one that took it gave no answer, so that it may have run.
 async fn try_places(
     gate: &Rc<Gate>,
     call: &Call,
