--- a/crates/chicoryrail-core/tests/result_code.rs
+++ b/crates/chicoryrail-core/tests/result_code.rs
@@ -33,3 +33,16 @@
     }
     assert_eq!(ResultCode::from_number(999), None);
 }
+
+#[test]
+fn each_code_but_success_says_once_what_to_do() {
+    let mut advised: Vec<u16> = TABLE
+        .lines()
+        .filter_map(|line| line.strip_prefix("- ")?.split_once(':'))
+        .flat_map(|(codes, _)| codes.split(", "))
+        .map(|code| code.parse().expect("a list of codes"))
+        .collect();
+    advised.sort_unstable();
+    let all = ResultCode::ALL.iter().map(|c| c.number());
+    assert_eq!(advised, all.filter(|n| *n > 0).collect::<Vec<_>>());
+}
