fix(admin): tell accepted by the model-checked RollOut

Cause: admin had a rule of its own: every process seen has the version, or has been silent for 3 s. One host of three with two long silent ones was accepted, and so was a version that a host reported once and then lost in a restart; the search in ownership's model_rollout.rs shows that such a host can go on with the older version.

Change: rolls.rs feeds RollOut, one per version that is asked about: controllers' own answers to Status count for the majority; heartbeats that others heard only show that a host lives without the version, since they may have been on their way for any time; the host list adds hosts, and takes them out once they are silent too. Looks that overlap the last one taken in are left out. Accepted is kept and never reverts. RollOut gets gates (no part of a majority, same rule of silence) and `listed`. The old rule, its 3 s and `unheard` are gone. `pending` looks twice where nobody lacks the version, so one call is still enough when all is well.

Conclusion: admin and the model say the same. A host whose controller does not answer admin itself delays `accepted` by 1.35 s.

--- a/crates/chicoryrail-admin/src/admin.rs
+++ b/crates/chicoryrail-admin/src/admin.rs
@@ -61,7 +61,7 @@
         Self {
             records: Records::new(store, &process),
             access,
-            fleet: Fleet::new(own, list),
+            fleet: Fleet::new(own, list, process.clock),
             calls,
             gaps,
             audits: Cell::new(0),
@@ -86,9 +86,7 @@
             Some(version) => version,
             None => self.config().await?.0.version(),
         };
-        let fleet = self.fleet.look(false).await;
-        let now = self.process.clock.now();
-        Ok(self.fleet.pending(&fleet, version, now))
+        Ok(self.fleet.pending(version).await)
     }
 
     /// Builds the answer to a change that is stored as `version`.
@@ -98,13 +96,11 @@
         unchanged: bool,
         warnings: Vec<String>,
     ) -> Change {
-        let fleet = self.fleet.look(false).await;
-        let now = self.process.clock.now();
         Change {
             version,
             unchanged,
             warnings,
-            pending: self.fleet.pending(&fleet, version, now),
+            pending: self.fleet.pending(version).await,
         }
     }
 
--- a/crates/chicoryrail-admin/src/api.rs
+++ b/crates/chicoryrail-admin/src/api.rs
@@ -87,8 +87,8 @@
 pub struct PendingView {
     /// Version asked about.
     pub version: u64,
-    /// Whether every live host has it in force, and every silent one was silent for longer than
-    /// anything that it holds can be valid.
+    /// Whether every live host has it in force, a majority reported it twice, and every silent host
+    /// was silent since for longer than anything that it holds can be valid; never reverts.
     pub accepted: bool,
     /// Who keeps it from being accepted.
     pub missing: Vec<Missing>,
@@ -103,7 +103,7 @@
     pub program: Option<ProgramRole>,
     /// Version that it has in force; `None` where that is not known.
     pub version: Option<u64>,
-    /// For how long it has been silent.
+    /// For how long it has been silent; 0 where no controller that answers has heard it.
     pub silent_ms: Millis,
 }
 
--- a/crates/chicoryrail-admin/src/fleet.rs
+++ b/crates/chicoryrail-admin/src/fleet.rs
@@ -8,9 +8,11 @@
 use chicoryrail_core::Config;
 use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
+use chicoryrail_ownership::RollState;
 use chicoryrail_platform::HostEntry;
 use chicoryrail_platform::HostList;
 use chicoryrail_platform::HttpHostList;
+use chicoryrail_runtime::Clock;
 use chicoryrail_wire::ConfigRequest;
 use chicoryrail_wire::Heartbeat;
 use chicoryrail_wire::Peer;
@@ -22,16 +24,13 @@
 
 use crate::Missing;
 use crate::PendingView;
+use crate::rolls::Rolls;
+use crate::rolls::is_outlived;
 
 /// Longest time a controller may take to answer. They answer from memory; one that takes longer is
 /// shown as silent, and an operator's call is not held up by it.
 const CALL_LIMIT: Millis = Millis(400);
 
-/// Silence after which a process can't act on an older configuration. Sessions, routes and
-/// holdership last 700 ms at most without a word from others; a host that hears the store alone
-/// learns of a new head from its watch within 2 s. The rest is the drift margin.
-const SILENT_SAFE: Millis = Millis(3_000);
-
 /// The processes that must have a configuration in force.
 const PROGRAMS: [Role; 2] = [Role::Gate, Role::Controller];
 
@@ -42,12 +41,16 @@
     list: HttpHostList,
     last: RefCell<Vec<HostEntry>>,
     peers: RefCell<HashMap<SocketAddr, Peer>>,
-    unheard: RefCell<HashMap<(HostName, Role), Millis>>,
+    rolls: RefCell<Rolls>,
+    clock: Clock,
 }
 
 /// One look at all hosts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Snapshot {
+    /// When the hosts were asked, and when the last answer was there or given up.
+    pub(crate) asked: Millis,
+    pub(crate) ended: Millis,
     /// Whether the host list answered; else `hosts` is what it said last.
     pub(crate) listed: bool,
     /// Hosts of the list.
@@ -58,18 +61,20 @@
 
 impl Fleet {
     /// Builds the way to the hosts of the list at `list`, for a process of host `own`.
-    pub(crate) fn new(own: HostName, list: SocketAddr) -> Self {
+    pub(crate) fn new(own: HostName, list: SocketAddr, clock: Clock) -> Self {
         Self {
             own,
             list: HttpHostList::new(list),
             last: RefCell::default(),
             peers: RefCell::default(),
-            unheard: RefCell::default(),
+            rolls: RefCell::default(),
+            clock,
         }
     }
 
     /// Asks the host list and every controller on it.
     pub(crate) async fn look(&self, tables: bool) -> Snapshot {
+        let asked = self.clock.now();
         let (listed, hosts) = self.hosts().await;
         let request = Request::Status { tables };
         let replies = self.ask(&hosts, &request).await;
@@ -78,6 +83,8 @@
             _ => None,
         });
         Snapshot {
+            asked,
+            ended: self.clock.now(),
             listed,
             replies: replies.collect(),
             hosts,
@@ -100,49 +107,36 @@
         configs.max_by_key(Config::version)
     }
 
-    /// Tells who keeps `version` from being in force everywhere.
-    pub(crate) fn pending(&self, snapshot: &Snapshot, version: u64, now: Millis) -> PendingView {
-        let seen = snapshot.programs();
-        let mut missing = Vec::new();
-        for host in snapshot.names() {
-            for program in PROGRAMS {
-                let key = (host.clone(), program);
-                let seen = seen.get(&key);
-                let silent = match seen {
-                    Some((_, silent)) => *silent,
-                    None => self.unheard_for(&key, now),
-                };
-                if let Some(version) = lack(seen, silent, version) {
-                    missing.push(Missing {
-                        host: key.0,
-                        program: Some(program),
-                        version,
-                        silent_ms: silent,
-                    });
-                }
-            }
+    /// Looks at all hosts and tells who keeps `version` from being in force everywhere.
+    ///
+    /// A majority has to report a version twice. Where the first look finds nobody who lacks it, the
+    /// second follows at once, so that one question is enough on a healthy system.
+    pub(crate) async fn pending(&self, version: u64) -> PendingView {
+        let first = self.pending_once(version).await;
+        if first.accepted || !first.missing.is_empty() {
+            return first;
+        }
+        self.pending_once(version).await
+    }
+
+    async fn pending_once(&self, version: u64) -> PendingView {
+        // In whole milliseconds, it might otherwise begin at the end of the last one.
+        if self.clock.now() <= self.rolls.borrow().taken() {
+            self.clock.sleep(Millis(2)).await;
         }
-        self.forget(&seen);
+        let look = self.look(false).await;
+        let state = self.rolls.borrow_mut().take(&look, version);
+        let missing = match &state {
+            RollState::Accepted => Vec::new(),
+            RollState::Pending(hosts) => look.missing(hosts, version),
+        };
         PendingView {
             version,
-            accepted: missing.is_empty() && !snapshot.replies.is_empty(),
+            accepted: state == RollState::Accepted,
             missing,
         }
     }
 
-    /// Returns for how long this process has known of a process that no controller has ever heard,
-    /// which is the least that its silence can be.
-    fn unheard_for(&self, key: &(HostName, Role), now: Millis) -> Millis {
-        let mut unheard = self.unheard.borrow_mut();
-        let first = unheard.entry(key.clone()).or_insert(now);
-        now.since(*first)
-    }
-
-    fn forget(&self, seen: &BTreeMap<(HostName, Role), (Heartbeat, Millis)>) {
-        let mut unheard = self.unheard.borrow_mut();
-        unheard.retain(|key, _| !seen.contains_key(key));
-    }
-
     async fn hosts(&self) -> (bool, Vec<HostEntry>) {
         match self.list.hosts().await {
             Some(hosts) => {
@@ -192,7 +186,7 @@
     pub(crate) fn names(&self) -> Vec<HostName> {
         let listed = self.hosts.iter().map(|h| &h.name);
         let heard = self.replies.iter().flat_map(|r| &r.peers);
-        let fresh = heard.filter(|p| p.silent <= SILENT_SAFE);
+        let fresh = heard.filter(|p| !is_outlived(p.silent));
         let mut names: Vec<HostName> = listed
             .chain(fresh.map(|p| &p.beat.host))
             .chain(self.replies.iter().map(|r| &r.own.host))
@@ -202,13 +196,35 @@
         names.dedup();
         names
     }
-}
 
-/// Returns the version that a process lacks `version` with; `None` where it lacks nothing.
-fn lack(seen: Option<&(Heartbeat, Millis)>, silent: Millis, version: u64) -> Option<Option<u64>> {
-    if silent > SILENT_SAFE {
-        return None;
+    /// Names the processes of `hosts` that lack `version`; a host whose processes all seem to have
+    /// it, as far as others heard, is named as a whole.
+    fn missing(&self, hosts: &[HostName], version: u64) -> Vec<Missing> {
+        let seen = self.programs();
+        let mut missing = Vec::new();
+        for host in hosts {
+            let before = missing.len();
+            for program in PROGRAMS {
+                let seen = seen.get(&(host.clone(), program));
+                let has = seen.map(|(beat, _)| beat.version);
+                if has.is_none_or(|has| has < version) {
+                    missing.push(Missing {
+                        host: host.clone(),
+                        program: Some(program),
+                        version: has,
+                        silent_ms: seen.map_or(Millis::ZERO, |(_, silent)| *silent),
+                    });
+                }
+            }
+            if missing.len() == before {
+                missing.push(Missing {
+                    host: host.clone(),
+                    program: None,
+                    version: None,
+                    silent_ms: Millis::ZERO,
+                });
+            }
+        }
+        missing
     }
-    let has = seen.map(|(beat, _)| beat.version);
-    has.is_none_or(|has| has < version).then_some(has)
 }
--- a/crates/chicoryrail-admin/src/lib.rs
+++ b/crates/chicoryrail-admin/src/lib.rs
@@ -28,6 +28,7 @@
 mod query;
 mod records;
 mod roll;
+mod rolls;
 mod run;
 mod settings;
 
--- a/crates/chicoryrail-ownership/src/roll_out.rs
+++ b/crates/chicoryrail-ownership/src/roll_out.rs
@@ -30,10 +30,14 @@
 /// twice: the second reports, of the same runs and asked for after the first were all there, show
 /// that all of them had it at one time. From then on a restarted host finds it in
 /// [`RollOut::sources`].
+///
+/// A gate confirms nobody and so is in no majority, but it acts on the routes that it has: it counts
+/// by the same rule of silence.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RollOut {
     version: u64,
     seen: BTreeMap<HostName, Seen>,
+    gates: BTreeMap<HostName, Seen>,
     most: Option<Most>,
 }
 
@@ -44,6 +48,15 @@
     at: Millis,
 }
 
+impl Seen {
+    fn unheard(at: Millis) -> Self {
+        Self {
+            at,
+            ..Self::default()
+        }
+    }
+}
+
 /// A majority that has reported the version.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Most {
@@ -56,17 +69,21 @@
     /// Starts with the hosts of the list, all of them without the version.
     #[must_use]
     pub fn new(version: u64, now: Millis, hosts: &[HostName]) -> Self {
-        let unseen = Seen {
-            at: now,
-            ..Seen::default()
-        };
+        let unseen = Seen::unheard(now);
         Self {
             version,
             seen: hosts.iter().map(|h| (h.clone(), unseen.clone())).collect(),
+            gates: BTreeMap::new(),
             most: None,
         }
     }
 
+    /// Returns the version.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the silence after which nothing of an older version can be acted on: a holder's last
     /// confirmation, and then its gates' routes and servers' sessions, have run out.
     #[must_use]
@@ -113,9 +130,32 @@
         }
     }
 
+    /// Takes in the version that a host's gate had in force at `at`; an older word changes nothing.
+    pub fn heard_gate(&mut self, at: Millis, host: &HostName, instance: u64, version: u64) {
+        let seen = Seen {
+            version,
+            instance,
+            at,
+        };
+        let gate = self.gates.entry(host.clone()).or_default();
+        if *gate == Seen::unheard(gate.at) || at >= gate.at {
+            *gate = seen;
+        }
+    }
+
+    /// Takes in that the platform's list has a host; its processes count as without the version
+    /// from `now` on where they have not been heard yet.
+    pub fn listed(&mut self, now: Millis, host: &HostName) {
+        for seen in [&mut self.seen, &mut self.gates] {
+            seen.entry(host.clone())
+                .or_insert_with(|| Seen::unheard(now));
+        }
+    }
+
     /// Takes in that the platform's list has the host no more and it is silent.
     pub fn removed(&mut self, host: &HostName) {
         self.seen.remove(host);
+        self.gates.remove(host);
     }
 
     /// Returns the state at `now`.
@@ -127,8 +167,7 @@
         // Up to the majority the others could still confirm a holder that is silent here.
         let outlived = |at: Millis| now.since(at) > Self::outlived(timing);
         let counts = |s: &Seen| s.version >= self.version || outlived(s.at) && outlived(most.at);
-        let lacking = self.seen.iter().filter(|(_, s)| !counts(s));
-        let lacking: Vec<HostName> = lacking.map(|(h, _)| h.clone()).collect();
+        let lacking = self.lacking(counts);
         if lacking.is_empty() && most.again.len() >= majority(self.seen.len()) {
             return RollState::Accepted;
         }
@@ -136,7 +175,13 @@
     }
 
     fn without(&self) -> Vec<HostName> {
-        let without = self.seen.iter().filter(|(_, s)| s.version < self.version);
-        without.map(|(h, _)| h.clone()).collect()
+        self.lacking(|s| s.version >= self.version)
+    }
+
+    fn lacking(&self, counts: impl Fn(&Seen) -> bool) -> Vec<HostName> {
+        let all = self.seen.iter().chain(&self.gates);
+        let lacking = all.filter(|(_, s)| !counts(s)).map(|(h, _)| h);
+        let lacking: BTreeSet<&HostName> = lacking.collect();
+        lacking.into_iter().cloned().collect()
     }
 }
