test(controller): no controller of the tests finds its port taken

Since controllers share no port, one in two full runs of the tests printed error 4000 of a controller: a process that another test starts has the look at a free port open until it runs its program, and the system's own range gives the same port to outgoing connections. The start holds a lock now, and ports come from below the system's range, another one for each call.

--- a/crates/chicoryrail-controller/tests/support/cluster.rs
+++ b/crates/chicoryrail-controller/tests/support/cluster.rs
@@ -2,9 +2,14 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::process::Child;
 use std::process::Command;
 use std::rc::Rc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use chicoryrail_core::Digest;
 use chicoryrail_core::Head;
@@ -18,7 +23,6 @@
 use chicoryrail_wire::Reply;
 use chicoryrail_wire::Request;
 use chicoryrail_wire::StatusReply;
-use monoio::net::TcpListener;
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
@@ -97,9 +101,13 @@
 
     /// Starts the controller of host `i` as a process of its own and lists it.
     pub fn add(&mut self, i: usize) {
+        // A process that another test starts has the look at a free port open until it runs its
+        // program, and a controller that binds the port meanwhile would find it taken.
+        static STARTS: Mutex<()> = Mutex::new(());
+        let start = STARTS.lock().unwrap_or_else(PoisonError::into_inner);
         let name = format!("h{i}");
         let dc = ["a", "b"][i % 2];
-        let inner = free_addr();
+        let (inner, observe, admin) = (free_addr(), free_addr(), free_addr());
         let stop = self.stop.child_token();
         let gate = FakeGate::listen(&stop, &name, dc);
         self.gates.push(stop);
@@ -108,18 +116,19 @@
             .args(["--host-list", &self.list_addr.to_string()])
             .args(["--store", &self.store_addr.to_string()])
             .args(["--inner", &inner.to_string()])
-            .args(["--observe", &free_addr().to_string()])
+            .args(["--observe", &observe.to_string()])
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .spawn()
             .unwrap();
+        drop(start);
         self.hosts.borrow_mut().push(HostEntry {
             name: name.as_str().into(),
             data_centre: dc.into(),
             state: ListedState::Live,
             gate,
             controller: inner,
-            admin: free_addr(),
-            observe: Vec::new(),
+            admin,
+            observe: vec![observe],
         });
         self.processes.push(process);
         self.inner.push(inner);
@@ -188,7 +197,26 @@
     clock.now()
 }
 
+/// Returns an address that is free now.
+///
+/// The ports lie below those that the system hands out itself, and each call of a test process gets
+/// another one, so that nobody takes the port before the controller binds it; a controller whose
+/// port is taken ends.
 fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORTS {
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let offset = std::process::id().wrapping_mul(401).wrapping_add(n) % PORTS;
+        let addr = SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + offset) as u16));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+    panic!("no port is free");
 }
+
+/// First port given to controllers.
+const FIRST_PORT: u32 = 10_000;
+
+/// Number of ports given to controllers.
+const PORTS: u32 = 10_000;
