feat(controller): the events of grants and releases name their slices

They name at most eight slices now, then +N for the others, to keep an event short. A key in a slice beyond the eighth is still found by the shard's other events only.

--- a/crates/chicoryrail-controller/src/calls.rs
+++ b/crates/chicoryrail-controller/src/calls.rs
@@ -5,6 +5,7 @@
 use chicoryrail_core::Fence;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
+use chicoryrail_core::Slice;
 use chicoryrail_ownership::Act;
 use chicoryrail_ownership::Answer;
 use chicoryrail_platform::GrantBody;
@@ -23,6 +24,9 @@
 /// Longest time in which a server ends its requests in flight before a release is asked again.
 const RELEASE_LIMIT: Millis = Millis(1_000);
 
+/// Most slices that an event names.
+const SLICES_SHOWN: usize = 8;
+
 /// Makes one call. The clock is read again right before it: a process that was paused between the
 /// decision and the call must not give validity that it no longer has.
 pub(crate) async fn perform(controller: Rc<Controller>, held: Rc<Held>, act: Act) {
@@ -71,7 +75,7 @@
             let detail = format!(
                 "shard={} fence={fence} slices={} ok={}",
                 held.shard,
-                body.slices.len(),
+                named(&body.slices),
                 result.is_ok()
             );
             events.record(EventKind::Granted, server.as_str(), detail);
@@ -91,7 +95,7 @@
             let detail = format!(
                 "shard={} fence={fence} slices={} ok={}",
                 held.shard,
-                body.slices.len(),
+                named(&body.slices),
                 result.is_ok()
             );
             let events = &controller.process.events;
@@ -160,3 +164,14 @@
         act(section);
     }
 }
+
+/// Names the first slices of a call, so that the timeline finds it by a key; a `+N` stands for those
+/// left out, since an event must stay short when a server gets a hundred slices.
+fn named(slices: &[Slice]) -> String {
+    let shown = slices.iter().take(SLICES_SHOWN);
+    let mut names: Vec<String> = shown.map(Slice::to_string).collect();
+    if let Some(more @ 1..) = slices.len().checked_sub(SLICES_SHOWN) {
+        names.push(format!("+{more}"));
+    }
+    names.join(",")
+}
