--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -33,6 +33,10 @@
 /// Head start of each controller over the next in a shard's rendezvous order, so that one store
 /// record is not fought over by all.
 const HEAD_START: Millis = Millis(300);
+/// Longest time in which a stopping controller waits for the copies of its shards.
+const COPY_WAIT: Millis = Millis(2_500);
+/// Time between two looks at them.
+const COPY_LOOK: Millis = Millis(10);
 /// How long an order id is remembered.
 pub(crate) const WINDOW: Millis = Millis(120_000);
 /// Most order ids of a part that are remembered; 200,000 take some 50 MB at the very most.
@@ -49,10 +53,11 @@
         let shards = wanted(&controller);
         drop_unwanted(&controller, &shards);
         let now = controller.now();
-        if controller.leaving.get() {
-            continue;
-        }
+        let leaving = controller.leaving.get();
         for shard in shards {
+            if leaving && !has_copy(&controller, &shard) {
+                continue;
+            }
             let ours = controller.held.borrow().contains_key(&shard);
             if ours || busy.borrow().contains(&shard) || is_held(&controller, &shard, now) {
                 unheld.remove(&shard);
@@ -76,10 +81,60 @@
     }
 }
 
-/// Hands every held shard on: stops acting, then says so in the store.
+/// Hands every held shard on: waits until a live deputy has all of it, stops acting, then says so
+/// in the store.
+///
+/// Made for hosts that are restarted one after another: a shard that is given up while its deputy
+/// restarts, or has not all claims yet, leaves order ids of the last minutes unknown. For the same
+/// reason a stopping deputy first takes what was given up in its favour, and hands that on.
 pub(crate) async fn hand_on(controller: &Controller) {
-    let all = controller.all_held();
-    join_all(all.iter().map(|held| give(controller, held))).await;
+    let until = controller.now() + COPY_WAIT;
+    while controller.now() < until {
+        let all = controller.all_held();
+        if all.is_empty() && !wanted(controller).iter().any(|s| awaits(controller, s)) {
+            return;
+        }
+        let copied = all.iter().filter(|held| is_copied(controller, held));
+        join_all(copied.map(|held| give(controller, held))).await;
+        controller.process.clock.sleep(COPY_LOOK).await;
+    }
+    let left = controller.all_held();
+    join_all(left.iter().map(|held| give(controller, held))).await;
+}
+
+/// Tells whether a shard that nobody holds waits for this process, its deputy.
+fn awaits(controller: &Controller, shard: &ShardId) -> bool {
+    has_copy(controller, shard) && !is_held(controller, shard, controller.now())
+}
+
+/// Tells whether this process is the deputy of the shard, as far as it knows, and has all of it.
+fn has_copy(controller: &Controller, shard: &ShardId) -> bool {
+    let copies = controller.deputies.borrow();
+    let Some(copy) = copies.get(shard).filter(|d| d.is_whole()) else {
+        return false;
+    };
+    let records = controller.records.borrow();
+    let epoch = copy.fence.get().epoch;
+    records.get(shard).is_none_or(|r| {
+        r.epoch < epoch || r.epoch == epoch && r.deputy.as_ref() == Some(controller.own())
+    })
+}
+
+/// Tells whether a live deputy has all of the shard, or nobody can.
+fn is_copied(controller: &Controller, held: &Held) -> bool {
+    let now = controller.now();
+    if !held.may_act(now) || !controller.store.is_up() {
+        return true;
+    }
+    let Some(deputy) = held.record.borrow().0.deputy.clone() else {
+        return controller
+            .live_controllers(now)
+            .iter()
+            .all(|h| h == controller.own());
+    };
+    let members = controller.controllers.borrow();
+    let live = members.state(now, &deputy, &controller.timing) == Liveness::Live;
+    live && held.copied.get()
 }
 
 pub(crate) async fn give(controller: &Controller, held: &Held) {
@@ -163,7 +218,7 @@
         return false;
     }
     match members.state(now, &record.holder, &controller.timing) {
-        Liveness::Live | Liveness::Suspect => true,
+        Liveness::Live | Liveness::Suspect => !controller.stale.borrow().contains(shard),
         // Its release is looked for, at the pace of the head start.
         Liveness::Leaving => false,
         // A controller that has just started has heard nobody yet.
@@ -174,12 +229,17 @@
 /// Returns this controller's place in the shard's order of candidates.
 fn rank(controller: &Controller, shard: &ShardId, now: Millis) -> Option<u64> {
     let order = order(controller, shard, now);
-    let place = order.iter().position(|h| h == controller.own())?;
     let records = controller.records.borrow();
     let deputy = records.get(shard).and_then(|r| r.deputy.as_ref());
-    if deputy == Some(controller.own()) {
+    let copies = controller.deputies.borrow();
+    let copied = copies.get(shard).is_some_and(|d| {
+        let epoch = d.fence.get().epoch;
+        records.get(shard).is_none_or(|r| r.epoch < epoch)
+    });
+    if copied || deputy == Some(controller.own()) {
         return Some(0);
     }
+    let place = order.iter().position(|h| h == controller.own())?;
     // A live deputy has the copy of the shard, so it goes first.
     let behind = deputy.is_some_and(|d| order.contains(d));
     Some(place as u64 + u64::from(behind))
@@ -199,6 +259,7 @@
         return;
     };
     let old = found.as_ref().and_then(parse);
+    controller.stale.borrow_mut().remove(shard);
     if let Some(old) = &old {
         let known = controller
             .records
@@ -214,6 +275,12 @@
         if (fresh && is_held(controller, shard, now)) || (leaving && !old.released) {
             return;
         }
+        // This process had decided by an older record, that named another deputy or none. The one
+        // named now has the copy and goes first; without this a controller that had just restarted
+        // took parts of the order ids whose claims it did not know, and answered unknown to all.
+        if fresh && rank(controller, shard, now) != Some(0) {
+            return;
+        }
     }
     let record = next_record(controller, shard, old.as_ref());
     let Ok(text) = serde_json::to_string(&record) else {
@@ -239,7 +306,6 @@
 /// record that named others before it is complete would let the next newcomer ask the wrong ones.
 fn next_record(controller: &Controller, shard: &ShardId, old: Option<&ShardRecord>) -> ShardRecord {
     let order = order(controller, shard, controller.now());
-    let others = order.iter().filter(|h| *h != controller.own());
     let released = old.is_none_or(|o| o.released);
     let witnesses = match old {
         Some(old) if !released => old.witnesses.clone(),
@@ -248,13 +314,26 @@
     ShardRecord {
         epoch: old.map_or(Epoch(1), |o| o.epoch.next()),
         holder: controller.own().clone(),
-        deputy: others.clone().next().cloned(),
+        deputy: deputy_of(controller, order),
         witnesses,
         attempt: attempt(controller),
         released: false,
     }
 }
 
+/// Returns the first of `order` that stands in another data centre, else the first other host: the
+/// loss of a data centre must not take the holder and its deputy.
+pub(crate) fn deputy_of(controller: &Controller, mut order: Vec<HostName>) -> Option<HostName> {
+    order.retain(|h| h != controller.own());
+    let hosts = controller.hosts.borrow();
+    let near = |h: &HostName| {
+        let host = hosts.get(h);
+        host.is_none_or(|h| h.data_centre == controller.settings.host.dc)
+    };
+    let far = order.iter().position(|h| !near(h)).unwrap_or(0);
+    order.into_iter().nth(far)
+}
+
 /// Completes a take-over: the promises, then the wait, then the shard is driven.
 async fn take(
     controller: &Rc<Controller>,
@@ -289,10 +368,15 @@
         holder: RefCell::new(holder),
         record: RefCell::new((record.clone(), version)),
         content,
+        after: old
+            .as_ref()
+            .filter(|o| o.deputy.as_ref() == Some(controller.own()))
+            .map(|o| o.epoch),
         grants: RefCell::default(),
         news: Signal::default(),
         stop: CancellationToken::new(),
         given: Cell::new(false),
+        copied: Cell::new(false),
     });
     controller
         .records
--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -46,8 +46,7 @@
 ///
 /// # Errors
 ///
-/// Returns the refusal of the first try where neither got an answer. What is known of the run of
-/// both stands in the call's trace.
+/// Returns the refusal of the first try where neither got an answer.
 pub(crate) async fn race(
     gate: &Rc<Gate>,
     call: &Call,
@@ -125,8 +124,7 @@
 /// No place had a free slot; nothing was sent.
 struct NoSlot;
 
-/// Offers the second try to one place after the other, until one has a free slot; `None` where the
-/// one that took it gave no answer, so that it may have run.
+/// Offers the second try to one place after the other, until one has a free slot.
 async fn try_places(
     gate: &Rc<Gate>,
     call: &Call,
