--- a/crates/chicoryrail-slopes/src/calls.rs
+++ b/crates/chicoryrail-slopes/src/calls.rs
@@ -56,6 +56,29 @@
 /// Answers each call with a reply of the size that the real handler gives.
 pub(crate) struct Echo;
 
+impl Echo {
+    /// Serves peers on this thread and returns where.
+    pub(crate) fn start() -> SocketAddr {
+        let (listener, addr) = listen();
+        monoio::spawn(serve(
+            listener,
+            PeerLimits::default(),
+            Rc::new(Self),
+            std::future::pending(),
+        ));
+        addr
+    }
+}
+
+/// Opens a listener on a free port of the loopback address.
+pub(crate) fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    let addr = listener
+        .local_addr()
+        .expect("a bound listener has an address");
+    (listener, addr)
+}
+
 impl Handler for Echo {
     async fn call(&self, request: Request) -> Reply {
         match request {
@@ -86,16 +109,7 @@
 #[must_use]
 pub fn call_costs(calls: u32) -> Vec<Line> {
     block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-        let addr = listener
-            .local_addr()
-            .expect("a bound listener has an address");
-        monoio::spawn(serve(
-            listener,
-            PeerLimits::default(),
-            Rc::new(Echo),
-            std::future::pending(),
-        ));
+        let addr = Echo::start();
         let peer = Peer::new(addr);
         let mut lines = Vec::new();
         lines.extend(
@@ -170,10 +184,7 @@
 #[must_use]
 pub fn session_cost(calls: u32) -> Line {
     block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-        let addr = listener
-            .local_addr()
-            .expect("a bound listener has an address");
+        let (listener, addr) = listen();
         monoio::spawn(target(listener));
         let targets = HttpTargets::default();
         let mut points = Vec::new();
--- a/crates/chicoryrail-slopes/src/links.rs
+++ b/crates/chicoryrail-slopes/src/links.rs
@@ -1,7 +1,5 @@
 //! Memory of connections.
 
-use std::rc::Rc;
-
 use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::CancellationToken;
@@ -11,14 +9,12 @@
 use chicoryrail_runtime::full;
 use chicoryrail_runtime::serve_http;
 use chicoryrail_wire::Peer;
-use chicoryrail_wire::PeerLimits;
 use chicoryrail_wire::Request;
-use chicoryrail_wire::serve;
-use monoio::net::TcpListener;
 
 use crate::Line;
 use crate::Usage;
 use crate::calls::Echo;
+use crate::calls::listen;
 
 const LIMIT: Millis = Millis(10_000);
 
@@ -41,16 +37,7 @@
 
 fn peers(counts: &[u32]) -> Vec<(f64, f64)> {
     block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-        let addr = listener
-            .local_addr()
-            .expect("a bound listener has an address");
-        monoio::spawn(serve(
-            listener,
-            PeerLimits::default(),
-            Rc::new(Echo),
-            std::future::pending(),
-        ));
+        let addr = Echo::start();
         let before = Usage::now();
         let mut open = Vec::new();
         let mut points = Vec::new();
@@ -70,10 +57,7 @@
 
 fn callers(counts: &[u32]) -> Vec<(f64, f64)> {
     block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-        let addr = listener
-            .local_addr()
-            .expect("a bound listener has an address");
+        let (listener, addr) = listen();
         let served = serve_http(
             listener,
             HttpLimits::default(),
--- a/crates/chicoryrail-slopes/src/spread.rs
+++ b/crates/chicoryrail-slopes/src/spread.rs
@@ -18,10 +18,10 @@
 use chicoryrail_wire::serve;
 use h2::RecvStream;
 use h2::server::SendResponse;
-use monoio::net::TcpListener;
 
 use crate::Line;
 use crate::Plan;
+use crate::calls::listen;
 use crate::mesh_plan;
 use crate::tree_plan;
 
@@ -161,10 +161,7 @@
         let addresses = Rc::new(RefCell::new(Vec::new()));
         let mut nodes = Vec::new();
         for id in 0..=peers {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-            let addr = listener
-                .local_addr()
-                .expect("a bound listener has an address");
+            let (listener, addr) = listen();
             addresses.borrow_mut().push(Peer::new(addr));
             let node = Rc::new(Node {
                 plan: Rc::clone(&plan),
