--- a/crates/chicoryrail-controller/src/copies.rs
+++ b/crates/chicoryrail-controller/src/copies.rs
@@ -15,6 +15,7 @@
 use chicoryrail_wire::OrderCopy;
 use chicoryrail_wire::Reply;
 use chicoryrail_wire::Request;
+use futures_util::future::join_all;
 
 use crate::Controller;
 use crate::claims;
@@ -27,6 +28,9 @@
 
 /// Time between two copies while nothing changes; the deputy acts after two and a half of them.
 const COPY_EVERY: Millis = Millis(100);
+/// Claims that are copied at a time. One after the other, a window of 10,000 claims took longer than
+/// a host's restart; more at a time would hold up the claims of callers that wait.
+const AT_A_TIME: usize = 64;
 /// Longest time of one copy.
 const COPY_LIMIT: Millis = Millis(200);
 /// Silence of a deputy after which it is replaced. Shorter would replace deputies for a moment's
@@ -52,6 +56,7 @@
         let deputy = held.record.borrow().0.deputy.clone();
         if deputy != named {
             (named, known, acked) = (deputy.clone(), Fence::default(), now);
+            held.copied.set(false);
         }
         let sent = controller.now();
         let reply = match &deputy {
@@ -66,10 +71,12 @@
             asked = sent;
             acked = now;
             known = reply.known;
+            held.copied.set(is_whole(&held, known));
             take_reply(&controller, &held, reply).await;
         }
         if held.may_act(now) && wants_other(&controller, &held, now, now.since(acked)) {
-            replace(&controller, &held).await;
+            let next = candidate(&controller, &held, now);
+            replace(&controller, &held, next).await;
             acked = controller.now();
         }
         witnesses::heal(&controller, &held, asked, &mut healed).await;
@@ -94,7 +101,11 @@
         fence: routes::fence(held, None),
         table: None,
         renew: Vec::new(),
+        blind: Millis::ZERO,
     };
+    if let Some(window) = held.orders() {
+        copy.blind = window.borrow().blind_left(now);
+    }
     if let Some(cell) = held.section()
         && let Some(section) = cell.borrow().as_ref()
     {
@@ -158,8 +169,11 @@
             outcome: outcome.cloned().map(orders::to_wire),
         })
         .collect();
-    for copy in copies {
-        if !orders::copy(controller, &deputy, copy).await {
+    for chunk in copies.chunks(AT_A_TIME) {
+        let sent = chunk
+            .iter()
+            .map(|c| orders::copy(controller, &deputy, c.clone()));
+        if join_all(sent).await.contains(&false) {
             return;
         }
     }
@@ -171,7 +185,7 @@
 /// Tells whether the shard should have another deputy: the named one is silent or leaves, or there
 /// is none and a live controller could be it.
 fn wants_other(controller: &Controller, held: &Held, now: Millis, silent: Millis) -> bool {
-    if !controller.store.is_up() || controller.leaving.get() {
+    if !controller.store.is_up() {
         return false;
     }
     let deputy = held.record.borrow().0.deputy.clone();
@@ -219,19 +233,24 @@
         return false;
     }
     if held.record.borrow().0.deputy.as_ref() != Some(&first) {
-        replace(controller, held).await;
+        replace(controller, held, Some(first)).await;
         return false;
     }
-    let whole = match held.section() {
-        Some(cell) => cell.borrow().as_ref().is_some_and(|s| s.fence() == known),
-        None => known.epoch == held.holder.borrow().epoch() && known.version > 0,
-    };
+    let whole = is_whole(held, known);
     if whole {
         claims::give(controller, held).await;
     }
     whole
 }
 
+/// Tells whether the deputy that has `known` has all of the shard.
+fn is_whole(held: &Held, known: Fence) -> bool {
+    match held.section() {
+        Some(cell) => cell.borrow().as_ref().is_some_and(|s| s.fence() == known),
+        None => known.epoch == held.holder.borrow().epoch() && known.version > 0,
+    }
+}
+
 /// Tells whether nothing of the shard is on the move.
 fn is_still(held: &Held) -> bool {
     let Some(cell) = held.section() else {
@@ -244,21 +263,19 @@
 fn candidate(controller: &Controller, held: &Held, now: Millis) -> Option<HostName> {
     let old = held.record.borrow().0.deputy.clone();
     let order = claims::order(controller, &held.shard, now);
-    let mut others = order
-        .into_iter()
-        .filter(|h| h != controller.own() && Some(h) != old.as_ref());
-    others.next()
+    let others = order.into_iter().filter(|h| Some(h) != old.as_ref());
+    claims::deputy_of(controller, others.collect())
 }
 
 /// Takes the next epoch from itself with another deputy.
 ///
 /// A deputy acts on confirmations of the old epoch, so naming another one is not enough: with the
 /// promise of a majority the old epoch can't be confirmed any more, and after the wait it is over.
-async fn replace(controller: &Rc<Controller>, held: &Rc<Held>) {
+async fn replace(controller: &Rc<Controller>, held: &Rc<Held>, deputy: Option<HostName>) {
     let (old, version) = held.record.borrow().clone();
     let mut record = old.clone();
     record.epoch = old.epoch.next();
-    record.deputy = candidate(controller, held, controller.now());
+    record.deputy = deputy;
     record.attempt = claims::attempt(controller);
     let Ok(text) = serde_json::to_string(&record) else {
         return;
