docs: crate examples name where to go on

Cause: the example of a crate ended without a way to its main types. Change: one sentence with links after each example of the twelve packages; cargo doc checks the links. Conclusion: a reader gets from the example to the next type.

--- a/crates/chicoryrail-admin/src/lib.rs
+++ b/crates/chicoryrail-admin/src/lib.rs
@@ -12,6 +12,8 @@
 //! let operator: Operator = text.parse().unwrap();
 //! assert_eq!(operator.name.as_str(), "alice");
 //! ```
+//!
+//! Go on with [`settings`] for what can be set, [`handle`] for the calls, and [`Records`] for what lasts.
 
 mod access;
 mod admin;
--- a/crates/chicoryrail-bench/src/lib.rs
+++ b/crates/chicoryrail-bench/src/lib.rs
@@ -10,5 +10,7 @@
 //! let report = chicoryrail_bench::policy::run(Some("all-fail"), 1, 1).expect("a known case");
 //! assert!(report.to_string().lines().last().is_some_and(|l| l.starts_with('{')));
 //! ```
+//!
+//! Go on with [`policy`] for the cases and their limits.
 
 pub mod policy;
--- a/crates/chicoryrail-controller/src/lib.rs
+++ b/crates/chicoryrail-controller/src/lib.rs
@@ -11,6 +11,8 @@
 //! let args: &[&str] = &["--host", "h1", "--data-centre", "a", "--host-list", "127.0.0.1:1"];
 //! assert!(Settings::parser().run_inner(args).is_err());
 //! ```
+//!
+//! Go on with [`Settings`] for what can be set, and [`run`] for the process.
 
 mod asserts;
 mod calls;
--- a/crates/chicoryrail-core/src/lib.rs
+++ b/crates/chicoryrail-core/src/lib.rs
@@ -13,6 +13,9 @@
 //! let all = Slice::FULL;
 //! assert!(all.contains(KeyHash::of("kit-17")));
 //! ```
+//!
+//! Go on with [`Bundle`] for the configuration, [`KeyHash`] and [`Slice`] for the key space, and
+//! [`ResultCode`] for what callers see.
 
 mod bundle;
 mod bundle_clash;
--- a/crates/chicoryrail-gate/src/lib.rs
+++ b/crates/chicoryrail-gate/src/lib.rs
@@ -12,6 +12,8 @@
 //! let settings = chicoryrail_gate::settings().run_inner(&args[..]).unwrap();
 //! assert_eq!(settings.host.host.as_str(), "h1");
 //! ```
+//!
+//! Go on with [`settings`] and [`Limits`] for what can be set, and [`run`] for the process.
 
 mod answer_body;
 mod asserts;
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -17,6 +17,9 @@
 //! assert!(holder.may_act(Millis(500)));
 //! assert!(!holder.may_act(Millis(600)));
 //! ```
+//!
+//! Go on with [`Holder`] and [`Witness`] for who holds a shard, [`Section`] for who owns a slice,
+//! [`OrderWindow`] for orders, and [`RollOut`] for what is in force.
 
 mod assignment;
 mod balance;
--- a/crates/chicoryrail-platform/src/lib.rs
+++ b/crates/chicoryrail-platform/src/lib.rs
@@ -11,6 +11,9 @@
 //! let store = HttpStore::new("127.0.0.1:7000".parse().unwrap());
 //! assert_eq!(store.addr().port(), 7000);
 //! ```
+//!
+//! Go on with [`Store`], [`HostList`] and [`Targets`], the three traits; [`StoreError`] tells what is known
+//! after a call that failed.
 
 mod host_list;
 mod http_store;
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -28,6 +28,9 @@
 //! queue.done(now + Millis(3), ServerId(0), Ticket(1), Outcome::Answered { us: 3_000 });
 //! assert_eq!(queue.poll(now + Millis(3)), None);
 //! ```
+//!
+//! Go on with [`Limits`] for the bounds of a queue, [`Health`] for slow servers, and [`Ramp`] for cold
+//! ones.
 
 mod action;
 mod admission;
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -15,6 +15,9 @@
 //! });
 //! assert!(seen >= chicoryrail_core::Millis(2));
 //! ```
+//!
+//! Go on with [`Process`] for health, metrics and events, [`serve_http`] for a listener, and [`block_on`]
+//! with [`stop_on_signal`] for start and stop.
 
 mod bind;
 mod body;
--- a/crates/chicoryrail-slopes/src/lib.rs
+++ b/crates/chicoryrail-slopes/src/lib.rs
@@ -13,6 +13,9 @@
 //! let fit = Fit::of(&[(1.0, 3.0), (2.0, 5.0), (3.0, 7.0)]);
 //! assert_eq!((fit.slope, fit.base), (2.0, 1.0));
 //! ```
+//!
+//! Go on with [`run`] for all measurements, [`Plan`] for the ways in which a change can spread, [`Report`]
+//! for the result, and [`Fit`] for the line.
 
 mod calls;
 mod fit;
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -14,6 +14,9 @@
 //! let body = CasBody { value: "1".to_owned(), expect: 0, lease: None };
 //! assert_eq!(kv.swap("config/head", &body), Ok(1));
 //! ```
+//!
+//! Go on with [`Cluster`] for a whole system of processes, [`Load`] for callers, [`Checker`] for what must
+//! hold, and [`TargetFault`], [`StoreFault`] and [`LinkFault`] for the faults.
 
 mod chaos;
 mod checker;
--- a/crates/chicoryrail-wire/src/lib.rs
+++ b/crates/chicoryrail-wire/src/lib.rs
@@ -14,6 +14,9 @@
 //! let bytes = encode(&Request::Ping).unwrap();
 //! assert_eq!(decode::<Request>(&bytes).unwrap(), Request::Ping);
 //! ```
+//!
+//! Go on with [`Request`] and [`Reply`] for the messages, [`Peer`] for the calling side, and [`serve`] with
+//! [`Handler`] for the other.
 
 mod codec;
 mod config;
