fix(controller): a holder that gives a shard up tells its deputy

Change: DeputyCopy::released, sent after the store has the release; the deputy then claims at its next look. A lost message leaves the old behaviour. The wire message has one field more.

--- a/crates/chicoryrail-controller/src/claims.rs
+++ b/crates/chicoryrail-controller/src/claims.rs
@@ -21,6 +21,7 @@
 use futures_util::future::join_all;
 
 use crate::Controller;
+use crate::copies;
 use crate::held::Content;
 use crate::held::Held;
 use crate::promises;
@@ -145,10 +146,10 @@
     record.attempt = attempt(controller);
     if let Ok(text) = serde_json::to_string(&record) {
         let key = key(&held.shard);
-        let _ = controller
-            .store
-            .swap(&key, version, &text, &record.attempt)
-            .await;
+        let swap = controller.store.swap(&key, version, &text, &record.attempt);
+        if let Swap::Done(_) = swap.await {
+            copies::tell_release(controller, held).await;
+        }
     }
     drop_held(controller, &held.shard, "released");
 }
@@ -212,7 +213,11 @@
     let silent = members.silent(now, &record.holder);
     let deputy = record.deputy.as_ref() == Some(controller.own());
     let deputies = controller.deputies.borrow();
-    if let Some(copy) = deputies.get(shard).filter(|_| deputy)
+    let copy = deputies.get(shard);
+    if copy.is_some_and(|d| d.is_released() && d.fence.get().epoch >= record.epoch) {
+        return false;
+    }
+    if let Some(copy) = copy.filter(|_| deputy)
         && copy.is_lost(controller, now)
     {
         return false;
--- a/crates/chicoryrail-controller/src/copies.rs
+++ b/crates/chicoryrail-controller/src/copies.rs
@@ -102,6 +102,7 @@
         table: None,
         renew: Vec::new(),
         blind: Millis::ZERO,
+        released: false,
     };
     if let Some(window) = held.orders() {
         copy.blind = window.borrow().blind_left(now);
@@ -116,6 +117,19 @@
     copy
 }
 
+/// Tells the deputy that the shard was given up.
+///
+/// A holder that gives a shard up and lives on looks to its deputy as before, and the deputy would
+/// claim only after a silence of 400 to 1,200 ms. When this message is lost it still does then.
+pub(crate) async fn tell_release(controller: &Controller, held: &Held) {
+    let deputy = held.record.borrow().0.deputy.clone();
+    if let Some(deputy) = deputy {
+        let mut copy = build(controller, held, Fence::default());
+        copy.released = true;
+        let _ = send(controller, &deputy, copy).await;
+    }
+}
+
 async fn send(controller: &Controller, host: &HostName, copy: DeputyCopy) -> Option<DeputyReply> {
     let peer = controller.controller_of(host)?;
     match peer.call(&Request::DeputyCopy(copy), COPY_LIMIT).await {
--- a/crates/chicoryrail-controller/src/deputy.rs
+++ b/crates/chicoryrail-controller/src/deputy.rs
@@ -47,6 +47,7 @@
     heard: Cell<Millis>,
     acted: Cell<Option<Millis>>,
     told: Cell<bool>,
+    released: Cell<bool>,
 }
 
 impl Deputy {
@@ -66,6 +67,7 @@
             heard: Cell::new(now),
             acted: Cell::new(None),
             told: Cell::new(false),
+            released: Cell::new(false),
         }
     }
 
@@ -111,6 +113,11 @@
         self.acted.set(Some(now));
     }
 
+    /// Tells whether the holder said that it has given the shard up.
+    pub(crate) fn is_released(&self) -> bool {
+        self.released.get()
+    }
+
     fn quiet(&self, now: Millis) -> Millis {
         self.acted.get().map_or(Millis::MAX, |at| now.since(at))
     }
@@ -122,6 +129,7 @@
     let deputy = find(controller, &copy, now)?;
     deputy.heard.set(now);
     deputy.told.set(false);
+    deputy.released.set(copy.released);
     deputy.window.borrow_mut().blind_for(now, copy.blind);
     if copy.table.is_some() && copy.fence >= deputy.fence.get() {
         *deputy.table.borrow_mut() = copy.table;
--- a/crates/chicoryrail-wire/src/deputy.rs
+++ b/crates/chicoryrail-wire/src/deputy.rs
@@ -31,6 +31,9 @@
     /// How long claims may still be missing from the holder's own window of order ids; zero for a
     /// section.
     pub blind: Millis,
+    /// Whether the holder has given the shard up, in the store too, so that the deputy may claim it at
+    /// once.
+    pub released: bool,
 }
 
 /// Answers a [`DeputyCopy`]: the deputy acts on nothing older than `known` any more.
