--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -6,6 +6,8 @@
 use crate::bench_control::control_bench;
 use crate::bench_gate::GateBench;
 use crate::bench_gate::gate_bench;
+use crate::bench_outage::OutageBench;
+use crate::bench_outage::outage_bench;
 use crate::bench_straggler::StragglerBench;
 use crate::bench_straggler::straggler_bench;
 use crate::tools::print_json;
@@ -19,6 +21,9 @@
     /// One gate beside direct calls to the same server, in one run
     #[bpaf(command)]
     Gate(#[bpaf(external(gate_bench))] GateBench),
+    /// What callers see while the store is down
+    #[bpaf(command)]
+    Outage(#[bpaf(external(outage_bench))] OutageBench),
     /// The decisions under load beside plain baselines, step-driven
     #[bpaf(command)]
     Policy {
@@ -52,6 +57,7 @@
         match self {
             Self::Control(bench) => bench.run(),
             Self::Gate(bench) => bench.run(),
+            Self::Outage(bench) => bench.run(),
             Self::Straggler(bench) => bench.run(),
             Self::Policy { case, seed, seeds } => {
                 match chicoryrail_bench::policy::run(case.as_deref(), *seed, *seeds) {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod bench_control;
 mod bench_gate;
+mod bench_outage;
 mod bench_straggler;
 mod chaos;
 mod demo;
