fix(ownership): a gate that let its server go needs no wait for old routes

Cause: in rolling restarts a host's gate leaves right after its controller handed its shards on. The new holder named the servers' next gate only when the last holder's routes had run out, 724 ms, although the leaving gate had said that it let them go; callers were held and some refused at their deadline. Change: a seat that its gate has acknowledged losing is free at once; one that nobody has accounted for still waits. The new test gets no gate without the change; all tests of the package pass, the random hand-offs among them.

--- a/crates/chicoryrail-ownership/src/section/gates.rs
+++ b/crates/chicoryrail-ownership/src/section/gates.rs
@@ -21,6 +21,8 @@
     /// The gate in force.
     pub gate: Option<HostName>,
     leaving: Option<(HostName, Option<Fence>)>,
+    /// Whether the last gate is known to have let the server go, so that none has it.
+    clear: bool,
 }
 
 impl Section {
@@ -62,6 +64,7 @@
                 });
                 if free {
                     seat.leaving = None;
+                    seat.clear = true;
                 }
             }
             match &seat.gate {
@@ -70,7 +73,13 @@
                     seat.leaving = Some((gate.clone(), None));
                     seat.gate = None;
                 }
-                None if seat.leaving.is_none() && now >= self.inherited => seat.gate = best,
+                // A holder that does not know who has the server waits until the last holder's
+                // routes have run out. One whose gate let the server go does not: a gate that is
+                // restarted right after its controller left its servers without a gate for 700 ms.
+                None if seat.leaving.is_none() && (seat.clear || now >= self.inherited) => {
+                    seat.gate = best;
+                    seat.clear = false;
+                }
                 _ => {}
             }
         }
--- a/crates/chicoryrail-ownership/tests/seats.rs
+++ b/crates/chicoryrail-ownership/tests/seats.rs
@@ -73,3 +73,22 @@
     let free = TIMING.others(TIMING.route).0.next_multiple_of(10);
     assert_eq!(seen, [(0, None), (free, Some("g1".into()))]);
 }
+
+/// Right after a take-over the gate of a server is restarted. It says that it let the server go, so
+/// nobody has it, and the next gate is named at once; before, its callers waited until the routes of
+/// the last holder had run out, some 700 ms.
+#[test]
+fn a_gate_that_let_go_needs_no_wait_for_old_routes() {
+    let mut section = taken_over();
+    section.resume_seat(&ServerName::new(SERVER), &"g0".into());
+    let live = [gate("g1")];
+    section.tick(Millis(0), true, &live);
+    section.tick(Millis(10), true, &live);
+    let without = section.fence();
+    let gates = section.gates_mut();
+    gates.renewed(Millis(20), &"g0".into(), 1, &TIMING);
+    gates.acknowledged(&"g0".into(), 1, without);
+    section.tick(Millis(30), true, &live);
+    section.tick(Millis(40), true, &live);
+    assert_eq!(section.routes().servers[0].gate, Some("g1".into()));
+}
