refactor(xtask): one limit for a roll in place of four

Cause: the demo and three measurements each had the same 20 s limit for a roll under a doc of its own. Change: ROLL_LIMIT stands in tools.rs; bench control keeps its longer one, for ten hosts. No behaviour changes.

--- a/xtask/src/bench_gate.rs
+++ b/xtask/src/bench_gate.rs
@@ -23,12 +23,10 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use crate::tools::ROLL_LIMIT;
 use crate::tools::cpu;
 use crate::tools::print_json;
 
-/// Time in which the bundle must be in force and the gate ready.
-const ROLL_LIMIT: Millis = Millis(20_000);
-
 /// Longest a call may take.
 const CALL_LIMIT: Millis = Millis(2_000);
 
--- a/xtask/src/bench_outage.rs
+++ b/xtask/src/bench_outage.rs
@@ -19,11 +19,9 @@
 use chicoryrail_testkit::StoreFault;
 use serde::Serialize;
 
+use crate::tools::ROLL_LIMIT;
 use crate::tools::print_json;
 
-/// Time in which the bundle must be in force.
-const ROLL_LIMIT: Millis = Millis(20_000);
-
 /// Load before and after the outage.
 const AROUND: Millis = Millis(3_000);
 
--- a/xtask/src/bench_straggler.rs
+++ b/xtask/src/bench_straggler.rs
@@ -26,6 +26,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 
+use crate::tools::ROLL_LIMIT;
 use crate::tools::print_json;
 
 /// Service of twelve servers, any of which may answer.
@@ -43,9 +44,6 @@
 /// Factor on the service time of a slow server.
 const SLOWER: f64 = 10.0;
 
-/// Time in which the bundle must be in force.
-const ROLL_LIMIT: Millis = Millis(20_000);
-
 /// Names of the placements, ours first.
 const PLACEMENTS: [&str; 3] = ["policy", "round-robin", "least-requests"];
 
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -22,12 +22,10 @@
 use chicoryrail_testkit::Violation;
 use serde::Serialize;
 
+use crate::tools::ROLL_LIMIT;
 use crate::tools::print_json;
 use crate::tools::stop_flag;
 
-/// Time in which a bundle must be in force everywhere and every gate ready.
-const ROLL_LIMIT: Millis = Millis(20_000);
-
 /// Requests a second to each deployment: a fifth to a quarter of what its servers bear.
 const RATE: f64 = 1_500.0;
 
--- a/xtask/src/tools.rs
+++ b/xtask/src/tools.rs
@@ -8,10 +8,14 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use chicoryrail_core::Millis;
 use serde::Serialize;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 
+/// Time in which a bundle must be in force everywhere and every gate ready.
+pub(crate) const ROLL_LIMIT: Millis = Millis(20_000);
+
 /// Clock ticks a second in which the system counts processor time.
 const TICKS: f64 = 100.0;
 
