feat(platform): the folder platform/ speaks the platform's boot file, store, entries and grants

One store client and one stand-in: the old HTTP store adapter and its protocol are gone, the control plane that runs on our own stand-ins uses the platform's transactions and watches through the same client. The stand-in forgets history (410), pages, leases, turns single hosts away.

--- a/crates/chicoryctl/tests/commands.rs
+++ b/crates/chicoryctl/tests/commands.rs
@@ -13,7 +13,7 @@
 use chicoryrail_admin::Access;
 use chicoryrail_admin::Admin;
 use chicoryrail_core::Millis;
-use chicoryrail_platform::HttpStore;
+use chicoryrail_platform::KvStore;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::Process;
 use chicoryrail_runtime::block_on;
@@ -133,7 +133,7 @@
     let access = Access::new(operators, Vec::new());
     let admin = Admin::new(
         process,
-        HttpStore::new(store_addr),
+        KvStore::new(store_addr),
         access,
         "entry-1".into(),
         list_addr,
--- a/crates/chicoryrail-admin/src/records.rs
+++ b/crates/chicoryrail-admin/src/records.rs
@@ -210,7 +210,7 @@
         loop {
             self.calls.with_label_values(&[call]).inc();
             let result = self.note(read().await);
-            if tries == READ_TRIES || !matches!(result, Err(StoreError::Down { .. })) {
+            if tries == READ_TRIES || !result.as_ref().is_err_and(StoreError::is_outage) {
                 return result;
             }
             tries += 1;
@@ -229,7 +229,7 @@
     }
 
     fn note<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
-        let down = matches!(result, Err(StoreError::Down { .. }));
+        let down = result.as_ref().is_err_and(StoreError::is_outage);
         if self.down.replace(down) != down {
             let kind = if down {
                 EventKind::StoreLost
--- a/crates/chicoryrail-admin/src/roll.rs
+++ b/crates/chicoryrail-admin/src/roll.rs
@@ -63,7 +63,7 @@
                 let (_, winner) = records.head().await?;
                 Err(conflict(&winner))
             }
-            Err(StoreError::Down { .. }) => self.settle(records, clock, &text).await,
+            Err(e) if e.is_outage() => self.settle(records, clock, &text).await,
             Err(e) => Err(e.into()),
         }
     }
--- a/crates/chicoryrail-admin/src/run.rs
+++ b/crates/chicoryrail-admin/src/run.rs
@@ -5,7 +5,7 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
-use chicoryrail_platform::HttpStore;
+use chicoryrail_platform::KvStore;
 use chicoryrail_runtime::EventKind;
 use chicoryrail_runtime::HttpLimits;
 use chicoryrail_runtime::Process;
@@ -59,7 +59,7 @@
         Ok(listener) => listener,
         Err(e) => return exit_with(ResultCode::SettingInvalid, &e.to_string()),
     };
-    let store = HttpStore::new(settings.store);
+    let store = KvStore::new(settings.store);
     let access = Access::new(settings.operators, tokens);
     let admin = Admin::new(
         process,
@@ -73,7 +73,7 @@
 }
 
 /// Serves the API until the process is told to stop, and then until the last call is answered.
-pub async fn serve(listener: TcpListener, admin: Rc<Admin<HttpStore>>) {
+pub async fn serve(listener: TcpListener, admin: Rc<Admin<KvStore>>) {
     let process = admin.process.clone();
     process.set_ready(true);
     let stop = process.stop.clone();
--- a/crates/chicoryrail-admin/tests/listener.rs
+++ b/crates/chicoryrail-admin/tests/listener.rs
@@ -10,7 +10,7 @@
 
 use chicoryrail_admin::Access;
 use chicoryrail_admin::Admin;
-use chicoryrail_platform::HttpStore;
+use chicoryrail_platform::KvStore;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::Process;
 use chicoryrail_runtime::block_on;
@@ -37,7 +37,7 @@
                 let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
                 let process = Process::new(&"entry-1".into(), "chicoryrail-admin");
                 let stop = process.stop.clone();
-                let store = HttpStore::new(nowhere);
+                let store = KvStore::new(nowhere);
                 let admin =
                     Admin::new(process, store, Access::default(), "entry-1".into(), nowhere);
                 let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/chicoryrail-admin/tests/process.rs
+++ b/crates/chicoryrail-admin/tests/process.rs
@@ -14,7 +14,7 @@
 use base64::engine::general_purpose::STANDARD;
 use chicoryrail_core::Head;
 use chicoryrail_core::Millis;
-use chicoryrail_platform::Record;
+use chicoryrail_platform::kv::WireItem;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::ListServer;
@@ -103,7 +103,7 @@
     }
 
     fn head(&self) -> Head {
-        let path = "/v1/kv/config/head";
+        let path = "/-/kv-key?key=config/head";
         let end = Instant::now() + LIMIT.duration();
         let body = loop {
             match call_blocking(&Method::GET, self.store, path, "", LIMIT) {
@@ -111,8 +111,9 @@
                 Err(e) => assert!(Instant::now() < end, "{e}"),
             }
         };
-        let record: Record = serde_json::from_slice(&body).unwrap();
-        serde_json::from_str(&record.value.unwrap()).unwrap()
+        let item: WireItem = serde_json::from_slice(&body).unwrap();
+        let value = STANDARD.decode(item.value.unwrap()).unwrap();
+        serde_json::from_slice(&value).unwrap()
     }
 
     /// Calls the API of a process; returns the status and the answer.
@@ -197,6 +198,7 @@
         for_ms: 2_000,
         share: 1.0,
         polite: false,
+        hosts: Vec::new(),
     };
     platform.fault(&down);
     let during = platform.post(0, "alice", "/v1/rolls", &roll(&digest));
--- a/crates/chicoryrail-controller/src/controller.rs
+++ b/crates/chicoryrail-controller/src/controller.rs
@@ -19,8 +19,8 @@
 use chicoryrail_ownership::Timing;
 use chicoryrail_ownership::Witness;
 use chicoryrail_platform::HostEntry;
-use chicoryrail_platform::HttpStore;
 use chicoryrail_platform::HttpTargets;
+use chicoryrail_platform::KvStore;
 use chicoryrail_runtime::EventKind;
 use chicoryrail_runtime::Process;
 use chicoryrail_wire::Heartbeat;
@@ -67,7 +67,7 @@
     pub fn new(settings: Settings, process: Process) -> Rc<Self> {
         let timing = Timing::STANDARD;
         let witness = Witness::start(process.clock.now(), &timing);
-        let store = CountedStore::new(HttpStore::new(settings.store), &process);
+        let store = CountedStore::new(KvStore::new(settings.store), &process);
         Rc::new_cyclic(|own| Self {
             settings,
             store,
--- a/crates/chicoryrail-controller/src/store.rs
+++ b/crates/chicoryrail-controller/src/store.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 
 use chicoryrail_core::Millis;
-use chicoryrail_platform::HttpStore;
+use chicoryrail_platform::KvStore;
 use chicoryrail_platform::Record;
 use chicoryrail_platform::Store;
 use chicoryrail_platform::StoreError;
@@ -18,7 +18,7 @@
 /// The platform's store as the controller calls it.
 #[derive(Debug)]
 pub(crate) struct CountedStore {
-    store: HttpStore,
+    store: KvStore,
     calls: IntCounterVec,
     process: Process,
     clock: Clock,
@@ -39,7 +39,7 @@
 }
 
 impl CountedStore {
-    pub(crate) fn new(store: HttpStore, process: &Process) -> Self {
+    pub(crate) fn new(store: KvStore, process: &Process) -> Self {
         let calls = process.metrics.counters(
             "store_calls_total",
             "Calls to the platform's store, a waiting watch as one",
@@ -106,8 +106,10 @@
             self.seen(result.as_ref().err());
             match result {
                 Ok(version) => return Swap::Done(version),
-                Err(StoreError::Refused { .. }) => return Swap::Conflict,
-                Err(StoreError::Conflict { .. } | StoreError::Down { .. }) => {}
+                Err(e) if !e.is_outage() && !matches!(e, StoreError::Conflict { .. }) => {
+                    return Swap::Conflict;
+                }
+                Err(_) => {}
             }
             match self.get(key).await {
                 Ok(Some(record)) if holds(&record, attempt) => return Swap::Done(record.version),
@@ -124,7 +126,7 @@
     }
 
     fn seen(&self, error: Option<&StoreError>) {
-        let down = matches!(error, Some(StoreError::Down { .. }));
+        let down = error.is_some_and(StoreError::is_outage);
         if !down {
             self.answered.set(self.clock.now());
         }
--- a/crates/chicoryrail-controller/tests/support/store.rs
+++ b/crates/chicoryrail-controller/tests/support/store.rs
@@ -2,27 +2,32 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
-use chicoryrail_platform::CasBody;
-use chicoryrail_platform::Record;
-use chicoryrail_platform::WatchAnswer;
+use chicoryrail_core::percent_decode;
+use chicoryrail_platform::kv::WireChanges;
+use chicoryrail_platform::kv::WirePut;
+use chicoryrail_platform::kv::WireRefusal;
+use chicoryrail_platform::kv::WireTxn;
+use chicoryrail_platform::kv::WireWritten;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::error_answer;
 use chicoryrail_runtime::json_answer;
+use chicoryrail_testkit::Kv;
+use chicoryrail_testkit::TxnError;
 use monoio::time::sleep;
 
 /// A store that can go down and lose the answers of writes that took effect.
 #[derive(Default)]
 pub struct FakeStore {
-    records: RefCell<BTreeMap<String, (String, u64)>>,
-    revision: Cell<u64>,
+    kv: RefCell<Kv>,
     /// While set, no call is answered with success.
     pub down: Cell<bool>,
     /// Number of writes whose answer is lost after they took effect.
@@ -45,15 +50,21 @@
     }
 
     pub fn put(&self, key: &str, value: &str) {
-        let revision = self.revision.get() + 1;
-        self.revision.set(revision);
-        self.records
-            .borrow_mut()
-            .insert(key.to_owned(), (value.to_owned(), revision));
+        let put = WirePut {
+            key: key.to_owned(),
+            value: STANDARD.encode(value),
+            lease: 0,
+        };
+        let txn = WireTxn {
+            precondition: Vec::new(),
+            puts: vec![put],
+            remove: Vec::new(),
+        };
+        self.kv.borrow_mut().commit(&txn).unwrap();
     }
 
     pub fn value(&self, key: &str) -> Option<String> {
-        self.records.borrow().get(key).map(|r| r.0.clone())
+        self.kv.borrow().get(key).map(|i| text(&i.value.unwrap()))
     }
 
     async fn answer(&self, method: &str, uri: &str, body: &Bytes) -> http::Response<Body> {
@@ -70,46 +81,56 @@
             return error_answer(ResultCode::StoreDown, "");
         }
         let (path, query) = uri.split_once('?').unwrap_or((uri, ""));
-        match (method, path.strip_prefix("/v1/kv/")) {
-            ("GET", Some(key)) => match self.records.borrow().get(key) {
-                Some((value, version)) => json_answer(200, &record(key, value, *version)),
-                None => error_answer(ResultCode::NameUnknown, ""),
+        let get = |name: &str| {
+            let pair = query.split('&').find_map(|p| p.strip_prefix(name));
+            let bytes = percent_decode(pair.unwrap_or("")).unwrap();
+            String::from_utf8(bytes).unwrap()
+        };
+        match (method, path) {
+            ("GET", "/-/kv-key") => match self.kv.borrow().get(&get("key=")) {
+                Some(item) => json_answer(200, &item),
+                None => json_answer(404, &"no such key"),
             },
-            ("PUT", Some(key)) => self.swap(key, &serde_json::from_slice(body).unwrap()),
-            _ => self.read(path, query).await,
+            ("GET", "/-/kv-range") => {
+                json_answer(200, &self.kv.borrow().page(&get("prefix="), &get("after=")))
+            }
+            ("POST", "/-/kv-txn") => self.commit(&serde_json::from_slice(body).unwrap()),
+            _ => {
+                let after = get("after=").parse().unwrap_or(0);
+                let wait = Millis(get("wait_ms=").parse().unwrap_or(0));
+                self.watch(&get("prefix="), after, wait).await
+            }
         }
     }
 
-    fn swap(&self, key: &str, body: &CasBody) -> http::Response<Body> {
-        let found = self.records.borrow().get(key).map_or(0, |r| r.1);
-        if found != body.expect {
-            return json_answer(409, &serde_json::json!({ "version": found }));
+    fn commit(&self, txn: &WireTxn) -> http::Response<Body> {
+        let rev = match self.kv.borrow_mut().commit(txn) {
+            Ok(rev) => rev,
+            Err(TxnError::Conflict(items)) => return json_answer(412, &WireRefusal { items }),
+            Err(e) => panic!("{e:?}"),
+        };
+        for put in &txn.puts {
+            let write = (put.key.clone(), text(&put.value));
+            self.writes.borrow_mut().push(write);
         }
-        self.put(key, &body.value);
-        self.writes
-            .borrow_mut()
-            .push((key.to_owned(), body.value.clone()));
         if self.lose.get() > 0 {
             self.lose.set(self.lose.get() - 1);
-            return error_answer(ResultCode::StoreDown, "");
+            return json_answer(502, &"lost");
         }
-        json_answer(200, &serde_json::json!({ "version": self.revision.get() }))
+        json_answer(200, &WireWritten { rev })
     }
 
-    async fn read(&self, path: &str, query: &str) -> http::Response<Body> {
-        let get = |name: &str| {
-            let pair = query.split('&').find_map(|p| p.strip_prefix(name));
-            pair.unwrap_or("").to_owned()
-        };
-        let prefix = get("prefix=");
-        let after: u64 = get("after=").parse().unwrap_or(0);
-        let wait = Millis(get("wait_ms=").parse().unwrap_or(0));
-        let mut left = if path == "/v1/watch" { wait.0 / 5 } else { 0 };
+    async fn watch(&self, prefix: &str, after: u64, wait: Millis) -> http::Response<Body> {
+        let mut left = wait.0 / 5;
         loop {
-            let records = self.matching(&prefix, after);
-            if left == 0 || !records.is_empty() || self.down.get() {
-                let revision = self.revision.get();
-                return json_answer(200, &WatchAnswer { revision, records });
+            let events = self.kv.borrow().changed(prefix, after).unwrap();
+            if left == 0 || !events.is_empty() || self.down.get() {
+                let store_revision = self.kv.borrow().revision();
+                let answer = WireChanges {
+                    events,
+                    store_revision,
+                };
+                return json_answer(200, &answer);
             }
             left -= 1;
             sleep(Millis(5).duration()).await;
@@ -117,20 +138,6 @@
     }
 }
 
-impl FakeStore {
-    fn matching(&self, prefix: &str, after: u64) -> Vec<Record> {
-        let all = self.records.borrow();
-        all.iter()
-            .filter(|(k, r)| k.starts_with(prefix) && r.1 > after)
-            .map(|(k, r)| record(k, &r.0, r.1))
-            .collect()
-    }
-}
-
-fn record(key: &str, value: &str, version: u64) -> Record {
-    Record {
-        key: key.to_owned(),
-        value: Some(value.to_owned()),
-        version,
-    }
+fn text(base64: &str) -> String {
+    String::from_utf8(STANDARD.decode(base64).unwrap()).unwrap()
 }
--- /dev/null
+++ b/crates/chicoryrail-core/src/site/mod.rs
@@ -0,0 +1,22 @@
+//! What an operator has configured, and which servers there are.
+//!
+//! These are the values that the rest of the product reasons about. Whatever the platform calls them
+//! is decoded into them once, in the platform adapter.
+
+mod caller_limits;
+mod life;
+mod member;
+mod route;
+mod service;
+#[expect(clippy::module_inception, reason = "one type, one file")]
+mod site;
+
+pub use caller_limits::CallerLimits;
+pub use life::Life;
+pub use member::Member;
+pub use member::MemberState;
+pub use route::Part;
+pub use route::Repeat;
+pub use route::Route;
+pub use service::ServiceSpec;
+pub use site::Site;
--- /dev/null
+++ b/crates/chicoryrail-core/src/site/site.rs
@@ -0,0 +1,63 @@
+//! One version of the operator's configuration.
+
+use crate::CallerLimits;
+use crate::Route;
+use crate::ServiceName;
+use crate::ServiceSpec;
+
+/// A whole configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    /// Version; a higher one replaces a lower one, never the other way round.
+    pub version: u64,
+    /// Bounds on callers.
+    pub limits: CallerLimits,
+    /// Services.
+    pub services: Vec<ServiceSpec>,
+    routes: Vec<Route>,
+}
+
+impl Site {
+    /// Builds a configuration; the order of the routes does not matter.
+    #[must_use]
+    pub fn new(
+        version: u64,
+        limits: CallerLimits,
+        services: Vec<ServiceSpec>,
+        mut routes: Vec<Route>,
+    ) -> Self {
+        // The longest prefix first within a host, so that the first match of a search is the right one.
+        routes.sort_by(|a, b| {
+            let length = b.prefix.len().cmp(&a.prefix.len());
+            a.host.cmp(&b.host).then(length)
+        });
+        Self {
+            version,
+            limits,
+            services,
+            routes,
+        }
+    }
+
+    /// Returns the routes, sorted by host, longest prefix first.
+    #[must_use]
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// Finds the route of a request: that of its host with the longest prefix of its path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let first = self.routes.partition_point(|r| *r.host < *host);
+        self.routes[first..]
+            .iter()
+            .take_while(|r| r.host == host)
+            .find(|r| path.starts_with(&*r.prefix))
+    }
+
+    /// Finds a service by its name.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
+        self.services.iter().find(|s| s.name == *name)
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -0,0 +1,26 @@
+//! Which server holds which keys, kept by one leader for servers that check fences themselves.
+//!
+//! A [`KeyRecord`] lies in the store and is changed by compare-and-swap before any grant under it goes
+//! out. A [`Keeper`] is the leader's view of one service: it says which grants, releases and writes are
+//! due and takes in how they ended. A [`cut`](plan::recut) of the key line gives each server one span.
+
+mod duty;
+mod keeper;
+mod key_load;
+mod plan;
+mod record;
+mod server_state;
+mod timing;
+
+pub use duty::Duty;
+pub use duty::GrantEnd;
+pub use duty::ReleaseEnd;
+pub use keeper::Keeper;
+pub use key_load::KeyLoad;
+pub use plan::Holder;
+pub use plan::Plan;
+pub use plan::recut;
+pub use record::KeyRecord;
+pub use record::KeySpan;
+pub use record::OwnedSpan;
+pub use timing::KeyTiming;
--- /dev/null
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -0,0 +1,23 @@
+//! What the leader knows of one server.
+
+use std::net::SocketAddr;
+
+use chicoryrail_core::Millis;
+
+/// What the leader knows of one start of a server.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerState {
+    pub(crate) addr: SocketAddr,
+    /// Until when the server may hold keys that anybody granted it.
+    pub(crate) held_until: Millis,
+    /// Until when a grant whose answer was lost may still take effect.
+    pub(crate) stray_until: Millis,
+    /// When the next renewal is due.
+    pub(crate) due: Millis,
+    /// Whether a call is under way; there is one at a time, so that a renewal can't overtake a release.
+    pub(crate) busy: bool,
+    /// Fence of the last grant that the server confirmed; 0 for none.
+    pub(crate) confirmed: u64,
+    /// Whether the server's life is known to have ended.
+    pub(crate) ended: bool,
+}
--- a/crates/chicoryrail-testkit/src/chaos/act.rs
+++ b/crates/chicoryrail-testkit/src/chaos/act.rs
@@ -201,6 +201,7 @@
         for_ms,
         share: 1.0,
         polite,
+        hosts: Vec::new(),
     }
 }
 
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -7,12 +7,14 @@
 //! # Example
 //!
 //! ```
-//! use chicoryrail_platform::CasBody;
+//! use chicoryrail_platform::kv::WirePut;
+//! use chicoryrail_platform::kv::WireTxn;
 //! use chicoryrail_testkit::Kv;
 //!
 //! let mut kv = Kv::default();
-//! let body = CasBody { value: "1".to_owned(), expect: 0, lease: None };
-//! assert_eq!(kv.swap("config/head", &body), Ok(1));
+//! let put = WirePut { key: "config/head".to_owned(), value: "MQ==".to_owned(), lease: 0 };
+//! let txn = WireTxn { precondition: vec![], puts: vec![put], remove: vec![] };
+//! assert_eq!(kv.commit(&txn).unwrap(), 1);
 //! ```
 //!
 //! Go on with [`Cluster`] for a whole system of processes, [`Load`] for callers, [`Checker`] for what must
@@ -76,7 +78,7 @@
 pub use store::StoreOptions;
 pub use store::StoreServer;
 pub use store::StoreStats;
-pub use store::SwapError;
+pub use store::TxnError;
 pub use target::AnswerHead;
 pub use target::Ledger;
 pub use target::Overrun;
--- a/crates/chicoryrail-testkit/src/listener.rs
+++ b/crates/chicoryrail-testkit/src/listener.rs
@@ -83,7 +83,8 @@
         Rc::clone(&self.refused)
     }
 
-    /// Serves until `stop` is cancelled; the connections end with the process.
+    /// Serves until `stop` is cancelled; the connections end with the process. A request's extensions
+    /// hold the `SocketAddr` of its caller.
     pub async fn serve<H, F>(self, stop: CancellationToken, handler: H)
     where
         H: Fn(Request<Incoming>) -> F + 'static,
@@ -93,8 +94,8 @@
         loop {
             let accepted = std::pin::pin!(self.tcp.accept());
             let stopped = std::pin::pin!(stop.cancelled());
-            let stream = match select(accepted, stopped).await {
-                Either::Left((Ok((stream, _)), _)) => stream,
+            let (stream, peer) = match select(accepted, stopped).await {
+                Either::Left((Ok(accepted), _)) => accepted,
                 Either::Left((Err(_), _)) => continue,
                 Either::Right(_) => return,
             };
@@ -105,14 +106,14 @@
             self.open.set(self.open.get() + 1);
             let (open, handler) = (Rc::clone(&self.open), Rc::clone(&handler));
             monoio::spawn(async move {
-                connection(stream, handler).await;
+                connection(stream, peer, handler).await;
                 open.set(open.get() - 1);
             });
         }
     }
 }
 
-async fn connection<H, F>(stream: TcpStream, handler: Rc<H>)
+async fn connection<H, F>(stream: TcpStream, peer: SocketAddr, handler: Rc<H>)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<Body>, Cut>> + 'static,
@@ -121,7 +122,10 @@
     let Ok(io) = stream.try_into_poll_io() else {
         return;
     };
-    let service = service_fn(move |request| handler(request));
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(peer);
+        handler(request)
+    });
     let _ = http1::Builder::new()
         .half_close(false)
         .serve_connection(MonoioIo::new(io), service)
--- a/crates/chicoryrail-testkit/src/store.rs
+++ b/crates/chicoryrail-testkit/src/store.rs
@@ -8,7 +8,7 @@
 pub use fault::StoreFault;
 pub use kv::Change;
 pub use kv::Kv;
-pub use kv::SwapError;
+pub use kv::TxnError;
 pub use server::StoreOptions;
 pub use server::StoreServer;
 pub use server::StoreStats;
--- a/crates/chicoryrail-testkit/src/store/fault.rs
+++ b/crates/chicoryrail-testkit/src/store/fault.rs
@@ -1,5 +1,7 @@
 //! Faults of the store.
 
+use std::net::IpAddr;
+
 use chicoryrail_core::Millis;
 use rand::Rng;
 use rand::SeedableRng;
@@ -21,6 +23,9 @@
         /// Whether status 503 is given in place of a closed connection.
         #[serde(default)]
         polite: bool,
+        /// Callers concerned; none: all of them.
+        #[serde(default)]
+        hosts: Vec<IpAddr>,
     },
     /// Calls are done after a delay.
     Slow {
@@ -86,13 +91,18 @@
     }
 
     /// Draws what befalls the next call.
-    pub(crate) fn draw(&mut self, now: Millis) -> Fate {
+    pub(crate) fn draw(&mut self, now: Millis, caller: Option<IpAddr>) -> Fate {
         self.on.retain(|(ends, _)| *ends > now);
         let mut fate = Fate::default();
         for (_, fault) in &self.on {
             let mut hit = |share: &f64| self.rng.random_bool(share.clamp(0.0, 1.0));
             match fault {
-                StoreFault::Down { share, polite, .. } if hit(share) => fate.down = Some(*polite),
+                StoreFault::Down {
+                    share,
+                    polite,
+                    hosts,
+                    ..
+                } if concerns(hosts, caller) && hit(share) => fate.down = Some(*polite),
                 StoreFault::Slow {
                     share, delay_ms, ..
                 } if hit(share) => fate.delay = fate.delay + Millis(*delay_ms),
@@ -103,3 +113,8 @@
         fate
     }
 }
+
+/// Tells whether a fault for some hosts, or for all where none is named, strikes a caller.
+fn concerns(hosts: &[IpAddr], caller: Option<IpAddr>) -> bool {
+    hosts.is_empty() || caller.is_some_and(|c| hosts.contains(&c))
+}
--- a/crates/chicoryrail-testkit/src/store/server.rs
+++ b/crates/chicoryrail-testkit/src/store/server.rs
@@ -1,14 +1,20 @@
 //! The store's HTTP interface.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
-use chicoryrail_platform::CasBody;
-use chicoryrail_platform::LeaseBody;
-use chicoryrail_platform::WatchAnswer;
+use chicoryrail_core::percent_decode;
+use chicoryrail_platform::kv::WireChanges;
+use chicoryrail_platform::kv::WireItem;
+use chicoryrail_platform::kv::WireLease;
+use chicoryrail_platform::kv::WireRefusal;
+use chicoryrail_platform::kv::WireTtl;
+use chicoryrail_platform::kv::WireTxn;
+use chicoryrail_platform::kv::WireWritten;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::Clock;
@@ -28,7 +34,7 @@
 use crate::Kv;
 use crate::Listener;
 use crate::StoreFault;
-use crate::SwapError;
+use crate::TxnError;
 use crate::query;
 use crate::store::fault::StoreFaults;
 use crate::store::rate::Rate;
@@ -37,7 +43,7 @@
 const BODY_MOST: usize = 8 << 20;
 
 /// Longest wait of a watch.
-const WAIT_MOST: Millis = Millis(60_000);
+const WAIT_MOST: Millis = Millis(30_000);
 
 /// Settings of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -53,15 +59,15 @@
 /// Calls counted, each waiting watch as one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreStats {
-    /// `GET /v1/kv`.
+    /// Reads of one key.
     pub gets: u64,
-    /// `PUT /v1/kv` that wrote.
+    /// Transactions that wrote.
     pub swaps: u64,
-    /// `PUT /v1/kv` that did not write.
+    /// Transactions that did not write.
     pub conflicts: u64,
-    /// `GET /v1/list`.
+    /// Pages listed.
     pub lists: u64,
-    /// `GET /v1/watch`.
+    /// Watches.
     pub watches: u64,
     /// Watches that wait now.
     pub waiting: u64,
@@ -146,7 +152,12 @@
         if path.starts_with("/testkit/") {
             return Ok(self.testkit(&head.method, &head.uri, &body));
         }
-        let fate = self.state.borrow_mut().faults.draw(self.clock.now());
+        let caller = head.extensions.get::<SocketAddr>().map(SocketAddr::ip);
+        let fate = self
+            .state
+            .borrow_mut()
+            .faults
+            .draw(self.clock.now(), caller);
         if fate != Default::default() {
             self.state.borrow_mut().stats.faulty += 1;
             self.clock.sleep(fate.delay).await;
@@ -161,25 +172,20 @@
     }
 
     async fn call(&self, method: &Method, uri: &Uri, body: &Bytes) -> Response<Body> {
-        let is_read = *method == Method::GET;
-        if !self.pass(is_read) {
-            return json_answer(429, &"the store's rate is used up");
-        }
         let path = uri.path();
-        if let Some(key) = path.strip_prefix("/v1/kv/") {
-            return match *method {
-                Method::GET => self.get(key),
-                Method::PUT => self.swap(key, body),
-                _ => error_answer(ResultCode::BadRequest, "a key takes GET and PUT"),
-            };
-        }
-        if let Some(id) = path.strip_prefix("/v1/lease") {
-            return self.lease(method, id.trim_start_matches('/'), body);
+        let renews = path.starts_with("/-/kv-keep/");
+        if !self.pass(*method == Method::GET || renews) {
+            return json_answer(429, &"the store's rate is used up");
         }
-        match path {
-            "/v1/list" => self.list(uri),
-            "/v1/watch" => self.watch(uri).await,
-            _ => error_answer(ResultCode::BadRequest, "the store has no such path"),
+        match (method.as_str(), path) {
+            ("GET", "/-/kv-key") => self.get(uri),
+            ("GET", "/-/kv-range") => self.list(uri),
+            ("GET", "/-/kv-watch") => self.watch(uri).await,
+            ("POST", "/-/kv-txn") => self.commit(body),
+            ("POST", "/-/kv-lease") => self.open_lease(body),
+            ("POST", _) if renews => self.renew(path),
+            ("DELETE", _) if path.starts_with("/-/kv-lease-end/") => self.end_lease(path),
+            _ => error_answer(ResultCode::BadRequest, "the store has no such call"),
         }
     }
 
@@ -198,53 +204,58 @@
         pass
     }
 
-    fn get(&self, key: &str) -> Response<Body> {
+    fn get(&self, uri: &Uri) -> Response<Body> {
+        let key = text(uri, "key");
         let mut state = self.state.borrow_mut();
         state.stats.gets += 1;
-        match state.kv.get(key) {
-            Some(record) => json_answer(200, &record),
+        let store_revision = Some(state.kv.revision());
+        match state.kv.get(&key) {
+            Some(item) => json_answer(
+                200,
+                &WireItem {
+                    store_revision,
+                    ..item
+                },
+            ),
             None => json_answer(404, &"no such key"),
         }
     }
 
-    fn swap(&self, key: &str, body: &Bytes) -> Response<Body> {
-        let Ok(body) = serde_json::from_slice::<CasBody>(body) else {
-            return error_answer(ResultCode::BadRequest, "the body is no CasBody");
+    fn commit(&self, body: &Bytes) -> Response<Body> {
+        let txn = match serde_json::from_slice::<WireTxn>(body) {
+            Ok(txn) => txn,
+            Err(e) => return error_answer(ResultCode::BadRequest, &format!("transaction: {e}")),
         };
         let mut state = self.state.borrow_mut();
-        match state.kv.swap(key, &body) {
-            Ok(version) => {
+        match state.kv.commit(&txn) {
+            Ok(rev) => {
                 state.stats.swaps += 1;
-                state.stats.written += body.value.len() as u64;
+                state.stats.written += txn.puts.iter().map(|p| p.value.len() as u64).sum::<u64>();
                 state.wake();
-                json_answer(200, &serde_json::json!({ "version": version }))
+                json_answer(200, &WireWritten { rev })
             }
             Err(e) => {
                 state.stats.conflicts += 1;
                 match e {
-                    SwapError::Conflict(found) => {
-                        json_answer(409, &serde_json::json!({ "version": found }))
-                    }
-                    SwapError::TooLarge => too_large(),
-                    SwapError::NoLease => json_answer(412, &"the lease has ended"),
+                    TxnError::Conflict(items) => json_answer(412, &WireRefusal { items }),
+                    TxnError::BadValue => too_large(),
+                    TxnError::NoLease => json_answer(404, &"no such lease"),
                 }
             }
         }
     }
 
     fn list(&self, uri: &Uri) -> Response<Body> {
-        let prefix: String = query(uri, "prefix").unwrap_or_default();
         let mut state = self.state.borrow_mut();
         state.stats.lists += 1;
-        let answer = WatchAnswer {
-            revision: state.kv.revision(),
-            records: state.kv.changed(&prefix, 0),
-        };
-        json_answer(200, &answer)
+        json_answer(
+            200,
+            &state.kv.page(&text(uri, "prefix"), &text(uri, "after")),
+        )
     }
 
     async fn watch(&self, uri: &Uri) -> Response<Body> {
-        let prefix: String = query(uri, "prefix").unwrap_or_default();
+        let prefix = text(uri, "prefix");
         let after = query(uri, "after").unwrap_or(0);
         let wait = Millis(query(uri, "wait_ms").unwrap_or(0)).min(WAIT_MOST);
         let ends = self.clock.now() + wait;
@@ -253,11 +264,15 @@
         loop {
             let changed = {
                 let state = self.state.borrow();
-                let answer = WatchAnswer {
-                    revision: state.kv.revision(),
-                    records: state.kv.changed(&prefix, after),
+                let Some(events) = state.kv.changed(&prefix, after) else {
+                    return json_answer(410, &"that history is forgotten");
                 };
-                if !answer.records.is_empty() || self.clock.now() >= ends {
+                if !events.is_empty() || self.clock.now() >= ends {
+                    let store_revision = state.kv.revision();
+                    let answer = WireChanges {
+                        events,
+                        store_revision,
+                    };
                     return json_answer(200, &answer);
                 }
                 state.changed.clone()
@@ -267,31 +282,34 @@
         }
     }
 
-    fn lease(&self, method: &Method, id: &str, body: &Bytes) -> Response<Body> {
-        let now = self.clock.now();
+    fn open_lease(&self, body: &Bytes) -> Response<Body> {
+        let WireTtl { ttl_ms } = match serde_json::from_slice(body) {
+            Ok(asked) => asked,
+            Err(e) => return error_answer(ResultCode::BadRequest, &format!("lease: {e}")),
+        };
         let mut state = self.state.borrow_mut();
         state.stats.leases += 1;
-        let number = id.parse::<u64>().ok();
-        let gone = || json_answer(404, &"no such lease");
-        match (method.clone(), number) {
-            (Method::POST, None) => match serde_json::from_slice::<LeaseBody>(body) {
-                Ok(asked) => json_answer(200, &state.kv.open_lease(asked.ttl_ms, now)),
-                Err(e) => error_answer(ResultCode::BadRequest, &e.to_string()),
-            },
-            (Method::PUT, Some(id)) => state
-                .kv
-                .renew_lease(id, now)
-                .map_or_else(gone, |lease| json_answer(200, &lease)),
-            (Method::DELETE, Some(id)) => {
-                if state.kv.end_lease(id) {
-                    state.wake();
-                    json_answer(200, &())
-                } else {
-                    gone()
-                }
-            }
-            _ => error_answer(ResultCode::BadRequest, "a lease takes POST, PUT and DELETE"),
+        let lease = state.kv.open_lease(Millis(ttl_ms), self.clock.now());
+        json_answer(200, &WireLease { lease, ttl_ms })
+    }
+
+    fn renew(&self, path: &str) -> Response<Body> {
+        let mut state = self.state.borrow_mut();
+        state.stats.leases += 1;
+        match state.kv.renew_lease(number(path), self.clock.now()) {
+            Some(ttl) => json_answer(200, &WireTtl { ttl_ms: ttl.0 }),
+            None => json_answer(404, &"no such lease"),
+        }
+    }
+
+    fn end_lease(&self, path: &str) -> Response<Body> {
+        let mut state = self.state.borrow_mut();
+        state.stats.leases += 1;
+        if !state.kv.end_lease(number(path)) {
+            return json_answer(404, &"no such lease");
         }
+        state.wake();
+        json_answer(200, &())
     }
 
     fn testkit(&self, method: &Method, uri: &Uri, body: &Bytes) -> Response<Body> {
@@ -313,6 +331,11 @@
                 state.faults.clear();
                 json_answer(200, &())
             }
+            (Method::PUT, "/testkit/compact") => {
+                state.kv.compact();
+                state.wake();
+                json_answer(200, &())
+            }
             _ => error_answer(ResultCode::BadRequest, "the store has no such test call"),
         }
     }
@@ -346,3 +369,16 @@
         "the value is longer than a megabyte",
     )
 }
+
+/// Returns a parameter of the query as text; empty where it is missing.
+fn text(uri: &Uri, name: &str) -> String {
+    let raw: String = query(uri, name).unwrap_or_default();
+    let bytes = percent_decode(&raw).unwrap_or_default();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Returns the number that a path ends with; 0, which no lease has, where there is none.
+fn number(path: &str) -> u64 {
+    let last = path.rsplit('/').next();
+    last.and_then(|n| n.parse().ok()).unwrap_or(0)
+}
--- a/crates/chicoryrail-testkit/tests/store.rs
+++ b/crates/chicoryrail-testkit/tests/store.rs
@@ -4,10 +4,11 @@
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
-use chicoryrail_platform::HttpStore;
+use chicoryrail_platform::KvStore;
 use chicoryrail_platform::Record;
 use chicoryrail_platform::Store;
 use chicoryrail_platform::StoreError;
+use chicoryrail_platform::Txn;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::block_on;
@@ -56,7 +57,7 @@
 fn a_swap_with_an_old_version_writes_nothing() {
     block_on(async {
         let addr = start(StoreOptions::default()).await;
-        let store = HttpStore::new(addr);
+        let store = KvStore::new(addr);
         assert_eq!(store.swap("config/head", 0, "a").await, Ok(1));
         assert_eq!(store.swap("config/head", 1, "b").await, Ok(2));
         let lost = store.swap("config/head", 1, "c").await;
@@ -74,7 +75,7 @@
 fn a_watch_waits_for_its_prefix_and_counts_as_one_call() {
     block_on(async {
         let addr = start(StoreOptions::default()).await;
-        let store = HttpStore::new(addr);
+        let store = KvStore::new(addr);
         store.swap("config/head", 0, "a").await.unwrap();
         let watching = store.clone();
         let watch =
@@ -100,7 +101,7 @@
 fn a_lost_answer_leaves_the_write_in_effect() {
     block_on(async {
         let addr = start(StoreOptions::default()).await;
-        let store = HttpStore::new(addr);
+        let store = KvStore::new(addr);
         let lose = StoreFault::LoseAnswers {
             for_ms: 60_000,
             share: 1.0,
@@ -120,11 +121,12 @@
 fn a_store_that_is_down_writes_nothing() {
     block_on(async {
         let addr = start(StoreOptions::default()).await;
-        let store = HttpStore::new(addr);
+        let store = KvStore::new(addr);
         let down = StoreFault::Down {
             for_ms: 60_000,
             share: 1.0,
             polite: false,
+            hosts: Vec::new(),
         };
         fault(addr, &down).await;
         let lost = store.swap("k", 0, "v").await;
@@ -140,12 +142,10 @@
 fn a_lease_that_runs_out_deletes_its_keys() {
     block_on(async {
         let addr = start(StoreOptions::default()).await;
-        let store = HttpStore::new(addr);
-        let lease: serde_json::Value =
-            call(Method::POST, addr, "/v1/lease", r#"{"ttl_ms":50}"#).await;
-        assert_eq!(lease["id"], 1);
-        let body = r#"{"value":"v","expect":0,"lease":1}"#;
-        call::<serde_json::Value>(Method::PUT, addr, "/v1/kv/l/x", body).await;
+        let store = KvStore::new(addr);
+        let lease = store.open_lease(Millis(50)).await.unwrap();
+        let txn = Txn::default().put_leased("l/x", b"v", lease.id);
+        assert_eq!(store.commit(&txn).await, Ok(1));
         let seen = store.watch("l/", 1, Millis(10_000)).await;
         assert_eq!(seen, Ok((2, vec![record("l/x", None, 2)])));
     });
@@ -159,7 +159,7 @@
             ..StoreOptions::default()
         };
         let addr = start(options).await;
-        let store = HttpStore::new(addr);
+        let store = KvStore::new(addr);
         for i in 0..20 {
             let _ = store.swap(&format!("k{i}"), 0, "v").await;
         }
@@ -168,3 +168,79 @@
         assert!(stats.limited > 0, "{stats:?}");
     });
 }
+
+/// A host that watches falls behind: the store forgets its history. The watch says so in place of
+/// leaving changes out, and a snapshot shows what stands.
+#[test]
+fn a_watch_of_forgotten_history_is_told_so() {
+    block_on(async {
+        let addr = start(StoreOptions::default()).await;
+        let store = KvStore::new(addr);
+        store.swap("servers/a", 0, "1").await.unwrap();
+        store.swap("servers/a", 1, "2").await.unwrap();
+        call::<()>(Method::PUT, addr, "/testkit/compact", "").await;
+        let lost = store.changes("servers/", 1, Millis(100)).await;
+        assert_eq!(lost, Err(StoreError::HistoryGone { after: 1 }));
+        let all = store.snapshot("servers/").await.unwrap();
+        assert_eq!((all.revision, all.items[0].revision), (2, 2));
+        let next = store.changes("servers/", 2, Millis(10)).await.unwrap();
+        assert_eq!((next.revision, next.changes.len()), (2, 0));
+    });
+}
+
+#[test]
+fn a_snapshot_goes_over_pages() {
+    block_on(async {
+        let addr = start(StoreOptions::default()).await;
+        let store = KvStore::new(addr);
+        for block in 0..38 {
+            let txn = (0..32).fold(Txn::default(), |txn, i| {
+                txn.put(&format!("n/{:04}", block * 32 + i), b"v")
+            });
+            store.commit(&txn).await.unwrap();
+        }
+        let all = store.snapshot("n/").await.unwrap();
+        assert_eq!((all.items.len(), all.revision), (1_216, 38));
+        assert!(all.items.is_sorted_by_key(|i| i.key.clone()));
+    });
+}
+
+/// The store serves others and turns this host away: it says that nothing was done, and nothing was.
+#[test]
+fn a_host_that_is_turned_away_is_told_that_nothing_was_done() {
+    block_on(async {
+        let addr = start(StoreOptions::default()).await;
+        let store = KvStore::new(addr);
+        let away = |host: &str| StoreFault::Down {
+            for_ms: 60_000,
+            share: 1.0,
+            polite: true,
+            hosts: vec![host.parse().unwrap()],
+        };
+        fault(addr, &away("127.0.0.9")).await;
+        assert_eq!(store.swap("k", 0, "v").await, Ok(1));
+        fault(addr, &away("127.0.0.1")).await;
+        assert_eq!(store.swap("k", 1, "w").await, Err(StoreError::NotDone));
+    });
+}
+
+#[test]
+fn a_refused_condition_names_its_key() {
+    block_on(async {
+        let addr = start(StoreOptions::default()).await;
+        let store = KvStore::new(addr);
+        store.swap("lock", 0, "a").await.unwrap();
+        let txn = Txn::default()
+            .expect("lock", 7)
+            .expect("x", 0)
+            .put("x", b"b");
+        let conflict = StoreError::Conflict {
+            key: "lock".to_owned(),
+            found: 1,
+        };
+        assert_eq!(store.commit(&txn).await, Err(conflict));
+        let orphan = Txn::default().put_leased("x", b"b", 99);
+        assert_eq!(store.commit(&orphan).await, Err(StoreError::LeaseGone));
+        assert_eq!(store.item("x").await, Ok(None));
+    });
+}
--- a/xtask/src/bench_outage.rs
+++ b/xtask/src/bench_outage.rs
@@ -91,6 +91,7 @@
             for_ms: outage.0,
             share: 1.0,
             polite: false,
+            hosts: Vec::new(),
         };
         cluster.put_fault(cluster.store(), &down)?;
         let records = loaded.join().unwrap_or_default();
