--- a/crates/chicoryrail-core/src/site/site.rs
+++ b/crates/chicoryrail-core/src/site/site.rs
@@ -1,5 +1,7 @@
 //! One version of the operator's configuration.
 
+use std::sync::Arc;
+
 use crate::CallerLimits;
 use crate::Route;
 use crate::ServiceName;
@@ -14,7 +16,7 @@
     pub limits: CallerLimits,
     /// Services.
     pub services: Vec<ServiceSpec>,
-    routes: Vec<Route>,
+    routes: Vec<Arc<Route>>,
 }
 
 impl Site {
@@ -35,19 +37,19 @@
             version,
             limits,
             services,
-            routes,
+            routes: routes.into_iter().map(Arc::new).collect(),
         }
     }
 
     /// Returns the routes, sorted by host, longest prefix first.
     #[must_use]
-    pub fn routes(&self) -> &[Route] {
+    pub fn routes(&self) -> &[Arc<Route>] {
         &self.routes
     }
 
     /// Finds the route of a request: that of its host with the longest prefix of its path.
     #[must_use]
-    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let first = self.routes.partition_point(|r| *r.host < *host);
         self.routes[first..]
             .iter()
--- a/crates/chicoryrail-gate/src/answer_body.rs
+++ b/crates/chicoryrail-gate/src/answer_body.rs
@@ -11,6 +11,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_policy::Outcome;
 use chicoryrail_runtime::Clock;
+use chicoryrail_runtime::ServerConn;
 use http::HeaderValue;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
@@ -21,7 +22,6 @@
 
 use crate::gate::Gate;
 use crate::lane::Permit;
-use crate::pool::Conn;
 use crate::send;
 use crate::server::Server;
 use crate::server::UnderWay;
@@ -33,7 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct Exchange {
     server: Rc<Server>,
-    conn: Option<Conn>,
+    conn: Option<ServerConn>,
     closes: bool,
     cancel: Option<(Rc<Gate>, HeaderValue)>,
     _under_way: UnderWay,
@@ -44,7 +44,12 @@
 
 impl Exchange {
     /// Binds a connection, a slot and the count in flight together.
-    pub(crate) fn new(conn: Conn, permit: Permit, flight: InFlight, server: &Rc<Server>) -> Self {
+    pub(crate) fn new(
+        conn: ServerConn,
+        permit: Permit,
+        flight: InFlight,
+        server: &Rc<Server>,
+    ) -> Self {
         Self {
             server: Rc::clone(server),
             conn: Some(conn),
@@ -80,7 +85,7 @@
     }
 
     /// Returns the connection.
-    pub(crate) fn conn(&mut self) -> &mut Conn {
+    pub(crate) fn conn(&mut self) -> &mut ServerConn {
         self.conn
             .as_mut()
             .expect("the connection is held until the end")
--- a/crates/chicoryrail-gate/src/caller.rs
+++ b/crates/chicoryrail-gate/src/caller.rs
@@ -8,6 +8,7 @@
 use chicoryrail_core::ResultCode;
 use chicoryrail_platform::header;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::RequestBody;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -25,7 +26,6 @@
 use crate::headers::inner;
 use crate::order;
 use crate::refusal::Refusal;
-use crate::source::Source;
 use crate::tracked::Tracked;
 
 /// Path of what is known of an order, before its id.
@@ -52,7 +52,7 @@
         Err(refusal) => return finish(gate, None, Err(refusal), id, started),
     };
     let body = body.map_err(io::Error::other).boxed_unsync();
-    let source = Source::new(Box::pin(body), call.entry.service.max_body);
+    let source = RequestBody::new(Box::pin(body), call.entry.service.max_body);
     let labels = (Rc::clone(&call.entry), call.class);
     let result = answer(gate, call.clone(), &source).await;
     if let Err(refusal) = &result {
@@ -64,7 +64,7 @@
 async fn answer(
     gate: &Rc<Gate>,
     call: Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
 ) -> Result<Response<Body>, Refusal> {
     let time = gate.settings.limits.body_time.min(call.left(gate.now()));
     source.prefetch(time).await?;
--- a/crates/chicoryrail-gate/src/dispatch.rs
+++ b/crates/chicoryrail-gate/src/dispatch.rs
@@ -8,6 +8,7 @@
 use chicoryrail_core::ResultCode;
 use chicoryrail_policy::PeerId;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::RequestBody;
 use http::Response;
 use monoio::time::timeout;
 
@@ -20,7 +21,6 @@
 use crate::refusal::Refusal;
 use crate::send;
 use crate::shard::Shard;
-use crate::source::Source;
 use crate::way;
 use crate::way::Way;
 
@@ -40,7 +40,7 @@
 pub(crate) async fn run(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
 ) -> Result<Response<Body>, Refusal> {
     call.entry.budget.borrow_mut().earn();
     let result = tries(gate, call, source).await;
@@ -57,7 +57,7 @@
 async fn tries(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
 ) -> Result<Response<Body>, Refusal> {
     let hold_end = call.deadline.min(call.came + gate.settings.limits.hold);
     let mut sends = 0;
@@ -99,7 +99,7 @@
 pub(crate) async fn attempt(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
     way: &Way,
 ) -> Result<Response<Body>, Refusal> {
     let (hop, peer) = match way {
--- a/crates/chicoryrail-gate/src/forward.rs
+++ b/crates/chicoryrail-gate/src/forward.rs
@@ -17,6 +17,7 @@
 use chicoryrail_policy::PeerId;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::Invariant;
+use chicoryrail_runtime::RequestBody;
 use chicoryrail_runtime::collect;
 use chicoryrail_wire::Forward;
 use chicoryrail_wire::Peer;
@@ -44,7 +45,6 @@
 use crate::headers::inner;
 use crate::refusal::Refusal;
 use crate::server::UnderWay;
-use crate::source::Source;
 use crate::way::Choice;
 
 /// Longest text of another gate's refusal.
@@ -96,7 +96,7 @@
 pub(crate) async fn to_gate(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
     hop: Hop<'_>,
     peer: &Peer,
 ) -> Result<Response<Body>, Refusal> {
--- a/crates/chicoryrail-gate/src/gate.rs
+++ b/crates/chicoryrail-gate/src/gate.rs
@@ -17,6 +17,7 @@
 use chicoryrail_runtime::EventKind;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::Process;
+use chicoryrail_runtime::Signal;
 use chicoryrail_wire::Heartbeat;
 use chicoryrail_wire::HostState;
 use chicoryrail_wire::Peer;
@@ -30,7 +31,6 @@
 use crate::service::Entry;
 use crate::service::Services;
 use crate::shard::Shard;
-use crate::signal::Signal;
 
 /// A gate.
 #[derive(Debug)]
--- a/crates/chicoryrail-gate/src/headers.rs
+++ b/crates/chicoryrail-gate/src/headers.rs
@@ -2,18 +2,6 @@
 
 use http::HeaderMap;
 use http::HeaderName;
-use http::header;
-
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [HeaderName; 7] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
 
 /// Names of the headers between gates.
 pub(crate) mod inner {
@@ -41,19 +29,8 @@
 
 /// Removes the headers that concern one connection only, and those that only chicoryrail sets: a
 /// caller or a server that sent them could pass for a gate.
-pub(crate) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    if let Some(named) = headers.remove(header::CONNECTION) {
-        let names = named.to_str().unwrap_or("").split(',');
-        for name in names {
-            headers.remove(name.trim());
-        }
-    }
-    for name in &HOP_BY_HOP {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove("proxy-connection");
-    headers.remove(header::EXPECT);
+pub(crate) fn end_to_end(headers: HeaderMap) -> HeaderMap {
+    let mut headers = chicoryrail_runtime::end_to_end(headers);
     let ours: Vec<HeaderName> = headers
         .keys()
         .filter(|n| n.as_str().starts_with(inner::PREFIX))
--- a/crates/chicoryrail-gate/src/hedge.rs
+++ b/crates/chicoryrail-gate/src/hedge.rs
@@ -9,6 +9,7 @@
 use chicoryrail_policy::Hedge;
 use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::RequestBody;
 use futures_util::future::Either;
 use futures_util::future::select;
 use http::Response;
@@ -23,7 +24,6 @@
 use crate::gate::Gate;
 use crate::refusal::Refusal;
 use crate::send;
-use crate::source::Source;
 use crate::way::Way;
 
 /// Looks for a free slot before a second try is given up, and the time between two of them: together
@@ -32,7 +32,7 @@
 const LOOK_EVERY: Millis = Millis(2);
 
 /// Returns the service where the request is one that may be tried twice at the same time.
-pub(crate) fn applies(call: &Call, source: &Source, way: &Way) -> Option<Rc<Free>> {
+pub(crate) fn applies(call: &Call, source: &RequestBody, way: &Way) -> Option<Rc<Free>> {
     match way {
         Way::Free(free, _) if dispatch::is_hedged(call) && source.is_empty() => {
             Some(Rc::clone(free))
@@ -51,7 +51,7 @@
 pub(crate) async fn race(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
     way: &Way,
     free: &Rc<Free>,
 ) -> Result<Response<Body>, Refusal> {
@@ -99,7 +99,7 @@
 async fn second(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
     way: &Way,
     free: &Rc<Free>,
 ) -> Option<Response<Body>> {
@@ -130,7 +130,7 @@
 async fn try_places(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
     free: &Rc<Free>,
     first: &Place,
 ) -> Result<Option<Response<Body>>, NoSlot> {
--- a/crates/chicoryrail-gate/src/inner.rs
+++ b/crates/chicoryrail-gate/src/inner.rs
@@ -12,6 +12,7 @@
 use chicoryrail_policy::Load;
 use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::RequestBody;
 use chicoryrail_wire::Handler;
 use chicoryrail_wire::HeartbeatReply;
 use chicoryrail_wire::Reply;
@@ -37,7 +38,6 @@
 use crate::refusal::Refusal;
 use crate::send;
 use crate::shard::Via;
-use crate::source::Source;
 use crate::way;
 
 /// Answers other processes.
@@ -107,7 +107,7 @@
     }
     let lane = lane(call, sent.server.as_ref(), now)?;
     let body: Body = Box::pin(StreamBody::new(body, call.left(now), None));
-    let source = Source::new(body, call.entry.service.max_body);
+    let source = RequestBody::new(body, call.entry.service.max_body);
     if !sent.hedge {
         return send::to_server(gate, call, &source, &lane).await;
     }
--- a/crates/chicoryrail-gate/src/order.rs
+++ b/crates/chicoryrail-gate/src/order.rs
@@ -6,6 +6,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::RequestBody;
 use chicoryrail_runtime::full;
 use chicoryrail_runtime::json_answer;
 use chicoryrail_wire::OrderAnswer;
@@ -29,7 +30,6 @@
 use crate::order_body::OrderBody;
 use crate::refusal::Refusal;
 use crate::shard::Shard;
-use crate::source::Source;
 
 /// Marks an answer that an earlier request with the same order id got.
 const REPLAYED: &str = "order-replayed";
@@ -66,7 +66,7 @@
 pub(crate) async fn run(
     gate: &Rc<Gate>,
     call: Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
 ) -> Result<Response<Body>, Refusal> {
     let (gate, source) = (Rc::clone(gate), Rc::clone(source));
     monoio::spawn(async move { claim_and_send(&gate, &call, &source).await }).await
@@ -75,7 +75,7 @@
 async fn claim_and_send(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
 ) -> Result<Response<Body>, Refusal> {
     let claim = Claim {
         order: call.order.clone().unwrap_or_default(),
--- a/crates/chicoryrail-gate/src/send.rs
+++ b/crates/chicoryrail-gate/src/send.rs
@@ -15,6 +15,8 @@
 use chicoryrail_policy::Ticket;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::Invariant;
+use chicoryrail_runtime::RequestBody;
+use chicoryrail_runtime::ServerConn;
 use chicoryrail_runtime::says_close;
 use futures_util::future::Either;
 use futures_util::future::select;
@@ -36,10 +38,8 @@
 use crate::headers::inner;
 use crate::lane::Lane;
 use crate::lane::Permit;
-use crate::pool::Conn;
 use crate::refusal::Refusal;
 use crate::server::Server;
-use crate::source::Source;
 
 /// Sends the request once, after it has got a slot and a connection.
 ///
@@ -49,7 +49,7 @@
 pub(crate) async fn to_server(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
     lane: &Rc<Lane>,
 ) -> Result<Response<Body>, Refusal> {
     let ask = Ask::new(Ticket(gate.serial()), call.class, call.deadline);
@@ -66,7 +66,7 @@
 pub(crate) async fn with_permit(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
     mut permit: Permit,
 ) -> Result<Response<Body>, Refusal> {
     let server = Rc::clone(&permit.server);
@@ -115,7 +115,7 @@
 async fn exchange_once(
     gate: &Rc<Gate>,
     call: &Call,
-    source: &Source,
+    source: &RequestBody,
     server: &Rc<Server>,
     mut exchange: Exchange,
     request: Request<Body>,
@@ -124,7 +124,7 @@
     let started = Instant::now();
     let left = call.left(gate.now()).duration();
     let shard = Rc::clone(exchange.shard());
-    let conn: &mut Conn = exchange.conn();
+    let conn: &mut ServerConn = exchange.conn();
     let sent = timeout(left, conn.send.try_send_request(request));
     let lost = async {
         match call.is_idempotent() {
@@ -250,7 +250,7 @@
 
 fn request(
     call: &Call,
-    source: &Rc<Source>,
+    source: &Rc<RequestBody>,
     server: &Server,
     fence: Fence,
     attempt: &HeaderValue,
--- a/crates/chicoryrail-gate/src/server.rs
+++ b/crates/chicoryrail-gate/src/server.rs
@@ -8,11 +8,11 @@
 use chicoryrail_core::ServerName;
 use chicoryrail_policy::ServerId;
 use chicoryrail_policy::Verdict;
+use chicoryrail_runtime::ServerPool;
 use chicoryrail_wire::ServerSeen;
 use http::HeaderValue;
 
 use crate::lane::Lane;
-use crate::pool::Pool;
 
 /// Slots, connections and observation of one server.
 #[derive(Debug)]
@@ -31,7 +31,7 @@
     pub(crate) slots: Cell<u32>,
     /// Whether the routes say that it is in cold start.
     pub(crate) cold: Cell<bool>,
-    pub(crate) pool: Pool,
+    pub(crate) pool: ServerPool,
     /// Requests that this gate has under way to the server, directly or through another gate.
     pub(crate) under_way: Cell<u32>,
     seen: Seen,
@@ -65,7 +65,7 @@
             shared,
             slots: Cell::default(),
             cold: Cell::default(),
-            pool: Pool::default(),
+            pool: ServerPool::default(),
             under_way: Cell::new(0),
             seen: Seen::default(),
             verdict: Cell::default(),
--- a/crates/chicoryrail-gate/src/shard.rs
+++ b/crates/chicoryrail-gate/src/shard.rs
@@ -11,12 +11,12 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
 use chicoryrail_core::ShardId;
+use chicoryrail_runtime::Signal;
 use chicoryrail_wire::RouteEntry;
 use chicoryrail_wire::ServerState;
 use chicoryrail_wire::SliceState;
 
 use crate::server::Server;
-use crate::signal::Signal;
 
 /// A table in force.
 #[derive(Debug)]
--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/keeper.rs
@@ -15,6 +15,9 @@
 use crate::keys::ReleaseEnd;
 use crate::keys::server_state::ServerState;
 
+/// Time for which a server that did not answer gets no keys; after it, it is tried again.
+const LOST_FOR: Millis = Millis(6_000);
+
 /// Keys that a former owner may still hold.
 #[derive(Clone, Debug)]
 struct Claim {
@@ -32,6 +35,14 @@
     token: Option<String>,
 }
 
+/// Keys whose hold their owner has confirmed.
+#[derive(Clone, Debug)]
+struct Live {
+    owned: OwnedSpan,
+    /// When they are to be renewed.
+    due: Millis,
+}
+
 /// Keeps the keys of one service, in one term of leadership.
 ///
 /// Safety rests on three things. The record is in the store before a grant under it is sent. A key is
@@ -47,8 +58,7 @@
     claims: Vec<Claim>,
     freed: Vec<Freed>,
     writing: Option<KeyRecord>,
-    /// Pieces whose hold was confirmed under the record's fence.
-    live: Vec<OwnedSpan>,
+    live: Vec<Live>,
     deposed: bool,
 }
 
@@ -83,7 +93,10 @@
         let named: Vec<Life> = named.map(|s| s.owner.clone()).collect();
         for life in named {
             let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
-            let state = this.servers.entry(life).or_insert_with(|| new_state(unknown, now));
+            let state = this
+                .servers
+                .entry(life)
+                .or_insert_with(|| new_state(unknown, now));
             state.held_until = until;
             state.stray_until = until;
         }
@@ -108,18 +121,40 @@
         self.writing.is_some() || !self.claims.is_empty()
     }
 
+    /// Tells whether a write of the record is due or under way.
+    #[must_use]
+    pub const fn is_writing(&self) -> bool {
+        self.writing.is_some()
+    }
+
+    /// Returns the servers that are meant to hold keys, or may hold some.
+    #[must_use]
+    pub fn named(&self) -> Vec<Life> {
+        let owners = self.record.spans.iter().map(|s| s.owner.clone());
+        let former = self.claims.iter().map(|c| c.owned.owner.clone());
+        owners.chain(former).collect()
+    }
+
+    /// Tells whether a server has not answered for so long that others should hold its keys.
+    #[must_use]
+    pub fn is_lost(&self, now: Millis, life: &Life) -> bool {
+        let Some(since) = self.servers.get(life).and_then(|s| s.silent) else {
+            return false;
+        };
+        let silent = now.since(since);
+        silent >= Millis(self.timing.hold.0 / 2) && silent < LOST_FOR
+    }
+
     /// Returns the keys that are meant for somebody but not granted yet.
     #[must_use]
     pub fn blocked(&self) -> Vec<KeySpan> {
-        let mut blocked = Vec::new();
-        for owned in &self.record.spans {
-            let mut left = vec![owned.span];
-            for piece in self.live.iter().filter(|l| l.owner == owned.owner) {
-                left = left.iter().flat_map(|s| s.without(piece.span)).collect();
-            }
-            blocked.extend(left);
-        }
-        blocked
+        let spans = self.record.spans.iter();
+        spans.flat_map(|owned| self.not_live(owned)).collect()
+    }
+
+    fn not_live(&self, owned: &OwnedSpan) -> Vec<KeySpan> {
+        let live = self.live.iter().filter(|l| l.owned.owner == owned.owner);
+        live.fold(vec![owned.span], |left, l| without(&left, l.owned.span))
     }
 
     /// Takes in where a server answers.
@@ -133,7 +168,7 @@
         if let Some(state) = self.servers.get_mut(life) {
             state.ended = true;
         }
-        self.live.retain(|l| l.owner != *life);
+        self.live.retain(|l| l.owned.owner != *life);
     }
 
     /// Plans other owners; to be called while nothing is changing.
@@ -155,10 +190,10 @@
             if self.live.is_empty() {
                 return duties;
             }
-            duties.extend(self.renewals(now));
+            duties.extend(self.grants(now));
             return duties;
         }
-        let mut duties = self.renewals(now);
+        let mut duties = self.grants(now);
         duties.extend(self.releases(now));
         duties
     }
@@ -179,26 +214,19 @@
                 });
             }
         }
-        // Only what stays with its owner remains live.
+        // Only what stays with its owner remains live, and is renewed under the new fence at once.
         let kept = self.live.iter().filter_map(|l| {
-            let span = next.span_of(&l.owner)?.meet(l.span)?;
-            Some(OwnedSpan::new(span, l.owner.clone()))
+            let span = next.span_of(&l.owned.owner)?.meet(l.owned.span)?;
+            Some(Live {
+                owned: OwnedSpan::new(span, l.owned.owner.clone()),
+                due: now,
+            })
         });
         self.live = kept.collect();
-        for state in self.servers.values_mut() {
-            state.due = now;
-        }
         self.freed.clear();
         self.record = next;
     }
 
-    /// Takes in that the record was not written and will not be.
-    pub fn not_committed(&mut self) {
-        if !self.live.is_empty() || self.record.fence > 0 {
-            self.writing = None;
-        }
-    }
-
     /// Takes in that a grant is on its way: from now on it may take effect.
     pub fn granting(&mut self, now: Millis, life: &Life) {
         let longest = self.timing.grant_limit + self.timing.longest_hold();
@@ -211,26 +239,20 @@
     /// Takes in how a grant ended.
     pub fn granted(&mut self, now: Millis, life: &Life, span: KeySpan, fence: u64, end: GrantEnd) {
         let hold = self.timing.longest_hold();
-        let renew = self.timing.renew;
-        let current = fence == self.record.fence && self.writing.is_none()
-            || fence == self.record.fence;
+        let again = now + Millis(self.timing.renew.0 / 4);
         let Some(state) = self.servers.get_mut(life) else {
             return;
         };
         state.busy = false;
         match end {
             GrantEnd::Held => {
-                state.confirmed = fence;
-                state.due = now + renew;
                 // A server that took this fence refuses any older grant, so what an earlier leader or
                 // a lost answer left behind no longer counts.
                 state.held_until = now + hold;
-                if current {
-                    self.live.retain(|l| l.owner != *life || l.span.meet(span).is_none());
-                    let held = self.record.span_of(life).and_then(|s| s.meet(span));
-                    if let Some(held) = held {
-                        self.live.push(OwnedSpan::new(held, life.clone()));
-                    }
+                state.confirmed = fence;
+                state.silent = None;
+                if fence == self.record.fence {
+                    self.holds(now, life, span);
                 }
             }
             GrantEnd::FenceOld => self.deposed = true,
@@ -238,11 +260,27 @@
             GrantEnd::Silent => {
                 state.held_until = state.held_until.max(now + hold);
                 state.stray_until = now + hold;
-                state.due = now + Millis(renew.0 / 4);
+                state.retry = again;
+                // Beyond the time that a lost server is left alone, its silence begins anew.
+                let fresh = state.silent.filter(|s| now.since(*s) < LOST_FOR);
+                state.silent = Some(fresh.unwrap_or(now));
             }
         }
     }
 
+    /// Notes that a server holds the keys of its span that were granted.
+    fn holds(&mut self, now: Millis, life: &Life, span: KeySpan) {
+        let Some(span) = self.record.span_of(life).and_then(|s| s.meet(span)) else {
+            return;
+        };
+        let covered = |l: &Live| l.owned.owner == *life && l.owned.span.without(span).is_empty();
+        self.live.retain(|l| !covered(l));
+        self.live.push(Live {
+            owned: OwnedSpan::new(span, life.clone()),
+            due: now + self.timing.renew,
+        });
+    }
+
     /// Takes in that a release is on its way.
     pub fn releasing(&mut self, life: &Life) {
         if let Some(state) = self.servers.get_mut(life) {
@@ -277,8 +315,11 @@
         }
     }
 
-    /// Drops the claims that have run out or whose server's life has ended.
+    /// Drops the claims that have run out or whose server's life has ended, and what owners no longer
+    /// hold for want of a renewal.
     fn settle(&mut self, now: Millis) {
+        let lapse = self.timing.hold - self.timing.renew;
+        self.live.retain(|l| now < l.due + lapse);
         let servers = &self.servers;
         self.claims.retain(|c| {
             let ended = servers.get(&c.owned.owner).is_none_or(|s| s.ended);
@@ -286,64 +327,67 @@
         });
     }
 
-    /// Returns the grants that are due. A piece that was released goes out first, with its token; after
-    /// that the whole part of the span that nobody else may hold is renewed in one call.
-    fn renewals(&self, now: Millis) -> Vec<Duty> {
-        let mut duties = Vec::new();
-        for owned in &self.record.spans {
-            let Some(state) = self.servers.get(&owned.owner) else {
-                continue;
+    /// Returns the grants that are due, at most one for each server.
+    fn grants(&self, now: Millis) -> Vec<Duty> {
+        let spans = self.record.spans.iter();
+        spans.filter_map(|owned| self.grant(now, owned)).collect()
+    }
+
+    /// Returns the next grant for a server: first what it holds and must renew, then what it is to hold
+    /// and nobody else may hold any more.
+    fn grant(&self, now: Millis, owned: &OwnedSpan) -> Option<Duty> {
+        let state = self.servers.get(&owned.owner)?;
+        if state.busy || state.ended || state.addr.port() == 0 || now < state.retry {
+            return None;
+        }
+        let renewed = self.renewal(now, &owned.owner).map(|span| (span, None));
+        let (span, handover) = renewed.or_else(|| self.fresh(owned))?;
+        Some(Duty::Grant {
+            life: owned.owner.clone(),
+            addr: state.addr,
+            span,
+            fence: self.record.fence,
+            handover,
+        })
+    }
+
+    /// Returns the keys that a server must renew: with a piece that is due, all that adjoin it.
+    fn renewal(&self, now: Millis, life: &Life) -> Option<KeySpan> {
+        let mut live: Vec<_> = self
+            .live
+            .iter()
+            .filter(|l| l.owned.owner == *life)
+            .collect();
+        live.sort_by_key(|l| l.owned.span);
+        let mut run: Option<(KeySpan, bool)> = None;
+        for piece in live {
+            let (span, due) = (piece.owned.span, now >= piece.due);
+            run = match run {
+                Some((whole, was)) if u32::from(whole.last) + 1 >= u32::from(span.first) => {
+                    let last = whole.last.max(span.last);
+                    Some((KeySpan { last, ..whole }, was || due))
+                }
+                Some((whole, true)) => return Some(whole),
+                _ => Some((span, due)),
             };
-            if state.busy || state.ended || state.addr.port() == 0 {
-                continue;
-            }
-            if let Some(span) = self.next_piece(now, owned, state) {
-                let token = |f: &Freed| f.span.meet(span) == Some(span);
-                let live = self.live.iter().any(|l| l.span.meet(span).is_some());
-                let freed = self.freed.iter().find(|f| !live && token(f));
-                duties.push(Duty::Grant {
-                    life: owned.owner.clone(),
-                    addr: state.addr,
-                    span,
-                    fence: self.record.fence,
-                    handover: freed.and_then(|f| f.token.clone()),
-                });
-            }
         }
-        duties
+        run.filter(|(_, due)| *due).map(|(span, _)| span)
     }
 
-    /// Returns the keys that a server is to be granted next.
-    fn next_piece(&self, now: Millis, owned: &OwnedSpan, state: &ServerState) -> Option<KeySpan> {
-        let mut free = vec![owned.span];
+    /// Returns keys that a server does not hold yet and that nobody else may hold. What was released
+    /// with a token is granted by itself, so that the token goes along.
+    fn fresh(&self, owned: &OwnedSpan) -> Option<(KeySpan, Option<String>)> {
         let others = self.claims.iter().filter(|c| c.owned.owner != owned.owner);
-        for claim in others {
-            free = free.iter().flat_map(|s| s.without(claim.owned.span)).collect();
-        }
-        let is_live = |s: &KeySpan| {
-            let mut left = vec![*s];
-            for piece in self.live.iter().filter(|l| l.owner == owned.owner) {
-                left = left.iter().flat_map(|s| s.without(piece.span)).collect();
-            }
-            left.is_empty()
-        };
-        let fresh = free.iter().find(|s| !is_live(s));
-        if let Some(span) = fresh {
-            // What was released with a token is granted by itself, so that the token goes along.
-            let live = self.live.iter().filter(|l| l.owner == owned.owner);
-            let left = live.fold(vec![*span], |left, piece| {
-                left.iter().flat_map(|s| s.without(piece.span)).collect()
+        let free = others.fold(self.not_live(owned), |left, c| without(&left, c.owned.span));
+        let passed = self
+            .freed
+            .iter()
+            .filter(|f| f.token.is_some())
+            .find_map(|f| {
+                let span = free.iter().find_map(|s| s.meet(f.span))?;
+                Some((span, f.token.clone()))
             });
-            let tokens = self.freed.iter().filter(|f| f.token.is_some());
-            let piece = tokens.filter_map(|f| left.iter().find_map(|s| s.meet(f.span))).next();
-            let waits = state.confirmed == self.record.fence && now < state.due && piece.is_none();
-            let retry = state.confirmed != self.record.fence && now < state.due;
-            if !retry && !waits {
-                return piece.or(Some(*span));
-            }
-            return piece.filter(|_| !retry).or_else(|| left.first().copied().filter(|_| !retry));
-        }
-        (now >= state.due).then(|| free.iter().max_by_key(|s| s.len()).copied())?
+        passed.or_else(|| free.first().map(|span| (*span, None)))
     }
 
     /// Returns the releases that are due: after the former holder has got what it keeps, under the new
@@ -373,14 +417,20 @@
     }
 }
 
+/// Returns what `cut` leaves of the spans.
+fn without(spans: &[KeySpan], cut: KeySpan) -> Vec<KeySpan> {
+    spans.iter().flat_map(|s| s.without(cut)).collect()
+}
+
 fn new_state(addr: SocketAddr, now: Millis) -> ServerState {
     ServerState {
         addr,
         held_until: Millis::ZERO,
         stray_until: Millis::ZERO,
-        due: now,
+        retry: now,
         busy: false,
         confirmed: 0,
+        silent: None,
         ended: false,
     }
 }
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -97,7 +97,10 @@
                 middle(gap, load)
             }
         };
-        spans.push(OwnedSpan::new(KeySpan { first: next, last }, own.owner.clone()));
+        spans.push(OwnedSpan::new(
+            KeySpan { first: next, last },
+            own.owner.clone(),
+        ));
         next = last.saturating_add(1);
     }
     spans
@@ -155,7 +158,9 @@
 /// Returns the load of the busiest server over the mean, each by its weight.
 fn uneven(spans: &[OwnedSpan], weights: &BTreeMap<&Life, f64>, load: &KeyLoad) -> f64 {
     let all = weight(KeySpan::ALL, load) / weights.values().sum::<f64>();
-    let busy = spans.iter().map(|s| weight(s.span, load) / weights[&s.owner]);
+    let busy = spans
+        .iter()
+        .map(|s| weight(s.span, load) / weights[&s.owner]);
     busy.fold(0.0, f64::max) / all
 }
 
@@ -181,7 +186,9 @@
                     break;
                 }
             }
-            end = end.max(first + 1).min(65_536 - (holders.len() - i - 1) as u32);
+            end = end
+                .max(first + 1)
+                .min(65_536 - (holders.len() - i - 1) as u32);
         }
         let span = KeySpan {
             first: first as u16,
--- a/crates/chicoryrail-ownership/src/keys/record.rs
+++ b/crates/chicoryrail-ownership/src/keys/record.rs
@@ -129,7 +129,10 @@
                 Some(kept) => old.span.without(kept.span),
                 None => vec![old.span],
             };
-            loose.extend(left.into_iter().map(|s| OwnedSpan::new(s, old.owner.clone())));
+            loose.extend(
+                left.into_iter()
+                    .map(|s| OwnedSpan::new(s, old.owner.clone())),
+            );
         }
         Self {
             fence: self.fence + 1,
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -12,12 +12,14 @@
     pub(crate) held_until: Millis,
     /// Until when a grant whose answer was lost may still take effect.
     pub(crate) stray_until: Millis,
-    /// When the next renewal is due.
-    pub(crate) due: Millis,
+    /// When the server may be called again after a call without an answer.
+    pub(crate) retry: Millis,
     /// Whether a call is under way; there is one at a time, so that a renewal can't overtake a release.
     pub(crate) busy: bool,
     /// Fence of the last grant that the server confirmed; 0 for none.
     pub(crate) confirmed: u64,
+    /// Since when it has not answered a grant.
+    pub(crate) silent: Option<Millis>,
     /// Whether the server's life is known to have ended.
     pub(crate) ended: bool,
 }
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -25,6 +25,7 @@
 mod balance;
 mod gate_routes;
 mod holder;
+pub mod keys;
 mod members;
 mod order_window;
 mod placement;
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`ServerQueue`]: it admits, orders, sends and refuses. A [`Picker`] chooses between the gate's
 //! own queue and the queues of other gates, a [`Hedge`] decides when a late lookup is tried a
 //! second time, and a [`RetryBudget`] whether a request that did not run may be sent again.
+//! [`SharedServers`] picks among servers that many hosts send to without asking each other.
 //! Nothing here opens a socket or reads a clock, so a test steps through any load in no time.
 //!
 //! # Example
@@ -53,6 +54,7 @@
 mod server_queue;
 mod servers;
 mod service_times;
+mod shared;
 
 pub use action::Action;
 pub use ask::Ask;
@@ -74,3 +76,11 @@
 pub use refusal::Refusal;
 pub use retry_budget::RetryBudget;
 pub use server_queue::ServerQueue;
+pub use shared::ColdPace;
+pub use shared::Failure;
+pub use shared::LoadReport;
+pub use shared::RetryBound;
+pub use shared::SharedRetries;
+pub use shared::SharedServers;
+pub use shared::WeightedTurn;
+pub use shared::return_time;
--- /dev/null
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -0,0 +1,137 @@
+//! Which host leads.
+
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_platform::OWN_PREFIX;
+use chicoryrail_platform::StoreError;
+use chicoryrail_platform::Txn;
+use rand::Rng;
+
+use crate::control::follow::note;
+use crate::control::keep_keys;
+use crate::control::tenure::Tenure;
+use crate::state::Router;
+
+/// Name of the leader's key, below the system's own prefix.
+const LEADER: &str = "leader";
+
+/// Lease of the leader's key. A leader that is lost is replaced after it; shorter than the hold of keys
+/// by more than an election takes.
+const LEASE: Millis = Millis(1_000);
+const RENEW: Millis = Millis(300);
+
+/// Time over which hosts spread their attempts to lead, so that mostly one of them calls.
+const SPREAD: Millis = Millis(60);
+
+/// Pause between two looks whether there is a leader.
+const LOOK: Millis = Millis(100);
+
+/// Leads whenever nobody else does.
+pub(crate) async fn elect(router: Rc<Router>, tenure: Rc<Tenure>) {
+    loop {
+        router.process.clock.sleep(LOOK).await;
+        if router.process.stop.is_cancelled() {
+            return;
+        }
+        let known = router.view.borrow().revision > 0 && router.store_up.get();
+        if !known || router.view.borrow().own(LEADER).is_some() {
+            continue;
+        }
+        let wait = Millis(rand::rng().random_range(0..SPREAD.0));
+        router.process.clock.sleep(wait).await;
+        if router.view.borrow().own(LEADER).is_some() {
+            continue;
+        }
+        match campaign(&router).await {
+            Ok(Some((term, lease, ttl))) => lead(&router, &tenure, term, lease, ttl).await,
+            Ok(None) => router.process.clock.sleep(LOOK).await,
+            Err(e) => {
+                note(&router, "campaign", Some(&e));
+                router.process.clock.sleep(LOOK.times(3)).await;
+            }
+        }
+    }
+}
+
+fn key() -> String {
+    format!("{OWN_PREFIX}{LEADER}")
+}
+
+/// Tries to become the leader; returns the term, the lease and its length.
+async fn campaign(router: &Router) -> Result<Option<(u64, u64, Millis)>, StoreError> {
+    let ttl = LEASE.max(router.boot.store.least_lease);
+    let lease = router.store.open_lease(ttl).await?;
+    let name = router.boot.host.as_str().as_bytes();
+    let txn = Txn::default()
+        .expect(&key(), 0)
+        .put_leased(&key(), name, lease.id);
+    match router.store.commit(&txn).await {
+        Ok(term) => Ok(Some((term, lease.id, lease.ttl))),
+        Err(StoreError::Conflict { .. }) => {
+            end(router, lease.id).await;
+            Ok(None)
+        }
+        // It may have been done: the lease is left to run out, so nobody leads until then.
+        Err(e) => Err(e),
+    }
+}
+
+async fn end(router: &Router, lease: u64) {
+    let ended = router.store.end_lease(lease).await;
+    note(router, "end_lease", ended.as_ref().err());
+}
+
+/// Leads until the lease is lost, another leader is heard of, or the process is to stop.
+async fn lead(router: &Rc<Router>, tenure: &Rc<Tenure>, term: u64, lease: u64, ttl: Millis) {
+    log::info!(term = term, lease = lease; "leader_won");
+    tenure.term.set(term);
+    tenure.ttl.set(ttl);
+    tenure.confirmed.set(router.now());
+    router.leads.set(term);
+    router.counters.leading.set(1);
+    let host = router.boot.host.clone();
+    router.peers.borrow_mut().term(term, Some(&host));
+    tenure.news.notify();
+    monoio::spawn(keep_keys::keep(
+        Rc::clone(router),
+        Rc::clone(tenure),
+        term,
+        key(),
+    ));
+    let why = hold(router, tenure, term, lease).await;
+    tenure.term.set(0);
+    tenure.words.borrow_mut().clear();
+    router.leads.set(0);
+    router.counters.leading.set(0);
+    log::info!(term = term, why = why; "leader_lost");
+    if why == "stop" {
+        end(router, lease).await;
+    }
+}
+
+async fn hold(router: &Router, tenure: &Tenure, term: u64, lease: u64) -> &'static str {
+    loop {
+        let sent = router.now();
+        let kept = router.store.keep_lease(lease).await;
+        note(router, "keep_lease", kept.as_ref().err());
+        match kept {
+            Ok(()) => tenure.confirmed.set(sent),
+            Err(StoreError::LeaseGone) => return "lease_gone",
+            Err(_) => {}
+        }
+        let end = router.now() + RENEW;
+        while router.now() < end {
+            if router.process.stop.is_cancelled() {
+                return "stop";
+            }
+            if router.peers.borrow().highest_term() > term {
+                return "successor";
+            }
+            if tenure.term.get() != term {
+                return "deposed";
+            }
+            router.process.clock.sleep(Millis(50)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -0,0 +1,107 @@
+//! Follows the store.
+
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_platform::KvStore;
+use chicoryrail_platform::Snapshot;
+use chicoryrail_platform::StoreError;
+use rand::Rng;
+
+use crate::state::Router;
+
+/// Longest wait of one watch. Its connection is probed by the system, so a longer wait costs nothing but
+/// saves calls.
+const WATCH: Millis = Millis(25_000);
+
+/// Pause after a watch that told something. Changes come in groups, and each answered watch of each host
+/// is a call; what a change may take is counted in seconds.
+const PAUSE: Millis = Millis(30);
+
+/// Pause after a call that failed, at first and at most.
+const BACK_OFF: Millis = Millis(100);
+const BACK_OFF_MOST: Millis = Millis(800);
+
+/// Follows everything in the store: configuration, servers, and the system's own keys.
+pub(crate) async fn follow(router: Rc<Router>) {
+    let mut pause = BACK_OFF;
+    loop {
+        match follow_once(&router, &mut pause).await {
+            StoreError::HistoryGone { after } => {
+                log::info!(after = after; "history_gone");
+            }
+            error => {
+                note(&router, "watch", Some(&error));
+                let jitter = rand::rng().random_range(0..=pause.0 / 4);
+                router.process.clock.sleep(pause + Millis(jitter)).await;
+                pause = pause.times(2).min(BACK_OFF_MOST);
+            }
+        }
+    }
+}
+
+/// Reads everything and watches from there, until a call fails.
+async fn follow_once(router: &Router, pause: &mut Millis) -> StoreError {
+    let store = &router.store;
+    let all = match read_all(store).await {
+        Ok(all) => all,
+        Err(e) => return e,
+    };
+    note(router, "snapshot", None);
+    *pause = BACK_OFF;
+    let told = router.view.borrow_mut().replace(router.now(), &all);
+    router.believe(&told);
+    loop {
+        let after = router.view.borrow().revision;
+        let changes = match store.changes("", after, WATCH).await {
+            Ok(changes) => changes,
+            // The history is still there if the outage was short; the watch goes on from where it was.
+            Err(e) if e.is_outage() => {
+                note(router, "watch", Some(&e));
+                router.process.clock.sleep(*pause).await;
+                *pause = pause.times(2).min(BACK_OFF_MOST);
+                continue;
+            }
+            Err(e) => return e,
+        };
+        note(router, "watch", None);
+        *pause = BACK_OFF;
+        let now = router.now();
+        let told: Vec<_> = {
+            let mut view = router.view.borrow_mut();
+            view.revision = view.revision.max(changes.revision);
+            let changes = changes.changes.iter();
+            changes.filter_map(|c| view.apply(now, c)).collect()
+        };
+        let quiet = told.is_empty();
+        router.believe(&told);
+        if !quiet {
+            router.process.clock.sleep(PAUSE).await;
+        }
+    }
+}
+
+async fn read_all(store: &KvStore) -> Result<Snapshot, StoreError> {
+    store.snapshot("").await
+}
+
+/// Notes whether the store answered a call, and logs when that changes.
+pub(crate) fn note(router: &Router, call: &str, error: Option<&StoreError>) {
+    let down = error.is_some_and(StoreError::is_outage);
+    let result = if down { "outage" } else { "answered" };
+    router
+        .counters
+        .store
+        .with_label_values(&[call, result])
+        .inc();
+    if router.store_up.get() != down {
+        return;
+    }
+    router.store_up.set(!down);
+    if let Some(e) = error.filter(|_| down) {
+        log::warn!(call = call, error:% = e; "store_lost");
+    } else {
+        router.view.borrow_mut().store_back(router.now());
+        log::info!(call = call; "store_back");
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/control/presence.rs
@@ -0,0 +1,67 @@
+//! Tells the other hosts, through the store, that this one exists.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use chicoryrail_core::HostName;
+use chicoryrail_core::Millis;
+use chicoryrail_platform::OWN_PREFIX;
+use chicoryrail_platform::StoreError;
+use chicoryrail_platform::Txn;
+
+use crate::control::follow::note;
+use crate::state::Router;
+
+/// Start of the keys of hosts, below the system's own prefix.
+const HOSTS: &str = "hosts/";
+
+/// Lease of a host's key. A host that is gone is only one more address to send datagrams to, so the lease
+/// is long and its renewals are few.
+const LEASE: Millis = Millis(10_000);
+const RENEW: Millis = Millis(3_000);
+
+/// Pause after a call that failed.
+const AGAIN: Millis = Millis(500);
+
+/// Keeps this host's key in the store, with the address of its talk with the others.
+pub(crate) async fn be_present(router: Rc<Router>, addr: SocketAddr) {
+    let mut lease = None;
+    loop {
+        let result = match lease {
+            None => register(&router, addr).await.map(|id| lease = Some(id)),
+            Some(id) => router.store.keep_lease(id).await,
+        };
+        note(&router, "presence", result.as_ref().err());
+        let pause = match result {
+            Ok(()) => RENEW,
+            Err(StoreError::LeaseGone) => {
+                log::warn!("presence_lapsed");
+                lease = None;
+                Millis::ZERO
+            }
+            Err(_) => AGAIN,
+        };
+        router.process.clock.sleep(pause).await;
+        read(&router);
+    }
+}
+
+async fn register(router: &Router, addr: SocketAddr) -> Result<u64, StoreError> {
+    let lease = router.store.open_lease(LEASE).await?;
+    let key = format!("{OWN_PREFIX}{HOSTS}{}", router.boot.host);
+    let txn = Txn::default().put_leased(&key, addr.to_string().as_bytes(), lease.id);
+    router.store.commit(&txn).await?;
+    log::info!(addr:% = addr, lease = lease.id; "present");
+    Ok(lease.id)
+}
+
+/// Brings the list of other hosts in line with the store.
+pub(crate) fn read(router: &Router) {
+    let view = router.view.borrow();
+    let hosts = view.own_below(HOSTS).filter_map(|(key, item)| {
+        let name = HostName::new(key.strip_prefix(HOSTS)?);
+        let addr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
+        (name != router.boot.host).then_some((name, addr))
+    });
+    router.peers.borrow_mut().set(hosts.collect());
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/control/tenure.rs
@@ -0,0 +1,76 @@
+//! What this host may do as the leader.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use chicoryrail_core::Millis;
+use chicoryrail_core::ServiceName;
+use chicoryrail_ownership::keys::KeyLoad;
+use chicoryrail_ownership::keys::KeyRecord;
+use chicoryrail_ownership::keys::KeySpan;
+use chicoryrail_runtime::Signal;
+
+use crate::state::Router;
+
+/// Part of the lease, in percent, after which an unconfirmed leader no longer counts on it.
+const LEASE_PART: u64 = 80;
+
+/// Age of the other hosts' last word up to which a leader without the store counts on them: three of their
+/// datagrams. A successor waits for this and a renewal in flight before it moves keys of a server that it
+/// can't reach.
+const WORD_AGE: Millis = Millis(1_300);
+
+/// What this host knows as the leader, and how long it may act as one.
+#[derive(Debug, Default)]
+pub(crate) struct Tenure {
+    /// Term; 0 while this host does not lead.
+    pub(crate) term: Cell<u64>,
+    /// When the last confirmed renewal of the lease was sent.
+    pub(crate) confirmed: Cell<Millis>,
+    pub(crate) ttl: Cell<Millis>,
+    /// Records with the keys that are not granted yet.
+    pub(crate) words: RefCell<BTreeMap<ServiceName, (KeyRecord, Vec<KeySpan>)>>,
+    /// Notified when the words change.
+    pub(crate) news: Signal,
+    loads: RefCell<BTreeMap<ServiceName, KeyLoad>>,
+}
+
+impl Tenure {
+    /// Takes in keys that callers asked for.
+    pub(crate) fn asked(&self, service: &ServiceName, keys: &[u16]) {
+        let mut loads = self.loads.borrow_mut();
+        let load = loads.entry(service.clone()).or_default();
+        for key in keys {
+            load.seen(*key);
+        }
+    }
+
+    /// Calls `f` with the load of a service's keys.
+    pub(crate) fn with_load<T>(
+        &self,
+        now: Millis,
+        service: &ServiceName,
+        f: impl FnOnce(&KeyLoad) -> T,
+    ) -> T {
+        let mut loads = self.loads.borrow_mut();
+        let load = loads.entry(service.clone()).or_default();
+        load.age(now);
+        f(load)
+    }
+
+    /// Tells whether this host may give a server an order as the leader.
+    ///
+    /// With a lease that was confirmed a moment ago nobody else can lead. Without the store, a leader goes
+    /// on only while it hears most of the hosts and none of them knows of a later one: a successor tells
+    /// all of them before it moves anything. A host that slept finds both grown old when it wakes.
+    pub(crate) fn may_act(&self, router: &Router) -> bool {
+        let now = router.now();
+        let peers = router.peers.borrow();
+        if self.term.get() == 0 || peers.highest_term() > self.term.get() {
+            return false;
+        }
+        let lease = Millis(self.ttl.get().0 * LEASE_PART / 100);
+        now.since(self.confirmed.get()) < lease || peers.hears_most(now, WORD_AGE)
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/log_line.rs
@@ -0,0 +1,59 @@
+//! The one format of log lines.
+//!
+//! `log=KIND t=SECONDS level=LEVEL host=NAME key=value ...`; values with spaces are quoted. The keys stand in
+//! `docs/OPERATIONS.md`.
+
+use std::fmt::Write as _;
+use std::io;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use chicoryrail_core::HostName;
+use chicoryrail_runtime::LogSink;
+use log::kv;
+
+/// Sends all log lines of the process to a sink, at the level of `CHICORYRAIL_LOG` (default `info`).
+pub(crate) fn init(host: &HostName, sink: &LogSink) {
+    let env = env_logger::Env::new().filter_or("CHICORYRAIL_LOG", "info");
+    let (host, sink) = (host.clone(), sink.clone());
+    let started = env_logger::Builder::from_env(env)
+        .format(move |_, record| {
+            sink.line(line(&host, record).as_bytes());
+            Ok(())
+        })
+        .target(env_logger::Target::Pipe(Box::new(io::sink())))
+        .try_init();
+    if started.is_err() {
+        log::warn!("another logger was set before");
+    }
+}
+
+fn line(host: &HostName, record: &log::Record<'_>) -> String {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    let time = time.map_or(0.0, |d| d.as_secs_f64());
+    let mut text = format!(
+        "log={} t={time:.3} level={} host={host}",
+        record.args(),
+        record.level().as_str().to_ascii_lowercase()
+    );
+    let mut pairs = Pairs(&mut text);
+    // Writing to a string does not fail.
+    let _ = record.key_values().visit(&mut pairs);
+    text.push('\n');
+    text
+}
+
+struct Pairs<'a>(&'a mut String);
+
+impl<'kvs> kv::VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let value = value.to_string();
+        let plain = !value.is_empty() && !value.contains([' ', '"', '\n']);
+        let _ = if plain {
+            write!(self.0, " {key}={value}")
+        } else {
+            write!(self.0, " {key}={value:?}")
+        };
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/main.rs
@@ -0,0 +1,7 @@
+//! The one process of an entry host.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chicoryrail_router::run_from_args()
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/route/call.rs
@@ -0,0 +1,123 @@
+//! A caller's request as this host understands it.
+
+use std::sync::Arc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_core::Repeat;
+use chicoryrail_core::Route;
+use chicoryrail_core::ServiceName;
+use chicoryrail_core::ServiceSpec;
+use chicoryrail_core::Site;
+use chicoryrail_platform::call_header;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+use http::header::HOST;
+use http::request::Parts;
+
+use crate::route::refusal::Cause;
+use crate::state::Router;
+
+/// Shortest time that is left to a server; a request that has less is not worth sending.
+pub(crate) const LEAST_LEFT: Millis = Millis(5);
+
+/// A caller's request.
+#[derive(Debug)]
+pub(crate) struct Call {
+    /// Id that the caller gave, for logs; `-` where it gave none.
+    pub(crate) id: String,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    /// Headers that go on to the server.
+    pub(crate) headers: HeaderMap,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceSpec,
+    pub(crate) version: u64,
+    /// Key, where the service is keyed.
+    pub(crate) key: Option<u16>,
+    pub(crate) arrived: Millis,
+    /// When the caller, or the route's timeout, gives up.
+    pub(crate) deadline: Millis,
+}
+
+impl Call {
+    /// Reads a request's head.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be served.
+    pub(crate) fn read(router: &Router, head: Parts) -> Result<Self, Cause> {
+        let arrived = router.now();
+        let site = router.site().ok_or(Cause::NoConfig)?;
+        let route = find_route(&site, &head).ok_or(Cause::NoRoute)?;
+        let service = pick_service(router, &site, &route);
+        let headers = chicoryrail_runtime::end_to_end(head.headers);
+        let key = if service.keyed {
+            let text = headers.get(call_header::KEY).ok_or(Cause::NoKey)?;
+            let key = text.to_str().ok().and_then(|t| t.parse().ok());
+            Some(key.ok_or(Cause::NoKey)?)
+        } else {
+            None
+        };
+        let left = call_header::text(&headers, &call_header::TIME_LEFT)
+            .and_then(|t| t.parse::<f64>().ok());
+        let left = left.map_or(route.timeout, |ms| Millis(ms.max(0.0) as u64));
+        Ok(Self {
+            id: call_header::text(&headers, &call_header::REQUEST_ID)
+                .unwrap_or("-")
+                .to_owned(),
+            method: head.method,
+            uri: head.uri,
+            version: site.version,
+            key,
+            arrived,
+            deadline: arrived + left.min(route.timeout),
+            service,
+            headers,
+            route,
+        })
+    }
+
+    /// Returns the time left.
+    pub(crate) fn left(&self, now: Millis) -> Millis {
+        self.deadline.since(now)
+    }
+
+    /// Tells whether the request may run more than once.
+    pub(crate) fn repeats(&self) -> bool {
+        self.route.repeat == Repeat::Any
+    }
+
+    /// Returns the name of the service.
+    pub(crate) fn service_name(&self) -> &ServiceName {
+        &self.service.name
+    }
+}
+
+fn find_route(site: &Site, head: &Parts) -> Option<Arc<Route>> {
+    let named = head.headers.get(HOST).and_then(|h| h.to_str().ok());
+    let named = named.or_else(|| head.uri.host())?;
+    let host = named.rsplit_once(':').map_or(named, |(host, _)| host);
+    let route = site.route(&host.to_ascii_lowercase(), head.uri.path());
+    route.cloned()
+}
+
+/// Picks the route's part whose turn it is. The decoder admits only routes whose services are configured.
+fn pick_service(router: &Router, site: &Site, route: &Route) -> ServiceSpec {
+    let at = if route.parts.len() > 1 {
+        let weights: Vec<u32> = route.parts.iter().map(|p| p.weight).collect();
+        router.turn(&route.name, &weights)
+    } else {
+        0
+    };
+    let name = &route.parts[at].service;
+    let spec = site.service(name).cloned();
+    spec.unwrap_or_else(|| ServiceSpec {
+        name: name.clone(),
+        health: String::new(),
+        connections: u32::MAX,
+        cold: Millis::ZERO,
+        cold_rate: 0.0,
+        keyed: false,
+    })
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -0,0 +1,167 @@
+//! Serves callers.
+
+use std::io;
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_core::Repeat;
+use chicoryrail_core::ResultCode;
+use chicoryrail_platform::call_header;
+use chicoryrail_runtime::Body;
+use chicoryrail_runtime::RequestBody;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::CONNECTION;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::route::attempts;
+use crate::route::call::Call;
+use crate::route::refusal::Cause;
+use crate::route::refusal::Refusal;
+use crate::state::Router;
+
+/// Answers a caller's request.
+pub(crate) async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<Body> {
+    let _serving = Serving::new(&router);
+    let (head, body) = request.into_parts();
+    let id = head.headers.get(call_header::REQUEST_ID).cloned();
+    let mut answer = match Call::read(&router, head) {
+        Ok(call) => run(&router, call, body).await,
+        Err(cause) => unread(&router, id.as_ref(), cause),
+    };
+    if let Some(id) = id {
+        answer.headers_mut().insert(call_header::REQUEST_ID, id);
+    }
+    if router.process.stop.is_cancelled() {
+        // The caller goes elsewhere with its next request. Were its idle connection closed instead, the
+        // next request could cross the close on its way.
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
+}
+
+async fn run(router: &Rc<Router>, call: Call, body: Incoming) -> Response<Body> {
+    let limit = router.site().map_or(u64::MAX, |s| s.limits.body);
+    let body = body.map_err(io::Error::other).boxed_unsync();
+    let body = RequestBody::new(Box::pin(body), limit);
+    let call = Rc::new(call);
+    let result = match call.route.repeat {
+        Repeat::Any => answer(router, &call, &body).await,
+        // A request that may run once is not broken off when its caller leaves: what its server has
+        // begun is to end whole. The task goes on when this one is dropped.
+        Repeat::Once => {
+            let (router, call) = (Rc::clone(router), Rc::clone(&call));
+            let task = monoio::spawn(async move { answer(&router, &call, &body).await });
+            task.await
+        }
+    };
+    finish(router, &call, result)
+}
+
+async fn answer(
+    router: &Rc<Router>,
+    call: &Call,
+    body: &Rc<RequestBody>,
+) -> Result<Response<Body>, Refusal> {
+    let left = call.left(router.now());
+    body.prefetch(left).await.map_err(|code| match code {
+        ResultCode::BodyTooLarge => Cause::TooLarge,
+        ResultCode::SlowSender => Cause::SlowBody,
+        _ => Cause::BadBody,
+    })?;
+    attempts::run(router, call, body).await
+}
+
+/// Counts and logs a request's end.
+fn finish(router: &Router, call: &Call, result: Result<Response<Body>, Refusal>) -> Response<Body> {
+    let took = router.now().since(call.arrived);
+    let seconds = took.0 as f64 / 1_000.0;
+    match call.route.repeat {
+        Repeat::Any => router.counters.took_any.observe(seconds),
+        Repeat::Once => router.counters.took_once.observe(seconds),
+    }
+    let service = call.service_name().as_str();
+    let (outcome, answer) = match result {
+        Ok(answer) => {
+            let outcome = outcome(&answer, took, call.route.aim);
+            if sampled(router, call) || outcome != "in_time" {
+                log::info!(request = call.id, route = call.route.name, service = service,
+                    status = answer.status().as_u16(), took_ms = took.0, config = call.version;
+                    "request_{outcome}");
+            }
+            (outcome, answer)
+        }
+        Err(refusal) => {
+            let cause = refusal.cause.name();
+            router
+                .counters
+                .refusals
+                .with_label_values(&[service, cause])
+                .inc();
+            log::info!(request = call.id, route = call.route.name, service = service,
+                status = refusal.cause.status().as_u16(), cause = cause, took_ms = took.0,
+                retry_after_ms:? = refusal.after.map(|m| m.0), left_ms = call.left(router.now()).0,
+                key:? = call.key, config = call.version;
+                "request_refused");
+            ("refused", refusal.answer())
+        }
+    };
+    router
+        .counters
+        .requests
+        .with_label_values(&[service, outcome])
+        .inc();
+    answer
+}
+
+fn outcome(answer: &Response<Body>, took: Millis, aim: Millis) -> &'static str {
+    if !answer.status().is_success() {
+        "failed"
+    } else if took > aim {
+        "late"
+    } else {
+        "in_time"
+    }
+}
+
+/// Tells whether an ordinary request is one of the share that is logged.
+fn sampled(router: &Router, call: &Call) -> bool {
+    let share = router.options.log_ordinary;
+    let sum = call
+        .id
+        .bytes()
+        .fold(0_u32, |h, b| h.wrapping_mul(31).wrapping_add(b.into()));
+    share > 0 && sum % share == 0
+}
+
+fn unread(router: &Router, id: Option<&HeaderValue>, cause: Cause) -> Response<Body> {
+    let id = id.and_then(|v| v.to_str().ok()).unwrap_or("-");
+    let version = router.site().map_or(0, |s| s.version);
+    log::info!(request = id, cause = cause.name(), status = cause.status().as_u16(),
+        config = version; "request_refused");
+    let labels = ["-", cause.name()];
+    router.counters.refusals.with_label_values(&labels).inc();
+    let after = (cause == Cause::NoConfig).then_some(Millis(300));
+    Refusal { cause, after }.answer()
+}
+
+/// Counts a request being served until it is dropped.
+struct Serving(Rc<Router>);
+
+impl Serving {
+    fn new(router: &Rc<Router>) -> Self {
+        router.serving.set(router.serving.get() + 1);
+        router.counters.serving.inc();
+        Self(Rc::clone(router))
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.0.serving.set(self.0.serving.get() - 1);
+        self.0.counters.serving.dec();
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -0,0 +1,12 @@
+//! The way of a request: read, choose a server, send, answer.
+
+mod answer;
+mod attempts;
+mod call;
+mod caller;
+mod choose;
+mod flight;
+mod refusal;
+mod send;
+
+pub(crate) use caller::serve;
--- /dev/null
+++ b/crates/chicoryrail-router/src/run.rs
@@ -0,0 +1,243 @@
+//! Start, upkeep and stop of the process.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use bpaf::ParseFailure;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ResultCode;
+use chicoryrail_platform::Boot;
+use chicoryrail_runtime::CancellationToken;
+use chicoryrail_runtime::HttpLimits;
+use chicoryrail_runtime::LogSink;
+use chicoryrail_runtime::SettingError;
+use chicoryrail_runtime::bind;
+use chicoryrail_runtime::block_on;
+use chicoryrail_runtime::error_answer;
+use chicoryrail_runtime::exit_with;
+use chicoryrail_runtime::full;
+use chicoryrail_runtime::serve_http;
+use chicoryrail_runtime::serve_http_shared;
+use chicoryrail_runtime::stop_on_signal;
+use http::Response;
+use snafu::ResultExt;
+use snafu::Snafu;
+
+use crate::Options;
+use crate::control::Gossip;
+use crate::control::Tenure;
+use crate::control::be_present;
+use crate::control::elect;
+use crate::control::follow;
+use crate::log_line;
+use crate::options::options;
+use crate::route;
+use crate::state::Router;
+
+/// Time between two rounds of upkeep.
+const UPKEEP: Millis = Millis(100);
+
+/// A round that comes this much later than planned was held up by a pause of the process.
+const PAUSE_NOTICED: Millis = Millis(300);
+
+/// Time from the stop signal until the listener closes: the balancer asks once a second and takes a host
+/// out after two misses, so after it no new caller is sent here.
+const TURN_OUT: Millis = Millis(2_600);
+
+/// Time before the kill at which the process ends by itself.
+const SPARE: Millis = Millis(400);
+
+/// Why the process could not run.
+#[derive(Debug, Snafu)]
+pub enum RunError {
+    /// A listener can't be opened.
+    #[snafu(display("{source}"))]
+    Listen {
+        /// The setting and the system's error.
+        source: SettingError,
+    },
+    /// The socket between hosts can't be opened.
+    #[snafu(display("{addr}: {source}"))]
+    Socket {
+        /// Its address.
+        addr: SocketAddr,
+        /// The system's error.
+        source: std::io::Error,
+    },
+    /// The boot file has no address for callers, or none for the balancer.
+    #[snafu(display("the boot file has no address for {what}"))]
+    NoAddress {
+        /// What is missing.
+        what: &'static str,
+    },
+}
+
+/// Reads the settings, serves until a stop signal and returns the exit code.
+#[must_use]
+pub fn run_from_args() -> ExitCode {
+    let options = match options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => options,
+        Err(ParseFailure::Stderr(text)) => {
+            let text = text.monochrome(true);
+            return exit_with(ResultCode::SettingInvalid, text.trim_end());
+        }
+        Err(failure) => {
+            failure.print_message(100);
+            return ExitCode::SUCCESS;
+        }
+    };
+    let boot = match Boot::read() {
+        Ok(boot) => boot,
+        Err(e) => return exit_with(ResultCode::SettingInvalid, &e.to_string()),
+    };
+    if options.check {
+        println!("{boot:#?}\n{options:#?}");
+        return ExitCode::SUCCESS;
+    }
+    let sink = LogSink::new(options.log_lines);
+    log_line::init(&boot.host, &sink);
+    let result = block_on(run(boot, options, sink.clone()));
+    if let Err(e) = &result {
+        log::error!(error:% = e; "start_failed");
+    }
+    sink.flush();
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => exit_with(ResultCode::SettingInvalid, &e.to_string()),
+    }
+}
+
+/// Serves until the process gets SIGTERM or SIGINT, and then stops without cutting a request.
+///
+/// # Errors
+///
+/// Returns a [`RunError`] where a listener or socket can't be opened.
+pub async fn run(boot: Boot, options: Options, sink: LogSink) -> Result<(), RunError> {
+    let callers = boot
+        .callers
+        .ok_or(RunError::NoAddress { what: "callers" })?;
+    let readiness = boot
+        .readiness
+        .ok_or(RunError::NoAddress { what: "readiness" })?;
+    let talk = SocketAddr::new(boot.ip, *boot.ports.start());
+    let metrics = options
+        .metrics_port
+        .map(|port| SocketAddr::new(boot.ip, port));
+    log::info!(host:% = boot.host, dc:% = boot.dc, callers:% = callers,
+        store:% = boot.store.addr, pid = std::process::id(); "start");
+    let router = Router::new(boot, options);
+    let stop = router.process.stop.clone();
+    if let Err(e) = stop_on_signal(stop.clone()) {
+        log::error!(error:% = e; "signals_not_caught");
+    }
+    monoio::spawn(keep_up(Rc::clone(&router), sink));
+    let ends = CancellationToken::new();
+    open_observe(&router, "readiness", readiness, &ends)?;
+    if let Some(addr) = metrics {
+        open_observe(&router, "metrics-port", addr, &ends)?;
+    }
+    let tenure = Rc::new(Tenure::default());
+    let gossip = Gossip::bind(&router, talk, &tenure).context(SocketSnafu { addr: talk })?;
+    monoio::spawn(follow(Rc::clone(&router)));
+    monoio::spawn(be_present(Rc::clone(&router), talk));
+    monoio::spawn(Rc::clone(&gossip).listen());
+    monoio::spawn(gossip.tell());
+    let elected = monoio::spawn(elect(Rc::clone(&router), tenure));
+    let listener = bind("callers", callers).context(ListenSnafu)?;
+    let callers_stop = CancellationToken::new();
+    let serving = Rc::clone(&router);
+    let served = monoio::spawn(serve_http_shared(
+        listener,
+        Rc::clone(&router.limits),
+        callers_stop.clone(),
+        move |request, _| route::serve(Rc::clone(&serving), request),
+    ));
+    stop.cancelled().await;
+    wind_down(&router, &callers_stop).await;
+    let _ = monoio::time::timeout(Millis(200).duration(), elected).await;
+    drop(served);
+    ends.cancel();
+    log::info!(serving = router.serving.get(); "stop");
+    Ok(())
+}
+
+/// Lets the balancer turn callers away, then ends their connections and waits for their requests.
+async fn wind_down(router: &Router, callers: &CancellationToken) {
+    let clock = router.process.clock;
+    let grace = router.boot.bounds.grace;
+    let end = router.now() + grace - SPARE;
+    log::info!(serving = router.serving.get(), grace_ms = grace.0; "stopping");
+    clock.sleep(TURN_OUT.min(Millis(grace.0 / 2))).await;
+    callers.cancel();
+    // A connection that the system has taken in may still carry its first request.
+    clock.sleep(Millis(300)).await;
+    while router.serving.get() > 0 && router.now() < end {
+        clock.sleep(Millis(10)).await;
+    }
+    // The last answers leave the process.
+    clock.sleep(Millis(50)).await;
+}
+
+/// Serves readiness, metrics and events.
+fn open_observe(
+    router: &Rc<Router>,
+    flag: &'static str,
+    addr: SocketAddr,
+    stop: &CancellationToken,
+) -> Result<(), RunError> {
+    let listener = bind(flag, addr).context(ListenSnafu)?;
+    let router = Rc::clone(router);
+    let answer = move |request: http::Request<hyper::body::Incoming>, _| {
+        let answer = if request.uri().path() == "/-/readyz" {
+            let mut answer = Response::new(full(""));
+            if !router.process.is_ready() {
+                *answer.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+            }
+            answer
+        } else {
+            let found = router.process.observe(&request);
+            found.unwrap_or_else(|| error_answer(ResultCode::UnknownService, ""))
+        };
+        async move { answer }
+    };
+    monoio::spawn(serve_http(
+        listener,
+        HttpLimits::default(),
+        stop.clone(),
+        answer,
+    ));
+    Ok(())
+}
+
+/// Looks after readiness, the log, pauses, and entries whose time to come back is over.
+async fn keep_up(router: Rc<Router>, sink: LogSink) {
+    let mut last = router.now();
+    loop {
+        router.process.clock.sleep(UPKEEP).await;
+        let now = router.now();
+        let late = now.since(last + UPKEEP);
+        if late > PAUSE_NOTICED {
+            log::warn!(late_ms = late.0; "paused");
+        }
+        last = now;
+        router.believe(&[]);
+        let ready = is_able(&router);
+        if ready != router.process.is_ready() && !router.process.stop.is_cancelled() {
+            log::info!(ready = ready; "readiness");
+            router.process.set_ready(ready);
+        }
+        sink.flush();
+    }
+}
+
+/// Tells whether callers are served here: a configuration is known, and a server of some service.
+fn is_able(router: &Router) -> bool {
+    let now = router.now();
+    let known = router.site().is_some();
+    known
+        && router
+            .services()
+            .iter()
+            .any(|s| !s.open_targets(now).is_empty())
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -0,0 +1,82 @@
+//! Metrics of the process.
+
+use chicoryrail_runtime::Metrics;
+use prometheus::Histogram;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+
+/// Metrics of the process.
+#[derive(Debug)]
+pub(crate) struct Counters {
+    /// Ended requests by service and outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Own refusals by service and cause.
+    pub(crate) refusals: IntCounterVec,
+    /// Sends to servers by service and how they ended.
+    pub(crate) sends: IntCounterVec,
+    /// Calls to the store by kind and result.
+    pub(crate) store: IntCounterVec,
+    /// Calls that grant or release keys by kind and result.
+    pub(crate) key_calls: IntCounterVec,
+    /// Entries that can't be read.
+    pub(crate) bad_entries: IntCounter,
+    /// Time from a request's arrival to its answer, idempotent ones.
+    pub(crate) took_any: Histogram,
+    /// Time from a request's arrival to its answer, those that may run once.
+    pub(crate) took_once: Histogram,
+    /// Requests being served.
+    pub(crate) serving: IntGauge,
+    /// Version of the configuration in force.
+    pub(crate) config: IntGauge,
+    /// Whether this host leads.
+    pub(crate) leading: IntGauge,
+}
+
+impl Counters {
+    /// Registers the metrics.
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        Self {
+            requests: metrics.counters(
+                "requests_total",
+                "Requests that ended, by service and outcome",
+                &["service", "outcome"],
+            ),
+            refusals: metrics.counters(
+                "refusals_total",
+                "Requests that were refused here, by service and cause",
+                &["service", "cause"],
+            ),
+            sends: metrics.counters(
+                "sends_total",
+                "Sends to servers, by service and how they ended",
+                &["service", "end"],
+            ),
+            store: metrics.counters(
+                "store_calls_total",
+                "Calls to the store, by kind and result",
+                &["call", "result"],
+            ),
+            key_calls: metrics.counters(
+                "key_calls_total",
+                "Grants and releases, by kind and result",
+                &["call", "result"],
+            ),
+            bad_entries: metrics.counter(
+                "bad_entries_total",
+                "Entries of the store that can't be read",
+            ),
+            took_any: metrics.seconds(
+                "request_seconds",
+                "Time from arrival to answer of requests that may be repeated",
+            ),
+            took_once: metrics.seconds(
+                "order_seconds",
+                "Time from arrival to answer of requests that may run once",
+            ),
+            serving: metrics.gauge("serving", "Requests being served"),
+            config: metrics.gauge("config_version", "Version of the configuration in force"),
+            leading: metrics.gauge("leading", "1 while this host leads"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -0,0 +1,21 @@
+//! What this host believes, and the state that its tasks share.
+
+mod counters;
+mod key_view;
+mod peers;
+pub(crate) mod router;
+mod service;
+mod target;
+mod view;
+
+pub(crate) use counters::Counters;
+pub(crate) use key_view::KeyOwner;
+pub(crate) use key_view::KeyView;
+pub(crate) use peers::Peers;
+pub(crate) use router::Router;
+pub(crate) use service::Service;
+pub(crate) use target::Intake;
+pub(crate) use target::Target;
+pub(crate) use target::drain_end;
+pub(crate) use view::Belief;
+pub(crate) use view::View;
--- /dev/null
+++ b/crates/chicoryrail-router/src/state/peers.rs
@@ -0,0 +1,92 @@
+//! What this host hears from the others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use chicoryrail_core::HostName;
+use chicoryrail_core::Millis;
+
+/// Hosts that are assumed where fewer are known: this many share the bounds on repeats and cold servers,
+/// so a host that starts before it knows the others does not take their parts too.
+const FEWEST: usize = 8;
+
+/// What was heard from a host.
+#[derive(Clone, Copy, Debug)]
+struct Peer {
+    addr: SocketAddr,
+    heard: Option<Millis>,
+}
+
+/// The other hosts.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    hosts: BTreeMap<HostName, Peer>,
+    /// The most hosts known so far, this one included.
+    most: usize,
+    /// Highest term of leadership heard of, and its leader.
+    term: u64,
+    leader: Option<HostName>,
+}
+
+impl Peers {
+    /// Takes in the hosts that are registered, without this one.
+    pub(crate) fn set(&mut self, hosts: Vec<(HostName, SocketAddr)>) {
+        let old = std::mem::take(&mut self.hosts);
+        for (name, addr) in hosts {
+            let heard = old.get(&name).and_then(|p| p.heard);
+            self.hosts.insert(name, Peer { addr, heard });
+        }
+        self.most = self.most.max(self.hosts.len() + 1);
+    }
+
+    /// Returns the number of hosts among which a bound over all of them is shared: the most ever known,
+    /// since one that went silent may still send.
+    pub(crate) fn sharing(&self) -> usize {
+        self.most.max(FEWEST)
+    }
+
+    /// Returns the addresses of the others.
+    pub(crate) fn addrs(&self) -> Vec<SocketAddr> {
+        self.hosts.values().map(|p| p.addr).collect()
+    }
+
+    /// Returns the address of the leader, where it is another host.
+    pub(crate) fn leader_addr(&self) -> Option<SocketAddr> {
+        let leader = self.leader.as_ref()?;
+        self.hosts.get(leader).map(|p| p.addr)
+    }
+
+    /// Takes in that a host was heard.
+    pub(crate) fn heard(&mut self, now: Millis, host: &HostName) {
+        if let Some(peer) = self.hosts.get_mut(host) {
+            peer.heard = Some(now);
+        }
+    }
+
+    /// Takes in a term of leadership; tells whether it is the highest so far.
+    pub(crate) fn term(&mut self, term: u64, leader: Option<&HostName>) -> bool {
+        if term < self.term {
+            return false;
+        }
+        let new = term > self.term;
+        self.term = term;
+        if let Some(leader) = leader {
+            self.leader = Some(leader.clone());
+        } else if new {
+            self.leader = None;
+        }
+        new
+    }
+
+    /// Returns the highest term of leadership heard of.
+    pub(crate) const fn highest_term(&self) -> u64 {
+        self.term
+    }
+
+    /// Tells whether more than half of all hosts, this one included, were heard within `age`.
+    pub(crate) fn hears_most(&self, now: Millis, age: Millis) -> bool {
+        let fresh = |p: &&Peer| p.heard.is_some_and(|at| now.since(at) <= age);
+        let heard = self.hosts.values().filter(fresh).count() + 1;
+        heard * 2 > self.hosts.len() + 1
+    }
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -0,0 +1,75 @@
+//! One service and its servers.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use chicoryrail_core::Life;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ServiceName;
+use chicoryrail_policy::ServerId;
+use chicoryrail_policy::SharedRetries;
+use chicoryrail_policy::SharedServers;
+use chicoryrail_runtime::Signal;
+
+use crate::state::KeyView;
+use crate::state::Target;
+
+/// One service and its servers.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) name: ServiceName,
+    /// What is known of the servers' load.
+    pub(crate) loads: RefCell<SharedServers>,
+    /// This host's repeats.
+    pub(crate) retries: RefCell<SharedRetries>,
+    /// Who holds which keys, where the service is keyed.
+    pub(crate) keys: RefCell<KeyView>,
+    /// Notified when a request ended at a server, or when servers or owners changed.
+    pub(crate) changed: Signal,
+    /// Keys asked for since the last report to the leader.
+    pub(crate) asked: RefCell<Vec<u16>>,
+    pub(crate) targets: RefCell<HashMap<Life, Rc<Target>>>,
+    next: Cell<u32>,
+}
+
+impl Service {
+    /// Builds a service without servers.
+    pub(crate) fn new(name: &ServiceName) -> Rc<Self> {
+        Rc::new(Self {
+            name: name.clone(),
+            loads: RefCell::default(),
+            retries: RefCell::default(),
+            keys: RefCell::default(),
+            changed: Signal::default(),
+            asked: RefCell::default(),
+            targets: RefCell::default(),
+            next: Cell::new(0),
+        })
+    }
+
+    /// Returns a number that no other server of this run has.
+    pub(crate) fn next_id(&self) -> ServerId {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        ServerId(id)
+    }
+
+    /// Returns a server by its life.
+    pub(crate) fn target(&self, life: &Life) -> Option<Rc<Target>> {
+        self.targets.borrow().get(life).cloned()
+    }
+
+    /// Returns the servers that may get new work: those that are ready, and where there is none, those
+    /// that are about to leave, as long as that is allowed.
+    pub(crate) fn open_targets(&self, now: Millis) -> Vec<Rc<Target>> {
+        let targets = self.targets.borrow();
+        let open: Vec<_> = targets.values().filter(|t| t.is_ready()).cloned().collect();
+        if !open.is_empty() {
+            return open;
+        }
+        let leaving = targets.values().filter(|t| t.may_get(now));
+        leaving.cloned().collect()
+    }
+}
--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -100,7 +100,12 @@
     ) -> Result<http::Response<Bytes>, HttpError> {
         match timeout(limit.duration(), self.exchange(addr, request)).await {
             Ok(result) => result,
-            Err(_) => Err(HttpError::Timeout { addr }),
+            Err(_) => {
+                // A connection that went silent for good looks idle; the others to the same address
+                // may have gone silent with it, and each would cost one more call its time.
+                self.idle.borrow_mut().remove(&addr);
+                Err(HttpError::Timeout { addr })
+            }
         }
     }
 
--- a/crates/chicoryrail-runtime/src/http_server.rs
+++ b/crates/chicoryrail-runtime/src/http_server.rs
@@ -62,13 +62,30 @@
 /// Time without a new connection after which the listener is closed at a stop.
 const LAST_WAIT: Millis = Millis(10);
 
+/// Bounds that may change while a listener serves; they hold for connections that come after.
+pub type SharedLimits = Rc<Cell<HttpLimits>>;
+
+/// Serves a listener under fixed limits until `stop` is cancelled and the connections then open have
+/// ended, as [`serve_http_shared`] does.
+pub async fn serve_http<H, F>(
+    listener: TcpListener,
+    limits: HttpLimits,
+    stop: CancellationToken,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    serve_http_shared(listener, Rc::new(Cell::new(limits)), stop, handler).await;
+}
+
 /// Serves a listener until `stop` is cancelled and the connections then open have ended.
 ///
 /// At the stop each connection finishes the request it is in, says `connection: close` and ends, so
 /// a planned stop cuts no request.
-pub async fn serve_http<H, F>(
+pub async fn serve_http_shared<H, F>(
     listener: TcpListener,
-    limits: HttpLimits,
+    limits: SharedLimits,
     stop: CancellationToken,
     handler: H,
 ) where
@@ -84,9 +101,10 @@
         select_biased! {
             () = stopped => break,
             result = accepted => match result {
-                Ok((stream, addr)) if open.get() < limits.connections => {
+                Ok((stream, addr)) if open.get() < limits.get().connections => {
                     open.set(open.get() + 1);
                     let (open, handler, stop) = (Rc::clone(&open), Rc::clone(&handler), stop.clone());
+                    let limits = limits.get();
                     monoio::spawn(async move {
                         connection(stream, addr, limits, stop, handler).await;
                         open.set(open.get() - 1);
@@ -106,6 +124,7 @@
         };
         open.set(open.get() + 1);
         let (open, handler, stop) = (Rc::clone(&open), Rc::clone(&handler), stop.clone());
+        let limits = limits.get();
         monoio::spawn(async move {
             connection(stream, addr, limits, stop, handler).await;
             open.set(open.get() - 1);
--- a/crates/chicoryrail-gate/src/source.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -12,18 +12,19 @@
 use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ResultCode;
-use chicoryrail_runtime::Body;
-use chicoryrail_runtime::empty;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
 use monoio::time::timeout;
 
+use crate::Body;
+use crate::empty;
+
 /// Bytes at a body's start that are kept for a second send. They are also waited for before a slot
 /// is taken, so that a caller that sends slowly does not hold a slot of a server for it.
 const KEPT: usize = 16 << 10;
 
 /// A request's body: its start is kept, the rest is streamed once.
-pub(crate) struct Source {
+pub struct RequestBody {
     inner: RefCell<Option<Body>>,
     kept: RefCell<Vec<Bytes>>,
     size: Cell<usize>,
@@ -34,9 +35,10 @@
     fault: Cell<Option<ResultCode>>,
 }
 
-impl Source {
+impl RequestBody {
     /// Wraps a body of at most `limit` bytes.
-    pub(crate) fn new(body: Body, limit: u64) -> Rc<Self> {
+    #[must_use]
+    pub fn new(body: Body, limit: u64) -> Rc<Self> {
         let none = body.is_end_stream();
         Rc::new(Self {
             inner: RefCell::new((!none).then_some(body)),
@@ -54,7 +56,7 @@
     /// # Errors
     ///
     /// `BodyTooLarge`, `SlowSender` or `BadRequest` (the body was cut); nothing was sent.
-    pub(crate) async fn prefetch(&self, limit: Millis) -> Result<(), ResultCode> {
+    pub async fn prefetch(&self, limit: Millis) -> Result<(), ResultCode> {
         if self.inner.borrow().is_none() {
             return Ok(());
         }
@@ -74,22 +76,25 @@
     }
 
     /// Tells whether the body can be sent from its start.
-    pub(crate) fn is_whole(&self) -> bool {
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
         !self.streamed.get()
     }
 
     /// Tells whether there is no body.
-    pub(crate) fn is_empty(&self) -> bool {
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
         self.inner.borrow().is_none() && self.size.get() == 0
     }
 
     /// Returns what was wrong with the body, where it ended early.
-    pub(crate) fn fault(&self) -> Option<ResultCode> {
+    #[must_use]
+    pub fn fault(&self) -> Option<ResultCode> {
         self.fault.get()
     }
 
     /// Returns the body for one send.
-    pub(crate) fn body(self: &Rc<Self>) -> Body {
+    pub fn body(self: &Rc<Self>) -> Body {
         if self.is_empty() {
             return empty();
         }
@@ -140,7 +145,7 @@
 
 /// One send of a body.
 struct Sending {
-    source: Rc<Source>,
+    source: Rc<RequestBody>,
     next: usize,
 }
 
--- a/crates/chicoryrail-gate/src/pool.rs
+++ b/crates/chicoryrail-runtime/src/server_pool.rs
@@ -7,14 +7,15 @@
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
-use chicoryrail_runtime::Body;
-use chicoryrail_runtime::CancellationToken;
 use futures_util::future::select;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 use monoio_compat::hyper::MonoioIo;
+use tokio_util::sync::CancellationToken;
+
+use crate::Body;
 
 /// Connections kept above the slots. A connection that was given up still counts until its end, and
 /// its successor must not wait for that.
@@ -26,32 +27,34 @@
 
 /// Idle and open connections of one server.
 #[derive(Debug, Default)]
-pub(crate) struct Pool {
-    idle: RefCell<Vec<Conn>>,
+pub struct ServerPool {
+    idle: RefCell<Vec<ServerConn>>,
     open: Rc<Cell<u32>>,
     cap: Cell<u32>,
 }
 
 /// A connection that carries at most one request at a time; dropping it closes it.
 #[derive(Debug)]
-pub(crate) struct Conn {
-    pub(crate) send: SendRequest<Body>,
+pub struct ServerConn {
+    /// Sends one request at a time.
+    pub send: SendRequest<Body>,
     closed: CancellationToken,
 }
 
-impl Pool {
+impl ServerPool {
     /// Sets the limit from the server's slots and the service's connections.
-    pub(crate) fn set_cap(&self, slots: u32, connections: u32) {
+    pub fn set_cap(&self, slots: u32, connections: u32) {
         self.cap.set(connections.min(slots + SPARE).max(1));
     }
 
     /// Returns the number of open connections.
-    pub(crate) fn open(&self) -> u32 {
+    #[must_use]
+    pub fn open(&self) -> u32 {
         self.open.get()
     }
 
     /// Closes the idle connections.
-    pub(crate) fn clear(&self) {
+    pub fn clear(&self) {
         self.idle.borrow_mut().clear();
     }
 
@@ -60,7 +63,7 @@
     /// # Errors
     ///
     /// Returns the reason where none can be had; nothing was sent.
-    pub(crate) async fn take(&self, addr: SocketAddr) -> io::Result<Conn> {
+    pub async fn take(&self, addr: SocketAddr) -> io::Result<ServerConn> {
         loop {
             let Some(mut conn) = self.idle.borrow_mut().pop() else {
                 break;
@@ -73,14 +76,18 @@
     }
 
     /// Gives a connection back after a whole answer.
-    pub(crate) fn put(&self, conn: Conn) {
+    pub fn put(&self, conn: ServerConn) {
         if !conn.send.is_closed() && (self.idle.borrow().len() as u32) < self.cap.get() {
             self.idle.borrow_mut().push(conn);
         }
     }
 
     /// Opens a connection where the limit allows it.
-    pub(crate) async fn connect(&self, addr: SocketAddr) -> io::Result<Conn> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none; nothing was sent.
+    pub async fn connect(&self, addr: SocketAddr) -> io::Result<ServerConn> {
         if self.open.get() >= self.cap.get() {
             return Err(io::Error::other("the server's connections are in use"));
         }
@@ -100,11 +107,11 @@
             select(connection, stopped).await;
             drop(open);
         });
-        Ok(Conn { send, closed })
+        Ok(ServerConn { send, closed })
     }
 }
 
-impl Drop for Conn {
+impl Drop for ServerConn {
     fn drop(&mut self) {
         self.closed.cancel();
     }
--- a/crates/chicoryrail-gate/src/signal.rs
+++ b/crates/chicoryrail-runtime/src/signal.rs
@@ -11,19 +11,20 @@
 /// A waiter takes the count first and checks its condition after, so that a change in between wakes
 /// it at once.
 #[derive(Debug, Default)]
-pub(crate) struct Signal {
+pub struct Signal {
     count: Cell<u64>,
     wakers: RefCell<Vec<Waker>>,
 }
 
 impl Signal {
     /// Returns the number of changes so far.
-    pub(crate) fn count(&self) -> u64 {
+    #[must_use]
+    pub fn count(&self) -> u64 {
         self.count.get()
     }
 
     /// Says that something changed and wakes all waiters.
-    pub(crate) fn notify(&self) {
+    pub fn notify(&self) {
         self.count.set(self.count.get() + 1);
         for waker in self.wakers.take() {
             waker.wake();
@@ -31,7 +32,7 @@
     }
 
     /// Waits until there were more than `seen` changes.
-    pub(crate) async fn after(&self, seen: u64) {
+    pub async fn after(&self, seen: u64) {
         poll_fn(|cx| {
             if self.count.get() > seen {
                 return Poll::Ready(());
