fix(router): a changed settings file, a server that is cold again, peers known at once

A server that became cold under the same start got its full share (FAILBACK): each new entry counts. A new host was told of moved keys only at the leader's next look at the list of hosts, every 3 s.

--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -60,12 +60,13 @@
 
 /// Tries to become the leader; returns the term, the lease and its length.
 async fn campaign(router: &Router) -> Result<Option<(u64, u64, Millis)>, StoreError> {
-    let ttl = LEASE.max(router.boot.store.least_lease);
+    let ttl = LEASE.max(router.boot().store.least_lease);
     let lease = router.store.open_lease(ttl).await?;
-    let name = router.boot.host.as_str().as_bytes();
-    let txn = Txn::default()
-        .expect(&key(), 0)
-        .put_leased(&key(), name, lease.id);
+    let name = router.boot().host.clone();
+    let txn =
+        Txn::default()
+            .expect(&key(), 0)
+            .put_leased(&key(), name.as_str().as_bytes(), lease.id);
     match router.store.commit(&txn).await {
         Ok(term) => Ok(Some((term, lease.id, lease.ttl))),
         Err(StoreError::Conflict { .. }) => {
@@ -90,7 +91,7 @@
     tenure.confirmed.set(router.now());
     router.leads.set(term);
     router.counters.leading.set(1);
-    let host = router.boot.host.clone();
+    let host = router.boot().host.clone();
     router.peers.borrow_mut().term(term, Some(&host));
     tenure.news.notify();
     monoio::spawn(keep_keys::keep(
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -122,7 +122,7 @@
     fn word(&self, leads: bool) -> Word {
         let keys = if leads { self.key_words() } else { Vec::new() };
         Word {
-            host: self.router.boot.host.clone(),
+            host: self.router.boot().host.clone(),
             term: self.router.peers.borrow().highest_term(),
             leads,
             keys,
--- a/crates/chicoryrail-router/src/control/presence.rs
+++ b/crates/chicoryrail-router/src/control/presence.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
 use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::StoreError;
@@ -11,9 +10,7 @@
 
 use crate::control::follow::note;
 use crate::state::Router;
-
-/// Start of the keys of hosts, below the system's own prefix.
-const HOSTS: &str = "hosts/";
+use crate::state::router::HOSTS;
 
 /// Lease of a host's key. A host that is gone is only one more address to send datagrams to, so the lease
 /// is long and its renewals are few.
@@ -42,26 +39,14 @@
             Err(_) => AGAIN,
         };
         router.process.clock.sleep(pause).await;
-        read(&router);
     }
 }
 
 async fn register(router: &Router, addr: SocketAddr) -> Result<u64, StoreError> {
     let lease = router.store.open_lease(LEASE).await?;
-    let key = format!("{OWN_PREFIX}{HOSTS}{}", router.boot.host);
+    let key = format!("{OWN_PREFIX}{HOSTS}{}", router.boot().host);
     let txn = Txn::default().put_leased(&key, addr.to_string().as_bytes(), lease.id);
     router.store.commit(&txn).await?;
     log::info!(addr:% = addr, lease = lease.id; "present");
     Ok(lease.id)
 }
-
-/// Brings the list of other hosts in line with the store.
-pub(crate) fn read(router: &Router) {
-    let view = router.view.borrow();
-    let hosts = view.own_below(HOSTS).filter_map(|(key, item)| {
-        let name = HostName::new(key.strip_prefix(HOSTS)?);
-        let addr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-        (name != router.boot.host).then_some((name, addr))
-    });
-    router.peers.borrow_mut().set(hosts.collect());
-}
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -11,6 +11,7 @@
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::HttpLimits;
 use chicoryrail_runtime::LogSink;
+use chicoryrail_runtime::ReloadSignals;
 use chicoryrail_runtime::SettingError;
 use chicoryrail_runtime::bind;
 use chicoryrail_runtime::block_on;
@@ -124,13 +125,19 @@
     let metrics = options
         .metrics_port
         .map(|port| SocketAddr::new(boot.ip, port));
-    log::info!(host:% = boot.host, dc:% = boot.dc, callers:% = callers,
+    log::info!(dc:% = boot.dc, callers:% = callers,
         store:% = boot.store.addr, pid = std::process::id(); "start");
     let router = Router::new(boot, options);
     let stop = router.process.stop.clone();
     if let Err(e) = stop_on_signal(stop.clone()) {
         log::error!(error:% = e; "signals_not_caught");
     }
+    match chicoryrail_runtime::reload_signals() {
+        Ok(signals) => {
+            monoio::spawn(reload(Rc::clone(&router), signals));
+        }
+        Err(e) => log::error!(error:% = e; "signals_not_caught"),
+    }
     monoio::spawn(keep_up(Rc::clone(&router), sink));
     let ends = CancellationToken::new();
     open_observe(&router, "readiness", readiness, &ends)?;
@@ -162,10 +169,24 @@
     Ok(())
 }
 
+/// Reads the settings file again whenever the operator says so.
+async fn reload(router: Rc<Router>, mut signals: ReloadSignals) {
+    while signals.next().await {
+        match Boot::read() {
+            Ok(boot) => {
+                let changed = router.reload(boot);
+                log::info!(changed = changed; "reload");
+            }
+            // What was read before holds.
+            Err(e) => log::error!(error:% = e; "reload_failed"),
+        }
+    }
+}
+
 /// Lets the balancer turn callers away, then ends their connections and waits for their requests.
 async fn wind_down(router: &Router, callers: &CancellationToken) {
     let clock = router.process.clock;
-    let grace = router.boot.bounds.grace;
+    let grace = router.boot().bounds.grace;
     let end = router.now() + grace - SPARE;
     log::info!(serving = router.serving.get(), grace_ms = grace.0; "stopping");
     clock.sleep(TURN_OUT.min(Millis(grace.0 / 2))).await;
--- a/crates/chicoryrail-router/src/state/key_view.rs
+++ b/crates/chicoryrail-router/src/state/key_view.rs
@@ -66,7 +66,8 @@
         let moving = if self.told == self.record.fence {
             self.blocked.iter().any(|s| s.has(key))
         } else {
-            let stays = self.before.owner(key) == Some(owner);
+            // A host that has just started knows no change: the record may have stood for long.
+            let stays = self.before.fence == 0 || self.before.owner(key) == Some(owner);
             !stays && now < self.changed + UNTOLD
         };
         if moving {
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
@@ -32,6 +33,9 @@
 use crate::state::drain_end;
 use crate::state::view::Registered;
 
+/// Start of the keys of hosts, below the system's own prefix.
+pub(crate) const HOSTS: &str = "hosts/";
+
 /// Start of the keys of key records, below the system's own prefix.
 pub(crate) const KEYS: &str = "keys/";
 
@@ -40,7 +44,7 @@
 pub(crate) struct Router {
     pub(crate) process: Process,
     pub(crate) options: Options,
-    pub(crate) boot: Boot,
+    boot: RefCell<Rc<Boot>>,
     pub(crate) counters: Counters,
     pub(crate) store: KvStore,
     pub(crate) control: KeyControl,
@@ -82,10 +86,22 @@
             works: RefCell::default(),
             process,
             options,
-            boot,
+            boot: RefCell::new(Rc::new(boot)),
         })
     }
 
+    /// Returns the settings that the platform gave.
+    pub(crate) fn boot(&self) -> Rc<Boot> {
+        Rc::clone(&self.boot.borrow())
+    }
+
+    /// Takes in settings that changed. Addresses hold until the next start: the sockets are bound.
+    pub(crate) fn reload(&self, boot: Boot) -> bool {
+        let changed = **self.boot.borrow() != boot;
+        *self.boot.borrow_mut() = Rc::new(boot);
+        changed
+    }
+
     /// Reads the clock.
     pub(crate) fn now(&self) -> Millis {
         self.process.clock.now()
@@ -114,7 +130,7 @@
 
     /// Returns the bound on repeats that holds over all hosts.
     pub(crate) fn retry_bound(&self) -> RetryBound {
-        let bounds = &self.boot.bounds;
+        let bounds = self.boot().bounds;
         RetryBound {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
@@ -162,6 +178,9 @@
     }
 
     fn read_own(&self, key: &str) {
+        if key.starts_with(HOSTS) {
+            self.read_hosts();
+        }
         let Some(service) = key.strip_prefix(KEYS) else {
             return;
         };
@@ -178,6 +197,18 @@
         }
     }
 
+    /// Brings the list of other hosts in line with the store.
+    fn read_hosts(&self) {
+        let own = self.boot().host.clone();
+        let view = self.view.borrow();
+        let hosts = view.own_below(HOSTS).filter_map(|(key, item)| {
+            let name = HostName::new(key.strip_prefix(HOSTS)?);
+            let addr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
+            (name != own).then_some((name, addr))
+        });
+        self.peers.borrow_mut().set(hosts.collect());
+    }
+
     /// Takes in a key record from the store or the leader.
     pub(crate) fn key_record(&self, service: &Service, record: KeyRecord) {
         let (fence, spans) = (record.fence, record.spans.len());
@@ -188,7 +219,6 @@
     }
 
     fn sync(&self) {
-        let now = self.now();
         let view = self.view.borrow();
         if let Some(site) = view.site() {
             self.counters.config.set(site.version as i64);
@@ -202,7 +232,7 @@
             let name = &entry.member.service;
             let lives = present.entry(name.clone()).or_default();
             lives.push(entry.member.life.clone());
-            self.sync_target(&view, &self.service(name), entry, now);
+            self.sync_target(&view, &self.service(name), entry);
         }
         for service in self.services() {
             let lives = present.remove(&service.name).unwrap_or_default();
@@ -220,7 +250,7 @@
         }
     }
 
-    fn sync_target(&self, view: &View, service: &Service, entry: &Registered, now: Millis) {
+    fn sync_target(&self, view: &View, service: &Service, entry: &Registered) {
         let member = &entry.member;
         let mut targets = service.targets.borrow_mut();
         let old = targets.get(&member.life).filter(|t| t.addr == member.addr);
@@ -241,11 +271,12 @@
                     cold_until: Cell::default(),
                     intake: Cell::new(Intake::Closed),
                 });
-                target.cold_for(now, member.cold);
                 targets.insert(member.life.clone(), Rc::clone(&target));
                 target
             }
         };
+        // A warm server may become cold again at any moment, under the same start.
+        target.cold_for(entry.heard, member.cold);
         service.loads.borrow_mut().set(target.id, member.slots);
         let spec = view.site().and_then(|s| s.service(&service.name));
         let connections = spec.map_or(u32::MAX, |s| s.connections);
@@ -257,7 +288,7 @@
             Intake::Open
         } else {
             let since = entry.missing.unwrap_or(entry.since);
-            Intake::Until(drain_end(since, self.boot.bounds.drain))
+            Intake::Until(drain_end(since, self.boot().bounds.drain))
         };
         if intake == Intake::Closed || !entry.is_ready() {
             target.pool.clear();
--- a/crates/chicoryrail-router/src/state/view.rs
+++ b/crates/chicoryrail-router/src/state/view.rs
@@ -49,6 +49,8 @@
     pub(crate) member: Member,
     /// Revision of the entry.
     pub(crate) revision: u64,
+    /// When this host heard of this revision.
+    pub(crate) heard: Millis,
     /// When this host heard of the server's present state.
     pub(crate) since: Millis,
     /// When the entry went away; it still counts until the store has been back long enough.
@@ -246,6 +248,7 @@
         let entry = Registered {
             member,
             revision: item.revision,
+            heard: now,
             since,
             missing: None,
         };
--- /dev/null
+++ b/crates/chicoryrail-router/tests/keys.rs
@@ -0,0 +1,94 @@
+//! Keyed services: each key is served by the one server that holds it.
+
+mod support;
+
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::block_on;
+use nix::sys::signal::Signal;
+use support::World;
+use support::wait_until;
+
+const KEYS: [u16; 6] = [0, 9_000, 21_845, 33_000, 50_000, 65_535];
+
+/// Two hosts serve all keys; the one server that holds a key gets its requests from both.
+#[test]
+fn every_key_has_one_owner() {
+    block_on(async {
+        let world = World::start("owner").await;
+        world.configure().await;
+        let servers = [
+            world.server("k-1", "kits").await,
+            world.server("k-2", "kits").await,
+            world.server("k-3", "kits").await,
+        ];
+        let routers = [world.router("a").await, world.router("b").await];
+        let held = |key| servers.iter().filter(|s| s.holds(key)).count();
+        wait_until("all keys are held", async || {
+            KEYS.iter().all(|k| held(*k) == 1)
+        })
+        .await;
+        for key in KEYS {
+            let mut names = Vec::new();
+            for router in &routers {
+                let answer = router.caller().key(key).await.unwrap();
+                assert_eq!(answer.status(), 200, "key {key}");
+                names.push(answer.into_body());
+            }
+            assert_eq!(names[0], names[1], "key {key}");
+            assert_eq!(held(key), 1);
+        }
+    });
+}
+
+/// The owner of some keys announces its leave. Its keys are released there and granted to another server;
+/// callers are served all the while.
+#[test]
+fn a_leaving_owner_hands_its_keys_over() {
+    block_on(async {
+        let world = World::start("handover").await;
+        world.configure().await;
+        let leaving = world.server("k-1", "kits").await;
+        let stays = world.server("k-2", "kits").await;
+        let router = world.router("a").await;
+        let held = |key: u16| leaving.holds(key) || stays.holds(key);
+        wait_until("all keys are held", async || KEYS.iter().all(|k| held(*k))).await;
+        world.register(&leaving, "kits", "draining", 0).await;
+        wait_until("all keys moved", async || {
+            KEYS.iter().all(|k| stays.holds(*k))
+        })
+        .await;
+        assert!(KEYS.iter().all(|k| !leaving.holds(*k)));
+        let calls = leaving.calls.borrow().clone();
+        assert!(calls.iter().any(|c| c.starts_with("release")), "{calls:?}");
+        for key in KEYS {
+            assert_eq!(router.caller().key(key).await.unwrap().status(), 200);
+        }
+    });
+}
+
+/// The leading host is killed. Another one takes over before any hold runs out, grants the same keys again
+/// under a higher fence, and callers of the other host see no gap.
+#[test]
+fn a_lost_leader_is_replaced_within_the_hold() {
+    block_on(async {
+        let world = World::start("leader").await;
+        world.configure().await;
+        let servers = [
+            world.server("k-1", "kits").await,
+            world.server("k-2", "kits").await,
+        ];
+        let first = world.router("a").await;
+        let held = |key: u16| servers.iter().any(|s| s.holds(key));
+        wait_until("all keys are held", async || KEYS.iter().all(|k| held(*k))).await;
+        let second = world.router("b").await;
+        assert!(first.log().contains("log=leader_won"));
+        first.signal(Signal::SIGKILL);
+        for _ in 0..80 {
+            for key in KEYS {
+                assert_eq!(second.caller().key(key).await.unwrap().status(), 200);
+            }
+            monoio::time::sleep(Millis(50).duration()).await;
+        }
+        assert!(second.log().contains("log=leader_won"));
+    });
+}
--- /dev/null
+++ b/crates/chicoryrail-router/tests/operator.rs
@@ -0,0 +1,80 @@
+//! What an operator does to a real process, and what its callers see of it.
+
+mod support;
+
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::block_on;
+use nix::sys::signal::Signal;
+use support::World;
+use support::wait_until;
+
+/// The operator changes the settings file and tells the process. Callers see nothing: the process reads
+/// the file again and goes on serving, also on the connections that were open.
+#[test]
+fn a_changed_settings_file_cuts_nobody() {
+    block_on(async {
+        let world = World::start("hup").await;
+        world.configure().await;
+        let server = world.server("i-1", "desk").await;
+        server.work.set(Millis(200));
+        let mut router = world.router("a").await;
+        let caller = router.caller();
+        let running = monoio::spawn(async move { (caller.get("/read/1").await, caller) });
+        wait_until("it runs", async || !server.ran.borrow().is_empty()).await;
+        router.signal(Signal::SIGHUP);
+        let (answer, caller) = running.await;
+        assert_eq!(answer.unwrap().status(), 200);
+        assert_eq!(caller.get("/read/2").await.unwrap().status(), 200);
+        wait_until("it is logged", async || router.log().contains("log=reload")).await;
+        assert_eq!(router.ended(), None);
+    });
+}
+
+/// The operator stops the process while a request runs. The balancer is told at once; the request and one
+/// that still comes on the open connection are answered; then the process ends by itself, before the
+/// grace time is over.
+#[test]
+fn a_stop_cuts_no_request() {
+    block_on(async {
+        let world = World::start("term").await;
+        world.configure().await;
+        let server = world.server("i-1", "desk").await;
+        server.work.set(Millis(400));
+        let mut router = world.router("a").await;
+        let caller = router.caller();
+        let running = monoio::spawn(async move { caller.post("/order/1").await });
+        wait_until("it runs", async || !server.ran.borrow().is_empty()).await;
+        router.signal(Signal::SIGTERM);
+        monoio::time::sleep(Millis(50).duration()).await;
+        assert!(!router.is_ready().await);
+        let late = router.caller().get("/read/1").await.unwrap();
+        assert_eq!(late.status(), 200);
+        assert_eq!(late.headers()["connection"], "close");
+        assert_eq!(running.await.unwrap().status(), 200);
+        wait_until("it ended", async || router.ended().is_some()).await;
+        assert_eq!(router.ended(), Some(0));
+        assert!(router.log().contains("log=stop "));
+    });
+}
+
+/// A server announces its leave, and later another one's entry is deleted. Nothing more goes to either
+/// while there is a third.
+#[test]
+fn a_leaving_server_gets_nothing_more() {
+    block_on(async {
+        let world = World::start("leave").await;
+        world.configure().await;
+        let draining = world.server("i-1", "desk").await;
+        let deleted = world.server("i-2", "desk").await;
+        let stays = world.server("i-3", "desk").await;
+        let router = world.router("a").await;
+        world.register(&draining, "desk", "draining", 0).await;
+        world.remove("servers/i-2").await;
+        monoio::time::sleep(Millis(500).duration()).await;
+        for _ in 0..20 {
+            assert_eq!(router.caller().get("/read/1").await.unwrap().status(), 200);
+        }
+        let runs = [&draining, &deleted, &stays].map(|s| s.ran.borrow().len());
+        assert_eq!(runs, [0, 0, 20]);
+    });
+}
--- /dev/null
+++ b/crates/chicoryrail-router/tests/support/mod.rs
@@ -0,0 +1,12 @@
+//! The real process between a stand-in of the platform's store and stand-ins of its servers.
+#![allow(dead_code, unreachable_pub, unused_imports)]
+
+mod server;
+mod world;
+
+pub use server::FakeServer;
+pub use server::Mode;
+pub use world::Caller;
+pub use world::RouterProcess;
+pub use world::World;
+pub use world::wait_until;
--- /dev/null
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -0,0 +1,268 @@
+//! Store, servers and router processes of one test.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use chicoryrail_core::Millis;
+use chicoryrail_platform::KvStore;
+use chicoryrail_platform::Txn;
+use chicoryrail_platform::call_header;
+use chicoryrail_runtime::CancellationToken;
+use chicoryrail_runtime::HttpClient;
+use chicoryrail_runtime::HttpError;
+use chicoryrail_testkit::Listener;
+use chicoryrail_testkit::StoreFault;
+use chicoryrail_testkit::StoreOptions;
+use chicoryrail_testkit::StoreServer;
+use chicoryrail_testkit::free_port;
+use http::Request;
+use http::Response;
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use serde_json::Value;
+use serde_json::json;
+
+use super::FakeServer;
+
+/// Longest time for what a test waits for.
+const LIMIT: Millis = Millis(10_000);
+
+/// Waits until `done`, looking every few milliseconds.
+pub async fn wait_until(what: &str, mut done: impl AsyncFnMut() -> bool) {
+    for _ in 0..LIMIT.0 / 10 {
+        if done().await {
+            return;
+        }
+        monoio::time::sleep(Millis(10).duration()).await;
+    }
+    panic!("not in time: {what}");
+}
+
+/// Store and servers; the routers are real processes.
+pub struct World {
+    pub store: KvStore,
+    store_addr: SocketAddr,
+    dir: PathBuf,
+    version: Cell<u64>,
+}
+
+impl World {
+    pub async fn start(test: &str) -> Self {
+        let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let store_addr = listener.addr().unwrap();
+        let server = StoreServer::new(StoreOptions::default());
+        monoio::spawn(server.serve(listener, CancellationToken::new()));
+        let dir = std::env::temp_dir().join(format!("router-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        Self {
+            store: KvStore::new(store_addr),
+            store_addr,
+            dir,
+            version: Cell::new(0),
+        }
+    }
+
+    /// Puts a configuration with an ordinary service, `desk`, and a keyed one, `kits`.
+    pub async fn configure(&self) {
+        let version = self.version.get() + 3;
+        self.version.set(version);
+        let service = |name: &str, keyed: bool| {
+            json!({"name": name, "health_check_path": "/healthz", "max_connections": 120,
+                   "slow_start_s": 3.0, "cold_per_s": 5.0, "sharded": keyed})
+        };
+        let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+            json!({"name": name, "prefix": prefix, "type": kind, "timeout_ms": 1500,
+                   "target_latency_ms": 300, "priority": 1, "attempts": 2, "service": service})
+        };
+        let config = json!({
+            "version": format!("r{version}"),
+            "services": [service("desk", false), service("kits", true)],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "virtual_hosts": [{"host": "shop.example", "paths": [
+                route("read", "/read/", "safe", "desk"),
+                route("order", "/order/", "unsafe", "desk"),
+                route("key", "/key/", "safe", "kits")]}]
+        });
+        self.put("op/config", &config).await;
+    }
+
+    pub async fn put(&self, key: &str, value: &Value) {
+        let bytes = serde_json::to_vec(value).unwrap();
+        self.store
+            .commit(&Txn::default().put(key, &bytes))
+            .await
+            .unwrap();
+    }
+
+    pub async fn remove(&self, key: &str) {
+        self.store
+            .commit(&Txn::default().remove(key))
+            .await
+            .unwrap();
+    }
+
+    /// Starts a server and registers it.
+    pub async fn server(&self, name: &str, service: &str) -> Rc<FakeServer> {
+        let server = FakeServer::start(name, service == "kits");
+        self.register(&server, service, "ready", 0).await;
+        server
+    }
+
+    pub async fn register(&self, server: &FakeServer, service: &str, state: &str, cold: u64) {
+        let entry = json!({"service": service, "address": server.addr, "zone": "west",
+            "version": "v1", "max_concurrency": 2, "state": state, "warmup_left_ms": cold,
+            "sequence": 1, "born": 1_700_000_000_000_u64});
+        self.put(&format!("servers/{}", server.name), &entry).await;
+    }
+
+    pub async fn fault(&self, fault: &StoreFault) {
+        let body = serde_json::to_vec(fault).unwrap();
+        let request = Request::put("/testkit/fault")
+            .body(Bytes::from(body))
+            .unwrap();
+        let client = HttpClient::default();
+        client.call(self.store_addr, request, LIMIT).await.unwrap();
+    }
+
+    /// Starts a router process and waits until it takes callers.
+    pub async fn router(&self, name: &str) -> RouterProcess {
+        let router = self.spawn(name);
+        wait_until("the router is ready", async || router.is_ready().await).await;
+        router
+    }
+
+    /// Starts a router process.
+    pub fn spawn(&self, name: &str) -> RouterProcess {
+        let [callers, readiness, talk] = [(); 3].map(|()| free_port().unwrap());
+        let boot = self.dir.join(format!("{name}.toml"));
+        let text = include_str!("boot.toml")
+            .replace("NAME", name)
+            .replace("CALLERS", &callers.to_string())
+            .replace("READINESS", &readiness.to_string())
+            .replace("TALK", &talk.port().to_string())
+            .replace("HOST", &talk.ip().to_string())
+            .replace("STORE", &self.store_addr.to_string());
+        std::fs::write(&boot, text).unwrap();
+        let log = std::fs::File::create(self.dir.join(format!("{name}.log"))).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_chicoryrail-router"))
+            .env("CHICORYRAIL_BOOT", &boot)
+            .args(["--log-ordinary", "1", "--log-lines", "5000"])
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        RouterProcess {
+            callers,
+            readiness,
+            child,
+            log: self.dir.join(format!("{name}.log")),
+            next: Cell::new(0),
+            name: name.to_owned(),
+        }
+    }
+}
+
+/// A router process; it is killed with the test.
+pub struct RouterProcess {
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    child: Child,
+    log: PathBuf,
+    next: Cell<u32>,
+    name: String,
+}
+
+impl RouterProcess {
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+
+    /// Tells whether the process has ended, and with which code.
+    pub fn ended(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().unwrap()?;
+        Some(status.code().unwrap_or(-1))
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let request = Request::get("/-/readyz").body(Bytes::new()).unwrap();
+        let client = HttpClient::default();
+        let answer = client.call(self.readiness, request, LIMIT).await;
+        answer.is_ok_and(|a| a.status() == 200)
+    }
+
+    /// Returns the log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
+    /// Returns a caller with a connection of its own.
+    pub fn caller(&self) -> Caller {
+        let next = self.next.get() + 1;
+        self.next.set(next);
+        Caller {
+            addr: self.callers,
+            client: HttpClient::default(),
+            name: format!("{}-{next}", self.name),
+            sent: Cell::new(0),
+        }
+    }
+}
+
+impl Drop for RouterProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A caller on a kept connection.
+pub struct Caller {
+    addr: SocketAddr,
+    client: HttpClient,
+    name: String,
+    sent: Cell<u32>,
+}
+
+impl Caller {
+    pub async fn get(&self, path: &str) -> Result<Response<Bytes>, HttpError> {
+        self.call("GET", path, None, 1_500).await
+    }
+
+    pub async fn post(&self, path: &str) -> Result<Response<Bytes>, HttpError> {
+        self.call("POST", path, None, 1_500).await
+    }
+
+    pub async fn key(&self, key: u16) -> Result<Response<Bytes>, HttpError> {
+        self.call("GET", "/key/x", Some(key), 1_500).await
+    }
+
+    pub async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        key: Option<u16>,
+        left: u64,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let sent = self.sent.get() + 1;
+        self.sent.set(sent);
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "shop.example")
+            .header(call_header::REQUEST_ID, format!("{}-{sent}", self.name))
+            .header(call_header::TIME_LEFT, left);
+        if let Some(key) = key {
+            request = request.header(call_header::KEY, key);
+        }
+        let request = request.body(Bytes::from_static(b"")).unwrap();
+        self.client.call(self.addr, request, LIMIT).await
+    }
+}
--- a/crates/chicoryrail-runtime/src/log_sink.rs
+++ b/crates/chicoryrail-runtime/src/log_sink.rs
@@ -1,8 +1,6 @@
 //! Where log lines go: bounded, and never waiting for whoever reads them.
 
-use std::fs::File;
 use std::io;
-use std::io::Write;
 use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -14,6 +12,7 @@
 use nix::poll::PollFlags;
 use nix::poll::PollTimeout;
 use nix::poll::poll;
+use nix::unistd::write;
 
 /// Bytes that wait for a slow reader; what comes on top is left out and counted.
 const WAITING_MOST: usize = 256 << 10;
@@ -30,7 +29,6 @@
 #[derive(Clone, Debug)]
 pub struct LogSink {
     state: Arc<Mutex<State>>,
-    out: Option<Arc<File>>,
 }
 
 #[derive(Debug)]
@@ -53,19 +51,14 @@
             lines: 0,
             left_out: 0,
         };
-        // The bare file: a buffer of its own would split chunks, and a part could block.
-        let out = io::stdout().as_fd().try_clone_to_owned();
         Self {
             state: Arc::new(Mutex::new(state)),
-            out: out.ok().map(|fd| Arc::new(File::from(fd))),
         }
     }
 
     /// Writes what standard output takes without blocking.
     pub fn flush(&self) {
-        if let Some(out) = &self.out {
-            self.flush_to(&mut &**out);
-        }
+        self.flush_to(&io::stdout());
     }
 
     /// Takes in one line, or leaves it out.
@@ -80,14 +73,15 @@
         state.waiting.extend_from_slice(line);
     }
 
-    /// Writes what `out` takes without blocking.
-    pub fn flush_to(&self, out: &mut (impl Write + AsFd)) {
+    /// Writes what `out` takes without blocking, past any buffer of its own: that would split chunks, and
+    /// a part could block.
+    pub fn flush_to(&self, out: &impl AsFd) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.turn();
         let mut done = 0;
         while done < state.waiting.len() && takes_more(out) {
             let end = (done + CHUNK).min(state.waiting.len());
-            match out.write(&state.waiting[done..end]) {
+            match write(out, &state.waiting[done..end]) {
                 Ok(0) | Err(_) => break,
                 Ok(n) => done += n,
             }
--- a/crates/chicoryrail-runtime/src/start.rs
+++ b/crates/chicoryrail-runtime/src/start.rs
@@ -9,6 +9,7 @@
 use monoio::RuntimeBuilder;
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use tokio_util::sync::CancellationToken;
@@ -53,6 +54,34 @@
     Ok(())
 }
 
+/// Requests to read the settings again: SIGHUP.
+#[derive(Debug)]
+pub struct ReloadSignals {
+    pipe: UnixStream,
+}
+
+impl ReloadSignals {
+    /// Waits for the next request; tells whether there may be more.
+    pub async fn next(&mut self) -> bool {
+        // Several signals in a row are one request: the file is read after the last of them.
+        let (read, _) = self.pipe.read(vec![0_u8; 64]).await;
+        read.is_ok_and(|n| n > 0)
+    }
+}
+
+/// Catches SIGHUP, which would end the process.
+///
+/// # Errors
+///
+/// Returns the system's error where the signal can't be caught.
+pub fn reload_signals() -> io::Result<ReloadSignals> {
+    let (ours, theirs) = StdUnixStream::pair()?;
+    signal_hook::low_level::pipe::register(SIGHUP, theirs)?;
+    ours.set_nonblocking(true)?;
+    let pipe = UnixStream::from_std(ours)?;
+    Ok(ReloadSignals { pipe })
+}
+
 /// Prints an error with its number and returns the exit code for it.
 #[must_use]
 pub fn exit_with(code: ResultCode, message: &str) -> ExitCode {
