fix(router): a silent watch ends when the store is back; cold servers get whole numbers a second

It is given up when any other call is answered after an outage, idle connections are probed, and a watch lasts 10 s at most.

Tests first: a_silent_watch_is_given_up..., a_cold_server_gets_no_more_than_it_bears.

--- a/crates/chicoryrail-policy/src/shared/cold_pace.rs
+++ b/crates/chicoryrail-policy/src/shared/cold_pace.rs
@@ -2,9 +2,9 @@
 
 use chicoryrail_core::Millis;
 
-/// Part of the bound that is used. Requests are counted where they arrive: two that were sent a second
-/// apart may arrive closer together, by the jitter of a loaded host and its links.
-const PART: f64 = 0.85;
+/// Length of a host's second. Requests are counted where they arrive: two that were sent a second apart
+/// may arrive closer together, by the jitter of a loaded host and its links.
+const SECOND: f64 = 1_120.0;
 
 /// The pace of one host towards one cold server.
 ///
@@ -25,9 +25,12 @@
         if now < self.next || bound <= 0.0 {
             return false;
         }
-        let gap = hosts.max(1) as f64 / (bound * PART) * 1_000.0;
-        // A host that may send twice a second must not send twice at once: sliding windows count.
-        self.next = now + Millis(gap.ceil() as u64);
+        let hosts = hosts.max(1) as f64;
+        // In the worst case all hosts send in the same moment, and windows slide: so each sends a whole
+        // number in any second. Above one host for each request of the bound no whole number fits, and
+        // the hosts' moments are left to chance.
+        let each = (bound / hosts).floor().max((bound / hosts).min(1.0));
+        self.next = now + Millis((SECOND / each).ceil() as u64);
         true
     }
 }
--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -1,18 +1,21 @@
 //! Follows the store.
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
 use chicoryrail_platform::KvStore;
 use chicoryrail_platform::Snapshot;
 use chicoryrail_platform::StoreError;
+use futures_util::future::Either;
+use futures_util::future::select;
 use rand::Rng;
 
 use crate::state::Router;
 
-/// Longest wait of one watch. Its connection is probed by the system, so a longer wait costs nothing but
-/// saves calls.
-const WATCH: Millis = Millis(25_000);
+/// Longest wait of one watch. A connection that goes silent is noticed sooner by probes of the system or
+/// by other calls; this bounds the time where a relay answers the probes.
+const WATCH: Millis = Millis(10_000);
 
 /// Pause after a watch that told something. Changes come in groups, and each answered watch of each host
 /// is a call; what a change may take is counted in seconds.
@@ -53,7 +56,15 @@
     router.believe(&told);
     loop {
         let after = router.view.borrow().revision;
-        let changes = match store.changes("", after, WATCH).await {
+        let returns = router.store_returns.count();
+        let watch = pin!(store.changes("", after, WATCH));
+        let returned = pin!(router.store_returns.after(returns));
+        let changes = match select(watch, returned).await {
+            Either::Left((changes, _)) => changes,
+            // The watch was sent before the outage: its connection may be silent for good.
+            Either::Right(_) => continue,
+        };
+        let changes = match changes {
             Ok(changes) => changes,
             // The history is still there if the outage was short; the watch goes on from where it was.
             Err(e) if e.is_outage() => {
@@ -102,6 +113,7 @@
         log::warn!(call = call, error:% = e; "store_lost");
     } else {
         router.view.borrow_mut().store_back(router.now());
+        router.store_returns.notify();
         log::info!(call = call; "store_back");
     }
 }
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -20,6 +20,7 @@
 use chicoryrail_runtime::Process;
 use chicoryrail_runtime::ServerPool;
 use chicoryrail_runtime::SharedLimits;
+use chicoryrail_runtime::Signal;
 use http::HeaderValue;
 
 use crate::Options;
@@ -56,6 +57,8 @@
     pub(crate) serving: Cell<u32>,
     /// Whether the last call to the store was answered.
     pub(crate) store_up: Cell<bool>,
+    /// Notified when the store answers again after an outage.
+    pub(crate) store_returns: Signal,
     /// Term in which this host leads; 0 while it does not.
     pub(crate) leads: Cell<u64>,
     services: RefCell<HashMap<ServiceName, Rc<Service>>>,
@@ -80,6 +83,7 @@
             limits: Rc::new(Cell::new(limits)),
             serving: Cell::new(0),
             store_up: Cell::new(false),
+            store_returns: Signal::default(),
             leads: Cell::new(0),
             services: RefCell::default(),
             turns: RefCell::default(),
--- a/crates/chicoryrail-router/tests/operator.rs
+++ b/crates/chicoryrail-router/tests/operator.rs
@@ -4,6 +4,7 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::StoreFault;
 use nix::sys::signal::Signal;
 use support::World;
 use support::wait_until;
@@ -78,3 +79,26 @@
         assert_eq!(runs, [0, 0, 20]);
     });
 }
+
+/// All connections to the store go silent without a reset, and new ones work a second later. The host's
+/// watch would wait on its dead connection for as long as a watch may last; meanwhile a server leaves.
+/// The next call that is answered shows that the store is back, and the watch begins anew.
+#[test]
+fn a_silent_watch_is_given_up_when_the_store_is_back() {
+    block_on(async {
+        let world = World::start("silent").await;
+        world.configure().await;
+        let leaving = world.server("i-1", "desk").await;
+        let stays = world.server("i-2", "desk").await;
+        let router = world.router("a").await;
+        world.fault(&StoreFault::Silent { for_ms: 1_500 }).await;
+        monoio::time::sleep(Millis(4_500).duration()).await;
+        world.register(&leaving, "desk", "draining", 0).await;
+        monoio::time::sleep(Millis(1_000).duration()).await;
+        for _ in 0..10 {
+            assert_eq!(router.caller().get("/read/1").await.unwrap().status(), 200);
+        }
+        let runs = [&leaving, &stays].map(|s| s.ran.borrow().len());
+        assert_eq!(runs, [0, 10]);
+    });
+}
--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -18,6 +18,7 @@
 use snafu::Snafu;
 
 use crate::collect;
+use crate::keep_alive::keep_alive;
 
 /// Idle connections kept for each address. Control calls rarely overlap; more would count against
 /// the connection limit of a target.
@@ -157,6 +158,7 @@
             .await
             .context(ConnectSnafu { addr })?;
         stream.set_nodelay(true).context(ConnectSnafu { addr })?;
+        keep_alive(&stream).context(ConnectSnafu { addr })?;
         let io = stream
             .try_into_poll_io()
             .map_err(|(e, _)| e)
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -30,6 +30,7 @@
 mod invariant;
 mod invariants;
 mod json;
+mod keep_alive;
 mod log_sink;
 mod metrics;
 mod process;
--- a/crates/chicoryrail-runtime/src/server_pool.rs
+++ b/crates/chicoryrail-runtime/src/server_pool.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Body;
+use crate::keep_alive::keep_alive;
 
 /// Connections kept above the slots. A connection that was given up still counts until its end, and
 /// its successor must not wait for that.
@@ -96,6 +97,7 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
+        keep_alive(&stream)?;
         let io = stream.try_into_poll_io().map_err(|(e, _)| e)?;
         let (send, connection) = http1::handshake(MonoioIo::new(io))
             .await
--- a/crates/chicoryrail-testkit/src/store/fault.rs
+++ b/crates/chicoryrail-testkit/src/store/fault.rs
@@ -27,6 +27,11 @@
         #[serde(default)]
         hosts: Vec<IpAddr>,
     },
+    /// Connections go silent for good: calls under way and those that come get no answer and no end.
+    Silent {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+    },
     /// Calls are done after a delay.
     Slow {
         /// Length of the fault in milliseconds.
@@ -60,12 +65,16 @@
     pub(crate) down: Option<bool>,
     /// The call is done and its answer lost.
     pub(crate) lost: bool,
+    /// The connection is silent from now on.
+    pub(crate) silent: bool,
 }
 
 /// The faults that are on.
 #[derive(Debug)]
 pub(crate) struct StoreFaults {
     on: Vec<(Millis, StoreFault)>,
+    /// Silences so far; what was under way when one began stays silent.
+    pub(crate) silences: u64,
     rng: Pcg64Mcg,
 }
 
@@ -73,13 +82,18 @@
     pub(crate) fn new(seed: u64) -> Self {
         Self {
             on: Vec::new(),
+            silences: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
 
     /// Switches a fault on, beside those that are on.
     pub(crate) fn add(&mut self, now: Millis, fault: StoreFault) {
+        if matches!(fault, StoreFault::Silent { .. }) {
+            self.silences += 1;
+        }
         let (StoreFault::Down { for_ms, .. }
+        | StoreFault::Silent { for_ms }
         | StoreFault::Slow { for_ms, .. }
         | StoreFault::LoseAnswers { for_ms, .. }) = fault;
         self.on.push((now + Millis(for_ms), fault));
@@ -103,6 +117,7 @@
                     hosts,
                     ..
                 } if concerns(hosts, caller) && hit(share) => fate.down = Some(*polite),
+                StoreFault::Silent { .. } => fate.silent = true,
                 StoreFault::Slow {
                     share, delay_ms, ..
                 } if hit(share) => fate.delay = fate.delay + Millis(*delay_ms),
--- a/crates/chicoryrail-testkit/src/store/server.rs
+++ b/crates/chicoryrail-testkit/src/store/server.rs
@@ -162,12 +162,19 @@
             self.state.borrow_mut().stats.faulty += 1;
             self.clock.sleep(fate.delay).await;
         }
+        if fate.silent {
+            std::future::pending::<()>().await;
+        }
+        let silences = self.state.borrow().faults.silences;
         match fate.down {
             Some(true) => return Ok(error_answer(ResultCode::StoreDown, "fault: down")),
             Some(false) => return Err(Cut),
             None => {}
         }
         let answer = self.call(&head.method, &head.uri, &body).await;
+        if self.state.borrow().faults.silences != silences {
+            std::future::pending::<()>().await;
+        }
         if fate.lost { Err(Cut) } else { Ok(answer) }
     }
 
