feat(router): a desk at the leader decides for all hosts which request goes where

Hosts that send without asking each other queue at some servers beside free slots at others. The leader is asked by datagram before each send and told of each end; it knows every slot, keeps one queue and the bounds over all hosts. Hosts fall back to their own view after 50 ms without a word.

--- /dev/null
+++ b/crates/chicoryrail-policy/src/desk/desk.rs
@@ -0,0 +1,185 @@
+//! The desk of one service.
+
+use chicoryrail_core::Millis;
+
+use crate::ServerId;
+use crate::desk::DeskAsk;
+use crate::desk::DeskEnd;
+use crate::desk::DeskPlace;
+use crate::desk::DeskVerdict;
+use crate::desk::SeatState;
+use crate::desk::board::Board;
+use crate::desk::seat::Seat;
+
+/// Part of a caller's time for which a request may wait at the most: it must have time left to come back
+/// and be served elsewhere, should it be refused after all.
+const WAIT_PART: f64 = 0.6;
+
+/// Factor on the expected answer time in the comparison with a caller's deadline. Work differs by a factor of
+/// two between requests; one that is expected to end right at the deadline mostly ends after it.
+const MARGIN: f64 = 1.15;
+
+/// The desk of one service.
+///
+/// Load: more requests than slots, for moments or for good. Harm prevented: requests that can still be
+/// answered within their aim wait behind some that can't; requests wait until their callers give up,
+/// having kept a place all the while. The queue's order is: who can still meet its aim, by rank and then
+/// by the time left for it; then the others by deadline. What has no prospect of an answer in time is
+/// refused as soon as that is seen, with the time after which there may be room.
+#[derive(Clone, Debug, Default)]
+pub struct Desk {
+    board: Board,
+    waiting: Vec<Waiting>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ask: DeskAsk,
+    since: Millis,
+    place: DeskPlace,
+}
+
+impl Desk {
+    /// Adds a server, or takes in its state.
+    pub fn set(&mut self, now: Millis, server: ServerId, state: SeatState) {
+        let seats = &mut self.board.seats;
+        seats
+            .entry(server)
+            .or_insert_with(|| Seat::new(now, state))
+            .state = state;
+    }
+
+    /// Forgets the servers that are not kept.
+    pub fn retain(&mut self, keep: impl Fn(ServerId) -> bool) {
+        self.board.seats.retain(|id, _| keep(*id));
+    }
+
+    /// Takes in a request; [`Desk::poll`] says what becomes of it. One that asks again is the same one.
+    ///
+    /// Returns the server that it was given before, where the word of it was lost.
+    pub fn ask(&mut self, now: Millis, ask: DeskAsk) -> Option<ServerId> {
+        let seats = self.board.seats.iter();
+        let given = seats
+            .filter(|(_, s)| s.holds(ask.ticket))
+            .map(|(id, _)| *id)
+            .next();
+        if given.is_none() && !self.waiting.iter().any(|w| w.ask.ticket == ask.ticket) {
+            self.waiting.push(Waiting {
+                ask,
+                since: now,
+                place: DeskPlace::Any,
+            });
+        }
+        given
+    }
+
+    /// Takes a request back whose caller has left.
+    pub fn leave(&mut self, ticket: u64) {
+        self.waiting.retain(|w| w.ask.ticket != ticket);
+    }
+
+    /// Takes in how a send ended.
+    pub fn ended(&mut self, now: Millis, end: &DeskEnd) {
+        if let Some(seat) = self.board.seats.get_mut(&end.server) {
+            seat.end(now, end.ticket, end.us, end.failure, end.report);
+        }
+    }
+
+    /// Returns the verdicts that are due; `place` tells where a key's requests may go.
+    pub fn poll(
+        &mut self,
+        now: Millis,
+        place: impl Fn(u16) -> DeskPlace,
+    ) -> Vec<(u64, DeskVerdict)> {
+        for seat in self.board.seats.values_mut() {
+            seat.expire(now);
+        }
+        for waiting in &mut self.waiting {
+            waiting.place = waiting.ask.key.map_or(DeskPlace::Any, &place);
+        }
+        self.order(now);
+        let mut verdicts = Vec::new();
+        // Work of those that go before, by where they may go.
+        let mut ahead: Vec<(DeskPlace, f64)> = Vec::new();
+        let queue = std::mem::take(&mut self.waiting);
+        for waiting in queue {
+            match self.judge(now, &waiting, &mut ahead) {
+                Some(verdict) => verdicts.push((waiting.ask.ticket, verdict)),
+                None => self.waiting.push(waiting),
+            }
+        }
+        verdicts
+    }
+
+    /// Decides about one request, behind the work of those before it.
+    fn judge(
+        &mut self,
+        now: Millis,
+        waiting: &Waiting,
+        ahead: &mut Vec<(DeskPlace, f64)>,
+    ) -> Option<DeskVerdict> {
+        let Waiting { ask, place, .. } = waiting;
+        if let Some(server) = self.board.seat_for(now, ask, *place) {
+            if let Some(seat) = self.board.seats.get_mut(&server) {
+                seat.send(now, ask.ticket, ask.deadline, ask.work_us);
+            }
+            return Some(DeskVerdict::Send(server));
+        }
+        let at = ahead.iter().position(|(p, _)| p == place);
+        let at = at.unwrap_or_else(|| {
+            ahead.push((*place, 0.0));
+            ahead.len() - 1
+        });
+        if let Err(after) = self.prospect(now, waiting, ahead[at].1) {
+            return Some(DeskVerdict::Refuse(after));
+        }
+        ahead[at].1 += ask.work_us;
+        None
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns how fast a server is by what was seen of it: above 1 is slower than usual.
+    #[must_use]
+    pub fn speed(&self, server: ServerId) -> f64 {
+        self.board.seats.get(&server).map_or(1.0, Seat::speed)
+    }
+
+    /// Sorts the queue; see [`Desk`].
+    fn order(&mut self, now: Millis) {
+        let board = &self.board;
+        let key = |w: &Waiting| {
+            let soonest = board.answer_in(now, &w.ask, w.place, 0.0);
+            let in_time = soonest.is_some_and(|us| now + millis(us) <= w.ask.aim);
+            if in_time {
+                (0, w.ask.rank, w.ask.aim)
+            } else {
+                (1, 0, w.ask.deadline)
+            }
+        };
+        self.waiting.sort_by_cached_key(key);
+    }
+
+    /// Tells whether a request may go on waiting behind so much work; otherwise when there may be room.
+    fn prospect(&self, now: Millis, waiting: &Waiting, ahead: f64) -> Result<(), Millis> {
+        let ask = &waiting.ask;
+        let left = ask.deadline.since(now).0 as f64 * 1_000.0;
+        let Some(us) = self.board.answer_in(now, ask, waiting.place, ahead) else {
+            return Err(millis(ask.work_us));
+        };
+        let whole = ask.deadline.since(waiting.since).0 as f64;
+        let waited = now.since(waiting.since).0 as f64;
+        if us * MARGIN <= left && waited <= whole * WAIT_PART {
+            return Ok(());
+        }
+        Err(millis((us * MARGIN - left).max(ask.work_us * 0.5)))
+    }
+}
+
+fn millis(us: f64) -> Millis {
+    Millis((us / 1_000.0) as u64)
+}
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`ServerQueue`]: it admits, orders, sends and refuses. A [`Picker`] chooses between the gate's
 //! own queue and the queues of other gates, a [`Hedge`] decides when a late lookup is tried a
 //! second time, and a [`RetryBudget`] whether a request that did not run may be sent again.
-//! [`SharedServers`] picks among servers that many hosts send to without asking each other.
+//! [`SharedServers`] picks among servers that many hosts send to without asking each other, and a
+//! [`Desk`] decides for all of them where they can ask it.
 //! Nothing here opens a socket or reads a clock, so a test steps through any load in no time.
 //!
 //! # Example
@@ -39,6 +40,7 @@
 mod backlog;
 mod batch_share;
 mod decision;
+mod desk;
 mod estimate;
 mod health;
 mod hedge;
@@ -61,6 +63,12 @@
 pub use ask::ServerId;
 pub use ask::Ticket;
 pub use decision::Decision;
+pub use desk::Desk;
+pub use desk::DeskAsk;
+pub use desk::DeskEnd;
+pub use desk::DeskPlace;
+pub use desk::DeskVerdict;
+pub use desk::SeatState;
 pub use estimate::Estimate;
 pub use health::Health;
 pub use health::Verdict;
--- a/crates/chicoryrail-policy/src/shared/mod.rs
+++ b/crates/chicoryrail-policy/src/shared/mod.rs
@@ -8,7 +8,7 @@
 mod load_report;
 mod retries;
 mod return_time;
-mod server_view;
+pub(crate) mod server_view;
 mod servers;
 mod weights;
 
--- /dev/null
+++ b/crates/chicoryrail-router/src/control/desk_duty.rs
@@ -0,0 +1,197 @@
+//! The leader's part of the desk: takes what hosts ask and tell, and says what becomes of requests.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_policy::DeskAsk;
+use chicoryrail_policy::DeskEnd;
+use chicoryrail_policy::DeskPlace;
+use chicoryrail_policy::DeskVerdict;
+use chicoryrail_policy::Failure;
+use chicoryrail_policy::LoadReport;
+use chicoryrail_policy::SeatState;
+
+use crate::state::KeyOwner;
+use crate::state::Router;
+use crate::state::Service;
+use crate::talk::Ask;
+use crate::talk::End;
+use crate::talk::EndKind;
+use crate::talk::Packet;
+use crate::talk::Told;
+
+/// Time between two looks at requests that wait for what is not told to the desk: a server that warms up,
+/// rests, or gets its keys.
+const LOOK: Millis = Millis(15);
+
+/// Looks at the desks while this host leads.
+pub(crate) async fn tend(router: Rc<Router>) {
+    loop {
+        router.process.clock.sleep(LOOK).await;
+        if router.leads.get() == 0 {
+            continue;
+        }
+        for service in router.services() {
+            let waits = router
+                .hall
+                .desks
+                .borrow()
+                .get(&service.name)
+                .is_some_and(|d| d.waiting() > 0);
+            if waits {
+                poll(&router, &service);
+            }
+        }
+    }
+}
+
+/// Takes in a request that asks; `from` is `None` for this host itself.
+pub(crate) fn ask(router: &Rc<Router>, ask: &Ask, from: Option<SocketAddr>) {
+    if router.leads.get() == 0 {
+        return;
+    }
+    let now = router.now();
+    let service = router.service(&ask.service);
+    let ids = ask
+        .not
+        .iter()
+        .filter_map(|l| service.target(l).map(|t| t.id));
+    let asked = DeskAsk {
+        ticket: ask.ticket,
+        rank: ask.rank,
+        aim: now + Millis(ask.aim),
+        deadline: now + Millis(ask.left),
+        work_us: ask.work_us as f64,
+        key: ask.key,
+        not: ids.collect(),
+    };
+    let given = {
+        let mut desks = router.hall.desks.borrow_mut();
+        let desk = desks.entry(ask.service.clone()).or_default();
+        desk.ask(now, asked)
+    };
+    router.hall.origins.borrow_mut().insert(ask.ticket, from);
+    if let Some(id) = given {
+        // The word of it was lost on the way.
+        tell(router, &service, ask.ticket, DeskVerdict::Send(id));
+        return;
+    }
+    poll(router, &service);
+    if let Some(from) = router.hall.origins.borrow().get(&ask.ticket) {
+        let ticket = ask.ticket;
+        answer(router, *from, ticket, Told::Waits);
+    }
+}
+
+/// Takes in how a request ended.
+pub(crate) fn ended(router: &Rc<Router>, end: &End) {
+    if router.leads.get() == 0 {
+        return;
+    }
+    let service = router.service(&end.service);
+    let Some(target) = service.target(&end.server) else {
+        return;
+    };
+    let report = end
+        .report
+        .map(|(running, waiting, slots, pace)| LoadReport {
+            running,
+            waiting,
+            slots,
+            pace,
+        });
+    let end = DeskEnd {
+        ticket: end.ticket,
+        server: target.id,
+        us: end.us.map(|us| us as f64),
+        failure: match end.kind {
+            EndKind::Plain => None,
+            EndKind::Full => Some(Failure::Full),
+            EndKind::Broken => Some(Failure::Broken),
+            EndKind::Error => Some(Failure::Error),
+            EndKind::Silent => Some(Failure::Silent),
+        },
+        report,
+    };
+    let now = router.now();
+    if let Some(desk) = router.hall.desks.borrow_mut().get_mut(&service.name) {
+        desk.ended(now, &end);
+    }
+    poll(router, &service);
+}
+
+/// Takes in that a caller has left.
+pub(crate) fn left(router: &Router, service: &chicoryrail_core::ServiceName, ticket: u64) {
+    if let Some(desk) = router.hall.desks.borrow_mut().get_mut(service) {
+        desk.leave(ticket);
+    }
+    router.hall.origins.borrow_mut().remove(&ticket);
+}
+
+/// Decides what can be decided, and tells who asked.
+fn poll(router: &Rc<Router>, service: &Rc<Service>) {
+    let now = router.now();
+    let verdicts = {
+        let mut desks = router.hall.desks.borrow_mut();
+        let desk = desks.entry(service.name.clone()).or_default();
+        set_seats(router, service, desk, now);
+        let keys = service.keys.borrow();
+        desk.poll(now, |key| match keys.owner(now, key) {
+            KeyOwner::Held(life) => service
+                .target(&life)
+                .map_or(DeskPlace::Moving, |t| DeskPlace::Owner(t.id)),
+            KeyOwner::Moving | KeyOwner::Nobody => DeskPlace::Moving,
+        })
+    };
+    for (ticket, verdict) in verdicts {
+        tell(router, service, ticket, verdict);
+    }
+}
+
+/// Brings the desk's servers in line with what is believed of them.
+fn set_seats(router: &Router, service: &Service, desk: &mut chicoryrail_policy::Desk, now: Millis) {
+    let bound = router.cold_bound(&service.name);
+    let targets = service.targets.borrow();
+    let any_ready = targets.values().any(|t| t.is_ready());
+    for target in targets.values() {
+        let state = SeatState {
+            slots: target.slots.get(),
+            open: if any_ready && !service.is_keyed() {
+                target.is_ready()
+            } else {
+                target.may_get(now)
+            },
+            cold_until: target.cold_until.get(),
+            cold_bound: bound,
+        };
+        desk.set(now, target.id, state);
+    }
+    desk.retain(|id| targets.values().any(|t| t.id == id));
+}
+
+fn tell(router: &Rc<Router>, service: &Service, ticket: u64, verdict: DeskVerdict) {
+    let told = match verdict {
+        DeskVerdict::Refuse(after) => Told::Refuse(after.0),
+        DeskVerdict::Send(id) => {
+            let targets = service.targets.borrow();
+            let Some(target) = targets.values().find(|t| t.id == id) else {
+                return;
+            };
+            Told::Send(target.life.clone())
+        }
+    };
+    let from = router.hall.origins.borrow_mut().remove(&ticket);
+    if let Some(from) = from {
+        answer(router, from, ticket, told);
+    }
+}
+
+fn answer(router: &Rc<Router>, to: Option<SocketAddr>, ticket: u64, told: Told) {
+    match to {
+        Some(addr) => router.talk.post(Packet::Told { ticket, told }, addr),
+        None => {
+            router.asks.told(ticket, told);
+        }
+    }
+}
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -1,106 +1,63 @@
-//! Datagrams between hosts.
-//!
-//! They carry what must be known within milliseconds, or while the store is away: who leads, who holds
-//! which keys, and to the leader the keys that were asked for. A lost one is made good by the next.
+//! What hosts tell each other: who leads, who holds which keys, and to the leader the keys that were
+//! asked for.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bincode::Decode;
-use bincode::Encode;
-use bincode::config::standard;
-use chicoryrail_core::HostName;
-use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::KeySpan;
 use chicoryrail_ownership::keys::OwnedSpan;
-use monoio::net::udp::UdpSocket;
 
+use crate::control::desk_duty;
 use crate::control::tenure::Tenure;
 use crate::state::Router;
+use crate::talk::Asked;
+use crate::talk::KeyWord;
+use crate::talk::Packet;
+use crate::talk::Told;
+use crate::talk::Word;
 
 /// Time between two datagrams to each other host without news. It is also how soon a leader that was cut
 /// off from the store hears of its successor.
 const EVERY: Millis = Millis(400);
 
-/// Bytes of a datagram that is read; what is sent stays far below.
-const LONGEST: usize = 8 << 10;
-
 /// Keys of one report; a datagram should fit into one packet.
 const KEYS_MOST: usize = 400;
 
-/// What a host tells another.
-#[derive(Clone, Debug, Encode, Decode)]
-struct Word {
-    host: HostName,
-    /// Highest term of leadership that it knows.
-    term: u64,
-    /// Whether it leads in that term itself.
-    leads: bool,
-    keys: Vec<KeyWord>,
-    asked: Vec<Asked>,
-}
-
-/// Who holds the keys of a service, as the leader knows it.
-#[derive(Clone, Debug, Encode, Decode)]
-struct KeyWord {
-    service: ServiceName,
-    fence: u64,
-    spans: Vec<(u16, u16, Life)>,
-    blocked: Vec<(u16, u16)>,
-}
-
-/// Keys of a service that were asked for.
-#[derive(Clone, Debug, Encode, Decode)]
-struct Asked {
-    service: ServiceName,
-    keys: Vec<u16>,
-}
-
-/// The socket between hosts.
+/// What this host tells the others, and hears from them.
 pub(crate) struct Gossip {
     router: Rc<Router>,
-    socket: UdpSocket,
     /// What the leader knows, while this host leads.
     tenure: Rc<Tenure>,
-    sent: Cell<u64>,
 }
 
 impl Gossip {
-    /// Binds the socket.
-    ///
-    /// # Errors
-    ///
-    /// Returns the system's error.
-    pub(crate) fn bind(
-        router: &Rc<Router>,
-        addr: SocketAddr,
-        tenure: &Rc<Tenure>,
-    ) -> std::io::Result<Rc<Self>> {
-        Ok(Rc::new(Self {
+    /// Builds the two sides for a host.
+    pub(crate) fn new(router: &Rc<Router>, tenure: &Rc<Tenure>) -> Rc<Self> {
+        Rc::new(Self {
             router: Rc::clone(router),
-            socket: UdpSocket::bind(addr)?,
             tenure: Rc::clone(tenure),
-            sent: Cell::new(0),
-        }))
+        })
     }
 
-    /// Reads what others tell.
-    pub(crate) async fn listen(self: Rc<Self>) {
-        let mut buffer = vec![0_u8; LONGEST];
-        loop {
-            let (result, back) = self.socket.recv_from(buffer).await;
-            buffer = back;
-            match result {
-                Ok((n, from)) => self.read(&buffer[..n], from),
-                Err(e) => {
-                    log::warn!(error:% = e; "gossip_read");
-                    self.router.process.clock.sleep(EVERY).await;
-                }
-            }
+    /// Takes in what another host sent.
+    pub(crate) fn take(&self, packet: Packet, from: SocketAddr) {
+        match packet {
+            Packet::Word(word) => self.read(word),
+            Packet::Ask(ask) => desk_duty::ask(&self.router, &ask, Some(from)),
+            Packet::Told { ticket, told } => self.told(ticket, told),
+            Packet::End(end) => desk_duty::ended(&self.router, &end),
+            Packet::Leave { service, ticket } => desk_duty::left(&self.router, &service, ticket),
+        }
+    }
+
+    fn told(&self, ticket: u64, told: Told) {
+        // Nobody waits any more: the word came late. The slot that it gives is free again when the
+        // request's time is over, as the desk sees it.
+        if !self.router.asks.told(ticket, told) {
+            log::debug!(ticket = ticket; "told_late");
         }
     }
 
@@ -170,33 +127,19 @@
         let leader = self.router.peers.borrow().leader_addr();
         // Only the leader has a use for the keys that were asked for.
         let to_leader = leader.is_none_or(|l| l == addr);
-        let encoded = if to_leader {
-            bincode::encode_to_vec(word, standard())
+        let asked = if to_leader {
+            word.asked.clone()
         } else {
-            let short = Word {
-                asked: Vec::new(),
-                ..word.clone()
-            };
-            bincode::encode_to_vec(&short, standard())
+            Vec::new()
         };
-        let Ok(bytes) = encoded else {
-            return;
+        let word = Word {
+            asked,
+            ..word.clone()
         };
-        self.sent.set(self.sent.get() + 1);
-        let (result, _) = self.socket.send_to(bytes, addr).await;
-        if let Err(e) = result {
-            log::debug!(addr:% = addr, error:% = e; "gossip_send");
-        }
+        self.router.talk.send(&Packet::Word(word), addr).await;
     }
 
-    fn read(&self, bytes: &[u8], from: SocketAddr) {
-        let word = match bincode::decode_from_slice::<Word, _>(bytes, standard()) {
-            Ok((word, _)) => word,
-            Err(e) => {
-                log::warn!(from:% = from, error:% = e; "gossip_unreadable");
-                return;
-            }
-        };
+    fn read(&self, word: Word) {
         let now = self.router.now();
         let known = self.router.peers.borrow().highest_term();
         {
@@ -210,7 +153,7 @@
         // A leader that was replaced may not know it yet; its word on keys is old.
         if word.leads && word.term >= known {
             for key in word.keys {
-                self.take(now, key);
+                self.take_keys(now, key);
             }
         }
         for asked in word.asked {
@@ -218,7 +161,7 @@
         }
     }
 
-    fn take(&self, now: Millis, word: KeyWord) {
+    fn take_keys(&self, now: Millis, word: KeyWord) {
         let service = self.router.service(&word.service);
         let span = |first, last| KeySpan { first, last };
         let spans = word.spans.into_iter();
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! Talk with the store, the other hosts and the servers' control.
 
+pub(crate) mod desk_duty;
 mod elect;
 mod follow;
 mod gossip;
--- a/crates/chicoryrail-router/src/lib.rs
+++ b/crates/chicoryrail-router/src/lib.rs
@@ -21,6 +21,7 @@
 mod route;
 mod run;
 mod state;
+mod talk;
 
 pub use options::Options;
 pub use options::options;
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -13,6 +13,8 @@
 use crate::route::call::LEAST_LEFT;
 use crate::route::choose::Choice;
 use crate::route::choose::choose;
+use crate::route::desk;
+use crate::route::desk::Slot;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::route::send::NotRun;
@@ -21,6 +23,7 @@
 use crate::route::send::send;
 use crate::state::Router;
 use crate::state::Service;
+use crate::state::Target;
 
 /// Part of the aim for which a request waits here for room: beyond it, callers are better off coming back
 /// through another host, which may know of room.
@@ -38,7 +41,7 @@
 
 /// One request's tries.
 struct Tries<'a> {
-    router: &'a Router,
+    router: &'a Rc<Router>,
     service: Rc<Service>,
     call: &'a Call,
     body: &'a Rc<RequestBody>,
@@ -49,7 +52,7 @@
 
 /// Serves a request.
 pub(crate) async fn run(
-    router: &Router,
+    router: &Rc<Router>,
     call: &Call,
     body: &Rc<RequestBody>,
 ) -> Result<Response<Body>, Refusal> {
@@ -83,19 +86,13 @@
 impl Tries<'_> {
     async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         loop {
-            let target = self.wait_for_target().await?;
+            let place = self.place().await?;
+            let life = place.0.life.clone();
             let limit = self.limit();
-            let sent = send(
-                self.router,
-                &self.service,
-                &target,
-                self.call,
-                self.body,
-                limit,
-            )
-            .await;
-            self.log(&target.life, &sent);
-            self.tried.push(target.life.clone());
+            let (service, call, body) = (&self.service, self.call, self.body);
+            let sent = send(self.router, service, place, call, body, limit).await;
+            self.log(&life, &sent);
+            self.tried.push(life);
             let (failed, error) = match sent {
                 Sent::Answered(answer) => return Ok(answer),
                 Sent::ServerError(answer) => {
@@ -117,8 +114,22 @@
         }
     }
 
-    /// Waits until there is a server for the request.
-    async fn wait_for_target(&self) -> Result<Rc<crate::state::Target>, Refusal> {
+    /// Waits until there is a server for the request: the desk says which; without it this host chooses by
+    /// what it knows itself.
+    async fn place(&self) -> Result<(Rc<Target>, Slot), Refusal> {
+        match desk::ask(self.router, &self.service, self.call, &self.tried).await {
+            desk::Word::Send(target, slot) => Ok((target, slot)),
+            desk::Word::Refuse(after) => Err(self.refuse(Cause::Full, after)),
+            desk::Word::Silent => {
+                let target = self.wait_for_target().await?;
+                let slot = Slot::without(self.router, &self.service.name, &target.life);
+                Ok((target, slot))
+            }
+        }
+    }
+
+    /// Waits until there is a server for the request, by what this host knows itself.
+    async fn wait_for_target(&self) -> Result<Rc<Target>, Refusal> {
         let aim = self.call.route.aim;
         let started = self.router.now();
         loop {
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -99,8 +99,7 @@
     if !target.is_cold(now) {
         return true;
     }
-    let bounds = router.boot().bounds;
-    let bound = call.service.cold_rate * bounds.cold_over + bounds.cold_slack;
+    let bound = router.cold_bound(call.service_name());
     let hosts = router.peers.borrow().sharing();
     target.cold.borrow_mut().take(now, bound, hosts)
 }
--- /dev/null
+++ b/crates/chicoryrail-router/src/route/desk.rs
@@ -0,0 +1,242 @@
+//! Asks the desk for a server, and tells it how the request ended there.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::pin::pin;
+use std::rc::Rc;
+
+use chicoryrail_core::Life;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ServiceName;
+use chicoryrail_policy::Failure;
+use chicoryrail_policy::LoadReport;
+use monoio::time::timeout;
+
+use crate::control::desk_duty;
+use crate::route::call::Call;
+use crate::state::Router;
+use crate::state::Service;
+use crate::state::Target;
+use crate::talk::Ask;
+use crate::talk::End;
+use crate::talk::EndKind;
+use crate::talk::Packet;
+use crate::talk::Told;
+
+/// Time after which a question without any word is sent again, and after which the desk is given up.
+/// Between data centres a question and its word take 2 ms, and 20 at a host that has used its share of the
+/// processor for this tenth of a second.
+const ASK_AGAIN: Millis = Millis(20);
+const GIVE_UP: Millis = Millis(50);
+
+/// Time after which a request that waits at the desk asks again: the word may have been lost, or another
+/// host may lead by now.
+const WAIT_AGAIN: Millis = Millis(120);
+
+/// What the desk said.
+pub(crate) enum Word {
+    /// Send to this server.
+    Send(Rc<Target>, Slot),
+    /// Refuse; there may be room after this time.
+    Refuse(Millis),
+    /// The desk can't be reached.
+    Silent,
+}
+
+/// Asks the desk which server a request goes to, and waits as long as it says.
+pub(crate) async fn ask(
+    router: &Rc<Router>,
+    service: &Rc<Service>,
+    call: &Call,
+    tried: &[Life],
+) -> Word {
+    if router.asks.is_silent(router.now()) {
+        return Word::Silent;
+    }
+    let (ticket, waiting) = router.asks.open(router.process.instance);
+    let mut place = Place {
+        router,
+        service: &service.name,
+        ticket,
+        waits: true,
+    };
+    let mut asked = router.now();
+    let mut heard = false;
+    if !place.send(call, tried) {
+        return Word::Silent;
+    }
+    let mut sent_again = false;
+    loop {
+        let seen = waiting.changed.count();
+        match waiting.take() {
+            Some(Told::Send(life)) => {
+                place.waits = false;
+                let slot = Slot::new(router, &service.name, ticket, &life);
+                let target = service.target(&life).filter(|t| t.may_get(router.now()));
+                return match target {
+                    Some(target) => Word::Send(target, slot),
+                    // The leader has not heard yet what this host knows of the server.
+                    None => Word::Silent,
+                };
+            }
+            Some(Told::Refuse(after)) => {
+                place.waits = false;
+                return Word::Refuse(Millis(after));
+            }
+            Some(Told::Waits) => {
+                heard = true;
+                sent_again = false;
+                asked = router.now();
+            }
+            None => {}
+        }
+        let now = router.now();
+        if call.left(now) == Millis::ZERO {
+            return Word::Refuse(Millis::ZERO);
+        }
+        let silent = now.since(asked);
+        let again = if heard { WAIT_AGAIN } else { ASK_AGAIN };
+        if silent >= again + GIVE_UP - ASK_AGAIN {
+            router.asks.silent(now);
+            log::info!(request = call.id, silent_ms = silent.0, heard = heard; "desk_silent");
+            return Word::Silent;
+        }
+        if silent >= again && !sent_again {
+            sent_again = true;
+            if !place.send(call, tried) {
+                return Word::Silent;
+            }
+        }
+        let next = if sent_again {
+            again + GIVE_UP - ASK_AGAIN
+        } else {
+            again
+        };
+        let wait = next.since(silent).min(call.left(now)) + Millis(1);
+        let changed = pin!(waiting.changed.after(seen));
+        let _ = timeout(wait.duration(), changed).await;
+    }
+}
+
+/// A question at the desk; dropped while it waits, it is taken back.
+struct Place<'a> {
+    router: &'a Rc<Router>,
+    service: &'a ServiceName,
+    ticket: u64,
+    waits: bool,
+}
+
+impl Place<'_> {
+    /// Sends the question; tells whether there is somebody to ask.
+    fn send(&self, call: &Call, tried: &[Life]) -> bool {
+        let now = self.router.now();
+        let work = self.router.work(&call.route.name, call.route.aim);
+        let ask = Ask {
+            service: self.service.clone(),
+            ticket: self.ticket,
+            key: call.key,
+            rank: call.route.rank,
+            aim: (call.arrived + call.route.aim).since(now).0,
+            left: call.left(now).0,
+            work_us: work as u64,
+            not: tried.to_vec(),
+        };
+        if self.router.leads.get() > 0 {
+            desk_duty::ask(self.router, &ask, None);
+            return true;
+        }
+        let Some(leader) = self.router.peers.borrow().leader_addr() else {
+            return false;
+        };
+        self.router.talk.post(Packet::Ask(ask), leader);
+        true
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.router.asks.close(self.ticket);
+        if !self.waits {
+            return;
+        }
+        let service = self.service.clone();
+        let ticket = self.ticket;
+        if self.router.leads.get() > 0 {
+            desk_duty::left(self.router, &service, ticket);
+        } else if let Some(leader) = self.router.peers.borrow().leader_addr() {
+            let packet = Packet::Leave { service, ticket };
+            self.router.talk.post(packet, leader);
+        }
+    }
+}
+
+/// A slot of a server that the desk gave, or that was taken without it. Dropped when the request has ended
+/// at the server, it tells the desk how.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    router: Rc<Router>,
+    service: ServiceName,
+    server: Life,
+    ticket: u64,
+    us: Cell<Option<u64>>,
+    kind: Cell<EndKind>,
+    report: RefCell<Option<LoadReport>>,
+}
+
+impl Slot {
+    fn new(router: &Rc<Router>, service: &ServiceName, ticket: u64, server: &Life) -> Self {
+        Self {
+            router: Rc::clone(router),
+            service: service.clone(),
+            server: server.clone(),
+            ticket,
+            us: Cell::new(None),
+            kind: Cell::new(EndKind::Plain),
+            report: RefCell::default(),
+        }
+    }
+
+    /// Takes a slot without the desk, which only hears of the end.
+    pub(crate) fn without(router: &Rc<Router>, service: &ServiceName, server: &Life) -> Self {
+        Self::new(router, service, 0, server)
+    }
+
+    /// Notes what the server said of its load.
+    pub(crate) fn heard(&self, report: LoadReport) {
+        *self.report.borrow_mut() = Some(report);
+    }
+
+    /// Notes how the send ended.
+    pub(crate) fn note(&self, us: f64, failure: Option<Failure>) {
+        self.us.set(Some(us as u64));
+        self.kind.set(match failure {
+            None => EndKind::Plain,
+            Some(Failure::Full) => EndKind::Full,
+            Some(Failure::Broken) => EndKind::Broken,
+            Some(Failure::Error) => EndKind::Error,
+            Some(Failure::Silent) => EndKind::Silent,
+        });
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let report = self
+            .report
+            .borrow()
+            .map(|r| (r.running, r.waiting, r.slots, r.pace));
+        let end = End {
+            service: self.service.clone(),
+            ticket: self.ticket,
+            server: self.server.clone(),
+            us: self.us.get(),
+            kind: self.kind.get(),
+            report,
+        };
+        if self.router.leads.get() > 0 {
+            desk_duty::ended(&self.router, &end);
+        } else if let Some(leader) = self.router.peers.borrow().leader_addr() {
+            self.router.talk.post(Packet::End(end), leader);
+        }
+    }
+}
--- a/crates/chicoryrail-router/src/route/flight.rs
+++ b/crates/chicoryrail-router/src/route/flight.rs
@@ -4,6 +4,7 @@
 
 use chicoryrail_runtime::ServerConn;
 
+use crate::route::desk::Slot;
 use crate::state::Service;
 use crate::state::Target;
 
@@ -14,16 +15,19 @@
     service: Rc<Service>,
     pub(crate) target: Rc<Target>,
     conn: Option<ServerConn>,
+    /// Given back when the request has ended.
+    pub(crate) slot: Rc<Slot>,
 }
 
 impl Flight {
     /// Counts a request that is about to be sent.
-    pub(crate) fn new(service: &Rc<Service>, target: &Rc<Target>) -> Self {
+    pub(crate) fn new(service: &Rc<Service>, target: &Rc<Target>, slot: &Rc<Slot>) -> Self {
         service.loads.borrow_mut().sent(target.id);
         Self {
             service: Rc::clone(service),
             target: Rc::clone(target),
             conn: None,
+            slot: Rc::clone(slot),
         }
     }
 
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -5,6 +5,7 @@
 mod call;
 mod caller;
 mod choose;
+mod desk;
 mod flight;
 mod refusal;
 mod send;
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -22,6 +22,7 @@
 
 use crate::route::answer;
 use crate::route::call::Call;
+use crate::route::desk::Slot;
 use crate::route::flight::Flight;
 use crate::state::Router;
 use crate::state::Service;
@@ -97,15 +98,17 @@
 pub(crate) async fn send(
     router: &Router,
     service: &Rc<Service>,
-    target: &Rc<Target>,
+    place: (Rc<Target>, Slot),
     call: &Call,
     body: &Rc<RequestBody>,
     limit: Millis,
 ) -> Sent {
+    let (target, slot) = place;
+    let (target, slot) = (&target, Rc::new(slot));
     let now = router.now();
     let alone = service.loads.borrow().is_free(now, target.id);
     let started = Instant::now();
-    let flight = Flight::new(service, target);
+    let flight = Flight::new(service, target, &slot);
     let exchange = exchange(router, service, target, call, body, flight);
     let sent = match timeout(limit.duration(), exchange).await {
         Ok(sent) => sent,
@@ -113,6 +116,7 @@
     };
     let now = router.now();
     let us = started.elapsed().as_micros() as f64;
+    slot.note(us, sent.failure());
     let mut loads = service.loads.borrow_mut();
     match sent.failure() {
         None => {
@@ -175,7 +179,7 @@
     if echoed.is_some_and(|id| Some(id) != call.headers.get(call_header::REQUEST_ID)) {
         return Sent::Unknown(Unknown::Crossed);
     }
-    hear(router, service, &flight.target, &head.headers);
+    hear(router, service, &flight, &head.headers);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         drain(body, flight).await;
         return Sent::NotRun(NotRun::Misdirected);
@@ -213,13 +217,15 @@
 }
 
 /// Takes in what a server says of itself beside its answer.
-fn hear(router: &Router, service: &Service, target: &Target, headers: &HeaderMap) {
+fn hear(router: &Router, service: &Service, flight: &Flight, headers: &HeaderMap) {
+    let (target, slot) = (&flight.target, &flight.slot);
     let now = router.now();
     if let Some(report) = call_header::text(headers, &call_header::LOAD).and_then(LoadReport::parse)
     {
         // The request that was just answered is still counted as this host's own.
         let mut loads = service.loads.borrow_mut();
         loads.heard(now, target.id, report);
+        slot.heard(report);
     }
     let cold = call_header::text(headers, &call_header::COLD_LEFT).and_then(|t| t.parse().ok());
     if let Some(left) = cold {
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -29,12 +29,14 @@
 use crate::control::Gossip;
 use crate::control::Tenure;
 use crate::control::be_present;
+use crate::control::desk_duty;
 use crate::control::elect;
 use crate::control::follow;
 use crate::log_line;
 use crate::options::options;
 use crate::route;
 use crate::state::Router;
+use crate::talk::Talk;
 
 /// Time between two rounds of upkeep.
 const UPKEEP: Millis = Millis(100);
@@ -121,13 +123,14 @@
     let readiness = boot
         .readiness
         .ok_or(RunError::NoAddress { what: "readiness" })?;
-    let talk = SocketAddr::new(boot.ip, *boot.ports.start());
+    let talk_addr = SocketAddr::new(boot.ip, *boot.ports.start());
     let metrics = options
         .metrics_port
         .map(|port| SocketAddr::new(boot.ip, port));
     log::info!(dc:% = boot.dc, callers:% = callers,
         store:% = boot.store.addr, pid = std::process::id(); "start");
-    let router = Router::new(boot, options);
+    let talk = Talk::bind(talk_addr).context(SocketSnafu { addr: talk_addr })?;
+    let router = Router::new(boot, options, &talk);
     let stop = router.process.stop.clone();
     if let Err(e) = stop_on_signal(stop.clone()) {
         log::error!(error:% = e; "signals_not_caught");
@@ -145,10 +148,12 @@
         open_observe(&router, "metrics-port", addr, &ends)?;
     }
     let tenure = Rc::new(Tenure::default());
-    let gossip = Gossip::bind(&router, talk, &tenure).context(SocketSnafu { addr: talk })?;
+    let gossip = Gossip::new(&router, &tenure);
+    let listening = Rc::clone(&gossip);
+    monoio::spawn(talk.listen(move |packet, from| listening.take(packet, from)));
+    monoio::spawn(desk_duty::tend(Rc::clone(&router)));
     monoio::spawn(follow(Rc::clone(&router)));
-    monoio::spawn(be_present(Rc::clone(&router), talk));
-    monoio::spawn(Rc::clone(&gossip).listen());
+    monoio::spawn(be_present(Rc::clone(&router), talk_addr));
     monoio::spawn(gossip.tell());
     let elected = monoio::spawn(elect(Rc::clone(&router), tenure));
     let listener = bind("callers", callers).context(ListenSnafu)?;
--- /dev/null
+++ b/crates/chicoryrail-router/src/state/asks.rs
@@ -0,0 +1,78 @@
+//! Requests that have asked the desk and wait for its word.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::Signal;
+
+use crate::talk::Told;
+
+/// Time for which the desk is not asked after it did not answer: long enough that a lost leader costs most
+/// requests nothing, short enough that its successor is found at once.
+const SILENCE: Millis = Millis(250);
+
+/// Requests that have asked the desk and wait for its word.
+#[derive(Debug, Default)]
+pub(crate) struct Asks {
+    waiting: RefCell<HashMap<u64, Rc<Waiting>>>,
+    next: Cell<u64>,
+    silent_until: Cell<Millis>,
+}
+
+/// One request's word from the desk.
+#[derive(Debug, Default)]
+pub(crate) struct Waiting {
+    told: RefCell<Option<Told>>,
+    pub(crate) changed: Signal,
+}
+
+impl Waiting {
+    /// Takes the last word.
+    pub(crate) fn take(&self) -> Option<Told> {
+        self.told.borrow_mut().take()
+    }
+}
+
+impl Asks {
+    /// Opens a place for the desk's word under a ticket that no other request of any host has; `instance`
+    /// is the random number of this run.
+    pub(crate) fn open(&self, instance: u64) -> (u64, Rc<Waiting>) {
+        let next = self.next.get() + 1;
+        self.next.set(next);
+        let ticket = (instance << 24) ^ next;
+        let waiting = Rc::new(Waiting::default());
+        self.waiting
+            .borrow_mut()
+            .insert(ticket, Rc::clone(&waiting));
+        (ticket, waiting)
+    }
+
+    /// Closes a place.
+    pub(crate) fn close(&self, ticket: u64) {
+        self.waiting.borrow_mut().remove(&ticket);
+    }
+
+    /// Takes in a word of the desk; tells whether somebody waits for it.
+    pub(crate) fn told(&self, ticket: u64, told: Told) -> bool {
+        let waiting = self.waiting.borrow().get(&ticket).cloned();
+        let Some(waiting) = waiting else {
+            return false;
+        };
+        *waiting.told.borrow_mut() = Some(told);
+        waiting.changed.notify();
+        true
+    }
+
+    /// Tells whether the desk did not answer a moment ago.
+    pub(crate) fn is_silent(&self, now: Millis) -> bool {
+        now < self.silent_until.get()
+    }
+
+    /// Takes in that the desk did not answer.
+    pub(crate) fn silent(&self, now: Millis) {
+        self.silent_until.set(now + SILENCE);
+    }
+}
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -1,6 +1,8 @@
 //! What this host believes, and the state that its tasks share.
 
+mod asks;
 mod counters;
+mod hall;
 mod key_view;
 mod peers;
 pub(crate) mod router;
@@ -8,7 +10,9 @@
 mod target;
 mod view;
 
+pub(crate) use asks::Asks;
 pub(crate) use counters::Counters;
+pub(crate) use hall::Hall;
 pub(crate) use key_view::KeyOwner;
 pub(crate) use key_view::KeyView;
 pub(crate) use peers::Peers;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -24,8 +24,10 @@
 use http::HeaderValue;
 
 use crate::Options;
+use crate::state::Asks;
 use crate::state::Belief;
 use crate::state::Counters;
+use crate::state::Hall;
 use crate::state::Intake;
 use crate::state::Peers;
 use crate::state::Service;
@@ -33,6 +35,7 @@
 use crate::state::View;
 use crate::state::drain_end;
 use crate::state::view::Registered;
+use crate::talk::Talk;
 
 /// Start of the keys of hosts, below the system's own prefix.
 pub(crate) const HOSTS: &str = "hosts/";
@@ -57,6 +60,11 @@
     pub(crate) serving: Cell<u32>,
     /// Whether the last call to the store was answered.
     pub(crate) store_up: Cell<bool>,
+    pub(crate) talk: Rc<Talk>,
+    /// Requests that wait for the desk's word.
+    pub(crate) asks: Asks,
+    /// The desks, while this host leads.
+    pub(crate) hall: Hall,
     /// Notified when the store answers again after an outage.
     pub(crate) store_returns: Signal,
     /// Term in which this host leads; 0 while it does not.
@@ -68,7 +76,7 @@
 
 impl Router {
     /// Builds the state of a process that knows nothing yet.
-    pub(crate) fn new(boot: Boot, options: Options) -> Rc<Self> {
+    pub(crate) fn new(boot: Boot, options: Options, talk: &Rc<Talk>) -> Rc<Self> {
         let process = Process::new(&boot.host, "chicoryrail-router");
         let limits = HttpLimits {
             connections: connections(&boot),
@@ -83,6 +91,9 @@
             limits: Rc::new(Cell::new(limits)),
             serving: Cell::new(0),
             store_up: Cell::new(false),
+            talk: Rc::clone(talk),
+            asks: Asks::default(),
+            hall: Hall::default(),
             store_returns: Signal::default(),
             leads: Cell::new(0),
             services: RefCell::default(),
@@ -143,6 +154,14 @@
         }
     }
 
+    /// Returns what a cold server of a service bears in a second from all hosts together.
+    pub(crate) fn cold_bound(&self, service: &ServiceName) -> f64 {
+        let bounds = self.boot().bounds;
+        let site = self.site();
+        let rate = site.and_then(|s| s.service(service).map(|s| s.cold_rate));
+        rate.unwrap_or(0.0) * bounds.cold_over + bounds.cold_slack
+    }
+
     /// Returns the index of the part whose turn it is on a route.
     pub(crate) fn turn(&self, route: &str, weights: &[u32]) -> usize {
         let mut turns = self.turns.borrow_mut();
@@ -273,6 +292,7 @@
                     pool: ServerPool::default(),
                     cold: RefCell::default(),
                     cold_until: Cell::default(),
+                    slots: Cell::new(member.slots),
                     intake: Cell::new(Intake::Closed),
                 });
                 targets.insert(member.life.clone(), Rc::clone(&target));
@@ -281,8 +301,10 @@
         };
         // A warm server may become cold again at any moment, under the same start.
         target.cold_for(entry.heard, member.cold);
+        target.slots.set(member.slots);
         service.loads.borrow_mut().set(target.id, member.slots);
         let spec = view.site().and_then(|s| s.service(&service.name));
+        service.keyed.set(spec.is_some_and(|s| s.keyed));
         let connections = spec.map_or(u32::MAX, |s| s.connections);
         let part = connections / self.peers.borrow().sharing() as u32;
         target.pool.set_cap(member.slots, part.max(2));
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -31,6 +31,7 @@
     /// Keys asked for since the last report to the leader.
     pub(crate) asked: RefCell<Vec<u16>>,
     pub(crate) targets: RefCell<HashMap<Life, Rc<Target>>>,
+    pub(crate) keyed: Cell<bool>,
     next: Cell<u32>,
 }
 
@@ -45,6 +46,7 @@
             changed: Signal::default(),
             asked: RefCell::default(),
             targets: RefCell::default(),
+            keyed: Cell::new(false),
             next: Cell::new(0),
         })
     }
@@ -56,6 +58,11 @@
         ServerId(id)
     }
 
+    /// Tells whether each key is served by the one server that holds it.
+    pub(crate) fn is_keyed(&self) -> bool {
+        self.keyed.get()
+    }
+
     /// Returns a server by its life.
     pub(crate) fn target(&self, life: &Life) -> Option<Rc<Target>> {
         self.targets.borrow().get(life).cloned()
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -38,6 +38,8 @@
     pub(crate) cold: RefCell<ColdPace>,
     /// When the server is warm, as far as is known.
     pub(crate) cold_until: Cell<Millis>,
+    /// Requests that the server works on at a time.
+    pub(crate) slots: Cell<u32>,
     pub(crate) intake: Cell<Intake>,
 }
 
--- /dev/null
+++ b/crates/chicoryrail-router/src/talk/mod.rs
@@ -0,0 +1,17 @@
+//! Datagrams between hosts: their format and the socket.
+//!
+//! They carry what must be known within milliseconds, or while the store is away. A lost one is made good
+//! by the next, or by its sender's time limit.
+
+mod packet;
+mod socket;
+
+pub(crate) use packet::Ask;
+pub(crate) use packet::Asked;
+pub(crate) use packet::End;
+pub(crate) use packet::EndKind;
+pub(crate) use packet::KeyWord;
+pub(crate) use packet::Packet;
+pub(crate) use packet::Told;
+pub(crate) use packet::Word;
+pub(crate) use socket::Talk;
--- /dev/null
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -0,0 +1,108 @@
+//! What hosts tell each other.
+
+use bincode::Decode;
+use bincode::Encode;
+use chicoryrail_core::HostName;
+use chicoryrail_core::Life;
+use chicoryrail_core::ServiceName;
+
+/// A datagram.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) enum Packet {
+    /// What a host knows.
+    Word(Word),
+    /// A request asks the leader for a server.
+    Ask(Ask),
+    /// The leader says what becomes of a request.
+    Told { ticket: u64, told: Told },
+    /// A request at a server has ended.
+    End(End),
+    /// The caller of a request that asked has left.
+    Leave { service: ServiceName, ticket: u64 },
+}
+
+/// What a host knows.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct Word {
+    pub(crate) host: HostName,
+    /// Highest term of leadership that it knows.
+    pub(crate) term: u64,
+    /// Whether it leads in that term itself.
+    pub(crate) leads: bool,
+    pub(crate) keys: Vec<KeyWord>,
+    pub(crate) asked: Vec<Asked>,
+}
+
+/// Who holds the keys of a service, as the leader knows it.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct KeyWord {
+    pub(crate) service: ServiceName,
+    pub(crate) fence: u64,
+    /// First key, last key, holder.
+    pub(crate) spans: Vec<(u16, u16, Life)>,
+    /// First and last key of what is not granted yet.
+    pub(crate) blocked: Vec<(u16, u16)>,
+}
+
+/// Keys of a service that were asked for.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct Asked {
+    pub(crate) service: ServiceName,
+    pub(crate) keys: Vec<u16>,
+}
+
+/// A request that asks for a server; lengths of time in milliseconds from the sending.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct Ask {
+    pub(crate) service: ServiceName,
+    pub(crate) ticket: u64,
+    pub(crate) key: Option<u16>,
+    pub(crate) rank: u8,
+    /// Time left for an answer that is worth most.
+    pub(crate) aim: u64,
+    /// Time left for any answer.
+    pub(crate) left: u64,
+    /// How long a usual server works on it, in microseconds.
+    pub(crate) work_us: u64,
+    /// Servers that had it before.
+    pub(crate) not: Vec<Life>,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) enum Told {
+    /// It waits at the desk.
+    Waits,
+    /// It is to be sent to this server.
+    Send(Life),
+    /// It is refused; there may be room after so many milliseconds.
+    Refuse(u64),
+}
+
+/// How a request at a server ended.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct End {
+    pub(crate) service: ServiceName,
+    pub(crate) ticket: u64,
+    pub(crate) server: Life,
+    /// Time to the answer in microseconds; `None` where the caller left before.
+    pub(crate) us: Option<u64>,
+    pub(crate) kind: EndKind,
+    /// Running, waiting, slots and pace that the server told.
+    pub(crate) report: Option<(u32, u32, u32, u32)>,
+}
+
+/// How a request at a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) enum EndKind {
+    /// With an answer, or without a word of the server's state.
+    Plain,
+    /// The server had no room.
+    Full,
+    /// The connection failed, or what came was no answer.
+    Broken,
+    /// The server answered that it failed.
+    Error,
+    /// No answer came in time.
+    Silent,
+}
--- /dev/null
+++ b/crates/chicoryrail-router/src/talk/socket.rs
@@ -0,0 +1,74 @@
+//! The socket between hosts.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bincode::config::standard;
+use chicoryrail_core::Millis;
+use monoio::net::udp::UdpSocket;
+
+use crate::talk::Packet;
+
+/// Bytes of a datagram that is read; what is sent stays below what one packet carries, but for a long
+/// list of spans.
+const LONGEST: usize = 16 << 10;
+
+/// Pause after a read that failed.
+const AGAIN: Millis = Millis(100);
+
+/// The socket between hosts.
+#[derive(Debug)]
+pub(crate) struct Talk {
+    socket: UdpSocket,
+}
+
+impl Talk {
+    /// Binds the socket.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub(crate) fn bind(addr: SocketAddr) -> io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(addr)?;
+        Ok(Rc::new(Self { socket }))
+    }
+
+    /// Sends a datagram; one that can't be sent is like one that was lost.
+    pub(crate) async fn send(&self, packet: &Packet, addr: SocketAddr) {
+        let Ok(bytes) = bincode::encode_to_vec(packet, standard()) else {
+            return;
+        };
+        let (result, _) = self.socket.send_to(bytes, addr).await;
+        if let Err(e) = result {
+            log::debug!(addr:% = addr, error:% = e; "talk_send");
+        }
+    }
+
+    /// Sends a datagram in a task of its own.
+    pub(crate) fn post(self: &Rc<Self>, packet: Packet, addr: SocketAddr) {
+        let own = Rc::clone(self);
+        monoio::spawn(async move { own.send(&packet, addr).await });
+    }
+
+    /// Hands what others send to `take`.
+    pub(crate) async fn listen(self: Rc<Self>, take: impl Fn(Packet, SocketAddr)) {
+        let mut buffer = vec![0_u8; LONGEST];
+        loop {
+            let (result, back) = self.socket.recv_from(buffer).await;
+            buffer = back;
+            let (n, from) = match result {
+                Ok(read) => read,
+                Err(e) => {
+                    log::warn!(error:% = e; "talk_read");
+                    monoio::time::sleep(AGAIN.duration()).await;
+                    continue;
+                }
+            };
+            match bincode::decode_from_slice::<Packet, _>(&buffer[..n], standard()) {
+                Ok((packet, _)) => take(packet, from),
+                Err(e) => log::warn!(from:% = from, error:% = e; "talk_unreadable"),
+            }
+        }
+    }
+}
