--- a/crates/chicoryrail-policy/src/desk/desk.rs
+++ b/crates/chicoryrail-policy/src/desk/desk.rs
@@ -13,11 +13,11 @@
 
 /// Part of a caller's time for which a request may wait at the most: it must have time left to come back
 /// and be served elsewhere, should it be refused after all.
-const WAIT_PART: f64 = 0.6;
+const WAIT_PART: f64 = 0.85;
 
 /// Factor on the expected answer time in the comparison with a caller's deadline. Work differs by a factor of
 /// two between requests; one that is expected to end right at the deadline mostly ends after it.
-const MARGIN: f64 = 1.15;
+const MARGIN: f64 = 0.9;
 
 /// The desk of one service.
 ///
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -36,8 +36,9 @@
 /// Longest pause between two looks for room, should nobody say that there is some.
 const LOOK_AGAIN: Millis = Millis(10);
 
-/// Multiple of the usual work after which a silent server is given up for another one.
-const SILENT_TIMES: f64 = 5.0;
+/// Multiple of the usual work after which a silent server is given up for another one: beyond what a
+/// slow server with a slow neighbour takes, since breaking off work that is running wastes it.
+const SILENT_TIMES: f64 = 8.0;
 
 /// One request's tries.
 struct Tries<'a> {
@@ -164,12 +165,14 @@
             && self.call.key.is_none()
             && self.ran + 1 < self.call.route.attempts
             && self.body.is_whole();
-        if !again {
+        // While this process stops, an answer of its own in place of a server's would be a request lost
+        // to the stop.
+        if !again || self.router.process.stop.is_cancelled() {
             return left;
         }
         let work = self.router.work(&self.call.route.name, self.call.route.aim);
         let patience = Millis((work * SILENT_TIMES / 1_000.0) as u64);
-        patience.max(self.call.route.aim).min(left)
+        patience.max(self.call.route.aim.times(2)).min(left)
     }
 
     /// Tells whether the request may be sent again; `counts` tells whether the last send reached a server,
--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -11,14 +11,13 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use monoio::net::TcpStream;
 use monoio::time::timeout;
 use monoio_compat::hyper::MonoioIo;
 use snafu::ResultExt;
 use snafu::Snafu;
 
 use crate::collect;
-use crate::keep_alive::keep_alive;
+use crate::outgoing::connect;
 
 /// Idle connections kept for each address. Control calls rarely overlap; more would count against
 /// the connection limit of a target.
@@ -154,11 +153,7 @@
                 None => break,
             }
         }
-        let stream = TcpStream::connect(addr)
-            .await
-            .context(ConnectSnafu { addr })?;
-        stream.set_nodelay(true).context(ConnectSnafu { addr })?;
-        keep_alive(&stream).context(ConnectSnafu { addr })?;
+        let stream = connect(addr).await.context(ConnectSnafu { addr })?;
         let io = stream
             .try_into_poll_io()
             .map_err(|(e, _)| e)
--- a/crates/chicoryrail-runtime/src/server_pool.rs
+++ b/crates/chicoryrail-runtime/src/server_pool.rs
@@ -10,13 +10,12 @@
 use futures_util::future::select;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use monoio::net::TcpStream;
 use monoio::time::timeout;
 use monoio_compat::hyper::MonoioIo;
 use tokio_util::sync::CancellationToken;
 
 use crate::Body;
-use crate::keep_alive::keep_alive;
+use crate::outgoing::connect;
 
 /// Connections kept above the slots. A connection that was given up still counts until its end, and
 /// its successor must not wait for that.
@@ -93,11 +92,9 @@
             return Err(io::Error::other("the server's connections are in use"));
         }
         let open = Open::new(&self.open);
-        let stream = timeout(CONNECT_LIMIT.duration(), TcpStream::connect(addr))
+        let stream = timeout(CONNECT_LIMIT.duration(), connect(addr))
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        stream.set_nodelay(true)?;
-        keep_alive(&stream)?;
         let io = stream.try_into_poll_io().map_err(|(e, _)| e)?;
         let (send, connection) = http1::handshake(MonoioIo::new(io))
             .await
