--- a/crates/chicoryrail-policy/src/desk/board.rs
+++ b/crates/chicoryrail-policy/src/desk/board.rs
@@ -9,10 +9,6 @@
 use crate::desk::DeskPlace;
 use crate::desk::seat::Seat;
 
-/// A server that is this much slower than the best expected alternative is left free: its slot would keep a
-/// request longer than waiting for another server does.
-const WORTH_WAITING: f64 = 1.0;
-
 /// The servers of a desk.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Board {
@@ -20,12 +16,17 @@
 }
 
 impl Board {
-    /// Returns the server that a request should go to now, if any.
+    /// Returns the server that a request should go to now, if any, where `ahead` microseconds of work wait
+    /// before it.
+    ///
+    /// A slow server is left free where waiting for a faster one ends sooner. That is so for the first in
+    /// the queue at most: were it asked without those ahead, all would wait for the one fast server.
     pub(crate) fn seat_for(
         &self,
         now: Millis,
         ask: &DeskAsk,
         place: DeskPlace,
+        ahead: f64,
     ) -> Option<ServerId> {
         match place {
             DeskPlace::Any => {}
@@ -39,6 +40,9 @@
             .seats
             .iter()
             .filter(|(id, s)| s.state.open && !ask.not.contains(id));
+        // Those ahead wait for the busy ones, too.
+        let busy = open.clone().map(|(_, s)| s).filter(|s| !s.has_slot(now));
+        let behind = ahead / pace(now, busy);
         let mut best: Option<(f64, ServerId)> = None;
         let mut wait = f64::INFINITY;
         for (id, seat) in open {
@@ -52,7 +56,7 @@
             }
         }
         let (cost, id) = best?;
-        (cost <= wait * WORTH_WAITING).then_some(id)
+        (cost <= wait + behind).then_some(id)
     }
 
     /// Estimates when a request would be answered if `ahead` microseconds of work went before it; `None`
@@ -75,17 +79,19 @@
         if open.is_empty() {
             return None;
         }
-        let pace: f64 = open
-            .iter()
-            .map(|s| f64::from(s.state.slots) / s.slowness(now))
-            .sum();
         let first = open
             .iter()
             .map(|s| s.free_in(now) + ask.work_us * s.slowness(now));
-        Some(first.fold(f64::INFINITY, f64::min) + ahead / pace.max(0.01))
+        Some(first.fold(f64::INFINITY, f64::min) + ahead / pace(now, open.iter().copied()))
     }
 }
 
+/// Returns the work that servers do in the time in which one usual slot does one.
+fn pace<'a>(now: Millis, seats: impl Iterator<Item = &'a Seat>) -> f64 {
+    let all = seats.map(|s| f64::from(s.state.slots) / s.slowness(now));
+    all.sum::<f64>().max(0.01)
+}
+
 /// Estimates the time to a good answer at a free server, in microseconds.
 fn cost(now: Millis, ask: &DeskAsk, seat: &Seat) -> f64 {
     let good = (1.0 - seat.fails(now)).max(0.05);
--- a/crates/chicoryrail-policy/src/desk/desk.rs
+++ b/crates/chicoryrail-policy/src/desk/desk.rs
@@ -119,17 +119,18 @@
         ahead: &mut Vec<(DeskPlace, f64)>,
     ) -> Option<DeskVerdict> {
         let Waiting { ask, place, .. } = waiting;
-        if let Some(server) = self.board.seat_for(now, ask, *place) {
-            if let Some(seat) = self.board.seats.get_mut(&server) {
-                seat.send(now, ask.ticket, ask.deadline, ask.work_us);
-            }
-            return Some(DeskVerdict::Send(server));
-        }
         let at = ahead.iter().position(|(p, _)| p == place);
         let at = at.unwrap_or_else(|| {
             ahead.push((*place, 0.0));
             ahead.len() - 1
         });
+        let seat = self.board.seat_for(now, ask, *place, ahead[at].1);
+        if let Some(server) = seat {
+            if let Some(seat) = self.board.seats.get_mut(&server) {
+                seat.send(now, ask.ticket, ask.deadline, ask.work_us);
+            }
+            return Some(DeskVerdict::Send(server));
+        }
         if let Err(after) = self.prospect(now, waiting, ahead[at].1) {
             return Some(DeskVerdict::Refuse(after));
         }
@@ -143,6 +144,15 @@
         self.waiting.len()
     }
 
+    /// Returns the requests at servers, and the slots of the servers that take work.
+    #[must_use]
+    pub fn filled(&self) -> (usize, u32) {
+        let seats = self.board.seats.values();
+        let busy = seats.clone().map(Seat::busy).sum();
+        let slots = seats.filter(|s| s.state.open).map(|s| s.state.slots).sum();
+        (busy, slots)
+    }
+
     /// Returns how fast a server is by what was seen of it: above 1 is slower than usual.
     #[must_use]
     pub fn speed(&self, server: ServerId) -> f64 {
--- a/crates/chicoryrail-router/src/control/desk_duty.rs
+++ b/crates/chicoryrail-router/src/control/desk_duty.rs
@@ -25,13 +25,21 @@
 /// rests, or gets its keys.
 const LOOK: Millis = Millis(15);
 
+/// Time between two log lines on how full the desks are.
+const TELL: Millis = Millis(1_000);
+
 /// Looks at the desks while this host leads.
 pub(crate) async fn tend(router: Rc<Router>) {
+    let mut told = router.now();
     loop {
         router.process.clock.sleep(LOOK).await;
         if router.leads.get() == 0 {
             continue;
         }
+        if router.now().since(told) >= TELL {
+            told = router.now();
+            log_desks(&router);
+        }
         for service in router.services() {
             let waits = router
                 .hall
@@ -46,6 +54,14 @@
     }
 }
 
+/// Logs how full the desks are.
+fn log_desks(router: &Router) {
+    for (service, desk) in router.hall.desks.borrow().iter() {
+        let (busy, slots) = desk.filled();
+        log::info!(service:% = service, waiting = desk.waiting(), busy = busy, slots = slots; "desk");
+    }
+}
+
 /// Takes in a request that asks; `from` is `None` for this host itself.
 pub(crate) fn ask(router: &Rc<Router>, ask: &Ask, from: Option<SocketAddr>) {
     if router.leads.get() == 0 {
