feat(router): spans of keys follow the servers' speed

A server that works at 1.4 times the usual time got as many requests as the others and had the longest queue.

--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -15,7 +15,7 @@
 
 /// Load of the busiest server over the mean from which the line is cut anew. Work of servers differs by
 /// chance by about a fifth over the seconds that are looked at; below this, moves would follow noise.
-const UNEVEN: f64 = 1.35;
+const UNEVEN: f64 = 1.4;
 
 /// Requests that must have been seen before a cut follows them.
 const FEWEST: f64 = 60.0;
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -33,7 +33,7 @@
 
 /// Time between two cuts of the key line for balance. The load that a cut follows is that of the last few
 /// seconds, and each cut holds the moved keys' requests for as long as work on them is running.
-const BALANCE_EVERY: Millis = Millis(3_000);
+const BALANCE_EVERY: Millis = Millis(2_500);
 
 /// Pause after a call to the store that failed.
 const AGAIN: Millis = Millis(150);
@@ -201,7 +201,7 @@
             let mut holders: Vec<_> = warm
                 .map(|t| Holder {
                     life: t.life.clone(),
-                    weight: 1.0,
+                    weight: self.weight(t),
                 })
                 .collect();
             holders.sort_by(|a, b| a.life.cmp(&b.life));
@@ -211,6 +211,14 @@
         if warm.is_empty() { open(true) } else { warm }
     }
 
+    /// Returns the work that a server can do, by what the desk saw of it. A slow server with as many
+    /// requests as the others has the longest queue of all.
+    fn weight(&self, target: &crate::state::Target) -> f64 {
+        let desks = self.router.hall.desks.borrow();
+        let speed = desks.get(&self.service).map_or(1.0, |d| d.speed(target.id));
+        f64::from(target.slots.get()) / speed.clamp(0.5, 2.0)
+    }
+
     fn act(self: &Rc<Self>) {
         let now = self.router.now();
         let duties = self.keeper.borrow_mut().due(now);
