perf(router): changes of the store are taken in groups

Each change of a key wakes the watch of every host, and each answered watch is a call; at a start the servers come one after the other. A host pauses 150 ms after a watch that told something, and a server gets keys 400 ms after it is first known.

--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -18,8 +18,8 @@
 const WATCH: Millis = Millis(10_000);
 
 /// Pause after a watch that told something. Changes come in groups, and each answered watch of each host
-/// is a call; what a change may take is counted in seconds.
-const PAUSE: Millis = Millis(30);
+/// is a call; what a change may take is counted in seconds, and keys that move are told by the leader.
+const PAUSE: Millis = Millis(150);
 
 /// Pause after a call that failed, at first and at most.
 const BACK_OFF: Millis = Millis(100);
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -35,6 +35,10 @@
 /// seconds, and each cut holds the moved keys' requests for as long as work on them is running.
 const BALANCE_EVERY: Millis = Millis(2_500);
 
+/// Time for which a server must have been known before it gets keys. Servers come in groups, at the start
+/// and with each release, and every change of the record is told to every host.
+const SETTLED: Millis = Millis(400);
+
 /// Pause after a call to the store that failed.
 const AGAIN: Millis = Millis(150);
 
@@ -197,6 +201,7 @@
             let open = targets.values().filter(|t| t.is_ready());
             let open = open.filter(|t| !keeper.is_lost(now, &t.life));
             let holds = |life: &Life| keeper.record().span_of(life).is_some();
+            let open = open.filter(|t| holds(&t.life) || now.since(t.known) >= SETTLED);
             let warm = open.filter(|t| cold || !t.is_cold(now) || holds(&t.life));
             let mut holders: Vec<_> = warm
                 .map(|t| Holder {
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -288,6 +288,7 @@
                     life: member.life.clone(),
                     id: service.next_id(),
                     addr: member.addr,
+                    known: self.now(),
                     header,
                     pool: ServerPool::default(),
                     cold: RefCell::default(),
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -32,6 +32,8 @@
     pub(crate) life: Life,
     pub(crate) id: ServerId,
     pub(crate) addr: SocketAddr,
+    /// When this host first heard of it.
+    pub(crate) known: Millis,
     /// Value of the header that names the expected server.
     pub(crate) header: HeaderValue,
     pub(crate) pool: ServerPool,
