--- a/crates/chicoryrail-policy/src/desk/ask.rs
+++ b/crates/chicoryrail-policy/src/desk/ask.rs
@@ -23,6 +23,8 @@
     pub key: Option<u16>,
     /// Servers that had it before and should not get it again.
     pub not: Vec<ServerId>,
+    /// Data centre of the host that asks, by number.
+    pub near: u32,
 }
 
 /// Where a request may go.
--- a/crates/chicoryrail-policy/src/desk/board.rs
+++ b/crates/chicoryrail-policy/src/desk/board.rs
@@ -9,6 +9,10 @@
 use crate::desk::DeskPlace;
 use crate::desk::seat::Seat;
 
+/// Cost of a server in another data centre, as a part of the work: traffic between data centres is paid for.
+/// Small against the differences between servers, so that it decides only between those alike.
+const FAR: f64 = 0.1;
+
 /// The servers of a desk.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Board {
@@ -97,5 +101,10 @@
     let good = (1.0 - seat.fails(now)).max(0.05);
     // Of two servers alike, the emptier one: some slow down as they fill.
     let filled = seat.busy() as f64 / f64::from(seat.state.slots.max(1)) * 0.05;
-    ask.work_us * seat.slowness(now) * (1.0 + filled) / (good * good)
+    let far = if seat.state.near == ask.near {
+        0.0
+    } else {
+        FAR
+    };
+    ask.work_us * seat.slowness(now) * (1.0 + filled + far) / (good * good)
 }
--- a/crates/chicoryrail-policy/src/desk/seat.rs
+++ b/crates/chicoryrail-policy/src/desk/seat.rs
@@ -30,6 +30,8 @@
     pub cold_until: Millis,
     /// Requests a second that it bears while it is cold.
     pub cold_bound: f64,
+    /// Its data centre, by number.
+    pub near: u32,
 }
 
 /// A request at a server.
--- a/crates/chicoryrail-policy/tests/desk.rs
+++ b/crates/chicoryrail-policy/tests/desk.rs
@@ -26,6 +26,7 @@
         open: true,
         cold_until: Millis::ZERO,
         cold_bound: 0.0,
+        near: 0,
     }
 }
 
@@ -46,6 +47,7 @@
         work_us: 100_000.0,
         key: None,
         not: Vec::new(),
+        near: 0,
     }
 }
 
@@ -297,3 +299,28 @@
     }
     assert!(count[0] < 60, "{count:?}");
 }
+
+/// Servers of two data centres are alike and have room: a request stays in its own. When that one is full,
+/// it goes to the other at once.
+#[test]
+fn a_request_stays_in_its_data_centre_while_there_is_room() {
+    let mut desk = Desk::default();
+    for id in 0..4 {
+        let near = id % 2;
+        desk.set(Millis(0), ServerId(id), SeatState { near, ..open() });
+    }
+    let mut count = [0; 2];
+    for ticket in 1..=6 {
+        let near = DeskAsk {
+            near: 1,
+            ..ask(ticket, 0, 300, 800)
+        };
+        desk.ask(Millis(0), near);
+        for (_, verdict) in desk.poll(Millis(0), any) {
+            if let DeskVerdict::Send(server) = verdict {
+                count[server.0 as usize % 2] += 1;
+            }
+        }
+    }
+    assert_eq!(count, [2, 4]);
+}
--- a/crates/chicoryrail-router/src/control/desk_duty.rs
+++ b/crates/chicoryrail-router/src/control/desk_duty.rs
@@ -81,6 +81,7 @@
         work_us: ask.work_us as f64,
         key: ask.key,
         not: ids.collect(),
+        near: router.hall.dc_number(&ask.dc),
     };
     let given = {
         let mut desks = router.hall.desks.borrow_mut();
@@ -180,6 +181,7 @@
             },
             cold_until: target.cold_until.get(),
             cold_bound: bound,
+            near: router.hall.dc_number(&target.dc),
         };
         desk.set(now, target.id, state);
     }
--- a/crates/chicoryrail-router/src/route/desk.rs
+++ b/crates/chicoryrail-router/src/route/desk.rs
@@ -132,6 +132,7 @@
         let now = self.router.now();
         let work = self.router.work(&call.route.name, call.route.aim);
         let ask = Ask {
+            dc: self.router.boot().dc.clone(),
             service: self.service.clone(),
             ticket: self.ticket,
             key: call.key,
--- a/crates/chicoryrail-router/src/state/hall.rs
+++ b/crates/chicoryrail-router/src/state/hall.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use chicoryrail_core::DcName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_policy::Desk;
 
@@ -16,9 +17,20 @@
 pub(crate) struct Hall {
     pub(crate) desks: RefCell<BTreeMap<ServiceName, Desk>>,
     pub(crate) origins: RefCell<Origins>,
+    dcs: RefCell<Vec<DcName>>,
 }
 
 impl Hall {
+    /// Returns the number that stands for a data centre at the desks.
+    pub(crate) fn dc_number(&self, dc: &DcName) -> u32 {
+        let mut dcs = self.dcs.borrow_mut();
+        let at = dcs.iter().position(|d| d == dc).unwrap_or_else(|| {
+            dcs.push(dc.clone());
+            dcs.len() - 1
+        });
+        at as u32
+    }
+
     /// Forgets everything: another host leads, or a new term begins.
     pub(crate) fn clear(&self) {
         self.desks.borrow_mut().clear();
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -288,6 +288,7 @@
                     life: member.life.clone(),
                     id: service.next_id(),
                     addr: member.addr,
+                    dc: member.dc.clone(),
                     known: self.now(),
                     header,
                     pool: ServerPool::default(),
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 
+use chicoryrail_core::DcName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_policy::ColdPace;
@@ -32,6 +33,7 @@
     pub(crate) life: Life,
     pub(crate) id: ServerId,
     pub(crate) addr: SocketAddr,
+    pub(crate) dc: DcName,
     /// When this host first heard of it.
     pub(crate) known: Millis,
     /// Value of the header that names the expected server.
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -2,6 +2,7 @@
 
 use bincode::Decode;
 use bincode::Encode;
+use chicoryrail_core::DcName;
 use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::ServiceName;
@@ -54,6 +55,8 @@
 /// A request that asks for a server; lengths of time in milliseconds from the sending.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) struct Ask {
+    /// Data centre of the host that asks.
+    pub(crate) dc: DcName,
     pub(crate) service: ServiceName,
     pub(crate) ticket: u64,
     pub(crate) key: Option<u16>,
