--- a/crates/chicoryrail-router/src/state/key_view.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_view.rs
@@ -2,8 +2,9 @@
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
-use chicoryrail_ownership::keys::KeyRecord;
-use chicoryrail_ownership::keys::KeySpan;
+
+use crate::keys::KeyRecord;
+use crate::keys::KeySpan;
 
 /// Longest time for which a key that changes hands is taken as not granted yet, while nothing is heard
 /// from the leader. After that its meant owner is asked; one that does not hold the key says so.
@@ -11,7 +12,7 @@
 
 /// Who holds a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum KeyOwner {
+pub enum KeyOwner {
     /// This server.
     Held(Life),
     /// Nobody yet: it is on its way to a server.
@@ -25,7 +26,7 @@
 /// The store tells who is meant to hold them; the leader tells the hosts directly which of them were
 /// granted, as that changes within milliseconds.
 #[derive(Debug, Default)]
-pub(crate) struct KeyView {
+pub struct KeyView {
     record: KeyRecord,
     before: KeyRecord,
     changed: Millis,
@@ -36,7 +37,7 @@
 
 impl KeyView {
     /// Takes in a record of the store or of the leader; an older one changes nothing.
-    pub(crate) fn record(&mut self, now: Millis, record: KeyRecord) -> bool {
+    pub fn record(&mut self, now: Millis, record: KeyRecord) -> bool {
         if record.fence <= self.record.fence {
             return false;
         }
@@ -46,7 +47,7 @@
     }
 
     /// Takes in which keys the leader has not granted yet under a fence.
-    pub(crate) fn blocked(&mut self, fence: u64, blocked: Vec<KeySpan>) {
+    pub fn blocked(&mut self, fence: u64, blocked: Vec<KeySpan>) {
         if fence >= self.told {
             self.told = fence;
             self.blocked = blocked;
@@ -54,12 +55,14 @@
     }
 
     /// Returns the fence of the record.
-    pub(crate) const fn fence(&self) -> u64 {
+    #[must_use]
+    pub const fn fence(&self) -> u64 {
         self.record.fence
     }
 
     /// Returns who holds a key.
-    pub(crate) fn owner(&self, now: Millis, key: u16) -> KeyOwner {
+    #[must_use]
+    pub fn owner(&self, now: Millis, key: u16) -> KeyOwner {
         let Some(owner) = self.record.owner(key) else {
             return KeyOwner::Nobody;
         };
--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -7,6 +7,7 @@
 mod duty;
 mod keeper;
 mod key_load;
+mod key_view;
 mod plan;
 mod record;
 mod server_state;
@@ -17,6 +18,8 @@
 pub use duty::ReleaseEnd;
 pub use keeper::Keeper;
 pub use key_load::KeyLoad;
+pub use key_view::KeyOwner;
+pub use key_view::KeyView;
 pub use plan::Holder;
 pub use plan::Plan;
 pub use plan::recut;
--- a/crates/chicoryrail-router/src/state/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -1,4 +1,4 @@
-//! What this host hears from the others.
+//! What a host hears from the others.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,18 +19,20 @@
 
 /// The other hosts.
 #[derive(Debug, Default)]
-pub(crate) struct Peers {
+pub struct Peers {
     hosts: BTreeMap<HostName, Peer>,
     /// The most hosts known so far, this one included.
     most: usize,
     /// Highest term of leadership heard of, and its leader.
     term: u64,
     leader: Option<HostName>,
+    /// When the leader was last heard of, by itself.
+    leader_heard: Option<Millis>,
 }
 
 impl Peers {
     /// Takes in the hosts that are registered, without this one.
-    pub(crate) fn set(&mut self, hosts: Vec<(HostName, SocketAddr)>) {
+    pub fn set(&mut self, hosts: Vec<(HostName, SocketAddr)>) {
         let old = std::mem::take(&mut self.hosts);
         for (name, addr) in hosts {
             let heard = old.get(&name).and_then(|p| p.heard);
@@ -41,30 +43,44 @@
 
     /// Returns the number of hosts among which a bound over all of them is shared: the most ever known,
     /// since one that went silent may still send.
-    pub(crate) fn sharing(&self) -> usize {
+    #[must_use]
+    pub fn sharing(&self) -> usize {
         self.most.max(FEWEST)
     }
 
     /// Returns the addresses of the others.
-    pub(crate) fn addrs(&self) -> Vec<SocketAddr> {
+    #[must_use]
+    pub fn addrs(&self) -> Vec<SocketAddr> {
         self.hosts.values().map(|p| p.addr).collect()
     }
 
     /// Returns the address of the leader, where it is another host.
-    pub(crate) fn leader_addr(&self) -> Option<SocketAddr> {
+    #[must_use]
+    pub fn leader_addr(&self) -> Option<SocketAddr> {
         let leader = self.leader.as_ref()?;
         self.hosts.get(leader).map(|p| p.addr)
     }
 
     /// Takes in that a host was heard.
-    pub(crate) fn heard(&mut self, now: Millis, host: &HostName) {
+    pub fn heard(&mut self, now: Millis, host: &HostName) {
         if let Some(peer) = self.hosts.get_mut(host) {
             peer.heard = Some(now);
         }
     }
 
+    /// Takes in a word of the leader itself.
+    pub fn heard_leader(&mut self, now: Millis) {
+        self.leader_heard = Some(now);
+    }
+
+    /// Tells whether a leader was heard within `age`, so that its desk is at work.
+    #[must_use]
+    pub fn hears_leader(&self, now: Millis, age: Millis) -> bool {
+        self.leader_heard.is_some_and(|at| now.since(at) <= age)
+    }
+
     /// Takes in a term of leadership; tells whether it is the highest so far.
-    pub(crate) fn term(&mut self, term: u64, leader: Option<&HostName>) -> bool {
+    pub fn term(&mut self, term: u64, leader: Option<&HostName>) -> bool {
         if term < self.term {
             return false;
         }
@@ -79,12 +95,14 @@
     }
 
     /// Returns the highest term of leadership heard of.
-    pub(crate) const fn highest_term(&self) -> u64 {
+    #[must_use]
+    pub const fn highest_term(&self) -> u64 {
         self.term
     }
 
     /// Tells whether more than half of all hosts, this one included, were heard within `age`.
-    pub(crate) fn hears_most(&self, now: Millis, age: Millis) -> bool {
+    #[must_use]
+    pub fn hears_most(&self, now: Millis, age: Millis) -> bool {
         let fresh = |p: &&Peer| p.heard.is_some_and(|at| now.since(at) <= age);
         let heard = self.hosts.values().filter(fresh).count() + 1;
         heard * 2 > self.hosts.len() + 1
--- /dev/null
+++ b/crates/chicoryrail-ownership/tests/peers.rs
@@ -0,0 +1,64 @@
+//! What a host may conclude from what it hears of the others.
+
+use chicoryrail_core::HostName;
+use chicoryrail_core::Millis;
+use chicoryrail_ownership::Peers;
+
+fn peers(n: u16) -> Peers {
+    let mut peers = Peers::default();
+    let hosts = (0..n).map(|i| (host(i), ([127, 0, 0, 1], 7_000 + i).into()));
+    peers.set(hosts.collect());
+    peers
+}
+
+fn host(i: u16) -> HostName {
+    HostName::new(&format!("h{i}"))
+}
+
+/// A leader is cut off from the store. It may go on only while it hears most of the hosts; silence of half
+/// of them may mean that they have another leader.
+#[test]
+fn most_hosts_must_be_heard() {
+    let mut peers = peers(9);
+    for i in 0..4 {
+        peers.heard(Millis(1_000), &host(i));
+    }
+    assert!(!peers.hears_most(Millis(1_000), Millis(500)));
+    peers.heard(Millis(1_000), &host(4));
+    assert!(peers.hears_most(Millis(1_400), Millis(500)));
+    assert!(!peers.hears_most(Millis(1_600), Millis(500)));
+}
+
+/// An old leader goes on sending its term after a new one was heard: the new one stays.
+#[test]
+fn terms_never_go_back() {
+    let mut peers = peers(3);
+    assert!(peers.term(5, Some(&host(1))));
+    assert!(!peers.term(4, Some(&host(2))));
+    assert_eq!(peers.highest_term(), 5);
+    assert_eq!(peers.leader_addr(), Some(([127, 0, 0, 1], 7_001).into()));
+    assert!(peers.term(6, None));
+    assert_eq!(peers.leader_addr(), None);
+}
+
+/// The leader is heard, but a question to its desk got no word in time: the desk is at work, and deals out
+/// what cold servers bear. Only after a long silence may a host take its own part.
+#[test]
+fn a_leader_that_was_heard_lately_is_at_work() {
+    let mut peers = peers(3);
+    assert!(!peers.hears_leader(Millis(5_000), Millis(2_500)));
+    peers.heard_leader(Millis(5_000));
+    assert!(peers.hears_leader(Millis(7_500), Millis(2_500)));
+    assert!(!peers.hears_leader(Millis(7_501), Millis(2_500)));
+}
+
+/// Hosts go and come. A bound over all of them is shared among the most that were ever known: one that
+/// went silent may still send.
+#[test]
+fn bounds_are_shared_among_all_ever_known() {
+    let mut peers = peers(10);
+    assert_eq!(peers.sharing(), 11);
+    peers.set(Vec::new());
+    assert_eq!(peers.sharing(), 11);
+    assert_eq!(Peers::default().sharing(), 8);
+}
--- a/crates/chicoryrail-router/src/control/desk_duty.rs
+++ b/crates/chicoryrail-router/src/control/desk_duty.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
+use chicoryrail_ownership::keys::KeyOwner;
 use chicoryrail_policy::DeskAsk;
 use chicoryrail_policy::DeskEnd;
 use chicoryrail_policy::DeskPlace;
@@ -12,7 +13,6 @@
 use chicoryrail_policy::LoadReport;
 use chicoryrail_policy::SeatState;
 
-use crate::state::KeyOwner;
 use crate::state::Router;
 use crate::state::Service;
 use crate::talk::Ask;
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -146,6 +146,9 @@
             let mut peers = self.router.peers.borrow_mut();
             peers.heard(now, &word.host);
             let leader = word.leads.then_some(&word.host);
+            if word.leads && word.term >= known {
+                peers.heard_leader(now);
+            }
             if peers.term(word.term, leader) {
                 log::info!(term = word.term, from:% = word.host, known = known; "term_heard");
             }
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -4,11 +4,11 @@
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
+use chicoryrail_ownership::keys::KeyOwner;
 use chicoryrail_policy::ServerId;
 
 use crate::route::call::Call;
 use crate::route::refusal::Cause;
-use crate::state::KeyOwner;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
@@ -26,6 +26,9 @@
 /// running on the key.
 const MOVE_TIME: Millis = Millis(150);
 
+/// Time without a word of the leader after which its desk is taken for closed: longer than an election.
+const LEADER_GONE: Millis = Millis(2_500);
+
 /// Time after which a service without a server that takes work is looked at again.
 const NO_SERVER_TIME: Millis = Millis(500);
 
@@ -99,6 +102,11 @@
     if !target.is_cold(now) {
         return true;
     }
+    // The desk deals out most of what a cold server bears. A host that hears the leader, but got no word
+    // in time, leaves cold servers alone; else all such hosts together would come on top of the desk's.
+    if router.peers.borrow().hears_leader(now, LEADER_GONE) {
+        return false;
+    }
     let bound = router.cold_bound(call.service_name());
     let hosts = router.peers.borrow().sharing();
     target.cold.borrow_mut().take(now, bound, hosts)
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -3,8 +3,6 @@
 mod asks;
 mod counters;
 mod hall;
-mod key_view;
-mod peers;
 pub(crate) mod router;
 mod service;
 mod target;
@@ -13,9 +11,6 @@
 pub(crate) use asks::Asks;
 pub(crate) use counters::Counters;
 pub(crate) use hall::Hall;
-pub(crate) use key_view::KeyOwner;
-pub(crate) use key_view::KeyView;
-pub(crate) use peers::Peers;
 pub(crate) use router::Router;
 pub(crate) use service::Service;
 pub(crate) use target::Intake;
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -8,12 +8,12 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
+use chicoryrail_ownership::keys::KeyView;
 use chicoryrail_policy::ServerId;
 use chicoryrail_policy::SharedRetries;
 use chicoryrail_policy::SharedServers;
 use chicoryrail_runtime::Signal;
 
-use crate::state::KeyView;
 use crate::state::Target;
 
 /// One service and its servers.
