--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/keeper.rs
@@ -15,8 +15,12 @@
 use crate::keys::ReleaseEnd;
 use crate::keys::server_state::ServerState;
 
-/// Time for which a server that did not answer gets no keys; after it, it is tried again.
-const LOST_FOR: Millis = Millis(6_000);
+/// Time between two probes of a lost server. Keys given to one that still does not answer are unserved until
+/// they are taken away again, so it must answer before it gets any.
+const PROBE_EVERY: Millis = Millis(1_500);
+
+/// Age of the last sight of a server's registration up to which it is worth a probe.
+const SEEN_LATELY: Millis = Millis(1_000);
 
 /// Keys that a former owner may still hold.
 #[derive(Clone, Debug)]
@@ -141,8 +145,7 @@
         let Some(since) = self.servers.get(life).and_then(|s| s.silent) else {
             return false;
         };
-        let silent = now.since(since);
-        silent >= Millis(self.timing.hold.0 / 2) && silent < LOST_FOR
+        now.since(since) >= Millis(self.timing.hold.0 / 2)
     }
 
     /// Returns the keys that are meant for somebody but not granted yet.
@@ -160,7 +163,9 @@
     /// Takes in where a server answers.
     pub fn server_at(&mut self, now: Millis, life: &Life, addr: SocketAddr) {
         let state = self.servers.entry(life.clone());
-        state.or_insert_with(|| new_state(addr, now)).addr = addr;
+        let state = state.or_insert_with(|| new_state(addr, now));
+        state.addr = addr;
+        state.seen = now;
     }
 
     /// Takes in that a server's life has ended, so that it holds nothing.
@@ -173,8 +178,8 @@
 
     /// Plans other owners; to be called while nothing is changing.
     pub fn change(&mut self, spans: Vec<OwnedSpan>, attempt: u64) {
-        let loose = self.claims.iter().map(|c| c.owned.clone()).collect();
-        self.writing = Some(self.record.next(spans, loose, attempt));
+        let loose: Vec<_> = self.claims.iter().map(|c| c.owned.clone()).collect();
+        self.writing = Some(self.record.next(spans, &loose, attempt));
     }
 
     /// Returns what is due now.
@@ -184,17 +189,15 @@
         }
         self.settle(now);
         if let Some(next) = &self.writing {
-            let mut duties = vec![Duty::Commit(next.clone())];
-            // Before a leader has written its own fence, it may not renew either: somebody else may
-            // have moved the keys since.
-            if self.live.is_empty() {
-                return duties;
-            }
-            duties.extend(self.grants(now));
+            // What is held is renewed meanwhile; nothing new is granted under a table that is about to
+            // change. The write comes last: what is renewed now must be reckoned with when it is done.
+            let mut duties = self.grants(now, false);
+            duties.push(Duty::Commit(next.clone()));
             return duties;
         }
-        let mut duties = self.grants(now);
+        let mut duties = self.grants(now, true);
         duties.extend(self.releases(now));
+        duties.extend(self.probes(now));
         duties
     }
 
@@ -203,17 +206,22 @@
         let Some(next) = self.writing.take() else {
             return;
         };
-        for owned in &next.loose {
-            let known = self.claims.iter().any(|c| c.owned == *owned);
-            let state = self.servers.get(&owned.owner);
-            if !known {
-                self.claims.push(Claim {
-                    owned: owned.clone(),
-                    until: state.map_or(now, |s| s.held_until),
-                    retry: now,
-                });
+        // A server may have got keys back since they were loose, and holds them as long as its last grant
+        // says; so each claim is reckoned anew.
+        let before = std::mem::take(&mut self.claims);
+        let claims = next.loose.iter().map(|owned| {
+            let same = |c: &&Claim| {
+                c.owned.owner == owned.owner && c.owned.span.meet(owned.span).is_some()
+            };
+            let earlier = before.iter().filter(same).map(|c| c.until).max();
+            let held = self.servers.get(&owned.owner).map(|s| s.held_until);
+            Claim {
+                owned: owned.clone(),
+                until: held.max(earlier).unwrap_or(now),
+                retry: now,
             }
-        }
+        });
+        self.claims = claims.collect();
         // Only what stays with its owner remains live, and is renewed under the new fence at once.
         let kept = self.live.iter().filter_map(|l| {
             let span = next.span_of(&l.owned.owner)?.meet(l.owned.span)?;
@@ -261,9 +269,7 @@
                 state.held_until = state.held_until.max(now + hold);
                 state.stray_until = now + hold;
                 state.retry = again;
-                // Beyond the time that a lost server is left alone, its silence begins anew.
-                let fresh = state.silent.filter(|s| now.since(*s) < LOST_FOR);
-                state.silent = Some(fresh.unwrap_or(now));
+                state.silent.get_or_insert(now);
             }
         }
     }
@@ -295,6 +301,9 @@
         };
         state.busy = false;
         let stray = state.stray_until;
+        if matches!(end, ReleaseEnd::Free(_)) {
+            state.silent = None;
+        }
         match end {
             ReleaseEnd::Free(token) if stray <= now => {
                 self.claims
@@ -304,7 +313,10 @@
             // An earlier grant whose answer was lost may still take effect.
             ReleaseEnd::Free(_) => self.retry(life, stray),
             ReleaseEnd::OtherServer => self.ended(&life.clone()),
-            ReleaseEnd::Silent => self.retry(life, now + Millis(self.timing.renew.0 / 4)),
+            ReleaseEnd::Silent => {
+                state.retry = now + PROBE_EVERY;
+                self.retry(life, now + Millis(self.timing.renew.0 / 4));
+            }
         }
     }
 
@@ -327,21 +339,23 @@
         });
     }
 
-    /// Returns the grants that are due, at most one for each server.
-    fn grants(&self, now: Millis) -> Vec<Duty> {
+    /// Returns the grants that are due, at most one for each server; without `fresh` only renewals.
+    fn grants(&self, now: Millis, fresh: bool) -> Vec<Duty> {
         let spans = self.record.spans.iter();
-        spans.filter_map(|owned| self.grant(now, owned)).collect()
+        spans
+            .filter_map(|owned| self.grant(now, owned, fresh))
+            .collect()
     }
 
     /// Returns the next grant for a server: first what it holds and must renew, then what it is to hold
     /// and nobody else may hold any more.
-    fn grant(&self, now: Millis, owned: &OwnedSpan) -> Option<Duty> {
+    fn grant(&self, now: Millis, owned: &OwnedSpan, fresh: bool) -> Option<Duty> {
         let state = self.servers.get(&owned.owner)?;
         if state.busy || state.ended || state.addr.port() == 0 || now < state.retry {
             return None;
         }
         let renewed = self.renewal(now, &owned.owner).map(|span| (span, None));
-        let (span, handover) = renewed.or_else(|| self.fresh(owned))?;
+        let (span, handover) = renewed.or_else(|| self.fresh(owned).filter(|_| fresh))?;
         Some(Duty::Grant {
             life: owned.owner.clone(),
             addr: state.addr,
@@ -415,6 +429,24 @@
         }
         duties
     }
+
+    /// Returns the probes of lost servers that are due: a release of everything, which is never refused and
+    /// takes nothing from one that holds nothing.
+    fn probes(&self, now: Millis) -> Vec<Duty> {
+        let named = self.named();
+        let lost = self.servers.iter().filter(|(life, s)| {
+            let there = now.since(s.seen) <= SEEN_LATELY && s.addr.port() != 0;
+            there && !s.busy && !s.ended && now >= s.retry && self.is_lost(now, life)
+        });
+        let lost = lost.filter(|(life, _)| !named.contains(life));
+        let probe = |(life, state): (&Life, &ServerState)| Duty::Release {
+            life: life.clone(),
+            addr: state.addr,
+            span: KeySpan::ALL,
+            fence: self.record.fence,
+        };
+        lost.map(probe).collect()
+    }
 }
 
 /// Returns what `cut` leaves of the spans.
@@ -428,6 +460,7 @@
         held_until: Millis::ZERO,
         stray_until: Millis::ZERO,
         retry: now,
+        seen: now,
         busy: false,
         confirmed: 0,
         silent: None,
--- a/crates/chicoryrail-ownership/src/keys/record.rs
+++ b/crates/chicoryrail-ownership/src/keys/record.rs
@@ -121,18 +121,18 @@
 
     /// Returns the next record, with the given owners: what their predecessors may still hold is loose.
     #[must_use]
-    pub fn next(&self, spans: Vec<OwnedSpan>, still_loose: Vec<OwnedSpan>, attempt: u64) -> Self {
-        let mut loose = still_loose;
-        for old in &self.spans {
+    pub fn next(&self, spans: Vec<OwnedSpan>, still_loose: &[OwnedSpan], attempt: u64) -> Self {
+        let mut loose: Vec<OwnedSpan> = Vec::new();
+        for old in still_loose.iter().chain(&self.spans) {
+            // What its holder keeps, or gets back, is not loose.
             let kept = spans.iter().find(|s| s.owner == old.owner);
-            let left = match kept {
-                Some(kept) => old.span.without(kept.span),
-                None => vec![old.span],
-            };
-            loose.extend(
-                left.into_iter()
-                    .map(|s| OwnedSpan::new(s, old.owner.clone())),
-            );
+            let left = kept.map_or_else(|| vec![old.span], |k| old.span.without(k.span));
+            for span in left {
+                let owned = OwnedSpan::new(span, old.owner.clone());
+                if !loose.contains(&owned) {
+                    loose.push(owned);
+                }
+            }
         }
         Self {
             fence: self.fence + 1,
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -14,6 +14,8 @@
     pub(crate) stray_until: Millis,
     /// When the server may be called again after a call without an answer.
     pub(crate) retry: Millis,
+    /// When its registration was last seen.
+    pub(crate) seen: Millis,
     /// Whether a call is under way; there is one at a time, so that a renewal can't overtake a release.
     pub(crate) busy: bool,
     /// Fence of the last grant that the server confirmed; 0 for none.
