feat(router): one line a request with what decided it, times of calls, logs of many hosts in one order

fix(runtime): a call that is given up ends its connection. Its task went on writing the request to the end, seen once as 16 MB that arrived after the call was given up; the connection is now dropped with the call.

--- a/crates/chicoryrail-router/src/control/desk_duty.rs
+++ b/crates/chicoryrail-router/src/control/desk_duty.rs
@@ -13,6 +13,7 @@
 use chicoryrail_policy::LoadReport;
 use chicoryrail_policy::SeatState;
 
+use crate::state::Origin;
 use crate::state::Router;
 use crate::state::Service;
 use crate::talk::Ask;
@@ -88,16 +89,19 @@
         let desk = desks.entry(ask.service.clone()).or_default();
         desk.ask(now, asked)
     };
-    router.hall.origins.borrow_mut().insert(ask.ticket, from);
+    let origin = Origin {
+        from,
+        id: ask.id.clone(),
+    };
+    router.hall.origins.borrow_mut().insert(ask.ticket, origin);
     if let Some(id) = given {
         // The word of it was lost on the way.
         tell(router, &service, ask.ticket, DeskVerdict::Send(id));
         return;
     }
     poll(router, &service);
-    if let Some(from) = router.hall.origins.borrow().get(&ask.ticket) {
-        let ticket = ask.ticket;
-        answer(router, *from, ticket, Told::Waits);
+    if router.hall.origins.borrow().contains_key(&ask.ticket) {
+        answer(router, from, ask.ticket, Told::Waits);
     }
 }
 
@@ -199,10 +203,18 @@
             Told::Send(target.life.clone())
         }
     };
-    let from = router.hall.origins.borrow_mut().remove(&ticket);
-    if let Some(from) = from {
-        answer(router, from, ticket, told);
+    let Some(origin) = router.hall.origins.borrow_mut().remove(&ticket) else {
+        return;
+    };
+    if let Told::Refuse(after) = told {
+        let desks = router.hall.desks.borrow();
+        let desk = desks.get(&service.name);
+        let (busy, slots) = desk.map_or((0, 0), chicoryrail_policy::Desk::filled);
+        log::info!(request = origin.id, service:% = service.name, room_in_ms = after, busy = busy,
+            slots = slots, waiting = desk.map_or(0, chicoryrail_policy::Desk::waiting);
+            "desk_refused");
     }
+    answer(router, origin.from, ticket, told);
 }
 
 fn answer(router: &Rc<Router>, to: Option<SocketAddr>, ticket: u64, told: Told) {
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -8,7 +8,7 @@
 use chicoryrail_platform::Txn;
 use rand::Rng;
 
-use crate::control::follow::note;
+use crate::control::follow::call;
 use crate::control::keep_keys;
 use crate::control::tenure::Tenure;
 use crate::state::Router;
@@ -47,7 +47,7 @@
             Ok(Some((term, lease, ttl))) => lead(&router, &tenure, term, lease, ttl).await,
             Ok(None) => router.process.clock.sleep(LOOK).await,
             Err(e) => {
-                note(&router, "campaign", Some(&e));
+                log::info!(error:% = e; "campaign_failed");
                 router.process.clock.sleep(LOOK.times(3)).await;
             }
         }
@@ -61,13 +61,13 @@
 /// Tries to become the leader; returns the term, the lease and its length.
 async fn campaign(router: &Router) -> Result<Option<(u64, u64, Millis)>, StoreError> {
     let ttl = LEASE.max(router.boot().store.least_lease);
-    let lease = router.store.open_lease(ttl).await?;
+    let lease = call(router, "open_lease", router.store.open_lease(ttl)).await?;
     let name = router.boot().host.clone();
     let txn =
         Txn::default()
             .expect(&key(), 0)
             .put_leased(&key(), name.as_str().as_bytes(), lease.id);
-    match router.store.commit(&txn).await {
+    match call(router, "campaign", router.store.commit(&txn)).await {
         Ok(term) => Ok(Some((term, lease.id, lease.ttl))),
         Err(StoreError::Conflict { .. }) => {
             end(router, lease.id).await;
@@ -79,8 +79,8 @@
 }
 
 async fn end(router: &Router, lease: u64) {
-    let ended = router.store.end_lease(lease).await;
-    note(router, "end_lease", ended.as_ref().err());
+    // One that can't be ended runs out by itself.
+    let _ = call(router, "end_lease", router.store.end_lease(lease)).await;
 }
 
 /// Leads until the lease is lost, another leader is heard of, or the process is to stop.
@@ -116,8 +116,7 @@
 async fn hold(router: &Router, tenure: &Tenure, term: u64, lease: u64) -> &'static str {
     loop {
         let sent = router.now();
-        let kept = router.store.keep_lease(lease).await;
-        note(router, "keep_lease", kept.as_ref().err());
+        let kept = call(router, "keep_lease", router.store.keep_lease(lease)).await;
         match kept {
             Ok(()) => tenure.confirmed.set(sent),
             Err(StoreError::LeaseGone) => return "lease_gone",
--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -2,6 +2,7 @@
 
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Instant;
 
 use chicoryrail_core::Millis;
 use chicoryrail_platform::KvStore;
@@ -96,6 +97,24 @@
     store.snapshot("").await
 }
 
+/// Makes a call to the store, and notes its time and whether it was answered.
+pub(crate) async fn call<T>(
+    router: &Router,
+    name: &str,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    let started = Instant::now();
+    let result = call.await;
+    let seconds = started.elapsed().as_secs_f64();
+    router
+        .counters
+        .store_took
+        .with_label_values(&[name])
+        .observe(seconds);
+    note(router, name, result.as_ref().err());
+    result
+}
+
 /// Notes whether the store answered a call, and logs when that changes.
 pub(crate) fn note(router: &Router, call: &str, error: Option<&StoreError>) {
     let down = error.is_some_and(StoreError::is_outage);
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
@@ -22,7 +23,7 @@
 use chicoryrail_platform::StoreError;
 use chicoryrail_platform::Txn;
 
-use crate::control::follow::note;
+use crate::control::follow::call;
 use crate::control::tenure::Tenure;
 use crate::state::Router;
 use crate::state::router::KEYS;
@@ -71,7 +72,7 @@
                     posts.insert(service, ());
                     monoio::spawn(Rc::new(post).run());
                 }
-                Err(e) => note(&router, "read_record", Some(&e)),
+                Err(e) => log::warn!(service:% = service, error:% = e; "keys_not_read"),
             }
         }
         router.process.clock.sleep(CALM_LOOK).await;
@@ -89,7 +90,12 @@
     leader_key: &str,
     service: &ServiceName,
 ) -> Result<Post, StoreError> {
-    let item = router.store.item(&record_key(service)).await?;
+    let item = call(
+        router,
+        "read_record",
+        router.store.item(&record_key(service)),
+    )
+    .await?;
     let revision = item.as_ref().map_or(0, |i| i.revision);
     let record = match &item {
         None => KeyRecord::default(),
@@ -271,7 +277,7 @@
                     loose = record.loose.len(); "keys_written");
             }
             Err(e) if e.is_outage() => {
-                note(&self.router, "write_record", Some(&e));
+                log::info!(service:% = self.service, error:% = e; "keys_write_unsettled");
                 self.router.process.clock.sleep(AGAIN).await;
             }
             Err(e) => {
@@ -298,14 +304,15 @@
             .expect(&self.leader_key, self.term)
             .expect(key, self.revision.get())
             .put(key, &value);
-        let error = match self.router.store.commit(&txn).await {
+        let store = &self.router.store;
+        let error = match call(&self.router, "write_record", store.commit(&txn)).await {
             Ok(revision) => return Ok(revision),
             Err(e) => e,
         };
         if !matches!(error, StoreError::Conflict { .. } | StoreError::Down { .. }) {
             return Err(error);
         }
-        let item = self.router.store.item(key).await?;
+        let item = call(&self.router, "read_record", store.item(key)).await?;
         let found = item.filter(|i| i.revision != self.revision.get());
         let ours = found.filter(|i| {
             let found = serde_json::from_slice::<KeyRecord>(&i.value);
@@ -317,6 +324,7 @@
     async fn grant(self: Rc<Self>, life: Life, addr: std::net::SocketAddr, grant: KeyGrant) {
         let limit = KeyTiming::default().grant_limit;
         let control = &self.router.control;
+        let started = Instant::now();
         let result = control.grant(addr, &life.name, &grant, limit).await;
         let (end, name) = match &result {
             Ok(()) => (GrantEnd::Held, "held"),
@@ -324,7 +332,7 @@
             Err(KeyError::OtherServer) => (GrantEnd::OtherServer, "other_server"),
             Err(KeyError::Silent { .. } | KeyError::Refused { .. }) => (GrantEnd::Silent, "silent"),
         };
-        self.count("grant", name);
+        self.count("grant", name, started);
         if let Err(e) = &result {
             log::info!(server:% = life, service:% = self.service, fence = grant.fence,
                 error:% = e; "grant_{name}");
@@ -341,13 +349,14 @@
     async fn release(self: Rc<Self>, life: Life, addr: std::net::SocketAddr, grant: KeyGrant) {
         let limit = KeyTiming::default().release_limit;
         let control = &self.router.control;
+        let started = Instant::now();
         let result = control.release(addr, &life.name, &grant, limit).await;
         let (end, name) = match &result {
             Ok(token) => (ReleaseEnd::Free(token.clone()), "free"),
             Err(KeyError::OtherServer) => (ReleaseEnd::OtherServer, "other_server"),
             Err(_) => (ReleaseEnd::Silent, "silent"),
         };
-        self.count("release", name);
+        self.count("release", name, started);
         log::info!(server:% = life, service:% = self.service, fence = grant.fence,
             first = grant.first, last = grant.last; "release_{name}");
         let now = self.router.now();
@@ -358,9 +367,14 @@
         self.keeper.borrow_mut().released(now, &life, span, end);
     }
 
-    fn count(&self, call: &str, result: &str) {
-        let calls = &self.router.counters.key_calls;
-        calls.with_label_values(&[call, result]).inc();
+    fn count(&self, call: &str, result: &str, started: Instant) {
+        let counters = &self.router.counters;
+        counters.key_calls.with_label_values(&[call, result]).inc();
+        let seconds = started.elapsed().as_secs_f64();
+        counters
+            .key_took
+            .with_label_values(&[call])
+            .observe(seconds);
     }
 }
 
--- a/crates/chicoryrail-router/src/control/presence.rs
+++ b/crates/chicoryrail-router/src/control/presence.rs
@@ -8,7 +8,7 @@
 use chicoryrail_platform::StoreError;
 use chicoryrail_platform::Txn;
 
-use crate::control::follow::note;
+use crate::control::follow::call;
 use crate::state::Router;
 use crate::state::router::HOSTS;
 
@@ -26,9 +26,8 @@
     loop {
         let result = match lease {
             None => register(&router, addr).await.map(|id| lease = Some(id)),
-            Some(id) => router.store.keep_lease(id).await,
+            Some(id) => call(&router, "presence", router.store.keep_lease(id)).await,
         };
-        note(&router, "presence", result.as_ref().err());
         let pause = match result {
             Ok(()) => RENEW,
             Err(StoreError::LeaseGone) => {
@@ -43,10 +42,10 @@
 }
 
 async fn register(router: &Router, addr: SocketAddr) -> Result<u64, StoreError> {
-    let lease = router.store.open_lease(LEASE).await?;
+    let lease = call(router, "open_lease", router.store.open_lease(LEASE)).await?;
     let key = format!("{OWN_PREFIX}{HOSTS}{}", router.boot().host);
     let txn = Txn::default().put_leased(&key, addr.to_string().as_bytes(), lease.id);
-    router.store.commit(&txn).await?;
+    call(router, "register", router.store.commit(&txn)).await?;
     log::info!(addr:% = addr, lease = lease.id; "present");
     Ok(lease.id)
 }
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_policy::return_time;
 use chicoryrail_runtime::Body;
@@ -46,7 +47,7 @@
     service: Rc<Service>,
     call: &'a Call,
     body: &'a Rc<RequestBody>,
-    tried: Vec<chicoryrail_core::Life>,
+    tried: Vec<Life>,
     /// Servers that may have run it.
     ran: u32,
 }
@@ -118,15 +119,25 @@
     /// Waits until there is a server for the request: the desk says which; without it this host chooses by
     /// what it knows itself.
     async fn place(&self) -> Result<(Rc<Target>, Slot), Refusal> {
-        match desk::ask(self.router, &self.service, self.call, &self.tried).await {
+        let started = self.router.now();
+        let word = desk::ask(self.router, &self.service, self.call, &self.tried).await;
+        let by_desk = !matches!(word, desk::Word::Silent);
+        let place = match word {
             desk::Word::Send(target, slot) => Ok((target, slot)),
             desk::Word::Refuse(after) => Err(self.refuse(Cause::Full, after)),
-            desk::Word::Silent => {
-                let target = self.wait_for_target().await?;
+            desk::Word::Silent => self.wait_for_target().await.map(|target| {
                 let slot = Slot::without(self.router, &self.service.name, &target.life);
-                Ok((target, slot))
-            }
+                (target, slot)
+            }),
+        };
+        let mut trail = self.call.trail.borrow_mut();
+        trail.waited = trail.waited + self.router.now().since(started);
+        trail.by_desk = by_desk;
+        if let Ok((target, _)) = &place {
+            trail.server = Some(target.life.clone());
+            trail.sends += 1;
         }
+        place
     }
 
     /// Waits until there is a server for the request, by what this host knows itself.
@@ -231,7 +242,7 @@
         }
     }
 
-    fn log(&self, life: &chicoryrail_core::Life, sent: &Sent) {
+    fn log(&self, life: &Life, sent: &Sent) {
         if matches!(sent, Sent::Answered(_)) {
             return;
         }
--- a/crates/chicoryrail-router/src/route/call.rs
+++ b/crates/chicoryrail-router/src/route/call.rs
@@ -1,7 +1,9 @@
 //! A caller's request as this host understands it.
 
+use std::cell::RefCell;
 use std::sync::Arc;
 
+use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::Repeat;
 use chicoryrail_core::Route;
@@ -21,6 +23,19 @@
 /// Shortest time that is left to a server; a request that has less is not worth sending.
 pub(crate) const LEAST_LEFT: Millis = Millis(5);
 
+/// What happened to a request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Trail {
+    /// Server that it was sent to last.
+    pub(crate) server: Option<Life>,
+    /// Times that it was sent.
+    pub(crate) sends: u32,
+    /// Time for which it waited for a server, all together.
+    pub(crate) waited: Millis,
+    /// Whether the desk chose the server, or this host by its own view.
+    pub(crate) by_desk: bool,
+}
+
 /// A caller's request.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -36,6 +51,8 @@
     /// Key, where the service is keyed.
     pub(crate) key: Option<u16>,
     pub(crate) arrived: Millis,
+    /// What happened to it here, for its last log line.
+    pub(crate) trail: RefCell<Trail>,
     /// When the caller, or the route's timeout, gives up.
     pub(crate) deadline: Millis,
 }
@@ -71,6 +88,7 @@
             version: site.version,
             key,
             arrived,
+            trail: RefCell::default(),
             deadline: arrived + left.min(route.timeout),
             service,
             headers,
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -12,6 +12,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header::CONNECTION;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -78,37 +79,38 @@
 /// Counts and logs a request's end.
 fn finish(router: &Router, call: &Call, result: Result<Response<Body>, Refusal>) -> Response<Body> {
     let took = router.now().since(call.arrived);
-    let seconds = took.0 as f64 / 1_000.0;
-    match call.route.repeat {
-        Repeat::Any => router.counters.took_any.observe(seconds),
-        Repeat::Once => router.counters.took_once.observe(seconds),
-    }
     let service = call.service_name().as_str();
     let (outcome, answer) = match result {
         Ok(answer) => {
             let outcome = outcome(&answer, took, call.route.aim);
             if sampled(router, call) || outcome != "in_time" {
-                log::info!(request = call.id, route = call.route.name, service = service,
-                    status = answer.status().as_u16(), took_ms = took.0, config = call.version;
-                    "request_{outcome}");
+                log_end(call, outcome, took, answer.status(), None);
             }
             (outcome, answer)
         }
         Err(refusal) => {
-            let cause = refusal.cause.name();
-            router
-                .counters
-                .refusals
-                .with_label_values(&[service, cause])
-                .inc();
-            log::info!(request = call.id, route = call.route.name, service = service,
-                status = refusal.cause.status().as_u16(), cause = cause, took_ms = took.0,
-                retry_after_ms:? = refusal.after.map(|m| m.0), left_ms = call.left(router.now()).0,
-                key:? = call.key, config = call.version;
-                "request_refused");
+            let labels = [service, refusal.cause.name()];
+            router.counters.refusals.with_label_values(&labels).inc();
+            log_end(call, "refused", took, refusal.cause.status(), Some(refusal));
             ("refused", refusal.answer())
         }
     };
+    let repeat = match call.route.repeat {
+        Repeat::Any => "any",
+        Repeat::Once => "once",
+    };
+    let seconds = |m: Millis| m.0 as f64 / 1_000.0;
+    let counters = &router.counters;
+    let labels = [service, repeat, outcome];
+    counters
+        .took
+        .with_label_values(&labels)
+        .observe(seconds(took));
+    let waited = seconds(call.trail.borrow().waited);
+    counters
+        .waited
+        .with_label_values(&[service])
+        .observe(waited);
     router
         .counters
         .requests
@@ -117,6 +119,24 @@
     answer
 }
 
+/// Logs a request's end, with what decided it.
+fn log_end(call: &Call, outcome: &str, took: Millis, status: StatusCode, refusal: Option<Refusal>) {
+    let trail = call.trail.borrow();
+    let server = trail
+        .server
+        .as_ref()
+        .map_or_else(|| "-".to_owned(), ToString::to_string);
+    let by = if trail.by_desk { "desk" } else { "host" };
+    let cause = refusal.map_or("-", |r| r.cause.name());
+    let after = refusal.and_then(|r| r.after).map_or(0, |m| m.0);
+    let time = call.deadline.since(call.arrived);
+    log::info!(request = call.id, route = call.route.name, service:% = call.service_name(),
+        status = status.as_u16(), cause = cause, retry_after_ms = after, took_ms = took.0,
+        waited_ms = trail.waited.0, aim_ms = call.route.aim.0, time_ms = time.0,
+        server = server, sends = trail.sends, chosen_by = by, key:? = call.key,
+        config = call.version; "request_{outcome}");
+}
+
 fn outcome(answer: &Response<Body>, took: Millis, aim: Millis) -> &'static str {
     if !answer.status().is_success() {
         "failed"
--- a/crates/chicoryrail-router/src/route/desk.rs
+++ b/crates/chicoryrail-router/src/route/desk.rs
@@ -135,6 +135,7 @@
             dc: self.router.boot().dc.clone(),
             service: self.service.clone(),
             ticket: self.ticket,
+            id: call.id.clone(),
             key: call.key,
             rank: call.route.rank,
             aim: (call.arrived + call.route.aim).since(now).0,
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -1,7 +1,7 @@
 //! Metrics of the process.
 
 use chicoryrail_runtime::Metrics;
-use prometheus::Histogram;
+use prometheus::HistogramVec;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
@@ -21,10 +21,14 @@
     pub(crate) key_calls: IntCounterVec,
     /// Entries that can't be read.
     pub(crate) bad_entries: IntCounter,
-    /// Time from a request's arrival to its answer, idempotent ones.
-    pub(crate) took_any: Histogram,
-    /// Time from a request's arrival to its answer, those that may run once.
-    pub(crate) took_once: Histogram,
+    /// Time from a request's arrival to its answer, by service, kind and outcome.
+    pub(crate) took: HistogramVec,
+    /// Time that a request waited for a server, by service.
+    pub(crate) waited: HistogramVec,
+    /// Time of calls to the store, by kind.
+    pub(crate) store_took: HistogramVec,
+    /// Time of grants and releases, by kind.
+    pub(crate) key_took: HistogramVec,
     /// Requests being served.
     pub(crate) serving: IntGauge,
     /// Version of the configuration in force.
@@ -66,13 +70,25 @@
                 "bad_entries_total",
                 "Entries of the store that can't be read",
             ),
-            took_any: metrics.seconds(
+            took: metrics.seconds_by(
                 "request_seconds",
-                "Time from arrival to answer of requests that may be repeated",
+                "Time from arrival to answer, by service, kind (any, once) and outcome",
+                &["service", "repeat", "outcome"],
             ),
-            took_once: metrics.seconds(
-                "order_seconds",
-                "Time from arrival to answer of requests that may run once",
+            waited: metrics.seconds_by(
+                "wait_seconds",
+                "Time that a request waited for a server, by service",
+                &["service"],
+            ),
+            store_took: metrics.seconds_by(
+                "store_seconds",
+                "Time of calls to the store, by kind",
+                &["call"],
+            ),
+            key_took: metrics.seconds_by(
+                "key_seconds",
+                "Time of grants and releases, by kind",
+                &["call"],
             ),
             serving: metrics.gauge("serving", "Requests being served"),
             config: metrics.gauge("config_version", "Version of the configuration in force"),
--- a/crates/chicoryrail-router/src/state/hall.rs
+++ b/crates/chicoryrail-router/src/state/hall.rs
@@ -9,14 +9,21 @@
 use chicoryrail_core::ServiceName;
 use chicoryrail_policy::Desk;
 
-/// Who asked, by ticket; `None` for this host itself.
-type Origins = HashMap<u64, Option<SocketAddr>>;
+/// Who asked.
+#[derive(Clone, Debug)]
+pub(crate) struct Origin {
+    /// Host that asked; `None` for this one.
+    pub(crate) from: Option<SocketAddr>,
+    /// Id that the caller gave, for the log.
+    pub(crate) id: String,
+}
 
 /// The desks of all services, at the leader.
 #[derive(Debug, Default)]
 pub(crate) struct Hall {
     pub(crate) desks: RefCell<BTreeMap<ServiceName, Desk>>,
-    pub(crate) origins: RefCell<Origins>,
+    /// Who asked, by ticket.
+    pub(crate) origins: RefCell<HashMap<u64, Origin>>,
     dcs: RefCell<Vec<DcName>>,
 }
 
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) use asks::Asks;
 pub(crate) use counters::Counters;
 pub(crate) use hall::Hall;
+pub(crate) use hall::Origin;
 pub(crate) use router::Router;
 pub(crate) use service::Service;
 pub(crate) use target::Intake;
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -59,6 +59,8 @@
     pub(crate) dc: DcName,
     pub(crate) service: ServiceName,
     pub(crate) ticket: u64,
+    /// Id that the caller gave, for the log.
+    pub(crate) id: String,
     pub(crate) key: Option<u16>,
     pub(crate) rank: u8,
     /// Time left for an answer that is worth most.
--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -8,16 +8,13 @@
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
-use http_body_util::Full;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
 use monoio::time::timeout;
-use monoio_compat::hyper::MonoioIo;
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::ServerConn;
 use crate::collect;
-use crate::outgoing::connect;
+use crate::full;
 
 /// Idle connections kept for each address. Control calls rarely overlap; more would count against
 /// the connection limit of a target.
@@ -58,7 +55,7 @@
     },
 }
 
-type Idle = HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>;
+type Idle = HashMap<SocketAddr, Vec<ServerConn>>;
 
 /// A client that keeps idle connections; clones share them.
 ///
@@ -122,9 +119,10 @@
                 .expect("an address is a valid header");
             head.headers.insert(http::header::HOST, host);
         }
-        let mut send = self.connection(addr).await?;
-        let request = http::Request::from_parts(head, Full::new(body));
-        let answer = send
+        let mut conn = self.connection(addr).await?;
+        let request = http::Request::from_parts(head, full(body));
+        let answer = conn
+            .send
             .send_request(request)
             .await
             .context(CallSnafu { addr })?;
@@ -134,37 +132,27 @@
             .context(AnswerSnafu { addr })?;
         // A connection that the other side closes after this answer still looks ready until its
         // close is read; the next call on it would be lost.
-        if send.is_ready() && !says_close(&head.headers) {
+        if conn.send.is_ready() && !says_close(&head.headers) {
             let mut idle = self.idle.borrow_mut();
             let kept = idle.entry(addr).or_default();
             if kept.len() < IDLE_KEPT {
-                kept.push(send);
+                kept.push(conn);
             }
         }
         Ok(http::Response::from_parts(head, body))
     }
 
-    async fn connection(&self, addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, HttpError> {
+    async fn connection(&self, addr: SocketAddr) -> Result<ServerConn, HttpError> {
         loop {
             let kept = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
             match kept {
-                Some(send) if send.is_ready() => return Ok(send),
+                Some(conn) if conn.send.is_ready() => return Ok(conn),
                 Some(_) => {}
                 None => break,
             }
         }
-        let stream = connect(addr).await.context(ConnectSnafu { addr })?;
-        let io = stream
-            .try_into_poll_io()
-            .map_err(|(e, _)| e)
-            .context(ConnectSnafu { addr })?;
-        let (send, connection) = http1::handshake(MonoioIo::new(io))
-            .await
-            .context(CallSnafu { addr })?;
-        monoio::spawn(async move {
-            let _ = connection.await;
-        });
-        Ok(send)
+        let conn = ServerConn::open(addr, ()).await;
+        conn.context(ConnectSnafu { addr })
     }
 }
 
--- a/crates/chicoryrail-runtime/src/metrics.rs
+++ b/crates/chicoryrail-runtime/src/metrics.rs
@@ -3,6 +3,7 @@
 use prometheus::Encoder;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
@@ -10,6 +11,11 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+/// Bounds of the buckets of all histograms of seconds.
+const SECONDS: [f64; 13] = [
+    0.0001, 0.0003, 0.001, 0.002, 0.004, 0.008, 0.016, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0,
+];
+
 /// A process's metrics, shown at `/metrics` in the Prometheus text format.
 ///
 /// Names carry the prefix `chicoryrail_` and the unit; a name registered twice is a fault of the
@@ -62,10 +68,7 @@
     /// Adds a histogram of seconds, from 100 µs to 10 s.
     #[must_use]
     pub fn seconds(&self, name: &str, help: &str) -> Histogram {
-        let buckets = [
-            0.0001, 0.0003, 0.001, 0.002, 0.004, 0.008, 0.016, 0.05, 0.1, 0.3, 1.0, 3.0, 10.0,
-        ];
-        let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+        let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
         let histogram = Histogram::with_opts(opts).expect("metric names are constant and valid");
         self.registry
             .register(Box::new(histogram.clone()))
@@ -73,6 +76,17 @@
         histogram
     }
 
+    /// Adds a family of histograms of seconds, one for each combination of label values.
+    #[must_use]
+    pub fn seconds_by(&self, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+        let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+        let family = HistogramVec::new(opts, labels).expect("metric names are constant and valid");
+        self.registry
+            .register(Box::new(family.clone()))
+            .expect("metric names are unique");
+        family
+    }
+
     /// Renders all metrics as text.
     #[must_use]
     pub fn render(&self) -> Vec<u8> {
--- a/crates/chicoryrail-runtime/src/server_pool.rs
+++ b/crates/chicoryrail-runtime/src/server_pool.rs
@@ -92,9 +92,16 @@
             return Err(io::Error::other("the server's connections are in use"));
         }
         let open = Open::new(&self.open);
-        let stream = timeout(CONNECT_LIMIT.duration(), connect(addr))
+        timeout(CONNECT_LIMIT.duration(), ServerConn::open(addr, open))
             .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+    }
+}
+
+impl ServerConn {
+    /// Opens a connection; `held` is dropped when it has ended.
+    pub(crate) async fn open<T: 'static>(addr: SocketAddr, held: T) -> io::Result<Self> {
+        let stream = connect(addr).await?;
         let io = stream.try_into_poll_io().map_err(|(e, _)| e)?;
         let (send, connection) = http1::handshake(MonoioIo::new(io))
             .await
@@ -103,10 +110,12 @@
         let stop = closed.clone();
         monoio::spawn(async move {
             let stopped = std::pin::pin!(stop.cancelled());
+            // Dropped here, the connection is reset. Left to itself it would first write to its end a
+            // request that was given up.
             select(connection, stopped).await;
-            drop(open);
+            drop(held);
         });
-        Ok(ServerConn { send, closed })
+        Ok(Self { send, closed })
     }
 }
 
--- a/crates/chicoryrail-timeline/src/lib.rs
+++ b/crates/chicoryrail-timeline/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod filter;
 mod line;
+mod log_file;
 mod merge;
 mod run;
 mod settings;
@@ -27,6 +28,8 @@
 pub use line::Line;
 pub use line::Silence;
 pub use line::date;
+pub use log_file::LogLine;
+pub use log_file::merge_logs;
 pub use merge::Merge;
 pub use run::main;
 pub use settings::Settings;
--- /dev/null
+++ b/crates/chicoryrail-timeline/src/log_file.rs
@@ -0,0 +1,64 @@
+//! Lines that routers wrote to their standard output.
+
+use std::cmp::Ordering;
+use std::fmt;
+
+/// A structured line: `log=KIND t=SECONDS key=value ...`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LogLine {
+    /// Wall time in seconds since 1970.
+    pub time: f64,
+    /// The line, from `log=` on.
+    pub text: String,
+}
+
+impl LogLine {
+    /// Reads a line; whatever a collector put before `log=` is passed over. `None` for other output.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use chicoryrail_timeline::LogLine;
+    ///
+    /// let line = LogLine::parse("host-1 | log=stop t=12.5 level=info serving=0").unwrap();
+    /// assert_eq!(line.time, 12.5);
+    /// assert_eq!(line.value("serving"), Some("0"));
+    /// ```
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let text = text[text.find("log=")?..].trim_end();
+        let line = Self {
+            time: 0.0,
+            text: text.to_owned(),
+        };
+        let time = line.value("t")?.parse().ok()?;
+        Some(Self { time, ..line })
+    }
+
+    /// Returns the value of a key that has no spaces.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<&str> {
+        let mut words = self.text.split_whitespace();
+        words.find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
+    }
+}
+
+impl fmt::Display for LogLine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
+
+/// Merges the lines of several processes into one order of time; with a request id, only its lines.
+#[must_use]
+pub fn merge_logs<'a>(
+    texts: impl IntoIterator<Item = &'a str>,
+    request: Option<&str>,
+) -> Vec<LogLine> {
+    let lines = texts.into_iter().flat_map(str::lines);
+    let lines = lines.filter_map(LogLine::parse);
+    let wanted = |l: &LogLine| request.is_none_or(|id| l.value("request") == Some(id));
+    let mut lines: Vec<_> = lines.filter(wanted).collect();
+    lines.sort_by(|a, b| a.time.partial_cmp(&b.time).unwrap_or(Ordering::Equal));
+    lines
+}
--- a/crates/chicoryrail-timeline/src/run.rs
+++ b/crates/chicoryrail-timeline/src/run.rs
@@ -23,6 +23,7 @@
 use crate::News;
 use crate::Settings;
 use crate::Source;
+use crate::merge_logs;
 use crate::settings;
 use crate::settings::now;
 
@@ -40,7 +41,35 @@
             return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
         }
     };
-    block_on(run(settings))
+    if settings.logs.is_empty() {
+        block_on(run(settings))
+    } else {
+        print_logs(&settings)
+    }
+}
+
+/// Prints the lines of the log files, in one order of time.
+fn print_logs(settings: &Settings) -> ExitCode {
+    let mut texts = Vec::new();
+    for path in &settings.logs {
+        match std::fs::read(path) {
+            Ok(bytes) => texts.push(String::from_utf8_lossy(&bytes).into_owned()),
+            Err(e) => {
+                let text = format!("--log = {}: {e}", path.display());
+                return exit_with(ResultCode::SettingInvalid, &text);
+            }
+        }
+    }
+    let request = settings.filter.request.as_deref();
+    let lines = merge_logs(texts.iter().map(String::as_str), request);
+    let mut out = io::stdout().lock();
+    for line in &lines {
+        if writeln!(out, "{line}").is_err() {
+            // The reader of the output has closed it: it wants no more.
+            break;
+        }
+    }
+    ExitCode::SUCCESS
 }
 
 async fn run(settings: Settings) -> ExitCode {
--- a/crates/chicoryrail-timeline/src/settings.rs
+++ b/crates/chicoryrail-timeline/src/settings.rs
@@ -1,6 +1,7 @@
 //! Flags and environment variables.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -23,6 +24,8 @@
     pub list: Option<SocketAddr>,
     /// Further processes, by the address where they show their events.
     pub processes: Vec<SocketAddr>,
+    /// Files with the output of routers; read once, in place of processes.
+    pub logs: Vec<PathBuf>,
     /// Whether the tool goes on reading.
     pub follow: bool,
     /// Whether it prints JSON lines.
@@ -52,6 +55,11 @@
         .argument::<String>("ADDR")
         .many()
         .parse(|texts| addresses(&texts));
+    let logs = long("log")
+        .env("CHICORYRAIL_TIMELINE_LOGS")
+        .help("File with the output of a router; may be given several times. With --request, only its lines")
+        .argument::<PathBuf>("FILE")
+        .many();
     let follow = switch_setting(
         "follow",
         "CHICORYRAIL_TIMELINE_FOLLOW",
@@ -72,14 +80,15 @@
     construct!(Settings {
         list,
         processes,
+        logs,
         follow,
         json,
         interval,
         filter
     })
     .guard(
-        |s| s.list.is_some() || !s.processes.is_empty(),
-        "--host-list ADDR or --process ADDR must be given",
+        |s| s.list.is_some() || !s.processes.is_empty() || !s.logs.is_empty(),
+        "--host-list ADDR, --process ADDR or --log FILE must be given",
     )
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
