feat(router): keys are served through an outage in which the leader is lost; a release fences

While every host says that the store is away, grants last 10 s, and a leader that is told to stop keeps the keys to its end. A leader that was not heard for a second is not asked.

The model found that a grant's length must be the one it was sent with, and that a shorter grant need not end a longer one.

--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/keeper.rs
@@ -64,6 +64,8 @@
     writing: Option<KeyRecord>,
     live: Vec<Live>,
     deposed: bool,
+    /// How long grants last that go out now.
+    hold: Millis,
 }
 
 impl Keeper {
@@ -71,9 +73,23 @@
     ///
     /// The first duty is to write it again under a higher fence. Whoever is named in it may hold its keys
     /// as long as an earlier leader may have renewed them.
+    ///
+    /// `away` tells whether the store was away lately, so that an earlier leader may have granted for the
+    /// time of an outage.
     #[must_use]
-    pub fn take_over(record: KeyRecord, timing: KeyTiming, now: Millis, attempt: u64) -> Self {
-        let until = now + timing.stale_leader + timing.longest_hold();
+    pub fn take_over(
+        record: KeyRecord,
+        timing: KeyTiming,
+        now: Millis,
+        attempt: u64,
+        away: bool,
+    ) -> Self {
+        let hold = if away {
+            timing.outage_hold
+        } else {
+            timing.hold
+        };
+        let until = now + timing.stale_leader + KeyTiming::longest(hold);
         let claims = record.loose.iter().map(|owned| Claim {
             owned: owned.clone(),
             until,
@@ -91,6 +107,7 @@
             writing: Some(next),
             live: Vec::new(),
             deposed: false,
+            hold: timing.hold,
             record,
         };
         let named = this.record.spans.iter().chain(&this.record.loose);
@@ -102,11 +119,29 @@
                 .entry(life)
                 .or_insert_with(|| new_state(unknown, now));
             state.held_until = until;
-            state.stray_until = until;
+            if away {
+                state.long_until = until;
+            }
         }
         this
     }
 
+    /// Takes in whether every host says that the store is away; grants last accordingly from now on.
+    pub fn store_away(&mut self, away: bool) {
+        let timing = &self.timing;
+        self.hold = if away {
+            timing.outage_hold
+        } else {
+            timing.hold
+        };
+    }
+
+    /// Returns how long grants last that go out now.
+    #[must_use]
+    pub const fn hold(&self) -> Millis {
+        self.hold
+    }
+
     /// Returns the record in force; grants go out under its fence.
     #[must_use]
     pub const fn record(&self) -> &KeyRecord {
@@ -237,26 +272,30 @@
 
     /// Takes in that a grant is on its way: from now on it may take effect.
     pub fn granting(&mut self, now: Millis, life: &Life) {
-        let longest = self.timing.grant_limit + self.timing.longest_hold();
+        let longest = self.timing.grant_limit + KeyTiming::longest(self.hold);
         if let Some(state) = self.servers.get_mut(life) {
             state.busy = true;
+            state.hold = self.hold;
+            if self.hold > self.timing.hold {
+                state.long_until = state.long_until.max(now + longest);
+            }
             state.held_until = state.held_until.max(now + longest);
         }
     }
 
     /// Takes in how a grant ended.
     pub fn granted(&mut self, now: Millis, life: &Life, span: KeySpan, fence: u64, end: GrantEnd) {
-        let hold = self.timing.longest_hold();
         let again = now + Millis(self.timing.renew.0 / 4);
         let Some(state) = self.servers.get_mut(life) else {
             return;
         };
         state.busy = false;
+        let hold = KeyTiming::longest(state.hold);
         match end {
             GrantEnd::Held => {
                 // A server that took this fence refuses any older grant, so what an earlier leader or
                 // a lost answer left behind no longer counts.
-                state.held_until = now + hold;
+                state.held_until = state.long_until.max(now + hold);
                 state.confirmed = fence;
                 state.silent = None;
                 if fence == self.record.fence {
@@ -267,7 +306,6 @@
             GrantEnd::OtherServer => self.ended(&life.clone()),
             GrantEnd::Silent => {
                 state.held_until = state.held_until.max(now + hold);
-                state.stray_until = now + hold;
                 state.retry = again;
                 state.silent.get_or_insert(now);
             }
@@ -300,18 +338,17 @@
             return;
         };
         state.busy = false;
-        let stray = state.stray_until;
         if matches!(end, ReleaseEnd::Free(_)) {
             state.silent = None;
         }
         match end {
-            ReleaseEnd::Free(token) if stray <= now => {
+            // The release bore a higher fence than every grant of these keys to this server, also one whose
+            // answer was lost: such a grant is refused when it takes effect.
+            ReleaseEnd::Free(token) => {
                 self.claims
                     .retain(|c| c.owned.owner != *life || c.owned.span != span);
                 self.freed.push(Freed { span, token });
             }
-            // An earlier grant whose answer was lost may still take effect.
-            ReleaseEnd::Free(_) => self.retry(life, stray),
             ReleaseEnd::OtherServer => self.ended(&life.clone()),
             ReleaseEnd::Silent => {
                 state.retry = now + PROBE_EVERY;
@@ -458,7 +495,8 @@
     ServerState {
         addr,
         held_until: Millis::ZERO,
-        stray_until: Millis::ZERO,
+        hold: Millis::ZERO,
+        long_until: Millis::ZERO,
         retry: now,
         seen: now,
         busy: false,
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -10,8 +10,11 @@
     pub(crate) addr: SocketAddr,
     /// Until when the server may hold keys that anybody granted it.
     pub(crate) held_until: Millis,
-    /// Until when a grant whose answer was lost may still take effect.
-    pub(crate) stray_until: Millis,
+    /// How long the grant lasts that was sent last; an outage may begin or end while it is under way.
+    pub(crate) hold: Millis,
+    /// Until when a grant for the time of an outage may be held. A shorter one that came after it need not
+    /// end it: the longer may take effect later, or the server keeps the later end of the two.
+    pub(crate) long_until: Millis,
     /// When the server may be called again after a call without an answer.
     pub(crate) retry: Millis,
     /// When its registration was last seen.
--- a/crates/chicoryrail-ownership/src/keys/timing.rs
+++ b/crates/chicoryrail-ownership/src/keys/timing.rs
@@ -10,6 +10,9 @@
     /// A server lost without a word leaves its keys unserved for the rest of it; a lost leader must be
     /// replaced within it.
     pub hold: Millis,
+    /// The same while every host says that the store is away: nobody can replace a leader that is lost then,
+    /// and the keys are served as long as the grants last.
+    pub outage_hold: Millis,
     /// Time between two renewals at one server.
     pub renew: Millis,
     /// Longest wait for the answer to a grant.
@@ -27,6 +30,7 @@
     fn default() -> Self {
         Self {
             hold: Millis(2_500),
+            outage_hold: Millis(10_000),
             renew: Millis(600),
             grant_limit: Millis(300),
             release_limit: Millis(1_000),
@@ -39,9 +43,10 @@
 const CLOCK_DRIFT_PER_MILLE: u64 = 20;
 
 impl KeyTiming {
-    /// Returns the longest time, by this process's clock, that a grant that arrives now is held.
+    /// Returns the longest time, by this process's clock, for which a grant of `hold` that arrives now is
+    /// held.
     #[must_use]
-    pub const fn longest_hold(&self) -> Millis {
-        Millis(self.hold.0 + self.hold.0 * CLOCK_DRIFT_PER_MILLE / 1_000 + 1)
+    pub const fn longest(hold: Millis) -> Millis {
+        Millis(hold.0 + hold.0 * CLOCK_DRIFT_PER_MILLE / 1_000 + 1)
     }
 }
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -10,11 +10,16 @@
 /// so a host that starts before it knows the others does not take their parts too.
 const FEWEST: usize = 8;
 
+/// Age of a host's last word up to which it counts: three of the words that hosts send.
+const LATELY: Millis = Millis(1_300);
+
 /// What was heard from a host.
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     addr: SocketAddr,
     heard: Option<Millis>,
+    /// Whether the store answers it, by its own word.
+    store: bool,
 }
 
 /// The other hosts.
@@ -35,8 +40,13 @@
     pub fn set(&mut self, hosts: Vec<(HostName, SocketAddr)>) {
         let old = std::mem::take(&mut self.hosts);
         for (name, addr) in hosts {
-            let heard = old.get(&name).and_then(|p| p.heard);
-            self.hosts.insert(name, Peer { addr, heard });
+            let known = old.get(&name);
+            let peer = Peer {
+                addr,
+                heard: known.and_then(|p| p.heard),
+                store: known.is_none_or(|p| p.store),
+            };
+            self.hosts.insert(name, peer);
         }
         self.most = self.most.max(self.hosts.len() + 1);
     }
@@ -61,13 +71,22 @@
         self.hosts.get(leader).map(|p| p.addr)
     }
 
-    /// Takes in that a host was heard.
-    pub fn heard(&mut self, now: Millis, host: &HostName) {
+    /// Takes in that a host was heard, and whether the store answers it.
+    pub fn heard(&mut self, now: Millis, host: &HostName, store: bool) {
         if let Some(peer) = self.hosts.get_mut(host) {
             peer.heard = Some(now);
+            peer.store = store;
         }
     }
 
+    /// Tells whether every other host was heard lately and says that the store is away. A host that was not
+    /// heard may have it.
+    #[must_use]
+    pub fn all_lost_store(&self, now: Millis) -> bool {
+        let lost = |p: &Peer| !p.store && p.heard.is_some_and(|at| now.since(at) <= LATELY);
+        self.hosts.values().all(lost)
+    }
+
     /// Takes in a word of the leader itself.
     pub fn heard_leader(&mut self, now: Millis) {
         self.leader_heard = Some(now);
--- a/crates/chicoryrail-ownership/tests/model_keys.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys.rs
@@ -25,7 +25,7 @@
 use rstest::rstest;
 
 const STEP: u64 = 10;
-const LENGTH: u64 = 60_000;
+const LENGTH: u64 = 70_000;
 /// Keys that are looked at; one in each of so many equal parts.
 const LOOKS: usize = 64;
 
@@ -48,8 +48,15 @@
 
 #[derive(Clone, Debug)]
 enum What {
-    Grant { span: KeySpan, fence: u64 },
-    Release { span: KeySpan, fence: u64 },
+    Grant {
+        span: KeySpan,
+        fence: u64,
+        hold: Millis,
+    },
+    Release {
+        span: KeySpan,
+        fence: u64,
+    },
 }
 
 /// A call on its way.
@@ -86,13 +93,17 @@
     record: KeyRecord,
     revision: u64,
     violations: Vec<String>,
+    /// Whether the store is away: no election, no write; every leader knows.
+    away: bool,
+    /// Until when a leader must reckon with grants for the time of an outage.
+    away_until: u64,
     /// Number of the last birth.
     born: u64,
 }
 
 /// Tells whether things go wrong at this time: not at first, and not towards the end.
 fn disturbed(now: u64) -> bool {
-    now > 2_000 && now < LENGTH - 15_000
+    now > 2_000 && now < LENGTH - 25_000
 }
 
 fn look(i: usize) -> u16 {
@@ -112,6 +123,8 @@
             record: KeyRecord::default(),
             revision: 1,
             violations: Vec::new(),
+            away: false,
+            away_until: 0,
             born: 0,
         };
         for i in 0..4 {
@@ -139,7 +152,8 @@
         }
         let attempt = self.rng.random();
         let now = Millis(self.now);
-        let keeper = Keeper::take_over(self.record.clone(), self.reckoned, now, attempt);
+        let away = self.now < self.away_until;
+        let keeper = Keeper::take_over(self.record.clone(), self.reckoned, now, attempt, away);
         self.leaders.push(Leader {
             keeper,
             until: u64::MAX,
@@ -151,7 +165,7 @@
         let n = self.servers.len();
         let at = self.rng.random_range(0..n);
         match self.rng.random_range(0..1_000) {
-            0..4 => self.elect(),
+            0..4 if !self.away => self.elect(),
             4..8 => self.servers[at].up = false,
             // Reborn under its name; what it held is gone.
             8..14 if !self.servers[at].up => {
@@ -166,6 +180,8 @@
             }
             24..30 => self.servers[at].reachable = false,
             30..40 => self.servers[at].reachable = true,
+            40..42 => self.away = true,
+            42..50 => self.away = false,
             _ => {}
         }
         // Keep enough servers at work.
@@ -184,6 +200,7 @@
             let registered = self.servers.iter().filter(|s| s.up);
             let registered: Vec<_> = registered.map(|s| (s.life.clone(), s.leaving)).collect();
             let leader = &mut self.leaders[i];
+            leader.keeper.store_away(self.away);
             let named = leader.keeper.named();
             for (life, _) in &registered {
                 leader
@@ -229,7 +246,7 @@
             Duty::Commit(record) => {
                 // The store takes it only from the latest leader, and only over what that one has read.
                 let latest = leader + 1 == self.leaders.len();
-                if latest && self.leaders[leader].revision == self.revision {
+                if !self.away && latest && self.leaders[leader].revision == self.revision {
                     self.record = record;
                     self.revision += 1;
                     self.leaders[leader].revision = self.revision;
@@ -241,7 +258,15 @@
             } => {
                 self.leaders[leader].keeper.granting(now, &life);
                 let limit = self.granted.grant_limit.0;
-                self.send(leader, life, What::Grant { span, fence }, limit);
+                let long = self.leaders[leader].keeper.hold() == self.reckoned.outage_hold;
+                let granted = &self.granted;
+                let hold = if long {
+                    granted.outage_hold
+                } else {
+                    granted.hold
+                };
+                let what = What::Grant { span, fence, hold };
+                self.send(leader, life, what, limit);
             }
             Duty::Release {
                 life, span, fence, ..
@@ -282,7 +307,6 @@
 
     fn deliver(&mut self) {
         let now = self.now;
-        let hold = self.granted.hold.0 * 102 / 100;
         let mut calls = std::mem::take(&mut self.calls);
         for call in &mut calls {
             if !call.applied && call.arrives <= now && call.applies <= now {
@@ -292,7 +316,7 @@
                     .iter_mut()
                     .find(|s| s.life == call.life && s.up);
                 if let Some(server) = server {
-                    call.refused = apply(server, &call.what, call.arrives + hold);
+                    call.refused = apply(server, &call.what, call.arrives);
                 }
             }
         }
@@ -315,7 +339,7 @@
         let answered = call.answered && up;
         let keeper = &mut self.leaders[call.leader].keeper;
         match call.what {
-            What::Grant { span, fence } => {
+            What::Grant { span, fence, .. } => {
                 let end = match (answered, call.refused) {
                     (false, _) => GrantEnd::Silent,
                     (true, true) => GrantEnd::FenceOld,
@@ -354,6 +378,11 @@
             self.now += STEP;
             if disturbed(self.now) {
                 self.disturb();
+            } else {
+                self.away = false;
+            }
+            if self.away {
+                self.away_until = self.now + 12_000;
             }
             self.deliver();
             self.lead();
@@ -364,16 +393,21 @@
 }
 
 /// Carries a call out at a server; tells whether it was refused.
-fn apply(server: &mut Server, what: &What, until: u64) -> bool {
+fn apply(server: &mut Server, what: &What, arrived: u64) -> bool {
     let (span, fence) = match what {
-        What::Grant { span, fence } | What::Release { span, fence } => (*span, *fence),
+        What::Grant { span, fence, .. } | What::Release { span, fence } => (*span, *fence),
     };
     let of_span = |i: &usize| span.has(look(*i));
     let looks: Vec<_> = (0..LOOKS).filter(of_span).collect();
-    if matches!(what, What::Release { .. }) {
-        looks.iter().for_each(|i| server.keys[*i].until = 0);
+    let What::Grant { hold, .. } = what else {
+        // A release is never refused, and its fence holds against grants that are older.
+        for i in looks {
+            server.keys[i].until = 0;
+            server.keys[i].fence = server.keys[i].fence.max(fence);
+        }
         return false;
-    }
+    };
+    let until = arrived + hold.0 * 102 / 100;
     if looks.iter().any(|i| server.keys[*i].fence > fence) {
         return true;
     }
@@ -423,6 +457,7 @@
 /// holders of one key.
 #[rstest]
 #[case::hold_shorter_than_granted(KeyTiming { hold: Millis(800), ..KeyTiming::default() })]
+#[case::outage_not_reckoned_with(KeyTiming { outage_hold: Millis(2_500), ..KeyTiming::default() })]
 #[case::no_time_for_an_older_leader(KeyTiming { hold: Millis(1_500), stale_leader: Millis(0), ..KeyTiming::default() })]
 fn a_leader_that_reckons_with_less_is_found_out(#[case] reckoned: KeyTiming) {
     assert!(violations(0..200, reckoned) > 0);
--- a/crates/chicoryrail-ownership/tests/peers.rs
+++ b/crates/chicoryrail-ownership/tests/peers.rs
@@ -21,10 +21,10 @@
 fn most_hosts_must_be_heard() {
     let mut peers = peers(9);
     for i in 0..4 {
-        peers.heard(Millis(1_000), &host(i));
+        peers.heard(Millis(1_000), &host(i), true);
     }
     assert!(!peers.hears_most(Millis(1_000), Millis(500)));
-    peers.heard(Millis(1_000), &host(4));
+    peers.heard(Millis(1_000), &host(4), true);
     assert!(peers.hears_most(Millis(1_400), Millis(500)));
     assert!(!peers.hears_most(Millis(1_600), Millis(500)));
 }
@@ -62,3 +62,18 @@
     assert_eq!(peers.sharing(), 11);
     assert_eq!(Peers::default().sharing(), 8);
 }
+
+/// The store is away for all hosts but one, or one has not been heard: that one may lead by now, so the
+/// leader must not grant for the time of an outage.
+#[test]
+fn an_outage_for_all_is_told_by_all() {
+    let mut peers = peers(3);
+    for i in 0..3 {
+        assert!(!peers.all_lost_store(Millis(1_000)));
+        peers.heard(Millis(1_000), &host(i), false);
+    }
+    assert!(peers.all_lost_store(Millis(1_500)));
+    assert!(!peers.all_lost_store(Millis(2_500)));
+    peers.heard(Millis(1_600), &host(1), true);
+    assert!(!peers.all_lost_store(Millis(1_600)));
+}
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -124,7 +124,8 @@
         }
         let end = router.now() + RENEW;
         while router.now() < end {
-            if router.process.stop.is_cancelled() {
+            // While the store is away nobody can take over: the keys are kept to the end.
+            if router.process.stop.is_cancelled() && router.store_up.get() {
                 return "stop";
             }
             if router.peers.borrow().highest_term() > term {
--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -118,6 +118,9 @@
 /// Notes whether the store answered a call, and logs when that changes.
 pub(crate) fn note(router: &Router, call: &str, error: Option<&StoreError>) {
     let down = error.is_some_and(StoreError::is_outage);
+    if down {
+        router.store_lost.set(Some(router.now()));
+    }
     let result = if down { "outage" } else { "answered" };
     router
         .counters
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -82,6 +82,7 @@
             host: self.router.boot().host.clone(),
             term: self.router.peers.borrow().highest_term(),
             leads,
+            store: self.router.store_up.get(),
             keys,
             asked: self.asked(leads),
         }
@@ -144,7 +145,7 @@
         let known = self.router.peers.borrow().highest_term();
         {
             let mut peers = self.router.peers.borrow_mut();
-            peers.heard(now, &word.host);
+            peers.heard(now, &word.host, word.store);
             let leader = word.leads.then_some(&word.host);
             if word.leads && word.term >= known {
                 peers.heard_leader(now);
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -40,6 +40,9 @@
 /// and with each release, and every change of the record is told to every host.
 const SETTLED: Millis = Millis(400);
 
+/// Time after an outage in which grants for its time may still be held: such a grant and a renewal in flight.
+const OUTAGE_MEMORY: Millis = Millis(12_500);
+
 /// Pause after a call to the store that failed.
 const AGAIN: Millis = Millis(150);
 
@@ -106,7 +109,9 @@
     log::info!(service:% = service, term = term, fence = record.fence,
         spans = record.spans.len(), loose = record.loose.len(); "keys_taken_over");
     let now = router.now();
-    let keeper = Keeper::take_over(record, KeyTiming::default(), now, rand::random());
+    let away = router.store_was_away(now, OUTAGE_MEMORY);
+    let timing = KeyTiming::default();
+    let keeper = Keeper::take_over(record, timing, now, rand::random(), away);
     Ok(Post {
         router: Rc::clone(router),
         tenure: Rc::clone(tenure),
@@ -124,6 +129,8 @@
     async fn run(self: Rc<Self>) {
         let mut told = None;
         while self.tenure.term.get() == self.term {
+            let away = self.router.all_lost_store(self.router.now());
+            self.keeper.borrow_mut().store_away(away);
             self.see_servers();
             self.plan();
             // Looked at right before the orders go out: a process that slept must not act on what it
@@ -248,7 +255,8 @@
                     handover,
                 } => {
                     self.keeper.borrow_mut().granting(now, &life);
-                    let grant = key_grant(span, fence, handover);
+                    let hold = self.keeper.borrow().hold();
+                    let grant = key_grant(span, fence, hold, handover);
                     monoio::spawn(Rc::clone(self).grant(life, addr, grant));
                 }
                 Duty::Release {
@@ -258,7 +266,7 @@
                     fence,
                 } => {
                     self.keeper.borrow_mut().releasing(&life);
-                    let grant = key_grant(span, fence, None);
+                    let grant = key_grant(span, fence, Millis::ZERO, None);
                     monoio::spawn(Rc::clone(self).release(life, addr, grant));
                 }
             }
@@ -378,12 +386,12 @@
     }
 }
 
-fn key_grant(span: KeySpan, fence: u64, handover: Option<String>) -> KeyGrant {
+fn key_grant(span: KeySpan, fence: u64, hold: Millis, handover: Option<String>) -> KeyGrant {
     KeyGrant {
         first: span.first,
         last: span.last,
         fence,
-        hold: KeyTiming::default().hold,
+        hold,
         handover,
     }
 }
--- a/crates/chicoryrail-router/src/route/desk.rs
+++ b/crates/chicoryrail-router/src/route/desk.rs
@@ -33,6 +33,10 @@
 /// host may lead by now.
 const WAIT_AGAIN: Millis = Millis(120);
 
+/// Time without a word of the leader after which it is not asked: it tells the others every 400 ms, and asked
+/// in vain it would cost every fifth request 50 ms.
+const LEADER_QUIET: Millis = Millis(1_000);
+
 /// What the desk said.
 pub(crate) enum Word {
     /// Send to this server.
@@ -50,7 +54,10 @@
     call: &Call,
     tried: &[Life],
 ) -> Word {
-    if router.asks.is_silent(router.now()) {
+    let now = router.now();
+    let leads = router.leads.get() > 0;
+    let heard = leads || router.peers.borrow().hears_leader(now, LEADER_QUIET);
+    if !heard || router.asks.is_silent(now) {
         return Word::Silent;
     }
     let (ticket, waiting) = router.asks.open(router.process.instance);
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -67,6 +67,8 @@
     pub(crate) hall: Hall,
     /// Notified when the store answers again after an outage.
     pub(crate) store_returns: Signal,
+    /// When the store last failed to answer.
+    pub(crate) store_lost: Cell<Option<Millis>>,
     /// Term in which this host leads; 0 while it does not.
     pub(crate) leads: Cell<u64>,
     services: RefCell<HashMap<ServiceName, Rc<Service>>>,
@@ -95,6 +97,7 @@
             asks: Asks::default(),
             hall: Hall::default(),
             store_returns: Signal::default(),
+            store_lost: Cell::new(None),
             leads: Cell::new(0),
             services: RefCell::default(),
             turns: RefCell::default(),
@@ -154,6 +157,18 @@
         }
     }
 
+    /// Tells whether the store was away at some moment of the last `age`.
+    pub(crate) fn store_was_away(&self, now: Millis, age: Millis) -> bool {
+        let lost = self.store_lost.get();
+        !self.store_up.get() || lost.is_some_and(|at| now.since(at) <= age)
+    }
+
+    /// Tells whether this host and every other one says that the store is away. A successor that has the
+    /// store can't be among them, so it may take it that no grant was made for the time of an outage.
+    pub(crate) fn all_lost_store(&self, now: Millis) -> bool {
+        !self.store_up.get() && self.peers.borrow().all_lost_store(now)
+    }
+
     /// Returns what a cold server of a service bears in a second from all hosts together.
     pub(crate) fn cold_bound(&self, service: &ServiceName) -> f64 {
         let bounds = self.boot().bounds;
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -30,6 +30,8 @@
     pub(crate) term: u64,
     /// Whether it leads in that term itself.
     pub(crate) leads: bool,
+    /// Whether the store answers it.
+    pub(crate) store: bool,
     pub(crate) keys: Vec<KeyWord>,
     pub(crate) asked: Vec<Asked>,
 }
--- a/crates/chicoryrail-router/tests/keys.rs
+++ b/crates/chicoryrail-router/tests/keys.rs
@@ -4,6 +4,7 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::StoreFault;
 use nix::sys::signal::Signal;
 use support::World;
 use support::wait_until;
@@ -92,3 +93,43 @@
         assert!(second.log().contains("log=leader_won"));
     });
 }
+
+/// The store goes away, and then the leading host is lost. Nobody can replace it before the store is back;
+/// its last grants were made for the time of an outage, so callers of the other host are served all the
+/// while.
+#[test]
+fn keys_are_served_when_the_leader_is_lost_in_an_outage() {
+    block_on(async {
+        let world = World::start("outage").await;
+        world.configure().await;
+        let servers = [
+            world.server("k-1", "kits").await,
+            world.server("k-2", "kits").await,
+        ];
+        let first = world.router("a").await;
+        let held = |key: u16| servers.iter().any(|s| s.holds(key));
+        wait_until("all keys are held", async || KEYS.iter().all(|k| held(*k))).await;
+        let second = world.router("b").await;
+        assert!(first.log().contains("log=leader_won"));
+        let down = StoreFault::Down {
+            for_ms: 9_000,
+            share: 1.0,
+            polite: true,
+            hosts: Vec::new(),
+        };
+        world.fault(&down).await;
+        // Until both have noticed, and the keys were renewed once more.
+        monoio::time::sleep(Millis(5_000).duration()).await;
+        first.signal(Signal::SIGKILL);
+        for _ in 0..60 {
+            for key in KEYS {
+                assert_eq!(second.caller().key(key).await.unwrap().status(), 200);
+            }
+            monoio::time::sleep(Millis(100).duration()).await;
+        }
+        wait_until("the other leads", async || {
+            second.log().contains("log=leader_won")
+        })
+        .await;
+    });
+}
--- a/crates/chicoryrail-router/tests/support/server.rs
+++ b/crates/chicoryrail-router/tests/support/server.rs
@@ -171,6 +171,12 @@
         self.calls
             .borrow_mut()
             .push(format!("release {first}-{last} {}", number("fence")));
+        let fence = number("fence");
+        let mut seen = self.seen.borrow_mut();
+        for key in (first..=last).step_by(256) {
+            let old = seen.get(&key).copied().unwrap_or(0);
+            seen.insert(key, old.max(fence));
+        }
         let mut held = self.held.borrow_mut();
         let before = std::mem::take(&mut *held);
         for (a, b, fence, end) in before {
