--- a/crates/chicoryrail-router/src/log_line.rs
+++ b/crates/chicoryrail-router/src/log_line.rs
@@ -18,7 +18,8 @@
     let (host, sink) = (host.clone(), sink.clone());
     let started = env_logger::Builder::from_env(env)
         .format(move |_, record| {
-            sink.line(line(&host, record).as_bytes());
+            let of_request = record.key_values().get(kv::Key::from("request")).is_some();
+            sink.line(line(&host, record).as_bytes(), of_request);
             Ok(())
         })
         .target(env_logger::Target::Pipe(Box::new(io::sink())))
--- a/crates/chicoryrail-runtime/src/log_sink.rs
+++ b/crates/chicoryrail-runtime/src/log_sink.rs
@@ -21,6 +21,10 @@
 /// (`PIPE_BUF` on Linux).
 const CHUNK: usize = 4_096;
 
+/// Part of the rate, in percent, that lines of single requests may use. The rest is for changes of belief, of
+/// which a host has some tens in the busiest seconds.
+const REQUEST_PART: u64 = 60;
+
 /// Collects log lines and writes them where that does not block.
 ///
 /// A process that blocks on its log stops serving when the log's reader stalls. So lines are kept in
@@ -61,11 +65,14 @@
         self.flush_to(&io::stdout());
     }
 
-    /// Takes in one line, or leaves it out.
-    pub fn line(&self, line: &[u8]) {
+    /// Takes in one line, or leaves it out. Lines of single requests, of which a storm has thousands, leave
+    /// a part of the rate to the others.
+    pub fn line(&self, line: &[u8], of_request: bool) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.turn();
-        if state.lines >= state.rate || state.waiting.len() + line.len() > WAITING_MOST {
+        let part = if of_request { REQUEST_PART } else { 100 };
+        let most = u64::from(state.rate) * part / 100;
+        if u64::from(state.lines) >= most || state.waiting.len() + line.len() > WAITING_MOST {
             state.left_out += 1;
             return;
         }
--- a/crates/chicoryrail-runtime/tests/log_sink.rs
+++ b/crates/chicoryrail-runtime/tests/log_sink.rs
@@ -24,7 +24,7 @@
     let started = Instant::now();
     let line = [b'x'; 500];
     for i in 0..10_000 {
-        sink.line(&line);
+        sink.line(&line, false);
         if i % 100 == 0 {
             sink.flush_to(&ours);
         }
@@ -47,7 +47,7 @@
     let sink = LogSink::new(50);
     let (ours, theirs) = UnixStream::pair().unwrap();
     for i in 0..500 {
-        sink.line(format!("log=a n={i}\n").as_bytes());
+        sink.line(format!("log=a n={i}\n").as_bytes(), false);
     }
     sink.flush_to(&ours);
     assert_eq!(lines_read(theirs.try_clone().unwrap()).len(), 50);
@@ -55,3 +55,18 @@
     sink.flush_to(&ours);
     assert_eq!(lines_read(theirs), ["log=left_out lines=450"]);
 }
+
+/// A storm of refused requests fills the log; a change of belief in the same second is still written.
+#[test]
+fn a_storm_of_requests_leaves_room_for_the_rest() {
+    let sink = LogSink::new(50);
+    let (ours, theirs) = UnixStream::pair().unwrap();
+    for _ in 0..500 {
+        sink.line(b"log=request_refused\n", true);
+    }
+    sink.line(b"log=leader_lost\n", false);
+    sink.flush_to(&ours);
+    let lines = lines_read(theirs);
+    assert_eq!(lines.len(), 31);
+    assert_eq!(lines[30], "log=leader_lost");
+}
