--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -4,6 +4,8 @@
 //! out. A [`Keeper`] is the leader's view of one service: it says which grants, releases and writes are
 //! due and takes in how they ended. A [`cut`](plan::recut) of the key line gives each server one span.
 
+mod claim;
+mod due;
 mod duty;
 mod keeper;
 mod key_load;
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod follow;
 mod gossip;
 mod keep_keys;
+mod key_calls;
 mod presence;
 mod tenure;
 
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! What this host believes, and the state that its tasks share.
 
 mod asks;
+mod believe;
 mod counters;
 mod hall;
 pub(crate) mod router;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -5,13 +5,10 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use chicoryrail_core::HostName;
-use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::Site;
 use chicoryrail_ownership::Peers;
-use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_platform::Boot;
 use chicoryrail_platform::KeyControl;
 use chicoryrail_platform::KvStore;
@@ -19,22 +16,15 @@
 use chicoryrail_policy::WeightedTurn;
 use chicoryrail_runtime::HttpLimits;
 use chicoryrail_runtime::Process;
-use chicoryrail_runtime::ServerPool;
 use chicoryrail_runtime::SharedLimits;
 use chicoryrail_runtime::Signal;
-use http::HeaderValue;
 
 use crate::Options;
 use crate::state::Asks;
-use crate::state::Belief;
 use crate::state::Counters;
 use crate::state::Hall;
-use crate::state::Intake;
 use crate::state::Service;
-use crate::state::Target;
 use crate::state::View;
-use crate::state::drain_end;
-use crate::state::view::Registered;
 use crate::talk::Talk;
 
 /// Start of the keys of hosts, below the system's own prefix.
@@ -200,174 +190,6 @@
         let after = before + (us.min(before * 5.0) - before) * PART;
         self.works.borrow_mut().insert(route.to_owned(), after);
     }
-
-    /// Brings the servers and keys in line with what the store says, and logs what changed.
-    pub(crate) fn believe(&self, told: &[Belief]) {
-        for belief in told {
-            self.log(belief);
-            if let Belief::Own(key) = belief {
-                self.read_own(key);
-            }
-        }
-        let gone = self.view.borrow_mut().expire(self.now());
-        if !told.is_empty() || !gone.is_empty() {
-            self.sync();
-        }
-    }
-
-    fn read_own(&self, key: &str) {
-        if key.starts_with(HOSTS) {
-            self.read_hosts();
-        }
-        let Some(service) = key.strip_prefix(KEYS) else {
-            return;
-        };
-        let view = self.view.borrow();
-        let Some(item) = view.own(key) else {
-            return;
-        };
-        match serde_json::from_slice::<KeyRecord>(&item.value) {
-            Ok(record) => {
-                let service = self.service(&ServiceName::new(service));
-                self.key_record(&service, record);
-            }
-            Err(e) => log::error!(key = key, error:% = e; "bad_record"),
-        }
-    }
-
-    /// Brings the list of other hosts in line with the store.
-    fn read_hosts(&self) {
-        let own = self.boot().host.clone();
-        let view = self.view.borrow();
-        let hosts = view.own_below(HOSTS).filter_map(|(key, item)| {
-            let name = HostName::new(key.strip_prefix(HOSTS)?);
-            let addr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-            (name != own).then_some((name, addr))
-        });
-        self.peers.borrow_mut().set(hosts.collect());
-    }
-
-    /// Takes in a key record from the store or the leader.
-    pub(crate) fn key_record(&self, service: &Service, record: KeyRecord) {
-        let (fence, spans) = (record.fence, record.spans.len());
-        if service.keys.borrow_mut().record(self.now(), record) {
-            log::info!(service:% = service.name, fence = fence, spans = spans; "key_record");
-            service.changed.notify();
-        }
-    }
-
-    fn sync(&self) {
-        let view = self.view.borrow();
-        if let Some(site) = view.site() {
-            self.counters.config.set(site.version as i64);
-            let mut limits = self.limits.get();
-            limits.head = site.limits.head;
-            limits.head_time = site.limits.idle.max(site.limits.head_time);
-            self.limits.set(limits);
-        }
-        let mut present: HashMap<ServiceName, Vec<Life>> = HashMap::new();
-        for entry in view.servers() {
-            let name = &entry.member.service;
-            let lives = present.entry(name.clone()).or_default();
-            lives.push(entry.member.life.clone());
-            self.sync_target(&view, &self.service(name), entry);
-        }
-        for service in self.services() {
-            let lives = present.remove(&service.name).unwrap_or_default();
-            let mut targets = service.targets.borrow_mut();
-            targets.retain(|life, target| {
-                let keep = lives.contains(life);
-                if !keep {
-                    target.intake.set(Intake::Closed);
-                    target.pool.clear();
-                    service.loads.borrow_mut().forget(target.id);
-                }
-                keep
-            });
-            service.changed.notify();
-        }
-    }
-
-    fn sync_target(&self, view: &View, service: &Service, entry: &Registered) {
-        let member = &entry.member;
-        let mut targets = service.targets.borrow_mut();
-        let old = targets.get(&member.life).filter(|t| t.addr == member.addr);
-        let target = match old {
-            Some(target) => Rc::clone(target),
-            None => {
-                let Ok(header) = HeaderValue::from_str(member.life.name.as_str()) else {
-                    log::warn!(server:% = member.life.name; "bad_server_name");
-                    return;
-                };
-                let target = Rc::new(Target {
-                    life: member.life.clone(),
-                    id: service.next_id(),
-                    addr: member.addr,
-                    dc: member.dc.clone(),
-                    known: self.now(),
-                    header,
-                    pool: ServerPool::default(),
-                    cold: RefCell::default(),
-                    cold_until: Cell::default(),
-                    slots: Cell::new(member.slots),
-                    intake: Cell::new(Intake::Closed),
-                });
-                targets.insert(member.life.clone(), Rc::clone(&target));
-                target
-            }
-        };
-        // A warm server may become cold again at any moment, under the same start.
-        target.cold_for(entry.heard, member.cold);
-        target.slots.set(member.slots);
-        service.loads.borrow_mut().set(target.id, member.slots);
-        let spec = view.site().and_then(|s| s.service(&service.name));
-        service.keyed.set(spec.is_some_and(|s| s.keyed));
-        let connections = spec.map_or(u32::MAX, |s| s.connections);
-        let part = connections / self.peers.borrow().sharing() as u32;
-        target.pool.set_cap(member.slots, part.max(2));
-        let intake = if view.is_out(&member.dc) {
-            Intake::Closed
-        } else if entry.is_ready() && entry.missing.is_none() {
-            Intake::Open
-        } else {
-            let since = entry.missing.unwrap_or(entry.since);
-            Intake::Until(drain_end(since, self.boot().bounds.drain))
-        };
-        if intake == Intake::Closed || !entry.is_ready() {
-            target.pool.clear();
-        }
-        target.intake.set(intake);
-    }
-
-    fn log(&self, belief: &Belief) {
-        let revision = self.view.borrow().revision;
-        match belief {
-            Belief::Config { from, to } => {
-                log::info!(from = from, version = to, revision = revision; "config_in_force");
-            }
-            Belief::OldConfig { version, kept } => {
-                log::warn!(version = version, kept = kept; "config_not_newer");
-            }
-            Belief::TakenOut(dc) => log::info!(dc:% = dc, revision = revision; "dc_out"),
-            Belief::TakenBack(dc) => log::info!(dc:% = dc, revision = revision; "dc_back"),
-            Belief::Server(name) => {
-                let view = self.view.borrow();
-                let entry = view.servers().find(|e| e.member.life.name == *name);
-                if let Some(Registered { member, .. }) = entry {
-                    log::info!(server:% = member.life, service:% = member.service, dc:% = member.dc,
-                        state:? = member.state, cold_ms = member.cold.0, revision = revision; "server");
-                }
-            }
-            Belief::ServerGone(name) => {
-                log::info!(server:% = name, revision = revision; "server_entry_gone");
-            }
-            Belief::Unreadable(e) => {
-                self.counters.bad_entries.inc();
-                log::warn!(entry = e.entry, field = e.field, reason = e.reason; "bad_entry");
-            }
-            Belief::Own(_) => {}
-        }
-    }
 }
 
 /// Returns how many connections of callers a process with its file descriptors may have: a quarter stays
