--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`KeyRecord`] lies in the store and is changed by compare-and-swap before any grant under it goes
 //! out. A [`Keeper`] is the leader's view of one service: it says which grants, releases and writes are
-//! due and takes in how they ended. A [`cut`](plan::recut) of the key line gives each server one span.
+//! due and takes in how they ended. [`recut`] gives each server one span of the key line.
 
 mod claim;
 mod due;
