--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/keeper.rs
@@ -304,7 +304,10 @@
             }
             ReleaseEnd::OtherServer => self.ended(&life.clone()),
             ReleaseEnd::Silent => {
-                state.retry = now + PROBE_EVERY;
+                // A server that keeps keys must be renewed at once; one without may wait.
+                if self.record.span_of(life).is_none() {
+                    state.retry = now + PROBE_EVERY;
+                }
                 self.retry(life, now + Millis(self.timing.renew.0 / 4));
             }
         }
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -213,7 +213,6 @@
             NotRun::Refused => Cause::Full,
             NotRun::Misdirected => Cause::KeyMoving,
         };
-        let cause = if self.ran > 0 { Cause::Broken } else { cause };
         let work = self.router.work(&self.call.route.name, self.call.route.aim);
         self.refuse(cause, Millis((work / 1_000.0) as u64))
     }
