--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -147,10 +147,11 @@
         }
     }
 
-    /// Tells whether the store was away at some moment of the last `age`.
+    /// Tells whether the store may have been away at some moment of the last `age`. A process that has not
+    /// run for so long can't know.
     pub(crate) fn store_was_away(&self, now: Millis, age: Millis) -> bool {
         let lost = self.store_lost.get();
-        !self.store_up.get() || lost.is_some_and(|at| now.since(at) <= age)
+        now <= age || !self.store_up.get() || lost.is_some_and(|at| now.since(at) <= age)
     }
 
     /// Tells whether this host and every other one says that the store is away. A successor that has the
--- a/crates/chicoryrail-router/tests/keys.rs
+++ b/crates/chicoryrail-router/tests/keys.rs
@@ -133,3 +133,47 @@
         .await;
     });
 }
+
+/// All hosts lose the store, so grants are made for the time of an outage; it returns, and right then every
+/// host is killed. A server that still holds keys so can't be reached, and its entry is gone. The leader of
+/// the hosts that start anew remembers nothing of the outage; it must not give the keys to another server
+/// before they have run out.
+#[test]
+fn hosts_that_start_anew_reckon_with_an_outage() {
+    block_on(async {
+        let world = World::start("anew").await;
+        world.configure().await;
+        let cut = world.server("k-1", "kits").await;
+        let stays = world.server("k-2", "kits").await;
+        let first = world.router("a").await;
+        let held = |key: u16| cut.holds(key) || stays.holds(key);
+        wait_until("all keys are held", async || KEYS.iter().all(|k| held(*k))).await;
+        let down = StoreFault::Down {
+            for_ms: 4_000,
+            share: 1.0,
+            polite: true,
+            hosts: Vec::new(),
+        };
+        world.fault(&down).await;
+        monoio::time::sleep(Millis(4_200).duration()).await;
+        first.signal(Signal::SIGKILL);
+        cut.deaf.set(true);
+        let second = world.spawn("b");
+        wait_until("the other leads", async || {
+            second.log().contains("log=leader_won")
+        })
+        .await;
+        world.remove("servers/k-1").await;
+        let both = |key: u16| cut.holds(key) && stays.holds(key);
+        let mut moved = false;
+        for _ in 0..1_300 {
+            assert!(!KEYS.iter().any(|k| both(*k)), "a key is held twice");
+            moved = KEYS.iter().all(|k| stays.holds(*k));
+            if moved {
+                break;
+            }
+            monoio::time::sleep(Millis(10).duration()).await;
+        }
+        assert!(moved);
+    });
+}
--- a/crates/chicoryrail-router/tests/support/server.rs
+++ b/crates/chicoryrail-router/tests/support/server.rs
@@ -51,6 +51,8 @@
     /// Keys held: first key, last key, fence, end on the server's clock.
     pub held: RefCell<Vec<(u16, u16, u64, Millis)>>,
     pub keyed: bool,
+    /// While set, grants and releases neither arrive nor get an answer.
+    pub deaf: Cell<bool>,
     /// Grants and releases so far.
     pub calls: RefCell<Vec<String>>,
     seen: RefCell<BTreeMap<u16, u64>>,
@@ -69,6 +71,7 @@
             arrived: RefCell::default(),
             held: RefCell::default(),
             keyed,
+            deaf: Cell::new(false),
             calls: RefCell::default(),
             seen: RefCell::default(),
             clock: Clock::start(),
@@ -97,6 +100,9 @@
         if expected.is_some_and(|e| e != self.name) {
             return Ok(self.respond(421, None, true));
         }
+        if self.deaf.get() && head.uri.path().starts_with("/-/") {
+            std::future::pending::<()>().await;
+        }
         match head.uri.path() {
             "/-/grant" => return Ok(self.grant(&body)),
             "/-/release" => return Ok(self.release(&body)),
