--- a/crates/chicoryrail-router/tests/operator.rs
+++ b/crates/chicoryrail-router/tests/operator.rs
@@ -6,6 +6,7 @@
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::StoreFault;
 use nix::sys::signal::Signal;
+use serde_json::json;
 use support::World;
 use support::wait_until;
 
@@ -102,3 +103,63 @@
         assert_eq!(runs, [0, 10]);
     });
 }
+
+/// Another writer leaves an entry of a server that can't be read, and a configuration that can't, and then one
+/// that is older than the one in force. Each is told in one line; callers of everything else are served as
+/// before, also after the entries were written again unchanged.
+#[test]
+fn entries_that_can_not_be_read_harm_nobody() {
+    block_on(async {
+        let world = World::start("entries").await;
+        world.configure().await;
+        world.configure().await;
+        let server = world.server("i-1", "desk").await;
+        let router = world.router("a").await;
+        for _ in 0..2 {
+            world
+                .put("servers/i-2", &json!({"service": "desk", "address": 7}))
+                .await;
+        }
+        world.put("op/config", &json!({"version": "newest"})).await;
+        world
+            .put(
+                "op/config",
+                &json!({"version": "r3", "services": [], "virtual_hosts": [],
+            "limits": {"max_header_bytes": 1, "max_body_bytes": 1, "header_timeout_ms": 1,
+                       "idle_timeout_ms": 1}}),
+            )
+            .await;
+        wait_until("all are told", async || {
+            let log = router.log();
+            log.matches("log=bad_entry").count() >= 3 && log.contains("log=config_not_newer")
+        })
+        .await;
+        for _ in 0..5 {
+            assert_eq!(router.caller().get("/read/1").await.unwrap().status(), 200);
+        }
+        assert_eq!(server.ran.borrow().len(), 5);
+        let log = router.log();
+        assert_eq!(log.matches("entry=servers/i-2 field=address").count(), 2);
+        assert!(log.contains("entry=op/config"));
+        assert!(!log.contains("from=6 version=3"));
+    });
+}
+
+/// A data centre is taken out and back. Its servers get nothing in between.
+#[test]
+fn a_data_centre_that_is_out_gets_nothing() {
+    block_on(async {
+        let world = World::start("dc").await;
+        world.configure().await;
+        let server = world.server("i-1", "desk").await;
+        let router = world.router("a").await;
+        world.put("op/evacuate/west", &json!({})).await;
+        monoio::time::sleep(Millis(400).duration()).await;
+        let refused = router.caller().get("/read/1").await.unwrap();
+        assert_eq!(refused.status(), 503);
+        assert!(server.ran.borrow().is_empty());
+        world.remove("op/evacuate/west").await;
+        monoio::time::sleep(Millis(400).duration()).await;
+        assert_eq!(router.caller().get("/read/2").await.unwrap().status(), 200);
+    });
+}
