--- a/crates/chicoryrail-core/src/site/mod.rs
+++ b/crates/chicoryrail-core/src/site/mod.rs
@@ -4,6 +4,7 @@
 //! is decoded into them once, in the platform adapter.
 
 mod caller_limits;
+mod file;
 mod life;
 mod member;
 mod route;
@@ -12,6 +13,12 @@
 mod site;
 
 pub use caller_limits::CallerLimits;
+pub use file::LimitsPart;
+pub use file::RoutePart;
+pub use file::ServicePart;
+pub use file::SiteError;
+pub use file::SiteFile;
+pub use file::WeightPart;
 pub use life::Life;
 pub use member::Member;
 pub use member::MemberState;
--- /dev/null
+++ b/crates/chicoryrail-core/tests/site_file.rs
@@ -0,0 +1,85 @@
+//! Configuration files of operators: what is taken, and how a bad value is told.
+
+use chicoryrail_core::Repeat;
+use chicoryrail_core::SiteFile;
+use rstest::rstest;
+
+const TEXT: &str = r#"
+[[service]]
+name = "kits"
+keyed = true
+health = "/healthz"
+connections = 120
+cold_ms = 3000
+cold_rate = 5.0
+
+[[route]]
+name = "lookup"
+host = "Shop.example"
+prefix = "/kits/"
+timeout_ms = 800
+aim_ms = 300
+attempts = 2
+services = [{ name = "kits" }]
+
+[[route]]
+name = "order"
+host = "shop.example"
+prefix = "/kits/order/"
+once = true
+timeout_ms = 1000
+aim_ms = 400
+services = [{ name = "kits", weight = 9 }]
+"#;
+
+fn file(text: &str) -> SiteFile {
+    toml::from_str(text).unwrap()
+}
+
+#[test]
+fn a_file_becomes_a_configuration_and_back() {
+    let site = file(TEXT).build(4).unwrap();
+    assert_eq!(site.version, 4);
+    let order = site.route("shop.example", "/kits/order/1").unwrap();
+    assert_eq!(order.repeat, Repeat::Once);
+    assert_eq!(order.parts[0].weight, 9);
+    let lookup = site.route("shop.example", "/kits/1").unwrap();
+    assert_eq!((lookup.repeat, lookup.attempts), (Repeat::Any, 2));
+    assert_eq!(SiteFile::of(&site).build(4).unwrap(), site);
+}
+
+#[rstest]
+#[case::prefix("/kits/order/", "/kits/order", "route.order.prefix = /kits/order: ")]
+#[case::service(
+    "name = \"kits\", weight",
+    "name = \"kid\", weight",
+    "route.order.services = kid: "
+)]
+#[case::weight("weight = 9", "weight = 0", "route.order.services = : ")]
+#[case::aim("aim_ms = 400", "aim_ms = 1400", "route.order.aim_ms = 1400: ")]
+#[case::attempts("attempts = 2", "attempts = 0", "route.lookup.attempts = 0: ")]
+#[case::twice(
+    "/kits/order/",
+    "/kits/",
+    "route.order.prefix = /kits/ of route lookup: "
+)]
+#[case::name(
+    "name = \"kits\"\nkeyed",
+    "name = \"Kits\"\nkeyed",
+    "service.Kits.name = Kits: "
+)]
+#[case::cold("cold_rate = 5.0", "cold_rate = -1.0", "service.kits.cold_rate = -1: ")]
+#[case::no_rate("cold_rate = 5.0", "", "service.kits.cold_rate = 0: ")]
+#[case::health("\"/healthz\"", "\"healthz\"", "service.kits.health = healthz: ")]
+fn a_bad_value_is_named(#[case] good: &str, #[case] bad: &str, #[case] start: &str) {
+    let text = TEXT.replacen(good, bad, 1).replace("Shop", "shop");
+    let error = file(&text).build(1).unwrap_err().to_string();
+    assert!(error.starts_with(start), "{error}");
+}
+
+#[test]
+fn an_unknown_field_is_named() {
+    let text = TEXT.replace("keyed", "keyd");
+    let error = toml::from_str::<SiteFile>(&text).unwrap_err().to_string();
+    assert!(error.contains("keyd"), "{error}");
+}
