feat(testkit): the whole installation of routers on stand-ins, under load and faults

Cause: demo, chaos, load and stand-ins still ran the three old programs, which the platform does not run; nothing of our own played whole installations of what is run there. Change: the target speaks the platform's protocol (entry with a lease, grants and releases under fences, time left, marks, load), the cluster starts a store, servers and one router on each host with a boot file, operators act through chicoryctl, which now writes to the store, and the checker judges what callers, servers and the store saw: one holder at a time, a holder is stored first, fences and configurations only rise, orders at most once, 503 true, answers whole and own, nothing hangs, no planned stop cuts a request, nothing new to servers that left or are out, cold ones get what they bear.

--- a/crates/chicoryctl/src/error.rs
+++ b/crates/chicoryctl/src/error.rs
@@ -1,76 +1,98 @@
 //! Why a command did not succeed.
 
-use std::io;
 use std::path::PathBuf;
 
-use chicoryrail_core::ResultCode;
-use chicoryrail_runtime::HttpError;
+use chicoryrail_core::DcName;
+use chicoryrail_core::ServiceName;
+use chicoryrail_core::SiteError;
+use chicoryrail_platform::DecodeError;
+use chicoryrail_platform::StoreError;
 use snafu::Snafu;
 
 /// Why a command did not succeed.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum CtlError {
-    /// The administration API refused the call.
-    #[snafu(display("{message}"))]
-    Refused {
-        /// Number of the result.
-        code: u16,
-        /// What the API says.
-        message: String,
-    },
-    /// The administration API did not answer; a change may or may not have been made.
-    #[snafu(display("the administration API gives no answer: {source}"))]
-    Silent {
-        /// What the call says.
-        source: HttpError,
-    },
-    /// The administration API's answer can't be read.
-    #[snafu(display("the administration API's answer is not as expected: {source}"))]
-    Answer {
-        /// What the parser says.
-        source: serde_json::Error,
-    },
-    /// A file can't be read or written.
-    #[snafu(display("file {}: {source}", path.display()))]
+    /// A file can't be read.
+    #[snafu(display("{}: {source}", path.display()))]
     File {
         /// The file.
         path: PathBuf,
         /// What the system says.
-        source: io::Error,
+        source: std::io::Error,
     },
-    /// A file holds no private key.
-    #[snafu(display("file {}: holds no ed25519 key of 32 bytes in base64", path.display()))]
-    Key {
+    /// A file is no configuration.
+    #[snafu(display("{}: {}", path.display(), source.to_string().trim_end()))]
+    Syntax {
         /// The file.
         path: PathBuf,
+        /// Line, field and what is wrong.
+        source: toml::de::Error,
     },
-    /// A change is stored but was not in force everywhere in time.
-    #[snafu(display("version {version} is stored and was not in force everywhere in time"))]
-    Late {
-        /// Version that carries the change.
-        version: u64,
+    /// A field of a configuration holds an unusable value.
+    #[snafu(display("{}: {source}", path.display()))]
+    Value {
+        /// The file.
+        path: PathBuf,
+        /// Field, value and what is wrong.
+        source: SiteError,
     },
-    /// A value can't stand in a request.
-    #[snafu(display("request: {source}"))]
-    Request {
-        /// What the HTTP layer says.
-        source: http::Error,
+    /// The store did not do what it was asked. The change may have been made where there was no answer.
+    #[snafu(display("store: {source}"))]
+    Store {
+        /// What is known.
+        source: StoreError,
+    },
+    /// An entry of the store can't be read.
+    #[snafu(display("{source}"))]
+    Entry {
+        /// Which, and why.
+        source: DecodeError,
+    },
+    /// A value can't be written.
+    #[snafu(display("{source}"))]
+    Write {
+        /// Why.
+        source: serde_json::Error,
+    },
+    /// A configuration can't be shown as a file.
+    #[snafu(display("{source}"))]
+    Show {
+        /// Why.
+        source: toml::ser::Error,
+    },
+    /// Another version is there than the one expected.
+    #[snafu(display("version {found} is there, not {expected}; nothing was changed"))]
+    Version {
+        /// Version expected.
+        expected: u64,
+        /// Version found; 0 for none.
+        found: u64,
+    },
+    /// Taking the data centre out would leave too little.
+    #[snafu(display(
+        "without {dc}, service {service} has {left} of {all} slots left, less than half; --force goes on"
+    ))]
+    TooSmall {
+        /// The data centre.
+        dc: DcName,
+        /// The service that would suffer most.
+        service: ServiceName,
+        /// Slots outside of the data centre.
+        left: u32,
+        /// Slots of all servers that take work.
+        all: u32,
+    },
+    /// No server stands in the data centre.
+    #[snafu(display("no server is registered in data centre {dc}"))]
+    NoSuchDc {
+        /// The data centre.
+        dc: DcName,
+    },
+    /// Nothing is stored of the service's keys.
+    #[snafu(display("service {service} has no key record; it has no keys, or nobody leads"))]
+    NoRecord {
+        /// The service.
+        service: ServiceName,
     },
-}
-
-impl CtlError {
-    /// Returns the number of the result.
-    #[must_use]
-    pub const fn code(&self) -> u16 {
-        match self {
-            Self::Refused { code, .. } => *code,
-            Self::Silent { .. } => ResultCode::OutcomeUnknown.number(),
-            Self::Late { .. } => ResultCode::RollPending.number(),
-            Self::Answer { .. } => ResultCode::Internal.number(),
-            Self::File { .. } | Self::Key { .. } | Self::Request { .. } => {
-                ResultCode::SettingInvalid.number()
-            }
-        }
-    }
 }
--- a/crates/chicoryctl/src/lib.rs
+++ b/crates/chicoryctl/src/lib.rs
@@ -1,30 +1,28 @@
-//! The operator's command line over the administration API.
+//! The operator's command line over the platform's store.
 //!
-//! Exit codes: 0 done, 1 refused or failed with a numbered result, 2 bad usage or setting.
+//! It writes what operators decide (the configuration, data centres that are out) and shows what hosts,
+//! servers and the leader have written. Every change is made under the condition that nobody else changed
+//! the same in between.
 //!
 //! # Example
 //!
 //! ```
-//! let bars = chicoryctl::table(&["HOST", "VERSION"], &[vec!["entry-1".into(), "7".into()]]);
-//! assert_eq!(bars, "HOST     VERSION\nentry-1  7\n");
+//! let settings = chicoryctl::settings();
+//! let parsed = settings.run_inner(&["--store", "127.0.0.1:7000", "dc", "out", "west"]).unwrap();
+//! assert_eq!(parsed.store.unwrap().port(), 7000);
 //! ```
+//!
+//! Go on with [`Command`] for what it does, and [`CtlError`] for how it fails.
 
-mod client;
-mod commands;
+mod change;
 mod error;
-mod key_file;
 mod run;
 mod settings;
-mod table;
-mod views;
+mod status;
 
-pub use client::Client;
-pub use commands::execute;
 pub use error::CtlError;
-pub use key_file::KeyFile;
+pub use run::execute;
 pub use run::main;
 pub use settings::Command;
 pub use settings::Settings;
-pub use settings::Way;
 pub use settings::settings;
-pub use table::table;
--- a/crates/chicoryctl/src/main.rs
+++ b/crates/chicoryctl/src/main.rs
@@ -1,4 +1,4 @@
-//! The operator's command line over the administration API.
+//! The operator's command line.
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/chicoryctl/src/status.rs
@@ -0,0 +1,209 @@
+//! What the store tells of the whole installation.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use chicoryrail_core::DcName;
+use chicoryrail_core::Life;
+use chicoryrail_core::Member;
+use chicoryrail_core::MemberState;
+use chicoryrail_core::ServiceName;
+use chicoryrail_core::Site;
+use chicoryrail_ownership::keys::KeyRecord;
+use chicoryrail_ownership::store_key::HOSTS;
+use chicoryrail_ownership::store_key::KEYS;
+use chicoryrail_ownership::store_key::LEADER;
+use chicoryrail_platform::Item;
+use chicoryrail_platform::KvStore;
+use chicoryrail_platform::Subject;
+use chicoryrail_platform::read_config;
+use chicoryrail_platform::read_member;
+use serde::Serialize;
+use serde_json::json;
+use snafu::ResultExt;
+
+use crate::CtlError;
+use crate::error::StoreSnafu;
+use crate::error::WriteSnafu;
+
+/// Everything that the store holds, read at one moment.
+#[derive(Debug, Default)]
+pub(crate) struct Status {
+    pub(crate) site: Option<Site>,
+    pub(crate) outs: Vec<DcName>,
+    pub(crate) servers: Vec<Member>,
+    /// Name and address of each host.
+    hosts: BTreeMap<String, String>,
+    /// Name of the leader and its term.
+    leader: Option<(String, u64)>,
+    records: BTreeMap<String, KeyRecord>,
+    /// Entries that can't be read, and why.
+    bad: Vec<String>,
+}
+
+/// A service as it is shown.
+#[derive(Debug, Serialize)]
+struct ServiceRow {
+    service: ServiceName,
+    keyed: bool,
+    ready: usize,
+    draining: usize,
+    cold: usize,
+    slots: u32,
+    /// Fence of its keys; 0 for a service without keys.
+    fence: u64,
+    /// Spans that former holders may still hold.
+    loose: usize,
+}
+
+impl Status {
+    /// Reads everything.
+    pub(crate) async fn read(store: &KvStore) -> Result<Self, CtlError> {
+        let all = store.snapshot("").await.context(StoreSnafu)?;
+        let mut status = Self::default();
+        for item in &all.items {
+            if let Err(e) = status.take(item) {
+                status.bad.push(e);
+            }
+        }
+        Ok(status)
+    }
+
+    fn take(&mut self, item: &Item) -> Result<(), String> {
+        match Subject::of(&item.key) {
+            Subject::Config => {
+                self.site = Some(read_config(&item.value).map_err(|e| e.to_string())?);
+            }
+            Subject::TakenOut(dc) => self.outs.push(dc),
+            Subject::Server(name) => {
+                let server = read_member(&name, &item.value).map_err(|e| e.to_string())?;
+                self.servers.push(server);
+            }
+            Subject::Own(key) => self.take_own(&key, item)?,
+            Subject::Foreign => {}
+        }
+        Ok(())
+    }
+
+    fn take_own(&mut self, key: &str, item: &Item) -> Result<(), String> {
+        let text = || String::from_utf8_lossy(&item.value).into_owned();
+        if key == LEADER {
+            self.leader = Some((text(), item.revision));
+        } else if let Some(host) = key.strip_prefix(HOSTS) {
+            self.hosts.insert(host.to_owned(), text());
+        } else if let Some(service) = key.strip_prefix(KEYS) {
+            let record = serde_json::from_slice(&item.value);
+            let record = record.map_err(|e| format!("{}: {e}", item.key))?;
+            self.records.insert(service.to_owned(), record);
+        }
+        Ok(())
+    }
+
+    /// Prints it.
+    pub(crate) fn print(&self, json: bool) -> Result<String, CtlError> {
+        let rows = self.rows();
+        let version = self.site.as_ref().map_or(0, |s| s.version);
+        if json {
+            let (leader, term) = self.leader.clone().unwrap_or_default();
+            let value = json!({
+                "version": version, "out": self.outs, "leader": leader, "term": term,
+                "hosts": self.hosts, "services": rows, "bad_entries": self.bad,
+            });
+            return line(&value);
+        }
+        let mut text = format!("configuration  version {version}\n");
+        let leader = match &self.leader {
+            Some((name, term)) => format!("{name}, term {term}"),
+            None => "nobody leads".to_owned(),
+        };
+        let _ = writeln!(text, "leader         {leader}");
+        let outs: Vec<_> = self.outs.iter().map(DcName::as_str).collect();
+        let outs = if outs.is_empty() {
+            "none".to_owned()
+        } else {
+            outs.join(", ")
+        };
+        let _ = writeln!(text, "out            {outs}");
+        let _ = writeln!(text, "\nhost                      address");
+        for (host, addr) in &self.hosts {
+            let _ = writeln!(text, "{host:<25} {addr}");
+        }
+        let _ = writeln!(
+            text,
+            "\nservice                   ready  draining  cold  slots  fence  loose"
+        );
+        for r in rows {
+            let _ = writeln!(
+                text,
+                "{:<25} {:>5}  {:>8}  {:>4}  {:>5}  {:>5}  {:>5}",
+                r.service.as_str(),
+                r.ready,
+                r.draining,
+                r.cold,
+                r.slots,
+                r.fence,
+                r.loose
+            );
+        }
+        for bad in &self.bad {
+            let _ = writeln!(text, "can't be read: {bad}");
+        }
+        Ok(text)
+    }
+
+    fn rows(&self) -> Vec<ServiceRow> {
+        let services = self.site.iter().flat_map(|s| &s.services);
+        let row = |spec: &chicoryrail_core::ServiceSpec| {
+            let of = || self.servers.iter().filter(|s| s.service == spec.name);
+            let ready = |s: &&Member| s.state == MemberState::Ready;
+            let record = self.records.get(spec.name.as_str());
+            ServiceRow {
+                service: spec.name.clone(),
+                keyed: spec.keyed,
+                ready: of().filter(ready).count(),
+                draining: of().filter(|s| !ready(s)).count(),
+                cold: of().filter(|s| s.cold.0 > 0).count(),
+                slots: of().filter(ready).map(|s| s.slots).sum(),
+                fence: record.map_or(0, |r| r.fence),
+                loose: record.map_or(0, |r| r.loose.len()),
+            }
+        };
+        services.map(row).collect()
+    }
+}
+
+/// Tells which server holds a key.
+pub(crate) async fn owner(
+    store: &KvStore,
+    service: &ServiceName,
+    key: u16,
+    json: bool,
+) -> Result<String, CtlError> {
+    let status = Status::read(store).await?;
+    let Some(record) = status.records.get(service.as_str()) else {
+        return Err(CtlError::NoRecord {
+            service: service.clone(),
+        });
+    };
+    let owner = record.owner(key);
+    let loose = record.loose.iter().filter(|s| s.span.has(key));
+    let former: Vec<_> = loose.map(|s| s.owner.to_string()).collect();
+    if json {
+        return line(&json!({
+            "service": service, "key": key, "fence": record.fence,
+            "owner": owner.map(Life::to_string), "may_still_hold": former,
+        }));
+    }
+    let owner = owner.map_or_else(|| "nobody".to_owned(), Life::to_string);
+    let mut text = format!("{owner}, fence {}\n", record.fence);
+    for former in former {
+        let _ = writeln!(text, "may still be held by {former}");
+    }
+    Ok(text)
+}
+
+fn line(value: &serde_json::Value) -> Result<String, CtlError> {
+    let mut text = serde_json::to_string(value).context(WriteSnafu)?;
+    text.push('\n');
+    Ok(text)
+}
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -35,6 +35,7 @@
 mod roll_out;
 mod section;
 mod sessions;
+pub mod store_key;
 mod takeover;
 mod timing;
 mod witness;
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
+use chicoryrail_ownership::store_key::LEADER;
 use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::StoreError;
 use chicoryrail_platform::Txn;
@@ -13,9 +14,6 @@
 use crate::control::tenure::Tenure;
 use crate::state::Router;
 
-/// Name of the leader's key, below the system's own prefix.
-const LEADER: &str = "leader";
-
 /// Lease of the leader's key. A leader that is lost is replaced after it; shorter than the hold of keys
 /// by more than an election takes.
 const LEASE: Millis = Millis(1_000);
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -14,6 +14,7 @@
 use chicoryrail_ownership::keys::KeySpan;
 use chicoryrail_ownership::keys::KeyTiming;
 use chicoryrail_ownership::keys::Plan;
+use chicoryrail_ownership::store_key;
 use chicoryrail_platform::KeyGrant;
 use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::StoreError;
@@ -21,7 +22,6 @@
 use crate::control::follow::call;
 use crate::control::tenure::Tenure;
 use crate::state::Router;
-use crate::state::router::KEYS;
 
 /// Time between two looks at what is due, while something changes and while nothing does.
 const BUSY_LOOK: Millis = Millis(10);
@@ -76,7 +76,7 @@
 }
 
 pub(super) fn record_key(service: &ServiceName) -> String {
-    format!("{OWN_PREFIX}{KEYS}{service}")
+    format!("{OWN_PREFIX}{}", store_key::record_key(service))
 }
 
 async fn take_over(
--- a/crates/chicoryrail-router/src/control/presence.rs
+++ b/crates/chicoryrail-router/src/control/presence.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
+use chicoryrail_ownership::store_key::host_key;
 use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::StoreError;
 use chicoryrail_platform::Txn;
 
 use crate::control::follow::call;
 use crate::state::Router;
-use crate::state::router::HOSTS;
 
 /// Lease of a host's key. A host that is gone is only one more address to send datagrams to, so the lease
 /// is long and its renewals are few.
@@ -43,7 +43,7 @@
 
 async fn register(router: &Router, addr: SocketAddr) -> Result<u64, StoreError> {
     let lease = call(router, "open_lease", router.store.open_lease(LEASE)).await?;
-    let key = format!("{OWN_PREFIX}{HOSTS}{}", router.boot().host);
+    let key = format!("{OWN_PREFIX}{}", host_key(&router.boot().host));
     let txn = Txn::default().put_leased(&key, addr.to_string().as_bytes(), lease.id);
     call(router, "register", router.store.commit(&txn)).await?;
     log::info!(addr:% = addr, lease = lease.id; "present");
--- a/crates/chicoryrail-router/src/state/believe.rs
+++ b/crates/chicoryrail-router/src/state/believe.rs
@@ -9,6 +9,8 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::keys::KeyRecord;
+use chicoryrail_ownership::store_key::HOSTS;
+use chicoryrail_ownership::store_key::KEYS;
 use chicoryrail_runtime::ServerPool;
 use http::HeaderValue;
 
@@ -19,8 +21,6 @@
 use crate::state::Target;
 use crate::state::View;
 use crate::state::drain_end;
-use crate::state::router::HOSTS;
-use crate::state::router::KEYS;
 use crate::state::view::Registered;
 
 impl Router {
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -27,12 +27,6 @@
 use crate::state::View;
 use crate::talk::Talk;
 
-/// Start of the keys of hosts, below the system's own prefix.
-pub(crate) const HOSTS: &str = "hosts/";
-
-/// Start of the keys of key records, below the system's own prefix.
-pub(crate) const KEYS: &str = "keys/";
-
 /// The process.
 #[derive(Debug)]
 pub(crate) struct Router {
--- a/crates/chicoryrail-testkit/src/checker/answers.rs
+++ b/crates/chicoryrail-testkit/src/checker/answers.rs
@@ -2,11 +2,11 @@
 
 use crate::CallRecord;
 use crate::Evidence;
-use crate::GateTime;
+use crate::HostTime;
 use crate::Outcome;
 use crate::Violation;
 
-/// Time after a gate's end in which a caller notices that its connection has ended.
+/// Time after a host's end in which a caller notices that its connection has ended.
 const AFTER_STOP: u64 = 100_000;
 
 pub(crate) fn check(seen: &Evidence) -> Vec<Violation> {
@@ -32,14 +32,14 @@
     found
 }
 
-/// Tells whether the gate was paused while the request was there; a paused gate can answer nobody.
-fn was_frozen(record: &CallRecord, frozen: &GateTime) -> bool {
-    record.gate == frozen.gate && record.ended >= frozen.from && record.intended <= frozen.until
+/// Tells whether the router was paused while the request was there; a paused one can answer nobody.
+fn was_frozen(record: &CallRecord, frozen: &HostTime) -> bool {
+    record.host == frozen.host && record.ended >= frozen.from && record.intended <= frozen.until
 }
 
-/// Tells whether the connection of a request to the stopping gate ended without an answer.
-fn is_cut(record: &CallRecord, stop: &GateTime) -> bool {
-    record.gate == stop.gate
+/// Tells whether the connection of a request to the stopping host ended without an answer.
+fn is_cut(record: &CallRecord, stop: &HostTime) -> bool {
+    record.host == stop.host
         && record.outcome == Outcome::Unknown
         && record.status == 0
         && record.ended >= stop.from
--- a/crates/chicoryrail-testkit/src/cluster.rs
+++ b/crates/chicoryrail-testkit/src/cluster.rs
@@ -24,5 +24,6 @@
 pub use member::HostPlan;
 pub use member::Member;
 pub use member::TargetPlan;
+pub use operate::Operator;
 pub use options::ClusterOptions;
 pub use ports::free_port;
--- a/crates/chicoryrail-testkit/src/cluster/process.rs
+++ b/crates/chicoryrail-testkit/src/cluster/process.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use chicoryrail_core::Millis;
+use chicoryrail_platform::BOOT_VARIABLE;
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
@@ -31,6 +32,7 @@
     args: Vec<String>,
     log: PathBuf,
     level: String,
+    boot: Option<PathBuf>,
     child: Option<Child>,
 }
 
@@ -42,6 +44,7 @@
             args,
             log: dir.join(format!("{name}.log")),
             level: "info".to_owned(),
+            boot: None,
             child: None,
         }
     }
@@ -52,6 +55,13 @@
         self
     }
 
+    /// Names the boot file, which the platform does by an environment variable.
+    #[must_use]
+    pub(crate) fn with_boot(mut self, boot: Option<&Path>) -> Self {
+        self.boot = boot.map(Path::to_owned);
+        self
+    }
+
     /// Starts the program where it does not run; its output goes to the end of the log.
     pub(crate) fn start(&mut self) -> Result<(), ClusterError> {
         if self.is_running() {
@@ -62,11 +72,14 @@
             file.context(FileSnafu { path: &self.log })
         };
         let (out, err) = (open()?, open()?);
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        if let Some(boot) = &self.boot {
+            command.env(BOOT_VARIABLE, boot);
+        }
+        let child = command
             .args(&self.args)
             .env("CHICORYRAIL_LOG", &self.level)
             .env("RUST_BACKTRACE", "1")
-            .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .stdin(Stdio::null())
             .stdout(out)
             .stderr(err)
--- a/crates/chicoryrail-testkit/src/load/pool.rs
+++ b/crates/chicoryrail-testkit/src/load/pool.rs
@@ -15,7 +15,7 @@
 
 pub(crate) type Sender = SendRequest<Full<Bytes>>;
 
-/// Idle connections by gate; clones share them.
+/// Idle connections by host; clones share them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<Sender>>>>,
--- a/crates/chicoryrail-testkit/src/target.rs
+++ b/crates/chicoryrail-testkit/src/target.rs
@@ -3,9 +3,10 @@
 mod answer;
 mod cold;
 mod fault;
+mod holding;
 mod ledger;
 mod options;
-mod ownership;
+mod presence;
 mod server;
 mod slots;
 mod state;
@@ -13,11 +14,11 @@
 
 pub use answer::AnswerHead;
 pub use fault::TargetFault;
+pub use holding::FenceOld;
+pub use holding::Holding;
+pub use holding::Permit;
 pub use ledger::Ledger;
 pub use ledger::Overrun;
 pub use ledger::Run;
 pub use options::TargetOptions;
-pub use ownership::Ownership;
-pub use ownership::Permit;
-pub use ownership::Refusal;
 pub use server::TargetServer;
--- a/crates/chicoryrail-testkit/src/target/answer.rs
+++ b/crates/chicoryrail-testkit/src/target/answer.rs
@@ -27,12 +27,10 @@
 /// The first line of an answer's body.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerHead {
-    /// Key of the request.
-    pub key: String,
     /// Id of the request.
     pub request: String,
-    /// Order id, for an order.
-    pub order: Option<String>,
+    /// Path of the request.
+    pub path: String,
     /// Server that answers.
     pub server: String,
     /// Bytes that follow the line.
--- a/crates/chicoryrail-testkit/src/target/fault.rs
+++ b/crates/chicoryrail-testkit/src/target/fault.rs
@@ -23,9 +23,34 @@
         /// Length of the cold phase; the program's own where absent.
         #[serde(default)]
         for_ms: Option<u64>,
-        /// Whether the server shows a new instance id.
-        #[serde(default)]
-        new_instance: bool,
+    },
+    /// The server announces that it leaves; it serves what comes all the same.
+    Leave,
+    /// Grants and releases neither arrive nor get an answer.
+    Deaf {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+    },
+    /// Requests run and fail.
+    Fail {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+        /// Share of the requests concerned.
+        #[serde(default = "always")]
+        share: f64,
+    },
+    /// Requests are refused before they run.
+    Refuse {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+        /// Share of the requests concerned.
+        #[serde(default = "always")]
+        share: f64,
+    },
+    /// Answers lack the mark of the server that ran the request.
+    Unmarked {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
     },
     /// Answers are held until the fault ends.
     Freeze {
@@ -81,6 +106,8 @@
     pub(crate) cut: Option<u64>,
     pub(crate) lost: bool,
     pub(crate) crossed: bool,
+    pub(crate) failed: bool,
+    pub(crate) unmarked: bool,
 }
 
 /// The faults that are on.
@@ -103,11 +130,15 @@
         let for_ms = match &fault {
             TargetFault::Slow { for_ms, .. }
             | TargetFault::Freeze { for_ms }
+            | TargetFault::Deaf { for_ms }
+            | TargetFault::Unmarked { for_ms }
+            | TargetFault::Fail { for_ms, .. }
+            | TargetFault::Refuse { for_ms, .. }
             | TargetFault::Late { for_ms, .. }
             | TargetFault::Cut { for_ms, .. }
             | TargetFault::LoseAnswers { for_ms, .. }
             | TargetFault::Crossed { for_ms, .. } => *for_ms,
-            TargetFault::Cold { .. } => return,
+            TargetFault::Cold { .. } | TargetFault::Leave => return,
         };
         self.on.push((now + Millis(for_ms), fault));
     }
@@ -129,6 +160,24 @@
             .product()
     }
 
+    /// Returns when the server hears calls about keys again, where it does not.
+    pub(crate) fn is_deaf(&mut self, now: Millis) -> Option<Millis> {
+        self.on.retain(|(ends, _)| *ends > now);
+        let mut on = self.on.iter();
+        let deaf = on.find(|(_, f)| matches!(f, TargetFault::Deaf { .. }));
+        deaf.map(|(ends, _)| *ends)
+    }
+
+    /// Draws whether the next request is refused.
+    pub(crate) fn refuses(&mut self, now: Millis) -> bool {
+        self.on.retain(|(ends, _)| *ends > now);
+        let share = self.on.iter().find_map(|(_, f)| match f {
+            TargetFault::Refuse { share, .. } => Some(share.clamp(0.0, 1.0)),
+            _ => None,
+        });
+        share.is_some_and(|s| self.rng.random_bool(s))
+    }
+
     /// Draws what befalls the next answer.
     pub(crate) fn draw(&mut self, now: Millis) -> Fate {
         self.on.retain(|(ends, _)| *ends > now);
@@ -143,6 +192,8 @@
                 TargetFault::Cut { share, after, .. } if hit(share) => fate.cut = Some(*after),
                 TargetFault::LoseAnswers { share, .. } if hit(share) => fate.lost = true,
                 TargetFault::Crossed { share, .. } if hit(share) => fate.crossed = true,
+                TargetFault::Fail { share, .. } if hit(share) => fate.failed = true,
+                TargetFault::Unmarked { .. } => fate.unmarked = true,
                 _ => {}
             }
         }
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -10,7 +10,6 @@
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::CallRecord;
-use chicoryrail_testkit::Checker;
 use chicoryrail_testkit::Cluster;
 use chicoryrail_testkit::ClusterError;
 use chicoryrail_testkit::ClusterOptions;
@@ -22,7 +21,7 @@
 use chicoryrail_testkit::Violation;
 use serde::Serialize;
 
-use crate::tools::ROLL_LIMIT;
+use crate::tools::READY_LIMIT;
 use crate::tools::print_json;
 use crate::tools::stop_flag;
 
@@ -91,10 +90,9 @@
                 deployment.data_centres().len()
             );
             let cluster = Cluster::start(ClusterOptions::new(deployment))?;
-            println!("{deployment}: bundle put, signed off by a second operator, rolled");
-            cluster.roll(ROLL_LIMIT)?;
+            cluster.configure(READY_LIMIT)?;
             println!(
-                "{deployment}: in force on every host; logs in {}",
+                "{deployment}: configuration put, every host takes callers; logs in {}",
                 cluster.dir().display()
             );
             clusters.push(cluster);
@@ -113,8 +111,7 @@
             cluster.check()?;
             let summary = LoadSummary::of(&records);
             print_summary(cluster.options().deployment, &summary);
-            let violations =
-                Checker::new(&cluster.bundle()).check(&cluster.evidence(records.clone())?);
+            let violations = Violation::find(&cluster.evidence(records.clone())?);
             outcomes.add(&summary, &violations);
             all.extend(records);
         }
@@ -129,7 +126,7 @@
         let mut threads = Vec::new();
         for cluster in clusters {
             let load = Load::new(LoadOptions {
-                gates: cluster.gates(),
+                hosts: cluster.entries(),
                 services: cluster.options().deployment.load(),
                 length: Millis(self.seconds * 1_000),
                 rate: Some(RATE),
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,5 @@
 //! Every chore of the project; `cargo xtask --help` lists them.
 
-mod bench;
-mod bench_control;
-mod bench_gate;
-mod bench_outage;
-mod bench_straggler;
 mod chaos;
 mod demo;
 mod tools;
@@ -13,8 +8,6 @@
 
 use bpaf::Bpaf;
 
-use crate::bench::Bench;
-use crate::bench::bench;
 use crate::chaos::Chaos;
 use crate::chaos::chaos;
 use crate::demo::Demo;
@@ -36,15 +29,12 @@
     /// Formats the workspace
     #[bpaf(command)]
     Fmt,
-    /// Starts both deployments on stand-ins, rolls a bundle, runs mixed load and checks the outcome
+    /// Starts both deployments on stand-ins, puts a configuration, runs mixed load and checks the outcome
     #[bpaf(command)]
     Demo(#[bpaf(external(demo))] Demo),
     /// Real processes behind a fault-injecting proxy under mixed load, judged by a checker
     #[bpaf(command)]
     Chaos(#[bpaf(external(chaos))] Chaos),
-    /// Measures; the last line printed is JSON
-    #[bpaf(command)]
-    Bench(#[bpaf(external(bench))] Bench),
 }
 
 fn main() -> ExitCode {
@@ -53,10 +43,7 @@
         Chore::Ci => lint() && test(),
         Chore::Test => test(),
         Chore::Fmt => cargo(&["+nightly", "fmt", "--all"]),
-        Chore::Bench(_) | Chore::Chaos(_) | Chore::Demo(_) if cfg!(debug_assertions) => {
-            in_release()
-        }
-        Chore::Bench(bench) => bench.run(),
+        Chore::Chaos(_) | Chore::Demo(_) if cfg!(debug_assertions) => in_release(),
         Chore::Chaos(chaos) => chaos.run(),
         Chore::Demo(demo) => demo.run(),
     };
--- a/xtask/src/tools.rs
+++ b/xtask/src/tools.rs
@@ -1,23 +1,18 @@
 //! Starting other programs.
 
 use std::env;
-use std::fs;
 use std::io;
 use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::Duration;
 
 use chicoryrail_core::Millis;
 use serde::Serialize;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 
-/// Time in which a bundle must be in force everywhere and every gate ready.
-pub(crate) const ROLL_LIMIT: Millis = Millis(20_000);
-
-/// Clock ticks a second in which the system counts processor time.
-const TICKS: f64 = 100.0;
+/// Time in which every host must take callers after the configuration was put.
+pub(crate) const READY_LIMIT: Millis = Millis(20_000);
 
 /// Runs cargo and tells whether it succeeded.
 pub(crate) fn cargo(args: &[&str]) -> bool {
@@ -72,17 +67,6 @@
     Ok(stop)
 }
 
-/// Reads the processor time of a process; zero where it has ended.
-pub(crate) fn cpu(pid: Option<u32>) -> Duration {
-    let read = || {
-        let text = fs::read_to_string(format!("/proc/{}/stat", pid?)).ok()?;
-        let fields: Vec<&str> = text.rsplit(')').next()?.split_whitespace().collect();
-        let ticks = |i: usize| fields.get(i)?.parse::<f64>().ok();
-        Some((ticks(11)? + ticks(12)?) / TICKS)
-    };
-    Duration::from_secs_f64(read().unwrap_or(0.0))
-}
-
 fn run(command: &mut Command) -> bool {
     match command.status() {
         Ok(status) => status.success(),
