refactor!: remove the ownership of shards and slices, and the decisions of a single gate

Their users went with the controller and the gate. Hedging has no follower: a try more costs a slot that others wait for (docs/POLICY.md).

--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -1,89 +1,47 @@
 //! The decisions of chicoryrail under load, pure: time and random numbers come in as arguments.
 //!
-//! A gate holds the slots of some servers of a service. In front of them stands one
-//! [`ServerQueue`]: it admits, orders, sends and refuses. A [`Picker`] chooses between the gate's
-//! own queue and the queues of other gates, a [`Hedge`] decides when a late lookup is tried a
-//! second time, and a [`RetryBudget`] whether a request that did not run may be sent again.
-//! [`SharedServers`] picks among servers that many hosts send to without asking each other, and a
-//! [`Desk`] decides for all of them where they can ask it.
-//! Nothing here opens a socket or reads a clock, so a test steps through any load in no time.
+//! A [`Desk`] decides for all hosts which request goes to which server of a service, who waits and who is
+//! refused. [`SharedServers`] picks for one host that can't ask it, among servers that others send to as
+//! well. Nothing here opens a socket or reads a clock, so a test steps through any load in no time.
 //!
 //! # Example
 //!
 //! ```
-//! use chicoryrail_core::Class;
 //! use chicoryrail_core::Millis;
-//! use chicoryrail_policy::Ask;
-//! use chicoryrail_policy::Decision;
-//! use chicoryrail_policy::Outcome;
+//! use chicoryrail_policy::Desk;
+//! use chicoryrail_policy::DeskAsk;
+//! use chicoryrail_policy::DeskPlace;
+//! use chicoryrail_policy::DeskVerdict;
+//! use chicoryrail_policy::SeatState;
 //! use chicoryrail_policy::ServerId;
-//! use chicoryrail_policy::ServerQueue;
-//! use chicoryrail_policy::Ticket;
-//!
-//! let mut queue = ServerQueue::default();
-//! queue.set_server(ServerId(0), 2);
 //!
 //! let now = Millis(10);
-//! let ask = Ask::new(Ticket(1), Class::Interactive, now + Millis(1_000));
-//! assert_eq!(queue.offer(now, ask), Decision::Send(ServerId(0)));
-//! // ... the gate sends the request and gets the answer 3 ms later ...
-//! queue.done(now + Millis(3), ServerId(0), Ticket(1), Outcome::Answered { us: 3_000 });
-//! assert_eq!(queue.poll(now + Millis(3)), None);
+//! let mut desk = Desk::default();
+//! let seat = SeatState { slots: 2, open: true, cold_until: Millis::ZERO, cold_bound: 0.0, near: 0 };
+//! desk.set(now, ServerId(0), seat);
+//! let ask = DeskAsk {
+//!     ticket: 1, rank: 0, aim: now + Millis(300), deadline: now + Millis(1_000), work_us: 5_000.0,
+//!     key: None, not: Vec::new(), near: 0,
+//! };
+//! desk.ask(now, ask);
+//! let verdicts = desk.poll(now, |_| DeskPlace::Any);
+//! assert_eq!(verdicts, [(1, DeskVerdict::Send(ServerId(0)))]);
 //! ```
 //!
-//! Go on with [`Limits`] for the bounds of a queue, [`Health`] for slow servers, and [`Ramp`] for cold
-//! ones.
+//! Go on with [`ColdPace`] for cold servers, [`SharedRetries`] for repeats, and [`return_time`] for when a
+//! refused caller comes back.
 
-mod action;
-mod admission;
-mod ask;
-mod backlog;
-mod batch_share;
-mod decision;
 mod desk;
-mod estimate;
-mod health;
-mod hedge;
-mod limits;
-mod load;
-mod outcome;
-mod picker;
-mod quantile;
-mod ramp;
-mod refusal;
-mod retry_budget;
-mod server;
-mod server_queue;
-mod servers;
-mod service_times;
+mod server_id;
 mod shared;
 
-pub use action::Action;
-pub use ask::Ask;
-pub use ask::ServerId;
-pub use ask::Ticket;
-pub use decision::Decision;
 pub use desk::Desk;
 pub use desk::DeskAsk;
 pub use desk::DeskEnd;
 pub use desk::DeskPlace;
 pub use desk::DeskVerdict;
 pub use desk::SeatState;
-pub use estimate::Estimate;
-pub use health::Health;
-pub use health::Verdict;
-pub use hedge::Hedge;
-pub use limits::Limits;
-pub use load::Load;
-pub use outcome::Outcome;
-pub use picker::Choice;
-pub use picker::PeerId;
-pub use picker::Picker;
-pub use quantile::Quantile;
-pub use ramp::Ramp;
-pub use refusal::Refusal;
-pub use retry_budget::RetryBudget;
-pub use server_queue::ServerQueue;
+pub use server_id::ServerId;
 pub use shared::ColdPace;
 pub use shared::Failure;
 pub use shared::LoadReport;
