refactor!: remove bundles, result codes, slices, events and the old traits of the platform

Promises and who carries them now: a configuration's validation (bundle tests): core tests/site_file.rs; numbered results: a refusal is a status, a cause in the body and in the log line (docs/OPERATIONS.md); the ring of events and its merge: the structured log and chicoryrail-timeline over log files, which filters by request, server, service, host, key and kind (tests/logs.rs); the store, host list and targets behind traits: KvStore, hosts/NAME and KeyControl, one client each.

feat(router): what must hold is asserted at run time. Six invariants (stored-first, own-answer, not-run-true, order-once, config-forward, fence-forward) are counted in chicoryrail_invariant_violations_total and logged as invariant_broken; in tests and chaos a broken one ends the process.

--- a/crates/chicoryrail-core/src/lib.rs
+++ b/crates/chicoryrail-core/src/lib.rs
@@ -1,65 +1,45 @@
 //! Values that every chicoryrail package shares.
 //!
-//! The crate holds no input or output: a time value, names, the key hash, slices of the hash
-//! space, the configuration model with its validation, and the numbered result codes. The
-//! decisions built on them live in `chicoryrail-policy`, the messages in `chicoryrail-wire`.
+//! The crate holds no input or output: a time value, names, and the model of a configuration with its
+//! validation. The decisions built on them live in `chicoryrail-policy` and `chicoryrail-ownership`.
 //!
 //! # Example
 //!
 //! ```
-//! use chicoryrail_core::KeyHash;
-//! use chicoryrail_core::Slice;
+//! use chicoryrail_core::SiteFile;
 //!
-//! let all = Slice::FULL;
-//! assert!(all.contains(KeyHash::of("kit-17")));
+//! let text = r#"
+//! [[service]]
+//! name = "kits"
+//! health = "/healthz"
+//! connections = 120
+//!
+//! [[route]]
+//! name = "lookup"
+//! host = "shop.example"
+//! prefix = "/kits/"
+//! timeout_ms = 800
+//! aim_ms = 300
+//! services = [{ name = "kits" }]
+//! "#;
+//! let site = toml::from_str::<SiteFile>(text).unwrap().build(1).unwrap();
+//! assert_eq!(site.route("shop.example", "/kits/7").unwrap().name, "lookup");
 //! ```
 //!
-//! Go on with [`Bundle`] for the configuration, [`KeyHash`] and [`Slice`] for the key space, and
-//! [`ResultCode`] for what callers see.
+//! Go on with [`Site`] for a configuration, [`Member`] and [`Life`] for servers, and [`Millis`] for time.
 
-mod bundle;
-mod bundle_clash;
-mod bundle_error;
-mod config;
-mod digest;
-mod epoch;
-mod key_hash;
 mod millis;
 mod names;
 mod percent;
-mod result_code;
-mod shard;
 mod site;
-mod slice;
 
-pub use bundle::Bundle;
-pub use bundle::Class;
-pub use bundle::DataCentre;
-pub use bundle::HotKey;
-pub use bundle::KeyRange;
-pub use bundle::Kind;
-pub use bundle::Server;
-pub use bundle::Service;
-pub use bundle_clash::Clash;
-pub use bundle_error::BundleError;
-pub use config::Config;
-pub use config::Head;
-pub use config::Outs;
-pub use digest::Digest;
-pub use epoch::Epoch;
-pub use epoch::Fence;
-pub use key_hash::KeyHash;
 pub use millis::Millis;
 pub use names::DcName;
 pub use names::HostName;
-pub use names::OperatorName;
 pub use names::ServerName;
 pub use names::ServiceName;
-pub use names::TeamName;
 pub use percent::percent_decode;
 pub use percent::percent_encode;
-pub use result_code::ResultCode;
-pub use shard::ShardId;
 pub use site::CallerLimits;
 pub use site::Life;
 pub use site::LimitsPart;
@@ -75,4 +55,3 @@
 pub use site::SiteError;
 pub use site::SiteFile;
 pub use site::WeightPart;
-pub use slice::Slice;
--- a/crates/chicoryrail-core/src/names.rs
+++ b/crates/chicoryrail-core/src/names.rs
@@ -74,10 +74,6 @@
     /// Names one of the system's own entry hosts.
     HostName
 );
-name!(
-    /// Names an operator; a bundle's author and its signer are two of them.
-    OperatorName
-);
 name!(
     /// Names a server (target) within the whole platform.
     ServerName
@@ -86,7 +82,3 @@
     /// Names a service.
     ServiceName
 );
-name!(
-    /// Names a team, the owner of services.
-    TeamName
-);
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -47,6 +47,8 @@
     pub(super) service: ServiceName,
     pub(super) keeper: RefCell<Keeper>,
     pub(super) revision: std::cell::Cell<u64>,
+    /// Fence of the record that is in the store.
+    pub(super) stored: std::cell::Cell<u64>,
     pub(super) balanced: std::cell::Cell<Millis>,
     pub(super) committing: std::cell::Cell<bool>,
 }
@@ -102,6 +104,7 @@
     log::info!(service:% = service, term = term, fence = record.fence,
         spans = record.spans.len(), loose = record.loose.len(); "keys_taken_over");
     let now = router.now();
+    let stored = record.fence;
     let away = router.store_was_away(now, OUTAGE_MEMORY);
     let timing = KeyTiming::default();
     let keeper = Keeper::take_over(record, timing, now, rand::random(), away);
@@ -113,6 +116,7 @@
         service: service.clone(),
         keeper: RefCell::new(keeper),
         revision: std::cell::Cell::new(revision),
+        stored: std::cell::Cell::new(stored),
         balanced: std::cell::Cell::new(now),
         committing: std::cell::Cell::new(false),
     })
--- a/crates/chicoryrail-router/src/control/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/key_calls.rs
@@ -15,6 +15,7 @@
 use chicoryrail_platform::KeyGrant;
 use chicoryrail_platform::StoreError;
 use chicoryrail_platform::Txn;
+use chicoryrail_runtime::Invariant;
 
 use crate::control::follow::call;
 use crate::control::keep_keys::Post;
@@ -30,6 +31,9 @@
         let now = self.router.now();
         match done {
             Ok(revision) => {
+                let before = self.stored.replace(record.fence);
+                let invariants = &self.router.process.invariants;
+                invariants.rises(Invariant::FenceForward, &before, &record.fence);
                 self.revision.set(revision);
                 self.keeper.borrow_mut().committed(now);
                 log::info!(service:% = self.service, fence = record.fence, revision = revision,
@@ -82,9 +86,20 @@
 
     pub(super) async fn grant(self: Rc<Self>, life: Life, addr: SocketAddr, grant: KeyGrant) {
         let limit = KeyTiming::default().grant_limit;
+        let (stored, invariants) = (self.stored.get(), &self.router.process.invariants);
+        invariants.check(Invariant::StoredFirst, grant.fence <= stored, || {
+            format!("fence={} stored={stored}", grant.fence)
+        });
         let control = &self.router.control;
         let started = Instant::now();
-        let result = control.grant(addr, &life.name, &grant, limit).await;
+        // This task runs after the one that started it; a process that was stopped in between may have
+        // been replaced, and its order would be one that nobody reckons with.
+        let result = if self.tenure.may_act(&self.router) {
+            control.grant(addr, &life.name, &grant, limit).await
+        } else {
+            let reason = "not sent: the right to lead is no longer confirmed".to_owned();
+            Err(KeyError::Silent { reason })
+        };
         let (end, name) = match &result {
             Ok(()) => (GrantEnd::Held, "held"),
             Err(KeyError::FenceOld) => (GrantEnd::FenceOld, "fence_old"),
--- a/crates/chicoryrail-router/src/route/call.rs
+++ b/crates/chicoryrail-router/src/route/call.rs
@@ -34,6 +34,8 @@
     pub(crate) waited: Millis,
     /// Whether the desk chose the server, or this host by its own view.
     pub(crate) by_desk: bool,
+    /// Sends after which it may have run.
+    pub(crate) may_have_run: u32,
 }
 
 /// A caller's request.
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -5,9 +5,10 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_core::Repeat;
-use chicoryrail_core::ResultCode;
 use chicoryrail_platform::call_header;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::BodyFault;
+use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
 use http::HeaderValue;
 use http::Request;
@@ -69,9 +70,9 @@
 ) -> Result<Response<Body>, Refusal> {
     let left = call.left(router.now());
     body.prefetch(left).await.map_err(|code| match code {
-        ResultCode::BodyTooLarge => Cause::TooLarge,
-        ResultCode::SlowSender => Cause::SlowBody,
-        _ => Cause::BadBody,
+        BodyFault::TooLarge => Cause::TooLarge,
+        BodyFault::Slow => Cause::SlowBody,
+        BodyFault::Cut => Cause::BadBody,
     })?;
     attempts::run(router, call, body).await
 }
@@ -79,6 +80,7 @@
 /// Counts and logs a request's end.
 fn finish(router: &Router, call: &Call, result: Result<Response<Body>, Refusal>) -> Response<Body> {
     let took = router.now().since(call.arrived);
+    check_end(router, call, &result);
     let service = call.service_name().as_str();
     let (outcome, answer) = match result {
         Ok(answer) => {
@@ -119,6 +121,29 @@
     answer
 }
 
+/// Asserts that an answer is the caller's own, and that a refusal which promises that nothing ran is true.
+fn check_end(router: &Router, call: &Call, result: &Result<Response<Body>, Refusal>) {
+    let invariants = &router.process.invariants;
+    match result {
+        Ok(answer) => {
+            let own = answer.headers().get(call_header::REQUEST_ID)
+                == call.headers.get(call_header::REQUEST_ID);
+            invariants.check(Invariant::OwnAnswer, own, || format!("request={}", call.id));
+        }
+        Err(refusal) => {
+            let ran = call.trail.borrow().may_have_run;
+            let holds = ran == 0 || !refusal.cause.promises_not_run();
+            invariants.check(Invariant::NotRunTrue, holds, || {
+                format!(
+                    "request={} cause={} ran={ran}",
+                    call.id,
+                    refusal.cause.name()
+                )
+            });
+        }
+    }
+}
+
 /// Logs a request's end, with what decided it.
 fn log_end(call: &Call, outcome: &str, took: Millis, status: StatusCode, refusal: Option<Refusal>) {
     let trail = call.trail.borrow();
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -39,6 +39,11 @@
 }
 
 impl Cause {
+    /// Tells whether the caller is told that the request has not run.
+    pub(crate) const fn promises_not_run(self) -> bool {
+        !matches!(self, Self::Broken | Self::Silent)
+    }
+
     /// Returns the name in logs and metrics.
     pub(crate) const fn name(self) -> &'static str {
         match self {
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -8,6 +8,7 @@
 use chicoryrail_policy::Failure;
 use chicoryrail_policy::LoadReport;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
 use chicoryrail_runtime::end_to_end;
 use chicoryrail_runtime::says_close;
@@ -108,12 +109,20 @@
     let now = router.now();
     let alone = service.loads.borrow().is_free(now, target.id);
     let started = Instant::now();
+    let unrun = call.trail.borrow().may_have_run == 0;
+    let invariants = &router.process.invariants;
+    invariants.check(Invariant::OrderOnce, call.repeats() || unrun, || {
+        format!("request={} server={}", call.id, target.life)
+    });
     let flight = Flight::new(service, target, &slot);
     let exchange = exchange(router, service, target, call, body, flight);
     let sent = match timeout(limit.duration(), exchange).await {
         Ok(sent) => sent,
         Err(_) => Sent::Unknown(Unknown::Silent),
     };
+    if matches!(sent, Sent::ServerError(_) | Sent::Unknown(_)) {
+        call.trail.borrow_mut().may_have_run += 1;
+    }
     let now = router.now();
     let us = started.elapsed().as_micros() as f64;
     slot.note(us, sent.failure());
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -6,7 +6,6 @@
 
 use bpaf::ParseFailure;
 use chicoryrail_core::Millis;
-use chicoryrail_core::ResultCode;
 use chicoryrail_platform::Boot;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::HttpLimits;
@@ -17,11 +16,9 @@
 use chicoryrail_runtime::block_on;
 use chicoryrail_runtime::error_answer;
 use chicoryrail_runtime::exit_with;
-use chicoryrail_runtime::full;
 use chicoryrail_runtime::serve_http;
 use chicoryrail_runtime::serve_http_shared;
 use chicoryrail_runtime::stop_on_signal;
-use http::Response;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -83,7 +80,7 @@
         Ok(options) => options,
         Err(ParseFailure::Stderr(text)) => {
             let text = text.monochrome(true);
-            return exit_with(ResultCode::SettingInvalid, text.trim_end());
+            return exit_with(text.trim_end());
         }
         Err(failure) => {
             failure.print_message(100);
@@ -92,7 +89,7 @@
     };
     let boot = match Boot::read() {
         Ok(boot) => boot,
-        Err(e) => return exit_with(ResultCode::SettingInvalid, &e.to_string()),
+        Err(e) => return exit_with(&e.to_string()),
     };
     if options.check {
         println!("{boot:#?}\n{options:#?}");
@@ -107,7 +104,7 @@
     sink.flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => exit_with(ResultCode::SettingInvalid, &e.to_string()),
+        Err(e) => exit_with(&e.to_string()),
     }
 }
 
@@ -205,7 +202,7 @@
     clock.sleep(Millis(50)).await;
 }
 
-/// Serves readiness, metrics and events.
+/// Serves readiness and metrics.
 fn open_observe(
     router: &Rc<Router>,
     flag: &'static str,
@@ -215,16 +212,8 @@
     let listener = bind(flag, addr).context(ListenSnafu)?;
     let router = Rc::clone(router);
     let answer = move |request: http::Request<hyper::body::Incoming>, _| {
-        let answer = if request.uri().path() == "/-/readyz" {
-            let mut answer = Response::new(full(""));
-            if !router.process.is_ready() {
-                *answer.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
-            }
-            answer
-        } else {
-            let found = router.process.observe(&request);
-            found.unwrap_or_else(|| error_answer(ResultCode::UnknownService, ""))
-        };
+        let found = router.process.observe(&request);
+        let answer = found.unwrap_or_else(|| error_answer(404, "no such page"));
         async move { answer }
     };
     monoio::spawn(serve_http(
--- a/crates/chicoryrail-router/src/state/believe.rs
+++ b/crates/chicoryrail-router/src/state/believe.rs
@@ -11,6 +11,7 @@
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::store_key::HOSTS;
 use chicoryrail_ownership::store_key::KEYS;
+use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::ServerPool;
 use http::HeaderValue;
 
@@ -167,6 +168,8 @@
         let revision = self.view.borrow().revision;
         match belief {
             Belief::Config { from, to } => {
+                let invariants = &self.process.invariants;
+                invariants.rises(Invariant::ConfigForward, from, to);
                 log::info!(from = from, version = to, revision = revision; "config_in_force");
             }
             Belief::OldConfig { version, kept } => {
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -63,7 +63,7 @@
 impl Router {
     /// Builds the state of a process that knows nothing yet.
     pub(crate) fn new(boot: Boot, options: Options, talk: &Rc<Talk>) -> Rc<Self> {
-        let process = Process::new(&boot.host, "chicoryrail-router");
+        let process = Process::new();
         let limits = HttpLimits {
             connections: connections(&boot),
             ..HttpLimits::default()
--- a/crates/chicoryrail-runtime/src/json.rs
+++ b/crates/chicoryrail-runtime/src/json.rs
@@ -1,7 +1,6 @@
 //! JSON answers of listeners.
 
 use bytes::Bytes;
-use chicoryrail_core::ResultCode;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -13,8 +12,6 @@
 
 #[derive(Serialize)]
 struct ErrorBody<'a> {
-    code: u16,
-    run: &'static str,
     error: &'a str,
 }
 
@@ -23,31 +20,14 @@
 pub fn json_answer<T: Serialize>(status: u16, value: &T) -> Response<Body> {
     match serde_json::to_vec(value) {
         Ok(bytes) => answer(status, bytes.into()),
-        Err(_) => answer(500, Bytes::from_static(b"{\"code\":5000}")),
+        Err(_) => answer(500, Bytes::from_static(b"{}")),
     }
 }
 
-/// Builds the answer for a result other than success.
-///
-/// The body is JSON: `code` is the number, `run` tells what is known of the request's run, `error`
-/// names the field and the value. The number also stands in the header `chicoryrail-code`.
+/// Builds the JSON answer to a call that can't be obeyed; `message` names the field and the value.
 #[must_use]
-pub fn error_answer(code: ResultCode, message: &str) -> Response<Body> {
-    let error = if message.is_empty() {
-        code.text()
-    } else {
-        message
-    };
-    let body = ErrorBody {
-        code: code.number(),
-        run: code.run(),
-        error,
-    };
-    let mut answer = json_answer(code.status(), &body);
-    answer
-        .headers_mut()
-        .insert("chicoryrail-code", HeaderValue::from(code.number()));
-    answer
+pub fn error_answer(status: u16, message: &str) -> Response<Body> {
+    json_answer(status, &ErrorBody { error: message })
 }
 
 fn answer(status: u16, bytes: Bytes) -> Response<Body> {
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -1,7 +1,7 @@
 //! What every chicoryrail process needs to run, and no decision of its own.
 //!
-//! Start-up on monoio's `LegacyDriver`, one clock, cancellation, HTTP for callers and operators,
-//! metrics, the ring of events and the common settings.
+//! Start-up on monoio's `LegacyDriver`, one clock, cancellation, HTTP for callers and
+//! servers, metrics, the bounded log and the parsing of settings.
 //!
 //! # Example
 //!
@@ -16,7 +16,7 @@
 //! assert!(seen >= chicoryrail_core::Millis(2));
 //! ```
 //!
-//! Go on with [`Process`] for health, metrics and events, [`serve_http`] for a listener, and [`block_on`]
+//! Go on with [`Process`] for readiness and metrics, [`serve_http`] for a listener, and [`block_on`]
 //! with [`stop_on_signal`] for start and stop.
 
 mod bind;
@@ -24,8 +24,6 @@
 mod caller_io;
 mod clock;
 mod end_to_end;
-mod event;
-mod event_ring;
 mod http_client;
 mod http_server;
 mod invariant;
@@ -48,10 +46,6 @@
 pub use body::full;
 pub use clock::Clock;
 pub use end_to_end::end_to_end;
-pub use event::Event;
-pub use event::EventKind;
-pub use event::Stamp;
-pub use event_ring::EventRing;
 pub use http_client::HttpClient;
 pub use http_client::HttpError;
 pub use http_client::says_close;
@@ -66,14 +60,12 @@
 pub use log_sink::LogSink;
 pub use metrics::Metrics;
 pub use process::Process;
+pub use request_body::BodyFault;
 pub use request_body::RequestBody;
 pub use server_pool::ServerConn;
 pub use server_pool::ServerPool;
-pub use settings::HostSettings;
 pub use settings::SettingError;
-pub use settings::host_settings;
 pub use settings::setting;
-pub use settings::store_setting;
 pub use settings::switch_setting;
 pub use signal::Signal;
 pub use start::ReloadSignals;
--- a/crates/chicoryrail-runtime/src/request_body.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
-use chicoryrail_core::ResultCode;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
 use monoio::time::timeout;
@@ -23,6 +22,17 @@
 /// is taken, so that a caller that sends slowly does not hold a slot of a server for it.
 const KEPT: usize = 16 << 10;
 
+/// What is wrong with a caller's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFault {
+    /// It is longer than the limit.
+    TooLarge,
+    /// It came too slowly.
+    Slow,
+    /// It was cut.
+    Cut,
+}
+
 /// A request's body: its start is kept, the rest is streamed once.
 pub struct RequestBody {
     inner: RefCell<Option<Body>>,
@@ -32,7 +42,7 @@
     limit: u64,
     /// Whether bytes have passed that are no longer kept.
     streamed: Cell<bool>,
-    fault: Cell<Option<ResultCode>>,
+    fault: Cell<Option<BodyFault>>,
 }
 
 impl RequestBody {
@@ -49,7 +59,7 @@
             read: Cell::default(),
             limit,
             streamed: Cell::default(),
-            fault: Cell::new(too_large.then_some(ResultCode::BodyTooLarge)),
+            fault: Cell::new(too_large.then_some(BodyFault::TooLarge)),
         })
     }
 
@@ -57,8 +67,8 @@
     ///
     /// # Errors
     ///
-    /// `BodyTooLarge`, `SlowSender` or `BadRequest` (the body was cut); nothing was sent.
-    pub async fn prefetch(&self, limit: Millis) -> Result<(), ResultCode> {
+    /// Returns what is wrong with the body; nothing was sent.
+    pub async fn prefetch(&self, limit: Millis) -> Result<(), BodyFault> {
         if let Some(fault) = self.fault.get() {
             return Err(fault);
         }
@@ -69,7 +79,7 @@
             while self.size.get() < KEPT {
                 match poll_fn(|cx| self.poll_more(cx)).await {
                     Some(Ok(data)) => self.keep(data),
-                    Some(Err(_)) => return Err(self.fault.get().unwrap_or(ResultCode::BadRequest)),
+                    Some(Err(_)) => return Err(self.fault.get().unwrap_or(BodyFault::Cut)),
                     None => break,
                 }
             }
@@ -77,7 +87,7 @@
         };
         timeout(limit.duration(), start)
             .await
-            .unwrap_or(Err(ResultCode::SlowSender))
+            .unwrap_or(Err(BodyFault::Slow))
     }
 
     /// Tells whether the body can be sent from its start.
@@ -94,7 +104,7 @@
 
     /// Returns what was wrong with the body, where it ended early.
     #[must_use]
-    pub fn fault(&self) -> Option<ResultCode> {
+    pub fn fault(&self) -> Option<BodyFault> {
         self.fault.get()
     }
 
@@ -127,7 +137,7 @@
             match frame {
                 None => *inner = None,
                 Some(Err(e)) => {
-                    self.fault.set(Some(ResultCode::BadRequest));
+                    self.fault.set(Some(BodyFault::Cut));
                     *inner = None;
                     return Poll::Ready(Some(Err(e)));
                 }
@@ -137,7 +147,7 @@
                     };
                     self.read.set(self.read.get() + data.len() as u64);
                     if self.read.get() > self.limit {
-                        self.fault.set(Some(ResultCode::BodyTooLarge));
+                        self.fault.set(Some(BodyFault::TooLarge));
                         *inner = None;
                         return Poll::Ready(Some(Err(io::Error::other("body is too long"))));
                     }
--- a/crates/chicoryrail-runtime/src/start.rs
+++ b/crates/chicoryrail-runtime/src/start.rs
@@ -4,7 +4,6 @@
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::process::ExitCode;
 
-use chicoryrail_core::ResultCode;
 use monoio::LegacyDriver;
 use monoio::RuntimeBuilder;
 use monoio::io::AsyncReadRent;
@@ -82,13 +81,12 @@
     Ok(ReloadSignals { pipe })
 }
 
-/// Prints an error with its number and returns the exit code for it.
+/// Exit code of a process that got a bad flag, environment variable or file.
+const BAD_SETTING: u8 = 2;
+
+/// Prints why a process can't start and returns the exit code for it.
 #[must_use]
-pub fn exit_with(code: ResultCode, message: &str) -> ExitCode {
-    eprintln!("error {}: {message}", code.number());
-    ExitCode::from(if code.number() == ResultCode::SettingInvalid.number() {
-        2
-    } else {
-        1
-    })
+pub fn exit_with(message: &str) -> ExitCode {
+    eprintln!("error: {message}");
+    ExitCode::from(BAD_SETTING)
 }
--- a/crates/chicoryrail-testkit/src/bin/testkit-load.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-load.rs
@@ -9,7 +9,6 @@
 use bpaf::construct;
 use bpaf::long;
 use chicoryrail_core::Millis;
-use chicoryrail_core::ResultCode;
 use chicoryrail_runtime::block_on;
 use chicoryrail_runtime::exit_with;
 use chicoryrail_testkit::CallRecord;
@@ -201,12 +200,12 @@
     if let Some(path) = records
         && let Err(e) = save(&path, &done)
     {
-        return exit_with(ResultCode::SettingInvalid, &format!("--records: {e}"));
+        return exit_with(&format!("--records: {e}"));
     }
     let summary = LoadSummary::of(&done);
     match serde_json::to_string(&summary) {
         Ok(text) => println!("{text}"),
-        Err(e) => return exit_with(ResultCode::Internal, &e.to_string()),
+        Err(e) => return exit_with(&e.to_string()),
     }
     ExitCode::from(u8::from(summary.wrong > 0))
 }
--- a/crates/chicoryrail-testkit/src/bin/testkit-proxy.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-proxy.rs
@@ -6,7 +6,6 @@
 use bpaf::Parser;
 use bpaf::construct;
 use bpaf::long;
-use chicoryrail_core::ResultCode;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::collect;
 use chicoryrail_runtime::error_answer;
@@ -77,13 +76,13 @@
             let body = collect(request.into_body(), BODY_MOST).await;
             match serde_json::from_slice(&body.unwrap_or_default()) {
                 Ok(fault) => link.set(fault),
-                Err(e) => return error_answer(ResultCode::BadRequest, &format!("fault: {e}")),
+                Err(e) => return error_answer(400, &format!("fault: {e}")),
             }
         }
         (Method::DELETE, "/fault") => link.heal(),
         (Method::POST, "/reset") => link.reset(),
         (Method::GET, "/stats") => return json_answer(200, &link.stats()),
-        _ => return error_answer(ResultCode::BadRequest, "the proxy has no such call"),
+        _ => return error_answer(400, "the proxy has no such call"),
     }
     json_answer(200, &link.fault())
 }
@@ -95,7 +94,7 @@
         Ok(link) => link,
         Err(e) => {
             let text = format!("--listen = {}: {e}", settings.listen);
-            return exit_with(ResultCode::SettingInvalid, &text);
+            return exit_with(&text);
         }
     };
     stand_in("control", settings.control, |listener, stop| {
--- a/crates/chicoryrail-testkit/src/cluster/process.rs
+++ b/crates/chicoryrail-testkit/src/cluster/process.rs
@@ -80,6 +80,7 @@
             .args(&self.args)
             .env("CHICORYRAIL_LOG", &self.level)
             .env("RUST_BACKTRACE", "1")
+            .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .stdin(Stdio::null())
             .stdout(out)
             .stderr(err)
--- a/crates/chicoryrail-testkit/src/listener.rs
+++ b/crates/chicoryrail-testkit/src/listener.rs
@@ -6,7 +6,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use chicoryrail_core::ResultCode;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::SettingError;
@@ -151,6 +150,6 @@
     });
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(text) => exit_with(ResultCode::SettingInvalid, &text),
+        Err(text) => exit_with(&text),
     }
 }
--- a/crates/chicoryrail-testkit/src/target/answer.rs
+++ b/crates/chicoryrail-testkit/src/target/answer.rs
@@ -8,7 +8,6 @@
 use std::task::ready;
 
 use bytes::Bytes;
-use chicoryrail_core::KeyHash;
 use chicoryrail_core::Millis;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -55,7 +54,8 @@
     }
 
     fn start(&self) -> u64 {
-        KeyHash::of(&self.request).0 % 26
+        let sum: u64 = self.request.bytes().map(u64::from).sum();
+        sum % 26
     }
 }
 
--- a/crates/chicoryrail-testkit/src/target/server.rs
+++ b/crates/chicoryrail-testkit/src/target/server.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
-use chicoryrail_core::ResultCode;
 use chicoryrail_platform::KeyCall;
 use chicoryrail_platform::KeyGrant;
 use chicoryrail_platform::KvStore;
@@ -140,7 +139,7 @@
         let body = body(request).await;
         match KeyCall::read(&path, &body) {
             Some(Ok(call)) => return self.keys(call).await,
-            Some(Err(e)) => return Ok(error_answer(ResultCode::BadRequest, &e.to_string())),
+            Some(Err(e)) => return Ok(error_answer(400, &e.to_string())),
             None => {}
         }
         Ok(match (method, path.as_str()) {
@@ -149,14 +148,14 @@
                     self.fault(fault);
                     json_answer(200, &())
                 }
-                Err(e) => error_answer(ResultCode::BadRequest, &e.to_string()),
+                Err(e) => error_answer(400, &e.to_string()),
             },
             (Method::DELETE, "/testkit/fault") => {
                 self.state.faults.borrow_mut().clear();
                 json_answer(200, &())
             }
             (Method::GET, "/testkit/ledger") => json_answer(200, &self.ledger()),
-            _ => error_answer(ResultCode::BadRequest, "the server has no such call"),
+            _ => error_answer(400, "the server has no such call"),
         })
     }
 
--- a/crates/chicoryrail-timeline/src/lib.rs
+++ b/crates/chicoryrail-timeline/src/lib.rs
@@ -1,38 +1,28 @@
-//! One ordered time line of the events of all processes.
+//! One ordered time line of the log lines of all processes.
 //!
-//! Each process keeps a bounded ring of typed events and serves it at `/events`. The tool reads the
-//! rings of all processes, merges them by stamp, and says where events are missing.
+//! Routers write structured lines to their standard output. The tool merges the lines of any number of
+//! files by time, and shows those that are about one request, server, key or kind.
 //!
 //! # Example
 //!
 //! ```
 //! use chicoryrail_timeline::Filter;
+//! use chicoryrail_timeline::merge;
 //!
-//! let filter = Filter {
-//!     host: Some("entry-1".into()),
-//!     ..Filter::default()
-//! };
-//! assert!(filter.takes_host(&"entry-1".into()));
+//! let log = "log=send_broken t=2.5 host=a request=r1\nlog=stop t=3.0 host=a";
+//! let lines = merge([log], &Filter::of("request", "r1"));
+//! assert_eq!(lines.len(), 1);
 //! ```
 
 mod filter;
-mod line;
-mod log_file;
+mod log_line;
 mod merge;
 mod run;
 mod settings;
-mod source;
 
 pub use filter::Filter;
-pub use line::Gap;
-pub use line::Line;
-pub use line::Silence;
-pub use line::date;
-pub use log_file::LogLine;
-pub use log_file::merge_logs;
-pub use merge::Merge;
+pub use log_line::LogLine;
+pub use merge::merge;
 pub use run::main;
 pub use settings::Settings;
 pub use settings::settings;
-pub use source::News;
-pub use source::Source;
--- a/crates/chicoryrail-timeline/src/log_file.rs
+++ b/crates/chicoryrail-timeline/src/log_line.rs
@@ -1,6 +1,5 @@
 //! Lines that routers wrote to their standard output.
 
-use std::cmp::Ordering;
 use std::fmt;
 
 /// A structured line: `log=KIND t=SECONDS key=value ...`.
@@ -48,17 +47,3 @@
         f.write_str(&self.text)
     }
 }
-
-/// Merges the lines of several processes into one order of time; with a request id, only its lines.
-#[must_use]
-pub fn merge_logs<'a>(
-    texts: impl IntoIterator<Item = &'a str>,
-    request: Option<&str>,
-) -> Vec<LogLine> {
-    let lines = texts.into_iter().flat_map(str::lines);
-    let lines = lines.filter_map(LogLine::parse);
-    let wanted = |l: &LogLine| request.is_none_or(|id| l.value("request") == Some(id));
-    let mut lines: Vec<_> = lines.filter(wanted).collect();
-    lines.sort_by(|a, b| a.time.partial_cmp(&b.time).unwrap_or(Ordering::Equal));
-    lines
-}
