refactor: no import circles, one way to the desk, one set of spans, one reading of arguments

Five circles of files are gone (keeper and its duties; the checker's finds; load, proxy and chaos of the testkit). The keeper folds spans in one place (SpanSet); what a host brings to the desk takes one path (to_desk, desk_duty::take) whether it leads or not; timed faults of the store and of targets share their list; the three programs read their arguments alike.

--- a/crates/chicoryctl/src/run.rs
+++ b/crates/chicoryctl/src/run.rs
@@ -3,9 +3,9 @@
 use std::io::Write as _;
 use std::process::ExitCode;
 
-use bpaf::Args;
 use chicoryrail_platform::KvStore;
 use chicoryrail_runtime::block_on;
+use chicoryrail_runtime::from_args;
 
 use crate::Command;
 use crate::CtlError;
@@ -18,12 +18,9 @@
 /// Runs the command of the process's arguments; the entry point of the binary.
 #[must_use]
 pub fn main() -> ExitCode {
-    let settings = match settings().run_inner(Args::current_args()) {
+    let settings = match from_args(&settings()) {
         Ok(settings) => settings,
-        Err(failure) => {
-            failure.print_message(100);
-            return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
-        }
+        Err(code) => return code,
     };
     match block_on(execute(&settings)) {
         Ok(text) => {
--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -9,10 +9,6 @@
 use crate::keys::OwnedSpan;
 use crate::keys::server_state::ServerState;
 
-/// Time between two probes of a lost server. Keys given to one that still does not answer are unserved until
-/// they are taken away again, so it must answer before it gets any.
-pub(super) const PROBE_EVERY: Millis = Millis(1_500);
-
 /// Age of the last sight of a server's registration up to which it is worth a probe.
 const SEEN_LATELY: Millis = Millis(1_000);
 
@@ -101,16 +97,10 @@
     /// with a token is granted by itself, so that the token goes along.
     fn fresh(&self, owned: &OwnedSpan) -> Option<(KeySpan, Option<String>)> {
         let others = self.claims.iter().filter(|c| c.owned.owner != owned.owner);
-        let free = others.fold(self.not_live(owned), |left, c| without(&left, c.owned.span));
-        let passed = self
-            .freed
-            .iter()
-            .filter(|f| f.token.is_some())
-            .find_map(|f| {
-                let span = free.iter().find_map(|s| s.meet(f.span))?;
-                Some((span, f.token.clone()))
-            });
-        passed.or_else(|| free.first().map(|span| (*span, None)))
+        let free = self.not_live(owned).without(others.map(|c| c.owned.span));
+        let mut passed = self.freed.iter().filter(|f| f.token.is_some());
+        let passed = passed.find_map(|f| Some((free.meet(f.span)?, f.token.clone())));
+        passed.or_else(|| free.first().map(|span| (span, None)))
     }
 
     /// Returns the releases that are due: after the former holder has got what it keeps, under the new
@@ -157,8 +147,3 @@
         lost.map(probe).collect()
     }
 }
-
-/// Returns what `cut` leaves of the spans.
-pub(super) fn without(spans: &[KeySpan], cut: KeySpan) -> Vec<KeySpan> {
-    spans.iter().flat_map(|s| s.without(cut)).collect()
-}
--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/keeper.rs
@@ -15,9 +15,8 @@
 use crate::keys::claim::Claim;
 use crate::keys::claim::Freed;
 use crate::keys::claim::Live;
-use crate::keys::due::PROBE_EVERY;
-use crate::keys::due::without;
 use crate::keys::server_state::ServerState;
+use crate::keys::span_set::SpanSet;
 
 /// Keeps the keys of one service, in one term of leadership.
 ///
@@ -89,7 +88,7 @@
             let state = this
                 .servers
                 .entry(life)
-                .or_insert_with(|| new_state(unknown, now));
+                .or_insert_with(|| ServerState::new(unknown, now));
             state.held_until = until;
             if away {
                 state.long_until = until;
@@ -159,18 +158,20 @@
     #[must_use]
     pub fn blocked(&self) -> Vec<KeySpan> {
         let spans = self.record.spans.iter();
-        spans.flat_map(|owned| self.not_live(owned)).collect()
+        let not_live = spans.flat_map(|owned| self.not_live(owned).into_spans());
+        not_live.collect()
     }
 
-    pub(super) fn not_live(&self, owned: &OwnedSpan) -> Vec<KeySpan> {
+    /// Returns the keys of a span that its owner does not hold yet.
+    pub(super) fn not_live(&self, owned: &OwnedSpan) -> SpanSet {
         let live = self.live.iter().filter(|l| l.owned.owner == owned.owner);
-        live.fold(vec![owned.span], |left, l| without(&left, l.owned.span))
+        SpanSet::of(owned.span).without(live.map(|l| l.owned.span))
     }
 
     /// Takes in where a server answers.
     pub fn server_at(&mut self, now: Millis, life: &Life, addr: SocketAddr) {
         let state = self.servers.entry(life.clone());
-        let state = state.or_insert_with(|| new_state(addr, now));
+        let state = state.or_insert_with(|| ServerState::new(addr, now));
         state.addr = addr;
         state.seen = now;
     }
@@ -306,7 +307,7 @@
             ReleaseEnd::Silent => {
                 // A server that keeps keys must be renewed at once; one without may wait.
                 if self.record.span_of(life).is_none() {
-                    state.retry = now + PROBE_EVERY;
+                    state.retry = now + self.timing.probe;
                 }
                 self.retry(life, now + Millis(self.timing.renew.0 / 4));
             }
@@ -320,18 +321,3 @@
         }
     }
 }
-
-fn new_state(addr: SocketAddr, now: Millis) -> ServerState {
-    ServerState {
-        addr,
-        held_until: Millis::ZERO,
-        hold: Millis::ZERO,
-        long_until: Millis::ZERO,
-        retry: now,
-        seen: now,
-        busy: false,
-        confirmed: 0,
-        silent: None,
-        ended: false,
-    }
-}
--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -13,6 +13,7 @@
 mod plan;
 mod record;
 mod server_state;
+mod span_set;
 mod timing;
 
 pub use duty::Duty;
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -28,3 +28,21 @@
     /// Whether the server's life is known to have ended.
     pub(crate) ended: bool,
 }
+
+impl ServerState {
+    /// Builds the state of a server of which nothing is known but where it is.
+    pub(crate) const fn new(addr: SocketAddr, now: Millis) -> Self {
+        Self {
+            addr,
+            held_until: Millis::ZERO,
+            hold: Millis::ZERO,
+            long_until: Millis::ZERO,
+            retry: now,
+            seen: now,
+            busy: false,
+            confirmed: 0,
+            silent: None,
+            ended: false,
+        }
+    }
+}
--- a/crates/chicoryrail-ownership/src/keys/timing.rs
+++ b/crates/chicoryrail-ownership/src/keys/timing.rs
@@ -19,6 +19,9 @@
     pub grant_limit: Millis,
     /// Longest wait for the answer to a release, which comes when the work on the keys has ended.
     pub release_limit: Millis,
+    /// Time between two probes of a lost server. Keys given to one that still does not answer are unserved
+    /// until they are taken away again, so it must answer before it gets any.
+    pub probe: Millis,
     /// Time for which an earlier leader may go on renewing after another has taken over.
     pub stale_leader: Millis,
 }
@@ -34,6 +37,7 @@
             renew: Millis(600),
             grant_limit: Millis(300),
             release_limit: Millis(1_000),
+            probe: Millis(1_500),
             stale_leader: Millis(1_500),
         }
     }
--- a/crates/chicoryrail-router/src/control/desk_duty.rs
+++ b/crates/chicoryrail-router/src/control/desk_duty.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
+use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::keys::KeyOwner;
+use chicoryrail_policy::Desk;
 use chicoryrail_policy::DeskAsk;
 use chicoryrail_policy::DeskEnd;
 use chicoryrail_policy::DeskPlace;
@@ -63,11 +65,22 @@
     }
 }
 
-/// Takes in a request that asks; `from` is `None` for this host itself.
-pub(crate) fn ask(router: &Rc<Router>, ask: &Ask, from: Option<SocketAddr>) {
+/// Takes in what is meant for the desk; `from` is `None` for this host itself. Where this host does not lead
+/// any more it is dropped, and who asked asks the next leader.
+pub(crate) fn take(router: &Rc<Router>, packet: &Packet, from: Option<SocketAddr>) {
     if router.leads.get() == 0 {
         return;
     }
+    match packet {
+        Packet::Ask(asked) => ask(router, asked, from),
+        Packet::End(end) => ended(router, end),
+        Packet::Leave { service, ticket } => left(router, service, *ticket),
+        Packet::Word(_) | Packet::Told { .. } => {}
+    }
+}
+
+/// Takes in a request that asks.
+fn ask(router: &Rc<Router>, ask: &Ask, from: Option<SocketAddr>) {
     let now = router.now();
     let service = router.service(&ask.service);
     let ids = ask
@@ -106,10 +119,7 @@
 }
 
 /// Takes in how a request ended.
-pub(crate) fn ended(router: &Rc<Router>, end: &End) {
-    if router.leads.get() == 0 {
-        return;
-    }
+fn ended(router: &Rc<Router>, end: &End) {
     let service = router.service(&end.service);
     let Some(target) = service.target(&end.server) else {
         return;
@@ -143,7 +153,7 @@
 }
 
 /// Takes in that a caller has left.
-pub(crate) fn left(router: &Router, service: &chicoryrail_core::ServiceName, ticket: u64) {
+fn left(router: &Router, service: &ServiceName, ticket: u64) {
     if let Some(desk) = router.hall.desks.borrow_mut().get_mut(service) {
         desk.leave(ticket);
     }
@@ -170,8 +180,9 @@
     }
 }
 
-/// Brings the desk's servers in line with what is believed of them.
-fn set_seats(router: &Router, service: &Service, desk: &mut chicoryrail_policy::Desk, now: Millis) {
+/// Brings the desk's servers in line with what is believed of them. That changes with entries, with answers
+/// (a server says that it is cold) and with time (a leaving one's is over), so it is done for each decision.
+fn set_seats(router: &Router, service: &Service, desk: &mut Desk, now: Millis) {
     let bound = router.cold_bound(&service.name);
     let targets = service.targets.borrow();
     let any_ready = targets.values().any(|t| t.is_ready());
@@ -209,9 +220,9 @@
     if let Told::Refuse(after) = told {
         let desks = router.hall.desks.borrow();
         let desk = desks.get(&service.name);
-        let (busy, slots) = desk.map_or((0, 0), chicoryrail_policy::Desk::filled);
+        let (busy, slots) = desk.map_or((0, 0), Desk::filled);
         log::info!(request = origin.id, service:% = service.name, room_in_ms = after, busy = busy,
-            slots = slots, waiting = desk.map_or(0, chicoryrail_policy::Desk::waiting);
+            slots = slots, waiting = desk.map_or(0, Desk::waiting);
             "desk_refused");
     }
     answer(router, origin.from, ticket, told);
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -46,10 +46,8 @@
     pub(crate) fn take(&self, packet: Packet, from: SocketAddr) {
         match packet {
             Packet::Word(word) => self.read(word),
-            Packet::Ask(ask) => desk_duty::ask(&self.router, &ask, Some(from)),
             Packet::Told { ticket, told } => self.told(ticket, told),
-            Packet::End(end) => desk_duty::ended(&self.router, &end),
-            Packet::Leave { service, ticket } => desk_duty::left(&self.router, &service, ticket),
+            packet => desk_duty::take(&self.router, &packet, Some(from)),
         }
     }
 
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -81,13 +81,11 @@
     if fresh.is_empty() {
         fresh = open.iter().collect();
     }
+    let mut ids: Vec<ServerId> = fresh.iter().map(|t| t.id).collect();
     let loads = service.loads.borrow();
-    loop {
-        let ids: Vec<ServerId> = fresh.iter().map(|t| t.id).collect();
-        let Some(id) = loads.pick(now, &mut rand::rng(), &ids, work) else {
-            break;
-        };
-        let at = fresh.iter().position(|t| t.id == id).unwrap_or(0);
+    while let Some(id) = loads.pick(now, &mut rand::rng(), &ids, work) {
+        let at = ids.iter().position(|i| *i == id).unwrap_or(0);
+        ids.swap_remove(at);
         let target = fresh.swap_remove(at);
         if paced(router, call, target, now) {
             return Choice::Send(Rc::clone(target));
--- a/crates/chicoryrail-router/src/route/desk.rs
+++ b/crates/chicoryrail-router/src/route/desk.rs
@@ -150,16 +150,21 @@
             work_us: work as u64,
             not: tried.to_vec(),
         };
-        if self.router.leads.get() > 0 {
-            desk_duty::ask(self.router, &ask, None);
-            return true;
-        }
-        let Some(leader) = self.router.peers.borrow().leader_addr() else {
-            return false;
-        };
-        self.router.talk.post(Packet::Ask(ask), leader);
-        true
+        to_desk(self.router, Packet::Ask(ask))
+    }
+}
+
+/// Brings a packet to the desk: here, where this host leads, or to the leader; tells whether there is one.
+fn to_desk(router: &Rc<Router>, packet: Packet) -> bool {
+    if router.leads.get() > 0 {
+        desk_duty::take(router, &packet, None);
+        return true;
+    }
+    let leader = router.peers.borrow().leader_addr();
+    if let Some(leader) = leader {
+        router.talk.post(packet, leader);
     }
+    leader.is_some()
 }
 
 impl Drop for Place<'_> {
@@ -168,14 +173,11 @@
         if !self.waits {
             return;
         }
-        let service = self.service.clone();
-        let ticket = self.ticket;
-        if self.router.leads.get() > 0 {
-            desk_duty::left(self.router, &service, ticket);
-        } else if let Some(leader) = self.router.peers.borrow().leader_addr() {
-            let packet = Packet::Leave { service, ticket };
-            self.router.talk.post(packet, leader);
-        }
+        let packet = Packet::Leave {
+            service: self.service.clone(),
+            ticket: self.ticket,
+        };
+        to_desk(self.router, packet);
     }
 }
 
@@ -242,10 +244,6 @@
             kind: self.kind.get(),
             report,
         };
-        if self.router.leads.get() > 0 {
-            desk_duty::ended(&self.router, &end);
-        } else if let Some(leader) = self.router.peers.borrow().leader_addr() {
-            self.router.talk.post(Packet::End(end), leader);
-        }
+        to_desk(&self.router, Packet::End(end));
     }
 }
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -4,7 +4,6 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-use bpaf::ParseFailure;
 use chicoryrail_core::Millis;
 use chicoryrail_platform::Boot;
 use chicoryrail_runtime::CancellationToken;
@@ -16,6 +15,7 @@
 use chicoryrail_runtime::block_on;
 use chicoryrail_runtime::error_answer;
 use chicoryrail_runtime::exit_with;
+use chicoryrail_runtime::from_args;
 use chicoryrail_runtime::serve_http;
 use chicoryrail_runtime::serve_http_shared;
 use chicoryrail_runtime::stop_on_signal;
@@ -76,16 +76,9 @@
 /// Reads the settings, serves until a stop signal and returns the exit code.
 #[must_use]
 pub fn run_from_args() -> ExitCode {
-    let options = match options().run_inner(bpaf::Args::current_args()) {
+    let options = match from_args(&options()) {
         Ok(options) => options,
-        Err(ParseFailure::Stderr(text)) => {
-            let text = text.monochrome(true);
-            return exit_with(text.trim_end());
-        }
-        Err(failure) => {
-            failure.print_message(100);
-            return ExitCode::SUCCESS;
-        }
+        Err(code) => return code,
     };
     let boot = match Boot::read() {
         Ok(boot) => boot,
--- a/crates/chicoryrail-runtime/src/http_server.rs
+++ b/crates/chicoryrail-runtime/src/http_server.rs
@@ -99,6 +99,15 @@
 {
     let handler = Rc::new(handler);
     let open = Rc::new(Cell::new(0_u32));
+    let take = |stream, addr| {
+        open.set(open.get() + 1);
+        let (open, handler, stop) = (Rc::clone(&open), Rc::clone(&handler), stop.clone());
+        let limits = limits.get();
+        monoio::spawn(async move {
+            connection(stream, addr, limits, stop, handler).await;
+            open.set(open.get() - 1);
+        });
+    };
     loop {
         let accepted = listener.accept().fuse();
         let stopped = stop.cancelled().fuse();
@@ -106,15 +115,7 @@
         select_biased! {
             () = stopped => break,
             result = accepted => match result {
-                Ok((stream, addr)) if open.get() < limits.get().connections => {
-                    open.set(open.get() + 1);
-                    let (open, handler, stop) = (Rc::clone(&open), Rc::clone(&handler), stop.clone());
-                    let limits = limits.get();
-                    monoio::spawn(async move {
-                        connection(stream, addr, limits, stop, handler).await;
-                        open.set(open.get() - 1);
-                    });
-                }
+                Ok((stream, addr)) if open.get() < limits.get().connections => take(stream, addr),
                 Ok(_) => {}
                 // Out of file descriptors: a short rest in place of a busy loop.
                 Err(_) => monoio::time::sleep(Millis(10).duration()).await,
@@ -127,13 +128,7 @@
         let Ok(Ok((stream, addr))) = timeout(LAST_WAIT.duration(), listener.accept()).await else {
             break;
         };
-        open.set(open.get() + 1);
-        let (open, handler, stop) = (Rc::clone(&open), Rc::clone(&handler), stop.clone());
-        let limits = limits.get();
-        monoio::spawn(async move {
-            connection(stream, addr, limits, stop, handler).await;
-            open.set(open.get() - 1);
-        });
+        take(stream, addr);
     }
     drop(listener);
     while open.get() > 0 {
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -65,6 +65,7 @@
 pub use server_pool::ServerConn;
 pub use server_pool::ServerPool;
 pub use settings::SettingError;
+pub use settings::from_args;
 pub use settings::setting;
 pub use settings::switch_setting;
 pub use signal::Signal;
--- a/crates/chicoryrail-runtime/src/settings.rs
+++ b/crates/chicoryrail-runtime/src/settings.rs
@@ -1,12 +1,17 @@
 //! Settings that every process of a host has.
 
 use std::fmt::Display;
+use std::process::ExitCode;
 use std::str::FromStr;
 
+use bpaf::Args;
+use bpaf::OptionParser;
 use bpaf::Parser;
 use bpaf::long;
 use snafu::Snafu;
 
+use crate::start::BAD_SETTING;
+
 /// A flag or environment variable with an unusable value.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("--{flag} = {value}: {reason}"))]
@@ -19,6 +24,22 @@
     pub reason: String,
 }
 
+/// Parses the process's own arguments, or prints help or what is wrong with them.
+///
+/// # Errors
+///
+/// Returns the code with which the process is to end: 0 after help, 2 after a bad flag or variable.
+pub fn from_args<T>(parser: &OptionParser<T>) -> Result<T, ExitCode> {
+    parser.run_inner(Args::current_args()).map_err(|failure| {
+        failure.print_message(100);
+        ExitCode::from(if failure.exit_code() == 0 {
+            0
+        } else {
+            BAD_SETTING
+        })
+    })
+}
+
 /// Parses one setting from its flag or, where that is missing, its environment variable.
 ///
 /// An unusable value is reported with the flag and the value, which the command line library does
--- a/crates/chicoryrail-runtime/src/start.rs
+++ b/crates/chicoryrail-runtime/src/start.rs
@@ -82,7 +82,7 @@
 }
 
 /// Exit code of a process that got a bad flag, environment variable or file.
-const BAD_SETTING: u8 = 2;
+pub(crate) const BAD_SETTING: u8 = 2;
 
 /// Prints why a process can't start and returns the exit code for it.
 #[must_use]
--- a/crates/chicoryrail-testkit/src/chaos.rs
+++ b/crates/chicoryrail-testkit/src/chaos.rs
@@ -9,7 +9,7 @@
 mod summary;
 
 pub(crate) use fault::Fault;
-pub(crate) use lane::FaultRecord;
+pub(crate) use fault::FaultRecord;
 pub use options::ChaosOptions;
 pub use run::run;
 pub use summary::Summary;
--- a/crates/chicoryrail-testkit/src/chaos/fault.rs
+++ b/crates/chicoryrail-testkit/src/chaos/fault.rs
@@ -74,6 +74,20 @@
     RollingRestart,
 }
 
+/// A fault as it was made.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct FaultRecord {
+    /// The fault.
+    #[serde(flatten)]
+    pub(crate) fault: Fault,
+    /// Wall-clock start in microseconds.
+    pub(crate) from: u64,
+    /// Wall-clock end in microseconds.
+    pub(crate) until: u64,
+    /// What did not go as planned; empty where all did.
+    pub(crate) note: String,
+}
+
 /// What faults are drawn from.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sizes {
--- a/crates/chicoryrail-testkit/src/chaos/lane.rs
+++ b/crates/chicoryrail-testkit/src/chaos/lane.rs
@@ -3,29 +3,14 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::chaos::act;
 use crate::chaos::fault::Fault;
+use crate::chaos::fault::FaultRecord;
 use crate::chaos::fault::Sizes;
 use crate::chaos::scene::Scene;
 use crate::wall_micros;
 
-/// A fault as it was made.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct FaultRecord {
-    /// The fault.
-    #[serde(flatten)]
-    pub(crate) fault: Fault,
-    /// Wall-clock start in microseconds.
-    pub(crate) from: u64,
-    /// Wall-clock end in microseconds.
-    pub(crate) until: u64,
-    /// What did not go as planned; empty where all did.
-    pub(crate) note: String,
-}
-
 /// Makes faults until the wall clock reaches `ends`, in microseconds.
 ///
 /// The draws depend on the seed alone: how long an act takes moves the later faults, not which
--- a/crates/chicoryrail-testkit/src/chaos/scene.rs
+++ b/crates/chicoryrail-testkit/src/chaos/scene.rs
@@ -14,7 +14,7 @@
 use crate::HostTime;
 use crate::Operator;
 use crate::OutPeriod;
-use crate::chaos::lane::FaultRecord;
+use crate::chaos::FaultRecord;
 
 /// Step of a wait that may be ended early.
 const STEP: Duration = Duration::from_millis(10);
--- a/crates/chicoryrail-testkit/src/checker.rs
+++ b/crates/chicoryrail-testkit/src/checker.rs
@@ -4,6 +4,7 @@
 mod assigned;
 mod availability;
 mod evidence;
+mod find;
 mod orders;
 mod owners;
 mod placement;
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -3,14 +3,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::Evidence;
-use crate::checker::answers;
-use crate::checker::assigned;
-use crate::checker::orders;
-use crate::checker::owners;
-use crate::checker::placement;
-use crate::checker::stored;
-
 /// A promise that was broken.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "kind")]
@@ -115,17 +107,3 @@
         bears: u32,
     },
 }
-
-impl Violation {
-    /// Returns every broken promise that shows in what was seen.
-    #[must_use]
-    pub fn find(seen: &Evidence) -> Vec<Self> {
-        let mut found = owners::check(seen);
-        found.extend(assigned::check(seen));
-        found.extend(orders::check(seen));
-        found.extend(answers::check(seen));
-        found.extend(stored::check(seen));
-        found.extend(placement::check(seen));
-        found
-    }
-}
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -28,6 +28,7 @@
 mod query;
 mod store;
 mod target;
+mod timed;
 mod wall;
 
 pub use chaos::ChaosOptions;
--- a/crates/chicoryrail-testkit/src/load.rs
+++ b/crates/chicoryrail-testkit/src/load.rs
@@ -2,6 +2,7 @@
 
 mod balancer;
 mod call;
+mod host;
 mod mix;
 mod pool;
 mod run;
@@ -9,10 +10,10 @@
 
 pub use call::CallRecord;
 pub use call::Outcome;
+pub use host::LoadHost;
 pub use mix::LoadKind;
 pub use mix::LoadService;
 pub use run::Load;
-pub use run::LoadHost;
 pub use run::LoadOptions;
 pub use run::Progress;
 pub use summary::LoadSummary;
--- a/crates/chicoryrail-testkit/src/load/run.rs
+++ b/crates/chicoryrail-testkit/src/load/run.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -16,6 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::CallRecord;
+use crate::LoadHost;
 use crate::LoadService;
 use crate::Outcome;
 use crate::load::balancer::Balancer;
@@ -28,15 +28,6 @@
 /// their intended start all the same.
 const IN_FLIGHT_MOST: u32 = 2_000;
 
-/// An entry host as callers know it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LoadHost {
-    /// Address of the listener for callers.
-    pub callers: SocketAddr,
-    /// Address where the balancer asks whether the host takes callers; `None` to use it always.
-    pub readiness: Option<SocketAddr>,
-}
-
 /// Settings of a run of load.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadOptions {
--- a/crates/chicoryrail-testkit/src/proxy.rs
+++ b/crates/chicoryrail-testkit/src/proxy.rs
@@ -4,6 +4,7 @@
 mod fault;
 mod link;
 mod net;
+mod serve;
 
 pub use fault::LinkFault;
 pub use link::Link;
--- a/crates/chicoryrail-testkit/src/proxy/link.rs
+++ b/crates/chicoryrail-testkit/src/proxy/link.rs
@@ -1,24 +1,16 @@
 //! One link: a listener and the process behind it.
 
-use std::io;
 use std::net::SocketAddr;
-use std::net::TcpListener as StdListener;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use monoio::net::TcpListener;
-use monoio::time::timeout;
-use rand::RngCore;
-use rand::SeedableRng;
-use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::LinkFault;
-use crate::proxy::connection::connection;
 
 /// Wait between two looks at a link's fault, which another thread may change.
 pub(crate) const LOOK: Duration = Duration::from_millis(5);
@@ -111,6 +103,11 @@
         self.state().stats
     }
 
+    /// Returns the seed of the draws on the link.
+    pub(crate) const fn seed(&self) -> u64 {
+        self.seed
+    }
+
     pub(crate) fn resets(&self) -> u64 {
         self.state().resets
     }
@@ -122,31 +119,4 @@
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// Serves the link; a closed port is opened again when the fault ends.
-    pub(crate) async fn serve(self, listener: StdListener) {
-        let mut rng = Pcg64Mcg::seed_from_u64(self.seed);
-        let mut listener = listen(listener).ok();
-        loop {
-            if self.fault().closed {
-                listener = None;
-                monoio::time::sleep(LOOK).await;
-                continue;
-            }
-            let Some(open) = &listener else {
-                listener = StdListener::bind(self.addr).and_then(listen).ok();
-                monoio::time::sleep(LOOK).await;
-                continue;
-            };
-            if let Ok(Ok((stream, _))) = timeout(LOOK, open.accept()).await {
-                let (link, seed) = (self.clone(), rng.next_u64());
-                monoio::spawn(connection(link, stream, seed));
-            }
-        }
-    }
-}
-
-fn listen(listener: StdListener) -> io::Result<TcpListener> {
-    listener.set_nonblocking(true)?;
-    TcpListener::from_std(listener)
 }
--- a/crates/chicoryrail-testkit/src/proxy/net.rs
+++ b/crates/chicoryrail-testkit/src/proxy/net.rs
@@ -15,6 +15,7 @@
 use crate::Link;
 use crate::free_port;
 use crate::proxy::link::LOOK;
+use crate::proxy::serve;
 
 /// A thread that carries links; dropping it ends them all.
 #[derive(Debug)]
@@ -94,7 +95,7 @@
     loop {
         match added.try_recv() {
             Ok((link, listener)) => {
-                monoio::spawn(link.serve(listener));
+                monoio::spawn(serve::serve(link, listener));
             }
             Err(TryRecvError::Empty) => monoio::time::sleep(LOOK).await,
             Err(TryRecvError::Disconnected) => return,
--- a/crates/chicoryrail-testkit/src/store/fault.rs
+++ b/crates/chicoryrail-testkit/src/store/fault.rs
@@ -9,6 +9,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::timed::Timed;
+
 /// A fault, as `PUT /testkit/fault` takes it in JSON.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "kind")]
@@ -72,7 +74,7 @@
 /// The faults that are on.
 #[derive(Debug)]
 pub(crate) struct StoreFaults {
-    on: Vec<(Millis, StoreFault)>,
+    on: Timed<StoreFault>,
     /// Silences so far; what was under way when one began stays silent.
     pub(crate) silences: u64,
     rng: Pcg64Mcg,
@@ -81,7 +83,7 @@
 impl StoreFaults {
     pub(crate) fn new(seed: u64) -> Self {
         Self {
-            on: Vec::new(),
+            on: Timed::default(),
             silences: 0,
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
@@ -96,7 +98,7 @@
         | StoreFault::Silent { for_ms }
         | StoreFault::Slow { for_ms, .. }
         | StoreFault::LoseAnswers { for_ms, .. }) = fault;
-        self.on.push((now + Millis(for_ms), fault));
+        self.on.add(now + Millis(for_ms), fault);
     }
 
     /// Switches all faults off.
@@ -106,9 +108,8 @@
 
     /// Draws what befalls the next call.
     pub(crate) fn draw(&mut self, now: Millis, caller: Option<IpAddr>) -> Fate {
-        self.on.retain(|(ends, _)| *ends > now);
         let mut fate = Fate::default();
-        for (_, fault) in &self.on {
+        for (_, fault) in self.on.at(now) {
             let mut hit = |share: &f64| self.rng.random_bool(share.clamp(0.0, 1.0));
             match fault {
                 StoreFault::Down {
--- a/crates/chicoryrail-testkit/src/target/fault.rs
+++ b/crates/chicoryrail-testkit/src/target/fault.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::timed::Timed;
+
 /// A fault, as `PUT /testkit/fault` takes it in JSON.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "kind")]
@@ -113,14 +115,14 @@
 /// The faults that are on.
 #[derive(Debug)]
 pub(crate) struct TargetFaults {
-    on: Vec<(Millis, TargetFault)>,
+    on: Timed<TargetFault>,
     rng: Pcg64Mcg,
 }
 
 impl TargetFaults {
     pub(crate) fn new(seed: u64) -> Self {
         Self {
-            on: Vec::new(),
+            on: Timed::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -140,7 +142,7 @@
             | TargetFault::Crossed { for_ms, .. } => *for_ms,
             TargetFault::Cold { .. } | TargetFault::Leave => return,
         };
-        self.on.push((now + Millis(for_ms), fault));
+        self.on.add(now + Millis(for_ms), fault);
     }
 
     /// Switches all faults off.
@@ -150,9 +152,8 @@
 
     /// Returns the factor on the service time.
     pub(crate) fn factor(&mut self, now: Millis) -> f64 {
-        self.on.retain(|(ends, _)| *ends > now);
         self.on
-            .iter()
+            .at(now)
             .filter_map(|(_, f)| match f {
                 TargetFault::Slow { factor, .. } => Some(*factor),
                 _ => None,
@@ -162,16 +163,14 @@
 
     /// Returns when the server hears calls about keys again, where it does not.
     pub(crate) fn is_deaf(&mut self, now: Millis) -> Option<Millis> {
-        self.on.retain(|(ends, _)| *ends > now);
-        let mut on = self.on.iter();
+        let mut on = self.on.at(now);
         let deaf = on.find(|(_, f)| matches!(f, TargetFault::Deaf { .. }));
         deaf.map(|(ends, _)| *ends)
     }
 
     /// Draws whether the next request is refused.
     pub(crate) fn refuses(&mut self, now: Millis) -> bool {
-        self.on.retain(|(ends, _)| *ends > now);
-        let share = self.on.iter().find_map(|(_, f)| match f {
+        let share = self.on.at(now).find_map(|(_, f)| match f {
             TargetFault::Refuse { share, .. } => Some(share.clamp(0.0, 1.0)),
             _ => None,
         });
@@ -180,9 +179,8 @@
 
     /// Draws what befalls the next answer.
     pub(crate) fn draw(&mut self, now: Millis) -> Fate {
-        self.on.retain(|(ends, _)| *ends > now);
         let mut fate = Fate::default();
-        for (ends, fault) in &self.on {
+        for (ends, fault) in self.on.at(now) {
             let mut hit = |share: &f64| self.rng.random_bool(share.clamp(0.0, 1.0));
             match fault {
                 TargetFault::Freeze { .. } => fate.delay = fate.delay.max(ends.since(now)),
--- a/crates/chicoryrail-timeline/src/run.rs
+++ b/crates/chicoryrail-timeline/src/run.rs
@@ -4,8 +4,8 @@
 use std::io::Write as _;
 use std::process::ExitCode;
 
-use bpaf::Args;
 use chicoryrail_runtime::exit_with;
+use chicoryrail_runtime::from_args;
 
 use crate::Settings;
 use crate::merge;
@@ -14,12 +14,9 @@
 /// Runs the tool; the entry point of the binary.
 #[must_use]
 pub fn main() -> ExitCode {
-    let settings = match settings().run_inner(Args::current_args()) {
+    let settings = match from_args(&settings()) {
         Ok(settings) => settings,
-        Err(failure) => {
-            failure.print_message(100);
-            return ExitCode::from(if failure.exit_code() == 0 { 0 } else { 2 });
-        }
+        Err(code) => return code,
     };
     run(&settings)
 }
