--- a/crates/chicoryrail-testkit/src/target/holding.rs
+++ b/crates/chicoryrail-testkit/src/target/holding.rs
@@ -24,7 +24,7 @@
 /// The keys of a server, on its own clock.
 ///
 /// A request runs only while its key is held. A key is held from the arrival of a grant until its length
-/// has passed or the key is released; a call with a fence below the highest seen on one of its keys does
+/// has passed or the key is released; a grant with a fence below the highest seen on one of its keys does
 /// nothing.
 #[derive(Clone, Debug)]
 pub struct Holding {
@@ -71,20 +71,14 @@
         Ok(())
     }
 
-    /// Gives keys up; the caller waits for the requests that run on them and then calls
-    /// [`Self::released`].
-    ///
-    /// # Errors
-    ///
-    /// Returns an error where a higher fence was seen on one of them.
-    pub fn release(&mut self, grant: &KeyGrant) -> Result<(), FenceOld> {
-        self.pass(grant)?;
+    /// Gives keys up, under whatever fence; the caller waits for the requests that run on them and then
+    /// calls [`Self::released`].
+    pub fn release(&mut self, grant: &KeyGrant) {
         for key in &mut self.keys[range(grant)] {
-            key.seen = grant.fence;
+            key.seen = key.seen.max(grant.fence);
             key.until = Millis::ZERO;
         }
         self.draining.push((grant.first, grant.last));
-        Ok(())
     }
 
     /// Notes that no request runs on released keys any more.
