feat(router): a leader makes way for a host that reaches servers which it does not

Change: hosts tell each other which data centres answer them (in the words they send anyway). A leader to which all servers with keys of a data centre (two at least) are silent for 1 s, and of which another host reaches all that it reaches and that one too, ends its lease; hosts that reach less than another let it go first by 250 ms.

--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/keeper.rs
@@ -154,6 +154,12 @@
         now.since(since) >= Millis(self.timing.hold.0 / 2)
     }
 
+    /// Returns since when a server has not answered grants.
+    #[must_use]
+    pub fn silent_since(&self, life: &Life) -> Option<Millis> {
+        self.servers.get(life)?.silent
+    }
+
     /// Returns the keys that are meant for somebody but not granted yet.
     #[must_use]
     pub fn blocked(&self) -> Vec<KeySpan> {
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -17,6 +17,8 @@
 
 pub mod keys;
 mod peers;
+mod reach;
 pub mod store_key;
 
 pub use peers::Peers;
+pub use reach::Reach;
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -1,8 +1,10 @@
 //! What a host hears from the others.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use chicoryrail_core::DcName;
 use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
 
@@ -13,13 +15,18 @@
 /// Age of a host's last word up to which it counts: three of the words that hosts send.
 const LATELY: Millis = Millis(1_300);
 
+/// Age of a host's last word up to which what it says of its reach counts: one word and a half.
+const REACH_AGE: Millis = Millis(600);
+
 /// What was heard from a host.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Peer {
     addr: SocketAddr,
     heard: Option<Millis>,
     /// Whether the store answers it, by its own word.
     store: bool,
+    /// Data centres whose servers answer it, by its own word.
+    reaches: BTreeSet<DcName>,
 }
 
 /// The other hosts.
@@ -45,6 +52,7 @@
                 addr,
                 heard: known.and_then(|p| p.heard),
                 store: known.is_none_or(|p| p.store),
+                reaches: known.map(|p| p.reaches.clone()).unwrap_or_default(),
             };
             self.hosts.insert(name, peer);
         }
@@ -79,6 +87,32 @@
         }
     }
 
+    /// Takes in which data centres a host reaches.
+    pub fn heard_reach(&mut self, host: &HostName, reaches: BTreeSet<DcName>) {
+        if let Some(peer) = self.hosts.get_mut(host) {
+            peer.reaches = reaches;
+        }
+    }
+
+    /// Tells whether another host reaches `more` and all of `mine`.
+    #[must_use]
+    pub fn reaches_all(&self, now: Millis, mine: &BTreeSet<DcName>, more: &DcName) -> bool {
+        let all = |p: &Peer| p.reaches.contains(more) && p.reaches.is_superset(mine);
+        self.lately(now).any(all)
+    }
+
+    /// Tells whether another host reaches more data centres than `mine`.
+    #[must_use]
+    pub fn reach_more(&self, now: Millis, mine: &BTreeSet<DcName>) -> bool {
+        self.lately(now).any(|p| p.reaches.len() > mine.len())
+    }
+
+    /// Iterates over the hosts whose word on their reach is fresh.
+    fn lately(&self, now: Millis) -> impl Iterator<Item = &Peer> {
+        let fresh = move |p: &&Peer| p.heard.is_some_and(|at| now.since(at) <= REACH_AGE);
+        self.hosts.values().filter(fresh)
+    }
+
     /// Tells whether every other host was heard lately and says that the store is away. A host that was not
     /// heard may have it.
     #[must_use]
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -22,6 +22,13 @@
 /// Time over which hosts spread their attempts to lead, so that mostly one of them calls.
 const SPREAD: Millis = Millis(60);
 
+/// Time for which a host lets those go first that reach more data centres: an election among them is over by
+/// then, and the hold of keys (2.5 s) bears it.
+const REACH_LESS: Millis = Millis(250);
+
+/// Time for which a leader that made way does not try again.
+const MAKES_WAY: Millis = Millis(1_000);
+
 /// Pause between two looks whether there is a leader.
 const LOOK: Millis = Millis(100);
 
@@ -36,7 +43,11 @@
         if !known || router.view.borrow().own(LEADER).is_some() {
             continue;
         }
-        let wait = Millis(rand::rng().random_range(0..SPREAD.0));
+        let mut wait = Millis(rand::rng().random_range(0..SPREAD.0));
+        let reaches = router.reach.borrow().lately(router.now());
+        if router.peers.borrow().reach_more(router.now(), &reaches) {
+            wait = wait + REACH_LESS;
+        }
         router.process.clock.sleep(wait).await;
         if router.view.borrow().own(LEADER).is_some() {
             continue;
@@ -106,9 +117,12 @@
     router.hall.clear();
     router.counters.leading.set(0);
     log::info!(term = term, why = why; "leader_lost");
-    if why == "stop" {
+    if why == "stop" || why == "out_of_reach" {
         end(router, lease).await;
     }
+    if tenure.resigns.replace(false) {
+        router.process.clock.sleep(MAKES_WAY).await;
+    }
 }
 
 async fn hold(router: &Router, tenure: &Tenure, term: u64, lease: u64) -> &'static str {
@@ -129,6 +143,9 @@
             if router.peers.borrow().highest_term() > term {
                 return "successor";
             }
+            if tenure.resigns.get() {
+                return "out_of_reach";
+            }
             if tenure.term.get() != term {
                 return "deposed";
             }
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -81,6 +81,7 @@
             term: self.router.peers.borrow().highest_term(),
             leads,
             store: self.router.store_up.get(),
+            reaches: self.router.reach.borrow().lately(self.router.now()),
             keys,
             asked: self.asked(leads),
         }
@@ -144,6 +145,7 @@
         {
             let mut peers = self.router.peers.borrow_mut();
             peers.heard(now, &word.host, word.store);
+            peers.heard_reach(&word.host, word.reaches);
             let leader = word.leads.then_some(&word.host);
             if word.leads && word.term >= known {
                 peers.heard_leader(now);
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -129,6 +129,7 @@
             let away = self.router.all_lost_store(self.router.now());
             self.keeper.borrow_mut().store_away(away);
             self.see_servers();
+            self.check_reach();
             self.plan();
             // Looked at right before the orders go out: a process that slept must not act on what it
             // believed before.
@@ -182,6 +183,25 @@
         }
     }
 
+    /// Makes way for a host that reaches servers which this one does not.
+    fn check_reach(&self) {
+        let now = self.router.now();
+        let service = self.router.service(&self.service);
+        let targets = service.targets.borrow();
+        let keeper = self.keeper.borrow();
+        let owners = keeper.record().spans.iter().map(|s| &s.owner);
+        let owners = owners.filter_map(|life| {
+            let target = targets.get(life)?;
+            Some((&target.dc, keeper.silent_since(life)))
+        });
+        let reach = self.router.reach.borrow();
+        let lost = reach.out_of_reach(now, owners, &self.router.peers.borrow());
+        if let Some(dc) = lost.filter(|_| !self.tenure.resigns.get()) {
+            log::warn!(service:% = self.service, term = self.term, dc:% = dc; "leader_makes_way");
+            self.tenure.resigns.set(true);
+        }
+    }
+
     fn plan(&self) {
         let now = self.router.now();
         if self.keeper.borrow().is_writing() {
--- a/crates/chicoryrail-router/src/control/tenure.rs
+++ b/crates/chicoryrail-router/src/control/tenure.rs
@@ -29,6 +29,8 @@
     /// When the last confirmed renewal of the lease was sent.
     pub(crate) confirmed: Cell<Millis>,
     pub(crate) ttl: Cell<Millis>,
+    /// Whether this host makes way for one that reaches more.
+    pub(crate) resigns: Cell<bool>,
     /// Records with the keys that are not granted yet.
     pub(crate) words: RefCell<BTreeMap<ServiceName, (KeyRecord, Vec<KeySpan>)>>,
     /// Notified when the words change.
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -188,6 +188,10 @@
     if echoed.is_some_and(|id| Some(id) != call.headers.get(call_header::REQUEST_ID)) {
         return Sent::Unknown(Unknown::Crossed);
     }
+    router
+        .reach
+        .borrow_mut()
+        .answered(router.now(), &flight.target.dc);
     hear(router, service, &flight, &head.headers);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         drain(body, flight).await;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -9,6 +9,7 @@
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::Site;
 use chicoryrail_ownership::Peers;
+use chicoryrail_ownership::Reach;
 use chicoryrail_platform::Boot;
 use chicoryrail_platform::KeyControl;
 use chicoryrail_platform::KvStore;
@@ -38,6 +39,8 @@
     pub(crate) control: KeyControl,
     pub(crate) view: RefCell<View>,
     pub(crate) peers: RefCell<Peers>,
+    /// Which data centres' servers answer this host.
+    pub(crate) reach: RefCell<Reach>,
     /// Bounds on callers' connections.
     pub(crate) limits: SharedLimits,
     /// Requests being served.
@@ -74,6 +77,7 @@
             control: KeyControl::default(),
             view: RefCell::default(),
             peers: RefCell::default(),
+            reach: RefCell::default(),
             limits: Rc::new(Cell::new(limits)),
             serving: Cell::new(0),
             store_up: Cell::new(false),
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -1,5 +1,7 @@
 //! What hosts tell each other.
 
+use std::collections::BTreeSet;
+
 use bincode::Decode;
 use bincode::Encode;
 use chicoryrail_core::DcName;
@@ -32,6 +34,8 @@
     pub(crate) leads: bool,
     /// Whether the store answers it.
     pub(crate) store: bool,
+    /// Data centres whose servers answer it.
+    pub(crate) reaches: BTreeSet<DcName>,
     pub(crate) keys: Vec<KeyWord>,
     pub(crate) asked: Vec<Asked>,
 }
