feat(router): callers that leave, holds that are waited out and late renewals have their log lines

A caller that left was counted nowhere and logged nowhere; the end of a former holder's time and a renewal after half of a hold could only be guessed from other lines. Test: answers.rs waits for request_given_up.

--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -37,9 +37,12 @@
     fn settle(&mut self, now: Millis) {
         let lapse = self.timing.hold - self.timing.renew;
         self.live.retain(|l| now < l.due + lapse);
-        let servers = &self.servers;
+        let (servers, waited_out) = (&self.servers, &mut self.waited_out);
         self.claims.retain(|c| {
             let ended = servers.get(&c.owned.owner).is_none_or(|s| s.ended);
+            if !ended && now >= c.until {
+                waited_out.push(c.owned.clone());
+            }
             !ended && now < c.until
         });
     }
--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/keeper.rs
@@ -34,6 +34,8 @@
     pub(super) freed: Vec<Freed>,
     pub(super) writing: Option<KeyRecord>,
     pub(super) live: Vec<Live>,
+    /// Claims that ended because their time was over, not yet told.
+    pub(super) waited_out: Vec<OwnedSpan>,
     pub(super) deposed: bool,
     /// How long grants last that go out now.
     hold: Millis,
@@ -77,6 +79,7 @@
             freed: Vec::new(),
             writing: Some(next),
             live: Vec::new(),
+            waited_out: Vec::new(),
             deposed: false,
             hold: timing.hold,
             record,
@@ -154,6 +157,11 @@
         now.since(since) >= Millis(self.timing.hold.0 / 2)
     }
 
+    /// Returns the keys that former holders have kept until the end of their hold, each once.
+    pub fn take_waited_out(&mut self) -> Vec<OwnedSpan> {
+        std::mem::take(&mut self.waited_out)
+    }
+
     /// Returns since when a server has not answered grants.
     #[must_use]
     pub fn silent_since(&self, life: &Life) -> Option<Millis> {
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -47,6 +47,8 @@
     pub(super) service: ServiceName,
     pub(super) keeper: RefCell<Keeper>,
     pub(super) revision: std::cell::Cell<u64>,
+    /// When each server confirmed a grant last.
+    pub(super) confirmed: RefCell<BTreeMap<Life, Millis>>,
     /// Fence of the record that is in the store.
     pub(super) stored: std::cell::Cell<u64>,
     pub(super) balanced: std::cell::Cell<Millis>,
@@ -116,6 +118,7 @@
         service: service.clone(),
         keeper: RefCell::new(keeper),
         revision: std::cell::Cell::new(revision),
+        confirmed: RefCell::default(),
         stored: std::cell::Cell::new(stored),
         balanced: std::cell::Cell::new(now),
         committing: std::cell::Cell::new(false),
@@ -257,6 +260,10 @@
     fn act(self: &Rc<Self>) {
         let now = self.router.now();
         let duties = self.keeper.borrow_mut().due(now);
+        for owned in self.keeper.borrow_mut().take_waited_out() {
+            log::info!(server:% = owned.owner, service:% = self.service,
+                first = owned.span.first, last = owned.span.last; "hold_waited_out");
+        }
         for duty in duties {
             match duty {
                 Duty::Commit(record) => {
--- a/crates/chicoryrail-router/src/control/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/key_calls.rs
@@ -112,6 +112,9 @@
                 error:% = e; "grant_{name}");
         }
         let now = self.router.now();
+        if result.is_ok() {
+            self.note_confirmed(now, &life);
+        }
         let span = KeySpan {
             first: grant.first,
             last: grant.last,
@@ -120,6 +123,15 @@
         keeper.granted(now, &life, span, grant.fence, end);
     }
 
+    /// Notes a confirmed grant, and logs one that came late: half of a hold after the one before.
+    fn note_confirmed(&self, now: Millis, life: &Life) {
+        let before = self.confirmed.borrow_mut().insert(life.clone(), now);
+        let late = before.map_or(Millis::ZERO, |at| now.since(at));
+        if late > Millis(KeyTiming::default().hold.0 / 2) {
+            log::info!(server:% = life, service:% = self.service, after_ms = late.0; "renewed_late");
+        }
+    }
+
     pub(super) async fn release(self: Rc<Self>, life: Life, addr: SocketAddr, grant: KeyGrant) {
         let limit = KeyTiming::default().release_limit;
         let control = &self.router.control;
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -50,6 +50,7 @@
     let body = body.map_err(io::Error::other).boxed_unsync();
     let body = RequestBody::new(Box::pin(body), limit);
     let call = Rc::new(call);
+    let mut patience = Patience::new(router, &call);
     let result = match call.route.repeat {
         Repeat::Any => answer(router, &call, &body).await,
         // A request that may run once is not broken off when its caller leaves: what its server has
@@ -60,9 +61,40 @@
             task.await
         }
     };
+    patience.ended = true;
     finish(router, &call, result)
 }
 
+/// Tells where a caller leaves before its answer: the HTTP layer then drops what serves it.
+struct Patience {
+    router: Rc<Router>,
+    call: Rc<Call>,
+    ended: bool,
+}
+
+impl Patience {
+    fn new(router: &Rc<Router>, call: &Rc<Call>) -> Self {
+        Self {
+            router: Rc::clone(router),
+            call: Rc::clone(call),
+            ended: false,
+        }
+    }
+}
+
+impl Drop for Patience {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let took = self.router.now().since(self.call.arrived);
+        let labels = [self.call.service_name().as_str(), "given_up"];
+        let requests = &self.router.counters.requests;
+        requests.with_label_values(&labels).inc();
+        log_end(&self.call, "given_up", took, None, None);
+    }
+}
+
 async fn answer(
     router: &Rc<Router>,
     call: &Call,
@@ -86,14 +118,15 @@
         Ok(answer) => {
             let outcome = outcome(&answer, took, call.route.aim);
             if sampled(router, call) || outcome != "in_time" {
-                log_end(call, outcome, took, answer.status(), None);
+                log_end(call, outcome, took, Some(answer.status()), None);
             }
             (outcome, answer)
         }
         Err(refusal) => {
             let labels = [service, refusal.cause.name()];
             router.counters.refusals.with_label_values(&labels).inc();
-            log_end(call, "refused", took, refusal.cause.status(), Some(refusal));
+            let status = Some(refusal.cause.status());
+            log_end(call, "refused", took, status, Some(refusal));
             ("refused", refusal.answer())
         }
     };
@@ -145,7 +178,13 @@
 }
 
 /// Logs a request's end, with what decided it.
-fn log_end(call: &Call, outcome: &str, took: Millis, status: StatusCode, refusal: Option<Refusal>) {
+fn log_end(
+    call: &Call,
+    outcome: &str,
+    took: Millis,
+    status: Option<StatusCode>,
+    refusal: Option<Refusal>,
+) {
     let trail = call.trail.borrow();
     let server = trail
         .server
@@ -157,7 +196,7 @@
     let time = call.deadline.since(call.arrived);
     let key = call.key.map_or_else(|| "-".to_owned(), |k| k.to_string());
     log::info!(request = call.id, route = call.route.name, service:% = call.service_name(),
-        status = status.as_u16(), cause = cause, retry_after_ms = after, took_ms = took.0,
+        status = status.map_or(0, |s| s.as_u16()), cause = cause, retry_after_ms = after, took_ms = took.0,
         waited_ms = trail.waited.0, aim_ms = call.route.aim.0, time_ms = time.0,
         server = server, sends = trail.sends, chosen_by = by, key = key,
         config = call.version; "request_{outcome}");
--- a/crates/chicoryrail-router/tests/answers.rs
+++ b/crates/chicoryrail-router/tests/answers.rs
@@ -98,6 +98,10 @@
         })
         .await;
         assert_eq!(server.runs(), 0);
+        wait_until("it is logged", async || {
+            router.log().contains("log=request_given_up")
+        })
+        .await;
     });
 }
 
