--- a/crates/chicoryrail-core/src/site/route.rs
+++ b/crates/chicoryrail-core/src/site/route.rs
@@ -43,36 +43,3 @@
     /// Services with their weights; at least one.
     pub parts: Vec<Part>,
 }
-
-impl Route {
-    /// Returns the part that `draw`, a number below the sum of the weights, falls on.
-    ///
-    /// # Example
-    ///
-    /// ```
-    /// # use chicoryrail_core::{Millis, Part, Repeat, Route};
-    /// # let part = |s: &str, weight| Part { service: s.into(), weight };
-    /// # let route = Route { name: "r".into(), host: "h".into(), prefix: "/".into(), repeat: Repeat::Any,
-    /// #     timeout: Millis(1), aim: Millis(1), rank: 0, attempts: 1,
-    /// #     parts: vec![part("a", 90), part("b", 10)] };
-    /// assert_eq!(route.part(89).service.as_str(), "a");
-    /// assert_eq!(route.part(90).service.as_str(), "b");
-    /// ```
-    #[must_use]
-    pub fn part(&self, draw: u32) -> &Part {
-        let mut left = draw;
-        for part in &self.parts {
-            if left < part.weight {
-                return part;
-            }
-            left -= part.weight;
-        }
-        &self.parts[self.parts.len() - 1]
-    }
-
-    /// Returns the sum of the weights.
-    #[must_use]
-    pub fn weights(&self) -> u32 {
-        self.parts.iter().map(|p| p.weight).sum()
-    }
-}
--- a/crates/chicoryrail-runtime/src/clock.rs
+++ b/crates/chicoryrail-runtime/src/clock.rs
@@ -40,9 +40,4 @@
     pub async fn sleep(&self, length: Millis) {
         monoio::time::sleep(length.duration()).await;
     }
-
-    /// Waits until `point`; returns at once where it has passed.
-    pub async fn sleep_until(&self, point: Millis) {
-        self.sleep(point.since(self.now())).await;
-    }
 }
--- a/crates/chicoryrail-testkit/src/chaos/options.rs
+++ b/crates/chicoryrail-testkit/src/chaos/options.rs
@@ -56,11 +56,4 @@
         self.length = length;
         self
     }
-
-    /// Draws only the faults of these names.
-    #[must_use]
-    pub fn with_only(mut self, names: &[&str]) -> Self {
-        self.only = names.iter().map(|n| (*n).to_owned()).collect();
-        self
-    }
 }
--- a/crates/chicoryrail-testkit/src/load/mix.rs
+++ b/crates/chicoryrail-testkit/src/load/mix.rs
@@ -64,13 +64,6 @@
         self
     }
 
-    /// Lets requests carry a key that picks the server.
-    #[must_use]
-    pub fn with_key(mut self) -> Self {
-        self.keyed = true;
-        self
-    }
-
     /// Sets the number of keys and the exponent of their Zipf distribution.
     #[must_use]
     pub fn with_keys(mut self, keys: u32, skew: f64) -> Self {
