--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -7,6 +7,8 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
@@ -61,7 +63,11 @@
         let store_addr = listener.addr().unwrap();
         let server = StoreServer::new(StoreOptions::default());
         monoio::spawn(server.serve(listener, CancellationToken::new()));
-        let dir = std::env::temp_dir().join(format!("router-{test}-{}", std::process::id()));
+        // The cases of one test run in one process, at the same time.
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("router-{test}-{}-{count}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&dir).unwrap();
         Self {
             store: KvStore::new(store_addr),
