feat(router): a much stronger host leads

Hosts of a large installation differ: most have a tenth of a core, a few have half of one, and the desk takes 0.06 ms of a core for each request of the installation. Any host led, by chance. Hosts now tell each other their power; weaker ones let much stronger ones campaign first, and a leader hands over to one of twice its power that reaches all that it reaches.

--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -20,5 +20,6 @@
 mod reach;
 pub mod store_key;
 
+pub use peers::HostState;
 pub use peers::Peers;
 pub use reach::Reach;
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -15,18 +15,30 @@
 /// Age of a host's last word up to which it counts: three of the words that hosts send.
 const LATELY: Millis = Millis(1_300);
 
-/// Age of a host's last word up to which what it says of its reach counts: one word and a half.
-const REACH_AGE: Millis = Millis(600);
+/// Age of a host's last word up to which what it says of its reach and power counts: one word and a half.
+const FRESH: Millis = Millis(600);
+
+/// How many times as strong another host must be to lead in this one's place. The desk takes 0.06 ms of a core
+/// for each request of an installation, and a change of leaders is felt by those that wait there.
+const MUCH_STRONGER: u32 = 2;
+
+/// What a host says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct HostState {
+    /// Whether the store answers it.
+    pub store: bool,
+    /// Data centres whose servers answer it.
+    pub reaches: BTreeSet<DcName>,
+    /// Thousandths of a core that it has to lead with.
+    pub power: u32,
+}
 
 /// What was heard from a host.
 #[derive(Clone, Debug)]
 struct Peer {
     addr: SocketAddr,
     heard: Option<Millis>,
-    /// Whether the store answers it, by its own word.
-    store: bool,
-    /// Data centres whose servers answer it, by its own word.
-    reaches: BTreeSet<DcName>,
+    said: HostState,
 }
 
 /// The other hosts.
@@ -51,8 +63,7 @@
             let peer = Peer {
                 addr,
                 heard: known.and_then(|p| p.heard),
-                store: known.is_none_or(|p| p.store),
-                reaches: known.map(|p| p.reaches.clone()).unwrap_or_default(),
+                said: known.map(|p| p.said.clone()).unwrap_or_default(),
             };
             self.hosts.insert(name, peer);
         }
@@ -79,25 +90,19 @@
         self.hosts.get(leader).map(|p| p.addr)
     }
 
-    /// Takes in that a host was heard, and whether the store answers it.
-    pub fn heard(&mut self, now: Millis, host: &HostName, store: bool) {
+    /// Takes in what a host says of itself.
+    pub fn heard(&mut self, now: Millis, host: &HostName, said: HostState) {
         if let Some(peer) = self.hosts.get_mut(host) {
             peer.heard = Some(now);
-            peer.store = store;
-        }
-    }
-
-    /// Takes in which data centres a host reaches.
-    pub fn heard_reach(&mut self, host: &HostName, reaches: BTreeSet<DcName>) {
-        if let Some(peer) = self.hosts.get_mut(host) {
-            peer.reaches = reaches;
+            peer.said = said;
         }
     }
 
     /// Tells whether another host, which the store answers, reaches `more` and all of `mine`.
     #[must_use]
     pub fn reaches_all(&self, now: Millis, mine: &BTreeSet<DcName>, more: &DcName) -> bool {
-        let all = |p: &Peer| p.store && p.reaches.contains(more) && p.reaches.is_superset(mine);
+        let all =
+            |p: &HostState| p.store && p.reaches.contains(more) && p.reaches.is_superset(mine);
         self.lately(now).any(all)
     }
 
@@ -107,17 +112,28 @@
         self.lately(now).any(|p| p.reaches.len() > mine.len())
     }
 
-    /// Iterates over the hosts whose word on their reach is fresh.
-    fn lately(&self, now: Millis) -> impl Iterator<Item = &Peer> {
-        let fresh = move |p: &&Peer| p.heard.is_some_and(|at| now.since(at) <= REACH_AGE);
-        self.hosts.values().filter(fresh)
+    /// Tells whether another host, which the store answers and which reaches all of `mine`, is so much stronger
+    /// than one with `power` that it should lead. One that reaches less would soon make way again.
+    #[must_use]
+    pub fn stronger(&self, now: Millis, power: u32, mine: &BTreeSet<DcName>) -> bool {
+        let fit = |p: &HostState| {
+            let strong = p.power >= power.saturating_mul(MUCH_STRONGER);
+            p.store && strong && p.reaches.is_superset(mine)
+        };
+        self.lately(now).any(fit)
+    }
+
+    /// Iterates over what hosts said of themselves a moment ago.
+    fn lately(&self, now: Millis) -> impl Iterator<Item = &HostState> {
+        let fresh = move |p: &&Peer| p.heard.is_some_and(|at| now.since(at) <= FRESH);
+        self.hosts.values().filter(fresh).map(|p| &p.said)
     }
 
     /// Tells whether every other host was heard lately and says that the store is away. A host that was not
     /// heard may have it.
     #[must_use]
     pub fn all_lost_store(&self, now: Millis) -> bool {
-        let lost = |p: &Peer| !p.store && p.heard.is_some_and(|at| now.since(at) <= LATELY);
+        let lost = |p: &Peer| !p.said.store && p.heard.is_some_and(|at| now.since(at) <= LATELY);
         self.hosts.values().all(lost)
     }
 
--- a/crates/chicoryrail-ownership/tests/peers.rs
+++ b/crates/chicoryrail-ownership/tests/peers.rs
@@ -1,8 +1,12 @@
 //! What a host may conclude from what it hears of the others.
 
+use std::collections::BTreeSet;
+
 use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
+use chicoryrail_ownership::HostState;
 use chicoryrail_ownership::Peers;
+use rstest::rstest;
 
 fn peers(n: u16) -> Peers {
     let mut peers = Peers::default();
@@ -15,16 +19,60 @@
     HostName::new(&format!("h{i}"))
 }
 
+fn store(store: bool) -> HostState {
+    HostState {
+        store,
+        ..HostState::default()
+    }
+}
+
+fn power(power: u32) -> HostState {
+    HostState {
+        power,
+        reaches: BTreeSet::from(["east".into(), "west".into()]),
+        ..store(true)
+    }
+}
+
+/// A host with a tenth of a core leads an installation whose requests need two tenths of one at the desk: each
+/// waits there until it is too late, at every host. A host of half a core should lead, if it is there and the
+/// store answers it; one that is hardly stronger is not worth the change.
+#[test]
+fn a_much_stronger_host_should_lead() {
+    let mut peers = peers(3);
+    let now = Millis(1_000);
+    let east = BTreeSet::from(["east".into()]);
+    peers.heard(now, &host(0), power(100));
+    peers.heard(now, &host(1), power(199));
+    assert!(!peers.stronger(now, 100, &east));
+    peers.heard(now, &host(2), power(500));
+    assert!(peers.stronger(now, 100, &east));
+    assert!(!peers.stronger(now, 500, &east));
+    assert!(!peers.stronger(Millis(2_000), 100, &east));
+}
+
+/// The strong host can't reach a data centre that the leader reaches, or the store: it could not lead, and
+/// would hand the lead back at once.
+#[rstest]
+#[case::reaches_less(HostState { reaches: BTreeSet::new(), ..power(500) })]
+#[case::without_the_store(HostState { store: false, ..power(500) })]
+fn strength_alone_does_not_lead(#[case] said: HostState) {
+    let mut peers = peers(1);
+    peers.heard(Millis(1_000), &host(0), said);
+    let mine = BTreeSet::from(["east".into()]);
+    assert!(!peers.stronger(Millis(1_000), 100, &mine));
+}
+
 /// A leader is cut off from the store. It may go on only while it hears most of the hosts; silence of half
 /// of them may mean that they have another leader.
 #[test]
 fn most_hosts_must_be_heard() {
     let mut peers = peers(9);
     for i in 0..4 {
-        peers.heard(Millis(1_000), &host(i), true);
+        peers.heard(Millis(1_000), &host(i), store(true));
     }
     assert!(!peers.hears_most(Millis(1_000), Millis(500)));
-    peers.heard(Millis(1_000), &host(4), true);
+    peers.heard(Millis(1_000), &host(4), store(true));
     assert!(peers.hears_most(Millis(1_400), Millis(500)));
     assert!(!peers.hears_most(Millis(1_600), Millis(500)));
 }
@@ -70,10 +118,10 @@
     let mut peers = peers(3);
     for i in 0..3 {
         assert!(!peers.all_lost_store(Millis(1_000)));
-        peers.heard(Millis(1_000), &host(i), false);
+        peers.heard(Millis(1_000), &host(i), store(false));
     }
     assert!(peers.all_lost_store(Millis(1_500)));
     assert!(!peers.all_lost_store(Millis(2_500)));
-    peers.heard(Millis(1_600), &host(1), true);
+    peers.heard(Millis(1_600), &host(1), store(true));
     assert!(!peers.all_lost_store(Millis(1_600)));
 }
--- a/crates/chicoryrail-ownership/tests/reach.rs
+++ b/crates/chicoryrail-ownership/tests/reach.rs
@@ -5,6 +5,7 @@
 use chicoryrail_core::DcName;
 use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
+use chicoryrail_ownership::HostState;
 use chicoryrail_ownership::Peers;
 use chicoryrail_ownership::Reach;
 use rstest::rstest;
@@ -24,8 +25,12 @@
     let host = HostName::new("other");
     let mut peers = Peers::default();
     peers.set(vec![(host.clone(), ([127, 0, 0, 1], 7_000).into())]);
-    peers.heard(Millis(heard), &host, store);
-    peers.heard_reach(&host, dcs(reaches));
+    let said = HostState {
+        store,
+        reaches: dcs(reaches),
+        ..HostState::default()
+    };
+    peers.heard(Millis(heard), &host, said);
     peers
 }
 
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -26,6 +26,9 @@
 /// then, and the hold of keys (2.5 s) bears it.
 const REACH_LESS: Millis = Millis(250);
 
+/// Time for which a host lets much stronger ones go first.
+const WEAKER: Millis = Millis(150);
+
 /// Time for which a leader that made way does not try again.
 const MAKES_WAY: Millis = Millis(1_000);
 
@@ -48,6 +51,9 @@
         if router.peers.borrow().reach_more(router.now(), &reaches) {
             wait = wait + REACH_LESS;
         }
+        if router.knows_stronger() {
+            wait = wait + WEAKER;
+        }
         router.process.clock.sleep(wait).await;
         if router.view.borrow().own(LEADER).is_some() {
             continue;
@@ -117,10 +123,12 @@
     router.hall.clear();
     router.counters.leading.set(0);
     log::info!(term = term, why = why; "leader_lost");
-    if why == "stop" || why == "out_of_reach" {
+    tenure.resigns.set(false);
+    let makes_way = matches!(why, "out_of_reach" | "stronger_host");
+    if makes_way || why == "stop" {
         end(router, lease).await;
     }
-    if tenure.resigns.replace(false) {
+    if makes_way {
         router.process.clock.sleep(MAKES_WAY).await;
     }
 }
@@ -146,6 +154,11 @@
             if tenure.resigns.get() {
                 return "out_of_reach";
             }
+            // A desk on a host that can't keep up is late for every request; nobody could take over while
+            // the store is away.
+            if router.store_up.get() && router.knows_stronger() {
+                return "stronger_host";
+            }
             if tenure.term.get() != term {
                 return "deposed";
             }
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -6,6 +6,7 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
+use chicoryrail_ownership::HostState;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::KeySpan;
 use chicoryrail_ownership::keys::OwnedSpan;
@@ -82,6 +83,7 @@
             leads,
             store: self.router.store_up.get(),
             reaches: self.router.reach.borrow().lately(self.router.now()),
+            power: self.router.power(),
             keys,
             asked: self.asked(leads),
         }
@@ -144,8 +146,12 @@
         let known = self.router.peers.borrow().highest_term();
         {
             let mut peers = self.router.peers.borrow_mut();
-            peers.heard(now, &word.host, word.store);
-            peers.heard_reach(&word.host, word.reaches);
+            let said = HostState {
+                store: word.store,
+                reaches: word.reaches,
+                power: word.power,
+            };
+            peers.heard(now, &word.host, said);
             let leader = word.leads.then_some(&word.host);
             if word.leads && word.term >= known {
                 peers.heard_leader(now);
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -134,6 +134,19 @@
         self.services.borrow().values().cloned().collect()
     }
 
+    /// Returns the thousandths of a core that this host has.
+    pub(crate) fn power(&self) -> u32 {
+        (self.boot().limits.cpu * 1_000.0) as u32
+    }
+
+    /// Tells whether another host is so much stronger that it should lead, and reaches all that this one does.
+    pub(crate) fn knows_stronger(&self) -> bool {
+        let now = self.now();
+        let reaches = self.reach.borrow().lately(now);
+        let peers = self.peers.borrow();
+        peers.stronger(now, self.power(), &reaches)
+    }
+
     /// Returns the bound on repeats that holds over all hosts.
     pub(crate) fn retry_bound(&self) -> RetryBound {
         let bounds = self.boot().bounds;
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -36,6 +36,8 @@
     pub(crate) store: bool,
     /// Data centres whose servers answer it.
     pub(crate) reaches: BTreeSet<DcName>,
+    /// Thousandths of a core that it has to lead with.
+    pub(crate) power: u32,
     pub(crate) keys: Vec<KeyWord>,
     pub(crate) asked: Vec<Asked>,
 }
