feat(ownership): boundaries of the key line move no further than needed

Cause: whenever the line was balanced, or servers came or went, it was cut anew into even parts. Each boundary moves then; with 87 servers that join in groups nearly all keys (60,616 of 65,536) were on their way at once, and every keyed request waited for the work running on its key: 956 of 2,550 requests refused in two seconds. Ruled out: a hot key (its seconds are others), the desk (its leader no longer pauses).

Now a boundary stays unless a server beside it has more than 1.1 of its fair share, or passes on what another had too much; keys busier than a server bears count as one server's share.

--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -12,6 +12,7 @@
 mod key_view;
 mod plan;
 mod record;
+mod relieve;
 mod server_state;
 mod span_set;
 mod timing;
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -9,10 +9,11 @@
 use crate::keys::KeySpan;
 use crate::keys::OwnedSpan;
 use crate::keys::key_load::PER_BUCKET;
+use crate::keys::relieve::relieve;
 
 /// Requests beside those that were seen, spread evenly over all keys: keys that nobody asked for lately
 /// are not free, and without any knowledge the cut is even.
-const EVEN: f64 = 30.0;
+pub(crate) const EVEN: f64 = 30.0;
 
 /// Part of the whole load that a new cut must bring below the servers' fair shares to be worth the moves.
 /// Of 0.06, 0.035 and 0.02, the last serves most: the mean worth of the days of two installations is 0.668,
@@ -50,7 +51,7 @@
     /// Plans the spans for the servers that may hold keys.
     ///
     /// A server that left gives its span to its neighbours, a new one halves the busiest span; all
-    /// others keep theirs. The line is cut anew where that takes enough load off overloaded servers: at
+    /// others keep theirs. Boundaries are moved where that takes enough load off overloaded servers: at
     /// once where servers came or went, else where `may_balance` allows it.
     #[must_use]
     pub fn of(record: &KeyRecord, holders: &[Holder], load: &KeyLoad, may_balance: bool) -> Self {
@@ -73,11 +74,8 @@
         }
         let gain = if changed { GAIN_CHANGED } else { GAIN };
         if (changed || may_balance) && load.total() >= FEWEST {
-            let order = spans.iter().map(|s| Holder {
-                life: s.owner.clone(),
-                weight: weights[&s.owner],
-            });
-            let cut = recut(&order.collect::<Vec<_>>(), load);
+            let order: Vec<f64> = spans.iter().map(|s| weights[&s.owner]).collect();
+            let cut = relieve(&spans, &order, load);
             if overload(&spans, &weights, load) - overload(&cut, &weights, load) > gain {
                 return Self::Change(cut);
             }
--- a/crates/chicoryrail-ownership/tests/key_plan.rs
+++ b/crates/chicoryrail-ownership/tests/key_plan.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
 
 fn holders(n: usize) -> Vec<Holder> {
     let holder = |i| Holder {
@@ -147,3 +148,55 @@
     let all: u32 = spans.iter().map(|s| s.span.len()).sum();
     assert_eq!(all, KeySpan::ALL.len());
 }
+
+/// Returns the keys that change hands between two cuts.
+fn moved(before: &[OwnedSpan], after: &[OwnedSpan]) -> u32 {
+    let stays = after.iter().map(|new| {
+        let old = before.iter().find(|old| old.owner == new.owner);
+        old.map_or(0, |old| {
+            let first = new.span.first.max(old.span.first);
+            let last = new.span.last.min(old.span.last);
+            (u32::from(last) + 1).saturating_sub(u32::from(first))
+        })
+    });
+    KeySpan::ALL.len() - stays.sum::<u32>()
+}
+
+/// Load: eighty servers, of which one span grows busy beside the others, then a tenth of the servers leaves, or
+/// a tenth more come. Cut anew, most keys would change hands, and the requests for them wait all at the same
+/// time; only what the servers can't bear moves.
+#[rstest]
+#[case::a_busy_span(80, 200, 0.15)]
+#[case::servers_leave(72, 0, 0.25)]
+#[case::servers_come(88, 0, 0.25)]
+fn in_a_long_line_little_moves(#[case] servers: usize, #[case] busy: u32, #[case] most: f64) {
+    let mut load = even(6);
+    let before = recut(&holders(80), &load);
+    let middle = before[40].span;
+    for i in 0..busy {
+        load.seen(middle.first + (i % middle.len()) as u16);
+    }
+    let mut all = holders(88);
+    if servers < 80 {
+        all = (0..80)
+            .filter(|i| i % 10 != 3)
+            .map(|i| all[i].clone())
+            .collect();
+    }
+    all.truncate(servers);
+    let Plan::Change(cut) = Plan::of(&record(before.clone()), &all, &load, true) else {
+        panic!("kept");
+    };
+    assert!(covers_all(&cut));
+    let share = f64::from(moved(&before, &cut)) / f64::from(KeySpan::ALL.len());
+    assert!(share < most, "{share} of all keys move");
+    assert!(busiest(&cut, &load) < 1.3, "{}", busiest(&cut, &load));
+}
+
+/// Load that is the same everywhere, but for chance.
+fn even(seed: u64) -> KeyLoad {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut load = KeyLoad::default();
+    (0..8_000).for_each(|_| load.seen(rng.random()));
+    load
+}
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -27,7 +27,7 @@
 const BUSY_LOOK: Millis = Millis(10);
 const CALM_LOOK: Millis = Millis(50);
 
-/// Time between two cuts of the key line for balance. The load that a cut follows is that of the last few
+/// Time between two moves of boundaries for balance. The load that a cut follows is that of the last few
 /// seconds, and each cut holds the moved keys' requests for as long as work on them is running.
 const BALANCE_EVERY: Millis = Millis(2_500);
 
