perf(router): a watch for each part of the store, servers' entries in groups

Cause: each host watched all of the store and was woken by every change. The log shows what wakes a host: 38 groups of servers' entries, 219 servers that start and 26 that come later, 150 ms apart. Hosts that do not lead now take them in groups of 600 ms.

Found by keys_are_served_when_the_leader_is_lost_in_an_outage, red with three watches: a watch that was sent before an outage is told of leases that ended during it, the store was taken to be back, and live servers to be gone. Such an answer is no longer believed (watch_not_believed). Hosts that hear no leader read the records each second (operator.rs).

--- a/crates/chicoryctl/tests/commands.rs
+++ b/crates/chicoryctl/tests/commands.rs
@@ -154,8 +154,8 @@
         desk.run(Command::Put { file, expect: None }).await.unwrap();
         desk.server("i-1", "west", 4).await;
         let own = |key: &str| Subject::Own(key.to_owned());
-        desk.put(&own("leader"), b"host-3").await;
-        desk.put(&own("hosts/host-3"), b"10.0.0.3:900").await;
+        desk.put(&own("live/leader"), b"host-3").await;
+        desk.put(&own("live/hosts/host-3"), b"10.0.0.3:900").await;
         let record = br#"{"fence": 9, "attempt": 1, "loose": [], "spans": [
             {"span": {"first": 0, "last": 99}, "owner": {"name": "i-1", "born": 7}}]}"#;
         desk.put(&own("keys/kits"), record).await;
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -9,6 +9,7 @@
 use chicoryrail_platform::Txn;
 use rand::Rng;
 
+use crate::control::follow::LIVE;
 use crate::control::follow::call;
 use crate::control::keep_keys;
 use crate::control::tenure::Tenure;
@@ -42,7 +43,7 @@
         if router.process.stop.is_cancelled() {
             return;
         }
-        let known = router.view.borrow().revision > 0 && router.store_up.get();
+        let known = router.view.borrow().heard(LIVE).is_some() && router.store_up.get();
         if !known || router.view.borrow().own(LEADER).is_some() {
             continue;
         }
--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -1,12 +1,12 @@
-//! Follows the store.
+//! Follows the parts of the store.
 
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
 
 use chicoryrail_core::Millis;
-use chicoryrail_platform::KvStore;
-use chicoryrail_platform::Snapshot;
+use chicoryrail_ownership::store_key;
+use chicoryrail_platform::Feed;
 use chicoryrail_platform::StoreError;
 use futures_util::future::Either;
 use futures_util::future::select;
@@ -15,24 +15,72 @@
 use crate::state::Router;
 
 /// Longest wait of one watch. A connection that goes silent is noticed sooner by probes of the system or
-/// by other calls; this bounds the time where a relay answers the probes.
-const WATCH: Millis = Millis(10_000);
+/// by other calls; this bounds the time where a relay answers the probes. The revision from which a watch goes
+/// on is as old as it waited, and must be within the store's history (20 s).
+const WATCH: Millis = Millis(15_000);
 
 /// Pause after a watch that told something. Changes come in groups, and each answered watch of each host
 /// is a call; what a change may take is counted in seconds, and keys that move are told by the leader.
 const PAUSE: Millis = Millis(150);
 
+/// The same for servers' entries at a host that does not lead. Servers come in groups that take seconds, and a
+/// host was woken 38 times by 219 that started and 26 that came later. What a host does by itself, without the
+/// leader, bears it: a server that leaves serves for 2 s more.
+const GROUP: Millis = Millis(600);
+
 /// Pause after a call that failed, at first and at most.
 const BACK_OFF: Millis = Millis(100);
 const BACK_OFF_MOST: Millis = Millis(800);
 
-/// Follows everything in the store: configuration, servers, and the system's own keys.
-pub(crate) async fn follow(router: Rc<Router>) {
+/// The leader's and the hosts' keys.
+pub(crate) const LIVE: Feed = Feed::Own(store_key::LIVE);
+
+/// The records of who holds which keys.
+const RECORDS: Feed = Feed::Own(store_key::KEYS);
+
+/// Age of the leader's last word up to which it is trusted to tell of changed records.
+const UNTOLD: Millis = Millis(1_000);
+
+/// Follows all parts that every host must know of at once: configuration, servers, leader and hosts.
+///
+/// Each has a watch of its own, so that no host is woken by the records, which are written twice for each move of
+/// keys, and each part is looked at as often as it must be.
+pub(crate) fn follow_all(router: &Rc<Router>) {
+    for feed in [Feed::Operator, Feed::Servers, LIVE] {
+        monoio::spawn(follow(Rc::clone(router), feed));
+    }
+    monoio::spawn(read_records(Rc::clone(router)));
+}
+
+/// Reads the records of who holds which keys at the start, and while no leader is heard: a host that the leader
+/// can't reach, or can't reach yet, would send to former holders.
+async fn read_records(router: Rc<Router>) {
+    loop {
+        match router.store.snapshot(&RECORDS.prefix()).await {
+            Ok(all) => {
+                note(&router, "records", None);
+                let told = router
+                    .view
+                    .borrow_mut()
+                    .replace(router.now(), RECORDS, &all);
+                router.believe(&told);
+            }
+            Err(e) => note(&router, "records", Some(&e)),
+        }
+        router.process.clock.sleep(UNTOLD).await;
+        while router.hears_leader(UNTOLD) || !router.store_up.get() {
+            router.process.clock.sleep(UNTOLD).await;
+        }
+    }
+}
+
+/// Follows a part of the store.
+async fn follow(router: Rc<Router>, feed: Feed) {
     let mut pause = BACK_OFF;
     loop {
-        match follow_once(&router, &mut pause).await {
+        match follow_once(&router, feed, &mut pause).await {
             StoreError::HistoryGone { after } => {
-                log::info!(after = after; "history_gone");
+                log::info!(part:? = feed, after = after; "history_gone");
             }
             error => {
                 note(&router, "watch", Some(&error));
@@ -45,20 +93,22 @@
 }
 
 /// Reads everything and watches from there, until a call fails.
-async fn follow_once(router: &Router, pause: &mut Millis) -> StoreError {
+async fn follow_once(router: &Router, feed: Feed, pause: &mut Millis) -> StoreError {
     let store = &router.store;
-    let all = match read_all(store).await {
+    let prefix = feed.prefix();
+    let all = match store.snapshot(&prefix).await {
         Ok(all) => all,
         Err(e) => return e,
     };
     note(router, "snapshot", None);
     *pause = BACK_OFF;
-    let told = router.view.borrow_mut().replace(router.now(), &all);
+    let told = router.view.borrow_mut().replace(router.now(), feed, &all);
     router.believe(&told);
     loop {
-        let after = router.view.borrow().revision;
+        let after = router.view.borrow().heard(feed).unwrap_or_default();
         let returns = router.store_returns.count();
-        let watch = pin!(store.changes("", after, WATCH));
+        let lost = router.store_lost.get();
+        let watch = pin!(store.changes(&prefix, after, WATCH));
         let returned = pin!(router.store_returns.after(returns));
         let changes = match select(watch, returned).await {
             Either::Left((changes, _)) => changes,
@@ -66,6 +116,12 @@
             Either::Right(_) => continue,
         };
         let changes = match changes {
+            // Leases end while the store is away, and a watch that was sent before may still be told so. Taken at
+            // its word all servers would be left, although they live: their entries are back soon after the store.
+            Ok(_) if router.store_lost.get() != lost && !router.store_up.get() => {
+                log::info!(part:? = feed, after = after; "watch_not_believed");
+                continue;
+            }
             Ok(changes) => changes,
             // The history is still there if the outage was short; the watch goes on from where it was.
             Err(e) if e.is_outage() => {
@@ -81,22 +137,20 @@
         let now = router.now();
         let told: Vec<_> = {
             let mut view = router.view.borrow_mut();
-            view.revision = view.revision.max(changes.revision);
+            view.hear(feed, changes.revision);
             let changes = changes.changes.iter();
             changes.filter_map(|c| view.apply(now, c)).collect()
         };
         let quiet = told.is_empty();
         router.believe(&told);
         if !quiet {
-            router.process.clock.sleep(PAUSE).await;
+            let follows = feed == Feed::Servers && router.leads.get() == 0;
+            let pause = if follows { GROUP } else { PAUSE };
+            router.process.clock.sleep(pause).await;
         }
     }
 }
 
-async fn read_all(store: &KvStore) -> Result<Snapshot, StoreError> {
-    store.snapshot("").await
-}
-
 /// Makes a call to the store, and notes its time and whether it was answered.
 pub(crate) async fn call<T>(
     router: &Router,
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -10,7 +10,7 @@
 mod tenure;
 
 pub(crate) use elect::elect;
-pub(crate) use follow::follow;
+pub(crate) use follow::follow_all;
 pub(crate) use gossip::Gossip;
 pub(crate) use presence::be_present;
 pub(crate) use tenure::Tenure;
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -28,7 +28,7 @@
 use crate::control::be_present;
 use crate::control::desk_duty;
 use crate::control::elect;
-use crate::control::follow;
+use crate::control::follow_all;
 use crate::log_line;
 use crate::options::options;
 use crate::route;
@@ -142,7 +142,7 @@
     let listening = Rc::clone(&gossip);
     monoio::spawn(talk.listen(move |packet, from| listening.take(packet, from)));
     monoio::spawn(desk_duty::tend(Rc::clone(&router)));
-    monoio::spawn(follow(Rc::clone(&router)));
+    follow_all(&router);
     monoio::spawn(be_present(Rc::clone(&router), talk_addr));
     monoio::spawn(gossip.tell());
     let elected = monoio::spawn(elect(Rc::clone(&router), tenure));
--- a/crates/chicoryrail-router/src/state/believe.rs
+++ b/crates/chicoryrail-router/src/state/believe.rs
@@ -165,7 +165,7 @@
     }
 
     fn log(&self, belief: &Belief) {
-        let revision = self.view.borrow().revision;
+        let revision = self.view.borrow().revision();
         match belief {
             Belief::Config { from, to } => {
                 let invariants = &self.process.invariants;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -134,6 +134,11 @@
         self.services.borrow().values().cloned().collect()
     }
 
+    /// Tells whether this host leads, or heard the leader within `age`.
+    pub(crate) fn hears_leader(&self, age: Millis) -> bool {
+        self.leads.get() > 0 || self.peers.borrow().hears_leader(self.now(), age)
+    }
+
     /// Returns the thousandths of a core that this host has.
     pub(crate) fn power(&self) -> u32 {
         (self.boot().limits.cpu * 1_000.0) as u32
--- a/crates/chicoryrail-router/src/state/view.rs
+++ b/crates/chicoryrail-router/src/state/view.rs
@@ -12,6 +12,7 @@
 use chicoryrail_core::Site;
 use chicoryrail_platform::Change;
 use chicoryrail_platform::DecodeError;
+use chicoryrail_platform::Feed;
 use chicoryrail_platform::Item;
 use chicoryrail_platform::Snapshot;
 use chicoryrail_platform::Subject;
@@ -72,8 +73,8 @@
     servers: BTreeMap<ServerName, Registered>,
     own: BTreeMap<String, OwnItem>,
     unreadable: BTreeMap<String, u64>,
-    /// Revision up to which everything was heard.
-    pub(crate) revision: u64,
+    /// Revisions up to which the parts of the store were heard.
+    heard: BTreeMap<Feed, u64>,
     /// When the store answered again after an outage.
     back: Option<Millis>,
 }
@@ -109,60 +110,73 @@
             .map(|(key, item)| (key.as_str(), item))
     }
 
+    /// Returns the revision up to which a part of the store was heard; `None` where it was not read yet.
+    pub(crate) fn heard(&self, feed: Feed) -> Option<u64> {
+        self.heard.get(&feed).copied()
+    }
+
+    /// Takes in that a part was heard up to a revision.
+    pub(crate) fn hear(&mut self, feed: Feed, revision: u64) {
+        let heard = self.heard.entry(feed).or_default();
+        *heard = revision.max(*heard);
+    }
+
+    /// Returns the highest revision heard of, for the log.
+    pub(crate) fn revision(&self) -> u64 {
+        self.heard.values().copied().max().unwrap_or_default()
+    }
+
     /// Takes in that the store answers again after an outage.
     pub(crate) fn store_back(&mut self, now: Millis) {
         self.back = Some(now);
     }
 
-    /// Takes in everything that the store has.
-    pub(crate) fn replace(&mut self, now: Millis, all: &Snapshot) -> Vec<Belief> {
+    /// Takes in everything that the store has of a part.
+    pub(crate) fn replace(&mut self, now: Millis, feed: Feed, all: &Snapshot) -> Vec<Belief> {
         let mut told = Vec::new();
-        let keys: BTreeSet<&str> = all.items.iter().map(|i| i.key.as_str()).collect();
-        let subjects: BTreeSet<Subject> = keys.iter().map(|k| Subject::of(k)).collect();
-        let servers = self.servers.iter().filter(|(_, r)| r.missing.is_none());
-        let gone: Vec<_> = servers.map(|(name, _)| name.clone()).collect();
-        for name in gone {
-            if !subjects.contains(&Subject::Server(name.clone())) {
-                told.extend(self.server_missing(now, name));
-            }
-        }
-        let back: Vec<_> = self.out.iter().cloned().collect();
-        for dc in back {
-            if !subjects.contains(&Subject::TakenOut(dc.clone())) {
-                self.out.remove(&dc);
-                told.push(Belief::TakenBack(dc));
-            }
-        }
-        let own: Vec<_> = self.own.keys().cloned().collect();
-        for key in own {
-            if !subjects.contains(&Subject::Own(key.clone())) {
-                self.own.remove(&key);
-                told.push(Belief::Own(key));
+        let keys = all.items.iter().map(|i| i.key.as_str());
+        let present: BTreeSet<Subject> = keys.map(Subject::of).collect();
+        for subject in self.subjects() {
+            if feed.holds(&subject) && !present.contains(&subject) {
+                told.extend(self.gone(now, subject));
             }
         }
         for item in &all.items {
             told.extend(self.put(now, item));
         }
-        self.revision = self.revision.max(all.revision);
+        self.hear(feed, all.revision);
         told
     }
 
+    /// Returns what is known to be in the store, but for the configuration, which stays.
+    fn subjects(&self) -> Vec<Subject> {
+        let servers = self.servers.iter().filter(|(_, r)| r.missing.is_none());
+        let servers = servers.map(|(name, _)| Subject::Server(name.clone()));
+        let out = self.out.iter().cloned().map(Subject::TakenOut);
+        let own = self.own.keys().cloned().map(Subject::Own);
+        servers.chain(out).chain(own).collect()
+    }
+
     /// Takes in a change.
     pub(crate) fn apply(&mut self, now: Millis, change: &Change) -> Option<Belief> {
         match change {
             Change::Put(item) => self.put(now, item),
-            Change::Gone { key, .. } => match Subject::of(key) {
-                Subject::Server(name) => self.server_missing(now, name),
-                Subject::TakenOut(dc) => {
-                    let was = self.out.remove(&dc);
-                    was.then_some(Belief::TakenBack(dc))
-                }
-                Subject::Own(key) => {
-                    let was = self.own.remove(&key);
-                    was.map(|_| Belief::Own(key))
-                }
-                Subject::Config | Subject::Foreign => None,
-            },
+            Change::Gone { key, .. } => self.gone(now, Subject::of(key)),
+        }
+    }
+
+    fn gone(&mut self, now: Millis, subject: Subject) -> Option<Belief> {
+        match subject {
+            Subject::Server(name) => self.server_missing(now, name),
+            Subject::TakenOut(dc) => {
+                let was = self.out.remove(&dc);
+                was.then_some(Belief::TakenBack(dc))
+            }
+            Subject::Own(key) => {
+                let was = self.own.remove(&key);
+                was.map(|_| Belief::Own(key))
+            }
+            Subject::Config | Subject::Foreign => None,
         }
     }
 
--- a/crates/chicoryrail-router/tests/operator.rs
+++ b/crates/chicoryrail-router/tests/operator.rs
@@ -7,6 +7,7 @@
 use chicoryrail_testkit::StoreFault;
 use chicoryrail_testkit::TargetFault;
 use nix::sys::signal::Signal;
+use serde_json::Value;
 use serde_json::json;
 use support::World;
 use support::wait_until;
@@ -187,3 +188,49 @@
         assert_eq!(ran, 1);
     });
 }
+
+/// The record of who holds which keys is written again and again, as it is where busy keys change. The leader
+/// tells the hosts of it, so none of them is woken by the store, where each call of each host is paid for.
+#[test]
+fn a_write_of_a_record_wakes_no_host() {
+    block_on(async {
+        let world = World::start("wakes").await;
+        world.configure().await;
+        let _server = world.server("i-1", "desk").await;
+        let _router = world.router("a").await;
+        monoio::time::sleep(Millis(500).duration()).await;
+        let before = world.watches().await;
+        for fence in 1..=10 {
+            world.put("chicoryrail/keys/other", &record(fence)).await;
+            monoio::time::sleep(Millis(200).duration()).await;
+        }
+        let woken = world.watches().await - before;
+        assert!(woken <= 2, "{woken} watches");
+    });
+}
+
+/// A host hears no leader, be it that there is none or that its words do not arrive. Another one changed who
+/// holds which keys; the host reads it from the store, and does not send to former holders for long.
+#[test]
+fn a_host_that_hears_no_leader_reads_the_records() {
+    block_on(async {
+        let world = World::start("unheard").await;
+        world.configure().await;
+        let _server = world.server("i-1", "desk").await;
+        world.put("chicoryrail/live/leader", &json!("ghost")).await;
+        world.put("chicoryrail/keys/kits", &record(5)).await;
+        let router = world.router("a").await;
+        for fence in [5, 7] {
+            world.put("chicoryrail/keys/kits", &record(fence)).await;
+            wait_until("the record is read", async || {
+                router.log().contains(&format!("fence={fence} "))
+            })
+            .await;
+        }
+    });
+}
+
+fn record(fence: u64) -> Value {
+    json!({"fence": fence, "attempt": 1, "loose": [], "spans": [
+        {"span": {"first": 0, "last": 65_535}, "owner": {"name": "k-1", "born": 7}}]})
+}
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -23,6 +23,7 @@
 use chicoryrail_testkit::StoreFault;
 use chicoryrail_testkit::StoreOptions;
 use chicoryrail_testkit::StoreServer;
+use chicoryrail_testkit::StoreStats;
 use chicoryrail_testkit::TargetOptions;
 use chicoryrail_testkit::free_port;
 use http::Request;
@@ -140,6 +141,15 @@
         server
     }
 
+    /// Returns the number of watches that the store was asked for so far.
+    pub async fn watches(&self) -> u64 {
+        let request = Request::get("/testkit/stats").body(Bytes::new()).unwrap();
+        let client = HttpClient::default();
+        let answer = client.call(self.store_addr, request, LIMIT).await.unwrap();
+        let stats: StoreStats = serde_json::from_slice(answer.body()).unwrap();
+        stats.watches
+    }
+
     pub async fn fault(&self, fault: &StoreFault) {
         let body = serde_json::to_vec(fault).unwrap();
         let request = Request::put("/testkit/fault")
