fix(router): the pause between groups of entries follows the number of hosts

All hosts together now make at most 125 calls a second for entries: 150 ms at 10 hosts as before, 600 ms at 76.

--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -23,10 +23,12 @@
 /// is a call; what a change may take is counted in seconds, and keys that move are told by the leader.
 const PAUSE: Millis = Millis(150);
 
-/// The same for servers' entries at a host that does not lead. Servers come in groups that take seconds, and a
-/// host was woken 38 times by 219 that started and 26 that came later. What a host does by itself, without the
-/// leader, bears it: a server that leaves serves for 2 s more.
-const GROUP: Millis = Millis(600);
+/// The same for servers' entries at a host that does not lead, for each host there is: all of them together make
+/// at most 125 calls a second for entries, which come in groups of seconds (76 hosts were woken 38 times each by
+/// 219 servers that started and 26 that came later). At most the longest: a server that leaves serves for 2 s
+/// more, and what a host does by itself, without the leader, bears it.
+const GROUP_EACH: Millis = Millis(8);
+const GROUP_MOST: Millis = Millis(600);
 
 /// Pause after a call that failed, at first and at most.
 const BACK_OFF: Millis = Millis(100);
@@ -144,13 +146,20 @@
         let quiet = told.is_empty();
         router.believe(&told);
         if !quiet {
-            let follows = feed == Feed::Servers && router.leads.get() == 0;
-            let pause = if follows { GROUP } else { PAUSE };
-            router.process.clock.sleep(pause).await;
+            router.process.clock.sleep(group_time(router, feed)).await;
         }
     }
 }
 
+/// Returns how long to wait for more changes of a part that has told one.
+fn group_time(router: &Router, feed: Feed) -> Millis {
+    if feed != Feed::Servers || router.leads.get() > 0 {
+        return PAUSE;
+    }
+    let hosts = router.peers.borrow().sharing() as u64;
+    GROUP_EACH.times(hosts).clamp(PAUSE, GROUP_MOST)
+}
+
 /// Makes a call to the store, and notes its time and whether it was answered.
 pub(crate) async fn call<T>(
     router: &Router,
