feat(core): downloads are a kind of route, an unknown kind concerns its route alone

Change: a route is a read, a download or an order; a word that isn't known is an order, counted and logged once a version. A value of another type and a service that isn't configured are refused as before.

--- a/crates/chicoryctl/src/change.rs
+++ b/crates/chicoryctl/src/change.rs
@@ -149,7 +149,7 @@
     match item.context(StoreSnafu)? {
         None => Ok((None, 0)),
         Some(item) => {
-            let site = read_config(&item.value).context(EntrySnafu)?;
+            let site = read_config(&item.value).context(EntrySnafu)?.site;
             Ok((Some(site), item.revision))
         }
     }
--- a/crates/chicoryctl/src/status.rs
+++ b/crates/chicoryctl/src/status.rs
@@ -72,7 +72,7 @@
     fn take(&mut self, item: &Item) -> Result<(), String> {
         match Subject::of(&item.key) {
             Subject::Config => {
-                self.site = Some(read_config(&item.value).map_err(|e| e.to_string())?);
+                self.site = Some(read_config(&item.value).map_err(|e| e.to_string())?.site);
             }
             Subject::TakenOut(dc) => self.outs.push(dc),
             Subject::Server(name) => {
--- a/crates/chicoryrail-core/src/lib.rs
+++ b/crates/chicoryrail-core/src/lib.rs
@@ -48,6 +48,7 @@
 pub use site::Part;
 pub use site::Repeat;
 pub use site::Route;
+pub use site::RouteKind;
 pub use site::RoutePart;
 pub use site::ServicePart;
 pub use site::ServiceSpec;
--- a/crates/chicoryrail-core/src/site/file.rs
+++ b/crates/chicoryrail-core/src/site/file.rs
@@ -7,8 +7,8 @@
 use crate::CallerLimits;
 use crate::Millis;
 use crate::Part;
-use crate::Repeat;
 use crate::Route;
+use crate::RouteKind;
 use crate::ServiceName;
 use crate::ServiceSpec;
 use crate::Site;
@@ -88,6 +88,9 @@
     /// Whether requests may run at most once; else they may be repeated.
     #[serde(default)]
     pub once: bool,
+    /// Whether answers are large; not together with `once`.
+    #[serde(default)]
+    pub download: bool,
     /// Longest time for which a request is kept waiting.
     pub timeout_ms: Millis,
     /// Latency within which an answer is worth most.
@@ -246,7 +249,8 @@
             name: route.name.clone(),
             host: route.host.clone(),
             prefix: route.prefix.clone(),
-            once: route.repeat == Repeat::Once,
+            once: route.kind == RouteKind::Order,
+            download: route.kind == RouteKind::Download,
             timeout_ms: route.timeout,
             aim_ms: route.aim,
             rank: route.rank,
@@ -271,6 +275,10 @@
             let reason = "must not be above timeout_ms";
             return Err(wrong(field("aim_ms"), &self.aim_ms.0, reason));
         }
+        if self.once && self.download {
+            let reason = "must not be true where once is";
+            return Err(wrong(field("download"), &true, reason));
+        }
         if self.attempts == 0 {
             return Err(wrong(field("attempts"), &0, "must be above 0"));
         }
@@ -288,6 +296,14 @@
         Ok(())
     }
 
+    const fn kind(&self) -> RouteKind {
+        match (self.once, self.download) {
+            (true, _) => RouteKind::Order,
+            (false, true) => RouteKind::Download,
+            (false, false) => RouteKind::Read,
+        }
+    }
+
     fn build(&self) -> Route {
         let part = |p: &WeightPart| Part {
             service: p.name.clone(),
@@ -297,7 +313,7 @@
             name: self.name.clone(),
             host: self.host.to_ascii_lowercase(),
             prefix: self.prefix.clone(),
-            repeat: if self.once { Repeat::Once } else { Repeat::Any },
+            kind: self.kind(),
             timeout: self.timeout_ms,
             aim: self.aim_ms,
             rank: self.rank,
--- a/crates/chicoryrail-core/src/site/mod.rs
+++ b/crates/chicoryrail-core/src/site/mod.rs
@@ -25,5 +25,6 @@
 pub use route::Part;
 pub use route::Repeat;
 pub use route::Route;
+pub use route::RouteKind;
 pub use service::ServiceSpec;
 pub use site::Site;
--- a/crates/chicoryrail-core/src/site/route.rs
+++ b/crates/chicoryrail-core/src/site/route.rs
@@ -12,6 +12,38 @@
     Once,
 }
 
+/// What the requests of a route are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RouteKind {
+    /// Idempotent, with short answers.
+    Read,
+    /// Idempotent, with large answers: most of its cost is bytes on the way, not work at the server.
+    Download,
+    /// May run once.
+    Order,
+}
+
+impl RouteKind {
+    /// Tells whether requests may run more than once.
+    #[must_use]
+    pub const fn repeat(self) -> Repeat {
+        match self {
+            Self::Read | Self::Download => Repeat::Any,
+            Self::Order => Repeat::Once,
+        }
+    }
+
+    /// Returns the name in files, logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Download => "download",
+            Self::Order => "order",
+        }
+    }
+}
+
 /// A service that takes a part of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -30,8 +62,8 @@
     pub host: String,
     /// Start of the path; begins and ends with a slash.
     pub prefix: String,
-    /// Whether requests may run more than once.
-    pub repeat: Repeat,
+    /// What its requests are.
+    pub kind: RouteKind,
     /// Longest time for which a request is kept waiting.
     pub timeout: Millis,
     /// Latency within which an answer is worth most to the caller.
--- a/crates/chicoryrail-router/src/route/call.rs
+++ b/crates/chicoryrail-router/src/route/call.rs
@@ -105,7 +105,7 @@
 
     /// Tells whether the request may run more than once.
     pub(crate) fn repeats(&self) -> bool {
-        self.route.repeat == Repeat::Any
+        self.route.kind.repeat() == Repeat::Any
     }
 
     /// Returns the name of the service.
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -51,7 +51,7 @@
     let body = RequestBody::new(Box::pin(body), limit);
     let call = Rc::new(call);
     let mut patience = Patience::new(router, &call);
-    let result = match call.route.repeat {
+    let result = match call.route.kind.repeat() {
         Repeat::Any => answer(router, &call, &body).await,
         // A request that may run once is not broken off when its caller leaves: what its server has
         // begun is to end whole. The task goes on when this one is dropped.
@@ -130,13 +130,9 @@
             ("refused", refusal.answer())
         }
     };
-    let repeat = match call.route.repeat {
-        Repeat::Any => "any",
-        Repeat::Once => "once",
-    };
     let seconds = |m: Millis| m.0 as f64 / 1_000.0;
     let counters = &router.counters;
-    let labels = [service, repeat, outcome];
+    let labels = [service, call.route.kind.name(), outcome];
     counters
         .took
         .with_label_values(&labels)
--- a/crates/chicoryrail-router/src/state/believe.rs
+++ b/crates/chicoryrail-router/src/state/believe.rs
@@ -167,10 +167,15 @@
     fn log(&self, belief: &Belief) {
         let revision = self.view.borrow().revision();
         match belief {
-            Belief::Config { from, to } => {
+            Belief::Config { from, to, unknown } => {
                 let invariants = &self.process.invariants;
                 invariants.rises(Invariant::ConfigForward, from, to);
                 log::info!(from = from, version = to, revision = revision; "config_in_force");
+                self.counters.unknown_words.inc_by(unknown.len() as u64);
+                for e in unknown {
+                    log::warn!(version = to, entry = e.entry, field = e.field, reason = e.reason;
+                        "config_unknown_word");
+                }
             }
             Belief::OldConfig { version, kept } => {
                 log::warn!(version = version, kept = kept; "config_not_newer");
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -21,6 +21,8 @@
     pub(crate) key_calls: IntCounterVec,
     /// Entries that can't be read.
     pub(crate) bad_entries: IntCounter,
+    /// Words of the configuration that this program does not know.
+    pub(crate) unknown_words: IntCounter,
     /// Time from a request's arrival to its answer, by service, kind and outcome.
     pub(crate) took: HistogramVec,
     /// Time that a request waited for a server, by service.
@@ -70,10 +72,14 @@
                 "bad_entries_total",
                 "Entries of the store that can't be read",
             ),
+            unknown_words: metrics.counter(
+                "config_unknown_words_total",
+                "Words of configurations in force that are not known, each counted once a version",
+            ),
             took: metrics.seconds_by(
                 "request_seconds",
-                "Time from arrival to answer, by service, kind (any, once) and outcome",
-                &["service", "repeat", "outcome"],
+                "Time from arrival to answer, by service, kind (read, download, order) and outcome",
+                &["service", "kind", "outcome"],
             ),
             waited: metrics.seconds_by(
                 "wait_seconds",
--- a/crates/chicoryrail-router/src/state/view.rs
+++ b/crates/chicoryrail-router/src/state/view.rs
@@ -11,6 +11,7 @@
 use chicoryrail_core::ServerName;
 use chicoryrail_core::Site;
 use chicoryrail_platform::Change;
+use chicoryrail_platform::ConfigEntry;
 use chicoryrail_platform::DecodeError;
 use chicoryrail_platform::Feed;
 use chicoryrail_platform::Item;
@@ -27,7 +28,12 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Belief {
     /// Another configuration is in force.
-    Config { from: u64, to: u64 },
+    Config {
+        from: u64,
+        to: u64,
+        /// Words in it that this program does not know.
+        unknown: Vec<DecodeError>,
+    },
     /// A configuration is not above the one in force.
     OldConfig { version: u64, kept: u64 },
     /// A data centre is taken out.
@@ -222,8 +228,8 @@
     }
 
     fn put_config(&mut self, item: &Item) -> Option<Belief> {
-        let site = match read_config(&item.value) {
-            Ok(site) => site,
+        let ConfigEntry { site, unknown } = match read_config(&item.value) {
+            Ok(entry) => entry,
             Err(e) => return self.unreadable(item, e),
         };
         let from = self.site.as_ref().map_or(0, |s| s.version);
@@ -239,7 +245,7 @@
         }
         let to = site.version;
         self.site = Some(Rc::new(site));
-        Some(Belief::Config { from, to })
+        Some(Belief::Config { from, to, unknown })
     }
 
     fn put_server(&mut self, now: Millis, name: ServerName, item: &Item) -> Option<Belief> {
--- a/crates/chicoryrail-router/tests/operator.rs
+++ b/crates/chicoryrail-router/tests/operator.rs
@@ -9,6 +9,7 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use serde_json::json;
+use support::Mode;
 use support::World;
 use support::wait_until;
 
@@ -147,6 +148,50 @@
     });
 }
 
+/// The operator's newer tools write a kind of route that this program does not know. The version comes into
+/// force all the same: callers of its other routes and of a route that is new in it are served, and a request
+/// of the unknown kind whose answer is lost is not sent again, since it may be one that runs once. The word
+/// is told once for the version, also when the same version is written again.
+#[test]
+fn an_unknown_kind_of_route_harms_that_route_alone() {
+    block_on(async {
+        let world = World::start("unknown-kind").await;
+        world.configure().await;
+        let servers = [
+            world.server("i-1", "desk").await,
+            world.server("i-2", "desk").await,
+        ];
+        let router = world.router("a").await;
+        let mut config = world.next_config();
+        let paths = config.pointer_mut("/virtual_hosts/0/paths").unwrap();
+        let paths = paths.as_array_mut().unwrap();
+        let mut added = paths[0].clone();
+        added["name"] = json!("added");
+        added["prefix"] = json!("/added/");
+        paths[0]["type"] = json!("stream");
+        paths.push(added);
+        for _ in 0..2 {
+            world.put("op/config", &config).await;
+        }
+        wait_until("the version is in force", async || {
+            router.caller().get("/added/1").await.unwrap().status() == 200
+        })
+        .await;
+        assert_eq!(router.caller().get("/read/1").await.unwrap().status(), 200);
+        let before: usize = servers.iter().map(|s| s.runs()).sum();
+        servers.iter().for_each(|s| s.does(Mode::LoseAnswer));
+        assert_eq!(router.caller().get("/read/1").await.unwrap().status(), 502);
+        let after: usize = servers.iter().map(|s| s.runs()).sum();
+        assert_eq!(after - before, 1);
+        wait_until("the last request is logged", async || {
+            router.log().contains("status=502")
+        })
+        .await;
+        let log = router.log();
+        assert_eq!(log.matches("log=config_unknown_word").count(), 1, "{log}");
+    });
+}
+
 /// A data centre is taken out and back. Its servers get nothing in between.
 #[test]
 fn a_data_centre_that_is_out_gets_nothing() {
--- a/crates/chicoryrail-testkit/src/checker/stored.rs
+++ b/crates/chicoryrail-testkit/src/checker/stored.rs
@@ -38,7 +38,7 @@
         .filter(|c| Subject::of(&c.key) == Subject::Config);
     let version = |c: &Change| {
         let site = read_config(c.value.as_deref().unwrap_or_default().as_bytes());
-        site.map_or(0, |s| s.version)
+        site.map_or(0, |entry| entry.site.version)
     };
     let versions: Vec<_> = of_config.map(version).collect();
     let back = versions.windows(2).filter(|pair| pair[1] <= pair[0]);
--- a/crates/chicoryrail-testkit/src/cluster/deployment.rs
+++ b/crates/chicoryrail-testkit/src/cluster/deployment.rs
@@ -6,8 +6,8 @@
 use chicoryrail_core::CallerLimits;
 use chicoryrail_core::Millis;
 use chicoryrail_core::Part;
-use chicoryrail_core::Repeat;
 use chicoryrail_core::Route;
+use chicoryrail_core::RouteKind;
 use chicoryrail_core::ServiceSpec;
 use chicoryrail_core::Site;
 
@@ -178,15 +178,15 @@
     }
 
     fn route(self, shape: &ServiceShape) -> Route {
-        let (repeat, attempts) = match shape.load {
-            LoadKind::Order => (Repeat::Once, 1),
-            LoadKind::Lookup | LoadKind::Report => (Repeat::Any, 2),
+        let (kind, attempts) = match shape.load {
+            LoadKind::Order => (RouteKind::Order, 1),
+            LoadKind::Lookup | LoadKind::Report => (RouteKind::Read, 2),
         };
         Route {
             name: shape.name.to_owned(),
             host: self.host().to_owned(),
             prefix: shape.path(),
-            repeat,
+            kind,
             timeout: TIMEOUT,
             aim: AIM,
             rank: u8::from(shape.load == LoadKind::Report),
