feat(runtime): reads that a caller sends behind one another are served side by side

Cause: the HTTP layer takes a request when the one in front of it is answered, so a lookup of a caller that sends several waits for all in front of it. Change: the bytes of a connection are looked at ahead, with the HTTP layer's own parser (httparse), and reads found behind a read begin early, eight at most; hyper still frames and answers everything in order. hyper itself can't: it serves one request of a connection at a time. Orders, downloads and requests with a body begin when their turn comes; an answer that closes does so after those begun.

--- a/crates/chicoryrail-router/src/route/call.rs
+++ b/crates/chicoryrail-router/src/route/call.rs
@@ -114,7 +114,8 @@
     }
 }
 
-fn find_route(site: &Site, head: &Parts) -> Option<Arc<Route>> {
+/// Finds the route of a request.
+pub(crate) fn find_route(site: &Site, head: &Parts) -> Option<Arc<Route>> {
     let named = head.headers.get(HOST).and_then(|h| h.to_str().ok());
     let named = named.or_else(|| head.uri.host())?;
     let host = named.rsplit_once(':').map_or(named, |(host, _)| host);
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -1,10 +1,10 @@
 //! Serves callers.
 
-use std::io;
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
 use chicoryrail_core::Repeat;
+use chicoryrail_core::RouteKind;
 use chicoryrail_platform::call_header;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::BodyFault;
@@ -15,17 +15,17 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONNECTION;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use http::request::Parts;
 
 use crate::route::attempts;
 use crate::route::call::Call;
+use crate::route::call::find_route;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::state::Router;
 
 /// Answers a caller's request.
-pub(crate) async fn serve(router: Rc<Router>, request: Request<Incoming>) -> Response<Body> {
+pub(crate) async fn serve(router: Rc<Router>, request: Request<Body>) -> Response<Body> {
     let _serving = Serving::new(&router);
     let (head, body) = request.into_parts();
     let id = head.headers.get(call_header::REQUEST_ID).cloned();
@@ -45,10 +45,17 @@
     answer
 }
 
-async fn run(router: &Rc<Router>, call: Call, body: Incoming) -> Response<Body> {
+/// Tells whether a request may begin before those in front of it on its connection are answered: reads may,
+/// whose short answers wait in memory. An order would run although the caller, cut off before its turn,
+/// sends it again; a download would hold its server's slot until its turn.
+pub(crate) fn may_begin_early(router: &Router, head: &Parts) -> bool {
+    let route = router.site().and_then(|site| find_route(&site, head));
+    route.is_some_and(|r| r.kind == RouteKind::Read)
+}
+
+async fn run(router: &Rc<Router>, call: Call, body: Body) -> Response<Body> {
     let limit = router.site().map_or(u64::MAX, |s| s.limits.body);
-    let body = body.map_err(io::Error::other).boxed_unsync();
-    let body = RequestBody::new(Box::pin(body), limit);
+    let body = RequestBody::new(body, limit);
     let call = Rc::new(call);
     let mut patience = Patience::new(router, &call);
     let result = match call.route.kind.repeat() {
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -10,4 +10,5 @@
 mod refusal;
 mod send;
 
+pub(crate) use caller::may_begin_early;
 pub(crate) use caller::serve;
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -148,12 +148,13 @@
     let elected = monoio::spawn(elect(Rc::clone(&router), tenure));
     let listener = bind("callers", callers).context(ListenSnafu)?;
     let callers_stop = CancellationToken::new();
-    let serving = Rc::clone(&router);
+    let (serving, asked) = (Rc::clone(&router), Rc::clone(&router));
     let served = monoio::spawn(serve_http_shared(
         listener,
         Rc::clone(&router.limits),
         callers_stop.clone(),
         move |request, _| route::serve(Rc::clone(&serving), request),
+        move |head| route::may_begin_early(&asked, head),
     ));
     stop.cancelled().await;
     wind_down(&router, &callers_stop).await;
@@ -204,7 +205,7 @@
 ) -> Result<(), RunError> {
     let listener = bind(flag, addr).context(ListenSnafu)?;
     let router = Rc::clone(router);
-    let answer = move |request: http::Request<hyper::body::Incoming>, _| {
+    let answer = move |request: http::Request<chicoryrail_runtime::Body>, _| {
         let found = router.process.observe(&request);
         let answer = found.unwrap_or_else(|| error_answer(404, "no such page"));
         async move { answer }
--- /dev/null
+++ b/crates/chicoryrail-runtime/src/callers/mod.rs
@@ -0,0 +1,13 @@
+//! Connections of callers: bounds on what they may use, and requests that are sent behind one another.
+
+mod caller_io;
+mod head_scanner;
+mod http_server;
+mod pipeline;
+
+pub use head_scanner::HeadScanner;
+pub use head_scanner::ScannedHead;
+pub use http_server::HttpLimits;
+pub use http_server::SharedLimits;
+pub use http_server::serve_http;
+pub use http_server::serve_http_shared;
--- /dev/null
+++ b/crates/chicoryrail-runtime/tests/pipeline.rs
@@ -0,0 +1,317 @@
+//! Requests that a caller sends before the one in front is answered.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::Body;
+use chicoryrail_runtime::CancellationToken;
+use chicoryrail_runtime::Clock;
+use chicoryrail_runtime::HttpLimits;
+use chicoryrail_runtime::block_on;
+use chicoryrail_runtime::full;
+use chicoryrail_runtime::serve_http_shared;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::CONNECTION;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use monoio::io::AsyncReadRent;
+use monoio::io::AsyncWriteRentExt;
+use monoio::net::TcpListener;
+use monoio::net::TcpStream;
+use monoio::time::sleep;
+use monoio::time::timeout;
+
+/// Work of a slow request.
+const SLOW: Millis = Millis(100);
+
+/// Far less than a slow request takes.
+const QUICK: Millis = Millis(30);
+
+/// Begins and ends of requests, in order; one that is dropped has no end.
+type Events = Rc<RefCell<Vec<String>>>;
+
+/// A listener whose answers hold the path that was asked for. The start of the path says what becomes of a request:
+/// `/slow` takes a while, `/order` may not begin early, `/close` ends the connection, `/cut` breaks off.
+struct Service {
+    addr: SocketAddr,
+    events: Events,
+    stop: CancellationToken,
+}
+
+impl Service {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let events = Events::default();
+        let stop = CancellationToken::new();
+        let told = Rc::clone(&events);
+        monoio::spawn(serve_http_shared(
+            listener,
+            Rc::new(std::cell::Cell::new(HttpLimits::default())),
+            stop.clone(),
+            move |request, _| answer(Rc::clone(&told), request),
+            |head| !head.uri.path().starts_with("/order"),
+        ));
+        Self { addr, events, stop }
+    }
+
+    async fn caller(&self) -> Caller {
+        let stream = TcpStream::connect(self.addr).await.unwrap();
+        Caller { stream }
+    }
+
+    fn events(&self) -> Vec<String> {
+        self.events.borrow().clone()
+    }
+}
+
+async fn answer(events: Events, request: Request<Body>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    events.borrow_mut().push(format!("begin {path}"));
+    let _ = request.into_body().collect().await;
+    if path.starts_with("/slow") {
+        sleep(SLOW.duration()).await;
+    }
+    events.borrow_mut().push(format!("end {path}"));
+    if path.starts_with("/cut") {
+        let parts = [
+            Ok(Frame::data(Bytes::from(path))),
+            Err(std::io::Error::other("cut")),
+        ];
+        // The second part comes later, so that the first is on its way.
+        let parts = stream::iter(parts).then(|part| async move {
+            sleep(Duration::from_millis(5)).await;
+            part
+        });
+        return Response::new(Box::pin(StreamBody::new(Box::pin(parts))));
+    }
+    let mut answer = Response::new(full(format!("<{path}>")));
+    if path.starts_with("/close") {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
+}
+
+struct Caller {
+    stream: TcpStream,
+}
+
+impl Caller {
+    async fn send(&mut self, text: &str) {
+        let (sent, _) = self.stream.write_all(text.as_bytes().to_vec()).await;
+        sent.unwrap();
+    }
+
+    /// Reads until the answers to `count` requests are in, or the connection has ended; returns their paths.
+    async fn answers(&mut self, count: usize) -> Vec<String> {
+        let mut text = String::new();
+        while text.matches('>').count() < count {
+            let read = self.stream.read(vec![0; 4_096]);
+            let (read, buf) = timeout(Duration::from_secs(5), read).await.unwrap();
+            match read {
+                Ok(length) if length > 0 => text += std::str::from_utf8(&buf[..length]).unwrap(),
+                _ => break,
+            }
+        }
+        let paths = text.split('<').skip(1);
+        let paths = paths.filter_map(|part| Some(part.split_once('>')?.0.to_owned()));
+        paths.collect()
+    }
+}
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
+}
+
+fn gets(paths: &[&str]) -> String {
+    paths.iter().map(|p| get(p)).collect()
+}
+
+/// A caller sends three lookups at once, the first of which takes long. The others are done meanwhile, and all
+/// answers come in the order of the requests, as soon as the first is there.
+#[test]
+fn quick_requests_do_not_wait_for_a_slow_one_in_front() {
+    block_on(async {
+        let service = Service::start();
+        let mut caller = service.caller().await;
+        let clock = Clock::start();
+        let paths = ["/slow/1", "/quick/2", "/slow/3"];
+        caller.send(&gets(&paths)).await;
+        assert_eq!(caller.answers(3).await, paths);
+        let took = clock.now();
+        assert!(took < SLOW + QUICK, "{took:?}");
+        assert_eq!(service.events()[2], "end /quick/2");
+    });
+}
+
+/// A caller sends more lookups at once than are served at a time. The rest waits and is served as others end:
+/// nine at a time, so eighteen slow ones take two rounds.
+#[test]
+fn a_caller_has_a_bounded_number_under_way() {
+    block_on(async {
+        let service = Service::start();
+        let mut caller = service.caller().await;
+        let paths: Vec<String> = (0..18).map(|i| format!("/slow/{i}")).collect();
+        let clock = Clock::start();
+        caller
+            .send(&paths.iter().map(|p| get(p)).collect::<String>())
+            .await;
+        sleep(QUICK.duration()).await;
+        assert_eq!(service.events().len(), 9);
+        assert_eq!(caller.answers(18).await, paths);
+        let took = clock.now();
+        assert!(took < SLOW + SLOW + QUICK + QUICK, "{took:?}");
+    });
+}
+
+/// An order stands among lookups. It begins when what is in front of it is answered, and what is behind it begins
+/// when its turn comes: were the connection to end before, nothing would have run that the caller sends again.
+#[test]
+fn an_order_waits_for_its_turn_and_holds_up_what_is_behind() {
+    block_on(async {
+        let service = Service::start();
+        let mut caller = service.caller().await;
+        let order = "POST /order/2 HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n\r\nabcde";
+        let text = get("/slow/1") + order + &gets(&["/quick/3", "/quick/4"]);
+        caller.send(&text).await;
+        let paths = ["/slow/1", "/order/2", "/quick/3", "/quick/4"];
+        assert_eq!(caller.answers(4).await, paths);
+        let order: Vec<String> = paths
+            .iter()
+            .flat_map(|p| [format!("begin {p}"), format!("end {p}")])
+            .collect();
+        let events = service.events();
+        assert_eq!(events[..5], order[..5]);
+    });
+}
+
+/// An order without a body is one all the same, and a lookup with a body waits for its turn too: where it ends is
+/// told when it is read.
+#[test]
+fn neither_an_order_without_a_body_nor_a_lookup_with_one_begins_early() {
+    block_on(async {
+        for (head, path) in [
+            ("POST /order/2 HTTP/1.1\r\nhost: a", "/order/2"),
+            (
+                "GET /quick/2 HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked",
+                "/quick/2",
+            ),
+        ] {
+            let service = Service::start();
+            let mut caller = service.caller().await;
+            caller
+                .send(&format!("{}{head}\r\n\r\n", get("/slow/1")))
+                .await;
+            sleep(QUICK.duration()).await;
+            assert_eq!(service.events(), ["begin /slow/1"]);
+            caller.send("0\r\n\r\n").await;
+            let answers = caller.answers(2).await;
+            assert_eq!(answers[..2], ["/slow/1", path]);
+        }
+    });
+}
+
+/// The head of the second lookup comes byte by byte while the first is served. It begins with its last byte.
+#[test]
+fn a_head_that_comes_byte_by_byte_begins_with_its_last_byte() {
+    block_on(async {
+        let service = Service::start();
+        let mut caller = service.caller().await;
+        caller.send(&get("/slow/1")).await;
+        let head = get("/quick/2");
+        let (start, last) = head.split_at(head.len() - 1);
+        for byte in start.chars() {
+            caller.send(&byte.to_string()).await;
+        }
+        sleep(Millis(10).duration()).await;
+        assert_eq!(service.events(), ["begin /slow/1"]);
+        caller.send(last).await;
+        sleep(Millis(10).duration()).await;
+        assert_eq!(service.events()[1..], ["begin /quick/2", "end /quick/2"]);
+        assert_eq!(caller.answers(2).await, ["/slow/1", "/quick/2"]);
+    });
+}
+
+/// A caller sends two slow lookups and leaves. Both are dropped at once, so that no server works on for nobody.
+#[test]
+fn requests_of_a_caller_that_leaves_are_dropped() {
+    block_on(async {
+        let service = Service::start();
+        let mut caller = service.caller().await;
+        caller.send(&gets(&["/slow/1", "/slow/2"])).await;
+        sleep(QUICK.duration()).await;
+        drop(caller);
+        sleep((SLOW + QUICK).duration()).await;
+        assert_eq!(service.events(), ["begin /slow/1", "begin /slow/2"]);
+    });
+}
+
+/// The process stops while lookups of one connection are under way. Those that were begun are answered, the last of
+/// them with the word that the connection ends; the caller can tell that nothing else was read.
+#[test]
+fn a_stop_answers_what_was_begun() {
+    block_on(async {
+        let service = Service::start();
+        let mut caller = service.caller().await;
+        let paths = ["/slow/1", "/slow/2", "/quick/3"];
+        caller.send(&gets(&paths)).await;
+        sleep(QUICK.duration()).await;
+        service.stop.cancel();
+        sleep(QUICK.duration()).await;
+        caller.send(&get("/quick/4")).await;
+        assert_eq!(caller.answers(4).await, paths);
+        assert!(!service.events().contains(&"begin /quick/4".to_owned()));
+    });
+}
+
+/// An answer says that the connection is to be closed while lookups behind it are under way. Their servers are at
+/// work, so the connection ends after them, not before; an order behind them is not begun.
+#[test]
+fn an_answer_that_closes_lets_those_begun_end_and_nothing_else_begin() {
+    block_on(async {
+        let service = Service::start();
+        let mut caller = service.caller().await;
+        let paths = ["/slow/1", "/close/2", "/slow/3", "/close/4", "/order/5"];
+        caller.send(&gets(&paths)).await;
+        assert_eq!(caller.answers(5).await, paths[..4]);
+        assert!(!service.events().contains(&"begin /order/5".to_owned()));
+    });
+}
+
+/// The first answer breaks off midway. The caller sees the connection end within it, and nothing that could pass for
+/// the rest: no answer to the lookups behind it.
+#[test]
+fn nothing_follows_an_answer_that_breaks_off() {
+    block_on(async {
+        let service = Service::start();
+        let mut caller = service.caller().await;
+        caller.send(&gets(&["/cut/1", "/quick/2"])).await;
+        assert_eq!(caller.answers(2).await, Vec::<String>::new());
+    });
+}
+
+/// A request body that comes in two parts is read whole, whoever read the second part: with the first request under
+/// way the bytes behind it are looked at before the HTTP layer asks for them.
+#[test]
+fn a_body_in_parts_is_read_whole() {
+    block_on(async {
+        let service = Service::start();
+        let mut caller = service.caller().await;
+        let head = "POST /order/1 HTTP/1.1\r\nhost: a\r\ncontent-length: 6\r\n\r\nabc";
+        caller.send(head).await;
+        sleep(QUICK.duration()).await;
+        assert_eq!(service.events(), ["begin /order/1"]);
+        caller.send(&format!("def{}", get("/quick/2"))).await;
+        assert_eq!(caller.answers(2).await, ["/order/1", "/quick/2"]);
+    });
+}
