feat(router): keys that callers asked for are reported to the leader each 100 ms

Cause: they went along with a host's word each 400 ms, so a range that grew busy was seen 0.2 s late on average.

--- a/crates/chicoryrail-router/src/control/desk_duty.rs
+++ b/crates/chicoryrail-router/src/control/desk_duty.rs
@@ -112,7 +112,7 @@
         Packet::Ask(asked) => ask(router, asked, from),
         Packet::End(end) => ended(router, end),
         Packet::Leave { service, ticket } => left(router, service, *ticket),
-        Packet::Word(_) | Packet::Told { .. } => {}
+        Packet::Word(_) | Packet::Asked(_) | Packet::Told { .. } => {}
     }
 }
 
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -26,6 +26,11 @@
 /// off from the store hears of its successor.
 const EVERY: Millis = Millis(400);
 
+/// Time between two reports of the keys that callers asked for, for each host there is, and at least: a range of keys
+/// that grows busy is to be seen within a moment, and the leader should get a few hundred reports a second at most.
+const REPORT_EACH: Millis = Millis(2);
+const REPORT_LEAST: Millis = Millis(100);
+
 /// Keys of one report; a datagram should fit into one packet.
 const KEYS_MOST: usize = 400;
 
@@ -55,6 +60,7 @@
     pub(crate) fn take(&self, packet: Packet, from: SocketAddr) {
         match packet {
             Packet::Word(word) => self.read(word),
+            Packet::Asked(asked) => self.take_asked(&asked),
             Packet::Told { ticket, told } => self.told(ticket, told),
             packet => desk_duty::take(&self.router, &packet, Some(from)),
         }
@@ -83,6 +89,30 @@
         }
     }
 
+    /// Reports the keys that callers asked for to the leader.
+    pub(crate) async fn report(self: Rc<Self>) {
+        loop {
+            let hosts = self.router.peers.borrow().sharing() as u64;
+            let pause = REPORT_EACH.times(hosts).max(REPORT_LEAST);
+            self.router.process.clock.sleep(pause).await;
+            let asked = self.asked();
+            if self.router.leads.get() > 0 {
+                self.take_asked(&asked);
+                continue;
+            }
+            let leader = self.router.peers.borrow().leader_addr();
+            if let Some(leader) = leader.filter(|_| !asked.is_empty()) {
+                self.router.talk.send(&Packet::Asked(asked), leader).await;
+            }
+        }
+    }
+
+    fn take_asked(&self, asked: &[Asked]) {
+        for asked in asked {
+            self.tenure.asked(&asked.service, &asked.keys);
+        }
+    }
+
     fn word(&self, leads: bool) -> Word {
         let keys = if leads { self.key_words() } else { Vec::new() };
         let speeds = desk_duty::speeds(&self.router);
@@ -99,7 +129,6 @@
             schedules: self.router.schedules(),
             speeds,
             keys,
-            asked: self.asked(leads),
         }
     }
 
@@ -127,18 +156,14 @@
         Some(KeyRanges::pack(&record.spans))
     }
 
-    /// Takes the keys that were asked for; a leader notes its own at once.
-    fn asked(&self, leads: bool) -> Vec<Asked> {
+    /// Takes the keys that were asked for since the last report.
+    fn asked(&self) -> Vec<Asked> {
         let mut all = Vec::new();
         for service in self.router.services() {
             let keys = std::mem::take(&mut *service.asked.borrow_mut());
             if keys.is_empty() {
                 continue;
             }
-            if leads {
-                self.tenure.asked(&service.name, &keys);
-                continue;
-            }
             let keys = keys.into_iter().take(KEYS_MOST).collect();
             let service = service.name.clone();
             all.push(Asked { service, keys });
@@ -148,11 +173,10 @@
 
     async fn send(&self, word: &Word, addr: SocketAddr) {
         let leader = self.router.peers.borrow().leader_addr();
-        // Only the leader has a use for the keys that were asked for, and for the servers' speeds.
+        // Only the leader has a use for the servers' speeds.
         let to_leader = leader.is_none_or(|l| l == addr);
         let mut word = word.clone();
         if !to_leader {
-            word.asked.clear();
             word.speeds.clear();
         }
         self.router.talk.send(&Packet::Word(word), addr).await;
@@ -185,9 +209,6 @@
             }
         }
         self.tenure.heard_speeds(word.speeds);
-        for asked in word.asked {
-            self.tenure.asked(&asked.service, &asked.keys);
-        }
     }
 
     fn take_keys(&self, now: Millis, word: KeyWord) {
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -16,6 +16,8 @@
 pub(crate) enum Packet {
     /// What a host knows.
     Word(Word),
+    /// Keys that callers asked for, for the leader.
+    Asked(Vec<Asked>),
     /// A request asks the host that schedules for its server.
     Ask(Ask),
     /// The host that schedules says what becomes of a request.
@@ -45,7 +47,6 @@
     /// How fast the servers are for which it schedules, for the leader: above 1 is slower than usual.
     pub(crate) speeds: Vec<(Life, f32)>,
     pub(crate) keys: Vec<KeyWord>,
-    pub(crate) asked: Vec<Asked>,
 }
 
 /// Who holds the keys of a service, as the leader knows it.
