--- a/crates/chicoryctl/tests/commands.rs
+++ b/crates/chicoryctl/tests/commands.rs
@@ -38,11 +38,11 @@
 services = [{ name = "kits" }]
 "#;
 
-struct Desk {
+struct Scheduler {
     store: KvStore,
 }
 
-impl Desk {
+impl Scheduler {
     fn start() -> Self {
         let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let store = KvStore::new(listener.addr().unwrap());
@@ -89,7 +89,7 @@
 #[test]
 fn a_configuration_is_put_under_the_next_version_and_shown() {
     block_on(async {
-        let desk = Desk::start();
+        let desk = Scheduler::start();
         let put = |expect| Command::Put {
             file: file("put", SITE),
             expect,
@@ -108,7 +108,7 @@
 #[test]
 fn a_change_of_an_older_version_is_refused() {
     block_on(async {
-        let desk = Desk::start();
+        let desk = Scheduler::start();
         let put = |expect| Command::Put {
             file: file("race", SITE),
             expect,
@@ -124,7 +124,7 @@
 #[test]
 fn a_data_centre_is_taken_out_and_brought_back() {
     block_on(async {
-        let desk = Desk::start();
+        let desk = Scheduler::start();
         desk.server("i-1", "west", 4).await;
         desk.server("i-2", "east", 2).await;
         let out = |dc: &str, force| Command::Out {
@@ -149,7 +149,7 @@
 #[test]
 fn status_and_owner_tell_what_the_store_holds() {
     block_on(async {
-        let desk = Desk::start();
+        let desk = Scheduler::start();
         let file = file("status", SITE);
         desk.run(Command::Put { file, expect: None }).await.unwrap();
         desk.server("i-1", "west", 4).await;
--- a/crates/chicoryrail-ownership/src/keys/draft.rs
+++ b/crates/chicoryrail-ownership/src/keys/draft.rs
@@ -5,8 +5,8 @@
 use chicoryrail_core::Life;
 
 use crate::keys::Holder;
-use crate::keys::KeySpan;
-use crate::keys::OwnedSpan;
+use crate::keys::KeyRange;
+use crate::keys::OwnedRange;
 use crate::keys::line::Line;
 
 /// Load over the fair share down to which a server is relieved, and up to which another takes more. Below the load
@@ -56,7 +56,7 @@
     /// Fair load for a weight of 1.
     unit: f64,
     /// Ranges in the order of their keys, with their holder's number; `None` for keys of a server that is gone.
-    ranges: Vec<(KeySpan, Option<usize>)>,
+    ranges: Vec<(KeyRange, Option<usize>)>,
     /// Load by holder.
     loads: Vec<f64>,
 }
@@ -64,7 +64,7 @@
 impl<'a> Draft<'a> {
     /// Begins with what is assigned; keys of servers that are no holders, and of none, are free.
     pub(crate) fn new(
-        spans: &[OwnedSpan],
+        spans: &[OwnedRange],
         holders: &'a [Holder],
         line: &'a Line,
         unit: f64,
@@ -74,7 +74,7 @@
         let mut next = 0_u32;
         for owned in spans {
             if u32::from(owned.span.first) > next {
-                let gap = KeySpan {
+                let gap = KeyRange {
                     first: next as u16,
                     last: owned.span.first - 1,
                 };
@@ -86,7 +86,7 @@
         if next <= u32::from(u16::MAX) {
             let first = next as u16;
             let last = u16::MAX;
-            ranges.push((KeySpan { first, last }, None));
+            ranges.push((KeyRange { first, last }, None));
         }
         let mut this = Self {
             holders,
@@ -122,11 +122,11 @@
     }
 
     /// Returns the ranges with their holders.
-    pub(crate) fn into_spans(self) -> Vec<OwnedSpan> {
+    pub(crate) fn into_spans(self) -> Vec<OwnedRange> {
         let holders = self.holders;
         let ranges = self.ranges.into_iter();
         let owned =
-            ranges.filter_map(|(span, h)| Some(OwnedSpan::new(span, holders[h?].life.clone())));
+            ranges.filter_map(|(span, h)| Some(OwnedRange::new(span, holders[h?].life.clone())));
         owned.collect()
     }
 
@@ -198,7 +198,7 @@
 
     fn halve_for(&mut self, new: usize) {
         let long = self.ranges.iter().filter(|(span, _)| span.len() > 1);
-        let busy = |span: KeySpan, h: usize| self.line.load(span) / self.fair(h);
+        let busy = |span: KeyRange, h: usize| self.line.load(span) / self.fair(h);
         let held = long.filter_map(|(span, holder)| Some((*span, (*holder)?)));
         let most = held.max_by(|a, b| busy(a.0, a.1).total_cmp(&busy(b.0, b.1)));
         let Some((span, _)) = most else {
@@ -206,7 +206,7 @@
         };
         let half = self.line.end_of(span, self.line.load(span) / 2.0);
         let first = half.first.max(span.first + 1);
-        self.assign(KeySpan { first, ..half }, new);
+        self.assign(KeyRange { first, ..half }, new);
     }
 
     /// Takes load off those that have too much, the busiest first, and gives it to those with most room.
@@ -225,7 +225,7 @@
             if from == to || amount < least {
                 return;
             }
-            let mean = self.line.total() / f64::from(KeySpan::ALL.len());
+            let mean = self.line.total() / f64::from(KeyRange::ALL.len());
             let Some(piece) = self.piece_of(from, amount, mean * LEAST_DENSITY) else {
                 return;
             };
@@ -245,15 +245,15 @@
 
     /// Returns keys of a holder with about so much load and no more keys than needed, at least as dense as `density`
     /// load a key.
-    fn piece_of(&self, from: usize, amount: f64, density: f64) -> Option<KeySpan> {
+    fn piece_of(&self, from: usize, amount: f64, density: f64) -> Option<KeyRange> {
         if amount <= 0.0 {
             return None;
         }
         let own = self.ranges.iter().filter(|(_, h)| *h == Some(from));
-        let pieces: Vec<KeySpan> = own.flat_map(|(s, _)| self.pieces(*s, amount)).collect();
-        let dense = |span: &KeySpan| self.line.load(*span) / f64::from(span.len());
+        let pieces: Vec<KeyRange> = own.flat_map(|(s, _)| self.pieces(*s, amount)).collect();
+        let dense = |span: &KeyRange| self.line.load(*span) / f64::from(span.len());
         // A key that is busier than wished moves only where nothing else does.
-        let fits = |span: &&KeySpan| self.line.load(**span) <= amount * OVERSHOOT;
+        let fits = |span: &&KeyRange| self.line.load(**span) <= amount * OVERSHOOT;
         let fit = pieces
             .iter()
             .filter(fits)
@@ -264,11 +264,11 @@
 
     /// Returns the best pieces of one range with about so much load: the shortest run that does not have much more,
     /// the shortest of all, or an end of the range that is hardly longer; the whole range where it has less.
-    fn pieces(&self, span: KeySpan, amount: f64) -> Vec<KeySpan> {
+    fn pieces(&self, span: KeyRange, amount: f64) -> Vec<KeyRange> {
         let amount = amount.min(self.line.load(span));
         let near = self.line.shortest(span, amount, amount * OVERSHOOT);
         let short = self.line.shortest(span, amount, f64::INFINITY);
-        let mut pieces: Vec<KeySpan> = [near, short].into_iter().flatten().collect();
+        let mut pieces: Vec<KeyRange> = [near, short].into_iter().flatten().collect();
         if pieces.is_empty() {
             pieces.push(span);
         }
@@ -329,7 +329,7 @@
     }
 
     /// Gives keys, all of one range, to a holder.
-    fn assign(&mut self, piece: KeySpan, to: usize) {
+    fn assign(&mut self, piece: KeyRange, to: usize) {
         let Some(at) = self.ranges.iter().position(|(s, _)| s.has(piece.first)) else {
             return;
         };
@@ -348,7 +348,7 @@
 
     /// Joins ranges of one holder that lie side by side.
     fn join(&mut self) {
-        let mut joined: Vec<(KeySpan, Option<usize>)> = Vec::with_capacity(self.ranges.len());
+        let mut joined: Vec<(KeyRange, Option<usize>)> = Vec::with_capacity(self.ranges.len());
         for (span, holder) in self.ranges.drain(..) {
             match joined.last_mut() {
                 Some((before, same)) if *same == holder => before.last = span.last,
--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -7,7 +7,7 @@
 
 use crate::keys::Duty;
 use crate::keys::Keeper;
-use crate::keys::KeySpan;
+use crate::keys::KeyRange;
 use crate::keys::claim::Live;
 use crate::keys::server_state::ServerState;
 
@@ -81,7 +81,7 @@
 
     /// Returns keys that a server does not hold yet and that nobody else may hold. What was released
     /// with a token is granted by itself, so that the token goes along.
-    fn fresh(&self, life: &Life, state: &ServerState) -> Option<(KeySpan, Option<String>)> {
+    fn fresh(&self, life: &Life, state: &ServerState) -> Option<(KeyRange, Option<String>)> {
         let missing = state.not_live();
         missing.first()?;
         let others = self.claims.iter().filter(|c| c.owned.owner != *life);
@@ -132,7 +132,7 @@
         let probe = |(life, state): (&Life, &ServerState)| Duty::Release {
             life: life.clone(),
             addr: state.addr,
-            span: KeySpan::ALL,
+            span: KeyRange::ALL,
             fence: self.record.fence,
         };
         lost.map(probe).collect()
@@ -140,16 +140,16 @@
 }
 
 /// Returns the keys that a server must renew: with a piece that is due, all that adjoin it.
-fn renewal(now: Millis, live: &[Live]) -> Option<KeySpan> {
+fn renewal(now: Millis, live: &[Live]) -> Option<KeyRange> {
     let mut live = live.to_vec();
     live.sort_by_key(|l| l.span);
-    let mut run: Option<(KeySpan, bool)> = None;
+    let mut run: Option<(KeyRange, bool)> = None;
     for piece in live {
         let (span, due) = (piece.span, now >= piece.due);
         run = match run {
             Some((whole, was)) if u32::from(whole.last) + 1 >= u32::from(span.first) => {
                 let last = whole.last.max(span.last);
-                Some((KeySpan { last, ..whole }, was || due))
+                Some((KeyRange { last, ..whole }, was || due))
             }
             Some((whole, true)) => return Some(whole),
             _ => Some((span, due)),
--- a/crates/chicoryrail-ownership/src/keys/duty.rs
+++ b/crates/chicoryrail-ownership/src/keys/duty.rs
@@ -4,8 +4,8 @@
 
 use chicoryrail_core::Life;
 
+use crate::keys::KeyRange;
 use crate::keys::KeyRecord;
-use crate::keys::KeySpan;
 
 /// Something that the leader has to do for a service's keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,7 +17,7 @@
         /// Its address.
         addr: SocketAddr,
         /// Keys.
-        span: KeySpan,
+        span: KeyRange,
         /// Fence.
         fence: u64,
         /// Token of the last holder's release.
@@ -30,7 +30,7 @@
         /// Its address.
         addr: SocketAddr,
         /// Keys.
-        span: KeySpan,
+        span: KeyRange,
         /// Fence.
         fence: u64,
     },
--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/keeper.rs
@@ -9,10 +9,10 @@
 use chicoryrail_core::Millis;
 
 use crate::keys::GrantEnd;
+use crate::keys::KeyRange;
 use crate::keys::KeyRecord;
-use crate::keys::KeySpan;
 use crate::keys::KeyTiming;
-use crate::keys::OwnedSpan;
+use crate::keys::OwnedRange;
 use crate::keys::ReleaseEnd;
 use crate::keys::claim::Claim;
 use crate::keys::claim::Freed;
@@ -37,7 +37,7 @@
     pub(super) freed: Vec<Freed>,
     pub(super) writing: Option<KeyRecord>,
     /// Claims that ended because their time was over, not yet told.
-    pub(super) waited_out: Vec<OwnedSpan>,
+    pub(super) waited_out: Vec<OwnedRange>,
     pub(super) deposed: bool,
     /// How long grants last that go out now.
     hold: Millis,
@@ -166,7 +166,7 @@
     }
 
     /// Returns the keys that former holders have kept until the end of their hold, each once.
-    pub fn take_waited_out(&mut self) -> Vec<OwnedSpan> {
+    pub fn take_waited_out(&mut self) -> Vec<OwnedRange> {
         std::mem::take(&mut self.waited_out)
     }
 
@@ -178,7 +178,7 @@
 
     /// Returns the keys that are meant for somebody but not granted yet.
     #[must_use]
-    pub fn blocked(&self) -> Vec<KeySpan> {
+    pub fn blocked(&self) -> Vec<KeyRange> {
         let servers = self.servers.values();
         servers.flat_map(|s| s.not_live().into_spans()).collect()
     }
@@ -200,7 +200,7 @@
     }
 
     /// Plans other owners; to be called while nothing is changing.
-    pub fn change(&mut self, spans: Vec<OwnedSpan>, attempt: u64) {
+    pub fn change(&mut self, spans: Vec<OwnedRange>, attempt: u64) {
         let loose: Vec<_> = self.claims.iter().map(|c| c.owned.clone()).collect();
         self.writing = Some(self.record.next(spans, &loose, attempt));
     }
@@ -226,7 +226,7 @@
             }
         });
         self.claims = claims.collect();
-        let mut meant: BTreeMap<Life, Vec<KeySpan>> = BTreeMap::new();
+        let mut meant: BTreeMap<Life, Vec<KeyRange>> = BTreeMap::new();
         for owned in &next.spans {
             let spans = meant.entry(owned.owner.clone()).or_default();
             spans.push(owned.span);
@@ -244,7 +244,7 @@
     }
 
     /// Takes in that a grant is on its way: from now on it may take effect.
-    pub fn granting(&mut self, now: Millis, life: &Life, span: KeySpan) {
+    pub fn granting(&mut self, now: Millis, life: &Life, span: KeyRange) {
         let longest = self.timing.grant_limit + KeyTiming::longest(self.hold);
         if let Some(state) = self.servers.get_mut(life) {
             state.granting = Some(span);
@@ -257,7 +257,7 @@
     }
 
     /// Takes in how a grant ended.
-    pub fn granted(&mut self, now: Millis, life: &Life, span: KeySpan, fence: u64, end: GrantEnd) {
+    pub fn granted(&mut self, now: Millis, life: &Life, span: KeyRange, fence: u64, end: GrantEnd) {
         let again = now + Millis(self.timing.renew.0 / 4);
         let Some(state) = self.servers.get_mut(life) else {
             return;
@@ -285,14 +285,14 @@
     }
 
     /// Takes in that a release is on its way.
-    pub fn releasing(&mut self, life: &Life, span: KeySpan) {
+    pub fn releasing(&mut self, life: &Life, span: KeyRange) {
         if let Some(state) = self.servers.get_mut(life) {
             state.releasing.push(span);
         }
     }
 
     /// Takes in how a release ended.
-    pub fn released(&mut self, now: Millis, life: &Life, span: KeySpan, end: ReleaseEnd) {
+    pub fn released(&mut self, now: Millis, life: &Life, span: KeyRange, end: ReleaseEnd) {
         let Some(state) = self.servers.get_mut(life) else {
             return;
         };
@@ -322,7 +322,7 @@
         }
     }
 
-    fn retry(&mut self, life: &Life, span: KeySpan, at: Millis) {
+    fn retry(&mut self, life: &Life, span: KeyRange, at: Millis) {
         let claims = self.claims.iter_mut();
         let same = |c: &&mut Claim| c.owned.owner == *life && c.owned.span.meet(span).is_some();
         for claim in claims.filter(same) {
--- a/crates/chicoryrail-ownership/src/keys/key_load.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_load.rs
@@ -2,7 +2,7 @@
 
 use chicoryrail_core::Millis;
 
-use crate::keys::KeySpan;
+use crate::keys::KeyRange;
 
 /// Keys of one bucket. Busy keys stand close to one another, and a few dozen may carry a third of the
 /// load, so buckets must be finer than that.
@@ -93,7 +93,7 @@
 
     /// Returns the load of a range over the last seconds, as far as whole buckets show it.
     #[must_use]
-    pub fn of(&self, span: KeySpan) -> f64 {
+    pub fn of(&self, span: KeyRange) -> f64 {
         let first = usize::from(span.first) / PER_BUCKET;
         let last = usize::from(span.last) / PER_BUCKET;
         let buckets = &self.long.buckets[first..=last];
--- a/crates/chicoryrail-ownership/src/keys/key_view.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_view.rs
@@ -3,8 +3,8 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 
+use crate::keys::KeyRange;
 use crate::keys::KeyRecord;
-use crate::keys::KeySpan;
 
 /// Longest time for which a key that changes hands is taken as not granted yet, while nothing is heard
 /// from the leader. After that its meant owner is asked; one that does not hold the key says so.
@@ -32,7 +32,7 @@
     changed: Millis,
     /// Fence for which the leader's word is known.
     told: u64,
-    blocked: Vec<KeySpan>,
+    blocked: Vec<KeyRange>,
 }
 
 impl KeyView {
@@ -47,7 +47,7 @@
     }
 
     /// Takes in which keys the leader has not granted yet under a fence.
-    pub fn blocked(&mut self, fence: u64, blocked: Vec<KeySpan>) {
+    pub fn blocked(&mut self, fence: u64, blocked: Vec<KeyRange>) {
         if fence >= self.told {
             self.told = fence;
             self.blocked = blocked;
--- a/crates/chicoryrail-ownership/src/keys/line.rs
+++ b/crates/chicoryrail-ownership/src/keys/line.rs
@@ -1,7 +1,7 @@
 //! The load along the key space.
 
 use crate::keys::KeyLoad;
-use crate::keys::KeySpan;
+use crate::keys::KeyRange;
 use crate::keys::Window;
 use crate::keys::key_load::PER_BUCKET;
 
@@ -54,7 +54,7 @@
     }
 
     /// Returns the load of a range.
-    pub(crate) fn load(&self, span: KeySpan) -> f64 {
+    pub(crate) fn load(&self, span: KeyRange) -> f64 {
         self.at(u32::from(span.last) + 1) - self.at(u32::from(span.first))
     }
 
@@ -69,27 +69,27 @@
     }
 
     /// Returns the first keys of a range that have so much load together, all where it has no more.
-    pub(crate) fn start_of(&self, span: KeySpan, load: f64) -> KeySpan {
+    pub(crate) fn start_of(&self, span: KeyRange, load: f64) -> KeyRange {
         let end = self.key_at(self.at(u32::from(span.first)) + load);
         let last = (end.max(u32::from(span.first) + 1) - 1).min(u32::from(span.last));
-        KeySpan {
+        KeyRange {
             first: span.first,
             last: last as u16,
         }
     }
 
     /// Returns the last keys of a range that have so much load together, all where it has no more.
-    pub(crate) fn end_of(&self, span: KeySpan, load: f64) -> KeySpan {
+    pub(crate) fn end_of(&self, span: KeyRange, load: f64) -> KeyRange {
         let start = self.key_at(self.at(u32::from(span.last) + 1) - load);
         let first = start.min(u32::from(span.last)).max(u32::from(span.first));
-        KeySpan {
+        KeyRange {
             first: first as u16,
             last: span.last,
         }
     }
 
     /// Returns the shortest run of buckets within a range with at least `load` and at most `most`, if there is one.
-    pub(crate) fn shortest(&self, span: KeySpan, load: f64, most: f64) -> Option<KeySpan> {
+    pub(crate) fn shortest(&self, span: KeyRange, load: f64, most: f64) -> Option<KeyRange> {
         let from = usize::from(span.first).div_ceil(PER_BUCKET);
         let to = (usize::from(span.last) + 1) / PER_BUCKET;
         let mut best: Option<(usize, usize)> = None;
@@ -106,7 +106,7 @@
                 best = Some((start, end));
             }
         }
-        best.map(|(start, end)| KeySpan {
+        best.map(|(start, end)| KeyRange {
             first: (start * PER_BUCKET) as u16,
             last: (end * PER_BUCKET - 1) as u16,
         })
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -5,9 +5,9 @@
 use chicoryrail_core::Life;
 
 use crate::keys::KeyLoad;
+use crate::keys::KeyRange;
 use crate::keys::KeyRecord;
-use crate::keys::KeySpan;
-use crate::keys::OwnedSpan;
+use crate::keys::OwnedRange;
 use crate::keys::Window;
 use crate::keys::draft::Draft;
 use crate::keys::line::Line;
@@ -44,7 +44,7 @@
     /// They stay.
     Keep,
     /// These servers hold them from now on.
-    Change(Vec<OwnedSpan>),
+    Change(Vec<OwnedRange>),
 }
 
 /// Which moves of keys may be planned beside those that are needed because servers came or went.
@@ -108,7 +108,7 @@
     let lives: BTreeSet<&Life> = holders.iter().map(|h| &h.life).collect();
     let owners: BTreeSet<&Life> = record.spans.iter().map(|s| &s.owner).collect();
     let keys: u32 = record.spans.iter().map(|s| s.span.len()).sum();
-    lives != owners || keys != KeySpan::ALL.len()
+    lives != owners || keys != KeyRange::ALL.len()
 }
 
 /// Tells whether a server has far more than its fair share, beyond what chance makes of so few requests.
@@ -119,10 +119,10 @@
 /// Cuts the whole key space into one range for each server, in their order, each as long as its weight and the load
 /// say.
 #[must_use]
-pub fn recut(holders: &[Holder], load: &KeyLoad) -> Vec<OwnedSpan> {
+pub fn recut(holders: &[Holder], load: &KeyLoad) -> Vec<OwnedRange> {
     let weights: Vec<f64> = holders.iter().map(|h| h.weight).collect();
     let (line, unit) = Line::fair(&weights, load, Window::Long);
-    let mut rest = KeySpan::ALL;
+    let mut rest = KeyRange::ALL;
     let mut spans = Vec::with_capacity(holders.len());
     for (i, holder) in holders.iter().enumerate() {
         let after = (holders.len() - i - 1) as u32;
@@ -133,7 +133,7 @@
             span.last = part.last.min((65_535 - after) as u16);
             rest.first = span.last + 1;
         }
-        spans.push(OwnedSpan::new(span, holder.life.clone()));
+        spans.push(OwnedRange::new(span, holder.life.clone()));
     }
     spans
 }
--- a/crates/chicoryrail-ownership/src/keys/record.rs
+++ b/crates/chicoryrail-ownership/src/keys/record.rs
@@ -6,18 +6,18 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::keys::span_set::SpanSet;
+use crate::keys::range_set::RangeSet;
 
 /// A range of keys, both ends included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct KeySpan {
+pub struct KeyRange {
     /// First key.
     pub first: u16,
     /// Last key.
     pub last: u16,
 }
 
-impl KeySpan {
+impl KeyRange {
     /// All keys.
     pub const ALL: Self = Self {
         first: 0,
@@ -75,17 +75,17 @@
 
 /// Keys and the server that they are meant for, or that may hold them.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct OwnedSpan {
+pub struct OwnedRange {
     /// Keys.
-    pub span: KeySpan,
+    pub span: KeyRange,
     /// Server.
     pub owner: Life,
 }
 
-impl OwnedSpan {
+impl OwnedRange {
     /// Builds the assignment of a span.
     #[must_use]
-    pub const fn new(span: KeySpan, owner: Life) -> Self {
+    pub const fn new(span: KeyRange, owner: Life) -> Self {
         Self { span, owner }
     }
 }
@@ -99,10 +99,10 @@
     /// Fence of the grants.
     pub fence: u64,
     /// Who is to hold which keys, sorted; keys of no span have no owner.
-    pub spans: Vec<OwnedSpan>,
+    pub spans: Vec<OwnedRange>,
     /// Keys that other servers may still hold from before: no grant may overlap them until their
     /// release was answered, their hold has run out, or their server's life has ended.
-    pub loose: Vec<OwnedSpan>,
+    pub loose: Vec<OwnedRange>,
     /// Random number of the write, by which a writer whose answer was lost finds its own.
     pub attempt: u64,
 }
@@ -117,7 +117,7 @@
     }
 
     /// Iterates over the spans of a server.
-    pub fn spans_of(&self, life: &Life) -> impl Iterator<Item = KeySpan> {
+    pub fn spans_of(&self, life: &Life) -> impl Iterator<Item = KeyRange> {
         let owned = self.spans.iter().filter(move |s| s.owner == *life);
         owned.map(|s| s.span)
     }
@@ -130,18 +130,18 @@
 
     /// Returns the next record, with the given owners: what their predecessors may still hold is loose.
     #[must_use]
-    pub fn next(&self, spans: Vec<OwnedSpan>, still_loose: &[OwnedSpan], attempt: u64) -> Self {
-        let mut kept: BTreeMap<&Life, Vec<KeySpan>> = BTreeMap::new();
+    pub fn next(&self, spans: Vec<OwnedRange>, still_loose: &[OwnedRange], attempt: u64) -> Self {
+        let mut kept: BTreeMap<&Life, Vec<KeyRange>> = BTreeMap::new();
         for owned in &spans {
             kept.entry(&owned.owner).or_default().push(owned.span);
         }
-        let mut loose: Vec<OwnedSpan> = Vec::new();
+        let mut loose: Vec<OwnedRange> = Vec::new();
         for old in still_loose.iter().chain(&self.spans) {
             // What its holder keeps, or gets back, is not loose.
             let kept = kept.get(&old.owner).into_iter().flatten().copied();
-            let left = SpanSet::of(old.span).without(kept);
+            let left = RangeSet::of(old.span).without(kept);
             for span in left.into_spans() {
-                let owned = OwnedSpan::new(span, old.owner.clone());
+                let owned = OwnedRange::new(span, old.owner.clone());
                 if !loose.contains(&owned) {
                     loose.push(owned);
                 }
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -4,9 +4,9 @@
 
 use chicoryrail_core::Millis;
 
-use crate::keys::KeySpan;
+use crate::keys::KeyRange;
 use crate::keys::claim::Live;
-use crate::keys::span_set::SpanSet;
+use crate::keys::range_set::RangeSet;
 
 /// What the leader knows of one start of a server.
 #[derive(Clone, Debug)]
@@ -24,12 +24,12 @@
     /// When its registration was last seen.
     pub(crate) seen: Millis,
     /// Keys of the grant that is under way; there is one at a time.
-    pub(crate) granting: Option<KeySpan>,
+    pub(crate) granting: Option<KeyRange>,
     /// Keys of the releases that are under way. A grant and a release of the same key are never under way
     /// together: on different connections one may overtake the other.
-    pub(crate) releasing: Vec<KeySpan>,
+    pub(crate) releasing: Vec<KeyRange>,
     /// Keys that it is meant to hold.
-    pub(crate) spans: Vec<KeySpan>,
+    pub(crate) spans: Vec<KeyRange>,
     /// Keys that it holds.
     pub(crate) live: Vec<Live>,
     /// Since when it has not answered a grant.
@@ -63,13 +63,13 @@
     }
 
     /// Returns the keys that it is meant to hold and does not yet.
-    pub(crate) fn not_live(&self) -> SpanSet {
+    pub(crate) fn not_live(&self) -> RangeSet {
         let live = self.live.iter().map(|l| l.span);
-        SpanSet::new(self.spans.clone()).without(live)
+        RangeSet::new(self.spans.clone()).without(live)
     }
 
     /// Takes in what it is meant to hold from now on; of what it holds, only that remains.
-    pub(crate) fn meant(&mut self, spans: Vec<KeySpan>) {
+    pub(crate) fn meant(&mut self, spans: Vec<KeyRange>) {
         let kept = self.live.iter().flat_map(|live| {
             let meet = spans.iter().filter_map(|s| s.meet(live.span));
             meet.map(|span| Live { span, ..*live })
@@ -79,7 +79,7 @@
     }
 
     /// Notes that it holds keys that were granted, as far as it is meant to.
-    pub(crate) fn holds(&mut self, due: Millis, span: KeySpan) {
+    pub(crate) fn holds(&mut self, due: Millis, span: KeyRange) {
         let covered = |l: &Live| l.span.without(span).is_empty();
         self.live.retain(|l| !covered(l));
         let meant = self.spans.iter().filter_map(|s| s.meet(span));
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -6,10 +6,10 @@
 //! # Example
 //!
 //! ```
-//! use chicoryrail_ownership::keys::KeySpan;
+//! use chicoryrail_ownership::keys::KeyRange;
 //!
-//! let low = KeySpan { first: 0, last: 99 };
-//! assert_eq!(KeySpan::ALL.without(low), [KeySpan { first: 100, last: 65_535 }]);
+//! let low = KeyRange { first: 0, last: 99 };
+//! assert_eq!(KeyRange::ALL.without(low), [KeyRange { first: 100, last: 65_535 }]);
 //! ```
 //!
 //! Go on with [`keys::Keeper`] for what a leader does about keys, [`keys::KeyRecord`] for what the store
@@ -22,5 +22,5 @@
 
 pub use peers::HostState;
 pub use peers::Peers;
-pub use peers::Scheduler;
+pub use peers::SchedulerHost;
 pub use reach::Reach;
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -21,7 +21,7 @@
 /// Age of a host's last word up to which what it says of its reach and power counts: one word and a half.
 const FRESH: Millis = Millis(600);
 
-/// How many times as strong another host must be to lead in this one's place. The desk takes 0.06 ms of a core
+/// How many times as strong another host must be to lead in this one's place. The scheduler takes 0.06 ms of a core
 /// for each request of an installation, and a change of leaders is felt by those that wait there.
 const MUCH_STRONGER: u32 = 2;
 
@@ -44,7 +44,7 @@
 
 /// The host that schedules the requests for a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scheduler {
+pub enum SchedulerHost {
     /// This one.
     Here,
     /// Another one, at this address.
@@ -121,16 +121,16 @@
         now: Millis,
         own: (&HostName, &HostState),
         name: &impl Hash,
-    ) -> Scheduler {
+    ) -> SchedulerHost {
         let (own_name, own_said) = own;
         let others = self.at_work(now).map(|(host, p)| {
             let score = score(host, p.said.power, name);
-            (score, Scheduler::At(p.addr))
+            (score, SchedulerHost::At(p.addr))
         });
-        let own = (score(own_name, own_said.power, name), Scheduler::Here);
+        let own = (score(own_name, own_said.power, name), SchedulerHost::Here);
         let own = own_said.schedules.then_some(own);
         let most = others.chain(own).max_by(|a, b| a.0.total_cmp(&b.0));
-        most.map_or(Scheduler::Here, |(_, scheduler)| scheduler)
+        most.map_or(SchedulerHost::Here, |(_, scheduler)| scheduler)
     }
 
     /// Returns a mark of the hosts that schedule, which changes when one comes, goes or changes its strength.
@@ -209,7 +209,7 @@
         self.leader_heard = Some(now);
     }
 
-    /// Tells whether a leader was heard within `age`, so that its desk is at work.
+    /// Tells whether a leader was heard within `age`, so that its scheduler is at work.
     #[must_use]
     pub fn hears_leader(&self, now: Millis, age: Millis) -> bool {
         self.leader_heard.is_some_and(|at| now.since(at) <= age)
--- a/crates/chicoryrail-ownership/tests/key_keeper.rs
+++ b/crates/chicoryrail-ownership/tests/key_keeper.rs
@@ -6,18 +6,18 @@
 use chicoryrail_ownership::keys::Duty;
 use chicoryrail_ownership::keys::GrantEnd;
 use chicoryrail_ownership::keys::Keeper;
+use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
-use chicoryrail_ownership::keys::KeySpan;
 use chicoryrail_ownership::keys::KeyTiming;
-use chicoryrail_ownership::keys::OwnedSpan;
+use chicoryrail_ownership::keys::OwnedRange;
 use chicoryrail_ownership::keys::ReleaseEnd;
 
 fn life(name: &str) -> Life {
     Life::new(ServerName::new(name), 1)
 }
 
-fn span(first: u16, last: u16) -> KeySpan {
-    KeySpan { first, last }
+fn span(first: u16, last: u16) -> KeyRange {
+    KeyRange { first, last }
 }
 
 /// Returns a keeper in which `a` holds all keys and half of them are about to go to `b`.
@@ -33,25 +33,25 @@
     for name in ["a", "b"] {
         keeper.server_at(Millis(0), &life(name), ([127, 0, 0, 1], 80).into());
     }
-    keeper.change(vec![OwnedSpan::new(KeySpan::ALL, life("a"))], 2);
+    keeper.change(vec![OwnedRange::new(KeyRange::ALL, life("a"))], 2);
     keeper.committed(Millis(0));
-    held(&mut keeper, Millis(1), "a", KeySpan::ALL);
+    held(&mut keeper, Millis(1), "a", KeyRange::ALL);
     let spans = vec![
-        OwnedSpan::new(span(0, 29_999), life("a")),
-        OwnedSpan::new(span(30_000, 65_535), life("b")),
+        OwnedRange::new(span(0, 29_999), life("a")),
+        OwnedRange::new(span(30_000, 65_535), life("b")),
     ];
     keeper.change(spans, 3);
     keeper.committed(Millis(10));
     keeper
 }
 
-fn held(keeper: &mut Keeper, now: Millis, name: &str, span: KeySpan) {
+fn held(keeper: &mut Keeper, now: Millis, name: &str, span: KeyRange) {
     let fence = keeper.record().fence;
     keeper.granting(now, &life(name), span);
     keeper.granted(now, &life(name), span, fence, GrantEnd::Held);
 }
 
-fn grants(duties: &[Duty], name: &str) -> Vec<KeySpan> {
+fn grants(duties: &[Duty], name: &str) -> Vec<KeyRange> {
     let of = |d: &Duty| match d {
         Duty::Grant { life: l, span, .. } if *l == life(name) => Some(*span),
         _ => None,
@@ -59,7 +59,7 @@
     duties.iter().filter_map(of).collect()
 }
 
-fn releases(duties: &[Duty]) -> Vec<KeySpan> {
+fn releases(duties: &[Duty]) -> Vec<KeyRange> {
     let of = |d: &Duty| match d {
         Duty::Release { span, .. } => Some(*span),
         _ => None,
@@ -113,10 +113,10 @@
 #[test]
 fn no_release_overtakes_a_renewal() {
     let mut keeper = half_to_b();
-    keeper.granting(Millis(10), &life("a"), KeySpan::ALL);
+    keeper.granting(Millis(10), &life("a"), KeyRange::ALL);
     assert!(releases(&keeper.due(Millis(10))).is_empty());
     let fence = keeper.record().fence - 1;
-    keeper.granted(Millis(20), &life("a"), KeySpan::ALL, fence, GrantEnd::Held);
+    keeper.granted(Millis(20), &life("a"), KeyRange::ALL, fence, GrantEnd::Held);
     assert_eq!(releases(&keeper.due(Millis(20))).len(), 1);
 }
 
@@ -126,7 +126,7 @@
 fn no_grant_overtakes_a_release() {
     let mut keeper = half_to_b();
     keeper.releasing(&life("a"), span(30_000, 65_535));
-    keeper.change(vec![OwnedSpan::new(KeySpan::ALL, life("a"))], 4);
+    keeper.change(vec![OwnedRange::new(KeyRange::ALL, life("a"))], 4);
     keeper.committed(Millis(20));
     assert!(grants(&keeper.due(Millis(20)), "a").is_empty());
     let free = ReleaseEnd::Free(None);
@@ -141,10 +141,10 @@
     let mut keeper = half_to_b();
     let spans = |cut| {
         vec![
-            OwnedSpan::new(span(0, 9_999), life("a")),
-            OwnedSpan::new(span(10_000, 39_999), life("b")),
-            OwnedSpan::new(span(40_000, cut), life("a")),
-            OwnedSpan::new(span(cut + 1, 65_535), life("b")),
+            OwnedRange::new(span(0, 9_999), life("a")),
+            OwnedRange::new(span(10_000, 39_999), life("b")),
+            OwnedRange::new(span(40_000, cut), life("a")),
+            OwnedRange::new(span(cut + 1, 65_535), life("b")),
         ]
     };
     keeper.change(spans(49_999), 4);
--- a/crates/chicoryrail-ownership/tests/key_plan.rs
+++ b/crates/chicoryrail-ownership/tests/key_plan.rs
@@ -6,10 +6,10 @@
 use chicoryrail_core::ServerName;
 use chicoryrail_ownership::keys::Holder;
 use chicoryrail_ownership::keys::KeyLoad;
+use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
-use chicoryrail_ownership::keys::KeySpan;
 use chicoryrail_ownership::keys::Moves;
-use chicoryrail_ownership::keys::OwnedSpan;
+use chicoryrail_ownership::keys::OwnedRange;
 use chicoryrail_ownership::keys::Plan;
 use chicoryrail_ownership::keys::recut;
 use rand::Rng;
@@ -37,7 +37,7 @@
     load
 }
 
-fn record(spans: Vec<OwnedSpan>) -> KeyRecord {
+fn record(spans: Vec<OwnedRange>) -> KeyRecord {
     KeyRecord {
         fence: 1,
         spans,
@@ -46,7 +46,7 @@
 }
 
 /// Returns the share of the busiest server, in fair shares.
-fn busiest(spans: &[OwnedSpan], load: &KeyLoad) -> f64 {
+fn busiest(spans: &[OwnedRange], load: &KeyLoad) -> f64 {
     let mut loads: BTreeMap<&Life, f64> = BTreeMap::new();
     for owned in spans {
         *loads.entry(&owned.owner).or_default() += load.of(owned.span);
@@ -55,7 +55,7 @@
     most * loads.len() as f64 / load.total()
 }
 
-fn covers_all(spans: &[OwnedSpan]) -> bool {
+fn covers_all(spans: &[OwnedRange]) -> bool {
     let joined = spans
         .windows(2)
         .all(|w| w[0].span.last + 1 == w[1].span.first);
@@ -154,17 +154,17 @@
         .unwrap();
     assert!(new.span.len() > 7_000);
     let all: u32 = spans.iter().map(|s| s.span.len()).sum();
-    assert_eq!(all, KeySpan::ALL.len());
+    assert_eq!(all, KeyRange::ALL.len());
 }
 
 /// Returns the keys that change hands between two cuts.
-fn moved(before: &[OwnedSpan], after: &[OwnedSpan]) -> u32 {
-    let same = |new: &OwnedSpan| {
+fn moved(before: &[OwnedRange], after: &[OwnedRange]) -> u32 {
+    let same = |new: &OwnedRange| {
         let old = before.iter().filter(|old| old.owner == new.owner);
         let kept = old.filter_map(|old| old.span.meet(new.span));
-        kept.map(KeySpan::len).sum::<u32>()
+        kept.map(KeyRange::len).sum::<u32>()
     };
-    KeySpan::ALL.len() - after.iter().map(same).sum::<u32>()
+    KeyRange::ALL.len() - after.iter().map(same).sum::<u32>()
 }
 
 /// Load: eighty servers, of which one span grows busy beside the others, then a tenth of the servers leaves, or
@@ -193,7 +193,7 @@
         panic!("kept");
     };
     assert!(covers_all(&cut));
-    let share = f64::from(moved(&before, &cut)) / f64::from(KeySpan::ALL.len());
+    let share = f64::from(moved(&before, &cut)) / f64::from(KeyRange::ALL.len());
     assert!(share < most, "{share} of all keys move");
     assert!(busiest(&cut, &load) < 1.3, "{}", busiest(&cut, &load));
 }
--- a/crates/chicoryrail-ownership/tests/model_keys/main.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/main.rs
@@ -14,8 +14,8 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
+use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
-use chicoryrail_ownership::keys::KeySpan;
 use chicoryrail_ownership::keys::KeyTiming;
 use rstest::rstest;
 use server::LOOKS;
@@ -97,8 +97,8 @@
 #[test]
 fn a_change_leaves_the_old_holders_loose() {
     let life = |n: &str| Life::new(ServerName::new(n), 1);
-    let span = |first, last| KeySpan { first, last };
-    let owned = |s, n| chicoryrail_ownership::keys::OwnedSpan::new(s, life(n));
+    let span = |first, last| KeyRange { first, last };
+    let owned = |s, n| chicoryrail_ownership::keys::OwnedRange::new(s, life(n));
     let record = KeyRecord {
         fence: 4,
         spans: vec![owned(span(0, 999), "a"), owned(span(1_000, 65_535), "b")],
--- a/crates/chicoryrail-ownership/tests/model_keys/server.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/server.rs
@@ -2,7 +2,7 @@
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
-use chicoryrail_ownership::keys::KeySpan;
+use chicoryrail_ownership::keys::KeyRange;
 
 /// Keys that are looked at; one in each of so many equal parts.
 pub(crate) const LOOKS: usize = 64;
@@ -27,12 +27,12 @@
 #[derive(Clone, Debug)]
 pub(crate) enum What {
     Grant {
-        span: KeySpan,
+        span: KeyRange,
         fence: u64,
         hold: Millis,
     },
     Release {
-        span: KeySpan,
+        span: KeyRange,
         fence: u64,
     },
 }
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -1,6 +1,6 @@
 //! The decisions of chicoryrail under load, pure: time and random numbers come in as arguments.
 //!
-//! A [`Desk`] decides for all hosts which request goes to which server of a service, who waits and who is
+//! A [`Scheduler`] decides for all hosts which request goes to which server of a service, who waits and who is
 //! refused. [`SharedServers`] picks for one host that can't ask it, among servers that others send to as
 //! well. Nothing here opens a socket or reads a clock, so a test steps through any load in no time.
 //!
@@ -8,39 +8,39 @@
 //!
 //! ```
 //! use chicoryrail_core::Millis;
-//! use chicoryrail_policy::Desk;
-//! use chicoryrail_policy::DeskAsk;
-//! use chicoryrail_policy::DeskPlace;
-//! use chicoryrail_policy::DeskVerdict;
-//! use chicoryrail_policy::SeatState;
+//! use chicoryrail_policy::Scheduler;
+//! use chicoryrail_policy::SlotRequest;
+//! use chicoryrail_policy::Placement;
+//! use chicoryrail_policy::Decision;
+//! use chicoryrail_policy::SlotState;
 //! use chicoryrail_policy::ServerId;
 //!
 //! let now = Millis(10);
-//! let mut desk = Desk::default();
-//! let seat = SeatState { slots: 2, open: true, cold_until: Millis::ZERO, cold_bound: 0.0, near: 0, ours: true };
-//! desk.set(now, ServerId(0), seat);
-//! let ask = DeskAsk {
+//! let mut scheduler = Scheduler::default();
+//! let slots = SlotState { slots: 2, open: true, cold_until: Millis::ZERO, cold_bound: 0.0, near: 0, ours: true };
+//! scheduler.set(now, ServerId(0), slots);
+//! let ask = SlotRequest {
 //!     ticket: 1, rank: 0, aim: now + Millis(300), deadline: now + Millis(1_000), work_us: 5_000.0,
 //!     key: None, not: Vec::new(), near: 0, large: false,
 //! };
-//! desk.ask(now, ask);
-//! let verdicts = desk.poll(now, |_| DeskPlace::Any);
-//! assert_eq!(verdicts, [(1, DeskVerdict::Send(ServerId(0)))]);
+//! scheduler.ask(now, ask);
+//! let verdicts = scheduler.poll(now, |_| Placement::Any);
+//! assert_eq!(verdicts, [(1, Decision::Send(ServerId(0)))]);
 //! ```
 //!
 //! Go on with [`ColdPace`] for cold servers, [`SharedRetries`] for repeats, and [`return_time`] for when a
 //! refused caller comes back.
 
-mod desk;
+mod scheduler;
 mod server_id;
 mod shared;
 
-pub use desk::Desk;
-pub use desk::DeskAsk;
-pub use desk::DeskEnd;
-pub use desk::DeskPlace;
-pub use desk::DeskVerdict;
-pub use desk::SeatState;
+pub use scheduler::Decision;
+pub use scheduler::Placement;
+pub use scheduler::Scheduler;
+pub use scheduler::SlotRelease;
+pub use scheduler::SlotRequest;
+pub use scheduler::SlotState;
 pub use server_id::ServerId;
 pub use shared::ColdPace;
 pub use shared::Failure;
--- a/crates/chicoryrail-policy/src/desk/outlook.rs
+++ b/crates/chicoryrail-policy/src/scheduler/load_view.rs
@@ -1,13 +1,13 @@
-//! All servers of a desk at one moment.
+//! All servers of a scheduler at one moment.
 
 use std::cell::RefCell;
 
 use chicoryrail_core::Millis;
 
 use crate::ServerId;
-use crate::desk::DeskAsk;
-use crate::desk::DeskPlace;
-use crate::desk::seat::Seat;
+use crate::scheduler::Placement;
+use crate::scheduler::SlotRequest;
+use crate::scheduler::server_slots::ServerSlots;
 
 /// Cost of a server in another data centre, as a part of the work: traffic between data centres is paid for.
 /// Small against the differences between servers, so that it decides only between those alike.
@@ -18,15 +18,15 @@
 /// within its aim.
 const FAR_LARGE: f64 = 1.0;
 
-/// All servers of a desk at one moment, worked out once for a whole queue.
+/// All servers of a scheduler at one moment, worked out once for a whole queue.
 ///
 /// Each request of the queue is weighed against each server several times. Worked out each time, a word of a
 /// host took 1.1 ms of a core with 90 full servers and 75 requests waiting, and a leader that got 2,000 words
 /// a second for them was late for every request and lost its lease.
-pub(crate) struct Outlook {
+pub(crate) struct LoadView {
     now: Millis,
     /// The servers that take work, by id.
-    seats: Vec<Glance>,
+    servers: Vec<ServerLoad>,
     /// Servers with a free slot.
     free: usize,
     /// Pace of all, and of those without a free slot.
@@ -37,7 +37,7 @@
 }
 
 /// One server at one moment.
-struct Glance {
+struct ServerLoad {
     id: ServerId,
     slow: f64,
     /// Time until a slot is free, in microseconds.
@@ -52,41 +52,44 @@
     near: u32,
 }
 
-impl Outlook {
+impl LoadView {
     /// Works out the servers that take work.
-    pub(crate) fn of<'a>(now: Millis, seats: impl Iterator<Item = (ServerId, &'a Seat)>) -> Self {
-        let open = seats.filter(|(_, s)| s.state.open);
+    pub(crate) fn of<'a>(
+        now: Millis,
+        servers: impl Iterator<Item = (ServerId, &'a ServerSlots)>,
+    ) -> Self {
+        let open = servers.filter(|(_, s)| s.state.open);
         let mut all = Self {
             now,
-            seats: open.map(|(id, s)| Glance::of(now, id, s)).collect(),
+            servers: open.map(|(id, s)| ServerLoad::of(now, id, s)).collect(),
             free: 0,
             pace: 0.0,
             full_pace: 0.0,
             soonest: RefCell::default(),
         };
-        all.pace = all.seats.iter().map(Glance::pace).sum();
+        all.pace = all.servers.iter().map(ServerLoad::pace).sum();
         all.count();
         all
     }
 
     fn count(&mut self) {
-        let full = self.seats.iter().filter(|g| !g.has_slot);
-        self.full_pace = full.map(Glance::pace).sum();
-        self.free = self.seats.iter().filter(|g| g.has_slot).count();
+        let full = self.servers.iter().filter(|g| !g.has_slot);
+        self.full_pace = full.map(ServerLoad::pace).sum();
+        self.free = self.servers.iter().filter(|g| g.has_slot).count();
         self.soonest.borrow_mut().clear();
     }
 
     /// Takes in that a request was sent to a server.
-    pub(crate) fn sent(&mut self, id: ServerId, seat: &Seat) {
-        if let Ok(at) = self.seats.binary_search_by_key(&id, |g| g.id) {
-            self.seats[at] = Glance::of(self.now, id, seat);
+    pub(crate) fn sent(&mut self, id: ServerId, slots: &ServerSlots) {
+        if let Ok(at) = self.servers.binary_search_by_key(&id, |g| g.id) {
+            self.servers[at] = ServerLoad::of(self.now, id, slots);
             self.count();
         }
     }
 
-    fn seat(&self, id: ServerId) -> Option<&Glance> {
-        let at = self.seats.binary_search_by_key(&id, |g| g.id).ok()?;
-        Some(&self.seats[at])
+    fn slots(&self, id: ServerId) -> Option<&ServerLoad> {
+        let at = self.servers.binary_search_by_key(&id, |g| g.id).ok()?;
+        Some(&self.servers[at])
     }
 
     /// Returns the server that a request should go to now, if any, where `ahead` microseconds of work wait
@@ -94,29 +97,34 @@
     ///
     /// A slow server is left free where waiting for a faster one ends sooner. That is so for the first in
     /// the queue at most: were it asked without those ahead, all would wait for the one fast server.
-    pub(crate) fn seat_for(&self, ask: &DeskAsk, place: DeskPlace, ahead: f64) -> Option<ServerId> {
+    pub(crate) fn server_for(
+        &self,
+        ask: &SlotRequest,
+        place: Placement,
+        ahead: f64,
+    ) -> Option<ServerId> {
         match place {
-            DeskPlace::Any => {}
-            DeskPlace::Moving => return None,
-            DeskPlace::Owner(owner) => return self.seat(owner)?.has_slot.then_some(owner),
+            Placement::Any => {}
+            Placement::Moving => return None,
+            Placement::Owner(owner) => return self.slots(owner)?.has_slot.then_some(owner),
         }
         if self.free == 0 {
             return None;
         }
         // Those ahead wait for the full ones, too.
-        let shunned = ask.not.iter().filter_map(|id| self.seat(*id));
-        let shunned: f64 = shunned.filter(|g| !g.has_slot).map(Glance::pace).sum();
+        let shunned = ask.not.iter().filter_map(|id| self.slots(*id));
+        let shunned: f64 = shunned.filter(|g| !g.has_slot).map(ServerLoad::pace).sum();
         let behind = ahead / (self.full_pace - shunned).max(LEAST_PACE);
         let mut best: Option<(f64, ServerId)> = None;
         let mut wait = f64::INFINITY;
-        for glance in self.seats.iter().filter(|g| !ask.not.contains(&g.id)) {
-            let cost = glance.cost(ask);
-            if glance.has_slot {
+        for load in self.servers.iter().filter(|g| !ask.not.contains(&g.id)) {
+            let cost = load.cost(ask);
+            if load.has_slot {
                 if best.is_none_or(|(c, _)| cost < c) {
-                    best = Some((cost, glance.id));
+                    best = Some((cost, load.id));
                 }
-            } else if !glance.cold {
-                wait = wait.min(glance.free_in + cost);
+            } else if !load.cold {
+                wait = wait.min(load.free_in + cost);
             }
         }
         let (cost, id) = best?;
@@ -125,21 +133,21 @@
 
     /// Estimates when a request would be answered, in microseconds, if `ahead` microseconds of work went before
     /// it; `None` where no server can take it.
-    pub(crate) fn answer_in(&self, ask: &DeskAsk, place: DeskPlace, ahead: f64) -> Option<f64> {
-        if let DeskPlace::Owner(owner) = place {
-            let glance = self.seat(owner)?;
-            return Some(glance.answer_in(ask.work_us) + ahead / glance.pace().max(LEAST_PACE));
+    pub(crate) fn answer_in(&self, ask: &SlotRequest, place: Placement, ahead: f64) -> Option<f64> {
+        if let Placement::Owner(owner) = place {
+            let load = self.slots(owner)?;
+            return Some(load.answer_in(ask.work_us) + ahead / load.pace().max(LEAST_PACE));
         }
         // Whoever holds a moving key next is about as fast as any.
         let not: &[ServerId] = match place {
-            DeskPlace::Any => &ask.not,
+            Placement::Any => &ask.not,
             _ => &[],
         };
         if !not.is_empty() {
-            let fits = self.seats.iter().filter(|g| !not.contains(&g.id));
+            let fits = self.servers.iter().filter(|g| !not.contains(&g.id));
             let first = fits.clone().map(|g| g.answer_in(ask.work_us));
             let first = first.reduce(f64::min)?;
-            let pace: f64 = fits.map(Glance::pace).sum();
+            let pace: f64 = fits.map(ServerLoad::pace).sum();
             return Some(first + ahead / pace.max(LEAST_PACE));
         }
         Some(self.soonest(ask.work_us)? + ahead / self.pace.max(LEAST_PACE))
@@ -151,7 +159,7 @@
         if let Some((_, first)) = known.iter().find(|(work, _)| *work == bits) {
             return Some(*first);
         }
-        let first = self.seats.iter().map(|g| g.answer_in(work_us));
+        let first = self.servers.iter().map(|g| g.answer_in(work_us));
         let first = first.reduce(f64::min)?;
         known.push((bits, first));
         Some(first)
@@ -161,22 +169,22 @@
 /// Pace that is assumed of no servers at all, so that what waits for them waits long.
 const LEAST_PACE: f64 = 0.01;
 
-impl Glance {
-    fn of(now: Millis, id: ServerId, seat: &Seat) -> Self {
-        let good = (1.0 - seat.fails(now)).max(0.05);
+impl ServerLoad {
+    fn of(now: Millis, id: ServerId, slots: &ServerSlots) -> Self {
+        let good = (1.0 - slots.fails(now)).max(0.05);
         // Of two servers alike, the emptier one: some slow down as they fill.
-        let filled = seat.busy() as f64 / f64::from(seat.state.slots.max(1)) * 0.05;
-        let slow = seat.slowness(now);
+        let filled = slots.busy() as f64 / f64::from(slots.state.slots.max(1)) * 0.05;
+        let slow = slots.slowness(now);
         Self {
             id,
             slow,
-            free_in: seat.free_in(now),
-            has_slot: seat.has_slot(now),
-            cold: now < seat.state.cold_until,
+            free_in: slots.free_in(now),
+            has_slot: slots.has_slot(now),
+            cold: now < slots.state.cold_until,
             tries: 1.0 / (good * good),
             filled,
-            slots: f64::from(seat.state.slots),
-            near: seat.state.near,
+            slots: f64::from(slots.state.slots),
+            near: slots.state.near,
         }
     }
 
@@ -186,7 +194,7 @@
     }
 
     /// Estimates the time to a good answer at a free server, in microseconds.
-    fn cost(&self, ask: &DeskAsk) -> f64 {
+    fn cost(&self, ask: &SlotRequest) -> f64 {
         let far = match (self.near == ask.near, ask.large) {
             (true, _) => 0.0,
             (false, false) => FAR,
--- a/crates/chicoryrail-policy/src/desk/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -1,20 +1,20 @@
 //! One place that decides over all hosts which request goes to which server of a service.
 //!
 //! Hosts that send without asking each other see only a tenth of what a server gets: requests queue at
-//! some servers beside free slots at others, and no host knows who should go first. A [`Desk`] is asked
+//! some servers beside free slots at others, and no host knows who should go first. A [`Scheduler`] is asked
 //! before each send and told of each end, so it knows every slot exactly, keeps one queue, and keeps the
 //! bounds that hold over all hosts. Where it can't be reached, hosts fall back to
 //! [`SharedServers`](crate::SharedServers).
 
-mod ask;
+mod load_view;
 #[expect(clippy::module_inception, reason = "one type, one file")]
-mod desk;
-mod outlook;
-mod seat;
+mod scheduler;
+mod server_slots;
+mod slot_request;
 
-pub use ask::DeskAsk;
-pub use ask::DeskEnd;
-pub use ask::DeskPlace;
-pub use ask::DeskVerdict;
-pub use desk::Desk;
-pub use seat::SeatState;
+pub use scheduler::Scheduler;
+pub use server_slots::SlotState;
+pub use slot_request::Decision;
+pub use slot_request::Placement;
+pub use slot_request::SlotRelease;
+pub use slot_request::SlotRequest;
--- a/crates/chicoryrail-policy/src/desk/desk.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -1,17 +1,17 @@
-//! The desk of one service.
+//! The scheduler of one service.
 
 use std::collections::BTreeMap;
 
 use chicoryrail_core::Millis;
 
 use crate::ServerId;
-use crate::desk::DeskAsk;
-use crate::desk::DeskEnd;
-use crate::desk::DeskPlace;
-use crate::desk::DeskVerdict;
-use crate::desk::SeatState;
-use crate::desk::outlook::Outlook;
-use crate::desk::seat::Seat;
+use crate::scheduler::Decision;
+use crate::scheduler::Placement;
+use crate::scheduler::SlotRelease;
+use crate::scheduler::SlotRequest;
+use crate::scheduler::SlotState;
+use crate::scheduler::load_view::LoadView;
+use crate::scheduler::server_slots::ServerSlots;
 
 /// Part of a caller's time for which a request may wait at the most: it must have time left to come back
 /// and be served elsewhere, should it be refused after all. At 0.85 as much was served (mean worth 0.699 and
@@ -22,7 +22,7 @@
 /// burst is over by then, and what waits longer is overload.
 const STANDING: Millis = Millis(1_000);
 
-/// The desk of one service.
+/// The scheduler of one service.
 ///
 /// Load: more requests than slots, for moments or for good. Harm prevented: requests that can still be
 /// answered within their aim wait behind some that can't; requests wait until their callers give up,
@@ -30,46 +30,46 @@
 /// by the time left for it; then the others by deadline. What has no prospect of an answer in time is
 /// refused as soon as that is seen, with the time after which there may be room.
 #[derive(Clone, Debug, Default)]
-pub struct Desk {
-    seats: BTreeMap<ServerId, Seat>,
+pub struct Scheduler {
+    servers: BTreeMap<ServerId, ServerSlots>,
     waiting: Vec<Waiting>,
     /// Servers whose keys' requests wait, and since when some always did.
-    queues: Vec<(DeskPlace, Millis)>,
+    queues: Vec<(Placement, Millis)>,
 }
 
 #[derive(Clone, Debug)]
 struct Waiting {
-    ask: DeskAsk,
+    ask: SlotRequest,
     since: Millis,
-    place: DeskPlace,
+    place: Placement,
 }
 
-impl Desk {
+impl Scheduler {
     /// Adds a server, or takes in its state.
-    pub fn set(&mut self, now: Millis, server: ServerId, state: SeatState) {
-        self.seats
+    pub fn set(&mut self, now: Millis, server: ServerId, state: SlotState) {
+        self.servers
             .entry(server)
-            .or_insert_with(|| Seat::new(now, state))
+            .or_insert_with(|| ServerSlots::new(now, state))
             .set(now, state);
     }
 
     /// Forgets the servers that are not kept.
     pub fn retain(&mut self, keep: impl Fn(ServerId) -> bool) {
-        self.seats.retain(|id, _| keep(*id));
+        self.servers.retain(|id, _| keep(*id));
     }
 
     /// Returns the number of servers that it knows.
     #[must_use]
     pub fn servers(&self) -> usize {
-        self.seats.len()
+        self.servers.len()
     }
 
-    /// Takes in a request; [`Desk::poll`] says what becomes of it. One that asks again is the same one.
+    /// Takes in a request; [`Scheduler::poll`] says what becomes of it. One that asks again is the same one.
     ///
     /// Returns the server that it was given before, where the word of it was lost.
-    pub fn ask(&mut self, now: Millis, ask: DeskAsk) -> Option<ServerId> {
-        let seats = self.seats.iter();
-        let given = seats
+    pub fn ask(&mut self, now: Millis, ask: SlotRequest) -> Option<ServerId> {
+        let servers = self.servers.iter();
+        let given = servers
             .filter(|(_, s)| s.holds(ask.ticket))
             .map(|(id, _)| *id)
             .next();
@@ -77,7 +77,7 @@
             self.waiting.push(Waiting {
                 ask,
                 since: now,
-                place: DeskPlace::Any,
+                place: Placement::Any,
             });
         }
         given
@@ -95,37 +95,33 @@
     }
 
     /// Takes in how a send ended.
-    pub fn ended(&mut self, now: Millis, end: &DeskEnd) {
-        if let Some(seat) = self.seats.get_mut(&end.server) {
-            seat.end(now, end.ticket, end.us, end.failure, end.report);
+    pub fn ended(&mut self, now: Millis, end: &SlotRelease) {
+        if let Some(slots) = self.servers.get_mut(&end.server) {
+            slots.end(now, end.ticket, end.us, end.failure, end.report);
         }
     }
 
     /// Returns the verdicts that are due; `place` tells where a key's requests may go.
-    pub fn poll(
-        &mut self,
-        now: Millis,
-        place: impl Fn(u16) -> DeskPlace,
-    ) -> Vec<(u64, DeskVerdict)> {
+    pub fn poll(&mut self, now: Millis, place: impl Fn(u16) -> Placement) -> Vec<(u64, Decision)> {
         if self.waiting.is_empty() {
             self.queues.clear();
             return Vec::new();
         }
-        for seat in self.seats.values_mut() {
-            seat.expire(now);
+        for slots in self.servers.values_mut() {
+            slots.expire(now);
         }
-        let seats = self.seats.iter().map(|(id, seat)| (*id, seat));
-        let mut outlook = Outlook::of(now, seats);
+        let servers = self.servers.iter().map(|(id, slots)| (*id, slots));
+        let mut view = LoadView::of(now, servers);
         for waiting in &mut self.waiting {
-            waiting.place = waiting.ask.key.map_or(DeskPlace::Any, &place);
+            waiting.place = waiting.ask.key.map_or(Placement::Any, &place);
         }
-        self.order(now, &outlook);
+        self.order(now, &view);
         let mut verdicts = Vec::new();
         // Work of those that go before, by where they may go.
-        let mut ahead: Vec<(DeskPlace, f64)> = Vec::new();
+        let mut ahead: Vec<(Placement, f64)> = Vec::new();
         let queue = std::mem::take(&mut self.waiting);
         for waiting in queue {
-            match self.judge(now, &waiting, &mut ahead, &mut outlook) {
+            match self.judge(now, &waiting, &mut ahead, &mut view) {
                 Some(verdict) => verdicts.push((waiting.ask.ticket, verdict)),
                 None => self.waiting.push(waiting),
             }
@@ -139,24 +135,24 @@
         &mut self,
         now: Millis,
         waiting: &Waiting,
-        ahead: &mut Vec<(DeskPlace, f64)>,
-        outlook: &mut Outlook,
-    ) -> Option<DeskVerdict> {
+        ahead: &mut Vec<(Placement, f64)>,
+        view: &mut LoadView,
+    ) -> Option<Decision> {
         let Waiting { ask, place, .. } = waiting;
         let at = ahead.iter().position(|(p, _)| p == place);
         let at = at.unwrap_or_else(|| {
             ahead.push((*place, 0.0));
             ahead.len() - 1
         });
-        if let Some(server) = outlook.seat_for(ask, *place, ahead[at].1) {
-            if let Some(seat) = self.seats.get_mut(&server) {
-                seat.send(now, ask.ticket, ask.deadline, ask.work_us);
-                outlook.sent(server, seat);
+        if let Some(server) = view.server_for(ask, *place, ahead[at].1) {
+            if let Some(slots) = self.servers.get_mut(&server) {
+                slots.send(now, ask.ticket, ask.deadline, ask.work_us);
+                view.sent(server, slots);
             }
-            return Some(DeskVerdict::Send(server));
+            return Some(Decision::Send(server));
         }
-        if let Err(after) = self.prospect(now, waiting, ahead[at].1, outlook) {
-            return Some(DeskVerdict::Refuse(after));
+        if let Err(after) = self.prospect(now, waiting, ahead[at].1, view) {
+            return Some(Decision::Refuse(after));
         }
         ahead[at].1 += ask.work_us;
         None
@@ -164,10 +160,10 @@
 
     /// Notes for which servers' keys requests wait, and for which none does any more.
     fn note_queues(&mut self, now: Millis) {
-        let waits = |place: DeskPlace| self.waiting.iter().any(|w| w.place == place);
+        let waits = |place: Placement| self.waiting.iter().any(|w| w.place == place);
         self.queues.retain(|(place, _)| waits(*place));
         for waiting in &self.waiting {
-            let keyed = matches!(waiting.place, DeskPlace::Owner(_));
+            let keyed = matches!(waiting.place, Placement::Owner(_));
             if keyed && !self.queues.iter().any(|(place, _)| *place == waiting.place) {
                 self.queues.push((waiting.place, now));
             }
@@ -176,7 +172,7 @@
 
     /// Tells whether the one server that may take a key's requests has more to do than it can, for longer than
     /// a burst lasts.
-    fn stands(&self, now: Millis, place: DeskPlace) -> bool {
+    fn stands(&self, now: Millis, place: Placement) -> bool {
         let mut queues = self.queues.iter().filter(|(p, _)| *p == place);
         queues.any(|(_, since)| now.since(*since) >= STANDING)
     }
@@ -190,22 +186,25 @@
     /// Returns the requests at the servers for which this host schedules, and the slots of those that take work.
     #[must_use]
     pub fn filled(&self) -> (usize, u32) {
-        let seats = self.seats.values().filter(|s| s.state.ours);
-        let busy = seats.clone().map(Seat::busy).sum();
-        let slots = seats.filter(|s| s.state.open).map(|s| s.state.slots).sum();
+        let servers = self.servers.values().filter(|s| s.state.ours);
+        let busy = servers.clone().map(ServerSlots::busy).sum();
+        let slots = servers
+            .filter(|s| s.state.open)
+            .map(|s| s.state.slots)
+            .sum();
         (busy, slots)
     }
 
     /// Returns how fast a server is by what was seen of it: above 1 is slower than usual.
     #[must_use]
     pub fn speed(&self, server: ServerId) -> f64 {
-        self.seats.get(&server).map_or(1.0, Seat::speed)
+        self.servers.get(&server).map_or(1.0, ServerSlots::speed)
     }
 
-    /// Sorts the queue; see [`Desk`].
-    fn order(&mut self, now: Millis, outlook: &Outlook) {
+    /// Sorts the queue; see [`Scheduler`].
+    fn order(&mut self, now: Millis, view: &LoadView) {
         let key = |w: &Waiting| {
-            let soonest = outlook.answer_in(&w.ask, w.place, 0.0);
+            let soonest = view.answer_in(&w.ask, w.place, 0.0);
             let in_time = soonest.is_some_and(|us| now + millis(us) <= w.ask.aim);
             if in_time {
                 (0, w.ask.rank, w.ask.aim)
@@ -222,11 +221,11 @@
         now: Millis,
         waiting: &Waiting,
         ahead: f64,
-        outlook: &Outlook,
+        view: &LoadView,
     ) -> Result<(), Millis> {
         let ask = &waiting.ask;
         let left = ask.deadline.since(now).0 as f64 * 1_000.0;
-        let Some(us) = outlook.answer_in(ask, waiting.place, ahead) else {
+        let Some(us) = view.answer_in(ask, waiting.place, ahead) else {
             return Err(millis(ask.work_us));
         };
         // In a standing queue whoever can still meet its aim overtakes those that can't, so these wait in
--- a/crates/chicoryrail-policy/src/desk/seat.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -1,4 +1,4 @@
-//! What the desk knows of one server.
+//! What the scheduler knows of one server.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -22,7 +22,7 @@
 
 /// What a server may get.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SeatState {
+pub struct SlotState {
     /// Requests that it works on at a time.
     pub slots: u32,
     /// Whether it takes new work.
@@ -45,10 +45,10 @@
     work_us: f64,
 }
 
-/// What the desk knows of one server.
+/// What the scheduler knows of one server.
 #[derive(Clone, Debug)]
-pub(crate) struct Seat {
-    pub(crate) state: SeatState,
+pub(crate) struct ServerSlots {
+    pub(crate) state: SlotState,
     view: ServerView,
     held: HashMap<u64, Held>,
     cold_sends: VecDeque<Millis>,
@@ -56,8 +56,8 @@
     since: Millis,
 }
 
-impl Seat {
-    pub(crate) fn new(now: Millis, state: SeatState) -> Self {
+impl ServerSlots {
+    pub(crate) fn new(now: Millis, state: SlotState) -> Self {
         Self {
             state,
             view: ServerView::new(state.slots),
@@ -68,7 +68,7 @@
     }
 
     /// Takes in what the server may get.
-    pub(crate) fn set(&mut self, now: Millis, state: SeatState) {
+    pub(crate) fn set(&mut self, now: Millis, state: SlotState) {
         if state.ours && !self.state.ours {
             self.since = now;
         }
@@ -158,7 +158,7 @@
         self.cold_sends.push_back(now);
     }
 
-    /// Takes in the end of a request; one that the desk does not know was sent without it.
+    /// Takes in the end of a request; one that the scheduler does not know was sent without it.
     pub(crate) fn end(
         &mut self,
         now: Millis,
--- a/crates/chicoryrail-policy/src/desk/ask.rs
+++ b/crates/chicoryrail-policy/src/scheduler/slot_request.rs
@@ -6,9 +6,9 @@
 use crate::LoadReport;
 use crate::ServerId;
 
-/// A request that asks for a server; times count on the desk's clock.
+/// A request that asks for a server; times count on the scheduler's clock.
 #[derive(Clone, Debug, PartialEq)]
-pub struct DeskAsk {
+pub struct SlotRequest {
     /// Names the request among all hosts.
     pub ticket: u64,
     /// Rank when there is not room for all; 0 goes first.
@@ -31,7 +31,7 @@
 
 /// Where a request may go.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum DeskPlace {
+pub enum Placement {
     /// To any server of the service.
     #[default]
     Any,
@@ -43,7 +43,7 @@
 
 /// What becomes of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DeskVerdict {
+pub enum Decision {
     /// It is to be sent to this server now.
     Send(ServerId),
     /// There is no room before its time is up; it may be after this time.
@@ -52,7 +52,7 @@
 
 /// How a send ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct DeskEnd {
+pub struct SlotRelease {
     /// The request.
     pub ticket: u64,
     /// The server that had it.
--- a/crates/chicoryrail-policy/tests/desk.rs
+++ b/crates/chicoryrail-policy/tests/scheduler.rs
@@ -5,14 +5,14 @@
 use std::collections::HashMap;
 
 use chicoryrail_core::Millis;
-use chicoryrail_policy::Desk;
-use chicoryrail_policy::DeskAsk;
-use chicoryrail_policy::DeskEnd;
-use chicoryrail_policy::DeskPlace;
-use chicoryrail_policy::DeskVerdict;
+use chicoryrail_policy::Decision;
 use chicoryrail_policy::Failure;
-use chicoryrail_policy::SeatState;
+use chicoryrail_policy::Placement;
+use chicoryrail_policy::Scheduler;
 use chicoryrail_policy::ServerId;
+use chicoryrail_policy::SlotRelease;
+use chicoryrail_policy::SlotRequest;
+use chicoryrail_policy::SlotState;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -20,8 +20,8 @@
 
 const SLOTS: u32 = 2;
 
-fn open() -> SeatState {
-    SeatState {
+fn open() -> SlotState {
+    SlotState {
         slots: SLOTS,
         open: true,
         cold_until: Millis::ZERO,
@@ -31,16 +31,16 @@
     }
 }
 
-fn desk(servers: u32) -> Desk {
-    let mut desk = Desk::default();
+fn scheduler(servers: u32) -> Scheduler {
+    let mut scheduler = Scheduler::default();
     for id in 0..servers {
-        desk.set(Millis(0), ServerId(id), open());
+        scheduler.set(Millis(0), ServerId(id), open());
     }
-    desk
+    scheduler
 }
 
-fn ask(ticket: u64, now: u64, aim: u64, left: u64) -> DeskAsk {
-    DeskAsk {
+fn ask(ticket: u64, now: u64, aim: u64, left: u64) -> SlotRequest {
+    SlotRequest {
         ticket,
         rank: 1,
         aim: Millis(now + aim),
@@ -53,12 +53,12 @@
     }
 }
 
-fn any(_: u16) -> DeskPlace {
-    DeskPlace::Any
+fn any(_: u16) -> Placement {
+    Placement::Any
 }
 
-fn end(ticket: u64, server: ServerId, us: f64) -> DeskEnd {
-    DeskEnd {
+fn end(ticket: u64, server: ServerId, us: f64) -> SlotRelease {
+    SlotRelease {
         ticket,
         server,
         us: Some(us),
@@ -82,7 +82,7 @@
 /// seconds. Work is 100 ms on average, the aim 300 ms, the caller's time 800 ms.
 fn play(speeds: &[f64], per_s: f64, seed: u64) -> Got {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut desk = desk(speeds.len() as u32);
+    let mut scheduler = scheduler(speeds.len() as u32);
     let mut got = Got::default();
     let mut ends: BinaryHeap<Reverse<(u64, u64, u32, u64)>> = BinaryHeap::new();
     let mut started = HashMap::new();
@@ -95,7 +95,7 @@
             }
             ends.pop();
             load[server as usize] -= 1;
-            desk.ended(Millis(now), &end(t, ServerId(server), us as f64));
+            scheduler.ended(Millis(now), &end(t, ServerId(server), us as f64));
             let born: u64 = started[&t];
             match now - born {
                 ..=300 => got.in_aim += 1,
@@ -106,23 +106,23 @@
         if rng.random_bool(per_s / 1_000.0) {
             ticket += 1;
             started.insert(ticket, now);
-            desk.ask(Millis(now), ask(ticket, now, 300, 800));
+            scheduler.ask(Millis(now), ask(ticket, now, 300, 800));
         }
-        for (t, verdict) in desk.poll(Millis(now), any) {
+        for (t, verdict) in scheduler.poll(Millis(now), any) {
             match verdict {
-                DeskVerdict::Send(server) => {
+                Decision::Send(server) => {
                     load[server.0 as usize] += 1;
                     assert!(load[server.0 as usize] <= SLOTS);
                     let ms = rng.random_range(40.0..160.0) * speeds[server.0 as usize];
                     let at = now + ms as u64;
                     ends.push(Reverse((at, t, server.0, (ms * 1_000.0) as u64)));
                 }
-                DeskVerdict::Refuse(_) => got.refused += 1,
+                Decision::Refuse(_) => got.refused += 1,
             }
         }
         let idle = load.iter().filter(|l| **l == 0).count();
         // With one server four times as fast as the others, up to some eight may rightly wait for it.
-        got.idle_beside += u32::from(desk.waiting() > 8 && idle > 0);
+        got.idle_beside += u32::from(scheduler.waiting() > 8 && idle > 0);
     }
     got
 }
@@ -172,16 +172,16 @@
 /// when their time is nearly over, and are told when to return.
 #[test]
 fn a_burst_is_refused_at_once_where_it_has_no_prospect() {
-    let mut desk = desk(4);
+    let mut scheduler = scheduler(4);
     for ticket in 1..=60 {
-        desk.ask(Millis(10), ask(ticket, 10, 300, 400));
+        scheduler.ask(Millis(10), ask(ticket, 10, 300, 400));
     }
-    let verdicts = desk.poll(Millis(10), any);
-    let is_send = |v: &&(u64, DeskVerdict)| matches!(v.1, DeskVerdict::Send(_));
+    let verdicts = scheduler.poll(Millis(10), any);
+    let is_send = |v: &&(u64, Decision)| matches!(v.1, Decision::Send(_));
     assert_eq!(verdicts.iter().filter(is_send).count(), 8);
     let refused: Vec<_> = verdicts.iter().filter(|v| !is_send(v)).collect();
     assert!(refused.len() >= 20, "{}", refused.len());
-    let soon = |v: &&&(u64, DeskVerdict)| v.1 == DeskVerdict::Refuse(Millis::ZERO);
+    let soon = |v: &&&(u64, Decision)| v.1 == Decision::Refuse(Millis::ZERO);
     assert_eq!(refused.iter().filter(soon).count(), 0);
 }
 
@@ -189,22 +189,22 @@
 /// longer meet its aim goes after those that can.
 #[test]
 fn who_can_still_meet_the_aim_goes_first_by_rank() {
-    let mut desk = desk(1);
-    desk.ask(Millis(0), ask(1, 0, 300, 800));
-    desk.ask(Millis(0), ask(2, 0, 300, 800));
-    assert_eq!(desk.poll(Millis(0), any).len(), 2);
-    let with_rank = |ticket, rank, aim| DeskAsk {
+    let mut scheduler = scheduler(1);
+    scheduler.ask(Millis(0), ask(1, 0, 300, 800));
+    scheduler.ask(Millis(0), ask(2, 0, 300, 800));
+    assert_eq!(scheduler.poll(Millis(0), any).len(), 2);
+    let with_rank = |ticket, rank, aim| SlotRequest {
         rank,
         ..ask(ticket, 0, aim, 800)
     };
-    desk.ask(Millis(1), with_rank(3, 2, 400));
-    desk.ask(Millis(1), with_rank(4, 0, 500));
-    desk.ask(Millis(1), with_rank(5, 0, 50));
-    assert!(desk.poll(Millis(1), any).is_empty());
+    scheduler.ask(Millis(1), with_rank(3, 2, 400));
+    scheduler.ask(Millis(1), with_rank(4, 0, 500));
+    scheduler.ask(Millis(1), with_rank(5, 0, 50));
+    assert!(scheduler.poll(Millis(1), any).is_empty());
     let mut order = Vec::new();
     for (at, done) in [(90, 1), (100, 2), (190, 4), (200, 3)] {
-        desk.ended(Millis(at), &end(done, ServerId(0), 90_000.0));
-        order.extend(desk.poll(Millis(at), any).into_iter().map(|(t, _)| t));
+        scheduler.ended(Millis(at), &end(done, ServerId(0), 90_000.0));
+        order.extend(scheduler.poll(Millis(at), any).into_iter().map(|(t, _)| t));
     }
     assert_eq!(order, [4, 3, 5]);
 }
@@ -212,62 +212,62 @@
 /// The word of a verdict is lost and the host asks again: it gets the same server, and holds one slot.
 #[test]
 fn a_host_that_asks_again_gets_the_same_slot() {
-    let mut desk = desk(2);
-    assert_eq!(desk.ask(Millis(0), ask(1, 0, 300, 800)), None);
-    let verdicts = desk.poll(Millis(0), any);
-    let [(1, DeskVerdict::Send(server))] = verdicts[..] else {
+    let mut scheduler = scheduler(2);
+    assert_eq!(scheduler.ask(Millis(0), ask(1, 0, 300, 800)), None);
+    let verdicts = scheduler.poll(Millis(0), any);
+    let [(1, Decision::Send(server))] = verdicts[..] else {
         panic!("{verdicts:?}");
     };
-    assert_eq!(desk.ask(Millis(20), ask(1, 0, 300, 780)), Some(server));
-    assert_eq!((desk.filled().0, desk.waiting()), (1, 0));
+    assert_eq!(scheduler.ask(Millis(20), ask(1, 0, 300, 780)), Some(server));
+    assert_eq!((scheduler.filled().0, scheduler.waiting()), (1, 0));
 }
 
 /// A host dies with requests at a server: nobody tells their end. Their slots are free again when the
 /// callers' time is over.
 #[test]
 fn slots_of_a_lost_host_come_back() {
-    let mut desk = desk(1);
-    desk.ask(Millis(0), ask(1, 0, 300, 800));
-    desk.ask(Millis(0), ask(2, 0, 300, 800));
-    desk.poll(Millis(0), any);
-    desk.ask(Millis(700), ask(3, 700, 600, 1_500));
-    assert!(desk.poll(Millis(700), any).is_empty());
-    assert_eq!(desk.poll(Millis(1_101), any).len(), 1);
+    let mut scheduler = scheduler(1);
+    scheduler.ask(Millis(0), ask(1, 0, 300, 800));
+    scheduler.ask(Millis(0), ask(2, 0, 300, 800));
+    scheduler.poll(Millis(0), any);
+    scheduler.ask(Millis(700), ask(3, 700, 600, 1_500));
+    assert!(scheduler.poll(Millis(700), any).is_empty());
+    assert_eq!(scheduler.poll(Millis(1_101), any).len(), 1);
 }
 
 /// A key changes hands while its requests wait: they go to the new owner, and to nobody in between.
 #[test]
 fn requests_of_a_moving_key_wait_for_its_owner() {
-    let mut desk = desk(2);
-    let keyed = DeskAsk {
+    let mut scheduler = scheduler(2);
+    let keyed = SlotRequest {
         key: Some(7),
         ..ask(1, 0, 300, 800)
     };
-    desk.ask(Millis(0), keyed);
-    assert!(desk.poll(Millis(0), |_| DeskPlace::Moving).is_empty());
-    let verdicts = desk.poll(Millis(40), |_| DeskPlace::Owner(ServerId(1)));
-    assert_eq!(verdicts, [(1, DeskVerdict::Send(ServerId(1)))]);
+    scheduler.ask(Millis(0), keyed);
+    assert!(scheduler.poll(Millis(0), |_| Placement::Moving).is_empty());
+    let verdicts = scheduler.poll(Millis(40), |_| Placement::Owner(ServerId(1)));
+    assert_eq!(verdicts, [(1, Decision::Send(ServerId(1)))]);
 }
 
-/// A server is cold and bears few requests a second: of a flood, the desk lets its part through, and none in
+/// A server is cold and bears few requests a second: of a flood, the scheduler lets its part through, and none in
 /// the first second after it took over, as it does not know what others sent.
 #[test]
 fn a_cold_server_gets_its_part() {
-    let mut desk = Desk::default();
-    let cold = SeatState {
+    let mut scheduler = Scheduler::default();
+    let cold = SlotState {
         slots: 50,
         cold_until: Millis(10_000),
         cold_bound: 12.95,
         ..open()
     };
-    desk.set(Millis(0), ServerId(0), cold);
+    scheduler.set(Millis(0), ServerId(0), cold);
     let mut sent = Vec::new();
     for now in 0..4_000 {
-        desk.ask(Millis(now), ask(now + 1, now, 300, 800));
-        for (ticket, verdict) in desk.poll(Millis(now), any) {
-            if verdict == DeskVerdict::Send(ServerId(0)) {
+        scheduler.ask(Millis(now), ask(now + 1, now, 300, 800));
+        for (ticket, verdict) in scheduler.poll(Millis(now), any) {
+            if verdict == Decision::Send(ServerId(0)) {
                 sent.push(now);
-                desk.ended(Millis(now), &end(ticket, ServerId(0), 1_000.0));
+                scheduler.ended(Millis(now), &end(ticket, ServerId(0), 1_000.0));
             }
         }
     }
@@ -282,20 +282,20 @@
 /// A server fails half of what it gets. It gets little while the others have room.
 #[test]
 fn a_failing_server_is_spared() {
-    let mut desk = desk(3);
+    let mut scheduler = scheduler(3);
     let mut count = [0; 3];
     for now in 0..300_u64 {
         let now = now * 20;
-        desk.ask(Millis(now), ask(now + 1, now, 300, 800));
-        for (ticket, verdict) in desk.poll(Millis(now), any) {
-            if let DeskVerdict::Send(server) = verdict {
+        scheduler.ask(Millis(now), ask(now + 1, now, 300, 800));
+        for (ticket, verdict) in scheduler.poll(Millis(now), any) {
+            if let Decision::Send(server) = verdict {
                 count[server.0 as usize] += 1;
                 let bad = server.0 == 0 && count[0] % 2 == 0;
-                let end = DeskEnd {
+                let end = SlotRelease {
                     failure: bad.then_some(Failure::Error),
                     ..end(ticket, server, 100_000.0)
                 };
-                desk.ended(Millis(now + 10), &end);
+                scheduler.ended(Millis(now + 10), &end);
             }
         }
     }
@@ -306,21 +306,21 @@
 /// it goes to the other at once.
 #[test]
 fn a_request_stays_in_its_data_centre_while_there_is_room() {
-    let mut desk = Desk::default();
+    let mut scheduler = Scheduler::default();
     for id in 0..4 {
         let near = id % 2;
-        desk.set(Millis(0), ServerId(id), SeatState { near, ..open() });
+        scheduler.set(Millis(0), ServerId(id), SlotState { near, ..open() });
     }
     let mut count = [0; 2];
     for ticket in 1..=6 {
-        let near = DeskAsk {
+        let near = SlotRequest {
             near: 1,
             large: false,
             ..ask(ticket, 0, 300, 800)
         };
-        desk.ask(Millis(0), near);
-        for (_, verdict) in desk.poll(Millis(0), any) {
-            if let DeskVerdict::Send(server) = verdict {
+        scheduler.ask(Millis(0), near);
+        for (_, verdict) in scheduler.poll(Millis(0), any) {
+            if let Decision::Send(server) = verdict {
                 count[server.0 as usize % 2] += 1;
             }
         }
--- a/crates/chicoryrail-policy/tests/desk_callers.rs
+++ b/crates/chicoryrail-policy/tests/scheduler_callers.rs
@@ -5,13 +5,13 @@
 use std::collections::BinaryHeap;
 
 use chicoryrail_core::Millis;
-use chicoryrail_policy::Desk;
-use chicoryrail_policy::DeskAsk;
-use chicoryrail_policy::DeskEnd;
-use chicoryrail_policy::DeskPlace;
-use chicoryrail_policy::DeskVerdict;
-use chicoryrail_policy::SeatState;
+use chicoryrail_policy::Decision;
+use chicoryrail_policy::Placement;
+use chicoryrail_policy::Scheduler;
 use chicoryrail_policy::ServerId;
+use chicoryrail_policy::SlotRelease;
+use chicoryrail_policy::SlotRequest;
+use chicoryrail_policy::SlotState;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -38,7 +38,7 @@
 
 /// Four servers, each holding a quarter of the keys, and the requests at them.
 struct Play {
-    desk: Desk,
+    scheduler: Scheduler,
     now: u64,
     next: u64,
     ends: BinaryHeap<Reverse<(u64, u64, u32)>>,
@@ -48,9 +48,9 @@
 
 impl Play {
     fn new() -> Self {
-        let mut desk = Desk::default();
+        let mut scheduler = Scheduler::default();
         for id in 0..SERVERS {
-            let seat = SeatState {
+            let slots = SlotState {
                 slots: 2,
                 open: true,
                 cold_until: Millis::ZERO,
@@ -58,10 +58,10 @@
                 near: 0,
                 ours: true,
             };
-            desk.set(Millis(0), ServerId(id), seat);
+            scheduler.set(Millis(0), ServerId(id), slots);
         }
         Self {
-            desk,
+            scheduler,
             now: 0,
             next: 0,
             ends: BinaryHeap::new(),
@@ -70,7 +70,7 @@
     }
 
     fn ask(&mut self, key: u16) {
-        let ask = DeskAsk {
+        let ask = SlotRequest {
             ticket: self.next,
             rank: 1,
             aim: Millis(self.now + 300),
@@ -83,7 +83,7 @@
         };
         self.next += 1;
         self.asked.push((key, self.now));
-        self.desk.ask(Millis(self.now), ask);
+        self.scheduler.ask(Millis(self.now), ask);
     }
 
     /// Goes on by a millisecond; returns the requests that ended: key, arrival, whether served.
@@ -95,25 +95,25 @@
                 break;
             }
             self.ends.pop();
-            let end = DeskEnd {
+            let end = SlotRelease {
                 ticket,
                 server: ServerId(server),
                 us: Some(WORK as f64 * 1_000.0),
                 failure: None,
                 report: None,
             };
-            self.desk.ended(Millis(self.now), &end);
+            self.scheduler.ended(Millis(self.now), &end);
             let (key, came) = self.asked[ticket as usize];
             ended.push((key, came, true));
         }
-        let owner = |key: u16| DeskPlace::Owner(ServerId(u32::from(key) % SERVERS));
-        for (ticket, verdict) in self.desk.poll(Millis(self.now), owner) {
+        let owner = |key: u16| Placement::Owner(ServerId(u32::from(key) % SERVERS));
+        for (ticket, verdict) in self.scheduler.poll(Millis(self.now), owner) {
             let (key, came) = self.asked[ticket as usize];
             match verdict {
-                DeskVerdict::Send(server) => {
+                Decision::Send(server) => {
                     self.ends.push(Reverse((self.now + WORK, ticket, server.0)));
                 }
-                DeskVerdict::Refuse(_) => ended.push((key, came, false)),
+                Decision::Refuse(_) => ended.push((key, came, false)),
             }
         }
         ended
--- a/crates/chicoryrail-policy/tests/desk_size.rs
+++ b/crates/chicoryrail-policy/tests/scheduler_size.rs
@@ -4,13 +4,13 @@
 use std::time::Instant;
 
 use chicoryrail_core::Millis;
-use chicoryrail_policy::Desk;
-use chicoryrail_policy::DeskAsk;
-use chicoryrail_policy::DeskEnd;
-use chicoryrail_policy::DeskPlace;
-use chicoryrail_policy::DeskVerdict;
-use chicoryrail_policy::SeatState;
+use chicoryrail_policy::Decision;
+use chicoryrail_policy::Placement;
+use chicoryrail_policy::Scheduler;
 use chicoryrail_policy::ServerId;
+use chicoryrail_policy::SlotRelease;
+use chicoryrail_policy::SlotRequest;
+use chicoryrail_policy::SlotState;
 use rstest::rstest;
 
 const SERVERS: u32 = 90;
@@ -22,32 +22,32 @@
 const WORDS: u64 = 2_000;
 
 /// Longest time for them in a build without optimisation, on a busy machine: with it they take a fiftieth.
-/// Before the desk worked out all servers once for a whole queue they took 6 s with optimisation and a minute
+/// Before the scheduler worked out all servers once for a whole queue they took 6 s with optimisation and a minute
 /// without.
 const LIMIT: Duration = Duration::from_secs(8);
 
-fn any(_: u16) -> DeskPlace {
-    DeskPlace::Any
+fn any(_: u16) -> Placement {
+    Placement::Any
 }
 
-fn moving(_: u16) -> DeskPlace {
-    DeskPlace::Moving
+fn moving(_: u16) -> Placement {
+    Placement::Moving
 }
 
-fn owner(key: u16) -> DeskPlace {
-    DeskPlace::Owner(ServerId(u32::from(key) % SERVERS))
+fn owner(key: u16) -> Placement {
+    Placement::Owner(ServerId(u32::from(key) % SERVERS))
 }
 
 /// Ninety servers are full and 75 requests wait: for any of them, for servers of their own, or for keys that
-/// change hands. Each word of a host makes the desk look at all of them; a leader that needs longer for it
+/// change hands. Each word of a host makes the scheduler look at all of them; a leader that needs longer for it
 /// than the words take to come is late for every request and loses its lease.
 #[rstest]
 #[case::for_any(any)]
 #[case::for_owners(owner)]
 #[case::for_moving_keys(moving)]
-fn a_full_desk_of_ninety_servers_keeps_up(#[case] place: fn(u16) -> DeskPlace) {
-    let mut desk = Desk::default();
-    let seat = SeatState {
+fn a_full_desk_of_ninety_servers_keeps_up(#[case] place: fn(u16) -> Placement) {
+    let mut scheduler = Scheduler::default();
+    let slots = SlotState {
         slots: 2,
         open: true,
         cold_until: Millis::ZERO,
@@ -56,10 +56,10 @@
         ours: true,
     };
     for id in 0..SERVERS {
-        desk.set(Millis(0), ServerId(id), seat);
+        scheduler.set(Millis(0), ServerId(id), slots);
     }
     let mut play = Play {
-        desk,
+        scheduler,
         place: any,
         at: Vec::new(),
     };
@@ -79,10 +79,10 @@
     assert!(took < LIMIT, "{took:?}");
 }
 
-/// The desk, and where each request is, by its ticket.
+/// The scheduler, and where each request is, by its ticket.
 struct Play {
-    desk: Desk,
-    place: fn(u16) -> DeskPlace,
+    scheduler: Scheduler,
+    place: fn(u16) -> Placement,
     at: Vec<Option<ServerId>>,
 }
 
@@ -90,20 +90,20 @@
     fn ask(&mut self, now: u64) {
         let ticket = self.at.len() as u64;
         self.at.push(None);
-        self.desk.ask(Millis(now), request(ticket, now));
+        self.scheduler.ask(Millis(now), request(ticket, now));
         self.poll(now);
     }
 
     fn end(&mut self, now: u64, ticket: u64) {
         if let Some(server) = self.at[ticket as usize] {
-            self.desk.ended(Millis(now), &end(ticket, server));
+            self.scheduler.ended(Millis(now), &end(ticket, server));
         }
         self.poll(now);
     }
 
     fn poll(&mut self, now: u64) {
-        for (ticket, verdict) in self.desk.poll(Millis(now), self.place) {
-            if let DeskVerdict::Send(server) = verdict {
+        for (ticket, verdict) in self.scheduler.poll(Millis(now), self.place) {
+            if let Decision::Send(server) = verdict {
                 self.at[ticket as usize] = Some(server);
             }
         }
@@ -117,13 +117,13 @@
             .map(|(ticket, _)| ticket as u64)
             .collect();
         for ticket in waiting.iter().rev().skip(QUEUE as usize) {
-            self.desk.leave(*ticket);
+            self.scheduler.leave(*ticket);
         }
     }
 }
 
-fn request(ticket: u64, now: u64) -> DeskAsk {
-    DeskAsk {
+fn request(ticket: u64, now: u64) -> SlotRequest {
+    SlotRequest {
         ticket,
         rank: 1,
         aim: Millis(now + 60_000),
@@ -136,8 +136,8 @@
     }
 }
 
-fn end(ticket: u64, server: ServerId) -> DeskEnd {
-    DeskEnd {
+fn end(ticket: u64, server: ServerId) -> SlotRelease {
+    SlotRelease {
         ticket,
         server,
         us: Some(100_000.0),
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -153,7 +153,7 @@
             if tenure.resigns.get() {
                 return "out_of_reach";
             }
-            // A desk on a host that can't keep up is late for every request; nobody could take over while
+            // A scheduler on a host that can't keep up is late for every request; nobody could take over while
             // the store is away.
             if router.store_up.get() && router.knows_stronger() {
                 return "stronger_host";
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -9,10 +9,10 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::HostState;
+use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
-use chicoryrail_ownership::keys::KeySpan;
 
-use crate::control::desk_duty;
+use crate::control::scheduling;
 use crate::control::tenure::Tenure;
 use crate::state::Router;
 use crate::talk::Asked;
@@ -62,13 +62,13 @@
             Packet::Word(word) => self.read(word),
             Packet::Asked(asked) => self.take_asked(&asked),
             Packet::Told { ticket, told } => self.told(ticket, told),
-            packet => desk_duty::take(&self.router, &packet, Some(from)),
+            packet => scheduling::take(&self.router, &packet, Some(from)),
         }
     }
 
     fn told(&self, ticket: u64, told: Told) {
         // Nobody waits any more: the word came late. The slot that it gives is free again when the
-        // request's time is over, as the desk sees it.
+        // request's time is over, as the scheduler sees it.
         if !self.router.asks.told(ticket, told) {
             log::debug!(ticket = ticket; "told_late");
         }
@@ -115,7 +115,7 @@
 
     fn word(&self, leads: bool) -> Word {
         let keys = if leads { self.key_words() } else { Vec::new() };
-        let speeds = desk_duty::speeds(&self.router);
+        let speeds = scheduling::speeds(&self.router);
         if leads {
             self.tenure.heard_speeds(speeds.clone());
         }
@@ -134,8 +134,8 @@
 
     fn key_words(&self) -> Vec<KeyWord> {
         let words = self.tenure.words.borrow();
-        let pair = |s: &KeySpan| (s.first, s.last);
-        let word = |(service, word): (&ServiceName, &(KeyRecord, Vec<KeySpan>))| KeyWord {
+        let pair = |s: &KeyRange| (s.first, s.last);
+        let word = |(service, word): (&ServiceName, &(KeyRecord, Vec<KeyRange>))| KeyWord {
             service: service.clone(),
             fence: word.0.fence,
             ranges: self.ranges(service, &word.0),
@@ -222,12 +222,12 @@
             service.keys.borrow_mut().record(now, record);
         }
         let blocked = word.blocked.into_iter();
-        let blocked = blocked.map(|(first, last)| KeySpan { first, last });
+        let blocked = blocked.map(|(first, last)| KeyRange { first, last });
         service
             .keys
             .borrow_mut()
             .blocked(word.fence, blocked.collect());
-        desk_duty::keys_moved(&self.router, &service);
+        scheduling::keys_moved(&self.router, &service);
         service.changed.notify();
     }
 }
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -11,8 +11,8 @@
 use chicoryrail_ownership::keys::Duty;
 use chicoryrail_ownership::keys::Holder;
 use chicoryrail_ownership::keys::Keeper;
+use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
-use chicoryrail_ownership::keys::KeySpan;
 use chicoryrail_ownership::keys::KeyTiming;
 use chicoryrail_ownership::keys::Moves;
 use chicoryrail_ownership::keys::Plan;
@@ -23,8 +23,8 @@
 use chicoryrail_runtime::Signal;
 use monoio::time::timeout;
 
-use crate::control::desk_duty;
 use crate::control::follow::call;
+use crate::control::scheduling;
 use crate::control::tenure::Tenure;
 use crate::state::Router;
 
@@ -175,7 +175,7 @@
     }
 
     /// Tells the other hosts, and this one, who holds what, where that changed.
-    fn tell(&self, told: &mut Option<(u64, Vec<KeySpan>)>) {
+    fn tell(&self, told: &mut Option<(u64, Vec<KeyRange>)>) {
         let keeper = self.keeper.borrow();
         let word = (keeper.record().fence, keeper.blocked());
         if told.as_ref() == Some(&word) {
@@ -188,7 +188,7 @@
         let service = self.router.service(&self.service);
         self.router.key_record(&service, keeper.record().clone());
         service.keys.borrow_mut().blocked(fence, blocked.clone());
-        desk_duty::keys_moved(&self.router, &service);
+        scheduling::keys_moved(&self.router, &service);
         service.changed.notify();
         let mut words = self.tenure.words.borrow_mut();
         words.insert(self.service.clone(), (keeper.record().clone(), blocked));
@@ -338,7 +338,7 @@
     }
 }
 
-fn key_grant(span: KeySpan, fence: u64, hold: Millis, handover: Option<String>) -> KeyGrant {
+fn key_grant(span: KeyRange, fence: u64, hold: Millis, handover: Option<String>) -> KeyGrant {
     KeyGrant {
         first: span.first,
         last: span.last,
--- a/crates/chicoryrail-router/src/control/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/key_calls.rs
@@ -7,8 +7,8 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::keys::GrantEnd;
+use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
-use chicoryrail_ownership::keys::KeySpan;
 use chicoryrail_ownership::keys::KeyTiming;
 use chicoryrail_ownership::keys::ReleaseEnd;
 use chicoryrail_platform::KeyError;
@@ -116,7 +116,7 @@
         if result.is_ok() {
             self.note_confirmed(now, &life);
         }
-        let span = KeySpan {
+        let span = KeyRange {
             first: grant.first,
             last: grant.last,
         };
@@ -148,7 +148,7 @@
         log::info!(server:% = life, service:% = self.service, fence = grant.fence,
             first = grant.first, last = grant.last; "release_{name}");
         let now = self.router.now();
-        let span = KeySpan {
+        let span = KeyRange {
             first: grant.first,
             last: grant.last,
         };
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -1,12 +1,12 @@
 //! Talk with the store, the other hosts and the servers' control.
 
-pub(crate) mod desk_duty;
 mod elect;
 mod follow;
 mod gossip;
 mod keep_keys;
 mod key_calls;
 mod presence;
+pub(crate) mod scheduling;
 mod tenure;
 
 pub(crate) use elect::elect;
--- a/crates/chicoryrail-router/src/control/desk_duty.rs
+++ b/crates/chicoryrail-router/src/control/scheduling.rs
@@ -1,4 +1,4 @@
-//! The leader's part of the desk: takes what hosts ask and tell, and says what becomes of requests.
+//! The leader's part of the scheduler: takes what hosts ask and tell, and says what becomes of requests.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -6,16 +6,16 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
-use chicoryrail_ownership::Scheduler;
+use chicoryrail_ownership::SchedulerHost;
 use chicoryrail_ownership::keys::KeyOwner;
-use chicoryrail_policy::Desk;
-use chicoryrail_policy::DeskAsk;
-use chicoryrail_policy::DeskEnd;
-use chicoryrail_policy::DeskPlace;
-use chicoryrail_policy::DeskVerdict;
+use chicoryrail_policy::Decision;
 use chicoryrail_policy::Failure;
 use chicoryrail_policy::LoadReport;
-use chicoryrail_policy::SeatState;
+use chicoryrail_policy::Placement;
+use chicoryrail_policy::Scheduler;
+use chicoryrail_policy::SlotRelease;
+use chicoryrail_policy::SlotRequest;
+use chicoryrail_policy::SlotState;
 
 use crate::state::Origin;
 use crate::state::Router;
@@ -26,11 +26,11 @@
 use crate::talk::Packet;
 use crate::talk::Told;
 
-/// Time between two looks at requests that wait for what is not told to the desk: a server that warms up,
+/// Time between two looks at requests that wait for what is not told to the scheduler: a server that warms up,
 /// rests, or gets its keys.
 const LOOK: Millis = Millis(15);
 
-/// Time between two log lines on how full the desks are.
+/// Time between two log lines on how full the schedulers are.
 const TELL: Millis = Millis(1_000);
 
 /// Time between two looks for which servers this host schedules: what it decides by that, the pace of cold servers,
@@ -48,12 +48,12 @@
         }
         if router.now().since(told) >= TELL {
             told = router.now();
-            log_desks(&router);
+            log_schedulers(&router);
         }
         for service in router.services() {
             let waits = router
-                .hall
-                .desks
+                .schedulers
+                .by_service
                 .borrow()
                 .get(&service.name)
                 .is_some_and(|d| d.waiting() > 0);
@@ -74,7 +74,7 @@
         for target in service.targets.borrow().values() {
             if changed || target.ours.get().is_none() {
                 let server = keyed.then_some(&target.life);
-                let ours = router.scheduler(&service.name, server) == Scheduler::Here;
+                let ours = router.scheduler(&service.name, server) == SchedulerHost::Here;
                 target.ours.set(Some(ours));
             }
         }
@@ -84,24 +84,24 @@
 
 /// Returns how fast the servers are for which this host schedules.
 pub(crate) fn speeds(router: &Router) -> Vec<(Life, f32)> {
-    let desks = router.hall.desks.borrow();
+    let schedulers = router.schedulers.by_service.borrow();
     let mut speeds = Vec::new();
     for service in router.services() {
-        let Some(desk) = desks.get(&service.name) else {
+        let Some(scheduler) = schedulers.get(&service.name) else {
             continue;
         };
         let targets = service.targets.borrow();
         let ours = targets.values().filter(|t| t.ours.get() == Some(true));
-        speeds.extend(ours.map(|t| (t.life.clone(), desk.speed(t.id) as f32)));
+        speeds.extend(ours.map(|t| (t.life.clone(), scheduler.speed(t.id) as f32)));
     }
     speeds
 }
 
-/// Logs how full the desks are.
-fn log_desks(router: &Router) {
-    for (service, desk) in router.hall.desks.borrow().iter() {
-        let (busy, slots) = desk.filled();
-        log::info!(service:% = service, waiting = desk.waiting(), busy = busy, slots = slots; "desk");
+/// Logs how full the schedulers are.
+fn log_schedulers(router: &Router) {
+    for (service, scheduler) in router.schedulers.by_service.borrow().iter() {
+        let (busy, slots) = scheduler.filled();
+        log::info!(service:% = service, waiting = scheduler.waiting(), busy = busy, slots = slots; "scheduler");
     }
 }
 
@@ -124,7 +124,7 @@
         .not
         .iter()
         .filter_map(|l| service.target(l).map(|t| t.id));
-    let asked = DeskAsk {
+    let asked = SlotRequest {
         ticket: ask.ticket,
         rank: ask.rank,
         aim: now + Millis(ask.aim),
@@ -132,26 +132,30 @@
         work_us: ask.work_us as f64,
         key: ask.key,
         not: ids.collect(),
-        near: router.hall.dc_number(&ask.dc),
+        near: router.schedulers.dc_number(&ask.dc),
         large: ask.large,
     };
     let given = {
-        let mut desks = router.hall.desks.borrow_mut();
-        let desk = desks.entry(ask.service.clone()).or_default();
-        desk.ask(now, asked)
+        let mut schedulers = router.schedulers.by_service.borrow_mut();
+        let scheduler = schedulers.entry(ask.service.clone()).or_default();
+        scheduler.ask(now, asked)
     };
     let origin = Origin {
         from,
         id: ask.id.clone(),
     };
-    router.hall.origins.borrow_mut().insert(ask.ticket, origin);
+    router
+        .schedulers
+        .origins
+        .borrow_mut()
+        .insert(ask.ticket, origin);
     if let Some(id) = given {
         // The word of it was lost on the way.
-        tell(router, &service, ask.ticket, DeskVerdict::Send(id));
+        tell(router, &service, ask.ticket, Decision::Send(id));
         return;
     }
     poll(router, &service);
-    if router.hall.origins.borrow().contains_key(&ask.ticket) {
+    if router.schedulers.origins.borrow().contains_key(&ask.ticket) {
         answer(router, from, ask.ticket, Told::Waits);
     }
 }
@@ -170,7 +174,7 @@
             slots,
             pace,
         });
-    let end = DeskEnd {
+    let end = SlotRelease {
         ticket: end.ticket,
         server: target.id,
         us: end.us.map(|us| us as f64),
@@ -184,8 +188,13 @@
         report,
     };
     let now = router.now();
-    if let Some(desk) = router.hall.desks.borrow_mut().get_mut(&service.name) {
-        desk.ended(now, &end);
+    if let Some(scheduler) = router
+        .schedulers
+        .by_service
+        .borrow_mut()
+        .get_mut(&service.name)
+    {
+        scheduler.ended(now, &end);
     }
     poll(router, &service);
 }
@@ -194,22 +203,27 @@
 /// Given a server from here, it would come on top of what that host gives it.
 pub(crate) fn keys_moved(router: &Rc<Router>, service: &Service) {
     let elsewhere: Vec<u64> = {
-        let desks = router.hall.desks.borrow();
-        let Some(desk) = desks.get(&service.name) else {
+        let schedulers = router.schedulers.by_service.borrow();
+        let Some(scheduler) = schedulers.get(&service.name) else {
             return;
         };
         let keys = service.keys.borrow();
-        let moved = desk.waiting_keys().filter(|(_, key)| {
+        let moved = scheduler.waiting_keys().filter(|(_, key)| {
             let owner = keys.meant(*key);
-            router.scheduler(&service.name, owner) != Scheduler::Here
+            router.scheduler(&service.name, owner) != SchedulerHost::Here
         });
         moved.map(|(ticket, _)| ticket).collect()
     };
     for ticket in elsewhere {
-        if let Some(desk) = router.hall.desks.borrow_mut().get_mut(&service.name) {
-            desk.leave(ticket);
+        if let Some(scheduler) = router
+            .schedulers
+            .by_service
+            .borrow_mut()
+            .get_mut(&service.name)
+        {
+            scheduler.leave(ticket);
         }
-        let origin = router.hall.origins.borrow_mut().remove(&ticket);
+        let origin = router.schedulers.origins.borrow_mut().remove(&ticket);
         if let Some(origin) = origin {
             answer(router, origin.from, ticket, Told::Elsewhere);
         }
@@ -218,28 +232,28 @@
 
 /// Takes in that a caller has left.
 fn left(router: &Router, service: &ServiceName, ticket: u64) {
-    if let Some(desk) = router.hall.desks.borrow_mut().get_mut(service) {
-        desk.leave(ticket);
+    if let Some(scheduler) = router.schedulers.by_service.borrow_mut().get_mut(service) {
+        scheduler.leave(ticket);
     }
-    router.hall.origins.borrow_mut().remove(&ticket);
+    router.schedulers.origins.borrow_mut().remove(&ticket);
 }
 
 /// Decides what can be decided, and tells who asked.
 fn poll(router: &Rc<Router>, service: &Rc<Service>) {
     let now = router.now();
     let verdicts = {
-        let mut desks = router.hall.desks.borrow_mut();
-        let desk = desks.entry(service.name.clone()).or_default();
-        if desk.waiting() == 0 {
+        let mut schedulers = router.schedulers.by_service.borrow_mut();
+        let scheduler = schedulers.entry(service.name.clone()).or_default();
+        if scheduler.waiting() == 0 {
             return;
         }
-        set_seats(router, service, desk, now);
+        set_servers(router, service, scheduler, now);
         let keys = service.keys.borrow();
-        desk.poll(now, |key| match keys.owner(now, key) {
+        scheduler.poll(now, |key| match keys.owner(now, key) {
             KeyOwner::Held(life) => service
                 .target(&life)
-                .map_or(DeskPlace::Moving, |t| DeskPlace::Owner(t.id)),
-            KeyOwner::Moving | KeyOwner::Nobody => DeskPlace::Moving,
+                .map_or(Placement::Moving, |t| Placement::Owner(t.id)),
+            KeyOwner::Moving | KeyOwner::Nobody => Placement::Moving,
         })
     };
     for (ticket, verdict) in verdicts {
@@ -247,14 +261,14 @@
     }
 }
 
-/// Brings the desk's servers in line with what is believed of them. That changes with entries, with answers
+/// Brings the scheduler's servers in line with what is believed of them. That changes with entries, with answers
 /// (a server says that it is cold) and with time (a leaving one's is over), so it is done for each decision.
-fn set_seats(router: &Router, service: &Service, desk: &mut Desk, now: Millis) {
+fn set_servers(router: &Router, service: &Service, scheduler: &mut Scheduler, now: Millis) {
     let bound = router.cold_bound(&service.name);
     let targets = service.targets.borrow();
     let any_ready = targets.values().any(|t| t.is_ready());
     for target in targets.values() {
-        let state = SeatState {
+        let state = SlotState {
             slots: target.slots.get(),
             open: if any_ready && !service.is_keyed() {
                 target.is_ready()
@@ -263,21 +277,21 @@
             },
             cold_until: target.cold_until.get(),
             cold_bound: bound,
-            near: router.hall.dc_number(&target.dc),
+            near: router.schedulers.dc_number(&target.dc),
             ours: target.ours.get().unwrap_or(false),
         };
-        desk.set(now, target.id, state);
+        scheduler.set(now, target.id, state);
     }
-    // All targets are among the seats, so a seat too many is one of a server that is gone.
-    if desk.servers() > targets.len() {
-        desk.retain(|id| targets.values().any(|t| t.id == id));
+    // All targets are among the servers, so a slots too many is one of a server that is gone.
+    if scheduler.servers() > targets.len() {
+        scheduler.retain(|id| targets.values().any(|t| t.id == id));
     }
 }
 
-fn tell(router: &Rc<Router>, service: &Service, ticket: u64, verdict: DeskVerdict) {
+fn tell(router: &Rc<Router>, service: &Service, ticket: u64, verdict: Decision) {
     let told = match verdict {
-        DeskVerdict::Refuse(after) => Told::Refuse(after.0),
-        DeskVerdict::Send(id) => {
+        Decision::Refuse(after) => Told::Refuse(after.0),
+        Decision::Send(id) => {
             let targets = service.targets.borrow();
             let Some(target) = targets.values().find(|t| t.id == id) else {
                 return;
@@ -285,16 +299,16 @@
             Told::Send(target.life.clone())
         }
     };
-    let Some(origin) = router.hall.origins.borrow_mut().remove(&ticket) else {
+    let Some(origin) = router.schedulers.origins.borrow_mut().remove(&ticket) else {
         return;
     };
     if let Told::Refuse(after) = told {
-        let desks = router.hall.desks.borrow();
-        let desk = desks.get(&service.name);
-        let (busy, slots) = desk.map_or((0, 0), Desk::filled);
+        let schedulers = router.schedulers.by_service.borrow();
+        let scheduler = schedulers.get(&service.name);
+        let (busy, slots) = scheduler.map_or((0, 0), Scheduler::filled);
         log::info!(request = origin.id, service:% = service.name, room_in_ms = after, busy = busy,
-            slots = slots, waiting = desk.map_or(0, Desk::waiting);
-            "desk_refused");
+            slots = slots, waiting = scheduler.map_or(0, Scheduler::waiting);
+            "scheduler_refused");
     }
     answer(router, origin.from, ticket, told);
 }
--- a/crates/chicoryrail-router/src/control/tenure.rs
+++ b/crates/chicoryrail-router/src/control/tenure.rs
@@ -8,8 +8,8 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::keys::KeyLoad;
+use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
-use chicoryrail_ownership::keys::KeySpan;
 use chicoryrail_runtime::Signal;
 
 use crate::state::Router;
@@ -33,7 +33,7 @@
     /// Whether this host makes way for one that reaches more.
     pub(crate) resigns: Cell<bool>,
     /// Records with the keys that are not granted yet.
-    pub(crate) words: RefCell<BTreeMap<ServiceName, (KeyRecord, Vec<KeySpan>)>>,
+    pub(crate) words: RefCell<BTreeMap<ServiceName, (KeyRecord, Vec<KeyRange>)>>,
     /// Notified when the words change.
     pub(crate) news: Signal,
     loads: RefCell<BTreeMap<ServiceName, KeyLoad>>,
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -14,14 +14,14 @@
 use crate::route::call::LEAST_LEFT;
 use crate::route::choose::Choice;
 use crate::route::choose::choose;
-use crate::route::desk;
-use crate::route::desk::Slot;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::route::send::NotRun;
 use crate::route::send::Sent;
 use crate::route::send::Unknown;
 use crate::route::send::send;
+use crate::route::slot;
+use crate::route::slot::Slot;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
@@ -116,23 +116,23 @@
         }
     }
 
-    /// Waits until there is a server for the request: the desk says which; without it this host chooses by
+    /// Waits until there is a server for the request: the scheduler says which; without it this host chooses by
     /// what it knows itself.
     async fn place(&self) -> Result<(Rc<Target>, Slot), Refusal> {
         let started = self.router.now();
-        let word = desk::ask(self.router, &self.service, self.call, &self.tried).await;
-        let by_desk = !matches!(word, desk::Word::Silent);
-        let place = match word {
-            desk::Word::Send(target, slot) => Ok((target, slot)),
-            desk::Word::Refuse(after) => Err(self.refuse(Cause::Full, after)),
-            desk::Word::Silent => self.wait_for_target().await.map(|target| {
+        let answer = slot::ask(self.router, &self.service, self.call, &self.tried).await;
+        let by_scheduler = !matches!(answer, slot::Answer::Silent);
+        let place = match answer {
+            slot::Answer::Send(target, slot) => Ok((target, slot)),
+            slot::Answer::Refuse(after) => Err(self.refuse(Cause::Full, after)),
+            slot::Answer::Silent => self.wait_for_target().await.map(|target| {
                 let slot = Slot::without(self.router, &self.service, &target.life);
                 (target, slot)
             }),
         };
         let mut trail = self.call.trail.borrow_mut();
         trail.waited = trail.waited + self.router.now().since(started);
-        trail.by_desk = by_desk;
+        trail.by_scheduler = by_scheduler;
         if let Ok((target, _)) = &place {
             trail.server = Some(target.life.clone());
             trail.sends += 1;
--- a/crates/chicoryrail-router/src/route/call.rs
+++ b/crates/chicoryrail-router/src/route/call.rs
@@ -32,8 +32,8 @@
     pub(crate) sends: u32,
     /// Time for which it waited for a server, all together.
     pub(crate) waited: Millis,
-    /// Whether the desk chose the server, or this host by its own view.
-    pub(crate) by_desk: bool,
+    /// Whether the scheduler chose the server, or this host by its own view.
+    pub(crate) by_scheduler: bool,
     /// Sends after which it may have run.
     pub(crate) may_have_run: u32,
 }
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -193,7 +193,11 @@
         .server
         .as_ref()
         .map_or_else(|| "-".to_owned(), ToString::to_string);
-    let by = if trail.by_desk { "desk" } else { "host" };
+    let by = if trail.by_scheduler {
+        "scheduler"
+    } else {
+        "host"
+    };
     let cause = refusal.map_or("-", |r| r.cause.name());
     let after = refusal.and_then(|r| r.after).map_or(0, |m| m.0);
     let time = call.deadline.since(call.arrived);
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -26,7 +26,7 @@
 /// running on the key.
 const MOVE_TIME: Millis = Millis(150);
 
-/// Time without a word of the leader after which its desk is taken for closed: longer than an election.
+/// Time without a word of the leader after which its scheduler is taken for closed: longer than an election.
 const LEADER_GONE: Millis = Millis(2_500);
 
 /// Time after which a service without a server that takes work is looked at again.
@@ -100,8 +100,8 @@
     if !target.is_cold(now) {
         return true;
     }
-    // The desk deals out most of what a cold server bears. A host that hears the leader, but got no word
-    // in time, leaves cold servers alone; else all such hosts together would come on top of the desk's.
+    // The scheduler deals out most of what a cold server bears. A host that hears the leader, but got no word
+    // in time, leaves cold servers alone; else all such hosts together would come on top of the scheduler's.
     if router.peers.borrow().hears_leader(now, LEADER_GONE) {
         return false;
     }
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -5,10 +5,10 @@
 mod call;
 mod caller;
 mod choose;
-mod desk;
 mod flight;
 mod refusal;
 mod send;
+mod slot;
 
 pub(crate) use caller::may_begin_early;
 pub(crate) use caller::serve;
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -24,8 +24,8 @@
 
 use crate::route::answer;
 use crate::route::call::Call;
-use crate::route::desk::Slot;
 use crate::route::flight::Flight;
+use crate::route::slot::Slot;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
--- a/crates/chicoryrail-router/src/route/desk.rs
+++ b/crates/chicoryrail-router/src/route/slot.rs
@@ -1,4 +1,4 @@
-//! Asks the desk for a server, and tells it how the request ended there.
+//! Asks the scheduler for a server, and tells it how the request ended there.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -9,12 +9,12 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::RouteKind;
 use chicoryrail_core::ServiceName;
-use chicoryrail_ownership::Scheduler;
+use chicoryrail_ownership::SchedulerHost;
 use chicoryrail_policy::Failure;
 use chicoryrail_policy::LoadReport;
 use monoio::time::timeout;
 
-use crate::control::desk_duty;
+use crate::control::scheduling;
 use crate::route::call::Call;
 use crate::state::Router;
 use crate::state::Service;
@@ -25,33 +25,33 @@
 use crate::talk::Packet;
 use crate::talk::Told;
 
-/// Time after which a question without any word is sent again, and after which the desk is given up.
+/// Time after which a question without any word is sent again, and after which the scheduler is given up.
 /// Between data centres a question and its word take 2 ms, and 20 at a host that has used its share of the
 /// processor for this tenth of a second.
 const ASK_AGAIN: Millis = Millis(20);
 const GIVE_UP: Millis = Millis(50);
 
-/// Time after which a request that waits at the desk asks again: the word may have been lost, or another
+/// Time after which a request that waits at the scheduler asks again: the word may have been lost, or another
 /// host may lead by now.
 const WAIT_AGAIN: Millis = Millis(120);
 
-/// What the desk said.
-pub(crate) enum Word {
+/// What the scheduler said.
+pub(crate) enum Answer {
     /// Send to this server.
     Send(Rc<Target>, Slot),
     /// Refuse; there may be room after this time.
     Refuse(Millis),
-    /// The desk can't be reached.
+    /// The scheduler can't be reached.
     Silent,
 }
 
-/// Asks the desk which server a request goes to, and waits as long as it says.
+/// Asks the scheduler which server a request goes to, and waits as long as it says.
 pub(crate) async fn ask(
     router: &Rc<Router>,
     service: &Rc<Service>,
     call: &Call,
     tried: &[Life],
-) -> Word {
+) -> Answer {
     let scheduler = scheduler_of(router, service, call);
     let (ticket, waiting) = router.asks.open(router.process.instance);
     let mut place = Place {
@@ -73,14 +73,14 @@
                 let slot = Slot::new(router, &service.name, place.scheduler, ticket, &life);
                 let target = service.target(&life).filter(|t| t.may_get(router.now()));
                 return match target {
-                    Some(target) => Word::Send(target, slot),
+                    Some(target) => Answer::Send(target, slot),
                     // The leader has not heard yet what this host knows of the server.
-                    None => Word::Silent,
+                    None => Answer::Silent,
                 };
             }
             Some(Told::Refuse(after)) => {
                 place.waits = false;
-                return Word::Refuse(Millis(after));
+                return Answer::Refuse(Millis(after));
             }
             Some(Told::Elsewhere) => {
                 place.scheduler = scheduler_of(router, service, call);
@@ -98,17 +98,17 @@
         }
         let now = router.now();
         if call.left(now) == Millis::ZERO {
-            return Word::Refuse(Millis::ZERO);
+            return Answer::Refuse(Millis::ZERO);
         }
         let silent = now.since(asked);
         let again = if heard { WAIT_AGAIN } else { ASK_AGAIN };
         if silent >= again + GIVE_UP - ASK_AGAIN {
-            if let Scheduler::At(addr) = place.scheduler {
+            if let SchedulerHost::At(addr) = place.scheduler {
                 router.peers.borrow_mut().silent(addr);
             }
             log::info!(request = call.id, silent_ms = silent.0, heard = heard, host:? = place.scheduler;
-                "desk_silent");
-            return Word::Silent;
+                "scheduler_silent");
+            return Answer::Silent;
         }
         if silent >= again && !sent_again {
             sent_again = true;
@@ -125,11 +125,11 @@
     }
 }
 
-/// A question at the desk; dropped while it waits, it is taken back.
+/// A question at the scheduler; dropped while it waits, it is taken back.
 struct Place<'a> {
     router: &'a Rc<Router>,
     service: &'a ServiceName,
-    scheduler: Scheduler,
+    scheduler: SchedulerHost,
     ticket: u64,
     waits: bool,
 }
@@ -152,22 +152,22 @@
             large: call.route.kind == RouteKind::Download,
             not: tried.to_vec(),
         };
-        to_desk(self.router, self.scheduler, Packet::Ask(ask));
+        to_scheduler(self.router, self.scheduler, Packet::Ask(ask));
     }
 }
 
 /// Returns the host that schedules for the server that a request will go to.
-fn scheduler_of(router: &Router, service: &Service, call: &Call) -> Scheduler {
+fn scheduler_of(router: &Router, service: &Service, call: &Call) -> SchedulerHost {
     let keys = service.keys.borrow();
     let owner = call.key.and_then(|key| keys.meant(key));
     router.scheduler(&service.name, owner)
 }
 
 /// Brings a packet to the host that schedules.
-fn to_desk(router: &Rc<Router>, scheduler: Scheduler, packet: Packet) {
+fn to_scheduler(router: &Rc<Router>, scheduler: SchedulerHost, packet: Packet) {
     match scheduler {
-        Scheduler::Here => desk_duty::take(router, &packet, None),
-        Scheduler::At(addr) => router.talk.post(packet, addr),
+        SchedulerHost::Here => scheduling::take(router, &packet, None),
+        SchedulerHost::At(addr) => router.talk.post(packet, addr),
     }
 }
 
@@ -181,17 +181,17 @@
             service: self.service.clone(),
             ticket: self.ticket,
         };
-        to_desk(self.router, self.scheduler, packet);
+        to_scheduler(self.router, self.scheduler, packet);
     }
 }
 
-/// A slot of a server that the desk gave, or that was taken without it. Dropped when the request has ended
-/// at the server, it tells the desk how.
+/// A slot of a server that the scheduler gave, or that was taken without it. Dropped when the request has ended
+/// at the server, it tells the scheduler how.
 #[derive(Debug)]
 pub(crate) struct Slot {
     router: Rc<Router>,
     service: ServiceName,
-    scheduler: Scheduler,
+    scheduler: SchedulerHost,
     server: Life,
     ticket: u64,
     us: Cell<Option<u64>>,
@@ -203,7 +203,7 @@
     fn new(
         router: &Rc<Router>,
         service: &ServiceName,
-        scheduler: Scheduler,
+        scheduler: SchedulerHost,
         ticket: u64,
         server: &Life,
     ) -> Self {
@@ -219,7 +219,7 @@
         }
     }
 
-    /// Takes a slot without the desk, which only hears of the end.
+    /// Takes a slot without the scheduler, which only hears of the end.
     pub(crate) fn without(router: &Rc<Router>, service: &Service, server: &Life) -> Self {
         let keyed = service.is_keyed().then_some(server);
         let scheduler = router.scheduler(&service.name, keyed);
@@ -258,6 +258,6 @@
             kind: self.kind.get(),
             report,
         };
-        to_desk(&self.router, self.scheduler, Packet::End(end));
+        to_scheduler(&self.router, self.scheduler, Packet::End(end));
     }
 }
--- a/crates/chicoryrail-router/src/state/asks.rs
+++ b/crates/chicoryrail-router/src/state/asks.rs
@@ -1,4 +1,4 @@
-//! Requests that have asked the desk and wait for its word.
+//! Requests that have asked the scheduler and wait for its word.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -9,14 +9,14 @@
 
 use crate::talk::Told;
 
-/// Requests that have asked the desk and wait for its word.
+/// Requests that have asked the scheduler and wait for its word.
 #[derive(Debug, Default)]
 pub(crate) struct Asks {
     waiting: RefCell<HashMap<u64, Rc<Waiting>>>,
     next: Cell<u64>,
 }
 
-/// One request's word from the desk.
+/// One request's word from the scheduler.
 #[derive(Debug, Default)]
 pub(crate) struct Waiting {
     told: RefCell<Option<Told>>,
@@ -31,7 +31,7 @@
 }
 
 impl Asks {
-    /// Opens a place for the desk's word under a ticket that no other request of any host has; `instance`
+    /// Opens a place for the scheduler's word under a ticket that no other request of any host has; `instance`
     /// is the random number of this run.
     pub(crate) fn open(&self, instance: u64) -> (u64, Rc<Waiting>) {
         let next = self.next.get() + 1;
@@ -49,7 +49,7 @@
         self.waiting.borrow_mut().remove(&ticket);
     }
 
-    /// Takes in a word of the desk; tells whether somebody waits for it.
+    /// Takes in a word of the scheduler; tells whether somebody waits for it.
     pub(crate) fn told(&self, ticket: u64, told: Told) -> bool {
         let waiting = self.waiting.borrow().get(&ticket).cloned();
         let Some(waiting) = waiting else {
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -3,17 +3,17 @@
 mod asks;
 mod believe;
 mod counters;
-mod hall;
 pub(crate) mod router;
+mod schedulers;
 mod service;
 mod target;
 mod view;
 
 pub(crate) use asks::Asks;
 pub(crate) use counters::Counters;
-pub(crate) use hall::Hall;
-pub(crate) use hall::Origin;
 pub(crate) use router::Router;
+pub(crate) use schedulers::Origin;
+pub(crate) use schedulers::Schedulers;
 pub(crate) use service::Service;
 pub(crate) use target::Intake;
 pub(crate) use target::Target;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -12,7 +12,7 @@
 use chicoryrail_ownership::HostState;
 use chicoryrail_ownership::Peers;
 use chicoryrail_ownership::Reach;
-use chicoryrail_ownership::Scheduler;
+use chicoryrail_ownership::SchedulerHost;
 use chicoryrail_platform::Boot;
 use chicoryrail_platform::KeyControl;
 use chicoryrail_platform::KvStore;
@@ -26,7 +26,7 @@
 use crate::Options;
 use crate::state::Asks;
 use crate::state::Counters;
-use crate::state::Hall;
+use crate::state::Schedulers;
 use crate::state::Service;
 use crate::state::View;
 use crate::talk::Talk;
@@ -59,10 +59,10 @@
     /// Whether the last call to the store was answered.
     pub(crate) store_up: Cell<bool>,
     pub(crate) talk: Rc<Talk>,
-    /// Requests that wait for the desk's word.
+    /// Requests that wait for the scheduler's word.
     pub(crate) asks: Asks,
     /// The requests for which this host schedules.
-    pub(crate) hall: Hall,
+    pub(crate) schedulers: Schedulers,
     /// Notified when the store answers again after an outage.
     pub(crate) store_returns: Signal,
     /// When the store last failed to answer.
@@ -94,7 +94,7 @@
             store_up: Cell::new(false),
             talk: Rc::clone(talk),
             asks: Asks::default(),
-            hall: Hall::default(),
+            schedulers: Schedulers::default(),
             store_returns: Signal::default(),
             store_lost: Cell::new(None),
             leads: Cell::new(0),
@@ -166,7 +166,7 @@
     }
 
     /// Returns the host that schedules the requests for a server, or for a service without keys.
-    pub(crate) fn scheduler(&self, service: &ServiceName, server: Option<&Life>) -> Scheduler {
+    pub(crate) fn scheduler(&self, service: &ServiceName, server: Option<&Life>) -> SchedulerHost {
         let boot = self.boot();
         let said = HostState {
             power: self.power(),
--- a/crates/chicoryrail-router/src/state/hall.rs
+++ b/crates/chicoryrail-router/src/state/schedulers.rs
@@ -7,7 +7,7 @@
 
 use chicoryrail_core::DcName;
 use chicoryrail_core::ServiceName;
-use chicoryrail_policy::Desk;
+use chicoryrail_policy::Scheduler;
 
 /// Who asked.
 #[derive(Clone, Debug)]
@@ -20,15 +20,15 @@
 
 /// The requests for which this host schedules, by service.
 #[derive(Debug, Default)]
-pub(crate) struct Hall {
-    pub(crate) desks: RefCell<BTreeMap<ServiceName, Desk>>,
+pub(crate) struct Schedulers {
+    pub(crate) by_service: RefCell<BTreeMap<ServiceName, Scheduler>>,
     /// Who asked, by ticket.
     pub(crate) origins: RefCell<HashMap<u64, Origin>>,
     dcs: RefCell<Vec<DcName>>,
 }
 
-impl Hall {
-    /// Returns the number that stands for a data centre at the desks.
+impl Schedulers {
+    /// Returns the number that stands for a data centre at the schedulers.
     pub(crate) fn dc_number(&self, dc: &DcName) -> u32 {
         let mut dcs = self.dcs.borrow_mut();
         let at = dcs.iter().position(|d| d == dc).unwrap_or_else(|| {
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -8,8 +8,8 @@
 use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::ServiceName;
-use chicoryrail_ownership::keys::KeySpan;
-use chicoryrail_ownership::keys::OwnedSpan;
+use chicoryrail_ownership::keys::KeyRange;
+use chicoryrail_ownership::keys::OwnedRange;
 
 /// A datagram.
 #[derive(Clone, Debug, Encode, Decode)]
@@ -71,7 +71,7 @@
 
 impl KeyRanges {
     /// Packs ranges.
-    pub(crate) fn pack(spans: &[OwnedSpan]) -> Self {
+    pub(crate) fn pack(spans: &[OwnedRange]) -> Self {
         let mut owners: Vec<Life> = spans.iter().map(|s| s.owner.clone()).collect();
         owners.sort();
         owners.dedup();
@@ -84,11 +84,11 @@
     }
 
     /// Unpacks the ranges; one that names no owner of the list is left out.
-    pub(crate) fn unpack(&self) -> Vec<OwnedSpan> {
+    pub(crate) fn unpack(&self) -> Vec<OwnedRange> {
         let ranges = self.ranges.iter().filter_map(|(first, last, at)| {
             let owner = self.owners.get(*at as usize)?.clone();
             let (first, last) = (*first, *last);
-            Some(OwnedSpan::new(KeySpan { first, last }, owner))
+            Some(OwnedRange::new(KeyRange { first, last }, owner))
         });
         ranges.collect()
     }
@@ -127,7 +127,7 @@
 /// What becomes of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub(crate) enum Told {
-    /// It waits at the desk.
+    /// It waits at the scheduler.
     Waits,
     /// It is to be sent to this server.
     Send(Life),
--- a/crates/chicoryrail-router/tests/callers.rs
+++ b/crates/chicoryrail-router/tests/callers.rs
@@ -119,8 +119,8 @@
     block_on(async {
         let world = World::start("cold").await;
         world.configure().await;
-        // 5 a second times 1.5 and 5 more is what the server bears from all hosts together; the desk uses
-        // a part of it, and the rest is for hosts that can't reach the desk.
+        // 5 a second times 1.5 and 5 more is what the server bears from all hosts together; the scheduler uses
+        // a part of it, and the rest is for hosts that can't reach the scheduler.
         let server = world
             .server_with(TargetOptions {
                 service: "desk".into(),
@@ -129,7 +129,7 @@
             })
             .await;
         let router = world.router("a").await;
-        // A desk that took over a moment ago does not know what was sent before, and gives nothing.
+        // A scheduler that took over a moment ago does not know what was sent before, and gives nothing.
         wait_until("the desk is open", async || {
             router.log().contains("log=leader_won")
         })
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Puts a configuration with an ordinary service, `desk`, and a keyed one, `kits`.
+    /// Puts a configuration with an ordinary service, `scheduler`, and a keyed one, `kits`.
     pub async fn configure(&self) {
         self.put("op/config", &self.next_config()).await;
     }
--- a/crates/chicoryrail-timeline/src/losses.rs
+++ b/crates/chicoryrail-timeline/src/losses.rs
@@ -21,7 +21,7 @@
     "config_in_force",
     "dc_back",
     "dc_out",
-    "desk_silent",
+    "scheduler_silent",
     "hold_waited_out",
     "keys_planned",
     "leader_lost",
--- a/crates/chicoryrail-timeline/tests/logs.rs
+++ b/crates/chicoryrail-timeline/tests/logs.rs
@@ -14,14 +14,18 @@
 log=request_late t=10.250 level=info host=a request=r2 took_ms=400
 not a line of ours
 ";
-const LEADER: &str = "10.1 b log=desk_refused t=10.100 level=info host=b request=r1 waiting=4\n";
+const LEADER: &str =
+    "10.1 b log=scheduler_refused t=10.100 level=info host=b request=r1 waiting=4\n";
 
 /// A request asked at one host, and was decided about at another: one id brings both together.
 #[test]
 fn one_requests_lines_come_in_order_from_all_hosts() {
     let lines = merge([ENTRY, LEADER], &Filter::of("request", "r1"));
     let kinds: Vec<_> = lines.iter().map(|l| l.value("log").unwrap()).collect();
-    assert_eq!(kinds, ["desk_refused", "send_broken", "request_refused"]);
+    assert_eq!(
+        kinds,
+        ["scheduler_refused", "send_broken", "request_refused"]
+    );
     assert_eq!(merge([ENTRY, LEADER], &Filter::default()).len(), 4);
 }
 
