--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Every chore of the project; `cargo xtask --help` lists them.
 
+mod bench;
 mod chaos;
 mod demo;
 mod tools;
@@ -8,6 +9,8 @@
 
 use bpaf::Bpaf;
 
+use crate::bench::Bench;
+use crate::bench::bench;
 use crate::chaos::Chaos;
 use crate::chaos::chaos;
 use crate::demo::Demo;
@@ -35,6 +38,9 @@
     /// Real processes behind a fault-injecting proxy under mixed load, judged by a checker
     #[bpaf(command)]
     Chaos(#[bpaf(external(chaos))] Chaos),
+    /// What a request costs on its way through a listener, alone and behind others on its connection
+    #[bpaf(command)]
+    Bench(#[bpaf(external(bench))] Bench),
 }
 
 fn main() -> ExitCode {
@@ -43,7 +49,10 @@
         Chore::Ci => lint() && test(),
         Chore::Test => test(),
         Chore::Fmt => cargo(&["+nightly", "fmt", "--all"]),
-        Chore::Chaos(_) | Chore::Demo(_) if cfg!(debug_assertions) => in_release(),
+        Chore::Bench(_) | Chore::Chaos(_) | Chore::Demo(_) if cfg!(debug_assertions) => {
+            in_release()
+        }
+        Chore::Bench(bench) => bench.run(),
         Chore::Chaos(chaos) => chaos.run(),
         Chore::Demo(demo) => demo.run(),
     };
