fix(router): hosts without a scheduler share half of what a cold server bears

Cause, found in reading: with one scheduler a server, others may reach it while a host does not; that host's own view took its part of the whole bound on top of the half that schedulers deal out.

--- a/crates/chicoryrail-router/src/control/scheduling.rs
+++ b/crates/chicoryrail-router/src/control/scheduling.rs
@@ -1,4 +1,5 @@
-//! The leader's part of the scheduler: takes what hosts ask and tell, and says what becomes of requests.
+//! Schedules the requests for the servers for which this host was drawn: takes what hosts ask and tell, and says what
+//! becomes of requests.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -56,7 +57,7 @@
                 .by_service
                 .borrow()
                 .get(&service.name)
-                .is_some_and(|d| d.waiting() > 0);
+                .is_some_and(|s| s.waiting() > 0);
             if waits {
                 poll(&router, &service);
             }
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -26,9 +26,14 @@
 /// running on the key.
 const MOVE_TIME: Millis = Millis(150);
 
-/// Time without a word of the leader after which its scheduler is taken for closed: longer than an election.
+/// Time without a word of the leader after which hosts may no longer hear each other, so that a cold server's
+/// scheduler may not be reached for good: longer than an election.
 const LEADER_GONE: Millis = Millis(2_500);
 
+/// Part of what a cold server bears that all hosts together may send it without a scheduler; others may reach one,
+/// which deals out the other half.
+const OWN_COLD_PART: f64 = 0.5;
+
 /// Time after which a service without a server that takes work is looked at again.
 const NO_SERVER_TIME: Millis = Millis(500);
 
@@ -100,12 +105,12 @@
     if !target.is_cold(now) {
         return true;
     }
-    // The scheduler deals out most of what a cold server bears. A host that hears the leader, but got no word
+    // The scheduler deals out half of what a cold server bears. A host that hears the leader, but got no word
     // in time, leaves cold servers alone; else all such hosts together would come on top of the scheduler's.
     if router.peers.borrow().hears_leader(now, LEADER_GONE) {
         return false;
     }
-    let bound = router.cold_bound(call.service_name());
+    let bound = router.cold_bound(call.service_name()) * OWN_COLD_PART;
     let hosts = router.peers.borrow().sharing();
     target.cold.borrow_mut().take(now, bound, hosts)
 }
--- a/crates/chicoryrail-router/src/route/slot.rs
+++ b/crates/chicoryrail-router/src/route/slot.rs
@@ -1,4 +1,4 @@
-//! Asks the scheduler for a server, and tells it how the request ended there.
+//! Asks the host that schedules for a server's slot, and tells it how the request ended there.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -32,7 +32,7 @@
 const GIVE_UP: Millis = Millis(50);
 
 /// Time after which a request that waits at the scheduler asks again: the word may have been lost, or another
-/// host may lead by now.
+/// host may schedule by now.
 const WAIT_AGAIN: Millis = Millis(120);
 
 /// What the scheduler said.
@@ -74,7 +74,7 @@
                 let target = service.target(&life).filter(|t| t.may_get(router.now()));
                 return match target {
                     Some(target) => Answer::Send(target, slot),
-                    // The leader has not heard yet what this host knows of the server.
+                    // That host has not heard yet what this one knows of the server.
                     None => Answer::Silent,
                 };
             }
