refactor: a host's word is written once for all, the load line is summed once; twins made one

Change: speeds are a datagram of their own, a word is encoded once (Talk::send_all); the cap is found from totals, the sums are the same; Peer::is_heard, by_owner, Line::pieces; two reads of a record that nothing called are gone. No decision changes: the plans' inputs and their order are as before.

--- a/crates/chicoryrail-ownership/src/keys/draft.rs
+++ b/crates/chicoryrail-ownership/src/keys/draft.rs
@@ -8,6 +8,7 @@
 use crate::keys::KeyRange;
 use crate::keys::OwnedRange;
 use crate::keys::line::Line;
+use crate::keys::line::OVERSHOOT;
 
 /// Load over the fair share down to which a server is relieved, and up to which another takes more. Below the load
 /// at which a server counts as overloaded, or the next few requests would make it overloaded again.
@@ -20,17 +21,10 @@
 /// Most moves of one plan. A range of 200 keys with a third of the load of 25 servers takes nine.
 const MOST_MOVES: usize = 24;
 
-/// Keys of an end of a range that are moved in place of the shortest run within it, as a multiple of its length: a
-/// run out of the middle leaves three ranges where there was one.
-const END_TIMES: u32 = 2;
-
 /// How much busier than the mean key those must be that are moved for relief: colder ones would be most of all
 /// keys, for little relief. At 0.25 a server with half of its load in a tenth of its keys can still be freed.
 const LEAST_DENSITY: f64 = 0.25;
 
-/// How much more load than wished a piece may have.
-const OVERSHOOT: f64 = 1.5;
-
 /// Servers that the keys of a lost one go to, at least where it held a fair share.
 const HEIRS: f64 = 4.0;
 
@@ -146,28 +140,35 @@
 
     /// Returns the holder with most room.
     fn roomiest(&self) -> usize {
+        self.most(|holder| self.room(holder))
+    }
+
+    /// Returns the holder with the most load for its share.
+    fn busiest(&self) -> usize {
+        self.most(|holder| self.share(holder))
+    }
+
+    /// Returns the holder with the most of something; a draft has one at least.
+    fn most(&self, of: impl Fn(usize) -> f64) -> usize {
         let all = 0..self.holders.len();
-        let most = all.max_by(|a, b| self.room(*a).total_cmp(&self.room(*b)));
+        let most = all.max_by(|a, b| of(*a).total_cmp(&of(*b)));
         most.unwrap_or(0)
     }
 
     /// Gives the keys that nobody holds to those with most room, in a few pieces.
     pub(crate) fn give_free(&mut self) {
-        while let Some(at) = self.ranges.iter().position(|(_, holder)| holder.is_none()) {
-            let (span, _) = self.ranges[at];
-            let load = self.line.load(span);
-            let mean = self.line.total() / self.holders.len() as f64;
-            let least = (mean / HEIRS).min(load);
+        let mean = self.line.total() / self.holders.len() as f64;
+        while let Some((span, _)) = self.ranges.iter().find(|(_, holder)| holder.is_none()) {
+            let least = (mean / HEIRS).min(self.line.load(*span));
             let to = self.roomiest();
-            let piece = self.line.start_of(span, self.room(to).max(least));
+            let piece = self.line.start_of(*span, self.room(to).max(least));
             self.assign(piece, to);
         }
-        self.join();
     }
 
     /// Gives a server that holds nothing a part of what the busiest have; without knowledge of the load, half of the
     /// longest range.
-    pub(crate) fn seat(&mut self, known: bool) {
+    pub(crate) fn admit(&mut self, known: bool) {
         for new in 0..self.holders.len() {
             if self.ranges.iter().any(|(_, holder)| *holder == Some(new)) {
                 continue;
@@ -184,9 +185,7 @@
     /// Moves load from the busiest to a new server, until it has about as much as they.
     fn fill(&mut self, new: usize) {
         for _ in 0..HEIRS as usize {
-            let Some(from) = self.busiest() else {
-                return;
-            };
+            let from = self.busiest();
             let gap = self.loads[from] - self.fair(from) * self.share(new);
             let amount = (gap / 2.0).min(self.fair(new) / HEIRS);
             let Some(piece) = self.piece_of(from, amount, 0.0) else {
@@ -215,10 +214,7 @@
             if self.ranges.len() >= self.holders.len() * MOST_RANGES {
                 return;
             }
-            let Some(from) = self.busiest() else {
-                return;
-            };
-            let to = self.roomiest();
+            let (from, to) = (self.busiest(), self.roomiest());
             let excess = self.loads[from] - self.fair(from) * KEEPS;
             let amount = excess.min(self.room(to));
             let least = LEAST_MOVE * self.fair(from).min(self.fair(to));
@@ -238,11 +234,6 @@
         }
     }
 
-    fn busiest(&self) -> Option<usize> {
-        let all = 0..self.holders.len();
-        all.max_by(|a, b| self.share(*a).total_cmp(&self.share(*b)))
-    }
-
     /// Returns keys of a holder with about so much load and no more keys than needed, at least as dense as `density`
     /// load a key.
     fn piece_of(&self, from: usize, amount: f64, density: f64) -> Option<KeyRange> {
@@ -250,38 +241,16 @@
             return None;
         }
         let own = self.ranges.iter().filter(|(_, h)| *h == Some(from));
-        let pieces: Vec<KeyRange> = own.flat_map(|(s, _)| self.pieces(*s, amount)).collect();
+        let pieces: Vec<KeyRange> = own
+            .flat_map(|(s, _)| self.line.pieces(*s, amount))
+            .collect();
         let dense = |span: &KeyRange| self.line.load(*span) / f64::from(span.len());
         // A key that is busier than wished moves only where nothing else does.
         let fits = |span: &&KeyRange| self.line.load(**span) <= amount * OVERSHOOT;
-        let fit = pieces
-            .iter()
-            .filter(fits)
-            .max_by(|a, b| dense(a).total_cmp(&dense(b)));
-        let any = pieces.iter().max_by(|a, b| dense(a).total_cmp(&dense(b)));
-        fit.or(any).copied().filter(|span| dense(span) >= density)
-    }
-
-    /// Returns the best pieces of one range with about so much load: the shortest run that does not have much more,
-    /// the shortest of all, or an end of the range that is hardly longer; the whole range where it has less.
-    fn pieces(&self, span: KeyRange, amount: f64) -> Vec<KeyRange> {
-        let amount = amount.min(self.line.load(span));
-        let near = self.line.shortest(span, amount, amount * OVERSHOOT);
-        let short = self.line.shortest(span, amount, f64::INFINITY);
-        let mut pieces: Vec<KeyRange> = [near, short].into_iter().flatten().collect();
-        if pieces.is_empty() {
-            pieces.push(span);
-        }
-        let longest = pieces[0].len() * END_TIMES;
-        let ends = [
-            self.line.start_of(span, amount),
-            self.line.end_of(span, amount),
-        ];
-        let end = ends.into_iter().min_by_key(|e| e.len());
-        if let Some(end) = end.filter(|e| e.len() <= longest) {
-            pieces[0] = end;
-        }
-        pieces
+        let denser = |a: &&KeyRange, b: &&KeyRange| dense(a).total_cmp(&dense(b));
+        let fit = pieces.iter().filter(fits).max_by(denser);
+        let piece = fit.or_else(|| pieces.iter().max_by(denser));
+        piece.copied().filter(|span| dense(span) >= density)
     }
 
     /// Gives cold ranges to the server beside them, while there are more ranges than wished.
--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/keeper.rs
@@ -16,6 +16,7 @@
 use crate::keys::ReleaseEnd;
 use crate::keys::claim::Claim;
 use crate::keys::claim::Freed;
+use crate::keys::record::by_owner;
 use crate::keys::server_state::ServerState;
 
 /// Where a server is of which only the record tells.
@@ -226,18 +227,14 @@
             }
         });
         self.claims = claims.collect();
-        let mut meant: BTreeMap<Life, Vec<KeyRange>> = BTreeMap::new();
-        for owned in &next.spans {
-            let spans = meant.entry(owned.owner.clone()).or_default();
-            spans.push(owned.span);
-        }
+        let mut meant = by_owner(&next.spans);
         for (life, state) in &mut self.servers {
             state.meant(meant.remove(life).unwrap_or_default());
         }
         for (life, spans) in meant {
             let mut state = ServerState::new(UNKNOWN, now);
             state.meant(spans);
-            self.servers.insert(life, state);
+            self.servers.insert(life.clone(), state);
         }
         self.freed.clear();
         self.record = next;
--- a/crates/chicoryrail-ownership/src/keys/line.rs
+++ b/crates/chicoryrail-ownership/src/keys/line.rs
@@ -13,8 +13,15 @@
 /// others change with it, less in each round.
 const ROUNDS: usize = 3;
 
+/// Keys of an end of a range that are moved in place of the shortest run within it, as a multiple of its length: a
+/// run out of the middle leaves three ranges where there was one.
+const END_TIMES: u32 = 2;
+
+/// How much more load than wished a piece may have.
+pub(crate) const OVERSHOOT: f64 = 1.5;
+
 /// Keys of the whole space.
-pub(crate) const KEYS: u32 = 65_536;
+const KEYS: u32 = 65_536;
 
 /// The load along the key space, summed up, so that the load of any range is a difference.
 #[derive(Clone, Debug)]
@@ -29,24 +36,22 @@
     pub(crate) fn fair(weights: &[f64], load: &KeyLoad, window: Window) -> (Self, f64) {
         let weight: f64 = weights.iter().sum();
         let mean = weight / weights.len() as f64;
-        let mut line = Self::of(load, window, f64::INFINITY);
+        let even = EVEN * PER_BUCKET as f64 / f64::from(KEYS);
+        let borne = |most: f64| {
+            let buckets = load.buckets(window);
+            buckets.map(move |seen| (seen + even).min(most))
+        };
+        let mut most = f64::INFINITY;
         for _ in 0..ROUNDS {
-            let most = line.total() / weight * mean;
-            line = Self::of(load, window, most);
+            most = borne(most).sum::<f64>() / weight * mean;
         }
-        let unit = line.total() / weight;
-        (line, unit)
-    }
-
-    fn of(load: &KeyLoad, window: Window, most: f64) -> Self {
-        let even = EVEN * PER_BUCKET as f64 / f64::from(KEYS);
         let mut sum = 0.0;
         let mut sums = vec![0.0];
-        for seen in load.buckets(window) {
-            sum += (seen + even).min(most);
-            sums.push(sum);
-        }
-        Self { sums }
+        sums.extend(borne(most).map(|load| {
+            sum += load;
+            sum
+        }));
+        (Self { sums }, sum / weight)
     }
 
     pub(crate) fn total(&self) -> f64 {
@@ -88,8 +93,27 @@
         }
     }
 
+    /// Returns the best pieces of a range with about so much load: the shortest run that does not have much more,
+    /// the shortest of all, or an end of the range that is hardly longer; the whole range where it has less.
+    pub(crate) fn pieces(&self, span: KeyRange, amount: f64) -> Vec<KeyRange> {
+        let amount = amount.min(self.load(span));
+        let near = self.shortest(span, amount, amount * OVERSHOOT);
+        let short = self.shortest(span, amount, f64::INFINITY);
+        let mut pieces: Vec<KeyRange> = [near, short].into_iter().flatten().collect();
+        if pieces.is_empty() {
+            pieces.push(span);
+        }
+        let longest = pieces[0].len() * END_TIMES;
+        let ends = [self.start_of(span, amount), self.end_of(span, amount)];
+        let end = ends.into_iter().min_by_key(|e| e.len());
+        if let Some(end) = end.filter(|e| e.len() <= longest) {
+            pieces[0] = end;
+        }
+        pieces
+    }
+
     /// Returns the shortest run of buckets within a range with at least `load` and at most `most`, if there is one.
-    pub(crate) fn shortest(&self, span: KeyRange, load: f64, most: f64) -> Option<KeyRange> {
+    fn shortest(&self, span: KeyRange, load: f64, most: f64) -> Option<KeyRange> {
         let from = usize::from(span.first).div_ceil(PER_BUCKET);
         let to = (usize::from(span.last) + 1) / PER_BUCKET;
         let mut best: Option<(usize, usize)> = None;
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -1,4 +1,4 @@
-//! Where the key line is cut.
+//! Which keys each server should hold.
 
 use std::collections::BTreeSet;
 
@@ -38,10 +38,10 @@
     pub weight: f64,
 }
 
-/// What is to be done about the spans.
+/// What is to be done about who holds which keys.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Plan {
-    /// They stay.
+    /// Nothing changes.
     Keep,
     /// These servers hold them from now on.
     Change(Vec<OwnedRange>),
@@ -89,7 +89,7 @@
         }
         let known = load.total() >= FEWEST;
         draft.give_free();
-        draft.seat(known);
+        draft.admit(known);
         let before = draft.overload(ROOM);
         if known && (moves != Moves::Needed || members) {
             draft.relieve();
--- a/crates/chicoryrail-ownership/src/keys/record.rs
+++ b/crates/chicoryrail-ownership/src/keys/record.rs
@@ -116,25 +116,10 @@
         span.span.has(key).then_some(&span.owner)
     }
 
-    /// Iterates over the spans of a server.
-    pub fn spans_of(&self, life: &Life) -> impl Iterator<Item = KeyRange> {
-        let owned = self.spans.iter().filter(move |s| s.owner == *life);
-        owned.map(|s| s.span)
-    }
-
-    /// Tells whether a server is meant to hold keys.
-    #[must_use]
-    pub fn names(&self, life: &Life) -> bool {
-        self.spans.iter().any(|s| s.owner == *life)
-    }
-
     /// Returns the next record, with the given owners: what their predecessors may still hold is loose.
     #[must_use]
     pub fn next(&self, spans: Vec<OwnedRange>, still_loose: &[OwnedRange], attempt: u64) -> Self {
-        let mut kept: BTreeMap<&Life, Vec<KeyRange>> = BTreeMap::new();
-        for owned in &spans {
-            kept.entry(&owned.owner).or_default().push(owned.span);
-        }
+        let kept = by_owner(&spans);
         let mut loose: Vec<OwnedRange> = Vec::new();
         for old in still_loose.iter().chain(&self.spans) {
             // What its holder keeps, or gets back, is not loose.
@@ -155,3 +140,12 @@
         }
     }
 }
+
+/// Returns the ranges of each owner.
+pub(crate) fn by_owner(spans: &[OwnedRange]) -> BTreeMap<&Life, Vec<KeyRange>> {
+    let mut owners: BTreeMap<&Life, Vec<KeyRange>> = BTreeMap::new();
+    for owned in spans {
+        owners.entry(&owned.owner).or_default().push(owned.span);
+    }
+    owners
+}
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -59,6 +59,13 @@
     said: HostState,
 }
 
+impl Peer {
+    /// Tells whether it was heard within `age`.
+    fn is_heard(&self, now: Millis, age: Millis) -> bool {
+        self.heard.is_some_and(|at| now.since(at) <= age)
+    }
+}
+
 /// The other hosts.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -145,9 +152,8 @@
 
     /// Iterates over the other hosts that schedule.
     fn at_work(&self, now: Millis) -> impl Iterator<Item = (&HostName, &Peer)> {
-        let heard = move |p: &Peer| p.heard.is_some_and(|at| now.since(at) <= SCHEDULES);
         let hosts = self.hosts.iter();
-        hosts.filter(move |(_, p)| p.said.schedules && heard(p))
+        hosts.filter(move |(_, p)| p.said.schedules && p.is_heard(now, SCHEDULES))
     }
 
     /// Takes in that a host did not answer: it counts as not heard until its next word.
@@ -192,15 +198,16 @@
 
     /// Iterates over what hosts said of themselves a moment ago.
     fn lately(&self, now: Millis) -> impl Iterator<Item = &HostState> {
-        let fresh = move |p: &&Peer| p.heard.is_some_and(|at| now.since(at) <= FRESH);
-        self.hosts.values().filter(fresh).map(|p| &p.said)
+        let hosts = self.hosts.values();
+        let fresh = hosts.filter(move |p| p.is_heard(now, FRESH));
+        fresh.map(|p| &p.said)
     }
 
     /// Tells whether every other host was heard lately and says that the store is away. A host that was not
     /// heard may have it.
     #[must_use]
     pub fn all_lost_store(&self, now: Millis) -> bool {
-        let lost = |p: &Peer| !p.said.store && p.heard.is_some_and(|at| now.since(at) <= LATELY);
+        let lost = |p: &Peer| !p.said.store && p.is_heard(now, LATELY);
         self.hosts.values().all(lost)
     }
 
@@ -209,7 +216,7 @@
         self.leader_heard = Some(now);
     }
 
-    /// Tells whether a leader was heard within `age`, so that its scheduler is at work.
+    /// Tells whether a leader was heard within `age`.
     #[must_use]
     pub fn hears_leader(&self, now: Millis, age: Millis) -> bool {
         self.leader_heard.is_some_and(|at| now.since(at) <= age)
@@ -239,8 +246,8 @@
     /// Tells whether more than half of all hosts, this one included, were heard within `age`.
     #[must_use]
     pub fn hears_most(&self, now: Millis, age: Millis) -> bool {
-        let fresh = |p: &&Peer| p.heard.is_some_and(|at| now.since(at) <= age);
-        let heard = self.hosts.values().filter(fresh).count() + 1;
+        let heard = self.hosts.values().filter(|p| p.is_heard(now, age));
+        let heard = heard.count() + 1;
         heard * 2 > self.hosts.len() + 1
     }
 }
--- a/crates/chicoryrail-ownership/tests/key_keeper.rs
+++ b/crates/chicoryrail-ownership/tests/key_keeper.rs
@@ -150,7 +150,8 @@
     keeper.change(spans(49_999), 4);
     keeper.committed(Millis(20));
     // What stays with `a` is held on; what it is to get is still loose with nobody but itself.
-    assert!(keeper.record().names(&life("a")));
+    let named = keeper.record().spans.iter().any(|s| s.owner == life("a"));
+    assert!(named);
     held(&mut keeper, Millis(30), "a", span(0, 9_999));
     held(&mut keeper, Millis(31), "a", span(40_000, 49_999));
     let due = keeper.due(Millis(640));
--- a/crates/chicoryrail-policy/src/scheduler/load_view.rs
+++ b/crates/chicoryrail-policy/src/scheduler/load_view.rs
@@ -87,7 +87,7 @@
         }
     }
 
-    fn slots(&self, id: ServerId) -> Option<&ServerLoad> {
+    fn server(&self, id: ServerId) -> Option<&ServerLoad> {
         let at = self.servers.binary_search_by_key(&id, |g| g.id).ok()?;
         Some(&self.servers[at])
     }
@@ -106,13 +106,13 @@
         match place {
             Placement::Any => {}
             Placement::Moving => return None,
-            Placement::Owner(owner) => return self.slots(owner)?.has_slot.then_some(owner),
+            Placement::Owner(owner) => return self.server(owner)?.has_slot.then_some(owner),
         }
         if self.free == 0 {
             return None;
         }
         // Those ahead wait for the full ones, too.
-        let shunned = ask.not.iter().filter_map(|id| self.slots(*id));
+        let shunned = ask.not.iter().filter_map(|id| self.server(*id));
         let shunned: f64 = shunned.filter(|g| !g.has_slot).map(ServerLoad::pace).sum();
         let behind = ahead / (self.full_pace - shunned).max(LEAST_PACE);
         let mut best: Option<(f64, ServerId)> = None;
@@ -135,7 +135,7 @@
     /// it; `None` where no server can take it.
     pub(crate) fn answer_in(&self, ask: &SlotRequest, place: Placement, ahead: f64) -> Option<f64> {
         if let Placement::Owner(owner) = place {
-            let load = self.slots(owner)?;
+            let load = self.server(owner)?;
             return Some(load.answer_in(ask.work_us) + ahead / load.pace().max(LEAST_PACE));
         }
         // Whoever holds a moving key next is about as fast as any.
--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -24,9 +24,9 @@
 const PAUSE: Millis = Millis(150);
 
 /// The same for the entries of servers and hosts at a host that does not lead, for each host there is: all of them
-/// together make at most 125 calls a second for entries, which come in groups of seconds (76 hosts were woken 38 times each by
-/// 219 servers that started and 26 that came later). At most the longest: a server that leaves serves for 2 s
-/// more, and what a host does by itself, without the leader, bears it.
+/// together make at most 125 calls a second for entries, which come in groups of seconds (76 hosts were woken 38
+/// times each by 219 servers that started and 26 that came later). At most the longest: a server that leaves serves
+/// for 2 s more, and what a host does by itself, without the leader, bears it.
 const GROUP_EACH: Millis = Millis(8);
 const GROUP_MOST: Millis = Millis(600);
 
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -61,6 +61,7 @@
         match packet {
             Packet::Word(word) => self.read(word),
             Packet::Asked(asked) => self.take_asked(&asked),
+            Packet::Speeds(speeds) => self.tenure.heard_speeds(speeds),
             Packet::Told { ticket, told } => self.told(ticket, told),
             packet => scheduling::take(&self.router, &packet, Some(from)),
         }
@@ -79,11 +80,10 @@
         loop {
             let seen = self.tenure.news.count();
             let leads = self.router.leads.get() > 0;
-            let word = self.word(leads);
+            let word = Packet::Word(self.word(leads));
             let all = self.router.peers.borrow().addrs();
-            for addr in all {
-                self.send(&word, addr).await;
-            }
+            self.router.talk.send_all(&word, &all).await;
+            self.tell_speeds(leads, &all).await;
             let wait = self.tenure.news.after(seen);
             let _ = monoio::time::timeout(EVERY.duration(), wait).await;
         }
@@ -115,10 +115,6 @@
 
     fn word(&self, leads: bool) -> Word {
         let keys = if leads { self.key_words() } else { Vec::new() };
-        let speeds = scheduling::speeds(&self.router);
-        if leads {
-            self.tenure.heard_speeds(speeds.clone());
-        }
         Word {
             host: self.router.boot().host.clone(),
             term: self.router.peers.borrow().highest_term(),
@@ -127,7 +123,6 @@
             reaches: self.router.reach.borrow().lately(self.router.now()),
             power: self.router.power(),
             schedules: self.router.schedules(),
-            speeds,
             keys,
         }
     }
@@ -171,15 +166,18 @@
         all
     }
 
-    async fn send(&self, word: &Word, addr: SocketAddr) {
+    /// Tells the leader how fast servers are, or all where nobody is known to lead: one of them will.
+    async fn tell_speeds(&self, leads: bool, all: &[SocketAddr]) {
+        let speeds = scheduling::speeds(&self.router);
+        if leads {
+            self.tenure.heard_speeds(speeds);
+            return;
+        }
         let leader = self.router.peers.borrow().leader_addr();
-        // Only the leader has a use for the servers' speeds.
-        let to_leader = leader.is_none_or(|l| l == addr);
-        let mut word = word.clone();
-        if !to_leader {
-            word.speeds.clear();
+        let to = leader.as_ref().map_or(all, std::slice::from_ref);
+        if !speeds.is_empty() {
+            self.router.talk.send_all(&Packet::Speeds(speeds), to).await;
         }
-        self.router.talk.send(&Packet::Word(word), addr).await;
     }
 
     fn read(&self, word: Word) {
@@ -208,7 +206,6 @@
                 self.take_keys(now, key);
             }
         }
-        self.tenure.heard_speeds(word.speeds);
     }
 
     fn take_keys(&self, now: Millis, word: KeyWord) {
--- a/crates/chicoryrail-router/src/control/scheduling.rs
+++ b/crates/chicoryrail-router/src/control/scheduling.rs
@@ -113,7 +113,7 @@
         Packet::Ask(asked) => ask(router, asked, from),
         Packet::End(end) => ended(router, end),
         Packet::Leave { service, ticket } => left(router, service, *ticket),
-        Packet::Word(_) | Packet::Asked(_) | Packet::Told { .. } => {}
+        Packet::Word(_) | Packet::Speeds(_) | Packet::Asked(_) | Packet::Told { .. } => {}
     }
 }
 
@@ -283,7 +283,7 @@
         };
         scheduler.set(now, target.id, state);
     }
-    // All targets are among the servers, so a slots too many is one of a server that is gone.
+    // All targets are among the scheduler's servers, so one too many is gone.
     if scheduler.servers() > targets.len() {
         scheduler.retain(|id| targets.values().any(|t| t.id == id));
     }
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -16,6 +16,8 @@
 pub(crate) enum Packet {
     /// What a host knows.
     Word(Word),
+    /// How fast the servers are for which a host schedules, for the leader: above 1 is slower than usual.
+    Speeds(Vec<(Life, f32)>),
     /// Keys that callers asked for, for the leader.
     Asked(Vec<Asked>),
     /// A request asks the host that schedules for its server.
@@ -44,8 +46,6 @@
     pub(crate) power: u32,
     /// Whether it schedules requests for servers.
     pub(crate) schedules: bool,
-    /// How fast the servers are for which it schedules, for the leader: above 1 is slower than usual.
-    pub(crate) speeds: Vec<(Life, f32)>,
     pub(crate) keys: Vec<KeyWord>,
 }
 
--- a/crates/chicoryrail-router/src/talk/socket.rs
+++ b/crates/chicoryrail-router/src/talk/socket.rs
@@ -37,12 +37,20 @@
 
     /// Sends a datagram; one that can't be sent is like one that was lost.
     pub(crate) async fn send(&self, packet: &Packet, addr: SocketAddr) {
-        let Ok(bytes) = bincode::encode_to_vec(packet, standard()) else {
+        self.send_all(packet, &[addr]).await;
+    }
+
+    /// Sends the same datagram to several hosts. It is written once: a leader's word holds up to 9 KB of ranges.
+    pub(crate) async fn send_all(&self, packet: &Packet, addrs: &[SocketAddr]) {
+        let Ok(mut bytes) = bincode::encode_to_vec(packet, standard()) else {
             return;
         };
-        let (result, _) = self.socket.send_to(bytes, addr).await;
-        if let Err(e) = result {
-            log::debug!(addr:% = addr, error:% = e; "talk_send");
+        for addr in addrs {
+            let (result, back) = self.socket.send_to(bytes, *addr).await;
+            bytes = back;
+            if let Err(e) = result {
+                log::debug!(addr:% = addr, error:% = e; "talk_send");
+            }
         }
     }
 
--- a/crates/chicoryrail-runtime/src/callers/http_server.rs
+++ b/crates/chicoryrail-runtime/src/callers/http_server.rs
@@ -168,7 +168,9 @@
     let Ok(io) = stream.try_into_poll_io() else {
         return;
     };
-    let scanner = Rc::new(RefCell::new(HeadScanner::new(limits.head.max(8_192))));
+    // The HTTP layer takes no smaller bound.
+    let head = limits.head.max(8_192);
+    let scanner = Rc::new(RefCell::new(HeadScanner::new(head)));
     let stream = CallerStream::new(MonoioIo::new(io), Rc::clone(&scanner));
     let stream = Rc::new(RefCell::new(stream));
     let pipeline = Rc::new(RefCell::new(Pipeline::new(serve, scanner)));
@@ -183,7 +185,7 @@
         .timer(MonoioTimer)
         .header_read_timeout(limits.idle.max(limits.head_time).duration())
         .max_headers(limits.headers)
-        .max_buf_size(limits.head.max(8_192))
+        .max_buf_size(head)
         .half_close(false)
         .serve_connection(io, {
             let (pipeline, asked, service) =
@@ -203,8 +205,7 @@
         });
     let mut served = pin!(served);
     // Ready when the connection has ended, or its caller has left.
-    let drive = |served: Pin<&mut _>, cx: &mut Context<'_>| -> Poll<()> {
-        let served: Pin<&mut Http1<_, _>> = served;
+    let drive = |served: Pin<&mut Http1<_, _>>, cx: &mut Context<'_>| -> Poll<()> {
         if served.poll(cx).is_ready() {
             return Poll::Ready(());
         }
--- a/crates/chicoryrail-runtime/src/callers/pipeline.rs
+++ b/crates/chicoryrail-runtime/src/callers/pipeline.rs
@@ -85,20 +85,19 @@
         let behind = self.behind.pop_front();
         let plain = behind.as_ref().is_some_and(|b| b.head.plain);
         self.open = plain && (self.serve.early)(&parts);
-        match behind.and_then(|b| b.begun) {
-            Some(begun) if begun.is(&parts) => match begun.answer {
-                Answer::Coming(answer) => answer,
-                Answer::Ready(answer) => Box::pin(std::future::ready(answer)),
-            },
-            Some(begun) => {
-                // What was begun is none of what the HTTP layer reads. Nothing found here can be trusted.
-                log::error!(begun:% = begun.request.uri(), read:% = parts.uri; "pipeline_differs");
-                self.closing = true;
-                self.behind.clear();
-                (self.serve.begin)(Request::from_parts(parts, body))
+        if let Some(begun) = behind.and_then(|b| b.begun) {
+            if begun.is(&parts) {
+                return match begun.answer {
+                    Answer::Coming(answer) => answer,
+                    Answer::Ready(answer) => Box::pin(std::future::ready(answer)),
+                };
             }
-            None => (self.serve.begin)(Request::from_parts(parts, body)),
+            // What was begun is none of what the HTTP layer reads. Nothing found here can be trusted.
+            log::error!(begun:% = begun.request.uri(), read:% = parts.uri; "pipeline_differs");
+            self.closing = true;
+            self.behind.clear();
         }
+        (self.serve.begin)(Request::from_parts(parts, body))
     }
 
     /// Begins what may begin, and lets what was begun go on.
