feat(router): three hosts watch the store, the others follow them; few strong hosts form the core

Cause: each host watched all of the store, registered, and told each other host what it knows each 400 ms.

Change: strong hosts (up to 24) are the core: they are listed in the store, exchange heartbeats, schedule and may lead. Three of them, the leader among them, in different data centres, watch the store; the other core hosts follow a watcher and all leaf hosts a core host of their data centre, by a long poll over a kept connection (news, map of keys, core hosts, state of the store). A silent relay is left after 0.75 s; a leaf host without any watches the store after 1.5 to 2.5 s. Schedulers report the keys asked for, no longer each host. Breaking: value of a host's key (address and strength), gossip message, relay calls on the TCP port of the talk.

--- a/crates/chicoryrail-ownership/src/keys/key_view.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_view.rs
@@ -60,6 +60,12 @@
         self.record.fence
     }
 
+    /// Returns the record in force.
+    #[must_use]
+    pub const fn record_in_force(&self) -> &KeyRecord {
+        &self.record
+    }
+
     /// Returns who is meant to hold a key, granted or not.
     #[must_use]
     pub fn meant(&self, key: u16) -> Option<&Life> {
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -15,11 +15,16 @@
 //! Go on with [`keys::Keeper`] for what a leader does about keys, [`keys::KeyRecord`] for what the store
 //! keeps of them, and [`Peers`] for the other hosts.
 
+mod core_host;
 pub mod keys;
 mod peers;
 mod reach;
 pub mod store_key;
+mod watchers;
 
+pub use core_host::CoreHost;
+pub use core_host::is_strong;
+pub use core_host::joins_core;
 pub use peers::HostState;
 pub use peers::Peers;
 pub use peers::SchedulerHost;
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -18,6 +18,9 @@
 /// Age of a host's last word up to which it counts: three of the words that hosts send.
 const LATELY: Millis = Millis(1_300);
 
+/// Time for which a host that was heard of by its own heartbeat counts, though the store does not list it yet.
+const UNLISTED: Millis = Millis(3_000);
+
 /// Age of a host's last word up to which what it says of its reach and power counts: one word and a half.
 const FRESH: Millis = Millis(600);
 
@@ -40,6 +43,12 @@
     pub power: u32,
     /// Whether it schedules requests for servers; one that stops does not.
     pub schedules: bool,
+    /// Its data centre; `None` where it was not heard yet.
+    pub dc: Option<DcName>,
+    /// Whether it watches the store itself.
+    pub watches: bool,
+    /// Leaf hosts that follow it.
+    pub leaves: u32,
 }
 
 /// The host that schedules the requests for a server.
@@ -53,46 +62,84 @@
 
 /// What was heard from a host.
 #[derive(Clone, Debug)]
-struct Peer {
-    addr: SocketAddr,
-    heard: Option<Millis>,
-    said: HostState,
+pub(crate) struct Peer {
+    pub(crate) addr: SocketAddr,
+    pub(crate) heard: Option<Millis>,
+    pub(crate) said: HostState,
+    /// When it last failed to relay what the store says.
+    pub(crate) failed: Option<Millis>,
 }
 
 impl Peer {
+    const fn at(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            heard: None,
+            said: HostState {
+                store: false,
+                reaches: BTreeSet::new(),
+                power: 0,
+                schedules: false,
+                dc: None,
+                watches: false,
+                leaves: 0,
+            },
+            failed: None,
+        }
+    }
+
     /// Tells whether it was heard within `age`.
-    fn is_heard(&self, now: Millis, age: Millis) -> bool {
+    pub(crate) fn is_heard(&self, now: Millis, age: Millis) -> bool {
         self.heard.is_some_and(|at| now.since(at) <= age)
     }
 }
 
-/// The other hosts.
+/// The other core hosts: those that the store lists, exchange heartbeats, schedule and may lead.
 #[derive(Debug, Default)]
 pub struct Peers {
-    hosts: BTreeMap<HostName, Peer>,
-    /// The most hosts known so far, this one included.
+    pub(crate) hosts: BTreeMap<HostName, Peer>,
+    /// The most hosts known so far, leaf hosts and this one included.
     most: usize,
     /// Highest term of leadership heard of, and its leader.
     term: u64,
-    leader: Option<HostName>,
+    pub(crate) leader: Option<HostName>,
     /// When the leader was last heard of, by itself.
     leader_heard: Option<Millis>,
 }
 
 impl Peers {
     /// Takes in the hosts that are registered, without this one.
-    pub fn set(&mut self, hosts: Vec<(HostName, SocketAddr)>) {
+    pub fn set(&mut self, now: Millis, hosts: Vec<(HostName, SocketAddr)>) {
         let old = std::mem::take(&mut self.hosts);
         for (name, addr) in hosts {
-            let known = old.get(&name);
-            let peer = Peer {
-                addr,
-                heard: known.and_then(|p| p.heard),
-                said: known.map(|p| p.said.clone()).unwrap_or_default(),
+            let peer = match old.get(&name) {
+                Some(known) => Peer {
+                    addr,
+                    ..known.clone()
+                },
+                None => Peer::at(addr),
             };
             self.hosts.insert(name, peer);
         }
-        self.most = self.most.max(self.hosts.len() + 1);
+        let unlisted = old.into_iter().filter(|(_, p)| p.is_heard(now, UNLISTED));
+        for (name, peer) in unlisted {
+            self.hosts.entry(name).or_insert(peer);
+        }
+        self.count(self.hosts.len() + 1);
+    }
+
+    /// Takes in that there are so many hosts, leaf hosts included.
+    pub fn count(&mut self, hosts: usize) {
+        self.most = self.most.max(hosts);
+    }
+
+    /// Returns the number of hosts known to be there: core hosts, and the leaf hosts that follow them, of which
+    /// `own` follow this one.
+    #[must_use]
+    pub fn all_hosts(&self, now: Millis, own: u32) -> usize {
+        let heard = self.hosts.values().filter(|p| p.is_heard(now, LATELY));
+        let leaves: u32 = heard.map(|p| p.said.leaves).sum();
+        self.hosts.len() + 1 + (leaves + own) as usize
     }
 
     /// Returns the number of hosts among which a bound over all of them is shared: the most ever known,
@@ -151,7 +198,7 @@
     }
 
     /// Iterates over the other hosts that schedule.
-    fn at_work(&self, now: Millis) -> impl Iterator<Item = (&HostName, &Peer)> {
+    pub(crate) fn at_work(&self, now: Millis) -> impl Iterator<Item = (&HostName, &Peer)> {
         let hosts = self.hosts.iter();
         hosts.filter(move |(_, p)| p.said.schedules && p.is_heard(now, SCHEDULES))
     }
@@ -163,12 +210,15 @@
         }
     }
 
-    /// Takes in what a host says of itself.
-    pub fn heard(&mut self, now: Millis, host: &HostName, said: HostState) {
-        if let Some(peer) = self.hosts.get_mut(host) {
-            peer.heard = Some(now);
-            peer.said = said;
-        }
+    /// Takes in what a host at `addr` says of itself. One that the store does not list yet is heard all the same:
+    /// hosts that start together would else not know each other until the list came round.
+    pub fn heard(&mut self, now: Millis, host: &HostName, addr: SocketAddr, said: HostState) {
+        let peer = self.hosts.entry(host.clone());
+        let peer = peer.or_insert_with(|| Peer::at(addr));
+        peer.addr = addr;
+        peer.heard = Some(now);
+        peer.said = said;
+        self.count(self.hosts.len() + 1);
     }
 
     /// Tells whether another host, which the store answers, reaches `more` and all of `mine`.
@@ -197,7 +247,7 @@
     }
 
     /// Iterates over what hosts said of themselves a moment ago.
-    fn lately(&self, now: Millis) -> impl Iterator<Item = &HostState> {
+    pub(crate) fn lately(&self, now: Millis) -> impl Iterator<Item = &HostState> {
         let hosts = self.hosts.values();
         let fresh = hosts.filter(move |p| p.is_heard(now, FRESH));
         fresh.map(|p| &p.said)
@@ -213,7 +263,7 @@
 
     /// Takes in a word of the leader itself.
     pub fn heard_leader(&mut self, now: Millis) {
-        self.leader_heard = Some(now);
+        self.leader_heard = self.leader_heard.max(Some(now));
     }
 
     /// Tells whether a leader was heard within `age`.
@@ -222,6 +272,28 @@
         self.leader_heard.is_some_and(|at| now.since(at) <= age)
     }
 
+    /// Returns the time since a leader was heard.
+    #[must_use]
+    pub fn leader_age(&self, now: Millis) -> Option<Millis> {
+        self.leader_heard.map(|at| now.since(at))
+    }
+
+    /// Returns the leader, where its name is known.
+    #[must_use]
+    pub const fn leader(&self) -> Option<&HostName> {
+        self.leader.as_ref()
+    }
+
+    /// Iterates over the other hosts that were heard lately, with what they said of themselves.
+    pub fn heard_lately(
+        &self,
+        now: Millis,
+    ) -> impl Iterator<Item = (&HostName, SocketAddr, &HostState)> {
+        let hosts = self.hosts.iter();
+        let heard = hosts.filter(move |(_, p)| p.is_heard(now, SCHEDULES));
+        heard.map(|(name, p)| (name, p.addr, &p.said))
+    }
+
     /// Takes in a term of leadership; tells whether it is the highest so far.
     pub fn term(&mut self, term: u64, leader: Option<&HostName>) -> bool {
         if term < self.term {
@@ -253,7 +325,7 @@
 }
 
 /// Returns a host's score for a name: the highest of all is drawn with a chance in proportion to its power.
-fn score(host: &HostName, power: u32, name: &impl Hash) -> f64 {
+pub(crate) fn score(host: &HostName, power: u32, name: &impl Hash) -> f64 {
     let mut hasher = SipHasher13::new();
     host.hash(&mut hasher);
     name.hash(&mut hasher);
--- a/crates/chicoryrail-ownership/tests/peers.rs
+++ b/crates/chicoryrail-ownership/tests/peers.rs
@@ -1,6 +1,7 @@
 //! What a host may conclude from what it hears of the others.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
@@ -10,11 +11,15 @@
 
 fn peers(n: u16) -> Peers {
     let mut peers = Peers::default();
-    let hosts = (0..n).map(|i| (host(i), ([127, 0, 0, 1], 7_000 + i).into()));
-    peers.set(hosts.collect());
+    let hosts = (0..n).map(|i| (host(i), addr(i)));
+    peers.set(Millis::ZERO, hosts.collect());
     peers
 }
 
+fn addr(i: u16) -> SocketAddr {
+    ([127, 0, 0, 1], 7_000 + i).into()
+}
+
 fn host(i: u16) -> HostName {
     HostName::new(&format!("h{i}"))
 }
@@ -42,10 +47,10 @@
     let mut peers = peers(3);
     let now = Millis(1_000);
     let east = BTreeSet::from(["east".into()]);
-    peers.heard(now, &host(0), power(100));
-    peers.heard(now, &host(1), power(199));
+    peers.heard(now, &host(0), addr(0), power(100));
+    peers.heard(now, &host(1), addr(1), power(199));
     assert!(!peers.stronger(now, 100, &east));
-    peers.heard(now, &host(2), power(500));
+    peers.heard(now, &host(2), addr(2), power(500));
     assert!(peers.stronger(now, 100, &east));
     assert!(!peers.stronger(now, 500, &east));
     assert!(!peers.stronger(Millis(2_000), 100, &east));
@@ -58,7 +63,7 @@
 #[case::without_the_store(HostState { store: false, ..power(500) })]
 fn strength_alone_does_not_lead(#[case] said: HostState) {
     let mut peers = peers(1);
-    peers.heard(Millis(1_000), &host(0), said);
+    peers.heard(Millis(1_000), &host(0), addr(0), said);
     let mine = BTreeSet::from(["east".into()]);
     assert!(!peers.stronger(Millis(1_000), 100, &mine));
 }
@@ -69,10 +74,10 @@
 fn most_hosts_must_be_heard() {
     let mut peers = peers(9);
     for i in 0..4 {
-        peers.heard(Millis(1_000), &host(i), store(true));
+        peers.heard(Millis(1_000), &host(i), addr(i), store(true));
     }
     assert!(!peers.hears_most(Millis(1_000), Millis(500)));
-    peers.heard(Millis(1_000), &host(4), store(true));
+    peers.heard(Millis(1_000), &host(4), addr(4), store(true));
     assert!(peers.hears_most(Millis(1_400), Millis(500)));
     assert!(!peers.hears_most(Millis(1_600), Millis(500)));
 }
@@ -106,7 +111,7 @@
 fn bounds_are_shared_among_all_ever_known() {
     let mut peers = peers(10);
     assert_eq!(peers.sharing(), 11);
-    peers.set(Vec::new());
+    peers.set(Millis(60_000), Vec::new());
     assert_eq!(peers.sharing(), 11);
     assert_eq!(Peers::default().sharing(), 8);
 }
@@ -118,10 +123,10 @@
     let mut peers = peers(3);
     for i in 0..3 {
         assert!(!peers.all_lost_store(Millis(1_000)));
-        peers.heard(Millis(1_000), &host(i), store(false));
+        peers.heard(Millis(1_000), &host(i), addr(i), store(false));
     }
     assert!(peers.all_lost_store(Millis(1_500)));
     assert!(!peers.all_lost_store(Millis(2_500)));
-    peers.heard(Millis(1_600), &host(1), store(true));
+    peers.heard(Millis(1_600), &host(1), addr(1), store(true));
     assert!(!peers.all_lost_store(Millis(1_600)));
 }
--- a/crates/chicoryrail-ownership/tests/reach.rs
+++ b/crates/chicoryrail-ownership/tests/reach.rs
@@ -24,13 +24,14 @@
 fn peers_with(heard: u64, reaches: &str, store: bool) -> Peers {
     let host = HostName::new("other");
     let mut peers = Peers::default();
-    peers.set(vec![(host.clone(), ([127, 0, 0, 1], 7_000).into())]);
+    let addr = ([127, 0, 0, 1], 7_000).into();
+    peers.set(Millis::ZERO, vec![(host.clone(), addr)]);
     let said = HostState {
         store,
         reaches: dcs(reaches),
         ..HostState::default()
     };
-    peers.heard(Millis(heard), &host, said);
+    peers.heard(Millis(heard), &host, addr, said);
     peers
 }
 
--- /dev/null
+++ b/crates/chicoryrail-ownership/tests/watchers.rs
@@ -0,0 +1,184 @@
+//! Which hosts watch the store, and whom the others follow.
+
+use std::net::SocketAddr;
+
+use chicoryrail_core::DcName;
+use chicoryrail_core::HostName;
+use chicoryrail_core::Millis;
+use chicoryrail_ownership::CoreHost;
+use chicoryrail_ownership::HostState;
+use chicoryrail_ownership::Peers;
+use chicoryrail_ownership::joins_core;
+use rstest::rstest;
+
+const NOW: Millis = Millis(10_000);
+
+/// Core hosts of three data centres, `h0` in `dc0`, `h1` in `dc1` and so on.
+struct Fleet {
+    hosts: Vec<(HostName, HostState)>,
+}
+
+impl Fleet {
+    fn of(hosts: usize) -> Self {
+        let hosts = (0..hosts).map(|i| {
+            let said = HostState {
+                store: true,
+                schedules: true,
+                power: 500,
+                dc: Some(dc(i)),
+                ..HostState::default()
+            };
+            (HostName::new(&format!("h{i:02}")), said)
+        });
+        Self {
+            hosts: hosts.collect(),
+        }
+    }
+
+    /// Returns what a host knows that hears all others but those in `silent`.
+    fn peers_of(&self, own: usize, silent: &[usize]) -> Peers {
+        let mut peers = Peers::default();
+        for (i, (name, said)) in self.hosts.iter().enumerate() {
+            if i != own && !silent.contains(&i) {
+                peers.heard(NOW, name, addr(i), said.clone());
+            }
+        }
+        peers
+    }
+
+    /// Returns the hosts that watch the store, where those in `silent` are heard by nobody.
+    fn watchers(&self, silent: &[usize]) -> Vec<usize> {
+        let alive = (0..self.hosts.len()).filter(|i| !silent.contains(i));
+        let watches = |i: &usize| {
+            let (name, said) = &self.hosts[*i];
+            let peers = self.peers_of(*i, silent);
+            peers.should_watch(NOW, (name, said))
+        };
+        alive.filter(watches).collect()
+    }
+}
+
+fn dc(i: usize) -> DcName {
+    DcName::new(&format!("dc{}", i % 3))
+}
+
+fn addr(i: usize) -> SocketAddr {
+    ([10, 0, 0, i as u8], 7_200).into()
+}
+
+/// A fleet in which each host watched the store would make a call each for each change. Three hosts of different
+/// data centres do it, however many there are.
+#[rstest]
+#[case::few(3)]
+#[case::ten(10)]
+#[case::many(24)]
+fn three_hosts_of_different_data_centres_watch(#[case] hosts: usize) {
+    let watchers = Fleet::of(hosts).watchers(&[]);
+    let mut dcs: Vec<DcName> = watchers.iter().map(|i| dc(*i)).collect();
+    dcs.sort();
+    dcs.dedup();
+    assert_eq!((watchers.len(), dcs.len()), (3, 3));
+}
+
+/// A watcher is lost, or a data centre with its watcher. As soon as the others no longer hear it, another one watches
+/// in its place, so callers everywhere are served by what the store says now.
+#[test]
+fn another_host_watches_in_place_of_a_lost_one() {
+    let fleet = Fleet::of(9);
+    let before = fleet.watchers(&[]);
+    let one = fleet.watchers(&before[..1]);
+    assert_eq!(one.len(), 3);
+    let lost: Vec<usize> = (0..9).filter(|i| dc(*i) == dc(before[0])).collect();
+    let after = fleet.watchers(&lost);
+    assert_eq!(after.len(), 3);
+    assert!(after.iter().all(|i| !lost.contains(i)));
+}
+
+/// The store turns some hosts away and serves the others. Those that are turned away leave the watch to others; where
+/// it answers nobody, those that watched go on trying.
+#[test]
+fn hosts_that_the_store_turns_away_do_not_watch() {
+    let mut fleet = Fleet::of(9);
+    let before = fleet.watchers(&[]);
+    for i in &before {
+        fleet.hosts[*i].1.store = false;
+    }
+    let after = fleet.watchers(&[]);
+    assert_eq!(after.len(), 3);
+    assert!(after.iter().all(|i| !before.contains(i)));
+    for (_, said) in &mut fleet.hosts {
+        said.store = false;
+    }
+    assert_eq!(fleet.watchers(&[]), before);
+}
+
+/// The leader grants keys to the servers that it knows of: it watches itself, whatever its name.
+#[test]
+fn the_leader_watches() {
+    let fleet = Fleet::of(9);
+    let (name, said) = &fleet.hosts[8];
+    let mut peers = fleet.peers_of(8, &[]);
+    assert!(!peers.should_watch(NOW, (name, said)));
+    peers.term(7, Some(name));
+    assert!(peers.should_watch(NOW, (name, said)));
+}
+
+/// A leaf host follows a core host of its data centre while there is one that works, another one else.
+#[test]
+fn a_leaf_host_follows_a_near_core_host() {
+    let fleet = Fleet::of(9);
+    let mut peers = fleet.peers_of(9, &[]);
+    let leaf = HostName::new("leaf");
+    for _ in 0..3 {
+        let relay = peers.core_for(NOW, &leaf, &dc(1)).unwrap();
+        assert!([addr(1), addr(4), addr(7)].contains(&relay));
+        peers.relay_failed(NOW, relay);
+    }
+    let far = peers.core_for(NOW, &leaf, &dc(1)).unwrap();
+    assert!(![addr(1), addr(4), addr(7)].contains(&far));
+}
+
+/// At its start a leaf host knows from the store which core hosts there are, and has heard none: it asks one of them.
+#[test]
+fn a_leaf_host_asks_a_listed_core_host_at_its_start() {
+    let mut peers = Peers::default();
+    let leaf = HostName::new("leaf");
+    assert_eq!(peers.core_for(NOW, &leaf, &dc(0)), None);
+    peers.set(NOW, vec![(HostName::new("h00"), addr(0))]);
+    assert_eq!(peers.core_for(NOW, &leaf, &dc(0)), Some(addr(0)));
+}
+
+/// Strong hosts are core hosts up to a bound; weak ones on slow links only where the strong don't suffice.
+#[rstest]
+#[case::the_first(500, &[], true)]
+#[case::a_weak_one_alone(2, &[], true)]
+#[case::strong_beside_strong(500, &[500; 18], true)]
+#[case::weak_beside_strong(2, &[500; 18], false)]
+#[case::weak_beside_weak(2, &[2; 20], true)]
+#[case::too_many_strong(500, &[500; 24], false)]
+#[case::too_many_weak(2, &[2; 24], false)]
+fn few_strong_hosts_are_core_hosts(
+    #[case] power: u32,
+    #[case] listed: &[u32],
+    #[case] joins: bool,
+) {
+    let listed = listed.iter().map(|power| CoreHost {
+        addr: addr(1),
+        power: *power,
+    });
+    assert_eq!(joins_core(power, listed), joins);
+}
+
+/// An older program lists a host without its strength; a value of somebody else's names no host.
+#[test]
+fn a_listed_host_is_read_again() {
+    let host = CoreHost {
+        addr: addr(3),
+        power: 500,
+    };
+    assert_eq!(CoreHost::from_value(host.to_value().as_bytes()), Some(host));
+    let old = CoreHost::from_value(b"10.0.0.3:7200").unwrap();
+    assert_eq!((old.addr, old.power), (addr(3), 0));
+    assert_eq!(CoreHost::from_value(b"nobody"), None);
+    assert_eq!(CoreHost::from_value(&[0xff]), None);
+}
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -30,6 +30,9 @@
 /// Time for which a host lets much stronger ones go first.
 const WEAKER: Millis = Millis(150);
 
+/// Time for which a host lets those go first that watch the store themselves: it may hear of a new leader later.
+const HEARS_LATER: Millis = Millis(200);
+
 /// Time for which a leader that made way does not try again.
 const MAKES_WAY: Millis = Millis(1_000);
 
@@ -43,7 +46,8 @@
         if router.process.stop.is_cancelled() {
             return;
         }
-        let known = router.view.borrow().heard(LIVE).is_some() && router.store_up.get();
+        let core = router.source.core.get();
+        let known = core && router.view.borrow().heard(LIVE).is_some() && router.store_up.get();
         if !known || router.view.borrow().own(LEADER).is_some() {
             continue;
         }
@@ -55,6 +59,9 @@
         if router.knows_stronger() {
             wait = wait + WEAKER;
         }
+        if !router.source.watches() {
+            wait = wait + HEARS_LATER;
+        }
         router.process.clock.sleep(wait).await;
         if router.view.borrow().own(LEADER).is_some() {
             continue;
--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -6,13 +6,16 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::store_key;
+use chicoryrail_platform::Changes;
 use chicoryrail_platform::Feed;
+use chicoryrail_platform::Snapshot;
 use chicoryrail_platform::StoreError;
 use futures_util::future::Either;
 use futures_util::future::select;
 use rand::Rng;
 
 use crate::state::Router;
+use crate::talk::FEED_COUNT;
 
 /// Longest wait of one watch. A connection that goes silent is noticed sooner by probes of the system or
 /// by other calls; this bounds the time where a relay answers the probes. The revision from which a watch goes
@@ -43,21 +46,32 @@
 /// Age of the leader's last word up to which it is trusted to tell of changed records.
 const UNTOLD: Millis = Millis(1_000);
 
-/// Follows all parts that every host must know of at once: configuration, servers, leader and hosts.
+/// All parts that every host must know of at once: configuration, servers, leader and core hosts.
+pub(crate) const FEEDS: [Feed; FEED_COUNT] = [Feed::Operator, Feed::Servers, LIVE];
+
+/// Follows these parts while this host watches the store itself.
 ///
 /// Each has a watch of its own, so that no host is woken by the records, which are written twice for each move of
 /// keys, and each part is looked at as often as it must be.
 pub(crate) fn follow_all(router: &Rc<Router>) {
-    for feed in [Feed::Operator, Feed::Servers, LIVE] {
+    for feed in FEEDS {
         monoio::spawn(follow(Rc::clone(router), feed));
     }
     monoio::spawn(read_records(Rc::clone(router)));
 }
 
-/// Reads the records of who holds which keys at the start, and while no leader is heard: a host that the leader
-/// can't reach, or can't reach yet, would send to former holders.
+/// Reads the records of who holds which keys at the start, and while no leader is heard, for this host and those that
+/// follow it: a host that the leader can't reach, or can't reach yet, would send to former holders.
 async fn read_records(router: Rc<Router>) {
     loop {
+        if !router.source.watches() {
+            router
+                .source
+                .changed
+                .after(router.source.changed.count())
+                .await;
+            continue;
+        }
         match router.store.snapshot(&RECORDS.prefix()).await {
             Ok(all) => {
                 note(&router, "records", None);
@@ -80,9 +94,23 @@
 async fn follow(router: Rc<Router>, feed: Feed) {
     let mut pause = BACK_OFF;
     loop {
-        match follow_once(&router, feed, &mut pause).await {
+        let seen = router.source.changed.count();
+        if !router.source.watches() {
+            router.source.changed.after(seen).await;
+            continue;
+        }
+        let ended = {
+            let following = pin!(follow_once(&router, feed, &mut pause));
+            let changed = pin!(router.source.changed.after(seen));
+            match select(following, changed).await {
+                Either::Left((error, _)) => error,
+                Either::Right(_) => continue,
+            }
+        };
+        match ended {
             StoreError::HistoryGone { after } => {
                 log::info!(part:? = feed, after = after; "history_gone");
+                router.view.borrow_mut().forget_heard(feed);
             }
             error => {
                 note(&router, "watch", Some(&error));
@@ -94,18 +122,19 @@
     }
 }
 
-/// Reads everything and watches from there, until a call fails.
+/// Reads everything, unless a relay told it before, and watches from there, until a call fails.
 async fn follow_once(router: &Router, feed: Feed, pause: &mut Millis) -> StoreError {
     let store = &router.store;
     let prefix = feed.prefix();
-    let all = match store.snapshot(&prefix).await {
-        Ok(all) => all,
-        Err(e) => return e,
-    };
-    note(router, "snapshot", None);
-    *pause = BACK_OFF;
-    let told = router.view.borrow_mut().replace(router.now(), feed, &all);
-    router.believe(&told);
+    if router.view.borrow().heard(feed).is_none() {
+        let all = match store.snapshot(&prefix).await {
+            Ok(all) => all,
+            Err(e) => return e,
+        };
+        note(router, "snapshot", None);
+        *pause = BACK_OFF;
+        take_snapshot(router, feed, &all);
+    }
     loop {
         let after = router.view.borrow().heard(feed).unwrap_or_default();
         let returns = router.store_returns.count();
@@ -136,21 +165,39 @@
         };
         note(router, "watch", None);
         *pause = BACK_OFF;
-        let now = router.now();
-        let told: Vec<_> = {
-            let mut view = router.view.borrow_mut();
-            view.hear(feed, changes.revision);
-            let changes = changes.changes.iter();
-            changes.filter_map(|c| view.apply(now, c)).collect()
-        };
-        let quiet = told.is_empty();
-        router.believe(&told);
-        if !quiet {
+        if take_changes(router, feed, &changes) {
             router.process.clock.sleep(group_time(router, feed)).await;
         }
     }
 }
 
+/// Takes in everything that a part holds.
+pub(crate) fn take_snapshot(router: &Router, feed: Feed, all: &Snapshot) {
+    if let Some(at) = FEEDS.iter().position(|f| *f == feed) {
+        router.feed_logs.borrow_mut()[at].replace(all);
+    }
+    let told = router.view.borrow_mut().replace(router.now(), feed, all);
+    router.believe(&told);
+    router.news.notify();
+}
+
+/// Takes in what changed in a part; tells whether that changed what is believed.
+pub(crate) fn take_changes(router: &Router, feed: Feed, changes: &Changes) -> bool {
+    if let Some(at) = FEEDS.iter().position(|f| *f == feed) {
+        router.feed_logs.borrow_mut()[at].apply(changes);
+    }
+    let now = router.now();
+    let told: Vec<_> = {
+        let mut view = router.view.borrow_mut();
+        view.hear(feed, changes.revision);
+        let changes = changes.changes.iter();
+        changes.filter_map(|c| view.apply(now, c)).collect()
+    };
+    router.believe(&told);
+    router.news.notify();
+    !told.is_empty()
+}
+
 /// Returns how long to wait for more changes of a part that has told one.
 fn group_time(router: &Router, feed: Feed) -> Millis {
     if feed == Feed::Operator || router.leads.get() > 0 {
@@ -194,6 +241,7 @@
         return;
     }
     router.store_up.set(!down);
+    router.news.notify();
     if let Some(e) = error.filter(|_| down) {
         log::warn!(call = call, error:% = e; "store_lost");
     } else {
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -34,6 +34,9 @@
 /// Keys of one report; a datagram should fit into one packet.
 const KEYS_MOST: usize = 400;
 
+/// Time between two looks of a leaf host whether it became a core host.
+const NOT_CORE: Millis = Millis(50);
+
 /// Words after which the leader tells all ranges of keys again, should the datagram with them have been lost.
 const TELL_AGAIN: u32 = 3;
 
@@ -59,7 +62,7 @@
     /// Takes in what another host sent.
     pub(crate) fn take(&self, packet: Packet, from: SocketAddr) {
         match packet {
-            Packet::Word(word) => self.read(word),
+            Packet::Word(word) => self.read(word, from),
             Packet::Asked(asked) => self.take_asked(&asked),
             Packet::Speeds(speeds) => self.tenure.heard_speeds(speeds),
             Packet::Told { ticket, told } => self.told(ticket, told),
@@ -78,6 +81,10 @@
     /// Tells the others at intervals, and at once when the leader has news.
     pub(crate) async fn tell(self: Rc<Self>) {
         loop {
+            if !self.router.source.core.get() {
+                self.router.process.clock.sleep(NOT_CORE).await;
+                continue;
+            }
             let seen = self.tenure.news.count();
             let leads = self.router.leads.get() > 0;
             let word = Packet::Word(self.word(leads));
@@ -92,7 +99,7 @@
     /// Reports the keys that callers asked for to the leader.
     pub(crate) async fn report(self: Rc<Self>) {
         loop {
-            let hosts = self.router.peers.borrow().sharing() as u64;
+            let hosts = self.router.peers.borrow().addrs().len() as u64;
             let pause = REPORT_EACH.times(hosts).max(REPORT_LEAST);
             self.router.process.clock.sleep(pause).await;
             let asked = self.asked();
@@ -115,14 +122,18 @@
 
     fn word(&self, leads: bool) -> Word {
         let keys = if leads { self.key_words() } else { Vec::new() };
+        let said = self.router.host_state();
         Word {
             host: self.router.boot().host.clone(),
+            dc: self.router.boot().dc.clone(),
             term: self.router.peers.borrow().highest_term(),
             leads,
-            store: self.router.store_up.get(),
-            reaches: self.router.reach.borrow().lately(self.router.now()),
-            power: self.router.power(),
-            schedules: self.router.schedules(),
+            store: said.store,
+            reaches: said.reaches,
+            power: said.power,
+            schedules: said.schedules,
+            watches: said.watches,
+            leaves: said.leaves,
             keys,
         }
     }
@@ -180,7 +191,7 @@
         }
     }
 
-    fn read(&self, word: Word) {
+    fn read(&self, word: Word, from: SocketAddr) {
         let now = self.router.now();
         let known = self.router.peers.borrow().highest_term();
         {
@@ -190,8 +201,13 @@
                 reaches: word.reaches,
                 power: word.power,
                 schedules: word.schedules,
+                dc: Some(word.dc),
+                watches: word.watches,
+                leaves: word.leaves,
             };
-            peers.heard(now, &word.host, said);
+            peers.heard(now, &word.host, from, said);
+            let all = peers.all_hosts(now, self.router.host_state().leaves);
+            peers.count(all);
             let leader = word.leads.then_some(&word.host);
             if word.leads && word.term >= known {
                 peers.heard_leader(now);
--- a/crates/chicoryrail-router/src/control/presence.rs
+++ b/crates/chicoryrail-router/src/control/presence.rs
@@ -1,15 +1,17 @@
-//! Tells the other hosts, through the store, that this one exists.
+//! Lists a core host in the store, so that the others find it.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
+use chicoryrail_ownership::CoreHost;
 use chicoryrail_ownership::store_key::host_key;
 use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::StoreError;
 use chicoryrail_platform::Txn;
 
 use crate::control::follow::call;
+use crate::control::source::join_core;
 use crate::state::Router;
 
 /// Lease of a host's key. A host that is gone is only one more address to send datagrams to, so the lease
@@ -17,11 +19,19 @@
 const LEASE: Millis = Millis(10_000);
 const RENEW: Millis = Millis(3_000);
 
+/// The same at a host that watches the store for others. Its renewals show that the store answers it; a watch that
+/// was cut off looks like one without news.
+const RENEW_WATCHING: Millis = Millis(500);
+
 /// Pause after a call that failed.
 const AGAIN: Millis = Millis(500);
 
-/// Keeps this host's key in the store, with the address of its talk with the others.
+/// Waits until this host is to be a core host, and then keeps its key in the store, with the address of its talk
+/// with the others.
 pub(crate) async fn be_present(router: Rc<Router>, addr: SocketAddr) {
+    join_core(&router).await;
+    log::info!(power = router.power(); "core_host");
+    router.source.core.set(true);
     let mut lease = None;
     loop {
         let result = match lease {
@@ -29,6 +39,7 @@
             Some(id) => call(&router, "presence", router.store.keep_lease(id)).await,
         };
         let pause = match result {
+            Ok(()) if router.source.watches() => RENEW_WATCHING,
             Ok(()) => RENEW,
             Err(StoreError::LeaseGone) => {
                 log::warn!("presence_lapsed");
@@ -44,7 +55,9 @@
 async fn register(router: &Router, addr: SocketAddr) -> Result<u64, StoreError> {
     let lease = call(router, "open_lease", router.store.open_lease(LEASE)).await?;
     let key = format!("{OWN_PREFIX}{}", host_key(&router.boot().host));
-    let txn = Txn::default().put_leased(&key, addr.to_string().as_bytes(), lease.id);
+    let power = router.power();
+    let value = CoreHost { addr, power }.to_value();
+    let txn = Txn::default().put_leased(&key, value.as_bytes(), lease.id);
     call(router, "register", router.store.commit(&txn)).await?;
     log::info!(addr:% = addr, lease = lease.id; "present");
     Ok(lease.id)
--- a/crates/chicoryrail-router/src/control/scheduling.rs
+++ b/crates/chicoryrail-router/src/control/scheduling.rs
@@ -136,6 +136,9 @@
         near: router.schedulers.dc_number(&ask.dc),
         large: ask.large,
     };
+    if let Some(key) = ask.key.filter(|_| !asks_again(router, ask.ticket)) {
+        service.note_key(key);
+    }
     let given = {
         let mut schedulers = router.schedulers.by_service.borrow_mut();
         let scheduler = schedulers.entry(ask.service.clone()).or_default();
@@ -161,6 +164,11 @@
     }
 }
 
+/// Tells whether a request has asked before and still waits here.
+fn asks_again(router: &Router, ticket: u64) -> bool {
+    router.schedulers.origins.borrow().contains_key(&ticket)
+}
+
 /// Takes in how a request ended.
 fn ended(router: &Rc<Router>, end: &End) {
     let service = router.service(&end.service);
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -62,9 +62,6 @@
     let now = router.now();
     let bound = router.retry_bound();
     service.retries.borrow_mut().request(now, &bound);
-    if let Some(key) = call.key {
-        note_key(&service, key);
-    }
     let mut tries = Tries {
         router,
         service,
@@ -76,15 +73,6 @@
     tries.run().await
 }
 
-/// Notes a key for the leader's view of the load; a burst that outgrows the list loses only detail.
-fn note_key(service: &Service, key: u16) {
-    const MOST: usize = 400;
-    let mut asked = service.asked.borrow_mut();
-    if asked.len() < MOST {
-        asked.push(key);
-    }
-}
-
 impl Tries<'_> {
     async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         loop {
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -30,6 +30,10 @@
 /// scheduler may not be reached for good: longer than an election.
 const LEADER_GONE: Millis = Millis(2_500);
 
+/// Time after its start in which a host may not know how many others there are. After a loss of power on all hosts,
+/// parts by the few that it knows would add up to many times what a cold server bears.
+const YOUNG: Millis = Millis(5_000);
+
 /// Part of what a cold server bears that all hosts together may send it without a scheduler; others may reach one,
 /// which deals out the other half.
 const OWN_COLD_PART: f64 = 0.5;
@@ -107,7 +111,7 @@
     }
     // The scheduler deals out half of what a cold server bears. A host that hears the leader, but got no word
     // in time, leaves cold servers alone; else all such hosts together would come on top of the scheduler's.
-    if router.peers.borrow().hears_leader(now, LEADER_GONE) {
+    if now < YOUNG || router.peers.borrow().hears_leader(now, LEADER_GONE) {
         return false;
     }
     let bound = router.cold_bound(call.service_name()) * OWN_COLD_PART;
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -26,8 +26,11 @@
 use crate::control::Gossip;
 use crate::control::Tenure;
 use crate::control::be_present;
+use crate::control::choose_source;
 use crate::control::elect;
 use crate::control::follow_all;
+use crate::control::follow_relay;
+use crate::control::relay;
 use crate::control::scheduling;
 use crate::log_line;
 use crate::options::options;
@@ -142,7 +145,10 @@
     let listening = Rc::clone(&gossip);
     monoio::spawn(talk.listen(move |packet, from| listening.take(packet, from)));
     monoio::spawn(scheduling::tend(Rc::clone(&router)));
+    open_relay(&router, talk_addr, &ends)?;
     follow_all(&router);
+    monoio::spawn(choose_source(Rc::clone(&router)));
+    monoio::spawn(follow_relay(Rc::clone(&router)));
     monoio::spawn(be_present(Rc::clone(&router), talk_addr));
     monoio::spawn(Rc::clone(&gossip).report());
     monoio::spawn(gossip.tell());
@@ -220,6 +226,20 @@
     Ok(())
 }
 
+/// Serves the hosts that follow this one.
+fn open_relay(
+    router: &Rc<Router>,
+    addr: SocketAddr,
+    stop: &CancellationToken,
+) -> Result<(), RunError> {
+    let listener = bind("relay", addr).context(ListenSnafu)?;
+    let router = Rc::clone(router);
+    let answer = move |request, _| relay(Rc::clone(&router), request);
+    let limits = HttpLimits::default();
+    monoio::spawn(serve_http(listener, limits, stop.clone(), answer));
+    Ok(())
+}
+
 /// Looks after readiness, the log, pauses, and entries whose time to come back is over.
 async fn keep_up(router: Rc<Router>, sink: LogSink) {
     let mut last = router.now();
--- a/crates/chicoryrail-router/src/state/believe.rs
+++ b/crates/chicoryrail-router/src/state/believe.rs
@@ -8,6 +8,7 @@
 use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::ServiceName;
+use chicoryrail_ownership::CoreHost;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::store_key::HOSTS;
 use chicoryrail_ownership::store_key::KEYS;
@@ -65,10 +66,11 @@
         let view = self.view.borrow();
         let hosts = view.own_below(HOSTS).filter_map(|(key, item)| {
             let name = HostName::new(key.strip_prefix(HOSTS)?);
-            let addr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-            (name != own).then_some((name, addr))
+            let host = CoreHost::from_value(&item.value)?;
+            (name != own).then_some((name, host.addr))
         });
-        self.peers.borrow_mut().set(hosts.collect());
+        let hosts = hosts.collect();
+        self.peers.borrow_mut().set(self.now(), hosts);
     }
 
     /// Takes in a key record from the store or the leader.
@@ -77,6 +79,7 @@
         if service.keys.borrow_mut().record(self.now(), record) {
             log::info!(service:% = service.name, fence = fence, spans = spans; "key_record");
             service.changed.notify();
+            self.news.notify();
         }
     }
 
@@ -110,6 +113,7 @@
                 keep
             });
             service.changed.notify();
+            self.news.notify();
         }
     }
 
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -3,18 +3,24 @@
 mod asks;
 mod believe;
 mod counters;
+mod feed_log;
 pub(crate) mod router;
 mod schedulers;
 mod service;
+mod source;
 mod target;
 mod view;
 
 pub(crate) use asks::Asks;
 pub(crate) use counters::Counters;
+pub(crate) use feed_log::FeedLog;
+pub(crate) use feed_log::FeedNews;
 pub(crate) use router::Router;
 pub(crate) use schedulers::Origin;
 pub(crate) use schedulers::Schedulers;
 pub(crate) use service::Service;
+pub(crate) use source::Source;
+pub(crate) use source::SourceState;
 pub(crate) use target::Intake;
 pub(crate) use target::Target;
 pub(crate) use target::drain_end;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -3,8 +3,10 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
+use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
@@ -26,9 +28,12 @@
 use crate::Options;
 use crate::state::Asks;
 use crate::state::Counters;
+use crate::state::FeedLog;
 use crate::state::Schedulers;
 use crate::state::Service;
+use crate::state::SourceState;
 use crate::state::View;
+use crate::talk::FEED_COUNT;
 use crate::talk::Talk;
 
 /// Speed of a link in megabits a second below which a host leads and schedules only where hardly any other does. A
@@ -39,6 +44,9 @@
 /// Part of its strength that a host with a slow link counts with.
 const SLOW_LINK_PART: u32 = 50;
 
+/// Time without a request of a leaf host after which it no longer counts as one that follows this host.
+const LEAF_GONE: Millis = Millis(3_000);
+
 /// The process.
 #[derive(Debug)]
 pub(crate) struct Router {
@@ -69,6 +77,14 @@
     pub(crate) store_lost: Cell<Option<Millis>>,
     /// Term in which this host leads; 0 while it does not.
     pub(crate) leads: Cell<u64>,
+    /// From whom this host hears what the store says.
+    pub(crate) source: SourceState,
+    /// The parts of the store as hosts hear them that follow this one.
+    pub(crate) feed_logs: RefCell<[FeedLog; FEED_COUNT]>,
+    /// Notified when there may be news for hosts that follow this one.
+    pub(crate) news: Signal,
+    /// When each leaf host that follows this one asked last.
+    pub(crate) leaves: RefCell<HashMap<HostName, Millis>>,
     services: RefCell<HashMap<ServiceName, Rc<Service>>>,
     turns: RefCell<HashMap<String, WeightedTurn>>,
     works: RefCell<HashMap<String, f64>>,
@@ -98,6 +114,10 @@
             store_returns: Signal::default(),
             store_lost: Cell::new(None),
             leads: Cell::new(0),
+            source: SourceState::default(),
+            feed_logs: RefCell::default(),
+            news: Signal::default(),
+            leaves: RefCell::default(),
             services: RefCell::default(),
             turns: RefCell::default(),
             works: RefCell::default(),
@@ -160,9 +180,44 @@
         core
     }
 
-    /// Tells whether this host schedules requests for servers: not while it stops.
+    /// Tells whether this host schedules requests for servers: a core host does, but not while it stops.
     pub(crate) fn schedules(&self) -> bool {
-        !self.process.stop.is_cancelled()
+        self.source.core.get() && !self.process.stop.is_cancelled()
+    }
+
+    /// Returns the address of this host's talk with the others.
+    pub(crate) fn talk_addr(&self) -> SocketAddr {
+        let boot = self.boot();
+        SocketAddr::new(boot.ip, *boot.ports.start())
+    }
+
+    /// Returns what this host says of itself.
+    pub(crate) fn host_state(&self) -> HostState {
+        HostState {
+            store: self.store_up.get(),
+            reaches: self.reach.borrow().lately(self.now()),
+            power: self.power(),
+            schedules: self.schedules(),
+            dc: Some(self.boot().dc.clone()),
+            watches: self.source.watches(),
+            leaves: self.leaves(),
+        }
+    }
+
+    /// Returns the number of leaf hosts that follow this one.
+    fn leaves(&self) -> u32 {
+        let now = self.now();
+        let mut leaves = self.leaves.borrow_mut();
+        leaves.retain(|_, asked| now.since(*asked) <= LEAF_GONE);
+        leaves.len() as u32
+    }
+
+    /// Returns the time since the leader was heard; none where this host leads.
+    pub(crate) fn leader_age(&self) -> Option<Millis> {
+        if self.leads.get() > 0 {
+            return Some(Millis::ZERO);
+        }
+        self.peers.borrow().leader_age(self.now())
     }
 
     /// Returns the host that schedules the requests for a server, or for a service without keys.
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -16,6 +16,9 @@
 
 use crate::state::Target;
 
+/// Keys that are kept between two reports to the leader.
+const ASKED_MOST: usize = 400;
+
 /// One service and its servers.
 #[derive(Debug)]
 pub(crate) struct Service {
@@ -51,6 +54,15 @@
         })
     }
 
+    /// Notes a key that a request asks for, for the leader's view of the load; a burst that outgrows the list loses
+    /// only detail.
+    pub(crate) fn note_key(&self, key: u16) {
+        let mut asked = self.asked.borrow_mut();
+        if asked.len() < ASKED_MOST {
+            asked.push(key);
+        }
+    }
+
     /// Returns a number that no other server of this run has.
     pub(crate) fn next_id(&self) -> ServerId {
         let id = self.next.get();
--- a/crates/chicoryrail-router/src/state/view.rs
+++ b/crates/chicoryrail-router/src/state/view.rs
@@ -132,9 +132,19 @@
         self.heard.values().copied().max().unwrap_or_default()
     }
 
-    /// Takes in that the store answers again after an outage.
-    pub(crate) fn store_back(&mut self, now: Millis) {
-        self.back = Some(now);
+    /// Takes in that a part must be read anew: the store no longer tells what changed in between.
+    pub(crate) fn forget_heard(&mut self, feed: Feed) {
+        self.heard.remove(&feed);
+    }
+
+    /// Takes in that the store answered again at `at` after an outage.
+    pub(crate) fn store_back(&mut self, at: Millis) {
+        self.back = self.back.max(Some(at));
+    }
+
+    /// Returns when the store answered again after an outage.
+    pub(crate) const fn back(&self) -> Option<Millis> {
+        self.back
     }
 
     /// Takes in everything that the store has of a part.
--- a/crates/chicoryrail-router/src/talk/mod.rs
+++ b/crates/chicoryrail-router/src/talk/mod.rs
@@ -4,6 +4,7 @@
 //! by the next, or by its sender's time limit.
 
 mod packet;
+mod relay_message;
 mod socket;
 
 pub(crate) use packet::Ask;
@@ -15,4 +16,10 @@
 pub(crate) use packet::Packet;
 pub(crate) use packet::Told;
 pub(crate) use packet::Word;
+pub(crate) use relay_message::CoreState;
+pub(crate) use relay_message::FEED_COUNT;
+pub(crate) use relay_message::KeyFence;
+pub(crate) use relay_message::KeyMap;
+pub(crate) use relay_message::RelayReply;
+pub(crate) use relay_message::RelayRequest;
 pub(crate) use socket::Talk;
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) struct Word {
     pub(crate) host: HostName,
+    pub(crate) dc: DcName,
     /// Highest term of leadership that it knows.
     pub(crate) term: u64,
     /// Whether it leads in that term itself.
@@ -46,6 +47,10 @@
     pub(crate) power: u32,
     /// Whether it schedules requests for servers.
     pub(crate) schedules: bool,
+    /// Whether it watches the store itself.
+    pub(crate) watches: bool,
+    /// Leaf hosts that follow it.
+    pub(crate) leaves: u32,
     pub(crate) keys: Vec<KeyWord>,
 }
 
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -171,12 +171,25 @@
         router
     }
 
-    /// Starts a router process.
+    /// Starts a router process on a host like any other.
     pub fn spawn(&self, name: &str) -> RouterProcess {
+        self.spawn_on(name, "0.5")
+    }
+
+    /// Starts a router process on a host with a small part of a core, and waits until it takes callers.
+    pub async fn weak_router(&self, name: &str) -> RouterProcess {
+        let router = self.spawn_on(name, "0.05");
+        wait_until("the router is ready", async || router.is_ready().await).await;
+        router
+    }
+
+    /// Starts a router process on a host with a part of a core.
+    fn spawn_on(&self, name: &str, core: &str) -> RouterProcess {
         let [callers, readiness, talk] = [(); 3].map(|()| free_port().unwrap());
         let boot = self.dir.join(format!("{name}.toml"));
         let text = include_str!("boot.toml")
             .replace("NAME", name)
+            .replace("CORE", core)
             .replace("CALLERS", &callers.to_string())
             .replace("READINESS", &readiness.to_string())
             .replace("TALK", &talk.port().to_string())
