feat(router): services with many servers are scheduled by data centre, with overflow

Cause: one host scheduled all servers of a service without keys, up to 239 for 767 requests a second, and requests crossed data centres to ask and to be served. Change: from 12 servers a data centre on, the servers of each are scheduled by a strong host there. A request asks the part of its own data centre; where that has no free slot, it goes to the part with most room, once. Schedulers of keyed servers are drawn near their servers, too. The store is watched by two hosts instead of three.

--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -11,6 +11,8 @@
 use chicoryrail_core::Millis;
 use siphasher::sip::SipHasher13;
 
+use crate::is_strong;
+
 /// Hosts that are assumed where fewer are known: this many share the bounds on repeats and cold servers,
 /// so a host that starts before it knows the others does not take their parts too.
 const FEWEST: usize = 8;
@@ -162,7 +164,8 @@
         self.hosts.get(leader).map(|p| p.addr)
     }
 
-    /// Draws the host that schedules the requests for what `name` names, where this host is `own`.
+    /// Draws the host that schedules the requests for what `name` names, where this host is `own`. Where `dc` has
+    /// strong hosts, one of them is drawn: it is lost only with what it schedules for, and reached wherever that is.
     ///
     /// Load: thousands of requests a second, of which each asks for a server. At one host alone they cost it
     /// 0.32 of a core at 2,300 requests a second while the others used 0.02, and nine of ten came too late.
@@ -174,16 +177,23 @@
         &self,
         now: Millis,
         own: (&HostName, &HostState),
+        dc: Option<&DcName>,
         name: &impl Hash,
     ) -> SchedulerHost {
         let (own_name, own_said) = own;
         let others = self.at_work(now).map(|(host, p)| {
-            let score = score(host, p.said.power, name);
-            (score, SchedulerHost::At(p.addr))
+            let scheduler = SchedulerHost::At(p.addr);
+            (host, &p.said, scheduler)
         });
-        let own = (score(own_name, own_said.power, name), SchedulerHost::Here);
+        let own = (own_name, own_said, SchedulerHost::Here);
         let own = own_said.schedules.then_some(own);
-        let most = others.chain(own).max_by(|a, b| a.0.total_cmp(&b.0));
+        let scored = others.chain(own).map(|(host, said, scheduler)| {
+            let near = dc.is_some() && said.dc.as_ref() == dc && is_strong(said.power);
+            ((near, score(host, said.power, name)), scheduler)
+        });
+        let most = scored.max_by(|((a_near, a), _), ((b_near, b), _)| {
+            a_near.cmp(b_near).then_with(|| a.total_cmp(b))
+        });
         most.map_or(SchedulerHost::Here, |(_, scheduler)| scheduler)
     }
 
--- a/crates/chicoryrail-ownership/src/watchers.rs
+++ b/crates/chicoryrail-ownership/src/watchers.rs
@@ -12,9 +12,9 @@
 use crate::peers::Peer;
 use crate::peers::score;
 
-/// Hosts that watch the store at a time. Each change in the store costs a call of each; with three in different data
-/// centres, one may be lost at any moment and another with its data centre.
-const WATCHERS: usize = 3;
+/// Hosts that watch the store at a time. Each change in the store costs a call of each; with two in different data
+/// centres, one may be lost with its data centre at any moment. Where both are lost, others watch within a second.
+const WATCHERS: usize = 2;
 
 /// Time for which a host that failed to relay is passed over.
 const FAILED: Millis = Millis(1_000);
--- a/crates/chicoryrail-ownership/tests/peers.rs
+++ b/crates/chicoryrail-ownership/tests/peers.rs
@@ -7,6 +7,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::HostState;
 use chicoryrail_ownership::Peers;
+use chicoryrail_ownership::SchedulerHost;
 use rstest::rstest;
 
 fn peers(n: u16) -> Peers {
@@ -105,6 +106,31 @@
     assert!(!peers.hears_leader(Millis(7_501), Millis(2_500)));
 }
 
+/// A data centre is lost with its strong hosts, or has only weak ones. While it has strong ones, one of them schedules
+/// for its servers; a host of another data centre does it then, so callers find a scheduler in either case.
+#[test]
+fn a_host_near_the_servers_schedules_for_them() {
+    let now = Millis(1_000);
+    let said = |dc: &str, power| HostState {
+        dc: Some(dc.into()),
+        schedules: true,
+        power,
+        ..HostState::default()
+    };
+    let own = (&host(9), &said("west", 500));
+    let mut peers = peers(3);
+    peers.heard(now, &host(0), addr(0), said("east", 500));
+    peers.heard(now, &host(1), addr(1), said("north", 2));
+    let at = |peers: &Peers, dc: &str, n: u32| peers.scheduler(now, own, Some(&dc.into()), &n);
+    for n in 0..50 {
+        assert_eq!(at(&peers, "east", n), SchedulerHost::At(addr(0)));
+        assert_eq!(at(&peers, "west", n), SchedulerHost::Here);
+        assert_ne!(at(&peers, "north", n), SchedulerHost::At(addr(1)));
+    }
+    peers.silent(addr(0));
+    assert!((0..50).all(|n| at(&peers, "east", n) != SchedulerHost::At(addr(0))));
+}
+
 /// Hosts go and come. A bound over all of them is shared among the most that were ever known: one that
 /// went silent may still send.
 #[test]
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -36,6 +36,7 @@
 mod shared;
 
 pub use scheduler::Decision;
+pub use scheduler::PartRooms;
 pub use scheduler::Placement;
 pub use scheduler::Scheduler;
 pub use scheduler::SlotRelease;
--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -7,11 +7,13 @@
 //! [`SharedServers`](crate::SharedServers).
 
 mod load_view;
+mod part_rooms;
 #[expect(clippy::module_inception, reason = "one type, one file")]
 mod scheduler;
 mod server_slots;
 mod slot_request;
 
+pub use part_rooms::PartRooms;
 pub use scheduler::Scheduler;
 pub use server_slots::SlotState;
 pub use slot_request::Decision;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -195,6 +195,13 @@
         (busy, slots)
     }
 
+    /// Returns the slots that are free at this moment.
+    #[must_use]
+    pub fn free(&self, now: Millis) -> usize {
+        let servers = self.servers.values();
+        servers.map(|s| s.free(now)).sum()
+    }
+
     /// Returns how fast a server is by what was seen of it: above 1 is slower than usual.
     #[must_use]
     pub fn speed(&self, server: ServerId) -> f64 {
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -108,6 +108,17 @@
             && self.bears(now)
     }
 
+    /// Returns the slots that are free; of a cold server one, since it may bear no second.
+    pub(crate) fn free(&self, now: Millis) -> usize {
+        if !self.has_slot(now) {
+            0
+        } else if now < self.state.cold_until {
+            1
+        } else {
+            self.state.slots as usize - self.busy()
+        }
+    }
+
     /// Tells whether the server's coldness leaves room for one more.
     fn bears(&self, now: Millis) -> bool {
         if now >= self.state.cold_until {
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -37,6 +37,9 @@
 /// Time between two looks of a leaf host whether it became a core host.
 const NOT_CORE: Millis = Millis(50);
 
+/// Time between two messages on free slots: as long as short work takes, so that what is told is still true.
+const ROOMS_EVERY: Millis = Millis(150);
+
 /// Words after which the leader tells all ranges of keys again, should the datagram with them have been lost.
 const TELL_AGAIN: u32 = 3;
 
@@ -96,6 +99,25 @@
         }
     }
 
+    /// Tells the other core hosts at short intervals how many slots are free in the parts that this one schedules.
+    pub(crate) async fn tell_rooms(self: Rc<Self>) {
+        loop {
+            self.router.process.clock.sleep(ROOMS_EVERY).await;
+            if !self.router.source.core.get() {
+                continue;
+            }
+            let rooms = scheduling::rooms(&self.router);
+            if rooms.is_empty() {
+                continue;
+            }
+            let all = self.router.peers.borrow().addrs();
+            let packet = Packet::Rooms(rooms);
+            // This host may schedule the part of another data centre as well.
+            scheduling::take(&self.router, &packet, None);
+            self.router.talk.send_all(&packet, &all).await;
+        }
+    }
+
     /// Reports the keys that callers asked for to the leader.
     pub(crate) async fn report(self: Rc<Self>) {
         loop {
--- a/crates/chicoryrail-router/src/control/scheduling.rs
+++ b/crates/chicoryrail-router/src/control/scheduling.rs
@@ -6,7 +6,6 @@
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
-use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::SchedulerHost;
 use chicoryrail_ownership::keys::KeyOwner;
 use chicoryrail_policy::Decision;
@@ -19,6 +18,8 @@
 use chicoryrail_policy::SlotState;
 
 use crate::state::Origin;
+use crate::state::PartName;
+use crate::state::PartRoom;
 use crate::state::Router;
 use crate::state::Service;
 use crate::talk::Ask;
@@ -51,31 +52,27 @@
             told = router.now();
             log_schedulers(&router);
         }
-        for service in router.services() {
-            let waits = router
-                .schedulers
-                .by_service
-                .borrow()
-                .get(&service.name)
-                .is_some_and(|s| s.waiting() > 0);
-            if waits {
-                poll(&router, &service);
-            }
+        for part in waiting_parts(&router) {
+            poll(&router, &part);
         }
     }
 }
 
+fn waiting_parts(router: &Router) -> Vec<PartName> {
+    let schedulers = router.schedulers.by_part.borrow();
+    let waiting = schedulers.iter().filter(|(_, s)| s.waiting() > 0);
+    waiting.map(|(part, _)| part.clone()).collect()
+}
+
 /// Notes for which servers this host schedules, where hosts or servers changed since the hosts were `before`; returns
 /// the hosts' mark.
 fn draw(router: &Router, before: u64) -> u64 {
     let mark = router.peers.borrow().at_work_mark(router.now());
     let changed = mark != before;
     for service in router.services() {
-        let keyed = service.is_keyed();
         for target in service.targets.borrow().values() {
             if changed || target.ours.get().is_none() {
-                let server = keyed.then_some(&target.life);
-                let ours = router.scheduler(&service.name, server) == SchedulerHost::Here;
+                let ours = router.target_scheduler(&service, target) == SchedulerHost::Here;
                 target.ours.set(Some(ours));
             }
         }
@@ -85,10 +82,12 @@
 
 /// Returns how fast the servers are for which this host schedules.
 pub(crate) fn speeds(router: &Router) -> Vec<(Life, f32)> {
-    let schedulers = router.schedulers.by_service.borrow();
+    let schedulers = router.schedulers.by_part.borrow();
     let mut speeds = Vec::new();
-    for service in router.services() {
-        let Some(scheduler) = schedulers.get(&service.name) else {
+    // The leader weighs servers that hold keys, and no others.
+    let keyed = router.services().into_iter().filter(|s| s.is_keyed());
+    for service in keyed {
+        let Some(scheduler) = schedulers.get(&PartName::whole(&service.name)) else {
             continue;
         };
         let targets = service.targets.borrow();
@@ -100,9 +99,9 @@
 
 /// Logs how full the schedulers are.
 fn log_schedulers(router: &Router) {
-    for (service, scheduler) in router.schedulers.by_service.borrow().iter() {
+    for (part, scheduler) in router.schedulers.by_part.borrow().iter() {
         let (busy, slots) = scheduler.filled();
-        log::info!(service:% = service, waiting = scheduler.waiting(), busy = busy, slots = slots; "scheduler");
+        log::info!(service:% = part.service, dc:? = part.dc, waiting = scheduler.waiting(), busy = busy, slots = slots; "scheduler");
     }
 }
 
@@ -112,7 +111,12 @@
     match packet {
         Packet::Ask(asked) => ask(router, asked, from),
         Packet::End(end) => ended(router, end),
-        Packet::Leave { service, ticket } => left(router, service, *ticket),
+        Packet::Leave { part, ticket } => left(router, part, *ticket),
+        Packet::Rooms(rooms) => {
+            for room in rooms {
+                router.schedulers.heard_room(router.now(), room);
+            }
+        }
         Packet::Word(_) | Packet::Speeds(_) | Packet::Asked(_) | Packet::Told { .. } => {}
     }
 }
@@ -120,7 +124,7 @@
 /// Takes in a request that asks.
 fn ask(router: &Rc<Router>, ask: &Ask, from: Option<SocketAddr>) {
     let now = router.now();
-    let service = router.service(&ask.service);
+    let service = router.service(&ask.part.service);
     let ids = ask
         .not
         .iter()
@@ -140,8 +144,8 @@
         service.note_key(key);
     }
     let given = {
-        let mut schedulers = router.schedulers.by_service.borrow_mut();
-        let scheduler = schedulers.entry(ask.service.clone()).or_default();
+        let mut schedulers = router.schedulers.by_part.borrow_mut();
+        let scheduler = schedulers.entry(ask.part.clone()).or_default();
         scheduler.ask(now, asked)
     };
     let origin = Origin {
@@ -155,15 +159,64 @@
         .insert(ask.ticket, origin);
     if let Some(id) = given {
         // The word of it was lost on the way.
-        tell(router, &service, ask.ticket, Decision::Send(id));
+        tell(router, &ask.part, ask.ticket, Decision::Send(id));
         return;
     }
-    poll(router, &service);
+    let may_overflow = ask.part.dc.is_some() && !ask.overflows;
+    if may_overflow && !has_free(router, &ask.part) && overflow(router, ask, from) {
+        return;
+    }
+    poll(router, &ask.part);
     if router.schedulers.origins.borrow().contains_key(&ask.ticket) {
         answer(router, from, ask.ticket, Told::Waits);
     }
 }
 
+/// Tells whether a part has a free slot for which nobody waits.
+fn has_free(router: &Router, part: &PartName) -> bool {
+    let now = router.now();
+    let service = router.service(&part.service);
+    let mut schedulers = router.schedulers.by_part.borrow_mut();
+    let Some(scheduler) = schedulers.get_mut(part) else {
+        return false;
+    };
+    set_servers(router, &service, part, scheduler, now);
+    // The request itself waits already.
+    scheduler.free(now) >= scheduler.waiting()
+}
+
+/// Sends a request to another part of the service that has room, where one does.
+///
+/// Load: callers are not spread over the data centres as the servers are. Without this, requests of one wait or are
+/// refused beside free slots of another.
+fn overflow(router: &Rc<Router>, ask: &Ask, from: Option<SocketAddr>) -> bool {
+    let Some(dc) = router.schedulers.take_room(router.now(), &ask.part) else {
+        return false;
+    };
+    left(router, &ask.part, ask.ticket);
+    answer(router, from, ask.ticket, Told::Overflow(dc));
+    true
+}
+
+/// Returns the free slots of the parts for which this host schedules.
+pub(crate) fn rooms(router: &Router) -> Vec<PartRoom> {
+    let now = router.now();
+    let mut schedulers = router.schedulers.by_part.borrow_mut();
+    let mut rooms = Vec::new();
+    for service in router.services() {
+        let parts = service.parts().into_iter();
+        let ours = parts.filter(|p| router.part_scheduler(p) == SchedulerHost::Here);
+        for part in ours {
+            let scheduler = schedulers.entry(part.clone()).or_default();
+            set_servers(router, &service, &part, scheduler, now);
+            let free = scheduler.free(now).saturating_sub(scheduler.waiting());
+            let free = free as u32;
+            rooms.push(PartRoom { part, free });
+        }
+    }
+    rooms
+}
+
 /// Tells whether a request has asked before and still waits here.
 fn asks_again(router: &Router, ticket: u64) -> bool {
     router.schedulers.origins.borrow().contains_key(&ticket)
@@ -171,7 +224,7 @@
 
 /// Takes in how a request ended.
 fn ended(router: &Rc<Router>, end: &End) {
-    let service = router.service(&end.service);
+    let service = router.service(&end.part.service);
     let Some(target) = service.target(&end.server) else {
         return;
     };
@@ -183,7 +236,7 @@
             slots,
             pace,
         });
-    let end = SlotRelease {
+    let release = SlotRelease {
         ticket: end.ticket,
         server: target.id,
         us: end.us.map(|us| us as f64),
@@ -197,39 +250,30 @@
         report,
     };
     let now = router.now();
-    if let Some(scheduler) = router
-        .schedulers
-        .by_service
-        .borrow_mut()
-        .get_mut(&service.name)
-    {
-        scheduler.ended(now, &end);
+    if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(&end.part) {
+        scheduler.ended(now, &release);
     }
-    poll(router, &service);
+    poll(router, &end.part);
 }
 
 /// Takes in that keys changed hands: who waits here for a server for which another host schedules is sent there.
 /// Given a server from here, it would come on top of what that host gives it.
 pub(crate) fn keys_moved(router: &Rc<Router>, service: &Service) {
+    let part = PartName::whole(&service.name);
     let elsewhere: Vec<u64> = {
-        let schedulers = router.schedulers.by_service.borrow();
-        let Some(scheduler) = schedulers.get(&service.name) else {
+        let schedulers = router.schedulers.by_part.borrow();
+        let Some(scheduler) = schedulers.get(&part) else {
             return;
         };
         let keys = service.keys.borrow();
         let moved = scheduler.waiting_keys().filter(|(_, key)| {
             let owner = keys.meant(*key);
-            router.scheduler(&service.name, owner) != SchedulerHost::Here
+            router.server_scheduler(service, owner) != SchedulerHost::Here
         });
         moved.map(|(ticket, _)| ticket).collect()
     };
     for ticket in elsewhere {
-        if let Some(scheduler) = router
-            .schedulers
-            .by_service
-            .borrow_mut()
-            .get_mut(&service.name)
-        {
+        if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(&part) {
             scheduler.leave(ticket);
         }
         let origin = router.schedulers.origins.borrow_mut().remove(&ticket);
@@ -240,23 +284,23 @@
 }
 
 /// Takes in that a caller has left.
-fn left(router: &Router, service: &ServiceName, ticket: u64) {
-    if let Some(scheduler) = router.schedulers.by_service.borrow_mut().get_mut(service) {
+fn left(router: &Router, part: &PartName, ticket: u64) {
+    if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(part) {
         scheduler.leave(ticket);
     }
     router.schedulers.origins.borrow_mut().remove(&ticket);
 }
 
 /// Decides what can be decided, and tells who asked.
-fn poll(router: &Rc<Router>, service: &Rc<Service>) {
+fn poll(router: &Rc<Router>, part: &PartName) {
     let now = router.now();
+    let service = router.service(&part.service);
     let verdicts = {
-        let mut schedulers = router.schedulers.by_service.borrow_mut();
-        let scheduler = schedulers.entry(service.name.clone()).or_default();
-        if scheduler.waiting() == 0 {
+        let mut schedulers = router.schedulers.by_part.borrow_mut();
+        let Some(scheduler) = schedulers.get_mut(part).filter(|s| s.waiting() > 0) else {
             return;
-        }
-        set_servers(router, service, scheduler, now);
+        };
+        set_servers(router, &service, part, scheduler, now);
         let keys = service.keys.borrow();
         scheduler.poll(now, |key| match keys.owner(now, key) {
             KeyOwner::Held(life) => service
@@ -266,17 +310,25 @@
         })
     };
     for (ticket, verdict) in verdicts {
-        tell(router, service, ticket, verdict);
+        tell(router, part, ticket, verdict);
     }
 }
 
 /// Brings the scheduler's servers in line with what is believed of them. That changes with entries, with answers
 /// (a server says that it is cold) and with time (a leaving one's is over), so it is done for each decision.
-fn set_servers(router: &Router, service: &Service, scheduler: &mut Scheduler, now: Millis) {
+fn set_servers(
+    router: &Router,
+    service: &Service,
+    part: &PartName,
+    scheduler: &mut Scheduler,
+    now: Millis,
+) {
     let bound = router.cold_bound(&service.name);
     let targets = service.targets.borrow();
     let any_ready = targets.values().any(|t| t.is_ready());
-    for target in targets.values() {
+    let mut count = 0;
+    for target in targets.values().filter(|t| part.has(&t.dc)) {
+        count += 1;
         let state = SlotState {
             slots: target.slots.get(),
             open: if any_ready && !service.is_keyed() {
@@ -291,13 +343,14 @@
         };
         scheduler.set(now, target.id, state);
     }
-    // All targets are among the scheduler's servers, so one too many is gone.
-    if scheduler.servers() > targets.len() {
+    // All targets of the part are among the scheduler's servers, so one too many is gone.
+    if scheduler.servers() > count {
         scheduler.retain(|id| targets.values().any(|t| t.id == id));
     }
 }
 
-fn tell(router: &Rc<Router>, service: &Service, ticket: u64, verdict: Decision) {
+fn tell(router: &Rc<Router>, part: &PartName, ticket: u64, verdict: Decision) {
+    let service = router.service(&part.service);
     let told = match verdict {
         Decision::Refuse(after) => Told::Refuse(after.0),
         Decision::Send(id) => {
@@ -312,8 +365,8 @@
         return;
     };
     if let Told::Refuse(after) = told {
-        let schedulers = router.schedulers.by_service.borrow();
-        let scheduler = schedulers.get(&service.name);
+        let schedulers = router.schedulers.by_part.borrow();
+        let scheduler = schedulers.get(part);
         let (busy, slots) = scheduler.map_or((0, 0), Scheduler::filled);
         log::info!(request = origin.id, service:% = service.name, room_in_ms = after, busy = busy,
             slots = slots, waiting = scheduler.map_or(0, Scheduler::waiting);
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -114,7 +114,7 @@
             slot::Answer::Send(target, slot) => Ok((target, slot)),
             slot::Answer::Refuse(after) => Err(self.refuse(Cause::Full, after)),
             slot::Answer::Silent => self.wait_for_target().await.map(|target| {
-                let slot = Slot::without(self.router, &self.service, &target.life);
+                let slot = Slot::without(self.router, &self.service, &target);
                 (target, slot)
             }),
         };
--- a/crates/chicoryrail-router/src/route/slot.rs
+++ b/crates/chicoryrail-router/src/route/slot.rs
@@ -8,14 +8,15 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::RouteKind;
-use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::SchedulerHost;
 use chicoryrail_policy::Failure;
 use chicoryrail_policy::LoadReport;
 use monoio::time::timeout;
+use rand::seq::IteratorRandom;
 
 use crate::control::scheduling;
 use crate::route::call::Call;
+use crate::state::PartName;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
@@ -52,11 +53,13 @@
     call: &Call,
     tried: &[Life],
 ) -> Answer {
-    let scheduler = scheduler_of(router, service, call);
+    let part = own_part(router, service);
+    let scheduler = scheduler_of(router, service, &part, call);
     let (ticket, waiting) = router.asks.open(router.process.instance);
     let mut place = Place {
         router,
-        service: &service.name,
+        part,
+        overflows: false,
         scheduler,
         ticket,
         waits: true,
@@ -70,7 +73,7 @@
         match waiting.take() {
             Some(Told::Send(life)) => {
                 place.waits = false;
-                let slot = Slot::new(router, &service.name, place.scheduler, ticket, &life);
+                let slot = Slot::new(router, &place.part, place.scheduler, ticket, &life);
                 let target = service.target(&life).filter(|t| t.may_get(router.now()));
                 return match target {
                     Some(target) => Answer::Send(target, slot),
@@ -82,8 +85,12 @@
                 place.waits = false;
                 return Answer::Refuse(Millis(after));
             }
-            Some(Told::Elsewhere) => {
-                place.scheduler = scheduler_of(router, service, call);
+            Some(moved @ (Told::Elsewhere | Told::Overflow(_))) => {
+                if let Told::Overflow(dc) = moved {
+                    place.part.dc = Some(dc);
+                    place.overflows = true;
+                }
+                place.scheduler = scheduler_of(router, service, &place.part, call);
                 place.send(call, tried);
                 heard = false;
                 sent_again = false;
@@ -128,7 +135,9 @@
 /// A question at the scheduler; dropped while it waits, it is taken back.
 struct Place<'a> {
     router: &'a Rc<Router>,
-    service: &'a ServiceName,
+    part: PartName,
+    /// Whether the part of this host's data centre had no room for it.
+    overflows: bool,
     scheduler: SchedulerHost,
     ticket: u64,
     waits: bool,
@@ -141,7 +150,8 @@
         let work = self.router.work(&call.route.name, call.route.aim);
         let ask = Ask {
             dc: self.router.boot().dc.clone(),
-            service: self.service.clone(),
+            part: self.part.clone(),
+            overflows: self.overflows,
             ticket: self.ticket,
             id: call.id.clone(),
             key: call.key,
@@ -156,11 +166,27 @@
     }
 }
 
-/// Returns the host that schedules for the server that a request will go to.
-fn scheduler_of(router: &Router, service: &Service, call: &Call) -> SchedulerHost {
+/// Returns the part of a service that a request asks first: that of this host's data centre, where it has servers.
+fn own_part(router: &Router, service: &Service) -> PartName {
+    let targets = service.targets.borrow();
+    let dc = router.boot().dc.clone();
+    let near = targets.values().any(|t| t.dc == dc && t.is_ready());
+    if near || !service.divided.get() {
+        return service.part_in(&dc);
+    }
+    let ready = targets.values().filter(|t| t.is_ready());
+    let any = ready.choose(&mut rand::rng()).map_or(dc, |t| t.dc.clone());
+    service.part_in(&any)
+}
+
+/// Returns the host that schedules for the server that a request will go to, or for the part that it asks.
+fn scheduler_of(router: &Router, service: &Service, part: &PartName, call: &Call) -> SchedulerHost {
+    if part.dc.is_some() || call.key.is_none() {
+        return router.part_scheduler(part);
+    }
     let keys = service.keys.borrow();
     let owner = call.key.and_then(|key| keys.meant(key));
-    router.scheduler(&service.name, owner)
+    router.server_scheduler(service, owner)
 }
 
 /// Brings a packet to the host that schedules.
@@ -178,7 +204,7 @@
             return;
         }
         let packet = Packet::Leave {
-            service: self.service.clone(),
+            part: self.part.clone(),
             ticket: self.ticket,
         };
         to_scheduler(self.router, self.scheduler, packet);
@@ -190,7 +216,7 @@
 #[derive(Debug)]
 pub(crate) struct Slot {
     router: Rc<Router>,
-    service: ServiceName,
+    part: PartName,
     scheduler: SchedulerHost,
     server: Life,
     ticket: u64,
@@ -202,14 +228,14 @@
 impl Slot {
     fn new(
         router: &Rc<Router>,
-        service: &ServiceName,
+        part: &PartName,
         scheduler: SchedulerHost,
         ticket: u64,
         server: &Life,
     ) -> Self {
         Self {
             router: Rc::clone(router),
-            service: service.clone(),
+            part: part.clone(),
             scheduler,
             server: server.clone(),
             ticket,
@@ -220,10 +246,10 @@
     }
 
     /// Takes a slot without the scheduler, which only hears of the end.
-    pub(crate) fn without(router: &Rc<Router>, service: &Service, server: &Life) -> Self {
-        let keyed = service.is_keyed().then_some(server);
-        let scheduler = router.scheduler(&service.name, keyed);
-        Self::new(router, &service.name, scheduler, 0, server)
+    pub(crate) fn without(router: &Rc<Router>, service: &Service, target: &Target) -> Self {
+        let part = service.part_in(&target.dc);
+        let scheduler = router.target_scheduler(service, target);
+        Self::new(router, &part, scheduler, 0, &target.life)
     }
 
     /// Notes what the server said of its load.
@@ -251,7 +277,7 @@
             .borrow()
             .map(|r| (r.running, r.waiting, r.slots, r.pace));
         let end = End {
-            service: self.service.clone(),
+            part: self.part.clone(),
             ticket: self.ticket,
             server: self.server.clone(),
             us: self.us.get(),
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -151,6 +151,7 @@
     monoio::spawn(follow_relay(Rc::clone(&router)));
     monoio::spawn(be_present(Rc::clone(&router), talk_addr));
     monoio::spawn(Rc::clone(&gossip).report());
+    monoio::spawn(Rc::clone(&gossip).tell_rooms());
     monoio::spawn(gossip.tell());
     let elected = monoio::spawn(elect(Rc::clone(&router), tenure));
     let listener = bind("callers", callers).context(ListenSnafu)?;
--- a/crates/chicoryrail-router/src/state/believe.rs
+++ b/crates/chicoryrail-router/src/state/believe.rs
@@ -112,6 +112,8 @@
                 }
                 keep
             });
+            drop(targets);
+            service.divide();
             service.changed.notify();
             self.news.notify();
         }
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -3,9 +3,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use chicoryrail_core::DcName;
 use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
@@ -29,9 +31,11 @@
 use crate::state::Asks;
 use crate::state::Counters;
 use crate::state::FeedLog;
+use crate::state::PartName;
 use crate::state::Schedulers;
 use crate::state::Service;
 use crate::state::SourceState;
+use crate::state::Target;
 use crate::state::View;
 use crate::talk::FEED_COUNT;
 use crate::talk::Talk;
@@ -220,16 +224,40 @@
         self.peers.borrow().leader_age(self.now())
     }
 
-    /// Returns the host that schedules the requests for a server, or for a service without keys.
-    pub(crate) fn scheduler(&self, service: &ServiceName, server: Option<&Life>) -> SchedulerHost {
+    /// Returns the host that schedules the requests for a server of a keyed service.
+    pub(crate) fn server_scheduler(
+        &self,
+        service: &Service,
+        server: Option<&Life>,
+    ) -> SchedulerHost {
+        let target = server.and_then(|life| service.target(life));
+        let dc = target.as_ref().map(|t| &t.dc);
+        self.draw_scheduler(dc, &(&service.name, server))
+    }
+
+    /// Returns the host that schedules the requests for a part of a service without keys.
+    pub(crate) fn part_scheduler(&self, part: &PartName) -> SchedulerHost {
+        self.draw_scheduler(part.dc.as_ref(), part)
+    }
+
+    /// Returns the host that schedules the requests for a server.
+    pub(crate) fn target_scheduler(&self, service: &Service, target: &Target) -> SchedulerHost {
+        if service.is_keyed() {
+            return self.draw_scheduler(Some(&target.dc), &(&service.name, Some(&target.life)));
+        }
+        self.part_scheduler(&service.part_in(&target.dc))
+    }
+
+    fn draw_scheduler(&self, dc: Option<&DcName>, name: &impl Hash) -> SchedulerHost {
         let boot = self.boot();
         let said = HostState {
             power: self.power(),
             schedules: self.schedules(),
+            dc: Some(boot.dc.clone()),
             ..HostState::default()
         };
         let peers = self.peers.borrow();
-        peers.scheduler(self.now(), (&boot.host, &said), &(service, server))
+        peers.scheduler(self.now(), (&boot.host, &said), dc, name)
     }
 
     /// Tells whether another host is so much stronger that it should lead, and reaches all that this one does.
--- a/crates/chicoryrail-router/src/state/schedulers.rs
+++ b/crates/chicoryrail-router/src/state/schedulers.rs
@@ -6,9 +6,14 @@
 use std::net::SocketAddr;
 
 use chicoryrail_core::DcName;
+use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
+use chicoryrail_policy::PartRooms;
 use chicoryrail_policy::Scheduler;
 
+use crate::state::PartName;
+use crate::state::PartRoom;
+
 /// Who asked.
 #[derive(Clone, Debug)]
 pub(crate) struct Origin {
@@ -18,16 +23,34 @@
     pub(crate) id: String,
 }
 
-/// The requests for which this host schedules, by service.
+/// The requests for which this host schedules, by part of a service.
 #[derive(Debug, Default)]
 pub(crate) struct Schedulers {
-    pub(crate) by_service: RefCell<BTreeMap<ServiceName, Scheduler>>,
+    pub(crate) by_part: RefCell<BTreeMap<PartName, Scheduler>>,
     /// Who asked, by ticket.
     pub(crate) origins: RefCell<HashMap<u64, Origin>>,
     dcs: RefCell<Vec<DcName>>,
+    rooms: RefCell<BTreeMap<ServiceName, PartRooms>>,
 }
 
 impl Schedulers {
+    /// Takes in how many slots of a part are free.
+    pub(crate) fn heard_room(&self, now: Millis, room: &PartRoom) {
+        let Some(dc) = &room.part.dc else {
+            return;
+        };
+        let mut rooms = self.rooms.borrow_mut();
+        let service = rooms.entry(room.part.service.clone()).or_default();
+        service.heard(now, dc, room.free);
+    }
+
+    /// Takes a free slot of another part of the same service; returns its data centre.
+    pub(crate) fn take_room(&self, now: Millis, part: &PartName) -> Option<DcName> {
+        let own = part.dc.as_ref()?;
+        let mut rooms = self.rooms.borrow_mut();
+        rooms.get_mut(&part.service)?.take(now, own)
+    }
+
     /// Returns the number that stands for a data centre at the schedulers.
     pub(crate) fn dc_number(&self, dc: &DcName) -> u32 {
         let mut dcs = self.dcs.borrow_mut();
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -2,9 +2,11 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use chicoryrail_core::DcName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
@@ -14,8 +16,13 @@
 use chicoryrail_policy::SharedServers;
 use chicoryrail_runtime::Signal;
 
+use crate::state::PartName;
 use crate::state::Target;
 
+/// Servers in a data centre, on average, from which the scheduling of a service without keys is divided by data
+/// centre. Fewer are better scheduled together: a request finds a free one among all, and one host bears the load.
+const PART_LEAST: usize = 12;
+
 /// Keys that are kept between two reports to the leader.
 const ASKED_MOST: usize = 400;
 
@@ -35,6 +42,8 @@
     pub(crate) asked: RefCell<Vec<u16>>,
     pub(crate) targets: RefCell<HashMap<Life, Rc<Target>>>,
     pub(crate) keyed: Cell<bool>,
+    /// Whether each data centre's servers are scheduled by themselves.
+    pub(crate) divided: Cell<bool>,
     next: Cell<u32>,
 }
 
@@ -50,6 +59,7 @@
             asked: RefCell::default(),
             targets: RefCell::default(),
             keyed: Cell::new(false),
+            divided: Cell::new(false),
             next: Cell::new(0),
         })
     }
@@ -70,6 +80,37 @@
         ServerId(id)
     }
 
+    /// Decides whether the service is divided, by the servers that it has.
+    ///
+    /// Load: hundreds of servers and requests a second, which one host would schedule for all data centres, each
+    /// request asking and answered across them.
+    pub(crate) fn divide(&self) {
+        let targets = self.targets.borrow();
+        let mut dcs: Vec<&DcName> = targets.values().map(|t| &t.dc).collect();
+        dcs.sort();
+        dcs.dedup();
+        let enough = targets.len() >= PART_LEAST * dcs.len();
+        self.divided
+            .set(!self.is_keyed() && dcs.len() > 1 && enough);
+    }
+
+    /// Returns the parts of a divided service; none of another one.
+    pub(crate) fn parts(&self) -> BTreeSet<PartName> {
+        if !self.divided.get() {
+            return BTreeSet::new();
+        }
+        let targets = self.targets.borrow();
+        targets.values().map(|t| self.part_in(&t.dc)).collect()
+    }
+
+    /// Returns the part to which the servers of a data centre belong.
+    pub(crate) fn part_in(&self, dc: &DcName) -> PartName {
+        PartName {
+            service: self.name.clone(),
+            dc: self.divided.get().then(|| dc.clone()),
+        }
+    }
+
     /// Tells whether each key is served by the one server that holds it.
     pub(crate) fn is_keyed(&self) -> bool {
         self.keyed.get()
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -11,6 +11,9 @@
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::OwnedRange;
 
+use crate::state::PartName;
+use crate::state::PartRoom;
+
 /// A datagram.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) enum Packet {
@@ -27,7 +30,9 @@
     /// A request at a server has ended.
     End(End),
     /// The caller of a request that asked has left.
-    Leave { service: ServiceName, ticket: u64 },
+    Leave { part: PartName, ticket: u64 },
+    /// Free slots of the parts that a host schedules.
+    Rooms(Vec<PartRoom>),
 }
 
 /// What a host knows.
@@ -111,7 +116,9 @@
 pub(crate) struct Ask {
     /// Data centre of the host that asks.
     pub(crate) dc: DcName,
-    pub(crate) service: ServiceName,
+    pub(crate) part: PartName,
+    /// Whether another part had no room for it and sent it here.
+    pub(crate) overflows: bool,
     pub(crate) ticket: u64,
     /// Id that the caller gave, for the log.
     pub(crate) id: String,
@@ -138,6 +145,8 @@
     Send(Life),
     /// Its key went to a server for which another host schedules: that one is to be asked.
     Elsewhere,
+    /// The part of the service in this data centre has room for it, and is to be asked.
+    Overflow(DcName),
     /// It is refused; there may be room after so many milliseconds.
     Refuse(u64),
 }
@@ -145,7 +154,7 @@
 /// How a request at a server ended.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) struct End {
-    pub(crate) service: ServiceName,
+    pub(crate) part: PartName,
     pub(crate) ticket: u64,
     pub(crate) server: Life,
     /// Time to the answer in microseconds; `None` where the caller left before.
