feat(ownership): keys are weighed one by one, and a plan moves as many ranges as the service needs

Cause: load was counted by four keys, and a plan made 24 moves at most, as many as 25 servers need. With 239 servers a hundred keys with two fifths of the load are each as much as one server can do: four of them stayed on one server. Change: one key a bucket; moves and merges of a plan grow with the servers; load within a quarter of a standard deviation does not count as overload in a plan that is not urgent, or finer cuts would follow chance.

--- a/crates/chicoryrail-ownership/src/keys/draft.rs
+++ b/crates/chicoryrail-ownership/src/keys/draft.rs
@@ -18,8 +18,10 @@
 /// running on its keys.
 const LEAST_MOVE: f64 = 0.06;
 
-/// Most moves of one plan. A range of 200 keys with a third of the load of 25 servers takes nine.
+/// Most moves of one plan, at least, and for each server: a range with two fifths of the load goes to as large a part
+/// of the servers.
 const MOST_MOVES: usize = 24;
+const MOVES_EACH: f64 = 0.5;
 
 /// How much busier than the mean key those must be that are moved for relief: colder ones would be most of all
 /// keys, for little relief. At 0.25 a server with half of its load in a tenth of its keys can still be freed.
@@ -39,7 +41,7 @@
 /// Part of a fair share up to which a range counts as cold.
 const COLD: f64 = 0.08;
 
-/// Most ranges merged in one plan; as many as its moves may add.
+/// Most ranges merged in one plan, at least: as many as its moves may add.
 const MOST_MERGES: usize = 48;
 
 /// An assignment of keys while it is planned.
@@ -105,8 +107,12 @@
 
     /// Returns the part of the load that lies above `room` times the fair shares. A key that is busier than a server
     /// can bear counts the same wherever it is, so it does not hide that the others lie badly.
-    pub(crate) fn overload(&self, room: f64) -> f64 {
-        let over = (0..self.holders.len()).map(|h| (self.loads[h] - self.fair(h) * room).max(0.0));
+    /// So does load that lies within `chance` standard deviations above.
+    pub(crate) fn overload(&self, room: f64, chance: f64) -> f64 {
+        let over = (0..self.holders.len()).map(|h| {
+            let fair = self.fair(h);
+            (self.loads[h] - fair * room - fair.sqrt() * chance).max(0.0)
+        });
         over.sum::<f64>() / self.line.total()
     }
 
@@ -210,7 +216,8 @@
 
     /// Takes load off those that have too much, the busiest first, and gives it to those with most room.
     pub(crate) fn relieve(&mut self) {
-        for _ in 0..MOST_MOVES {
+        let each = (self.holders.len() as f64 * MOVES_EACH) as usize;
+        for _ in 0..each.max(MOST_MOVES) {
             if self.ranges.len() >= self.holders.len() * MOST_RANGES {
                 return;
             }
@@ -256,7 +263,7 @@
     /// Gives cold ranges to the server beside them, while there are more ranges than wished.
     pub(crate) fn merge(&mut self) {
         let wished = (self.holders.len() as f64 * RANGES).ceil() as usize;
-        for _ in 0..MOST_MERGES {
+        for _ in 0..MOST_MERGES.max(self.holders.len()) {
             if self.ranges.len() <= wished {
                 return;
             }
--- a/crates/chicoryrail-ownership/src/keys/key_load.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_load.rs
@@ -4,9 +4,9 @@
 
 use crate::keys::KeyRange;
 
-/// Keys of one bucket. Busy keys stand close to one another, and a few dozen may carry a third of the
-/// load, so buckets must be finer than that.
-pub(crate) const PER_BUCKET: usize = 4;
+/// Keys of one bucket. A few dozen keys side by side may carry a third of the load of hundreds of servers: then each
+/// of them is as much as a server can do, and two that count as one would have to share a server.
+pub(crate) const PER_BUCKET: usize = 1;
 const BUCKETS: usize = 65_536 / PER_BUCKET;
 
 /// How far back a look at the load goes.
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -12,9 +12,8 @@
 use crate::keys::draft::Draft;
 use crate::keys::line::Line;
 
-/// Part of the whole load that a new cut must bring below the servers' fair shares to be worth the moves.
-/// Of 0.06, 0.035 and 0.02, the last serves most: the mean worth of the days of two installations is 0.668,
-/// 0.682 and 0.684, and 0.722, 0.721 and 0.725. Below it, moves follow chance.
+/// Part of the whole load that a new cut must bring below the servers' fair shares to be worth the moves. Below it,
+/// moves follow chance.
 const GAIN: f64 = 0.02;
 
 /// Load over the fair share up to which a server is not overloaded.
@@ -26,6 +25,9 @@
 /// Standard deviations of chance beside it: a server's requests of the last second or two are a few dozen.
 const CHANCE: f64 = 2.5;
 
+/// Standard deviations of chance that count as no overload where nothing is urgent: moves that follow them help nobody.
+const SMALL_CHANCE: f64 = 0.25;
+
 /// Requests that must have been seen before a plan follows them.
 const FEWEST: f64 = 60.0;
 
@@ -90,11 +92,12 @@
         let known = load.total() >= FEWEST;
         draft.give_free();
         draft.admit(known);
-        let before = draft.overload(ROOM);
+        let chance = if urgent { 0.0 } else { SMALL_CHANCE };
+        let before = draft.overload(ROOM, chance);
         if known && (moves != Moves::Needed || members) {
             draft.relieve();
         }
-        let gains = before - draft.overload(ROOM) > GAIN;
+        let gains = before - draft.overload(ROOM, chance) > GAIN;
         if !members && !gains {
             return Self::Keep;
         }
