fix(router): a late reply of a relay brings nothing older back; a cut watch alone is no outage

Cause: a host that becomes a watcher may still get the reply of the relay that it asked before. Taken in, the older state went into what it passes on, under the newer revision, so hosts that followed it kept an old configuration. A watch cut by a compaction of the store was taken for an outage, and all hosts changed whom they follow. Change: what a host passes on is kept in a FeedLog that takes in only what is newer; a first cut of a waiting watch is tried again before it counts.

--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -111,6 +111,9 @@
             StoreError::HistoryGone { after } => {
                 log::info!(part:? = feed, after = after; "history_gone");
                 router.view.borrow_mut().forget_heard(feed);
+                if let Some(at) = feed_number(feed) {
+                    router.feed_logs.borrow_mut()[at].forget();
+                }
             }
             error => {
                 note(&router, "watch", Some(&error));
@@ -154,6 +157,13 @@
                 continue;
             }
             Ok(changes) => changes,
+            // A watch that waits may be cut while the store answers everybody: taken for an outage, all hosts that
+            // follow this one would look for another.
+            Err(e) if e.is_outage() && *pause == BACK_OFF && router.store_up.get() => {
+                log::info!(part:? = feed, after = after, error:% = e; "watch_cut");
+                *pause = BACK_OFF.times(2);
+                continue;
+            }
             // The history is still there if the outage was short; the watch goes on from where it was.
             Err(e) if e.is_outage() => {
                 note(router, "watch", Some(&e));
@@ -171,10 +181,16 @@
     }
 }
 
+/// Returns the place of a part among [`FEEDS`].
+fn feed_number(feed: Feed) -> Option<usize> {
+    FEEDS.iter().position(|f| *f == feed)
+}
+
 /// Takes in everything that a part holds.
 pub(crate) fn take_snapshot(router: &Router, feed: Feed, all: &Snapshot) {
-    if let Some(at) = FEEDS.iter().position(|f| *f == feed) {
-        router.feed_logs.borrow_mut()[at].replace(all);
+    let at = feed_number(feed);
+    if at.is_some_and(|at| !router.feed_logs.borrow_mut()[at].replace(all)) {
+        return;
     }
     let told = router.view.borrow_mut().replace(router.now(), feed, all);
     router.believe(&told);
@@ -183,15 +199,18 @@
 
 /// Takes in what changed in a part; tells whether that changed what is believed.
 pub(crate) fn take_changes(router: &Router, feed: Feed, changes: &Changes) -> bool {
-    if let Some(at) = FEEDS.iter().position(|f| *f == feed) {
-        router.feed_logs.borrow_mut()[at].apply(changes);
-    }
+    let mut logs = router.feed_logs.borrow_mut();
+    let fresh = match feed_number(feed) {
+        Some(at) => logs[at].apply(changes),
+        None => changes.changes.iter().collect(),
+    };
+    drop(logs);
     let now = router.now();
     let told: Vec<_> = {
         let mut view = router.view.borrow_mut();
         view.hear(feed, changes.revision);
-        let changes = changes.changes.iter();
-        changes.filter_map(|c| view.apply(now, c)).collect()
+        let fresh = fresh.into_iter();
+        fresh.filter_map(|c| view.apply(now, c)).collect()
     };
     router.believe(&told);
     router.news.notify();
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -3,7 +3,6 @@
 mod asks;
 mod believe;
 mod counters;
-mod feed_log;
 mod part;
 pub(crate) mod router;
 mod schedulers;
@@ -14,8 +13,6 @@
 
 pub(crate) use asks::Asks;
 pub(crate) use counters::Counters;
-pub(crate) use feed_log::FeedLog;
-pub(crate) use feed_log::FeedNews;
 pub(crate) use part::PartName;
 pub(crate) use part::PartRoom;
 pub(crate) use router::Router;
--- a/crates/chicoryrail-router/src/talk/relay_message.rs
+++ b/crates/chicoryrail-router/src/talk/relay_message.rs
@@ -7,8 +7,8 @@
 use chicoryrail_core::DcName;
 use chicoryrail_core::HostName;
 use chicoryrail_core::ServiceName;
+use chicoryrail_platform::FeedNews;
 
-use crate::state::FeedNews;
 use crate::talk::KeyRanges;
 
 /// Parts of the store that are relayed.
