--- a/crates/chicoryrail-ownership/src/keys/key_load.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_load.rs
@@ -4,10 +4,9 @@
 
 use crate::keys::KeyRange;
 
-/// Keys of one bucket. A few dozen keys side by side may carry a third of the load of hundreds of servers: then each
-/// of them is as much as a server can do, and two that count as one would have to share a server.
-pub(crate) const PER_BUCKET: usize = 1;
-const BUCKETS: usize = 65_536 / PER_BUCKET;
+/// Keys of the whole space. Each is counted by itself: a few dozen side by side may carry a third of the load of
+/// hundreds of servers, and two that counted as one would have to share a server.
+const KEYS: usize = 65_536;
 
 /// How far back a look at the load goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,17 +35,17 @@
     aged: Millis,
 }
 
-/// Requests by bucket of keys, fading.
+/// Requests by key, fading.
 #[derive(Clone, Debug)]
 struct Fading {
-    buckets: Vec<f32>,
+    keys: Vec<f32>,
     total: f64,
 }
 
 impl Default for Fading {
     fn default() -> Self {
         Self {
-            buckets: vec![0.0; BUCKETS],
+            keys: vec![0.0; KEYS],
             total: 0.0,
         }
     }
@@ -54,14 +53,14 @@
 
 impl Fading {
     fn seen(&mut self, key: u16) {
-        self.buckets[usize::from(key) / PER_BUCKET] += 1.0;
+        self.keys[usize::from(key)] += 1.0;
         self.total += 1.0;
     }
 
     fn fade(&mut self, passed: Millis, half_life: Millis) {
         let keep = 0.5_f64.powf(passed.0 as f64 / half_life.0 as f64);
-        for bucket in &mut self.buckets {
-            *bucket *= keep as f32;
+        for load in &mut self.keys {
+            *load *= keep as f32;
         }
         self.total *= keep;
     }
@@ -91,21 +90,19 @@
         self.long.total
     }
 
-    /// Returns the load of a range over the last seconds, as far as whole buckets show it.
+    /// Returns the load of a range over the last seconds.
     #[must_use]
     pub fn of(&self, span: KeyRange) -> f64 {
-        let first = usize::from(span.first) / PER_BUCKET;
-        let last = usize::from(span.last) / PER_BUCKET;
-        let buckets = &self.long.buckets[first..=last];
-        buckets.iter().map(|load| f64::from(*load)).sum()
+        let keys = &self.long.keys[usize::from(span.first)..=usize::from(span.last)];
+        keys.iter().map(|load| f64::from(*load)).sum()
     }
 
-    /// Iterates over the load of the buckets, in the order of their keys.
-    pub(crate) fn buckets(&self, window: Window) -> impl Iterator<Item = f64> {
+    /// Iterates over the load of the keys, in their order.
+    pub(crate) fn keys(&self, window: Window) -> impl Iterator<Item = f64> {
         let fading = match window {
             Window::Short => &self.short,
             Window::Long => &self.long,
         };
-        fading.buckets.iter().map(|load| f64::from(*load))
+        fading.keys.iter().map(|load| f64::from(*load))
     }
 }
--- a/crates/chicoryrail-ownership/src/keys/line.rs
+++ b/crates/chicoryrail-ownership/src/keys/line.rs
@@ -3,7 +3,6 @@
 use crate::keys::KeyLoad;
 use crate::keys::KeyRange;
 use crate::keys::Window;
-use crate::keys::key_load::PER_BUCKET;
 
 /// Requests beside those that were seen, spread evenly over all keys: keys that nobody asked for lately
 /// are not free, and without any knowledge a cut is even.
@@ -26,20 +25,20 @@
 /// The load along the key space, summed up, so that the load of any range is a difference.
 #[derive(Clone, Debug)]
 pub(crate) struct Line {
-    /// The load left of each bucket's first key.
+    /// The load left of each key.
     sums: Vec<f64>,
 }
 
 impl Line {
-    /// Returns the line in which no bucket of keys has more load than a server bears, and the fair load for a
+    /// Returns the line in which no key has more load than a server bears, and the fair load for a
     /// weight of 1.
     pub(crate) fn fair(weights: &[f64], load: &KeyLoad, window: Window) -> (Self, f64) {
         let weight: f64 = weights.iter().sum();
         let mean = weight / weights.len() as f64;
-        let even = EVEN * PER_BUCKET as f64 / f64::from(KEYS);
+        let even = EVEN / f64::from(KEYS);
         let borne = |most: f64| {
-            let buckets = load.buckets(window);
-            buckets.map(move |seen| (seen + even).min(most))
+            let keys = load.keys(window);
+            keys.map(move |seen| (seen + even).min(most))
         };
         let mut most = f64::INFINITY;
         for _ in 0..ROUNDS {
@@ -63,14 +62,10 @@
         self.at(u32::from(span.last) + 1) - self.at(u32::from(span.first))
     }
 
-    /// Returns the load left of a key; within a bucket the keys count alike.
+    /// Returns the load left of a key.
     fn at(&self, key: u32) -> f64 {
-        let bucket = key as usize / PER_BUCKET;
-        let Some(next) = self.sums.get(bucket + 1) else {
-            return self.total();
-        };
-        let part = (key as usize % PER_BUCKET) as f64 / PER_BUCKET as f64;
-        self.sums[bucket] + (next - self.sums[bucket]) * part
+        let left = self.sums.get(key as usize);
+        left.copied().unwrap_or_else(|| self.total())
     }
 
     /// Returns the first keys of a range that have so much load together, all where it has no more.
@@ -112,10 +107,10 @@
         pieces
     }
 
-    /// Returns the shortest run of buckets within a range with at least `load` and at most `most`, if there is one.
+    /// Returns the shortest run of keys within a range with at least `load` and at most `most`, if there is one.
     fn shortest(&self, span: KeyRange, load: f64, most: f64) -> Option<KeyRange> {
-        let from = usize::from(span.first).div_ceil(PER_BUCKET);
-        let to = (usize::from(span.last) + 1) / PER_BUCKET;
+        let from = usize::from(span.first);
+        let to = usize::from(span.last) + 1;
         let mut best: Option<(usize, usize)> = None;
         let mut end = from;
         for start in from..to {
@@ -131,23 +126,14 @@
             }
         }
         best.map(|(start, end)| KeyRange {
-            first: (start * PER_BUCKET) as u16,
-            last: (end * PER_BUCKET - 1) as u16,
+            first: start as u16,
+            last: (end - 1) as u16,
         })
     }
 
     /// Returns the first key left of which there is at least so much load.
     fn key_at(&self, load: f64) -> u32 {
-        let next = self.sums.partition_point(|s| *s < load);
-        if next == 0 {
-            return 0;
-        }
-        let Some(after) = self.sums.get(next) else {
-            return KEYS;
-        };
-        let before = self.sums[next - 1];
-        let part = (load - before) / (after - before).max(f64::MIN_POSITIVE);
-        let key = (next - 1) * PER_BUCKET + (part * PER_BUCKET as f64).ceil() as usize;
+        let key = self.sums.partition_point(|s| *s < load);
         (key as u32).min(KEYS)
     }
 }
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -23,7 +23,7 @@
 const FAR_OVER: f64 = 1.4;
 
 /// Standard deviations of chance beside it: a server's requests of the last second or two are a few dozen.
-const CHANCE: f64 = 2.5;
+const CHANCE: f64 = 1.5;
 
 /// Standard deviations of chance that count as no overload where nothing is urgent: moves that follow them help nobody.
 const SMALL_CHANCE: f64 = 0.25;
@@ -64,8 +64,7 @@
     /// Plans the ranges for the servers that may hold keys.
     ///
     /// The keys of a server that left go to those with most room, a new one takes from the busiest; all others
-    /// keep theirs. A busy range is cut into pieces that go to whoever has room, down to a single bucket of
-    /// keys, where that takes enough load off overloaded servers.
+    /// keep theirs. A busy range is cut into pieces that go to whoever has room, down to a single key, where that takes enough load off overloaded servers.
     #[must_use]
     pub fn of(record: &KeyRecord, holders: &[Holder], load: &KeyLoad, moves: Moves) -> Self {
         if holders.is_empty() {
--- a/crates/chicoryrail-ownership/tests/key_plan_size.rs
+++ b/crates/chicoryrail-ownership/tests/key_plan_size.rs
@@ -28,7 +28,8 @@
     /// Part of the requests that go to the busy keys, and these.
     busy: (f64, std::ops::Range<u16>),
     balanced: Millis,
-    moves: usize,
+    /// Plans so far.
+    plans: usize,
     rng: Pcg64,
 }
 
@@ -51,7 +52,7 @@
             rate: weight / WORK * 0.5,
             busy: (0.0, 0..1),
             balanced: Millis::ZERO,
-            moves: 0,
+            plans: 0,
             rng: Pcg64::seed_from_u64(seed),
         }
     }
@@ -77,7 +78,7 @@
             };
             if let Plan::Change(spans) = Plan::of(&self.record, &self.holders, &self.load, moves) {
                 self.balanced = now;
-                self.moves += spans.len().abs_diff(self.record.spans.len());
+                self.plans += 1;
                 self.record = self.record.next(spans, &[], 0);
             }
         }
