fix(router): a watch that was cut is not taken up again, everything is read anew

Cause: the store cuts its watches when it forgets its history, after a second in which they hear nothing. A watch sent again at once from the old revision hung until the next change: an evacuation and a configuration of that second reached no host for 5.7 s. Change: any end of a watch but an answer leads to a whole read, after a pause that grows. A cut alone is no outage. Test: operator.rs a_change_before_the_history_is_forgotten_is_in_force_in_time, with a stand-in that does the same; it failed on the code before.

--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -108,36 +108,37 @@
             }
         };
         match ended {
-            StoreError::HistoryGone { after } => {
-                log::info!(part:? = feed, after = after; "history_gone");
-                router.view.borrow_mut().forget_heard(feed);
-                if let Some(at) = feed_number(feed) {
-                    router.feed_logs.borrow_mut()[at].forget();
-                }
-            }
-            error => {
-                note(&router, "watch", Some(&error));
-                let jitter = rand::rng().random_range(0..=pause.0 / 4);
-                router.process.clock.sleep(pause + Millis(jitter)).await;
-                pause = pause.times(2).min(BACK_OFF_MOST);
-            }
+            WatchEnd::Gap => {}
+            WatchEnd::Failed(error) => note(&router, "watch", Some(&error)),
         }
+        let jitter = rand::rng().random_range(0..=pause.0 / 4);
+        router.process.clock.sleep(pause + Millis(jitter)).await;
+        pause = pause.times(2).min(BACK_OFF_MOST);
     }
 }
 
-/// Reads everything, unless a relay told it before, and watches from there, until a call fails.
-async fn follow_once(router: &Router, feed: Feed, pause: &mut Millis) -> StoreError {
+/// Why a watch ended.
+enum WatchEnd {
+    /// It was cut while the store answers, or the store was away: changes may be missing.
+    Gap,
+    /// The store does not answer, or refuses.
+    Failed(StoreError),
+}
+
+/// Reads everything and watches from there, until a call fails.
+///
+/// A watch is not taken up again where it was cut. When the store forgets its history, it cuts its watches a moment
+/// before: one sent in that moment from an older revision hears nothing until the next change, and an operator's
+/// change from before it would not be in force for seconds.
+async fn follow_once(router: &Router, feed: Feed, pause: &mut Millis) -> WatchEnd {
     let store = &router.store;
     let prefix = feed.prefix();
-    if router.view.borrow().heard(feed).is_none() {
-        let all = match store.snapshot(&prefix).await {
-            Ok(all) => all,
-            Err(e) => return e,
-        };
-        note(router, "snapshot", None);
-        *pause = BACK_OFF;
-        take_snapshot(router, feed, &all);
-    }
+    let all = match store.snapshot(&prefix).await {
+        Ok(all) => all,
+        Err(e) => return WatchEnd::Failed(e),
+    };
+    note(router, "snapshot", None);
+    take_snapshot(router, feed, &all);
     loop {
         let after = router.view.borrow().heard(feed).unwrap_or_default();
         let returns = router.store_returns.count();
@@ -147,7 +148,7 @@
         let changes = match select(watch, returned).await {
             Either::Left((changes, _)) => changes,
             // The watch was sent before the outage: its connection may be silent for good.
-            Either::Right(_) => continue,
+            Either::Right(_) => return WatchEnd::Gap,
         };
         let changes = match changes {
             // Leases end while the store is away, and a watch that was sent before may still be told so. Taken at
@@ -157,21 +158,16 @@
                 continue;
             }
             Ok(changes) => changes,
-            // A watch that waits may be cut while the store answers everybody: taken for an outage, all hosts that
-            // follow this one would look for another.
-            Err(e) if e.is_outage() && *pause == BACK_OFF && router.store_up.get() => {
-                log::info!(part:? = feed, after = after, error:% = e; "watch_cut");
-                *pause = BACK_OFF.times(2);
-                continue;
+            Err(StoreError::HistoryGone { after }) => {
+                log::info!(part:? = feed, after = after; "history_gone");
+                return WatchEnd::Gap;
             }
-            // The history is still there if the outage was short; the watch goes on from where it was.
-            Err(e) if e.is_outage() => {
-                note(router, "watch", Some(&e));
-                router.process.clock.sleep(*pause).await;
-                *pause = pause.times(2).min(BACK_OFF_MOST);
-                continue;
+            // Whether the store answers is seen when everything is read again: taken for an outage at once, a cut
+            // watch would send all hosts that follow this one to another.
+            Err(e) => {
+                log::info!(part:? = feed, after = after, error:% = e; "watch_cut");
+                return WatchEnd::Gap;
             }
-            Err(e) => return e,
         };
         note(router, "watch", None);
         *pause = BACK_OFF;
--- a/crates/chicoryrail-router/src/state/view.rs
+++ b/crates/chicoryrail-router/src/state/view.rs
@@ -132,11 +132,6 @@
         self.heard.values().copied().max().unwrap_or_default()
     }
 
-    /// Takes in that a part must be read anew: the store no longer tells what changed in between.
-    pub(crate) fn forget_heard(&mut self, feed: Feed) {
-        self.heard.remove(&feed);
-    }
-
     /// Takes in that the store answered again at `at` after an outage.
     pub(crate) fn store_back(&mut self, at: Millis) {
         self.back = self.back.max(Some(at));
--- a/crates/chicoryrail-router/tests/operator.rs
+++ b/crates/chicoryrail-router/tests/operator.rs
@@ -107,6 +107,25 @@
     });
 }
 
+/// The store is about to forget its history: for a moment its watches hear nothing, an operator puts a configuration,
+/// and then the watches are cut. One that is sent again at once from the revision of before would hang until the next
+/// change, and callers would be served by the old configuration. Everything is read again instead, within the two
+/// seconds in which a configuration must be in force.
+#[test]
+fn a_change_before_the_history_is_forgotten_is_in_force_in_time() {
+    block_on(async {
+        let world = World::start("forgets").await;
+        world.configure().await;
+        let _server = world.server("i-1", "desk").await;
+        let router = world.router("a").await;
+        monoio::time::sleep(Millis(1_500).duration()).await;
+        world.deafen(Millis(500)).await;
+        world.configure().await;
+        monoio::time::sleep(Millis(2_000).duration()).await;
+        assert!(router.log().contains("version=6"), "not in force");
+    });
+}
+
 /// Another writer leaves an entry of a server that can't be read, and a configuration that can't, and then one
 /// that is older than the one in force. Each is told in one line; callers of everything else are served as
 /// before, also after the entries were written again unchanged.
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -164,6 +164,14 @@
         client.call(self.store_addr, request, LIMIT).await.unwrap();
     }
 
+    /// Lets the store tell its watches nothing for a while, and then forget its history and cut them.
+    pub async fn deafen(&self, time: Millis) {
+        let path = format!("/testkit/deafen?for_ms={}", time.0);
+        let request = Request::put(path).body(Bytes::new()).unwrap();
+        let client = HttpClient::default();
+        client.call(self.store_addr, request, LIMIT).await.unwrap();
+    }
+
     /// Starts a router process and waits until it takes callers.
     pub async fn router(&self, name: &str) -> RouterProcess {
         let router = self.spawn(name);
--- a/crates/chicoryrail-testkit/src/store/control.rs
+++ b/crates/chicoryrail-testkit/src/store/control.rs
@@ -1,6 +1,7 @@
 //! Calls with which a test steers the store and looks into it.
 
 use bytes::Bytes;
+use chicoryrail_core::Millis;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::error_answer;
 use chicoryrail_runtime::json_answer;
@@ -37,6 +38,12 @@
                 state.wake();
                 json_answer(200, &())
             }
+            (Method::PUT, "/testkit/deafen") => {
+                let for_ms = query(uri, "for_ms").unwrap_or(0);
+                state.deaf_until = self.clock.now() + Millis(for_ms);
+                state.wake();
+                json_answer(200, &())
+            }
             _ => error_answer(400, "the store has no such test call"),
         }
     }
--- a/crates/chicoryrail-testkit/src/store/server.rs
+++ b/crates/chicoryrail-testkit/src/store/server.rs
@@ -41,6 +41,9 @@
 /// Longest wait of a watch.
 const WAIT_MOST: Millis = Millis(30_000);
 
+/// Time after the history was forgotten in which a watch hangs.
+const HANGS: Millis = Millis(200);
+
 /// The stand-in of the store; clones share the state.
 #[derive(Clone, Debug)]
 pub struct StoreServer {
@@ -210,7 +213,16 @@
         let ends = self.clock.now() + wait;
         self.state.borrow_mut().stats.watches += 1;
         let _waiting = Waiting::new(&self.state);
+        if self.hangs() {
+            let changed = self.state.borrow().changed.clone();
+            let _ = timeout(wait.duration(), changed.cancelled()).await;
+        }
         loop {
+            if let Some(left) = self.deaf_for() {
+                monoio::time::sleep(left.duration()).await;
+                self.state.borrow_mut().kv.compact();
+                return error_answer(503, "the history was forgotten");
+            }
             let changed = {
                 let state = self.state.borrow();
                 let Some(events) = state.kv.changed(&prefix, after) else {
@@ -231,6 +243,19 @@
         }
     }
 
+    /// Returns how much longer watches hear nothing of changes, before the history is forgotten and they are cut.
+    fn deaf_for(&self) -> Option<Millis> {
+        let left = self.state.borrow().deaf_until.since(self.clock.now());
+        (left > Millis::ZERO).then_some(left)
+    }
+
+    /// Tells whether a watch is sent in the moment after that, in which it hangs until the next change.
+    fn hangs(&self) -> bool {
+        let deaf = self.state.borrow().deaf_until;
+        let now = self.clock.now();
+        deaf > Millis::ZERO && now >= deaf && now.since(deaf) < HANGS
+    }
+
     fn open_lease(&self, body: &Bytes) -> Response<Body> {
         let WireTtl { ttl_ms } = match serde_json::from_slice(body) {
             Ok(asked) => asked,
--- a/crates/chicoryrail-testkit/src/store/state.rs
+++ b/crates/chicoryrail-testkit/src/store/state.rs
@@ -1,5 +1,6 @@
 //! What the store's tasks share, with its settings and counts.
 
+use chicoryrail_core::Millis;
 use chicoryrail_runtime::CancellationToken;
 use serde::Deserialize;
 use serde::Serialize;
@@ -53,6 +54,8 @@
     pub(crate) reads: Rate,
     /// Cancelled at each change, then replaced; watches wait on it.
     pub(crate) changed: CancellationToken,
+    /// Until when watches hear nothing; then the history is forgotten and they are cut.
+    pub(crate) deaf_until: Millis,
 }
 
 impl State {
@@ -64,6 +67,7 @@
             writes: Rate::new(options.writes),
             reads: Rate::new(options.reads),
             changed: CancellationToken::new(),
+            deaf_until: Millis::ZERO,
         }
     }
 
