--- a/crates/chicoryrail-ownership/src/keys/draft.rs
+++ b/crates/chicoryrail-ownership/src/keys/assignment.rs
@@ -7,8 +7,8 @@
 use crate::keys::Holder;
 use crate::keys::KeyRange;
 use crate::keys::OwnedRange;
-use crate::keys::line::Line;
-use crate::keys::line::OVERSHOOT;
+use crate::keys::load_curve::LoadCurve;
+use crate::keys::load_curve::OVERSHOOT;
 
 /// Load over the fair share down to which a server is relieved, and up to which another takes more. Below the load
 /// at which a server counts as overloaded, or the next few requests would make it overloaded again.
@@ -24,7 +24,7 @@
 const MOVES_EACH: f64 = 0.5;
 
 /// How much busier than the mean key those must be that are moved for relief: colder ones would be most of all
-/// keys, for little relief. At 0.25 a server with half of its load in a tenth of its keys can still be freed.
+/// keys, for little relief.
 const LEAST_DENSITY: f64 = 0.25;
 
 /// Servers that the keys of a lost one go to, at least where it held a fair share.
@@ -34,8 +34,8 @@
 /// renewal every 600 ms.
 const RANGES: f64 = 1.6;
 
-/// Most ranges a server, on average; at it no more moves for relief are planned until some are merged. 165 servers
-/// then have 660, which take 9 KB in a datagram.
+/// Most ranges a server, on average; at it no more moves for relief are planned until some are merged. Each is in the
+/// heartbeat of the leader, which must fit into a datagram.
 const MOST_RANGES: usize = 4;
 
 /// Part of a fair share up to which a range counts as cold.
@@ -46,9 +46,9 @@
 
 /// An assignment of keys while it is planned.
 #[derive(Debug)]
-pub(crate) struct Draft<'a> {
+pub(crate) struct Assignment<'a> {
     holders: &'a [Holder],
-    line: &'a Line,
+    line: &'a LoadCurve,
     /// Fair load for a weight of 1.
     unit: f64,
     /// Ranges in the order of their keys, with their holder's number; `None` for keys of a server that is gone.
@@ -57,12 +57,12 @@
     loads: Vec<f64>,
 }
 
-impl<'a> Draft<'a> {
+impl<'a> Assignment<'a> {
     /// Begins with what is assigned; keys of servers that are no holders, and of none, are free.
     pub(crate) fn new(
         spans: &[OwnedRange],
         holders: &'a [Holder],
-        line: &'a Line,
+        line: &'a LoadCurve,
         unit: f64,
     ) -> Self {
         let numbers: BTreeMap<&Life, usize> = holders.iter().map(|h| &h.life).zip(0..).collect();
--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -1,12 +1,12 @@
-//! What a keeper wants done next.
+//! What a leases wants done next.
 
 use std::collections::BTreeMap;
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 
-use crate::keys::Duty;
-use crate::keys::Keeper;
+use crate::keys::KeyAction;
+use crate::keys::KeyLeases;
 use crate::keys::KeyRange;
 use crate::keys::claim::Live;
 use crate::keys::server_state::ServerState;
@@ -17,9 +17,9 @@
 /// Releases that are under way at one server at a time; each has a connection of its own.
 const RELEASES: usize = 4;
 
-impl Keeper {
+impl KeyLeases {
     /// Returns what is due now.
-    pub fn due(&mut self, now: Millis) -> Vec<Duty> {
+    pub fn due(&mut self, now: Millis) -> Vec<KeyAction> {
         if self.deposed {
             return Vec::new();
         }
@@ -28,7 +28,7 @@
             // What is held is renewed meanwhile; nothing new is granted under a table that is about to
             // change. The write comes last: what is renewed now must be reckoned with when it is done.
             let mut duties = self.grants(now, false);
-            duties.push(Duty::Commit(next.clone()));
+            duties.push(KeyAction::Commit(next.clone()));
             return duties;
         }
         let mut duties = self.grants(now, true);
@@ -55,7 +55,7 @@
     }
 
     /// Returns the grants that are due, at most one for each server; without `fresh` only renewals.
-    fn grants(&self, now: Millis, fresh: bool) -> Vec<Duty> {
+    fn grants(&self, now: Millis, fresh: bool) -> Vec<KeyAction> {
         let servers = self.servers.iter();
         let grants = servers.filter_map(|(life, state)| self.grant(now, life, state, fresh));
         grants.collect()
@@ -63,14 +63,20 @@
 
     /// Returns the next grant for a server: first what it holds and must renew, then what it is to hold
     /// and nobody else may hold any more.
-    fn grant(&self, now: Millis, life: &Life, state: &ServerState, fresh: bool) -> Option<Duty> {
+    fn grant(
+        &self,
+        now: Millis,
+        life: &Life,
+        state: &ServerState,
+        fresh: bool,
+    ) -> Option<KeyAction> {
         if state.granting.is_some() || !state.is_there() || now < state.retry {
             return None;
         }
         let renewed = renewal(now, &state.live).map(|span| (span, None));
         let (span, handover) =
             renewed.or_else(|| fresh.then(|| self.fresh(life, state)).flatten())?;
-        Some(Duty::Grant {
+        Some(KeyAction::Grant {
             life: life.clone(),
             addr: state.addr,
             span,
@@ -95,8 +101,8 @@
 
     /// Returns the releases that are due. They go out side by side, and beside the renewals of what their server
     /// keeps: each is answered when the work on its keys has ended, which may take most of a second.
-    fn releases(&self, now: Millis) -> Vec<Duty> {
-        let mut duties: Vec<Duty> = Vec::new();
+    fn releases(&self, now: Millis) -> Vec<KeyAction> {
+        let mut duties: Vec<KeyAction> = Vec::new();
         let mut asked: BTreeMap<&Life, usize> = BTreeMap::new();
         for claim in &self.claims {
             let (life, span) = (&claim.owned.owner, claim.owned.span);
@@ -108,7 +114,7 @@
             let asked = asked.entry(life).or_insert(state.releasing.len());
             if free && *asked < RELEASES && state.is_there() && now >= claim.retry {
                 *asked += 1;
-                duties.push(Duty::Release {
+                duties.push(KeyAction::Release {
                     life: life.clone(),
                     addr: state.addr,
                     span,
@@ -121,7 +127,7 @@
 
     /// Returns the probes of lost servers that are due: a release of everything, which is never refused and
     /// takes nothing from one that holds nothing.
-    fn probes(&self, now: Millis) -> Vec<Duty> {
+    fn probes(&self, now: Millis) -> Vec<KeyAction> {
         let named = self.named();
         let lost = self.servers.iter().filter(|(life, s)| {
             let there = now.since(s.seen) <= SEEN_LATELY && s.addr.port() != 0;
@@ -129,7 +135,7 @@
             there && idle && !s.ended && now >= s.retry && self.is_lost(now, life)
         });
         let lost = lost.filter(|(life, _)| !named.contains(life));
-        let probe = |(life, state): (&Life, &ServerState)| Duty::Release {
+        let probe = |(life, state): (&Life, &ServerState)| KeyAction::Release {
             life: life.clone(),
             addr: state.addr,
             span: KeyRange::ALL,
--- a/crates/chicoryrail-ownership/src/keys/duty.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_action.rs
@@ -1,4 +1,4 @@
-//! What a keeper wants done, and how it ended.
+//! What a leases wants done, and how it ended.
 
 use std::net::SocketAddr;
 
@@ -9,7 +9,7 @@
 
 /// Something that the leader has to do for a service's keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Duty {
+pub enum KeyAction {
     /// Grant keys, or renew them.
     Grant {
         /// Server.
--- a/crates/chicoryrail-ownership/src/keys/keeper.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -1,4 +1,4 @@
-//! The leader's keeping of one service's keys.
+//! The leader's leases of one service's keys.
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -30,7 +30,7 @@
 /// grants it again, so that an older leader's renewals are refused; for a server that it can't reach it
 /// waits as long as the older leader may have gone on.
 #[derive(Debug)]
-pub struct Keeper {
+pub struct KeyLeases {
     pub(super) timing: KeyTiming,
     pub(super) record: KeyRecord,
     pub(super) servers: BTreeMap<Life, ServerState>,
@@ -44,7 +44,7 @@
     hold: Millis,
 }
 
-impl Keeper {
+impl KeyLeases {
     /// Takes over from the record that lies in the store, at `now`.
     ///
     /// The first duty is to write it again under a higher fence. Whoever is named in it may hold its keys
--- a/crates/chicoryrail-ownership/src/keys/key_view.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_view.rs
@@ -30,7 +30,7 @@
     record: KeyRecord,
     before: KeyRecord,
     changed: Millis,
-    /// Fence for which the leader's word is known.
+    /// Fence for which the leader's update is known.
     told: u64,
     blocked: Vec<KeyRange>,
 }
--- a/crates/chicoryrail-ownership/src/keys/line.rs
+++ b/crates/chicoryrail-ownership/src/keys/load_curve.rs
@@ -24,12 +24,12 @@
 
 /// The load along the key space, summed up, so that the load of any range is a difference.
 #[derive(Clone, Debug)]
-pub(crate) struct Line {
+pub(crate) struct LoadCurve {
     /// The load left of each key.
     sums: Vec<f64>,
 }
 
-impl Line {
+impl LoadCurve {
     /// Returns the line in which no key has more load than a server bears, and the fair load for a
     /// weight of 1.
     pub(crate) fn fair(weights: &[f64], load: &KeyLoad, window: Window) -> (Self, f64) {
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -9,8 +9,8 @@
 use crate::keys::KeyRecord;
 use crate::keys::OwnedRange;
 use crate::keys::Window;
-use crate::keys::draft::Draft;
-use crate::keys::line::Line;
+use crate::keys::assignment::Assignment;
+use crate::keys::load_curve::LoadCurve;
 
 /// Part of the whole load that a new cut must bring below the servers' fair shares to be worth the moves. Below it,
 /// moves follow chance.
@@ -80,8 +80,8 @@
         }
         let window = if urgent { Window::Short } else { Window::Long };
         let weights: Vec<f64> = holders.iter().map(|h| h.weight).collect();
-        let (line, unit) = Line::fair(&weights, load, window);
-        let mut draft = Draft::new(&record.spans, holders, &line, unit);
+        let (line, unit) = LoadCurve::fair(&weights, load, window);
+        let mut draft = Assignment::new(&record.spans, holders, &line, unit);
         if !draft.is_held() {
             return Self::Change(recut(holders, load));
         }
@@ -123,7 +123,7 @@
 #[must_use]
 pub fn recut(holders: &[Holder], load: &KeyLoad) -> Vec<OwnedRange> {
     let weights: Vec<f64> = holders.iter().map(|h| h.weight).collect();
-    let (line, unit) = Line::fair(&weights, load, Window::Long);
+    let (line, unit) = LoadCurve::fair(&weights, load, Window::Long);
     let mut rest = KeyRange::ALL;
     let mut spans = Vec::with_capacity(holders.len());
     for (i, holder) in holders.iter().enumerate() {
--- a/crates/chicoryrail-ownership/src/keys/timing.rs
+++ b/crates/chicoryrail-ownership/src/keys/timing.rs
@@ -1,13 +1,13 @@
-//! Lengths of time in the keeping of keys.
+//! Lengths of time in the leases of keys.
 
 use chicoryrail_core::Millis;
 
-/// Lengths of time in the keeping of keys.
+/// Lengths of time in the leases of keys.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeyTiming {
     /// How long a grant lasts from its arrival at the server.
     ///
-    /// A server lost without a word leaves its keys unserved for the rest of it; a lost leader must be
+    /// A server lost without notice leaves its keys unserved for the rest of it; a lost leader must be
     /// replaced within it.
     pub hold: Millis,
     /// The same while every host says that the store is away: nobody can replace a leader that is lost then,
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -12,7 +12,7 @@
 //! assert_eq!(KeyRange::ALL.without(low), [KeyRange { first: 100, last: 65_535 }]);
 //! ```
 //!
-//! Go on with [`keys::Keeper`] for what a leader does about keys, [`keys::KeyRecord`] for what the store
+//! Go on with [`keys::KeyLeases`] for what a leader does about keys, [`keys::KeyRecord`] for what the store
 //! keeps of them, and [`Peers`] for the other hosts.
 
 mod core_host;
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -17,21 +17,21 @@
 /// so a host that starts before it knows the others does not take their parts too.
 const FEWEST: usize = 8;
 
-/// Age of a host's last word up to which it counts: three of the words that hosts send.
+/// Age of a host's last heartbeat up to which it counts: three of them.
 const LATELY: Millis = Millis(1_300);
 
 /// Time for which a host that was heard of by its own heartbeat counts, though the store does not list it yet.
 const UNLISTED: Millis = Millis(3_000);
 
-/// Age of a host's last word up to which what it says of its reach and power counts: one word and a half.
+/// Age of a host's last heartbeat up to which what it says of its reach and power counts: one and a half of them.
 const FRESH: Millis = Millis(600);
 
-/// How many times as strong another host must be to lead in this one's place. The scheduler takes 0.06 ms of a core
-/// for each request of an installation, and a change of leaders is felt by those that wait there.
+/// How many times as strong another host must be to lead in this one's place: each change of leaders holds changes of
+/// keys up for a moment.
 const MUCH_STRONGER: u32 = 2;
 
-/// Age of a host's last word up to which it schedules: two words and a half. A host that is lost is found
-/// silent by those that ask it within 50 ms, so this is only for those that nobody asks.
+/// Age of a host's last heartbeat up to which it schedules: two and a half of them. A lost host is found silent much
+/// sooner by those that ask it, so this is only for those that nobody asks.
 const SCHEDULES: Millis = Millis(1_000);
 
 /// What a host says of itself.
@@ -167,8 +167,7 @@
     /// Draws the host that schedules the requests for what `name` names, where this host is `own`. Where `dc` has
     /// strong hosts, one of them is drawn: it is lost only with what it schedules for, and reached wherever that is.
     ///
-    /// Load: thousands of requests a second, of which each asks for a server. At one host alone they cost it
-    /// 0.32 of a core at 2,300 requests a second while the others used 0.02, and nine of ten came too late.
+    /// Load: thousands of requests a second, of which each asks for a server; one host alone would be late for all.
     /// Drawn by weighted rendezvous, each host has a part by its strength, and a host that comes or goes moves
     /// only its own part. Hosts agree as far as they hear the same others; where they don't, a server has two
     /// schedulers for as long, and its own queue takes what is too much.
@@ -181,7 +180,7 @@
         name: &impl Hash,
     ) -> SchedulerHost {
         let (own_name, own_said) = own;
-        let others = self.at_work(now).map(|(host, p)| {
+        let others = self.schedulers(now).map(|(host, p)| {
             let scheduler = SchedulerHost::At(p.addr);
             (host, &p.said, scheduler)
         });
@@ -199,21 +198,21 @@
 
     /// Returns a mark of the hosts that schedule, which changes when one comes, goes or changes its strength.
     #[must_use]
-    pub fn at_work_mark(&self, now: Millis) -> u64 {
+    pub fn schedulers_mark(&self, now: Millis) -> u64 {
         let mut hasher = SipHasher13::new();
-        for (host, peer) in self.at_work(now) {
+        for (host, peer) in self.schedulers(now) {
             (host, peer.said.power).hash(&mut hasher);
         }
         hasher.finish()
     }
 
     /// Iterates over the other hosts that schedule.
-    pub(crate) fn at_work(&self, now: Millis) -> impl Iterator<Item = (&HostName, &Peer)> {
+    pub(crate) fn schedulers(&self, now: Millis) -> impl Iterator<Item = (&HostName, &Peer)> {
         let hosts = self.hosts.iter();
         hosts.filter(move |(_, p)| p.said.schedules && p.is_heard(now, SCHEDULES))
     }
 
-    /// Takes in that a host did not answer: it counts as not heard until its next word.
+    /// Takes in that a host did not answer: it counts as not heard until its next heartbeat.
     pub fn silent(&mut self, addr: SocketAddr) {
         for peer in self.hosts.values_mut().filter(|p| p.addr == addr) {
             peer.heard = None;
@@ -271,7 +270,7 @@
         self.hosts.values().all(lost)
     }
 
-    /// Takes in a word of the leader itself.
+    /// Takes in a heartbeat of the leader itself.
     pub fn heard_leader(&mut self, now: Millis) {
         self.leader_heard = self.leader_heard.max(Some(now));
     }
--- a/crates/chicoryrail-ownership/src/reach.rs
+++ b/crates/chicoryrail-ownership/src/reach.rs
@@ -13,7 +13,7 @@
 const LATELY: Millis = Millis(600);
 
 /// Time for which all servers of a data centre must have been silent to the leader. It is longer than the last
-/// word of another host may speak of answers from before a loss (600 ms, and 400 ms until its next word), so a
+/// heartbeat of another host may speak of answers from before a loss (600 ms, and 400 ms until its next one), so a
 /// data centre that is gone is not taken for one that only this host can't reach.
 const SILENT: Millis = Millis(1_000);
 
@@ -50,8 +50,7 @@
     ///
     /// `servers` are those with keys, each with its data centre and how long it has been silent. Packets may
     /// pass one way only between two data centres. A leader in one of them takes the other's servers for lost
-    /// and gives their keys away, although callers elsewhere reach them: a third of the servers in two
-    /// installations, and 12 to 16 % of all requests refused for it.
+    /// and gives their keys away, although callers elsewhere reach them.
     #[must_use]
     pub fn out_of_reach<'a>(
         &self,
--- a/crates/chicoryrail-ownership/src/watchers.rs
+++ b/crates/chicoryrail-ownership/src/watchers.rs
@@ -44,7 +44,7 @@
     #[must_use]
     pub fn should_watch(&self, now: Millis, own: (&HostName, &HostState)) -> bool {
         let (name, said) = own;
-        let others = self.at_work(now).map(|(name, peer)| Candidate {
+        let others = self.schedulers(now).map(|(name, peer)| Candidate {
             name,
             said: &peer.said,
         });
@@ -64,7 +64,7 @@
     /// centre where there is one.
     #[must_use]
     pub fn watcher_for(&self, now: Millis, name: &HostName, dc: &DcName) -> Option<SocketAddr> {
-        let watchers = self.at_work(now);
+        let watchers = self.schedulers(now);
         self.draw_relay(now, name, dc, watchers.filter(|(_, p)| p.said.watches))
     }
 
@@ -72,7 +72,7 @@
     /// was.
     #[must_use]
     pub fn core_for(&self, now: Millis, name: &HostName, dc: &DcName) -> Option<SocketAddr> {
-        let heard = self.draw_relay(now, name, dc, self.at_work(now));
+        let heard = self.draw_relay(now, name, dc, self.schedulers(now));
         heard.or_else(|| self.draw_relay(now, name, dc, self.hosts.iter()))
     }
 
--- a/crates/chicoryrail-ownership/tests/key_keeper.rs
+++ b/crates/chicoryrail-ownership/tests/key_leases.rs
@@ -3,9 +3,9 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
-use chicoryrail_ownership::keys::Duty;
 use chicoryrail_ownership::keys::GrantEnd;
-use chicoryrail_ownership::keys::Keeper;
+use chicoryrail_ownership::keys::KeyAction;
+use chicoryrail_ownership::keys::KeyLeases;
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::KeyTiming;
@@ -20,48 +20,48 @@
     KeyRange { first, last }
 }
 
-/// Returns a keeper in which `a` holds all keys and half of them are about to go to `b`.
-fn half_to_b() -> Keeper {
-    let mut keeper = Keeper::take_over(
+/// Returns a leases in which `a` holds all keys and half of them are about to go to `b`.
+fn half_to_b() -> KeyLeases {
+    let mut leases = KeyLeases::take_over(
         KeyRecord::default(),
         KeyTiming::default(),
         Millis(0),
         1,
         false,
     );
-    keeper.committed(Millis(0));
+    leases.committed(Millis(0));
     for name in ["a", "b"] {
-        keeper.server_at(Millis(0), &life(name), ([127, 0, 0, 1], 80).into());
+        leases.server_at(Millis(0), &life(name), ([127, 0, 0, 1], 80).into());
     }
-    keeper.change(vec![OwnedRange::new(KeyRange::ALL, life("a"))], 2);
-    keeper.committed(Millis(0));
-    held(&mut keeper, Millis(1), "a", KeyRange::ALL);
+    leases.change(vec![OwnedRange::new(KeyRange::ALL, life("a"))], 2);
+    leases.committed(Millis(0));
+    held(&mut leases, Millis(1), "a", KeyRange::ALL);
     let spans = vec![
         OwnedRange::new(span(0, 29_999), life("a")),
         OwnedRange::new(span(30_000, 65_535), life("b")),
     ];
-    keeper.change(spans, 3);
-    keeper.committed(Millis(10));
-    keeper
+    leases.change(spans, 3);
+    leases.committed(Millis(10));
+    leases
 }
 
-fn held(keeper: &mut Keeper, now: Millis, name: &str, span: KeyRange) {
-    let fence = keeper.record().fence;
-    keeper.granting(now, &life(name), span);
-    keeper.granted(now, &life(name), span, fence, GrantEnd::Held);
+fn held(leases: &mut KeyLeases, now: Millis, name: &str, span: KeyRange) {
+    let fence = leases.record().fence;
+    leases.granting(now, &life(name), span);
+    leases.granted(now, &life(name), span, fence, GrantEnd::Held);
 }
 
-fn grants(duties: &[Duty], name: &str) -> Vec<KeyRange> {
-    let of = |d: &Duty| match d {
-        Duty::Grant { life: l, span, .. } if *l == life(name) => Some(*span),
+fn grants(duties: &[KeyAction], name: &str) -> Vec<KeyRange> {
+    let of = |d: &KeyAction| match d {
+        KeyAction::Grant { life: l, span, .. } if *l == life(name) => Some(*span),
         _ => None,
     };
     duties.iter().filter_map(of).collect()
 }
 
-fn releases(duties: &[Duty]) -> Vec<KeyRange> {
-    let of = |d: &Duty| match d {
-        Duty::Release { span, .. } => Some(*span),
+fn releases(duties: &[KeyAction]) -> Vec<KeyRange> {
+    let of = |d: &KeyAction| match d {
+        KeyAction::Release { span, .. } => Some(*span),
         _ => None,
     };
     duties.iter().filter_map(of).collect()
@@ -71,22 +71,22 @@
 /// other server get its part, with the token.
 #[test]
 fn a_move_releases_then_grants() {
-    let mut keeper = half_to_b();
-    let first = keeper.due(Millis(10));
+    let mut leases = half_to_b();
+    let first = leases.due(Millis(10));
     assert_eq!(releases(&first), [span(30_000, 65_535)]);
     assert!(grants(&first, "b").is_empty());
-    assert_eq!(keeper.blocked(), [span(30_000, 65_535)]);
-    keeper.releasing(&life("a"), span(30_000, 65_535));
-    let second = keeper.due(Millis(20));
+    assert_eq!(leases.blocked(), [span(30_000, 65_535)]);
+    leases.releasing(&life("a"), span(30_000, 65_535));
+    let second = leases.due(Millis(20));
     assert!(grants(&second, "b").is_empty() && releases(&second).is_empty());
     let free = ReleaseEnd::Free(Some("token".to_owned()));
-    keeper.released(Millis(30), &life("a"), span(30_000, 65_535), free);
-    let third = keeper.due(Millis(30));
+    leases.released(Millis(30), &life("a"), span(30_000, 65_535), free);
+    let third = leases.due(Millis(30));
     assert_eq!(grants(&third, "b"), [span(30_000, 65_535)]);
     let token = third.iter().any(|d| {
         matches!(
             d,
-            Duty::Grant {
+            KeyAction::Grant {
                 handover: Some(_),
                 ..
             }
@@ -99,46 +99,46 @@
 /// meanwhile: it is renewed in its time beside the release.
 #[test]
 fn a_release_under_way_does_not_delay_renewals() {
-    let mut keeper = half_to_b();
-    assert_eq!(releases(&keeper.due(Millis(10))).len(), 1);
-    keeper.releasing(&life("a"), span(30_000, 65_535));
-    assert!(grants(&keeper.due(Millis(500)), "a").is_empty());
-    assert_eq!(grants(&keeper.due(Millis(610)), "a"), [span(0, 29_999)]);
-    held(&mut keeper, Millis(620), "a", span(0, 29_999));
-    assert!(releases(&keeper.due(Millis(620))).is_empty());
+    let mut leases = half_to_b();
+    assert_eq!(releases(&leases.due(Millis(10))).len(), 1);
+    leases.releasing(&life("a"), span(30_000, 65_535));
+    assert!(grants(&leases.due(Millis(500)), "a").is_empty());
+    assert_eq!(grants(&leases.due(Millis(610)), "a"), [span(0, 29_999)]);
+    held(&mut leases, Millis(620), "a", span(0, 29_999));
+    assert!(releases(&leases.due(Millis(620))).is_empty());
 }
 
 /// A renewal of all that a server holds is under way when half of it is to move. The release waits for the renewal's
 /// end: on a connection of its own it could overtake it, and the server would take the keys back.
 #[test]
 fn no_release_overtakes_a_renewal() {
-    let mut keeper = half_to_b();
-    keeper.granting(Millis(10), &life("a"), KeyRange::ALL);
-    assert!(releases(&keeper.due(Millis(10))).is_empty());
-    let fence = keeper.record().fence - 1;
-    keeper.granted(Millis(20), &life("a"), KeyRange::ALL, fence, GrantEnd::Held);
-    assert_eq!(releases(&keeper.due(Millis(20))).len(), 1);
+    let mut leases = half_to_b();
+    leases.granting(Millis(10), &life("a"), KeyRange::ALL);
+    assert!(releases(&leases.due(Millis(10))).is_empty());
+    let fence = leases.record().fence - 1;
+    leases.granted(Millis(20), &life("a"), KeyRange::ALL, fence, GrantEnd::Held);
+    assert_eq!(releases(&leases.due(Millis(20))).len(), 1);
 }
 
 /// Keys are on their way from `a` to `b` when they are planned to stay with `a` after all. They are not granted to `a`
 /// again before the release is answered: it could arrive after the grant, and take them away.
 #[test]
 fn no_grant_overtakes_a_release() {
-    let mut keeper = half_to_b();
-    keeper.releasing(&life("a"), span(30_000, 65_535));
-    keeper.change(vec![OwnedRange::new(KeyRange::ALL, life("a"))], 4);
-    keeper.committed(Millis(20));
-    assert!(grants(&keeper.due(Millis(20)), "a").is_empty());
+    let mut leases = half_to_b();
+    leases.releasing(&life("a"), span(30_000, 65_535));
+    leases.change(vec![OwnedRange::new(KeyRange::ALL, life("a"))], 4);
+    leases.committed(Millis(20));
+    assert!(grants(&leases.due(Millis(20)), "a").is_empty());
     let free = ReleaseEnd::Free(None);
-    keeper.released(Millis(30), &life("a"), span(30_000, 65_535), free);
-    assert_eq!(grants(&keeper.due(Millis(30)), "a"), [span(30_000, 65_535)]);
+    leases.released(Millis(30), &life("a"), span(30_000, 65_535), free);
+    assert_eq!(grants(&leases.due(Millis(30)), "a"), [span(30_000, 65_535)]);
 }
 
 /// A server holds two ranges far apart. Both are renewed, one call after the other; a part of one moves, and the rest
 /// of it and the other range stay.
 #[test]
 fn a_server_keeps_its_other_ranges() {
-    let mut keeper = half_to_b();
+    let mut leases = half_to_b();
     let spans = |cut| {
         vec![
             OwnedRange::new(span(0, 9_999), life("a")),
@@ -147,24 +147,24 @@
             OwnedRange::new(span(cut + 1, 65_535), life("b")),
         ]
     };
-    keeper.change(spans(49_999), 4);
-    keeper.committed(Millis(20));
+    leases.change(spans(49_999), 4);
+    leases.committed(Millis(20));
     // What stays with `a` is held on; what it is to get is still loose with nobody but itself.
-    let named = keeper.record().spans.iter().any(|s| s.owner == life("a"));
+    let named = leases.record().spans.iter().any(|s| s.owner == life("a"));
     assert!(named);
-    held(&mut keeper, Millis(30), "a", span(0, 9_999));
-    held(&mut keeper, Millis(31), "a", span(40_000, 49_999));
-    let due = keeper.due(Millis(640));
+    held(&mut leases, Millis(30), "a", span(0, 9_999));
+    held(&mut leases, Millis(31), "a", span(40_000, 49_999));
+    let due = leases.due(Millis(640));
     assert_eq!(grants(&due, "a"), [span(0, 9_999)]);
-    held(&mut keeper, Millis(641), "a", span(0, 9_999));
+    held(&mut leases, Millis(641), "a", span(0, 9_999));
     assert_eq!(
-        grants(&keeper.due(Millis(641)), "a"),
+        grants(&leases.due(Millis(641)), "a"),
         [span(40_000, 49_999)]
     );
-    held(&mut keeper, Millis(642), "a", span(40_000, 49_999));
-    keeper.change(spans(44_999), 5);
-    keeper.committed(Millis(650));
-    let blocked = keeper.blocked();
+    held(&mut leases, Millis(642), "a", span(40_000, 49_999));
+    leases.change(spans(44_999), 5);
+    leases.committed(Millis(650));
+    let blocked = leases.blocked();
     assert!(blocked.iter().all(|s| !s.has(44_999) && !s.has(5_000)));
     assert!(blocked.iter().any(|s| s.has(45_000)));
 }
@@ -173,19 +173,19 @@
 /// not before.
 #[test]
 fn an_unreachable_holder_is_waited_out() {
-    let mut keeper = half_to_b();
+    let mut leases = half_to_b();
     for now in (30..2_530).step_by(100) {
-        keeper.releasing(&life("a"), span(30_000, 65_535));
-        keeper.released(
+        leases.releasing(&life("a"), span(30_000, 65_535));
+        leases.released(
             Millis(now),
             &life("a"),
             span(30_000, 65_535),
             ReleaseEnd::Silent,
         );
-        assert!(grants(&keeper.due(Millis(now)), "b").is_empty(), "at {now}");
+        assert!(grants(&leases.due(Millis(now)), "b").is_empty(), "at {now}");
     }
     assert_eq!(
-        grants(&keeper.due(Millis(2_600)), "b"),
+        grants(&leases.due(Millis(2_600)), "b"),
         [span(30_000, 65_535)]
     );
 }
@@ -195,17 +195,17 @@
 /// to `b` and does not wait for `a` once more.
 #[test]
 fn a_tidy_record_names_nobody_to_wait_for() {
-    let mut keeper = half_to_b();
-    keeper.releasing(&life("a"), span(30_000, 65_535));
+    let mut leases = half_to_b();
+    leases.releasing(&life("a"), span(30_000, 65_535));
     let free = ReleaseEnd::Free(None);
-    keeper.released(Millis(30), &life("a"), span(30_000, 65_535), free);
-    assert!(keeper.is_untidy());
-    let spans = keeper.record().spans.clone();
-    keeper.change(spans, 5);
-    keeper.committed(Millis(40));
-    assert!(!keeper.is_untidy());
-    let record = keeper.record().clone();
-    let mut next = Keeper::take_over(record, KeyTiming::default(), Millis(0), 6, true);
+    leases.released(Millis(30), &life("a"), span(30_000, 65_535), free);
+    assert!(leases.is_untidy());
+    let spans = leases.record().spans.clone();
+    leases.change(spans, 5);
+    leases.committed(Millis(40));
+    assert!(!leases.is_untidy());
+    let record = leases.record().clone();
+    let mut next = KeyLeases::take_over(record, KeyTiming::default(), Millis(0), 6, true);
     for name in ["a", "b"] {
         next.server_at(Millis(0), &life(name), ([127, 0, 0, 1], 80).into());
     }
--- a/crates/chicoryrail-ownership/tests/model_keys/calls.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/calls.rs
@@ -93,7 +93,7 @@
         let now = Millis(self.now);
         let up = self.servers.iter().any(|s| s.life == call.life && s.up);
         let answered = call.answered && up;
-        let keeper = &mut self.leaders[call.leader].keeper;
+        let leases = &mut self.leaders[call.leader].leases;
         match call.what {
             What::Grant { span, fence, .. } => {
                 let end = match (answered, call.refused) {
@@ -101,7 +101,7 @@
                     (true, true) => GrantEnd::FenceOld,
                     (true, false) => GrantEnd::Held,
                 };
-                keeper.granted(now, &call.life, span, fence, end);
+                leases.granted(now, &call.life, span, fence, end);
             }
             What::Release { span, .. } => {
                 let end = if answered {
@@ -109,7 +109,7 @@
                 } else {
                     ReleaseEnd::Silent
                 };
-                keeper.released(now, &call.life, span, end);
+                leases.released(now, &call.life, span, end);
             }
         }
     }
--- a/crates/chicoryrail-ownership/tests/model_keys/leading.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/leading.rs
@@ -1,8 +1,8 @@
 //! What leaders do in a step.
 
 use chicoryrail_core::Millis;
-use chicoryrail_ownership::keys::Duty;
 use chicoryrail_ownership::keys::Holder;
+use chicoryrail_ownership::keys::KeyAction;
 use chicoryrail_ownership::keys::KeyLoad;
 use chicoryrail_ownership::keys::Moves;
 use chicoryrail_ownership::keys::Plan;
@@ -18,26 +18,26 @@
         for i in 0..self.leaders.len() {
             let leader = &self.leaders[i];
             let acts = self.now <= leader.until && self.now >= leader.frozen;
-            if !acts || leader.keeper.is_deposed() {
+            if !acts || leader.leases.is_deposed() {
                 continue;
             }
             let registered = self.servers.iter().filter(|s| s.up);
             let registered: Vec<_> = registered.map(|s| (s.life.clone(), s.leaving)).collect();
             let leader = &mut self.leaders[i];
-            leader.keeper.store_away(self.away);
-            let named = leader.keeper.named();
+            leader.leases.store_away(self.away);
+            let named = leader.leases.named();
             for (life, _) in &registered {
                 leader
-                    .keeper
+                    .leases
                     .server_at(now, life, ([127, 0, 0, 1], 80).into());
                 for old in named.iter().filter(|old| life.succeeds(old)) {
-                    leader.keeper.ended(old);
+                    leader.leases.ended(old);
                 }
             }
-            if !leader.keeper.is_writing() {
+            if !leader.leases.is_writing() {
                 let open = registered
                     .iter()
-                    .filter(|(l, leaving)| !*leaving && !leader.keeper.is_lost(now, l));
+                    .filter(|(l, leaving)| !*leaving && !leader.leases.is_lost(now, l));
                 let mut holders: Vec<_> = open
                     .map(|(life, _)| Holder {
                         life: life.clone(),
@@ -45,7 +45,7 @@
                     })
                     .collect();
                 holders.sort_by(|a, b| a.life.cmp(&b.life));
-                let calm = !leader.keeper.is_changing();
+                let calm = !leader.leases.is_changing();
                 let balance = calm && disturbed(self.now) && self.rng.random_bool(0.01);
                 let mut load = KeyLoad::default();
                 if balance {
@@ -57,22 +57,22 @@
                     (true, false) => Moves::Balance,
                     (false, _) => Moves::Needed,
                 };
-                let plan = Plan::of(leader.keeper.record(), &holders, &load, moves);
+                let plan = Plan::of(leader.leases.record(), &holders, &load, moves);
                 if let Plan::Change(spans) = plan {
-                    leader.keeper.change(spans, self.rng.random());
+                    leader.leases.change(spans, self.rng.random());
                 }
             }
-            let duties = leader.keeper.due(now);
+            let duties = leader.leases.due(now);
             for duty in duties {
                 self.perform(i, duty);
             }
         }
     }
 
-    pub(crate) fn perform(&mut self, leader: usize, duty: Duty) {
+    pub(crate) fn perform(&mut self, leader: usize, duty: KeyAction) {
         let now = Millis(self.now);
         match duty {
-            Duty::Commit(record) => {
+            KeyAction::Commit(record) => {
                 // The store takes it only from the latest leader, and only over what that one has read.
                 let latest = leader + 1 == self.leaders.len();
                 let away = self.away || self.now < self.leaders[leader].turned_away;
@@ -80,15 +80,15 @@
                     self.record = record;
                     self.revision += 1;
                     self.leaders[leader].revision = self.revision;
-                    self.leaders[leader].keeper.committed(now);
+                    self.leaders[leader].leases.committed(now);
                 }
             }
-            Duty::Grant {
+            KeyAction::Grant {
                 life, span, fence, ..
             } => {
-                self.leaders[leader].keeper.granting(now, &life, span);
+                self.leaders[leader].leases.granting(now, &life, span);
                 let limit = self.granted.grant_limit.0;
-                let long = self.leaders[leader].keeper.hold() == self.reckoned.outage_hold;
+                let long = self.leaders[leader].leases.hold() == self.reckoned.outage_hold;
                 let granted = &self.granted;
                 let hold = if long {
                     granted.outage_hold
@@ -98,10 +98,10 @@
                 let what = What::Grant { span, fence, hold };
                 self.send(leader, life, what, limit);
             }
-            Duty::Release {
+            KeyAction::Release {
                 life, span, fence, ..
             } => {
-                self.leaders[leader].keeper.releasing(&life, span);
+                self.leaders[leader].leases.releasing(&life, span);
                 let limit = self.granted.release_limit.0;
                 self.send(leader, life, What::Release { span, fence }, limit);
             }
--- a/crates/chicoryrail-ownership/tests/model_keys/world.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/world.rs
@@ -3,7 +3,7 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
-use chicoryrail_ownership::keys::Keeper;
+use chicoryrail_ownership::keys::KeyLeases;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::KeyTiming;
 use rand::Rng;
@@ -20,7 +20,7 @@
 pub(crate) const LENGTH: u64 = 70_000;
 
 pub(crate) struct Leader {
-    pub(crate) keeper: Keeper,
+    pub(crate) leases: KeyLeases,
     /// Until when it acts; it has been replaced by then, or is the latest.
     pub(crate) until: u64,
     pub(crate) revision: u64,
@@ -98,9 +98,9 @@
         let attempt = self.rng.random();
         let now = Millis(self.now);
         let away = self.now < self.away_until;
-        let keeper = Keeper::take_over(self.record.clone(), self.reckoned, now, attempt, away);
+        let leases = KeyLeases::take_over(self.record.clone(), self.reckoned, now, attempt, away);
         self.leaders.push(Leader {
-            keeper,
+            leases,
             until: u64::MAX,
             revision: self.revision,
             frozen: 0,
--- a/crates/chicoryrail-policy/src/scheduler/load_view.rs
+++ b/crates/chicoryrail-policy/src/scheduler/load_view.rs
@@ -13,16 +13,14 @@
 /// Small against the differences between servers, so that it decides only between those alike.
 const FAR: f64 = 0.1;
 
-/// The same for a request whose answer is large: a download of 90 KB from another data centre costs the operator about
-/// a third of what the request is worth, so one waits for a near server for as long as the work takes, well
-/// within its aim.
+/// The same for a request whose answer is large: traffic between data centres is dear, so one waits for a near server
+/// for as long as the work takes, well within its aim.
 const FAR_LARGE: f64 = 1.0;
 
 /// All servers of a scheduler at one moment, worked out once for a whole queue.
 ///
-/// Each request of the queue is weighed against each server several times. Worked out each time, a word of a
-/// host took 1.1 ms of a core with 90 full servers and 75 requests waiting, and a leader that got 2,000 words
-/// a second for them was late for every request and lost its lease.
+/// Each request of the queue is weighed against each server several times. Worked out each time, a host would be late
+/// for every request as soon as many wait for many full servers.
 pub(crate) struct LoadView {
     now: Millis,
     /// The servers that take work, by id.
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -14,8 +14,7 @@
 use crate::scheduler::server_slots::ServerSlots;
 
 /// Part of a caller's time for which a request may wait at the most: it must have time left to come back
-/// and be served elsewhere, should it be refused after all. At 0.85 as much was served (mean worth 0.699 and
-/// 0.758 against 0.699 and 0.759), but callers were refused with nothing left.
+/// and be served elsewhere, should it be refused after all.
 const WAIT_PART: f64 = 0.6;
 
 /// Time for which requests must have waited at a place without a break before its queue counts as standing: a
@@ -66,7 +65,7 @@
 
     /// Takes in a request; [`Scheduler::poll`] says what becomes of it. One that asks again is the same one.
     ///
-    /// Returns the server that it was given before, where the word of it was lost.
+    /// Returns the server that it was given before, where the reply was lost.
     pub fn ask(&mut self, now: Millis, ask: SlotRequest) -> Option<ServerId> {
         let servers = self.servers.iter();
         let given = servers
@@ -235,9 +234,8 @@
         let Some(us) = view.answer_in(ask, waiting.place, ahead) else {
             return Err(millis(ask.work_us));
         };
-        // In a standing queue whoever can still meet its aim overtakes those that can't, so these wait in
-        // vain: with three times the load on one key nine of ten that were refused had waited for half of
-        // their time. They are told at once.
+        // In a standing queue whoever can still meet its aim overtakes those that can't, so these would wait in
+        // vain. They are refused at once.
         let in_aim = ask.aim.since(now).0 as f64 * 1_000.0;
         if us > in_aim && self.stands(now, waiting.place) {
             return Err(millis((us - in_aim).max(ask.work_us * 0.5)));
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -16,7 +16,7 @@
 /// Window of a cold server's bound, a little more than its second: requests are counted where they arrive.
 const COLD_WINDOW: Millis = Millis(1_120);
 
-/// Time after its deadline at which a request is taken for ended although nobody said so: the word of its
+/// Time after its deadline at which a request is taken for ended although nobody said so: the message of its
 /// end was lost, or its host was.
 const LOST_AFTER: Millis = Millis(300);
 
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/elect.rs
@@ -12,7 +12,7 @@
 use crate::control::follow::LIVE;
 use crate::control::follow::call;
 use crate::control::keep_keys;
-use crate::control::tenure::Tenure;
+use crate::control::leader_term::LeaderTerm;
 use crate::state::Router;
 
 /// Lease of the leader's key. A leader that is lost is replaced after it; shorter than the hold of keys
@@ -40,7 +40,7 @@
 const LOOK: Millis = Millis(100);
 
 /// Leads whenever nobody else does.
-pub(crate) async fn elect(router: Rc<Router>, tenure: Rc<Tenure>) {
+pub(crate) async fn elect(router: Rc<Router>, leadership: Rc<LeaderTerm>) {
     loop {
         router.process.clock.sleep(LOOK).await;
         if router.process.stop.is_cancelled() {
@@ -67,7 +67,7 @@
             continue;
         }
         match campaign(&router).await {
-            Ok(Some((term, lease, ttl))) => lead(&router, &tenure, term, lease, ttl).await,
+            Ok(Some((term, lease, ttl))) => lead(&router, &leadership, term, lease, ttl).await,
             Ok(None) => router.process.clock.sleep(LOOK).await,
             Err(e) => {
                 log::info!(error:% = e; "campaign_failed");
@@ -107,29 +107,35 @@
 }
 
 /// Leads until the lease is lost, another leader is heard of, or the process is to stop.
-async fn lead(router: &Rc<Router>, tenure: &Rc<Tenure>, term: u64, lease: u64, ttl: Millis) {
+async fn lead(
+    router: &Rc<Router>,
+    leadership: &Rc<LeaderTerm>,
+    term: u64,
+    lease: u64,
+    ttl: Millis,
+) {
     log::info!(term = term, lease = lease; "leader_won");
-    tenure.term.set(term);
-    tenure.ttl.set(ttl);
-    tenure.confirmed.set(router.now());
+    leadership.term.set(term);
+    leadership.ttl.set(ttl);
+    leadership.confirmed.set(router.now());
     router.leads.set(term);
     router.counters.leading.set(1);
     let host = router.boot().host.clone();
     router.peers.borrow_mut().term(term, Some(&host));
-    tenure.news.notify();
+    leadership.news.notify();
     monoio::spawn(keep_keys::keep(
         Rc::clone(router),
-        Rc::clone(tenure),
+        Rc::clone(leadership),
         term,
         key(),
     ));
-    let why = hold(router, tenure, term, lease).await;
-    tenure.term.set(0);
-    tenure.words.borrow_mut().clear();
+    let why = hold(router, leadership, term, lease).await;
+    leadership.term.set(0);
+    leadership.updates.borrow_mut().clear();
     router.leads.set(0);
     router.counters.leading.set(0);
     log::info!(term = term, why = why; "leader_lost");
-    tenure.resigns.set(false);
+    leadership.resigns.set(false);
     let makes_way = matches!(why, "out_of_reach" | "stronger_host");
     if makes_way || why == "stop" {
         end(router, lease).await;
@@ -139,12 +145,12 @@
     }
 }
 
-async fn hold(router: &Router, tenure: &Tenure, term: u64, lease: u64) -> &'static str {
+async fn hold(router: &Router, leadership: &LeaderTerm, term: u64, lease: u64) -> &'static str {
     loop {
         let sent = router.now();
         let kept = call(router, "keep_lease", router.store.keep_lease(lease)).await;
         match kept {
-            Ok(()) => tenure.confirmed.set(sent),
+            Ok(()) => leadership.confirmed.set(sent),
             Err(StoreError::LeaseGone) => return "lease_gone",
             Err(_) => {}
         }
@@ -157,7 +163,7 @@
             if router.peers.borrow().highest_term() > term {
                 return "successor";
             }
-            if tenure.resigns.get() {
+            if leadership.resigns.get() {
                 return "out_of_reach";
             }
             // A scheduler on a host that can't keep up is late for every request; nobody could take over while
@@ -165,7 +171,7 @@
             if router.store_up.get() && router.knows_stronger() {
                 return "stronger_host";
             }
-            if tenure.term.get() != term {
+            if leadership.term.get() != term {
                 return "deposed";
             }
             router.process.clock.sleep(Millis(50)).await;
--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -22,14 +22,12 @@
 /// on is as old as it waited, and must be within the store's history (20 s).
 const WATCH: Millis = Millis(15_000);
 
-/// Pause after a watch that told something. Changes come in groups, and each answered watch of each host
-/// is a call; what a change may take is counted in seconds, and keys that move are told by the leader.
+/// Pause after a watch that brought news. Changes come in groups, and each answered watch is a call.
 const PAUSE: Millis = Millis(150);
 
-/// The same for the entries of servers and hosts at a host that does not lead, for each host there is: all of them
-/// together make at most 125 calls a second for entries, which come in groups of seconds (76 hosts were woken 38
-/// times each by 219 servers that started and 26 that came later). At most the longest: a server that leaves serves
-/// for 2 s more, and what a host does by itself, without the leader, bears it.
+/// The same for the entries of servers and hosts at a host that does not lead, for each host there is: the more there
+/// are, the larger the groups in which servers come and go. At most the longest: a server that leaves serves for
+/// seconds more.
 const GROUP_EACH: Millis = Millis(8);
 const GROUP_MOST: Millis = Millis(600);
 
@@ -43,7 +41,7 @@
 /// The records of who holds which keys.
 const RECORDS: Feed = Feed::Own(store_key::KEYS);
 
-/// Age of the leader's last word up to which it is trusted to tell of changed records.
+/// Age of the leader's last heartbeat up to which it is trusted to tell of changed records.
 const UNTOLD: Millis = Millis(1_000);
 
 /// All parts that every host must know of at once: configuration, servers, leader and core hosts.
@@ -152,7 +150,7 @@
         };
         let changes = match changes {
             // Leases end while the store is away, and a watch that was sent before may still be told so. Taken at
-            // its word all servers would be left, although they live: their entries are back soon after the store.
+            // that all servers would be left, although they live: their entries are back soon after the store.
             Ok(_) if router.store_lost.get() != lost && !router.store_up.get() => {
                 log::info!(part:? = feed, after = after; "watch_not_believed");
                 continue;
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -12,15 +12,16 @@
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
 
+use crate::control::leader_term::LeaderTerm;
+use crate::control::overflow;
 use crate::control::scheduling;
-use crate::control::tenure::Tenure;
 use crate::state::Router;
-use crate::talk::Asked;
+use crate::talk::Heartbeat;
+use crate::talk::KeyDemand;
 use crate::talk::KeyRanges;
-use crate::talk::KeyWord;
+use crate::talk::KeyUpdate;
 use crate::talk::Packet;
-use crate::talk::Told;
-use crate::talk::Word;
+use crate::talk::SlotReply;
 
 /// Time between two datagrams to each other host without news. It is also how soon a leader that was cut
 /// off from the store hears of its successor.
@@ -40,24 +41,24 @@
 /// Time between two messages on free slots: as long as short work takes, so that what is told is still true.
 const ROOMS_EVERY: Millis = Millis(150);
 
-/// Words after which the leader tells all ranges of keys again, should the datagram with them have been lost.
+/// Heartbeats after which the leader sends all ranges of keys again, should the datagram with them have been lost.
 const TELL_AGAIN: u32 = 3;
 
 /// What this host tells the others, and hears from them.
 pub(crate) struct Gossip {
     router: Rc<Router>,
     /// What the leader knows, while this host leads.
-    tenure: Rc<Tenure>,
-    /// Words since the ranges of each service were told, and their fence then.
+    leadership: Rc<LeaderTerm>,
+    /// Heartbeats since the ranges of each service were sent, and their fence then.
     told: RefCell<BTreeMap<ServiceName, (u64, u32)>>,
 }
 
 impl Gossip {
     /// Builds the two sides for a host.
-    pub(crate) fn new(router: &Rc<Router>, tenure: &Rc<Tenure>) -> Rc<Self> {
+    pub(crate) fn new(router: &Rc<Router>, leadership: &Rc<LeaderTerm>) -> Rc<Self> {
         Rc::new(Self {
             router: Rc::clone(router),
-            tenure: Rc::clone(tenure),
+            leadership: Rc::clone(leadership),
             told: RefCell::default(),
         })
     }
@@ -65,16 +66,16 @@
     /// Takes in what another host sent.
     pub(crate) fn take(&self, packet: Packet, from: SocketAddr) {
         match packet {
-            Packet::Word(word) => self.read(word, from),
-            Packet::Asked(asked) => self.take_asked(&asked),
-            Packet::Speeds(speeds) => self.tenure.heard_speeds(speeds),
-            Packet::Told { ticket, told } => self.told(ticket, told),
+            Packet::Heartbeat(word) => self.read(word, from),
+            Packet::KeyDemand(asked) => self.take_asked(&asked),
+            Packet::Speeds(speeds) => self.leadership.heard_speeds(speeds),
+            Packet::SlotReply { ticket, told } => self.told(ticket, told),
             packet => scheduling::take(&self.router, &packet, Some(from)),
         }
     }
 
-    fn told(&self, ticket: u64, told: Told) {
-        // Nobody waits any more: the word came late. The slot that it gives is free again when the
+    fn told(&self, ticket: u64, told: SlotReply) {
+        // Nobody waits any more: the reply came late. The slot that it gives is free again when the
         // request's time is over, as the scheduler sees it.
         if !self.router.asks.told(ticket, told) {
             log::debug!(ticket = ticket; "told_late");
@@ -88,25 +89,25 @@
                 self.router.process.clock.sleep(NOT_CORE).await;
                 continue;
             }
-            let seen = self.tenure.news.count();
+            let seen = self.leadership.news.count();
             let leads = self.router.leads.get() > 0;
-            let word = Packet::Word(self.word(leads));
+            let word = Packet::Heartbeat(self.word(leads));
             let all = self.router.peers.borrow().addrs();
             self.router.talk.send_all(&word, &all).await;
-            self.tell_speeds(leads, &all).await;
-            let wait = self.tenure.news.after(seen);
+            self.report_speeds(leads, &all).await;
+            let wait = self.leadership.news.after(seen);
             let _ = monoio::time::timeout(EVERY.duration(), wait).await;
         }
     }
 
     /// Tells the other core hosts at short intervals how many slots are free in the parts that this one schedules.
-    pub(crate) async fn tell_rooms(self: Rc<Self>) {
+    pub(crate) async fn send_rooms(self: Rc<Self>) {
         loop {
             self.router.process.clock.sleep(ROOMS_EVERY).await;
             if !self.router.source.core.get() {
                 continue;
             }
-            let rooms = scheduling::rooms(&self.router);
+            let rooms = overflow::rooms(&self.router);
             if rooms.is_empty() {
                 continue;
             }
@@ -131,21 +132,28 @@
             }
             let leader = self.router.peers.borrow().leader_addr();
             if let Some(leader) = leader.filter(|_| !asked.is_empty()) {
-                self.router.talk.send(&Packet::Asked(asked), leader).await;
+                self.router
+                    .talk
+                    .send(&Packet::KeyDemand(asked), leader)
+                    .await;
             }
         }
     }
 
-    fn take_asked(&self, asked: &[Asked]) {
+    fn take_asked(&self, asked: &[KeyDemand]) {
         for asked in asked {
-            self.tenure.asked(&asked.service, &asked.keys);
+            self.leadership.asked(&asked.service, &asked.keys);
         }
     }
 
-    fn word(&self, leads: bool) -> Word {
-        let keys = if leads { self.key_words() } else { Vec::new() };
+    fn word(&self, leads: bool) -> Heartbeat {
+        let keys = if leads {
+            self.key_updates()
+        } else {
+            Vec::new()
+        };
         let said = self.router.host_state();
-        Word {
+        Heartbeat {
             host: self.router.boot().host.clone(),
             dc: self.router.boot().dc.clone(),
             term: self.router.peers.borrow().highest_term(),
@@ -160,10 +168,10 @@
         }
     }
 
-    fn key_words(&self) -> Vec<KeyWord> {
-        let words = self.tenure.words.borrow();
+    fn key_updates(&self) -> Vec<KeyUpdate> {
+        let words = self.leadership.updates.borrow();
         let pair = |s: &KeyRange| (s.first, s.last);
-        let word = |(service, word): (&ServiceName, &(KeyRecord, Vec<KeyRange>))| KeyWord {
+        let word = |(service, word): (&ServiceName, &(KeyRecord, Vec<KeyRange>))| KeyUpdate {
             service: service.clone(),
             fence: word.0.fence,
             ranges: self.ranges(service, &word.0),
@@ -185,7 +193,7 @@
     }
 
     /// Takes the keys that were asked for since the last report.
-    fn asked(&self) -> Vec<Asked> {
+    fn asked(&self) -> Vec<KeyDemand> {
         let mut all = Vec::new();
         for service in self.router.services() {
             let keys = std::mem::take(&mut *service.asked.borrow_mut());
@@ -194,16 +202,16 @@
             }
             let keys = keys.into_iter().take(KEYS_MOST).collect();
             let service = service.name.clone();
-            all.push(Asked { service, keys });
+            all.push(KeyDemand { service, keys });
         }
         all
     }
 
     /// Tells the leader how fast servers are, or all where nobody is known to lead: one of them will.
-    async fn tell_speeds(&self, leads: bool, all: &[SocketAddr]) {
+    async fn report_speeds(&self, leads: bool, all: &[SocketAddr]) {
         let speeds = scheduling::speeds(&self.router);
         if leads {
-            self.tenure.heard_speeds(speeds);
+            self.leadership.heard_speeds(speeds);
             return;
         }
         let leader = self.router.peers.borrow().leader_addr();
@@ -213,7 +221,7 @@
         }
     }
 
-    fn read(&self, word: Word, from: SocketAddr) {
+    fn read(&self, word: Heartbeat, from: SocketAddr) {
         let now = self.router.now();
         let known = self.router.peers.borrow().highest_term();
         {
@@ -238,7 +246,7 @@
                 log::info!(term = word.term, from:% = word.host, known = known; "term_heard");
             }
         }
-        // A leader that was replaced may not know it yet; its word on keys is old.
+        // A leader that was replaced may not know it yet; its key update is old.
         if word.leads && word.term >= known {
             for key in word.keys {
                 self.take_keys(now, key);
@@ -246,7 +254,7 @@
         }
     }
 
-    fn take_keys(&self, now: Millis, word: KeyWord) {
+    fn take_keys(&self, now: Millis, word: KeyUpdate) {
         let service = self.router.service(&word.service);
         if let Some(ranges) = &word.ranges {
             let record = KeyRecord {
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -8,9 +8,9 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
-use chicoryrail_ownership::keys::Duty;
 use chicoryrail_ownership::keys::Holder;
-use chicoryrail_ownership::keys::Keeper;
+use chicoryrail_ownership::keys::KeyAction;
+use chicoryrail_ownership::keys::KeyLeases;
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::KeyTiming;
@@ -24,8 +24,8 @@
 use monoio::time::timeout;
 
 use crate::control::follow::call;
+use crate::control::leader_term::LeaderTerm;
 use crate::control::scheduling;
-use crate::control::tenure::Tenure;
 use crate::state::Router;
 
 /// Time between two looks at what is due, while something changes and while nothing does.
@@ -41,8 +41,7 @@
 const URGENT_EVERY: Millis = Millis(400);
 
 /// Time after a change at which the record is written again without the former holders that hold nothing any more.
-/// Left in it, a leader that takes over waits for them as long as for any: after a loss of power on all hosts half
-/// of all keys were unserved for 12 s, although their last holders had left 10 s before.
+/// Left in it, a leader that takes over waits for them as long as for any, and keys that nobody holds stay unserved.
 const TIDY: Millis = Millis(1_000);
 
 /// Time for which a server must have been known before it gets keys. Servers come in groups, at the start
@@ -52,14 +51,14 @@
 /// Time after an outage in which grants for its time may still be held: such a grant and a renewal in flight.
 const OUTAGE_MEMORY: Millis = Millis(12_500);
 
-/// The keeping of one service's keys in one term.
-pub(super) struct Post {
+/// The leader of one service's keys in one term.
+pub(super) struct KeyLeader {
     pub(super) router: Rc<Router>,
-    pub(super) tenure: Rc<Tenure>,
+    pub(super) leadership: Rc<LeaderTerm>,
     pub(super) term: u64,
     pub(super) leader_key: String,
     pub(super) service: ServiceName,
-    pub(super) keeper: RefCell<Keeper>,
+    pub(super) leases: RefCell<KeyLeases>,
     pub(super) revision: std::cell::Cell<u64>,
     /// When each server confirmed a grant last.
     pub(super) confirmed: RefCell<BTreeMap<Life, Millis>>,
@@ -72,9 +71,14 @@
 }
 
 /// Keeps the keys of each keyed service, until the term ends.
-pub(crate) async fn keep(router: Rc<Router>, tenure: Rc<Tenure>, term: u64, leader_key: String) {
+pub(crate) async fn keep(
+    router: Rc<Router>,
+    leadership: Rc<LeaderTerm>,
+    term: u64,
+    leader_key: String,
+) {
     let mut posts: BTreeMap<ServiceName, ()> = BTreeMap::new();
-    while tenure.term.get() == term {
+    while leadership.term.get() == term {
         let keyed: Vec<_> = router.site().map_or_else(Vec::new, |site| {
             let keyed = site.services.iter().filter(|s| s.keyed);
             keyed.map(|s| s.name.clone()).collect()
@@ -83,7 +87,7 @@
             if posts.contains_key(&service) {
                 continue;
             }
-            match take_over(&router, &tenure, term, &leader_key, &service).await {
+            match take_over(&router, &leadership, term, &leader_key, &service).await {
                 Ok(post) => {
                     posts.insert(service, ());
                     monoio::spawn(Rc::new(post).run());
@@ -101,11 +105,11 @@
 
 async fn take_over(
     router: &Rc<Router>,
-    tenure: &Rc<Tenure>,
+    leadership: &Rc<LeaderTerm>,
     term: u64,
     leader_key: &str,
     service: &ServiceName,
-) -> Result<Post, StoreError> {
+) -> Result<KeyLeader, StoreError> {
     let item = call(
         router,
         "read_record",
@@ -125,14 +129,14 @@
     let stored = record.fence;
     let away = router.store_was_away(now, OUTAGE_MEMORY);
     let timing = KeyTiming::default();
-    let keeper = Keeper::take_over(record, timing, now, rand::random(), away);
-    Ok(Post {
+    let leases = KeyLeases::take_over(record, timing, now, rand::random(), away);
+    Ok(KeyLeader {
         router: Rc::clone(router),
-        tenure: Rc::clone(tenure),
+        leadership: Rc::clone(leadership),
         term,
         leader_key: leader_key.to_owned(),
         service: service.clone(),
-        keeper: RefCell::new(keeper),
+        leases: RefCell::new(leases),
         revision: std::cell::Cell::new(revision),
         confirmed: RefCell::default(),
         stored: std::cell::Cell::new(stored),
@@ -142,42 +146,42 @@
     })
 }
 
-impl Post {
+impl KeyLeader {
     async fn run(self: Rc<Self>) {
         let mut told = None;
-        while self.tenure.term.get() == self.term {
+        while self.leadership.term.get() == self.term {
             let ended = self.ended.count();
             let away = self.router.all_lost_store(self.router.now());
-            self.keeper.borrow_mut().store_away(away);
+            self.leases.borrow_mut().store_away(away);
             self.see_servers();
             self.check_reach();
             self.plan();
             // Looked at right before the orders go out: a process that slept must not act on what it
             // believed before.
-            if self.tenure.may_act(&self.router) {
+            if self.leadership.may_act(&self.router) {
                 self.act();
             }
-            let changing = self.keeper.borrow().is_changing();
+            let changing = self.leases.borrow().is_changing();
             self.tell(&mut told);
-            if self.keeper.borrow().is_deposed() {
+            if self.leases.borrow().is_deposed() {
                 log::warn!(service:% = self.service, term = self.term; "fence_refused");
-                self.tenure.term.set(0);
+                self.leadership.term.set(0);
                 return;
             }
             if !changing {
                 self.router.process.clock.sleep(CALM_LOOK).await;
                 continue;
             }
-            // What a call's end allows goes out at once. Looked for each 50 ms, the 89 ranges of 25 servers took a
-            // third of a second until they were granted again after a loss of power on all hosts.
+            // What a call's end allows goes out at once: after a loss of power on all hosts, each range waits for the
+            // call before it, and a pause between them would add up.
             let _ = timeout(BUSY_LOOK.duration(), self.ended.after(ended)).await;
         }
     }
 
     /// Tells the other hosts, and this one, who holds what, where that changed.
     fn tell(&self, told: &mut Option<(u64, Vec<KeyRange>)>) {
-        let keeper = self.keeper.borrow();
-        let word = (keeper.record().fence, keeper.blocked());
+        let leases = self.leases.borrow();
+        let word = (leases.record().fence, leases.blocked());
         if told.as_ref() == Some(&word) {
             return;
         }
@@ -186,26 +190,26 @@
         log::info!(service:% = self.service, fence = fence, blocked = blocked.len(),
             keys:? = blocked.iter().map(|s| s.len()).sum::<u32>(); "keys_blocked");
         let service = self.router.service(&self.service);
-        self.router.key_record(&service, keeper.record().clone());
+        self.router.key_record(&service, leases.record().clone());
         service.keys.borrow_mut().blocked(fence, blocked.clone());
         scheduling::keys_moved(&self.router, &service);
         service.changed.notify();
-        let mut words = self.tenure.words.borrow_mut();
-        words.insert(self.service.clone(), (keeper.record().clone(), blocked));
+        let mut words = self.leadership.updates.borrow_mut();
+        words.insert(self.service.clone(), (leases.record().clone(), blocked));
         drop(words);
-        self.tenure.news.notify();
+        self.leadership.news.notify();
     }
 
     fn see_servers(&self) {
         let now = self.router.now();
-        let mut keeper = self.keeper.borrow_mut();
+        let mut leases = self.leases.borrow_mut();
         let view = self.router.view.borrow();
-        let named: Vec<Life> = keeper.named();
+        let named: Vec<Life> = leases.named();
         for entry in view.servers().filter(|e| e.member.service == self.service) {
             let life = &entry.member.life;
-            keeper.server_at(now, life, entry.member.addr);
+            leases.server_at(now, life, entry.member.addr);
             for old in named.iter().filter(|old| life.succeeds(old)) {
-                keeper.ended(old);
+                leases.ended(old);
             }
         }
     }
@@ -219,48 +223,48 @@
         let now = self.router.now();
         let service = self.router.service(&self.service);
         let targets = service.targets.borrow();
-        let keeper = self.keeper.borrow();
-        let owners = keeper.record().spans.iter().map(|s| &s.owner);
+        let leases = self.leases.borrow();
+        let owners = leases.record().spans.iter().map(|s| &s.owner);
         let owners = owners.filter_map(|life| {
             let target = targets.get(life)?;
-            Some((&target.dc, keeper.silent_since(life)))
+            Some((&target.dc, leases.silent_since(life)))
         });
         let reach = self.router.reach.borrow();
         let lost = reach.out_of_reach(now, owners, &self.router.peers.borrow());
-        if let Some(dc) = lost.filter(|_| !self.tenure.resigns.get()) {
+        if let Some(dc) = lost.filter(|_| !self.leadership.resigns.get()) {
             log::warn!(service:% = self.service, term = self.term, dc:% = dc; "leader_makes_way");
-            self.tenure.resigns.set(true);
+            self.leadership.resigns.set(true);
         }
     }
 
     fn plan(&self) {
         let now = self.router.now();
-        if self.keeper.borrow().is_writing() {
+        if self.leases.borrow().is_writing() {
             return;
         }
         let holders = self.holders(now);
-        // Former holders that can't be reached keep their keys for up to 12.5 s after an outage. The others' load is
-        // balanced meanwhile: waiting for them, a day of heavy load lost 0.05 of its worth.
+        // Former holders that can't be reached keep their keys for many seconds after an outage. The others' load is
+        // balanced meanwhile, or a range that grows busy would overload its server for as long.
         let moves = match now.since(self.balanced.get()) {
             since if since >= BALANCE_EVERY => Moves::Balance,
             since if since >= URGENT_EVERY => Moves::Urgent,
             _ => Moves::Needed,
         };
-        let plan = self.tenure.with_load(now, &self.service, |load| {
-            Plan::of(self.keeper.borrow().record(), &holders, load, moves)
+        let plan = self.leadership.with_load(now, &self.service, |load| {
+            Plan::of(self.leases.borrow().record(), &holders, load, moves)
         });
         if let Plan::Change(spans) = plan {
             self.balanced.set(now);
             let services = self.router.services();
             let there = |life: &Life| services.iter().any(|s| s.target(life).is_some());
-            self.tenure.keep_speeds(there);
+            self.leadership.keep_speeds(there);
             log::info!(service:% = self.service, servers = holders.len(),
-                spans = spans.len(), fence = self.keeper.borrow().record().fence; "keys_planned");
-            self.keeper.borrow_mut().change(spans, rand::random());
-        } else if now.since(self.balanced.get()) >= TIDY && self.keeper.borrow().is_untidy() {
+                spans = spans.len(), fence = self.leases.borrow().record().fence; "keys_planned");
+            self.leases.borrow_mut().change(spans, rand::random());
+        } else if now.since(self.balanced.get()) >= TIDY && self.leases.borrow().is_untidy() {
             self.balanced.set(now);
-            let spans = self.keeper.borrow().record().spans.clone();
-            self.keeper.borrow_mut().change(spans, rand::random());
+            let spans = self.leases.borrow().record().spans.clone();
+            self.leases.borrow_mut().change(spans, rand::random());
         }
     }
 
@@ -269,11 +273,11 @@
     fn holders(&self, now: Millis) -> Vec<Holder> {
         let service = self.router.service(&self.service);
         let targets = service.targets.borrow();
-        let keeper = self.keeper.borrow();
-        let owners: BTreeSet<&Life> = keeper.record().spans.iter().map(|s| &s.owner).collect();
+        let leases = self.leases.borrow();
+        let owners: BTreeSet<&Life> = leases.record().spans.iter().map(|s| &s.owner).collect();
         let open = |cold: bool| -> Vec<Holder> {
             let open = targets.values().filter(|t| t.is_ready());
-            let open = open.filter(|t| !keeper.is_lost(now, &t.life));
+            let open = open.filter(|t| !leases.is_lost(now, &t.life));
             let holds = |life: &Life| owners.contains(life);
             let open = open.filter(|t| holds(&t.life) || now.since(t.known) >= SETTLED);
             let warm = open.filter(|t| cold || !t.is_cold(now) || holds(&t.life));
@@ -293,43 +297,43 @@
     /// Returns the work that a server can do, by what the hosts saw of it that schedule for it. A slow server with as many
     /// requests as the others has the longest queue of all.
     fn weight(&self, target: &crate::state::Target) -> f64 {
-        let speed = self.tenure.speed(&target.life);
+        let speed = self.leadership.speed(&target.life);
         f64::from(target.slots.get()) / speed.clamp(0.5, 2.0)
     }
 
     fn act(self: &Rc<Self>) {
         let now = self.router.now();
-        let duties = self.keeper.borrow_mut().due(now);
-        for owned in self.keeper.borrow_mut().take_waited_out() {
+        let duties = self.leases.borrow_mut().due(now);
+        for owned in self.leases.borrow_mut().take_waited_out() {
             log::info!(server:% = owned.owner, service:% = self.service,
                 first = owned.span.first, last = owned.span.last; "hold_waited_out");
         }
         for duty in duties {
             match duty {
-                Duty::Commit(record) => {
+                KeyAction::Commit(record) => {
                     if !self.committing.replace(true) {
                         monoio::spawn(Rc::clone(self).commit(record));
                     }
                 }
-                Duty::Grant {
+                KeyAction::Grant {
                     life,
                     addr,
                     span,
                     fence,
                     handover,
                 } => {
-                    self.keeper.borrow_mut().granting(now, &life, span);
-                    let hold = self.keeper.borrow().hold();
+                    self.leases.borrow_mut().granting(now, &life, span);
+                    let hold = self.leases.borrow().hold();
                     let grant = key_grant(span, fence, hold, handover);
                     monoio::spawn(Rc::clone(self).grant(life, addr, grant));
                 }
-                Duty::Release {
+                KeyAction::Release {
                     life,
                     addr,
                     span,
                     fence,
                 } => {
-                    self.keeper.borrow_mut().releasing(&life, span);
+                    self.leases.borrow_mut().releasing(&life, span);
                     let grant = key_grant(span, fence, Millis::ZERO, None);
                     monoio::spawn(Rc::clone(self).release(life, addr, grant));
                 }
--- a/crates/chicoryrail-router/src/control/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/key_calls.rs
@@ -18,13 +18,13 @@
 use chicoryrail_runtime::Invariant;
 
 use crate::control::follow::call;
-use crate::control::keep_keys::Post;
+use crate::control::keep_keys::KeyLeader;
 use crate::control::keep_keys::record_key;
 
 /// Pause after a call to the store that failed.
 const AGAIN: Millis = Millis(150);
 
-impl Post {
+impl KeyLeader {
     pub(super) async fn commit(self: Rc<Self>, record: KeyRecord) {
         let key = record_key(&self.service);
         let done = self.write(&key, &record).await;
@@ -35,7 +35,7 @@
                 let invariants = &self.router.process.invariants;
                 invariants.rises(Invariant::FenceForward, &before, &record.fence);
                 self.revision.set(revision);
-                self.keeper.borrow_mut().committed(now);
+                self.leases.borrow_mut().committed(now);
                 log::info!(service:% = self.service, fence = record.fence, revision = revision,
                     loose = record.loose.len(); "keys_written");
             }
@@ -53,8 +53,8 @@
     }
 
     fn end_term(&self) {
-        if self.tenure.term.get() == self.term {
-            self.tenure.term.set(0);
+        if self.leadership.term.get() == self.term {
+            self.leadership.term.set(0);
         }
     }
 
@@ -95,7 +95,7 @@
         let started = Instant::now();
         // This task runs after the one that started it; a process that was stopped in between may have
         // been replaced, and its order would be one that nobody reckons with.
-        let result = if self.tenure.may_act(&self.router) {
+        let result = if self.leadership.may_act(&self.router) {
             control.grant(addr, &life.name, &grant, limit).await
         } else {
             let reason = "not sent: the right to lead is no longer confirmed".to_owned();
@@ -120,8 +120,8 @@
             first: grant.first,
             last: grant.last,
         };
-        let mut keeper = self.keeper.borrow_mut();
-        keeper.granted(now, &life, span, grant.fence, end);
+        let mut leases = self.leases.borrow_mut();
+        leases.granted(now, &life, span, grant.fence, end);
         self.ended.notify();
     }
 
@@ -152,7 +152,7 @@
             first: grant.first,
             last: grant.last,
         };
-        self.keeper.borrow_mut().released(now, &life, span, end);
+        self.leases.borrow_mut().released(now, &life, span, end);
         self.ended.notify();
     }
 
--- a/crates/chicoryrail-router/src/control/tenure.rs
+++ b/crates/chicoryrail-router/src/control/leader_term.rs
@@ -17,14 +17,14 @@
 /// Part of the lease, in percent, after which an unconfirmed leader no longer counts on it.
 const LEASE_PART: u64 = 80;
 
-/// Age of the other hosts' last word up to which a leader without the store counts on them: three of their
+/// Age of the other hosts' last heartbeat up to which a leader without the store counts on them: three of their
 /// datagrams. A successor waits for this and a renewal in flight before it moves keys of a server that it
 /// can't reach.
 const WORD_AGE: Millis = Millis(1_300);
 
 /// What this host knows as the leader, and how long it may act as one.
 #[derive(Debug, Default)]
-pub(crate) struct Tenure {
+pub(crate) struct LeaderTerm {
     /// Term; 0 while this host does not lead.
     pub(crate) term: Cell<u64>,
     /// When the last confirmed renewal of the lease was sent.
@@ -33,15 +33,15 @@
     /// Whether this host makes way for one that reaches more.
     pub(crate) resigns: Cell<bool>,
     /// Records with the keys that are not granted yet.
-    pub(crate) words: RefCell<BTreeMap<ServiceName, (KeyRecord, Vec<KeyRange>)>>,
-    /// Notified when the words change.
+    pub(crate) updates: RefCell<BTreeMap<ServiceName, (KeyRecord, Vec<KeyRange>)>>,
+    /// Notified when the key updates change.
     pub(crate) news: Signal,
     loads: RefCell<BTreeMap<ServiceName, KeyLoad>>,
     /// How fast servers are, as the hosts say that schedule for them.
     speeds: RefCell<BTreeMap<Life, f32>>,
 }
 
-impl Tenure {
+impl LeaderTerm {
     /// Takes in keys that callers asked for.
     pub(crate) fn asked(&self, service: &ServiceName, keys: &[u16]) {
         let mut loads = self.loads.borrow_mut();
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -2,20 +2,23 @@
 
 mod elect;
 mod follow;
+mod follow_relay;
 mod gossip;
 mod keep_keys;
 mod key_calls;
+mod leader_term;
+mod overflow;
+mod part_schedulers;
 mod presence;
 mod relay;
 pub(crate) mod scheduling;
 mod source;
-mod tenure;
 
 pub(crate) use elect::elect;
 pub(crate) use follow::follow_all;
+pub(crate) use follow_relay::follow_relay;
 pub(crate) use gossip::Gossip;
+pub(crate) use leader_term::LeaderTerm;
 pub(crate) use presence::be_present;
-pub(crate) use relay::follow_relay;
 pub(crate) use relay::relay;
 pub(crate) use source::choose_source;
-pub(crate) use tenure::Tenure;
--- /dev/null
+++ b/crates/chicoryrail-router/src/control/overflow.rs
@@ -0,0 +1,60 @@
+//! Requests that go to another part of a service because their own has no room.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use chicoryrail_ownership::SchedulerHost;
+
+use crate::control::part_schedulers::answer;
+use crate::control::part_schedulers::left;
+use crate::control::part_schedulers::set_servers;
+use crate::state::PartName;
+use crate::state::PartRoom;
+use crate::state::Router;
+use crate::talk::SlotQuery;
+use crate::talk::SlotReply;
+
+/// Tells whether a part has a free slot for which nobody waits.
+pub(super) fn has_free(router: &Router, part: &PartName) -> bool {
+    let now = router.now();
+    let service = router.service(&part.service);
+    let mut schedulers = router.schedulers.by_part.borrow_mut();
+    let Some(scheduler) = schedulers.get_mut(part) else {
+        return false;
+    };
+    set_servers(router, &service, part, scheduler, now);
+    // The request itself waits already.
+    scheduler.free(now) >= scheduler.waiting()
+}
+
+/// Sends a request to another part of the service that has room, where one does.
+///
+/// Load: callers are not spread over the data centres as the servers are. Without this, requests of one wait or are
+/// refused beside free slots of another.
+pub(super) fn take(router: &Rc<Router>, ask: &SlotQuery, from: Option<SocketAddr>) -> bool {
+    let Some(dc) = router.schedulers.take_room(router.now(), &ask.part) else {
+        return false;
+    };
+    left(router, &ask.part, ask.ticket);
+    answer(router, from, ask.ticket, SlotReply::Overflow(dc));
+    true
+}
+
+/// Returns the free slots of the parts for which this host schedules.
+pub(super) fn rooms(router: &Router) -> Vec<PartRoom> {
+    let now = router.now();
+    let mut schedulers = router.schedulers.by_part.borrow_mut();
+    let mut rooms = Vec::new();
+    for service in router.services() {
+        let parts = service.parts().into_iter();
+        let ours = parts.filter(|p| router.part_scheduler(p) == SchedulerHost::Here);
+        for part in ours {
+            let scheduler = schedulers.entry(part.clone()).or_default();
+            set_servers(router, &service, &part, scheduler, now);
+            let free = scheduler.free(now).saturating_sub(scheduler.waiting());
+            let free = free as u32;
+            rooms.push(PartRoom { part, free });
+        }
+    }
+    rooms
+}
--- a/crates/chicoryrail-router/src/control/relay.rs
+++ b/crates/chicoryrail-router/src/control/relay.rs
@@ -1,68 +1,34 @@
-//! Passes on what the store and the leader say, from the few hosts that watch to all others.
+//! Passes on what the store and the leader say to the hosts that follow this one.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bincode::config::standard;
-use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::HostState;
-use chicoryrail_ownership::keys::KeyRecord;
-use chicoryrail_platform::FeedNews;
 use chicoryrail_runtime::Body;
-use chicoryrail_runtime::HttpClient;
-use chicoryrail_runtime::HttpError;
 use chicoryrail_runtime::collect;
 use chicoryrail_runtime::error_answer;
 use chicoryrail_runtime::full;
 use http::Request;
 use http::Response;
 use monoio::time::timeout;
-use snafu::ResultExt;
-use snafu::Snafu;
 
-use crate::control::follow::FEEDS;
-use crate::control::follow::take_changes;
-use crate::control::follow::take_snapshot;
-use crate::control::scheduling;
 use crate::state::Router;
-use crate::state::Source;
 use crate::talk::CoreState;
-use crate::talk::KeyFence;
 use crate::talk::KeyMap;
 use crate::talk::KeyRanges;
 use crate::talk::RelayReply;
 use crate::talk::RelayRequest;
 
 /// Longest time for which a reply waits for news. A host that hears nothing for longer goes to another relay.
-const WAIT: Millis = Millis(400);
-
-/// Time beyond it after which a relay counts as lost: a busy host of a tenth of a core replies within it. A lost
-/// watcher and then a lost relay are found in time for a server's leave to be known everywhere within 2 s.
-const LATE: Millis = Millis(350);
-
-/// Pause after a reply, in which more news comes together.
-const PAUSE: Millis = Millis(60);
-
-/// Time between two tries of a leaf host that watches the store because it found no relay.
-const TRY_AGAIN: Millis = Millis(1_000);
+pub(super) const WAIT: Millis = Millis(400);
 
 /// Longest request of a host.
 const REQUEST_MOST: usize = 64 << 10;
 
 /// Path of a relay.
-const PATH: &str = "/relay";
-
-/// Why a relay gave no reply.
-#[derive(Debug, Snafu)]
-enum RelayError {
-    /// The call failed.
-    #[snafu(display("{source}"))]
-    Call { source: HttpError },
-    /// The reply can't be read.
-    #[snafu(display("reply can't be read: {source}"))]
-    Decode { source: bincode::error::DecodeError },
-}
+pub(super) const PATH: &str = "/relay";
 
 /// Replies to a host that follows this one, as soon as there is news for it.
 pub(crate) async fn relay(router: Rc<Router>, request: Request<Body>) -> Response<Body> {
@@ -171,142 +137,3 @@
         watches: said.watches,
     }
 }
-
-/// Hears from another host what the store says, whenever this one does not watch it itself.
-pub(crate) async fn follow_relay(router: Rc<Router>) {
-    let client = HttpClient::default();
-    loop {
-        let seen = router.source.changed.count();
-        let relay = match router.source.source.get() {
-            Source::Relay(addr) => Some(addr),
-            Source::Store if !router.source.core.get() => {
-                router.process.clock.sleep(TRY_AGAIN).await;
-                let boot = router.boot();
-                let peers = router.peers.borrow();
-                peers.core_for(router.now(), &boot.host, &boot.dc)
-            }
-            Source::Store | Source::Unknown => None,
-        };
-        let Some(addr) = relay else {
-            let _ = timeout(TRY_AGAIN.duration(), router.source.changed.after(seen)).await;
-            continue;
-        };
-        match ask(&router, &client, addr).await {
-            Ok(reply) => {
-                router.source.replied.set(router.now());
-                take(&router, reply);
-                router.process.clock.sleep(PAUSE).await;
-            }
-            Err(e) => {
-                log::info!(relay:% = addr, error:% = e; "relay_failed");
-                router.peers.borrow_mut().relay_failed(router.now(), addr);
-                // The choice of the source is looked at by its own task.
-                router.process.clock.sleep(PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn ask(
-    router: &Router,
-    client: &HttpClient,
-    addr: SocketAddr,
-) -> Result<RelayReply, RelayError> {
-    let bytes = bincode::encode_to_vec(request(router), standard());
-    let bytes = bytes.unwrap_or_else(|e| {
-        log::error!(error:% = e; "relay_request_unwritable");
-        Vec::new()
-    });
-    let request = Request::post(PATH).body(Bytes::from(bytes));
-    let request = request.expect("a fixed path is a valid request");
-    let answer = client.call(addr, request, WAIT + LATE).await;
-    let answer = answer.context(CallSnafu)?;
-    let decoded = bincode::decode_from_slice(answer.body(), standard());
-    let (reply, _) = decoded.context(DecodeSnafu)?;
-    Ok(reply)
-}
-
-fn request(router: &Router) -> RelayRequest {
-    let view = router.view.borrow();
-    let keyed = router.services().into_iter().filter(|s| s.is_keyed());
-    let fences = keyed.map(|s| KeyFence {
-        service: s.name.clone(),
-        fence: s.keys.borrow().fence(),
-    });
-    RelayRequest {
-        host: router.boot().host.clone(),
-        leaf: !router.source.core.get(),
-        store: router.store_up.get(),
-        revisions: FEEDS.map(|feed| view.heard(feed)),
-        fences: fences.collect(),
-    }
-}
-
-/// Takes in what a relay replied.
-fn take(router: &Rc<Router>, reply: RelayReply) {
-    let now = router.now();
-    take_store(router, reply.store, reply.back_ms.map(Millis));
-    if !router.source.core.get() {
-        take_core(router, &reply);
-    }
-    for (feed, news) in FEEDS.into_iter().zip(reply.news) {
-        match news {
-            Some(FeedNews::Whole(all)) => take_snapshot(router, feed, &all),
-            Some(FeedNews::Changes(changes)) => {
-                take_changes(router, feed, &changes);
-            }
-            None => {}
-        }
-    }
-    for map in reply.keys {
-        let service = router.service(&map.service);
-        let record = KeyRecord {
-            fence: map.fence,
-            spans: map.ranges.unpack(),
-            ..KeyRecord::default()
-        };
-        router.key_record(&service, record);
-        scheduling::keys_moved(router, &service);
-    }
-    let mut peers = router.peers.borrow_mut();
-    peers.count(reply.hosts as usize);
-    if peers.term(reply.term, reply.leader.as_ref()) {
-        log::info!(term = reply.term; "term_relayed");
-    }
-    if let Some(age) = reply.leader_ms {
-        peers.heard_leader(Millis(now.0.saturating_sub(age)));
-    }
-}
-
-/// Takes in what a relay says of the store. A leaf host makes no calls by which it would see for itself.
-fn take_store(router: &Router, up: bool, back: Option<Millis>) {
-    let now = router.now();
-    if let Some(age) = back {
-        let at = Millis(now.0.saturating_sub(age.0));
-        router.view.borrow_mut().store_back(at);
-    }
-    if !router.source.core.get() && router.store_up.get() != up {
-        router.store_up.set(up);
-        if !up {
-            router.store_lost.set(Some(now));
-        }
-        log::info!(up = up; "store_relayed");
-    }
-}
-
-/// Takes in the core hosts that a relay hears.
-fn take_core(router: &Router, reply: &RelayReply) {
-    let now = router.now();
-    let mut peers = router.peers.borrow_mut();
-    for core in &reply.core {
-        let said = HostState {
-            store: core.store,
-            power: core.power,
-            schedules: core.schedules,
-            dc: core.dc.clone(),
-            watches: core.watches,
-            ..HostState::default()
-        };
-        peers.heard(now, &core.host, core.addr, said);
-    }
-}
--- a/crates/chicoryrail-router/src/control/scheduling.rs
+++ b/crates/chicoryrail-router/src/control/scheduling.rs
@@ -15,18 +15,20 @@
 use chicoryrail_policy::Scheduler;
 use chicoryrail_policy::SlotRelease;
 use chicoryrail_policy::SlotRequest;
-use chicoryrail_policy::SlotState;
 
+use crate::control::overflow;
+use crate::control::part_schedulers::answer;
+use crate::control::part_schedulers::left;
+use crate::control::part_schedulers::set_servers;
 use crate::state::Origin;
 use crate::state::PartName;
-use crate::state::PartRoom;
 use crate::state::Router;
 use crate::state::Service;
-use crate::talk::Ask;
-use crate::talk::End;
-use crate::talk::EndKind;
 use crate::talk::Packet;
-use crate::talk::Told;
+use crate::talk::SlotEnd;
+use crate::talk::SlotEndKind;
+use crate::talk::SlotQuery;
+use crate::talk::SlotReply;
 
 /// Time between two looks at requests that wait for what is not told to the scheduler: a server that warms up,
 /// rests, or gets its keys.
@@ -67,7 +69,7 @@
 /// Notes for which servers this host schedules, where hosts or servers changed since the hosts were `before`; returns
 /// the hosts' mark.
 fn draw(router: &Router, before: u64) -> u64 {
-    let mark = router.peers.borrow().at_work_mark(router.now());
+    let mark = router.peers.borrow().schedulers_mark(router.now());
     let changed = mark != before;
     for service in router.services() {
         for target in service.targets.borrow().values() {
@@ -109,20 +111,23 @@
 /// schedules: hosts that hear different others draw differently for a moment.
 pub(crate) fn take(router: &Rc<Router>, packet: &Packet, from: Option<SocketAddr>) {
     match packet {
-        Packet::Ask(asked) => ask(router, asked, from),
-        Packet::End(end) => ended(router, end),
+        Packet::SlotQuery(asked) => ask(router, asked, from),
+        Packet::SlotEnd(end) => ended(router, end),
         Packet::Leave { part, ticket } => left(router, part, *ticket),
         Packet::Rooms(rooms) => {
             for room in rooms {
                 router.schedulers.heard_room(router.now(), room);
             }
         }
-        Packet::Word(_) | Packet::Speeds(_) | Packet::Asked(_) | Packet::Told { .. } => {}
+        Packet::Heartbeat(_)
+        | Packet::Speeds(_)
+        | Packet::KeyDemand(_)
+        | Packet::SlotReply { .. } => {}
     }
 }
 
 /// Takes in a request that asks.
-fn ask(router: &Rc<Router>, ask: &Ask, from: Option<SocketAddr>) {
+fn ask(router: &Rc<Router>, ask: &SlotQuery, from: Option<SocketAddr>) {
     let now = router.now();
     let service = router.service(&ask.part.service);
     let ids = ask
@@ -158,72 +163,27 @@
         .borrow_mut()
         .insert(ask.ticket, origin);
     if let Some(id) = given {
-        // The word of it was lost on the way.
+        // The reply was lost on the way.
         tell(router, &ask.part, ask.ticket, Decision::Send(id));
         return;
     }
     let may_overflow = ask.part.dc.is_some() && !ask.overflows;
-    if may_overflow && !has_free(router, &ask.part) && overflow(router, ask, from) {
+    if may_overflow && !overflow::has_free(router, &ask.part) && overflow::take(router, ask, from) {
         return;
     }
     poll(router, &ask.part);
     if router.schedulers.origins.borrow().contains_key(&ask.ticket) {
-        answer(router, from, ask.ticket, Told::Waits);
+        answer(router, from, ask.ticket, SlotReply::Waits);
     }
 }
 
-/// Tells whether a part has a free slot for which nobody waits.
-fn has_free(router: &Router, part: &PartName) -> bool {
-    let now = router.now();
-    let service = router.service(&part.service);
-    let mut schedulers = router.schedulers.by_part.borrow_mut();
-    let Some(scheduler) = schedulers.get_mut(part) else {
-        return false;
-    };
-    set_servers(router, &service, part, scheduler, now);
-    // The request itself waits already.
-    scheduler.free(now) >= scheduler.waiting()
-}
-
-/// Sends a request to another part of the service that has room, where one does.
-///
-/// Load: callers are not spread over the data centres as the servers are. Without this, requests of one wait or are
-/// refused beside free slots of another.
-fn overflow(router: &Rc<Router>, ask: &Ask, from: Option<SocketAddr>) -> bool {
-    let Some(dc) = router.schedulers.take_room(router.now(), &ask.part) else {
-        return false;
-    };
-    left(router, &ask.part, ask.ticket);
-    answer(router, from, ask.ticket, Told::Overflow(dc));
-    true
-}
-
-/// Returns the free slots of the parts for which this host schedules.
-pub(crate) fn rooms(router: &Router) -> Vec<PartRoom> {
-    let now = router.now();
-    let mut schedulers = router.schedulers.by_part.borrow_mut();
-    let mut rooms = Vec::new();
-    for service in router.services() {
-        let parts = service.parts().into_iter();
-        let ours = parts.filter(|p| router.part_scheduler(p) == SchedulerHost::Here);
-        for part in ours {
-            let scheduler = schedulers.entry(part.clone()).or_default();
-            set_servers(router, &service, &part, scheduler, now);
-            let free = scheduler.free(now).saturating_sub(scheduler.waiting());
-            let free = free as u32;
-            rooms.push(PartRoom { part, free });
-        }
-    }
-    rooms
-}
-
 /// Tells whether a request has asked before and still waits here.
 fn asks_again(router: &Router, ticket: u64) -> bool {
     router.schedulers.origins.borrow().contains_key(&ticket)
 }
 
 /// Takes in how a request ended.
-fn ended(router: &Rc<Router>, end: &End) {
+fn ended(router: &Rc<Router>, end: &SlotEnd) {
     let service = router.service(&end.part.service);
     let Some(target) = service.target(&end.server) else {
         return;
@@ -241,11 +201,11 @@
         server: target.id,
         us: end.us.map(|us| us as f64),
         failure: match end.kind {
-            EndKind::Plain => None,
-            EndKind::Full => Some(Failure::Full),
-            EndKind::Broken => Some(Failure::Broken),
-            EndKind::Error => Some(Failure::Error),
-            EndKind::Silent => Some(Failure::Silent),
+            SlotEndKind::Plain => None,
+            SlotEndKind::Full => Some(Failure::Full),
+            SlotEndKind::Broken => Some(Failure::Broken),
+            SlotEndKind::Error => Some(Failure::Error),
+            SlotEndKind::Silent => Some(Failure::Silent),
         },
         report,
     };
@@ -278,19 +238,11 @@
         }
         let origin = router.schedulers.origins.borrow_mut().remove(&ticket);
         if let Some(origin) = origin {
-            answer(router, origin.from, ticket, Told::Elsewhere);
+            answer(router, origin.from, ticket, SlotReply::Elsewhere);
         }
     }
 }
 
-/// Takes in that a caller has left.
-fn left(router: &Router, part: &PartName, ticket: u64) {
-    if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(part) {
-        scheduler.leave(ticket);
-    }
-    router.schedulers.origins.borrow_mut().remove(&ticket);
-}
-
 /// Decides what can be decided, and tells who asked.
 fn poll(router: &Rc<Router>, part: &PartName) {
     let now = router.now();
@@ -314,57 +266,22 @@
     }
 }
 
-/// Brings the scheduler's servers in line with what is believed of them. That changes with entries, with answers
-/// (a server says that it is cold) and with time (a leaving one's is over), so it is done for each decision.
-fn set_servers(
-    router: &Router,
-    service: &Service,
-    part: &PartName,
-    scheduler: &mut Scheduler,
-    now: Millis,
-) {
-    let bound = router.cold_bound(&service.name);
-    let targets = service.targets.borrow();
-    let any_ready = targets.values().any(|t| t.is_ready());
-    let mut count = 0;
-    for target in targets.values().filter(|t| part.has(&t.dc)) {
-        count += 1;
-        let state = SlotState {
-            slots: target.slots.get(),
-            open: if any_ready && !service.is_keyed() {
-                target.is_ready()
-            } else {
-                target.may_get(now)
-            },
-            cold_until: target.cold_until.get(),
-            cold_bound: bound,
-            near: router.schedulers.dc_number(&target.dc),
-            ours: target.ours.get().unwrap_or(false),
-        };
-        scheduler.set(now, target.id, state);
-    }
-    // All targets of the part are among the scheduler's servers, so one too many is gone.
-    if scheduler.servers() > count {
-        scheduler.retain(|id| targets.values().any(|t| t.id == id));
-    }
-}
-
 fn tell(router: &Rc<Router>, part: &PartName, ticket: u64, verdict: Decision) {
     let service = router.service(&part.service);
     let told = match verdict {
-        Decision::Refuse(after) => Told::Refuse(after.0),
+        Decision::Refuse(after) => SlotReply::Refuse(after.0),
         Decision::Send(id) => {
             let targets = service.targets.borrow();
             let Some(target) = targets.values().find(|t| t.id == id) else {
                 return;
             };
-            Told::Send(target.life.clone())
+            SlotReply::Send(target.life.clone())
         }
     };
     let Some(origin) = router.schedulers.origins.borrow_mut().remove(&ticket) else {
         return;
     };
-    if let Told::Refuse(after) = told {
+    if let SlotReply::Refuse(after) = told {
         let schedulers = router.schedulers.by_part.borrow();
         let scheduler = schedulers.get(part);
         let (busy, slots) = scheduler.map_or((0, 0), Scheduler::filled);
@@ -374,12 +291,3 @@
     }
     answer(router, origin.from, ticket, told);
 }
-
-fn answer(router: &Rc<Router>, to: Option<SocketAddr>, ticket: u64, told: Told) {
-    match to {
-        Some(addr) => router.talk.post(Packet::Told { ticket, told }, addr),
-        None => {
-            router.asks.told(ticket, told);
-        }
-    }
-}
--- a/crates/chicoryrail-router/src/options.rs
+++ b/crates/chicoryrail-router/src/options.rs
@@ -6,8 +6,8 @@
 use bpaf::long;
 use chicoryrail_runtime::setting;
 
-/// Log lines a second that pass by default. A host of the usual size gets 20 to 60 requests a second; all
-/// failures and a share of the others fit, and a storm costs no more than this.
+/// Log lines a second that pass by default: all failures of a small host and a share of its other requests, and a
+/// storm costs no more than this.
 const LINES: u32 = 150;
 
 /// One in this many ordinary decisions is logged by default.
--- a/crates/chicoryrail-router/src/route/answer.rs
+++ b/crates/chicoryrail-router/src/route/answer.rs
@@ -22,8 +22,8 @@
 /// the caller sees its first byte, and a cut one be asked for again. Longer answers are streamed.
 const HELD: usize = 64 << 10;
 
-/// The same for downloads, whose answers are mostly longer: what is held goes out only after it came in, which takes
-/// a link of 10 Mbit/s 13 ms for this much and 52 ms for the other.
+/// The same for downloads, whose answers are mostly longer: what is held goes out only after it came in, and a slow
+/// link would carry a long one twice in a row.
 const HELD_DOWNLOAD: usize = 16 << 10;
 
 /// Returns how much of an answer is held, by the kind of its route.
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -26,7 +26,7 @@
 /// running on the key.
 const MOVE_TIME: Millis = Millis(150);
 
-/// Time without a word of the leader after which hosts may no longer hear each other, so that a cold server's
+/// Time without the leader after which hosts may no longer hear each other, so that a cold server's
 /// scheduler may not be reached for good: longer than an election.
 const LEADER_GONE: Millis = Millis(2_500);
 
@@ -109,7 +109,7 @@
     if !target.is_cold(now) {
         return true;
     }
-    // The scheduler deals out half of what a cold server bears. A host that hears the leader, but got no word
+    // The scheduler deals out half of what a cold server bears. A host that hears the leader, but got no reply
     // in time, leaves cold servers alone; else all such hosts together would come on top of the scheduler's.
     if now < YOUNG || router.peers.borrow().hears_leader(now, LEADER_GONE) {
         return false;
--- a/crates/chicoryrail-router/src/route/slot.rs
+++ b/crates/chicoryrail-router/src/route/slot.rs
@@ -20,19 +20,19 @@
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
-use crate::talk::Ask;
-use crate::talk::End;
-use crate::talk::EndKind;
 use crate::talk::Packet;
-use crate::talk::Told;
+use crate::talk::SlotEnd;
+use crate::talk::SlotEndKind;
+use crate::talk::SlotQuery;
+use crate::talk::SlotReply;
 
-/// Time after which a question without any word is sent again, and after which the scheduler is given up.
-/// Between data centres a question and its word take 2 ms, and 20 at a host that has used its share of the
+/// Time after which a question without any reply is sent again, and after which the scheduler is given up.
+/// Between data centres a question and its reply take few milliseconds, but more at a host that has used its share of the
 /// processor for this tenth of a second.
 const ASK_AGAIN: Millis = Millis(20);
 const GIVE_UP: Millis = Millis(50);
 
-/// Time after which a request that waits at the scheduler asks again: the word may have been lost, or another
+/// Time after which a request that waits at the scheduler asks again: the reply may have been lost, or another
 /// host may schedule by now.
 const WAIT_AGAIN: Millis = Millis(120);
 
@@ -71,7 +71,7 @@
     loop {
         let seen = waiting.changed.count();
         match waiting.take() {
-            Some(Told::Send(life)) => {
+            Some(SlotReply::Send(life)) => {
                 place.waits = false;
                 let slot = Slot::new(router, &place.part, place.scheduler, ticket, &life);
                 let target = service.target(&life).filter(|t| t.may_get(router.now()));
@@ -81,12 +81,12 @@
                     None => Answer::Silent,
                 };
             }
-            Some(Told::Refuse(after)) => {
+            Some(SlotReply::Refuse(after)) => {
                 place.waits = false;
                 return Answer::Refuse(Millis(after));
             }
-            Some(moved @ (Told::Elsewhere | Told::Overflow(_))) => {
-                if let Told::Overflow(dc) = moved {
+            Some(moved @ (SlotReply::Elsewhere | SlotReply::Overflow(_))) => {
+                if let SlotReply::Overflow(dc) = moved {
                     place.part.dc = Some(dc);
                     place.overflows = true;
                 }
@@ -96,7 +96,7 @@
                 sent_again = false;
                 asked = router.now();
             }
-            Some(Told::Waits) => {
+            Some(SlotReply::Waits) => {
                 heard = true;
                 sent_again = false;
                 asked = router.now();
@@ -148,7 +148,7 @@
     fn send(&self, call: &Call, tried: &[Life]) {
         let now = self.router.now();
         let work = self.router.work(&call.route.name, call.route.aim);
-        let ask = Ask {
+        let ask = SlotQuery {
             dc: self.router.boot().dc.clone(),
             part: self.part.clone(),
             overflows: self.overflows,
@@ -162,7 +162,7 @@
             large: call.route.kind == RouteKind::Download,
             not: tried.to_vec(),
         };
-        to_scheduler(self.router, self.scheduler, Packet::Ask(ask));
+        to_scheduler(self.router, self.scheduler, Packet::SlotQuery(ask));
     }
 }
 
@@ -221,7 +221,7 @@
     server: Life,
     ticket: u64,
     us: Cell<Option<u64>>,
-    kind: Cell<EndKind>,
+    kind: Cell<SlotEndKind>,
     report: RefCell<Option<LoadReport>>,
 }
 
@@ -240,7 +240,7 @@
             server: server.clone(),
             ticket,
             us: Cell::new(None),
-            kind: Cell::new(EndKind::Plain),
+            kind: Cell::new(SlotEndKind::Plain),
             report: RefCell::default(),
         }
     }
@@ -261,11 +261,11 @@
     pub(crate) fn note(&self, us: f64, failure: Option<Failure>) {
         self.us.set(Some(us as u64));
         self.kind.set(match failure {
-            None => EndKind::Plain,
-            Some(Failure::Full) => EndKind::Full,
-            Some(Failure::Broken) => EndKind::Broken,
-            Some(Failure::Error) => EndKind::Error,
-            Some(Failure::Silent) => EndKind::Silent,
+            None => SlotEndKind::Plain,
+            Some(Failure::Full) => SlotEndKind::Full,
+            Some(Failure::Broken) => SlotEndKind::Broken,
+            Some(Failure::Error) => SlotEndKind::Error,
+            Some(Failure::Silent) => SlotEndKind::Silent,
         });
     }
 }
@@ -276,7 +276,7 @@
             .report
             .borrow()
             .map(|r| (r.running, r.waiting, r.slots, r.pace));
-        let end = End {
+        let end = SlotEnd {
             part: self.part.clone(),
             ticket: self.ticket,
             server: self.server.clone(),
@@ -284,6 +284,6 @@
             kind: self.kind.get(),
             report,
         };
-        to_scheduler(&self.router, self.scheduler, Packet::End(end));
+        to_scheduler(&self.router, self.scheduler, Packet::SlotEnd(end));
     }
 }
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -24,7 +24,7 @@
 
 use crate::Options;
 use crate::control::Gossip;
-use crate::control::Tenure;
+use crate::control::LeaderTerm;
 use crate::control::be_present;
 use crate::control::choose_source;
 use crate::control::elect;
@@ -140,8 +140,8 @@
     if let Some(addr) = metrics {
         open_observe(&router, "metrics-port", addr, &ends)?;
     }
-    let tenure = Rc::new(Tenure::default());
-    let gossip = Gossip::new(&router, &tenure);
+    let leadership = Rc::new(LeaderTerm::default());
+    let gossip = Gossip::new(&router, &leadership);
     let listening = Rc::clone(&gossip);
     monoio::spawn(talk.listen(move |packet, from| listening.take(packet, from)));
     monoio::spawn(scheduling::tend(Rc::clone(&router)));
@@ -151,9 +151,9 @@
     monoio::spawn(follow_relay(Rc::clone(&router)));
     monoio::spawn(be_present(Rc::clone(&router), talk_addr));
     monoio::spawn(Rc::clone(&gossip).report());
-    monoio::spawn(Rc::clone(&gossip).tell_rooms());
+    monoio::spawn(Rc::clone(&gossip).send_rooms());
     monoio::spawn(gossip.tell());
-    let elected = monoio::spawn(elect(Rc::clone(&router), tenure));
+    let elected = monoio::spawn(elect(Rc::clone(&router), leadership));
     let listener = bind("callers", callers).context(ListenSnafu)?;
     let callers_stop = CancellationToken::new();
     let (serving, asked) = (Rc::clone(&router), Rc::clone(&router));
--- a/crates/chicoryrail-router/src/state/asks.rs
+++ b/crates/chicoryrail-router/src/state/asks.rs
@@ -1,4 +1,4 @@
-//! Requests that have asked the scheduler and wait for its word.
+//! Requests that have asked the scheduler and wait for its reply.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -7,31 +7,31 @@
 
 use chicoryrail_runtime::Signal;
 
-use crate::talk::Told;
+use crate::talk::SlotReply;
 
-/// Requests that have asked the scheduler and wait for its word.
+/// Requests that have asked the scheduler and wait for its reply.
 #[derive(Debug, Default)]
 pub(crate) struct Asks {
     waiting: RefCell<HashMap<u64, Rc<Waiting>>>,
     next: Cell<u64>,
 }
 
-/// One request's word from the scheduler.
+/// One request's reply from the scheduler.
 #[derive(Debug, Default)]
 pub(crate) struct Waiting {
-    told: RefCell<Option<Told>>,
+    told: RefCell<Option<SlotReply>>,
     pub(crate) changed: Signal,
 }
 
 impl Waiting {
-    /// Takes the last word.
-    pub(crate) fn take(&self) -> Option<Told> {
+    /// Takes the last heartbeat.
+    pub(crate) fn take(&self) -> Option<SlotReply> {
         self.told.borrow_mut().take()
     }
 }
 
 impl Asks {
-    /// Opens a place for the scheduler's word under a ticket that no other request of any host has; `instance`
+    /// Opens a place for the scheduler's reply under a ticket that no other request of any host has; `instance`
     /// is the random number of this run.
     pub(crate) fn open(&self, instance: u64) -> (u64, Rc<Waiting>) {
         let next = self.next.get() + 1;
@@ -49,8 +49,8 @@
         self.waiting.borrow_mut().remove(&ticket);
     }
 
-    /// Takes in a word of the scheduler; tells whether somebody waits for it.
-    pub(crate) fn told(&self, ticket: u64, told: Told) -> bool {
+    /// Takes in a reply of the scheduler; tells whether somebody waits for it.
+    pub(crate) fn told(&self, ticket: u64, told: SlotReply) -> bool {
         let waiting = self.waiting.borrow().get(&ticket).cloned();
         let Some(waiting) = waiting else {
             return false;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -40,9 +40,8 @@
 use crate::talk::FEED_COUNT;
 use crate::talk::Talk;
 
-/// Speed of a link in megabits a second below which a host leads and schedules only where hardly any other does. A
-/// download of 540 KB takes such a link 86 ms and more, and a host's word waits behind it for as long: with links of
-/// 10 Mbit/s every fifth question to a host that schedules was not answered within 50 ms.
+/// Speed of a link in megabits a second below which a host leads and schedules only where hardly any other does: its
+/// replies wait behind downloads, longer than those that ask wait for them.
 const SLOW_LINK: f64 = 50.0;
 
 /// Part of its strength that a host with a slow link counts with.
@@ -71,7 +70,7 @@
     /// Whether the last call to the store was answered.
     pub(crate) store_up: Cell<bool>,
     pub(crate) talk: Rc<Talk>,
-    /// Requests that wait for the scheduler's word.
+    /// Requests that wait for the scheduler's reply.
     pub(crate) asks: Asks,
     /// The requests for which this host schedules.
     pub(crate) schedulers: Schedulers,
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -18,17 +18,17 @@
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) enum Packet {
     /// What a host knows.
-    Word(Word),
+    Heartbeat(Heartbeat),
     /// How fast the servers are for which a host schedules, for the leader: above 1 is slower than usual.
     Speeds(Vec<(Life, f32)>),
     /// Keys that callers asked for, for the leader.
-    Asked(Vec<Asked>),
+    KeyDemand(Vec<KeyDemand>),
     /// A request asks the host that schedules for its server.
-    Ask(Ask),
+    SlotQuery(SlotQuery),
     /// The host that schedules says what becomes of a request.
-    Told { ticket: u64, told: Told },
+    SlotReply { ticket: u64, told: SlotReply },
     /// A request at a server has ended.
-    End(End),
+    SlotEnd(SlotEnd),
     /// The caller of a request that asked has left.
     Leave { part: PartName, ticket: u64 },
     /// Free slots of the parts that a host schedules.
@@ -37,7 +37,7 @@
 
 /// What a host knows.
 #[derive(Clone, Debug, Encode, Decode)]
-pub(crate) struct Word {
+pub(crate) struct Heartbeat {
     pub(crate) host: HostName,
     pub(crate) dc: DcName,
     /// Highest term of leadership that it knows.
@@ -56,22 +56,21 @@
     pub(crate) watches: bool,
     /// Leaf hosts that follow it.
     pub(crate) leaves: u32,
-    pub(crate) keys: Vec<KeyWord>,
+    pub(crate) keys: Vec<KeyUpdate>,
 }
 
 /// Who holds the keys of a service, as the leader knows it.
 #[derive(Clone, Debug, Encode, Decode)]
-pub(crate) struct KeyWord {
+pub(crate) struct KeyUpdate {
     pub(crate) service: ServiceName,
     pub(crate) fence: u64,
-    /// Who is to hold what; not told again with each word.
+    /// Who is to hold what; not sent again with each heartbeat.
     pub(crate) ranges: Option<KeyRanges>,
     /// First and last key of what is not granted yet.
     pub(crate) blocked: Vec<(u16, u16)>,
 }
 
-/// Who is to hold which keys. A server has several ranges, and its name is the longest part of each: named once,
-/// 600 ranges of 215 servers take 8 KB in place of 16, so that they fit into a datagram.
+/// Who is to hold which keys. A server has several ranges, and its name, the longest part of each, is written once.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct KeyRanges {
     owners: Vec<Life>,
@@ -106,14 +105,14 @@
 
 /// Keys of a service that were asked for.
 #[derive(Clone, Debug, Encode, Decode)]
-pub(crate) struct Asked {
+pub(crate) struct KeyDemand {
     pub(crate) service: ServiceName,
     pub(crate) keys: Vec<u16>,
 }
 
 /// A request that asks for a server; lengths of time in milliseconds from the sending.
 #[derive(Clone, Debug, Encode, Decode)]
-pub(crate) struct Ask {
+pub(crate) struct SlotQuery {
     /// Data centre of the host that asks.
     pub(crate) dc: DcName,
     pub(crate) part: PartName,
@@ -138,7 +137,7 @@
 
 /// What becomes of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub(crate) enum Told {
+pub(crate) enum SlotReply {
     /// It waits at the scheduler.
     Waits,
     /// It is to be sent to this server.
@@ -153,21 +152,21 @@
 
 /// How a request at a server ended.
 #[derive(Clone, Debug, Encode, Decode)]
-pub(crate) struct End {
+pub(crate) struct SlotEnd {
     pub(crate) part: PartName,
     pub(crate) ticket: u64,
     pub(crate) server: Life,
     /// Time to the answer in microseconds; `None` where the caller left before.
     pub(crate) us: Option<u64>,
-    pub(crate) kind: EndKind,
+    pub(crate) kind: SlotEndKind,
     /// Running, waiting, slots and pace that the server told.
     pub(crate) report: Option<(u32, u32, u32, u32)>,
 }
 
 /// How a request at a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-pub(crate) enum EndKind {
-    /// With an answer, or without a word of the server's state.
+pub(crate) enum SlotEndKind {
+    /// With an answer, or without the server's state.
     Plain,
     /// The server had no room.
     Full,
--- a/crates/chicoryrail-router/src/talk/socket.rs
+++ b/crates/chicoryrail-router/src/talk/socket.rs
@@ -11,8 +11,7 @@
 use crate::talk::Packet;
 
 /// Bytes of a datagram that is read: as long as one can be. What is sent stays below what one packet carries, but
-/// for a long list of ranges. One that is cut off can't be read: at 16 KB hosts went on by old ranges, and a
-/// thousand requests of thirty seconds came to servers that did not hold their keys.
+/// for a long list of ranges. One that is cut off can't be read, and its host would go on by old ranges.
 const LONGEST: usize = 64 << 10;
 
 /// Pause after a read that failed.
@@ -40,7 +39,7 @@
         self.send_all(packet, &[addr]).await;
     }
 
-    /// Sends the same datagram to several hosts. It is written once: a leader's word holds up to 9 KB of ranges.
+    /// Sends the same datagram to several hosts; it is encoded once.
     pub(crate) async fn send_all(&self, packet: &Packet, addrs: &[SocketAddr]) {
         let Ok(mut bytes) = bincode::encode_to_vec(packet, standard()) else {
             return;
--- a/crates/chicoryrail-runtime/src/callers/caller_io.rs
+++ b/crates/chicoryrail-runtime/src/callers/caller_io.rs
@@ -152,8 +152,7 @@
 /// The HTTP layer's side of a caller's connection. It fails where a head has begun and does not end in time.
 ///
 /// The HTTP layer has one bound for the wait before a head and for the head itself. Idle connections are
-/// kept long, so a caller that sends a byte now and then held its place for as long: 15 s instead of 3 s,
-/// measured with 60 such callers.
+/// kept long, so a caller that sends a byte now and then would hold its place for as long.
 pub(crate) struct CallerIo<T> {
     stream: Rc<RefCell<CallerStream<T>>>,
     head_time: Duration,
--- a/crates/chicoryrail-runtime/src/callers/pipeline.rs
+++ b/crates/chicoryrail-runtime/src/callers/pipeline.rs
@@ -18,7 +18,7 @@
 
 /// Most requests of one connection that are served beside the one whose turn it is. Each may hold a server's
 /// slot and an answer in memory. A caller with more has eight answers at a time, which hides the wait for a
-/// server as well as a hundred would; measured with 12 requests of 100 ms on one connection: two rounds.
+/// server as well as a hundred would.
 pub(crate) const MOST_AHEAD: usize = 8;
 
 /// An answer in the making.
