fix(router): a message between hosts that claims an endless list is refused

Cause: the codec took a list's claimed length at its word; ten bytes at the port between hosts ended the process with a capacity overflow. Test: bad_input.rs endless_lists_between_hosts_harm_nobody; it failed on the code before.

--- a/crates/chicoryrail-router/src/control/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/follow_relay.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bincode::config::standard;
 use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::HostState;
@@ -27,6 +26,8 @@
 use crate::talk::KeyFence;
 use crate::talk::RelayReply;
 use crate::talk::RelayRequest;
+use crate::talk::decode;
+use crate::talk::encode;
 
 /// Time beyond the wait of a reply after which a relay counts as lost: a busy host of a tenth of a core replies within it. A lost
 /// watcher and then a lost relay are found in time for a server's leave to be known everywhere within 2 s.
@@ -89,7 +90,7 @@
     client: &HttpClient,
     addr: SocketAddr,
 ) -> Result<RelayReply, RelayError> {
-    let bytes = bincode::encode_to_vec(request(router), standard());
+    let bytes = encode(&request(router));
     let bytes = bytes.unwrap_or_else(|e| {
         log::error!(error:% = e; "relay_request_unwritable");
         Vec::new()
@@ -98,9 +99,7 @@
     let request = request.expect("a fixed path is a valid request");
     let answer = client.call(addr, request, WAIT + LATE).await;
     let answer = answer.context(CallSnafu)?;
-    let decoded = bincode::decode_from_slice(answer.body(), standard());
-    let (reply, _) = decoded.context(DecodeSnafu)?;
-    Ok(reply)
+    decode(answer.body()).context(DecodeSnafu)
 }
 
 fn request(router: &Router) -> RelayRequest {
--- a/crates/chicoryrail-router/src/control/relay.rs
+++ b/crates/chicoryrail-router/src/control/relay.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bincode::config::standard;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::HostState;
 use chicoryrail_runtime::Body;
@@ -20,6 +19,8 @@
 use crate::talk::KeyRanges;
 use crate::talk::RelayReply;
 use crate::talk::RelayRequest;
+use crate::talk::decode;
+use crate::talk::encode;
 
 /// Longest time for which a reply waits for news. A host that hears nothing for longer goes to another relay.
 pub(super) const WAIT: Millis = Millis(400);
@@ -38,7 +39,7 @@
     let Ok(body) = collect(request.into_body(), REQUEST_MOST).await else {
         return error_answer(400, "the request was cut or is too long");
     };
-    let Ok((asked, _)) = bincode::decode_from_slice::<RelayRequest, _>(&body, standard()) else {
+    let Ok(asked) = decode::<RelayRequest>(&body) else {
         return error_answer(400, "the request can't be read");
     };
     if asked.leaf {
@@ -54,7 +55,7 @@
         }
         let _ = timeout(left.duration(), router.news.after(seen)).await;
     }
-    match bincode::encode_to_vec(reply(&router, &asked), standard()) {
+    match encode(&reply(&router, &asked)) {
         Ok(bytes) => Response::new(full(bytes)),
         Err(e) => {
             log::error!(error:% = e; "relay_unwritable");
--- a/crates/chicoryrail-router/src/talk/mod.rs
+++ b/crates/chicoryrail-router/src/talk/mod.rs
@@ -3,10 +3,13 @@
 //! They carry what must be known within milliseconds, or while the store is away. A lost one is made good
 //! by the next, or by its sender's time limit.
 
+mod codec;
 mod packet;
 mod relay_message;
 mod socket;
 
+pub(crate) use codec::decode;
+pub(crate) use codec::encode;
 pub(crate) use packet::Heartbeat;
 pub(crate) use packet::KeyDemand;
 pub(crate) use packet::KeyRanges;
--- a/crates/chicoryrail-router/src/talk/socket.rs
+++ b/crates/chicoryrail-router/src/talk/socket.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bincode::config::standard;
 use chicoryrail_core::Millis;
 use monoio::net::udp::UdpSocket;
 
 use crate::talk::Packet;
+use crate::talk::decode;
+use crate::talk::encode;
 
 /// Bytes of a datagram that is read: as long as one can be. What is sent stays below what one packet carries, but
 /// for a long list of ranges. One that is cut off can't be read, and its host would go on by old ranges.
@@ -41,7 +42,7 @@
 
     /// Sends the same datagram to several hosts; it is encoded once.
     pub(crate) async fn send_all(&self, packet: &Packet, addrs: &[SocketAddr]) {
-        let Ok(mut bytes) = bincode::encode_to_vec(packet, standard()) else {
+        let Ok(mut bytes) = encode(packet) else {
             return;
         };
         for addr in addrs {
@@ -73,8 +74,8 @@
                     continue;
                 }
             };
-            match bincode::decode_from_slice::<Packet, _>(&buffer[..n], standard()) {
-                Ok((packet, _)) => take(packet, from),
+            match decode(&buffer[..n]) {
+                Ok(packet) => take(packet, from),
                 Err(e) => log::warn!(from:% = from, error:% = e; "talk_unreadable"),
             }
         }
--- a/crates/chicoryrail-router/tests/bad_input.rs
+++ b/crates/chicoryrail-router/tests/bad_input.rs
@@ -9,7 +9,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::block_on;
+use http::Request;
 use monoio::io::AsyncReadRent;
 use monoio::io::AsyncWriteRentExt;
 use monoio::time::timeout;
@@ -292,3 +296,28 @@
         set.is_well().await;
     });
 }
+
+/// The start of a list, or of a text, that claims to be as long as a number can say.
+const ENDLESS: [u8; 9] = [0xfd, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff];
+
+/// A datagram between hosts, and a request of a host that would follow this one, claim an endless list or name. Taken
+/// at that, the process would ask for all memory and die, and with it its callers' requests; both are refused unread.
+#[test]
+fn endless_lists_between_hosts_harm_nobody() {
+    block_on(async {
+        let mut set = Set::start("endless").await;
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        for kind in 0..8 {
+            let input = [&[kind][..], &ENDLESS].concat();
+            socket.send_to(&input, set.router.talk).unwrap();
+        }
+        let client = HttpClient::default();
+        for body in [&ENDLESS[..], b"", b"no request"] {
+            let request = Request::post("/relay").body(Bytes::copy_from_slice(body));
+            let call = client.call(set.router.talk, request.unwrap(), Millis(2_000));
+            let answer = call.await;
+            assert_eq!(answer.unwrap().status(), 400);
+        }
+        set.is_well().await;
+    });
+}
