--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -2,20 +2,16 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
-use chicoryrail_ownership::keys::Holder;
 use chicoryrail_ownership::keys::KeyAction;
 use chicoryrail_ownership::keys::KeyLeases;
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::KeyTiming;
-use chicoryrail_ownership::keys::Moves;
-use chicoryrail_ownership::keys::Plan;
 use chicoryrail_ownership::store_key;
 use chicoryrail_platform::KeyGrant;
 use chicoryrail_platform::OWN_PREFIX;
@@ -32,22 +28,6 @@
 const BUSY_LOOK: Millis = Millis(10);
 const CALM_LOOK: Millis = Millis(50);
 
-/// Time between two moves of boundaries for balance. The load that a cut follows is that of the last few
-/// seconds, and each cut holds the moved keys' requests for as long as work on them is running.
-const BALANCE_EVERY: Millis = Millis(2_500);
-
-/// Time between two moves that relieve a server which has far too much. A range of keys that grew busy a moment ago
-/// shows in part at first; what is left of it is moved with the next.
-const URGENT_EVERY: Millis = Millis(400);
-
-/// Time after a change at which the record is written again without the former holders that hold nothing any more.
-/// Left in it, a leader that takes over waits for them as long as for any, and keys that nobody holds stay unserved.
-const TIDY: Millis = Millis(1_000);
-
-/// Time for which a server must have been known before it gets keys. Servers come in groups, at the start
-/// and with each release, and every change of the record is told to every host.
-const SETTLED: Millis = Millis(400);
-
 /// Time after an outage in which grants for its time may still be held: such a grant and a renewal in flight.
 const OUTAGE_MEMORY: Millis = Millis(12_500);
 
@@ -237,70 +217,6 @@
         }
     }
 
-    fn plan(&self) {
-        let now = self.router.now();
-        if self.leases.borrow().is_writing() {
-            return;
-        }
-        let holders = self.holders(now);
-        // Former holders that can't be reached keep their keys for many seconds after an outage. The others' load is
-        // balanced meanwhile, or a range that grows busy would overload its server for as long.
-        let moves = match now.since(self.balanced.get()) {
-            since if since >= BALANCE_EVERY => Moves::Balance,
-            since if since >= URGENT_EVERY => Moves::Urgent,
-            _ => Moves::Needed,
-        };
-        let plan = self.leadership.with_load(now, &self.service, |load| {
-            Plan::of(self.leases.borrow().record(), &holders, load, moves)
-        });
-        if let Plan::Change(spans) = plan {
-            self.balanced.set(now);
-            let services = self.router.services();
-            let there = |life: &Life| services.iter().any(|s| s.target(life).is_some());
-            self.leadership.keep_speeds(there);
-            log::info!(service:% = self.service, servers = holders.len(),
-                spans = spans.len(), fence = self.leases.borrow().record().fence; "keys_planned");
-            self.leases.borrow_mut().change(spans, rand::random());
-        } else if now.since(self.balanced.get()) >= TIDY && self.leases.borrow().is_untidy() {
-            self.balanced.set(now);
-            let spans = self.leases.borrow().record().spans.clone();
-            self.leases.borrow_mut().change(spans, rand::random());
-        }
-    }
-
-    /// Returns the servers that may hold keys: those that take work, are warm and answer; cold ones
-    /// where there is no other.
-    fn holders(&self, now: Millis) -> Vec<Holder> {
-        let service = self.router.service(&self.service);
-        let targets = service.targets.borrow();
-        let leases = self.leases.borrow();
-        let owners: BTreeSet<&Life> = leases.record().spans.iter().map(|s| &s.owner).collect();
-        let open = |cold: bool| -> Vec<Holder> {
-            let open = targets.values().filter(|t| t.is_ready());
-            let open = open.filter(|t| !leases.is_lost(now, &t.life));
-            let holds = |life: &Life| owners.contains(life);
-            let open = open.filter(|t| holds(&t.life) || now.since(t.known) >= SETTLED);
-            let warm = open.filter(|t| cold || !t.is_cold(now) || holds(&t.life));
-            let mut holders: Vec<_> = warm
-                .map(|t| Holder {
-                    life: t.life.clone(),
-                    weight: self.weight(t),
-                })
-                .collect();
-            holders.sort_by(|a, b| a.life.cmp(&b.life));
-            holders
-        };
-        let warm = open(false);
-        if warm.is_empty() { open(true) } else { warm }
-    }
-
-    /// Returns the work that a server can do, by what the hosts saw of it that schedule for it. A slow server with as many
-    /// requests as the others has the longest queue of all.
-    fn weight(&self, target: &crate::state::Target) -> f64 {
-        let speed = self.leadership.speed(&target.life);
-        f64::from(target.slots.get()) / speed.clamp(0.5, 2.0)
-    }
-
     fn act(self: &Rc<Self>) {
         let now = self.router.now();
         let duties = self.leases.borrow_mut().due(now);
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod leader_term;
 mod overflow;
 mod part_schedulers;
+mod plan_keys;
 mod presence;
 mod relay;
 pub(crate) mod scheduling;
--- a/xtask/src/prose.rs
+++ b/xtask/src/prose.rs
@@ -9,7 +9,7 @@
 const LONGEST: usize = 300;
 
 /// Files that are longer, and why one job takes so much.
-const LONG: [(&str, &str); 9] = [
+const LONG: [(&str, &str); 8] = [
     (
         "crates/chicoryrail-core/src/site/file.rs",
         "one format, read field by field",
@@ -26,10 +26,6 @@
         "crates/chicoryrail-ownership/src/peers.rs",
         "one table of hosts and the questions to it",
     ),
-    (
-        "crates/chicoryrail-router/src/control/keep_keys.rs",
-        "to be split: plan, orders and gossip of one term",
-    ),
     (
         "crates/chicoryrail-router/src/state/router.rs",
         "the state that all tasks share",
