--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/follow.rs
@@ -211,7 +211,7 @@
     !told.is_empty()
 }
 
-/// Returns how long to wait for more changes of a part that has told one.
+/// Returns how long to wait for more changes of a part that had one.
 fn group_time(router: &Router, feed: Feed) -> Millis {
     if feed == Feed::Operator || router.leads.get() > 0 {
         return PAUSE;
--- a/crates/chicoryrail-router/src/control/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/follow_relay.rs
@@ -29,8 +29,8 @@
 use crate::talk::decode;
 use crate::talk::encode;
 
-/// Time beyond the wait of a reply after which a relay counts as lost: a busy host of a tenth of a core replies within it. A lost
-/// watcher and then a lost relay are found in time for a server's leave to be known everywhere within 2 s.
+/// Time beyond the wait of a reply after which a relay counts as lost: a busy host of a tenth of a core replies within
+/// it. A lost watcher and then a lost relay are found in time for a server's leave to be known everywhere within 2 s.
 const LATE: Millis = Millis(350);
 
 /// Pause after a reply, in which more news comes together.
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -38,19 +38,27 @@
 /// Time between two looks of a leaf host whether it became a core host.
 const NOT_CORE: Millis = Millis(50);
 
-/// Time between two messages on free slots: as long as short work takes, so that what is told is still true.
+/// Time between two messages on free slots: as long as short work takes, so that what they say is still true.
 const ROOMS_EVERY: Millis = Millis(150);
 
 /// Heartbeats after which the leader sends all ranges of keys again, should the datagram with them have been lost.
-const TELL_AGAIN: u32 = 3;
+const SEND_AGAIN: u32 = 3;
+
+/// Ranges of a service as they were sent last.
+#[derive(Debug, Default)]
+struct SentRanges {
+    fence: u64,
+    /// Heartbeats since.
+    heartbeats: u32,
+}
 
 /// What this host tells the others, and hears from them.
 pub(crate) struct Gossip {
     router: Rc<Router>,
     /// What the leader knows, while this host leads.
     leadership: Rc<LeaderTerm>,
-    /// Heartbeats since the ranges of each service were sent, and their fence then.
-    told: RefCell<BTreeMap<ServiceName, (u64, u32)>>,
+    /// Ranges of each service as they were sent last.
+    sent: RefCell<BTreeMap<ServiceName, SentRanges>>,
 }
 
 impl Gossip {
@@ -59,7 +67,7 @@
         Rc::new(Self {
             router: Rc::clone(router),
             leadership: Rc::clone(leadership),
-            told: RefCell::default(),
+            sent: RefCell::default(),
         })
     }
 
@@ -69,16 +77,16 @@
             Packet::Heartbeat(word) => self.read(word, from),
             Packet::KeyDemand(asked) => self.take_asked(&asked),
             Packet::Speeds(speeds) => self.leadership.heard_speeds(speeds),
-            Packet::SlotReply { ticket, told } => self.told(ticket, told),
+            Packet::SlotReply { ticket, reply } => self.take_reply(ticket, reply),
             packet => scheduling::take(&self.router, &packet, Some(from)),
         }
     }
 
-    fn told(&self, ticket: u64, told: SlotReply) {
+    fn take_reply(&self, ticket: u64, reply: SlotReply) {
         // Nobody waits any more: the reply came late. The slot that it gives is free again when the
         // request's time is over, as the scheduler sees it.
-        if !self.router.asks.told(ticket, told) {
-            log::debug!(ticket = ticket; "told_late");
+        if !self.router.asks.replied(ticket, reply) {
+            log::debug!(ticket = ticket; "reply_late");
         }
     }
 
@@ -169,26 +177,29 @@
     }
 
     fn key_updates(&self) -> Vec<KeyUpdate> {
-        let words = self.leadership.updates.borrow();
+        let updates = self.leadership.updates.borrow();
         let pair = |s: &KeyRange| (s.first, s.last);
-        let word = |(service, word): (&ServiceName, &(KeyRecord, Vec<KeyRange>))| KeyUpdate {
+        let update = |(service, known): (&ServiceName, &(KeyRecord, Vec<KeyRange>))| KeyUpdate {
             service: service.clone(),
-            fence: word.0.fence,
-            ranges: self.ranges(service, &word.0),
-            blocked: word.1.iter().map(pair).collect(),
+            fence: known.0.fence,
+            ranges: self.ranges(service, &known.0),
+            blocked: known.1.iter().map(pair).collect(),
         };
-        words.iter().map(word).collect()
+        updates.iter().map(update).collect()
     }
 
-    /// Returns the ranges of a service where they are to be told: with a new fence, and now and then again.
+    /// Returns the ranges of a service where they are to be sent: with a new fence, and now and then again.
     fn ranges(&self, service: &ServiceName, record: &KeyRecord) -> Option<KeyRanges> {
-        let mut told = self.told.borrow_mut();
-        let (fence, words) = told.entry(service.clone()).or_default();
-        *words += 1;
-        if *fence == record.fence && *words < TELL_AGAIN {
+        let mut sent = self.sent.borrow_mut();
+        let sent = sent.entry(service.clone()).or_default();
+        sent.heartbeats += 1;
+        if sent.fence == record.fence && sent.heartbeats < SEND_AGAIN {
             return None;
         }
-        (*fence, *words) = (record.fence, 0);
+        *sent = SentRanges {
+            fence: record.fence,
+            heartbeats: 0,
+        };
         Some(KeyRanges::pack(&record.spans))
     }
 
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/keep_keys.rs
@@ -1,5 +1,6 @@
 //! Keeps the keys of keyed services while this host leads.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -39,13 +40,13 @@
     pub(super) leader_key: String,
     pub(super) service: ServiceName,
     pub(super) leases: RefCell<KeyLeases>,
-    pub(super) revision: std::cell::Cell<u64>,
+    pub(super) revision: Cell<u64>,
     /// When each server confirmed a grant last.
     pub(super) confirmed: RefCell<BTreeMap<Life, Millis>>,
     /// Fence of the record that is in the store.
-    pub(super) stored: std::cell::Cell<u64>,
-    pub(super) balanced: std::cell::Cell<Millis>,
-    pub(super) committing: std::cell::Cell<bool>,
+    pub(super) stored: Cell<u64>,
+    pub(super) balanced: Cell<Millis>,
+    pub(super) committing: Cell<bool>,
     /// Notified when a call has ended.
     pub(super) ended: Signal,
 }
@@ -117,18 +118,18 @@
         leader_key: leader_key.to_owned(),
         service: service.clone(),
         leases: RefCell::new(leases),
-        revision: std::cell::Cell::new(revision),
+        revision: Cell::new(revision),
         confirmed: RefCell::default(),
-        stored: std::cell::Cell::new(stored),
-        balanced: std::cell::Cell::new(now),
-        committing: std::cell::Cell::new(false),
+        stored: Cell::new(stored),
+        balanced: Cell::new(now),
+        committing: Cell::new(false),
         ended: Signal::default(),
     })
 }
 
 impl KeyLeader {
     async fn run(self: Rc<Self>) {
-        let mut told = None;
+        let mut announced = None;
         while self.leadership.term.get() == self.term {
             let ended = self.ended.count();
             let away = self.router.all_lost_store(self.router.now());
@@ -142,7 +143,7 @@
                 self.act();
             }
             let changing = self.leases.borrow().is_changing();
-            self.tell(&mut told);
+            self.announce(&mut announced);
             if self.leases.borrow().is_deposed() {
                 log::warn!(service:% = self.service, term = self.term; "fence_refused");
                 self.leadership.term.set(0);
@@ -159,14 +160,14 @@
     }
 
     /// Tells the other hosts, and this one, who holds what, where that changed.
-    fn tell(&self, told: &mut Option<(u64, Vec<KeyRange>)>) {
+    fn announce(&self, announced: &mut Option<(u64, Vec<KeyRange>)>) {
         let leases = self.leases.borrow();
-        let word = (leases.record().fence, leases.blocked());
-        if told.as_ref() == Some(&word) {
+        let update = (leases.record().fence, leases.blocked());
+        if announced.as_ref() == Some(&update) {
             return;
         }
-        *told = Some(word.clone());
-        let (fence, blocked) = word;
+        *announced = Some(update.clone());
+        let (fence, blocked) = update;
         log::info!(service:% = self.service, fence = fence, blocked = blocked.len(),
             keys:? = blocked.iter().map(|s| s.len()).sum::<u32>(); "keys_blocked");
         let service = self.router.service(&self.service);
--- a/crates/chicoryrail-router/src/control/part_schedulers.rs
+++ b/crates/chicoryrail-router/src/control/part_schedulers.rs
@@ -57,11 +57,11 @@
 }
 
 /// Replies to the host that asked, or to this one.
-pub(super) fn answer(router: &Rc<Router>, to: Option<SocketAddr>, ticket: u64, told: SlotReply) {
+pub(super) fn answer(router: &Rc<Router>, to: Option<SocketAddr>, ticket: u64, reply: SlotReply) {
     match to {
-        Some(addr) => router.talk.post(Packet::SlotReply { ticket, told }, addr),
+        Some(addr) => router.talk.post(Packet::SlotReply { ticket, reply }, addr),
         None => {
-            router.asks.told(ticket, told);
+            router.asks.replied(ticket, reply);
         }
     }
 }
--- a/crates/chicoryrail-router/src/control/relay.rs
+++ b/crates/chicoryrail-router/src/control/relay.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
+use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::HostState;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::collect;
@@ -76,7 +78,7 @@
         })
 }
 
-fn known_fence(asked: &RelayRequest, service: &chicoryrail_core::ServiceName) -> u64 {
+fn known_fence(asked: &RelayRequest, service: &ServiceName) -> u64 {
     let known = asked.fences.iter().find(|f| f.service == *service);
     known.map_or(0, |f| f.fence)
 }
@@ -127,7 +129,7 @@
     others.chain([own]).collect()
 }
 
-fn core_state(host: &chicoryrail_core::HostName, addr: SocketAddr, said: &HostState) -> CoreState {
+fn core_state(host: &HostName, addr: SocketAddr, said: &HostState) -> CoreState {
     CoreState {
         host: host.clone(),
         addr,
--- a/crates/chicoryrail-router/src/control/scheduling.rs
+++ b/crates/chicoryrail-router/src/control/scheduling.rs
@@ -30,12 +30,12 @@
 use crate::talk::SlotQuery;
 use crate::talk::SlotReply;
 
-/// Time between two looks at requests that wait for what is not told to the scheduler: a server that warms up,
+/// Time between two looks at requests that wait for what no message tells the scheduler: a server that warms up,
 /// rests, or gets its keys.
 const LOOK: Millis = Millis(15);
 
 /// Time between two log lines on how full the schedulers are.
-const TELL: Millis = Millis(1_000);
+const LOG_EVERY: Millis = Millis(1_000);
 
 /// Time between two looks for which servers this host schedules: what it decides by that, the pace of cold servers,
 /// reckons with two schedulers.
@@ -43,15 +43,15 @@
 
 /// Looks at the requests that wait here.
 pub(crate) async fn tend(router: Rc<Router>) {
-    let mut told = router.now();
+    let mut logged = router.now();
     let mut drawn = (Millis::ZERO, 0);
     loop {
         router.process.clock.sleep(LOOK).await;
         if router.now().since(drawn.0) >= DRAW {
             drawn = (router.now(), draw(&router, drawn.1));
         }
-        if router.now().since(told) >= TELL {
-            told = router.now();
+        if router.now().since(logged) >= LOG_EVERY {
+            logged = router.now();
             log_schedulers(&router);
         }
         for part in waiting_parts(&router) {
@@ -164,7 +164,7 @@
         .insert(ask.ticket, origin);
     if let Some(id) = given {
         // The reply was lost on the way.
-        tell(router, &ask.part, ask.ticket, Decision::Send(id));
+        send_reply(router, &ask.part, ask.ticket, Decision::Send(id));
         return;
     }
     let may_overflow = ask.part.dc.is_some() && !ask.overflows;
@@ -262,13 +262,13 @@
         })
     };
     for (ticket, verdict) in verdicts {
-        tell(router, part, ticket, verdict);
+        send_reply(router, part, ticket, verdict);
     }
 }
 
-fn tell(router: &Rc<Router>, part: &PartName, ticket: u64, verdict: Decision) {
+fn send_reply(router: &Rc<Router>, part: &PartName, ticket: u64, verdict: Decision) {
     let service = router.service(&part.service);
-    let told = match verdict {
+    let reply = match verdict {
         Decision::Refuse(after) => SlotReply::Refuse(after.0),
         Decision::Send(id) => {
             let targets = service.targets.borrow();
@@ -281,7 +281,7 @@
     let Some(origin) = router.schedulers.origins.borrow_mut().remove(&ticket) else {
         return;
     };
-    if let SlotReply::Refuse(after) = told {
+    if let SlotReply::Refuse(after) = reply {
         let schedulers = router.schedulers.by_part.borrow();
         let scheduler = schedulers.get(part);
         let (busy, slots) = scheduler.map_or((0, 0), Scheduler::filled);
@@ -289,5 +289,5 @@
             slots = slots, waiting = scheduler.map_or(0, Scheduler::waiting);
             "scheduler_refused");
     }
-    answer(router, origin.from, ticket, told);
+    answer(router, origin.from, ticket, reply);
 }
--- a/crates/chicoryrail-router/src/state/asks.rs
+++ b/crates/chicoryrail-router/src/state/asks.rs
@@ -19,14 +19,14 @@
 /// One request's reply from the scheduler.
 #[derive(Debug, Default)]
 pub(crate) struct Waiting {
-    told: RefCell<Option<SlotReply>>,
+    reply: RefCell<Option<SlotReply>>,
     pub(crate) changed: Signal,
 }
 
 impl Waiting {
     /// Takes the last heartbeat.
     pub(crate) fn take(&self) -> Option<SlotReply> {
-        self.told.borrow_mut().take()
+        self.reply.borrow_mut().take()
     }
 }
 
@@ -50,12 +50,12 @@
     }
 
     /// Takes in a reply of the scheduler; tells whether somebody waits for it.
-    pub(crate) fn told(&self, ticket: u64, told: SlotReply) -> bool {
+    pub(crate) fn replied(&self, ticket: u64, reply: SlotReply) -> bool {
         let waiting = self.waiting.borrow().get(&ticket).cloned();
         let Some(waiting) = waiting else {
             return false;
         };
-        *waiting.told.borrow_mut() = Some(told);
+        *waiting.reply.borrow_mut() = Some(reply);
         waiting.changed.notify();
         true
     }
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -26,7 +26,7 @@
     /// A request asks the host that schedules for its server.
     SlotQuery(SlotQuery),
     /// The host that schedules says what becomes of a request.
-    SlotReply { ticket: u64, told: SlotReply },
+    SlotReply { ticket: u64, reply: SlotReply },
     /// A request at a server has ended.
     SlotEnd(SlotEnd),
     /// The caller of a request that asked has left.
