--- a/crates/chicoryrail-router/src/control/overflow.rs
+++ b/crates/chicoryrail-router/src/control/overflow.rs
@@ -8,9 +8,9 @@
 use crate::control::part_schedulers::answer;
 use crate::control::part_schedulers::left;
 use crate::control::part_schedulers::set_servers;
-use crate::state::PartName;
-use crate::state::PartRoom;
 use crate::state::Router;
+use crate::talk::PartName;
+use crate::talk::PartRoom;
 use crate::talk::SlotQuery;
 use crate::talk::SlotReply;
 
--- a/crates/chicoryrail-router/src/control/part_schedulers.rs
+++ b/crates/chicoryrail-router/src/control/part_schedulers.rs
@@ -7,10 +7,10 @@
 use chicoryrail_policy::Scheduler;
 use chicoryrail_policy::SlotState;
 
-use crate::state::PartName;
 use crate::state::Router;
 use crate::state::Service;
 use crate::talk::Packet;
+use crate::talk::PartName;
 use crate::talk::SlotReply;
 
 /// Takes in that a caller has left.
--- a/crates/chicoryrail-router/src/route/slot.rs
+++ b/crates/chicoryrail-router/src/route/slot.rs
@@ -16,11 +16,11 @@
 
 use crate::control::scheduling;
 use crate::route::call::Call;
-use crate::state::PartName;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
 use crate::talk::Packet;
+use crate::talk::PartName;
 use crate::talk::SlotEnd;
 use crate::talk::SlotEndKind;
 use crate::talk::SlotQuery;
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -3,7 +3,6 @@
 mod asks;
 mod believe;
 mod counters;
-mod part;
 pub(crate) mod router;
 mod schedulers;
 mod service;
@@ -13,8 +12,6 @@
 
 pub(crate) use asks::Asks;
 pub(crate) use counters::Counters;
-pub(crate) use part::PartName;
-pub(crate) use part::PartRoom;
 pub(crate) use router::Router;
 pub(crate) use schedulers::Origin;
 pub(crate) use schedulers::Schedulers;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -31,13 +31,13 @@
 use crate::Options;
 use crate::state::Asks;
 use crate::state::Counters;
-use crate::state::PartName;
 use crate::state::Schedulers;
 use crate::state::Service;
 use crate::state::SourceState;
 use crate::state::Target;
 use crate::state::View;
 use crate::talk::FEED_COUNT;
+use crate::talk::PartName;
 use crate::talk::Talk;
 
 /// Speed of a link in megabits a second below which a host leads and schedules only where hardly any other does: its
--- a/crates/chicoryrail-router/src/state/schedulers.rs
+++ b/crates/chicoryrail-router/src/state/schedulers.rs
@@ -11,8 +11,8 @@
 use chicoryrail_policy::PartRooms;
 use chicoryrail_policy::Scheduler;
 
-use crate::state::PartName;
-use crate::state::PartRoom;
+use crate::talk::PartName;
+use crate::talk::PartRoom;
 
 /// Who asked.
 #[derive(Clone, Debug)]
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -16,8 +16,8 @@
 use chicoryrail_policy::SharedServers;
 use chicoryrail_runtime::Signal;
 
-use crate::state::PartName;
 use crate::state::Target;
+use crate::talk::PartName;
 
 /// Servers in a data centre, on average, from which the scheduling of a service without keys is divided by data
 /// centre. Fewer are better scheduled together: a request finds a free one among all, and one host bears the load.
--- a/crates/chicoryrail-router/src/talk/mod.rs
+++ b/crates/chicoryrail-router/src/talk/mod.rs
@@ -5,6 +5,7 @@
 
 mod codec;
 mod packet;
+mod part;
 mod relay_message;
 mod socket;
 
@@ -19,6 +20,8 @@
 pub(crate) use packet::SlotEndKind;
 pub(crate) use packet::SlotQuery;
 pub(crate) use packet::SlotReply;
+pub(crate) use part::PartName;
+pub(crate) use part::PartRoom;
 pub(crate) use relay_message::CoreState;
 pub(crate) use relay_message::FEED_COUNT;
 pub(crate) use relay_message::KeyFence;
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -11,8 +11,8 @@
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::OwnedRange;
 
-use crate::state::PartName;
-use crate::state::PartRoom;
+use crate::talk::PartName;
+use crate::talk::PartRoom;
 
 /// A datagram.
 #[derive(Clone, Debug, Encode, Decode)]
