refactor(router): servers of a part are brought up to date once a question, ranges become a record in one place

Cause, found in reading the change again: a question to a divided service set all servers of its part twice, once to look for a free slot and once to decide; each heartbeat of a core host built this host's whole state for one number; ranges were unpacked into a record in two places; both ends of a relay's reply paused by themselves. Change: refresh and decide are apart, and a question does each once; leaves(), to_record() and one pause. Decisions stay.

--- a/crates/chicoryrail-router/src/control/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/follow_relay.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::HostState;
-use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_platform::FeedNews;
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
@@ -33,7 +32,7 @@
 /// it. A lost watcher and then a lost relay are found in time for a server's leave to be known everywhere within 2 s.
 const LATE: Millis = Millis(350);
 
-/// Pause after a reply, in which more news comes together.
+/// Pause after a reply, in which more news comes together, or after a failure.
 const PAUSE: Millis = Millis(60);
 
 /// Time between two tries of a leaf host that watches the store because it found no relay.
@@ -73,15 +72,14 @@
             Ok(reply) => {
                 router.source.replied.set(router.now());
                 take(&router, reply);
-                router.process.clock.sleep(PAUSE).await;
             }
             Err(e) => {
                 log::info!(relay:% = addr, error:% = e; "relay_failed");
                 router.peers.borrow_mut().relay_failed(router.now(), addr);
-                // The choice of the source is looked at by its own task.
-                router.process.clock.sleep(PAUSE).await;
             }
         }
+        // After a failure, the task that chooses the source looks for another relay meanwhile.
+        router.process.clock.sleep(PAUSE).await;
     }
 }
 
@@ -136,12 +134,7 @@
     }
     for map in reply.keys {
         let service = router.service(&map.service);
-        let record = KeyRecord {
-            fence: map.fence,
-            spans: map.ranges.unpack(),
-            ..KeyRecord::default()
-        };
-        router.key_record(&service, record);
+        router.key_record(&service, map.ranges.to_record(map.fence));
         scheduling::keys_moved(router, &service);
     }
     let mut peers = router.peers.borrow_mut();
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -247,7 +247,7 @@
                 leaves: word.leaves,
             };
             peers.heard(now, &word.host, from, said);
-            let all = peers.all_hosts(now, self.router.host_state().leaves);
+            let all = peers.all_hosts(now, self.router.leaves());
             peers.count(all);
             let leader = word.leads.then_some(&word.host);
             if word.leads && word.term >= known {
@@ -268,11 +268,7 @@
     fn take_keys(&self, now: Millis, word: KeyUpdate) {
         let service = self.router.service(&word.service);
         if let Some(ranges) = &word.ranges {
-            let record = KeyRecord {
-                fence: word.fence,
-                spans: ranges.unpack(),
-                ..KeyRecord::default()
-            };
+            let record = ranges.to_record(word.fence);
             service.keys.borrow_mut().record(now, record);
         }
         let blocked = word.blocked.into_iter();
--- a/crates/chicoryrail-router/src/control/overflow.rs
+++ b/crates/chicoryrail-router/src/control/overflow.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use chicoryrail_ownership::SchedulerHost;
+use chicoryrail_policy::Scheduler;
 
 use crate::control::part_schedulers::answer;
 use crate::control::part_schedulers::left;
@@ -14,17 +15,12 @@
 use crate::talk::SlotQuery;
 use crate::talk::SlotReply;
 
-/// Tells whether a part has a free slot for which nobody waits.
+/// Tells whether a part has a free slot for which nobody waits; its servers must be up to date.
 pub(super) fn has_free(router: &Router, part: &PartName) -> bool {
-    let now = router.now();
-    let service = router.service(&part.service);
-    let mut schedulers = router.schedulers.by_part.borrow_mut();
-    let Some(scheduler) = schedulers.get_mut(part) else {
-        return false;
-    };
-    set_servers(router, &service, part, scheduler, now);
+    let schedulers = router.schedulers.by_part.borrow();
     // The request itself waits already.
-    scheduler.free(now) >= scheduler.waiting()
+    let free = |s: &Scheduler| s.free(router.now()) >= s.waiting();
+    schedulers.get(part).is_some_and(free)
 }
 
 /// Sends a request to another part of the service that has room, where one does.
--- a/crates/chicoryrail-router/src/control/part_schedulers.rs
+++ b/crates/chicoryrail-router/src/control/part_schedulers.rs
@@ -21,6 +21,15 @@
     router.schedulers.origins.borrow_mut().remove(&ticket);
 }
 
+/// Brings the servers of a part for which requests wait up to date.
+pub(super) fn refresh(router: &Router, part: &PartName) {
+    let service = router.service(&part.service);
+    let mut schedulers = router.schedulers.by_part.borrow_mut();
+    if let Some(scheduler) = schedulers.get_mut(part).filter(|s| s.waiting() > 0) {
+        set_servers(router, &service, part, scheduler, router.now());
+    }
+}
+
 /// Brings the scheduler's servers in line with what is believed of them. That changes with entries, with answers
 /// (a server says that it is cold) and with time (a leaving one's is over), so it is done for each decision.
 pub(super) fn set_servers(
--- a/crates/chicoryrail-router/src/control/scheduling.rs
+++ b/crates/chicoryrail-router/src/control/scheduling.rs
@@ -19,7 +19,7 @@
 use crate::control::overflow;
 use crate::control::part_schedulers::answer;
 use crate::control::part_schedulers::left;
-use crate::control::part_schedulers::set_servers;
+use crate::control::part_schedulers::refresh;
 use crate::state::Origin;
 use crate::state::Router;
 use crate::state::Service;
@@ -167,11 +167,12 @@
         send_reply(router, &ask.part, ask.ticket, Decision::Send(id));
         return;
     }
+    refresh(router, &ask.part);
     let may_overflow = ask.part.dc.is_some() && !ask.overflows;
     if may_overflow && !overflow::has_free(router, &ask.part) && overflow::take(router, ask, from) {
         return;
     }
-    poll(router, &ask.part);
+    decide(router, &ask.part);
     if router.schedulers.origins.borrow().contains_key(&ask.ticket) {
         answer(router, from, ask.ticket, SlotReply::Waits);
     }
@@ -243,8 +244,14 @@
     }
 }
 
-/// Decides what can be decided, and tells who asked.
+/// Decides what can be decided by what is believed of the servers now.
 fn poll(router: &Rc<Router>, part: &PartName) {
+    refresh(router, part);
+    decide(router, part);
+}
+
+/// Decides what can be decided, and tells who asked.
+fn decide(router: &Rc<Router>, part: &PartName) {
     let now = router.now();
     let service = router.service(&part.service);
     let verdicts = {
@@ -252,7 +259,6 @@
         let Some(scheduler) = schedulers.get_mut(part).filter(|s| s.waiting() > 0) else {
             return;
         };
-        set_servers(router, &service, part, scheduler, now);
         let keys = service.keys.borrow();
         scheduler.poll(now, |key| match keys.owner(now, key) {
             KeyOwner::Held(life) => service
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -208,7 +208,7 @@
     }
 
     /// Returns the number of leaf hosts that follow this one.
-    fn leaves(&self) -> u32 {
+    pub(crate) fn leaves(&self) -> u32 {
         let now = self.now();
         let mut leaves = self.leaves.borrow_mut();
         leaves.retain(|_, asked| now.since(*asked) <= LEAF_GONE);
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -9,6 +9,7 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::keys::KeyRange;
+use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::OwnedRange;
 
 use crate::talk::PartName;
@@ -92,14 +93,18 @@
         Self { owners, ranges }
     }
 
-    /// Unpacks the ranges; one that names no owner of the list is left out.
-    pub(crate) fn unpack(&self) -> Vec<OwnedRange> {
+    /// Unpacks the ranges into a record; one that names no owner of the list is left out.
+    pub(crate) fn to_record(&self, fence: u64) -> KeyRecord {
         let ranges = self.ranges.iter().filter_map(|(first, last, at)| {
             let owner = self.owners.get(*at as usize)?.clone();
             let (first, last) = (*first, *last);
             Some(OwnedRange::new(KeyRange { first, last }, owner))
         });
-        ranges.collect()
+        KeyRecord {
+            fence,
+            spans: ranges.collect(),
+            ..KeyRecord::default()
+        }
     }
 }
 
