feat(policy): an organisation's limit is kept over a sliding window, a flood spread over it

Change: the leader counts what ran in the window and what lies at schedulers; a new leader assumes a full window; a host that comes back is counted with what it let run alone; grants go by need, so that one scheduler does not take all.

--- a/crates/chicoryrail-policy/src/quota/mod.rs
+++ b/crates/chicoryrail-policy/src/quota/mod.rs
@@ -8,6 +8,7 @@
 mod quota_pool;
 mod quota_share;
 mod refill;
+mod sliding_window;
 
 pub use lone_share::LoneShare;
 pub use quota_pool::PoolBound;
--- a/crates/chicoryrail-policy/src/quota/quota_pool.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_pool.rs
@@ -6,9 +6,11 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::QuotaLimit;
 
+use crate::quota::Allowance;
 use crate::quota::QuotaGrant;
 use crate::quota::QuotaReport;
 use crate::quota::refill::Refill;
+use crate::quota::sliding_window::SlidingWindow;
 
 /// Time without a report after which a host's tokens count as spent.
 const LENT_UNTIL: Millis = Millis(3_000);
@@ -16,11 +18,14 @@
 /// The tokens of one organisation at the leader.
 ///
 /// Load: many schedulers, each with a part of an organisation's requests that changes from moment to moment. Harm
-/// prevented: more than the limit runs although no scheduler sees all. A token is counted as spent when it is given
-/// out, and tokens that lie unused at schedulers take the place of those that could gather here, so all hosts together
-/// never hold more than the burst.
-#[derive(Clone, Debug, Default)]
+/// prevented: more than the limit runs although no scheduler sees all. In any window no more runs, and lies unused at
+/// schedulers, than the limit allows; within that, a flood is spread over the window in place of being served whole
+/// and then not at all.
+#[derive(Clone, Debug)]
 pub struct QuotaPool {
+    started: Millis,
+    /// Requests that ran; `None` before the first report.
+    ran: Option<SlidingWindow>,
     refill: Refill,
     lent: BTreeMap<HostName, Lent>,
 }
@@ -30,10 +35,20 @@
 struct Lent {
     granted: u64,
     returned: u64,
+    /// Requests that it let run, as it said last.
+    spent: i64,
     held: i64,
+    want: u64,
     heard: Millis,
 }
 
+impl Lent {
+    /// Returns the tokens that the host lacks.
+    fn need(&self) -> f64 {
+        (self.want as i64 - self.held).max(0) as f64
+    }
+}
+
 /// What the leader gives out of.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PoolBound {
@@ -41,18 +56,25 @@
     pub term: u64,
     /// The organisation's limit.
     pub limit: QuotaLimit,
-    /// Part of the schedulers that this leader hears; the others spend their parts of the rate by themselves.
+    /// What may be exceeded of it.
+    pub allowance: Allowance,
+    /// Hosts that schedule.
+    pub schedulers: usize,
+    /// Part of the schedulers that this leader hears; the others spend their parts of the limit by themselves.
     pub heard_part: f64,
-    /// Requests beside the burst that may come at once.
+    /// Requests beyond the limit that may be given out.
     pub beside: f64,
 }
 
 impl QuotaPool {
-    /// Returns a pool whose tokens grow from `start` on.
+    /// Returns the pool of a leader that began to lead at `started`. What ran before it does not know, so it assumes
+    /// as much as the limit allows.
     #[must_use]
-    pub fn from(start: Millis) -> Self {
+    pub const fn from(started: Millis) -> Self {
         Self {
-            refill: Refill::from(start),
+            started,
+            ran: None,
+            refill: Refill::from(started),
             lent: BTreeMap::new(),
         }
     }
@@ -65,15 +87,14 @@
         report: QuotaReport,
         bound: &PoolBound,
     ) -> QuotaGrant {
-        self.lent.retain(|_, l| now.since(l.heard) <= LENT_UNTIL);
+        self.forget_silent(now);
         self.take_in(now, host, report, bound);
-        let out: i64 = self.lent.values().map(|l| l.held.max(0)).sum();
-        let most = (bound.limit.burst + bound.beside - out as f64).max(0.0);
-        let rate = bound.limit.rate * bound.heard_part.clamp(0.0, 1.0);
-        self.refill.grow(now, rate, most);
+        let free = self.free(now, bound);
+        let needs: f64 = self.lent.values().map(Lent::need).sum();
         let lent = self.lent.entry(host.clone()).or_default();
-        let need = (report.want as i64 - lent.held).max(0) as f64;
-        let given = need.min(self.refill.tokens.floor()).max(0.0);
+        // Where there are too few for all, whoever reports first leaves the others their parts.
+        let part = (lent.need() * free / needs.max(1.0)).floor();
+        let given = lent.need().min(part).max(0.0);
         self.refill.tokens -= given;
         lent.granted += given as u64;
         lent.held += given as i64;
@@ -83,24 +104,89 @@
         }
     }
 
+    /// Returns the tokens that may be given out.
+    fn free(&mut self, now: Millis, bound: &PoolBound) -> f64 {
+        let length = bound.allowance.window;
+        let whole = bound.allowance.window_limit(bound.limit);
+        let limit = whole * bound.heard_part.clamp(0.0, 1.0);
+        let held: i64 = self.lent.values().map(|l| l.held.max(0)).sum();
+        let ran = self.window(bound).count(now);
+        let rate = limit * 1_000.0 / length.0.max(1) as f64;
+        let most = (bound.limit.burst + bound.beside - held as f64).max(0.0);
+        self.refill.grow(now, rate, most);
+        (limit + bound.beside - ran - held as f64).min(self.refill.tokens)
+    }
+
+    fn window(&mut self, bound: &PoolBound) -> &mut SlidingWindow {
+        let Allowance { window, .. } = bound.allowance;
+        let assumed = bound.allowance.window_limit(bound.limit) + bound.beside;
+        self.ran
+            .get_or_insert_with(|| SlidingWindow::filled(self.started, window, assumed))
+    }
+
+    /// Counts the tokens of hosts that are not heard any more as spent.
+    fn forget_silent(&mut self, now: Millis) {
+        let silent = self.lent.values_mut();
+        let silent = silent.filter(|l| now.since(l.heard) > LENT_UNTIL);
+        let held = silent.map(|l| {
+            l.want = 0;
+            std::mem::take(&mut l.held).max(0)
+        });
+        let held: i64 = held.sum();
+        if let Some(ran) = self.ran.as_mut().filter(|_| held > 0) {
+            ran.add(now, held as f64);
+        }
+    }
+
     /// Brings what is known of a host's tokens up to date.
     fn take_in(&mut self, now: Millis, host: &HostName, report: QuotaReport, bound: &PoolBound) {
-        let lent = self.lent.entry(host.clone()).or_default();
-        if report.term != bound.term {
-            // What this leader gave it, it does not know of: it started anew, or the grant was lost. Given again, it
-            // counts a second time.
-            *lent = Lent::default();
-        } else {
-            let back = report.returned.saturating_sub(lent.returned);
-            lent.returned += back;
-            self.refill.tokens += back as f64;
-        }
-        // Tokens that are on their way count as held.
-        let under_way = match report.term == bound.term {
-            true => lent.granted.saturating_sub(report.granted),
-            false => 0,
+        let known = self.lent.get(host).copied();
+        let known = known.filter(|_| report.term == bound.term);
+        let lent = match known {
+            Some(known) => self.take_change(now, known, report, bound),
+            None => self.take_unknown(now, report, bound),
         };
-        lent.held = report.held + under_way as i64;
-        lent.heard = now;
+        self.lent.insert(host.clone(), lent);
+    }
+
+    fn take_change(
+        &mut self,
+        now: Millis,
+        known: Lent,
+        report: QuotaReport,
+        bound: &PoolBound,
+    ) -> Lent {
+        let spent = report.spent - known.spent;
+        self.window(bound).add(now, spent as f64);
+        let returned = report.returned.saturating_sub(known.returned);
+        self.refill.tokens += returned as f64;
+        // Tokens that are on their way count as held.
+        let under_way = known.granted.saturating_sub(report.granted);
+        Lent {
+            granted: known.granted,
+            returned: known.returned + returned,
+            spent: report.spent,
+            held: report.held + under_way as i64,
+            want: report.want,
+            heard: now,
+        }
+    }
+
+    /// Takes in a host that says another term: it started anew, or what it was given in this term was lost. What it let
+    /// run by itself since this leader began is not known, and counted as its part of the limit.
+    fn take_unknown(&mut self, now: Millis, report: QuotaReport, bound: &PoolBound) -> Lent {
+        let length = bound.allowance.window;
+        let alone = now.since(self.started).min(length);
+        let part = bound.allowance.window_limit(bound.limit) / bound.schedulers.max(1) as f64;
+        let ran = part * alone.0 as f64 / length.0.max(1) as f64;
+        self.window(bound).add(now, ran);
+        Lent {
+            granted: 0,
+            returned: 0,
+            spent: report.spent,
+            held: report.held,
+            want: report.want,
+            heard: now,
+        }
     }
 }
--- a/crates/chicoryrail-policy/src/quota/quota_share.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_share.rs
@@ -29,6 +29,8 @@
     pub granted: u64,
     /// Tokens that it gave back in that term.
     pub returned: u64,
+    /// Requests that it let run since it started.
+    pub spent: i64,
     /// Tokens that it holds; below 0 where requests went ahead of their tokens.
     pub held: i64,
     /// Tokens that it should hold for what is asked of it.
@@ -68,6 +70,7 @@
     term: u64,
     granted: u64,
     returned: u64,
+    spent: i64,
     held: i64,
     lone: Refill,
     /// Requests that asked for a token since the last report.
@@ -94,6 +97,7 @@
                 return Err(time_to_grow(1.0 - self.lone.tokens, part));
             }
             self.lone.tokens -= 1.0;
+            self.spent += 1;
             return Ok(());
         }
         self.lone = Refill::from(now);
@@ -102,12 +106,14 @@
             return Err(time_to_grow(1.0 - self.held as f64, part));
         }
         self.held -= 1;
+        self.spent += 1;
         Ok(())
     }
 
     /// Gives back the token of a request that did not run.
     pub fn give_back(&mut self) {
         self.held += 1;
+        self.spent -= 1;
     }
 
     /// Tells whether there is anything to report, where `base` tokens are to be held at any time.
@@ -140,6 +146,7 @@
             term: self.term,
             granted: self.granted,
             returned: self.returned,
+            spent: self.spent,
             held: self.held,
             want: want as u64,
         }
--- a/crates/chicoryrail-policy/src/quota/refill.rs
+++ b/crates/chicoryrail-policy/src/quota/refill.rs
@@ -15,11 +15,16 @@
 }
 
 impl Allowance {
+    /// Returns the requests that a limit allows in a window.
+    #[must_use]
+    pub fn window_limit(&self, limit: QuotaLimit) -> f64 {
+        limit.rate * self.window.0 as f64 / 1_000.0 + limit.burst
+    }
+
     /// Returns the requests by which a limit may be exceeded in a window.
     #[must_use]
     pub fn requests(&self, limit: QuotaLimit) -> f64 {
-        let window_s = self.window.0 as f64 / 1_000.0;
-        (limit.rate * window_s + limit.burst) * self.over + self.slack
+        self.window_limit(limit) * self.over + self.slack
     }
 }
 
--- a/crates/chicoryrail-policy/tests/quota.rs
+++ b/crates/chicoryrail-policy/tests/quota.rs
@@ -24,8 +24,8 @@
 };
 const SCHEDULERS: usize = 8;
 const TICK_MS: u64 = 5;
-/// When callers begin to come; the leader has tokens by then.
-const STARTED_MS: u64 = 2_000;
+/// When callers begin to come; the leader knows by then that nothing ran before.
+const STARTED_MS: u64 = 6_000;
 const REPORT_MS: u64 = 100;
 const LONE_AFTER_MS: u64 = 500;
 const AHEAD_PART: f64 = 0.3;
@@ -59,6 +59,7 @@
     term: u64,
     leads_from: u64,
     ran: Vec<u64>,
+    ran_at: [usize; SCHEDULERS],
     refused: Vec<u64>,
 }
 
@@ -75,6 +76,7 @@
             term: 1,
             leads_from: 0,
             ran: Vec::new(),
+            ran_at: [0; SCHEDULERS],
             refused: Vec::new(),
         }
     }
@@ -128,7 +130,10 @@
             ahead: self.allowance() * AHEAD_PART,
         };
         match self.shares[at].take(Millis(ms), &bound) {
-            Ok(()) => self.ran.push(ms),
+            Ok(()) => {
+                self.ran.push(ms);
+                self.ran_at[at] += 1;
+            }
             Err(_) => self.refused.push(ms),
         }
     }
@@ -148,7 +153,8 @@
         if ms < self.leads_from || self.is_cut(at, ms) || self.lost() {
             return;
         }
-        self.heard[at] = ms + 1;
+        let lone = ms - self.answered[at] > LONE_AFTER_MS;
+        self.heard[at] = if lone { 0 } else { ms + 1 };
         let grant = self.answer(at, ms, report);
         if !self.lost() {
             self.answered[at] = ms;
@@ -167,6 +173,8 @@
         let bound = PoolBound {
             term: self.term,
             limit: self.limit,
+            allowance: ALLOWANCE,
+            schedulers: SCHEDULERS,
             heard_part: heard as f64 / SCHEDULERS as f64,
             beside: self.allowance() * GATHERED_PART,
         };
@@ -230,7 +238,11 @@
         let play = play.run(20_000, |_, ms| if ms < 5_000 { usual } else { usual * 7.5 });
         assert!(play.excess(0) <= 0.0, "{}", play.excess(0));
         let ran = play.ran.iter().filter(|t| **t >= 10_000).count() as f64;
-        assert!(ran >= rate * 10.0 * 0.9, "{ran} of {}", rate * 10.0);
+        let allowed = ALLOWANCE.window_limit(play.limit) * 2.0;
+        assert!(ran >= allowed * 0.9, "{ran} of {allowed}");
+        let least = play.ran_at.iter().min().copied().unwrap_or_default();
+        let mean = play.ran.len() / SCHEDULERS;
+        assert!(least * 2 >= mean, "a scheduler let {least} run, all {mean}");
     }
 }
 
--- a/crates/chicoryrail-router/src/control/quota.rs
+++ b/crates/chicoryrail-router/src/control/quota.rs
@@ -58,7 +58,11 @@
                 ..PoolState::default()
             };
         }
-        state.heard.insert(reports.host.clone(), now);
+        if reports.lone {
+            state.heard.remove(&reports.host);
+        } else {
+            state.heard.insert(reports.host.clone(), now);
+        }
         state.heard.retain(|_, at| now.since(*at) <= LONE_AFTER);
         let schedulers = router.peers.borrow().schedulers_count();
         let heard_part = state.heard.len() as f64 / schedulers as f64;
@@ -70,6 +74,8 @@
             let bound = PoolBound {
                 term,
                 limit,
+                allowance,
+                schedulers,
                 heard_part,
                 beside: allowance.requests(limit) * GATHERED_PART,
             };
@@ -112,6 +118,7 @@
         let rest = reports.split_off(reports.len().min(ORGANISATIONS_PER_REPORT));
         let packet = QuotaReports {
             host: router.boot().host.clone(),
+            lone: router.quota.is_lone(router.now()),
             reports,
         };
         if let Some(grants) = pools.report(router, &packet) {
--- a/crates/chicoryrail-router/src/state/quota_shares.rs
+++ b/crates/chicoryrail-router/src/state/quota_shares.rs
@@ -51,10 +51,19 @@
         let all = site.organisations().unwrap_or_default().iter();
         let limited = all.filter_map(|o| Some((&o.name, o.limit?)));
         let shares = limited.map(|(name, limit)| {
-            let tokens = old.remove(name).map(|s| s.tokens).unwrap_or_default();
+            let old = old.remove(name);
+            let before = old.as_ref().map(|s| s.limit);
+            if before.is_some_and(|b| b != limit) {
+                log::info!(organisation:% = name, rate = limit.rate, burst = limit.burst,
+                    version = site.version; "limit_changed");
+            }
+            let tokens = old.map(|s| s.tokens).unwrap_or_default();
             (name.clone(), Share { limit, tokens })
         });
         *self.shares.borrow_mut() = shares.collect();
+        for name in old.keys() {
+            log::info!(organisation:% = name, version = site.version; "limit_gone");
+        }
     }
 
     /// Takes a token for a request.
@@ -73,7 +82,7 @@
         let bound = ShareBound {
             limit: share.limit,
             schedulers,
-            lone: now.since(self.answered.get()) > LONE_AFTER,
+            lone: self.is_lone(now),
             ahead: allowance * AHEAD_PART,
         };
         let taken = share.tokens.take(now, &bound);
@@ -86,6 +95,11 @@
         taken
     }
 
+    /// Tells whether the leader has not answered for so long that this host spends its own part of each limit.
+    pub(crate) fn is_lone(&self, now: Millis) -> bool {
+        now.since(self.answered.get()) > LONE_AFTER
+    }
+
     /// Gives back the token of a request that did not run.
     pub(crate) fn give_back(&self, name: &OrganisationName) {
         if let Some(share) = self.shares.borrow_mut().get_mut(name) {
--- a/crates/chicoryrail-router/src/talk/quota_message.rs
+++ b/crates/chicoryrail-router/src/talk/quota_message.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) struct QuotaReports {
     pub(crate) host: HostName,
+    /// Whether it spends its own part of each limit, since the leader did not answer it for a while.
+    pub(crate) lone: bool,
     pub(crate) reports: Vec<(OrganisationName, QuotaReport)>,
 }
 
