feat(ctl): organisations on the command line, in the demo and in the checker

Cause: operators had no way to give a customer a key, take one away or set a limit; stand-ins saw neither keys nor names. Change: chicoryctl organisation list, add, limit, new-key, drop-key, each by compare-and-swap; status lists limits. Errors of files name line and field without the line, which may hold a key. Targets record the organisation and a leaked key; the load carries keys; the checker finds requests in the wrong name, leaked keys and full windows; the demo counts them. 'use' of a limit is not in the store, so status does not show it.

--- a/crates/chicoryctl/src/change.rs
+++ b/crates/chicoryctl/src/change.rs
@@ -7,8 +7,8 @@
 use chicoryrail_core::Member;
 use chicoryrail_core::MemberState;
 use chicoryrail_core::ServiceName;
-use chicoryrail_core::Site;
 use chicoryrail_core::SiteFile;
+use chicoryrail_platform::ConfigEntry;
 use chicoryrail_platform::KvStore;
 use chicoryrail_platform::StoreError;
 use chicoryrail_platform::Subject;
@@ -22,11 +22,14 @@
 use crate::error::FileSnafu;
 use crate::error::ShowSnafu;
 use crate::error::StoreSnafu;
-use crate::error::SyntaxSnafu;
+use crate::error::UnusableSnafu;
 use crate::error::ValueSnafu;
 use crate::error::WriteSnafu;
 use crate::status::Status;
 
+/// Field of a file whose values are shown nowhere.
+const SECRET_FIELD: &str = "api_keys";
+
 /// Times that a change is tried when others change the same at the same time.
 const TRIES: usize = 5;
 
@@ -50,7 +53,7 @@
     let key = key_of(&Subject::Config);
     for _ in 0..TRIES {
         let (before, revision) = config(store).await?;
-        let found = before.map_or(0, |s| s.version);
+        let found = before.map_or(0, |e| e.site.version);
         if let Some(expected) = expect.filter(|e| *e != found) {
             return Err(CtlError::Version { expected, found });
         }
@@ -67,15 +70,52 @@
     let (before, _) = config(store).await?;
     Err(CtlError::Version {
         expected: expect.unwrap_or(0),
-        found: before.map_or(0, |s| s.version),
+        found: before.map_or(0, |e| e.site.version),
     })
 }
 
+/// Reads the configuration that is there as a file.
+pub(crate) async fn stored_file(store: &KvStore) -> Result<SiteFile, CtlError> {
+    let (site, _) = config(store).await?;
+    let entry = site.ok_or(CtlError::NoConfig)?;
+    Ok(SiteFile::of(&entry.site))
+}
+
+/// Changes the configuration that is there, and puts it as the next version; returns that version. Where another
+/// operator was faster, the change is made to what is there then.
+pub(crate) async fn change_file(
+    store: &KvStore,
+    change: impl Fn(&mut SiteFile) -> Result<(), CtlError>,
+) -> Result<u64, CtlError> {
+    let key = key_of(&Subject::Config);
+    let mut found = 0;
+    for _ in 0..TRIES {
+        let (before, revision) = config(store).await?;
+        let before = before.ok_or(CtlError::NoConfig)?;
+        // Written anew, it would lack what can't be read of it.
+        if let Some(source) = before.unknown.into_iter().next() {
+            return Err(CtlError::Entry { source });
+        }
+        found = before.site.version;
+        let mut file = SiteFile::of(&before.site);
+        change(&mut file)?;
+        let site = file.build(found + 1).context(UnusableSnafu)?;
+        let value = write_config(&site).context(WriteSnafu)?;
+        let txn = Txn::default().expect(&key, revision).put(&key, &value);
+        match store.commit(&txn).await {
+            Ok(_) => return Ok(site.version),
+            Err(StoreError::Conflict { .. }) => {}
+            Err(source) => return Err(CtlError::Store { source }),
+        }
+    }
+    Err(CtlError::Version { expected: 0, found })
+}
+
 /// Prints the configuration as a file.
 pub(crate) async fn show(store: &KvStore) -> Result<String, CtlError> {
-    let (site, _) = config(store).await?;
-    match site {
-        Some(site) => {
+    let (entry, _) = config(store).await?;
+    match entry {
+        Some(ConfigEntry { site, .. }) => {
             let text = toml::to_string(&SiteFile::of(&site)).context(ShowSnafu)?;
             Ok(format!("# version {}\n{text}", site.version))
         }
@@ -140,17 +180,31 @@
 
 fn read_file(path: &Path) -> Result<SiteFile, CtlError> {
     let text = std::fs::read_to_string(path).context(FileSnafu { path })?;
-    toml::from_str(&text).context(SyntaxSnafu { path })
+    let failed = |field: String, e: &toml::de::Error| {
+        let before = e.span().map_or("", |span| &text[..span.start]);
+        CtlError::Syntax {
+            path: path.to_owned(),
+            line: before.matches('\n').count() + 1,
+            // The message repeats the value found.
+            reason: match field.contains(SECRET_FIELD) {
+                true => "must be a list of texts".to_owned(),
+                false => e.message().to_owned(),
+            },
+            field,
+        }
+    };
+    let reader = toml::Deserializer::parse(&text).map_err(|e| failed(".".to_owned(), &e))?;
+    serde_path_to_error::deserialize(reader).map_err(|e| failed(e.path().to_string(), e.inner()))
 }
 
 /// Reads the configuration and its revision; a revision of 0 says that there is none.
-async fn config(store: &KvStore) -> Result<(Option<Site>, u64), CtlError> {
+async fn config(store: &KvStore) -> Result<(Option<ConfigEntry>, u64), CtlError> {
     let item = store.item(&key_of(&Subject::Config)).await;
     match item.context(StoreSnafu)? {
         None => Ok((None, 0)),
         Some(item) => {
-            let site = read_config(&item.value).context(EntrySnafu)?.site;
-            Ok((Some(site), item.revision))
+            let entry = read_config(&item.value).context(EntrySnafu)?;
+            Ok((Some(entry), item.revision))
         }
     }
 }
--- a/crates/chicoryctl/src/error.rs
+++ b/crates/chicoryctl/src/error.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use chicoryrail_core::DcName;
+use chicoryrail_core::OrganisationName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::SiteError;
 use chicoryrail_platform::DecodeError;
@@ -21,13 +22,17 @@
         /// What the system says.
         source: std::io::Error,
     },
-    /// A file is no configuration.
-    #[snafu(display("{}: {}", path.display(), source.to_string().trim_end()))]
+    /// A file is no configuration. The line itself is not shown: it may hold an API key.
+    #[snafu(display("{}: line {line}: field {field}: {reason}", path.display()))]
     Syntax {
         /// The file.
         path: PathBuf,
-        /// Line, field and what is wrong.
-        source: toml::de::Error,
+        /// Line, from 1.
+        line: usize,
+        /// Path of the field, `.` where it is not known.
+        field: String,
+        /// What is wrong with it.
+        reason: String,
     },
     /// A field of a configuration holds an unusable value.
     #[snafu(display("{}: {source}", path.display()))]
@@ -69,6 +74,43 @@
         /// Version found; 0 for none.
         found: u64,
     },
+    /// No configuration is stored that could be changed.
+    #[snafu(display("no configuration is stored; put one first"))]
+    NoConfig,
+    /// A changed configuration would hold an unusable value.
+    #[snafu(display("{source}"))]
+    Unusable {
+        /// Field, value and what is wrong.
+        source: SiteError,
+    },
+    /// The configuration names no such organisation.
+    #[snafu(display("no organisation is called {name}"))]
+    NoOrganisation {
+        /// Name that was given.
+        name: OrganisationName,
+    },
+    /// The configuration names the organisation already.
+    #[snafu(display("an organisation is called {name} already"))]
+    OrganisationExists {
+        /// Name that was given.
+        name: OrganisationName,
+    },
+    /// The organisation holds no key with the fingerprint, or several.
+    #[snafu(display("{found} keys of {name} have the fingerprint {fingerprint}, not one"))]
+    NoSuchKey {
+        /// The organisation.
+        name: OrganisationName,
+        /// Fingerprint that was given.
+        fingerprint: String,
+        /// Keys that have it.
+        found: usize,
+    },
+    /// The system has no random bytes for a key.
+    #[snafu(display("no random bytes for a key: {source}"))]
+    NoRandom {
+        /// What the system says.
+        source: rand::rand_core::OsError,
+    },
     /// Taking the data centre out would leave too little.
     #[snafu(display(
         "without {dc}, service {service} has {left} of {all} slots left, less than half; --force goes on"
--- a/crates/chicoryctl/src/lib.rs
+++ b/crates/chicoryctl/src/lib.rs
@@ -16,11 +16,14 @@
 
 mod change;
 mod error;
+mod organisation;
+mod organisation_settings;
 mod run;
 mod settings;
 mod status;
 
 pub use error::CtlError;
+pub use organisation_settings::OrganisationCommand;
 pub use run::execute;
 pub use run::main;
 pub use settings::Command;
--- a/crates/chicoryctl/src/run.rs
+++ b/crates/chicoryctl/src/run.rs
@@ -11,6 +11,7 @@
 use crate::CtlError;
 use crate::Settings;
 use crate::change;
+use crate::organisation;
 use crate::settings;
 use crate::status;
 use crate::status::Status;
@@ -53,6 +54,7 @@
         Command::Show => change::show(&store).await,
         Command::Out { dc, force } => change::out(&store, dc, *force).await,
         Command::In { dc } => change::back(&store, dc).await,
+        Command::Organisation(command) => organisation::execute(&store, command, json).await,
         Command::Status => Status::read(&store).await?.print(json),
         Command::Owner { service, key } => status::owner(&store, service, *key, json).await,
     }
--- a/crates/chicoryctl/src/settings.rs
+++ b/crates/chicoryctl/src/settings.rs
@@ -12,8 +12,11 @@
 use chicoryrail_runtime::setting;
 use chicoryrail_runtime::switch_setting;
 
+use crate::OrganisationCommand;
+use crate::organisation_settings::organisation_commands;
+
 /// Settings of a run of `chicoryctl`.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Address of the store; `check` needs none.
     pub store: Option<SocketAddr>,
@@ -24,7 +27,7 @@
 }
 
 /// What to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Command {
     /// Checks a configuration file.
     Check {
@@ -52,6 +55,8 @@
         /// The data centre.
         dc: DcName,
     },
+    /// Shows or changes organisations.
+    Organisation(OrganisationCommand),
     /// Shows hosts, leader, services, servers and what is out.
     Status,
     /// Shows which server holds a key.
@@ -108,7 +113,12 @@
         .to_options()
         .descr("Shows which server holds a key")
         .command("owner");
-    construct!([check, config, dc, status, owner])
+    let organisation = organisation_commands().map(Command::Organisation);
+    let organisation = organisation
+        .to_options()
+        .descr("Organisations: list, add, limit, new-key, drop-key")
+        .command("organisation");
+    construct!([check, config, dc, organisation, status, owner])
 }
 
 fn file() -> impl Parser<PathBuf> {
--- a/crates/chicoryctl/src/status.rs
+++ b/crates/chicoryctl/src/status.rs
@@ -145,12 +145,26 @@
                 r.loose
             );
         }
+        self.print_organisations(&mut text);
         for bad in &self.bad {
             let _ = writeln!(text, "can't be read: {bad}");
         }
         Ok(text)
     }
 
+    fn print_organisations(&self, text: &mut String) {
+        let all = self.site.as_ref().and_then(|s| s.organisations());
+        let Some(all) = all else {
+            return;
+        };
+        let _ = writeln!(text, "\norganisation              rate   burst  keys");
+        for o in all {
+            let (rate, burst) = o.limit.map_or((0.0, 0.0), |l| (l.rate, l.burst));
+            let name = o.name.as_str();
+            let _ = writeln!(text, "{name:<22} {rate:>7} {burst:>7} {:>5}", o.keys.len());
+        }
+    }
+
     fn rows(&self) -> Vec<ServiceRow> {
         let services = self.site.iter().flat_map(|s| &s.services);
         let row = |spec: &chicoryrail_core::ServiceSpec| {
@@ -202,7 +216,7 @@
     Ok(text)
 }
 
-fn line(value: &serde_json::Value) -> Result<String, CtlError> {
+pub(crate) fn line(value: &serde_json::Value) -> Result<String, CtlError> {
     let mut text = serde_json::to_string(value).context(WriteSnafu)?;
     text.push('\n');
     Ok(text)
--- /dev/null
+++ b/crates/chicoryctl/tests/organisations.rs
@@ -0,0 +1,187 @@
+//! Commands on organisations against a store, and what they show of keys.
+
+use std::path::PathBuf;
+
+use chicoryctl::Command;
+use chicoryctl::CtlError;
+use chicoryctl::OrganisationCommand;
+use chicoryctl::Settings;
+use chicoryctl::execute;
+use chicoryctl::settings;
+use chicoryrail_platform::KvStore;
+use chicoryrail_platform::read_config;
+use chicoryrail_runtime::CancellationToken;
+use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::Listener;
+use chicoryrail_testkit::StoreOptions;
+use chicoryrail_testkit::StoreServer;
+
+const SITE: &str = r#"
+[[service]]
+name = "kits"
+health = "/healthz"
+connections = 120
+
+[[route]]
+name = "lookup"
+host = "shop.example"
+prefix = "/"
+timeout_ms = 800
+aim_ms = 300
+services = [{ name = "kits" }]
+"#;
+
+struct Operator(KvStore);
+
+impl Operator {
+    async fn start(name: &str) -> Self {
+        let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let operator = Self(KvStore::new(listener.addr().unwrap()));
+        let server = StoreServer::new(StoreOptions::default());
+        monoio::spawn(server.serve(listener, CancellationToken::new()));
+        let put = Command::Put {
+            file: file(name, SITE),
+            expect: None,
+        };
+        operator.run(put).await.unwrap();
+        operator
+    }
+
+    async fn run(&self, command: Command) -> Result<String, CtlError> {
+        let settings = Settings {
+            store: Some(self.0.addr()),
+            json: false,
+            command,
+        };
+        execute(&settings).await
+    }
+
+    async fn does(&self, command: OrganisationCommand) -> Result<String, CtlError> {
+        self.run(Command::Organisation(command)).await
+    }
+
+    async fn add(&self, name: &str) -> Result<String, CtlError> {
+        self.does(OrganisationCommand::Add {
+            rate: 30.0,
+            burst: 10.0,
+            rank: None,
+            name: name.into(),
+        })
+        .await
+    }
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("ctl-org-{name}-{}.toml", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+#[test]
+fn an_organisation_gets_a_key_and_loses_it() {
+    block_on(async {
+        let operator = Operator::start("key").await;
+        operator.add("school").await.unwrap();
+        let name = || "school".into();
+        let shown = operator.does(OrganisationCommand::NewKey { name: name() });
+        let shown = shown.await.unwrap();
+        let key = shown.lines().next().unwrap();
+        assert_eq!(key.len(), 24);
+        let list = operator.does(OrganisationCommand::List).await.unwrap();
+        assert!(!list.contains(key), "the list shows a key");
+        let print = list.split_whitespace().next_back().unwrap().to_owned();
+        assert!(shown.contains(&print));
+        let limit = OrganisationCommand::Limit {
+            rate: 7.0,
+            burst: 2.0,
+            name: name(),
+        };
+        operator.does(limit).await.unwrap();
+        let item = operator.0.item("op/config").await.unwrap().unwrap();
+        let site = read_config(&item.value).unwrap().site;
+        let school = site.organisation(&name()).unwrap();
+        assert_eq!(school.keys[0].expose(), key.as_bytes());
+        assert_eq!(school.limit.map(|l| (l.rate, l.burst)), Some((7.0, 2.0)));
+        let drop = |fingerprint: &str| OrganisationCommand::DropKey {
+            name: name(),
+            fingerprint: fingerprint.to_owned(),
+        };
+        assert!(operator.does(drop("none")).await.is_err());
+        operator.does(drop(&print)).await.unwrap();
+        let status = operator.run(Command::Status).await.unwrap();
+        let row = status.lines().find(|l| l.starts_with("school")).unwrap();
+        assert_eq!(
+            row.split_whitespace().collect::<Vec<_>>(),
+            ["school", "7", "2", "0"]
+        );
+    });
+}
+
+#[test]
+fn what_can_not_be_done_is_said() {
+    block_on(async {
+        let operator = Operator::start("errors").await;
+        operator.add("school").await.unwrap();
+        let twice = operator.add("school").await.unwrap_err().to_string();
+        assert_eq!(twice, "an organisation is called school already");
+        let nobody = OrganisationCommand::NewKey {
+            name: "shop".into(),
+        };
+        let error = operator.does(nobody).await.unwrap_err().to_string();
+        assert_eq!(error, "no organisation is called shop");
+        let below = OrganisationCommand::Limit {
+            rate: -1.0,
+            burst: 0.0,
+            name: "school".into(),
+        };
+        let error = operator.does(below).await.unwrap_err().to_string();
+        assert_eq!(error, "organisation.school.rate = -1: must be 0 or more");
+    });
+}
+
+/// Guards against keys in errors: a bad line of a file is told without what stands in it.
+#[test]
+fn a_bad_file_is_told_without_its_keys() {
+    for bad in [
+        "api_keys = \"a-secret\"",
+        "api_keys = [\"a-secret\", 7]",
+        "api_keys = [\"a-secret\"",
+        "rate = \"x\" # a-secret",
+    ] {
+        let text = format!("{SITE}[[organisation]]\nname = \"school\"\n{bad}\n");
+        let check = Command::Check {
+            file: file("bad", &text),
+        };
+        let settings = Settings {
+            store: None,
+            json: false,
+            command: check,
+        };
+        let error = block_on(execute(&settings)).unwrap_err();
+        assert!(
+            !format!("{error} {error:?}").contains("a-secret"),
+            "{error}"
+        );
+        assert!(error.to_string().contains("line 1"), "{error}");
+    }
+}
+
+#[test]
+fn the_command_line_names_limits() {
+    let args = [
+        "--store",
+        "127.0.0.1:1",
+        "organisation",
+        "limit",
+        "--rate",
+        "5.5",
+        "school",
+    ];
+    let parsed = settings().run_inner(&args[..]).unwrap();
+    let expected = OrganisationCommand::Limit {
+        rate: 5.5,
+        burst: 0.0,
+        name: "school".into(),
+    };
+    assert_eq!(parsed.command, Command::Organisation(expected));
+}
--- a/crates/chicoryrail-testkit/src/chaos/act.rs
+++ b/crates/chicoryrail-testkit/src/chaos/act.rs
@@ -204,7 +204,11 @@
     let variant = |aim: u64| {
         let mut routes: Vec<_> = site.routes().iter().map(|r| (**r).clone()).collect();
         routes[0].aim = Millis(aim);
+        let site = &site;
+        let organisations = site.organisations();
+        let organisations = organisations.map(|all| all.iter().map(|o| (**o).clone()).collect());
         Site::new(site.version, site.limits, site.services.clone(), routes)
+            .with_organisations(organisations)
     };
     let (ada, ben) = (variant(250), variant(350));
     let (first, second) = std::thread::scope(|s| {
--- a/crates/chicoryrail-testkit/src/checker/evidence.rs
+++ b/crates/chicoryrail-testkit/src/checker/evidence.rs
@@ -1,5 +1,6 @@
 //! What was seen.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -28,6 +29,17 @@
     pub stops: Vec<HostTime>,
     /// Times in which routers were paused.
     pub frozen: Vec<HostTime>,
+    /// Requests of an organisation that may run in any window, by its name.
+    pub quotas: BTreeMap<String, QuotaWindow>,
+}
+
+/// Requests of an organisation that may run in any window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaWindow {
+    /// Length of the window in milliseconds.
+    pub length_ms: u64,
+    /// Requests.
+    pub requests: u64,
 }
 
 impl Evidence {
--- a/crates/chicoryrail-testkit/src/checker/find.rs
+++ b/crates/chicoryrail-testkit/src/checker/find.rs
@@ -5,6 +5,7 @@
 use crate::checker::answers;
 use crate::checker::assigned;
 use crate::checker::orders;
+use crate::checker::organisations;
 use crate::checker::owners;
 use crate::checker::placement;
 use crate::checker::stored;
@@ -19,6 +20,7 @@
         found.extend(answers::check(seen));
         found.extend(stored::check(seen));
         found.extend(placement::check(seen));
+        found.extend(organisations::check(seen));
         found
     }
 }
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -95,6 +95,27 @@
         /// Time since nothing more should have come, in milliseconds.
         after_ms: u64,
     },
+    /// A request ran whose API key opens nothing, or in the name of another organisation than its key's.
+    UnauthorisedRan {
+        /// Id of the request.
+        request: String,
+        /// Organisation that the server was told.
+        organisation: Option<String>,
+    },
+    /// A server was given a caller's API key.
+    KeyLeaked {
+        /// Id of the request.
+        request: String,
+    },
+    /// More requests of an organisation ran in a window than its limit allows.
+    OverQuota {
+        /// The organisation.
+        organisation: String,
+        /// Requests that ran in the fullest window.
+        ran: u64,
+        /// Requests that it allows.
+        allowed: u64,
+    },
     /// A cold server was given more than it can bear.
     ColdOverrun {
         /// The server.
--- a/crates/chicoryrail-testkit/src/cluster/platform.rs
+++ b/crates/chicoryrail-testkit/src/cluster/platform.rs
@@ -50,6 +50,7 @@
         let seen = Evidence {
             records,
             history: self.history()?,
+            quotas: self.options().deployment.quotas(),
             ..Evidence::default()
         };
         Ok(seen.with_ledgers(self.ledgers()?))
--- a/crates/chicoryrail-testkit/src/load.rs
+++ b/crates/chicoryrail-testkit/src/load.rs
@@ -9,8 +9,10 @@
 mod summary;
 
 pub use call::CallRecord;
+pub use call::CallerKind;
 pub use call::Outcome;
 pub use host::LoadHost;
+pub use mix::LoadCaller;
 pub use mix::LoadKind;
 pub use mix::LoadService;
 pub use run::Load;
--- a/crates/chicoryrail-testkit/src/load/call.rs
+++ b/crates/chicoryrail-testkit/src/load/call.rs
@@ -65,6 +65,22 @@
     pub wrong: Option<String>,
     /// Whether the caller gave up waiting past the deadline.
     pub hung: bool,
+    /// Whether it carried an API key, and if so the organisation that holds it.
+    #[serde(default)]
+    pub caller: CallerKind,
+}
+
+/// Whose API key a request carried.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallerKind {
+    /// It needed none.
+    #[default]
+    Anybody,
+    /// Nobody's: it must not run.
+    Nobody,
+    /// That of the organisation.
+    Organisation(String),
 }
 
 /// Sends a request, to the next host where a connection is refused, and judges the answer.
@@ -87,6 +103,13 @@
         server: None,
         wrong: None,
         hung: false,
+        caller: match &ask.caller {
+            None => CallerKind::Anybody,
+            Some(caller) => match &caller.organisation {
+                None => CallerKind::Nobody,
+                Some(name) => CallerKind::Organisation(name.clone()),
+            },
+        },
     };
     let limit = (deadline + HANG).duration();
     let attempt = exchange(pool, hosts, ask, deadline, &mut record);
@@ -137,6 +160,9 @@
         .header(http::header::HOST, &ask.host)
         .header(call_header::REQUEST_ID, &ask.request)
         .header(call_header::TIME_LEFT, deadline.0);
+    if let Some(caller) = &ask.caller {
+        builder = builder.header(call_header::API_KEY, caller.key.expose());
+    }
     if let Some(key) = ask.key {
         builder = builder.header(call_header::KEY, key);
     }
@@ -171,7 +197,7 @@
 const fn says_not_run(status: StatusCode) -> bool {
     matches!(
         status.as_u16(),
-        400 | 404 | 408 | 413 | 421 | 429 | 431 | 503
+        400 | 401 | 404 | 408 | 413 | 421 | 429 | 431 | 503
     )
 }
 
--- a/crates/chicoryrail-testkit/src/load/mix.rs
+++ b/crates/chicoryrail-testkit/src/load/mix.rs
@@ -1,6 +1,8 @@
 //! What callers ask for.
 
+use chicoryrail_core::ApiKey;
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
 use serde::Serialize;
@@ -39,6 +41,17 @@
     pub skew: f64,
     /// Bytes of an answer's body after its first line.
     pub body: u64,
+    /// API keys of which each request carries one, drawn evenly; none where requests need no key.
+    pub callers: Vec<LoadCaller>,
+}
+
+/// An API key, and whether it is to open anything.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadCaller {
+    /// The key.
+    pub key: ApiKey,
+    /// Organisation that holds it; `None` for a key that opens nothing.
+    pub organisation: Option<String>,
 }
 
 impl LoadService {
@@ -54,6 +67,7 @@
             keys: 1_000,
             skew: 0.0,
             body: 200,
+            callers: Vec::new(),
         }
     }
 
@@ -90,6 +104,7 @@
     pub(crate) request: String,
     pub(crate) length: u64,
     pub(crate) body: String,
+    pub(crate) caller: Option<LoadCaller>,
 }
 
 /// Draws requests from a seed.
@@ -129,6 +144,7 @@
             body: if order { body(&request) } else { String::new() },
             request,
             length: service.body,
+            caller: service.callers.choose(rng).cloned(),
         }
     }
 
--- a/crates/chicoryrail-testkit/tests/checker.rs
+++ b/crates/chicoryrail-testkit/tests/checker.rs
@@ -4,6 +4,7 @@
 
 use chicoryrail_testkit::Availability;
 use chicoryrail_testkit::CallRecord;
+use chicoryrail_testkit::CallerKind;
 use chicoryrail_testkit::Change;
 use chicoryrail_testkit::Evidence;
 use chicoryrail_testkit::HostTime;
@@ -11,6 +12,7 @@
 use chicoryrail_testkit::OutPeriod;
 use chicoryrail_testkit::Outcome;
 use chicoryrail_testkit::Overrun;
+use chicoryrail_testkit::QuotaWindow;
 use chicoryrail_testkit::Run;
 use chicoryrail_testkit::Violation;
 use rstest::rstest;
@@ -57,6 +59,7 @@
         server: None,
         wrong: None,
         hung: false,
+        caller: CallerKind::Anybody,
     }
 }
 
@@ -349,3 +352,65 @@
     };
     assert_eq!(Availability::of(&records), expected);
 }
+
+fn called(request: &str, caller: CallerKind) -> Evidence {
+    let mut seen = clean();
+    let own = seen.records.iter_mut().find(|r| r.request == request);
+    own.unwrap().caller = caller;
+    seen
+}
+
+#[test]
+fn a_request_in_the_right_name_is_found_clean() {
+    let mut seen = called("r1", CallerKind::Organisation("school".to_owned()));
+    seen.runs[0].organisation = Some("school".to_owned());
+    assert_eq!(Violation::find(&seen), []);
+}
+
+#[rstest]
+#[case::no_key(CallerKind::Nobody, None)]
+#[case::another(CallerKind::Organisation("school".to_owned()), Some("shop"))]
+#[case::unnamed(CallerKind::Organisation("school".to_owned()), None)]
+#[case::named(CallerKind::Anybody, Some("school"))]
+fn a_request_in_the_wrong_name_is_found(#[case] caller: CallerKind, #[case] named: Option<&str>) {
+    let mut seen = called("r1", caller);
+    seen.runs[0].organisation = named.map(str::to_owned);
+    let expected = Violation::UnauthorisedRan {
+        request: "r1".to_owned(),
+        organisation: named.map(str::to_owned),
+    };
+    assert_eq!(Violation::find(&seen), [expected]);
+}
+
+#[test]
+fn a_leaked_key_is_found() {
+    let mut seen = clean();
+    seen.runs[0].key_leaked = true;
+    let expected = Violation::KeyLeaked {
+        request: "r1".to_owned(),
+    };
+    assert_eq!(Violation::find(&seen), [expected]);
+}
+
+#[test]
+fn more_requests_than_the_limit_in_a_window_are_found() {
+    let mut seen = called("r1", CallerKind::Organisation("school".to_owned()));
+    let second = seen.records.iter_mut().find(|r| r.request == "r2");
+    second.unwrap().caller = CallerKind::Organisation("school".to_owned());
+    for run in &mut seen.runs[..2] {
+        run.organisation = Some("school".to_owned());
+    }
+    let window = |length_ms| QuotaWindow {
+        length_ms,
+        requests: 1,
+    };
+    seen.quotas.insert("school".to_owned(), window(5));
+    assert_eq!(Violation::find(&seen), []);
+    seen.quotas.insert("school".to_owned(), window(50));
+    let expected = Violation::OverQuota {
+        organisation: "school".to_owned(),
+        ran: 2,
+        allowed: 1,
+    };
+    assert_eq!(Violation::find(&seen), [expected]);
+}
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -16,6 +16,7 @@
 use chicoryrail_testkit::Deployment;
 use chicoryrail_testkit::Load;
 use chicoryrail_testkit::LoadOptions;
+use chicoryrail_testkit::LoadService;
 use chicoryrail_testkit::LoadSummary;
 use chicoryrail_testkit::Progress;
 use chicoryrail_testkit::Violation;
@@ -52,6 +53,9 @@
     orders_sent: u64,
     orders_doubled: u64,
     orders_lost: u64,
+    unauthorised_ran: u64,
+    keys_leaked: u64,
+    over_quota: u64,
     other_violations: u64,
     p50_ms: f64,
     p99_ms: f64,
@@ -70,6 +74,9 @@
                     && outcomes.wrong_answer == 0
                     && outcomes.orders_doubled == 0
                     && outcomes.orders_lost == 0
+                    && outcomes.unauthorised_ran == 0
+                    && outcomes.keys_leaked == 0
+                    && outcomes.over_quota == 0
                     && outcomes.other_violations == 0;
                 print_json(&outcomes) && held && !stop.load(Ordering::Relaxed)
             }
@@ -125,9 +132,14 @@
         let mut progress = Vec::new();
         let mut threads = Vec::new();
         for cluster in clusters {
+            let deployment = cluster.options().deployment;
+            let mixed = |s: LoadService| LoadService {
+                callers: deployment.mixed_callers(),
+                ..s
+            };
             let load = Load::new(LoadOptions {
                 hosts: cluster.entries(),
-                services: cluster.options().deployment.load(),
+                services: deployment.load().into_iter().map(mixed).collect(),
                 length: Millis(self.seconds * 1_000),
                 rate: Some(RATE),
                 seed: self.seed,
@@ -170,6 +182,9 @@
                 | Violation::FenceBack { .. }
                 | Violation::OwnerNotStored { .. } => self.wrong_owner += 1,
                 Violation::AnswerWrong { .. } => {}
+                Violation::UnauthorisedRan { .. } => self.unauthorised_ran += 1,
+                Violation::KeyLeaked { .. } => self.keys_leaked += 1,
+                Violation::OverQuota { .. } => self.over_quota += 1,
                 _ => self.other_violations += 1,
             }
             println!("violation: {violation:?}");
