feat(router): requests wait a moment for the first configuration; hosts have tokens of their own from the start

Cause: after all hosts lost power, 941 to 1,079 requests of the first 0.3 s were refused for want of a configuration that came 0.13 s after the start, and schedulers had no tokens until a leader was there. Change: requests wait up to 0.4 s of a process's age; a scheduler that no leader has answered has its part of each limit from its start on; a new leader assumes that the burst ran just before it began.

--- a/crates/chicoryrail-policy/src/quota/quota_pool.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_pool.rs
@@ -117,11 +117,17 @@
         (limit + bound.beside - ran - held as f64).min(self.refill.tokens)
     }
 
+    /// Returns what ran in the window. What ran before this leader began it does not know: as much as the limit allows,
+    /// and the burst as late as can be.
     fn window(&mut self, bound: &PoolBound) -> &mut SlidingWindow {
         let Allowance { window, .. } = bound.allowance;
-        let assumed = bound.allowance.window_limit(bound.limit) + bound.beside;
-        self.ran
-            .get_or_insert_with(|| SlidingWindow::filled(self.started, window, assumed))
+        let limit = bound.limit;
+        self.ran.get_or_insert_with(|| {
+            let whole = bound.allowance.window_limit(limit);
+            let mut ran = SlidingWindow::filled(self.started, window, whole - limit.burst);
+            ran.add(self.started, limit.burst + bound.beside);
+            ran
+        })
     }
 
     /// Counts the tokens of hosts that are not heard any more as spent.
--- a/crates/chicoryrail-policy/src/quota/quota_share.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_share.rs
@@ -65,14 +65,16 @@
 /// limit waits for a token or is refused beside unused ones elsewhere; all together exceed the limit. Tokens are leased
 /// ahead of the demand that is seen, a few requests go ahead of their tokens, and a host that no leader answers has
 /// its fixed part of the rate.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct QuotaShare {
     term: u64,
     granted: u64,
     returned: u64,
     spent: i64,
     held: i64,
+    /// Tokens that grow while the leader does not answer.
     lone: Refill,
+    was_lone: bool,
     /// Requests that asked for a token since the last report.
     asked: u32,
     /// Mean requests a millisecond that ask for a token.
@@ -80,6 +82,24 @@
     reported: Millis,
 }
 
+impl Default for QuotaShare {
+    /// Returns the share of a host that has held no tokens since its clock started.
+    fn default() -> Self {
+        Self {
+            term: 0,
+            granted: 0,
+            returned: 0,
+            spent: 0,
+            held: 0,
+            lone: Refill::from(Millis::ZERO),
+            was_lone: false,
+            asked: 0,
+            demand: 0.0,
+            reported: Millis::ZERO,
+        }
+    }
+}
+
 impl QuotaShare {
     /// Takes a token for a request.
     ///
@@ -88,20 +108,15 @@
     /// Returns the time after which there may be one.
     pub fn take(&mut self, now: Millis, bound: &ShareBound) -> Result<(), Millis> {
         self.asked += 1;
-        let part = bound.limit.rate / bound.schedulers.max(1) as f64;
+        let schedulers = bound.schedulers.max(1) as f64;
+        let part = bound.limit.rate / schedulers;
         if bound.lone {
-            self.held = self.held.min(0);
-            let most = (bound.limit.burst / bound.schedulers.max(1) as f64).max(1.0);
-            self.lone.grow(now, part, most);
-            if self.lone.tokens < 1.0 {
-                return Err(time_to_grow(1.0 - self.lone.tokens, part));
-            }
-            self.lone.tokens -= 1.0;
-            self.spent += 1;
-            return Ok(());
+            self.grow_alone(now, part, (bound.limit.burst / schedulers).max(1.0));
+        } else {
+            self.lone = Refill::from(now);
+            self.was_lone = false;
         }
-        self.lone = Refill::from(now);
-        let ahead = (bound.ahead / bound.schedulers.max(1) as f64) as i64;
+        let ahead = (bound.ahead / schedulers) as i64;
         if self.held - 1 < -ahead {
             return Err(time_to_grow(1.0 - self.held as f64, part));
         }
@@ -110,6 +125,19 @@
         Ok(())
     }
 
+    /// Adds the tokens of this host's own part, at `rate` a second, up to `most`. What the leader gave counts as spent
+    /// there by now.
+    fn grow_alone(&mut self, now: Millis, rate: f64, most: f64) {
+        if !self.was_lone {
+            self.held = self.held.min(0);
+            self.was_lone = true;
+        }
+        self.lone.grow(now, rate, most);
+        let whole = self.lone.tokens.floor();
+        self.lone.tokens -= whole;
+        self.held = (self.held + whole as i64).min(most as i64);
+    }
+
     /// Gives back the token of a request that did not run.
     pub fn give_back(&mut self) {
         self.held += 1;
--- a/crates/chicoryrail-policy/tests/quota.rs
+++ b/crates/chicoryrail-policy/tests/quota.rs
@@ -29,7 +29,7 @@
 const REPORT_MS: u64 = 100;
 const LONE_AFTER_MS: u64 = 500;
 const AHEAD_PART: f64 = 0.3;
-const GATHERED_PART: f64 = 0.4;
+const GATHERED_PART: f64 = 0.3;
 const BASE_PART: f64 = 0.25;
 
 /// What goes wrong in a play.
@@ -54,7 +54,7 @@
     rng: Pcg64Mcg,
     shares: Vec<QuotaShare>,
     heard: Vec<u64>,
-    answered: Vec<u64>,
+    answered: Vec<Option<u64>>,
     pool: QuotaPool,
     term: u64,
     leads_from: u64,
@@ -71,7 +71,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             shares: vec![QuotaShare::default(); SCHEDULERS],
             heard: vec![0; SCHEDULERS],
-            answered: vec![0; SCHEDULERS],
+            answered: vec![None; SCHEDULERS],
             pool: QuotaPool::from(Millis::ZERO),
             term: 1,
             leads_from: 0,
@@ -126,7 +126,7 @@
         let bound = ShareBound {
             limit: self.limit,
             schedulers: SCHEDULERS,
-            lone: ms - self.answered[at] > LONE_AFTER_MS,
+            lone: self.is_lone(at, ms),
             ahead: self.allowance() * AHEAD_PART,
         };
         match self.shares[at].take(Millis(ms), &bound) {
@@ -138,6 +138,10 @@
         }
     }
 
+    fn is_lone(&self, at: usize, ms: u64) -> bool {
+        self.answered[at].is_none_or(|t| ms - t > LONE_AFTER_MS)
+    }
+
     fn is_cut(&self, at: usize, ms: u64) -> bool {
         let cut = self.trouble.cut;
         cut.is_some_and(|(n, from, to)| at < n && (from * 1_000..to * 1_000).contains(&ms))
@@ -153,11 +157,11 @@
         if ms < self.leads_from || self.is_cut(at, ms) || self.lost() {
             return;
         }
-        let lone = ms - self.answered[at] > LONE_AFTER_MS;
+        let lone = self.is_lone(at, ms);
         self.heard[at] = if lone { 0 } else { ms + 1 };
         let grant = self.answer(at, ms, report);
         if !self.lost() {
-            self.answered[at] = ms;
+            self.answered[at] = Some(ms);
             self.shares[at].grant(grant);
         }
     }
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -16,6 +16,7 @@
 use http::StatusCode;
 use http::header::CONNECTION;
 use http::request::Parts;
+use monoio::time::timeout;
 
 use crate::route::attempts;
 use crate::route::call::Call;
@@ -24,6 +25,9 @@
 use crate::route::refusal::Refusal;
 use crate::state::Router;
 
+/// Age of the process up to which requests wait for its first configuration.
+const FIRST_CONFIG_MAX: Millis = Millis(400);
+
 /// Time after which a caller is asked back where this host knows no configuration, or none that is surely current.
 const NO_CONFIG_RETRY: Millis = Millis(300);
 const STALE_CONFIG_RETRY: Millis = Millis(500);
@@ -33,6 +37,7 @@
     let _serving = Serving::new(&router);
     let (head, body) = request.into_parts();
     let id = head.headers.get(call_header::REQUEST_ID).cloned();
+    await_config(&router).await;
     let mut answer = match Call::read(&router, head) {
         Ok(call) => run(&router, call, body).await,
         Err(cause) => unread(&router, id.as_ref(), cause),
@@ -49,6 +54,19 @@
     answer
 }
 
+/// Waits a moment for the first configuration. A host that starts while the store answers has it sooner than a refused
+/// caller would be back.
+async fn await_config(router: &Router) {
+    while router.site().is_none() {
+        let seen = router.news.count();
+        let left = FIRST_CONFIG_MAX.since(router.now());
+        if left == Millis::ZERO {
+            return;
+        }
+        let _ = timeout(left.duration(), router.news.after(seen)).await;
+    }
+}
+
 /// Tells whether a request may begin before those in front of it on its connection are answered: reads may,
 /// whose short answers wait in memory. An order would run although the caller, cut off before its turn,
 /// sends it again; a download would hold its server's slot until its turn.
--- a/crates/chicoryrail-router/src/state/quota_shares.rs
+++ b/crates/chicoryrail-router/src/state/quota_shares.rs
@@ -23,7 +23,7 @@
 const AHEAD_PART: f64 = 0.3;
 
 /// Part of what a limit may be exceeded by that may gather beside the burst.
-pub(crate) const GATHERED_PART: f64 = 0.4;
+pub(crate) const GATHERED_PART: f64 = 0.3;
 
 /// Part of what may gather that schedulers hold without demand.
 const BASE_PART: f64 = 0.25;
@@ -32,8 +32,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct QuotaShares {
     shares: RefCell<BTreeMap<OrganisationName, Share>>,
-    /// When the leader last answered a report.
-    answered: Cell<Millis>,
+    /// When the leader last answered a report; `None` since this process started.
+    answered: Cell<Option<Millis>>,
     /// Notified when an organisation runs low on tokens.
     pub(crate) low: Signal,
 }
@@ -97,7 +97,8 @@
 
     /// Tells whether the leader has not answered for so long that this host spends its own part of each limit.
     pub(crate) fn is_lone(&self, now: Millis) -> bool {
-        now.since(self.answered.get()) > LONE_AFTER
+        let answered = self.answered.get();
+        answered.is_none_or(|at| now.since(at) > LONE_AFTER)
     }
 
     /// Gives back the token of a request that did not run.
@@ -125,7 +126,7 @@
 
     /// Takes in what the leader answered.
     pub(crate) fn granted(&self, now: Millis, grants: &[(OrganisationName, QuotaGrant)]) {
-        self.answered.set(now);
+        self.answered.set(Some(now));
         let mut shares = self.shares.borrow_mut();
         for (name, grant) in grants {
             if let Some(share) = shares.get_mut(name) {
