--- a/crates/chicoryrail-router/src/control/follow.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow.rs
@@ -20,20 +20,20 @@
 /// Longest wait of one watch. A connection that goes silent is noticed sooner by probes of the system or
 /// by other calls; this bounds the time where a relay answers the probes. The revision from which a watch goes
 /// on is as old as it waited, and must be within the store's history (20 s).
-const WATCH: Millis = Millis(15_000);
+const WATCH_MAX: Millis = Millis(15_000);
 
 /// Pause after a watch that brought news. Changes come in groups, and each answered watch is a call.
-const PAUSE: Millis = Millis(150);
+const GROUP_MIN: Millis = Millis(150);
 
 /// The same for the entries of servers and hosts at a host that does not lead, for each host there is: the more there
 /// are, the larger the groups in which servers come and go. At most the longest: a server that leaves serves for
 /// seconds more.
-const GROUP_EACH: Millis = Millis(8);
-const GROUP_MOST: Millis = Millis(600);
+const GROUP_PER_HOST: Millis = Millis(8);
+const GROUP_MAX: Millis = Millis(600);
 
 /// Pause after a call that failed, at first and at most.
-const BACK_OFF: Millis = Millis(100);
-const BACK_OFF_MOST: Millis = Millis(800);
+const RETRY_BACKOFF_MIN: Millis = Millis(100);
+const RETRY_BACKOFF_MAX: Millis = Millis(800);
 
 /// The leader's and the hosts' keys.
 pub(crate) const LIVE: Feed = Feed::Own(store_key::LIVE);
@@ -42,7 +42,7 @@
 const RECORDS: Feed = Feed::Own(store_key::KEYS);
 
 /// Age of the leader's last heartbeat up to which it is trusted to tell of changed records.
-const UNTOLD: Millis = Millis(1_000);
+const LEADER_TIMEOUT: Millis = Millis(1_000);
 
 /// All parts that every host must know of at once: configuration, servers, leader and core hosts.
 pub(crate) const FEEDS: [Feed; FEED_COUNT] = [Feed::Operator, Feed::Servers, LIVE];
@@ -81,16 +81,16 @@
             }
             Err(e) => note(&router, "records", Some(&e)),
         }
-        router.process.clock.sleep(UNTOLD).await;
-        while router.hears_leader(UNTOLD) || !router.store_up.get() {
-            router.process.clock.sleep(UNTOLD).await;
+        router.process.clock.sleep(LEADER_TIMEOUT).await;
+        while router.hears_leader(LEADER_TIMEOUT) || !router.store_up.get() {
+            router.process.clock.sleep(LEADER_TIMEOUT).await;
         }
     }
 }
 
 /// Follows a part of the store.
 async fn follow(router: Rc<Router>, feed: Feed) {
-    let mut pause = BACK_OFF;
+    let mut pause = RETRY_BACKOFF_MIN;
     loop {
         let seen = router.source.changed.count();
         if !router.source.watches() {
@@ -111,7 +111,7 @@
         }
         let jitter = rand::rng().random_range(0..=pause.0 / 4);
         router.process.clock.sleep(pause + Millis(jitter)).await;
-        pause = pause.times(2).min(BACK_OFF_MOST);
+        pause = pause.times(2).min(RETRY_BACKOFF_MAX);
     }
 }
 
@@ -145,7 +145,7 @@
         let after = router.view.borrow().heard(feed).unwrap_or_default();
         let returns = router.store_returns.count();
         let lost = router.store_lost.get();
-        let watch = pin!(store.changes(&prefix, after, WATCH));
+        let watch = pin!(store.changes(&prefix, after, WATCH_MAX));
         let returned = pin!(router.store_returns.after(returns));
         let changes = match select(watch, returned).await {
             Either::Left((changes, _)) => changes,
@@ -172,7 +172,7 @@
             }
         };
         note(router, "watch", None);
-        *pause = BACK_OFF;
+        *pause = RETRY_BACKOFF_MIN;
         if take_changes(router, feed, &changes) {
             router.process.clock.sleep(group_time(router, feed)).await;
         }
@@ -218,10 +218,10 @@
 /// Returns how long to wait for more changes of a part that had one.
 fn group_time(router: &Router, feed: Feed) -> Millis {
     if feed == Feed::Operator || router.leads.get() > 0 {
-        return PAUSE;
+        return GROUP_MIN;
     }
     let hosts = router.peers.borrow().sharing() as u64;
-    GROUP_EACH.times(hosts).clamp(PAUSE, GROUP_MOST)
+    GROUP_PER_HOST.times(hosts).clamp(GROUP_MIN, GROUP_MAX)
 }
 
 /// Makes a call to the store, and notes its time and whether it was answered.
--- a/crates/chicoryrail-router/src/control/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -14,11 +14,11 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
-use crate::control::follow::FEEDS;
-use crate::control::follow::take_changes;
-use crate::control::follow::take_snapshot;
-use crate::control::relay::PATH;
-use crate::control::relay::WAIT;
+use crate::control::config_feed::follow::FEEDS;
+use crate::control::config_feed::follow::take_changes;
+use crate::control::config_feed::follow::take_snapshot;
+use crate::control::config_feed::relay::POLL_MAX;
+use crate::control::config_feed::relay::RELAY_PATH;
 use crate::control::scheduling;
 use crate::state::Router;
 use crate::state::Source;
@@ -31,13 +31,13 @@
 
 /// Time beyond the wait of a reply after which a relay counts as lost: a busy host of a tenth of a core replies within
 /// it. A lost watcher and then a lost relay are found in time for a server's leave to be known everywhere within 2 s.
-const LATE: Millis = Millis(350);
+const REPLY_SLACK: Millis = Millis(350);
 
 /// Pause after a reply, in which more news comes together, or after a failure.
-const PAUSE: Millis = Millis(60);
+const POLL_PAUSE: Millis = Millis(60);
 
 /// Time between two tries of a leaf host that watches the store because it found no relay.
-const TRY_AGAIN: Millis = Millis(1_000);
+const RELAY_RETRY_INTERVAL: Millis = Millis(1_000);
 
 /// Why a relay gave no reply.
 #[derive(Debug, Snafu)]
@@ -58,7 +58,7 @@
         let relay = match router.source.source.get() {
             Source::Relay(addr) => Some(addr),
             Source::Store if !router.source.core.get() => {
-                router.process.clock.sleep(TRY_AGAIN).await;
+                router.process.clock.sleep(RELAY_RETRY_INTERVAL).await;
                 let boot = router.boot();
                 let peers = router.peers.borrow();
                 peers.core_for(router.now(), &boot.host, &boot.dc)
@@ -66,7 +66,11 @@
             Source::Store | Source::Unknown => None,
         };
         let Some(addr) = relay else {
-            let _ = timeout(TRY_AGAIN.duration(), router.source.changed.after(seen)).await;
+            let _ = timeout(
+                RELAY_RETRY_INTERVAL.duration(),
+                router.source.changed.after(seen),
+            )
+            .await;
             continue;
         };
         let sent = router.now();
@@ -85,7 +89,7 @@
             }
         }
         // After a failure, the task that chooses the source looks for another relay meanwhile.
-        router.process.clock.sleep(PAUSE).await;
+        router.process.clock.sleep(POLL_PAUSE).await;
     }
 }
 
@@ -99,9 +103,9 @@
         log::error!(error:% = e; "relay_request_unwritable");
         Vec::new()
     });
-    let request = Request::post(PATH).body(Bytes::from(bytes));
+    let request = Request::post(RELAY_PATH).body(Bytes::from(bytes));
     let request = request.expect("a fixed path is a valid request");
-    let answer = client.call(addr, request, WAIT + LATE).await;
+    let answer = client.call(addr, request, POLL_MAX + REPLY_SLACK).await;
     let answer = answer.context(CallSnafu)?;
     decode(answer.body()).context(DecodeSnafu)
 }
--- a/crates/chicoryrail-router/src/control/prove_config.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/prove_config.rs
@@ -6,8 +6,8 @@
 use chicoryrail_platform::Feed;
 use monoio::time::timeout;
 
-use crate::control::follow::note;
-use crate::control::follow::take_snapshot;
+use crate::control::config_feed::follow::note;
+use crate::control::config_feed::follow::take_snapshot;
 use crate::state::Router;
 
 /// Time between two proofs, and after one that failed.
--- a/crates/chicoryrail-router/src/control/relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay.rs
@@ -26,20 +26,20 @@
 use crate::talk::encode;
 
 /// Longest time for which a reply waits for news. A host that hears nothing for longer goes to another relay.
-pub(super) const WAIT: Millis = Millis(400);
+pub(super) const POLL_MAX: Millis = Millis(400);
 
 /// Longest request of a host.
-const REQUEST_MOST: usize = 64 << 10;
+const REQUEST_BYTES_MAX: usize = 64 << 10;
 
 /// Path of a relay.
-pub(super) const PATH: &str = "/relay";
+pub(super) const RELAY_PATH: &str = "/relay";
 
 /// Replies to a host that follows this one, as soon as there is news for it.
 pub(crate) async fn relay(router: Rc<Router>, request: Request<Body>) -> Response<Body> {
-    if request.uri().path() != PATH {
+    if request.uri().path() != RELAY_PATH {
         return error_answer(404, "no such page");
     }
-    let Ok(body) = collect(request.into_body(), REQUEST_MOST).await else {
+    let Ok(body) = collect(request.into_body(), REQUEST_BYTES_MAX).await else {
         return error_answer(400, "the request was cut or is too long");
     };
     let Ok(asked) = decode::<RelayRequest>(&body) else {
@@ -50,7 +50,7 @@
         leaves.insert(asked.host.clone(), router.now());
     }
     let received = router.now();
-    let end = received + WAIT;
+    let end = received + POLL_MAX;
     loop {
         let seen = router.news.count();
         let left = end.since(router.now());
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -12,8 +12,7 @@
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
 
-use crate::control::leader_term::LeaderTerm;
-use crate::control::overflow;
+use crate::control::leader::LeaderTerm;
 use crate::control::quota;
 use crate::control::quota::QuotaPools;
 use crate::control::scheduling;
@@ -27,24 +26,24 @@
 
 /// Time between two datagrams to each other host without news. It is also how soon a leader that was cut
 /// off from the store hears of its successor.
-const EVERY: Millis = Millis(400);
+const HEARTBEAT_INTERVAL: Millis = Millis(400);
 
 /// Time between two reports of the keys that callers asked for, for each host there is, and at least: a range of keys
 /// that grows busy is to be seen within a moment, and the leader should get a few hundred reports a second at most.
-const REPORT_EACH: Millis = Millis(2);
-const REPORT_LEAST: Millis = Millis(100);
+const DEMAND_REPORT_PER_HOST: Millis = Millis(2);
+const DEMAND_REPORT_INTERVAL_MIN: Millis = Millis(100);
 
 /// Keys of one report; a datagram should fit into one packet.
-const KEYS_MOST: usize = 400;
+const KEYS_PER_REPORT_MAX: usize = 400;
 
 /// Time between two looks of a leaf host whether it became a core host.
-const NOT_CORE: Millis = Millis(50);
+const CORE_POLL_INTERVAL: Millis = Millis(50);
 
 /// Time between two messages on free slots: as long as short work takes, so that what they say is still true.
-const ROOMS_EVERY: Millis = Millis(150);
+const FREE_SLOTS_INTERVAL: Millis = Millis(150);
 
 /// Heartbeats after which the leader sends all ranges of keys again, should the datagram with them have been lost.
-const SEND_AGAIN: u32 = 3;
+const HEARTBEATS_PER_RANGES: u32 = 3;
 
 /// Ranges of a service as they were sent last.
 #[derive(Debug, Default)]
@@ -81,21 +80,21 @@
     }
 
     /// Takes in what another host sent.
-    pub(crate) fn take(&self, packet: Packet, from: SocketAddr) {
+    pub(crate) fn handle_packet(&self, packet: Packet, from: SocketAddr) {
         match packet {
-            Packet::Heartbeat(word) => self.read(word, from),
-            Packet::KeyDemand(asked) => self.take_asked(&asked),
+            Packet::Heartbeat(heartbeat) => self.handle_heartbeat(heartbeat, from),
+            Packet::KeyDemand(asked) => self.handle_key_demand(&asked),
             Packet::Speeds(speeds) => self.leadership.heard_speeds(speeds),
-            Packet::SlotReply { ticket, reply } => self.take_reply(ticket, reply),
+            Packet::SlotReply { ticket, reply } => self.handle_slot_reply(ticket, reply),
             Packet::QuotaReports(reports) => {
-                quota::answer(&self.router, &self.pools, &reports, from);
+                quota::answer_report(&self.router, &self.pools, &reports, from);
             }
             Packet::QuotaGrants(grants) => quota::take_grants(&self.router, &grants),
-            packet => scheduling::take(&self.router, &packet, Some(from)),
+            packet => scheduling::handle_packet(&self.router, &packet, Some(from)),
         }
     }
 
-    fn take_reply(&self, ticket: u64, reply: SlotReply) {
+    fn handle_slot_reply(&self, ticket: u64, reply: SlotReply) {
         // Nobody waits any more: the reply came late. The slot that it gives is free again when the
         // request's time is over, as the scheduler sees it.
         if !self.router.asks.replied(ticket, reply) {
@@ -104,51 +103,53 @@
     }
 
     /// Tells the others at intervals, and at once when the leader has news.
-    pub(crate) async fn tell(self: Rc<Self>) {
+    pub(crate) async fn send_heartbeats(self: Rc<Self>) {
         loop {
             if !self.router.source.core.get() {
-                self.router.process.clock.sleep(NOT_CORE).await;
+                self.router.process.clock.sleep(CORE_POLL_INTERVAL).await;
                 continue;
             }
             let seen = self.leadership.news.count();
             let leads = self.router.leads.get() > 0;
-            let word = Packet::Heartbeat(self.word(leads));
+            let heartbeat = Packet::Heartbeat(self.heartbeat(leads));
             let all = self.router.peers.borrow().addrs();
-            self.router.talk.send_all(&word, &all).await;
+            self.router.talk.send_all(&heartbeat, &all).await;
             self.report_speeds(leads, &all).await;
             let wait = self.leadership.news.after(seen);
-            let _ = monoio::time::timeout(EVERY.duration(), wait).await;
+            let _ = monoio::time::timeout(HEARTBEAT_INTERVAL.duration(), wait).await;
         }
     }
 
     /// Tells the other core hosts at short intervals how many slots are free in the parts that this one schedules.
-    pub(crate) async fn send_rooms(self: Rc<Self>) {
+    pub(crate) async fn send_free_slots(self: Rc<Self>) {
         loop {
-            self.router.process.clock.sleep(ROOMS_EVERY).await;
+            self.router.process.clock.sleep(FREE_SLOTS_INTERVAL).await;
             if !self.router.source.core.get() {
                 continue;
             }
-            let rooms = overflow::rooms(&self.router);
-            if rooms.is_empty() {
+            let free = scheduling::free_slots(&self.router);
+            if free.is_empty() {
                 continue;
             }
             let all = self.router.peers.borrow().addrs();
-            let packet = Packet::Rooms(rooms);
+            let packet = Packet::Rooms(free);
             // This host may schedule the part of another data centre as well.
-            scheduling::take(&self.router, &packet, None);
+            scheduling::handle_packet(&self.router, &packet, None);
             self.router.talk.send_all(&packet, &all).await;
         }
     }
 
     /// Reports the keys that callers asked for to the leader.
-    pub(crate) async fn report(self: Rc<Self>) {
+    pub(crate) async fn report_key_demand(self: Rc<Self>) {
         loop {
             let hosts = self.router.peers.borrow().addrs().len() as u64;
-            let pause = REPORT_EACH.times(hosts).max(REPORT_LEAST);
+            let pause = DEMAND_REPORT_PER_HOST
+                .times(hosts)
+                .max(DEMAND_REPORT_INTERVAL_MIN);
             self.router.process.clock.sleep(pause).await;
             let asked = self.asked();
             if self.router.leads.get() > 0 {
-                self.take_asked(&asked);
+                self.handle_key_demand(&asked);
                 continue;
             }
             let leader = self.router.peers.borrow().leader_addr();
@@ -161,13 +162,13 @@
         }
     }
 
-    fn take_asked(&self, asked: &[KeyDemand]) {
+    fn handle_key_demand(&self, asked: &[KeyDemand]) {
         for asked in asked {
             self.leadership.asked(&asked.service, &asked.keys);
         }
     }
 
-    fn word(&self, leads: bool) -> Heartbeat {
+    fn heartbeat(&self, leads: bool) -> Heartbeat {
         let keys = if leads {
             self.key_updates()
         } else {
@@ -206,7 +207,7 @@
         let mut sent = self.sent.borrow_mut();
         let sent = sent.entry(service.clone()).or_default();
         sent.heartbeats += 1;
-        if sent.fence == record.fence && sent.heartbeats < SEND_AGAIN {
+        if sent.fence == record.fence && sent.heartbeats < HEARTBEATS_PER_RANGES {
             return None;
         }
         *sent = SentRanges {
@@ -224,7 +225,7 @@
             if keys.is_empty() {
                 continue;
             }
-            let keys = keys.into_iter().take(KEYS_MOST).collect();
+            let keys = keys.into_iter().take(KEYS_PER_REPORT_MAX).collect();
             let service = service.name.clone();
             all.push(KeyDemand { service, keys });
         }
@@ -245,51 +246,51 @@
         }
     }
 
-    fn read(&self, word: Heartbeat, from: SocketAddr) {
+    fn handle_heartbeat(&self, heartbeat: Heartbeat, from: SocketAddr) {
         let now = self.router.now();
         let known = self.router.peers.borrow().highest_term();
         {
             let mut peers = self.router.peers.borrow_mut();
             let said = HostState {
-                store: word.store,
-                reaches: word.reaches,
-                power: word.power,
-                schedules: word.schedules,
-                dc: Some(word.dc),
-                watches: word.watches,
-                leaves: word.leaves,
+                store: heartbeat.store,
+                reaches: heartbeat.reaches,
+                power: heartbeat.power,
+                schedules: heartbeat.schedules,
+                dc: Some(heartbeat.dc),
+                watches: heartbeat.watches,
+                leaves: heartbeat.leaves,
             };
-            peers.heard(now, &word.host, from, said);
+            peers.heard(now, &heartbeat.host, from, said);
             let all = peers.all_hosts(now, self.router.leaves());
             peers.count(all);
-            let leader = word.leads.then_some(&word.host);
-            if word.leads && word.term >= known {
+            let leader = heartbeat.leads.then_some(&heartbeat.host);
+            if heartbeat.leads && heartbeat.term >= known {
                 peers.heard_leader(now);
             }
-            if peers.term(word.term, leader) {
-                log::info!(term = word.term, from:% = word.host, known = known; "term_heard");
+            if peers.term(heartbeat.term, leader) {
+                log::info!(term = heartbeat.term, from:% = heartbeat.host, known = known; "term_heard");
             }
         }
         // A leader that was replaced may not know it yet; its key update is old.
-        if word.leads && word.term >= known {
-            for key in word.keys {
-                self.take_keys(now, key);
+        if heartbeat.leads && heartbeat.term >= known {
+            for key in heartbeat.keys {
+                self.handle_key_update(now, key);
             }
         }
     }
 
-    fn take_keys(&self, now: Millis, word: KeyUpdate) {
-        let service = self.router.service(&word.service);
-        if let Some(ranges) = &word.ranges {
-            let record = ranges.to_record(word.fence);
+    fn handle_key_update(&self, now: Millis, heartbeat: KeyUpdate) {
+        let service = self.router.service(&heartbeat.service);
+        if let Some(ranges) = &heartbeat.ranges {
+            let record = ranges.to_record(heartbeat.fence);
             service.keys.borrow_mut().record(now, record);
         }
-        let blocked = word.blocked.into_iter();
+        let blocked = heartbeat.blocked.into_iter();
         let blocked = blocked.map(|(first, last)| KeyRange { first, last });
         service
             .keys
             .borrow_mut()
-            .blocked(word.fence, blocked.collect());
+            .blocked(heartbeat.fence, blocked.collect());
         scheduling::keys_moved(&self.router, &service);
         service.changed.notify();
     }
--- a/crates/chicoryrail-router/src/control/elect.rs
+++ b/crates/chicoryrail-router/src/control/leader/elect.rs
@@ -9,40 +9,40 @@
 use chicoryrail_platform::Txn;
 use rand::Rng;
 
-use crate::control::follow::LIVE;
-use crate::control::follow::call;
-use crate::control::keep_keys;
-use crate::control::leader_term::LeaderTerm;
+use crate::control::config_feed::follow::LIVE;
+use crate::control::config_feed::follow::call;
+use crate::control::leader::keep_keys;
+use crate::control::leader::leader_term::LeaderTerm;
 use crate::state::Router;
 
 /// Lease of the leader's key. A leader that is lost is replaced after it; shorter than the hold of keys
 /// by more than an election takes.
-const LEASE: Millis = Millis(1_000);
-const RENEW: Millis = Millis(300);
+const ELECTION_LEASE: Millis = Millis(1_000);
+const ELECTION_RENEWAL_INTERVAL: Millis = Millis(300);
 
 /// Time over which hosts spread their attempts to lead, so that mostly one of them calls.
-const SPREAD: Millis = Millis(60);
+const CAMPAIGN_JITTER: Millis = Millis(60);
 
 /// Time for which a host lets those go first that reach more data centres: an election among them is over by
 /// then, and the hold of keys (2.5 s) bears it.
-const REACH_LESS: Millis = Millis(250);
+const FEWER_REACHED_DELAY: Millis = Millis(250);
 
 /// Time for which a host lets much stronger ones go first.
-const WEAKER: Millis = Millis(150);
+const WEAKER_HOST_DELAY: Millis = Millis(150);
 
 /// Time for which a host lets those go first that watch the store themselves: it may hear of a new leader later.
-const HEARS_LATER: Millis = Millis(200);
+const NOT_WATCHING_DELAY: Millis = Millis(200);
 
 /// Time for which a leader that made way does not try again.
-const MAKES_WAY: Millis = Millis(1_000);
+const RESIGNED_PAUSE: Millis = Millis(1_000);
 
 /// Pause between two looks whether there is a leader.
-const LOOK: Millis = Millis(100);
+const LEADER_CHECK_INTERVAL: Millis = Millis(100);
 
 /// Leads whenever nobody else does.
 pub(crate) async fn elect(router: Rc<Router>, leadership: Rc<LeaderTerm>) {
     loop {
-        router.process.clock.sleep(LOOK).await;
+        router.process.clock.sleep(LEADER_CHECK_INTERVAL).await;
         if router.process.stop.is_cancelled() {
             return;
         }
@@ -51,16 +51,16 @@
         if !known || router.view.borrow().own(LEADER).is_some() {
             continue;
         }
-        let mut wait = Millis(rand::rng().random_range(0..SPREAD.0));
+        let mut wait = Millis(rand::rng().random_range(0..CAMPAIGN_JITTER.0));
         let reaches = router.reach.borrow().lately(router.now());
         if router.peers.borrow().reach_more(router.now(), &reaches) {
-            wait = wait + REACH_LESS;
+            wait = wait + FEWER_REACHED_DELAY;
         }
         if router.knows_stronger() {
-            wait = wait + WEAKER;
+            wait = wait + WEAKER_HOST_DELAY;
         }
         if !router.source.watches() {
-            wait = wait + HEARS_LATER;
+            wait = wait + NOT_WATCHING_DELAY;
         }
         router.process.clock.sleep(wait).await;
         if router.view.borrow().own(LEADER).is_some() {
@@ -68,10 +68,14 @@
         }
         match campaign(&router).await {
             Ok(Some((term, lease, ttl))) => lead(&router, &leadership, term, lease, ttl).await,
-            Ok(None) => router.process.clock.sleep(LOOK).await,
+            Ok(None) => router.process.clock.sleep(LEADER_CHECK_INTERVAL).await,
             Err(e) => {
                 log::info!(error:% = e; "campaign_failed");
-                router.process.clock.sleep(LOOK.times(3)).await;
+                router
+                    .process
+                    .clock
+                    .sleep(LEADER_CHECK_INTERVAL.times(3))
+                    .await;
             }
         }
     }
@@ -83,7 +87,7 @@
 
 /// Tries to become the leader; returns the term, the lease and its length.
 async fn campaign(router: &Router) -> Result<Option<(u64, u64, Millis)>, StoreError> {
-    let ttl = LEASE.max(router.boot().store.least_lease);
+    let ttl = ELECTION_LEASE.max(router.boot().store.least_lease);
     let lease = call(router, "open_lease", router.store.open_lease(ttl)).await?;
     let name = router.boot().host.clone();
     let txn =
@@ -136,12 +140,12 @@
     router.counters.leading.set(0);
     log::info!(term = term, why = why; "leader_lost");
     leadership.resigns.set(false);
-    let makes_way = matches!(why, "out_of_reach" | "stronger_host");
-    if makes_way || why == "stop" {
+    let resigned = matches!(why, "out_of_reach" | "stronger_host");
+    if resigned || why == "stop" {
         end(router, lease).await;
     }
-    if makes_way {
-        router.process.clock.sleep(MAKES_WAY).await;
+    if resigned {
+        router.process.clock.sleep(RESIGNED_PAUSE).await;
     }
 }
 
@@ -154,7 +158,7 @@
             Err(StoreError::LeaseGone) => return "lease_gone",
             Err(_) => {}
         }
-        let end = router.now() + RENEW;
+        let end = router.now() + ELECTION_RENEWAL_INTERVAL;
         while router.now() < end {
             // While the store is away nobody can take over: the keys are kept to the end.
             if router.process.stop.is_cancelled() && router.store_up.get() {
--- a/crates/chicoryrail-router/src/control/keep_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/keep_keys.rs
@@ -20,14 +20,14 @@
 use chicoryrail_runtime::Signal;
 use monoio::time::timeout;
 
-use crate::control::follow::call;
-use crate::control::leader_term::LeaderTerm;
+use crate::control::config_feed::follow::call;
+use crate::control::leader::leader_term::LeaderTerm;
 use crate::control::scheduling;
 use crate::state::Router;
 
 /// Time between two looks at what is due, while something changes and while nothing does.
-const BUSY_LOOK: Millis = Millis(10);
-const CALM_LOOK: Millis = Millis(50);
+const BUSY_CHECK_INTERVAL: Millis = Millis(10);
+const CALM_CHECK_INTERVAL: Millis = Millis(50);
 
 /// Time after an outage in which grants for its time may still be held: such a grant and a renewal in flight.
 const OUTAGE_MEMORY: Millis = Millis(12_500);
@@ -76,7 +76,7 @@
                 Err(e) => log::warn!(service:% = service, error:% = e; "keys_not_read"),
             }
         }
-        router.process.clock.sleep(CALM_LOOK).await;
+        router.process.clock.sleep(CALM_CHECK_INTERVAL).await;
     }
 }
 
@@ -150,12 +150,12 @@
                 return;
             }
             if !changing {
-                self.router.process.clock.sleep(CALM_LOOK).await;
+                self.router.process.clock.sleep(CALM_CHECK_INTERVAL).await;
                 continue;
             }
             // What a call's end allows goes out at once: after a loss of power on all hosts, each range waits for the
             // call before it, and a pause between them would add up.
-            let _ = timeout(BUSY_LOOK.duration(), self.ended.after(ended)).await;
+            let _ = timeout(BUSY_CHECK_INTERVAL.duration(), self.ended.after(ended)).await;
         }
     }
 
--- a/crates/chicoryrail-router/src/control/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -17,12 +17,12 @@
 use chicoryrail_platform::Txn;
 use chicoryrail_runtime::Invariant;
 
-use crate::control::follow::call;
-use crate::control::keep_keys::KeyLeader;
-use crate::control::keep_keys::record_key;
+use crate::control::config_feed::follow::call;
+use crate::control::leader::keep_keys::KeyLeader;
+use crate::control::leader::keep_keys::record_key;
 
 /// Pause after a call to the store that failed.
-const AGAIN: Millis = Millis(150);
+const CALL_RETRY_INTERVAL: Millis = Millis(150);
 
 impl KeyLeader {
     pub(super) async fn commit(self: Rc<Self>, record: KeyRecord) {
@@ -41,7 +41,7 @@
             }
             Err(e) if e.is_outage() => {
                 log::info!(service:% = self.service, error:% = e; "keys_write_unsettled");
-                self.router.process.clock.sleep(AGAIN).await;
+                self.router.process.clock.sleep(CALL_RETRY_INTERVAL).await;
             }
             Err(e) => {
                 log::warn!(service:% = self.service, error:% = e; "keys_not_written");
--- a/crates/chicoryrail-router/src/control/leader_term.rs
+++ b/crates/chicoryrail-router/src/control/leader/leader_term.rs
@@ -15,12 +15,12 @@
 use crate::state::Router;
 
 /// Part of the lease, in percent, after which an unconfirmed leader no longer counts on it.
-const LEASE_PART: u64 = 80;
+const LEASE_TRUSTED_PERCENT: u64 = 80;
 
 /// Age of the other hosts' last heartbeat up to which a leader without the store counts on them: three of their
 /// datagrams. A successor waits for this and a renewal in flight before it moves keys of a server that it
 /// can't reach.
-const WORD_AGE: Millis = Millis(1_300);
+const HEARTBEAT_AGE_MAX: Millis = Millis(1_300);
 
 /// What this host knows as the leader, and how long it may act as one.
 #[derive(Debug, Default)]
@@ -93,7 +93,7 @@
         if self.term.get() == 0 || peers.highest_term() > self.term.get() {
             return false;
         }
-        let lease = Millis(self.ttl.get().0 * LEASE_PART / 100);
-        now.since(self.confirmed.get()) < lease || peers.hears_most(now, WORD_AGE)
+        let lease = Millis(self.ttl.get().0 * LEASE_TRUSTED_PERCENT / 100);
+        now.since(self.confirmed.get()) < lease || peers.hears_most(now, HEARTBEAT_AGE_MAX)
     }
 }
--- a/crates/chicoryrail-router/src/control/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -8,24 +8,24 @@
 use chicoryrail_ownership::keys::Moves;
 use chicoryrail_ownership::keys::Plan;
 
-use crate::control::keep_keys::KeyLeader;
+use crate::control::leader::keep_keys::KeyLeader;
 use crate::state::Target;
 
 /// Time between two moves of boundaries for balance. The load that a cut follows is that of the last few
 /// seconds, and each cut holds the moved keys' requests for as long as work on them is running.
-const BALANCE_EVERY: Millis = Millis(2_500);
+const BALANCE_INTERVAL: Millis = Millis(2_500);
 
 /// Time between two moves that relieve a server which has far too much. A range of keys that grew busy a moment ago
 /// shows in part at first; what is left of it is moved with the next.
-const URGENT_EVERY: Millis = Millis(400);
+const RELIEF_INTERVAL: Millis = Millis(400);
 
 /// Time after a change at which the record is written again without the former holders that hold nothing any more.
 /// Left in it, a leader that takes over waits for them as long as for any, and keys that nobody holds stay unserved.
-const TIDY: Millis = Millis(1_000);
+const MERGE_INTERVAL: Millis = Millis(1_000);
 
 /// Time for which a server must have been known before it gets keys. Servers come in groups, at the start
 /// and with each release, and every change of the record is told to every host.
-const SETTLED: Millis = Millis(400);
+const LOAD_SETTLE_TIME: Millis = Millis(400);
 
 impl KeyLeader {
     /// Plans other holders where servers came or went, or the load lies badly.
@@ -38,8 +38,8 @@
         // Former holders that can't be reached keep their keys for many seconds after an outage. The others' load is
         // balanced meanwhile, or a range that grows busy would overload its server for as long.
         let moves = match now.since(self.balanced.get()) {
-            since if since >= BALANCE_EVERY => Moves::Balance,
-            since if since >= URGENT_EVERY => Moves::Urgent,
+            since if since >= BALANCE_INTERVAL => Moves::Balance,
+            since if since >= RELIEF_INTERVAL => Moves::Urgent,
             _ => Moves::Needed,
         };
         let plan = self.leadership.with_load(now, &self.service, |load| {
@@ -53,7 +53,9 @@
             log::info!(service:% = self.service, servers = holders.len(),
                 spans = spans.len(), fence = self.leases.borrow().record().fence; "keys_planned");
             self.leases.borrow_mut().change(spans, rand::random());
-        } else if now.since(self.balanced.get()) >= TIDY && self.leases.borrow().is_untidy() {
+        } else if now.since(self.balanced.get()) >= MERGE_INTERVAL
+            && self.leases.borrow().is_untidy()
+        {
             self.balanced.set(now);
             let spans = self.leases.borrow().record().spans.clone();
             self.leases.borrow_mut().change(spans, rand::random());
@@ -71,7 +73,7 @@
             let open = targets.values().filter(|t| t.is_ready());
             let open = open.filter(|t| !leases.is_lost(now, &t.life));
             let holds = |life: &Life| owners.contains(life);
-            let open = open.filter(|t| holds(&t.life) || now.since(t.known) >= SETTLED);
+            let open = open.filter(|t| holds(&t.life) || now.since(t.known) >= LOAD_SETTLE_TIME);
             let warm = open.filter(|t| cold || !t.is_cold(now) || holds(&t.life));
             let mut holders: Vec<_> = warm
                 .map(|t| Holder {
--- a/crates/chicoryrail-router/src/control/source.rs
+++ b/crates/chicoryrail-router/src/control/membership/source.rs
@@ -10,40 +10,40 @@
 use chicoryrail_ownership::store_key::host_key;
 use rand::Rng;
 
-use crate::control::follow::LIVE;
-use crate::control::follow::note;
-use crate::control::follow::take_snapshot;
+use crate::control::config_feed::follow::LIVE;
+use crate::control::config_feed::follow::note;
+use crate::control::config_feed::follow::take_snapshot;
 use crate::state::Router;
 use crate::state::Source;
 
 /// Time between two looks.
-const LOOK: Millis = Millis(50);
+const SOURCE_CHECK_INTERVAL: Millis = Millis(50);
 
 /// Time after the list of core hosts was read in which they hear each other, so that not each of them starts by
 /// watching the store.
-const SETTLE: Millis = Millis(150);
+const PEER_DISCOVERY_TIME: Millis = Millis(150);
 
 /// Time without a reply of any core host after which a leaf host goes to the store, and the time over which leaf
 /// hosts that lost their relays together spread that.
-const ALONE: Millis = Millis(1_500);
-const ALONE_SPREAD: Millis = Millis(1_000);
+const RELAY_SILENCE_MAX: Millis = Millis(1_500);
+const RELAY_SILENCE_JITTER: Millis = Millis(1_000);
 
 /// At the first start of all hosts, the time over which strong ones look who is there, and after which weak ones
 /// do: the strong ones are listed by then.
-const FIRST_SPREAD: Millis = Millis(500);
-const FIRST_WEAK: Millis = Millis(1_000);
+const FIRST_START_JITTER: Millis = Millis(500);
+const FIRST_START_WEAK_DELAY: Millis = Millis(1_000);
 
 /// Time between two looks of a weak host whether more core hosts are needed, at least and over which they spread.
-const LACK: Millis = Millis(1_000);
-const LACK_SPREAD: Millis = Millis(2_000);
+const CORE_CHECK_INTERVAL: Millis = Millis(1_000);
+const CORE_CHECK_JITTER: Millis = Millis(2_000);
 
 /// Pause after a failed read of the core hosts.
-const AGAIN: Millis = Millis(200);
+const READ_RETRY_INTERVAL: Millis = Millis(200);
 
 /// Keeps the choice of the source up to date.
 pub(crate) async fn choose_source(router: Rc<Router>) {
-    let spread = rand::rng().random_range(0..ALONE_SPREAD.0);
-    let alone = ALONE + Millis(spread);
+    let spread = rand::rng().random_range(0..RELAY_SILENCE_JITTER.0);
+    let alone = RELAY_SILENCE_MAX + Millis(spread);
     loop {
         let source = choose(&router, alone);
         let state = &router.source;
@@ -52,7 +52,7 @@
             state.source.set(source);
             state.changed.notify();
         }
-        router.process.clock.sleep(LOOK).await;
+        router.process.clock.sleep(SOURCE_CHECK_INTERVAL).await;
     }
 }
 
@@ -65,7 +65,7 @@
     let peers = router.peers.borrow();
     let boot = router.boot();
     if state.core.get() {
-        if now.since(listed) < SETTLE {
+        if now.since(listed) < PEER_DISCOVERY_TIME {
             return Source::Unknown;
         }
         if peers.should_watch(now, (&boot.host, &router.host_state())) {
@@ -85,13 +85,17 @@
 pub(crate) async fn join_core(router: &Rc<Router>) {
     let strong = is_strong(router.power());
     if router.boot().first_start {
-        let spread = Millis(rand::rng().random_range(0..FIRST_SPREAD.0));
-        let wait = if strong { spread } else { FIRST_WEAK + spread };
+        let spread = Millis(rand::rng().random_range(0..FIRST_START_JITTER.0));
+        let wait = if strong {
+            spread
+        } else {
+            FIRST_START_WEAK_DELAY + spread
+        };
         router.process.clock.sleep(wait).await;
     }
     loop {
         if !read_core(router).await {
-            router.process.clock.sleep(AGAIN).await;
+            router.process.clock.sleep(READ_RETRY_INTERVAL).await;
             continue;
         }
         if strong && is_needed(router) {
@@ -100,8 +104,12 @@
         // One that lacks others waits for a while, and looks again: many may lack them at once.
         let mut lacked = false;
         loop {
-            let spread = rand::rng().random_range(0..LACK_SPREAD.0);
-            router.process.clock.sleep(LACK + Millis(spread)).await;
+            let spread = rand::rng().random_range(0..CORE_CHECK_JITTER.0);
+            router
+                .process
+                .clock
+                .sleep(CORE_CHECK_INTERVAL + Millis(spread))
+                .await;
             let needed = is_needed(router);
             if needed && lacked {
                 break;
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -1,31 +1,20 @@
-//! Talk with the store, the other hosts and the servers' control.
+//! What hosts do together: who is there, who hears what from whom, who leads, who schedules, who may spend what.
 
-mod elect;
-mod follow;
-mod follow_relay;
+mod config_feed;
 mod gossip;
-mod keep_keys;
-mod key_calls;
-mod leader_term;
-mod overflow;
-mod part_schedulers;
-mod plan_keys;
-mod presence;
-mod prove_config;
+mod leader;
+mod membership;
 mod quota;
-mod quota_tokens;
-mod relay;
 pub(crate) mod scheduling;
-mod source;
 
-pub(crate) use elect::elect;
-pub(crate) use follow::follow_all;
-pub(crate) use follow_relay::follow_relay;
+pub(crate) use config_feed::follow_all;
+pub(crate) use config_feed::follow_relay;
+pub(crate) use config_feed::prove_config;
+pub(crate) use config_feed::relay;
 pub(crate) use gossip::Gossip;
-pub(crate) use leader_term::LeaderTerm;
-pub(crate) use presence::be_present;
-pub(crate) use prove_config::prove_config;
+pub(crate) use leader::LeaderTerm;
+pub(crate) use leader::elect;
+pub(crate) use membership::be_present;
+pub(crate) use membership::choose_source;
 pub(crate) use quota::QuotaPools;
 pub(crate) use quota::report_use;
-pub(crate) use relay::relay;
-pub(crate) use source::choose_source;
--- a/crates/chicoryrail-router/src/control/quota.rs
+++ b/crates/chicoryrail-router/src/control/quota/leases.rs
@@ -135,7 +135,7 @@
 }
 
 /// Answers another host's report, while this host leads.
-pub(crate) fn answer(
+pub(crate) fn answer_report(
     router: &Rc<Router>,
     pools: &QuotaPools,
     reports: &QuotaReports,
--- a/crates/chicoryrail-router/src/control/overflow.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/overflow.rs
@@ -6,9 +6,9 @@
 use chicoryrail_ownership::SchedulerHost;
 use chicoryrail_policy::Scheduler;
 
-use crate::control::part_schedulers::answer;
-use crate::control::part_schedulers::left;
-use crate::control::part_schedulers::set_servers;
+use crate::control::scheduling::part_schedulers::answer;
+use crate::control::scheduling::part_schedulers::left;
+use crate::control::scheduling::part_schedulers::set_servers;
 use crate::state::Router;
 use crate::talk::PartName;
 use crate::talk::PartRoom;
@@ -27,7 +27,11 @@
 ///
 /// Load: callers are not spread over the data centres as the servers are. Without this, requests of one wait or are
 /// refused beside free slots of another.
-pub(super) fn take(router: &Rc<Router>, ask: &SlotQuery, from: Option<SocketAddr>) -> bool {
+pub(super) fn send_elsewhere(
+    router: &Rc<Router>,
+    ask: &SlotQuery,
+    from: Option<SocketAddr>,
+) -> bool {
     let Some(dc) = router.schedulers.take_room(router.now(), &ask.part) else {
         return false;
     };
@@ -37,7 +41,7 @@
 }
 
 /// Returns the free slots of the parts for which this host schedules.
-pub(super) fn rooms(router: &Router) -> Vec<PartRoom> {
+pub(crate) fn free_slots(router: &Router) -> Vec<PartRoom> {
     let now = router.now();
     let mut schedulers = router.schedulers.by_part.borrow_mut();
     let mut rooms = Vec::new();
--- a/crates/chicoryrail-router/src/control/scheduling.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -16,12 +16,12 @@
 use chicoryrail_policy::SlotRelease;
 use chicoryrail_policy::SlotRequest;
 
-use crate::control::overflow;
-use crate::control::part_schedulers::answer;
-use crate::control::part_schedulers::forget;
-use crate::control::part_schedulers::left;
-use crate::control::part_schedulers::refresh;
-use crate::control::quota_tokens::take_token;
+use crate::control::scheduling::overflow;
+use crate::control::scheduling::part_schedulers::answer;
+use crate::control::scheduling::part_schedulers::forget;
+use crate::control::scheduling::part_schedulers::left;
+use crate::control::scheduling::part_schedulers::refresh;
+use crate::control::scheduling::tokens::take_token;
 use crate::state::Origin;
 use crate::state::Router;
 use crate::state::Service;
@@ -34,25 +34,25 @@
 
 /// Time between two looks at requests that wait for what no message tells the scheduler: a server that warms up,
 /// rests, or gets its keys.
-const LOOK: Millis = Millis(15);
+const WAITING_POLL_INTERVAL: Millis = Millis(15);
 
 /// Time between two log lines on how full the schedulers are.
-const LOG_EVERY: Millis = Millis(1_000);
+const LOG_INTERVAL: Millis = Millis(1_000);
 
 /// Time between two looks for which servers this host schedules: what it decides by that, the pace of cold servers,
 /// reckons with two schedulers.
-const DRAW: Millis = Millis(100);
+const RENDEZVOUS_INTERVAL: Millis = Millis(100);
 
 /// Looks at the requests that wait here.
 pub(crate) async fn tend(router: Rc<Router>) {
     let mut logged = router.now();
     let mut drawn = (Millis::ZERO, 0);
     loop {
-        router.process.clock.sleep(LOOK).await;
-        if router.now().since(drawn.0) >= DRAW {
+        router.process.clock.sleep(WAITING_POLL_INTERVAL).await;
+        if router.now().since(drawn.0) >= RENDEZVOUS_INTERVAL {
             drawn = (router.now(), draw(&router, drawn.1));
         }
-        if router.now().since(logged) >= LOG_EVERY {
+        if router.now().since(logged) >= LOG_INTERVAL {
             logged = router.now();
             log_schedulers(&router);
         }
@@ -111,7 +111,7 @@
 
 /// Takes in what is meant for the host that schedules; `from` is `None` for this host itself. Whoever is asked
 /// schedules: hosts that hear different others draw differently for a moment.
-pub(crate) fn take(router: &Rc<Router>, packet: &Packet, from: Option<SocketAddr>) {
+pub(crate) fn handle_packet(router: &Rc<Router>, packet: &Packet, from: Option<SocketAddr>) {
     match packet {
         Packet::SlotQuery(asked) => ask(router, asked, from),
         Packet::SlotEnd(end) => ended(router, end),
@@ -177,7 +177,10 @@
     }
     refresh(router, &ask.part);
     let may_overflow = ask.part.dc.is_some() && !ask.overflows;
-    if may_overflow && !overflow::has_free(router, &ask.part) && overflow::take(router, ask, from) {
+    if may_overflow
+        && !overflow::has_free(router, &ask.part)
+        && overflow::send_elsewhere(router, ask, from)
+    {
         return;
     }
     decide(router, &ask.part);
--- a/crates/chicoryrail-router/src/control/quota_tokens.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/tokens.rs
@@ -8,8 +8,8 @@
 use chicoryrail_core::Organisation;
 use chicoryrail_core::OrganisationName;
 
-use crate::control::part_schedulers::answer;
-use crate::control::part_schedulers::left;
+use crate::control::scheduling::part_schedulers::answer;
+use crate::control::scheduling::part_schedulers::left;
 use crate::state::Router;
 use crate::talk::SlotQuery;
 use crate::talk::SlotReply;
--- a/crates/chicoryrail-router/src/route/answer.rs
+++ b/crates/chicoryrail-router/src/route/answer.rs
@@ -20,17 +20,17 @@
 
 /// Bytes of an answer that are held until its end is in: a whole answer can be told from a cut one before
 /// the caller sees its first byte, and a cut one be asked for again. Longer answers are streamed.
-const HELD: usize = 64 << 10;
+const BUFFERED_BYTES_MAX: usize = 64 << 10;
 
 /// The same for downloads, whose answers are mostly longer: what is held goes out only after it came in, and a slow
 /// link would carry a long one twice in a row.
-const HELD_DOWNLOAD: usize = 16 << 10;
+const BUFFERED_DOWNLOAD_BYTES_MAX: usize = 16 << 10;
 
 /// Returns how much of an answer is held, by the kind of its route.
 pub(crate) const fn held(kind: RouteKind) -> usize {
     match kind {
-        RouteKind::Read | RouteKind::Order => HELD,
-        RouteKind::Download => HELD_DOWNLOAD,
+        RouteKind::Read | RouteKind::Order => BUFFERED_BYTES_MAX,
+        RouteKind::Download => BUFFERED_DOWNLOAD_BYTES_MAX,
     }
 }
 
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -28,18 +28,18 @@
 
 /// Part of the aim for which a request waits here for room: beyond it, callers are better off coming back
 /// through another host, which may know of room.
-const WAIT_PART: u64 = 4;
+const LONE_WAIT_AIM_DIVISOR: u64 = 4;
 
 /// Part of the aim for which a request waits for a key that changes hands; the move takes as long as the
 /// work that is running on the key.
-const MOVE_PART: u64 = 1;
+const KEY_MOVE_AIM_DIVISOR: u64 = 1;
 
 /// Longest pause between two looks for room, should nobody say that there is some.
-const LOOK_AGAIN: Millis = Millis(10);
+const TARGET_POLL_INTERVAL: Millis = Millis(10);
 
 /// Multiple of the usual work after which a silent server is given up for another one: beyond what a
 /// slow server with a slow neighbour takes, since breaking off work that is running wastes it.
-const SILENT_TIMES: f64 = 8.0;
+const SILENT_WORK_TIMES_MAX: f64 = 8.0;
 
 /// One request's tries.
 struct Tries<'a> {
@@ -161,14 +161,18 @@
                     Choice::Wait(cause, room) => (cause, room),
                 };
             let patience = match cause {
-                Cause::KeyMoving => Millis(aim.0 / MOVE_PART),
-                _ => Millis(aim.0 / WAIT_PART),
+                Cause::KeyMoving => Millis(aim.0 / KEY_MOVE_AIM_DIVISOR),
+                _ => Millis(aim.0 / LONE_WAIT_AIM_DIVISOR),
             };
             let waited = now.since(started);
             if waited >= patience.min(Millis(left.0 / 2)) {
                 return Err(self.refuse(cause, room));
             }
-            let _ = timeout(LOOK_AGAIN.duration(), self.service.changed.after(seen)).await;
+            let _ = timeout(
+                TARGET_POLL_INTERVAL.duration(),
+                self.service.changed.after(seen),
+            )
+            .await;
         }
     }
 
@@ -186,7 +190,7 @@
             return left;
         }
         let work = self.router.work(&self.call.route.name, self.call.route.aim);
-        let patience = Millis((work * SILENT_TIMES / 1_000.0) as u64);
+        let patience = Millis((work * SILENT_WORK_TIMES_MAX / 1_000.0) as u64);
         patience.max(self.call.route.aim.times(2)).min(left)
     }
 
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -79,7 +79,7 @@
     let limit = router.site().map_or(u64::MAX, |s| s.limits.body);
     let body = RequestBody::new(body, limit);
     let call = Rc::new(call);
-    let mut patience = Patience::new(router, &call);
+    let mut guard = AbandonGuard::new(router, &call);
     let result = match call.route.kind.repeat() {
         Repeat::Any => answer(router, &call, &body).await,
         // A request that may run once is not broken off when its caller leaves: what its server has
@@ -90,18 +90,18 @@
             task.await
         }
     };
-    patience.ended = true;
+    guard.ended = true;
     finish(router, &call, result)
 }
 
 /// Tells where a caller leaves before its answer: the HTTP layer then drops what serves it.
-struct Patience {
+struct AbandonGuard {
     router: Rc<Router>,
     call: Rc<Call>,
     ended: bool,
 }
 
-impl Patience {
+impl AbandonGuard {
     fn new(router: &Rc<Router>, call: &Rc<Call>) -> Self {
         Self {
             router: Rc::clone(router),
@@ -111,7 +111,7 @@
     }
 }
 
-impl Drop for Patience {
+impl Drop for AbandonGuard {
     fn drop(&mut self) {
         if self.ended {
             return;
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -24,22 +24,22 @@
 
 /// Time after which a key that moves is expected to be granted: a release waits for the work that is
 /// running on the key.
-const MOVE_TIME: Millis = Millis(150);
+const KEY_MOVE_TIME: Millis = Millis(150);
 
 /// Time without the leader after which hosts may no longer hear each other, so that a cold server's
 /// scheduler may not be reached for good: longer than an election.
-const LEADER_GONE: Millis = Millis(2_500);
+const LEADER_SILENCE_MAX: Millis = Millis(2_500);
 
 /// Time after its start in which a host may not know how many others there are. After a loss of power on all hosts,
 /// parts by the few that it knows would add up to many times what a cold server bears.
-const YOUNG: Millis = Millis(5_000);
+const UNSURE_OF_HOSTS_TIME: Millis = Millis(5_000);
 
 /// Part of what a cold server bears that all hosts together may send it without a scheduler; others may reach one,
 /// which deals out the other half.
-const OWN_COLD_PART: f64 = 0.5;
+const LONE_COLD_PART: f64 = 0.5;
 
 /// Time after which a service without a server that takes work is looked at again.
-const NO_SERVER_TIME: Millis = Millis(500);
+const NO_SERVER_RETRY: Millis = Millis(500);
 
 /// Chooses the server of a request; those in `tried` only where there is no other.
 pub(crate) fn choose(
@@ -59,12 +59,12 @@
     let owner = service.keys.borrow().owner(now, key);
     let life = match owner {
         KeyOwner::Held(life) => life,
-        KeyOwner::Moving => return Choice::Wait(Cause::KeyMoving, MOVE_TIME),
-        KeyOwner::Nobody => return Choice::Wait(Cause::NoServer, NO_SERVER_TIME),
+        KeyOwner::Moving => return Choice::Wait(Cause::KeyMoving, KEY_MOVE_TIME),
+        KeyOwner::Nobody => return Choice::Wait(Cause::NoServer, NO_SERVER_RETRY),
     };
     let target = service.target(&life).filter(|t| t.may_get(now));
     let Some(target) = target else {
-        return Choice::Wait(Cause::KeyMoving, MOVE_TIME);
+        return Choice::Wait(Cause::KeyMoving, KEY_MOVE_TIME);
     };
     let work = router.work(&call.route.name, call.route.aim);
     let loads = service.loads.borrow();
@@ -83,7 +83,7 @@
 ) -> Choice {
     let open = service.open_targets(now);
     if open.is_empty() {
-        return Choice::Wait(Cause::NoServer, NO_SERVER_TIME);
+        return Choice::Wait(Cause::NoServer, NO_SERVER_RETRY);
     }
     let work = router.work(&call.route.name, call.route.aim);
     let mut fresh: Vec<_> = open.iter().filter(|t| !tried.contains(&t.life)).collect();
@@ -101,7 +101,7 @@
         }
     }
     let room = open.iter().map(|t| loads.room_in(now, t.id, work)).min();
-    Choice::Wait(Cause::Full, room.unwrap_or(NO_SERVER_TIME))
+    Choice::Wait(Cause::Full, room.unwrap_or(NO_SERVER_RETRY))
 }
 
 /// Tells whether a server may get one more request by the bound on cold ones, and takes it.
@@ -111,10 +111,10 @@
     }
     // The scheduler deals out half of what a cold server bears. A host that hears the leader, but got no reply
     // in time, leaves cold servers alone; else all such hosts together would come on top of the scheduler's.
-    if now < YOUNG || router.peers.borrow().hears_leader(now, LEADER_GONE) {
+    if now < UNSURE_OF_HOSTS_TIME || router.peers.borrow().hears_leader(now, LEADER_SILENCE_MAX) {
         return false;
     }
-    let bound = router.cold_bound(call.service_name()) * OWN_COLD_PART;
+    let bound = router.cold_bound(call.service_name()) * LONE_COLD_PART;
     let hosts = router.peers.borrow().sharing();
     target.cold.borrow_mut().take(now, bound, hosts)
 }
--- a/crates/chicoryrail-router/src/route/slot.rs
+++ b/crates/chicoryrail-router/src/route/slot.rs
@@ -29,12 +29,12 @@
 /// Time after which a question without any reply is sent again, and after which the scheduler is given up.
 /// Between data centres a question and its reply take few milliseconds, but more at a host that has used its share of the
 /// processor for this tenth of a second.
-const ASK_AGAIN: Millis = Millis(20);
-const GIVE_UP: Millis = Millis(50);
+const FIRST_REPLY_TIMEOUT: Millis = Millis(20);
+const SCHEDULER_TIMEOUT: Millis = Millis(50);
 
 /// Time after which a request that waits at the scheduler asks again: the reply may have been lost, or another
 /// host may schedule by now.
-const WAIT_AGAIN: Millis = Millis(120);
+const WAITING_POLL_INTERVAL: Millis = Millis(120);
 
 /// What the scheduler said.
 pub(crate) enum Answer {
@@ -115,8 +115,12 @@
             return Answer::Refuse(Millis::ZERO);
         }
         let silent = now.since(asked);
-        let again = if heard { WAIT_AGAIN } else { ASK_AGAIN };
-        if silent >= again + GIVE_UP - ASK_AGAIN {
+        let again = if heard {
+            WAITING_POLL_INTERVAL
+        } else {
+            FIRST_REPLY_TIMEOUT
+        };
+        if silent >= again + SCHEDULER_TIMEOUT - FIRST_REPLY_TIMEOUT {
             if let SchedulerHost::At(addr) = place.scheduler {
                 router.peers.borrow_mut().silent(addr);
             }
@@ -129,7 +133,7 @@
             place.send(call, tried);
         }
         let next = if sent_again {
-            again + GIVE_UP - ASK_AGAIN
+            again + SCHEDULER_TIMEOUT - FIRST_REPLY_TIMEOUT
         } else {
             again
         };
@@ -200,7 +204,7 @@
 /// Brings a packet to the host that schedules.
 fn to_scheduler(router: &Rc<Router>, scheduler: SchedulerHost, packet: Packet) {
     match scheduler {
-        SchedulerHost::Here => scheduling::take(router, &packet, None),
+        SchedulerHost::Here => scheduling::handle_packet(router, &packet, None),
         SchedulerHost::At(addr) => router.talk.post(packet, addr),
     }
 }
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -42,17 +42,17 @@
 use crate::talk::Talk;
 
 /// Time between two rounds of upkeep.
-const UPKEEP: Millis = Millis(100);
+const UPKEEP_INTERVAL: Millis = Millis(100);
 
 /// A round that comes this much later than planned was held up by a pause of the process.
-const PAUSE_NOTICED: Millis = Millis(300);
+const FREEZE_NOTICED: Millis = Millis(300);
 
 /// Time from the stop signal until the listener closes: the balancer asks once a second and takes a host
 /// out after two misses, so after it no new caller is sent here.
-const TURN_OUT: Millis = Millis(2_600);
+const BALANCER_NOTICE_TIME: Millis = Millis(2_600);
 
 /// Time before the kill at which the process ends by itself.
-const SPARE: Millis = Millis(400);
+const KILL_MARGIN: Millis = Millis(400);
 
 /// Why the process could not run.
 #[derive(Debug, Snafu)]
@@ -147,16 +147,16 @@
     let pools = Rc::new(QuotaPools::default());
     let gossip = Gossip::new(&router, &leadership, &pools);
     let listening = Rc::clone(&gossip);
-    monoio::spawn(talk.listen(move |packet, from| listening.take(packet, from)));
+    monoio::spawn(talk.listen(move |packet, from| listening.handle_packet(packet, from)));
     monoio::spawn(scheduling::tend(Rc::clone(&router)));
     open_relay(&router, talk_addr, &ends)?;
     follow_all(&router);
     monoio::spawn(choose_source(Rc::clone(&router)));
     monoio::spawn(follow_relay(Rc::clone(&router)));
     monoio::spawn(be_present(Rc::clone(&router), talk_addr));
-    monoio::spawn(Rc::clone(&gossip).report());
-    monoio::spawn(Rc::clone(&gossip).send_rooms());
-    monoio::spawn(gossip.tell());
+    monoio::spawn(Rc::clone(&gossip).report_key_demand());
+    monoio::spawn(Rc::clone(&gossip).send_free_slots());
+    monoio::spawn(gossip.send_heartbeats());
     monoio::spawn(prove_config(Rc::clone(&router)));
     monoio::spawn(report_use(Rc::clone(&router), pools));
     let elected = monoio::spawn(elect(Rc::clone(&router), leadership));
@@ -197,9 +197,11 @@
 async fn wind_down(router: &Router, callers: &CancellationToken) {
     let clock = router.process.clock;
     let grace = router.boot().bounds.grace;
-    let end = router.now() + grace - SPARE;
+    let end = router.now() + grace - KILL_MARGIN;
     log::info!(serving = router.serving.get(), grace_ms = grace.0; "stopping");
-    clock.sleep(TURN_OUT.min(Millis(grace.0 / 2))).await;
+    clock
+        .sleep(BALANCER_NOTICE_TIME.min(Millis(grace.0 / 2)))
+        .await;
     callers.cancel();
     // A connection that the system has taken in may still carry its first request.
     clock.sleep(Millis(300)).await;
@@ -251,10 +253,10 @@
 async fn keep_up(router: Rc<Router>, sink: LogSink) {
     let mut last = router.now();
     loop {
-        router.process.clock.sleep(UPKEEP).await;
+        router.process.clock.sleep(UPKEEP_INTERVAL).await;
         let now = router.now();
-        let late = now.since(last + UPKEEP);
-        if late > PAUSE_NOTICED {
+        let late = now.since(last + UPKEEP_INTERVAL);
+        if late > FREEZE_NOTICED {
             log::warn!(late_ms = late.0; "paused");
         }
         last = now;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -45,10 +45,10 @@
 
 /// Speed of a link in megabits a second below which a host leads and schedules only where hardly any other does: its
 /// replies wait behind downloads, longer than those that ask wait for them.
-const SLOW_LINK: f64 = 50.0;
+const SLOW_LINK_MBPS: f64 = 50.0;
 
 /// Part of its strength that a host with a slow link counts with.
-const SLOW_LINK_PART: u32 = 50;
+const SLOW_LINK_POWER_DIVISOR: u32 = 50;
 
 /// Time without a relay's reply after which a leaf host counts as cut off from the other hosts.
 const ALONE_AFTER: Millis = Millis(1_500);
@@ -58,7 +58,7 @@
 const KNOWS_HOSTS_AFTER: Millis = Millis(5_000);
 
 /// Time without a request of a leaf host after which it no longer counts as one that follows this host.
-const LEAF_GONE: Millis = Millis(3_000);
+const LEAF_TIMEOUT: Millis = Millis(3_000);
 
 /// The process.
 #[derive(Debug)]
@@ -193,8 +193,8 @@
     pub(crate) fn power(&self) -> u32 {
         let limits = self.boot().limits;
         let core = (limits.cpu * 1_000.0) as u32;
-        if limits.link_mbps < SLOW_LINK {
-            return (core / SLOW_LINK_PART).max(1);
+        if limits.link_mbps < SLOW_LINK_MBPS {
+            return (core / SLOW_LINK_POWER_DIVISOR).max(1);
         }
         core
     }
@@ -227,7 +227,7 @@
     pub(crate) fn leaves(&self) -> u32 {
         let now = self.now();
         let mut leaves = self.leaves.borrow_mut();
-        leaves.retain(|_, asked| now.since(*asked) <= LEAF_GONE);
+        leaves.retain(|_, asked| now.since(*asked) <= LEAF_TIMEOUT);
         leaves.len() as u32
     }
 
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -21,10 +21,10 @@
 
 /// Servers in a data centre, on average, from which the scheduling of a service without keys is divided by data
 /// centre. Fewer are better scheduled together: a request finds a free one among all, and one host bears the load.
-const PART_LEAST: usize = 12;
+const SERVERS_PER_PART_MIN: usize = 12;
 
 /// Keys that are kept between two reports to the leader.
-const ASKED_MOST: usize = 400;
+const ASKED_KEYS_MAX: usize = 400;
 
 /// One service and its servers.
 #[derive(Debug)]
@@ -68,7 +68,7 @@
     /// only detail.
     pub(crate) fn note_key(&self, key: u16) {
         let mut asked = self.asked.borrow_mut();
-        if asked.len() < ASKED_MOST {
+        if asked.len() < ASKED_KEYS_MAX {
             asked.push(key);
         }
     }
@@ -89,7 +89,7 @@
         let mut dcs: Vec<&DcName> = targets.values().map(|t| &t.dc).collect();
         dcs.sort();
         dcs.dedup();
-        let enough = targets.len() >= PART_LEAST * dcs.len();
+        let enough = targets.len() >= SERVERS_PER_PART_MIN * dcs.len();
         self.divided
             .set(!self.is_keyed() && dcs.len() > 1 && enough);
     }
--- a/crates/chicoryrail-router/src/state/view.rs
+++ b/crates/chicoryrail-router/src/state/view.rs
@@ -22,7 +22,7 @@
 
 /// Time after the store's return in which the entries that lapsed while it was away come back. One that
 /// is missing after that is gone.
-const RETURN_TIME: Millis = Millis(2_000);
+const LAPSED_RETURN_TIME: Millis = Millis(2_000);
 
 /// A change of what is believed.
 #[derive(Clone, Debug, PartialEq)]
@@ -201,7 +201,9 @@
             // Entries lapse while the store is away: in the time around an outage a missing entry says
             // nothing yet. At any other time it says that the server has left.
             match back {
-                Some(back) if missing < back + RETURN_TIME => now >= back + RETURN_TIME,
+                Some(back) if missing < back + LAPSED_RETURN_TIME => {
+                    now >= back + LAPSED_RETURN_TIME
+                }
                 _ => true,
             }
         };
--- a/crates/chicoryrail-router/src/talk/codec.rs
+++ b/crates/chicoryrail-router/src/talk/codec.rs
@@ -8,7 +8,7 @@
 
 /// Bytes that a message may take in memory. A list may claim any length in a few bytes: taken at that, a process would
 /// ask for all memory and die. Far above what the largest installation holds of servers.
-const MOST: usize = 32 << 20;
+const MESSAGE_MEMORY_MAX: usize = 32 << 20;
 
 /// Writes a message.
 ///
@@ -25,7 +25,7 @@
 ///
 /// Returns why the bytes are none.
 pub(crate) fn decode<T: Decode<()>>(bytes: &[u8]) -> Result<T, DecodeError> {
-    let limited = standard().with_limit::<MOST>();
+    let limited = standard().with_limit::<MESSAGE_MEMORY_MAX>();
     let (message, _) = bincode::decode_from_slice(bytes, limited)?;
     Ok(message)
 }
--- a/crates/chicoryrail-router/src/talk/socket.rs
+++ b/crates/chicoryrail-router/src/talk/socket.rs
@@ -13,10 +13,10 @@
 
 /// Bytes of a datagram that is read: as long as one can be. What is sent stays below what one packet carries, but
 /// for a long list of ranges. One that is cut off can't be read, and its host would go on by old ranges.
-const LONGEST: usize = 64 << 10;
+const DATAGRAM_BYTES_MAX: usize = 64 << 10;
 
 /// Pause after a read that failed.
-const AGAIN: Millis = Millis(100);
+const READ_RETRY_INTERVAL: Millis = Millis(100);
 
 /// The socket between hosts.
 #[derive(Debug)]
@@ -62,7 +62,7 @@
 
     /// Hands what others send to `take`.
     pub(crate) async fn listen(self: Rc<Self>, take: impl Fn(Packet, SocketAddr)) {
-        let mut buffer = vec![0_u8; LONGEST];
+        let mut buffer = vec![0_u8; DATAGRAM_BYTES_MAX];
         loop {
             let (result, back) = self.socket.recv_from(buffer).await;
             buffer = back;
@@ -70,7 +70,7 @@
                 Ok(read) => read,
                 Err(e) => {
                     log::warn!(error:% = e; "talk_read");
-                    monoio::time::sleep(AGAIN.duration()).await;
+                    monoio::time::sleep(READ_RETRY_INTERVAL.duration()).await;
                     continue;
                 }
             };
