fix(router): without organisations no host turns callers away for the age of keys; files by job

Cause: a host alone on a platform with strict revocation and no organisations said that it was not ready once its configuration had not been proved for revoke_ms: nothing proves it there. Change: readiness looks at the age only where keys are needed.

--- a/crates/chicoryrail-router/src/control/quota/leases.rs
+++ b/crates/chicoryrail-router/src/control/quota/leases.rs
@@ -23,6 +23,9 @@
 const REPORT_INTERVAL: Millis = Millis(100);
 const REPORT_INTERVAL_LOW: Millis = Millis(20);
 
+/// Time between two looks whether there is a limit to report on.
+const IDLE_INTERVAL: Millis = Millis(250);
+
 /// Organisations of one report; it should fit into one packet.
 const ORGANISATIONS_PER_REPORT: usize = 24;
 
@@ -94,13 +97,15 @@
 /// Reports this host's use of tokens to the leader at intervals, and at once where one runs low.
 pub(crate) async fn report_use(router: Rc<Router>, pools: Rc<QuotaPools>) {
     loop {
+        if !router.source.core.get() || !has_limits(&router) {
+            router.process.clock.sleep(IDLE_INTERVAL).await;
+            continue;
+        }
         let low = router.quota.low.count();
         router.process.clock.sleep(REPORT_INTERVAL_LOW).await;
         let left = REPORT_INTERVAL - REPORT_INTERVAL_LOW;
         let _ = timeout(left.duration(), router.quota.low.after(low)).await;
-        if router.source.core.get() && has_limits(&router) {
-            report(&router, &pools).await;
-        }
+        report(&router, &pools).await;
     }
 }
 
--- a/crates/chicoryrail-router/src/control/scheduling/mod.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/mod.rs
@@ -4,9 +4,10 @@
 mod part_schedulers;
 mod requests;
 mod tokens;
+mod upkeep;
 
 pub(crate) use overflow::free_slots;
 pub(crate) use requests::handle_packet;
 pub(crate) use requests::keys_moved;
-pub(crate) use requests::speeds;
-pub(crate) use requests::tend;
+pub(crate) use upkeep::speeds;
+pub(crate) use upkeep::tend;
--- a/crates/chicoryrail-router/src/route/flight.rs
+++ b/crates/chicoryrail-router/src/route/flight.rs
@@ -4,7 +4,7 @@
 
 use chicoryrail_runtime::ServerConn;
 
-use crate::route::slot::Slot;
+use crate::route::held_slot::Slot;
 use crate::state::Service;
 use crate::state::Target;
 
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod choose;
 mod flight;
+mod held_slot;
 mod refusal;
 mod send;
 mod slot;
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -25,7 +25,7 @@
 use crate::route::answer;
 use crate::route::call::Call;
 use crate::route::flight::Flight;
-use crate::route::slot::Slot;
+use crate::route::held_slot::Slot;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -284,7 +284,8 @@
     let now = router.now();
     let known = router.site().is_some();
     // Where all hosts are out of touch with the store, callers gain nothing by going to another one.
-    let turns_away = !router.knows_revocations(now) && !router.hears_hosts(now);
+    let needs_keys = router.site().is_some_and(|s| s.organisations().is_some());
+    let turns_away = needs_keys && !router.knows_revocations(now) && !router.hears_hosts(now);
     known
         && !turns_away
         && router
--- a/crates/chicoryrail-router/tests/organisations.rs
+++ b/crates/chicoryrail-router/tests/organisations.rs
@@ -171,6 +171,21 @@
     });
 }
 
+/// Guards against a host that turns callers away for the age of keys that nobody has.
+#[test]
+fn without_organisations_a_lone_host_out_of_touch_stays_ready() {
+    block_on(async {
+        let world = World::start("lone").await;
+        world.configure().await;
+        world.server("i-1", "desk").await;
+        let router = world.router("a").await;
+        world.fault(&StoreFault::Silent { for_ms: 6_000 }).await;
+        monoio::time::sleep((REVOKE + Millis(700)).duration()).await;
+        assert!(router.is_ready().await);
+        assert_eq!(status(&router, "/read/1", "").await, 200);
+    });
+}
+
 /// Guards against a store that forgets its history: its watches hear nothing while a key is taken away.
 #[test]
 fn a_key_taken_away_while_watches_hear_nothing_opens_nothing_in_time() {
--- a/crates/chicoryrail-testkit/src/cluster.rs
+++ b/crates/chicoryrail-testkit/src/cluster.rs
@@ -9,6 +9,7 @@
 mod member;
 mod operate;
 mod options;
+mod organisations;
 mod plan;
 mod platform;
 mod ports;
--- a/crates/chicoryrail-testkit/src/cluster/deployment.rs
+++ b/crates/chicoryrail-testkit/src/cluster/deployment.rs
@@ -1,24 +1,18 @@
 //! The two deployments of the brief, in their sizes of today.
 
-use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
 
-use chicoryrail_core::ApiKey;
 use chicoryrail_core::CallerLimits;
 use chicoryrail_core::Millis;
-use chicoryrail_core::Organisation;
 use chicoryrail_core::Part;
-use chicoryrail_core::QuotaLimit;
 use chicoryrail_core::Route;
 use chicoryrail_core::RouteKind;
 use chicoryrail_core::ServiceSpec;
 use chicoryrail_core::Site;
 
-use crate::LoadCaller;
 use crate::LoadKind;
 use crate::LoadService;
-use crate::QuotaWindow;
 
 /// Keys that the load asks for in each service.
 const KEYS: u32 = 500;
@@ -36,28 +30,6 @@
 const TIMEOUT: Millis = Millis(1_000);
 const AIM: Millis = Millis(300);
 
-/// Organisations, the second with a limit.
-const UNLIMITED: &str = "schools";
-const LIMITED: &str = "clubs";
-const CLUB_LIMIT: QuotaLimit = QuotaLimit {
-    rate: 40.0,
-    burst: 20.0,
-};
-
-/// Window over which an organisation's requests are counted, as the boot file says.
-const QUOTA_WINDOW_MS: u64 = 5_000;
-
-fn api_key(organisation: &str) -> String {
-    format!("key-of-{organisation}")
-}
-
-fn caller(organisation: &str) -> LoadCaller {
-    LoadCaller {
-        key: ApiKey::new(&api_key(organisation)),
-        organisation: Some(organisation.to_owned()),
-    }
-}
-
 /// A deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Deployment {
@@ -173,62 +145,10 @@
         COLD_BEARS
     }
 
-    /// Returns the organisations; none where requests need no key.
-    #[must_use]
-    pub fn organisations(self) -> Option<Vec<Organisation>> {
-        let build = |name: &str, limit| Organisation {
-            name: name.into(),
-            keys: vec![ApiKey::new(&api_key(name))],
-            limit,
-            rank: None,
-        };
-        match self {
-            Self::Updraft => Some(vec![
-                build(UNLIMITED, None),
-                build(LIMITED, Some(CLUB_LIMIT)),
-            ]),
-            Self::Tanduay => None,
-        }
-    }
-
-    /// Returns the requests of each organisation that may run in any window, as the boot file allows.
-    #[must_use]
-    pub fn quotas(self) -> BTreeMap<String, QuotaWindow> {
-        let all = self.organisations().unwrap_or_default();
-        let limited = all.into_iter().filter_map(|o| Some((o.name, o.limit?)));
-        let window = |limit: QuotaLimit| QuotaWindow {
-            length_ms: QUOTA_WINDOW_MS,
-            requests: ((limit.rate * QUOTA_WINDOW_MS as f64 / 1_000.0 + limit.burst) * 1.1) as u64
-                + 20,
-        };
-        limited
-            .map(|(name, limit)| (name.to_string(), window(limit)))
-            .collect()
-    }
-
-    /// Returns callers of which one in ten has a limit that it exceeds, and one in ten a key that opens nothing; none
-    /// where requests need no key.
-    #[must_use]
-    pub fn mixed_callers(self) -> Vec<LoadCaller> {
-        if self.organisations().is_none() {
-            return Vec::new();
-        }
-        let unknown = LoadCaller {
-            key: ApiKey::new("opens-nothing"),
-            organisation: None,
-        };
-        let mut callers = vec![caller(UNLIMITED); 8];
-        callers.extend([caller(LIMITED), unknown]);
-        callers
-    }
-
     /// Returns the mixed load of the deployment.
     #[must_use]
     pub fn load(self) -> Vec<LoadService> {
-        let callers = match self.organisations() {
-            Some(_) => vec![caller(UNLIMITED)],
-            None => Vec::new(),
-        };
+        let callers = self.usual_callers();
         let build = |s: &ServiceShape| LoadService {
             keyed: s.keyed,
             callers: callers.clone(),
