fix(policy): a change of leaders costs organisations within their limits few requests

The new leader counted tokens that schedulers still held beside a window assumed full, and gave out none until a whole token for each of eight hosts had grown. Change: what a scheduler holds when it first reports did not run and is taken off the assumed window; of few tokens each host gets one in turn.

--- a/crates/chicoryrail-policy/src/quota/quota_pool.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_pool.rs
@@ -39,6 +39,8 @@
     spent: i64,
     held: i64,
     want: u64,
+    /// Part of a token that its last parts came to beyond whole ones: of few tokens, each host gets one in turn.
+    fraction: f64,
     heard: Millis,
 }
 
@@ -93,8 +95,9 @@
         let needs: f64 = self.lent.values().map(Lent::need).sum();
         let lent = self.lent.entry(host.clone()).or_default();
         // Where there are too few for all, whoever reports first leaves the others their parts.
-        let part = (lent.need() * free / needs.max(1.0)).floor();
-        let given = lent.need().min(part).max(0.0);
+        let part = lent.need() * free.max(0.0) / needs.max(1.0) + lent.fraction;
+        lent.fraction = part.fract();
+        let given = lent.need().min(part.floor()).min(free.floor()).max(0.0);
         self.refill.tokens -= given;
         lent.granted += given as u64;
         lent.held += given as i64;
@@ -174,6 +177,7 @@
             spent: report.spent,
             held: report.held + under_way as i64,
             want: report.want,
+            fraction: known.fraction,
             heard: now,
         }
     }
@@ -185,13 +189,16 @@
         let alone = now.since(self.started).min(length);
         let part = bound.allowance.window_limit(bound.limit) / bound.schedulers.max(1) as f64;
         let ran = part * alone.0 as f64 / length.0.max(1) as f64;
-        self.window(bound).add(now, ran);
+        // What it still holds did not run, though it is assumed that all did which could.
+        let unspent = report.held.max(0) as f64;
+        self.window(bound).add(now, ran - unspent);
         Lent {
             granted: 0,
             returned: 0,
             spent: report.spent,
             held: report.held,
             want: report.want,
+            fraction: 0.0,
             heard: now,
         }
     }
--- a/crates/chicoryrail-policy/tests/quota.rs
+++ b/crates/chicoryrail-policy/tests/quota.rs
@@ -231,6 +231,25 @@
     }
 }
 
+/// Load: organisations within their limits lose the leader, and another one begins a second later.
+#[test]
+fn who_is_within_the_limit_is_served_through_a_change_of_leaders() {
+    let (mut asked, mut refused) = (0, 0);
+    for (seed, rate) in (0..).zip([14.0, 14.0, 21.0, 27.0, 51.0, 100.0, 360.0].repeat(5)) {
+        let trouble = Trouble {
+            leader_lost_ms: Some(10_000),
+            ..Trouble::default()
+        };
+        let play = Play::new(rate, rate, trouble, seed);
+        let usual = rate / 1.6 / SCHEDULERS as f64;
+        let play = play.run(20_000, |_, ms| if ms < STARTED_MS { 0.0 } else { usual });
+        let during = |all: &[u64]| all.iter().filter(|t| (10_000..14_000).contains(*t)).count();
+        refused += during(&play.refused);
+        asked += during(&play.ran) + during(&play.refused);
+    }
+    assert!(refused * 100 < asked, "{refused} of {asked} refused");
+}
+
 /// Load: an organisation sends 7.5 times its usual all at once. It gets its limit, and no more.
 #[rstest]
 #[case::small(14.0)]
