--- a/crates/chicoryrail-ownership/src/core_host.rs
+++ b/crates/chicoryrail-ownership/src/core_host.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 
 /// Most core hosts. Each exchanges heartbeats with each other one; more would cost more than they carry.
-const CORE_MOST: usize = 24;
+const CORE_HOSTS_MAX: usize = 24;
 
 /// Strength of all core hosts together, in thousandths of a core, from which weak hosts stay leaf hosts: scheduling
 /// takes about 0.2 ms of a core a request in all.
-const CORE_ENOUGH: u32 = 1_500;
+const CORE_POWER_ENOUGH: u32 = 1_500;
 
 /// Strength, in thousandths of a core, from which a host is not weak.
-const STRONG: u32 = 100;
+const STRONG_POWER_MIN: u32 = 100;
 
 /// A core host as the store lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,7 +42,7 @@
 /// Tells whether a host is strong enough to be a core host whoever else is.
 #[must_use]
 pub const fn is_strong(power: u32) -> bool {
-    power >= STRONG
+    power >= STRONG_POWER_MIN
 }
 
 /// Tells whether a host with `power` should become a core host beside those that are listed.
@@ -53,5 +53,5 @@
 #[must_use]
 pub fn joins_core(power: u32, listed: impl Iterator<Item = CoreHost>) -> bool {
     let (count, sum) = listed.fold((0, 0), |(n, sum), host| (n + 1, sum + host.power));
-    count < CORE_MOST && (is_strong(power) || sum < CORE_ENOUGH)
+    count < CORE_HOSTS_MAX && (is_strong(power) || sum < CORE_POWER_ENOUGH)
 }
--- a/crates/chicoryrail-ownership/src/keys/assignment.rs
+++ b/crates/chicoryrail-ownership/src/keys/assignment.rs
@@ -12,37 +12,37 @@
 
 /// Load over the fair share down to which a server is relieved, and up to which another takes more. Below the load
 /// at which a server counts as overloaded, or the next few requests would make it overloaded again.
-const KEEPS: f64 = 1.05;
+const RELIEVED_LOAD: f64 = 1.05;
 
 /// Least part of a fair share that is worth a move of its own: each costs its requests a wait for the work that is
 /// running on its keys.
-const LEAST_MOVE: f64 = 0.06;
+const MOVED_SHARE_MIN: f64 = 0.06;
 
 /// Most moves of one plan, at least, and for each server: a range with two fifths of the load goes to as large a part
 /// of the servers.
-const MOST_MOVES: usize = 24;
-const MOVES_EACH: f64 = 0.5;
+const MOVES_MIN: usize = 24;
+const MOVES_PER_SERVER: f64 = 0.5;
 
 /// How much busier than the mean key those must be that are moved for relief: colder ones would be most of all
 /// keys, for little relief.
-const LEAST_DENSITY: f64 = 0.25;
+const MOVED_DENSITY_MIN: f64 = 0.25;
 
 /// Servers that the keys of a lost one go to, at least where it held a fair share.
-const HEIRS: f64 = 4.0;
+const SUCCESSORS_PER_SERVER: f64 = 4.0;
 
 /// Ranges a server, on average, from which on the coldest are given to the server beside them: each range costs a
 /// renewal every 600 ms.
-const RANGES: f64 = 1.6;
+const RANGES_PER_SERVER: f64 = 1.6;
 
 /// Most ranges a server, on average; at it no more moves for relief are planned until some are merged. Each is in the
 /// heartbeat of the leader, which must fit into a datagram.
-const MOST_RANGES: usize = 4;
+const RANGES_PER_SERVER_MAX: usize = 4;
 
 /// Part of a fair share up to which a range counts as cold.
-const COLD: f64 = 0.08;
+const COLD_RANGE_SHARE: f64 = 0.08;
 
 /// Most ranges merged in one plan, at least: as many as its moves may add.
-const MOST_MERGES: usize = 48;
+const MERGES_PER_PLAN: usize = 48;
 
 /// An assignment of keys while it is planned.
 #[derive(Debug)]
@@ -141,7 +141,7 @@
 
     /// Returns the load that a holder may take.
     fn room(&self, holder: usize) -> f64 {
-        self.fair(holder) * KEEPS - self.loads[holder]
+        self.fair(holder) * RELIEVED_LOAD - self.loads[holder]
     }
 
     /// Returns the holder with most room.
@@ -165,7 +165,7 @@
     pub(crate) fn give_free(&mut self) {
         let mean = self.line.total() / self.holders.len() as f64;
         while let Some((span, _)) = self.ranges.iter().find(|(_, holder)| holder.is_none()) {
-            let least = (mean / HEIRS).min(self.line.load(*span));
+            let least = (mean / SUCCESSORS_PER_SERVER).min(self.line.load(*span));
             let to = self.roomiest();
             let piece = self.line.start_of(*span, self.room(to).max(least));
             self.assign(piece, to);
@@ -190,10 +190,10 @@
 
     /// Moves load from the busiest to a new server, until it has about as much as they.
     fn fill(&mut self, new: usize) {
-        for _ in 0..HEIRS as usize {
+        for _ in 0..SUCCESSORS_PER_SERVER as usize {
             let from = self.busiest();
             let gap = self.loads[from] - self.fair(from) * self.share(new);
-            let amount = (gap / 2.0).min(self.fair(new) / HEIRS);
+            let amount = (gap / 2.0).min(self.fair(new) / SUCCESSORS_PER_SERVER);
             let Some(piece) = self.piece_of(from, amount, 0.0) else {
                 return;
             };
@@ -216,20 +216,20 @@
 
     /// Takes load off those that have too much, the busiest first, and gives it to those with most room.
     pub(crate) fn relieve(&mut self) {
-        let each = (self.holders.len() as f64 * MOVES_EACH) as usize;
-        for _ in 0..each.max(MOST_MOVES) {
-            if self.ranges.len() >= self.holders.len() * MOST_RANGES {
+        let each = (self.holders.len() as f64 * MOVES_PER_SERVER) as usize;
+        for _ in 0..each.max(MOVES_MIN) {
+            if self.ranges.len() >= self.holders.len() * RANGES_PER_SERVER_MAX {
                 return;
             }
             let (from, to) = (self.busiest(), self.roomiest());
-            let excess = self.loads[from] - self.fair(from) * KEEPS;
+            let excess = self.loads[from] - self.fair(from) * RELIEVED_LOAD;
             let amount = excess.min(self.room(to));
-            let least = LEAST_MOVE * self.fair(from).min(self.fair(to));
+            let least = MOVED_SHARE_MIN * self.fair(from).min(self.fair(to));
             if from == to || amount < least {
                 return;
             }
             let mean = self.line.total() / f64::from(KeyRange::ALL.len());
-            let Some(piece) = self.piece_of(from, amount, mean * LEAST_DENSITY) else {
+            let Some(piece) = self.piece_of(from, amount, mean * MOVED_DENSITY_MIN) else {
                 return;
             };
             // One busy key may be more than there is room for; it moves only where that is better for both.
@@ -262,8 +262,8 @@
 
     /// Gives cold ranges to the server beside them, while there are more ranges than wished.
     pub(crate) fn merge(&mut self) {
-        let wished = (self.holders.len() as f64 * RANGES).ceil() as usize;
-        for _ in 0..MOST_MERGES.max(self.holders.len()) {
+        let wished = (self.holders.len() as f64 * RANGES_PER_SERVER).ceil() as usize;
+        for _ in 0..MERGES_PER_PLAN.max(self.holders.len()) {
             if self.ranges.len() <= wished {
                 return;
             }
@@ -287,7 +287,7 @@
                 continue;
             };
             let load = self.line.load(*span);
-            if load > self.fair(holder) * COLD || ranges_of[holder] < 2 {
+            if load > self.fair(holder) * COLD_RANGE_SHARE || ranges_of[holder] < 2 {
                 continue;
             }
             let before = at.checked_sub(1).and_then(|i| self.ranges.get(i));
--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -12,10 +12,10 @@
 use crate::keys::server_state::ServerState;
 
 /// Age of the last sight of a server's registration up to which it is worth a probe.
-const SEEN_LATELY: Millis = Millis(1_000);
+const CONFIRMATION_AGE_MAX: Millis = Millis(1_000);
 
 /// Releases that are under way at one server at a time; each has a connection of its own.
-const RELEASES: usize = 4;
+const RELEASES_PER_SERVER: usize = 4;
 
 impl KeyLeases {
     /// Returns what is due now.
@@ -112,7 +112,7 @@
             let under_way = state.releasing.iter().chain(&state.granting);
             let free = under_way.clone().all(|s| s.meet(span).is_none());
             let asked = asked.entry(life).or_insert(state.releasing.len());
-            if free && *asked < RELEASES && state.is_there() && now >= claim.retry {
+            if free && *asked < RELEASES_PER_SERVER && state.is_there() && now >= claim.retry {
                 *asked += 1;
                 duties.push(KeyAction::Release {
                     life: life.clone(),
@@ -130,7 +130,7 @@
     fn probes(&self, now: Millis) -> Vec<KeyAction> {
         let named = self.named();
         let lost = self.servers.iter().filter(|(life, s)| {
-            let there = now.since(s.seen) <= SEEN_LATELY && s.addr.port() != 0;
+            let there = now.since(s.seen) <= CONFIRMATION_AGE_MAX && s.addr.port() != 0;
             let idle = s.granting.is_none() && s.releasing.is_empty();
             there && idle && !s.ended && now >= s.retry && self.is_lost(now, life)
         });
--- a/crates/chicoryrail-ownership/src/keys/key_view.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_view.rs
@@ -8,7 +8,7 @@
 
 /// Longest time for which a key that changes hands is taken as not granted yet, while nothing is heard
 /// from the leader. After that its meant owner is asked; one that does not hold the key says so.
-const UNTOLD: Millis = Millis(400);
+const KEY_UPDATE_AGE_MAX: Millis = Millis(400);
 
 /// Who holds a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,7 +83,7 @@
         } else {
             // A host that has just started knows no change: the record may have stood for long.
             let stays = self.before.fence == 0 || self.before.owner(key) == Some(owner);
-            !stays && now < self.changed + UNTOLD
+            !stays && now < self.changed + KEY_UPDATE_AGE_MAX
         };
         if moving {
             KeyOwner::Moving
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -14,22 +14,22 @@
 
 /// Part of the whole load that a new cut must bring below the servers' fair shares to be worth the moves. Below it,
 /// moves follow chance.
-const GAIN: f64 = 0.02;
+const OVERLOAD_GAIN_MIN: f64 = 0.02;
 
 /// Load over the fair share up to which a server is not overloaded.
-const ROOM: f64 = 1.15;
+const FAIR_SHARE_MARGIN: f64 = 1.15;
 
 /// Load over the fair share from which a server is relieved at once.
-const FAR_OVER: f64 = 1.4;
+const RELIEF_THRESHOLD: f64 = 1.4;
 
 /// Standard deviations of chance beside it: a server's requests of the last second or two are a few dozen.
-const CHANCE: f64 = 1.5;
+const RELIEF_DEVIATIONS: f64 = 1.5;
 
 /// Standard deviations of chance that count as no overload where nothing is urgent: moves that follow them help nobody.
-const SMALL_CHANCE: f64 = 0.25;
+const BALANCE_DEVIATIONS: f64 = 0.25;
 
 /// Requests that must have been seen before a plan follows them.
-const FEWEST: f64 = 60.0;
+const REQUESTS_SEEN_MIN: f64 = 60.0;
 
 /// A server that may hold keys.
 #[derive(Clone, Debug, PartialEq)]
@@ -75,7 +75,7 @@
         }
         let urgent = moves == Moves::Urgent;
         let members = changes_members(record, holders);
-        if !members && (moves == Moves::Needed || load.total() < FEWEST) {
+        if !members && (moves == Moves::Needed || load.total() < REQUESTS_SEEN_MIN) {
             return Self::Keep;
         }
         let window = if urgent { Window::Short } else { Window::Long };
@@ -88,15 +88,15 @@
         if urgent && !members && !draft.loads().any(|(load, fair)| is_far_over(load, fair)) {
             return Self::Keep;
         }
-        let known = load.total() >= FEWEST;
+        let known = load.total() >= REQUESTS_SEEN_MIN;
         draft.give_free();
         draft.admit(known);
-        let chance = if urgent { 0.0 } else { SMALL_CHANCE };
-        let before = draft.overload(ROOM, chance);
+        let chance = if urgent { 0.0 } else { BALANCE_DEVIATIONS };
+        let before = draft.overload(FAIR_SHARE_MARGIN, chance);
         if known && (moves != Moves::Needed || members) {
             draft.relieve();
         }
-        let gains = before - draft.overload(ROOM, chance) > GAIN;
+        let gains = before - draft.overload(FAIR_SHARE_MARGIN, chance) > OVERLOAD_GAIN_MIN;
         if !members && !gains {
             return Self::Keep;
         }
@@ -115,7 +115,7 @@
 
 /// Tells whether a server has far more than its fair share, beyond what chance makes of so few requests.
 fn is_far_over(load: f64, fair: f64) -> bool {
-    load > fair * FAR_OVER + fair.sqrt() * CHANCE
+    load > fair * RELIEF_THRESHOLD + fair.sqrt() * RELIEF_DEVIATIONS
 }
 
 /// Cuts the whole key space into one range for each server, in their order, each as long as its weight and the load
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -15,24 +15,24 @@
 
 /// Hosts that are assumed where fewer are known: this many share the bounds on repeats and cold servers,
 /// so a host that starts before it knows the others does not take their parts too.
-const FEWEST: usize = 8;
+const SHARING_HOSTS_MIN: usize = 8;
 
 /// Age of a host's last heartbeat up to which it counts: three of them.
-const LATELY: Millis = Millis(1_300);
+const HEARTBEAT_AGE_MAX: Millis = Millis(1_300);
 
 /// Time for which a host that was heard of by its own heartbeat counts, though the store does not list it yet.
-const UNLISTED: Millis = Millis(3_000);
+const UNLISTED_TIME_MAX: Millis = Millis(3_000);
 
 /// Age of a host's last heartbeat up to which what it says of its reach and power counts: one and a half of them.
-const FRESH: Millis = Millis(600);
+const REACH_AGE_MAX: Millis = Millis(600);
 
 /// How many times as strong another host must be to lead in this one's place: each change of leaders holds changes of
 /// keys up for a moment.
-const MUCH_STRONGER: u32 = 2;
+const SUCCESSOR_POWER_TIMES: u32 = 2;
 
 /// Age of a host's last heartbeat up to which it schedules: two and a half of them. A lost host is found silent much
 /// sooner by those that ask it, so this is only for those that nobody asks.
-const SCHEDULES: Millis = Millis(1_000);
+const SCHEDULER_AGE_MAX: Millis = Millis(1_000);
 
 /// What a host says of itself.
 #[derive(Clone, Debug, Default)]
@@ -123,7 +123,9 @@
             };
             self.hosts.insert(name, peer);
         }
-        let unlisted = old.into_iter().filter(|(_, p)| p.is_heard(now, UNLISTED));
+        let unlisted = old
+            .into_iter()
+            .filter(|(_, p)| p.is_heard(now, UNLISTED_TIME_MAX));
         for (name, peer) in unlisted {
             self.hosts.entry(name).or_insert(peer);
         }
@@ -139,7 +141,10 @@
     /// `own` follow this one.
     #[must_use]
     pub fn all_hosts(&self, now: Millis, own: u32) -> usize {
-        let heard = self.hosts.values().filter(|p| p.is_heard(now, LATELY));
+        let heard = self
+            .hosts
+            .values()
+            .filter(|p| p.is_heard(now, HEARTBEAT_AGE_MAX));
         let leaves: u32 = heard.map(|p| p.said.leaves).sum();
         self.hosts.len() + 1 + (leaves + own) as usize
     }
@@ -148,7 +153,7 @@
     /// since one that went silent may still send.
     #[must_use]
     pub fn sharing(&self) -> usize {
-        self.most.max(FEWEST)
+        self.most.max(SHARING_HOSTS_MIN)
     }
 
     /// Returns the number of core hosts, this one included.
@@ -215,7 +220,7 @@
     /// Iterates over the other hosts that schedule.
     pub(crate) fn schedulers(&self, now: Millis) -> impl Iterator<Item = (&HostName, &Peer)> {
         let hosts = self.hosts.iter();
-        hosts.filter(move |(_, p)| p.said.schedules && p.is_heard(now, SCHEDULES))
+        hosts.filter(move |(_, p)| p.said.schedules && p.is_heard(now, SCHEDULER_AGE_MAX))
     }
 
     /// Takes in that a host did not answer: it counts as not heard until its next heartbeat.
@@ -255,7 +260,7 @@
     #[must_use]
     pub fn stronger(&self, now: Millis, power: u32, mine: &BTreeSet<DcName>) -> bool {
         let fit = |p: &HostState| {
-            let strong = p.power >= power.saturating_mul(MUCH_STRONGER);
+            let strong = p.power >= power.saturating_mul(SUCCESSOR_POWER_TIMES);
             p.store && strong && p.reaches.is_superset(mine)
         };
         self.lately(now).any(fit)
@@ -264,7 +269,7 @@
     /// Iterates over what hosts said of themselves a moment ago.
     pub(crate) fn lately(&self, now: Millis) -> impl Iterator<Item = &HostState> {
         let hosts = self.hosts.values();
-        let fresh = hosts.filter(move |p| p.is_heard(now, FRESH));
+        let fresh = hosts.filter(move |p| p.is_heard(now, REACH_AGE_MAX));
         fresh.map(|p| &p.said)
     }
 
@@ -272,7 +277,7 @@
     /// heard may have it.
     #[must_use]
     pub fn all_lost_store(&self, now: Millis) -> bool {
-        let lost = |p: &Peer| !p.said.store && p.is_heard(now, LATELY);
+        let lost = |p: &Peer| !p.said.store && p.is_heard(now, HEARTBEAT_AGE_MAX);
         self.hosts.values().all(lost)
     }
 
@@ -305,7 +310,7 @@
         now: Millis,
     ) -> impl Iterator<Item = (&HostName, SocketAddr, &HostState)> {
         let hosts = self.hosts.iter();
-        let heard = hosts.filter(move |(_, p)| p.is_heard(now, SCHEDULES));
+        let heard = hosts.filter(move |(_, p)| p.is_heard(now, SCHEDULER_AGE_MAX));
         heard.map(|(name, p)| (name, p.addr, &p.said))
     }
 
--- a/crates/chicoryrail-ownership/src/reach.rs
+++ b/crates/chicoryrail-ownership/src/reach.rs
@@ -10,15 +10,15 @@
 
 /// Age of a server's last answer up to which its data centre counts as reached. Hosts of a usual size get an
 /// answer from each data centre several times in it.
-const LATELY: Millis = Millis(600);
+const ANSWER_AGE_MAX: Millis = Millis(600);
 
 /// Time for which all servers of a data centre must have been silent to the leader. It is longer than the last
 /// heartbeat of another host may speak of answers from before a loss (600 ms, and 400 ms until its next one), so a
 /// data centre that is gone is not taken for one that only this host can't reach.
-const SILENT: Millis = Millis(1_000);
+const SILENCE_MIN: Millis = Millis(1_000);
 
 /// Fewest silent servers that tell something of a data centre; one alone may be ill.
-const FEWEST: usize = 2;
+const SERVERS_JUDGED_MIN: usize = 2;
 
 /// When a server of each data centre answered last.
 #[derive(Clone, Debug, Default)]
@@ -41,7 +41,7 @@
     #[must_use]
     pub fn lately(&self, now: Millis) -> BTreeSet<DcName> {
         let recent = self.answered.iter();
-        let recent = recent.filter(|(_, at)| now.since(**at) <= LATELY);
+        let recent = recent.filter(|(_, at)| now.since(**at) <= ANSWER_AGE_MAX);
         recent.map(|(dc, _)| dc.clone()).collect()
     }
 
@@ -62,12 +62,12 @@
         for (dc, since) in servers {
             let (count, all) = silent.entry(dc).or_insert((0, true));
             *count += 1;
-            *all &= since.is_some_and(|at| now.since(at) >= SILENT);
+            *all &= since.is_some_and(|at| now.since(at) >= SILENCE_MIN);
         }
         let mine = self.lately(now);
         let lost = silent
             .into_iter()
-            .filter(|(_, (count, all))| *all && *count >= FEWEST);
+            .filter(|(_, (count, all))| *all && *count >= SERVERS_JUDGED_MIN);
         let mut lost = lost.map(|(dc, _)| dc).filter(|dc| !mine.contains(*dc));
         lost.find(|dc| peers.reaches_all(now, &mine, dc)).cloned()
     }
--- a/crates/chicoryrail-ownership/src/watchers.rs
+++ b/crates/chicoryrail-ownership/src/watchers.rs
@@ -14,13 +14,13 @@
 
 /// Hosts that watch the store at a time. Each change in the store costs a call of each; with two in different data
 /// centres, one may be lost with its data centre at any moment. Where both are lost, others watch within a second.
-const WATCHERS: usize = 2;
+const WATCHERS_MAX: usize = 2;
 
 /// Time for which a host that failed to relay is passed over.
-const FAILED: Millis = Millis(1_000);
+const RELAY_FAILURE_PAUSE: Millis = Millis(1_000);
 
 /// Names the draw of a relay.
-const RELAY: &str = "relay";
+const RELAY_DRAW: &str = "relay";
 
 /// What is weighed of a candidate for watching the store.
 #[derive(Clone, Copy)]
@@ -92,11 +92,14 @@
         dc: &DcName,
         from: impl Iterator<Item = (&'a HostName, &'a Peer)>,
     ) -> Option<SocketAddr> {
-        let failed = |p: &Peer| p.failed.is_some_and(|at| now.since(at) <= FAILED);
+        let failed = |p: &Peer| {
+            p.failed
+                .is_some_and(|at| now.since(at) <= RELAY_FAILURE_PAUSE)
+        };
         let sound = from.filter(|(_, p)| !failed(p));
         let ranked = sound.map(|(host, p)| {
             let near = p.said.dc.as_ref() == Some(dc);
-            let drawn = score(host, p.said.power, &(RELAY, name));
+            let drawn = score(host, p.said.power, &(RELAY_DRAW, name));
             ((p.said.store, near, drawn), p.addr)
         });
         let best = ranked.max_by(|(a, _), (b, _)| {
@@ -114,5 +117,5 @@
     let (first, rest): (Vec<Candidate<'a>>, Vec<Candidate<'a>>) =
         hosts.partition(|c| dcs.insert(c.said.dc.as_ref()));
     let spread = first.into_iter().chain(rest);
-    spread.take(WATCHERS).map(|c| c.name).collect()
+    spread.take(WATCHERS_MAX).map(|c| c.name).collect()
 }
--- a/crates/chicoryrail-policy/src/scheduler/load_view.rs
+++ b/crates/chicoryrail-policy/src/scheduler/load_view.rs
@@ -11,11 +11,11 @@
 
 /// Cost of a server in another data centre, as a part of the work: traffic between data centres is paid for.
 /// Small against the differences between servers, so that it decides only between those alike.
-const FAR: f64 = 0.1;
+const REMOTE_COST: f64 = 0.1;
 
 /// The same for a request whose answer is large: traffic between data centres is dear, so one waits for a near server
 /// for as long as the work takes, well within its aim.
-const FAR_LARGE: f64 = 1.0;
+const REMOTE_DOWNLOAD_COST: f64 = 1.0;
 
 /// All servers of a scheduler at one moment, worked out once for a whole queue.
 ///
@@ -112,7 +112,7 @@
         // Those ahead wait for the full ones, too.
         let shunned = ask.not.iter().filter_map(|id| self.server(*id));
         let shunned: f64 = shunned.filter(|g| !g.has_slot).map(ServerLoad::pace).sum();
-        let behind = ahead / (self.full_pace - shunned).max(LEAST_PACE);
+        let behind = ahead / (self.full_pace - shunned).max(PACE_MIN);
         let mut best: Option<(f64, ServerId)> = None;
         let mut wait = f64::INFINITY;
         for load in self.servers.iter().filter(|g| !ask.not.contains(&g.id)) {
@@ -134,7 +134,7 @@
     pub(crate) fn answer_in(&self, ask: &SlotRequest, place: Placement, ahead: f64) -> Option<f64> {
         if let Placement::Owner(owner) = place {
             let load = self.server(owner)?;
-            return Some(load.answer_in(ask.work_us) + ahead / load.pace().max(LEAST_PACE));
+            return Some(load.answer_in(ask.work_us) + ahead / load.pace().max(PACE_MIN));
         }
         // Whoever holds a moving key next is about as fast as any.
         let not: &[ServerId] = match place {
@@ -146,9 +146,9 @@
             let first = fits.clone().map(|g| g.answer_in(ask.work_us));
             let first = first.reduce(f64::min)?;
             let pace: f64 = fits.map(ServerLoad::pace).sum();
-            return Some(first + ahead / pace.max(LEAST_PACE));
+            return Some(first + ahead / pace.max(PACE_MIN));
         }
-        Some(self.soonest(ask.work_us)? + ahead / self.pace.max(LEAST_PACE))
+        Some(self.soonest(ask.work_us)? + ahead / self.pace.max(PACE_MIN))
     }
 
     fn soonest(&self, work_us: f64) -> Option<f64> {
@@ -165,7 +165,7 @@
 }
 
 /// Pace that is assumed of no servers at all, so that what waits for them waits long.
-const LEAST_PACE: f64 = 0.01;
+const PACE_MIN: f64 = 0.01;
 
 impl ServerLoad {
     fn of(now: Millis, id: ServerId, slots: &ServerSlots) -> Self {
@@ -195,8 +195,8 @@
     fn cost(&self, ask: &SlotRequest) -> f64 {
         let far = match (self.near == ask.near, ask.large) {
             (true, _) => 0.0,
-            (false, false) => FAR,
-            (false, true) => FAR_LARGE,
+            (false, false) => REMOTE_COST,
+            (false, true) => REMOTE_DOWNLOAD_COST,
         };
         ask.work_us * self.slow * (1.0 + self.filled + far) * self.tries
     }
--- a/crates/chicoryrail-policy/src/scheduler/part_rooms.rs
+++ b/crates/chicoryrail-policy/src/scheduler/part_rooms.rs
@@ -6,10 +6,10 @@
 use chicoryrail_core::Millis;
 
 /// Age up to which a number of free slots is believed: three of the messages that tell it.
-const ROOM_AGE: Millis = Millis(450);
+const FREE_SLOTS_AGE_MAX: Millis = Millis(450);
 
 /// Part of another data centre's free slots that is used until they are told anew: all others may do the same.
-const ROOM_PART: u32 = 2;
+const FREE_SLOTS_DIVISOR: u32 = 2;
 
 /// Free slots of a service in the data centres that other hosts schedule, as told a moment ago.
 ///
@@ -31,7 +31,7 @@
     /// Takes in how many slots are free in a data centre.
     pub fn heard(&mut self, now: Millis, dc: &DcName, free: u32) {
         let room = Room {
-            free: free.div_ceil(ROOM_PART),
+            free: free.div_ceil(FREE_SLOTS_DIVISOR),
             heard: now,
         };
         self.rooms.insert(dc.clone(), room);
@@ -40,7 +40,7 @@
     /// Takes a free slot of another data centre than `own`: of the one with most of them.
     pub fn take(&mut self, now: Millis, own: &DcName) -> Option<DcName> {
         let others = self.rooms.iter_mut().filter(|(dc, _)| *dc != own);
-        let fresh = others.filter(|(_, room)| now.since(room.heard) <= ROOM_AGE);
+        let fresh = others.filter(|(_, room)| now.since(room.heard) <= FREE_SLOTS_AGE_MAX);
         let (dc, room) = fresh.max_by_key(|(_, room)| room.free)?;
         room.free = room.free.checked_sub(1)?;
         Some(dc.clone())
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -15,11 +15,11 @@
 
 /// Part of a caller's time for which a request may wait at the most: it must have time left to come back
 /// and be served elsewhere, should it be refused after all.
-const WAIT_PART: f64 = 0.6;
+const WAIT_TIME_PART: f64 = 0.6;
 
 /// Time for which requests must have waited at a place without a break before its queue counts as standing: a
 /// burst is over by then, and what waits longer is overload.
-const STANDING: Millis = Millis(1_000);
+const STANDING_QUEUE_TIME: Millis = Millis(1_000);
 
 /// The scheduler of one service.
 ///
@@ -173,7 +173,7 @@
     /// a burst lasts.
     fn stands(&self, now: Millis, place: Placement) -> bool {
         let mut queues = self.queues.iter().filter(|(p, _)| *p == place);
-        queues.any(|(_, since)| now.since(*since) >= STANDING)
+        queues.any(|(_, since)| now.since(*since) >= STANDING_QUEUE_TIME)
     }
 
     /// Returns the number of requests that wait.
@@ -242,7 +242,7 @@
         }
         let whole = ask.deadline.since(waiting.since).0 as f64;
         let waited = now.since(waiting.since).0 as f64;
-        if us <= left && waited <= whole * WAIT_PART {
+        if us <= left && waited <= whole * WAIT_TIME_PART {
             return Ok(());
         }
         Err(millis((us - left).max(ask.work_us * 0.5)))
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -11,14 +11,14 @@
 
 /// Part of what a cold server bears that is used. While hosts hear different others, two of them may schedule
 /// for it.
-const COLD_PART: f64 = 0.5;
+const COLD_BOUND_PART: f64 = 0.5;
 
 /// Window of a cold server's bound, a little more than its second: requests are counted where they arrive.
 const COLD_WINDOW: Millis = Millis(1_120);
 
 /// Time after its deadline at which a request is taken for ended although nobody said so: the message of its
 /// end was lost, or its host was.
-const LOST_AFTER: Millis = Millis(300);
+const END_MESSAGE_TIMEOUT: Millis = Millis(300);
 
 /// What a server may get.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -132,7 +132,7 @@
             .cold_sends
             .iter()
             .filter(|t| now.since(**t) < COLD_WINDOW);
-        ((recent.count() + 1) as f64) <= self.state.cold_bound * COLD_PART
+        ((recent.count() + 1) as f64) <= self.state.cold_bound * COLD_BOUND_PART
     }
 
     /// Estimates the time until a slot is free, in microseconds; 0 where one is.
@@ -195,6 +195,7 @@
 
     /// Forgets requests whose end nobody told.
     pub(crate) fn expire(&mut self, now: Millis) {
-        self.held.retain(|_, h| now < h.deadline + LOST_AFTER);
+        self.held
+            .retain(|_, h| now < h.deadline + END_MESSAGE_TIMEOUT);
     }
 }
--- a/crates/chicoryrail-policy/src/shared/cold_pace.rs
+++ b/crates/chicoryrail-policy/src/shared/cold_pace.rs
@@ -4,7 +4,7 @@
 
 /// Length of a host's second. Requests are counted where they arrive: two that were sent a second apart
 /// may arrive closer together, by the jitter of a loaded host and its links.
-const SECOND: f64 = 1_120.0;
+const COLD_SECOND_MS: f64 = 1_120.0;
 
 /// The pace of one host towards one cold server.
 ///
@@ -30,7 +30,7 @@
         // number in any second. Above one host for each request of the bound no whole number fits, and
         // the hosts' moments are left to chance.
         let each = (bound / hosts).floor().max((bound / hosts).min(1.0));
-        self.next = now + Millis((SECOND / each).ceil() as u64);
+        self.next = now + Millis((COLD_SECOND_MS / each).ceil() as u64);
         true
     }
 }
--- a/crates/chicoryrail-policy/src/shared/return_time.rs
+++ b/crates/chicoryrail-policy/src/shared/return_time.rs
@@ -4,10 +4,10 @@
 use rand::Rng;
 
 /// Shortest time after which a caller is asked back: sooner, the queue that had no room is the same one.
-const SOONEST: Millis = Millis(40);
+const RETRY_AFTER_MIN: Millis = Millis(40);
 
 /// Part of its time that a caller waits at most before it returns; it must have time left to be served.
-const LATEST_PART: u64 = 3;
+const RETRY_AFTER_DIVISOR: u64 = 3;
 
 /// Returns when a refused caller should come back, given when room is expected and what it has left.
 ///
@@ -15,9 +15,9 @@
 /// them return in the same moment, and most are refused a second time, for good. The returns are spread
 /// over a time as long as the wait for room itself.
 pub fn return_time(rng: &mut impl Rng, room_in: Millis, left: Millis) -> Millis {
-    let latest = Millis(left.0 / LATEST_PART);
-    let first = room_in.max(SOONEST).min(latest);
-    let last = (first + room_in.max(SOONEST)).min(latest);
+    let latest = Millis(left.0 / RETRY_AFTER_DIVISOR);
+    let first = room_in.max(RETRY_AFTER_MIN).min(latest);
+    let last = (first + room_in.max(RETRY_AFTER_MIN)).min(latest);
     if last <= first {
         return first;
     }
--- a/crates/chicoryrail-policy/src/shared/server_view.rs
+++ b/crates/chicoryrail-policy/src/shared/server_view.rs
@@ -19,21 +19,21 @@
 
 /// Time in which half of what a report said of the other hosts' work is forgotten: about the time of one
 /// request, after which most of what the server had then is done.
-const OTHERS_HALF: f64 = 150.0;
+const OTHERS_HALF_LIFE_MS: f64 = 150.0;
 /// Time in which half of what a report said of the server's pace is forgotten. It changes with its
 /// neighbours on the same machine, several times a second.
-const PACE_HALF: f64 = 200.0;
+const PACE_HALF_LIFE_MS: f64 = 200.0;
 /// Part of a new observation in the mean of a server's speed. Single requests differ by a factor of two.
-const SPEED_PART: f64 = 0.06;
+const SPEED_SMOOTHING: f64 = 0.06;
 /// Part of a new observation in the mean share of failures.
-const FAIL_PART: f64 = 0.12;
+const FAILURE_SMOOTHING: f64 = 0.12;
 /// Time in which half of the failures are forgotten, so that a server that got none for a while is tried
 /// again.
-const FAIL_HALF: f64 = 2_500.0;
+const FAILURE_HALF_LIFE_MS: f64 = 2_500.0;
 /// Rest of a server that said it is full.
-const FULL_REST: Millis = Millis(30);
+const FULL_SERVER_PAUSE: Millis = Millis(30);
 /// Rest of a server whose connections fail. One that is gone is tried by each host this often.
-const BROKEN_REST: Millis = Millis(250);
+const BROKEN_SERVER_PAUSE: Millis = Millis(250);
 
 /// What one host knows of one server.
 #[derive(Clone, Debug)]
@@ -70,18 +70,18 @@
 
     /// Estimates the requests at the server, of all hosts.
     pub(crate) fn load(&self, now: Millis) -> f64 {
-        f64::from(self.own) + self.others * fade(now, self.told, OTHERS_HALF)
+        f64::from(self.own) + self.others * fade(now, self.told, OTHERS_HALF_LIFE_MS)
     }
 
     /// Estimates how long work takes, relative to a usual server at its usual pace.
     pub(crate) fn slowness(&self, now: Millis) -> f64 {
-        let pace = 1.0 + (self.pace - 1.0) * fade(now, self.told, PACE_HALF);
+        let pace = 1.0 + (self.pace - 1.0) * fade(now, self.told, PACE_HALF_LIFE_MS);
         (self.speed * pace).max(0.05)
     }
 
     /// Estimates the share of requests that fail.
     pub(crate) fn fails(&self, now: Millis) -> f64 {
-        self.fails * fade(now, self.failed, FAIL_HALF)
+        self.fails * fade(now, self.failed, FAILURE_HALF_LIFE_MS)
     }
 
     /// Tells whether the server is left alone for a moment.
@@ -104,9 +104,9 @@
         self.note_end(now, false);
         self.broken = 0;
         if alone && usual_us > 0.0 {
-            let pace = 1.0 + (self.pace - 1.0) * fade(now, self.told, PACE_HALF);
+            let pace = 1.0 + (self.pace - 1.0) * fade(now, self.told, PACE_HALF_LIFE_MS);
             let seen = (us / usual_us / pace.max(0.05)).clamp(0.2, 5.0);
-            self.speed += (seen - self.speed) * SPEED_PART;
+            self.speed += (seen - self.speed) * SPEED_SMOOTHING;
         }
     }
 
@@ -114,14 +114,14 @@
     pub(crate) fn failed(&mut self, now: Millis, failure: Failure) {
         match failure {
             Failure::Full => {
-                self.rests = self.rests.max(now + FULL_REST);
+                self.rests = self.rests.max(now + FULL_SERVER_PAUSE);
                 self.others = self.others.max(f64::from(self.slots));
                 self.told = now;
             }
             Failure::Broken => {
                 self.note_end(now, true);
                 self.broken += 1;
-                let rest = BROKEN_REST.times(u64::from(self.broken.min(4)) - 1);
+                let rest = BROKEN_SERVER_PAUSE.times(u64::from(self.broken.min(4)) - 1);
                 self.rests = self.rests.max(now + rest);
             }
             Failure::Error | Failure::Silent => self.note_end(now, true),
@@ -130,7 +130,7 @@
 
     fn note_end(&mut self, now: Millis, failed: bool) {
         let before = self.fails(now);
-        self.fails = before + (f64::from(u8::from(failed)) - before) * FAIL_PART;
+        self.fails = before + (f64::from(u8::from(failed)) - before) * FAILURE_SMOOTHING;
         self.failed = now;
     }
 }
--- a/crates/chicoryrail-router/src/state/believe.rs
+++ b/crates/chicoryrail-router/src/state/believe.rs
@@ -87,8 +87,9 @@
         let view = self.view.borrow();
         if let Some(site) = view.site() {
             self.counters.config.set(site.version as i64);
-            self.organisations.set(site);
-            self.quota.set(site);
+            if self.organisations.set(site) {
+                self.quota.set(site);
+            }
             let mut limits = self.limits.get();
             limits.head = site.limits.head;
             limits.head_time = site.limits.head_time;
--- a/crates/chicoryrail-router/src/state/organisations.rs
+++ b/crates/chicoryrail-router/src/state/organisations.rs
@@ -38,15 +38,16 @@
         }
     }
 
-    /// Takes in the configuration in force.
-    pub(crate) fn set(&self, site: &Site) {
+    /// Takes in the configuration in force; tells whether it is another one.
+    pub(crate) fn set(&self, site: &Site) -> bool {
         if self.version.replace(site.version) == site.version {
-            return;
+            return false;
         }
         let organisations = site.organisations().unwrap_or_default();
         *self.index.borrow_mut() = KeyIndex::new(self.secret, organisations);
         let mut lone = self.lone.borrow_mut();
         lone.retain(|name, _| site.organisation(name).is_some());
+        true
     }
 
     /// Returns the organisation that holds a key.
