fix(policy): unanswered reports of a scheduler free no tokens at a new leader

Cause: what a scheduler still holds was taken off the assumed window with each report that it sent before an answer reached it. Change: only with its first one. The test fails on the code before.

--- a/crates/chicoryrail-policy/src/quota/quota_pool.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_pool.rs
@@ -153,7 +153,7 @@
         let known = known.filter(|_| report.term == bound.term);
         let lent = match known {
             Some(known) => self.take_change(now, known, report, bound),
-            None => self.take_unknown(now, report, bound),
+            None => self.take_unknown(now, host, report, bound),
         };
         self.lent.insert(host.clone(), lent);
     }
@@ -184,13 +184,23 @@
 
     /// Takes in a host that says another term: it started anew, or what it was given in this term was lost. What it let
     /// run by itself since this leader began is not known, and counted as its part of the limit.
-    fn take_unknown(&mut self, now: Millis, report: QuotaReport, bound: &PoolBound) -> Lent {
+    fn take_unknown(
+        &mut self,
+        now: Millis,
+        host: &HostName,
+        report: QuotaReport,
+        bound: &PoolBound,
+    ) -> Lent {
         let length = bound.allowance.window;
         let alone = now.since(self.started).min(length);
         let part = bound.allowance.window_limit(bound.limit) / bound.schedulers.max(1) as f64;
         let ran = part * alone.0 as f64 / length.0.max(1) as f64;
-        // What it still holds did not run, though it is assumed that all did which could.
-        let unspent = report.held.max(0) as f64;
+        // What it still holds did not run, though it is assumed that all did which could. It says so again until an
+        // answer reaches it.
+        let unspent = match self.lent.contains_key(host) {
+            true => 0.0,
+            false => report.held.max(0) as f64,
+        };
         self.window(bound).add(now, ran - unspent);
         Lent {
             granted: 0,
--- a/crates/chicoryrail-policy/tests/quota.rs
+++ b/crates/chicoryrail-policy/tests/quota.rs
@@ -328,6 +328,43 @@
     assert!((ran as f64) <= ALLOWANCE.requests(limit), "{ran}");
 }
 
+/// Guards against tokens that are taken off a new leader's window with each report that gets no answer.
+#[test]
+fn unanswered_reports_free_no_tokens() {
+    let limit = QuotaLimit {
+        rate: 10.0,
+        burst: 10.0,
+    };
+    let bound = PoolBound {
+        term: 2,
+        limit,
+        allowance: ALLOWANCE,
+        schedulers: SCHEDULERS,
+        heard_part: 1.0,
+        beside: 0.0,
+    };
+    let report = |want| QuotaReport {
+        term: 1,
+        granted: 0,
+        returned: 0,
+        spent: 0,
+        held: 5,
+        want,
+    };
+    let mut pool = QuotaPool::from(Millis(20_000));
+    for ms in 0..20 {
+        pool.report(
+            Millis(20_000 + ms),
+            &HostName::new("deaf"),
+            report(5),
+            &bound,
+        );
+    }
+    let now = Millis(20_020);
+    let grant = pool.report(now, &HostName::new("other"), report(60), &bound);
+    assert!(grant.granted <= 1, "{} tokens", grant.granted);
+}
+
 /// Guards the plays above: a leader that forgets what it has given out lets too much run, and they notice.
 #[test]
 fn the_plays_find_a_leader_that_forgets_its_leases() {
