fix(policy): organisations with small limits are served by many schedulers

Each of 24 schedulers held a token of each limit ahead of need; of a limit of a few requests a second there are not so many, and the others refused. Change: where fewer tokens may gather than there are schedulers, none holds one without demand; a request that finds none waits and asks again once, unless as much ran as the limit allows; demand is averaged over time, not over reports.

--- a/crates/chicoryrail-policy/src/quota/quota_pool.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_pool.rs
@@ -91,7 +91,8 @@
     ) -> QuotaGrant {
         self.forget_silent(now);
         self.take_in(now, host, report, bound);
-        let free = self.free(now, bound);
+        let in_window = self.free_in_window(now, bound);
+        let free = in_window.min(self.refill.tokens);
         let needs: f64 = self.lent.values().map(Lent::need).sum();
         let lent = self.lent.entry(host.clone()).or_default();
         // Where there are too few for all, whoever reports first leaves the others their parts.
@@ -104,11 +105,12 @@
         QuotaGrant {
             term: bound.term,
             granted: lent.granted,
+            exhausted: in_window - given < 1.0,
         }
     }
 
-    /// Returns the tokens that may be given out.
-    fn free(&mut self, now: Millis, bound: &PoolBound) -> f64 {
+    /// Returns the tokens that the window leaves, and brings those up to date that may be given out at once.
+    fn free_in_window(&mut self, now: Millis, bound: &PoolBound) -> f64 {
         let length = bound.allowance.window;
         let whole = bound.allowance.window_limit(bound.limit);
         let limit = whole * bound.heard_part.clamp(0.0, 1.0);
@@ -117,7 +119,7 @@
         let rate = limit * 1_000.0 / length.0.max(1) as f64;
         let most = (bound.limit.burst + bound.beside - held as f64).max(0.0);
         self.refill.grow(now, rate, most);
-        (limit + bound.beside - ran - held as f64).min(self.refill.tokens)
+        limit + bound.beside - ran - held as f64
     }
 
     /// Returns what ran in the window. What ran before this leader began it does not know: as much as the limit allows,
--- a/crates/chicoryrail-policy/src/quota/quota_share.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_share.rs
@@ -14,11 +14,14 @@
 /// Time after which a host reports again although nothing changed, so that its tokens still count as lent.
 const REPORT_AGAIN: Millis = Millis(1_000);
 
+/// Tokens ahead below which none is held.
+const AHEAD_TOKENS_MIN: f64 = 0.25;
+
 /// Times the tokens wanted above which those beyond are given back.
 const SURPLUS_TIMES: i64 = 2;
 
-/// Part of the newest interval in the mean demand.
-const DEMAND_PART: f64 = 0.3;
+/// Length of time over which the demand is averaged.
+const DEMAND_MEMORY_MS: f64 = 300.0;
 
 /// What a host that schedules says of its tokens of one organisation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
@@ -44,6 +47,8 @@
     pub term: u64,
     /// Tokens given in that term, all together; a grant that was lost is in the next one.
     pub granted: u64,
+    /// Whether as much ran in the window as the limit allows.
+    pub exhausted: bool,
 }
 
 /// Who may give tokens at this moment.
@@ -75,6 +80,8 @@
     /// Tokens that grow while the leader does not answer.
     lone: Refill,
     was_lone: bool,
+    /// Whether as much had run as the limit allows when the leader answered last.
+    exhausted: bool,
     /// Requests that asked for a token since the last report.
     asked: u32,
     /// Mean requests a millisecond that ask for a token.
@@ -93,6 +100,7 @@
             held: 0,
             lone: Refill::from(Millis::ZERO),
             was_lone: false,
+            exhausted: false,
             asked: 0,
             demand: 0.0,
             reported: Millis::ZERO,
@@ -144,6 +152,12 @@
         self.spent -= 1;
     }
 
+    /// Tells whether a request that found no token may wait for one: the leader has some, as far as is known.
+    #[must_use]
+    pub const fn may_wait(&self, bound: &ShareBound) -> bool {
+        !bound.lone && !self.exhausted
+    }
+
     /// Tells whether there is anything to report, where `base` tokens are to be held at any time.
     #[must_use]
     pub fn is_due(&self, now: Millis, base: u64) -> bool {
@@ -162,7 +176,8 @@
     pub fn report(&mut self, now: Millis, base: u64) -> QuotaReport {
         let passed = now.since(self.reported).0.max(1) as f64;
         let newest = f64::from(self.asked) / passed;
-        self.demand += (newest - self.demand) * DEMAND_PART;
+        let part = (passed / DEMAND_MEMORY_MS).min(1.0);
+        self.demand += (newest - self.demand) * part;
         self.asked = 0;
         self.reported = now;
         let want = self.want(base);
@@ -181,7 +196,10 @@
     }
 
     fn want(&self, base: u64) -> i64 {
-        ((self.demand * LEASE_AHEAD_MS).ceil() as i64).max(base as i64)
+        let ahead = self.demand * LEASE_AHEAD_MS;
+        // One request long ago holds no token back from schedulers that need it.
+        let ahead = if ahead < AHEAD_TOKENS_MIN { 0.0 } else { ahead };
+        (ahead.ceil() as i64).max(base as i64)
     }
 
     /// Takes in tokens that the leader gave.
@@ -194,6 +212,7 @@
             self.granted = 0;
             self.returned = 0;
         }
+        self.exhausted = grant.exhausted;
         let new = grant.granted.saturating_sub(self.granted);
         self.granted += new;
         self.held += new as i64;
--- a/crates/chicoryrail-policy/tests/quota.rs
+++ b/crates/chicoryrail-policy/tests/quota.rs
@@ -27,6 +27,7 @@
 /// When callers begin to come; the leader knows by then that nothing ran before.
 const STARTED_MS: u64 = 6_000;
 const REPORT_MS: u64 = 100;
+const ASK_AGAIN_MS: u64 = 120;
 const LONE_AFTER_MS: u64 = 500;
 const AHEAD_PART: f64 = 0.3;
 const GATHERED_PART: f64 = 0.3;
@@ -61,6 +62,8 @@
     ran: Vec<u64>,
     ran_at: [usize; SCHEDULERS],
     refused: Vec<u64>,
+    /// Requests that ask again for a token: scheduler and moment.
+    waiting: Vec<(usize, u64)>,
 }
 
 impl Play {
@@ -78,6 +81,7 @@
             ran: Vec::new(),
             ran_at: [0; SCHEDULERS],
             refused: Vec::new(),
+            waiting: Vec::new(),
         }
     }
 
@@ -90,7 +94,13 @@
                 let whole = expected.floor() as u32;
                 let more = u32::from(self.rng.random_bool(expected.fract()));
                 for _ in 0..whole + more {
-                    self.ask(at, ms);
+                    self.ask(at, ms, true);
+                }
+                let due = |w: &(usize, u64)| *w == (at, ms);
+                let again = self.waiting.iter().filter(|w| due(w)).count();
+                self.waiting.retain(|w| !due(w));
+                for _ in 0..again {
+                    self.ask(at, ms, false);
                 }
                 let low = self.shares[at].is_low(self.base());
                 if ms % REPORT_MS == at as u64 * TICK_MS || (low && ms % 20 == 0) {
@@ -119,10 +129,14 @@
 
     fn base(&self) -> u64 {
         let gathers = self.limit.burst + self.allowance() * GATHERED_PART;
-        (gathers * BASE_PART / SCHEDULERS as f64).max(1.0) as u64
+        let each = gathers / SCHEDULERS as f64;
+        if each < 1.0 {
+            return 0;
+        }
+        (each * BASE_PART).max(1.0) as u64
     }
 
-    fn ask(&mut self, at: usize, ms: u64) {
+    fn ask(&mut self, at: usize, ms: u64, first: bool) {
         let bound = ShareBound {
             limit: self.limit,
             schedulers: SCHEDULERS,
@@ -134,6 +148,9 @@
                 self.ran.push(ms);
                 self.ran_at[at] += 1;
             }
+            Err(_) if first && self.shares[at].may_wait(&bound) => {
+                self.waiting.push((at, ms + ASK_AGAIN_MS));
+            }
             Err(_) => self.refused.push(ms),
         }
     }
--- a/crates/chicoryrail-router/src/control/scheduling/tokens.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/tokens.rs
@@ -11,20 +11,24 @@
 use crate::control::scheduling::part_schedulers::answer;
 use crate::control::scheduling::part_schedulers::left;
 use crate::state::Router;
+use crate::state::TokenAnswer;
 use crate::talk::SlotQuery;
 use crate::talk::SlotReply;
 
+/// A request found no token.
+pub(super) struct NoToken;
+
 /// Takes a token for a request that asks for the first time; returns the organisation that it is of.
 ///
 /// # Errors
 ///
-/// Returns how long there will be none. The request is forgotten, and `from` is told.
+/// Returns that there is none. The request is forgotten, and `from` is told whether to ask again.
 pub(super) fn take_token(
     router: &Rc<Router>,
     ask: &SlotQuery,
     from: Option<SocketAddr>,
     given: bool,
-) -> Result<Option<OrganisationName>, Millis> {
+) -> Result<Option<OrganisationName>, NoToken> {
     let origins = router.schedulers.origins.borrow();
     if let Some(origin) = origins.get(&ask.ticket) {
         return Ok(origin.token.clone());
@@ -36,11 +40,16 @@
     let Some(organisation) = limited(router, ask) else {
         return Ok(None);
     };
-    match router.quota.take(router, &organisation.name) {
-        Ok(()) => Ok(Some(organisation.name.clone())),
-        Err(after) => {
+    match router.quota.take(router, &organisation.name, ask.ticket) {
+        TokenAnswer::Taken => Ok(Some(organisation.name.clone())),
+        TokenAnswer::Wait => {
+            left(router, &ask.part, ask.ticket);
+            answer(router, from, ask.ticket, SlotReply::Waits);
+            Err(NoToken)
+        }
+        TokenAnswer::Refused(after) => {
             refuse(router, ask, from, &organisation, after);
-            Err(after)
+            Err(NoToken)
         }
     }
 }
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -18,6 +18,7 @@
 pub(crate) use quota_shares::GATHERED_PART;
 pub(crate) use quota_shares::LONE_AFTER;
 pub(crate) use quota_shares::QuotaShares;
+pub(crate) use quota_shares::TokenAnswer;
 pub(crate) use router::Router;
 pub(crate) use schedulers::Origin;
 pub(crate) use schedulers::Schedulers;
--- a/crates/chicoryrail-router/src/state/quota_shares.rs
+++ b/crates/chicoryrail-router/src/state/quota_shares.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use chicoryrail_core::Millis;
 use chicoryrail_core::OrganisationName;
@@ -25,6 +26,15 @@
 /// Part of what a limit may be exceeded by that may gather beside the burst.
 pub(crate) const GATHERED_PART: f64 = 0.3;
 
+/// Time for which a request waits for a token: it asks again once by then.
+const TOKEN_WAIT_MAX: Millis = Millis(100);
+
+/// Time after which a request that waited is forgotten: its caller has left.
+const TOKEN_WAIT_FORGOTTEN: Millis = Millis(2_000);
+
+/// Tokens that may gather for each scheduler from which on each holds one without demand.
+const BASE_FROM: f64 = 1.0;
+
 /// Part of what may gather that schedulers hold without demand.
 const BASE_PART: f64 = 0.25;
 
@@ -36,6 +46,19 @@
     answered: Cell<Option<Millis>>,
     /// Notified when an organisation runs low on tokens.
     pub(crate) low: Signal,
+    /// Since when requests wait for a token, by ticket.
+    waiting: RefCell<HashMap<u64, Millis>>,
+}
+
+/// What becomes of a request that needs a token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TokenAnswer {
+    /// It has one.
+    Taken,
+    /// There will be one in a moment: it is to ask again.
+    Wait,
+    /// There may be one after this time.
+    Refused(Millis),
 }
 
 #[derive(Debug)]
@@ -68,15 +91,19 @@
 
     /// Takes a token for a request.
     ///
-    /// # Errors
-    ///
-    /// Returns the time after which there may be one.
-    pub(crate) fn take(&self, router: &Router, name: &OrganisationName) -> Result<(), Millis> {
+    /// Load: many schedulers, each with few requests of an organisation. They can't all hold a token of a small limit;
+    /// a request that finds none waits once, for as long as the leader takes to send one.
+    pub(crate) fn take(
+        &self,
+        router: &Router,
+        name: &OrganisationName,
+        ticket: u64,
+    ) -> TokenAnswer {
         let now = router.now();
         let schedulers = router.peers.borrow().schedulers_count();
         let mut shares = self.shares.borrow_mut();
         let Some(share) = shares.get_mut(name) else {
-            return Ok(());
+            return TokenAnswer::Taken;
         };
         let allowance = router.quota_allowance().requests(share.limit);
         let bound = ShareBound {
@@ -86,13 +113,29 @@
             ahead: allowance * AHEAD_PART,
         };
         let taken = share.tokens.take(now, &bound);
-        if share
-            .tokens
-            .is_low(base_tokens(share.limit, allowance, schedulers))
-        {
+        let base = base_tokens(share.limit, allowance, schedulers);
+        if share.tokens.is_low(base) {
             self.low.notify();
         }
-        taken
+        match taken {
+            Ok(()) => {
+                self.waiting.borrow_mut().remove(&ticket);
+                TokenAnswer::Taken
+            }
+            Err(_) if share.tokens.may_wait(&bound) && self.waits(now, ticket) => TokenAnswer::Wait,
+            Err(after) => {
+                self.waiting.borrow_mut().remove(&ticket);
+                TokenAnswer::Refused(after)
+            }
+        }
+    }
+
+    /// Notes that a request waits for a token; tells whether it still may.
+    fn waits(&self, now: Millis, ticket: u64) -> bool {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.retain(|_, since| now.since(*since) <= TOKEN_WAIT_FORGOTTEN);
+        let since = *waiting.entry(ticket).or_insert(now);
+        now.since(since) < TOKEN_WAIT_MAX
     }
 
     /// Tells whether the leader has not answered for so long that this host spends its own part of each limit.
@@ -137,9 +180,12 @@
 }
 
 /// Returns the tokens that each scheduler holds of a limit at any time, so that a first request finds one: all of them
-/// together hold a part of what may gather, and the rest goes where the demand is.
+/// together hold a part of what may gather, and the rest goes where the demand is. Where there are too few for all, none
+/// holds any.
 fn base_tokens(limit: QuotaLimit, allowance: f64, schedulers: usize) -> u64 {
-    let gathers = limit.burst + allowance * GATHERED_PART;
-    let part = gathers * BASE_PART / schedulers.max(1) as f64;
-    part.max(1.0) as u64
+    let each = (limit.burst + allowance * GATHERED_PART) / schedulers.max(1) as f64;
+    if each < BASE_FROM {
+        return 0;
+    }
+    (each * BASE_PART).max(1.0) as u64
 }
