--- a/crates/chicoryrail-router/tests/organisations.rs
+++ b/crates/chicoryrail-router/tests/organisations.rs
@@ -234,6 +234,9 @@
             200,
             "others are served"
         );
-        assert!(router.log().contains("log=quota_refused"));
+        wait_until("it is logged", async || {
+            router.log().contains("log=quota_refused")
+        })
+        .await;
     });
 }
