refactor(policy): how an allowance is divided stands in one place, and the plays use it

Change: Allowance has ahead, beside and base_tokens; ShareBound and PoolBound carry it in place of what follows from it; tokens.rs and leases.rs ask QuotaShares for limits.

--- a/crates/chicoryrail-policy/src/admission/freshness.rs
+++ b/crates/chicoryrail-policy/src/admission/freshness.rs
@@ -3,10 +3,10 @@
 use chicoryrail_core::Millis;
 
 /// Part of a length of time by which two clocks may differ: one in so many.
-const DRIFT_PART: u64 = 50;
+const CLOCK_DRIFT_DIVISOR: u64 = 50;
 
 /// Time for the rounding of lengths that hosts exchange in whole milliseconds.
-const ROUNDING_MS: Millis = Millis(20);
+const ROUNDING_MARGIN: Millis = Millis(20);
 
 /// Since when a host's configuration may be out of date.
 ///
@@ -34,7 +34,7 @@
     /// Tells whether API keys may be served within `bound` of their removal.
     #[must_use]
     pub fn holds(&self, now: Millis, bound: Millis) -> bool {
-        let usable = bound.since(Millis(bound.0 / DRIFT_PART) + ROUNDING_MS);
+        let usable = bound.since(Millis(bound.0 / CLOCK_DRIFT_DIVISOR) + ROUNDING_MARGIN);
         self.age(now).is_some_and(|age| age < usable)
     }
 }
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -43,6 +43,7 @@
 pub use admission::Freshness;
 pub use admission::KeyIndex;
 pub use quota::Allowance;
+pub use quota::LONE_AFTER;
 pub use quota::LoneShare;
 pub use quota::PoolBound;
 pub use quota::QuotaGrant;
--- a/crates/chicoryrail-policy/src/quota/quota_pool.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_pool.rs
@@ -13,7 +13,7 @@
 use crate::quota::sliding_window::SlidingWindow;
 
 /// Time without a report after which a host's tokens count as spent.
-const LENT_UNTIL: Millis = Millis(3_000);
+const REPORT_TIMEOUT: Millis = Millis(3_000);
 
 /// The tokens of one organisation at the leader.
 ///
@@ -64,8 +64,13 @@
     pub schedulers: usize,
     /// Part of the schedulers that this leader hears; the others spend their parts of the limit by themselves.
     pub heard_part: f64,
-    /// Requests beyond the limit that may be given out.
-    pub beside: f64,
+}
+
+impl PoolBound {
+    /// Returns the requests beyond the limit that may be given out.
+    fn beside(&self) -> f64 {
+        self.allowance.beside(self.limit)
+    }
 }
 
 impl QuotaPool {
@@ -117,9 +122,9 @@
         let held: i64 = self.lent.values().map(|l| l.held.max(0)).sum();
         let ran = self.window(bound).count(now);
         let rate = limit * 1_000.0 / length.0.max(1) as f64;
-        let most = (bound.limit.burst + bound.beside - held as f64).max(0.0);
+        let most = (bound.limit.burst + bound.beside() - held as f64).max(0.0);
         self.refill.grow(now, rate, most);
-        limit + bound.beside - ran - held as f64
+        limit + bound.beside() - ran - held as f64
     }
 
     /// Returns what ran in the window. What ran before this leader began it does not know: as much as the limit allows,
@@ -130,7 +135,7 @@
         self.ran.get_or_insert_with(|| {
             let whole = bound.allowance.window_limit(limit);
             let mut ran = SlidingWindow::filled(self.started, window, whole - limit.burst);
-            ran.add(self.started, limit.burst + bound.beside);
+            ran.add(self.started, limit.burst + bound.beside());
             ran
         })
     }
@@ -138,7 +143,7 @@
     /// Counts the tokens of hosts that are not heard any more as spent.
     fn forget_silent(&mut self, now: Millis) {
         let silent = self.lent.values_mut();
-        let silent = silent.filter(|l| now.since(l.heard) > LENT_UNTIL);
+        let silent = silent.filter(|l| now.since(l.heard) > REPORT_TIMEOUT);
         let held = silent.map(|l| {
             l.want = 0;
             std::mem::take(&mut l.held).max(0)
--- a/crates/chicoryrail-policy/src/quota/quota_share.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_share.rs
@@ -5,14 +5,18 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::QuotaLimit;
 
+use crate::quota::Allowance;
 use crate::quota::refill::Refill;
 use crate::quota::refill::time_to_grow;
 
+/// Time without an answer of the leader after which a host has its own part of each limit, as the leader reckons.
+pub const LONE_AFTER: Millis = Millis(500);
+
 /// Length of the demand for which tokens are leased ahead.
 const LEASE_AHEAD_MS: f64 = 300.0;
 
 /// Time after which a host reports again although nothing changed, so that its tokens still count as lent.
-const REPORT_AGAIN: Millis = Millis(1_000);
+const REPORT_INTERVAL_MAX: Millis = Millis(1_000);
 
 /// Tokens ahead below which none is held.
 const AHEAD_TOKENS_MIN: f64 = 0.25;
@@ -60,8 +64,14 @@
     pub schedulers: usize,
     /// Whether the leader has not answered for so long that it counts this host as lone.
     pub lone: bool,
-    /// Requests that all schedulers together may let go ahead of their tokens.
-    pub ahead: f64,
+    /// What may be exceeded of it.
+    pub allowance: Allowance,
+}
+
+impl ShareBound {
+    fn base(&self) -> i64 {
+        self.allowance.base_tokens(self.limit, self.schedulers) as i64
+    }
 }
 
 /// The tokens of one organisation at a host that schedules.
@@ -124,7 +134,7 @@
             self.lone = Refill::from(now);
             self.was_lone = false;
         }
-        let ahead = (bound.ahead / schedulers) as i64;
+        let ahead = (bound.allowance.ahead(bound.limit) / schedulers) as i64;
         if self.held - 1 < -ahead {
             return Err(time_to_grow(1.0 - self.held as f64, part));
         }
@@ -158,29 +168,29 @@
         !bound.lone && !self.exhausted
     }
 
-    /// Tells whether there is anything to report, where `base` tokens are to be held at any time.
+    /// Tells whether there is anything to report.
     #[must_use]
-    pub fn is_due(&self, now: Millis, base: u64) -> bool {
-        let want = self.want(base);
+    pub fn is_due(&self, now: Millis, bound: &ShareBound) -> bool {
+        let want = self.want(bound);
         let fits = (want..=want * SURPLUS_TIMES).contains(&self.held);
-        self.asked > 0 || !fits || now.since(self.reported) >= REPORT_AGAIN
+        self.asked > 0 || !fits || now.since(self.reported) >= REPORT_INTERVAL_MAX
     }
 
     /// Tells whether so few tokens are left that more are to be asked for at once.
     #[must_use]
-    pub fn is_low(&self, base: u64) -> bool {
-        self.held <= self.want(base) / 2
+    pub fn is_low(&self, bound: &ShareBound) -> bool {
+        self.held <= self.want(bound) / 2
     }
 
     /// Returns what the leader is told, and gives back what is not needed.
-    pub fn report(&mut self, now: Millis, base: u64) -> QuotaReport {
+    pub fn report(&mut self, now: Millis, bound: &ShareBound) -> QuotaReport {
         let passed = now.since(self.reported).0.max(1) as f64;
         let newest = f64::from(self.asked) / passed;
         let part = (passed / DEMAND_MEMORY_MS).min(1.0);
         self.demand += (newest - self.demand) * part;
         self.asked = 0;
         self.reported = now;
-        let want = self.want(base);
+        let want = self.want(bound);
         if self.held > want * SURPLUS_TIMES {
             self.returned += (self.held - want) as u64;
             self.held = want;
@@ -195,11 +205,11 @@
         }
     }
 
-    fn want(&self, base: u64) -> i64 {
+    fn want(&self, bound: &ShareBound) -> i64 {
         let ahead = self.demand * LEASE_AHEAD_MS;
         // One request long ago holds no token back from schedulers that need it.
         let ahead = if ahead < AHEAD_TOKENS_MIN { 0.0 } else { ahead };
-        (ahead.ceil() as i64).max(base as i64)
+        (ahead.ceil() as i64).max(bound.base())
     }
 
     /// Takes in tokens that the leader gave.
--- a/crates/chicoryrail-policy/src/quota/sliding_window.rs
+++ b/crates/chicoryrail-policy/src/quota/sliding_window.rs
@@ -5,7 +5,7 @@
 use chicoryrail_core::Millis;
 
 /// Length of the moments that are counted together.
-const SLOT: Millis = Millis(50);
+const SLOT_LENGTH: Millis = Millis(50);
 
 /// Requests that ran within a length of time that ends now.
 #[derive(Clone, Debug)]
@@ -25,10 +25,10 @@
 impl SlidingWindow {
     /// Returns a window in which `requests` ran evenly over the `length` before `now`.
     pub(crate) fn filled(now: Millis, length: Millis, requests: f64) -> Self {
-        let count = (length.0 / SLOT.0).max(1);
+        let count = (length.0 / SLOT_LENGTH.0).max(1);
         let part = requests / count as f64;
         let slot = |i| Slot {
-            ends: now + SLOT.times(i),
+            ends: now + SLOT_LENGTH.times(i),
             requests: part,
         };
         Self {
@@ -45,7 +45,7 @@
         match self.slots.back_mut() {
             Some(slot) if ends < slot.ends => slot.requests += requests,
             _ => self.slots.push_back(Slot {
-                ends: ends + SLOT,
+                ends: ends + SLOT_LENGTH,
                 requests,
             }),
         }
--- a/crates/chicoryrail-policy/tests/quota.rs
+++ b/crates/chicoryrail-policy/tests/quota.rs
@@ -4,6 +4,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::QuotaLimit;
 use chicoryrail_policy::Allowance;
+use chicoryrail_policy::LONE_AFTER;
 use chicoryrail_policy::LoneShare;
 use chicoryrail_policy::PoolBound;
 use chicoryrail_policy::QuotaGrant;
@@ -28,10 +29,6 @@
 const STARTED_MS: u64 = 6_000;
 const REPORT_MS: u64 = 100;
 const ASK_AGAIN_MS: u64 = 120;
-const LONE_AFTER_MS: u64 = 500;
-const AHEAD_PART: f64 = 0.3;
-const GATHERED_PART: f64 = 0.3;
-const BASE_PART: f64 = 0.25;
 
 /// What goes wrong in a play.
 #[derive(Clone, Copy, Debug, Default)]
@@ -102,7 +99,7 @@
                 for _ in 0..again {
                     self.ask(at, ms, false);
                 }
-                let low = self.shares[at].is_low(self.base());
+                let low = self.shares[at].is_low(&self.bound(at, ms));
                 if ms % REPORT_MS == at as u64 * TICK_MS || (low && ms % 20 == 0) {
                     self.report(at, ms);
                 }
@@ -123,26 +120,17 @@
         }
     }
 
-    fn allowance(&self) -> f64 {
-        ALLOWANCE.requests(self.limit)
-    }
-
-    fn base(&self) -> u64 {
-        let gathers = self.limit.burst + self.allowance() * GATHERED_PART;
-        let each = gathers / SCHEDULERS as f64;
-        if each < 1.0 {
-            return 0;
+    fn bound(&self, at: usize, ms: u64) -> ShareBound {
+        ShareBound {
+            limit: self.limit,
+            schedulers: SCHEDULERS,
+            lone: self.is_lone(at, ms),
+            allowance: ALLOWANCE,
         }
-        (each * BASE_PART).max(1.0) as u64
     }
 
     fn ask(&mut self, at: usize, ms: u64, first: bool) {
-        let bound = ShareBound {
-            limit: self.limit,
-            schedulers: SCHEDULERS,
-            lone: self.is_lone(at, ms),
-            ahead: self.allowance() * AHEAD_PART,
-        };
+        let bound = self.bound(at, ms);
         match self.shares[at].take(Millis(ms), &bound) {
             Ok(()) => {
                 self.ran.push(ms);
@@ -156,7 +144,7 @@
     }
 
     fn is_lone(&self, at: usize, ms: u64) -> bool {
-        self.answered[at].is_none_or(|t| ms - t > LONE_AFTER_MS)
+        self.answered[at].is_none_or(|t| ms - t > LONE_AFTER.0)
     }
 
     fn is_cut(&self, at: usize, ms: u64) -> bool {
@@ -169,8 +157,8 @@
     }
 
     fn report(&mut self, at: usize, ms: u64) {
-        let base = self.base();
-        let report = self.shares[at].report(Millis(ms), base);
+        let bound = self.bound(at, ms);
+        let report = self.shares[at].report(Millis(ms), &bound);
         if ms < self.leads_from || self.is_cut(at, ms) || self.lost() {
             return;
         }
@@ -184,7 +172,7 @@
     }
 
     fn answer(&mut self, at: usize, ms: u64, mut report: QuotaReport) -> QuotaGrant {
-        let is_heard = |h: &&u64| **h > 0 && ms - (**h - 1) <= LONE_AFTER_MS;
+        let is_heard = |h: &&u64| **h > 0 && ms - (**h - 1) <= LONE_AFTER.0;
         let heard = self.heard.iter().filter(is_heard).count();
         if self.trouble.forgets_leases {
             report.held = 0;
@@ -197,7 +185,6 @@
             allowance: ALLOWANCE,
             schedulers: SCHEDULERS,
             heard_part: heard as f64 / SCHEDULERS as f64,
-            beside: self.allowance() * GATHERED_PART,
         };
         let host = HostName::new(&format!("host-{at}"));
         self.pool.report(Millis(ms), &host, report, &bound)
@@ -207,7 +194,7 @@
     fn excess(&self, from_ms: u64) -> f64 {
         let limit = self.limit;
         let window = ALLOWANCE.window.0;
-        let bound = limit.rate * window as f64 / 1_000.0 + limit.burst + self.allowance();
+        let bound = limit.rate * window as f64 / 1_000.0 + limit.burst + ALLOWANCE.requests(limit);
         let ran: Vec<u64> = self.ran.iter().copied().filter(|t| *t >= from_ms).collect();
         let fullest = ran.iter().enumerate().map(|(i, t)| {
             let end = ran.partition_point(|r| *r < t + window);
@@ -355,10 +342,13 @@
     let bound = PoolBound {
         term: 2,
         limit,
-        allowance: ALLOWANCE,
+        allowance: Allowance {
+            over: 0.0,
+            slack: 0.0,
+            ..ALLOWANCE
+        },
         schedulers: SCHEDULERS,
         heard_part: 1.0,
-        beside: 0.0,
     };
     let report = |want| QuotaReport {
         term: 1,
--- a/crates/chicoryrail-router/src/control/quota/leases.rs
+++ b/crates/chicoryrail-router/src/control/quota/leases.rs
@@ -8,12 +8,11 @@
 use chicoryrail_core::HostName;
 use chicoryrail_core::Millis;
 use chicoryrail_core::OrganisationName;
+use chicoryrail_policy::LONE_AFTER;
 use chicoryrail_policy::PoolBound;
 use chicoryrail_policy::QuotaPool;
 use monoio::time::timeout;
 
-use crate::state::GATHERED_PART;
-use crate::state::LONE_AFTER;
 use crate::state::Router;
 use crate::talk::Packet;
 use crate::talk::QuotaGrants;
@@ -51,7 +50,9 @@
     /// A new leader begins with empty pools: what the one before it gave out may still be spent.
     pub(crate) fn report(&self, router: &Router, reports: &QuotaReports) -> Option<QuotaGrants> {
         let term = router.leads.get();
-        let site = router.site().filter(|_| term > 0)?;
+        if term == 0 || router.site().is_none() {
+            return None;
+        }
         let now = router.now();
         let mut state = self.state.borrow_mut();
         if state.term != term {
@@ -72,15 +73,15 @@
         let allowance = router.quota_allowance();
         let mut grants = Vec::new();
         for (name, report) in &reports.reports {
-            let limit = site.organisation(name).and_then(|o| o.limit);
-            let Some(limit) = limit else { continue };
+            let Some(limit) = router.quota.limit(name) else {
+                continue;
+            };
             let bound = PoolBound {
                 term,
                 limit,
                 allowance,
                 schedulers,
                 heard_part,
-                beside: allowance.requests(limit) * GATHERED_PART,
             };
             let since = state.since;
             let pools = &mut state.pools;
@@ -97,7 +98,7 @@
 /// Reports this host's use of tokens to the leader at intervals, and at once where one runs low.
 pub(crate) async fn report_use(router: Rc<Router>, pools: Rc<QuotaPools>) {
     loop {
-        if !router.source.core.get() || !has_limits(&router) {
+        if !router.source.core.get() || !router.quota.has_limits() {
             router.process.clock.sleep(IDLE_INTERVAL).await;
             continue;
         }
@@ -109,12 +110,6 @@
     }
 }
 
-fn has_limits(router: &Router) -> bool {
-    let site = router.site();
-    let organisations = site.as_ref().and_then(|s| s.organisations());
-    organisations.is_some_and(|all| all.iter().any(|o| o.limit.is_some()))
-}
-
 async fn report(router: &Rc<Router>, pools: &QuotaPools) {
     let mut reports = router.quota.reports(router);
     let leader = router.peers.borrow().leader_addr();
--- a/crates/chicoryrail-router/src/control/scheduling/tokens.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/tokens.rs
@@ -2,10 +2,8 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 
 use chicoryrail_core::Millis;
-use chicoryrail_core::Organisation;
 use chicoryrail_core::OrganisationName;
 
 use crate::control::scheduling::part_schedulers::answer;
@@ -29,48 +27,32 @@
     from: Option<SocketAddr>,
     given: bool,
 ) -> Result<Option<OrganisationName>, NoToken> {
-    let origins = router.schedulers.origins.borrow();
-    if let Some(origin) = origins.get(&ask.ticket) {
+    if let Some(origin) = router.schedulers.origins.borrow().get(&ask.ticket) {
         return Ok(origin.token.clone());
     }
-    drop(origins);
     if given {
         return Ok(None);
     }
-    let Some(organisation) = limited(router, ask) else {
+    let Some(name) = &ask.organisation else {
         return Ok(None);
     };
-    match router.quota.take(router, &organisation.name, ask.ticket) {
-        TokenAnswer::Taken => Ok(Some(organisation.name.clone())),
-        TokenAnswer::Wait => {
-            left(router, &ask.part, ask.ticket);
-            answer(router, from, ask.ticket, SlotReply::Waits);
-            Err(NoToken)
-        }
+    let refused = match router.quota.take(router, name, ask.ticket) {
+        TokenAnswer::Taken => return Ok(Some(name.clone())),
+        TokenAnswer::Wait => SlotReply::Waits,
         TokenAnswer::Refused(after) => {
-            refuse(router, ask, from, &organisation, after);
-            Err(NoToken)
+            note_refusal(router, ask, name, after);
+            SlotReply::OverQuota(after.0)
         }
-    }
-}
-
-fn limited(router: &Router, ask: &SlotQuery) -> Option<Arc<Organisation>> {
-    let site = router.site()?;
-    site.organisation(ask.organisation.as_ref()?).cloned()
+    };
+    left(router, &ask.part, ask.ticket);
+    answer(router, from, ask.ticket, refused);
+    Err(NoToken)
 }
 
-fn refuse(
-    router: &Rc<Router>,
-    ask: &SlotQuery,
-    from: Option<SocketAddr>,
-    organisation: &Organisation,
-    after: Millis,
-) {
-    left(router, &ask.part, ask.ticket);
-    let limit = organisation.limit;
-    log::info!(request = ask.id, organisation:% = organisation.name,
+fn note_refusal(router: &Router, ask: &SlotQuery, name: &OrganisationName, after: Millis) {
+    let limit = router.quota.limit(name);
+    log::info!(request = ask.id, organisation:% = name,
         rate = limit.map_or(0.0, |l| l.rate), burst = limit.map_or(0.0, |l| l.burst),
         token_in_ms = after.0; "quota_refused");
-    router.counters.over_quota(&organisation.name);
-    answer(router, from, ask.ticket, SlotReply::OverQuota(after.0));
+    router.counters.over_quota(name);
 }
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -15,8 +15,6 @@
 pub(crate) use asks::Asks;
 pub(crate) use counters::Counters;
 pub(crate) use organisations::Organisations;
-pub(crate) use quota_shares::GATHERED_PART;
-pub(crate) use quota_shares::LONE_AFTER;
 pub(crate) use quota_shares::QuotaShares;
 pub(crate) use quota_shares::TokenAnswer;
 pub(crate) use router::Router;
--- a/crates/chicoryrail-router/src/state/quota_shares.rs
+++ b/crates/chicoryrail-router/src/state/quota_shares.rs
@@ -9,6 +9,7 @@
 use chicoryrail_core::OrganisationName;
 use chicoryrail_core::QuotaLimit;
 use chicoryrail_core::Site;
+use chicoryrail_policy::LONE_AFTER;
 use chicoryrail_policy::QuotaGrant;
 use chicoryrail_policy::QuotaReport;
 use chicoryrail_policy::QuotaShare;
@@ -17,27 +18,12 @@
 
 use crate::state::Router;
 
-/// Time without an answer of the leader after which this host has its own part of each limit, as the leader reckons.
-pub(crate) const LONE_AFTER: Millis = Millis(500);
-
-/// Part of what a limit may be exceeded by that schedulers may use up ahead of their tokens.
-const AHEAD_PART: f64 = 0.3;
-
-/// Part of what a limit may be exceeded by that may gather beside the burst.
-pub(crate) const GATHERED_PART: f64 = 0.3;
-
 /// Time for which a request waits for a token: it asks again once by then.
 const TOKEN_WAIT_MAX: Millis = Millis(100);
 
 /// Time after which a request that waited is forgotten: its caller has left.
 const TOKEN_WAIT_FORGOTTEN: Millis = Millis(2_000);
 
-/// Tokens that may gather for each scheduler from which on each holds one without demand.
-const BASE_FROM: f64 = 1.0;
-
-/// Part of what may gather that schedulers hold without demand.
-const BASE_PART: f64 = 0.25;
-
 /// The tokens of organisations that this host holds as one that schedules.
 #[derive(Debug, Default)]
 pub(crate) struct QuotaShares {
@@ -89,6 +75,25 @@
         }
     }
 
+    /// Tells whether any organisation has a limit.
+    pub(crate) fn has_limits(&self) -> bool {
+        !self.shares.borrow().is_empty()
+    }
+
+    /// Returns the limit of an organisation; `None` where it has none.
+    pub(crate) fn limit(&self, name: &OrganisationName) -> Option<QuotaLimit> {
+        self.shares.borrow().get(name).map(|s| s.limit)
+    }
+
+    fn bound(&self, router: &Router, limit: QuotaLimit) -> ShareBound {
+        ShareBound {
+            limit,
+            schedulers: router.peers.borrow().schedulers_count(),
+            lone: self.is_lone(router.now()),
+            allowance: router.quota_allowance(),
+        }
+    }
+
     /// Takes a token for a request.
     ///
     /// Load: many schedulers, each with few requests of an organisation. They can't all hold a token of a small limit;
@@ -100,21 +105,13 @@
         ticket: u64,
     ) -> TokenAnswer {
         let now = router.now();
-        let schedulers = router.peers.borrow().schedulers_count();
         let mut shares = self.shares.borrow_mut();
         let Some(share) = shares.get_mut(name) else {
             return TokenAnswer::Taken;
         };
-        let allowance = router.quota_allowance().requests(share.limit);
-        let bound = ShareBound {
-            limit: share.limit,
-            schedulers,
-            lone: self.is_lone(now),
-            ahead: allowance * AHEAD_PART,
-        };
+        let bound = self.bound(router, share.limit);
         let taken = share.tokens.take(now, &bound);
-        let base = base_tokens(share.limit, allowance, schedulers);
-        if share.tokens.is_low(base) {
+        if share.tokens.is_low(&bound) {
             self.low.notify();
         }
         match taken {
@@ -154,14 +151,11 @@
     /// Returns what the leader is told of the organisations whose tokens changed.
     pub(crate) fn reports(&self, router: &Router) -> Vec<(OrganisationName, QuotaReport)> {
         let now = router.now();
-        let schedulers = router.peers.borrow().schedulers_count();
-        let allowance = router.quota_allowance();
         let mut reports = Vec::new();
         for (name, share) in self.shares.borrow_mut().iter_mut() {
-            let allowed = allowance.requests(share.limit);
-            let base = base_tokens(share.limit, allowed, schedulers);
-            if share.tokens.is_due(now, base) {
-                reports.push((name.clone(), share.tokens.report(now, base)));
+            let bound = self.bound(router, share.limit);
+            if share.tokens.is_due(now, &bound) {
+                reports.push((name.clone(), share.tokens.report(now, &bound)));
             }
         }
         reports
@@ -178,14 +172,3 @@
         }
     }
 }
-
-/// Returns the tokens that each scheduler holds of a limit at any time, so that a first request finds one: all of them
-/// together hold a part of what may gather, and the rest goes where the demand is. Where there are too few for all, none
-/// holds any.
-fn base_tokens(limit: QuotaLimit, allowance: f64, schedulers: usize) -> u64 {
-    let each = (limit.burst + allowance * GATHERED_PART) / schedulers.max(1) as f64;
-    if each < BASE_FROM {
-        return 0;
-    }
-    (each * BASE_PART).max(1.0) as u64
-}
