refactor(ctl): a configuration is put by one loop

Cause: put and the commands on organisations each had the loop of read, build, compare-and-swap and try again. Change: put_next has it; both say how the next configuration is built.

--- a/crates/chicoryctl/src/change.rs
+++ b/crates/chicoryctl/src/change.rs
@@ -7,6 +7,7 @@
 use chicoryrail_core::Member;
 use chicoryrail_core::MemberState;
 use chicoryrail_core::ServiceName;
+use chicoryrail_core::Site;
 use chicoryrail_core::SiteFile;
 use chicoryrail_platform::ConfigEntry;
 use chicoryrail_platform::KvStore;
@@ -31,7 +32,7 @@
 const SECRET_FIELD: &str = "api_keys";
 
 /// Times that a change is tried when others change the same at the same time.
-const TRIES: usize = 5;
+const PUT_ATTEMPTS_MAX: usize = 5;
 
 /// Checks a configuration file.
 pub(crate) fn check(path: &Path) -> Result<String, CtlError> {
@@ -50,28 +51,39 @@
     expect: Option<u64>,
 ) -> Result<String, CtlError> {
     let file = read_file(path)?;
-    let key = key_of(&Subject::Config);
-    for _ in 0..TRIES {
-        let (before, revision) = config(store).await?;
+    let build = |before: Option<ConfigEntry>| {
         let found = before.map_or(0, |e| e.site.version);
-        if let Some(expected) = expect.filter(|e| *e != found) {
-            return Err(CtlError::Version { expected, found });
+        match expect.filter(|e| *e != found) {
+            Some(expected) => Err(CtlError::Version { expected, found }),
+            None => file.build(found + 1).context(ValueSnafu { path }),
         }
-        let site = file.build(found + 1).context(ValueSnafu { path })?;
+    };
+    let version = put_next(store, build).await?;
+    Ok(format!("version {version} is stored\n"))
+}
+
+/// Puts the configuration that `build` makes of the one that is there; returns its version. Where another operator was
+/// faster, it is built anew from what is there then.
+async fn put_next(
+    store: &KvStore,
+    build: impl Fn(Option<ConfigEntry>) -> Result<Site, CtlError>,
+) -> Result<u64, CtlError> {
+    let key = key_of(&Subject::Config);
+    for _ in 0..PUT_ATTEMPTS_MAX {
+        let (before, revision) = config(store).await?;
+        let site = build(before)?;
         let value = write_config(&site).context(WriteSnafu)?;
         let txn = Txn::default().expect(&key, revision).put(&key, &value);
         match store.commit(&txn).await {
-            Ok(_) => return Ok(format!("version {} is stored\n", site.version)),
-            // Another operator was faster: a version that was expected is gone, any other is read again.
+            Ok(_) => return Ok(site.version),
             Err(StoreError::Conflict { .. }) => {}
             Err(source) => return Err(CtlError::Store { source }),
         }
     }
+    // A version that was expected is gone, and said so above.
     let (before, _) = config(store).await?;
-    Err(CtlError::Version {
-        expected: expect.unwrap_or(0),
-        found: before.map_or(0, |e| e.site.version),
-    })
+    let found = before.map_or(0, |e| e.site.version);
+    Err(CtlError::Version { expected: 0, found })
 }
 
 /// Reads the configuration that is there as a file.
@@ -81,34 +93,22 @@
     Ok(SiteFile::of(&entry.site))
 }
 
-/// Changes the configuration that is there, and puts it as the next version; returns that version. Where another
-/// operator was faster, the change is made to what is there then.
+/// Changes the configuration that is there, and puts it as the next version; returns that version.
 pub(crate) async fn change_file(
     store: &KvStore,
     change: impl Fn(&mut SiteFile) -> Result<(), CtlError>,
 ) -> Result<u64, CtlError> {
-    let key = key_of(&Subject::Config);
-    let mut found = 0;
-    for _ in 0..TRIES {
-        let (before, revision) = config(store).await?;
+    let build = |before: Option<ConfigEntry>| {
         let before = before.ok_or(CtlError::NoConfig)?;
         // Written anew, it would lack what can't be read of it.
         if let Some(source) = before.unknown.into_iter().next() {
             return Err(CtlError::Entry { source });
         }
-        found = before.site.version;
         let mut file = SiteFile::of(&before.site);
         change(&mut file)?;
-        let site = file.build(found + 1).context(UnusableSnafu)?;
-        let value = write_config(&site).context(WriteSnafu)?;
-        let txn = Txn::default().expect(&key, revision).put(&key, &value);
-        match store.commit(&txn).await {
-            Ok(_) => return Ok(site.version),
-            Err(StoreError::Conflict { .. }) => {}
-            Err(source) => return Err(CtlError::Store { source }),
-        }
-    }
-    Err(CtlError::Version { expected: 0, found })
+        file.build(before.site.version + 1).context(UnusableSnafu)
+    };
+    put_next(store, build).await
 }
 
 /// Prints the configuration as a file.
