refactor(router): that a young process may not know all hosts is said in one place

Cause: the same 5 s stood twice, for cold servers and for limits. Change: Router::is_unsure_of_hosts; a comment of Asks named a heartbeat where a reply is meant. Behaviour unchanged.

--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -30,10 +30,6 @@
 /// scheduler may not be reached for good: longer than an election.
 const LEADER_SILENCE_MAX: Millis = Millis(2_500);
 
-/// Time after its start in which a host may not know how many others there are. After a loss of power on all hosts,
-/// parts by the few that it knows would add up to many times what a cold server bears.
-const UNSURE_OF_HOSTS_TIME: Millis = Millis(5_000);
-
 /// Part of what a cold server bears that all hosts together may send it without a scheduler; others may reach one,
 /// which deals out the other half.
 const LONE_COLD_PART: f64 = 0.5;
@@ -111,7 +107,8 @@
     }
     // The scheduler deals out half of what a cold server bears. A host that hears the leader, but got no reply
     // in time, leaves cold servers alone; else all such hosts together would come on top of the scheduler's.
-    if now < UNSURE_OF_HOSTS_TIME || router.peers.borrow().hears_leader(now, LEADER_SILENCE_MAX) {
+    if router.is_unsure_of_hosts(now) || router.peers.borrow().hears_leader(now, LEADER_SILENCE_MAX)
+    {
         return false;
     }
     let bound = router.cold_bound(call.service_name()) * LONE_COLD_PART;
--- a/crates/chicoryrail-router/src/state/asks.rs
+++ b/crates/chicoryrail-router/src/state/asks.rs
@@ -24,7 +24,7 @@
 }
 
 impl Waiting {
-    /// Takes the last heartbeat.
+    /// Takes the last reply.
     pub(crate) fn take(&self) -> Option<SlotReply> {
         self.reply.borrow_mut().take()
     }
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -53,9 +53,12 @@
 /// Time without a relay's reply after which a leaf host counts as cut off from the other hosts.
 const ALONE_AFTER: Millis = Millis(1_500);
 
-/// Hosts that are assumed in the first moments of a process, and how long these last.
+/// Time after its start in which a host may not know how many others there are. After a loss of power on all hosts,
+/// parts by the few that it knows would add up to many times what they share.
+const UNSURE_OF_HOSTS_TIME: Millis = Millis(5_000);
+
+/// Hosts that are assumed in that time.
 const UNKNOWN_HOSTS: usize = 64;
-const KNOWS_HOSTS_AFTER: Millis = Millis(5_000);
 
 /// Time without a request of a leaf host after which it no longer counts as one that follows this host.
 const LEAF_TIMEOUT: Millis = Millis(3_000);
@@ -304,11 +307,15 @@
         }
     }
 
-    /// Returns the number of hosts among which the part of a limit is shared that no scheduler counts. A process that
-    /// started a moment ago may not know yet how many there are.
+    /// Tells whether this process started so short a time ago that it may not know how many hosts there are.
+    pub(crate) fn is_unsure_of_hosts(&self, now: Millis) -> bool {
+        now < UNSURE_OF_HOSTS_TIME
+    }
+
+    /// Returns the number of hosts among which the part of a limit is shared that no scheduler counts.
     pub(crate) fn lone_hosts(&self) -> usize {
         let known = self.peers.borrow().sharing();
-        if self.now() < KNOWS_HOSTS_AFTER {
+        if self.is_unsure_of_hosts(self.now()) {
             return known.max(UNKNOWN_HOSTS);
         }
         known
