test(ctl): an operator before a store stands in one support module

Cause: commands.rs and organisations.rs each started the store, ran commands and wrote files. Change: tests/support has them; the type was called Scheduler. No assertion changed.

--- a/crates/chicoryctl/tests/commands.rs
+++ b/crates/chicoryctl/tests/commands.rs
@@ -1,6 +1,6 @@
 //! Commands of operators against a store.
 
-use std::path::PathBuf;
+mod support;
 
 use chicoryctl::Command;
 use chicoryctl::CtlError;
@@ -11,55 +11,16 @@
 use chicoryrail_core::Member;
 use chicoryrail_core::MemberState;
 use chicoryrail_core::Millis;
-use chicoryrail_platform::KvStore;
 use chicoryrail_platform::Subject;
 use chicoryrail_platform::Txn;
 use chicoryrail_platform::write_member;
-use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::block_on;
-use chicoryrail_testkit::Listener;
-use chicoryrail_testkit::StoreOptions;
-use chicoryrail_testkit::StoreServer;
 use rstest::rstest;
+use support::Operator;
+use support::SITE;
+use support::file;
 
-const SITE: &str = r#"
-[[service]]
-name = "kits"
-keyed = true
-health = "/healthz"
-connections = 120
-
-[[route]]
-name = "lookup"
-host = "shop.example"
-prefix = "/"
-timeout_ms = 800
-aim_ms = 300
-services = [{ name = "kits" }]
-"#;
-
-struct Scheduler {
-    store: KvStore,
-}
-
-impl Scheduler {
-    fn start() -> Self {
-        let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let store = KvStore::new(listener.addr().unwrap());
-        let server = StoreServer::new(StoreOptions::default());
-        monoio::spawn(server.serve(listener, CancellationToken::new()));
-        Self { store }
-    }
-
-    async fn run(&self, command: Command) -> Result<String, CtlError> {
-        let settings = Settings {
-            store: Some(self.store.addr()),
-            json: false,
-            command,
-        };
-        execute(&settings).await
-    }
-
+impl Operator {
     async fn put(&self, subject: &Subject, value: &[u8]) {
         let txn = Txn::default().put(&subject.key().unwrap(), value);
         self.store.commit(&txn).await.unwrap();
@@ -80,16 +41,10 @@
     }
 }
 
-fn file(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("ctl-{name}-{}.toml", std::process::id()));
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
 #[test]
 fn a_configuration_is_put_under_the_next_version_and_shown() {
     block_on(async {
-        let desk = Scheduler::start();
+        let desk = Operator::start();
         let put = |expect| Command::Put {
             file: file("put", SITE),
             expect,
@@ -108,7 +63,7 @@
 #[test]
 fn a_change_of_an_older_version_is_refused() {
     block_on(async {
-        let desk = Scheduler::start();
+        let desk = Operator::start();
         let put = |expect| Command::Put {
             file: file("race", SITE),
             expect,
@@ -124,7 +79,7 @@
 #[test]
 fn a_data_centre_is_taken_out_and_brought_back() {
     block_on(async {
-        let desk = Scheduler::start();
+        let desk = Operator::start();
         desk.server("i-1", "west", 4).await;
         desk.server("i-2", "east", 2).await;
         let out = |dc: &str, force| Command::Out {
@@ -149,7 +104,7 @@
 #[test]
 fn status_and_owner_tell_what_the_store_holds() {
     block_on(async {
-        let desk = Scheduler::start();
+        let desk = Operator::start();
         let file = file("status", SITE);
         desk.run(Command::Put { file, expect: None }).await.unwrap();
         desk.server("i-1", "west", 4).await;
--- a/crates/chicoryctl/tests/organisations.rs
+++ b/crates/chicoryctl/tests/organisations.rs
@@ -1,6 +1,6 @@
 //! Commands on organisations against a store, and what they show of keys.
 
-use std::path::PathBuf;
+mod support;
 
 use chicoryctl::Command;
 use chicoryctl::CtlError;
@@ -8,37 +8,15 @@
 use chicoryctl::Settings;
 use chicoryctl::execute;
 use chicoryctl::settings;
-use chicoryrail_platform::KvStore;
 use chicoryrail_platform::read_config;
-use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::block_on;
-use chicoryrail_testkit::Listener;
-use chicoryrail_testkit::StoreOptions;
-use chicoryrail_testkit::StoreServer;
-
-const SITE: &str = r#"
-[[service]]
-name = "kits"
-health = "/healthz"
-connections = 120
-
-[[route]]
-name = "lookup"
-host = "shop.example"
-prefix = "/"
-timeout_ms = 800
-aim_ms = 300
-services = [{ name = "kits" }]
-"#;
-
-struct Operator(KvStore);
+use support::Operator;
+use support::SITE;
+use support::file;
 
 impl Operator {
-    async fn start(name: &str) -> Self {
-        let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let operator = Self(KvStore::new(listener.addr().unwrap()));
-        let server = StoreServer::new(StoreOptions::default());
-        monoio::spawn(server.serve(listener, CancellationToken::new()));
+    async fn with_site(name: &str) -> Self {
+        let operator = Self::start();
         let put = Command::Put {
             file: file(name, SITE),
             expect: None,
@@ -47,15 +25,6 @@
         operator
     }
 
-    async fn run(&self, command: Command) -> Result<String, CtlError> {
-        let settings = Settings {
-            store: Some(self.0.addr()),
-            json: false,
-            command,
-        };
-        execute(&settings).await
-    }
-
     async fn does(&self, command: OrganisationCommand) -> Result<String, CtlError> {
         self.run(Command::Organisation(command)).await
     }
@@ -71,16 +40,10 @@
     }
 }
 
-fn file(name: &str, text: &str) -> PathBuf {
-    let path = std::env::temp_dir().join(format!("ctl-org-{name}-{}.toml", std::process::id()));
-    std::fs::write(&path, text).unwrap();
-    path
-}
-
 #[test]
 fn an_organisation_gets_a_key_and_loses_it() {
     block_on(async {
-        let operator = Operator::start("key").await;
+        let operator = Operator::with_site("org-key").await;
         operator.add("school").await.unwrap();
         let name = || "school".into();
         let shown = operator.does(OrganisationCommand::NewKey { name: name() });
@@ -97,7 +60,7 @@
             name: name(),
         };
         operator.does(limit).await.unwrap();
-        let item = operator.0.item("op/config").await.unwrap().unwrap();
+        let item = operator.store.item("op/config").await.unwrap().unwrap();
         let site = read_config(&item.value).unwrap().site;
         let school = site.organisation(&name()).unwrap();
         assert_eq!(school.keys[0].expose(), key.as_bytes());
@@ -120,7 +83,7 @@
 #[test]
 fn what_can_not_be_done_is_said() {
     block_on(async {
-        let operator = Operator::start("errors").await;
+        let operator = Operator::with_site("org-errors").await;
         operator.add("school").await.unwrap();
         let twice = operator.add("school").await.unwrap_err().to_string();
         assert_eq!(twice, "an organisation is called school already");
@@ -150,7 +113,7 @@
     ] {
         let text = format!("{SITE}[[organisation]]\nname = \"school\"\n{bad}\n");
         let check = Command::Check {
-            file: file("bad", &text),
+            file: file("org-bad", &text),
         };
         let settings = Settings {
             store: None,
