--- a/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -36,6 +36,9 @@
 /// Pause after a reply, in which more news comes together, or after a failure.
 const POLL_PAUSE: Millis = Millis(60);
 
+/// Size of a reply from which on it is logged: it tells how long the link was taken.
+const LARGE_REPLY_BYTES: usize = 64 << 10;
+
 /// Time between two tries of a leaf host that watches the store because it found no relay.
 const RELAY_RETRY_INTERVAL: Millis = Millis(1_000);
 
@@ -105,8 +108,14 @@
     });
     let request = Request::post(RELAY_PATH).body(Bytes::from(bytes));
     let request = request.expect("a fixed path is a valid request");
+    let sent = router.now();
     let answer = client.call(addr, request, POLL_MAX + REPLY_SLACK).await;
     let answer = answer.context(CallSnafu)?;
+    let bytes = answer.body().len();
+    if bytes >= LARGE_REPLY_BYTES {
+        let took = router.now().since(sent);
+        log::info!(relay:% = addr, bytes = bytes, took_ms = took.0; "relay_reply_large");
+    }
     decode(answer.body()).context(DecodeSnafu)
 }
 
--- a/crates/chicoryrail-runtime/src/body.rs
+++ b/crates/chicoryrail-runtime/src/body.rs
@@ -29,6 +29,19 @@
 ///
 /// Returns `InvalidData` for a longer body, and the transport's error for one that is cut.
 pub async fn collect<B>(body: B, limit: usize) -> io::Result<Bytes>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    collect_pieces(body, limit, |_| {}).await
+}
+
+/// Collects a body as [`collect`] does, and tells `arrived` of each piece.
+pub(crate) async fn collect_pieces<B>(
+    body: B,
+    limit: usize,
+    arrived: impl Fn(&Bytes),
+) -> io::Result<Bytes>
 where
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -38,6 +51,7 @@
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(io::Error::other)?;
         if let Ok(data) = frame.into_data() {
+            arrived(&data);
             if all.len() + data.len() > limit {
                 let text = format!("body is longer than {limit} bytes");
                 return Err(io::Error::new(io::ErrorKind::InvalidData, text));
--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -1,5 +1,6 @@
 //! A small HTTP/1.1 client for the platform, targets' control and tools.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
@@ -13,7 +14,7 @@
 use snafu::Snafu;
 
 use crate::ServerConn;
-use crate::collect;
+use crate::body::collect_pieces;
 use crate::full;
 
 /// Idle connections kept for each address. Control calls rarely overlap; more would count against
@@ -48,10 +49,12 @@
         source: io::Error,
     },
     /// No whole answer came in time.
-    #[snafu(display("no answer from {addr} in time"))]
+    #[snafu(display("no whole answer from {addr} in time, {received} bytes came"))]
     Timeout {
         /// Address called.
         addr: SocketAddr,
+        /// Bytes of the answer's body that came.
+        received: usize,
     },
 }
 
@@ -95,13 +98,16 @@
         request: http::Request<Bytes>,
         limit: Millis,
     ) -> Result<http::Response<Bytes>, HttpError> {
-        match timeout(limit.duration(), self.exchange(addr, request)).await {
+        let received = Cell::new(0);
+        let exchange = self.exchange(addr, request, &received);
+        match timeout(limit.duration(), exchange).await {
             Ok(result) => result,
             Err(_) => {
                 // A connection that went silent for good looks idle; the others to the same address
                 // may have gone silent with it, and each would cost one more call its time.
                 self.idle.borrow_mut().remove(&addr);
-                Err(HttpError::Timeout { addr })
+                let received = received.get();
+                Err(HttpError::Timeout { addr, received })
             }
         }
     }
@@ -110,6 +116,7 @@
         &self,
         addr: SocketAddr,
         request: http::Request<Bytes>,
+        received: &Cell<usize>,
     ) -> Result<http::Response<Bytes>, HttpError> {
         let (mut head, body) = request.into_parts();
         if !head.headers.contains_key(http::header::HOST) {
@@ -127,7 +134,8 @@
             .await
             .context(CallSnafu { addr })?;
         let (head, body) = answer.into_parts();
-        let body = collect(body, self.limit)
+        let count = |piece: &Bytes| received.set(received.get() + piece.len());
+        let body = collect_pieces(body, self.limit, count)
             .await
             .context(AnswerSnafu { addr })?;
         // A connection that the other side closes after this answer still looks ready until its
