--- /dev/null
+++ b/crates/chicoryrail-router/tests/slow_links.rs
@@ -0,0 +1,84 @@
+//! Hosts on slow links: what they hear from the store and from others takes longer than a call to a near host.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use chicoryrail_ownership::CoreHost;
+use chicoryrail_ownership::store_key::host_key;
+use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::Link;
+use chicoryrail_testkit::LinkFault;
+use chicoryrail_testkit::Net;
+use support::RouterProcess;
+use support::World;
+use support::wait_until;
+
+/// Bytes a second of a slow link.
+const SLOW_LINK: u64 = 250_000;
+
+/// Routes of a configuration that takes over a second on it.
+const MANY_ROUTES: usize = 2_000;
+
+fn slow_link(net: &mut Net, to: SocketAddr) -> Link {
+    let link = net.link_anywhere("slow", to).unwrap();
+    link.set(LinkFault {
+        drip: Some(SLOW_LINK),
+        ..LinkFault::default()
+    });
+    link
+}
+
+async fn serves(router: &RouterProcess) {
+    wait_until("the configuration is in force", async || {
+        let answer = router.caller().get("/read/1").await;
+        answer.is_ok_and(|a| a.status() == 200)
+    })
+    .await;
+}
+
+/// A host that watches the store is served an older configuration for good, and takes the store for lost.
+#[test]
+fn a_large_configuration_comes_from_the_store_over_a_slow_link() {
+    block_on(async {
+        let world = World::start("slow-store").await;
+        world.configure_large(MANY_ROUTES).await;
+        world.server("i-1", "desk").await;
+        let mut net = Net::start(1);
+        let link = slow_link(&mut net, world.store_addr());
+        let host = world.spawn_weak_at("a", link.addr());
+        serves(&host).await;
+        assert!(!host.log().contains("log=store_lost"), "{}", host.log());
+    });
+}
+
+/// A weak host gives up each relay before the reply is in, and asks the next one for everything again.
+#[test]
+fn a_large_configuration_comes_from_a_relay_over_a_slow_link() {
+    block_on(async {
+        let world = World::start("slow-relay").await;
+        world.configure_large(MANY_ROUTES).await;
+        world.server("i-1", "desk").await;
+        let mut core = Vec::new();
+        for name in ["a", "b", "c"] {
+            core.push(world.router(name).await);
+        }
+        // Another store, which lists the core hosts by their slow links and has no configuration.
+        let lists = World::start("slow-relay-list").await;
+        let mut net = Net::start(1);
+        for (name, host) in ["a", "b", "c"].into_iter().zip(&core) {
+            let listed = CoreHost {
+                addr: slow_link(&mut net, host.talk).addr(),
+                power: 500,
+            };
+            lists
+                .put_own(&host_key(&name.into()), &listed.to_value())
+                .await;
+        }
+        let leaf = world.spawn_weak_at("leaf", lists.store_addr());
+        serves(&leaf).await;
+        let log = leaf.log();
+        assert!(!log.contains("log=relay_failed"), "{log}");
+        assert!(!log.contains("source=Store"), "{log}");
+    });
+}
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -14,6 +14,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_platform::BOOT_VARIABLE;
 use chicoryrail_platform::KvStore;
+use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::Txn;
 use chicoryrail_platform::call_header;
 use chicoryrail_runtime::CancellationToken;
@@ -39,6 +40,9 @@
 /// Longest time for what a test waits for.
 const LIMIT: Millis = Millis(10_000);
 
+/// Part of a core of a host that follows others.
+const WEAK_CORE: &str = "0.05";
+
 /// Waits until `done`, looking every few milliseconds.
 pub async fn wait_until(what: &str, mut done: impl AsyncFnMut() -> bool) {
     for _ in 0..LIMIT.0 / 10 {
@@ -83,6 +87,24 @@
         self.put("op/config", &self.next_config()).await;
     }
 
+    /// Puts a configuration with so many routes more, which nobody asks for.
+    pub async fn configure_large(&self, routes: usize) {
+        let mut config = self.next_config();
+        let more = (0..routes).map(|i| {
+            json!({"name": format!("unused-{i}"), "prefix": format!("/unused/{:016x}/", i * 0x9e37_79b9),
+                   "type": "safe", "timeout_ms": 1500, "target_latency_ms": 300, "priority": 1,
+                   "attempts": 2, "service": "desk"})
+        });
+        let paths = &mut config["virtual_hosts"][0]["paths"];
+        paths.as_array_mut().unwrap().extend(more);
+        self.put("op/config", &config).await;
+    }
+
+    /// Returns the address of the store.
+    pub fn store_addr(&self) -> SocketAddr {
+        self.store_addr
+    }
+
     /// Returns the next version of the configuration.
     pub fn next_config(&self) -> Value {
         let version = self.version.get() + 3;
@@ -116,6 +138,13 @@
             .unwrap();
     }
 
+    /// Puts a value of the system's own.
+    pub async fn put_own(&self, key: &str, value: &str) {
+        let key = format!("{OWN_PREFIX}{key}");
+        let txn = Txn::default().put(&key, value.as_bytes());
+        self.store.commit(&txn).await.unwrap();
+    }
+
     pub async fn remove(&self, key: &str) {
         self.store
             .commit(&Txn::default().remove(key))
@@ -186,13 +215,22 @@
 
     /// Starts a router process on a host with a small part of a core, and waits until it takes callers.
     pub async fn weak_router(&self, name: &str) -> RouterProcess {
-        let router = self.spawn_on(name, "0.05");
+        let router = self.spawn_on(name, WEAK_CORE);
         wait_until("the router is ready", async || router.is_ready().await).await;
         router
     }
 
+    /// Starts a router process on a host with a small part of a core, which reaches the store at `store`.
+    pub fn spawn_weak_at(&self, name: &str, store: SocketAddr) -> RouterProcess {
+        self.spawn_at(name, WEAK_CORE, store)
+    }
+
     /// Starts a router process on a host with a part of a core.
     fn spawn_on(&self, name: &str, core: &str) -> RouterProcess {
+        self.spawn_at(name, core, self.store_addr)
+    }
+
+    fn spawn_at(&self, name: &str, core: &str, store: SocketAddr) -> RouterProcess {
         let [callers, readiness, talk] = [(); 3].map(|()| free_port().unwrap());
         let boot = self.dir.join(format!("{name}.toml"));
         let text = include_str!("boot.toml")
@@ -202,7 +240,7 @@
             .replace("READINESS", &readiness.to_string())
             .replace("TALK", &talk.port().to_string())
             .replace("HOST", &talk.ip().to_string())
-            .replace("STORE", &self.store_addr.to_string());
+            .replace("STORE", &store.to_string());
         std::fs::write(&boot, text).unwrap();
         let log = std::fs::File::create(self.dir.join(format!("{name}.log"))).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_chicoryrail-router"))
