fix(router): an answer that is arriving is waited for, however long it is

Cause: a reply of a relay had 0.75 s from the question to its last byte, an answer of the store 0.5 s. A configuration of 600 KB takes longer on 10 Mbit/s. The host gave the reply up, asked the next relay for everything again, then the store, which it took for lost; what was thrown away filled its link: 0.9 to 1.2 MB in each second for ten seconds, at 1 % of its processor. Class: a bound on a whole transfer whose size grows with the deployment.

--- a/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -7,6 +7,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::HostState;
 use chicoryrail_platform::FeedNews;
+use chicoryrail_runtime::AnswerWait;
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
 use http::Request;
@@ -30,7 +31,7 @@
 use crate::talk::encode;
 
 /// Time beyond the wait of a reply after which a relay counts as lost: a busy host of a tenth of a core replies within
-/// it. A lost watcher and then a lost relay are found in time for a server's leave to be known everywhere within 2 s.
+/// it, and a reply that is on its way goes on arriving within it. A lost watcher and then a lost relay are found in time for a server's leave to be known everywhere within 2 s.
 const REPLY_SLACK: Millis = Millis(350);
 
 /// Pause after a reply, in which more news comes together, or after a failure.
@@ -109,7 +110,15 @@
     let request = Request::post(RELAY_PATH).body(Bytes::from(bytes));
     let request = request.expect("a fixed path is a valid request");
     let sent = router.now();
-    let answer = client.call(addr, request, POLL_MAX + REPLY_SLACK).await;
+    let wait = AnswerWait {
+        first: POLL_MAX + REPLY_SLACK,
+        further: REPLY_SLACK,
+    };
+    // A relay whose reply is arriving has replied: a leaf host must not turn to the store for it.
+    let arrived = || router.source.replied.set(router.now());
+    let answer = client
+        .call_while_arriving(addr, request, wait, arrived)
+        .await;
     let answer = answer.context(CallSnafu)?;
     let bytes = answer.body().len();
     if bytes >= LARGE_REPLY_BYTES {
--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -58,6 +59,15 @@
     },
 }
 
+/// How long a call waits for an answer of any length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerWait {
+    /// Longest wait for its first piece.
+    pub first: Millis,
+    /// Longest wait for each further piece.
+    pub further: Millis,
+}
+
 type Idle = HashMap<SocketAddr, Vec<ServerConn>>;
 
 /// A client that keeps idle connections; clones share them.
@@ -87,7 +97,7 @@
         self
     }
 
-    /// Sends a request and returns the whole answer.
+    /// Sends a request and returns the whole answer, which must be in within `limit`.
     ///
     /// # Errors
     ///
@@ -102,16 +112,48 @@
         let exchange = self.exchange(addr, request, &received);
         match timeout(limit.duration(), exchange).await {
             Ok(result) => result,
-            Err(_) => {
-                // A connection that went silent for good looks idle; the others to the same address
-                // may have gone silent with it, and each would cost one more call its time.
-                self.idle.borrow_mut().remove(&addr);
-                let received = received.get();
-                Err(HttpError::Timeout { addr, received })
+            Err(_) => Err(self.gave_up(addr, received.get())),
+        }
+    }
+
+    /// Sends a request and returns the whole answer, which may take any time while more of it arrives.
+    ///
+    /// A bound on the whole would have to know the size of the answer and the speed of the link: given up on a slow
+    /// link and asked for again, a long answer never gets through and fills the link with what is thrown away.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`HttpError`] where a wait ended without a further piece of the answer.
+    pub async fn call_while_arriving(
+        &self,
+        addr: SocketAddr,
+        request: http::Request<Bytes>,
+        wait: AnswerWait,
+        arrived: impl Fn(),
+    ) -> Result<http::Response<Bytes>, HttpError> {
+        let received = Cell::new(0);
+        let mut exchange = pin!(self.exchange(addr, request, &received));
+        let mut limit = wait.first;
+        loop {
+            let before = received.get();
+            if let Ok(result) = timeout(limit.duration(), &mut exchange).await {
+                return result;
+            }
+            if received.get() == before {
+                return Err(self.gave_up(addr, before));
             }
+            arrived();
+            limit = wait.further;
         }
     }
 
+    fn gave_up(&self, addr: SocketAddr, received: usize) -> HttpError {
+        // A connection that went silent for good looks idle; the others to the same address
+        // may have gone silent with it, and each would cost one more call its time.
+        self.idle.borrow_mut().remove(&addr);
+        HttpError::Timeout { addr, received }
+    }
+
     async fn exchange(
         &self,
         addr: SocketAddr,
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -51,6 +51,7 @@
 pub use callers::serve_http_shared;
 pub use clock::Clock;
 pub use end_to_end::end_to_end;
+pub use http_client::AnswerWait;
 pub use http_client::HttpClient;
 pub use http_client::HttpError;
 pub use http_client::says_close;
