fix(ctl): a large configuration is put over a slow link

The same cause at the operators' tool: the whole call had 0.5 s, the sending included, and the operator was told that the store does not answer though the value might be stored. chicoryctl gives its calls 10 s. Test: a_large_configuration_is_put_over_a_slow_link, 'in time, 0 bytes came' before.

--- a/crates/chicoryctl/src/run.rs
+++ b/crates/chicoryctl/src/run.rs
@@ -3,6 +3,7 @@
 use std::io::Write as _;
 use std::process::ExitCode;
 
+use chicoryrail_core::Millis;
 use chicoryrail_platform::KvStore;
 use chicoryrail_runtime::block_on;
 use chicoryrail_runtime::from_args;
@@ -16,6 +17,9 @@
 use crate::status;
 use crate::status::Status;
 
+/// Longest time that a call to the store may take: an operator waits rather than try again over a slow link.
+const STORE_CALL_LIMIT: Millis = Millis(10_000);
+
 /// Runs the command of the process's arguments; the entry point of the binary.
 #[must_use]
 pub fn main() -> ExitCode {
@@ -45,7 +49,7 @@
     let json = settings.json;
     let store = match (&settings.command, settings.store) {
         (Command::Check { file }, _) => return change::check(file),
-        (_, Some(addr)) => KvStore::new(addr),
+        (_, Some(addr)) => KvStore::new(addr).with_call_limit(STORE_CALL_LIMIT),
         (_, None) => unreachable!("the parser asks for the store"),
     };
     match &settings.command {
--- a/crates/chicoryctl/tests/commands.rs
+++ b/crates/chicoryctl/tests/commands.rs
@@ -15,6 +15,8 @@
 use chicoryrail_platform::Txn;
 use chicoryrail_platform::write_member;
 use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::LinkFault;
+use chicoryrail_testkit::Net;
 use rstest::rstest;
 use support::Operator;
 use support::SITE;
@@ -41,6 +43,36 @@
     }
 }
 
+/// A large configuration is given up on its way over a slow link, and whether it was stored is not known.
+#[test]
+fn a_large_configuration_is_put_over_a_slow_link() {
+    block_on(async {
+        let mut net = Net::start(1);
+        let desk = Operator::start();
+        let link = net.link_anywhere("slow", desk.store.addr()).unwrap();
+        link.set(LinkFault {
+            drip: Some(250_000),
+            ..LinkFault::default()
+        });
+        let route = |i: usize| {
+            format!(
+                "[[route]]\nname = \"more-{i}\"\nhost = \"shop.example\"\nprefix = \"/more-{i}/\"\n\
+                 timeout_ms = 800\naim_ms = 300\nservices = [{{ name = \"kits\" }}]\n"
+            )
+        };
+        let routes: String = (0..2_000).map(route).collect();
+        let put = Settings {
+            store: Some(link.addr()),
+            json: false,
+            command: Command::Put {
+                file: file("put-large", &format!("{SITE}{routes}")),
+                expect: None,
+            },
+        };
+        assert_eq!(execute(&put).await.unwrap(), "version 1 is stored\n");
+    });
+}
+
 #[test]
 fn a_configuration_is_put_under_the_next_version_and_shown() {
     block_on(async {
