perf(router): relays compress long replies

What callers saw: for 0.9 s after each version of a configuration of 4,200 routes (617 KB), up to 2.1 s, hosts on 10 Mbit/s were served the older one, and downloads shared the link with it. Change: a host that follows another accepts lz4, and the relay compresses replies of 2 KiB and more, named by the header Content-Encoding; a host that does not ask for it gets them as before, so hosts of both versions can run beside each other. What a reply claims to hold is bounded before memory is taken for it.

Test: slow_links.rs asserts that the links carry less than a third of the configuration; its link to relays is ten times slower so that the reply still takes longer than the bound of before.

--- a/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -11,6 +11,8 @@
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
 use http::Request;
+use http::header::ACCEPT_ENCODING;
+use http::header::CONTENT_ENCODING;
 use monoio::time::timeout;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -24,10 +26,13 @@
 use crate::state::Router;
 use crate::state::Source;
 use crate::talk::ConfigAge;
+use crate::talk::DecompressionError;
+use crate::talk::ENCODING;
 use crate::talk::KeyFence;
 use crate::talk::RelayReply;
 use crate::talk::RelayRequest;
 use crate::talk::decode;
+use crate::talk::decompress;
 use crate::talk::encode;
 
 /// Time beyond the wait of a reply after which a relay counts as lost: a busy host of a tenth of a core replies within
@@ -49,6 +54,9 @@
     /// The call failed.
     #[snafu(display("{source}"))]
     Call { source: HttpError },
+    /// The reply can't be decompressed.
+    #[snafu(display("reply can't be decompressed: {source}"))]
+    Decompress { source: DecompressionError },
     /// The reply can't be read.
     #[snafu(display("reply can't be read: {source}"))]
     Decode { source: bincode::error::DecodeError },
@@ -107,8 +115,9 @@
         log::error!(error:% = e; "relay_request_unwritable");
         Vec::new()
     });
-    let request = Request::post(RELAY_PATH).body(Bytes::from(bytes));
-    let request = request.expect("a fixed path is a valid request");
+    let request = Request::post(RELAY_PATH).header(ACCEPT_ENCODING, ENCODING);
+    let request = request.body(Bytes::from(bytes));
+    let request = request.expect("a fixed path and header are a valid request");
     let sent = router.now();
     let wait = AnswerWait {
         first: POLL_MAX + REPLY_SLACK,
@@ -125,6 +134,11 @@
         let took = router.now().since(sent);
         log::info!(relay:% = addr, bytes = bytes, took_ms = took.0; "relay_reply_large");
     }
+    let encoding = answer.headers().get(CONTENT_ENCODING);
+    if encoding.is_some_and(|e| e == ENCODING) {
+        let message = decompress(answer.body()).context(DecompressSnafu)?;
+        return decode(&message).context(DecodeSnafu);
+    }
     decode(answer.body()).context(DecodeSnafu)
 }
 
--- a/crates/chicoryrail-router/src/control/config_feed/relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay.rs
@@ -11,17 +11,22 @@
 use chicoryrail_runtime::collect;
 use chicoryrail_runtime::error_answer;
 use chicoryrail_runtime::full;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::header::ACCEPT_ENCODING;
+use http::header::CONTENT_ENCODING;
 use monoio::time::timeout;
 
 use crate::state::Router;
 use crate::talk::ConfigAge;
 use crate::talk::CoreState;
+use crate::talk::ENCODING;
 use crate::talk::KeyMap;
 use crate::talk::KeyRanges;
 use crate::talk::RelayReply;
 use crate::talk::RelayRequest;
+use crate::talk::compress;
 use crate::talk::decode;
 use crate::talk::encode;
 
@@ -39,6 +44,8 @@
     if request.uri().path() != RELAY_PATH {
         return error_answer(404, "no such page");
     }
+    let accepted = request.headers().get(ACCEPT_ENCODING);
+    let compressed = accepted.is_some_and(|e| e == ENCODING);
     let Ok(body) = collect(request.into_body(), REQUEST_BYTES_MAX).await else {
         return error_answer(400, "the request was cut or is too long");
     };
@@ -60,6 +67,7 @@
         let _ = timeout(left.duration(), router.news.after(seen)).await;
     }
     match encode(&reply(&router, &asked, received)) {
+        Ok(bytes) if compressed => compressed_answer(bytes),
         Ok(bytes) => Response::new(full(bytes)),
         Err(e) => {
             log::error!(error:% = e; "relay_unwritable");
@@ -68,6 +76,17 @@
     }
 }
 
+/// Returns a reply that takes as little of a slow link as it can.
+fn compressed_answer(bytes: Vec<u8>) -> Response<Body> {
+    let Some(short) = compress(&bytes) else {
+        return Response::new(full(bytes));
+    };
+    let mut answer = Response::new(full(short));
+    let encoding = HeaderValue::from_static(ENCODING);
+    answer.headers_mut().insert(CONTENT_ENCODING, encoding);
+    answer
+}
+
 /// Tells whether there is anything that a host must hear at once.
 fn has_news(router: &Router, asked: &RelayRequest) -> bool {
     let logs = router.feed_logs.borrow();
--- a/crates/chicoryrail-router/src/talk/codec.rs
+++ b/crates/chicoryrail-router/src/talk/codec.rs
@@ -8,7 +8,7 @@
 
 /// Bytes that a message may take in memory. A list may claim any length in a few bytes: taken at that, a process would
 /// ask for all memory and die. Far above what the largest installation holds of servers.
-const MESSAGE_MEMORY_MAX: usize = 32 << 20;
+pub(super) const MESSAGE_MEMORY_MAX: usize = 32 << 20;
 
 /// Writes a message.
 ///
--- a/crates/chicoryrail-router/src/talk/mod.rs
+++ b/crates/chicoryrail-router/src/talk/mod.rs
@@ -4,6 +4,7 @@
 //! by the next, or by its sender's time limit.
 
 mod codec;
+mod compression;
 mod packet;
 mod part;
 mod quota_message;
@@ -12,6 +13,10 @@
 
 pub(crate) use codec::decode;
 pub(crate) use codec::encode;
+pub(crate) use compression::DecompressionError;
+pub(crate) use compression::ENCODING;
+pub(crate) use compression::compress;
+pub(crate) use compression::decompress;
 pub(crate) use packet::Heartbeat;
 pub(crate) use packet::KeyDemand;
 pub(crate) use packet::KeyRanges;
--- a/crates/chicoryrail-router/tests/slow_links.rs
+++ b/crates/chicoryrail-router/tests/slow_links.rs
@@ -14,16 +14,18 @@
 use support::World;
 use support::wait_until;
 
-/// Bytes a second of a slow link.
-const SLOW_LINK: u64 = 250_000;
+/// Bytes a second of a link on which a large configuration takes over a second, as the store sends it, and as a relay
+/// does.
+const STORE_LINK: u64 = 250_000;
+const RELAY_LINK: u64 = 25_000;
 
-/// Routes of a configuration that takes over a second on it.
+/// Routes of a large configuration.
 const MANY_ROUTES: usize = 2_000;
 
-fn slow_link(net: &mut Net, to: SocketAddr) -> Link {
+fn slow_link(net: &mut Net, to: SocketAddr, rate: u64) -> Link {
     let link = net.link_anywhere("slow", to).unwrap();
     link.set(LinkFault {
-        drip: Some(SLOW_LINK),
+        drip: Some(rate),
         ..LinkFault::default()
     });
     link
@@ -45,7 +47,7 @@
         world.configure_large(MANY_ROUTES).await;
         world.server("i-1", "desk").await;
         let mut net = Net::start(1);
-        let link = slow_link(&mut net, world.store_addr());
+        let link = slow_link(&mut net, world.store_addr(), STORE_LINK);
         let host = world.spawn_weak_at("a", link.addr());
         serves(&host).await;
         assert!(!host.log().contains("log=store_lost"), "{}", host.log());
@@ -66,11 +68,14 @@
         // Another store, which lists the core hosts by their slow links and has no configuration.
         let lists = World::start("slow-relay-list").await;
         let mut net = Net::start(1);
+        let mut links = Vec::new();
         for (name, host) in ["a", "b", "c"].into_iter().zip(&core) {
+            let link = slow_link(&mut net, host.talk, RELAY_LINK);
             let listed = CoreHost {
-                addr: slow_link(&mut net, host.talk).addr(),
+                addr: link.addr(),
                 power: 500,
             };
+            links.push(link);
             lists
                 .put_own(&host_key(&name.into()), &listed.to_value())
                 .await;
@@ -80,5 +85,9 @@
         let log = leaf.log();
         assert!(!log.contains("log=relay_failed"), "{log}");
         assert!(!log.contains("source=Store"), "{log}");
+        let carried: u64 = links.iter().map(|l| l.stats().down).sum();
+        let config = world.store.item("op/config").await.unwrap().unwrap();
+        let size = config.value.len() as u64;
+        assert!(carried < size / 3, "{carried} bytes for {size}");
     });
 }
