feat(router): the rate that a server names is read and logged

Each answer's value is read now and server_limit logged where it changes; nothing decides by it yet. Answers without it lift the limit, but not for half a second after it was named, since answers of one server overtake each other.

--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -8,6 +8,7 @@
 use chicoryrail_platform::call_header;
 use chicoryrail_policy::Failure;
 use chicoryrail_policy::LoadReport;
+use chicoryrail_policy::RateNotice;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
@@ -198,6 +199,7 @@
         drain(body, flight).await;
         return Sent::NotRun(NotRun::Misdirected);
     }
+    hear_limit(router, &flight, &head.headers);
     if head.headers.contains_key(call_header::NOT_RUN) {
         drain(body, flight).await;
         return Sent::NotRun(NotRun::Refused);
@@ -248,6 +250,21 @@
     }
 }
 
+/// Takes in what a server says of the rate that it takes. Only an answer of a run tells that there is no limit.
+fn hear_limit(router: &Router, flight: &Flight, headers: &HeaderMap) {
+    let target = &flight.target;
+    let value = call_header::text(headers, &call_header::RATE_LIMIT);
+    if value.is_none() && !headers.contains_key(call_header::STAMP) {
+        return;
+    }
+    match RateNotice::parse(value) {
+        Ok(notice) => target.hear_limit(router.now(), notice),
+        Err(value) => {
+            log::warn!(server:% = target.life, value = value; "server_limit_unreadable");
+        }
+    }
+}
+
 fn request(call: &Call, target: &Target, body: &Rc<RequestBody>, now: Millis) -> Request<Body> {
     let mut request = Request::new(body.body());
     *request.method_mut() = call.method.clone();
--- a/crates/chicoryrail-router/src/state/believe.rs
+++ b/crates/chicoryrail-router/src/state/believe.rs
@@ -143,6 +143,7 @@
                     pool: ServerPool::default(),
                     cold: RefCell::default(),
                     cold_until: Cell::default(),
+                    limit: Cell::default(),
                     slots: Cell::new(member.slots),
                     intake: Cell::new(Intake::Closed),
                     ours: Cell::new(None),
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -8,7 +8,9 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_policy::ColdPace;
+use chicoryrail_policy::RateNotice;
 use chicoryrail_policy::ServerId;
+use chicoryrail_policy::ServerLimit;
 use chicoryrail_runtime::ServerPool;
 use http::HeaderValue;
 
@@ -42,6 +44,8 @@
     pub(crate) cold: RefCell<ColdPace>,
     /// When the server is warm, as far as is known.
     pub(crate) cold_until: Cell<Millis>,
+    /// The rate of requests that the server takes, as its answers said.
+    pub(crate) limit: Cell<ServerLimit>,
     /// Requests that the server works on at a time.
     pub(crate) slots: Cell<u32>,
     pub(crate) intake: Cell<Intake>,
@@ -69,6 +73,16 @@
         now < self.cold_until.get()
     }
 
+    /// Takes in what an answer said of the rate that the server takes, and logs where that is news.
+    pub(crate) fn hear_limit(&self, now: Millis, notice: RateNotice) {
+        let mut limit = self.limit.get();
+        if limit.heard(now, notice) {
+            log::info!(server:% = self.life, from:? = self.limit.get().rate(), to:? = limit.rate();
+                "server_limit");
+        }
+        self.limit.set(limit);
+    }
+
     /// Takes in how much longer the server stays cold.
     pub(crate) fn cold_for(&self, now: Millis, left: Millis) {
         if left > Millis::ZERO {
