--- /dev/null
+++ b/crates/chicoryrail-router/tests/limited_servers.rs
@@ -0,0 +1,132 @@
+//! Servers whose answers name how many requests a second they take.
+
+mod support;
+
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::Clock;
+use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::TargetFault;
+use futures_util::future::join_all;
+use support::RouterProcess;
+use support::Server;
+use support::World;
+use support::wait_until;
+
+/// Requests a second that a server in need names.
+const RATE: f64 = 3.0;
+
+/// Time after a server first named its limit from which on it is kept.
+const SETTLE: Millis = Millis(3_000);
+
+/// Time over which the server's requests are counted, and how many it may get in it.
+const WINDOW_US: u64 = 4_000_000;
+const ALLOWED: usize = (1.5 * 4.0 * RATE) as usize + 5;
+
+/// Time between two requests of one host's callers.
+const PAUSE: Millis = Millis(100);
+
+fn name_limit(server: &Server, length: Millis) {
+    server.fault(TargetFault::NameLimit {
+        for_ms: length.0,
+        rate: RATE,
+    });
+}
+
+/// Returns the most requests that a server got in any window after `from` of its runs.
+fn most_in_window(server: &Server, from: usize) -> usize {
+    let runs = server.ledger().runs;
+    let starts: Vec<u64> = runs.iter().skip(from).map(|r| r.start).collect();
+    let within = |at: &u64| {
+        let end = at + WINDOW_US;
+        starts.iter().filter(|s| (*at..end).contains(s)).count()
+    };
+    starts.iter().map(within).max().unwrap_or_default()
+}
+
+/// Asks for keys one after the other for a time; returns how many were served.
+async fn press(router: &RouterProcess, length: Millis) -> usize {
+    let clock = Clock::start();
+    let mut served = 0;
+    let mut key = 0;
+    while clock.now() < length {
+        key = (key + 4_099) % 65_536;
+        let answer = router.caller().key(key as u16).await.unwrap();
+        served += usize::from(answer.status() == 200);
+        monoio::time::sleep(PAUSE.duration()).await;
+    }
+    served
+}
+
+/// Starts hosts and servers of the keyed service, and waits until all keys are served.
+async fn start(
+    test: &str,
+    hosts: usize,
+    servers: usize,
+) -> (World, Vec<RouterProcess>, Vec<Rc<Server>>) {
+    let world = World::start(test).await;
+    world.configure().await;
+    let mut all = Vec::new();
+    for i in 0..servers {
+        all.push(world.server(&format!("k-{i}"), "kits").await);
+    }
+    let mut routers = Vec::new();
+    for i in 0..hosts {
+        routers.push(world.router(&format!("h-{i}")).await);
+    }
+    for router in &routers {
+        wait_until("keys are served", async || {
+            let low = router.caller().key(7).await;
+            let high = router.caller().key(65_000).await;
+            low.is_ok_and(|a| a.status() == 200) && high.is_ok_and(|a| a.status() == 200)
+        })
+        .await;
+    }
+    (world, routers, all)
+}
+
+/// A server in need is given what each host sends as if nothing was said.
+#[test]
+fn a_server_that_names_a_limit_gets_no_more_over_all_hosts() {
+    block_on(async {
+        let (_world, routers, servers) = start("limit-hosts", 3, 1).await;
+        let server = &servers[0];
+        name_limit(server, Millis(60_000));
+        join_all(routers.iter().map(|r| press(r, SETTLE))).await;
+        let before = server.runs();
+        let served = join_all(routers.iter().map(|r| press(r, Millis(6_000)))).await;
+        let most = most_in_window(server, before);
+        assert!(most <= ALLOWED, "{most} in 4 s, {ALLOWED} allowed");
+        let served: usize = served.into_iter().sum();
+        assert!(served >= (6.0 * RATE * 0.7) as usize, "{served} served");
+    });
+}
+
+/// A limited server keeps its keys, and their callers are refused beside servers that have room.
+#[test]
+fn keys_of_a_limited_server_go_to_others() {
+    block_on(async {
+        let (_world, routers, servers) = start("limit-keys", 2, 3).await;
+        name_limit(&servers[0], Millis(60_000));
+        join_all(routers.iter().map(|r| press(r, SETTLE))).await;
+        let asked = 2 * 4_000 / (PAUSE.0 as usize + 5);
+        let served = join_all(routers.iter().map(|r| press(r, Millis(4_000)))).await;
+        let served: usize = served.into_iter().sum();
+        assert!(served * 10 >= asked * 9, "{served} of about {asked} served");
+    });
+}
+
+/// A server that no longer names a limit gets what it was spared for good.
+#[test]
+fn a_limit_ends_when_answers_no_longer_name_it() {
+    block_on(async {
+        let (_world, routers, servers) = start("limit-ends", 1, 1).await;
+        name_limit(&servers[0], Millis(2_000));
+        press(&routers[0], Millis(4_000)).await;
+        let served = press(&routers[0], Millis(2_000)).await;
+        assert!(served >= 15, "{served} served");
+        let log = routers[0].log();
+        assert!(log.contains("from=Some(3.0) to=None"), "{log}");
+    });
+}
--- a/crates/chicoryrail-testkit/src/target/fault.rs
+++ b/crates/chicoryrail-testkit/src/target/fault.rs
@@ -49,6 +49,13 @@
         #[serde(default = "always")]
         share: f64,
     },
+    /// Answers name the rate that the server takes; it serves what comes all the same.
+    NameLimit {
+        /// Length of the fault in milliseconds.
+        for_ms: u64,
+        /// Requests a second from all hosts together.
+        rate: f64,
+    },
     /// Answers lack the mark of the server that ran the request.
     Unmarked {
         /// Length of the fault in milliseconds.
@@ -133,6 +140,7 @@
             TargetFault::Slow { for_ms, .. }
             | TargetFault::Freeze { for_ms }
             | TargetFault::Deaf { for_ms }
+            | TargetFault::NameLimit { for_ms, .. }
             | TargetFault::Unmarked { for_ms }
             | TargetFault::Fail { for_ms, .. }
             | TargetFault::Refuse { for_ms, .. }
@@ -161,6 +169,14 @@
             .product()
     }
 
+    /// Returns the rate that answers name.
+    pub(crate) fn limit(&mut self, now: Millis) -> Option<f64> {
+        self.on.at(now).find_map(|(_, f)| match f {
+            TargetFault::NameLimit { rate, .. } => Some(*rate),
+            _ => None,
+        })
+    }
+
     /// Returns when the server hears calls about keys again, where it does not.
     pub(crate) fn is_deaf(&mut self, now: Millis) -> Option<Millis> {
         let mut on = self.on.at(now);
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -255,6 +255,10 @@
             headers.insert(name, value);
         }
     }
+    let limit = state.faults.borrow_mut().limit(state.now());
+    if let Some(value) = limit.and_then(|l| HeaderValue::from_str(&l.to_string()).ok()) {
+        headers.insert(call_header::RATE_LIMIT, value);
+    }
     let cold = state.cold_left();
     if cold > Millis::ZERO {
         headers.insert(call_header::COLD_LEFT, HeaderValue::from(cold.0));
