fix(router): a server gets no more than the rate that its answers name

Class: a bound over all hosts that the one place which sees all sends does not know.

Change: what an answer names goes with the end of each request to the host that schedules for the server, which deals the rate out by a bucket that starts empty, so that two hosts that schedule in turn give no burst. Who has no prospect of a token in time is refused as with full slots. The leader weighs a limited server by what its limit lets through, so its keys go to servers with room. The wire between hosts changes: Speeds is Paces, SlotEnd has the rate.

--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -17,7 +17,7 @@
 //!
 //! let now = Millis(10);
 //! let mut scheduler = Scheduler::default();
-//! let slots = SlotState { slots: 2, open: true, cold_until: Millis::ZERO, cold_bound: 0.0, near: 0, ours: true };
+//! let slots = SlotState { slots: 2, open: true, cold_until: Millis::ZERO, cold_bound: 0.0, limit: None, near: 0, ours: true };
 //! scheduler.set(now, ServerId(0), slots);
 //! let ask = SlotRequest {
 //!     ticket: 1, rank: 0, aim: now + Millis(300), deadline: now + Millis(1_000), work_us: 5_000.0,
@@ -31,7 +31,7 @@
 //! [`KeyIndex`] and [`Freshness`] tell whose request it is and whether that still holds; [`QuotaPool`] and
 //! [`QuotaShare`] keep organisations within their limits over all hosts.
 //!
-//! Go on with [`ColdPace`] for cold servers, [`SharedRetries`] for repeats, and [`return_time`] for when a
+//! Go on with [`LonePace`] for cold and limited servers, [`SharedRetries`] for repeats, and [`return_time`] for when a
 //! refused caller comes back.
 
 mod admission;
@@ -59,9 +59,9 @@
 pub use scheduler::SlotRequest;
 pub use scheduler::SlotState;
 pub use server_id::ServerId;
-pub use shared::ColdPace;
 pub use shared::Failure;
 pub use shared::LoadReport;
+pub use shared::LonePace;
 pub use shared::RateNotice;
 pub use shared::RetryBound;
 pub use shared::ServerLimit;
--- a/crates/chicoryrail-policy/src/scheduler/load_view.rs
+++ b/crates/chicoryrail-policy/src/scheduler/load_view.rs
@@ -46,7 +46,8 @@
     tries: f64,
     /// Cost of its filled slots, as a part of the work.
     filled: f64,
-    slots: f64,
+    /// The work that it does in the time in which one usual slot does one.
+    pace: f64,
     near: u32,
 }
 
@@ -65,14 +66,14 @@
             full_pace: 0.0,
             soonest: RefCell::default(),
         };
-        all.pace = all.servers.iter().map(ServerLoad::pace).sum();
+        all.pace = all.servers.iter().map(|g| g.pace).sum();
         all.count();
         all
     }
 
     fn count(&mut self) {
         let full = self.servers.iter().filter(|g| !g.has_slot);
-        self.full_pace = full.map(ServerLoad::pace).sum();
+        self.full_pace = full.map(|g| g.pace).sum();
         self.free = self.servers.iter().filter(|g| g.has_slot).count();
         self.soonest.borrow_mut().clear();
     }
@@ -111,7 +112,7 @@
         }
         // Those ahead wait for the full ones, too.
         let shunned = ask.not.iter().filter_map(|id| self.server(*id));
-        let shunned: f64 = shunned.filter(|g| !g.has_slot).map(ServerLoad::pace).sum();
+        let shunned: f64 = shunned.filter(|g| !g.has_slot).map(|g| g.pace).sum();
         let behind = ahead / (self.full_pace - shunned).max(PACE_MIN);
         let mut best: Option<(f64, ServerId)> = None;
         let mut wait = f64::INFINITY;
@@ -134,7 +135,7 @@
     pub(crate) fn answer_in(&self, ask: &SlotRequest, place: Placement, ahead: f64) -> Option<f64> {
         if let Placement::Owner(owner) = place {
             let load = self.server(owner)?;
-            return Some(load.answer_in(ask.work_us) + ahead / load.pace().max(PACE_MIN));
+            return Some(load.answer_in(ask.work_us) + ahead / load.pace.max(PACE_MIN));
         }
         // Whoever holds a moving key next is about as fast as any.
         let not: &[ServerId] = match place {
@@ -145,7 +146,7 @@
             let fits = self.servers.iter().filter(|g| !not.contains(&g.id));
             let first = fits.clone().map(|g| g.answer_in(ask.work_us));
             let first = first.reduce(f64::min)?;
-            let pace: f64 = fits.map(ServerLoad::pace).sum();
+            let pace: f64 = fits.map(|g| g.pace).sum();
             return Some(first + ahead / pace.max(PACE_MIN));
         }
         Some(self.soonest(ask.work_us)? + ahead / self.pace.max(PACE_MIN))
@@ -181,16 +182,11 @@
             cold: now < slots.state.cold_until,
             tries: 1.0 / (good * good),
             filled,
-            slots: f64::from(slots.state.slots),
+            pace: slots.pace(now),
             near: slots.state.near,
         }
     }
 
-    /// Returns the work that the server does in the time in which one usual slot does one.
-    fn pace(&self) -> f64 {
-        self.slots / self.slow
-    }
-
     /// Estimates the time to a good answer at a free server, in microseconds.
     fn cost(&self, ask: &SlotRequest) -> f64 {
         let far = match (self.near == ask.near, ask.large) {
--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 
 mod load_view;
 mod part_rooms;
+mod rate_bucket;
 #[expect(clippy::module_inception, reason = "one type, one file")]
 mod scheduler;
 mod server_slots;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -207,6 +207,12 @@
         self.servers.get(&server).map_or(1.0, ServerSlots::speed)
     }
 
+    /// Returns the usual slots that do as much work as a server's limit lets through; `None` where it names none.
+    #[must_use]
+    pub fn limited_slots(&self, server: ServerId) -> Option<f64> {
+        self.servers.get(&server)?.limited_slots()
+    }
+
     /// Sorts the queue; see [`Scheduler`].
     fn order(&mut self, now: Millis, view: &LoadView) {
         let key = |w: &Waiting| {
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -7,6 +7,7 @@
 
 use crate::Failure;
 use crate::LoadReport;
+use crate::scheduler::rate_bucket::RateBucket;
 use crate::shared::server_view::ServerView;
 
 /// Part of what a cold server bears that is used. While hosts hear different others, two of them may schedule
@@ -20,6 +21,9 @@
 /// end was lost, or its host was.
 const END_MESSAGE_TIMEOUT: Millis = Millis(300);
 
+/// Part of a new request in the mean work of those sent.
+const WORK_SMOOTHING: f64 = 0.05;
+
 /// What a server may get.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SlotState {
@@ -31,6 +35,8 @@
     pub cold_until: Millis,
     /// Requests a second that it bears while it is cold.
     pub cold_bound: f64,
+    /// Requests a second that it takes from all hosts together; `None` where it takes any.
+    pub limit: Option<f64>,
     /// Its data centre, by number.
     pub near: u32,
     /// Whether this host is the one that schedules for it. Another host may do so as well for a moment.
@@ -52,6 +58,9 @@
     view: ServerView,
     held: HashMap<u64, Held>,
     cold_sends: VecDeque<Millis>,
+    bucket: RateBucket,
+    /// Mean work of the requests sent, in microseconds.
+    mean_work: f64,
     /// Since when this host schedules for the server: what was sent before, it does not know.
     since: Millis,
 }
@@ -63,6 +72,8 @@
             view: ServerView::new(state.slots),
             held: HashMap::new(),
             cold_sends: VecDeque::new(),
+            bucket: RateBucket::empty(now),
+            mean_work: 0.0,
             since: now,
         }
     }
@@ -71,6 +82,10 @@
     pub(crate) fn set(&mut self, now: Millis, state: SlotState) {
         if state.ours && !self.state.ours {
             self.since = now;
+            self.bucket = RateBucket::empty(now);
+        }
+        if state.limit.is_some() && self.state.limit.is_none() {
+            self.bucket = RateBucket::empty(now);
         }
         self.state = state;
     }
@@ -106,13 +121,14 @@
             && !self.view.rests(now)
             && self.busy() < self.state.slots as usize
             && self.bears(now)
+            && self.is_in_limit(now)
     }
 
-    /// Returns the slots that are free; of a cold server one, since it may bear no second.
+    /// Returns the slots that are free; of a cold or limited server one, since it may bear no second.
     pub(crate) fn free(&self, now: Millis) -> usize {
         if !self.has_slot(now) {
             0
-        } else if now < self.state.cold_until {
+        } else if now < self.state.cold_until || self.state.limit.is_some() {
             1
         } else {
             self.state.slots as usize - self.busy()
@@ -135,8 +151,33 @@
         ((recent.count() + 1) as f64) <= self.state.cold_bound * COLD_BOUND_PART
     }
 
-    /// Estimates the time until a slot is free, in microseconds; 0 where one is.
+    /// Tells whether the rate that the server takes leaves room for one more. Where another host schedules for it,
+    /// that one deals the rate out.
+    fn is_in_limit(&self, now: Millis) -> bool {
+        let within = |rate| self.state.ours && self.bucket.has_token(now, rate);
+        self.state.limit.is_none_or(within)
+    }
+
+    /// Returns the work that the server does in the time in which one usual slot does one.
+    pub(crate) fn pace(&self, now: Millis) -> f64 {
+        let slots = f64::from(self.state.slots) / self.slowness(now);
+        self.limited_slots().map_or(slots, |l| l.min(slots))
+    }
+
+    /// Returns the usual slots that do as much work as the server's limit lets through; `None` where it has none.
+    pub(crate) fn limited_slots(&self) -> Option<f64> {
+        let rate = self.state.limit?;
+        Some(rate * self.mean_work / 1_000_000.0)
+    }
+
+    /// Estimates the time until a request may be sent, in microseconds; 0 where it may now.
     pub(crate) fn free_in(&self, now: Millis) -> f64 {
+        let limit = self.state.limit;
+        let token = limit.map_or(0.0, |rate| self.bucket.token_in(now, rate));
+        self.slot_in(now).max(token)
+    }
+
+    fn slot_in(&self, now: Millis) -> f64 {
         let slots = self.state.slots as usize;
         if self.busy() < slots {
             return 0.0;
@@ -159,6 +200,15 @@
             work_us,
         };
         self.held.insert(ticket, held);
+        if let Some(rate) = self.state.limit {
+            self.bucket.take(now, rate);
+        }
+        let smoothing = if self.mean_work > 0.0 {
+            WORK_SMOOTHING
+        } else {
+            1.0
+        };
+        self.mean_work += (work_us - self.mean_work) * smoothing;
         while self
             .cold_sends
             .front()
--- a/crates/chicoryrail-policy/tests/scheduler.rs
+++ b/crates/chicoryrail-policy/tests/scheduler.rs
@@ -26,6 +26,7 @@
         open: true,
         cold_until: Millis::ZERO,
         cold_bound: 0.0,
+        limit: None,
         near: 0,
         ours: true,
     }
--- a/crates/chicoryrail-policy/tests/scheduler_callers.rs
+++ b/crates/chicoryrail-policy/tests/scheduler_callers.rs
@@ -55,6 +55,7 @@
                 open: true,
                 cold_until: Millis::ZERO,
                 cold_bound: 0.0,
+                limit: None,
                 near: 0,
                 ours: true,
             };
--- a/crates/chicoryrail-policy/tests/scheduler_size.rs
+++ b/crates/chicoryrail-policy/tests/scheduler_size.rs
@@ -52,6 +52,7 @@
         open: true,
         cold_until: Millis::ZERO,
         cold_bound: 0.0,
+        limit: None,
         near: 0,
         ours: true,
     };
--- a/crates/chicoryrail-policy/tests/shared.rs
+++ b/crates/chicoryrail-policy/tests/shared.rs
@@ -1,11 +1,13 @@
 //! Decisions of hosts that share servers without asking each other.
 
 use chicoryrail_core::Millis;
-use chicoryrail_policy::ColdPace;
 use chicoryrail_policy::Failure;
 use chicoryrail_policy::LoadReport;
+use chicoryrail_policy::LonePace;
+use chicoryrail_policy::RateNotice;
 use chicoryrail_policy::RetryBound;
 use chicoryrail_policy::ServerId;
+use chicoryrail_policy::ServerLimit;
 use chicoryrail_policy::SharedRetries;
 use chicoryrail_policy::SharedServers;
 use chicoryrail_policy::WeightedTurn;
@@ -26,7 +28,7 @@
 fn a_cold_server_gets_no_more_than_it_bears(#[case] hosts: usize, #[case] bound: f64) {
     for seed in 0..20 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let mut paces = vec![ColdPace::default(); hosts];
+        let mut paces = vec![LonePace::default(); hosts];
         let mut arrived = Vec::new();
         for ms in 0..4_000 {
             for pace in &mut paces {
@@ -171,3 +173,37 @@
     let early = times.iter().filter(|t| **t < 150).count();
     assert!((400..600).contains(&early), "{early}");
 }
+
+/// Answers of one server overtake each other: one from before it named its limit, heard after, lifts it.
+#[rstest]
+#[case::named_and_lifted(&[(0, Some(2.0)), (900, None)], None)]
+#[case::overtaken(&[(0, Some(2.0)), (100, None)], Some(2.0))]
+#[case::another(&[(0, Some(2.0)), (100, Some(5.5))], Some(5.5))]
+#[case::named_again(&[(0, Some(2.0)), (900, None), (950, Some(4.0))], Some(4.0))]
+#[case::never_named(&[(0, None)], None)]
+fn a_server_is_limited_while_its_answers_say_so(
+    #[case] answers: &[(u64, Option<f64>)],
+    #[case] rate: Option<f64>,
+) {
+    let mut limit = ServerLimit::default();
+    for (at, said) in answers {
+        let notice = said.map_or(RateNotice::Unlimited, RateNotice::Limited);
+        limit.heard(Millis(5_000 + at), notice);
+    }
+    assert_eq!(limit.rate(), rate);
+}
+
+#[rstest]
+#[case(Some("2.7"), Ok(RateNotice::Limited(2.7)))]
+#[case(Some(" 0 "), Ok(RateNotice::Limited(0.0)))]
+#[case(None, Ok(RateNotice::Unlimited))]
+#[case(Some("many"), Err("many"))]
+#[case(Some("NaN"), Err("NaN"))]
+#[case(Some("inf"), Err("inf"))]
+#[case(Some("-3"), Err("-3"))]
+fn a_rate_is_a_number_of_0_or_more(
+    #[case] value: Option<&str>,
+    #[case] expected: Result<RateNotice, &str>,
+) {
+    assert_eq!(RateNotice::parse(value), expected);
+}
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -84,7 +84,7 @@
         match packet {
             Packet::Heartbeat(heartbeat) => self.handle_heartbeat(heartbeat, from),
             Packet::KeyDemand(asked) => self.handle_key_demand(&asked),
-            Packet::Speeds(speeds) => self.leadership.heard_speeds(speeds),
+            Packet::Paces(paces) => self.leadership.heard_paces(paces),
             Packet::SlotReply { ticket, reply } => self.handle_slot_reply(ticket, reply),
             Packet::QuotaReports(reports) => {
                 quota::answer_report(&self.router, &self.pools, &reports, from);
@@ -114,7 +114,7 @@
             let heartbeat = Packet::Heartbeat(self.heartbeat(leads));
             let all = self.router.peers.borrow().addrs();
             self.router.talk.send_all(&heartbeat, &all).await;
-            self.report_speeds(leads, &all).await;
+            self.report_paces(leads, &all).await;
             let wait = self.leadership.news.after(seen);
             let _ = monoio::time::timeout(HEARTBEAT_INTERVAL.duration(), wait).await;
         }
@@ -232,17 +232,17 @@
         all
     }
 
-    /// Tells the leader how fast servers are, or all where nobody is known to lead: one of them will.
-    async fn report_speeds(&self, leads: bool, all: &[SocketAddr]) {
-        let speeds = scheduling::speeds(&self.router);
+    /// Tells the leader how much servers do, or all where nobody is known to lead: one of them will.
+    async fn report_paces(&self, leads: bool, all: &[SocketAddr]) {
+        let paces = scheduling::paces(&self.router);
         if leads {
-            self.leadership.heard_speeds(speeds);
+            self.leadership.heard_paces(paces);
             return;
         }
         let leader = self.router.peers.borrow().leader_addr();
         let to = leader.as_ref().map_or(all, std::slice::from_ref);
-        if !speeds.is_empty() {
-            self.router.talk.send_all(&Packet::Speeds(speeds), to).await;
+        if !paces.is_empty() {
+            self.router.talk.send_all(&Packet::Paces(paces), to).await;
         }
     }
 
--- a/crates/chicoryrail-router/src/control/leader/leader_term.rs
+++ b/crates/chicoryrail-router/src/control/leader/leader_term.rs
@@ -13,6 +13,7 @@
 use chicoryrail_runtime::Signal;
 
 use crate::state::Router;
+use crate::talk::ServerPace;
 
 /// Part of the lease, in percent, after which an unconfirmed leader no longer counts on it.
 const LEASE_TRUSTED_PERCENT: u64 = 80;
@@ -37,8 +38,8 @@
     /// Notified when the key updates change.
     pub(crate) news: Signal,
     loads: RefCell<BTreeMap<ServiceName, KeyLoad>>,
-    /// How fast servers are, as the hosts say that schedule for them.
-    speeds: RefCell<BTreeMap<Life, f32>>,
+    /// How much servers do, as the hosts say that schedule for them.
+    paces: RefCell<BTreeMap<Life, ServerPace>>,
 }
 
 impl LeaderTerm {
@@ -51,22 +52,20 @@
         }
     }
 
-    /// Takes in how fast servers are.
-    pub(crate) fn heard_speeds(&self, speeds: Vec<(Life, f32)>) {
-        self.speeds.borrow_mut().extend(speeds);
+    /// Takes in how much servers do.
+    pub(crate) fn heard_paces(&self, paces: Vec<ServerPace>) {
+        let mut known = self.paces.borrow_mut();
+        known.extend(paces.into_iter().map(|p| (p.server.clone(), p)));
     }
 
-    /// Returns how fast a server is, as far as was heard: above 1 is slower than usual.
-    pub(crate) fn speed(&self, life: &Life) -> f64 {
-        self.speeds
-            .borrow()
-            .get(life)
-            .map_or(1.0, |s| f64::from(*s))
+    /// Returns how much a server does; `None` where it was not heard.
+    pub(crate) fn pace(&self, life: &Life) -> Option<ServerPace> {
+        self.paces.borrow().get(life).cloned()
     }
 
-    /// Forgets the speeds of servers that are gone.
-    pub(crate) fn keep_speeds(&self, is_there: impl Fn(&Life) -> bool) {
-        self.speeds.borrow_mut().retain(|life, _| is_there(life));
+    /// Forgets the paces of servers that are gone.
+    pub(crate) fn keep_paces(&self, is_there: impl Fn(&Life) -> bool) {
+        self.paces.borrow_mut().retain(|life, _| is_there(life));
     }
 
     /// Calls `f` with the load of a service's keys.
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -23,6 +23,10 @@
 /// Left in it, a leader that takes over waits for them as long as for any, and keys that nobody holds stay unserved.
 const MERGE_INTERVAL: Millis = Millis(1_000);
 
+/// Least weight of a server that takes next to nothing: it keeps a few keys, by whose requests it can say that it takes
+/// more again.
+const LIMITED_WEIGHT_MIN: f64 = 0.05;
+
 /// Time for which a server must have been known before it gets keys. Servers come in groups, at the start
 /// and with each release, and every change of the record is told to every host.
 const LOAD_SETTLE_TIME: Millis = Millis(400);
@@ -49,7 +53,7 @@
             self.balanced.set(now);
             let services = self.router.services();
             let there = |life: &Life| services.iter().any(|s| s.target(life).is_some());
-            self.leadership.keep_speeds(there);
+            self.leadership.keep_paces(there);
             log::info!(service:% = self.service, servers = holders.len(),
                 spans = spans.len(), fence = self.leases.borrow().record().fence; "keys_planned");
             self.leases.borrow_mut().change(spans, rand::random());
@@ -89,9 +93,14 @@
     }
 
     /// Returns the work that a server can do, by what the hosts saw of it that schedule for it. A slow server with as many
-    /// requests as the others has the longest queue of all.
+    /// requests as the others has the longest queue of all, and a limited one refuses what is beyond its limit.
     fn weight(&self, target: &Target) -> f64 {
-        let speed = self.leadership.speed(&target.life);
-        f64::from(target.slots.get()) / speed.clamp(0.5, 2.0)
+        let slots = f64::from(target.slots.get());
+        let Some(pace) = self.leadership.pace(&target.life) else {
+            return slots;
+        };
+        let weight = slots / f64::from(pace.speed).clamp(0.5, 2.0);
+        let limited = pace.limited_slots.map_or(weight, f64::from);
+        limited.max(LIMITED_WEIGHT_MIN).min(weight)
     }
 }
--- a/crates/chicoryrail-router/src/control/scheduling/mod.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/mod.rs
@@ -9,5 +9,5 @@
 pub(crate) use overflow::free_slots;
 pub(crate) use requests::handle_packet;
 pub(crate) use requests::keys_moved;
-pub(crate) use upkeep::speeds;
+pub(crate) use upkeep::paces;
 pub(crate) use upkeep::tend;
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -44,7 +44,7 @@
             }
         }
         Packet::Heartbeat(_)
-        | Packet::Speeds(_)
+        | Packet::Paces(_)
         | Packet::KeyDemand(_)
         | Packet::SlotReply { .. }
         | Packet::QuotaReports(_)
@@ -144,6 +144,9 @@
         report,
     };
     let now = router.now();
+    if let Some(rate) = end.rate {
+        target.hear_limit(now, rate.into());
+    }
     if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(&end.part) {
         scheduler.ended(now, &release);
     }
--- a/crates/chicoryrail-router/src/control/scheduling/upkeep.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/upkeep.rs
@@ -2,13 +2,13 @@
 
 use std::rc::Rc;
 
-use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::SchedulerHost;
 
 use crate::control::scheduling::requests::poll;
 use crate::state::Router;
 use crate::talk::PartName;
+use crate::talk::ServerPace;
 
 /// Time between two looks at requests that wait for what no message tells the scheduler: a server that warms up,
 /// rests, or gets its keys.
@@ -62,10 +62,10 @@
     mark
 }
 
-/// Returns how fast the servers are for which this host schedules.
-pub(crate) fn speeds(router: &Router) -> Vec<(Life, f32)> {
+/// Returns how much the servers do for which this host schedules.
+pub(crate) fn paces(router: &Router) -> Vec<ServerPace> {
     let schedulers = router.schedulers.by_part.borrow();
-    let mut speeds = Vec::new();
+    let mut paces = Vec::new();
     // The leader weighs servers that hold keys, and no others.
     let keyed = router.services().into_iter().filter(|s| s.is_keyed());
     for service in keyed {
@@ -74,9 +74,13 @@
         };
         let targets = service.targets.borrow();
         let ours = targets.values().filter(|t| t.ours.get() == Some(true));
-        speeds.extend(ours.map(|t| (t.life.clone(), scheduler.speed(t.id) as f32)));
+        paces.extend(ours.map(|t| ServerPace {
+            server: t.life.clone(),
+            speed: scheduler.speed(t.id) as f32,
+            limited_slots: scheduler.limited_slots(t.id).map(|s| s as f32),
+        }));
     }
-    speeds
+    paces
 }
 
 /// Logs how full the schedulers are.
--- a/crates/chicoryrail-router/src/route/held_slot.rs
+++ b/crates/chicoryrail-router/src/route/held_slot.rs
@@ -8,6 +8,7 @@
 use chicoryrail_ownership::SchedulerHost;
 use chicoryrail_policy::Failure;
 use chicoryrail_policy::LoadReport;
+use chicoryrail_policy::RateNotice;
 
 use crate::control::scheduling;
 use crate::state::Router;
@@ -15,6 +16,7 @@
 use crate::state::Target;
 use crate::talk::Packet;
 use crate::talk::PartName;
+use crate::talk::SaidRate;
 use crate::talk::SlotEnd;
 use crate::talk::SlotEndKind;
 
@@ -38,6 +40,7 @@
     us: Cell<Option<u64>>,
     kind: Cell<SlotEndKind>,
     report: RefCell<Option<LoadReport>>,
+    rate: Cell<Option<RateNotice>>,
 }
 
 impl Slot {
@@ -57,6 +60,7 @@
             us: Cell::new(None),
             kind: Cell::new(SlotEndKind::Plain),
             report: RefCell::default(),
+            rate: Cell::new(None),
         }
     }
 
@@ -72,6 +76,11 @@
         *self.report.borrow_mut() = Some(report);
     }
 
+    /// Notes what the server said of the rate that it takes.
+    pub(crate) fn heard_rate(&self, notice: RateNotice) {
+        self.rate.set(Some(notice));
+    }
+
     /// Notes how the send ended.
     pub(crate) fn note(&self, us: f64, failure: Option<Failure>) {
         self.us.set(Some(us as u64));
@@ -98,6 +107,7 @@
             us: self.us.get(),
             kind: self.kind.get(),
             report,
+            rate: self.rate.get().map(SaidRate::from),
         };
         to_scheduler(&self.router, self.scheduler, Packet::SlotEnd(end));
     }
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -258,7 +258,10 @@
         return;
     }
     match RateNotice::parse(value) {
-        Ok(notice) => target.hear_limit(router.now(), notice),
+        Ok(notice) => {
+            target.hear_limit(router.now(), notice);
+            flight.slot.heard_rate(notice);
+        }
         Err(value) => {
             log::warn!(server:% = target.life, value = value; "server_limit_unreadable");
         }
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -7,7 +7,7 @@
 use chicoryrail_core::DcName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
-use chicoryrail_policy::ColdPace;
+use chicoryrail_policy::LonePace;
 use chicoryrail_policy::RateNotice;
 use chicoryrail_policy::ServerId;
 use chicoryrail_policy::ServerLimit;
@@ -41,7 +41,9 @@
     /// Value of the header that names the expected server.
     pub(crate) header: HeaderValue,
     pub(crate) pool: ServerPool,
-    pub(crate) cold: RefCell<ColdPace>,
+    /// What this host sends it without the scheduler, while it is cold, and while it is limited.
+    pub(crate) cold: RefCell<LonePace>,
+    pub(crate) limited: RefCell<LonePace>,
     /// When the server is warm, as far as is known.
     pub(crate) cold_until: Cell<Millis>,
     /// The rate of requests that the server takes, as its answers said.
--- a/crates/chicoryrail-router/src/talk/mod.rs
+++ b/crates/chicoryrail-router/src/talk/mod.rs
@@ -22,6 +22,8 @@
 pub(crate) use packet::KeyRanges;
 pub(crate) use packet::KeyUpdate;
 pub(crate) use packet::Packet;
+pub(crate) use packet::SaidRate;
+pub(crate) use packet::ServerPace;
 pub(crate) use packet::SlotEnd;
 pub(crate) use packet::SlotEndKind;
 pub(crate) use packet::SlotQuery;
--- a/crates/chicoryrail-router/src/talk/packet.rs
+++ b/crates/chicoryrail-router/src/talk/packet.rs
@@ -12,6 +12,7 @@
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::OwnedRange;
+use chicoryrail_policy::RateNotice;
 
 use crate::talk::PartName;
 use crate::talk::PartRoom;
@@ -23,8 +24,8 @@
 pub(crate) enum Packet {
     /// What a host knows.
     Heartbeat(Heartbeat),
-    /// How fast the servers are for which a host schedules, for the leader: above 1 is slower than usual.
-    Speeds(Vec<(Life, f32)>),
+    /// How much the servers do for which a host schedules, for the leader.
+    Paces(Vec<ServerPace>),
     /// Keys that callers asked for, for the leader.
     KeyDemand(Vec<KeyDemand>),
     /// A request asks the host that schedules for its server.
@@ -177,6 +178,45 @@
     pub(crate) kind: SlotEndKind,
     /// Running, waiting, slots and pace that the server told.
     pub(crate) report: Option<(u32, u32, u32, u32)>,
+    /// The rate that the server takes; `None` where its answer did not tell.
+    pub(crate) rate: Option<SaidRate>,
+}
+
+/// The rate of requests that a server takes from all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub(crate) enum SaidRate {
+    /// Any.
+    Unlimited,
+    /// So many a second.
+    Limited(f64),
+}
+
+impl From<SaidRate> for RateNotice {
+    fn from(rate: SaidRate) -> Self {
+        match rate {
+            SaidRate::Unlimited => Self::Unlimited,
+            SaidRate::Limited(rate) => Self::Limited(rate),
+        }
+    }
+}
+
+impl From<RateNotice> for SaidRate {
+    fn from(notice: RateNotice) -> Self {
+        match notice {
+            RateNotice::Unlimited => Self::Unlimited,
+            RateNotice::Limited(rate) => Self::Limited(rate),
+        }
+    }
+}
+
+/// How much a server does.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct ServerPace {
+    pub(crate) server: Life,
+    /// Time that work takes, relative to a usual server: above 1 is slower.
+    pub(crate) speed: f32,
+    /// Usual slots that do as much work as its limit lets through; `None` where it names none.
+    pub(crate) limited_slots: Option<f32>,
 }
 
 /// How a request at a server ended.
--- a/crates/chicoryrail-router/tests/limited_servers.rs
+++ b/crates/chicoryrail-router/tests/limited_servers.rs
@@ -109,10 +109,14 @@
     block_on(async {
         let (_world, routers, servers) = start("limit-keys", 2, 3).await;
         name_limit(&servers[0], Millis(60_000));
-        join_all(routers.iter().map(|r| press(r, SETTLE))).await;
-        let asked = 2 * 4_000 / (PAUSE.0 as usize + 5);
-        let served = join_all(routers.iter().map(|r| press(r, Millis(4_000)))).await;
+        // So many that the leader sees which keys they ask for.
+        let callers: Vec<_> = routers.iter().cycle().take(12).collect();
+        join_all(callers.iter().map(|r| press(r, Millis(5_000)))).await;
+        let length = Millis(4_000);
+        let served = join_all(callers.iter().map(|r| press(r, length))).await;
         let served: usize = served.into_iter().sum();
+        // Most are asked in the time that a request and the pause take.
+        let asked = callers.len() * (length.0 / (PAUSE.0 + 10)) as usize;
         assert!(served * 10 >= asked * 9, "{served} of about {asked} served");
     });
 }
