--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -80,11 +80,11 @@
 
     /// Takes in what the server may get.
     pub(crate) fn set(&mut self, now: Millis, state: SlotState) {
-        if state.ours && !self.state.ours {
+        let begins = state.ours && !self.state.ours;
+        if begins {
             self.since = now;
-            self.bucket = RateBucket::empty(now);
         }
-        if state.limit.is_some() && self.state.limit.is_none() {
+        if begins || self.state.limit.is_none() {
             self.bucket = RateBucket::empty(now);
         }
         self.state = state;
--- a/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -11,6 +11,7 @@
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
 use http::Request;
+use http::Response;
 use http::header::ACCEPT_ENCODING;
 use http::header::CONTENT_ENCODING;
 use monoio::time::timeout;
@@ -36,7 +37,8 @@
 use crate::talk::encode;
 
 /// Time beyond the wait of a reply after which a relay counts as lost: a busy host of a tenth of a core replies within
-/// it, and a reply that is on its way goes on arriving within it. A lost watcher and then a lost relay are found in time for a server's leave to be known everywhere within 2 s.
+/// it, and a long reply goes on arriving within it. A lost watcher and then a lost relay are found in time for a server's
+/// leave to be known everywhere within 2 s.
 const REPLY_SLACK: Millis = Millis(350);
 
 /// Pause after a reply, in which more news comes together, or after a failure.
@@ -118,22 +120,27 @@
     let request = Request::post(RELAY_PATH).header(ACCEPT_ENCODING, ENCODING);
     let request = request.body(Bytes::from(bytes));
     let request = request.expect("a fixed path and header are a valid request");
-    let sent = router.now();
     let wait = AnswerWait {
         first: POLL_MAX + REPLY_SLACK,
         further: REPLY_SLACK,
     };
     // A relay whose reply is arriving has replied: a leaf host must not turn to the store for it.
     let arrived = || router.source.replied.set(router.now());
-    let answer = client
-        .call_while_arriving(addr, request, wait, arrived)
-        .await;
-    let answer = answer.context(CallSnafu)?;
+    let sent = router.now();
+    let answer = client.call_while_arriving(addr, request, wait, arrived);
+    let answer = answer.await.context(CallSnafu)?;
+    log_large(addr, &answer, router.now().since(sent));
+    read_reply(&answer)
+}
+
+fn log_large(relay: SocketAddr, answer: &Response<Bytes>, took: Millis) {
     let bytes = answer.body().len();
     if bytes >= LARGE_REPLY_BYTES {
-        let took = router.now().since(sent);
-        log::info!(relay:% = addr, bytes = bytes, took_ms = took.0; "relay_reply_large");
+        log::info!(relay:% = relay, bytes = bytes, took_ms = took.0; "relay_reply_large");
     }
+}
+
+fn read_reply(answer: &Response<Bytes>) -> Result<RelayReply, RelayError> {
     let encoding = answer.headers().get(CONTENT_ENCODING);
     if encoding.is_some_and(|e| e == ENCODING) {
         let message = decompress(answer.body()).context(DecompressSnafu)?;
