refactor(policy): an open server's state is built in one place

Three tests of the scheduler wrote the same SlotState, and a fourth came with the limits: each new field was a change of all. Assertions unchanged.

--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -17,8 +17,7 @@
 //!
 //! let now = Millis(10);
 //! let mut scheduler = Scheduler::default();
-//! let slots = SlotState { slots: 2, open: true, cold_until: Millis::ZERO, cold_bound: 0.0, limit: None, near: 0, ours: true };
-//! scheduler.set(now, ServerId(0), slots);
+//! scheduler.set(now, ServerId(0), SlotState::open(2));
 //! let ask = SlotRequest {
 //!     ticket: 1, rank: 0, aim: now + Millis(300), deadline: now + Millis(1_000), work_us: 5_000.0,
 //!     key: None, not: Vec::new(), near: 0, large: false,
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -43,6 +43,22 @@
     pub ours: bool,
 }
 
+impl SlotState {
+    /// Returns a warm server that takes any rate, and for which this host schedules.
+    #[must_use]
+    pub const fn open(slots: u32) -> Self {
+        Self {
+            slots,
+            open: true,
+            cold_until: Millis::ZERO,
+            cold_bound: 0.0,
+            limit: None,
+            near: 0,
+            ours: true,
+        }
+    }
+}
+
 /// A request at a server.
 #[derive(Clone, Copy, Debug)]
 struct Held {
--- a/crates/chicoryrail-policy/tests/limited_servers.rs
+++ b/crates/chicoryrail-policy/tests/limited_servers.rs
@@ -35,30 +35,18 @@
     (sent, refused)
 }
 
-fn open() -> SlotState {
-    SlotState {
-        slots: 2,
-        open: true,
-        cold_until: Millis::ZERO,
-        cold_bound: 0.0,
-        limit: None,
-        near: 0,
-        ours: true,
-    }
-}
-
 fn limited(ours: bool) -> SlotState {
     SlotState {
         limit: Some(LIMIT),
         ours,
-        ..open()
+        ..SlotState::open(2)
     }
 }
 
 fn scheduler(servers: u32) -> Scheduler {
     let mut scheduler = Scheduler::default();
     for id in 0..servers {
-        scheduler.set(Millis(0), ServerId(id), open());
+        scheduler.set(Millis(0), ServerId(id), SlotState::open(2));
     }
     scheduler
 }
@@ -141,7 +129,7 @@
     let mut scheduler = scheduler(1);
     let nothing = SlotState {
         limit: Some(0.0),
-        ..open()
+        ..SlotState::open(2)
     };
     scheduler.set(Millis(0), ServerId(0), nothing);
     let (sent, _) = press_limited(&mut scheduler, 0, 30);
--- a/crates/chicoryrail-policy/tests/scheduler.rs
+++ b/crates/chicoryrail-policy/tests/scheduler.rs
@@ -20,22 +20,10 @@
 
 const SLOTS: u32 = 2;
 
-fn open() -> SlotState {
-    SlotState {
-        slots: SLOTS,
-        open: true,
-        cold_until: Millis::ZERO,
-        cold_bound: 0.0,
-        limit: None,
-        near: 0,
-        ours: true,
-    }
-}
-
 fn scheduler(servers: u32) -> Scheduler {
     let mut scheduler = Scheduler::default();
     for id in 0..servers {
-        scheduler.set(Millis(0), ServerId(id), open());
+        scheduler.set(Millis(0), ServerId(id), SlotState::open(SLOTS));
     }
     scheduler
 }
@@ -256,10 +244,9 @@
 fn a_cold_server_gets_its_part() {
     let mut scheduler = Scheduler::default();
     let cold = SlotState {
-        slots: 50,
         cold_until: Millis(10_000),
         cold_bound: 12.95,
-        ..open()
+        ..SlotState::open(50)
     };
     scheduler.set(Millis(0), ServerId(0), cold);
     let mut sent = Vec::new();
@@ -310,7 +297,14 @@
     let mut scheduler = Scheduler::default();
     for id in 0..4 {
         let near = id % 2;
-        scheduler.set(Millis(0), ServerId(id), SlotState { near, ..open() });
+        scheduler.set(
+            Millis(0),
+            ServerId(id),
+            SlotState {
+                near,
+                ..SlotState::open(SLOTS)
+            },
+        );
     }
     let mut count = [0; 2];
     for ticket in 1..=6 {
--- a/crates/chicoryrail-policy/tests/scheduler_callers.rs
+++ b/crates/chicoryrail-policy/tests/scheduler_callers.rs
@@ -50,16 +50,7 @@
     fn new() -> Self {
         let mut scheduler = Scheduler::default();
         for id in 0..SERVERS {
-            let slots = SlotState {
-                slots: 2,
-                open: true,
-                cold_until: Millis::ZERO,
-                cold_bound: 0.0,
-                limit: None,
-                near: 0,
-                ours: true,
-            };
-            scheduler.set(Millis(0), ServerId(id), slots);
+            scheduler.set(Millis(0), ServerId(id), SlotState::open(2));
         }
         Self {
             scheduler,
--- a/crates/chicoryrail-policy/tests/scheduler_size.rs
+++ b/crates/chicoryrail-policy/tests/scheduler_size.rs
@@ -47,17 +47,8 @@
 #[case::for_moving_keys(moving)]
 fn a_full_desk_of_ninety_servers_keeps_up(#[case] place: fn(u16) -> Placement) {
     let mut scheduler = Scheduler::default();
-    let slots = SlotState {
-        slots: 2,
-        open: true,
-        cold_until: Millis::ZERO,
-        cold_bound: 0.0,
-        limit: None,
-        near: 0,
-        ours: true,
-    };
     for id in 0..SERVERS {
-        scheduler.set(Millis(0), ServerId(id), slots);
+        scheduler.set(Millis(0), ServerId(id), SlotState::open(2));
     }
     let mut play = Play {
         scheduler,
