--- a/crates/chicoryrail-router/src/talk/socket.rs
+++ b/crates/chicoryrail-router/src/talk/socket.rs
@@ -15,6 +15,9 @@
 /// for a long list of ranges. One that is cut off can't be read, and its host would go on by old ranges.
 const DATAGRAM_BYTES_MAX: usize = 64 << 10;
 
+/// Longest datagram that can be sent over IPv4.
+const PAYLOAD_BYTES_MAX: usize = 65_507;
+
 /// Pause after a read that failed.
 const READ_RETRY_INTERVAL: Millis = Millis(100);
 
@@ -45,6 +48,10 @@
         let Ok(mut bytes) = encode(packet) else {
             return;
         };
+        if bytes.len() > PAYLOAD_BYTES_MAX {
+            log::warn!(bytes = bytes.len(), hosts = addrs.len(); "talk_too_long");
+            return;
+        }
         for addr in addrs {
             let (result, back) = self.socket.send_to(bytes, *addr).await;
             bytes = back;
