refactor: a limited server's lowest rate is named with its unit, a test's fleet has a type

PROBE_RATE told neither what it bounds nor its unit; the router's tests on limited servers passed a bare tuple of three.

--- a/crates/chicoryrail-policy/src/scheduler/rate_bucket.rs
+++ b/crates/chicoryrail-policy/src/scheduler/rate_bucket.rs
@@ -6,8 +6,8 @@
 /// one request; one may always be sent at its time.
 const BURST_TIME_MS: f64 = 250.0;
 
-/// Lowest rate in requests a second. A server that gets nothing at all could not say that it takes more again.
-const PROBE_RATE: f64 = 0.25;
+/// Lowest rate that is dealt out. A server that gets nothing at all could not say that it takes more again.
+const REQUESTS_PER_S_MIN: f64 = 0.25;
 
 /// The requests that a limited server may get at a moment.
 #[derive(Clone, Copy, Debug, Default)]
@@ -33,7 +33,7 @@
     /// Returns the time until a request may be sent, in microseconds.
     pub(crate) fn token_in(&self, now: Millis, rate: f64) -> f64 {
         let lacking = (1.0 - self.tokens(now, rate)).max(0.0);
-        lacking / rate.max(PROBE_RATE) * 1_000_000.0
+        lacking / rate.max(REQUESTS_PER_S_MIN) * 1_000_000.0
     }
 
     /// Takes the token of a request that is sent.
@@ -43,7 +43,7 @@
     }
 
     fn tokens(&self, now: Millis, rate: f64) -> f64 {
-        let rate = rate.max(PROBE_RATE) / 1_000.0;
+        let rate = rate.max(REQUESTS_PER_S_MIN) / 1_000.0;
         let most = (rate * BURST_TIME_MS).max(1.0);
         let gained = now.since(self.at).0 as f64 * rate;
         (self.tokens + gained).min(most)
--- a/crates/chicoryrail-router/tests/limited_servers.rs
+++ b/crates/chicoryrail-router/tests/limited_servers.rs
@@ -60,12 +60,15 @@
     pressed
 }
 
-/// Starts hosts and servers of the keyed service, and waits until all keys are served.
-async fn start(
-    test: &str,
-    hosts: usize,
-    servers: usize,
-) -> (World, Vec<RouterProcess>, Vec<Rc<Server>>) {
+/// Hosts and servers of the keyed service; the store lives as long as they do.
+struct Fleet {
+    routers: Vec<RouterProcess>,
+    servers: Vec<Rc<Server>>,
+    _world: World,
+}
+
+/// Starts hosts and servers, and waits until all keys are served.
+async fn start(test: &str, hosts: usize, servers: usize) -> Fleet {
     let world = World::start(test).await;
     world.configure().await;
     let mut all = Vec::new();
@@ -84,18 +87,22 @@
         })
         .await;
     }
-    (world, routers, all)
+    Fleet {
+        routers,
+        servers: all,
+        _world: world,
+    }
 }
 
 /// A server in need is given what each host sends as if nothing was said.
 #[test]
 fn a_server_that_names_a_limit_gets_no_more_over_all_hosts() {
     block_on(async {
-        let (_world, routers, servers) = start("limit-hosts", 3, 1).await;
-        let server = &servers[0];
+        let fleet = start("limit-hosts", 3, 1).await;
+        let server = &fleet.servers[0];
         name_limit(server, Millis(60_000));
-        join_all(routers.iter().map(|r| press(r, SETTLE))).await;
-        let served = join_all(routers.iter().map(|r| press(r, Millis(6_000)))).await;
+        join_all(fleet.routers.iter().map(|r| press(r, SETTLE))).await;
+        let served = join_all(fleet.routers.iter().map(|r| press(r, Millis(6_000)))).await;
         assert_eq!(server.ledger().limit_overruns, []);
         let served = sum(&served).served;
         assert!(served >= (6.0 * RATE * 0.7) as usize, "{served} served");
@@ -106,14 +113,14 @@
 #[test]
 fn a_limited_server_is_spared_while_its_scheduler_is_lost() {
     block_on(async {
-        let (_world, routers, servers) = start("limit-lost", 3, 1).await;
-        let server = &servers[0];
+        let fleet = start("limit-lost", 3, 1).await;
+        let server = &fleet.servers[0];
         name_limit(server, Millis(60_000));
-        join_all(routers.iter().map(|r| press(r, SETTLE))).await;
-        for host in &routers[..2] {
+        join_all(fleet.routers.iter().map(|r| press(r, SETTLE))).await;
+        for host in &fleet.routers[..2] {
             host.signal(Signal::SIGKILL);
         }
-        press(&routers[2], Millis(6_000)).await;
+        press(&fleet.routers[2], Millis(6_000)).await;
         assert_eq!(server.ledger().limit_overruns, []);
     });
 }
@@ -122,10 +129,10 @@
 #[test]
 fn keys_of_a_limited_server_go_to_others() {
     block_on(async {
-        let (_world, routers, servers) = start("limit-keys", 2, 3).await;
-        name_limit(&servers[0], Millis(60_000));
+        let fleet = start("limit-keys", 2, 3).await;
+        name_limit(&fleet.servers[0], Millis(60_000));
         // So many that the leader sees which keys they ask for.
-        let callers: Vec<_> = routers.iter().cycle().take(12).collect();
+        let callers: Vec<_> = fleet.routers.iter().cycle().take(12).collect();
         join_all(callers.iter().map(|r| press(r, Millis(5_000)))).await;
         let pressed = join_all(callers.iter().map(|r| press(r, Millis(4_000)))).await;
         let pressed = sum(&pressed);
@@ -137,12 +144,12 @@
 #[test]
 fn a_limit_ends_when_answers_no_longer_name_it() {
     block_on(async {
-        let (_world, routers, servers) = start("limit-ends", 1, 1).await;
-        name_limit(&servers[0], Millis(2_000));
-        press(&routers[0], Millis(6_000)).await;
-        let served = press(&routers[0], Millis(2_000)).await.served;
+        let fleet = start("limit-ends", 1, 1).await;
+        name_limit(&fleet.servers[0], Millis(2_000));
+        press(&fleet.routers[0], Millis(6_000)).await;
+        let served = press(&fleet.routers[0], Millis(2_000)).await.served;
         assert!(served >= 15, "{served} served");
-        let log = routers[0].log();
+        let log = fleet.routers[0].log();
         assert!(log.contains("from=Some(3.0) to=None"), "{log}");
     });
 }
