feat(router): log the drain notice that servers give in their responses

The router now reads the header, keeps the time of the first notice of each incarnation and logs it once, with the request and the state of the server's entry at that moment. Nothing acts on it yet.

The stand-in server says it in all responses of a draining server, also in those to grants and releases. The readers of response headers move from send.rs to server_report.rs, unchanged.

--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -9,6 +9,7 @@
 mod refusal;
 mod response_body;
 mod send;
+mod server_report;
 mod slot_guard;
 mod slot_query;
 
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -6,15 +6,12 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::RouteKind;
 use chicoryrail_platform::call_header;
-use chicoryrail_policy::AdvertisedRate;
 use chicoryrail_policy::Failure;
-use chicoryrail_policy::LoadReport;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
 use chicoryrail_runtime::is_connection_close;
 use chicoryrail_runtime::strip_hop_by_hop;
-use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -26,6 +23,7 @@
 use crate::route::caller_request::CallerRequest;
 use crate::route::in_flight::InFlight;
 use crate::route::response_body;
+use crate::route::server_report;
 use crate::route::slot_guard::SlotGuard;
 use crate::state::Router;
 use crate::state::Service;
@@ -202,12 +200,13 @@
         .reach
         .borrow_mut()
         .record_response(router.now(), &in_flight.target.dc);
-    record_report(router, service, &in_flight, &head.headers);
+    server_report::record_load(router, service, &in_flight, &head.headers);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         drain(body, in_flight).await;
         return SendOutcome::NotRun(NotRun::Misdirected);
     }
-    record_rate_limit(router, &in_flight, &head.headers);
+    server_report::record_rate_limit(router, &in_flight, &head.headers);
+    server_report::record_drain(router, call, &in_flight, &head.headers);
     if head.headers.contains_key(call_header::NOT_RUN) {
         drain(body, in_flight).await;
         return SendOutcome::NotRun(NotRun::Refused);
@@ -242,43 +241,6 @@
     }
 }
 
-/// Records the load and the remaining warm-up that a server reports in its response headers.
-fn record_report(router: &Router, service: &Service, in_flight: &InFlight, headers: &HeaderMap) {
-    let (target, slot) = (&in_flight.target, &in_flight.slot);
-    let now = router.now();
-    if let Some(report) = call_header::text(headers, &call_header::LOAD).and_then(LoadReport::parse)
-    {
-        // The request that this response ends is still counted as one of this host's requests in flight.
-        let mut loads = service.loads.borrow_mut();
-        loads.apply_report(now, target.id, report);
-        slot.record_load(report);
-    }
-    let warmup_left =
-        call_header::text(headers, &call_header::WARMUP_LEFT).and_then(|t| t.parse().ok());
-    if let Some(left) = warmup_left {
-        target.extend_warmup(now, Millis(left));
-    }
-}
-
-/// Records the rate limit that a server advertises. A response without the header means that there is no limit only if
-/// the server ran the request, which its stamp shows.
-fn record_rate_limit(router: &Router, in_flight: &InFlight, headers: &HeaderMap) {
-    let target = &in_flight.target;
-    let value = call_header::text(headers, &call_header::RATE_LIMIT);
-    if value.is_none() && !headers.contains_key(call_header::UPSTREAM_STAMP) {
-        return;
-    }
-    match AdvertisedRate::parse(value) {
-        Ok(advertised) => {
-            target.record_rate_limit(router.now(), advertised);
-            in_flight.slot.record_rate(advertised);
-        }
-        Err(value) => {
-            log::warn!(server:% = target.life, value = value; "server_limit_unreadable");
-        }
-    }
-}
-
 /// Builds the request to the server, with the time that is left and the server that is expected at the address.
 fn new_request(
     call: &CallerRequest,
--- /dev/null
+++ b/crates/chicoryrail-router/src/route/server_report.rs
@@ -0,0 +1,76 @@
+//! Records what servers report about themselves in their response headers.
+
+use chicoryrail_core::Millis;
+use chicoryrail_platform::call_header;
+use chicoryrail_policy::AdvertisedRate;
+use chicoryrail_policy::LoadReport;
+use http::HeaderMap;
+
+use crate::route::caller_request::CallerRequest;
+use crate::route::in_flight::InFlight;
+use crate::state::Router;
+use crate::state::Service;
+
+/// Records the load and the remaining warm-up that a server reports in its response headers.
+pub(super) fn record_load(
+    router: &Router,
+    service: &Service,
+    in_flight: &InFlight,
+    headers: &HeaderMap,
+) {
+    let (target, slot) = (&in_flight.target, &in_flight.slot);
+    let now = router.now();
+    if let Some(report) = call_header::text(headers, &call_header::LOAD).and_then(LoadReport::parse)
+    {
+        // The request that this response ends is still counted as one of this host's requests in flight.
+        let mut loads = service.loads.borrow_mut();
+        loads.apply_report(now, target.id, report);
+        slot.record_load(report);
+    }
+    let warmup_left =
+        call_header::text(headers, &call_header::WARMUP_LEFT).and_then(|t| t.parse().ok());
+    if let Some(left) = warmup_left {
+        target.extend_warmup(now, Millis(left));
+    }
+}
+
+/// Records the rate limit that a server advertises. A response without the header means that there is no limit only if
+/// the server ran the request, which its stamp shows.
+pub(super) fn record_rate_limit(router: &Router, in_flight: &InFlight, headers: &HeaderMap) {
+    let target = &in_flight.target;
+    let value = call_header::text(headers, &call_header::RATE_LIMIT);
+    if value.is_none() && !headers.contains_key(call_header::UPSTREAM_STAMP) {
+        return;
+    }
+    match AdvertisedRate::parse(value) {
+        Ok(advertised) => {
+            target.record_rate_limit(router.now(), advertised);
+            in_flight.slot.record_rate(advertised);
+        }
+        Err(value) => {
+            log::warn!(server:% = target.life, value = value; "server_limit_unreadable");
+        }
+    }
+}
+
+/// Records that a server says that it is draining. The response must come from that server: one with status 421 may
+/// come from another server that uses the address now.
+pub(super) fn record_drain(
+    router: &Router,
+    call: &CallerRequest,
+    in_flight: &InFlight,
+    headers: &HeaderMap,
+) {
+    let Some(value) = headers.get(call_header::DRAINING) else {
+        return;
+    };
+    let target = &in_flight.target;
+    if value != "1" {
+        log::warn!(server:% = target.life, value:? = value; "server_draining_unreadable");
+        return;
+    }
+    if target.record_drain(router.now()) {
+        log::info!(request = call.id, server:% = target.life, entry:? = target.admission.get();
+            "server_draining");
+    }
+}
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -47,6 +47,8 @@
     pub(crate) warmup_until: Cell<Millis>,
     /// Rate limit that the server's responses advertise.
     pub(crate) limit: Cell<AdvertisedLimit>,
+    /// When a response of the server first said that it is draining; `None` if none has.
+    pub(crate) drain_heard: Cell<Option<Millis>>,
     /// Maximum number of concurrent requests.
     pub(crate) slots: Cell<u32>,
     pub(crate) admission: Cell<Admission>,
@@ -84,6 +86,15 @@
         self.limit.set(limit);
     }
 
+    /// Records that a response said that the server is draining; returns `true` if it is the first one.
+    pub(crate) fn record_drain(&self, now: Millis) -> bool {
+        let is_first = self.drain_heard.get().is_none();
+        if is_first {
+            self.drain_heard.set(Some(now));
+        }
+        is_first
+    }
+
     /// Extends the warm-up to `left` from now; it is never shortened.
     pub(crate) fn extend_warmup(&self, now: Millis, left: Millis) {
         if left > Millis::ZERO {
--- a/crates/chicoryrail-testkit/src/target.rs
+++ b/crates/chicoryrail-testkit/src/target.rs
@@ -7,6 +7,7 @@
 mod options;
 mod presence;
 mod response;
+mod response_headers;
 mod server;
 mod slots;
 mod state;
--- /dev/null
+++ b/crates/chicoryrail-testkit/src/target/response_headers.rs
@@ -0,0 +1,47 @@
+//! Headers by which a target reports its state in its responses.
+
+use chicoryrail_core::Millis;
+use chicoryrail_platform::call_header;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::header::CONNECTION;
+
+use crate::target::state::State;
+
+/// Adds the headers that every response has: request id, server, load, advertised limit, warm-up left, draining.
+pub(crate) fn add_headers(state: &State, headers: &mut HeaderMap, request: &str) {
+    let slots = &state.slots;
+    let load = format!(
+        "{},{},{}",
+        slots.busy(),
+        slots.queued(),
+        state.options.slots
+    );
+    let values = [
+        (call_header::REQUEST_ID, request),
+        (call_header::SERVER, state.options.name.as_str()),
+        (call_header::LOAD, &load),
+    ];
+    for (name, text) in values {
+        if let Ok(value) = HeaderValue::from_str(text) {
+            headers.insert(name, value);
+        }
+    }
+    let limit = state.faults.borrow_mut().advertised_limit(state.now());
+    if let Some(value) = limit.and_then(|l| HeaderValue::from_str(&l.to_string()).ok()) {
+        headers.insert(call_header::RATE_LIMIT, value);
+    }
+    let warmup_left = state.warmup_left();
+    if warmup_left > Millis::ZERO {
+        headers.insert(call_header::WARMUP_LEFT, HeaderValue::from(warmup_left.0));
+    }
+    add_drain_headers(state, headers);
+}
+
+/// Adds the headers by which a server says that it is draining.
+pub(crate) fn add_drain_headers(state: &State, headers: &mut HeaderMap) {
+    if state.is_draining() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        headers.insert(call_header::DRAINING, HeaderValue::from_static("1"));
+    }
+}
--- a/crates/chicoryrail-testkit/src/target/server.rs
+++ b/crates/chicoryrail-testkit/src/target/server.rs
@@ -25,6 +25,7 @@
 use crate::TargetFault;
 use crate::TargetOptions;
 use crate::target::presence::maintain_entry;
+use crate::target::response_headers::add_drain_headers;
 use crate::target::state::State;
 use crate::target::work;
 
@@ -188,6 +189,7 @@
             let token = http::HeaderValue::from_static("handover");
             response.headers_mut().insert(call_header::HANDOVER, token);
         }
+        add_drain_headers(&self.state, response.headers_mut());
         Ok(response)
     }
 
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -24,6 +24,7 @@
 use crate::query_param;
 use crate::target::response::ResponseBody;
 use crate::target::response::ResponseHead;
+use crate::target::response_headers::add_headers;
 use crate::target::slots::NoSlot;
 use crate::target::state::State;
 use crate::unix_micros;
@@ -246,39 +247,6 @@
     response
 }
 
-/// Adds the headers that every response has: request id, server, load, advertised limit, warm-up left, draining.
-fn add_headers(state: &State, headers: &mut HeaderMap, request: &str) {
-    let slots = &state.slots;
-    let load = format!(
-        "{},{},{}",
-        slots.busy(),
-        slots.queued(),
-        state.options.slots
-    );
-    let values = [
-        (call_header::REQUEST_ID, request),
-        (call_header::SERVER, state.options.name.as_str()),
-        (call_header::LOAD, &load),
-    ];
-    for (name, text) in values {
-        if let Ok(value) = HeaderValue::from_str(text) {
-            headers.insert(name, value);
-        }
-    }
-    let limit = state.faults.borrow_mut().advertised_limit(state.now());
-    if let Some(value) = limit.and_then(|l| HeaderValue::from_str(&l.to_string()).ok()) {
-        headers.insert(call_header::RATE_LIMIT, value);
-    }
-    let warmup_left = state.warmup_left();
-    if warmup_left > Millis::ZERO {
-        headers.insert(call_header::WARMUP_LEFT, HeaderValue::from(warmup_left.0));
-    }
-    if state.is_draining() {
-        let close = HeaderValue::from_static("close");
-        headers.insert(http::header::CONNECTION, close);
-    }
-}
-
 impl Work {
     fn parse(state: &State, head: &http::request::Parts) -> Self {
         let text = |name: &http::HeaderName| call_header::text(&head.headers, name);
