fix(router): send nothing to a server that said it drains

Cause: hosts learnt of a drain from the server's entry in the store alone. Class: a fact with two sources, of which only the one behind the store was used.

Change: each host keeps, for each incarnation of a server, when a response first said that it drains, and decides by that whoever schedules: the servers that it must spare go into its slot queries, and it checks the scheduler's reply and its own choice again. Without keys, such a server is used only if there is no other. A keyed request goes to it within the drain time, counted to the request's arrival at the host, which is never earlier than its client sent it; after that it is refused at once with 503. The leader hears the notice in responses to grants too, and plans the keys anew, which helps where the server alone lost the store.

Why it holds: the last check uses only this host's clock and what it heard, and stands before every send, with or without a scheduler.

--- a/crates/chicoryrail-policy/src/local/mod.rs
+++ b/crates/chicoryrail-policy/src/local/mod.rs
@@ -2,13 +2,15 @@
 //!
 //! A host knows its own requests in flight exactly, and learns of those of other hosts from the load that a server
 //! reports with each response. [`LocalBalancer`] selects among the servers of a service; [`WarmupPacer`] and
-//! [`RetryBudget`] limit a host to its share of a limit that holds over all hosts together.
+//! [`RetryBudget`] limit a host to its share of a limit that holds over all hosts together. [`ServerNotices`] bind each
+//! host on its own, whoever selects the server.
 
 mod advertised_limit;
 mod load_report;
 mod local_balancer;
 mod retry_after;
 mod retry_budget;
+mod server_notices;
 pub(crate) mod server_view;
 mod warmup_pacer;
 mod weights;
@@ -20,6 +22,9 @@
 pub use retry_after::retry_after;
 pub use retry_budget::RetryBudget;
 pub use retry_budget::RetryLimits;
+pub use server_notices::SendPermit;
+pub use server_notices::ServerNotices;
+pub use server_notices::Withheld;
 pub use server_view::Failure;
 pub use warmup_pacer::WarmupPacer;
 pub use weights::WeightedRoundRobin;
--- /dev/null
+++ b/crates/chicoryrail-policy/src/local/server_notices.rs
@@ -0,0 +1,73 @@
+//! What a server's responses ask of one host, and which of that host's requests the server may still receive.
+
+use chicoryrail_core::Millis;
+
+/// Notices of one incarnation of a server to this host.
+///
+/// Guards against a host that sends to a server although the server itself told it not to, because the store, which
+/// normally spreads such news, is unavailable. The notices of a server never lapse while it lives: a host that hears
+/// nothing from it any more must not start to send again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotices {
+    /// When a response first said that the server is draining.
+    draining_since: Option<Millis>,
+}
+
+/// Whether a request may be sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendPermit {
+    /// It may be sent.
+    Granted,
+    /// It may be sent if no other server can serve it, as the server will end soon.
+    LastResort,
+    /// It must not be sent.
+    Withheld(Withheld),
+}
+
+/// Why a request must not be sent to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withheld {
+    /// The server is draining, and the time in which it still accepts requests is over.
+    Draining,
+}
+
+impl ServerNotices {
+    /// Records that a response said that the server is draining; returns `true` if it is the first one.
+    pub fn record_drain(&mut self, now: Millis) -> bool {
+        let is_first = self.draining_since.is_none();
+        self.draining_since.get_or_insert(now);
+        is_first
+    }
+
+    /// Returns `true` if the server has said that it is draining.
+    #[must_use]
+    pub const fn is_draining(&self) -> bool {
+        self.draining_since.is_some()
+    }
+
+    /// Returns whether a request that arrived at this host at `arrived` may be sent. A draining server accepts the
+    /// requests of the first `drain_time` after its notice.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use chicoryrail_core::Millis;
+    /// use chicoryrail_policy::SendPermit;
+    /// use chicoryrail_policy::ServerNotices;
+    /// use chicoryrail_policy::Withheld;
+    ///
+    /// let mut notices = ServerNotices::default();
+    /// notices.record_drain(Millis(500));
+    /// let permit = |arrived| notices.permit(Millis(arrived), Millis(2_000));
+    /// assert_eq!(permit(2_499), SendPermit::LastResort);
+    /// assert_eq!(permit(2_500), SendPermit::Withheld(Withheld::Draining));
+    /// ```
+    #[must_use]
+    pub fn permit(&self, arrived: Millis, drain_time: Millis) -> SendPermit {
+        match self.draining_since {
+            None => SendPermit::Granted,
+            Some(since) if arrived < since + drain_time => SendPermit::LastResort,
+            Some(_) => SendPermit::Withheld(Withheld::Draining),
+        }
+    }
+}
--- a/crates/chicoryrail-router/src/control/leader/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -108,7 +108,7 @@
             Err(KeyError::NoResponse { reason })
         };
         let (outcome, name) = match &result {
-            Ok(()) => (GrantOutcome::Granted, "held"),
+            Ok(_) => (GrantOutcome::Granted, "held"),
             Err(KeyError::StaleFence) => (GrantOutcome::StaleFence, "fence_old"),
             Err(KeyError::OtherServer) => (GrantOutcome::OtherServer, "other_server"),
             // A refusal for any other reason counts as no answer.
@@ -122,8 +122,11 @@
                 error:% = e; "grant_{name}");
         }
         let now = self.router.now();
-        if result.is_ok() {
+        if let Ok(reply) = result {
             self.record_grant(now, &life);
+            if reply.draining {
+                self.record_drain(now, &life);
+            }
         }
         let span = KeyRange {
             first: grant.first,
@@ -144,6 +147,14 @@
         }
     }
 
+    /// Records that a server said in a response to a grant that it is draining. Its keys then go to other servers, also
+    /// if the server can't reach the store to announce it there.
+    fn record_drain(&self, now: Millis, life: &Life) {
+        if let Some(target) = self.router.service(&self.service).target(life) {
+            target.record_drain(now, "grant");
+        }
+    }
+
     /// Sends a release to a server and records its outcome.
     pub(super) async fn release(self: Rc<Self>, life: Life, addr: SocketAddr, release: KeyGrant) {
         let timeout = KeyTiming::default().release_timeout;
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -67,7 +67,8 @@
         }
     }
 
-    /// Returns the servers that may be assigned keys, sorted: those that are ready, respond and are warmed up. If there
+    /// Returns the servers that may be assigned keys, sorted: those that are ready, have not said that they drain,
+    /// respond and are warmed up. If there
     /// are none, servers that are warming up are included.
     fn candidates(&self, now: Millis) -> Vec<KeyCandidate> {
         let service = self.router.service(&self.service);
@@ -76,6 +77,7 @@
         let owners: BTreeSet<&Life> = leases.record().spans.iter().map(|s| &s.owner).collect();
         let select = |include_warmup: bool| -> Vec<KeyCandidate> {
             let ready = targets.values().filter(|t| t.is_ready());
+            let ready = ready.filter(|t| !t.notices.get().is_draining());
             let ready = ready.filter(|t| !leases.is_lost(now, &t.life));
             let owns = |life: &Life| owners.contains(life);
             let ready =
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -4,6 +4,7 @@
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
+use chicoryrail_policy::Withheld;
 use chicoryrail_policy::retry_after;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::RequestBody;
@@ -13,6 +14,7 @@
 use crate::route::caller_request::CallerRequest;
 use crate::route::caller_request::SEND_TIME_MIN;
 use crate::route::choose::Choice;
+use crate::route::choose::NO_SERVER_RETRY;
 use crate::route::choose::choose;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
@@ -129,6 +131,7 @@
             slot_query::Decision::Send(target, slot) => Ok((target, slot)),
             slot_query::Decision::Refuse(after) => Err(self.refuse(Cause::Full, after)),
             slot_query::Decision::OverQuota(after) => Err(self.refuse(Cause::OverQuota, after)),
+            slot_query::Decision::Withheld(why) => Err(self.refuse_withheld(why)),
             slot_query::Decision::Unavailable => self.acquire_without_scheduler().await,
         };
         let mut stats = self.call.stats.borrow_mut();
@@ -174,6 +177,7 @@
                 match choose(self.router, &self.service, self.call, &self.tried, now) {
                     Choice::Send(target) => return Ok(target),
                     Choice::Wait(cause, capacity_in) => (cause, capacity_in),
+                    Choice::Refuse(why) => return Err(self.refuse_withheld(why)),
                 };
             let wait_max = match cause {
                 Cause::KeyMoving => Millis(latency_target.0 / KEY_MOVE_WAIT_DIVISOR),
@@ -246,6 +250,13 @@
         self.refuse(cause, Millis((work / 1_000.0) as u64))
     }
 
+    /// Refuses a request that no server may receive from this host.
+    fn refuse_withheld(&self, why: Withheld) -> Refusal {
+        match why {
+            Withheld::Draining => self.refuse(Cause::Draining, NO_SERVER_RETRY),
+        }
+    }
+
     fn refuse_indeterminate(&self, why: Indeterminate) -> Refusal {
         match why {
             Indeterminate::Silent => Cause::Silent.into(),
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -5,9 +5,13 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::keys::KeyOwner;
+use chicoryrail_policy::SendPermit;
 use chicoryrail_policy::ServerId;
+use chicoryrail_policy::Withheld;
 
 use crate::route::caller_request::CallerRequest;
+use crate::route::candidates::permit;
+use crate::route::candidates::unkeyed_candidates;
 use crate::route::refusal::Cause;
 use crate::state::Router;
 use crate::state::Service;
@@ -20,6 +24,8 @@
     Send(Rc<Target>),
     /// No server is available, for this cause; capacity is expected after this time.
     Wait(Cause, Millis),
+    /// No server may receive the request from this host, and waiting does not change that.
+    Refuse(Withheld),
 }
 
 /// Time after which a key that moves is expected to be granted to its new owner: the former owner releases it
@@ -35,7 +41,7 @@
 const LOCAL_WARMUP_FRACTION: f64 = 0.5;
 
 /// Time after which a request may be retried when no server of the service accepts work.
-const NO_SERVER_RETRY: Millis = Millis(500);
+pub(super) const NO_SERVER_RETRY: Millis = Millis(500);
 
 /// Chooses the server of a request. Servers in `tried` are chosen only if there is no other; a key's owner is always
 /// the only choice.
@@ -69,6 +75,9 @@
     let Some(target) = target else {
         return Choice::Wait(Cause::KeyMoving, KEY_MOVE_RETRY);
     };
+    if let SendPermit::Withheld(why) = permit(router, call, &target) {
+        return Choice::Refuse(why);
+    }
     let work = router.expected_work_us(&call.route.name, call.route.latency_target);
     let loads = service.loads.borrow();
     if loads.has_capacity(now, target.id) && take_rate_permit(router, call, &target, now) {
@@ -84,7 +93,10 @@
     tried: &[Life],
     now: Millis,
 ) -> Choice {
-    let accepting = service.accepting_targets(now);
+    let accepting = match unkeyed_candidates(router, service, call, now) {
+        Ok(candidates) => candidates.targets,
+        Err(why) => return Choice::Refuse(why),
+    };
     if accepting.is_empty() {
         return Choice::Wait(Cause::NoServer, NO_SERVER_RETRY);
     }
--- a/crates/chicoryrail-router/src/route/in_flight.rs
+++ b/crates/chicoryrail-router/src/route/in_flight.rs
@@ -39,7 +39,10 @@
     /// Ends the request after its complete response. If `reuse` is set, the connection returns to the pool of a server
     /// that is ready.
     pub(crate) fn complete(mut self, reuse: bool) {
-        let conn = self.conn.take().filter(|_| reuse && self.target.is_ready());
+        let conn = self
+            .conn
+            .take()
+            .filter(|_| reuse && self.target.keeps_connections());
         if let Some(conn) = conn {
             self.target.pool.release(conn);
         }
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod caller;
 mod caller_request;
+mod candidates;
 mod choose;
 mod in_flight;
 mod refusal;
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -42,6 +42,8 @@
     Full,
     /// The key is being moved to another server, and no server owns it at this moment.
     KeyMoving,
+    /// The servers that may run the request are draining and receive no more requests from this host.
+    Draining,
     /// The deadline has passed, or too little time is left, and the request was not sent.
     Late,
     /// The request was sent to a server, which returned no usable response.
@@ -72,6 +74,7 @@
             Self::NoServer => "no_server",
             Self::Full => "full",
             Self::KeyMoving => "key_moving",
+            Self::Draining => "draining",
             Self::Late => "late",
             Self::Broken => "broken",
             Self::Silent => "silent",
@@ -93,6 +96,7 @@
             | Self::NoServer
             | Self::Full
             | Self::KeyMoving
+            | Self::Draining
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::Silent => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/chicoryrail-router/src/route/server_report.rs
+++ b/crates/chicoryrail-router/src/route/server_report.rs
@@ -69,8 +69,5 @@
         log::warn!(server:% = target.life, value:? = value; "server_draining_unreadable");
         return;
     }
-    if target.record_drain(router.now()) {
-        log::info!(request = call.id, server:% = target.life, entry:? = target.admission.get();
-            "server_draining");
-    }
+    target.record_drain(router.now(), &call.id);
 }
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -9,6 +9,8 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::RouteKind;
 use chicoryrail_ownership::SchedulerHost;
+use chicoryrail_policy::SendPermit;
+use chicoryrail_policy::Withheld;
 use monoio::time::timeout;
 use rand::seq::IteratorRandom;
 
@@ -17,6 +19,9 @@
 use crate::messages::SlotQuery;
 use crate::messages::SlotReply;
 use crate::route::caller_request::CallerRequest;
+use crate::route::candidates::permit;
+use crate::route::candidates::unkeyed_candidates;
+use crate::route::candidates::withheld_by_owner;
 use crate::route::slot_guard::SlotGuard;
 use crate::route::slot_guard::send_to_scheduler;
 use crate::state::Router;
@@ -45,6 +50,8 @@
     Refuse(Millis),
     /// Refuse: the organisation has exceeded its rate limit; a token is expected after this time.
     OverQuota(Millis),
+    /// Refuse: the servers that may run the request asked this host for no more.
+    Withheld(Withheld),
     /// The scheduler did not reply in time, or it chose a server that this host can't send to.
     Unavailable,
 }
@@ -56,7 +63,11 @@
     call: &CallerRequest,
     tried: &[Life],
 ) -> Decision {
-    let part = initial_part(router, service);
+    let excluded = match excluded_servers(router, service, call, tried) {
+        Ok(excluded) => excluded,
+        Err(why) => return Decision::Withheld(why),
+    };
+    let part = initial_part(router, service, call);
     let scheduler = scheduler_for(router, service, &part, call);
     let (ticket, pending_reply) = router.pending_queries.open(router.process.instance_id);
     let mut query = PendingQuery {
@@ -69,7 +80,7 @@
     };
     let mut last_activity = router.now();
     let mut acknowledged = false;
-    query.send(call, tried);
+    query.send(call, &excluded);
     let mut resent = false;
     loop {
         let seen = pending_reply.changed.version();
@@ -81,10 +92,15 @@
                 let target = service
                     .target(&life)
                     .filter(|t| t.accepts_requests(router.now()));
-                return match target {
-                    Some(target) => Decision::Send(target, slot),
+                let Some(target) = target else {
                     // The scheduler's view of this server is older than this host's.
-                    None => Decision::Unavailable,
+                    return Decision::Unavailable;
+                };
+                return match permit(router, call, &target) {
+                    SendPermit::Withheld(why) if call.key.is_some() => Decision::Withheld(why),
+                    // The notice arrived after the query was sent: another server may be free.
+                    SendPermit::Withheld(_) => Decision::Unavailable,
+                    SendPermit::Granted | SendPermit::LastResort => Decision::Send(target, slot),
                 };
             }
             Some(SlotReply::Refuse(after)) => {
@@ -101,7 +117,7 @@
                     query.overflowed = true;
                 }
                 query.scheduler = scheduler_for(router, service, &query.part, call);
-                query.send(call, tried);
+                query.send(call, &excluded);
                 acknowledged = false;
                 resent = false;
                 last_activity = router.now();
@@ -114,6 +130,9 @@
             None => {}
         }
         let now = router.now();
+        if let Some(why) = withheld_by_owner(router, service, call, now) {
+            return Decision::Withheld(why);
+        }
         if call.time_left(now) == Millis::ZERO {
             return Decision::Refuse(Millis::ZERO);
         }
@@ -133,7 +152,7 @@
         }
         if silence >= resend_after && !resent {
             resent = true;
-            query.send(call, tried);
+            query.send(call, &excluded);
         }
         let next_step = if resent {
             resend_after + SCHEDULER_TIMEOUT - FIRST_REPLY_TIMEOUT
@@ -146,6 +165,28 @@
     }
 }
 
+/// Returns the servers that the scheduler must not choose: those of earlier attempts and those that this host must
+/// spare.
+///
+/// # Errors
+///
+/// Returns why no server may receive the request from this host.
+fn excluded_servers(
+    router: &Router,
+    service: &Service,
+    call: &CallerRequest,
+    tried: &[Life],
+) -> Result<Vec<Life>, Withheld> {
+    let now = router.now();
+    if call.key.is_some() {
+        let withheld = withheld_by_owner(router, service, call, now);
+        return withheld.map_or_else(|| Ok(tried.to_vec()), Err);
+    }
+    let mut excluded = unkeyed_candidates(router, service, call, now)?.spared;
+    excluded.extend_from_slice(tried);
+    Ok(excluded)
+}
+
 /// A slot query at the scheduler. If it is dropped while still pending, the scheduler is sent a cancellation.
 struct PendingQuery<'a> {
     router: &'a Rc<Router>,
@@ -160,7 +201,7 @@
 
 impl PendingQuery<'_> {
     /// Sends the query to the current scheduler.
-    fn send(&self, call: &CallerRequest, tried: &[Life]) {
+    fn send(&self, call: &CallerRequest, excluded: &[Life]) {
         let now = self.router.now();
         let work = self
             .router
@@ -178,22 +219,23 @@
             left: call.time_left(now).0,
             work_us: work as u64,
             large: call.route.kind == RouteKind::Download,
-            not: tried.to_vec(),
+            not: excluded.to_vec(),
         };
         send_to_scheduler(self.router, self.scheduler, Packet::SlotQuery(slot_query));
     }
 }
 
-/// Returns the part of a service that is queried first: that of this host's data centre if it has ready servers,
-/// else that of a random ready server.
-fn initial_part(router: &Router, service: &Service) -> PartName {
+/// Returns the part of a service that is queried first: that of this host's data centre if it has ready servers
+/// without notices to this host, else that of a random such server.
+fn initial_part(router: &Router, service: &Service, call: &CallerRequest) -> PartName {
     let targets = service.targets.borrow();
     let dc = router.boot().dc.clone();
-    let has_local = targets.values().any(|t| t.dc == dc && t.is_ready());
+    let is_open = |t: &Target| t.is_ready() && permit(router, call, t) == SendPermit::Granted;
+    let has_local = targets.values().any(|t| t.dc == dc && is_open(t));
     if has_local || !service.partitioned.get() {
         return service.part_of(&dc);
     }
-    let ready = targets.values().filter(|t| t.is_ready());
+    let ready = targets.values().filter(|t| is_open(t));
     let chosen_dc = ready.choose(&mut rand::rng()).map_or(dc, |t| t.dc.clone());
     service.part_of(&chosen_dc)
 }
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -147,7 +147,7 @@
                     warmup: RefCell::default(),
                     warmup_until: Cell::default(),
                     limit: Cell::default(),
-                    drain_heard: Cell::default(),
+                    notices: Cell::default(),
                     slots: Cell::new(member.slots),
                     admission: Cell::new(Admission::Closed),
                     scheduled_here: Cell::new(None),
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -10,6 +10,7 @@
 use chicoryrail_policy::AdvertisedLimit;
 use chicoryrail_policy::AdvertisedRate;
 use chicoryrail_policy::ServerId;
+use chicoryrail_policy::ServerNotices;
 use chicoryrail_policy::WarmupPacer;
 use chicoryrail_runtime::ServerPool;
 use http::HeaderValue;
@@ -47,8 +48,8 @@
     pub(crate) warmup_until: Cell<Millis>,
     /// Rate limit that the server's responses advertise.
     pub(crate) limit: Cell<AdvertisedLimit>,
-    /// When a response of the server first said that it is draining; `None` if none has.
-    pub(crate) drain_heard: Cell<Option<Millis>>,
+    /// What the server's responses asked of this host.
+    pub(crate) notices: Cell<ServerNotices>,
     /// Maximum number of concurrent requests.
     pub(crate) slots: Cell<u32>,
     pub(crate) admission: Cell<Admission>,
@@ -71,6 +72,11 @@
         }
     }
 
+    /// Returns `true` if connections to the server may be kept for further requests.
+    pub(crate) fn keeps_connections(&self) -> bool {
+        self.is_ready() && !self.notices.get().is_draining()
+    }
+
     /// Returns `true` if the server is warming up.
     pub(crate) fn is_warming_up(&self, now: Millis) -> bool {
         now < self.warmup_until.get()
@@ -86,13 +92,16 @@
         self.limit.set(limit);
     }
 
-    /// Records that a response said that the server is draining; returns `true` if it is the first one.
-    pub(crate) fn record_drain(&self, now: Millis) -> bool {
-        let is_first = self.drain_heard.get().is_none();
-        if is_first {
-            self.drain_heard.set(Some(now));
+    /// Records that a response said that the server is draining, and logs the first such response. `heard_in` is the
+    /// id of its request, or the name of the call.
+    pub(crate) fn record_drain(&self, now: Millis, heard_in: &str) {
+        let mut notices = self.notices.get();
+        if notices.record_drain(now) {
+            self.notices.set(notices);
+            self.pool.close_idle();
+            log::info!(heard_in = heard_in, server:% = self.life, entry:? = self.admission.get();
+                "server_draining");
         }
-        is_first
     }
 
     /// Extends the warm-up to `left` from now; it is never shortened.
--- a/crates/chicoryrail-router/tests/draining_servers.rs
+++ b/crates/chicoryrail-router/tests/draining_servers.rs
@@ -180,3 +180,25 @@
         .await;
     });
 }
+
+/// Guards against keys that stay with a draining server whose entry in the store still says that it is ready: their
+/// callers would be refused until the server ends.
+#[test]
+fn keys_leave_a_draining_server_that_lost_the_store() {
+    block_on(async {
+        let world = World::start("drain-keys").await;
+        world.configure().await;
+        let (servers, router) = start_keyed(&world).await;
+        let key = owned_key(&servers[0]);
+        servers[0].fault(TargetFault::SayDraining);
+        wait_until("the other server owns the key", async || {
+            servers[1].owns(key)
+        })
+        .await;
+        let (clock, caller) = (Clock::start(), router.caller());
+        while clock.now() < DRAIN_TIMEOUT {
+            assert_eq!(caller.key(key).await.unwrap().status(), 200);
+            monoio::time::sleep(Millis(50).to_duration()).await;
+        }
+    });
+}
--- a/crates/chicoryrail-testkit/src/target/fault.rs
+++ b/crates/chicoryrail-testkit/src/target/fault.rs
@@ -28,6 +28,8 @@
     },
     /// The server announces that it is draining; it goes on serving requests.
     Leave,
+    /// Responses say that the server is draining, but its entry in the store stays ready, as if it had lost the store.
+    SayDraining,
     /// Grants and releases have no effect and get no response; their connections are closed when the fault ends.
     Deaf {
         /// Duration of the fault in milliseconds.
@@ -149,7 +151,7 @@
             | TargetFault::Cut { for_ms, .. }
             | TargetFault::LoseAnswers { for_ms, .. }
             | TargetFault::Crossed { for_ms, .. } => *for_ms,
-            TargetFault::Cold { .. } | TargetFault::Leave => return,
+            TargetFault::Cold { .. } | TargetFault::Leave | TargetFault::SayDraining => return,
         };
         self.timed.add(now + Millis(for_ms), fault);
     }
--- a/crates/chicoryrail-testkit/src/target/response_headers.rs
+++ b/crates/chicoryrail-testkit/src/target/response_headers.rs
@@ -40,7 +40,7 @@
 
 /// Adds the headers by which a server says that it is draining.
 pub(crate) fn add_drain_headers(state: &State, headers: &mut HeaderMap) {
-    if state.is_draining() {
+    if state.says_draining() {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
         headers.insert(call_header::DRAINING, HeaderValue::from_static("1"));
     }
--- a/crates/chicoryrail-testkit/src/target/server.rs
+++ b/crates/chicoryrail-testkit/src/target/server.rs
@@ -102,6 +102,7 @@
         match fault {
             TargetFault::Cold { for_ms } => self.state.start_warmup(for_ms.map(Millis)),
             TargetFault::Leave => self.state.start_draining(),
+            TargetFault::SayDraining => self.state.say_draining(),
             _ => {}
         }
         let now = self.state.now();
--- a/crates/chicoryrail-testkit/src/target/state.rs
+++ b/crates/chicoryrail-testkit/src/target/state.rs
@@ -39,6 +39,8 @@
     warmup: RefCell<WarmUp>,
     advertised: Cell<Advertised>,
     limit_check: RefCell<LimitCheck>,
+    /// Whether responses say that the server is draining, whatever its entry in the store says.
+    says_draining: Cell<bool>,
     /// Accepted requests by id.
     in_flight: RefCell<BTreeMap<u64, InFlight>>,
     last_id: Cell<u64>,
@@ -80,6 +82,7 @@
                 warmups: 0,
             }),
             limit_check: RefCell::default(),
+            says_draining: Cell::default(),
             in_flight: RefCell::default(),
             last_id: Cell::new(0),
             options,
@@ -101,9 +104,14 @@
         self.advertised.get()
     }
 
-    /// Returns `true` if the server is draining.
-    pub(crate) fn is_draining(&self) -> bool {
-        self.advertised.get().state == MemberState::Draining
+    /// Returns `true` if the server says in its responses that it is draining.
+    pub(crate) fn says_draining(&self) -> bool {
+        self.says_draining.get() || self.advertised.get().state == MemberState::Draining
+    }
+
+    /// Announces in responses alone that the server is draining.
+    pub(crate) fn say_draining(&self) {
+        self.says_draining.set(true);
     }
 
     /// Announces in the store and in responses that the server is draining.
--- a/crates/chicoryrail-testkit/tests/target.rs
+++ b/crates/chicoryrail-testkit/tests/target.rs
@@ -7,6 +7,7 @@
 use chicoryrail_core::MemberState;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
+use chicoryrail_platform::GrantReply;
 use chicoryrail_platform::KeyControl;
 use chicoryrail_platform::KeyError;
 use chicoryrail_platform::KeyGrant;
@@ -161,7 +162,7 @@
         let control = KeyControl::default();
         let limit = Millis(20_000);
         let granted = control.grant(addr, &name, &grant(5), limit).await;
-        assert_eq!(granted, Ok(()));
+        assert_eq!(granted, Ok(GrantReply { draining: false }));
         assert_eq!(send(addr, keyed("r2")).await.status(), 200);
         let old = control.grant(addr, &name, &grant(4), limit).await;
         assert_eq!(old, Err(KeyError::StaleFence));
