feat(testkit): check that hosts heed a server's drain notice

The stand-in records each response that carries the notice, with its incarnation. The checker takes from the callers' records which host passed on the first of them, and reports a request that its caller sent to the same host later than drain_timeout_ms and that reached the server all the same. Hosts that were killed, stopped or paused in between are excused, others are not. Six cases of the check are in tests/checker.rs.

--- a/crates/chicoryrail-testkit/src/chaos/context.rs
+++ b/crates/chicoryrail-testkit/src/chaos/context.rs
@@ -30,6 +30,8 @@
     pub(crate) stops: Vec<HostTime>,
     /// Periods in which routers are paused.
     pub(crate) frozen: Vec<HostTime>,
+    /// Periods in which routers are killed, stopped or paused.
+    pub(crate) interruptions: Vec<HostTime>,
 }
 
 /// The cluster and the events of a chaos run.
--- a/crates/chicoryrail-testkit/src/chaos/fault.rs
+++ b/crates/chicoryrail-testkit/src/chaos/fault.rs
@@ -47,6 +47,8 @@
     TargetDeaf { target: usize, for_ms: u64 },
     /// A target announces that it is draining, is killed after a while, and is started again.
     TargetLeaves { target: usize },
+    /// A target announces only in its responses that it is draining, is killed after a while, and is started again.
+    TargetSaysDraining { target: usize },
     /// A target runs requests, and a fraction of its responses is lost.
     TargetLosesAnswers {
         target: usize,
@@ -104,7 +106,7 @@
 }
 
 /// Number of cases that [`Fault::generate`] chooses from; `DataCentreOut` and `RollingRestart` share one.
-const KIND_COUNT: u32 = 21;
+const KIND_COUNT: u32 = 22;
 
 /// Number of these cases to choose from if the options name no kind. It does not grow with [`KIND_COUNT`], since a
 /// further case would change the faults that each fixed seed gives.
@@ -185,6 +187,7 @@
                 rate: rng.random_range(1.0..20.0),
                 for_ms: 5_000 + for_ms,
             },
+            21 => Self::TargetSaysDraining { target },
             _ if rng.random() => Self::DataCentreOut {
                 centre: rng.random_range(0..size.data_centres),
                 for_ms: 3_500 + for_ms,
@@ -215,6 +218,7 @@
             Self::TargetLimited { .. } => "target-limited",
             Self::TargetDeaf { .. } => "target-deaf",
             Self::TargetLeaves { .. } => "target-leaves",
+            Self::TargetSaysDraining { .. } => "target-says-draining",
             Self::RacingOperators => "racing-operators",
             Self::DataCentreOut { .. } => "data-centre-out",
             Self::RollingRestart => "rolling-restart",
--- a/crates/chicoryrail-testkit/src/chaos/inject.rs
+++ b/crates/chicoryrail-testkit/src/chaos/inject.rs
@@ -90,6 +90,10 @@
             let name = format!("target {target}");
             context.exclusively(&name, || drain_target(context, target))
         }
+        Fault::TargetSaysDraining { target } => {
+            let name = format!("target {target}");
+            context.exclusively(&name, || say_draining(context, target))
+        }
         Fault::RollingRestart => {
             context.exclusively("a rolling restart", || rolling_restart(context))
         }
@@ -98,12 +102,25 @@
 }
 
 fn kill(context: &RunContext, member: Member, for_ms: u64) -> Result<(), String> {
+    let from = unix_micros();
     context.cluster().kill(member);
     context.sleep(for_ms);
     let restarted = context.cluster().restart(member);
+    if let Member::Router(host) = member {
+        record_interruption(context, host, from);
+    }
     restarted.map_err(|e| e.to_string())
 }
 
+/// Records that a router did not run from `from` until now, and returns the period.
+fn record_interruption(context: &RunContext, host: usize, from: u64) -> HostTime {
+    let host = context.cluster().hosts()[host].caller_addr;
+    let until = unix_micros();
+    let period = HostTime { host, from, until };
+    context.events().interruptions.push(period);
+    period
+}
+
 fn pause(context: &RunContext, member: Member, for_ms: u64) -> Result<(), String> {
     context.cluster().pause(member);
     context.sleep(for_ms);
@@ -114,9 +131,8 @@
 fn pause_router(context: &RunContext, host: usize, for_ms: u64) -> Result<(), String> {
     let from = unix_micros();
     pause(context, Member::Router(host), for_ms)?;
-    let host = context.cluster().hosts()[host].caller_addr;
-    let until = unix_micros();
-    context.events().frozen.push(HostTime { host, from, until });
+    let period = record_interruption(context, host, from);
+    context.events().frozen.push(period);
     Ok(())
 }
 
@@ -293,6 +309,15 @@
     kill(context, Member::Target(target), 200)
 }
 
+/// Makes a target say in its responses alone that it is draining; after a while it is killed and starts again.
+fn say_draining(context: &RunContext, target: usize) -> Result<(), String> {
+    let addr = context.cluster().targets()[target].addr;
+    let said = context.cluster().put_fault(addr, &TargetFault::SayDraining);
+    said.map_err(|e| e.to_string())?;
+    context.sleep(LEAVE_DURATION_MS);
+    kill(context, Member::Target(target), 200)
+}
+
 /// Restarts the hosts one after another, each by a planned stop.
 fn rolling_restart(context: &RunContext) -> Result<(), String> {
     let hosts = context.cluster().hosts().len();
@@ -329,11 +354,10 @@
     let from = unix_micros();
     context.cluster().request_stop(member);
     let ended = context.wait_until(STOP_TIMEOUT_MS, || !context.cluster().is_running(member));
-    let until = unix_micros();
+    let period = record_interruption(context, host, from);
     // Reaps the process, closes its ports, and kills it if it is still running.
     context.cluster().kill(member);
-    let host = context.cluster().hosts()[host].caller_addr;
-    context.events().stops.push(HostTime { host, from, until });
+    context.events().stops.push(period);
     if ended {
         Ok(())
     } else {
--- a/crates/chicoryrail-testkit/src/chaos/run.rs
+++ b/crates/chicoryrail-testkit/src/chaos/run.rs
@@ -121,12 +121,14 @@
         outs,
         stops,
         frozen,
+        interruptions,
     } = std::mem::take(&mut *context.events());
     faults.sort_by_key(|f| f.from);
     let mut evidence = Evidence {
         outs,
         frozen,
         stops,
+        interruptions,
         ..cluster.evidence(records)?
     };
     discard_disturbed(&mut evidence, &faults);
--- a/crates/chicoryrail-testkit/src/checker.rs
+++ b/crates/chicoryrail-testkit/src/checker.rs
@@ -4,6 +4,7 @@
 mod evidence;
 mod exclusivity;
 mod find;
+mod notices;
 mod orders;
 mod organisations;
 mod responses;
--- a/crates/chicoryrail-testkit/src/checker/evidence.rs
+++ b/crates/chicoryrail-testkit/src/checker/evidence.rs
@@ -10,6 +10,7 @@
 use crate::Change;
 use crate::Ledger;
 use crate::LimitOverrun;
+use crate::Notice;
 use crate::Overrun;
 use crate::Run;
 
@@ -29,6 +30,9 @@
     /// Times at which a target received more requests than its advertised limit allows.
     #[serde(default)]
     pub limit_overruns: Vec<LimitOverrun>,
+    /// Responses in which targets asked the host for something.
+    #[serde(default)]
+    pub notices: Vec<Notice>,
     /// Writes and deletions in the store, oldest first.
     pub history: Vec<Change>,
     /// Periods in which servers must receive no new requests.
@@ -37,6 +41,10 @@
     pub stops: Vec<HostTime>,
     /// Periods in which routers were paused.
     pub frozen: Vec<HostTime>,
+    /// Periods in which routers were killed, stopped or paused, until they ran again. What a server asked of a router
+    /// before does not bind it afterwards.
+    #[serde(default)]
+    pub interruptions: Vec<HostTime>,
     /// Quota of each organisation, by name.
     pub quotas: BTreeMap<String, QuotaWindow>,
 }
@@ -58,6 +66,7 @@
             self.runs.extend(ledger.runs);
             self.overruns.extend(ledger.overruns);
             self.limit_overruns.extend(ledger.limit_overruns);
+            self.notices.extend(ledger.notices);
         }
         self
     }
@@ -75,13 +84,13 @@
     pub until: u64,
 }
 
-/// The period of a planned stop or a pause of a router. Times are in microseconds since 1970.
+/// The period of a stop, a kill or a pause of a router. Times are in microseconds since 1970.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostTime {
     /// Address of the router's listener for callers.
     pub host: SocketAddr,
-    /// When the stop was requested, or the pause began.
+    /// When the stop was requested, the router was killed or the pause began.
     pub from: u64,
-    /// When the router had exited, or was resumed.
+    /// When the router had exited, was started again or was resumed.
     pub until: u64,
 }
--- a/crates/chicoryrail-testkit/src/checker/find.rs
+++ b/crates/chicoryrail-testkit/src/checker/find.rs
@@ -3,6 +3,7 @@
 use crate::Evidence;
 use crate::Violation;
 use crate::checker::exclusivity;
+use crate::checker::notices;
 use crate::checker::orders;
 use crate::checker::organisations;
 use crate::checker::responses;
@@ -21,6 +22,7 @@
         found.extend(versions::check(evidence));
         found.extend(server_limits::check(evidence));
         found.extend(organisations::check(evidence));
+        found.extend(notices::check(evidence));
         found
     }
 }
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -95,6 +95,16 @@
         /// Time from the start of that period to the start of the request, in milliseconds.
         after_ms: u64,
     },
+    /// A request reached a server from a host to which the server had said that it is draining.
+    SentAfterDrain {
+        /// Server that got the request.
+        server: String,
+        /// Id of the request.
+        request: String,
+        /// Time from the end of the first response with the notice to the send of the request by its caller, in
+        /// milliseconds.
+        after_ms: u64,
+    },
     /// A request ran although its API key is invalid, or was attributed to an organisation other than that of its API
     /// key, or to any although it had no API key.
     UnauthorisedRan {
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -82,6 +82,8 @@
 pub use target::LeasedKeys;
 pub use target::Ledger;
 pub use target::LimitOverrun;
+pub use target::Notice;
+pub use target::NoticeKind;
 pub use target::Overrun;
 pub use target::Permit;
 pub use target::ResponseHead;
--- a/crates/chicoryrail-testkit/src/target.rs
+++ b/crates/chicoryrail-testkit/src/target.rs
@@ -20,6 +20,8 @@
 pub use leased_keys::StaleFence;
 pub use ledger::Ledger;
 pub use ledger::LimitOverrun;
+pub use ledger::Notice;
+pub use ledger::NoticeKind;
 pub use ledger::Overrun;
 pub use ledger::Run;
 pub use options::TargetOptions;
--- a/crates/chicoryrail-testkit/src/target/ledger.rs
+++ b/crates/chicoryrail-testkit/src/target/ledger.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Largest number of runs kept in memory; the file holds all of them.
+/// Largest numbers of runs and of notices kept in memory; the file holds all of them.
 const RUNS_MAX: usize = 200_000;
 
 /// Largest number of overruns of each kind kept in memory; the file holds all of them.
@@ -73,6 +73,29 @@
     pub allowed: u32,
 }
 
+/// A response in which a server asked the host that sent the request for something.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Name of the server.
+    pub server: String,
+    /// Start of the server's process in milliseconds since 1970.
+    pub born: u64,
+    /// Id of the request.
+    pub request: String,
+    /// Time of the response in microseconds since 1970.
+    pub time: u64,
+    /// What the server asked for.
+    pub kind: NoticeKind,
+}
+
+/// What a server asks of a host in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NoticeKind {
+    /// The server is draining and wants no more requests after its drain timeout.
+    Draining,
+}
+
 /// The record of a target; the JSON response to `GET /testkit/ledger`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
@@ -83,6 +106,9 @@
     /// Overruns of the advertised rate limit. A target keeps the first 1,000.
     #[serde(default)]
     pub limit_overruns: Vec<LimitOverrun>,
+    /// Responses with a notice to the host. A target keeps the first 200,000.
+    #[serde(default)]
+    pub notices: Vec<Notice>,
     /// Total number of requests that took effect.
     pub done: u64,
     /// Requests refused because the server does not own the key.
@@ -110,6 +136,7 @@
     Run(Run),
     Overrun(Overrun),
     LimitOverrun(LimitOverrun),
+    Notice(Notice),
 }
 
 impl Ledger {
@@ -128,6 +155,7 @@
                 Line::Run(run) => ledger.runs.push_back(run),
                 Line::Overrun(overrun) => ledger.overruns.push(overrun),
                 Line::LimitOverrun(overrun) => ledger.limit_overruns.push(overrun),
+                Line::Notice(notice) => ledger.notices.push(notice),
             }
         }
         ledger.done = ledger.runs.len() as u64;
@@ -179,6 +207,13 @@
         }
     }
 
+    pub(crate) fn record_notice(&mut self, notice: Notice) {
+        self.write(&Line::Notice(notice.clone()));
+        if self.ledger.notices.len() < RUNS_MAX {
+            self.ledger.notices.push(notice);
+        }
+    }
+
     fn write(&mut self, line: &Line) {
         if let Some(file) = &mut self.file {
             let mut text = serde_json::to_vec(line).unwrap_or_default();
--- a/crates/chicoryrail-testkit/src/target/response_headers.rs
+++ b/crates/chicoryrail-testkit/src/target/response_headers.rs
@@ -2,11 +2,17 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_platform::call_header;
+use chicoryrail_runtime::Body;
 use http::HeaderMap;
 use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
 use http::header::CONNECTION;
 
+use crate::Notice;
+use crate::NoticeKind;
 use crate::target::state::State;
+use crate::unix_micros;
 
 /// Adds the headers that every response has: request id, server, load, advertised limit, warm-up left, draining.
 pub(crate) fn add_headers(state: &State, headers: &mut HeaderMap, request: &str) {
@@ -45,3 +51,20 @@
         headers.insert(call_header::DRAINING, HeaderValue::from_static("1"));
     }
 }
+
+/// Records the notice that a response carries. A response with status 421 tells the host only that it sent the request
+/// to a server that does not hold the key, or to an address that another server uses.
+pub(crate) fn record_notice(state: &State, request: &str, response: &Response<Body>) {
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    if response.headers().contains_key(call_header::DRAINING) {
+        state.recorder.borrow_mut().record_notice(Notice {
+            server: state.options.name.to_string(),
+            born: state.started_unix_ms(),
+            request: request.to_owned(),
+            time: unix_micros(),
+            kind: NoticeKind::Draining,
+        });
+    }
+}
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -25,6 +25,7 @@
 use crate::target::response::ResponseBody;
 use crate::target::response::ResponseHead;
 use crate::target::response_headers::add_headers;
+use crate::target::response_headers::record_notice;
 use crate::target::slots::NoSlot;
 use crate::target::state::State;
 use crate::unix_micros;
@@ -67,32 +68,43 @@
     Cancelled,
 }
 
-/// Runs a request and returns its response, with the active faults applied.
+/// Runs a request and returns its response, with the active faults applied. Records the notice in the response, if any.
 pub(crate) async fn respond(
     state: Rc<State>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ConnectionCut> {
     let (head, body) = request.into_parts();
     let work = Work::parse(&state, &head);
+    let request = work.request.clone();
+    let response = run_and_respond(&state, work, body).await?;
+    record_notice(&state, &request, &response);
+    Ok(response)
+}
+
+async fn run_and_respond(
+    state: &Rc<State>,
+    work: Work,
+    body: Incoming,
+) -> Result<Response<Body>, ConnectionCut> {
     let Ok(_) = collect_body(body, BODY_MAX_BYTES).await else {
         return Err(ConnectionCut);
     };
     if state.faults.borrow_mut().sample_refusal(state.now()) {
-        return Ok(refusal(&state, &work.request, End::Refused));
+        return Ok(refusal(state, &work.request, End::Refused));
     }
     // An order runs on when its caller disconnects, as it may on a real server; a lookup is cancelled.
     let cancel = CancellationToken::new();
     let cancel_guard = cancel.clone().drop_guard();
-    let end = monoio::spawn(run(Rc::clone(&state), work.clone(), cancel)).await;
+    let end = monoio::spawn(run(Rc::clone(state), work.clone(), cancel)).await;
     cancel_guard.disarm();
     match end {
         End::Done => {}
         End::DoneLate => {
             let mut response = json_response(504, &"the deadline passed");
-            add_headers(&state, response.headers_mut(), &work.request);
+            add_headers(state, response.headers_mut(), &work.request);
             return Ok(response);
         }
-        end => return Ok(refusal(&state, &work.request, end)),
+        end => return Ok(refusal(state, &work.request, end)),
     }
     let faults = state.faults.borrow_mut().sample(state.now());
     if faults.delay > Millis::ZERO {
@@ -114,7 +126,7 @@
     if faults.failed {
         *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
     }
-    add_headers(&state, response.headers_mut(), &sent_head.request);
+    add_headers(state, response.headers_mut(), &sent_head.request);
     if !faults.unmarked {
         let stamp = HeaderValue::from_static("stamp");
         response
--- a/crates/chicoryrail-testkit/tests/checker.rs
+++ b/crates/chicoryrail-testkit/tests/checker.rs
@@ -10,6 +10,8 @@
 use chicoryrail_testkit::HostTime;
 use chicoryrail_testkit::LimitOverrun;
 use chicoryrail_testkit::LoadKind;
+use chicoryrail_testkit::Notice;
+use chicoryrail_testkit::NoticeKind;
 use chicoryrail_testkit::OutPeriod;
 use chicoryrail_testkit::Outcome;
 use chicoryrail_testkit::Overrun;
@@ -451,3 +453,62 @@
     };
     assert_eq!(Violation::find(&evidence), [expected]);
 }
+
+/// Returns a response with a notice; the time in milliseconds.
+fn notice(request: &str, born: u64, time: u64, kind: NoticeKind) -> Notice {
+    Notice {
+        server: "kits-1".to_owned(),
+        born,
+        request: request.to_owned(),
+        time: time * 1_000,
+        kind,
+    }
+}
+
+/// Returns the record of a request that a server answered; times in milliseconds.
+fn answered(request: &str, host: &str, intended: u64, ended: u64) -> CallRecord {
+    CallRecord {
+        host: host.parse().unwrap(),
+        intended: intended * 1_000,
+        ended: ended * 1_000,
+        server: Some("kits-1".to_owned()),
+        ..record(request, Outcome::Done)
+    }
+}
+
+/// Guards against a checker that overlooks a request to a server that had said to its host that it is draining.
+#[rstest]
+#[case::within_the_drain_time("127.0.0.1:7000", 7, 3_100, None, 0)]
+#[case::after_the_drain_time("127.0.0.1:7000", 7, 3_101, None, 1)]
+#[case::from_another_host("127.0.0.1:7001", 7, 3_101, None, 0)]
+#[case::to_the_next_incarnation("127.0.0.1:7000", 8, 3_101, None, 0)]
+#[case::host_was_restarted("127.0.0.1:7000", 7, 3_101, Some(2_000..2_500), 0)]
+#[case::host_was_restarted_before("127.0.0.1:7000", 7, 3_101, Some(500..900), 1)]
+fn finds_request_after_drain_notice(
+    #[case] host: &str,
+    #[case] born: u64,
+    #[case] sent: u64,
+    #[case] interrupted: Option<Range<u64>>,
+    #[case] expected: usize,
+) {
+    let interruption = interrupted.map(|period| HostTime {
+        host: "127.0.0.1:7000".parse().unwrap(),
+        from: period.start * 1_000,
+        until: period.end * 1_000,
+    });
+    let evidence = Evidence {
+        records: vec![
+            answered("n1", "127.0.0.1:7000", 1_000, 1_100),
+            answered("n2", host, sent, sent + 10),
+        ],
+        notices: vec![
+            notice("n1", 7, 1_090, NoticeKind::Draining),
+            notice("n2", born, sent + 5, NoticeKind::Draining),
+        ],
+        interruptions: interruption.into_iter().collect(),
+        ..Evidence::default()
+    };
+    let late = |v: &Violation| matches!(v, Violation::SentAfterDrain { .. });
+    let found = check(&evidence).into_iter().filter(late).count();
+    assert_eq!(found, expected);
+}
