feat(router): log what a server's refusal asks the host for

The router now parses the header of a 503 and logs it; nothing acts on it yet. A value that is not a number of seconds is logged and ignored.

The stand-in server's fault `refuse` can ask for such a time (backoff_ms).

--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -56,6 +56,7 @@
 pub use local::WarmupPacer;
 pub use local::WeightedRoundRobin;
 pub use local::Withheld;
+pub use local::parse_backoff_time;
 pub use local::retry_after;
 pub use quota::PoolParams;
 pub use quota::QUOTA_LEADER_TIMEOUT;
--- a/crates/chicoryrail-policy/src/local/mod.rs
+++ b/crates/chicoryrail-policy/src/local/mod.rs
@@ -6,6 +6,7 @@
 //! host on its own, whoever selects the server.
 
 mod advertised_limit;
+mod backoff_time;
 mod load_report;
 mod local_balancer;
 mod retry_after;
@@ -17,6 +18,7 @@
 
 pub use advertised_limit::AdvertisedLimit;
 pub use advertised_limit::AdvertisedRate;
+pub use backoff_time::parse_backoff_time;
 pub use load_report::LoadReport;
 pub use local_balancer::LocalBalancer;
 pub use retry_after::retry_after;
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -207,6 +207,9 @@
     }
     server_report::record_rate_limit(router, &in_flight, &head.headers);
     server_report::record_drain(router, call, &in_flight, &head.headers);
+    if head.status == StatusCode::SERVICE_UNAVAILABLE {
+        server_report::record_backoff(call, &in_flight, &head.headers);
+    }
     if head.headers.contains_key(call_header::NOT_RUN) {
         drain(body, in_flight).await;
         return SendOutcome::NotRun(NotRun::Refused);
--- a/crates/chicoryrail-router/src/route/server_report.rs
+++ b/crates/chicoryrail-router/src/route/server_report.rs
@@ -4,7 +4,9 @@
 use chicoryrail_platform::call_header;
 use chicoryrail_policy::AdvertisedRate;
 use chicoryrail_policy::LoadReport;
+use chicoryrail_policy::parse_backoff_time;
 use http::HeaderMap;
+use http::header::RETRY_AFTER;
 
 use crate::route::caller_request::CallerRequest;
 use crate::route::in_flight::InFlight;
@@ -71,3 +73,18 @@
     }
     target.record_drain(router.now(), &call.id);
 }
+
+/// Records that a server refused a request of this host and asked it to send nothing for a time.
+pub(super) fn record_backoff(call: &CallerRequest, in_flight: &InFlight, headers: &HeaderMap) {
+    let Some(value) = headers.get(RETRY_AFTER) else {
+        return;
+    };
+    let target = &in_flight.target;
+    match value.to_str().map(parse_backoff_time) {
+        Ok(Ok(time)) => {
+            log::info!(request = call.id, server:% = target.life, backoff_ms = time.0;
+                "server_backoff");
+        }
+        _ => log::warn!(server:% = target.life, value:? = value; "server_backoff_unreadable"),
+    }
+}
--- a/crates/chicoryrail-router/tests/support/server.rs
+++ b/crates/chicoryrail-router/tests/support/server.rs
@@ -75,7 +75,11 @@
         let (for_ms, share) = (FAULT_MS, 1.0);
         self.target.inject_fault(match mode {
             Mode::Respond => return,
-            Mode::Refuse => TargetFault::Refuse { for_ms, share },
+            Mode::Refuse => TargetFault::Refuse {
+                for_ms,
+                share,
+                backoff_ms: None,
+            },
             Mode::Fail => TargetFault::Fail { for_ms, share },
             Mode::LoseResponse => TargetFault::LoseAnswers { for_ms, share },
             Mode::WrongRequestId => TargetFault::Crossed { for_ms, share },
--- a/crates/chicoryrail-testkit/src/target/fault.rs
+++ b/crates/chicoryrail-testkit/src/target/fault.rs
@@ -50,6 +50,9 @@
         /// Fraction of the requests affected, 0 to 1.
         #[serde(default = "always")]
         share: f64,
+        /// Time in milliseconds for which a refusal asks the host to send nothing; `None` if it asks for nothing.
+        #[serde(default)]
+        backoff_ms: Option<u64>,
     },
     /// Responses advertise a rate limit that the server does not enforce.
     NameLimit {
@@ -106,6 +109,13 @@
     },
 }
 
+/// A refusal by a fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct InjectedRefusal {
+    /// Time for which the host is asked to send nothing; `None` if it is asked for nothing.
+    pub(crate) backoff: Option<Millis>,
+}
+
 const fn always() -> f64 {
     1.0
 }
@@ -187,13 +197,18 @@
         dropped.map(|(ends_at, _)| *ends_at)
     }
 
-    /// Determines at random whether a new request is refused.
-    pub(crate) fn sample_refusal(&mut self, now: Millis) -> bool {
-        let share = self.timed.active(now).find_map(|(_, f)| match f {
-            TargetFault::Refuse { share, .. } => Some(share.clamp(0.0, 1.0)),
+    /// Determines at random whether a new request is refused, and how.
+    pub(crate) fn sample_refusal(&mut self, now: Millis) -> Option<InjectedRefusal> {
+        let (share, refusal) = self.timed.active(now).find_map(|(_, f)| match f {
+            TargetFault::Refuse {
+                share, backoff_ms, ..
+            } => {
+                let backoff = backoff_ms.map(Millis);
+                Some((share.clamp(0.0, 1.0), InjectedRefusal { backoff }))
+            }
             _ => None,
-        });
-        share.is_some_and(|s| self.rng.random_bool(s))
+        })?;
+        self.rng.random_bool(share).then_some(refusal)
     }
 
     /// Determines the faults that apply to a response, at random where a fault affects only a fraction of them.
--- a/crates/chicoryrail-testkit/src/target/response_headers.rs
+++ b/crates/chicoryrail-testkit/src/target/response_headers.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONNECTION;
+use http::header::RETRY_AFTER;
 
 use crate::Notice;
 use crate::NoticeKind;
@@ -52,6 +53,14 @@
     }
 }
 
+/// Adds the header by which a refusal asks the host to send nothing for a time.
+pub(crate) fn add_backoff_header(headers: &mut HeaderMap, backoff: Option<Millis>) {
+    let seconds = backoff.map(|b| (b.0 as f64 / 1_000.0).to_string());
+    if let Some(value) = seconds.and_then(|s| HeaderValue::from_str(&s).ok()) {
+        headers.insert(RETRY_AFTER, value);
+    }
+}
+
 /// Records the notice that a response carries. A response with status 421 tells the host only that it sent the request
 /// to a server that does not hold the key, or to an address that another server uses.
 pub(crate) fn record_notice(state: &State, request: &str, response: &Response<Body>) {
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -24,6 +24,7 @@
 use crate::query_param;
 use crate::target::response::ResponseBody;
 use crate::target::response::ResponseHead;
+use crate::target::response_headers::add_backoff_header;
 use crate::target::response_headers::add_headers;
 use crate::target::response_headers::record_notice;
 use crate::target::slots::NoSlot;
@@ -89,8 +90,11 @@
     let Ok(_) = collect_body(body, BODY_MAX_BYTES).await else {
         return Err(ConnectionCut);
     };
-    if state.faults.borrow_mut().sample_refusal(state.now()) {
-        return Ok(refusal(state, &work.request, End::Refused));
+    let injected = state.faults.borrow_mut().sample_refusal(state.now());
+    if let Some(injected) = injected {
+        let mut response = refusal(state, &work.request, End::Refused);
+        add_backoff_header(response.headers_mut(), injected.backoff);
+        return Ok(response);
     }
     // An order runs on when its caller disconnects, as it may on a real server; a lookup is cancelled.
     let cancel = CancellationToken::new();
