--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -284,7 +284,8 @@
     child: Child,
     log: PathBuf,
     next: Cell<u32>,
-    name: String,
+    /// Name of the host, with which the ids of its callers' requests begin.
+    pub name: String,
 }
 
 impl RouterProcess {
--- a/crates/chicoryrail-testkit/src/target/ledger.rs
+++ b/crates/chicoryrail-testkit/src/target/ledger.rs
@@ -94,6 +94,11 @@
 pub enum NoticeKind {
     /// The server is draining and wants no more requests after its drain timeout.
     Draining,
+    /// The server refused the request and wants nothing from the host for a time.
+    Backoff {
+        /// Length of the time in milliseconds.
+        for_ms: u64,
+    },
 }
 
 /// The record of a target; the JSON response to `GET /testkit/ledger`.
--- a/crates/chicoryrail-testkit/src/target/response_headers.rs
+++ b/crates/chicoryrail-testkit/src/target/response_headers.rs
@@ -61,19 +61,26 @@
     }
 }
 
-/// Records the notice that a response carries. A response with status 421 tells the host only that it sent the request
+/// Records the notices that a response carries. A response with status 421 tells the host only that it sent the request
 /// to a server that does not hold the key, or to an address that another server uses.
-pub(crate) fn record_notice(state: &State, request: &str, response: &Response<Body>) {
+pub(crate) fn record_notices(state: &State, request: &str, response: &Response<Body>) {
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
-    if response.headers().contains_key(call_header::DRAINING) {
+    let headers = response.headers();
+    let draining = headers.contains_key(call_header::DRAINING);
+    let draining = draining.then_some(NoticeKind::Draining);
+    let backoff = call_header::text(headers, &RETRY_AFTER).and_then(|t| t.parse::<f64>().ok());
+    let backoff = backoff.map(|seconds| NoticeKind::Backoff {
+        for_ms: (seconds * 1_000.0) as u64,
+    });
+    for kind in draining.into_iter().chain(backoff) {
         state.recorder.borrow_mut().record_notice(Notice {
             server: state.options.name.to_string(),
             born: state.started_unix_ms(),
             request: request.to_owned(),
             time: unix_micros(),
-            kind: NoticeKind::Draining,
+            kind,
         });
     }
 }
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -26,7 +26,7 @@
 use crate::target::response::ResponseHead;
 use crate::target::response_headers::add_backoff_header;
 use crate::target::response_headers::add_headers;
-use crate::target::response_headers::record_notice;
+use crate::target::response_headers::record_notices;
 use crate::target::slots::NoSlot;
 use crate::target::state::State;
 use crate::unix_micros;
@@ -69,7 +69,7 @@
     Cancelled,
 }
 
-/// Runs a request and returns its response, with the active faults applied. Records the notice in the response, if any.
+/// Runs a request and returns its response, with the active faults applied. Records the notices in the response.
 pub(crate) async fn respond(
     state: Rc<State>,
     request: Request<Incoming>,
@@ -78,7 +78,7 @@
     let work = Work::parse(&state, &head);
     let request = work.request.clone();
     let response = run_and_respond(&state, work, body).await?;
-    record_notice(&state, &request, &response);
+    record_notices(&state, &request, &response);
     Ok(response)
 }
 
