fix(router): send nothing to a server that asked the host to back off

Cause: `Retry-After` of a server was read nowhere. A refusal counted as a full queue, which pauses the server for 30 ms, and the only server that may have a key was then tried again.

Change: each host keeps the end of the time for each incarnation of a server. Until then the server is left out of its slot queries and of its own choice, a scheduler's reply that names it is not followed, and the check is made again just before a request is written. A keyed request, or one whose servers all asked for nothing, is refused at once with the time that is left; requests that wait at a scheduler are woken to be refused too. A server's own error response goes to the caller where a retry is withheld.

Why it holds: the check before the write depends on this host's clock and on what it heard alone. What another host was asked binds that host only, as a server that limits single hosts would otherwise serve none.

The outcomes of a send move to a file of their own.

--- a/crates/chicoryrail-policy/src/local/server_notices.rs
+++ b/crates/chicoryrail-policy/src/local/server_notices.rs
@@ -4,13 +4,15 @@
 
 /// Notices of one incarnation of a server to this host.
 ///
-/// Guards against a host that sends to a server although the server itself told it not to, because the store, which
-/// normally spreads such news, is unavailable. The notices of a server never lapse while it lives: a host that hears
-/// nothing from it any more must not start to send again.
+/// Guards against a host that sends to a server although the server itself told it not to: because the store, which
+/// normally spreads such news, is unavailable, or because another host, which was told nothing, schedules. A drain
+/// notice never lapses while the server lives: a host that hears nothing from it any more must not start to send again.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServerNotices {
     /// When a response first said that the server is draining.
     draining_since: Option<Millis>,
+    /// End of the time for which the server asked for no requests; in the past if there is none.
+    backoff_until: Millis,
 }
 
 /// Whether a request may be sent to a server.
@@ -29,6 +31,8 @@
 pub enum Withheld {
     /// The server is draining, and the time in which it still accepts requests is over.
     Draining,
+    /// The server asked for no requests for this much longer.
+    Backoff(Millis),
 }
 
 impl ServerNotices {
@@ -39,13 +43,19 @@
         is_first
     }
 
+    /// Records that the server refused a request and asked for no more for `time`. A shorter time does not end a longer
+    /// one: responses overtake each other.
+    pub fn record_backoff(&mut self, now: Millis, time: Millis) {
+        self.backoff_until = self.backoff_until.max(now + time);
+    }
+
     /// Returns `true` if the server has said that it is draining.
     #[must_use]
     pub const fn is_draining(&self) -> bool {
         self.draining_since.is_some()
     }
 
-    /// Returns whether a request that arrived at this host at `arrived` may be sent. A draining server accepts the
+    /// Returns whether a request that arrived at this host at `arrived` may be sent now. A draining server accepts the
     /// requests of the first `drain_time` after its notice.
     ///
     /// # Example
@@ -58,16 +68,22 @@
     ///
     /// let mut notices = ServerNotices::default();
     /// notices.record_drain(Millis(500));
-    /// let permit = |arrived| notices.permit(Millis(arrived), Millis(2_000));
+    /// let permit = |now| notices.permit(Millis(now), Millis(now), Millis(2_000));
     /// assert_eq!(permit(2_499), SendPermit::LastResort);
     /// assert_eq!(permit(2_500), SendPermit::Withheld(Withheld::Draining));
     /// ```
     #[must_use]
-    pub fn permit(&self, arrived: Millis, drain_time: Millis) -> SendPermit {
+    pub fn permit(&self, now: Millis, arrived: Millis, drain_time: Millis) -> SendPermit {
+        let drained = |since| arrived >= since + drain_time;
+        if self.draining_since.is_some_and(drained) {
+            return SendPermit::Withheld(Withheld::Draining);
+        }
+        if now < self.backoff_until {
+            return SendPermit::Withheld(Withheld::Backoff(self.backoff_until.since(now)));
+        }
         match self.draining_since {
+            Some(_) => SendPermit::LastResort,
             None => SendPermit::Granted,
-            Some(since) if arrived < since + drain_time => SendPermit::LastResort,
-            Some(_) => SendPermit::Withheld(Withheld::Draining),
         }
     }
 }
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -13,15 +13,15 @@
 
 use crate::route::caller_request::CallerRequest;
 use crate::route::caller_request::SEND_TIME_MIN;
+use crate::route::candidates;
 use crate::route::choose::Choice;
 use crate::route::choose::NO_SERVER_RETRY;
 use crate::route::choose::choose;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
-use crate::route::send::Indeterminate;
-use crate::route::send::NotRun;
-use crate::route::send::SendOutcome;
 use crate::route::send::send;
+use crate::route::send_outcome::NotRun;
+use crate::route::send_outcome::SendOutcome;
 use crate::route::slot_guard::SlotGuard;
 use crate::route::slot_query;
 use crate::state::Router;
@@ -108,10 +108,10 @@
                     }
                     continue;
                 }
-                SendOutcome::NotRun(why) => (self.refuse_not_run(why), why != NotRun::Unreachable),
+                SendOutcome::NotRun(why) => (self.refuse_not_run(why), why.reached_server()),
                 SendOutcome::Indeterminate(why) => {
                     self.possible_runs += 1;
-                    (self.refuse_indeterminate(why), true)
+                    (why.cause().into(), true)
                 }
             };
             if !self.may_retry(reached_server) {
@@ -225,7 +225,8 @@
             && self.possible_runs < self.call.route.max_attempts
             && self.tried.len() < 2 + self.call.route.max_attempts as usize
             && self.body.is_replayable()
-            && self.call.time_left(self.router.now()) > SEND_TIME_MIN;
+            && self.call.time_left(self.router.now()) > SEND_TIME_MIN
+            && self.withheld().is_none();
         if !may || !reached_server {
             return may;
         }
@@ -238,31 +239,26 @@
         may
     }
 
+    /// Returns why no server may receive the request from this host; `None` if one may.
+    fn withheld(&self) -> Option<Withheld> {
+        candidates::withheld(self.router, &self.service, self.call, self.router.now())
+    }
+
     fn refuse_not_run(&self, why: NotRun) -> Refusal {
-        let cause = match why {
-            NotRun::Unreachable => Cause::NoServer,
-            NotRun::Refused => Cause::Full,
-            NotRun::Misdirected => Cause::KeyMoving,
-        };
+        if let Some(why) = self.withheld() {
+            return self.refuse_withheld(why);
+        }
         let work = self
             .router
             .expected_work_us(&self.call.route.name, self.call.route.latency_target);
-        self.refuse(cause, Millis((work / 1_000.0) as u64))
+        self.refuse(why.cause(), Millis((work / 1_000.0) as u64))
     }
 
     /// Refuses a request that no server may receive from this host.
     fn refuse_withheld(&self, why: Withheld) -> Refusal {
         match why {
             Withheld::Draining => self.refuse(Cause::Draining, NO_SERVER_RETRY),
-        }
-    }
-
-    fn refuse_indeterminate(&self, why: Indeterminate) -> Refusal {
-        match why {
-            Indeterminate::Silent => Cause::Silent.into(),
-            Indeterminate::Broken | Indeterminate::Crossed | Indeterminate::Spoiled => {
-                Cause::Broken.into()
-            }
+            Withheld::Backoff(left) => self.refuse(Cause::Backoff, left),
         }
     }
 
--- a/crates/chicoryrail-router/src/route/candidates.rs
+++ b/crates/chicoryrail-router/src/route/candidates.rs
@@ -23,10 +23,11 @@
     pub(super) spared: Vec<Life>,
 }
 
-/// Returns whether this host may send a request to a server, by the server's notices.
+/// Returns whether this host may send a request to a server now, by the server's notices.
 pub(super) fn permit(router: &Router, call: &CallerRequest, target: &Target) -> SendPermit {
     let drain_time = router.boot().bounds.drain;
-    target.notices.get().permit(call.arrived, drain_time)
+    let notices = target.notices.get();
+    notices.permit(router.now(), call.arrived, drain_time)
 }
 
 /// Returns the servers of a service without keys that may receive a request: the ready ones without notices or, if
@@ -57,7 +58,7 @@
             }
             SendPermit::Withheld(why) => {
                 spared.push(target.life.clone());
-                withheld = Some(why);
+                withheld = Some(withheld.map_or(why, |other| sooner(other, why)));
             }
         }
     }
@@ -77,6 +78,28 @@
     }
 }
 
+/// Returns the reason that is likely to end first: a backoff time ends, a drain does not.
+fn sooner(a: Withheld, b: Withheld) -> Withheld {
+    match (a, b) {
+        (Withheld::Backoff(x), Withheld::Backoff(y)) => Withheld::Backoff(x.min(y)),
+        (Withheld::Backoff(_), Withheld::Draining) => a,
+        (Withheld::Draining, _) => b,
+    }
+}
+
+/// Returns why no server may receive the request from this host; `None` if one may, or if it is not known which.
+pub(super) fn withheld(
+    router: &Router,
+    service: &Service,
+    call: &CallerRequest,
+    now: Millis,
+) -> Option<Withheld> {
+    if call.key.is_some() {
+        return withheld_by_owner(router, service, call, now);
+    }
+    unkeyed_candidates(router, service, call, now).err()
+}
+
 /// Returns why the owner of the request's key must not receive it; `None` if it may, or if no server holds the key.
 pub(super) fn withheld_by_owner(
     router: &Router,
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod response_body;
 mod send;
+mod send_outcome;
 mod server_report;
 mod slot_guard;
 mod slot_query;
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -44,6 +44,8 @@
     KeyMoving,
     /// The servers that may run the request are draining and receive no more requests from this host.
     Draining,
+    /// The servers that may run the request asked this host for no more requests for a time.
+    Backoff,
     /// The deadline has passed, or too little time is left, and the request was not sent.
     Late,
     /// The request was sent to a server, which returned no usable response.
@@ -75,6 +77,7 @@
             Self::Full => "full",
             Self::KeyMoving => "key_moving",
             Self::Draining => "draining",
+            Self::Backoff => "backoff",
             Self::Late => "late",
             Self::Broken => "broken",
             Self::Silent => "silent",
@@ -97,6 +100,7 @@
             | Self::Full
             | Self::KeyMoving
             | Self::Draining
+            | Self::Backoff
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::Silent => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -6,7 +6,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::RouteKind;
 use chicoryrail_platform::call_header;
-use chicoryrail_policy::Failure;
+use chicoryrail_policy::SendPermit;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
@@ -21,81 +21,18 @@
 use monoio::time::timeout;
 
 use crate::route::caller_request::CallerRequest;
+use crate::route::candidates::permit;
 use crate::route::in_flight::InFlight;
 use crate::route::response_body;
+use crate::route::send_outcome::Indeterminate;
+use crate::route::send_outcome::NotRun;
+use crate::route::send_outcome::SendOutcome;
 use crate::route::server_report;
 use crate::route::slot_guard::SlotGuard;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
 
-/// Outcome of a send.
-pub(crate) enum SendOutcome {
-    /// The server's response, complete or still being streamed.
-    Answered(Response<Body>),
-    /// The server ran the request and responded with a server error.
-    ServerError(Response<Body>),
-    /// The request has certainly not run and never will.
-    NotRun(NotRun),
-    /// Indeterminate: the request may have run, or may still run.
-    Indeterminate(Indeterminate),
-}
-
-/// Reason for which a request has certainly not run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NotRun {
-    /// No connection was available; nothing was sent.
-    Unreachable,
-    /// The server refused the request.
-    Refused,
-    /// The server does not own the key, or another server uses the address.
-    Misdirected,
-}
-
-/// Reason for which it is indeterminate whether a request has run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Indeterminate {
-    /// The connection broke before the head of the response arrived.
-    Broken,
-    /// The response belongs to another request.
-    Crossed,
-    /// The response is truncated, or something on the way changed it.
-    Spoiled,
-    /// No response arrived in time.
-    Silent,
-}
-
-impl SendOutcome {
-    /// Returns the name in logs and metrics.
-    pub(crate) const fn name(&self) -> &'static str {
-        match self {
-            Self::Answered(_) => "answered",
-            Self::ServerError(_) => "server_error",
-            Self::NotRun(NotRun::Unreachable) => "unreachable",
-            Self::NotRun(NotRun::Refused) => "refused",
-            Self::NotRun(NotRun::Misdirected) => "misdirected",
-            Self::Indeterminate(Indeterminate::Broken) => "broken",
-            Self::Indeterminate(Indeterminate::Crossed) => "crossed",
-            Self::Indeterminate(Indeterminate::Spoiled) => "spoiled",
-            Self::Indeterminate(Indeterminate::Silent) => "silent",
-        }
-    }
-
-    /// Returns how the send counts against the server, or `None` if it does not.
-    const fn failure(&self) -> Option<Failure> {
-        match self {
-            Self::Answered(_) | Self::NotRun(NotRun::Misdirected) => None,
-            Self::ServerError(_) => Some(Failure::Error),
-            Self::NotRun(NotRun::Refused) => Some(Failure::Full),
-            Self::NotRun(NotRun::Unreachable)
-            | Self::Indeterminate(
-                Indeterminate::Broken | Indeterminate::Crossed | Indeterminate::Spoiled,
-            ) => Some(Failure::Broken),
-            Self::Indeterminate(Indeterminate::Silent) => Some(Failure::Silent),
-        }
-    }
-}
-
 /// Sends a request to its assigned server and waits for the response, at most for `response_timeout`.
 pub(crate) async fn send(
     router: &Router,
@@ -164,6 +101,10 @@
             return SendOutcome::NotRun(NotRun::Unreachable);
         }
     };
+    if let SendPermit::Withheld(why) = permit(router, call, target) {
+        target.pool.release(conn);
+        return SendOutcome::NotRun(NotRun::Withheld(why));
+    }
     let conn = in_flight.attach(conn);
     let request = new_request(call, target, body, router.now());
     let response = match conn.sender.try_send_request(request).await {
@@ -208,7 +149,7 @@
     server_report::record_rate_limit(router, &in_flight, &head.headers);
     server_report::record_drain(router, call, &in_flight, &head.headers);
     if head.status == StatusCode::SERVICE_UNAVAILABLE {
-        server_report::record_backoff(call, &in_flight, &head.headers);
+        server_report::record_backoff(router, call, &in_flight, &head.headers);
     }
     if head.headers.contains_key(call_header::NOT_RUN) {
         drain(body, in_flight).await;
--- /dev/null
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -0,0 +1,107 @@
+//! Outcomes of a send.
+
+use chicoryrail_policy::Failure;
+use chicoryrail_policy::Withheld;
+use chicoryrail_runtime::Body;
+use http::Response;
+
+use crate::route::refusal::Cause;
+
+/// Outcome of a send.
+pub(crate) enum SendOutcome {
+    /// The server's response, complete or still being streamed.
+    Answered(Response<Body>),
+    /// The server ran the request and responded with a server error.
+    ServerError(Response<Body>),
+    /// The request has certainly not run and never will.
+    NotRun(NotRun),
+    /// Indeterminate: the request may have run, or may still run.
+    Indeterminate(Indeterminate),
+}
+
+/// Reason for which a request has certainly not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotRun {
+    /// No connection was available; nothing was sent.
+    Unreachable,
+    /// The server refused the request.
+    Refused,
+    /// The server does not own the key, or another server uses the address.
+    Misdirected,
+    /// The server asked this host for no more requests while the connection was opened; nothing was sent.
+    Withheld(Withheld),
+}
+
+/// Reason for which it is indeterminate whether a request has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Indeterminate {
+    /// The connection broke before the head of the response arrived.
+    Broken,
+    /// The response belongs to another request.
+    Crossed,
+    /// The response is truncated, or something on the way changed it.
+    Spoiled,
+    /// No response arrived in time.
+    Silent,
+}
+
+impl NotRun {
+    /// Returns the cause with which the request is refused if it is not sent again.
+    pub(crate) const fn cause(self) -> Cause {
+        match self {
+            Self::Unreachable => Cause::NoServer,
+            Self::Refused | Self::Withheld(_) => Cause::Full,
+            Self::Misdirected => Cause::KeyMoving,
+        }
+    }
+
+    /// Returns `true` if the request reached a server.
+    pub(crate) const fn reached_server(self) -> bool {
+        match self {
+            Self::Refused | Self::Misdirected => true,
+            Self::Unreachable | Self::Withheld(_) => false,
+        }
+    }
+}
+
+impl Indeterminate {
+    /// Returns the cause with which the request ends if it is not sent again.
+    pub(crate) const fn cause(self) -> Cause {
+        match self {
+            Self::Silent => Cause::Silent,
+            Self::Broken | Self::Crossed | Self::Spoiled => Cause::Broken,
+        }
+    }
+}
+
+impl SendOutcome {
+    /// Returns the name in logs and metrics.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::ServerError(_) => "server_error",
+            Self::NotRun(NotRun::Unreachable) => "unreachable",
+            Self::NotRun(NotRun::Refused) => "refused",
+            Self::NotRun(NotRun::Misdirected) => "misdirected",
+            Self::NotRun(NotRun::Withheld(_)) => "withheld",
+            Self::Indeterminate(Indeterminate::Broken) => "broken",
+            Self::Indeterminate(Indeterminate::Crossed) => "crossed",
+            Self::Indeterminate(Indeterminate::Spoiled) => "spoiled",
+            Self::Indeterminate(Indeterminate::Silent) => "silent",
+        }
+    }
+
+    /// Returns how the send counts against the server, or `None` if it does not.
+    pub(super) const fn failure(&self) -> Option<Failure> {
+        match self {
+            Self::Answered(_) | Self::NotRun(NotRun::Misdirected | NotRun::Withheld(_)) => None,
+            Self::ServerError(_) => Some(Failure::Error),
+            Self::NotRun(NotRun::Refused) => Some(Failure::Full),
+            Self::NotRun(NotRun::Unreachable)
+            | Self::Indeterminate(
+                Indeterminate::Broken | Indeterminate::Crossed | Indeterminate::Spoiled,
+            ) => Some(Failure::Broken),
+            Self::Indeterminate(Indeterminate::Silent) => Some(Failure::Silent),
+        }
+    }
+}
--- a/crates/chicoryrail-router/src/route/server_report.rs
+++ b/crates/chicoryrail-router/src/route/server_report.rs
@@ -74,8 +74,14 @@
     target.record_drain(router.now(), &call.id);
 }
 
-/// Records that a server refused a request of this host and asked it to send nothing for a time.
-pub(super) fn record_backoff(call: &CallerRequest, in_flight: &InFlight, headers: &HeaderMap) {
+/// Records that a server refused a request of this host and asked it to send nothing for a time. The requests that wait
+/// for that server are decided anew.
+pub(super) fn record_backoff(
+    router: &Router,
+    call: &CallerRequest,
+    in_flight: &InFlight,
+    headers: &HeaderMap,
+) {
     let Some(value) = headers.get(RETRY_AFTER) else {
         return;
     };
@@ -84,6 +90,8 @@
         Ok(Ok(time)) => {
             log::info!(request = call.id, server:% = target.life, backoff_ms = time.0;
                 "server_backoff");
+            target.record_backoff(router.now(), time);
+            router.pending_queries.notify_all();
         }
         _ => log::warn!(server:% = target.life, value:? = value; "server_backoff_unreadable"),
     }
--- a/crates/chicoryrail-router/src/state/pending_queries.rs
+++ b/crates/chicoryrail-router/src/state/pending_queries.rs
@@ -47,6 +47,13 @@
         self.pending.borrow_mut().remove(&ticket);
     }
 
+    /// Wakes the requests of all pending queries, to check whether they may still wait.
+    pub(crate) fn notify_all(&self) {
+        for query in self.pending.borrow().values() {
+            query.changed.notify();
+        }
+    }
+
     /// Delivers a decision of the scheduler. Returns `true` if a query with this ticket is pending.
     pub(crate) fn deliver(&self, ticket: u64, reply: SlotReply) -> bool {
         let query = self.pending.borrow().get(&ticket).cloned();
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -104,6 +104,13 @@
         }
     }
 
+    /// Records that the server refused a request and asked for no more for `time`.
+    pub(crate) fn record_backoff(&self, now: Millis, time: Millis) {
+        let mut notices = self.notices.get();
+        notices.record_backoff(now, time);
+        self.notices.set(notices);
+    }
+
     /// Extends the warm-up to `left` from now; it is never shortened.
     pub(crate) fn extend_warmup(&self, now: Millis, left: Millis) {
         if left > Millis::ZERO {
