feat(testkit): check that hosts heed a server's Retry-After

The stand-in records the requests that arrive while it wants nothing from some host. The checker joins them with the callers' records, which name the host, and reports a host of which more than two arrive between half a second after a refusal and the end of its time, at the same incarnation. A host that was killed, stopped or paused in between is excused. Six cases of the check are in tests/checker.rs.

--- a/crates/chicoryrail-testkit/src/chaos/fault.rs
+++ b/crates/chicoryrail-testkit/src/chaos/fault.rs
@@ -43,6 +43,13 @@
         rate: f64,
         for_ms: u64,
     },
+    /// A target refuses a fraction of its requests, and asks each of those hosts to send nothing for `backoff_ms`.
+    TargetBacksOff {
+        target: usize,
+        share: f64,
+        backoff_ms: u64,
+        for_ms: u64,
+    },
     /// A target does not respond to grants and releases of keys.
     TargetDeaf { target: usize, for_ms: u64 },
     /// A target announces that it is draining, is killed after a while, and is started again.
@@ -106,7 +113,7 @@
 }
 
 /// Number of cases that [`Fault::generate`] chooses from; `DataCentreOut` and `RollingRestart` share one.
-const KIND_COUNT: u32 = 22;
+const KIND_COUNT: u32 = 23;
 
 /// Number of these cases to choose from if the options name no kind. It does not grow with [`KIND_COUNT`], since a
 /// further case would change the faults that each fixed seed gives.
@@ -188,6 +195,12 @@
                 for_ms: 5_000 + for_ms,
             },
             21 => Self::TargetSaysDraining { target },
+            22 => Self::TargetBacksOff {
+                target,
+                share,
+                backoff_ms: rng.random_range(1_000..4_000),
+                for_ms,
+            },
             _ if rng.random() => Self::DataCentreOut {
                 centre: rng.random_range(0..size.data_centres),
                 for_ms: 3_500 + for_ms,
@@ -216,6 +229,7 @@
             Self::TargetReset { .. } => "target-reset",
             Self::StoreFar { .. } => "store-far",
             Self::TargetLimited { .. } => "target-limited",
+            Self::TargetBacksOff { .. } => "target-backs-off",
             Self::TargetDeaf { .. } => "target-deaf",
             Self::TargetLeaves { .. } => "target-leaves",
             Self::TargetSaysDraining { .. } => "target-says-draining",
--- a/crates/chicoryrail-testkit/src/chaos/inject.rs
+++ b/crates/chicoryrail-testkit/src/chaos/inject.rs
@@ -204,6 +204,19 @@
             rate,
             for_ms,
         } => (target, TargetFault::NameLimit { for_ms, rate }, for_ms),
+        Fault::TargetBacksOff {
+            target,
+            share,
+            backoff_ms,
+            for_ms,
+        } => {
+            let refuse = TargetFault::Refuse {
+                for_ms,
+                share,
+                backoff_ms: Some(backoff_ms),
+            };
+            (target, refuse, for_ms)
+        }
         Fault::TargetDeaf { target, for_ms } => (target, TargetFault::Deaf { for_ms }, for_ms),
         Fault::TargetLosesAnswers {
             target,
--- a/crates/chicoryrail-testkit/src/checker/evidence.rs
+++ b/crates/chicoryrail-testkit/src/checker/evidence.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::Arrival;
 use crate::CallRecord;
 use crate::Change;
 use crate::Ledger;
@@ -33,6 +34,9 @@
     /// Responses in which targets asked the host for something.
     #[serde(default)]
     pub notices: Vec<Notice>,
+    /// Requests that arrived at targets which wanted nothing from at least one host.
+    #[serde(default)]
+    pub arrivals: Vec<Arrival>,
     /// Writes and deletions in the store, oldest first.
     pub history: Vec<Change>,
     /// Periods in which servers must receive no new requests.
@@ -67,6 +71,7 @@
             self.overruns.extend(ledger.overruns);
             self.limit_overruns.extend(ledger.limit_overruns);
             self.notices.extend(ledger.notices);
+            self.arrivals.extend(ledger.arrivals);
         }
         self
     }
--- a/crates/chicoryrail-testkit/src/checker/notices.rs
+++ b/crates/chicoryrail-testkit/src/checker/notices.rs
@@ -13,13 +13,60 @@
 /// microseconds: `drain_timeout_ms` of the boot file.
 const DRAIN_TIMEOUT_US: u64 = 2_000_000;
 
+/// Time after a server asked a host for nothing in which requests that the host had already sent may arrive, in
+/// microseconds.
+const TRANSIT_TIME_US: u64 = 500_000;
+
+/// Number of requests of a host that may arrive in the rest of the time for which a server wants nothing from it.
+const ARRIVALS_MAX: usize = 2;
+
 /// One incarnation of a server and a host that sends to it.
 type Pair<'a> = (&'a str, u64, SocketAddr);
 
 pub(super) fn check(evidence: &Evidence) -> Vec<Violation> {
     let records = evidence.records.iter();
     let records: BTreeMap<&str, &CallRecord> = records.map(|r| (r.request.as_str(), r)).collect();
-    sent_after_drain(evidence, &records)
+    let mut found = sent_after_drain(evidence, &records);
+    found.extend(sent_in_backoff(evidence, &records));
+    found
+}
+
+/// Finds hosts that sent requests to a server although it had asked them for nothing; reports each host and
+/// incarnation of a server once.
+fn sent_in_backoff(evidence: &Evidence, records: &BTreeMap<&str, &CallRecord>) -> Vec<Violation> {
+    let host = |request: &str| records.get(request).map(|r| r.host);
+    let mut arrivals: BTreeMap<Pair, Vec<u64>> = BTreeMap::new();
+    for arrival in &evidence.arrivals {
+        if let Some(host) = host(&arrival.request) {
+            let pair = (arrival.server.as_str(), arrival.born, host);
+            arrivals.entry(pair).or_default().push(arrival.time);
+        }
+    }
+    let mut found: BTreeMap<Pair, Violation> = BTreeMap::new();
+    for notice in &evidence.notices {
+        let NoticeKind::Backoff { for_ms } = notice.kind else {
+            continue;
+        };
+        let Some(host) = host(&notice.request) else {
+            continue;
+        };
+        let pair = (notice.server.as_str(), notice.born, host);
+        let until = notice.time + for_ms * 1_000;
+        let is_within = |at: &&u64| **at > notice.time + TRANSIT_TIME_US && **at < until;
+        let times = arrivals.get(&pair).map_or(&[][..], Vec::as_slice);
+        let arrived = times.iter().filter(is_within).count();
+        if arrived > ARRIVALS_MAX && !was_interrupted(evidence, host, notice.time, until) {
+            found
+                .entry(pair)
+                .or_insert_with(|| Violation::SentInBackoff {
+                    server: notice.server.clone(),
+                    host,
+                    asked_ms: for_ms,
+                    arrived,
+                });
+        }
+    }
+    found.into_values().collect()
 }
 
 /// Finds requests that were sent too late after their host had passed on a response with a drain notice.
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -1,5 +1,7 @@
 //! The kinds of violations that the checks report.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -105,6 +107,17 @@
         /// milliseconds.
         after_ms: u64,
     },
+    /// A host sent more requests to a server than may be on their way while the server wanted nothing from it.
+    SentInBackoff {
+        /// Server that got the requests.
+        server: String,
+        /// Address of the host's listener for callers.
+        host: SocketAddr,
+        /// Time for which the server had asked the host for nothing, in milliseconds.
+        asked_ms: u64,
+        /// Number of requests that arrived in that time.
+        arrived: usize,
+    },
     /// A request ran although its API key is invalid, or was attributed to an organisation other than that of its API
     /// key, or to any although it had no API key.
     UnauthorisedRan {
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -79,6 +79,7 @@
 pub use store::StoreServer;
 pub use store::StoreStats;
 pub use store::TxnError;
+pub use target::Arrival;
 pub use target::LeasedKeys;
 pub use target::Ledger;
 pub use target::LimitOverrun;
--- a/crates/chicoryrail-testkit/src/target.rs
+++ b/crates/chicoryrail-testkit/src/target.rs
@@ -18,6 +18,7 @@
 pub use leased_keys::LeasedKeys;
 pub use leased_keys::Permit;
 pub use leased_keys::StaleFence;
+pub use ledger::Arrival;
 pub use ledger::Ledger;
 pub use ledger::LimitOverrun;
 pub use ledger::Notice;
--- a/crates/chicoryrail-testkit/src/target/ledger.rs
+++ b/crates/chicoryrail-testkit/src/target/ledger.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Largest numbers of runs and of notices kept in memory; the file holds all of them.
+/// Largest numbers of runs, notices and arrivals kept in memory; the file holds all of them.
 const RUNS_MAX: usize = 200_000;
 
 /// Largest number of overruns of each kind kept in memory; the file holds all of them.
@@ -88,6 +88,19 @@
     pub kind: NoticeKind,
 }
 
+/// A request that arrived at a server while the server wanted nothing from at least one host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Arrival {
+    /// Name of the server.
+    pub server: String,
+    /// Start of the server's process in milliseconds since 1970.
+    pub born: u64,
+    /// Id of the request.
+    pub request: String,
+    /// Time of the arrival in microseconds since 1970.
+    pub time: u64,
+}
+
 /// What a server asks of a host in a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -114,6 +127,9 @@
     /// Responses with a notice to the host. A target keeps the first 200,000.
     #[serde(default)]
     pub notices: Vec<Notice>,
+    /// Requests that arrived while the server wanted nothing from at least one host. A target keeps the first 200,000.
+    #[serde(default)]
+    pub arrivals: Vec<Arrival>,
     /// Total number of requests that took effect.
     pub done: u64,
     /// Requests refused because the server does not own the key.
@@ -142,6 +158,7 @@
     Overrun(Overrun),
     LimitOverrun(LimitOverrun),
     Notice(Notice),
+    Arrival(Arrival),
 }
 
 impl Ledger {
@@ -161,6 +178,7 @@
                 Line::Overrun(overrun) => ledger.overruns.push(overrun),
                 Line::LimitOverrun(overrun) => ledger.limit_overruns.push(overrun),
                 Line::Notice(notice) => ledger.notices.push(notice),
+                Line::Arrival(arrival) => ledger.arrivals.push(arrival),
             }
         }
         ledger.done = ledger.runs.len() as u64;
@@ -219,6 +237,13 @@
         }
     }
 
+    pub(crate) fn record_arrival(&mut self, arrival: Arrival) {
+        self.write(&Line::Arrival(arrival.clone()));
+        if self.ledger.arrivals.len() < RUNS_MAX {
+            self.ledger.arrivals.push(arrival);
+        }
+    }
+
     fn write(&mut self, line: &Line) {
         if let Some(file) = &mut self.file {
             let mut text = serde_json::to_vec(line).unwrap_or_default();
--- a/crates/chicoryrail-testkit/src/target/response_headers.rs
+++ b/crates/chicoryrail-testkit/src/target/response_headers.rs
@@ -10,6 +10,7 @@
 use http::header::CONNECTION;
 use http::header::RETRY_AFTER;
 
+use crate::Arrival;
 use crate::Notice;
 use crate::NoticeKind;
 use crate::target::state::State;
@@ -54,13 +55,25 @@
 }
 
 /// Adds the header by which a refusal asks the host to send nothing for a time.
-pub(crate) fn add_backoff_header(headers: &mut HeaderMap, backoff: Option<Millis>) {
-    let seconds = backoff.map(|b| (b.0 as f64 / 1_000.0).to_string());
-    if let Some(value) = seconds.and_then(|s| HeaderValue::from_str(&s).ok()) {
+pub(crate) fn add_backoff_header(headers: &mut HeaderMap, backoff: Millis) {
+    let seconds = (backoff.0 as f64 / 1_000.0).to_string();
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
         headers.insert(RETRY_AFTER, value);
     }
 }
 
+/// Records a request that arrives while the server wants nothing from at least one host.
+pub(crate) fn record_arrival(state: &State, request: &str) {
+    if state.is_in_backoff() {
+        state.recorder.borrow_mut().record_arrival(Arrival {
+            server: state.options.name.to_string(),
+            born: state.started_unix_ms(),
+            request: request.to_owned(),
+            time: unix_micros(),
+        });
+    }
+}
+
 /// Records the notices that a response carries. A response with status 421 tells the host only that it sent the request
 /// to a server that does not hold the key, or to an address that another server uses.
 pub(crate) fn record_notices(state: &State, request: &str, response: &Response<Body>) {
--- a/crates/chicoryrail-testkit/src/target/state.rs
+++ b/crates/chicoryrail-testkit/src/target/state.rs
@@ -39,6 +39,8 @@
     warmup: RefCell<WarmUp>,
     advertised: Cell<Advertised>,
     limit_check: RefCell<LimitCheck>,
+    /// Latest end of the times for which the server asked hosts for nothing.
+    backoff_until: Cell<Millis>,
     /// Whether responses say that the server is draining, whatever its entry in the store says.
     says_draining: Cell<bool>,
     /// Accepted requests by id.
@@ -82,6 +84,7 @@
                 warmups: 0,
             }),
             limit_check: RefCell::default(),
+            backoff_until: Cell::default(),
             says_draining: Cell::default(),
             in_flight: RefCell::default(),
             last_id: Cell::new(0),
@@ -123,6 +126,17 @@
         });
     }
 
+    /// Records that the server asked a host to send nothing for `time`.
+    pub(crate) fn start_backoff(&self, time: Millis) {
+        let until = self.backoff_until.get().max(self.now() + time);
+        self.backoff_until.set(until);
+    }
+
+    /// Returns `true` if the server has asked any host for nothing, and that time is not over.
+    pub(crate) fn is_in_backoff(&self) -> bool {
+        self.now() < self.backoff_until.get()
+    }
+
     /// Starts a warm-up, as after the loss of all caches. Its default length is that of the options.
     pub(crate) fn start_warmup(&self, length: Option<Millis>) {
         let length = length.unwrap_or(self.options.warmup);
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -26,6 +26,7 @@
 use crate::target::response::ResponseHead;
 use crate::target::response_headers::add_backoff_header;
 use crate::target::response_headers::add_headers;
+use crate::target::response_headers::record_arrival;
 use crate::target::response_headers::record_notices;
 use crate::target::slots::NoSlot;
 use crate::target::state::State;
@@ -77,6 +78,7 @@
     let (head, body) = request.into_parts();
     let work = Work::parse(&state, &head);
     let request = work.request.clone();
+    record_arrival(&state, &request);
     let response = run_and_respond(&state, work, body).await?;
     record_notices(&state, &request, &response);
     Ok(response)
@@ -93,7 +95,10 @@
     let injected = state.faults.borrow_mut().sample_refusal(state.now());
     if let Some(injected) = injected {
         let mut response = refusal(state, &work.request, End::Refused);
-        add_backoff_header(response.headers_mut(), injected.backoff);
+        if let Some(backoff) = injected.backoff {
+            state.start_backoff(backoff);
+            add_backoff_header(response.headers_mut(), backoff);
+        }
         return Ok(response);
     }
     // An order runs on when its caller disconnects, as it may on a real server; a lookup is cancelled.
--- a/crates/chicoryrail-testkit/tests/checker.rs
+++ b/crates/chicoryrail-testkit/tests/checker.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Range;
 
+use chicoryrail_testkit::Arrival;
 use chicoryrail_testkit::Availability;
 use chicoryrail_testkit::CallRecord;
 use chicoryrail_testkit::CallerKind;
@@ -476,6 +477,15 @@
     }
 }
 
+/// Returns the interruption of the first host in a period in milliseconds.
+fn interruption(period: Range<u64>) -> HostTime {
+    HostTime {
+        host: "127.0.0.1:7000".parse().unwrap(),
+        from: period.start * 1_000,
+        until: period.end * 1_000,
+    }
+}
+
 /// Guards against a checker that overlooks a request to a server that had said to its host that it is draining.
 #[rstest]
 #[case::within_the_drain_time("127.0.0.1:7000", 7, 3_100, None, 0)]
@@ -491,11 +501,6 @@
     #[case] interrupted: Option<Range<u64>>,
     #[case] expected: usize,
 ) {
-    let interruption = interrupted.map(|period| HostTime {
-        host: "127.0.0.1:7000".parse().unwrap(),
-        from: period.start * 1_000,
-        until: period.end * 1_000,
-    });
     let evidence = Evidence {
         records: vec![
             answered("n1", "127.0.0.1:7000", 1_000, 1_100),
@@ -505,10 +510,49 @@
             notice("n1", 7, 1_090, NoticeKind::Draining),
             notice("n2", born, sent + 5, NoticeKind::Draining),
         ],
-        interruptions: interruption.into_iter().collect(),
+        interruptions: interrupted.into_iter().map(interruption).collect(),
         ..Evidence::default()
     };
     let late = |v: &Violation| matches!(v, Violation::SentAfterDrain { .. });
     let found = check(&evidence).into_iter().filter(late).count();
     assert_eq!(found, expected);
 }
+
+/// Guards against a checker that overlooks requests to a server that had asked their host for nothing.
+#[rstest]
+#[case::three("127.0.0.1:7000", 7, [1_600, 2_000, 3_999], None, 1)]
+#[case::one_in_transit("127.0.0.1:7000", 7, [1_500, 2_000, 3_999], None, 0)]
+#[case::one_after_the_end("127.0.0.1:7000", 7, [1_600, 2_000, 4_000], None, 0)]
+#[case::from_another_host("127.0.0.1:7001", 7, [1_600, 2_000, 3_999], None, 0)]
+#[case::to_the_next_incarnation("127.0.0.1:7000", 8, [1_600, 2_000, 3_999], None, 0)]
+#[case::host_was_restarted("127.0.0.1:7000", 7, [1_600, 2_000, 3_999], Some(1_100..1_200), 0)]
+fn finds_requests_in_backoff_time(
+    #[case] host: &str,
+    #[case] born: u64,
+    #[case] times: [u64; 3],
+    #[case] interrupted: Option<Range<u64>>,
+    #[case] expected: usize,
+) {
+    let mut records = vec![answered("b", "127.0.0.1:7000", 990, 1_010)];
+    let mut arrivals = Vec::new();
+    for (i, time) in times.into_iter().enumerate() {
+        let request = format!("b{i}");
+        records.push(answered(&request, host, time - 5, time + 5));
+        arrivals.push(Arrival {
+            server: "kits-1".to_owned(),
+            born,
+            request,
+            time: time * 1_000,
+        });
+    }
+    let evidence = Evidence {
+        records,
+        arrivals,
+        notices: vec![notice("b", 7, 1_000, NoticeKind::Backoff { for_ms: 3_000 })],
+        interruptions: interrupted.into_iter().map(interruption).collect(),
+        ..Evidence::default()
+    };
+    let in_backoff = |v: &Violation| matches!(v, Violation::SentInBackoff { .. });
+    let found = check(&evidence).into_iter().filter(in_backoff).count();
+    assert_eq!(found, expected);
+}
