fix(testkit): start no process while a free port is probed

Change: spawn_process starts every child of the testkit and of the router's tests under the lock that probes hold; Command::spawn returns after the exec.

--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -27,6 +27,7 @@
 use chicoryrail_testkit::StoreStats;
 use chicoryrail_testkit::TargetOptions;
 use chicoryrail_testkit::free_addr;
+use chicoryrail_testkit::spawn_process;
 use http::Request;
 use http::Response;
 use nix::sys::signal::Signal;
@@ -256,14 +257,14 @@
             .replace("STORE", &store.to_string());
         std::fs::write(&boot, text).unwrap();
         let log = std::fs::File::create(self.dir.join(format!("{name}.log"))).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_chicoryrail-router"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_chicoryrail-router"));
+        command
             .env(BOOT_VARIABLE, &boot)
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .args(["--log-ordinary", "1", "--log-lines", "5000"])
             .stdout(log)
-            .stderr(Stdio::inherit())
-            .spawn()
-            .unwrap();
+            .stderr(Stdio::inherit());
+        let child = spawn_process(&mut command).unwrap();
         RouterProcess {
             callers,
             readiness,
--- a/crates/chicoryrail-testkit/src/cluster.rs
+++ b/crates/chicoryrail-testkit/src/cluster.rs
@@ -28,3 +28,4 @@
 pub use operator::Operator;
 pub use options::ClusterOptions;
 pub use ports::free_addr;
+pub use ports::spawn_process;
--- a/crates/chicoryrail-testkit/src/cluster/operator.rs
+++ b/crates/chicoryrail-testkit/src/cluster/operator.rs
@@ -1,7 +1,9 @@
 //! Runs operator commands with `chicoryctl`.
 
 use std::path::PathBuf;
+use std::process::Child;
 use std::process::Command;
+use std::process::Stdio;
 
 use chicoryrail_core::DcName;
 use chicoryrail_core::Millis;
@@ -15,6 +17,7 @@
 use crate::cluster::error::SpawnSnafu;
 use crate::cluster::http::wait_until_ok;
 use crate::cluster::plan::flag_and_value;
+use crate::cluster::ports::spawn_process;
 
 /// Runs `chicoryctl` against the store of a cluster.
 ///
@@ -69,10 +72,15 @@
     ///
     /// Returns what `chicoryctl` printed to standard error if it fails.
     pub fn run(&self, args: &[&str]) -> Result<String, ClusterError> {
-        let output = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .args(flag_and_value("--store", &self.store))
             .args(args)
-            .output()
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        let output = spawn_process(&mut command)
+            .and_then(Child::wait_with_output)
             .context(SpawnSnafu {
                 program: &self.program,
             })?;
--- a/crates/chicoryrail-testkit/src/cluster/ports.rs
+++ b/crates/chicoryrail-testkit/src/cluster/ports.rs
@@ -1,12 +1,16 @@
-//! Free ports of a loopback address that only this process uses.
+//! Free ports of a loopback address that only this process uses, and the start of processes that bind them.
 
 use std::collections::HashSet;
 use std::io;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::process::Child;
+use std::process::Command;
 use std::sync::LazyLock;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
 use rand::Rng;
 
@@ -38,9 +42,7 @@
 ///
 /// Returns `AddrInUse` if no free port is found in 1,000 attempts.
 pub fn free_addr() -> io::Result<SocketAddr> {
-    let mut allocated = ALLOCATED_PORTS
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut allocated = allocated_ports();
     for _ in 0..MAX_ATTEMPTS {
         let port = rand::rng().random_range(PORT_RANGE);
         let addr = SocketAddr::from((process_loopback_addr(), port));
@@ -51,3 +53,22 @@
     }
     Err(io::ErrorKind::AddrInUse.into())
 }
+
+/// Starts a process while no port is probed by [`free_addr`].
+///
+/// A child inherits the socket of a probe and keeps it until it executes its program, so the probed port stays occupied
+/// for some milliseconds after the probe.
+///
+/// # Errors
+///
+/// Returns the error of [`Command::spawn`].
+pub fn spawn_process(command: &mut Command) -> io::Result<Child> {
+    let _no_probes = allocated_ports();
+    command.spawn()
+}
+
+fn allocated_ports() -> MutexGuard<'static, HashSet<u16>> {
+    ALLOCATED_PORTS
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/chicoryrail-testkit/src/cluster/process.rs
+++ b/crates/chicoryrail-testkit/src/cluster/process.rs
@@ -20,6 +20,7 @@
 use crate::ClusterError;
 use crate::cluster::error::FileSnafu;
 use crate::cluster::error::SpawnSnafu;
+use crate::cluster::ports::spawn_process;
 
 /// A program with its arguments; it can be started, signalled and restarted.
 ///
@@ -81,18 +82,17 @@
         if let Some(boot_file) = &self.boot_file {
             command.env(BOOT_VARIABLE, boot_file);
         }
-        let child = command
+        command
             .args(&self.args)
             .env("CHICORYRAIL_LOG", &self.log_level)
             .env("RUST_BACKTRACE", "1")
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .stdin(Stdio::null())
             .stdout(out)
-            .stderr(err)
-            .spawn()
-            .context(SpawnSnafu {
-                program: &self.program,
-            })?;
+            .stderr(err);
+        let child = spawn_process(&mut command).context(SpawnSnafu {
+            program: &self.program,
+        })?;
         self.child = Some(child);
         Ok(())
     }
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -53,6 +53,7 @@
 pub use cluster::TargetPlan;
 pub use cluster::call_blocking;
 pub use cluster::free_addr;
+pub use cluster::spawn_process;
 pub use listener::ConnectionCut;
 pub use listener::Listener;
 pub use listener::run_stand_in;
