fix(router): keep servers in use whose entries expired in a store outage

The store was back for 0.3 s between two outages. By then all entries had expired, so every server counted as draining and got nothing one second later, although all ran and none could register again.

Cause: a missing entry got the drain time of a server that leaves, from the moment it was read as missing, while the grace time of two seconds in which servers register again decided only when the entry was removed. Without a second outage the effect was smaller but the same: the servers that registered first got all requests of the others.

Change: an entry that expired in an outage, which is one not read since the store is back, leaves its server in use until the grace time is over, and the grace time does not end while the store is down again. A server whose entry was read after the outage and then disappears has left, as before.

--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -35,7 +35,10 @@
                 self.apply_own(key);
             }
         }
-        let gone = self.store_view.borrow_mut().expire(self.now());
+        let gone = {
+            let mut view = self.store_view.borrow_mut();
+            view.expire(self.now(), self.store_up.get())
+        };
         if !changes.is_empty() || !gone.is_empty() {
             self.sync();
         }
@@ -167,7 +170,7 @@
         target.pool.set_max_connections(member.slots, share.max(2));
         let admission = if view.is_drained(&member.dc) {
             Admission::Closed
-        } else if entry.is_ready() && entry.missing.is_none() {
+        } else if entry.is_ready() && (entry.missing.is_none() || view.may_return(entry)) {
             Admission::Open
         } else {
             let since = entry.missing.unwrap_or(entry.since);
--- a/crates/chicoryrail-router/src/state/view.rs
+++ b/crates/chicoryrail-router/src/state/view.rs
@@ -60,6 +60,8 @@
     pub(crate) revision: u64,
     /// When this host read this revision.
     pub(crate) updated: Millis,
+    /// When this host last read the entry, changed or not.
+    pub(crate) seen: Millis,
     /// When this host first read the server's current state.
     pub(crate) since: Millis,
     /// When the entry disappeared. It still counts until [`View::expire`] removes it.
@@ -195,22 +197,21 @@
         }
     }
 
-    /// Removes the servers whose entries are missing and whose grace time is over, and returns their names.
-    pub(crate) fn expire(&mut self, now: Millis) -> Vec<ServerName> {
-        let back = self.recovered_at;
-        let is_gone = |r: &ServerEntry| {
-            let Some(missing) = r.missing else {
-                return false;
-            };
-            // Entries expire while the store is down, so a missing entry proves nothing until the
-            // grace time after an outage is over. At any other time it means that the server has left.
-            match back {
-                Some(back) if missing < back + REREGISTER_GRACE_TIME => {
-                    now >= back + REREGISTER_GRACE_TIME
-                }
-                _ => true,
-            }
+    /// Returns `true` if an entry is missing, but its server may register again: the entry may have expired while the
+    /// store was down, as it has not been read since. At any other time a missing entry means that the server has left.
+    pub(crate) fn may_return(&self, entry: &ServerEntry) -> bool {
+        let (Some(missing), Some(back)) = (entry.missing, self.recovered_at) else {
+            return false;
         };
+        entry.seen < back && missing < back + REREGISTER_GRACE_TIME
+    }
+
+    /// Removes the servers whose entries are missing and whose grace time is over, and returns their names. While the
+    /// store is down again, servers can't register, and their grace time does not end.
+    pub(crate) fn expire(&mut self, now: Millis, store_up: bool) -> Vec<ServerName> {
+        let grace_end = self.recovered_at.unwrap_or_default() + REREGISTER_GRACE_TIME;
+        let grace_over = store_up && now >= grace_end;
+        let is_gone = |e: &ServerEntry| e.missing.is_some() && (grace_over || !self.may_return(e));
         let gone = self.servers.iter().filter(|(_, r)| is_gone(r));
         let gone: Vec<_> = gone.map(|(name, _)| name.clone()).collect();
         for name in &gone {
@@ -260,10 +261,12 @@
     }
 
     fn put_server(&mut self, now: Millis, name: ServerName, item: &Item) -> Option<ViewChange> {
-        let old = self.servers.get(&name);
-        if old.is_some_and(|o| o.revision >= item.revision && o.missing.is_none()) {
+        let old = self.servers.get_mut(&name);
+        if let Some(old) = old.filter(|o| o.revision >= item.revision && o.missing.is_none()) {
+            old.seen = now;
             return None;
         }
+        let old = self.servers.get(&name);
         let member = match read_member(&name, &item.value) {
             Ok(member) => member,
             Err(e) => {
@@ -280,6 +283,7 @@
             member,
             revision: item.revision,
             updated: now,
+            seen: now,
             since,
             missing: None,
         };
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -11,12 +11,16 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
+use chicoryrail_core::Life;
+use chicoryrail_core::Member;
+use chicoryrail_core::MemberState;
 use chicoryrail_core::Millis;
 use chicoryrail_platform::BOOT_VARIABLE;
 use chicoryrail_platform::KvStore;
 use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::Txn;
 use chicoryrail_platform::call_header;
+use chicoryrail_platform::write_member;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
@@ -180,6 +184,24 @@
         server
     }
 
+    /// Writes the entry of a server that does not maintain one itself; the entry expires after `ttl`.
+    pub async fn register(&self, server: &Server, service: &str, ttl: Millis) {
+        let member = Member {
+            life: Life::new(server.name.as_str().into(), 1),
+            service: service.into(),
+            addr: server.addr,
+            dc: "west".into(),
+            slots: 2,
+            state: MemberState::Ready,
+            warmup_left: Millis::ZERO,
+        };
+        let key = format!("servers/{}", server.name);
+        let lease = self.store.open_lease(ttl).await.unwrap();
+        let value = write_member(&member).unwrap();
+        let txn = Txn::default().put_leased(&key, &value, lease.id);
+        self.store.commit(&txn).await.unwrap();
+    }
+
     /// Returns the number of watches that the store has opened so far.
     pub async fn watch_requests(&self) -> u64 {
         let request = Request::get("/testkit/stats").body(Bytes::new()).unwrap();
