perf(router): look at servers' notices only while one is in force

Each request of a service without keys walked over all servers of the service to find those that this host must not send to, though there is hardly ever one; a service can have thousands. A service now remembers whether any notice may be in force, set with each notice and determined again with each change of the servers.

--- a/crates/chicoryrail-policy/src/local/server_notices.rs
+++ b/crates/chicoryrail-policy/src/local/server_notices.rs
@@ -49,6 +49,12 @@
         self.backoff_until = self.backoff_until.max(now + time);
     }
 
+    /// Returns `true` if any notice is in force.
+    #[must_use]
+    pub fn is_any_in_force(&self, now: Millis) -> bool {
+        self.is_draining() || now < self.backoff_until
+    }
+
     /// Returns `true` if the server has said that it is draining.
     #[must_use]
     pub const fn is_draining(&self) -> bool {
--- a/crates/chicoryrail-router/src/control/leader/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -150,8 +150,9 @@
     /// Records that a server said in a response to a grant that it is draining. Its keys then go to other servers, also
     /// if the server can't reach the store to announce it there.
     fn record_drain(&self, now: Millis, life: &Life) {
-        if let Some(target) = self.router.service(&self.service).target(life) {
-            target.record_drain(now, "grant");
+        let service = self.router.service(&self.service);
+        if let Some(target) = service.target(life) {
+            service.record_drain(now, &target, "grant");
         }
     }
 
--- a/crates/chicoryrail-router/src/route/candidates.rs
+++ b/crates/chicoryrail-router/src/route/candidates.rs
@@ -19,15 +19,19 @@
 pub(super) struct Candidates {
     /// The servers; empty if no server of the service accepts requests.
     pub(super) targets: Vec<Rc<Target>>,
-    /// Servers that only this host must spare: other hosts, and the scheduler, may not have heard their notices.
-    pub(super) spared: Vec<Life>,
+    /// Servers that this host must not send to: the scheduler may not have heard their notices.
+    pub(super) excluded: Vec<Life>,
 }
 
 /// Returns whether this host may send a request to a server now, by the server's notices.
-pub(super) fn permit(router: &Router, call: &CallerRequest, target: &Target) -> SendPermit {
+pub(super) fn permit(
+    router: &Router,
+    call: &CallerRequest,
+    target: &Target,
+    now: Millis,
+) -> SendPermit {
     let drain_time = router.boot().bounds.drain;
-    let notices = target.notices.get();
-    notices.permit(router.now(), call.arrived, drain_time)
+    target.notices.get().permit(now, call.arrived, drain_time)
 }
 
 /// Returns the servers of a service without keys that may receive a request: the ready ones without notices or, if
@@ -46,18 +50,18 @@
     let accepting = targets.values().filter(|t| t.accepts_requests(now));
     let mut open = Vec::new();
     let mut last_resort = Vec::new();
-    let mut spared = Vec::new();
+    let mut excluded = Vec::new();
     let mut withheld = None;
     for target in accepting {
-        match permit(router, call, target) {
+        match permit(router, call, target, now) {
             SendPermit::Granted if target.is_ready() => open.push(Rc::clone(target)),
             SendPermit::Granted => last_resort.push(Rc::clone(target)),
             SendPermit::LastResort => {
-                spared.push(target.life.clone());
+                excluded.push(target.life.clone());
                 last_resort.push(Rc::clone(target));
             }
             SendPermit::Withheld(why) => {
-                spared.push(target.life.clone());
+                excluded.push(target.life.clone());
                 withheld = Some(withheld.map_or(why, |other| sooner(other, why)));
             }
         }
@@ -65,15 +69,15 @@
     match withheld {
         Some(why) if open.is_empty() && last_resort.is_empty() => Err(why),
         _ if open.is_empty() => {
-            spared.retain(|life| last_resort.iter().all(|t| t.life != *life));
+            excluded.retain(|life| last_resort.iter().all(|t| t.life != *life));
             Ok(Candidates {
                 targets: last_resort,
-                spared,
+                excluded,
             })
         }
         _ => Ok(Candidates {
             targets: open,
-            spared,
+            excluded,
         }),
     }
 }
@@ -111,7 +115,7 @@
     let KeyOwner::Granted(life) = owner else {
         return None;
     };
-    match permit(router, call, &*service.target(&life)?) {
+    match permit(router, call, &*service.target(&life)?, now) {
         SendPermit::Withheld(why) => Some(why),
         SendPermit::Granted | SendPermit::LastResort => None,
     }
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -75,7 +75,7 @@
     let Some(target) = target else {
         return Choice::Wait(Cause::KeyMoving, KEY_MOVE_RETRY);
     };
-    if let SendPermit::Withheld(why) = permit(router, call, &target) {
+    if let SendPermit::Withheld(why) = permit(router, call, &target, now) {
         return Choice::Refuse(why);
     }
     let work = router.expected_work_us(&call.route.name, call.route.latency_target);
--- a/crates/chicoryrail-router/src/route/in_flight.rs
+++ b/crates/chicoryrail-router/src/route/in_flight.rs
@@ -12,7 +12,7 @@
 /// and the server cancels the request.
 #[derive(Debug)]
 pub(crate) struct InFlight {
-    service: Rc<Service>,
+    pub(crate) service: Rc<Service>,
     pub(crate) target: Rc<Target>,
     conn: Option<ServerConn>,
     /// Released when the request has ended.
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -101,7 +101,7 @@
             return SendOutcome::NotRun(NotRun::Unreachable);
         }
     };
-    if let SendPermit::Withheld(why) = permit(router, call, target) {
+    if let SendPermit::Withheld(why) = permit(router, call, target, router.now()) {
         target.pool.release(conn);
         return SendOutcome::NotRun(NotRun::Withheld(why));
     }
--- a/crates/chicoryrail-router/src/route/server_report.rs
+++ b/crates/chicoryrail-router/src/route/server_report.rs
@@ -71,7 +71,8 @@
         log::warn!(server:% = target.life, value:? = value; "server_draining_unreadable");
         return;
     }
-    target.record_drain(router.now(), &call.id);
+    let service = &in_flight.service;
+    service.record_drain(router.now(), target, &call.id);
 }
 
 /// Records that a server refused a request of this host and asked it to send nothing for a time. The requests that wait
@@ -90,7 +91,8 @@
         Ok(Ok(time)) => {
             log::info!(request = call.id, server:% = target.life, backoff_ms = time.0;
                 "server_backoff");
-            target.record_backoff(router.now(), time);
+            let service = &in_flight.service;
+            service.record_backoff(router.now(), target, time);
             router.pending_queries.notify_all();
         }
         _ => log::warn!(server:% = target.life, value:? = value; "server_backoff_unreadable"),
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -96,7 +96,7 @@
                     // The scheduler's view of this server is older than this host's.
                     return Decision::Unavailable;
                 };
-                return match permit(router, call, &target) {
+                return match permit(router, call, &target, router.now()) {
                     SendPermit::Withheld(why) if call.key.is_some() => Decision::Withheld(why),
                     // The notice arrived after the query was sent: another server may be free.
                     SendPermit::Withheld(_) => Decision::Unavailable,
@@ -165,8 +165,8 @@
     }
 }
 
-/// Returns the servers that the scheduler must not choose: those of earlier attempts and those that this host must
-/// spare.
+/// Returns the servers that the scheduler must not choose: those of earlier attempts, and those that this host must not
+/// send to.
 ///
 /// # Errors
 ///
@@ -182,7 +182,10 @@
         let withheld = withheld_by_owner(router, service, call, now);
         return withheld.map_or_else(|| Ok(tried.to_vec()), Err);
     }
-    let mut excluded = unkeyed_candidates(router, service, call, now)?.spared;
+    if !service.has_notices() {
+        return Ok(tried.to_vec());
+    }
+    let mut excluded = unkeyed_candidates(router, service, call, now)?.excluded;
     excluded.extend_from_slice(tried);
     Ok(excluded)
 }
@@ -230,7 +233,10 @@
 fn initial_part(router: &Router, service: &Service, call: &CallerRequest) -> PartName {
     let targets = service.targets.borrow();
     let dc = router.boot().dc.clone();
-    let is_open = |t: &Target| t.is_ready() && permit(router, call, t) == SendPermit::Granted;
+    let now = router.now();
+    let is_avoided =
+        |t: &Target| service.has_notices() && permit(router, call, t, now) != SendPermit::Granted;
+    let is_open = |t: &Target| t.is_ready() && !is_avoided(t);
     let has_local = targets.values().any(|t| t.dc == dc && is_open(t));
     if has_local || !service.partitioned.get() {
         return service.part_of(&dc);
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -123,6 +123,7 @@
             });
             drop(targets);
             service.update_partitioned();
+            service.update_notices(self.now());
             service.changed.notify();
             self.feed_changed.notify();
         }
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -43,6 +43,9 @@
     pub(crate) requested_keys: RefCell<Vec<u16>>,
     /// Servers of the service, by incarnation.
     pub(crate) targets: RefCell<HashMap<Life, Rc<Target>>>,
+    /// Whether a notice of any of the servers to this host may be in force. Without one, a request need not look at
+    /// each server.
+    has_notices: Cell<bool>,
     pub(crate) keyed: Cell<bool>,
     /// Whether the servers of each data centre are scheduled separately.
     pub(crate) partitioned: Cell<bool>,
@@ -61,6 +64,7 @@
             changed: ChangeSignal::default(),
             requested_keys: RefCell::default(),
             targets: RefCell::default(),
+            has_notices: Cell::new(false),
             keyed: Cell::new(false),
             partitioned: Cell::new(false),
             next_id: Cell::new(0),
@@ -76,6 +80,32 @@
         }
     }
 
+    /// Records that a response of a server said that it is draining. `heard_in` is the id of the request, or the name of
+    /// the call.
+    pub(crate) fn record_drain(&self, now: Millis, target: &Target, heard_in: &str) {
+        target.record_drain(now, heard_in);
+        self.has_notices.set(true);
+    }
+
+    /// Records that a server refused a request of this host and asked for no more for `time`.
+    pub(crate) fn record_backoff(&self, now: Millis, target: &Target, time: Millis) {
+        target.record_backoff(now, time);
+        self.has_notices.set(true);
+    }
+
+    /// Returns `true` if a notice of any of the servers to this host may be in force.
+    pub(crate) fn has_notices(&self) -> bool {
+        self.has_notices.get()
+    }
+
+    /// Determines again whether any notice is in force.
+    pub(crate) fn update_notices(&self, now: Millis) {
+        let targets = self.targets.borrow();
+        let mut notices = targets.values().map(|t| t.notices.get());
+        self.has_notices
+            .set(notices.any(|n| n.is_any_in_force(now)));
+    }
+
     /// Returns a new server id, unique within the service for the lifetime of the process.
     pub(crate) fn next_id(&self) -> ServerId {
         let id = self.next_id.get();
