--- a/crates/chicoryrail-router/tests/backoff.rs
+++ b/crates/chicoryrail-router/tests/backoff.rs
@@ -7,7 +7,6 @@
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
-use chicoryrail_testkit::StoreFault;
 use chicoryrail_testkit::TargetFault;
 use futures_util::future::join_all;
 use rstest::rstest;
@@ -23,6 +22,9 @@
 /// Time for which a server refuses requests; after it, a request would be served.
 const OVERLOAD: Millis = Millis(1_000);
 
+/// Time for which the store stays down: longer than any test.
+const OUTAGE: Millis = Millis(60_000);
+
 /// Longest time for which a host may hold a request that only a server that asked for nothing could serve.
 const REFUSAL_TIME_MAX: Millis = Millis(100);
 
@@ -85,13 +87,7 @@
         })
         .await;
         if store_down {
-            let fault = StoreFault::Down {
-                for_ms: 60_000,
-                share: 1.0,
-                polite: false,
-                hosts: Vec::new(),
-            };
-            world.fault(&fault).await;
+            world.stop_store(OUTAGE).await;
         }
         let executed = server.executed();
         overload(&server);
--- a/crates/chicoryrail-router/tests/draining_servers.rs
+++ b/crates/chicoryrail-router/tests/draining_servers.rs
@@ -7,7 +7,6 @@
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
-use chicoryrail_testkit::StoreFault;
 use chicoryrail_testkit::TargetFault;
 use support::RouterProcess;
 use support::Server;
@@ -27,16 +26,8 @@
 /// Path of the service that is not keyed.
 const UNKEYED: &str = "/read/x";
 
-/// Makes the store unavailable to all hosts and servers until the end of the test.
-async fn stop_store(world: &World) {
-    let fault = StoreFault::Down {
-        for_ms: 60_000,
-        share: 1.0,
-        polite: false,
-        hosts: Vec::new(),
-    };
-    world.fault(&fault).await;
-}
+/// Time for which the store stays down: longer than any test.
+const OUTAGE: Millis = Millis(60_000);
 
 /// Starts two keyed servers and a router, and waits until it serves a low and a high key.
 async fn start_keyed(world: &World) -> ([Rc<Server>; 2], RouterProcess) {
@@ -94,7 +85,7 @@
         world.configure().await;
         let (servers, router) = start_keyed(&world).await;
         let key = owned_key(&servers[0]);
-        stop_store(&world).await;
+        world.stop_store(OUTAGE).await;
         servers[0].fault(TargetFault::Leave);
         let served = use_drain_time(&router, key).await;
         assert!(served > 0, "the server is used within the drain timeout");
@@ -119,7 +110,7 @@
         for i in 0..3 {
             routers.push(world.router(&format!("h-{i}")).await);
         }
-        stop_store(&world).await;
+        world.stop_store(OUTAGE).await;
         servers[0].fault(TargetFault::Leave);
         // One host schedules for the service, so at least one of these two is not that host.
         for router in &routers[..2] {
@@ -147,7 +138,7 @@
         world.configure().await;
         let server = world.server("d-0", "desk").await;
         let router = world.router("h-0").await;
-        stop_store(&world).await;
+        world.stop_store(OUTAGE).await;
         server.fault(TargetFault::Leave);
         let caller = router.caller();
         assert_eq!(caller.get(UNKEYED).await.unwrap().status(), 200);
--- a/crates/chicoryrail-router/tests/store_flaps.rs
+++ b/crates/chicoryrail-router/tests/store_flaps.rs
@@ -5,7 +5,6 @@
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
-use chicoryrail_testkit::StoreFault;
 use chicoryrail_testkit::TargetOptions;
 use support::Server;
 use support::World;
@@ -17,17 +16,6 @@
 /// Time after which the server's entry expires.
 const ENTRY_TTL: Millis = Millis(3_000);
 
-/// Makes the store unavailable to all hosts for a time.
-async fn stop_store(world: &World, time: Millis) {
-    let fault = StoreFault::Down {
-        for_ms: time.0,
-        share: 1.0,
-        polite: false,
-        hosts: Vec::new(),
-    };
-    world.fault(&fault).await;
-}
-
 /// Guards against an outage of all servers when the store returns for a moment and is lost again before they could
 /// register anew: their entries are missing by then, and no news can arrive.
 #[test]
@@ -43,12 +31,12 @@
         world.register(&server, "desk", ENTRY_TTL).await;
         let router = world.router("h-0").await;
         let caller = router.caller();
-        stop_store(&world, ENTRY_TTL + Millis(1_000)).await;
+        world.stop_store(ENTRY_TTL + Millis(1_000)).await;
         wait_until("the router reads the store without the entry", async || {
             router.log().contains("log=server_entry_gone")
         })
         .await;
-        stop_store(&world, REREGISTER_TIME + Millis(2_000)).await;
+        world.stop_store(REREGISTER_TIME + Millis(2_000)).await;
         let clock = Clock::start();
         while clock.now() < REREGISTER_TIME + Millis(1_000) {
             assert_eq!(caller.get("/read/1").await.unwrap().status(), 200);
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -226,6 +226,17 @@
             .unwrap();
     }
 
+    /// Makes the store unavailable to all hosts and servers for `time`.
+    pub async fn stop_store(&self, time: Millis) {
+        let fault = StoreFault::Down {
+            for_ms: time.0,
+            share: 1.0,
+            polite: false,
+            hosts: Vec::new(),
+        };
+        self.fault(&fault).await;
+    }
+
     /// Makes the store send no watch events for `time`, then drop its history and close all watches.
     pub async fn stall_watches(&self, time: Millis) {
         let path = format!("/testkit/deafen?for_ms={}", time.0);
