perf(router): update only the servers whose entries changed

A small host in front of the whole fleet (10,000 servers) did nothing but look at servers: each change of one entry compared every server of every service with every other, logged by a search through all of them, and readiness cloned all of them ten times a second.

A change of an entry now updates that server; the configuration, a data centre out of service and the number of hosts still concern all.

--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -296,5 +296,5 @@
         && router
             .services()
             .iter()
-            .any(|s| !s.accepting_targets(now).is_empty())
+            .any(|s| s.has_accepting_target(now))
 }
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -2,11 +2,11 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use chicoryrail_core::HostName;
-use chicoryrail_core::Life;
+use chicoryrail_core::ServerName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::CoreHost;
 use chicoryrail_ownership::keys::KeyRecord;
@@ -25,12 +25,16 @@
 use crate::state::drain_end;
 use crate::state::view::ServerEntry;
 
+/// Largest number of servers changed at once for which each is logged. A host's first snapshot has all of them, and the
+/// log would drop most of so many lines.
+const SERVER_LINES_MAX: usize = 100;
+
 impl Router {
     /// Logs the given changes of the store view, drops the servers whose entries have expired, and updates services,
     /// servers and key records.
     pub(crate) fn apply_view_changes(&self, changes: &[ViewChange]) {
+        self.log_changes(changes);
         for change in changes {
-            self.log(change);
             if let ViewChange::Own(key) = change {
                 self.apply_own(key);
             }
@@ -40,8 +44,44 @@
             view.expire(self.now(), self.store_up.get())
         };
         if !changes.is_empty() || !gone.is_empty() {
-            self.sync();
+            self.sync(&self.outdated_servers(changes, gone));
+        }
+    }
+
+    /// Returns the servers to update after these changes of the store view, `gone` among them.
+    ///
+    /// The configuration, the data centres out of service and the number of hosts concern every server; a change of one
+    /// entry concerns that server alone. Servers with missing entries are always included: how long they are used also
+    /// depends on outages of the store.
+    fn outdated_servers(
+        &self,
+        changes: &[ViewChange],
+        gone: Vec<ServerName>,
+    ) -> BTreeSet<ServerName> {
+        let hosts = self.peers.borrow().sharing_hosts();
+        let concerns_all = self.synced_hosts.replace(hosts) != hosts
+            || changes.iter().any(|change| match change {
+                ViewChange::Config { .. }
+                | ViewChange::DrainedDc(_)
+                | ViewChange::RestoredDc(_) => true,
+                ViewChange::OldConfig { .. }
+                | ViewChange::Server(_)
+                | ViewChange::ServerGone(_)
+                | ViewChange::Unreadable(_)
+                | ViewChange::Own(_) => false,
+            });
+        let view = self.store_view.borrow();
+        let mut outdated: BTreeSet<ServerName> = gone.into_iter().collect();
+        if concerns_all {
+            outdated.extend(view.servers().map(|e| e.member.life.name.clone()));
+            return outdated;
         }
+        outdated.extend(changes.iter().filter_map(|change| match change {
+            ViewChange::Server(name) | ViewChange::ServerGone(name) => Some(name.clone()),
+            _ => None,
+        }));
+        outdated.extend(view.missing_servers().cloned());
+        outdated
     }
 
     fn apply_own(&self, key: &str) {
@@ -87,9 +127,9 @@
         }
     }
 
-    /// Updates settings and targets from the store view: the configuration's limits and organisations, and the
-    /// servers of each service.
-    fn sync(&self) {
+    /// Updates settings and targets from the store view: the configuration's limits and organisations, and the given
+    /// servers.
+    fn sync(&self, outdated: &BTreeSet<ServerName>) {
         let view = self.store_view.borrow();
         if let Some(site) = view.site() {
             self.counters.config.set(site.version as i64);
@@ -102,39 +142,43 @@
             limits.idle_timeout = site.limits.idle_timeout;
             self.limits.set(limits);
         }
-        let mut present: HashMap<ServiceName, Vec<Life>> = HashMap::new();
-        for entry in view.servers() {
-            let name = &entry.member.service;
-            let lives = present.entry(name.clone()).or_default();
-            lives.push(entry.member.life.clone());
-            self.sync_target(&view, &self.service(name), entry);
+        for name in outdated {
+            self.sync_server(&view, name);
         }
         for service in self.services() {
-            let lives = present.remove(&service.name).unwrap_or_default();
-            let mut targets = service.targets.borrow_mut();
-            targets.retain(|life, target| {
-                let keep = lives.contains(life);
-                if !keep {
-                    target.admission.set(Admission::Closed);
-                    target.pool.close_idle();
-                    service.loads.borrow_mut().remove(target.id);
-                }
-                keep
-            });
-            drop(targets);
             service.update_partitioned();
             service.update_notices(self.now());
             service.changed.notify();
-            self.feed_changed.notify();
+        }
+        self.feed_changed.notify();
+    }
+
+    /// Updates the target of a server, and removes the target of an incarnation that its entry no longer names.
+    fn sync_server(&self, view: &View, name: &ServerName) {
+        let entry = view.server(name);
+        let registration = entry.map(|e| (e.member.service.clone(), e.member.life.clone()));
+        let mut registrations = self.registrations.borrow_mut();
+        let before = match &registration {
+            Some(registration) => registrations.insert(name.clone(), registration.clone()),
+            None => registrations.remove(name),
+        };
+        drop(registrations);
+        if let Some((service, life)) = before.filter(|before| registration.as_ref() != Some(before))
+        {
+            self.service(&service).remove_target(&life);
+        }
+        if let Some(entry) = entry {
+            self.sync_target(view, &self.service(&entry.member.service), entry);
         }
     }
 
     fn sync_target(&self, view: &View, service: &Service, entry: &ServerEntry) {
         let member = &entry.member;
-        let mut targets = service.targets.borrow_mut();
-        let old = targets.get(&member.life).filter(|t| t.addr == member.addr);
+        let old = service
+            .target(&member.life)
+            .filter(|t| t.addr == member.addr);
         let target = match old {
-            Some(target) => Rc::clone(target),
+            Some(target) => target,
             None => {
                 let Ok(expect_header) = HeaderValue::from_str(member.life.name.as_str()) else {
                     log::warn!(server:% = member.life.name; "bad_server_name");
@@ -156,7 +200,7 @@
                     admission: Cell::new(Admission::Closed),
                     scheduled_here: Cell::new(None),
                 });
-                targets.insert(member.life.clone(), Rc::clone(&target));
+                service.insert_target(&target);
                 target
             }
         };
@@ -183,6 +227,25 @@
         target.admission.set(admission);
     }
 
+    /// Logs the changes; a large number of changed servers, as in the first snapshot, in one line.
+    fn log_changes(&self, changes: &[ViewChange]) {
+        let is_server =
+            |c: &&ViewChange| matches!(c, ViewChange::Server(_) | ViewChange::ServerGone(_));
+        let servers = changes.iter().filter(is_server).count();
+        if servers <= SERVER_LINES_MAX {
+            changes.iter().for_each(|change| self.log(change));
+            return;
+        }
+        let gone = |c: &&ViewChange| matches!(c, ViewChange::ServerGone(_));
+        let gone = changes.iter().filter(gone).count();
+        let view = self.store_view.borrow();
+        log::info!(changed = servers - gone, gone = gone, known = view.servers().count(),
+            revision = view.revision(); "servers");
+        drop(view);
+        let others = changes.iter().filter(|c| !is_server(c));
+        others.for_each(|change| self.log(change));
+    }
+
     fn log(&self, change: &ViewChange) {
         let revision = self.store_view.borrow().revision();
         match change {
@@ -203,8 +266,7 @@
             ViewChange::RestoredDc(dc) => log::info!(dc:% = dc, revision = revision; "dc_back"),
             ViewChange::Server(name) => {
                 let view = self.store_view.borrow();
-                let entry = view.servers().find(|e| e.member.life.name == *name);
-                if let Some(ServerEntry { member, .. }) = entry {
+                if let Some(ServerEntry { member, .. }) = view.server(name) {
                     log::info!(server:% = member.life, service:% = member.service, dc:% = member.dc,
                         state:? = member.state, cold_ms = member.warmup_left.0, revision = revision;
                         "server");
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -11,6 +11,7 @@
 use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
+use chicoryrail_core::ServerName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::Site;
 use chicoryrail_ownership::DcReachability;
@@ -106,6 +107,10 @@
     /// Time of the last request of each leaf host that uses this one as relay.
     pub(crate) leaf_requests: RefCell<HashMap<HostName, Millis>>,
     services: RefCell<HashMap<ServiceName, Rc<Service>>>,
+    /// Service and incarnation under which each server has a target.
+    pub(super) registrations: RefCell<HashMap<ServerName, (ServiceName, Life)>>,
+    /// Number of hosts by which the targets' shares of connections were last computed.
+    pub(super) synced_hosts: Cell<usize>,
     /// Weighted round robin of each route over its services.
     round_robins: RefCell<HashMap<String, WeightedRoundRobin>>,
     /// Mean service time of each route's requests, in microseconds.
@@ -143,6 +148,8 @@
             feed_changed: ChangeSignal::default(),
             leaf_requests: RefCell::default(),
             services: RefCell::default(),
+            registrations: RefCell::default(),
+            synced_hosts: Cell::new(0),
             round_robins: RefCell::default(),
             work_means: RefCell::default(),
             process,
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 use chicoryrail_runtime::ChangeSignal;
 
 use crate::messages::PartName;
+use crate::state::Admission;
 use crate::state::Target;
 
 /// Average number of servers per data centre from which each data centre of a service that is not keyed is scheduled
@@ -43,6 +45,8 @@
     pub(crate) requested_keys: RefCell<Vec<u16>>,
     /// Servers of the service, by incarnation.
     pub(crate) targets: RefCell<HashMap<Life, Rc<Target>>>,
+    /// Number of servers in each data centre.
+    dc_sizes: RefCell<BTreeMap<DcName, usize>>,
     /// Whether a notice of any of the servers to this host may be in force. Without one, a request need not look at
     /// each server.
     has_notices: Cell<bool>,
@@ -64,6 +68,7 @@
             changed: ChangeSignal::default(),
             requested_keys: RefCell::default(),
             targets: RefCell::default(),
+            dc_sizes: RefCell::default(),
             has_notices: Cell::new(false),
             keyed: Cell::new(false),
             partitioned: Cell::new(false),
@@ -93,6 +98,40 @@
         self.has_notices.set(true);
     }
 
+    /// Adds a target; one with the same incarnation is replaced.
+    pub(super) fn insert_target(&self, target: &Rc<Target>) {
+        let life = target.life.clone();
+        let old = self.targets.borrow_mut().insert(life, Rc::clone(target));
+        if let Some(old) = old {
+            self.close_target(&old);
+        }
+        *self
+            .dc_sizes
+            .borrow_mut()
+            .entry(target.dc.clone())
+            .or_default() += 1;
+    }
+
+    /// Removes a target whose server has ended or left.
+    pub(super) fn remove_target(&self, life: &Life) {
+        let removed = self.targets.borrow_mut().remove(life);
+        if let Some(target) = removed {
+            self.close_target(&target);
+        }
+    }
+
+    /// Ends the use of a target that is no longer in `targets`.
+    fn close_target(&self, target: &Target) {
+        target.admission.set(Admission::Closed);
+        target.pool.close_idle();
+        self.loads.borrow_mut().remove(target.id);
+        let mut sizes = self.dc_sizes.borrow_mut();
+        if let Some(size) = sizes.get_mut(&target.dc) {
+            *size -= 1;
+        }
+        sizes.retain(|_, size| *size > 0);
+    }
+
     /// Returns `true` if a notice of any of the servers to this host may be in force.
     pub(crate) fn has_notices(&self) -> bool {
         self.has_notices.get()
@@ -100,6 +139,9 @@
 
     /// Determines again whether any notice is in force.
     pub(crate) fn update_notices(&self, now: Millis) {
+        if !self.has_notices.get() {
+            return;
+        }
         let targets = self.targets.borrow();
         let mut notices = targets.values().map(|t| t.notices.get());
         self.has_notices
@@ -118,13 +160,9 @@
     /// With hundreds of servers and requests per second, a single scheduling host would be a bottleneck, and slot
     /// queries and their decisions would cross data centres.
     pub(crate) fn update_partitioned(&self) {
-        let targets = self.targets.borrow();
-        let mut dcs: Vec<&DcName> = targets.values().map(|t| &t.dc).collect();
-        dcs.sort();
-        dcs.dedup();
-        let enough = targets.len() >= SERVERS_PER_PART_MIN * dcs.len();
-        self.partitioned
-            .set(!self.is_keyed() && dcs.len() > 1 && enough);
+        let dcs = self.dc_sizes.borrow().len();
+        let enough = self.targets.borrow().len() >= SERVERS_PER_PART_MIN * dcs;
+        self.partitioned.set(!self.is_keyed() && dcs > 1 && enough);
     }
 
     /// Returns the parts of a partitioned service; empty if the service is not partitioned.
@@ -132,8 +170,8 @@
         if !self.partitioned.get() {
             return BTreeSet::new();
         }
-        let targets = self.targets.borrow();
-        targets.values().map(|t| self.part_of(&t.dc)).collect()
+        let dcs = self.dc_sizes.borrow();
+        dcs.keys().map(|dc| self.part_of(dc)).collect()
     }
 
     /// Returns the part to which the servers of a data centre belong.
@@ -154,15 +192,9 @@
         self.targets.borrow().get(life).cloned()
     }
 
-    /// Returns the servers that may receive new requests: the ready ones, or, if there are none, the draining ones that
-    /// still may receive requests.
-    pub(crate) fn accepting_targets(&self, now: Millis) -> Vec<Rc<Target>> {
+    /// Returns `true` if any server may receive new requests.
+    pub(crate) fn has_accepting_target(&self, now: Millis) -> bool {
         let targets = self.targets.borrow();
-        let open: Vec<_> = targets.values().filter(|t| t.is_ready()).cloned().collect();
-        if !open.is_empty() {
-            return open;
-        }
-        let draining = targets.values().filter(|t| t.accepts_requests(now));
-        draining.cloned().collect()
+        targets.values().any(|t| t.accepts_requests(now))
     }
 }
--- a/crates/chicoryrail-router/src/state/view.rs
+++ b/crates/chicoryrail-router/src/state/view.rs
@@ -82,6 +82,8 @@
     site: Option<Rc<Site>>,
     drained_dcs: BTreeSet<DcName>,
     servers: BTreeMap<ServerName, ServerEntry>,
+    /// Servers whose entries are missing.
+    missing: BTreeSet<ServerName>,
     own: BTreeMap<String, OwnItem>,
     /// Last revision of each entry that could not be decoded, by key.
     unreadable: BTreeMap<String, u64>,
@@ -107,6 +109,16 @@
         self.servers.values()
     }
 
+    /// Returns the entry of a server.
+    pub(crate) fn server(&self, name: &ServerName) -> Option<&ServerEntry> {
+        self.servers.get(name)
+    }
+
+    /// Iterates over the names of the servers whose entries are missing.
+    pub(crate) fn missing_servers(&self) -> impl Iterator<Item = &ServerName> {
+        self.missing.iter()
+    }
+
     /// Returns the value of one of the router's own keys.
     pub(crate) fn own(&self, key: &str) -> Option<&OwnItem> {
         self.own.get(key)
@@ -211,11 +223,14 @@
     pub(crate) fn expire(&mut self, now: Millis, store_up: bool) -> Vec<ServerName> {
         let grace_end = self.recovered_at.unwrap_or_default() + REREGISTER_GRACE_TIME;
         let grace_over = store_up && now >= grace_end;
-        let is_gone = |e: &ServerEntry| e.missing.is_some() && (grace_over || !self.may_return(e));
-        let gone = self.servers.iter().filter(|(_, r)| is_gone(r));
-        let gone: Vec<_> = gone.map(|(name, _)| name.clone()).collect();
+        let is_gone = |name: &&ServerName| {
+            let entry = self.servers.get(*name);
+            entry.is_none_or(|e| grace_over || !self.may_return(e))
+        };
+        let gone: Vec<_> = self.missing.iter().filter(is_gone).cloned().collect();
         for name in &gone {
             self.servers.remove(name);
+            self.missing.remove(name);
         }
         gone
     }
@@ -223,6 +238,7 @@
     fn mark_missing(&mut self, now: Millis, name: ServerName) -> Option<ViewChange> {
         let entry = self.servers.get_mut(&name)?;
         entry.missing.get_or_insert(now);
+        self.missing.insert(name.clone());
         Some(ViewChange::ServerGone(name))
     }
 
@@ -287,6 +303,7 @@
             since,
             missing: None,
         };
+        self.missing.remove(&name);
         self.servers.insert(name.clone(), entry);
         Some(ViewChange::Server(name))
     }
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -354,6 +354,14 @@
         number.parse().unwrap()
     }
 
+    /// Returns the processor time that the process has used, in seconds.
+    pub fn cpu_seconds(&self) -> f64 {
+        let path = format!("/proc/{}/schedstat", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap();
+        let nanos: f64 = text.split(' ').next().unwrap().parse().unwrap();
+        nanos / 1e9
+    }
+
     /// Returns the log output so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
