--- a/crates/chicoryrail-policy/src/local/server_notices.rs
+++ b/crates/chicoryrail-policy/src/local/server_notices.rs
@@ -49,6 +49,16 @@
         self.backoff_until = self.backoff_until.max(now + time);
     }
 
+    /// Returns the notices of both: the first drain notice, and the longest time without requests.
+    #[must_use]
+    pub fn join(self, other: Self) -> Self {
+        let drains = [self.draining_since, other.draining_since];
+        Self {
+            draining_since: drains.into_iter().flatten().min(),
+            backoff_until: self.backoff_until.max(other.backoff_until),
+        }
+    }
+
     /// Returns `true` if any notice is in force.
     #[must_use]
     pub fn is_any_in_force(&self, now: Millis) -> bool {
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -165,7 +165,7 @@
         drop(registrations);
         if let Some((service, life)) = before.filter(|before| registration.as_ref() != Some(before))
         {
-            self.service(&service).remove_target(&life);
+            self.service(&service).remove_target(self.now(), &life);
         }
         if let Some(entry) = entry {
             self.sync_target(view, &self.service(&entry.member.service), entry);
@@ -195,7 +195,7 @@
                     warmup: RefCell::default(),
                     warmup_until: Cell::default(),
                     limit: Cell::default(),
-                    notices: Cell::default(),
+                    notices: Cell::new(service.known_notices(&member.life)),
                     slots: Cell::new(member.slots),
                     admission: Cell::new(Admission::Closed),
                     scheduled_here: Cell::new(None),
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod counters;
+mod former_notices;
 mod organisations;
 mod pending_queries;
 mod quota_shares;
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -15,11 +15,13 @@
 use chicoryrail_policy::LocalBalancer;
 use chicoryrail_policy::RetryBudget;
 use chicoryrail_policy::ServerId;
+use chicoryrail_policy::ServerNotices;
 use chicoryrail_runtime::ChangeSignal;
 
 use crate::messages::PartName;
 use crate::state::Admission;
 use crate::state::Target;
+use crate::state::former_notices::FormerNotices;
 
 /// Average number of servers per data centre from which each data centre of a service that is not keyed is scheduled
 /// separately. Fewer servers are better scheduled together: a request can use a free one anywhere, and one host can
@@ -47,6 +49,8 @@
     pub(crate) targets: RefCell<HashMap<Life, Rc<Target>>>,
     /// Number of servers in each data centre.
     dc_sizes: RefCell<BTreeMap<DcName, usize>>,
+    /// Notices of incarnations that have no entry.
+    former_notices: RefCell<FormerNotices>,
     /// Whether a notice of any of the servers to this host may be in force. Without one, a request need not look at
     /// each server.
     has_notices: Cell<bool>,
@@ -69,6 +73,7 @@
             requested_keys: RefCell::default(),
             targets: RefCell::default(),
             dc_sizes: RefCell::default(),
+            former_notices: RefCell::default(),
             has_notices: Cell::new(false),
             keyed: Cell::new(false),
             partitioned: Cell::new(false),
@@ -89,13 +94,25 @@
     /// the call.
     pub(crate) fn record_drain(&self, now: Millis, target: &Target, heard_in: &str) {
         target.record_drain(now, heard_in);
-        self.has_notices.set(true);
+        self.notices_changed(now, target);
     }
 
     /// Records that a server refused a request of this host and asked for no more for `time`.
     pub(crate) fn record_backoff(&self, now: Millis, target: &Target, time: Millis) {
         target.record_backoff(now, time);
+        self.notices_changed(now, target);
+    }
+
+    /// Updates what depends on a target's notices. The target may have been removed or replaced since its request was
+    /// sent.
+    fn notices_changed(&self, now: Millis, target: &Target) {
         self.has_notices.set(true);
+        match self.target(&target.life) {
+            Some(current) => current
+                .notices
+                .set(current.notices.get().join(target.notices.get())),
+            None => self.keep_notices(now, target),
+        }
     }
 
     /// Adds a target; one with the same incarnation is replaced.
@@ -110,13 +127,17 @@
             .borrow_mut()
             .entry(target.dc.clone())
             .or_default() += 1;
+        if target.notices.get() != ServerNotices::default() {
+            self.has_notices.set(true);
+        }
     }
 
-    /// Removes a target whose server has ended or left.
-    pub(super) fn remove_target(&self, life: &Life) {
+    /// Removes a target whose server has ended or left. Its notices are kept: the same incarnation may register again.
+    pub(super) fn remove_target(&self, now: Millis, life: &Life) {
         let removed = self.targets.borrow_mut().remove(life);
         if let Some(target) = removed {
             self.close_target(&target);
+            self.keep_notices(now, &target);
         }
     }
 
@@ -132,6 +153,17 @@
         sizes.retain(|_, size| *size > 0);
     }
 
+    fn keep_notices(&self, now: Millis, target: &Target) {
+        let mut former = self.former_notices.borrow_mut();
+        former.keep(now, &target.life, target.notices.get());
+    }
+
+    /// Returns the notices that an incarnation gave before its current entry, at this or another address.
+    pub(super) fn known_notices(&self, life: &Life) -> ServerNotices {
+        let current = self.target(life).map(|t| t.notices.get());
+        current.unwrap_or_else(|| self.former_notices.borrow().of(life))
+    }
+
     /// Returns `true` if a notice of any of the servers to this host may be in force.
     pub(crate) fn has_notices(&self) -> bool {
         self.has_notices.get()
--- a/crates/chicoryrail-router/tests/draining_servers.rs
+++ b/crates/chicoryrail-router/tests/draining_servers.rs
@@ -8,6 +8,8 @@
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetFault;
+use chicoryrail_testkit::TargetOptions;
+use rstest::rstest;
 use support::RouterProcess;
 use support::Server;
 use support::World;
@@ -193,3 +195,53 @@
         }
     });
 }
+
+/// Starts a server without keys whose entry the test writes.
+fn start_unregistered(name: &str) -> Rc<Server> {
+    Server::start(TargetOptions {
+        service: "desk".into(),
+        ..TargetOptions::new(name)
+    })
+}
+
+/// Guards against a host that forgets a drain notice when the server's entry lapses, and sends to the server again once
+/// the same incarnation has registered anew.
+#[rstest]
+#[case::same_address(false)]
+#[case::other_address(true)]
+fn drain_notice_outlives_the_entry(#[case] moves: bool) {
+    block_on(async {
+        let world = World::start("drain-entry").await;
+        world.configure().await;
+        let server = start_unregistered("d-0");
+        world.register(&server, "desk", OUTAGE).await;
+        let router = world.router("h-0").await;
+        let caller = router.caller();
+        server.fault(TargetFault::SayDraining);
+        assert_eq!(caller.get(UNKEYED).await.unwrap().status(), 200);
+        let returned = if moves {
+            start_unregistered("d-0")
+        } else {
+            world.remove("servers/d-0").await;
+            wait_until("the entry is gone", async || {
+                router.log().contains("log=server_entry_gone")
+            })
+            .await;
+            // The router drops the server soon after its entry.
+            wait_until("no server is left", async || !router.is_ready().await).await;
+            Rc::clone(&server)
+        };
+        monoio::time::sleep(DRAIN_TIMEOUT.to_duration()).await;
+        let registrations = router.log().matches("log=server ").count();
+        world.register(&returned, "desk", OUTAGE).await;
+        wait_until("the router reads the entry", async || {
+            router.log().matches("log=server ").count() > registrations
+        })
+        .await;
+        let executed = returned.executed();
+        for _ in 0..20 {
+            assert_eq!(caller.get(UNKEYED).await.unwrap().status(), 503);
+        }
+        assert_eq!(returned.executed(), executed);
+    });
+}
