fix(route): send nothing for a caller that left while its order waited

An order is served by a task of its own, so that what a server began is completed; that task also went on waiting for a slot, and then sent.

The task now stops waiting when the caller leaves, and sends nothing on a connection that was opened meanwhile. What was sent is still completed. order_of_a_caller_that_left_is_not_sent fails on the code before.

--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -1,5 +1,6 @@
 //! Decides whether a request waits, is sent, retried or refused.
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use chicoryrail_core::Life;
@@ -8,6 +9,8 @@
 use chicoryrail_policy::retry_after;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::RequestBody;
+use futures_util::future::Either;
+use futures_util::future::select;
 use http::Response;
 use monoio::time::timeout;
 
@@ -84,7 +87,7 @@
 impl Attempts<'_> {
     async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         loop {
-            let assignment = self.acquire_server().await?;
+            let assignment = self.acquire_for_caller().await?;
             let life = assignment.0.life.clone();
             let response_timeout = self.attempt_timeout();
             let (service, call, body) = (&self.service, self.call, self.body);
@@ -120,6 +123,16 @@
         }
     }
 
+    /// Waits for a server for as long as the caller waits for its response.
+    async fn acquire_for_caller(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
+        let acquired = pin!(self.acquire_server());
+        let left = pin!(self.call.caller_left.cancelled());
+        match select(acquired, left).await {
+            Either::Left((assignment, _)) => assignment,
+            Either::Right(_) => Err(Cause::CallerLeft.into()),
+        }
+    }
+
     /// Waits for a server for the request. The scheduler assigns it; if the scheduler is unavailable, this host selects
     /// the server by its own view of the load.
     async fn acquire_server(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
@@ -226,6 +239,7 @@
             && self.tried.len() < 2 + self.call.route.max_attempts as usize
             && self.body.is_replayable()
             && self.call.time_left(self.router.now()) > SEND_TIME_MIN
+            && !self.call.caller_left.is_cancelled()
             && self.withheld().is_none();
         if !may || !reached_server {
             return may;
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -84,8 +84,9 @@
     let mut guard = AbandonGuard::new(router, &call);
     let result = match call.route.kind.idempotency() {
         Idempotency::Idempotent => forward(router, &call, &body).await,
-        // A request that must not run twice is not cancelled when its caller disconnects, so that its server
-        // completes what it has begun. The spawned task continues when this future is dropped.
+        // A request that must not run twice and was sent is not cancelled when its caller disconnects, so that its
+        // server completes what it has begun. The spawned task continues when this future is dropped; it sends nothing
+        // after `caller_left` is cancelled.
         Idempotency::AtMostOnce => {
             let (router, call) = (Rc::clone(router), Rc::clone(&call));
             let task = monoio::spawn(async move { forward(&router, &call, &body).await });
@@ -119,6 +120,7 @@
         if self.ended {
             return;
         }
+        self.call.caller_left.cancel();
         let took = self.router.now().since(self.call.arrived);
         let labels = [self.call.service_name().as_str(), "given_up"];
         let requests = &self.router.counters.requests;
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -15,6 +15,7 @@
 use chicoryrail_core::ServiceSpec;
 use chicoryrail_core::Site;
 use chicoryrail_platform::call_header;
+use chicoryrail_runtime::CancellationToken;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
@@ -65,6 +66,8 @@
     pub(crate) key: Option<u16>,
     pub(crate) arrived: Millis,
     pub(crate) stats: RefCell<RequestStats>,
+    /// Cancelled when the caller disconnects before its response.
+    pub(crate) caller_left: CancellationToken,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     pub(crate) deadline: Millis,
 }
@@ -103,6 +106,7 @@
             key,
             arrived,
             stats: RefCell::default(),
+            caller_left: CancellationToken::new(),
             deadline: arrived + time_left.min(route.timeout),
             service,
             headers,
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -46,6 +46,8 @@
     Draining,
     /// The servers that may run the request asked this host for no more requests for a time.
     Backoff,
+    /// The caller disconnected before the request was sent.
+    CallerLeft,
     /// The deadline has passed, or too little time is left, and the request was not sent.
     Late,
     /// The request was sent to a server, which returned no usable response.
@@ -78,6 +80,7 @@
             Self::KeyMoving => "key_moving",
             Self::Draining => "draining",
             Self::Backoff => "backoff",
+            Self::CallerLeft => "caller_left",
             Self::Late => "late",
             Self::Broken => "broken",
             Self::Silent => "silent",
@@ -101,6 +104,7 @@
             | Self::KeyMoving
             | Self::Draining
             | Self::Backoff
+            | Self::CallerLeft
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::Silent => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -101,6 +101,10 @@
             return SendOutcome::NotRun(NotRun::Unreachable);
         }
     };
+    if call.caller_left.is_cancelled() {
+        target.pool.release(conn);
+        return SendOutcome::NotRun(NotRun::CallerLeft);
+    }
     if let SendPermit::Withheld(why) = permit(router, call, target, router.now()) {
         target.pool.release(conn);
         return SendOutcome::NotRun(NotRun::Withheld(why));
--- a/crates/chicoryrail-router/src/route/send_outcome.rs
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -28,6 +28,8 @@
     Refused,
     /// The server does not own the key, or another server uses the address.
     Misdirected,
+    /// The caller disconnected while the connection was opened; nothing was sent.
+    CallerLeft,
     /// The server asked this host for no more requests while the connection was opened; nothing was sent.
     Withheld(Withheld),
 }
@@ -52,6 +54,7 @@
             Self::Unreachable => Cause::NoServer,
             Self::Refused | Self::Withheld(_) => Cause::Full,
             Self::Misdirected => Cause::KeyMoving,
+            Self::CallerLeft => Cause::CallerLeft,
         }
     }
 
@@ -59,7 +62,7 @@
     pub(crate) const fn reached_server(self) -> bool {
         match self {
             Self::Refused | Self::Misdirected => true,
-            Self::Unreachable | Self::Withheld(_) => false,
+            Self::Unreachable | Self::CallerLeft | Self::Withheld(_) => false,
         }
     }
 }
@@ -83,6 +86,7 @@
             Self::NotRun(NotRun::Unreachable) => "unreachable",
             Self::NotRun(NotRun::Refused) => "refused",
             Self::NotRun(NotRun::Misdirected) => "misdirected",
+            Self::NotRun(NotRun::CallerLeft) => "caller_left",
             Self::NotRun(NotRun::Withheld(_)) => "withheld",
             Self::Indeterminate(Indeterminate::Broken) => "broken",
             Self::Indeterminate(Indeterminate::Crossed) => "crossed",
@@ -94,7 +98,8 @@
     /// Returns how the send counts against the server, or `None` if it does not.
     pub(super) const fn failure(&self) -> Option<Failure> {
         match self {
-            Self::Answered(_) | Self::NotRun(NotRun::Misdirected | NotRun::Withheld(_)) => None,
+            Self::Answered(_)
+            | Self::NotRun(NotRun::Misdirected | NotRun::CallerLeft | NotRun::Withheld(_)) => None,
             Self::ServerError(_) => Some(Failure::Error),
             Self::NotRun(NotRun::Refused) => Some(Failure::Full),
             Self::NotRun(NotRun::Unreachable)
--- a/crates/chicoryrail-router/tests/callers.rs
+++ b/crates/chicoryrail-router/tests/callers.rs
@@ -9,11 +9,15 @@
 use chicoryrail_testkit::ResponseHead;
 use chicoryrail_testkit::TargetFault;
 use chicoryrail_testkit::TargetOptions;
+use futures_util::future::join_all;
 use rstest::rstest;
 use support::Mode;
 use support::World;
 use support::wait_until;
 
+/// Service time of an order that occupies a slot.
+const WORK: Millis = Millis(700);
+
 /// Guards against requests that reach no server, and responses that are changed on their way to the caller.
 #[test]
 fn request_reaches_a_server_and_its_response_is_forwarded() {
@@ -162,3 +166,50 @@
         assert!(answered > 0 && refused > 0, "{answered}, {refused}");
     });
 }
+
+/// Guards against an order that runs although its caller disconnected while the order still waited for a server.
+#[test]
+fn order_of_a_caller_that_left_is_not_sent() {
+    block_on(async {
+        let world = World::start("left-order").await;
+        world.configure().await;
+        let server = world.server("i-1", "desk").await;
+        let router = world.router("a").await;
+        assert_eq!(router.caller().get("/read/1").await.unwrap().status(), 200);
+        server.set_work(WORK);
+        // They occupy both slots of the server.
+        let running = [router.caller(), router.caller()];
+        let running = join_all(running.iter().map(|c| c.post("/order/1")));
+        let waiting = router.caller();
+        let waiting = async {
+            monoio::time::sleep(Millis(50).to_duration()).await;
+            waiting.cancel_after("/order/2", Millis(200)).await;
+        };
+        let (responses, ()) = futures_util::join!(running, waiting);
+        for response in responses {
+            assert_eq!(response.unwrap().status(), 200);
+        }
+        monoio::time::sleep(WORK.to_duration() * 2).await;
+        let executed = server.executed_ids();
+        let left = executed.iter().any(|id| id.ends_with("-left"));
+        assert!(!left, "{executed:?}");
+        assert_eq!(executed.len(), 3);
+    });
+}
+
+/// Guards against an order that is cut off at its server because its caller disconnected.
+#[test]
+fn order_that_was_sent_is_completed_for_a_caller_that_left() {
+    block_on(async {
+        let world = World::start("left-sent").await;
+        world.configure().await;
+        let server = world.server("i-1", "desk").await;
+        let router = world.router("a").await;
+        server.set_work(WORK);
+        router.caller().cancel_after("/order/1", Millis(200)).await;
+        wait_until("the server completes the order", async || {
+            server.executed_ids() == ["a-1-left"]
+        })
+        .await;
+    });
+}
