perf(scheduling): evaluate schedulers only where they matter, and in steps

Each host, also a leaf host that schedules nothing, determined every 100 ms for each server whether it schedules it, and all of them anew whenever any core host came or went: 10,000 servers times 24 core hosts, some 30 ms of a whole core. On 985 hosts, most with a tenth of a core, that stalled the core hosts so that they missed heartbeats, which changed the set again.

Leaf hosts no longer evaluate; core hosts evaluate 2,000 servers at a time.

--- a/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
@@ -21,14 +21,18 @@
 /// the rate of requests to it during its warm-up, and that rate allows for two hosts that schedule the same server.
 const RENDEZVOUS_INTERVAL: Millis = Millis(100);
 
+/// Largest number of servers that are evaluated at once. More would delay requests for longer than the hosts that query
+/// this one wait.
+const EVALUATED_MAX: usize = 2_000;
+
 /// Assigns waiting requests at intervals, and updates which servers this host schedules.
 pub(crate) async fn run_schedulers(router: Rc<Router>) {
     let mut logged = router.now();
-    let mut evaluated = (Millis::ZERO, 0);
+    let mut rendezvous = Rendezvous::default();
     loop {
         router.process.clock.sleep(WAITING_POLL_INTERVAL).await;
-        if router.now().since(evaluated.0) >= RENDEZVOUS_INTERVAL {
-            evaluated = (router.now(), update_scheduled(&router, evaluated.1));
+        if router.now().since(rendezvous.evaluated_at) >= RENDEZVOUS_INTERVAL {
+            rendezvous.evaluate(&router);
         }
         if router.now().since(logged) >= LOG_INTERVAL {
             logged = router.now();
@@ -46,21 +50,54 @@
     waiting.map(|(part, _)| part.clone()).collect()
 }
 
-/// Updates for each server whether this host schedules it, by rendezvous hashing. `previous` is the hash of
-/// the set of schedulers at the last call: while that is unchanged, only new servers are evaluated. Returns the current
-/// hash.
-fn update_scheduled(router: &Router, previous: u64) -> u64 {
-    let current = router.peers.borrow().schedulers_hash(router.now());
-    let changed = current != previous;
-    for service in router.services() {
-        for target in service.targets.borrow().values() {
-            if changed || target.scheduled_here.get().is_none() {
+/// The evaluation of which servers this host schedules.
+#[derive(Debug, Default)]
+struct Rendezvous {
+    evaluated_at: Millis,
+    /// Hash of the set of schedulers at the last evaluation; 0 on a leaf host.
+    schedulers: u64,
+    /// Number of different sets of schedulers so far.
+    generation: u64,
+}
+
+impl Rendezvous {
+    /// Evaluates by rendezvous hashing which servers this host schedules: new ones, and all after a change of the set of
+    /// schedulers, at most [`EVALUATED_MAX`] at once.
+    fn evaluate(&mut self, router: &Router) {
+        self.evaluated_at = router.now();
+        // A leaf host schedules nothing unless it knows no core host.
+        let knows_others = router
+            .peers
+            .borrow()
+            .recent_peers(router.now())
+            .next()
+            .is_some();
+        if knows_others && !router.source.is_core_host.get() {
+            self.schedulers = 0;
+            return;
+        }
+        let schedulers = router.peers.borrow().schedulers_hash(router.now());
+        if self.schedulers != schedulers {
+            self.schedulers = schedulers;
+            self.generation += 1;
+        }
+        let mut left = EVALUATED_MAX;
+        for service in router.services() {
+            for target in service.targets.borrow().values() {
+                let is_current = target.scheduled_generation.get() == self.generation;
+                if is_current && target.scheduled_here.get().is_some() {
+                    continue;
+                }
+                if left == 0 {
+                    return;
+                }
+                left -= 1;
                 let here = router.target_scheduler(&service, target) == SchedulerHost::Here;
                 target.scheduled_here.set(Some(here));
+                target.scheduled_generation.set(self.generation);
             }
         }
     }
-    current
 }
 
 /// Returns the slowness reports on the servers with keys that this host schedules.
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -212,6 +212,7 @@
         service.keyed.set(spec.is_some_and(|s| s.keyed));
         let connections = spec.map_or(u32::MAX, |s| s.max_connections);
         let share = connections / self.peers.borrow().sharing_hosts() as u32;
+                    scheduled_generation: Cell::new(0),
         target.pool.set_max_connections(member.slots, share.max(2));
         let admission = if view.is_drained(&member.dc) {
             Admission::Closed
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -55,6 +55,8 @@
     pub(crate) admission: Cell<Admission>,
     /// Whether this host schedules the requests for the server; `None` until that is determined.
     pub(crate) scheduled_here: Cell<Option<bool>>,
+    /// Set of schedulers, by number, for which that was determined.
+    pub(crate) scheduled_generation: Cell<u64>,
 }
 
 impl Target {
