fix(leader): balance keys by how busy servers are, and wait for servers that register

By chance some always had several times the mean load, and the planner, whose thresholds hold while each server gets dozens of requests, moved keys without end: a record, a map for every host, releases.

--- a/crates/chicoryrail-ownership/src/keys/key_load.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_load.rs
@@ -26,6 +26,11 @@
             Self::Long => Millis(3_000),
         }
     }
+
+    /// Returns the time in which as many requests arrive at a constant rate as the decayed count holds.
+    fn length(self) -> Millis {
+        Millis((self.half_life().0 as f64 / std::f64::consts::LN_2) as u64)
+    }
 }
 
 /// Request load of each key, over a short and a long window.
@@ -34,6 +39,8 @@
     short: DecayingCounts,
     long: DecayingCounts,
     decayed_at: Millis,
+    /// Mean service time of a request at a usual server; `None` while it is not known.
+    service_time: Option<Millis>,
 }
 
 /// Exponentially decaying request counts by key.
@@ -86,6 +93,30 @@
         self.long.decay(elapsed, LoadWindow::Long.half_life());
     }
 
+    /// Sets the mean service time of the requests at a usual server, from which follows how busy a server is.
+    pub const fn set_service_time(&mut self, time: Millis) {
+        self.service_time = Some(time);
+    }
+
+    /// Returns the highest utilisation of any server over the long window: 1 if its slots are always in use. A server
+    /// is given by its weight, the number of usual slots, and its keys. Returns infinity while the service time is not
+    /// known.
+    pub(crate) fn highest_utilisation<'a>(
+        &self,
+        servers: impl Iterator<Item = (f64, &'a [KeyRange])>,
+    ) -> f64 {
+        let Some(service_time) = self.service_time else {
+            return f64::INFINITY;
+        };
+        let window = LoadWindow::Long.length();
+        let busy_slots = |requests: f64| requests * service_time.0 as f64 / window.0 as f64;
+        let utilisations = servers.map(|(weight, ranges)| {
+            let requests: f64 = ranges.iter().map(|range| self.range_load(*range)).sum();
+            busy_slots(requests) / weight.max(f64::MIN_POSITIVE)
+        });
+        utilisations.fold(0.0, f64::max)
+    }
+
     /// Returns the total load over the long window, in requests.
     #[must_use]
     pub fn total(&self) -> f64 {
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -11,6 +11,7 @@
 use crate::keys::OwnedRange;
 use crate::keys::assignment::Assignment;
 use crate::keys::load_curve::LoadCurve;
+use crate::keys::record::ranges_by_owner;
 
 /// Minimum fraction of the total load by which a plan must reduce the load above the fair shares. Smaller gains
 /// are random variation and not worth the moves.
@@ -33,6 +34,11 @@
 /// Minimum number of observed requests for a plan to take the load into account.
 const OBSERVED_REQUESTS_MIN: f64 = 60.0;
 
+/// Highest utilisation of any server up to which load is not balanced. Requests hardly wait below it. With thousands of
+/// servers of which each gets a request now and then, some always have several times the mean load by chance, and moves
+/// that follow it never end.
+const BUSY_UTILISATION_MIN: f64 = 0.4;
+
 /// Server that may be given keys.
 #[derive(Clone, Debug, PartialEq)]
 pub struct KeyCandidate {
@@ -84,8 +90,11 @@
         }
         let urgent = moves == Moves::Urgent;
         let membership_changed = has_membership_change(record, candidates);
-        if !membership_changed && (moves == Moves::Required || load.total() < OBSERVED_REQUESTS_MIN)
-        {
+        let may_balance = membership_changed || moves != Moves::Required;
+        let load_matters = may_balance
+            && load.total() >= OBSERVED_REQUESTS_MIN
+            && highest_utilisation(record, candidates, load) >= BUSY_UTILISATION_MIN;
+        if !membership_changed && !load_matters {
             return Self::Keep;
         }
         let window = if urgent {
@@ -107,12 +116,11 @@
         {
             return Self::Keep;
         }
-        let load_known = load.total() >= OBSERVED_REQUESTS_MIN;
         assignment.assign_unowned();
-        assignment.admit_new(load_known);
+        assignment.admit_new(load_matters);
         let deviations = if urgent { 0.0 } else { BALANCE_DEVIATIONS };
         let before = assignment.overload(FAIR_SHARE_MARGIN, deviations);
-        if load_known && (moves != Moves::Required || membership_changed) {
+        if load_matters {
             assignment.relieve_overloaded();
         }
         let improves =
@@ -133,6 +141,16 @@
     lives != owners || keys != KeyRange::ALL.len()
 }
 
+/// Returns the highest utilisation of any candidate under a record.
+fn highest_utilisation(record: &KeyRecord, candidates: &[KeyCandidate], load: &KeyLoad) -> f64 {
+    let ranges = ranges_by_owner(&record.spans);
+    let servers = candidates.iter().map(|c| {
+        let ranges = ranges.get(&c.life).map_or(&[][..], Vec::as_slice);
+        (c.weight, ranges)
+    });
+    load.highest_utilisation(servers)
+}
+
 /// Returns `true` if a server's load is far above its fair share, beyond the random variation of so few
 /// requests.
 fn is_far_overloaded(load: f64, fair: f64) -> bool {
--- a/crates/chicoryrail-router/src/control/leader/leader_term.rs
+++ b/crates/chicoryrail-router/src/control/leader/leader_term.rs
@@ -72,7 +72,8 @@
             .retain(|life, _| is_known(life));
     }
 
-    /// Calls `f` with the load of a service's keys, decayed to `now`.
+    /// Calls `f` with the load of a service's keys, decayed to `now`. `service_time` is the mean service time of a
+    /// request.
     pub(crate) fn with_load<T>(
         &self,
         now: Millis,
@@ -81,11 +82,13 @@
     ) -> T {
         let mut loads = self.key_loads.borrow_mut();
         let load = loads.entry(service.clone()).or_default();
+        service_time: Millis,
         load.decay(now);
         f(load)
     }
 
     /// Returns `true` if this host may send grants and releases to servers as the leader.
+        load.set_service_time(service_time);
     ///
     /// No other host can lead while the lease was confirmed recently. Without the store, a leader continues only
     /// while it receives heartbeats from most of the hosts and none of them reports a higher term: a successor
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -1,10 +1,13 @@
 //! Plans the assignment of a service's keys to servers: when it changes, and which servers are candidates.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
+use chicoryrail_core::Route;
 use chicoryrail_ownership::keys::KeyCandidate;
+use chicoryrail_ownership::keys::KeyLoad;
 use chicoryrail_ownership::keys::Moves;
 use chicoryrail_ownership::keys::Plan;
 
@@ -32,6 +35,16 @@
 /// and with each release, and every change of the record is sent to every host.
 const SERVER_SETTLE_TIME: Millis = Millis(400);
 
+/// Time without a further server after which servers are assigned keys while nobody requests any. Thousands of servers
+/// take many seconds to register, and each group that is assigned keys takes them from the groups before.
+const IDLE_SETTLE_TIME: Millis = Millis(1_500);
+
+/// Longest time for which a server waits for others while nobody requests keys.
+const IDLE_SETTLE_MAX: Millis = Millis(15_000);
+
+/// Number of recent requests from which on keys count as requested.
+const REQUESTED_MIN: f64 = 1.0;
+
 impl KeyLeader {
     /// Plans a new assignment if the set of candidates changed or the load is unbalanced.
     pub(super) fn plan(&self) {
@@ -39,7 +52,7 @@
         if self.leases.borrow().is_write_pending() {
             return;
         }
-        let candidates = self.candidates(now);
+        let candidates = self.candidates(now, self.awaits_servers(now));
         // After an outage, former owners that can't be reached keep their key leases for many seconds. The load of the
         // others is balanced meanwhile; otherwise a range that becomes busy would overload its server for that time.
         let moves = match now.since(self.last_change_at.get()) {
@@ -47,9 +60,12 @@
             since if since >= RELIEF_INTERVAL => Moves::Urgent,
             _ => Moves::Required,
         };
-        let plan = self.leadership.with_load(now, &self.service, |load| {
-            Plan::compute(self.leases.borrow().record(), &candidates, load, moves)
-        });
+        let service_time = self.service_time();
+        let plan = self
+            .leadership
+            .with_load(now, &self.service, service_time, |load| {
+                Plan::compute(self.leases.borrow().record(), &candidates, load, moves)
+            });
         if let Plan::Change(spans) = plan {
             self.last_change_at.set(now);
             let services = self.router.services();
@@ -67,10 +83,51 @@
         }
     }
 
+    /// Returns the mean service time of the slowest route in use; of all routes while none is.
+    fn service_time(&self) -> Millis {
+        let Some(site) = self.router.site() else {
+            return Millis::ZERO;
+        };
+        let leads_here = |r: &&Arc<Route>| r.services.iter().any(|s| s.service == self.service);
+        let routes = site.routes().iter().filter(leads_here);
+        let observed = routes
+            .clone()
+            .filter_map(|r| self.router.observed_work_us(&r.name));
+        let expected = routes.map(|r| self.router.expected_work_us(&r.name, r.latency_target));
+        let slowest = observed
+            .reduce(f64::max)
+            .or_else(|| expected.reduce(f64::max));
+        Millis((slowest.unwrap_or_default() / 1_000.0) as u64)
+    }
+
+    /// Returns `true` if servers are still registering and nobody requests keys meanwhile.
+    fn awaits_servers(&self, now: Millis) -> bool {
+        let service_time = self.service_time();
+        let with_load = |load: &KeyLoad| load.total() >= REQUESTED_MIN;
+        if self
+            .leadership
+            .with_load(now, &self.service, service_time, with_load)
+        {
+            return false;
+        }
+        let service = self.router.service(&self.service);
+        let targets = service.targets.borrow();
+        let leases = self.leases.borrow();
+        let owners: BTreeSet<&Life> = leases.record().spans.iter().map(|s| &s.owner).collect();
+        let ready = targets
+            .values()
+            .filter(|t| t.is_ready() && !owners.contains(&t.life));
+        let waits = ready.map(|t| now.since(t.first_seen));
+        let (newest, oldest) = waits.fold((IDLE_SETTLE_TIME, Millis::ZERO), |(min, max), wait| {
+            (min.min(wait), max.max(wait))
+        });
+        newest < IDLE_SETTLE_TIME && oldest < IDLE_SETTLE_MAX
+    }
+
     /// Returns the servers that may be assigned keys, sorted: those that are ready, have not said that they drain,
-    /// respond and are warmed up. If there
-    /// are none, servers that are warming up are included.
-    fn candidates(&self, now: Millis) -> Vec<KeyCandidate> {
+    /// respond and are warmed up. If there are none, servers that are warming up are included. With `owners_only`,
+    /// servers without keys are left out.
+    fn candidates(&self, now: Millis, owners_only: bool) -> Vec<KeyCandidate> {
         let service = self.router.service(&self.service);
         let targets = service.targets.borrow();
         let leases = self.leases.borrow();
@@ -80,8 +137,9 @@
             let ready = ready.filter(|t| !t.notices.get().is_draining());
             let ready = ready.filter(|t| !leases.is_lost(now, &t.life));
             let owns = |life: &Life| owners.contains(life);
-            let ready =
-                ready.filter(|t| owns(&t.life) || now.since(t.first_seen) >= SERVER_SETTLE_TIME);
+            let has_settled =
+                |t: &Target| !owners_only && now.since(t.first_seen) >= SERVER_SETTLE_TIME;
+            let ready = ready.filter(|t| owns(&t.life) || has_settled(t));
             let warm = ready.filter(|t| include_warmup || !t.is_warming_up(now) || owns(&t.life));
             let mut candidates: Vec<_> = warm
                 .map(|t| KeyCandidate {
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -384,11 +384,13 @@
     /// Returns the mean service time of the route's requests at an average server, in microseconds; before the first
     /// observation a third of the latency target.
     pub(crate) fn expected_work_us(&self, route: &str, latency_target: Millis) -> f64 {
-        let work_means = self.work_means.borrow();
-        work_means
-            .get(route)
-            .copied()
-            .unwrap_or(latency_target.0 as f64 * 333.0)
+        let observed = self.observed_work_us(route);
+        observed.unwrap_or(latency_target.0 as f64 * 333.0)
+    }
+
+    /// Returns the mean service time of the route's requests, in microseconds; `None` before the first observation.
+    pub(crate) fn observed_work_us(&self, route: &str) -> Option<f64> {
+        self.work_means.borrow().get(route).copied()
     }
 
     /// Records the service time `us` of a request of the route, in microseconds. An observation counts at most as five
