feat(keys): send changes of key maps between hosts, and maps of any length

A relay's reply carries only the ranges whose owner changed since the map that the host has, if it knows them. A heartbeat carries a map of up to 500 ranges; of a longer one it tells the fencing token, and its receivers poll the leader. Hosts of the version before read and send the messages without the added fields at their end. Heartbeats of a leader whose state changes without a break leave half of its link free.

--- a/crates/chicoryrail-ownership/src/keys/range_set.rs
+++ b/crates/chicoryrail-ownership/src/keys/range_set.rs
@@ -43,3 +43,18 @@
         self.0.into_iter()
     }
 }
+
+/// Returns the same keys as few ranges in key order; `ranges` may overlap.
+pub(crate) fn join_ranges(mut ranges: Vec<KeyRange>) -> Vec<KeyRange> {
+    ranges.sort_unstable();
+    let mut joined: Vec<KeyRange> = Vec::with_capacity(ranges.len());
+    for range in ranges {
+        match joined.last_mut() {
+            Some(last) if u32::from(last.last) + 1 >= u32::from(range.first) => {
+                last.last = last.last.max(range.last);
+            }
+            _ => joined.push(range),
+        }
+    }
+    joined
+}
--- a/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -28,6 +28,10 @@
 use crate::messages::DecompressionError;
 use crate::messages::ENCODING;
 use crate::messages::KeyFence;
+use crate::messages::KeyMap;
+use crate::messages::KeyMapChanges;
+use crate::messages::RelayAnswer;
+use crate::messages::RelayPoll;
 use crate::messages::RelayReply;
 use crate::messages::RelayRequest;
 use crate::messages::decode;
@@ -52,7 +56,7 @@
 
 /// Why a relay gave no reply.
 #[derive(Debug, Snafu)]
-enum RelayError {
+pub(super) enum RelayError {
     /// The call failed.
     #[snafu(display("{source}"))]
     Call { source: HttpError },
@@ -91,10 +95,10 @@
         };
         let sent = router.now();
         match poll(&router, &client, addr).await {
-            Ok(reply) => {
+            Ok(answer) => {
                 router.source.last_relay_reply.set(router.now());
-                let config_age = reply.config;
-                apply_reply(&router, reply);
+                let config_age = answer.reply.config;
+                apply_answer(&router, answer);
                 if let Some(age) = config_age {
                     apply_config_age(&router, sent, age);
                 }
@@ -112,12 +116,16 @@
     }
 }
 
-async fn poll(
+pub(super) async fn poll(
     router: &Router,
     client: &HttpClient,
     addr: SocketAddr,
-) -> Result<RelayReply, RelayError> {
-    let bytes = encode(&poll_request(router));
+) -> Result<RelayAnswer, RelayError> {
+    let poll = RelayPoll {
+        request: poll_request(router),
+        accepts_changes: true,
+    };
+    let bytes = encode(&poll);
     let bytes = bytes.unwrap_or_else(|e| {
         log::error!(error:% = e; "relay_request_unwritable");
         Vec::new()
@@ -145,13 +153,24 @@
     }
 }
 
-fn read_reply(response: &Response<Bytes>) -> Result<RelayReply, RelayError> {
+fn read_reply(response: &Response<Bytes>) -> Result<RelayAnswer, RelayError> {
     let encoding = response.headers().get(CONTENT_ENCODING);
     if encoding.is_some_and(|e| e == ENCODING) {
         let message = decompress(response.body()).context(DecompressSnafu)?;
-        return decode(&message).context(DecodeSnafu);
+        return read_answer(&message).context(DecodeSnafu);
     }
-    decode(response.body()).context(DecodeSnafu)
+    read_answer(response.body()).context(DecodeSnafu)
+}
+
+/// Decodes an answer, also one of an earlier version, which has no changes of key maps.
+fn read_answer(message: &[u8]) -> Result<RelayAnswer, bincode::error::DecodeError> {
+    decode::<RelayAnswer>(message).or_else(|_| {
+        let reply = decode::<RelayReply>(message)?;
+        Ok(RelayAnswer {
+            reply,
+            key_changes: Vec::new(),
+        })
+    })
 }
 
 fn poll_request(router: &Router) -> RelayRequest {
@@ -170,8 +189,9 @@
     }
 }
 
-/// Applies a relay's reply to this host's view.
-fn apply_reply(router: &Rc<Router>, reply: RelayReply) {
+/// Applies a relay's answer to this host's view.
+fn apply_answer(router: &Rc<Router>, answer: RelayAnswer) {
+    let RelayAnswer { reply, key_changes } = answer;
     let now = router.now();
     apply_store_state(router, reply.store, reply.back_ms.map(Millis));
     if !router.source.is_core_host.get() {
@@ -186,11 +206,7 @@
             None => {}
         }
     }
-    for map in reply.keys {
-        let service = router.service(&map.service);
-        router.apply_key_record(&service, map.ranges.to_record(map.fence));
-        scheduling::redirect_moved_keys(router, &service);
-    }
+    apply_keys(router, &reply.keys, &key_changes);
     let mut peers = router.peers.borrow_mut();
     peers.update_max_hosts(reply.hosts as usize);
     if peers.observe_term(reply.term, reply.leader.as_ref()) {
@@ -201,6 +217,20 @@
     }
 }
 
+/// Applies key maps and changes of key maps.
+pub(super) fn apply_keys(router: &Rc<Router>, maps: &[KeyMap], changes: &[KeyMapChanges]) {
+    for map in maps {
+        let service = router.service(&map.service);
+        router.apply_key_record(&service, map.ranges.to_record(map.fence));
+        scheduling::redirect_moved_keys(router, &service);
+    }
+    for change in changes {
+        let service = router.service(&change.service);
+        router.apply_key_changes(&service, &change.to_changes());
+        scheduling::redirect_moved_keys(router, &service);
+    }
+}
+
 /// Applies the largest possible age of the relay's configuration, after the reply itself is applied. How long the reply
 /// was in transit is unknown, so the age counts from the earliest time at which the relay can have written the reply.
 fn apply_config_age(router: &Router, sent: Millis, age: ConfigAge) {
--- a/crates/chicoryrail-router/src/control/config_feed/mod.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/mod.rs
@@ -3,10 +3,12 @@
 
 pub(super) mod follow;
 mod follow_relay;
+mod leader_keys;
 mod relay;
 mod verify_config;
 
 pub(crate) use follow::follow_feeds;
 pub(crate) use follow_relay::follow_relay;
+pub(crate) use leader_keys::follow_leader_keys;
 pub(crate) use relay::serve_relay;
 pub(crate) use verify_config::verify_config;
--- a/crates/chicoryrail-router/src/control/config_feed/relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay.rs
@@ -22,7 +22,10 @@
 use crate::messages::CoreState;
 use crate::messages::ENCODING;
 use crate::messages::KeyMap;
+use crate::messages::KeyMapChanges;
 use crate::messages::KeyRanges;
+use crate::messages::RelayAnswer;
+use crate::messages::RelayPoll;
 use crate::messages::RelayReply;
 use crate::messages::RelayRequest;
 use crate::messages::compress;
@@ -49,7 +52,11 @@
     let Ok(body) = collect_body(request.into_body(), REQUEST_BYTES_MAX).await else {
         return error_response(400, "the request was cut or is too long");
     };
-    let Ok(poll) = decode::<RelayRequest>(&body) else {
+    let Some(RelayPoll {
+        request: poll,
+        accepts_changes,
+    }) = read_poll(&body)
+    else {
         return error_response(400, "the request can't be read");
     };
     if poll.leaf {
@@ -66,7 +73,16 @@
         }
         let _ = timeout(remaining.to_duration(), router.feed_changed.wait_past(seen)).await;
     }
-    match encode(&reply(&router, &poll, received)) {
+    let key_changes = if accepts_changes {
+        key_changes(&router, &poll)
+    } else {
+        Vec::new()
+    };
+    let answer = RelayAnswer {
+        reply: reply(&router, &poll, received, &key_changes),
+        key_changes,
+    };
+    match encode(&answer) {
         Ok(bytes) if compressed => compressed_response(bytes),
         Ok(bytes) => Response::new(full_body(bytes)),
         Err(e) => {
@@ -76,6 +92,18 @@
     }
 }
 
+/// Decodes a poll, also one of an earlier version.
+fn read_poll(body: &[u8]) -> Option<RelayPoll> {
+    let poll = decode::<RelayPoll>(body).ok();
+    poll.or_else(|| {
+        let request = decode::<RelayRequest>(body).ok()?;
+        Some(RelayPoll {
+            request,
+            accepts_changes: false,
+        })
+    })
+}
+
 /// Returns a compressed reply, which takes less of a slow link; a short message stays uncompressed.
 fn compressed_response(bytes: Vec<u8>) -> Response<Body> {
     let Some(compressed) = compress(&bytes) else {
@@ -104,8 +132,14 @@
     known.map_or(0, |f| f.fence)
 }
 
-/// Builds the reply from the state of this moment; `received` is when the request arrived.
-fn reply(router: &Router, poll: &RelayRequest, received: Millis) -> RelayReply {
+/// Builds the reply from the state of this moment; `received` is when the request arrived. Services in `key_changes` are
+/// left out of the key maps.
+fn reply(
+    router: &Router,
+    poll: &RelayRequest,
+    received: Millis,
+    key_changes: &[KeyMapChanges],
+) -> RelayReply {
     let now = router.now();
     let logs = router.feed_logs.borrow();
     let news = std::array::from_fn(|i| logs[i].since(poll.revisions[i]));
@@ -113,7 +147,7 @@
     let peers = router.peers.borrow();
     RelayReply {
         news,
-        keys: key_maps(router, poll),
+        keys: key_maps(router, poll, key_changes),
         core: core_states(router),
         hosts: peers.sharing_hosts() as u32,
         term: peers.highest_term(),
@@ -134,12 +168,25 @@
     })
 }
 
-fn key_maps(router: &Router, poll: &RelayRequest) -> Vec<KeyMap> {
+/// Returns the changes of key maps for a host that has a map from which they are known.
+fn key_changes(router: &Router, poll: &RelayRequest) -> Vec<KeyMapChanges> {
+    let changes = router.services().into_iter().filter_map(|service| {
+        let known = known_fence(poll, &service.name);
+        let keys = service.keys.borrow();
+        let changes = keys.changes_since(known).filter(|_| known > 0)?;
+        Some(KeyMapChanges::pack(&service.name, &changes))
+    });
+    changes.collect()
+}
+
+/// Returns the key maps that are newer than the host's and not in `key_changes`.
+fn key_maps(router: &Router, poll: &RelayRequest, key_changes: &[KeyMapChanges]) -> Vec<KeyMap> {
     let mut maps = Vec::new();
     for service in router.services() {
         let keys = service.keys.borrow();
         let fence = keys.fence();
-        if fence > known_fence(poll, &service.name) {
+        let is_changed = key_changes.iter().any(|c| c.service == service.name);
+        if fence > known_fence(poll, &service.name) && !is_changed {
             let ranges = KeyRanges::pack(&keys.current_record().spans);
             let service = service.name.clone();
             maps.push(KeyMap {
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -47,6 +47,13 @@
 /// Heartbeats after which the leader sends all key ranges again, in case the datagram with them was lost.
 const HEARTBEATS_PER_RANGES: u32 = 3;
 
+/// Largest number of key ranges that a heartbeat carries. With more, its receivers poll the leader for the changes: a
+/// long datagram is lost with any of its packets, and longer than 64 KiB it can't be sent.
+const RANGES_PER_HEARTBEAT_MAX: usize = 500;
+
+/// Part of the link that heartbeats may use while the leader's state changes without a break.
+const LINK_SHARE_MAX: f64 = 0.5;
+
 /// Last transmission of a service's key ranges.
 #[derive(Debug, Default)]
 struct SentRanges {
@@ -114,13 +121,25 @@
             let leads = self.router.leading_term.get() > 0;
             let heartbeat = Packet::Heartbeat(self.heartbeat(leads));
             let addrs = self.router.peers.borrow().addrs();
-            self.router.peer_socket.send_all(&heartbeat, &addrs).await;
+            let sent_bytes = self.router.peer_socket.send_all(&heartbeat, &addrs).await;
             self.report_slowness(leads, &addrs).await;
+            self.router
+                .process
+                .clock
+                .sleep(self.link_pause(sent_bytes))
+                .await;
             let change = self.leadership.changed.wait_past(seen);
             let _ = monoio::time::timeout(HEARTBEAT_INTERVAL.to_duration(), change).await;
         }
     }
 
+    /// Returns the pause after sending this many bytes that leaves the rest of the link to others.
+    fn link_pause(&self, sent_bytes: usize) -> Millis {
+        let bits_per_ms = self.router.boot().limits.link_mbps * 1_000.0;
+        let pause_ms = sent_bytes as f64 * 8.0 / (bits_per_ms * LINK_SHARE_MAX);
+        Millis(pause_ms as u64).min(HEARTBEAT_INTERVAL)
+    }
+
     /// Sends the free slots of the parts that this host schedules to the other core hosts, at short intervals.
     pub(crate) async fn send_free_slots(self: Rc<Self>) {
         loop {
@@ -204,8 +223,12 @@
         updates.iter().map(update).collect()
     }
 
-    /// Returns a service's ranges if the next heartbeat carries them: on a new fence, and every few heartbeats.
+    /// Returns a service's ranges if the next heartbeat carries them: on a new fence, and every few heartbeats, unless
+    /// there are too many.
     fn ranges_due(&self, service: &ServiceName, record: &KeyRecord) -> Option<KeyRanges> {
+        if record.spans.len() > RANGES_PER_HEARTBEAT_MAX {
+            return None;
+        }
         let mut sent = self.sent.borrow_mut();
         let sent = sent.entry(service.clone()).or_default();
         sent.heartbeats += 1;
@@ -279,17 +302,20 @@
         // A leader that was replaced may not know it yet; its key updates are outdated.
         if heartbeat.leads && heartbeat.term >= known_term {
             for update in heartbeat.keys {
-                self.handle_key_update(now, update);
+                self.handle_key_update(now, update, from);
             }
         }
     }
 
-    fn handle_key_update(&self, now: Millis, update: KeyUpdate) {
+    fn handle_key_update(&self, now: Millis, update: KeyUpdate, leader: SocketAddr) {
         let service = self.router.service(&update.service);
         if let Some(ranges) = &update.ranges {
             let record = ranges.to_record(update.fence);
             service.keys.borrow_mut().apply_record(now, record);
         }
+        if service.keys.borrow().fence() < update.fence {
+            self.router.newer_keys.record(leader);
+        }
         let blocked = update.blocked.into_iter();
         let blocked = blocked.map(|(first, last)| KeyRange { first, last });
         let (keys, blocked) = (&service.keys, blocked.collect());
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod scheduling;
 
 pub(crate) use config_feed::follow_feeds;
+pub(crate) use config_feed::follow_leader_keys;
 pub(crate) use config_feed::follow_relay;
 pub(crate) use config_feed::serve_relay;
 pub(crate) use config_feed::verify_config;
--- a/crates/chicoryrail-router/src/messages/mod.rs
+++ b/crates/chicoryrail-router/src/messages/mod.rs
@@ -38,5 +38,8 @@
 pub(crate) use relay_message::KeyFence;
 pub(crate) use relay_message::KeyMap;
 pub(crate) use relay_message::RelayReply;
+pub(crate) use relay_message::KeyMapChanges;
+pub(crate) use relay_message::RelayAnswer;
+pub(crate) use relay_message::RelayPoll;
 pub(crate) use relay_message::RelayRequest;
 pub(crate) use socket::PeerSocket;
--- a/crates/chicoryrail-router/src/messages/relay_message.rs
+++ b/crates/chicoryrail-router/src/messages/relay_message.rs
@@ -7,6 +7,8 @@
 use chicoryrail_core::DcName;
 use chicoryrail_core::HostName;
 use chicoryrail_core::ServiceName;
+use chicoryrail_ownership::keys::KeyChanges;
+use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_platform::FeedNews;
 
 use crate::messages::KeyRanges;
@@ -28,6 +30,14 @@
     pub(crate) fences: Vec<KeyFence>,
 }
 
+/// A poll of a host that understands changes of key maps. A host of an earlier version reads the [`RelayRequest`] alone.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct RelayPoll {
+    pub(crate) request: RelayRequest,
+    /// Whether key maps may be sent as changes.
+    pub(crate) accepts_changes: bool,
+}
+
 /// Fencing token of the key map that a host has for a service.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) struct KeyFence {
@@ -59,6 +69,14 @@
     pub(crate) config: Option<ConfigAge>,
 }
 
+/// A reply to a [`RelayPoll`]. A host of an earlier version sends the [`RelayReply`] alone.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct RelayAnswer {
+    pub(crate) reply: RelayReply,
+    /// Changes of key maps since those of the requesting host.
+    pub(crate) key_changes: Vec<KeyMapChanges>,
+}
+
 /// Time since a relay's configuration was verified to be current, in milliseconds.
 #[derive(Clone, Copy, Debug, Encode, Decode)]
 pub(crate) struct ConfigAge {
@@ -78,6 +96,50 @@
     pub(crate) ranges: KeyRanges,
 }
 
+/// Changes of the owners of a service's keys.
+#[derive(Clone, Debug, Encode, Decode)]
+pub(crate) struct KeyMapChanges {
+    pub(crate) service: ServiceName,
+    /// Fencing token of the assignment that is changed.
+    pub(crate) base: u64,
+    /// Fencing token of the resulting assignment.
+    pub(crate) fence: u64,
+    /// Changed ranges with an owner.
+    pub(crate) owned: KeyRanges,
+    /// First and last key of each changed range without an owner.
+    pub(crate) unowned: Vec<(u16, u16)>,
+}
+
+impl KeyMapChanges {
+    /// Builds the compact form of changes.
+    pub(crate) fn pack(service: &ServiceName, changes: &KeyChanges) -> Self {
+        let unowned = changes.unowned.iter().map(|r| (r.first, r.last));
+        Self {
+            service: service.clone(),
+            base: changes.base,
+            fence: changes.fence,
+            owned: KeyRanges::pack(&changes.owned),
+            unowned: unowned.collect(),
+        }
+    }
+
+    /// Converts the compact form to changes.
+    pub(crate) fn to_changes(&self) -> KeyChanges {
+        let unowned = self.unowned.iter();
+        KeyChanges {
+            base: self.base,
+            fence: self.fence,
+            owned: self.owned.to_record(self.fence).spans,
+            unowned: unowned
+                .map(|(first, last)| KeyRange {
+                    first: *first,
+                    last: *last,
+                })
+                .collect(),
+        }
+    }
+}
+
 /// State of a core host, as a relay knows it.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) struct CoreState {
--- a/crates/chicoryrail-router/src/messages/socket.rs
+++ b/crates/chicoryrail-router/src/messages/socket.rs
@@ -43,15 +43,20 @@
         self.send_all(packet, &[addr]).await;
     }
 
-    /// Sends the same datagram to several hosts, encoding it only once.
-    pub(crate) async fn send_all(&self, packet: &Packet, addrs: &[SocketAddr]) {
-        let Ok(mut bytes) = encode(packet) else {
-            return;
+    /// Sends the same datagram to several hosts, encoding it only once. Returns the bytes sent in total.
+    pub(crate) async fn send_all(&self, packet: &Packet, addrs: &[SocketAddr]) -> usize {
+        let mut bytes = match encode(packet) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::error!(error:% = e; "talk_unwritable");
+                return 0;
+            }
         };
         if bytes.len() > PAYLOAD_BYTES_MAX {
             log::warn!(bytes = bytes.len(), hosts = addrs.len(); "talk_too_long");
-            return;
+            return 0;
         }
+        let total = bytes.len() * addrs.len();
         for addr in addrs {
             let (result, returned) = self.socket.send_to(bytes, *addr).await;
             bytes = returned;
@@ -59,6 +64,7 @@
                 log::debug!(addr:% = addr, error:% = e; "talk_send");
             }
         }
+        total
     }
 
     /// Spawns a task that sends a datagram.
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -27,6 +27,7 @@
 use crate::control::LeaderTerm;
 use crate::control::QuotaPools;
 use crate::control::follow_feeds;
+use crate::control::follow_leader_keys;
 use crate::control::follow_relay;
 use crate::control::register_core_host;
 use crate::control::report_quota_use;
@@ -154,6 +155,7 @@
     follow_feeds(&router);
     monoio::spawn(select_source(Rc::clone(&router)));
     monoio::spawn(follow_relay(Rc::clone(&router)));
+    monoio::spawn(follow_leader_keys(Rc::clone(&router)));
     monoio::spawn(register_core_host(Rc::clone(&router), peer_addr));
     monoio::spawn(Rc::clone(&gossip).report_key_demand());
     monoio::spawn(Rc::clone(&gossip).send_free_slots());
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -9,6 +9,7 @@
 use chicoryrail_core::ServerName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::CoreHost;
+use chicoryrail_ownership::keys::KeyChanges;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::store_key::HOSTS;
 use chicoryrail_ownership::store_key::KEYS;
@@ -127,6 +128,18 @@
         }
     }
 
+    /// Applies changes of a key record from another host. Changes of a record that this host does not have are ignored;
+    /// the other host sends the whole record when it is polled again.
+    pub(crate) fn apply_key_changes(&self, service: &Service, changes: &KeyChanges) {
+        let applied = service.keys.borrow_mut().apply_changes(self.now(), changes);
+        log::info!(service:% = service.name, base = changes.base, fence = changes.fence,
+            ranges = changes.owned.len() + changes.unowned.len(), applied = applied; "key_changes");
+        if applied {
+            service.changed.notify();
+            self.feed_changed.notify();
+        }
+    }
+
     /// Updates settings and targets from the store view: the configuration's limits and organisations, and the given
     /// servers.
     fn sync(&self, outdated: &BTreeSet<ServerName>) {
@@ -199,6 +212,7 @@
                     slots: Cell::new(member.slots),
                     admission: Cell::new(Admission::Closed),
                     scheduled_here: Cell::new(None),
+                    scheduled_generation: Cell::new(0),
                 });
                 service.insert_target(&target);
                 target
@@ -212,7 +226,6 @@
         service.keyed.set(spec.is_some_and(|s| s.keyed));
         let connections = spec.map_or(u32::MAX, |s| s.max_connections);
         let share = connections / self.peers.borrow().sharing_hosts() as u32;
-                    scheduled_generation: Cell::new(0),
         target.pool.set_max_connections(member.slots, share.max(2));
         let admission = if view.is_drained(&member.dc) {
             Admission::Closed
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod counters;
 mod former_notices;
+mod newer_keys;
 mod organisations;
 mod pending_queries;
 mod quota_shares;
@@ -14,6 +15,7 @@
 mod view;
 
 pub(crate) use counters::Counters;
+pub(crate) use newer_keys::NewerKeys;
 pub(crate) use organisations::Organisations;
 pub(crate) use pending_queries::PendingQueries;
 pub(crate) use quota_shares::QuotaShares;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -35,6 +35,7 @@
 use crate::messages::PartName;
 use crate::messages::PeerSocket;
 use crate::state::Counters;
+use crate::state::NewerKeys;
 use crate::state::Organisations;
 use crate::state::PendingQueries;
 use crate::state::QuotaShares;
@@ -104,6 +105,8 @@
     pub(crate) feed_logs: RefCell<[FeedLog; FEED_COUNT]>,
     /// Notified when there may be updates for the hosts that use this one as relay.
     pub(crate) feed_changed: ChangeSignal,
+    /// Leader that has newer key maps.
+    pub(crate) newer_keys: NewerKeys,
     /// Time of the last request of each leaf host that uses this one as relay.
     pub(crate) leaf_requests: RefCell<HashMap<HostName, Millis>>,
     services: RefCell<HashMap<ServiceName, Rc<Service>>>,
@@ -146,6 +149,7 @@
             source: SourceState::default(),
             feed_logs: RefCell::default(),
             feed_changed: ChangeSignal::default(),
+            newer_keys: NewerKeys::default(),
             leaf_requests: RefCell::default(),
             services: RefCell::default(),
             registrations: RefCell::default(),
