feat(leader): let core hosts renew key leases, and bound the leader's work

One host renewed the lease of every server each 0.6 s: 6,600 calls a second for the fleet's 3,983 servers with keys, 0.2 ms each, on half a core. Its loop compared every server with every owner, and ran after each single call.

From 400 servers on, core hosts renew for the leader and grant again what a new leader took over; the leader moves keys itself. They hold a permit of 0.8 s that counts from their request, and the leader counts every grant that may be sent under it as its own. What a host reports as unanswered, and what is late, the leader renews. The leader's steps over all servers rest for twice (calls) or eight times (planning) as long as they took, and grants in flight are bounded by what the host completes within their timeout.

--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -1,6 +1,7 @@
 //! Selection of the calls and writes that are due for a service's keys.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
@@ -76,9 +77,10 @@
         if state.pending_grant.is_some() || !state.is_callable() || now < state.retry_at {
             return None;
         }
-        let renewed = due_renewal(now, &state.confirmed).map(|span| (span, None));
-        let (span, handover) =
-            renewed.or_else(|| allow_new.then(|| self.grantable(life, state)).flatten())?;
+        let renewed = due_renewal(state.renewal_due_at(now), &state.confirmed);
+        let renewed = renewed.map(|span| (span, None));
+        let granted = || self.grantable(now, life, state).filter(|_| allow_new);
+        let (span, handover) = renewed.or_else(granted)?;
         Some(KeyAction::Grant {
             life: life.clone(),
             addr: state.addr,
@@ -88,10 +90,15 @@
         })
     }
 
-    /// Returns keys that are assigned to a server, not granted to it yet, not possibly held by another server,
+    /// Returns keys that are assigned to a server, that no delegate grants, not granted to it yet, not possibly held by another server,
     /// and not in a release in flight to this one. Keys that were released with a handover token are granted
     /// separately, so that the grant carries the token.
-    fn grantable(&self, life: &Life, state: &ServerState) -> Option<(KeyRange, Option<String>)> {
+    fn grantable(
+        &self,
+        now: Millis,
+        life: &Life,
+        state: &ServerState,
+    ) -> Option<(KeyRange, Option<String>)> {
         let unconfirmed = state.unconfirmed();
         unconfirmed.first()?;
         let others = self.former_leases.iter().filter(|l| l.owned.owner != *life);
@@ -101,7 +108,8 @@
         let mut handed_over = self.released_keys.iter().filter(|r| r.handover.is_some());
         let handed_over =
             handed_over.find_map(|r| Some((free.first_overlap(r.span)?, r.handover.clone())));
-        handed_over.or_else(|| free.first().map(|span| (span, None)))
+        let without_token = || free.first().map(|span| (span, None));
+        handed_over.or_else(|| without_token().filter(|_| state.leader_grants(now)))
     }
 
     /// Returns the releases that are due. They run concurrently, also with the renewals of the keys that the
@@ -140,13 +148,17 @@
     /// Returns the probes of lost servers that are due. A probe is a release of all keys: a server never
     /// refuses it, and it has no effect on a server without keys.
     fn due_probes(&self, now: Millis) -> Vec<KeyAction> {
-        let owners = self.lease_owners();
         let lost = self.servers.iter().filter(|(life, s)| {
             let registered = now.since(s.last_seen) <= REGISTRATION_AGE_MAX && s.addr.port() != 0;
             let idle = s.pending_grant.is_none() && s.pending_releases.is_empty();
             registered && idle && !s.ended && now >= s.retry_at && self.is_lost(now, life)
         });
-        let lost = lost.filter(|(life, _)| !owners.contains(life));
+        let lost: Vec<_> = lost.collect();
+        if lost.is_empty() {
+            return Vec::new();
+        }
+        let owners: BTreeSet<Life> = self.lease_owners().into_iter().collect();
+        let lost = lost.into_iter().filter(|(life, _)| !owners.contains(*life));
         let probe = |(life, state): (&Life, &ServerState)| KeyAction::Release {
             life: life.clone(),
             addr: state.addr,
--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -8,6 +8,7 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 
+use crate::keys::DELEGATION_SERVERS_MIN;
 use crate::keys::GrantOutcome;
 use crate::keys::KeyRange;
 use crate::keys::KeyRecord;
@@ -16,6 +17,7 @@
 use crate::keys::ReleaseOutcome;
 use crate::keys::lease::FormerLease;
 use crate::keys::lease::ReleasedKeys;
+use crate::keys::range_set::join_ranges;
 use crate::keys::record::ranges_by_owner;
 use crate::keys::server_state::ServerState;
 
@@ -71,7 +73,14 @@
         } else {
             timing.lease
         };
-        let lease_until = now + timing.stale_leader_max + KeyTiming::max_lease(lease_duration);
+        // An earlier leader's delegates may renew for the time of their permits after its last reply to them.
+        let permit = if record.spans.len() >= DELEGATION_SERVERS_MIN {
+            timing.renewal_permit
+        } else {
+            Millis::ZERO
+        };
+        let stale_until = now + timing.stale_leader_max + permit;
+        let lease_until = stale_until + KeyTiming::max_lease(lease_duration);
         let former_leases = record.loose.iter().map(|owned| FormerLease {
             owned: owned.clone(),
             expires_at: lease_until,
@@ -187,21 +196,23 @@
         self.servers.get(life)?.unanswered_since
     }
 
-    /// Returns the keys that are assigned to a server but not granted to it yet.
+    /// Returns the keys that are assigned to a server but not granted to it yet, as few ranges in key order.
     #[must_use]
     pub fn ungranted_keys(&self) -> Vec<KeyRange> {
         let servers = self.servers.values();
-        servers
-            .flat_map(|s| s.unconfirmed().into_ranges())
-            .collect()
+        let ranges = servers.flat_map(|s| s.unconfirmed().into_ranges());
+        join_ranges(ranges.collect())
     }
 
     /// Records a server's address and that its registration was seen now.
     pub fn set_server_addr(&mut self, now: Millis, life: &Life, addr: SocketAddr) {
-        let state = self.servers.entry(life.clone());
-        let state = state.or_insert_with(|| ServerState::new(addr, now));
-        state.addr = addr;
-        state.last_seen = now;
+        if let Some(state) = self.servers.get_mut(life) {
+            state.addr = addr;
+            state.last_seen = now;
+            return;
+        }
+        self.servers
+            .insert(life.clone(), ServerState::new(addr, now));
     }
 
     /// Records that a server incarnation has ended, so that it holds nothing.
@@ -241,11 +252,11 @@
         self.former_leases = former_leases.collect();
         let mut assigned = ranges_by_owner(&next.spans);
         for (life, state) in &mut self.servers {
-            state.assign(assigned.remove(life).unwrap_or_default());
+            state.assign(now, assigned.remove(life).unwrap_or_default());
         }
         for (life, spans) in assigned {
             let mut state = ServerState::new(UNKNOWN_ADDR, now);
-            state.assign(spans);
+            state.assign(now, spans);
             self.servers.insert(life.clone(), state);
         }
         self.released_keys.clear();
@@ -285,7 +296,8 @@
             GrantOutcome::Granted => {
                 // A server that accepted this fencing token refuses older grants, so grants of an earlier leader
                 // and grants whose response was lost no longer count.
-                state.lease_until = state.outage_lease_until.max(now + max_lease);
+                let other_leases = state.outage_lease_until.max(state.delegate_lease_until);
+                state.lease_until = other_leases.max(now + max_lease);
                 state.unanswered_since = None;
                 if fence == self.record.fence {
                     state.confirm(now + self.timing.renew_interval, span);
--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -7,10 +7,11 @@
 //! should own.
 
 mod assignment;
+mod delegation;
 mod due;
 mod key_action;
-mod key_leases;
 mod key_changes;
+mod key_leases;
 mod key_load;
 mod key_view;
 mod lease;
@@ -18,17 +19,20 @@
 mod plan;
 mod range_set;
 mod record;
+mod renewer;
 mod server_state;
 mod timing;
 
+pub use delegation::DELEGATION_SERVERS_MIN;
+pub use delegation::RenewalTask;
 pub use key_action::GrantOutcome;
 pub use key_action::KeyAction;
 pub use key_action::ReleaseOutcome;
+pub use key_changes::KeyChanges;
 pub use key_leases::KeyLeases;
 pub use key_load::KeyLoad;
 pub use key_load::LoadWindow;
 pub use key_view::KeyOwner;
-pub use key_changes::KeyChanges;
 pub use key_view::KeyView;
 pub use plan::KeyCandidate;
 pub use plan::Moves;
@@ -37,4 +41,9 @@
 pub use record::KeyRange;
 pub use record::KeyRecord;
 pub use record::OwnedRange;
+pub use renewer::ConfirmedRenewal;
+pub use renewer::FailedRenewal;
+pub use renewer::Renewal;
+pub use renewer::RenewalOrder;
+pub use renewer::Renewer;
 pub use timing::KeyTiming;
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -22,6 +22,12 @@
     /// necessarily end it earlier: the longer grant may take effect after it, or the server keeps the later
     /// of the two ends.
     pub(crate) outage_lease_until: Millis,
+    /// End of the longest lease that a grant by another host under a permit may cause.
+    pub(crate) delegate_lease_until: Millis,
+    /// Whether another host renews the server's leases.
+    pub(crate) delegated: bool,
+    /// Time at which the assigned keys last changed.
+    pub(crate) assigned_at: Millis,
     /// Earliest time of the next call after one without a response.
     pub(crate) retry_at: Millis,
     /// Time at which the server's registration was last seen.
@@ -49,6 +55,9 @@
             lease_until: Millis::ZERO,
             lease_duration: Millis::ZERO,
             outage_lease_until: Millis::ZERO,
+            delegate_lease_until: Millis::ZERO,
+            delegated: false,
+            assigned_at: now,
             retry_at: now,
             last_seen: now,
             pending_grant: None,
@@ -71,8 +80,11 @@
         RangeSet::new(self.assigned.clone()).without(confirmed)
     }
 
-    /// Replaces the assigned keys, and drops confirmed keys that are no longer assigned.
-    pub(crate) fn assign(&mut self, ranges: Vec<KeyRange>) {
+    /// Replaces the assigned keys at `now`, and drops confirmed keys that are no longer assigned.
+    pub(crate) fn assign(&mut self, now: Millis, ranges: Vec<KeyRange>) {
+        if self.assigned != ranges {
+            self.assigned_at = now;
+        }
         let kept = self.confirmed.iter().flat_map(|confirmed| {
             let overlaps = ranges.iter().filter_map(|r| r.intersect(confirmed.span));
             overlaps.map(|span| ConfirmedLease { span, ..*confirmed })
--- a/crates/chicoryrail-ownership/src/keys/timing.rs
+++ b/crates/chicoryrail-ownership/src/keys/timing.rs
@@ -22,6 +22,9 @@
     /// Interval between probes of a lost server. Keys granted to a server that still does not answer are unserved
     /// until they are reassigned, so a server must answer a probe before it receives keys again.
     pub probe_interval: Millis,
+    /// Time for which another host may renew leases for the leader after it asked the leader. It outlasts some lost
+    /// requests, and a leader that does not answer is replaced within about as long.
+    pub renewal_permit: Millis,
     /// Maximum time for which an earlier leader may keep renewing after another one has taken over.
     pub stale_leader_max: Millis,
 }
@@ -40,6 +43,7 @@
             grant_timeout: Millis(300),
             release_timeout: Millis(1_000),
             probe_interval: Millis(1_500),
+            renewal_permit: Millis(800),
             stale_leader_max: Millis(1_500),
         }
     }
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -28,4 +28,5 @@
 pub use peers::HostState;
 pub use peers::Peers;
 pub use peers::SchedulerHost;
+pub use peers::select_renewer;
 pub use reach::DcReachability;
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -368,6 +368,24 @@
     }
 }
 
+/// Selects the host that renews the key leases of a server by weighted rendezvous hashing of `name`; if the server's data
+/// centre `dc` has strong hosts, one of them.
+#[must_use]
+pub fn select_renewer<'a>(
+    hosts: impl Iterator<Item = (&'a HostName, &'a HostState)>,
+    dc: &DcName,
+    name: &impl Hash,
+) -> Option<&'a HostName> {
+    let scored = hosts.map(|(host, state)| {
+        let preferred = state.dc.as_ref() == Some(dc) && is_strong(state.power);
+        ((preferred, rendezvous_score(host, state.power, name)), host)
+    });
+    let best = scored.max_by(|((a_preferred, a), _), ((b_preferred, b), _)| {
+        a_preferred.cmp(b_preferred).then_with(|| a.total_cmp(b))
+    });
+    best.map(|(_, host)| host)
+}
+
 /// Returns a host's weighted rendezvous score for a name. The probability that a host has the highest score is in
 /// proportion to its power.
 pub(crate) fn rendezvous_score(host: &HostName, power: u32, name: &impl Hash) -> f64 {
--- a/crates/chicoryrail-ownership/tests/model_keys/calls.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/calls.rs
@@ -11,10 +11,17 @@
 use crate::world::World;
 use crate::world::faults_active;
 
+/// Process that sent a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Caller {
+    Leader(usize),
+    Renewer(usize),
+}
+
 /// Call in flight. Times are in milliseconds.
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
-    pub(crate) leader: usize,
+    pub(crate) caller: Caller,
     pub(crate) life: Life,
     pub(crate) kind: CallKind,
     /// Time of arrival at the server; `u64::MAX` if the server is not reachable.
@@ -32,7 +39,7 @@
 
 impl World {
     /// Sends a call, and selects at random how long it takes and whether its response is lost.
-    pub(crate) fn send(&mut self, leader: usize, life: Life, kind: CallKind, timeout_ms: u64) {
+    pub(crate) fn send(&mut self, caller: Caller, life: Life, kind: CallKind, timeout_ms: u64) {
         let reachable = self.servers.iter().any(|s| s.life == life && s.reachable);
         let arrives_at = self.now + self.rng.random_range(0..30);
         // Some calls arrive, are applied seconds later, and get no response.
@@ -51,7 +58,7 @@
             self.now + timeout_ms
         };
         self.calls.push(Call {
-            leader,
+            caller,
             life,
             kind,
             arrives_at: if reachable { arrives_at } else { u64::MAX },
@@ -81,7 +88,10 @@
         }
         // A paused process learns the outcome when it resumes.
         for call in &mut calls {
-            let paused_until = self.leaders[call.leader].paused_until;
+            let paused_until = match call.caller {
+                Caller::Leader(i) => self.leaders[i].paused_until,
+                Caller::Renewer(i) => self.renewing[i].paused_until,
+            };
             if call.ends_at <= now && now < paused_until {
                 call.ends_at = paused_until;
             }
@@ -99,21 +109,25 @@
         self.calls = calls;
     }
 
-    /// Reports the outcome of a call to the leader.
+    /// Reports the outcome of a call to its sender.
     pub(crate) fn report_outcome(&mut self, call: &Call) {
         let now = Millis(self.now);
         let up = self.servers.iter().any(|s| s.life == call.life && s.up);
         // A server that has stopped sends no response.
         let responded = call.response_arrives && up;
-        let leases = &mut self.leaders[call.leader].leases;
+        let granted = match (responded, call.refused) {
+            (false, _) => GrantOutcome::NoResponse,
+            (true, true) => GrantOutcome::StaleFence,
+            (true, false) => GrantOutcome::Granted,
+        };
+        let leader = match call.caller {
+            Caller::Leader(i) => i,
+            Caller::Renewer(i) => return self.report_renewal(i, &call.life, granted),
+        };
+        let leases = &mut self.leaders[leader].leases;
         match call.kind {
             CallKind::Grant { span, fence, .. } => {
-                let outcome = match (responded, call.refused) {
-                    (false, _) => GrantOutcome::NoResponse,
-                    (true, true) => GrantOutcome::StaleFence,
-                    (true, false) => GrantOutcome::Granted,
-                };
-                leases.grant_finished(now, &call.life, span, fence, outcome);
+                leases.grant_finished(now, &call.life, span, fence, granted);
             }
             CallKind::Release { span, .. } => {
                 let outcome = if responded {
--- a/crates/chicoryrail-ownership/tests/model_keys/leading.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/leading.rs
@@ -8,6 +8,7 @@
 use chicoryrail_ownership::keys::Plan;
 use rand::Rng;
 
+use crate::calls::Caller;
 use crate::server::CallKind;
 use crate::world::World;
 use crate::world::faults_active;
@@ -35,6 +36,9 @@
                     leader.leases.server_ended(old);
                 }
             }
+            let lives: Vec<_> = registered.iter().map(|(life, _)| life.clone()).collect();
+            self.delegate(i, &lives);
+            let leader = &mut self.leaders[i];
             if !leader.leases.is_write_pending() {
                 let accepting = registered
                     .iter()
@@ -101,14 +105,15 @@
                     timing.lease
                 };
                 let kind = CallKind::Grant { span, fence, lease };
-                self.send(leader, life, kind, timeout_ms);
+                self.send(Caller::Leader(leader), life, kind, timeout_ms);
             }
             KeyAction::Release {
                 life, span, fence, ..
             } => {
                 self.leaders[leader].leases.release_sent(&life, span);
                 let timeout_ms = self.actual_timing.release_timeout.0;
-                self.send(leader, life, CallKind::Release { span, fence }, timeout_ms);
+                let kind = CallKind::Release { span, fence };
+                self.send(Caller::Leader(leader), life, kind, timeout_ms);
             }
         }
     }
--- a/crates/chicoryrail-ownership/tests/model_keys/main.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/main.rs
@@ -7,6 +7,7 @@
 
 mod calls;
 mod leading;
+mod renewing;
 mod server;
 mod world;
 
@@ -43,6 +44,61 @@
     }
 }
 
+/// Timing that a leader assumes whose predecessors may have had delegates.
+fn delegating_timing() -> KeyTiming {
+    let timing = KeyTiming::default();
+    KeyTiming {
+        stale_leader_max: timing.stale_leader_max + timing.renewal_permit,
+        ..timing
+    }
+}
+
+/// Guards against two servers holding the same key while other hosts renew leases for the leaders: with outdated orders,
+/// for a leader that was replaced, or after a pause of their own.
+#[rstest]
+#[case(0)]
+#[case(100)]
+#[case(200)]
+#[case(300)]
+fn no_two_servers_hold_the_same_key_with_delegates(#[case] first: u64) {
+    for seed in first..first + 60 {
+        let world = World::new(seed, KeyTiming::default(), delegating_timing());
+        let world = world.with_renewing_hosts().run();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against a simulation in which delegates never matter: if leaders do not count what their delegates may send,
+/// two servers hold one key in some run.
+#[test]
+fn uncounted_delegates_are_detected() {
+    let assumed_timing = KeyTiming {
+        renewal_permit: Millis(0),
+        ..KeyTiming::default()
+    };
+    let runs = (0..200).map(|seed| World::new(seed, KeyTiming::default(), assumed_timing));
+    let mut runs = runs.map(|world| world.with_renewing_hosts().run());
+    assert!(runs.any(|world| !world.violations.is_empty()));
+}
+
+/// Guards against keys that stay unserved because a leader waits for a delegate.
+#[test]
+fn every_key_is_served_again_with_delegates() {
+    for seed in 0..40 {
+        let world = World::new(seed, KeyTiming::default(), delegating_timing());
+        let world = world.with_renewing_hosts().run();
+        let reachable = world
+            .servers
+            .iter()
+            .any(|s| s.up && s.reachable && !s.leaving);
+        let held = (0..SAMPLE_COUNT).filter(|i| {
+            let mut all = world.servers.iter();
+            all.any(|s| s.up && s.keys[*i].until > world.now)
+        });
+        assert!(!reachable || held.count() == SAMPLE_COUNT, "seed {seed}");
+    }
+}
+
 /// Guards against keys that stay without an owner after the faults have ended, while a server is reachable.
 #[test]
 fn every_key_is_served_again_after_the_faults() {
--- a/crates/chicoryrail-ownership/tests/model_keys/world.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/world.rs
@@ -11,6 +11,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::calls::Call;
+use crate::renewing::RENEWER_COUNT;
+use crate::renewing::RenewingHost;
 use crate::server::KeyState;
 use crate::server::SAMPLE_COUNT;
 use crate::server::Server;
@@ -28,6 +30,8 @@
     pub(crate) revision: u64,
     /// Time until which the leader's process is paused: it neither acts nor learns the outcome of its calls.
     pub(crate) paused_until: u64,
+    /// Time of the last poll of each host that renews leases; 0 before the first one.
+    pub(crate) polled_at: [u64; RENEWER_COUNT],
     /// Time until which the store does not answer the leader, although it answers others.
     pub(crate) store_lost_until: u64,
 }
@@ -42,6 +46,8 @@
     pub(crate) servers: Vec<Server>,
     pub(crate) leaders: Vec<Leader>,
     pub(crate) calls: Vec<Call>,
+    /// Hosts that renew leases for the leaders; none if the leaders renew all leases themselves.
+    pub(crate) renewing: Vec<RenewingHost>,
     /// Key record in the store, and its revision.
     pub(crate) record: KeyRecord,
     pub(crate) revision: u64,
@@ -69,6 +75,7 @@
             servers: Vec::new(),
             leaders: Vec::new(),
             calls: Vec::new(),
+            renewing: Vec::new(),
             record: KeyRecord::default(),
             revision: 1,
             violations: Vec::new(),
@@ -82,6 +89,13 @@
         world
     }
 
+    /// Adds hosts that renew leases for the leaders.
+    pub(crate) fn with_renewing_hosts(mut self) -> Self {
+        let hosts = (0..RENEWER_COUNT).map(|_| RenewingHost::new(self.actual_timing));
+        self.renewing = hosts.collect();
+        self
+    }
+
     /// Adds a server, a new incarnation if there was one of this name before.
     pub(crate) fn join(&mut self, name: &str) {
         self.last_incarnation += 1;
@@ -118,6 +132,7 @@
             acts_until: u64::MAX,
             revision: self.revision,
             paused_until: 0,
+            polled_at: [0; RENEWER_COUNT],
             store_lost_until: 0,
         });
     }
@@ -206,6 +221,7 @@
             }
             self.process_calls();
             self.lead();
+            self.renew();
             self.check();
         }
         self
--- a/crates/chicoryrail-router/src/control/leader/elect.rs
+++ b/crates/chicoryrail-router/src/control/leader/elect.rs
@@ -144,6 +144,7 @@
     let reason = hold_leadership(router, leadership, term, lease).await;
     leadership.term.set(0);
     leadership.key_updates.borrow_mut().clear();
+    leadership.key_leaders.borrow_mut().clear();
     router.leading_term.set(0);
     router.counters.leading.set(0);
     log::info!(term = term, why = reason; "leader_lost");
--- a/crates/chicoryrail-router/src/control/leader/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -116,6 +116,7 @@
                 (GrantOutcome::NoResponse, "silent")
             }
         };
+        self.grants_in_flight.set(self.grants_in_flight.get() - 1);
         self.record_call_metrics("grant", name, started);
         if let Err(e) = &result {
             log::info!(server:% = life, service:% = self.service, fence = grant.fence,
@@ -149,7 +150,7 @@
 
     /// Records that a server said in a response to a grant that it is draining. Its keys then go to other servers, also
     /// if the server can't reach the store to announce it there.
-    fn record_drain(&self, now: Millis, life: &Life) {
+    pub(super) fn record_drain(&self, now: Millis, life: &Life) {
         let service = self.router.service(&self.service);
         if let Some(target) = service.target(life) {
             service.record_drain(now, &target, "grant");
--- a/crates/chicoryrail-router/src/control/leader/key_leader.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_leader.rs
@@ -18,9 +18,12 @@
 use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::StoreError;
 use chicoryrail_runtime::ChangeSignal;
+use chicoryrail_runtime::WorkPacer;
 use monoio::time::timeout;
 
 use crate::control::config_feed::follow::store_call;
+use crate::control::leader::delegates::Delegates;
+use crate::control::leader::grant_limit::grants_in_flight_max;
 use crate::control::leader::leader_term::LeaderTerm;
 use crate::control::scheduling;
 use crate::state::Router;
@@ -31,11 +34,17 @@
 /// Time between two checks for due actions while no change is pending, and between two checks for new keyed services.
 const IDLE_CHECK_INTERVAL: Millis = Millis(50);
 
+/// Rest after a step over all servers, as a multiple of the time that the step took: the leader also serves callers,
+/// schedules and renews its own lease.
+const PLANNING_REST: u64 = 8;
+const ACTIONS_REST: u64 = 2;
+
 /// Time after a store outage until the last grant made during it has expired: the duration of such a grant
 /// ([`KeyTiming::outage_lease`], 10 s), and the time of a renewal that was in flight.
 const OUTAGE_GRANT_EXPIRY: Millis = Millis(12_500);
 
 /// Assigns the keys of one service for one term.
+#[derive(Debug)]
 pub(super) struct KeyLeader {
     pub(super) router: Rc<Router>,
     pub(super) leadership: Rc<LeaderTerm>,
@@ -53,6 +62,10 @@
     pub(super) last_change_at: Cell<Millis>,
     /// Whether a write of the record is in progress; at most one runs at a time.
     pub(super) committing: Cell<bool>,
+    /// Hosts that renew leases for this one.
+    pub(super) delegates: RefCell<Delegates>,
+    /// Number of grant calls in flight.
+    pub(super) grants_in_flight: Cell<usize>,
     /// Notified when a call to the store or a server has ended.
     pub(super) call_ended: ChangeSignal,
 }
@@ -77,7 +90,12 @@
             match take_over(&router, &leadership, term, &leader_store_key, &service).await {
                 Ok(leader) => {
                     started.insert(service, ());
-                    monoio::spawn(Rc::new(leader).run());
+                    let leader = Rc::new(leader);
+                    if leadership.term.get() == term {
+                        let mut leaders = leadership.key_leaders.borrow_mut();
+                        leaders.push(Rc::clone(&leader));
+                    }
+                    monoio::spawn(leader.run());
                 }
                 Err(e) => log::warn!(service:% = service, error:% = e; "keys_not_read"),
             }
@@ -134,6 +152,8 @@
         stored_fence: Cell::new(stored_fence),
         last_change_at: Cell::new(now),
         committing: Cell::new(false),
+        delegates: RefCell::default(),
+        grants_in_flight: Cell::new(0),
         call_ended: ChangeSignal::default(),
     })
 }
@@ -141,13 +161,21 @@
 impl KeyLeader {
     async fn run(self: Rc<Self>) {
         let mut announced = None;
+        let mut planning = WorkPacer::new(PLANNING_REST);
+        let mut actions = WorkPacer::new(ACTIONS_REST);
         while self.leadership.term.get() == self.term {
             let seen = self.call_ended.version();
-            let store_down = self.router.store_down_everywhere(self.router.now());
+            let begun = self.router.now();
+            let store_down = self.router.store_down_everywhere(begun);
             self.leases.borrow_mut().set_store_down(store_down);
-            self.update_servers();
-            self.request_step_down_if_unreachable();
-            self.plan();
+            if planning.is_due(begun) {
+                self.update_servers();
+                self.request_step_down_if_unreachable();
+                self.delegate();
+                self.plan();
+                planning.record(begun, self.router.now());
+            }
+            let planned = self.router.now();
             // Checked right before the calls are sent: a process that was suspended must not act on outdated state.
             if self.leadership.may_act(&self.router) {
                 self.run_due_actions();
@@ -159,10 +187,14 @@
                 self.leadership.term.set(0);
                 return;
             }
+            actions.record(planned, self.router.now());
+            let rest = actions.rest(self.router.now());
             if !changing {
-                self.router.process.clock.sleep(IDLE_CHECK_INTERVAL).await;
+                let pause = rest.max(IDLE_CHECK_INTERVAL);
+                self.router.process.clock.sleep(pause).await;
                 continue;
             }
+            self.router.process.clock.sleep(rest).await;
             // Each server is sent one grant at a time. When all ranges must be granted anew, as after a loss of power
             // on all hosts, a pause after each call would add up, so the end of a call wakes this loop at once.
             let _ = timeout(
@@ -203,14 +235,15 @@
     /// Updates the servers' addresses, and ends the key leases of server incarnations that a newer one has replaced.
     fn update_servers(&self) {
         let now = self.router.now();
+        let service = self.router.service(&self.service);
         let mut leases = self.leases.borrow_mut();
-        let view = self.router.store_view.borrow();
-        let owners: Vec<Life> = leases.lease_owners();
-        for entry in view.servers().filter(|e| e.member.service == self.service) {
-            let life = &entry.member.life;
-            leases.set_server_addr(now, life, entry.member.addr);
-            for old in owners.iter().filter(|old| life.supersedes(old)) {
-                leases.server_ended(old);
+        for target in service.targets.borrow().values() {
+            leases.set_server_addr(now, &target.life, target.addr);
+        }
+        for owner in leases.lease_owners() {
+            let registered = self.router.registered_life(&self.service, &owner.name);
+            if registered.is_some_and(|life| life.supersedes(&owner)) {
+                leases.server_ended(&owner);
             }
         }
     }
@@ -241,6 +274,7 @@
     /// Starts the calls that are due, to the store and to servers.
     fn run_due_actions(self: &Rc<Self>) {
         let now = self.router.now();
+        let grants_max = grants_in_flight_max(&self.router);
         let actions = self.leases.borrow_mut().due_actions(now);
         for owned in self.leases.borrow_mut().take_expired() {
             log::info!(server:% = owned.owner, service:% = self.service,
@@ -253,6 +287,8 @@
                         monoio::spawn(Rc::clone(self).commit(record));
                     }
                 }
+                // The grant stays due.
+                KeyAction::Grant { .. } if self.grants_in_flight.get() >= grants_max => {}
                 KeyAction::Grant {
                     life,
                     addr,
@@ -263,6 +299,7 @@
                     self.leases.borrow_mut().grant_sent(now, &life, span);
                     let duration = self.leases.borrow().lease_duration();
                     let grant = key_grant(span, fence, duration, handover);
+                    self.grants_in_flight.set(self.grants_in_flight.get() + 1);
                     monoio::spawn(Rc::clone(self).grant(life, addr, grant));
                 }
                 KeyAction::Release {
--- a/crates/chicoryrail-router/src/control/leader/leader_term.rs
+++ b/crates/chicoryrail-router/src/control/leader/leader_term.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
@@ -12,6 +13,7 @@
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_runtime::ChangeSignal;
 
+use crate::control::leader::key_leader::KeyLeader;
 use crate::messages::ServerPace;
 use crate::state::Router;
 
@@ -36,6 +38,8 @@
     pub(crate) steps_down: Cell<bool>,
     /// Record of each keyed service, with the ranges that are not granted yet.
     pub(crate) key_updates: RefCell<BTreeMap<ServiceName, (KeyRecord, Vec<KeyRange>)>>,
+    /// Leaders of the keyed services in this term.
+    pub(super) key_leaders: RefCell<Vec<Rc<KeyLeader>>>,
     /// Notified when `key_updates` or the leadership changes.
     pub(crate) changed: ChangeSignal,
     /// Load of each service by key.
@@ -78,17 +82,17 @@
         &self,
         now: Millis,
         service: &ServiceName,
+        service_time: Millis,
         f: impl FnOnce(&KeyLoad) -> T,
     ) -> T {
         let mut loads = self.key_loads.borrow_mut();
         let load = loads.entry(service.clone()).or_default();
-        service_time: Millis,
         load.decay(now);
+        load.set_service_time(service_time);
         f(load)
     }
 
     /// Returns `true` if this host may send grants and releases to servers as the leader.
-        load.set_service_time(service_time);
     ///
     /// No other host can lead while the lease was confirmed recently. Without the store, a leader continues only
     /// while it receives heartbeats from most of the hosts and none of them reports a higher term: a successor
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -26,15 +26,20 @@
 use crate::control::Gossip;
 use crate::control::LeaderTerm;
 use crate::control::QuotaPools;
+use crate::control::RENEWALS_PATH;
+use crate::control::Renewals;
 use crate::control::follow_feeds;
 use crate::control::follow_leader_keys;
 use crate::control::follow_relay;
+use crate::control::follow_renewal_orders;
 use crate::control::register_core_host;
 use crate::control::report_quota_use;
 use crate::control::run_election;
+use crate::control::run_renewals;
 use crate::control::scheduling;
 use crate::control::select_source;
 use crate::control::serve_relay;
+use crate::control::serve_renewals;
 use crate::control::verify_config;
 use crate::log_line;
 use crate::messages::PeerSocket;
@@ -151,11 +156,14 @@
     let listening = Rc::clone(&gossip);
     monoio::spawn(socket.listen(move |packet, from| listening.handle_packet(packet, from)));
     monoio::spawn(scheduling::run_schedulers(Rc::clone(&router)));
-    start_relay_listener(&router, peer_addr, &internal_stop)?;
+    start_peer_listener(&router, &leadership, peer_addr, &internal_stop)?;
     follow_feeds(&router);
     monoio::spawn(select_source(Rc::clone(&router)));
     monoio::spawn(follow_relay(Rc::clone(&router)));
     monoio::spawn(follow_leader_keys(Rc::clone(&router)));
+    let renewals = Rc::new(Renewals::default());
+    monoio::spawn(run_renewals(Rc::clone(&router), Rc::clone(&renewals)));
+    monoio::spawn(follow_renewal_orders(Rc::clone(&router), renewals));
     monoio::spawn(register_core_host(Rc::clone(&router), peer_addr));
     monoio::spawn(Rc::clone(&gossip).report_key_demand());
     monoio::spawn(Rc::clone(&gossip).send_free_slots());
@@ -239,15 +247,24 @@
     Ok(())
 }
 
-/// Starts the HTTP listener for hosts that use this one as relay.
-fn start_relay_listener(
+/// Starts the HTTP listener for other hosts: those that use this one as relay, and those that renew leases for it.
+fn start_peer_listener(
     router: &Rc<Router>,
+    leadership: &Rc<LeaderTerm>,
     addr: SocketAddr,
     stop: &CancellationToken,
 ) -> Result<(), RunError> {
     let listener = bind_listener("relay", addr).context(ListenSnafu)?;
-    let router = Rc::clone(router);
-    let respond = move |request, _| serve_relay(Rc::clone(&router), request);
+    let (router, leadership) = (Rc::clone(router), Rc::clone(leadership));
+    let respond = move |request: http::Request<chicoryrail_runtime::Body>, _| {
+        let (router, leadership) = (Rc::clone(&router), Rc::clone(&leadership));
+        async move {
+            if request.uri().path() == RENEWALS_PATH {
+                return serve_renewals(router, leadership, request).await;
+            }
+            serve_relay(router, request).await
+        }
+    };
     let limits = HttpLimits::default();
     monoio::spawn(serve_http(listener, limits, stop.clone(), respond));
     Ok(())
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -196,6 +196,17 @@
         service
     }
 
+    /// Returns the incarnation under which a server of this service is registered.
+    pub(crate) fn registered_life(
+        &self,
+        service: &ServiceName,
+        server: &ServerName,
+    ) -> Option<Life> {
+        let registrations = self.registrations.borrow();
+        let (registered, life) = registrations.get(server)?;
+        (registered == service).then(|| life.clone())
+    }
+
     /// Returns all known services.
     pub(crate) fn services(&self) -> Vec<Rc<Service>> {
         self.services.borrow().values().cloned().collect()
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -37,6 +37,7 @@
 mod settings;
 mod signal;
 mod start;
+mod work_pacer;
 
 pub use bind::bind_listener;
 pub use body::Body;
@@ -78,3 +79,4 @@
 pub use start::reload_signals;
 pub use start::stop_on_signal;
 pub use tokio_util::sync::CancellationToken;
+pub use work_pacer::WorkPacer;
