perf(router): wait for events instead of polling at rest

Tasks of core hosts now wait until the host is one, the schedulers' task until a request waits (or the next evaluation of schedulers is due), renewals until the leader ordered some.

--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -34,12 +34,12 @@
 /// Minimum time between two reports of requested keys.
 const DEMAND_REPORT_INTERVAL_MIN: Millis = Millis(100);
 
+/// Time between two reports of a leaf host, which schedules requests only while it reaches no core host.
+const DEMAND_REPORT_INTERVAL_LEAF: Millis = Millis(500);
+
 /// Largest number of keys in one report, so that the datagram fits into one packet.
 const KEYS_PER_REPORT_MAX: usize = 400;
 
-/// Time between two checks by a leaf host whether it has become a core host.
-const CORE_POLL_INTERVAL: Millis = Millis(50);
-
 /// Time between two messages about free slots. It is as long as a short request runs, so that the counts are still
 /// valid when they are used.
 const FREE_SLOTS_INTERVAL: Millis = Millis(150);
@@ -112,11 +112,8 @@
 
     /// Sends heartbeats at intervals, and at once when the leader's state changes.
     pub(crate) async fn send_heartbeats(self: Rc<Self>) {
+        self.router.source.wait_until_core().await;
         loop {
-            if !self.router.source.is_core_host.get() {
-                self.router.process.clock.sleep(CORE_POLL_INTERVAL).await;
-                continue;
-            }
             let seen = self.leadership.changed.version();
             let leads = self.router.leading_term.get() > 0;
             let heartbeat = Packet::Heartbeat(self.heartbeat(leads));
@@ -142,11 +139,9 @@
 
     /// Sends the free slots of the parts that this host schedules to the other core hosts, at short intervals.
     pub(crate) async fn send_free_slots(self: Rc<Self>) {
+        self.router.source.wait_until_core().await;
         loop {
             self.router.process.clock.sleep(FREE_SLOTS_INTERVAL).await;
-            if !self.router.source.is_core_host.get() {
-                continue;
-            }
             let free = scheduling::free_slots(&self.router);
             if free.is_empty() {
                 continue;
@@ -163,9 +158,12 @@
     pub(crate) async fn report_key_demand(self: Rc<Self>) {
         loop {
             let hosts = self.router.peers.borrow().addrs().len() as u64;
-            let pause = DEMAND_REPORT_PER_HOST
+            let mut pause = DEMAND_REPORT_PER_HOST
                 .saturating_mul(hosts)
                 .max(DEMAND_REPORT_INTERVAL_MIN);
+            if !self.router.source.is_core_host.get() {
+                pause = pause.max(DEMAND_REPORT_INTERVAL_LEAF);
+            }
             self.router.process.clock.sleep(pause).await;
             let demands = self.take_key_demand();
             if self.router.leading_term.get() > 0 {
--- a/crates/chicoryrail-router/src/control/leader/elect.rs
+++ b/crates/chicoryrail-router/src/control/leader/elect.rs
@@ -1,5 +1,6 @@
 //! Leader election: one host at a time owns the leader's key in the store, under a store lease.
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
@@ -7,6 +8,7 @@
 use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::StoreError;
 use chicoryrail_platform::Txn;
+use futures_util::future::select;
 use rand::Rng;
 
 use crate::control::config_feed::follow::LIVE;
@@ -42,6 +44,9 @@
 
 /// Campaigns whenever there is no leader, and leads after each election that this host wins.
 pub(crate) async fn run_election(router: Rc<Router>, leadership: Rc<LeaderTerm>) {
+    let core = pin!(router.source.wait_until_core());
+    let stopped = pin!(router.process.stop.cancelled());
+    select(core, stopped).await;
     loop {
         router.process.clock.sleep(LEADER_CHECK_INTERVAL).await;
         if router.process.stop.is_cancelled() {
--- a/crates/chicoryrail-router/src/control/leader/renewals.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewals.rs
@@ -20,6 +20,7 @@
 use chicoryrail_ownership::keys::Renewer;
 use chicoryrail_platform::KeyError;
 use chicoryrail_platform::KeyGrant;
+use chicoryrail_runtime::ChangeSignal;
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
 use http::Request;
@@ -73,6 +74,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Renewals {
     services: RefCell<BTreeMap<ServiceName, ServiceRenewals>>,
+    /// Notified when the leader replied to a poll.
+    replied: ChangeSignal,
 }
 
 /// How a renewal ended.
@@ -154,6 +157,7 @@
                 None => {}
             }
         }
+        self.replied.notify();
     }
 
     /// Drops the orders of earlier terms.
@@ -202,6 +206,7 @@
 /// Polls the leader for what this host renews, while it is a core host in front of many servers with keys.
 pub(crate) async fn follow_renewal_orders(router: Rc<Router>, renewals: Rc<Renewals>) {
     let client = HttpClient::default();
+    router.source.wait_until_core().await;
     loop {
         let Some(leader) = leader_to_poll(&router) else {
             router.process.clock.sleep(IDLE_INTERVAL).await;
@@ -276,9 +281,9 @@
 /// Sends the renewals that are due.
 pub(crate) async fn run_renewals(router: Rc<Router>, renewals: Rc<Renewals>) {
     loop {
-        let now = router.now();
+        let (seen, now) = (renewals.replied.version(), router.now());
         if !renewals.is_permitted(now) {
-            router.process.clock.sleep(RENEWAL_CHECK_INTERVAL).await;
+            renewals.replied.wait_past(seen).await;
             continue;
         }
         renewals.drop_before(router.peers.borrow().highest_term());
--- a/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
@@ -4,6 +4,7 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::SchedulerHost;
+use monoio::time::timeout;
 
 use crate::control::scheduling::requests::assign_waiting;
 use crate::messages::PartName;
@@ -30,7 +31,7 @@
     let mut logged = router.now();
     let mut rendezvous = Rendezvous::default();
     loop {
-        router.process.clock.sleep(WAITING_POLL_INTERVAL).await;
+        await_waiting(&router).await;
         if router.now().since(rendezvous.evaluated_at) >= RENDEZVOUS_INTERVAL {
             rendezvous.evaluate(&router);
         }
@@ -44,6 +45,17 @@
     }
 }
 
+/// Waits until the waiting requests are due to be looked at, or the next evaluation if none waits.
+async fn await_waiting(router: &Router) {
+    let seen = router.schedulers.enqueued.version();
+    if !waiting_parts(router).is_empty() {
+        router.process.clock.sleep(WAITING_POLL_INTERVAL).await;
+        return;
+    }
+    let enqueued = router.schedulers.enqueued.wait_past(seen);
+    let _ = timeout(RENDEZVOUS_INTERVAL.to_duration(), enqueued).await;
+}
+
 fn waiting_parts(router: &Router) -> Vec<PartName> {
     let schedulers = router.schedulers.by_part.borrow();
     let waiting = schedulers.iter().filter(|(_, s)| s.queue_length() > 0);
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -116,6 +116,7 @@
         .borrow()
         .contains_key(&query.ticket)
     {
+        router.schedulers.enqueued.notify();
         reply_to(router, from, query.ticket, SlotReply::Waits);
     }
 }
--- a/crates/chicoryrail-router/src/state/schedulers.rs
+++ b/crates/chicoryrail-router/src/state/schedulers.rs
@@ -11,6 +11,7 @@
 use chicoryrail_core::ServiceName;
 use chicoryrail_policy::RemoteFreeSlots;
 use chicoryrail_policy::Scheduler;
+use chicoryrail_runtime::ChangeSignal;
 
 use crate::messages::PartName;
 use crate::messages::PartRoom;
@@ -33,6 +34,8 @@
     pub(crate) by_part: RefCell<BTreeMap<PartName, Scheduler>>,
     /// Origin of each slot query, by ticket.
     pub(crate) origins: RefCell<HashMap<u64, QueryOrigin>>,
+    /// Notified when a request begins to wait.
+    pub(crate) enqueued: ChangeSignal,
     /// Data centres; a position in this list identifies one in the schedulers.
     dcs: RefCell<Vec<DcName>>,
     /// Free slots that the schedulers of partitioned services reported.
--- a/crates/chicoryrail-router/src/state/source.rs
+++ b/crates/chicoryrail-router/src/state/source.rs
@@ -23,6 +23,8 @@
 pub(crate) struct SourceState {
     /// Whether this is a core host: it is listed in the store, schedules requests and may lead.
     pub(crate) is_core_host: Cell<bool>,
+    /// Notified when this host becomes a core host.
+    became_core: ChangeSignal,
     /// When the list of core hosts was first read; `None` before that.
     pub(crate) core_hosts_read_at: Cell<Option<Millis>>,
     pub(crate) source: Cell<Source>,
@@ -33,6 +35,19 @@
 }
 
 impl SourceState {
+    /// Records that this host is a core host from now on.
+    pub(crate) fn set_core_host(&self) {
+        self.is_core_host.set(true);
+        self.became_core.notify();
+    }
+
+    /// Waits until this host is a core host.
+    pub(crate) async fn wait_until_core(&self) {
+        while !self.is_core_host.get() {
+            self.became_core.wait_past(self.became_core.version()).await;
+        }
+    }
+
     /// Returns `true` if this host watches the store itself.
     pub(crate) fn watches(&self) -> bool {
         self.source.get() == Source::Store
