fix(leader): let other hosts grant the first keys, too

At the first assignment the leader granted each server its keys itself, and kept a connection to each: 5,017 files and 140 MB on the fleet, more than a host has at twice the size. Servers are now distributed as soon as an assignment is planned. keys_of_a_large_fleet_are_served_at_every_host bounds the leader's connections.

--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -139,6 +139,13 @@
         &self.record
     }
 
+    /// Returns the number of assigned ranges, by the record that is being written if there is one.
+    #[must_use]
+    pub fn planned_ranges(&self) -> usize {
+        let record = self.pending_record.as_ref().unwrap_or(&self.record);
+        record.spans.len()
+    }
+
     /// Returns `true` if a server has seen a higher fencing token, which means that there is another leader.
     #[must_use]
     pub const fn is_deposed(&self) -> bool {
--- a/crates/chicoryrail-router/src/control/leader/delegates.rs
+++ b/crates/chicoryrail-router/src/control/leader/delegates.rs
@@ -105,7 +105,7 @@
         let mut delegates = self.delegates.borrow_mut();
         let mut leases = self.leases.borrow_mut();
         delegates.expire(now);
-        let is_large = leases.record().spans.len() >= DELEGATION_SERVERS_MIN;
+        let is_large = leases.planned_ranges() >= DELEGATION_SERVERS_MIN;
         if !is_large && delegates.by_server.is_empty() {
             return;
         }
--- a/crates/chicoryrail-router/src/control/leader/key_leader.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_leader.rs
@@ -171,8 +171,8 @@
             if planning.is_due(begun) {
                 self.update_servers();
                 self.request_step_down_if_unreachable();
-                self.delegate();
                 self.plan();
+                self.delegate();
                 planning.record(begun, self.router.now());
             }
             let planned = self.router.now();
--- a/crates/chicoryrail-router/tests/large_key_map.rs
+++ b/crates/chicoryrail-router/tests/large_key_map.rs
@@ -83,8 +83,8 @@
 }
 
 /// Guards against hosts that never receive a key map that is longer than a datagram, and against a leader that is too
-/// busy with renewals: the keys are served at every host, they stay served by the renewals of other hosts, and are
-/// served again after the leader was lost.
+/// busy with renewals or has a connection to each server: the keys are served at every host, they stay served by the
+/// renewals of other hosts, and are served again after the leader was lost.
 #[test]
 fn keys_of_a_large_fleet_are_served_at_every_host() {
     block_on(async {
@@ -102,6 +102,8 @@
             routers[leader].log().contains("log=delegates")
         })
         .await;
+        let open_files = routers[leader].open_files();
+        assert!(open_files < SERVERS / 2, "{open_files} at the leader");
         let clock = Clock::start();
         while clock.now() < SERVED_TIME {
             for router in &routers {
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -362,6 +362,12 @@
         nanos / 1e9
     }
 
+    /// Returns the number of open files and connections of the process.
+    pub fn open_files(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).unwrap().count()
+    }
+
     /// Returns the log output so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
