refactor: serve what the fleet's change wrote twice by one piece of code

Found on reading the whole change again; behaviour is meant to stay. - The outcome of a grant, for the leader and for hosts that renew: grant_outcome. - The choice of a host by data centre, power and rendezvous score, for schedulers and renewers: select_by_score. - What remains of a range without others: RangeSet::without in place of a second way to split ranges. - A poll returns the host that it records, which drops a branch that could not be reached; the service time is determined once for each plan. - Tests: entries of servers by ready_member and put_members, the check after the faults by serves_every_key; the assertions are the same.

--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -90,8 +90,8 @@
         })
     }
 
-    /// Returns keys that are assigned to a server, that no delegate grants, not granted to it yet, not possibly held by another server,
-    /// and not in a release in flight to this one. Keys that were released with a handover token are granted
+    /// Returns keys that are assigned to a server and that no delegate grants, not granted to it yet, not possibly held
+    /// by another server, and not in a release in flight to this one. Keys that were released with a handover token are granted
     /// separately, so that the grant carries the token.
     fn grantable(
         &self,
--- a/crates/chicoryrail-ownership/src/keys/key_changes.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_changes.rs
@@ -5,6 +5,7 @@
 use crate::keys::KeyRange;
 use crate::keys::KeyRecord;
 use crate::keys::OwnedRange;
+use crate::keys::range_set::RangeSet;
 use crate::keys::range_set::join_ranges;
 
 /// Changes of the owners from one record to a later one.
@@ -68,15 +69,10 @@
         let mut spans = Vec::with_capacity(record.spans.len() + self.owned.len());
         for owned in &record.spans {
             let first = changed.partition_point(|c| c.last < owned.span.first);
-            let mut rest = Some(owned.span);
-            for range in &changed[first..] {
-                let Some(span) = rest.filter(|span| span.intersect(*range).is_some()) else {
-                    break;
-                };
-                let (before, after) = split_around(span, *range);
-                spans.extend(before.map(|span| OwnedRange::new(span, owned.owner.clone())));
-                rest = after;
-            }
+            let overlapping = changed[first..].iter().copied();
+            let overlapping = overlapping.take_while(|c| c.first <= owned.span.last);
+            let rest = RangeSet::from_range(owned.span).without(overlapping);
+            let rest = rest.into_ranges();
             spans.extend(rest.map(|span| OwnedRange::new(span, owned.owner.clone())));
         }
         spans.extend(self.owned.iter().cloned());
@@ -120,19 +116,6 @@
     }
 }
 
-/// Returns the keys of `span` before and after `removed`.
-fn split_around(span: KeyRange, removed: KeyRange) -> (Option<KeyRange>, Option<KeyRange>) {
-    let before = (span.first < removed.first).then(|| KeyRange {
-        first: span.first,
-        last: removed.first - 1,
-    });
-    let after = (removed.last < span.last).then(|| KeyRange {
-        first: removed.last + 1,
-        last: span.last,
-    });
-    (before, after)
-}
-
 /// Joins adjacent ranges of the same owner.
 fn join_owned(spans: Vec<OwnedRange>) -> Vec<OwnedRange> {
     let mut joined: Vec<OwnedRange> = Vec::with_capacity(spans.len());
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -204,17 +204,7 @@
         });
         let own = (own_name, own_state, SchedulerHost::Here);
         let own = own_state.schedules.then_some(own);
-        let scored = others.chain(own).map(|(host, state, scheduler)| {
-            let preferred = dc.is_some() && state.dc.as_ref() == dc && is_strong(state.power);
-            (
-                (preferred, rendezvous_score(host, state.power, name)),
-                scheduler,
-            )
-        });
-        let highest = scored.max_by(|((a_preferred, a), _), ((b_preferred, b), _)| {
-            a_preferred.cmp(b_preferred).then_with(|| a.total_cmp(b))
-        });
-        highest.map_or(SchedulerHost::Here, |(_, scheduler)| scheduler)
+        select_by_score(others.chain(own), dc, name).unwrap_or(SchedulerHost::Here)
     }
 
     /// Returns a hash of the other hosts that schedule, which changes when one joins, leaves or changes its
@@ -376,14 +366,23 @@
     dc: &DcName,
     name: &impl Hash,
 ) -> Option<&'a HostName> {
-    let scored = hosts.map(|(host, state)| {
-        let preferred = state.dc.as_ref() == Some(dc) && is_strong(state.power);
-        ((preferred, rendezvous_score(host, state.power, name)), host)
-    });
-    let best = scored.max_by(|((a_preferred, a), _), ((b_preferred, b), _)| {
-        a_preferred.cmp(b_preferred).then_with(|| a.total_cmp(b))
+    let hosts = hosts.map(|(host, state)| (host, state, host));
+    select_by_score(hosts, Some(dc), name)
+}
+
+/// Selects the value of the host with the highest weighted rendezvous score for `name`; if `dc` has strong hosts, one of
+/// them.
+fn select_by_score<'a, T>(
+    hosts: impl Iterator<Item = (&'a HostName, &'a HostState, T)>,
+    dc: Option<&DcName>,
+    name: &impl Hash,
+) -> Option<T> {
+    let scored = hosts.map(|(host, state, value)| {
+        let preferred = dc.is_some() && state.dc.as_ref() == dc && is_strong(state.power);
+        (preferred, rendezvous_score(host, state.power, name), value)
     });
-    best.map(|(_, host)| host)
+    let highest = scored.max_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)));
+    highest.map(|(_, _, value)| value)
 }
 
 /// Returns a host's weighted rendezvous score for a name. The probability that a host has the highest score is in
--- a/crates/chicoryrail-ownership/tests/model_keys/main.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/main.rs
@@ -44,6 +44,17 @@
     }
 }
 
+/// Returns `true` if a server holds each sampled key, or none is reachable that could.
+fn serves_every_key(world: &World) -> bool {
+    let mut servers = world.servers.iter();
+    let reachable = servers.any(|s| s.up && s.reachable && !s.leaving);
+    let held = (0..SAMPLE_COUNT).filter(|i| {
+        let mut all = world.servers.iter();
+        all.any(|s| s.up && s.keys[*i].until > world.now)
+    });
+    !reachable || held.count() == SAMPLE_COUNT
+}
+
 /// Timing that a leader assumes whose predecessors may have had delegates.
 fn delegating_timing() -> KeyTiming {
     let timing = KeyTiming::default();
@@ -87,15 +98,7 @@
     for seed in 0..40 {
         let world = World::new(seed, KeyTiming::default(), delegating_timing());
         let world = world.with_renewing_hosts().run();
-        let reachable = world
-            .servers
-            .iter()
-            .any(|s| s.up && s.reachable && !s.leaving);
-        let held = (0..SAMPLE_COUNT).filter(|i| {
-            let mut all = world.servers.iter();
-            all.any(|s| s.up && s.keys[*i].until > world.now)
-        });
-        assert!(!reachable || held.count() == SAMPLE_COUNT, "seed {seed}");
+        assert!(serves_every_key(&world), "seed {seed}");
     }
 }
 
@@ -104,15 +107,7 @@
 fn every_key_is_served_again_after_the_faults() {
     for seed in 0..40 {
         let world = World::new(seed, KeyTiming::default(), KeyTiming::default()).run();
-        let reachable = world
-            .servers
-            .iter()
-            .any(|s| s.up && s.reachable && !s.leaving);
-        let held = (0..SAMPLE_COUNT).filter(|i| {
-            let mut all = world.servers.iter();
-            all.any(|s| s.up && s.keys[*i].until > world.now)
-        });
-        assert!(!reachable || held.count() == SAMPLE_COUNT, "seed {seed}");
+        assert!(serves_every_key(&world), "seed {seed}");
     }
 }
 
--- a/crates/chicoryrail-router/src/control/leader/delegates.rs
+++ b/crates/chicoryrail-router/src/control/leader/delegates.rs
@@ -61,26 +61,22 @@
 }
 
 impl Delegates {
-    /// Records a poll of a host.
-    fn record_poll(&mut self, now: Millis, poll: &RenewalPoll) {
-        let state = HostState {
-            power: poll.power,
-            dc: Some(poll.dc.clone()),
-            ..HostState::default()
-        };
-        match self.hosts.get_mut(&poll.host) {
-            Some(known) => known.polled_at = now,
-            None => {
-                self.hosts_changed = true;
-                let delegate = Delegate {
-                    state,
-                    polled_at: now,
-                    version: 0,
-                    sent: None,
-                };
-                self.hosts.insert(poll.host.clone(), delegate);
-            }
-        }
+    /// Records a poll of a host and returns the host.
+    fn record_poll(&mut self, now: Millis, poll: &RenewalPoll) -> &mut Delegate {
+        self.hosts_changed |= !self.hosts.contains_key(&poll.host);
+        let delegate = self.hosts.entry(poll.host.clone());
+        let delegate = delegate.or_insert_with(|| Delegate {
+            state: HostState {
+                power: poll.power,
+                dc: Some(poll.dc.clone()),
+                ..HostState::default()
+            },
+            polled_at: now,
+            version: 0,
+            sent: None,
+        });
+        delegate.polled_at = now;
+        delegate
     }
 
     /// Drops the hosts that have not polled for too long.
@@ -145,7 +141,6 @@
             self.apply_report(now, report);
         }
         let mut delegates = self.delegates.borrow_mut();
-        delegates.record_poll(now, poll);
         let servers = delegates.by_server.iter();
         let mut lives: Vec<Life> = servers
             .filter(|(_, host)| **host == poll.host)
@@ -153,13 +148,7 @@
             .collect();
         lives.sort();
         let content = self.order_content(now, &lives);
-        let Some(delegate) = delegates.hosts.get_mut(&poll.host) else {
-            return ServiceOrder {
-                service: self.service.clone(),
-                version: 0,
-                order: None,
-            };
-        };
+        let delegate = delegates.record_poll(now, poll);
         if delegate.sent.as_ref() != Some(&content) {
             delegate.version += 1;
             delegate.sent = Some(content.clone());
--- a/crates/chicoryrail-router/src/control/leader/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -11,6 +11,7 @@
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::KeyTiming;
 use chicoryrail_ownership::keys::ReleaseOutcome;
+use chicoryrail_platform::GrantReply;
 use chicoryrail_platform::KeyError;
 use chicoryrail_platform::KeyGrant;
 use chicoryrail_platform::StoreError;
@@ -107,15 +108,7 @@
             let reason = "not sent: leadership is no longer confirmed".to_owned();
             Err(KeyError::NoResponse { reason })
         };
-        let (outcome, name) = match &result {
-            Ok(_) => (GrantOutcome::Granted, "held"),
-            Err(KeyError::StaleFence) => (GrantOutcome::StaleFence, "fence_old"),
-            Err(KeyError::OtherServer) => (GrantOutcome::OtherServer, "other_server"),
-            // A refusal for any other reason counts as no answer.
-            Err(KeyError::NoResponse { .. } | KeyError::Refused { .. }) => {
-                (GrantOutcome::NoResponse, "silent")
-            }
-        };
+        let (outcome, name) = grant_outcome(&result);
         self.grants_in_flight.set(self.grants_in_flight.get() - 1);
         self.record_call_metrics("grant", name, started);
         if let Err(e) = &result {
@@ -192,3 +185,18 @@
             .observe(seconds);
     }
 }
+
+/// Returns the outcome of a grant, and its name in logs and metrics. A refusal for a reason of its own counts as no
+/// answer.
+pub(super) const fn grant_outcome(
+    result: &Result<GrantReply, KeyError>,
+) -> (GrantOutcome, &'static str) {
+    match result {
+        Ok(_) => (GrantOutcome::Granted, "held"),
+        Err(KeyError::StaleFence) => (GrantOutcome::StaleFence, "fence_old"),
+        Err(KeyError::OtherServer) => (GrantOutcome::OtherServer, "other_server"),
+        Err(KeyError::NoResponse { .. } | KeyError::Refused { .. }) => {
+            (GrantOutcome::NoResponse, "silent")
+        }
+    }
+}
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -52,7 +52,8 @@
         if self.leases.borrow().is_write_pending() {
             return;
         }
-        let candidates = self.candidates(now, self.awaits_servers(now));
+        let service_time = self.service_time();
+        let candidates = self.candidates(now, self.awaits_servers(now, service_time));
         // After an outage, former owners that can't be reached keep their key leases for many seconds. The load of the
         // others is balanced meanwhile; otherwise a range that becomes busy would overload its server for that time.
         let moves = match now.since(self.last_change_at.get()) {
@@ -60,7 +61,6 @@
             since if since >= RELIEF_INTERVAL => Moves::Urgent,
             _ => Moves::Required,
         };
-        let service_time = self.service_time();
         let plan = self
             .leadership
             .with_load(now, &self.service, service_time, |load| {
@@ -101,8 +101,7 @@
     }
 
     /// Returns `true` if servers are still registering and nobody requests keys meanwhile.
-    fn awaits_servers(&self, now: Millis) -> bool {
-        let service_time = self.service_time();
+    fn awaits_servers(&self, now: Millis, service_time: Millis) -> bool {
         let with_load = |load: &KeyLoad| load.total() >= REQUESTED_MIN;
         if self
             .leadership
--- a/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
@@ -7,10 +7,8 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::keys::DELEGATION_SERVERS_MIN;
-use chicoryrail_ownership::keys::GrantOutcome;
 use chicoryrail_ownership::keys::KeyTiming;
 use chicoryrail_ownership::keys::Renewal;
-use chicoryrail_platform::KeyError;
 use chicoryrail_platform::KeyGrant;
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
@@ -20,6 +18,7 @@
 
 use crate::control::leader::delegates::RENEWALS_PATH;
 use crate::control::leader::grant_limit::grants_in_flight_max;
+use crate::control::leader::key_calls::grant_outcome;
 use crate::control::leader::renewals::RenewalResult;
 use crate::control::leader::renewals::Renewals;
 use crate::messages::RenewalPoll;
@@ -176,14 +175,7 @@
         .control
         .grant(renewal.addr, &life.name, &grant, timeout)
         .await;
-    let (outcome, name) = match &result {
-        Ok(_) => (GrantOutcome::Granted, "held"),
-        Err(KeyError::StaleFence) => (GrantOutcome::StaleFence, "fence_old"),
-        Err(KeyError::OtherServer) => (GrantOutcome::OtherServer, "other_server"),
-        Err(KeyError::NoResponse { .. } | KeyError::Refused { .. }) => {
-            (GrantOutcome::NoResponse, "silent")
-        }
-    };
+    let (outcome, name) = grant_outcome(&result);
     let calls = &router.counters.key_calls;
     calls.with_label_values(&["renewal", name]).inc();
     match result {
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -30,7 +30,7 @@
 
 /// Time after which a caller should retry if this host has no configuration.
 const NO_CONFIG_RETRY_AFTER: Millis = Millis(300);
-/// The same if the configuration of this host may be outdated.
+/// Time after which a caller should retry if this host's configuration may be outdated.
 const STALE_CONFIG_RETRY_AFTER: Millis = Millis(500);
 
 /// Serves a caller's request.
--- a/crates/chicoryrail-router/tests/large_key_map.rs
+++ b/crates/chicoryrail-router/tests/large_key_map.rs
@@ -4,12 +4,7 @@
 
 use std::rc::Rc;
 
-use chicoryrail_core::Life;
-use chicoryrail_core::Member;
-use chicoryrail_core::MemberState;
 use chicoryrail_core::Millis;
-use chicoryrail_platform::Txn;
-use chicoryrail_platform::write_member;
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetOptions;
@@ -18,15 +13,13 @@
 use support::RouterProcess;
 use support::Server;
 use support::World;
+use support::ready_member;
 use support::wait_until;
 
 /// Number of servers. With names of [`NAME_LENGTH`] characters, their map is longer than the 65,507 bytes of a datagram.
 const SERVERS: usize = 900;
 const NAME_LENGTH: usize = 64;
 
-/// Number of servers in one transaction of the store.
-const SERVERS_PER_TXN: usize = 30;
-
 /// Number of sampled keys, evenly spaced over the key space.
 const SAMPLES: u16 = 48;
 
@@ -44,22 +37,11 @@
         })
     });
     let servers: Vec<_> = servers.collect();
-    for group in servers.chunks(SERVERS_PER_TXN) {
-        let txn = group.iter().fold(Txn::default(), |txn, server| {
-            let member = Member {
-                life: Life::new(server.name.as_str().into(), 1),
-                service: "kits".into(),
-                addr: server.addr,
-                dc: "west".into(),
-                slots: 2,
-                state: MemberState::Ready,
-                warmup_left: Millis::ZERO,
-            };
-            let key = format!("servers/{}", server.name);
-            txn.put(&key, &write_member(&member).unwrap())
-        });
-        world.store.commit(&txn).await.unwrap();
-    }
+    let members = servers
+        .iter()
+        .map(|s| ready_member(&s.name, "kits", s.addr));
+    let members: Vec<_> = members.collect();
+    world.put_members(&members).await;
     servers
 }
 
--- a/crates/chicoryrail-router/tests/support/mod.rs
+++ b/crates/chicoryrail-router/tests/support/mod.rs
@@ -9,4 +9,5 @@
 pub use world::Caller;
 pub use world::RouterProcess;
 pub use world::World;
+pub use world::ready_member;
 pub use world::wait_until;
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -48,6 +48,22 @@
 /// CPU share of a host that remains a leaf host while there are enough core hosts.
 const LOW_CPU_SHARE: &str = "0.05";
 
+/// Number of entries in one transaction of the store.
+const MEMBERS_PER_TXN: usize = 32;
+
+/// Returns the entry of a ready server with two slots.
+pub fn ready_member(name: &str, service: &str, addr: SocketAddr) -> Member {
+    Member {
+        life: Life::new(name.into(), 1),
+        service: service.into(),
+        addr,
+        dc: "west".into(),
+        slots: 2,
+        state: MemberState::Ready,
+        warmup_left: Millis::ZERO,
+    }
+}
+
 /// Polls `done` every 10 ms until it returns `true`.
 ///
 /// # Panics
@@ -186,15 +202,7 @@
 
     /// Writes the entry of a server that does not maintain one itself; the entry expires after `ttl`.
     pub async fn register(&self, server: &Server, service: &str, ttl: Millis) {
-        let member = Member {
-            life: Life::new(server.name.as_str().into(), 1),
-            service: service.into(),
-            addr: server.addr,
-            dc: "west".into(),
-            slots: 2,
-            state: MemberState::Ready,
-            warmup_left: Millis::ZERO,
-        };
+        let member = ready_member(&server.name, service, server.addr);
         let key = format!("servers/{}", server.name);
         let lease = self.store.open_lease(ttl).await.unwrap();
         let value = write_member(&member).unwrap();
@@ -202,6 +210,17 @@
         self.store.commit(&txn).await.unwrap();
     }
 
+    /// Writes the entries of servers that do not maintain one themselves; they do not expire.
+    pub async fn put_members(&self, members: &[Member]) {
+        for group in members.chunks(MEMBERS_PER_TXN) {
+            let txn = group.iter().fold(Txn::default(), |txn, member| {
+                let key = format!("servers/{}", member.life.name);
+                txn.put(&key, &write_member(member).unwrap())
+            });
+            self.store.commit(&txn).await.unwrap();
+        }
+    }
+
     /// Returns the number of watches that the store has opened so far.
     pub async fn watch_requests(&self) -> u64 {
         let request = Request::get("/testkit/stats").body(Bytes::new()).unwrap();
