feat(logs): say why a connection failed and on whose report a server is paused

Callers of hosts in touch were refused with servers idle while other hosts were cut off from the servers, and no line told whether schedulers paused sound servers or slots were lost. connect_failed gives reason and duration, server_paused the last reporter, scheduler_refused the number of paused servers. No decision changes.

--- a/crates/chicoryrail-policy/src/local/server_view.rs
+++ b/crates/chicoryrail-policy/src/local/server_view.rs
@@ -126,8 +126,9 @@
         }
     }
 
-    /// Records a failure, and pauses the server if it is full or its connections fail repeatedly.
-    pub(crate) fn record_failure(&mut self, now: Millis, failure: Failure) {
+    /// Records a failure, and pauses the server if it is full or its connections fail repeatedly. Returns the pause of a
+    /// server whose connections fail.
+    pub(crate) fn record_failure(&mut self, now: Millis, failure: Failure) -> Option<Millis> {
         match failure {
             Failure::Full => {
                 self.paused_until = self.paused_until.max(now + FULL_SERVER_PAUSE);
@@ -140,9 +141,11 @@
                 let pause =
                     BROKEN_SERVER_PAUSE.saturating_mul(u64::from(self.broken_sends.min(4)) - 1);
                 self.paused_until = self.paused_until.max(now + pause);
+                return Some(pause).filter(|p| *p > Millis::ZERO);
             }
             Failure::Error | Failure::Silent => self.record_outcome(now, true),
         }
+        None
     }
 
     fn record_outcome(&mut self, now: Millis, failed: bool) {
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -99,11 +99,17 @@
         waiting.filter_map(|w| Some((w.request.ticket, w.request.key?)))
     }
 
-    /// Records how a send ended.
-    pub fn release(&mut self, now: Millis, end: &SlotRelease) {
-        if let Some(slots) = self.servers.get_mut(&end.server) {
-            slots.release(now, end.ticket, end.elapsed_us, end.failure, end.report);
-        }
+    /// Records how a send ended. Returns how long the server is paused if its connections fail repeatedly.
+    pub fn release(&mut self, now: Millis, end: &SlotRelease) -> Option<Millis> {
+        let slots = self.servers.get_mut(&end.server)?;
+        slots.release(now, end.ticket, end.elapsed_us, end.failure, end.report)
+    }
+
+    /// Returns the number of servers that accept work and get none because they were full or their connections failed.
+    #[must_use]
+    pub fn paused_servers(&self, now: Millis) -> usize {
+        let accepting = self.servers.values().filter(|s| s.state.accepting);
+        accepting.filter(|s| s.is_paused(now)).count()
     }
 
     /// Returns the decisions that are due, each with the ticket of its request. `placement` returns where the requests
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -246,6 +246,7 @@
     }
 
     /// Records the end of a request. A request that is not in flight was sent without this scheduler, or has expired.
+    /// Returns the pause of a server whose connections fail.
     pub(crate) fn release(
         &mut self,
         now: Millis,
@@ -253,13 +254,13 @@
         response_us: Option<f64>,
         failure: Option<Failure>,
         report: Option<LoadReport>,
-    ) {
+    ) -> Option<Millis> {
         let in_flight = self.in_flight.remove(&ticket);
         if let Some(report) = report {
             self.view.apply_report(now, report);
         }
         match (failure, in_flight) {
-            (Some(failure), _) => self.view.record_failure(now, failure),
+            (Some(failure), _) => return self.view.record_failure(now, failure),
             (None, Some(in_flight)) => {
                 if let Some(response_us) = response_us {
                     self.view
@@ -268,6 +269,12 @@
             }
             (None, None) => {}
         }
+        None
+    }
+
+    /// Returns `true` if the server gets no requests now because it was full or its connections failed.
+    pub(crate) fn is_paused(&self, now: Millis) -> bool {
+        self.view.is_paused(now)
     }
 
     /// Removes requests for which no report of their end arrived.
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -38,7 +38,7 @@
 pub(crate) fn handle_packet(router: &Rc<Router>, packet: &Packet, from: Option<SocketAddr>) {
     match packet {
         Packet::SlotQuery(query) => handle_query(router, query, from),
-        Packet::SlotEnd(end) => handle_end(router, end),
+        Packet::SlotEnd(end) => handle_end(router, end, from),
         Packet::Leave { part, ticket } => remove_request(router, part, *ticket),
         Packet::Rooms(parts) => {
             for part in parts {
@@ -127,7 +127,9 @@
 }
 
 /// Applies the end of a request at a server: its slot is free, and the server's estimates are updated.
-fn handle_end(router: &Rc<Router>, end: &SlotEnd) {
+///
+/// `from` is the host that sent the request, `None` for this one.
+fn handle_end(router: &Rc<Router>, end: &SlotEnd, from: Option<SocketAddr>) {
     let service = router.service(&end.part.service);
     let Some(target) = service.target(&end.server) else {
         return;
@@ -158,11 +160,22 @@
         target.record_rate_limit(now, rate.into());
     }
     if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(&end.part) {
-        scheduler.release(now, &release);
+        let pause = scheduler.release(now, &release);
+        log_pause(router, end, from, pause);
     }
     assign_waiting(router, &end.part);
 }
 
+/// Logs that a server gets no requests for a time because its connections failed repeatedly.
+fn log_pause(router: &Router, end: &SlotEnd, from: Option<SocketAddr>, pause: Option<Millis>) {
+    let Some(pause) = pause else {
+        return;
+    };
+    let reporter = from.unwrap_or_else(|| router.peer_addr());
+    log::info!(server:% = end.server, service:% = end.part.service, failure:? = end.kind,
+        reporter:% = reporter, pause_ms = pause.0; "server_paused");
+}
+
 /// Redirects waiting requests after their keys moved to a server that another host schedules.
 ///
 /// The other host does not know of requests that this host assigns to that server, so together they could use more than
@@ -244,8 +257,9 @@
         let schedulers = router.schedulers.by_part.borrow();
         let scheduler = schedulers.get(part);
         let (busy, slots) = scheduler.map_or((0, 0), Scheduler::occupancy);
+        let paused = scheduler.map_or(0, |s| s.paused_servers(router.now()));
         log::info!(request = origin.id, service:% = service.name, room_in_ms = after, busy = busy,
-            slots = slots, waiting = scheduler.map_or(0, Scheduler::queue_length);
+            slots = slots, waiting = scheduler.map_or(0, Scheduler::queue_length), paused = paused;
             "scheduler_refused");
     }
     reply_to(router, origin.from, ticket, reply);
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -94,10 +94,12 @@
     body: &Rc<RequestBody>,
     mut in_flight: InFlight,
 ) -> SendOutcome {
+    let begun = router.now();
     let conn = match target.pool.acquire(target.addr).await {
         Ok(conn) => conn,
         Err(e) => {
-            log::debug!(request = call.id, server:% = target.life, error:% = e; "connect");
+            log::info!(request = call.id, server:% = target.life, error:% = e,
+                took_ms = router.now().since(begun).0; "connect_failed");
             return SendOutcome::NotRun(NotRun::Unreachable);
         }
     };
