test(router): hosts that lost their paths to servers, failing

Callers of a host without a path to the servers are refused, callers of the other hosts wait for servers that were paused on its reports, and a leader that is cut off lets leases of sound servers lapse. The runtime gets a feature, enabled by the testkit only, that cuts the paths from one process to chosen addresses: on loopback nothing outside the process can tell hosts apart.

--- /dev/null
+++ b/crates/chicoryrail-router/tests/cut_hosts.rs
@@ -0,0 +1,204 @@
+//! Hosts that have lost their paths to servers, which the store and the other hosts still reach.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::Clock;
+use chicoryrail_runtime::block_on;
+use futures_util::future::join;
+use futures_util::future::join_all;
+use rstest::rstest;
+use support::Cut;
+use support::RouterProcess;
+use support::Server;
+use support::World;
+use support::wait_until;
+
+/// Share of first attempts that are to be served in time while some hosts are cut off and no server is lost.
+const SERVED_SHARE_MIN: f64 = 0.9;
+
+/// `target_latency_ms` of all routes.
+const LATENCY_TARGET: Millis = Millis(300);
+
+/// Time after a cut from which that share is to be served.
+const SETTLE_TIME: Millis = Millis(1_000);
+
+/// Time for which requests are counted.
+const COUNTED_TIME: Millis = Millis(2_000);
+
+/// Time from a cut until the key leases of a leader that is cut off would have expired, with a margin.
+const LEASES_EXPIRED: Millis = Millis(4_000);
+
+/// Pause of a caller between two requests: all callers of a test use half of the servers.
+const REQUEST_PAUSE: Millis = Millis(30);
+
+/// Service time of the servers.
+const SERVICE_TIME: Millis = Millis(10);
+
+/// Servers and hosts of a test; the first host is the one that is cut off.
+struct Deployment {
+    world: World,
+    desks: Vec<Rc<Server>>,
+    kits: Vec<Rc<Server>>,
+    hosts: Vec<RouterProcess>,
+}
+
+impl Deployment {
+    async fn start(test: &str) -> Self {
+        let world = World::start(test).await;
+        world.configure().await;
+        let (mut desks, mut kits, mut hosts) = (Vec::new(), Vec::new(), Vec::new());
+        for i in 0..4 {
+            desks.push(world.server(&format!("d-{i}"), "desk").await);
+            kits.push(world.server(&format!("k-{i}"), "kits").await);
+        }
+        for server in desks.iter().chain(&kits) {
+            server.set_work(SERVICE_TIME);
+        }
+        for name in ["a", "b", "c"] {
+            hosts.push(world.router(name).await);
+        }
+        wait_until("all keys are served at each host", async || {
+            let served = hosts.iter().map(|host| host.serves_all_keys());
+            join_all(served).await.into_iter().all(|served| served)
+        })
+        .await;
+        Self {
+            world,
+            desks,
+            kits,
+            hosts,
+        }
+    }
+
+    fn servers(&self) -> Vec<Rc<Server>> {
+        self.desks.iter().chain(&self.kits).cloned().collect()
+    }
+
+    /// Returns the ids of all requests that servers ran.
+    fn executed_ids(&self) -> Vec<String> {
+        let servers = self.servers();
+        servers.iter().flat_map(|s| s.executed_ids()).collect()
+    }
+}
+
+/// First attempts of a host's callers, and those that were served in time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Attempts {
+    sent: usize,
+    served: usize,
+}
+
+impl Attempts {
+    fn served_share(self) -> f64 {
+        self.served as f64 / self.sent as f64
+    }
+}
+
+/// Sends reads, orders and requests with keys to a host one after the other; returns those sent later than `from`.
+async fn send_mix(host: &RouterProcess, from: Millis, until: Millis) -> Attempts {
+    let (clock, caller) = (Clock::start(), host.caller());
+    let mut counts = Attempts::default();
+    let mut round = 0_u16;
+    while clock.now() < until {
+        let sent_at = clock.now();
+        let counted = sent_at >= from;
+        round += 1;
+        let response = match round % 3 {
+            0 => caller.get("/read/x").await,
+            1 => caller.post("/order/x").await,
+            _ => caller.key(round.wrapping_mul(9_973)).await,
+        };
+        let in_time = clock.now().since(sent_at) <= LATENCY_TARGET;
+        let served = in_time && response.is_ok_and(|r| r.status() == 200);
+        counts.sent += usize::from(counted);
+        counts.served += usize::from(counted && served);
+        monoio::time::sleep(REQUEST_PAUSE.to_duration()).await;
+    }
+    counts
+}
+
+/// Sends requests with several callers at once.
+async fn send_mixes(host: &RouterProcess, callers: usize, until: Millis) -> Attempts {
+    let runs = (0..callers).map(|_| send_mix(host, SETTLE_TIME, until));
+    let counts = join_all(runs).await;
+    Attempts {
+        sent: counts.iter().map(|c| c.sent).sum(),
+        served: counts.iter().map(|c| c.served).sum(),
+    }
+}
+
+/// Guards against callers of a host without a path to any server being refused while other hosts reach all of them.
+#[rstest]
+#[case(Cut::Refused)]
+#[case(Cut::Silent)]
+#[case(Cut::NewRefused)]
+fn a_host_cut_from_all_servers_serves_its_callers(#[case] form: Cut) {
+    block_on(async {
+        let deployment = Deployment::start("cut-all").await;
+        let host = &deployment.hosts[0];
+        host.cut_from(&deployment.servers(), form);
+        let attempts = send_mix(host, SETTLE_TIME, SETTLE_TIME + COUNTED_TIME).await;
+        assert!(
+            attempts.served_share() >= SERVED_SHARE_MIN,
+            "{attempts:?}, {form:?}"
+        );
+        let ids = deployment.executed_ids();
+        let unique: BTreeSet<_> = ids.iter().collect();
+        assert_eq!(ids.len(), unique.len(), "a request ran twice");
+        drop(deployment.world);
+    });
+}
+
+/// Guards against sound servers being taken from hosts in touch because a host that is cut off can't reach them.
+#[rstest]
+#[case(Cut::Refused)]
+#[case(Cut::Silent)]
+#[case(Cut::NewRefused)]
+fn a_cut_host_takes_no_servers_from_the_others(#[case] form: Cut) {
+    block_on(async {
+        let deployment = Deployment::start("cut-one").await;
+        let (cut, other) = (&deployment.hosts[0], &deployment.hosts[1]);
+        cut.cut_from(&deployment.servers(), form);
+        let until = SETTLE_TIME + COUNTED_TIME;
+        let (_, attempts) = join(send_mixes(cut, 24, until), send_mixes(other, 3, until)).await;
+        assert!(
+            attempts.served_share() >= SERVED_SHARE_MIN,
+            "{attempts:?}, {form:?}"
+        );
+        drop(deployment.world);
+    });
+}
+
+/// Guards against a leader that can't reach servers with keys letting their leases lapse and moving their keys.
+#[rstest]
+#[case(Cut::Refused)]
+#[case(Cut::Silent)]
+#[case(Cut::NewRefused)]
+fn a_cut_leader_takes_no_keys_from_sound_servers(#[case] form: Cut) {
+    block_on(async {
+        let deployment = Deployment::start("cut-leader").await;
+        let hosts = &deployment.hosts;
+        let leader = hosts.iter().find(|h| h.log().contains("log=leader_won"));
+        let leader = leader.expect("a host leads");
+        let owned = |server: &Rc<Server>| (0..=u16::MAX).step_by(64).find(|k| server.owns(*k));
+        let keys: Vec<_> = deployment.kits.iter().map(owned).collect();
+        leader.cut_from(&deployment.kits[1..], form);
+        let runs = hosts
+            .iter()
+            .map(|h| send_mix(h, SETTLE_TIME, LEASES_EXPIRED));
+        for attempts in join_all(runs).await {
+            assert!(
+                attempts.served_share() >= SERVED_SHARE_MIN,
+                "{attempts:?}, {form:?}"
+            );
+        }
+        for (server, key) in deployment.kits.iter().zip(keys) {
+            let key = key.expect("each server owns a key");
+            assert!(server.owns(key), "{} lost {key}, {form:?}", server.name);
+        }
+    });
+}
--- a/crates/chicoryrail-router/tests/support/mod.rs
+++ b/crates/chicoryrail-router/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub use server::Mode;
 pub use server::Server;
 pub use world::Caller;
+pub use world::Cut;
 pub use world::RouterProcess;
 pub use world::World;
 pub use world::ready_member;
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -312,6 +312,7 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_chicoryrail-router"));
         command
             .env(BOOT_VARIABLE, &boot)
+            .env("CHICORYRAIL_CUT_FILE", self.dir.join(format!("{name}.cut")))
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .args(["--log-ordinary", "1", "--log-lines", "5000"])
             .stdout(log)
@@ -323,12 +324,34 @@
             peer_addr,
             child,
             log: self.dir.join(format!("{name}.log")),
+            cut: self.dir.join(format!("{name}.cut")),
             next: Cell::new(0),
             name: name.to_owned(),
         }
     }
 }
 
+/// How connections on a cut path fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// New ones are refused, and open ones are lost.
+    Refused,
+    /// New ones get no answer, and open ones are lost.
+    Silent,
+    /// New ones are refused, and open ones live on.
+    NewRefused,
+}
+
+impl Cut {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+            Self::NewRefused => "new",
+        }
+    }
+}
+
 /// A router process; it is killed on drop.
 pub struct RouterProcess {
     pub callers: SocketAddr,
@@ -336,6 +359,7 @@
     pub peer_addr: SocketAddr,
     child: Child,
     log: PathBuf,
+    cut: PathBuf,
     next: Cell<u32>,
     /// Name of the host, with which the ids of its callers' requests begin.
     pub name: String,
@@ -387,6 +411,33 @@
         std::fs::read_dir(path).unwrap().count()
     }
 
+    /// Returns `true` if this host serves a sample of all keys.
+    pub async fn serves_all_keys(&self) -> bool {
+        let caller = self.caller();
+        for key in (0..=u16::MAX).step_by(4_096) {
+            if !caller.key(key).await.is_ok_and(|r| r.status() == 200) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Cuts the paths from this host to the servers; all its other paths work.
+    pub fn cut_from(&self, servers: &[Rc<Server>], form: Cut) {
+        let lines = servers
+            .iter()
+            .map(|s| format!("{} {}\n", form.word(), s.addr));
+        let new = self.cut.with_extension("new");
+        std::fs::write(&new, lines.collect::<String>()).unwrap();
+        // The process never reads a file that is written in part.
+        std::fs::rename(&new, &self.cut).unwrap();
+    }
+
+    /// Ends the cut.
+    pub fn heal(&self) {
+        std::fs::remove_file(&self.cut).unwrap();
+    }
+
     /// Returns the log output so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
--- a/crates/chicoryrail-runtime/src/connect.rs
+++ b/crates/chicoryrail-runtime/src/connect.rs
@@ -30,6 +30,8 @@
 /// kernel would keep delivering bytes that the path had delayed: a grant of keys from a process that has ended
 /// would reach its server seconds later, when another leader has already moved the keys.
 pub(crate) async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    #[cfg(feature = "fault-injection")]
+    crate::cut_paths::check_new(addr).await?;
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
     socket.set_nodelay(true)?;
@@ -51,6 +53,17 @@
     Ok(stream)
 }
 
+/// Returns `true` if a test has cut the path that an open connection uses.
+pub(crate) fn is_lost(addr: SocketAddr) -> bool {
+    #[cfg(feature = "fault-injection")]
+    return crate::cut_paths::is_lost(addr);
+    #[cfg(not(feature = "fault-injection"))]
+    {
+        let _ = addr;
+        false
+    }
+}
+
 fn in_progress(error: &io::Error) -> bool {
     error.raw_os_error() == Some(nix::errno::Errno::EINPROGRESS as i32)
 }
--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -16,6 +16,7 @@
 
 use crate::ServerConn;
 use crate::body::collect_body_with_progress;
+use crate::connect::is_lost;
 use crate::full_body;
 
 /// Idle connections kept for each address. Control calls rarely overlap, and more connections would count
@@ -202,7 +203,7 @@
         loop {
             let idle = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
             match idle {
-                Some(conn) if conn.sender.is_ready() => return Ok(conn),
+                Some(conn) if conn.sender.is_ready() && !is_lost(addr) => return Ok(conn),
                 Some(_) => {}
                 None => break,
             }
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -24,6 +24,8 @@
 mod callers;
 mod clock;
 mod connect;
+#[cfg(feature = "fault-injection")]
+mod cut_paths;
 mod hop_by_hop;
 mod http_client;
 mod invariant;
--- a/crates/chicoryrail-runtime/src/server_pool.rs
+++ b/crates/chicoryrail-runtime/src/server_pool.rs
@@ -16,6 +16,7 @@
 
 use crate::Body;
 use crate::connect::connect;
+use crate::connect::is_lost;
 
 /// Connections allowed above the number of slots. An abandoned connection counts until its task has ended, and the
 /// connection that replaces it must not wait for that.
@@ -74,7 +75,7 @@
             let Some(mut conn) = self.idle.borrow_mut().pop() else {
                 break;
             };
-            if !conn.sender.is_closed() && conn.sender.ready().await.is_ok() {
+            if !conn.sender.is_closed() && conn.sender.ready().await.is_ok() && !is_lost(addr) {
                 return Ok(conn);
             }
         }
