--- a/crates/chicoryrail-policy/tests/limited_servers.rs
+++ b/crates/chicoryrail-policy/tests/limited_servers.rs
@@ -153,7 +153,9 @@
         }
         for (ticket, decision) in scheduler.poll(Millis(now), |_| Placement::Any) {
             match decision {
-                Decision::Send(server) => scheduler.release(Millis(now), &end(ticket, server, 9e4)),
+                Decision::Send(server) => {
+                    scheduler.release(Millis(now), &end(ticket, server, 9e4));
+                }
                 Decision::Refuse(_) => refused += 1,
             }
         }
