feat(route): pass a request on through another host where the path to its server is lost

What callers saw: a host that had lost its paths to the servers refused nearly every request (4 of 234 first attempts served, others 1092 of 1272) although the servers were idle and other hosts reached them. Cause: a host had one way to a server, its own connection, and took a failed connection for a failed server. Change: a host that can't connect within 120 ms asks another host, near and strong ones first, to send the request to that server. If one reaches it, the path is lost: later requests go through others at once, and a connection is tried each 300 ms while the path is needed. If two others can't connect either, the server has failed, as before. The slot, admission, quota and retries stay with the host that received the request; the other sends it once and to no third. What is 'not run' is said by the host that knows it; a host that does not know the message has not run it. A failure of the path alone is no longer reported to the scheduler, and a host without any way reports not ready after 1 s.

--- a/crates/chicoryrail-policy/src/local/server_notices.rs
+++ b/crates/chicoryrail-policy/src/local/server_notices.rs
@@ -26,6 +26,17 @@
     Withheld(Withheld),
 }
 
+impl SendPermit {
+    /// Returns why the request must not be sent; `None` if it may be.
+    #[must_use]
+    pub const fn withheld(self) -> Option<Withheld> {
+        match self {
+            Self::Granted | Self::LastResort => None,
+            Self::Withheld(why) => Some(why),
+        }
+    }
+}
+
 /// Why a request must not be sent to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Withheld {
--- a/crates/chicoryrail-router/src/listeners.rs
+++ b/crates/chicoryrail-router/src/listeners.rs
@@ -16,8 +16,16 @@
 use crate::control::RENEWALS_PATH;
 use crate::control::serve_relay;
 use crate::control::serve_renewals;
+use crate::route::is_forwarded;
+use crate::route::serve_forwarded;
 use crate::state::Router;
 
+/// Largest head of a request from another host, in bytes.
+const FORWARDED_HEAD_BYTES_MAX: usize = 64 << 10;
+
+/// Maximum number of headers of a request from another host.
+const FORWARDED_HEADERS_MAX: usize = 96;
+
 /// Starts an HTTP listener for readiness and metrics.
 pub(crate) fn serve_observability(
     router: &Rc<Router>,
@@ -41,7 +49,8 @@
     Ok(())
 }
 
-/// Starts the HTTP listener for other hosts: those that use this one as relay, and those that renew leases for it.
+/// Starts the HTTP listener for other hosts: those that use this one as relay, that renew leases for it, and whose
+/// requests it passes on.
 pub(crate) fn start_peer_listener(
     router: &Rc<Router>,
     leadership: &Rc<LeaderTerm>,
@@ -50,16 +59,24 @@
 ) -> Result<(), SettingError> {
     let listener = bind_listener("relay", addr)?;
     let (router, leadership) = (Rc::clone(router), Rc::clone(leadership));
-    let respond = move |request: Request<Body>, _| {
+    let respond = move |request: Request<Body>, from| {
         let (router, leadership) = (Rc::clone(&router), Rc::clone(&leadership));
         async move {
+            if is_forwarded(&request) {
+                return serve_forwarded(router, request, from).await;
+            }
             if request.uri().path() == RENEWALS_PATH {
                 return serve_renewals(router, leadership, request).await;
             }
             serve_relay(router, request).await
         }
     };
-    let limits = HttpLimits::default();
+    // A forwarded request has the caller's headers and some more.
+    let limits = HttpLimits {
+        max_head_bytes: FORWARDED_HEAD_BYTES_MAX,
+        max_headers: FORWARDED_HEADERS_MAX,
+        ..HttpLimits::default()
+    };
     monoio::spawn(serve_http(listener, limits, stop.clone(), respond));
     Ok(())
 }
--- a/crates/chicoryrail-router/src/messages/mod.rs
+++ b/crates/chicoryrail-router/src/messages/mod.rs
@@ -5,6 +5,7 @@
 
 mod codec;
 mod compression;
+mod forward_message;
 mod packet;
 mod part;
 mod quota_message;
@@ -18,6 +19,9 @@
 pub(crate) use compression::ENCODING;
 pub(crate) use compression::compress;
 pub(crate) use compression::decompress;
+pub(crate) use forward_message::FORWARD_PREFIX;
+pub(crate) use forward_message::ForwardEnd;
+pub(crate) use forward_message::ForwardHead;
 pub(crate) use packet::Heartbeat;
 pub(crate) use packet::KeyDemand;
 pub(crate) use packet::KeyRanges;
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -227,6 +227,9 @@
         .server
         .as_ref()
         .map_or_else(|| "-".to_owned(), ToString::to_string);
+    let via = stats
+        .via
+        .map_or_else(|| "-".to_owned(), |addr| addr.to_string());
     let chosen_by = if stats.decided_by_scheduler {
         "scheduler"
     } else {
@@ -239,7 +242,7 @@
     log::info!(request = call.id, route = call.route.name, service:% = call.service_name(),
         status = status.map_or(0, |s| s.as_u16()), cause = cause, retry_after_ms = retry_after,
         took_ms = took.0, waited_ms = stats.waited.0, aim_ms = call.route.latency_target.0,
-        time_ms = time_limit.0, server = server, sends = stats.sends,
+        time_ms = time_limit.0, server = server, sends = stats.sends, via = via,
         chosen_by = chosen_by, key = key, config = call.config_version; "request_{outcome}");
 }
 
@@ -255,7 +258,7 @@
 
 /// Returns `true` if a request that succeeded in time is in the logged sample, one in `--log-ordinary`, selected by a
 /// hash of the request's id; an interval of 0 logs none.
-fn is_sampled(router: &Router, call: &CallerRequest) -> bool {
+pub(super) fn is_sampled(router: &Router, call: &CallerRequest) -> bool {
     let sample_interval = router.options.log_ordinary;
     let hash = call
         .id
@@ -282,10 +285,10 @@
 }
 
 /// Counts a request as being served until the guard is dropped.
-struct ServingGuard(Rc<Router>);
+pub(super) struct ServingGuard(Rc<Router>);
 
 impl ServingGuard {
-    fn new(router: &Rc<Router>) -> Self {
+    pub(super) fn new(router: &Rc<Router>) -> Self {
         router.serving.set(router.serving.get() + 1);
         router.counters.serving.inc();
         Self(Rc::clone(router))
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use chicoryrail_core::Idempotency;
@@ -43,6 +44,8 @@
     pub(crate) decided_by_scheduler: bool,
     /// Number of sends that the server may have executed.
     pub(crate) possible_runs: u32,
+    /// Host that was last asked to pass the request on; `None` if it was only sent directly.
+    pub(crate) via: Option<SocketAddr>,
 }
 
 /// A caller's request.
@@ -93,13 +96,8 @@
         } else {
             None
         };
-        let time_left = call_header::text(&headers, &call_header::TIME_LEFT)
-            .and_then(|t| t.parse::<f64>().ok());
-        let time_left = time_left.map_or(route.timeout, |ms| Millis(ms.max(0.0) as u64));
         Ok(Self {
-            id: call_header::text(&headers, &call_header::REQUEST_ID)
-                .unwrap_or("-")
-                .to_owned(),
+            id: request_id(&headers),
             method: head.method,
             uri: head.uri,
             config_version: site.version,
@@ -107,7 +105,7 @@
             arrived,
             stats: RefCell::default(),
             caller_left: CancellationToken::new(),
-            deadline: arrived + time_left.min(route.timeout),
+            deadline: arrived + time_limit(&headers, &route),
             service,
             headers,
             route,
@@ -116,6 +114,32 @@
         })
     }
 
+    /// Builds a request that another host has admitted and that this host passes on to a server of `service`. Returns
+    /// `None` if this host does not know the route or the service.
+    pub(crate) fn forwarded(router: &Router, head: Parts, service: &ServiceName) -> Option<Self> {
+        let arrived = router.now();
+        let site = router.site()?;
+        let route = find_route(&site, &head)?;
+        let service = site.service(service)?.clone();
+        let headers = chicoryrail_runtime::strip_hop_by_hop(head.headers);
+        Some(Self {
+            id: request_id(&headers),
+            method: head.method,
+            uri: head.uri,
+            config_version: site.version,
+            key: None,
+            arrived,
+            stats: RefCell::default(),
+            caller_left: CancellationToken::new(),
+            deadline: arrived + time_limit(&headers, &route),
+            service,
+            headers,
+            route,
+            organisation: None,
+            has_quota_token: Cell::default(),
+        })
+    }
+
     /// Returns the priority under overload; 0 is served first. The organisation's priority overrides the route's.
     pub(crate) fn priority(&self) -> u8 {
         let priority = self.organisation.as_ref().and_then(|o| o.priority);
@@ -145,6 +169,19 @@
     }
 }
 
+fn request_id(headers: &HeaderMap) -> String {
+    let id = call_header::text(headers, &call_header::REQUEST_ID);
+    id.unwrap_or("-").to_owned()
+}
+
+/// Returns the time that the sender allows, at most the timeout of the route.
+fn time_limit(headers: &HeaderMap, route: &Route) -> Millis {
+    let time_left = call_header::text(headers, &call_header::TIME_LEFT);
+    let time_left = time_left.and_then(|t| t.parse::<f64>().ok());
+    let time_left = time_left.map_or(route.timeout, |ms| Millis(ms.max(0.0) as u64));
+    time_left.min(route.timeout)
+}
+
 /// Returns the route that matches a request's host and path.
 pub(crate) fn find_route(site: &Site, head: &Parts) -> Option<Arc<Route>> {
     let authority = head.headers.get(HOST).and_then(|h| h.to_str().ok());
--- /dev/null
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -0,0 +1,170 @@
+//! Passes on requests of other hosts to servers that those hosts can't reach.
+//!
+//! The other host has admitted the request, holds its slot and decides about retries. This host sends the request to
+//! that server once at most, and to no other host.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use chicoryrail_policy::PathChoice;
+use chicoryrail_policy::Withheld;
+use chicoryrail_runtime::Body;
+use chicoryrail_runtime::RequestBody;
+use chicoryrail_runtime::full_body;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use monoio::time::timeout;
+
+use crate::messages::FORWARD_PREFIX;
+use crate::messages::ForwardEnd;
+use crate::messages::ForwardHead;
+use crate::route::caller::ServingGuard;
+use crate::route::caller::is_sampled;
+use crate::route::caller_request::CallerRequest;
+use crate::route::candidates::permit;
+use crate::route::in_flight::InFlight;
+use crate::route::send::send_directly;
+use crate::route::send_outcome::Indeterminate;
+use crate::route::send_outcome::NotRun;
+use crate::route::send_outcome::SendOutcome;
+use crate::state::Router;
+use crate::state::check_path;
+
+/// Maximum number of requests that this host passes on at a time. Those of its own callers need the rest of its
+/// connections.
+const FORWARDING_MAX: u32 = 256;
+
+/// Returns `true` if another host asks this one to pass a request on.
+pub(crate) fn is_forwarded(request: &Request<Body>) -> bool {
+    let rest = request.uri().path().strip_prefix(FORWARD_PREFIX);
+    rest.is_some_and(|rest| rest.starts_with('/'))
+}
+
+/// Passes a request on to the server that the message names, and returns the server's response or why there is none.
+pub(crate) async fn serve_forwarded(
+    router: Rc<Router>,
+    request: Request<Body>,
+    from: SocketAddr,
+) -> Response<Body> {
+    let _serving = ServingGuard::new(&router);
+    let (mut parts, body) = request.into_parts();
+    let head = ForwardHead::take(&mut parts.headers);
+    let call = strip_prefix(&parts.uri).and_then(|uri| {
+        parts.uri = uri;
+        CallerRequest::forwarded(&router, parts, &head.as_ref()?.service)
+    });
+    let (Some(head), Some(call)) = (head, call) else {
+        return report(ForwardEnd::Unknown);
+    };
+    let started = router.now();
+    let limit = router.site().map_or(u64::MAX, |s| s.limits.max_body);
+    let body = RequestBody::new(body, limit);
+    let (end, response) = match pass_on(&router, &head, &call, &body).await {
+        Ok(response) => (ForwardEnd::Answered, response),
+        Err(end) => (end, report(end)),
+    };
+    let labels = [head.service.as_str(), end.name()];
+    router.counters.forwarded.with_label_values(&labels).inc();
+    if end != ForwardEnd::Answered || is_sampled(&router, &call) {
+        log::info!(request = call.id, server:% = head.life, service:% = head.service,
+            from:% = from.ip(), took_ms = router.now().since(started).0; "forwarded_{}", end.name());
+    }
+    response
+}
+
+fn strip_prefix(uri: &http::Uri) -> Option<http::Uri> {
+    let path = uri.path_and_query()?.as_str();
+    path.strip_prefix(FORWARD_PREFIX)?.parse().ok()
+}
+
+/// Sends the request once, directly.
+async fn pass_on(
+    router: &Rc<Router>,
+    head: &ForwardHead,
+    call: &CallerRequest,
+    body: &Rc<RequestBody>,
+) -> Result<Response<Body>, ForwardEnd> {
+    let _forwarding = ForwardingGuard::begin(router).ok_or(ForwardEnd::Busy)?;
+    let service = router.service(&head.service);
+    let target = service.target(&head.life).ok_or(ForwardEnd::Unknown)?;
+    let now = router.now();
+    if let Some(why) = permit(router, call, &target, now).withheld() {
+        return Err(withheld_end(why));
+    }
+    match service.choose_path(now, &target) {
+        PathChoice::Direct => {}
+        PathChoice::ForwardUnconfirmed => return Err(ForwardEnd::Unreachable),
+        PathChoice::Forward => {
+            check_path(router, &service, &target);
+            return Err(ForwardEnd::NoPath);
+        }
+    }
+    let in_flight = InFlight::new(&service, &target, None);
+    let sending = send_directly(router, call, body, in_flight, true);
+    let sent = timeout(call.time_left(now).to_duration(), sending).await;
+    match sent {
+        Ok(Ok(sent)) => end_of(sent),
+        Ok(Err(_)) => Err(ForwardEnd::Unreachable),
+        Err(_) => Err(ForwardEnd::Silent),
+    }
+}
+
+fn end_of(sent: SendOutcome) -> Result<Response<Body>, ForwardEnd> {
+    Err(match sent {
+        SendOutcome::Answered(response) | SendOutcome::ServerError(response) => {
+            let mut response = response;
+            ForwardEnd::Answered.write(response.headers_mut());
+            return Ok(response);
+        }
+        SendOutcome::NotRun(why) => match why {
+            NotRun::Refused => ForwardEnd::Refused,
+            NotRun::Misdirected => ForwardEnd::Misdirected,
+            NotRun::Withheld(why) => withheld_end(why),
+            NotRun::Unreachable | NotRun::NoPath | NotRun::CallerLeft => ForwardEnd::Unreachable,
+        },
+        SendOutcome::Indeterminate(why) => match why {
+            Indeterminate::Broken => ForwardEnd::Broken,
+            Indeterminate::Crossed => ForwardEnd::Crossed,
+            Indeterminate::Spoiled => ForwardEnd::Spoiled,
+            Indeterminate::Silent => ForwardEnd::Silent,
+        },
+    })
+}
+
+const fn withheld_end(why: Withheld) -> ForwardEnd {
+    match why {
+        Withheld::Draining => ForwardEnd::Draining,
+        Withheld::Backoff(time) => ForwardEnd::Backoff(time),
+    }
+}
+
+/// Builds the message that reports why there is no response of the server.
+fn report(end: ForwardEnd) -> Response<Body> {
+    let mut response = Response::new(full_body(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    end.write(response.headers_mut());
+    response
+}
+
+/// Counts a request that is being passed on until the guard is dropped.
+struct ForwardingGuard(Rc<Router>);
+
+impl ForwardingGuard {
+    /// Returns `None` if as many requests as allowed are being passed on.
+    fn begin(router: &Rc<Router>) -> Option<Self> {
+        let count = router.forwarding.get();
+        if count >= FORWARDING_MAX {
+            return None;
+        }
+        router.forwarding.set(count + 1);
+        Some(Self(Rc::clone(router)))
+    }
+}
+
+impl Drop for ForwardingGuard {
+    fn drop(&mut self) {
+        self.0.forwarding.set(self.0.forwarding.get() - 1);
+    }
+}
--- a/crates/chicoryrail-router/src/route/in_flight.rs
+++ b/crates/chicoryrail-router/src/route/in_flight.rs
@@ -3,8 +3,10 @@
 use std::rc::Rc;
 
 use chicoryrail_runtime::ServerConn;
+use chicoryrail_runtime::ServerPool;
 
 use crate::route::slot_guard::SlotGuard;
+use crate::state::Forwarder;
 use crate::state::Service;
 use crate::state::Target;
 
@@ -14,43 +16,77 @@
 pub(crate) struct InFlight {
     pub(crate) service: Rc<Service>,
     pub(crate) target: Rc<Target>,
-    conn: Option<ServerConn>,
-    /// Released when the request has ended.
-    pub(crate) slot: Rc<SlotGuard>,
+    /// The connection that carries the request, and the pool to which it returns.
+    conn: Option<(ServerConn, Rc<ServerPool>)>,
+    /// The host that passes the request on, if the connection leads there.
+    forwarder: Option<Rc<Forwarder>>,
+    /// Released when the request has ended; `None` if this host passes the request on for another one, which holds the
+    /// slot.
+    pub(crate) slot: Option<Rc<SlotGuard>>,
 }
 
 impl InFlight {
     /// Counts a request that is about to be sent.
-    pub(crate) fn new(service: &Rc<Service>, target: &Rc<Target>, slot: &Rc<SlotGuard>) -> Self {
+    pub(crate) fn new(
+        service: &Rc<Service>,
+        target: &Rc<Target>,
+        slot: Option<Rc<SlotGuard>>,
+    ) -> Self {
         service.loads.borrow_mut().record_send(target.id);
         Self {
             service: Rc::clone(service),
             target: Rc::clone(target),
             conn: None,
-            slot: Rc::clone(slot),
+            forwarder: None,
+            slot,
         }
     }
 
-    /// Attaches the connection that carries the request.
+    /// Attaches the connection to the server that carries the request.
     pub(crate) fn attach(&mut self, conn: ServerConn) -> &mut ServerConn {
-        self.conn.insert(conn)
+        let pool = Rc::clone(&self.target.pool);
+        &mut self.conn.insert((conn, pool)).0
+    }
+
+    /// Attaches the connection to a host that passes the request on.
+    pub(crate) fn attach_forwarder(
+        &mut self,
+        conn: ServerConn,
+        forwarder: &Rc<Forwarder>,
+    ) -> &mut ServerConn {
+        self.detach();
+        forwarder.in_flight.set(forwarder.in_flight.get() + 1);
+        self.forwarder = Some(Rc::clone(forwarder));
+        let pool = Rc::clone(&forwarder.pool);
+        &mut self.conn.insert((conn, pool)).0
+    }
+
+    /// Detaches the connection, with the pool to which it returns if it may be reused. Dropping it closes it.
+    pub(crate) fn detach(&mut self) -> Option<(ServerConn, Rc<ServerPool>)> {
+        if let Some(forwarder) = self.forwarder.take() {
+            forwarder.in_flight.set(forwarder.in_flight.get() - 1);
+        }
+        self.conn.take()
+    }
+
+    /// Returns `true` if the connection leads to the server itself.
+    pub(crate) const fn is_direct(&self) -> bool {
+        self.forwarder.is_none()
     }
 
     /// Ends the request after its complete response. If `reuse` is set, the connection returns to the pool of a server
     /// that is ready.
     pub(crate) fn complete(mut self, reuse: bool) {
-        let conn = self
-            .conn
-            .take()
-            .filter(|_| reuse && self.target.keeps_connections());
-        if let Some(conn) = conn {
-            self.target.pool.release(conn);
+        let keeps = reuse && (!self.is_direct() || self.target.keeps_connections());
+        if let Some((conn, pool)) = self.detach().filter(|_| keeps) {
+            pool.release(conn);
         }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.detach();
         self.service.loads.borrow_mut().record_end(self.target.id);
         self.service.changed.notify();
     }
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -6,6 +6,8 @@
 mod caller_request;
 mod candidates;
 mod choose;
+mod forward;
+mod forwarded;
 mod in_flight;
 mod refusal;
 mod response_body;
@@ -17,3 +19,5 @@
 
 pub(crate) use caller::may_begin_early;
 pub(crate) use caller::serve;
+pub(crate) use forwarded::is_forwarded;
+pub(crate) use forwarded::serve_forwarded;
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -38,6 +38,8 @@
     SlowBody,
     /// The service has no server that accepts work, or none could be reached.
     NoServer,
+    /// This host can't reach the servers that may run the request, and no other host could pass it on.
+    NoPath,
     /// All servers that may run the request are at capacity.
     Full,
     /// The key is being moved to another server, and no server owns it at this moment.
@@ -76,6 +78,7 @@
             Self::BadBody => "bad_body",
             Self::SlowBody => "slow_body",
             Self::NoServer => "no_server",
+            Self::NoPath => "no_path",
             Self::Full => "full",
             Self::KeyMoving => "key_moving",
             Self::Draining => "draining",
@@ -100,6 +103,7 @@
             Self::NoConfig
             | Self::StaleConfig
             | Self::NoServer
+            | Self::NoPath
             | Self::Full
             | Self::KeyMoving
             | Self::Draining
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -1,15 +1,17 @@
 //! Sends a request to a server once.
 
+use std::io;
 use std::rc::Rc;
 use std::time::Instant;
 
 use chicoryrail_core::Millis;
 use chicoryrail_core::RouteKind;
 use chicoryrail_platform::call_header;
-use chicoryrail_policy::SendPermit;
+use chicoryrail_policy::PathChoice;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
+use chicoryrail_runtime::ServerConn;
 use chicoryrail_runtime::is_connection_close;
 use chicoryrail_runtime::strip_hop_by_hop;
 use http::HeaderValue;
@@ -22,6 +24,7 @@
 
 use crate::route::caller_request::CallerRequest;
 use crate::route::candidates::permit;
+use crate::route::forward;
 use crate::route::in_flight::InFlight;
 use crate::route::response_body;
 use crate::route::send_outcome::Indeterminate;
@@ -32,10 +35,15 @@
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
+use crate::state::check_path;
+
+/// Longest wait for a new connection to a server while other hosts can be asked. Servers are a few milliseconds away,
+/// but a host that has used up its CPU quota for the current period of 100 ms connects later.
+const CONNECT_WAIT_MAX: Millis = Millis(120);
 
 /// Sends a request to its assigned server and waits for the response, at most for `response_timeout`.
 pub(crate) async fn send(
-    router: &Router,
+    router: &Rc<Router>,
     service: &Rc<Service>,
     assignment: (Rc<Target>, SlotGuard),
     call: &CallerRequest,
@@ -54,8 +62,8 @@
         call.is_idempotent() || not_run,
         || format!("request={} server={}", call.id, target.life),
     );
-    let in_flight = InFlight::new(service, target, &slot);
-    let exchange = exchange(router, service, target, call, body, in_flight);
+    let in_flight = InFlight::new(service, target, Some(Rc::clone(&slot)));
+    let exchange = exchange(router, call, body, in_flight);
     let sent = match timeout(response_timeout.to_duration(), exchange).await {
         Ok(sent) => sent,
         Err(_) => SendOutcome::Indeterminate(Indeterminate::Silent),
@@ -68,7 +76,10 @@
     }
     let now = router.now();
     let elapsed_us = started.elapsed().as_micros() as f64;
-    slot.record_end(elapsed_us, sent.failure());
+    // A request for which this host found no way says nothing of the server.
+    if !matches!(sent, SendOutcome::NotRun(NotRun::NoPath)) {
+        slot.record_end(elapsed_us, sent.failure());
+    }
     let mut loads = service.loads.borrow_mut();
     match sent.failure() {
         None => {
@@ -85,51 +96,106 @@
     sent
 }
 
-/// Sends a request on a pooled or new connection and handles its response.
+/// Sends a request directly, or through another host if this one can't reach the server.
 async fn exchange(
+    router: &Rc<Router>,
+    call: &CallerRequest,
+    body: &Rc<RequestBody>,
+    in_flight: InFlight,
+) -> SendOutcome {
+    let (service, target) = (&in_flight.service, &in_flight.target);
+    let has_forwarders = forward::has_forwarders(router);
+    let path = service.choose_path(router.now(), target);
+    if path != PathChoice::Direct && has_forwarders {
+        check_path(router, service, target);
+        return forward::send_through_others(router, call, body, in_flight).await;
+    }
+    match send_directly(router, call, body, in_flight, has_forwarders).await {
+        Ok(sent) => sent,
+        Err(_) if !has_forwarders => SendOutcome::NotRun(NotRun::Unreachable),
+        Err(in_flight) => forward::send_through_others(router, call, body, *in_flight).await,
+    }
+}
+
+/// Sends a request to its server on a pooled or new connection, and handles the response. `has_alternative` is `true` if
+/// the request can be sent in another way while there is no connection.
+///
+/// # Errors
+///
+/// Returns the request if nothing was sent for lack of a connection.
+pub(super) async fn send_directly(
     router: &Router,
-    service: &Service,
-    target: &Rc<Target>,
     call: &CallerRequest,
     body: &Rc<RequestBody>,
     mut in_flight: InFlight,
-) -> SendOutcome {
-    let begun = router.now();
-    let conn = match target.pool.acquire(target.addr).await {
-        Ok(conn) => conn,
-        Err(e) => {
-            log::info!(request = call.id, server:% = target.life, error:% = e,
-                took_ms = router.now().since(begun).0; "connect_failed");
-            return SendOutcome::NotRun(NotRun::Unreachable);
-        }
+    has_alternative: bool,
+) -> Result<SendOutcome, Box<InFlight>> {
+    let (service, target) = (Rc::clone(&in_flight.service), Rc::clone(&in_flight.target));
+    let Some(conn) = connect(router, &service, &target, call, has_alternative).await else {
+        return Err(Box::new(in_flight));
     };
     if call.caller_left.is_cancelled() {
         target.pool.release(conn);
-        return SendOutcome::NotRun(NotRun::CallerLeft);
+        return Ok(SendOutcome::NotRun(NotRun::CallerLeft));
     }
-    if let SendPermit::Withheld(why) = permit(router, call, target, router.now()) {
+    if let Some(why) = permit(router, call, &target, router.now()).withheld() {
         target.pool.release(conn);
-        return SendOutcome::NotRun(NotRun::Withheld(why));
+        return Ok(SendOutcome::NotRun(NotRun::Withheld(why)));
     }
     let conn = in_flight.attach(conn);
-    let request = new_request(call, target, body, router.now());
+    let request = new_request(call, &target, body, router.now());
     let response = match conn.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
             // The error returns the request only if it was never written.
-            let never_written = error.take_message().is_some();
-            return if never_written {
-                SendOutcome::NotRun(NotRun::Unreachable)
-            } else {
-                SendOutcome::Indeterminate(Indeterminate::Broken)
-            };
+            if error.take_message().is_none() {
+                return Ok(SendOutcome::Indeterminate(Indeterminate::Broken));
+            }
+            in_flight.detach();
+            return Err(Box::new(in_flight));
         }
     };
-    handle_response(router, service, call, response, in_flight).await
+    service.record_contact(router.now(), &target);
+    router.server_reach.record_way();
+    Ok(handle_response(router, &service, call, response, in_flight).await)
+}
+
+/// Takes a connection from the pool of a server, or opens one. Returns `None` if none is available.
+async fn connect(
+    router: &Router,
+    service: &Service,
+    target: &Target,
+    call: &CallerRequest,
+    has_alternative: bool,
+) -> Option<ServerConn> {
+    let begun = router.now();
+    let time_limit = if has_alternative {
+        CONNECT_WAIT_MAX
+    } else {
+        call.time_left(begun)
+    };
+    let acquired = timeout(time_limit.to_duration(), target.pool.acquire(target.addr)).await;
+    let error = match acquired {
+        Ok(Ok(conn)) => return Some(conn),
+        Ok(Err(e)) => e,
+        Err(_) => io::ErrorKind::TimedOut.into(),
+    };
+    let now = router.now();
+    log::info!(request = call.id, server:% = target.life, error:% = error,
+        took_ms = now.since(begun).0; "connect_failed");
+    match error.kind() {
+        // The pool's limit says nothing of the path.
+        io::ErrorKind::QuotaExceeded => return None,
+        // The idle connections are silent too.
+        io::ErrorKind::TimedOut => target.pool.close_idle(),
+        _ => {}
+    }
+    service.record_no_connection(now, target);
+    None
 }
 
 /// Checks a response, records what its headers report of the server and starts its body.
-async fn handle_response(
+pub(super) async fn handle_response(
     router: &Router,
     service: &Service,
     call: &CallerRequest,
@@ -143,10 +209,10 @@
     if echoed.is_some_and(|id| Some(id) != call.headers.get(call_header::REQUEST_ID)) {
         return SendOutcome::Indeterminate(Indeterminate::Crossed);
     }
-    router
-        .reach
-        .borrow_mut()
-        .record_response(router.now(), &in_flight.target.dc);
+    if in_flight.is_direct() {
+        let mut reach = router.reach.borrow_mut();
+        reach.record_response(router.now(), &in_flight.target.dc);
+    }
     server_report::record_load(router, service, &in_flight, &head.headers);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
         drain(body, in_flight).await;
@@ -192,7 +258,7 @@
 }
 
 /// Builds the request to the server, with the time that is left and the server that is expected at the address.
-fn new_request(
+pub(super) fn new_request(
     call: &CallerRequest,
     target: &Target,
     body: &Rc<RequestBody>,
--- a/crates/chicoryrail-router/src/route/send_outcome.rs
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -22,8 +22,11 @@
 /// Reason for which a request has certainly not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NotRun {
-    /// No connection was available; nothing was sent.
+    /// No connection was available, at other hosts neither; nothing was sent.
     Unreachable,
+    /// This host can't reach the server, and no other host was there to pass the request on; nothing was sent. It says
+    /// nothing of the server.
+    NoPath,
     /// The server refused the request.
     Refused,
     /// The server does not own the key, or another server uses the address.
@@ -52,6 +55,7 @@
     pub(crate) const fn cause(self) -> Cause {
         match self {
             Self::Unreachable => Cause::NoServer,
+            Self::NoPath => Cause::NoPath,
             Self::Refused | Self::Withheld(_) => Cause::Full,
             Self::Misdirected => Cause::KeyMoving,
             Self::CallerLeft => Cause::CallerLeft,
@@ -62,7 +66,7 @@
     pub(crate) const fn reached_server(self) -> bool {
         match self {
             Self::Refused | Self::Misdirected => true,
-            Self::Unreachable | Self::CallerLeft | Self::Withheld(_) => false,
+            Self::Unreachable | Self::NoPath | Self::CallerLeft | Self::Withheld(_) => false,
         }
     }
 }
@@ -84,6 +88,7 @@
             Self::Answered(_) => "answered",
             Self::ServerError(_) => "server_error",
             Self::NotRun(NotRun::Unreachable) => "unreachable",
+            Self::NotRun(NotRun::NoPath) => "no_path",
             Self::NotRun(NotRun::Refused) => "refused",
             Self::NotRun(NotRun::Misdirected) => "misdirected",
             Self::NotRun(NotRun::CallerLeft) => "caller_left",
@@ -99,7 +104,9 @@
     pub(super) const fn failure(&self) -> Option<Failure> {
         match self {
             Self::Answered(_)
-            | Self::NotRun(NotRun::Misdirected | NotRun::CallerLeft | NotRun::Withheld(_)) => None,
+            | Self::NotRun(
+                NotRun::NoPath | NotRun::Misdirected | NotRun::CallerLeft | NotRun::Withheld(_),
+            ) => None,
             Self::ServerError(_) => Some(Failure::Error),
             Self::NotRun(NotRun::Refused) => Some(Failure::Full),
             Self::NotRun(NotRun::Unreachable)
--- a/crates/chicoryrail-router/src/route/server_report.rs
+++ b/crates/chicoryrail-router/src/route/server_report.rs
@@ -20,14 +20,16 @@
     in_flight: &InFlight,
     headers: &HeaderMap,
 ) {
-    let (target, slot) = (&in_flight.target, &in_flight.slot);
+    let target = &in_flight.target;
     let now = router.now();
     if let Some(report) = call_header::text(headers, &call_header::LOAD).and_then(LoadReport::parse)
     {
         // The request that this response ends is still counted as one of this host's requests in flight.
         let mut loads = service.loads.borrow_mut();
         loads.apply_report(now, target.id, report);
-        slot.record_load(report);
+        if let Some(slot) = &in_flight.slot {
+            slot.record_load(report);
+        }
     }
     let warmup_left =
         call_header::text(headers, &call_header::WARMUP_LEFT).and_then(|t| t.parse().ok());
@@ -47,7 +49,9 @@
     match AdvertisedRate::parse(value) {
         Ok(advertised) => {
             target.record_rate_limit(router.now(), advertised);
-            in_flight.slot.record_rate(advertised);
+            if let Some(slot) = &in_flight.slot {
+                slot.record_rate(advertised);
+            }
         }
         Err(value) => {
             log::warn!(server:% = target.life, value = value; "server_limit_unreadable");
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -16,6 +16,7 @@
 use chicoryrail_runtime::parse_args;
 use chicoryrail_runtime::serve_http_shared;
 use chicoryrail_runtime::stop_on_signal;
+use rand::seq::IteratorRandom;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -42,6 +43,7 @@
 use crate::options::options;
 use crate::route;
 use crate::state::Router;
+use crate::state::check_path;
 
 /// Interval of the periodic maintenance.
 const MAINTENANCE_INTERVAL: Millis = Millis(100);
@@ -234,6 +236,7 @@
         last = now;
         router.apply_view_changes(&[]);
         update_config_age(&router);
+        maintain_paths(&router);
         let ready = can_serve(&router);
         if ready != router.process.is_ready() && !router.process.stop.is_cancelled() {
             log::info!(ready = ready; "readiness");
@@ -243,6 +246,24 @@
     }
 }
 
+/// Closes unused connections to other hosts. While this host finds no way to servers it gets no requests that would
+/// show when there is one again, so it checks a random server of each service.
+fn maintain_paths(router: &Rc<Router>) {
+    let now = router.now();
+    let peers = router.peers.borrow();
+    let addrs = peers.addrs();
+    router.forwarders.tidy(now, |addr| addrs.contains(&addr));
+    if !router.server_reach.is_blocked(now) {
+        return;
+    }
+    for service in router.services() {
+        let targets = service.targets.borrow();
+        if let Some(target) = targets.values().choose(&mut rand::rng()) {
+            check_path(router, &service, target);
+        }
+    }
+}
+
 fn update_config_age(router: &Router) {
     let age = router.organisations.freshness().age(router.now());
     router
@@ -262,6 +283,7 @@
         needs_keys && !router.is_config_fresh(now) && !router.has_peer_contact(now);
     known
         && !refuses_callers
+        && !router.server_reach.is_blocked(now)
         && router
             .services()
             .iter()
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -14,7 +14,6 @@
 use chicoryrail_ownership::store_key::HOSTS;
 use chicoryrail_ownership::store_key::KEYS;
 use chicoryrail_runtime::Invariant;
-use chicoryrail_runtime::ServerPool;
 use http::HeaderValue;
 
 use crate::state::Admission;
@@ -204,10 +203,11 @@
                     dc: member.dc.clone(),
                     first_seen: self.now(),
                     expect_header,
-                    pool: ServerPool::default(),
+                    pool: Rc::default(),
                     warmup: RefCell::default(),
                     warmup_until: Cell::default(),
                     limit: Cell::default(),
+                    path: Cell::default(),
                     notices: Cell::new(service.known_notices(&member.life)),
                     slots: Cell::new(member.slots),
                     admission: Cell::new(Admission::Closed),
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -24,6 +24,10 @@
     pub(crate) refusals: IntCounterVec,
     /// Attempts at servers by service and result.
     pub(crate) sends: IntCounterVec,
+    /// Requests that other hosts were asked to pass on, by service and end.
+    pub(crate) forwards: IntCounterVec,
+    /// Requests that this host was asked to pass on, by service and end.
+    pub(crate) forwarded: IntCounterVec,
     /// Calls to the store by kind and result.
     pub(crate) store_calls: IntCounterVec,
     /// Calls that grant or release keys by kind and result.
@@ -73,6 +77,16 @@
                 "Attempts at servers, by service and result",
                 &["service", "end"],
             ),
+            forwards: metrics.counter_family(
+                "forwards_total",
+                "Requests that other hosts were asked to pass on, by service and end",
+                &["service", "end"],
+            ),
+            forwarded: metrics.counter_family(
+                "forwarded_total",
+                "Requests that this host was asked to pass on, by service and end",
+                &["service", "end"],
+            ),
             store_calls: metrics.counter_family(
                 "store_calls_total",
                 "Calls to the store, by kind and result",
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -3,8 +3,10 @@
 mod apply;
 mod counters;
 mod former_notices;
+mod forwarders;
 mod newer_keys;
 mod organisations;
+mod paths;
 mod pending_queries;
 mod quota_shares;
 pub(crate) mod router;
@@ -15,8 +17,12 @@
 mod view;
 
 pub(crate) use counters::Counters;
+pub(crate) use forwarders::Forwarder;
+pub(crate) use forwarders::Forwarders;
 pub(crate) use newer_keys::NewerKeys;
 pub(crate) use organisations::Organisations;
+pub(crate) use paths::ServerReach;
+pub(crate) use paths::check_path;
 pub(crate) use pending_queries::PendingQueries;
 pub(crate) use quota_shares::QuotaShares;
 pub(crate) use quota_shares::TokenOutcome;
--- /dev/null
+++ b/crates/chicoryrail-router/src/state/paths.rs
@@ -0,0 +1,117 @@
+//! Paths of this host to the servers.
+
+use std::cell::Cell;
+use std::ptr;
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_policy::PathChoice;
+use chicoryrail_policy::ServerPath;
+
+use crate::state::Router;
+use crate::state::Service;
+use crate::state::Target;
+
+/// Number of lost paths to servers of a service from which the others are doubted too.
+const DOUBT_PATHS_MIN: u32 = 2;
+
+/// Time without a way to any server, directly or through other hosts, after which this host is not ready.
+const NO_WAY_TIME_MAX: Millis = Millis(1_000);
+
+/// Whether this host finds any way to servers.
+#[derive(Debug, Default)]
+pub(crate) struct ServerReach {
+    /// Since when every request found no way; `None` if the last one found one.
+    blocked_since: Cell<Option<Millis>>,
+}
+
+impl ServerReach {
+    /// Records that a server was reached, directly or through another host.
+    pub(crate) fn record_way(&self) {
+        self.blocked_since.set(None);
+    }
+
+    /// Records that a request found no way to its server.
+    pub(crate) fn record_no_way(&self, now: Millis) {
+        let since = self.blocked_since.get().unwrap_or(now);
+        self.blocked_since.set(Some(since));
+    }
+
+    /// Returns `true` if requests have found no way for so long that callers should use other hosts.
+    pub(crate) fn is_blocked(&self, now: Millis) -> bool {
+        let since = self.blocked_since.get();
+        since.is_some_and(|at| now.since(at) > NO_WAY_TIME_MAX)
+    }
+}
+
+impl Service {
+    /// Returns how to send a request to a server now.
+    pub(crate) fn choose_path(&self, now: Millis, target: &Target) -> PathChoice {
+        let others_lost = self.lost_paths.get() >= DOUBT_PATHS_MIN;
+        target.path.get().choose(now, others_lost)
+    }
+
+    /// Records a response or a new connection of a server.
+    pub(crate) fn record_contact(&self, now: Millis, target: &Target) {
+        self.update_path(target, |path| path.record_contact(now));
+    }
+
+    /// Records that no connection to a server could be opened.
+    pub(crate) fn record_no_connection(&self, now: Millis, target: &Target) {
+        self.update_path(target, |path| path.record_failure(now));
+    }
+
+    /// Records that another host reached a server.
+    pub(crate) fn record_forwarded(&self, target: &Target) {
+        self.update_path(target, |path| {
+            path.record_forwarded();
+        });
+    }
+
+    /// Records that other hosts could not reach a server either.
+    pub(crate) fn record_server_failure(&self, now: Millis, target: &Target) {
+        self.update_path(target, |path| path.record_server_failure(now));
+    }
+
+    /// Updates a path, counts the lost ones and logs each loss and recovery.
+    fn update_path(&self, target: &Target, update: impl FnOnce(&mut ServerPath)) {
+        let mut path = target.path.get();
+        let was_lost = path.is_lost();
+        update(&mut path);
+        target.path.set(path);
+        if path.is_lost() == was_lost {
+            return;
+        }
+        let current = self.target(&target.life);
+        if !current.is_some_and(|current| ptr::eq(&raw const *current, target)) {
+            return;
+        }
+        let before = self.lost_paths.get();
+        let lost = if was_lost { before - 1 } else { before + 1 };
+        self.lost_paths.set(lost);
+        let event = if was_lost { "path_back" } else { "path_lost" };
+        log::info!(server:% = target.life, service:% = self.name, dc:% = target.dc,
+            lost = lost; "{event}");
+    }
+}
+
+/// Checks whether the path to a server is back by opening a connection, unless it was checked a moment ago.
+pub(crate) fn check_path(router: &Rc<Router>, service: &Rc<Service>, target: &Rc<Target>) {
+    let mut path = target.path.get();
+    let is_due = path.begin_check(router.now());
+    target.path.set(path);
+    if !is_due {
+        return;
+    }
+    let (router, service, target) = (Rc::clone(router), Rc::clone(service), Rc::clone(target));
+    monoio::spawn(async move {
+        match target.pool.connect(target.addr).await {
+            Ok(conn) => {
+                service.record_contact(router.now(), &target);
+                router.server_reach.record_way();
+                target.pool.release(conn);
+            }
+            Err(e) => log::debug!(server:% = target.life, error:% = e; "path_check_failed"),
+        }
+    });
+}
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -35,11 +35,13 @@
 use crate::messages::PartName;
 use crate::messages::PeerSocket;
 use crate::state::Counters;
+use crate::state::Forwarders;
 use crate::state::NewerKeys;
 use crate::state::Organisations;
 use crate::state::PendingQueries;
 use crate::state::QuotaShares;
 use crate::state::Schedulers;
+use crate::state::ServerReach;
 use crate::state::Service;
 use crate::state::SourceState;
 use crate::state::Target;
@@ -78,6 +80,12 @@
     pub(crate) peers: RefCell<Peers>,
     /// Data centres whose servers answer this host.
     pub(crate) reach: RefCell<DcReachability>,
+    /// Hosts that this one asks to pass requests on to servers that it can't reach.
+    pub(crate) forwarders: Forwarders,
+    /// Number of requests that this host is passing on for others.
+    pub(crate) forwarding: Cell<u32>,
+    /// Whether requests find a way to servers.
+    pub(crate) server_reach: ServerReach,
     /// HTTP limits for callers' connections.
     pub(crate) limits: SharedLimits,
     /// Number of requests in progress.
@@ -135,6 +143,9 @@
             store_view: RefCell::default(),
             peers: RefCell::default(),
             reach: RefCell::default(),
+            forwarders: Forwarders::default(),
+            forwarding: Cell::new(0),
+            server_reach: ServerReach::default(),
             limits: Rc::new(Cell::new(limits)),
             serving: Cell::new(0),
             store_up: Cell::new(false),
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -47,6 +47,8 @@
     pub(crate) requested_keys: RefCell<Vec<u16>>,
     /// Servers of the service, by incarnation.
     pub(crate) targets: RefCell<HashMap<Life, Rc<Target>>>,
+    /// Number of servers to which this host has lost its path.
+    pub(super) lost_paths: Cell<u32>,
     /// Number of servers in each data centre.
     dc_sizes: RefCell<BTreeMap<DcName, usize>>,
     /// Notices of incarnations that have no entry.
@@ -72,6 +74,7 @@
             changed: ChangeSignal::default(),
             requested_keys: RefCell::default(),
             targets: RefCell::default(),
+            lost_paths: Cell::new(0),
             dc_sizes: RefCell::default(),
             former_notices: RefCell::default(),
             has_notices: Cell::new(false),
@@ -145,6 +148,9 @@
     fn close_target(&self, target: &Target) {
         target.admission.set(Admission::Closed);
         target.pool.close_idle();
+        if target.path.take().is_lost() {
+            self.lost_paths.set(self.lost_paths.get() - 1);
+        }
         self.loads.borrow_mut().remove(target.id);
         let mut sizes = self.dc_sizes.borrow_mut();
         if let Some(size) = sizes.get_mut(&target.dc) {
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use chicoryrail_core::DcName;
 use chicoryrail_core::Life;
@@ -11,6 +12,7 @@
 use chicoryrail_policy::AdvertisedRate;
 use chicoryrail_policy::ServerId;
 use chicoryrail_policy::ServerNotices;
+use chicoryrail_policy::ServerPath;
 use chicoryrail_policy::WarmupPacer;
 use chicoryrail_runtime::ServerPool;
 use http::HeaderValue;
@@ -41,13 +43,15 @@
     pub(crate) first_seen: Millis,
     /// Value of the request header that names the expected server.
     pub(crate) expect_header: HeaderValue,
-    pub(crate) pool: ServerPool,
+    pub(crate) pool: Rc<ServerPool>,
     /// Pacing of requests while the server warms up.
     pub(crate) warmup: RefCell<WarmupPacer>,
     /// Latest end of a warm-up that the server has reported; zero if it has reported none.
     pub(crate) warmup_until: Cell<Millis>,
     /// Rate limit that the server's responses advertise.
     pub(crate) limit: Cell<AdvertisedLimit>,
+    /// Path of this host to the server.
+    pub(crate) path: Cell<ServerPath>,
     /// What the server's responses asked of this host.
     pub(crate) notices: Cell<ServerNotices>,
     /// Maximum number of concurrent requests.
--- a/crates/chicoryrail-runtime/src/server_pool.rs
+++ b/crates/chicoryrail-runtime/src/server_pool.rs
@@ -98,7 +98,8 @@
     /// Returns the reason if none can be opened; nothing was sent.
     pub async fn connect(&self, addr: SocketAddr) -> io::Result<ServerConn> {
         if self.open.get() >= self.max_connections.get() {
-            return Err(io::Error::other("connection limit of the server reached"));
+            let limit = "connection limit of the server reached";
+            return Err(io::Error::new(io::ErrorKind::QuotaExceeded, limit));
         }
         let guard = OpenGuard::new(&self.open);
         timeout(CONNECT_TIMEOUT.to_duration(), ServerConn::open(addr, guard))
