fix(leader): make way where other hosts reach servers with keys, and move no keys in doubt

Cause: the leader judged from its own grants alone that servers were lost, and made way only where a whole data centre was out of its reach. Nine of eleven hosts were cut off there; hosts that could not connect either confirmed to each other that the servers had failed. Change: the leader makes way when a server with keys leaves its grants unanswered for 0.4 s and another host reached that server for it, at most once in 10 s; a host with such a server campaigns 250 ms later than others; a leader whom most registered servers with keys do not answer moves no keys. A host that fails to reach more servers of a service than it reached in the last second says no_path instead of unreachable and reports no failure of a server.

--- a/crates/chicoryrail-policy/src/local/server_path.rs
+++ b/crates/chicoryrail-policy/src/local/server_path.rs
@@ -71,14 +71,26 @@
         self.lost
     }
 
+    /// Returns `true` if this host could not reach the server within the last second, and has not since.
+    #[must_use]
+    pub fn failed_lately(&self, now: Millis) -> bool {
+        self.lost || is_within(now, self.failed_at, CONTACT_AGE_MAX)
+    }
+
+    /// Returns `true` if this host reached the server within the last second.
+    #[must_use]
+    pub fn reached_lately(&self, now: Millis) -> bool {
+        self.failed_at.is_none() && is_within(now, self.contact_at, CONTACT_AGE_MAX)
+    }
+
     /// Returns how to send a request now. `others_lost` is `true` while the paths to several other servers of the same
     /// service are lost: the path to this one is then likely to be lost as well, unless it was used lately.
     #[must_use]
     pub fn choose(&self, now: Millis, others_lost: bool) -> PathChoice {
-        let within = |at: Option<Millis>, age| at.is_some_and(|at| now.since(at) <= age);
-        if self.lost || (others_lost && !within(self.contact_at, CONTACT_AGE_MAX)) {
+        let is_doubted = others_lost && !is_within(now, self.contact_at, CONTACT_AGE_MAX);
+        if self.lost || is_doubted {
             PathChoice::Forward
-        } else if within(self.failed_at, FAILURE_MEMORY) {
+        } else if is_within(now, self.failed_at, FAILURE_MEMORY) {
             PathChoice::ForwardUnconfirmed
         } else {
             PathChoice::Direct
@@ -96,3 +108,7 @@
         is_due
     }
 }
+
+fn is_within(now: Millis, at: Option<Millis>, age: Millis) -> bool {
+    at.is_some_and(|at| now.since(at) <= age)
+}
--- a/crates/chicoryrail-router/src/control/leader/elect.rs
+++ b/crates/chicoryrail-router/src/control/leader/elect.rs
@@ -25,7 +25,7 @@
 /// Longest random delay before a campaign, so that usually only one host calls the store.
 const CAMPAIGN_JITTER: Millis = Millis(60);
 
-/// Campaign delay of a host while another one reaches more data centres. An election among the others is over by
+/// Campaign delay of a host while another one reaches more data centres, or more servers with keys. An election among the others is over by
 /// then, and the key leases (2.5 s) outlast the delay.
 const FEWER_REACHED_DELAY: Millis = Millis(250);
 
@@ -61,11 +61,11 @@
         }
         let mut wait = Millis(rand::rng().random_range(0..CAMPAIGN_JITTER.0));
         let reachable = router.reach.borrow().reachable_dcs(router.now());
-        if router
+        let reaches_less = router
             .peers
             .borrow()
-            .any_reaches_more(router.now(), &reachable)
-        {
+            .any_reaches_more(router.now(), &reachable);
+        if reaches_less || router.has_lost_key_paths() {
             wait = wait + FEWER_REACHED_DELAY;
         }
         if router.has_stronger_peer() {
--- a/crates/chicoryrail-router/src/control/leader/key_leader.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_leader.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use chicoryrail_core::Life;
@@ -21,6 +22,7 @@
 use crate::control::leader::leader_term::LeaderTerm;
 use crate::control::scheduling;
 use crate::state::Router;
+use crate::state::Target;
 
 /// Time between two checks for due actions while a change of the assignment is pending.
 const PENDING_CHECK_INTERVAL: Millis = Millis(10);
@@ -28,6 +30,10 @@
 /// Time between two checks for due actions while no change is pending, and between two checks for new keyed services.
 pub(super) const IDLE_CHECK_INTERVAL: Millis = Millis(50);
 
+/// Time for which a server with keys has left grants unanswered before a host that reaches it should lead: more than one
+/// grant, and less than the time after which its keys would go to others.
+const UNANSWERED_TIME_MIN: Millis = Millis(400);
+
 /// Rest after a step over all servers, as a multiple of the time that the step took: the leader also serves callers,
 /// schedules and renews its own lease.
 const PLANNING_REST: u64 = 8;
@@ -52,6 +58,8 @@
     pub(super) last_change_at: Cell<Millis>,
     /// Whether a write of the record is in progress; at most one runs at a time.
     pub(super) committing: Cell<bool>,
+    /// Whether most servers with keys leave this host's grants unanswered.
+    pub(super) doubts: Cell<bool>,
     /// Hosts that renew leases for this one.
     pub(super) delegates: RefCell<Delegates>,
     /// Number of grant calls in flight.
@@ -165,6 +173,12 @@
             let target = targets.get(life)?;
             Some((&target.dc, leases.unanswered_since(life)))
         });
+        if let Some(server) = self.server_out_of_reach(now, &targets, &leases) {
+            log::warn!(service:% = self.service, term = self.term, server:% = server;
+                "leader_makes_way");
+            self.leadership.step_down_for_reach(now);
+            return;
+        }
         let reach = self.router.reach.borrow();
         let lost = reach.find_unreachable_dc(now, owners, &self.router.peers.borrow());
         if let Some(dc) = lost.filter(|_| !self.leadership.steps_down.get()) {
@@ -173,6 +187,26 @@
         }
     }
 
+    /// Returns a server whose lease this host can't renew although other hosts reach it. Without another leader, keys
+    /// would be taken from a sound server.
+    fn server_out_of_reach(
+        &self,
+        now: Millis,
+        targets: &HashMap<Life, Rc<Target>>,
+        leases: &KeyLeases,
+    ) -> Option<Life> {
+        if !self.leadership.may_step_down_for_reach(now) {
+            return None;
+        }
+        let is_unanswered = |life: &Life| {
+            let since = leases.unanswered_since(life);
+            since.is_some_and(|at| now.since(at) >= UNANSWERED_TIME_MIN)
+        };
+        let mut lost = targets.values().filter(|t| t.path.get().is_lost());
+        let server = lost.find(|t| is_unanswered(&t.life))?;
+        Some(server.life.clone())
+    }
+
     /// Starts the calls that are due, to the store and to servers.
     fn run_due_actions(self: &Rc<Self>) {
         let now = self.router.now();
--- a/crates/chicoryrail-router/src/control/leader/leader_term.rs
+++ b/crates/chicoryrail-router/src/control/leader/leader_term.rs
@@ -25,6 +25,10 @@
 /// it can't reach.
 const HEARTBEAT_AGE_MAX: Millis = Millis(1_300);
 
+/// Minimum time between two step-downs of a host for servers that it can't reach. Where each host has lost some path,
+/// the leadership would otherwise go round all the time.
+const STEP_DOWN_INTERVAL: Millis = Millis(10_000);
+
 /// State of this host as the leader, shared by the tasks that act as one.
 #[derive(Debug, Default)]
 pub(crate) struct LeaderTerm {
@@ -36,6 +40,8 @@
     pub(crate) lease_ttl: Cell<Millis>,
     /// Whether this host is about to step down in favour of one to which more data centres are reachable.
     pub(crate) steps_down: Cell<bool>,
+    /// When this host last decided to step down because it had lost the path to a server with keys.
+    stepped_down_at: Cell<Option<Millis>>,
     /// Record of each keyed service, with the ranges that are not granted yet.
     pub(crate) key_updates: RefCell<BTreeMap<ServiceName, (KeyRecord, Vec<KeyRange>)>>,
     /// Leaders of the keyed services in this term.
@@ -49,6 +55,18 @@
 }
 
 impl LeaderTerm {
+    /// Returns `true` if this host may step down because it has lost the path to a server with keys.
+    pub(super) fn may_step_down_for_reach(&self, now: Millis) -> bool {
+        let last = self.stepped_down_at.get();
+        !self.steps_down.get() && last.is_none_or(|at| now.since(at) >= STEP_DOWN_INTERVAL)
+    }
+
+    /// Requests that this host steps down because it has lost the path to a server with keys.
+    pub(super) fn step_down_for_reach(&self, now: Millis) {
+        self.stepped_down_at.set(Some(now));
+        self.steps_down.set(true);
+    }
+
     /// Records keys that callers requested in the service's load.
     pub(crate) fn record_key_demand(&self, service: &ServiceName, keys: &[u16]) {
         let mut loads = self.key_loads.borrow_mut();
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -49,7 +49,7 @@
     /// Plans a new assignment if the set of candidates changed or the load is unbalanced.
     pub(super) fn plan(&self) {
         let now = self.router.now();
-        if self.leases.borrow().is_write_pending() {
+        if self.leases.borrow().is_write_pending() || self.doubts_reach(now) {
             return;
         }
         let service_time = self.service_time();
@@ -83,6 +83,23 @@
         }
     }
 
+    /// Returns `true` if most of the registered servers with keys leave grants unanswered: the paths of this host have
+    /// then failed rather than the servers, whose keys must not go to the few that it reaches. Servers that have really
+    /// ended lose their registrations.
+    fn doubts_reach(&self, now: Millis) -> bool {
+        let service = self.router.service(&self.service);
+        let leases = self.leases.borrow();
+        let owners: BTreeSet<Life> = leases.lease_owners().into_iter().collect();
+        let registered = owners.iter().filter(|life| service.target(life).is_some());
+        let (lost, reached): (Vec<_>, Vec<_>) = registered.partition(|o| leases.is_lost(now, o));
+        let doubts = lost.len() > reached.len();
+        if doubts != self.doubts.replace(doubts) {
+            log::warn!(service:% = self.service, term = self.term, doubts = doubts,
+                unanswered = lost.len(), reached = reached.len(); "leader_reach");
+        }
+        doubts
+    }
+
     /// Returns the mean service time of the slowest route in use; of all routes while none is.
     fn service_time(&self) -> Millis {
         let Some(site) = self.router.site() else {
--- a/crates/chicoryrail-router/src/control/leader/take_over.rs
+++ b/crates/chicoryrail-router/src/control/leader/take_over.rs
@@ -107,6 +107,7 @@
         stored_fence: Cell::new(stored_fence),
         last_change_at: Cell::new(now),
         committing: Cell::new(false),
+        doubts: Cell::new(false),
         delegates: RefCell::default(),
         grants_in_flight: Cell::new(0),
         call_ended: ChangeSignal::default(),
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -23,6 +23,7 @@
 use crate::route::caller_request::find_route;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
+use crate::route::serving_guard::ServingGuard;
 use crate::state::Router;
 
 /// Process age up to which requests wait for the first configuration instead of being refused.
@@ -283,21 +284,3 @@
     };
     Refusal { cause, retry_after }.into_response()
 }
-
-/// Counts a request as being served until the guard is dropped.
-pub(super) struct ServingGuard(Rc<Router>);
-
-impl ServingGuard {
-    pub(super) fn new(router: &Rc<Router>) -> Self {
-        router.serving.set(router.serving.get() + 1);
-        router.counters.serving.inc();
-        Self(Rc::clone(router))
-    }
-}
-
-impl Drop for ServingGuard {
-    fn drop(&mut self) {
-        self.0.serving.set(self.0.serving.get() - 1);
-        self.0.counters.serving.dec();
-    }
-}
--- a/crates/chicoryrail-router/src/route/forward.rs
+++ b/crates/chicoryrail-router/src/route/forward.rs
@@ -30,7 +30,7 @@
 use crate::state::Target;
 
 /// Maximum number of hosts that are asked to pass on one request.
-const FORWARDERS_MAX: usize = 6;
+const FORWARDERS_MAX: usize = 10;
 
 /// Number of hosts that could not connect to a server from which on the server itself counts as unreachable. Some of
 /// the hosts may have lost the same paths and not know it yet.
@@ -57,7 +57,7 @@
     mut in_flight: InFlight,
 ) -> SendOutcome {
     let (service, target) = (Rc::clone(&in_flight.service), Rc::clone(&in_flight.target));
-    let mut unreachable = Vec::new();
+    let mut unreachable = 0;
     for forwarder in forwarders(router, &service, &target) {
         if let Some(why) = withheld(router, call, &target) {
             return SendOutcome::NotRun(why);
@@ -68,7 +68,8 @@
         let asked = ask(router, call, body, in_flight, &forwarder).await;
         let end = match asked {
             Asked::Sent(sent) => {
-                record_way(router, &service, &target, &unreachable);
+                service.record_forwarded(&target);
+                router.server_reach.record_way();
                 return sent;
             }
             Asked::MayHaveRun(why) => return SendOutcome::Indeterminate(why),
@@ -80,18 +81,22 @@
         log::info!(request = call.id, server:% = target.life, host:% = forwarder.addr,
             end = end.map_or("no_answer", ForwardEnd::name); "forward_failed");
         match end {
-            Some(ForwardEnd::Unreachable) => unreachable.push(forwarder),
             Some(ForwardEnd::Busy) => {}
+            Some(ForwardEnd::Unreachable) => {
+                unreachable += 1;
+                forwarder.avoid(router.now(), &service.name, &target.dc);
+            }
             _ => forwarder.avoid(router.now(), &service.name, &target.dc),
         }
-        if unreachable.len() >= UNREACHABLE_HOSTS_MIN {
+        if unreachable >= UNREACHABLE_HOSTS_MIN && !service.doubts_paths(router.now()) {
             break;
         }
     }
     let now = router.now();
     // With one other host, that host's word is all there is.
     let others = router.peers.borrow().core_host_count() - 1;
-    if !unreachable.is_empty() && unreachable.len() >= UNREACHABLE_HOSTS_MIN.min(others) {
+    let is_confirmed = unreachable > 0 && unreachable >= UNREACHABLE_HOSTS_MIN.min(others);
+    if is_confirmed && !service.doubts_paths(now) {
         service.record_server_failure(now, &target);
         return SendOutcome::NotRun(NotRun::Unreachable);
     }
@@ -108,15 +113,6 @@
     withheld.map(NotRun::Withheld)
 }
 
-/// Records that another host reached the server; those in `unreachable` could not.
-fn record_way(router: &Router, service: &Service, target: &Target, unreachable: &[Rc<Forwarder>]) {
-    service.record_forwarded(target);
-    router.server_reach.record_way();
-    for forwarder in unreachable {
-        forwarder.avoid(router.now(), &service.name, &target.dc);
-    }
-}
-
 /// Returns the hosts to ask, in this order: first those that are not known to have lost the path, near and strong ones
 /// with few requests before others.
 fn forwarders(router: &Router, service: &Service, target: &Target) -> Vec<Rc<Forwarder>> {
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use chicoryrail_core::Millis;
 use chicoryrail_policy::PathChoice;
 use chicoryrail_policy::Withheld;
 use chicoryrail_runtime::Body;
@@ -20,7 +21,6 @@
 use crate::messages::FORWARD_PREFIX;
 use crate::messages::ForwardEnd;
 use crate::messages::ForwardHead;
-use crate::route::caller::ServingGuard;
 use crate::route::caller::is_sampled;
 use crate::route::caller_request::CallerRequest;
 use crate::route::candidates::permit;
@@ -29,7 +29,9 @@
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
+use crate::route::serving_guard::ServingGuard;
 use crate::state::Router;
+use crate::state::Service;
 use crate::state::check_path;
 
 /// Maximum number of requests that this host passes on at a time. Those of its own callers need the rest of its
@@ -95,7 +97,7 @@
     }
     match service.choose_path(now, &target) {
         PathChoice::Direct => {}
-        PathChoice::ForwardUnconfirmed => return Err(ForwardEnd::Unreachable),
+        PathChoice::ForwardUnconfirmed => return Err(no_connection(&service, now)),
         PathChoice::Forward => {
             check_path(router, &service, &target);
             return Err(ForwardEnd::NoPath);
@@ -106,11 +108,20 @@
     let sent = timeout(call.time_left(now).to_duration(), sending).await;
     match sent {
         Ok(Ok(sent)) => end_of(sent),
-        Ok(Err(_)) => Err(ForwardEnd::Unreachable),
+        Ok(Err(_)) => Err(no_connection(&service, router.now())),
         Err(_) => Err(ForwardEnd::Silent),
     }
 }
 
+/// Returns how a request ended for which this host could not connect to the server.
+fn no_connection(service: &Service, now: Millis) -> ForwardEnd {
+    if service.doubts_paths(now) {
+        ForwardEnd::NoPath
+    } else {
+        ForwardEnd::Unreachable
+    }
+}
+
 fn end_of(sent: SendOutcome) -> Result<Response<Body>, ForwardEnd> {
     Err(match sent {
         SendOutcome::Answered(response) | SendOutcome::ServerError(response) => {
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -14,6 +14,7 @@
 mod send;
 mod send_outcome;
 mod server_report;
+mod serving_guard;
 mod slot_guard;
 mod slot_query;
 
--- a/crates/chicoryrail-router/src/state/paths.rs
+++ b/crates/chicoryrail-router/src/state/paths.rs
@@ -51,6 +51,21 @@
         target.path.get().choose(now, others_lost)
     }
 
+    /// Returns `true` if this host lately failed to reach more servers of the service than it reached: its own paths have
+    /// then failed rather than the servers.
+    pub(crate) fn doubts_paths(&self, now: Millis) -> bool {
+        let targets = self.targets.borrow();
+        let paths = || targets.values().map(|t| t.path.get());
+        let failed = paths().filter(|p| p.failed_lately(now)).count();
+        let reached = paths().filter(|p| p.reached_lately(now)).count();
+        failed >= DOUBT_PATHS_MIN as usize && failed > reached
+    }
+
+    /// Returns `true` if other hosts reach a server that this one does not.
+    pub(crate) fn has_lost_paths(&self) -> bool {
+        self.lost_paths.get() > 0
+    }
+
     /// Records a response or a new connection of a server.
     pub(crate) fn record_contact(&self, now: Millis, target: &Target) {
         self.update_path(target, |path| path.record_contact(now));
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -316,6 +316,14 @@
         peers.scheduler(self.now(), (&boot.host, &own_state), dc, name)
     }
 
+    /// Returns `true` if this host can't reach a server with keys that another host reaches.
+    pub(crate) fn has_lost_key_paths(&self) -> bool {
+        let services = self.services.borrow();
+        services
+            .values()
+            .any(|s| s.is_keyed() && s.has_lost_paths())
+    }
+
     /// Returns `true` if another host is so much more powerful that it should lead, and reaches all data centres that
     /// this one reaches.
     pub(crate) fn has_stronger_peer(&self) -> bool {
