fix(route): count a silent connection against the path to its server

What callers saw: on a silent cut each idle connection to a server cost one more request its whole time, and the host did not doubt its paths, since only connections that could not be opened counted. Cause: a request that got no response, or whose connection the system ended after 2.5 s without acknowledgement, changed nothing at the host but the server's failure rate. Change: both count as a failed connection and close the idle connections to that server; the next request asks another host, and the path is checked. Tried beside it and dropped: ending dead connections after 0.7 s or 1 s instead of 2.5 s.

--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to a server once.
 
+use std::error::Error;
 use std::io;
 use std::rc::Rc;
 use std::time::Instant;
@@ -55,6 +56,7 @@
     let now = router.now();
     let idle = service.loads.borrow().has_free_slot(now, target.id);
     let started = Instant::now();
+    call.stats.borrow_mut().via = None;
     let not_run = call.stats.borrow().possible_runs == 0;
     let invariants = &router.process.invariants;
     invariants.check(
@@ -66,7 +68,12 @@
     let exchange = exchange(router, call, body, in_flight);
     let sent = match timeout(response_timeout.to_duration(), exchange).await {
         Ok(sent) => sent,
-        Err(_) => SendOutcome::Indeterminate(Indeterminate::Silent),
+        Err(_) => {
+            if call.stats.borrow().via.is_none() {
+                record_silence(router, service, target);
+            }
+            SendOutcome::Indeterminate(Indeterminate::Silent)
+        }
     };
     if matches!(
         sent,
@@ -149,6 +156,9 @@
         Err(mut error) => {
             // The error returns the request only if it was never written.
             if error.take_message().is_none() {
+                if is_timed_out(error.error()) {
+                    record_silence(router, &service, &target);
+                }
                 return Ok(SendOutcome::Indeterminate(Indeterminate::Broken));
             }
             in_flight.detach();
@@ -160,6 +170,26 @@
     Ok(handle_response(router, &service, call, response, in_flight).await)
 }
 
+/// Returns `true` if the system closed the connection because the other side acknowledged nothing for too long.
+fn is_timed_out(error: &hyper::Error) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        let io = cause.downcast_ref::<io::Error>();
+        if io.is_some_and(|e| e.kind() == io::ErrorKind::TimedOut) {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
+/// Records that a connection to a server was silent. The idle ones may be dead too, which does not show while they are
+/// idle, and each would cost another request its time.
+fn record_silence(router: &Router, service: &Service, target: &Target) {
+    target.pool.close_idle();
+    service.record_no_connection(router.now(), target);
+}
+
 /// Takes a connection from the pool of a server, or opens one. Returns `None` if none is available.
 async fn connect(
     router: &Router,
@@ -185,12 +215,10 @@
         took_ms = now.since(begun).0; "connect_failed");
     match error.kind() {
         // The pool's limit says nothing of the path.
-        io::ErrorKind::QuotaExceeded => return None,
-        // The idle connections are silent too.
-        io::ErrorKind::TimedOut => target.pool.close_idle(),
-        _ => {}
+        io::ErrorKind::QuotaExceeded => {}
+        io::ErrorKind::TimedOut => record_silence(router, service, target),
+        _ => service.record_no_connection(now, target),
     }
-    service.record_no_connection(now, target);
     None
 }
 
