fix(leader): let a host that misses servers with keys count as reaching no data centre

Cause: a host counted as reaching a data centre by any response of any server there, also of other services, and a host without evidence from others campaigned like one in touch. Change: while a host has lost the path to a server with keys, or fails to reach most of them, its heartbeats name no data centre as reached; then others campaign first and it makes way as for a lost data centre.

--- a/crates/chicoryrail-ownership/src/reach.rs
+++ b/crates/chicoryrail-ownership/src/reach.rs
@@ -26,6 +26,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct DcReachability {
     last_responses: BTreeMap<DcName, Millis>,
+    misses_servers: bool,
 }
 
 impl DcReachability {
@@ -39,9 +40,19 @@
         }
     }
 
-    /// Returns the data centres that responded within the last 600 ms.
+    /// Sets whether this host can't reach servers with keys that others are likely to reach. It then counts as reaching
+    /// no data centre, so that another host leads.
+    pub const fn set_misses_servers(&mut self, misses: bool) {
+        self.misses_servers = misses;
+    }
+
+    /// Returns the data centres that responded within the last 600 ms; none while this host can't reach servers with
+    /// keys.
     #[must_use]
     pub fn reachable_dcs(&self, now: Millis) -> BTreeSet<DcName> {
+        if self.misses_servers {
+            return BTreeSet::new();
+        }
         let recent = self.last_responses.iter();
         let recent = recent.filter(|(_, at)| now.since(**at) <= RESPONSE_AGE_MAX);
         recent.map(|(dc, _)| dc.clone()).collect()
--- a/crates/chicoryrail-ownership/tests/reach.rs
+++ b/crates/chicoryrail-ownership/tests/reach.rs
@@ -101,3 +101,14 @@
     assert!(!peers.any_reaches_more(NOW, &dcs("west east")));
     assert!(!peers.any_reaches_more(Millis(20_000), &dcs("west")));
 }
+
+/// Guards against a host without paths to servers with keys that is elected because servers without keys answer it.
+#[test]
+fn a_host_that_misses_servers_reaches_no_data_centre() {
+    let mut reach = DcReachability::default();
+    reach.record_response(Millis(1_000), &DcName::new("west"));
+    reach.set_misses_servers(true);
+    assert!(reach.reachable_dcs(Millis(1_100)).is_empty());
+    reach.set_misses_servers(false);
+    assert_eq!(reach.reachable_dcs(Millis(1_100)).len(), 1);
+}
--- a/crates/chicoryrail-router/src/control/leader/elect.rs
+++ b/crates/chicoryrail-router/src/control/leader/elect.rs
@@ -65,7 +65,7 @@
             .peers
             .borrow()
             .any_reaches_more(router.now(), &reachable);
-        if reaches_less || router.has_lost_key_paths() {
+        if reaches_less {
             wait = wait + FEWER_REACHED_DELAY;
         }
         if router.has_stronger_peer() {
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -250,6 +250,8 @@
 /// show when there is one again, so it checks a random server of each service.
 fn maintain_paths(router: &Rc<Router>) {
     let now = router.now();
+    let misses = router.misses_key_paths();
+    router.reach.borrow_mut().set_misses_servers(misses);
     let peers = router.peers.borrow();
     let addrs = peers.addrs();
     router.forwarders.tidy(now, |addr| addrs.contains(&addr));
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -316,12 +316,13 @@
         peers.scheduler(self.now(), (&boot.host, &own_state), dc, name)
     }
 
-    /// Returns `true` if this host can't reach a server with keys that another host reaches.
-    pub(crate) fn has_lost_key_paths(&self) -> bool {
+    /// Returns `true` if this host can't reach a server with keys that another host reaches, or fails to reach most
+    /// servers of a service with keys.
+    pub(crate) fn misses_key_paths(&self) -> bool {
+        let now = self.now();
         let services = self.services.borrow();
-        services
-            .values()
-            .any(|s| s.is_keyed() && s.has_lost_paths())
+        let mut keyed = services.values().filter(|s| s.is_keyed());
+        keyed.any(|s| s.has_lost_paths() || s.doubts_paths(now))
     }
 
     /// Returns `true` if another host is so much more powerful that it should lead, and reaches all data centres that
