test(chaos): hosts that lose their paths to all servers, and the checker's rule

The stand-ins had no fault that cuts one host from servers which others reach; so no run could show the incident. paths-lost cuts a host in three forms; CutHostStarved is the users' rule, from 3 s after the cut: less than two thirds of the others' rate and more than 10 + 1 in 50 failures.

--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -21,6 +21,7 @@
 use chicoryrail_platform::Txn;
 use chicoryrail_platform::call_header;
 use chicoryrail_platform::write_member;
+use chicoryrail_runtime::CUT_FILE_VARIABLE;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
@@ -312,7 +313,7 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_chicoryrail-router"));
         command
             .env(BOOT_VARIABLE, &boot)
-            .env("CHICORYRAIL_CUT_FILE", self.dir.join(format!("{name}.cut")))
+            .env(CUT_FILE_VARIABLE, self.dir.join(format!("{name}.cut")))
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .args(["--log-ordinary", "1", "--log-lines", "5000"])
             .stdout(log)
--- a/crates/chicoryrail-runtime/src/cut_paths.rs
+++ b/crates/chicoryrail-runtime/src/cut_paths.rs
@@ -10,7 +10,7 @@
 /// Environment variable with the path of the file that lists the cut paths, each on a line: `refused ADDRESS` or
 /// `silent ADDRESS` for a path on which open connections are lost too, `new ADDRESS` for one that refuses new
 /// connections only.
-const CUT_FILE_VARIABLE: &str = "CHICORYRAIL_CUT_FILE";
+pub const CUT_FILE_VARIABLE: &str = "CHICORYRAIL_CUT_FILE";
 
 /// Fails a new connection on a cut path; on a silent one it never opens.
 ///
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -53,6 +53,8 @@
 pub use callers::serve_http;
 pub use callers::serve_http_shared;
 pub use clock::Clock;
+#[cfg(feature = "fault-injection")]
+pub use cut_paths::CUT_FILE_VARIABLE;
 pub use hop_by_hop::strip_hop_by_hop;
 pub use http_client::HttpClient;
 pub use http_client::HttpError;
--- a/crates/chicoryrail-testkit/src/chaos/context.rs
+++ b/crates/chicoryrail-testkit/src/chaos/context.rs
@@ -30,6 +30,8 @@
     pub(crate) stops: Vec<HostTime>,
     /// Periods in which routers are paused.
     pub(crate) frozen: Vec<HostTime>,
+    /// Periods in which hosts have lost their paths to all targets.
+    pub(crate) cuts: Vec<HostTime>,
     /// Periods in which routers are killed, stopped or paused.
     pub(crate) interruptions: Vec<HostTime>,
 }
--- a/crates/chicoryrail-testkit/src/chaos/fault.rs
+++ b/crates/chicoryrail-testkit/src/chaos/fault.rs
@@ -74,6 +74,12 @@
         share: f64,
         for_ms: u64,
     },
+    /// A host loses its paths to all targets, which the store and the other hosts reach.
+    PathsLost {
+        host: usize,
+        form: CutForm,
+        for_ms: u64,
+    },
     /// Every connection to a target is reset.
     TargetReset { target: usize },
     /// A host's link to the store has delay and jitter.
@@ -90,6 +96,29 @@
     RollingRestart,
 }
 
+/// How connections on a lost path fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum CutForm {
+    /// New ones are refused, and open ones are lost.
+    Refused,
+    /// New ones get no answer, and open ones are lost.
+    Silent,
+    /// New ones are refused, and open ones live on.
+    NewRefused,
+}
+
+impl CutForm {
+    /// Returns the word for the list of cut paths.
+    pub(crate) const fn word(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Silent => "silent",
+            Self::NewRefused => "new",
+        }
+    }
+}
+
 /// An injected fault and its times.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct FaultRecord {
@@ -113,7 +142,7 @@
 }
 
 /// Number of cases that [`Fault::generate`] chooses from; `DataCentreOut` and `RollingRestart` share one.
-const KIND_COUNT: u32 = 23;
+const KIND_COUNT: u32 = 24;
 
 /// Number of these cases to choose from if the options name no kind. It does not grow with [`KIND_COUNT`], since a
 /// further case would change the faults that each fixed seed gives.
@@ -201,6 +230,15 @@
                 backoff_ms: rng.random_range(1_000..4_000),
                 for_ms,
             },
+            23 => Self::PathsLost {
+                host,
+                form: match rng.random_range(0..3) {
+                    0 => CutForm::Refused,
+                    1 => CutForm::Silent,
+                    _ => CutForm::NewRefused,
+                },
+                for_ms: 4_000 + for_ms,
+            },
             _ if rng.random() => Self::DataCentreOut {
                 centre: rng.random_range(0..size.data_centres),
                 for_ms: 3_500 + for_ms,
@@ -226,6 +264,7 @@
             Self::TargetLosesAnswers { .. } => "target-loses-answers",
             Self::TargetCrossesAnswers { .. } => "target-crosses-answers",
             Self::TargetCutsAnswers { .. } => "target-cuts-answers",
+            Self::PathsLost { .. } => "paths-lost",
             Self::TargetReset { .. } => "target-reset",
             Self::StoreFar { .. } => "store-far",
             Self::TargetLimited { .. } => "target-limited",
--- a/crates/chicoryrail-testkit/src/chaos/inject.rs
+++ b/crates/chicoryrail-testkit/src/chaos/inject.rs
@@ -13,6 +13,7 @@
 use crate::TargetFault;
 use crate::chaos::Fault;
 use crate::chaos::context::RunContext;
+use crate::chaos::fault::CutForm;
 use crate::unix_micros;
 
 /// Longest time for a planned stop of a process, in milliseconds; a slower process is killed.
@@ -75,6 +76,7 @@
             let link = find_link(context, |l| l.target_link(target).clone());
             disturb_link(context, link, &LinkFault::cut(), for_ms)
         }
+        Fault::PathsLost { host, form, for_ms } => lose_paths(context, host, form, for_ms),
         Fault::TargetReset { target } => {
             if let Some(link) = find_link(context, |l| l.target_link(target).clone()) {
                 link.reset_connections();
@@ -136,6 +138,32 @@
     Ok(())
 }
 
+/// Cuts the paths from a host to all targets for a time.
+fn lose_paths(context: &RunContext, host: usize, form: CutForm, for_ms: u64) -> Result<(), String> {
+    let set = |lines: &str| {
+        let cluster = context.cluster();
+        let set = cluster.set_cut_paths(Member::Router(host), lines);
+        set.map_err(|e| e.to_string())
+    };
+    let addrs: Vec<_> = {
+        let cluster = context.cluster();
+        cluster
+            .targets()
+            .iter()
+            .map(|t| t.advertised_addr)
+            .collect()
+    };
+    let lines = addrs.iter().map(|addr| format!("{} {addr}\n", form.word()));
+    let from = unix_micros();
+    set(&lines.collect::<String>())?;
+    context.sleep(for_ms);
+    let until = unix_micros();
+    set("")?;
+    let host = context.cluster().hosts()[host].caller_addr;
+    context.events().cuts.push(HostTime { host, from, until });
+    Ok(())
+}
+
 fn find_link(context: &RunContext, choose: impl FnOnce(&crate::Links) -> Link) -> Option<Link> {
     context.cluster().links().map(choose)
 }
--- a/crates/chicoryrail-testkit/src/chaos/run.rs
+++ b/crates/chicoryrail-testkit/src/chaos/run.rs
@@ -17,6 +17,7 @@
 use crate::LoadService;
 use crate::Summary;
 use crate::Violation;
+use crate::chaos::Fault;
 use crate::chaos::FaultRecord;
 use crate::chaos::context::RunContext;
 use crate::chaos::context::RunEvents;
@@ -121,6 +122,7 @@
         outs,
         stops,
         frozen,
+        cuts,
         interruptions,
     } = std::mem::take(&mut *context.events());
     faults.sort_by_key(|f| f.from);
@@ -128,6 +130,7 @@
         outs,
         frozen,
         stops,
+        cuts,
         interruptions,
         ..cluster.evidence(records)?
     };
@@ -176,6 +179,14 @@
         faults.any(|f| overlaps(f, s.from, s.until))
     };
     evidence.stops.retain(|s| !is_disturbed(s));
+    let is_compared = |c: &HostTime| {
+        let other = |f: &&FaultRecord| !matches!(f.fault, Fault::PathsLost { .. });
+        !faults
+            .iter()
+            .filter(other)
+            .any(|f| overlaps(f, c.from, c.until))
+    };
+    evidence.cuts.retain(is_compared);
     let may_be_delayed = |from: u64, until: u64| {
         let mut faults = faults.iter().filter(|f| f.fault.delays_announcements());
         faults.any(|f| overlaps(f, from.saturating_sub(MAX_ANNOUNCEMENT_DELAY_US), until))
--- a/crates/chicoryrail-testkit/src/checker.rs
+++ b/crates/chicoryrail-testkit/src/checker.rs
@@ -1,6 +1,7 @@
 //! Checks the router's guarantees against the records of callers, targets and the store.
 
 mod availability;
+mod cut_hosts;
 mod evidence;
 mod exclusivity;
 mod find;
--- a/crates/chicoryrail-testkit/src/checker/evidence.rs
+++ b/crates/chicoryrail-testkit/src/checker/evidence.rs
@@ -45,6 +45,9 @@
     pub stops: Vec<HostTime>,
     /// Periods in which routers were paused.
     pub frozen: Vec<HostTime>,
+    /// Periods in which hosts had lost their paths to all targets and nothing else was disturbed.
+    #[serde(default)]
+    pub cuts: Vec<HostTime>,
     /// Periods in which routers were killed, stopped or paused, until they ran again. What a server asked of a router
     /// before does not bind it afterwards.
     #[serde(default)]
--- a/crates/chicoryrail-testkit/src/checker/find.rs
+++ b/crates/chicoryrail-testkit/src/checker/find.rs
@@ -2,6 +2,7 @@
 
 use crate::Evidence;
 use crate::Violation;
+use crate::checker::cut_hosts;
 use crate::checker::exclusivity;
 use crate::checker::notices;
 use crate::checker::orders;
@@ -23,6 +24,7 @@
         found.extend(server_limits::check(evidence));
         found.extend(organisations::check(evidence));
         found.extend(notices::check(evidence));
+        found.extend(cut_hosts::check(evidence));
         found
     }
 }
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -69,6 +69,15 @@
         /// Id of the request.
         request: String,
     },
+    /// Callers of a host that had lost its paths to all servers were served far less often than those of the others.
+    CutHostStarved {
+        /// Address of the host's listener for callers.
+        host: SocketAddr,
+        /// Requests served at the host, and all requests there.
+        served: [usize; 2],
+        /// The same at the hosts in touch.
+        others: [usize; 2],
+    },
     /// A request ended without a response while its router was stopped as planned, or just after.
     CutByStop {
         /// Id of the request.
--- a/crates/chicoryrail-testkit/src/cluster/control.rs
+++ b/crates/chicoryrail-testkit/src/cluster/control.rs
@@ -28,6 +28,19 @@
         self.with_process(member, |p| p.signal(Signal::SIGCONT));
     }
 
+    /// Replaces the list of paths from a process that are cut, each line as in
+    /// [`CUT_FILE_VARIABLE`](chicoryrail_runtime::CUT_FILE_VARIABLE). An empty list restores all paths.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the list can't be written.
+    pub fn set_cut_paths(&self, member: Member, lines: &str) -> Result<(), ClusterError> {
+        match self.processes.get(&member) {
+            Some(process) => process.set_cut_paths(lines),
+            None => Ok(()),
+        }
+    }
+
     /// Sends SIGTERM and returns without waiting for the process to exit.
     pub fn request_stop(&mut self, member: Member) {
         self.with_process(member, |p| p.signal(Signal::SIGTERM));
--- a/crates/chicoryrail-testkit/src/cluster/process.rs
+++ b/crates/chicoryrail-testkit/src/cluster/process.rs
@@ -12,6 +12,7 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_platform::BOOT_VARIABLE;
+use chicoryrail_runtime::CUT_FILE_VARIABLE;
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
@@ -87,6 +88,7 @@
             .env("CHICORYRAIL_LOG", &self.log_level)
             .env("RUST_BACKTRACE", "1")
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
+            .env(CUT_FILE_VARIABLE, self.log_path.with_extension("cut"))
             .stdin(Stdio::null())
             .stdout(out)
             .stderr(err);
@@ -97,6 +99,15 @@
         Ok(())
     }
 
+    /// Replaces the list of cut paths from the process; an empty list restores all paths.
+    pub(crate) fn set_cut_paths(&self, lines: &str) -> Result<(), ClusterError> {
+        let path = self.log_path.with_extension("cut");
+        let new = self.log_path.with_extension("cut-new");
+        std::fs::write(&new, lines).context(FileSnafu { path: &new })?;
+        // The process never reads a file that is written in part.
+        std::fs::rename(&new, &path).context(FileSnafu { path: &path })
+    }
+
     /// Returns `true` if the process exists, running or paused; reaps it if it has exited.
     pub(crate) fn is_running(&mut self) -> bool {
         match &mut self.child {
--- a/crates/chicoryrail-testkit/tests/chaos.rs
+++ b/crates/chicoryrail-testkit/tests/chaos.rs
@@ -36,3 +36,18 @@
     assert_eq!(failures, (Vec::new(), Vec::new()), "{:?}", summary.kept);
     assert!(summary.ok > 0 && !summary.faults.is_empty());
 }
+
+/// Guards against hosts that have lost their paths to the servers and refuse their callers, and against orders that run
+/// twice or false "not run" on the way through other hosts.
+#[test]
+fn hosts_without_paths_to_servers_serve_their_callers() {
+    let _serial = SERIAL.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut options = ChaosOptions::new(Deployment::Updraft, 700).with_duration(Millis(12_000));
+    options.program_dir = Some(programs());
+    options.rate = 100.0;
+    options.fault_kinds = vec!["paths-lost".to_owned()];
+    let summary = run_chaos(&options).unwrap();
+    let failures = (summary.found, summary.crashed);
+    assert_eq!(failures, (Vec::new(), Vec::new()), "{:?}", summary.kept);
+    assert!(summary.ok > 0 && !summary.faults.is_empty());
+}
--- a/crates/chicoryrail-testkit/tests/checker.rs
+++ b/crates/chicoryrail-testkit/tests/checker.rs
@@ -556,3 +556,34 @@
     let found = check(&evidence).into_iter().filter(in_backoff).count();
     assert_eq!(found, expected);
 }
+
+/// Guards against a checker that overlooks a host whose callers are refused because it has lost its paths to the servers.
+#[rstest]
+#[case::starved(20, 0, 1)]
+#[case::few_failures(10, 0, 0)]
+#[case::served_like_the_others(20, 16, 0)]
+fn finds_hosts_starved_by_a_cut(#[case] sent: u64, #[case] served: u64, #[case] expected: usize) {
+    let (cut, other) = ("127.0.0.1:7000", "127.0.0.1:7001");
+    let at = |i: u64| 4_000 + i * 10;
+    let mut records = Vec::new();
+    for i in 0..sent {
+        let mut record = answered(&format!("c{i}"), cut, at(i), at(i) + 5);
+        if i >= served {
+            record.outcome = Outcome::NotRun;
+        }
+        records.push(record);
+        records.push(answered(&format!("o{i}"), other, at(i), at(i) + 5));
+    }
+    let evidence = Evidence {
+        records,
+        cuts: vec![HostTime {
+            host: cut.parse().unwrap(),
+            from: 500_000,
+            until: 8_000_000,
+        }],
+        ..Evidence::default()
+    };
+    let starved = |v: &Violation| matches!(v, Violation::CutHostStarved { .. });
+    let found = check(&evidence).into_iter().filter(starved).count();
+    assert_eq!(found, expected);
+}
