fix(leader): let a host that most servers do not answer stop renewing for a while

From 400 servers with keys on, core hosts renew leases for the leader. A host cut off from the servers reported each as unanswered; the leader renewed it once, found it sound and gave it back to the same host, in turns of some 0.3 s for each of its servers: with 4,000 servers and 0.4 of the renewing hosts cut off that is 1,600 servers, more calls than one leader can make (read, not run). Change: a host whose renewals most of its servers leave unanswered, two at least, pauses its polls for 3 s, so that the leader gives its servers to other hosts. Also: doubting paths costs nothing while no path has failed; it had looked at all servers ten times a second.

--- a/crates/chicoryrail-ownership/src/keys/renewer.rs
+++ b/crates/chicoryrail-ownership/src/keys/renewer.rs
@@ -11,6 +11,9 @@
 use crate::keys::KeyTiming;
 use crate::keys::RenewalTask;
 
+/// Minimum number of servers that do not answer for a host to doubt its own paths.
+const FAILED_SERVERS_MIN: usize = 2;
+
 /// What the leader lets this host renew for a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RenewalOrder {
@@ -227,6 +230,18 @@
         std::mem::take(&mut self.confirmed)
     }
 
+    /// Returns `true` if more than half of the servers in the order did not answer, at least two: the paths of this host
+    /// have then failed rather than the servers.
+    #[must_use]
+    pub fn fails_most(&self) -> bool {
+        let unanswered = |s: &&RenewedServer| {
+            let failed = s.failed.as_ref();
+            failed.is_some_and(|f| f.outcome == GrantOutcome::NoResponse)
+        };
+        let failed = self.servers.values().filter(unanswered).count();
+        failed >= FAILED_SERVERS_MIN && failed * 2 > self.servers.len()
+    }
+
     /// Returns the servers to which nothing is sent any more.
     #[must_use]
     pub fn failed(&self) -> Vec<FailedRenewal> {
--- a/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
@@ -39,6 +39,10 @@
 /// Pause while this host has nothing to renew.
 const IDLE_INTERVAL: Millis = Millis(200);
 
+/// Pause of the polls of a host that most servers do not answer: longer than the leader counts on it, so that other hosts
+/// get its servers instead of the leader renewing each of them in turn.
+const LOST_PATHS_PAUSE: Millis = Millis(3_000);
+
 /// Time between two checks for due renewals.
 const RENEWAL_CHECK_INTERVAL: Millis = Millis(20);
 
@@ -65,6 +69,8 @@
             router.process.clock.sleep(IDLE_INTERVAL).await;
             continue;
         };
+        // The poll reports the failures, so that the leader renews the leases, and its reply starts anew.
+        let fails_most = renewals.fails_most();
         let asked_at = router.now();
         match poll(&router, &renewals, &client, leader).await {
             Ok(reply) => renewals.apply(asked_at, reply),
@@ -73,6 +79,10 @@
                 router.process.clock.sleep(NEWS_INTERVAL).await;
             }
         }
+        if fails_most {
+            log::warn!(leader:% = leader, pause_ms = LOST_PATHS_PAUSE.0; "renewals_paused");
+            router.process.clock.sleep(LOST_PATHS_PAUSE).await;
+        }
         wait_for_news(&router, &renewals).await;
     }
 }
--- a/crates/chicoryrail-router/src/control/leader/renewals.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewals.rs
@@ -67,6 +67,12 @@
         services.values().any(|s| s.renewer.has_news())
     }
 
+    /// Returns `true` if most servers of a service leave this host's renewals unanswered.
+    pub(super) fn fails_most(&self) -> bool {
+        let services = self.services.borrow();
+        services.values().any(|s| s.renewer.fails_most())
+    }
+
     pub(super) fn is_permitted(&self, now: Millis) -> bool {
         let services = self.services.borrow();
         services.values().any(|s| s.renewer.is_permitted(now))
--- a/crates/chicoryrail-router/src/state/paths.rs
+++ b/crates/chicoryrail-router/src/state/paths.rs
@@ -15,6 +15,9 @@
 /// Number of lost paths to servers of a service from which the others are doubted too.
 const DOUBT_PATHS_MIN: u32 = 2;
 
+/// Age up to which a failure can make a host doubt its paths. It exceeds the time for which a failure counts.
+const FAILURE_AGE_MAX: Millis = Millis(2_000);
+
 /// Time without a way to any server, directly or through other hosts, after which this host is not ready.
 const NO_WAY_TIME_MAX: Millis = Millis(1_000);
 
@@ -54,6 +57,12 @@
     /// Returns `true` if this host lately failed to reach more servers of the service than it reached: its own paths have
     /// then failed rather than the servers.
     pub(crate) fn doubts_paths(&self, now: Millis) -> bool {
+        // Without a failure the servers, of which there may be thousands, need not be looked at.
+        let failed_at = self.path_failed_at.get();
+        let has_failed = failed_at.is_some_and(|at| now.since(at) <= FAILURE_AGE_MAX);
+        if !has_failed && !self.has_lost_paths() {
+            return false;
+        }
         let targets = self.targets.borrow();
         let paths = || targets.values().map(|t| t.path.get());
         let failed = paths().filter(|p| p.failed_lately(now)).count();
@@ -73,6 +82,7 @@
 
     /// Records that no connection to a server could be opened.
     pub(crate) fn record_no_connection(&self, now: Millis, target: &Target) {
+        self.path_failed_at.set(Some(now));
         self.update_path(target, |path| path.record_failure(now));
     }
 
@@ -85,6 +95,7 @@
 
     /// Records that other hosts could not reach a server either.
     pub(crate) fn record_server_failure(&self, now: Millis, target: &Target) {
+        self.path_failed_at.set(Some(now));
         self.update_path(target, |path| path.record_server_failure(now));
     }
 
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -49,6 +49,8 @@
     pub(crate) targets: RefCell<HashMap<Life, Rc<Target>>>,
     /// Number of servers to which this host has lost its path.
     pub(super) lost_paths: Cell<u32>,
+    /// When this host last failed to reach a server.
+    pub(super) path_failed_at: Cell<Option<Millis>>,
     /// Number of servers in each data centre.
     dc_sizes: RefCell<BTreeMap<DcName, usize>>,
     /// Notices of incarnations that have no entry.
@@ -75,6 +77,7 @@
             requested_keys: RefCell::default(),
             targets: RefCell::default(),
             lost_paths: Cell::new(0),
+            path_failed_at: Cell::new(None),
             dc_sizes: RefCell::default(),
             former_notices: RefCell::default(),
             has_notices: Cell::new(false),
