refactor(route): divide sending by responsibility, and bound what a host passes on by its capacity

A host passes on as many requests at a time as it has pairs of thousandths of a core, 16 to 256, instead of 256 however weak it is: with a tenth of a core 50. Tests: a read ends and an order is completed behind another host when the caller leaves, a long download passes whole and both hosts log it.

--- /dev/null
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -0,0 +1,124 @@
+//! Sends a request on a connection of this host to the server.
+
+use std::error::Error;
+use std::io;
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::RequestBody;
+use chicoryrail_runtime::ServerConn;
+use monoio::time::timeout;
+
+use crate::route::caller_request::CallerRequest;
+use crate::route::candidates::permit;
+use crate::route::in_flight::InFlight;
+use crate::route::send_outcome::Indeterminate;
+use crate::route::send_outcome::NotRun;
+use crate::route::send_outcome::SendOutcome;
+use crate::route::server_exchange::handle_response;
+use crate::route::server_exchange::new_request;
+use crate::state::Router;
+use crate::state::Service;
+use crate::state::Target;
+
+/// Longest wait for a new connection to a server while other hosts can be asked. Servers are a few milliseconds away,
+/// but a host that has used up its CPU quota for the current period of 100 ms connects later.
+const CONNECT_WAIT_MAX: Millis = Millis(120);
+
+/// Sends a request to its server on a pooled or new connection, and handles the response. `has_alternative` is `true` if
+/// the request can be sent in another way while there is no connection.
+///
+/// # Errors
+///
+/// Returns the request if nothing was sent for lack of a connection.
+pub(super) async fn send_directly(
+    router: &Router,
+    call: &CallerRequest,
+    body: &Rc<RequestBody>,
+    mut in_flight: InFlight,
+    has_alternative: bool,
+) -> Result<SendOutcome, Box<InFlight>> {
+    let (service, target) = (Rc::clone(&in_flight.service), Rc::clone(&in_flight.target));
+    let Some(conn) = connect(router, &service, &target, call, has_alternative).await else {
+        return Err(Box::new(in_flight));
+    };
+    if call.caller_left.is_cancelled() {
+        target.pool.release(conn);
+        return Ok(SendOutcome::NotRun(NotRun::CallerLeft));
+    }
+    if let Some(why) = permit(router, call, &target, router.now()).withheld() {
+        target.pool.release(conn);
+        return Ok(SendOutcome::NotRun(NotRun::Withheld(why)));
+    }
+    let conn = in_flight.attach(conn);
+    let request = new_request(call, &target, body, router.now());
+    let response = match conn.sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            // The error returns the request only if it was never written.
+            if error.take_message().is_none() {
+                if is_timed_out(error.error()) {
+                    record_silence(router, &service, &target);
+                }
+                return Ok(SendOutcome::Indeterminate(Indeterminate::Broken));
+            }
+            in_flight.detach();
+            return Err(Box::new(in_flight));
+        }
+    };
+    service.record_contact(router.now(), &target);
+    router.server_reach.record_way();
+    Ok(handle_response(router, &service, call, response, in_flight).await)
+}
+
+/// Returns `true` if the system closed the connection because the other side acknowledged nothing for too long.
+fn is_timed_out(error: &hyper::Error) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        let io = cause.downcast_ref::<io::Error>();
+        if io.is_some_and(|e| e.kind() == io::ErrorKind::TimedOut) {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
+/// Records that a connection to a server was silent. The idle ones may be dead too, which does not show while they are
+/// idle, and each would cost another request its time.
+pub(super) fn record_silence(router: &Router, service: &Service, target: &Target) {
+    target.pool.close_idle();
+    service.record_no_connection(router.now(), target);
+}
+
+/// Takes a connection from the pool of a server, or opens one. Returns `None` if none is available.
+async fn connect(
+    router: &Router,
+    service: &Service,
+    target: &Target,
+    call: &CallerRequest,
+    has_alternative: bool,
+) -> Option<ServerConn> {
+    let begun = router.now();
+    let time_limit = if has_alternative {
+        CONNECT_WAIT_MAX
+    } else {
+        call.time_left(begun)
+    };
+    let acquired = timeout(time_limit.to_duration(), target.pool.acquire(target.addr)).await;
+    let error = match acquired {
+        Ok(Ok(conn)) => return Some(conn),
+        Ok(Err(e)) => e,
+        Err(_) => io::ErrorKind::TimedOut.into(),
+    };
+    let now = router.now();
+    log::info!(request = call.id, server:% = target.life, error:% = error,
+        took_ms = now.since(begun).0; "connect_failed");
+    match error.kind() {
+        // The pool's limit says nothing of the path.
+        io::ErrorKind::QuotaExceeded => {}
+        io::ErrorKind::TimedOut => record_silence(router, service, target),
+        _ => service.record_no_connection(now, target),
+    }
+    None
+}
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -24,8 +24,8 @@
 use crate::route::caller::is_sampled;
 use crate::route::caller_request::CallerRequest;
 use crate::route::candidates::permit;
+use crate::route::direct::send_directly;
 use crate::route::in_flight::InFlight;
-use crate::route::send::send_directly;
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
@@ -34,7 +34,14 @@
 use crate::state::Service;
 use crate::state::check_path;
 
-/// Maximum number of requests that this host passes on at a time. Those of its own callers need the rest of its
+/// CPU capacity, in thousandths of a core, for each request that a host passes on at a time. A request takes some tenths
+/// of a second and a fraction of a millisecond of CPU time, so its own callers' requests keep most of the capacity.
+const POWER_PER_REQUEST: u32 = 2;
+
+/// Number of requests that the weakest host passes on at a time.
+const FORWARDING_MIN: u32 = 16;
+
+/// Maximum number of requests that a host passes on at a time. Those of its own callers need the rest of its
 /// connections.
 const FORWARDING_MAX: u32 = 256;
 
@@ -166,7 +173,8 @@
     /// Returns `None` if as many requests as allowed are being passed on.
     fn begin(router: &Rc<Router>) -> Option<Self> {
         let count = router.forwarding.get();
-        if count >= FORWARDING_MAX {
+        let max = (router.power() / POWER_PER_REQUEST).clamp(FORWARDING_MIN, FORWARDING_MAX);
+        if count >= max {
             return None;
         }
         router.forwarding.set(count + 1);
--- /dev/null
+++ b/crates/chicoryrail-router/src/route/server_exchange.rs
@@ -0,0 +1,109 @@
+//! Builds the request to a server, and handles the response.
+
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_core::RouteKind;
+use chicoryrail_platform::call_header;
+use chicoryrail_runtime::Body;
+use chicoryrail_runtime::RequestBody;
+use chicoryrail_runtime::is_connection_close;
+use chicoryrail_runtime::strip_hop_by_hop;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_ENCODING;
+use hyper::body::Incoming;
+
+use crate::route::caller_request::CallerRequest;
+use crate::route::in_flight::InFlight;
+use crate::route::response_body;
+use crate::route::send_outcome::Indeterminate;
+use crate::route::send_outcome::NotRun;
+use crate::route::send_outcome::SendOutcome;
+use crate::route::server_report;
+use crate::state::Router;
+use crate::state::Service;
+use crate::state::Target;
+
+/// Checks a response, records what its headers report of the server and starts its body.
+pub(super) async fn handle_response(
+    router: &Router,
+    service: &Service,
+    call: &CallerRequest,
+    response: Response<Incoming>,
+    in_flight: InFlight,
+) -> SendOutcome {
+    let (mut head, body) = response.into_parts();
+    // A late response to an earlier request arrived in place of this one's. It must not reach this caller, and the
+    // connection is not reused, since later responses on it may be out of step as well.
+    let echoed = head.headers.get(call_header::REQUEST_ID);
+    if echoed.is_some_and(|id| Some(id) != call.headers.get(call_header::REQUEST_ID)) {
+        return SendOutcome::Indeterminate(Indeterminate::Crossed);
+    }
+    if in_flight.is_direct() {
+        let mut reach = router.reach.borrow_mut();
+        reach.record_response(router.now(), &in_flight.target.dc);
+    }
+    server_report::record_load(router, service, &in_flight, &head.headers);
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        drain(body, in_flight).await;
+        return SendOutcome::NotRun(NotRun::Misdirected);
+    }
+    server_report::record_rate_limit(router, &in_flight, &head.headers);
+    server_report::record_drain(router, call, &in_flight, &head.headers);
+    if head.status == StatusCode::SERVICE_UNAVAILABLE {
+        server_report::record_backoff(router, call, &in_flight, &head.headers);
+    }
+    if head.headers.contains_key(call_header::NOT_RUN) {
+        drain(body, in_flight).await;
+        return SendOutcome::NotRun(NotRun::Refused);
+    }
+    let stamped = head.headers.contains_key(call_header::UPSTREAM_STAMP);
+    if !stamped || echoed.is_none() || head.headers.contains_key(CONTENT_ENCODING) {
+        return SendOutcome::Indeterminate(Indeterminate::Spoiled);
+    }
+    let reuse = !is_connection_close(&head.headers);
+    let start =
+        match response_body::read_start(body, response_body::buffer_limit(call.route.kind)).await {
+            Ok(start) => start,
+            Err(_) => return SendOutcome::Indeterminate(Indeterminate::Spoiled),
+        };
+    head.headers = strip_hop_by_hop(head.headers);
+    head.version = http::Version::HTTP_11;
+    head.extensions.clear();
+    let is_server_error = head.status.is_server_error();
+    let response = Response::from_parts(head, response_body::into_body(start, in_flight, reuse));
+    if is_server_error {
+        SendOutcome::ServerError(response)
+    } else {
+        SendOutcome::Answered(response)
+    }
+}
+
+/// Discards a short response body, so that the connection can be reused.
+async fn drain(body: Incoming, in_flight: InFlight) {
+    let read = response_body::read_start(body, response_body::buffer_limit(RouteKind::Read)).await;
+    if matches!(read, Ok(response_body::BodyStart::Whole(_))) {
+        in_flight.complete(true);
+    }
+}
+
+/// Builds the request to the server, with the time that is left and the server that is expected at the address.
+pub(super) fn new_request(
+    call: &CallerRequest,
+    target: &Target,
+    body: &Rc<RequestBody>,
+    now: Millis,
+) -> Request<Body> {
+    let mut request = Request::new(body.body());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    let mut headers = call.headers.clone();
+    headers.insert(call_header::EXPECTED_SERVER, target.expect_header.clone());
+    let time_left = HeaderValue::from(call.time_left(now).0.max(1));
+    headers.insert(call_header::TIME_LEFT, time_left);
+    *request.headers_mut() = headers;
+    request
+}
--- a/crates/chicoryrail-router/tests/cut_hosts.rs
+++ b/crates/chicoryrail-router/tests/cut_hosts.rs
@@ -10,6 +10,7 @@
 use chicoryrail_runtime::block_on;
 use futures_util::future::join;
 use futures_util::future::join_all;
+use http::StatusCode;
 use rstest::rstest;
 use support::Cut;
 use support::RouterProcess;
@@ -38,6 +39,9 @@
 /// Service time of the servers.
 const SERVICE_TIME: Millis = Millis(10);
 
+/// Service time of requests whose callers leave.
+const LONG_WORK: Millis = Millis(1_000);
+
 /// Servers and hosts of a test; the first host is the one that is cut off.
 struct Deployment {
     world: World,
@@ -78,6 +82,13 @@
         self.desks.iter().chain(&self.kits).cloned().collect()
     }
 
+    /// Makes requests to the servers without keys take [`LONG_WORK`].
+    fn slow_down_desks(&self) {
+        // The factor of the service time multiplies with the one set at the start.
+        let work = Millis(LONG_WORK.0 / SERVICE_TIME.0);
+        self.desks.iter().for_each(|server| server.set_work(work));
+    }
+
     /// Returns the ids of all requests that servers ran.
     fn executed_ids(&self) -> Vec<String> {
         let servers = self.servers();
@@ -202,3 +213,70 @@
         }
     });
 }
+
+/// Starts a deployment whose first host has lost its paths to all servers and knows it.
+async fn start_cut(test: &str) -> Deployment {
+    let deployment = Deployment::start(test).await;
+    let host = &deployment.hosts[0];
+    host.cut_from(&deployment.servers(), Cut::Refused);
+    send_mix(host, Millis::ZERO, SETTLE_TIME).await;
+    deployment
+}
+
+/// Guards against a read that a server goes on with although its caller, behind two hosts, has left.
+#[test]
+fn a_read_ends_behind_another_host_when_its_caller_leaves() {
+    block_on(async {
+        let deployment = start_cut("cut-left-read").await;
+        deployment.slow_down_desks();
+        let caller = deployment.hosts[0].caller();
+        caller.cancel_after("/read/x", Millis(200)).await;
+        monoio::time::sleep(LONG_WORK.to_duration() * 2).await;
+        let executed = deployment.executed_ids();
+        assert!(!executed.iter().any(|id| id.ends_with("-left")));
+    });
+}
+
+/// Guards against an order that is cut off at its server because its caller, behind two hosts, has left.
+#[test]
+fn an_order_is_completed_behind_another_host_when_its_caller_leaves() {
+    block_on(async {
+        let deployment = start_cut("cut-left-order").await;
+        deployment.slow_down_desks();
+        let caller = deployment.hosts[0].caller();
+        caller.cancel_after("/order/x", Millis(200)).await;
+        wait_until("a server completes the order", async || {
+            let executed = deployment.executed_ids();
+            executed.iter().any(|id| id.ends_with("-left"))
+        })
+        .await;
+    });
+}
+
+/// Guards against a long response that is truncated on its way through another host, and against a request whose way
+/// can't be found in the logs.
+#[test]
+fn a_download_passes_whole_through_another_host() {
+    const PATH: &str = "/manual/x?body=540000";
+    block_on(async {
+        let deployment = start_cut("cut-download").await;
+        let direct = deployment.hosts[1].caller().get(PATH).await.unwrap();
+        let response = deployment.hosts[0].caller().get(PATH).await.unwrap();
+        assert_eq!(
+            (direct.status(), response.status()),
+            (StatusCode::OK, StatusCode::OK)
+        );
+        assert_eq!(response.body().len(), direct.body().len());
+        let id = response.headers()["chicoryrail-request-id"].clone();
+        let line = format!("request={}", id.to_str().unwrap());
+        let is_passing = |host: &RouterProcess| {
+            let log = host.log();
+            let mut lines = log.lines();
+            lines.any(|l| l.contains("log=forwarded_answered") && l.contains(&line))
+        };
+        wait_until("another host logs the request", async || {
+            deployment.hosts[1..].iter().any(is_passing)
+        })
+        .await;
+    });
+}
--- a/crates/chicoryrail-testkit/src/chaos.rs
+++ b/crates/chicoryrail-testkit/src/chaos.rs
@@ -1,6 +1,7 @@
 //! Chaos runs: real processes under random load and injected faults.
 
 mod context;
+mod cut_form;
 mod fault;
 mod inject;
 mod options;
--- a/crates/chicoryrail-testkit/src/chaos/fault.rs
+++ b/crates/chicoryrail-testkit/src/chaos/fault.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::chaos::cut_form::CutForm;
+
 /// A fault of a chaos run.
 ///
 /// Hosts, targets and data centres are given by index, durations (`for_ms`) in milliseconds.
@@ -96,29 +98,6 @@
     RollingRestart,
 }
 
-/// How connections on a lost path fail.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum CutForm {
-    /// New ones are refused, and open ones are lost.
-    Refused,
-    /// New ones get no answer, and open ones are lost.
-    Silent,
-    /// New ones are refused, and open ones live on.
-    NewRefused,
-}
-
-impl CutForm {
-    /// Returns the word for the list of cut paths.
-    pub(crate) const fn word(self) -> &'static str {
-        match self {
-            Self::Refused => "refused",
-            Self::Silent => "silent",
-            Self::NewRefused => "new",
-        }
-    }
-}
-
 /// An injected fault and its times.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct FaultRecord {
--- a/crates/chicoryrail-testkit/src/chaos/inject.rs
+++ b/crates/chicoryrail-testkit/src/chaos/inject.rs
@@ -13,7 +13,7 @@
 use crate::TargetFault;
 use crate::chaos::Fault;
 use crate::chaos::context::RunContext;
-use crate::chaos::fault::CutForm;
+use crate::chaos::cut_form::CutForm;
 use crate::unix_micros;
 
 /// Longest time for a planned stop of a process, in milliseconds; a slower process is killed.
