--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -1,5 +1,6 @@
 //! Serves callers' requests.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use chicoryrail_core::Idempotency;
@@ -34,13 +35,17 @@
 /// Time after which a caller should retry if this host's configuration may be outdated.
 const STALE_CONFIG_RETRY_AFTER: Millis = Millis(500);
 
-/// Serves a caller's request.
-pub(crate) async fn serve(router: Rc<Router>, request: Request<Body>) -> Response<Body> {
+/// Serves a request of the caller at `from`.
+pub(crate) async fn serve(
+    router: Rc<Router>,
+    request: Request<Body>,
+    from: SocketAddr,
+) -> Response<Body> {
     let _serving = ServingGuard::new(&router);
     let (head, body) = request.into_parts();
     let id = head.headers.get(call_header::REQUEST_ID).cloned();
     await_config(&router).await;
-    let mut response = match CallerRequest::parse(&router, head) {
+    let mut response = match CallerRequest::parse(&router, head, from) {
         Ok(call) => run(&router, call, body).await,
         Err(cause) => refuse_unparsed(&router, id.as_ref(), cause),
     };
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -53,6 +53,8 @@
 pub(crate) struct CallerRequest {
     /// The caller's request id, for logs; `-` if there is none.
     pub(crate) id: String,
+    /// Address of the caller, or of the host that admitted the request.
+    pub(crate) from: SocketAddr,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     /// Headers that are forwarded to the server.
@@ -81,7 +83,7 @@
     /// # Errors
     ///
     /// Returns the cause for which the request is refused.
-    pub(crate) fn parse(router: &Router, head: Parts) -> Result<Self, Cause> {
+    pub(crate) fn parse(router: &Router, head: Parts, from: SocketAddr) -> Result<Self, Cause> {
         let arrived = router.now();
         let site = router.site().ok_or(Cause::NoConfig)?;
         let route = find_route(&site, &head).ok_or(Cause::NoRoute)?;
@@ -98,6 +100,7 @@
         };
         Ok(Self {
             id: request_id(&headers),
+            from,
             method: head.method,
             uri: head.uri,
             config_version: site.version,
@@ -116,7 +119,12 @@
 
     /// Builds a request that another host has admitted and that this host passes on to a server of `service`. Returns
     /// `None` if this host does not know the route or the service.
-    pub(crate) fn forwarded(router: &Router, head: Parts, service: &ServiceName) -> Option<Self> {
+    pub(crate) fn forwarded(
+        router: &Router,
+        head: Parts,
+        from: SocketAddr,
+        service: &ServiceName,
+    ) -> Option<Self> {
         let arrived = router.now();
         let site = router.site()?;
         let route = find_route(&site, &head)?;
@@ -124,6 +132,7 @@
         let headers = chicoryrail_runtime::strip_hop_by_hop(head.headers);
         Some(Self {
             id: request_id(&headers),
+            from,
             method: head.method,
             uri: head.uri,
             config_version: site.version,
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -15,6 +15,7 @@
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
+use crate::route::server_check::check_server;
 use crate::route::server_exchange::handle_response;
 use crate::route::server_exchange::new_request;
 use crate::state::Router;
@@ -25,6 +26,9 @@
 /// but a host that has used up its CPU quota for the current period of 100 ms connects later.
 const CONNECT_WAIT_MAX: Millis = Millis(120);
 
+/// Number of characters of a request's path that are logged.
+const LOGGED_PATH_MAX: usize = 200;
+
 /// Sends a request to its server on a pooled or new connection, and handles the response. `has_alternative` is `true` if
 /// the request can be sent in another way while there is no connection.
 ///
@@ -60,6 +64,7 @@
                 if is_timed_out(error.error()) {
                     record_silence(router, &service, &target);
                 }
+                log_broken(router, call, body, &target, error.error());
                 return Ok(SendOutcome::Indeterminate(Indeterminate::Broken));
             }
             in_flight.detach();
@@ -71,6 +76,32 @@
     Ok(handle_response(router, &service, call, response, in_flight).await)
 }
 
+/// Logs a request whose connection broke before the response, and whether its server still accepts connections.
+fn log_broken(
+    router: &Router,
+    call: &CallerRequest,
+    body: &RequestBody,
+    target: &Rc<Target>,
+    error: &hyper::Error,
+) {
+    let path: String = call.uri.to_string().chars().take(LOGGED_PATH_MAX).collect();
+    log::info!(request = call.id, server:% = target.life, method:% = call.method, path = path,
+        key = call.key.map_or_else(|| "-".to_owned(), |key| key.to_string()),
+        body_bytes = body.buffered_len(), from:% = call.from, error:% = error,
+        connections = target.pool.open_connections(); "connection_broken");
+    let (clock, id, target) = (
+        router.process.clock.clone(),
+        call.id.clone(),
+        Rc::clone(target),
+    );
+    monoio::spawn(async move {
+        let begun = clock.now();
+        let check = check_server(&target).await;
+        log::info!(request = id, server:% = target.life, check = check.name(),
+            took_ms = clock.now().since(begun).0; "server_checked");
+    });
+}
+
 /// Returns `true` if the system closed the connection because the other side acknowledged nothing for too long.
 fn is_timed_out(error: &hyper::Error) -> bool {
     let mut source = error.source();
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -62,7 +62,7 @@
     let head = ForwardHead::take(&mut parts.headers);
     let call = strip_prefix(&parts.uri).and_then(|uri| {
         parts.uri = uri;
-        CallerRequest::forwarded(&router, parts, &head.as_ref()?.service)
+        CallerRequest::forwarded(&router, parts, from, &head.as_ref()?.service)
     });
     let (Some(head), Some(call)) = (head, call) else {
         return report(ForwardEnd::Unknown);
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -14,6 +14,7 @@
 mod response_body;
 mod send;
 mod send_outcome;
+mod server_check;
 mod server_exchange;
 mod server_report;
 mod serving_guard;
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -176,7 +176,7 @@
         listener,
         Rc::clone(&router.limits),
         callers_stop.clone(),
-        move |request, _| route::serve(Rc::clone(&serving), request),
+        move |request, from| route::serve(Rc::clone(&serving), request, from),
         move |head| route::may_begin_early(&early_router, head),
     ));
     stop.cancelled().await;
--- a/crates/chicoryrail-runtime/src/request_body.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -102,6 +102,12 @@
         self.inner.borrow().is_none() && self.buffered_bytes.get() == 0
     }
 
+    /// Returns the number of bytes at the start of the body that are buffered.
+    #[must_use]
+    pub fn buffered_len(&self) -> usize {
+        self.buffered_bytes.get()
+    }
+
     /// Returns why the body could not be read completely, if so.
     #[must_use]
     pub fn error(&self) -> Option<BodyError> {
