--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -89,11 +89,7 @@
         key = call.key.map_or_else(|| "-".to_owned(), |key| key.to_string()),
         body_bytes = body.buffered_len(), from:% = call.from, error:% = error,
         connections = target.pool.open_connections(); "connection_broken");
-    let (clock, id, target) = (
-        router.process.clock.clone(),
-        call.id.clone(),
-        Rc::clone(target),
-    );
+    let (clock, id, target) = (router.process.clock, call.id.clone(), Rc::clone(target));
     monoio::spawn(async move {
         let begun = clock.now();
         let check = check_server(&target).await;
--- a/crates/chicoryrail-router/tests/support/server.rs
+++ b/crates/chicoryrail-router/tests/support/server.rs
@@ -111,6 +111,16 @@
         client.call(self.addr, request, CALL_TIMEOUT).await.unwrap();
     }
 
+    /// Returns `true` if the server has ended.
+    pub fn has_crashed(&self) -> bool {
+        self.target.has_crashed()
+    }
+
+    /// Ends the server as a kill of its process would.
+    pub fn crash(&self) {
+        self.target.crash();
+    }
+
     /// Returns `true` if the server currently holds the lease of a key.
     pub fn owns(&self, key: u16) -> bool {
         self.target.owns_key(key)
--- a/crates/chicoryrail-testkit/src/listener.rs
+++ b/crates/chicoryrail-testkit/src/listener.rs
@@ -40,6 +40,7 @@
     max_connections: u32,
     open_connections: Rc<Cell<u32>>,
     refused_connections: Rc<Cell<u64>>,
+    crash: CancellationToken,
 }
 
 impl Listener {
@@ -59,6 +60,7 @@
             max_connections: u32::MAX,
             open_connections: Rc::default(),
             refused_connections: Rc::default(),
+            crash: CancellationToken::new(),
         })
     }
 
@@ -69,6 +71,13 @@
         self
     }
 
+    /// Stops the listener and closes its open connections when `crash` is cancelled, as the end of a process would.
+    #[must_use]
+    pub fn with_crash(mut self, crash: CancellationToken) -> Self {
+        self.crash = crash;
+        self
+    }
+
     /// Returns the bound address.
     ///
     /// # Errors
@@ -84,7 +93,7 @@
         Rc::clone(&self.refused_connections)
     }
 
-    /// Accepts connections until `stop` is cancelled; open connections live until the process ends. A request's
+    /// Accepts connections until `stop` is cancelled; open connections live until the process ends or crashes. A request's
     /// extensions contain the `SocketAddr` of its caller.
     pub async fn serve<H, F>(self, stop: CancellationToken, handler: H)
     where
@@ -95,6 +104,8 @@
         loop {
             let accepted = std::pin::pin!(self.tcp.accept());
             let stopped = std::pin::pin!(stop.cancelled());
+            let crashed = std::pin::pin!(self.crash.cancelled());
+            let stopped = select(stopped, crashed);
             let (stream, peer) = match select(accepted, stopped).await {
                 Either::Left((Ok(accepted), _)) => accepted,
                 Either::Left((Err(_), _)) => continue,
@@ -108,8 +119,11 @@
             self.open_connections.set(self.open_connections.get() + 1);
             let (open_connections, handler) =
                 (Rc::clone(&self.open_connections), Rc::clone(&handler));
+            let crash = self.crash.clone();
             monoio::spawn(async move {
-                serve_connection(stream, peer, handler).await;
+                let served = std::pin::pin!(serve_connection(stream, peer, handler));
+                let crashed = std::pin::pin!(crash.cancelled());
+                select(served, crashed).await;
                 open_connections.set(open_connections.get() - 1);
             });
         }
--- a/crates/chicoryrail-testkit/src/target/server.rs
+++ b/crates/chicoryrail-testkit/src/target/server.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface of a target.
 
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use chicoryrail_runtime::collect_body;
 use chicoryrail_runtime::error_response;
 use chicoryrail_runtime::json_response;
+use futures_util::future::select;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -46,7 +48,7 @@
 /// | any other | runs as a caller's request |
 ///
 /// A caller's request has the query parameters `work_us` (service time in microseconds), `body` (bytes after the
-/// first line) and `chunked=1`. The response's body starts with a line of JSON that names the request
+/// first line), `chunked=1` and `crash=1` (the request ends the server after its service time). The response's body starts with a line of JSON that names the request
 /// ([`crate::ResponseHead`]).
 #[derive(Clone, Debug)]
 pub struct TargetServer {
@@ -70,8 +72,14 @@
             .map_or_else(|| listener.addr(), Ok)?;
         let store = options.store.map(KvStore::new);
         let state = Rc::new(State::new(options, listener.refused_connections())?);
+        let listener = listener.with_crash(state.crash.clone());
         if let Some(store) = store {
-            monoio::spawn(maintain_entry(Rc::clone(&state), store, advertised_addr));
+            let entry = maintain_entry(Rc::clone(&state), store, advertised_addr);
+            let crash = state.crash.clone();
+            monoio::spawn(async move {
+                let crashed = pin!(crash.cancelled());
+                select(pin!(entry), crashed).await;
+            });
         }
         let this = Self { state };
         let server = this.clone();
@@ -82,7 +90,7 @@
         Ok(this)
     }
 
-    /// Starts the server like [`Self::start`] and returns when `stop` is cancelled.
+    /// Starts the server like [`Self::start`] and returns when `stop` is cancelled or the server has crashed.
     ///
     /// # Errors
     ///
@@ -92,8 +100,9 @@
         listener: Listener,
         stop: CancellationToken,
     ) -> io::Result<()> {
-        Self::start(options, listener, stop.clone())?;
-        stop.cancelled().await;
+        let server = Self::start(options, listener, stop.clone())?;
+        let crashed = pin!(server.state.crash.cancelled());
+        select(pin!(stop.cancelled()), crashed).await;
         Ok(())
     }
 
@@ -109,6 +118,18 @@
         self.state.faults.borrow_mut().add(now, fault);
     }
 
+    /// Returns `true` if a request or [`Self::crash`] has ended the server.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        self.state.crash.is_cancelled()
+    }
+
+    /// Ends the server as a kill of its process would: its connections break, new ones are refused, and it no longer
+    /// renews its entry.
+    pub fn crash(&self) {
+        self.state.crash.cancel();
+    }
+
     /// Returns a copy of the ledger.
     #[must_use]
     pub fn ledger(&self) -> Ledger {
--- a/crates/chicoryrail-testkit/src/target/state.rs
+++ b/crates/chicoryrail-testkit/src/target/state.rs
@@ -8,6 +8,7 @@
 
 use chicoryrail_core::MemberState;
 use chicoryrail_core::Millis;
+use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::Clock;
 
 use crate::LeasedKeys;
@@ -33,6 +34,8 @@
     /// First line of the last response, which [`crate::TargetFault::Crossed`] sends to another request.
     pub(crate) last_response: RefCell<Option<ResponseHead>>,
     pub(crate) refused_connections: Rc<Cell<u64>>,
+    /// Cancelled when a request ends the server.
+    pub(crate) crash: CancellationToken,
     clock: Clock,
     /// Start of the process in milliseconds since 1970.
     started_unix_ms: u64,
@@ -76,6 +79,7 @@
             faults: RefCell::new(TargetFaults::new(options.seed)),
             last_response: RefCell::default(),
             refused_connections,
+            crash: CancellationToken::new(),
             clock: Clock::start(),
             started_unix_ms: unix_micros() / 1000,
             warmup: RefCell::new(WarmUp::new(Millis::ZERO, options.warmup)),
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -54,6 +54,8 @@
     service_us: u64,
     length: u64,
     chunked: bool,
+    /// Whether the request ends the server that runs it.
+    crashes: bool,
 }
 
 /// How a request ended at the server.
@@ -68,6 +70,8 @@
     /// The deadline passed before the run.
     Expired,
     Cancelled,
+    /// The server ended before the request did.
+    Crashed,
 }
 
 /// Runs a request and returns its response, with the active faults applied. Records the notices in the response.
@@ -108,6 +112,7 @@
     cancel_guard.disarm();
     match end {
         End::Done => {}
+        End::Crashed => return Err(ConnectionCut),
         End::DoneLate => {
             let mut response = json_response(504, &"the deadline passed");
             add_headers(state, response.headers_mut(), &work.request);
@@ -162,7 +167,7 @@
         End::Refused => recorder.ledger.shed += 1,
         End::Expired => recorder.ledger.late += 1,
         End::Cancelled => recorder.ledger.cancelled += 1,
-        End::Done | End::DoneLate => {}
+        End::Done | End::DoneLate | End::Crashed => {}
     }
     end
 }
@@ -200,6 +205,12 @@
             return End::Cancelled;
         }
     }
+    if work.crashes {
+        state.crash.cancel();
+    }
+    if state.crash.is_cancelled() {
+        return End::Crashed;
+    }
     let end = take_effect(state, work, permit, start);
     drop(slot);
     end
@@ -259,7 +270,7 @@
         End::NotOwner => (421, "the server does not hold the key"),
         End::Expired => (503, "the deadline passed in the queue"),
         End::Cancelled => (499, "cancelled"),
-        End::Refused | End::Done | End::DoneLate => (503, "the queue is full"),
+        End::Refused | End::Done | End::DoneLate | End::Crashed => (503, "the queue is full"),
     };
     let mut response = json_response(status, &text);
     add_headers(state, response.headers_mut(), request);
@@ -284,6 +295,7 @@
             service_us: query_param(&head.uri, "work_us").unwrap_or(state.options.service_us),
             length: query_param(&head.uri, "body").unwrap_or(0),
             chunked: query_param::<u8>(&head.uri, "chunked") == Some(1),
+            crashes: query_param::<u8>(&head.uri, "crash") == Some(1),
         }
     }
 }
