--- /dev/null
+++ b/crates/chicoryrail-policy/tests/crash_table.rs
@@ -0,0 +1,159 @@
+//! Which requests are suspected and condemned, by the servers that ended under them.
+
+use chicoryrail_core::Fingerprint;
+use chicoryrail_core::Life;
+use chicoryrail_core::Millis;
+use chicoryrail_core::ServiceName;
+use chicoryrail_policy::CrashTable;
+use chicoryrail_policy::Standing;
+use chicoryrail_policy::TrialBoard;
+use chicoryrail_policy::TrialRequest;
+use rstest::rstest;
+
+const HEAD: u64 = 7;
+
+/// Number of different requests in a flood: more than a table holds.
+const FLOOD: u32 = 5_000;
+
+fn request(number: u32) -> Fingerprint {
+    let mut bytes = [0; 16];
+    bytes[..4].copy_from_slice(&number.to_be_bytes());
+    Fingerprint::from(bytes)
+}
+
+fn server(number: u64) -> Life {
+    Life::new(format!("s-{number}").as_str().into(), number)
+}
+
+fn desk() -> ServiceName {
+    ServiceName::new("desk")
+}
+
+fn record_end(table: &mut CrashTable, number: u32, ended: u64) -> bool {
+    let service = desk();
+    table.record_end(
+        Millis(ended),
+        request(number),
+        (&service, HEAD),
+        &server(ended),
+    )
+}
+
+/// Merges all that `from` knows into `to`.
+fn tell(from: &CrashTable, to: &mut CrashTable) {
+    for (request, record) in from.records() {
+        to.merge(Millis::ZERO, request, record);
+    }
+}
+
+/// What happens to a request.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    End(u64),
+    Complete,
+    Alive(u64),
+}
+
+/// Guards against verdicts by fewer than three ends in a row, and against ends that count twice.
+#[rstest]
+#[case::nothing(&[], Standing::Clear)]
+#[case::one(&[Event::End(1)], Standing::Suspect(1))]
+#[case::same_server_twice(&[Event::End(1), Event::End(1)], Standing::Suspect(1))]
+#[case::three(&[Event::End(1), Event::End(2), Event::End(3)], Standing::Condemned)]
+#[case::a_complete_run_between(&[Event::End(1), Event::End(2), Event::Complete, Event::End(3)], Standing::Suspect(1))]
+#[case::a_complete_run_afterwards(&[Event::End(1), Event::End(2), Event::End(3), Event::Complete], Standing::Clear)]
+#[case::a_server_that_lives(&[Event::End(1), Event::End(2), Event::End(3), Event::Alive(2)], Standing::Suspect(2))]
+#[case::found_alive_before(&[Event::Alive(1), Event::End(1)], Standing::Clear)]
+fn three_ends_in_a_row_condemn(#[case] events: &[Event], #[case] expected: Standing) {
+    let mut table = CrashTable::default();
+    for event in events {
+        match event {
+            Event::End(number) => {
+                record_end(&mut table, 1, *number);
+            }
+            Event::Complete => {
+                table.record_complete(Millis(9), request(1));
+            }
+            Event::Alive(number) => {
+                table.record_alive(Millis(9), &server(*number));
+            }
+        }
+    }
+    assert_eq!(table.standing(request(1)), expected);
+    assert_eq!(table.has_head(HEAD), expected != Standing::Clear);
+}
+
+/// Guards against hosts that were apart and stay of different opinions.
+#[rstest]
+#[case::ends_add_up(false, Standing::Condemned)]
+#[case::a_complete_run_wins(true, Standing::Clear)]
+fn hosts_that_meet_again_agree(#[case] completes: bool, #[case] expected: Standing) {
+    let (mut a, mut b) = (CrashTable::default(), CrashTable::default());
+    record_end(&mut a, 1, 1);
+    tell(&a, &mut b);
+    record_end(&mut a, 1, 2);
+    record_end(&mut b, 1, 3);
+    if completes {
+        b.record_complete(Millis(5), request(1));
+    }
+    tell(&a, &mut b);
+    tell(&b, &mut a);
+    assert_eq!(a.standing(request(1)), expected);
+    assert_eq!(b.standing(request(1)), expected);
+}
+
+/// Guards against a flood of different requests that fills the memory, or displaces a verdict.
+#[test]
+fn a_flood_of_suspects_is_bounded() {
+    let mut table = CrashTable::default();
+    for ended in 1..=3 {
+        record_end(&mut table, 0, ended);
+    }
+    for number in 1..=FLOOD {
+        record_end(&mut table, number, u64::from(number) + 10);
+    }
+    assert!(table.records().count() <= 1_024);
+    assert_eq!(table.standing(request(0)), Standing::Condemned);
+    assert_eq!(table.standing(request(FLOOD)), Standing::Suspect(1));
+}
+
+/// Guards against evidence that never lapses, and against a verdict that does.
+#[rstest]
+#[case::suspect(2, Standing::Clear)]
+#[case::condemned(3, Standing::Condemned)]
+fn only_evidence_short_of_a_verdict_lapses(#[case] ends: u64, #[case] expected: Standing) {
+    let mut table = CrashTable::default();
+    for ended in 1..=ends {
+        record_end(&mut table, 1, ended);
+    }
+    table.expire(Millis(3_600_004));
+    assert_eq!(table.standing(request(1)), expected);
+    assert_eq!(table.has_evidence(), expected != Standing::Clear);
+}
+
+fn begin(board: &mut TrialBoard, now: u64, number: u32, ends: usize) -> bool {
+    let service = desk();
+    let trial = TrialRequest {
+        ticket: number.into(),
+        service: &service,
+        request: request(number),
+        deadline: Millis(now + 100),
+    };
+    board.begin(Millis(now), Standing::Suspect(ends), trial, 8)
+}
+
+/// Guards against a suspect that runs on several servers at a time, or beside another one that ended two.
+#[test]
+fn trials_are_few_and_a_second_end_makes_them_single() {
+    let mut board = TrialBoard::default();
+    assert!(begin(&mut board, 0, 1, 1));
+    assert!(!begin(&mut board, 0, 1, 1), "the same request");
+    assert!(begin(&mut board, 0, 2, 1), "two of eight servers");
+    assert!(!begin(&mut board, 0, 3, 1), "three of eight servers");
+    assert!(!begin(&mut board, 0, 4, 2), "not alone");
+    board.end(1);
+    board.end(2);
+    assert!(begin(&mut board, 0, 4, 2));
+    assert!(!begin(&mut board, 0, 1, 1), "beside a single trial");
+    assert!(begin(&mut board, 100, 1, 1), "after its deadline");
+}
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -15,33 +15,16 @@
 use crate::route::caller_request::CallerRequest;
 use crate::route::caller_request::SEND_TIME_MIN;
 use crate::route::candidates;
-use crate::route::choose::Choice;
 use crate::route::choose::NO_SERVER_RETRY;
-use crate::route::choose::choose;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::route::send::send;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
-use crate::route::slot_guard::SlotGuard;
-use crate::route::slot_query;
 use crate::route::suspicion;
 use crate::route::suspicion::Permission;
 use crate::state::Router;
 use crate::state::Service;
-use crate::state::Target;
-
-/// Divisor of the latency target; the result is the longest time for which a request without a scheduler waits for a
-/// server. After that, the caller is more likely to succeed with a retry through another host, which may know of a
-/// free server.
-const LOCAL_WAIT_DIVISOR: u64 = 4;
-
-/// Divisor of the latency target; the result is the longest time for which a request waits while its key moves to
-/// another owner. The move takes as long as the requests that are running on the key.
-const KEY_MOVE_WAIT_DIVISOR: u64 = 1;
-
-/// Longest time between two checks for a server, if no change notification arrives.
-const TARGET_POLL_INTERVAL: Millis = Millis(10);
 
 /// Longest time until a suspected request asks again whether it may run.
 const TURN_POLL_INTERVAL: Millis = Millis(20);
@@ -58,13 +41,13 @@
 const UNRESPONSIVE_WORK_FACTOR: f64 = 8.0;
 
 /// One request, and the attempts to serve it so far.
-struct Attempts<'a> {
-    router: &'a Rc<Router>,
-    service: Rc<Service>,
-    call: &'a CallerRequest,
+pub(super) struct Attempts<'a> {
+    pub(super) router: &'a Rc<Router>,
+    pub(super) service: Rc<Service>,
+    pub(super) call: &'a CallerRequest,
     body: &'a Rc<RequestBody>,
     /// Servers of the earlier attempts, also those that could not be reached.
-    tried: Vec<Life>,
+    pub(super) tried: Vec<Life>,
     /// Number of sends that the server may have executed.
     possible_runs: u32,
 }
@@ -174,88 +157,6 @@
         Ok(())
     }
 
-    /// Waits for a server for as long as the caller waits for its response.
-    async fn acquire_for_caller(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
-        let caller_left = &self.call.caller_left;
-        let acquired = caller_left.run_until_cancelled(self.acquire_server());
-        acquired.await.unwrap_or(Err(Cause::CallerLeft.into()))
-    }
-
-    /// Waits for a server for the request. The scheduler assigns it; if the scheduler is unavailable, this host selects
-    /// the server by its own view of the load.
-    async fn acquire_server(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
-        let started = self.router.now();
-        let decision =
-            slot_query::request_slot(self.router, &self.service, self.call, &self.tried).await;
-        let decided_by_scheduler = !matches!(decision, slot_query::Decision::Unavailable);
-        let assignment = match decision {
-            slot_query::Decision::Send(target, slot) => Ok((target, slot)),
-            slot_query::Decision::Refuse(after) => Err(self.refuse(Cause::Full, after)),
-            slot_query::Decision::OverQuota(after) => Err(self.refuse(Cause::OverQuota, after)),
-            slot_query::Decision::Withheld(why) => Err(self.refuse_withheld(why)),
-            slot_query::Decision::Unavailable => self.acquire_without_scheduler().await,
-        };
-        let mut stats = self.call.stats.borrow_mut();
-        stats.waited = stats.waited + self.router.now().since(started);
-        stats.decided_by_scheduler = decided_by_scheduler;
-        if let Ok((target, _)) = &assignment {
-            stats.server = Some(target.life.clone());
-            stats.sends += 1;
-        }
-        assignment
-    }
-
-    /// Chooses a server, and takes a quota token if one is needed, without the scheduler.
-    async fn acquire_without_scheduler(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
-        let target = self.wait_for_target().await?;
-        if let Some((name, limit)) = self.call.needed_quota() {
-            let (now, hosts) = (self.router.now(), self.router.standalone_hosts());
-            let organisations = &self.router.organisations;
-            if let Err(after) = organisations.take_standalone(now, name, limit, hosts) {
-                log::info!(request = self.call.id, organisation:% = name, rate = limit.rate,
-                    hosts = hosts, token_in_ms = after.0; "quota_refused_alone");
-                self.router.counters.over_quota(name);
-                return Err(self.refuse(Cause::OverQuota, after));
-            }
-            self.call.has_quota_token.set(true);
-        }
-        let slot = SlotGuard::without_scheduler(self.router, &self.service, &target);
-        Ok((target, slot))
-    }
-
-    /// Waits for a server for the request, selected by this host's own view of the load.
-    async fn wait_for_target(&self) -> Result<Rc<Target>, Refusal> {
-        let latency_target = self.call.route.latency_target;
-        let started = self.router.now();
-        loop {
-            let seen = self.service.changed.version();
-            let now = self.router.now();
-            let left = self.call.time_left(now);
-            if left < SEND_TIME_MIN {
-                return Err(self.refuse(Cause::Late, Millis::ZERO));
-            }
-            let (cause, capacity_in) =
-                match choose(self.router, &self.service, self.call, &self.tried, now) {
-                    Choice::Send(target) => return Ok(target),
-                    Choice::Wait(cause, capacity_in) => (cause, capacity_in),
-                    Choice::Refuse(why) => return Err(self.refuse_withheld(why)),
-                };
-            let wait_max = match cause {
-                Cause::KeyMoving => Millis(latency_target.0 / KEY_MOVE_WAIT_DIVISOR),
-                _ => Millis(latency_target.0 / LOCAL_WAIT_DIVISOR),
-            };
-            let waited = now.since(started);
-            if waited >= wait_max.min(Millis(left.0 / 2)) {
-                return Err(self.refuse(cause, capacity_in));
-            }
-            let _ = timeout(
-                TARGET_POLL_INTERVAL.to_duration(),
-                self.service.changed.wait_past(seen),
-            )
-            .await;
-        }
-    }
-
     /// Returns how long to wait for the response to this attempt. An idempotent request without a key is cancelled at
     /// an unresponsive server while there is time for another one, but not before twice the latency target.
     fn attempt_timeout(&self) -> Millis {
@@ -317,7 +218,7 @@
     }
 
     /// Refuses a request that no server may receive from this host.
-    fn refuse_withheld(&self, why: Withheld) -> Refusal {
+    pub(super) fn refuse_withheld(&self, why: Withheld) -> Refusal {
         match why {
             Withheld::Draining => self.refuse(Cause::Draining, NO_SERVER_RETRY),
             Withheld::Backoff(left) => self.refuse(Cause::Backoff, left),
@@ -336,7 +237,7 @@
 
     /// Builds a refusal. If a server may have executed an earlier send, the cause does not promise that the request has
     /// not run.
-    fn refuse(&self, cause: Cause, capacity_in: Millis) -> Refusal {
+    pub(super) fn refuse(&self, cause: Cause, capacity_in: Millis) -> Refusal {
         if self.possible_runs > 0 {
             let cause = if cause == Cause::Late {
                 Cause::Silent
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -1,5 +1,6 @@
 //! Handles a caller's request: parse it, choose a server, send, respond.
 
+mod acquire;
 mod admission;
 mod attempts;
 mod caller;
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -54,7 +54,6 @@
     service_us: u64,
     length: u64,
     chunked: bool,
-    /// Whether the request ends the server that runs it.
     crashes: bool,
 }
 
