fix(leader): keep no connection to a server after granting it keys in place of a late delegate

Test keys_of_a_large_fleet_are_served_at_every_host was red: alone on an idle machine it now timed out waiting until the leader keeps few connections (before, 33 to 47 of 48 keys).

Cause: connections were closed only when a server was handed to another host. The leader grants a server again itself when that host is late, and kept that connection for good; the slower the machine, the more. Connections grew with the servers.

Change: after each grant to a server that another host renews, its connection is closed.

--- a/crates/chicoryrail-ownership/src/keys/delegation.rs
+++ b/crates/chicoryrail-ownership/src/keys/delegation.rs
@@ -42,6 +42,12 @@
         state.is_some_and(|state| std::mem::replace(&mut state.delegated, delegated))
     }
 
+    /// Returns `true` if another host renews a server's leases.
+    #[must_use]
+    pub fn is_delegated(&self, life: &Life) -> bool {
+        self.servers.get(life).is_some_and(|state| state.delegated)
+    }
+
     /// Returns `true` if a server's leases may be renewed by another host: it answered the last grant and has not ended.
     #[must_use]
     pub fn is_delegable(&self, life: &Life) -> bool {
--- a/crates/chicoryrail-router/src/control/leader/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -128,6 +128,10 @@
         };
         let mut leases = self.leases.borrow_mut();
         leases.grant_finished(now, &life, span, grant.fence, outcome);
+        // The leader also calls a server whose delegate is late; it keeps no connections to such servers.
+        if leases.is_delegated(&life) {
+            control.close_idle(addr);
+        }
         self.call_ended.notify();
     }
 
