fix(route): know the condemned requests before serving, and log what leads from a refused one to its servers

A host that starts waits for the list of condemned requests as it waits for its first configuration. A server's 504 at the deadline is no complete run. Only the newest of several ends is checked: the address of an earlier one may belong to another server. Gauges requests_suspected and requests_condemned, lines request_held_back (id, fingerprint) and head in connection_broken. The leader looks at its reach only while a grant is unanswered; no list of hosts is built for hosts that pass nothing on.

--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -192,6 +192,13 @@
         now.since(since) >= Millis(self.timing.lease.0 / 2)
     }
 
+    /// Returns `true` if any server has left a grant unanswered since its last response.
+    #[must_use]
+    pub fn has_unanswered(&self) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|state| state.unanswered_since.is_some())
+    }
+
     /// Returns the former owners' leases that ran until their end since the last call.
     pub fn take_expired(&mut self) -> Vec<OwnedRange> {
         std::mem::take(&mut self.expired)
--- a/crates/chicoryrail-policy/src/crash/crash_table.rs
+++ b/crates/chicoryrail-policy/src/crash/crash_table.rs
@@ -17,7 +17,7 @@
 const EVIDENCE_TIME: Millis = Millis(3_600_000);
 
 /// Time for which a server that was found alive is remembered: reports of its end may still be on their way.
-const ALIVE_TIME: Millis = Millis(60_000);
+const ALIVE_TIME: Millis = Millis(15_000);
 
 /// Largest number of servers that are remembered as alive.
 const ALIVE_MAX: usize = 256;
--- a/crates/chicoryrail-router/src/control/crashes/news.rs
+++ b/crates/chicoryrail-router/src/control/crashes/news.rs
@@ -156,8 +156,9 @@
         record.map_or_else(Vec::new, |record| record.ends.clone())
     };
     let service = router.service(service);
-    let new = ends.iter().filter(|life| !known.contains(life));
-    for target in new.filter_map(|life| service.target(life)) {
+    // The address of a server that ended earlier may belong to another one by now.
+    let newest = ends.last().filter(|life| !known.contains(life));
+    if let Some(target) = newest.and_then(|life| service.target(life)) {
         let router = Rc::clone(router);
         monoio::spawn(async move {
             let check = check_server(&target).await;
@@ -182,7 +183,20 @@
     }
 }
 
+/// Updates the metrics, and wakes those who wait for a change.
 fn notify(router: &Router) {
+    let table = router.crashes.table.borrow();
+    let (mut suspected, mut condemned) = (0, 0);
+    for (_, record) in table.records() {
+        match record.standing() {
+            Standing::Clear => {}
+            Standing::Suspect(_) => suspected += 1,
+            Standing::Condemned => condemned += 1,
+        }
+    }
+    drop(table);
+    router.counters.suspected.set(suspected);
+    router.counters.condemned.set(condemned);
     router.crashes.changed.notify();
     router.feed_changed.notify();
 }
@@ -210,6 +224,6 @@
         Standing::Suspect(_) => "request_suspected",
         Standing::Condemned => "request_condemned",
     };
-    log::info!(fingerprint:% = request, service:% = record.service, epoch = record.epoch,
+    log::info!(fingerprint:% = request, head = record.head, service:% = record.service, epoch = record.epoch,
         ended = ends.join(","), by_hand = record.by_hand, source = source; "{event}");
 }
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -89,6 +89,9 @@
     fn doubts_reach(&self, now: Millis) -> bool {
         let service = self.router.service(&self.service);
         let leases = self.leases.borrow();
+        if !self.doubts.get() && !leases.has_unanswered() {
+            return false;
+        }
         let owners: BTreeSet<Life> = leases.lease_owners().into_iter().collect();
         let registered = owners.iter().filter(|life| service.target(life).is_some());
         let (lost, reached): (Vec<_>, Vec<_>) = registered.partition(|o| leases.is_lost(now, o));
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -157,10 +157,10 @@
         report,
     };
     let now = router.now();
-    if let Some(rate) = end.rate {
-        if target.record_rate_limit(now, rate.into()) {
-            service.record_change(&target);
-        }
+    if let Some(rate) = end.rate
+        && target.record_rate_limit(now, rate.into())
+    {
+        service.record_change(&target);
     }
     if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(&end.part) {
         let pause = scheduler.release(now, &release);
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -149,6 +149,7 @@
             .latency_target
             .min(Millis(self.call.time_left(now).0 / 2));
         if now.since(begun) >= wait_max || self.call.caller_left.is_cancelled() {
+            suspicion::log_held_back(self.router, self.call, self.body);
             return Err(self.refuse(Cause::Suspected, TURN_RETRY));
         }
         let seen = self.router.crashes.changed.version();
@@ -228,6 +229,7 @@
     /// Refuses a request that ends servers. The time to retry is not bounded by the time that the caller has left, so that
     /// the caller gives up.
     fn refuse_condemned(&self) -> Refusal {
+        suspicion::log_held_back(self.router, self.call, self.body);
         let refusal = self.refuse(Cause::Condemned, CONDEMNED_RETRY);
         Refusal {
             retry_after: refusal.retry_after.map(|_| CONDEMNED_RETRY),
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -61,10 +61,10 @@
     response
 }
 
-/// Waits a short time for the first configuration. If the store is available, a host that starts receives it before a
+/// Waits a short time for the first configuration and the list of condemned requests. If the store is available, a host that starts receives it before a
 /// refused caller would retry.
 async fn await_config(router: &Router) {
-    while router.site().is_none() {
+    while !router.has_first_content() {
         let seen = router.feed_changed.version();
         let time_left = FIRST_CONFIG_WAIT_MAX.since(router.now());
         if time_left == Millis::ZERO {
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -114,7 +114,7 @@
     let path: String = call.uri.to_string().chars().take(LOGGED_PATH_MAX).collect();
     let fingerprint = (!call.is_forwarded).then(|| call.fingerprint(body));
     log::info!(request = call.id, server:% = target.life, method:% = call.method, path = path,
-        fingerprint = fingerprint.map_or_else(|| "-".to_owned(), |f| f.to_string()),
+        head = call.head_hash(), fingerprint = fingerprint.map_or_else(|| "-".to_owned(), |f| f.to_string()),
         key = call.key.map_or_else(|| "-".to_owned(), |key| key.to_string()),
         body_bytes = body.buffered_len(), from:% = call.from, error:% = error,
         connections = target.pool.open_connections(); "connection_broken");
--- a/crates/chicoryrail-router/src/route/server_report.rs
+++ b/crates/chicoryrail-router/src/route/server_report.rs
@@ -33,10 +33,10 @@
     }
     let warmup_left =
         call_header::text(headers, &call_header::WARMUP_LEFT).and_then(|t| t.parse().ok());
-    if let Some(left) = warmup_left {
-        if target.extend_warmup(now, Millis(left)) {
-            service.record_change(target);
-        }
+    if let Some(left) = warmup_left
+        && target.extend_warmup(now, Millis(left))
+    {
+        service.record_change(target);
     }
 }
 
--- a/crates/chicoryrail-router/src/route/suspicion.rs
+++ b/crates/chicoryrail-router/src/route/suspicion.rs
@@ -6,6 +6,7 @@
 use chicoryrail_core::Life;
 use chicoryrail_policy::Standing;
 use chicoryrail_runtime::RequestBody;
+use http::StatusCode;
 
 use crate::control;
 use crate::control::Trial;
@@ -93,11 +94,23 @@
             let request = (call.fingerprint(body), call.head_hash());
             control::record_end(router, service, request, life);
         }
-        SendOutcome::Answered(_) | SendOutcome::ServerError(_) => {
+        SendOutcome::Answered(response) | SendOutcome::ServerError(response)
+            if response.status() != StatusCode::GATEWAY_TIMEOUT =>
+        {
             if let Some(request) = request_in_evidence(router, call, body) {
                 control::record_complete(router, request);
             }
         }
-        SendOutcome::NotRun(_) | SendOutcome::Indeterminate(_) => {}
+        // A server that gave up at the deadline has not run the request to its end.
+        _ => {}
     }
 }
+
+/// Logs that a request is refused because of the servers that ended under it.
+pub(super) fn log_held_back(router: &Router, call: &CallerRequest, body: &RequestBody) {
+    let request = call.fingerprint(body);
+    let table = router.crashes.table.borrow();
+    let ends = table.record(request).map_or(0, |record| record.ends.len());
+    log::info!(request = call.id, fingerprint:% = request, ended = ends,
+        standing:? = table.standing(request); "request_held_back");
+}
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -256,9 +256,10 @@
     let now = router.now();
     let misses = router.misses_key_paths();
     router.reach.borrow_mut().set_misses_servers(misses);
-    let peers = router.peers.borrow();
-    let addrs = peers.addrs();
-    router.forwarders.tidy(now, |addr| addrs.contains(&addr));
+    if !router.forwarders.is_empty() {
+        let addrs = router.peers.borrow().addrs();
+        router.forwarders.tidy(now, |addr| addrs.contains(&addr));
+    }
     if !router.server_reach.is_blocked(now) {
         return;
     }
@@ -282,7 +283,7 @@
 /// receive requests. It can't if it may have missed revocations of API keys and is isolated from the other hosts.
 fn can_serve(router: &Router) -> bool {
     let now = router.now();
-    let known = router.site().is_some();
+    let known = router.has_first_content();
     // If all hosts have lost the store, another host would refuse requests with API keys too: the host stays ready.
     let needs_keys = router.site().is_some_and(|s| s.organisations().is_some());
     let refuses_callers =
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -48,6 +48,10 @@
     pub(crate) serving: IntGauge,
     /// Version of the configuration in force.
     pub(crate) config: IntGauge,
+    /// Requests under which servers ended and that are not condemned.
+    pub(crate) suspected: IntGauge,
+    /// Requests that end each server that runs them.
+    pub(crate) condemned: IntGauge,
     /// 1 while this host leads, else 0.
     pub(crate) leading: IntGauge,
     /// Time since the configuration was verified to be current, in milliseconds; -1 if it never was.
@@ -127,6 +131,14 @@
             ),
             serving: metrics.gauge("serving", "Requests in progress"),
             config: metrics.gauge("config_version", "Version of the configuration in force"),
+            suspected: metrics.gauge(
+                "requests_suspected",
+                "Requests under which servers ended and that are not condemned",
+            ),
+            condemned: metrics.gauge(
+                "requests_condemned",
+                "Requests that end each server that runs them",
+            ),
             leading: metrics.gauge("leading", "1 while this host leads"),
             config_age: metrics.gauge(
                 "config_age_ms",
--- a/crates/chicoryrail-router/src/state/forwarders.rs
+++ b/crates/chicoryrail-router/src/state/forwarders.rs
@@ -49,6 +49,11 @@
         Rc::clone(forwarder)
     }
 
+    /// Returns `true` if this host has asked no other one to pass a request on.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_addr.borrow().is_empty()
+    }
+
     /// Closes connections that were not used lately, and drops hosts for which `is_known` returns `false`.
     pub(crate) fn tidy(&self, now: Millis, is_known: impl Fn(SocketAddr) -> bool) {
         let mut by_addr = self.by_addr.borrow_mut();
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -18,7 +18,9 @@
 use chicoryrail_ownership::HostState;
 use chicoryrail_ownership::Peers;
 use chicoryrail_ownership::SchedulerHost;
+use chicoryrail_ownership::store_key::LIVE;
 use chicoryrail_platform::Boot;
+use chicoryrail_platform::Feed;
 use chicoryrail_platform::FeedLog;
 use chicoryrail_platform::KeyControl;
 use chicoryrail_platform::KvStore;
@@ -200,6 +202,12 @@
         self.store_view.borrow().site().cloned()
     }
 
+    /// Returns `true` if this host has a configuration and knows the condemned requests.
+    pub(crate) fn has_first_content(&self) -> bool {
+        let view = self.store_view.borrow();
+        view.site().is_some() && view.read_revision(Feed::Own(LIVE)).is_some()
+    }
+
     /// Returns a service; an unknown one is added without servers.
     pub(crate) fn service(&self, name: &ServiceName) -> Rc<Service> {
         if let Some(service) = self.services.borrow().get(name) {
