fix(route): check a server again that accepted a connection while it ended

Found by crashing_requests.rs with hosts replaced: 4 ends instead of 3 once. Traced: server_checked said accepted within the same millisecond as connection_broken, and the end of that server counted against nobody. A process that ends resets its connections one after the other and may still accept another.

Change: an accepted check is repeated after 30 ms before it counts as proof of life, at the host itself and at those that check for others; a server found alive is not checked again for 200 ms, so that one which resets connections as it is full gets no more of them.

--- a/crates/chicoryrail-router/src/control/crashes/mod.rs
+++ b/crates/chicoryrail-router/src/control/crashes/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) use news::spread_news;
 pub(crate) use server_check::ServerCheck;
 pub(crate) use server_check::check_server;
+pub(crate) use server_check::recheck_server;
 pub(crate) use trials::TRIAL_PATH;
 pub(crate) use trials::Trial;
 pub(crate) use trials::begin_trial;
--- a/crates/chicoryrail-router/src/control/crashes/news.rs
+++ b/crates/chicoryrail-router/src/control/crashes/news.rs
@@ -13,6 +13,7 @@
 
 use crate::control::crashes::ServerCheck;
 use crate::control::crashes::check_server;
+use crate::control::crashes::recheck_server;
 use crate::messages::CrashNews;
 use crate::messages::Packet;
 use crate::messages::RequestRecord;
@@ -161,7 +162,10 @@
     if let Some(target) = newest.and_then(|life| service.target(life)) {
         let router = Rc::clone(router);
         monoio::spawn(async move {
-            let check = check_server(&target).await;
+            let mut check = check_server(&target).await;
+            if check == ServerCheck::Accepted {
+                check = recheck_server(&target).await;
+            }
             log::info!(server:% = target.life, check = check.name(); "server_end_checked");
             if check == ServerCheck::Accepted {
                 record_alive(&router, &target.life);
--- a/crates/chicoryrail-router/src/control/crashes/server_check.rs
+++ b/crates/chicoryrail-router/src/control/crashes/server_check.rs
@@ -10,6 +10,10 @@
 /// Longest time for the check. Servers are a few milliseconds away.
 const CHECK_TIMEOUT: Millis = Millis(120);
 
+/// Time after which a server that accepted a connection is checked again. A process that ends resets its connections one
+/// after the other, and may accept another one meanwhile.
+const RECHECK_DELAY: Millis = Millis(30);
+
 /// Result of the check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ServerCheck {
@@ -45,6 +49,12 @@
     }
 }
 
+/// Checks again whether a server accepts connections, after a short time.
+pub(crate) async fn recheck_server(target: &Target) -> ServerCheck {
+    monoio::time::sleep(RECHECK_DELAY.to_duration()).await;
+    check_server(target).await
+}
+
 /// Returns `true` if the address refused a connection. A connection that is refused while it is being opened has no peer.
 fn is_refusal(error: &io::Error) -> bool {
     matches!(
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -21,6 +21,7 @@
 pub(crate) use crashes::Trial;
 pub(crate) use crashes::begin_trial;
 pub(crate) use crashes::check_server;
+pub(crate) use crashes::recheck_server;
 pub(crate) use crashes::record_complete;
 pub(crate) use crashes::record_end;
 pub(crate) use crashes::serve_trial;
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -96,7 +96,8 @@
                     continue;
                 }
             };
-            let life = assignment.0.life.clone();
+            let target = Rc::clone(&assignment.0);
+            let life = target.life.clone();
             let response_timeout = self.attempt_timeout();
             let (service, call, body) = (&self.service, self.call, self.body);
             let sent = send(
@@ -108,7 +109,7 @@
                 response_timeout,
             )
             .await;
-            suspicion::record_send(self.router, service, call, body, &life, &sent);
+            suspicion::record_send(self.router, service, call, body, &target, &sent);
             drop(trial);
             self.log(&life, &sent);
             if matches!(sent, SendOutcome::NotRun(NotRun::Suspected)) {
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -95,7 +95,8 @@
         record_silence(router, service, target);
         return Indeterminate::Broken;
     }
-    if !target.keeps_connections() || service.doubts_paths(router.now()) {
+    let now = router.now();
+    if !target.may_have_ended(now) || service.doubts_paths(now) {
         return Indeterminate::Broken;
     }
     let begun = router.now();
--- a/crates/chicoryrail-router/src/route/suspicion.rs
+++ b/crates/chicoryrail-router/src/route/suspicion.rs
@@ -3,19 +3,21 @@
 use std::rc::Rc;
 
 use chicoryrail_core::Fingerprint;
-use chicoryrail_core::Life;
 use chicoryrail_policy::Standing;
 use chicoryrail_runtime::RequestBody;
 use http::StatusCode;
 
 use crate::control;
+use crate::control::ServerCheck;
 use crate::control::Trial;
 use crate::control::begin_trial;
+use crate::control::recheck_server;
 use crate::route::caller_request::CallerRequest;
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::SendOutcome;
 use crate::state::Router;
 use crate::state::Service;
+use crate::state::Target;
 
 /// Whether a request may be sent to a server now.
 pub(super) enum Permission {
@@ -83,16 +85,27 @@
 /// Records what the end of a send says of the request: that its server ended under it, or that it ran completely.
 pub(super) fn record_send(
     router: &Rc<Router>,
-    service: &Service,
+    service: &Rc<Service>,
     call: &CallerRequest,
     body: &RequestBody,
-    life: &Life,
+    target: &Rc<Target>,
     sent: &SendOutcome,
 ) {
     match sent {
         SendOutcome::Indeterminate(Indeterminate::Ended) => {
             let request = (call.fingerprint(body), call.head_hash());
-            control::record_end(router, service, request, life);
+            control::record_end(router, service, request, &target.life);
+        }
+        SendOutcome::Indeterminate(Indeterminate::Broken)
+            if call.stats.borrow().via.is_none() && target.may_have_ended(router.now()) =>
+        {
+            let request = (call.fingerprint(body), call.head_hash());
+            monoio::spawn(record_late_end(
+                Rc::clone(router),
+                Rc::clone(service),
+                Rc::clone(target),
+                request,
+            ));
         }
         SendOutcome::Answered(response) | SendOutcome::ServerError(response)
             if response.status() != StatusCode::GATEWAY_TIMEOUT =>
@@ -106,6 +119,25 @@
     }
 }
 
+/// Records the end of a server that still accepted a connection when the request's own had broken.
+async fn record_late_end(
+    router: Rc<Router>,
+    service: Rc<Service>,
+    target: Rc<Target>,
+    request: (Fingerprint, u64),
+) {
+    let check = recheck_server(&target).await;
+    let now = router.now();
+    if check == ServerCheck::Accepted {
+        target.found_alive.set(Some(now));
+    }
+    if check != ServerCheck::Refused || service.doubts_paths(now) {
+        return;
+    }
+    log::info!(server:% = target.life, check = check.name(); "server_rechecked");
+    control::record_end(&router, &service, request, &target.life);
+}
+
 /// Logs that a request is refused because of the servers that ended under it.
 pub(super) fn log_held_back(router: &Router, call: &CallerRequest, body: &RequestBody) {
     let request = call.fingerprint(body);
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -208,6 +208,7 @@
                     warmup_until: Cell::default(),
                     limit: Cell::default(),
                     path: Cell::default(),
+                    found_alive: Cell::default(),
                     notices: Cell::new(service.known_notices(&member.life)),
                     slots: Cell::new(member.slots),
                     admission: Cell::new(Admission::Closed),
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -21,6 +21,9 @@
 /// of its drain time. The rest covers the delay until this host learns of the drain and the transit of the request.
 const DRAIN_DIVISOR: u64 = 2;
 
+/// Time for which a server that was found to accept connections counts as alive.
+const ALIVE_TIME: Millis = Millis(200);
+
 /// Which requests a server may receive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Admission {
@@ -52,6 +55,8 @@
     pub(crate) limit: Cell<AdvertisedLimit>,
     /// Path of this host to the server.
     pub(crate) path: Cell<ServerPath>,
+    /// When the server was last found to accept connections after one of them broke.
+    pub(crate) found_alive: Cell<Option<Millis>>,
     /// What the server's responses asked of this host.
     pub(crate) notices: Cell<ServerNotices>,
     /// Maximum number of concurrent requests.
@@ -83,6 +88,16 @@
         self.is_ready() && !self.notices.get().is_draining()
     }
 
+    /// Returns `true` if a broken connection may mean that the server has ended. A server that is draining ends as it said.
+    /// One that was just found alive resets connections, perhaps as it is full, and is not checked each time.
+    pub(crate) fn may_have_ended(&self, now: Millis) -> bool {
+        let found_lately = self
+            .found_alive
+            .get()
+            .is_some_and(|at| now.since(at) < ALIVE_TIME);
+        self.keeps_connections() && !found_lately
+    }
+
     /// Returns `true` if the server is warming up.
     pub(crate) fn is_warming_up(&self, now: Millis) -> bool {
         now < self.warmup_until.get()
--- a/crates/chicoryrail-router/tests/crashing_requests.rs
+++ b/crates/chicoryrail-router/tests/crashing_requests.rs
@@ -13,6 +13,7 @@
 use chicoryrail_testkit::TargetOptions;
 use futures_util::future::join;
 use futures_util::future::join_all;
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use support::Cut;
 use support::Mode;
@@ -175,6 +176,10 @@
     Nothing,
     /// Two hosts are replaced after the third end.
     HostsReplaced,
+    /// All hosts are killed and started again after the third end.
+    HostsKilled,
+    /// One of the hosts is a leaf host.
+    LeafHost,
     /// The store is down, and the servers that have ended stay down.
     StoreDown,
 }
@@ -272,13 +277,23 @@
             .collect()
     }
 
-    /// Replaces two hosts after the third end.
-    async fn replace_hosts(&self) {
+    /// Replaces hosts some time after the third end: two one after the other, or all at once.
+    async fn replace_hosts(&self, beside: Beside) {
+        if !matches!(beside, Beside::HostsReplaced | Beside::HostsKilled) {
+            return;
+        }
         wait_until("the third server has ended", async || {
             self.servers.known_at().is_some()
         })
         .await;
         monoio::time::sleep(SETTLE_TIME.to_duration()).await;
+        if beside == Beside::HostsKilled {
+            let killed = std::mem::take(&mut *self.hosts.borrow_mut());
+            killed.iter().for_each(|host| host.signal(Signal::SIGKILL));
+            let started = ["d", "e", "f"].map(|name| Rc::new(self.servers.world.spawn(name)));
+            self.hosts.borrow_mut().extend(started);
+            return;
+        }
         for name in ["d", "e"] {
             let new = self.servers.world.router(name).await;
             let mut hosts = self.hosts.borrow_mut();
@@ -301,6 +316,8 @@
 #[case::hosts_replaced(Kind::Read, Beside::HostsReplaced, REPEAT_INTERVAL)]
 #[case::store_down(Kind::Read, Beside::StoreDown, REPEAT_INTERVAL)]
 #[case::keyed(Kind::Keyed, Beside::Nothing, REPEAT_INTERVAL)]
+#[case::hosts_killed(Kind::Read, Beside::HostsKilled, REPEAT_INTERVAL)]
+#[case::leaf_host(Kind::Read, Beside::LeafHost, REPEAT_INTERVAL)]
 #[case::often(Kind::Read, Beside::Nothing, SHORT_INTERVAL)]
 fn a_request_that_ends_servers_reaches_few(
     #[case] kind: Kind,
@@ -315,14 +332,14 @@
             servers.restarts.set(false);
             servers.world.stop_store(OUTAGE).await;
         }
+        if beside == Beside::LeafHost {
+            let leaf = servers.world.low_power_router("leaf").await;
+            deployment.hosts.borrow_mut().push(Rc::new(leaf));
+        }
         let until = deployment.clock.now() + SEND_TIME;
         let repeated = deployment.repeat(kind, interval, until);
         let others = deployment.send_others(until, false);
-        let replaced = async {
-            if beside == Beside::HostsReplaced {
-                deployment.replace_hosts().await;
-            }
-        };
+        let replaced = deployment.replace_hosts(beside);
         let (others, _) = join(others, join(repeated, replaced)).await;
         let known_at = servers.known_at();
         let settle_time = if kind == Kind::Keyed {
