feat(ctl): list, add and dismiss condemned requests

The leader writes a verdict on condition of the entry's revision, so that it does not overwrite an operator's dismissal.

--- a/crates/chicoryctl/src/error.rs
+++ b/crates/chicoryctl/src/error.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use chicoryrail_core::DcName;
+use chicoryrail_core::Fingerprint;
 use chicoryrail_core::OrganisationName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::SiteError;
@@ -83,6 +84,20 @@
         /// Field, value and reason.
         source: SiteError,
     },
+    /// No request with this fingerprint is condemned.
+    #[snafu(display("request {request} is not condemned"))]
+    NotCondemned {
+        /// Fingerprint that was given.
+        request: Fingerprint,
+    },
+    /// A record of a condemned request in the store can't be decoded.
+    #[snafu(display("entry {key}: not the record of a condemned request: {source}"))]
+    Record {
+        /// Key of the entry.
+        key: String,
+        /// Error of the decoder.
+        source: serde_json::Error,
+    },
     /// The configuration has no organisation of this name.
     #[snafu(display("organisation {name} does not exist"))]
     NoOrganisation {
--- a/crates/chicoryctl/src/lib.rs
+++ b/crates/chicoryctl/src/lib.rs
@@ -15,6 +15,7 @@
 //! See [`Command`] for the commands and [`CtlError`] for the errors.
 
 mod change;
+mod condemned;
 mod error;
 mod organisation;
 mod organisation_settings;
@@ -22,6 +23,7 @@
 mod settings;
 mod status;
 
+pub use condemned::CondemnedCommand;
 pub use error::CtlError;
 pub use organisation_settings::OrganisationCommand;
 pub use run::execute;
--- a/crates/chicoryctl/src/settings.rs
+++ b/crates/chicoryctl/src/settings.rs
@@ -12,7 +12,9 @@
 use chicoryrail_runtime::setting_parser;
 use chicoryrail_runtime::switch_parser;
 
+use crate::CondemnedCommand;
 use crate::OrganisationCommand;
+use crate::condemned::condemned_commands;
 use crate::organisation_settings::organisation_commands;
 
 /// Settings of a run of `chicoryctl`.
@@ -57,6 +59,8 @@
     },
     /// Shows or changes organisations.
     Organisation(OrganisationCommand),
+    /// Shows or changes the requests that are refused because they end servers.
+    Condemned(CondemnedCommand),
     /// Shows the configuration version, leader, hosts, services, organisations and data centres out of service.
     Status,
     /// Shows which server owns a key.
@@ -118,7 +122,12 @@
         .to_options()
         .descr("Shows or changes organisations: list, add, limit, new-key, drop-key")
         .command("organisation");
-    construct!([check, config, dc, organisation, status, owner])
+    let condemned = condemned_commands().map(Command::Condemned);
+    let condemned = condemned
+        .to_options()
+        .descr("Shows or changes requests refused because they end servers: list, add, dismiss")
+        .command("condemned");
+    construct!([check, config, dc, organisation, condemned, status, owner])
 }
 
 fn file() -> impl Parser<PathBuf> {
--- a/crates/chicoryrail-policy/src/crash/crash_record.rs
+++ b/crates/chicoryrail-policy/src/crash/crash_record.rs
@@ -75,6 +75,11 @@
         true
     }
 
+    /// Condemns the request by an operator's decision.
+    pub const fn condemn(&mut self) {
+        self.by_hand = true;
+    }
+
     /// Dismisses all evidence; returns `true` if there was any.
     pub fn dismiss(&mut self) -> bool {
         if self.standing() == Standing::Clear {
--- a/crates/chicoryrail-router/src/control/verdicts.rs
+++ b/crates/chicoryrail-router/src/control/verdicts.rs
@@ -66,7 +66,17 @@
     record: &CrashRecord,
 ) -> Result<(), StoreError> {
     let value = serde_json::to_vec(record).unwrap_or_default();
-    let mut txn = Txn::default().put(&format!("{OWN_PREFIX}{}", crash_key(request)), &value);
+    let key = crash_key(request);
+    let stored = router
+        .store_view
+        .borrow()
+        .own(&key)
+        .map(|item| item.revision);
+    let key = format!("{OWN_PREFIX}{key}");
+    // An operator may have dismissed the verdict meanwhile.
+    let mut txn = Txn::default()
+        .expect(&key, stored.unwrap_or(0))
+        .put(&key, &value);
     if let Some(oldest) = surplus(router) {
         txn = txn.remove(&format!("{OWN_PREFIX}{oldest}"));
     }
