--- a/crates/chicoryrail-router/tests/crashing_requests.rs
+++ b/crates/chicoryrail-router/tests/crashing_requests.rs
@@ -408,3 +408,67 @@
         assert!(condemned.is_empty(), "{condemned:?}");
     });
 }
+
+/// Returns the value of a field in the first log line of this kind.
+fn field(log: &str, kind: &str, name: &str) -> Option<String> {
+    let line = log
+        .lines()
+        .find(|line| line.starts_with(&format!("log={kind} ")))?;
+    let value = line.split(&format!(" {name}=")).nth(1)?;
+    value.split(' ').next().map(str::to_owned)
+}
+
+/// Guards against an operator's verdict or dismissal that does not reach every host.
+#[test]
+fn an_operator_condemns_and_dismisses() {
+    block_on(async {
+        let deployment = Deployment::start("by-hand", "desk", 2).await;
+        let servers = &deployment.servers;
+        let host = deployment.host(0);
+        let path = "slow?work_us=15000";
+        let (lost, ()) = join(Kind::Order.send(&host, path, 0), async {
+            monoio::time::sleep(Millis(150).to_duration()).await;
+            let running = servers.running.borrow().clone();
+            running.iter().for_each(|server| server.crash());
+        })
+        .await;
+        assert!(!lost);
+        wait_until("the host has logged the end of the server", async || {
+            host.log().contains("log=connection_broken ")
+        })
+        .await;
+        let log = host.log();
+        let request = field(&log, "connection_broken", "fingerprint").unwrap();
+        let head = field(&log, "connection_broken", "head").unwrap();
+        let key = format!("live/crashes/{request}");
+        let record = |epoch: u32, by_hand: bool| {
+            format!(
+                r#"{{"service":"desk","head":{head},"epoch":{epoch},"ends":[],"by_hand":{by_hand}}}"#
+            )
+        };
+        wait_until("a server is back", async || {
+            Kind::Read.send(&host, "x", 0).await
+        })
+        .await;
+        for (record, served) in [(record(5, true), false), (record(6, false), true)] {
+            servers.world.put_own(&key, &record).await;
+            for turn in 0..3 {
+                let host = deployment.host(turn);
+                wait_until("the host follows the operator", async || {
+                    Kind::Order.send(&host, path, 0).await == served
+                })
+                .await;
+            }
+        }
+        let caller = host.caller();
+        servers.world.put_own(&key, &record(7, true)).await;
+        wait_until(
+            "the request is refused with a time to stay away",
+            async || {
+                let response = caller.post(&format!("/order/{path}")).await.unwrap();
+                response.status() == 503 && response.headers()["retry-after"] == "600.000"
+            },
+        )
+        .await;
+    });
+}
