fix(scheduling): free the slot of a request whose host left after the decision

Seven requests were refused as full after 0.9 s at schedulers with 17 of 596 slots busy and no request running; seconds before, queries had got no reply for 59 ms (scheduler_silent).

Cause: a host that waits in vain uses its own view and withdraws its query. Where the scheduler had decided meanwhile, the withdrawal removed nothing, and the slot stayed taken until the request's deadline, 1.5 s later. Two of them block a server that is idle.

The policy test fails without it.

--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -98,6 +98,14 @@
         self.waiting.retain(|w| w.request.ticket != ticket);
     }
 
+    /// Removes a request whose host did not take the decision on it: it waits no more, and the slot that it may have been
+    /// assigned is free.
+    pub fn withdraw(&mut self, ticket: u64) {
+        self.cancel(ticket);
+        let mut servers = self.servers.values_mut();
+        servers.any(|slots| slots.forget(ticket));
+    }
+
     /// Iterates over the tickets and keys of the waiting requests that have a key.
     pub fn queued_keys(&self) -> impl Iterator<Item = (u64, u16)> {
         let waiting = self.waiting.iter();
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -218,6 +218,11 @@
         remaining[self.busy() - slots]
     }
 
+    /// Frees the slot of a request that was not sent; returns `true` if it had one.
+    pub(crate) fn forget(&mut self, ticket: u64) -> bool {
+        self.in_flight.remove(&ticket).is_some()
+    }
+
     /// Records that a request is sent.
     pub(crate) fn record_send(&mut self, now: Millis, ticket: u64, deadline: Millis, work_us: f64) {
         let in_flight = InFlight {
--- a/crates/chicoryrail-policy/tests/scheduler.rs
+++ b/crates/chicoryrail-policy/tests/scheduler.rs
@@ -334,3 +334,20 @@
     }
     assert_eq!(count, [2, 4]);
 }
+
+/// Guards against slots that stay taken until the deadline of requests whose hosts waited too long for the decision: few
+/// of them block a server that is idle.
+#[test]
+fn a_request_that_left_after_its_decision_holds_no_slot() {
+    let mut scheduler = scheduler(1);
+    for ticket in 1..=u64::from(SLOTS) {
+        scheduler.enqueue(Millis(0), request(ticket, 0, 300, 1_500));
+    }
+    assert_eq!(scheduler.poll(Millis(0), any).len(), SLOTS as usize);
+    for ticket in 1..=u64::from(SLOTS) {
+        scheduler.withdraw(ticket);
+    }
+    scheduler.enqueue(Millis(60), request(9, 60, 300, 1_500));
+    let decisions = scheduler.poll(Millis(60), any);
+    assert_eq!(decisions, [(9, Decision::Send(ServerId(0)))]);
+}
--- a/crates/chicoryrail-router/src/control/scheduling/part_schedulers.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/part_schedulers.rs
@@ -18,6 +18,14 @@
     remove_origin(router, ticket);
 }
 
+/// Removes a request whose host has left without a decision, whether it waits or has been assigned to a server.
+pub(super) fn withdraw_request(router: &Router, part: &PartName, ticket: u64) {
+    if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(part) {
+        scheduler.withdraw(ticket);
+    }
+    remove_origin(router, ticket);
+}
+
 /// Removes and returns the origin of a request that this host does not assign to a server, and gives back its quota
 /// token.
 pub(super) fn remove_origin(router: &Router, ticket: u64) -> Option<QueryOrigin> {
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -18,8 +18,8 @@
 use crate::control::scheduling::overflow;
 use crate::control::scheduling::part_schedulers::refresh_servers;
 use crate::control::scheduling::part_schedulers::remove_origin;
-use crate::control::scheduling::part_schedulers::remove_request;
 use crate::control::scheduling::part_schedulers::reply_to;
+use crate::control::scheduling::part_schedulers::withdraw_request;
 use crate::control::scheduling::tokens::take_token;
 use crate::messages::Packet;
 use crate::messages::PartName;
@@ -39,7 +39,7 @@
     match packet {
         Packet::SlotQuery(query) => handle_query(router, query, from),
         Packet::SlotEnd(end) => handle_end(router, end, from),
-        Packet::Leave { part, ticket } => remove_request(router, part, *ticket),
+        Packet::Leave { part, ticket } => withdraw_request(router, part, *ticket),
         Packet::Rooms(parts) => {
             for part in parts {
                 router.schedulers.record_free_slots(router.now(), part);
