--- a/crates/chicoryctl/src/condemned.rs
+++ b/crates/chicoryctl/src/blocked.rs
@@ -1,4 +1,4 @@
-//! The `condemned` commands: requests that are refused because they end each server that runs them.
+//! The `blocked` commands: requests that are refused because they end each server that runs them.
 
 use bpaf::Parser;
 use bpaf::construct;
@@ -22,12 +22,12 @@
 use crate::error::StoreSnafu;
 use crate::error::WriteSnafu;
 
-/// A `condemned` command.
+/// A `blocked` command.
 #[derive(Clone, Debug, PartialEq)]
-pub enum CondemnedCommand {
-    /// Lists the condemned requests and the servers that ended under them.
+pub enum BlockedCommand {
+    /// Lists the blocked requests and the servers that ended under them.
     List,
-    /// Condemns a request, so that every host refuses it.
+    /// Blocks a request, so that every host refuses it.
     Add {
         /// Hash of the request's head, `head` in the log line.
         head: u64,
@@ -36,18 +36,18 @@
         /// The request, `fingerprint` in the log line.
         request: Fingerprint,
     },
-    /// Dismisses a verdict, so that the request may run again.
+    /// Dismisses a block, so that the request may run again.
     Dismiss {
         /// The request.
         request: Fingerprint,
     },
 }
 
-/// Parses the `condemned` commands.
-pub(crate) fn condemned_commands() -> impl Parser<CondemnedCommand> {
-    let list = bpaf::pure(CondemnedCommand::List)
+/// Parses the `blocked` commands.
+pub(crate) fn blocked_commands() -> impl Parser<BlockedCommand> {
+    let list = bpaf::pure(BlockedCommand::List)
         .to_options()
-        .descr("Lists the condemned requests and the servers that ended under them")
+        .descr("Lists the blocked requests and the servers that ended under them")
         .command("list");
     let head = setting_parser::<u64>(
         "head",
@@ -62,18 +62,18 @@
         "Service of the request",
     );
     let request = request();
-    let add = construct!(CondemnedCommand::Add {
+    let add = construct!(BlockedCommand::Add {
         head,
         service,
         request
     })
     .to_options()
-    .descr("Condemns a request, so that every host refuses it")
+    .descr("Blocks a request, so that every host refuses it")
     .command("add");
     let request = self::request();
-    let dismiss = construct!(CondemnedCommand::Dismiss { request })
+    let dismiss = construct!(BlockedCommand::Dismiss { request })
         .to_options()
-        .descr("Dismisses a verdict, so that the request may run again")
+        .descr("Dismisses a block, so that the request may run again")
         .command("dismiss");
     construct!([list, add, dismiss])
 }
@@ -85,12 +85,12 @@
 /// Runs a command and returns the text for standard output.
 pub(crate) async fn execute(
     store: &KvStore,
-    command: &CondemnedCommand,
+    command: &BlockedCommand,
     json: bool,
 ) -> Result<String, CtlError> {
     match command {
-        CondemnedCommand::List => list(store, json).await,
-        CondemnedCommand::Add {
+        BlockedCommand::List => list(store, json).await,
+        BlockedCommand::Add {
             head,
             service,
             request,
@@ -98,16 +98,14 @@
             let stored = read(store, *request).await?;
             let known = stored.record.clone();
             let mut record = known.unwrap_or_else(|| CrashRecord::new(service.clone(), *head));
-            record.condemn();
+            record.block();
             write(store, *request, &record, stored.revision).await?;
-            Ok(format!("request {request} is condemned\n"))
+            Ok(format!("request {request} is blocked\n"))
         }
-        CondemnedCommand::Dismiss { request } => {
+        BlockedCommand::Dismiss { request } => {
             let stored = read(store, *request).await?;
-            let condemned = stored
-                .record
-                .filter(|r| r.standing() == Standing::Condemned);
-            let mut record = condemned.ok_or(CtlError::NotCondemned { request: *request })?;
+            let blocked = stored.record.filter(|r| r.standing() == Standing::Blocked);
+            let mut record = blocked.ok_or(CtlError::NotBlocked { request: *request })?;
             record.dismiss();
             write(store, *request, &record, stored.revision).await?;
             Ok(format!("request {request} may run again\n"))
@@ -115,7 +113,7 @@
     }
 }
 
-/// A condemned request in the output.
+/// A blocked request in the output.
 #[derive(Debug, Serialize)]
 struct Row {
     request: String,
@@ -132,7 +130,7 @@
     let mut rows = Vec::new();
     for item in &all.items {
         let record = decode(item)?;
-        if record.standing() != Standing::Condemned {
+        if record.standing() != Standing::Blocked {
             continue;
         }
         let request = item.key.strip_prefix(&prefix).unwrap_or(&item.key);
--- a/crates/chicoryctl/src/error.rs
+++ b/crates/chicoryctl/src/error.rs
@@ -84,14 +84,14 @@
         /// Field, value and reason.
         source: SiteError,
     },
-    /// No request with this fingerprint is condemned.
-    #[snafu(display("request {request} is not condemned"))]
-    NotCondemned {
+    /// No request with this fingerprint is blocked.
+    #[snafu(display("request {request} is not blocked"))]
+    NotBlocked {
         /// Fingerprint that was given.
         request: Fingerprint,
     },
-    /// A record of a condemned request in the store can't be decoded.
-    #[snafu(display("entry {key}: not the record of a condemned request: {source}"))]
+    /// A record of a blocked request in the store can't be decoded.
+    #[snafu(display("entry {key}: not the record of a blocked request: {source}"))]
     Record {
         /// Key of the entry.
         key: String,
--- a/crates/chicoryctl/src/lib.rs
+++ b/crates/chicoryctl/src/lib.rs
@@ -14,8 +14,8 @@
 //!
 //! See [`Command`] for the commands and [`CtlError`] for the errors.
 
+mod blocked;
 mod change;
-mod condemned;
 mod error;
 mod organisation;
 mod organisation_settings;
@@ -23,7 +23,7 @@
 mod settings;
 mod status;
 
-pub use condemned::CondemnedCommand;
+pub use blocked::BlockedCommand;
 pub use error::CtlError;
 pub use organisation_settings::OrganisationCommand;
 pub use run::execute;
--- a/crates/chicoryctl/src/run.rs
+++ b/crates/chicoryctl/src/run.rs
@@ -11,8 +11,8 @@
 use crate::Command;
 use crate::CtlError;
 use crate::Settings;
+use crate::blocked;
 use crate::change;
-use crate::condemned;
 use crate::organisation;
 use crate::settings;
 use crate::status;
@@ -60,7 +60,7 @@
         Command::Out { dc, force } => change::drain_dc(&store, dc, *force).await,
         Command::In { dc } => change::restore_dc(&store, dc).await,
         Command::Organisation(command) => organisation::execute(&store, command, json).await,
-        Command::Condemned(command) => condemned::execute(&store, command, json).await,
+        Command::Blocked(command) => blocked::execute(&store, command, json).await,
         Command::Status => Status::read(&store).await?.render(json),
         Command::Owner { service, key } => status::owner(&store, service, *key, json).await,
     }
--- a/crates/chicoryctl/src/settings.rs
+++ b/crates/chicoryctl/src/settings.rs
@@ -12,9 +12,9 @@
 use chicoryrail_runtime::setting_parser;
 use chicoryrail_runtime::switch_parser;
 
-use crate::CondemnedCommand;
+use crate::BlockedCommand;
 use crate::OrganisationCommand;
-use crate::condemned::condemned_commands;
+use crate::blocked::blocked_commands;
 use crate::organisation_settings::organisation_commands;
 
 /// Settings of a run of `chicoryctl`.
@@ -60,7 +60,7 @@
     /// Shows or changes organisations.
     Organisation(OrganisationCommand),
     /// Shows or changes the requests that are refused because they end servers.
-    Condemned(CondemnedCommand),
+    Blocked(BlockedCommand),
     /// Shows the configuration version, leader, hosts, services, organisations and data centres out of service.
     Status,
     /// Shows which server owns a key.
@@ -122,12 +122,12 @@
         .to_options()
         .descr("Shows or changes organisations: list, add, limit, new-key, drop-key")
         .command("organisation");
-    let condemned = condemned_commands().map(Command::Condemned);
-    let condemned = condemned
+    let blocked = blocked_commands().map(Command::Blocked);
+    let blocked = blocked
         .to_options()
         .descr("Shows or changes requests refused because they end servers: list, add, dismiss")
-        .command("condemned");
-    construct!([check, config, dc, organisation, condemned, status, owner])
+        .command("blocked");
+    construct!([check, config, dc, organisation, blocked, status, owner])
 }
 
 fn file() -> impl Parser<PathBuf> {
--- a/crates/chicoryrail-ownership/src/store_key.rs
+++ b/crates/chicoryrail-ownership/src/store_key.rs
@@ -13,7 +13,7 @@
 /// Prefix of the host entries. A value is the host's address for messages from other hosts, and its power.
 pub const HOSTS: &str = "live/hosts/";
 
-/// Prefix of the records of condemned requests.
+/// Prefix of the records of blocked requests.
 pub const CRASHES: &str = "live/crashes/";
 
 /// Prefix of the key records. They need not be watched, since the leader sends each change to the hosts
@@ -32,7 +32,7 @@
     format!("{KEYS}{service}")
 }
 
-/// Returns the key of a condemned request's record.
+/// Returns the key of a blocked request's record.
 #[must_use]
 pub fn crash_key(request: Fingerprint) -> String {
     format!("{CRASHES}{request}")
--- a/crates/chicoryrail-policy/src/crash/crash_record.rs
+++ b/crates/chicoryrail-policy/src/crash/crash_record.rs
@@ -7,8 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Number of servers that must end under a request, with no complete run in between, until it is condemned.
-const CONDEMNED_ENDS: usize = 3;
+/// Number of servers that must end under a request, with no complete run in between, until it is blocked.
+const BLOCKED_ENDS: usize = 3;
 
 /// Largest number of ended servers that a record names.
 const ENDS_MAX: usize = 8;
@@ -21,7 +21,7 @@
     /// This many servers ended under it. It runs on one server at a time.
     Suspect(usize),
     /// It ends each server that runs it, and must not run.
-    Condemned,
+    Blocked,
 }
 
 /// Evidence against a request.
@@ -38,7 +38,7 @@
     pub epoch: u32,
     /// Servers that ended under the request in this epoch, in order.
     pub ends: Vec<Life>,
-    /// Whether an operator has condemned the request in this epoch.
+    /// Whether an operator has blocked the request in this epoch.
     pub by_hand: bool,
 }
 
@@ -59,10 +59,10 @@
     #[must_use]
     pub const fn standing(&self) -> Standing {
         match self.ends.len() {
-            _ if self.by_hand => Standing::Condemned,
+            _ if self.by_hand => Standing::Blocked,
             0 => Standing::Clear,
-            ends if ends < CONDEMNED_ENDS => Standing::Suspect(ends),
-            _ => Standing::Condemned,
+            ends if ends < BLOCKED_ENDS => Standing::Suspect(ends),
+            _ => Standing::Blocked,
         }
     }
 
@@ -75,8 +75,8 @@
         true
     }
 
-    /// Condemns the request by an operator's decision.
-    pub const fn condemn(&mut self) {
+    /// Blocks the request by an operator's decision.
+    pub const fn block(&mut self) {
         self.by_hand = true;
     }
 
@@ -100,9 +100,9 @@
         if other.epoch < self.epoch {
             return false;
         }
-        let condemns = other.by_hand && !self.by_hand;
+        let blocks = other.by_hand && !self.by_hand;
         self.by_hand |= other.by_hand;
         let added = other.ends.iter().filter(|life| self.add_end(life)).count();
-        condemns || added > 0
+        blocks || added > 0
     }
 }
--- a/crates/chicoryrail-policy/src/crash/crash_table.rs
+++ b/crates/chicoryrail-policy/src/crash/crash_table.rs
@@ -13,9 +13,12 @@
 /// Largest number of requests in the table.
 const ENTRIES_MAX: usize = 1_024;
 
-/// Time after which evidence that does not condemn a request lapses.
+/// Time after which evidence that does not block a request lapses.
 const EVIDENCE_TIME: Millis = Millis(3_600_000);
 
+/// Time after which a record without evidence is dropped. Reports of dismissed evidence have arrived by then.
+const DISMISSED_TIME: Millis = Millis(60_000);
+
 /// Time for which a server that was found alive is remembered: reports of its end may still be on their way.
 const ALIVE_TIME: Millis = Millis(15_000);
 
@@ -40,6 +43,8 @@
 struct Entry {
     record: CrashRecord,
     changed_at: Millis,
+    /// Version of the table at the last change.
+    version: u64,
 }
 
 impl CrashTable {
@@ -49,13 +54,13 @@
         self.version
     }
 
-    /// Returns `true` if a request with this head may be suspected or condemned. Requires no hash of its body.
+    /// Returns `true` if a request with this head may be suspected or blocked. Requires no hash of its body.
     #[must_use]
     pub fn has_head(&self, head: u64) -> bool {
         self.heads.contains_key(&head)
     }
 
-    /// Returns `true` if any request is suspected or condemned.
+    /// Returns `true` if any request is suspected or blocked.
     #[must_use]
     pub fn has_evidence(&self) -> bool {
         !self.heads.is_empty()
@@ -80,6 +85,13 @@
         entries.map(|(request, entry)| (*request, &entry.record))
     }
 
+    /// Returns the records that changed after a version of the table.
+    pub fn records_since(&self, version: u64) -> impl Iterator<Item = (Fingerprint, &CrashRecord)> {
+        let entries = self.entries.iter();
+        let changed = entries.filter(move |(_, entry)| entry.version > version);
+        changed.map(|(request, entry)| (*request, &entry.record))
+    }
+
     /// Returns the records that changed in the last `age`.
     pub fn recent_records(
         &self,
@@ -130,6 +142,7 @@
             let entry = Entry {
                 record,
                 changed_at: now,
+                version: self.version,
             };
             self.entries.insert(request, entry);
         }
@@ -160,11 +173,15 @@
         true
     }
 
-    /// Drops evidence that has lapsed, and records without evidence after the same time.
+    /// Drops evidence that has lapsed, and records without evidence.
     pub fn expire(&mut self, now: Millis) {
         let is_lapsed = |entry: &Entry| {
-            now.since(entry.changed_at) > EVIDENCE_TIME
-                && entry.record.standing() != Standing::Condemned
+            let age = now.since(entry.changed_at);
+            match entry.record.standing() {
+                Standing::Clear => age > DISMISSED_TIME,
+                Standing::Suspect(_) => age > EVIDENCE_TIME,
+                Standing::Blocked => false,
+            }
         };
         let entries = self.entries.iter();
         let lapsed: Vec<_> = entries
@@ -193,6 +210,7 @@
             return false;
         }
         entry.changed_at = now;
+        entry.version = self.version + 1;
         let is_clear = entry.record.standing() == Standing::Clear;
         match (was_clear, is_clear) {
             (true, false) => *self.heads.entry(head).or_default() += 1,
@@ -212,14 +230,14 @@
         }
     }
 
-    /// Drops the record that changed longest ago if the table is full; one that condemns a request only if all do.
+    /// Drops the record that changed longest ago if the table is full; one that blocks a request only if all do.
     fn make_room(&mut self) {
         if self.entries.len() < ENTRIES_MAX {
             return;
         }
         let rank = |entry: &Entry| {
-            let condemns = entry.record.standing() == Standing::Condemned;
-            (condemns, entry.changed_at)
+            let blocks = entry.record.standing() == Standing::Blocked;
+            (blocks, entry.changed_at)
         };
         let oldest = self.entries.iter().min_by_key(|(_, entry)| rank(entry));
         if let Some(request) = oldest.map(|(request, _)| *request) {
--- a/crates/chicoryrail-policy/src/crash/mod.rs
+++ b/crates/chicoryrail-policy/src/crash/mod.rs
@@ -2,10 +2,10 @@
 
 mod crash_record;
 mod crash_table;
-mod trial_board;
+mod probe_limiter;
 
 pub use crash_record::CrashRecord;
 pub use crash_record::Standing;
 pub use crash_table::CrashTable;
-pub use trial_board::TrialBoard;
-pub use trial_board::TrialRequest;
+pub use probe_limiter::ProbeLimiter;
+pub use probe_limiter::ProbeRequest;
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -33,7 +33,7 @@
 //! [`ApiKeyIndex`] finds the organisation of a request, [`Freshness`] checks that the configuration behind that index
 //! is recent enough, and [`QuotaPool`] and [`QuotaShare`] keep organisations within their limits over all hosts.
 //!
-//! [`CrashTable`] finds requests that end each server that runs them, and [`TrialBoard`] lets suspected ones run one at a
+//! [`CrashTable`] finds requests that end each server that runs them, and [`ProbeLimiter`] lets suspected ones run one at a
 //! time.
 //!
 //! See also [`WarmupPacer`] for servers that warm up, [`RetryBudget`] for retries, and [`retry_after`] for the time
@@ -50,9 +50,9 @@
 pub use admission::Freshness;
 pub use crash::CrashRecord;
 pub use crash::CrashTable;
+pub use crash::ProbeLimiter;
+pub use crash::ProbeRequest;
 pub use crash::Standing;
-pub use crash::TrialBoard;
-pub use crash::TrialRequest;
 pub use local::AdvertisedLimit;
 pub use local::AdvertisedRate;
 pub use local::Failure;
--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -12,6 +12,7 @@
 mod scheduler;
 mod server_slots;
 mod slot_request;
+mod utilisation;
 
 pub use remote_free_slots::RemoteFreeSlots;
 pub use scheduler::Scheduler;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -30,7 +30,7 @@
 /// after which there may be capacity.
 #[derive(Clone, Debug, Default)]
 pub struct Scheduler {
-    servers: BTreeMap<ServerId, ServerSlots>,
+    pub(super) servers: BTreeMap<ServerId, ServerSlots>,
     waiting: Vec<WaitingRequest>,
     /// Owners with waiting requests for their keys, and the time since which at least one request has been waiting.
     key_queues: Vec<(Placement, Millis)>,
@@ -118,13 +118,6 @@
         slots.release(now, end.ticket, end.elapsed_us, end.failure, end.report)
     }
 
-    /// Returns the number of servers that accept work and get none because they were full or their connections failed.
-    #[must_use]
-    pub fn paused_servers(&self, now: Millis) -> usize {
-        let accepting = self.servers.values().filter(|s| s.state.accepting);
-        accepting.filter(|s| s.is_paused(now)).count()
-    }
-
     /// Returns the decisions that are due, each with the ticket of its request. `placement` returns where the requests
     /// of a key may go.
     pub fn poll(
@@ -219,42 +212,6 @@
         self.waiting.len()
     }
 
-    /// Returns the number of requests in flight at the servers that this host schedules, and the number of slots of
-    /// those servers that accept work.
-    #[must_use]
-    pub fn occupancy(&self) -> (usize, u32) {
-        let servers = self.servers.values().filter(|s| s.state.scheduled_here);
-        let busy = servers.clone().map(ServerSlots::busy).sum();
-        let slots = servers
-            .filter(|s| s.state.accepting)
-            .map(|s| s.state.slots)
-            .sum();
-        (busy, slots)
-    }
-
-    /// Returns the number of slots that are free now; a server that warms up or has a rate limit has at most one.
-    #[must_use]
-    pub fn free_slots(&self, now: Millis) -> usize {
-        let servers = self.servers.values();
-        servers.map(|s| s.free_slots(now)).sum()
-    }
-
-    /// Returns the observed mean time for work at a server relative to a usual one: above 1 is slower than usual. An
-    /// unknown server counts as usual.
-    #[must_use]
-    pub fn slowness(&self, server: ServerId) -> f64 {
-        self.servers
-            .get(&server)
-            .map_or(1.0, ServerSlots::mean_slowness)
-    }
-
-    /// Returns the number of usual slots that do as much work as a server's rate limit admits; `None` if the server has
-    /// no limit.
-    #[must_use]
-    pub fn limited_slots(&self, server: ServerId) -> Option<f64> {
-        self.servers.get(&server)?.limited_slots()
-    }
-
     /// Sorts the queue in the order that [`Scheduler`] describes.
     fn sort_queue(&mut self, now: Millis, view: &LoadView) {
         let key = |w: &WaitingRequest| {
--- a/crates/chicoryrail-policy/tests/crash_table.rs
+++ b/crates/chicoryrail-policy/tests/crash_table.rs
@@ -1,13 +1,13 @@
-//! Which requests are suspected and condemned, by the servers that ended under them.
+//! Which requests are suspected and blocked, by the servers that ended under them.
 
 use chicoryrail_core::Fingerprint;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
 use chicoryrail_policy::CrashTable;
+use chicoryrail_policy::ProbeLimiter;
+use chicoryrail_policy::ProbeRequest;
 use chicoryrail_policy::Standing;
-use chicoryrail_policy::TrialBoard;
-use chicoryrail_policy::TrialRequest;
 use rstest::rstest;
 
 const HEAD: u64 = 7;
@@ -54,17 +54,17 @@
     Alive(u64),
 }
 
-/// Guards against verdicts by fewer than three ends in a row, and against ends that count twice.
+/// Guards against blocks by fewer than three ends in a row, and against ends that count twice.
 #[rstest]
 #[case::nothing(&[], Standing::Clear)]
 #[case::one(&[Event::End(1)], Standing::Suspect(1))]
 #[case::same_server_twice(&[Event::End(1), Event::End(1)], Standing::Suspect(1))]
-#[case::three(&[Event::End(1), Event::End(2), Event::End(3)], Standing::Condemned)]
+#[case::three(&[Event::End(1), Event::End(2), Event::End(3)], Standing::Blocked)]
 #[case::a_complete_run_between(&[Event::End(1), Event::End(2), Event::Complete, Event::End(3)], Standing::Suspect(1))]
 #[case::a_complete_run_afterwards(&[Event::End(1), Event::End(2), Event::End(3), Event::Complete], Standing::Clear)]
 #[case::a_server_that_lives(&[Event::End(1), Event::End(2), Event::End(3), Event::Alive(2)], Standing::Suspect(2))]
 #[case::found_alive_before(&[Event::Alive(1), Event::End(1)], Standing::Clear)]
-fn three_ends_in_a_row_condemn(#[case] events: &[Event], #[case] expected: Standing) {
+fn three_ends_in_a_row_block(#[case] events: &[Event], #[case] expected: Standing) {
     let mut table = CrashTable::default();
     for event in events {
         match event {
@@ -85,7 +85,7 @@
 
 /// Guards against hosts that were apart and stay of different opinions.
 #[rstest]
-#[case::ends_add_up(false, Standing::Condemned)]
+#[case::ends_add_up(false, Standing::Blocked)]
 #[case::a_complete_run_wins(true, Standing::Clear)]
 fn hosts_that_meet_again_agree(#[case] completes: bool, #[case] expected: Standing) {
     let (mut a, mut b) = (CrashTable::default(), CrashTable::default());
@@ -102,7 +102,7 @@
     assert_eq!(b.standing(request(1)), expected);
 }
 
-/// Guards against a flood of different requests that fills the memory, or displaces a verdict.
+/// Guards against a flood of different requests that fills the memory, or displaces a block.
 #[test]
 fn a_flood_of_suspects_is_bounded() {
     let mut table = CrashTable::default();
@@ -113,15 +113,15 @@
         record_end(&mut table, number, u64::from(number) + 10);
     }
     assert!(table.records().count() <= 1_024);
-    assert_eq!(table.standing(request(0)), Standing::Condemned);
+    assert_eq!(table.standing(request(0)), Standing::Blocked);
     assert_eq!(table.standing(request(FLOOD)), Standing::Suspect(1));
 }
 
-/// Guards against evidence that never lapses, and against a verdict that does.
+/// Guards against evidence that never lapses, and against a block that does.
 #[rstest]
 #[case::suspect(2, Standing::Clear)]
-#[case::condemned(3, Standing::Condemned)]
-fn only_evidence_short_of_a_verdict_lapses(#[case] ends: u64, #[case] expected: Standing) {
+#[case::blocked(3, Standing::Blocked)]
+fn only_evidence_short_of_a_block_lapses(#[case] ends: u64, #[case] expected: Standing) {
     let mut table = CrashTable::default();
     for ended in 1..=ends {
         record_end(&mut table, 1, ended);
@@ -131,21 +131,21 @@
     assert_eq!(table.has_evidence(), expected != Standing::Clear);
 }
 
-fn begin(board: &mut TrialBoard, now: u64, number: u32, ends: usize) -> bool {
+fn begin(board: &mut ProbeLimiter, now: u64, number: u32, ends: usize) -> bool {
     let service = desk();
-    let trial = TrialRequest {
+    let probe = ProbeRequest {
         ticket: number.into(),
         service: &service,
         request: request(number),
         deadline: Millis(now + 100),
     };
-    board.begin(Millis(now), Standing::Suspect(ends), trial, 8)
+    board.begin(Millis(now), Standing::Suspect(ends), probe, 8)
 }
 
 /// Guards against a suspect that runs on several servers at a time, or beside another one that ended two.
 #[test]
-fn trials_are_few_and_a_second_end_makes_them_single() {
-    let mut board = TrialBoard::default();
+fn probes_are_few_and_a_second_end_makes_them_single() {
+    let mut board = ProbeLimiter::default();
     assert!(begin(&mut board, 0, 1, 1));
     assert!(!begin(&mut board, 0, 1, 1), "the same request");
     assert!(begin(&mut board, 0, 2, 1), "two of eight servers");
@@ -154,6 +154,36 @@
     board.end(1);
     board.end(2);
     assert!(begin(&mut board, 0, 4, 2));
-    assert!(!begin(&mut board, 0, 1, 1), "beside a single trial");
+    assert!(!begin(&mut board, 0, 1, 1), "beside a single probe");
     assert!(begin(&mut board, 100, 1, 1), "after its deadline");
 }
+
+/// Guards against updates that carry the whole table for each change of one record.
+#[test]
+fn an_update_has_the_changed_records_alone() {
+    let mut table = CrashTable::default();
+    for number in 1..=20 {
+        record_end(&mut table, number, u64::from(number));
+    }
+    let seen = table.version();
+    assert_eq!(table.records_since(0).count(), 20);
+    assert_eq!(table.records_since(seen).count(), 0);
+    record_end(&mut table, 7, 99);
+    let changed: Vec<_> = table
+        .records_since(seen)
+        .map(|(request, _)| request)
+        .collect();
+    assert_eq!(changed, [request(7)]);
+}
+
+/// Guards against a table that fills with requests of which nothing is suspected any more.
+#[test]
+fn a_record_without_evidence_is_dropped_soon() {
+    let mut table = CrashTable::default();
+    record_end(&mut table, 1, 1);
+    table.record_complete(Millis(2), request(1));
+    table.expire(Millis(60_002));
+    assert_eq!(table.records().count(), 1);
+    table.expire(Millis(60_003));
+    assert_eq!(table.records().count(), 0);
+}
--- a/crates/chicoryrail-router/src/control/config_feed/follow.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow.rs
@@ -14,7 +14,7 @@
 use futures_util::future::select;
 use rand::Rng;
 
-use crate::control::crashes::apply_verdict;
+use crate::control::crashes::apply_block;
 use crate::messages::FEED_COUNT;
 use crate::state::Router;
 use crate::state::ViewChange;
@@ -203,7 +203,7 @@
         .borrow_mut()
         .replace(router.now(), feed, all);
     router.apply_view_changes(&view_changes);
-    apply_verdicts(router, &view_changes);
+    apply_blocks(router, &view_changes);
     router.feed_changed.notify();
 }
 
@@ -223,18 +223,18 @@
         fresh.filter_map(|c| view.apply(now, c)).collect()
     };
     router.apply_view_changes(&view_changes);
-    apply_verdicts(router, &view_changes);
+    apply_blocks(router, &view_changes);
     router.feed_changed.notify();
     !view_changes.is_empty()
 }
 
-/// Applies the records of condemned requests among the changes.
-fn apply_verdicts(router: &Router, changes: &[ViewChange]) {
+/// Applies the records of blocked requests among the changes.
+fn apply_blocks(router: &Router, changes: &[ViewChange]) {
     for change in changes {
         if let ViewChange::Own(key) = change
             && key.starts_with(store_key::CRASHES)
         {
-            apply_verdict(router, key);
+            apply_block(router, key);
         }
     }
 }
--- a/crates/chicoryrail-router/src/control/config_feed/relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay.rs
@@ -127,10 +127,15 @@
         instance: router.process.instance_id,
         number: router.crashes.table.borrow().version(),
     };
-    let is_outdated = known? != version;
-    is_outdated.then(|| CrashUpdate {
+    let known = known?;
+    let since = if known.instance == version.instance {
+        known.number
+    } else {
+        0
+    };
+    (known != version).then(|| CrashUpdate {
         version,
-        news: router.crashes.all_news(),
+        news: router.crashes.news_since(since),
     })
 }
 
--- a/crates/chicoryrail-router/src/control/crashes/news.rs
+++ b/crates/chicoryrail-router/src/control/crashes/news.rs
@@ -190,17 +190,17 @@
 /// Updates the metrics, and wakes those who wait for a change.
 fn notify(router: &Router) {
     let table = router.crashes.table.borrow();
-    let (mut suspected, mut condemned) = (0, 0);
+    let (mut suspected, mut blocked) = (0, 0);
     for (_, record) in table.records() {
         match record.standing() {
             Standing::Clear => {}
             Standing::Suspect(_) => suspected += 1,
-            Standing::Condemned => condemned += 1,
+            Standing::Blocked => blocked += 1,
         }
     }
     drop(table);
     router.counters.suspected.set(suspected);
-    router.counters.condemned.set(condemned);
+    router.counters.blocked.set(blocked);
     router.crashes.changed.notify();
     router.feed_changed.notify();
 }
@@ -226,7 +226,7 @@
     let event = match record.standing() {
         Standing::Clear => "suspicion_dismissed",
         Standing::Suspect(_) => "request_suspected",
-        Standing::Condemned => "request_condemned",
+        Standing::Blocked => "request_blocked",
     };
     log::info!(fingerprint:% = request, head = record.head, service:% = record.service, epoch = record.epoch,
         ended = ends.join(","), by_hand = record.by_hand, source = source; "{event}");
--- a/crates/chicoryrail-router/src/control/crashes/trials.rs
+++ b/crates/chicoryrail-router/src/control/crashes/probes.rs
@@ -7,7 +7,7 @@
 use chicoryrail_core::Fingerprint;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::SchedulerHost;
-use chicoryrail_policy::TrialRequest;
+use chicoryrail_policy::ProbeRequest;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::collect_body;
 use chicoryrail_runtime::error_response;
@@ -18,16 +18,16 @@
 
 use crate::control::crashes::apply_news;
 use crate::messages::PartName;
-use crate::messages::TrialCall;
-use crate::messages::TrialQuery;
-use crate::messages::TrialReply;
+use crate::messages::ProbeCall;
+use crate::messages::ProbeQuery;
+use crate::messages::ProbeReply;
 use crate::messages::decode;
 use crate::messages::encode;
 use crate::state::Router;
 use crate::state::Service;
 
 /// HTTP path of the calls.
-pub(crate) const TRIAL_PATH: &str = "/trial";
+pub(crate) const PROBE_PATH: &str = "/probe";
 
 /// Timeout of a call.
 const CALL_TIMEOUT: Millis = Millis(150);
@@ -36,7 +36,7 @@
 const CALL_BYTES_MAX: usize = 64 << 10;
 
 /// A granted run of a suspected request; it ends when this is dropped.
-pub(crate) struct Trial {
+pub(crate) struct Probe {
     router: Rc<Router>,
     granter: SchedulerHost,
     ticket: u64,
@@ -45,15 +45,15 @@
 
 /// Asks the host that grants the runs of a service's suspected requests. Returns `None` if the request may not run now, or
 /// if that host does not answer: then nobody knows what else runs.
-pub(crate) async fn begin_trial(
+pub(crate) async fn begin_probe(
     router: &Rc<Router>,
     service: &Service,
     request: Fingerprint,
     left: Millis,
-) -> Option<Trial> {
+) -> Option<Probe> {
     let granter = router.part_scheduler(&PartName::unpartitioned(&service.name));
     let ticket = router.crashes.next_ticket(router.process.instance_id);
-    let query = TrialQuery {
+    let query = ProbeQuery {
         ticket,
         service: service.name.clone(),
         request,
@@ -64,7 +64,7 @@
         SchedulerHost::Here => grant(router, &query),
         SchedulerHost::At(addr) => ask(router, addr, query).await,
     };
-    granted.then(|| Trial {
+    granted.then(|| Probe {
         router: Rc::clone(router),
         granter,
         ticket,
@@ -73,29 +73,29 @@
 }
 
 /// Replies to a host that asks for a run or reports its end.
-pub(crate) async fn serve_trial(
+pub(crate) async fn serve_probe(
     router: Rc<Router>,
     request: Request<Body>,
     from: SocketAddr,
 ) -> Response<Body> {
     let body = collect_body(request.into_body(), CALL_BYTES_MAX).await;
-    let call = body.ok().and_then(|body| decode::<TrialCall>(&body).ok());
+    let call = body.ok().and_then(|body| decode::<ProbeCall>(&body).ok());
     let Some(call) = call else {
-        log::warn!(from:% = from; "trial_unreadable");
+        log::warn!(from:% = from; "probe_unreadable");
         return error_response(400, "the call can't be read");
     };
     let reply = match call {
-        TrialCall::Begin(query) => {
+        ProbeCall::Begin(query) => {
             apply_news(&router, &query.news, None);
-            TrialReply {
+            ProbeReply {
                 granted: grant(&router, &query),
                 news: router.crashes.news_of(query.request),
             }
         }
-        TrialCall::End { ticket, news } => {
+        ProbeCall::End { ticket, news } => {
             apply_news(&router, &news, None);
             end(&router, ticket);
-            TrialReply {
+            ProbeReply {
                 granted: false,
                 news: Default::default(),
             }
@@ -104,37 +104,37 @@
     match encode(&reply) {
         Ok(bytes) => Response::new(full_body(bytes)),
         Err(e) => {
-            log::error!(error:% = e; "trial_unwritable");
+            log::error!(error:% = e; "probe_unwritable");
             error_response(500, "the reply can't be written")
         }
     }
 }
 
-fn grant(router: &Router, query: &TrialQuery) -> bool {
+fn grant(router: &Router, query: &ProbeQuery) -> bool {
     let now = router.now();
     let standing = router.crashes.table.borrow().standing(query.request);
     let servers = router.service(&query.service).ready_count();
-    let trial = TrialRequest {
+    let probe = ProbeRequest {
         ticket: query.ticket,
         service: &query.service,
         request: query.request,
         deadline: now + Millis(query.left),
     };
-    let mut trials = router.crashes.trials.borrow_mut();
-    let granted = trials.begin(now, standing, trial, servers);
+    let mut probes = router.crashes.probes.borrow_mut();
+    let granted = probes.begin(now, standing, probe, servers);
     log::info!(fingerprint:% = query.request, service:% = query.service, standing:? = standing,
-        servers = servers, granted = granted; "trial");
+        servers = servers, granted = granted; "probe");
     granted
 }
 
 fn end(router: &Router, ticket: u64) {
-    router.crashes.trials.borrow_mut().end(ticket);
+    router.crashes.probes.borrow_mut().end(ticket);
     router.crashes.changed.notify();
 }
 
-async fn ask(router: &Rc<Router>, addr: SocketAddr, query: TrialQuery) -> bool {
+async fn ask(router: &Rc<Router>, addr: SocketAddr, query: ProbeQuery) -> bool {
     let request = query.request;
-    let response = match call(router, addr, TrialCall::Begin(query)).await {
+    let response = match call(router, addr, ProbeCall::Begin(query)).await {
         Some(response) => response,
         None => return false,
     };
@@ -142,29 +142,29 @@
     if response.status() == StatusCode::NOT_FOUND {
         return true;
     }
-    let Ok(reply) = decode::<TrialReply>(response.body()) else {
-        log::warn!(host:% = addr, fingerprint:% = request; "trial_reply_unreadable");
+    let Ok(reply) = decode::<ProbeReply>(response.body()) else {
+        log::warn!(host:% = addr, fingerprint:% = request; "probe_reply_unreadable");
         return false;
     };
     apply_news(router, &reply.news, None);
     reply.granted
 }
 
-async fn call(router: &Router, addr: SocketAddr, call: TrialCall) -> Option<Response<Bytes>> {
+async fn call(router: &Router, addr: SocketAddr, call: ProbeCall) -> Option<Response<Bytes>> {
     let bytes = encode(&call);
-    let bytes = bytes.map_err(|e| log::error!(error:% = e; "trial_unwritable"));
-    let request = Request::post(TRIAL_PATH).body(Bytes::from(bytes.ok()?));
+    let bytes = bytes.map_err(|e| log::error!(error:% = e; "probe_unwritable"));
+    let request = Request::post(PROBE_PATH).body(Bytes::from(bytes.ok()?));
     let request = request.expect("a fixed path is a valid request");
     let response = router
         .crashes
         .client
         .call(addr, request, CALL_TIMEOUT)
         .await;
-    let response = response.map_err(|e| log::info!(host:% = addr, error:% = e; "trial_silent"));
+    let response = response.map_err(|e| log::info!(host:% = addr, error:% = e; "probe_silent"));
     response.ok()
 }
 
-impl Drop for Trial {
+impl Drop for Probe {
     fn drop(&mut self) {
         let addr = match self.granter {
             SchedulerHost::Here => return end(&self.router, self.ticket),
@@ -172,6 +172,6 @@
         };
         let (router, ticket) = (Rc::clone(&self.router), self.ticket);
         let news = router.crashes.news_of(self.request);
-        monoio::spawn(async move { call(&router, addr, TrialCall::End { ticket, news }).await });
+        monoio::spawn(async move { call(&router, addr, ProbeCall::End { ticket, news }).await });
     }
 }
--- a/crates/chicoryrail-router/src/control/crashes/verdicts.rs
+++ b/crates/chicoryrail-router/src/control/crashes/stored_blocks.rs
@@ -1,4 +1,4 @@
-//! Condemned requests in the store.
+//! Blocked requests in the store.
 
 use chicoryrail_ownership::store_key::CRASHES;
 use chicoryrail_policy::CrashRecord;
@@ -6,15 +6,15 @@
 use crate::control::crashes::news::merge_record;
 use crate::state::Router;
 
-/// Applies a verdict from the store.
-pub(crate) fn apply_verdict(router: &Router, key: &str) {
+/// Applies a block from the store.
+pub(crate) fn apply_block(router: &Router, key: &str) {
     let request = key.strip_prefix(CRASHES).map(str::parse);
     let view = router.store_view.borrow();
     let Some(item) = view.own(key) else {
         return;
     };
     let (Some(Ok(request)), Some(record)) = (request, read_record(&item.value)) else {
-        log::warn!(key = key; "bad_verdict");
+        log::warn!(key = key; "bad_block");
         return;
     };
     drop(view);
--- a/crates/chicoryrail-router/src/control/verdicts.rs
+++ b/crates/chicoryrail-router/src/control/store_blocks.rs
@@ -1,4 +1,4 @@
-//! Keeps condemned requests in the store, past the hosts that condemned them.
+//! Keeps blocked requests in the store, past the hosts that blocked them.
 
 use std::rc::Rc;
 
@@ -17,20 +17,20 @@
 use crate::control::crashes::read_record;
 use crate::state::Router;
 
-/// Longest time until a verdict that could not be written is written again.
+/// Longest time until a block that could not be written is written again.
 const WRITE_INTERVAL: Millis = Millis(1_000);
 
-/// Largest number of condemned requests in the store.
+/// Largest number of blocked requests in the store.
 const STORED_MAX: usize = 256;
 
-/// Writes verdicts, and their dismissals, while this host leads.
-pub(crate) async fn store_verdicts(router: Rc<Router>) {
+/// Writes blocks, and their dismissals, while this host leads.
+pub(crate) async fn store_blocks(router: Rc<Router>) {
     loop {
         let seen = router.crashes.changed.version();
         if router.leading_term.get() > 0 && router.store_up.get() {
             for (request, record) in unstored(&router) {
                 if let Err(e) = write(&router, request, &record).await {
-                    log::info!(fingerprint:% = request, error:% = e; "verdict_unwritten");
+                    log::info!(fingerprint:% = request, error:% = e; "block_unwritten");
                     break;
                 }
             }
@@ -40,7 +40,7 @@
     }
 }
 
-/// Returns the condemned requests that the store does not have, and the stored ones that were dismissed.
+/// Returns the blocked requests that the store does not have, and the stored ones that were dismissed.
 fn unstored(router: &Router) -> Vec<(Fingerprint, CrashRecord)> {
     let table = router.crashes.table.borrow();
     let view = router.store_view.borrow();
@@ -48,7 +48,7 @@
         let stored = view.own(&crash_key(*request));
         let stored = stored.and_then(|item| read_record(&item.value));
         match stored {
-            None => record.standing() == Standing::Condemned,
+            None => record.standing() == Standing::Blocked,
             Some(stored) => {
                 record.epoch > stored.epoch
                     || record.epoch == stored.epoch && record.standing() != stored.standing()
@@ -73,20 +73,20 @@
         .own(&key)
         .map(|item| item.revision);
     let key = format!("{OWN_PREFIX}{key}");
-    // An operator may have dismissed the verdict meanwhile.
+    // An operator may have dismissed the block meanwhile.
     let mut txn = Txn::default()
         .expect(&key, stored.unwrap_or(0))
         .put(&key, &value);
     if let Some(oldest) = surplus(router) {
         txn = txn.remove(&format!("{OWN_PREFIX}{oldest}"));
     }
-    store_call(router, "verdict", router.store.commit(&txn)).await?;
+    store_call(router, "block", router.store.commit(&txn)).await?;
     log::info!(fingerprint:% = request, service:% = record.service, standing:? = record.standing();
-        "verdict_written");
+        "block_written");
     Ok(())
 }
 
-/// Returns the stored verdict that changed longest ago if there are as many as the store may have.
+/// Returns the stored block that changed longest ago if there are as many as the store may have.
 fn surplus(router: &Router) -> Option<String> {
     let view = router.store_view.borrow();
     let stored: Vec<_> = view.own_with_prefix(CRASHES).collect();
--- a/crates/chicoryrail-router/src/listeners.rs
+++ b/crates/chicoryrail-router/src/listeners.rs
@@ -13,11 +13,11 @@
 use http::Request;
 
 use crate::control::LeaderTerm;
+use crate::control::PROBE_PATH;
 use crate::control::RENEWALS_PATH;
-use crate::control::TRIAL_PATH;
+use crate::control::serve_probe;
 use crate::control::serve_relay;
 use crate::control::serve_renewals;
-use crate::control::serve_trial;
 use crate::route::is_forwarded;
 use crate::route::serve_forwarded;
 use crate::state::Router;
@@ -70,8 +70,8 @@
             if request.uri().path() == RENEWALS_PATH {
                 return serve_renewals(router, leadership, request).await;
             }
-            if request.uri().path() == TRIAL_PATH {
-                return serve_trial(router, request, from).await;
+            if request.uri().path() == PROBE_PATH {
+                return serve_probe(router, request, from).await;
             }
             serve_relay(router, request).await
         }
--- a/crates/chicoryrail-router/src/messages/crash_message.rs
+++ b/crates/chicoryrail-router/src/messages/crash_message.rs
@@ -26,16 +26,16 @@
 
 /// A call to the host that lets the suspected requests of a service run.
 #[derive(Clone, Debug, Encode, Decode)]
-pub(crate) enum TrialCall {
+pub(crate) enum ProbeCall {
     /// Asks to run a request.
-    Begin(TrialQuery),
+    Begin(ProbeQuery),
     /// Reports that a run has ended, and what is known of the request now.
     End { ticket: u64, news: CrashNews },
 }
 
 /// A request that is about to be sent to a server.
 #[derive(Clone, Debug, Encode, Decode)]
-pub(crate) struct TrialQuery {
+pub(crate) struct ProbeQuery {
     pub(crate) ticket: u64,
     pub(crate) service: ServiceName,
     pub(crate) request: Fingerprint,
@@ -45,9 +45,9 @@
     pub(crate) news: CrashNews,
 }
 
-/// Reply to a [`TrialCall`].
+/// Reply to a [`ProbeCall`].
 #[derive(Clone, Debug, Encode, Decode)]
-pub(crate) struct TrialReply {
+pub(crate) struct ProbeReply {
     pub(crate) granted: bool,
     /// What the replying host knows of the request.
     pub(crate) news: CrashNews,
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -32,9 +32,9 @@
 /// Time after which a suspected request that was refused should be sent again.
 const TURN_RETRY: Millis = Millis(300);
 
-/// Time after which a condemned request should be sent again. It is long, since nothing but an operator or another
+/// Time after which a blocked request should be sent again. It is long, since nothing but an operator or another
 /// version of the servers makes the request harmless.
-const CONDEMNED_RETRY: Millis = Millis(600_000);
+const BLOCKED_RETRY: Millis = Millis(600_000);
 
 /// Multiple of the usual service time after which a request to an unresponsive server is cancelled and sent to another
 /// one. It exceeds what a slow server with a slow neighbour takes, since cancelling a running request wastes its work.
@@ -81,15 +81,15 @@
     async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         let begun = self.router.now();
         loop {
-            if suspicion::standing(self.router, self.call, self.body) == Standing::Condemned {
-                return Err(self.refuse_condemned());
+            if suspicion::standing(self.router, self.call, self.body) == Standing::Blocked {
+                return Err(self.refuse_blocked());
             }
             let assignment = self.acquire_for_caller().await?;
             let (router, call, body) = (self.router, self.call, self.body);
             let permission = suspicion::request_permission(router, &self.service, call, body);
-            let trial = match permission.await {
-                Permission::Granted(trial) => trial,
-                Permission::Condemned => continue,
+            let probe = match permission.await {
+                Permission::Granted(probe) => probe,
+                Permission::Blocked => continue,
                 Permission::Wait => {
                     drop(assignment);
                     self.wait_for_turn(begun).await?;
@@ -110,7 +110,7 @@
             )
             .await;
             suspicion::record_send(self.router, service, call, body, &target, &sent);
-            drop(trial);
+            drop(probe);
             self.log(&life, &sent);
             if matches!(sent, SendOutcome::NotRun(NotRun::Suspected)) {
                 continue;
@@ -229,11 +229,11 @@
 
     /// Refuses a request that ends servers. The time to retry is not bounded by the time that the caller has left, so that
     /// the caller gives up.
-    fn refuse_condemned(&self) -> Refusal {
+    fn refuse_blocked(&self) -> Refusal {
         suspicion::log_held_back(self.router, self.call, self.body);
-        let refusal = self.refuse(Cause::Condemned, CONDEMNED_RETRY);
+        let refusal = self.refuse(Cause::Blocked, BLOCKED_RETRY);
         Refusal {
-            retry_after: refusal.retry_after.map(|_| CONDEMNED_RETRY),
+            retry_after: refusal.retry_after.map(|_| BLOCKED_RETRY),
             ..refusal
         }
     }
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -61,7 +61,7 @@
     response
 }
 
-/// Waits a short time for the first configuration and the list of condemned requests. If the store is available, a host that starts receives it before a
+/// Waits a short time for the first configuration and the list of blocked requests. If the store is available, a host that starts receives it before a
 /// refused caller would retry.
 async fn await_config(router: &Router) {
     while !router.has_first_content() {
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -63,7 +63,7 @@
     /// Whether another host has admitted the request.
     pub(crate) is_forwarded: bool,
     /// Whether a run of the request was granted although servers have ended under it.
-    pub(crate) has_trial: Cell<bool>,
+    pub(crate) has_probe: Cell<bool>,
     head_hash: OnceCell<u64>,
     fingerprint: OnceCell<Fingerprint>,
     pub(crate) method: Method,
@@ -88,6 +88,13 @@
     pub(crate) deadline: Millis,
 }
 
+/// Where a request goes by the configuration.
+struct Destination<'a> {
+    site: &'a Site,
+    route: Arc<Route>,
+    service: ServiceSpec,
+}
+
 impl CallerRequest {
     /// Parses a request's head and authenticates its caller.
     ///
@@ -109,26 +116,16 @@
         } else {
             None
         };
-        Ok(Self {
-            id: request_id(&headers),
-            from,
-            is_forwarded: false,
-            has_trial: Cell::default(),
-            head_hash: OnceCell::new(),
-            fingerprint: OnceCell::new(),
-            method: head.method,
-            uri: head.uri,
-            config_version: site.version,
-            key,
-            arrived,
-            stats: RefCell::default(),
-            caller_left: CancellationToken::new(),
-            deadline: arrived + time_limit(&headers, &route),
-            service,
-            headers,
+        let target = Destination {
+            site: &site,
             route,
+            service,
+        };
+        let call = Self::new(arrived, from, (head.method, head.uri, headers), target);
+        Ok(Self {
             organisation,
-            has_quota_token: Cell::default(),
+            key,
+            ..call
         })
     }
 
@@ -145,27 +142,46 @@
         let route = find_route(&site, &head)?;
         let service = site.service(service)?.clone();
         let headers = chicoryrail_runtime::strip_hop_by_hop(head.headers);
+        let target = Destination {
+            site: &site,
+            route,
+            service,
+        };
+        let call = Self::new(arrived, from, (head.method, head.uri, headers), target);
         Some(Self {
+            is_forwarded: true,
+            ..call
+        })
+    }
+
+    /// Builds a request without organisation and key.
+    fn new(
+        arrived: Millis,
+        from: SocketAddr,
+        (method, uri, headers): (Method, Uri, HeaderMap),
+        to: Destination<'_>,
+    ) -> Self {
+        Self {
             id: request_id(&headers),
             from,
-            is_forwarded: true,
-            has_trial: Cell::default(),
+            is_forwarded: false,
+            has_probe: Cell::default(),
             head_hash: OnceCell::new(),
             fingerprint: OnceCell::new(),
-            method: head.method,
-            uri: head.uri,
-            config_version: site.version,
+            method,
+            uri,
+            config_version: to.site.version,
             key: None,
             arrived,
             stats: RefCell::default(),
             caller_left: CancellationToken::new(),
-            deadline: arrived + time_limit(&headers, &route),
-            service,
+            deadline: arrived + time_limit(&headers, &to.route),
+            service: to.service,
             headers,
-            route,
+            route: to.route,
             organisation: None,
             has_quota_token: Cell::default(),
-        })
+        }
     }
 
     /// Returns a hash of the request's head by which the same request is found at all hosts.
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -51,7 +51,7 @@
     /// Servers ended under the request, and it was not its turn to run again.
     Suspected,
     /// The request ends each server that runs it.
-    Condemned,
+    Blocked,
     /// The caller disconnected before the request was sent.
     CallerLeft,
     /// The deadline has passed, or too little time is left, and the request was not sent.
@@ -88,7 +88,7 @@
             Self::Draining => "draining",
             Self::Backoff => "backoff",
             Self::Suspected => "suspected",
-            Self::Condemned => "ends_servers",
+            Self::Blocked => "ends_servers",
             Self::CallerLeft => "caller_left",
             Self::Late => "late",
             Self::Broken => "broken",
@@ -115,7 +115,7 @@
             | Self::Draining
             | Self::Backoff
             | Self::Suspected
-            | Self::Condemned
+            | Self::Blocked
             | Self::CallerLeft
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
--- a/crates/chicoryrail-router/src/route/suspicion.rs
+++ b/crates/chicoryrail-router/src/route/suspicion.rs
@@ -8,9 +8,9 @@
 use http::StatusCode;
 
 use crate::control;
+use crate::control::Probe;
 use crate::control::ServerCheck;
-use crate::control::Trial;
-use crate::control::begin_trial;
+use crate::control::begin_probe;
 use crate::control::recheck_server;
 use crate::route::caller_request::CallerRequest;
 use crate::route::send_outcome::Indeterminate;
@@ -21,12 +21,12 @@
 
 /// Whether a request may be sent to a server now.
 pub(super) enum Permission {
-    /// It may be sent; a suspected request runs under a trial.
-    Granted(Option<Trial>),
+    /// It may be sent; a suspected request runs under a probe.
+    Granted(Option<Probe>),
     /// It is suspected, and may be sent when other runs have ended.
     Wait,
     /// It ends each server that runs it.
-    Condemned,
+    Blocked,
 }
 
 /// Returns whether a request may run, as far as this host knows. A request that another host has admitted is judged there.
@@ -53,8 +53,8 @@
 pub(super) fn is_held_back(router: &Router, call: &CallerRequest, body: &RequestBody) -> bool {
     match standing(router, call, body) {
         Standing::Clear => false,
-        Standing::Suspect(_) => !call.has_trial.get(),
-        Standing::Condemned => true,
+        Standing::Suspect(_) => !call.has_probe.get(),
+        Standing::Blocked => true,
     }
 }
 
@@ -65,18 +65,18 @@
     call: &CallerRequest,
     body: &RequestBody,
 ) -> Permission {
-    call.has_trial.set(false);
+    call.has_probe.set(false);
     match standing(router, call, body) {
         Standing::Clear => return Permission::Granted(None),
-        Standing::Condemned => return Permission::Condemned,
+        Standing::Blocked => return Permission::Blocked,
         Standing::Suspect(_) => {}
     }
     let left = call.time_left(router.now());
-    let trial = begin_trial(router, service, call.fingerprint(body), left).await;
-    match trial {
-        Some(trial) => {
-            call.has_trial.set(true);
-            Permission::Granted(Some(trial))
+    let probe = begin_probe(router, service, call.fingerprint(body), left).await;
+    match probe {
+        Some(probe) => {
+            call.has_probe.set(true);
+            Permission::Granted(Some(probe))
         }
         None => Permission::Wait,
     }
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -36,7 +36,7 @@
 use crate::control::scheduling;
 use crate::control::select_source;
 use crate::control::spread_news;
-use crate::control::store_verdicts;
+use crate::control::store_blocks;
 use crate::control::verify_config;
 use crate::listeners::serve_observability;
 use crate::listeners::start_peer_listener;
@@ -171,7 +171,7 @@
     monoio::spawn(verify_config(Rc::clone(&router)));
     monoio::spawn(report_quota_use(Rc::clone(&router), pools));
     monoio::spawn(spread_news(Rc::clone(&router)));
-    monoio::spawn(store_verdicts(Rc::clone(&router)));
+    monoio::spawn(store_blocks(Rc::clone(&router)));
     let elected = monoio::spawn(run_election(Rc::clone(&router), leadership));
     let listener = bind_listener("callers", callers).context(ListenSnafu)?;
     let callers_stop = CancellationToken::new();
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -1,7 +1,5 @@
 //! Applies changes of the store view to services, servers and key records.
 
-use std::cell::Cell;
-use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
@@ -196,25 +194,10 @@
                     log::warn!(server:% = member.life.name; "bad_server_name");
                     return;
                 };
-                let target = Rc::new(Target {
-                    life: member.life.clone(),
-                    id: service.next_id(),
-                    addr: member.addr,
-                    dc: member.dc.clone(),
-                    first_seen: self.now(),
-                    expect_header,
-                    pool: Rc::default(),
-                    warmup: RefCell::default(),
-                    warmup_until: Cell::default(),
-                    limit: Cell::default(),
-                    path: Cell::default(),
-                    found_alive: Cell::default(),
-                    notices: Cell::new(service.known_notices(&member.life)),
-                    slots: Cell::new(member.slots),
-                    admission: Cell::new(Admission::Closed),
-                    scheduled_here: Cell::new(None),
-                    scheduled_generation: Cell::new(0),
-                });
+                let notices = service.known_notices(&member.life);
+                let id = service.next_id();
+                let target = Target::new(member, id, self.now(), expect_header, notices);
+                let target = Rc::new(target);
                 service.insert_target(&target);
                 target
             }
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -48,10 +48,10 @@
     pub(crate) serving: IntGauge,
     /// Version of the configuration in force.
     pub(crate) config: IntGauge,
-    /// Requests under which servers ended and that are not condemned.
+    /// Requests under which servers ended and that are not blocked.
     pub(crate) suspected: IntGauge,
     /// Requests that end each server that runs them.
-    pub(crate) condemned: IntGauge,
+    pub(crate) blocked: IntGauge,
     /// 1 while this host leads, else 0.
     pub(crate) leading: IntGauge,
     /// Time since the configuration was verified to be current, in milliseconds; -1 if it never was.
@@ -133,10 +133,10 @@
             config: metrics.gauge("config_version", "Version of the configuration in force"),
             suspected: metrics.gauge(
                 "requests_suspected",
-                "Requests under which servers ended and that are not condemned",
+                "Requests under which servers ended and that are not blocked",
             ),
-            condemned: metrics.gauge(
-                "requests_condemned",
+            blocked: metrics.gauge(
+                "requests_blocked",
                 "Requests that end each server that runs them",
             ),
             leading: metrics.gauge("leading", "1 while this host leads"),
--- a/crates/chicoryrail-router/src/state/crashes.rs
+++ b/crates/chicoryrail-router/src/state/crashes.rs
@@ -6,7 +6,7 @@
 use chicoryrail_core::Fingerprint;
 use chicoryrail_core::Millis;
 use chicoryrail_policy::CrashTable;
-use chicoryrail_policy::TrialBoard;
+use chicoryrail_policy::ProbeLimiter;
 use chicoryrail_runtime::ChangeSignal;
 use chicoryrail_runtime::HttpClient;
 
@@ -18,7 +18,7 @@
 pub(crate) struct Crashes {
     pub(crate) table: RefCell<CrashTable>,
     /// Runs of suspected requests that this host has granted.
-    pub(crate) trials: RefCell<TrialBoard>,
+    pub(crate) probes: RefCell<ProbeLimiter>,
     /// Notified when the table has changed.
     pub(crate) changed: ChangeSignal,
     /// Client for calls to the hosts that grant runs.
@@ -34,12 +34,12 @@
         instance ^ u64::from(ticket)
     }
 
-    /// Returns all that this host knows.
-    pub(crate) fn all_news(&self) -> CrashNews {
+    /// Returns what this host has learned since a version of its table; all that it knows since version 0.
+    pub(crate) fn news_since(&self, version: u64) -> CrashNews {
         let table = self.table.borrow();
-        let records = table.records().map(to_message).collect();
+        let records = table.records_since(version).map(to_message);
         CrashNews {
-            records,
+            records: records.collect(),
             alive: table.alive().cloned().collect(),
             is_new: false,
         }
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -202,7 +202,7 @@
         self.store_view.borrow().site().cloned()
     }
 
-    /// Returns `true` if this host has a configuration and knows the condemned requests.
+    /// Returns `true` if this host has a configuration and knows the blocked requests.
     pub(crate) fn has_first_content(&self) -> bool {
         let view = self.store_view.borrow();
         view.site().is_some() && view.read_revision(Feed::Own(LIVE)).is_some()
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -7,6 +7,7 @@
 
 use chicoryrail_core::DcName;
 use chicoryrail_core::Life;
+use chicoryrail_core::Member;
 use chicoryrail_core::Millis;
 use chicoryrail_policy::AdvertisedLimit;
 use chicoryrail_policy::AdvertisedRate;
@@ -69,6 +70,35 @@
 }
 
 impl Target {
+    /// Creates the target of a server that gets no requests yet.
+    pub(super) fn new(
+        member: &Member,
+        id: ServerId,
+        now: Millis,
+        expect_header: HeaderValue,
+        notices: ServerNotices,
+    ) -> Self {
+        Self {
+            life: member.life.clone(),
+            id,
+            addr: member.addr,
+            dc: member.dc.clone(),
+            first_seen: now,
+            expect_header,
+            pool: Rc::default(),
+            warmup: RefCell::default(),
+            warmup_until: Cell::default(),
+            limit: Cell::default(),
+            path: Cell::default(),
+            found_alive: Cell::default(),
+            notices: Cell::new(notices),
+            slots: Cell::new(member.slots),
+            admission: Cell::new(Admission::Closed),
+            scheduled_here: Cell::new(None),
+            scheduled_generation: Cell::new(0),
+        }
+    }
+
     /// Returns `true` if the server accepts new requests without restriction.
     pub(crate) fn is_ready(&self) -> bool {
         self.admission.get() == Admission::Open
--- a/crates/chicoryrail-router/tests/crashing_requests.rs
+++ b/crates/chicoryrail-router/tests/crashing_requests.rs
@@ -265,12 +265,12 @@
         join_all(tasks).await
     }
 
-    /// Returns the fingerprints of the requests that any running host has condemned.
-    fn condemned(&self) -> BTreeSet<String> {
+    /// Returns the fingerprints of the requests that any running host has blocked.
+    fn blocked(&self) -> BTreeSet<String> {
         let logs: Vec<_> = self.hosts.borrow().iter().map(|host| host.log()).collect();
         let lines = logs.iter().flat_map(|log| log.lines());
-        let verdicts = lines.filter(|line| line.starts_with("log=request_condemned "));
-        let named = verdicts.filter_map(|line| line.split("fingerprint=").nth(1));
+        let blocks = lines.filter(|line| line.starts_with("log=request_blocked "));
+        let named = blocks.filter_map(|line| line.split("fingerprint=").nth(1));
         named
             .filter_map(|rest| rest.split(' ').next())
             .map(str::to_owned)
@@ -354,8 +354,8 @@
             ends <= ENDS_MAX && share >= SERVED_SHARE_MIN,
             "{ends} servers ended, {share:.3} of the others were served"
         );
-        let condemned = deployment.condemned();
-        assert_eq!(condemned.len(), 1, "{condemned:?}");
+        let blocked = deployment.blocked();
+        assert_eq!(blocked.len(), 1, "{blocked:?}");
     });
 }
 
@@ -404,8 +404,8 @@
         let (others, ()) = join(others, trouble).await;
         let share = served_share(&others, begun + Millis(4_500));
         assert!(share >= SERVED_SHARE_MIN, "{share:.3} were served");
-        let condemned = deployment.condemned();
-        assert!(condemned.is_empty(), "{condemned:?}");
+        let blocked = deployment.blocked();
+        assert!(blocked.is_empty(), "{blocked:?}");
     });
 }
 
@@ -418,9 +418,9 @@
     value.split(' ').next().map(str::to_owned)
 }
 
-/// Guards against an operator's verdict or dismissal that does not reach every host.
+/// Guards against an operator's block or dismissal that does not reach every host.
 #[test]
-fn an_operator_condemns_and_dismisses() {
+fn an_operator_blocks_and_dismisses() {
     block_on(async {
         let deployment = Deployment::start("by-hand", "desk", 2).await;
         let servers = &deployment.servers;
