fix(route): check servers beside their pools, and tell each other only what is missing

Found by reading. (1) The check of a server counted against the limit of its pool. A host whose connections all broke may still count them, so the check could say unknown and the end counted against nobody. It opens a connection of its own now, and tells a refusal from an unreachable network by the socket's error. (2) Two hosts that heard of two ends in different orders had unequal records with the same content, and would have told each other for ever; now only what the other lacks is sent. (3) A send that was held back no longer counts as a quick response of its server.

--- a/crates/chicoryrail-policy/src/crash/crash_record.rs
+++ b/crates/chicoryrail-policy/src/crash/crash_record.rs
@@ -91,6 +91,13 @@
         true
     }
 
+    /// Returns `true` if another host's record has something that this one has not. The order of the ends does not count: two
+    /// hosts may have heard of them in different orders.
+    #[must_use]
+    pub fn lacks(&self, other: &Self) -> bool {
+        self.clone().merge(other)
+    }
+
     /// Merges the record of another host; returns `true` if this one changed.
     pub fn merge(&mut self, other: &Self) -> bool {
         if other.epoch > self.epoch {
--- a/crates/chicoryrail-policy/tests/crash_table.rs
+++ b/crates/chicoryrail-policy/tests/crash_table.rs
@@ -187,3 +187,19 @@
     table.expire(Millis(60_003));
     assert_eq!(table.records().count(), 0);
 }
+
+/// Guards against two hosts that heard of two ends in different orders, and tell each other for ever.
+#[rstest]
+#[case::another_order(&[2, 1], false)]
+#[case::one_less(&[2], true)]
+fn records_differ_by_content_alone(#[case] ends: &[u64], #[case] expected: bool) {
+    let (mut a, mut b) = (CrashTable::default(), CrashTable::default());
+    record_end(&mut a, 1, 1);
+    record_end(&mut a, 1, 2);
+    for ended in ends {
+        record_end(&mut b, 1, *ended);
+    }
+    let (a, b) = (a.record(request(1)).unwrap(), b.record(request(1)).unwrap());
+    assert_eq!(b.lacks(a), expected);
+    assert!(!a.lacks(b));
+}
--- a/crates/chicoryrail-router/src/control/crashes/news.rs
+++ b/crates/chicoryrail-router/src/control/crashes/news.rs
@@ -86,7 +86,7 @@
         }
         merge_record(router, *request, record, &source);
         let table = router.crashes.table.borrow();
-        if let Some(own) = table.record(*request).filter(|own| *own != record) {
+        if let Some(own) = table.record(*request).filter(|own| record.lacks(own)) {
             unknown_there.push(RequestRecord {
                 request: *request,
                 record: own.clone(),
--- a/crates/chicoryrail-router/src/control/crashes/server_check.rs
+++ b/crates/chicoryrail-router/src/control/crashes/server_check.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use chicoryrail_core::Millis;
+use chicoryrail_runtime::check_address;
 use monoio::time::timeout;
 
 use crate::state::Target;
@@ -36,15 +37,12 @@
     }
 }
 
-/// Opens a connection to a server, and keeps it in the pool.
+/// Opens a connection to a server beside those of its pool, whose broken ones may still count.
 pub(crate) async fn check_server(target: &Target) -> ServerCheck {
-    let connected = target.pool.connect(target.addr);
-    match timeout(CHECK_TIMEOUT.to_duration(), connected).await {
-        Ok(Ok(conn)) => {
-            target.pool.release(conn);
-            ServerCheck::Accepted
-        }
-        Ok(Err(e)) if is_refusal(&e) => ServerCheck::Refused,
+    let checked = check_address(target.addr);
+    match timeout(CHECK_TIMEOUT.to_duration(), checked).await {
+        Ok(Ok(())) => ServerCheck::Accepted,
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => ServerCheck::Refused,
         Ok(Err(_)) | Err(_) => ServerCheck::Unknown,
     }
 }
@@ -54,11 +52,3 @@
     monoio::time::sleep(RECHECK_DELAY.to_duration()).await;
     check_server(target).await
 }
-
-/// Returns `true` if the address refused a connection. A connection that is refused while it is being opened has no peer.
-fn is_refusal(error: &io::Error) -> bool {
-    matches!(
-        error.kind(),
-        io::ErrorKind::ConnectionRefused | io::ErrorKind::NotConnected
-    )
-}
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -64,8 +64,11 @@
     }
     let now = router.now();
     let elapsed_us = started.elapsed().as_micros() as f64;
-    // A request for which this host found no way says nothing of the server.
-    if !matches!(sent, SendOutcome::NotRun(NotRun::NoPath)) {
+    // A request that was not sent says nothing of the server.
+    if !matches!(
+        sent,
+        SendOutcome::NotRun(NotRun::NoPath | NotRun::Suspected)
+    ) {
         slot.record_end(elapsed_us, sent.failure());
     }
     let mut loads = service.loads.borrow_mut();
--- a/crates/chicoryrail-runtime/src/connect.rs
+++ b/crates/chicoryrail-runtime/src/connect.rs
@@ -32,6 +32,35 @@
 pub(crate) async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
     #[cfg(feature = "fault-injection")]
     crate::cut_paths::check_new(addr).await?;
+    let stream = TcpStream::from_std(start_connect(addr)?.into())?;
+    stream.writable(false).await?;
+    // A refused connection is reported as writable too, but only a connected socket has a peer address.
+    stream.peer_addr()?;
+    Ok(stream)
+}
+
+/// Opens a connection and closes it at once, to find out whether something accepts connections at an address.
+///
+/// # Errors
+///
+/// Returns the system's error, `ConnectionRefused` if the address refused.
+pub async fn check_address(addr: SocketAddr) -> io::Result<()> {
+    #[cfg(feature = "fault-injection")]
+    crate::cut_paths::check_new(addr).await?;
+    let socket = start_connect(addr)?;
+    let result = socket.try_clone()?;
+    let stream = TcpStream::from_std(socket.into())?;
+    stream.writable(false).await?;
+    match (stream.peer_addr(), result.take_error()) {
+        (Ok(_), _) => Ok(()),
+        (Err(_), Ok(Some(reason))) => Err(reason),
+        // A socket without an error of its own that is not connected was refused.
+        (Err(_), _) => Err(io::ErrorKind::ConnectionRefused.into()),
+    }
+}
+
+/// Begins to open a connection.
+fn start_connect(addr: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_nonblocking(true)?;
     socket.set_nodelay(true)?;
@@ -43,14 +72,9 @@
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
     match socket.connect(&addr.into()) {
-        Err(e) if !in_progress(&e) => return Err(e),
-        _ => {}
+        Err(e) if !in_progress(&e) => Err(e),
+        _ => Ok(socket),
     }
-    let stream = TcpStream::from_std(socket.into())?;
-    stream.writable(false).await?;
-    // A refused connection is reported as writable too, but only a connected socket has a peer address.
-    stream.peer_addr()?;
-    Ok(stream)
 }
 
 /// Returns `true` if a test has cut the path that an open connection uses.
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -53,6 +53,7 @@
 pub use callers::serve_http;
 pub use callers::serve_http_shared;
 pub use clock::Clock;
+pub use connect::check_address;
 #[cfg(feature = "fault-injection")]
 pub use cut_paths::CUT_FILE_VARIABLE;
 pub use hop_by_hop::strip_hop_by_hop;
