--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -12,6 +12,7 @@
 use http::Response;
 use monoio::time::timeout;
 
+use crate::control::Probe;
 use crate::route::caller_request::CallerRequest;
 use crate::route::caller_request::SEND_TIME_MIN;
 use crate::route::candidates;
@@ -21,10 +22,12 @@
 use crate::route::send::send;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
+use crate::route::slot_guard::SlotGuard;
 use crate::route::suspicion;
 use crate::route::suspicion::Permission;
 use crate::state::Router;
 use crate::state::Service;
+use crate::state::Target;
 
 /// Longest time until a suspected request asks again whether it may run.
 const TURN_POLL_INTERVAL: Millis = Millis(20);
@@ -52,6 +55,13 @@
     possible_runs: u32,
 }
 
+/// A server for a request that may be sent.
+struct Permitted {
+    assignment: (Rc<Target>, SlotGuard),
+    /// The granted run of a suspected request.
+    probe: Option<Probe>,
+}
+
 /// Serves a request, with retries within the limits of its route and the retry budget.
 ///
 /// # Errors
@@ -81,21 +91,7 @@
     async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         let begun = self.router.now();
         loop {
-            if suspicion::standing(self.router, self.call, self.body) == Standing::Blocked {
-                return Err(self.refuse_blocked());
-            }
-            let assignment = self.acquire_for_caller().await?;
-            let (router, call, body) = (self.router, self.call, self.body);
-            let permission = suspicion::request_permission(router, &self.service, call, body);
-            let probe = match permission.await {
-                Permission::Granted(probe) => probe,
-                Permission::Blocked => continue,
-                Permission::Wait => {
-                    drop(assignment);
-                    self.wait_for_turn(begun).await?;
-                    continue;
-                }
-            };
+            let Permitted { assignment, probe } = self.acquire_permitted(begun).await?;
             let target = Rc::clone(&assignment.0);
             let life = target.life.clone();
             let response_timeout = self.attempt_timeout();
@@ -137,6 +133,26 @@
         }
     }
 
+    /// Waits for a server, and until the request may be sent; `begun` is when the request began to wait.
+    async fn acquire_permitted(&self, begun: Millis) -> Result<Permitted, Refusal> {
+        let (router, call, body) = (self.router, self.call, self.body);
+        loop {
+            if suspicion::standing(router, call, body) == Standing::Blocked {
+                return Err(self.refuse_blocked());
+            }
+            let assignment = self.acquire_for_caller().await?;
+            let permission = suspicion::request_permission(router, &self.service, call, body);
+            match permission.await {
+                Permission::Granted(probe) => return Ok(Permitted { assignment, probe }),
+                Permission::Blocked => {}
+                Permission::Wait => {
+                    drop(assignment);
+                    self.wait_for_turn(begun).await?;
+                }
+            }
+        }
+    }
+
     /// Waits before a suspected request asks again whether it may run.
     ///
     /// # Errors
