fix(route): let an end count at a host that is in doubt about its paths

The host had failed to connect to two servers that had ended, and reached few others, so it was in doubt, and what it saw of a third counted against nobody. That doubt was the reason is suspected: the lines agree with it, and by reading a host in doubt drops the evidence; a test that brings a host into doubt and has it send directly was tried in two forms and did not reproduce it.

Doubt is not needed here: a report is checked by all other hosts, and one that reaches the server withdraws it (refused paths in crashing_requests.rs, cut_hosts.rs). The second check is logged whatever it says.

--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -95,8 +95,8 @@
         record_silence(router, service, target);
         return Indeterminate::Broken;
     }
-    let now = router.now();
-    if !target.may_have_ended(now) || service.doubts_paths(now) {
+    // A host that has lost its own paths is corrected by those that still reach the server.
+    if !target.may_have_ended(router.now()) {
         return Indeterminate::Broken;
     }
     let begun = router.now();
--- a/crates/chicoryrail-router/src/route/suspicion.rs
+++ b/crates/chicoryrail-router/src/route/suspicion.rs
@@ -127,15 +127,12 @@
     request: (Fingerprint, u64),
 ) {
     let check = recheck_server(&target).await;
-    let now = router.now();
-    if check == ServerCheck::Accepted {
-        target.found_alive.set(Some(now));
-    }
-    if check != ServerCheck::Refused || service.doubts_paths(now) {
-        return;
-    }
     log::info!(server:% = target.life, check = check.name(); "server_rechecked");
-    control::record_end(&router, &service, request, &target.life);
+    match check {
+        ServerCheck::Accepted => target.found_alive.set(Some(router.now())),
+        ServerCheck::Refused => control::record_end(&router, &service, request, &target.life),
+        ServerCheck::Unknown => {}
+    }
 }
 
 /// Logs that a request is refused because of the servers that ended under it.
