fix(route): compare requests without the caller's address

Cause, suspected: a request's identity had the caller's address in it, so repeats from another address were new requests.

Change: method, host name, path, key, organisation and the first 16 KiB of the body make a request. The declared length is out too: the same body may come in chunks.

--- a/crates/chicoryrail-core/src/fingerprint.rs
+++ b/crates/chicoryrail-core/src/fingerprint.rs
@@ -12,7 +12,7 @@
 /// Number of bytes of a fingerprint.
 const BYTES: usize = 16;
 
-/// Identity of a request: a cryptographic hash of its method, host name, path, caller and body, so that nobody can
+/// Identity of a request: a cryptographic hash of its method, host name, path, organisation and body, so that nobody can
 /// build a request with the fingerprint of another one.
 ///
 /// Its text form has 32 hexadecimal digits.
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -30,7 +30,6 @@
 use crate::route::admission::set_organisation_header;
 use crate::route::refusal::Cause;
 use crate::route::request_identity::RequestIdentity;
-use crate::route::request_identity::Sender;
 use crate::state::Router;
 
 /// Minimum time before the deadline at which a request is still sent; with less, no response is expected in time.
@@ -196,14 +195,12 @@
     }
 
     fn identity(&self) -> RequestIdentity<'_> {
-        let organisation = self.organisation.as_ref();
-        let address = Sender::Address(self.from.ip());
         RequestIdentity {
             method: &self.method,
             uri: &self.uri,
             headers: &self.headers,
             key: self.key,
-            sender: organisation.map_or(address, |o| Sender::Organisation(&o.name)),
+            organisation: self.organisation.as_ref().map(|o| &o.name),
         }
     }
 
--- a/crates/chicoryrail-router/src/route/request_identity.rs
+++ b/crates/chicoryrail-router/src/route/request_identity.rs
@@ -1,7 +1,8 @@
-//! What makes two requests the same: method, host name, path, caller and body.
+//! What makes two requests the same: method, host name, path, key, organisation and body.
+//!
+//! An address identifies no caller: one may come from several, and several from one.
 
 use std::hash::Hasher;
-use std::net::IpAddr;
 
 use chicoryrail_core::Fingerprint;
 use chicoryrail_core::OrganisationName;
@@ -9,21 +10,11 @@
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
-use http::header::CONTENT_LENGTH;
 use http::header::HOST;
 use sha2::Digest;
 use sha2::Sha256;
 use siphasher::sip::SipHasher13;
 
-/// Who sends a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Sender<'a> {
-    /// An organisation, by its API key.
-    Organisation(&'a OrganisationName),
-    /// A caller without an API key, by its address.
-    Address(IpAddr),
-}
-
 /// The head of a request, without what differs between two attempts.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RequestIdentity<'a> {
@@ -31,7 +22,8 @@
     pub(super) uri: &'a Uri,
     pub(super) headers: &'a HeaderMap,
     pub(super) key: Option<u16>,
-    pub(super) sender: Sender<'a>,
+    /// Organisation of the caller, if the route needs one.
+    pub(super) organisation: Option<&'a OrganisationName>,
 }
 
 impl RequestIdentity<'_> {
@@ -45,18 +37,14 @@
         hasher.finish()
     }
 
-    /// Returns the fingerprint. Of a body, the first 16 KiB and the declared length count: the rest is streamed to the
-    /// server once and is no longer at hand when the server has ended.
+    /// Returns the fingerprint. Of a body, the first 16 KiB count: the rest is streamed to the server once and is no longer at
+    /// hand when the server has ended. Its declared length does not: the same body may also be sent in chunks.
     pub(super) fn fingerprint(&self, body: &RequestBody) -> Fingerprint {
         let mut hasher = Sha256::new();
         self.visit_head(|field| {
             hasher.update((field.len() as u64).to_be_bytes());
             hasher.update(field);
         });
-        let length = self.headers.get(CONTENT_LENGTH);
-        let length = length.map_or(&b""[..], |value| value.as_bytes());
-        hasher.update((length.len() as u64).to_be_bytes());
-        hasher.update(length);
         body.visit_start(|bytes| hasher.update(bytes));
         let hash = hasher.finalize();
         let mut bytes = [0; 16];
@@ -74,10 +62,9 @@
             let [high, low] = key.to_be_bytes();
             [1, high, low]
         }));
-        match self.sender {
-            Sender::Organisation(name) => visit(name.as_str().as_bytes()),
-            Sender::Address(IpAddr::V4(addr)) => visit(&addr.octets()),
-            Sender::Address(IpAddr::V6(addr)) => visit(&addr.octets()),
-        }
+        visit(
+            self.organisation
+                .map_or(&b""[..], |name| name.as_str().as_bytes()),
+        );
     }
 }
--- a/crates/chicoryrail-router/tests/crashing_requests.rs
+++ b/crates/chicoryrail-router/tests/crashing_requests.rs
@@ -5,16 +5,25 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
+use chicoryrail_platform::call_header;
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetOptions;
 use futures_util::future::join;
 use futures_util::future::join_all;
+use monoio::io::AsyncReadRent;
+use monoio::io::AsyncWriteRentExt;
+use monoio::net::TcpStream;
 use nix::sys::signal::Signal;
 use rstest::rstest;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 use support::Cut;
 use support::Mode;
 use support::RouterProcess;
@@ -170,6 +179,19 @@
     }
 }
 
+/// Sends a read from an address of its own, and waits until the response begins or the connection ends.
+async fn read_from(from: Ipv4Addr, to: SocketAddr, path: &str) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from((from, 0)).into()).unwrap();
+    socket.connect(&to.into()).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    let mut stream = TcpStream::from_std(socket.into()).unwrap();
+    let id = call_header::REQUEST_ID;
+    let head = format!("GET /read/{path} HTTP/1.1\r\nhost: shop.example\r\n{id}: {from}\r\n\r\n");
+    stream.write_all(head.into_bytes()).await.0.unwrap();
+    let _ = stream.read(vec![0_u8; 1_024]).await;
+}
+
 /// What happens beside the requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Beside {
@@ -180,6 +202,8 @@
     HostsKilled,
     /// One of the hosts is a leaf host.
     LeafHost,
+    /// Each repeat comes from another address.
+    AddressChanges,
     /// The store is down, and the servers that have ended stay down.
     StoreDown,
 }
@@ -227,11 +251,19 @@
     }
 
     /// Repeats the request that ends servers at each host in turn.
-    async fn repeat(&self, kind: Kind, interval: Millis, until: Millis) {
+    async fn repeat(&self, kind: Kind, beside: Beside, interval: Millis, until: Millis) {
         let (mut tasks, mut turn) = (Vec::new(), 0);
         while self.clock.now() < until {
             let host = self.host(turn);
             turn += 1;
+            if beside == Beside::AddressChanges {
+                let from = Ipv4Addr::new(127, 0, 0, turn as u8 + 1);
+                tasks.push(monoio::spawn(async move {
+                    read_from(from, host.callers, "x?crash=1&work_us=5000").await;
+                }));
+                monoio::time::sleep(interval.to_duration()).await;
+                continue;
+            }
             tasks.push(monoio::spawn(async move {
                 kind.send(&host, "x?crash=1&work_us=5000", 14_273).await;
             }));
@@ -317,6 +349,7 @@
 #[case::store_down(Kind::Read, Beside::StoreDown, REPEAT_INTERVAL)]
 #[case::keyed(Kind::Keyed, Beside::Nothing, REPEAT_INTERVAL)]
 #[case::hosts_killed(Kind::Read, Beside::HostsKilled, REPEAT_INTERVAL)]
+#[case::address_changes(Kind::Read, Beside::AddressChanges, REPEAT_INTERVAL)]
 #[case::leaf_host(Kind::Read, Beside::LeafHost, REPEAT_INTERVAL)]
 #[case::often(Kind::Read, Beside::Nothing, SHORT_INTERVAL)]
 fn a_request_that_ends_servers_reaches_few(
@@ -337,7 +370,7 @@
             deployment.hosts.borrow_mut().push(Rc::new(leaf));
         }
         let until = deployment.clock.now() + SEND_TIME;
-        let repeated = deployment.repeat(kind, interval, until);
+        let repeated = deployment.repeat(kind, beside, interval, until);
         let others = deployment.send_others(until, false);
         let replaced = deployment.replace_hosts(beside);
         let (others, _) = join(others, join(repeated, replaced)).await;
