feat(core): upload routes, routes that tolerate waiting, and what a scheduler learns of a caller

Route type upload was logged as unknown and treated as an order; it has a kind of its own now, still at most once. Slot queries carry the caller's own deadline, which the route's timeout cuts for the request, hashes of caller, head and route, and the declared length of the body; hashes are 0 unless the route's timeout is three times its latency target. No decision uses them yet: behaviour is unchanged but for the log line of the unknown type.

--- a/crates/chicoryrail-core/src/site/file.rs
+++ b/crates/chicoryrail-core/src/site/file.rs
@@ -5,6 +5,7 @@
 use snafu::Snafu;
 
 use crate::CallerLimits;
+use crate::Idempotency;
 use crate::Millis;
 use crate::OrganisationSection;
 use crate::Route;
@@ -100,6 +101,9 @@
     /// Whether responses are large; must not be set together with `once`.
     #[serde(default)]
     pub download: bool,
+    /// Whether request bodies are large; implies `once` and must not be set together with `download`.
+    #[serde(default)]
+    pub upload: bool,
     /// Maximum time for a request, including its wait for a server and all retries.
     pub timeout_ms: Millis,
     /// Latency target, at most `timeout_ms`; see [`Route::latency_target`].
@@ -276,8 +280,9 @@
             name: route.name.clone(),
             host: route.host.clone(),
             prefix: route.prefix.clone(),
-            once: route.kind == RouteKind::Order,
+            once: route.kind.idempotency() == Idempotency::AtMostOnce,
             download: route.kind == RouteKind::Download,
+            upload: route.kind == RouteKind::Upload,
             timeout_ms: route.timeout,
             aim_ms: route.latency_target,
             rank: route.priority,
@@ -307,6 +312,10 @@
             let reason = "must not be true together with once";
             return Err(invalid_field(field("download"), &true, reason));
         }
+        if self.upload && self.download {
+            let reason = "must not be true together with download";
+            return Err(invalid_field(field("upload"), &true, reason));
+        }
         if self.attempts == 0 {
             return Err(invalid_field(field("attempts"), &0, "must be above 0"));
         }
@@ -329,10 +338,11 @@
     }
 
     const fn kind(&self) -> RouteKind {
-        match (self.once, self.download) {
-            (true, _) => RouteKind::Order,
-            (false, true) => RouteKind::Download,
-            (false, false) => RouteKind::Read,
+        match (self.once, self.download, self.upload) {
+            (_, _, true) => RouteKind::Upload,
+            (true, _, false) => RouteKind::Order,
+            (false, true, false) => RouteKind::Download,
+            (false, false, false) => RouteKind::Read,
         }
     }
 
--- a/crates/chicoryrail-core/src/site/route.rs
+++ b/crates/chicoryrail-core/src/site/route.rs
@@ -21,6 +21,8 @@
     Download,
     /// With effects that must not be repeated, such as placing an order: runs at most once.
     Order,
+    /// An order whose request body is large.
+    Upload,
 }
 
 impl RouteKind {
@@ -29,7 +31,7 @@
     pub const fn idempotency(self) -> Idempotency {
         match self {
             Self::Read | Self::Download => Idempotency::Idempotent,
-            Self::Order => Idempotency::AtMostOnce,
+            Self::Order | Self::Upload => Idempotency::AtMostOnce,
         }
     }
 
@@ -40,6 +42,7 @@
             Self::Read => "read",
             Self::Download => "download",
             Self::Order => "order",
+            Self::Upload => "upload",
         }
     }
 }
@@ -53,6 +56,10 @@
     pub weight: u32,
 }
 
+/// Ratio of a route's timeout to its latency target from which on its callers have time to wait for a slot, or to be
+/// refused and return, beyond the latency target.
+const WAIT_TOLERANCE_RATIO: u64 = 3;
+
 /// A rule for the requests with one host and path prefix: which services receive them, and within which limits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Route {
@@ -81,3 +88,12 @@
     /// Services with their weights; at least one weight is above 0.
     pub services: Vec<WeightedService>,
 }
+
+impl Route {
+    /// Returns `true` if callers have time to wait or to return beyond the latency target: the timeout is at least three
+    /// times as long.
+    #[must_use]
+    pub const fn tolerates_waiting(&self) -> bool {
+        self.timeout.0 >= self.latency_target.0.saturating_mul(WAIT_TOLERANCE_RATIO)
+    }
+}
--- a/crates/chicoryrail-core/src/site/site.rs
+++ b/crates/chicoryrail-core/src/site/site.rs
@@ -83,6 +83,15 @@
             .find(|r| path.starts_with(&*r.prefix))
     }
 
+    /// Returns `true` if more than half of the routes that lead to a service tolerate waiting.
+    #[must_use]
+    pub fn tolerates_waiting(&self, service: &ServiceName) -> bool {
+        let leads_there = |r: &&Arc<Route>| r.services.iter().any(|s| s.service == *service);
+        let routes = self.routes.iter().filter(leads_there);
+        let tolerant = routes.clone().filter(|r| r.tolerates_waiting()).count();
+        tolerant * 2 > routes.count()
+    }
+
     /// Returns the service with this name.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
--- a/crates/chicoryrail-core/tests/site_file.rs
+++ b/crates/chicoryrail-core/tests/site_file.rs
@@ -1,6 +1,8 @@
 //! Tests of configuration files: accepted fields, and errors for invalid values.
 
+use chicoryrail_core::Idempotency;
 use chicoryrail_core::RouteKind;
+use chicoryrail_core::ServiceName;
 use chicoryrail_core::SiteFile;
 use rstest::rstest;
 
@@ -60,6 +62,35 @@
     assert_eq!(SiteFile::from_site(&site).build(4).unwrap(), site);
 }
 
+/// Guards against an upload that is taken for a request that may be repeated.
+#[test]
+fn an_upload_runs_at_most_once() {
+    let text = TEXT.replace("once = true", "upload = true");
+    let site = file(&text).build(4).unwrap();
+    let order = site.route("shop.example", "/kits/order/1").unwrap();
+    assert_eq!(order.kind, RouteKind::Upload);
+    assert_eq!(order.kind.idempotency(), Idempotency::AtMostOnce);
+    assert_eq!(SiteFile::from_site(&site).build(4).unwrap(), site);
+}
+
+/// Guards against decisions for patient callers on routes whose callers have no time to wait.
+#[rstest]
+#[case::short(400, 1_199, false)]
+#[case::long(400, 1_200, true)]
+fn a_route_with_a_long_timeout_tolerates_waiting(
+    #[case] target_ms: u64,
+    #[case] timeout_ms: u64,
+    #[case] tolerates: bool,
+) {
+    let timeouts = format!("timeout_ms = {timeout_ms}\naim_ms = {target_ms}");
+    let text = TEXT.replace("timeout_ms = 1000\naim_ms = 400", &timeouts);
+    let site = file(&text).build(4).unwrap();
+    let order = site.route("shop.example", "/kits/order/1").unwrap();
+    assert_eq!(order.tolerates_waiting(), tolerates);
+    // One route of three is no majority.
+    assert!(!site.tolerates_waiting(&ServiceName::new("kits")));
+}
+
 #[rstest]
 #[case::prefix("/kits/order/", "/kits/order", "route.order.prefix = /kits/order: ")]
 #[case::service(
@@ -75,6 +106,11 @@
     "once = true\ndownload = true",
     "route.order.download = true: "
 )]
+#[case::upload(
+    "download = true",
+    "download = true\nupload = true",
+    "route.manual.upload = true: "
+)]
 #[case::twice(
     "/kits/order/",
     "/kits/",
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -24,6 +24,7 @@
 //! let request = SlotRequest {
 //!     ticket: 1, priority: 0, latency_target: now + Millis(300), deadline: now + Millis(1_000),
 //!     work_us: 5_000.0, key: None, excluded: Vec::new(), dc_index: 0, large_response: false,
+//!     tolerates_waiting: false, caller_deadline: now + Millis(1_000), caller: 0, head: 0, route: 0, body_bytes: 0,
 //! };
 //! scheduler.enqueue(now, request);
 //! let decisions = scheduler.poll(now, |_| Placement::Any);
--- a/crates/chicoryrail-policy/src/scheduler/slot_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/slot_request.rs
@@ -27,6 +27,18 @@
     pub dc_index: u32,
     /// Whether its response is large.
     pub large_response: bool,
+    /// Whether its caller has time to wait for a slot, or to return, beyond the latency target.
+    pub tolerates_waiting: bool,
+    /// Time until which the caller retries if it is refused; at or after `deadline`.
+    pub caller_deadline: Millis,
+    /// Hash of the caller's address; 0 if it is not known.
+    pub caller: u64,
+    /// Hash of the request's head, the same when the caller sends it again; 0 if it is not known.
+    pub head: u64,
+    /// Hash of the route's name; 0 if it is not known.
+    pub route: u64,
+    /// Declared length of the body; 0 without one.
+    pub body_bytes: u64,
 }
 
 /// Servers that a request may be sent to.
@@ -48,6 +60,8 @@
     Send(ServerId),
     /// The request is refused: no capacity is expected in time, but there may be some after this duration.
     Refuse(Millis),
+    /// The request is refused, and its caller should return after exactly this duration.
+    Return(Millis),
 }
 
 /// Report of the end of a send.
--- a/crates/chicoryrail-policy/tests/limited_servers.rs
+++ b/crates/chicoryrail-policy/tests/limited_servers.rs
@@ -28,7 +28,7 @@
                     sent.push(now);
                     scheduler.release(Millis(now), &end(ticket, server, 20_000.0));
                 }
-                Decision::Refuse(_) => refused.push(now - ticket),
+                Decision::Refuse(_) | Decision::Return(_) => refused.push(now - ticket),
             }
         }
     }
@@ -62,6 +62,12 @@
         excluded: Vec::new(),
         dc_index: 0,
         large_response: false,
+        tolerates_waiting: false,
+        caller_deadline: Millis::ZERO,
+        caller: 0,
+        head: 0,
+        route: 0,
+        body_bytes: 0,
     }
 }
 
@@ -156,7 +162,7 @@
                 Decision::Send(server) => {
                     scheduler.release(Millis(now), &end(ticket, server, 9e4));
                 }
-                Decision::Refuse(_) => refused += 1,
+                Decision::Refuse(_) | Decision::Return(_) => refused += 1,
             }
         }
     }
--- a/crates/chicoryrail-policy/tests/scheduler.rs
+++ b/crates/chicoryrail-policy/tests/scheduler.rs
@@ -39,6 +39,12 @@
         excluded: Vec::new(),
         dc_index: 0,
         large_response: false,
+        tolerates_waiting: false,
+        caller_deadline: Millis::ZERO,
+        caller: 0,
+        head: 0,
+        route: 0,
+        body_bytes: 0,
     }
 }
 
@@ -107,7 +113,7 @@
                     let at = now + ms as u64;
                     ends.push(Reverse((at, t, server.0, (ms * 1_000.0) as u64)));
                 }
-                Decision::Refuse(_) => outcomes.refused += 1,
+                Decision::Refuse(_) | Decision::Return(_) => outcomes.refused += 1,
             }
         }
         let idle = load.iter().filter(|l| **l == 0).count();
@@ -323,6 +329,12 @@
         let request_in_dc_1 = SlotRequest {
             dc_index: 1,
             large_response: false,
+            tolerates_waiting: false,
+            caller_deadline: Millis::ZERO,
+            caller: 0,
+            head: 0,
+            route: 0,
+            body_bytes: 0,
             ..request(ticket, 0, 300, 800)
         };
         scheduler.enqueue(Millis(0), request_in_dc_1);
--- a/crates/chicoryrail-policy/tests/scheduler_callers.rs
+++ b/crates/chicoryrail-policy/tests/scheduler_callers.rs
@@ -72,6 +72,12 @@
             excluded: Vec::new(),
             dc_index: 0,
             large_response: false,
+            tolerates_waiting: false,
+            caller_deadline: Millis::ZERO,
+            caller: 0,
+            head: 0,
+            route: 0,
+            body_bytes: 0,
         };
         self.next_ticket += 1;
         self.requests.push((key, self.now));
@@ -106,7 +112,7 @@
                     self.ends
                         .push(Reverse((self.now + WORK_MS, ticket, server.0)));
                 }
-                Decision::Refuse(_) => ended.push((key, arrived_at, false)),
+                Decision::Refuse(_) | Decision::Return(_) => ended.push((key, arrived_at, false)),
             }
         }
         ended
--- a/crates/chicoryrail-policy/tests/scheduler_size.rs
+++ b/crates/chicoryrail-policy/tests/scheduler_size.rs
@@ -125,6 +125,12 @@
         excluded: Vec::new(),
         dc_index: 0,
         large_response: false,
+        tolerates_waiting: false,
+        caller_deadline: Millis::ZERO,
+        caller: 0,
+        head: 0,
+        route: 0,
+        body_bytes: 0,
     }
 }
 
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -73,6 +73,12 @@
         excluded: excluded.collect(),
         dc_index: router.schedulers.dc_index(&query.dc),
         large_response: query.large,
+        tolerates_waiting: query.tolerates_waiting,
+        caller_deadline: now + Millis(query.caller_left),
+        caller: query.caller,
+        head: query.head,
+        route: query.route,
+        body_bytes: query.body_bytes,
     };
     // A repeated query for a queued request is no new demand for its key.
     if let Some(key) = query.key.filter(|_| !is_queued(router, query.ticket)) {
@@ -239,6 +245,7 @@
     let service = router.service(&part.service);
     let reply = match decision {
         Decision::Refuse(after) => SlotReply::Refuse(after.0),
+        Decision::Return(after) => SlotReply::Return(after.0),
         Decision::Send(id) => {
             let targets = service.targets.borrow();
             // No reply is sent if the server is no longer known.
@@ -256,12 +263,13 @@
     let Some(origin) = origin else {
         return;
     };
-    if let SlotReply::Refuse(after) = reply {
+    if let SlotReply::Refuse(after) | SlotReply::Return(after) = reply {
         let schedulers = router.schedulers.by_part.borrow();
         let scheduler = schedulers.get(part);
         let (busy, slots) = scheduler.map_or((0, 0), Scheduler::occupancy);
         let paused = scheduler.map_or(0, |s| s.paused_servers(router.now()));
-        log::info!(request = origin.id, service:% = service.name, room_in_ms = after, busy = busy,
+        log::info!(request = origin.id, service:% = service.name, room_in_ms = after,
+            returns = matches!(reply, SlotReply::Return(_)), busy = busy,
             slots = slots, waiting = scheduler.map_or(0, Scheduler::queue_length), paused = paused;
             "scheduler_refused");
     }
--- a/crates/chicoryrail-router/src/messages/packet.rs
+++ b/crates/chicoryrail-router/src/messages/packet.rs
@@ -156,6 +156,18 @@
     pub(crate) large: bool,
     /// Servers that earlier attempts were sent to.
     pub(crate) not: Vec<Life>,
+    /// Whether the caller has time to wait for a slot, or to return, beyond the latency target.
+    pub(crate) tolerates_waiting: bool,
+    /// Time left to the caller, which may exceed the time until the deadline.
+    pub(crate) caller_left: u64,
+    /// Hash of the caller's address; 0 unless `tolerates_waiting`.
+    pub(crate) caller: u64,
+    /// Hash of the request's head; 0 unless `tolerates_waiting`.
+    pub(crate) head: u64,
+    /// Hash of the route's name; 0 unless `tolerates_waiting`.
+    pub(crate) route: u64,
+    /// Declared length of the body; 0 without one.
+    pub(crate) body_bytes: u64,
 }
 
 /// Decision of a scheduler on a slot query.
@@ -173,6 +185,8 @@
     Refuse(u64),
     /// The request's organisation exceeds its rate limit; a token may be available after this many milliseconds.
     OverQuota(u64),
+    /// The request is refused, and its caller should return after exactly this many milliseconds.
+    Return(u64),
 }
 
 /// The end of a request at a server, reported to its scheduler.
--- a/crates/chicoryrail-router/src/route/acquire.rs
+++ b/crates/chicoryrail-router/src/route/acquire.rs
@@ -45,6 +45,7 @@
         let assignment = match decision {
             slot_query::Decision::Send(target, slot) => Ok((target, slot)),
             slot_query::Decision::Refuse(after) => Err(self.refuse(Cause::Full, after)),
+            slot_query::Decision::Return(after) => Err(self.refuse_until(after)),
             slot_query::Decision::OverQuota(after) => Err(self.refuse(Cause::OverQuota, after)),
             slot_query::Decision::Withheld(why) => Err(self.refuse_withheld(why)),
             slot_query::Decision::Unavailable => self.acquire_without_scheduler().await,
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -254,6 +254,16 @@
         }
     }
 
+    /// Refuses a request whose caller was given a time to return. The time stands as it is: the scheduler has reserved
+    /// capacity for it.
+    pub(super) fn refuse_until(&self, after: Millis) -> Refusal {
+        let refusal = self.refuse(Cause::Full, after);
+        Refusal {
+            retry_after: refusal.retry_after.map(|_| after),
+            ..refusal
+        }
+    }
+
     /// Builds a refusal. If a server may have executed an earlier send, the cause does not promise that the request has
     /// not run.
     pub(super) fn refuse(&self, cause: Cause, capacity_in: Millis) -> Refusal {
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -23,8 +24,10 @@
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
+use http::header::CONTENT_LENGTH;
 use http::header::HOST;
 use http::request::Parts;
+use siphasher::sip::SipHasher13;
 
 use crate::route::admission::authenticate;
 use crate::route::admission::set_organisation_header;
@@ -52,6 +55,17 @@
     pub(crate) via: Option<SocketAddr>,
 }
 
+/// What identifies a request in a scheduler's queue.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct QueueIdentity {
+    /// Hash of the caller's address.
+    pub(crate) caller: u64,
+    /// Hash of the request's head.
+    pub(crate) head: u64,
+    /// Hash of the route's name.
+    pub(crate) route: u64,
+}
+
 /// A caller's request.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -85,6 +99,8 @@
     pub(crate) caller_left: CancellationToken,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
     pub(crate) deadline: Millis,
+    /// The caller's own deadline, which may be later: a refused caller retries until then.
+    pub(crate) caller_deadline: Millis,
 }
 
 /// Where a request goes by the configuration.
@@ -175,6 +191,7 @@
             stats: RefCell::default(),
             caller_left: CancellationToken::new(),
             deadline: arrived + time_limit(&headers, &to.route),
+            caller_deadline: arrived + caller_time(&headers, &to.route),
             service: to.service,
             headers,
             route: to.route,
@@ -217,6 +234,30 @@
         Some((&organisation.name, limit))
     }
 
+    /// Returns what identifies the request in a scheduler's queue; all zero unless its route tolerates waiting.
+    pub(crate) fn queue_identity(&self) -> QueueIdentity {
+        if !self.route.tolerates_waiting() {
+            return QueueIdentity::default();
+        }
+        let hash = |bytes: &[u8]| {
+            let mut hasher = SipHasher13::new();
+            hasher.write(bytes);
+            hasher.finish()
+        };
+        QueueIdentity {
+            caller: hash(self.from.ip().to_string().as_bytes()),
+            head: self.head_hash(),
+            route: hash(self.route.name.as_bytes()),
+        }
+    }
+
+    /// Returns the declared length of the body; 0 without one.
+    pub(crate) fn body_bytes(&self) -> u64 {
+        let length = self.headers.get(CONTENT_LENGTH);
+        let length = length.and_then(|v| v.to_str().ok()?.parse().ok());
+        length.unwrap_or(0)
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self, now: Millis) -> Millis {
         self.deadline.since(now)
@@ -240,10 +281,14 @@
 
 /// Returns the time that the sender allows, at most the timeout of the route.
 fn time_limit(headers: &HeaderMap, route: &Route) -> Millis {
+    caller_time(headers, route).min(route.timeout)
+}
+
+/// Returns the time that the sender allows; the timeout of the route if it names none.
+fn caller_time(headers: &HeaderMap, route: &Route) -> Millis {
     let time_left = call_header::text(headers, &call_header::TIME_LEFT);
     let time_left = time_left.and_then(|t| t.parse::<f64>().ok());
-    let time_left = time_left.map_or(route.timeout, |ms| Millis(ms.max(0.0) as u64));
-    time_left.min(route.timeout)
+    time_left.map_or(route.timeout, |ms| Millis(ms.max(0.0) as u64))
 }
 
 /// Returns the route that matches a request's host and path.
--- a/crates/chicoryrail-router/src/route/response_body.rs
+++ b/crates/chicoryrail-router/src/route/response_body.rs
@@ -29,7 +29,7 @@
 /// Returns how many bytes of a response body are buffered for a kind of route.
 pub(crate) const fn buffer_limit(kind: RouteKind) -> usize {
     match kind {
-        RouteKind::Read | RouteKind::Order => BUFFER_BYTES_MAX,
+        RouteKind::Read | RouteKind::Order | RouteKind::Upload => BUFFER_BYTES_MAX,
         RouteKind::Download => DOWNLOAD_BUFFER_BYTES_MAX,
     }
 }
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -48,6 +48,8 @@
     Send(Rc<Target>, SlotGuard),
     /// Refuse; capacity is expected after this time.
     Refuse(Millis),
+    /// Refuse; the caller should return after exactly this time.
+    Return(Millis),
     /// Refuse: the organisation has exceeded its rate limit; a token is expected after this time.
     OverQuota(Millis),
     /// Refuse: the servers that may run the request asked this host for no more.
@@ -107,6 +109,10 @@
                 query.pending = false;
                 return Decision::Refuse(Millis(after));
             }
+            Some(SlotReply::Return(after)) => {
+                query.pending = false;
+                return Decision::Return(Millis(after));
+            }
             Some(SlotReply::OverQuota(after)) => {
                 query.pending = false;
                 return Decision::OverQuota(Millis(after));
@@ -209,6 +215,7 @@
         let work = self
             .router
             .expected_work_us(&call.route.name, call.route.latency_target);
+        let identity = call.queue_identity();
         let slot_query = SlotQuery {
             dc: self.router.boot().dc.clone(),
             part: self.part.clone(),
@@ -223,6 +230,12 @@
             work_us: work as u64,
             large: call.route.kind == RouteKind::Download,
             not: excluded.to_vec(),
+            tolerates_waiting: call.route.tolerates_waiting(),
+            caller_left: call.caller_deadline.since(now).0,
+            caller: identity.caller,
+            head: identity.head,
+            route: identity.route,
+            body_bytes: call.body_bytes(),
         };
         send_to_scheduler(self.router, self.scheduler, Packet::SlotQuery(slot_query));
     }
