--- a/crates/chicoryrail-core/src/site/site.rs
+++ b/crates/chicoryrail-core/src/site/site.rs
@@ -83,13 +83,12 @@
             .find(|r| path.starts_with(&*r.prefix))
     }
 
-    /// Returns `true` if more than half of the routes that lead to a service tolerate waiting.
+    /// Returns `true` if a route that leads to a service tolerates waiting.
     #[must_use]
     pub fn tolerates_waiting(&self, service: &ServiceName) -> bool {
-        let leads_there = |r: &&Arc<Route>| r.services.iter().any(|s| s.service == *service);
-        let routes = self.routes.iter().filter(leads_there);
-        let tolerant = routes.clone().filter(|r| r.tolerates_waiting()).count();
-        tolerant * 2 > routes.count()
+        let leads_there = |r: &Route| r.services.iter().any(|s| s.service == *service);
+        let mut routes = self.routes.iter();
+        routes.any(|r| r.tolerates_waiting() && leads_there(r))
     }
 
     /// Returns the service with this name.
