feat(keys): an overloaded key gets the fastest server for itself

Cause: a key has one owner, and it stayed with whichever owner it had.

Change: for services whose callers tolerate waiting (PlanPolicy::Steady), the leader observes keys with at least a quarter of what their owner bears, from the requests that reach the schedulers (refused and waiting ones count). A key above that capacity, after 300 ms, goes to the fastest server if that has 1.3 times the capacity, else stays; the other keys of its server leave. It has the server for itself until its load was below half of that at the move for 3 s. An overloaded key of a lost server goes to a fast one at once. Relief moves only servers whose load exceeds the threshold by three standard deviations, and leaves observed keys to this rule; otherwise it moved them first, to any server. keys_planned names the reason. Other services are planned as before.

--- a/crates/chicoryrail-ownership/src/keys/assignment.rs
+++ b/crates/chicoryrail-ownership/src/keys/assignment.rs
@@ -9,6 +9,7 @@
 use crate::keys::OwnedRange;
 use crate::keys::load_curve::LoadCurve;
 use crate::keys::load_curve::OVERSHOOT_FACTOR;
+use crate::keys::range_set::RangeSet;
 
 /// Load relative to the fair share down to which a server is relieved, and up to which another server
 /// receives more. It lies below the ratio at which a server counts as overloaded; otherwise the next few
@@ -52,15 +53,21 @@
 /// Working copy of a key assignment: the ranges, their owners and the resulting loads.
 #[derive(Debug)]
 pub(crate) struct Assignment<'a> {
-    candidates: &'a [KeyCandidate],
-    curve: &'a LoadCurve,
+    pub(super) candidates: &'a [KeyCandidate],
+    pub(super) curve: &'a LoadCurve,
     /// Fair load for a weight of 1, in requests.
-    unit_load: f64,
+    pub(super) unit_load: f64,
     /// Ranges in key order, each with the index of its owner in `candidates`; `None` if the keys have no
     /// owner.
-    ranges: Vec<(KeyRange, Option<usize>)>,
+    pub(super) ranges: Vec<(KeyRange, Option<usize>)>,
     /// Load of each candidate, in requests.
-    loads: Vec<f64>,
+    pub(super) loads: Vec<f64>,
+    /// Keys that are the only ones of their server, which is reserved for them. They are in none of `ranges`.
+    pub(super) dedicated: Vec<(u16, usize)>,
+    /// Keys that stay with their owner. They are in none of `ranges`.
+    pub(super) held: Vec<(u16, usize)>,
+    /// Keys whose server is no longer reserved for them.
+    pub(super) formerly_dedicated: Vec<u16>,
 }
 
 impl<'a> Assignment<'a> {
@@ -97,6 +104,9 @@
             unit_load,
             ranges,
             loads: vec![0.0; candidates.len()],
+            dedicated: Vec::new(),
+            held: Vec::new(),
+            formerly_dedicated: Vec::new(),
         };
         this.join_adjacent();
         for (span, owner) in &this.ranges {
@@ -133,29 +143,43 @@
     /// Returns the owned ranges with their owners.
     pub(crate) fn into_owned_ranges(self) -> Vec<OwnedRange> {
         let candidates = self.candidates;
-        let ranges = self.ranges.into_iter();
+        let single = |key| KeyRange {
+            first: key,
+            last: key,
+        };
+        let keys = self.dedicated.into_iter().chain(self.held);
+        let mut ranges = self.ranges;
+        ranges.extend(keys.map(|(key, c)| (single(key), Some(c))));
+        ranges.sort_by_key(|(span, _)| *span);
+        let ranges = join_adjacent(ranges).into_iter();
         let owned =
             ranges.filter_map(|(span, c)| Some(OwnedRange::new(span, candidates[c?].life.clone())));
         owned.collect()
     }
 
     /// Returns a candidate's fair share of the load, in requests.
-    fn fair_load(&self, candidate: usize) -> f64 {
+    pub(super) fn fair_load(&self, candidate: usize) -> f64 {
         self.candidates[candidate].weight * self.unit_load
     }
 
-    /// Returns a candidate's load as a multiple of its fair share.
-    fn relative_load(&self, candidate: usize) -> f64 {
+    /// Returns a candidate's load as a multiple of its fair share; 0 if it is reserved for one key.
+    pub(super) fn relative_load(&self, candidate: usize) -> f64 {
+        if self.is_reserved(candidate) {
+            return 0.0;
+        }
         self.loads[candidate] / self.fair_load(candidate).max(f64::MIN_POSITIVE)
     }
 
-    /// Returns the load that a candidate can still receive; negative if it has too much.
-    fn spare_load(&self, candidate: usize) -> f64 {
+    /// Returns the load that a candidate can still receive; negative if it has too much or is reserved for one key.
+    pub(super) fn spare_load(&self, candidate: usize) -> f64 {
+        if self.is_reserved(candidate) {
+            return f64::NEG_INFINITY;
+        }
         self.fair_load(candidate) * RELIEF_TARGET_RATIO - self.loads[candidate]
     }
 
     /// Returns the candidate with the most spare load.
-    fn most_spare(&self) -> usize {
+    pub(super) fn most_spare(&self) -> usize {
         self.highest(|candidate| self.spare_load(candidate))
     }
 
@@ -189,7 +213,7 @@
     /// could be moved, such a candidate gets a part of one range; see `split_busiest_for`.
     pub(crate) fn admit_new(&mut self, load_known: bool) {
         for new in 0..self.candidates.len() {
-            if self.ranges.iter().any(|(_, owner)| *owner == Some(new)) {
+            if !self.has_few_keys(new) || self.is_reserved(new) {
                 continue;
             }
             if load_known {
@@ -201,6 +225,21 @@
         }
     }
 
+    /// Returns `true` if a candidate has no keys, or just the one that was overloaded while it was reserved.
+    pub(super) fn has_few_keys(&self, candidate: usize) -> bool {
+        let mut owned = self
+            .ranges
+            .iter()
+            .filter(|(_, owner)| *owner == Some(candidate));
+        match (owned.next(), owned.next()) {
+            (None, _) => true,
+            (Some((span, _)), None) => {
+                self.formerly_dedicated.contains(&span.first) && span.len() == 1
+            }
+            _ => false,
+        }
+    }
+
     /// Moves load from the busiest candidates to a new one, in a few pieces, until its relative load is about as
     /// high as theirs.
     fn fill_new(&mut self, new: usize) {
@@ -237,7 +276,7 @@
     pub(crate) fn relieve_overloaded(&mut self) {
         let moves = (self.candidates.len() as f64 * MOVES_PER_SERVER) as usize;
         for _ in 0..moves.max(MOVES_MIN) {
-            if self.ranges.len() >= self.candidates.len() * RANGES_PER_SERVER_MAX {
+            if !self.has_spare_ranges() {
                 return;
             }
             let (from, to) = (self.busiest(), self.most_spare());
@@ -261,15 +300,46 @@
         }
     }
 
+    /// Returns `true` if moves may still add ranges.
+    pub(super) fn has_spare_ranges(&self) -> bool {
+        self.ranges.len() < self.candidates.len() * RANGES_PER_SERVER_MAX
+    }
+
+    /// As `select_piece`, with keys of at least a quarter of the mean load that are in no range of `kept`.
+    pub(super) fn select_free_piece(
+        &self,
+        from: usize,
+        amount: f64,
+        kept: &[KeyRange],
+    ) -> Option<KeyRange> {
+        let mean = self.curve.total() / f64::from(KeyRange::ALL.len());
+        let owned = self.ranges.iter().filter(|(_, owner)| *owner == Some(from));
+        let free = owned.flat_map(|(span, _)| {
+            let kept = kept.iter().copied();
+            RangeSet::from_range(*span).without(kept).into_ranges()
+        });
+        self.select_among(free, amount, mean * MOVE_DENSITY_MIN)
+    }
+
     /// Returns a range of a candidate with about `amount` load and as few keys as possible, or `None` if
     /// its average load per key is below `density`.
     fn select_piece(&self, from: usize, amount: f64, density: f64) -> Option<KeyRange> {
+        let owned = self.ranges.iter().filter(|(_, owner)| *owner == Some(from));
+        self.select_among(owned.map(|(span, _)| *span), amount, density)
+    }
+
+    /// Returns a part of one of the ranges; see `select_piece`.
+    fn select_among(
+        &self,
+        ranges: impl Iterator<Item = KeyRange>,
+        amount: f64,
+        density: f64,
+    ) -> Option<KeyRange> {
         if amount <= 0.0 {
             return None;
         }
-        let owned = self.ranges.iter().filter(|(_, owner)| *owner == Some(from));
-        let pieces: Vec<KeyRange> = owned
-            .flat_map(|(span, _)| self.curve.pieces(*span, amount))
+        let pieces: Vec<KeyRange> = ranges
+            .flat_map(|span| self.curve.pieces(span, amount))
             .collect();
         let density_of = |span: &KeyRange| self.curve.load(*span) / f64::from(span.len());
         // A piece that is much busier than requested is used only if nothing else fits.
@@ -282,7 +352,17 @@
 
     /// Merges lightly loaded ranges into neighbouring ones while there are more ranges than the target.
     pub(crate) fn merge_lightly_loaded(&mut self) {
-        let target = (self.candidates.len() as f64 * RANGES_PER_SERVER_TARGET).ceil() as usize;
+        self.merge_above(RANGES_PER_SERVER_TARGET);
+    }
+
+    /// As `merge_lightly_loaded`, with twice the target: merges move many keys, though few requests.
+    pub(crate) fn merge_surplus(&mut self) {
+        self.merge_above(RANGES_PER_SERVER_TARGET * 2.0);
+    }
+
+    /// Merges while there are more ranges than this average number for each server.
+    fn merge_above(&mut self, ranges_per_server: f64) {
+        let target = (self.candidates.len() as f64 * ranges_per_server).ceil() as usize;
         for _ in 0..MERGES_MIN.max(self.candidates.len()) {
             if self.ranges.len() <= target {
                 return;
@@ -329,7 +409,7 @@
     }
 
     /// Assigns `piece`, which must lie within one range, to a candidate.
-    fn assign(&mut self, piece: KeyRange, to: usize) {
+    pub(super) fn assign(&mut self, piece: KeyRange, to: usize) {
         let Some(at) = self
             .ranges
             .iter()
@@ -351,14 +431,23 @@
     }
 
     /// Joins adjacent ranges with the same owner.
-    fn join_adjacent(&mut self) {
-        let mut joined: Vec<(KeyRange, Option<usize>)> = Vec::with_capacity(self.ranges.len());
-        for (span, owner) in self.ranges.drain(..) {
-            match joined.last_mut() {
-                Some((before, last_owner)) if *last_owner == owner => before.last = span.last,
-                _ => joined.push((span, owner)),
+    pub(super) fn join_adjacent(&mut self) {
+        self.ranges = join_adjacent(std::mem::take(&mut self.ranges));
+    }
+}
+
+/// Joins adjacent ranges with the same owner. The ranges must be in key order.
+fn join_adjacent(ranges: Vec<(KeyRange, Option<usize>)>) -> Vec<(KeyRange, Option<usize>)> {
+    let mut joined: Vec<(KeyRange, Option<usize>)> = Vec::with_capacity(ranges.len());
+    for (span, owner) in ranges {
+        match joined.last_mut() {
+            Some((before, last_owner))
+                if *last_owner == owner && u32::from(before.last) + 1 == u32::from(span.first) =>
+            {
+                before.last = span.last;
             }
+            _ => joined.push((span, owner)),
         }
-        self.ranges = joined;
     }
+    joined
 }
--- a/crates/chicoryrail-ownership/src/keys/key_load.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_load.rs
@@ -149,6 +149,28 @@
         counts.iter().map(|count| f64::from(*count)).sum()
     }
 
+    /// Iterates over the keys that keep at least `slots` usual slots in use over the short window, with that number.
+    /// There are none while the service time is not known.
+    pub(crate) fn busy_keys(&self, slots: f64) -> impl Iterator<Item = (u16, f64)> {
+        let factor = self.slots_per_request();
+        let keys = (0..=u16::MAX).zip(&self.short.by_key);
+        let demands = keys.map(move |(key, count)| (key, f64::from(*count) * factor));
+        demands.filter(move |(_, demand)| *demand >= slots && *demand > 0.0)
+    }
+
+    /// Returns the number of usual slots that the requests for a key keep in use over the short window. Requests that
+    /// wait or are refused count as well.
+    pub(crate) fn key_demand(&self, key: u16) -> f64 {
+        f64::from(self.short.by_key[usize::from(key)]) * self.slots_per_request()
+    }
+
+    /// Returns the slots that each request counted in the short window keeps in use; 0 while the service time is not
+    /// known.
+    fn slots_per_request(&self) -> f64 {
+        let service_time = self.service_time.unwrap_or(Millis::ZERO);
+        service_time.0 as f64 / LoadWindow::Short.length().0 as f64
+    }
+
     /// Iterates over the loads of all keys over `window` in key order, in requests.
     pub(crate) fn key_loads(&self, window: LoadWindow) -> impl Iterator<Item = f64> {
         let counts = match window {
--- a/crates/chicoryrail-ownership/src/keys/load_curve.rs
+++ b/crates/chicoryrail-ownership/src/keys/load_curve.rs
@@ -31,18 +31,24 @@
 
 impl LoadCurve {
     /// Builds the curve with the load of each key capped at the fair share of an average server, and
-    /// returns it with the fair load for a weight of 1.
+    /// returns it with the fair load for a weight of 1. The keys in `excluded` count as without load.
     pub(crate) fn with_fair_load(
         weights: &[f64],
         load: &KeyLoad,
         window: LoadWindow,
+        excluded: &[u16],
     ) -> (Self, f64) {
         let total_weight: f64 = weights.iter().sum();
         let mean_weight = total_weight / weights.len() as f64;
         let baseline = BASELINE_REQUESTS / f64::from(KEY_COUNT);
         let capped = |cap: f64| {
-            let loads = load.key_loads(window);
-            loads.map(move |observed| (observed + baseline).min(cap))
+            let loads = (0..=u16::MAX).zip(load.key_loads(window));
+            loads.map(move |(key, observed)| {
+                if excluded.contains(&key) {
+                    return 0.0;
+                }
+                (observed + baseline).min(cap)
+            })
         };
         let mut cap = f64::INFINITY;
         for _ in 0..CAP_ITERATIONS {
--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -7,20 +7,26 @@
 //! should own.
 
 mod assignment;
+mod dedicated_servers;
 mod delegation;
 mod due;
+mod hot_key;
 mod key_action;
 mod key_changes;
+mod key_history;
 mod key_leases;
 mod key_load;
 mod key_view;
 mod lease;
 mod load_curve;
+mod move_reason;
 mod plan;
+mod plan_policy;
 mod range_set;
 mod record;
 mod renewer;
 mod server_state;
+mod significant_moves;
 mod timing;
 
 pub use delegation::DELEGATION_SERVERS_MIN;
@@ -29,15 +35,18 @@
 pub use key_action::KeyAction;
 pub use key_action::ReleaseOutcome;
 pub use key_changes::KeyChanges;
+pub use key_history::KeyHistory;
 pub use key_leases::KeyLeases;
 pub use key_load::KeyLoad;
 pub use key_load::LoadWindow;
 pub use key_view::KeyOwner;
 pub use key_view::KeyView;
+pub use move_reason::MoveReason;
 pub use plan::KeyCandidate;
 pub use plan::Moves;
 pub use plan::Plan;
 pub use plan::split_key_space;
+pub use plan_policy::PlanPolicy;
 pub use record::KeyRange;
 pub use record::KeyRecord;
 pub use record::OwnedRange;
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -8,7 +8,9 @@
 use crate::keys::KeyRange;
 use crate::keys::KeyRecord;
 use crate::keys::LoadWindow;
+use crate::keys::MoveReason;
 use crate::keys::OwnedRange;
+use crate::keys::PlanPolicy;
 use crate::keys::assignment::Assignment;
 use crate::keys::load_curve::LoadCurve;
 use crate::keys::record::ranges_by_owner;
@@ -53,8 +55,8 @@
 pub enum Plan {
     /// The assignment stays as it is.
     Keep,
-    /// The new assignment, sorted by key.
-    Change(Vec<OwnedRange>),
+    /// The new assignment, sorted by key, and why it changes.
+    Change(Vec<OwnedRange>, MoveReason),
 }
 
 /// Moves that may be planned beyond those required because servers joined or left.
@@ -81,20 +83,26 @@
         candidates: &[KeyCandidate],
         load: &KeyLoad,
         moves: Moves,
+        policy: PlanPolicy<'_>,
     ) -> Self {
         if candidates.is_empty() {
             return Self::Keep;
         }
         if record.spans.is_empty() {
-            return Self::Change(split_key_space(candidates, load));
+            return Self::Change(split_key_space(candidates, load), MoveReason::Required);
         }
+        let history = match policy {
+            PlanPolicy::Immediate => None,
+            PlanPolicy::Steady(history) => Some(history),
+        };
+        let hot_key_change = history.is_some_and(|h| h.has_hot_key_change(candidates.len()));
         let urgent = moves == Moves::Urgent;
         let membership_changed = has_membership_change(record, candidates);
         let may_balance = membership_changed || moves != Moves::Required;
         let load_matters = may_balance
             && load.total() >= OBSERVED_REQUESTS_MIN
             && highest_utilisation(record, candidates, load) >= BUSY_UTILISATION_MIN;
-        if !membership_changed && !load_matters {
+        if !membership_changed && !load_matters && !hot_key_change {
             return Self::Keep;
         }
         let window = if urgent {
@@ -103,13 +111,21 @@
             LoadWindow::Long
         };
         let weights: Vec<f64> = candidates.iter().map(|c| c.weight).collect();
-        let (curve, unit_load) = LoadCurve::with_fair_load(&weights, load, window);
+        let dedicated = history.map_or_else(Vec::new, |h| h.dedicated_keys(candidates.len()));
+        let excluded: Vec<u16> = dedicated.iter().map(|(key, _)| *key).collect();
+        let (curve, unit_load) = LoadCurve::with_fair_load(&weights, load, window, &excluded);
         let mut assignment = Assignment::new(&record.spans, candidates, &curve, unit_load);
         if !assignment.has_owners() {
-            return Self::Change(split_key_space(candidates, load));
+            return Self::Change(split_key_space(candidates, load), MoveReason::Required);
+        }
+        if let Some(history) = history {
+            assignment.formerly_dedicated = history.calm_keys();
+            assignment.dedicate_servers(&dedicated);
+            assignment.hold_keys(&history.busy_keys(candidates.len()));
         }
+        let is_required = membership_changed || hot_key_change;
         if urgent
-            && !membership_changed
+            && !is_required
             && !assignment
                 .loads()
                 .any(|(load, fair)| is_far_overloaded(load, fair))
@@ -117,19 +133,32 @@
             return Self::Keep;
         }
         assignment.assign_unowned();
-        assignment.admit_new(load_matters);
-        let deviations = if urgent { 0.0 } else { BALANCE_DEVIATIONS };
-        let before = assignment.overload(FAIR_SHARE_MARGIN, deviations);
-        if load_matters {
-            assignment.relieve_overloaded();
-        }
-        let improves =
-            before - assignment.overload(FAIR_SHARE_MARGIN, deviations) > OVERLOAD_GAIN_MIN;
-        if !membership_changed && !improves {
+        assignment.admit_new(load_matters || hot_key_change);
+        let improves = if history.is_some() {
+            load_matters && assignment.relieve_significant(moves, &[]) > 0
+        } else {
+            let deviations = if urgent { 0.0 } else { BALANCE_DEVIATIONS };
+            let before = assignment.overload(FAIR_SHARE_MARGIN, deviations);
+            if load_matters {
+                assignment.relieve_overloaded();
+            }
+            before - assignment.overload(FAIR_SHARE_MARGIN, deviations) > OVERLOAD_GAIN_MIN
+        };
+        if !is_required && !improves {
             return Self::Keep;
         }
-        assignment.merge_lightly_loaded();
-        Self::Change(assignment.into_owned_ranges())
+        if history.is_some() {
+            assignment.merge_surplus();
+        } else {
+            assignment.merge_lightly_loaded();
+        }
+        let reason = match moves {
+            _ if membership_changed => MoveReason::Required,
+            _ if hot_key_change => MoveReason::HotKey,
+            Moves::Urgent => MoveReason::Relief,
+            Moves::Required | Moves::Balance => MoveReason::Balance,
+        };
+        Self::Change(assignment.into_owned_ranges(), reason)
     }
 }
 
@@ -161,7 +190,7 @@
 #[must_use]
 pub fn split_key_space(candidates: &[KeyCandidate], load: &KeyLoad) -> Vec<OwnedRange> {
     let weights: Vec<f64> = candidates.iter().map(|c| c.weight).collect();
-    let (curve, unit_load) = LoadCurve::with_fair_load(&weights, load, LoadWindow::Long);
+    let (curve, unit_load) = LoadCurve::with_fair_load(&weights, load, LoadWindow::Long, &[]);
     let mut rest = KeyRange::ALL;
     let mut spans = Vec::with_capacity(candidates.len());
     for (i, candidate) in candidates.iter().enumerate() {
--- a/crates/chicoryrail-ownership/tests/key_plan.rs
+++ b/crates/chicoryrail-ownership/tests/key_plan.rs
@@ -11,6 +11,7 @@
 use chicoryrail_ownership::keys::Moves;
 use chicoryrail_ownership::keys::OwnedRange;
 use chicoryrail_ownership::keys::Plan;
+use chicoryrail_ownership::keys::PlanPolicy;
 use chicoryrail_ownership::keys::split_key_space;
 use rand::Rng;
 use rand::SeedableRng;
@@ -103,8 +104,13 @@
     let mut load = skewed_load(3);
     (0..900).for_each(|_| load.record(9_000));
     let before = record(split_key_space(&candidates(12), &KeyLoad::default()));
-    let Plan::Change(planned) = Plan::compute(&before, &candidates(12), &load, Moves::Balance)
-    else {
+    let Plan::Change(planned, _) = Plan::compute(
+        &before,
+        &candidates(12),
+        &load,
+        Moves::Balance,
+        PlanPolicy::Immediate,
+    ) else {
         panic!("the plan keeps the assignment");
     };
     // The range with the overloaded key keeps that key's load, however the others are balanced.
@@ -133,7 +139,13 @@
         .into_iter()
         .filter(|c| !c.life.name.as_str().ends_with("09"))
         .collect();
-    let Plan::Change(planned) = Plan::compute(&before, &remaining, &load, Moves::Required) else {
+    let Plan::Change(planned, _) = Plan::compute(
+        &before,
+        &remaining,
+        &load,
+        Moves::Required,
+        PlanPolicy::Immediate,
+    ) else {
         panic!("the plan keeps the assignment");
     };
     assert!(covers_all(&planned));
@@ -149,7 +161,13 @@
 fn random_variation_moves_nothing() {
     let before = record(split_key_space(&candidates(12), &skewed_load(5)));
     for seed in 5..25 {
-        let plan = Plan::compute(&before, &candidates(12), &skewed_load(seed), Moves::Balance);
+        let plan = Plan::compute(
+            &before,
+            &candidates(12),
+            &skewed_load(seed),
+            Moves::Balance,
+            PlanPolicy::Immediate,
+        );
         assert_eq!(plan, Plan::Keep, "seed {seed}");
     }
 }
@@ -159,11 +177,12 @@
 #[test]
 fn a_new_server_takes_keys_from_one_server_only() {
     let before = record(split_key_space(&candidates(4), &KeyLoad::default()));
-    let Plan::Change(spans) = Plan::compute(
+    let Plan::Change(spans, _) = Plan::compute(
         &before,
         &candidates(5),
         &KeyLoad::default(),
         Moves::Required,
+        PlanPolicy::Immediate,
     ) else {
         panic!("the plan keeps the assignment");
     };
@@ -216,8 +235,13 @@
             .collect();
     }
     all.truncate(servers);
-    let Plan::Change(planned) = Plan::compute(&record(before.clone()), &all, &load, Moves::Balance)
-    else {
+    let Plan::Change(planned, _) = Plan::compute(
+        &record(before.clone()),
+        &all,
+        &load,
+        Moves::Balance,
+        PlanPolicy::Immediate,
+    ) else {
         panic!("the plan keeps the assignment");
     };
     assert!(covers_all(&planned));
--- a/crates/chicoryrail-ownership/tests/key_plan_size.rs
+++ b/crates/chicoryrail-ownership/tests/key_plan_size.rs
@@ -7,6 +7,7 @@
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::keys::Moves;
 use chicoryrail_ownership::keys::Plan;
+use chicoryrail_ownership::keys::PlanPolicy;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
@@ -84,9 +85,13 @@
                 400.. => Moves::Urgent,
                 _ => Moves::Required,
             };
-            if let Plan::Change(spans) =
-                Plan::compute(&self.record, &self.candidates, &self.load, moves)
-            {
+            if let Plan::Change(spans, _) = Plan::compute(
+                &self.record,
+                &self.candidates,
+                &self.load,
+                moves,
+                PlanPolicy::Immediate,
+            ) {
                 self.changed_at = now;
                 self.plans += 1;
                 self.record = self.record.next(spans, &[], 0);
--- a/crates/chicoryrail-ownership/tests/model_keys/leading.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/leading.rs
@@ -6,6 +6,7 @@
 use chicoryrail_ownership::keys::KeyLoad;
 use chicoryrail_ownership::keys::Moves;
 use chicoryrail_ownership::keys::Plan;
+use chicoryrail_ownership::keys::PlanPolicy;
 use rand::Rng;
 
 use crate::calls::Caller;
@@ -62,8 +63,14 @@
                     (true, false) => Moves::Balance,
                     (false, _) => Moves::Required,
                 };
-                let plan = Plan::compute(leader.leases.record(), &candidates, &load, moves);
-                if let Plan::Change(spans) = plan {
+                let plan = Plan::compute(
+                    leader.leases.record(),
+                    &candidates,
+                    &load,
+                    moves,
+                    PlanPolicy::Immediate,
+                );
+                if let Plan::Change(spans, _) = plan {
                     leader.leases.begin_change(spans, self.rng.random());
                 }
             }
--- a/crates/chicoryrail-router/src/control/leader/key_leader.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_leader.rs
@@ -10,6 +10,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
 use chicoryrail_ownership::keys::KeyAction;
+use chicoryrail_ownership::keys::KeyHistory;
 use chicoryrail_ownership::keys::KeyLeases;
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_platform::KeyGrant;
@@ -48,6 +49,8 @@
     pub(super) leader_store_key: String,
     pub(super) service: ServiceName,
     pub(super) leases: RefCell<KeyLeases>,
+    /// What plans have observed in this term; used for services whose callers tolerate waiting.
+    pub(super) history: RefCell<KeyHistory>,
     /// Store revision of the record.
     pub(super) revision: Cell<u64>,
     /// When each server last confirmed a grant.
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -10,6 +10,7 @@
 use chicoryrail_ownership::keys::KeyLoad;
 use chicoryrail_ownership::keys::Moves;
 use chicoryrail_ownership::keys::Plan;
+use chicoryrail_ownership::keys::PlanPolicy;
 
 use crate::control::leader::key_leader::KeyLeader;
 use crate::state::Target;
@@ -61,18 +62,30 @@
             since if since >= RELIEF_INTERVAL => Moves::Urgent,
             _ => Moves::Required,
         };
+        let steady = self.callers_tolerate_waiting();
+        let mut history = self.history.borrow_mut();
         let plan = self
             .leadership
             .with_load(now, &self.service, service_time, |load| {
-                Plan::compute(self.leases.borrow().record(), &candidates, load, moves)
+                let leases = self.leases.borrow();
+                let policy = if steady {
+                    history.observe(now, leases.record(), &candidates, load);
+                    PlanPolicy::Steady(&history)
+                } else {
+                    PlanPolicy::Immediate
+                };
+                Plan::compute(leases.record(), &candidates, load, moves, policy)
             });
-        if let Plan::Change(spans) = plan {
+        if let Plan::Change(spans, reason) = plan {
             self.last_change_at.set(now);
+            if steady {
+                history.adopt(candidates.len());
+            }
             let services = self.router.services();
             let is_known = |life: &Life| services.iter().any(|s| s.target(life).is_some());
             self.leadership.retain_slowness_reports(is_known);
             log::info!(service:% = self.service, servers = candidates.len(),
-                spans = spans.len(), fence = self.leases.borrow().record().fence; "keys_planned");
+                spans = spans.len(), reason = reason.name(), fence = self.leases.borrow().record().fence; "keys_planned");
             self.leases.borrow_mut().begin_change(spans, rand::random());
         } else if now.since(self.last_change_at.get()) >= MERGE_INTERVAL
             && self.leases.borrow().has_stale_former_owners()
@@ -83,6 +96,12 @@
         }
     }
 
+    /// Returns `true` if most callers of the service have time to wait or to come back.
+    fn callers_tolerate_waiting(&self) -> bool {
+        let site = self.router.site();
+        site.is_some_and(|site| site.tolerates_waiting(&self.service))
+    }
+
     /// Returns `true` if most of the registered servers with keys leave grants unanswered: the paths of this host have
     /// then failed rather than the servers, whose keys must not go to the few that it reaches. Servers that have really
     /// ended lose their registrations.
--- a/crates/chicoryrail-router/src/control/leader/take_over.rs
+++ b/crates/chicoryrail-router/src/control/leader/take_over.rs
@@ -102,6 +102,7 @@
         leader_store_key: leader_store_key.to_owned(),
         service: service.clone(),
         leases: RefCell::new(leases),
+        history: RefCell::default(),
         revision: Cell::new(revision),
         last_grants: RefCell::default(),
         stored_fence: Cell::new(stored_fence),
