--- a/crates/chicoryrail-ownership/src/keys/assignment.rs
+++ b/crates/chicoryrail-ownership/src/keys/assignment.rs
@@ -352,22 +352,23 @@
 
     /// Merges lightly loaded ranges into neighbouring ones while there are more ranges than the target.
     pub(crate) fn merge_lightly_loaded(&mut self) {
-        self.merge_above(RANGES_PER_SERVER_TARGET);
+        self.merge_above(RANGES_PER_SERVER_TARGET, &[]);
     }
 
-    /// As `merge_lightly_loaded`, with twice the target: merges move many keys, though few requests.
-    pub(crate) fn merge_surplus(&mut self) {
-        self.merge_above(RANGES_PER_SERVER_TARGET * 2.0);
+    /// As `merge_lightly_loaded`, with twice the target, since merges move many keys, though few requests. Ranges that
+    /// overlap one of `kept` stay.
+    pub(crate) fn merge_surplus(&mut self, kept: &[KeyRange]) {
+        self.merge_above(RANGES_PER_SERVER_TARGET * 2.0, kept);
     }
 
     /// Merges while there are more ranges than this average number for each server.
-    fn merge_above(&mut self, ranges_per_server: f64) {
+    fn merge_above(&mut self, ranges_per_server: f64, kept: &[KeyRange]) {
         let target = (self.candidates.len() as f64 * ranges_per_server).ceil() as usize;
         for _ in 0..MERGES_MIN.max(self.candidates.len()) {
             if self.ranges.len() <= target {
                 return;
             }
-            let Some((at, to)) = self.least_loaded_mergeable() else {
+            let Some((at, to)) = self.least_loaded_mergeable(kept) else {
                 return;
             };
             self.assign(self.ranges[at].0, to);
@@ -377,7 +378,7 @@
     /// Returns the index of the least loaded range that can be merged, and the candidate that receives it: the
     /// owner of a neighbouring range with enough spare load. Only lightly loaded ranges are merged, and not the
     /// only range of a candidate.
-    fn least_loaded_mergeable(&self) -> Option<(usize, usize)> {
+    fn least_loaded_mergeable(&self, kept: &[KeyRange]) -> Option<(usize, usize)> {
         let mut best: Option<(f64, usize, usize)> = None;
         let mut range_counts = vec![0; self.candidates.len()];
         for owner in self.ranges.iter().filter_map(|(_, owner)| *owner) {
@@ -388,7 +389,9 @@
                 continue;
             };
             let load = self.curve.load(*span);
-            if load > self.fair_load(owner) * LIGHT_RANGE_SHARE || range_counts[owner] < 2 {
+            let is_light = load <= self.fair_load(owner) * LIGHT_RANGE_SHARE;
+            let stays = || kept.iter().any(|k| k.intersect(*span).is_some());
+            if !is_light || range_counts[owner] < 2 || stays() {
                 continue;
             }
             let before = at.checked_sub(1).and_then(|i| self.ranges.get(i));
--- a/crates/chicoryrail-ownership/src/keys/key_history.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_history.rs
@@ -7,8 +7,11 @@
 
 use crate::keys::KeyCandidate;
 use crate::keys::KeyLoad;
+use crate::keys::KeyRange;
 use crate::keys::KeyRecord;
+use crate::keys::MoveReason;
 use crate::keys::hot_key::HotKey;
+use crate::keys::smoothed_slowness::SmoothedSlowness;
 
 /// Demand of a key, relative to the capacity of its owner, from which on the key is observed and left with
 /// its owner until it turns out whether it gets a server of its own.
@@ -18,12 +21,25 @@
 /// reserved servers would be missed.
 const DEDICATED_SHARE_MAX: f64 = 0.125;
 
+/// Time after a relief in which smaller excesses are relieved as well.
+const FOLLOW_UP_TIME: Millis = Millis(2_000);
+
+/// Time for which a range that moved stays where it is, unless its server becomes far overloaded. Each move delays the
+/// requests for its keys by up to 0.6 s.
+const RESIDENCE_TIME: Millis = Millis(6_000);
+
 /// State of one term between plans: which keys are overloaded. It is lost with the leader; the next one observes the
 /// load anew and finds the keys where the record has them.
 #[derive(Clone, Debug, Default)]
 pub struct KeyHistory {
     now: Millis,
     hot_keys: BTreeMap<u16, HotKey>,
+    /// Smoothed slowness of each server.
+    slowness: BTreeMap<Life, SmoothedSlowness>,
+    /// Ranges that moved, and when.
+    moved: Vec<(KeyRange, Millis)>,
+    /// When the first of the last series of reliefs was planned.
+    relieved_at: Option<Millis>,
 }
 
 impl KeyHistory {
@@ -56,9 +72,42 @@
         });
     }
 
-    /// Records that a plan for this many servers was adopted. It gives a server to each key that needs one.
-    pub fn adopt(&mut self, servers: usize) {
+    /// Returns a server's slowness without the short-term variation of `observed`: service time relative to a usual
+    /// server.
+    pub fn smooth_slowness(&mut self, now: Millis, life: &Life, observed: f64) -> f64 {
+        let known = self.slowness.entry(life.clone());
+        let known = known.or_insert_with(|| SmoothedSlowness::new(now, observed));
+        known.observe(now, observed)
+    }
+
+    /// Forgets servers for which `is_known` returns `false`.
+    pub fn retain_servers(&mut self, is_known: impl Fn(&Life) -> bool) {
+        self.slowness.retain(|life, _| is_known(life));
+    }
+
+    /// Returns the ranges that moved in the last few seconds.
+    pub(crate) fn recently_moved(&self) -> Vec<KeyRange> {
+        let is_recent = |at| self.now.since(at) < RESIDENCE_TIME;
+        let recent = self.moved.iter().filter(|(_, at)| is_recent(*at));
+        recent.map(|(range, _)| *range).collect()
+    }
+
+    /// Returns `true` if a server was relieved a moment ago. The observed load of a range follows a rush with a delay,
+    /// so more servers may turn out to be overloaded by the same rush.
+    pub(crate) fn follows_relief(&self) -> bool {
+        let is_recent = |at| self.now.since(at) < FOLLOW_UP_TIME;
+        self.relieved_at.is_some_and(is_recent)
+    }
+
+    /// Records that a plan for this many servers was adopted, which moves the ranges `moved`. It gives a server to each
+    /// key that needs one.
+    pub fn adopt(&mut self, servers: usize, reason: MoveReason, moved: &[KeyRange]) {
         let now = self.now;
+        self.moved.retain(|(_, at)| now.since(*at) < RESIDENCE_TIME);
+        self.moved.extend(moved.iter().map(|range| (*range, now)));
+        if reason == MoveReason::Relief && !self.follows_relief() {
+            self.relieved_at = Some(now);
+        }
         let dedicated = self.dedicated_keys(servers);
         self.hot_keys.retain(|_, hot| !hot.is_over(now));
         for (key, _) in dedicated {
--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -27,6 +27,7 @@
 mod renewer;
 mod server_state;
 mod significant_moves;
+mod smoothed_slowness;
 mod timing;
 
 pub use delegation::DELEGATION_SERVERS_MIN;
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -4,6 +4,7 @@
 
 use chicoryrail_core::Life;
 
+use crate::keys::KeyHistory;
 use crate::keys::KeyLoad;
 use crate::keys::KeyRange;
 use crate::keys::KeyRecord;
@@ -125,6 +126,7 @@
         }
         let is_required = membership_changed || hot_key_change;
         if urgent
+            && history.is_none()
             && !is_required
             && !assignment
                 .loads()
@@ -134,8 +136,10 @@
         }
         assignment.assign_unowned();
         assignment.admit_new(load_matters || hot_key_change);
-        let improves = if history.is_some() {
-            load_matters && assignment.relieve_significant(moves, &[]) > 0
+        let recent = history.map_or_else(Vec::new, KeyHistory::recently_moved);
+        let improves = if let Some(history) = history {
+            let follows_relief = history.follows_relief();
+            load_matters && assignment.relieve_significant(moves, follows_relief, &recent) > 0
         } else {
             let deviations = if urgent { 0.0 } else { BALANCE_DEVIATIONS };
             let before = assignment.overload(FAIR_SHARE_MARGIN, deviations);
@@ -148,7 +152,7 @@
             return Self::Keep;
         }
         if history.is_some() {
-            assignment.merge_surplus();
+            assignment.merge_surplus(&recent);
         } else {
             assignment.merge_lightly_loaded();
         }
--- a/crates/chicoryrail-ownership/src/keys/record.rs
+++ b/crates/chicoryrail-ownership/src/keys/record.rs
@@ -117,6 +117,17 @@
         owned.span.contains(key).then_some(&owned.owner)
     }
 
+    /// Returns the keys that other servers own in `spans` than in this record, or that nobody owned.
+    #[must_use]
+    pub fn moved_ranges(&self, spans: &[OwnedRange]) -> Vec<KeyRange> {
+        let before = ranges_by_owner(&self.spans);
+        let moved = spans.iter().flat_map(|new| {
+            let kept = before.get(&new.owner).into_iter().flatten().copied();
+            RangeSet::from_range(new.span).without(kept).into_ranges()
+        });
+        moved.collect()
+    }
+
     /// Returns the next record, with the given owners and a fencing token one higher. Ranges in `former`, which
     /// former owners may still hold, and ranges that change their owner become `loose`.
     #[must_use]
--- a/crates/chicoryrail-ownership/src/keys/significant_moves.rs
+++ b/crates/chicoryrail-ownership/src/keys/significant_moves.rs
@@ -13,6 +13,9 @@
 /// excesses occur by chance all the time.
 const DEVIATIONS: f64 = 3.0;
 
+/// As `DEVIATIONS`, shortly after a relief.
+const FOLLOW_UP_DEVIATIONS: f64 = 0.5;
+
 /// Variance of a decayed count relative to its mean, if requests arrive independently of one another.
 const DECAYED_VARIANCE: f64 = 0.5;
 
@@ -28,15 +31,25 @@
 
 impl Assignment<'_> {
     /// Moves load from candidates whose load is significantly above their fair share to those with the most spare load,
-    /// and returns the number of moves. Ranges in `kept` stay.
-    pub(crate) fn relieve_significant(&mut self, moves: Moves, kept: &[KeyRange]) -> usize {
-        let margin = match moves {
+    /// and returns the number of moves. Ranges in `recent` stay where they are unless the moves are urgent.
+    pub(crate) fn relieve_significant(
+        &mut self,
+        moves: Moves,
+        follows_relief: bool,
+        recent: &[KeyRange],
+    ) -> usize {
+        let (margin, kept) = match moves {
             Moves::Required => return 0,
-            Moves::Urgent => RELIEF_MARGIN,
-            Moves::Balance => BALANCE_MARGIN,
+            Moves::Urgent => (RELIEF_MARGIN, &[][..]),
+            Moves::Balance => (BALANCE_MARGIN, recent),
+        };
+        let deviations = if follows_relief {
+            FOLLOW_UP_DEVIATIONS
+        } else {
+            DEVIATIONS
         };
         let mut sources: Vec<usize> = (0..self.candidates.len())
-            .filter(|c| self.is_significant(*c, margin))
+            .filter(|c| self.is_significant(*c, margin, deviations))
             .collect();
         let limit = (self.candidates.len() as f64 * MOVES_PER_SERVER) as usize;
         let mut moved = 0;
@@ -56,11 +69,12 @@
         moved
     }
 
-    /// Returns `true` if a candidate's load is above its fair share times `margin` by more than random variation.
-    fn is_significant(&self, candidate: usize, margin: f64) -> bool {
+    /// Returns `true` if a candidate's load is above its fair share times `margin` by this many standard
+    /// deviations.
+    fn is_significant(&self, candidate: usize, margin: f64, deviations: f64) -> bool {
         let fair = self.fair_load(candidate);
         let deviation = (fair * DECAYED_VARIANCE).sqrt();
-        self.loads[candidate] > fair * margin + deviation * DEVIATIONS
+        self.loads[candidate] > fair * margin + deviation * deviations
     }
 
     /// Moves one piece of a candidate's load to the candidate with the most spare load. Returns `false` if there is no
--- a/crates/chicoryrail-ownership/tests/hot_keys.rs
+++ b/crates/chicoryrail-ownership/tests/hot_keys.rs
@@ -106,7 +106,8 @@
         let Plan::Change(spans, reason) = plan else {
             return None;
         };
-        self.history.adopt(self.candidates.len());
+        let moved = self.record.moved_ranges(&spans);
+        self.history.adopt(self.candidates.len(), reason, &moved);
         self.changed_at = self.now;
         let before = self.owner().clone();
         self.record = self.record.next(spans, &[], 0);
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -54,7 +54,8 @@
             return;
         }
         let service_time = self.service_time();
-        let candidates = self.candidates(now, self.awaits_servers(now, service_time));
+        let steady = self.callers_tolerate_waiting();
+        let candidates = self.candidates(now, self.awaits_servers(now, service_time), steady);
         // After an outage, former owners that can't be reached keep their key leases for many seconds. The load of the
         // others is balanced meanwhile; otherwise a range that becomes busy would overload its server for that time.
         let moves = match now.since(self.last_change_at.get()) {
@@ -62,7 +63,6 @@
             since if since >= RELIEF_INTERVAL => Moves::Urgent,
             _ => Moves::Required,
         };
-        let steady = self.callers_tolerate_waiting();
         let mut history = self.history.borrow_mut();
         let plan = self
             .leadership
@@ -78,14 +78,23 @@
             });
         if let Plan::Change(spans, reason) = plan {
             self.last_change_at.set(now);
+            let moved = self.leases.borrow().record().moved_ranges(&spans);
             if steady {
-                history.adopt(candidates.len());
+                history.adopt(candidates.len(), reason, &moved);
             }
             let services = self.router.services();
             let is_known = |life: &Life| services.iter().any(|s| s.target(life).is_some());
             self.leadership.retain_slowness_reports(is_known);
+            history.retain_servers(is_known);
+            let moved_keys: u32 = moved.iter().map(|range| range.len()).sum();
+            self.router
+                .counters
+                .moved_keys
+                .with_label_values(&[self.service.as_str(), reason.name()])
+                .inc_by(u64::from(moved_keys));
             log::info!(service:% = self.service, servers = candidates.len(),
-                spans = spans.len(), reason = reason.name(), fence = self.leases.borrow().record().fence; "keys_planned");
+                spans = spans.len(), reason = reason.name(), moved_ranges = moved.len(),
+                moved_keys = moved_keys, fence = self.leases.borrow().record().fence; "keys_planned");
             self.leases.borrow_mut().begin_change(spans, rand::random());
         } else if now.since(self.last_change_at.get()) >= MERGE_INTERVAL
             && self.leases.borrow().has_stale_former_owners()
@@ -164,8 +173,8 @@
 
     /// Returns the servers that may be assigned keys, sorted: those that are ready, have not said that they drain,
     /// respond and are warmed up. If there are none, servers that are warming up are included. With `owners_only`,
-    /// servers without keys are left out.
-    fn candidates(&self, now: Millis, owners_only: bool) -> Vec<KeyCandidate> {
+    /// servers without keys are left out; with `steady`, weights follow the slowness of many seconds.
+    fn candidates(&self, now: Millis, owners_only: bool, steady: bool) -> Vec<KeyCandidate> {
         let service = self.router.service(&self.service);
         let targets = service.targets.borrow();
         let leases = self.leases.borrow();
@@ -182,7 +191,7 @@
             let mut candidates: Vec<_> = warm
                 .map(|t| KeyCandidate {
                     life: t.life.clone(),
-                    weight: self.weight(t),
+                    weight: self.weight(now, t, steady),
                 })
                 .collect();
             candidates.sort_by(|a, b| a.life.cmp(&b.life));
@@ -195,12 +204,17 @@
     /// Returns the capacity of a server, in slots of a server of usual speed, by the slowness that the hosts which
     /// schedule for it report. A slow server with as many requests as the others would have the longest queue, and a
     /// rate-limited one refuses requests beyond its limit.
-    fn weight(&self, target: &Target) -> f64 {
+    fn weight(&self, now: Millis, target: &Target, steady: bool) -> f64 {
         let slots = f64::from(target.slots.get());
         let Some(report) = self.leadership.slowness_report(&target.life) else {
             return slots;
         };
-        let weight = slots / f64::from(report.speed).clamp(0.5, 2.0);
+        let mut slowness = f64::from(report.speed);
+        if steady {
+            let mut history = self.history.borrow_mut();
+            slowness = history.smooth_slowness(now, &target.life, slowness);
+        }
+        let weight = slots / slowness.clamp(0.5, 2.0);
         let limited = report.limited_slots.map_or(weight, f64::from);
         limited.max(LIMITED_WEIGHT_MIN).min(weight)
     }
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -32,6 +32,8 @@
     pub(crate) store_calls: IntCounterVec,
     /// Calls that grant or release keys by kind and result.
     pub(crate) key_calls: IntCounterVec,
+    /// Keys that plans of the leader moved, by service and reason.
+    pub(crate) moved_keys: IntCounterVec,
     /// Store entries that could not be decoded.
     pub(crate) bad_entries: IntCounter,
     /// Unknown values in configurations that came into force.
@@ -101,6 +103,11 @@
                 "Calls that grant or release keys, by kind and result",
                 &["call", "result"],
             ),
+            moved_keys: metrics.counter_family(
+                "moved_keys_total",
+                "Keys that plans of the leader moved to another server, by service and reason",
+                &["service", "reason"],
+            ),
             bad_entries: metrics.counter(
                 "bad_entries_total",
                 "Store entries that could not be decoded",
