--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -7,21 +7,28 @@
 //! should own.
 
 mod assignment;
+mod dedicated_servers;
 mod delegation;
 mod due;
+mod hot_key;
 mod key_action;
 mod key_changes;
+mod key_history;
 mod key_leases;
 mod key_load;
 mod key_view;
 mod lease;
 mod load_curve;
 mod load_shares;
+mod move_reason;
 mod plan;
+mod plan_policy;
 mod range_set;
 mod record;
 mod renewer;
 mod server_state;
+mod significant_moves;
+mod smoothed_slowness;
 mod timing;
 
 pub use delegation::DELEGATION_SERVERS_MIN;
@@ -30,16 +37,19 @@
 pub use key_action::KeyAction;
 pub use key_action::ReleaseOutcome;
 pub use key_changes::KeyChanges;
+pub use key_history::KeyHistory;
 pub use key_leases::KeyLeases;
 pub use key_load::KeyLoad;
 pub use key_load::LoadWindow;
 pub use key_view::KeyOwner;
 pub use key_view::KeyView;
 pub use load_shares::load_shares;
+pub use move_reason::MoveReason;
 pub use plan::KeyCandidate;
 pub use plan::Moves;
 pub use plan::Plan;
 pub use plan::split_key_space;
+pub use plan_policy::PlanPolicy;
 pub use record::KeyRange;
 pub use record::KeyRecord;
 pub use record::OwnedRange;
