--- a/crates/chicoryrail-ownership/src/keys/key_history.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_history.rs
@@ -11,6 +11,7 @@
 use crate::keys::KeyRecord;
 use crate::keys::MoveReason;
 use crate::keys::hot_key::HotKey;
+use crate::keys::load_shares::load_shares;
 use crate::keys::smoothed_slowness::SmoothedSlowness;
 
 /// Demand of a key, relative to the capacity of its owner, from which on the key is observed and left with
@@ -28,6 +29,13 @@
 /// requests for its keys by up to 0.6 s.
 const RESIDENCE_TIME: Millis = Millis(6_000);
 
+/// Time in which the highest recent load halves. Loads that rise and fall within some seconds do not move keys back and
+/// forth.
+const PEAK_HALF_LIFE: Millis = Millis(15_000);
+
+/// Load, in usual slots in use, below which servers are not distinguished by their speed.
+const LOAD_MIN: f64 = 1.0;
+
 /// State of one term between plans: which keys are overloaded. It is lost with the leader; the next one observes the
 /// load anew and finds the keys where the record has them.
 #[derive(Clone, Debug, Default)]
@@ -38,6 +46,8 @@
     slowness: BTreeMap<Life, SmoothedSlowness>,
     /// Ranges that moved, and when.
     moved: Vec<(KeyRange, Millis)>,
+    /// Highest recent load, in usual slots in use.
+    peak_load: f64,
     /// When the first of the last series of reliefs was planned.
     relieved_at: Option<Millis>,
 }
@@ -51,6 +61,11 @@
         candidates: &[KeyCandidate],
         load: &KeyLoad,
     ) {
+        let decay = 0.5_f64.powf(now.since(self.now).0 as f64 / PEAK_HALF_LIFE.0 as f64);
+        self.peak_load = load
+            .busy_slots()
+            .unwrap_or_default()
+            .max(self.peak_load * decay);
         self.now = now;
         let weights: BTreeMap<&Life, f64> =
             candidates.iter().map(|c| (&c.life, c.weight)).collect();
@@ -72,6 +87,14 @@
         });
     }
 
+    /// Returns the relative load that each of these servers should have, from their capacities.
+    pub(crate) fn load_shares(&self, capacities: &[f64]) -> Vec<f64> {
+        if self.peak_load < LOAD_MIN {
+            return capacities.to_vec();
+        }
+        load_shares(capacities, self.peak_load)
+    }
+
     /// Returns a server's slowness without the short-term variation of `observed`: service time relative to a usual
     /// server.
     pub fn smooth_slowness(&mut self, now: Millis, life: &Life, observed: f64) -> f64 {
