feat(scheduling): late requests wait behind others, and refused callers get a place to return

Cause: in a standing queue a request that can't meet its latency target is refused at once, and its caller comes back twice at moments that nobody planned, mostly within the same load peak, as if it were new: it then takes the slots of callers that could still be served in time.

Change, for requests of routes that tolerate waiting only: a request goes behind all others as soon as the queue ahead makes it miss its latency target. There it waits as long as the work ahead and the work that overtakes it (WorkRate, the last second by placement) leave it a response before its deadline; else it is refused at once with a place in the ReturnCalendar of its placement. A caller that returns is recognised by caller, head and deadline and keeps the latency target of its first attempt. A caller without returns left waits without regard to what overtakes it. Repeated queries of queued requests no longer poll. Scheduler::take_caller_events, log line `returns` and caller_events_total count it.

--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -80,6 +80,7 @@
 pub use quota::QuotaTolerance;
 pub use quota::ShareParams;
 pub use quota::StandaloneShare;
+pub use scheduler::CallerEvents;
 pub use scheduler::Decision;
 pub use scheduler::Placement;
 pub use scheduler::RemoteFreeSlots;
--- a/crates/chicoryrail-policy/src/scheduler/load_view.rs
+++ b/crates/chicoryrail-policy/src/scheduler/load_view.rs
@@ -170,6 +170,47 @@
         Some(self.earliest_response(request.work_us)? + ahead_us / self.capacity.max(CAPACITY_MIN))
     }
 
+    /// Estimates the time until the response to a late request, in microseconds, behind `ahead_us` microseconds of work
+    /// and the work that arrives and overtakes it while it waits, which occupies `overtaking` usual slots.
+    /// Returns `None` if no server can process the request.
+    pub(crate) fn late_response_in_us(
+        &self,
+        request: &SlotRequest,
+        placement: Placement,
+        ahead_us: f64,
+        overtaking: f64,
+    ) -> Option<f64> {
+        let response_us = self.response_in_us(request, placement, ahead_us)?;
+        let wait_us = self.wait_in_us(request, placement, ahead_us)?;
+        // Only the capacity that the overtaking work leaves shortens the wait.
+        let spare = 1.0 - overtaking / self.capacity(placement).max(CAPACITY_MIN);
+        Some(response_us + wait_us * (1.0 / spare.max(SPARE_MIN) - 1.0))
+    }
+
+    /// Estimates the time until a request may be sent, in microseconds, behind `ahead_us` microseconds of work.
+    /// Returns `None` if no server can process the request.
+    pub(crate) fn wait_in_us(
+        &self,
+        request: &SlotRequest,
+        placement: Placement,
+        ahead_us: f64,
+    ) -> Option<f64> {
+        let response_us = self.response_in_us(request, placement, ahead_us)?;
+        let work_us = match placement {
+            Placement::Owner(owner) => request.work_us * self.server(owner)?.slowness,
+            Placement::Any | Placement::Unassigned => request.work_us,
+        };
+        Some((response_us - work_us).max(0.0))
+    }
+
+    /// Returns the capacity of the servers that requests with this placement may be sent to, in usual slots.
+    pub(crate) fn capacity(&self, placement: Placement) -> f64 {
+        match placement {
+            Placement::Owner(owner) => self.server(owner).map_or(0.0, |s| s.capacity),
+            Placement::Any | Placement::Unassigned => self.capacity,
+        }
+    }
+
     /// Estimates the time until the earliest response of any server, in microseconds; `None` without servers.
     fn earliest_response(&self, work_us: f64) -> Option<f64> {
         let mut cached = self.response_cache.borrow_mut();
@@ -187,6 +228,10 @@
 /// Minimum capacity in estimates of a wait. Without servers it makes the estimated wait long.
 const CAPACITY_MIN: f64 = 0.01;
 
+/// Minimum fraction of the capacity that is left to late requests in estimates of their wait. With less, a request
+/// waits only if it is nearly the next one.
+const SPARE_MIN: f64 = 0.02;
+
 impl ServerLoad {
     fn new(now: Millis, id: ServerId, slots: &ServerSlots) -> Self {
         let success_rate = (1.0 - slots.failure_rate(now)).max(0.05);
--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -5,15 +5,23 @@
 //! query before each send and a report after it, so it knows every slot exactly, keeps a single queue and enforces the
 //! limits that hold over all hosts. Hosts that can't reach it fall back to [`LocalBalancer`](crate::LocalBalancer).
 
+mod booked_place;
+mod caller_events;
+mod late_queue;
 mod load_view;
 mod rate_bucket;
 mod remote_free_slots;
+mod return_calendar;
 #[expect(clippy::module_inception, reason = "one type, one file")]
 mod scheduler;
 mod server_slots;
 mod slot_request;
 mod utilisation;
+mod waiting_request;
+mod work_ahead;
+mod work_rate;
 
+pub use caller_events::CallerEvents;
 pub use remote_free_slots::RemoteFreeSlots;
 pub use scheduler::Scheduler;
 pub use server_slots::ServerStatus;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -5,13 +5,18 @@
 use chicoryrail_core::Millis;
 
 use crate::ServerId;
+use crate::scheduler::CallerEvents;
 use crate::scheduler::Decision;
 use crate::scheduler::Placement;
 use crate::scheduler::ServerStatus;
 use crate::scheduler::SlotRelease;
 use crate::scheduler::SlotRequest;
 use crate::scheduler::load_view::LoadView;
+use crate::scheduler::return_calendar::ReturnCalendar;
 use crate::scheduler::server_slots::ServerSlots;
+use crate::scheduler::waiting_request::WaitingRequest;
+use crate::scheduler::work_ahead::WorkAhead;
+use crate::scheduler::work_rate::WorkRate;
 
 /// Maximum fraction of a caller's time for which a request may wait. If the request is refused after all, the caller
 /// must have time left to retry and be served elsewhere.
@@ -28,20 +33,23 @@
 /// cancel. Requests that can still meet their latency target go first, by priority and then by that target; the others
 /// follow by deadline. A request whose response can't arrive in time is refused as soon as that is known, with the time
 /// after which there may be capacity.
+///
+/// A request that tolerates waiting goes behind all others as soon as the queue ahead of it makes it miss its latency
+/// target, and waits there as long as its response is expected before its deadline.
 #[derive(Clone, Debug, Default)]
 pub struct Scheduler {
     pub(super) servers: BTreeMap<ServerId, ServerSlots>,
-    waiting: Vec<WaitingRequest>,
+    pub(super) waiting: Vec<WaitingRequest>,
     /// Owners with waiting requests for their keys, and the time since which at least one request has been waiting.
     key_queues: Vec<(Placement, Millis)>,
-}
-
-#[derive(Clone, Debug)]
-struct WaitingRequest {
-    request: SlotRequest,
-    enqueued_at: Millis,
-    /// Servers that the request may be sent to, at the last poll.
-    placement: Placement,
+    /// Work of the requests that go before late ones, by placement. Empty until a request tolerates waiting.
+    pub(super) overtaking: BTreeMap<Placement, WorkRate>,
+    /// Places of refused callers, by placement.
+    pub(super) calendars: BTreeMap<Placement, ReturnCalendar>,
+    /// What was decided about callers since the last [`Scheduler::take_caller_events`].
+    pub(super) events: CallerEvents,
+    /// Whether any request so far tolerated waiting.
+    any_tolerant: bool,
 }
 
 impl Scheduler {
@@ -56,11 +64,19 @@
     /// Removes a server.
     pub fn remove_server(&mut self, server: ServerId) {
         self.servers.remove(&server);
+        self.calendars.remove(&Placement::Owner(server));
+        self.overtaking.remove(&Placement::Owner(server));
     }
 
     /// Removes the servers for which `keep` returns `false`.
     pub fn retain_servers(&mut self, keep: impl Fn(ServerId) -> bool) {
         self.servers.retain(|id, _| keep(*id));
+        let keep = |placement: &Placement| match placement {
+            Placement::Owner(id) => keep(*id),
+            Placement::Any | Placement::Unassigned => true,
+        };
+        self.calendars.retain(|placement, _| keep(placement));
+        self.overtaking.retain(|placement, _| keep(placement));
     }
 
     /// Returns the number of known servers.
@@ -84,11 +100,8 @@
                 .iter()
                 .any(|w| w.request.ticket == request.ticket)
         {
-            self.waiting.push(WaitingRequest {
-                request,
-                enqueued_at: now,
-                placement: Placement::Any,
-            });
+            self.any_tolerant |= request.tolerates_waiting;
+            self.waiting.push(WaitingRequest::new(now, request));
         }
         assigned
     }
@@ -134,21 +147,27 @@
         }
         let servers = self.servers.iter().map(|(id, slots)| (*id, slots));
         let mut view = LoadView::new(now, servers);
-        for waiting in &mut self.waiting {
+        let mut queue = std::mem::take(&mut self.waiting);
+        for waiting in &mut queue {
             waiting.placement = waiting.request.key.map_or(Placement::Any, &placement);
+            if waiting.is_new && waiting.may_wait_late() {
+                self.recognise_return(now, waiting);
+            }
+            waiting.check_target(now, &view);
         }
-        self.sort_queue(now, &view);
         let mut decisions = Vec::new();
-        // Work of the requests ahead, in microseconds, by placement.
-        let mut work_ahead: Vec<(Placement, f64)> = Vec::new();
-        let queue = std::mem::take(&mut self.waiting);
-        for waiting in queue {
-            match self.decide(now, &waiting, &mut work_ahead, &mut view) {
+        let mut work_ahead = WorkAhead::default();
+        let (mut late, mut queue): (Vec<_>, Vec<_>) = queue.into_iter().partition(|w| w.is_late);
+        sort_queue(&mut queue);
+        for mut waiting in queue {
+            match self.decide(now, &mut waiting, &mut work_ahead, &mut view) {
                 Some(decision) => decisions.push((waiting.request.ticket, decision)),
+                None if waiting.is_late => late.push(waiting),
                 None => self.waiting.push(waiting),
             }
         }
         self.track_key_queues(now);
+        self.decide_late(now, late, &mut work_ahead, &mut view, &mut decisions);
         decisions
     }
 
@@ -156,32 +175,57 @@
     fn decide(
         &mut self,
         now: Millis,
-        waiting: &WaitingRequest,
-        work_ahead: &mut Vec<(Placement, f64)>,
+        waiting: &mut WaitingRequest,
+        work_ahead: &mut WorkAhead,
         view: &mut LoadView,
     ) -> Option<Decision> {
-        let WaitingRequest {
-            request, placement, ..
-        } = waiting;
-        let at = work_ahead.iter().position(|(p, _)| p == placement);
-        let at = at.unwrap_or_else(|| {
-            work_ahead.push((*placement, 0.0));
-            work_ahead.len() - 1
-        });
-        if let Some(server) = view.server_for(request, *placement, work_ahead[at].1) {
-            if let Some(slots) = self.servers.get_mut(&server) {
-                slots.record_send(now, request.ticket, request.deadline, request.work_us);
-                view.refresh(server, slots);
+        let placement = waiting.placement;
+        let ahead_us = work_ahead.of(placement);
+        let server = self.try_send(now, waiting, *ahead_us, view);
+        if server.is_none() && waiting.may_wait_late() {
+            let response_us = view.response_in_us(&waiting.request, placement, *ahead_us);
+            let left = waiting.request.latency_target.since(now);
+            waiting.is_late = response_us.is_none_or(|us| us > left.0 as f64 * 1_000.0);
+            if waiting.is_late {
+                return None;
             }
-            return Some(Decision::Send(server));
         }
-        if let Err(after) = self.check_wait(now, waiting, work_ahead[at].1, view) {
+        if self.any_tolerant && waiting.is_new && placement != Placement::Unassigned {
+            waiting.is_new = false;
+            if waiting.returns == 0 {
+                let rate = self.overtaking.entry(placement).or_default();
+                rate.record(now, waiting.request.work_us);
+            }
+        }
+        if server.is_some() {
+            return server.map(Decision::Send);
+        }
+        if !waiting.may_wait_late()
+            && let Err(after) = self.check_wait(now, waiting, *ahead_us, view)
+        {
             return Some(Decision::Refuse(after));
         }
-        work_ahead[at].1 += request.work_us;
+        *ahead_us += waiting.request.work_us;
         None
     }
 
+    /// Sends a request behind `ahead_us` microseconds of work if a server is free for it; returns that server.
+    pub(super) fn try_send(
+        &mut self,
+        now: Millis,
+        waiting: &WaitingRequest,
+        ahead_us: f64,
+        view: &mut LoadView,
+    ) -> Option<ServerId> {
+        let request = &waiting.request;
+        let server = view.server_for(request, waiting.placement, ahead_us)?;
+        if let Some(slots) = self.servers.get_mut(&server) {
+            slots.record_send(now, request.ticket, request.deadline, request.work_us);
+            view.refresh(server, slots);
+        }
+        Some(server)
+    }
+
     /// Updates `key_queues` for the requests that wait now.
     fn track_key_queues(&mut self, now: Millis) {
         let waits = |placement: Placement| self.waiting.iter().any(|w| w.placement == placement);
@@ -212,20 +256,6 @@
         self.waiting.len()
     }
 
-    /// Sorts the queue in the order that [`Scheduler`] describes.
-    fn sort_queue(&mut self, now: Millis, view: &LoadView) {
-        let key = |w: &WaitingRequest| {
-            let earliest = view.response_in_us(&w.request, w.placement, 0.0);
-            let in_time = earliest.is_some_and(|us| now + millis(us) <= w.request.latency_target);
-            if in_time {
-                (0, w.request.priority, w.request.latency_target)
-            } else {
-                (1, 0, w.request.deadline)
-            }
-        };
-        self.waiting.sort_by_cached_key(key);
-    }
-
     /// Checks whether a request may keep waiting behind `ahead_us` microseconds of work.
     ///
     /// # Errors
@@ -260,7 +290,18 @@
     }
 }
 
+/// Sorts requests in the order that [`Scheduler`] describes, late ones left out.
+fn sort_queue(queue: &mut [WaitingRequest]) {
+    queue.sort_by_cached_key(|w| {
+        if w.in_time {
+            (0, w.request.priority, w.request.latency_target)
+        } else {
+            (1, 0, w.request.deadline)
+        }
+    });
+}
+
 /// Converts microseconds to whole milliseconds.
-fn millis(us: f64) -> Millis {
+pub(super) fn millis(us: f64) -> Millis {
     Millis((us / 1_000.0) as u64)
 }
--- a/crates/chicoryrail-policy/src/scheduler/slot_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/slot_request.rs
@@ -42,7 +42,7 @@
 }
 
 /// Servers that a request may be sent to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Placement {
     /// Any server of the service.
     #[default]
--- /dev/null
+++ b/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
@@ -0,0 +1,57 @@
+//! A request in the queue of a scheduler.
+
+use chicoryrail_core::Millis;
+
+use crate::scheduler::Placement;
+use crate::scheduler::SlotRequest;
+use crate::scheduler::booked_place::Arrival;
+use crate::scheduler::load_view::LoadView;
+
+/// A request in the queue.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingRequest {
+    pub(crate) request: SlotRequest,
+    pub(crate) enqueued_at: Millis,
+    /// Servers that the request may be sent to, at the last poll.
+    pub(crate) placement: Placement,
+    /// Whether no poll has found servers for it yet.
+    pub(crate) is_new: bool,
+    /// Whether it would meet its latency target if it went next, at the last poll.
+    pub(crate) in_time: bool,
+    /// Whether it waits behind the requests that can meet their latency target. This stays so: if it went before others
+    /// again once the queue is shorter, those would miss their targets in its place.
+    pub(crate) is_late: bool,
+    /// Number of times that its caller has returned.
+    pub(crate) returns: u8,
+    /// When its caller has returned, if it had a place.
+    pub(crate) arrival: Option<Arrival>,
+}
+
+impl WaitingRequest {
+    pub(crate) const fn new(now: Millis, request: SlotRequest) -> Self {
+        Self {
+            request,
+            enqueued_at: now,
+            placement: Placement::Any,
+            is_new: true,
+            in_time: true,
+            is_late: false,
+            returns: 0,
+            arrival: None,
+        }
+    }
+
+    /// Updates whether the request would meet its latency target if it went next.
+    pub(crate) fn check_target(&mut self, now: Millis, view: &LoadView) {
+        let earliest = view.response_in_us(&self.request, self.placement, 0.0);
+        let in_time = |us: f64| now + Millis((us / 1_000.0) as u64) <= self.request.latency_target;
+        self.in_time = earliest.is_some_and(in_time);
+        self.is_late |= !self.in_time && self.may_wait_late();
+    }
+
+    /// Returns `true` if the request may wait behind those that can meet their latency target. While its key moves, no
+    /// estimate tells whether it can.
+    pub(crate) fn may_wait_late(&self) -> bool {
+        self.request.tolerates_waiting && self.placement != Placement::Unassigned
+    }
+}
--- a/crates/chicoryrail-policy/tests/scheduler_size.rs
+++ b/crates/chicoryrail-policy/tests/scheduler_size.rs
@@ -40,12 +40,16 @@
 
 /// Guards against a scheduler that is slower than its messages arrive: the leader would be late for every request and
 /// lose its lease. Ninety servers are full and 75 requests wait, for any server, for the owners of their keys, or for
-/// moving keys. Each message makes the scheduler check all of them.
+/// moving keys. Each message makes the scheduler check all of them. They can meet their latency targets, or can't and
+/// tolerate waiting.
 #[rstest]
 #[case::for_any(any)]
 #[case::for_owners(owner)]
 #[case::for_moving_keys(moving)]
-fn a_queue_for_ninety_full_servers_keeps_up(#[case] place: fn(u16) -> Placement) {
+fn a_queue_for_ninety_full_servers_keeps_up(
+    #[case] place: fn(u16) -> Placement,
+    #[values(false, true)] tolerant: bool,
+) {
     let mut scheduler = Scheduler::default();
     for id in 0..SERVERS {
         scheduler.update_server(Millis(0), ServerId(id), ServerStatus::warm(2));
@@ -53,6 +57,7 @@
     let mut sim = Simulation {
         scheduler,
         place: any,
+        tolerant,
         assigned: Vec::new(),
     };
     // All slots are taken first; then a queue builds up.
@@ -75,6 +80,8 @@
 struct Simulation {
     scheduler: Scheduler,
     place: fn(u16) -> Placement,
+    /// Whether the requests are late and tolerate waiting.
+    tolerant: bool,
     assigned: Vec<Option<ServerId>>,
 }
 
@@ -82,7 +89,12 @@
     fn enqueue(&mut self, now: u64) {
         let ticket = self.assigned.len() as u64;
         self.assigned.push(None);
-        self.scheduler.enqueue(Millis(now), request(ticket, now));
+        let mut request = request(ticket, now);
+        if self.tolerant {
+            request.tolerates_waiting = true;
+            request.latency_target = Millis(now);
+        }
+        self.scheduler.enqueue(Millis(now), request);
         self.poll(now);
     }
 
--- a/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
@@ -137,11 +137,19 @@
     reports
 }
 
-/// Logs the utilisation of each scheduler.
+/// Logs the utilisation of each scheduler, and counts what it decided about callers that have time to wait or to return.
 fn log_schedulers(router: &Router) {
-    for (part, scheduler) in router.schedulers.by_part.borrow().iter() {
+    for (part, scheduler) in router.schedulers.by_part.borrow_mut().iter_mut() {
         let (busy, slots) = scheduler.occupancy();
         log::info!(service:% = part.service, dc:? = part.dc, waiting = scheduler.queue_length(),
             busy = busy, slots = slots; "scheduler");
+        let events = scheduler.take_caller_events();
+        if events.is_empty() {
+            continue;
+        }
+        router.counters.count_caller_events(&part.service, events);
+        log::info!(service:% = part.service, dc:? = part.dc, booked = events.booked,
+            honoured = events.honoured, too_early = events.too_early, too_late = events.too_late,
+            shares = events.shares_applied, places = scheduler.booked_places(); "returns");
     }
 }
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -81,7 +81,8 @@
         body_bytes: query.body_bytes,
     };
     // A repeated query for a queued request is no new demand for its key.
-    if let Some(key) = query.key.filter(|_| !is_queued(router, query.ticket)) {
+    let is_queued = is_queued(router, query.ticket);
+    if let Some(key) = query.key.filter(|_| !is_queued) {
         service.record_key_demand(key);
     }
     let assigned = {
@@ -116,7 +117,10 @@
     {
         return;
     }
-    decide(router, &query.part);
+    // Many requests that tolerate waiting may wait, and each repeats its query. Its repetition changes no decision.
+    if !(is_queued && query.tolerates_waiting) {
+        decide(router, &query.part);
+    }
     if router
         .schedulers
         .origins
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeSet;
 
 use chicoryrail_core::OrganisationName;
+use chicoryrail_core::ServiceName;
+use chicoryrail_policy::CallerEvents;
 use chicoryrail_runtime::Metrics;
 use prometheus::HistogramVec;
 use prometheus::IntCounter;
@@ -56,6 +58,8 @@
     pub(crate) leading: IntGauge,
     /// Time since the configuration was verified to be current, in milliseconds; -1 if it never was.
     pub(crate) config_age: IntGauge,
+    /// Decisions of this host as a scheduler about callers that have time to wait or to return, by service and event.
+    caller_events: IntCounterVec,
     /// Requests refused because their organisation exceeded its rate limit, by organisation.
     over_quota: IntCounterVec,
     /// Organisations with a label value of their own in `over_quota`.
@@ -144,6 +148,11 @@
                 "config_age_ms",
                 "Time since the configuration was verified, in milliseconds; -1 if it never was",
             ),
+            caller_events: metrics.counter_family(
+                "caller_events_total",
+                "Decisions about callers that have time to wait or to return, by service and event",
+                &["service", "event"],
+            ),
             over_quota: metrics.counter_family(
                 "over_quota_total",
                 "Requests refused because their organisation exceeded its limit, by organisation",
@@ -153,6 +162,20 @@
         }
     }
 
+    /// Counts what a scheduler of a service decided about callers.
+    pub(crate) fn count_caller_events(&self, service: &ServiceName, events: CallerEvents) {
+        for (event, number) in [
+            ("booked", events.booked),
+            ("honoured", events.honoured),
+            ("too_early", events.too_early),
+            ("too_late", events.too_late),
+            ("share_applied", events.shares_applied),
+        ] {
+            let labels = [service.as_str(), event];
+            self.caller_events.with_label_values(&labels).inc_by(number);
+        }
+    }
+
     /// Counts a request that was refused because its organisation exceeded its rate limit.
     pub(crate) fn over_quota(&self, name: &OrganisationName) {
         let mut known = self.organisations.borrow_mut();
