feat(scheduling): fair shares among keys, callers and routes

Cause: where callers compete for too few slots, one address, key or route that sends most takes most slots, and the latency targets of all others are missed with it.

Change, with Boot::competing_callers and for requests of routes that tolerate waiting: whoever had more than an equal share of the slots of a placement in the last second (by key, caller and route, compared each 100 ms) goes behind the others of the same priority. Nothing is held back while a slot is free. Requests that run at most once never go behind: slot queries carry 0 as the hash of their route. Without the contract Scheduler::default() is created as before.

--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -7,6 +7,7 @@
 
 mod booked_place;
 mod caller_events;
+mod fair_share;
 mod late_queue;
 mod load_view;
 mod rate_bucket;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -11,6 +11,7 @@
 use crate::scheduler::ServerStatus;
 use crate::scheduler::SlotRelease;
 use crate::scheduler::SlotRequest;
+use crate::scheduler::fair_share::FairShares;
 use crate::scheduler::load_view::LoadView;
 use crate::scheduler::return_calendar::ReturnCalendar;
 use crate::scheduler::server_slots::ServerSlots;
@@ -48,11 +49,24 @@
     pub(super) calendars: BTreeMap<Placement, ReturnCalendar>,
     /// What was decided about callers since the last [`Scheduler::take_caller_events`].
     pub(super) events: CallerEvents,
+    /// Shares of keys, callers and routes; `None` unless callers compete for slots.
+    shares: Option<FairShares>,
     /// Whether any request so far tolerated waiting.
     any_tolerant: bool,
 }
 
 impl Scheduler {
+    /// Returns a scheduler without servers that shares slots fairly among the keys, callers and routes of requests that
+    /// tolerate waiting: whoever had more than an equal share in the last second goes behind others of the same
+    /// priority.
+    #[must_use]
+    pub fn with_fair_shares() -> Self {
+        Self {
+            shares: Some(FairShares::default()),
+            ..Self::default()
+        }
+    }
+
     /// Adds a server, or updates its state.
     pub fn update_server(&mut self, now: Millis, server: ServerId, state: ServerStatus) {
         self.servers
@@ -155,6 +169,7 @@
             }
             waiting.check_target(now, &view);
         }
+        self.compare_shares(now, &mut queue);
         let mut decisions = Vec::new();
         let mut work_ahead = WorkAhead::default();
         let (mut late, mut queue): (Vec<_>, Vec<_>) = queue.into_iter().partition(|w| w.is_late);
@@ -171,6 +186,21 @@
         decisions
     }
 
+    /// Updates which requests go behind others because of their share of the slots.
+    fn compare_shares(&mut self, now: Millis, queue: &mut [WaitingRequest]) {
+        let Some(shares) = &mut self.shares else {
+            return;
+        };
+        shares.compare(now);
+        for waiting in queue.iter_mut() {
+            waiting.over_share = shares.is_over(waiting.placement, &waiting.request);
+            if waiting.is_new {
+                shares.record(now, waiting.placement, &waiting.request, 0.0);
+                self.events.shares_applied += u64::from(waiting.over_share);
+            }
+        }
+    }
+
     /// Decides on one request behind the work of the requests ahead; `None` if it keeps waiting.
     fn decide(
         &mut self,
@@ -192,6 +222,7 @@
         }
         if self.any_tolerant && waiting.is_new && placement != Placement::Unassigned {
             waiting.is_new = false;
+            // Returns are in the calendar, which does not count them twice.
             if waiting.returns == 0 {
                 let rate = self.overtaking.entry(placement).or_default();
                 rate.record(now, waiting.request.work_us);
@@ -223,6 +254,9 @@
             slots.record_send(now, request.ticket, request.deadline, request.work_us);
             view.refresh(server, slots);
         }
+        if let Some(shares) = &mut self.shares {
+            shares.record(now, waiting.placement, request, request.work_us);
+        }
         Some(server)
     }
 
@@ -294,9 +328,14 @@
 fn sort_queue(queue: &mut [WaitingRequest]) {
     queue.sort_by_cached_key(|w| {
         if w.in_time {
-            (0, w.request.priority, w.request.latency_target)
+            (
+                0,
+                w.request.priority,
+                w.over_share,
+                w.request.latency_target,
+            )
         } else {
-            (1, 0, w.request.deadline)
+            (1, 0, false, w.request.deadline)
         }
     });
 }
--- a/crates/chicoryrail-policy/src/scheduler/slot_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/slot_request.rs
@@ -35,7 +35,7 @@
     pub caller: u64,
     /// Hash of the request's head, the same when the caller sends it again; 0 if it is not known.
     pub head: u64,
-    /// Hash of the route's name; 0 if it is not known.
+    /// Hash of the route's name; 0 if it is not known, or if the request runs at most once.
     pub route: u64,
     /// Declared length of the body; 0 without one.
     pub body_bytes: u64,
--- a/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
@@ -21,6 +21,8 @@
     /// Whether it waits behind the requests that can meet their latency target. This stays so: if it went before others
     /// again once the queue is shorter, those would miss their targets in its place.
     pub(crate) is_late: bool,
+    /// Whether its key, caller or route had more than its share of the slots, at the last poll.
+    pub(crate) over_share: bool,
     /// Number of times that its caller has returned.
     pub(crate) returns: u8,
     /// When its caller has returned, if it had a place.
@@ -36,6 +38,7 @@
             is_new: true,
             in_time: true,
             is_late: false,
+            over_share: false,
             returns: 0,
             arrival: None,
         }
--- a/crates/chicoryrail-policy/src/scheduler/work_rate.rs
+++ b/crates/chicoryrail-policy/src/scheduler/work_rate.rs
@@ -28,6 +28,11 @@
         self.steps[(step % STEPS as u64) as usize] += work_us;
     }
 
+    /// Returns `true` if nothing was recorded in the last second.
+    pub(crate) const fn is_idle(&self, now: Millis) -> bool {
+        (now.0 / STEP.0).saturating_sub(self.latest) >= STEPS as u64
+    }
+
     /// Returns the number of usual slots that the work of the last second occupies.
     pub(crate) fn busy_slots(&self, now: Millis) -> f64 {
         let passed = (now.0 / STEP.0).saturating_sub(self.latest);
--- a/crates/chicoryrail-router/src/control/scheduling/overflow.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/overflow.rs
@@ -6,6 +6,7 @@
 use chicoryrail_ownership::SchedulerHost;
 use chicoryrail_policy::Scheduler;
 
+use crate::control::scheduling::part_schedulers::new_scheduler;
 use crate::control::scheduling::part_schedulers::remove_request;
 use crate::control::scheduling::part_schedulers::reply_to;
 use crate::control::scheduling::server_sync::sync_servers;
@@ -50,7 +51,9 @@
         let parts = service.parts().into_iter();
         let own_parts = parts.filter(|p| router.part_scheduler(p) == SchedulerHost::Here);
         for part in own_parts {
-            let scheduler = schedulers.entry(part.clone()).or_default();
+            let scheduler = schedulers
+                .entry(part.clone())
+                .or_insert_with(|| new_scheduler(router));
             sync_servers(router, &service, &part, scheduler, now);
             let free = scheduler
                 .free_slots(now)
--- a/crates/chicoryrail-router/src/control/scheduling/part_schedulers.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/part_schedulers.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use chicoryrail_policy::Scheduler;
+
 use crate::control::scheduling::server_sync::sync_servers;
 use crate::messages::Packet;
 use crate::messages::PartName;
@@ -10,6 +12,15 @@
 use crate::state::QueryOrigin;
 use crate::state::Router;
 
+/// Returns a scheduler for a part that this host begins to schedule.
+pub(super) fn new_scheduler(router: &Router) -> Scheduler {
+    if router.boot().competing_callers {
+        Scheduler::with_fair_shares()
+    } else {
+        Scheduler::default()
+    }
+}
+
 /// Removes a request that is not assigned to a server from its scheduler, and gives back its quota token.
 pub(super) fn remove_request(router: &Router, part: &PartName, ticket: u64) {
     if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(part) {
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -16,6 +16,7 @@
 use chicoryrail_policy::SlotRequest;
 
 use crate::control::scheduling::overflow;
+use crate::control::scheduling::part_schedulers::new_scheduler;
 use crate::control::scheduling::part_schedulers::refresh_servers;
 use crate::control::scheduling::part_schedulers::remove_origin;
 use crate::control::scheduling::part_schedulers::reply_to;
@@ -87,7 +88,9 @@
     }
     let assigned = {
         let mut schedulers = router.schedulers.by_part.borrow_mut();
-        let scheduler = schedulers.entry(query.part.clone()).or_default();
+        let scheduler = schedulers
+            .entry(query.part.clone())
+            .or_insert_with(|| new_scheduler(router));
         scheduler.enqueue(now, request)
     };
     let Ok(token) = take_token(router, query, from, assigned.is_some()) else {
--- a/crates/chicoryrail-router/src/messages/packet.rs
+++ b/crates/chicoryrail-router/src/messages/packet.rs
@@ -164,7 +164,7 @@
     pub(crate) caller: u64,
     /// Hash of the request's head; 0 unless `tolerates_waiting`.
     pub(crate) head: u64,
-    /// Hash of the route's name; 0 unless `tolerates_waiting`.
+    /// Hash of the route's name; 0 unless `tolerates_waiting`, and for requests that run at most once.
     pub(crate) route: u64,
     /// Declared length of the body; 0 without one.
     pub(crate) body_bytes: u64,
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -62,7 +62,7 @@
     pub(crate) caller: u64,
     /// Hash of the request's head.
     pub(crate) head: u64,
-    /// Hash of the route's name.
+    /// Hash of the route's name; 0 for requests that run at most once, which no share of their route holds back.
     pub(crate) route: u64,
 }
 
@@ -247,7 +247,10 @@
         QueueIdentity {
             caller: hash(self.from.ip().to_string().as_bytes()),
             head: self.head_hash(),
-            route: hash(self.route.name.as_bytes()),
+            route: match self.route.kind.idempotency() {
+                Idempotency::Idempotent => hash(self.route.name.as_bytes()),
+                Idempotency::AtMostOnce => 0,
+            },
         }
     }
 
