--- a/crates/chicoryrail-policy/src/scheduler/slot_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/slot_request.rs
@@ -35,14 +35,14 @@
     pub caller: u64,
     /// Hash of the request's head, the same when the caller sends it again; 0 if it is not known.
     pub head: u64,
-    /// Hash of the route's name; 0 if it is not known.
+    /// Hash of the route's name; 0 if it is not known, or if the request runs at most once.
     pub route: u64,
     /// Declared length of the body; 0 without one.
     pub body_bytes: u64,
 }
 
 /// Servers that a request may be sent to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Placement {
     /// Any server of the service.
     #[default]
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -16,6 +16,7 @@
 use chicoryrail_policy::SlotRequest;
 
 use crate::control::scheduling::overflow;
+use crate::control::scheduling::part_schedulers::new_scheduler;
 use crate::control::scheduling::part_schedulers::refresh_servers;
 use crate::control::scheduling::part_schedulers::remove_origin;
 use crate::control::scheduling::part_schedulers::reply_to;
@@ -81,12 +82,15 @@
         body_bytes: query.body_bytes,
     };
     // A repeated query for a queued request is no new demand for its key.
-    if let Some(key) = query.key.filter(|_| !is_queued(router, query.ticket)) {
+    let is_queued = is_queued(router, query.ticket);
+    if let Some(key) = query.key.filter(|_| !is_queued) {
         service.record_key_demand(key);
     }
     let assigned = {
         let mut schedulers = router.schedulers.by_part.borrow_mut();
-        let scheduler = schedulers.entry(query.part.clone()).or_default();
+        let scheduler = schedulers
+            .entry(query.part.clone())
+            .or_insert_with(|| new_scheduler(router));
         scheduler.enqueue(now, request)
     };
     let Ok(token) = take_token(router, query, from, assigned.is_some()) else {
@@ -116,7 +120,10 @@
     {
         return;
     }
-    decide(router, &query.part);
+    // Many requests that tolerate waiting may wait, and each repeats its query. Its repetition changes no decision.
+    if !(is_queued && query.tolerates_waiting) {
+        decide(router, &query.part);
+    }
     if router
         .schedulers
         .origins
