--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -9,6 +9,7 @@
 use crate::keys::KeyAction;
 use crate::keys::KeyLeases;
 use crate::keys::KeyRange;
+use crate::keys::key_leases::STEADY_RELEASES_MAX;
 use crate::keys::lease::ConfirmedLease;
 use crate::keys::server_state::ServerState;
 
@@ -120,6 +121,11 @@
     /// may take most of a second.
     fn due_releases(&self, now: Millis) -> Vec<KeyAction> {
         let mut actions: Vec<KeyAction> = Vec::new();
+        let releases_max = if self.steady {
+            STEADY_RELEASES_MAX
+        } else {
+            RELEASES_PER_SERVER_MAX
+        };
         let mut in_flight: BTreeMap<&Life, usize> = BTreeMap::new();
         for former in &self.former_leases {
             let (life, span) = (&former.owned.owner, former.owned.span);
@@ -132,7 +138,7 @@
                 .entry(life)
                 .or_insert(state.pending_releases.len());
             if no_call_pending
-                && *in_flight < RELEASES_PER_SERVER_MAX
+                && *in_flight < releases_max
                 && state.is_callable()
                 && now >= former.retry_at
             {
@@ -148,13 +154,14 @@
         actions
     }
 
-    /// Returns the probes that are due: of lost servers, and of new ones if they are probed. A probe is a release of all keys: a server never
+    /// Returns the probes that are due: of lost servers, and of new ones if they are probed. A probe is a release of all
+    /// keys: a server never
     /// refuses it, and it has no effect on a server without keys.
     fn due_probes(&self, now: Millis) -> Vec<KeyAction> {
         let lost = self.servers.iter().filter(|(life, s)| {
             let registered = now.since(s.last_seen) <= REGISTRATION_AGE_MAX && s.addr.port() != 0;
             let idle = s.pending_grant.is_none() && s.pending_releases.is_empty();
-            let is_new = self.probes_new && !s.has_answered;
+            let is_new = self.steady && !s.has_answered;
             let is_wanted = is_new || self.is_lost(now, life);
             registered && idle && !s.ended && now >= s.retry_at && is_wanted
         });
--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -22,6 +22,10 @@
 use crate::keys::record::ranges_by_owner;
 use crate::keys::server_state::ServerState;
 
+/// Maximum number of concurrent releases at one server if callers tolerate waiting. Its keys have some four new owners
+/// for each of two ranges.
+pub(super) const STEADY_RELEASES_MAX: usize = 8;
+
 /// Placeholder address of a server that is known only from the record.
 const UNKNOWN_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
@@ -50,8 +54,8 @@
     pub(super) deposed: bool,
     /// Duration of the grants sent now.
     lease_duration: Millis,
-    /// Whether servers are probed before they are assigned keys for the first time.
-    pub(super) probes_new: bool,
+    /// Whether servers are probed before they are assigned keys for the first time, and releases are divided.
+    pub(super) steady: bool,
 }
 
 impl KeyLeases {
@@ -102,7 +106,7 @@
             expired: Vec::new(),
             deposed: false,
             lease_duration: timing.lease,
-            probes_new: false,
+            steady: false,
             record,
         };
         let owners = this.record.spans.iter().chain(&this.record.loose);
@@ -131,9 +135,10 @@
         };
     }
 
-    /// Sets whether servers without keys that have not answered yet are probed; see [`Self::has_answered`].
-    pub const fn set_probes_new(&mut self, probes_new: bool) {
-        self.probes_new = probes_new;
+    /// Sets whether callers tolerate waiting. Servers without keys that have not answered yet are then probed, see
+    /// [`Self::has_answered`], and more releases of a server run at a time.
+    pub const fn set_steady(&mut self, steady: bool) {
+        self.steady = steady;
     }
 
     /// Returns `true` if a server has answered a call in this term, and no later one is unanswered. Keys assigned to
@@ -144,12 +149,47 @@
         state.is_some_and(|s| s.has_answered && s.unanswered_since.is_none())
     }
 
-    /// Sorts the releases that are due: those of the ranges with the highest load go first, as only a few of a server
-    /// run at a time.
+    /// Splits the releases that are due by the new owners of their keys, and sorts them by `load`, the highest first.
+    ///
+    /// A release is answered when no work runs on any of its keys, so that a smaller range waits for less. Releases of
+    /// a server that could not run at the same time are not split.
     pub fn prioritise_releases(&mut self, load: impl Fn(KeyRange) -> f64) {
+        let mut split: Vec<FormerLease> = Vec::with_capacity(self.former_leases.len());
+        let mut releases: BTreeMap<&Life, usize> = BTreeMap::new();
+        for lease in &self.former_leases {
+            let count = releases.entry(&lease.owned.owner).or_default();
+            *count += self.new_owner_ranges(lease.owned.span).len();
+        }
+        for lease in &self.former_leases {
+            let owner = &lease.owned.owner;
+            let ranges = if releases[owner] <= STEADY_RELEASES_MAX {
+                self.new_owner_ranges(lease.owned.span)
+            } else {
+                vec![lease.owned.span]
+            };
+            split.extend(ranges.into_iter().map(|span| FormerLease {
+                owned: OwnedRange::new(span, owner.clone()),
+                ..*lease
+            }));
+        }
         let thousandths = |lease: &FormerLease| (load(lease.owned.span) * 1_000.0) as u64;
-        self.former_leases
-            .sort_by_cached_key(|lease| Reverse(thousandths(lease)));
+        split.sort_by_cached_key(|lease| Reverse(thousandths(lease)));
+        self.former_leases = split;
+    }
+
+    /// Returns the parts of a range that different servers are to own; the range as a whole if some of its keys are
+    /// assigned to no server.
+    fn new_owner_ranges(&self, range: KeyRange) -> Vec<KeyRange> {
+        let spans = &self.record.spans;
+        let first = spans.partition_point(|s| s.span.last < range.first);
+        let parts = spans[first..].iter();
+        let parts: Vec<_> = parts.map_while(|s| s.span.intersect(range)).collect();
+        let covered: u32 = parts.iter().map(|part| part.len()).sum();
+        if covered == range.len() {
+            parts
+        } else {
+            vec![range]
+        }
     }
 
     /// Returns the duration of the grants sent now.
--- a/crates/chicoryrail-ownership/tests/key_leases.rs
+++ b/crates/chicoryrail-ownership/tests/key_leases.rs
@@ -270,7 +270,7 @@
         actions.iter().filter(to_new).count()
     };
     assert_eq!(probes(&mut leases, 20), 0);
-    leases.set_probes_new(true);
+    leases.set_steady(true);
     assert_eq!(probes(&mut leases, 20), 1);
     leases.release_sent(&life("new"), KeyRange::ALL);
     assert_eq!(probes(&mut leases, 30), 0);
@@ -286,3 +286,28 @@
     assert!(leases.has_answered(&life("new")));
     assert_eq!(probes(&mut leases, 3_200), 0);
 }
+
+/// Load: steady, the whole range of a server goes to two others. Guards against callers of one part that wait for the work
+/// that runs on keys of the other: each part is released and granted by itself.
+#[test]
+fn a_range_is_released_by_its_new_owners() {
+    let mut leases = moving_half_to_b();
+    leases.set_server_addr(Millis(20), &life("c"), ([127, 0, 0, 3], 80).into());
+    let spans = vec![
+        OwnedRange::new(span(0, 9_999), life("c")),
+        OwnedRange::new(span(10_000, 65_535), life("b")),
+    ];
+    leases.begin_change(spans, 4);
+    leases.record_written(Millis(20));
+    leases.prioritise_releases(|range| f64::from(range.first));
+    let due = releases(&leases.due_actions(Millis(20)));
+    assert!(
+        due.contains(&span(0, 9_999)) && due.contains(&span(10_000, 29_999)),
+        "{due:?}"
+    );
+    leases.release_sent(&life("a"), span(0, 9_999));
+    let free = ReleaseOutcome::Released(None);
+    leases.release_finished(Millis(30), &life("a"), span(0, 9_999), free);
+    let granted = grants(&leases.due_actions(Millis(30)), "c");
+    assert_eq!(granted, [span(0, 9_999)]);
+}
--- a/crates/chicoryrail-ownership/tests/model_keys/leading.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/leading.rs
@@ -30,7 +30,7 @@
             let registered: Vec<_> = registered.map(|s| (s.life.clone(), s.leaving)).collect();
             let leader = &mut self.leaders[i];
             leader.leases.set_store_down(self.store_down);
-            leader.leases.set_probes_new(self.probes_new);
+            leader.leases.set_steady(self.probes_new);
             let owners = leader.leases.lease_owners();
             for (life, _) in &registered {
                 leader
