refactor(scheduling): standing queues, queue order and queue identity in files of their own

Change: StandingQueues, WaitingRequest::order and FairShares::apply leave scheduler.rs, QueueIdentity leaves caller_request.rs. No behaviour changes. A test of mixed work: half of the requests of a route that doesn't tolerate waiting.

--- a/crates/chicoryrail-policy/src/scheduler/fair_share.rs
+++ b/crates/chicoryrail-policy/src/scheduler/fair_share.rs
@@ -7,6 +7,7 @@
 
 use crate::scheduler::Placement;
 use crate::scheduler::SlotRequest;
+use crate::scheduler::waiting_request::WaitingRequest;
 use crate::scheduler::work_rate::WorkRate;
 
 /// Time between two comparisons of what was used. Used work is counted in steps of the same length.
@@ -64,14 +65,28 @@
         }
     }
 
+    /// Updates which requests go behind others because of their share. Returns the number of new requests that do.
+    pub(crate) fn apply(&mut self, now: Millis, queue: &mut [WaitingRequest]) -> u64 {
+        self.compare(now);
+        let mut applied = 0;
+        for waiting in queue {
+            waiting.over_share = self.is_over(waiting.placement, &waiting.request);
+            if waiting.is_new {
+                self.record(now, waiting.placement, &waiting.request, 0.0);
+                applied += u64::from(waiting.over_share);
+            }
+        }
+        applied
+    }
+
     /// Returns `true` if the key, the caller or the route of a request had more than its share.
-    pub(crate) fn is_over(&self, placement: Placement, request: &SlotRequest) -> bool {
+    fn is_over(&self, placement: Placement, request: &SlotRequest) -> bool {
         let is_over = |claimant| self.over.contains(&(placement, claimant));
         !self.over.is_empty() && request.route != AT_MOST_ONCE && claimants(request).any(is_over)
     }
 
     /// Compares the use of each claimant with an equal share, at intervals.
-    pub(crate) fn compare(&mut self, now: Millis) {
+    fn compare(&mut self, now: Millis) {
         if now.since(self.compared_at) < COMPARE_INTERVAL {
             return;
         }
--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 mod scheduler;
 mod server_slots;
 mod slot_request;
+mod standing_queues;
 mod utilisation;
 mod waiting_request;
 mod work_ahead;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::scheduler::load_view::LoadView;
 use crate::scheduler::return_calendar::ReturnCalendar;
 use crate::scheduler::server_slots::ServerSlots;
+use crate::scheduler::standing_queues::StandingQueues;
 use crate::scheduler::waiting_request::WaitingRequest;
 use crate::scheduler::work_ahead::WorkAhead;
 use crate::scheduler::work_rate::WorkRate;
@@ -23,10 +24,6 @@
 /// must have time left to retry and be served elsewhere.
 const WAIT_TIME_FRACTION: f64 = 0.6;
 
-/// Time for which requests must have waited without a break before a queue counts as standing: a burst is over by then,
-/// and a longer wait means overload.
-const STANDING_QUEUE_TIME: Millis = Millis(1_000);
-
 /// Scheduler of one service.
 ///
 /// If there are more requests than slots, briefly or permanently, this guards against two failures: requests that can
@@ -41,8 +38,7 @@
 pub struct Scheduler {
     pub(super) servers: BTreeMap<ServerId, ServerSlots>,
     pub(super) waiting: Vec<WaitingRequest>,
-    /// Owners with waiting requests for their keys, and the time since which at least one request has been waiting.
-    key_queues: Vec<(Placement, Millis)>,
+    key_queues: StandingQueues,
     /// Work of the requests that go before late ones, by placement. Empty until a request tolerates waiting.
     pub(super) overtaking: BTreeMap<Placement, WorkRate>,
     /// Places of refused callers, by placement.
@@ -153,7 +149,7 @@
         placement: impl Fn(u16) -> Placement,
     ) -> Vec<(u64, Decision)> {
         if self.waiting.is_empty() {
-            self.key_queues.clear();
+            self.key_queues = StandingQueues::default();
             return Vec::new();
         }
         for slots in self.servers.values_mut() {
@@ -169,11 +165,13 @@
             }
             waiting.check_target(now, &view);
         }
-        self.compare_shares(now, &mut queue);
+        if let Some(shares) = &mut self.shares {
+            self.events.shares_applied += shares.apply(now, &mut queue);
+        }
         let mut decisions = Vec::new();
         let mut work_ahead = WorkAhead::default();
         let (mut late, mut queue): (Vec<_>, Vec<_>) = queue.into_iter().partition(|w| w.is_late);
-        sort_queue(&mut queue);
+        queue.sort_by_cached_key(WaitingRequest::order);
         for mut waiting in queue {
             match self.decide(now, &mut waiting, &mut work_ahead, &mut view) {
                 Some(decision) => decisions.push((waiting.request.ticket, decision)),
@@ -181,26 +179,11 @@
                 None => self.waiting.push(waiting),
             }
         }
-        self.track_key_queues(now);
+        self.key_queues.track(now, &self.waiting);
         self.decide_late(now, late, &mut work_ahead, &mut view, &mut decisions);
         decisions
     }
 
-    /// Updates which requests go behind others because of their share of the slots.
-    fn compare_shares(&mut self, now: Millis, queue: &mut [WaitingRequest]) {
-        let Some(shares) = &mut self.shares else {
-            return;
-        };
-        shares.compare(now);
-        for waiting in queue.iter_mut() {
-            waiting.over_share = shares.is_over(waiting.placement, &waiting.request);
-            if waiting.is_new {
-                shares.record(now, waiting.placement, &waiting.request, 0.0);
-                self.events.shares_applied += u64::from(waiting.over_share);
-            }
-        }
-    }
-
     /// Decides on one request behind the work of the requests ahead; `None` if it keeps waiting.
     fn decide(
         &mut self,
@@ -260,30 +243,6 @@
         Some(server)
     }
 
-    /// Updates `key_queues` for the requests that wait now.
-    fn track_key_queues(&mut self, now: Millis) {
-        let waits = |placement: Placement| self.waiting.iter().any(|w| w.placement == placement);
-        self.key_queues.retain(|(placement, _)| waits(*placement));
-        for waiting in &self.waiting {
-            let keyed = matches!(waiting.placement, Placement::Owner(_));
-            if keyed
-                && !self
-                    .key_queues
-                    .iter()
-                    .any(|(placement, _)| *placement == waiting.placement)
-            {
-                self.key_queues.push((waiting.placement, now));
-            }
-        }
-    }
-
-    /// Returns `true` if requests have waited for this owner of keys without a break for [`STANDING_QUEUE_TIME`], so
-    /// that the owner is overloaded. The queue for any server never counts as standing.
-    fn has_standing_queue(&self, now: Millis, placement: Placement) -> bool {
-        let mut key_queues = self.key_queues.iter().filter(|(p, _)| *p == placement);
-        key_queues.any(|(_, since)| now.since(*since) >= STANDING_QUEUE_TIME)
-    }
-
     /// Returns the number of waiting requests.
     #[must_use]
     pub fn queue_length(&self) -> usize {
@@ -310,7 +269,7 @@
         // In a standing queue, requests that can still meet their latency target overtake those that can't, so the
         // latter would wait in vain. They are refused at once.
         let latency_left = request.latency_target.since(now).0 as f64 * 1_000.0;
-        if response_us > latency_left && self.has_standing_queue(now, waiting.placement) {
+        if response_us > latency_left && self.key_queues.is_standing(now, waiting.placement) {
             return Err(millis(
                 (response_us - latency_left).max(request.work_us * 0.5),
             ));
@@ -324,22 +283,6 @@
     }
 }
 
-/// Sorts requests in the order that [`Scheduler`] describes, late ones left out.
-fn sort_queue(queue: &mut [WaitingRequest]) {
-    queue.sort_by_cached_key(|w| {
-        if w.in_time {
-            (
-                0,
-                w.request.priority,
-                w.over_share,
-                w.request.latency_target,
-            )
-        } else {
-            (1, 0, false, w.request.deadline)
-        }
-    });
-}
-
 /// Converts microseconds to whole milliseconds.
 pub(super) fn millis(us: f64) -> Millis {
     Millis((us / 1_000.0) as u64)
--- a/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
@@ -52,6 +52,16 @@
         self.is_late |= !self.in_time && self.may_wait_late();
     }
 
+    /// Returns the place in the queue, lowest first. Requests that can still meet their latency target go first.
+    pub(crate) const fn order(&self) -> (u8, u8, bool, Millis) {
+        let request = &self.request;
+        if self.in_time {
+            (0, request.priority, self.over_share, request.latency_target)
+        } else {
+            (1, 0, false, request.deadline)
+        }
+    }
+
     /// Returns `true` if the request may wait behind those that can meet their latency target. While its key moves, no
     /// estimate tells whether it can.
     pub(crate) fn may_wait_late(&self) -> bool {
--- a/crates/chicoryrail-policy/tests/competing_callers.rs
+++ b/crates/chicoryrail-policy/tests/competing_callers.rs
@@ -34,6 +34,9 @@
 const HOT_KEY: u16 = 92;
 const LATENCY_TARGET: u64 = 800;
 const ROUTE_TIMEOUT: u64 = 3_000;
+/// Latency target and timeout of a route that doesn't tolerate waiting.
+const STRICT_TARGET: u64 = 1_200;
+const STRICT_TIMEOUT: u64 = 2_400;
 /// Time that a caller has in all, and the number of times that it comes back after a refusal.
 const CALLER_TIME: u64 = 6_000;
 const RETURNS_MAX: u32 = 2;
@@ -50,6 +53,8 @@
     /// Requests that were sent, with a response after their deadline.
     unanswered: u32,
     queue_max: usize,
+    /// Requests of the route that doesn't tolerate waiting: served in time, and not served.
+    strict: (u32, u32),
 }
 
 impl Outcomes {
@@ -63,6 +68,8 @@
 struct Caller {
     arrived_at: u64,
     key: u16,
+    /// Whether its route doesn't tolerate waiting.
+    strict: bool,
     /// Service time relative to the mean.
     work: f64,
     returns: u32,
@@ -70,6 +77,16 @@
     deadline: u64,
 }
 
+impl Caller {
+    /// Returns the latency target and the timeout of its route.
+    const fn times(&self) -> (u64, u64) {
+        match self.strict {
+            true => (STRICT_TARGET, STRICT_TIMEOUT),
+            false => (LATENCY_TARGET, ROUTE_TIMEOUT),
+        }
+    }
+}
+
 /// Something that happens at a given time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -87,6 +104,8 @@
     now: u64,
     tolerant: bool,
     keyed: bool,
+    /// Fraction of the requests whose route doesn't tolerate waiting.
+    strict: f64,
     next_ticket: u64,
     events: BinaryHeap<Reverse<(u64, Event)>>,
     callers: Vec<Caller>,
@@ -108,6 +127,7 @@
             now: 0,
             tolerant,
             keyed,
+            strict: 0.0,
             next_ticket: 0,
             events: BinaryHeap::new(),
             callers: Vec::new(),
@@ -120,6 +140,7 @@
         self.callers.push(Caller {
             arrived_at: self.now,
             key,
+            strict: self.strict > 0.0 && self.arrivals.random_bool(self.strict),
             work: self.arrivals.random_range(0.2..1.8),
             returns: 0,
             deadline: 0,
@@ -130,19 +151,20 @@
     fn attempt(&mut self, id: usize) {
         let caller = &mut self.callers[id];
         let caller_deadline = caller.arrived_at + CALLER_TIME;
-        caller.deadline = caller_deadline.min(self.now + ROUTE_TIMEOUT);
+        let (target, timeout) = caller.times();
+        caller.deadline = caller_deadline.min(self.now + timeout);
         let request = SlotRequest {
             ticket: self.next_ticket,
             priority: 1,
             // A host learns nothing of a caller's earlier attempts.
-            latency_target: Millis(self.now + LATENCY_TARGET),
+            latency_target: Millis(self.now + target),
             deadline: Millis(caller.deadline),
             work_us: WORK_MS * 1_000.0,
             key: self.keyed.then_some(caller.key),
             excluded: Vec::new(),
             dc_index: 0,
             large_response: false,
-            tolerates_waiting: self.tolerant,
+            tolerates_waiting: self.tolerant && !caller.strict,
             caller_deadline: Millis(caller_deadline),
             // Callers of the hot key have the same address.
             caller: if caller.key == HOT_KEY {
@@ -201,10 +223,17 @@
         };
         self.scheduler.release(Millis(self.now), &end);
         let caller = self.callers[self.attempts[&ticket]];
+        let strict = u32::from(caller.strict);
         match self.now {
-            now if now > caller.deadline => self.outcomes.unanswered += 1,
-            now if now > caller.arrived_at + LATENCY_TARGET => self.outcomes.late += 1,
-            _ => self.outcomes.in_time += 1,
+            now if now > caller.deadline => {
+                self.outcomes.unanswered += 1;
+                self.outcomes.strict.1 += strict;
+            }
+            now if now > caller.arrived_at + caller.times().0 => self.outcomes.late += 1,
+            _ => {
+                self.outcomes.in_time += 1;
+                self.outcomes.strict.0 += strict;
+            }
         }
     }
 
@@ -214,6 +243,7 @@
         let caller_left = Millis(caller.arrived_at + CALLER_TIME - self.now);
         if caller.returns == RETURNS_MAX {
             self.outcomes.refused += 1;
+            self.outcomes.strict.1 += u32::from(caller.strict);
             return;
         }
         caller.returns += 1;
@@ -311,6 +341,24 @@
     );
 }
 
+/// Guards against requests of routes that don't tolerate waiting that lose their slots to others that wait longer. Mixed
+/// work in load peaks, half of it of such a route: no fewer of them are served in time, and no more are not served.
+#[rstest]
+fn callers_without_time_to_wait_lose_nothing(
+    #[values(false, true)] keyed: bool,
+    #[values(1, 2)] seed: u64,
+) {
+    let run = |tolerant| {
+        let mut simulation = Simulation::new(tolerant, keyed, seed);
+        simulation.strict = 0.5;
+        simulation.play(peaks)
+    };
+    let (before, after) = (run(false), run(true));
+    println!("before {before:?}\nafter  {after:?}");
+    assert!(after.strict.0 >= before.strict.0, "{before:?} {after:?}");
+    assert!(after.strict.1 <= before.strict.1, "{before:?} {after:?}");
+}
+
 /// An owner of keys with one slot, which is taken for a minute, so that all callers are refused.
 struct FullOwner {
     scheduler: Scheduler,
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
-use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -27,7 +26,6 @@
 use http::header::CONTENT_LENGTH;
 use http::header::HOST;
 use http::request::Parts;
-use siphasher::sip::SipHasher13;
 
 use crate::route::admission::authenticate;
 use crate::route::admission::set_organisation_header;
@@ -55,17 +53,6 @@
     pub(crate) via: Option<SocketAddr>,
 }
 
-/// What identifies a request in a scheduler's queue.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct QueueIdentity {
-    /// Hash of the caller's address.
-    pub(crate) caller: u64,
-    /// Hash of the request's head.
-    pub(crate) head: u64,
-    /// Hash of the route's name; 0 for requests that run at most once, which no share of their route holds back.
-    pub(crate) route: u64,
-}
-
 /// A caller's request.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -234,26 +221,6 @@
         Some((&organisation.name, limit))
     }
 
-    /// Returns what identifies the request in a scheduler's queue; all zero unless its route tolerates waiting.
-    pub(crate) fn queue_identity(&self) -> QueueIdentity {
-        if !self.route.tolerates_waiting() {
-            return QueueIdentity::default();
-        }
-        let hash = |bytes: &[u8]| {
-            let mut hasher = SipHasher13::new();
-            hasher.write(bytes);
-            hasher.finish()
-        };
-        QueueIdentity {
-            caller: hash(self.from.ip().to_string().as_bytes()),
-            head: self.head_hash(),
-            route: match self.route.kind.idempotency() {
-                Idempotency::Idempotent => hash(self.route.name.as_bytes()),
-                Idempotency::AtMostOnce => 0,
-            },
-        }
-    }
-
     /// Returns the declared length of the body; 0 without one.
     pub(crate) fn body_bytes(&self) -> u64 {
         let length = self.headers.get(CONTENT_LENGTH);
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod forwarded;
 mod in_flight;
+mod queue_identity;
 mod refusal;
 mod request_identity;
 mod response_body;
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -22,6 +22,7 @@
 use crate::route::candidates::permit;
 use crate::route::candidates::unkeyed_candidates;
 use crate::route::candidates::withheld_by_owner;
+use crate::route::queue_identity::QueueIdentity;
 use crate::route::slot_guard::SlotGuard;
 use crate::route::slot_guard::send_to_scheduler;
 use crate::state::Router;
@@ -215,7 +216,7 @@
         let work = self
             .router
             .expected_work_us(&call.route.name, call.route.latency_target);
-        let identity = call.queue_identity();
+        let identity = QueueIdentity::new(call);
         let slot_query = SlotQuery {
             dc: self.router.boot().dc.clone(),
             part: self.part.clone(),
