feat(route): uploads with a memory budget and flow control

Cause: nothing counted what a host holds for callers' bodies and for responses. A body was read up to 16 KiB, then took a slot and streamed, so that a slow caller held a slot, and many of them could take more memory than the host has. A caller's small writes made this worse: each chunk kept a read buffer of 8 KiB.

Change: - A budget of a quarter of the memory limit (ByteBudget, HeldBytes) counts bodies of uploads, and responses of hosts whose configuration has an upload route. The default reads a body of up to 512 KiB whole. - An upload without memory is refused with 503 host_memory. Short ones are admitted, as other requests are. - A streamed upload has at most 64 KiB in flight to its server. A caller that is silent for header_timeout_ms loses its upload: 408 if nothing was sent to a server, else 504 and a closed connection. Broken bodies that were sent in part get 502. Neither counts against the server. - An upload ends at its server when its caller disconnects midway, and its connection is not reused before the whole body was sent. The rest of a refused body is read for 2 s at most, so that the caller receives the response.

--- a/crates/chicoryrail-core/src/site/site.rs
+++ b/crates/chicoryrail-core/src/site/site.rs
@@ -6,6 +6,7 @@
 use crate::Organisation;
 use crate::OrganisationName;
 use crate::Route;
+use crate::RouteKind;
 use crate::ServiceName;
 use crate::ServiceSpec;
 
@@ -19,6 +20,7 @@
     /// Services that routes refer to by name.
     pub services: Vec<ServiceSpec>,
     routes: Vec<Arc<Route>>,
+    has_uploads: bool,
     organisations: Option<Vec<Arc<Organisation>>>,
 }
 
@@ -40,6 +42,7 @@
             version,
             limits,
             services,
+            has_uploads: routes.iter().any(|r| r.kind == RouteKind::Upload),
             routes: routes.into_iter().map(Arc::new).collect(),
             organisations: None,
         }
@@ -83,6 +86,12 @@
             .find(|r| path.starts_with(&*r.prefix))
     }
 
+    /// Returns `true` if there is a route for uploads.
+    #[must_use]
+    pub const fn has_uploads(&self) -> bool {
+        self.has_uploads
+    }
+
     /// Returns `true` if more than half of the routes that lead to a service tolerate waiting.
     #[must_use]
     pub fn tolerates_waiting(&self, service: &ServiceName) -> bool {
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -37,6 +37,8 @@
 //! [`CrashTable`] finds requests that end each server that runs them, and [`ProbeLimiter`] lets suspected ones run one at a
 //! time.
 //!
+//! [`UploadPlan`] decides whether an upload is admitted and how much of it is read before it takes a slot.
+//!
 //! See also [`WarmupPacer`] for servers that warm up, [`RetryBudget`] for retries, and [`retry_after`] for the time
 //! that a refused caller is told to wait before it retries.
 
@@ -46,6 +48,7 @@
 mod quota;
 mod scheduler;
 mod server_id;
+mod upload;
 
 pub use admission::ApiKeyIndex;
 pub use admission::Freshness;
@@ -88,3 +91,6 @@
 pub use scheduler::SlotRelease;
 pub use scheduler::SlotRequest;
 pub use server_id::ServerId;
+pub use upload::UPLOAD_WINDOW_BYTES;
+pub use upload::UploadPlan;
+pub use upload::UploadReading;
--- a/crates/chicoryrail-router/src/options.rs
+++ b/crates/chicoryrail-router/src/options.rs
@@ -4,6 +4,7 @@
 use bpaf::Parser;
 use bpaf::construct;
 use bpaf::long;
+use chicoryrail_policy::UploadReading;
 use chicoryrail_runtime::setting_parser;
 
 /// Default maximum of log lines per second: enough for all failures of a small host and a share of its other
@@ -22,6 +23,8 @@
     pub log_lines: u32,
     /// One in this many requests without anomalies is logged; 0 for none.
     pub log_ordinary: u32,
+    /// How much of an upload is read before it takes a slot of a server.
+    pub upload_reading: UploadReading,
     /// Whether to read the settings, print them and exit.
     pub check: bool,
 }
@@ -50,6 +53,13 @@
         "Log one in N requests without anomalies, 0 for none (20)",
     )
     .fallback(LOG_ORDINARY_DEFAULT);
+    let upload_reading = setting_parser(
+        "upload-reading",
+        "CHICORYRAIL_UPLOAD_READING",
+        "ORDER",
+        "What of an upload is read before it takes a slot: whole, start or slot-first (whole)",
+    )
+    .fallback(UploadReading::default());
     let check = long("check")
         .help("Read the boot file, print the parsed settings and exit")
         .switch();
@@ -57,6 +67,7 @@
         metrics_port,
         log_lines,
         log_ordinary,
+        upload_reading,
         check
     })
     .to_options()
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -92,6 +92,7 @@
         let begun = self.router.now();
         loop {
             let Permitted { assignment, probe } = self.acquire_permitted(begun).await?;
+            self.read_upload_start().await?;
             let target = Rc::clone(&assignment.0);
             let life = target.life.clone();
             let response_timeout = self.attempt_timeout();
@@ -133,6 +134,16 @@
         }
     }
 
+    /// Reads the start of an upload that took its slot before it was read.
+    async fn read_upload_start(&self) -> Result<(), Refusal> {
+        if self.body.flow().is_none() {
+            return Ok(());
+        }
+        let left = self.call.time_left(self.router.now());
+        let read = self.body.prefetch(left).await;
+        read.map_err(|error| Cause::from(error).into())
+    }
+
     /// Waits for a server, and until the request may be sent; `begun` is when the request began to wait.
     async fn acquire_permitted(&self, begun: Millis) -> Result<Permitted, Refusal> {
         let (router, call, body) = (self.router, self.call, self.body);
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -8,7 +8,6 @@
 use chicoryrail_core::RouteKind;
 use chicoryrail_platform::call_header;
 use chicoryrail_runtime::Body;
-use chicoryrail_runtime::BodyError;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
 use http::HeaderValue;
@@ -16,6 +15,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONNECTION;
+use http::header::EXPECT;
 use http::request::Parts;
 use monoio::time::timeout;
 
@@ -25,6 +25,7 @@
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::route::serving_guard::ServingGuard;
+use crate::route::upload;
 use crate::state::Router;
 
 /// Process age up to which requests wait for the first configuration instead of being refused.
@@ -44,9 +45,13 @@
     let _serving = ServingGuard::new(&router);
     let (head, body) = request.into_parts();
     let id = head.headers.get(call_header::REQUEST_ID).cloned();
+    let expects_continue = head.headers.contains_key(EXPECT);
     await_config(&router).await;
     let mut response = match CallerRequest::parse(&router, head, from) {
-        Ok(call) => run(&router, call, body).await,
+        Ok(call) => {
+            let body = upload::wrap_body(&router, &call, body, expects_continue);
+            run(&router, call, body).await
+        }
         Err(cause) => refuse_unparsed(&router, id.as_ref(), cause),
     };
     if let Some(id) = id {
@@ -83,9 +88,7 @@
     route.is_some_and(|r| r.kind == RouteKind::Read)
 }
 
-async fn run(router: &Rc<Router>, call: CallerRequest, body: Body) -> Response<Body> {
-    let limit = router.site().map_or(u64::MAX, |s| s.limits.max_body);
-    let body = RequestBody::new(body, limit);
+async fn run(router: &Rc<Router>, call: CallerRequest, body: Rc<RequestBody>) -> Response<Body> {
     let call = Rc::new(call);
     let mut guard = AbandonGuard::new(router, &call);
     let result = match call.route.kind.idempotency() {
@@ -93,7 +96,11 @@
         // The task outlives this future, so that a server completes what it has begun when the caller disconnects.
         Idempotency::AtMostOnce => {
             let (router, call) = (Rc::clone(router), Rc::clone(&call));
-            let task = monoio::spawn(async move { forward(&router, &call, &body).await });
+            let task = monoio::spawn(async move {
+                let result = forward(&router, &call, &body).await;
+                upload::finish(&router, &call, &body, &result);
+                result
+            });
             task.await
         }
     };
@@ -138,14 +145,12 @@
     call: &CallerRequest,
     body: &Rc<RequestBody>,
 ) -> Result<Response<Body>, Refusal> {
-    let time_left = call.time_left(router.now());
-    body.prefetch(time_left)
-        .await
-        .map_err(|error| match error {
-            BodyError::TooLarge => Cause::TooLarge,
-            BodyError::Slow => Cause::SlowBody,
-            BodyError::Cut => Cause::BadBody,
-        })?;
+    if let Some(flow) = body.flow() {
+        upload::admit(router, call, body, flow).await?;
+    } else {
+        let time_left = call.time_left(router.now());
+        body.prefetch(time_left).await.map_err(Cause::from)?;
+    }
     attempts::run(router, call, body).await
 }
 
@@ -161,7 +166,7 @@
     let (outcome, response) = match result {
         Ok(response) => {
             let outcome = outcome(&response, took, call.route.latency_target);
-            if is_sampled(router, call) || outcome != "in_time" {
+            if call.is_sampled(router) || outcome != "in_time" {
                 log_end(call, outcome, took, Some(response.status()), None);
             }
             (outcome, response)
@@ -262,17 +267,6 @@
     }
 }
 
-/// Returns `true` if a request that succeeded in time is in the logged sample, one in `--log-ordinary`, selected by a
-/// hash of the request's id; an interval of 0 logs none.
-pub(super) fn is_sampled(router: &Router, call: &CallerRequest) -> bool {
-    let sample_interval = router.options.log_ordinary;
-    let hash = call
-        .id
-        .bytes()
-        .fold(0_u32, |h, b| h.wrapping_mul(31).wrapping_add(b.into()));
-    sample_interval > 0 && hash % sample_interval == 0
-}
-
 /// Refuses a request that [`CallerRequest::parse`] rejected.
 fn refuse_unparsed(router: &Router, id: Option<&HeaderValue>, cause: Cause) -> Response<Body> {
     let id = id.and_then(|v| v.to_str().ok()).unwrap_or("-");
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -258,6 +258,17 @@
         length.unwrap_or(0)
     }
 
+    /// Returns `true` if a request that succeeded in time is in the logged sample, one in `--log-ordinary`, selected by a
+    /// hash of the request's id; an interval of 0 logs none.
+    pub(crate) fn is_sampled(&self, router: &Router) -> bool {
+        let sample_interval = router.options.log_ordinary;
+        let hash = self
+            .id
+            .bytes()
+            .fold(0_u32, |h, b| h.wrapping_mul(31).wrapping_add(b.into()));
+        sample_interval > 0 && hash % sample_interval == 0
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self, now: Millis) -> Millis {
         self.deadline.since(now)
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -60,6 +60,7 @@
         target.pool.release(conn);
         return Ok(SendOutcome::NotRun(NotRun::Suspected));
     }
+    in_flight.body_sent = body.sent_flag();
     let conn = in_flight.attach(conn);
     let request = new_request(call, &target, body, router.now());
     let response = match conn.sender.try_send_request(request).await {
@@ -67,7 +68,10 @@
         Err(mut error) => {
             // The error returns the request only if it was never written.
             if error.take_message().is_none() {
-                let why = explain_break(router, call, body, &in_flight, error.error()).await;
+                let why = match body.upload_error() {
+                    Some(failed) => Indeterminate::BodyFailed(failed),
+                    None => explain_break(router, call, body, &in_flight, error.error()).await,
+                };
                 return Ok(SendOutcome::Indeterminate(why));
             }
             in_flight.detach();
--- a/crates/chicoryrail-router/src/route/forward.rs
+++ b/crates/chicoryrail-router/src/route/forward.rs
@@ -170,6 +170,7 @@
     };
     let target = &in_flight.target;
     let mut request = new_request(call, target, body, router.now());
+    in_flight.body_sent = body.sent_flag();
     let head = ForwardHead {
         service: in_flight.service.name.clone(),
         life: target.life.clone(),
@@ -187,7 +188,8 @@
     };
     // The error returns the request only if it was never written.
     if error.take_message().is_none() {
-        return Asked::MayHaveRun(Indeterminate::Broken);
+        let failed = body.upload_error().map(Indeterminate::BodyFailed);
+        return Asked::MayHaveRun(failed.unwrap_or(Indeterminate::Broken));
     }
     in_flight.detach();
     Asked::NotSent(Box::new(in_flight), None)
@@ -242,7 +244,7 @@
     end: Option<ForwardEnd>,
 ) -> Asked {
     let reuse = !chicoryrail_runtime::is_connection_close(response.headers());
-    let read = response_body::read_start(response.into_body(), END_BODY_BYTES_MAX).await;
+    let read = response_body::read_start(response.into_body(), END_BODY_BYTES_MAX, None).await;
     let is_whole = matches!(read, Ok(response_body::BodyStart::Whole(_)));
     if let Some((conn, pool)) = in_flight.detach().filter(|_| reuse && is_whole) {
         pool.release(conn);
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_policy::PathChoice;
+use chicoryrail_policy::UploadPlan;
 use chicoryrail_policy::Withheld;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::RequestBody;
@@ -21,7 +22,6 @@
 use crate::messages::FORWARD_PREFIX;
 use crate::messages::ForwardEnd;
 use crate::messages::ForwardHead;
-use crate::route::caller::is_sampled;
 use crate::route::caller_request::CallerRequest;
 use crate::route::candidates::permit;
 use crate::route::direct::send_directly;
@@ -30,6 +30,7 @@
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
 use crate::route::serving_guard::ServingGuard;
+use crate::route::upload;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::check_path;
@@ -68,15 +69,14 @@
         return report(ForwardEnd::Unknown);
     };
     let started = router.now();
-    let limit = router.site().map_or(u64::MAX, |s| s.limits.max_body);
-    let body = RequestBody::new(body, limit);
+    let body = upload::wrap_body(&router, &call, body, false);
     let (end, response) = match pass_on(&router, &head, &call, &body).await {
         Ok(response) => (ForwardEnd::Answered, response),
         Err(end) => (end, report(end)),
     };
     let labels = [head.service.as_str(), end.name()];
     router.counters.forwarded.with_label_values(&labels).inc();
-    if end != ForwardEnd::Answered || is_sampled(&router, &call) {
+    if end != ForwardEnd::Answered || call.is_sampled(&router) {
         log::info!(request = call.id, server:% = head.life, service:% = head.service,
             from:% = from.ip(), took_ms = router.now().since(started).0; "forwarded_{}", end.name());
     }
@@ -96,6 +96,11 @@
     body: &Rc<RequestBody>,
 ) -> Result<Response<Body>, ForwardEnd> {
     let _forwarding = ForwardingGuard::begin(router).ok_or(ForwardEnd::Busy)?;
+    if let Some(flow) = body.flow() {
+        let (declared, free) = (body.declared_rest(), router.budget.free());
+        let plan = UploadPlan::passed_on(declared, free).ok_or(ForwardEnd::Busy)?;
+        flow.hold(router.budget.take(plan.held));
+    }
     let service = router.service(&head.service);
     let target = service.target(&head.life).ok_or(ForwardEnd::Unknown)?;
     let now = router.now();
@@ -145,7 +150,8 @@
             }
         },
         SendOutcome::Indeterminate(why) => match why {
-            Indeterminate::Broken => ForwardEnd::Broken,
+            // A body that fails here has failed at the host that sent it, which knows why.
+            Indeterminate::Broken | Indeterminate::BodyFailed(_) => ForwardEnd::Broken,
             Indeterminate::Ended => ForwardEnd::Ended,
             Indeterminate::Crossed => ForwardEnd::Crossed,
             Indeterminate::Spoiled => ForwardEnd::Spoiled,
--- a/crates/chicoryrail-router/src/route/in_flight.rs
+++ b/crates/chicoryrail-router/src/route/in_flight.rs
@@ -1,5 +1,6 @@
 //! Counts a request at a server until it has ended there.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use chicoryrail_runtime::ServerConn;
@@ -23,6 +24,8 @@
     /// Released when the request has ended; `None` if this host passes the request on for another one, which holds the
     /// slot.
     pub(crate) slot: Option<Rc<SlotGuard>>,
+    /// Whether the whole body was sent; `None` if the request is no upload. A server may respond before that.
+    pub(crate) body_sent: Option<Rc<Cell<bool>>>,
 }
 
 impl InFlight {
@@ -39,6 +42,7 @@
             conn: None,
             forwarder: None,
             slot,
+            body_sent: None,
         }
     }
 
@@ -77,7 +81,8 @@
     /// Ends the request after its complete response. If `reuse` is set, the connection returns to the pool of a server
     /// that is ready.
     pub(crate) fn complete(mut self, reuse: bool) {
-        let keeps = reuse && (!self.is_direct() || self.target.keeps_connections());
+        let is_sent = self.body_sent.as_ref().is_none_or(|sent| sent.get());
+        let keeps = reuse && is_sent && (!self.is_direct() || self.target.keeps_connections());
         if let Some((conn, pool)) = self.detach().filter(|_| keeps) {
             pool.release(conn);
         }
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -3,10 +3,12 @@
 use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::BodyError;
 use chicoryrail_runtime::full_body;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use http::header::CONNECTION;
 use http::header::RETRY_AFTER;
 use http::header::WWW_AUTHENTICATE;
 
@@ -36,6 +38,8 @@
     BadBody,
     /// The request body arrived too slowly.
     SlowBody,
+    /// This host has no memory left for the body of another upload.
+    HostMemory,
     /// The service has no server that accepts work, or none could be reached.
     NoServer,
     /// This host can't reach the servers that may run the request, and no other host could pass it on.
@@ -60,12 +64,19 @@
     Broken,
     /// The request was sent to a server, which did not respond in time.
     Silent,
+    /// The body of an upload was truncated, malformed or too long after a part of it was sent to a server.
+    BrokenBody,
+    /// The caller of an upload stopped sending after a part of the body was sent to a server.
+    StalledBody,
 }
 
 impl Cause {
     /// Returns `true` if the response promises that the request has not run and never will.
     pub(crate) const fn promises_not_run(self) -> bool {
-        !matches!(self, Self::Broken | Self::Silent)
+        !matches!(
+            self,
+            Self::Broken | Self::Silent | Self::BrokenBody | Self::StalledBody
+        )
     }
 
     /// Returns the name in logs, metrics and the body of the response.
@@ -81,6 +92,7 @@
             Self::TooLarge => "too_large",
             Self::BadBody => "bad_body",
             Self::SlowBody => "slow_body",
+            Self::HostMemory => "host_memory",
             Self::NoServer => "no_server",
             Self::NoPath => "no_path",
             Self::Full => "full",
@@ -93,6 +105,8 @@
             Self::Late => "late",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::BrokenBody => "broken_body",
+            Self::StalledBody => "stalled_body",
         }
     }
 
@@ -108,6 +122,7 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfig
             | Self::StaleConfig
+            | Self::HostMemory
             | Self::NoServer
             | Self::NoPath
             | Self::Full
@@ -118,8 +133,8 @@
             | Self::Blocked
             | Self::CallerLeft
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Broken => StatusCode::BAD_GATEWAY,
-            Self::Silent => StatusCode::GATEWAY_TIMEOUT,
+            Self::Broken | Self::BrokenBody => StatusCode::BAD_GATEWAY,
+            Self::Silent | Self::StalledBody => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 }
@@ -142,6 +157,11 @@
             let headers = response.headers_mut();
             headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static(CHALLENGE));
         }
+        if matches!(self.cause, Cause::BrokenBody | Cause::StalledBody) {
+            // The rest of the body can't be told from a next request.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
         if let Some(retry_after) = self.retry_after {
             let seconds = format!("{:.3}", retry_after.0 as f64 / 1_000.0);
             if let Ok(value) = HeaderValue::try_from(seconds) {
@@ -152,6 +172,17 @@
     }
 }
 
+impl From<BodyError> for Cause {
+    /// Returns the cause with which a request is refused of whose body nothing was sent.
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::TooLarge,
+            BodyError::Slow => Self::SlowBody,
+            BodyError::Cut => Self::BadBody,
+        }
+    }
+}
+
 impl From<Cause> for Refusal {
     fn from(cause: Cause) -> Self {
         Self {
--- a/crates/chicoryrail-router/src/route/response_body.rs
+++ b/crates/chicoryrail-router/src/route/response_body.rs
@@ -10,6 +10,7 @@
 use bytes::BytesMut;
 use chicoryrail_core::RouteKind;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::HeldBytes;
 use chicoryrail_runtime::full_body;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
@@ -26,6 +27,9 @@
 /// have arrived, so over slow links the times of both transfers add up for a large buffer.
 const DOWNLOAD_BUFFER_BYTES_MAX: usize = 16 << 10;
 
+/// Bytes that a streamed response holds beyond its buffered start: what is read ahead from its server.
+const STREAM_BYTES: u64 = 64 << 10;
+
 /// Returns how many bytes of a response body are buffered for a kind of route.
 pub(crate) const fn buffer_limit(kind: RouteKind) -> usize {
     match kind {
@@ -38,30 +42,50 @@
 pub(crate) enum BodyStart {
     /// The complete body.
     Whole(Bytes),
-    /// The first bytes of a longer body, and the rest.
-    Partial(Bytes, Incoming),
+    /// The first bytes of a longer body, the rest, and what the rest holds of the budget.
+    Partial(Bytes, Incoming, Option<HeldBytes>),
 }
 
-/// Reads a response body, or the start of one that is longer than `limit` bytes.
+/// Reads a response body, or the start of one that is longer than `limit` bytes. If `held` is given, the bytes count
+/// against its budget until they are written to the caller.
 ///
 /// # Errors
 ///
 /// Returns an error if the body is truncated within its start.
-pub(crate) async fn read_start(mut body: Incoming, limit: usize) -> io::Result<BodyStart> {
+pub(crate) async fn read_start(
+    mut body: Incoming,
+    limit: usize,
+    mut held: Option<HeldBytes>,
+) -> io::Result<BodyStart> {
     let mut buffered = BytesMut::new();
     while buffered.len() <= limit {
         let frame = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await;
         match frame {
-            None => return Ok(BodyStart::Whole(buffered.freeze())),
+            None => return Ok(BodyStart::Whole(attach(held, buffered.freeze()))),
             Some(Err(e)) => return Err(io::Error::other(e)),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
+                    if let Some(held) = &mut held {
+                        held.grow(data.len() as u64);
+                    }
                     buffered.extend_from_slice(&data);
                 }
             }
         }
     }
-    Ok(BodyStart::Partial(buffered.freeze(), body))
+    let rest_held = held.as_ref().map(|held| held.sibling(STREAM_BYTES));
+    Ok(BodyStart::Partial(
+        attach(held, buffered.freeze()),
+        body,
+        rest_held,
+    ))
+}
+
+fn attach(held: Option<HeldBytes>, data: Bytes) -> Bytes {
+    match held {
+        Some(held) => held.attach(data),
+        None => data,
+    }
 }
 
 /// Converts the start of a body into the caller's body, which ends the request in flight when it is complete.
@@ -71,9 +95,10 @@
             in_flight.complete(reuse);
             full_body(bytes)
         }
-        BodyStart::Partial(first, rest) => Box::pin(StreamedBody {
+        BodyStart::Partial(first, rest, held) => Box::pin(StreamedBody {
             first: Some(first),
             rest,
+            _held: held,
             in_flight: Some((in_flight, reuse)),
         }),
     }
@@ -84,6 +109,7 @@
 struct StreamedBody {
     first: Option<Bytes>,
     rest: Incoming,
+    _held: Option<HeldBytes>,
     /// The request, and whether its connection may be reused; `None` once the body has ended.
     in_flight: Option<(InFlight, bool)>,
 }
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -1,12 +1,17 @@
 //! Sends a request to a server once.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
 
 use chicoryrail_core::Millis;
 use chicoryrail_policy::PathChoice;
+use chicoryrail_runtime::BodyError;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
+use chicoryrail_runtime::UploadFlow;
+use futures_util::future::Either;
+use futures_util::future::select;
 use monoio::time::timeout;
 
 use crate::route::caller_request::CallerRequest;
@@ -37,6 +42,7 @@
     let now = router.now();
     let idle = service.loads.borrow().has_free_slot(now, target.id);
     let started = Instant::now();
+    let waited_before = body.flow().map(UploadFlow::caller_wait);
     call.stats.borrow_mut().via = None;
     let not_run = call.stats.borrow().possible_runs == 0;
     let invariants = &router.process.invariants;
@@ -46,9 +52,12 @@
         || format!("request={} server={}", call.id, target.life),
     );
     let in_flight = InFlight::new(service, target, Some(Rc::clone(&slot)));
-    let exchange = exchange(router, call, body, in_flight);
+    let exchange = exchange_unless_cut(router, call, body, in_flight);
     let sent = match timeout(response_timeout.to_duration(), exchange).await {
         Ok(sent) => sent,
+        Err(_) if body.flow().is_some_and(UploadFlow::awaits_caller) => {
+            SendOutcome::Indeterminate(Indeterminate::BodyFailed(BodyError::Slow))
+        }
         Err(_) => {
             if call.stats.borrow().via.is_none() {
                 record_silence(router, service, target);
@@ -63,11 +72,17 @@
         call.stats.borrow_mut().possible_runs += 1;
     }
     let now = router.now();
-    let elapsed_us = started.elapsed().as_micros() as f64;
-    // A request that was not sent says nothing of the server.
+    let mut elapsed = started.elapsed();
+    // The time for which the server waited for the rest of an upload is not its own.
+    if let (Some(flow), Some(before)) = (body.flow(), waited_before) {
+        elapsed = elapsed.saturating_sub(flow.caller_wait().saturating_sub(before));
+    }
+    let elapsed_us = elapsed.as_micros() as f64;
+    // A request that was not sent, or not completely, says nothing of the server.
     if !matches!(
         sent,
         SendOutcome::NotRun(NotRun::NoPath | NotRun::Suspected)
+            | SendOutcome::Indeterminate(Indeterminate::BodyFailed(_))
     ) {
         slot.record_end(elapsed_us, sent.failure());
     }
@@ -87,6 +102,24 @@
     sent
 }
 
+/// Sends a request like [`exchange`], and ends an upload whose caller disconnects before it has sent the whole body. The
+/// server can't run it any more, and its slot must not wait until the server takes the next bytes.
+async fn exchange_unless_cut(
+    router: &Rc<Router>,
+    call: &CallerRequest,
+    body: &Rc<RequestBody>,
+    in_flight: InFlight,
+) -> SendOutcome {
+    if body.flow().is_none() {
+        return exchange(router, call, body, in_flight).await;
+    }
+    let sent = pin!(exchange(router, call, body, in_flight));
+    match select(sent, pin!(body.cut_off())).await {
+        Either::Left((sent, _)) => sent,
+        Either::Right(_) => SendOutcome::Indeterminate(Indeterminate::BodyFailed(BodyError::Cut)),
+    }
+}
+
 /// Sends a request directly, or through another host if this one can't reach the server.
 async fn exchange(
     router: &Rc<Router>,
--- a/crates/chicoryrail-router/src/route/send_outcome.rs
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -3,6 +3,7 @@
 use chicoryrail_policy::Failure;
 use chicoryrail_policy::Withheld;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::BodyError;
 use http::Response;
 
 use crate::route::refusal::Cause;
@@ -52,6 +53,8 @@
     Spoiled,
     /// No response arrived in time.
     Silent,
+    /// The caller's body broke off or stalled while it was being sent. It says nothing of the server.
+    BodyFailed(BodyError),
 }
 
 impl NotRun {
@@ -85,6 +88,8 @@
     pub(crate) const fn cause(self) -> Cause {
         match self {
             Self::Silent => Cause::Silent,
+            Self::BodyFailed(BodyError::Slow) => Cause::StalledBody,
+            Self::BodyFailed(BodyError::Cut | BodyError::TooLarge) => Cause::BrokenBody,
             Self::Broken | Self::Ended | Self::Crossed | Self::Spoiled => Cause::Broken,
         }
     }
@@ -108,6 +113,7 @@
             Self::Indeterminate(Indeterminate::Crossed) => "crossed",
             Self::Indeterminate(Indeterminate::Spoiled) => "spoiled",
             Self::Indeterminate(Indeterminate::Silent) => "silent",
+            Self::Indeterminate(Indeterminate::BodyFailed(_)) => "body_failed",
         }
     }
 
@@ -121,7 +127,8 @@
                 | NotRun::Suspected
                 | NotRun::CallerLeft
                 | NotRun::Withheld(_),
-            ) => None,
+            )
+            | Self::Indeterminate(Indeterminate::BodyFailed(_)) => None,
             Self::ServerError(_) => Some(Failure::Error),
             Self::NotRun(NotRun::Refused) => Some(Failure::Full),
             Self::NotRun(NotRun::Unreachable)
--- a/crates/chicoryrail-router/src/route/server_exchange.rs
+++ b/crates/chicoryrail-router/src/route/server_exchange.rs
@@ -65,8 +65,11 @@
         return SendOutcome::Indeterminate(Indeterminate::Spoiled);
     }
     let reuse = !is_connection_close(&head.headers);
+    let held = router.response_budget().map(|budget| budget.take(0));
     let start =
-        match response_body::read_start(body, response_body::buffer_limit(call.route.kind)).await {
+        match response_body::read_start(body, response_body::buffer_limit(call.route.kind), held)
+            .await
+        {
             Ok(start) => start,
             Err(_) => return SendOutcome::Indeterminate(Indeterminate::Spoiled),
         };
@@ -84,7 +87,8 @@
 
 /// Discards a short response body, so that the connection can be reused.
 async fn drain(body: Incoming, in_flight: InFlight) {
-    let read = response_body::read_start(body, response_body::buffer_limit(RouteKind::Read)).await;
+    let read =
+        response_body::read_start(body, response_body::buffer_limit(RouteKind::Read), None).await;
     if matches!(read, Ok(response_body::BodyStart::Whole(_))) {
         in_flight.complete(true);
     }
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -240,6 +240,7 @@
         last = now;
         router.apply_view_changes(&[]);
         update_config_age(&router);
+        router.counters.held_bytes.set(router.budget.held() as i64);
         maintain_paths(&router);
         let ready = can_serve(&router);
         if ready != router.process.is_ready() && !router.process.stop.is_cancelled() {
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -22,6 +22,10 @@
     pub(crate) requests: IntCounterVec,
     /// Requests that this host refused, by service and cause.
     pub(crate) refusals: IntCounterVec,
+    /// Uploads that ended without a server's response, by service and cause.
+    pub(crate) uploads_refused: IntCounterVec,
+    /// Bytes held of the memory for bodies.
+    pub(crate) held_bytes: IntGauge,
     /// Attempts at servers by service and result.
     pub(crate) sends: IntCounterVec,
     /// Requests that other hosts were asked to pass on, by service and end.
@@ -76,6 +80,15 @@
                 "Requests that this host refused, by service and cause",
                 &["service", "cause"],
             ),
+            uploads_refused: metrics.counter_family(
+                "uploads_refused_total",
+                "Uploads that ended without a server's response, by service and cause",
+                &["service", "cause"],
+            ),
+            held_bytes: metrics.gauge(
+                "held_bytes",
+                "Bytes held for bodies of uploads, and for responses beside them",
+            ),
             sends: metrics.counter_family(
                 "sends_total",
                 "Attempts at servers, by service and result",
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -27,6 +27,7 @@
 use chicoryrail_policy::QuotaTolerance;
 use chicoryrail_policy::RetryLimits;
 use chicoryrail_policy::WeightedRoundRobin;
+use chicoryrail_runtime::ByteBudget;
 use chicoryrail_runtime::ChangeSignal;
 use chicoryrail_runtime::HttpLimits;
 use chicoryrail_runtime::Process;
@@ -70,6 +71,10 @@
 /// Time without a relay request after which a leaf host no longer counts as one that uses this host as relay.
 const LEAF_TIMEOUT: Millis = Millis(3_000);
 
+/// Divisor of the memory limit of the process; the result is the memory for bodies of uploads and for responses. The rest
+/// is for the connections' own buffers, the view of the store, and what the allocator does not return.
+const BODY_MEMORY_DIVISOR: u64 = 4;
+
 /// State that all tasks of the process share: settings, view of the store, services, peers and metrics.
 #[derive(Debug)]
 pub(crate) struct Router {
@@ -89,6 +94,8 @@
     pub(crate) forwarding: Cell<u32>,
     /// Whether requests find a way to servers.
     pub(crate) server_reach: ServerReach,
+    /// Memory for bodies of uploads, and for responses while the configuration has a route for uploads.
+    pub(crate) budget: ByteBudget,
     /// HTTP limits for callers' connections.
     pub(crate) limits: SharedLimits,
     /// Number of requests in progress.
@@ -151,6 +158,7 @@
             forwarders: Forwarders::default(),
             forwarding: Cell::new(0),
             server_reach: ServerReach::default(),
+            budget: ByteBudget::new(body_memory(&boot)),
             limits: Rc::new(Cell::new(limits)),
             serving: Cell::new(0),
             store_up: Cell::new(false),
@@ -188,6 +196,7 @@
     /// sockets are already bound.
     pub(crate) fn reload(&self, boot: Boot) -> bool {
         let changed = **self.boot.borrow() != boot;
+        self.budget.set_limit(body_memory(&boot));
         *self.boot.borrow_mut() = Rc::new(boot);
         changed
     }
@@ -202,6 +211,12 @@
         self.store_view.borrow().site().cloned()
     }
 
+    /// Returns the budget that responses count against; `None` if the configuration has no route for uploads.
+    pub(crate) fn response_budget(&self) -> Option<&ByteBudget> {
+        let view = self.store_view.borrow();
+        view.site()?.has_uploads().then_some(&self.budget)
+    }
+
     /// Returns `true` if this host has a configuration and knows the blocked requests.
     pub(crate) fn has_first_content(&self) -> bool {
         let view = self.store_view.borrow();
@@ -451,6 +466,11 @@
     }
 }
 
+/// Returns the memory for bodies, in bytes.
+fn body_memory(boot: &Boot) -> u64 {
+    boot.limits.memory_mb.saturating_mul(1_000_000) / BODY_MEMORY_DIVISOR
+}
+
 /// Returns the maximum number of callers' connections for the file descriptors of the process: a quarter is left for
 /// servers, the store and other hosts.
 fn max_connections(boot: &Boot) -> u32 {
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -126,6 +126,25 @@
         self.put("op/config", &config).await;
     }
 
+    /// Writes a configuration with an additional upload route, `/upload/`, for bodies of at most 2 MB. A caller that
+    /// sends nothing for `silence_max` loses its request.
+    pub async fn configure_uploads(&self, silence_max: Millis) {
+        let mut config = self.next_config();
+        config["limits"]["max_body_bytes"] = json!(2_000_000);
+        // A host that has just started takes a 64th of the connections.
+        config["services"][0]["max_connections"] = json!(12_800);
+        config["limits"]["header_timeout_ms"] = json!(silence_max.0);
+        config["virtual_hosts"][0]["paths"]
+            .as_array_mut()
+            .unwrap()
+            .push(
+                json!({"name": "upload", "prefix": "/upload/", "type": "upload",
+                "timeout_ms": 10_000, "target_latency_ms": 1_500, "priority": 1, "attempts": 2,
+                "service": "desk"}),
+            );
+        self.put("op/config", &config).await;
+    }
+
     /// Returns the address of the store.
     pub fn store_addr(&self) -> SocketAddr {
         self.store_addr
@@ -280,6 +299,21 @@
         self.spawn_on(name, "0.5")
     }
 
+    /// Starts a router process on a host with this memory limit, with more arguments, and waits until it is ready for
+    /// callers.
+    pub async fn router_with_memory(
+        &self,
+        name: &str,
+        memory_mb: u64,
+        args: &[&str],
+    ) -> RouterProcess {
+        let memory = format!("memory_mb = {memory_mb}");
+        let boot = include_str!("boot.toml").replace("memory_mb = 300", &memory);
+        let router = self.spawn_with(name, "0.5", self.store_addr, &boot, args);
+        wait_until("the router is ready", async || router.is_ready().await).await;
+        router
+    }
+
     /// Starts a router process on a host with a small CPU share, and waits until it is ready for callers.
     pub async fn low_power_router(&self, name: &str) -> RouterProcess {
         let router = self.spawn_on(name, LOW_CPU_SHARE);
@@ -298,9 +332,20 @@
     }
 
     fn spawn_at(&self, name: &str, cpu_share: &str, store: SocketAddr) -> RouterProcess {
+        self.spawn_with(name, cpu_share, store, include_str!("boot.toml"), &[])
+    }
+
+    fn spawn_with(
+        &self,
+        name: &str,
+        cpu_share: &str,
+        store: SocketAddr,
+        boot_text: &str,
+        args: &[&str],
+    ) -> RouterProcess {
         let [callers, readiness, peer_addr] = [(); 3].map(|()| free_addr().unwrap());
         let boot = self.dir.join(format!("{name}.toml"));
-        let text = include_str!("boot.toml")
+        let text = boot_text
             .replace("NAME", name)
             .replace("CORE", cpu_share)
             .replace("CALLERS", &callers.to_string())
@@ -316,6 +361,7 @@
             .env(CUT_FILE_VARIABLE, self.dir.join(format!("{name}.cut")))
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
             .args(["--log-ordinary", "1", "--log-lines", "5000"])
+            .args(args)
             .stdout(log)
             .stderr(Stdio::inherit());
         let child = spawn_process(&mut command).unwrap();
@@ -391,9 +437,18 @@
 
     /// Returns the resident memory of the process, in KiB.
     pub fn memory(&self) -> u64 {
+        self.memory_field("VmRSS:")
+    }
+
+    /// Returns the highest resident memory that the process has had, in KiB.
+    pub fn peak_memory(&self) -> u64 {
+        self.memory_field("VmHWM:")
+    }
+
+    fn memory_field(&self, name: &str) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
         let text = std::fs::read_to_string(path).unwrap();
-        let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        let line = text.lines().find_map(|l| l.strip_prefix(name));
         let number = line.unwrap().trim().trim_end_matches(" kB");
         number.parse().unwrap()
     }
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -21,11 +21,13 @@
 
 mod bind;
 mod body;
+mod byte_budget;
 mod callers;
 mod clock;
 mod connect;
 #[cfg(feature = "fault-injection")]
 mod cut_paths;
+mod held_bytes;
 mod hop_by_hop;
 mod http_client;
 mod invariant;
@@ -35,10 +37,12 @@
 mod metrics;
 mod process;
 mod request_body;
+mod send_window;
 mod server_pool;
 mod settings;
 mod signal;
 mod start;
+mod upload_flow;
 mod work_pacer;
 
 pub use bind::bind_listener;
@@ -46,6 +50,7 @@
 pub use body::collect_body;
 pub use body::empty_body;
 pub use body::full_body;
+pub use byte_budget::ByteBudget;
 pub use callers::HeadScanner;
 pub use callers::HttpLimits;
 pub use callers::ScannedHead;
@@ -56,6 +61,7 @@
 pub use connect::check_address;
 #[cfg(feature = "fault-injection")]
 pub use cut_paths::CUT_FILE_VARIABLE;
+pub use held_bytes::HeldBytes;
 pub use hop_by_hop::strip_hop_by_hop;
 pub use http_client::HttpClient;
 pub use http_client::HttpError;
@@ -70,6 +76,7 @@
 pub use process::Process;
 pub use request_body::BodyError;
 pub use request_body::RequestBody;
+pub use send_window::SendWindow;
 pub use server_pool::ServerConn;
 pub use server_pool::ServerPool;
 pub use settings::SettingError;
@@ -84,4 +91,6 @@
 pub use start::reload_signals;
 pub use start::stop_on_signal;
 pub use tokio_util::sync::CancellationToken;
+pub use upload_flow::UploadFlow;
+pub use upload_flow::UploadLimits;
 pub use work_pacer::WorkPacer;
--- a/crates/chicoryrail-runtime/src/request_body.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -8,31 +8,61 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use chicoryrail_core::Millis;
 use hyper::body::Body as HttpBody;
 use hyper::body::Frame;
 use monoio::time::timeout;
 
 use crate::Body;
+use crate::UploadFlow;
+use crate::UploadLimits;
 use crate::empty_body;
 
 /// Bytes at the start of a body that are buffered for a retry. They are also read before the request takes a slot of
 /// a server, so that a caller that sends slowly does not occupy one meanwhile.
 const REPLAY_BYTES: usize = 16 << 10;
 
+/// Bytes of a block into which the chunks of a buffered upload are copied. Each chunk of a caller that sends a few bytes
+/// at a time occupies a read buffer of 8 KiB of its own.
+const BLOCK_BYTES: usize = 16 << 10;
+
+/// Size below which a chunk of a streamed upload is copied, for the same reason.
+const COPIED_CHUNK_BYTES: usize = 4 << 10;
+
+/// Longest time for which the rest of a refused upload is read and dropped. Closing the connection before the caller has
+/// sent it would reset the connection, and the caller would lose the response.
+const DISCARD_TIME_MAX: Millis = Millis(2_000);
+
+/// Bytes of a refused upload that are read and dropped at most.
+const DISCARD_BYTES_MAX: usize = 1 << 20;
+
 /// Why a caller's body can't be read completely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
     /// The body is longer than the limit.
     TooLarge,
-    /// The start of the body was not received in time.
+    /// The start of the body was not received in time, or the caller of an upload sent nothing for too long.
     Slow,
     /// The body ended early.
     Cut,
 }
 
+impl BodyError {
+    /// Returns the name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::TooLarge => "too_large",
+            Self::Slow => "slow",
+            Self::Cut => "cut",
+        }
+    }
+}
+
 /// A request's body. Its start is buffered and can be sent again; the rest is streamed once.
 pub struct RequestBody {
     inner: RefCell<Option<Body>>,
@@ -43,12 +73,26 @@
     /// Whether bytes were sent that are not buffered.
     streamed: Cell<bool>,
     error: Cell<Option<BodyError>>,
+    /// Flow control, if this is the body of an upload.
+    upload: Option<UploadFlow>,
+    /// The block to which the chunks of an upload are copied.
+    block: RefCell<BytesMut>,
 }
 
 impl RequestBody {
     /// Wraps a body of at most `max_bytes` bytes.
     #[must_use]
     pub fn new(body: Body, max_bytes: u64) -> Rc<Self> {
+        Self::with_flow(body, max_bytes, None)
+    }
+
+    /// Wraps the body of an upload, of at most `max_bytes` bytes.
+    #[must_use]
+    pub fn upload(body: Body, max_bytes: u64, limits: UploadLimits) -> Rc<Self> {
+        Self::with_flow(body, max_bytes, Some(UploadFlow::new(limits)))
+    }
+
+    fn with_flow(body: Body, max_bytes: u64, upload: Option<UploadFlow>) -> Rc<Self> {
         let ended = body.is_end_stream();
         // A declared length above the limit is refused before any byte is read.
         let too_large = body.size_hint().lower() > max_bytes;
@@ -60,15 +104,39 @@
             max_bytes,
             streamed: Cell::default(),
             error: Cell::new(too_large.then_some(BodyError::TooLarge)),
+            upload,
+            block: RefCell::default(),
         })
     }
 
+    /// Returns the flow control, if this is the body of an upload.
+    #[must_use]
+    pub const fn flow(&self) -> Option<&UploadFlow> {
+        self.upload.as_ref()
+    }
+
+    /// Returns the declared length of what was not read yet, in bytes; `None` if it is unknown.
+    #[must_use]
+    pub fn declared_rest(&self) -> Option<u64> {
+        let inner = self.inner.borrow();
+        inner.as_ref().map_or(Some(0), |b| b.size_hint().exact())
+    }
+
     /// Reads the start of the body into the buffer, for at most `limit`.
     ///
     /// # Errors
     ///
     /// Returns a [`BodyError`] if the body is too long, too slow or cut; nothing was sent.
     pub async fn prefetch(&self, limit: Millis) -> Result<(), BodyError> {
+        self.read_ahead(REPLAY_BYTES, limit).await
+    }
+
+    /// Reads the first `bytes` of the body into the buffer, or all of it if it is shorter, for at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`BodyError`] like [`Self::prefetch`].
+    pub async fn read_ahead(&self, bytes: usize, limit: Millis) -> Result<(), BodyError> {
         if let Some(error) = self.error.get() {
             return Err(error);
         }
@@ -76,7 +144,7 @@
             return Ok(());
         }
         let read_start = async {
-            while self.buffered_bytes.get() < REPLAY_BYTES {
+            while self.buffered_bytes.get() < bytes {
                 match poll_fn(|cx| self.poll_chunk(cx)).await {
                     Some(Ok(data)) => self.buffer(data),
                     Some(Err(_)) => return Err(self.error.get().unwrap_or(BodyError::Cut)),
@@ -85,9 +153,11 @@
             }
             Ok(())
         };
-        timeout(limit.to_duration(), read_start)
+        let read = timeout(limit.to_duration(), read_start)
             .await
-            .unwrap_or(Err(BodyError::Slow))
+            .unwrap_or(Err(BodyError::Slow));
+        self.end_block();
+        read
     }
 
     /// Returns `true` if the body can still be sent from its start.
@@ -96,6 +166,65 @@
         !self.streamed.get()
     }
 
+    /// Returns `true` if the caller has sent the whole body.
+    #[must_use]
+    pub fn is_received(&self) -> bool {
+        self.inner.borrow().is_none() && self.error.get().is_none()
+    }
+
+    /// Returns the number of bytes that the caller has sent so far.
+    #[must_use]
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes.get()
+    }
+
+    /// Returns a flag that is set once an upload was handed to the connection to its server as a whole. Until then that
+    /// connection can't carry another request, even if the response is complete. `None` if this is no upload.
+    #[must_use]
+    pub fn sent_flag(&self) -> Option<Rc<Cell<bool>>> {
+        self.upload.as_ref().map(|u| Rc::clone(&u.sent))
+    }
+
+    /// Waits until the caller of an upload disconnects before it has sent the whole body. Never returns otherwise.
+    pub async fn cut_off(&self) {
+        if let Some(upload) = &self.upload {
+            upload.caller_left().cancelled().await;
+            if !self.is_received() {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
+    /// Ends an upload: nothing more of it is sent. What its caller is still sending is read for a short time and dropped,
+    /// so that the caller receives its response.
+    pub fn discard(&self) {
+        let Some(upload) = &self.upload else {
+            return;
+        };
+        let Some(mut body) = self.inner.borrow_mut().take() else {
+            return;
+        };
+        // A send that is still in progress must not take this for the end of the body.
+        self.error.set(self.error.get().or(Some(BodyError::Cut)));
+        if upload.was_never_asked() {
+            return;
+        }
+        monoio::spawn(async move {
+            let read_rest = async {
+                let mut left = DISCARD_BYTES_MAX;
+                while let Some(Ok(frame)) = poll_fn(|cx| body.as_mut().poll_frame(cx)).await {
+                    let length = frame.data_ref().map_or(0, Bytes::len);
+                    if length >= left {
+                        return;
+                    }
+                    left -= length;
+                }
+            };
+            let _ = timeout(DISCARD_TIME_MAX.to_duration(), read_rest).await;
+        });
+    }
+
     /// Returns `true` if there is no body.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -124,6 +253,12 @@
         self.error.get()
     }
 
+    /// Returns why the body of an upload could not be read completely, if so.
+    #[must_use]
+    pub fn upload_error(&self) -> Option<BodyError> {
+        self.error.get().filter(|_| self.upload.is_some())
+    }
+
     /// Returns the body for one attempt to send the request.
     pub fn body(self: &Rc<Self>) -> Body {
         if self.is_empty() {
@@ -138,7 +273,37 @@
     fn buffer(&self, data: Bytes) {
         self.buffered_bytes
             .set(self.buffered_bytes.get() + data.len());
-        self.buffered.borrow_mut().push(data);
+        if self.upload.is_some() {
+            self.copy_to_block(&data);
+        } else {
+            self.buffered.borrow_mut().push(data);
+        }
+    }
+
+    fn copy_to_block(&self, mut data: &[u8]) {
+        while !data.is_empty() {
+            let mut block = self.block.borrow_mut();
+            if block.capacity() == 0 {
+                let rest = self.declared_rest().unwrap_or(u64::MAX);
+                let needed = rest.saturating_add(data.len() as u64);
+                block.reserve(needed.min(BLOCK_BYTES as u64) as usize);
+            }
+            let (now, later) = data.split_at(data.len().min(BLOCK_BYTES - block.len()));
+            block.extend_from_slice(now);
+            data = later;
+            let is_full = block.len() == BLOCK_BYTES;
+            drop(block);
+            if is_full {
+                self.end_block();
+            }
+        }
+    }
+
+    fn end_block(&self) {
+        let block = self.block.take();
+        if !block.is_empty() {
+            self.buffered.borrow_mut().push(block.freeze());
+        }
     }
 
     fn poll_chunk(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
@@ -147,10 +312,23 @@
             let Some(body) = inner.as_mut() else {
                 return Poll::Ready(self.error.get().map(|_| Err(io::Error::other("cut"))));
             };
+            if let Some(upload) = &self.upload {
+                upload.record_start();
+            }
             let frame = match body.as_mut().poll_frame(cx) {
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending => {
+                    if !self.upload.as_ref().is_some_and(|u| u.is_silent(cx)) {
+                        return Poll::Pending;
+                    }
+                    self.error.set(Some(BodyError::Slow));
+                    *inner = None;
+                    return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
+                }
                 Poll::Ready(frame) => frame,
             };
+            if let Some(upload) = &self.upload {
+                upload.record_received();
+            }
             match frame {
                 None => *inner = None,
                 Some(Err(e)) => {
@@ -169,6 +347,10 @@
                         *inner = None;
                         return Poll::Ready(Some(Err(io::Error::other("body exceeds the limit"))));
                     }
+                    // The declared length of an upload tells its end before a further read would.
+                    if self.upload.is_some() && body.is_end_stream() {
+                        *inner = None;
+                    }
                     return Poll::Ready(Some(Ok(data)));
                 }
             }
@@ -182,6 +364,26 @@
     next_chunk: usize,
 }
 
+impl SendAttempt {
+    /// Records the end of an upload once there is nothing more to send.
+    fn record_sent(&self) {
+        if let Some(upload) = self.source.upload.as_ref().filter(|_| self.is_end_stream()) {
+            upload.sent.set(true);
+        }
+    }
+
+    /// Counts a chunk of an upload in its window.
+    fn send_in_window(&self, data: Bytes) -> Bytes {
+        let Some(upload) = &self.source.upload else {
+            return data;
+        };
+        if data.len() < COPIED_CHUNK_BYTES {
+            return upload.window.send(Bytes::copy_from_slice(&data));
+        }
+        upload.window.send(data)
+    }
+}
+
 impl HttpBody for SendAttempt {
     type Data = Bytes;
     type Error = io::Error;
@@ -193,15 +395,23 @@
         let chunk = self.source.buffered.borrow().get(self.next_chunk).cloned();
         if let Some(data) = chunk {
             self.next_chunk += 1;
+            self.record_sent();
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
+        if let Some(upload) = &self.source.upload {
+            ready!(upload.window.poll_open(cx));
+        }
         match self.source.poll_chunk(cx) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Ready(None) => {
+                self.record_sent();
+                Poll::Ready(None)
+            }
             Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(e))),
             Poll::Ready(Some(Ok(data))) => {
                 self.source.streamed.set(true);
-                Poll::Ready(Some(Ok(Frame::data(data))))
+                self.record_sent();
+                Poll::Ready(Some(Ok(Frame::data(self.send_in_window(data)))))
             }
         }
     }
