feat(route): show whether an upload waits for its caller or its server

Cause: the line upload_ended named the bytes in flight at the end, which are always 0 by then, and no test covered a server that reads nothing, a slow reader of a response or an upload that passes through another host.

Change: the line has the time for which the server took nothing (server_wait_ms) and the most bytes in flight (window). Tests: an upload of 40 MB to a server that reads nothing holds 128 KiB and ends with its caller; a response counts until a slow reader has it, and not at all without an upload route; an upload reaches its server through another host.

--- a/crates/chicoryrail-router/src/route/upload.rs
+++ b/crates/chicoryrail-router/src/route/upload.rs
@@ -99,7 +99,7 @@
     log::info!(request = call.id, declared = call.body_bytes(), received = body.received_bytes(),
         whole = body.is_received(), error = error, from:% = call.from,
         caller_wait_ms = millis(flow.caller_wait()), silence_ms = millis(flow.longest_silence()),
-        window = flow.window_bytes(), held = flow.held_bytes(), free = router.budget.free(),
+        server_wait_ms = millis(flow.server_wait()), window = flow.window_peak(), held = flow.held_bytes(), free = router.budget.free(),
         server = call.stats.borrow().server.as_ref().map_or_else(|| "-".to_owned(), ToString::to_string);
         "upload_ended");
 }
--- a/crates/chicoryrail-router/tests/slow_uploads.rs
+++ b/crates/chicoryrail-router/tests/slow_uploads.rs
@@ -75,7 +75,7 @@
 fn slow_callers_of_large_bodies_stay_within_memory() {
     block_on(async {
         let world = World::start("slow-uploads").await;
-        world.configure_uploads(Millis(3_000)).await;
+        world.configure_uploads(Millis(3_000), BODY_BYTES).await;
         for i in 0..4 {
             let options = TargetOptions {
                 service: "desk".into(),
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -126,11 +126,11 @@
         self.put("op/config", &config).await;
     }
 
-    /// Writes a configuration with an additional upload route, `/upload/`, for bodies of at most 2 MB. A caller that
-    /// sends nothing for `silence_max` loses its request.
-    pub async fn configure_uploads(&self, silence_max: Millis) {
+    /// Writes a configuration with an additional upload route, `/upload/`, for bodies of at most `max_bytes`. A caller
+    /// that sends nothing for `silence_max` loses its request.
+    pub async fn configure_uploads(&self, silence_max: Millis, max_bytes: usize) {
         let mut config = self.next_config();
-        config["limits"]["max_body_bytes"] = json!(2_000_000);
+        config["limits"]["max_body_bytes"] = json!(max_bytes);
         // A host that has just started takes a 64th of the connections.
         config["services"][0]["max_connections"] = json!(12_800);
         config["limits"]["header_timeout_ms"] = json!(silence_max.0);
--- a/crates/chicoryrail-router/tests/uploads.rs
+++ b/crates/chicoryrail-router/tests/uploads.rs
@@ -15,18 +15,27 @@
 use monoio::io::AsyncReadRent;
 use monoio::io::AsyncWriteRent;
 use monoio::io::AsyncWriteRentExt;
+use monoio::net::TcpListener;
 use monoio::net::TcpStream;
 use monoio::time::sleep;
 use monoio::time::timeout;
 use rstest::rstest;
+use support::Cut;
 use support::RouterProcess;
 use support::Server;
 use support::World;
+use support::ready_member;
 use support::wait_until;
 
 /// Time after which a silent caller loses its upload.
 const SILENCE_MAX: Millis = Millis(600);
 
+/// Largest accepted body in bytes.
+const MAX_BYTES: usize = 2_000_000;
+
+/// Bytes that fit into no socket buffers between a caller and a server.
+const HUGE_BYTES: usize = 40_000_000;
+
 const KIB: usize = 1 << 10;
 
 struct Fixture {
@@ -39,7 +48,7 @@
     /// Starts a server with one slot and a router on a host with this memory limit.
     async fn start(test: &str, memory_mb: u64, args: &[&str]) -> Self {
         let world = World::start(&format!("uploads-{test}")).await;
-        world.configure_uploads(SILENCE_MAX).await;
+        world.configure_uploads(SILENCE_MAX, MAX_BYTES).await;
         let options = TargetOptions {
             service: "desk".into(),
             slots: 1,
@@ -96,6 +105,17 @@
     }
 }
 
+async fn held_bytes(router: &RouterProcess) -> u64 {
+    let request = Request::get("/metrics").body(Bytes::new()).unwrap();
+    let client = HttpClient::default();
+    let response = client.call(router.readiness, request, Millis(2_000));
+    let text = String::from_utf8(response.await.unwrap().into_body().to_vec()).unwrap();
+    let line = text
+        .lines()
+        .find_map(|l| l.strip_prefix("chicoryrail_held_bytes "));
+    line.unwrap().parse().unwrap()
+}
+
 fn head(id: &str, framing: &str) -> Vec<u8> {
     format!(
         "POST /upload/{id} HTTP/1.1\r\nhost: shop.example\r\nchicoryrail-request-id: {id}\r\n{framing}\r\n\r\n"
@@ -324,3 +344,96 @@
         assert_eq!(sends.await, [200]);
     });
 }
+
+/// Guards against an upload that is read on while its server takes nothing, and against one whose caller leaves
+/// meanwhile and that waits for the server with slot and memory.
+#[test]
+fn upload_to_a_server_that_reads_nothing_holds_its_window() {
+    block_on(async {
+        let world = World::start("uploads-deaf").await;
+        world.configure_uploads(SILENCE_MAX, HUGE_BYTES).await;
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let deaf = ready_member("i-1", "desk", addr);
+        world.put_members(&[deaf]).await;
+        monoio::spawn(async move {
+            let mut open = Vec::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                open.push(stream);
+            }
+        });
+        let router = world.router("a").await;
+        let mut stream = TcpStream::connect(router.callers).await.unwrap();
+        let sent = stream.write_all(upload("deaf", HUGE_BYTES, HUGE_BYTES));
+        assert!(timeout(Duration::from_secs(2), sent).await.is_err());
+        assert_eq!(held_bytes(&router).await, 128 * KIB as u64);
+        drop(stream);
+        wait_until("it has ended", async || held_bytes(&router).await == 0).await;
+        wait_until("its end is logged", async || {
+            router.log().contains("upload_ended")
+        })
+        .await;
+        let log = router.log();
+        let window = log.split("window=").nth(1).unwrap();
+        let window: usize = window.split(' ').next().unwrap().parse().unwrap();
+        assert!((1..=80 * KIB).contains(&window), "{window}");
+    });
+}
+
+/// Guards against slow readers that are counted nowhere, or counted for ever. Responses count where the configuration
+/// has an upload route, and nowhere else.
+#[rstest]
+#[case::with_uploads(true)]
+#[case::without_uploads(false)]
+fn response_counts_until_a_slow_reader_has_it(#[case] uploads: bool) {
+    block_on(async {
+        let world = World::start("uploads-readers").await;
+        if uploads {
+            world.configure_uploads(SILENCE_MAX, MAX_BYTES).await;
+        } else {
+            world.configure().await;
+        }
+        world.server("i-1", "desk").await;
+        let router = world.router("a").await;
+        let mut stream = TcpStream::connect(router.callers).await.unwrap();
+        let request = format!(
+            "GET /manual/a?body={HUGE_BYTES} HTTP/1.1\r\nhost: shop.example\r\nchicoryrail-request-id: r\r\n\r\n"
+        );
+        stream.write_all(request.into_bytes()).await.0.unwrap();
+        sleep(Duration::from_millis(600)).await;
+        let held = held_bytes(&router).await;
+        assert_eq!(held > 0, uploads, "{held}");
+        assert!(held <= 160 * KIB as u64, "{held}");
+        drop(stream);
+        wait_until("no byte is held", async || held_bytes(&router).await == 0).await;
+    });
+}
+
+/// Guards against an upload that a host without a path can't pass on, or that two hosts then hold for ever.
+#[test]
+fn upload_passes_through_another_host() {
+    block_on(async {
+        let fixture = Fixture::start("forwarded", 300, &[]).await;
+        let other = fixture.world.router("b").await;
+        wait_until("the hosts know each other", async || {
+            let leads = |r: &RouterProcess| r.log().contains("log=core_host");
+            leads(&fixture.router) && leads(&other)
+        })
+        .await;
+        sleep(Duration::from_millis(1_500)).await;
+        fixture
+            .router
+            .cut_from(&[Rc::clone(&fixture.server)], Cut::Refused);
+        let mut stream = fixture.send(upload("around", 1_000_000, 1_000_000)).await;
+        let response = read(&mut stream).await;
+        assert_eq!(statuses(&response), [200], "{}", fixture.router.log());
+        assert_eq!(fixture.executed(), ["around"]);
+        wait_until("the other host has logged it", async || {
+            other.log().contains("forwarded_answered")
+        })
+        .await;
+        for router in [&fixture.router, &other] {
+            wait_until("no byte is held", async || held_bytes(router).await == 0).await;
+        }
+    });
+}
--- a/crates/chicoryrail-runtime/src/request_body.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -399,7 +399,7 @@
             return Poll::Ready(Some(Ok(Frame::data(data))));
         }
         if let Some(upload) = &self.source.upload {
-            ready!(upload.window.poll_open(cx));
+            ready!(upload.poll_window(cx));
         }
         match self.source.poll_chunk(cx) {
             Poll::Pending => Poll::Pending,
--- a/crates/chicoryrail-runtime/src/send_window.rs
+++ b/crates/chicoryrail-runtime/src/send_window.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 struct State {
     in_flight: AtomicU64,
+    /// Most bytes that were in flight.
+    peak: AtomicU64,
     /// Task that waits for the window to open.
     waiter: AtomicWaker,
 }
@@ -40,6 +42,12 @@
         self.state.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Returns the most bytes that were in flight at a time.
+    #[must_use]
+    pub fn peak(&self) -> u64 {
+        self.state.peak.load(Ordering::Relaxed)
+    }
+
     /// Ready while the window is open; otherwise wakes the task when bytes have been written.
     pub fn poll_open(&self, cx: &mut Context<'_>) -> Poll<()> {
         if self.in_flight() < self.limit {
@@ -57,7 +65,9 @@
     #[must_use]
     pub fn send(&self, data: Bytes) -> Bytes {
         let length = data.len() as u64;
-        self.state.in_flight.fetch_add(length, Ordering::Relaxed);
+        let before = self.state.in_flight.fetch_add(length, Ordering::Relaxed);
+        let peak = before + length;
+        self.state.peak.fetch_max(peak, Ordering::Relaxed);
         Bytes::from_owner(Chunk {
             data,
             state: Arc::clone(&self.state),
--- a/crates/chicoryrail-runtime/src/upload_flow.rs
+++ b/crates/chicoryrail-runtime/src/upload_flow.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -43,6 +44,9 @@
     silence: RefCell<Option<Silence>>,
     /// Time for which the caller was waited for, and the longest single wait.
     waited: Cell<(Duration, Duration)>,
+    /// Since when the window is closed.
+    closed_since: Cell<Option<Instant>>,
+    server_waited: Cell<Duration>,
 }
 
 /// A wait for the caller's next bytes.
@@ -62,6 +66,8 @@
             held: RefCell::default(),
             silence: RefCell::default(),
             waited: Cell::default(),
+            closed_since: Cell::default(),
+            server_waited: Cell::default(),
         }
     }
 
@@ -90,10 +96,31 @@
         self.waited.get().1.max(current.unwrap_or_default())
     }
 
-    /// Returns the number of bytes in flight to the server that were streamed.
+    /// Returns the most streamed bytes that were in flight to the server at a time.
     #[must_use]
-    pub fn window_bytes(&self) -> u64 {
-        self.window.in_flight()
+    pub fn window_peak(&self) -> u64 {
+        self.window.peak()
+    }
+
+    /// Returns the total time for which the window was closed, since the server took nothing.
+    #[must_use]
+    pub fn server_wait(&self) -> Duration {
+        let current = self.closed_since.get().map(|since| since.elapsed());
+        self.server_waited.get() + current.unwrap_or_default()
+    }
+
+    /// Ready when more may be sent to the server.
+    pub(crate) fn poll_window(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.window.poll_open(cx).is_pending() {
+            let since = self.closed_since.get().unwrap_or_else(Instant::now);
+            self.closed_since.set(Some(since));
+            return Poll::Pending;
+        }
+        if let Some(since) = self.closed_since.take() {
+            self.server_waited
+                .set(self.server_waited.get() + since.elapsed());
+        }
+        Poll::Ready(())
     }
 
     /// Returns `true` while the caller's next bytes are waited for.
--- a/crates/chicoryrail-runtime/tests/byte_budget.rs
+++ b/crates/chicoryrail-runtime/tests/byte_budget.rs
@@ -62,5 +62,5 @@
     assert_eq!(window.poll_open(&mut cx), Poll::Ready(()));
     assert_eq!(window.in_flight(), 2);
     drop(second);
-    assert_eq!(window.in_flight(), 0);
+    assert_eq!((window.in_flight(), window.peak()), (0, 5));
 }
