feat(testkit): uploads and slow readers in the soak test

Cause: the soak test sent no large bodies, and its callers read every response at once.

The checker holds uploads to the promises of orders.

--- a/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
@@ -48,11 +48,16 @@
         .env("CHICORYRAIL_TESTKIT_KEEP")
         .help("Keeps logs and ledgers even if no violation is found")
         .switch();
-    let (deployment, seed, seconds, fault_kinds, program_dir, keep_evidence) = construct!(
+    let uploads = long("uploads")
+        .env("CHICORYRAIL_TESTKIT_UPLOADS")
+        .help("Makes orders uploads, some of whose callers send and read slowly")
+        .switch();
+    let (deployment, seed, seconds, fault_kinds, uploads, program_dir, keep_evidence) = construct!(
         deployment,
         seed,
         seconds,
         fault_kinds,
+        uploads,
         program_dir,
         keep_evidence
     )
@@ -66,6 +71,7 @@
         .flat_map(|names| names.split(','))
         .map(str::to_owned)
         .collect();
+    options.uploads = uploads;
     options.program_dir = program_dir;
     options.keep_evidence = keep_evidence;
 
--- a/crates/chicoryrail-testkit/src/chaos/options.rs
+++ b/crates/chicoryrail-testkit/src/chaos/options.rs
@@ -23,6 +23,8 @@
     pub rate: f64,
     /// Names of the kinds of faults to inject, as in JSON; empty for the default kinds.
     pub fault_kinds: Vec<String>,
+    /// Whether orders are uploads, some of whose callers send and read slowly.
+    pub uploads: bool,
     /// Directory of the programs; `None` for that of the running program.
     pub program_dir: Option<PathBuf>,
     /// Whether logs and ledgers are kept after a run without violations.
@@ -44,6 +46,7 @@
             hosts: 5,
             rate: 250.0,
             fault_kinds: Vec::new(),
+            uploads: false,
             program_dir: None,
             keep_evidence: false,
             stop: Arc::default(),
--- a/crates/chicoryrail-testkit/src/chaos/run.rs
+++ b/crates/chicoryrail-testkit/src/chaos/run.rs
@@ -13,6 +13,7 @@
 use crate::Evidence;
 use crate::HostTime;
 use crate::Load;
+use crate::LoadKind;
 use crate::LoadOptions;
 use crate::LoadService;
 use crate::Summary;
@@ -42,6 +43,9 @@
 /// measure how long it is unavailable.
 const KEYS_PER_SERVICE: u32 = 40;
 
+/// Bytes of the response to an upload: more than a host buffers, so that it is streamed to slow readers.
+const UPLOAD_RESPONSE_BYTES: u64 = 100_000;
+
 /// Runs a deployment under faults and checks the records of callers, targets and the store.
 ///
 /// # Errors
@@ -89,12 +93,20 @@
         .with_warmup(WARMUP_TIME)
         .with_proxy();
     cluster.seed = options.seed;
+    cluster.uploads = options.uploads;
     cluster.program_dir.clone_from(&options.program_dir);
     Cluster::start(cluster)
 }
 
 fn load(options: &ChaosOptions, cluster: &Cluster) -> LoadOptions {
-    let with_few_keys = |s: LoadService| s.with_keys(KEYS_PER_SERVICE, 0.0);
+    let with_few_keys = |s: LoadService| {
+        let mut service = s.with_keys(KEYS_PER_SERVICE, 0.0);
+        if options.uploads && service.kind == LoadKind::Order {
+            service.kind = LoadKind::Upload;
+            service.body = UPLOAD_RESPONSE_BYTES;
+        }
+        service
+    };
     LoadOptions {
         hosts: cluster.load_hosts(),
         services: options
--- a/crates/chicoryrail-testkit/src/chaos/summary.rs
+++ b/crates/chicoryrail-testkit/src/chaos/summary.rs
@@ -7,7 +7,6 @@
 
 use crate::Availability;
 use crate::CallRecord;
-use crate::LoadKind;
 use crate::LoadSummary;
 use crate::Outcome;
 use crate::Violation;
@@ -150,7 +149,7 @@
 fn order_share<'a>(records: impl IntoIterator<Item = &'a CallRecord>) -> f64 {
     let (mut orders, mut done) = (0_u64, 0_u64);
     for record in records {
-        if record.kind == LoadKind::Order {
+        if record.kind.runs_once() {
             orders += 1;
             done += u64::from(record.outcome == Outcome::Done);
         }
--- a/crates/chicoryrail-testkit/src/checker/orders.rs
+++ b/crates/chicoryrail-testkit/src/checker/orders.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 
 use crate::Evidence;
-use crate::LoadKind;
 use crate::Outcome;
 use crate::Run;
 use crate::Violation;
@@ -27,7 +26,7 @@
     for record in &evidence.records {
         let runs = runs_by_request.get(record.request.as_str());
         match (record.outcome, runs) {
-            (Outcome::Done, None) if record.kind == LoadKind::Order => {
+            (Outcome::Done, None) if record.kind.runs_once() => {
                 found.push(Violation::OrderLost {
                     request: record.request.clone(),
                 });
--- a/crates/chicoryrail-testkit/src/cluster/deployment.rs
+++ b/crates/chicoryrail-testkit/src/cluster/deployment.rs
@@ -167,9 +167,10 @@
         self.services().iter().map(build).collect()
     }
 
-    /// Returns the first configuration, for servers that warm up for `warmup` after their start.
+    /// Returns the first configuration, for servers that warm up for `warmup` after their start; with `uploads` the routes
+    /// for orders are for uploads.
     #[must_use]
-    pub fn site(self, warmup: Millis) -> Site {
+    pub fn site(self, warmup: Millis, uploads: bool) -> Site {
         let service = |s: &ServicePlan| ServiceSpec {
             name: s.name.into(),
             health_path: "/healthz".to_owned(),
@@ -183,14 +184,15 @@
             1,
             CallerLimits::default(),
             services.clone().map(service).collect(),
-            services.map(|s| self.route(s)).collect(),
+            services.map(|s| self.route(s, uploads)).collect(),
         )
         .with_organisations(self.organisations())
     }
 
-    fn route(self, plan: &ServicePlan) -> Route {
+    fn route(self, plan: &ServicePlan, uploads: bool) -> Route {
         let (kind, attempts) = match plan.load_kind {
-            LoadKind::Order => (RouteKind::Order, 1),
+            LoadKind::Order if !uploads => (RouteKind::Order, 1),
+            LoadKind::Order | LoadKind::Upload => (RouteKind::Upload, 1),
             LoadKind::Lookup | LoadKind::Report => (RouteKind::Read, 2),
         };
         Route {
--- a/crates/chicoryrail-testkit/src/cluster/harness.rs
+++ b/crates/chicoryrail-testkit/src/cluster/harness.rs
@@ -136,7 +136,8 @@
     /// Returns the first configuration of the deployment.
     #[must_use]
     pub fn site(&self) -> Site {
-        self.options.deployment.site(self.options.warmup)
+        let options = &self.options;
+        options.deployment.site(options.warmup, options.uploads)
     }
 
     fn start_stand_ins(&mut self) -> Result<(), ClusterError> {
--- a/crates/chicoryrail-testkit/src/cluster/options.rs
+++ b/crates/chicoryrail-testkit/src/cluster/options.rs
@@ -27,6 +27,8 @@
     pub reads_per_s: Option<u32>,
     /// Seed of the random faults of the stand-ins and the proxied links.
     pub seed: u64,
+    /// Whether orders are uploads.
+    pub uploads: bool,
     /// Whether hosts connect to the store and the targets through fault-injecting proxies.
     pub proxied: bool,
     /// Additional command-line flags of every router.
@@ -49,6 +51,7 @@
             writes_per_s: None,
             reads_per_s: None,
             seed: 1,
+            uploads: false,
             proxied: false,
             router_flags: Vec::new(),
             log_level: "info".to_owned(),
--- a/crates/chicoryrail-testkit/src/load.rs
+++ b/crates/chicoryrail-testkit/src/load.rs
@@ -4,6 +4,7 @@
 mod call;
 mod host;
 mod mix;
+mod paced_body;
 mod pool;
 mod run;
 mod summary;
--- a/crates/chicoryrail-testkit/src/load/call.rs
+++ b/crates/chicoryrail-testkit/src/load/call.rs
@@ -1,17 +1,22 @@
 //! One request of a caller and its outcome.
 
+use std::io;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use chicoryrail_core::Millis;
 use chicoryrail_platform::call_header;
+use chicoryrail_runtime::Body;
 use chicoryrail_runtime::collect_body;
+use chicoryrail_runtime::full_body;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use monoio::time::sleep;
 use monoio::time::timeout;
 use serde::Deserialize;
 use serde::Serialize;
@@ -19,6 +24,7 @@
 use crate::LoadKind;
 use crate::ResponseHead;
 use crate::load::mix::PlannedRequest;
+use crate::load::paced_body::PacedBody;
 use crate::load::pool::Pool;
 use crate::unix_micros;
 
@@ -149,9 +155,9 @@
     }
 }
 
-fn build_request(planned: &PlannedRequest, deadline: Millis) -> Request<Full<Bytes>> {
+fn build_request(planned: &PlannedRequest, deadline: Millis) -> Request<Body> {
     let method = match planned.kind {
-        LoadKind::Order => Method::POST,
+        LoadKind::Order | LoadKind::Upload => Method::POST,
         LoadKind::Lookup | LoadKind::Report => Method::GET,
     };
     let mut builder = Request::builder()
@@ -166,8 +172,14 @@
     if let Some(key) = planned.key {
         builder = builder.header(call_header::KEY, key);
     }
+    let body = planned.body.clone();
+    let body: Body = if planned.pause == Millis::ZERO {
+        full_body(body)
+    } else {
+        Box::pin(PacedBody::new(body, planned.pause))
+    };
     builder
-        .body(Full::new(Bytes::from(planned.body.clone())))
+        .body(body)
         .expect("ids and paths of the load are valid in HTTP")
 }
 
@@ -181,7 +193,7 @@
     let stamped = text(&call_header::UPSTREAM_STAMP).is_some();
     record.status = head.status.as_u16();
     record.server = text(&call_header::SERVER).map(str::to_owned);
-    let Ok(body) = collect_body(body, MAX_RESPONSE_BYTES).await else {
+    let Ok(body) = read_body(body, planned.pause).await else {
         record.outcome = Outcome::Unknown;
         return;
     };
@@ -197,6 +209,23 @@
     };
 }
 
+/// Reads a response body, with a pause before each piece.
+async fn read_body(mut body: Incoming, pause: Millis) -> io::Result<Bytes> {
+    if pause == Millis::ZERO {
+        return collect_body(body, MAX_RESPONSE_BYTES).await;
+    }
+    let mut all = BytesMut::new();
+    loop {
+        sleep(pause.to_duration()).await;
+        let Some(frame) = body.frame().await else {
+            return Ok(all.freeze());
+        };
+        if let Ok(data) = frame.map_err(io::Error::other)?.into_data() {
+            all.extend_from_slice(&data);
+        }
+    }
+}
+
 /// Returns `true` if a status guarantees that the request did not run, if no server stamped the response.
 const fn means_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/chicoryrail-testkit/src/load/mix.rs
+++ b/crates/chicoryrail-testkit/src/load/mix.rs
@@ -1,6 +1,8 @@
 //! The requests that callers send.
 
+use bytes::Bytes;
 use chicoryrail_core::ApiKey;
+use chicoryrail_core::Millis;
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
@@ -10,6 +12,15 @@
 /// Bytes of the note in an order's body.
 const ORDER_NOTE_BYTES: usize = 200;
 
+/// Longest body of an upload in bytes.
+const UPLOAD_BYTES_MAX: usize = 120_000;
+
+/// One in this many callers of uploads sends and reads slowly.
+const SLOW_CALLER_INTERVAL: u32 = 4;
+
+/// Pause of a slow caller between two pieces. The longest upload takes 300 ms, so that it ends within its deadline.
+const SLOW_CALLER_PAUSE: Millis = Millis(20);
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -18,10 +29,20 @@
     Lookup,
     /// `POST` that must run at most once.
     Order,
+    /// `POST` with a large body that must run at most once; some callers send it, and read the response, slowly.
+    Upload,
     /// `GET` of a report that may be slow; the latency percentiles leave it out.
     Report,
 }
 
+impl LoadKind {
+    /// Returns `true` if the requests must run at most once.
+    #[must_use]
+    pub const fn runs_once(self) -> bool {
+        matches!(self, Self::Order | Self::Upload)
+    }
+}
+
 /// Load on one service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LoadService {
@@ -105,7 +126,9 @@
     pub(crate) id: String,
     /// Bytes of the response body after its first line.
     pub(crate) response_bytes: u64,
-    pub(crate) body: String,
+    pub(crate) body: Bytes,
+    /// Pause between two pieces of the body or of the response; zero for a caller that is not slow.
+    pub(crate) pause: Millis,
     /// API key that the request carries; `None` if it needs none.
     pub(crate) caller: Option<LoadCaller>,
 }
@@ -138,17 +161,24 @@
         let index = self.pick_service(rng);
         let number = self.pick_key(index, rng);
         let service = &self.services[index];
-        let is_order = service.kind == LoadKind::Order;
+        let mut pause = Millis::ZERO;
+        let body = match service.kind {
+            LoadKind::Order => order_body(&id).into(),
+            LoadKind::Upload => {
+                if rng.random_ratio(1, SLOW_CALLER_INTERVAL) {
+                    pause = SLOW_CALLER_PAUSE;
+                }
+                vec![b'u'; rng.random_range(1..=UPLOAD_BYTES_MAX)].into()
+            }
+            LoadKind::Lookup | LoadKind::Report => Bytes::new(),
+        };
         PlannedRequest {
             kind: service.kind,
             host: service.host.clone(),
             path: format!("{}key-{number:05}", service.path),
             key: service.keyed.then(|| spread_key(number)),
-            body: if is_order {
-                order_body(&id)
-            } else {
-                String::new()
-            },
+            body,
+            pause,
             id,
             response_bytes: service.body,
             caller: service.callers.choose(rng).cloned(),
--- a/crates/chicoryrail-testkit/src/load/pool.rs
+++ b/crates/chicoryrail-testkit/src/load/pool.rs
@@ -6,14 +6,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
-use http_body_util::Full;
+use chicoryrail_runtime::Body;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use monoio::net::TcpStream;
 use monoio_compat::hyper::MonoioIo;
 
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
+pub(crate) type Sender = SendRequest<Body>;
 
 /// Idle connections by host. Clones share the connections.
 #[derive(Clone, Debug, Default)]
--- a/crates/chicoryrail-testkit/src/load/summary.rs
+++ b/crates/chicoryrail-testkit/src/load/summary.rs
@@ -56,9 +56,9 @@
         let count =
             |f: &dyn Fn(&CallRecord) -> bool| records.iter().filter(|r| f(r)).count() as u64;
         let latencies_of = |kinds: &[LoadKind]| latencies(records, kinds);
-        let all = latencies_of(&[LoadKind::Lookup, LoadKind::Order]);
+        let all = latencies_of(&[LoadKind::Lookup, LoadKind::Order, LoadKind::Upload]);
         let lookups = latencies_of(&[LoadKind::Lookup]);
-        let orders = latencies_of(&[LoadKind::Order]);
+        let orders = latencies_of(&[LoadKind::Order, LoadKind::Upload]);
         let first = records.iter().map(|r| r.intended).min().unwrap_or(0);
         let last = records.iter().map(|r| r.ended).max().unwrap_or(0);
         let seconds = last.saturating_sub(first).max(1) as f64 / 1e6;
@@ -70,7 +70,7 @@
             unknown: count(&|r| r.outcome == Outcome::Unknown),
             wrong: count(&|r| r.wrong.is_some()),
             hung: count(&|r| r.hung),
-            orders_sent: count(&|r| r.kind == LoadKind::Order),
+            orders_sent: count(&|r| r.kind.runs_once()),
             p50_ms: quantile_ms(&all, 0.5),
             p99_ms: quantile_ms(&all, 0.99),
             p999_ms: quantile_ms(&all, 0.999),
--- a/crates/chicoryrail-testkit/tests/load.rs
+++ b/crates/chicoryrail-testkit/tests/load.rs
@@ -63,6 +63,26 @@
     records.iter().filter(|r| r.kind == LoadKind::Lookup)
 }
 
+/// Guards against uploads whose slow callers are counted as failed, or whose responses are not checked.
+#[test]
+fn uploads_of_slow_callers_are_done_and_right() {
+    block_on(async {
+        let addr = target(TargetOptions::new("lots-01")).await;
+        let uploads = LoadService::new("shop.example", "/v1/lots/", LoadKind::Upload);
+        let load = LoadOptions {
+            services: vec![uploads.with_body_bytes(100_000)],
+            ..options(&[addr])
+        };
+        let records = Load::new(load).run().await;
+        let summary = LoadSummary::of(&records);
+        assert!(summary.requests > 4, "{summary:?}");
+        assert_eq!(summary.orders_sent, summary.requests);
+        assert_eq!((summary.ok, summary.wrong), (summary.requests, 0));
+        // A slow caller waits for 20 ms before each piece.
+        assert!(summary.order_p99_ms >= 20.0, "{summary:?}");
+    });
+}
+
 #[test]
 fn complete_and_own_responses_are_done_and_right() {
     block_on(async {
--- a/xtask/src/chaos.rs
+++ b/xtask/src/chaos.rs
@@ -30,6 +30,8 @@
     /// Injects only faults of this name; may be given several times
     #[bpaf(argument("FAULT"))]
     only: Vec<String>,
+    /// Makes orders uploads, some of whose callers send and read slowly
+    uploads: bool,
     /// Keeps logs and ledgers even if no violation was found
     keep: bool,
 }
@@ -46,6 +48,7 @@
             let mut options = ChaosOptions::new(self.deployment, seed)
                 .with_duration(Millis(self.seconds * 1_000));
             options.fault_kinds.clone_from(&self.only);
+            options.uploads = self.uploads;
             options.keep_evidence = self.keep;
             options.stop = Arc::clone(&stop);
             match run_chaos(&options) {
