--- a/crates/chicoryrail-router/tests/uploads.rs
+++ b/crates/chicoryrail-router/tests/uploads.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
+use chicoryrail_platform::call_header;
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetOptions;
@@ -365,10 +367,14 @@
         let router = world.router("a").await;
         let mut stream = TcpStream::connect(router.callers).await.unwrap();
         let sent = stream.write_all(upload("deaf", HUGE_BYTES, HUGE_BYTES));
-        assert!(timeout(Duration::from_secs(2), sent).await.is_err());
+        assert!(timeout(Duration::from_millis(800), sent).await.is_err());
         assert_eq!(held_bytes(&router).await, 128 * KIB as u64);
         drop(stream);
+        let begun = Instant::now();
         wait_until("it has ended", async || held_bytes(&router).await == 0).await;
+        // Behind unread bytes the disconnect is not seen; the system ends the connection to a server that takes nothing
+        // for 2.5 s.
+        assert!(begun.elapsed() < Duration::from_secs(4));
         wait_until("its end is logged", async || {
             router.log().contains("upload_ended")
         })
@@ -380,6 +386,51 @@
     });
 }
 
+/// Guards against a refusal that waits for the rest of the body, and against a connection that carries another request
+/// before that. The server refuses each upload as soon as it has read the start of it.
+#[test]
+fn early_refusal_of_a_server_reaches_the_caller_and_its_connection_is_not_reused() {
+    block_on(async {
+        let world = World::start("uploads-early").await;
+        world.configure_uploads(SILENCE_MAX, HUGE_BYTES).await;
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let member = ready_member("i-1", "desk", listener.local_addr().unwrap());
+        world.put_members(&[member]).await;
+        let accepted = Rc::new(Cell::new(0));
+        let count = Rc::clone(&accepted);
+        monoio::spawn(async move {
+            let response = format!(
+                "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n{}: 1\r\n\r\n",
+                call_header::NOT_RUN
+            );
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let response = response.clone();
+                let count = Rc::clone(&count);
+                monoio::spawn(async move {
+                    if stream.read(vec![0; KIB]).await.0.is_ok_and(|n| n > 0) {
+                        count.set(count.get() + 1);
+                        let _ = stream.write_all(response.into_bytes()).await;
+                        sleep(Duration::from_secs(2)).await;
+                    }
+                });
+            }
+        });
+        let router = world.router("a").await;
+        for _ in 0..2 {
+            let (before, begun) = (accepted.get(), Instant::now());
+            let mut stream = TcpStream::connect(router.callers).await.unwrap();
+            let sent = stream.write_all(upload("early", 1_000_000, 300_000));
+            sent.await.0.unwrap();
+            // The next upload follows at once.
+            let (n, response) = stream.read(vec![0; KIB]).await;
+            assert_eq!(statuses(&response[..n.unwrap()]), [503], "{}", router.log());
+            assert!(accepted.get() > before);
+            assert!(begun.elapsed() < SILENCE_MAX.to_duration() / 2);
+        }
+        wait_until("no byte is held", async || held_bytes(&router).await == 0).await;
+    });
+}
+
 /// Guards against slow readers that are counted nowhere, or counted for ever. Responses count where the configuration
 /// has an upload route, and nowhere else.
 #[rstest]
