--- a/crates/chicoryrail-ownership/src/keys/hot_key.rs
+++ b/crates/chicoryrail-ownership/src/keys/hot_key.rs
@@ -21,8 +21,8 @@
     busy_since: Option<Millis>,
     /// Load of the key in usual slots that it keeps in use.
     demand: f64,
-    /// Whether the demand exceeds the capacity of the owner.
-    overloaded: bool,
+    /// Demand beyond the capacity of the owner, in usual slots; 0 if there is none.
+    excess: f64,
     /// Demand when the key was assigned a server of its own, and since when it has been calm.
     dedicated: Option<(f64, Option<Millis>)>,
 }
@@ -31,7 +31,7 @@
     /// Updates the demand, in usual slots, of a key whose owner has `capacity`.
     pub(crate) fn update(&mut self, now: Millis, demand: f64, capacity: f64) {
         self.demand = demand;
-        self.overloaded = demand > capacity;
+        self.excess = (demand - capacity).max(0.0);
         if demand < capacity * BUSY_RATIO {
             self.busy_since = None;
         } else {
@@ -51,6 +51,11 @@
         self.demand
     }
 
+    /// Returns the demand beyond the capacity of the owner, in usual slots.
+    pub(crate) const fn excess(&self) -> f64 {
+        self.excess
+    }
+
     /// Returns `true` if the key has a server of its own.
     pub(crate) const fn is_dedicated(&self) -> bool {
         self.dedicated.is_some()
@@ -62,7 +67,7 @@
     /// when the key became busy.
     pub(crate) fn needs_server(&self, now: Millis) -> bool {
         let is_lasting = |since| now.since(since) >= OVERLOAD_TIME_MIN;
-        self.overloaded && !self.is_dedicated() && self.busy_since.is_some_and(is_lasting)
+        self.excess > 0.0 && !self.is_dedicated() && self.busy_since.is_some_and(is_lasting)
     }
 
     /// Records that the key was assigned a server of its own.
--- a/crates/chicoryrail-ownership/src/keys/key_history.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_history.rs
@@ -66,11 +66,7 @@
         candidates: &[KeyCandidate],
         load: &KeyLoad,
     ) {
-        let decay = 0.5_f64.powf(now.since(self.now).0 as f64 / PEAK_HALF_LIFE.0 as f64);
-        self.peak_load = load
-            .busy_slots()
-            .unwrap_or_default()
-            .max(self.peak_load * decay);
+        let elapsed = now.since(self.now);
         self.now = now;
         let weights: BTreeMap<&Life, f64> =
             candidates.iter().map(|c| (&c.life, c.weight)).collect();
@@ -90,6 +86,16 @@
             hot.update(now, demand, capacity);
             hot.is_dedicated() || demand >= capacity * OBSERVED_RATIO
         });
+        self.record_peak(elapsed, load);
+    }
+
+    /// Updates the highest recent load. What overloaded keys demand beyond the capacity of their owners does not count:
+    /// no server can process it.
+    fn record_peak(&mut self, elapsed: Millis, load: &KeyLoad) {
+        let excess: f64 = self.hot_keys.values().map(HotKey::excess).sum();
+        let busy = load.busy_slots().unwrap_or_default() - excess;
+        let decay = 0.5_f64.powf(elapsed.0 as f64 / PEAK_HALF_LIFE.0 as f64);
+        self.peak_load = busy.max(self.peak_load * decay);
     }
 
     /// Returns the relative load that each of these servers should have, from their capacities.
@@ -103,6 +109,10 @@
     /// Returns a server's slowness without the short-term variation of `observed`: service time relative to a usual
     /// server.
     pub fn smooth_slowness(&mut self, now: Millis, life: &Life, observed: f64) -> f64 {
+        // A scheduler that has seen no response from the server reports exactly 1.
+        if observed == 1.0 && !self.slowness.contains_key(life) {
+            return observed;
+        }
         let known = self.slowness.entry(life.clone());
         let known = known.or_insert_with(|| SmoothedSlowness::new(now, observed));
         known.observe(now, observed)
