feat(ctl): operator's rules that limit requests and servers and pin keys

Change: `chicoryctl traffic limit|server|pin|list|release` writes rules as entries of the feed that every host follows (`chicoryrail/live/traffic/rule/ID`), so a rule costs no watch and no message of its own, is relayed to leaf hosts, and is read by a host before it is ready. A limit admits a share by an exact count (one in four at 0.25) and answers the others with 429, `Retry-After: 1.000`, not run. A server's share applies to its slots at the scheduler, to the hosts' own view and to its key weight; 0 closes it like a data centre out of service. Pins are applied after the leader's plan. An entry that can't be decoded is logged as `bad_entry` and ignored. Without rules a request costs one look at an empty list.

--- a/crates/chicoryctl/src/error.rs
+++ b/crates/chicoryctl/src/error.rs
@@ -5,6 +5,7 @@
 use chicoryrail_core::DcName;
 use chicoryrail_core::Fingerprint;
 use chicoryrail_core::OrganisationName;
+use chicoryrail_core::ServerName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::SiteError;
 use chicoryrail_platform::DecodeError;
@@ -155,4 +156,63 @@
         /// The service.
         service: ServiceName,
     },
+    /// The configuration has no service of this name.
+    #[snafu(display("service {service} does not exist"))]
+    NoService {
+        /// Name that was given.
+        service: ServiceName,
+    },
+    /// The service has no route of this name or kind.
+    #[snafu(display(
+        "kind {kind} is neither a caller's address nor the name or kind of a route to service \
+         {service}"
+    ))]
+    NoKind {
+        /// Kind that was given.
+        kind: String,
+        /// The service.
+        service: ServiceName,
+    },
+    /// No server of this name is registered.
+    #[snafu(display("server {server} is not registered"))]
+    NoServer {
+        /// Name that was given.
+        server: ServerName,
+    },
+    /// The server serves another service.
+    #[snafu(display("server {server} serves {found}, not service {service}"))]
+    OtherService {
+        /// The server.
+        server: ServerName,
+        /// Service that was given.
+        service: ServiceName,
+        /// Service of the server.
+        found: ServiceName,
+    },
+    /// The service has no keys.
+    #[snafu(display("service {service} has no keys"))]
+    NotKeyed {
+        /// The service.
+        service: ServiceName,
+    },
+    /// A pin has keys in common with another one.
+    #[snafu(display("rule {id} has keys in common with rule {other}; release that one first"))]
+    PinOverlaps {
+        /// Id of the new pin.
+        id: String,
+        /// Id of the pin in force.
+        other: String,
+    },
+    /// There are as many rules as the store may have.
+    #[snafu(display("there are already {max} rules; release one first"))]
+    TooManyRules {
+        /// Largest number of rules.
+        max: usize,
+    },
+    /// No rule has this id.
+    #[snafu(display("rule {id} does not exist"))]
+    NoRule {
+        /// Id that was given.
+        id: String,
+    },
 }
--- a/crates/chicoryctl/src/lib.rs
+++ b/crates/chicoryctl/src/lib.rs
@@ -17,17 +17,22 @@
 mod blocked;
 mod change;
 mod error;
+mod key_span;
 mod organisation;
 mod organisation_settings;
 mod run;
 mod settings;
 mod status;
+mod traffic;
+mod traffic_settings;
 
 pub use blocked::BlockedCommand;
 pub use error::CtlError;
+pub use key_span::KeySpan;
 pub use organisation_settings::OrganisationCommand;
 pub use run::execute;
 pub use run::main;
 pub use settings::Command;
 pub use settings::Settings;
 pub use settings::settings;
+pub use traffic_settings::TrafficCommand;
--- a/crates/chicoryctl/src/run.rs
+++ b/crates/chicoryctl/src/run.rs
@@ -17,6 +17,7 @@
 use crate::settings;
 use crate::status;
 use crate::status::Status;
+use crate::traffic;
 
 /// Timeout of a call to the store. It is long because an operator on a slow link prefers waiting to a retry.
 const STORE_CALL_TIMEOUT: Millis = Millis(10_000);
@@ -61,6 +62,7 @@
         Command::In { dc } => change::restore_dc(&store, dc).await,
         Command::Organisation(command) => organisation::execute(&store, command, json).await,
         Command::Blocked(command) => blocked::execute(&store, command, json).await,
+        Command::Traffic(command) => traffic::execute(&store, command, json).await,
         Command::Status => Status::read(&store).await?.render(json),
         Command::Owner { service, key } => status::owner(&store, service, *key, json).await,
     }
--- a/crates/chicoryctl/src/settings.rs
+++ b/crates/chicoryctl/src/settings.rs
@@ -14,8 +14,10 @@
 
 use crate::BlockedCommand;
 use crate::OrganisationCommand;
+use crate::TrafficCommand;
 use crate::blocked::blocked_commands;
 use crate::organisation_settings::organisation_commands;
+use crate::traffic_settings::traffic_commands;
 
 /// Settings of a run of `chicoryctl`.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,6 +63,8 @@
     Organisation(OrganisationCommand),
     /// Shows or changes the requests that are refused because they end servers.
     Blocked(BlockedCommand),
+    /// Shows or changes the rules that limit requests or servers, or keep keys with a server.
+    Traffic(TrafficCommand),
     /// Shows the configuration version, leader, hosts, services, organisations and data centres out of service.
     Status,
     /// Shows which server owns a key.
@@ -127,7 +131,21 @@
         .to_options()
         .descr("Shows or changes requests refused because they end servers: list, add, dismiss")
         .command("blocked");
-    construct!([check, config, dc, organisation, blocked, status, owner])
+    let traffic = traffic_commands().map(Command::Traffic);
+    let traffic = traffic
+        .to_options()
+        .descr("Shows or changes rules for traffic: limit, server, pin, list, release")
+        .command("traffic");
+    construct!([
+        check,
+        config,
+        dc,
+        organisation,
+        blocked,
+        traffic,
+        status,
+        owner
+    ])
 }
 
 fn file() -> impl Parser<PathBuf> {
--- a/crates/chicoryrail-ownership/src/store_key.rs
+++ b/crates/chicoryrail-ownership/src/store_key.rs
@@ -16,6 +16,10 @@
 /// Prefix of the records of blocked requests.
 pub const CRASHES: &str = "live/crashes/";
 
+/// Prefix of the operator's rules for traffic. They belong to the feed that every host follows, so they cost no watch of
+/// their own.
+pub const TRAFFIC_RULES: &str = "live/traffic/rule/";
+
 /// Prefix of the key records. They need not be watched, since the leader sends each change to the hosts
 /// directly.
 pub const KEYS: &str = "keys/";
@@ -32,6 +36,12 @@
     format!("{KEYS}{service}")
 }
 
+/// Returns the key of an operator's rule for traffic.
+#[must_use]
+pub fn traffic_rule_key(id: &str) -> String {
+    format!("{TRAFFIC_RULES}{id}")
+}
+
 /// Returns the key of a blocked request's record.
 #[must_use]
 pub fn crash_key(request: Fingerprint) -> String {
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -37,6 +37,9 @@
 //! [`CrashTable`] finds requests that end each server that runs them, and [`ProbeLimiter`] lets suspected ones run one at a
 //! time.
 //!
+//! [`TrafficRule`] is an operator's rule that limits requests or servers or pins keys, and [`ShareCounter`] admits the
+//! share of requests that such a rule allows.
+//!
 //! See also [`WarmupPacer`] for servers that warm up, [`RetryBudget`] for retries, and [`retry_after`] for the time
 //! that a refused caller is told to wait before it retries.
 
@@ -46,6 +49,7 @@
 mod quota;
 mod scheduler;
 mod server_id;
+mod traffic;
 
 pub use admission::ApiKeyIndex;
 pub use admission::Freshness;
@@ -88,3 +92,12 @@
 pub use scheduler::SlotRelease;
 pub use scheduler::SlotRequest;
 pub use server_id::ServerId;
+pub use traffic::LimitRule;
+pub use traffic::Limited;
+pub use traffic::PinRule;
+pub use traffic::RangeError;
+pub use traffic::ServerRule;
+pub use traffic::Share;
+pub use traffic::ShareCounter;
+pub use traffic::ShareError;
+pub use traffic::TrafficRule;
--- a/crates/chicoryrail-router/src/control/leader/mod.rs
+++ b/crates/chicoryrail-router/src/control/leader/mod.rs
@@ -8,6 +8,7 @@
 mod key_calls;
 mod key_leader;
 mod leader_term;
+mod pins;
 mod plan_keys;
 mod renewal_tasks;
 mod renewals;
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -66,6 +66,7 @@
             .with_load(now, &self.service, service_time, |load| {
                 Plan::compute(self.leases.borrow().record(), &candidates, load, moves)
             });
+        let plan = self.pinned(plan, &candidates, now);
         if let Plan::Change(spans) = plan {
             self.last_change_at.set(now);
             let services = self.router.services();
@@ -177,7 +178,7 @@
     /// schedule for it report. A slow server with as many requests as the others would have the longest queue, and a
     /// rate-limited one refuses requests beyond its limit.
     fn weight(&self, target: &Target) -> f64 {
-        let slots = f64::from(target.slots.get());
+        let slots = f64::from(target.slots.get()) * target.share.get().fraction();
         let Some(report) = self.leadership.slowness_report(&target.life) else {
             return slots;
         };
--- a/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
@@ -112,7 +112,7 @@
             sync.timed.insert(target.id, Rc::clone(target));
         }
         let status = ServerStatus {
-            slots: target.slots.get(),
+            slots: target.usable_slots(),
             accepting: if self.rules.ready_only {
                 target.is_ready()
             } else {
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -25,6 +25,7 @@
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::route::serving_guard::ServingGuard;
+use crate::route::traffic::refuse_limited;
 use crate::state::Router;
 
 /// Process age up to which requests wait for the first configuration instead of being refused.
@@ -87,6 +88,9 @@
     let limit = router.site().map_or(u64::MAX, |s| s.limits.max_body);
     let body = RequestBody::new(body, limit);
     let call = Rc::new(call);
+    if let Some(refusal) = refuse_limited(router, &call) {
+        return finish(router, &call, Err(refusal));
+    }
     let mut guard = AbandonGuard::new(router, &call);
     let result = match call.route.kind.idempotency() {
         Idempotency::Idempotent => forward(router, &call, &body).await,
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -22,6 +22,7 @@
 mod slot_guard;
 mod slot_query;
 mod suspicion;
+mod traffic;
 
 pub(crate) use caller::may_begin_early;
 pub(crate) use caller::serve;
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -30,6 +30,8 @@
     StaleConfig,
     /// The caller's organisation has exceeded its rate limit.
     OverQuota,
+    /// An operator's rule admits only a share of such requests.
+    Limited,
     /// The request body is longer than the limit.
     TooLarge,
     /// The request body was truncated.
@@ -78,6 +80,7 @@
             Self::UnknownApiKey => "unknown_api_key",
             Self::StaleConfig => "stale_config",
             Self::OverQuota => "over_quota",
+            Self::Limited => "limited",
             Self::TooLarge => "too_large",
             Self::BadBody => "bad_body",
             Self::SlowBody => "slow_body",
@@ -102,7 +105,7 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoApiKey | Self::UnknownApiKey => StatusCode::UNAUTHORIZED,
-            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            Self::OverQuota | Self::Limited => StatusCode::TOO_MANY_REQUESTS,
             Self::NoKey | Self::BadBody => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -11,6 +11,7 @@
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_ownership::store_key::HOSTS;
 use chicoryrail_ownership::store_key::KEYS;
+use chicoryrail_ownership::store_key::TRAFFIC_RULES;
 use chicoryrail_runtime::Invariant;
 use http::HeaderValue;
 
@@ -48,8 +49,8 @@
 
     /// Returns the servers to update after these changes of the store view, `gone` among them.
     ///
-    /// The configuration, the data centres out of service and the number of hosts concern every server; a change of one
-    /// entry concerns that server alone. Servers with missing entries are always included: how long they are used also
+    /// The configuration, the data centres out of service, an operator's rules and the number of hosts concern every
+    /// server; a change of one entry concerns that server alone. Servers with missing entries are always included: how long they are used also
     /// depends on outages of the store.
     fn outdated_servers(
         &self,
@@ -62,11 +63,11 @@
                 ViewChange::Config { .. }
                 | ViewChange::DrainedDc(_)
                 | ViewChange::RestoredDc(_) => true,
+                ViewChange::Own(key) => key.starts_with(TRAFFIC_RULES),
                 ViewChange::OldConfig { .. }
                 | ViewChange::Server(_)
                 | ViewChange::ServerGone(_)
-                | ViewChange::Unreadable(_)
-                | ViewChange::Own(_) => false,
+                | ViewChange::Unreadable(_) => false,
             });
         let view = self.store_view.borrow();
         let mut outdated: BTreeSet<ServerName> = gone.into_iter().collect();
@@ -86,6 +87,9 @@
         if key.starts_with(HOSTS) {
             self.update_hosts();
         }
+        if let Some(id) = key.strip_prefix(TRAFFIC_RULES) {
+            self.apply_traffic_rule(key, id);
+        }
         let Some(service) = key.strip_prefix(KEYS) else {
             return;
         };
@@ -205,13 +209,19 @@
         // A server can start to warm up again at any time without a restart.
         target.extend_warmup(entry.updated, member.warmup_left);
         target.slots.set(member.slots);
-        service.loads.borrow_mut().set(target.id, member.slots);
+        target
+            .share
+            .set(self.traffic.server_share(&member.life.name));
+        service
+            .loads
+            .borrow_mut()
+            .set(target.id, target.usable_slots());
         let spec = view.site().and_then(|s| s.service(&service.name));
         service.keyed.set(spec.is_some_and(|s| s.keyed));
         let connections = spec.map_or(u32::MAX, |s| s.max_connections);
         let share = connections / self.peers.borrow().sharing_hosts() as u32;
         target.pool.set_max_connections(member.slots, share.max(2));
-        let admission = if view.is_drained(&member.dc) {
+        let admission = if view.is_drained(&member.dc) || target.share.get().is_none() {
             Admission::Closed
         } else if entry.is_ready() && (entry.missing.is_none() || view.may_return(entry)) {
             Admission::Open
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -58,6 +58,8 @@
     pub(crate) config_age: IntGauge,
     /// Requests refused because their organisation exceeded its rate limit, by organisation.
     over_quota: IntCounterVec,
+    /// Requests refused by an operator's rule, by service and rule.
+    pub(crate) traffic_limited: IntCounterVec,
     /// Organisations with a label value of their own in `over_quota`.
     organisations: RefCell<BTreeSet<OrganisationName>>,
 }
@@ -149,6 +151,11 @@
                 "Requests refused because their organisation exceeded its limit, by organisation",
                 &["organisation"],
             ),
+            traffic_limited: metrics.counter_family(
+                "traffic_limited_total",
+                "Requests refused by an operator's rule, by service and rule",
+                &["service", "rule"],
+            ),
             organisations: RefCell::default(),
         }
     }
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of this host share: its view of the store, services, servers and metrics.
 
 mod apply;
+mod apply_traffic;
 mod counters;
 mod crashes;
 mod former_notices;
@@ -18,6 +19,8 @@
 mod service;
 mod source;
 mod target;
+mod traffic_limit;
+mod traffic_rules;
 mod view;
 
 pub(crate) use counters::Counters;
@@ -43,5 +46,7 @@
 pub(crate) use target::Admission;
 pub(crate) use target::Target;
 pub(crate) use target::drain_end;
+pub(crate) use traffic_limit::TrafficLimit;
+pub(crate) use traffic_rules::TrafficRules;
 pub(crate) use view::View;
 pub(crate) use view::ViewChange;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -48,6 +48,7 @@
 use crate::state::Service;
 use crate::state::SourceState;
 use crate::state::Target;
+use crate::state::TrafficRules;
 use crate::state::View;
 
 /// Link speed in megabits per second below which a host leads and schedules only if hardly any other host can: its
@@ -106,6 +107,8 @@
     pub(crate) quota: QuotaShares,
     /// Requests under which servers ended.
     pub(crate) crashes: Crashes,
+    /// An operator's rules for traffic.
+    pub(crate) traffic: TrafficRules,
     /// Notified when the store answers again after an outage.
     pub(crate) store_recovered: ChangeSignal,
     /// When the store last failed to answer.
@@ -160,6 +163,7 @@
             organisations: Organisations::new(),
             quota: QuotaShares::default(),
             crashes: Crashes::default(),
+            traffic: TrafficRules::default(),
             store_recovered: ChangeSignal::default(),
             store_lost: Cell::new(None),
             leading_term: Cell::new(0),
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -14,6 +14,7 @@
 use chicoryrail_policy::ServerId;
 use chicoryrail_policy::ServerNotices;
 use chicoryrail_policy::ServerPath;
+use chicoryrail_policy::Share;
 use chicoryrail_policy::WarmupPacer;
 use chicoryrail_runtime::ServerPool;
 use http::HeaderValue;
@@ -62,6 +63,8 @@
     pub(crate) notices: Cell<ServerNotices>,
     /// Maximum number of concurrent requests.
     pub(crate) slots: Cell<u32>,
+    /// Share of the slots and of the key weight that an operator leaves the server.
+    pub(crate) share: Cell<Share>,
     pub(crate) admission: Cell<Admission>,
     /// Whether this host schedules the requests for the server; `None` until that is determined.
     pub(crate) scheduled_here: Cell<Option<bool>>,
@@ -93,6 +96,7 @@
             found_alive: Cell::default(),
             notices: Cell::new(notices),
             slots: Cell::new(member.slots),
+            share: Cell::new(Share::ALL),
             admission: Cell::new(Admission::Closed),
             scheduled_here: Cell::new(None),
             scheduled_generation: Cell::new(0),
@@ -128,6 +132,11 @@
         self.keeps_connections() && !found_lately
     }
 
+    /// Returns the number of slots that requests may use: those of the entry, or an operator's share of them.
+    pub(crate) fn usable_slots(&self) -> u32 {
+        self.share.get().of_slots(self.slots.get())
+    }
+
     /// Returns `true` if the server is warming up.
     pub(crate) fn is_warming_up(&self, now: Millis) -> bool {
         now < self.warmup_until.get()
