feat(ctl): `traffic show` watches a service's traffic over all hosts

Cause: demand, free slots, refusals, busy keys and slow servers were only in the metrics of each host.

Change: `chicoryctl traffic show SERVICE [--json]` writes `chicoryrail/live/traffic/watch/SERVICE` under a lease of 5 s. While that entry exists, each host sends the leader one datagram a second (`Packet::Traffic`, appended, at most 1,200 bytes) with the increase of its own metrics and the state of its schedulers, and the leader writes `chicoryrail/traffic/state/SERVICE`. Busy keys come from the key demand that the leader has anyway. Nothing is counted on the path of a request. Without the entry, and while the store is down, nothing is sent or written.

Result: in `tests/traffic.rs` four hosts, one of them a leaf host, are included with demand, refusals, slots, the busy key and both servers; within 2.5 s after the end of the watch the state is no longer written; the next leader writes it.

--- a/crates/chicoryctl/src/error.rs
+++ b/crates/chicoryctl/src/error.rs
@@ -215,4 +215,18 @@
         /// Id that was given.
         id: String,
     },
+    /// No host wrote the state of the service's traffic.
+    #[snafu(display("no host reported the traffic of service {service}; does a host lead?"))]
+    NoTraffic {
+        /// The service.
+        service: ServiceName,
+    },
+    /// The state of a service's traffic can't be decoded.
+    #[snafu(display("entry {key}: not the state of a service's traffic: {source}"))]
+    TrafficEntry {
+        /// Key of the entry.
+        key: String,
+        /// Error of the decoder.
+        source: serde_json::Error,
+    },
 }
--- a/crates/chicoryctl/src/lib.rs
+++ b/crates/chicoryctl/src/lib.rs
@@ -25,6 +25,7 @@
 mod status;
 mod traffic;
 mod traffic_settings;
+mod traffic_show;
 
 pub use blocked::BlockedCommand;
 pub use error::CtlError;
--- a/crates/chicoryctl/src/settings.rs
+++ b/crates/chicoryctl/src/settings.rs
@@ -134,7 +134,7 @@
     let traffic = traffic_commands().map(Command::Traffic);
     let traffic = traffic
         .to_options()
-        .descr("Shows or changes rules for traffic: limit, server, pin, list, release")
+        .descr("Shows traffic, and shows or changes rules for it: show, limit, server, pin, list, release")
         .command("traffic");
     construct!([
         check,
--- a/crates/chicoryctl/src/traffic.rs
+++ b/crates/chicoryctl/src/traffic.rs
@@ -25,6 +25,7 @@
 use crate::error::StoreSnafu;
 use crate::error::WriteSnafu;
 use crate::status::Status;
+use crate::traffic_show;
 
 /// Largest number of rules in the store. Every host checks each request against all limits.
 const RULES_MAX: usize = 256;
@@ -36,6 +37,10 @@
     json: bool,
 ) -> Result<String, CtlError> {
     match command {
+        TrafficCommand::Show { service } => {
+            find_service(&Status::read(store).await?, service)?;
+            traffic_show::show(store, service, json).await
+        }
         TrafficCommand::Limit {
             share,
             service,
--- a/crates/chicoryctl/src/traffic_settings.rs
+++ b/crates/chicoryctl/src/traffic_settings.rs
@@ -14,6 +14,11 @@
 /// A `traffic` command.
 #[derive(Clone, Debug, PartialEq)]
 pub enum TrafficCommand {
+    /// Shows demand, slots, refusals, busy keys and slow servers of a service, over all hosts.
+    Show {
+        /// The service.
+        service: ServiceName,
+    },
     /// Admits only a share of a kind's or a caller's requests.
     Limit {
         /// Share that is admitted.
@@ -59,7 +64,14 @@
         .to_options()
         .descr("Ends a rule")
         .command("release");
-    construct!([limit(), server(), pin(), list, release])
+    let service = positional::<ServiceName>("SERVICE").help("Name of the service");
+    let show = construct!(TrafficCommand::Show { service })
+        .to_options()
+        .descr(
+            "Watches a service for some seconds: demand, slots, refusals, busy keys, slow servers",
+        )
+        .command("show");
+    construct!([show, limit(), server(), pin(), list, release])
 }
 
 fn limit() -> impl Parser<TrafficCommand> {
--- a/crates/chicoryctl/tests/traffic.rs
+++ b/crates/chicoryctl/tests/traffic.rs
@@ -14,12 +14,18 @@
 use chicoryrail_core::Millis;
 use chicoryrail_platform::Txn;
 use chicoryrail_platform::write_member;
+use chicoryrail_policy::BusyKey;
+use chicoryrail_policy::SlowServer;
+use chicoryrail_policy::TrafficState;
 use chicoryrail_runtime::block_on;
 use rstest::rstest;
 use support::Operator;
 use support::SITE;
 use support::file;
 
+/// Key of the entry that exists while the service `kits` is watched.
+const WATCH: &str = "chicoryrail/live/traffic/watch/kits";
+
 const LIMIT: &[&str] = &["limit", "read", "--service", "kits", "--share", "0.25"];
 const CALLER: &[&str] = &["limit", "10.0.0.7", "--service", "kits", "--share", "0"];
 const SERVER: &[&str] = &["server", "k-1", "--share", "0.5"];
@@ -149,3 +155,68 @@
         run(&operator, &["release", "mine"]).await.unwrap();
     });
 }
+
+/// Guards against a state of an earlier watch, or of the first second, that is shown as the current one, and against a
+/// watch entry that stays.
+#[test]
+fn traffic_is_shown_once_all_hosts_report() {
+    block_on(async {
+        let operator = operator().await;
+        let state = |watched_ms: u64, hosts: usize| TrafficState {
+            watched_ms,
+            hosts,
+            demand: 12.25,
+            slots: 8,
+            busy: 3,
+            waiting: 1,
+            causes: [("full".to_owned(), 2.0)].into(),
+            keys: vec![BusyKey { key: 7, rate: 5.5 }],
+            servers: vec![SlowServer {
+                server: "k-1".into(),
+                slowness: 1.5,
+            }],
+            ..TrafficState::default()
+        };
+        let store = operator.store.clone();
+        let write = async move |state: &TrafficState| {
+            let value = serde_json::to_vec(state).unwrap();
+            let txn = Txn::default().put("chicoryrail/traffic/state/kits", &value);
+            store.commit(&txn).await.unwrap();
+        };
+        write(&state(9_000, 1)).await;
+        let store = operator.store.clone();
+        monoio::spawn(async move {
+            while store.item(WATCH).await.unwrap().is_none() {
+                monoio::time::sleep(Millis(10).to_duration()).await;
+            }
+            write(&state(0, 2)).await;
+            monoio::time::sleep(Millis(50).to_duration()).await;
+            write(&state(2_000, 3)).await;
+        });
+        let shown = run(&operator, &["show", "kits"]).await.unwrap();
+        for line in [
+            "service          kits, reports of 3 hosts",
+            "demand           12.2 requests a second",
+            "slots            8, 3 busy, 1 requests waiting",
+            "refused, cause   full 2.0",
+            "refused, kind    none",
+            "7                5.5",
+            "k-1              1.50",
+        ] {
+            assert!(shown.lines().any(|l| l == line), "{line}: {shown}");
+        }
+        assert!(operator.store.item(WATCH).await.unwrap().is_none());
+    });
+}
+
+/// Guards against a command that hangs, or shows nothing without a word, while no host leads.
+#[test]
+fn traffic_without_hosts_is_an_error() {
+    block_on(async {
+        let operator = operator().await;
+        let error = run(&operator, &["show", "kits"]).await.unwrap_err();
+        assert!(error.to_string().contains("service kits"), "{error}");
+        let error = run(&operator, &["show", "kit"]).await.unwrap_err();
+        assert_eq!(error.to_string(), "service kit does not exist");
+    });
+}
--- a/crates/chicoryrail-ownership/src/keys/key_load.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_load.rs
@@ -35,7 +35,7 @@
     }
 
     /// Returns the time in which as many requests arrive at a constant rate as the decayed count holds.
-    fn length(self) -> Millis {
+    pub(crate) fn length(self) -> Millis {
         Millis((self.half_life().0 as f64 / std::f64::consts::LN_2) as u64)
     }
 }
@@ -130,7 +130,7 @@
     }
 
     /// Returns the part of the long window since requests began to arrive; the counts hold no more than that.
-    fn filled_fraction(&self) -> f64 {
+    pub(crate) fn filled_fraction(&self) -> f64 {
         let active = self.decayed_at.since(self.active_since).0 as f64;
         let filled = 1.0 - 0.5_f64.powf(active / LoadWindow::Long.half_life().0 as f64);
         filled.max(FILLED_FRACTION_MIN)
--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -7,6 +7,7 @@
 //! should own.
 
 mod assignment;
+mod busiest_keys;
 mod delegation;
 mod due;
 mod key_action;
--- a/crates/chicoryrail-ownership/src/store_key.rs
+++ b/crates/chicoryrail-ownership/src/store_key.rs
@@ -20,6 +20,12 @@
 /// their own.
 pub const TRAFFIC_RULES: &str = "live/traffic/rule/";
 
+/// Prefix of the entries that exist while an operator watches a service's traffic.
+pub const TRAFFIC_WATCHES: &str = "live/traffic/watch/";
+
+/// Prefix of the state of watched services. Only operators read it, so it is not watched.
+const TRAFFIC_STATES: &str = "traffic/state/";
+
 /// Prefix of the key records. They need not be watched, since the leader sends each change to the hosts
 /// directly.
 pub const KEYS: &str = "keys/";
@@ -42,6 +48,18 @@
     format!("{TRAFFIC_RULES}{id}")
 }
 
+/// Returns the key of the entry that exists while an operator watches a service's traffic.
+#[must_use]
+pub fn traffic_watch_key(service: &ServiceName) -> String {
+    format!("{TRAFFIC_WATCHES}{service}")
+}
+
+/// Returns the key of the state of a service's traffic.
+#[must_use]
+pub fn traffic_state_key(service: &ServiceName) -> String {
+    format!("{TRAFFIC_STATES}{service}")
+}
+
 /// Returns the key of a blocked request's record.
 #[must_use]
 pub fn crash_key(request: Fingerprint) -> String {
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -19,6 +19,7 @@
 use crate::messages::KeyUpdate;
 use crate::messages::Packet;
 use crate::messages::SlotReply;
+use crate::messages::TrafficReport;
 use crate::state::Router;
 
 /// Time between two heartbeats to each other host while nothing changes. A leader that was isolated from the store
@@ -80,11 +81,20 @@
                 quota::reply_to_report(&self.router, &self.pools, &reports, from);
             }
             Packet::QuotaGrants(grants) => quota::apply_grants(&self.router, &grants),
+            Packet::Traffic(report) => self.handle_traffic(report),
             Packet::Crashes(news) => apply_news(&self.router, &news, Some(from)),
             packet => scheduling::handle_packet(&self.router, &packet, Some(from)),
         }
     }
 
+    /// Records a report on a watched service. After the watch has ended, a late report would begin a new collection.
+    fn handle_traffic(&self, report: TrafficReport) {
+        if self.router.leading_term.get() > 0 && self.router.traffic.is_watched(&report.service) {
+            let now = self.router.now();
+            self.leadership.traffic.record(now, report);
+        }
+    }
+
     fn handle_slot_reply(&self, ticket: u64, reply: SlotReply) {
         // The request no longer waits. The scheduler frees the assigned slot when the request's deadline has passed.
         if !self.router.pending_queries.deliver(ticket, reply) {
--- a/crates/chicoryrail-router/src/control/leader/leader_term.rs
+++ b/crates/chicoryrail-router/src/control/leader/leader_term.rs
@@ -14,6 +14,7 @@
 use chicoryrail_runtime::ChangeSignal;
 
 use crate::control::leader::key_leader::KeyLeader;
+use crate::control::traffic::TrafficBoard;
 use crate::messages::ServerPace;
 use crate::state::Router;
 
@@ -52,6 +53,8 @@
     key_loads: RefCell<BTreeMap<ServiceName, KeyLoad>>,
     /// Slowness and rate limits of servers, as reported by the hosts that schedule for them.
     slowness_reports: RefCell<BTreeMap<Life, ServerPace>>,
+    /// Reports on the services that an operator watches.
+    pub(crate) traffic: TrafficBoard,
 }
 
 impl LeaderTerm {
@@ -110,6 +113,13 @@
         f(load)
     }
 
+    /// Returns the keys of a service with the most requests and their rates, at most `count`.
+    pub(crate) fn busiest_keys(&self, service: &ServiceName, count: usize) -> Vec<(u16, f64)> {
+        let loads = self.key_loads.borrow();
+        let load = loads.get(service);
+        load.map(|l| l.busiest_keys(count)).unwrap_or_default()
+    }
+
     /// Returns `true` if this host may send grants and releases to servers as the leader.
     ///
     /// No other host can lead while the lease was confirmed recently. Without the store, a leader continues only
--- a/crates/chicoryrail-router/src/control/mod.rs
+++ b/crates/chicoryrail-router/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod quota;
 pub(crate) mod scheduling;
 mod store_blocks;
+mod traffic;
 
 pub(crate) use config_feed::follow_feeds;
 pub(crate) use config_feed::follow_leader_keys;
@@ -39,3 +40,4 @@
 pub(crate) use quota::QuotaPools;
 pub(crate) use quota::report_quota_use;
 pub(crate) use store_blocks::store_blocks;
+pub(crate) use traffic::report_traffic;
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -51,7 +51,8 @@
         | Packet::SlotReply { .. }
         | Packet::QuotaReports(_)
         | Packet::QuotaGrants(_)
-        | Packet::Crashes(_) => {}
+        | Packet::Crashes(_)
+        | Packet::Traffic(_) => {}
     }
 }
 
--- a/crates/chicoryrail-router/src/messages/mod.rs
+++ b/crates/chicoryrail-router/src/messages/mod.rs
@@ -13,6 +13,7 @@
 mod relay_message;
 mod renewal_message;
 mod socket;
+mod traffic_message;
 
 pub(crate) use codec::decode;
 pub(crate) use codec::encode;
@@ -67,3 +68,4 @@
 pub(crate) use renewal_message::RenewalReport;
 pub(crate) use renewal_message::ServiceOrder;
 pub(crate) use socket::PeerSocket;
+pub(crate) use traffic_message::TrafficReport;
--- a/crates/chicoryrail-router/src/messages/packet.rs
+++ b/crates/chicoryrail-router/src/messages/packet.rs
@@ -19,6 +19,7 @@
 use crate::messages::PartRoom;
 use crate::messages::QuotaGrants;
 use crate::messages::QuotaReports;
+use crate::messages::TrafficReport;
 
 /// A datagram between hosts.
 #[derive(Clone, Debug, Encode, Decode)]
@@ -45,6 +46,8 @@
     QuotaGrants(QuotaGrants),
     /// What a host knows of requests under which servers ended.
     Crashes(CrashNews),
+    /// Traffic of a service that an operator watches, for the leader.
+    Traffic(TrafficReport),
 }
 
 /// State of a host, as reported by itself.
--- a/crates/chicoryrail-router/src/route/traffic.rs
+++ b/crates/chicoryrail-router/src/route/traffic.rs
@@ -13,6 +13,9 @@
 
 /// Returns the refusal of a request that an operator's rule does not admit; `None` if it may run.
 pub(super) fn refuse_limited(router: &Router, call: &CallerRequest) -> Option<Refusal> {
+    if !router.traffic.has_limits() {
+        return None;
+    }
     let service = call.service_name();
     let (now, caller) = (router.now(), call.from.ip());
     let rule = router.traffic.refuse(now, service, &call.route, caller)?;
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -31,6 +31,7 @@
 use crate::control::follow_renewal_orders;
 use crate::control::register_core_host;
 use crate::control::report_quota_use;
+use crate::control::report_traffic;
 use crate::control::run_election;
 use crate::control::run_renewals;
 use crate::control::scheduling;
@@ -172,6 +173,7 @@
     monoio::spawn(report_quota_use(Rc::clone(&router), pools));
     monoio::spawn(spread_news(Rc::clone(&router)));
     monoio::spawn(store_blocks(Rc::clone(&router)));
+    monoio::spawn(report_traffic(Rc::clone(&router), Rc::clone(&leadership)));
     let elected = monoio::spawn(run_election(Rc::clone(&router), leadership));
     let listener = bind_listener("callers", callers).context(ListenSnafu)?;
     let callers_stop = CancellationToken::new();
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -87,9 +87,7 @@
         if key.starts_with(HOSTS) {
             self.update_hosts();
         }
-        if let Some(id) = key.strip_prefix(TRAFFIC_RULES) {
-            self.apply_traffic_rule(key, id);
-        }
+        self.apply_traffic(key);
         let Some(service) = key.strip_prefix(KEYS) else {
             return;
         };
--- a/crates/chicoryrail-router/src/state/apply_traffic.rs
+++ b/crates/chicoryrail-router/src/state/apply_traffic.rs
@@ -1,13 +1,28 @@
 //! Applies an operator's rules for traffic from the store.
 
+use chicoryrail_core::ServiceName;
+use chicoryrail_ownership::store_key::TRAFFIC_RULES;
+use chicoryrail_ownership::store_key::TRAFFIC_WATCHES;
 use chicoryrail_policy::TrafficRule;
 
 use crate::state::Router;
 
 impl Router {
-    /// Applies the entry of a rule with this key: puts it into force, or ends it if the entry is gone. An entry that
-    /// can't be decoded is logged and ignored, and ends a former rule of that key.
-    pub(super) fn apply_traffic_rule(&self, key: &str, id: &str) {
+    /// Applies the entry with this key if it is a rule, or exists while an operator watches a service.
+    pub(super) fn apply_traffic(&self, key: &str) {
+        if let Some(id) = key.strip_prefix(TRAFFIC_RULES) {
+            self.apply_traffic_rule(key, id);
+        }
+        if let Some(service) = key.strip_prefix(TRAFFIC_WATCHES) {
+            let is_watched = self.store_view.borrow().own(key).is_some();
+            let service = ServiceName::new(service);
+            self.traffic.set_watched(service, is_watched);
+        }
+    }
+
+    /// Puts the rule of an entry into force, or ends it if the entry is gone. An entry that can't be decoded is logged and
+    /// ignored, and ends a former rule of that key.
+    fn apply_traffic_rule(&self, key: &str, id: &str) {
         let view = self.store_view.borrow();
         let Some(item) = view.own(key) else {
             if self.traffic.remove(id) {
--- a/crates/chicoryrail-router/src/state/traffic_rules.rs
+++ b/crates/chicoryrail-router/src/state/traffic_rules.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use chicoryrail_core::Millis;
@@ -16,6 +17,7 @@
 use chicoryrail_policy::Share;
 use chicoryrail_policy::ShareCounter;
 use chicoryrail_policy::TrafficRule;
+use chicoryrail_runtime::ChangeSignal;
 
 use crate::state::TrafficLimit;
 
@@ -25,6 +27,10 @@
     limits: RefCell<Vec<TrafficLimit>>,
     servers: RefCell<BTreeMap<String, ServerRule>>,
     pins: RefCell<BTreeMap<String, PinRule>>,
+    /// Services whose traffic an operator watches.
+    watched: RefCell<BTreeSet<ServiceName>>,
+    /// Notified when `watched` changes.
+    pub(crate) watch_changed: ChangeSignal,
 }
 
 impl TrafficRules {
@@ -66,6 +72,11 @@
         limits.len() < before || server.is_some() || pin.is_some()
     }
 
+    /// Returns `true` if any limit is in force.
+    pub(crate) fn has_limits(&self) -> bool {
+        !self.limits.borrow().is_empty()
+    }
+
     /// Counts a request, and returns the id of the first limit that refuses it.
     ///
     /// A limit counts only the requests that those before it admit, so the shares of several limits multiply.
@@ -76,9 +87,6 @@
         route: &Route,
         caller: IpAddr,
     ) -> Option<String> {
-        if self.limits.borrow().is_empty() {
-            return None;
-        }
         let mut limits = self.limits.borrow_mut();
         let limits = limits
             .iter_mut()
@@ -92,6 +100,30 @@
         None
     }
 
+    /// Records that an operator begins or ends to watch a service.
+    pub(super) fn set_watched(&self, service: ServiceName, is_watched: bool) {
+        let mut watched = self.watched.borrow_mut();
+        let changed = if is_watched {
+            watched.insert(service)
+        } else {
+            watched.remove(&service)
+        };
+        drop(watched);
+        if changed {
+            self.watch_changed.notify();
+        }
+    }
+
+    /// Returns the services whose traffic an operator watches.
+    pub(crate) fn watched(&self) -> BTreeSet<ServiceName> {
+        self.watched.borrow().clone()
+    }
+
+    /// Returns `true` if an operator watches the service's traffic.
+    pub(crate) fn is_watched(&self, service: &ServiceName) -> bool {
+        self.watched.borrow().contains(service)
+    }
+
     /// Returns the share of its slots and key weight that a server is left; the smallest if several rules name it.
     pub(super) fn server_share(&self, server: &ServerName) -> Share {
         let servers = self.servers.borrow();
--- a/crates/chicoryrail-router/tests/traffic.rs
+++ b/crates/chicoryrail-router/tests/traffic.rs
@@ -238,3 +238,103 @@
     }
     true
 }
+
+/// Key of the entry that exists while the service `kits` is watched.
+const WATCH: &str = "chicoryrail/live/traffic/watch/kits";
+
+/// Guards against traffic that some host does not report, and against reports, writes and watches of the store while
+/// nobody watches: they would cost every deployment something at rest.
+#[test]
+fn traffic_is_reported_by_every_host_only_while_it_is_watched() {
+    block_on(async {
+        let world = World::start("traffic-show").await;
+        world.configure().await;
+        let _servers = [
+            world.server("k-1", "kits").await,
+            world.server("k-2", "kits").await,
+        ];
+        let hosts = fleet(&world).await;
+        let state = async || {
+            let item = world.store.item("chicoryrail/traffic/state/kits").await;
+            let item = item.unwrap()?;
+            Some((
+                item.revision,
+                serde_json::from_slice::<Value>(&item.value).unwrap(),
+            ))
+        };
+        wait_until("all keys are served", async || {
+            hosts[3].serves_all_keys().await
+        })
+        .await;
+        assert!(state().await.is_none());
+        let rule =
+            json!({"type": "limit", "service": "kits", "limited": {"kind": "key"}, "share": 0.5});
+        world.put(&rule_key("r"), &rule).await;
+        for host in &hosts {
+            await_rule(host, "r", "in_force").await;
+        }
+        world.put(WATCH, &json!({})).await;
+        wait_until("all hosts are included with their requests", async || {
+            for host in &hosts {
+                let caller = host.caller();
+                for _ in 0..4 {
+                    let status = caller.key(7).await.unwrap().status();
+                    assert!(status == 200 || status == 429, "{status}");
+                }
+            }
+            let Some((_, state)) = state().await else {
+                return false;
+            };
+            let rate = |pointer: &str| {
+                state
+                    .pointer(pointer)
+                    .and_then(Value::as_f64)
+                    .unwrap_or(0.0)
+            };
+            state["hosts"] == 4
+                && rate("/demand") > 0.0
+                && rate("/causes/limited") > 0.0
+                && rate("/kinds/read") > 0.0
+                && state["slots"] == 4
+                && state.pointer("/keys/0/key") == Some(&json!(7))
+                && state["servers"].as_array().unwrap().len() == 2
+        })
+        .await;
+        world.remove(WATCH).await;
+        monoio::time::sleep(Millis(2_500).to_duration()).await;
+        let (revision, _) = state().await.unwrap();
+        monoio::time::sleep(Millis(2_500).to_duration()).await;
+        assert_eq!(state().await.unwrap().0, revision);
+    });
+}
+
+/// Guards against an operator who sees nothing after the leader is lost: the next one must collect and write.
+#[test]
+fn the_next_leader_writes_the_traffic() {
+    block_on(async {
+        let world = World::start("traffic-next").await;
+        world.configure().await;
+        let _server = world.server("k-1", "kits").await;
+        let mut hosts = fleet(&world).await;
+        world.put(WATCH, &json!({})).await;
+        let state = async || {
+            world
+                .store
+                .item("chicoryrail/traffic/state/kits")
+                .await
+                .unwrap()
+        };
+        wait_until("a state is written", async || state().await.is_some()).await;
+        let leads = |h: &RouterProcess| h.log().contains("log=leader_won");
+        let leader = hosts.iter().position(leads).unwrap();
+        hosts.remove(leader).signal(Signal::SIGKILL);
+        wait_until("another host leads", async || hosts.iter().any(leads)).await;
+        let former = state().await.unwrap().revision;
+        wait_until("the others are included", async || {
+            let item = state().await.unwrap();
+            let state: Value = serde_json::from_slice(&item.value).unwrap();
+            item.revision > former && state["hosts"] == 3
+        })
+        .await;
+    });
+}
