fix(router): a further watch of a service's traffic begins a new collection

Cause: a second `traffic show` within a second of the first was answered after 1.0 s from the former collection, once without one of three hosts, which had already stopped to count.

Change: reports are collected for one revision of the watch entry.

--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -89,9 +89,10 @@
 
     /// Records a report on a watched service. After the watch has ended, a late report would begin a new collection.
     fn handle_traffic(&self, report: TrafficReport) {
-        if self.router.leading_term.get() > 0 && self.router.traffic.is_watched(&report.service) {
+        let watch = self.router.traffic.watch_revision(&report.service);
+        if let Some(watch) = watch.filter(|_| self.router.leading_term.get() > 0) {
             let now = self.router.now();
-            self.leadership.traffic.record(now, report);
+            self.leadership.traffic.record(now, watch, report);
         }
     }
 
--- a/crates/chicoryrail-router/src/control/traffic/board.rs
+++ b/crates/chicoryrail-router/src/control/traffic/board.rs
@@ -27,17 +27,21 @@
 /// Reports on a watched service.
 #[derive(Debug)]
 struct Watched {
+    /// Revision of the watch entry. A further watch begins a new collection: some hosts may have stopped in between.
+    watch: u64,
     /// When the first report arrived.
     since: Millis,
     reports: BTreeMap<HostName, (Millis, TrafficReport)>,
 }
 
 impl TrafficBoard {
-    /// Records a host's report.
-    pub(crate) fn record(&self, now: Millis, report: TrafficReport) {
+    /// Records a host's report; `watch` is the revision of the service's watch entry.
+    pub(crate) fn record(&self, now: Millis, watch: u64, report: TrafficReport) {
         let mut services = self.services.borrow_mut();
+        services.retain(|service, w| *service != report.service || w.watch == watch);
         let watched = services.entry(report.service.clone());
         let watched = watched.or_insert_with(|| Watched {
+            watch,
             since: now,
             reports: BTreeMap::new(),
         });
--- a/crates/chicoryrail-router/src/control/traffic/report.rs
+++ b/crates/chicoryrail-router/src/control/traffic/report.rs
@@ -33,19 +33,19 @@
         let seen = router.traffic.watch_changed.version();
         let mut watched = router.traffic.watched();
         let site = router.site();
-        watched.retain(|s| site.as_ref().is_some_and(|site| site.service(s).is_some()));
-        tallies.retain(|service, _| watched.contains(service));
-        leadership.traffic.retain(|s| watched.contains(s));
+        watched.retain(|s, _| site.as_ref().is_some_and(|site| site.service(s).is_some()));
+        tallies.retain(|service, _| watched.contains_key(service));
+        leadership.traffic.retain(|s| watched.contains_key(s));
         if router.traffic.watched().is_empty() {
             router.traffic.watch_changed.wait_past(seen).await;
             continue;
         }
         if router.store_up.get() {
-            for service in &watched {
-                report(&router, &leadership, &mut tallies, service).await;
+            for (service, watch) in &watched {
+                report(&router, &leadership, &mut tallies, (service, *watch)).await;
             }
             if router.leading_term.get() > 0 {
-                for service in &watched {
+                for service in watched.keys() {
                     write_state(&router, &leadership, service).await;
                 }
             }
@@ -59,7 +59,7 @@
     router: &Rc<Router>,
     leadership: &LeaderTerm,
     tallies: &mut Tallies,
-    service: &ServiceName,
+    (service, watch): (&ServiceName, u64),
 ) {
     let now = router.now();
     let tally = Tally::read(&router.counters, service);
@@ -83,7 +83,7 @@
     add_schedulers(router, &router.service(service), &mut report);
     report.fit();
     if router.leading_term.get() > 0 {
-        leadership.traffic.record(now, report);
+        leadership.traffic.record(now, watch, report);
         return;
     }
     let leader = router.peers.borrow().leader_addr();
--- a/crates/chicoryrail-router/src/state/apply_traffic.rs
+++ b/crates/chicoryrail-router/src/state/apply_traffic.rs
@@ -14,9 +14,9 @@
             self.apply_traffic_rule(key, id);
         }
         if let Some(service) = key.strip_prefix(TRAFFIC_WATCHES) {
-            let is_watched = self.store_view.borrow().own(key).is_some();
+            let revision = self.store_view.borrow().own(key).map(|i| i.revision);
             let service = ServiceName::new(service);
-            self.traffic.set_watched(service, is_watched);
+            self.traffic.set_watched(&service, revision);
         }
     }
 
--- a/crates/chicoryrail-router/src/state/traffic_rules.rs
+++ b/crates/chicoryrail-router/src/state/traffic_rules.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use chicoryrail_core::Millis;
@@ -27,8 +26,8 @@
     limits: RefCell<Vec<TrafficLimit>>,
     servers: RefCell<BTreeMap<String, ServerRule>>,
     pins: RefCell<BTreeMap<String, PinRule>>,
-    /// Services whose traffic an operator watches.
-    watched: RefCell<BTreeSet<ServiceName>>,
+    /// Services whose traffic an operator watches, with the revision of the entry that says so.
+    watched: RefCell<BTreeMap<ServiceName, u64>>,
     /// Notified when `watched` changes.
     pub(crate) watch_changed: ChangeSignal,
 }
@@ -100,28 +99,27 @@
         None
     }
 
-    /// Records that an operator begins or ends to watch a service.
-    pub(super) fn set_watched(&self, service: ServiceName, is_watched: bool) {
+    /// Records that an operator watches a service, with the revision of the entry, or no longer does.
+    pub(super) fn set_watched(&self, service: &ServiceName, revision: Option<u64>) {
         let mut watched = self.watched.borrow_mut();
-        let changed = if is_watched {
-            watched.insert(service)
-        } else {
-            watched.remove(&service)
+        let former = match revision {
+            Some(revision) => watched.insert(service.clone(), revision),
+            None => watched.remove(service),
         };
         drop(watched);
-        if changed {
+        if former != revision {
             self.watch_changed.notify();
         }
     }
 
-    /// Returns the services whose traffic an operator watches.
-    pub(crate) fn watched(&self) -> BTreeSet<ServiceName> {
+    /// Returns the services whose traffic an operator watches, with the revisions of their watch entries.
+    pub(crate) fn watched(&self) -> BTreeMap<ServiceName, u64> {
         self.watched.borrow().clone()
     }
 
-    /// Returns `true` if an operator watches the service's traffic.
-    pub(crate) fn is_watched(&self, service: &ServiceName) -> bool {
-        self.watched.borrow().contains(service)
+    /// Returns the revision of the watch entry of a service; `None` if no operator watches it.
+    pub(crate) fn watch_revision(&self, service: &ServiceName) -> Option<u64> {
+        self.watched.borrow().get(service).copied()
     }
 
     /// Returns the share of its slots and key weight that a server is left; the smallest if several rules name it.
--- a/crates/chicoryrail-router/tests/traffic.rs
+++ b/crates/chicoryrail-router/tests/traffic.rs
@@ -303,8 +303,8 @@
 /// Key of the entry that exists while the service `kits` is watched.
 const WATCH: &str = "chicoryrail/live/traffic/watch/kits";
 
-/// Guards against traffic that some host does not report, and against reports, writes and watches of the store while
-/// nobody watches: they would cost every deployment something at rest.
+/// Guards against traffic that some host does not report, against reports, writes and watches of the store while nobody
+/// watches, which would cost every deployment something at rest, and against a further watch that shows the former one.
 #[test]
 fn traffic_is_reported_by_every_host_only_while_it_is_watched() {
     block_on(async {
@@ -366,6 +366,15 @@
         let (revision, _) = state().await.unwrap();
         monoio::time::sleep(Millis(2_500).to_duration()).await;
         assert_eq!(state().await.unwrap().0, revision);
+        for _ in 0..2 {
+            world.put(WATCH, &json!({})).await;
+            let former = state().await.unwrap().0;
+            wait_until("a new collection has begun", async || {
+                let (revision, state) = state().await.unwrap();
+                revision > former && state["watched_ms"].as_u64().unwrap() < 900
+            })
+            .await;
+        }
     });
 }
 
