--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -7,6 +7,7 @@
 //! should own.
 
 mod assignment;
+mod busiest_keys;
 mod dedicated_servers;
 mod delegation;
 mod due;
@@ -22,6 +23,7 @@
 mod load_curve;
 mod load_shares;
 mod move_reason;
+mod pin;
 mod plan;
 mod plan_policy;
 mod range_set;
@@ -48,6 +50,7 @@
 pub use key_view::KeyView;
 pub use load_shares::load_shares;
 pub use move_reason::MoveReason;
+pub use pin::Pin;
 pub use plan::Moves;
 pub use plan::Plan;
 pub use plan::split_key_space;
--- a/crates/chicoryrail-ownership/src/keys/move_reason.rs
+++ b/crates/chicoryrail-ownership/src/keys/move_reason.rs
@@ -11,6 +11,8 @@
     Relief,
     /// The load is distributed more evenly.
     Balance,
+    /// An operator pinned them.
+    Pinned,
 }
 
 impl MoveReason {
@@ -22,6 +24,7 @@
             Self::HotKey => "hot_key",
             Self::Relief => "relief",
             Self::Balance => "balance",
+            Self::Pinned => "pinned",
         }
     }
 }
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -39,6 +39,9 @@
 //!
 //! [`UploadPlan`] decides whether an upload is admitted and how much of it is read before it takes a slot.
 //!
+//! [`TrafficRule`] is an operator's rule that limits requests or servers or pins keys, and [`ShareCounter`] admits the
+//! share of requests that such a rule allows.
+//!
 //! See also [`WarmupPacer`] for servers that warm up, [`RetryBudget`] for retries, and [`retry_after`] for the time
 //! that a refused caller is told to wait before it retries.
 
@@ -48,6 +51,7 @@
 mod quota;
 mod scheduler;
 mod server_id;
+mod traffic;
 mod upload;
 
 pub use admission::ApiKeyIndex;
@@ -92,6 +96,18 @@
 pub use scheduler::SlotRelease;
 pub use scheduler::SlotRequest;
 pub use server_id::ServerId;
+pub use traffic::BusyKey;
+pub use traffic::LimitRule;
+pub use traffic::Limited;
+pub use traffic::PinRule;
+pub use traffic::RangeError;
+pub use traffic::ServerRule;
+pub use traffic::Share;
+pub use traffic::ShareCounter;
+pub use traffic::ShareError;
+pub use traffic::SlowServer;
+pub use traffic::TrafficRule;
+pub use traffic::TrafficState;
 pub use upload::UPLOAD_WINDOW_BYTES;
 pub use upload::UploadPlan;
 pub use upload::UploadReading;
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -82,6 +82,7 @@
                 };
                 Plan::compute(leases.record(), &candidates, load, moves, policy)
             });
+        let plan = self.pinned(plan, &candidates, now);
         if let Plan::Change(spans, reason) = plan {
             self.last_change_at.set(now);
             let moved = self.leases.borrow().record().moved_ranges(&spans);
@@ -265,7 +266,7 @@
     report: Option<&ServerPace>,
     slowness: impl FnOnce(f32) -> f64,
 ) -> f64 {
-    let slots = f64::from(target.slots.get());
+    let slots = f64::from(target.slots.get()) * target.share.get().fraction();
     let Some(report) = report else {
         return slots;
     };
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -25,6 +25,7 @@
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::route::serving_guard::ServingGuard;
+use crate::route::traffic::refuse_limited;
 use crate::route::upload;
 use crate::state::Router;
 
@@ -90,6 +91,9 @@
 
 async fn run(router: &Rc<Router>, call: CallerRequest, body: Rc<RequestBody>) -> Response<Body> {
     let call = Rc::new(call);
+    if let Some(refusal) = refuse_limited(router, &call) {
+        return finish(router, &call, Err(refusal));
+    }
     let mut guard = AbandonGuard::new(router, &call);
     let result = match call.route.kind.idempotency() {
         Idempotency::Idempotent => forward(router, &call, &body).await,
