fix(keys): several busy keys of one server may be spread

Cause: every key with a quarter of its owner's capacity was left with its owner until it is overloaded alone. Several such keys overloaded a server of which none ever was overloaded, and relief could not move any.

Change: only the busiest key of each owner is left there.

--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -155,8 +155,7 @@
     }
 
     /// Returns the probes that are due: of lost servers, and of new ones if they are probed. A probe is a release of all
-    /// keys: a server never
-    /// refuses it, and it has no effect on a server without keys.
+    /// keys: a server never refuses it, and it has no effect on a server without keys.
     fn due_probes(&self, now: Millis) -> Vec<KeyAction> {
         let lost = self.servers.iter().filter(|(life, s)| {
             let registered = now.since(s.last_seen) <= REGISTRATION_AGE_MAX && s.addr.port() != 0;
--- a/crates/chicoryrail-ownership/src/keys/key_history.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_history.rs
@@ -13,8 +13,8 @@
 use crate::keys::hot_key::HotKey;
 use crate::keys::smoothed_slowness::SmoothedSlowness;
 
-/// Demand of a key, relative to the capacity of its owner, from which on the key is observed and left with
-/// its owner until it turns out whether it gets a server of its own.
+/// Demand of a key, relative to the capacity of its owner, from which on the key is observed and, if it is
+/// the owner's busiest, left there until it turns out whether it gets a server of its own.
 const OBSERVED_RATIO: f64 = 0.25;
 
 /// Fraction of the servers that may be reserved for one key each. Beyond it the service as a whole is overloaded, and
@@ -174,16 +174,22 @@
         keys.collect()
     }
 
-    /// Returns the busy keys that have no server of their own.
-    pub(crate) fn busy_keys(&self, servers: usize) -> Vec<u16> {
+    /// Returns the keys that have no server of their own and are the busiest observed one of their owner. Others may
+    /// move: several busy keys can overload a server of which none does so alone.
+    pub(crate) fn busiest_keys(&self, record: &KeyRecord, servers: usize) -> Vec<u16> {
         let dedicated = self.dedicated_keys(servers);
-        let busy = self
-            .hot_keys
-            .iter()
-            .filter(|(_, hot)| !hot.is_over(self.now));
-        let busy = busy.map(|(key, _)| *key);
-        busy.filter(|key| dedicated.iter().all(|(d, _)| d != key))
-            .collect()
+        let mut busiest: BTreeMap<&Life, (f64, u16)> = BTreeMap::new();
+        for (key, hot) in &self.hot_keys {
+            let is_dedicated = dedicated.iter().any(|(d, _)| d == key);
+            let Some(owner) = record.owner(*key).filter(|_| !is_dedicated) else {
+                continue;
+            };
+            let known = busiest.entry(owner).or_insert((0.0, *key));
+            if hot.demand() > known.0 {
+                *known = (hot.demand(), *key);
+            }
+        }
+        busiest.into_values().map(|(_, key)| key).collect()
     }
 
     /// Returns the keys whose server is to be no longer reserved for them.
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -114,7 +114,7 @@
         if let Some(history) = history {
             assignment.formerly_dedicated = history.calm_keys();
             assignment.dedicate_servers(&dedicated);
-            assignment.hold_keys(&history.busy_keys(candidates.len()));
+            assignment.hold_keys(&history.busiest_keys(record, candidates.len()));
         }
         let is_required = membership_changed || hot_key_change;
         if urgent
--- a/crates/chicoryrail-ownership/tests/hot_keys.rs
+++ b/crates/chicoryrail-ownership/tests/hot_keys.rs
@@ -1,5 +1,7 @@
 //! Placement of overloaded keys among servers of unequal speed.
 
+use std::collections::BTreeMap;
+
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
@@ -29,8 +31,9 @@
 struct Service {
     candidates: Vec<KeyCandidate>,
     record: KeyRecord,
-    /// The key that becomes busy.
+    /// The first key that becomes busy, and the number of neighbouring keys that do.
     key: u16,
+    busy_keys: u16,
     load: KeyLoad,
     history: KeyHistory,
     now: u64,
@@ -63,6 +66,7 @@
             candidates,
             record,
             key: 0,
+            busy_keys: 1,
             load,
             history: KeyHistory::default(),
             now: 0,
@@ -81,7 +85,10 @@
             (0..(self.rate * step) as usize).for_each(|_| self.load.record(self.rng.random()));
             let busy = busy_rate * step;
             let extra = usize::from(self.rng.random_bool(busy.fract()));
-            (0..busy as usize + extra).for_each(|_| self.load.record(self.key));
+            for _ in 0..busy as usize + extra {
+                let offset = self.rng.random_range(0..self.busy_keys);
+                self.load.record(self.key + offset);
+            }
             if self
                 .plan()
                 .is_some_and(|(before, _)| before != *self.owner())
@@ -217,3 +224,20 @@
     assert_eq!(moved.len(), 1, "{moved:?}");
     assert!(service.weight(service.owner()) >= 12.0);
 }
+
+/// Load: skew, six neighbouring keys of which each has 0.4 of what their owner bears. Guards against keys that stay together
+/// because none of them is overloaded alone: their owners bear what they get.
+#[test]
+fn several_busy_keys_of_one_server_are_spread() {
+    let mut service = uneven_service(1.0);
+    service.busy_keys = 6;
+    service.run(9_000, 60.0);
+    let mut busy = BTreeMap::new();
+    for key in service.key..service.key + 6 {
+        let owner = service.record.owner(key).unwrap();
+        *busy.entry(owner).or_insert(0.0) += 10.0 * SERVICE_MS as f64 / 1_000.0;
+    }
+    for (owner, demand) in busy {
+        assert!(demand < service.weight(owner), "{owner:?}: {demand}");
+    }
+}
--- a/crates/chicoryrail-ownership/tests/steady_load.rs
+++ b/crates/chicoryrail-ownership/tests/steady_load.rs
@@ -58,8 +58,9 @@
     history: KeyHistory,
     now: u64,
     changed_at: u64,
-    /// Requests a second.
+    /// Mean requests a second, and by which part of it the rate swings every 13 s.
     rate: f64,
+    swing: f64,
     /// Time of the next request, in milliseconds.
     next_request: f64,
     moved_keys: u32,
@@ -90,6 +91,7 @@
             now: 0,
             changed_at: 0,
             rate: weight * 1_000.0 / SERVICE_MS as f64 * utilisation,
+            swing: 0.0,
             next_request: 0.0,
             moved_keys: 0,
             moved_ranges: 0,
@@ -104,7 +106,9 @@
                 let key = self.requested_key(demand);
                 self.load.record(key);
                 let uniform: f64 = self.rng.random();
-                self.next_request -= (1.0 - uniform).ln() * 1_000.0 / self.rate;
+                let phase = self.now as f64 / 13_000.0 * std::f64::consts::TAU;
+                let rate = self.rate * (1.0 + self.swing * phase.sin());
+                self.next_request -= (1.0 - uniform).ln() * 1_000.0 / rate;
             }
             if self.now.is_multiple_of(400) {
                 self.vary_slowness();
@@ -200,16 +204,24 @@
     }
 }
 
-/// Load: steady, 3,000 requests a second (0.69 of the capacity) over 150 servers of unequal pace. Guards against moves
-/// that follow random variation: each delays the requests for its keys until the running work ends.
+/// Load: steady, 2,200 to 5,200 requests a second over 150 servers of unequal pace. Guards against moves that follow
+/// random variation: each delays the requests for its keys until the running work ends. In the last case, the load of all
+/// keys swings by 0.55 about its mean, so that the busiest keys are overloaded in each peak and moves are due.
 #[rstest]
-#[case::even(Demand::Even, 0.69)]
-#[case::skewed(Demand::Skewed, 0.69)]
-#[case::half_utilised(Demand::Skewed, 0.5)]
-#[case::saturated(Demand::Skewed, 1.2)]
-fn few_keys_move_in_steady_load(#[case] demand: Demand, #[case] utilisation: f64) {
+#[case::even(Demand::Even, 0.69, 0.0, 0.1)]
+#[case::skewed(Demand::Skewed, 0.69, 0.0, 0.1)]
+#[case::half_utilised(Demand::Skewed, 0.5, 0.0, 0.1)]
+#[case::saturated(Demand::Skewed, 1.2, 0.0, 0.1)]
+#[case::swinging(Demand::Skewed, 0.8, 0.55, 0.2)]
+fn few_keys_move_in_steady_load(
+    #[case] demand: Demand,
+    #[case] utilisation: f64,
+    #[case] swing: f64,
+    #[case] max_share: f64,
+) {
     for policy in [Policy::Immediate, Policy::Steady] {
         let mut service = Service::new(policy, utilisation, 11);
+        service.swing = swing;
         service.run(15_000, demand);
         let settling = service.take_moved_share();
         service.moved_ranges = 0;
@@ -220,7 +232,7 @@
             service.moved_ranges as f64 / 60.0,
             service.record.spans.len()
         );
-        assert!(policy == Policy::Immediate || share < 0.1, "{share}");
+        assert!(policy == Policy::Immediate || share < max_share, "{share}");
     }
 }
 
