--- a/crates/chicoryrail-ownership/src/keys/key_history.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_history.rs
@@ -21,6 +21,10 @@
 /// reserved servers would be missed.
 const DEDICATED_SHARE_MAX: f64 = 0.125;
 
+/// Least time from a change to one that moves overloaded keys: several become busy within a second when the load of all
+/// keys rises, and each change is written to the store and sent to every host.
+const HOT_KEY_INTERVAL: Millis = Millis(200);
+
 /// Time after its warm-up in which a server's weight grows to that of a warm one.
 const RAMP_TIME: Millis = Millis(8_000);
 
@@ -43,6 +47,8 @@
     warmed_up: BTreeMap<Life, (Millis, f64)>,
     /// Ranges that moved, and when.
     moved: Vec<(KeyRange, Millis)>,
+    /// When the last plan was adopted.
+    adopted_at: Option<Millis>,
     /// When the first of the last series of reliefs was planned.
     relieved_at: Option<Millis>,
 }
@@ -134,6 +140,7 @@
     /// key that needs one.
     pub fn adopt(&mut self, servers: usize, reason: MoveReason, moved: &[KeyRange]) {
         let now = self.now;
+        self.adopted_at = Some(now);
         self.moved.retain(|(_, at)| now.since(*at) < RESIDENCE_TIME);
         self.moved.extend(moved.iter().map(|range| (*range, now)));
         if reason == MoveReason::Relief && !self.follows_relief() {
@@ -201,8 +208,13 @@
         calm.map(|(key, _)| *key).collect()
     }
 
-    /// Returns `true` if a key is to get a server of its own, or no longer needs it.
+    /// Returns `true` if a key is to get a server of its own, or no longer needs it, and the last change is not too
+    /// recent.
     pub(crate) fn has_hot_key_change(&self, servers: usize) -> bool {
+        let is_recent = |at| self.now.since(at) < HOT_KEY_INTERVAL;
+        if self.adopted_at.is_some_and(is_recent) {
+            return false;
+        }
         let mut hot = self.hot_keys.values();
         hot.any(|hot| hot.is_over(self.now))
             || self
