--- a/crates/chicoryrail-ownership/src/keys/key_history.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_history.rs
@@ -14,14 +14,18 @@
 use crate::keys::load_shares::load_shares;
 use crate::keys::smoothed_slowness::SmoothedSlowness;
 
-/// Demand of a key, relative to the capacity of its owner, from which on the key is observed and left with
-/// its owner until it turns out whether it gets a server of its own.
+/// Demand of a key, relative to the capacity of its owner, from which on the key is observed and, if it is
+/// the owner's busiest, left there until it turns out whether it gets a server of its own.
 const OBSERVED_RATIO: f64 = 0.25;
 
 /// Fraction of the servers that may be reserved for one key each. Beyond it the service as a whole is overloaded, and
 /// reserved servers would be missed.
 const DEDICATED_SHARE_MAX: f64 = 0.125;
 
+/// Least time from a change to one that moves overloaded keys: several become busy within a second when the load of all
+/// keys rises, and each change is written to the store and sent to every host.
+const HOT_KEY_INTERVAL: Millis = Millis(200);
+
 /// Time after its warm-up in which a server's weight grows to that of a warm one.
 const RAMP_TIME: Millis = Millis(8_000);
 
@@ -53,6 +57,8 @@
     moved: Vec<(KeyRange, Millis)>,
     /// Highest recent load, in usual slots in use.
     peak_load: f64,
+    /// When the last plan was adopted.
+    adopted_at: Option<Millis>,
     /// When the first of the last series of reliefs was planned.
     relieved_at: Option<Millis>,
 }
@@ -167,6 +173,7 @@
     /// key that needs one.
     pub fn adopt(&mut self, servers: usize, reason: MoveReason, moved: &[KeyRange]) {
         let now = self.now;
+        self.adopted_at = Some(now);
         self.moved.retain(|(_, at)| now.since(*at) < RESIDENCE_TIME);
         self.moved.extend(moved.iter().map(|range| (*range, now)));
         if reason == MoveReason::Relief && !self.follows_relief() {
@@ -207,16 +214,22 @@
         keys.collect()
     }
 
-    /// Returns the busy keys that have no server of their own.
-    pub(crate) fn busy_keys(&self, servers: usize) -> Vec<u16> {
+    /// Returns the keys that have no server of their own and are the busiest observed one of their owner. Others may
+    /// move: several busy keys can overload a server of which none does so alone.
+    pub(crate) fn busiest_keys(&self, record: &KeyRecord, servers: usize) -> Vec<u16> {
         let dedicated = self.dedicated_keys(servers);
-        let busy = self
-            .hot_keys
-            .iter()
-            .filter(|(_, hot)| !hot.is_over(self.now));
-        let busy = busy.map(|(key, _)| *key);
-        busy.filter(|key| dedicated.iter().all(|(d, _)| d != key))
-            .collect()
+        let mut busiest: BTreeMap<&Life, (f64, u16)> = BTreeMap::new();
+        for (key, hot) in &self.hot_keys {
+            let is_dedicated = dedicated.iter().any(|(d, _)| d == key);
+            let Some(owner) = record.owner(*key).filter(|_| !is_dedicated) else {
+                continue;
+            };
+            let known = busiest.entry(owner).or_insert((0.0, *key));
+            if hot.demand() > known.0 {
+                *known = (hot.demand(), *key);
+            }
+        }
+        busiest.into_values().map(|(_, key)| key).collect()
     }
 
     /// Returns the keys whose server is to be no longer reserved for them.
@@ -228,8 +241,13 @@
         calm.map(|(key, _)| *key).collect()
     }
 
-    /// Returns `true` if a key is to get a server of its own, or no longer needs it.
+    /// Returns `true` if a key is to get a server of its own, or no longer needs it, and the last change is not too
+    /// recent.
     pub(crate) fn has_hot_key_change(&self, servers: usize) -> bool {
+        let is_recent = |at| self.now.since(at) < HOT_KEY_INTERVAL;
+        if self.adopted_at.is_some_and(is_recent) {
+            return false;
+        }
         let mut hot = self.hot_keys.values();
         hot.any(|hot| hot.is_over(self.now))
             || self
