perf(runtime): release large read-ahead buffers of callers' connections

Cause: a connection reads up to 48 KiB of a body ahead, and its buffer, grown to 64 KiB, stayed for as long as the connection lived. 1,000 callers that send 300 KiB each at once took a host of 120 MB beyond its memory, although the budget admitted 84 of them.

Change: a buffer that held more than 16 KiB is released when it is empty. Heads of requests need less, so their connections keep their buffer as before.

--- a/crates/chicoryrail-runtime/src/callers/caller_io.rs
+++ b/crates/chicoryrail-runtime/src/callers/caller_io.rs
@@ -100,6 +100,8 @@
     scanner: Rc<RefCell<HeadScanner>>,
     /// Bytes that were read ahead of hyper.
     read_ahead: BytesMut,
+    /// Whether more than one chunk was read ahead since the buffer was last empty.
+    is_large: bool,
 }
 
 impl<T: Read + Unpin> CallerStream<T> {
@@ -108,6 +110,7 @@
             inner,
             scanner,
             read_ahead: BytesMut::new(),
+            is_large: false,
         }
     }
 
@@ -137,7 +140,14 @@
     ) -> Poll<io::Result<()>> {
         if !self.read_ahead.is_empty() {
             let length = self.read_ahead.len().min(buf.remaining());
+            // The buffer grows to 64 KiB while a large body is read ahead, and would stay that large for as long as the
+            // connection lives. Heads of requests hardly ever need more than one chunk.
+            self.is_large |= self.read_ahead.len() > READ_CHUNK_BYTES;
             buf.put_slice(&self.read_ahead.split_to(length));
+            if self.is_large && self.read_ahead.is_empty() {
+                self.read_ahead = BytesMut::new();
+                self.is_large = false;
+            }
             return Poll::Ready(Ok(()));
         }
         let mut storage = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
