--- a/crates/chicoryrail-router/src/control/leader/key_leader.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_leader.rs
@@ -59,6 +59,8 @@
     pub(super) stored_fence: Cell<u64>,
     /// When the assignment, or its list of former owners, was last changed; at first, when this leader took it over.
     pub(super) last_change_at: Cell<Millis>,
+    /// When a plan last moved nothing.
+    pub(super) unmoved_at: Cell<Millis>,
     /// Whether a write of the record is in progress; at most one runs at a time.
     pub(super) committing: Cell<bool>,
     /// Whether most servers with keys leave this host's grants unanswered.
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -49,6 +49,10 @@
 /// Longest time for which a server waits for others while nobody requests keys.
 const IDLE_SETTLE_MAX: Millis = Millis(15_000);
 
+/// Time until the next plan after one that moved nothing, such as one for servers that may not be assigned keys yet. Such
+/// plans are not written: each write is sent to every host and delays the moves that balance load.
+const UNMOVED_INTERVAL: Millis = Millis(100);
+
 /// Number of recent requests from which on keys count as requested.
 const REQUESTED_MIN: f64 = 1.0;
 
@@ -61,6 +65,9 @@
         }
         let service_time = self.service_time();
         let steady = self.callers_tolerate_waiting();
+        if steady && now.since(self.unmoved_at.get()) < UNMOVED_INTERVAL {
+            return;
+        }
         let candidates = self.candidates(now, self.awaits_servers(now, service_time), service_time);
         // After an outage, former owners that can't be reached keep their key leases for many seconds. The load of the
         // others is balanced meanwhile; otherwise a range that becomes busy would overload its server for that time.
@@ -84,11 +91,15 @@
             });
         let plan = self.pinned(plan, &candidates, now);
         if let Plan::Change(spans, reason) = plan {
-            self.last_change_at.set(now);
             let moved = self.leases.borrow().record().moved_ranges(&spans);
             if steady {
                 history.adopt(candidates.len(), reason, &moved);
+                if moved.is_empty() {
+                    self.unmoved_at.set(now);
+                    return;
+                }
             }
+            self.last_change_at.set(now);
             let services = self.router.services();
             let is_known = |life: &Life| services.iter().any(|s| s.target(life).is_some());
             self.leadership.retain_slowness_reports(is_known);
@@ -112,7 +123,7 @@
         }
     }
 
-    /// Returns `true` if most callers of the service have time to wait or to come back.
+    /// Returns `true` if callers of a route to the service have time to wait or to return.
     pub(super) fn callers_tolerate_waiting(&self) -> bool {
         let site = self.router.site();
         site.is_some_and(|site| site.tolerates_waiting(&self.service))
--- a/crates/chicoryrail-router/src/control/leader/take_over.rs
+++ b/crates/chicoryrail-router/src/control/leader/take_over.rs
@@ -107,6 +107,7 @@
         last_grants: RefCell::default(),
         stored_fence: Cell::new(stored_fence),
         last_change_at: Cell::new(now),
+        unmoved_at: Cell::default(),
         committing: Cell::new(false),
         doubts: Cell::new(false),
         delegates: RefCell::default(),
