feat(route): send a read with a key to its owner again when the first send got no response

Cause: a read with a key waited at a silent owner to the end of its time, as no other server may have the key. Some servers never respond to a request that they could not queue, nor to any later one on that connection.

Orders and uploads wait to their end and get 504. The silence is no evidence of a lost path: the new connection tells. The stand-in server learns the fault `mute`.

--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -61,6 +61,7 @@
 pub use local::LoadReport;
 pub use local::LocalBalancer;
 pub use local::PathChoice;
+pub use local::ResponseTimes;
 pub use local::RetryBudget;
 pub use local::RetryLimits;
 pub use local::SendPermit;
--- a/crates/chicoryrail-policy/src/local/retry_budget.rs
+++ b/crates/chicoryrail-policy/src/local/retry_budget.rs
@@ -51,17 +51,22 @@
 
     /// Returns `true` if a request may be sent again, and counts it as a retry.
     pub fn try_take(&mut self, now: Millis, limits: &RetryLimits) -> bool {
+        let is_allowed = self.has_left(now, limits);
+        if is_allowed {
+            self.current_interval(now, limits).retries += 1;
+        }
+        is_allowed
+    }
+
+    /// Returns `true` if a request might be sent again now. Nothing is counted.
+    pub fn has_left(&mut self, now: Millis, limits: &RetryLimits) -> bool {
         // Removes the intervals that have left the window.
         self.current_interval(now, limits);
         let requests: u32 = self.intervals.iter().map(|i| i.requests).sum();
         let retries: u32 = self.intervals.iter().map(|i| i.retries).sum();
         let own_limit =
             limits.ratio * f64::from(requests) + limits.slack / limits.hosts.max(1) as f64;
-        let is_allowed = f64::from(retries + 1) <= own_limit * LIMIT_FRACTION;
-        if is_allowed {
-            self.current_interval(now, limits).retries += 1;
-        }
-        is_allowed
+        f64::from(retries + 1) <= own_limit * LIMIT_FRACTION
     }
 
     /// Removes the intervals that have left the window, and returns the current one, which is added if necessary.
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -51,7 +51,7 @@
         Ok(sent) => sent,
         Err(_) => {
             if call.stats.borrow().via.is_none() {
-                record_silence(router, service, target);
+                record_no_response(router, service, target, call);
             }
             SendOutcome::Indeterminate(Indeterminate::Silent)
         }
@@ -78,6 +78,9 @@
             if matches!(sent, SendOutcome::Answered(_)) {
                 loads.record_response(now, target.id, elapsed_us, work, idle);
                 router.record_work(&call.route.name, call.route.latency_target, elapsed_us);
+                if call.route.tolerates_waiting() {
+                    router.record_response_time(&call.route.name, elapsed_us);
+                }
             }
         }
         Some(failure) => loads.record_failure(now, target.id, failure),
@@ -87,6 +90,23 @@
     sent
 }
 
+/// Records that a server did not respond in time to a request that this host sent directly.
+fn record_no_response(
+    router: &Rc<Router>,
+    service: &Rc<Service>,
+    target: &Rc<Target>,
+    call: &CallerRequest,
+) {
+    if !call.route.tolerates_waiting() {
+        record_silence(router, service, target);
+        return;
+    }
+    // Some servers never respond on a connection on which they could not queue a request, and respond on others. So the
+    // silence says nothing of the path: a new connection does.
+    target.pool.close_idle();
+    check_path(router, service, target);
+}
+
 /// Sends a request directly, or through another host if this one can't reach the server.
 async fn exchange(
     router: &Rc<Router>,
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -24,6 +24,8 @@
     pub(crate) refusals: IntCounterVec,
     /// Attempts at servers by service and result.
     pub(crate) sends: IntCounterVec,
+    /// Sends of routes that tolerate waiting without a response, by service and end.
+    pub(crate) unanswered: IntCounterVec,
     /// Requests that other hosts were asked to pass on, by service and end.
     pub(crate) forwards: IntCounterVec,
     /// Requests that this host was asked to pass on, by service and end.
@@ -81,6 +83,11 @@
                 "Attempts at servers, by service and result",
                 &["service", "end"],
             ),
+            unanswered: metrics.counter_family(
+                "unanswered_total",
+                "Sends of routes that tolerate waiting without a response, by service and end",
+                &["service", "end"],
+            ),
             forwards: metrics.counter_family(
                 "forwards_total",
                 "Requests that other hosts were asked to pass on, by service and end",
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -11,6 +11,7 @@
 use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
+use chicoryrail_core::Route;
 use chicoryrail_core::ServerName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::Site;
@@ -25,6 +26,7 @@
 use chicoryrail_platform::KeyControl;
 use chicoryrail_platform::KvStore;
 use chicoryrail_policy::QuotaTolerance;
+use chicoryrail_policy::ResponseTimes;
 use chicoryrail_policy::RetryLimits;
 use chicoryrail_policy::WeightedRoundRobin;
 use chicoryrail_runtime::ChangeSignal;
@@ -131,6 +133,8 @@
     round_robins: RefCell<HashMap<String, WeightedRoundRobin>>,
     /// Mean service time of each route's requests, in microseconds.
     work_means: RefCell<HashMap<String, f64>>,
+    /// Response times of each route that tolerates waiting.
+    response_times: RefCell<HashMap<String, ResponseTimes>>,
 }
 
 impl Router {
@@ -173,6 +177,7 @@
             synced_hosts: Cell::new(0),
             round_robins: RefCell::default(),
             work_means: RefCell::default(),
+            response_times: RefCell::default(),
             process,
             options,
             boot: RefCell::new(Rc::new(boot)),
@@ -449,6 +454,27 @@
         let after = before + (us.min(before * 5.0) - before) * EWMA_WEIGHT;
         self.work_means.borrow_mut().insert(route.to_owned(), after);
     }
+
+    /// Records the response time of a request of a route that tolerates waiting, in microseconds.
+    pub(crate) fn record_response_time(&self, route: &str, elapsed_us: f64) {
+        let mut times = self.response_times.borrow_mut();
+        match times.get_mut(route) {
+            Some(times) => times.record(elapsed_us),
+            None => times
+                .entry(route.to_owned())
+                .or_default()
+                .record(elapsed_us),
+        }
+    }
+
+    /// Returns the time without a response after which a request of a route that tolerates waiting counts as
+    /// unanswered; `None` if this host has observed too few responses.
+    pub(crate) fn unanswered_after(&self, route: &Route) -> Option<Millis> {
+        let times = self.response_times.borrow();
+        times
+            .get(&route.name)?
+            .unanswered_after(route.latency_target)
+    }
 }
 
 /// Returns the maximum number of callers' connections for the file descriptors of the process: a quarter is left for
--- a/crates/chicoryrail-testkit/src/target/fault.rs
+++ b/crates/chicoryrail-testkit/src/target/fault.rs
@@ -66,6 +66,11 @@
         /// Duration of the fault in milliseconds.
         for_ms: u64,
     },
+    /// A request that finds the queue full gets no response, and neither does any later one on its connection.
+    Mute {
+        /// Duration of the fault in milliseconds; a request that got no response within it never gets one.
+        for_ms: u64,
+    },
     /// Responses are held back until the fault ends.
     Freeze {
         /// Duration of the fault in milliseconds.
@@ -152,6 +157,7 @@
         let for_ms = match &fault {
             TargetFault::Slow { for_ms, .. }
             | TargetFault::Freeze { for_ms }
+            | TargetFault::Mute { for_ms }
             | TargetFault::Deaf { for_ms }
             | TargetFault::NameLimit { for_ms, .. }
             | TargetFault::Unmarked { for_ms }
@@ -197,6 +203,12 @@
         dropped.map(|(ends_at, _)| *ends_at)
     }
 
+    /// Returns `true` if a request that can't be queued gets no response.
+    pub(crate) fn is_mute(&mut self, now: Millis) -> bool {
+        let mut active = self.timed.active(now);
+        active.any(|(_, f)| matches!(f, TargetFault::Mute { .. }))
+    }
+
     /// Determines at random whether a new request is refused, and how.
     pub(crate) fn sample_refusal(&mut self, now: Millis) -> Option<InjectedRefusal> {
         let (share, refusal) = self.timed.active(now).find_map(|(_, f)| match f {
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -117,6 +117,10 @@
             add_headers(state, response.headers_mut(), &work.request);
             return Ok(response);
         }
+        End::Refused if state.faults.borrow_mut().is_mute(state.now()) => {
+            // The connection serves one request after the other, so this one blocks all later ones.
+            return std::future::pending().await;
+        }
         end => return Ok(refusal(state, &work.request, end)),
     }
     let faults = state.faults.borrow_mut().sample(state.now());
--- a/crates/chicoryrail-testkit/tests/target.rs
+++ b/crates/chicoryrail-testkit/tests/target.rs
@@ -108,6 +108,28 @@
     });
 }
 
+/// With one slot and no queue, a second concurrent request gets no response from a mute server, and neither does a later
+/// one on its connection; one on a new connection does.
+#[test]
+fn a_mute_server_never_responds_on_the_connection_of_a_request_that_it_could_not_queue() {
+    block_on(async {
+        let options = TargetOptions {
+            slots: 1,
+            queue: 0,
+            ..options()
+        };
+        let addr = start(options).await;
+        fault(addr, &TargetFault::Mute { for_ms: 60_000 }).await;
+        let first = monoio::spawn(send(addr, lookup("r-1", "work_us=200000")));
+        monoio::time::sleep(Millis(50).to_duration()).await;
+        let client = HttpClient::default();
+        let second = client.call(addr, lookup("r-2", ""), Millis(400)).await;
+        assert!(second.is_err());
+        assert_eq!(first.await.status(), 200);
+        assert_eq!(send(addr, lookup("r-3", "")).await.status(), 200);
+    });
+}
+
 #[test]
 fn a_request_whose_deadline_passes_in_the_queue_is_not_run() {
     block_on(async {
