feat(policy): give a server that fell silent fewer requests at once

Cause: some servers process fewer requests at once than they have slots and never respond to the others. Their scheduler filled all slots again and lost a request in each of them, again and again.

Change: a host reports the end of a request that got no response for longer than 99.9 % of the route's responses take as `SlotEndKind::Unanswered` (appended; routes that tolerate waiting only). The scheduler of the server then gives it fewer requests than it had with that one, at least one, and one more after each such number of complete responses. The limit does not rise while the first request that filled it is in flight. Log line `slot_limit`, metric `slot_limit_changes_total`.

--- a/crates/chicoryrail-policy/src/local/server_view.rs
+++ b/crates/chicoryrail-policy/src/local/server_view.rs
@@ -15,6 +15,8 @@
     Error,
     /// No response arrived in time.
     Silent,
+    /// No response arrived for longer than almost all responses of the route take, and the route tolerates waiting.
+    Unanswered,
 }
 
 /// Half-life of the reported requests of other hosts. It is about the time of one request, after which the server has
@@ -143,7 +145,9 @@
                 self.paused_until = self.paused_until.max(now + pause);
                 return Some(pause).filter(|p| *p > Millis::ZERO);
             }
-            Failure::Error | Failure::Silent => self.record_outcome(now, true),
+            Failure::Error | Failure::Silent | Failure::Unanswered => {
+                self.record_outcome(now, true);
+            }
         }
         None
     }
--- a/crates/chicoryrail-policy/src/scheduler/load_view.rs
+++ b/crates/chicoryrail-policy/src/scheduler/load_view.rs
@@ -191,7 +191,7 @@
     fn new(now: Millis, id: ServerId, slots: &ServerSlots) -> Self {
         let success_rate = (1.0 - slots.failure_rate(now)).max(0.05);
         // Of two equal servers, prefers the emptier one: some servers slow down as they fill.
-        let fill_cost = slots.busy() as f64 / f64::from(slots.state.slots.max(1)) * 0.05;
+        let fill_cost = slots.busy() as f64 / f64::from(slots.usable_slots().max(1)) * 0.05;
         let slowness = slots.slowness(now);
         Self {
             id,
--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! query before each send and a report after it, so it knows every slot exactly, keeps a single queue and enforces the
 //! limits that hold over all hosts. Hosts that can't reach it fall back to [`LocalBalancer`](crate::LocalBalancer).
 
+mod learned_limit;
 mod load_view;
 mod rate_bucket;
 mod remote_free_slots;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -170,7 +170,7 @@
         });
         if let Some(server) = view.server_for(request, *placement, work_ahead[at].1) {
             if let Some(slots) = self.servers.get_mut(&server) {
-                slots.record_send(now, request.ticket, request.deadline, request.work_us);
+                slots.record_send(now, request);
                 view.refresh(server, slots);
             }
             return Some(Decision::Send(server));
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -8,6 +8,8 @@
 use crate::Failure;
 use crate::LoadReport;
 use crate::local::server_view::ServerView;
+use crate::scheduler::SlotRequest;
+use crate::scheduler::learned_limit::LearnedLimit;
 use crate::scheduler::rate_bucket::RateBucket;
 
 /// Fraction of the warm-up rate that is used. While hosts disagree about which hosts are alive, two of them may
@@ -67,6 +69,8 @@
     sent_at: Millis,
     deadline: Millis,
     work_us: f64,
+    /// Number of requests at the server when this one was sent, itself included.
+    requests: u32,
 }
 
 /// State of one server at the scheduler.
@@ -79,6 +83,8 @@
     /// Times of the sends within [`WARMUP_WINDOW`].
     warmup_sends: VecDeque<Millis>,
     bucket: RateBucket,
+    /// Limit on the requests in flight after a request got no response.
+    learned: LearnedLimit,
     /// Mean work of the requests sent, in microseconds; 0 before the first one.
     mean_work_us: f64,
     /// Time at which this host began to schedule the server. Sends before it are unknown.
@@ -93,6 +99,7 @@
             in_flight: HashMap::new(),
             warmup_sends: VecDeque::new(),
             bucket: RateBucket::empty(now),
+            learned: LearnedLimit::default(),
             mean_work_us: 0.0,
             scheduling_since: now,
         }
@@ -121,6 +128,11 @@
         self.in_flight.len()
     }
 
+    /// Returns the number of requests that the server is given at once: its slots, or fewer after it fell silent.
+    pub(crate) fn usable_slots(&self) -> u32 {
+        self.learned.apply(self.state.slots)
+    }
+
     /// Estimates the time for work here, relative to a usual server.
     pub(crate) fn slowness(&self, now: Millis) -> f64 {
         self.view.slowness(now)
@@ -140,7 +152,7 @@
     pub(crate) fn has_slot(&self, now: Millis) -> bool {
         self.state.accepting
             && !self.view.is_paused(now)
-            && self.busy() < self.state.slots as usize
+            && self.busy() < self.usable_slots() as usize
             && self.is_within_warmup_rate(now)
             && self.is_within_limit(now)
     }
@@ -153,7 +165,7 @@
         } else if now < self.state.warmup_until || self.state.rate_limit.is_some() {
             1
         } else {
-            self.state.slots as usize - self.busy()
+            self.usable_slots() as usize - self.busy()
         }
     }
 
@@ -183,7 +195,7 @@
     /// Returns the capacity in usual slots: the work that the server does in the time in which a usual slot does one
     /// unit.
     pub(crate) fn capacity(&self, now: Millis) -> f64 {
-        let slots = f64::from(self.state.slots) / self.slowness(now);
+        let slots = f64::from(self.usable_slots()) / self.slowness(now);
         self.limited_slots().map_or(slots, |l| l.min(slots))
     }
 
@@ -203,7 +215,7 @@
 
     /// Estimates the time until a slot is free, in microseconds, without regard to limits.
     fn slot_in_us(&self, now: Millis) -> f64 {
-        let slots = self.state.slots as usize;
+        let slots = self.usable_slots() as usize;
         if self.busy() < slots {
             return 0.0;
         }
@@ -224,13 +236,17 @@
     }
 
     /// Records that a request is sent.
-    pub(crate) fn record_send(&mut self, now: Millis, ticket: u64, deadline: Millis, work_us: f64) {
+    pub(crate) fn record_send(&mut self, now: Millis, request: &SlotRequest) {
+        let work_us = request.work_us;
+        let requests = self.in_flight.len() as u32 + 1;
         let in_flight = InFlight {
             sent_at: now,
-            deadline,
+            deadline: request.deadline,
             work_us,
+            requests,
         };
-        self.in_flight.insert(ticket, in_flight);
+        self.in_flight.insert(request.ticket, in_flight);
+        self.learned.record_send(request.ticket, requests);
         if let Some(rate) = self.state.rate_limit {
             self.bucket.take(now, rate);
         }
@@ -264,10 +280,19 @@
         if let Some(report) = report {
             self.view.apply_report(now, report);
         }
+        let slots = self.state.slots;
         match (failure, in_flight) {
-            (Some(failure), _) => return self.view.record_failure(now, failure),
+            (Some(failure), in_flight) => {
+                if let Some(in_flight) = in_flight.filter(|_| failure == Failure::Unanswered) {
+                    self.learned.record_silence(in_flight.requests, slots);
+                }
+                return self.view.record_failure(now, failure);
+            }
             (None, Some(in_flight)) => {
                 if let Some(response_us) = response_us {
+                    let others = &self.in_flight;
+                    self.learned
+                        .record_response(slots, |ticket| others.contains_key(&ticket));
                     self.view
                         .record_response(now, response_us, in_flight.work_us, true);
                 }
--- a/crates/chicoryrail-policy/src/scheduler/utilisation.rs
+++ b/crates/chicoryrail-policy/src/scheduler/utilisation.rs
@@ -27,6 +27,13 @@
         (busy, slots)
     }
 
+    /// Returns the number of requests that a server is given at once: its slots, or fewer after it fell silent. Returns
+    /// `None` for an unknown server.
+    #[must_use]
+    pub fn usable_slots(&self, server: ServerId) -> Option<u32> {
+        Some(self.servers.get(&server)?.usable_slots())
+    }
+
     /// Returns the number of slots that are free now; a server that warms up or has a rate limit has at most one.
     #[must_use]
     pub fn free_slots(&self, now: Millis) -> usize {
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -1,6 +1,7 @@
 //! Handles slot queries and ends of requests for the scheduling partitions (parts) that this host schedules, and
 //! replies with the schedulers' decisions.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -159,6 +160,7 @@
             SlotEndKind::Broken => Some(Failure::Broken),
             SlotEndKind::Error => Some(Failure::Error),
             SlotEndKind::Silent => Some(Failure::Silent),
+            SlotEndKind::Unanswered => Some(Failure::Unanswered),
         },
         report,
     };
@@ -169,8 +171,10 @@
         service.record_change(&target);
     }
     if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(&end.part) {
+        let slots = scheduler.usable_slots(target.id);
         let pause = scheduler.release(now, &release);
         log_pause(router, end, from, pause);
+        log_slot_limit(router, end, slots, scheduler.usable_slots(target.id));
     }
     assign_waiting(router, &end.part);
 }
@@ -185,6 +189,23 @@
         reporter:% = reporter, pause_ms = pause.0; "server_paused");
 }
 
+/// Logs and counts that a server is given fewer requests at once since it fell silent, or more again.
+fn log_slot_limit(router: &Router, end: &SlotEnd, before: Option<u32>, after: Option<u32>) {
+    let (Some(before), Some(after)) = (before, after) else {
+        return;
+    };
+    let change = match after.cmp(&before) {
+        Ordering::Equal => return,
+        Ordering::Less => "lowered",
+        Ordering::Greater => "raised",
+    };
+    let labels = [end.part.service.as_str(), change];
+    let changes = &router.counters.slot_limit_changes;
+    changes.with_label_values(&labels).inc();
+    log::info!(server:% = end.server, service:% = end.part.service, from = before, to = after;
+        "slot_limit");
+}
+
 /// Redirects waiting requests after their keys moved to a server that another host schedules.
 ///
 /// The other host does not know of requests that this host assigns to that server, so together they could use more than
--- a/crates/chicoryrail-router/src/messages/packet.rs
+++ b/crates/chicoryrail-router/src/messages/packet.rs
@@ -256,4 +256,6 @@
     Error,
     /// The server did not respond in time.
     Silent,
+    /// The server did not respond for longer than almost all responses of the route take; the route tolerates waiting.
+    Unanswered,
 }
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -19,6 +19,7 @@
 use crate::route::choose::NO_SERVER_RETRY;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
+use crate::route::send::is_unanswered;
 use crate::route::send::send;
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::NotRun;
@@ -229,7 +230,7 @@
     /// Logs and counts a request of a route that tolerates waiting whose server did not respond within `limit`. If it was
     /// the last attempt, there is no time for another one.
     fn record_unanswered(&self, life: &Life, limit: Millis, is_last: bool) {
-        if !self.call.route.tolerates_waiting() {
+        if !is_unanswered(self.router, self.call, limit.0 as f64 * 1_000.0) {
             return;
         }
         let end = if is_last { "waited" } else { "abandoned" };
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use chicoryrail_core::Millis;
+use chicoryrail_policy::Failure;
 use chicoryrail_policy::PathChoice;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
@@ -69,7 +70,15 @@
         sent,
         SendOutcome::NotRun(NotRun::NoPath | NotRun::Suspected)
     ) {
-        slot.record_end(elapsed_us, sent.failure());
+        let failure = sent.failure();
+        let is_unanswered =
+            failure == Some(Failure::Silent) && is_unanswered(router, call, elapsed_us);
+        let failure = if is_unanswered {
+            Some(Failure::Unanswered)
+        } else {
+            failure
+        };
+        slot.record_end(elapsed_us, failure);
     }
     let mut loads = service.loads.borrow_mut();
     match sent.failure() {
@@ -90,6 +99,13 @@
     sent
 }
 
+/// Returns `true` if a request of a route that tolerates waiting got no response for longer than almost all responses of
+/// the route take. A caller with less time says nothing of the server.
+pub(super) fn is_unanswered(router: &Router, call: &CallerRequest, elapsed_us: f64) -> bool {
+    let limit = router.unanswered_after(&call.route);
+    limit.is_some_and(|limit| elapsed_us >= limit.0 as f64 * 1_000.0)
+}
+
 /// Records that a server did not respond in time to a request that this host sent directly.
 fn record_no_response(
     router: &Rc<Router>,
--- a/crates/chicoryrail-router/src/route/slot_guard.rs
+++ b/crates/chicoryrail-router/src/route/slot_guard.rs
@@ -95,6 +95,7 @@
             Some(Failure::Broken) => SlotEndKind::Broken,
             Some(Failure::Error) => SlotEndKind::Error,
             Some(Failure::Silent) => SlotEndKind::Silent,
+            Some(Failure::Unanswered) => SlotEndKind::Unanswered,
         });
     }
 }
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -26,6 +26,8 @@
     pub(crate) sends: IntCounterVec,
     /// Sends of routes that tolerate waiting without a response, by service and end.
     pub(crate) unanswered: IntCounterVec,
+    /// Changes of the number of requests that silent servers are given at once, by service and direction.
+    pub(crate) slot_limit_changes: IntCounterVec,
     /// Requests that other hosts were asked to pass on, by service and end.
     pub(crate) forwards: IntCounterVec,
     /// Requests that this host was asked to pass on, by service and end.
@@ -88,6 +90,11 @@
                 "Sends of routes that tolerate waiting without a response, by service and end",
                 &["service", "end"],
             ),
+            slot_limit_changes: metrics.counter_family(
+                "slot_limit_changes_total",
+                "Changes of the number of requests that silent servers are given at once",
+                &["service", "change"],
+            ),
             forwards: metrics.counter_family(
                 "forwards_total",
                 "Requests that other hosts were asked to pass on, by service and end",
--- a/crates/chicoryrail-router/tests/silent_servers.rs
+++ b/crates/chicoryrail-router/tests/silent_servers.rs
@@ -83,14 +83,22 @@
         // Twice the latency target, and less than the route's timeout.
         assert!((600..1_200).contains(&took), "{took} ms");
         assert_eq!(server.executed(), runs + 3);
-        wait_until("the abandoned send is logged", async || {
-            router.log().contains("end=abandoned")
-        })
+        wait_until(
+            "the abandoned send and the new limit are logged",
+            async || {
+                let log = router.log();
+                log.contains("end=abandoned") && log.contains("service=kits from=2 to=1")
+            },
+        )
         .await;
         // Later requests don't use the connection that stays silent.
         for _ in 0..10 {
             assert_eq!(caller.key(KEY).await.unwrap().status(), 200);
         }
+        wait_until("the limit rises", async || {
+            router.log().contains("service=kits from=1 to=2")
+        })
+        .await;
     });
 }
 
