feat(route): report requests to the next scheduler of their server

Cause: a scheduler that takes over a server did not know of the requests that are there, and filled its slots again. Hosts without a scheduler sent up to three requests beyond the slots.

--- a/crates/chicoryrail-policy/src/local/local_balancer.rs
+++ b/crates/chicoryrail-policy/src/local/local_balancer.rs
@@ -66,6 +66,19 @@
         })
     }
 
+    /// Returns `true` if a server is not known to be full, and one more request is within this host's share of its slots,
+    /// which `hosts` divide. The share is at least one request at a time.
+    ///
+    /// Guards against servers that never respond to requests beyond their slots, while many hosts are without the
+    /// scheduler. A share below one is not rounded down: a host that has lost all others would serve nobody.
+    #[must_use]
+    pub fn has_share(&self, now: Millis, server: ServerId, hosts: usize) -> bool {
+        self.views.get(&server).is_some_and(|v| {
+            let share = v.slots as usize / hosts.max(1);
+            v.load(now) + 1.0 <= f64::from(v.slots) && (v.own_requests as usize) < share.max(1)
+        })
+    }
+
     /// Estimates the time until a full server has a free slot; zero for an unknown server.
     #[must_use]
     pub fn capacity_in(&self, now: Millis, server: ServerId, work_us: f64) -> Millis {
--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -13,6 +13,7 @@
 mod scheduler;
 mod server_slots;
 mod slot_request;
+mod takeover;
 mod utilisation;
 
 pub use remote_free_slots::RemoteFreeSlots;
@@ -22,3 +23,4 @@
 pub use slot_request::Placement;
 pub use slot_request::SlotRelease;
 pub use slot_request::SlotRequest;
+pub use takeover::HeldRequest;
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -2,15 +2,18 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::collections::hash_map::Entry;
 
 use chicoryrail_core::Millis;
 
 use crate::Failure;
 use crate::LoadReport;
 use crate::local::server_view::ServerView;
+use crate::scheduler::HeldRequest;
 use crate::scheduler::SlotRequest;
 use crate::scheduler::learned_limit::LearnedLimit;
 use crate::scheduler::rate_bucket::RateBucket;
+use crate::scheduler::takeover::Takeover;
 
 /// Fraction of the warm-up rate that is used. While hosts disagree about which hosts are alive, two of them may
 /// schedule the same server.
@@ -45,6 +48,8 @@
     /// Whether this host schedules the server. Another host may schedule it too while hosts disagree about which hosts
     /// are alive.
     pub scheduled_here: bool,
+    /// When this host began to schedule the server in place of another one, if hosts then report their requests there.
+    pub taken_over_at: Option<Millis>,
 }
 
 impl ServerStatus {
@@ -59,6 +64,7 @@
             rate_limit: None,
             dc_index: 0,
             scheduled_here: true,
+            taken_over_at: None,
         }
     }
 }
@@ -85,6 +91,8 @@
     bucket: RateBucket,
     /// Limit on the requests in flight after a request got no response.
     learned: LearnedLimit,
+    /// Queries while another host schedules the server.
+    pub(crate) takeover: Takeover,
     /// Mean work of the requests sent, in microseconds; 0 before the first one.
     mean_work_us: f64,
     /// Time at which this host began to schedule the server. Sends before it are unknown.
@@ -100,6 +108,7 @@
             warmup_sends: VecDeque::new(),
             bucket: RateBucket::empty(now),
             learned: LearnedLimit::default(),
+            takeover: Takeover::default(),
             mean_work_us: 0.0,
             scheduling_since: now,
         }
@@ -133,6 +142,12 @@
         self.learned.apply(self.state.slots)
     }
 
+    /// Returns the same number, or fewer while this host does not know all requests at the server.
+    fn assignable_slots(&self, now: Millis) -> u32 {
+        let slots = self.usable_slots();
+        self.takeover.apply(now, slots, &self.state)
+    }
+
     /// Estimates the time for work here, relative to a usual server.
     pub(crate) fn slowness(&self, now: Millis) -> f64 {
         self.view.slowness(now)
@@ -152,7 +167,7 @@
     pub(crate) fn has_slot(&self, now: Millis) -> bool {
         self.state.accepting
             && !self.view.is_paused(now)
-            && self.busy() < self.usable_slots() as usize
+            && self.busy() < self.assignable_slots(now) as usize
             && self.is_within_warmup_rate(now)
             && self.is_within_limit(now)
     }
@@ -165,7 +180,7 @@
         } else if now < self.state.warmup_until || self.state.rate_limit.is_some() {
             1
         } else {
-            self.usable_slots() as usize - self.busy()
+            self.assignable_slots(now) as usize - self.busy()
         }
     }
 
@@ -210,7 +225,8 @@
     pub(crate) fn free_in_us(&self, now: Millis) -> f64 {
         let limit = self.state.rate_limit;
         let token = limit.map_or(0.0, |rate| self.bucket.token_in_us(now, rate));
-        self.slot_in_us(now).max(token)
+        let wait = self.takeover.wait_left(now, &self.state).0 as f64 * 1_000.0;
+        self.slot_in_us(now).max(token).max(wait)
     }
 
     /// Estimates the time until a slot is free, in microseconds, without regard to limits.
@@ -230,6 +246,21 @@
         remaining[self.busy() - slots]
     }
 
+    /// Counts a request that another scheduler assigned; returns `false` if it is known.
+    pub(crate) fn adopt(&mut self, now: Millis, request: &HeldRequest) -> bool {
+        let requests = self.in_flight.len() as u32 + 1;
+        let Entry::Vacant(entry) = self.in_flight.entry(request.ticket) else {
+            return false;
+        };
+        entry.insert(InFlight {
+            sent_at: now,
+            deadline: request.deadline,
+            work_us: request.work_us,
+            requests,
+        });
+        true
+    }
+
     /// Frees the slot of a request that was not sent; returns `true` if it had one.
     pub(crate) fn forget(&mut self, ticket: u64) -> bool {
         self.in_flight.remove(&ticket).is_some()
--- a/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
@@ -7,9 +7,11 @@
 use monoio::time::timeout;
 
 use crate::control::scheduling::requests::assign_waiting;
+use crate::control::scheduling::takeover::report_requests;
 use crate::messages::PartName;
 use crate::messages::ServerPace;
 use crate::state::Router;
+use crate::state::Service;
 
 /// Time between two attempts to assign waiting requests. It covers changes that no message reports to the scheduler: a
 /// server warms up, ends a pause, or is granted its keys.
@@ -22,6 +24,9 @@
 /// the rate of requests to it during its warm-up, and that rate allows for two hosts that schedule the same server.
 const RENDEZVOUS_INTERVAL: Millis = Millis(100);
 
+/// Time after the start of the process in which all servers may have been scheduled by another host.
+const START_TIME: Millis = Millis(3_000);
+
 /// Largest number of servers that are evaluated at once. More would delay requests for longer than the hosts that query
 /// this one wait.
 const EVALUATED_MAX: usize = 2_000;
@@ -34,6 +39,7 @@
         await_waiting(&router).await;
         if router.now().since(rendezvous.evaluated_at) >= RENDEZVOUS_INTERVAL {
             rendezvous.evaluate(&router);
+            report_requests(&router);
         }
         if router.now().since(logged) >= LOG_INTERVAL {
             logged = router.now();
@@ -105,7 +111,11 @@
                 }
                 left -= 1;
                 let here = router.target_scheduler(&service, target) == SchedulerHost::Here;
-                if target.scheduled_here.replace(Some(here)) != Some(here) {
+                let before = target.scheduled_here.replace(Some(here));
+                if before != Some(here) {
+                    if here && may_have_requests(router, &service, before) {
+                        target.taken_over_at.set(Some(self.evaluated_at));
+                    }
                     service.record_change(target);
                 }
                 target.scheduled_generation.set(self.generation);
@@ -114,6 +124,16 @@
     }
 }
 
+/// Returns `true` if a server that this host begins to schedule may have requests that another host assigned, which are
+/// reported to this one. `before` is whether this host scheduled the server; `None` if it did not know the server.
+fn may_have_requests(router: &Router, service: &Service, before: Option<bool>) -> bool {
+    // A process that has just started can't tell new servers from those that another host scheduled.
+    let was_scheduled = before.is_some()
+        || router.now() < START_TIME && router.peers.borrow().core_host_count() > 1;
+    let site = router.site();
+    was_scheduled && site.is_some_and(|site| site.tolerates_waiting(&service.name))
+}
+
 /// Returns the slowness reports on the servers with keys that this host schedules.
 pub(crate) fn slowness_reports(router: &Router) -> Vec<ServerPace> {
     let schedulers = router.schedulers.by_part.borrow();
--- a/crates/chicoryrail-router/src/control/scheduling/mod.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/mod.rs
@@ -8,6 +8,7 @@
 mod part_schedulers;
 mod requests;
 mod server_sync;
+mod takeover;
 mod tokens;
 
 pub(crate) use maintenance::run_schedulers;
@@ -15,3 +16,4 @@
 pub(crate) use overflow::free_slots;
 pub(crate) use requests::handle_packet;
 pub(crate) use requests::redirect_moved_keys;
+pub(crate) use takeover::report_requests;
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -21,6 +21,8 @@
 use crate::control::scheduling::part_schedulers::remove_origin;
 use crate::control::scheduling::part_schedulers::reply_to;
 use crate::control::scheduling::part_schedulers::withdraw_request;
+use crate::control::scheduling::takeover::apply_report;
+use crate::control::scheduling::takeover::record_query;
 use crate::control::scheduling::tokens::take_token;
 use crate::messages::Packet;
 use crate::messages::PartName;
@@ -46,6 +48,7 @@
                 router.schedulers.record_free_slots(router.now(), part);
             }
         }
+        Packet::HeldRequests(report) => apply_report(router, report, from),
         Packet::Heartbeat(_)
         | Packet::Paces(_)
         | Packet::KeyDemand(_)
@@ -109,6 +112,7 @@
         return;
     }
     refresh_servers(router, &query.part);
+    record_query(router, query);
     // A request is redirected for lack of a free slot at most once.
     let may_overflow = query.part.dc.is_some() && !query.overflows;
     if may_overflow
--- a/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
@@ -123,6 +123,7 @@
             rate_limit,
             dc_index: self.router.schedulers.dc_index(&target.dc),
             scheduled_here: target.scheduled_here.get().unwrap_or(false),
+            taken_over_at: target.taken_over_at.get(),
         };
         scheduler.update_server(self.now, target.id, status);
     }
--- a/crates/chicoryrail-router/src/messages/packet.rs
+++ b/crates/chicoryrail-router/src/messages/packet.rs
@@ -15,6 +15,7 @@
 use chicoryrail_policy::AdvertisedRate;
 
 use crate::messages::CrashNews;
+use crate::messages::HeldReport;
 use crate::messages::PartName;
 use crate::messages::PartRoom;
 use crate::messages::QuotaGrants;
@@ -45,6 +46,8 @@
     QuotaGrants(QuotaGrants),
     /// What a host knows of requests under which servers ended.
     Crashes(CrashNews),
+    /// Requests that a host has at a server, for the server's new scheduler.
+    HeldRequests(HeldReport),
 }
 
 /// State of a host, as reported by itself.
--- a/crates/chicoryrail-router/src/route/acquire.rs
+++ b/crates/chicoryrail-router/src/route/acquire.rs
@@ -39,8 +39,12 @@
     /// the server by its own view of the load.
     async fn acquire_server(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
         let started = self.router.now();
-        let decision =
-            slot_query::request_slot(self.router, &self.service, self.call, &self.tried).await;
+        let mut decision = self.request_slot().await;
+        let tolerates_waiting = self.call.route.tolerates_waiting();
+        if tolerates_waiting && matches!(decision, slot_query::Decision::Unavailable) {
+            // Another host schedules for the server now, and many hosts may have lost the scheduler at this moment.
+            decision = self.request_slot().await;
+        }
         let decided_by_scheduler = !matches!(decision, slot_query::Decision::Unavailable);
         let assignment = match decision {
             slot_query::Decision::Send(target, slot) => Ok((target, slot)),
@@ -60,6 +64,10 @@
         assignment
     }
 
+    async fn request_slot(&self) -> slot_query::Decision {
+        slot_query::request_slot(self.router, &self.service, self.call, &self.tried).await
+    }
+
     /// Chooses a server, and takes a quota token if one is needed, without the scheduler.
     async fn acquire_without_scheduler(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
         let target = self.wait_for_target().await?;
@@ -74,7 +82,7 @@
             }
             self.call.has_quota_token.set(true);
         }
-        let slot = SlotGuard::without_scheduler(self.router, &self.service, &target);
+        let slot = SlotGuard::without_scheduler(self.router, &self.service, &target, self.call);
         Ok((target, slot))
     }
 
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -80,7 +80,10 @@
     }
     let work = router.expected_work_us(&call.route.name, call.route.latency_target);
     let loads = service.loads.borrow();
-    if loads.has_capacity(now, target.id) && take_rate_permit(router, call, &target, now) {
+    if loads.has_capacity(now, target.id)
+        && has_share(router, service, call, target.id, now)
+        && take_rate_permit(router, call, &target, now)
+    {
         return Choice::Send(target);
     }
     Choice::Wait(Cause::Full, loads.capacity_in(now, target.id, work))
@@ -114,7 +117,8 @@
         let index = ids.iter().position(|i| *i == id).unwrap_or(0);
         ids.swap_remove(index);
         let target = untried.swap_remove(index);
-        if take_rate_permit(router, call, target, now) {
+        if has_share(router, service, call, id, now) && take_rate_permit(router, call, target, now)
+        {
             return Choice::Send(Rc::clone(target));
         }
     }
@@ -125,6 +129,22 @@
     Choice::Wait(Cause::Full, capacity_in.unwrap_or(NO_SERVER_RETRY))
 }
 
+/// Returns `true` if a request of a route that tolerates waiting is within this host's share of a server's slots. Requests
+/// of other routes may queue at the server.
+fn has_share(
+    router: &Router,
+    service: &Service,
+    call: &CallerRequest,
+    server: ServerId,
+    now: Millis,
+) -> bool {
+    if !call.route.tolerates_waiting() {
+        return true;
+    }
+    let hosts = router.standalone_hosts();
+    service.loads.borrow().has_share(now, server, hosts)
+}
+
 /// Returns `true` if the warm-up rate and the advertised rate limit of a server allow one more request, and counts it.
 fn take_rate_permit(router: &Router, call: &CallerRequest, target: &Target, now: Millis) -> bool {
     // The scheduler distributes the whole of an advertised rate limit: it is too low to be divided among hosts.
--- a/crates/chicoryrail-router/src/route/slot_guard.rs
+++ b/crates/chicoryrail-router/src/route/slot_guard.rs
@@ -16,6 +16,8 @@
 use crate::messages::SaidRate;
 use crate::messages::SlotEnd;
 use crate::messages::SlotEndKind;
+use crate::route::caller_request::CallerRequest;
+use crate::state::Assignment;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
@@ -65,15 +67,46 @@
     }
 
     /// Takes a slot without the scheduler. The report of the end carries ticket 0, which belongs to no query, so the
-    /// scheduler only updates its estimates of the server.
+    /// scheduler only updates its estimates of the server. If the route tolerates waiting, the request has a ticket of its
+    /// own, and the scheduler learns of it.
     pub(crate) fn without_scheduler(
         router: &Rc<Router>,
         service: &Service,
         target: &Target,
+        call: &CallerRequest,
     ) -> Self {
         let part = service.part_of(&target.dc);
         let scheduler = router.target_scheduler(service, target);
-        Self::new(router, &part, scheduler, 0, &target.life)
+        if !call.route.tolerates_waiting() {
+            return Self::new(router, &part, scheduler, 0, &target.life);
+        }
+        let ticket = router
+            .pending_queries
+            .new_ticket(router.process.instance_id);
+        let slot = Self::new(router, &part, scheduler, ticket, &target.life);
+        slot.keep_for_schedulers(call, Vec::new());
+        scheduling::report_requests(router);
+        slot
+    }
+
+    /// Keeps what a new scheduler of the server must know of the request, if its route tolerates waiting. `schedulers`
+    /// know of it.
+    pub(super) fn keep_for_schedulers(&self, call: &CallerRequest, schedulers: Vec<SchedulerHost>) {
+        if !call.route.tolerates_waiting() {
+            return;
+        }
+        let work = self
+            .router
+            .expected_work_us(&call.route.name, call.route.latency_target);
+        let assignment = Assignment {
+            part: self.part.clone(),
+            server: self.server.clone(),
+            schedulers,
+            deadline: call.deadline,
+            work_us: work as u64,
+            body_bytes: call.body_bytes(),
+        };
+        self.router.assignments.add(self.ticket, assignment);
     }
 
     /// Records the load that the server reported.
@@ -115,6 +148,22 @@
             report,
             rate: self.rate.get().map(SaidRate::from),
         };
-        send_to_scheduler(&self.router, self.scheduler, Packet::SlotEnd(end));
+        let Some(assignment) = self.router.assignments.remove(self.ticket) else {
+            send_to_scheduler(&self.router, self.scheduler, Packet::SlotEnd(end));
+            return;
+        };
+        // The server was no longer known when its request was to be reported.
+        if assignment.schedulers.is_empty() {
+            send_to_scheduler(&self.router, self.scheduler, Packet::SlotEnd(end));
+            return;
+        }
+        // Each scheduler that counts the request must free its slot.
+        for scheduler in assignment.schedulers {
+            let end = SlotEnd {
+                part: assignment.part.clone(),
+                ..end.clone()
+            };
+            send_to_scheduler(&self.router, scheduler, Packet::SlotEnd(end));
+        }
     }
 }
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -14,6 +14,7 @@
 use monoio::time::timeout;
 use rand::seq::IteratorRandom;
 
+use crate::control::scheduling;
 use crate::messages::Packet;
 use crate::messages::PartName;
 use crate::messages::SlotQuery;
@@ -91,6 +92,7 @@
                 query.pending = false;
                 call.has_quota_token.set(true);
                 let slot = SlotGuard::new(router, &query.part, query.scheduler, ticket, &life);
+                slot.keep_for_schedulers(call, vec![query.scheduler]);
                 let target = service
                     .target(&life)
                     .filter(|t| t.accepts_requests(router.now()));
@@ -149,8 +151,15 @@
             FIRST_REPLY_TIMEOUT
         };
         if silence >= resend_after + SCHEDULER_TIMEOUT - FIRST_REPLY_TIMEOUT {
+            // The scheduler of this process is as late as the request itself, which must not overtake those in its queue.
+            if query.scheduler == SchedulerHost::Here && call.route.tolerates_waiting() {
+                query.send(call, &excluded);
+                last_activity = now;
+                continue;
+            }
             if let SchedulerHost::At(addr) = query.scheduler {
                 router.peers.borrow_mut().mark_unreachable(addr);
+                scheduling::report_requests(router);
             }
             log::info!(request = call.id, silent_ms = silence.0, heard = acknowledged,
                 host:? = query.scheduler; "scheduler_silent");
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -28,6 +28,8 @@
     pub(crate) unanswered: IntCounterVec,
     /// Changes of the number of requests that silent servers are given at once, by service and direction.
     pub(crate) slot_limit_changes: IntCounterVec,
+    /// Requests at servers that this host learned of when it began to schedule for them, by service.
+    pub(crate) adopted: IntCounterVec,
     /// Requests that other hosts were asked to pass on, by service and end.
     pub(crate) forwards: IntCounterVec,
     /// Requests that this host was asked to pass on, by service and end.
@@ -95,6 +97,11 @@
                 "Changes of the number of requests that silent servers are given at once",
                 &["service", "change"],
             ),
+            adopted: metrics.counter_family(
+                "adopted_total",
+                "Requests at servers that this host learned of when it began to schedule for them",
+                &["service"],
+            ),
             forwards: metrics.counter_family(
                 "forwards_total",
                 "Requests that other hosts were asked to pass on, by service and end",
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of this host share: its view of the store, services, servers and metrics.
 
 mod apply;
+mod assignments;
 mod counters;
 mod crashes;
 mod former_notices;
@@ -20,6 +21,8 @@
 mod target;
 mod view;
 
+pub(crate) use assignments::Assignment;
+pub(crate) use assignments::Assignments;
 pub(crate) use counters::Counters;
 pub(crate) use crashes::Crashes;
 pub(crate) use forwarders::Forwarder;
--- a/crates/chicoryrail-router/src/state/pending_queries.rs
+++ b/crates/chicoryrail-router/src/state/pending_queries.rs
@@ -34,14 +34,19 @@
     /// Registers a pending query and returns it with its ticket, which is unique among the requests of all hosts:
     /// `instance` is the random id of this process.
     pub(crate) fn open(&self, instance: u64) -> (u64, Rc<PendingQuery>) {
-        let next = self.next.get() + 1;
-        self.next.set(next);
-        let ticket = (instance << 24) ^ next;
+        let ticket = self.new_ticket(instance);
         let query = Rc::new(PendingQuery::default());
         self.pending.borrow_mut().insert(ticket, Rc::clone(&query));
         (ticket, query)
     }
 
+    /// Returns a ticket for a request without a query.
+    pub(crate) fn new_ticket(&self, instance: u64) -> u64 {
+        let next = self.next.get() + 1;
+        self.next.set(next);
+        (instance << 24) ^ next
+    }
+
     /// Removes a pending query; later decisions on its ticket are dropped.
     pub(crate) fn close(&self, ticket: u64) {
         self.pending.borrow_mut().remove(&ticket);
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -38,6 +38,7 @@
 use crate::messages::FEED_COUNT;
 use crate::messages::PartName;
 use crate::messages::PeerSocket;
+use crate::state::Assignments;
 use crate::state::Counters;
 use crate::state::Crashes;
 use crate::state::Forwarders;
@@ -100,6 +101,8 @@
     pub(crate) peer_socket: Rc<PeerSocket>,
     /// Slot queries that await the scheduler's decision.
     pub(crate) pending_queries: PendingQueries,
+    /// This host's requests at servers, of routes that tolerate waiting.
+    pub(crate) assignments: Assignments,
     /// The schedulers that run on this host.
     pub(crate) schedulers: Schedulers,
     /// Organisations of the configuration in force, and this host's standalone shares of their rate limits.
@@ -160,6 +163,7 @@
             store_up: Cell::new(false),
             peer_socket: Rc::clone(peer_socket),
             pending_queries: PendingQueries::default(),
+            assignments: Assignments::default(),
             schedulers: Schedulers::default(),
             organisations: Organisations::new(),
             quota: QuotaShares::default(),
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -65,6 +65,9 @@
     pub(crate) admission: Cell<Admission>,
     /// Whether this host schedules the requests for the server; `None` until that is determined.
     pub(crate) scheduled_here: Cell<Option<bool>>,
+    /// When this host began to schedule the requests in place of another one, if most routes to the service tolerate
+    /// waiting.
+    pub(crate) taken_over_at: Cell<Option<Millis>>,
     /// Set of schedulers, by number, for which that was determined.
     pub(crate) scheduled_generation: Cell<u64>,
 }
@@ -95,6 +98,7 @@
             slots: Cell::new(member.slots),
             admission: Cell::new(Admission::Closed),
             scheduled_here: Cell::new(None),
+            taken_over_at: Cell::new(None),
             scheduled_generation: Cell::new(0),
         }
     }
