feat(policy): limit the bytes of bodies at servers after one ended under load

Cause: servers end if the requests that they hold exceed their memory. Their scheduler counted requests only, so the next server got the same load.

Change, for requests of routes that tolerate waiting only: hosts report a request whose server has ended as `SlotEndKind::Ended` (appended). The scheduler of a server counts the declared bytes of the bodies there. If a server ends with two requests or more, and more bytes than any server held when it responded, each server of the service gets at most three quarters of them, a tenth more each minute. The limit goes to the other core hosts as `Packet::ByteLimit` (appended). Requests without a body are not limited. Log lines `server_ended_under_load`, `byte_limit`, `server_bytes`; metric `byte_limits_total`. The stand-in server learns the fault `memory`.

Router test: the second server bears two bursts of the load that ended the first; without the limit it ended in the first burst.

--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -82,6 +82,7 @@
 pub use quota::ShareParams;
 pub use quota::StandaloneShare;
 pub use scheduler::Decision;
+pub use scheduler::EndEvidence;
 pub use scheduler::HeldRequest;
 pub use scheduler::Placement;
 pub use scheduler::RemoteFreeSlots;
--- a/crates/chicoryrail-policy/src/local/server_view.rs
+++ b/crates/chicoryrail-policy/src/local/server_view.rs
@@ -11,6 +11,8 @@
     Full,
     /// The connection failed, or the response was not valid.
     Broken,
+    /// The connection failed since the server has ended, and the route tolerates waiting.
+    Ended,
     /// The server responded with a server error.
     Error,
     /// No response arrived in time.
@@ -137,7 +139,7 @@
                 self.other_requests = self.other_requests.max(f64::from(self.slots));
                 self.reported_at = now;
             }
-            Failure::Broken => {
+            Failure::Broken | Failure::Ended => {
                 self.record_outcome(now, true);
                 self.broken_sends += 1;
                 let pause =
--- a/crates/chicoryrail-policy/src/scheduler/load_view.rs
+++ b/crates/chicoryrail-policy/src/scheduler/load_view.rs
@@ -45,6 +45,8 @@
     free_in_us: f64,
     /// Whether a request may be sent now.
     has_slot: bool,
+    /// Largest body that a request may have.
+    free_bytes: u64,
     warming_up: bool,
     /// Expected number of tries until a successful response, squared: a failure costs the caller more than the time.
     retry_factor: f64,
@@ -112,7 +114,10 @@
         match placement {
             Placement::Any => {}
             Placement::Unassigned => return None,
-            Placement::Owner(owner) => return self.server(owner)?.has_slot.then_some(owner),
+            Placement::Owner(owner) => {
+                let load = self.server(owner)?;
+                return (load.has_slot && load.fits(request)).then_some(owner);
+            }
         }
         if self.free_servers == 0 {
             return None;
@@ -130,7 +135,7 @@
         {
             let cost = load.cost(request);
             if load.has_slot {
-                if best.is_none_or(|(c, _)| cost < c) {
+                if load.fits(request) && best.is_none_or(|(c, _)| cost < c) {
                     best = Some((cost, load.id));
                 }
             } else if !load.warming_up {
@@ -198,6 +203,7 @@
             slowness,
             free_in_us: slots.free_in_us(now),
             has_slot: slots.has_slot(now),
+            free_bytes: slots.free_bytes(now),
             warming_up: now < slots.state.warmup_until,
             retry_factor: 1.0 / (success_rate * success_rate),
             fill_cost,
@@ -206,6 +212,11 @@
         }
     }
 
+    /// Returns `true` if the body of a request may be added to those at the server.
+    const fn fits(&self, request: &SlotRequest) -> bool {
+        request.body_bytes == 0 || request.body_bytes <= self.free_bytes
+    }
+
     /// Estimates the time to a successful response from a free slot on, in microseconds, with the costs of the server.
     fn cost(&self, request: &SlotRequest) -> f64 {
         let remote_cost = match (self.dc_index == request.dc_index, request.large_response) {
--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! query before each send and a report after it, so it knows every slot exactly, keeps a single queue and enforces the
 //! limits that hold over all hosts. Hosts that can't reach it fall back to [`LocalBalancer`](crate::LocalBalancer).
 
+mod byte_limit;
 mod learned_limit;
 mod load_view;
 mod rate_bucket;
@@ -16,6 +17,7 @@
 mod takeover;
 mod utilisation;
 
+pub use byte_limit::EndEvidence;
 pub use remote_free_slots::RemoteFreeSlots;
 pub use scheduler::Scheduler;
 pub use server_slots::ServerStatus;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::scheduler::ServerStatus;
 use crate::scheduler::SlotRelease;
 use crate::scheduler::SlotRequest;
+use crate::scheduler::byte_limit::ByteLimit;
 use crate::scheduler::load_view::LoadView;
 use crate::scheduler::server_slots::ServerSlots;
 
@@ -34,6 +35,10 @@
     waiting: Vec<WaitingRequest>,
     /// Owners with waiting requests for their keys, and the time since which at least one request has been waiting.
     key_queues: Vec<(Placement, Millis)>,
+    /// Limit on the bytes of request bodies at each server.
+    pub(super) byte_limit: Option<ByteLimit>,
+    /// Most bytes of request bodies that a server held when it responded, at the last end of a server.
+    pub(super) borne_bytes: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -49,7 +54,7 @@
     pub fn update_server(&mut self, now: Millis, server: ServerId, state: ServerStatus) {
         self.servers
             .entry(server)
-            .or_insert_with(|| ServerSlots::new(now, state))
+            .or_insert_with(|| ServerSlots::new(now, state).with_byte_limit(self.byte_limit))
             .set(now, state);
     }
 
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -11,6 +11,7 @@
 use crate::local::server_view::ServerView;
 use crate::scheduler::HeldRequest;
 use crate::scheduler::SlotRequest;
+use crate::scheduler::byte_limit::ByteLimit;
 use crate::scheduler::learned_limit::LearnedLimit;
 use crate::scheduler::rate_bucket::RateBucket;
 use crate::scheduler::takeover::Takeover;
@@ -27,6 +28,9 @@
 /// release, or the host that should have sent it, was lost.
 const RELEASE_TIMEOUT: Millis = Millis(300);
 
+/// Time in which the connections of a server that ends break. They break one after the other.
+const BREAK_TIME: Millis = Millis(1_000);
+
 /// Weight of a new request in the mean work of the requests sent.
 const WORK_SMOOTHING: f64 = 0.05;
 
@@ -77,6 +81,15 @@
     work_us: f64,
     /// Number of requests at the server when this one was sent, itself included.
     requests: u32,
+    body_bytes: u64,
+}
+
+/// Requests at a server when its connections began to break.
+#[derive(Clone, Copy, Debug)]
+struct Break {
+    at: Millis,
+    requests: usize,
+    bytes: u64,
 }
 
 /// State of one server at the scheduler.
@@ -91,6 +104,12 @@
     bucket: RateBucket,
     /// Limit on the requests in flight after a request got no response.
     learned: LearnedLimit,
+    /// Limit on the bytes of request bodies.
+    pub(crate) byte_limit: Option<ByteLimit>,
+    /// Most bytes of request bodies that the server held when it responded.
+    borne_bytes: u64,
+    /// The first of the connections that broke lately.
+    broke: Option<Break>,
     /// Queries while another host schedules the server.
     pub(crate) takeover: Takeover,
     /// Mean work of the requests sent, in microseconds; 0 before the first one.
@@ -108,12 +127,20 @@
             warmup_sends: VecDeque::new(),
             bucket: RateBucket::empty(now),
             learned: LearnedLimit::default(),
+            byte_limit: None,
+            borne_bytes: 0,
+            broke: None,
             takeover: Takeover::default(),
             mean_work_us: 0.0,
             scheduling_since: now,
         }
     }
 
+    /// Sets the limit on the bytes of request bodies.
+    pub(crate) fn with_byte_limit(self, byte_limit: Option<ByteLimit>) -> Self {
+        Self { byte_limit, ..self }
+    }
+
     /// Updates the server's state. The bucket is emptied when this host begins to schedule the server, or the server
     /// gets a rate limit.
     pub(crate) fn set(&mut self, now: Millis, state: ServerStatus) {
@@ -257,6 +284,7 @@
             deadline: request.deadline,
             work_us: request.work_us,
             requests,
+            body_bytes: request.body_bytes,
         });
         true
     }
@@ -275,6 +303,7 @@
             deadline: request.deadline,
             work_us,
             requests,
+            body_bytes: request.body_bytes,
         };
         self.in_flight.insert(request.ticket, in_flight);
         self.learned.record_send(request.ticket, requests);
@@ -307,6 +336,10 @@
         failure: Option<Failure>,
         report: Option<LoadReport>,
     ) -> Option<Millis> {
+        if matches!(failure, Some(Failure::Broken | Failure::Ended)) {
+            self.record_break(now);
+        }
+        let bytes = self.bytes();
         let in_flight = self.in_flight.remove(&ticket);
         if let Some(report) = report {
             self.view.apply_report(now, report);
@@ -321,6 +354,7 @@
             }
             (None, Some(in_flight)) => {
                 if let Some(response_us) = response_us {
+                    self.borne_bytes = self.borne_bytes.max(bytes);
                     let others = &self.in_flight;
                     self.learned
                         .record_response(slots, |ticket| others.contains_key(&ticket));
@@ -333,6 +367,43 @@
         None
     }
 
+    /// Records that a connection broke. What the server held at the first one is kept for a second.
+    fn record_break(&mut self, now: Millis) {
+        if self.load_at_break(now).is_none() {
+            self.broke = Some(Break {
+                at: now,
+                requests: self.busy(),
+                bytes: self.bytes(),
+            });
+        }
+    }
+
+    /// Returns the number of requests and the bytes of their bodies when the connections began to break; `None` if none
+    /// broke within the last second.
+    pub(crate) fn load_at_break(&self, now: Millis) -> Option<(usize, u64)> {
+        let lately = self.broke.filter(|b| now.since(b.at) <= BREAK_TIME);
+        lately.map(|b| (b.requests, b.bytes))
+    }
+
+    /// Returns the most bytes of request bodies that the server held when it responded.
+    pub(crate) const fn borne_bytes(&self) -> u64 {
+        self.borne_bytes
+    }
+
+    /// Returns the bytes of the bodies of the requests in flight.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.in_flight.values().map(|r| r.body_bytes).sum()
+    }
+
+    /// Returns the largest body that a request may have now. A server without bytes gets one of any size.
+    pub(crate) fn free_bytes(&self, now: Millis) -> u64 {
+        let limit = self.byte_limit.map(|limit| limit.at(now));
+        let bytes = self.bytes();
+        limit
+            .filter(|_| bytes > 0)
+            .map_or(u64::MAX, |limit| limit.saturating_sub(bytes))
+    }
+
     /// Returns `true` if the server gets no requests now because it was full or its connections failed.
     pub(crate) fn is_paused(&self, now: Millis) -> bool {
         self.view.is_paused(now)
--- a/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
@@ -7,6 +7,7 @@
 use monoio::time::timeout;
 
 use crate::control::scheduling::requests::assign_waiting;
+use crate::control::scheduling::server_bytes::log_bytes;
 use crate::control::scheduling::takeover::report_requests;
 use crate::messages::PartName;
 use crate::messages::ServerPace;
@@ -44,6 +45,7 @@
         if router.now().since(logged) >= LOG_INTERVAL {
             logged = router.now();
             log_schedulers(&router);
+            log_bytes(&router);
         }
         for part in waiting_parts(&router) {
             assign_waiting(&router, &part);
--- a/crates/chicoryrail-router/src/control/scheduling/mod.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/mod.rs
@@ -7,6 +7,7 @@
 mod overflow;
 mod part_schedulers;
 mod requests;
+mod server_bytes;
 mod server_sync;
 mod takeover;
 mod tokens;
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -21,6 +21,8 @@
 use crate::control::scheduling::part_schedulers::remove_origin;
 use crate::control::scheduling::part_schedulers::reply_to;
 use crate::control::scheduling::part_schedulers::withdraw_request;
+use crate::control::scheduling::server_bytes::apply_byte_limit;
+use crate::control::scheduling::server_bytes::record_end_under_load;
 use crate::control::scheduling::takeover::apply_report;
 use crate::control::scheduling::takeover::record_query;
 use crate::control::scheduling::tokens::take_token;
@@ -49,6 +51,7 @@
             }
         }
         Packet::HeldRequests(report) => apply_report(router, report, from),
+        Packet::ByteLimit(news) => apply_byte_limit(router, news),
         Packet::Heartbeat(_)
         | Packet::Paces(_)
         | Packet::KeyDemand(_)
@@ -165,6 +168,7 @@
             SlotEndKind::Error => Some(Failure::Error),
             SlotEndKind::Silent => Some(Failure::Silent),
             SlotEndKind::Unanswered => Some(Failure::Unanswered),
+            SlotEndKind::Ended => Some(Failure::Ended),
         },
         report,
     };
@@ -174,11 +178,18 @@
     {
         service.record_change(&target);
     }
+    let mut evidence = None;
     if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(&end.part) {
         let slots = scheduler.usable_slots(target.id);
         let pause = scheduler.release(now, &release);
         log_pause(router, end, from, pause);
         log_slot_limit(router, end, slots, scheduler.usable_slots(target.id));
+        if end.kind == SlotEndKind::Ended {
+            evidence = scheduler.record_server_end(now, target.id);
+        }
+    }
+    if let Some(evidence) = evidence {
+        record_end_under_load(router, &end.part.service, &end.server, evidence);
     }
     assign_waiting(router, &end.part);
 }
--- a/crates/chicoryrail-router/src/messages/mod.rs
+++ b/crates/chicoryrail-router/src/messages/mod.rs
@@ -31,6 +31,7 @@
 pub(crate) use forward_message::ForwardHead;
 pub(crate) use held_report::HeldReport;
 pub(crate) use held_report::HeldRequest;
+pub(crate) use packet::ByteLimitNews;
 pub(crate) use packet::Heartbeat;
 pub(crate) use packet::KeyDemand;
 pub(crate) use packet::KeyRanges;
--- a/crates/chicoryrail-router/src/messages/packet.rs
+++ b/crates/chicoryrail-router/src/messages/packet.rs
@@ -48,6 +48,15 @@
     Crashes(CrashNews),
     /// Requests that a host has at a server, for the server's new scheduler.
     HeldRequests(HeldReport),
+    /// Limit on the bytes of request bodies at each server of a service, for the hosts that schedule.
+    ByteLimit(ByteLimitNews),
+}
+
+/// Limit on the bytes of request bodies at each server of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct ByteLimitNews {
+    pub(crate) service: ServiceName,
+    pub(crate) bytes: u64,
 }
 
 /// State of a host, as reported by itself.
@@ -261,4 +270,6 @@
     Silent,
     /// The server did not respond for longer than almost all responses of the route take; the route tolerates waiting.
     Unanswered,
+    /// The connection failed since the server has ended; the route tolerates waiting.
+    Ended,
 }
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -70,14 +70,7 @@
         sent,
         SendOutcome::NotRun(NotRun::NoPath | NotRun::Suspected)
     ) {
-        let failure = sent.failure();
-        let is_unanswered =
-            failure == Some(Failure::Silent) && is_unanswered(router, call, elapsed_us);
-        let failure = if is_unanswered {
-            Some(Failure::Unanswered)
-        } else {
-            failure
-        };
+        let failure = slot_failure(router, call, &sent, elapsed_us);
         slot.record_end(elapsed_us, failure);
     }
     let mut loads = service.loads.borrow_mut();
@@ -99,6 +92,27 @@
     sent
 }
 
+/// Returns how a send counts against the server at its scheduler, which learns more of requests whose route tolerates
+/// waiting.
+fn slot_failure(
+    router: &Router,
+    call: &CallerRequest,
+    sent: &SendOutcome,
+    elapsed_us: f64,
+) -> Option<Failure> {
+    match sent {
+        SendOutcome::Indeterminate(Indeterminate::Ended) if call.route.tolerates_waiting() => {
+            Some(Failure::Ended)
+        }
+        SendOutcome::Indeterminate(Indeterminate::Silent)
+            if is_unanswered(router, call, elapsed_us) =>
+        {
+            Some(Failure::Unanswered)
+        }
+        _ => sent.failure(),
+    }
+}
+
 /// Returns `true` if a request of a route that tolerates waiting got no response for longer than almost all responses of
 /// the route take. A caller with less time says nothing of the server.
 pub(super) fn is_unanswered(router: &Router, call: &CallerRequest, elapsed_us: f64) -> bool {
--- a/crates/chicoryrail-router/src/route/slot_guard.rs
+++ b/crates/chicoryrail-router/src/route/slot_guard.rs
@@ -129,6 +129,7 @@
             Some(Failure::Error) => SlotEndKind::Error,
             Some(Failure::Silent) => SlotEndKind::Silent,
             Some(Failure::Unanswered) => SlotEndKind::Unanswered,
+            Some(Failure::Ended) => SlotEndKind::Ended,
         });
     }
 }
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -30,6 +30,8 @@
     pub(crate) slot_limit_changes: IntCounterVec,
     /// Requests at servers that this host learned of when it began to schedule for them, by service.
     pub(crate) adopted: IntCounterVec,
+    /// Limits on bytes that this host learned from servers that ended under load, by service.
+    pub(crate) byte_limits: IntCounterVec,
     /// Requests that other hosts were asked to pass on, by service and end.
     pub(crate) forwards: IntCounterVec,
     /// Requests that this host was asked to pass on, by service and end.
@@ -102,6 +104,11 @@
                 "Requests at servers that this host learned of when it began to schedule for them",
                 &["service"],
             ),
+            byte_limits: metrics.counter_family(
+                "byte_limits_total",
+                "Limits on bytes that this host learned from servers that ended under load",
+                &["service"],
+            ),
             forwards: metrics.counter_family(
                 "forwards_total",
                 "Requests that other hosts were asked to pass on, by service and end",
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -491,6 +491,27 @@
         path: &str,
         key: Option<u16>,
         left: u64,
+    ) -> Result<Response<Bytes>, HttpError> {
+        self.send(method, path, key, left, Bytes::new()).await
+    }
+
+    /// Posts a body of this length.
+    pub async fn post_bytes(
+        &self,
+        path: &str,
+        length: usize,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let body = Bytes::from(vec![b'x'; length]);
+        self.send("POST", path, None, 1_500, body).await
+    }
+
+    async fn send(
+        &self,
+        method: &str,
+        path: &str,
+        key: Option<u16>,
+        left: u64,
+        body: Bytes,
     ) -> Result<Response<Bytes>, HttpError> {
         let sent = self.sent.get() + 1;
         self.sent.set(sent);
@@ -503,7 +524,7 @@
         if let Some(key) = key {
             request = request.header(call_header::KEY, key);
         }
-        let request = request.body(Bytes::from_static(b"")).unwrap();
+        let request = request.body(body).unwrap();
         self.client.call(self.addr, request, WAIT_TIMEOUT).await
     }
 
--- a/crates/chicoryrail-testkit/src/target/fault.rs
+++ b/crates/chicoryrail-testkit/src/target/fault.rs
@@ -71,6 +71,13 @@
         /// Duration of the fault in milliseconds; a request that got no response within it never gets one.
         for_ms: u64,
     },
+    /// The server ends if the declared bodies of the requests that it holds exceed its memory.
+    Memory {
+        /// Duration of the fault in milliseconds.
+        for_ms: u64,
+        /// Memory in bytes.
+        bytes: u64,
+    },
     /// Responses are held back until the fault ends.
     Freeze {
         /// Duration of the fault in milliseconds.
@@ -158,6 +165,7 @@
             TargetFault::Slow { for_ms, .. }
             | TargetFault::Freeze { for_ms }
             | TargetFault::Mute { for_ms }
+            | TargetFault::Memory { for_ms, .. }
             | TargetFault::Deaf { for_ms }
             | TargetFault::NameLimit { for_ms, .. }
             | TargetFault::Unmarked { for_ms }
@@ -203,6 +211,14 @@
         dropped.map(|(ends_at, _)| *ends_at)
     }
 
+    /// Returns the memory for the bodies of requests, in bytes; `None` without a limit.
+    pub(crate) fn memory(&mut self, now: Millis) -> Option<u64> {
+        self.timed.active(now).find_map(|(_, f)| match f {
+            TargetFault::Memory { bytes, .. } => Some(*bytes),
+            _ => None,
+        })
+    }
+
     /// Returns `true` if a request that can't be queued gets no response.
     pub(crate) fn is_mute(&mut self, now: Millis) -> bool {
         let mut active = self.timed.active(now);
--- a/crates/chicoryrail-testkit/src/target/state.rs
+++ b/crates/chicoryrail-testkit/src/target/state.rs
@@ -34,6 +34,8 @@
     /// First line of the last response, which [`crate::TargetFault::Crossed`] sends to another request.
     pub(crate) last_response: RefCell<Option<ResponseHead>>,
     pub(crate) refused_connections: Rc<Cell<u64>>,
+    /// Declared lengths of the bodies of the requests that the server holds.
+    pub(crate) held_bytes: Cell<u64>,
     /// Cancelled when a request ends the server.
     pub(crate) crash: CancellationToken,
     clock: Clock,
@@ -79,6 +81,7 @@
             faults: RefCell::new(TargetFaults::new(options.seed)),
             last_response: RefCell::default(),
             refused_connections,
+            held_bytes: Cell::new(0),
             crash: CancellationToken::new(),
             clock: Clock::start(),
             started_unix_ms: unix_micros() / 1000,
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -16,6 +16,7 @@
 use http::Method;
 use http::Request;
 use http::Response;
+use http::header::CONTENT_LENGTH;
 use hyper::body::Incoming;
 
 use crate::ConnectionCut;
@@ -55,6 +56,8 @@
     length: u64,
     chunked: bool,
     crashes: bool,
+    /// Declared length of the body.
+    body_bytes: u64,
 }
 
 /// How a request ended at the server.
@@ -92,6 +95,12 @@
     work: Work,
     body: Incoming,
 ) -> Result<Response<Body>, ConnectionCut> {
+    let _held = HeldBody::new(state, work.body_bytes);
+    let memory = state.faults.borrow_mut().memory(state.now());
+    if memory.is_some_and(|memory| state.held_bytes.get() > memory) {
+        state.crash.cancel();
+        return Err(ConnectionCut);
+    }
     let Ok(_) = collect_body(body, BODY_MAX_BYTES).await else {
         return Err(ConnectionCut);
     };
@@ -153,6 +162,29 @@
     Ok(response)
 }
 
+/// The body of a request that the server holds until the guard is dropped.
+struct HeldBody {
+    state: Rc<State>,
+    bytes: u64,
+}
+
+impl HeldBody {
+    fn new(state: &Rc<State>, bytes: u64) -> Self {
+        state.held_bytes.set(state.held_bytes.get() + bytes);
+        Self {
+            state: Rc::clone(state),
+            bytes,
+        }
+    }
+}
+
+impl Drop for HeldBody {
+    fn drop(&mut self) {
+        let held = &self.state.held_bytes;
+        held.set(held.get() - self.bytes);
+    }
+}
+
 /// Refuses a request that is addressed to another server.
 pub(crate) fn refuse_misdirected(state: &State, headers: &HeaderMap) -> Response<Body> {
     let request = call_header::text(headers, &call_header::REQUEST_ID);
@@ -299,6 +331,9 @@
             length: query_param(&head.uri, "body").unwrap_or(0),
             chunked: query_param::<u8>(&head.uri, "chunked") == Some(1),
             crashes: query_param::<u8>(&head.uri, "crash") == Some(1),
+            body_bytes: text(&CONTENT_LENGTH)
+                .and_then(|v| v.parse().ok())
+                .unwrap_or(0),
         }
     }
 }
