perf(policy): count the bytes at a server only while a limit is in force

Cause: each poll of a scheduler summed the bytes of all requests in flight, also in deployments without a limit. Change: the sum is taken only with a limit, and once for each response.

--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -339,7 +339,6 @@
         if matches!(failure, Some(Failure::Broken | Failure::Ended)) {
             self.record_break(now);
         }
-        let bytes = self.bytes();
         let in_flight = self.in_flight.remove(&ticket);
         if let Some(report) = report {
             self.view.apply_report(now, report);
@@ -354,6 +353,7 @@
             }
             (None, Some(in_flight)) => {
                 if let Some(response_us) = response_us {
+                    let bytes = self.bytes() + in_flight.body_bytes;
                     self.borne_bytes = self.borne_bytes.max(bytes);
                     let others = &self.in_flight;
                     self.learned
@@ -397,11 +397,13 @@
 
     /// Returns the largest body that a request may have now. A server without bytes gets one of any size.
     pub(crate) fn free_bytes(&self, now: Millis) -> u64 {
-        let limit = self.byte_limit.map(|limit| limit.at(now));
-        let bytes = self.bytes();
-        limit
-            .filter(|_| bytes > 0)
-            .map_or(u64::MAX, |limit| limit.saturating_sub(bytes))
+        let Some(limit) = self.byte_limit else {
+            return u64::MAX;
+        };
+        match self.bytes() {
+            0 => u64::MAX,
+            bytes => limit.at(now).saturating_sub(bytes),
+        }
     }
 
     /// Returns `true` if the server gets no requests now because it was full or its connections failed.
--- a/crates/chicoryrail-router/tests/scheduler_loss.rs
+++ b/crates/chicoryrail-router/tests/scheduler_loss.rs
@@ -28,8 +28,7 @@
 
 /// Guards against a new scheduler that fills the slots of a server which are taken already. Load: a server with two slots
 /// and no queue runs two requests of 700 ms for one host when its scheduler is killed. Then both remaining hosts get
-/// three more requests for it, of which the server may refuse none as beyond its queue
-/// while the two run.
+/// three more requests for it, of which the server may refuse none as beyond its queue while the two run.
 #[test]
 fn a_server_gets_no_more_than_its_slots_after_its_scheduler_is_lost() {
     block_on(async {
