--- a/crates/chicoryrail-policy/src/local/server_view.rs
+++ b/crates/chicoryrail-policy/src/local/server_view.rs
@@ -11,10 +11,14 @@
     Full,
     /// The connection failed, or the response was not valid.
     Broken,
+    /// The connection failed since the server has ended, and the route tolerates waiting.
+    Ended,
     /// The server responded with a server error.
     Error,
     /// No response arrived in time.
     Silent,
+    /// No response arrived for longer than almost all responses of the route take, and the route tolerates waiting.
+    Unanswered,
 }
 
 /// Half-life of the reported requests of other hosts. It is about the time of one request, after which the server has
@@ -135,7 +139,7 @@
                 self.other_requests = self.other_requests.max(f64::from(self.slots));
                 self.reported_at = now;
             }
-            Failure::Broken => {
+            Failure::Broken | Failure::Ended => {
                 self.record_outcome(now, true);
                 self.broken_sends += 1;
                 let pause =
@@ -143,7 +147,9 @@
                 self.paused_until = self.paused_until.max(now + pause);
                 return Some(pause).filter(|p| *p > Millis::ZERO);
             }
-            Failure::Error | Failure::Silent => self.record_outcome(now, true),
+            Failure::Error | Failure::Silent | Failure::Unanswered => {
+                self.record_outcome(now, true);
+            }
         }
         None
     }
--- a/crates/chicoryrail-policy/src/scheduler/mod.rs
+++ b/crates/chicoryrail-policy/src/scheduler/mod.rs
@@ -6,9 +6,11 @@
 //! limits that hold over all hosts. Hosts that can't reach it fall back to [`LocalBalancer`](crate::LocalBalancer).
 
 mod booked_place;
+mod byte_limit;
 mod caller_events;
 mod fair_share;
 mod late_queue;
+mod learned_limit;
 mod load_view;
 mod rate_bucket;
 mod remote_free_slots;
@@ -18,11 +20,13 @@
 mod server_slots;
 mod slot_request;
 mod standing_queues;
+mod takeover;
 mod utilisation;
 mod waiting_request;
 mod work_ahead;
 mod work_rate;
 
+pub use byte_limit::EndEvidence;
 pub use caller_events::CallerEvents;
 pub use remote_free_slots::RemoteFreeSlots;
 pub use scheduler::Scheduler;
@@ -31,3 +35,4 @@
 pub use slot_request::Placement;
 pub use slot_request::SlotRelease;
 pub use slot_request::SlotRequest;
+pub use takeover::HeldRequest;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -11,6 +11,7 @@
 use crate::scheduler::ServerStatus;
 use crate::scheduler::SlotRelease;
 use crate::scheduler::SlotRequest;
+use crate::scheduler::byte_limit::ByteLimit;
 use crate::scheduler::fair_share::FairShares;
 use crate::scheduler::load_view::LoadView;
 use crate::scheduler::return_calendar::ReturnCalendar;
@@ -49,6 +50,10 @@
     shares: Option<FairShares>,
     /// Whether any request so far tolerated waiting.
     any_tolerant: bool,
+    /// Limit on the bytes of request bodies at each server.
+    pub(super) byte_limit: Option<ByteLimit>,
+    /// Most bytes of request bodies that a server held when it responded, at the last end of a server.
+    pub(super) borne_bytes: u64,
 }
 
 impl Scheduler {
@@ -67,7 +72,7 @@
     pub fn update_server(&mut self, now: Millis, server: ServerId, state: ServerStatus) {
         self.servers
             .entry(server)
-            .or_insert_with(|| ServerSlots::new(now, state))
+            .or_insert_with(|| ServerSlots::new(now, state).with_byte_limit(self.byte_limit))
             .set(now, state);
     }
 
@@ -234,7 +239,7 @@
         let request = &waiting.request;
         let server = view.server_for(request, waiting.placement, ahead_us)?;
         if let Some(slots) = self.servers.get_mut(&server) {
-            slots.record_send(now, request.ticket, request.deadline, request.work_us);
+            slots.record_send(now, request);
             view.refresh(server, slots);
         }
         if let Some(shares) = &mut self.shares {
--- a/crates/chicoryrail-router/src/control/scheduling/requests.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/requests.rs
@@ -1,6 +1,7 @@
 //! Handles slot queries and ends of requests for the scheduling partitions (parts) that this host schedules, and
 //! replies with the schedulers' decisions.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -21,6 +22,10 @@
 use crate::control::scheduling::part_schedulers::remove_origin;
 use crate::control::scheduling::part_schedulers::reply_to;
 use crate::control::scheduling::part_schedulers::withdraw_request;
+use crate::control::scheduling::server_bytes::apply_byte_limit;
+use crate::control::scheduling::server_bytes::record_end_under_load;
+use crate::control::scheduling::takeover::apply_report;
+use crate::control::scheduling::takeover::record_query;
 use crate::control::scheduling::tokens::take_token;
 use crate::messages::Packet;
 use crate::messages::PartName;
@@ -46,6 +51,8 @@
                 router.schedulers.record_free_slots(router.now(), part);
             }
         }
+        Packet::HeldRequests(report) => apply_report(router, report, from),
+        Packet::ByteLimit(news) => apply_byte_limit(router, news),
         Packet::Heartbeat(_)
         | Packet::Paces(_)
         | Packet::KeyDemand(_)
@@ -113,6 +120,7 @@
         return;
     }
     refresh_servers(router, &query.part);
+    record_query(router, query);
     // A request is redirected for lack of a free slot at most once.
     let may_overflow = query.part.dc.is_some() && !query.overflows;
     if may_overflow
@@ -167,6 +175,8 @@
             SlotEndKind::Broken => Some(Failure::Broken),
             SlotEndKind::Error => Some(Failure::Error),
             SlotEndKind::Silent => Some(Failure::Silent),
+            SlotEndKind::Unanswered => Some(Failure::Unanswered),
+            SlotEndKind::Ended => Some(Failure::Ended),
         },
         report,
     };
@@ -176,9 +186,18 @@
     {
         service.record_change(&target);
     }
+    let mut evidence = None;
     if let Some(scheduler) = router.schedulers.by_part.borrow_mut().get_mut(&end.part) {
+        let slots = scheduler.usable_slots(target.id);
         let pause = scheduler.release(now, &release);
         log_pause(router, end, from, pause);
+        log_slot_limit(router, end, slots, scheduler.usable_slots(target.id));
+        if end.kind == SlotEndKind::Ended {
+            evidence = scheduler.record_server_end(now, target.id);
+        }
+    }
+    if let Some(evidence) = evidence {
+        record_end_under_load(router, &end.part.service, &end.server, evidence);
     }
     assign_waiting(router, &end.part);
 }
@@ -193,6 +212,23 @@
         reporter:% = reporter, pause_ms = pause.0; "server_paused");
 }
 
+/// Logs and counts that a server is given fewer requests at once since it fell silent, or more again.
+fn log_slot_limit(router: &Router, end: &SlotEnd, before: Option<u32>, after: Option<u32>) {
+    let (Some(before), Some(after)) = (before, after) else {
+        return;
+    };
+    let change = match after.cmp(&before) {
+        Ordering::Equal => return,
+        Ordering::Less => "lowered",
+        Ordering::Greater => "raised",
+    };
+    let labels = [end.part.service.as_str(), change];
+    let changes = &router.counters.slot_limit_changes;
+    changes.with_label_values(&labels).inc();
+    log::info!(server:% = end.server, service:% = end.part.service, from = before, to = after;
+        "slot_limit");
+}
+
 /// Redirects waiting requests after their keys moved to a server that another host schedules.
 ///
 /// The other host does not know of requests that this host assigns to that server, so together they could use more than
--- a/crates/chicoryrail-router/src/messages/packet.rs
+++ b/crates/chicoryrail-router/src/messages/packet.rs
@@ -15,6 +15,7 @@
 use chicoryrail_policy::AdvertisedRate;
 
 use crate::messages::CrashNews;
+use crate::messages::HeldReport;
 use crate::messages::PartName;
 use crate::messages::PartRoom;
 use crate::messages::QuotaGrants;
@@ -48,6 +49,17 @@
     Crashes(CrashNews),
     /// Traffic of a service that an operator watches, for the leader.
     Traffic(TrafficReport),
+    /// Requests that a host has at a server, for the server's new scheduler.
+    HeldRequests(HeldReport),
+    /// Limit on the bytes of request bodies at each server of a service, for the hosts that schedule.
+    ByteLimit(ByteLimitNews),
+}
+
+/// Limit on the bytes of request bodies at each server of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct ByteLimitNews {
+    pub(crate) service: ServiceName,
+    pub(crate) bytes: u64,
 }
 
 /// State of a host, as reported by itself.
@@ -259,4 +271,8 @@
     Error,
     /// The server did not respond in time.
     Silent,
+    /// The server did not respond for longer than almost all responses of the route take; the route tolerates waiting.
+    Unanswered,
+    /// The connection failed since the server has ended; the route tolerates waiting.
+    Ended,
 }
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use chicoryrail_core::Millis;
+use chicoryrail_policy::Failure;
 use chicoryrail_policy::PathChoice;
 use chicoryrail_runtime::BodyError;
 use chicoryrail_runtime::Invariant;
@@ -60,7 +61,7 @@
         }
         Err(_) => {
             if call.stats.borrow().via.is_none() {
-                record_silence(router, service, target);
+                record_no_response(router, service, target, call);
             }
             SendOutcome::Indeterminate(Indeterminate::Silent)
         }
@@ -84,7 +85,8 @@
         SendOutcome::NotRun(NotRun::NoPath | NotRun::Suspected)
             | SendOutcome::Indeterminate(Indeterminate::BodyFailed(_))
     ) {
-        slot.record_end(elapsed_us, sent.failure());
+        let failure = slot_failure(router, call, &sent, elapsed_us);
+        slot.record_end(elapsed_us, failure);
     }
     let mut loads = service.loads.borrow_mut();
     match sent.failure() {
@@ -93,6 +95,9 @@
             if matches!(sent, SendOutcome::Answered(_)) {
                 loads.record_response(now, target.id, elapsed_us, work, idle);
                 router.record_work(&call.route.name, call.route.latency_target, elapsed_us);
+                if call.route.tolerates_waiting() {
+                    router.record_response_time(&call.route.name, elapsed_us);
+                }
             }
         }
         Some(failure) => loads.record_failure(now, target.id, failure),
@@ -120,6 +125,51 @@
     }
 }
 
+/// Returns how a send counts against the server at its scheduler, which learns more of requests whose route tolerates
+/// waiting.
+fn slot_failure(
+    router: &Router,
+    call: &CallerRequest,
+    sent: &SendOutcome,
+    elapsed_us: f64,
+) -> Option<Failure> {
+    match sent {
+        SendOutcome::Indeterminate(Indeterminate::Ended) if call.route.tolerates_waiting() => {
+            Some(Failure::Ended)
+        }
+        SendOutcome::Indeterminate(Indeterminate::Silent)
+            if is_unanswered(router, call, elapsed_us) =>
+        {
+            Some(Failure::Unanswered)
+        }
+        _ => sent.failure(),
+    }
+}
+
+/// Returns `true` if a request of a route that tolerates waiting got no response for longer than almost all responses of
+/// the route take. A caller with less time says nothing of the server.
+pub(super) fn is_unanswered(router: &Router, call: &CallerRequest, elapsed_us: f64) -> bool {
+    let limit = router.unanswered_after(&call.route);
+    limit.is_some_and(|limit| elapsed_us >= limit.0 as f64 * 1_000.0)
+}
+
+/// Records that a server did not respond in time to a request that this host sent directly.
+fn record_no_response(
+    router: &Rc<Router>,
+    service: &Rc<Service>,
+    target: &Rc<Target>,
+    call: &CallerRequest,
+) {
+    if !call.route.tolerates_waiting() {
+        record_silence(router, service, target);
+        return;
+    }
+    // Some servers never respond on a connection on which they could not queue a request, and respond on others. So the
+    // silence says nothing of the path: a new connection does.
+    target.pool.close_idle();
+    check_path(router, service, target);
+}
+
 /// Sends a request directly, or through another host if this one can't reach the server.
 async fn exchange(
     router: &Rc<Router>,
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -30,6 +30,14 @@
     pub(crate) held_bytes: IntGauge,
     /// Attempts at servers by service and result.
     pub(crate) sends: IntCounterVec,
+    /// Sends of routes that tolerate waiting without a response, by service and end.
+    pub(crate) unanswered: IntCounterVec,
+    /// Changes of the number of requests that silent servers are given at once, by service and direction.
+    pub(crate) slot_limit_changes: IntCounterVec,
+    /// Requests at servers that this host learned of when it began to schedule for them, by service.
+    pub(crate) adopted: IntCounterVec,
+    /// Limits on bytes that this host learned from servers that ended under load, by service.
+    pub(crate) byte_limits: IntCounterVec,
     /// Requests that other hosts were asked to pass on, by service and end.
     pub(crate) forwards: IntCounterVec,
     /// Requests that this host was asked to pass on, by service and end.
@@ -102,6 +110,26 @@
                 "Attempts at servers, by service and result",
                 &["service", "end"],
             ),
+            unanswered: metrics.counter_family(
+                "unanswered_total",
+                "Sends of routes that tolerate waiting without a response, by service and end",
+                &["service", "end"],
+            ),
+            slot_limit_changes: metrics.counter_family(
+                "slot_limit_changes_total",
+                "Changes of the number of requests that silent servers are given at once",
+                &["service", "change"],
+            ),
+            adopted: metrics.counter_family(
+                "adopted_total",
+                "Requests at servers that this host learned of when it began to schedule for them",
+                &["service"],
+            ),
+            byte_limits: metrics.counter_family(
+                "byte_limits_total",
+                "Limits on bytes that this host learned from servers that ended under load",
+                &["service"],
+            ),
             forwards: metrics.counter_family(
                 "forwards_total",
                 "Requests that other hosts were asked to pass on, by service and end",
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod apply_traffic;
+mod assignments;
 mod counters;
 mod crashes;
 mod former_notices;
@@ -23,6 +24,8 @@
 mod traffic_rules;
 mod view;
 
+pub(crate) use assignments::Assignment;
+pub(crate) use assignments::Assignments;
 pub(crate) use counters::Counters;
 pub(crate) use crashes::Crashes;
 pub(crate) use forwarders::Forwarder;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -11,6 +11,7 @@
 use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
+use chicoryrail_core::Route;
 use chicoryrail_core::ServerName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::Site;
@@ -25,6 +26,7 @@
 use chicoryrail_platform::KeyControl;
 use chicoryrail_platform::KvStore;
 use chicoryrail_policy::QuotaTolerance;
+use chicoryrail_policy::ResponseTimes;
 use chicoryrail_policy::RetryLimits;
 use chicoryrail_policy::WeightedRoundRobin;
 use chicoryrail_runtime::ByteBudget;
@@ -37,6 +39,7 @@
 use crate::messages::FEED_COUNT;
 use crate::messages::PartName;
 use crate::messages::PeerSocket;
+use crate::state::Assignments;
 use crate::state::Counters;
 use crate::state::Crashes;
 use crate::state::Forwarders;
@@ -106,6 +109,8 @@
     pub(crate) peer_socket: Rc<PeerSocket>,
     /// Slot queries that await the scheduler's decision.
     pub(crate) pending_queries: PendingQueries,
+    /// This host's requests at servers, of routes that tolerate waiting.
+    pub(crate) assignments: Assignments,
     /// The schedulers that run on this host.
     pub(crate) schedulers: Schedulers,
     /// Organisations of the configuration in force, and this host's standalone shares of their rate limits.
@@ -141,6 +146,8 @@
     round_robins: RefCell<HashMap<String, WeightedRoundRobin>>,
     /// Mean service time of each route's requests, in microseconds.
     work_means: RefCell<HashMap<String, f64>>,
+    /// Response times of each route that tolerates waiting.
+    response_times: RefCell<HashMap<String, ResponseTimes>>,
 }
 
 impl Router {
@@ -167,6 +174,7 @@
             store_up: Cell::new(false),
             peer_socket: Rc::clone(peer_socket),
             pending_queries: PendingQueries::default(),
+            assignments: Assignments::default(),
             schedulers: Schedulers::default(),
             organisations: Organisations::new(),
             quota: QuotaShares::default(),
@@ -185,6 +193,7 @@
             synced_hosts: Cell::new(0),
             round_robins: RefCell::default(),
             work_means: RefCell::default(),
+            response_times: RefCell::default(),
             process,
             options,
             boot: RefCell::new(Rc::new(boot)),
@@ -468,6 +477,27 @@
         let after = before + (us.min(before * 5.0) - before) * EWMA_WEIGHT;
         self.work_means.borrow_mut().insert(route.to_owned(), after);
     }
+
+    /// Records the response time of a request of a route that tolerates waiting, in microseconds.
+    pub(crate) fn record_response_time(&self, route: &str, elapsed_us: f64) {
+        let mut times = self.response_times.borrow_mut();
+        match times.get_mut(route) {
+            Some(times) => times.record(elapsed_us),
+            None => times
+                .entry(route.to_owned())
+                .or_default()
+                .record(elapsed_us),
+        }
+    }
+
+    /// Returns the time without a response after which a request of a route that tolerates waiting counts as
+    /// unanswered; `None` if this host has observed too few responses.
+    pub(crate) fn unanswered_after(&self, route: &Route) -> Option<Millis> {
+        let times = self.response_times.borrow();
+        times
+            .get(&route.name)?
+            .unanswered_after(route.latency_target)
+    }
 }
 
 /// Returns the memory for bodies, in bytes.
