fix(keys): the first assignment does not wait for probes

Cause: at the first start all servers were new and were probed 16 at a time, so that 900 servers got keys in groups, each from the groups before. The router test keys_of_a_large_fleet_are_served_at_every_host failed in one of two runs, as not all sampled keys were served while keys moved.

Change: servers are probed only once a service has an assignment, 64 in one step.

--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -19,8 +19,9 @@
 /// Maximum number of concurrent releases at one server; each uses its own connection.
 const RELEASES_PER_SERVER_MAX: usize = 4;
 
-/// Maximum number of probes in one step: when a leader starts, all servers without keys are new to it.
-const PROBES_MAX: usize = 16;
+/// Maximum number of probes in one step: when a leader starts, all servers without keys are new to it. Servers that
+/// answer late are assigned keys late, and take them from those before.
+const PROBES_MAX: usize = 64;
 
 impl KeyLeases {
     /// Returns the actions that are due now; none once the leader is deposed.
@@ -160,7 +161,7 @@
         let lost = self.servers.iter().filter(|(life, s)| {
             let registered = now.since(s.last_seen) <= REGISTRATION_AGE_MAX && s.addr.port() != 0;
             let idle = s.pending_grant.is_none() && s.pending_releases.is_empty();
-            let is_new = self.steady && !s.has_answered;
+            let is_new = self.steady && !self.record.spans.is_empty() && !s.has_answered;
             let is_wanted = is_new || self.is_lost(now, life);
             registered && idle && !s.ended && now >= s.retry_at && is_wanted
         });
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -211,7 +211,9 @@
             let owns = |life: &Life| owners.contains(life);
             let has_settled =
                 |t: &Target| !owners_only && now.since(t.first_seen) >= SERVER_SETTLE_TIME;
-            let is_known = |t: &Target| !steady || leases.has_answered(&t.life);
+            // The first assignment doesn't wait for probes: servers that join in groups take keys from one another.
+            let needs_probe = steady && !owners.is_empty();
+            let is_known = |t: &Target| !needs_probe || leases.has_answered(&t.life);
             let ready = ready.filter(|t| owns(&t.life) || (has_settled(t) && is_known(t)));
             let include_warmup = include_warmup || steady;
             let warm = ready.filter(|t| include_warmup || !t.is_warming_up(now) || owns(&t.life));
