test(router): the drain time begins with the notice of the drain

use_drain_time counted from before the first request, whose response carries the notice from which a host counts. The clock now starts with the first response; the checks are unchanged.

--- a/crates/chicoryrail-router/tests/draining_servers.rs
+++ b/crates/chicoryrail-router/tests/draining_servers.rs
@@ -53,10 +53,12 @@
     keys.find(|key| server.owns(*key)).unwrap()
 }
 
-/// Sends requests for a key until the drain timeout has passed since the first of them; returns the number served.
+/// Sends requests for a key until the drain timeout has passed since the first response, which carries the notice of the
+/// drain; returns the number served.
 async fn use_drain_time(router: &RouterProcess, key: u16) -> usize {
-    let (clock, caller) = (Clock::start(), router.caller());
-    let mut served = 0;
+    let caller = router.caller();
+    let mut served = usize::from(caller.key(key).await.unwrap().status() == 200);
+    let clock = Clock::start();
     while clock.now() <= DRAIN_TIMEOUT {
         served += usize::from(caller.key(key).await.unwrap().status() == 200);
         monoio::time::sleep(Millis(50).to_duration()).await;
