perf(keys): servers are back to their full weight 2 s after their warm-up, and load shares go

A ramp of 2 s keeps a returning data centre from moving a third of all keys at once (steady_load.rs). They also moved 0.28 of all keys a minute where load swings (steady_load.rs asks for 0.2), so they go, as does the later start of the smoothed slowness, which raised these moves as well.

--- a/crates/chicoryrail-ownership/src/keys/assignment.rs
+++ b/crates/chicoryrail-ownership/src/keys/assignment.rs
@@ -56,9 +56,7 @@
 pub(crate) struct Assignment<'a> {
     pub(super) candidates: &'a [KeyCandidate],
     pub(super) curve: &'a LoadCurve,
-    /// Relative fair load of each candidate.
-    pub(super) shares: Vec<f64>,
-    /// Fair load for a share of 1, in requests.
+    /// Fair load for a weight of 1, in requests.
     pub(super) unit_load: f64,
     /// Ranges in key order, each with the index of its owner in `candidates`; `None` if the keys have no
     /// owner.
@@ -80,7 +78,6 @@
         spans: &[OwnedRange],
         candidates: &'a [KeyCandidate],
         curve: &'a LoadCurve,
-        shares: Vec<f64>,
         unit_load: f64,
     ) -> Self {
         let indices: BTreeMap<&Life, usize> = candidates.iter().map(|c| &c.life).zip(0..).collect();
@@ -105,7 +102,6 @@
         let mut this = Self {
             candidates,
             curve,
-            shares,
             unit_load,
             ranges,
             loads: vec![0.0; candidates.len()],
@@ -164,7 +160,7 @@
 
     /// Returns a candidate's fair share of the load, in requests.
     pub(super) fn fair_load(&self, candidate: usize) -> f64 {
-        self.shares[candidate] * self.unit_load
+        self.candidates[candidate].weight * self.unit_load
     }
 
     /// Returns a candidate's load as a multiple of its fair share; 0 if it is reserved for one key.
--- a/crates/chicoryrail-ownership/src/keys/dedicated_servers.rs
+++ b/crates/chicoryrail-ownership/src/keys/dedicated_servers.rs
@@ -24,7 +24,7 @@
             self.vacate(to);
         }
         let free = (0..self.candidates.len()).filter(|c| !self.is_reserved(*c));
-        let weight: f64 = free.map(|c| self.shares[c]).sum();
+        let weight: f64 = free.map(|c| self.candidates[c].weight).sum();
         self.unit_load = self.curve.total() / weight.max(f64::MIN_POSITIVE);
     }
 
--- a/crates/chicoryrail-ownership/src/keys/hot_key.rs
+++ b/crates/chicoryrail-ownership/src/keys/hot_key.rs
@@ -51,11 +51,6 @@
         self.demand
     }
 
-    /// Returns the demand beyond the capacity of the owner, in usual slots.
-    pub(crate) const fn excess(&self) -> f64 {
-        self.excess
-    }
-
     /// Returns `true` if the key has a server of its own.
     pub(crate) const fn is_dedicated(&self) -> bool {
         self.dedicated.is_some()
--- a/crates/chicoryrail-ownership/src/keys/key_history.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_history.rs
@@ -11,7 +11,6 @@
 use crate::keys::KeyRecord;
 use crate::keys::MoveReason;
 use crate::keys::hot_key::HotKey;
-use crate::keys::load_shares::load_shares;
 use crate::keys::smoothed_slowness::SmoothedSlowness;
 
 /// Demand of a key, relative to the capacity of its owner, from which on the key is observed and, if it is
@@ -27,7 +26,7 @@
 const HOT_KEY_INTERVAL: Millis = Millis(200);
 
 /// Time after its warm-up in which a server's weight grows to that of a warm one.
-const RAMP_TIME: Millis = Millis(8_000);
+const RAMP_TIME: Millis = Millis(2_000);
 
 /// Time after a relief in which smaller excesses are relieved as well.
 const FOLLOW_UP_TIME: Millis = Millis(2_000);
@@ -36,13 +35,6 @@
 /// requests for its keys by up to 0.6 s.
 const RESIDENCE_TIME: Millis = Millis(6_000);
 
-/// Time in which the highest recent load halves. Loads that rise and fall within some seconds do not move keys back and
-/// forth.
-const PEAK_HALF_LIFE: Millis = Millis(15_000);
-
-/// Load, in usual slots in use, below which servers are not distinguished by their speed.
-const LOAD_MIN: f64 = 1.0;
-
 /// State of one term between plans: which keys are overloaded. It is lost with the leader; the next one observes the
 /// load anew and finds the keys where the record has them.
 #[derive(Clone, Debug, Default)]
@@ -55,8 +47,6 @@
     warmed_up: BTreeMap<Life, (Millis, f64)>,
     /// Ranges that moved, and when.
     moved: Vec<(KeyRange, Millis)>,
-    /// Highest recent load, in usual slots in use.
-    peak_load: f64,
     /// When the last plan was adopted.
     adopted_at: Option<Millis>,
     /// When the first of the last series of reliefs was planned.
@@ -72,7 +62,6 @@
         candidates: &[KeyCandidate],
         load: &KeyLoad,
     ) {
-        let elapsed = now.since(self.now);
         self.now = now;
         let weights: BTreeMap<&Life, f64> =
             candidates.iter().map(|c| (&c.life, c.weight)).collect();
@@ -92,33 +81,11 @@
             hot.update(now, demand, capacity);
             hot.is_dedicated() || demand >= capacity * OBSERVED_RATIO
         });
-        self.record_peak(elapsed, load);
-    }
-
-    /// Updates the highest recent load. What overloaded keys demand beyond the capacity of their owners does not count:
-    /// no server can process it.
-    fn record_peak(&mut self, elapsed: Millis, load: &KeyLoad) {
-        let excess: f64 = self.hot_keys.values().map(HotKey::excess).sum();
-        let busy = load.busy_slots().unwrap_or_default() - excess;
-        let decay = 0.5_f64.powf(elapsed.0 as f64 / PEAK_HALF_LIFE.0 as f64);
-        self.peak_load = busy.max(self.peak_load * decay);
-    }
-
-    /// Returns the relative load that each of these servers should have, from their capacities.
-    pub(crate) fn load_shares(&self, capacities: &[f64]) -> Vec<f64> {
-        if self.peak_load < LOAD_MIN {
-            return capacities.to_vec();
-        }
-        load_shares(capacities, self.peak_load)
     }
 
     /// Returns a server's slowness without the short-term variation of `observed`: service time relative to a usual
     /// server.
     pub fn smooth_slowness(&mut self, now: Millis, life: &Life, observed: f64) -> f64 {
-        // A scheduler that has seen no response from the server reports exactly 1.
-        if observed == 1.0 && !self.slowness.contains_key(life) {
-            return observed;
-        }
         let known = self.slowness.entry(life.clone());
         let known = known.or_insert_with(|| SmoothedSlowness::new(now, observed));
         known.observe(now, observed)
--- a/crates/chicoryrail-ownership/src/keys/key_load.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_load.rs
@@ -129,13 +129,6 @@
         utilisations.fold(0.0, f64::max)
     }
 
-    /// Returns the load over the long window as a number of usual slots in use; `None` while the service time is not
-    /// known.
-    pub(crate) fn busy_slots(&self) -> Option<f64> {
-        let window = LoadWindow::Long.length().0 as f64 * self.filled_fraction();
-        Some(self.long.total * self.service_time?.0 as f64 / window)
-    }
-
     /// Returns the part of the long window since requests began to arrive; the counts hold no more than that.
     pub(crate) fn filled_fraction(&self) -> f64 {
         let active = self.decayed_at.since(self.active_since).0 as f64;
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -94,8 +94,7 @@
         let may_balance = membership_changed || moves != Moves::Required;
         let load_matters = may_balance
             && load.total() >= OBSERVED_REQUESTS_MIN
-            && (history.is_some()
-                || highest_utilisation(record, candidates, load) >= BUSY_UTILISATION_MIN);
+            && highest_utilisation(record, candidates, load) >= BUSY_UTILISATION_MIN;
         if !membership_changed && !load_matters && !hot_key_change {
             return Self::Keep;
         }
@@ -105,11 +104,10 @@
             LoadWindow::Long
         };
         let weights: Vec<f64> = candidates.iter().map(|c| c.weight).collect();
-        let shares = history.map_or_else(|| weights.clone(), |h| h.load_shares(&weights));
         let dedicated = history.map_or_else(Vec::new, |h| h.dedicated_keys(candidates.len()));
         let excluded: Vec<u16> = dedicated.iter().map(|(key, _)| *key).collect();
-        let (curve, unit_load) = LoadCurve::with_fair_load(&shares, load, window, &excluded);
-        let mut assignment = Assignment::new(&record.spans, candidates, &curve, shares, unit_load);
+        let (curve, unit_load) = LoadCurve::with_fair_load(&weights, load, window, &excluded);
+        let mut assignment = Assignment::new(&record.spans, candidates, &curve, unit_load);
         if !assignment.has_owners() {
             return Self::Change(split_key_space(candidates, load), MoveReason::Required);
         }
