--- a/crates/chicoryrail-router/src/lib.rs
+++ b/crates/chicoryrail-router/src/lib.rs
@@ -19,6 +19,7 @@
 mod control;
 mod listeners;
 mod log_line;
+mod maintenance;
 mod messages;
 mod options;
 mod route;
--- /dev/null
+++ b/crates/chicoryrail-router/src/route/attempt_refusal.rs
@@ -0,0 +1,75 @@
+//! Builds the refusal of a request by what its attempts may have done.
+
+use chicoryrail_core::Millis;
+use chicoryrail_policy::Withheld;
+use chicoryrail_policy::retry_after;
+
+use crate::route::attempts::Attempts;
+use crate::route::choose::NO_SERVER_RETRY;
+use crate::route::refusal::Cause;
+use crate::route::refusal::Refusal;
+use crate::route::send_outcome::NotRun;
+use crate::route::suspicion;
+
+/// Time after which a blocked request should be sent again. It is long, since nothing but an operator or another
+/// version of the servers makes the request harmless.
+const BLOCKED_RETRY: Millis = Millis(600_000);
+
+impl Attempts<'_> {
+    pub(super) fn refuse_not_run(&self, why: NotRun) -> Refusal {
+        if let Some(why) = self.withheld() {
+            return self.refuse_withheld(why);
+        }
+        let work = self
+            .router
+            .expected_work_us(&self.call.route.name, self.call.route.latency_target);
+        self.refuse(why.cause(), Millis((work / 1_000.0) as u64))
+    }
+
+    /// Refuses a request that no server may receive from this host.
+    pub(super) fn refuse_withheld(&self, why: Withheld) -> Refusal {
+        match why {
+            Withheld::Draining => self.refuse(Cause::Draining, NO_SERVER_RETRY),
+            Withheld::Backoff(left) => self.refuse(Cause::Backoff, left),
+        }
+    }
+
+    /// Refuses a request that ends servers. The time to retry is not bounded by the time that the caller has left, so that
+    /// the caller gives up.
+    pub(super) fn refuse_blocked(&self) -> Refusal {
+        suspicion::log_held_back(self.router, self.call, self.body);
+        let refusal = self.refuse(Cause::Blocked, BLOCKED_RETRY);
+        Refusal {
+            retry_after: refusal.retry_after.map(|_| BLOCKED_RETRY),
+            ..refusal
+        }
+    }
+
+    /// Refuses a request whose caller was given a time to return. The time stands as it is: the scheduler has reserved
+    /// capacity for it.
+    pub(super) fn refuse_until(&self, after: Millis) -> Refusal {
+        let refusal = self.refuse(Cause::Full, after);
+        Refusal {
+            retry_after: refusal.retry_after.map(|_| after),
+            ..refusal
+        }
+    }
+
+    /// Builds a refusal. If a server may have executed an earlier send, the cause does not promise that the request has
+    /// not run.
+    pub(super) fn refuse(&self, cause: Cause, capacity_in: Millis) -> Refusal {
+        if self.possible_runs > 0 {
+            let cause = if cause == Cause::Late {
+                Cause::Silent
+            } else {
+                Cause::Broken
+            };
+            return cause.into();
+        }
+        let left = self.call.time_left(self.router.now());
+        Refusal {
+            cause,
+            retry_after: Some(retry_after(&mut rand::rng(), capacity_in, left)),
+        }
+    }
+}
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -6,7 +6,6 @@
 use chicoryrail_core::Millis;
 use chicoryrail_policy::Standing;
 use chicoryrail_policy::Withheld;
-use chicoryrail_policy::retry_after;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::RequestBody;
 use http::Response;
@@ -16,10 +15,8 @@
 use crate::route::caller_request::CallerRequest;
 use crate::route::caller_request::SEND_TIME_MIN;
 use crate::route::candidates;
-use crate::route::choose::NO_SERVER_RETRY;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
-use crate::route::send::is_unanswered;
 use crate::route::send::send;
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::NotRun;
@@ -37,24 +34,16 @@
 /// Time after which a suspected request that was refused should be sent again.
 const TURN_RETRY: Millis = Millis(300);
 
-/// Time after which a blocked request should be sent again. It is long, since nothing but an operator or another
-/// version of the servers makes the request harmless.
-const BLOCKED_RETRY: Millis = Millis(600_000);
-
-/// Multiple of the usual service time after which a request to an unresponsive server is cancelled and sent to another
-/// one. It exceeds what a slow server with a slow neighbour takes, since cancelling a running request wastes its work.
-const UNRESPONSIVE_WORK_FACTOR: f64 = 8.0;
-
 /// One request, and the attempts to serve it so far.
 pub(super) struct Attempts<'a> {
     pub(super) router: &'a Rc<Router>,
     pub(super) service: Rc<Service>,
     pub(super) call: &'a CallerRequest,
-    body: &'a Rc<RequestBody>,
+    pub(super) body: &'a Rc<RequestBody>,
     /// Servers of the earlier attempts, also those that could not be reached.
     pub(super) tried: Vec<Life>,
     /// Number of sends that the server may have executed.
-    possible_runs: u32,
+    pub(super) possible_runs: u32,
 }
 
 /// A server for a request that may be sent.
@@ -192,69 +181,6 @@
         Ok(())
     }
 
-    /// Returns how long to wait for the response to this attempt. An idempotent request without a key is cancelled at
-    /// an unresponsive server while there is time for another one, but not before twice the latency target. If the route
-    /// tolerates waiting, so is one with a key: it is sent to the same owner over a new connection.
-    fn attempt_timeout(&self) -> Millis {
-        let left = self.call.time_left(self.router.now());
-        let tolerates_waiting = self.call.route.tolerates_waiting();
-        let has_alternative = self.call.is_idempotent()
-            && (self.call.key.is_none() || tolerates_waiting)
-            && self.possible_runs + 1 < self.call.route.max_attempts
-            && self.body.is_replayable();
-        // No attempt is cancelled while this process stops: the retry might end with an error of this host, and the
-        // shutdown would have lost the response that the first server was about to send.
-        if !has_alternative || self.router.process.stop.is_cancelled() {
-            return left;
-        }
-        let work = self
-            .router
-            .expected_work_us(&self.call.route.name, self.call.route.latency_target);
-        if tolerates_waiting {
-            let observed = self.router.unanswered_after(&self.call.route);
-            if let Some(limit) = observed {
-                return self.cancel_after(limit, Millis((work / 1_000.0) as u64));
-            }
-            // The owner of a key is not given up on the estimate below, since no other server can take the request.
-            if self.call.key.is_some() {
-                return left;
-            }
-        }
-        let response_time_max = Millis((work * UNRESPONSIVE_WORK_FACTOR / 1_000.0) as u64);
-        response_time_max
-            .max(self.call.route.latency_target.saturating_mul(2))
-            .min(left)
-    }
-
-    /// Returns how long to wait for the response if a request is unanswered after `limit` and a usual server takes `work`:
-    /// to the end if the next attempt would have less time than that, or no retry is left in the budget.
-    fn cancel_after(&self, limit: Millis, work: Millis) -> Millis {
-        let now = self.router.now();
-        let left = self.call.time_left(now);
-        let limits = self.router.retry_limits();
-        if limit + work > left || !self.service.retries.borrow_mut().has_left(now, &limits) {
-            return left;
-        }
-        limit
-    }
-
-    /// Logs and counts a request of a route that tolerates waiting whose server did not respond within `limit`. If it was
-    /// the last attempt, there is no time for another one.
-    fn record_unanswered(&self, life: &Life, limit: Millis, is_last: bool) {
-        if !is_unanswered(self.router, self.call, limit.0 as f64 * 1_000.0) {
-            return;
-        }
-        let end = if is_last { "waited" } else { "abandoned" };
-        let labels = [self.service.name.as_str(), end];
-        self.router
-            .counters
-            .unanswered
-            .with_label_values(&labels)
-            .inc();
-        log::info!(request = self.call.id, server:% = life, service:% = self.service.name,
-            route = self.call.route.name, limit_ms = limit.0, end = end; "unanswered");
-    }
-
     /// Returns `true` if the request may be sent again. If the last send reached a server (`reached_server`), the next
     /// one is a retry and consumes the retry budget.
     fn may_retry(&self, reached_server: bool) -> bool {
@@ -279,67 +205,10 @@
     }
 
     /// Returns why no server may receive the request from this host; `None` if one may.
-    fn withheld(&self) -> Option<Withheld> {
+    pub(super) fn withheld(&self) -> Option<Withheld> {
         candidates::withheld(self.router, &self.service, self.call, self.router.now())
     }
 
-    fn refuse_not_run(&self, why: NotRun) -> Refusal {
-        if let Some(why) = self.withheld() {
-            return self.refuse_withheld(why);
-        }
-        let work = self
-            .router
-            .expected_work_us(&self.call.route.name, self.call.route.latency_target);
-        self.refuse(why.cause(), Millis((work / 1_000.0) as u64))
-    }
-
-    /// Refuses a request that no server may receive from this host.
-    pub(super) fn refuse_withheld(&self, why: Withheld) -> Refusal {
-        match why {
-            Withheld::Draining => self.refuse(Cause::Draining, NO_SERVER_RETRY),
-            Withheld::Backoff(left) => self.refuse(Cause::Backoff, left),
-        }
-    }
-
-    /// Refuses a request that ends servers. The time to retry is not bounded by the time that the caller has left, so that
-    /// the caller gives up.
-    fn refuse_blocked(&self) -> Refusal {
-        suspicion::log_held_back(self.router, self.call, self.body);
-        let refusal = self.refuse(Cause::Blocked, BLOCKED_RETRY);
-        Refusal {
-            retry_after: refusal.retry_after.map(|_| BLOCKED_RETRY),
-            ..refusal
-        }
-    }
-
-    /// Refuses a request whose caller was given a time to return. The time stands as it is: the scheduler has reserved
-    /// capacity for it.
-    pub(super) fn refuse_until(&self, after: Millis) -> Refusal {
-        let refusal = self.refuse(Cause::Full, after);
-        Refusal {
-            retry_after: refusal.retry_after.map(|_| after),
-            ..refusal
-        }
-    }
-
-    /// Builds a refusal. If a server may have executed an earlier send, the cause does not promise that the request has
-    /// not run.
-    pub(super) fn refuse(&self, cause: Cause, capacity_in: Millis) -> Refusal {
-        if self.possible_runs > 0 {
-            let cause = if cause == Cause::Late {
-                Cause::Silent
-            } else {
-                Cause::Broken
-            };
-            return cause.into();
-        }
-        let left = self.call.time_left(self.router.now());
-        Refusal {
-            cause,
-            retry_after: Some(retry_after(&mut rand::rng(), capacity_in, left)),
-        }
-    }
-
     fn log(&self, life: &Life, sent: &SendOutcome) {
         if matches!(sent, SendOutcome::Answered(_)) {
             return;
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -21,7 +21,7 @@
 
 use crate::route::attempts;
 use crate::route::caller_request::CallerRequest;
-use crate::route::caller_request::find_route;
+use crate::route::destination::find_route;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::route::serving_guard::ServingGuard;
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -8,7 +8,6 @@
 
 use chicoryrail_core::Fingerprint;
 use chicoryrail_core::Idempotency;
-use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::Organisation;
 use chicoryrail_core::OrganisationName;
@@ -16,7 +15,6 @@
 use chicoryrail_core::Route;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::ServiceSpec;
-use chicoryrail_core::Site;
 use chicoryrail_platform::call_header;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::RequestBody;
@@ -24,35 +22,21 @@
 use http::Method;
 use http::Uri;
 use http::header::CONTENT_LENGTH;
-use http::header::HOST;
 use http::request::Parts;
 
 use crate::route::admission::authenticate;
 use crate::route::admission::set_organisation_header;
+use crate::route::destination::Destination;
+use crate::route::destination::find_route;
+use crate::route::destination::pick_service;
 use crate::route::refusal::Cause;
 use crate::route::request_identity::RequestIdentity;
+use crate::route::request_stats::RequestStats;
 use crate::state::Router;
 
 /// Minimum time before the deadline at which a request is still sent; with less, no response is expected in time.
 pub(crate) const SEND_TIME_MIN: Millis = Millis(5);
 
-/// Statistics of a request at this host, logged when the request ends.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct RequestStats {
-    /// Server to which the request was last assigned.
-    pub(crate) server: Option<Life>,
-    /// Number of times that the request was assigned to a server, including servers that could not be reached.
-    pub(crate) sends: u32,
-    /// Total time for which the request waited for a server.
-    pub(crate) waited: Millis,
-    /// Whether the scheduler made the last decision. If not, this host selected the server by its own view of the load.
-    pub(crate) decided_by_scheduler: bool,
-    /// Number of sends that the server may have executed.
-    pub(crate) possible_runs: u32,
-    /// Host that was last asked to pass the request on; `None` if it was only sent directly.
-    pub(crate) via: Option<SocketAddr>,
-}
-
 /// A caller's request.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -90,13 +74,6 @@
     pub(crate) caller_deadline: Millis,
 }
 
-/// Where a request goes by the configuration.
-struct Destination<'a> {
-    site: &'a Site,
-    route: Arc<Route>,
-    service: ServiceSpec,
-}
-
 impl CallerRequest {
     /// Parses a request's head and authenticates its caller.
     ///
@@ -271,35 +248,3 @@
     let time_left = time_left.and_then(|t| t.parse::<f64>().ok());
     time_left.map_or(route.timeout, |ms| Millis(ms.max(0.0) as u64))
 }
-
-/// Returns the route that matches a request's host and path.
-pub(crate) fn find_route(site: &Site, head: &Parts) -> Option<Arc<Route>> {
-    let authority = head.headers.get(HOST).and_then(|h| h.to_str().ok());
-    let authority = authority.or_else(|| head.uri.host())?;
-    let host = authority
-        .rsplit_once(':')
-        .map_or(authority, |(host, _)| host);
-    let route = site.route(&host.to_ascii_lowercase(), head.uri.path());
-    route.cloned()
-}
-
-/// Selects one of the route's services by weighted round robin. The configuration decoder accepts only routes whose
-/// services are configured, so the default at the end is never used.
-fn pick_service(router: &Router, site: &Site, route: &Route) -> ServiceSpec {
-    let index = if route.services.len() > 1 {
-        let weights: Vec<u32> = route.services.iter().map(|p| p.weight).collect();
-        router.next_weighted(&route.name, &weights)
-    } else {
-        0
-    };
-    let name = &route.services[index].service;
-    let spec = site.service(name).cloned();
-    spec.unwrap_or_else(|| ServiceSpec {
-        name: name.clone(),
-        health_path: String::new(),
-        max_connections: u32::MAX,
-        warmup: Millis::ZERO,
-        warmup_rate_max: 0.0,
-        keyed: false,
-    })
-}
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -2,11 +2,14 @@
 
 mod acquire;
 mod admission;
+mod attempt_refusal;
+mod attempt_timeout;
 mod attempts;
 mod caller;
 mod caller_request;
 mod candidates;
 mod choose;
+mod destination;
 mod direct;
 mod forward;
 mod forwarded;
@@ -14,6 +17,7 @@
 mod queue_identity;
 mod refusal;
 mod request_identity;
+mod request_stats;
 mod response_body;
 mod send;
 mod send_outcome;
--- /dev/null
+++ b/crates/chicoryrail-runtime/src/discard.rs
@@ -0,0 +1,31 @@
+//! Reads and drops what the caller of a refused upload is still sending.
+
+use std::future::poll_fn;
+
+use bytes::Bytes;
+use chicoryrail_core::Millis;
+use monoio::time::timeout;
+
+use crate::Body;
+
+/// Longest time for which the rest of a refused upload is read and dropped. Closing the connection before the caller has
+/// sent it would reset the connection, and the caller would lose the response.
+const DISCARD_TIME_MAX: Millis = Millis(2_000);
+
+/// Bytes of a refused upload that are read and dropped at most.
+const DISCARD_BYTES_MAX: usize = 1 << 20;
+
+/// Reads the rest of `body` for a short time and drops it.
+pub(crate) async fn discard_rest(mut body: Body) {
+    let read_rest = async {
+        let mut left = DISCARD_BYTES_MAX;
+        while let Some(Ok(frame)) = poll_fn(|cx| body.as_mut().poll_frame(cx)).await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            if length >= left {
+                return;
+            }
+            left -= length;
+        }
+    };
+    let _ = timeout(DISCARD_TIME_MAX.to_duration(), read_rest).await;
+}
--- a/crates/chicoryrail-runtime/src/request_body.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -4,70 +4,30 @@
 use std::cell::RefCell;
 use std::future::poll_fn;
 use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
-use std::task::ready;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use chicoryrail_core::Millis;
 use hyper::body::Body as HttpBody;
-use hyper::body::Frame;
 use monoio::time::timeout;
 
 use crate::Body;
+use crate::BodyError;
 use crate::UploadFlow;
 use crate::UploadLimits;
-use crate::empty_body;
+use crate::discard::discard_rest;
+use crate::replay_buffer::ReplayBuffer;
 
 /// Bytes at the start of a body that are buffered for a retry. They are also read before the request takes a slot of
 /// a server, so that a caller that sends slowly does not occupy one meanwhile.
 const REPLAY_BYTES: usize = 16 << 10;
 
-/// Bytes of a block into which the chunks of a buffered upload are copied. Each chunk of a caller that sends a few bytes
-/// at a time occupies a read buffer of 8 KiB of its own.
-const BLOCK_BYTES: usize = 16 << 10;
-
-/// Size below which a chunk of a streamed upload is copied, for the same reason.
-const COPIED_CHUNK_BYTES: usize = 4 << 10;
-
-/// Longest time for which the rest of a refused upload is read and dropped. Closing the connection before the caller has
-/// sent it would reset the connection, and the caller would lose the response.
-const DISCARD_TIME_MAX: Millis = Millis(2_000);
-
-/// Bytes of a refused upload that are read and dropped at most.
-const DISCARD_BYTES_MAX: usize = 1 << 20;
-
-/// Why a caller's body can't be read completely.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyError {
-    /// The body is longer than the limit.
-    TooLarge,
-    /// The start of the body was not received in time, or the caller of an upload sent nothing for too long.
-    Slow,
-    /// The body ended early.
-    Cut,
-}
-
-impl BodyError {
-    /// Returns the name in logs.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::TooLarge => "too_large",
-            Self::Slow => "slow",
-            Self::Cut => "cut",
-        }
-    }
-}
-
 /// A request's body. Its start is buffered and can be sent again; the rest is streamed once.
 pub struct RequestBody {
     inner: RefCell<Option<Body>>,
-    buffered: RefCell<Vec<Bytes>>,
-    buffered_bytes: Cell<usize>,
+    start: ReplayBuffer,
     received_bytes: Cell<u64>,
     max_bytes: u64,
     /// Whether bytes were sent that are not buffered.
@@ -75,8 +35,6 @@
     error: Cell<Option<BodyError>>,
     /// Flow control, if this is the body of an upload.
     upload: Option<UploadFlow>,
-    /// The block to which the chunks of an upload are copied.
-    block: RefCell<BytesMut>,
 }
 
 impl RequestBody {
@@ -98,14 +56,12 @@
         let too_large = body.size_hint().lower() > max_bytes;
         Rc::new(Self {
             inner: RefCell::new((!ended).then_some(body)),
-            buffered: RefCell::default(),
-            buffered_bytes: Cell::default(),
+            start: ReplayBuffer::default(),
             received_bytes: Cell::default(),
             max_bytes,
             streamed: Cell::default(),
             error: Cell::new(too_large.then_some(BodyError::TooLarge)),
             upload,
-            block: RefCell::default(),
         })
     }
 
@@ -144,7 +100,7 @@
             return Ok(());
         }
         let read_start = async {
-            while self.buffered_bytes.get() < bytes {
+            while self.start.len() < bytes {
                 match poll_fn(|cx| self.poll_chunk(cx)).await {
                     Some(Ok(data)) => self.buffer(data),
                     Some(Err(_)) => return Err(self.error.get().unwrap_or(BodyError::Cut)),
@@ -156,7 +112,7 @@
         let read = timeout(limit.to_duration(), read_start)
             .await
             .unwrap_or(Err(BodyError::Slow));
-        self.end_block();
+        self.start.end_block();
         read
     }
 
@@ -202,7 +158,7 @@
         let Some(upload) = &self.upload else {
             return;
         };
-        let Some(mut body) = self.inner.borrow_mut().take() else {
+        let Some(body) = self.inner.borrow_mut().take() else {
             return;
         };
         // A send that is still in progress must not take this for the end of the body.
@@ -210,41 +166,24 @@
         if upload.was_never_asked() {
             return;
         }
-        monoio::spawn(async move {
-            let read_rest = async {
-                let mut left = DISCARD_BYTES_MAX;
-                while let Some(Ok(frame)) = poll_fn(|cx| body.as_mut().poll_frame(cx)).await {
-                    let length = frame.data_ref().map_or(0, Bytes::len);
-                    if length >= left {
-                        return;
-                    }
-                    left -= length;
-                }
-            };
-            let _ = timeout(DISCARD_TIME_MAX.to_duration(), read_rest).await;
-        });
+        monoio::spawn(discard_rest(body));
     }
 
     /// Returns `true` if there is no body.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.inner.borrow().is_none() && self.buffered_bytes.get() == 0
+        self.inner.borrow().is_none() && self.start.len() == 0
     }
 
     /// Passes the bytes of the buffered start to `visit`, in order and 16 KiB at most.
-    pub fn visit_start(&self, mut visit: impl FnMut(&[u8])) {
-        let mut left = REPLAY_BYTES;
-        for chunk in self.buffered.borrow().iter() {
-            let part = &chunk[..chunk.len().min(left)];
-            left -= part.len();
-            visit(part);
-        }
+    pub fn visit_start(&self, visit: impl FnMut(&[u8])) {
+        self.start.visit(REPLAY_BYTES, visit);
     }
 
     /// Returns the number of bytes at the start of the body that are buffered.
     #[must_use]
     pub fn buffered_len(&self) -> usize {
-        self.buffered_bytes.get()
+        self.start.len()
     }
 
     /// Returns why the body could not be read completely, if so.
@@ -259,54 +198,27 @@
         self.error.get().filter(|_| self.upload.is_some())
     }
 
-    /// Returns the body for one attempt to send the request.
-    pub fn body(self: &Rc<Self>) -> Body {
-        if self.is_empty() {
-            return empty_body();
-        }
-        Box::pin(SendAttempt {
-            source: Rc::clone(self),
-            next_chunk: 0,
-        })
-    }
-
     fn buffer(&self, data: Bytes) {
-        self.buffered_bytes
-            .set(self.buffered_bytes.get() + data.len());
         if self.upload.is_some() {
-            self.copy_to_block(&data);
+            let rest = self.declared_rest().unwrap_or(u64::MAX);
+            self.start.push_copy(&data, rest);
         } else {
-            self.buffered.borrow_mut().push(data);
+            self.start.push(data);
         }
     }
 
-    fn copy_to_block(&self, mut data: &[u8]) {
-        while !data.is_empty() {
-            let mut block = self.block.borrow_mut();
-            if block.capacity() == 0 {
-                let rest = self.declared_rest().unwrap_or(u64::MAX);
-                let needed = rest.saturating_add(data.len() as u64);
-                block.reserve(needed.min(BLOCK_BYTES as u64) as usize);
-            }
-            let (now, later) = data.split_at(data.len().min(BLOCK_BYTES - block.len()));
-            block.extend_from_slice(now);
-            data = later;
-            let is_full = block.len() == BLOCK_BYTES;
-            drop(block);
-            if is_full {
-                self.end_block();
-            }
-        }
+    /// Records that bytes were sent that are not buffered.
+    pub(crate) fn record_streamed(&self) {
+        self.streamed.set(true);
     }
 
-    fn end_block(&self) {
-        let block = self.block.take();
-        if !block.is_empty() {
-            self.buffered.borrow_mut().push(block.freeze());
-        }
+    /// Returns the chunks that are buffered for a retry.
+    pub(crate) const fn start(&self) -> &ReplayBuffer {
+        &self.start
     }
 
-    fn poll_chunk(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+    /// Reads the next chunk of the body that is not buffered.
+    pub(crate) fn poll_chunk(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         let mut inner = self.inner.borrow_mut();
         loop {
             let Some(body) = inner.as_mut() else {
@@ -357,68 +269,3 @@
         }
     }
 }
-
-/// The body of one send attempt: the buffered start, then the stream.
-struct SendAttempt {
-    source: Rc<RequestBody>,
-    next_chunk: usize,
-}
-
-impl SendAttempt {
-    /// Records the end of an upload once there is nothing more to send.
-    fn record_sent(&self) {
-        if let Some(upload) = self.source.upload.as_ref().filter(|_| self.is_end_stream()) {
-            upload.sent.set(true);
-        }
-    }
-
-    /// Counts a chunk of an upload in its window.
-    fn send_in_window(&self, data: Bytes) -> Bytes {
-        let Some(upload) = &self.source.upload else {
-            return data;
-        };
-        if data.len() < COPIED_CHUNK_BYTES {
-            return upload.window.send(Bytes::copy_from_slice(&data));
-        }
-        upload.window.send(data)
-    }
-}
-
-impl HttpBody for SendAttempt {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let chunk = self.source.buffered.borrow().get(self.next_chunk).cloned();
-        if let Some(data) = chunk {
-            self.next_chunk += 1;
-            self.record_sent();
-            return Poll::Ready(Some(Ok(Frame::data(data))));
-        }
-        if let Some(upload) = &self.source.upload {
-            ready!(upload.poll_window(cx));
-        }
-        match self.source.poll_chunk(cx) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(None) => {
-                self.record_sent();
-                Poll::Ready(None)
-            }
-            Poll::Ready(Some(Err(e))) => Poll::Ready(Some(Err(e))),
-            Poll::Ready(Some(Ok(data))) => {
-                self.source.streamed.set(true);
-                self.record_sent();
-                Poll::Ready(Some(Ok(Frame::data(self.send_in_window(data)))))
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.next_chunk >= self.source.buffered.borrow().len()
-            && self.source.inner.borrow().is_none()
-            && self.source.error.get().is_none()
-    }
-}
