refactor(policy,router,testkit): split three files by responsibility

The status of a server, its requests in flight, its warm-up rate and its load at a break get files of their own. Packets, queries, ends, decisions, moved keys and reports of requests are handled in one file each, and so are the parsing, execution, refusal and response of the stand-in target. The methods of Scheduler that learn a byte limit or adopt requests move out of the files of the types that they use.

No behaviour, message, log line or public API changes.

--- a/crates/chicoryrail-policy/src/scheduler/byte_limit.rs
+++ b/crates/chicoryrail-policy/src/scheduler/byte_limit.rs
@@ -1,23 +1,11 @@
-//! Limits the bytes of request bodies at a server after servers ended under load.
+//! Limit on the bytes of request bodies at a server, which grows with time.
 
 use chicoryrail_core::Millis;
 
-use crate::Scheduler;
-use crate::ServerId;
-use crate::scheduler::server_slots::ServerSlots;
-
-/// Part of the bytes under which a server ended that the servers of the service are given. Less than the whole, as the
-/// count is that of declared bodies, and servers hold responses as well.
-const LIMIT_FRACTION: f64 = 0.75;
-
 /// Growth of the limit in a minute: the servers may have got more memory, or the end may have had another cause. From
 /// three quarters it takes three minutes to the bytes under which the server ended.
 const GROWTH_PER_MINUTE: f64 = 1.1;
 
-/// Smallest number of requests at a server whose end counts as one under load. The end under a single request may be
-/// that request's fault, which [`CrashTable`](crate::CrashTable) finds out.
-const REQUESTS_MIN: usize = 2;
-
 /// Limit on the bytes of request bodies at each server of a service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ByteLimit {
@@ -26,73 +14,17 @@
 }
 
 impl ByteLimit {
-    /// Returns the limit in bytes at `now`.
-    pub(crate) fn at(&self, now: Millis) -> u64 {
-        let minutes = now.since(self.learned_at).0 as f64 / 60_000.0;
-        (self.bytes * GROWTH_PER_MINUTE.powf(minutes)) as u64
-    }
-}
-
-/// Requests at a server when its connections began to break.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct EndEvidence {
-    /// Number of requests.
-    pub requests: usize,
-    /// Bytes of their bodies.
-    pub bytes: u64,
-    /// New limit in bytes for each server of the service.
-    pub limit: u64,
-}
-
-impl Scheduler {
-    /// Records that a server has ended, after [`Scheduler::release`] of a request that broke. Returns the evidence if it
-    /// ended under load: with several requests and more bytes than any server of the service was seen to bear.
-    pub fn record_server_end(&mut self, now: Millis, server: ServerId) -> Option<EndEvidence> {
-        let borne = self.servers.values().map(ServerSlots::borne_bytes).max();
-        self.borne_bytes = self.borne_bytes.max(borne.unwrap_or(0));
-        let (requests, bytes) = self.servers.get(&server)?.load_at_break(now)?;
-        if requests < REQUESTS_MIN || bytes <= self.borne_bytes {
-            return None;
-        }
-        let limit = (bytes as f64 * LIMIT_FRACTION) as u64;
-        self.learn_byte_limit(now, limit).then_some(EndEvidence {
-            requests,
-            bytes,
-            limit,
-        })
-    }
-
-    /// Limits the bytes of request bodies at each server. Returns `false` if the present limit is as low.
-    pub fn learn_byte_limit(&mut self, now: Millis, bytes: u64) -> bool {
-        if self.byte_limit(now).is_some_and(|limit| limit <= bytes) {
-            return false;
-        }
-        self.byte_limit = Some(ByteLimit {
+    /// Returns the limit of `bytes` that is learned at `now`.
+    pub(crate) const fn new(now: Millis, bytes: u64) -> Self {
+        Self {
             bytes: bytes as f64,
             learned_at: now,
-        });
-        for slots in self.servers.values_mut() {
-            slots.byte_limit = self.byte_limit;
         }
-        true
-    }
-
-    /// Returns the limit on the bytes of request bodies at each server; `None` before any server ended under load.
-    #[must_use]
-    pub fn byte_limit(&self, now: Millis) -> Option<u64> {
-        self.byte_limit.map(|limit| limit.at(now))
     }
 
-    /// Returns the bytes of request bodies at a server; 0 for an unknown one.
-    #[must_use]
-    pub fn bytes_in_flight(&self, server: ServerId) -> u64 {
-        self.servers.get(&server).map_or(0, ServerSlots::bytes)
-    }
-
-    /// Returns the largest number of bytes of request bodies at any server now.
-    #[must_use]
-    pub fn most_bytes_in_flight(&self) -> u64 {
-        let servers = self.servers.values();
-        servers.map(ServerSlots::bytes).max().unwrap_or(0)
+    /// Returns the limit in bytes at `now`.
+    pub(crate) fn at(&self, now: Millis) -> u64 {
+        let minutes = now.since(self.learned_at).0 as f64 / 60_000.0;
+        (self.bytes * GROWTH_PER_MINUTE.powf(minutes)) as u64
     }
 }
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -1,106 +1,31 @@
 //! Tracks the requests in flight at one server, and whether it may get another one.
 
-use std::collections::HashMap;
-use std::collections::VecDeque;
-use std::collections::hash_map::Entry;
-
 use chicoryrail_core::Millis;
 
 use crate::Failure;
 use crate::LoadReport;
 use crate::local::server_view::ServerView;
-use crate::scheduler::HeldRequest;
 use crate::scheduler::SlotRequest;
+use crate::scheduler::break_load::BreakLoad;
 use crate::scheduler::byte_limit::ByteLimit;
+use crate::scheduler::held_request::HeldRequest;
 use crate::scheduler::learned_limit::LearnedLimit;
 use crate::scheduler::rate_bucket::RateBucket;
+use crate::scheduler::requests_in_flight::RequestsInFlight;
+use crate::scheduler::server_status::ServerStatus;
 use crate::scheduler::takeover::Takeover;
-
-/// Fraction of the warm-up rate that is used. While hosts disagree about which hosts are alive, two of them may
-/// schedule the same server.
-const WARMUP_RATE_FRACTION: f64 = 0.5;
-
-/// Window of the warm-up rate. It is a little longer than the second of the rate, because requests are counted where
-/// they arrive.
-const WARMUP_WINDOW: Millis = Millis(1_120);
-
-/// Time after its deadline at which a request counts as ended without a [`SlotRelease`](crate::SlotRelease): the
-/// release, or the host that should have sent it, was lost.
-const RELEASE_TIMEOUT: Millis = Millis(300);
-
-/// Time in which the connections of a server that ends break. They break one after the other.
-const BREAK_TIME: Millis = Millis(1_000);
+use crate::scheduler::warmup_rate::WarmupRate;
 
 /// Weight of a new request in the mean work of the requests sent.
 const WORK_SMOOTHING: f64 = 0.05;
 
-/// State of a server that a scheduler needs to assign requests to it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ServerStatus {
-    /// Maximum number of requests that it processes concurrently.
-    pub slots: u32,
-    /// Whether it accepts new work.
-    pub accepting: bool,
-    /// End of its warm-up; in the past for a warm server.
-    pub warmup_until: Millis,
-    /// Requests per second, from all hosts together, that it can process during its warm-up.
-    pub warmup_rate_max: f64,
-    /// Requests per second that it accepts from all hosts together; `None` without a limit.
-    pub rate_limit: Option<f64>,
-    /// Index of its data centre.
-    pub dc_index: u32,
-    /// Whether this host schedules the server. Another host may schedule it too while hosts disagree about which hosts
-    /// are alive.
-    pub scheduled_here: bool,
-    /// When this host began to schedule the server in place of another one, if hosts then report their requests there.
-    pub taken_over_at: Option<Millis>,
-}
-
-impl ServerStatus {
-    /// Returns a warm server without a rate limit that this host schedules.
-    #[must_use]
-    pub const fn warm(slots: u32) -> Self {
-        Self {
-            slots,
-            accepting: true,
-            warmup_until: Millis::ZERO,
-            warmup_rate_max: 0.0,
-            rate_limit: None,
-            dc_index: 0,
-            scheduled_here: true,
-            taken_over_at: None,
-        }
-    }
-}
-
-/// A request in flight at a server.
-#[derive(Clone, Copy, Debug)]
-struct InFlight {
-    sent_at: Millis,
-    deadline: Millis,
-    work_us: f64,
-    /// Number of requests at the server when this one was sent, itself included.
-    requests: u32,
-    body_bytes: u64,
-}
-
-/// Requests at a server when its connections began to break.
-#[derive(Clone, Copy, Debug)]
-struct Break {
-    at: Millis,
-    requests: usize,
-    bytes: u64,
-}
-
 /// State of one server at the scheduler.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerSlots {
     pub(crate) state: ServerStatus,
     view: ServerView,
-    /// Requests in flight, by their tickets.
-    in_flight: HashMap<u64, InFlight>,
-    /// Times of the sends within [`WARMUP_WINDOW`].
-    warmup_sends: VecDeque<Millis>,
+    in_flight: RequestsInFlight,
+    warmup_rate: WarmupRate,
     bucket: RateBucket,
     /// Limit on the requests in flight after a request got no response.
     learned: LearnedLimit,
@@ -108,14 +33,11 @@
     pub(crate) byte_limit: Option<ByteLimit>,
     /// Most bytes of request bodies that the server held when it responded.
     borne_bytes: u64,
-    /// The first of the connections that broke lately.
-    broke: Option<Break>,
+    break_load: BreakLoad,
     /// Queries while another host schedules the server.
     pub(crate) takeover: Takeover,
     /// Mean work of the requests sent, in microseconds; 0 before the first one.
     mean_work_us: f64,
-    /// Time at which this host began to schedule the server. Sends before it are unknown.
-    scheduling_since: Millis,
 }
 
 impl ServerSlots {
@@ -123,16 +45,15 @@
         Self {
             state,
             view: ServerView::new(state.slots),
-            in_flight: HashMap::new(),
-            warmup_sends: VecDeque::new(),
+            in_flight: RequestsInFlight::default(),
+            warmup_rate: WarmupRate::new(now),
             bucket: RateBucket::empty(now),
             learned: LearnedLimit::default(),
             byte_limit: None,
             borne_bytes: 0,
-            broke: None,
+            break_load: BreakLoad::default(),
             takeover: Takeover::default(),
             mean_work_us: 0.0,
-            scheduling_since: now,
         }
     }
 
@@ -146,7 +67,7 @@
     pub(crate) fn set(&mut self, now: Millis, state: ServerStatus) {
         let starts = state.scheduled_here && !self.state.scheduled_here;
         if starts {
-            self.scheduling_since = now;
+            self.warmup_rate.start_scheduling(now);
         }
         if starts || self.state.rate_limit.is_none() {
             self.bucket = RateBucket::empty(now);
@@ -156,12 +77,12 @@
 
     /// Returns `true` if the request is in flight at the server.
     pub(crate) fn has_request(&self, ticket: u64) -> bool {
-        self.in_flight.contains_key(&ticket)
+        self.in_flight.contains(ticket)
     }
 
     /// Returns the number of requests in flight at the server.
     pub(crate) fn busy(&self) -> usize {
-        self.in_flight.len()
+        self.in_flight.count()
     }
 
     /// Returns the number of requests that the server is given at once: its slots, or fewer after it fell silent.
@@ -195,7 +116,7 @@
         self.state.accepting
             && !self.view.is_paused(now)
             && self.busy() < self.assignable_slots(now) as usize
-            && self.is_within_warmup_rate(now)
+            && self.warmup_rate.allows_send(now, &self.state)
             && self.is_within_limit(now)
     }
 
@@ -211,22 +132,6 @@
         }
     }
 
-    /// Returns `true` if the warm-up rate allows one more request.
-    fn is_within_warmup_rate(&self, now: Millis) -> bool {
-        if now >= self.state.warmup_until {
-            return true;
-        }
-        // Other hosts may have sent requests in the second before this host began to schedule the server.
-        if !self.state.scheduled_here || now.since(self.scheduling_since) < WARMUP_WINDOW {
-            return false;
-        }
-        let recent = self
-            .warmup_sends
-            .iter()
-            .filter(|t| now.since(**t) < WARMUP_WINDOW);
-        ((recent.count() + 1) as f64) <= self.state.warmup_rate_max * WARMUP_RATE_FRACTION
-    }
-
     /// Returns `true` if the server's rate limit allows one more request. If another host schedules the server, only
     /// that host may spend the rate.
     fn is_within_limit(&self, now: Millis) -> bool {
@@ -250,62 +155,38 @@
 
     /// Estimates the time until a request may be sent, in microseconds; 0 if it may be sent now.
     pub(crate) fn free_in_us(&self, now: Millis) -> f64 {
+        let slots = self.usable_slots() as usize;
+        let slot = self.in_flight.slot_in_us(now, slots, self.slowness(now));
         let limit = self.state.rate_limit;
         let token = limit.map_or(0.0, |rate| self.bucket.token_in_us(now, rate));
         let wait = self.takeover.wait_left(now, &self.state).0 as f64 * 1_000.0;
-        self.slot_in_us(now).max(token).max(wait)
-    }
-
-    /// Estimates the time until a slot is free, in microseconds, without regard to limits.
-    fn slot_in_us(&self, now: Millis) -> f64 {
-        let slots = self.usable_slots() as usize;
-        if self.busy() < slots {
-            return 0.0;
-        }
-        let slowness = self.slowness(now);
-        let remaining = self.in_flight.values().map(|r| {
-            let elapsed_us = now.since(r.sent_at).0 as f64 * 1_000.0;
-            // Work that exceeds its estimate is assumed to take another quarter of the estimate.
-            (r.work_us * slowness - elapsed_us).max(r.work_us * 0.25)
-        });
-        let mut remaining: Vec<f64> = remaining.collect();
-        remaining.sort_by(f64::total_cmp);
-        remaining[self.busy() - slots]
+        slot.max(token).max(wait)
     }
 
     /// Counts a request that another scheduler assigned; returns `false` if it is known.
     pub(crate) fn adopt(&mut self, now: Millis, request: &HeldRequest) -> bool {
-        let requests = self.in_flight.len() as u32 + 1;
-        let Entry::Vacant(entry) = self.in_flight.entry(request.ticket) else {
+        if self.has_request(request.ticket) {
             return false;
-        };
-        entry.insert(InFlight {
-            sent_at: now,
-            deadline: request.deadline,
-            work_us: request.work_us,
-            requests,
-            body_bytes: request.body_bytes,
-        });
+        }
+        self.in_flight.insert(now, request);
         true
     }
 
     /// Frees the slot of a request that was not sent; returns `true` if it had one.
     pub(crate) fn forget(&mut self, ticket: u64) -> bool {
-        self.in_flight.remove(&ticket).is_some()
+        self.in_flight.remove(ticket).is_some()
     }
 
     /// Records that a request is sent.
     pub(crate) fn record_send(&mut self, now: Millis, request: &SlotRequest) {
         let work_us = request.work_us;
-        let requests = self.in_flight.len() as u32 + 1;
-        let in_flight = InFlight {
-            sent_at: now,
+        let held = HeldRequest {
+            ticket: request.ticket,
             deadline: request.deadline,
             work_us,
-            requests,
             body_bytes: request.body_bytes,
         };
-        self.in_flight.insert(request.ticket, in_flight);
+        let requests = self.in_flight.insert(now, &held);
         self.learned.record_send(request.ticket, requests);
         if let Some(rate) = self.state.rate_limit {
             self.bucket.take(now, rate);
@@ -316,14 +197,7 @@
             1.0
         };
         self.mean_work_us += (work_us - self.mean_work_us) * smoothing;
-        while self
-            .warmup_sends
-            .front()
-            .is_some_and(|t| now.since(*t) >= WARMUP_WINDOW)
-        {
-            self.warmup_sends.pop_front();
-        }
-        self.warmup_sends.push_back(now);
+        self.warmup_rate.record_send(now);
     }
 
     /// Records the end of a request. A request that is not in flight was sent without this scheduler, or has expired.
@@ -337,9 +211,10 @@
         report: Option<LoadReport>,
     ) -> Option<Millis> {
         if matches!(failure, Some(Failure::Broken | Failure::Ended)) {
-            self.record_break(now);
+            let (requests, bytes) = (self.busy(), self.bytes());
+            self.break_load.record(now, requests, bytes);
         }
-        let in_flight = self.in_flight.remove(&ticket);
+        let in_flight = self.in_flight.remove(ticket);
         if let Some(report) = report {
             self.view.apply_report(now, report);
         }
@@ -357,7 +232,7 @@
                     self.borne_bytes = self.borne_bytes.max(bytes);
                     let others = &self.in_flight;
                     self.learned
-                        .record_response(slots, |ticket| others.contains_key(&ticket));
+                        .record_response(slots, |ticket| others.contains(ticket));
                     self.view
                         .record_response(now, response_us, in_flight.work_us, true);
                 }
@@ -367,22 +242,10 @@
         None
     }
 
-    /// Records that a connection broke. What the server held at the first one is kept for a second.
-    fn record_break(&mut self, now: Millis) {
-        if self.load_at_break(now).is_none() {
-            self.broke = Some(Break {
-                at: now,
-                requests: self.busy(),
-                bytes: self.bytes(),
-            });
-        }
-    }
-
     /// Returns the number of requests and the bytes of their bodies when the connections began to break; `None` if none
     /// broke within the last second.
     pub(crate) fn load_at_break(&self, now: Millis) -> Option<(usize, u64)> {
-        let lately = self.broke.filter(|b| now.since(b.at) <= BREAK_TIME);
-        lately.map(|b| (b.requests, b.bytes))
+        self.break_load.at(now)
     }
 
     /// Returns the most bytes of request bodies that the server held when it responded.
@@ -392,7 +255,7 @@
 
     /// Returns the bytes of the bodies of the requests in flight.
     pub(crate) fn bytes(&self) -> u64 {
-        self.in_flight.values().map(|r| r.body_bytes).sum()
+        self.in_flight.bytes()
     }
 
     /// Returns the largest body that a request may have now. A server without bytes gets one of any size.
@@ -413,7 +276,6 @@
 
     /// Removes requests for which no report of their end arrived.
     pub(crate) fn expire(&mut self, now: Millis) {
-        self.in_flight
-            .retain(|_, r| now < r.deadline + RELEASE_TIMEOUT);
+        self.in_flight.expire(now);
     }
 }
--- a/crates/chicoryrail-policy/src/scheduler/takeover.rs
+++ b/crates/chicoryrail-policy/src/scheduler/takeover.rs
@@ -2,9 +2,7 @@
 
 use chicoryrail_core::Millis;
 
-use crate::Scheduler;
-use crate::ServerId;
-use crate::scheduler::ServerStatus;
+use crate::scheduler::server_status::ServerStatus;
 
 /// Time for which a host that begins to schedule a server assigns nothing to it. Hosts look each 100 ms whether the
 /// scheduler of a server where they have requests has changed, and a report takes a few milliseconds.
@@ -15,19 +13,6 @@
 /// does not know of end meanwhile, or are reported.
 const LOSS_KNOWN_AFTER: Millis = Millis(1_000);
 
-/// A request that a host has at a server, as the host reports it to the server's new scheduler.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct HeldRequest {
-    /// Identifies the request among all hosts.
-    pub ticket: u64,
-    /// Time at which the host cancels it.
-    pub deadline: Millis,
-    /// Time that a usual server needs for the request, in microseconds.
-    pub work_us: f64,
-    /// Declared length of the body; 0 without one.
-    pub body_bytes: u64,
-}
-
 /// Queries for a server that another host schedules by this host's view.
 ///
 /// Guards against a server that gets twice its slots: its scheduler, which may be lost, assigned requests that this host
@@ -41,7 +26,7 @@
 
 impl Takeover {
     /// Records a query of a request that tolerates waiting.
-    fn record_query(&mut self, now: Millis) {
+    pub(crate) fn record_query(&mut self, now: Millis) {
         let is_recent = |at: Millis| now.since(at) <= LOSS_KNOWN_AFTER;
         if !self.queried_at.is_some_and(is_recent) {
             self.since = Some(now);
@@ -73,22 +58,3 @@
         since.map_or(Millis::ZERO, |since| (since + REPORT_WAIT).since(now))
     }
 }
-
-impl Scheduler {
-    /// Records a query of a request that tolerates waiting, for one of `servers` that another host schedules by this
-    /// host's view.
-    pub fn record_query(&mut self, now: Millis, servers: impl Iterator<Item = ServerId>) {
-        for id in servers {
-            if let Some(slots) = self.servers.get_mut(&id) {
-                slots.takeover.record_query(now);
-            }
-        }
-    }
-
-    /// Counts a request that another scheduler assigned to a server. Returns `false` if it is known here or the server
-    /// is not.
-    pub fn adopt(&mut self, now: Millis, server: ServerId, request: &HeldRequest) -> bool {
-        let slots = self.servers.get_mut(&server);
-        slots.is_some_and(|slots| slots.adopt(now, request))
-    }
-}
--- /dev/null
+++ b/crates/chicoryrail-policy/src/scheduler/warmup_rate.rs
@@ -0,0 +1,64 @@
+//! Limits the rate of requests to a server that warms up.
+
+use std::collections::VecDeque;
+
+use chicoryrail_core::Millis;
+
+use crate::scheduler::server_status::ServerStatus;
+
+/// Fraction of the warm-up rate that is used. While hosts disagree about which hosts are alive, two of them may
+/// schedule the same server.
+const WARMUP_RATE_FRACTION: f64 = 0.5;
+
+/// Window of the warm-up rate. It is a little longer than the second of the rate, because requests are counted where
+/// they arrive.
+const WARMUP_WINDOW: Millis = Millis(1_120);
+
+/// Recent sends to a server, for the limit on their rate during its warm-up.
+#[derive(Clone, Debug)]
+pub(crate) struct WarmupRate {
+    /// Times of the sends within [`WARMUP_WINDOW`].
+    sends: VecDeque<Millis>,
+    /// Time at which this host began to schedule the server. Sends before it are unknown.
+    scheduling_since: Millis,
+}
+
+impl WarmupRate {
+    /// Returns the state of a server that this host begins to schedule.
+    pub(crate) const fn new(now: Millis) -> Self {
+        Self {
+            sends: VecDeque::new(),
+            scheduling_since: now,
+        }
+    }
+
+    /// Records that this host begins to schedule the server. Its own earlier sends still count.
+    pub(crate) const fn start_scheduling(&mut self, now: Millis) {
+        self.scheduling_since = now;
+    }
+
+    /// Returns `true` if the warm-up rate allows one more request.
+    pub(crate) fn allows_send(&self, now: Millis, state: &ServerStatus) -> bool {
+        if now >= state.warmup_until {
+            return true;
+        }
+        // Other hosts may have sent requests in the second before this host began to schedule the server.
+        if !state.scheduled_here || now.since(self.scheduling_since) < WARMUP_WINDOW {
+            return false;
+        }
+        let recent = self.sends.iter().filter(|t| now.since(**t) < WARMUP_WINDOW);
+        ((recent.count() + 1) as f64) <= state.warmup_rate_max * WARMUP_RATE_FRACTION
+    }
+
+    /// Records that a request is sent.
+    pub(crate) fn record_send(&mut self, now: Millis) {
+        while self
+            .sends
+            .front()
+            .is_some_and(|t| now.since(*t) >= WARMUP_WINDOW)
+        {
+            self.sends.pop_front();
+        }
+        self.sends.push_back(now);
+    }
+}
--- a/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
@@ -6,9 +6,9 @@
 use chicoryrail_ownership::SchedulerHost;
 use monoio::time::timeout;
 
-use crate::control::scheduling::requests::assign_waiting;
+use crate::control::scheduling::decisions::assign_waiting;
+use crate::control::scheduling::request_reports::report_requests;
 use crate::control::scheduling::server_bytes::log_bytes;
-use crate::control::scheduling::takeover::report_requests;
 use crate::messages::PartName;
 use crate::messages::ServerPace;
 use crate::state::Router;
--- a/crates/chicoryrail-router/src/control/scheduling/takeover.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/takeover.rs
@@ -1,45 +1,17 @@
-//! Reports of requests at servers whose scheduler changes, on the side of the host that has the requests and on that of
-//! the new scheduler.
+//! Takes account of requests that another scheduler assigned to servers of this host's parts.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::SchedulerHost;
 use chicoryrail_policy::HeldRequest;
 
-use crate::control::scheduling::requests::handle_packet;
 use crate::control::scheduling::server_sync::sync_servers;
 use crate::messages::HeldReport;
-use crate::messages::Packet;
 use crate::messages::SlotQuery;
 use crate::state::Router;
 use crate::state::Target;
 
-/// Reports this host's requests at servers to their schedulers where these have changed. Only requests of routes that
-/// tolerate waiting are reported.
-pub(crate) fn report_requests(router: &Rc<Router>) {
-    let changed = router
-        .assignments
-        .update_schedulers(router.now(), |assignment| {
-            let service = router.service(&assignment.part.service);
-            let target = service.target(&assignment.server)?;
-            let part = service.part_of(&target.dc);
-            Some((router.target_scheduler(&service, &target), part))
-        });
-    for (scheduler, part, server, requests) in changed {
-        log::info!(server:% = server, service:% = part.service, requests = requests.len(),
-            host:? = scheduler; "scheduler_changed");
-        for report in HeldReport::split(&part, &server, &requests) {
-            let packet = Packet::HeldRequests(report);
-            match scheduler {
-                SchedulerHost::Here => handle_packet(router, &packet, None),
-                SchedulerHost::At(addr) => router.peer_socket.send_detached(packet, addr),
-            }
-        }
-    }
-}
-
 /// Counts requests that another scheduler assigned, or that a host sent without one.
 pub(super) fn apply_report(router: &Router, report: &HeldReport, from: Option<SocketAddr>) {
     let now = router.now();
--- a/crates/chicoryrail-testkit/src/target.rs
+++ b/crates/chicoryrail-testkit/src/target.rs
@@ -1,11 +1,16 @@
 //! A stand-in for a target (server), served over HTTP.
 
+mod execution;
 mod fault;
+mod held_body;
 mod leased_keys;
 mod ledger;
 mod limit_check;
 mod options;
 mod presence;
+mod refusal;
+mod request_end;
+mod respond;
 mod response;
 mod response_headers;
 mod server;
--- a/crates/chicoryrail-testkit/src/target/server.rs
+++ b/crates/chicoryrail-testkit/src/target/server.rs
@@ -27,9 +27,10 @@
 use crate::TargetFault;
 use crate::TargetOptions;
 use crate::target::presence::maintain_entry;
+use crate::target::refusal::refuse_misdirected;
+use crate::target::respond::respond;
 use crate::target::response_headers::add_drain_headers;
 use crate::target::state::State;
-use crate::target::work;
 
 /// Interval between checks of whether requests still run on released keys.
 const POLL_INTERVAL: Millis = Millis(2);
@@ -148,13 +149,13 @@
     async fn respond(&self, request: Request<Incoming>) -> Result<Response<Body>, ConnectionCut> {
         let expected = call_header::text(request.headers(), &call_header::EXPECTED_SERVER);
         if expected.is_some_and(|e| e != self.state.options.name.as_str()) {
-            return Ok(work::refuse_misdirected(&self.state, request.headers()));
+            return Ok(refuse_misdirected(&self.state, request.headers()));
         }
         let path = request.uri().path();
         if path.starts_with("/-/") || path.starts_with("/testkit/") {
             return self.control(request).await;
         }
-        work::respond(Rc::clone(&self.state), request).await
+        respond(Rc::clone(&self.state), request).await
     }
 
     async fn control(&self, request: Request<Incoming>) -> Result<Response<Body>, ConnectionCut> {
