--- a/crates/chicoryrail-ownership/src/keys/assignment.rs
+++ b/crates/chicoryrail-ownership/src/keys/assignment.rs
@@ -5,7 +5,6 @@
 use chicoryrail_core::Life;
 
 use crate::keys::KeyCandidate;
-use crate::keys::KeyIntake;
 use crate::keys::KeyRange;
 use crate::keys::OwnedRange;
 use crate::keys::load_curve::LoadCurve;
@@ -171,21 +170,14 @@
         self.loads[candidate] / self.fair_load(candidate).max(f64::MIN_POSITIVE)
     }
 
-    /// Returns the load that a candidate can still receive; negative if it has too much, or is given none.
+    /// Returns the load that a candidate can still receive; negative if it has too much or is reserved for one key.
     pub(super) fn spare_load(&self, candidate: usize) -> f64 {
-        if !self.takes_any(candidate) {
+        if self.is_reserved(candidate) {
             return f64::NEG_INFINITY;
         }
         self.fair_load(candidate) * RELIEF_TARGET_RATIO - self.loads[candidate]
     }
 
-    /// Returns `true` if a candidate may be given any keys. If none may, all are.
-    pub(super) fn takes_any(&self, candidate: usize) -> bool {
-        let takes_any =
-            |c: usize| self.candidates[c].intake == KeyIntake::Any && !self.is_reserved(c);
-        takes_any(candidate) || !(0..self.candidates.len()).any(takes_any)
-    }
-
     /// Returns the candidate with the most spare load.
     pub(super) fn most_spare(&self) -> usize {
         self.highest(|candidate| self.spare_load(candidate))
@@ -221,8 +213,7 @@
     /// could be moved, such a candidate gets a part of one range; see `split_busiest_for`.
     pub(crate) fn admit_new(&mut self, load_known: bool) {
         for new in 0..self.candidates.len() {
-            let takes_none = self.candidates[new].intake == KeyIntake::None;
-            if !self.has_few_keys(new) || self.is_reserved(new) || takes_none {
+            if !self.has_few_keys(new) || self.is_reserved(new) {
                 continue;
             }
             if load_known {
@@ -251,7 +242,7 @@
 
     /// Moves load from the busiest candidates to a new one, in a few pieces, until its relative load is about as
     /// high as theirs.
-    pub(super) fn fill_new(&mut self, new: usize) {
+    fn fill_new(&mut self, new: usize) {
         for _ in 0..PIECES_PER_FAIR_SHARE as usize {
             let from = self.busiest();
             let gap = self.loads[from] - self.fair_load(from) * self.relative_load(new);
--- a/crates/chicoryrail-ownership/src/keys/dedicated_servers.rs
+++ b/crates/chicoryrail-ownership/src/keys/dedicated_servers.rs
@@ -7,7 +7,7 @@
 /// requests for the key a wait for the running work, so it has to pay off within a rush of a few seconds.
 const CAPACITY_GAIN_MIN: f64 = 1.3;
 
-/// Capacity, relative to the highest, of servers among which the one with the fewest keys is chosen, as these move.
+/// Capacity, relative to the highest, of servers among which the least loaded is chosen.
 const EQUAL_CAPACITY_RATIO: f64 = 0.95;
 
 impl Assignment<'_> {
@@ -45,12 +45,6 @@
         self.dedicated.iter().any(|(_, c)| *c == candidate)
     }
 
-    /// Returns the number of a candidate's keys.
-    fn owned_keys(&self, candidate: usize) -> u32 {
-        let owned = self.ranges.iter().filter(|(_, c)| *c == Some(candidate));
-        owned.map(|(span, _)| span.len()).sum()
-    }
-
     /// Removes a key from the ranges that are planned, and returns its owner.
     fn take_key(&mut self, key: u16) -> Option<usize> {
         let at = self.ranges.iter().position(|(s, _)| s.contains(key))?;
@@ -78,11 +72,12 @@
     /// Returns the server for an overloaded key: the fastest one, or its owner if no other is much faster.
     fn server_for_hot_key(&self, owner: Option<usize>) -> Option<usize> {
         let weight = |c: usize| self.candidates[c].weight;
-        let free = (0..self.candidates.len()).filter(|c| self.takes_any(*c));
+        let free = (0..self.candidates.len()).filter(|c| !self.is_reserved(*c));
         let highest = free.clone().map(weight).reduce(f64::max)?;
         let stays =
             owner.filter(|o| !self.is_reserved(*o) && highest < weight(*o) * CAPACITY_GAIN_MIN);
         let fast = free.filter(|c| weight(*c) >= highest * EQUAL_CAPACITY_RATIO);
-        stays.or(fast.min_by_key(|c| self.owned_keys(*c)))
+        let least = fast.min_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]));
+        stays.or(least)
     }
 }
--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -9,7 +9,6 @@
 use crate::keys::KeyAction;
 use crate::keys::KeyLeases;
 use crate::keys::KeyRange;
-use crate::keys::key_leases::STEADY_RELEASES_MAX;
 use crate::keys::lease::ConfirmedLease;
 use crate::keys::server_state::ServerState;
 
@@ -19,10 +18,6 @@
 /// Maximum number of concurrent releases at one server; each uses its own connection.
 const RELEASES_PER_SERVER_MAX: usize = 4;
 
-/// Maximum number of probes in one step: when a leader starts, all servers without keys are new to it. Servers that
-/// answer late are assigned keys late, and take them from those before.
-const PROBES_MAX: usize = 64;
-
 impl KeyLeases {
     /// Returns the actions that are due now; none once the leader is deposed.
     pub fn due_actions(&mut self, now: Millis) -> Vec<KeyAction> {
@@ -122,11 +117,6 @@
     /// may take most of a second.
     fn due_releases(&self, now: Millis) -> Vec<KeyAction> {
         let mut actions: Vec<KeyAction> = Vec::new();
-        let releases_max = if self.steady {
-            STEADY_RELEASES_MAX
-        } else {
-            RELEASES_PER_SERVER_MAX
-        };
         let mut in_flight: BTreeMap<&Life, usize> = BTreeMap::new();
         for former in &self.former_leases {
             let (life, span) = (&former.owned.owner, former.owned.span);
@@ -139,7 +129,7 @@
                 .entry(life)
                 .or_insert(state.pending_releases.len());
             if no_call_pending
-                && *in_flight < releases_max
+                && *in_flight < RELEASES_PER_SERVER_MAX
                 && state.is_callable()
                 && now >= former.retry_at
             {
@@ -155,15 +145,13 @@
         actions
     }
 
-    /// Returns the probes that are due: of lost servers, and of new ones if they are probed. A probe is a release of all
-    /// keys: a server never refuses it, and it has no effect on a server without keys.
+    /// Returns the probes of lost servers that are due. A probe is a release of all keys: a server never
+    /// refuses it, and it has no effect on a server without keys.
     fn due_probes(&self, now: Millis) -> Vec<KeyAction> {
         let lost = self.servers.iter().filter(|(life, s)| {
             let registered = now.since(s.last_seen) <= REGISTRATION_AGE_MAX && s.addr.port() != 0;
             let idle = s.pending_grant.is_none() && s.pending_releases.is_empty();
-            let is_new = self.steady && !self.record.spans.is_empty() && !s.has_answered;
-            let is_wanted = is_new || self.is_lost(now, life);
-            registered && idle && !s.ended && now >= s.retry_at && is_wanted
+            registered && idle && !s.ended && now >= s.retry_at && self.is_lost(now, life)
         });
         let lost: Vec<_> = lost.collect();
         if lost.is_empty() {
@@ -177,7 +165,7 @@
             span: KeyRange::ALL,
             fence: self.record.fence,
         };
-        lost.map(probe).take(PROBES_MAX).collect()
+        lost.map(probe).collect()
     }
 }
 
--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -1,6 +1,5 @@
 //! The leader's key leases of one service.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -22,10 +21,6 @@
 use crate::keys::record::ranges_by_owner;
 use crate::keys::server_state::ServerState;
 
-/// Maximum number of concurrent releases at one server if callers tolerate waiting. Its keys have some four new owners
-/// for each of two ranges.
-pub(super) const STEADY_RELEASES_MAX: usize = 8;
-
 /// Placeholder address of a server that is known only from the record.
 const UNKNOWN_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
@@ -54,8 +49,6 @@
     pub(super) deposed: bool,
     /// Duration of the grants sent now.
     lease_duration: Millis,
-    /// Whether servers are probed before they are assigned keys for the first time, and releases are divided.
-    pub(super) steady: bool,
 }
 
 impl KeyLeases {
@@ -106,7 +99,6 @@
             expired: Vec::new(),
             deposed: false,
             lease_duration: timing.lease,
-            steady: false,
             record,
         };
         let owners = this.record.spans.iter().chain(&this.record.loose);
@@ -135,63 +127,6 @@
         };
     }
 
-    /// Sets whether callers tolerate waiting. Servers without keys that have not answered yet are then probed, see
-    /// [`Self::has_answered`], and more releases of a server run at a time.
-    pub const fn set_steady(&mut self, steady: bool) {
-        self.steady = steady;
-    }
-
-    /// Returns `true` if a server has answered a call in this term, and no later one is unanswered. Keys assigned to
-    /// another server may have to be assigned again.
-    #[must_use]
-    pub fn has_answered(&self, life: &Life) -> bool {
-        let state = self.servers.get(life);
-        state.is_some_and(|s| s.has_answered && s.unanswered_since.is_none())
-    }
-
-    /// Splits the releases that are due by the new owners of their keys, and sorts them by `load`, the highest first.
-    ///
-    /// A release is answered when no work runs on any of its keys, so that a smaller range waits for less. Releases of
-    /// a server that could not run at the same time are not split.
-    pub fn prioritise_releases(&mut self, load: impl Fn(KeyRange) -> f64) {
-        let mut split: Vec<FormerLease> = Vec::with_capacity(self.former_leases.len());
-        let mut releases: BTreeMap<&Life, usize> = BTreeMap::new();
-        for lease in &self.former_leases {
-            let count = releases.entry(&lease.owned.owner).or_default();
-            *count += self.new_owner_ranges(lease.owned.span).len();
-        }
-        for lease in &self.former_leases {
-            let owner = &lease.owned.owner;
-            let ranges = if releases[owner] <= STEADY_RELEASES_MAX {
-                self.new_owner_ranges(lease.owned.span)
-            } else {
-                vec![lease.owned.span]
-            };
-            split.extend(ranges.into_iter().map(|span| FormerLease {
-                owned: OwnedRange::new(span, owner.clone()),
-                ..*lease
-            }));
-        }
-        let thousandths = |lease: &FormerLease| (load(lease.owned.span) * 1_000.0) as u64;
-        split.sort_by_cached_key(|lease| Reverse(thousandths(lease)));
-        self.former_leases = split;
-    }
-
-    /// Returns the parts of a range that different servers are to own; the range as a whole if some of its keys are
-    /// assigned to no server.
-    fn new_owner_ranges(&self, range: KeyRange) -> Vec<KeyRange> {
-        let spans = &self.record.spans;
-        let first = spans.partition_point(|s| s.span.last < range.first);
-        let parts = spans[first..].iter();
-        let parts: Vec<_> = parts.map_while(|s| s.span.intersect(range)).collect();
-        let covered: u32 = parts.iter().map(|part| part.len()).sum();
-        if covered == range.len() {
-            parts
-        } else {
-            vec![range]
-        }
-    }
-
     /// Returns the duration of the grants sent now.
     #[must_use]
     pub const fn lease_duration(&self) -> Millis {
@@ -378,7 +313,6 @@
                 let other_leases = state.outage_lease_until.max(state.delegate_lease_until);
                 state.lease_until = other_leases.max(now + max_lease);
                 state.unanswered_since = None;
-                state.has_answered = true;
                 if fence == self.record.fence {
                     state.confirm(now + self.timing.renew_interval, span);
                 }
@@ -416,7 +350,6 @@
         }
         if matches!(outcome, ReleaseOutcome::Released(_)) {
             state.unanswered_since = None;
-            state.has_answered = true;
         }
         match outcome {
             // The release carried a higher fencing token than every grant of these keys to this server, including
--- a/crates/chicoryrail-ownership/src/keys/load_curve.rs
+++ b/crates/chicoryrail-ownership/src/keys/load_curve.rs
@@ -41,11 +41,15 @@
         let total_weight: f64 = weights.iter().sum();
         let mean_weight = total_weight / weights.len() as f64;
         let baseline = BASELINE_REQUESTS / f64::from(KEY_COUNT);
-        let mut loads: Vec<f64> = load.key_loads(window).map(|l| l + baseline).collect();
-        for key in excluded {
-            loads[usize::from(*key)] = 0.0;
-        }
-        let capped = |cap: f64| loads.iter().map(move |load| load.min(cap));
+        let capped = |cap: f64| {
+            let loads = (0..=u16::MAX).zip(load.key_loads(window));
+            loads.map(move |(key, observed)| {
+                if excluded.contains(&key) {
+                    return 0.0;
+                }
+                (observed + baseline).min(cap)
+            })
+        };
         let mut cap = f64::INFINITY;
         for _ in 0..CAP_ITERATIONS {
             cap = capped(cap).sum::<f64>() / total_weight * mean_weight;
--- a/crates/chicoryrail-ownership/src/keys/plan.rs
+++ b/crates/chicoryrail-ownership/src/keys/plan.rs
@@ -4,7 +4,6 @@
 
 use chicoryrail_core::Life;
 
-use crate::keys::KeyCandidate;
 use crate::keys::KeyHistory;
 use crate::keys::KeyLoad;
 use crate::keys::KeyRange;
@@ -43,6 +42,15 @@
 /// that follow it never end.
 const BUSY_UTILISATION_MIN: f64 = 0.4;
 
+/// Server that may be given keys.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyCandidate {
+    /// Server incarnation: the name and which start of the server it is.
+    pub life: Life,
+    /// Processing capacity relative to the other servers.
+    pub weight: f64,
+}
+
 /// Result of planning: whether and how the key assignment changes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Plan {
@@ -114,7 +122,7 @@
         if let Some(history) = history {
             assignment.formerly_dedicated = history.calm_keys();
             assignment.dedicate_servers(&dedicated);
-            assignment.hold_keys(&history.busiest_keys(record, candidates.len()));
+            assignment.hold_keys(&history.busy_keys(candidates.len()));
         }
         let is_required = membership_changed || hot_key_change;
         if urgent
@@ -131,11 +139,7 @@
         let recent = history.map_or_else(Vec::new, KeyHistory::recently_moved);
         let improves = if let Some(history) = history {
             let follows_relief = history.follows_relief();
-            let relieved =
-                load_matters && assignment.relieve_significant(moves, follows_relief, &recent) > 0;
-            let filled =
-                load_matters && moves == Moves::Balance && assignment.fill_underloaded() > 0;
-            relieved || filled
+            load_matters && assignment.relieve_significant(moves, follows_relief, &recent) > 0
         } else {
             let deviations = if urgent { 0.0 } else { BALANCE_DEVIATIONS };
             let before = assignment.overload(FAIR_SHARE_MARGIN, deviations);
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -43,8 +43,6 @@
     pub(crate) confirmed: Vec<ConfirmedLease>,
     /// Time of the first unanswered grant since the server's last response, if any.
     pub(crate) unanswered_since: Option<Millis>,
-    /// Whether the server has answered a call in this term.
-    pub(crate) has_answered: bool,
     /// Whether the incarnation is known to have ended.
     pub(crate) ended: bool,
 }
@@ -67,7 +65,6 @@
             assigned: Vec::new(),
             confirmed: Vec::new(),
             unanswered_since: None,
-            has_answered: false,
             ended: false,
         }
     }
--- a/crates/chicoryrail-ownership/src/keys/significant_moves.rs
+++ b/crates/chicoryrail-ownership/src/keys/significant_moves.rs
@@ -1,6 +1,5 @@
 //! Moves that follow demand rather than random variation.
 
-use crate::keys::KeyIntake;
 use crate::keys::KeyRange;
 use crate::keys::Moves;
 use crate::keys::assignment::Assignment;
@@ -30,37 +29,7 @@
 const MOVES_PER_SERVER: f64 = 0.5;
 const MOVES_MIN: usize = 24;
 
-/// Load relative to the fair share below which a server is given more keys: it has warmed up, or was reserved for a key.
-const UNDERLOAD_RATIO: f64 = 0.6;
-
-/// Part of the servers that are given more keys in one plan, and its lower limit. After the return of a data centre a
-/// third of them lack keys, and a third of all keys would move at once.
-const FILLED_SHARE: f64 = 0.125;
-const FILLED_MIN: usize = 4;
-
 impl Assignment<'_> {
-    /// Moves load from the busiest candidates to those whose load is significantly below their fair share, and returns
-    /// their number.
-    pub(crate) fn fill_underloaded(&mut self) -> usize {
-        let lacks_load = |c: &usize| {
-            let fair = self.fair_load(*c);
-            let deviation = (fair * DECAYED_VARIANCE).sqrt();
-            self.loads[*c] < fair * UNDERLOAD_RATIO - deviation * DEVIATIONS
-        };
-        let takes_keys =
-            |c: &usize| self.candidates[*c].intake != KeyIntake::None && !self.is_reserved(*c);
-        let all = 0..self.candidates.len();
-        let lacking: Vec<usize> = all.filter(lacks_load).filter(takes_keys).collect();
-        let limit = (self.candidates.len() as f64 * FILLED_SHARE) as usize;
-        let filled = lacking.into_iter().take(limit.max(FILLED_MIN));
-        let grows = |candidate: &usize| {
-            let before = self.loads[*candidate];
-            self.fill_new(*candidate);
-            self.loads[*candidate] > before
-        };
-        filled.filter(grows).count()
-    }
-
     /// Moves load from candidates whose load is significantly above their fair share to those with the most spare load,
     /// and returns the number of moves. Ranges in `recent` stay where they are unless the moves are urgent.
     pub(crate) fn relieve_significant(
--- a/crates/chicoryrail-ownership/src/keys/smoothed_slowness.rs
+++ b/crates/chicoryrail-ownership/src/keys/smoothed_slowness.rs
@@ -6,8 +6,8 @@
 /// requests, hardly more than a second, and varies by an eighth; plans that follow it would move keys all the time.
 const AVERAGING_TIME: Millis = Millis(15_000);
 
-/// Shortest time over which the slowness is averaged.
-const AVERAGING_TIME_MIN: Millis = Millis(1_000);
+/// Time that counts as observed when a server becomes known.
+const INITIAL_TIME: Millis = Millis(1_000);
 
 /// Moving average of the slowness reports on a server.
 #[derive(Clone, Copy, Debug)]
@@ -27,13 +27,11 @@
         }
     }
 
-    /// Adds a report and returns the mean. The time over which it averages grows with half of the time for which the
-    /// server is known, since the first reports are those of a scheduler that has seen few responses.
+    /// Adds a report and returns the mean. It is the mean of all reports at first, and an exponential one later.
     pub(crate) fn observe(&mut self, now: Millis, observed: f64) -> f64 {
         let elapsed = now.since(self.observed_at).0 as f64;
-        let window = Millis(now.since(self.since).0 / 2);
-        let window = window.max(AVERAGING_TIME_MIN).min(AVERAGING_TIME);
-        self.mean += (observed - self.mean) * (elapsed / window.0 as f64).min(1.0);
+        let known = (now.since(self.since) + INITIAL_TIME).min(AVERAGING_TIME);
+        self.mean += (observed - self.mean) * (elapsed / known.0 as f64).min(1.0);
         self.observed_at = now;
         self.mean
     }
--- a/crates/chicoryrail-router/src/control/leader/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -39,9 +39,6 @@
                 invariants.check_increases(Invariant::FenceForward, &before, &record.fence);
                 self.revision.set(revision);
                 self.leases.borrow_mut().record_written(now);
-                if self.callers_tolerate_waiting() {
-                    self.prioritise_releases(now);
-                }
                 log::info!(service:% = self.service, fence = record.fence, revision = revision,
                     loose = record.loose.len(); "keys_written");
             }
--- a/crates/chicoryrail-router/src/control/leader/key_leader.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_leader.rs
@@ -83,8 +83,6 @@
             let begun = self.router.now();
             let store_down = self.router.store_down_everywhere(begun);
             self.leases.borrow_mut().set_store_down(store_down);
-            let steady = self.callers_tolerate_waiting();
-            self.leases.borrow_mut().set_steady(steady);
             if planning.is_due(begun) {
                 self.update_servers();
                 self.request_step_down_if_unreachable();
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -7,14 +7,12 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::Route;
 use chicoryrail_ownership::keys::KeyCandidate;
-use chicoryrail_ownership::keys::KeyIntake;
 use chicoryrail_ownership::keys::KeyLoad;
 use chicoryrail_ownership::keys::Moves;
 use chicoryrail_ownership::keys::Plan;
 use chicoryrail_ownership::keys::PlanPolicy;
 
 use crate::control::leader::key_leader::KeyLeader;
-use crate::messages::ServerPace;
 use crate::state::Target;
 
 /// Least time between two moves of range boundaries that balance load. A plan uses the load of the last few seconds,
@@ -34,10 +32,6 @@
 /// show when its limit rises again.
 const LIMITED_WEIGHT_MIN: f64 = 0.05;
 
-/// Part of a warm-up rate that a server's keys may have in the mean. Schedulers use half of the rate, and requests come
-/// in bursts.
-const WARMUP_RATE_SHARE: f64 = 0.25;
-
 /// Time for which a server must be known before it is assigned keys. Servers start in groups, at the first start
 /// and with each release, and every change of the record is sent to every host.
 const SERVER_SETTLE_TIME: Millis = Millis(400);
@@ -68,7 +62,7 @@
         if steady && now.since(self.unmoved_at.get()) < UNMOVED_INTERVAL {
             return;
         }
-        let candidates = self.candidates(now, self.awaits_servers(now, service_time), service_time);
+        let candidates = self.candidates(now, self.awaits_servers(now, service_time), steady);
         // After an outage, former owners that can't be reached keep their key leases for many seconds. The load of the
         // others is balanced meanwhile; otherwise a range that becomes busy would overload its server for that time.
         let moves = match now.since(self.last_change_at.get()) {
@@ -124,21 +118,11 @@
     }
 
     /// Returns `true` if callers of a route to the service have time to wait or to return.
-    pub(super) fn callers_tolerate_waiting(&self) -> bool {
+    fn callers_tolerate_waiting(&self) -> bool {
         let site = self.router.site();
         site.is_some_and(|site| site.tolerates_waiting(&self.service))
     }
 
-    /// Sorts the releases of the record in force by the load of their keys.
-    pub(super) fn prioritise_releases(&self, now: Millis) {
-        let service_time = self.service_time();
-        self.leadership
-            .with_load(now, &self.service, service_time, |load| {
-                let mut leases = self.leases.borrow_mut();
-                leases.prioritise_releases(|range| load.range_load(range));
-            });
-    }
-
     /// Returns `true` if most of the registered servers with keys leave grants unanswered: the paths of this host have
     /// then failed rather than the servers, whose keys must not go to the few that it reaches. Servers that have really
     /// ended lose their registrations.
@@ -201,17 +185,8 @@
 
     /// Returns the servers that may be assigned keys, sorted: those that are ready, have not said that they drain,
     /// respond and are warmed up. If there are none, servers that are warming up are included. With `owners_only`,
-    /// servers without keys are left out.
-    ///
-    /// If callers tolerate waiting, servers that are warming up are included, with a part of their capacity; a server
-    /// without keys must have answered a call.
-    fn candidates(
-        &self,
-        now: Millis,
-        owners_only: bool,
-        service_time: Millis,
-    ) -> Vec<KeyCandidate> {
-        let steady = self.callers_tolerate_waiting();
+    /// servers without keys are left out; with `steady`, weights follow the slowness of many seconds.
+    fn candidates(&self, now: Millis, owners_only: bool, steady: bool) -> Vec<KeyCandidate> {
         let service = self.router.service(&self.service);
         let targets = service.targets.borrow();
         let leases = self.leases.borrow();
@@ -223,26 +198,12 @@
             let owns = |life: &Life| owners.contains(life);
             let has_settled =
                 |t: &Target| !owners_only && now.since(t.first_seen) >= SERVER_SETTLE_TIME;
-            // The first assignment doesn't wait for probes: servers that join in groups take keys from one another.
-            let needs_probe = steady && !owners.is_empty();
-            let is_known = |t: &Target| !needs_probe || leases.has_answered(&t.life);
-            let ready = ready.filter(|t| owns(&t.life) || (has_settled(t) && is_known(t)));
-            let include_warmup = include_warmup || steady;
+            let ready = ready.filter(|t| owns(&t.life) || has_settled(t));
             let warm = ready.filter(|t| include_warmup || !t.is_warming_up(now) || owns(&t.life));
             let mut candidates: Vec<_> = warm
                 .map(|t| KeyCandidate {
                     life: t.life.clone(),
-                    weight: if steady {
-                        self.steady_weight(now, t, service_time)
-                    } else {
-                        self.weight(t)
-                    },
-                    intake: match leases.unanswered_since(&t.life) {
-                        _ if !steady => KeyIntake::Any,
-                        Some(_) => KeyIntake::None,
-                        None if t.is_warming_up(now) => KeyIntake::Steps,
-                        None => KeyIntake::Any,
-                    },
+                    weight: self.weight(now, t, steady),
                 })
                 .collect();
             candidates.sort_by(|a, b| a.life.cmp(&b.life));
@@ -255,35 +216,18 @@
     /// Returns the capacity of a server, in slots of a server of usual speed, by the slowness that the hosts which
     /// schedule for it report. A slow server with as many requests as the others would have the longest queue, and a
     /// rate-limited one refuses requests beyond its limit.
-    fn weight(&self, target: &Target) -> f64 {
-        let report = self.leadership.slowness_report(&target.life);
-        weight_by_report(target, report.as_ref(), f64::from)
-    }
-
-    /// As `weight`, by the slowness of many seconds, and within the rate of a server that is warming up.
-    fn steady_weight(&self, now: Millis, target: &Target, service_time: Millis) -> f64 {
-        let report = self.leadership.slowness_report(&target.life);
-        let mut history = self.history.borrow_mut();
-        let smooth = |speed| history.smooth_slowness(now, &target.life, f64::from(speed));
-        let weight = weight_by_report(target, report.as_ref(), smooth);
-        let rate = self.router.warmup_rate_max(&self.service) * WARMUP_RATE_SHARE;
-        let slots = (rate * service_time.0 as f64 / 1_000.0).max(LIMITED_WEIGHT_MIN);
-        let warming_up = target.is_warming_up(now).then_some(slots);
-        history.ramp_weight(now, &target.life, weight, warming_up)
+    fn weight(&self, now: Millis, target: &Target, steady: bool) -> f64 {
+        let slots = f64::from(target.slots.get()) * target.share.get().fraction();
+        let Some(report) = self.leadership.slowness_report(&target.life) else {
+            return slots;
+        };
+        let mut slowness = f64::from(report.speed);
+        if steady {
+            let mut history = self.history.borrow_mut();
+            slowness = history.smooth_slowness(now, &target.life, slowness);
+        }
+        let weight = slots / slowness.clamp(0.5, 2.0);
+        let limited = report.limited_slots.map_or(weight, f64::from);
+        limited.max(LIMITED_WEIGHT_MIN).min(weight)
     }
 }
-
-/// Returns the capacity of a server by the report on it, with the slowness that `slowness` returns for the reported one.
-fn weight_by_report(
-    target: &Target,
-    report: Option<&ServerPace>,
-    slowness: impl FnOnce(f32) -> f64,
-) -> f64 {
-    let slots = f64::from(target.slots.get()) * target.share.get().fraction();
-    let Some(report) = report else {
-        return slots;
-    };
-    let weight = slots / slowness(report.speed).clamp(0.5, 2.0);
-    let limited = report.limited_slots.map_or(weight, f64::from);
-    limited.max(LIMITED_WEIGHT_MIN).min(weight)
-}
