--- a/crates/chicoryrail-policy/src/scheduler/break_load.rs
+++ b/crates/chicoryrail-policy/src/scheduler/break_load.rs
@@ -15,13 +15,13 @@
 
 /// The first of the connections of a server that broke lately.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct BreakLoad {
+pub(super) struct BreakLoad {
     first: Option<Break>,
 }
 
 impl BreakLoad {
     /// Records that a connection broke. What the server held at the first one is kept for a second.
-    pub(crate) fn record(&mut self, now: Millis, requests: usize, bytes: u64) {
+    pub(super) fn record(&mut self, now: Millis, requests: usize, bytes: u64) {
         if self.at(now).is_none() {
             self.first = Some(Break {
                 at: now,
@@ -33,7 +33,7 @@
 
     /// Returns the number of requests and the bytes of their bodies when the connections began to break; `None` if none
     /// broke within the last second.
-    pub(crate) fn at(&self, now: Millis) -> Option<(usize, u64)> {
+    pub(super) fn at(&self, now: Millis) -> Option<(usize, u64)> {
         let lately = self.first.filter(|b| now.since(b.at) <= BREAK_TIME);
         lately.map(|b| (b.requests, b.bytes))
     }
--- a/crates/chicoryrail-policy/src/scheduler/byte_limit.rs
+++ b/crates/chicoryrail-policy/src/scheduler/byte_limit.rs
@@ -15,7 +15,7 @@
 
 impl ByteLimit {
     /// Returns the limit of `bytes` that is learned at `now`.
-    pub(crate) const fn new(now: Millis, bytes: u64) -> Self {
+    pub(super) const fn new(now: Millis, bytes: u64) -> Self {
         Self {
             bytes: bytes as f64,
             learned_at: now,
--- a/crates/chicoryrail-policy/src/scheduler/requests_in_flight.rs
+++ b/crates/chicoryrail-policy/src/scheduler/requests_in_flight.rs
@@ -12,39 +12,39 @@
 
 /// A request in flight at a server.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct InFlight {
+pub(super) struct InFlight {
     sent_at: Millis,
     deadline: Millis,
-    pub(crate) work_us: f64,
+    pub(super) work_us: f64,
     /// Number of requests at the server when this one was sent, itself included.
-    pub(crate) requests: u32,
-    pub(crate) body_bytes: u64,
+    pub(super) requests: u32,
+    pub(super) body_bytes: u64,
 }
 
 /// The requests in flight at a server, by their tickets.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct RequestsInFlight {
+pub(super) struct RequestsInFlight {
     by_ticket: HashMap<u64, InFlight>,
 }
 
 impl RequestsInFlight {
     /// Returns `true` if the request is in flight.
-    pub(crate) fn contains(&self, ticket: u64) -> bool {
+    pub(super) fn contains(&self, ticket: u64) -> bool {
         self.by_ticket.contains_key(&ticket)
     }
 
     /// Returns the number of requests.
-    pub(crate) fn count(&self) -> usize {
+    pub(super) fn count(&self) -> usize {
         self.by_ticket.len()
     }
 
     /// Returns the bytes of the requests' bodies.
-    pub(crate) fn bytes(&self) -> u64 {
+    pub(super) fn bytes(&self) -> u64 {
         self.by_ticket.values().map(|r| r.body_bytes).sum()
     }
 
     /// Adds a request, and returns the number of requests with it.
-    pub(crate) fn insert(&mut self, now: Millis, request: &HeldRequest) -> u32 {
+    pub(super) fn insert(&mut self, now: Millis, request: &HeldRequest) -> u32 {
         let requests = self.by_ticket.len() as u32 + 1;
         let in_flight = InFlight {
             sent_at: now,
@@ -58,18 +58,18 @@
     }
 
     /// Removes a request.
-    pub(crate) fn remove(&mut self, ticket: u64) -> Option<InFlight> {
+    pub(super) fn remove(&mut self, ticket: u64) -> Option<InFlight> {
         self.by_ticket.remove(&ticket)
     }
 
     /// Removes requests for which no report of their end arrived.
-    pub(crate) fn expire(&mut self, now: Millis) {
+    pub(super) fn expire(&mut self, now: Millis) {
         self.by_ticket
             .retain(|_, r| now < r.deadline + RELEASE_TIMEOUT);
     }
 
     /// Estimates the time until a slot is free, in microseconds, without regard to limits.
-    pub(crate) fn slot_in_us(&self, now: Millis, slots: usize, slowness: f64) -> f64 {
+    pub(super) fn slot_in_us(&self, now: Millis, slots: usize, slowness: f64) -> f64 {
         if self.count() < slots {
             return 0.0;
         }
--- a/crates/chicoryrail-policy/src/scheduler/takeover.rs
+++ b/crates/chicoryrail-policy/src/scheduler/takeover.rs
@@ -26,7 +26,7 @@
 
 impl Takeover {
     /// Records a query of a request that tolerates waiting.
-    pub(crate) fn record_query(&mut self, now: Millis) {
+    pub(super) fn record_query(&mut self, now: Millis) {
         let is_recent = |at: Millis| now.since(at) <= LOSS_KNOWN_AFTER;
         if !self.queried_at.is_some_and(is_recent) {
             self.since = Some(now);
--- a/crates/chicoryrail-policy/src/scheduler/warmup_rate.rs
+++ b/crates/chicoryrail-policy/src/scheduler/warmup_rate.rs
@@ -16,7 +16,7 @@
 
 /// Recent sends to a server, for the limit on their rate during its warm-up.
 #[derive(Clone, Debug)]
-pub(crate) struct WarmupRate {
+pub(super) struct WarmupRate {
     /// Times of the sends within [`WARMUP_WINDOW`].
     sends: VecDeque<Millis>,
     /// Time at which this host began to schedule the server. Sends before it are unknown.
@@ -25,7 +25,7 @@
 
 impl WarmupRate {
     /// Returns the state of a server that this host begins to schedule.
-    pub(crate) const fn new(now: Millis) -> Self {
+    pub(super) const fn new(now: Millis) -> Self {
         Self {
             sends: VecDeque::new(),
             scheduling_since: now,
@@ -33,12 +33,12 @@
     }
 
     /// Records that this host begins to schedule the server. Its own earlier sends still count.
-    pub(crate) const fn start_scheduling(&mut self, now: Millis) {
+    pub(super) const fn start_scheduling(&mut self, now: Millis) {
         self.scheduling_since = now;
     }
 
     /// Returns `true` if the warm-up rate allows one more request.
-    pub(crate) fn allows_send(&self, now: Millis, state: &ServerStatus) -> bool {
+    pub(super) fn allows_send(&self, now: Millis, state: &ServerStatus) -> bool {
         if now >= state.warmup_until {
             return true;
         }
@@ -51,7 +51,7 @@
     }
 
     /// Records that a request is sent.
-    pub(crate) fn record_send(&mut self, now: Millis) {
+    pub(super) fn record_send(&mut self, now: Millis) {
         while self
             .sends
             .front()
--- a/crates/chicoryrail-testkit/src/target/execution.rs
+++ b/crates/chicoryrail-testkit/src/target/execution.rs
@@ -17,7 +17,7 @@
 use crate::unix_micros;
 
 /// Runs a request and counts how it ended.
-pub(crate) async fn run(state: Rc<State>, work: Work, cancel: CancellationToken) -> RequestEnd {
+pub(super) async fn run(state: Rc<State>, work: Work, cancel: CancellationToken) -> RequestEnd {
     let id = state.accept(work.key);
     let end = run_accepted(&state, &work, id, &cancel).await;
     state.finish(id);
--- a/crates/chicoryrail-testkit/src/target/held_body.rs
+++ b/crates/chicoryrail-testkit/src/target/held_body.rs
@@ -5,14 +5,14 @@
 use crate::target::state::State;
 
 /// The body of a request that the server holds until the guard is dropped.
-pub(crate) struct HeldBody {
+pub(super) struct HeldBody {
     state: Rc<State>,
     bytes: u64,
 }
 
 impl HeldBody {
     /// Counts the bytes as held.
-    pub(crate) fn new(state: &Rc<State>, bytes: u64) -> Self {
+    pub(super) fn new(state: &Rc<State>, bytes: u64) -> Self {
         state.held_bytes.set(state.held_bytes.get() + bytes);
         Self {
             state: Rc::clone(state),
--- a/crates/chicoryrail-testkit/src/target/refusal.rs
+++ b/crates/chicoryrail-testkit/src/target/refusal.rs
@@ -12,13 +12,13 @@
 use crate::target::state::State;
 
 /// Refuses a request that is addressed to another server.
-pub(crate) fn refuse_misdirected(state: &State, headers: &HeaderMap) -> Response<Body> {
+pub(super) fn refuse_misdirected(state: &State, headers: &HeaderMap) -> Response<Body> {
     let request = call_header::text(headers, &call_header::REQUEST_ID);
     refusal(state, request.unwrap_or_default(), RequestEnd::NotOwner)
 }
 
 /// Builds the response to a request that had no effect.
-pub(crate) fn refusal(state: &State, request: &str, end: RequestEnd) -> Response<Body> {
+pub(super) fn refusal(state: &State, request: &str, end: RequestEnd) -> Response<Body> {
     let (status, text) = match end {
         RequestEnd::NotOwner => (421, "the server does not hold the key"),
         RequestEnd::Expired => (503, "the deadline passed in the queue"),
--- a/crates/chicoryrail-testkit/src/target/request_end.rs
+++ b/crates/chicoryrail-testkit/src/target/request_end.rs
@@ -2,7 +2,7 @@
 
 /// How a request ended at the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RequestEnd {
+pub(super) enum RequestEnd {
     Done,
     /// The request ran and took effect, but after its deadline.
     DoneLate,
--- a/crates/chicoryrail-testkit/src/target/respond.rs
+++ b/crates/chicoryrail-testkit/src/target/respond.rs
@@ -31,7 +31,7 @@
 const BODY_MAX_BYTES: usize = 64 << 20;
 
 /// Runs a request and returns its response, with the active faults applied. Records the notices in the response.
-pub(crate) async fn respond(
+pub(super) async fn respond(
     state: Rc<State>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ConnectionCut> {
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -13,28 +13,28 @@
 
 /// The parameters of a request, parsed from its head.
 #[derive(Clone, Debug)]
-pub(crate) struct Work {
-    pub(crate) request: String,
-    pub(crate) path: String,
-    pub(crate) key: Option<u16>,
+pub(super) struct Work {
+    pub(super) request: String,
+    pub(super) path: String,
+    pub(super) key: Option<u16>,
     /// Whether the request is an order, which must run at most once.
-    pub(crate) order: bool,
+    pub(super) order: bool,
     /// Organisation named by the host, if any.
-    pub(crate) organisation: Option<String>,
+    pub(super) organisation: Option<String>,
     /// Whether the request carried the caller's API key, which must not reach a server.
-    pub(crate) key_leaked: bool,
-    pub(crate) deadline: Millis,
-    pub(crate) service_us: u64,
-    pub(crate) length: u64,
-    pub(crate) chunked: bool,
-    pub(crate) crashes: bool,
+    pub(super) key_leaked: bool,
+    pub(super) deadline: Millis,
+    pub(super) service_us: u64,
+    pub(super) length: u64,
+    pub(super) chunked: bool,
+    pub(super) crashes: bool,
     /// Declared length of the body.
-    pub(crate) body_bytes: u64,
+    pub(super) body_bytes: u64,
 }
 
 impl Work {
     /// Parses the parameters of a request.
-    pub(crate) fn parse(state: &State, head: &http::request::Parts) -> Self {
+    pub(super) fn parse(state: &State, head: &http::request::Parts) -> Self {
         let text = |name: &http::HeaderName| call_header::text(&head.headers, name);
         let time_left = text(&call_header::TIME_LEFT).and_then(|v| v.parse().ok());
         let request = text(&call_header::REQUEST_ID).unwrap_or_default();
