refactor(keys): join owned ranges in one place

Pins and key changes each joined adjacent ranges of the same owner by a copy of the same loop. No change of behaviour; pins and key_changes tests pass.

--- a/crates/chicoryrail-ownership/src/keys/key_changes.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_changes.rs
@@ -7,6 +7,7 @@
 use crate::keys::OwnedRange;
 use crate::keys::range_set::RangeSet;
 use crate::keys::range_set::join_ranges;
+use crate::keys::record::join_owned;
 
 /// Changes of the owners from one record to a later one.
 ///
@@ -115,20 +116,3 @@
         [] => (None, u32::from(u16::MAX) + 1),
     }
 }
-
-/// Joins adjacent ranges of the same owner.
-fn join_owned(spans: Vec<OwnedRange>) -> Vec<OwnedRange> {
-    let mut joined: Vec<OwnedRange> = Vec::with_capacity(spans.len());
-    for owned in spans {
-        match joined.last_mut() {
-            Some(last)
-                if last.owner == owned.owner
-                    && u32::from(last.span.last) + 1 == u32::from(owned.span.first) =>
-            {
-                last.span.last = owned.span.last;
-            }
-            _ => joined.push(owned),
-        }
-    }
-    joined
-}
--- a/crates/chicoryrail-ownership/src/keys/pin.rs
+++ b/crates/chicoryrail-ownership/src/keys/pin.rs
@@ -8,6 +8,7 @@
 use crate::keys::MoveReason;
 use crate::keys::OwnedRange;
 use crate::keys::Plan;
+use crate::keys::record::join_owned;
 
 /// A range of keys that stays with a server while that server is a candidate.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,17 +58,5 @@
 /// Sorts ranges by key and joins adjacent ones of the same owner.
 fn joined(mut spans: Vec<OwnedRange>) -> Vec<OwnedRange> {
     spans.sort_by_key(|owned| owned.span.first);
-    let mut joined: Vec<OwnedRange> = Vec::with_capacity(spans.len());
-    for owned in spans {
-        match joined.last_mut() {
-            Some(last)
-                if last.owner == owned.owner
-                    && u32::from(last.span.last) + 1 == u32::from(owned.span.first) =>
-            {
-                last.span.last = owned.span.last;
-            }
-            _ => joined.push(owned),
-        }
-    }
-    joined
+    join_owned(spans)
 }
--- a/crates/chicoryrail-ownership/src/keys/record.rs
+++ b/crates/chicoryrail-ownership/src/keys/record.rs
@@ -162,3 +162,20 @@
     }
     owners
 }
+
+/// Joins adjacent ranges of the same owner. The ranges must be in key order.
+pub(crate) fn join_owned(spans: Vec<OwnedRange>) -> Vec<OwnedRange> {
+    let mut joined: Vec<OwnedRange> = Vec::with_capacity(spans.len());
+    for owned in spans {
+        match joined.last_mut() {
+            Some(last)
+                if last.owner == owned.owner
+                    && u32::from(last.span.last) + 1 == u32::from(owned.span.first) =>
+            {
+                last.span.last = owned.span.last;
+            }
+            _ => joined.push(owned),
+        }
+    }
+    joined
+}
