fix(scheduling): requests beyond a server's rate limit do not wait, and its keys move at once

Plans of a service with such a server are immediate ones, since the limit is a fact, not an estimate: with the waiting alone mended, the keys were held as busy ones.

--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -165,6 +165,7 @@
         let mut queue = std::mem::take(&mut self.waiting);
         for waiting in &mut queue {
             waiting.placement = waiting.request.key.map_or(Placement::Any, &placement);
+            waiting.owner_limited = self.is_limited(waiting.placement);
             if waiting.is_new && waiting.may_wait_late() {
                 self.recognise_return(now, waiting);
             }
--- a/crates/chicoryrail-policy/src/scheduler/utilisation.rs
+++ b/crates/chicoryrail-policy/src/scheduler/utilisation.rs
@@ -4,6 +4,7 @@
 
 use crate::Scheduler;
 use crate::ServerId;
+use crate::scheduler::Placement;
 use crate::scheduler::server_slots::ServerSlots;
 
 impl Scheduler {
@@ -56,4 +57,13 @@
     pub fn limited_slots(&self, server: ServerId) -> Option<f64> {
         self.servers.get(&server)?.limited_slots()
     }
+
+    /// Returns `true` if a placement is an owner that advertises a rate limit.
+    pub(super) fn is_limited(&self, placement: Placement) -> bool {
+        let Placement::Owner(owner) = placement else {
+            return false;
+        };
+        let slots = self.servers.get(&owner);
+        slots.is_some_and(|slots| slots.state.rate_limit.is_some())
+    }
 }
--- a/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
@@ -14,6 +14,8 @@
     pub(crate) enqueued_at: Millis,
     /// Servers that the request may be sent to, at the last poll.
     pub(crate) placement: Placement,
+    /// Whether the only server that may have it advertises a rate limit, at the last poll.
+    pub(crate) owner_limited: bool,
     /// Whether no poll has found servers for it yet.
     pub(crate) is_new: bool,
     /// Whether it would meet its latency target if it went next, at the last poll.
@@ -35,6 +37,7 @@
             request,
             enqueued_at: now,
             placement: Placement::Any,
+            owner_limited: false,
             is_new: true,
             in_time: true,
             is_late: false,
@@ -49,7 +52,7 @@
         let earliest = view.response_in_us(&self.request, self.placement, 0.0);
         let in_time = |us: f64| now + Millis((us / 1_000.0) as u64) <= self.request.latency_target;
         self.in_time = earliest.is_some_and(in_time);
-        self.is_late |= !self.in_time && self.may_wait_late();
+        self.is_late = (self.is_late || !self.in_time) && self.may_wait_late();
     }
 
     /// Returns the place in the queue, lowest first. Requests that can still meet their latency target go first.
@@ -63,8 +66,11 @@
     }
 
     /// Returns `true` if the request may wait behind those that can meet their latency target. While its key moves, no
-    /// estimate tells whether it can.
+    /// estimate tells whether it can. At an owner with a rate limit, requests beyond the limit are refused at once: the
+    /// server asked for fewer, and its keys move only if their demand shows, which waiting callers don't repeat.
     pub(crate) fn may_wait_late(&self) -> bool {
-        self.request.tolerates_waiting && self.placement != Placement::Unassigned
+        self.request.tolerates_waiting
+            && self.placement != Placement::Unassigned
+            && !self.owner_limited
     }
 }
--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -58,7 +58,8 @@
             return;
         }
         let service_time = self.service_time();
-        let steady = self.callers_tolerate_waiting();
+        // Keys leave a server with a rate limit at once: its capacity is a matter of record, not of estimates.
+        let steady = self.callers_tolerate_waiting() && !self.has_limited_server();
         if steady && now.since(self.unmoved_at.get()) < UNMOVED_INTERVAL {
             return;
         }
@@ -117,6 +118,16 @@
         }
     }
 
+    /// Returns `true` if a server of the service advertises a rate limit.
+    fn has_limited_server(&self) -> bool {
+        let service = self.router.service(&self.service);
+        let targets = service.targets.borrow();
+        let mut reports = targets
+            .values()
+            .filter_map(|t| self.leadership.slowness_report(&t.life));
+        reports.any(|report| report.limited_slots.is_some())
+    }
+
     /// Returns `true` if callers of a route to the service have time to wait or to return.
     fn callers_tolerate_waiting(&self) -> bool {
         let site = self.router.site();
