--- a/crates/chicoryrail-ownership/src/keys/assignment.rs
+++ b/crates/chicoryrail-ownership/src/keys/assignment.rs
@@ -143,13 +143,9 @@
     /// Returns the owned ranges with their owners.
     pub(crate) fn into_owned_ranges(self) -> Vec<OwnedRange> {
         let candidates = self.candidates;
-        let single = |key| KeyRange {
-            first: key,
-            last: key,
-        };
         let keys = self.dedicated.into_iter().chain(self.held);
         let mut ranges = self.ranges;
-        ranges.extend(keys.map(|(key, c)| (single(key), Some(c))));
+        ranges.extend(keys.map(|(key, c)| (KeyRange::single(key), Some(c))));
         ranges.sort_by_key(|(span, _)| *span);
         let ranges = join_adjacent(ranges).into_iter();
         let owned =
@@ -226,7 +222,7 @@
     }
 
     /// Returns `true` if a candidate has no keys, or just the one that was overloaded while it was reserved.
-    pub(super) fn has_few_keys(&self, candidate: usize) -> bool {
+    fn has_few_keys(&self, candidate: usize) -> bool {
         let mut owned = self
             .ranges
             .iter()
--- a/crates/chicoryrail-ownership/src/keys/dedicated_servers.rs
+++ b/crates/chicoryrail-ownership/src/keys/dedicated_servers.rs
@@ -49,11 +49,10 @@
     fn take_key(&mut self, key: u16) -> Option<usize> {
         let at = self.ranges.iter().position(|(s, _)| s.contains(key))?;
         let (span, owner) = self.ranges[at];
-        let single = KeyRange {
-            first: key,
-            last: key,
-        };
-        let rest = span.without(single).into_iter().map(|s| (s, owner));
+        let rest = span
+            .without(KeyRange::single(key))
+            .into_iter()
+            .map(|s| (s, owner));
         self.ranges.splice(at..=at, rest);
         owner
     }
--- a/crates/chicoryrail-ownership/src/keys/hot_key.rs
+++ b/crates/chicoryrail-ownership/src/keys/hot_key.rs
@@ -21,8 +21,8 @@
     busy_since: Option<Millis>,
     /// Load of the key in usual slots that it keeps in use.
     demand: f64,
-    /// Demand beyond the capacity of the owner, in usual slots; 0 if there is none.
-    excess: f64,
+    /// Whether the demand exceeds the capacity of the owner.
+    overloaded: bool,
     /// Demand when the key was assigned a server of its own, and since when it has been calm.
     dedicated: Option<(f64, Option<Millis>)>,
 }
@@ -31,7 +31,7 @@
     /// Updates the demand, in usual slots, of a key whose owner has `capacity`.
     pub(crate) fn update(&mut self, now: Millis, demand: f64, capacity: f64) {
         self.demand = demand;
-        self.excess = (demand - capacity).max(0.0);
+        self.overloaded = demand > capacity;
         if demand < capacity * BUSY_RATIO {
             self.busy_since = None;
         } else {
@@ -62,7 +62,7 @@
     /// when the key became busy.
     pub(crate) fn needs_server(&self, now: Millis) -> bool {
         let is_lasting = |since| now.since(since) >= OVERLOAD_TIME_MIN;
-        self.excess > 0.0 && !self.is_dedicated() && self.busy_since.is_some_and(is_lasting)
+        self.overloaded && !self.is_dedicated() && self.busy_since.is_some_and(is_lasting)
     }
 
     /// Records that the key was assigned a server of its own.
--- a/crates/chicoryrail-ownership/src/keys/record.rs
+++ b/crates/chicoryrail-ownership/src/keys/record.rs
@@ -18,6 +18,14 @@
 }
 
 impl KeyRange {
+    /// Returns the range of one key.
+    pub(crate) const fn single(key: u16) -> Self {
+        Self {
+            first: key,
+            last: key,
+        }
+    }
+
     /// The whole key space.
     pub const ALL: Self = Self {
         first: 0,
--- a/crates/chicoryrail-policy/tests/silent_servers.rs
+++ b/crates/chicoryrail-policy/tests/silent_servers.rs
@@ -1,5 +1,7 @@
 //! Scheduling for servers that never respond to requests that they can't queue.
 
+mod support;
+
 use std::collections::BTreeMap;
 
 use chicoryrail_core::Millis;
@@ -10,35 +12,16 @@
 use chicoryrail_policy::ServerId;
 use chicoryrail_policy::ServerStatus;
 use chicoryrail_policy::SlotRelease;
-use chicoryrail_policy::SlotRequest;
 use rstest::rstest;
 
+use crate::support::request;
+
 const SLOTS: u32 = 6;
 const SERVER: ServerId = ServerId(0);
 
 /// Time after which a host abandons a request that its server has not responded to.
 const UNANSWERED_AFTER: u64 = 1_200;
 
-fn request(ticket: u64, now: Millis) -> SlotRequest {
-    SlotRequest {
-        ticket,
-        priority: 1,
-        latency_target: now + Millis(600),
-        deadline: now + Millis(2_500),
-        work_us: 240_000.0,
-        key: Some(7),
-        excluded: Vec::new(),
-        dc_index: 0,
-        large_response: false,
-        tolerates_waiting: true,
-        caller_deadline: now + Millis(5_000),
-        caller: 0,
-        head: 0,
-        route: 0,
-        body_bytes: 0,
-    }
-}
-
 fn scheduler() -> Scheduler {
     let mut scheduler = Scheduler::default();
     scheduler.update_server(Millis::ZERO, SERVER, ServerStatus::warm(SLOTS));
--- a/crates/chicoryrail-policy/tests/takeover.rs
+++ b/crates/chicoryrail-policy/tests/takeover.rs
@@ -1,5 +1,7 @@
 //! Servers whose scheduler is lost or changes while they have requests.
 
+mod support;
+
 use chicoryrail_core::Millis;
 use chicoryrail_policy::Decision;
 use chicoryrail_policy::HeldRequest;
@@ -10,35 +12,16 @@
 use chicoryrail_policy::ServerId;
 use chicoryrail_policy::ServerStatus;
 use chicoryrail_policy::SlotRelease;
-use chicoryrail_policy::SlotRequest;
 use rstest::rstest;
 
+use crate::support::request;
+
 const SLOTS: u32 = 6;
 const SERVER: ServerId = ServerId(0);
 
 /// Time after which a new scheduler assigns requests.
 const REPORT_WAIT: Millis = Millis(150);
 
-fn request(ticket: u64, now: Millis) -> SlotRequest {
-    SlotRequest {
-        ticket,
-        priority: 1,
-        latency_target: now + Millis(600),
-        deadline: now + Millis(2_500),
-        work_us: 240_000.0,
-        key: Some(7),
-        excluded: Vec::new(),
-        dc_index: 0,
-        large_response: false,
-        tolerates_waiting: true,
-        caller_deadline: now + Millis(5_000),
-        caller: 0,
-        head: 0,
-        route: 0,
-        body_bytes: 0,
-    }
-}
-
 fn held(ticket: u64, deadline: Millis) -> HeldRequest {
     HeldRequest {
         ticket,
