fix(config-feed): leaf hosts learn at once of requests that end servers

Cause: a leaf host paused for 60 ms after each reply of its relay, so that the next one carried several changes, and the news of an end waited for its next poll.

Change: a leaf host polls again at once, and the relay holds the poll for these 60 ms unless it has such news. After a reply with news the pause is 5 ms. POLL_MAX grows by the pause, so the number of polls stays the same.

--- a/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -21,11 +21,13 @@
 use crate::control::config_feed::follow::FEEDS;
 use crate::control::config_feed::follow::apply_changes;
 use crate::control::config_feed::follow::apply_snapshot;
+use crate::control::config_feed::relay::BATCH_TIME;
 use crate::control::config_feed::relay::POLL_MAX;
 use crate::control::config_feed::relay::RELAY_PATH;
 use crate::control::crashes::apply_news;
 use crate::control::scheduling;
 use crate::messages::ConfigAge;
+use crate::messages::CrashUpdate;
 use crate::messages::DecompressionError;
 use crate::messages::ENCODING;
 use crate::messages::FollowerAnswer;
@@ -48,8 +50,12 @@
 /// enough that every host knows of a draining server within 2 s.
 const REPLY_SLACK: Millis = Millis(350);
 
-/// Pause after a reply, so that the next one carries several changes, and after a failure.
-const POLL_PAUSE: Millis = Millis(60);
+/// Pause after a failure.
+const FAILURE_PAUSE: Millis = Millis(60);
+
+/// Pause after a reply with news of requests that end servers, so that a flood of such requests does not become one of
+/// polls.
+const CRASH_NEWS_PAUSE: Millis = Millis(5);
 
 /// Size from which a reply is logged, with the time for which it occupied the link.
 const LARGE_REPLY_BYTES: usize = 64 << 10;
@@ -97,18 +103,21 @@
             continue;
         };
         let sent = router.now();
-        match poll(&router, &client, addr).await {
+        let pause = match poll(&router, &client, addr).await {
             Ok(FollowerAnswer { answer, crashes }) => {
                 router.source.last_relay_reply.set(router.now());
                 let config_age = answer.reply.config;
                 apply_answer(&router, answer);
+                let has_crash_news = crashes.is_some();
                 if let Some(update) = crashes {
+                    log_crash_news(addr, &update, router.now().since(sent));
                     apply_news(&router, &update.news, None);
                     router.source.crash_version.set(update.version);
                 }
                 if let Some(age) = config_age {
                     apply_config_age(&router, sent, age);
                 }
+                pause_after_reply(has_crash_news, router.now().since(sent))
             }
             Err(e) => {
                 log::info!(relay:% = addr, error:% = e; "relay_failed");
@@ -116,13 +125,23 @@
                     .peers
                     .borrow_mut()
                     .record_relay_failure(router.now(), addr);
+                // `select_source` selects another relay meanwhile.
+                FAILURE_PAUSE
             }
-        }
-        // After a failure, `select_source` selects another relay during this pause.
-        router.process.clock.sleep(POLL_PAUSE).await;
+        };
+        router.process.clock.sleep(pause).await;
     }
 }
 
+/// Returns the pause after a reply that took this long. A relay of an earlier version does not wait for further changes
+/// itself.
+fn pause_after_reply(has_crash_news: bool, took: Millis) -> Millis {
+    if has_crash_news {
+        return CRASH_NEWS_PAUSE;
+    }
+    BATCH_TIME.since(took)
+}
+
 pub(super) async fn poll(
     router: &Router,
     client: &HttpClient,
@@ -156,6 +175,14 @@
     read_reply(&response)
 }
 
+/// Logs that a relay reported requests that end servers; `took` tells how long the poll had been open.
+fn log_crash_news(relay: SocketAddr, update: &CrashUpdate, took: Millis) {
+    let records = update.news.records.len();
+    if records > 0 {
+        log::info!(relay:% = relay, records = records, took_ms = took.0; "crash_news_relayed");
+    }
+}
+
 fn log_large_reply(relay: SocketAddr, response: &Response<Bytes>, took: Millis) {
     let bytes = response.body().len();
     if bytes >= LARGE_REPLY_BYTES {
--- a/crates/chicoryrail-router/src/control/config_feed/relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay.rs
@@ -38,7 +38,11 @@
 use crate::state::Router;
 
 /// Longest time for which a reply waits for changes. A host without a reply for longer selects another relay.
-pub(super) const POLL_MAX: Millis = Millis(400);
+pub(super) const POLL_MAX: Millis = Millis(460);
+
+/// Time for which changes wait after a poll has arrived, so that the reply carries several. News of requests that end
+/// servers does not wait.
+pub(super) const BATCH_TIME: Millis = Millis(60);
 
 /// Largest request body of a following host.
 const REQUEST_BYTES_MAX: usize = 64 << 10;
@@ -69,16 +73,7 @@
         requests.insert(poll.host.clone(), router.now());
     }
     let received = router.now();
-    let end = received + POLL_MAX;
-    loop {
-        let seen = router.feed_changed.version();
-        let remaining = end.since(router.now());
-        let has_crashes = crash_update(&router, known_crashes).is_some();
-        if remaining == Millis::ZERO || has_crashes || has_changes(&router, &poll) {
-            break;
-        }
-        let _ = timeout(remaining.to_duration(), router.feed_changed.wait_past(seen)).await;
-    }
+    wait_for_updates(&router, &poll, known_crashes, received).await;
     let key_changes = if accepts_changes {
         key_changes(&router, &poll)
     } else {
@@ -102,6 +97,35 @@
     }
 }
 
+/// Waits until there are updates for a host whose poll arrived at `received`, for [`POLL_MAX`] at most.
+async fn wait_for_updates(
+    router: &Router,
+    poll: &RelayRequest,
+    known_crashes: Option<CrashVersion>,
+    received: Millis,
+) {
+    // A host that starts has nothing yet, and is not ready until it has.
+    let is_starting = poll.revisions.contains(&None);
+    let batch_end = if is_starting {
+        received
+    } else {
+        received + BATCH_TIME
+    };
+    let end = received + POLL_MAX;
+    loop {
+        let seen = router.feed_changed.version();
+        let now = router.now();
+        let is_batching = now < batch_end;
+        let has_crashes = crash_update(router, known_crashes).is_some();
+        if now >= end || has_crashes || (!is_batching && has_changes(router, poll)) {
+            return;
+        }
+        let wait_end = if is_batching { batch_end } else { end };
+        let changed = router.feed_changed.wait_past(seen);
+        let _ = timeout(wait_end.since(now).to_duration(), changed).await;
+    }
+}
+
 /// Decodes a poll, also one of an earlier version.
 fn read_poll(body: &[u8]) -> Option<FollowerPoll> {
     if let Ok(poll) = decode::<FollowerPoll>(body) {
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -62,7 +62,8 @@
     }
     in_flight.body_sent = body.sent_flag();
     let conn = in_flight.attach(conn);
-    let request = new_request(call, &target, body, router.now());
+    let sent_at = router.now();
+    let request = new_request(call, &target, body, sent_at);
     let response = match conn.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
@@ -70,7 +71,15 @@
             if error.take_message().is_none() {
                 let why = match body.upload_error() {
                     Some(failed) => Indeterminate::BodyFailed(failed),
-                    None => explain_break(router, call, body, &in_flight, error.error()).await,
+                    None => {
+                        log_broken(
+                            call,
+                            body,
+                            &target,
+                            (error.error(), router.now().since(sent_at)),
+                        );
+                        explain_break(router, call, &in_flight, error.error()).await
+                    }
                 };
                 return Ok(SendOutcome::Indeterminate(why));
             }
@@ -89,12 +98,10 @@
 async fn explain_break(
     router: &Router,
     call: &CallerRequest,
-    body: &RequestBody,
     in_flight: &InFlight,
     error: &hyper::Error,
 ) -> Indeterminate {
     let (service, target) = (&in_flight.service, &in_flight.target);
-    log_broken(call, body, target, error);
     if is_timed_out(error) {
         record_silence(router, service, target);
         return Indeterminate::Broken;
@@ -114,15 +121,20 @@
     }
 }
 
-/// Logs a request whose connection broke before the response.
-fn log_broken(call: &CallerRequest, body: &RequestBody, target: &Target, error: &hyper::Error) {
+/// Logs a request whose connection broke before the response, after the request had been sent for `took`.
+fn log_broken(
+    call: &CallerRequest,
+    body: &RequestBody,
+    target: &Target,
+    (error, took): (&hyper::Error, Millis),
+) {
     let path: String = call.uri.to_string().chars().take(LOGGED_PATH_MAX).collect();
     let fingerprint = (!call.is_forwarded).then(|| call.fingerprint(body));
     log::info!(request = call.id, server:% = target.life, method:% = call.method, path = path,
         head = call.head_hash(), fingerprint = fingerprint.map_or_else(|| "-".to_owned(), |f| f.to_string()),
         key = call.key.map_or_else(|| "-".to_owned(), |key| key.to_string()),
         body_bytes = body.buffered_len(), from:% = call.from, error:% = error,
-        connections = target.pool.open_connections(); "connection_broken");
+        took_ms = took.0, connections = target.pool.open_connections(); "connection_broken");
 }
 
 /// Returns `true` if the system closed the connection because the other side acknowledged nothing for too long.
--- a/crates/chicoryrail-router/tests/leaf_hosts.rs
+++ b/crates/chicoryrail-router/tests/leaf_hosts.rs
@@ -2,16 +2,30 @@
 
 mod support;
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::block_on;
+use futures_util::future::join;
 use nix::sys::signal::Signal;
 use support::RouterProcess;
 use support::Server;
 use support::World;
 use support::wait_until;
 
+/// Time in which a host must learn of a request that ended a server at another one.
+const CRASH_NEWS_TIME: Millis = Millis(20);
+
+/// Number of requests that each end a server.
+const CRASHES: usize = 10;
+
+/// Number of these of which the host must learn in time. A busy machine may delay a single one.
+const CRASHES_IN_TIME: usize = 9;
+
+/// Time between two changes in the store: shorter than the pause between two polls of a relay.
+const CHANGE_INTERVAL: Millis = Millis(15);
+
 /// Three strong hosts, which are enough for the core, and a weak host that gets its data from one of them.
 struct Fleet {
     world: World,
@@ -119,3 +133,65 @@
         assert!(fleet.leaf.log().contains("source=Store"));
     });
 }
+
+/// Returns when a host logged each request that ended a server, in seconds, by the request's fingerprint.
+fn suspected_at(host: &RouterProcess) -> Vec<(String, f64)> {
+    let log = host.log();
+    let lines = log
+        .lines()
+        .filter(|l| l.starts_with("log=request_suspected "));
+    let value = |line: &str, name: &str| {
+        let rest = line.split(&format!(" {name}=")).nth(1).unwrap();
+        rest.split(' ').next().unwrap().to_owned()
+    };
+    lines
+        .map(|line| {
+            (
+                value(line, "fingerprint"),
+                value(line, "t").parse().unwrap(),
+            )
+        })
+        .collect()
+}
+
+/// Guards against a weak host that sends a request on although the core hosts know that it ended a server: while the
+/// store's data changes often, the host is between two polls most of the time.
+#[test]
+fn a_weak_host_learns_at_once_of_requests_that_end_servers() {
+    block_on(async {
+        let fleet = Fleet::start("leaf-crashes").await;
+        for i in 0..CRASHES {
+            fleet.world.server(&format!("c-{i}"), "desk").await;
+        }
+        let done = Cell::new(false);
+        let changes = async {
+            let member = support::ready_member("idle", "lab", fleet.staying.addr);
+            while !done.get() {
+                fleet.world.put_members(std::slice::from_ref(&member)).await;
+                monoio::time::sleep(CHANGE_INTERVAL.to_duration()).await;
+            }
+        };
+        let crashes = async {
+            for i in 0..CRASHES {
+                let path = format!("/order/{i}?crash=1");
+                let lost = fleet.core[0].caller().post(&path).await.unwrap();
+                assert_eq!(lost.status(), 502);
+                wait_until("the leaf host knows of the request", async || {
+                    suspected_at(&fleet.leaf).len() > i
+                })
+                .await;
+            }
+            done.set(true);
+        };
+        join(changes, crashes).await;
+        let first = suspected_at(&fleet.core[0]);
+        let delays = suspected_at(&fleet.leaf).into_iter().map(|(request, at)| {
+            let first = first.iter().find(|(known, _)| *known == request);
+            ((at - first.unwrap().1) * 1_000.0).round() as u64
+        });
+        let delays: Vec<u64> = delays.collect();
+        println!("the leaf host learned after {delays:?} ms");
+        let in_time = delays.iter().filter(|ms| **ms <= CRASH_NEWS_TIME.0);
+        assert!(in_time.count() >= CRASHES_IN_TIME, "{delays:?} ms");
+    });
+}
