fix(scheduling): a scheduler tells the hosts it lets send of requests that end servers

Callers: a host that had not heard of a server's end yet (a lost datagram, a frozen relay) sent the same request on, though the scheduler that gave it the slot knew better, and one server more ended.

Cause: a slot reply carried nothing of what its sender knows of requests that end servers. Evidence: in the test the weak host's first line about the request has source=own, after another server has ended under it; its relay was frozen, the scheduler's line stands milliseconds before.

Change: before a reply that lets a request be sent, the scheduler sends the querying host what it learned since it last told that host. Nothing is sent while there is no evidence; 4,096 hosts are remembered. The host looks at the request again just before it writes it, as before.

--- a/crates/chicoryrail-router/src/control/crashes/mod.rs
+++ b/crates/chicoryrail-router/src/control/crashes/mod.rs
@@ -6,6 +6,7 @@
 mod stored_blocks;
 
 pub(crate) use news::apply_news;
+pub(crate) use news::inform_sender;
 pub(crate) use news::record_complete;
 pub(crate) use news::record_end;
 pub(crate) use news::spread_news;
--- a/crates/chicoryrail-router/src/control/crashes/news.rs
+++ b/crates/chicoryrail-router/src/control/crashes/news.rs
@@ -109,6 +109,18 @@
     }
 }
 
+/// Tells a host that is about to send a request what it may not know of requests that end servers: the news of other
+/// hosts may have been lost, or still be under way.
+pub(crate) fn inform_sender(router: &Rc<Router>, addr: SocketAddr) {
+    let untold = router.crashes.take_untold(router.now(), addr, REPEAT_TIME);
+    if let Some(mut news) = untold.filter(|news| !news.records.is_empty()) {
+        news.records.truncate(RECORDS_PER_PACKET_MAX);
+        router
+            .peer_socket
+            .send_detached(Packet::Crashes(news), addr);
+    }
+}
+
 /// Merges another host's record of a request; `source` is who brought it.
 pub(super) fn merge_record(
     router: &Router,
--- a/crates/chicoryrail-router/src/control/scheduling/part_schedulers.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/part_schedulers.rs
@@ -5,6 +5,7 @@
 
 use chicoryrail_policy::Scheduler;
 
+use crate::control::crashes::inform_sender;
 use crate::control::scheduling::server_sync::sync_servers;
 use crate::messages::Packet;
 use crate::messages::PartName;
@@ -59,9 +60,14 @@
 /// Sends a reply to the host that sent the query; `None` stands for this host.
 pub(super) fn reply_to(router: &Rc<Router>, to: Option<SocketAddr>, ticket: u64, reply: SlotReply) {
     match to {
-        Some(addr) => router
-            .peer_socket
-            .send_detached(Packet::SlotReply { ticket, reply }, addr),
+        Some(addr) => {
+            if matches!(reply, SlotReply::Send(_)) {
+                inform_sender(router, addr);
+            }
+            router
+                .peer_socket
+                .send_detached(Packet::SlotReply { ticket, reply }, addr);
+        }
         None => {
             router.pending_queries.deliver(ticket, reply);
         }
--- a/crates/chicoryrail-router/src/state/crashes.rs
+++ b/crates/chicoryrail-router/src/state/crashes.rs
@@ -2,6 +2,8 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use chicoryrail_core::Fingerprint;
 use chicoryrail_core::Millis;
@@ -13,6 +15,9 @@
 use crate::messages::CrashNews;
 use crate::messages::RequestRecord;
 
+/// Largest number of hosts of which this one remembers what it has told them.
+const TOLD_HOSTS_MAX: usize = 4_096;
+
 /// State of the containment of requests that end servers.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
@@ -23,6 +28,8 @@
     pub(crate) changed: ChangeSignal,
     /// Client for calls to the hosts that grant runs.
     pub(crate) client: HttpClient,
+    /// Version of the table up to which a scheduler has told each host that queries it.
+    told: RefCell<HashMap<SocketAddr, u64>>,
     next_ticket: Cell<u32>,
 }
 
@@ -59,6 +66,30 @@
         })
     }
 
+    /// Returns what a querying host has not been told yet, and counts it as told. A host that was told nothing before gets
+    /// what this one learned in the last `age`.
+    pub(crate) fn take_untold(
+        &self,
+        now: Millis,
+        host: SocketAddr,
+        age: Millis,
+    ) -> Option<CrashNews> {
+        let mut told = self.told.borrow_mut();
+        let table = self.table.borrow();
+        if !table.has_evidence() {
+            return None;
+        }
+        if told.len() >= TOLD_HOSTS_MAX {
+            told.clear();
+        }
+        let version = table.version();
+        match told.insert(host, version) {
+            Some(known) if known == version => None,
+            Some(known) => Some(self.news_since(known)),
+            None => self.recent_news(now, age),
+        }
+    }
+
     /// Returns what this host knows of a request.
     pub(crate) fn news_of(&self, request: Fingerprint) -> CrashNews {
         let table = self.table.borrow();
--- a/crates/chicoryrail-router/tests/leaf_hosts.rs
+++ b/crates/chicoryrail-router/tests/leaf_hosts.rs
@@ -8,6 +8,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::block_on;
 use futures_util::future::join;
+use futures_util::future::join_all;
 use nix::sys::signal::Signal;
 use support::RouterProcess;
 use support::Server;
@@ -26,6 +27,12 @@
 /// Time between two changes in the store: shorter than the pause between two polls of a relay.
 const CHANGE_INTERVAL: Millis = Millis(15);
 
+/// Number of weak hosts of which one at least follows another core host than the one that schedules.
+const LEAVES: usize = 6;
+
+/// Number of repeats of a request that ends servers at the weak host.
+const REPEATS: usize = 4;
+
 /// Three strong hosts, which are enough for the core, and a weak host that gets its data from one of them.
 struct Fleet {
     world: World,
@@ -57,7 +64,11 @@
 
     /// Returns the core host that the leaf host follows.
     fn relay(&self) -> &RouterProcess {
-        let log = self.leaf.log();
+        self.relay_of(&self.leaf)
+    }
+
+    fn relay_of(&self, leaf: &RouterProcess) -> &RouterProcess {
+        let log = leaf.log();
         let mut lines = log.lines().filter(|l| l.contains("log=source"));
         let last = lines.next_back().unwrap();
         let named = |r: &&RouterProcess| last.contains(&format!("Relay({})", r.peer_addr));
@@ -195,3 +206,53 @@
         assert!(in_time.count() >= CRASHES_IN_TIME, "{delays:?} ms");
     });
 }
+
+/// Guards against a scheduler that lets a host send a request that it knows to have ended a server: the host can't know
+/// it while its relay is frozen.
+#[test]
+fn a_scheduler_tells_the_querying_host_of_requests_that_end_servers() {
+    block_on(async {
+        let fleet = Fleet::start("untold").await;
+        for i in 0..3 {
+            fleet.world.server(&format!("c-{i}"), "desk").await;
+        }
+        let mut leaves = Vec::new();
+        for i in 0..LEAVES {
+            leaves.push(fleet.world.low_power_router(&format!("leaf-{i}")).await);
+        }
+        let schedules = |host: &RouterProcess| {
+            let log = host.log();
+            log.lines()
+                .any(|l| l.starts_with("log=scheduler ") && l.contains("service=desk"))
+        };
+        wait_until("a core host schedules", async || {
+            let sent = leaves[0].caller().get("/read/1").await;
+            sent.is_ok() && fleet.core.iter().any(schedules)
+        })
+        .await;
+        let leaf = leaves.iter().find(|leaf| !schedules(fleet.relay_of(leaf)));
+        let leaf = leaf.expect("the weak hosts spread over the core hosts");
+        let relay = fleet.relay_of(leaf);
+        let other = fleet.core.iter().find(|h| h.name != relay.name).unwrap();
+        relay.signal(Signal::SIGSTOP);
+        let path = "/order/x?crash=1";
+        let lost = other.caller().post(path).await.unwrap();
+        assert_eq!(lost.status(), 502);
+        // The server that has just ended may still be assigned, and is then not reached.
+        let callers: Vec<_> = (0..REPEATS).map(|_| leaf.caller()).collect();
+        join_all(callers.iter().map(|caller| caller.post(path))).await;
+        relay.signal(Signal::SIGCONT);
+        let suspected = || {
+            let log = leaf.log();
+            let mut lines = log.lines();
+            let line = lines.find(|l| l.starts_with("log=request_suspected "));
+            line.map(str::to_owned)
+        };
+        wait_until("the leaf host knows of the request", async || {
+            suspected().is_some()
+        })
+        .await;
+        let line = suspected().unwrap();
+        assert!(!line.contains("source=own"), "{line}");
+    });
+}
