fix(keys): a lease counts as held for as long as it was granted

Cause: the leader withheld keys a normal lease after their last renewal, whatever duration it had granted. While the store is down it grants 10 s.

Change: a confirmed lease keeps the time at which the server stops serving it, from the duration of its grant.

The test failed before: all keys counted as not granted at 10,699 ms, 1 ms before the end of the grant.

--- a/crates/chicoryrail-ownership/src/keys/delegation.rs
+++ b/crates/chicoryrail-ownership/src/keys/delegation.rs
@@ -14,6 +14,7 @@
 use crate::keys::KeyLeases;
 use crate::keys::KeyRange;
 use crate::keys::KeyTiming;
+use crate::keys::lease::ConfirmedLease;
 use crate::keys::range_set::RangeSet;
 use crate::keys::server_state::ServerState;
 
@@ -115,10 +116,14 @@
             return;
         }
         let sent_at = Millis(now.0.saturating_sub(age.0));
-        let renew_at = sent_at + self.timing.renew_interval;
+        let lease = ConfirmedLease {
+            span,
+            renew_at: sent_at + self.timing.renew_interval,
+            expires_at: sent_at + self.lease_duration(),
+        };
         if let Some(state) = self.servers.get_mut(life).filter(|s| !s.ended) {
             state.unanswered_since = None;
-            state.confirm(renew_at, span);
+            state.confirm(lease);
         }
     }
 
--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -42,9 +42,8 @@
     /// Drops former leases that have expired or whose server incarnation has ended, and confirmed leases
     /// that expired for lack of a renewal.
     fn expire_leases(&mut self, now: Millis) {
-        let grace = self.timing.lease - self.timing.renew_interval;
         for state in self.servers.values_mut() {
-            state.confirmed.retain(|l| now < l.renew_at + grace);
+            state.confirmed.retain(|l| now < l.expires_at);
         }
         let (servers, expired) = (&self.servers, &mut self.expired);
         self.former_leases.retain(|l| {
--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -15,6 +15,7 @@
 use crate::keys::KeyTiming;
 use crate::keys::OwnedRange;
 use crate::keys::ReleaseOutcome;
+use crate::keys::lease::ConfirmedLease;
 use crate::keys::lease::FormerLease;
 use crate::keys::lease::ReleasedKeys;
 use crate::keys::range_set::join_ranges;
@@ -314,7 +315,11 @@
                 state.lease_until = other_leases.max(now + max_lease);
                 state.unanswered_since = None;
                 if fence == self.record.fence {
-                    state.confirm(now + self.timing.renew_interval, span);
+                    state.confirm(ConfirmedLease {
+                        span,
+                        renew_at: now + self.timing.renew_interval,
+                        expires_at: now + state.lease_duration,
+                    });
                 }
             }
             GrantOutcome::StaleFence => self.deposed = true,
--- a/crates/chicoryrail-ownership/src/keys/lease.rs
+++ b/crates/chicoryrail-ownership/src/keys/lease.rs
@@ -29,4 +29,6 @@
     pub(crate) span: KeyRange,
     /// When the lease is due for renewal.
     pub(crate) renew_at: Millis,
+    /// When the server stops serving the keys unless the lease is renewed.
+    pub(crate) expires_at: Millis,
 }
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -93,13 +93,13 @@
         self.assigned = ranges;
     }
 
-    /// Records that the server confirmed a grant of the range `span`. Only those of its keys that are still
-    /// assigned to the server count.
-    pub(crate) fn confirm(&mut self, renew_at: Millis, span: KeyRange) {
-        let replaced = |l: &ConfirmedLease| l.span.without(span).is_empty();
+    /// Records that the server confirmed a lease. Only those of its keys that are still assigned to the server count.
+    pub(crate) fn confirm(&mut self, lease: ConfirmedLease) {
+        let replaced = |l: &ConfirmedLease| l.span.without(lease.span).is_empty();
         self.confirmed.retain(|l| !replaced(l));
-        let assigned = self.assigned.iter().filter_map(|r| r.intersect(span));
+        let assigned = self.assigned.iter();
+        let assigned = assigned.filter_map(|r| r.intersect(lease.span));
         self.confirmed
-            .extend(assigned.map(|span| ConfirmedLease { span, renew_at }));
+            .extend(assigned.map(|span| ConfirmedLease { span, ..lease }));
     }
 }
--- a/crates/chicoryrail-ownership/tests/key_leases.rs
+++ b/crates/chicoryrail-ownership/tests/key_leases.rs
@@ -236,3 +236,20 @@
         [span(30_000, 65_535)]
     );
 }
+
+/// Guards against keys withheld from a server that holds them: while the store is down a grant lasts longer, and so the
+/// server may miss more renewals.
+#[test]
+fn keys_stay_granted_for_the_duration_of_an_outage_grant() {
+    let timing = KeyTiming::default();
+    let mut leases = moving_half_to_b();
+    leases.set_store_down(true);
+    confirm_grant(&mut leases, Millis(700), "a", span(0, 29_999));
+    let expires_at = Millis(700) + timing.outage_lease;
+    for (now, granted) in [(expires_at - Millis(1), true), (expires_at, false)] {
+        leases.due_actions(now);
+        let ungranted = leases.ungranted_keys();
+        let is_granted = !ungranted.iter().any(|range| range.contains(0));
+        assert_eq!(is_granted, granted, "at {now:?}: {ungranted:?}");
+    }
+}
