fix(keys): keys are granted under the record in force while a write is stuck

Cause: while a record is being written, only leases that count as held are renewed. A write takes milliseconds, but one begun in an outage is pending until its end, and nothing was granted again meanwhile.

Change: once the outcome of a write is unknown, keys are granted as without it. Only this leader applies the pending record, and its write counts the owners' leases up to then; a successor that reads it takes every owner in the record in force for one that may hold keys.

Tests: the new one of key_leases fails without the change of due.rs. The model of key leases has a mode in which writes end without a known outcome, or are applied without a response: 120 seeds with and without hosts that renew, no key with two owners.

--- a/crates/chicoryrail-ownership/src/keys/delegation.rs
+++ b/crates/chicoryrail-ownership/src/keys/delegation.rs
@@ -86,9 +86,10 @@
     }
 
     /// Returns the ranges of a server that its delegate may grant: those that no other server may still hold and that
-    /// need no handover token. While a record is being written, only what the server already holds.
+    /// need no handover token. While a record is being written, only what the server already holds, unless the write is
+    /// stuck.
     fn delegable_spans(&self, life: &Life, state: &ServerState) -> Vec<KeyRange> {
-        if self.pending_record.is_some() {
+        if self.pending_record.is_some() && !self.write_unsettled {
             return state.confirmed.iter().map(|l| l.span).collect();
         }
         let others = self.former_leases.iter().filter(|l| l.owned.owner != *life);
--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -27,9 +27,9 @@
         self.expire_leases(now);
         if let Some(next) = &self.pending_record {
             // Leases are renewed during a write, but nothing new is granted under a record that is about to
-            // be replaced. The write comes last, so that the leases that result from the renewals are
-            // accounted for when it completes.
-            let mut actions = self.due_grants(now, false);
+            // be replaced, unless the write is stuck. The write comes last, so that the leases that result from the
+            // grants are accounted for when it completes.
+            let mut actions = self.due_grants(now, self.write_unsettled);
             actions.push(KeyAction::Commit(next.clone()));
             return actions;
         }
--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -44,6 +44,8 @@
     pub(super) released_keys: Vec<ReleasedKeys>,
     /// Record that is to be written to the store; `None` while no write is due or in progress.
     pub(super) pending_record: Option<KeyRecord>,
+    /// Whether an attempt to write `pending_record` ended without a known outcome.
+    pub(super) write_unsettled: bool,
     /// Former owners' leases that expired and have not been returned by `take_expired` yet.
     pub(super) expired: Vec<OwnedRange>,
     /// Whether a server has seen a higher fencing token.
@@ -97,6 +99,7 @@
             former_leases,
             released_keys: Vec::new(),
             pending_record: Some(next),
+            write_unsettled: false,
             expired: Vec::new(),
             deposed: false,
             lease_duration: timing.lease,
@@ -244,11 +247,19 @@
         self.pending_record = Some(self.record.next(spans, &loose, attempt));
     }
 
+    /// Records that it is unknown whether the pending record was written to the store. It may take until the end of an
+    /// outage to find out, so keys are granted under the record in force meanwhile: only this leader applies the pending
+    /// record, and a successor that reads it takes every owner in the record in force for one that may hold keys.
+    pub const fn record_unsettled(&mut self) {
+        self.write_unsettled = true;
+    }
+
     /// Records that the pending record was written to the store, and applies it.
     pub fn record_written(&mut self, now: Millis) {
         let Some(next) = self.pending_record.take() else {
             return;
         };
+        self.write_unsettled = false;
         // A former owner may have been granted its loose keys again in the meantime, and then holds them until
         // its last grant ends. So the end of each lease is computed again.
         let before = std::mem::take(&mut self.former_leases);
--- a/crates/chicoryrail-ownership/tests/key_leases.rs
+++ b/crates/chicoryrail-ownership/tests/key_leases.rs
@@ -253,3 +253,26 @@
         assert_eq!(is_granted, granted, "at {now:?}: {ungranted:?}");
     }
 }
+
+/// Guards against keys that stay unserved until the end of a store outage: a server whose lease expired for lack of
+/// renewals answers again while the outcome of a write is unknown.
+#[test]
+fn an_expired_lease_is_granted_again_during_a_stuck_write() {
+    let timing = KeyTiming::default();
+    let mut leases = moving_half_to_b();
+    confirm_grant(&mut leases, Millis(10), "a", span(0, 29_999));
+    leases.begin_change(vec![OwnedRange::new(KeyRange::ALL, life("b"))], 4);
+    let expired_at = Millis(10) + timing.lease;
+    assert!(grants(&leases.due_actions(expired_at), "a").is_empty());
+    leases.record_unsettled();
+    assert_eq!(
+        grants(&leases.due_actions(expired_at), "a"),
+        [span(0, 29_999)]
+    );
+    // The write completes, and the server that was granted its keys again counts as their former owner.
+    confirm_grant(&mut leases, expired_at, "a", span(0, 29_999));
+    leases.record_written(expired_at);
+    let after = leases.due_actions(expired_at);
+    assert!(releases(&after).contains(&span(0, 29_999)));
+    assert!(grants(&after, "b").iter().all(|s| s.first > 29_999));
+}
--- a/crates/chicoryrail-ownership/tests/model_keys/leading.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/leading.rs
@@ -14,6 +14,9 @@
 use crate::world::World;
 use crate::world::faults_active;
 
+/// Share of the writes of a record that the store applies without a response to the leader.
+const LOST_RESPONSE_SHARE: f64 = 0.1;
+
 impl World {
     /// Lets each leader that acts now plan, and perform the actions that are due.
     pub(crate) fn lead(&mut self) {
@@ -91,12 +94,29 @@
                 let latest = leader + 1 == self.leaders.len();
                 let store_down =
                     self.store_down || self.now < self.leaders[leader].store_lost_until;
-                if !store_down && latest && self.leaders[leader].revision == self.revision {
+                if store_down {
+                    if self.has_unsettled_writes {
+                        self.leaders[leader].leases.record_unsettled();
+                    }
+                    return;
+                }
+                // A leader that got no response finds its own write when it reads the record.
+                let written_before = self.record.attempt == record.attempt;
+                let unchanged = self.leaders[leader].revision == self.revision;
+                if !latest || !(unchanged || written_before) {
+                    return;
+                }
+                if !written_before {
                     self.record = record;
                     self.revision += 1;
-                    self.leaders[leader].revision = self.revision;
-                    self.leaders[leader].leases.record_written(now);
+                    let may_lose = self.has_unsettled_writes && faults_active(self.now);
+                    if may_lose && self.rng.random_bool(LOST_RESPONSE_SHARE) {
+                        self.leaders[leader].leases.record_unsettled();
+                        return;
+                    }
                 }
+                self.leaders[leader].revision = self.revision;
+                self.leaders[leader].leases.record_written(now);
             }
             KeyAction::Grant {
                 life, span, fence, ..
--- a/crates/chicoryrail-ownership/tests/model_keys/main.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/main.rs
@@ -44,6 +44,30 @@
     }
 }
 
+/// Guards against two servers holding the same key when a leader does not know whether its record was written, and grants
+/// keys under the record before meanwhile.
+#[rstest]
+#[case::leader_renews(false)]
+#[case::hosts_renew(true)]
+fn no_two_servers_hold_the_same_key_with_unsettled_writes(#[case] hosts_renew: bool) {
+    for seed in 400..520 {
+        let assumed_timing = if hosts_renew {
+            delegating_timing()
+        } else {
+            KeyTiming::default()
+        };
+        let world = World::new(seed, KeyTiming::default(), assumed_timing).with_unsettled_writes();
+        let world = if hosts_renew {
+            world.with_renewing_hosts()
+        } else {
+            world
+        };
+        let world = world.run();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(serves_every_key(&world), "seed {seed}");
+    }
+}
+
 /// Returns `true` if a server holds each sampled key, or none is reachable that could.
 fn serves_every_key(world: &World) -> bool {
     let mut servers = world.servers.iter();
--- a/crates/chicoryrail-ownership/tests/model_keys/world.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/world.rs
@@ -58,6 +58,9 @@
     pub(crate) outage_until: u64,
     /// Incarnation number of the server that joined last.
     pub(crate) last_incarnation: u64,
+    /// Whether leaders know that the outcome of a write is unknown, and the store applies some writes of a record without a
+    /// response.
+    pub(crate) has_unsettled_writes: bool,
 }
 
 /// Returns `true` while faults are injected: not at the start of the run and not towards its end.
@@ -77,6 +80,7 @@
             calls: Vec::new(),
             renewing: Vec::new(),
             record: KeyRecord::default(),
+            has_unsettled_writes: false,
             revision: 1,
             violations: Vec::new(),
             store_down: false,
@@ -89,6 +93,13 @@
         world
     }
 
+    /// Lets leaders grant keys while the outcome of a write is unknown, and the store apply some writes of a record without
+    /// a response.
+    pub(crate) fn with_unsettled_writes(mut self) -> Self {
+        self.has_unsettled_writes = true;
+        self
+    }
+
     /// Adds hosts that renew leases for the leaders.
     pub(crate) fn with_renewing_hosts(mut self) -> Self {
         let hosts = (0..RENEWER_COUNT).map(|_| RenewingHost::new(self.actual_timing));
--- a/crates/chicoryrail-router/src/control/leader/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -43,6 +43,7 @@
                     loose = record.loose.len(); "keys_written");
             }
             Err(e) if e.is_outage() => {
+                self.leases.borrow_mut().record_unsettled();
                 log::info!(service:% = self.service, error:% = e; "keys_write_unsettled");
                 self.router.process.clock.sleep(COMMIT_RETRY_DELAY).await;
             }
