fix(leader): no change of the assignment is begun while the store does not answer

If the store keeps the leader's lease, the plan, ten seconds old, is applied at its return.

Cause: planning looked only at whether a write was pending, not at whether one could be made.

Change: the leader plans nothing while the store does not answer it. Leases are renewed as before.

--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -51,10 +51,12 @@
 const REQUESTED_MIN: f64 = 1.0;
 
 impl KeyLeader {
-    /// Plans a new assignment if the set of candidates changed or the load is unbalanced.
+    /// Plans a new assignment if the set of candidates changed or the load is unbalanced. Not while the store does not
+    /// answer: the change could not be written, and would be outdated when it can.
     pub(super) fn plan(&self) {
         let now = self.router.now();
-        if self.leases.borrow().is_write_pending() || self.doubts_reach(now) {
+        let may_write = self.router.store_up.get() && !self.leases.borrow().is_write_pending();
+        if !may_write || self.doubts_reach(now) {
             return;
         }
         let service_time = self.service_time();
--- a/crates/chicoryrail-router/tests/cut_hosts.rs
+++ b/crates/chicoryrail-router/tests/cut_hosts.rs
@@ -33,6 +33,9 @@
 /// Time from a cut until the key leases of a leader that is cut off would have expired, with a margin.
 const LEASES_EXPIRED: Millis = Millis(4_000);
 
+/// Time for which the store is down: longer than a cut and the time after it.
+const OUTAGE: Millis = Millis(11_000);
+
 /// Pause of a caller between two requests: all callers of a test use half of the servers.
 const REQUEST_PAUSE: Millis = Millis(30);
 
@@ -214,6 +217,51 @@
     });
 }
 
+/// Guards against a leader that, cut from servers in a store outage, withholds their keys or begins to move them: the move
+/// can't be recorded until the outage ends, and the servers are sound.
+#[rstest]
+#[case::one_server(1)]
+#[case::all_servers(4)]
+fn a_leader_cut_in_an_outage_keeps_keys_with_their_servers(#[case] cut_servers: usize) {
+    block_on(async {
+        let deployment = Deployment::start("cut-outage").await;
+        let hosts = &deployment.hosts;
+        let leader = hosts.iter().find(|h| h.log().contains("log=leader_won"));
+        let leader = leader.expect("a host leads");
+        let owned = |server: &Rc<Server>| (0..=u16::MAX).step_by(64).find(|k| server.owns(*k));
+        let keys: Vec<_> = deployment.kits.iter().map(owned).collect();
+        deployment.world.stop_store(OUTAGE).await;
+        wait_until("all hosts know of the outage", async || {
+            hosts.iter().all(|h| h.log().contains("log=store_lost"))
+        })
+        .await;
+        monoio::time::sleep(SETTLE_TIME.to_duration()).await;
+        leader.cut_from(&deployment.kits[..cut_servers], Cut::Refused);
+        let runs = || {
+            hosts
+                .iter()
+                .map(|h| send_mix(h, SETTLE_TIME, LEASES_EXPIRED))
+        };
+        let in_cut = join_all(runs()).await;
+        leader.heal();
+        let after_cut = join_all(runs()).await;
+        for attempts in in_cut.into_iter().chain(after_cut) {
+            assert!(attempts.served_share() >= SERVED_SHARE_MIN, "{attempts:?}");
+        }
+        let log = leader.log();
+        assert!(!log.contains("log=keys_write_unsettled"), "{log}");
+        wait_until("the store is back", async || {
+            leader.log().contains("log=store_back")
+        })
+        .await;
+        monoio::time::sleep(SETTLE_TIME.to_duration()).await;
+        for (server, key) in deployment.kits.iter().zip(keys) {
+            let key = key.expect("each server owns a key");
+            assert!(server.owns(key), "{} lost {key}", server.name);
+        }
+    });
+}
+
 /// Starts a deployment whose first host has lost its paths to all servers and knows it.
 async fn start_cut(test: &str) -> Deployment {
     let deployment = Deployment::start(test).await;
