fix(route): a server that no host reaches counts as failed, also while hosts doubt their paths

Callers: when most servers of a service ended at once, hosts refused with no_path what the servers left could serve, until the entries of the ended ones lapsed.

Cause: a host that failed to reach more servers of a service than it reached takes its own paths for failed, and says so to hosts that ask it. When the servers are down all hosts do, nobody confirms the end of a server to anybody, the scheduler is told nothing and assigns the ended servers on and on. Evidence, three hosts and eight servers of which five end: 214 to 326 send_no_path at each host in 3 s, at most two or three server_paused at the scheduler, 2 to 45 refusals with no_path at each.

Change: if all core hosts were asked and each failed to reach the server, it counts as failed. Hosts that still reach it answer otherwise, and one at its limit or without an answer confirms nothing. Beyond ten core hosts not all are asked, and it stays as it was: an explained limit.

--- a/crates/chicoryrail-router/src/route/forward.rs
+++ b/crates/chicoryrail-router/src/route/forward.rs
@@ -58,15 +58,16 @@
     mut in_flight: InFlight,
 ) -> SendOutcome {
     let (service, target) = (Rc::clone(&in_flight.service), Rc::clone(&in_flight.target));
-    let mut unreachable = 0;
-    for forwarder in forwarders(router, &service, &target) {
+    let forwarders = forwarders(router, &service, &target);
+    let (mut unreachable, mut without_path) = (0, 0);
+    for forwarder in &forwarders {
         if let Some(why) = withheld(router, call, body, &target) {
             return SendOutcome::NotRun(why);
         }
         if call.time_left(router.now()) < SEND_TIME_MIN {
             break;
         }
-        let asked = ask(router, call, body, in_flight, &forwarder).await;
+        let asked = ask(router, call, body, in_flight, forwarder).await;
         let end = match asked {
             Asked::Sent(sent) => {
                 service.record_forwarded(&target);
@@ -87,6 +88,10 @@
                 unreachable += 1;
                 forwarder.avoid(router.now(), &service.name, &target.dc);
             }
+            Some(ForwardEnd::NoPath) => {
+                without_path += 1;
+                forwarder.avoid(router.now(), &service.name, &target.dc);
+            }
             _ => forwarder.avoid(router.now(), &service.name, &target.dc),
         }
         if unreachable >= UNREACHABLE_HOSTS_MIN && !service.doubts_paths(router.now()) {
@@ -96,8 +101,13 @@
     let now = router.now();
     // With one other host, that host's word is all there is.
     let others = router.peers.borrow().core_host_count() - 1;
-    let is_confirmed = unreachable > 0 && unreachable >= UNREACHABLE_HOSTS_MIN.min(others);
-    if is_confirmed && !service.doubts_paths(now) {
+    let is_confirmed = unreachable > 0
+        && unreachable >= UNREACHABLE_HOSTS_MIN.min(others)
+        && !service.doubts_paths(now);
+    // While most servers of a service are down every host doubts its paths, but no host reaches the server.
+    let asked_all = !forwarders.is_empty() && forwarders.len() < FORWARDERS_MAX;
+    let none_reaches = asked_all && unreachable + without_path == forwarders.len();
+    if is_confirmed || none_reaches {
         service.record_server_failure(now, &target);
         return SendOutcome::NotRun(NotRun::Unreachable);
     }
--- a/crates/chicoryrail-router/tests/cut_hosts.rs
+++ b/crates/chicoryrail-router/tests/cut_hosts.rs
@@ -262,6 +262,35 @@
     });
 }
 
+/// Guards against hosts that take the end of most servers of a service for lost paths of their own, and refuse what the
+/// servers left could serve.
+#[test]
+fn hosts_serve_with_the_few_servers_left() {
+    block_on(async {
+        let mut deployment = Deployment::start("few-left").await;
+        for i in 4..8 {
+            let server = deployment.world.server(&format!("d-{i}"), "desk").await;
+            server.set_work(SERVICE_TIME);
+            deployment.desks.push(server);
+        }
+        let hosts = &deployment.hosts;
+        let warm = hosts.iter().map(|h| send_mixes(h, 6, COUNTED_TIME));
+        join_all(warm).await;
+        deployment.desks[3..]
+            .iter()
+            .for_each(|server| server.crash());
+        let until = SETTLE_TIME + COUNTED_TIME;
+        let runs = hosts.iter().map(|h| send_mixes(h, 6, until));
+        for attempts in join_all(runs).await {
+            assert!(attempts.served_share() >= SERVED_SHARE_MIN, "{attempts:?}");
+        }
+        for host in hosts {
+            let log = host.log();
+            assert!(!log.contains("cause=no_path"), "{}", host.name);
+        }
+    });
+}
+
 /// Starts a deployment whose first host has lost its paths to all servers and knows it.
 async fn start_cut(test: &str) -> Deployment {
     let deployment = Deployment::start(test).await;
