fix(runtime): no request is sent on a connection that its server is about to close

Callers: an order that was sent on a pooled connection in the moment in which its server closed it for idleness was lost: 502, indeterminate, since a broken connection does not tell whether it has run.

Cause: a server states in Keep-Alive how long it keeps an idle connection open; nothing read the header, and a pool uses a connection until the close has arrived.

Change: a connection remembers the stated time and is not used in its last 300 ms, in the pools of servers and of all other calls (store, grants). Servers that state nothing: as before.

--- a/crates/chicoryrail-router/src/route/in_flight.rs
+++ b/crates/chicoryrail-router/src/route/in_flight.rs
@@ -5,6 +5,7 @@
 
 use chicoryrail_runtime::ServerConn;
 use chicoryrail_runtime::ServerPool;
+use http::HeaderMap;
 
 use crate::route::slot_guard::SlotGuard;
 use crate::state::Forwarder;
@@ -52,6 +53,13 @@
         &mut self.conn.insert((conn, pool)).0
     }
 
+    /// Records the head of the response on the connection.
+    pub(crate) fn record_response(&mut self, headers: &HeaderMap) {
+        if let Some((conn, _)) = &mut self.conn {
+            conn.record_response(headers);
+        }
+    }
+
     /// Attaches the connection to a host that passes the request on.
     pub(crate) fn attach_forwarder(
         &mut self,
--- a/crates/chicoryrail-router/src/route/server_exchange.rs
+++ b/crates/chicoryrail-router/src/route/server_exchange.rs
@@ -33,9 +33,12 @@
     service: &Service,
     call: &CallerRequest,
     response: Response<Incoming>,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
 ) -> SendOutcome {
     let (mut head, body) = response.into_parts();
+    if in_flight.is_direct() {
+        in_flight.record_response(&head.headers);
+    }
     // A late response to an earlier request arrived in place of this one's. It must not reach this caller, and the
     // connection is not reused, since later responses on it may be out of step as well.
     let echoed = head.headers.get(call_header::REQUEST_ID);
--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -183,6 +183,7 @@
             .await
             .context(CallSnafu { addr })?;
         let (head, body) = response.into_parts();
+        conn.record_response(&head.headers);
         let on_data = |data: &Bytes| received.set(received.get() + data.len());
         let body = collect_body_with_progress(body, self.max_response, on_data)
             .await
@@ -203,7 +204,9 @@
         loop {
             let idle = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
             match idle {
-                Some(conn) if conn.sender.is_ready() && !is_lost(addr) => return Ok(conn),
+                Some(conn) if conn.sender.is_ready() && !conn.is_expired() && !is_lost(addr) => {
+                    return Ok(conn);
+                }
                 Some(_) => {}
                 None => break,
             }
--- a/crates/chicoryrail-runtime/src/server_pool.rs
+++ b/crates/chicoryrail-runtime/src/server_pool.rs
@@ -8,6 +8,8 @@
 
 use chicoryrail_core::Millis;
 use futures_util::future::select;
+use http::HeaderMap;
+use http::HeaderName;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use monoio::time::timeout;
@@ -15,9 +17,13 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::Body;
+use crate::Clock;
 use crate::connect::connect;
 use crate::connect::is_lost;
 
+/// Header in which a server states how long it keeps an idle connection open.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// Connections allowed above the number of slots. An abandoned connection counts until its task has ended, and the
 /// connection that replaces it must not wait for that.
 const SPARE_CONNECTIONS: u32 = 4;
@@ -30,6 +36,10 @@
 /// unreachable, and the request needs the remaining time for another server.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
+/// Time before the end of a server's keep-alive timeout from which a connection is not used any more. A request that is
+/// sent later may cross the server's close, and is lost.
+const KEEP_ALIVE_MARGIN: Millis = Millis(300);
+
 /// Idle connections to one server, with a limit on all its open connections.
 #[derive(Debug, Default)]
 pub struct ServerPool {
@@ -44,6 +54,11 @@
     /// Sends requests on the connection.
     pub sender: SendRequest<Body>,
     closed: CancellationToken,
+    clock: Clock,
+    /// Time for which the server keeps the connection open after a response; `None` if it states none.
+    keep_alive: Option<Millis>,
+    /// When the last response arrived that was recorded.
+    answered_at: Millis,
 }
 
 impl ServerPool {
@@ -75,7 +90,8 @@
             let Some(mut conn) = self.idle.borrow_mut().pop() else {
                 break;
             };
-            if !conn.sender.is_closed() && conn.sender.ready().await.is_ok() && !is_lost(addr) {
+            let is_open = !conn.sender.is_closed() && conn.sender.ready().await.is_ok();
+            if is_open && !conn.is_expired() && !is_lost(addr) {
                 return Ok(conn);
             }
         }
@@ -127,8 +143,39 @@
             select(connection, stopped).await;
             drop(guard);
         });
-        Ok(Self { sender, closed })
+        Ok(Self {
+            sender,
+            closed,
+            clock: Clock::start(),
+            keep_alive: None,
+            answered_at: Millis::ZERO,
+        })
+    }
+
+    /// Records the head of a response, which may state how long the server keeps the connection open.
+    pub fn record_response(&mut self, headers: &HeaderMap) {
+        self.keep_alive = keep_alive_timeout(headers).or(self.keep_alive);
+        if self.keep_alive.is_some() {
+            self.answered_at = self.clock.now();
+        }
     }
+
+    /// Returns `true` if the server may close the connection while the next request is on its way.
+    pub(crate) fn is_expired(&self) -> bool {
+        self.keep_alive.is_some_and(|time| {
+            let idle = self.clock.now().since(self.answered_at);
+            idle + KEEP_ALIVE_MARGIN >= time
+        })
+    }
+}
+
+/// Returns the timeout that a `Keep-Alive` header states, in whole seconds; `None` without a valid one.
+fn keep_alive_timeout(headers: &HeaderMap) -> Option<Millis> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let mut params = value.split(',').filter_map(|param| param.split_once('='));
+    let (_, seconds) = params.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    let seconds: u64 = seconds.trim().parse().ok()?;
+    Some(Millis(seconds.saturating_mul(1_000)))
 }
 
 impl Drop for ServerConn {
