--- a/crates/chicoryrail-router/tests/crashing_requests.rs
+++ b/crates/chicoryrail-router/tests/crashing_requests.rs
@@ -16,6 +16,7 @@
 use chicoryrail_testkit::TargetOptions;
 use futures_util::future::join;
 use futures_util::future::join_all;
+use futures_util::future::join3;
 use monoio::io::AsyncReadRent;
 use monoio::io::AsyncWriteRentExt;
 use monoio::net::TcpStream;
@@ -206,6 +207,17 @@
     AddressChanges,
     /// The store is down, and the servers that have ended stay down.
     StoreDown,
+    /// One of the hosts has lost its paths to all servers; the servers that have ended stay down.
+    PathsLost,
+    /// The host that lets suspected requests run is killed when it has decided on the first one.
+    GranterKilled,
+}
+
+impl Beside {
+    /// Returns `true` if the servers that have ended stay down.
+    const fn servers_stay_down(self) -> bool {
+        matches!(self, Self::StoreDown | Self::PathsLost)
+    }
 }
 
 /// A request of another caller.
@@ -309,6 +321,21 @@
             .collect()
     }
 
+    /// Kills the host that lets suspected requests run, once it has decided on one.
+    async fn kill_granter(&self, beside: Beside) {
+        if beside != Beside::GranterKilled {
+            return;
+        }
+        let grants = |host: &Rc<RouterProcess>| host.log().contains("log=probe ");
+        wait_until("a host decides on a suspected request", async || {
+            self.hosts.borrow().iter().any(grants)
+        })
+        .await;
+        let mut hosts = self.hosts.borrow_mut();
+        let at = hosts.iter().position(grants).unwrap();
+        hosts.remove(at).signal(Signal::SIGKILL);
+    }
+
     /// Replaces hosts some time after the third end: two one after the other, or all at once.
     async fn replace_hosts(&self, beside: Beside) {
         if !matches!(beside, Beside::HostsReplaced | Beside::HostsKilled) {
@@ -352,19 +379,26 @@
 #[case::address_changes(Kind::Read, Beside::AddressChanges, REPEAT_INTERVAL)]
 #[case::leaf_host(Kind::Read, Beside::LeafHost, REPEAT_INTERVAL)]
 #[case::often(Kind::Read, Beside::Nothing, SHORT_INTERVAL)]
+#[case::paths_lost(Kind::Read, Beside::PathsLost, REPEAT_INTERVAL)]
+#[case::granter_killed(Kind::Read, Beside::GranterKilled, REPEAT_INTERVAL)]
+#[case::granter_killed_often(Kind::Read, Beside::GranterKilled, SHORT_INTERVAL)]
 fn a_request_that_ends_servers_reaches_few(
     #[case] kind: Kind,
     #[case] beside: Beside,
     #[case] interval: Millis,
 ) {
     block_on(async {
-        let count = if beside == Beside::StoreDown { 10 } else { 6 };
+        let count = if beside.servers_stay_down() { 10 } else { 6 };
         let deployment = Deployment::start("crashing", kind.service(), count).await;
         let servers = &deployment.servers;
+        servers.restarts.set(!beside.servers_stay_down());
         if beside == Beside::StoreDown {
-            servers.restarts.set(false);
             servers.world.stop_store(OUTAGE).await;
         }
+        if beside == Beside::PathsLost {
+            let running = servers.running.borrow();
+            deployment.host(0).cut_from(&running, Cut::Refused);
+        }
         if beside == Beside::LeafHost {
             let leaf = servers.world.low_power_router("leaf").await;
             deployment.hosts.borrow_mut().push(Rc::new(leaf));
@@ -373,7 +407,8 @@
         let repeated = deployment.repeat(kind, beside, interval, until);
         let others = deployment.send_others(until, false);
         let replaced = deployment.replace_hosts(beside);
-        let (others, _) = join(others, join(repeated, replaced)).await;
+        let killed = deployment.kill_granter(beside);
+        let (others, _) = join(others, join3(repeated, replaced, killed)).await;
         let known_at = servers.known_at();
         let settle_time = if kind == Kind::Keyed {
             KEYS_SETTLE_TIME
