fix(route): a server that ends within its response is evidence against the request

Cause: only a connection that broke before any response was evidence. A response that broke off counted as spoiled, and the head of a long one even as a complete run, which dismissed what was known of the request.

Change: a short response that breaks off is checked like a broken connection; a streamed one tells at its own end whether it ran completely or its server refuses connections. At a host that passes a request on, only the first kind is told to the host that received it.

--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -98,7 +98,7 @@
                 response_timeout,
             )
             .await;
-            suspicion::record_send(self.router, service, call, body, &target, &sent);
+            let sent = suspicion::record_send(self.router, service, call, body, &target, sent);
             drop(probe);
             self.log(&life, &sent);
             if matches!(sent, SendOutcome::Indeterminate(Indeterminate::Silent)) {
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -89,7 +89,13 @@
     };
     service.record_contact(router.now(), &target);
     router.server_reach.record_way();
-    Ok(handle_response(router, &service, call, response, in_flight).await)
+    let sent = handle_response(router, &service, call, response, in_flight).await;
+    if matches!(sent, SendOutcome::Indeterminate(Indeterminate::Truncated))
+        && has_ended(router, call, &target).await
+    {
+        return Ok(SendOutcome::Indeterminate(Indeterminate::Ended));
+    }
+    Ok(sent)
 }
 
 /// Returns why a connection broke before the response: whether its server has ended.
@@ -106,19 +112,24 @@
         record_silence(router, service, target);
         return Indeterminate::Broken;
     }
-    // A host that has lost its own paths is corrected by those that still reach the server.
+    if has_ended(router, call, target).await {
+        Indeterminate::Ended
+    } else {
+        Indeterminate::Broken
+    }
+}
+
+/// Returns `true` if a server whose connection broke refuses a new one. A host that has lost its own paths is corrected by
+/// those that still reach the server.
+async fn has_ended(router: &Router, call: &CallerRequest, target: &Target) -> bool {
     if !target.may_have_ended(router.now()) {
-        return Indeterminate::Broken;
+        return false;
     }
     let begun = router.now();
     let check = check_server(target).await;
     log::info!(request = call.id, server:% = target.life, check = check.name(),
         took_ms = router.now().since(begun).0; "server_checked");
-    if check == ServerCheck::Refused {
-        Indeterminate::Ended
-    } else {
-        Indeterminate::Broken
-    }
+    check == ServerCheck::Refused
 }
 
 /// Logs a request whose connection broke before the response, after the request had been sent for `took`.
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -154,7 +154,7 @@
             Indeterminate::Broken | Indeterminate::BodyFailed(_) => ForwardEnd::Broken,
             Indeterminate::Ended => ForwardEnd::Ended,
             Indeterminate::Crossed => ForwardEnd::Crossed,
-            Indeterminate::Spoiled => ForwardEnd::Spoiled,
+            Indeterminate::Spoiled | Indeterminate::Truncated => ForwardEnd::Spoiled,
             Indeterminate::Silent => ForwardEnd::Silent,
         },
     })
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -19,6 +19,7 @@
 mod request_identity;
 mod request_stats;
 mod response_body;
+mod run;
 mod send;
 mod send_outcome;
 mod server_exchange;
@@ -29,6 +30,7 @@
 mod suspicion;
 mod traffic;
 mod upload;
+mod watched_body;
 
 pub(crate) use caller::may_begin_early;
 pub(crate) use caller::serve;
--- a/crates/chicoryrail-router/src/route/response_body.rs
+++ b/crates/chicoryrail-router/src/route/response_body.rs
@@ -38,6 +38,10 @@
     }
 }
 
+/// Marks a response whose body is streamed: it may still break off.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Streamed;
+
 /// The buffered start of a response body.
 pub(crate) enum BodyStart {
     /// The complete body.
--- a/crates/chicoryrail-router/src/route/send_outcome.rs
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -49,8 +49,10 @@
     Ended,
     /// The response belongs to another request.
     Crossed,
-    /// The response is truncated, or something on the way changed it.
+    /// Something on the way changed the response.
     Spoiled,
+    /// The response broke off after its head.
+    Truncated,
     /// No response arrived in time.
     Silent,
     /// The caller's body broke off or stalled while it was being sent. It says nothing of the server.
@@ -90,7 +92,9 @@
             Self::Silent => Cause::Silent,
             Self::BodyFailed(BodyError::Slow) => Cause::StalledBody,
             Self::BodyFailed(BodyError::Cut | BodyError::TooLarge) => Cause::BrokenBody,
-            Self::Broken | Self::Ended | Self::Crossed | Self::Spoiled => Cause::Broken,
+            Self::Broken | Self::Ended | Self::Crossed | Self::Spoiled | Self::Truncated => {
+                Cause::Broken
+            }
         }
     }
 }
@@ -112,6 +116,7 @@
             Self::Indeterminate(Indeterminate::Ended) => "ended",
             Self::Indeterminate(Indeterminate::Crossed) => "crossed",
             Self::Indeterminate(Indeterminate::Spoiled) => "spoiled",
+            Self::Indeterminate(Indeterminate::Truncated) => "truncated",
             Self::Indeterminate(Indeterminate::Silent) => "silent",
             Self::Indeterminate(Indeterminate::BodyFailed(_)) => "body_failed",
         }
@@ -136,7 +141,8 @@
                 Indeterminate::Broken
                 | Indeterminate::Ended
                 | Indeterminate::Crossed
-                | Indeterminate::Spoiled,
+                | Indeterminate::Spoiled
+                | Indeterminate::Truncated,
             ) => Some(Failure::Broken),
             Self::Indeterminate(Indeterminate::Silent) => Some(Failure::Silent),
         }
--- a/crates/chicoryrail-router/src/route/server_exchange.rs
+++ b/crates/chicoryrail-router/src/route/server_exchange.rs
@@ -74,12 +74,15 @@
             .await
         {
             Ok(start) => start,
-            Err(_) => return SendOutcome::Indeterminate(Indeterminate::Spoiled),
+            Err(_) => return SendOutcome::Indeterminate(Indeterminate::Truncated),
         };
     head.headers = strip_hop_by_hop(head.headers);
     head.version = http::Version::HTTP_11;
     head.extensions.clear();
     let is_server_error = head.status.is_server_error();
+    if matches!(start, response_body::BodyStart::Partial(..)) {
+        head.extensions.insert(response_body::Streamed);
+    }
     let response = Response::from_parts(head, response_body::into_body(start, in_flight, reuse));
     if is_server_error {
         SendOutcome::ServerError(response)
--- a/crates/chicoryrail-router/src/route/suspicion.rs
+++ b/crates/chicoryrail-router/src/route/suspicion.rs
@@ -9,12 +9,13 @@
 
 use crate::control;
 use crate::control::Probe;
-use crate::control::ServerCheck;
 use crate::control::begin_probe;
-use crate::control::recheck_server;
 use crate::route::caller_request::CallerRequest;
+use crate::route::response_body::Streamed;
+use crate::route::run::Run;
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::SendOutcome;
+use crate::route::watched_body::WatchedBody;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
@@ -82,57 +83,49 @@
     }
 }
 
-/// Records what the end of a send says of the request: that its server ended under it, or that it ran completely.
+/// Records what the end of a send says of the request: that its server ended under it, or that it ran completely. A streamed
+/// response tells it at its own end.
 pub(super) fn record_send(
     router: &Rc<Router>,
     service: &Rc<Service>,
     call: &CallerRequest,
     body: &RequestBody,
     target: &Rc<Target>,
-    sent: &SendOutcome,
-) {
+    sent: SendOutcome,
+) -> SendOutcome {
+    let may_have_ended =
+        || call.stats.borrow().via.is_none() && target.may_have_ended(router.now());
+    let run = || Run {
+        router: Rc::clone(router),
+        service: Rc::clone(service),
+        target: Rc::clone(target),
+        request: call.fingerprint(body),
+        head: call.head_hash(),
+    };
     match sent {
-        SendOutcome::Indeterminate(Indeterminate::Ended) => {
-            let request = (call.fingerprint(body), call.head_hash());
-            control::record_end(router, service, request, &target.life);
-        }
-        SendOutcome::Indeterminate(Indeterminate::Broken)
-            if call.stats.borrow().via.is_none() && target.may_have_ended(router.now()) =>
+        SendOutcome::Indeterminate(Indeterminate::Ended) => run().record_end(),
+        SendOutcome::Indeterminate(Indeterminate::Broken | Indeterminate::Truncated)
+            if may_have_ended() =>
         {
-            let request = (call.fingerprint(body), call.head_hash());
-            monoio::spawn(record_late_end(
-                Rc::clone(router),
-                Rc::clone(service),
-                Rc::clone(target),
-                request,
-            ));
+            monoio::spawn(run().record_late_end());
         }
-        SendOutcome::Answered(response) | SendOutcome::ServerError(response)
-            if response.status() != StatusCode::GATEWAY_TIMEOUT =>
-        {
+        // A server that gave up at the deadline has not run the request to its end.
+        SendOutcome::Answered(ref response) | SendOutcome::ServerError(ref response)
+            if response.status() == StatusCode::GATEWAY_TIMEOUT => {}
+        SendOutcome::Answered(response) if response.extensions().get::<Streamed>().is_some() => {
+            if !may_have_ended() {
+                return SendOutcome::Answered(response);
+            }
+            return SendOutcome::Answered(response.map(|body| WatchedBody::wrap(body, run())));
+        }
+        SendOutcome::Answered(_) | SendOutcome::ServerError(_) => {
             if let Some(request) = request_in_evidence(router, call, body) {
                 control::record_complete(router, request);
             }
         }
-        // A server that gave up at the deadline has not run the request to its end.
         _ => {}
     }
-}
-
-/// Records the end of a server that still accepted a connection when the request's own had broken.
-async fn record_late_end(
-    router: Rc<Router>,
-    service: Rc<Service>,
-    target: Rc<Target>,
-    request: (Fingerprint, u64),
-) {
-    let check = recheck_server(&target).await;
-    log::info!(server:% = target.life, check = check.name(); "server_rechecked");
-    match check {
-        ServerCheck::Accepted => target.found_alive.set(Some(router.now())),
-        ServerCheck::Refused => control::record_end(&router, &service, request, &target.life),
-        ServerCheck::Unknown => {}
-    }
+    sent
 }
 
 /// Logs that a request is refused because of the servers that ended under it.
--- a/crates/chicoryrail-router/tests/crashing_requests.rs
+++ b/crates/chicoryrail-router/tests/crashing_requests.rs
@@ -155,21 +155,36 @@
     Read,
     Order,
     Keyed,
+    /// A read that ends its server within a short response.
+    ReadTruncated,
+    /// A read that ends its server within a long response, whose start the caller has received by then.
+    ReadStreamed,
 }
 
 impl Kind {
     const fn service(self) -> &'static str {
         match self {
-            Self::Read | Self::Order => "desk",
+            Self::Read | Self::Order | Self::ReadTruncated | Self::ReadStreamed => "desk",
             Self::Keyed => "kits",
         }
     }
 
+    /// Returns the path of the request that ends servers.
+    const fn crash_path(self) -> &'static str {
+        match self {
+            Self::Read | Self::Order | Self::Keyed => "x?crash=1&work_us=5000",
+            Self::ReadTruncated => "x?crash_at=100&body=1000&work_us=5000",
+            Self::ReadStreamed => "x?crash_at=150000&body=300000&work_us=5000",
+        }
+    }
+
     /// Sends a request of this kind; returns `true` if it was served.
     async fn send(self, host: &RouterProcess, path: &str, key: u16) -> bool {
         let caller = host.caller();
         let response = match self {
-            Self::Read => caller.get(&format!("/read/{path}")).await,
+            Self::Read | Self::ReadTruncated | Self::ReadStreamed => {
+                caller.get(&format!("/read/{path}")).await
+            }
             Self::Order => caller.post(&format!("/order/{path}")).await,
             Self::Keyed => {
                 let path = format!("/key/{path}");
@@ -271,13 +286,13 @@
             if beside == Beside::AddressChanges {
                 let from = Ipv4Addr::new(127, 0, 0, turn as u8 + 1);
                 tasks.push(monoio::spawn(async move {
-                    read_from(from, host.callers, "x?crash=1&work_us=5000").await;
+                    read_from(from, host.callers, kind.crash_path()).await;
                 }));
                 monoio::time::sleep(interval.to_duration()).await;
                 continue;
             }
             tasks.push(monoio::spawn(async move {
-                kind.send(&host, "x?crash=1&work_us=5000", 14_273).await;
+                kind.send(&host, kind.crash_path(), 14_273).await;
             }));
             monoio::time::sleep(interval.to_duration()).await;
         }
@@ -379,6 +394,8 @@
 #[case::address_changes(Kind::Read, Beside::AddressChanges, REPEAT_INTERVAL)]
 #[case::leaf_host(Kind::Read, Beside::LeafHost, REPEAT_INTERVAL)]
 #[case::often(Kind::Read, Beside::Nothing, SHORT_INTERVAL)]
+#[case::truncated(Kind::ReadTruncated, Beside::Nothing, REPEAT_INTERVAL)]
+#[case::streamed(Kind::ReadStreamed, Beside::Nothing, REPEAT_INTERVAL)]
 #[case::paths_lost(Kind::Read, Beside::PathsLost, REPEAT_INTERVAL)]
 #[case::granter_killed(Kind::Read, Beside::GranterKilled, REPEAT_INTERVAL)]
 #[case::granter_killed_often(Kind::Read, Beside::GranterKilled, SHORT_INTERVAL)]
--- a/crates/chicoryrail-testkit/src/target/respond.rs
+++ b/crates/chicoryrail-testkit/src/target/respond.rs
@@ -101,7 +101,13 @@
     };
     let last = state.last_response.replace(Some(own_head.clone()));
     let sent_head = last.filter(|_| faults.crossed).unwrap_or(own_head);
-    let body = ResponseBody::new(&sent_head, work.chunked, faults.cut_after);
+    let body = match work.crashes_at {
+        Some(bytes) => {
+            let body = ResponseBody::new(&sent_head, work.chunked, Some(bytes));
+            body.with_crash(state.crash.clone())
+        }
+        None => ResponseBody::new(&sent_head, work.chunked, faults.cut_after),
+    };
     let mut response: Response<Body> = Response::new(Box::pin(body));
     if faults.failed {
         *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
--- a/crates/chicoryrail-testkit/src/target/response.rs
+++ b/crates/chicoryrail-testkit/src/target/response.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
+use chicoryrail_runtime::CancellationToken;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -90,6 +91,8 @@
     bytes_until_cut: Option<u64>,
     /// The [`FLUSH_DELAY`] in progress.
     flush_delay: Option<Pin<Box<Sleep>>>,
+    /// Cancelled when the body fails, if that ends the server.
+    crash: Option<CancellationToken>,
 }
 
 impl ResponseBody {
@@ -104,9 +107,16 @@
             chunked,
             bytes_until_cut,
             flush_delay: None,
+            crash: None,
         }
     }
 
+    /// Cancels a token when the body fails.
+    pub(crate) fn with_crash(mut self, crash: CancellationToken) -> Self {
+        self.crash = Some(crash);
+        self
+    }
+
     fn remaining(&self) -> u64 {
         self.head.as_ref().map_or(0, |h| h.len() as u64) + self.length - self.generated
     }
@@ -138,6 +148,9 @@
                 .flush_delay
                 .get_or_insert_with(|| Box::pin(sleep(FLUSH_DELAY.to_duration())));
             ready!(flush_delay.as_mut().poll(context));
+            if let Some(crash) = &self.crash {
+                crash.cancel();
+            }
             return Poll::Ready(Some(Err(io::Error::other("fault: cut"))));
         }
         let Some(mut chunk) = self.next_frame() else {
--- a/crates/chicoryrail-testkit/src/target/server.rs
+++ b/crates/chicoryrail-testkit/src/target/server.rs
@@ -49,7 +49,8 @@
 /// | any other | runs as a caller's request |
 ///
 /// A caller's request has the query parameters `work_us` (service time in microseconds), `body` (bytes after the
-/// first line), `chunked=1` and `crash=1` (the request ends the server after its service time). The response's body starts with a line of JSON that names the request
+/// first line), `chunked=1`, `crash=1` (the request ends the server after its service time) and `crash_at` (it ends the
+/// server after this many bytes of its response). The response's body starts with a line of JSON that names the request
 /// ([`crate::ResponseHead`]).
 #[derive(Clone, Debug)]
 pub struct TargetServer {
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -28,6 +28,8 @@
     pub(super) length: u64,
     pub(super) chunked: bool,
     pub(super) crashes: bool,
+    /// Number of bytes of the response after which the request ends the server.
+    pub(super) crashes_at: Option<u64>,
     /// Declared length of the body.
     pub(super) body_bytes: u64,
 }
@@ -50,6 +52,7 @@
             length: query_param(&head.uri, "body").unwrap_or(0),
             chunked: query_param::<u8>(&head.uri, "chunked") == Some(1),
             crashes: query_param::<u8>(&head.uri, "crash") == Some(1),
+            crashes_at: query_param(&head.uri, "crash_at"),
             body_bytes: text(&CONTENT_LENGTH)
                 .and_then(|v| v.parse().ok())
                 .unwrap_or(0),
