fix(config-feed): a poll for key maps is answered at once again

Cause: since a relay holds every poll of a host that has data for 60 ms, also those of hosts that heard of a newer key map and poll the leader for it. Found while reading the diff; those hosts would have sent requests to former owners for 60 ms longer, at sites whose key map exceeds a datagram.

Change: such a poll does not ask for news of requests that end servers, and a poll without that is not held, which also spares hosts of an earlier version, as they pause between polls themselves.

--- a/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -3,53 +3,29 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use chicoryrail_core::Millis;
 use chicoryrail_ownership::HostState;
 use chicoryrail_platform::FeedNews;
 use chicoryrail_runtime::HttpClient;
-use chicoryrail_runtime::HttpError;
-use chicoryrail_runtime::ResponseTimeouts;
-use http::Request;
-use http::Response;
-use http::header::ACCEPT_ENCODING;
-use http::header::CONTENT_ENCODING;
 use monoio::time::timeout;
-use snafu::ResultExt;
-use snafu::Snafu;
 
 use crate::control::config_feed::follow::FEEDS;
 use crate::control::config_feed::follow::apply_changes;
 use crate::control::config_feed::follow::apply_snapshot;
 use crate::control::config_feed::relay::BATCH_TIME;
-use crate::control::config_feed::relay::POLL_MAX;
-use crate::control::config_feed::relay::RELAY_PATH;
+use crate::control::config_feed::relay_poll::poll;
 use crate::control::crashes::apply_news;
 use crate::control::scheduling;
 use crate::messages::ConfigAge;
 use crate::messages::CrashUpdate;
-use crate::messages::DecompressionError;
-use crate::messages::ENCODING;
 use crate::messages::FollowerAnswer;
-use crate::messages::FollowerPoll;
-use crate::messages::KeyFence;
 use crate::messages::KeyMap;
 use crate::messages::KeyMapChanges;
 use crate::messages::RelayAnswer;
-use crate::messages::RelayPoll;
 use crate::messages::RelayReply;
-use crate::messages::RelayRequest;
-use crate::messages::decode;
-use crate::messages::decompress;
-use crate::messages::encode;
 use crate::state::Router;
 use crate::state::Source;
 
-/// Time beyond the relay's longest wait after which it counts as lost, and longest pause within an arriving reply. A
-/// busy host with a tenth of a core replies within it. If a watcher and then a relay are lost, both are detected soon
-/// enough that every host knows of a draining server within 2 s.
-const REPLY_SLACK: Millis = Millis(350);
-
 /// Pause after a failure.
 const FAILURE_PAUSE: Millis = Millis(60);
 
@@ -57,26 +33,9 @@
 /// polls.
 const CRASH_NEWS_PAUSE: Millis = Millis(5);
 
-/// Size from which a reply is logged, with the time for which it occupied the link.
-const LARGE_REPLY_BYTES: usize = 64 << 10;
-
 /// Time between two attempts to reach a relay by a leaf host that watches the store because it found none.
 const RELAY_RETRY_INTERVAL: Millis = Millis(1_000);
 
-/// Why a relay gave no reply.
-#[derive(Debug, Snafu)]
-pub(super) enum RelayError {
-    /// The call failed.
-    #[snafu(display("{source}"))]
-    Call { source: HttpError },
-    /// The reply can't be decompressed.
-    #[snafu(display("reply can't be decompressed: {source}"))]
-    Decompress { source: DecompressionError },
-    /// The reply can't be decoded.
-    #[snafu(display("reply can't be decoded: {source}"))]
-    Decode { source: bincode::error::DecodeError },
-}
-
 /// Polls a relay while this host does not watch the store itself, and applies its replies.
 ///
 /// A leaf host that watches the store also polls a core host at intervals, to find out when a relay replies again.
@@ -103,7 +62,8 @@
             continue;
         };
         let sent = router.now();
-        let pause = match poll(&router, &client, addr).await {
+        let known_crashes = router.source.crash_version.get();
+        let pause = match poll(&router, &client, addr, Some(known_crashes)).await {
             Ok(FollowerAnswer { answer, crashes }) => {
                 router.source.last_relay_reply.set(router.now());
                 let config_age = answer.reply.config;
@@ -142,39 +102,6 @@
     BATCH_TIME.since(took)
 }
 
-pub(super) async fn poll(
-    router: &Router,
-    client: &HttpClient,
-    addr: SocketAddr,
-) -> Result<FollowerAnswer, RelayError> {
-    let poll = FollowerPoll {
-        poll: RelayPoll {
-            request: poll_request(router),
-            accepts_changes: true,
-        },
-        crashes: Some(router.source.crash_version.get()),
-    };
-    let bytes = encode(&poll);
-    let bytes = bytes.unwrap_or_else(|e| {
-        log::error!(error:% = e; "relay_request_unwritable");
-        Vec::new()
-    });
-    let request = Request::post(RELAY_PATH).header(ACCEPT_ENCODING, ENCODING);
-    let request = request.body(Bytes::from(bytes));
-    let request = request.expect("a fixed path and header are a valid request");
-    let timeouts = ResponseTimeouts {
-        first_piece: POLL_MAX + REPLY_SLACK,
-        next_piece: REPLY_SLACK,
-    };
-    // A reply that is still arriving counts as one, so that a leaf host does not start to watch the store.
-    let arrived = || router.source.last_relay_reply.set(router.now());
-    let sent = router.now();
-    let response = client.call_while_receiving(addr, request, timeouts, arrived);
-    let response = response.await.context(CallSnafu)?;
-    log_large_reply(addr, &response, router.now().since(sent));
-    read_reply(&response)
-}
-
 /// Logs that a relay reported requests that end servers; `took` tells how long the poll had been open.
 fn log_crash_news(relay: SocketAddr, update: &CrashUpdate, took: Millis) {
     let records = update.news.records.len();
@@ -183,57 +110,6 @@
     }
 }
 
-fn log_large_reply(relay: SocketAddr, response: &Response<Bytes>, took: Millis) {
-    let bytes = response.body().len();
-    if bytes >= LARGE_REPLY_BYTES {
-        log::info!(relay:% = relay, bytes = bytes, took_ms = took.0; "relay_reply_large");
-    }
-}
-
-fn read_reply(response: &Response<Bytes>) -> Result<FollowerAnswer, RelayError> {
-    let encoding = response.headers().get(CONTENT_ENCODING);
-    if encoding.is_some_and(|e| e == ENCODING) {
-        let message = decompress(response.body()).context(DecompressSnafu)?;
-        return read_answer(&message).context(DecodeSnafu);
-    }
-    read_answer(response.body()).context(DecodeSnafu)
-}
-
-/// Decodes an answer, also one of an earlier version, which has no changes of key maps or no news of requests that end
-/// servers.
-fn read_answer(message: &[u8]) -> Result<FollowerAnswer, bincode::error::DecodeError> {
-    if let Ok(answer) = decode::<FollowerAnswer>(message) {
-        return Ok(answer);
-    }
-    let answer = decode::<RelayAnswer>(message).or_else(|_| {
-        let reply = decode::<RelayReply>(message)?;
-        Ok(RelayAnswer {
-            reply,
-            key_changes: Vec::new(),
-        })
-    })?;
-    Ok(FollowerAnswer {
-        answer,
-        crashes: None,
-    })
-}
-
-fn poll_request(router: &Router) -> RelayRequest {
-    let view = router.store_view.borrow();
-    let keyed = router.services().into_iter().filter(|s| s.is_keyed());
-    let fences = keyed.map(|s| KeyFence {
-        service: s.name.clone(),
-        fence: s.keys.borrow().fence(),
-    });
-    RelayRequest {
-        host: router.boot().host.clone(),
-        leaf: !router.source.is_core_host.get(),
-        store: router.store_up.get(),
-        revisions: FEEDS.map(|feed| view.read_revision(feed)),
-        fences: fences.collect(),
-    }
-}
-
 /// Applies a relay's answer to this host's view.
 fn apply_answer(router: &Rc<Router>, answer: RelayAnswer) {
     let RelayAnswer { reply, key_changes } = answer;
--- a/crates/chicoryrail-router/src/control/config_feed/leader_keys.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/leader_keys.rs
@@ -6,7 +6,7 @@
 use chicoryrail_runtime::HttpClient;
 
 use crate::control::config_feed::follow_relay::apply_keys;
-use crate::control::config_feed::follow_relay::poll;
+use crate::control::config_feed::relay_poll::poll;
 use crate::messages::FollowerAnswer;
 use crate::state::Router;
 
@@ -25,7 +25,7 @@
             router.newer_keys.found.wait_past(seen).await;
             continue;
         };
-        match poll(&router, &client, leader).await {
+        match poll(&router, &client, leader, None).await {
             Ok(FollowerAnswer { answer, .. }) => {
                 apply_keys(&router, &answer.reply.keys, &answer.key_changes);
             }
--- a/crates/chicoryrail-router/src/control/config_feed/mod.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/mod.rs
@@ -5,6 +5,7 @@
 mod follow_relay;
 mod leader_keys;
 mod relay;
+mod relay_poll;
 mod verify_config;
 
 pub(crate) use follow::follow_feeds;
--- a/crates/chicoryrail-router/src/control/config_feed/relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay.rs
@@ -104,9 +104,10 @@
     known_crashes: Option<CrashVersion>,
     received: Millis,
 ) {
-    // A host that starts has nothing yet, and is not ready until it has.
-    let is_starting = poll.revisions.contains(&None);
-    let batch_end = if is_starting {
+    // A host that starts has nothing yet, and is not ready until it has. One that does not ask for news of requests that
+    // end servers polls the leader for key maps that it lacks, or is of an earlier version and pauses between polls itself.
+    let is_urgent = poll.revisions.contains(&None) || known_crashes.is_none();
+    let batch_end = if is_urgent {
         received
     } else {
         received + BATCH_TIME
