--- a/crates/chicoryrail-router/src/route/attempt_refusal.rs
+++ b/crates/chicoryrail-router/src/route/attempt_refusal.rs
@@ -59,6 +59,7 @@
     /// not run.
     pub(super) fn refuse(&self, cause: Cause, capacity_in: Millis) -> Refusal {
         if self.possible_runs > 0 {
+            self.log_retry_refused(cause);
             let cause = if cause == Cause::Late {
                 Cause::Silent
             } else {
--- a/crates/chicoryrail-router/src/route/attempt_timeout.rs
+++ b/crates/chicoryrail-router/src/route/attempt_timeout.rs
@@ -71,6 +71,8 @@
             .with_label_values(&labels)
             .inc();
         log::info!(request = self.call.id, server:% = life, service:% = self.service.name,
-            route = self.call.route.name, limit_ms = limit.0, end = end; "unanswered");
+            route = self.call.route.name, limit_ms = limit.0, end = end,
+            left_ms = self.call.time_left(self.router.now()).0,
+            stopping = self.router.process.stop.is_cancelled(); "unanswered");
     }
 }
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -13,7 +13,6 @@
 
 use crate::control::Probe;
 use crate::route::caller_request::CallerRequest;
-use crate::route::caller_request::SEND_TIME_MIN;
 use crate::route::candidates;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
@@ -108,23 +107,25 @@
                 continue;
             }
             self.tried.push(life);
-            let (refusal, reached_server) = match sent {
+            match sent {
                 SendOutcome::Answered(response) => return Ok(response),
                 SendOutcome::ServerError(response) => {
                     self.possible_runs += 1;
                     if !self.may_retry(true) {
                         return Ok(response);
                     }
-                    continue;
                 }
-                SendOutcome::NotRun(why) => (self.refuse_not_run(why), why.reached_server()),
+                SendOutcome::NotRun(why) => {
+                    if !self.may_retry(why.reached_server()) {
+                        return Err(self.refuse_not_run(why));
+                    }
+                }
                 SendOutcome::Indeterminate(why) => {
                     self.possible_runs += 1;
-                    (why.cause().into(), true)
+                    if !self.may_retry(true) {
+                        return Err(why.cause().into());
+                    }
                 }
-            };
-            if !self.may_retry(reached_server) {
-                return Err(refusal);
             }
         }
     }
@@ -181,29 +182,6 @@
         Ok(())
     }
 
-    /// Returns `true` if the request may be sent again. If the last send reached a server (`reached_server`), the next
-    /// one is a retry and consumes the retry budget.
-    fn may_retry(&self, reached_server: bool) -> bool {
-        let not_run = self.possible_runs == 0;
-        let may = (not_run || self.call.is_idempotent())
-            && self.possible_runs < self.call.route.max_attempts
-            && self.tried.len() < 2 + self.call.route.max_attempts as usize
-            && self.body.is_replayable()
-            && self.call.time_left(self.router.now()) > SEND_TIME_MIN
-            && !self.call.caller_left.is_cancelled()
-            && self.withheld().is_none();
-        if !may || !reached_server {
-            return may;
-        }
-        let limits = self.router.retry_limits();
-        let now = self.router.now();
-        let may = self.service.retries.borrow_mut().try_take(now, &limits);
-        if !may {
-            log::info!(request = self.call.id, service:% = self.service.name; "no_repeat_left");
-        }
-        may
-    }
-
     /// Returns why no server may receive the request from this host; `None` if one may.
     pub(super) fn withheld(&self) -> Option<Withheld> {
         candidates::withheld(self.router, &self.service, self.call, self.router.now())
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -19,6 +19,7 @@
 mod request_identity;
 mod request_stats;
 mod response_body;
+mod retry;
 mod run;
 mod send;
 mod send_outcome;
--- /dev/null
+++ b/crates/chicoryrail-router/tests/abandoned_attempts.rs
@@ -0,0 +1,97 @@
+//! Requests at servers that respond later than usual: the response must reach the caller.
+
+mod support;
+
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::TargetFault;
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use support::RouterProcess;
+use support::Server;
+use support::World;
+use support::wait_until;
+
+const KEY: u16 = 7;
+
+/// Number of responses from which a host knows the usual response time, with a margin.
+const OBSERVED: usize = 210;
+
+/// Response time of a slow server. A host gives up an attempt after 600 ms, and a second one would end after the time
+/// limit of 1,500 ms.
+const SLOW: Millis = Millis(1_100);
+
+/// Starts a server of `service` and a router that knows its usual response time.
+async fn start(test: &str, service: &str) -> (World, Rc<Server>, RouterProcess) {
+    let world = World::start(test).await;
+    world.configure().await;
+    let server = world.server("s-1", service).await;
+    let router = world.router("a").await;
+    if service == "kits" {
+        wait_until("the key is granted", async || server.owns(KEY)).await;
+    }
+    let caller = router.caller();
+    let (path, key) = request(service);
+    for _ in 0..OBSERVED {
+        assert_eq!(
+            caller.call("GET", path, key, 1_500).await.unwrap().status(),
+            200
+        );
+    }
+    (world, server, router)
+}
+
+/// Returns the path and the key of a read of a service.
+fn request(service: &str) -> (&'static str, Option<u16>) {
+    match service {
+        "kits" => ("/key/x", Some(KEY)),
+        _ => ("/read/x", None),
+    }
+}
+
+/// Guards against a read that is given up at a server that runs it, after a signal that came while it ran.
+#[rstest]
+#[case::stop_with_key("kits", Signal::SIGTERM)]
+#[case::stop_without_key("desk", Signal::SIGTERM)]
+#[case::reload_with_key("kits", Signal::SIGHUP)]
+#[case::reload_without_key("desk", Signal::SIGHUP)]
+fn a_read_that_runs_at_a_signal_gets_its_response(#[case] service: &str, #[case] signal: Signal) {
+    block_on(async {
+        let (_world, server, router) = start("signalled", service).await;
+        let runs = server.executed();
+        server.set_work(SLOW);
+        let caller = router.caller();
+        let (path, key) = request(service);
+        let running = monoio::spawn(async move { caller.call("GET", path, key, 1_500).await });
+        monoio::time::sleep(Millis(300).to_duration()).await;
+        router.signal(signal);
+        let response = running.await.unwrap();
+        assert_eq!(response.status(), 200, "{response:?}");
+        assert!(server.executed() > runs);
+    });
+}
+
+/// Guards against a read that is given up at a server that runs it, although no other send can replace it: the server
+/// refuses all further requests.
+#[rstest]
+#[case::with_key("kits")]
+#[case::without_key("desk")]
+fn a_read_that_can_not_be_sent_again_gets_its_response(#[case] service: &str) {
+    block_on(async {
+        let (_world, server, router) = start("refused-again", service).await;
+        server.set_work(SLOW);
+        let caller = router.caller();
+        let (path, key) = request(service);
+        let running = monoio::spawn(async move { caller.call("GET", path, key, 1_500).await });
+        monoio::time::sleep(Millis(300).to_duration()).await;
+        server.fault(TargetFault::Refuse {
+            for_ms: 600_000,
+            share: 1.0,
+            backoff_ms: None,
+        });
+        let response = running.await.unwrap();
+        assert_eq!(response.status(), 200, "{response:?}");
+    });
+}
