fix(route): an overdue send runs on beside the next one

Cause, from log lines: a send without a response for longer than usual was cancelled first, and only then the host asked whether the request could be sent again. Whether the process stops was asked once, before the send. Class: what is in hand is given up before its replacement is secured, on a decision taken when the send began.

Change: the send is not cancelled. When it is overdue, and the request may be sent again, the next send runs beside it, and the first response is used; the overdue one is cancelled only for another response. So nothing has to be decided about stops, reloads or configurations. An overdue send leaves its slot at the scheduler as before, and is reported as before. Whether a send passed through another host is kept with the send, as two may run.

--- /dev/null
+++ b/crates/chicoryrail-router/src/route/attempt.rs
@@ -0,0 +1,160 @@
+//! Sends a request to its assigned server, and again beside the first send if that one gets no response in time.
+
+use std::rc::Rc;
+
+use chicoryrail_core::Life;
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::Body;
+use futures_util::future::Either;
+use futures_util::future::LocalBoxFuture;
+use futures_util::future::select;
+use http::Response;
+use monoio::time::timeout;
+
+use crate::control::Probe;
+use crate::route::attempts::Attempts;
+use crate::route::caller_request::CallerRequest;
+use crate::route::refusal::Cause;
+use crate::route::refusal::Refusal;
+use crate::route::send::record_overdue;
+use crate::route::send::send;
+use crate::route::send_outcome::Indeterminate;
+use crate::route::send_outcome::NotRun;
+use crate::route::send_outcome::SendOutcome;
+use crate::route::slot_guard::SlotGuard;
+use crate::route::suspicion;
+use crate::state::Router;
+use crate::state::Service;
+use crate::state::Target;
+
+/// A server for a request that may be sent.
+pub(super) struct Permitted {
+    pub(super) target: Rc<Target>,
+    pub(super) slot: Rc<SlotGuard>,
+    /// The granted run of a suspected request.
+    pub(super) probe: Option<Probe>,
+}
+
+/// A send that has got no response within the usual time, and may still get one.
+pub(super) struct Overdue<'a> {
+    life: Life,
+    /// Time without a response after which the send was overdue.
+    limit: Millis,
+    sent: LocalBoxFuture<'a, SendOutcome>,
+}
+
+/// A send after the usual time for its response.
+pub(super) enum Sent<'a> {
+    /// The send has ended.
+    Ended(SendOutcome),
+    /// The send has no response yet, and the request may be sent again.
+    Overdue(Overdue<'a>),
+}
+
+impl<'a> Attempts<'a> {
+    /// Sends the request to its assigned server. If it may be sent again, waits no longer than usual for the response.
+    pub(super) async fn send_in_time(&mut self, permitted: Permitted) -> Sent<'a> {
+        let begun = self.router.now();
+        let (target, slot) = (Rc::clone(&permitted.target), Rc::clone(&permitted.slot));
+        let life = target.life.clone();
+        let mut sent = self.send_once(permitted);
+        if let Some(limit) = self.response_limit() {
+            match timeout(limit.to_duration(), &mut sent).await {
+                Ok(sent) => return self.record_sent(life, begun, sent),
+                Err(_) if self.may_send_beside() => {
+                    let (router, service) = (self.router, &self.service);
+                    record_overdue(router, service, &target, self.call, &slot, limit);
+                    self.tried.push(life.clone());
+                    return Sent::Overdue(Overdue { life, limit, sent });
+                }
+                Err(_) => {}
+            }
+        }
+        let sent = sent.await;
+        self.record_sent(life, begun, sent)
+    }
+
+    /// Records a send that has ended; it began at `begun`.
+    fn record_sent(&mut self, life: Life, begun: Millis, sent: SendOutcome) -> Sent<'a> {
+        if matches!(sent, SendOutcome::Indeterminate(Indeterminate::Silent)) {
+            let waited = self.router.now().since(begun);
+            self.record_unanswered(&life, waited, "waited");
+        }
+        if !matches!(sent, SendOutcome::NotRun(NotRun::Suspected)) {
+            self.tried.push(life);
+        }
+        Sent::Ended(sent)
+    }
+
+    /// Sends the request again beside an overdue send, and returns the first response.
+    ///
+    /// The overdue send is cancelled only for another response: whatever prevents the second send, a response that the
+    /// first server is about to send reaches the caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if no send got a response.
+    pub(super) async fn run_beside(
+        &mut self,
+        overdue: Overdue<'a>,
+    ) -> Result<Response<Body>, Refusal> {
+        let Overdue { life, limit, sent } = overdue;
+        self.possible_runs += 1;
+        let again: LocalBoxFuture<'_, _> = Box::pin(self.run());
+        let response = match select(sent, again).await {
+            Either::Left((SendOutcome::Answered(response), _)) => return Ok(response),
+            Either::Left((sent, again)) => return again.await.or_else(|_| into_result(sent)),
+            Either::Right((Ok(response), _)) => response,
+            Either::Right((Err(_), sent)) => return into_result(sent.await),
+        };
+        self.record_abandoned(&life, limit);
+        Ok(response)
+    }
+
+    /// Sends the request once, and waits for the response to the end of its time.
+    fn send_once(&self, permitted: Permitted) -> LocalBoxFuture<'a, SendOutcome> {
+        let (router, call, body) = (self.router, self.call, self.body);
+        let service = Rc::clone(&self.service);
+        let tries = self.tried.len() + 1;
+        Box::pin(async move {
+            let Permitted {
+                target,
+                slot,
+                probe,
+            } = permitted;
+            let sent = send(router, &service, &target, &slot, call, body).await;
+            let server = (&target, slot.is_forwarded());
+            let sent = suspicion::record_send(router, &service, call, body, server, sent);
+            drop(slot);
+            drop(probe);
+            log_send(router, &service, call, &target.life, &sent, tries);
+            sent
+        })
+    }
+}
+
+/// Returns what the caller gets if nothing else served the request. Another send may have run.
+fn into_result(sent: SendOutcome) -> Result<Response<Body>, Refusal> {
+    match sent {
+        SendOutcome::Answered(response) | SendOutcome::ServerError(response) => Ok(response),
+        SendOutcome::Indeterminate(why) => Err(why.cause().into()),
+        SendOutcome::NotRun(_) => Err(Cause::Broken.into()),
+    }
+}
+
+/// Logs how a send ended that did not bring the server's response.
+fn log_send(
+    router: &Router,
+    service: &Service,
+    call: &CallerRequest,
+    life: &Life,
+    sent: &SendOutcome,
+    tries: usize,
+) {
+    if matches!(sent, SendOutcome::Answered(_)) {
+        return;
+    }
+    log::info!(request = call.id, server:% = life, service:% = service.name, tries = tries,
+        fence = service.keys.borrow().fence(), left_ms = call.time_left(router.now()).0;
+        "send_{}", sent.name());
+}
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -11,21 +11,18 @@
 use http::Response;
 use monoio::time::timeout;
 
-use crate::control::Probe;
+use crate::route::attempt::Permitted;
+use crate::route::attempt::Sent;
 use crate::route::caller_request::CallerRequest;
 use crate::route::candidates;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
-use crate::route::send::send;
-use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
-use crate::route::slot_guard::SlotGuard;
 use crate::route::suspicion;
 use crate::route::suspicion::Permission;
 use crate::state::Router;
 use crate::state::Service;
-use crate::state::Target;
 
 /// Longest time until a suspected request asks again whether it may run.
 const TURN_POLL_INTERVAL: Millis = Millis(20);
@@ -45,13 +42,6 @@
     pub(super) possible_runs: u32,
 }
 
-/// A server for a request that may be sent.
-struct Permitted {
-    assignment: (Rc<Target>, SlotGuard),
-    /// The granted run of a suspected request.
-    probe: Option<Probe>,
-}
-
 /// Serves a request, with retries within the limits of its route and the retry budget.
 ///
 /// # Errors
@@ -78,36 +68,19 @@
 }
 
 impl Attempts<'_> {
-    async fn run(&mut self) -> Result<Response<Body>, Refusal> {
+    /// Sends the request until it is served, or may not be sent again.
+    pub(super) async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         let begun = self.router.now();
         loop {
-            let Permitted { assignment, probe } = self.acquire_permitted(begun).await?;
+            let permitted = self.acquire_permitted(begun).await?;
             self.read_upload_start().await?;
-            let target = Rc::clone(&assignment.0);
-            let life = target.life.clone();
-            let response_timeout = self.attempt_timeout();
-            let is_last = response_timeout >= self.call.time_left(self.router.now());
-            let (service, call, body) = (&self.service, self.call, self.body);
-            let sent = send(
-                self.router,
-                service,
-                assignment,
-                call,
-                body,
-                response_timeout,
-            )
-            .await;
-            let sent = suspicion::record_send(self.router, service, call, body, &target, sent);
-            drop(probe);
-            self.log(&life, &sent);
-            if matches!(sent, SendOutcome::Indeterminate(Indeterminate::Silent)) {
-                self.record_unanswered(&life, response_timeout, is_last);
-            }
-            if matches!(sent, SendOutcome::NotRun(NotRun::Suspected)) {
-                continue;
-            }
-            self.tried.push(life);
+            let sent = match self.send_in_time(permitted).await {
+                Sent::Ended(sent) => sent,
+                Sent::Overdue(overdue) => return self.run_beside(overdue).await,
+            };
             match sent {
+                // Evidence against the request arrived before anything was sent; it waits for its turn.
+                SendOutcome::NotRun(NotRun::Suspected) => {}
                 SendOutcome::Answered(response) => return Ok(response),
                 SendOutcome::ServerError(response) => {
                     self.possible_runs += 1;
@@ -141,19 +114,26 @@
     }
 
     /// Waits for a server, and until the request may be sent; `begun` is when the request began to wait.
-    async fn acquire_permitted(&self, begun: Millis) -> Result<Permitted, Refusal> {
+    pub(super) async fn acquire_permitted(&self, begun: Millis) -> Result<Permitted, Refusal> {
         let (router, call, body) = (self.router, self.call, self.body);
         loop {
             if suspicion::standing(router, call, body) == Standing::Blocked {
                 return Err(self.refuse_blocked());
             }
-            let assignment = self.acquire_for_caller().await?;
+            let (target, slot) = self.acquire_for_caller().await?;
             let permission = suspicion::request_permission(router, &self.service, call, body);
             match permission.await {
-                Permission::Granted(probe) => return Ok(Permitted { assignment, probe }),
+                Permission::Granted(probe) => {
+                    let slot = Rc::new(slot);
+                    return Ok(Permitted {
+                        target,
+                        slot,
+                        probe,
+                    });
+                }
                 Permission::Blocked => {}
                 Permission::Wait => {
-                    drop(assignment);
+                    drop(slot);
                     self.wait_for_turn(begun).await?;
                 }
             }
@@ -186,13 +166,4 @@
     pub(super) fn withheld(&self) -> Option<Withheld> {
         candidates::withheld(self.router, &self.service, self.call, self.router.now())
     }
-
-    fn log(&self, life: &Life, sent: &SendOutcome) {
-        if matches!(sent, SendOutcome::Answered(_)) {
-            return;
-        }
-        log::info!(request = self.call.id, server:% = life, service:% = self.service.name,
-            tries = self.tried.len() + 1, fence = self.service.keys.borrow().fence(),
-            left_ms = self.call.time_left(self.router.now()).0; "send_{}", sent.name());
-    }
 }
--- a/crates/chicoryrail-router/src/route/in_flight.rs
+++ b/crates/chicoryrail-router/src/route/in_flight.rs
@@ -68,6 +68,9 @@
     ) -> &mut ServerConn {
         self.detach();
         forwarder.in_flight.set(forwarder.in_flight.get() + 1);
+        if let Some(slot) = &self.slot {
+            slot.record_forwarded();
+        }
         self.forwarder = Some(Rc::clone(forwarder));
         let pool = Rc::clone(&forwarder.pool);
         &mut self.conn.insert((conn, pool)).0
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -2,8 +2,8 @@
 
 mod acquire;
 mod admission;
+mod attempt;
 mod attempt_refusal;
-mod attempt_timeout;
 mod attempts;
 mod caller;
 mod caller_request;
@@ -19,6 +19,7 @@
 mod request_identity;
 mod request_stats;
 mod response_body;
+mod response_limit;
 mod retry;
 mod run;
 mod send;
--- a/crates/chicoryrail-router/src/route/retry.rs
+++ b/crates/chicoryrail-router/src/route/retry.rs
@@ -49,15 +49,13 @@
             return true;
         };
         if reached_server {
-            log::info!(request = self.call.id, service:% = self.service.name, reason = denial.name(),
-                left_ms = self.call.time_left(self.router.now()).0,
-                stopping = self.router.process.stop.is_cancelled(); "retry_denied");
+            self.log_retry_denied(denial);
         }
         false
     }
 
     /// Returns why the request may not be sent again, whatever the retry budget allows.
-    fn retry_denial(&self) -> Option<RetryDenial> {
+    pub(super) fn retry_denial(&self) -> Option<RetryDenial> {
         let max_attempts = self.call.route.max_attempts;
         if self.possible_runs > 0 && !self.call.is_idempotent() {
             Some(RetryDenial::AtMostOnce)
@@ -79,12 +77,19 @@
     }
 
     /// Takes a retry from the budget; returns `false` if there is none.
-    fn take_retry(&self) -> bool {
+    pub(super) fn take_retry(&self) -> bool {
         let limits = self.router.retry_limits();
         let now = self.router.now();
         self.service.retries.borrow_mut().try_take(now, &limits)
     }
 
+    /// Logs why a request is not sent again.
+    pub(super) fn log_retry_denied(&self, denial: RetryDenial) {
+        log::info!(request = self.call.id, service:% = self.service.name, reason = denial.name(),
+            left_ms = self.call.time_left(self.router.now()).0,
+            stopping = self.router.process.stop.is_cancelled(); "retry_denied");
+    }
+
     /// Logs that a request which a server may have run finds no server to be sent to again; `cause` is why.
     pub(super) fn log_retry_refused(&self, cause: Cause) {
         log::info!(request = self.call.id, service:% = self.service.name, cause = cause.name(),
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -29,17 +29,15 @@
 use crate::state::Target;
 use crate::state::check_path;
 
-/// Sends a request to its assigned server and waits for the response, at most for `response_timeout`.
+/// Sends a request to its assigned server, and waits for the response to the end of its time.
 pub(crate) async fn send(
     router: &Rc<Router>,
     service: &Rc<Service>,
-    assignment: (Rc<Target>, SlotGuard),
+    target: &Rc<Target>,
+    slot: &Rc<SlotGuard>,
     call: &CallerRequest,
     body: &Rc<RequestBody>,
-    response_timeout: Millis,
 ) -> SendOutcome {
-    let (target, slot) = assignment;
-    let (target, slot) = (&target, Rc::new(slot));
     let now = router.now();
     let idle = service.loads.borrow().has_free_slot(now, target.id);
     let started = Instant::now();
@@ -52,15 +50,15 @@
         call.is_idempotent() || not_run,
         || format!("request={} server={}", call.id, target.life),
     );
-    let in_flight = InFlight::new(service, target, Some(Rc::clone(&slot)));
+    let in_flight = InFlight::new(service, target, Some(Rc::clone(slot)));
     let exchange = exchange_unless_cut(router, call, body, in_flight);
-    let sent = match timeout(response_timeout.to_duration(), exchange).await {
+    let sent = match timeout(call.time_left(now).to_duration(), exchange).await {
         Ok(sent) => sent,
         Err(_) if body.flow().is_some_and(UploadFlow::awaits_caller) => {
             SendOutcome::Indeterminate(Indeterminate::BodyFailed(BodyError::Slow))
         }
         Err(_) => {
-            if call.stats.borrow().via.is_none() {
+            if !slot.is_forwarded() && !slot.is_released() {
                 record_no_response(router, service, target, call);
             }
             SendOutcome::Indeterminate(Indeterminate::Silent)
@@ -96,6 +94,8 @@
                 }
             }
         }
+        // An overdue send has been counted against the server.
+        Some(_) if slot.is_released() => {}
         Some(failure) => loads.record_failure(now, target.id, failure),
     }
     let labels = [service.name.as_str(), sent.name()];
@@ -103,6 +103,27 @@
     sent
 }
 
+/// Counts a send without a response within the usual time against its server, as its scheduler does. The request leaves its
+/// slot, in which the next send may run.
+pub(super) fn record_overdue(
+    router: &Rc<Router>,
+    service: &Rc<Service>,
+    target: &Rc<Target>,
+    call: &CallerRequest,
+    slot: &SlotGuard,
+    elapsed: Millis,
+) {
+    if !slot.is_forwarded() {
+        record_no_response(router, service, target, call);
+    }
+    let silent = SendOutcome::Indeterminate(Indeterminate::Silent);
+    let elapsed_us = elapsed.0 as f64 * 1_000.0;
+    slot.record_end(elapsed_us, slot_failure(router, call, &silent, elapsed_us));
+    slot.release();
+    let mut loads = service.loads.borrow_mut();
+    loads.record_failure(router.now(), target.id, Failure::Silent);
+}
+
 /// Sends a request like [`exchange`], and ends an upload whose caller disconnects before it has sent the whole body. The
 /// server can't run it any more, and its slot must not wait until the server takes the next bytes.
 async fn exchange_unless_cut(
--- a/crates/chicoryrail-router/src/route/slot_guard.rs
+++ b/crates/chicoryrail-router/src/route/slot_guard.rs
@@ -43,6 +43,8 @@
     kind: Cell<SlotEndKind>,
     report: RefCell<Option<LoadReport>>,
     rate: Cell<Option<AdvertisedRate>>,
+    forwarded: Cell<bool>,
+    released: Cell<bool>,
 }
 
 impl SlotGuard {
@@ -63,6 +65,8 @@
             kind: Cell::new(SlotEndKind::Plain),
             report: RefCell::default(),
             rate: Cell::new(None),
+            forwarded: Cell::new(false),
+            released: Cell::new(false),
         }
     }
 
@@ -119,6 +123,16 @@
         self.rate.set(Some(advertised));
     }
 
+    /// Records that another host passes the request on.
+    pub(super) fn record_forwarded(&self) {
+        self.forwarded.set(true);
+    }
+
+    /// Returns `true` if another host passes the request on, so that its end says nothing of this host's path.
+    pub(super) fn is_forwarded(&self) -> bool {
+        self.forwarded.get()
+    }
+
     /// Records how the request ended at the server, and its duration in microseconds.
     pub(crate) fn record_end(&self, elapsed_us: f64, failure: Option<Failure>) {
         self.elapsed_us.set(Some(elapsed_us as u64));
@@ -132,10 +146,17 @@
             Some(Failure::Ended) => SlotEndKind::Ended,
         });
     }
-}
 
-impl Drop for SlotGuard {
-    fn drop(&mut self) {
+    /// Returns `true` if the slot was released before the request ended.
+    pub(super) fn is_released(&self) -> bool {
+        self.released.get()
+    }
+
+    /// Releases the slot once, and reports the recorded end to the scheduler.
+    pub(super) fn release(&self) {
+        if self.released.replace(true) {
+            return;
+        }
         let report = self
             .report
             .borrow()
@@ -168,3 +189,9 @@
         }
     }
 }
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
--- a/crates/chicoryrail-router/src/route/suspicion.rs
+++ b/crates/chicoryrail-router/src/route/suspicion.rs
@@ -90,11 +90,10 @@
     service: &Rc<Service>,
     call: &CallerRequest,
     body: &RequestBody,
-    target: &Rc<Target>,
+    (target, is_forwarded): (&Rc<Target>, bool),
     sent: SendOutcome,
 ) -> SendOutcome {
-    let may_have_ended =
-        || call.stats.borrow().via.is_none() && target.may_have_ended(router.now());
+    let may_have_ended = || !is_forwarded && target.may_have_ended(router.now());
     let run = || Run {
         router: Rc::clone(router),
         service: Rc::clone(service),
