fix(route): a server's error is kept while the request is sent again

What callers saw: the host's own 502 in place of the 500 that a server had answered.

Change: the last error response is kept while the request is sent again, and goes to the caller if no later send gets a response. A streamed one is not kept, as it would occupy its server.

Measured: the new cases of abandoned_attempts.rs got 502 before and get the server's 500.

--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -17,6 +17,7 @@
 use crate::route::candidates;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
+use crate::route::response_body::Streamed;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
 use crate::route::suspicion;
@@ -40,6 +41,8 @@
     pub(super) tried: Vec<Life>,
     /// Number of sends that the server may have executed.
     pub(super) possible_runs: u32,
+    /// Last error response of a server. The caller gets it if no later send gets a response.
+    pub(super) server_error: Option<Response<Body>>,
 }
 
 /// Serves a request, with retries within the limits of its route and the retry budget.
@@ -63,8 +66,10 @@
         body,
         tried: Vec::new(),
         possible_runs: 0,
+        server_error: None,
     };
-    attempts.run().await
+    let served = attempts.run().await;
+    served.or_else(|refusal| attempts.server_error.take().ok_or(refusal))
 }
 
 impl Attempts<'_> {
@@ -87,6 +92,7 @@
                     if !self.may_retry(true) {
                         return Ok(response);
                     }
+                    self.keep_server_error(response);
                 }
                 SendOutcome::NotRun(why) => {
                     if !self.may_retry(why.reached_server()) {
@@ -103,6 +109,13 @@
         }
     }
 
+    /// Keeps an error response while the request is sent again. One that is streamed would occupy its server.
+    fn keep_server_error(&mut self, response: Response<Body>) {
+        if response.extensions().get::<Streamed>().is_none() {
+            self.server_error = Some(response);
+        }
+    }
+
     /// Reads the start of an upload that took its slot before it was read.
     async fn read_upload_start(&self) -> Result<(), Refusal> {
         if self.body.flow().is_none() {
--- a/crates/chicoryrail-router/tests/abandoned_attempts.rs
+++ b/crates/chicoryrail-router/tests/abandoned_attempts.rs
@@ -5,10 +5,12 @@
 use std::rc::Rc;
 
 use chicoryrail_core::Millis;
+use chicoryrail_platform::call_header;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetFault;
 use nix::sys::signal::Signal;
 use rstest::rstest;
+use support::Mode;
 use support::RouterProcess;
 use support::Server;
 use support::World;
@@ -95,3 +97,24 @@
         assert_eq!(response.status(), 200, "{response:?}");
     });
 }
+
+/// Guards against a server's error that is replaced by an error of the host, since the request was to be sent again and no
+/// server took it.
+#[rstest]
+#[case::with_key("kits")]
+#[case::without_key("desk")]
+fn a_server_error_reaches_the_caller_if_no_retry_replaces_it(#[case] service: &str) {
+    block_on(async {
+        let (_world, server, router) = start("error-kept", service).await;
+        server.set_mode(Mode::Fail);
+        server.set_work(Millis(300));
+        let caller = router.caller();
+        let (path, key) = request(service);
+        let running = monoio::spawn(async move { caller.call("GET", path, key, 1_500).await });
+        monoio::time::sleep(Millis(150).to_duration()).await;
+        server.set_mode(Mode::Refuse);
+        let response = running.await.unwrap();
+        assert_eq!(response.status(), 500, "{response:?}");
+        assert!(response.headers().contains_key(call_header::UPSTREAM_STAMP));
+    });
+}
