--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -480,9 +480,12 @@
 
     /// Cuts the paths from this host to the servers; all its other paths work.
     pub fn cut_from(&self, servers: &[Rc<Server>], form: Cut) {
-        let lines = servers
-            .iter()
-            .map(|s| format!("{} {}\n", form.word(), s.addr));
+        self.cut_addrs(servers.iter().map(|s| s.addr), form);
+    }
+
+    /// Cuts the paths from this host to servers that are reached at these addresses.
+    pub fn cut_addrs(&self, addrs: impl Iterator<Item = SocketAddr>, form: Cut) {
+        let lines = addrs.map(|addr| format!("{} {addr}\n", form.word()));
         let new = self.cut.with_extension("new");
         std::fs::write(&new, lines.collect::<String>()).unwrap();
         // The process never reads a file that is written in part.
@@ -494,6 +497,14 @@
         std::fs::remove_file(&self.cut).unwrap();
     }
 
+    /// Replaces a text of the boot file, which is read again at a reload.
+    pub fn edit_boot(&self, from: &str, to: &str) {
+        let path = self.log.with_extension("toml");
+        let text = std::fs::read_to_string(&path).unwrap();
+        assert!(text.contains(from), "{text}");
+        std::fs::write(&path, text.replace(from, to)).unwrap();
+    }
+
     /// Returns the log output so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
