fix(runtime): a stop waits for streamed responses

What callers saw: a response over 64 KiB that its server was still sending broke off 2.95 s after SIGTERM, in a grace period of 6 s, also at a host that passes it on.

Cause: a request counted as being served until the head of its response, and a stop waits for served requests only (stopping.rs, log: stopping serving=0, stop 2.95 s later).

Change: a request whose response is streamed is served until the end of the body, and a stop waits for the callers' connections, as far as the grace period allows.

--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -43,7 +43,7 @@
     request: Request<Body>,
     from: SocketAddr,
 ) -> Response<Body> {
-    let _serving = ServingGuard::new(&router);
+    let serving = ServingGuard::new(&router);
     let (head, body) = request.into_parts();
     let id = head.headers.get(call_header::REQUEST_ID).cloned();
     let expects_continue = head.headers.contains_key(EXPECT);
@@ -64,7 +64,7 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    response
+    serving.hold_until_end(response)
 }
 
 /// Waits a short time for the first configuration and the list of blocked requests. If the store is available, a host that starts receives it before a
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -58,7 +58,7 @@
     request: Request<Body>,
     from: SocketAddr,
 ) -> Response<Body> {
-    let _serving = ServingGuard::new(&router);
+    let serving = ServingGuard::new(&router);
     let (mut parts, body) = request.into_parts();
     let head = ForwardHead::take(&mut parts.headers);
     let call = strip_prefix(&parts.uri).and_then(|uri| {
@@ -80,7 +80,7 @@
         log::info!(request = call.id, server:% = head.life, service:% = head.service,
             from:% = from.ip(), took_ms = router.now().since(started).0; "forwarded_{}", end.name());
     }
-    response
+    serving.hold_until_end(response)
 }
 
 fn strip_prefix(uri: &http::Uri) -> Option<http::Uri> {
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -16,6 +16,8 @@
 use chicoryrail_runtime::parse_args;
 use chicoryrail_runtime::serve_http_shared;
 use chicoryrail_runtime::stop_on_signal;
+use monoio::task::JoinHandle;
+use monoio::time::timeout;
 use snafu::ResultExt;
 use snafu::Snafu;
 
@@ -179,9 +181,8 @@
         move |head| route::may_begin_early(&early_router, head),
     ));
     stop.cancelled().await;
-    shut_down(&router, &callers_stop).await;
-    let _ = monoio::time::timeout(Millis(200).to_duration(), elected).await;
-    drop(served);
+    shut_down(&router, &callers_stop, served).await;
+    let _ = timeout(Millis(200).to_duration(), elected).await;
     internal_stop.cancel();
     log::info!(serving = router.serving.get(); "stop");
     Ok(())
@@ -203,7 +204,7 @@
 
 /// Waits until the load balancer sends no more callers, then closes callers' connections and waits for the requests in
 /// progress.
-async fn shut_down(router: &Router, callers: &CancellationToken) {
+async fn shut_down(router: &Router, callers: &CancellationToken, served: JoinHandle<()>) {
     let clock = router.process.clock;
     let grace = router.boot().bounds.grace;
     let end = router.now() + grace - EXIT_MARGIN;
@@ -217,6 +218,8 @@
     while router.serving.get() > 0 && router.now() < end {
         clock.sleep(Millis(10)).await;
     }
+    // A caller may still be reading the last part of its response.
+    let _ = timeout(end.since(router.now()).to_duration(), served).await;
     // Leaves time to send the last responses.
     clock.sleep(Millis(50)).await;
 }
