fix(route): a server's error does not cancel an overdue send

Change: only a response that is no server error cancels the overdue send. How the overdue send ends is then handled as the end of any send: if no other send was made, the request may be sent again, or is refused as not run if that is so. Its end is logged (unanswered end=answered, failed, waited or abandoned). A server error is kept also if it is streamed.

--- a/crates/chicoryrail-router/src/route/attempt.rs
+++ b/crates/chicoryrail-router/src/route/attempt.rs
@@ -14,8 +14,6 @@
 use crate::control::Probe;
 use crate::route::attempts::Attempts;
 use crate::route::caller_request::CallerRequest;
-use crate::route::refusal::Cause;
-use crate::route::refusal::Refusal;
 use crate::route::send::record_overdue;
 use crate::route::send::send;
 use crate::route::send_outcome::Indeterminate;
@@ -86,29 +84,34 @@
         Sent::Ended(sent)
     }
 
-    /// Sends the request again beside an overdue send, and returns the first response.
+    /// Sends the request again beside an overdue send. Returns the response of a later send, or else how the overdue send
+    /// ended.
     ///
-    /// The overdue send is cancelled only for another response: whatever prevents the second send, a response that the
-    /// first server is about to send reaches the caller.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal if no send got a response.
+    /// The overdue send is cancelled only for a response that is no server error: whatever prevents the later sends, a
+    /// response that the first server is about to send reaches the caller.
     pub(super) async fn run_beside(
         &mut self,
         overdue: Overdue<'a>,
-    ) -> Result<Response<Body>, Refusal> {
+    ) -> Result<Response<Body>, SendOutcome> {
         let Overdue { life, limit, sent } = overdue;
         self.possible_runs += 1;
         let again: LocalBoxFuture<'_, _> = Box::pin(self.run());
-        let response = match select(sent, again).await {
-            Either::Left((SendOutcome::Answered(response), _)) => return Ok(response),
-            Either::Left((sent, again)) => return again.await.or_else(|_| into_result(sent)),
-            Either::Right((Ok(response), _)) => response,
-            Either::Right((Err(_), sent)) => return into_result(sent.await),
+        let (sent, again) = match select(sent, again).await {
+            Either::Left((sent @ SendOutcome::Answered(_), _)) => (Some(sent), None),
+            Either::Left((sent, again)) => (Some(sent), again.await.ok()),
+            Either::Right((Ok(again), _)) if !again.status().is_server_error() => {
+                (None, Some(again))
+            }
+            Either::Right((again, sent)) => (Some(sent.await), again.ok()),
         };
-        self.record_abandoned(&life, limit);
-        Ok(response)
+        // The caller of this function counts the overdue send, if it is the one that decides.
+        self.possible_runs -= 1;
+        self.record_overdue_end(&life, limit, sent.as_ref());
+        match (sent, again) {
+            (Some(sent @ SendOutcome::Answered(_)), _) | (Some(sent), None) => Err(sent),
+            (_, Some(again)) => Ok(again),
+            (None, None) => Err(SendOutcome::Indeterminate(Indeterminate::Silent)),
+        }
     }
 
     /// Sends the request once, and waits for the response to the end of its time.
@@ -133,15 +136,6 @@
     }
 }
 
-/// Returns what the caller gets if nothing else served the request. Another send may have run.
-fn into_result(sent: SendOutcome) -> Result<Response<Body>, Refusal> {
-    match sent {
-        SendOutcome::Answered(response) | SendOutcome::ServerError(response) => Ok(response),
-        SendOutcome::Indeterminate(why) => Err(why.cause().into()),
-        SendOutcome::NotRun(_) => Err(Cause::Broken.into()),
-    }
-}
-
 /// Logs how a send ended that did not bring the server's response.
 fn log_send(
     router: &Router,
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -17,7 +17,6 @@
 use crate::route::candidates;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
-use crate::route::response_body::Streamed;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
 use crate::route::suspicion;
@@ -81,7 +80,10 @@
             self.read_upload_start().await?;
             let sent = match self.send_in_time(permitted).await {
                 Sent::Ended(sent) => sent,
-                Sent::Overdue(overdue) => return self.run_beside(overdue).await,
+                Sent::Overdue(overdue) => match self.run_beside(overdue).await {
+                    Ok(response) => return Ok(response),
+                    Err(sent) => sent,
+                },
             };
             match sent {
                 // Evidence against the request arrived before anything was sent; it waits for its turn.
@@ -92,7 +94,7 @@
                     if !self.may_retry(true) {
                         return Ok(response);
                     }
-                    self.keep_server_error(response);
+                    self.server_error = Some(response);
                 }
                 SendOutcome::NotRun(why) => {
                     if !self.may_retry(why.reached_server()) {
@@ -109,13 +111,6 @@
         }
     }
 
-    /// Keeps an error response while the request is sent again. One that is streamed would occupy its server.
-    fn keep_server_error(&mut self, response: Response<Body>) {
-        if response.extensions().get::<Streamed>().is_none() {
-            self.server_error = Some(response);
-        }
-    }
-
     /// Reads the start of an upload that took its slot before it was read.
     async fn read_upload_start(&self) -> Result<(), Refusal> {
         if self.body.flow().is_none() {
--- a/crates/chicoryrail-router/src/route/response_limit.rs
+++ b/crates/chicoryrail-router/src/route/response_limit.rs
@@ -62,13 +62,27 @@
         Millis((work_us / 1_000.0) as u64)
     }
 
-    /// Records a send that was cancelled after `limit`, since a later send got a response.
-    pub(super) fn record_abandoned(&self, life: &Life, limit: Millis) {
-        let silent = SendOutcome::Indeterminate(Indeterminate::Silent);
-        let labels = [self.service.name.as_str(), silent.name()];
-        let sends = &self.router.counters.sends;
-        sends.with_label_values(&labels).inc();
-        self.record_unanswered(life, limit, "abandoned");
+    /// Records how a send ended that was overdue after `limit`; `sent` is `None` if it was cancelled, since a later send
+    /// got a response.
+    pub(super) fn record_overdue_end(
+        &self,
+        life: &Life,
+        limit: Millis,
+        sent: Option<&SendOutcome>,
+    ) {
+        let end = match sent {
+            None => "abandoned",
+            Some(SendOutcome::Answered(_)) => "answered",
+            Some(SendOutcome::Indeterminate(Indeterminate::Silent)) => "waited",
+            Some(_) => "failed",
+        };
+        if sent.is_none() {
+            let silent = SendOutcome::Indeterminate(Indeterminate::Silent);
+            let labels = [self.service.name.as_str(), silent.name()];
+            let sends = &self.router.counters.sends;
+            sends.with_label_values(&labels).inc();
+        }
+        self.record_unanswered(life, limit, end);
     }
 
     /// Logs and counts a request of a route that tolerates waiting whose server did not respond within `limit`. `end` is
