fix(route): a connection limit that is reached does not count against the server

Found in the review: overdue sends keep their connections. With a limit of two to a server the next read found none; that counted as a broken connection, and the scheduler paused a sound server for 250 ms and more.

Change: a request for which this host may open no connection is refused as not run if no other host can be asked, and says nothing of the server; at a host that passes requests on it is reported as busy. An overdue send without a key keeps its slot, since the next one goes to another server: the scheduler counts it to its end.

--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -31,6 +31,21 @@
 /// Number of characters of a request's path that are logged.
 const LOGGED_PATH_MAX: usize = 200;
 
+/// Reason for which there is no connection to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum NoConnection {
+    /// All connections that this host may open to the server are in use.
+    Limit,
+    /// The server can't be reached, or the connection broke before the request was written.
+    Failed,
+}
+
+/// A request of which nothing was sent.
+pub(super) struct Unsent {
+    pub(super) in_flight: InFlight,
+    pub(super) why: NoConnection,
+}
+
 /// Sends a request to its server on a pooled or new connection, and handles the response. `has_alternative` is `true` if
 /// the request can be sent in another way while there is no connection.
 ///
@@ -43,10 +58,12 @@
     body: &Rc<RequestBody>,
     mut in_flight: InFlight,
     has_alternative: bool,
-) -> Result<SendOutcome, Box<InFlight>> {
+) -> Result<SendOutcome, Box<Unsent>> {
     let (service, target) = (Rc::clone(&in_flight.service), Rc::clone(&in_flight.target));
-    let Some(conn) = connect(router, &service, &target, call, has_alternative).await else {
-        return Err(Box::new(in_flight));
+    let connected = connect(router, &service, &target, call, has_alternative).await;
+    let conn = match connected {
+        Ok(conn) => conn,
+        Err(why) => return Err(Box::new(Unsent { in_flight, why })),
     };
     if call.caller_left.is_cancelled() {
         target.pool.release(conn);
@@ -84,7 +101,8 @@
                 return Ok(SendOutcome::Indeterminate(why));
             }
             in_flight.detach();
-            return Err(Box::new(in_flight));
+            let why = NoConnection::Failed;
+            return Err(Box::new(Unsent { in_flight, why }));
         }
     };
     service.record_contact(router.now(), &target);
@@ -168,14 +186,18 @@
     service.record_no_connection(router.now(), target);
 }
 
-/// Takes a connection from the pool of a server, or opens one. Returns `None` if none is available.
+/// Takes a connection from the pool of a server, or opens one.
+///
+/// # Errors
+///
+/// Returns why none is available.
 async fn connect(
     router: &Router,
     service: &Service,
     target: &Target,
     call: &CallerRequest,
     has_alternative: bool,
-) -> Option<ServerConn> {
+) -> Result<ServerConn, NoConnection> {
     let begun = router.now();
     let time_limit = if has_alternative {
         CONNECT_WAIT_MAX
@@ -184,7 +206,7 @@
     };
     let acquired = timeout(time_limit.to_duration(), target.pool.acquire(target.addr)).await;
     let error = match acquired {
-        Ok(Ok(conn)) => return Some(conn),
+        Ok(Ok(conn)) => return Ok(conn),
         Ok(Err(e)) => e,
         Err(_) => io::ErrorKind::TimedOut.into(),
     };
@@ -193,9 +215,9 @@
         took_ms = now.since(begun).0; "connect_failed");
     match error.kind() {
         // The pool's limit says nothing of the path.
-        io::ErrorKind::QuotaExceeded => {}
+        io::ErrorKind::QuotaExceeded => return Err(NoConnection::Limit),
         io::ErrorKind::TimedOut => record_silence(router, service, target),
         _ => service.record_no_connection(now, target),
     }
-    None
+    Err(NoConnection::Failed)
 }
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -24,6 +24,7 @@
 use crate::messages::ForwardHead;
 use crate::route::caller_request::CallerRequest;
 use crate::route::candidates::permit;
+use crate::route::direct::NoConnection;
 use crate::route::direct::send_directly;
 use crate::route::in_flight::InFlight;
 use crate::route::send_outcome::Indeterminate;
@@ -120,6 +121,7 @@
     let sent = timeout(call.time_left(now).to_duration(), sending).await;
     match sent {
         Ok(Ok(sent)) => end_of(sent),
+        Ok(Err(unsent)) if unsent.why == NoConnection::Limit => Err(ForwardEnd::Busy),
         Ok(Err(_)) => Err(no_connection(&service, router.now())),
         Err(_) => Err(ForwardEnd::Silent),
     }
@@ -145,6 +147,7 @@
             NotRun::Refused => ForwardEnd::Refused,
             NotRun::Misdirected => ForwardEnd::Misdirected,
             NotRun::Withheld(why) => withheld_end(why),
+            NotRun::NoConnection => ForwardEnd::Busy,
             NotRun::Unreachable | NotRun::NoPath | NotRun::Suspected | NotRun::CallerLeft => {
                 ForwardEnd::Unreachable
             }
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -16,6 +16,7 @@
 use monoio::time::timeout;
 
 use crate::route::caller_request::CallerRequest;
+use crate::route::direct::NoConnection;
 use crate::route::direct::record_silence;
 use crate::route::direct::send_directly;
 use crate::route::forward;
@@ -58,7 +59,7 @@
             SendOutcome::Indeterminate(Indeterminate::BodyFailed(BodyError::Slow))
         }
         Err(_) => {
-            if !slot.is_forwarded() && !slot.is_released() {
+            if !slot.is_forwarded() && !slot.is_overdue() {
                 record_no_response(router, service, target, call);
             }
             SendOutcome::Indeterminate(Indeterminate::Silent)
@@ -95,7 +96,7 @@
             }
         }
         // An overdue send has been counted against the server.
-        Some(_) if slot.is_released() => {}
+        Some(_) if slot.is_overdue() => {}
         Some(failure) => loads.record_failure(now, target.id, failure),
     }
     let labels = [service.name.as_str(), sent.name()];
@@ -103,8 +104,8 @@
     sent
 }
 
-/// Counts a send without a response within the usual time against its server, as its scheduler does. The request leaves its
-/// slot, in which the next send may run.
+/// Counts a send without a response within the usual time against its server. With a key, the next send goes to the same
+/// server: it may run in the slot of the overdue one, which may be the only slot that the server is given.
 pub(super) fn record_overdue(
     router: &Rc<Router>,
     service: &Rc<Service>,
@@ -119,7 +120,10 @@
     let silent = SendOutcome::Indeterminate(Indeterminate::Silent);
     let elapsed_us = elapsed.0 as f64 * 1_000.0;
     slot.record_end(elapsed_us, slot_failure(router, call, &silent, elapsed_us));
-    slot.release();
+    slot.record_overdue();
+    if call.key.is_some() {
+        slot.release();
+    }
     let mut loads = service.loads.borrow_mut();
     loads.record_failure(router.now(), target.id, Failure::Silent);
 }
@@ -203,7 +207,10 @@
     }
     match send_directly(router, call, body, in_flight, has_forwarders).await {
         Ok(sent) => sent,
-        Err(_) if !has_forwarders => SendOutcome::NotRun(NotRun::Unreachable),
-        Err(in_flight) => forward::send_through_others(router, call, body, *in_flight).await,
+        Err(unsent) if !has_forwarders => SendOutcome::NotRun(match unsent.why {
+            NoConnection::Limit => NotRun::NoConnection,
+            NoConnection::Failed => NotRun::Unreachable,
+        }),
+        Err(unsent) => forward::send_through_others(router, call, body, unsent.in_flight).await,
     }
 }
--- a/crates/chicoryrail-router/src/route/send_outcome.rs
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -28,6 +28,9 @@
     /// This host can't reach the server, and no other host was there to pass the request on; nothing was sent. It says
     /// nothing of the server.
     NoPath,
+    /// All connections that this host may open to the server are in use, and no other host could be asked; nothing was
+    /// sent.
+    NoConnection,
     /// The server refused the request.
     Refused,
     /// The server does not own the key, or another server uses the address.
@@ -65,7 +68,7 @@
         match self {
             Self::Unreachable => Cause::NoServer,
             Self::NoPath => Cause::NoPath,
-            Self::Refused | Self::Withheld(_) => Cause::Full,
+            Self::Refused | Self::NoConnection | Self::Withheld(_) => Cause::Full,
             Self::Misdirected => Cause::KeyMoving,
             Self::Suspected => Cause::Suspected,
             Self::CallerLeft => Cause::CallerLeft,
@@ -78,6 +81,7 @@
             Self::Refused | Self::Misdirected => true,
             Self::Unreachable
             | Self::NoPath
+            | Self::NoConnection
             | Self::Suspected
             | Self::CallerLeft
             | Self::Withheld(_) => false,
@@ -107,6 +111,7 @@
             Self::ServerError(_) => "server_error",
             Self::NotRun(NotRun::Unreachable) => "unreachable",
             Self::NotRun(NotRun::NoPath) => "no_path",
+            Self::NotRun(NotRun::NoConnection) => "no_connection",
             Self::NotRun(NotRun::Refused) => "refused",
             Self::NotRun(NotRun::Misdirected) => "misdirected",
             Self::NotRun(NotRun::Suspected) => "suspected",
@@ -128,6 +133,7 @@
             Self::Answered(_)
             | Self::NotRun(
                 NotRun::NoPath
+                | NotRun::NoConnection
                 | NotRun::Misdirected
                 | NotRun::Suspected
                 | NotRun::CallerLeft
--- a/crates/chicoryrail-router/src/route/slot_guard.rs
+++ b/crates/chicoryrail-router/src/route/slot_guard.rs
@@ -44,6 +44,7 @@
     report: RefCell<Option<LoadReport>>,
     rate: Cell<Option<AdvertisedRate>>,
     forwarded: Cell<bool>,
+    overdue: Cell<bool>,
     released: Cell<bool>,
 }
 
@@ -66,6 +67,7 @@
             report: RefCell::default(),
             rate: Cell::new(None),
             forwarded: Cell::new(false),
+            overdue: Cell::new(false),
             released: Cell::new(false),
         }
     }
@@ -147,9 +149,14 @@
         });
     }
 
-    /// Returns `true` if the slot was released before the request ended.
-    pub(super) fn is_released(&self) -> bool {
-        self.released.get()
+    /// Records that the request got no response within the usual time.
+    pub(super) fn record_overdue(&self) {
+        self.overdue.set(true);
+    }
+
+    /// Returns `true` if the request got no response within the usual time, which has been counted against the server.
+    pub(super) fn is_overdue(&self) -> bool {
+        self.overdue.get()
     }
 
     /// Releases the slot once, and reports the recorded end to the scheduler.
--- a/crates/chicoryrail-router/tests/overdue_sends.rs
+++ b/crates/chicoryrail-router/tests/overdue_sends.rs
@@ -9,6 +9,7 @@
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetFault;
 use rstest::rstest;
+use serde_json::json;
 use support::Server;
 use support::World;
 use support::wait_until;
@@ -73,3 +74,45 @@
         assert_eq!(response.status(), 200, "after {took:?}: {response:?}");
     });
 }
+
+/// Guards against a sound server that is paused, since overdue sends hold all connections that a host may open to it. A
+/// request beyond these is refused at once as not run.
+#[test]
+fn overdue_sends_at_the_connection_limit_do_not_count_against_their_server() {
+    block_on(async {
+        let world = World::start("connections-held").await;
+        let mut config = world.next_config();
+        config["services"][1]["max_connections"] = json!(2);
+        world.put("op/config", &config).await;
+        let server = world.server("s-1", "kits").await;
+        let router = world.router("a").await;
+        wait_until("the key is granted", async || server.owns(KEY)).await;
+        let caller = router.caller();
+        for _ in 0..OBSERVED {
+            assert_eq!(caller.key(KEY).await.unwrap().status(), 200);
+        }
+        server.fault(TargetFault::Slow {
+            for_ms: SLOW_MS,
+            factor: SLOW,
+        });
+        let slow: Vec<_> = (0..2)
+            .map(|_| {
+                let caller = router.caller();
+                monoio::spawn(async move { caller.key(KEY).await })
+            })
+            .collect();
+        monoio::time::sleep(Millis(750).to_duration()).await;
+        let begun = Instant::now();
+        let response = caller.key(KEY).await.unwrap();
+        let took = begun.elapsed();
+        assert_eq!(response.status(), 503, "{response:?}");
+        assert!(response.headers().contains_key("retry-after"));
+        assert!(took.as_millis() < 150, "{took:?}");
+        for read in slow {
+            let response = read.await.unwrap();
+            assert_eq!(response.status(), 200, "{response:?}");
+        }
+        assert_eq!(caller.key(KEY).await.unwrap().status(), 200);
+        assert!(!router.log().contains("log=server_paused"));
+    });
+}
