test(testkit): find requests that a host abandons at a working server

Why chaos runs missed it: a slow target took 100 ms at most, and a host gives an attempt up after 600 ms; planned stops that met a slow target were left out of the check; callers left a stopping host within 200 ms; and no rule compared a caller's error with the run at its server.

- targets record lookups that were cancelled while they ran, with the time at which the run would have ended, and callers record their deadline;
- the violation 'abandoned': a caller got an error that no server sent, or no response, although a run would have ended 100 ms before its deadline.
It is allowed in the last sixth of the grace period, and when a fault broke connections during the run;
- callers of chaos runs use open connections until their host closes them, and slow targets no longer excuse a request that a planned stop cuts.

Nine cases of checker.rs fail without the rule.

--- a/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
@@ -34,6 +34,12 @@
         .argument::<u64>("N")
         .fallback(20)
         .display_fallback();
+    let quiet_seconds = long("quiet-seconds")
+        .env("CHICORYRAIL_TESTKIT_QUIET_SECONDS")
+        .help("Time from the start of the load in which no fault starts, in seconds")
+        .argument::<u64>("N")
+        .fallback(0)
+        .display_fallback();
     let fault_kinds = long("only")
         .env("CHICORYRAIL_TESTKIT_ONLY")
         .help("Names of the faults to inject, separated by commas; all if absent")
@@ -52,10 +58,20 @@
         .env("CHICORYRAIL_TESTKIT_UPLOADS")
         .help("Makes orders uploads, some of whose callers send and read slowly")
         .switch();
-    let (deployment, seed, seconds, fault_kinds, uploads, program_dir, keep_evidence) = construct!(
+    let (
+        deployment,
+        seed,
+        seconds,
+        quiet_seconds,
+        fault_kinds,
+        uploads,
+        program_dir,
+        keep_evidence,
+    ) = construct!(
         deployment,
         seed,
         seconds,
+        quiet_seconds,
         fault_kinds,
         uploads,
         program_dir,
@@ -71,6 +87,7 @@
         .flat_map(|names| names.split(','))
         .map(str::to_owned)
         .collect();
+    options.quiet = Millis(quiet_seconds * 1000);
     options.uploads = uploads;
     options.program_dir = program_dir;
     options.keep_evidence = keep_evidence;
--- a/crates/chicoryrail-testkit/src/bin/testkit-load.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-load.rs
@@ -145,6 +145,7 @@
         "Seed for all random choices",
         1,
     );
+    let keeps_connections = bpaf::pure(false);
     construct!(LoadOptions {
         hosts,
         services,
@@ -152,7 +153,8 @@
         rate,
         callers,
         deadline,
-        seed
+        seed,
+        keeps_connections
     })
 }
 
--- a/crates/chicoryrail-testkit/src/chaos.rs
+++ b/crates/chicoryrail-testkit/src/chaos.rs
@@ -3,14 +3,18 @@
 mod context;
 mod cut_form;
 mod fault;
+mod fault_record;
+mod host_series;
 mod inject;
 mod options;
+mod random_fault;
 mod run;
 mod summary;
+mod target_faults;
 mod worker;
 
 pub(crate) use fault::Fault;
-pub(crate) use fault::FaultRecord;
+pub(crate) use fault_record::FaultRecord;
 pub use options::ChaosOptions;
 pub use run::run;
 pub use summary::Summary;
--- a/crates/chicoryrail-testkit/src/chaos/context.rs
+++ b/crates/chicoryrail-testkit/src/chaos/context.rs
@@ -15,6 +15,7 @@
 use crate::Operator;
 use crate::OutPeriod;
 use crate::chaos::FaultRecord;
+use crate::unix_micros;
 
 /// Interval at which a wait checks whether it ends.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -70,6 +71,15 @@
         self.events.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records that a router did not run from `from` until now, and returns the period.
+    pub(crate) fn record_interruption(&self, host: usize, from: u64) -> HostTime {
+        let host = self.cluster().hosts()[host].caller_addr;
+        let until = unix_micros();
+        let period = HostTime { host, from, until };
+        self.events().interruptions.push(period);
+        period
+    }
+
     /// Runs an operator action unless another worker is running the action of the same name.
     ///
     /// Two at once would interfere: one would return to service what the other has taken out, or start a
--- a/crates/chicoryrail-testkit/src/chaos/fault.rs
+++ b/crates/chicoryrail-testkit/src/chaos/fault.rs
@@ -1,7 +1,5 @@
-//! The kinds of faults and their random choice.
+//! The kinds of faults.
 
-use rand::Rng;
-use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -96,136 +94,23 @@
     DataCentreOut { centre: usize, for_ms: u64 },
     /// Every host in turn is stopped by a planned stop and restarted.
     RollingRestart,
+    /// Many targets take almost as long as callers wait, and lose a fraction of their responses.
+    TargetsStall {
+        /// Fraction of the targets.
+        share: f64,
+        /// Factor by which their service time is multiplied.
+        factor: f64,
+        /// Fraction of their responses that is lost.
+        lost: f64,
+        for_ms: u64,
+    },
+    /// Every host is stopped by a planned stop and restarted, each `gap_ms` after the one before.
+    StopSeries { gap_ms: u64 },
+    /// Every host gets SIGHUP, each `gap_ms` after the one before, and the configuration changes each time.
+    ReloadSeries { gap_ms: u64 },
 }
 
-/// An injected fault and its times.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct FaultRecord {
-    /// The fault.
-    #[serde(flatten)]
-    pub(crate) fault: Fault,
-    /// Start in microseconds since 1970.
-    pub(crate) from: u64,
-    /// End in microseconds since 1970.
-    pub(crate) until: u64,
-    /// Error of the injection or removal; empty on success.
-    pub(crate) note: String,
-}
-
-/// Numbers of hosts, targets and data centres that faults can choose from.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ClusterSize {
-    pub(crate) hosts: usize,
-    pub(crate) targets: usize,
-    pub(crate) data_centres: usize,
-}
-
-/// Number of cases that [`Fault::generate`] chooses from; `DataCentreOut` and `RollingRestart` share one.
-const KIND_COUNT: u32 = 24;
-
-/// Number of these cases to choose from if the options name no kind. It does not grow with [`KIND_COUNT`], since a
-/// further case would change the faults that each fixed seed gives.
-const DEFAULT_KIND_COUNT: u32 = 20;
-
-/// Maximum number of random faults generated in search of one of a named kind.
-const MAX_DRAWS: u32 = 10_000;
-
 impl Fault {
-    /// Returns a random fault of one of the named kinds, or of any default kind if `names` is empty.
-    ///
-    /// Returns `None` if no fault of a named kind is found in [`MAX_DRAWS`] attempts, as with unknown names.
-    pub(crate) fn random(rng: &mut Pcg64Mcg, size: ClusterSize, names: &[String]) -> Option<Self> {
-        let kind_count = if names.is_empty() {
-            DEFAULT_KIND_COUNT
-        } else {
-            KIND_COUNT
-        };
-        (0..MAX_DRAWS)
-            .map(|_| Self::generate(rng, size, kind_count))
-            .find(|f| names.is_empty() || names.iter().any(|n| n == f.name()))
-    }
-
-    /// Returns a random fault of one of the first `kind_count` cases.
-    fn generate(rng: &mut Pcg64Mcg, size: ClusterSize, kind_count: u32) -> Self {
-        let host = rng.random_range(0..size.hosts);
-        let target = rng.random_range(0..size.targets);
-        let for_ms = rng.random_range(300..3_000);
-        let share = rng.random_range(0.1..1.0);
-        match rng.random_range(0..kind_count) {
-            0 => Self::KillRouter { host, for_ms },
-            1 => Self::KillTarget { target, for_ms },
-            2 => Self::PauseRouter { host, for_ms },
-            3 => Self::PauseTarget { target, for_ms },
-            4 => Self::StoreAway { host, for_ms },
-            5 => Self::StoreDown {
-                polite: rng.random(),
-                for_ms: for_ms * 2,
-            },
-            6 => Self::StoreSlow {
-                delay_ms: rng.random_range(50..600),
-                for_ms: for_ms * 2,
-            },
-            7 => Self::StoreLosesAnswers { share, for_ms },
-            8 => Self::TargetAway { target, for_ms },
-            9 => Self::TargetSlow {
-                target,
-                factor: rng.random_range(5.0..50.0),
-                for_ms,
-            },
-            10 => Self::TargetCold { target },
-            11 => Self::TargetLosesAnswers {
-                target,
-                share,
-                for_ms,
-            },
-            12 => Self::TargetCrossesAnswers {
-                target,
-                share,
-                for_ms,
-            },
-            13 => Self::TargetCutsAnswers {
-                target,
-                share,
-                for_ms,
-            },
-            14 => Self::TargetReset { target },
-            15 => Self::StoreFar {
-                host,
-                delay_ms: rng.random_range(5..150),
-                for_ms,
-            },
-            16 => Self::RacingOperators,
-            17 => Self::TargetDeaf { target, for_ms },
-            18 => Self::TargetLeaves { target },
-            20 => Self::TargetLimited {
-                target,
-                rate: rng.random_range(1.0..20.0),
-                for_ms: 5_000 + for_ms,
-            },
-            21 => Self::TargetSaysDraining { target },
-            22 => Self::TargetBacksOff {
-                target,
-                share,
-                backoff_ms: rng.random_range(1_000..4_000),
-                for_ms,
-            },
-            23 => Self::PathsLost {
-                host,
-                form: match rng.random_range(0..3) {
-                    0 => CutForm::Refused,
-                    1 => CutForm::Silent,
-                    _ => CutForm::NewRefused,
-                },
-                for_ms: 4_000 + for_ms,
-            },
-            _ if rng.random() => Self::DataCentreOut {
-                centre: rng.random_range(0..size.data_centres),
-                for_ms: 3_500 + for_ms,
-            },
-            _ => Self::RollingRestart,
-        }
-    }
-
     /// Returns the name of the kind, as in JSON.
     pub(crate) const fn name(&self) -> &'static str {
         match self {
@@ -254,15 +139,22 @@
             Self::RacingOperators => "racing-operators",
             Self::DataCentreOut { .. } => "data-centre-out",
             Self::RollingRestart => "rolling-restart",
+            Self::TargetsStall { .. } => "targets-stall",
+            Self::StopSeries { .. } => "stop-series",
+            Self::ReloadSeries { .. } => "reload-series",
         }
     }
 
-    /// Returns `true` if the fault is a planned action of an operator or a server, which must leave no request without
-    /// a response.
-    pub(crate) const fn is_planned(&self) -> bool {
+    /// Returns `true` if the fault must leave no request without a response while a router is stopped as planned: a
+    /// planned action of an operator or a server, or slow targets.
+    pub(crate) const fn allows_planned_stops(&self) -> bool {
         matches!(
             self,
-            Self::RacingOperators
+            Self::TargetSlow { .. }
+                | Self::TargetsStall { .. }
+                | Self::StopSeries { .. }
+                | Self::ReloadSeries { .. }
+                | Self::RacingOperators
                 | Self::DataCentreOut { .. }
                 | Self::TargetLeaves { .. }
                 | Self::RollingRestart
@@ -274,7 +166,22 @@
     pub(crate) const fn interrupts_hosts(&self) -> bool {
         matches!(
             self,
-            Self::KillRouter { .. } | Self::PauseRouter { .. } | Self::RollingRestart
+            Self::KillRouter { .. }
+                | Self::PauseRouter { .. }
+                | Self::RollingRestart
+                | Self::StopSeries { .. }
+        )
+    }
+
+    /// Returns `true` if the fault can break connections between hosts and targets that both use.
+    pub(crate) const fn severs_connections(&self) -> bool {
+        matches!(
+            self,
+            Self::KillRouter { .. }
+                | Self::PauseRouter { .. }
+                | Self::TargetAway { .. }
+                | Self::TargetReset { .. }
+                | Self::PathsLost { .. }
         )
     }
 
--- a/crates/chicoryrail-testkit/src/chaos/inject.rs
+++ b/crates/chicoryrail-testkit/src/chaos/inject.rs
@@ -14,20 +14,16 @@
 use crate::chaos::Fault;
 use crate::chaos::context::RunContext;
 use crate::chaos::cut_form::CutForm;
+use crate::chaos::host_series::reload_series;
+use crate::chaos::host_series::rolling_restart;
+use crate::chaos::host_series::stop_series;
+use crate::chaos::target_faults::inject_target_fault;
+use crate::chaos::target_faults::stall_targets;
 use crate::unix_micros;
 
-/// Longest time for a planned stop of a process, in milliseconds; a slower process is killed.
-const STOP_TIMEOUT_MS: u64 = 15_000;
-
-/// Longest wait until a restarted router passes its readiness check, in milliseconds.
-const READY_TIMEOUT_MS: u64 = 15_000;
-
 /// Maximum number of attempts to return a data centre to service before the fault is recorded as failed.
 const RESTORE_ATTEMPTS: usize = 20;
 
-/// Number of bytes of a response body that a target sends before it closes the connection.
-const CUT_AFTER_BYTES: u64 = 40;
-
 /// Delay, after a data centre is taken out of service, from which on its servers must receive no new requests, in
 /// microseconds: `evacuate_ms` of the boot file (3 s), plus half a second for the operator's program and for requests
 /// in flight.
@@ -99,6 +95,20 @@
         Fault::RollingRestart => {
             context.exclusively("a rolling restart", || rolling_restart(context))
         }
+        Fault::StopSeries { gap_ms } => {
+            context.exclusively("a rolling restart", || stop_series(context, gap_ms))
+        }
+        Fault::ReloadSeries { gap_ms } => {
+            context.exclusively("a series of reloads", || reload_series(context, gap_ms))
+        }
+        Fault::TargetsStall {
+            share,
+            factor,
+            lost,
+            for_ms,
+        } => context.exclusively("stalled targets", || {
+            stall_targets(context, share, factor, lost, for_ms)
+        }),
         _ => inject_target_fault(context, fault),
     }
 }
@@ -109,20 +119,11 @@
     context.sleep(for_ms);
     let restarted = context.cluster().restart(member);
     if let Member::Router(host) = member {
-        record_interruption(context, host, from);
+        context.record_interruption(host, from);
     }
     restarted.map_err(|e| e.to_string())
 }
 
-/// Records that a router did not run from `from` until now, and returns the period.
-fn record_interruption(context: &RunContext, host: usize, from: u64) -> HostTime {
-    let host = context.cluster().hosts()[host].caller_addr;
-    let until = unix_micros();
-    let period = HostTime { host, from, until };
-    context.events().interruptions.push(period);
-    period
-}
-
 fn pause(context: &RunContext, member: Member, for_ms: u64) -> Result<(), String> {
     context.cluster().pause(member);
     context.sleep(for_ms);
@@ -133,7 +134,7 @@
 fn pause_router(context: &RunContext, host: usize, for_ms: u64) -> Result<(), String> {
     let from = unix_micros();
     pause(context, Member::Router(host), for_ms)?;
-    let period = record_interruption(context, host, from);
+    let period = context.record_interruption(host, from);
     context.events().frozen.push(period);
     Ok(())
 }
@@ -219,78 +220,11 @@
     Ok(())
 }
 
-fn inject_target_fault(context: &RunContext, fault: &Fault) -> Result<(), String> {
-    let (target, injected, duration_ms) = match *fault {
-        Fault::TargetSlow {
-            target,
-            factor,
-            for_ms,
-        } => (target, TargetFault::Slow { for_ms, factor }, for_ms),
-        Fault::TargetCold { target } => (target, TargetFault::Cold { for_ms: None }, 0),
-        Fault::TargetLimited {
-            target,
-            rate,
-            for_ms,
-        } => (target, TargetFault::NameLimit { for_ms, rate }, for_ms),
-        Fault::TargetBacksOff {
-            target,
-            share,
-            backoff_ms,
-            for_ms,
-        } => {
-            let refuse = TargetFault::Refuse {
-                for_ms,
-                share,
-                backoff_ms: Some(backoff_ms),
-            };
-            (target, refuse, for_ms)
-        }
-        Fault::TargetDeaf { target, for_ms } => (target, TargetFault::Deaf { for_ms }, for_ms),
-        Fault::TargetLosesAnswers {
-            target,
-            share,
-            for_ms,
-        } => (target, TargetFault::LoseAnswers { for_ms, share }, for_ms),
-        Fault::TargetCrossesAnswers {
-            target,
-            share,
-            for_ms,
-        } => (target, TargetFault::Crossed { for_ms, share }, for_ms),
-        Fault::TargetCutsAnswers {
-            target,
-            share,
-            for_ms,
-        } => {
-            let cut = TargetFault::Cut {
-                for_ms,
-                share,
-                after: CUT_AFTER_BYTES,
-            };
-            (target, cut, for_ms)
-        }
-        _ => return Err("not a fault of a target".to_owned()),
-    };
-    let addr = context.cluster().targets()[target].addr;
-    let sent = context.cluster().put_fault(addr, &injected);
-    sent.map_err(|e| e.to_string())?;
-    context.sleep(duration_ms);
-    Ok(())
-}
-
 /// Writes two configurations at once that differ in a route's latency target.
 fn race_operators(context: &RunContext) -> Result<(), String> {
-    let site = context.cluster().site();
     let operator = &context.operator;
-    let variant = |target_ms: u64| {
-        let mut routes: Vec<_> = site.routes().iter().map(|r| (**r).clone()).collect();
-        routes[0].latency_target = Millis(target_ms);
-        let site = &site;
-        let organisations = site.organisations();
-        let organisations = organisations.map(|all| all.iter().map(|o| (**o).clone()).collect());
-        Site::new(site.version, site.limits, site.services.clone(), routes)
-            .with_organisations(organisations)
-    };
-    let (first_site, second_site) = (variant(250), variant(350));
+    let first_site = with_latency_target(context, Millis(250));
+    let second_site = with_latency_target(context, Millis(350));
     let (first, second) = std::thread::scope(|s| {
         let first = s.spawn(|| operator.put_config("ada", &first_site));
         let second = operator.put_config("ben", &second_site);
@@ -303,6 +237,17 @@
     }
 }
 
+/// Returns the first configuration with another latency target of its first route.
+pub(crate) fn with_latency_target(context: &RunContext, latency_target: Millis) -> Site {
+    let site = context.cluster().site();
+    let mut routes: Vec<_> = site.routes().iter().map(|r| (**r).clone()).collect();
+    routes[0].latency_target = latency_target;
+    let organisations = site.organisations();
+    let organisations = organisations.map(|all| all.iter().map(|o| (**o).clone()).collect());
+    Site::new(site.version, site.limits, site.services.clone(), routes)
+        .with_organisations(organisations)
+}
+
 fn drain_dc(context: &RunContext, centre: usize, for_ms: u64) -> Result<(), String> {
     let (name, servers) = {
         let cluster = context.cluster();
@@ -358,50 +303,3 @@
     context.sleep(LEAVE_DURATION_MS);
     kill(context, Member::Target(target), 200)
 }
-
-/// Restarts the hosts one after another, each by a planned stop.
-fn rolling_restart(context: &RunContext) -> Result<(), String> {
-    let hosts = context.cluster().hosts().len();
-    let mut notes = Vec::new();
-    for host in 0..hosts {
-        if context.is_stopped() {
-            break;
-        }
-        if let Err(note) = planned_stop(context, host) {
-            notes.push(note);
-        }
-        let restarted = context.cluster().restart(Member::Router(host));
-        restarted.map_err(|e| e.to_string())?;
-        let addr = context.cluster().hosts()[host].readiness_addr;
-        let timeout = Millis(500);
-        let ready = context.wait_until(READY_TIMEOUT_MS, || {
-            crate::cluster::responds_ok(addr, "/-/readyz", timeout)
-        });
-        if !ready {
-            notes.push(format!(
-                "host {host} is not ready again within {READY_TIMEOUT_MS} ms"
-            ));
-        }
-    }
-    if notes.is_empty() {
-        Ok(())
-    } else {
-        Err(notes.join("; "))
-    }
-}
-
-fn planned_stop(context: &RunContext, host: usize) -> Result<(), String> {
-    let member = Member::Router(host);
-    let from = unix_micros();
-    context.cluster().request_stop(member);
-    let ended = context.wait_until(STOP_TIMEOUT_MS, || !context.cluster().is_running(member));
-    let period = record_interruption(context, host, from);
-    // Reaps the process, closes its ports, and kills it if it is still running.
-    context.cluster().kill(member);
-    context.events().stops.push(period);
-    if ended {
-        Ok(())
-    } else {
-        Err(format!("{member} did not stop within {STOP_TIMEOUT_MS} ms"))
-    }
-}
--- a/crates/chicoryrail-testkit/src/chaos/options.rs
+++ b/crates/chicoryrail-testkit/src/chaos/options.rs
@@ -15,6 +15,9 @@
     pub seed: u64,
     /// Duration of the load; no fault starts in its last 4 s, so that the cluster can recover.
     pub duration: Millis,
+    /// Time from the start of the load in which no fault starts. A host knows the usual response time of a route only
+    /// after 200 responses.
+    pub quiet: Millis,
     /// Deployment whose data centres, services and targets the cluster has.
     pub deployment: Deployment,
     /// Number of entry hosts.
@@ -42,6 +45,7 @@
         Self {
             seed,
             duration: Millis(20_000),
+            quiet: Millis::ZERO,
             deployment,
             hosts: 5,
             rate: 250.0,
--- a/crates/chicoryrail-testkit/src/chaos/run.rs
+++ b/crates/chicoryrail-testkit/src/chaos/run.rs
@@ -22,8 +22,8 @@
 use crate::chaos::FaultRecord;
 use crate::chaos::context::RunContext;
 use crate::chaos::context::RunEvents;
-use crate::chaos::fault::ClusterSize;
 use crate::chaos::options::ChaosOptions;
+use crate::chaos::random_fault::ClusterSize;
 use crate::chaos::worker::run_worker;
 use crate::unix_micros;
 
@@ -68,10 +68,14 @@
     let context = RunContext::new(cluster, std::sync::Arc::clone(&options.stop));
     let end_us = unix_micros() + options.duration.since(RECOVERY_TIME).0 * 1000;
     let progress = load.progress();
+    let quiet = options.quiet;
     let records = std::thread::scope(|s| {
         for i in 0..WORKERS {
             let (context, seed) = (&context, options.seed.wrapping_mul(WORKERS).wrapping_add(i));
-            s.spawn(move || run_worker(context, seed, size, &options.fault_kinds, end_us));
+            s.spawn(move || {
+                context.sleep(quiet.0);
+                run_worker(context, seed, size, &options.fault_kinds, end_us);
+            });
         }
         let load_thread = s.spawn(|| block_on(load.run()));
         while !load_thread.is_finished() {
@@ -118,6 +122,7 @@
         duration: options.duration,
         rate: Some(options.rate),
         seed: options.seed,
+        keeps_connections: true,
         ..LoadOptions::default()
     }
 }
@@ -138,7 +143,10 @@
         interruptions,
     } = std::mem::take(&mut *context.events());
     faults.sort_by_key(|f| f.from);
+    let severed = faults.iter().filter(|f| f.fault.severs_connections());
     let mut evidence = Evidence {
+        severed: severed.map(FaultRecord::period).collect(),
+        terminations: stops.clone(),
         outs,
         frozen,
         stops,
@@ -187,7 +195,7 @@
         f.from <= until && f.until + LINGERING_EFFECT_US >= from
     };
     let is_disturbed = |s: &HostTime| {
-        let mut faults = faults.iter().filter(|f| !f.fault.is_planned());
+        let mut faults = faults.iter().filter(|f| !f.fault.allows_planned_stops());
         faults.any(|f| overlaps(f, s.from, s.until))
     };
     evidence.stops.retain(|s| !is_disturbed(s));
--- a/crates/chicoryrail-testkit/src/chaos/worker.rs
+++ b/crates/chicoryrail-testkit/src/chaos/worker.rs
@@ -4,11 +4,11 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use crate::chaos::FaultRecord;
 use crate::chaos::context::RunContext;
-use crate::chaos::fault::ClusterSize;
 use crate::chaos::fault::Fault;
-use crate::chaos::fault::FaultRecord;
 use crate::chaos::inject;
+use crate::chaos::random_fault::ClusterSize;
 use crate::unix_micros;
 
 /// Injects faults until `end_us`, in microseconds since 1970, or until the run is stopped.
--- a/crates/chicoryrail-testkit/src/checker.rs
+++ b/crates/chicoryrail-testkit/src/checker.rs
@@ -1,5 +1,6 @@
 //! Checks the router's guarantees against the records of callers, targets and the store.
 
+mod abandoned;
 mod availability;
 mod cut_hosts;
 mod evidence;
@@ -18,5 +19,6 @@
 pub use evidence::Evidence;
 pub use evidence::HostTime;
 pub use evidence::OutPeriod;
+pub use evidence::Period;
 pub use evidence::QuotaWindow;
 pub use violation::Violation;
--- a/crates/chicoryrail-testkit/src/checker/evidence.rs
+++ b/crates/chicoryrail-testkit/src/checker/evidence.rs
@@ -8,6 +8,7 @@
 
 use crate::Arrival;
 use crate::CallRecord;
+use crate::CancelledRun;
 use crate::Change;
 use crate::Ledger;
 use crate::LimitOverrun;
@@ -26,6 +27,9 @@
     pub records: Vec<CallRecord>,
     /// Requests that any target executed.
     pub runs: Vec<Run>,
+    /// Lookups that targets cancelled while they ran.
+    #[serde(default)]
+    pub cancelled_runs: Vec<CancelledRun>,
     /// Times at which a target that was warming up received more requests than it can handle.
     pub overruns: Vec<Overrun>,
     /// Times at which a target received more requests than its advertised limit allows.
@@ -43,6 +47,12 @@
     pub outs: Vec<OutPeriod>,
     /// Planned stops of routers.
     pub stops: Vec<HostTime>,
+    /// Periods from SIGTERM to the exit of a router, whatever else was disturbed.
+    #[serde(default)]
+    pub terminations: Vec<HostTime>,
+    /// Periods in which connections between hosts and targets may have broken for another reason than the routers.
+    #[serde(default)]
+    pub severed: Vec<Period>,
     /// Periods in which routers were paused.
     pub frozen: Vec<HostTime>,
     /// Periods in which hosts had lost their paths to all targets and nothing else was disturbed.
@@ -71,6 +81,7 @@
     pub fn with_ledgers(mut self, ledgers: Vec<Ledger>) -> Self {
         for ledger in ledgers {
             self.runs.extend(ledger.runs);
+            self.cancelled_runs.extend(ledger.cancelled_runs);
             self.overruns.extend(ledger.overruns);
             self.limit_overruns.extend(ledger.limit_overruns);
             self.notices.extend(ledger.notices);
@@ -92,6 +103,15 @@
     pub until: u64,
 }
 
+/// A period. Times are in microseconds since 1970.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Period {
+    /// Start of the period.
+    pub from: u64,
+    /// End of the period.
+    pub until: u64,
+}
+
 /// The period of a stop, a kill or a pause of a router. Times are in microseconds since 1970.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostTime {
--- a/crates/chicoryrail-testkit/src/checker/find.rs
+++ b/crates/chicoryrail-testkit/src/checker/find.rs
@@ -2,6 +2,7 @@
 
 use crate::Evidence;
 use crate::Violation;
+use crate::checker::abandoned;
 use crate::checker::cut_hosts;
 use crate::checker::exclusivity;
 use crate::checker::notices;
@@ -25,6 +26,7 @@
         found.extend(organisations::check(evidence));
         found.extend(notices::check(evidence));
         found.extend(cut_hosts::check(evidence));
+        found.extend(abandoned::check(evidence));
         found
     }
 }
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -83,6 +83,17 @@
         /// Id of the request.
         request: String,
     },
+    /// A caller got an error of its host although a server that was running the request would have responded in time.
+    Abandoned {
+        /// Id of the request.
+        request: String,
+        /// Server that was running it.
+        server: String,
+        /// Time from the start of the run until it was abandoned, in milliseconds.
+        ran_ms: u64,
+        /// Time that the caller had left then, in milliseconds.
+        left_ms: u64,
+    },
     /// The fencing token of a key record decreased, or the record was deleted or is unreadable.
     StoredBack {
         /// Store key of the record.
--- a/crates/chicoryrail-testkit/src/cluster/control.rs
+++ b/crates/chicoryrail-testkit/src/cluster/control.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Sends SIGHUP, at which a router reads its boot file again.
+    pub fn reload(&mut self, member: Member) {
+        self.with_process(member, |p| p.signal(Signal::SIGHUP));
+    }
+
     /// Sends SIGTERM and returns without waiting for the process to exit.
     pub fn request_stop(&mut self, member: Member) {
         self.with_process(member, |p| p.signal(Signal::SIGTERM));
--- a/crates/chicoryrail-testkit/src/load/balancer.rs
+++ b/crates/chicoryrail-testkit/src/load/balancer.rs
@@ -51,15 +51,20 @@
         this
     }
 
-    /// Returns all hosts in the order in which a request tries them: healthy hosts first, each group from a random
-    /// start.
-    pub(crate) fn host_order(&self, rng: &mut Pcg64Mcg) -> Vec<SocketAddr> {
+    /// Returns all hosts in the order in which a request tries them: first those that are healthy or to which callers
+    /// are connected, each group from a random start.
+    pub(crate) fn host_order(
+        &self,
+        rng: &mut Pcg64Mcg,
+        is_connected: impl Fn(SocketAddr) -> bool,
+    ) -> Vec<SocketAddr> {
         let n = self.hosts.len();
         let start = rng.random_range(0..n.max(1));
         let rotated = || (0..n).map(move |i| &self.hosts[(start + i) % n]);
-        let healthy = rotated().filter(|h| h.healthy.get());
-        let unhealthy = rotated().filter(|h| !h.healthy.get());
-        healthy.chain(unhealthy).map(|h| h.addr).collect()
+        let is_first = |h: &&CheckedHost| h.healthy.get() || is_connected(h.addr);
+        let (mut first, last): (Vec<_>, Vec<_>) = rotated().partition(is_first);
+        first.extend(last);
+        first.into_iter().map(|h| h.addr).collect()
     }
 
     async fn check(self, i: usize, addr: SocketAddr) {
--- a/crates/chicoryrail-testkit/src/load/call.rs
+++ b/crates/chicoryrail-testkit/src/load/call.rs
@@ -61,6 +61,9 @@
     pub intended: u64,
     /// Time at which the request ended, in microseconds since 1970.
     pub ended: u64,
+    /// Deadline that the caller set, in microseconds since 1970.
+    #[serde(default)]
+    pub deadline: u64,
     /// Outcome of the request as the caller knows it.
     pub outcome: Outcome,
     /// HTTP status; 0 if there was no response.
@@ -104,6 +107,7 @@
         host: hosts[0],
         intended,
         ended: 0,
+        deadline: unix_micros() + deadline.0 * 1_000,
         outcome: Outcome::NotRun,
         status: 0,
         server: None,
--- a/crates/chicoryrail-testkit/src/load/pool.rs
+++ b/crates/chicoryrail-testkit/src/load/pool.rs
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Returns `true` if there is an idle connection to the host.
+    pub(crate) fn has_idle(&self, addr: SocketAddr) -> bool {
+        let idle = self.idle.borrow();
+        idle.get(&addr)
+            .is_some_and(|all| all.iter().any(Sender::is_ready))
+    }
+
     /// Returns a connection to the pool; drops it if it cannot be reused.
     pub(crate) fn release(&self, addr: SocketAddr, sender: Sender) {
         if sender.is_ready() {
--- a/crates/chicoryrail-testkit/src/load/run.rs
+++ b/crates/chicoryrail-testkit/src/load/run.rs
@@ -45,6 +45,8 @@
     pub deadline: Millis,
     /// Seed of all random choices.
     pub seed: u64,
+    /// Whether callers use open connections to hosts that the load balancer has removed, until these close them.
+    pub keeps_connections: bool,
 }
 
 impl Default for LoadOptions {
@@ -57,6 +59,7 @@
             callers: 8,
             deadline: Millis(1_000),
             seed: 1,
+            keeps_connections: false,
         }
     }
 }
@@ -195,7 +198,10 @@
     let (request, hosts) = {
         let mut rng = shared.rng.borrow_mut();
         let request = shared.mix.borrow_mut().next(&mut rng);
-        (request, shared.balancer.host_order(&mut rng))
+        let keeps = shared.options.keeps_connections;
+        let is_connected = |host| keeps && shared.pool.has_idle(host);
+        let hosts = shared.balancer.host_order(&mut rng, is_connected);
+        (request, hosts)
     };
     let record = call(
         &shared.pool,
--- a/crates/chicoryrail-testkit/src/target.rs
+++ b/crates/chicoryrail-testkit/src/target.rs
@@ -24,6 +24,7 @@
 pub use leased_keys::Permit;
 pub use leased_keys::StaleFence;
 pub use ledger::Arrival;
+pub use ledger::CancelledRun;
 pub use ledger::Ledger;
 pub use ledger::LimitOverrun;
 pub use ledger::Notice;
--- a/crates/chicoryrail-testkit/src/target/execution.rs
+++ b/crates/chicoryrail-testkit/src/target/execution.rs
@@ -8,6 +8,7 @@
 use futures_util::future::Either;
 use futures_util::future::select;
 
+use crate::CancelledRun;
 use crate::Permit;
 use crate::Run;
 use crate::target::request_end::RequestEnd;
@@ -67,6 +68,7 @@
         let worked = std::pin::pin!(monoio::time::sleep(Duration::from_micros(service_us)));
         let cancelled = std::pin::pin!(lookup_cancelled(work, cancel));
         if let Either::Right(_) = select(worked, cancelled).await {
+            record_cancelled(state, work, permit, start, start + service_us);
             return RequestEnd::Cancelled;
         }
     }
@@ -99,16 +101,35 @@
     leased_keys.permit_run(state.now(), key).map(Some).ok_or(())
 }
 
+/// Returns `true` unless the lease of the run's key has ended since the permit.
+fn may_take_effect(state: &State, work: &Work, permit: Option<Permit>) -> bool {
+    let (Some(key), Some(permit)) = (work.key, permit) else {
+        return true;
+    };
+    let leased_keys = state.leased_keys.borrow();
+    leased_keys.may_take_effect(state.now(), key, permit)
+}
+
+/// Records a run that would have taken effect at `due`, unless the key's lease has ended since the permit.
+fn record_cancelled(state: &State, work: &Work, permit: Option<Permit>, start: u64, due: u64) {
+    if !may_take_effect(state, work, permit) {
+        return;
+    }
+    let cancelled = CancelledRun {
+        server: state.options.name.to_string(),
+        request: work.request.clone(),
+        start,
+        due,
+        time: unix_micros(),
+    };
+    state.recorder.borrow_mut().record_cancelled_run(cancelled);
+}
+
 /// Records the run as having taken effect, unless the key's lease has ended since the permit.
 fn take_effect(state: &State, work: &Work, permit: Option<Permit>, start: u64) -> RequestEnd {
     // Read before the check, so that a pause between the two makes the check fail instead of lengthening the run.
     let end = unix_micros();
-    if let (Some(key), Some(permit)) = (work.key, permit)
-        && !state
-            .leased_keys
-            .borrow()
-            .may_take_effect(state.now(), key, permit)
-    {
+    if !may_take_effect(state, work, permit) {
         return RequestEnd::NotOwner;
     }
     state.recorder.borrow_mut().record_run(Run {
--- a/crates/chicoryrail-testkit/src/target/ledger.rs
+++ b/crates/chicoryrail-testkit/src/target/ledger.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Largest numbers of runs, notices and arrivals kept in memory; the file holds all of them.
+/// Largest numbers of runs, cancelled runs, notices and arrivals kept in memory; the file holds all of them.
 const RUNS_MAX: usize = 200_000;
 
 /// Largest number of overruns of each kind kept in memory; the file holds all of them.
@@ -43,6 +43,21 @@
     pub end: u64,
 }
 
+/// A lookup that was cancelled while it ran: its connection was closed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CancelledRun {
+    /// Name of the server.
+    pub server: String,
+    /// Id of the request.
+    pub request: String,
+    /// Start of the run in microseconds since 1970.
+    pub start: u64,
+    /// Time at which the run would have ended, in microseconds since 1970.
+    pub due: u64,
+    /// Time at which the run was cancelled, in microseconds since 1970.
+    pub time: u64,
+}
+
 /// More requests arrived at a server that is warming up than it can serve.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Overrun {
@@ -119,6 +134,9 @@
 pub struct Ledger {
     /// Requests that took effect, oldest first. A target keeps the last 200,000.
     pub runs: VecDeque<Run>,
+    /// Lookups cancelled while they ran, and while the server still owned their keys. A target keeps the first 200,000.
+    #[serde(default)]
+    pub cancelled_runs: Vec<CancelledRun>,
     /// Overruns during warm-ups. A target keeps the first 1,000.
     pub overruns: Vec<Overrun>,
     /// Overruns of the advertised rate limit. A target keeps the first 1,000.
@@ -155,6 +173,7 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) enum Line {
     Run(Run),
+    CancelledRun(CancelledRun),
     Overrun(Overrun),
     LimitOverrun(LimitOverrun),
     Notice(Notice),
@@ -175,6 +194,7 @@
         for line in text.split_inclusive('\n').filter(|l| l.ends_with('\n')) {
             match serde_json::from_str(line).map_err(io::Error::from)? {
                 Line::Run(run) => ledger.runs.push_back(run),
+                Line::CancelledRun(run) => ledger.cancelled_runs.push(run),
                 Line::Overrun(overrun) => ledger.overruns.push(overrun),
                 Line::LimitOverrun(overrun) => ledger.limit_overruns.push(overrun),
                 Line::Notice(notice) => ledger.notices.push(notice),
@@ -216,6 +236,13 @@
         self.ledger.runs.push_back(run);
     }
 
+    pub(crate) fn record_cancelled_run(&mut self, run: CancelledRun) {
+        self.write(&Line::CancelledRun(run.clone()));
+        if self.ledger.cancelled_runs.len() < RUNS_MAX {
+            self.ledger.cancelled_runs.push(run);
+        }
+    }
+
     pub(crate) fn record_overrun(&mut self, overrun: Overrun) {
         self.write(&Line::Overrun(overrun.clone()));
         if self.ledger.overruns.len() < OVERRUNS_MAX {
--- a/crates/chicoryrail-testkit/tests/chaos.rs
+++ b/crates/chicoryrail-testkit/tests/chaos.rs
@@ -51,3 +51,18 @@
     assert_eq!(failures, (Vec::new(), Vec::new()), "{:?}", summary.kept);
     assert!(summary.ok > 0 && !summary.faults.is_empty());
 }
+
+/// Guards against a host that gives up a request at a server that is running it and would respond in time, while servers
+/// are slow and hosts are stopped one after the other. The faults begin when the hosts know the usual response times.
+#[test]
+fn requests_at_slow_servers_survive_a_series_of_stops() {
+    let _serial = SERIAL.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut options = ChaosOptions::new(Deployment::Tanduay, 3).with_duration(Millis(16_000));
+    options.program_dir = Some(programs());
+    options.quiet = Millis(9_000);
+    options.fault_kinds = vec!["targets-stall".to_owned(), "stop-series".to_owned()];
+    let summary = run_chaos(&options).unwrap();
+    let failures = (summary.found, summary.crashed);
+    assert_eq!(failures, (Vec::new(), Vec::new()), "{:?}", summary.kept);
+    assert!(summary.ok > 0 && !summary.faults.is_empty());
+}
--- a/crates/chicoryrail-testkit/tests/checker.rs
+++ b/crates/chicoryrail-testkit/tests/checker.rs
@@ -6,6 +6,7 @@
 use chicoryrail_testkit::Availability;
 use chicoryrail_testkit::CallRecord;
 use chicoryrail_testkit::CallerKind;
+use chicoryrail_testkit::CancelledRun;
 use chicoryrail_testkit::Change;
 use chicoryrail_testkit::Evidence;
 use chicoryrail_testkit::HostTime;
@@ -16,6 +17,7 @@
 use chicoryrail_testkit::OutPeriod;
 use chicoryrail_testkit::Outcome;
 use chicoryrail_testkit::Overrun;
+use chicoryrail_testkit::Period;
 use chicoryrail_testkit::QuotaWindow;
 use chicoryrail_testkit::Run;
 use chicoryrail_testkit::Violation;
@@ -58,6 +60,7 @@
         host: "127.0.0.1:7000".parse().unwrap(),
         intended: 0,
         ended: 1_000,
+        deadline: 1_000_000,
         outcome,
         status: 200,
         server: None,
@@ -587,3 +590,128 @@
     let found = check(&evidence).into_iter().filter(starved).count();
     assert_eq!(found, expected);
 }
+
+/// Returns evidence of a lookup whose run the host abandoned at 700 ms, at which its caller got an error of the host. The
+/// run would have ended at `due`; times in milliseconds.
+fn abandoned(status: u16, due: u64) -> Evidence {
+    let mut evidence = clean();
+    evidence.records.push(CallRecord {
+        ended: 705_000,
+        status,
+        ..record("a", Outcome::Unknown)
+    });
+    evidence.cancelled_runs.push(CancelledRun {
+        server: "kits-1".to_owned(),
+        request: "a".to_owned(),
+        start: 100_000,
+        due: due * 1_000,
+        time: 700_000,
+    });
+    evidence
+}
+
+fn abandoned_at_700() -> Violation {
+    Violation::Abandoned {
+        request: "a".to_owned(),
+        server: "kits-1".to_owned(),
+        ran_ms: 600,
+        left_ms: 300,
+    }
+}
+
+/// Guards against a checker that overlooks a host that gives up a request at a server that would have responded in time.
+#[rstest]
+#[case::bad_gateway(502, 900, 1)]
+#[case::gateway_timeout(504, 900, 1)]
+#[case::connection_closed(0, 900, 1)]
+#[case::response_too_late(504, 901, 0)]
+fn finds_run_that_its_host_abandoned(
+    #[case] status: u16,
+    #[case] due: u64,
+    #[case] expected: usize,
+) {
+    let evidence = abandoned(status, due);
+    assert_eq!(check(&evidence), vec![abandoned_at_700(); expected]);
+}
+
+/// A run is cancelled without harm if another server responds, or if the server itself responded with an error.
+#[rstest]
+#[case::served(Outcome::Done, None)]
+#[case::error_of_a_server(Outcome::Unknown, Some("kits-2"))]
+fn cancelled_run_of_an_answered_request_is_no_violation(
+    #[case] outcome: Outcome,
+    #[case] server: Option<&str>,
+) {
+    let mut evidence = abandoned(502, 900);
+    let own = evidence.records.last_mut().unwrap();
+    own.outcome = outcome;
+    own.server = server.map(str::to_owned);
+    assert_eq!(check(&evidence), []);
+}
+
+/// An order runs on although its host has given it up.
+#[rstest]
+#[case::before_the_end(300, 1)]
+#[case::after_the_end(900, 0)]
+fn finds_order_that_its_host_abandoned(#[case] ended: u64, #[case] expected: usize) {
+    let mut evidence = clean();
+    evidence.records[4].status = 502;
+    evidence.records[4].ended = ended * 1_000;
+    evidence.runs.push(Run {
+        end: 800_000,
+        ..order("r5", 100)
+    });
+    let planted = Violation::Abandoned {
+        request: "r5".to_owned(),
+        server: "placement-1".to_owned(),
+        ran_ms: 200,
+        left_ms: 700,
+    };
+    assert_eq!(check(&evidence), vec![planted; expected]);
+}
+
+/// A host that stops waits for its servers until the last sixth of its grace period of 6 s. The signal comes `signal_ms`
+/// after the host abandoned the run.
+#[rstest]
+#[case::early("127.0.0.1:7000", 0, 1)]
+#[case::just_before_the_last_sixth("127.0.0.1:7000", -4_999, 1)]
+#[case::in_the_last_sixth("127.0.0.1:7000", -5_000, 0)]
+#[case::of_another_host("127.0.0.1:7001", -5_000, 1)]
+fn finds_run_abandoned_by_stopping_host(
+    #[case] host: &str,
+    #[case] signal_ms: i64,
+    #[case] expected: usize,
+) {
+    let mut evidence = abandoned(502, 900);
+    let shift = 10_000_000;
+    let own = evidence.records.last_mut().unwrap();
+    own.ended += shift;
+    own.deadline += shift;
+    let run = &mut evidence.cancelled_runs[0];
+    run.start += shift;
+    run.due += shift;
+    run.time += shift;
+    evidence.terminations.push(HostTime {
+        host: host.parse().unwrap(),
+        from: run.time.checked_add_signed(signal_ms * 1_000).unwrap(),
+        until: run.time + 600_000,
+    });
+    assert_eq!(check(&evidence), vec![abandoned_at_700(); expected]);
+}
+
+/// A fault that breaks connections excuses only what it met.
+#[rstest]
+#[case::before_the_run(0..99, 1)]
+#[case::during_the_run(650..660, 0)]
+#[case::after_it(701..800, 1)]
+fn run_whose_connection_broke_is_no_violation(
+    #[case] severed: Range<u64>,
+    #[case] expected: usize,
+) {
+    let mut evidence = abandoned(502, 900);
+    evidence.severed.push(Period {
+        from: severed.start * 1_000,
+        until: severed.end * 1_000,
+    });
+    assert_eq!(check(&evidence), vec![abandoned_at_700(); expected]);
+}
--- a/crates/chicoryrail-testkit/tests/target.rs
+++ b/crates/chicoryrail-testkit/tests/target.rs
@@ -284,7 +284,8 @@
     });
 }
 
-/// Guards against a slot that stays taken: a lookup is cancelled and its slot released when its caller disconnects.
+/// Guards against a slot that stays taken: a lookup is cancelled and its slot released when its caller disconnects. The
+/// ledger tells when its run would have ended.
 #[test]
 fn a_lookup_whose_caller_disconnects_releases_its_slot() {
     block_on(async {
@@ -299,5 +300,11 @@
         assert_eq!(send(addr, lookup("r2", "")).await.status(), 200);
         let seen = ledger(addr).await;
         assert_eq!((seen.done, seen.cancelled), (1, 1));
+        let [run] = &seen.cancelled_runs[..] else {
+            panic!("{seen:?}");
+        };
+        assert_eq!(run.request, "r1");
+        assert_eq!(run.due - run.start, 15_000_000);
+        assert!((run.start..run.due).contains(&run.time), "{run:?}");
     });
 }
--- a/xtask/src/chaos.rs
+++ b/xtask/src/chaos.rs
@@ -24,6 +24,9 @@
     /// Duration of the load of each run, in seconds
     #[bpaf(argument("N"), fallback(20), display_fallback)]
     seconds: u64,
+    /// Time from the start of the load in which no fault starts, in seconds
+    #[bpaf(argument("N"), fallback(0), display_fallback)]
+    quiet_seconds: u64,
     /// Deployment to run: updraft or tanduay
     #[bpaf(argument("NAME"), fallback(Deployment::Updraft), display_fallback)]
     deployment: Deployment,
@@ -48,6 +51,7 @@
             let mut options = ChaosOptions::new(self.deployment, seed)
                 .with_duration(Millis(self.seconds * 1_000));
             options.fault_kinds.clone_from(&self.only);
+            options.quiet = Millis(self.quiet_seconds * 1_000);
             options.uploads = self.uploads;
             options.keep_evidence = self.keep;
             options.stop = Arc::clone(&stop);
