--- a/crates/chicoryrail-router/src/route/attempt.rs
+++ b/crates/chicoryrail-router/src/route/attempt.rs
@@ -49,6 +49,14 @@
     Overdue(Overdue<'a>),
 }
 
+/// End of an overdue send beside which the request was sent again.
+enum Raced {
+    /// The overdue send ended; the response to the later sends, if they ended as well.
+    Ended(SendOutcome, Option<Response<Body>>),
+    /// The overdue send was cancelled for this response to a later one.
+    Cancelled(Response<Body>),
+}
+
 impl<'a> Attempts<'a> {
     /// Sends the request to its assigned server. If it may be sent again, waits no longer than usual for the response.
     pub(super) async fn send_in_time(&mut self, permitted: Permitted) -> Sent<'a> {
@@ -84,11 +92,14 @@
         Sent::Ended(sent)
     }
 
-    /// Sends the request again beside an overdue send. Returns the response of a later send, or else how the overdue send
-    /// ended.
+    /// Sends the request again beside an overdue send, and returns the response to a later send.
     ///
     /// The overdue send is cancelled only for a response that is no server error: whatever prevents the later sends, a
     /// response that the first server is about to send reaches the caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the overdue send ended if it got the response, or if no later send got one.
     pub(super) async fn run_beside(
         &mut self,
         overdue: Overdue<'a>,
@@ -96,21 +107,27 @@
         let Overdue { life, limit, sent } = overdue;
         self.possible_runs += 1;
         let again: LocalBoxFuture<'_, _> = Box::pin(self.run());
-        let (sent, again) = match select(sent, again).await {
-            Either::Left((sent @ SendOutcome::Answered(_), _)) => (Some(sent), None),
-            Either::Left((sent, again)) => (Some(sent), again.await.ok()),
+        let raced = match select(sent, again).await {
+            Either::Left((sent @ SendOutcome::Answered(_), _)) => Raced::Ended(sent, None),
+            Either::Left((sent, again)) => Raced::Ended(sent, again.await.ok()),
             Either::Right((Ok(again), _)) if !again.status().is_server_error() => {
-                (None, Some(again))
+                Raced::Cancelled(again)
+            }
+            Either::Right((again, sent)) => Raced::Ended(sent.await, again.ok()),
+        };
+        let (sent, again) = match raced {
+            Raced::Cancelled(again) => {
+                self.record_overdue_end(&life, limit, None);
+                return Ok(again);
             }
-            Either::Right((again, sent)) => (Some(sent.await), again.ok()),
+            Raced::Ended(sent, again) => (sent, again),
         };
-        // The caller of this function counts the overdue send, if it is the one that decides.
+        // The overdue send is counted like any other that has ended.
         self.possible_runs -= 1;
-        self.record_overdue_end(&life, limit, sent.as_ref());
+        self.record_overdue_end(&life, limit, Some(&sent));
         match (sent, again) {
-            (Some(sent @ SendOutcome::Answered(_)), _) | (Some(sent), None) => Err(sent),
+            (sent @ SendOutcome::Answered(_), _) | (sent, None) => Err(sent),
             (_, Some(again)) => Ok(again),
-            (None, None) => Err(SendOutcome::Indeterminate(Indeterminate::Silent)),
         }
     }
 
--- a/crates/chicoryrail-router/tests/overdue_sends.rs
+++ b/crates/chicoryrail-router/tests/overdue_sends.rs
@@ -1,4 +1,4 @@
-//! Requests that are sent again beside an overdue send.
+//! Requests at servers that respond later than usual, and are sent again: the response must reach the caller.
 
 mod support;
 
@@ -6,10 +6,14 @@
 use std::time::Instant;
 
 use chicoryrail_core::Millis;
+use chicoryrail_platform::call_header;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetFault;
+use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::json;
+use support::Mode;
+use support::RouterProcess;
 use support::Server;
 use support::World;
 use support::wait_until;
@@ -19,13 +23,113 @@
 /// Number of responses from which a host knows the usual response time, with a margin.
 const OBSERVED: usize = 210;
 
-/// Factor by which a slow server takes longer than its usual 1 ms. Its request is sent again after 600 ms.
-const SLOW: f64 = 1_100.0;
+/// Response time of a slow server. A host gives up an attempt after 600 ms, and a second one would end after the time
+/// limit of 1,500 ms.
+const SLOW: Millis = Millis(1_100);
 
-/// Time for which servers are slow from the start of the request, and then respond with errors.
+/// Factor by which a slow server takes longer than its usual 1 ms.
+const SLOW_FACTOR: f64 = 1_100.0;
+
+/// Time for which servers are slow from the start of a request.
 const SLOW_MS: u64 = 300;
+
+/// Time for which they respond with errors after that.
 const FAIL_MS: u64 = 600;
 
+/// Starts a server of `service` and a router that knows its usual response time.
+async fn start(test: &str, service: &str) -> (World, Rc<Server>, RouterProcess) {
+    let world = World::start(test).await;
+    world.configure().await;
+    let server = world.server("s-1", service).await;
+    let router = world.router("a").await;
+    if service == "kits" {
+        wait_until("the key is granted", async || server.owns(KEY)).await;
+    }
+    let caller = router.caller();
+    let (path, key) = request(service);
+    for _ in 0..OBSERVED {
+        assert_eq!(
+            caller.call("GET", path, key, 1_500).await.unwrap().status(),
+            200
+        );
+    }
+    (world, server, router)
+}
+
+/// Returns the path and the key of a read of a service.
+fn request(service: &str) -> (&'static str, Option<u16>) {
+    match service {
+        "kits" => ("/key/x", Some(KEY)),
+        _ => ("/read/x", None),
+    }
+}
+
+/// Guards against a read that is given up at a server that runs it, after a signal that came while it ran.
+#[rstest]
+#[case::stop_with_key("kits", Signal::SIGTERM)]
+#[case::stop_without_key("desk", Signal::SIGTERM)]
+#[case::reload_with_key("kits", Signal::SIGHUP)]
+#[case::reload_without_key("desk", Signal::SIGHUP)]
+fn a_read_that_runs_at_a_signal_gets_its_response(#[case] service: &str, #[case] signal: Signal) {
+    block_on(async {
+        let (_world, server, router) = start("signalled", service).await;
+        let runs = server.executed();
+        server.set_work(SLOW);
+        let caller = router.caller();
+        let (path, key) = request(service);
+        let running = monoio::spawn(async move { caller.call("GET", path, key, 1_500).await });
+        monoio::time::sleep(Millis(300).to_duration()).await;
+        router.signal(signal);
+        let response = running.await.unwrap();
+        assert_eq!(response.status(), 200, "{response:?}");
+        assert!(server.executed() > runs);
+    });
+}
+
+/// Guards against a read that is given up at a server that runs it, although no other send can replace it: the server
+/// refuses all further requests.
+#[rstest]
+#[case::with_key("kits")]
+#[case::without_key("desk")]
+fn a_read_that_can_not_be_sent_again_gets_its_response(#[case] service: &str) {
+    block_on(async {
+        let (_world, server, router) = start("refused-again", service).await;
+        server.set_work(SLOW);
+        let caller = router.caller();
+        let (path, key) = request(service);
+        let running = monoio::spawn(async move { caller.call("GET", path, key, 1_500).await });
+        monoio::time::sleep(Millis(300).to_duration()).await;
+        server.fault(TargetFault::Refuse {
+            for_ms: 600_000,
+            share: 1.0,
+            backoff_ms: None,
+        });
+        let response = running.await.unwrap();
+        assert_eq!(response.status(), 200, "{response:?}");
+    });
+}
+
+/// Guards against a server's error that is replaced by an error of the host, since the request was to be sent again and no
+/// server took it.
+#[rstest]
+#[case::with_key("kits")]
+#[case::without_key("desk")]
+fn a_server_error_reaches_the_caller_if_no_retry_replaces_it(#[case] service: &str) {
+    block_on(async {
+        let (_world, server, router) = start("error-kept", service).await;
+        server.set_mode(Mode::Fail);
+        server.set_work(Millis(300));
+        let caller = router.caller();
+        let (path, key) = request(service);
+        let running = monoio::spawn(async move { caller.call("GET", path, key, 1_500).await });
+        monoio::time::sleep(Millis(150).to_duration()).await;
+        server.set_mode(Mode::Refuse);
+        let response = running.await.unwrap();
+        assert_eq!(response.status(), 500, "{response:?}");
+        assert!(response.headers().contains_key(call_header::UPSTREAM_STAMP));
+    });
+}
+
 /// Guards against a read that is cancelled at a server that runs it, because its second send got an error.
 #[rstest]
 #[case::with_key("kits", &["s-1"])]
@@ -42,10 +146,7 @@
             servers.push(world.server(name, service).await);
         }
         let router = world.router("a").await;
-        let (path, key) = match service {
-            "kits" => ("/key/x", Some(KEY)),
-            _ => ("/read/x", None),
-        };
+        let (path, key) = request(service);
         if key.is_some() {
             wait_until("the key is granted", async || servers[0].owns(KEY)).await;
         }
@@ -57,7 +158,7 @@
         for server in &servers {
             server.fault(TargetFault::Slow {
                 for_ms: SLOW_MS,
-                factor: SLOW,
+                factor: SLOW_FACTOR,
             });
         }
         let begun = Instant::now();
@@ -93,7 +194,7 @@
         }
         server.fault(TargetFault::Slow {
             for_ms: SLOW_MS,
-            factor: SLOW,
+            factor: SLOW_FACTOR,
         });
         let slow: Vec<_> = (0..2)
             .map(|_| {
