refactor(runtime): one body that keeps a guard

The listener's count of requests in flight and the router's count of requests being served wrapped response bodies in the same way; both use guard_body now.

--- a/crates/chicoryrail-router/src/route/serving_guard.rs
+++ b/crates/chicoryrail-router/src/route/serving_guard.rs
@@ -1,17 +1,10 @@
 //! Counts the requests that this host is serving.
 
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Context;
-use std::task::Poll;
 
-use bytes::Bytes;
 use chicoryrail_runtime::Body;
+use chicoryrail_runtime::guard_body;
 use http::Response;
-use hyper::body::Body as HttpBody;
-use hyper::body::Frame;
-use hyper::body::SizeHint;
 
 use crate::route::response_body::Streamed;
 use crate::state::Router;
@@ -31,12 +24,7 @@
         if response.extensions().get::<Streamed>().is_none() {
             return response;
         }
-        response.map(|body| -> Body {
-            Box::pin(ServedBody {
-                body,
-                _serving: self,
-            })
-        })
+        response.map(|body| guard_body(body, self))
     }
 }
 
@@ -46,29 +34,3 @@
         self.0.counters.serving.dec();
     }
 }
-
-/// The body of a streamed response, whose request is being served until the body is dropped.
-struct ServedBody {
-    body: Body,
-    _serving: ServingGuard,
-}
-
-impl HttpBody for ServedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        self.body.as_mut().poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/chicoryrail-runtime/src/callers/caller_io.rs
+++ b/crates/chicoryrail-runtime/src/callers/caller_io.rs
@@ -10,11 +10,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::Bytes;
 use bytes::BytesMut;
-use hyper::body::Body as HttpBody;
-use hyper::body::Frame;
-use hyper::body::SizeHint;
 use hyper::rt::Read;
 use hyper::rt::ReadBuf;
 use hyper::rt::ReadBufCursor;
@@ -22,7 +18,6 @@
 use monoio::time::Sleep;
 use monoio::time::sleep;
 
-use crate::Body;
 use crate::callers::HeadScanner;
 
 /// Number of requests in flight on one connection. Clones share the count.
@@ -53,38 +48,6 @@
     }
 }
 
-impl InFlightGuard {
-    /// Wraps the response body so that the request counts until the body is dropped.
-    pub(crate) fn guard_body(self, body: Body) -> Body {
-        Box::pin(GuardedBody { body, _guard: self })
-    }
-}
-
-struct GuardedBody {
-    body: Body,
-    _guard: InFlightGuard,
-}
-
-impl HttpBody for GuardedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        self.body.as_mut().poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Maximum number of bytes that are read ahead of the request in flight. Further bytes stay in the kernel's receive
 /// buffer, so a caller that keeps sending meets back pressure. A head of the default limit of 16 KiB fits twice.
 const MAX_READ_AHEAD_BYTES: usize = 32 << 10;
--- a/crates/chicoryrail-runtime/src/callers/http_server.rs
+++ b/crates/chicoryrail-runtime/src/callers/http_server.rs
@@ -42,6 +42,7 @@
 use crate::callers::caller_io::InFlight;
 use crate::callers::pipeline::Callbacks;
 use crate::callers::pipeline::Pipeline;
+use crate::guard_body;
 use crate::is_connection_close;
 
 /// Limits on what callers may use of a listener.
@@ -214,7 +215,7 @@
                 async move {
                     let mut response = response.await;
                     set_connection_close(&mut pipeline.borrow_mut(), &mut response);
-                    Ok::<_, Infallible>(response.map(|body| guard.guard_body(body)))
+                    Ok::<_, Infallible>(response.map(|body| guard_body(body, guard)))
                 }
             })
         });
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -29,6 +29,7 @@
 #[cfg(feature = "fault-injection")]
 mod cut_paths;
 mod discard;
+mod guarded_body;
 mod held_bytes;
 mod hop_by_hop;
 mod http_client;
@@ -66,6 +67,7 @@
 pub use connect::check_address;
 #[cfg(feature = "fault-injection")]
 pub use cut_paths::CUT_FILE_VARIABLE;
+pub use guarded_body::guard_body;
 pub use held_bytes::HeldBytes;
 pub use hop_by_hop::strip_hop_by_hop;
 pub use http_client::HttpClient;
