test(testkit): a request that crosses the close of an idle connection is not cut by the stop

The users' rule does not count a request that crosses the close and isn't passed on.

The check is narrowed to just that: no server ran it, sent 2.5 s after SIGTERM or later, ended within 200 ms. Four new cases of checker.rs; three of them are still found.

--- a/crates/chicoryrail-testkit/src/checker/responses.rs
+++ b/crates/chicoryrail-testkit/src/checker/responses.rs
@@ -9,6 +9,14 @@
 /// Time after a router's exit within which a caller detects that its connection was closed, in microseconds.
 const CLOSE_DETECTION_US: u64 = 100_000;
 
+/// Time from SIGTERM until a host closes its callers' idle connections, in microseconds. The load balancer has removed the
+/// host by then.
+const IDLE_CLOSE_US: u64 = 2_500_000;
+
+/// Longest time from sending a request that crosses the close of its connection until its caller detects that, in
+/// microseconds: `loss_slack_ms` of the platform.
+const CROSSING_US: u64 = 200_000;
+
 pub(crate) fn check(evidence: &Evidence) -> Vec<Violation> {
     let mut found = Vec::new();
     for record in &evidence.records {
@@ -23,7 +31,8 @@
                 request: record.request.clone(),
             });
         }
-        if evidence.stops.iter().any(|s| is_cut_by(record, s)) {
+        let mut stops = evidence.stops.iter();
+        if stops.any(|s| is_cut_by(record, s) && !crosses_close(evidence, record, s)) {
             found.push(Violation::CutByStop {
                 request: record.request.clone(),
             });
@@ -45,3 +54,16 @@
         && record.ended >= stop.from
         && record.ended <= stop.until + CLOSE_DETECTION_US
 }
+
+/// Returns `true` if a request was sent on a connection that its host was closing, and no server ran it. In HTTP/1.1 a host
+/// can't close an idle connection without this risk.
+fn crosses_close(evidence: &Evidence, record: &CallRecord, stop: &HostTime) -> bool {
+    let has_run = evidence.runs.iter().any(|r| r.request == record.request)
+        || evidence
+            .cancelled_runs
+            .iter()
+            .any(|r| r.request == record.request);
+    !has_run
+        && record.intended >= stop.from + IDLE_CLOSE_US
+        && record.ended <= record.intended + CROSSING_US
+}
--- a/crates/chicoryrail-testkit/tests/checker.rs
+++ b/crates/chicoryrail-testkit/tests/checker.rs
@@ -282,6 +282,49 @@
     );
 }
 
+/// A request that crosses the close of its idle connection is no violation if it reached no server; times in milliseconds
+/// since SIGTERM.
+#[rstest]
+#[case::crossing(2_600, 2_602, false, 0)]
+#[case::crossing_for_long(2_600, 2_801, false, 1)]
+#[case::before_the_close(2_499, 2_500, false, 1)]
+#[case::run_by_a_server(2_600, 2_602, true, 1)]
+fn finds_request_cut_beside_a_close(
+    #[case] sent: u64,
+    #[case] ended: u64,
+    #[case] has_run: bool,
+    #[case] expected: usize,
+) {
+    let mut evidence = clean();
+    let host = evidence.records[4].host;
+    let lookup = CallRecord {
+        intended: sent * 1_000,
+        ended: ended * 1_000,
+        deadline: 0,
+        status: 0,
+        ..record("cut", Outcome::Unknown)
+    };
+    evidence.stops.push(HostTime {
+        host,
+        from: 0,
+        until: 6_000_000,
+    });
+    if has_run {
+        evidence.cancelled_runs.push(CancelledRun {
+            server: "kits-1".to_owned(),
+            request: "cut".to_owned(),
+            start: sent * 1_000,
+            due: ended * 1_000,
+            time: ended * 1_000,
+        });
+    }
+    evidence.records.push(CallRecord { host, ..lookup });
+    let request = "cut".to_owned();
+    let cut = Violation::CutByStop { request };
+    let found = check(&evidence);
+    assert_eq!(found.iter().filter(|v| **v == cut).count(), expected);
+}
+
 #[rstest]
 #[case::fence_back(key_record(1, "kits-1"))]
 #[case::not_readable(change("chicoryrail/keys/kits", 9, "?"))]
