fix(route): the end of an overdue send is always logged

Whether a send counts as unanswered was asked again at its end, when the limit may have risen, and the line was left out. It is asked once, when the send becomes overdue or ends silent.

--- a/crates/chicoryrail-router/src/route/attempt.rs
+++ b/crates/chicoryrail-router/src/route/attempt.rs
@@ -14,6 +14,7 @@
 use crate::control::Probe;
 use crate::route::attempts::Attempts;
 use crate::route::caller_request::CallerRequest;
+use crate::route::send::is_unanswered;
 use crate::route::send::record_overdue;
 use crate::route::send::send;
 use crate::route::send_outcome::Indeterminate;
@@ -84,7 +85,9 @@
     fn record_sent(&mut self, life: Life, begun: Millis, sent: SendOutcome) -> Sent<'a> {
         if matches!(sent, SendOutcome::Indeterminate(Indeterminate::Silent)) {
             let waited = self.router.now().since(begun);
-            self.record_unanswered(&life, waited, "waited");
+            if is_unanswered(self.router, self.call, waited.0 as f64 * 1_000.0) {
+                self.record_unanswered(&life, waited, "waited");
+            }
         }
         if !matches!(sent, SendOutcome::NotRun(NotRun::Suspected)) {
             self.tried.push(life);
--- a/crates/chicoryrail-router/src/route/response_limit.rs
+++ b/crates/chicoryrail-router/src/route/response_limit.rs
@@ -5,7 +5,6 @@
 
 use crate::route::attempts::Attempts;
 use crate::route::retry::RetryDenial;
-use crate::route::send::is_unanswered;
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::SendOutcome;
 
@@ -82,15 +81,15 @@
             let sends = &self.router.counters.sends;
             sends.with_label_values(&labels).inc();
         }
-        self.record_unanswered(life, limit, end);
+        // The limit may have risen since the send became overdue.
+        if self.call.route.tolerates_waiting() {
+            self.record_unanswered(life, limit, end);
+        }
     }
 
-    /// Logs and counts a request of a route that tolerates waiting whose server did not respond within `limit`. `end` is
-    /// what became of it.
+    /// Logs and counts a send whose server did not respond within `limit`, longer than almost all responses of the route
+    /// take; `end` is what became of it. Routes that don't tolerate waiting have no such limit.
     pub(super) fn record_unanswered(&self, life: &Life, limit: Millis, end: &str) {
-        if !is_unanswered(self.router, self.call, limit.0 as f64 * 1_000.0) {
-            return;
-        }
         let labels = [self.service.name.as_str(), end];
         self.router
             .counters
