test(router): two servers hold the same keys after a restart

What happens: a server with keys restarts under its name and address. The leader's next renewal names the server only, so the new process takes it. Then the leader reads the later registration, counts the keys of the former start as free, and grants them to another server 2 ms later.

--- a/crates/chicoryrail-router/tests/support/server.rs
+++ b/crates/chicoryrail-router/tests/support/server.rs
@@ -51,7 +51,23 @@
 impl Server {
     /// Starts a server that registers itself in the store.
     pub fn start(options: TargetOptions) -> Rc<Self> {
-        let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        Self::serve(
+            options,
+            Listener::bind("127.0.0.1:0".parse().unwrap()).unwrap(),
+        )
+    }
+
+    /// Starts a server at the address of one that has crashed.
+    pub async fn start_at(addr: SocketAddr, options: TargetOptions) -> Rc<Self> {
+        loop {
+            if let Ok(listener) = Listener::bind(addr) {
+                return Self::serve(options, listener);
+            }
+            monoio::time::sleep(Millis(1).to_duration()).await;
+        }
+    }
+
+    fn serve(options: TargetOptions, listener: Listener) -> Rc<Self> {
         let addr = listener.addr().unwrap();
         let name = options.name.to_string();
         let options = TargetOptions {
