feat(testkit): servers record what they hold, and the checker compares it

Our checker compares runs only, so that two servers that hold a key without requests pass.

Change: a target writes each grant, release and refused grant, and the start of its process, to its ledger in the same step in which it takes effect. The cluster records when it has ended a target's process.

--- a/crates/chicoryrail-testkit/src/bin/testkit-target.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-target.rs
@@ -85,7 +85,7 @@
         .optional();
     let ledger = long("ledger")
         .env("CHICORYRAIL_TESTKIT_LEDGER")
-        .help("File to which every executed request is written")
+        .help("File to which executed requests, grants and releases are written")
         .argument::<PathBuf>("FILE")
         .optional();
     let seed = long("seed")
--- a/crates/chicoryrail-testkit/src/checker/evidence.rs
+++ b/crates/chicoryrail-testkit/src/checker/evidence.rs
@@ -10,11 +10,13 @@
 use crate::CallRecord;
 use crate::CancelledRun;
 use crate::Change;
+use crate::HoldChange;
 use crate::Ledger;
 use crate::LimitOverrun;
 use crate::Notice;
 use crate::Overrun;
 use crate::Run;
+use crate::ServerStart;
 
 /// Records of callers, targets and the store, and the actions of the harness, but nothing that the router reports
 /// about itself.
@@ -41,6 +43,19 @@
     /// Requests that arrived at targets which wanted nothing from at least one host.
     #[serde(default)]
     pub arrivals: Vec<Arrival>,
+    /// Grants and releases of keys at targets.
+    #[serde(default)]
+    pub holds: Vec<HoldChange>,
+    /// Starts of targets' processes.
+    #[serde(default)]
+    pub starts: Vec<ServerStart>,
+    /// Ends of targets' processes; a process that was not ended by the harness has none.
+    #[serde(default)]
+    pub ended: Vec<ServerEnd>,
+    /// Time in microseconds since 1970 up to which every target's ledger is complete; `None` if they are complete
+    /// altogether.
+    #[serde(default)]
+    pub complete_until: Option<u64>,
     /// Writes and deletions in the store, oldest first.
     pub history: Vec<Change>,
     /// Periods in which servers must receive no new requests.
@@ -76,7 +91,7 @@
 }
 
 impl Evidence {
-    /// Adds the runs and overruns of the targets' ledgers.
+    /// Adds the records of the targets' ledgers.
     #[must_use]
     pub fn with_ledgers(mut self, ledgers: Vec<Ledger>) -> Self {
         for ledger in ledgers {
@@ -86,6 +101,8 @@
             self.limit_overruns.extend(ledger.limit_overruns);
             self.notices.extend(ledger.notices);
             self.arrivals.extend(ledger.arrivals);
+            self.holds.extend(ledger.holds);
+            self.starts.extend(ledger.starts);
         }
         self
     }
@@ -112,6 +129,15 @@
     pub until: u64,
 }
 
+/// The end of a target's process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerEnd {
+    /// Name of the server.
+    pub server: String,
+    /// Time in microseconds since 1970 at which the process had ended.
+    pub time: u64,
+}
+
 /// The period of a stop, a kill or a pause of a router. Times are in microseconds since 1970.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostTime {
--- a/crates/chicoryrail-testkit/src/checker/find.rs
+++ b/crates/chicoryrail-testkit/src/checker/find.rs
@@ -5,6 +5,7 @@
 use crate::checker::abandoned;
 use crate::checker::cut_hosts;
 use crate::checker::exclusivity;
+use crate::checker::holds;
 use crate::checker::notices;
 use crate::checker::orders;
 use crate::checker::organisations;
@@ -18,6 +19,7 @@
     #[must_use]
     pub fn find(evidence: &Evidence) -> Vec<Self> {
         let mut found = exclusivity::check(evidence);
+        found.extend(holds::check(evidence));
         found.extend(stored_owners::check(evidence));
         found.extend(orders::check(evidence));
         found.extend(responses::check(evidence));
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -29,6 +29,19 @@
         /// Start of the new owner's first request in microseconds since 1970.
         time: u64,
     },
+    /// Two servers that were up held the same keys for longer than is allowed, with requests or without.
+    HeldTwice {
+        /// Ranges of the keys, first and last key, inclusive.
+        keys: Vec<[u16; 2]>,
+        /// The server that held them first, then the other.
+        servers: [String; 2],
+        /// Fencing tokens of the two servers at the start of the overlap.
+        fences: [u64; 2],
+        /// Start of the overlap in microseconds since 1970.
+        time: u64,
+        /// Longest time for which both servers held a key, in milliseconds.
+        overlap_ms: u64,
+    },
     /// A server ran a request for a key before any stored key record had assigned the key to it.
     OwnerNotStored {
         /// Key of the request.
--- a/crates/chicoryrail-testkit/src/cluster/control.rs
+++ b/crates/chicoryrail-testkit/src/cluster/control.rs
@@ -9,12 +9,15 @@
 use crate::ClusterError;
 use crate::LinkFault;
 use crate::Member;
+use crate::ServerEnd;
 use crate::cluster::process::Process;
+use crate::unix_micros;
 
 impl Cluster {
     /// Kills a process with SIGKILL.
     pub fn kill(&mut self, member: Member) {
         self.with_process(member, Process::kill);
+        self.record_end(member);
         self.set_ports_open(member, false);
     }
 
@@ -61,6 +64,7 @@
             Some(process) => process.stop(timeout),
             None => Err(unknown_member(member)),
         };
+        self.record_end(member);
         self.set_ports_open(member, false);
         stopped
     }
@@ -116,6 +120,18 @@
         }
     }
 
+    /// Records that a target's process has ended.
+    fn record_end(&mut self, member: Member) {
+        if let Member::Target(i) = member
+            && let Some(target) = self.targets.get(i)
+        {
+            self.ended.push(ServerEnd {
+                server: target.name.clone(),
+                time: unix_micros(),
+            });
+        }
+    }
+
     fn with_process(&mut self, member: Member, action: impl FnOnce(&mut Process)) {
         if let Some(process) = self.processes.get_mut(&member) {
             action(process);
--- a/crates/chicoryrail-testkit/src/cluster/harness.rs
+++ b/crates/chicoryrail-testkit/src/cluster/harness.rs
@@ -17,6 +17,7 @@
 use crate::Links;
 use crate::LoadHost;
 use crate::Member;
+use crate::ServerEnd;
 use crate::TargetPlan;
 use crate::cluster::error::FileSnafu;
 use crate::cluster::error::PortSnafu;
@@ -39,6 +40,8 @@
     pub(super) hosts: Vec<HostPlan>,
     pub(super) links: Option<Links>,
     pub(super) processes: BTreeMap<Member, Process>,
+    /// Ends of targets' processes.
+    pub(super) ended: Vec<ServerEnd>,
 }
 
 impl Cluster {
@@ -72,6 +75,7 @@
             hosts,
             links,
             processes: BTreeMap::new(),
+            ended: Vec::new(),
             options,
             program_dir,
             dir,
--- a/crates/chicoryrail-testkit/src/cluster/stand_ins.rs
+++ b/crates/chicoryrail-testkit/src/cluster/stand_ins.rs
@@ -17,6 +17,7 @@
 use crate::TargetPlan;
 use crate::call_blocking;
 use crate::cluster::error::FileSnafu;
+use crate::unix_micros;
 
 /// Timeout of a request to a stand-in.
 const CALL_TIMEOUT: Millis = Millis(5_000);
@@ -51,6 +52,8 @@
             records,
             history: self.history()?,
             quotas: self.options().deployment.quotas(),
+            ended: self.ended.clone(),
+            complete_until: Some(unix_micros()),
             ..Evidence::default()
         };
         Ok(evidence.with_ledgers(self.ledgers()?))
--- a/crates/chicoryrail-testkit/src/target.rs
+++ b/crates/chicoryrail-testkit/src/target.rs
@@ -3,6 +3,7 @@
 mod execution;
 mod fault;
 mod held_body;
+mod hold_change;
 mod leased_keys;
 mod ledger;
 mod limit_check;
@@ -14,12 +15,15 @@
 mod response;
 mod response_headers;
 mod server;
+mod server_start;
 mod slots;
 mod state;
 mod warmup;
 mod work;
 
 pub use fault::TargetFault;
+pub use hold_change::HoldChange;
+pub use hold_change::HoldKind;
 pub use leased_keys::LeasedKeys;
 pub use leased_keys::Permit;
 pub use leased_keys::StaleFence;
@@ -34,3 +38,4 @@
 pub use options::TargetOptions;
 pub use response::ResponseHead;
 pub use server::TargetServer;
+pub use server_start::ServerStart;
--- a/crates/chicoryrail-testkit/src/target/ledger.rs
+++ b/crates/chicoryrail-testkit/src/target/ledger.rs
@@ -10,7 +10,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Largest numbers of runs, cancelled runs, notices and arrivals kept in memory; the file holds all of them.
+use crate::HoldChange;
+use crate::ServerStart;
+
+/// Largest numbers of runs, cancelled runs, notices, arrivals and changes of holds kept in memory; the file holds all of them.
 const RUNS_MAX: usize = 200_000;
 
 /// Largest number of overruns of each kind kept in memory; the file holds all of them.
@@ -148,6 +151,12 @@
     /// Requests that arrived while the server wanted nothing from at least one host. A target keeps the first 200,000.
     #[serde(default)]
     pub arrivals: Vec<Arrival>,
+    /// Grants and releases of keys. A target keeps the first 200,000.
+    #[serde(default)]
+    pub holds: Vec<HoldChange>,
+    /// Starts of the server's process. The file has one for each process that wrote to it.
+    #[serde(default)]
+    pub starts: Vec<ServerStart>,
     /// Total number of requests that took effect.
     pub done: u64,
     /// Requests refused because the server does not own the key.
@@ -178,10 +187,12 @@
     LimitOverrun(LimitOverrun),
     Notice(Notice),
     Arrival(Arrival),
+    Hold(HoldChange),
+    Started(ServerStart),
 }
 
 impl Ledger {
-    /// Reads the runs and overruns from a ledger's file; the other counters stay 0.
+    /// Reads the records of a ledger's file; the counters other than that of the runs stay 0.
     ///
     /// An unterminated last line, left by a process that was killed while it wrote, is ignored.
     ///
@@ -199,6 +210,8 @@
                 Line::LimitOverrun(overrun) => ledger.limit_overruns.push(overrun),
                 Line::Notice(notice) => ledger.notices.push(notice),
                 Line::Arrival(arrival) => ledger.arrivals.push(arrival),
+                Line::Hold(change) => ledger.holds.push(change),
+                Line::Started(start) => ledger.starts.push(start),
             }
         }
         ledger.done = ledger.runs.len() as u64;
@@ -271,6 +284,18 @@
         }
     }
 
+    pub(crate) fn record_hold(&mut self, change: HoldChange) {
+        self.write(&Line::Hold(change.clone()));
+        if self.ledger.holds.len() < RUNS_MAX {
+            self.ledger.holds.push(change);
+        }
+    }
+
+    pub(crate) fn record_start(&mut self, start: ServerStart) {
+        self.write(&Line::Started(start.clone()));
+        self.ledger.starts.push(start);
+    }
+
     fn write(&mut self, line: &Line) {
         if let Some(file) = &mut self.file {
             let mut text = serde_json::to_vec(line).unwrap_or_default();
--- a/crates/chicoryrail-testkit/src/target/options.rs
+++ b/crates/chicoryrail-testkit/src/target/options.rs
@@ -35,7 +35,7 @@
     pub store: Option<SocketAddr>,
     /// Address that the server registers; `None` for the address that it listens on.
     pub advertised_addr: Option<SocketAddr>,
-    /// File to which each run and overrun is appended; `None` for no file.
+    /// File to which each record of the [`crate::Ledger`] is appended; `None` for no file.
     pub ledger: Option<PathBuf>,
     /// Seed for choosing the requests that a fault affects.
     pub seed: u64,
--- a/crates/chicoryrail-testkit/src/target/server.rs
+++ b/crates/chicoryrail-testkit/src/target/server.rs
@@ -22,6 +22,8 @@
 use hyper::body::Incoming;
 
 use crate::ConnectionCut;
+use crate::HoldChange;
+use crate::HoldKind;
 use crate::Ledger;
 use crate::Listener;
 use crate::TargetFault;
@@ -31,6 +33,7 @@
 use crate::target::respond::respond;
 use crate::target::response_headers::add_drain_headers;
 use crate::target::state::State;
+use crate::unix_micros;
 
 /// Interval between checks of whether requests still run on released keys.
 const POLL_INTERVAL: Millis = Millis(2);
@@ -162,9 +165,10 @@
     async fn control(&self, request: Request<Incoming>) -> Result<Response<Body>, ConnectionCut> {
         let path = request.uri().path().to_owned();
         let method = request.method().clone();
+        let received = unix_micros();
         let body = read_body(request).await;
         match KeyCall::read(&path, &body) {
-            Some(Ok(call)) => return self.handle_key_call(call).await,
+            Some(Ok(call)) => return self.handle_key_call(call, received).await,
             Some(Err(e)) => return Ok(error_response(400, &e.to_string())),
             None => {}
         }
@@ -185,7 +189,14 @@
         })
     }
 
-    async fn handle_key_call(&self, call: KeyCall) -> Result<Response<Body>, ConnectionCut> {
+    /// Handles a call whose head was read at `received`, in microseconds since 1970.
+    async fn handle_key_call(
+        &self,
+        call: KeyCall,
+        received: u64,
+    ) -> Result<Response<Body>, ConnectionCut> {
+        // Read before the clock that times the lease, so that a pause between the two does not lengthen the hold.
+        let time = unix_micros();
         let now = self.state.now();
         let dropped_until = self.state.faults.borrow_mut().key_calls_dropped_until(now);
         if let Some(until) = dropped_until {
@@ -195,10 +206,18 @@
         let (result, is_grant) = match call {
             KeyCall::Grant(grant) => {
                 let result = self.state.leased_keys.borrow_mut().grant(now, &grant);
+                let kind = if result.is_ok() {
+                    HoldKind::Granted
+                } else {
+                    HoldKind::Refused
+                };
+                self.record_hold(kind, &grant, received, time);
                 (result, true)
             }
             KeyCall::Release(grant) => {
-                self.release(&grant).await;
+                self.state.leased_keys.borrow_mut().release(&grant);
+                self.record_hold(HoldKind::Released, &grant, received, time);
+                self.finish_release(&grant).await;
                 (Ok(()), false)
             }
         };
@@ -217,9 +236,25 @@
         Ok(response)
     }
 
-    /// Releases keys and waits until the requests that run on them have ended.
-    async fn release(&self, grant: &KeyGrant) {
-        self.state.leased_keys.borrow_mut().release(grant);
+    fn record_hold(&self, kind: HoldKind, grant: &KeyGrant, received: u64, time: u64) {
+        let options = &self.state.options;
+        let change = HoldChange {
+            server: options.name.to_string(),
+            service: options.service.to_string(),
+            born: self.state.started_unix_ms(),
+            received,
+            time,
+            first: grant.first,
+            last: grant.last,
+            fence: grant.fence,
+            length_ms: grant.lease.0,
+            kind,
+        };
+        self.state.recorder.borrow_mut().record_hold(change);
+    }
+
+    /// Waits until the requests that run on released keys have ended.
+    async fn finish_release(&self, grant: &KeyGrant) {
         while self.state.has_running(grant.first, grant.last) {
             monoio::time::sleep(POLL_INTERVAL.to_duration()).await;
         }
--- a/crates/chicoryrail-testkit/src/target/state.rs
+++ b/crates/chicoryrail-testkit/src/target/state.rs
@@ -14,6 +14,7 @@
 use crate::LeasedKeys;
 use crate::LimitOverrun;
 use crate::Overrun;
+use crate::ServerStart;
 use crate::TargetOptions;
 use crate::target::fault::TargetFaults;
 use crate::target::ledger::Recorder;
@@ -73,7 +74,13 @@
         options: TargetOptions,
         refused_connections: Rc<Cell<u64>>,
     ) -> io::Result<Self> {
-        let recorder = Recorder::open(options.ledger.as_deref())?;
+        let mut recorder = Recorder::open(options.ledger.as_deref())?;
+        let started_us = unix_micros();
+        recorder.record_start(ServerStart {
+            server: options.name.to_string(),
+            born: started_us / 1000,
+            time: started_us,
+        });
         Ok(Self {
             slots: Slots::new(options.slots, options.queue),
             leased_keys: RefCell::default(),
@@ -84,7 +91,7 @@
             held_bytes: Cell::new(0),
             crash: CancellationToken::new(),
             clock: Clock::start(),
-            started_unix_ms: unix_micros() / 1000,
+            started_unix_ms: started_us / 1000,
             warmup: RefCell::new(WarmUp::new(Millis::ZERO, options.warmup)),
             advertised: Cell::new(Advertised {
                 state: MemberState::Ready,
