feat(testkit): the checker compares the fences of grants, not only of runs

Seen: `FenceBack` looks at runs alone, so that a server that takes a key with an old fence passes until a request runs there.

Change: each grant that a server accepts must have a fence above those with which other servers took the key. A process that takes a key again with the same fence renews its lease and is not reported; the next process of that name is.

--- a/crates/chicoryrail-testkit/src/checker.rs
+++ b/crates/chicoryrail-testkit/src/checker.rs
@@ -6,6 +6,7 @@
 mod evidence;
 mod exclusivity;
 mod find;
+mod grant_fences;
 mod held_range;
 mod holds;
 mod notices;
--- a/crates/chicoryrail-testkit/src/checker/find.rs
+++ b/crates/chicoryrail-testkit/src/checker/find.rs
@@ -5,6 +5,7 @@
 use crate::checker::abandoned;
 use crate::checker::cut_hosts;
 use crate::checker::exclusivity;
+use crate::checker::grant_fences;
 use crate::checker::holds;
 use crate::checker::notices;
 use crate::checker::orders;
@@ -19,6 +20,7 @@
     #[must_use]
     pub fn find(evidence: &Evidence) -> Vec<Self> {
         let mut found = exclusivity::check(evidence);
+        found.extend(grant_fences::check(evidence));
         found.extend(holds::check(evidence));
         found.extend(stored_owners::check(evidence));
         found.extend(orders::check(evidence));
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -18,15 +18,16 @@
         /// Start of the later request in microseconds since 1970.
         time: u64,
     },
-    /// A key moved to another server with a fencing token that is not higher than the previous one.
+    /// A key moved to another server with a fencing token that is not higher than that of a previous owner, by the runs
+    /// of requests or by the grants that servers accepted.
     FenceBack {
         /// Key that moved.
         key: u16,
-        /// The previous owner and the new one.
+        /// A previous owner and the new one.
         servers: [String; 2],
         /// Fencing token of the previous owner and that of the new one.
         fences: [u64; 2],
-        /// Start of the new owner's first request in microseconds since 1970.
+        /// Start of the new owner's first request, or time of the grant, in microseconds since 1970.
         time: u64,
     },
     /// Two servers that were up held the same keys for longer than is allowed, with requests or without.
--- a/crates/chicoryrail-testkit/tests/held_keys.rs
+++ b/crates/chicoryrail-testkit/tests/held_keys.rs
@@ -231,6 +231,46 @@
     assert_eq!(overlaps(&read_at(3_100)), []);
 }
 
+/// Keys 100 to 199 move from `kits-1`, fence 5, to `kits-2` after the last lease has ended.
+#[rstest]
+#[case::higher(vec![grant("kits-2", 6_000, 100, 199, 6)], None)]
+#[case::same(vec![grant("kits-2", 6_000, 150, 250, 5)], Some((150, "kits-1", "kits-2", [5, 5])))]
+#[case::lower(vec![grant("kits-2", 6_000, 50, 110, 4)], Some((100, "kits-1", "kits-2", [5, 4])))]
+#[case::lower_of_other_keys(vec![grant("kits-2", 6_000, 200, 250, 4)], None)]
+#[case::refused(vec![refused("kits-2", 6_000, 100, 199, 4)], None)]
+#[case::same_server_again(vec![grant("kits-1", 6_000, 120, 130, 5)], None)]
+#[case::renewed_after_it_moved(
+    vec![grant("kits-2", 6_000, 100, 199, 6), grant("kits-1", 9_000, 100, 150, 5)],
+    None
+)]
+#[case::next_process_after_it_moved(
+    vec![
+        grant("kits-2", 6_000, 100, 199, 6),
+        HoldChange { born: 8, ..grant("kits-1", 9_000, 100, 150, 5) },
+    ],
+    Some((100, "kits-2", "kits-1", [6, 5]))
+)]
+#[case::below_the_last_but_one(
+    vec![grant("kits-2", 6_000, 100, 199, 8), grant("kits-3", 9_000, 100, 199, 7)],
+    Some((100, "kits-2", "kits-3", [8, 7]))
+)]
+#[case::back_with_a_higher_one(
+    vec![grant("kits-2", 6_000, 100, 199, 6), grant("kits-1", 9_000, 100, 199, 7)],
+    None
+)]
+fn a_key_moves_with_a_higher_fence(
+    #[case] others: Vec<HoldChange>,
+    #[case] expected: Option<(u16, &str, &str, [u64; 2])>,
+) {
+    let expected = expected.map(|(key, old, new, fences)| Violation::FenceBack {
+        key,
+        servers: [old.to_owned(), new.to_owned()],
+        fences,
+        time: others.last().map_or(0, |c| c.time),
+    });
+    assert_eq!(Violation::find(&evidence(others)), Vec::from_iter(expected));
+}
+
 /// With 100 servers that renew their keys every 600 ms for ten minutes, the check takes seconds at most, and finds the
 /// one overlap among them.
 #[test]
