--- a/crates/chicoryrail-testkit/src/target.rs
+++ b/crates/chicoryrail-testkit/src/target.rs
@@ -9,6 +9,7 @@
 mod limit_check;
 mod options;
 mod presence;
+mod recorder;
 mod refusal;
 mod request_end;
 mod respond;
