--- a/crates/chicoryrail-testkit/src/target/ledger.rs
+++ b/crates/chicoryrail-testkit/src/target/ledger.rs
@@ -1,20 +1,14 @@
 //! The record of the requests that a target ran, which the checker evaluates.
 
 use std::collections::VecDeque;
-use std::fs::File;
-use std::fs::OpenOptions;
 use std::io;
-use std::io::Write;
 use std::path::Path;
 
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Largest numbers of runs, cancelled runs, notices and arrivals kept in memory; the file holds all of them.
-const RUNS_MAX: usize = 200_000;
-
-/// Largest number of overruns of each kind kept in memory; the file holds all of them.
-const OVERRUNS_MAX: usize = 1_000;
+use crate::HoldChange;
+use crate::ServerStart;
 
 /// A request that took effect.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -148,6 +142,12 @@
     /// Requests that arrived while the server wanted nothing from at least one host. A target keeps the first 200,000.
     #[serde(default)]
     pub arrivals: Vec<Arrival>,
+    /// Grants and releases of keys. A target keeps the first 200,000.
+    #[serde(default)]
+    pub holds: Vec<HoldChange>,
+    /// Starts of the server's process. The file has one for each process that wrote to it.
+    #[serde(default)]
+    pub starts: Vec<ServerStart>,
     /// Total number of requests that took effect.
     pub done: u64,
     /// Requests refused because the server does not own the key.
@@ -178,10 +178,12 @@
     LimitOverrun(LimitOverrun),
     Notice(Notice),
     Arrival(Arrival),
+    Hold(HoldChange),
+    Started(ServerStart),
 }
 
 impl Ledger {
-    /// Reads the runs and overruns from a ledger's file; the other counters stay 0.
+    /// Reads the records of a ledger's file; the counters other than that of the runs stay 0.
     ///
     /// An unterminated last line, left by a process that was killed while it wrote, is ignored.
     ///
@@ -199,83 +201,11 @@
                 Line::LimitOverrun(overrun) => ledger.limit_overruns.push(overrun),
                 Line::Notice(notice) => ledger.notices.push(notice),
                 Line::Arrival(arrival) => ledger.arrivals.push(arrival),
+                Line::Hold(change) => ledger.holds.push(change),
+                Line::Started(start) => ledger.starts.push(start),
             }
         }
         ledger.done = ledger.runs.len() as u64;
         Ok(ledger)
     }
 }
-
-/// Records the ledger in memory and, if a path is given, in a file.
-///
-/// Each line is written to the file at once, so that a run before a kill is not lost.
-#[derive(Debug, Default)]
-pub(crate) struct Recorder {
-    pub(crate) ledger: Ledger,
-    file: Option<File>,
-}
-
-impl Recorder {
-    /// Opens the recorder; appends to a file that exists.
-    pub(crate) fn open(path: Option<&Path>) -> io::Result<Self> {
-        let file = path
-            .map(|p| OpenOptions::new().create(true).append(true).open(p))
-            .transpose()?;
-        Ok(Self {
-            ledger: Ledger::default(),
-            file,
-        })
-    }
-
-    pub(crate) fn record_run(&mut self, run: Run) {
-        self.ledger.done += 1;
-        self.write(&Line::Run(run.clone()));
-        if self.ledger.runs.len() == RUNS_MAX {
-            self.ledger.runs.pop_front();
-        }
-        self.ledger.runs.push_back(run);
-    }
-
-    pub(crate) fn record_cancelled_run(&mut self, run: CancelledRun) {
-        self.write(&Line::CancelledRun(run.clone()));
-        if self.ledger.cancelled_runs.len() < RUNS_MAX {
-            self.ledger.cancelled_runs.push(run);
-        }
-    }
-
-    pub(crate) fn record_overrun(&mut self, overrun: Overrun) {
-        self.write(&Line::Overrun(overrun.clone()));
-        if self.ledger.overruns.len() < OVERRUNS_MAX {
-            self.ledger.overruns.push(overrun);
-        }
-    }
-
-    pub(crate) fn record_limit_overrun(&mut self, overrun: LimitOverrun) {
-        self.write(&Line::LimitOverrun(overrun.clone()));
-        if self.ledger.limit_overruns.len() < OVERRUNS_MAX {
-            self.ledger.limit_overruns.push(overrun);
-        }
-    }
-
-    pub(crate) fn record_notice(&mut self, notice: Notice) {
-        self.write(&Line::Notice(notice.clone()));
-        if self.ledger.notices.len() < RUNS_MAX {
-            self.ledger.notices.push(notice);
-        }
-    }
-
-    pub(crate) fn record_arrival(&mut self, arrival: Arrival) {
-        self.write(&Line::Arrival(arrival.clone()));
-        if self.ledger.arrivals.len() < RUNS_MAX {
-            self.ledger.arrivals.push(arrival);
-        }
-    }
-
-    fn write(&mut self, line: &Line) {
-        if let Some(file) = &mut self.file {
-            let mut text = serde_json::to_vec(line).unwrap_or_default();
-            text.push(b'\n');
-            let _ = file.write_all(&text);
-        }
-    }
-}
