feat(router): log what a grant and the right to send it rested on

Change: a grant or renewal that was given up, refused, not sent or confirmed after 150 ms or more has one line with address, term, fence, range, duration of the grant, time of the call, and the basis of the leader at the check right before the call (age of the store lease; without it the hosts counted and the oldest heartbeat), or the age of the delegate's permit. `leader_basis` shows each change between store lease, heartbeats and nothing; `server_taken_as_ended` a server that answered as another one, with the time for which it may still hold keys; `hold_waited_out` the next owner. Pauses of the process, logged since before, are counted (`chicoryrail_pauses_total`, `chicoryrail_paused_ms_total`). Nothing is logged for a renewal in time. No decision changes.

Grants not sent have the result `not_sent` in `chicoryrail_key_calls_total` instead of `silent`.

--- a/crates/chicoryrail-ownership/src/keys/mod.rs
+++ b/crates/chicoryrail-ownership/src/keys/mod.rs
@@ -19,6 +19,7 @@
 mod key_load;
 mod key_view;
 mod lease;
+mod lease_end;
 mod load_curve;
 mod move_reason;
 mod pin;
--- a/crates/chicoryrail-ownership/src/keys/renewer.rs
+++ b/crates/chicoryrail-ownership/src/keys/renewer.rs
@@ -148,6 +148,12 @@
         *self = Self::new(self.timing);
     }
 
+    /// Returns the time since this host asked for the permit in force.
+    #[must_use]
+    pub fn permit_age(&self, now: Millis) -> Millis {
+        (now + self.timing.renewal_permit).since(self.valid_until)
+    }
+
     /// Returns `true` if grants may be sent now.
     #[must_use]
     pub fn is_permitted(&self, now: Millis) -> bool {
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod reach;
 pub mod store_key;
+mod support;
 mod watchers;
 
 pub use core_host::CoreHost;
@@ -30,3 +31,4 @@
 pub use peers::SchedulerHost;
 pub use peers::select_renewer;
 pub use reach::DcReachability;
+pub use support::Support;
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -11,6 +11,7 @@
 use chicoryrail_core::Millis;
 use siphasher::sip::SipHasher13;
 
+use crate::Support;
 use crate::is_strong;
 
 /// Minimum number of hosts assumed to share global limits, such as those on retries and on requests to servers
@@ -352,9 +353,16 @@
     /// core hosts.
     #[must_use]
     pub fn majority_seen_within(&self, now: Millis, age: Millis) -> bool {
-        let recent = self.hosts.values().filter(|p| p.seen_within(now, age));
-        let recent = recent.count() + 1;
-        recent * 2 > self.hosts.len() + 1
+        let support = self.support_within(now, age);
+        support.is_majority_of(self.core_host_count())
+    }
+
+    /// Returns the other hosts with a heartbeat at most `age` old.
+    #[must_use]
+    pub fn support_within(&self, now: Millis, age: Millis) -> Support {
+        let ages = self.hosts.values().filter_map(|p| p.last_seen);
+        let ages = ages.map(|at| now.since(at)).filter(|a| *a <= age);
+        ages.fold(Support::default(), Support::with)
     }
 }
 
--- a/crates/chicoryrail-router/src/control/leader/delegates.rs
+++ b/crates/chicoryrail-router/src/control/leader/delegates.rs
@@ -193,6 +193,9 @@
                 GrantFailure::StaleFence => GrantOutcome::StaleFence,
                 GrantFailure::OtherServer => GrantOutcome::OtherServer,
             };
+            if outcome == GrantOutcome::OtherServer {
+                self.log_server_ended(&leases, &failed.server, "other_server", "delegate");
+            }
             leases.delegate_failed(now, &failed.server, failed.fence, outcome);
         }
         drop(leases);
--- a/crates/chicoryrail-router/src/control/leader/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -19,6 +19,7 @@
 use chicoryrail_runtime::Invariant;
 
 use crate::control::config_feed::follow::store_call;
+use crate::control::leader::call_log::GrantCall;
 use crate::control::leader::key_leader::KeyLeader;
 use crate::control::leader::take_over::record_store_key;
 
@@ -99,10 +100,11 @@
             format!("fence={} stored={stored}", grant.fence)
         });
         let control = &self.router.control;
-        let started = Instant::now();
+        let (started, sent_at) = (Instant::now(), self.router.now());
         // This task may run some time after it was spawned. If the process was suspended meanwhile, another host may
         // lead by now, and that leader does not account for a grant that is sent this late.
-        let result = if self.leadership.may_act(&self.router) {
+        let mandate = self.leadership.mandate(&self.router);
+        let result = if mandate.holds() {
             control.grant(addr, &life.name, &grant, timeout).await
         } else {
             // Reported like a grant without an answer: the other outcomes make a statement about the server.
@@ -110,12 +112,17 @@
             Err(KeyError::NoResponse { reason })
         };
         let (outcome, name) = grant_outcome(&result);
+        let name = if mandate.holds() { name } else { "not_sent" };
         self.grants_in_flight.set(self.grants_in_flight.get() - 1);
         self.record_call_metrics("grant", name, started);
-        if let Err(e) = &result {
-            log::info!(server:% = life, service:% = self.service, fence = grant.fence,
-                error:% = e; "grant_{name}");
-        }
+        let call = GrantCall {
+            life: &life,
+            addr,
+            grant: &grant,
+            mandate,
+            sent_at,
+        };
+        self.log_grant(&call, name, &result);
         let now = self.router.now();
         if let Ok(reply) = result {
             self.record_grant(now, &life);
@@ -128,6 +135,9 @@
             last: grant.last,
         };
         let mut leases = self.leases.borrow_mut();
+        if outcome == GrantOutcome::OtherServer {
+            self.log_server_ended(&leases, &life, name, addr);
+        }
         leases.grant_finished(now, &life, span, grant.fence, outcome);
         // The leader also calls a server whose delegate is late; it keeps no connections to such servers.
         if leases.is_delegated(&life) {
@@ -167,16 +177,19 @@
             Err(_) => (ReleaseOutcome::NoResponse, "silent"),
         };
         self.record_call_metrics("release", name, started);
-        log::info!(server:% = life, service:% = self.service, fence = release.fence,
-            first = release.first, last = release.last; "release_{name}");
+        log::info!(server:% = life, service:% = self.service, addr:% = addr, term = self.term,
+            fence = release.fence, first = release.first, last = release.last,
+            took_ms = Millis::from(started.elapsed()).0; "release_{name}");
         let now = self.router.now();
         let span = KeyRange {
             first: release.first,
             last: release.last,
         };
-        self.leases
-            .borrow_mut()
-            .release_finished(now, &life, span, outcome);
+        let mut leases = self.leases.borrow_mut();
+        if matches!(outcome, ReleaseOutcome::OtherServer) {
+            self.log_server_ended(&leases, &life, name, addr);
+        }
+        leases.release_finished(now, &life, span, outcome);
         self.call_ended.notify();
     }
 
--- a/crates/chicoryrail-router/src/control/leader/key_leader.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_leader.rs
@@ -212,15 +212,27 @@
         Some(server.life.clone())
     }
 
+    /// Logs the leases of former owners that ran until their end, and the first server to which the keys go.
+    fn log_expired(&self) {
+        let mut leases = self.leases.borrow_mut();
+        for owned in leases.take_expired() {
+            let spans = &leases.record().spans;
+            let next = spans
+                .iter()
+                .find(|s| s.span.intersect(owned.span).is_some());
+            let next = next.map_or_else(|| "-".to_owned(), |s| s.owner.to_string());
+            log::info!(server:% = owned.owner, service:% = self.service, term = self.term,
+                fence = leases.record().fence, first = owned.span.first, last = owned.span.last,
+                to = next; "hold_waited_out");
+        }
+    }
+
     /// Starts the calls that are due, to the store and to servers.
     fn run_due_actions(self: &Rc<Self>) {
         let now = self.router.now();
         let grants_max = grants_in_flight_max(&self.router);
         let actions = self.leases.borrow_mut().due_actions(now);
-        for owned in self.leases.borrow_mut().take_expired() {
-            log::info!(server:% = owned.owner, service:% = self.service,
-                first = owned.span.first, last = owned.span.last; "hold_waited_out");
-        }
+        self.log_expired();
         for action in actions {
             match action {
                 KeyAction::Commit(record) => {
--- a/crates/chicoryrail-router/src/control/leader/leader_term.rs
+++ b/crates/chicoryrail-router/src/control/leader/leader_term.rs
@@ -8,12 +8,15 @@
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServiceName;
+use chicoryrail_ownership::Support;
 use chicoryrail_ownership::keys::KeyLoad;
 use chicoryrail_ownership::keys::KeyRange;
 use chicoryrail_ownership::keys::KeyRecord;
 use chicoryrail_runtime::ChangeSignal;
 
 use crate::control::leader::key_leader::KeyLeader;
+use crate::control::leader::mandate::Basis;
+use crate::control::leader::mandate::Mandate;
 use crate::control::traffic::TrafficBoard;
 use crate::messages::ServerPace;
 use crate::state::Router;
@@ -37,6 +40,8 @@
     pub(crate) term: Cell<u64>,
     /// When the last renewal of the lease that the store confirmed was sent.
     pub(crate) confirmed_at: Cell<Millis>,
+    /// What the right to act rested on at the last check.
+    basis: Cell<Basis>,
     /// TTL of the lease on the leader's key.
     pub(crate) lease_ttl: Cell<Millis>,
     /// Whether this host is about to step down in favour of one to which more data centres are reachable.
@@ -127,13 +132,41 @@
     /// announces its term to all of them before it moves any key. After a suspension of the process both the
     /// renewal and the heartbeats are too old.
     pub(crate) fn may_act(&self, router: &Router) -> bool {
+        self.mandate(router).holds()
+    }
+
+    /// Returns what the right of this host to act as the leader rests on, and logs a change of its basis.
+    pub(super) fn mandate(&self, router: &Router) -> Mandate {
+        let mandate = self.current_mandate(router);
+        let (from, to) = (self.basis.replace(mandate.basis), mandate.basis);
+        if from != to && self.term.get() > 0 {
+            log::info!(term = self.term.get(), from = from.name(), to = to.name(),
+                lease_age_ms = mandate.lease_age.0, hosts = mandate.support.hosts,
+                oldest_ms = mandate.support.oldest.0; "leader_basis");
+        }
+        mandate
+    }
+
+    fn current_mandate(&self, router: &Router) -> Mandate {
         let now = router.now();
         let peers = router.peers.borrow();
+        let lease_age = now.since(self.confirmed_at.get());
+        let mandate = |basis, support| Mandate {
+            basis,
+            lease_age,
+            support,
+        };
         if self.term.get() == 0 || peers.highest_term() > self.term.get() {
-            return false;
+            return mandate(Basis::Nothing, Support::default());
+        }
+        let trusted = Millis(self.lease_ttl.get().0 * LEASE_TRUSTED_PERCENT / 100);
+        if lease_age < trusted {
+            return mandate(Basis::StoreLease, Support::default());
+        }
+        let support = peers.support_within(now, HEARTBEAT_AGE_MAX);
+        if support.is_majority_of(peers.core_host_count()) {
+            return mandate(Basis::Support, support);
         }
-        let lease = Millis(self.lease_ttl.get().0 * LEASE_TRUSTED_PERCENT / 100);
-        now.since(self.confirmed_at.get()) < lease
-            || peers.majority_seen_within(now, HEARTBEAT_AGE_MAX)
+        mandate(Basis::Nothing, support)
     }
 }
--- a/crates/chicoryrail-router/src/control/leader/mod.rs
+++ b/crates/chicoryrail-router/src/control/leader/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! Only this module changes the leader's key, the key records and the servers' key leases.
 
+mod call_log;
 mod delegates;
 mod elect;
 mod grant_limit;
 mod key_calls;
 mod key_leader;
 mod leader_term;
+mod mandate;
 mod pins;
 mod plan_keys;
 mod renewal_tasks;
--- a/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
@@ -16,9 +16,11 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::control::leader::call_log::GRANT_LATE_MIN;
 use crate::control::leader::delegates::RENEWALS_PATH;
 use crate::control::leader::grant_limit::grants_in_flight_max;
 use crate::control::leader::key_calls::grant_outcome;
+use crate::control::leader::renewals::Permit;
 use crate::control::leader::renewals::RenewalResult;
 use crate::control::leader::renewals::Renewals;
 use crate::messages::RenewalPoll;
@@ -169,7 +171,10 @@
     renewal: &Renewal,
 ) -> RenewalResult {
     // This task may run some time after it was spawned, and the process may have been suspended meanwhile.
-    if !renewals.is_permitted_for(router.now(), service) {
+    let sent_at = router.now();
+    let permit = renewals.permit(sent_at, service);
+    if !permit.holds {
+        log_renewal(service, renewal, permit, Millis::ZERO, "not_sent", "-");
         return RenewalResult::NotSent;
     }
     let grant = KeyGrant {
@@ -188,19 +193,35 @@
     let (outcome, name) = grant_outcome(&result);
     let calls = &router.counters.key_calls;
     calls.with_label_values(&["renewal", name]).inc();
+    let took = router.now().since(sent_at);
+    match &result {
+        Ok(_) if took < GRANT_LATE_MIN => {}
+        Ok(_) => log_renewal(service, renewal, permit, took, "late", "-"),
+        Err(e) => log_renewal(service, renewal, permit, took, name, &e.to_string()),
+    }
     match result {
         Ok(reply) if reply.draining => {
             let service = router.service(service);
             if let Some(target) = service.target(life) {
                 service.record_drain(router.now(), &target, "renewal");
             }
-            return RenewalResult::Draining;
-        }
-        Ok(_) => {}
-        Err(e) => {
-            log::info!(server:% = life, service:% = service, fence = renewal.fence,
-                error:% = e; "renewal_{name}");
+            RenewalResult::Draining
         }
+        _ => RenewalResult::Ended(outcome),
     }
-    RenewalResult::Ended(outcome)
+}
+
+/// Logs a renewal that the server did not confirm in time.
+fn log_renewal(
+    service: &ServiceName,
+    renewal: &Renewal,
+    permit: Permit,
+    took: Millis,
+    name: &str,
+    error: &str,
+) {
+    log::info!(server:% = renewal.life, service:% = service, addr:% = renewal.addr,
+        term = permit.term, fence = renewal.fence, first = renewal.span.first,
+        last = renewal.span.last, lease_ms = renewal.lease.0, took_ms = took.0,
+        permit_age_ms = permit.age.0, error = error; "renewal_{name}");
 }
--- a/crates/chicoryrail-router/src/control/leader/renewals.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewals.rs
@@ -43,6 +43,17 @@
     Draining,
 }
 
+/// Permit to renew the key leases of a service, at one check.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Permit {
+    /// Term of the leader that gave it.
+    pub(super) term: u64,
+    /// Time since the poll that it counts from.
+    pub(super) age: Millis,
+    /// Whether renewals may be sent.
+    pub(super) holds: bool,
+}
+
 #[derive(Debug)]
 struct ServiceRenewals {
     renewer: Renewer,
@@ -139,12 +150,15 @@
         due.collect()
     }
 
-    /// Returns `true` if a service's renewals may be sent now.
-    pub(super) fn is_permitted_for(&self, now: Millis, service: &ServiceName) -> bool {
+    /// Returns the permit for a service's renewals at `now`.
+    pub(super) fn permit(&self, now: Millis, service: &ServiceName) -> Permit {
         let services = self.services.borrow();
-        services
-            .get(service)
-            .is_some_and(|s| s.renewer.is_permitted(now))
+        let renewer = services.get(service).map(|s| &s.renewer);
+        renewer.map_or_else(Permit::default, |renewer| Permit {
+            term: renewer.term(),
+            age: renewer.permit_age(now),
+            holds: renewer.is_permitted(now),
+        })
     }
 
     pub(super) fn record(&self, service: &ServiceName, renewal: &Renewal, result: RenewalResult) {
--- a/crates/chicoryrail-router/src/maintenance.rs
+++ b/crates/chicoryrail-router/src/maintenance.rs
@@ -24,6 +24,8 @@
         let now = router.now();
         let late = now.since(last + MAINTENANCE_INTERVAL);
         if late > PAUSE_LOGGED_MIN {
+            router.counters.pauses.inc();
+            router.counters.paused_time.inc_by(late.0);
             log::warn!(late_ms = late.0; "paused");
         }
         last = now;
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -48,6 +48,10 @@
     pub(crate) key_calls: IntCounterVec,
     /// Keys that plans of the leader moved, by service and reason.
     pub(crate) moved_keys: IntCounterVec,
+    /// Times that the process did not run for so long that it is logged.
+    pub(crate) pauses: IntCounter,
+    /// Sum of these times, in milliseconds.
+    pub(crate) paused_time: IntCounter,
     /// Store entries that could not be decoded.
     pub(crate) bad_entries: IntCounter,
     /// Unknown values in configurations that came into force.
@@ -155,6 +159,11 @@
                 "Keys that plans of the leader moved to another server, by service and reason",
                 &["service", "reason"],
             ),
+            pauses: metrics.counter(
+                "pauses_total",
+                "Times that the process did not run for more than 300 ms",
+            ),
+            paused_time: metrics.counter("paused_ms_total", "Sum of these times, in milliseconds"),
             bad_entries: metrics.counter(
                 "bad_entries_total",
                 "Store entries that could not be decoded",
