fix(quota): a grant to a host's former process grants its next one nothing

A grant states all tokens that a host was granted in the leader's term.

Cause: reports and grants named the host, not its process.

Change: a report carries the process's instance number, the grant repeats it, and a share ignores grants to another process. Both fields come last in their datagrams, so a host of an earlier version reads what it knows; until all hosts have this version, those that can't read each other's datagrams spend their own shares.

--- a/crates/chicoryrail-policy/src/quota/quota_share.rs
+++ b/crates/chicoryrail-policy/src/quota/quota_share.rs
@@ -83,6 +83,7 @@
 /// arrive, and a host without a reply from the leader spends a fixed share of the rate.
 #[derive(Clone, Debug)]
 pub struct QuotaShare {
+    instance: u64,
     term: u64,
     granted: u64,
     returned: u64,
@@ -101,10 +102,12 @@
     reported_at: Millis,
 }
 
-impl Default for QuotaShare {
-    /// Returns the share of a host that has held no tokens since its clock started.
-    fn default() -> Self {
+impl QuotaShare {
+    /// Returns the share of a process that has held no tokens since its clock started; `instance` identifies the process.
+    #[must_use]
+    pub const fn new(instance: u64) -> Self {
         Self {
+            instance,
             term: 0,
             granted: 0,
             returned: 0,
@@ -118,9 +121,7 @@
             reported_at: Millis::ZERO,
         }
     }
-}
 
-impl QuotaShare {
     /// Takes a token for a request.
     ///
     /// # Errors
@@ -220,9 +221,10 @@
         (needed.ceil() as i64).max(params.base_tokens())
     }
 
-    /// Applies a grant of the leader. A grant of an earlier term changes nothing.
-    pub fn apply_grant(&mut self, grant: QuotaGrant) {
-        if grant.term < self.term {
+    /// Applies a grant of the leader to the process `instance`. A grant of an earlier term changes nothing, nor does one
+    /// to an earlier process of this host: it includes all tokens that the earlier process was granted.
+    pub fn apply_grant(&mut self, instance: u64, grant: QuotaGrant) {
+        if instance != self.instance || grant.term < self.term {
             return;
         }
         if grant.term > self.term {
--- a/crates/chicoryrail-policy/tests/quota.rs
+++ b/crates/chicoryrail-policy/tests/quota.rs
@@ -74,7 +74,7 @@
             limit: QuotaLimit { rate, burst },
             faults,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            shares: vec![QuotaShare::default(); SCHEDULERS],
+            shares: (0..SCHEDULERS as u64).map(QuotaShare::new).collect(),
             reported: vec![0; SCHEDULERS],
             granted_at: vec![None; SCHEDULERS],
             pool: QuotaPool::new(Millis::ZERO),
@@ -172,7 +172,7 @@
         let grant = self.grant(at, ms, report);
         if !self.is_lost() {
             self.granted_at[at] = Some(ms);
-            self.shares[at].apply_grant(grant);
+            self.shares[at].apply_grant(at as u64, grant);
         }
     }
 
--- a/crates/chicoryrail-router/src/control/quota/leases.rs
+++ b/crates/chicoryrail-router/src/control/quota/leases.rs
@@ -99,7 +99,11 @@
             let grant = pool.report(now, &reports.host, *report, &params);
             grants.push((name.clone(), grant));
         }
-        Some(QuotaGrants { term, grants })
+        Some(QuotaGrants {
+            term,
+            grants,
+            instance: reports.instance,
+        })
     }
 }
 
@@ -128,9 +132,10 @@
             host: router.boot().host.clone(),
             lone: router.quota.is_standalone(router.now()),
             reports,
+            instance: router.process.instance_id,
         };
         if let Some(grants) = pools.handle_report(router, &packet) {
-            router.quota.apply_grants(router.now(), &grants.grants);
+            router.quota.apply_grants(router.now(), &grants);
         } else if let Some(leader) = leader {
             let packet = Packet::QuotaReports(packet);
             router.peer_socket.send(&packet, leader).await;
@@ -157,9 +162,10 @@
 }
 
 /// Applies the leader's grants. Grants of an older term are ignored: a leader that was replaced may not know it yet,
-/// and the new leader would grant the same tokens again.
+/// and the new leader would grant the same tokens again. So are those to an earlier process at this address.
 pub(crate) fn apply_grants(router: &Router, grants: &QuotaGrants) {
-    if grants.term >= router.peers.borrow().highest_term() {
-        router.quota.apply_grants(router.now(), &grants.grants);
+    let is_current = grants.term >= router.peers.borrow().highest_term();
+    if is_current && grants.instance == router.process.instance_id {
+        router.quota.apply_grants(router.now(), grants);
     }
 }
--- a/crates/chicoryrail-router/src/messages/quota_message.rs
+++ b/crates/chicoryrail-router/src/messages/quota_message.rs
@@ -15,6 +15,8 @@
     /// it.
     pub(crate) lone: bool,
     pub(crate) reports: Vec<(OrganisationName, QuotaReport)>,
+    /// Number that identifies the process of the host. A host of an earlier version reads what precedes it.
+    pub(crate) instance: u64,
 }
 
 /// Quota tokens that the leader grants to a host.
@@ -23,4 +25,6 @@
     /// Term of the leader.
     pub(crate) term: u64,
     pub(crate) grants: Vec<(OrganisationName, QuotaGrant)>,
+    /// Process to whose report this replies. A host of an earlier version reads what precedes it.
+    pub(crate) instance: u64,
 }
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -146,7 +146,7 @@
         if let Some(site) = view.site() {
             self.counters.config.set(site.version as i64);
             if self.organisations.apply_site(site) {
-                self.quota.apply_site(site);
+                self.quota.apply_site(site, self.process.instance_id);
             }
             let mut limits = self.limits.get();
             limits.max_head_bytes = site.limits.max_head;
--- a/crates/chicoryrail-router/src/state/quota_shares.rs
+++ b/crates/chicoryrail-router/src/state/quota_shares.rs
@@ -10,12 +10,12 @@
 use chicoryrail_core::QuotaLimit;
 use chicoryrail_core::Site;
 use chicoryrail_policy::QUOTA_LEADER_TIMEOUT;
-use chicoryrail_policy::QuotaGrant;
 use chicoryrail_policy::QuotaReport;
 use chicoryrail_policy::QuotaShare;
 use chicoryrail_policy::ShareParams;
 use chicoryrail_runtime::ChangeSignal;
 
+use crate::messages::QuotaGrants;
 use crate::state::Router;
 
 /// Time since a request's first attempt after which it is refused if there is still no token. Its host repeats the
@@ -58,8 +58,9 @@
 }
 
 impl QuotaShares {
-    /// Applies the limits of a configuration. Organisations that keep a limit keep their tokens.
-    pub(crate) fn apply_site(&self, site: &Site) {
+    /// Applies the limits of a configuration. Organisations that keep a limit keep their tokens. `instance` identifies
+    /// this process.
+    pub(crate) fn apply_site(&self, site: &Site, instance: u64) {
         let mut old = self.organisations.take();
         let all = site.organisations().unwrap_or_default().iter();
         let limited = all.filter_map(|o| Some((&o.name, o.limit?)));
@@ -70,7 +71,7 @@
                 log::info!(organisation:% = name, rate = limit.rate, burst = limit.burst,
                     version = site.version; "limit_changed");
             }
-            let share = old.map(|s| s.share).unwrap_or_default();
+            let share = old.map_or_else(|| QuotaShare::new(instance), |s| s.share);
             (name.clone(), LimitedOrganisation { limit, share })
         });
         *self.organisations.borrow_mut() = organisations.collect();
@@ -170,13 +171,13 @@
         reports
     }
 
-    /// Applies the grants that the leader sent.
-    pub(crate) fn apply_grants(&self, now: Millis, grants: &[(OrganisationName, QuotaGrant)]) {
+    /// Applies the grants that the leader sent to this process.
+    pub(crate) fn apply_grants(&self, now: Millis, grants: &QuotaGrants) {
         self.last_leader_reply.set(Some(now));
         let mut organisations = self.organisations.borrow_mut();
-        for (name, grant) in grants {
+        for (name, grant) in &grants.grants {
             if let Some(organisation) = organisations.get_mut(name) {
-                organisation.share.apply_grant(*grant);
+                organisation.share.apply_grant(grants.instance, *grant);
             }
         }
     }
