fix(state): the drain time of a server is counted once

Seen: read, then shown by tests. A draining server gets requests for half of its drain time if no other server is ready. A host counted that time anew when - it started late in the drain and read the entry for the first time, - the entry was removed and the server registered again, still draining, - the entry expired in a store outage: from when it went missing. In the last two cases a host that had acknowledged the drain sent requests later than `drain_timeout_ms` after that.

Cause: the age of a drain was taken from the time at which an entry, or its absence, was read.

Change: a drain counts from when this host read that a server which it knew began to drain, also while the entry is missing and after it returns. A drain that this host has not seen begin may be over, and gets nothing.

Measured: the three new tests failed before (200 instead of 503), and pass.

--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -224,8 +224,10 @@
         } else if entry.is_ready() && (entry.missing.is_none() || view.may_return(entry)) {
             Admission::Open
         } else {
-            let since = entry.missing.unwrap_or(entry.since);
-            Admission::Draining(drain_end(since, self.boot().bounds.drain))
+            // A drain that this host has not seen begin may be over.
+            entry.left_at().map_or(Admission::Closed, |since| {
+                Admission::Draining(drain_end(since, self.boot().bounds.drain))
+            })
         };
         if admission == Admission::Closed || !entry.is_ready() {
             target.pool.close_idle();
--- a/crates/chicoryrail-router/src/state/view.rs
+++ b/crates/chicoryrail-router/src/state/view.rs
@@ -62,8 +62,9 @@
     pub(crate) updated: Millis,
     /// When this host last read the entry, changed or not.
     pub(crate) seen: Millis,
-    /// When this host first read the server's current state.
-    pub(crate) since: Millis,
+    /// When this host read that the server entered its current state; `None` if the server was in it already when this
+    /// host first read its entry.
+    pub(crate) since: Option<Millis>,
     /// When the entry disappeared. It still counts until [`View::expire`] removes it.
     pub(crate) missing: Option<Millis>,
 }
@@ -291,10 +292,11 @@
                 return self.unreadable(item, e).or(missing);
             }
         };
-        let same = |o: &&ServerEntry| {
-            o.member.life == member.life && o.member.state == member.state && o.missing.is_none()
-        };
-        let since = old.filter(same).map_or(now, |o| o.since);
+        let known = old.filter(|o| o.member.life == member.life);
+        let since = known.and_then(|o| match o.member.state == member.state {
+            true => o.since,
+            false => Some(now),
+        });
         let entry = ServerEntry {
             member,
             revision: item.revision,
@@ -333,4 +335,13 @@
     pub(crate) fn is_ready(&self) -> bool {
         self.member.state == MemberState::Ready
     }
+
+    /// Returns when the server began to leave: to drain, or else to be missing. `None` if that is not known.
+    pub(crate) fn left_at(&self) -> Option<Millis> {
+        if self.is_ready() {
+            self.missing
+        } else {
+            self.since
+        }
+    }
 }
--- a/crates/chicoryrail-router/tests/draining_servers.rs
+++ b/crates/chicoryrail-router/tests/draining_servers.rs
@@ -4,7 +4,10 @@
 
 use std::rc::Rc;
 
+use chicoryrail_core::Member;
+use chicoryrail_core::MemberState;
 use chicoryrail_core::Millis;
+use chicoryrail_platform::Txn;
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetFault;
@@ -13,6 +16,7 @@
 use support::RouterProcess;
 use support::Server;
 use support::World;
+use support::ready_member;
 use support::wait_until;
 
 /// `drain_timeout_ms` of the boot file: a request that arrives this long after a host passed on a response of a
@@ -247,3 +251,102 @@
         assert_eq!(returned.executed(), executed);
     });
 }
+
+/// Guards against a host that starts late in a drain and counts the drain time from its own start, if no other server is
+/// ready.
+#[test]
+fn a_host_that_starts_during_a_drain_sends_nothing_to_the_server() {
+    block_on(async {
+        let world = World::start("drain-start").await;
+        world.configure().await;
+        let server = start_unregistered("d-0");
+        world.put_members(&[draining_member(&server)]).await;
+        monoio::time::sleep(DRAIN_TIMEOUT.to_duration()).await;
+        let router = world.spawn("h-0");
+        wait_until("the router has read the store", async || {
+            let log = router.log();
+            log.contains("log=server ") && log.contains("log=config_in_force")
+        })
+        .await;
+        expect_unkeyed_refusals(&router).await;
+        assert_eq!(server.executed(), 0);
+    });
+}
+
+/// Guards against a host that counts the drain time anew when the entry of a draining server lapses and the server
+/// registers again.
+#[test]
+fn a_drain_does_not_begin_again_with_the_entry() {
+    block_on(async {
+        let world = World::start("drain-again").await;
+        world.configure().await;
+        let server = start_unregistered("d-0");
+        world.register(&server, "desk", OUTAGE).await;
+        let router = world.router("h-0").await;
+        world.put_members(&[draining_member(&server)]).await;
+        monoio::time::sleep(DRAIN_TIMEOUT.to_duration()).await;
+        world.remove("servers/d-0").await;
+        wait_until("the entry is gone", async || {
+            router.log().contains("log=server_entry_gone")
+        })
+        .await;
+        let registrations = router.log().matches("log=server ").count();
+        world.put_members(&[draining_member(&server)]).await;
+        wait_until("the router reads the entry", async || {
+            router.log().matches("log=server ").count() > registrations
+        })
+        .await;
+        let executed = server.executed();
+        expect_unkeyed_refusals(&router).await;
+        assert_eq!(server.executed(), executed);
+    });
+}
+
+/// Guards against a host that counts the drain time anew when the entry of a draining server expires in a store outage:
+/// such a server may register again, and is kept for some time.
+#[test]
+fn a_drain_does_not_begin_again_after_an_outage() {
+    block_on(async {
+        let world = World::start("drain-outage").await;
+        world.configure().await;
+        let server = start_unregistered("d-0");
+        world.register(&server, "desk", OUTAGE).await;
+        let router = world.router("h-0").await;
+        world.put_members(&[draining_member(&server)]).await;
+        monoio::time::sleep(DRAIN_TIMEOUT.to_duration()).await;
+        world.stop_store(Millis(1_000)).await;
+        wait_until("the router has lost the store", async || {
+            router.log().contains("log=store_lost")
+        })
+        .await;
+        wait_until("the store is back", async || {
+            let removed = Txn::default().remove("servers/d-0");
+            world.store.commit(&removed).await.is_ok()
+        })
+        .await;
+        wait_until("the entry is gone", async || {
+            router.log().contains("log=server_entry_gone")
+        })
+        .await;
+        let executed = server.executed();
+        expect_unkeyed_refusals(&router).await;
+        assert_eq!(server.executed(), executed);
+    });
+}
+
+/// Returns the entry of a server that is draining.
+fn draining_member(server: &Server) -> Member {
+    Member {
+        state: MemberState::Draining,
+        ..ready_member(&server.name, "desk", server.addr)
+    }
+}
+
+/// Sends requests without a key for [`CHECK_TIME`], and checks that each is refused as not run.
+async fn expect_unkeyed_refusals(router: &RouterProcess) {
+    let (clock, caller) = (Clock::start(), router.caller());
+    while clock.now() < CHECK_TIME {
+        assert_eq!(caller.get(UNKEYED).await.unwrap().status(), 503);
+        monoio::time::sleep(Millis(20).to_duration()).await;
+    }
+}
