fix(keys): a delegate sends a renewal only under an order that contains it

A renewal that was due is sent by a task of its own, which asked only whether some order of its service was in force. If the reply to a poll replaced the order between, as in a process that stood still, the renewal was sent under the permit of an order without it: the server or the range was left out, the fencing token or the duration was another. The leader counts leases only for what an order contains, so the lease could outlast the time after which it grants the keys to another server.

Change: `Renewer::may_send` compares the renewal with the order in force. One that does not match counts as not sent, and is due again if it is still ordered.

Measured: with the check as it was, five of the test's six cases failed; all pass.

--- a/crates/chicoryrail-ownership/src/keys/renewer.rs
+++ b/crates/chicoryrail-ownership/src/keys/renewer.rs
@@ -154,6 +154,22 @@
         self.order.is_some() && now < self.valid_until
     }
 
+    /// Returns `true` if a grant that was due may still be sent: the order in force contains it. The permit of an order
+    /// without it does not cover it, as the leader counts no lease for it.
+    #[must_use]
+    pub fn may_send(&self, now: Millis, renewal: &Renewal) -> bool {
+        let Some(order) = self.order.filter(|_| self.is_permitted(now)) else {
+            return false;
+        };
+        let server = self.servers.get(&renewal.life);
+        let is_ordered = |server: &RenewedServer| {
+            let mut spans = server.spans.iter();
+            server.addr == renewal.addr && spans.any(|(span, _)| *span == renewal.span)
+        };
+        server.is_some_and(is_ordered)
+            && (order.fence, order.lease) == (renewal.fence, renewal.lease)
+    }
+
     /// Returns the grants that are due, at most one for each server and `max` in all. Each must be reported by
     /// [`Renewer::finished`].
     pub fn take_due(&mut self, now: Millis, max: usize) -> Vec<Renewal> {
--- a/crates/chicoryrail-ownership/tests/renewer.rs
+++ b/crates/chicoryrail-ownership/tests/renewer.rs
@@ -12,8 +12,8 @@
 
 const NOW: Millis = Millis(1_000);
 
-/// Returns a renewer with an order for ten servers.
-fn renewer() -> Renewer {
+/// Returns an order for ten servers.
+fn order() -> RenewalOrder {
     let task = |i: u16| RenewalTask {
         life: Life::new(format!("k-{i}").as_str().into(), 1),
         addr: ([127, 0, 0, 1], 7_000 + i).into(),
@@ -22,17 +22,43 @@
             last: i * 100 + 99,
         }],
     };
-    let mut renewer = Renewer::new(KeyTiming::default());
-    let order = RenewalOrder {
+    RenewalOrder {
         term: 1,
         fence: 1,
         lease: Millis(2_500),
         tasks: (0..10).map(task).collect(),
-    };
-    renewer.apply_order(NOW, order);
+    }
+}
+
+/// Returns a renewer with an order for ten servers.
+fn renewer() -> Renewer {
+    let mut renewer = Renewer::new(KeyTiming::default());
+    renewer.apply_order(NOW, order());
     renewer
 }
 
+/// Guards against a grant that was due under one order and is sent under the permit of the next: the leader counts a
+/// lease only for what the next order contains.
+#[rstest]
+#[case::same_order(|_: &mut RenewalOrder| {}, true)]
+#[case::server_left_out(|o: &mut RenewalOrder| drop(o.tasks.remove(0)), false)]
+#[case::range_shrunk(|o: &mut RenewalOrder| o.tasks[0].spans[0].last = 49, false)]
+#[case::other_address(|o: &mut RenewalOrder| o.tasks[0].addr.set_port(9), false)]
+#[case::later_fence(|o: &mut RenewalOrder| o.fence = 2, false)]
+#[case::shorter_lease(|o: &mut RenewalOrder| o.lease = Millis(2_000), false)]
+fn a_grant_is_sent_only_under_an_order_that_contains_it(
+    #[case] change: fn(&mut RenewalOrder),
+    #[case] expected: bool,
+) {
+    let mut renewer = renewer();
+    let due = renewer.take_due(NOW, 10).remove(0);
+    let mut next = order();
+    change(&mut next);
+    let asked_at = NOW + KeyTiming::default().renewal_permit;
+    renewer.apply_order(asked_at, next);
+    assert_eq!(renewer.may_send(asked_at, &due), expected);
+}
+
 /// Guards against a host without paths to most servers that keeps taking their renewals from the leader.
 #[rstest]
 #[case::all_answer(0, GrantOutcome::NoResponse, false)]
--- a/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
@@ -169,7 +169,7 @@
     renewal: &Renewal,
 ) -> RenewalResult {
     // This task may run some time after it was spawned, and the process may have been suspended meanwhile.
-    if !renewals.is_permitted_for(router.now(), service) {
+    if !renewals.may_send(router.now(), service, renewal) {
         return RenewalResult::NotSent;
     }
     let grant = KeyGrant {
--- a/crates/chicoryrail-router/src/control/leader/renewals.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewals.rs
@@ -35,7 +35,7 @@
 /// How a renewal ended.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum RenewalResult {
-    /// The permit ended before it was sent.
+    /// The permit ended, or the order changed, before it was sent.
     NotSent,
     /// The call ended.
     Ended(GrantOutcome),
@@ -139,12 +139,12 @@
         due.collect()
     }
 
-    /// Returns `true` if a service's renewals may be sent now.
-    pub(super) fn is_permitted_for(&self, now: Millis, service: &ServiceName) -> bool {
+    /// Returns `true` if a renewal of a service that was due may be sent now.
+    pub(super) fn may_send(&self, now: Millis, service: &ServiceName, renewal: &Renewal) -> bool {
         let services = self.services.borrow();
         services
             .get(service)
-            .is_some_and(|s| s.renewer.is_permitted(now))
+            .is_some_and(|s| s.renewer.may_send(now, renewal))
     }
 
     pub(super) fn record(&self, service: &ServiceName, renewal: &Renewal, result: RenewalResult) {
