fix(router): a leader without the store counts replies to its own queries

Seen: a leader whose process was suspended for 2.7 s, and that cannot reach the store when it continues, sends grants under its old fence although another host leads. The heartbeats that its socket kept (the oldest, since the buffer was full) got the time at which they were read. New test `suspended_leader`, on the code before, 3 of 3 runs:

assertion `left == right` failed left: ["log=grant_fence_old t=1796374723.594 level=info host=a server=k-1@ service=kits addr=127.0.0.1:33581 term=5 fence=2 first=0 last=32767 lease_ms=2500 took_ms=1 basis=support lease_age_ms=2693 hosts=2 oldest_ms=50 error="the server has seen a higher fencing token"", (the same for k-2)] right: []

Only the servers' check of the fence kept them from two owners; a server that its successor had not reached would have taken the grant.

Cause: evidence counted from the time of reading, so it was as fresh as the last read, wherever the datagram had waited.

Change: while its store lease has not been confirmed for 0.4 s, the leader queries the other core hosts each 0.3 s; the query carries the term and the time by the leader's clock, and a host returns that time with the highest term that it knows and whether the store answers it. A host counts if it knows no other term and the query is at most 1.3 s old by the leader's clock. The same replies decide whether every host reports the store as down (grants of 10 s), which read heartbeats in the same way. Reported terms need no change: an old datagram can only report a lower one. The queries also announce a new term, five times in its first 0.2 s.

Two packet kinds are appended; heartbeats are unchanged, and hosts of earlier versions ignore the new ones (a `talk_unreadable` line each). They do not count for a leader of this version: see DESIGN.md for upgrades.

Tests changed: `leading_without_the_store_needs_a_majority` and `an_outage_must_be_reported_by_all` give replies instead of heartbeats, since these are the evidence now; the limits are the same.

--- a/crates/chicoryrail-core/src/millis.rs
+++ b/crates/chicoryrail-core/src/millis.rs
@@ -13,7 +13,7 @@
 /// A point in time or a duration, in milliseconds.
 ///
 /// A point in time counts from the start of one process's monotonic clock. Points of different processes must not be
-/// compared, so only durations are sent between processes.
+/// compared, so only durations are sent between processes, and points that the receiver merely returns.
 #[derive(
     Clone,
     Copy,
--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -21,6 +21,7 @@
 mod reach;
 pub mod store_key;
 mod support;
+mod term_reply;
 mod watchers;
 
 pub use core_host::CoreHost;
@@ -32,3 +33,4 @@
 pub use peers::select_renewer;
 pub use reach::DcReachability;
 pub use support::Support;
+pub use term_reply::TermReply;
--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -11,7 +11,7 @@
 use chicoryrail_core::Millis;
 use siphasher::sip::SipHasher13;
 
-use crate::Support;
+use crate::TermReply;
 use crate::is_strong;
 
 /// Minimum number of hosts assumed to share global limits, such as those on retries and on requests to servers
@@ -75,6 +75,8 @@
     pub(crate) state: HostState,
     /// Time of the host's last failure to relay the content of the store.
     pub(crate) relay_failed_at: Option<Millis>,
+    /// The host's reply to the last query of this host that it replied to.
+    pub(crate) reply: Option<TermReply>,
 }
 
 impl Peer {
@@ -92,6 +94,7 @@
                 leaf_hosts: 0,
             },
             relay_failed_at: None,
+            reply: None,
         }
     }
 
@@ -286,14 +289,6 @@
         recent.map(|p| &p.state)
     }
 
-    /// Returns `true` if every other host has a recent heartbeat that reports the store as unavailable. A
-    /// host without a recent heartbeat may still reach the store.
-    #[must_use]
-    pub fn all_lost_store(&self, now: Millis) -> bool {
-        let lost = |p: &Peer| !p.state.store_reachable && p.seen_within(now, HEARTBEAT_AGE_MAX);
-        self.hosts.values().all(lost)
-    }
-
     /// Records that a leader itself sent a heartbeat.
     pub fn record_leader_seen(&mut self, now: Millis) {
         self.leader_seen = self.leader_seen.max(Some(now));
@@ -348,22 +343,6 @@
     pub const fn highest_term(&self) -> u64 {
         self.term
     }
-
-    /// Returns `true` if this host and the others with a heartbeat at most `age` old are more than half of all
-    /// core hosts.
-    #[must_use]
-    pub fn majority_seen_within(&self, now: Millis, age: Millis) -> bool {
-        let support = self.support_within(now, age);
-        support.is_majority_of(self.core_host_count())
-    }
-
-    /// Returns the other hosts with a heartbeat at most `age` old.
-    #[must_use]
-    pub fn support_within(&self, now: Millis, age: Millis) -> Support {
-        let ages = self.hosts.values().filter_map(|p| p.last_seen);
-        let ages = ages.map(|at| now.since(at)).filter(|a| *a <= age);
-        ages.fold(Support::default(), Support::with)
-    }
 }
 
 /// Selects the host that renews the key leases of a server by weighted rendezvous hashing of `name`; if the server's data
--- a/crates/chicoryrail-router/src/control/gossip.rs
+++ b/crates/chicoryrail-router/src/control/gossip.rs
@@ -11,6 +11,8 @@
 use crate::control::crashes::apply_news;
 use crate::control::key_announcements::KeyAnnouncements;
 use crate::control::leader::LeaderTerm;
+use crate::control::leader::apply_answer;
+use crate::control::leader::reply_to_query;
 use crate::control::quota;
 use crate::control::quota::QuotaPools;
 use crate::control::scheduling;
@@ -82,6 +84,8 @@
             }
             Packet::QuotaGrants(grants) => quota::apply_grants(&self.router, &grants),
             Packet::Traffic(report) => self.handle_traffic(report),
+            Packet::TermQuery(query) => reply_to_query(&self.router, &query, from),
+            Packet::TermAnswer(answer) => apply_answer(&self.router, &answer),
             Packet::Crashes(news) => apply_news(&self.router, &news, Some(from)),
             packet => scheduling::handle_packet(&self.router, &packet, Some(from)),
         }
--- a/crates/chicoryrail-router/src/control/leader/elect.rs
+++ b/crates/chicoryrail-router/src/control/leader/elect.rs
@@ -15,6 +15,7 @@
 use crate::control::config_feed::follow::store_call;
 use crate::control::leader::leader_term::LeaderTerm;
 use crate::control::leader::take_over::lead_keys;
+use crate::control::leader::term_queries::query_hosts;
 use crate::state::Router;
 
 /// TTL of the store lease on the leader's key. A lost leader is replaced after it expires. It is shorter than the
@@ -140,6 +141,7 @@
     let host = router.boot().host.clone();
     router.peers.borrow_mut().observe_term(term, Some(&host));
     leadership.changed.notify();
+    monoio::spawn(query_hosts(Rc::clone(router), Rc::clone(leadership), term));
     monoio::spawn(lead_keys(
         Rc::clone(router),
         Rc::clone(leadership),
--- a/crates/chicoryrail-router/src/control/leader/leader_term.rs
+++ b/crates/chicoryrail-router/src/control/leader/leader_term.rs
@@ -24,10 +24,12 @@
 /// Fraction of the lease's TTL, in percent, for which a leader relies on its last confirmed renewal.
 const LEASE_TRUSTED_PERCENT: u64 = 80;
 
-/// Age up to which a leader that can't reach the store counts the other hosts' last heartbeats: three heartbeat
-/// intervals. A successor waits this long, and for a renewal in flight, before it moves the keys of a server that
-/// it can't reach.
-const HEARTBEAT_AGE_MAX: Millis = Millis(1_300);
+/// Age up to which a leader that can't reach the store counts the other hosts' replies to its queries. A successor
+/// allows for more ([`KeyTiming::stale_leader_max`]) before it moves the keys of a server that it can't reach; the
+/// difference is the time for the announcement of its term.
+///
+/// [`KeyTiming::stale_leader_max`]: chicoryrail_ownership::keys::KeyTiming::stale_leader_max
+const REPLY_AGE_MAX: Millis = Millis(1_300);
 
 /// Minimum time between two step-downs of a host for servers that it can't reach. Where each host has lost some path,
 /// the leadership would otherwise go round all the time.
@@ -128,9 +130,9 @@
     /// Returns `true` if this host may send grants and releases to servers as the leader.
     ///
     /// No other host can lead while the lease was confirmed recently. Without the store, a leader continues only
-    /// while it receives heartbeats from most of the hosts and none of them reports a higher term: a successor
-    /// announces its term to all of them before it moves any key. After a suspension of the process both the
-    /// renewal and the heartbeats are too old.
+    /// while most of the hosts reply to its queries that they know no higher term: a successor announces its term to
+    /// all of them before it moves any key. After a suspension of the process both the renewal and the queries are too
+    /// old, whatever its socket received meanwhile.
     pub(crate) fn may_act(&self, router: &Router) -> bool {
         self.mandate(router).holds()
     }
@@ -163,7 +165,7 @@
         if lease_age < trusted {
             return mandate(Basis::StoreLease, Support::default());
         }
-        let support = peers.support_within(now, HEARTBEAT_AGE_MAX);
+        let support = peers.support(now, self.term.get(), REPLY_AGE_MAX);
         if support.is_majority_of(peers.core_host_count()) {
             return mandate(Basis::Support, support);
         }
--- a/crates/chicoryrail-router/src/control/leader/mod.rs
+++ b/crates/chicoryrail-router/src/control/leader/mod.rs
@@ -15,6 +15,7 @@
 mod renewal_tasks;
 mod renewals;
 mod take_over;
+mod term_queries;
 
 pub(crate) use delegates::RENEWALS_PATH;
 pub(crate) use delegates::serve_renewals;
@@ -23,3 +24,5 @@
 pub(crate) use renewal_tasks::follow_renewal_orders;
 pub(crate) use renewal_tasks::run_renewals;
 pub(crate) use renewals::Renewals;
+pub(crate) use term_queries::apply_answer;
+pub(crate) use term_queries::reply_to_query;
--- a/crates/chicoryrail-router/src/control/scheduling/packets.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/packets.rs
@@ -34,6 +34,8 @@
         | Packet::QuotaReports(_)
         | Packet::QuotaGrants(_)
         | Packet::Crashes(_)
-        | Packet::Traffic(_) => {}
+        | Packet::Traffic(_)
+        | Packet::TermQuery(_)
+        | Packet::TermAnswer(_) => {}
     }
 }
--- a/crates/chicoryrail-router/src/messages/mod.rs
+++ b/crates/chicoryrail-router/src/messages/mod.rs
@@ -14,6 +14,7 @@
 mod relay_message;
 mod renewal_message;
 mod socket;
+mod term_message;
 mod traffic_message;
 
 pub(crate) use codec::decode;
@@ -72,4 +73,6 @@
 pub(crate) use renewal_message::RenewalReport;
 pub(crate) use renewal_message::ServiceOrder;
 pub(crate) use socket::PeerSocket;
+pub(crate) use term_message::TermAnswer;
+pub(crate) use term_message::TermQuery;
 pub(crate) use traffic_message::TrafficReport;
--- a/crates/chicoryrail-router/src/messages/packet.rs
+++ b/crates/chicoryrail-router/src/messages/packet.rs
@@ -20,6 +20,8 @@
 use crate::messages::PartRoom;
 use crate::messages::QuotaGrants;
 use crate::messages::QuotaReports;
+use crate::messages::TermAnswer;
+use crate::messages::TermQuery;
 use crate::messages::TrafficReport;
 
 /// A datagram between hosts.
@@ -53,6 +55,10 @@
     HeldRequests(HeldReport),
     /// Limit on the bytes of request bodies at each server of a service, for the hosts that schedule.
     ByteLimit(ByteLimitNews),
+    /// Asks whether a host knows of a later leader.
+    TermQuery(TermQuery),
+    /// Reply to a [`Packet::TermQuery`].
+    TermAnswer(TermAnswer),
 }
 
 /// Limit on the bytes of request bodies at each server of a service.
--- a/crates/chicoryrail-runtime/src/clock.rs
+++ b/crates/chicoryrail-runtime/src/clock.rs
@@ -6,7 +6,7 @@
 use nix::time::ClockId;
 use nix::time::clock_gettime;
 
-/// The monotonic clock of one process. Its timestamps have no meaning in other processes and are never sent.
+/// The monotonic clock of one process. Its timestamps have no meaning in other processes, which at most return them.
 ///
 /// It reads CLOCK_BOOTTIME, which advances while the process is stopped and while the machine is suspended.
 /// CLOCK_MONOTONIC does not advance during a suspend: a lease owner that is suspended past the end of its lease
