fix(keys): the keys of a restarted server are released before others get them

What callers and users saw: two servers hold the same keys for up to a key lease (2.5 s), with requests or without.

Cause: a grant names the server and the address, not the start of the process. A server that starts again under its name takes the renewals that were meant for the former process until the leader reads the later registration. From that moment the leader counted the keys of the former start as free and granted them to other servers at once, without a release: a statement about one process was taken for one about another at the same address.

Change: a later registration no longer frees keys. The former start gets no more grants (`KeyLeases::server_superseded`); its keys are released at the address to which its renewals went, under the next fence, or wait for the end of its last lease. The response of another server at that address ends it as before. The lease is taken for as long as an earlier leader may have granted, since the new process knows none of the fences that the former one had seen.

Why it works: whoever took the renewals answers the release, and refuses every earlier grant of these keys from then on.

Price: one call for a server that restarts and answers; one that does not answer keeps its keys unserved for the rest of its lease, at most 2.5 s, as every unreachable server does.

--- a/crates/chicoryrail-ownership/src/keys/delegation.rs
+++ b/crates/chicoryrail-ownership/src/keys/delegation.rs
@@ -53,7 +53,7 @@
     #[must_use]
     pub fn is_delegable(&self, life: &Life) -> bool {
         let state = self.servers.get(life);
-        state.is_some_and(|s| s.is_callable() && s.unanswered_since.is_none())
+        state.is_some_and(|s| s.is_grantable() && s.unanswered_since.is_none())
     }
 
     /// Returns what the delegate of these servers does under a permit that begins now. Servers that are not delegated
@@ -62,7 +62,7 @@
         let permitted = lives.iter().filter_map(|life| {
             let state = self.servers.get(life)?;
             let spans = self.delegable_spans(life, state);
-            (state.delegated && state.is_callable() && !spans.is_empty()).then(|| RenewalTask {
+            (state.delegated && state.is_grantable() && !spans.is_empty()).then(|| RenewalTask {
                 life: life.clone(),
                 addr: state.addr,
                 spans,
@@ -122,7 +122,7 @@
             renew_at: sent_at + self.timing.renew_interval,
             expires_at: sent_at + self.lease_duration(),
         };
-        if let Some(state) = self.servers.get_mut(life).filter(|s| !s.ended) {
+        if let Some(state) = self.servers.get_mut(life).filter(|s| s.is_grantable()) {
             state.unanswered_since = None;
             state.confirm(lease);
         }
--- a/crates/chicoryrail-ownership/src/keys/due.rs
+++ b/crates/chicoryrail-ownership/src/keys/due.rs
@@ -73,7 +73,7 @@
         state: &ServerState,
         allow_new: bool,
     ) -> Option<KeyAction> {
-        if state.pending_grant.is_some() || !state.is_callable() || now < state.retry_at {
+        if state.pending_grant.is_some() || !state.is_grantable() || now < state.retry_at {
             return None;
         }
         let renewed = due_renewal(state.renewal_due_at(now), &state.confirmed);
@@ -148,9 +148,10 @@
     /// refuses it, and it has no effect on a server without keys.
     fn due_probes(&self, now: Millis) -> Vec<KeyAction> {
         let lost = self.servers.iter().filter(|(life, s)| {
-            let registered = now.since(s.last_seen) <= REGISTRATION_AGE_MAX && s.addr.port() != 0;
+            let registered = now.since(s.last_seen) <= REGISTRATION_AGE_MAX;
             let idle = s.pending_grant.is_none() && s.pending_releases.is_empty();
-            registered && idle && !s.ended && now >= s.retry_at && self.is_lost(now, life)
+            let due = registered && idle && now >= s.retry_at;
+            due && s.is_grantable() && self.is_lost(now, life)
         });
         let lost: Vec<_> = lost.collect();
         if lost.is_empty() {
--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -31,7 +31,8 @@
 ///
 /// - A record is in the store before any grant under it is sent.
 /// - A key is granted to another server only after its former owner answered a release, the former owner's
-///   lease has certainly expired, or the former owner's incarnation has ended.
+///   lease has certainly expired, or another server runs at the former owner's address. A later incarnation of the
+///   former owner is no such proof: it may have accepted a renewal that was meant for the former one.
 /// - A new leader first writes the existing assignment under a higher fencing token and grants it again, so that
 ///   servers refuse an older leader's renewals. If it can't reach a server, it treats the server's lease as
 ///   running for as long as the older leader may have kept renewing.
@@ -50,6 +51,8 @@
     pub(super) expired: Vec<OwnedRange>,
     /// Whether a server has seen a higher fencing token.
     pub(super) deposed: bool,
+    /// End of the longest lease that an earlier leader may have granted.
+    stale_lease_until: Millis,
     /// Duration of the grants sent now.
     lease_duration: Millis,
 }
@@ -102,6 +105,7 @@
             write_unsettled: false,
             expired: Vec::new(),
             deposed: false,
+            stale_lease_until: lease_until,
             lease_duration: timing.lease,
             record,
         };
@@ -233,7 +237,28 @@
             .insert(life.clone(), ServerState::new(addr, now));
     }
 
-    /// Records that a server incarnation has ended, so that it holds nothing.
+    /// Records that a later incarnation of a server is registered, at `addr` if that is known. Returns when the leases of
+    /// this one have certainly expired, at the first call for it.
+    ///
+    /// It gets no more grants, but its keys are not free: the later incarnation may have accepted grants that were meant
+    /// for this one, and knows none of the fencing tokens that this one had seen. The keys are free once a release of them
+    /// is answered, or their lease has expired.
+    pub fn server_superseded(&mut self, life: &Life, addr: Option<SocketAddr>) -> Option<Millis> {
+        let stale_lease_until = self.stale_lease_until;
+        let state = self.servers.get_mut(life).filter(|s| !s.ended)?;
+        if state.addr == UNKNOWN_ADDR {
+            state.addr = addr.unwrap_or(UNKNOWN_ADDR);
+        }
+        if state.superseded {
+            return None;
+        }
+        state.superseded = true;
+        state.confirmed.clear();
+        state.lease_until = state.lease_until.max(stale_lease_until);
+        Some(state.lease_until)
+    }
+
+    /// Records that a server incarnation has ended and that no later one received its calls, so that it holds nothing.
     pub fn server_ended(&mut self, life: &Life) {
         if let Some(state) = self.servers.get_mut(life) {
             state.ended = true;
@@ -325,7 +350,7 @@
                 let other_leases = state.outage_lease_until.max(state.delegate_lease_until);
                 state.lease_until = other_leases.max(now + max_lease);
                 state.unanswered_since = None;
-                if fence == self.record.fence {
+                if fence == self.record.fence && !state.superseded {
                     state.confirm(ConfirmedLease {
                         span,
                         renew_at: now + self.timing.renew_interval,
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -43,7 +43,10 @@
     pub(crate) confirmed: Vec<ConfirmedLease>,
     /// Time of the first unanswered grant since the server's last response, if any.
     pub(crate) unanswered_since: Option<Millis>,
-    /// Whether the incarnation is known to have ended.
+    /// Whether a later incarnation is registered. Calls name the server and not its incarnation, so the later one may have
+    /// accepted grants that were meant for this one.
+    pub(crate) superseded: bool,
+    /// Whether the incarnation is known to have ended, and no later one received its calls.
     pub(crate) ended: bool,
 }
 
@@ -65,15 +68,21 @@
             assigned: Vec::new(),
             confirmed: Vec::new(),
             unanswered_since: None,
+            superseded: false,
             ended: false,
         }
     }
 
-    /// Returns `true` if the server can be called: its incarnation has not ended and its address is known.
+    /// Returns `true` if releases may be sent: the incarnation has not ended and its address is known.
     pub(crate) fn is_callable(&self) -> bool {
         !self.ended && self.addr.port() != 0
     }
 
+    /// Returns `true` if grants may be sent: the incarnation is callable and the latest one.
+    pub(crate) fn is_grantable(&self) -> bool {
+        self.is_callable() && !self.superseded
+    }
+
     /// Returns the keys that are assigned to the server but not confirmed yet.
     pub(crate) fn unconfirmed(&self) -> RangeSet {
         let confirmed = self.confirmed.iter().map(|l| l.span);
--- a/crates/chicoryrail-ownership/tests/key_leases.rs
+++ b/crates/chicoryrail-ownership/tests/key_leases.rs
@@ -1,5 +1,7 @@
 //! Order of renewals, releases and grants.
 
+use std::net::SocketAddr;
+
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
 use chicoryrail_core::ServerName;
@@ -11,6 +13,7 @@
 use chicoryrail_ownership::keys::KeyTiming;
 use chicoryrail_ownership::keys::OwnedRange;
 use chicoryrail_ownership::keys::ReleaseOutcome;
+use rstest::rstest;
 
 fn life(name: &str) -> Life {
     Life::new(ServerName::new(name), 1)
@@ -276,3 +279,103 @@
     assert!(releases(&after).contains(&span(0, 29_999)));
     assert!(grants(&after, "b").iter().all(|s| s.first > 29_999));
 }
+
+fn addr(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+/// Returns leases in which `a` holds all keys until 2,551 ms, is superseded at 100 ms by an incarnation at this address, and
+/// its keys are assigned to `b`.
+fn superseded_by(later: SocketAddr) -> KeyLeases {
+    let now = Millis(100);
+    let mut leases = KeyLeases::take_over(
+        KeyRecord::default(),
+        KeyTiming {
+            stale_leader_max: Millis(0),
+            ..KeyTiming::default()
+        },
+        Millis(0),
+        1,
+        false,
+    );
+    leases.record_written(Millis(0));
+    leases.set_server_addr(Millis(0), &life("a"), addr(80));
+    leases.set_server_addr(Millis(0), &life("b"), addr(81));
+    leases.begin_change(vec![OwnedRange::new(KeyRange::ALL, life("a"))], 2);
+    leases.record_written(Millis(0));
+    confirm_grant(&mut leases, Millis(0), "a", KeyRange::ALL);
+    let until = leases.server_superseded(&life("a"), Some(later));
+    assert_eq!(until, Some(Millis(2_551)));
+    assert_eq!(leases.server_superseded(&life("a"), Some(later)), None);
+    leases.begin_change(vec![OwnedRange::new(KeyRange::ALL, life("b"))], 3);
+    leases.record_written(now);
+    leases
+}
+
+/// Guards against keys that are granted on while a restarted server holds them: its new process may have taken a renewal
+/// meant for the former one. The release goes to the address that the renewals went to.
+#[rstest]
+#[case::same_address(addr(80))]
+#[case::other_address(addr(90))]
+fn keys_of_a_restarted_server_are_released_first(#[case] later: SocketAddr) {
+    let mut leases = superseded_by(later);
+    let actions = leases.due_actions(Millis(100));
+    assert_eq!(releases(&actions), [KeyRange::ALL]);
+    assert!(grants(&actions, "a").is_empty() && grants(&actions, "b").is_empty());
+    let to = actions.iter().find_map(|action| match action {
+        KeyAction::Release { addr, .. } => Some(*addr),
+        _ => None,
+    });
+    assert_eq!(to, Some(addr(80)));
+    leases.release_sent(&life("a"), KeyRange::ALL);
+    let outcome = ReleaseOutcome::Released(None);
+    leases.release_finished(Millis(120), &life("a"), KeyRange::ALL, outcome);
+    let actions = leases.due_actions(Millis(120));
+    assert_eq!(grants(&actions, "b"), [KeyRange::ALL]);
+}
+
+/// Guards against keys that are granted on before the last lease of a restarted server has expired, if it answers no release.
+#[test]
+fn keys_of_a_restarted_server_that_does_not_answer_wait_for_the_lease() {
+    let mut leases = superseded_by(addr(80));
+    for now in [100, 1_300, 2_550] {
+        let now = Millis(now);
+        assert!(grants(&leases.due_actions(now), "b").is_empty(), "{now}");
+        leases.release_sent(&life("a"), KeyRange::ALL);
+        leases.release_finished(now, &life("a"), KeyRange::ALL, ReleaseOutcome::NoResponse);
+    }
+    assert_eq!(
+        grants(&leases.due_actions(Millis(2_551)), "b"),
+        [KeyRange::ALL]
+    );
+}
+
+/// Guards against a late response of a former incarnation that makes its keys count as served.
+#[test]
+fn a_superseded_incarnation_confirms_nothing() {
+    let mut leases = superseded_by(addr(80));
+    confirm_grant(&mut leases, Millis(110), "a", KeyRange::ALL);
+    assert_eq!(leases.ungranted_keys(), [KeyRange::ALL]);
+}
+
+/// Guards against keys that wait for a lease because a new leader does not know the address of the former incarnation: it
+/// asks the later one, which runs at the same address as a rule.
+#[test]
+fn a_new_leader_releases_at_the_later_incarnation() {
+    let record = KeyRecord {
+        fence: 4,
+        spans: vec![OwnedRange::new(KeyRange::ALL, life("a"))],
+        ..KeyRecord::default()
+    };
+    let mut leases = KeyLeases::take_over(record, KeyTiming::default(), Millis(0), 1, false);
+    leases.record_written(Millis(0));
+    leases.server_superseded(&life("a"), Some(addr(90)));
+    leases.set_server_addr(Millis(0), &life("b"), addr(81));
+    leases.begin_change(vec![OwnedRange::new(KeyRange::ALL, life("b"))], 2);
+    leases.record_written(Millis(10));
+    let actions = leases.due_actions(Millis(10));
+    assert!(
+        matches!(actions[..], [KeyAction::Release { addr: to, .. }] if to == addr(90)),
+        "{actions:?}"
+    );
+}
--- a/crates/chicoryrail-router/src/control/leader/key_leader.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_leader.rs
@@ -147,7 +147,7 @@
         self.leadership.changed.notify();
     }
 
-    /// Updates the servers' addresses, and ends the key leases of server incarnations that a newer one has replaced.
+    /// Updates the servers' addresses, and marks the server incarnations that a later one has replaced.
     fn update_servers(&self) {
         let now = self.router.now();
         let service = self.router.service(&self.service);
@@ -157,8 +157,13 @@
         }
         for owner in leases.lease_owners() {
             let registered = self.router.registered_life(&self.service, &owner.name);
-            if registered.is_some_and(|life| life.supersedes(&owner)) {
-                leases.server_ended(&owner);
+            let Some(later) = registered.filter(|life| life.supersedes(&owner)) else {
+                continue;
+            };
+            let addr = service.target(&later).map(|target| target.addr);
+            if let Some(until) = leases.server_superseded(&owner, addr) {
+                log::info!(server:% = owner, by:% = later, service:% = self.service,
+                    lease_left_ms = until.since(now).0; "server_superseded");
             }
         }
     }
