feat(testkit): chaos runs of chosen sizes, and faults of many servers at once

The reported fault was seen with 84 hosts and 152 servers with keys, and chaos had five hosts, a dozen such servers and faults of one process at a time.

The faults of the fixed seeds are the same as before.

--- a/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
@@ -54,6 +54,33 @@
         .env("CHICORYRAIL_TESTKIT_KEEP")
         .help("Keeps logs and ledgers even if no violation is found")
         .switch();
+    let hosts = long("hosts")
+        .env("CHICORYRAIL_TESTKIT_HOSTS")
+        .help("Number of entry hosts")
+        .argument::<usize>("N")
+        .fallback(5)
+        .display_fallback();
+    let keyed_servers = long("keyed-servers")
+        .env("CHICORYRAIL_TESTKIT_KEYED_SERVERS")
+        .help("Number of servers of each service with keys; that of the deployment if absent")
+        .argument::<usize>("N")
+        .optional();
+    let rate = long("rate")
+        .env("CHICORYRAIL_TESTKIT_RATE")
+        .help("Requests per second")
+        .argument::<u32>("N")
+        .fallback(250)
+        .display_fallback();
+    let no_proxy = long("no-proxy")
+        .env("CHICORYRAIL_TESTKIT_NO_PROXY")
+        .help("Connects hosts to the store and the servers without proxies, and omits their faults")
+        .switch();
+    let busy = long("busy")
+        .env("CHICORYRAIL_TESTKIT_BUSY")
+        .help("Number of processes that compute beside the cluster")
+        .argument::<usize>("N")
+        .fallback(0)
+        .display_fallback();
     let uploads = long("uploads")
         .env("CHICORYRAIL_TESTKIT_UPLOADS")
         .help("Makes orders uploads, some of whose callers send and read slowly")
@@ -64,6 +91,11 @@
         seconds,
         quiet_seconds,
         fault_kinds,
+        hosts,
+        keyed_servers,
+        rate,
+        no_proxy,
+        busy,
         uploads,
         program_dir,
         keep_evidence,
@@ -73,6 +105,11 @@
         seconds,
         quiet_seconds,
         fault_kinds,
+        hosts,
+        keyed_servers,
+        rate,
+        no_proxy,
+        busy,
         uploads,
         program_dir,
         keep_evidence
@@ -88,6 +125,11 @@
         .map(str::to_owned)
         .collect();
     options.quiet = Millis(quiet_seconds * 1000);
+    options.hosts = hosts;
+    options.keyed_servers = keyed_servers;
+    options.rate = f64::from(rate);
+    options.proxied = !no_proxy;
+    options.busy = busy;
     options.uploads = uploads;
     options.program_dir = program_dir;
     options.keep_evidence = keep_evidence;
--- a/crates/chicoryrail-testkit/src/bin/testkit-target.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-target.rs
@@ -83,6 +83,12 @@
         .help("Address to register in the store; the listening address if absent")
         .argument::<SocketAddr>("ADDR")
         .optional();
+    let register_delay = millis_flag(
+        "register-delay-ms",
+        "CHICORYRAIL_TESTKIT_REGISTER_DELAY_MS",
+        "Time from the start to the registration in the store, in milliseconds",
+        0,
+    );
     let ledger = long("ledger")
         .env("CHICORYRAIL_TESTKIT_LEDGER")
         .help("File to which every executed request is written")
@@ -106,6 +112,7 @@
         warmup,
         warmup_limit,
         store,
+        register_delay,
         advertised_addr,
         ledger,
         seed
--- a/crates/chicoryrail-testkit/src/chaos.rs
+++ b/crates/chicoryrail-testkit/src/chaos.rs
@@ -9,8 +9,10 @@
 mod options;
 mod random_fault;
 mod run;
+mod series_task;
 mod summary;
 mod target_faults;
+mod target_series;
 mod worker;
 
 pub(crate) use fault::Fault;
--- a/crates/chicoryrail-testkit/src/chaos/context.rs
+++ b/crates/chicoryrail-testkit/src/chaos/context.rs
@@ -48,18 +48,21 @@
     /// Names of the operator actions in progress.
     active: Mutex<BTreeSet<String>>,
     stop: Arc<AtomicBool>,
+    /// Time from which on no fault starts, in microseconds since 1970.
+    end_us: u64,
     /// Runs operator actions, which don't need the cluster's lock.
     pub(crate) operator: Operator,
 }
 
 impl RunContext {
-    pub(crate) fn new(cluster: Cluster, stop: Arc<AtomicBool>) -> Self {
+    pub(crate) fn new(cluster: Cluster, stop: Arc<AtomicBool>, end_us: u64) -> Self {
         Self {
             operator: cluster.operator(),
             cluster: Mutex::new(cluster),
             events: Mutex::default(),
             active: Mutex::default(),
             stop,
+            end_us,
         }
     }
 
@@ -109,6 +112,11 @@
         self.stop.load(Relaxed)
     }
 
+    /// Returns `true` if no fault may start any more.
+    pub(crate) fn is_over(&self) -> bool {
+        self.is_stopped() || unix_micros() >= self.end_us
+    }
+
     /// Sleeps for `ms` milliseconds, or until the run is stopped.
     pub(crate) fn sleep(&self, ms: u64) {
         let deadline = Instant::now() + Duration::from_millis(ms);
--- a/crates/chicoryrail-testkit/src/chaos/fault.rs
+++ b/crates/chicoryrail-testkit/src/chaos/fault.rs
@@ -108,6 +108,37 @@
     StopSeries { gap_ms: u64 },
     /// Every host gets SIGHUP, each `gap_ms` after the one before, and the configuration changes each time.
     ReloadSeries { gap_ms: u64 },
+    /// Many targets with keys are killed and soon restarted, each `gap_ms` after the one before, in several rounds. They
+    /// serve at once and register late.
+    RestartTargets {
+        /// Fraction of the targets with keys in each round.
+        share: f64,
+        rounds: u32,
+        gap_ms: u64,
+        /// Seed of the choice of targets and of the times.
+        seed: u64,
+    },
+    /// The leader, other hosts and targets with keys are paused at once, in several rounds; some of the targets are then
+    /// killed and restarted instead of resumed.
+    PauseMany {
+        /// Number of hosts in each round, among them the leader if it is known.
+        hosts: usize,
+        /// Number of targets in each round.
+        targets: usize,
+        rounds: u32,
+        /// Seed of the choice of hosts and targets and of the times.
+        seed: u64,
+    },
+    /// Many targets with keys accept and read late, and otherwise go on working, in several rounds.
+    SlowAccept {
+        /// Fraction of the targets with keys in each round.
+        share: f64,
+        rounds: u32,
+        /// Seed of the choice of targets and of the times.
+        seed: u64,
+    },
+    /// The store is paused by a signal and resumed.
+    StorePaused { for_ms: u64 },
 }
 
 impl Fault {
@@ -142,9 +173,24 @@
             Self::TargetsStall { .. } => "targets-stall",
             Self::StopSeries { .. } => "stop-series",
             Self::ReloadSeries { .. } => "reload-series",
+            Self::RestartTargets { .. } => "restart-targets",
+            Self::PauseMany { .. } => "pause-many",
+            Self::SlowAccept { .. } => "slow-accept",
+            Self::StorePaused { .. } => "store-paused",
         }
     }
 
+    /// Returns `true` if the fault is one of the proxies before the store and the targets.
+    pub(crate) const fn needs_proxy(&self) -> bool {
+        matches!(
+            self,
+            Self::StoreAway { .. }
+                | Self::StoreFar { .. }
+                | Self::TargetAway { .. }
+                | Self::TargetReset { .. }
+        )
+    }
+
     /// Returns `true` if the fault must leave no request without a response while a router is stopped as planned: a
     /// planned action of an operator or a server, or slow targets.
     pub(crate) const fn allows_planned_stops(&self) -> bool {
@@ -168,6 +214,7 @@
             self,
             Self::KillRouter { .. }
                 | Self::PauseRouter { .. }
+                | Self::PauseMany { .. }
                 | Self::RollingRestart
                 | Self::StopSeries { .. }
         )
@@ -179,6 +226,7 @@
             self,
             Self::KillRouter { .. }
                 | Self::PauseRouter { .. }
+                | Self::PauseMany { .. }
                 | Self::TargetAway { .. }
                 | Self::TargetReset { .. }
                 | Self::PathsLost { .. }
@@ -186,7 +234,8 @@
     }
 
     /// Returns `true` if the fault can delay an announcement in the store or void it: a target that restarts no
-    /// longer announces that it is draining.
+    /// longer announces that it is draining. A target that reads late runs requests that were sent before its
+    /// announcement.
     pub(crate) const fn delays_announcements(&self) -> bool {
         matches!(
             self,
@@ -198,6 +247,10 @@
                 | Self::PauseRouter { .. }
                 | Self::PauseTarget { .. }
                 | Self::KillTarget { .. }
+                | Self::RestartTargets { .. }
+                | Self::PauseMany { .. }
+                | Self::SlowAccept { .. }
+                | Self::StorePaused { .. }
         )
     }
 }
--- a/crates/chicoryrail-testkit/src/chaos/host_series.rs
+++ b/crates/chicoryrail-testkit/src/chaos/host_series.rs
@@ -101,7 +101,7 @@
     }
 }
 
-fn join_notes(notes: &[String]) -> Result<(), String> {
+pub(crate) fn join_notes(notes: &[String]) -> Result<(), String> {
     if notes.is_empty() {
         Ok(())
     } else {
--- a/crates/chicoryrail-testkit/src/chaos/inject.rs
+++ b/crates/chicoryrail-testkit/src/chaos/inject.rs
@@ -19,6 +19,9 @@
 use crate::chaos::host_series::stop_series;
 use crate::chaos::target_faults::inject_target_fault;
 use crate::chaos::target_faults::stall_targets;
+use crate::chaos::target_series::pause_many;
+use crate::chaos::target_series::restart_targets;
+use crate::chaos::target_series::slow_accept;
 use crate::unix_micros;
 
 /// Maximum number of attempts to return a data centre to service before the fault is recorded as failed.
@@ -109,6 +112,30 @@
         } => context.exclusively("stalled targets", || {
             stall_targets(context, share, factor, lost, for_ms)
         }),
+        Fault::RestartTargets {
+            share,
+            rounds,
+            gap_ms,
+            seed,
+        } => restart_targets(context, share, rounds, gap_ms, seed),
+        Fault::PauseMany {
+            hosts,
+            targets,
+            rounds,
+            seed,
+        } => context.exclusively("a series of pauses", || {
+            pause_many(context, hosts, targets, rounds, seed)
+        }),
+        Fault::SlowAccept {
+            share,
+            rounds,
+            seed,
+        } => context.exclusively("stalled reads", || {
+            slow_accept(context, share, rounds, seed)
+        }),
+        Fault::StorePaused { for_ms } => {
+            context.exclusively("the paused store", || pause(context, Member::Store, for_ms))
+        }
         _ => inject_target_fault(context, fault),
     }
 }
@@ -124,14 +151,14 @@
     restarted.map_err(|e| e.to_string())
 }
 
-fn pause(context: &RunContext, member: Member, for_ms: u64) -> Result<(), String> {
+pub(crate) fn pause(context: &RunContext, member: Member, for_ms: u64) -> Result<(), String> {
     context.cluster().pause(member);
     context.sleep(for_ms);
     context.cluster().resume(member);
     Ok(())
 }
 
-fn pause_router(context: &RunContext, host: usize, for_ms: u64) -> Result<(), String> {
+pub(crate) fn pause_router(context: &RunContext, host: usize, for_ms: u64) -> Result<(), String> {
     let from = unix_micros();
     pause(context, Member::Router(host), for_ms)?;
     let period = context.record_interruption(host, from);
--- a/crates/chicoryrail-testkit/src/chaos/options.rs
+++ b/crates/chicoryrail-testkit/src/chaos/options.rs
@@ -6,6 +6,7 @@
 
 use chicoryrail_core::Millis;
 
+use crate::ClusterError;
 use crate::Deployment;
 
 /// Options of a chaos run.
@@ -22,8 +23,15 @@
     pub deployment: Deployment,
     /// Number of entry hosts.
     pub hosts: usize,
+    /// Number of servers of each service with keys; that of the deployment if `None`.
+    pub keyed_servers: Option<usize>,
     /// Requests per second.
     pub rate: f64,
+    /// Whether hosts connect to the store and the targets through fault-injecting proxies. Without them, the faults that
+    /// need them are not injected.
+    pub proxied: bool,
+    /// Number of processes that compute beside the cluster.
+    pub busy: usize,
     /// Names of the kinds of faults to inject, as in JSON; empty for the default kinds.
     pub fault_kinds: Vec<String>,
     /// Whether orders are uploads, some of whose callers send and read slowly.
@@ -48,7 +56,10 @@
             quiet: Millis::ZERO,
             deployment,
             hosts: 5,
+            keyed_servers: None,
             rate: 250.0,
+            proxied: true,
+            busy: 0,
             fault_kinds: Vec::new(),
             uploads: false,
             program_dir: None,
@@ -63,4 +74,36 @@
         self.duration = duration;
         self
     }
+
+    /// Checks the sizes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClusterError::Setting`] for the first one out of its range.
+    pub fn check(&self) -> Result<(), ClusterError> {
+        let sizes = [
+            ("hosts", Some(self.hosts as u64), 1, 100),
+            (
+                "keyed-servers",
+                self.keyed_servers.map(|n| n as u64),
+                1,
+                200,
+            ),
+            ("rate", Some(self.rate as u64), 1, 5_000),
+            ("busy", Some(self.busy as u64), 0, 64),
+        ];
+        for (field, value, min, max) in sizes {
+            if let Some(value) = value
+                && !(min..=max).contains(&value)
+            {
+                return Err(ClusterError::Setting {
+                    field,
+                    value,
+                    min,
+                    max,
+                });
+            }
+        }
+        Ok(())
+    }
 }
--- a/crates/chicoryrail-testkit/src/chaos/random_fault.rs
+++ b/crates/chicoryrail-testkit/src/chaos/random_fault.rs
@@ -6,26 +6,37 @@
 use crate::chaos::Fault;
 use crate::chaos::cut_form::CutForm;
 
-/// Numbers of hosts, targets and data centres that faults can choose from.
+/// What faults can choose from.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ClusterSize {
     pub(crate) hosts: usize,
     pub(crate) targets: usize,
     pub(crate) data_centres: usize,
+    /// Whether there are proxies before the store and the targets.
+    pub(crate) proxied: bool,
 }
 
-/// Number of cases that [`Fault::generate`] chooses from; `DataCentreOut` and `RollingRestart` share one.
-const KIND_COUNT: u32 = 27;
+/// Number of cases that [`Fault::generate`] chooses from if the options name no kind; `DataCentreOut` and
+/// `RollingRestart` share one.
+const DEFAULT_KIND_COUNT: u32 = 20;
 
-/// Number of these cases to choose from if the options name kinds, but none of the later ones. It does not grow with
-/// [`KIND_COUNT`], since a further case would change the faults that each fixed seed gives.
+/// The same if the options name kinds, but none of the later ones. Neither grows with the cases, since a further case
+/// would change the faults that each fixed seed gives.
 const NAMED_KIND_COUNT: u32 = 24;
 
-/// The same if the options name no kind.
-const DEFAULT_KIND_COUNT: u32 = 20;
-
-/// Names of the cases from [`NAMED_KIND_COUNT`] on.
-const LATER_NAMES: [&str; 3] = ["targets-stall", "stop-series", "reload-series"];
+/// The same if the options name one of these kinds, the last of which counts.
+const LATER_KIND_COUNTS: [(u32, &[&str]); 2] = [
+    (27, &["targets-stall", "stop-series", "reload-series"]),
+    (
+        31,
+        &[
+            "restart-targets",
+            "pause-many",
+            "slow-accept",
+            "store-paused",
+        ],
+    ),
+];
 
 /// Maximum number of random faults generated in search of one of a named kind.
 const MAX_DRAWS: u32 = 10_000;
@@ -35,15 +46,16 @@
     ///
     /// Returns `None` if no fault of a named kind is found in [`MAX_DRAWS`] attempts, as with unknown names.
     pub(crate) fn random(rng: &mut Pcg64Mcg, size: ClusterSize, names: &[String]) -> Option<Self> {
-        let kind_count = if names.is_empty() {
-            DEFAULT_KIND_COUNT
-        } else if names.iter().any(|n| LATER_NAMES.contains(&n.as_str())) {
-            KIND_COUNT
-        } else {
-            NAMED_KIND_COUNT
+        let is_named = |kinds: &[&str]| names.iter().any(|n| kinds.contains(&n.as_str()));
+        let mut later = LATER_KIND_COUNTS.iter().rev();
+        let kind_count = match later.find(|(_, kinds)| is_named(kinds)) {
+            Some((count, _)) => *count,
+            None if names.is_empty() => DEFAULT_KIND_COUNT,
+            None => NAMED_KIND_COUNT,
         };
         (0..MAX_DRAWS)
             .map(|_| Self::generate(rng, size, kind_count))
+            .filter(|f| size.proxied || !f.needs_proxy())
             .find(|f| names.is_empty() || names.iter().any(|n| n == f.name()))
     }
 
@@ -132,6 +144,26 @@
             26 => Self::ReloadSeries {
                 gap_ms: rng.random_range(300..1_000),
             },
+            27 => Self::RestartTargets {
+                share: rng.random_range(0.2..0.8),
+                rounds: rng.random_range(2..6),
+                gap_ms: rng.random_range(20..400),
+                seed: rng.random(),
+            },
+            28 => Self::PauseMany {
+                hosts: rng.random_range(1..4).min(size.hosts),
+                targets: rng.random_range(2..7),
+                rounds: rng.random_range(2..5),
+                seed: rng.random(),
+            },
+            29 => Self::SlowAccept {
+                share: rng.random_range(0.1..0.6),
+                rounds: rng.random_range(2..5),
+                seed: rng.random(),
+            },
+            30 => Self::StorePaused {
+                for_ms: rng.random_range(1_000..5_000),
+            },
             _ if rng.random() => Self::DataCentreOut {
                 centre: rng.random_range(0..size.data_centres),
                 for_ms: 3_500 + for_ms,
--- a/crates/chicoryrail-testkit/src/chaos/run.rs
+++ b/crates/chicoryrail-testkit/src/chaos/run.rs
@@ -53,6 +53,7 @@
 /// Returns an error if the cluster fails to start or its evidence cannot be read. Violations are not errors;
 /// the summary lists them.
 pub fn run(options: &ChaosOptions) -> Result<Summary, ClusterError> {
+    options.check()?;
     let started = Instant::now();
     let cluster = start(options)?;
     cluster.configure(READY_TIMEOUT)?;
@@ -63,10 +64,11 @@
         hosts: cluster.hosts().len(),
         targets: cluster.targets().len(),
         data_centres: options.deployment.data_centres().len(),
+        proxied: options.proxied,
     };
     let load = Load::new(load(options, &cluster));
-    let context = RunContext::new(cluster, std::sync::Arc::clone(&options.stop));
     let end_us = unix_micros() + options.duration.since(RECOVERY_TIME).0 * 1000;
+    let context = RunContext::new(cluster, std::sync::Arc::clone(&options.stop), end_us);
     let progress = load.progress();
     let quiet = options.quiet;
     let records = std::thread::scope(|s| {
@@ -74,7 +76,7 @@
             let (context, seed) = (&context, options.seed.wrapping_mul(WORKERS).wrapping_add(i));
             s.spawn(move || {
                 context.sleep(quiet.0);
-                run_worker(context, seed, size, &options.fault_kinds, end_us);
+                run_worker(context, seed, size, &options.fault_kinds);
             });
         }
         let load_thread = s.spawn(|| block_on(load.run()));
@@ -94,8 +96,10 @@
 fn start(options: &ChaosOptions) -> Result<Cluster, ClusterError> {
     let mut cluster = ClusterOptions::new(options.deployment)
         .with_hosts(options.hosts)
-        .with_warmup(WARMUP_TIME)
-        .with_proxy();
+        .with_warmup(WARMUP_TIME);
+    cluster.proxied = options.proxied;
+    cluster.keyed_servers = options.keyed_servers;
+    cluster.busy = options.busy;
     cluster.seed = options.seed;
     cluster.uploads = options.uploads;
     cluster.program_dir.clone_from(&options.program_dir);
--- a/crates/chicoryrail-testkit/src/chaos/worker.rs
+++ b/crates/chicoryrail-testkit/src/chaos/worker.rs
@@ -11,24 +11,18 @@
 use crate::chaos::random_fault::ClusterSize;
 use crate::unix_micros;
 
-/// Injects faults until `end_us`, in microseconds since 1970, or until the run is stopped.
+/// Injects faults until the recovery time at the end of the run, or until the run is stopped.
 ///
 /// The choice of faults depends on the seed only: the time that a fault takes shifts the later faults but
 /// does not change them.
-pub(crate) fn run_worker(
-    context: &RunContext,
-    seed: u64,
-    size: ClusterSize,
-    kinds: &[String],
-    end_us: u64,
-) {
+pub(crate) fn run_worker(context: &RunContext, seed: u64, size: ClusterSize, kinds: &[String]) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     loop {
         context.sleep(rng.random_range(200..1_500));
         let Some(fault) = Fault::random(&mut rng, size, kinds) else {
             return;
         };
-        if context.is_stopped() || unix_micros() >= end_us {
+        if context.is_over() {
             return;
         }
         let from = unix_micros();
--- a/crates/chicoryrail-testkit/src/cluster/control.rs
+++ b/crates/chicoryrail-testkit/src/cluster/control.rs
@@ -71,8 +71,17 @@
     ///
     /// Returns an error if the process can't be started.
     pub fn restart(&mut self, member: Member) -> Result<(), ClusterError> {
+        self.restart_with(member, &[])
+    }
+
+    /// Restarts a process like [`Self::restart`], with further arguments for this start only.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process can't be started.
+    pub fn restart_with(&mut self, member: Member, further: &[String]) -> Result<(), ClusterError> {
         match self.processes.get_mut(&member) {
-            Some(process) => process.start()?,
+            Some(process) => process.start_with(further)?,
             None => return Err(unknown_member(member)),
         }
         self.set_ports_open(member, true);
--- a/crates/chicoryrail-testkit/src/cluster/error.rs
+++ b/crates/chicoryrail-testkit/src/cluster/error.rs
@@ -31,6 +31,18 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// A setting is out of its range.
+    #[snafu(display("{field} = {value}: must be {min} to {max}"))]
+    Setting {
+        /// Name of the setting.
+        field: &'static str,
+        /// Its value.
+        value: u64,
+        /// Smallest allowed value.
+        min: u64,
+        /// Largest allowed value.
+        max: u64,
+    },
     /// An operation did not finish in time.
     #[snafu(display("{operation} took longer than {timeout_ms} ms"))]
     Timeout {
--- a/crates/chicoryrail-testkit/src/cluster/harness.rs
+++ b/crates/chicoryrail-testkit/src/cluster/harness.rs
@@ -28,6 +28,9 @@
 /// Timeout for the first response of a started process; on a busy machine this can take seconds.
 const START_TIMEOUT: Millis = Millis(20_000);
 
+/// Time after which a process that only computes ends by itself, in seconds; longer than any run.
+const BUSY_SECONDS: u64 = 900;
+
 /// All processes of a deployment; dropping it kills and reaps all of them.
 #[derive(Debug)]
 pub struct Cluster {
@@ -78,6 +81,7 @@
         };
         cluster.start_stand_ins()?;
         cluster.start_hosts()?;
+        cluster.start_busy()?;
         Ok(cluster)
     }
 
@@ -189,6 +193,14 @@
         Ok(())
     }
 
+    fn start_busy(&mut self) -> Result<(), ClusterError> {
+        for i in 0..self.options.busy {
+            let args = Vec::from(flag_and_value("--seconds", &BUSY_SECONDS));
+            self.spawn(Member::Busy(i), "testkit-busy", args)?;
+        }
+        Ok(())
+    }
+
     /// Returns the address at which a host reaches the store: that of its link if links are proxied.
     fn store_addr(&self, host: usize) -> SocketAddr {
         match &self.links {
--- a/crates/chicoryrail-testkit/src/cluster/member.rs
+++ b/crates/chicoryrail-testkit/src/cluster/member.rs
@@ -13,6 +13,8 @@
     Target(usize),
     /// The router of a host, by its index in the cluster's hosts.
     Router(usize),
+    /// A process that only computes, by its index.
+    Busy(usize),
 }
 
 impl fmt::Display for Member {
@@ -21,6 +23,7 @@
             Self::Store => f.write_str("store"),
             Self::Target(i) => write!(f, "target-{i}"),
             Self::Router(i) => write!(f, "router-{i}"),
+            Self::Busy(i) => write!(f, "busy-{i}"),
         }
     }
 }
--- a/crates/chicoryrail-testkit/src/cluster/options.rs
+++ b/crates/chicoryrail-testkit/src/cluster/options.rs
@@ -13,6 +13,10 @@
     pub deployment: Deployment,
     /// Number of entry hosts, each with a router.
     pub hosts: usize,
+    /// Number of servers of each service with keys; that of the deployment if `None`.
+    pub keyed_servers: Option<usize>,
+    /// Number of processes that only compute.
+    pub busy: usize,
     /// Directory of the programs; that of the running program if `None`.
     pub program_dir: Option<PathBuf>,
     /// Directory for logs, ledgers and boot files; `None` creates one in `testkit-runs` beside the program directory.
@@ -44,6 +48,8 @@
         Self {
             deployment,
             hosts: deployment.data_centres().len(),
+            keyed_servers: None,
+            busy: 0,
             program_dir: None,
             run_dir: None,
             service_us: 2_000,
--- a/crates/chicoryrail-testkit/src/cluster/plan.rs
+++ b/crates/chicoryrail-testkit/src/cluster/plan.rs
@@ -24,7 +24,8 @@
     let dcs = options.deployment.data_centres();
     let mut targets = Vec::new();
     for (service, plan) in options.deployment.services().iter().enumerate() {
-        for i in 0..plan.servers {
+        let servers = options.keyed_servers.filter(|_| plan.keyed);
+        for i in 0..servers.unwrap_or(plan.servers) {
             let name = format!("{}-{:02}", plan.name, i + 1);
             let addr = listen_addr()?;
             targets.push(TargetPlan {
--- a/crates/chicoryrail-testkit/src/cluster/process.rs
+++ b/crates/chicoryrail-testkit/src/cluster/process.rs
@@ -66,6 +66,11 @@
 
     /// Starts the program unless it is already running; its output is appended to the log file.
     pub(crate) fn start(&mut self) -> Result<(), ClusterError> {
+        self.start_with(&[])
+    }
+
+    /// Starts the program like [`Self::start`], with further arguments for this start only.
+    pub(crate) fn start_with(&mut self, further: &[String]) -> Result<(), ClusterError> {
         if self.is_running() {
             return Ok(());
         }
@@ -85,6 +90,7 @@
         }
         command
             .args(&self.args)
+            .args(further)
             .env("CHICORYRAIL_LOG", &self.log_level)
             .env("RUST_BACKTRACE", "1")
             .env("CHICORYRAIL_ABORT_ON_VIOLATION", "1")
--- a/crates/chicoryrail-testkit/src/listener.rs
+++ b/crates/chicoryrail-testkit/src/listener.rs
@@ -26,6 +26,9 @@
 use monoio_compat::hyper::MonoioIo;
 use snafu::Snafu;
 
+use crate::ReadGate;
+use crate::read_gate::GatedIo;
+
 /// The error with which a handler closes the connection without a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("the connection is closed without a response"))]
@@ -41,6 +44,7 @@
     open_connections: Rc<Cell<u32>>,
     refused_connections: Rc<Cell<u64>>,
     crash: CancellationToken,
+    gate: ReadGate,
 }
 
 impl Listener {
@@ -61,6 +65,7 @@
             open_connections: Rc::default(),
             refused_connections: Rc::default(),
             crash: CancellationToken::new(),
+            gate: ReadGate::default(),
         })
     }
 
@@ -78,6 +83,13 @@
         self
     }
 
+    /// Stalls accepting and reading while `gate` is closed.
+    #[must_use]
+    pub fn with_gate(mut self, gate: ReadGate) -> Self {
+        self.gate = gate;
+        self
+    }
+
     /// Returns the bound address.
     ///
     /// # Errors
@@ -102,7 +114,7 @@
     {
         let handler = Rc::new(handler);
         loop {
-            let accepted = std::pin::pin!(self.tcp.accept());
+            let accepted = std::pin::pin!(self.accept());
             let stopped = std::pin::pin!(stop.cancelled());
             let crashed = std::pin::pin!(self.crash.cancelled());
             let stopped = select(stopped, crashed);
@@ -119,18 +131,26 @@
             self.open_connections.set(self.open_connections.get() + 1);
             let (open_connections, handler) =
                 (Rc::clone(&self.open_connections), Rc::clone(&handler));
-            let crash = self.crash.clone();
+            let (crash, gate) = (self.crash.clone(), self.gate.clone());
             monoio::spawn(async move {
-                let served = std::pin::pin!(serve_connection(stream, peer, handler));
+                let served = std::pin::pin!(serve_connection(stream, peer, gate, handler));
                 let crashed = std::pin::pin!(crash.cancelled());
                 select(served, crashed).await;
                 open_connections.set(open_connections.get() - 1);
             });
         }
     }
+
+    async fn accept(&self) -> io::Result<(TcpStream, SocketAddr)> {
+        self.gate.wait_open().await;
+        let accepted = self.tcp.accept().await;
+        // The gate may have been closed since.
+        self.gate.wait_open().await;
+        accepted
+    }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, peer: SocketAddr, handler: Rc<H>)
+async fn serve_connection<H, F>(stream: TcpStream, peer: SocketAddr, gate: ReadGate, handler: Rc<H>)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<Body>, ConnectionCut>> + 'static,
@@ -145,7 +165,7 @@
     });
     let _ = http1::Builder::new()
         .half_close(false)
-        .serve_connection(MonoioIo::new(io), service)
+        .serve_connection(GatedIo::new(MonoioIo::new(io), gate), service)
         .await;
 }
 
--- a/crates/chicoryrail-testkit/src/target/fault.rs
+++ b/crates/chicoryrail-testkit/src/target/fault.rs
@@ -78,6 +78,11 @@
         /// Memory in bytes.
         bytes: u64,
     },
+    /// Connections are accepted, and requests read, only when the fault ends; running requests go on.
+    StallReads {
+        /// Duration of the fault in milliseconds.
+        for_ms: u64,
+    },
     /// Responses are held back until the fault ends.
     Freeze {
         /// Duration of the fault in milliseconds.
@@ -159,7 +164,8 @@
         }
     }
 
-    /// Switches a fault on; active faults stay on. [`TargetFault::Cold`] and [`TargetFault::Leave`] are not kept here.
+    /// Switches a fault on; active faults stay on. The others are not kept here:
+    /// [`TargetFault::Cold`], [`TargetFault::Leave`], [`TargetFault::SayDraining`] and [`TargetFault::StallReads`].
     pub(crate) fn add(&mut self, now: Millis, fault: TargetFault) {
         let for_ms = match &fault {
             TargetFault::Slow { for_ms, .. }
@@ -175,7 +181,10 @@
             | TargetFault::Cut { for_ms, .. }
             | TargetFault::LoseAnswers { for_ms, .. }
             | TargetFault::Crossed { for_ms, .. } => *for_ms,
-            TargetFault::Cold { .. } | TargetFault::Leave | TargetFault::SayDraining => return,
+            TargetFault::Cold { .. }
+            | TargetFault::Leave
+            | TargetFault::SayDraining
+            | TargetFault::StallReads { .. } => return,
         };
         self.timed.add(now + Millis(for_ms), fault);
     }
--- a/crates/chicoryrail-testkit/src/target/options.rs
+++ b/crates/chicoryrail-testkit/src/target/options.rs
@@ -33,6 +33,8 @@
     pub warmup_limit: u32,
     /// Address of the store in which the server registers; `None` if it does not register.
     pub store: Option<SocketAddr>,
+    /// Time from the start to the registration; the server serves meanwhile.
+    pub register_delay: Millis,
     /// Address that the server registers; `None` for the address that it listens on.
     pub advertised_addr: Option<SocketAddr>,
     /// File to which each run and overrun is appended; `None` for no file.
@@ -57,6 +59,7 @@
             warmup: Millis::ZERO,
             warmup_limit: u32::MAX,
             store: None,
+            register_delay: Millis::ZERO,
             advertised_addr: None,
             ledger: None,
             seed: 1,
--- a/crates/chicoryrail-testkit/src/target/presence.rs
+++ b/crates/chicoryrail-testkit/src/target/presence.rs
@@ -25,6 +25,7 @@
 
 /// Maintains the entry of the server at `addr`; never returns.
 pub(crate) async fn maintain_entry(state: Rc<State>, store: KvStore, addr: SocketAddr) {
+    monoio::time::sleep(state.options.register_delay.to_duration()).await;
     loop {
         if let Err(e) = register(&state, &store, addr).await {
             log::info!("{}: store entry lost: {e}", state.options.name);
--- a/crates/chicoryrail-testkit/src/target/server.rs
+++ b/crates/chicoryrail-testkit/src/target/server.rs
@@ -74,7 +74,9 @@
             .map_or_else(|| listener.addr(), Ok)?;
         let store = options.store.map(KvStore::new);
         let state = Rc::new(State::new(options, listener.refused_connections())?);
-        let listener = listener.with_crash(state.crash.clone());
+        let listener = listener
+            .with_crash(state.crash.clone())
+            .with_gate(state.read_gate.clone());
         if let Some(store) = store {
             let entry = maintain_entry(Rc::clone(&state), store, advertised_addr);
             let crash = state.crash.clone();
@@ -114,6 +116,7 @@
             TargetFault::Cold { for_ms } => self.state.start_warmup(for_ms.map(Millis)),
             TargetFault::Leave => self.state.start_draining(),
             TargetFault::SayDraining => self.state.say_draining(),
+            TargetFault::StallReads { for_ms } => self.state.read_gate.close_for(Millis(for_ms)),
             _ => {}
         }
         let now = self.state.now();
--- a/crates/chicoryrail-testkit/src/target/state.rs
+++ b/crates/chicoryrail-testkit/src/target/state.rs
@@ -14,6 +14,7 @@
 use crate::LeasedKeys;
 use crate::LimitOverrun;
 use crate::Overrun;
+use crate::ReadGate;
 use crate::TargetOptions;
 use crate::target::fault::TargetFaults;
 use crate::target::ledger::Recorder;
@@ -38,6 +39,8 @@
     pub(crate) held_bytes: Cell<u64>,
     /// Cancelled when a request ends the server.
     pub(crate) crash: CancellationToken,
+    /// Closed while the server neither accepts nor reads.
+    pub(crate) read_gate: ReadGate,
     clock: Clock,
     /// Start of the process in milliseconds since 1970.
     started_unix_ms: u64,
@@ -83,6 +86,7 @@
             refused_connections,
             held_bytes: Cell::new(0),
             crash: CancellationToken::new(),
+            read_gate: ReadGate::default(),
             clock: Clock::start(),
             started_unix_ms: unix_micros() / 1000,
             warmup: RefCell::new(WarmUp::new(Millis::ZERO, options.warmup)),
--- a/crates/chicoryrail-testkit/tests/chaos.rs
+++ b/crates/chicoryrail-testkit/tests/chaos.rs
@@ -66,3 +66,28 @@
     assert_eq!(failures, (Vec::new(), Vec::new()), "{:?}", summary.kept);
     assert!(summary.ok > 0 && !summary.faults.is_empty());
 }
+
+/// Guards against sizes that no machine bears, or that leave nothing to check: an error names field and value.
+#[rstest]
+#[case::no_hosts(0, None, 250.0, 0, "hosts = 0: must be 1 to 100")]
+#[case::hosts(101, None, 250.0, 0, "hosts = 101: must be 1 to 100")]
+#[case::no_servers(5, Some(0), 250.0, 0, "keyed-servers = 0: must be 1 to 200")]
+#[case::servers(5, Some(201), 250.0, 0, "keyed-servers = 201: must be 1 to 200")]
+#[case::no_load(5, None, 0.0, 0, "rate = 0: must be 1 to 5000")]
+#[case::load(5, None, 5_001.0, 0, "rate = 5001: must be 1 to 5000")]
+#[case::busy(5, None, 250.0, 65, "busy = 65: must be 0 to 64")]
+fn sizes_out_of_range_are_refused(
+    #[case] hosts: usize,
+    #[case] keyed_servers: Option<usize>,
+    #[case] rate: f64,
+    #[case] busy: usize,
+    #[case] message: &str,
+) {
+    let mut options = ChaosOptions::new(Deployment::Updraft, 1);
+    options.hosts = hosts;
+    options.keyed_servers = keyed_servers;
+    options.rate = rate;
+    options.busy = busy;
+    let error = run_chaos(&options).unwrap_err();
+    assert_eq!(error.to_string(), message);
+}
--- a/crates/chicoryrail-testkit/tests/target.rs
+++ b/crates/chicoryrail-testkit/tests/target.rs
@@ -308,3 +308,54 @@
         assert!((run.start..run.due).contains(&run.time), "{run:?}");
     });
 }
+
+/// Guards against a stall that stops the server itself: while it reads nothing, what it has read already is served, and
+/// the rest is served when the fault ends, on open and on new connections.
+#[test]
+fn a_server_that_stalls_its_reads_goes_on_serving_what_it_has_read() {
+    block_on(async {
+        let addr = start(options()).await;
+        let (client, other) = (HttpClient::default(), HttpClient::default());
+        let warm = client.call(addr, lookup("r1", ""), Millis(20_000)).await;
+        assert_eq!(warm.unwrap().status(), 200);
+        let running = other.call(addr, lookup("r2", "work_us=400000"), Millis(20_000));
+        let stalled = async {
+            monoio::time::sleep(Millis(100).to_duration()).await;
+            fault(addr, &TargetFault::StallReads { for_ms: 1_500 }).await;
+            let on_open = client.call(addr, lookup("r3", ""), Millis(20_000));
+            futures_util::join!(on_open, send(addr, lookup("r4", ""))).0
+        };
+        let (first, open) = futures_util::join!(running, stalled);
+        assert_eq!(first.unwrap().status(), 200);
+        assert_eq!(open.unwrap().status(), 200);
+        let runs = ledger(addr).await.runs;
+        let start_of = |id: &str| runs.iter().find(|r| r.request == id).unwrap().start;
+        let end = runs.iter().find(|r| r.request == "r2").unwrap().end;
+        for id in ["r3", "r4"] {
+            assert!(start_of(id) > end + 500_000, "{id}: {runs:?}");
+        }
+    });
+}
+
+/// Guards against a register delay that delays the start: the server serves at once and registers later.
+#[test]
+fn a_server_serves_before_a_delayed_registration() {
+    block_on(async {
+        let stop = CancellationToken::new();
+        let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let store = KvStore::new(listener.addr().unwrap());
+        monoio::spawn(StoreServer::new(StoreOptions::default()).serve(listener, stop));
+        let addr = start(TargetOptions {
+            store: Some(store.addr()),
+            register_delay: Millis(1_000),
+            ..options()
+        })
+        .await;
+        let key = Subject::Server(ServerName::new("kits-01")).key().unwrap();
+        assert_eq!(send(addr, lookup("r1", "")).await.status(), 200);
+        assert!(store.item(&key).await.unwrap().is_none());
+        while store.item(&key).await.unwrap().is_none() {
+            monoio::time::sleep(Millis(10).to_duration()).await;
+        }
+    });
+}
--- a/xtask/src/chaos.rs
+++ b/xtask/src/chaos.rs
@@ -33,6 +33,20 @@
     /// Injects only faults of this name; may be given several times
     #[bpaf(argument("FAULT"))]
     only: Vec<String>,
+    /// Number of entry hosts
+    #[bpaf(argument("N"), fallback(5), display_fallback)]
+    hosts: usize,
+    /// Number of servers of each service with keys; that of the deployment if absent
+    #[bpaf(argument("N"))]
+    keyed_servers: Option<usize>,
+    /// Requests per second
+    #[bpaf(argument("N"), fallback(250), display_fallback)]
+    rate: u32,
+    /// Connects hosts to the store and the servers without proxies, and omits their faults
+    no_proxy: bool,
+    /// Number of processes that compute beside the cluster
+    #[bpaf(argument("N"), fallback(0), display_fallback)]
+    busy: usize,
     /// Makes orders uploads, some of whose callers send and read slowly
     uploads: bool,
     /// Keeps logs and ledgers even if no violation was found
@@ -52,6 +66,11 @@
                 .with_duration(Millis(self.seconds * 1_000));
             options.fault_kinds.clone_from(&self.only);
             options.quiet = Millis(self.quiet_seconds * 1_000);
+            options.hosts = self.hosts;
+            options.keyed_servers = self.keyed_servers;
+            options.rate = f64::from(self.rate);
+            options.proxied = !self.no_proxy;
+            options.busy = self.busy;
             options.uploads = self.uploads;
             options.keep_evidence = self.keep;
             options.stop = Arc::clone(&stop);
