fix(testkit): servers carry out calls that they read late

Cause: after a stall or a pause hyper reads a call, then the reset behind it, and drops the call before its handler has run. Now what was read is handled before the next read.

The new test fails without the change: neither of the two grants is taken.

--- a/crates/chicoryrail-testkit/src/read_gate.rs
+++ b/crates/chicoryrail-testkit/src/read_gate.rs
@@ -41,11 +41,16 @@
 }
 
 /// A stream that reads nothing while its gate is closed.
+///
+/// What it has read is handled before the next read: a server that finds a whole call and the reset behind it, as after
+/// a stall or a pause of its process, carries out the call. Without this, hyper would see the reset first and drop it.
 pub(crate) struct GatedIo<T> {
     inner: T,
     gate: ReadGate,
     /// Timer of a read that waits for the gate.
     wait: Option<Pin<Box<monoio::time::Sleep>>>,
+    /// Whether the last read returned data that has not been handled yet.
+    has_read: bool,
 }
 
 impl<T> GatedIo<T> {
@@ -54,6 +59,7 @@
             inner,
             gate,
             wait: None,
+            has_read: false,
         }
     }
 }
@@ -65,6 +71,10 @@
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        if std::mem::take(&mut this.has_read) {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         while let Some(opens_at) = this.gate.closed_until() {
             let new_wait = || Box::pin(monoio::time::sleep_until(opens_at.into()));
             let mut wait = this.wait.take().unwrap_or_else(new_wait);
@@ -74,7 +84,9 @@
             }
         }
         this.wait = None;
-        Pin::new(&mut this.inner).poll_read(cx, buf)
+        let read = Pin::new(&mut this.inner).poll_read(cx, buf);
+        this.has_read = matches!(read, Poll::Ready(Ok(())));
+        read
     }
 }
 
--- a/crates/chicoryrail-testkit/tests/target.rs
+++ b/crates/chicoryrail-testkit/tests/target.rs
@@ -359,3 +359,42 @@
         }
     });
 }
+
+/// Guards against a stand-in that drops what its callers gave up: a server that reads late carries out a grant that has
+/// arrived, although its caller has reset the connection, on an open connection as on one that was not accepted yet.
+#[test]
+fn a_server_that_reads_late_takes_a_grant_that_was_given_up() {
+    block_on(async {
+        let addr = start(TargetOptions {
+            keyed: true,
+            ..options()
+        })
+        .await;
+        let control = KeyControl::default();
+        let name = ServerName::new("kits-01");
+        let grant = |first: u16, fence: u64| KeyGrant {
+            first,
+            last: first + 9,
+            fence,
+            lease: Millis(60_000),
+            handover: None,
+        };
+        let timeout = Millis(100);
+        let limit = Millis(20_000);
+        let taken = control.grant(addr, &name, &grant(0, 1), limit).await;
+        assert!(taken.is_ok());
+        fault(addr, &TargetFault::StallReads { for_ms: 1_000 }).await;
+        let (on_open, on_new) = (grant(10, 2), grant(20, 2));
+        let (open, new) = futures_util::join!(
+            control.grant(addr, &name, &on_open, timeout),
+            control.grant(addr, &name, &on_new, timeout),
+        );
+        assert!(open.is_err() && new.is_err());
+        // The second reading comes after all that had arrived before the first one.
+        let _ = ledger(addr).await;
+        let holds = ledger(addr).await.holds;
+        let mut firsts: Vec<_> = holds.iter().map(|h| h.first).collect();
+        firsts.sort_unstable();
+        assert_eq!(firsts, [0, 10, 20], "{holds:?}");
+    });
+}
