--- a/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewal_tasks.rs
@@ -172,7 +172,7 @@
 ) -> RenewalResult {
     // This task may run some time after it was spawned, and the process may have been suspended meanwhile.
     let sent_at = router.now();
-    let permit = renewals.permit(sent_at, service);
+    let permit = renewals.permit(sent_at, service, renewal);
     if !permit.holds {
         log_renewal(service, renewal, permit, Millis::ZERO, "not_sent", "-");
         return RenewalResult::NotSent;
--- a/crates/chicoryrail-router/src/control/leader/renewals.rs
+++ b/crates/chicoryrail-router/src/control/leader/renewals.rs
@@ -35,7 +35,7 @@
 /// How a renewal ended.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum RenewalResult {
-    /// The permit ended before it was sent.
+    /// The permit ended, or the order changed, before it was sent.
     NotSent,
     /// The call ended.
     Ended(GrantOutcome),
@@ -150,14 +150,14 @@
         due.collect()
     }
 
-    /// Returns the permit for a service's renewals at `now`.
-    pub(super) fn permit(&self, now: Millis, service: &ServiceName) -> Permit {
+    /// Returns the permit at `now` for a renewal of a service that was due.
+    pub(super) fn permit(&self, now: Millis, service: &ServiceName, renewal: &Renewal) -> Permit {
         let services = self.services.borrow();
         let renewer = services.get(service).map(|s| &s.renewer);
         renewer.map_or_else(Permit::default, |renewer| Permit {
             term: renewer.term(),
             age: renewer.permit_age(now),
-            holds: renewer.is_permitted(now),
+            holds: renewer.may_send(now, renewal),
         })
     }
 
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -146,7 +146,7 @@
         if let Some(site) = view.site() {
             self.counters.config.set(site.version as i64);
             if self.organisations.apply_site(site) {
-                self.quota.apply_site(site);
+                self.quota.apply_site(site, self.process.instance_id);
             }
             let mut limits = self.limits.get();
             limits.max_head_bytes = site.limits.max_head;
@@ -224,8 +224,10 @@
         } else if entry.is_ready() && (entry.missing.is_none() || view.may_return(entry)) {
             Admission::Open
         } else {
-            let since = entry.missing.unwrap_or(entry.since);
-            Admission::Draining(drain_end(since, self.boot().bounds.drain))
+            // A drain that this host has not seen begin may be over.
+            entry.left_at().map_or(Admission::Closed, |since| {
+                Admission::Draining(drain_end(since, self.boot().bounds.drain))
+            })
         };
         if admission == Admission::Closed || !entry.is_ready() {
             target.pool.close_idle();
