--- a/crates/chicoryrail-testkit/src/target/state.rs
+++ b/crates/chicoryrail-testkit/src/target/state.rs
@@ -14,6 +14,7 @@
 use crate::LeasedKeys;
 use crate::LimitOverrun;
 use crate::Overrun;
+use crate::ReadGate;
 use crate::ServerStart;
 use crate::TargetOptions;
 use crate::target::fault::TargetFaults;
@@ -39,6 +40,8 @@
     pub(crate) held_bytes: Cell<u64>,
     /// Cancelled when a request ends the server.
     pub(crate) crash: CancellationToken,
+    /// Closed while the server neither accepts nor reads.
+    pub(crate) read_gate: ReadGate,
     clock: Clock,
     /// Start of the process in milliseconds since 1970.
     started_unix_ms: u64,
@@ -90,6 +93,7 @@
             refused_connections,
             held_bytes: Cell::new(0),
             crash: CancellationToken::new(),
+            read_gate: ReadGate::default(),
             clock: Clock::start(),
             started_unix_ms: started_us / 1000,
             warmup: RefCell::new(WarmUp::new(Millis::ZERO, options.warmup)),
--- a/crates/chicoryrail-testkit/tests/target.rs
+++ b/crates/chicoryrail-testkit/tests/target.rs
@@ -308,3 +308,93 @@
         assert!((run.start..run.due).contains(&run.time), "{run:?}");
     });
 }
+
+/// Guards against a stall that stops the server itself: while it reads nothing, what it has read already is served, and
+/// the rest is served when the fault ends, on open and on new connections.
+#[test]
+fn a_server_that_stalls_its_reads_goes_on_serving_what_it_has_read() {
+    block_on(async {
+        let addr = start(options()).await;
+        let (client, other) = (HttpClient::default(), HttpClient::default());
+        let warm = client.call(addr, lookup("r1", ""), Millis(20_000)).await;
+        assert_eq!(warm.unwrap().status(), 200);
+        let running = other.call(addr, lookup("r2", "work_us=400000"), Millis(20_000));
+        let stalled = async {
+            monoio::time::sleep(Millis(100).to_duration()).await;
+            fault(addr, &TargetFault::StallReads { for_ms: 1_500 }).await;
+            let on_open = client.call(addr, lookup("r3", ""), Millis(20_000));
+            futures_util::join!(on_open, send(addr, lookup("r4", ""))).0
+        };
+        let (first, open) = futures_util::join!(running, stalled);
+        assert_eq!(first.unwrap().status(), 200);
+        assert_eq!(open.unwrap().status(), 200);
+        let runs = ledger(addr).await.runs;
+        let start_of = |id: &str| runs.iter().find(|r| r.request == id).unwrap().start;
+        let end = runs.iter().find(|r| r.request == "r2").unwrap().end;
+        for id in ["r3", "r4"] {
+            assert!(start_of(id) > end + 500_000, "{id}: {runs:?}");
+        }
+    });
+}
+
+/// Guards against a register delay that delays the start: the server serves at once and registers later.
+#[test]
+fn a_server_serves_before_a_delayed_registration() {
+    block_on(async {
+        let stop = CancellationToken::new();
+        let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let store = KvStore::new(listener.addr().unwrap());
+        monoio::spawn(StoreServer::new(StoreOptions::default()).serve(listener, stop));
+        let addr = start(TargetOptions {
+            store: Some(store.addr()),
+            register_delay: Millis(1_000),
+            ..options()
+        })
+        .await;
+        let key = Subject::Server(ServerName::new("kits-01")).key().unwrap();
+        assert_eq!(send(addr, lookup("r1", "")).await.status(), 200);
+        assert!(store.item(&key).await.unwrap().is_none());
+        while store.item(&key).await.unwrap().is_none() {
+            monoio::time::sleep(Millis(10).to_duration()).await;
+        }
+    });
+}
+
+/// Guards against a stand-in that drops what its callers gave up: a server that reads late carries out a grant that has
+/// arrived, although its caller has reset the connection, on an open connection as on one that was not accepted yet.
+#[test]
+fn a_server_that_reads_late_takes_a_grant_that_was_given_up() {
+    block_on(async {
+        let addr = start(TargetOptions {
+            keyed: true,
+            ..options()
+        })
+        .await;
+        let control = KeyControl::default();
+        let name = ServerName::new("kits-01");
+        let grant = |first: u16, fence: u64| KeyGrant {
+            first,
+            last: first + 9,
+            fence,
+            lease: Millis(60_000),
+            handover: None,
+        };
+        let timeout = Millis(100);
+        let limit = Millis(20_000);
+        let taken = control.grant(addr, &name, &grant(0, 1), limit).await;
+        assert!(taken.is_ok());
+        fault(addr, &TargetFault::StallReads { for_ms: 1_000 }).await;
+        let (on_open, on_new) = (grant(10, 2), grant(20, 2));
+        let (open, new) = futures_util::join!(
+            control.grant(addr, &name, &on_open, timeout),
+            control.grant(addr, &name, &on_new, timeout),
+        );
+        assert!(open.is_err() && new.is_err());
+        // The second reading comes after all that had arrived before the first one.
+        let _ = ledger(addr).await;
+        let holds = ledger(addr).await.holds;
+        let mut firsts: Vec<_> = holds.iter().map(|h| h.first).collect();
+        firsts.sort_unstable();
+        assert_eq!(firsts, [0, 10, 20], "{holds:?}");
+    });
+}
