--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -23,7 +23,7 @@
 use crate::keys::server_state::ServerState;
 
 /// Placeholder address of a server that is known only from the record.
-const UNKNOWN_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+pub(super) const UNKNOWN_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 /// Tracks and changes the key leases of one service during one term of leadership.
 ///
@@ -52,7 +52,7 @@
     /// Whether a server has seen a higher fencing token.
     pub(super) deposed: bool,
     /// End of the longest lease that an earlier leader may have granted.
-    stale_lease_until: Millis,
+    pub(super) stale_lease_until: Millis,
     /// Duration of the grants sent now.
     lease_duration: Millis,
 }
@@ -237,35 +237,6 @@
             .insert(life.clone(), ServerState::new(addr, now));
     }
 
-    /// Records that a later incarnation of a server is registered, at `addr` if that is known. Returns when the leases of
-    /// this one have certainly expired, at the first call for it.
-    ///
-    /// It gets no more grants, but its keys are not free: the later incarnation may have accepted grants that were meant
-    /// for this one, and knows none of the fencing tokens that this one had seen. The keys are free once a release of them
-    /// is answered, or their lease has expired.
-    pub fn server_superseded(&mut self, life: &Life, addr: Option<SocketAddr>) -> Option<Millis> {
-        let stale_lease_until = self.stale_lease_until;
-        let state = self.servers.get_mut(life).filter(|s| !s.ended)?;
-        if state.addr == UNKNOWN_ADDR {
-            state.addr = addr.unwrap_or(UNKNOWN_ADDR);
-        }
-        if state.superseded {
-            return None;
-        }
-        state.superseded = true;
-        state.confirmed.clear();
-        state.lease_until = state.lease_until.max(stale_lease_until);
-        Some(state.lease_until)
-    }
-
-    /// Records that a server incarnation has ended and that no later one received its calls, so that it holds nothing.
-    pub fn server_ended(&mut self, life: &Life) {
-        if let Some(state) = self.servers.get_mut(life) {
-            state.ended = true;
-            state.confirmed.clear();
-        }
-    }
-
     /// Starts a change of the owners. Must be called only while no write of the record is pending.
     pub fn begin_change(&mut self, spans: Vec<OwnedRange>, attempt: u64) {
         let loose: Vec<_> = self.former_leases.iter().map(|l| l.owned.clone()).collect();
--- a/crates/chicoryrail-ownership/src/keys/renewer.rs
+++ b/crates/chicoryrail-ownership/src/keys/renewer.rs
@@ -10,6 +10,7 @@
 use crate::keys::KeyRange;
 use crate::keys::KeyTiming;
 use crate::keys::RenewalTask;
+use crate::keys::renewed_server::RenewedServer;
 
 /// Minimum number of servers that do not answer for a host to doubt its own paths.
 const FAILED_SERVERS_MIN: usize = 2;
@@ -87,16 +88,6 @@
     lease: Millis,
 }
 
-#[derive(Debug)]
-struct RenewedServer {
-    addr: SocketAddr,
-    /// Ranges with the time of the next grant.
-    spans: Vec<(KeyRange, Millis)>,
-    /// Range and time of the grant in flight; there is at most one.
-    pending: Option<(KeyRange, Millis)>,
-    failed: Option<FailedRenewal>,
-}
-
 impl Renewer {
     /// Creates a renewer without an order.
     #[must_use]
@@ -271,36 +262,3 @@
         failed.collect()
     }
 }
-
-impl RenewedServer {
-    /// Builds the state of a server. Ranges that it had before in the same term keep their schedule.
-    fn new(addr: SocketAddr, spans: &[KeyRange], known: Option<Self>) -> Self {
-        let next_at = |span: &KeyRange| {
-            let known = known.as_ref().filter(|k| k.failed.is_none())?;
-            known
-                .spans
-                .iter()
-                .find(|(s, _)| s == span)
-                .map(|(_, at)| *at)
-        };
-        let spans = spans
-            .iter()
-            .map(|span| (*span, next_at(span).unwrap_or_default()));
-        let spans = spans.collect();
-        Self {
-            addr,
-            spans,
-            pending: known.and_then(|k| k.pending),
-            failed: None,
-        }
-    }
-
-    /// Returns a range whose grant is due.
-    fn due_span(&self, now: Millis) -> Option<KeyRange> {
-        if self.pending.is_some() || self.failed.is_some() {
-            return None;
-        }
-        let due = self.spans.iter().find(|(_, next_at)| now >= *next_at);
-        due.map(|(span, _)| *span)
-    }
-}
