--- a/crates/chicoryrail-testkit/tests/chaos.rs
+++ b/crates/chicoryrail-testkit/tests/chaos.rs
@@ -67,6 +67,21 @@
     assert!(summary.ok > 0 && !summary.faults.is_empty());
 }
 
+/// Guards against keys that two servers hold: servers restart under their names, take a grant that was meant for the
+/// process before, and register later.
+#[test]
+fn servers_that_restart_hold_no_keys_that_others_hold() {
+    let _serial = SERIAL.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut options = ChaosOptions::new(Deployment::Updraft, 9001).with_duration(Millis(14_000));
+    options.program_dir = Some(programs());
+    options.rate = 100.0;
+    options.fault_kinds = vec!["restart-targets".to_owned()];
+    let summary = run_chaos(&options).unwrap();
+    let failures = (summary.found, summary.crashed);
+    assert_eq!(failures, (Vec::new(), Vec::new()), "{:?}", summary.kept);
+    assert!(summary.ok > 0 && !summary.faults.is_empty());
+}
+
 /// Guards against sizes that no machine bears, or that leave nothing to check: an error names field and value.
 #[rstest]
 #[case::no_hosts(0, None, 250.0, 0, "hosts = 0: must be 1 to 100")]
