--- a/crates/chicoryrail-ownership/src/lib.rs
+++ b/crates/chicoryrail-ownership/src/lib.rs
@@ -20,6 +20,8 @@
 mod peers;
 mod reach;
 pub mod store_key;
+mod support;
+mod term_reply;
 mod watchers;
 
 pub use core_host::CoreHost;
@@ -30,3 +32,5 @@
 pub use peers::SchedulerHost;
 pub use peers::select_renewer;
 pub use reach::DcReachability;
+pub use support::Support;
+pub use term_reply::TermReply;
--- a/crates/chicoryrail-router/src/control/leader/mod.rs
+++ b/crates/chicoryrail-router/src/control/leader/mod.rs
@@ -2,17 +2,20 @@
 //!
 //! Only this module changes the leader's key, the key records and the servers' key leases.
 
+mod call_log;
 mod delegates;
 mod elect;
 mod grant_limit;
 mod key_calls;
 mod key_leader;
 mod leader_term;
+mod mandate;
 mod pins;
 mod plan_keys;
 mod renewal_tasks;
 mod renewals;
 mod take_over;
+mod term_queries;
 
 pub(crate) use delegates::RENEWALS_PATH;
 pub(crate) use delegates::serve_renewals;
@@ -21,3 +24,5 @@
 pub(crate) use renewal_tasks::follow_renewal_orders;
 pub(crate) use renewal_tasks::run_renewals;
 pub(crate) use renewals::Renewals;
+pub(crate) use term_queries::apply_answer;
+pub(crate) use term_queries::reply_to_query;
