fix(keys): the wait for a restarted server's leases is not cut short

- A new leader that knew the former start from the record only sent the release to the address of the later start.
If the former process still runs at another address, that answer says nothing of it.
Now it waits for the lease.
Keys were granted on 20 ms after the takeover, and now after 4,051 ms.
- A grant that the former process had answered, read after the later start was registered, shortened the wait: 2,570 instead of 4,051 ms.
- Keys that had been taken from the server before its restart kept the shorter wait: 2,570 instead of 4,051 ms.

Price: keys of a server that restarts while a new leader takes over, and whose address that leader has not seen, wait for up to 4.05 s.

Measured: `key_leases` (14) passes; the test that expected the release at the later start is replaced by one that expects the wait, which is stricter.

--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -23,7 +23,7 @@
 use crate::keys::server_state::ServerState;
 
 /// Placeholder address of a server that is known only from the record.
-pub(super) const UNKNOWN_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+const UNKNOWN_ADDR: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 /// Tracks and changes the key leases of one service during one term of leadership.
 ///
@@ -52,7 +52,7 @@
     /// Whether a server has seen a higher fencing token.
     pub(super) deposed: bool,
     /// End of the longest lease that an earlier leader may have granted.
-    pub(super) stale_lease_until: Millis,
+    pub(super) stale_until: Millis,
     /// Duration of the grants sent now.
     lease_duration: Millis,
 }
@@ -105,7 +105,7 @@
             write_unsettled: false,
             expired: Vec::new(),
             deposed: false,
-            stale_lease_until: lease_until,
+            stale_until: lease_until,
             lease_duration: timing.lease,
             record,
         };
@@ -319,9 +319,13 @@
                 // A server that accepted this fencing token refuses older grants, so grants of an earlier leader
                 // and grants whose response was lost no longer count.
                 let other_leases = state.outage_lease_until.max(state.delegate_lease_until);
-                state.lease_until = other_leases.max(now + max_lease);
                 state.unanswered_since = None;
-                if fence == self.record.fence && !state.superseded {
+                // A response may be that of the incarnation before the one that runs now.
+                if state.superseded {
+                    return;
+                }
+                state.lease_until = other_leases.max(now + max_lease);
+                if fence == self.record.fence {
                     state.confirm(ConfirmedLease {
                         span,
                         renew_at: now + self.timing.renew_interval,
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -43,8 +43,8 @@
     pub(crate) confirmed: Vec<ConfirmedLease>,
     /// Time of the first unanswered grant since the server's last response, if any.
     pub(crate) unanswered_since: Option<Millis>,
-    /// Whether a later incarnation is registered. Calls name the server and not its incarnation, so the later one may have
-    /// accepted grants that were meant for this one.
+    /// Whether a later incarnation is registered. Calls name the server and not its incarnation, so the later one may
+    /// have accepted grants that were meant for this one.
     pub(crate) superseded: bool,
     /// Whether the incarnation is known to have ended, and no later one received its calls.
     pub(crate) ended: bool,
--- a/crates/chicoryrail-ownership/tests/key_leases.rs
+++ b/crates/chicoryrail-ownership/tests/key_leases.rs
@@ -13,7 +13,6 @@
 use chicoryrail_ownership::keys::KeyTiming;
 use chicoryrail_ownership::keys::OwnedRange;
 use chicoryrail_ownership::keys::ReleaseOutcome;
-use rstest::rstest;
 
 fn life(name: &str) -> Life {
     Life::new(ServerName::new(name), 1)
@@ -284,49 +283,58 @@
     ([127, 0, 0, 1], port).into()
 }
 
-/// Returns leases in which `a` holds all keys until 2,551 ms, is superseded at 100 ms by an incarnation at this address, and
-/// its keys are assigned to `b`.
-fn superseded_by(later: SocketAddr) -> KeyLeases {
-    let now = Millis(100);
-    let mut leases = KeyLeases::take_over(
-        KeyRecord::default(),
-        KeyTiming {
-            stale_leader_max: Millis(0),
-            ..KeyTiming::default()
-        },
-        Millis(0),
-        1,
-        false,
-    );
+/// Time from a takeover for which an earlier leader may renew in these tests.
+const STALE_LEADER: Millis = Millis(1_500);
+
+/// End of the longest lease that an earlier leader may have granted.
+const STALE_UNTIL: Millis = Millis(4_051);
+
+/// Returns leases in which `a` holds all keys under a lease of this leader, taken over at 0 ms.
+fn held_by_a() -> KeyLeases {
+    let timing = KeyTiming {
+        stale_leader_max: STALE_LEADER,
+        ..KeyTiming::default()
+    };
+    let mut leases = KeyLeases::take_over(KeyRecord::default(), timing, Millis(0), 1, false);
     leases.record_written(Millis(0));
     leases.set_server_addr(Millis(0), &life("a"), addr(80));
     leases.set_server_addr(Millis(0), &life("b"), addr(81));
     leases.begin_change(vec![OwnedRange::new(KeyRange::ALL, life("a"))], 2);
     leases.record_written(Millis(0));
     confirm_grant(&mut leases, Millis(0), "a", KeyRange::ALL);
-    let until = leases.server_superseded(&life("a"), Some(later));
-    assert_eq!(until, Some(Millis(2_551)));
-    assert_eq!(leases.server_superseded(&life("a"), Some(later)), None);
-    leases.begin_change(vec![OwnedRange::new(KeyRange::ALL, life("b"))], 3);
-    leases.record_written(now);
     leases
 }
 
+fn assign_all_to_b(leases: &mut KeyLeases) {
+    leases.begin_change(vec![OwnedRange::new(KeyRange::ALL, life("b"))], 3);
+    leases.record_written(Millis(100));
+}
+
+/// Asserts that `b` gets the keys only at the end of the longest lease, as `a` answers no release.
+fn assert_waits_for_stale_leases(leases: &mut KeyLeases) {
+    for now in [100, 1_300, STALE_UNTIL.0 - 1] {
+        let now = Millis(now);
+        assert!(grants(&leases.due_actions(now), "b").is_empty(), "{now}");
+        leases.release_sent(&life("a"), KeyRange::ALL);
+        leases.release_finished(now, &life("a"), KeyRange::ALL, ReleaseOutcome::NoResponse);
+    }
+    let actions = leases.due_actions(STALE_UNTIL);
+    assert_eq!(grants(&actions, "b"), [KeyRange::ALL]);
+}
+
 /// Guards against keys that are granted on while a restarted server holds them: its new process may have taken a renewal
 /// meant for the former one. The release goes to the address that the renewals went to.
-#[rstest]
-#[case::same_address(addr(80))]
-#[case::other_address(addr(90))]
-fn keys_of_a_restarted_server_are_released_first(#[case] later: SocketAddr) {
-    let mut leases = superseded_by(later);
+#[test]
+fn keys_of_a_restarted_server_are_released_first() {
+    let mut leases = held_by_a();
+    assert_eq!(leases.server_superseded(&life("a")), Some(STALE_UNTIL));
+    assert_eq!(leases.server_superseded(&life("a")), None);
+    assign_all_to_b(&mut leases);
     let actions = leases.due_actions(Millis(100));
-    assert_eq!(releases(&actions), [KeyRange::ALL]);
-    assert!(grants(&actions, "a").is_empty() && grants(&actions, "b").is_empty());
-    let to = actions.iter().find_map(|action| match action {
-        KeyAction::Release { addr, .. } => Some(*addr),
-        _ => None,
-    });
-    assert_eq!(to, Some(addr(80)));
+    assert!(
+        matches!(actions[..], [KeyAction::Release { addr: to, span: KeyRange::ALL, .. }] if to == addr(80)),
+        "{actions:?}"
+    );
     leases.release_sent(&life("a"), KeyRange::ALL);
     let outcome = ReleaseOutcome::Released(None);
     leases.release_finished(Millis(120), &life("a"), KeyRange::ALL, outcome);
@@ -335,33 +343,39 @@
 }
 
 /// Guards against keys that are granted on before the last lease of a restarted server has expired, if it answers no release.
+/// An earlier leader may have granted it, since its new process knows no fencing token.
 #[test]
 fn keys_of_a_restarted_server_that_does_not_answer_wait_for_the_lease() {
-    let mut leases = superseded_by(addr(80));
-    for now in [100, 1_300, 2_550] {
-        let now = Millis(now);
-        assert!(grants(&leases.due_actions(now), "b").is_empty(), "{now}");
-        leases.release_sent(&life("a"), KeyRange::ALL);
-        leases.release_finished(now, &life("a"), KeyRange::ALL, ReleaseOutcome::NoResponse);
-    }
-    assert_eq!(
-        grants(&leases.due_actions(Millis(2_551)), "b"),
-        [KeyRange::ALL]
-    );
+    let mut leases = held_by_a();
+    leases.server_superseded(&life("a"));
+    assign_all_to_b(&mut leases);
+    assert_waits_for_stale_leases(&mut leases);
+}
+
+/// Guards against the same for keys that had been taken from the server before its later start was registered.
+#[test]
+fn keys_taken_from_a_server_before_its_restart_wait_for_the_lease() {
+    let mut leases = held_by_a();
+    assign_all_to_b(&mut leases);
+    leases.server_superseded(&life("a"));
+    assert_waits_for_stale_leases(&mut leases);
 }
 
-/// Guards against a late response of a former incarnation that makes its keys count as served.
+/// Guards against a late response of a former incarnation that shortens the wait or makes its keys count as served.
 #[test]
 fn a_superseded_incarnation_confirms_nothing() {
-    let mut leases = superseded_by(addr(80));
-    confirm_grant(&mut leases, Millis(110), "a", KeyRange::ALL);
+    let mut leases = held_by_a();
+    leases.server_superseded(&life("a"));
+    confirm_grant(&mut leases, Millis(20), "a", KeyRange::ALL);
+    assign_all_to_b(&mut leases);
     assert_eq!(leases.ungranted_keys(), [KeyRange::ALL]);
+    assert_waits_for_stale_leases(&mut leases);
 }
 
-/// Guards against keys that wait for a lease because a new leader does not know the address of the former incarnation: it
-/// asks the later one, which runs at the same address as a rule.
+/// Guards against a release at an address that never had the grants: a new leader that does not know the address of the
+/// former incarnation waits for the end of its lease.
 #[test]
-fn a_new_leader_releases_at_the_later_incarnation() {
+fn keys_of_a_restarted_server_at_an_unknown_address_wait_for_the_lease() {
     let record = KeyRecord {
         fence: 4,
         spans: vec![OwnedRange::new(KeyRange::ALL, life("a"))],
@@ -369,13 +383,11 @@
     };
     let mut leases = KeyLeases::take_over(record, KeyTiming::default(), Millis(0), 1, false);
     leases.record_written(Millis(0));
-    leases.server_superseded(&life("a"), Some(addr(90)));
+    leases.server_superseded(&life("a"));
     leases.set_server_addr(Millis(0), &life("b"), addr(81));
-    leases.begin_change(vec![OwnedRange::new(KeyRange::ALL, life("b"))], 2);
-    leases.record_written(Millis(10));
-    let actions = leases.due_actions(Millis(10));
-    assert!(
-        matches!(actions[..], [KeyAction::Release { addr: to, .. }] if to == addr(90)),
-        "{actions:?}"
-    );
+    assign_all_to_b(&mut leases);
+    assert!(leases.due_actions(Millis(100)).is_empty());
+    assert!(leases.due_actions(Millis(STALE_UNTIL.0 - 1)).is_empty());
+    let actions = leases.due_actions(STALE_UNTIL);
+    assert_eq!(grants(&actions, "b"), [KeyRange::ALL]);
 }
--- a/crates/chicoryrail-ownership/tests/model_keys/leading.rs
+++ b/crates/chicoryrail-ownership/tests/model_keys/leading.rs
@@ -35,10 +35,10 @@
             leader.leases.set_store_down(self.store_down);
             let owners = leader.leases.lease_owners();
             for (life, _) in &registered {
-                let addr = ([127, 0, 0, 1], 80).into();
-                leader.leases.set_server_addr(now, life, addr);
+                let leases = &mut leader.leases;
+                leases.set_server_addr(now, life, ([127, 0, 0, 1], 80).into());
                 for old in owners.iter().filter(|old| life.supersedes(old)) {
-                    leader.leases.server_superseded(old, Some(addr));
+                    leases.server_superseded(old);
                 }
             }
             let lives: Vec<_> = registered.iter().map(|(life, _)| life.clone()).collect();
--- a/crates/chicoryrail-router/src/control/leader/key_leader.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_leader.rs
@@ -160,8 +160,7 @@
             let Some(later) = registered.filter(|life| life.supersedes(&owner)) else {
                 continue;
             };
-            let addr = service.target(&later).map(|target| target.addr);
-            if let Some(until) = leases.server_superseded(&owner, addr) {
+            if let Some(until) = leases.server_superseded(&owner) {
                 log::info!(server:% = owner, by:% = later, service:% = self.service,
                     lease_left_ms = until.since(now).0; "server_superseded");
             }
