fix(keys): only owners at the takeover may have leases of an earlier leader

The keys of a restarted server waited 8,270 ms.

Cause: took the longest lease of an earlier leader for every restarted server, also for one that owned no keys when this leader took over.

Change: that time is kept per server, and only for the owners in the record that was taken over.

Measured: `key_leases` (15, one new) passes.

--- a/crates/chicoryrail-ownership/src/keys/incarnations.rs
+++ b/crates/chicoryrail-ownership/src/keys/incarnations.rs
@@ -19,7 +19,7 @@
         }
         state.superseded = true;
         state.confirmed.clear();
-        let lease_until = state.lease_until.max(self.stale_until);
+        let lease_until = state.lease_until.max(state.stale_until);
         state.lease_until = lease_until;
         let former = self.former_leases.iter_mut();
         for lease in former.filter(|l| l.owned.owner == *life) {
--- a/crates/chicoryrail-ownership/src/keys/key_leases.rs
+++ b/crates/chicoryrail-ownership/src/keys/key_leases.rs
@@ -51,8 +51,6 @@
     pub(super) expired: Vec<OwnedRange>,
     /// Whether a server has seen a higher fencing token.
     pub(super) deposed: bool,
-    /// End of the longest lease that an earlier leader may have granted.
-    pub(super) stale_until: Millis,
     /// Duration of the grants sent now.
     lease_duration: Millis,
 }
@@ -105,7 +103,6 @@
             write_unsettled: false,
             expired: Vec::new(),
             deposed: false,
-            stale_until: lease_until,
             lease_duration: timing.lease,
             record,
         };
@@ -117,6 +114,7 @@
                 .entry(life)
                 .or_insert_with(|| ServerState::new(UNKNOWN_ADDR, now));
             state.lease_until = lease_until;
+            state.stale_until = lease_until;
             if store_outage {
                 state.outage_lease_until = lease_until;
             }
--- a/crates/chicoryrail-ownership/src/keys/server_state.rs
+++ b/crates/chicoryrail-ownership/src/keys/server_state.rs
@@ -15,6 +15,8 @@
     pub(crate) addr: SocketAddr,
     /// End of the longest lease that the server may hold, whichever leader granted it.
     pub(crate) lease_until: Millis,
+    /// End of the longest lease that an earlier leader may have granted to the server.
+    pub(crate) stale_until: Millis,
     /// Duration of the last grant sent. It may differ from that of grants sent now, since an outage of the store
     /// may begin or end while the grant is in flight.
     pub(crate) lease_duration: Millis,
@@ -56,6 +58,7 @@
         Self {
             addr,
             lease_until: Millis::ZERO,
+            stale_until: Millis::ZERO,
             lease_duration: Millis::ZERO,
             outage_lease_until: Millis::ZERO,
             delegate_lease_until: Millis::ZERO,
--- a/crates/chicoryrail-ownership/tests/key_leases.rs
+++ b/crates/chicoryrail-ownership/tests/key_leases.rs
@@ -283,19 +283,21 @@
     ([127, 0, 0, 1], port).into()
 }
 
-/// Time from a takeover for which an earlier leader may renew in these tests.
-const STALE_LEADER: Millis = Millis(1_500);
-
-/// End of the longest lease that an earlier leader may have granted.
+/// End of the longest lease that an earlier leader may have granted, from a takeover at 0 ms.
 const STALE_UNTIL: Millis = Millis(4_051);
 
-/// Returns leases in which `a` holds all keys under a lease of this leader, taken over at 0 ms.
-fn held_by_a() -> KeyLeases {
-    let timing = KeyTiming {
-        stale_leader_max: STALE_LEADER,
-        ..KeyTiming::default()
-    };
-    let mut leases = KeyLeases::take_over(KeyRecord::default(), timing, Millis(0), 1, false);
+/// Returns the record of an earlier leader, in which `a` owns all keys.
+fn owned_by_a() -> KeyRecord {
+    KeyRecord {
+        fence: 4,
+        spans: vec![OwnedRange::new(KeyRange::ALL, life("a"))],
+        ..KeyRecord::default()
+    }
+}
+
+/// Returns leases of a leader that took this record over at 0 ms and has granted all keys to `a`.
+fn held_by_a(record: KeyRecord) -> KeyLeases {
+    let mut leases = KeyLeases::take_over(record, KeyTiming::default(), Millis(0), 1, false);
     leases.record_written(Millis(0));
     leases.set_server_addr(Millis(0), &life("a"), addr(80));
     leases.set_server_addr(Millis(0), &life("b"), addr(81));
@@ -326,7 +328,7 @@
 /// meant for the former one. The release goes to the address that the renewals went to.
 #[test]
 fn keys_of_a_restarted_server_are_released_first() {
-    let mut leases = held_by_a();
+    let mut leases = held_by_a(owned_by_a());
     assert_eq!(leases.server_superseded(&life("a")), Some(STALE_UNTIL));
     assert_eq!(leases.server_superseded(&life("a")), None);
     assign_all_to_b(&mut leases);
@@ -346,7 +348,7 @@
 /// An earlier leader may have granted it, since its new process knows no fencing token.
 #[test]
 fn keys_of_a_restarted_server_that_does_not_answer_wait_for_the_lease() {
-    let mut leases = held_by_a();
+    let mut leases = held_by_a(owned_by_a());
     leases.server_superseded(&life("a"));
     assign_all_to_b(&mut leases);
     assert_waits_for_stale_leases(&mut leases);
@@ -355,7 +357,7 @@
 /// Guards against the same for keys that had been taken from the server before its later start was registered.
 #[test]
 fn keys_taken_from_a_server_before_its_restart_wait_for_the_lease() {
-    let mut leases = held_by_a();
+    let mut leases = held_by_a(owned_by_a());
     assign_all_to_b(&mut leases);
     leases.server_superseded(&life("a"));
     assert_waits_for_stale_leases(&mut leases);
@@ -364,7 +366,7 @@
 /// Guards against a late response of a former incarnation that shortens the wait or makes its keys count as served.
 #[test]
 fn a_superseded_incarnation_confirms_nothing() {
-    let mut leases = held_by_a();
+    let mut leases = held_by_a(owned_by_a());
     leases.server_superseded(&life("a"));
     confirm_grant(&mut leases, Millis(20), "a", KeyRange::ALL);
     assign_all_to_b(&mut leases);
@@ -376,12 +378,8 @@
 /// former incarnation waits for the end of its lease.
 #[test]
 fn keys_of_a_restarted_server_at_an_unknown_address_wait_for_the_lease() {
-    let record = KeyRecord {
-        fence: 4,
-        spans: vec![OwnedRange::new(KeyRange::ALL, life("a"))],
-        ..KeyRecord::default()
-    };
-    let mut leases = KeyLeases::take_over(record, KeyTiming::default(), Millis(0), 1, false);
+    let timing = KeyTiming::default();
+    let mut leases = KeyLeases::take_over(owned_by_a(), timing, Millis(0), 1, false);
     leases.record_written(Millis(0));
     leases.server_superseded(&life("a"));
     leases.set_server_addr(Millis(0), &life("b"), addr(81));
@@ -391,3 +389,11 @@
     let actions = leases.due_actions(STALE_UNTIL);
     assert_eq!(grants(&actions, "b"), [KeyRange::ALL]);
 }
+
+/// Guards against keys that wait for leases of an earlier leader, as long as in an outage, at a server that owned none then.
+#[test]
+fn a_server_without_keys_at_the_takeover_has_no_earlier_leases() {
+    let mut leases = held_by_a(KeyRecord::default());
+    let until = leases.server_superseded(&life("a"));
+    assert_eq!(until, Some(Millis(2_551)));
+}
