--- a/crates/chicoryrail-ownership/src/term_reply.rs
+++ b/crates/chicoryrail-ownership/src/term_reply.rs
@@ -11,8 +11,8 @@
 
 /// Reply of a core host to a query of the leader.
 ///
-/// Its age counts from the sending of the query, by the leader's own clock: however long the query or the reply waited,
-/// also in the receive buffer of a suspended process, the host knew nothing else at that time or later.
+/// Its age counts from the sending of the query, by the leader's own clock. However long the query or the reply waited, also
+/// in the receive buffer of a suspended process, the host knew of no later term when the query was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TermReply {
     /// Highest term of leadership that the host knows.
