docs(router): who gets the answer that ends a server

A later incarnation no longer ends a server, so the comment named a caller that does not exist. Only the comment changes; formatter and prose check pass.

--- a/crates/chicoryrail-router/src/control/leader/call_log.rs
+++ b/crates/chicoryrail-router/src/control/leader/call_log.rs
@@ -48,8 +48,8 @@
             "grant_{name}");
     }
 
-    /// Logs that a server that may hold keys is about to be taken as ended: `by` is the address that answered as another
-    /// server, or the later incarnation.
+    /// Logs that a server that may hold keys is about to be taken as ended: `by` is the address, or the delegate, that got
+    /// the answer of another server.
     pub(super) fn log_server_ended(
         &self,
         leases: &KeyLeases,
