feat(router): log on which way and how fast a configuration arrived

For a host with a late configuration nothing told where the time went: from the store to a watcher, from there to a core host, on to the leaf host, or in applying it. On the fleet two hypotheses looked the same.

A relay's reply now has two headers: how long its poll waited there, and how long ago a watcher read the relay's configuration. The line config_arrived has both, the size and duration of the reply, the time to apply it and the sum since the watcher's read, from durations alone, so that clocks need not agree. A host of an earlier version ignores the headers; from one the age is unknown. The gauge chicoryrail_config_delay_ms has the last sum; relay_reply_large tells the relay's own wait from the transfer. No logic changes.

--- a/crates/chicoryrail-router/src/control/config_feed/follow.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow.rs
@@ -14,6 +14,8 @@
 use futures_util::future::select;
 use rand::Rng;
 
+use crate::control::config_feed::config_arrival::Arrival;
+use crate::control::config_feed::config_arrival::track_config;
 use crate::control::crashes::apply_block;
 use crate::messages::FEED_COUNT;
 use crate::state::Router;
@@ -140,7 +142,10 @@
         Err(e) => return WatchEnd::Failed(e),
     };
     record_store_call(router, "snapshot", None);
-    apply_snapshot(router, feed, &all);
+    let arrival = Arrival::Store {
+        received: router.now(),
+    };
+    track_config(router, &arrival, || apply_snapshot(router, feed, &all));
     if feed == Feed::Operator {
         router.organisations.mark_current(sent);
     }
@@ -180,7 +185,14 @@
         };
         record_store_call(router, "watch", None);
         *pause = RETRY_BACKOFF_MIN;
-        if apply_changes(router, feed, &changes) {
+        let arrival = Arrival::Store {
+            received: router.now(),
+        };
+        let mut is_changed = false;
+        track_config(router, &arrival, || {
+            is_changed = apply_changes(router, feed, &changes);
+        });
+        if is_changed {
             router.process.clock.sleep(batch_pause(router, feed)).await;
         }
     }
--- a/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -9,10 +9,13 @@
 use chicoryrail_runtime::HttpClient;
 use monoio::time::timeout;
 
+use crate::control::config_feed::config_arrival::Arrival;
+use crate::control::config_feed::config_arrival::track_config;
 use crate::control::config_feed::follow::FEEDS;
 use crate::control::config_feed::follow::apply_changes;
 use crate::control::config_feed::follow::apply_snapshot;
 use crate::control::config_feed::relay::BATCH_TIME;
+use crate::control::config_feed::relay_poll::Polled;
 use crate::control::config_feed::relay_poll::poll;
 use crate::control::crashes::apply_news;
 use crate::control::scheduling;
@@ -64,10 +67,13 @@
         let sent = router.now();
         let known_crashes = router.source.crash_version.get();
         let pause = match poll(&router, &client, addr, Some(known_crashes)).await {
-            Ok(FollowerAnswer { answer, crashes }) => {
+            Ok(Polled { answer, delivery }) => {
+                let FollowerAnswer { answer, crashes } = answer;
                 router.source.last_relay_reply.set(router.now());
                 let config_age = answer.reply.config;
-                apply_answer(&router, answer);
+                track_config(&router, &Arrival::Relay(delivery), || {
+                    apply_answer(&router, answer);
+                });
                 let has_crash_news = crashes.is_some();
                 if let Some(update) = crashes {
                     log_crash_news(addr, &update, router.now().since(sent));
--- a/crates/chicoryrail-router/src/control/config_feed/leader_keys.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/leader_keys.rs
@@ -6,8 +6,8 @@
 use chicoryrail_runtime::HttpClient;
 
 use crate::control::config_feed::follow_relay::apply_keys;
+use crate::control::config_feed::relay_poll::Polled;
 use crate::control::config_feed::relay_poll::poll;
-use crate::messages::FollowerAnswer;
 use crate::state::Router;
 
 /// Pause after a poll of the leader, so that the next one carries several changes.
@@ -26,7 +26,8 @@
             continue;
         };
         match poll(&router, &client, leader, None).await {
-            Ok(FollowerAnswer { answer, .. }) => {
+            Ok(Polled { answer, .. }) => {
+                let answer = answer.answer;
                 apply_keys(&router, &answer.reply.keys, &answer.key_changes);
             }
             // The next heartbeat of the leader starts another poll.
--- a/crates/chicoryrail-router/src/control/config_feed/mod.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/mod.rs
@@ -1,6 +1,7 @@
 //! Distribution of the store's data: a host gets it from the store or from a relay, applies it, and relays it to
 //! others.
 
+mod config_arrival;
 pub(super) mod follow;
 mod follow_relay;
 mod leader_keys;
--- a/crates/chicoryrail-router/src/control/config_feed/relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay.rs
@@ -11,6 +11,8 @@
 use chicoryrail_runtime::collect_body;
 use chicoryrail_runtime::error_response;
 use chicoryrail_runtime::full_body;
+use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -47,6 +49,12 @@
 /// Largest request body of a following host.
 const REQUEST_BYTES_MAX: usize = 64 << 10;
 
+/// Header of a reply with the time in milliseconds for which its poll waited at the relay.
+pub(super) const HELD_HEADER: HeaderName = HeaderName::from_static("held-ms");
+
+/// Header of a reply with the time in milliseconds since a host that watches the store read the relay's configuration.
+pub(super) const CONFIG_AGE_HEADER: HeaderName = HeaderName::from_static("config-age-ms");
+
 /// HTTP path of the relay.
 pub(super) const RELAY_PATH: &str = "/relay";
 
@@ -87,13 +95,24 @@
         answer,
         crashes: crash_update(&router, known_crashes),
     };
-    match encode(&answer) {
+    let mut response = match encode(&answer) {
         Ok(bytes) if compressed => compressed_response(bytes),
         Ok(bytes) => Response::new(full_body(bytes)),
         Err(e) => {
             log::error!(error:% = e; "relay_unwritable");
-            error_response(500, "the reply can't be written")
+            return error_response(500, "the reply can't be written");
         }
+    };
+    set_times(&router, received, response.headers_mut());
+    response
+}
+
+/// Sets the headers that tell how long the poll that arrived at `received` waited, and how old the configuration is.
+fn set_times(router: &Router, received: Millis, headers: &mut HeaderMap) {
+    let now = router.now();
+    headers.insert(HELD_HEADER, HeaderValue::from(now.since(received).0));
+    if let Some(read_at) = router.source.config_read_at.get() {
+        headers.insert(CONFIG_AGE_HEADER, HeaderValue::from(now.since(read_at).0));
     }
 }
 
--- a/crates/chicoryrail-router/src/control/config_feed/relay_poll.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay_poll.rs
@@ -7,6 +7,8 @@
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
 use chicoryrail_runtime::ResponseTimeouts;
+use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::Response;
 use http::header::ACCEPT_ENCODING;
@@ -14,7 +16,10 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::control::config_feed::config_arrival::RelayDelivery;
 use crate::control::config_feed::follow::FEEDS;
+use crate::control::config_feed::relay::CONFIG_AGE_HEADER;
+use crate::control::config_feed::relay::HELD_HEADER;
 use crate::control::config_feed::relay::POLL_MAX;
 use crate::control::config_feed::relay::RELAY_PATH;
 use crate::messages::CrashVersion;
@@ -40,6 +45,12 @@
 /// Size from which a reply is logged, with the time for which it occupied the link.
 const LARGE_REPLY_BYTES: usize = 64 << 10;
 
+/// A relay's reply.
+pub(super) struct Polled {
+    pub(super) answer: FollowerAnswer,
+    pub(super) delivery: RelayDelivery,
+}
+
 /// Why a relay gave no reply.
 #[derive(Debug, Snafu)]
 pub(super) enum RelayError {
@@ -65,7 +76,7 @@
     client: &HttpClient,
     addr: SocketAddr,
     crashes: Option<CrashVersion>,
-) -> Result<FollowerAnswer, RelayError> {
+) -> Result<Polled, RelayError> {
     let poll = FollowerPoll {
         poll: RelayPoll {
             request: poll_request(router),
@@ -90,17 +101,34 @@
     let sent = router.now();
     let response = client.call_while_receiving(addr, request, timeouts, arrived);
     let response = response.await.context(CallSnafu)?;
-    log_large_reply(addr, &response, router.now().since(sent));
-    read_reply(&response)
+    let delivery = RelayDelivery {
+        relay: addr,
+        sent,
+        held: header_millis(response.headers(), &HELD_HEADER).unwrap_or_default(),
+        took: router.now().since(sent),
+        bytes: response.body().len(),
+        config_age: header_millis(response.headers(), &CONFIG_AGE_HEADER),
+    };
+    log_large_reply(&delivery);
+    Ok(Polled {
+        answer: read_reply(&response)?,
+        delivery,
+    })
 }
 
-fn log_large_reply(relay: SocketAddr, response: &Response<Bytes>, took: Millis) {
-    let bytes = response.body().len();
-    if bytes >= LARGE_REPLY_BYTES {
-        log::info!(relay:% = relay, bytes = bytes, took_ms = took.0; "relay_reply_large");
+fn log_large_reply(delivery: &RelayDelivery) {
+    if delivery.bytes >= LARGE_REPLY_BYTES {
+        log::info!(relay:% = delivery.relay, bytes = delivery.bytes, held_ms = delivery.held.0,
+            took_ms = delivery.took.0; "relay_reply_large");
     }
 }
 
+/// Returns a time in milliseconds from a header; `None` if the relay does not send it.
+fn header_millis(headers: &HeaderMap, name: &HeaderName) -> Option<Millis> {
+    let value = headers.get(name)?.to_str().ok()?;
+    value.parse().ok().map(Millis)
+}
+
 fn read_reply(response: &Response<Bytes>) -> Result<FollowerAnswer, RelayError> {
     let encoding = response.headers().get(CONTENT_ENCODING);
     if encoding.is_some_and(|e| e == ENCODING) {
--- a/crates/chicoryrail-router/src/control/config_feed/verify_config.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/verify_config.rs
@@ -6,6 +6,8 @@
 use chicoryrail_platform::Feed;
 use monoio::time::timeout;
 
+use crate::control::config_feed::config_arrival::Arrival;
+use crate::control::config_feed::config_arrival::track_config;
 use crate::control::config_feed::follow::apply_snapshot;
 use crate::control::config_feed::follow::record_store_call;
 use crate::state::Router;
@@ -53,7 +55,12 @@
         Ok(all) => {
             let is_applied = router.feed_logs.borrow()[0].matches(&all);
             if !is_applied {
-                apply_snapshot(router, Feed::Operator, &all);
+                let arrival = Arrival::Store {
+                    received: router.now(),
+                };
+                track_config(router, &arrival, || {
+                    apply_snapshot(router, Feed::Operator, &all);
+                });
             }
             router.organisations.mark_current(sent);
             VERIFICATION_INTERVAL.since(router.now().since(sent))
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -76,6 +76,8 @@
     pub(crate) leading: IntGauge,
     /// Time since the configuration was verified to be current, in milliseconds; -1 if it never was.
     pub(crate) config_age: IntGauge,
+    /// Time from a watching host's read of the configuration in force until this host had applied it, in milliseconds.
+    pub(crate) config_delay: IntGauge,
     /// Decisions of this host as a scheduler about callers that have time to wait or to return, by service and event.
     caller_events: IntCounterVec,
     /// Requests refused because their organisation exceeded its rate limit, by organisation.
@@ -207,6 +209,10 @@
                 "config_age_ms",
                 "Time since the configuration was verified, in milliseconds; -1 if it never was",
             ),
+            config_delay: metrics.gauge(
+                "config_delay_ms",
+                "Time from a watching host's read of the configuration until it was applied here, in milliseconds",
+            ),
             caller_events: metrics.counter_family(
                 "caller_events_total",
                 "Decisions about callers that have time to wait or to return, by service and event",
--- a/crates/chicoryrail-router/src/state/source.rs
+++ b/crates/chicoryrail-router/src/state/source.rs
@@ -34,6 +34,9 @@
     pub(crate) changed: ChangeSignal,
     /// Version of the news of requests that end servers that a relay sent last.
     pub(crate) crash_version: Cell<CrashVersion>,
+    /// When a host that watches the store read the configuration in force, by this host's clock; `None` if that is not
+    /// known.
+    pub(crate) config_read_at: Cell<Option<Millis>>,
     /// Time of the last reply of a relay.
     pub(crate) last_relay_reply: Cell<Millis>,
 }
