--- a/crates/chicoryrail-router/tests/support/mod.rs
+++ b/crates/chicoryrail-router/tests/support/mod.rs
@@ -10,5 +10,6 @@
 pub use world::Cut;
 pub use world::RouterProcess;
 pub use world::World;
+pub use world::fleet_member;
 pub use world::ready_member;
 pub use world::wait_until;
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -65,6 +65,16 @@
     }
 }
 
+/// Returns the entry of server `i` of a fleet; nothing listens at its address.
+pub fn fleet_member(i: u32) -> Member {
+    let [_, b, c, d] = (i + 1).to_be_bytes();
+    let addr = SocketAddr::from(([127, b, c, d], 9));
+    Member {
+        dc: ["west", "east"][i as usize % 2].into(),
+        ..ready_member(&format!("i-{i:08x}"), "desk", addr)
+    }
+}
+
 /// Polls `done` every 10 ms until it returns `true`.
 ///
 /// # Panics
