fix(router): a configuration does not cost a look at every server

A leaf host of the fleet has 0.1 of a core, stands still meanwhile and brings each version into force later.

Of a configuration only two things concern servers, and both are the same for all of a service: whether it is keyed, and this host's share of the connections. The service keeps them, and its servers are looked at when one of them changes; the same holds for the number of hosts.

--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -28,6 +28,9 @@
 /// log would drop most of so many lines.
 const SERVER_LINES_MAX: usize = 100;
 
+/// Smallest number of connections that a host may open to a server, however many hosts share the server's limit.
+const SERVER_CONNECTIONS_MIN: u32 = 2;
+
 impl Router {
     /// Logs the given changes of the store view, drops the servers whose entries have expired, and updates services,
     /// servers and key records.
@@ -49,26 +52,24 @@
 
     /// Returns the servers to update after these changes of the store view, `gone` among them.
     ///
-    /// The configuration, the data centres out of service, an operator's rules and the number of hosts concern every
-    /// server; a change of one entry concerns that server alone. Servers with missing entries are always included: how long they are used also
-    /// depends on outages of the store.
+    /// The data centres out of service and an operator's rules concern every server; a change of one entry concerns that
+    /// server alone. Servers with missing entries are always included: how long they are used also depends on outages of
+    /// the store. What the configuration and the number of hosts change is the same for all servers of a service, see
+    /// [`Self::sync_service`].
     fn outdated_servers(
         &self,
         changes: &[ViewChange],
         gone: Vec<ServerName>,
     ) -> BTreeSet<ServerName> {
-        let hosts = self.peers.borrow().sharing_hosts();
-        let concerns_all = self.synced_hosts.replace(hosts) != hosts
-            || changes.iter().any(|change| match change {
-                ViewChange::Config { .. }
-                | ViewChange::DrainedDc(_)
-                | ViewChange::RestoredDc(_) => true,
-                ViewChange::Own(key) => key.starts_with(TRAFFIC_RULES),
-                ViewChange::OldConfig { .. }
-                | ViewChange::Server(_)
-                | ViewChange::ServerGone(_)
-                | ViewChange::Unreadable(_) => false,
-            });
+        let concerns_all = changes.iter().any(|change| match change {
+            ViewChange::DrainedDc(_) | ViewChange::RestoredDc(_) => true,
+            ViewChange::Own(key) => key.starts_with(TRAFFIC_RULES),
+            ViewChange::Config { .. }
+            | ViewChange::OldConfig { .. }
+            | ViewChange::Server(_)
+            | ViewChange::ServerGone(_)
+            | ViewChange::Unreadable(_) => false,
+        });
         let view = self.store_view.borrow();
         let mut outdated: BTreeSet<ServerName> = gone.into_iter().collect();
         if concerns_all {
@@ -158,6 +159,7 @@
             self.sync_server(&view, name);
         }
         for service in self.services() {
+            self.sync_service(&view, &service);
             service.update_partitioned();
             service.update_notices(self.now());
             service.changed.notify();
@@ -165,6 +167,16 @@
         self.feed_changed.notify();
     }
 
+    /// Updates what the configuration and the number of hosts say of a service. Its servers are looked at only if that
+    /// changed: there may be thousands.
+    fn sync_service(&self, view: &View, service: &Service) {
+        let spec = view.site().and_then(|s| s.service(&service.name));
+        let connections = spec.map_or(u32::MAX, |s| s.max_connections);
+        let share = connections / self.peers.borrow().sharing_hosts() as u32;
+        service.set_connection_share(share.max(SERVER_CONNECTIONS_MIN));
+        service.set_keyed(spec.is_some_and(|s| s.keyed));
+    }
+
     /// Updates the target of a server, and removes the target of an incarnation that its entry no longer names.
     fn sync_server(&self, view: &View, name: &ServerName) {
         let entry = view.server(name);
@@ -214,11 +226,7 @@
             .loads
             .borrow_mut()
             .set(target.id, target.usable_slots());
-        let spec = view.site().and_then(|s| s.service(&service.name));
-        service.keyed.set(spec.is_some_and(|s| s.keyed));
-        let connections = spec.map_or(u32::MAX, |s| s.max_connections);
-        let share = connections / self.peers.borrow().sharing_hosts() as u32;
-        target.pool.set_max_connections(member.slots, share.max(2));
+        service.limit_connections(&target);
         let admission = if view.is_drained(&member.dc) || target.share.get().is_none() {
             Admission::Closed
         } else if entry.is_ready() && (entry.missing.is_none() || view.may_return(entry)) {
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -140,14 +140,10 @@
     services: RefCell<HashMap<ServiceName, Rc<Service>>>,
     /// Service and incarnation under which each server has a target.
     pub(super) registrations: RefCell<HashMap<ServerName, (ServiceName, Life)>>,
-    /// Number of hosts by which the targets' shares of connections were last computed.
-    pub(super) synced_hosts: Cell<usize>,
     /// Weighted round robin of each route over its services.
     round_robins: RefCell<HashMap<String, WeightedRoundRobin>>,
-    /// Mean service time of each route's requests, in microseconds.
-    work_means: RefCell<HashMap<String, f64>>,
-    /// Response times of each route that tolerates waiting.
-    response_times: RefCell<HashMap<String, ResponseTimes>>,
+    /// What was observed of each route's responses.
+    pub(crate) route_stats: RouteStats,
 }
 
 impl Router {
@@ -190,10 +186,8 @@
             leaf_requests: RefCell::default(),
             services: RefCell::default(),
             registrations: RefCell::default(),
-            synced_hosts: Cell::new(0),
             round_robins: RefCell::default(),
-            work_means: RefCell::default(),
-            response_times: RefCell::default(),
+            route_stats: RouteStats::default(),
             process,
             options,
             boot: RefCell::new(Rc::new(boot)),
--- a/crates/chicoryrail-router/src/state/service.rs
+++ b/crates/chicoryrail-router/src/state/service.rs
@@ -61,7 +61,9 @@
     /// Whether a notice of any of the servers to this host may be in force. Without one, a request need not look at
     /// each server.
     has_notices: Cell<bool>,
-    pub(crate) keyed: Cell<bool>,
+    keyed: Cell<bool>,
+    /// This host's share of the connections that each server accepts.
+    connection_share: Cell<u32>,
     /// Whether the servers of each data centre are scheduled separately.
     pub(crate) partitioned: Cell<bool>,
     /// Id of the next server.
@@ -86,6 +88,7 @@
             former_notices: RefCell::default(),
             has_notices: Cell::new(false),
             keyed: Cell::new(false),
+            connection_share: Cell::new(u32::MAX),
             partitioned: Cell::new(false),
             next_id: Cell::new(0),
         })
@@ -234,6 +237,32 @@
         }
     }
 
+    /// Sets whether the service is keyed.
+    pub(super) fn set_keyed(&self, keyed: bool) {
+        if self.keyed.replace(keyed) == keyed {
+            return;
+        }
+        for target in self.targets.borrow().values() {
+            self.record_change(target);
+        }
+    }
+
+    /// Sets this host's share of the connections that each server accepts.
+    pub(super) fn set_connection_share(&self, connections: u32) {
+        if self.connection_share.replace(connections) == connections {
+            return;
+        }
+        for target in self.targets.borrow().values() {
+            self.limit_connections(target);
+        }
+    }
+
+    /// Limits the connections to a server to its slots and this host's share.
+    pub(super) fn limit_connections(&self, target: &Target) {
+        let share = self.connection_share.get();
+        target.pool.set_max_connections(target.slots.get(), share);
+    }
+
     /// Returns `true` if the service is keyed: each key is served only by the server that owns it.
     pub(crate) fn is_keyed(&self) -> bool {
         self.keyed.get()
--- a/crates/chicoryrail-router/tests/large_fleet.rs
+++ b/crates/chicoryrail-router/tests/large_fleet.rs
@@ -64,6 +64,17 @@
     });
 }
 
+/// Guards against a host that updates every server for each configuration: a small host in front of thousands would stand
+/// still while configurations follow one another, and each would come into force later.
+#[test]
+fn a_configuration_does_not_cost_a_look_at_every_server() {
+    block_on(async {
+        let world = World::start("large-fleet-config").await;
+        let share = cpu_share(&world, async |_| world.configure().await).await;
+        assert!(share < SMALL_HOST_CPU, "{share:.3} of a core");
+    });
+}
+
 /// Guards against a core host that sends all servers again to each host that follows it whenever its own watch ends. Of a
 /// large fleet that takes a core host seconds, in which it answers nobody, and the next configuration waits behind it.
 #[test]
