--- a/crates/chicoryrail-router/src/control/leader/plan_keys.rs
+++ b/crates/chicoryrail-router/src/control/leader/plan_keys.rs
@@ -165,8 +165,12 @@
         let routes = site.routes().iter().filter(leads_here);
         let observed = routes
             .clone()
-            .filter_map(|r| self.router.observed_work_us(&r.name));
-        let expected = routes.map(|r| self.router.expected_work_us(&r.name, r.latency_target));
+            .filter_map(|r| self.router.route_stats.observed_work_us(&r.name));
+        let expected = routes.map(|r| {
+            self.router
+                .route_stats
+                .expected_work_us(&r.name, r.latency_target)
+        });
         let slowest = observed
             .reduce(f64::max)
             .or_else(|| expected.reduce(f64::max));
--- a/crates/chicoryrail-router/src/route/attempt_refusal.rs
+++ b/crates/chicoryrail-router/src/route/attempt_refusal.rs
@@ -22,6 +22,7 @@
         }
         let work = self
             .router
+            .route_stats
             .expected_work_us(&self.call.route.name, self.call.route.latency_target);
         self.refuse(why.cause(), Millis((work / 1_000.0) as u64))
     }
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -78,7 +78,9 @@
     if let SendPermit::Withheld(why) = permit(router, call, &target, now) {
         return Choice::Refuse(why);
     }
-    let work = router.expected_work_us(&call.route.name, call.route.latency_target);
+    let work = router
+        .route_stats
+        .expected_work_us(&call.route.name, call.route.latency_target);
     let loads = service.loads.borrow();
     if loads.has_capacity(now, target.id)
         && has_share(router, service, call, target.id, now)
@@ -103,7 +105,9 @@
     if accepting.is_empty() {
         return Choice::Wait(Cause::NoServer, NO_SERVER_RETRY);
     }
-    let work = router.expected_work_us(&call.route.name, call.route.latency_target);
+    let work = router
+        .route_stats
+        .expected_work_us(&call.route.name, call.route.latency_target);
     let mut untried: Vec<_> = accepting
         .iter()
         .filter(|t| !tried.contains(&t.life))
--- a/crates/chicoryrail-router/src/route/response_limit.rs
+++ b/crates/chicoryrail-router/src/route/response_limit.rs
@@ -26,7 +26,7 @@
         if !may_be_sent_again {
             return None;
         }
-        let observed = tolerates_waiting.then(|| self.router.unanswered_after(route));
+        let observed = tolerates_waiting.then(|| self.router.route_stats.unanswered_after(route));
         match observed.flatten() {
             Some(limit) => Some(limit),
             // Only the owner of a key can take the request, and the estimate below does not tell whether it is slow.
@@ -57,6 +57,7 @@
         let route = &self.call.route;
         let work_us = self
             .router
+            .route_stats
             .expected_work_us(&route.name, route.latency_target);
         Millis((work_us / 1_000.0) as u64)
     }
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -86,12 +86,20 @@
     let mut loads = service.loads.borrow_mut();
     match sent.failure() {
         None => {
-            let work = router.expected_work_us(&call.route.name, call.route.latency_target);
+            let work = router
+                .route_stats
+                .expected_work_us(&call.route.name, call.route.latency_target);
             if matches!(sent, SendOutcome::Answered(_)) {
                 loads.record_response(now, target.id, elapsed_us, work, idle);
-                router.record_work(&call.route.name, call.route.latency_target, elapsed_us);
+                router.route_stats.record_work(
+                    &call.route.name,
+                    call.route.latency_target,
+                    elapsed_us,
+                );
                 if call.route.tolerates_waiting() {
-                    router.record_response_time(&call.route.name, elapsed_us);
+                    router
+                        .route_stats
+                        .record_response_time(&call.route.name, elapsed_us);
                 }
             }
         }
@@ -170,7 +178,7 @@
 /// Returns `true` if a request of a route that tolerates waiting got no response for longer than almost all responses of
 /// the route take. A caller with less time says nothing of the server.
 pub(super) fn is_unanswered(router: &Router, call: &CallerRequest, elapsed_us: f64) -> bool {
-    let limit = router.unanswered_after(&call.route);
+    let limit = router.route_stats.unanswered_after(&call.route);
     limit.is_some_and(|limit| elapsed_us >= limit.0 as f64 * 1_000.0)
 }
 
--- a/crates/chicoryrail-router/src/route/slot_guard.rs
+++ b/crates/chicoryrail-router/src/route/slot_guard.rs
@@ -103,6 +103,7 @@
         }
         let work = self
             .router
+            .route_stats
             .expected_work_us(&call.route.name, call.route.latency_target);
         let assignment = Assignment {
             part: self.part.clone(),
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -224,6 +224,7 @@
         let now = self.router.now();
         let work = self
             .router
+            .route_stats
             .expected_work_us(&call.route.name, call.route.latency_target);
         let identity = QueueIdentity::new(call);
         let slot_query = SlotQuery {
--- a/crates/chicoryrail-router/src/route/upload.rs
+++ b/crates/chicoryrail-router/src/route/upload.rs
@@ -59,7 +59,9 @@
     let (declared, free) = (body.declared_rest(), router.budget.free());
     let left = call.time_left(router.now());
     let Some(plan) = UploadPlan::new(router.options.upload_reading, declared, free) else {
-        let work_us = router.expected_work_us(&call.route.name, call.route.latency_target);
+        let work_us = router
+            .route_stats
+            .expected_work_us(&call.route.name, call.route.latency_target);
         let memory_in = Millis((work_us / 1_000.0) as u64);
         return Err(Refusal {
             cause: Cause::HostMemory,
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -11,7 +11,6 @@
 use chicoryrail_core::HostName;
 use chicoryrail_core::Life;
 use chicoryrail_core::Millis;
-use chicoryrail_core::Route;
 use chicoryrail_core::ServerName;
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::Site;
@@ -26,7 +25,6 @@
 use chicoryrail_platform::KeyControl;
 use chicoryrail_platform::KvStore;
 use chicoryrail_policy::QuotaTolerance;
-use chicoryrail_policy::ResponseTimes;
 use chicoryrail_policy::RetryLimits;
 use chicoryrail_policy::WeightedRoundRobin;
 use chicoryrail_runtime::ByteBudget;
@@ -47,6 +45,7 @@
 use crate::state::Organisations;
 use crate::state::PendingQueries;
 use crate::state::QuotaShares;
+use crate::state::RouteStats;
 use crate::state::Schedulers;
 use crate::state::ServerReach;
 use crate::state::Service;
@@ -449,49 +448,6 @@
         let start = (self.process.instance_id % 1_000) as f64 / 1_000.0;
         round_robin.next(weights, start)
     }
-
-    /// Returns the mean service time of the route's requests at an average server, in microseconds; before the first
-    /// observation a third of the latency target.
-    pub(crate) fn expected_work_us(&self, route: &str, latency_target: Millis) -> f64 {
-        let observed = self.observed_work_us(route);
-        observed.unwrap_or(latency_target.0 as f64 * 333.0)
-    }
-
-    /// Returns the mean service time of the route's requests, in microseconds; `None` before the first observation.
-    pub(crate) fn observed_work_us(&self, route: &str) -> Option<f64> {
-        self.work_means.borrow().get(route).copied()
-    }
-
-    /// Records the service time `us` of a request of the route, in microseconds. An observation counts at most as five
-    /// times the mean.
-    pub(crate) fn record_work(&self, route: &str, latency_target: Millis, us: f64) {
-        /// Weight of a new observation in the exponentially weighted mean.
-        const EWMA_WEIGHT: f64 = 0.05;
-        let before = self.expected_work_us(route, latency_target);
-        let after = before + (us.min(before * 5.0) - before) * EWMA_WEIGHT;
-        self.work_means.borrow_mut().insert(route.to_owned(), after);
-    }
-
-    /// Records the response time of a request of a route that tolerates waiting, in microseconds.
-    pub(crate) fn record_response_time(&self, route: &str, elapsed_us: f64) {
-        let mut times = self.response_times.borrow_mut();
-        match times.get_mut(route) {
-            Some(times) => times.record(elapsed_us),
-            None => times
-                .entry(route.to_owned())
-                .or_default()
-                .record(elapsed_us),
-        }
-    }
-
-    /// Returns the time without a response after which a request of a route that tolerates waiting counts as
-    /// unanswered; `None` if this host has observed too few responses.
-    pub(crate) fn unanswered_after(&self, route: &Route) -> Option<Millis> {
-        let times = self.response_times.borrow();
-        times
-            .get(&route.name)?
-            .unanswered_after(route.latency_target)
-    }
 }
 
 /// Returns the memory for bodies, in bytes.
