refactor: break two circles of imports

What the leader and a host that renews leases tell each other moves to keys/renewal.rs, so that renewed_server no longer imports renewer; the stages of a send move to route/permitted.rs, so that attempts no longer imports attempt. Behaviour is unchanged.

--- a/crates/chicoryrail-ownership/src/keys/renewed_server.rs
+++ b/crates/chicoryrail-ownership/src/keys/renewed_server.rs
@@ -5,7 +5,7 @@
 use chicoryrail_core::Millis;
 
 use crate::keys::KeyRange;
-use crate::keys::renewer::FailedRenewal;
+use crate::keys::renewal::FailedRenewal;
 
 /// Server whose leases this host renews.
 #[derive(Debug)]
--- a/crates/chicoryrail-router/src/route/attempt.rs
+++ b/crates/chicoryrail-router/src/route/attempt.rs
@@ -11,44 +11,20 @@
 use http::Response;
 use monoio::time::timeout;
 
-use crate::control::Probe;
 use crate::route::attempts::Attempts;
 use crate::route::caller_request::CallerRequest;
+use crate::route::permitted::Overdue;
+use crate::route::permitted::Permitted;
+use crate::route::permitted::Sent;
 use crate::route::send::is_unanswered;
 use crate::route::send::record_overdue;
 use crate::route::send::send;
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
-use crate::route::slot_guard::SlotGuard;
 use crate::route::suspicion;
 use crate::state::Router;
 use crate::state::Service;
-use crate::state::Target;
-
-/// A server for a request that may be sent.
-pub(super) struct Permitted {
-    pub(super) target: Rc<Target>,
-    pub(super) slot: Rc<SlotGuard>,
-    /// The granted run of a suspected request.
-    pub(super) probe: Option<Probe>,
-}
-
-/// A send that has got no response within the usual time, and may still get one.
-pub(super) struct Overdue<'a> {
-    life: Life,
-    /// Time without a response after which the send was overdue.
-    limit: Millis,
-    sent: LocalBoxFuture<'a, SendOutcome>,
-}
-
-/// A send after the usual time for its response.
-pub(super) enum Sent<'a> {
-    /// The send has ended.
-    Ended(SendOutcome),
-    /// The send has no response yet, and the request may be sent again.
-    Overdue(Overdue<'a>),
-}
 
 /// End of an overdue send beside which the request was sent again.
 enum Raced {
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -11,10 +11,10 @@
 use http::Response;
 use monoio::time::timeout;
 
-use crate::route::attempt::Permitted;
-use crate::route::attempt::Sent;
 use crate::route::caller_request::CallerRequest;
 use crate::route::candidates;
+use crate::route::permitted::Permitted;
+use crate::route::permitted::Sent;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::route::send_outcome::NotRun;
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod forwarded;
 mod in_flight;
+mod permitted;
 mod queue_identity;
 mod refusal;
 mod request_identity;
