fix: bytes without end in place of a response

Servers may send bytes that are no answer until their caller closes.

- The HTTP layer reads interim heads for as long as they arrive, on the only thread of the process.
A connection reads 256 KiB until the head of a response is complete, and fails then.
- A body over twice as long as every complete one of its route, of which 32 were seen, may have no end.
The read is sent to another server, within the limits of any retry, and the response stays in hand: the caller gets it if the other one is as long or there is none.
It counts against the server like a broken connection (send_unusual).
- A refusal is decided by its head.
The rest is read aside for 100 ms, so that the connection can be used again.
- In a reply of a relay or of the store that is arriving, any byte counted as progress. 1 KiB must arrive in each wait.

A streamed response of declared length now returns its connection: the caller's side does not ask for more at its end, and the connection was closed each time.

Not covered: orders and downloads, and reads on routes whose usual responses are over 32 KiB, get what the server sends until the caller leaves.

--- a/crates/chicoryrail-router/src/control/config_feed/relay_poll.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay_poll.rs
@@ -42,6 +42,9 @@
 /// enough that every host knows of a draining server within 2 s.
 const REPLY_SLACK: Millis = Millis(350);
 
+/// Bytes of a reply that arrive in each [`REPLY_SLACK`]; a relay that sends less is left for another one.
+const REPLY_PIECE_BYTES: usize = 1 << 10;
+
 /// Size from which a reply is logged, with the time for which it occupied the link.
 const LARGE_REPLY_BYTES: usize = 64 << 10;
 
@@ -95,6 +98,7 @@
     let timeouts = ResponseTimeouts {
         first_piece: POLL_MAX + REPLY_SLACK,
         next_piece: REPLY_SLACK,
+        piece_bytes: REPLY_PIECE_BYTES,
     };
     // A reply that is still arriving counts as one, so that a leaf host does not start to watch the store.
     let arrived = || router.source.last_relay_reply.set(router.now());
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -40,8 +40,9 @@
     pub(super) tried: Vec<Life>,
     /// Number of sends that the server may have executed.
     pub(super) possible_runs: u32,
-    /// Last error response of a server. The caller gets it if no later send gets a response.
-    pub(super) server_error: Option<Response<Body>>,
+    /// Response in hand that is a server error, or that may have no end. The caller gets it if no later send gets a
+    /// response.
+    pub(super) kept: Option<Response<Body>>,
 }
 
 /// Serves a request, with retries within the limits of its route and the retry budget.
@@ -65,10 +66,10 @@
         body,
         tried: Vec::new(),
         possible_runs: 0,
-        server_error: None,
+        kept: None,
     };
     let served = attempts.run().await;
-    served.or_else(|refusal| attempts.server_error.take().ok_or(refusal))
+    served.or_else(|refusal| attempts.kept.take().ok_or(refusal))
 }
 
 impl Attempts<'_> {
@@ -89,12 +90,13 @@
                 // Evidence against the request arrived before anything was sent; it waits for its turn.
                 SendOutcome::NotRun(NotRun::Suspected) => {}
                 SendOutcome::Answered(response) => return Ok(response),
-                SendOutcome::ServerError(response) => {
+                SendOutcome::ServerError(response) | SendOutcome::Unusual(response) => {
                     self.possible_runs += 1;
+                    let response = self.prefer(response);
                     if !self.may_retry(true) {
                         return Ok(response);
                     }
-                    self.server_error = Some(response);
+                    self.kept = Some(response);
                 }
                 SendOutcome::NotRun(why) => {
                     if !self.may_retry(why.reached_server()) {
@@ -111,6 +113,14 @@
         }
     }
 
+    /// Returns `response`, or the one in hand if only that is a success.
+    fn prefer(&mut self, response: Response<Body>) -> Response<Body> {
+        match self.kept.take() {
+            Some(kept) if kept.status().is_success() && !response.status().is_success() => kept,
+            _ => response,
+        }
+    }
+
     /// Reads the start of an upload that took its slot before it was read.
     async fn read_upload_start(&self) -> Result<(), Refusal> {
         if self.body.flow().is_none() {
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -81,7 +81,7 @@
     let conn = in_flight.attach(conn);
     let sent_at = router.now();
     let request = new_request(call, &target, body, sent_at);
-    let response = match conn.sender.try_send_request(request).await {
+    let response = match conn.send(request).await {
         Ok(response) => response,
         Err(mut error) => {
             // The error returns the request only if it was never written.
--- a/crates/chicoryrail-router/src/route/forward.rs
+++ b/crates/chicoryrail-router/src/route/forward.rs
@@ -192,7 +192,7 @@
     *request.uri_mut() = uri;
     call.stats.borrow_mut().via = Some(forwarder.addr);
     let conn = in_flight.attach_forwarder(conn, forwarder);
-    let mut error = match conn.sender.try_send_request(request).await {
+    let mut error = match conn.send(request).await {
         Ok(response) => return handle_end(router, call, response, in_flight).await,
         Err(error) => error,
     };
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -138,7 +138,9 @@
 
 fn end_of(sent: SendOutcome) -> Result<Response<Body>, ForwardEnd> {
     Err(match sent {
-        SendOutcome::Answered(response) | SendOutcome::ServerError(response) => {
+        SendOutcome::Answered(response)
+        | SendOutcome::ServerError(response)
+        | SendOutcome::Unusual(response) => {
             let mut response = response;
             ForwardEnd::Answered.write(response.headers_mut());
             return Ok(response);
--- a/crates/chicoryrail-router/src/route/in_flight.rs
+++ b/crates/chicoryrail-router/src/route/in_flight.rs
@@ -91,13 +91,19 @@
 
     /// Ends the request after its complete response. If `reuse` is set, the connection returns to the pool of a server
     /// that is ready.
-    pub(crate) fn complete(mut self, reuse: bool) {
-        let is_sent = self.body_sent.as_ref().is_none_or(|sent| sent.get());
-        let keeps = reuse && is_sent && (!self.is_direct() || self.target.keeps_connections());
-        if let Some((conn, pool)) = self.detach().filter(|_| keeps) {
+    pub(crate) fn complete(self, reuse: bool) {
+        if let Some((conn, pool)) = self.end(reuse) {
             pool.release(conn);
         }
     }
+
+    /// Ends the request and returns its connection, with the pool to which it returns, if `reuse` is set and the server is
+    /// ready. The rest of the response may still be unread.
+    pub(crate) fn end(mut self, reuse: bool) -> Option<(ServerConn, Rc<ServerPool>)> {
+        let is_sent = self.body_sent.as_ref().is_none_or(|sent| sent.get());
+        let keeps = reuse && is_sent && (!self.is_direct() || self.target.keeps_connections());
+        self.detach().filter(|_| keeps)
+    }
 }
 
 impl Drop for InFlight {
--- a/crates/chicoryrail-router/src/route/request_stats.rs
+++ b/crates/chicoryrail-router/src/route/request_stats.rs
@@ -18,6 +18,8 @@
     pub(crate) decided_by_scheduler: bool,
     /// Number of sends that the server may have executed.
     pub(crate) possible_runs: u32,
+    /// Whether a server's response to the request was far longer than all others of the route.
+    pub(crate) had_unusual_response: bool,
     /// Host that was last asked to pass the request on; `None` if it was only sent directly.
     pub(crate) via: Option<SocketAddr>,
 }
--- a/crates/chicoryrail-router/src/route/response_body.rs
+++ b/crates/chicoryrail-router/src/route/response_body.rs
@@ -1,14 +1,17 @@
 //! Forwards the body of a server's response to the caller.
 
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
 use bytes::BytesMut;
 use chicoryrail_core::RouteKind;
+use chicoryrail_policy::ResponseSizes;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::HeldBytes;
 use chicoryrail_runtime::full_body;
@@ -93,17 +96,18 @@
 }
 
 /// Converts the start of a body into the caller's body, which ends the request in flight when it is complete.
-pub(crate) fn into_body(start: BodyStart, in_flight: InFlight, reuse: bool) -> Body {
+pub(crate) fn into_body(start: BodyStart, exchange: Exchange) -> Body {
     match start {
         BodyStart::Whole(bytes) => {
-            in_flight.complete(reuse);
+            exchange.complete(bytes.len() as u64);
             full_body(bytes)
         }
         BodyStart::Partial(first, rest, held) => Box::pin(StreamedBody {
+            bytes: first.len() as u64,
             first: Some(first),
             rest,
             _held: held,
-            in_flight: Some((in_flight, reuse)),
+            exchange: Some(exchange),
         }),
     }
 }
@@ -114,8 +118,41 @@
     first: Option<Bytes>,
     rest: Incoming,
     _held: Option<HeldBytes>,
-    /// The request, and whether its connection may be reused; `None` once the body has ended.
-    in_flight: Option<(InFlight, bool)>,
+    /// Bytes of the body so far.
+    bytes: u64,
+    /// `None` once the body has ended.
+    exchange: Option<Exchange>,
+}
+
+impl BodyStart {
+    /// Returns the number of bytes of the body, or the smallest that it can have.
+    pub(crate) fn size_min(&self) -> u64 {
+        match self {
+            Self::Whole(bytes) => bytes.len() as u64,
+            Self::Partial(first, rest, _) => first.len() as u64 + rest.size_hint().lower(),
+        }
+    }
+}
+
+/// A request at a server until the end of its response.
+pub(crate) struct Exchange {
+    pub(crate) in_flight: InFlight,
+    /// Whether the connection may be used again.
+    pub(crate) reuse: bool,
+    /// Sizes of the route's complete responses; `None` if this one does not count.
+    pub(crate) sizes: Option<Rc<Cell<ResponseSizes>>>,
+}
+
+impl Exchange {
+    /// Ends the request after its complete response, whose body has `bytes`.
+    fn complete(self, bytes: u64) {
+        if let Some(cell) = self.sizes {
+            let mut sizes = cell.get();
+            sizes.record(bytes);
+            cell.set(sizes);
+        }
+        self.in_flight.complete(self.reuse);
+    }
 }
 
 impl HttpBody for StreamedBody {
@@ -132,16 +169,25 @@
         match Pin::new(&mut self.rest).poll_frame(cx) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(None) => {
-                if let Some((in_flight, reuse)) = self.in_flight.take() {
-                    in_flight.complete(reuse);
+                if let Some(exchange) = self.exchange.take() {
+                    exchange.complete(self.bytes);
                 }
                 Poll::Ready(None)
             }
             Poll::Ready(Some(Err(e))) => {
-                self.in_flight = None;
+                self.exchange = None;
                 Poll::Ready(Some(Err(io::Error::other(e))))
             }
-            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Ok(frame))) => {
+                self.bytes += frame.data_ref().map_or(0, Bytes::len) as u64;
+                // The caller's connection does not ask for more of a body that has reached its declared length.
+                if self.rest.is_end_stream()
+                    && let Some(exchange) = self.exchange.take()
+                {
+                    exchange.complete(self.bytes);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
         }
     }
 
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -67,7 +67,7 @@
     };
     if matches!(
         sent,
-        SendOutcome::ServerError(_) | SendOutcome::Indeterminate(_)
+        SendOutcome::ServerError(_) | SendOutcome::Unusual(_) | SendOutcome::Indeterminate(_)
     ) {
         call.stats.borrow_mut().possible_runs += 1;
     }
--- a/crates/chicoryrail-router/src/route/send_outcome.rs
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -14,6 +14,8 @@
     Answered(Response<Body>),
     /// The server ran the request and responded with a server error.
     ServerError(Response<Body>),
+    /// The response is far longer than all others of the route, and may have no end. It is still being streamed.
+    Unusual(Response<Body>),
     /// The request has certainly not run and never will.
     NotRun(NotRun),
     /// Indeterminate: the request may have run, or may still run.
@@ -109,6 +111,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::ServerError(_) => "server_error",
+            Self::Unusual(_) => "unusual",
             Self::NotRun(NotRun::Unreachable) => "unreachable",
             Self::NotRun(NotRun::NoPath) => "no_path",
             Self::NotRun(NotRun::NoConnection) => "no_connection",
@@ -142,7 +145,8 @@
             | Self::Indeterminate(Indeterminate::BodyFailed(_)) => None,
             Self::ServerError(_) => Some(Failure::Error),
             Self::NotRun(NotRun::Refused) => Some(Failure::Full),
-            Self::NotRun(NotRun::Unreachable)
+            Self::Unusual(_)
+            | Self::NotRun(NotRun::Unreachable)
             | Self::Indeterminate(
                 Indeterminate::Broken
                 | Indeterminate::Ended
--- a/crates/chicoryrail-router/src/route/server_exchange.rs
+++ b/crates/chicoryrail-router/src/route/server_exchange.rs
@@ -5,6 +5,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_core::RouteKind;
 use chicoryrail_platform::call_header;
+use chicoryrail_policy::ResponseSizes;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::RequestBody;
 use chicoryrail_runtime::is_connection_close;
@@ -15,10 +16,12 @@
 use http::StatusCode;
 use http::header::CONTENT_ENCODING;
 use hyper::body::Incoming;
+use monoio::time::timeout;
 
 use crate::route::caller_request::CallerRequest;
 use crate::route::in_flight::InFlight;
 use crate::route::response_body;
+use crate::route::response_body::Exchange;
 use crate::route::send_outcome::Indeterminate;
 use crate::route::send_outcome::NotRun;
 use crate::route::send_outcome::SendOutcome;
@@ -27,6 +30,9 @@
 use crate::state::Service;
 use crate::state::Target;
 
+/// Longest time for reading the rest of a refusal, so that its connection can be used again.
+const REFUSAL_READ_TIMEOUT: Millis = Millis(100);
+
 /// Checks a response, records what its headers report of the server and starts its body.
 pub(super) async fn handle_response(
     router: &Router,
@@ -50,8 +56,9 @@
         reach.record_response(router.now(), &in_flight.target.dc);
     }
     server_report::record_load(router, service, &in_flight, &head.headers);
+    let reuse = !is_connection_close(&head.headers);
     if head.status == StatusCode::MISDIRECTED_REQUEST {
-        drain(body, in_flight).await;
+        discard(body, in_flight, reuse);
         return SendOutcome::NotRun(NotRun::Misdirected);
     }
     server_report::record_rate_limit(router, &in_flight, &head.headers);
@@ -60,14 +67,13 @@
         server_report::record_backoff(router, call, &in_flight, &head.headers);
     }
     if head.headers.contains_key(call_header::NOT_RUN) {
-        drain(body, in_flight).await;
+        discard(body, in_flight, reuse);
         return SendOutcome::NotRun(NotRun::Refused);
     }
     let stamped = head.headers.contains_key(call_header::UPSTREAM_STAMP);
     if !stamped || echoed.is_none() || head.headers.contains_key(CONTENT_ENCODING) {
         return SendOutcome::Indeterminate(Indeterminate::Spoiled);
     }
-    let reuse = !is_connection_close(&head.headers);
     let held = router.response_budget().map(|budget| budget.take(0));
     let start =
         match response_body::read_start(body, response_body::buffer_limit(call.route.kind), held)
@@ -80,24 +86,51 @@
     head.version = http::Version::HTTP_11;
     head.extensions.clear();
     let is_server_error = head.status.is_server_error();
-    if matches!(start, response_body::BodyStart::Partial(..)) {
+    let is_streamed = matches!(start, response_body::BodyStart::Partial(..));
+    if is_streamed {
         head.extensions.insert(response_body::Streamed);
     }
-    let response = Response::from_parts(head, response_body::into_body(start, in_flight, reuse));
+    let sizes = router.route_stats.response_sizes(&call.route.name);
+    let is_unusual = is_streamed && is_unusual(call, sizes.get(), start.size_min());
+    let exchange = Exchange {
+        in_flight,
+        reuse,
+        sizes: head.status.is_success().then_some(sizes),
+    };
+    let response = Response::from_parts(head, response_body::into_body(start, exchange));
     if is_server_error {
         SendOutcome::ServerError(response)
+    } else if is_unusual {
+        SendOutcome::Unusual(response)
     } else {
         SendOutcome::Answered(response)
     }
 }
 
-/// Discards a short response body, so that the connection can be reused.
-async fn drain(body: Incoming, in_flight: InFlight) {
-    let read =
-        response_body::read_start(body, response_body::buffer_limit(RouteKind::Read), None).await;
-    if matches!(read, Ok(response_body::BodyStart::Whole(_))) {
-        in_flight.complete(true);
+/// Returns `true` if a response of `bytes` or more is far longer than all others of its route, so that the request should
+/// be sent to another server. If that one's response is as long, it is the right one.
+fn is_unusual(call: &CallerRequest, sizes: ResponseSizes, bytes: u64) -> bool {
+    if call.route.kind != RouteKind::Read || call.is_forwarded || !sizes.is_unusual(bytes) {
+        return false;
     }
+    let had_unusual = &mut call.stats.borrow_mut().had_unusual_response;
+    !std::mem::replace(had_unusual, true)
+}
+
+/// Ends a request whose response head says that it did not run. Its body is read aside: it may never end, and the request
+/// can be sent to another server at once.
+fn discard(body: Incoming, in_flight: InFlight, reuse: bool) {
+    let Some((conn, pool)) = in_flight.end(reuse) else {
+        return;
+    };
+    monoio::spawn(async move {
+        let limit = response_body::buffer_limit(RouteKind::Read);
+        let read = response_body::read_start(body, limit, None);
+        let read = timeout(REFUSAL_READ_TIMEOUT.to_duration(), read).await;
+        if matches!(read, Ok(Ok(response_body::BodyStart::Whole(_)))) {
+            pool.release(conn);
+        }
+    });
 }
 
 /// Builds the request to the server, with the time that is left and the server that is expected at the address.
--- a/crates/chicoryrail-router/src/route/suspicion.rs
+++ b/crates/chicoryrail-router/src/route/suspicion.rs
@@ -117,6 +117,9 @@
             }
             return SendOutcome::Answered(response.map(|body| WatchedBody::wrap(body, run())));
         }
+        SendOutcome::Unusual(response) if may_have_ended() => {
+            return SendOutcome::Unusual(response.map(|body| WatchedBody::wrap(body, run())));
+        }
         SendOutcome::Answered(_) | SendOutcome::ServerError(_) => {
             if let Some(request) = request_in_evidence(router, call, body) {
                 control::record_complete(router, request);
--- a/crates/chicoryrail-router/src/state/route_stats.rs
+++ b/crates/chicoryrail-router/src/state/route_stats.rs
@@ -1,10 +1,13 @@
 //! What this host has observed of each route's responses.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::rc::Rc;
 
 use chicoryrail_core::Millis;
 use chicoryrail_core::Route;
+use chicoryrail_policy::ResponseSizes;
 use chicoryrail_policy::ResponseTimes;
 
 /// Observations of each route's responses, by the route's name.
@@ -14,6 +17,8 @@
     work_means: RefCell<HashMap<String, f64>>,
     /// Response times of each route that tolerates waiting.
     response_times: RefCell<HashMap<String, ResponseTimes>>,
+    /// Sizes of each route's complete responses.
+    response_sizes: RefCell<HashMap<String, Rc<Cell<ResponseSizes>>>>,
 }
 
 impl RouteStats {
@@ -51,6 +56,15 @@
         }
     }
 
+    /// Returns the sizes of the route's complete responses.
+    pub(crate) fn response_sizes(&self, route: &str) -> Rc<Cell<ResponseSizes>> {
+        let mut sizes = self.response_sizes.borrow_mut();
+        match sizes.get(route) {
+            Some(sizes) => Rc::clone(sizes),
+            None => Rc::clone(sizes.entry(route.to_owned()).or_default()),
+        }
+    }
+
     /// Returns the time without a response after which a request of a route that tolerates waiting counts as
     /// unanswered; `None` if this host has observed too few responses.
     pub(crate) fn unanswered_after(&self, route: &Route) -> Option<Millis> {
--- a/crates/chicoryrail-runtime/src/http_client.rs
+++ b/crates/chicoryrail-runtime/src/http_client.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
+use hyper::client::conn::TrySendError;
 use monoio::time::timeout;
 use snafu::ResultExt;
 use snafu::Snafu;
@@ -67,6 +68,8 @@
     pub first_piece: Millis,
     /// Longest wait for further data.
     pub next_piece: Millis,
+    /// Bytes of the body that must arrive in each wait for further data.
+    pub piece_bytes: usize,
 }
 
 type Idle = HashMap<SocketAddr, Vec<ServerConn>>;
@@ -124,13 +127,14 @@
 
     /// Sends a request and returns the whole response, without a limit on the total time while data arrives.
     ///
-    /// Calls `on_progress` after each wait in which data was received. A limit on the total time would depend on the
+    /// Calls `on_progress` after each wait in which enough data was received. A limit on the total time would depend on the
     /// size of the response and the speed of the link: on a slow link, a long response that times out and is
     /// requested again never completes, and the discarded data fills the link.
     ///
     /// # Errors
     ///
-    /// Returns an [`HttpError`] if a wait ends without further data, or if the call fails.
+    /// Returns an [`HttpError`] if a wait ends with less data than [`ResponseTimeouts::piece_bytes`], or if the call
+    /// fails.
     pub async fn call_while_receiving(
         &self,
         addr: SocketAddr,
@@ -141,16 +145,18 @@
         let received = Cell::new(0);
         let mut exchange = pin!(self.exchange(addr, request, &received));
         let mut time_limit = timeouts.first_piece;
+        let mut bytes_min = 1;
         loop {
             let last_received = received.get();
             if let Ok(result) = timeout(time_limit.to_duration(), &mut exchange).await {
                 return result;
             }
-            if received.get() == last_received {
-                return Err(self.time_out(addr, last_received));
+            if received.get() < last_received + bytes_min {
+                return Err(self.time_out(addr, received.get()));
             }
             on_progress();
             time_limit = timeouts.next_piece;
+            bytes_min = timeouts.piece_bytes;
         }
     }
 
@@ -178,9 +184,9 @@
         let mut conn = self.connection(addr).await?;
         let request = http::Request::from_parts(head, full_body(body));
         let response = conn
-            .sender
-            .send_request(request)
+            .send(request)
             .await
+            .map_err(TrySendError::into_error)
             .context(CallSnafu { addr })?;
         let (head, body) = response.into_parts();
         conn.record_response(&head.headers);
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -30,6 +30,7 @@
 mod cut_paths;
 mod discard;
 mod guarded_body;
+mod head_limit;
 mod held_bytes;
 mod hop_by_hop;
 mod http_client;
--- a/crates/chicoryrail-runtime/src/server_pool.rs
+++ b/crates/chicoryrail-runtime/src/server_pool.rs
@@ -10,6 +10,10 @@
 use futures_util::future::select;
 use http::HeaderMap;
 use http::HeaderName;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use monoio::time::timeout;
@@ -20,6 +24,8 @@
 use crate::Clock;
 use crate::connect::connect;
 use crate::connect::is_lost;
+use crate::head_limit::HeadLimit;
+use crate::head_limit::HeadLimitedIo;
 
 /// Header in which a server states how long it keeps an idle connection open.
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -53,6 +59,7 @@
 pub struct ServerConn {
     /// Sends requests on the connection.
     pub sender: SendRequest<Body>,
+    head_limit: HeadLimit,
     closed: CancellationToken,
     clock: Clock,
     /// Time for which the server keeps the connection open after a response; `None` if it states none.
@@ -129,9 +136,11 @@
     pub(crate) async fn open<T: 'static>(addr: SocketAddr, guard: T) -> io::Result<Self> {
         let stream = connect(addr).await?;
         let io = stream.try_into_poll_io().map_err(|(e, _)| e)?;
+        let head_limit = HeadLimit::default();
+        let io = HeadLimitedIo::new(MonoioIo::new(io), head_limit.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
-            .handshake(MonoioIo::new(io))
+            .handshake(io)
             .await
             .map_err(io::Error::other)?;
         let closed = CancellationToken::new();
@@ -145,6 +154,7 @@
         });
         Ok(Self {
             sender,
+            head_limit,
             closed,
             clock: Clock::start(),
             keep_alive: None,
@@ -152,6 +162,22 @@
         })
     }
 
+    /// Sends a request and returns the response, whose body may still be arriving. What the server sends before the head
+    /// of the response is complete is limited to 256 KiB.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no response, with the request if nothing of it was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        self.head_limit.begin();
+        let response = self.sender.try_send_request(request).await;
+        self.head_limit.end();
+        response
+    }
+
     /// Records the head of a response, which may state how long the server keeps the connection open.
     pub fn record_response(&mut self, headers: &HeaderMap) {
         self.keep_alive = keep_alive_timeout(headers).or(self.keep_alive);
