--- a/crates/chicoryrail-policy/src/local/server_view.rs
+++ b/crates/chicoryrail-policy/src/local/server_view.rs
@@ -182,9 +182,9 @@
 
 /// Returns the pause of a server after this many refusals in a row.
 fn refusal_pause(refusals: u32) -> Millis {
-    let doublings = refusals.saturating_sub(FULL_SERVER_REFUSALS).min(16);
+    let doublings = refusals.saturating_sub(FULL_SERVER_REFUSALS);
     FULL_SERVER_PAUSE
-        .saturating_mul(1 << doublings)
+        .saturating_mul(2_u64.saturating_pow(doublings))
         .min(REFUSING_SERVER_PAUSE_MAX)
 }
 
--- a/crates/chicoryrail-router/src/control/config_feed/config_arrival.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/config_arrival.rs
@@ -10,10 +10,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Arrival {
     /// A reply of the store.
-    Store {
-        /// When the reply was complete.
-        received: Millis,
-    },
+    Store,
     /// A reply of a relay.
     Relay(RelayDelivery),
 }
@@ -35,11 +32,11 @@
 }
 
 impl Arrival {
-    /// Returns when a host that watches the store read the configuration, by this host's clock. How long the poll was in
-    /// transit is unknown, so that this is the earliest possible time.
-    fn read_at(&self) -> Option<Millis> {
+    /// Returns when a host that watches the store read the configuration of a message that arrived at `received`, by this
+    /// host's clock. How long a poll was in transit is unknown, so that this is the earliest possible time.
+    fn read_at(&self, received: Millis) -> Option<Millis> {
         match self {
-            Self::Store { received } => Some(*received),
+            Self::Store => Some(received),
             Self::Relay(delivery) => {
                 let written_at = delivery.sent + delivery.held;
                 Some(Millis(written_at.0.saturating_sub(delivery.config_age?.0)))
@@ -51,23 +48,23 @@
 /// Applies a message with `apply`; if that brings a configuration into force, logs how it arrived.
 pub(super) fn track_config(router: &Router, arrival: &Arrival, apply: impl FnOnce()) {
     let before = config_version(router);
-    let begun = router.now();
+    let received = router.now();
     apply();
     let version = config_version(router);
     if version == before {
         return;
     }
-    let read_at = arrival.read_at();
+    let read_at = arrival.read_at(received);
     router.source.config_read_at.set(read_at);
     let now = router.now();
-    let apply_ms = now.since(begun).0;
+    let apply_ms = now.since(received).0;
     let age = read_at.map(|at| now.since(at));
     if let Some(age) = age {
         router.counters.config_delay.set(age.0 as i64);
     }
     let age_ms = age.map_or_else(|| "-".to_owned(), |age| age.0.to_string());
     match arrival {
-        Arrival::Store { .. } => {
+        Arrival::Store => {
             log::info!(version = version, source = "store", apply_ms = apply_ms, age_ms = age_ms;
                 "config_arrived");
         }
--- a/crates/chicoryrail-router/src/control/config_feed/follow.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow.rs
@@ -142,10 +142,9 @@
         Err(e) => return WatchEnd::Failed(e),
     };
     record_store_call(router, "snapshot", None);
-    let arrival = Arrival::Store {
-        received: router.now(),
-    };
-    track_config(router, &arrival, || apply_snapshot(router, feed, &all));
+    track_config(router, &Arrival::Store, || {
+        apply_snapshot(router, feed, &all);
+    });
     if feed == Feed::Operator {
         router.organisations.mark_current(sent);
     }
@@ -185,11 +184,8 @@
         };
         record_store_call(router, "watch", None);
         *pause = RETRY_BACKOFF_MIN;
-        let arrival = Arrival::Store {
-            received: router.now(),
-        };
         let mut is_changed = false;
-        track_config(router, &arrival, || {
+        track_config(router, &Arrival::Store, || {
             is_changed = apply_changes(router, feed, &changes);
         });
         if is_changed {
