fix(platform): a host notices that it holds other items than its relay

A host that had the key from elsewhere, at a revision in between, kept it for good: a server that no longer exists, or an operator's key that was taken back.

Each log keeps a digest of its items' keys and revisions, and each reply of a relay has the digests in a header. A host whose digest differs at the revision of an update logs feed_diverged, passes nothing of that feed on, and reads all of it with its next poll.

--- a/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow_relay.rs
@@ -21,6 +21,7 @@
 use crate::control::scheduling;
 use crate::messages::ConfigAge;
 use crate::messages::CrashUpdate;
+use crate::messages::FEED_COUNT;
 use crate::messages::FollowerAnswer;
 use crate::messages::KeyMap;
 use crate::messages::KeyMapChanges;
@@ -67,13 +68,21 @@
         let sent = router.now();
         let known_crashes = router.source.crash_version.get();
         let pause = match poll(&router, &client, addr, Some(known_crashes)).await {
-            Ok(Polled { answer, delivery }) => {
+            Ok(Polled {
+                answer,
+                delivery,
+                digests,
+            }) => {
                 let FollowerAnswer { answer, crashes } = answer;
                 router.source.last_relay_reply.set(router.now());
                 let config_age = answer.reply.config;
+                let updated = FeedRevisions::of(&answer.reply);
                 track_config(&router, &Arrival::Relay(delivery), || {
                     apply_answer(&router, answer);
                 });
+                if let Some(digests) = digests {
+                    check_digests(&router, addr, &updated, &digests);
+                }
                 let has_crash_news = crashes.is_some();
                 if let Some(update) = crashes {
                     log_crash_news(addr, &update, router.now().since(sent));
@@ -144,6 +153,41 @@
     }
 }
 
+/// Revision to which a reply updated each feed; `None` for a feed that it did not update.
+struct FeedRevisions([Option<u64>; FEED_COUNT]);
+
+impl FeedRevisions {
+    fn of(reply: &RelayReply) -> Self {
+        Self(std::array::from_fn(|i| {
+            Some(match reply.news[i].as_ref()? {
+                FeedNews::Whole(all) => all.revision,
+                FeedNews::Changes(changes) => changes.revision,
+            })
+        }))
+    }
+}
+
+/// Compares the feeds that a reply updated with those of the relay at the same revision. If the items of one differ, this
+/// host has missed a change that the relay's updates do not contain, and reads the whole feed with its next poll.
+fn check_digests(
+    router: &Router,
+    relay: SocketAddr,
+    updated: &FeedRevisions,
+    digests: &[u64; FEED_COUNT],
+) {
+    let logs = router.feed_logs.borrow();
+    for (i, log) in logs.iter().enumerate() {
+        let Some(revision) = updated.0[i].filter(|r| log.last_revision() == Some(*r)) else {
+            continue;
+        };
+        let differs = log.digest() != digests[i];
+        if differs {
+            log::warn!(part:? = FEEDS[i], relay:% = relay, revision = revision; "feed_diverged");
+        }
+        router.source.diverged[i].set(differs);
+    }
+}
+
 /// Applies key maps and changes of key maps.
 pub(super) fn apply_keys(router: &Rc<Router>, maps: &[KeyMap], changes: &[KeyMapChanges]) {
     for map in maps {
--- a/crates/chicoryrail-router/src/control/config_feed/relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay.rs
@@ -55,6 +55,9 @@
 /// Header of a reply with the time in milliseconds since a host that watches the store read the relay's configuration.
 pub(super) const CONFIG_AGE_HEADER: HeaderName = HeaderName::from_static("config-age-ms");
 
+/// Header of a reply with the digest of each feed of the relay, separated by commas, once it has read all feeds.
+pub(super) const DIGESTS_HEADER: HeaderName = HeaderName::from_static("feed-digests");
+
 /// HTTP path of the relay.
 pub(super) const RELAY_PATH: &str = "/relay";
 
@@ -104,9 +107,22 @@
         }
     };
     set_times(&router, received, response.headers_mut());
+    set_digests(&router, response.headers_mut());
     response
 }
 
+/// Sets the header by which a host finds out whether it holds the same items after this reply.
+fn set_digests(router: &Router, headers: &mut HeaderMap) {
+    let logs = router.feed_logs.borrow();
+    if logs.iter().any(|log| log.last_revision().is_none()) {
+        return;
+    }
+    let digests: Vec<String> = logs.iter().map(|log| log.digest().to_string()).collect();
+    if let Ok(value) = HeaderValue::from_str(&digests.join(",")) {
+        headers.insert(DIGESTS_HEADER, value);
+    }
+}
+
 /// Sets the headers that tell how long the poll that arrived at `received` waited, and how old the configuration is.
 fn set_times(router: &Router, received: Millis, headers: &mut HeaderMap) {
     let now = router.now();
@@ -221,7 +237,10 @@
 ) -> RelayReply {
     let now = router.now();
     let logs = router.feed_logs.borrow();
-    let news = std::array::from_fn(|i| logs[i].since(poll.revisions[i]));
+    let news = std::array::from_fn(|i| {
+        let is_sound = !router.source.diverged[i].get();
+        logs[i].since(poll.revisions[i]).filter(|_| is_sound)
+    });
     let recovered_at = router.store_view.borrow().recovered_at();
     let peers = router.peers.borrow();
     RelayReply {
--- a/crates/chicoryrail-router/src/control/config_feed/relay_poll.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay_poll.rs
@@ -19,12 +19,14 @@
 use crate::control::config_feed::config_arrival::RelayDelivery;
 use crate::control::config_feed::follow::FEEDS;
 use crate::control::config_feed::relay::CONFIG_AGE_HEADER;
+use crate::control::config_feed::relay::DIGESTS_HEADER;
 use crate::control::config_feed::relay::HELD_HEADER;
 use crate::control::config_feed::relay::POLL_MAX;
 use crate::control::config_feed::relay::RELAY_PATH;
 use crate::messages::CrashVersion;
 use crate::messages::DecompressionError;
 use crate::messages::ENCODING;
+use crate::messages::FEED_COUNT;
 use crate::messages::FollowerAnswer;
 use crate::messages::FollowerPoll;
 use crate::messages::KeyFence;
@@ -52,6 +54,8 @@
 pub(super) struct Polled {
     pub(super) answer: FollowerAnswer,
     pub(super) delivery: RelayDelivery,
+    /// Digest of each feed of the relay; `None` if the relay does not tell.
+    pub(super) digests: Option<[u64; FEED_COUNT]>,
 }
 
 /// Why a relay gave no reply.
@@ -117,6 +121,7 @@
     Ok(Polled {
         answer: read_reply(&response)?,
         delivery,
+        digests: read_digests(response.headers()),
     })
 }
 
@@ -127,6 +132,13 @@
     }
 }
 
+/// Returns the digests of the relay's feeds.
+fn read_digests(headers: &HeaderMap) -> Option<[u64; FEED_COUNT]> {
+    let value = headers.get(DIGESTS_HEADER)?.to_str().ok()?;
+    let digests: Result<Vec<u64>, _> = value.split(',').map(str::parse).collect();
+    digests.ok()?.try_into().ok()
+}
+
 /// Returns a time in milliseconds from a header; `None` if the relay does not send it.
 fn header_millis(headers: &HeaderMap, name: &HeaderName) -> Option<Millis> {
     let value = headers.get(name)?.to_str().ok()?;
@@ -172,7 +184,10 @@
         host: router.boot().host.clone(),
         leaf: !router.source.is_core_host.get(),
         store: router.store_up.get(),
-        revisions: FEEDS.map(|feed| view.read_revision(feed)),
+        revisions: std::array::from_fn(|i| {
+            let is_known = !router.source.diverged[i].get();
+            view.read_revision(FEEDS[i]).filter(|_| is_known)
+        }),
         fences: fences.collect(),
     }
 }
--- a/crates/chicoryrail-router/src/state/source.rs
+++ b/crates/chicoryrail-router/src/state/source.rs
@@ -7,6 +7,7 @@
 use chicoryrail_runtime::ChangeSignal;
 
 use crate::messages::CrashVersion;
+use crate::messages::FEED_COUNT;
 
 /// Where this host reads the content of the store from.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,6 +38,8 @@
     /// When a host that watches the store read the configuration in force, by this host's clock; `None` if that is not
     /// known.
     pub(crate) config_read_at: Cell<Option<Millis>>,
+    /// For each feed, whether this host holds other items than its relay at the same revision, and reads all of them again.
+    pub(crate) diverged: [Cell<bool>; FEED_COUNT],
     /// Time of the last reply of a relay.
     pub(crate) last_relay_reply: Cell<Millis>,
 }
