--- a/crates/chicoryrail-router/src/control/config_feed/relay.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay.rs
@@ -11,8 +11,6 @@
 use chicoryrail_runtime::collect_body;
 use chicoryrail_runtime::error_response;
 use chicoryrail_runtime::full_body;
-use http::HeaderMap;
-use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -20,6 +18,7 @@
 use http::header::CONTENT_ENCODING;
 use monoio::time::timeout;
 
+use crate::control::config_feed::reply_headers;
 use crate::messages::ConfigAge;
 use crate::messages::CoreState;
 use crate::messages::CrashUpdate;
@@ -49,15 +48,6 @@
 /// Largest request body of a following host.
 const REQUEST_BYTES_MAX: usize = 64 << 10;
 
-/// Header of a reply with the time in milliseconds for which its poll waited at the relay.
-pub(super) const HELD_HEADER: HeaderName = HeaderName::from_static("held-ms");
-
-/// Header of a reply with the time in milliseconds since a host that watches the store read the relay's configuration.
-pub(super) const CONFIG_AGE_HEADER: HeaderName = HeaderName::from_static("config-age-ms");
-
-/// Header of a reply with the digest of each feed of the relay, separated by commas, once it has read all feeds.
-pub(super) const DIGESTS_HEADER: HeaderName = HeaderName::from_static("feed-digests");
-
 /// HTTP path of the relay.
 pub(super) const RELAY_PATH: &str = "/relay";
 
@@ -106,32 +96,10 @@
             return error_response(500, "the reply can't be written");
         }
     };
-    set_times(&router, received, response.headers_mut());
-    set_digests(&router, response.headers_mut());
+    reply_headers::set(&router, received, response.headers_mut());
     response
 }
 
-/// Sets the header by which a host finds out whether it holds the same items after this reply.
-fn set_digests(router: &Router, headers: &mut HeaderMap) {
-    let logs = router.feed_logs.borrow();
-    if logs.iter().any(|log| log.last_revision().is_none()) {
-        return;
-    }
-    let digests: Vec<String> = logs.iter().map(|log| log.digest().to_string()).collect();
-    if let Ok(value) = HeaderValue::from_str(&digests.join(",")) {
-        headers.insert(DIGESTS_HEADER, value);
-    }
-}
-
-/// Sets the headers that tell how long the poll that arrived at `received` waited, and how old the configuration is.
-fn set_times(router: &Router, received: Millis, headers: &mut HeaderMap) {
-    let now = router.now();
-    headers.insert(HELD_HEADER, HeaderValue::from(now.since(received).0));
-    if let Some(read_at) = router.source.config_read_at.get() {
-        headers.insert(CONFIG_AGE_HEADER, HeaderValue::from(now.since(read_at).0));
-    }
-}
-
 /// Waits until there are updates for a host whose poll arrived at `received`, for [`POLL_MAX`] at most.
 async fn wait_for_updates(
     router: &Router,
--- a/crates/chicoryrail-router/src/control/config_feed/relay_poll.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/relay_poll.rs
@@ -7,8 +7,6 @@
 use chicoryrail_runtime::HttpClient;
 use chicoryrail_runtime::HttpError;
 use chicoryrail_runtime::ResponseTimeouts;
-use http::HeaderMap;
-use http::HeaderName;
 use http::Request;
 use http::Response;
 use http::header::ACCEPT_ENCODING;
@@ -18,11 +16,9 @@
 
 use crate::control::config_feed::config_arrival::RelayDelivery;
 use crate::control::config_feed::follow::FEEDS;
-use crate::control::config_feed::relay::CONFIG_AGE_HEADER;
-use crate::control::config_feed::relay::DIGESTS_HEADER;
-use crate::control::config_feed::relay::HELD_HEADER;
 use crate::control::config_feed::relay::POLL_MAX;
 use crate::control::config_feed::relay::RELAY_PATH;
+use crate::control::config_feed::reply_headers;
 use crate::messages::CrashVersion;
 use crate::messages::DecompressionError;
 use crate::messages::ENCODING;
@@ -112,16 +108,16 @@
     let delivery = RelayDelivery {
         relay: addr,
         sent,
-        held: header_millis(response.headers(), &HELD_HEADER).unwrap_or_default(),
+        held: reply_headers::held(response.headers()).unwrap_or_default(),
         took: router.now().since(sent),
         bytes: response.body().len(),
-        config_age: header_millis(response.headers(), &CONFIG_AGE_HEADER),
+        config_age: reply_headers::config_age(response.headers()),
     };
     log_large_reply(&delivery);
     Ok(Polled {
         answer: read_reply(&response)?,
         delivery,
-        digests: read_digests(response.headers()),
+        digests: reply_headers::digests(response.headers()),
     })
 }
 
@@ -132,19 +128,6 @@
     }
 }
 
-/// Returns the digests of the relay's feeds.
-fn read_digests(headers: &HeaderMap) -> Option<[u64; FEED_COUNT]> {
-    let value = headers.get(DIGESTS_HEADER)?.to_str().ok()?;
-    let digests: Result<Vec<u64>, _> = value.split(',').map(str::parse).collect();
-    digests.ok()?.try_into().ok()
-}
-
-/// Returns a time in milliseconds from a header; `None` if the relay does not send it.
-fn header_millis(headers: &HeaderMap, name: &HeaderName) -> Option<Millis> {
-    let value = headers.get(name)?.to_str().ok()?;
-    value.parse().ok().map(Millis)
-}
-
 fn read_reply(response: &Response<Bytes>) -> Result<FollowerAnswer, RelayError> {
     let encoding = response.headers().get(CONTENT_ENCODING);
     if encoding.is_some_and(|e| e == ENCODING) {
--- a/crates/chicoryrail-router/src/control/config_feed/verify_config.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/verify_config.rs
@@ -9,7 +9,7 @@
 use crate::control::config_feed::config_arrival::Arrival;
 use crate::control::config_feed::config_arrival::track_config;
 use crate::control::config_feed::follow::apply_snapshot;
-use crate::control::config_feed::follow::record_store_call;
+use crate::control::config_feed::store_calls::record_store_call;
 use crate::state::Router;
 
 /// Time between two reads of the operator's keys.
--- a/crates/chicoryrail-router/src/control/leader/elect.rs
+++ b/crates/chicoryrail-router/src/control/leader/elect.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 
 use crate::control::config_feed::follow::LIVE;
-use crate::control::config_feed::follow::store_call;
+use crate::control::config_feed::store_calls::store_call;
 use crate::control::leader::leader_term::LeaderTerm;
 use crate::control::leader::take_over::lead_keys;
 use crate::control::leader::term_queries::query_hosts;
--- a/crates/chicoryrail-router/src/control/leader/key_calls.rs
+++ b/crates/chicoryrail-router/src/control/leader/key_calls.rs
@@ -18,7 +18,7 @@
 use chicoryrail_platform::Txn;
 use chicoryrail_runtime::Invariant;
 
-use crate::control::config_feed::follow::store_call;
+use crate::control::config_feed::store_calls::store_call;
 use crate::control::leader::call_log::GrantCall;
 use crate::control::leader::key_leader::KeyLeader;
 use crate::control::leader::take_over::record_store_key;
--- a/crates/chicoryrail-router/src/control/leader/take_over.rs
+++ b/crates/chicoryrail-router/src/control/leader/take_over.rs
@@ -15,7 +15,7 @@
 use chicoryrail_platform::StoreError;
 use chicoryrail_runtime::ChangeSignal;
 
-use crate::control::config_feed::follow::store_call;
+use crate::control::config_feed::store_calls::store_call;
 use crate::control::leader::key_leader::IDLE_CHECK_INTERVAL;
 use crate::control::leader::key_leader::KeyLeader;
 use crate::control::leader::leader_term::LeaderTerm;
--- a/crates/chicoryrail-router/src/control/membership/presence.rs
+++ b/crates/chicoryrail-router/src/control/membership/presence.rs
@@ -10,7 +10,7 @@
 use chicoryrail_platform::StoreError;
 use chicoryrail_platform::Txn;
 
-use crate::control::config_feed::follow::store_call;
+use crate::control::config_feed::store_calls::store_call;
 use crate::control::membership::source::join_core;
 use crate::state::Router;
 
--- a/crates/chicoryrail-router/src/control/membership/source.rs
+++ b/crates/chicoryrail-router/src/control/membership/source.rs
@@ -12,7 +12,7 @@
 
 use crate::control::config_feed::follow::LIVE;
 use crate::control::config_feed::follow::apply_snapshot;
-use crate::control::config_feed::follow::record_store_call;
+use crate::control::config_feed::store_calls::record_store_call;
 use crate::state::Router;
 use crate::state::Source;
 
--- a/crates/chicoryrail-router/src/state/mod.rs
+++ b/crates/chicoryrail-router/src/state/mod.rs
@@ -24,6 +24,7 @@
 mod traffic_limit;
 mod traffic_rules;
 mod view;
+mod view_log;
 
 pub(crate) use assignments::Assignment;
 pub(crate) use assignments::Assignments;
