fix(policy): only a server without a response for a second counts as refusing

The lines show 469 pauses of over 30 ms for full servers: at the limit, four refusals in a row are common while a server works on others, and its slots then stay empty.

The pause grows only once a server has refused for a second without a response. A full server completes some request in that time. refusing_servers.rs passes with its bounds as they were.

--- a/crates/chicoryrail-policy/src/local/server_view.rs
+++ b/crates/chicoryrail-policy/src/local/server_view.rs
@@ -36,9 +36,9 @@
 const FAILURE_HALF_LIFE_MS: f64 = 2_500.0;
 /// Time for which a server that refused a request as full gets no more.
 const FULL_SERVER_PAUSE: Millis = Millis(30);
-/// Refusals in a row up to which a server counts as full. A server that refuses more without a response in between does no
-/// work: its pause doubles with each further one, up to [`REFUSING_SERVER_PAUSE_MAX`].
-const FULL_SERVER_REFUSALS: u32 = 3;
+/// Time of refusals without a response in between from which a server counts as one that refuses everything: a full one
+/// completes some of its requests. Its pause doubles with each further refusal, up to [`REFUSING_SERVER_PAUSE_MAX`].
+const REFUSING_TIME_MIN: Millis = Millis(1_000);
 /// Longest pause of a server that refuses everything, after which it gets one more request.
 const REFUSING_SERVER_PAUSE_MAX: Millis = Millis(1_920);
 /// Step of the pause of a server whose connections fail: none after the first failure, then one step more after each,
@@ -66,7 +66,9 @@
     paused_until: Millis,
     /// Number of broken sends since the last successful response.
     broken_sends: u32,
-    /// Number of refusals since the last response.
+    /// When the server first refused a request after the last response; `None` if it did not.
+    refusing_since: Option<Millis>,
+    /// Number of refusals in a row after [`REFUSING_TIME_MIN`].
     refusals: u32,
 }
 
@@ -83,6 +85,7 @@
             failure_rate_at: Millis::ZERO,
             paused_until: Millis::ZERO,
             broken_sends: 0,
+            refusing_since: None,
             refusals: 0,
         }
     }
@@ -135,7 +138,7 @@
     ) {
         self.record_outcome(now, false);
         self.broken_sends = 0;
-        self.refusals = 0;
+        self.end_refusals();
         if had_slot && usual_us > 0.0 {
             let slowdown =
                 1.0 + (self.slowdown - 1.0) * decay(now, self.reported_at, SLOWDOWN_HALF_LIFE_MS);
@@ -149,7 +152,10 @@
     pub(crate) fn record_failure(&mut self, now: Millis, failure: Failure) -> Option<Millis> {
         match failure {
             Failure::Full => {
-                self.refusals = self.refusals.saturating_add(1);
+                let since = *self.refusing_since.get_or_insert(now);
+                if now.since(since) >= REFUSING_TIME_MIN {
+                    self.refusals = self.refusals.saturating_add(1);
+                }
                 let pause = refusal_pause(self.refusals);
                 self.paused_until = self.paused_until.max(now + pause);
                 self.other_requests = self.other_requests.max(f64::from(self.slots));
@@ -166,13 +172,18 @@
             }
             Failure::Error => {
                 self.record_outcome(now, true);
-                self.refusals = 0;
+                self.end_refusals();
             }
             Failure::Silent | Failure::Unanswered => self.record_outcome(now, true),
         }
         None
     }
 
+    fn end_refusals(&mut self) {
+        self.refusing_since = None;
+        self.refusals = 0;
+    }
+
     fn record_outcome(&mut self, now: Millis, failed: bool) {
         let before = self.failure_rate(now);
         self.failure_rate = before + (f64::from(u8::from(failed)) - before) * FAILURE_SMOOTHING;
@@ -180,11 +191,11 @@
     }
 }
 
-/// Returns the pause of a server after this many refusals in a row.
+/// Returns the pause of a server that refused a request, after this many refusals for which it counts as refusing
+/// everything.
 fn refusal_pause(refusals: u32) -> Millis {
-    let doublings = refusals.saturating_sub(FULL_SERVER_REFUSALS);
     FULL_SERVER_PAUSE
-        .saturating_mul(2_u64.saturating_pow(doublings))
+        .saturating_mul(2_u64.saturating_pow(refusals))
         .min(REFUSING_SERVER_PAUSE_MAX)
 }
 
