--- a/crates/chicoryrail-router/src/control/config_feed/follow.rs
+++ b/crates/chicoryrail-router/src/control/config_feed/follow.rs
@@ -206,6 +206,9 @@
     if index.is_some_and(|i| !router.feed_logs.borrow_mut()[i].replace(all)) {
         return;
     }
+    if let Some(i) = index {
+        router.source.diverged[i].set(false);
+    }
     let view_changes = router
         .store_view
         .borrow_mut()
