feat(router): log what each request in hand at a stop waits for

in_hand stands once for each request (at most 100) at SIGTERM and once more at the exit, with stage, scheduler and number of writes; each end of a request on a stopping host is logged, whatever the sample, with stage and writes. No decision changes.

--- a/crates/chicoryrail-router/src/route/acquire.rs
+++ b/crates/chicoryrail-router/src/route/acquire.rs
@@ -13,6 +13,7 @@
 use crate::route::refusal::Refusal;
 use crate::route::slot_guard::SlotGuard;
 use crate::route::slot_query;
+use crate::state::Stage;
 use crate::state::Target;
 
 /// Divisor of the latency target; the result is the longest time for which a request without a scheduler waits for a
@@ -39,6 +40,7 @@
     /// the server by its own view of the load.
     async fn acquire_server(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
         let started = self.router.now();
+        self.call.progress.stage.set(Stage::Slot);
         let mut decision = self.request_slot().await;
         let tolerates_waiting = self.call.route.tolerates_waiting();
         if tolerates_waiting && matches!(decision, slot_query::Decision::Unavailable) {
@@ -70,6 +72,7 @@
 
     /// Chooses a server, and takes a quota token if one is needed, without the scheduler.
     async fn acquire_without_scheduler(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
+        self.call.progress.stage.set(Stage::Server);
         let target = self.wait_for_target().await?;
         if let Some((name, limit)) = self.call.needed_quota() {
             let (now, hosts) = (self.router.now(), self.router.standalone_hosts());
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -23,6 +23,7 @@
 use crate::route::suspicion::Permission;
 use crate::state::Router;
 use crate::state::Service;
+use crate::state::Stage;
 
 /// Longest time until a suspected request asks again whether it may run.
 const TURN_POLL_INTERVAL: Millis = Millis(20);
@@ -164,6 +165,7 @@
     ///
     /// Returns the refusal if the request has waited for too long since `begun`.
     async fn wait_for_turn(&self, begun: Millis) -> Result<(), Refusal> {
+        self.call.progress.stage.set(Stage::Turn);
         let now = self.router.now();
         let wait_max = self
             .call
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -43,13 +43,14 @@
     request: Request<Body>,
     from: SocketAddr,
 ) -> Response<Body> {
-    let serving = ServingGuard::new(&router);
+    let mut serving = ServingGuard::new(&router);
     let (head, body) = request.into_parts();
     let id = head.headers.get(call_header::REQUEST_ID).cloned();
     let expects_continue = head.headers.contains_key(EXPECT);
     await_config(&router).await;
     let mut response = match CallerRequest::parse(&router, head, from) {
         Ok(call) => {
+            serving.track(&call.progress);
             let body = upload::wrap_body(&router, &call, body, expects_continue);
             run(&router, call, body).await
         }
@@ -170,7 +171,8 @@
     let (outcome, response) = match result {
         Ok(response) => {
             let outcome = outcome(&response, took, call.route.latency_target);
-            if call.is_sampled(router) || outcome != "in_time" {
+            let is_stopping = router.process.stop.is_cancelled();
+            if call.is_sampled(router) || outcome != "in_time" || is_stopping {
                 log_end(call, outcome, took, Some(response.status()), None);
             }
             (outcome, response)
@@ -258,6 +260,7 @@
         status = status.map_or(0, |s| s.as_u16()), cause = cause, retry_after_ms = retry_after,
         took_ms = took.0, waited_ms = stats.waited.0, aim_ms = call.route.latency_target.0,
         time_ms = time_limit.0, server = server, sends = stats.sends, via = via,
+        stage = call.progress.stage.get().name(), writes = call.progress.writes.get(),
         chosen_by = chosen_by, key = key, config = call.config_version; "request_{outcome}");
 }
 
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -4,6 +4,7 @@
 use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use chicoryrail_core::Fingerprint;
@@ -32,6 +33,7 @@
 use crate::route::refusal::Cause;
 use crate::route::request_identity::RequestIdentity;
 use crate::route::request_stats::RequestStats;
+use crate::state::RequestProgress;
 use crate::state::Router;
 
 /// Minimum time before the deadline at which a request is still sent; with less, no response is expected in time.
@@ -66,6 +68,7 @@
     pub(crate) key: Option<u16>,
     pub(crate) arrived: Millis,
     pub(crate) stats: RefCell<RequestStats>,
+    pub(crate) progress: Rc<RequestProgress>,
     /// Cancelled when the caller disconnects before its response.
     pub(crate) caller_left: CancellationToken,
     /// The caller's deadline or the end of the route's timeout, whichever is earlier.
@@ -140,8 +143,10 @@
         (method, uri, headers): (Method, Uri, HeaderMap),
         to: Destination<'_>,
     ) -> Self {
+        let id = request_id(&headers);
         Self {
-            id: request_id(&headers),
+            progress: Rc::new(RequestProgress::new(&id, arrived)),
+            id,
             from,
             is_forwarded: false,
             has_probe: Cell::default(),
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -59,7 +59,7 @@
     request: Request<Body>,
     from: SocketAddr,
 ) -> Response<Body> {
-    let serving = ServingGuard::new(&router);
+    let mut serving = ServingGuard::new(&router);
     let (mut parts, body) = request.into_parts();
     let head = ForwardHead::take(&mut parts.headers);
     let call = strip_prefix(&parts.uri).and_then(|uri| {
@@ -69,6 +69,7 @@
     let (Some(head), Some(call)) = (head, call) else {
         return report(ForwardEnd::Unknown);
     };
+    serving.track(&call.progress);
     let started = router.now();
     let body = upload::wrap_body(&router, &call, body, false);
     let (end, response) = match pass_on(&router, &head, &call, &body).await {
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -27,6 +27,7 @@
 use crate::route::slot_guard::SlotGuard;
 use crate::state::Router;
 use crate::state::Service;
+use crate::state::Stage;
 use crate::state::Target;
 use crate::state::check_path;
 
@@ -44,6 +45,7 @@
     let started = Instant::now();
     let waited_before = body.flow().map(UploadFlow::caller_wait);
     call.stats.borrow_mut().via = None;
+    call.progress.stage.set(Stage::Connection);
     let not_run = call.stats.borrow().possible_runs == 0;
     let invariants = &router.process.invariants;
     invariants.check(
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -28,6 +28,7 @@
 use crate::route::slot_guard::send_to_scheduler;
 use crate::state::Router;
 use crate::state::Service;
+use crate::state::Stage;
 use crate::state::Target;
 
 /// Time after which a slot query without any reply is sent again.
@@ -126,12 +127,14 @@
                     query.overflowed = true;
                 }
                 query.scheduler = scheduler_for(router, service, &query.part, call);
+                call.progress.stage.set(Stage::Slot);
                 query.send(call, &excluded);
                 acknowledged = false;
                 resent = false;
                 last_activity = router.now();
             }
             Some(SlotReply::Waits) => {
+                call.progress.stage.set(Stage::Queue);
                 acknowledged = true;
                 resent = false;
                 last_activity = router.now();
@@ -227,6 +230,10 @@
             .route_stats
             .expected_work_us(&call.route.name, call.route.latency_target);
         let identity = QueueIdentity::new(call);
+        call.progress.scheduler.set(match self.scheduler {
+            SchedulerHost::At(addr) => Some(addr),
+            SchedulerHost::Here => None,
+        });
         let slot_query = SlotQuery {
             dc: self.router.boot().dc.clone(),
             part: self.part.clone(),
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -184,6 +184,7 @@
     shut_down(&router, &callers_stop, served).await;
     let _ = timeout(Millis(200).to_duration(), elected).await;
     internal_stop.cancel();
+    router.in_hand.log(router.now(), "stop");
     log::info!(serving = router.serving.get(); "stop");
     Ok(())
 }
@@ -209,6 +210,7 @@
     let grace = router.boot().bounds.grace;
     let end = router.now() + grace - EXIT_MARGIN;
     log::info!(serving = router.serving.get(), grace_ms = grace.0; "stopping");
+    router.in_hand.log(router.now(), "stopping");
     clock
         .sleep(BALANCER_REMOVAL_TIME.min(Millis(grace.0 / 2)))
         .await;
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -41,6 +41,7 @@
 use crate::state::Counters;
 use crate::state::Crashes;
 use crate::state::Forwarders;
+use crate::state::InHand;
 use crate::state::NewerKeys;
 use crate::state::Organisations;
 use crate::state::PendingQueries;
@@ -103,6 +104,8 @@
     pub(crate) limits: SharedLimits,
     /// Number of requests in progress.
     pub(crate) serving: Cell<u32>,
+    /// The requests in progress that have been parsed.
+    pub(crate) in_hand: InHand,
     /// Whether the store answered the last call. A leaf host also applies its relay's report on this.
     pub(crate) store_up: Cell<bool>,
     pub(crate) peer_socket: Rc<PeerSocket>,
@@ -166,6 +169,7 @@
             budget: ByteBudget::new(body_memory(&boot)),
             limits: Rc::new(Cell::new(limits)),
             serving: Cell::new(0),
+            in_hand: InHand::default(),
             store_up: Cell::new(false),
             peer_socket: Rc::clone(peer_socket),
             pending_queries: PendingQueries::default(),
