--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -324,6 +324,15 @@
         router
     }
 
+    /// Starts a router process with this grace period in seconds, and waits until it is ready for callers.
+    pub async fn router_with_grace(&self, name: &str, grace_s: u64) -> RouterProcess {
+        let grace = format!("grace_period_s = {grace_s}");
+        let boot = include_str!("boot.toml").replace("grace_period_s = 6", &grace);
+        let router = self.spawn_with(name, "0.5", self.store_addr, &boot, &[]);
+        wait_until("the router is ready", async || router.is_ready().await).await;
+        router
+    }
+
     /// Starts a router process on a host with a small CPU share, and waits until it is ready for callers.
     pub async fn low_power_router(&self, name: &str) -> RouterProcess {
         let router = self.spawn_on(name, LOW_CPU_SHARE);
