feat(policy): bounds of a request at a host that ends, and deadlines that a host shortens

A request's wait was bounded by its caller's deadline alone.

A slot query is repeated while it is queued; an earlier deadline in the repetition now replaces the one that the scheduler knows, and a response after the deadline has no value for the latency target either, so that a request which can't be served in its host's time is refused, or given a time to return, as soon as that is known. Before, the repetition changed nothing.

--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -68,6 +68,7 @@
 pub use local::LoadReport;
 pub use local::LocalBalancer;
 pub use local::PathChoice;
+pub use local::RequestBounds;
 pub use local::ResponseSizes;
 pub use local::ResponseTimes;
 pub use local::RetryBudget;
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -100,7 +100,8 @@
         self.servers.len()
     }
 
-    /// Enqueues a request; [`Scheduler::poll`] returns the decision on it. The call is idempotent by ticket.
+    /// Enqueues a request; [`Scheduler::poll`] returns the decision on it. The call is idempotent by ticket, but for an
+    /// earlier deadline, which replaces that of a waiting request: its host may have less time than when it asked first.
     ///
     /// Returns the server that the request was assigned to before, as the reply to an earlier query may have been lost.
     pub fn enqueue(&mut self, now: Millis, request: SlotRequest) -> Option<ServerId> {
@@ -109,16 +110,18 @@
             .filter(|(_, s)| s.has_request(request.ticket))
             .map(|(id, _)| *id)
             .next();
-        if assigned.is_none()
-            && !self
-                .waiting
-                .iter()
-                .any(|w| w.request.ticket == request.ticket)
-        {
-            self.any_tolerant |= request.tolerates_waiting;
-            self.waiting.push(WaitingRequest::new(now, request));
+        if assigned.is_some() {
+            return assigned;
+        }
+        let mut waiting = self.waiting.iter_mut();
+        match waiting.find(|w| w.request.ticket == request.ticket) {
+            Some(known) => known.request.limit_deadline(request.deadline),
+            None => {
+                self.any_tolerant |= request.tolerates_waiting;
+                self.waiting.push(WaitingRequest::new(now, request));
+            }
         }
-        assigned
+        None
     }
 
     /// Removes a request whose caller has cancelled.
--- a/crates/chicoryrail-policy/src/scheduler/slot_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/slot_request.rs
@@ -41,6 +41,15 @@
     pub body_bytes: u64,
 }
 
+impl SlotRequest {
+    /// Brings the deadline forward to `deadline` if that is earlier. A response after it has no value, so the latency
+    /// target is not later.
+    pub(crate) fn limit_deadline(&mut self, deadline: Millis) {
+        self.deadline = self.deadline.min(deadline);
+        self.latency_target = self.latency_target.min(self.deadline);
+    }
+}
+
 /// Servers that a request may be sent to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Placement {
--- a/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
@@ -32,7 +32,8 @@
 }
 
 impl WaitingRequest {
-    pub(crate) const fn new(now: Millis, request: SlotRequest) -> Self {
+    pub(crate) fn new(now: Millis, mut request: SlotRequest) -> Self {
+        request.limit_deadline(request.deadline);
         Self {
             request,
             enqueued_at: now,
--- a/crates/chicoryrail-policy/tests/scheduler.rs
+++ b/crates/chicoryrail-policy/tests/scheduler.rs
@@ -225,6 +225,37 @@
     assert_eq!((scheduler.occupancy().0, scheduler.queue_length()), (1, 0));
 }
 
+/// Guards against a request that waits for longer than its host, which was told to stop, has left: the repeated query says
+/// so, and the request is refused at once.
+#[rstest]
+#[case::enough_time(500, None)]
+#[case::too_little_time(50, Some(2))]
+#[case::more_time_changes_nothing(2_000, None)]
+fn a_repeated_query_shortens_the_time_of_a_request(
+    #[case] left: u64,
+    #[case] refused: Option<u64>,
+) {
+    let mut scheduler = scheduler(1);
+    let waiting = |now, time| SlotRequest {
+        tolerates_waiting: true,
+        ..request(2, now, 300, time)
+    };
+    for ticket in [10, 11] {
+        scheduler.enqueue(Millis(0), request(ticket, 0, 300, 800));
+    }
+    scheduler.enqueue(Millis(0), waiting(0, 800));
+    assert_eq!(scheduler.poll(Millis(0), any).len(), 2);
+    assert_eq!(scheduler.enqueue(Millis(10), waiting(10, left)), None);
+    let decisions = scheduler.poll(Millis(11), any);
+    let decided: Vec<u64> = decisions.iter().map(|(ticket, _)| *ticket).collect();
+    assert_eq!(decided, Vec::from_iter(refused), "{decisions:?}");
+    assert!(
+        !decisions
+            .iter()
+            .any(|(_, d)| matches!(d, Decision::Send(_)))
+    );
+}
+
 /// Guards against lost slots: a host dies with requests at a server, so no report of their end arrives. Their slots are
 /// free again after the callers' deadlines.
 #[test]
