fix(router): requests end before the process that holds them

Cause: the end of the process was a local variable of shut_down. Waits took their limit from the caller's deadline alone: a scheduler's queue, the start of a body, a connection, and sends that began some hundred milliseconds before the exit.

Change: ProcessEnd holds the end from SIGTERM on, and shortens with the grace period at a reload. CallerRequest::bounds is the one place that says how long a request may wait to be sent and for its response; the deadline itself is private. Every wait in the path of a request takes its limit there, at each step, and is woken when the end changes. What is not sent in time is refused as not run (cause stopping) with time left to go to another host; what has no response at the end is reported as indeterminate and does not count against the server. The slot query carries the time that this host has. A host passes on only what it can finish.

--- a/crates/chicoryrail-router/src/route/acquire.rs
+++ b/crates/chicoryrail-router/src/route/acquire.rs
@@ -6,7 +6,6 @@
 use monoio::time::timeout;
 
 use crate::route::attempts::Attempts;
-use crate::route::caller_request::SEND_TIME_MIN;
 use crate::route::choose::Choice;
 use crate::route::choose::choose;
 use crate::route::refusal::Cause;
@@ -54,6 +53,7 @@
             slot_query::Decision::Return(after) => Err(self.refuse_until(after)),
             slot_query::Decision::OverQuota(after) => Err(self.refuse(Cause::OverQuota, after)),
             slot_query::Decision::Withheld(why) => Err(self.refuse_withheld(why)),
+            slot_query::Decision::OutOfTime => Err(self.refuse_out_of_time()),
             slot_query::Decision::Unavailable => self.acquire_without_scheduler().await,
         };
         let mut stats = self.call.stats.borrow_mut();
@@ -96,9 +96,9 @@
         loop {
             let seen = self.service.changed.version();
             let now = self.router.now();
-            let left = self.call.time_left(now);
-            if left < SEND_TIME_MIN {
-                return Err(self.refuse(Cause::Late, Millis::ZERO));
+            let left = self.call.time_to_send(self.router);
+            if left == Millis::ZERO {
+                return Err(self.refuse_out_of_time());
             }
             let (cause, capacity_in) =
                 match choose(self.router, &self.service, self.call, &self.tried, now) {
--- a/crates/chicoryrail-router/src/route/attempt.rs
+++ b/crates/chicoryrail-router/src/route/attempt.rs
@@ -145,6 +145,6 @@
         return;
     }
     log::info!(request = call.id, server:% = life, service:% = service.name, tries = tries,
-        fence = service.keys.borrow().fence(), left_ms = call.time_left(router.now()).0;
+        fence = service.keys.borrow().fence(), left_ms = call.time_to_respond(router).0;
         "send_{}", sent.name());
 }
--- a/crates/chicoryrail-router/src/route/attempt_refusal.rs
+++ b/crates/chicoryrail-router/src/route/attempt_refusal.rs
@@ -2,7 +2,6 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_policy::Withheld;
-use chicoryrail_policy::retry_after;
 
 use crate::route::attempts::Attempts;
 use crate::route::choose::NO_SERVER_RETRY;
@@ -56,22 +55,22 @@
         }
     }
 
+    /// Refuses a request that could not be sent in time.
+    pub(super) fn refuse_out_of_time(&self) -> Refusal {
+        self.refuse(self.call.out_of_time_cause(self.router), Millis::ZERO)
+    }
+
     /// Builds a refusal. If a server may have executed an earlier send, the cause does not promise that the request has
     /// not run.
     pub(super) fn refuse(&self, cause: Cause, capacity_in: Millis) -> Refusal {
         if self.possible_runs > 0 {
             self.log_retry_refused(cause);
-            let cause = if cause == Cause::Late {
-                Cause::Silent
-            } else {
-                Cause::Broken
+            let cause = match cause {
+                Cause::Late | Cause::Stopping => Cause::Silent,
+                _ => Cause::Broken,
             };
             return cause.into();
         }
-        let left = self.call.time_left(self.router.now());
-        Refusal {
-            cause,
-            retry_after: Some(retry_after(&mut rand::rng(), capacity_in, left)),
-        }
+        self.call.refuse(self.router, cause, capacity_in)
     }
 }
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -21,6 +21,7 @@
 use crate::route::send_outcome::SendOutcome;
 use crate::route::suspicion;
 use crate::route::suspicion::Permission;
+use crate::route::upload;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Stage;
@@ -127,9 +128,8 @@
         if self.body.flow().is_none() {
             return Ok(());
         }
-        let left = self.call.time_left(self.router.now());
-        let read = self.body.prefetch(left).await;
-        read.map_err(|error| Cause::from(error).into())
+        let reading = self.body.prefetch(self.call.time_to_send(self.router));
+        upload::read_in_time(self.router, self.call, reading).await
     }
 
     /// Waits for a server, and until the request may be sent; `begun` is when the request began to wait.
@@ -171,7 +171,7 @@
             .call
             .route
             .latency_target
-            .min(Millis(self.call.time_left(now).0 / 2));
+            .min(Millis(self.call.time_to_send(self.router).0 / 2));
         if now.since(begun) >= wait_max || self.call.caller_left.is_cancelled() {
             suspicion::log_held_back(self.router, self.call, self.body);
             return Err(self.refuse(Cause::Suspected, TURN_RETRY));
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -153,8 +153,8 @@
     if let Some(flow) = body.flow() {
         upload::admit(router, call, body, flow).await?;
     } else {
-        let time_left = call.time_left(router.now());
-        body.prefetch(time_left).await.map_err(Cause::from)?;
+        let reading = body.prefetch(call.time_to_send(router));
+        upload::read_in_time(router, call, reading).await?;
     }
     attempts::run(router, call, body).await
 }
@@ -254,7 +254,7 @@
     };
     let cause = refusal.map_or("-", |r| r.cause.name());
     let retry_after = refusal.and_then(|r| r.retry_after).map_or(0, |m| m.0);
-    let time_limit = call.deadline.since(call.arrived);
+    let time_limit = call.deadline().since(call.arrived);
     let key = call.key.map_or_else(|| "-".to_owned(), |k| k.to_string());
     log::info!(request = call.id, route = call.route.name, service:% = call.service_name(),
         status = status.map_or(0, |s| s.as_u16()), cause = cause, retry_after_ms = retry_after,
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -36,9 +36,6 @@
 use crate::state::RequestProgress;
 use crate::state::Router;
 
-/// Minimum time before the deadline at which a request is still sent; with less, no response is expected in time.
-pub(crate) const SEND_TIME_MIN: Millis = Millis(5);
-
 /// A caller's request.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -71,8 +68,9 @@
     pub(crate) progress: Rc<RequestProgress>,
     /// Cancelled when the caller disconnects before its response.
     pub(crate) caller_left: CancellationToken,
-    /// The caller's deadline or the end of the route's timeout, whichever is earlier.
-    pub(crate) deadline: Millis,
+    /// The caller's deadline or the end of the route's timeout, whichever is earlier. A wait takes its limit from
+    /// [`Self::bounds`].
+    deadline: Millis,
     /// The caller's own deadline, which may be later: a refused caller retries until then.
     pub(crate) caller_deadline: Millis,
 }
@@ -221,8 +219,13 @@
         sample_interval > 0 && hash % sample_interval == 0
     }
 
-    /// Returns the time left until the deadline.
-    pub(crate) fn time_left(&self, now: Millis) -> Millis {
+    /// Returns the caller's deadline or the end of the route's timeout, whichever is earlier.
+    pub(crate) const fn deadline(&self) -> Millis {
+        self.deadline
+    }
+
+    /// Returns the time that the caller has left, at this host or another one.
+    pub(crate) fn caller_time_left(&self, now: Millis) -> Millis {
         self.deadline.since(now)
     }
 
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -81,7 +81,7 @@
     let conn = in_flight.attach(conn);
     let sent_at = router.now();
     call.progress.record_write();
-    let request = new_request(call, &target, body, sent_at);
+    let request = new_request(call, &target, body, call.time_to_respond(router));
     let response = match conn.send(request).await {
         Ok(response) => response,
         Err(mut error) => {
@@ -203,7 +203,7 @@
     let time_limit = if has_alternative {
         CONNECT_WAIT_MAX
     } else {
-        call.time_left(begun)
+        call.time_to_send(router)
     };
     let acquired = timeout(time_limit.to_duration(), target.pool.acquire(target.addr)).await;
     let error = match acquired {
--- a/crates/chicoryrail-router/src/route/forward.rs
+++ b/crates/chicoryrail-router/src/route/forward.rs
@@ -15,7 +15,6 @@
 use crate::messages::ForwardEnd;
 use crate::messages::ForwardHead;
 use crate::route::caller_request::CallerRequest;
-use crate::route::caller_request::SEND_TIME_MIN;
 use crate::route::candidates::permit;
 use crate::route::in_flight::InFlight;
 use crate::route::response_body;
@@ -64,7 +63,7 @@
         if let Some(why) = withheld(router, call, body, &target) {
             return SendOutcome::NotRun(why);
         }
-        if call.time_left(router.now()) < SEND_TIME_MIN {
+        if call.time_to_send(router) == Millis::ZERO {
             break;
         }
         let asked = ask(router, call, body, in_flight, forwarder).await;
@@ -179,7 +178,7 @@
         return Asked::NotSent(Box::new(in_flight), None);
     };
     let target = &in_flight.target;
-    let mut request = new_request(call, target, body, router.now());
+    let mut request = new_request(call, target, body, call.time_to_respond(router));
     in_flight.body_sent = body.sent_flag();
     let head = ForwardHead {
         service: in_flight.service.name.clone(),
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -17,7 +17,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use monoio::time::timeout;
 
 use crate::messages::FORWARD_PREFIX;
 use crate::messages::ForwardEnd;
@@ -98,6 +97,9 @@
     body: &Rc<RequestBody>,
 ) -> Result<Response<Body>, ForwardEnd> {
     let _forwarding = ForwardingGuard::begin(router).ok_or(ForwardEnd::Busy)?;
+    if call.time_to_send(router) == Millis::ZERO {
+        return Err(ForwardEnd::Busy);
+    }
     if let Some(flow) = body.flow() {
         let (declared, free) = (body.declared_rest(), router.budget.free());
         let plan = UploadPlan::passed_on(declared, free).ok_or(ForwardEnd::Busy)?;
@@ -119,12 +121,11 @@
     }
     let in_flight = InFlight::new(&service, &target, None);
     let sending = send_directly(router, call, body, in_flight, true);
-    let sent = timeout(call.time_left(now).to_duration(), sending).await;
-    match sent {
-        Ok(Ok(sent)) => end_of(sent),
-        Ok(Err(unsent)) if unsent.why == NoConnection::Limit => Err(ForwardEnd::Busy),
-        Ok(Err(_)) => Err(no_connection(&service, router.now())),
-        Err(_) => Err(ForwardEnd::Silent),
+    match call.wait_to_respond(router, sending).await {
+        Some(Ok(sent)) => end_of(sent),
+        Some(Err(unsent)) if unsent.why == NoConnection::Limit => Err(ForwardEnd::Busy),
+        Some(Err(_)) => Err(no_connection(&service, router.now())),
+        None => Err(ForwardEnd::Silent),
     }
 }
 
@@ -161,7 +162,7 @@
             Indeterminate::Ended => ForwardEnd::Ended,
             Indeterminate::Crossed => ForwardEnd::Crossed,
             Indeterminate::Spoiled | Indeterminate::Truncated => ForwardEnd::Spoiled,
-            Indeterminate::Silent => ForwardEnd::Silent,
+            Indeterminate::Silent | Indeterminate::Stopping => ForwardEnd::Silent,
         },
     })
 }
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -5,6 +5,7 @@
 mod attempt;
 mod attempt_refusal;
 mod attempts;
+mod bounds;
 mod caller;
 mod caller_request;
 mod candidates;
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
+use chicoryrail_policy::retry_after;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::BodyError;
 use chicoryrail_runtime::full_body;
@@ -12,6 +13,9 @@
 use http::header::RETRY_AFTER;
 use http::header::WWW_AUTHENTICATE;
 
+use crate::route::caller_request::CallerRequest;
+use crate::state::Router;
+
 /// Authentication scheme that a caller without a valid API key is asked to use.
 const CHALLENGE: &str = "ApiKey";
 
@@ -62,6 +66,8 @@
     CallerLeft,
     /// The deadline has passed, or too little time is left, and the request was not sent.
     Late,
+    /// This host's process ends before the request could be sent and served.
+    Stopping,
     /// The request was sent to a server, which returned no usable response.
     Broken,
     /// The request was sent to a server, which did not respond in time.
@@ -106,6 +112,7 @@
             Self::Blocked => "ends_servers",
             Self::CallerLeft => "caller_left",
             Self::Late => "late",
+            Self::Stopping => "stopping",
             Self::Broken => "broken",
             Self::Silent => "silent",
             Self::BrokenBody => "broken_body",
@@ -135,7 +142,8 @@
             | Self::Suspected
             | Self::Blocked
             | Self::CallerLeft
-            | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Late
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken | Self::BrokenBody => StatusCode::BAD_GATEWAY,
             Self::Silent | Self::StalledBody => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -175,6 +183,17 @@
     }
 }
 
+impl CallerRequest {
+    /// Builds the refusal of the request, of which nothing was sent; capacity is expected after `capacity_in`.
+    pub(super) fn refuse(&self, router: &Router, cause: Cause, capacity_in: Millis) -> Refusal {
+        let left = self.caller_time_left(router.now());
+        Refusal {
+            cause,
+            retry_after: Some(retry_after(&mut rand::rng(), capacity_in, left)),
+        }
+    }
+}
+
 impl From<BodyError> for Cause {
     /// Returns the cause with which a request is refused of whose body nothing was sent.
     fn from(error: BodyError) -> Self {
--- a/crates/chicoryrail-router/src/route/response_limit.rs
+++ b/crates/chicoryrail-router/src/route/response_limit.rs
@@ -42,7 +42,7 @@
     /// Returns `true` if the request should be sent again beside an overdue send, which consumes the retry budget, and logs
     /// why not. It should not if a usual server could not respond in the time that is left.
     pub(super) fn may_send_beside(&self) -> bool {
-        let is_too_late = self.call.time_left(self.router.now()) < self.expected_work();
+        let is_too_late = self.call.time_to_respond(self.router) < self.expected_work();
         let late = is_too_late.then_some(RetryDenial::Time);
         let denial = late.or_else(|| self.retry_denial());
         let denial = denial.or_else(|| (!self.take_retry()).then_some(RetryDenial::Budget));
@@ -99,7 +99,7 @@
             .inc();
         log::info!(request = self.call.id, server:% = life, service:% = self.service.name,
             route = self.call.route.name, limit_ms = limit.0, end = end,
-            left_ms = self.call.time_left(self.router.now()).0,
+            left_ms = self.call.time_to_respond(self.router).0,
             stopping = self.router.process.stop.is_cancelled(); "unanswered");
     }
 }
--- a/crates/chicoryrail-router/src/route/retry.rs
+++ b/crates/chicoryrail-router/src/route/retry.rs
@@ -1,7 +1,8 @@
 //! Decides whether a request is sent again after a send that did not serve it.
 
+use chicoryrail_core::Millis;
+
 use crate::route::attempts::Attempts;
-use crate::route::caller_request::SEND_TIME_MIN;
 use crate::route::refusal::Cause;
 
 /// Reason for which a request is not sent again.
@@ -65,7 +66,7 @@
             Some(RetryDenial::Attempts)
         } else if !self.body.is_replayable() {
             Some(RetryDenial::Body)
-        } else if self.call.time_left(self.router.now()) <= SEND_TIME_MIN {
+        } else if self.call.time_to_send(self.router) == Millis::ZERO {
             Some(RetryDenial::Time)
         } else if self.call.caller_left.is_cancelled() {
             Some(RetryDenial::CallerLeft)
@@ -86,14 +87,14 @@
     /// Logs why a request is not sent again.
     pub(super) fn log_retry_denied(&self, denial: RetryDenial) {
         log::info!(request = self.call.id, service:% = self.service.name, reason = denial.name(),
-            left_ms = self.call.time_left(self.router.now()).0,
+            left_ms = self.call.time_to_respond(self.router).0,
             stopping = self.router.process.stop.is_cancelled(); "retry_denied");
     }
 
     /// Logs that a request which a server may have run finds no server to be sent to again; `cause` is why.
     pub(super) fn log_retry_refused(&self, cause: Cause) {
         log::info!(request = self.call.id, service:% = self.service.name, cause = cause.name(),
-            left_ms = self.call.time_left(self.router.now()).0,
+            left_ms = self.call.time_to_respond(self.router).0,
             stopping = self.router.process.stop.is_cancelled(); "retry_refused");
     }
 }
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -13,7 +13,6 @@
 use chicoryrail_runtime::UploadFlow;
 use futures_util::future::Either;
 use futures_util::future::select;
-use monoio::time::timeout;
 
 use crate::route::caller_request::CallerRequest;
 use crate::route::direct::NoConnection;
@@ -55,12 +54,15 @@
     );
     let in_flight = InFlight::new(service, target, Some(Rc::clone(slot)));
     let exchange = exchange_unless_cut(router, call, body, in_flight);
-    let sent = match timeout(call.time_left(now).to_duration(), exchange).await {
-        Ok(sent) => sent,
-        Err(_) if body.flow().is_some_and(UploadFlow::awaits_caller) => {
+    let sent = match call.wait_to_respond(router, exchange).await {
+        Some(sent) => sent,
+        None if call.bounds(router).by_process_end => {
+            SendOutcome::Indeterminate(Indeterminate::Stopping)
+        }
+        None if body.flow().is_some_and(UploadFlow::awaits_caller) => {
             SendOutcome::Indeterminate(Indeterminate::BodyFailed(BodyError::Slow))
         }
-        Err(_) => {
+        None => {
             if !slot.is_forwarded() && !slot.is_overdue() {
                 record_no_response(router, service, target, call);
             }
--- a/crates/chicoryrail-router/src/route/send_outcome.rs
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -60,6 +60,8 @@
     Truncated,
     /// No response arrived in time.
     Silent,
+    /// No response arrived before the end of this host's process. It says nothing of the server.
+    Stopping,
     /// The caller's body broke off or stalled while it was being sent. It says nothing of the server.
     BodyFailed(BodyError),
 }
@@ -95,7 +97,7 @@
     /// Returns the cause with which the request ends if it is not sent again.
     pub(crate) const fn cause(self) -> Cause {
         match self {
-            Self::Silent => Cause::Silent,
+            Self::Silent | Self::Stopping => Cause::Silent,
             Self::BodyFailed(BodyError::Slow) => Cause::StalledBody,
             Self::BodyFailed(BodyError::Cut | BodyError::TooLarge) => Cause::BrokenBody,
             Self::Broken | Self::Ended | Self::Crossed | Self::Spoiled | Self::Truncated => {
@@ -126,6 +128,7 @@
             Self::Indeterminate(Indeterminate::Spoiled) => "spoiled",
             Self::Indeterminate(Indeterminate::Truncated) => "truncated",
             Self::Indeterminate(Indeterminate::Silent) => "silent",
+            Self::Indeterminate(Indeterminate::Stopping) => "stopping",
             Self::Indeterminate(Indeterminate::BodyFailed(_)) => "body_failed",
         }
     }
@@ -142,7 +145,7 @@
                 | NotRun::CallerLeft
                 | NotRun::Withheld(_),
             )
-            | Self::Indeterminate(Indeterminate::BodyFailed(_)) => None,
+            | Self::Indeterminate(Indeterminate::Stopping | Indeterminate::BodyFailed(_)) => None,
             Self::ServerError(_) => Some(Failure::Error),
             Self::NotRun(NotRun::Refused) => Some(Failure::Full),
             Self::Unusual(_)
--- a/crates/chicoryrail-router/src/route/server_exchange.rs
+++ b/crates/chicoryrail-router/src/route/server_exchange.rs
@@ -133,19 +133,19 @@
     });
 }
 
-/// Builds the request to the server, with the time that is left and the server that is expected at the address.
+/// Builds the request to the server, with the time that is left for the response and the server that is expected at the address.
 pub(super) fn new_request(
     call: &CallerRequest,
     target: &Target,
     body: &Rc<RequestBody>,
-    now: Millis,
+    time_left: Millis,
 ) -> Request<Body> {
     let mut request = Request::new(body.body());
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     let mut headers = call.headers.clone();
     headers.insert(call_header::EXPECTED_SERVER, target.expect_header.clone());
-    let time_left = HeaderValue::from(call.time_left(now).0.max(1));
+    let time_left = HeaderValue::from(time_left.0.max(1));
     headers.insert(call_header::TIME_LEFT, time_left);
     *request.headers_mut() = headers;
     request
--- a/crates/chicoryrail-router/src/route/slot_guard.rs
+++ b/crates/chicoryrail-router/src/route/slot_guard.rs
@@ -109,7 +109,7 @@
             part: self.part.clone(),
             server: self.server.clone(),
             schedulers,
-            deadline: call.deadline,
+            deadline: call.bounds(&self.router).respond_by,
             work_us: work as u64,
             body_bytes: call.body_bytes(),
         };
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -57,6 +57,8 @@
     OverQuota(Millis),
     /// Refuse: the servers that may run the request asked this host for no more.
     Withheld(Withheld),
+    /// The time in which the request may be sent from this host has ended.
+    OutOfTime,
     /// The scheduler did not reply in time, or it chose a server that this host can't send to.
     Unavailable,
 }
@@ -145,8 +147,9 @@
         if let Some(why) = withheld_by_owner(router, service, call, now) {
             return Decision::Withheld(why);
         }
-        if call.time_left(now) == Millis::ZERO {
-            return Decision::Refuse(Millis::ZERO);
+        let time_to_send = call.time_to_send(router);
+        if time_to_send == Millis::ZERO {
+            return Decision::OutOfTime;
         }
         let silence = now.since(last_activity);
         let resend_after = if acknowledged {
@@ -178,7 +181,7 @@
         } else {
             resend_after
         };
-        let wait = next_step.since(silence).min(call.time_left(now)) + Millis(1);
+        let wait = next_step.since(silence).min(time_to_send) + Millis(1);
         let changed = pin!(pending_reply.changed.wait_past(seen));
         let _ = timeout(wait.to_duration(), changed).await;
     }
@@ -244,7 +247,7 @@
             rank: call.priority(),
             organisation: call.needed_quota().map(|(name, _)| name.clone()),
             aim: (call.arrived + call.route.latency_target).since(now).0,
-            left: call.time_left(now).0,
+            left: call.time_to_respond(self.router).0,
             work_us: work as u64,
             large: call.route.kind == RouteKind::Download,
             not: excluded.to_vec(),
--- a/crates/chicoryrail-router/src/route/suspicion.rs
+++ b/crates/chicoryrail-router/src/route/suspicion.rs
@@ -72,7 +72,7 @@
         Standing::Blocked => return Permission::Blocked,
         Standing::Suspect(_) => {}
     }
-    let left = call.time_left(router.now());
+    let left = call.time_to_respond(router);
     let probe = begin_probe(router, service, call.fingerprint(body), left).await;
     match probe {
         Some(probe) => {
--- a/crates/chicoryrail-router/src/route/upload.rs
+++ b/crates/chicoryrail-router/src/route/upload.rs
@@ -7,7 +7,6 @@
 use chicoryrail_core::RouteKind;
 use chicoryrail_policy::UPLOAD_WINDOW_BYTES;
 use chicoryrail_policy::UploadPlan;
-use chicoryrail_policy::retry_after;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::BodyError;
 use chicoryrail_runtime::RequestBody;
@@ -57,20 +56,36 @@
         return Err(Cause::from(error).into());
     }
     let (declared, free) = (body.declared_rest(), router.budget.free());
-    let left = call.time_left(router.now());
     let Some(plan) = UploadPlan::new(router.options.upload_reading, declared, free) else {
         let work_us = router
             .route_stats
             .expected_work_us(&call.route.name, call.route.latency_target);
         let memory_in = Millis((work_us / 1_000.0) as u64);
-        return Err(Refusal {
-            cause: Cause::HostMemory,
-            retry_after: Some(retry_after(&mut rand::rng(), memory_in, left)),
-        });
+        return Err(call.refuse(router, Cause::HostMemory, memory_in));
     };
     flow.hold(router.budget.take(plan.held));
-    let read = body.read_ahead(plan.read_first as usize, left).await;
-    read.map_err(|error| Cause::from(error).into())
+    let left = call.time_to_send(router);
+    let reading = body.read_ahead(plan.read_first as usize, left);
+    read_in_time(router, call, reading).await
+}
+
+/// Reads the start of a body for as long as the request may be sent.
+///
+/// # Errors
+///
+/// Returns the refusal if the body can't be read, or not in time; nothing was sent.
+pub(super) async fn read_in_time(
+    router: &Router,
+    call: &CallerRequest,
+    reading: impl Future<Output = Result<(), BodyError>>,
+) -> Result<(), Refusal> {
+    match call.wait_to_send(router, reading).await {
+        Some(read) => read.map_err(|error| Cause::from(error).into()),
+        None => {
+            let cause = call.out_of_time_cause(router);
+            Err(call.refuse(router, cause, Millis::ZERO))
+        }
+    }
 }
 
 /// Counts and logs the end of an upload, and stops reading it.
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -53,8 +53,8 @@
 /// a host after two failed checks, so it sends no new callers here after this time.
 const BALANCER_REMOVAL_TIME: Millis = Millis(2_600);
 
-/// The process exits this long before the end of the grace period, when the platform kills it.
-const EXIT_MARGIN: Millis = Millis(400);
+/// Time after the end of all requests for writing their responses.
+const RESPONSE_WRITE_TIME: Millis = Millis(150);
 
 /// Error that prevents the process from running.
 #[derive(Debug, Snafu)]
@@ -204,24 +204,37 @@
 }
 
 /// Waits until the load balancer sends no more callers, then closes callers' connections and waits for the requests in
-/// progress.
+/// progress. Each ends by itself at [`ProcessEnd::last_response`](crate::state::ProcessEnd) at the latest.
 async fn shut_down(router: &Router, callers: &CancellationToken, served: JoinHandle<()>) {
-    let clock = router.process.clock;
     let grace = router.boot().bounds.grace;
-    let end = router.now() + grace - EXIT_MARGIN;
+    let stopped_at = router.now();
+    router.process_end.begin(stopped_at, grace);
     log::info!(serving = router.serving.get(), grace_ms = grace.0; "stopping");
-    router.in_hand.log(router.now(), "stopping");
-    clock
-        .sleep(BALANCER_REMOVAL_TIME.min(Millis(grace.0 / 2)))
-        .await;
+    router.in_hand.log(stopped_at, "stopping");
+    let balancer_end = stopped_at + BALANCER_REMOVAL_TIME.min(Millis(grace.0 / 2));
+    wait_while(router, || router.now() < balancer_end).await;
     callers.cancel();
     // The first request of a connection that the kernel has already accepted may still arrive.
-    clock.sleep(Millis(300)).await;
-    while router.serving.get() > 0 && router.now() < end {
-        clock.sleep(Millis(10)).await;
-    }
+    let accepted_end = router.now() + Millis(300);
+    let is_serving = || router.serving.get() > 0 || router.now() < accepted_end;
+    wait_while(router, is_serving).await;
     // A caller may still be reading the last part of its response.
-    let _ = timeout(end.since(router.now()).to_duration(), served).await;
+    let _ = timeout(time_to_exit(router).to_duration(), served).await;
     // Leaves time to send the last responses.
-    clock.sleep(Millis(50)).await;
+    router.process.clock.sleep(Millis(50)).await;
+}
+
+/// Waits while `condition` holds and the process has time left.
+async fn wait_while(router: &Router, condition: impl Fn() -> bool) {
+    while condition() && time_to_exit(router) > Millis::ZERO {
+        router.process.clock.sleep(Millis(10)).await;
+    }
+}
+
+/// Returns the time left until the process exits, whatever is in hand.
+fn time_to_exit(router: &Router) -> Millis {
+    let last_response = router.process_end.last_response();
+    last_response.map_or(Millis::ZERO, |end| {
+        (end + RESPONSE_WRITE_TIME).since(router.now())
+    })
 }
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -45,6 +45,7 @@
 use crate::state::NewerKeys;
 use crate::state::Organisations;
 use crate::state::PendingQueries;
+use crate::state::ProcessEnd;
 use crate::state::QuotaShares;
 use crate::state::RouteStats;
 use crate::state::Schedulers;
@@ -102,6 +103,8 @@
     pub(crate) budget: ByteBudget,
     /// HTTP limits for callers' connections.
     pub(crate) limits: SharedLimits,
+    /// When the process ends, once it has been told to stop.
+    pub(crate) process_end: ProcessEnd,
     /// Number of requests in progress.
     pub(crate) serving: Cell<u32>,
     /// The requests in progress that have been parsed.
@@ -168,6 +171,7 @@
             server_reach: ServerReach::default(),
             budget: ByteBudget::new(body_memory(&boot)),
             limits: Rc::new(Cell::new(limits)),
+            process_end: ProcessEnd::default(),
             serving: Cell::new(0),
             in_hand: InHand::default(),
             store_up: Cell::new(false),
@@ -207,6 +211,7 @@
     pub(crate) fn reload(&self, boot: Boot) -> bool {
         let changed = **self.boot.borrow() != boot;
         self.budget.set_limit(body_memory(&boot));
+        self.process_end.limit_grace(boot.bounds.grace);
         *self.boot.borrow_mut() = Rc::new(boot);
         changed
     }
--- a/crates/chicoryrail-router/tests/waiting_at_stop.rs
+++ b/crates/chicoryrail-router/tests/waiting_at_stop.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use chicoryrail_core::Millis;
-use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetFault;
 use chicoryrail_testkit::TargetOptions;
@@ -80,6 +79,13 @@
     assert!(end.is_some_and(|l| l.contains("serving=0")), "{log}");
 }
 
+/// Returns the time of the first line of a log that begins so, in seconds.
+fn logged_at(log: &str, line: &str) -> f64 {
+    let line = log.lines().find(|l| l.starts_with(line));
+    let time = line.and_then(|l| l.split(" t=").nth(1)?.split(' ').next()?.parse().ok());
+    time.unwrap_or_else(|| panic!("{log}"))
+}
+
 fn schedules(host: &RouterProcess) -> bool {
     let log = host.log();
     let mut lines = log.lines().filter(|l| l.starts_with("log=scheduler "));
@@ -263,7 +269,6 @@
         sleep(SETTLED).await;
         let waiting: Vec<_> = (0..12).map(|_| send(&host, "POST", ORDER)).collect();
         sleep(SETTLED).await;
-        let clock = Clock::start();
         host.signal(Signal::SIGTERM);
         sleep(SETTLED).await;
         host.edit_boot("grace_period_s = 9", "grace_period_s = 2");
@@ -273,7 +278,9 @@
         let is_ended = |s: &Option<u16>| matches!(s, Some(200 | 503));
         assert!(statuses.iter().all(is_ended), "{statuses:?}");
         check_end(&mut host).await;
-        assert!(clock.now() < Millis(GRACE_S * 1_000), "{:?}", clock.now());
+        let log = host.log();
+        let took = logged_at(&log, "log=stop ") - logged_at(&log, "log=stopping ");
+        assert!(took < GRACE_S as f64, "{took} s");
     });
 }
 
