fix(router): a connection is awaited, and a request written, only while its host has time for the response

Between the scheduler's decision and the write of a request its host may be told to stop. The connection's wait now ends with the time to send, and each write is preceded by the same question, here and at a host that passes the request on. Neither counts against the server.

--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -254,12 +254,11 @@
     };
     let cause = refusal.map_or("-", |r| r.cause.name());
     let retry_after = refusal.and_then(|r| r.retry_after).map_or(0, |m| m.0);
-    let time_limit = call.deadline().since(call.arrived);
     let key = call.key.map_or_else(|| "-".to_owned(), |k| k.to_string());
     log::info!(request = call.id, route = call.route.name, service:% = call.service_name(),
         status = status.map_or(0, |s| s.as_u16()), cause = cause, retry_after_ms = retry_after,
         took_ms = took.0, waited_ms = stats.waited.0, aim_ms = call.route.latency_target.0,
-        time_ms = time_limit.0, server = server, sends = stats.sends, via = via,
+        time_ms = call.time_limit().0, server = server, sends = stats.sends, via = via,
         stage = call.progress.stage.get().name(), writes = call.progress.writes.get(),
         chosen_by = chosen_by, key = key, config = call.config_version; "request_{outcome}");
 }
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -1,5 +1,7 @@
 //! A caller's request, parsed and matched to its route.
 
+mod bounds;
+
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
@@ -17,6 +19,7 @@
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::ServiceSpec;
 use chicoryrail_platform::call_header;
+use chicoryrail_policy::retry_after;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::RequestBody;
 use http::HeaderMap;
@@ -219,14 +222,15 @@
         sample_interval > 0 && hash % sample_interval == 0
     }
 
-    /// Returns the caller's deadline or the end of the route's timeout, whichever is earlier.
-    pub(crate) const fn deadline(&self) -> Millis {
-        self.deadline
+    /// Returns the time from the arrival to the caller's deadline or the end of the route's timeout.
+    pub(crate) const fn time_limit(&self) -> Millis {
+        self.deadline.since(self.arrived)
     }
 
-    /// Returns the time that the caller has left, at this host or another one.
-    pub(crate) fn caller_time_left(&self, now: Millis) -> Millis {
-        self.deadline.since(now)
+    /// Returns the time after which the caller of a refused request should retry if capacity is expected after
+    /// `capacity_in`.
+    pub(crate) fn retry_after(&self, now: Millis, capacity_in: Millis) -> Millis {
+        retry_after(&mut rand::rng(), capacity_in, self.deadline.since(now))
     }
 
     /// Returns `true` if the request may run more than once.
--- a/crates/chicoryrail-router/src/route/bounds.rs
+++ b/crates/chicoryrail-router/src/route/caller_request/bounds.rs
@@ -17,12 +17,12 @@
     /// Returns the times until which the request may wait.
     pub(crate) fn bounds(&self, router: &Router) -> RequestBounds {
         let end = router.process_end.last_response();
-        RequestBounds::new(self.deadline(), end, self.response_time_max(router))
+        RequestBounds::new(self.deadline, end, self.response_time_max(router))
     }
 
     /// Returns why the request is refused if the time to send it has ended. If only this host has no time left, its caller
     /// should go to another one at once.
-    pub(super) fn out_of_time_cause(&self, router: &Router) -> Cause {
+    pub(crate) fn out_of_time_cause(&self, router: &Router) -> Cause {
         if self.bounds(router).by_process_end {
             Cause::Stopping
         } else {
@@ -30,6 +30,12 @@
         }
     }
 
+    /// Returns `true` if this host's process ends before the request could be sent and served.
+    pub(crate) fn is_host_out_of_time(&self, router: &Router) -> bool {
+        let bounds = self.bounds(router);
+        bounds.by_process_end && bounds.send_by <= router.now()
+    }
+
     /// Returns the time left for the request to be sent.
     pub(crate) fn time_to_send(&self, router: &Router) -> Millis {
         self.bounds(router).send_by.since(router.now())
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -38,6 +38,8 @@
     Limit,
     /// The server can't be reached, or the connection broke before the request was written.
     Failed,
+    /// This host's process ends before the request could be sent.
+    Stopping,
 }
 
 /// A request of which nothing was sent.
@@ -69,6 +71,10 @@
         target.pool.release(conn);
         return Ok(SendOutcome::NotRun(NotRun::CallerLeft));
     }
+    if call.is_host_out_of_time(router) {
+        target.pool.release(conn);
+        return Ok(SendOutcome::NotRun(NotRun::Stopping));
+    }
     if let Some(why) = permit(router, call, &target, router.now()).withheld() {
         target.pool.release(conn);
         return Ok(SendOutcome::NotRun(NotRun::Withheld(why)));
@@ -200,16 +206,18 @@
     has_alternative: bool,
 ) -> Result<ServerConn, NoConnection> {
     let begun = router.now();
-    let time_limit = if has_alternative {
-        CONNECT_WAIT_MAX
+    let acquiring = target.pool.acquire(target.addr);
+    let acquired = if has_alternative {
+        let acquired = timeout(CONNECT_WAIT_MAX.to_duration(), acquiring).await;
+        acquired.ok()
     } else {
-        call.time_to_send(router)
+        call.wait_to_send(router, acquiring).await
     };
-    let acquired = timeout(time_limit.to_duration(), target.pool.acquire(target.addr)).await;
     let error = match acquired {
-        Ok(Ok(conn)) => return Ok(conn),
-        Ok(Err(e)) => e,
-        Err(_) => io::ErrorKind::TimedOut.into(),
+        Some(Ok(conn)) => return Ok(conn),
+        Some(Err(e)) => e,
+        None if call.bounds(router).by_process_end => return Err(NoConnection::Stopping),
+        None => io::ErrorKind::TimedOut.into(),
     };
     let now = router.now();
     log::info!(request = call.id, server:% = target.life, error:% = error,
--- a/crates/chicoryrail-router/src/route/forward.rs
+++ b/crates/chicoryrail-router/src/route/forward.rs
@@ -125,6 +125,9 @@
     if call.caller_left.is_cancelled() {
         return Some(NotRun::CallerLeft);
     }
+    if call.is_host_out_of_time(router) {
+        return Some(NotRun::Stopping);
+    }
     if is_held_back(router, call, body) {
         return Some(NotRun::Suspected);
     }
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -97,7 +97,7 @@
     body: &Rc<RequestBody>,
 ) -> Result<Response<Body>, ForwardEnd> {
     let _forwarding = ForwardingGuard::begin(router).ok_or(ForwardEnd::Busy)?;
-    if call.time_to_send(router) == Millis::ZERO {
+    if call.is_host_out_of_time(router) {
         return Err(ForwardEnd::Busy);
     }
     if let Some(flow) = body.flow() {
@@ -123,8 +123,10 @@
     let sending = send_directly(router, call, body, in_flight, true);
     match call.wait_to_respond(router, sending).await {
         Some(Ok(sent)) => end_of(sent),
-        Some(Err(unsent)) if unsent.why == NoConnection::Limit => Err(ForwardEnd::Busy),
-        Some(Err(_)) => Err(no_connection(&service, router.now())),
+        Some(Err(unsent)) => Err(match unsent.why {
+            NoConnection::Limit | NoConnection::Stopping => ForwardEnd::Busy,
+            NoConnection::Failed => no_connection(&service, router.now()),
+        }),
         None => Err(ForwardEnd::Silent),
     }
 }
@@ -151,7 +153,7 @@
             NotRun::Refused => ForwardEnd::Refused,
             NotRun::Misdirected => ForwardEnd::Misdirected,
             NotRun::Withheld(why) => withheld_end(why),
-            NotRun::NoConnection => ForwardEnd::Busy,
+            NotRun::NoConnection | NotRun::Stopping => ForwardEnd::Busy,
             NotRun::Unreachable | NotRun::NoPath | NotRun::Suspected | NotRun::CallerLeft => {
                 ForwardEnd::Unreachable
             }
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use chicoryrail_core::Millis;
-use chicoryrail_policy::retry_after;
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::BodyError;
 use chicoryrail_runtime::full_body;
@@ -186,10 +185,9 @@
 impl CallerRequest {
     /// Builds the refusal of the request, of which nothing was sent; capacity is expected after `capacity_in`.
     pub(super) fn refuse(&self, router: &Router, cause: Cause, capacity_in: Millis) -> Refusal {
-        let left = self.caller_time_left(router.now());
         Refusal {
             cause,
-            retry_after: Some(retry_after(&mut rand::rng(), capacity_in, left)),
+            retry_after: Some(self.retry_after(router.now(), capacity_in)),
         }
     }
 }
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -222,6 +222,7 @@
         Err(unsent) if !has_forwarders => SendOutcome::NotRun(match unsent.why {
             NoConnection::Limit => NotRun::NoConnection,
             NoConnection::Failed => NotRun::Unreachable,
+            NoConnection::Stopping => NotRun::Stopping,
         }),
         Err(unsent) => forward::send_through_others(router, call, body, unsent.in_flight).await,
     }
--- a/crates/chicoryrail-router/src/route/send_outcome.rs
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -39,6 +39,8 @@
     Misdirected,
     /// The caller disconnected while the connection was opened; nothing was sent.
     CallerLeft,
+    /// This host's process ends before the request could be sent and served; nothing was sent.
+    Stopping,
     /// Evidence that the request ends servers arrived while the connection was opened; nothing was sent.
     Suspected,
     /// The server asked this host for no more requests while the connection was opened; nothing was sent.
@@ -75,6 +77,7 @@
             Self::Refused | Self::NoConnection | Self::Withheld(_) => Cause::Full,
             Self::Misdirected => Cause::KeyMoving,
             Self::Suspected => Cause::Suspected,
+            Self::Stopping => Cause::Stopping,
             Self::CallerLeft => Cause::CallerLeft,
         }
     }
@@ -86,6 +89,7 @@
             Self::Unreachable
             | Self::NoPath
             | Self::NoConnection
+            | Self::Stopping
             | Self::Suspected
             | Self::CallerLeft
             | Self::Withheld(_) => false,
@@ -121,6 +125,7 @@
             Self::NotRun(NotRun::Misdirected) => "misdirected",
             Self::NotRun(NotRun::Suspected) => "suspected",
             Self::NotRun(NotRun::CallerLeft) => "caller_left",
+            Self::NotRun(NotRun::Stopping) => "not_sent",
             Self::NotRun(NotRun::Withheld(_)) => "withheld",
             Self::Indeterminate(Indeterminate::Broken) => "broken",
             Self::Indeterminate(Indeterminate::Ended) => "ended",
@@ -141,6 +146,7 @@
                 NotRun::NoPath
                 | NotRun::NoConnection
                 | NotRun::Misdirected
+                | NotRun::Stopping
                 | NotRun::Suspected
                 | NotRun::CallerLeft
                 | NotRun::Withheld(_),
