--- a/crates/chicoryrail-router/src/route/acquire.rs
+++ b/crates/chicoryrail-router/src/route/acquire.rs
@@ -6,13 +6,13 @@
 use monoio::time::timeout;
 
 use crate::route::attempts::Attempts;
-use crate::route::caller_request::SEND_TIME_MIN;
 use crate::route::choose::Choice;
 use crate::route::choose::choose;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
 use crate::route::slot_guard::SlotGuard;
 use crate::route::slot_query;
+use crate::state::Stage;
 use crate::state::Target;
 
 /// Divisor of the latency target; the result is the longest time for which a request without a scheduler waits for a
@@ -39,6 +39,7 @@
     /// the server by its own view of the load.
     async fn acquire_server(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
         let started = self.router.now();
+        self.call.progress.stage.set(Stage::Slot);
         let mut decision = self.request_slot().await;
         let tolerates_waiting = self.call.route.tolerates_waiting();
         if tolerates_waiting && matches!(decision, slot_query::Decision::Unavailable) {
@@ -52,6 +53,7 @@
             slot_query::Decision::Return(after) => Err(self.refuse_until(after)),
             slot_query::Decision::OverQuota(after) => Err(self.refuse(Cause::OverQuota, after)),
             slot_query::Decision::Withheld(why) => Err(self.refuse_withheld(why)),
+            slot_query::Decision::OutOfTime => Err(self.refuse_out_of_time()),
             slot_query::Decision::Unavailable => self.acquire_without_scheduler().await,
         };
         let mut stats = self.call.stats.borrow_mut();
@@ -70,6 +72,7 @@
 
     /// Chooses a server, and takes a quota token if one is needed, without the scheduler.
     async fn acquire_without_scheduler(&self) -> Result<(Rc<Target>, SlotGuard), Refusal> {
+        self.call.progress.stage.set(Stage::Server);
         let target = self.wait_for_target().await?;
         if let Some((name, limit)) = self.call.needed_quota() {
             let (now, hosts) = (self.router.now(), self.router.standalone_hosts());
@@ -93,9 +96,9 @@
         loop {
             let seen = self.service.changed.version();
             let now = self.router.now();
-            let left = self.call.time_left(now);
-            if left < SEND_TIME_MIN {
-                return Err(self.refuse(Cause::Late, Millis::ZERO));
+            let left = self.call.time_to_send(self.router);
+            if left == Millis::ZERO {
+                return Err(self.refuse_out_of_time());
             }
             let (cause, capacity_in) =
                 match choose(self.router, &self.service, self.call, &self.tried, now) {
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -1,9 +1,12 @@
 //! A caller's request, parsed and matched to its route.
 
+mod bounds;
+
 use std::cell::Cell;
 use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use chicoryrail_core::Fingerprint;
@@ -16,6 +19,7 @@
 use chicoryrail_core::ServiceName;
 use chicoryrail_core::ServiceSpec;
 use chicoryrail_platform::call_header;
+use chicoryrail_policy::retry_after;
 use chicoryrail_runtime::CancellationToken;
 use chicoryrail_runtime::RequestBody;
 use http::HeaderMap;
@@ -32,11 +36,9 @@
 use crate::route::refusal::Cause;
 use crate::route::request_identity::RequestIdentity;
 use crate::route::request_stats::RequestStats;
+use crate::state::RequestProgress;
 use crate::state::Router;
 
-/// Minimum time before the deadline at which a request is still sent; with less, no response is expected in time.
-pub(crate) const SEND_TIME_MIN: Millis = Millis(5);
-
 /// A caller's request.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -66,10 +68,12 @@
     pub(crate) key: Option<u16>,
     pub(crate) arrived: Millis,
     pub(crate) stats: RefCell<RequestStats>,
+    pub(crate) progress: Rc<RequestProgress>,
     /// Cancelled when the caller disconnects before its response.
     pub(crate) caller_left: CancellationToken,
-    /// The caller's deadline or the end of the route's timeout, whichever is earlier.
-    pub(crate) deadline: Millis,
+    /// The caller's deadline or the end of the route's timeout, whichever is earlier. A wait takes its limit from
+    /// [`Self::bounds`].
+    deadline: Millis,
     /// The caller's own deadline, which may be later: a refused caller retries until then.
     pub(crate) caller_deadline: Millis,
 }
@@ -140,8 +144,10 @@
         (method, uri, headers): (Method, Uri, HeaderMap),
         to: Destination<'_>,
     ) -> Self {
+        let id = request_id(&headers);
         Self {
-            id: request_id(&headers),
+            progress: Rc::new(RequestProgress::new(&id, arrived)),
+            id,
             from,
             is_forwarded: false,
             has_probe: Cell::default(),
@@ -216,9 +222,15 @@
         sample_interval > 0 && hash % sample_interval == 0
     }
 
-    /// Returns the time left until the deadline.
-    pub(crate) fn time_left(&self, now: Millis) -> Millis {
-        self.deadline.since(now)
+    /// Returns the time from the arrival to the caller's deadline or the end of the route's timeout.
+    pub(crate) const fn time_limit(&self) -> Millis {
+        self.deadline.since(self.arrived)
+    }
+
+    /// Returns the time after which the caller of a refused request should retry if capacity is expected after
+    /// `capacity_in`.
+    pub(crate) fn retry_after(&self, now: Millis, capacity_in: Millis) -> Millis {
+        retry_after(&mut rand::rng(), capacity_in, self.deadline.since(now))
     }
 
     /// Returns `true` if the request may run more than once.
--- a/crates/chicoryrail-router/src/route/forwarded.rs
+++ b/crates/chicoryrail-router/src/route/forwarded.rs
@@ -17,7 +17,6 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use monoio::time::timeout;
 
 use crate::messages::FORWARD_PREFIX;
 use crate::messages::ForwardEnd;
@@ -59,7 +58,7 @@
     request: Request<Body>,
     from: SocketAddr,
 ) -> Response<Body> {
-    let serving = ServingGuard::new(&router);
+    let mut serving = ServingGuard::new(&router);
     let (mut parts, body) = request.into_parts();
     let head = ForwardHead::take(&mut parts.headers);
     let call = strip_prefix(&parts.uri).and_then(|uri| {
@@ -69,6 +68,7 @@
     let (Some(head), Some(call)) = (head, call) else {
         return report(ForwardEnd::Unknown);
     };
+    serving.track(&call.progress);
     let started = router.now();
     let body = upload::wrap_body(&router, &call, body, false);
     let (end, response) = match pass_on(&router, &head, &call, &body).await {
@@ -97,6 +97,9 @@
     body: &Rc<RequestBody>,
 ) -> Result<Response<Body>, ForwardEnd> {
     let _forwarding = ForwardingGuard::begin(router).ok_or(ForwardEnd::Busy)?;
+    if call.is_host_out_of_time(router) {
+        return Err(ForwardEnd::Busy);
+    }
     if let Some(flow) = body.flow() {
         let (declared, free) = (body.declared_rest(), router.budget.free());
         let plan = UploadPlan::passed_on(declared, free).ok_or(ForwardEnd::Busy)?;
@@ -118,12 +121,13 @@
     }
     let in_flight = InFlight::new(&service, &target, None);
     let sending = send_directly(router, call, body, in_flight, true);
-    let sent = timeout(call.time_left(now).to_duration(), sending).await;
-    match sent {
-        Ok(Ok(sent)) => end_of(sent),
-        Ok(Err(unsent)) if unsent.why == NoConnection::Limit => Err(ForwardEnd::Busy),
-        Ok(Err(_)) => Err(no_connection(&service, router.now())),
-        Err(_) => Err(ForwardEnd::Silent),
+    match call.wait_to_respond(router, sending).await {
+        Some(Ok(sent)) => end_of(sent),
+        Some(Err(unsent)) => Err(match unsent.why {
+            NoConnection::Limit | NoConnection::Stopping => ForwardEnd::Busy,
+            NoConnection::Failed => no_connection(&service, router.now()),
+        }),
+        None => Err(ForwardEnd::Silent),
     }
 }
 
@@ -149,7 +153,7 @@
             NotRun::Refused => ForwardEnd::Refused,
             NotRun::Misdirected => ForwardEnd::Misdirected,
             NotRun::Withheld(why) => withheld_end(why),
-            NotRun::NoConnection => ForwardEnd::Busy,
+            NotRun::NoConnection | NotRun::Stopping => ForwardEnd::Busy,
             NotRun::Unreachable | NotRun::NoPath | NotRun::Suspected | NotRun::CallerLeft => {
                 ForwardEnd::Unreachable
             }
@@ -160,7 +164,7 @@
             Indeterminate::Ended => ForwardEnd::Ended,
             Indeterminate::Crossed => ForwardEnd::Crossed,
             Indeterminate::Spoiled | Indeterminate::Truncated => ForwardEnd::Spoiled,
-            Indeterminate::Silent => ForwardEnd::Silent,
+            Indeterminate::Silent | Indeterminate::Stopping => ForwardEnd::Silent,
         },
     })
 }
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -23,6 +23,7 @@
 mod response_limit;
 mod retry;
 mod run;
+mod scheduler_choice;
 mod send;
 mod send_outcome;
 mod server_exchange;
--- a/crates/chicoryrail-router/src/route/send_outcome.rs
+++ b/crates/chicoryrail-router/src/route/send_outcome.rs
@@ -39,6 +39,8 @@
     Misdirected,
     /// The caller disconnected while the connection was opened; nothing was sent.
     CallerLeft,
+    /// This host's process ends before the request could be sent and served; nothing was sent.
+    Stopping,
     /// Evidence that the request ends servers arrived while the connection was opened; nothing was sent.
     Suspected,
     /// The server asked this host for no more requests while the connection was opened; nothing was sent.
@@ -60,6 +62,8 @@
     Truncated,
     /// No response arrived in time.
     Silent,
+    /// No response arrived before the end of this host's process. It says nothing of the server.
+    Stopping,
     /// The caller's body broke off or stalled while it was being sent. It says nothing of the server.
     BodyFailed(BodyError),
 }
@@ -73,6 +77,7 @@
             Self::Refused | Self::NoConnection | Self::Withheld(_) => Cause::Full,
             Self::Misdirected => Cause::KeyMoving,
             Self::Suspected => Cause::Suspected,
+            Self::Stopping => Cause::Stopping,
             Self::CallerLeft => Cause::CallerLeft,
         }
     }
@@ -84,6 +89,7 @@
             Self::Unreachable
             | Self::NoPath
             | Self::NoConnection
+            | Self::Stopping
             | Self::Suspected
             | Self::CallerLeft
             | Self::Withheld(_) => false,
@@ -95,7 +101,7 @@
     /// Returns the cause with which the request ends if it is not sent again.
     pub(crate) const fn cause(self) -> Cause {
         match self {
-            Self::Silent => Cause::Silent,
+            Self::Silent | Self::Stopping => Cause::Silent,
             Self::BodyFailed(BodyError::Slow) => Cause::StalledBody,
             Self::BodyFailed(BodyError::Cut | BodyError::TooLarge) => Cause::BrokenBody,
             Self::Broken | Self::Ended | Self::Crossed | Self::Spoiled | Self::Truncated => {
@@ -119,6 +125,7 @@
             Self::NotRun(NotRun::Misdirected) => "misdirected",
             Self::NotRun(NotRun::Suspected) => "suspected",
             Self::NotRun(NotRun::CallerLeft) => "caller_left",
+            Self::NotRun(NotRun::Stopping) => "not_sent",
             Self::NotRun(NotRun::Withheld(_)) => "withheld",
             Self::Indeterminate(Indeterminate::Broken) => "broken",
             Self::Indeterminate(Indeterminate::Ended) => "ended",
@@ -126,6 +133,7 @@
             Self::Indeterminate(Indeterminate::Spoiled) => "spoiled",
             Self::Indeterminate(Indeterminate::Truncated) => "truncated",
             Self::Indeterminate(Indeterminate::Silent) => "silent",
+            Self::Indeterminate(Indeterminate::Stopping) => "stopping",
             Self::Indeterminate(Indeterminate::BodyFailed(_)) => "body_failed",
         }
     }
@@ -138,11 +146,12 @@
                 NotRun::NoPath
                 | NotRun::NoConnection
                 | NotRun::Misdirected
+                | NotRun::Stopping
                 | NotRun::Suspected
                 | NotRun::CallerLeft
                 | NotRun::Withheld(_),
             )
-            | Self::Indeterminate(Indeterminate::BodyFailed(_)) => None,
+            | Self::Indeterminate(Indeterminate::Stopping | Indeterminate::BodyFailed(_)) => None,
             Self::ServerError(_) => Some(Failure::Error),
             Self::NotRun(NotRun::Refused) => Some(Failure::Full),
             Self::Unusual(_)
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -12,7 +12,6 @@
 use chicoryrail_policy::SendPermit;
 use chicoryrail_policy::Withheld;
 use monoio::time::timeout;
-use rand::seq::IteratorRandom;
 
 use crate::control::scheduling;
 use crate::messages::Packet;
@@ -24,10 +23,13 @@
 use crate::route::candidates::unkeyed_candidates;
 use crate::route::candidates::withheld_by_owner;
 use crate::route::queue_identity::QueueIdentity;
+use crate::route::scheduler_choice::initial_part;
+use crate::route::scheduler_choice::scheduler_for;
 use crate::route::slot_guard::SlotGuard;
 use crate::route::slot_guard::send_to_scheduler;
 use crate::state::Router;
 use crate::state::Service;
+use crate::state::Stage;
 use crate::state::Target;
 
 /// Time after which a slot query without any reply is sent again.
@@ -56,6 +58,8 @@
     OverQuota(Millis),
     /// Refuse: the servers that may run the request asked this host for no more.
     Withheld(Withheld),
+    /// The time in which the request may be sent from this host has ended.
+    OutOfTime,
     /// The scheduler did not reply in time, or it chose a server that this host can't send to.
     Unavailable,
 }
@@ -126,12 +130,14 @@
                     query.overflowed = true;
                 }
                 query.scheduler = scheduler_for(router, service, &query.part, call);
+                call.progress.stage.set(Stage::Slot);
                 query.send(call, &excluded);
                 acknowledged = false;
                 resent = false;
                 last_activity = router.now();
             }
             Some(SlotReply::Waits) => {
+                call.progress.stage.set(Stage::Queue);
                 acknowledged = true;
                 resent = false;
                 last_activity = router.now();
@@ -142,8 +148,9 @@
         if let Some(why) = withheld_by_owner(router, service, call, now) {
             return Decision::Withheld(why);
         }
-        if call.time_left(now) == Millis::ZERO {
-            return Decision::Refuse(Millis::ZERO);
+        let time_to_send = call.time_to_send(router);
+        if time_to_send == Millis::ZERO {
+            return Decision::OutOfTime;
         }
         let silence = now.since(last_activity);
         let resend_after = if acknowledged {
@@ -175,7 +182,7 @@
         } else {
             resend_after
         };
-        let wait = next_step.since(silence).min(call.time_left(now)) + Millis(1);
+        let wait = next_step.since(silence).min(time_to_send) + Millis(1);
         let changed = pin!(pending_reply.changed.wait_past(seen));
         let _ = timeout(wait.to_duration(), changed).await;
     }
@@ -227,6 +234,10 @@
             .route_stats
             .expected_work_us(&call.route.name, call.route.latency_target);
         let identity = QueueIdentity::new(call);
+        call.progress.scheduler.set(match self.scheduler {
+            SchedulerHost::At(addr) => Some(addr),
+            SchedulerHost::Here => None,
+        });
         let slot_query = SlotQuery {
             dc: self.router.boot().dc.clone(),
             part: self.part.clone(),
@@ -237,7 +248,7 @@
             rank: call.priority(),
             organisation: call.needed_quota().map(|(name, _)| name.clone()),
             aim: (call.arrived + call.route.latency_target).since(now).0,
-            left: call.time_left(now).0,
+            left: call.time_to_respond(self.router).0,
             work_us: work as u64,
             large: call.route.kind == RouteKind::Download,
             not: excluded.to_vec(),
@@ -252,39 +263,6 @@
     }
 }
 
-/// Returns the part of a service that is queried first: that of this host's data centre if it has ready servers
-/// without notices to this host, else that of a random such server.
-fn initial_part(router: &Router, service: &Service, call: &CallerRequest) -> PartName {
-    let targets = service.targets.borrow();
-    let dc = router.boot().dc.clone();
-    let now = router.now();
-    let is_avoided =
-        |t: &Target| service.has_notices() && permit(router, call, t, now) != SendPermit::Granted;
-    let is_open = |t: &Target| t.is_ready() && !is_avoided(t);
-    let has_local = targets.values().any(|t| t.dc == dc && is_open(t));
-    if has_local || !service.partitioned.get() {
-        return service.part_of(&dc);
-    }
-    let ready = targets.values().filter(|t| is_open(t));
-    let chosen_dc = ready.choose(&mut rand::rng()).map_or(dc, |t| t.dc.clone());
-    service.part_of(&chosen_dc)
-}
-
-/// Returns the host that schedules the owner of the request's key, or, without a key, the given part.
-fn scheduler_for(
-    router: &Router,
-    service: &Service,
-    part: &PartName,
-    call: &CallerRequest,
-) -> SchedulerHost {
-    if part.dc.is_some() || call.key.is_none() {
-        return router.part_scheduler(part);
-    }
-    let keys = service.keys.borrow();
-    let owner = call.key.and_then(|key| keys.assigned_owner(key));
-    router.server_scheduler(service, owner)
-}
-
 impl Drop for PendingQuery<'_> {
     fn drop(&mut self) {
         self.router.pending_queries.close(self.ticket);
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -41,9 +41,11 @@
 use crate::state::Counters;
 use crate::state::Crashes;
 use crate::state::Forwarders;
+use crate::state::InHand;
 use crate::state::NewerKeys;
 use crate::state::Organisations;
 use crate::state::PendingQueries;
+use crate::state::ProcessEnd;
 use crate::state::QuotaShares;
 use crate::state::RouteStats;
 use crate::state::Schedulers;
@@ -101,8 +103,12 @@
     pub(crate) budget: ByteBudget,
     /// HTTP limits for callers' connections.
     pub(crate) limits: SharedLimits,
+    /// When the process ends, once it has been told to stop.
+    pub(crate) process_end: ProcessEnd,
     /// Number of requests in progress.
     pub(crate) serving: Cell<u32>,
+    /// The requests in progress that have been parsed.
+    pub(crate) in_hand: InHand,
     /// Whether the store answered the last call. A leaf host also applies its relay's report on this.
     pub(crate) store_up: Cell<bool>,
     pub(crate) peer_socket: Rc<PeerSocket>,
@@ -165,7 +171,9 @@
             server_reach: ServerReach::default(),
             budget: ByteBudget::new(body_memory(&boot)),
             limits: Rc::new(Cell::new(limits)),
+            process_end: ProcessEnd::default(),
             serving: Cell::new(0),
+            in_hand: InHand::default(),
             store_up: Cell::new(false),
             peer_socket: Rc::clone(peer_socket),
             pending_queries: PendingQueries::default(),
@@ -203,6 +211,7 @@
     pub(crate) fn reload(&self, boot: Boot) -> bool {
         let changed = **self.boot.borrow() != boot;
         self.budget.set_limit(body_memory(&boot));
+        self.process_end.limit_grace(boot.bounds.grace);
         *self.boot.borrow_mut() = Rc::new(boot);
         changed
     }
