fix(router): a stopping host serves for at least half of its time

A stopping host sent a request only while 99.9 % of the route's responses would arrive. With a grace period of a second or two, or a route whose slowest responses take several seconds, that refused everything from SIGTERM on, also what an idle server would have answered at once. The time kept for the response is now at most half of what the process has, and at least the usual response time.

--- a/crates/chicoryrail-policy/src/local/mod.rs
+++ b/crates/chicoryrail-policy/src/local/mod.rs
@@ -28,6 +28,8 @@
 pub use load_report::LoadReport;
 pub use local_balancer::LocalBalancer;
 pub use request_bounds::RequestBounds;
+pub use request_bounds::ResponseTime;
+pub use request_bounds::StopTimes;
 pub use response_sizes::ResponseSizes;
 pub use response_times::ResponseTimes;
 pub use retry_after::retry_after;
--- a/crates/chicoryrail-policy/src/local/request_bounds.rs
+++ b/crates/chicoryrail-policy/src/local/request_bounds.rs
@@ -5,6 +5,24 @@
 /// Minimum time before the end of a request at which it is still sent; with less, no response is expected in time.
 const SEND_TIME_MIN: Millis = Millis(5);
 
+/// Times of a process that was told to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopTimes {
+    /// Time of the stop signal.
+    pub begun: Millis,
+    /// Time from which on the process gives no response.
+    pub last_response: Millis,
+}
+
+/// How long the responses of a route take after a request was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseTime {
+    /// Time that they usually take.
+    pub usual: Millis,
+    /// Time within which almost all arrive.
+    pub longest: Millis,
+}
+
 /// Times until which a request may wait at a host: the earliest of the caller's deadline, the route's timeout and the end
 /// of the host's process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,24 +36,36 @@
 }
 
 impl RequestBounds {
-    /// Returns the bounds of a request with this `deadline`. From `process_end` on the process gives no response; it is
-    /// `None` while that is not known. `response_time` is how long a response may take after the request was sent.
+    /// Returns the bounds of a request with this `deadline`; `stop` is `None` while the process is not told to stop.
+    ///
+    /// A stopping process sends a request only while almost all responses of its route would still arrive. It serves for at
+    /// least half of its time, as long as the usual response arrives.
     #[must_use]
-    pub fn new(deadline: Millis, process_end: Option<Millis>, response_time: Millis) -> Self {
-        let send_by = Millis(deadline.0.saturating_sub(SEND_TIME_MIN.0));
-        let own = Self {
-            send_by,
-            respond_by: deadline,
-            by_process_end: false,
-        };
-        let Some(end) = process_end else {
-            return own;
+    pub fn new(deadline: Millis, stop: Option<StopTimes>, response: ResponseTime) -> Self {
+        let send_by = earlier(deadline, SEND_TIME_MIN);
+        let Some(StopTimes {
+            begun,
+            last_response,
+        }) = stop
+        else {
+            return Self {
+                send_by,
+                respond_by: deadline,
+                by_process_end: false,
+            };
         };
-        let last_send = Millis(end.0.saturating_sub(response_time.0.max(SEND_TIME_MIN.0)));
+        let half = Millis(last_response.since(begun).0 / 2);
+        let kept = response.longest.min(half).max(response.usual);
+        let last_send = earlier(last_response, kept.max(SEND_TIME_MIN));
         Self {
             send_by: send_by.min(last_send),
-            respond_by: deadline.min(end),
+            respond_by: deadline.min(last_response),
             by_process_end: last_send < send_by,
         }
     }
 }
+
+/// Returns the time that is `by` before `time`.
+const fn earlier(time: Millis, by: Millis) -> Millis {
+    Millis(time.0.saturating_sub(by.0))
+}
--- a/crates/chicoryrail-router/src/route/attempt_refusal.rs
+++ b/crates/chicoryrail-router/src/route/attempt_refusal.rs
@@ -19,11 +19,7 @@
         if let Some(why) = self.withheld() {
             return self.refuse_withheld(why);
         }
-        let work = self
-            .router
-            .route_stats
-            .expected_work_us(&self.call.route.name, self.call.route.latency_target);
-        self.refuse(why.cause(), Millis((work / 1_000.0) as u64))
+        self.refuse(why.cause(), self.expected_work())
     }
 
     /// Refuses a request that no server may receive from this host.
--- a/crates/chicoryrail-router/src/route/caller_request/bounds.rs
+++ b/crates/chicoryrail-router/src/route/caller_request/bounds.rs
@@ -5,6 +5,7 @@
 
 use chicoryrail_core::Millis;
 use chicoryrail_policy::RequestBounds;
+use chicoryrail_policy::ResponseTime;
 use futures_util::future::Either;
 use futures_util::future::select;
 use monoio::time::timeout;
@@ -16,8 +17,11 @@
 impl CallerRequest {
     /// Returns the times until which the request may wait.
     pub(crate) fn bounds(&self, router: &Router) -> RequestBounds {
-        let end = router.process_end.last_response();
-        RequestBounds::new(self.deadline, end, self.response_time_max(router))
+        RequestBounds::new(
+            self.deadline,
+            router.process_end.times(),
+            self.response_time(router),
+        )
     }
 
     /// Returns why the request is refused if the time to send it has ended. If only this host has no time left, its caller
@@ -64,10 +68,16 @@
         run_in_time(router, || self.time_to_respond(router), waiting).await
     }
 
-    /// Returns how long a response to the request may take: what almost all responses of its route take.
-    fn response_time_max(&self, router: &Router) -> Millis {
-        let observed = router.route_stats.unanswered_after(&self.route);
-        observed.unwrap_or(self.route.latency_target)
+    /// Returns how long the responses of the request's route take; before enough of them, the latency target.
+    fn response_time(&self, router: &Router) -> ResponseTime {
+        let route = &self.route;
+        let longest = router.route_stats.unanswered_after(route);
+        ResponseTime {
+            usual: router
+                .route_stats
+                .expected_work(&route.name, route.latency_target),
+            longest: longest.unwrap_or(route.latency_target),
+        }
     }
 }
 
--- a/crates/chicoryrail-router/src/route/response_limit.rs
+++ b/crates/chicoryrail-router/src/route/response_limit.rs
@@ -53,13 +53,10 @@
     }
 
     /// Returns the usual service time of the route's requests.
-    fn expected_work(&self) -> Millis {
+    pub(super) fn expected_work(&self) -> Millis {
         let route = &self.call.route;
-        let work_us = self
-            .router
-            .route_stats
-            .expected_work_us(&route.name, route.latency_target);
-        Millis((work_us / 1_000.0) as u64)
+        let stats = &self.router.route_stats;
+        stats.expected_work(&route.name, route.latency_target)
     }
 
     /// Records how a send ended that was overdue after `limit`; `sent` is `None` if it was cancelled, since a later send
--- a/crates/chicoryrail-router/src/route/upload.rs
+++ b/crates/chicoryrail-router/src/route/upload.rs
@@ -57,10 +57,8 @@
     }
     let (declared, free) = (body.declared_rest(), router.budget.free());
     let Some(plan) = UploadPlan::new(router.options.upload_reading, declared, free) else {
-        let work_us = router
-            .route_stats
-            .expected_work_us(&call.route.name, call.route.latency_target);
-        let memory_in = Millis((work_us / 1_000.0) as u64);
+        let stats = &router.route_stats;
+        let memory_in = stats.expected_work(&call.route.name, call.route.latency_target);
         return Err(call.refuse(router, Cause::HostMemory, memory_in));
     };
     flow.hold(router.budget.take(plan.held));
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -204,7 +204,7 @@
 }
 
 /// Waits until the load balancer sends no more callers, then closes callers' connections and waits for the requests in
-/// progress. Each ends by itself at [`ProcessEnd::last_response`](crate::state::ProcessEnd) at the latest.
+/// progress. Each ends by itself when [`ProcessEnd`](crate::state::ProcessEnd) says so, at the latest.
 async fn shut_down(router: &Router, callers: &CancellationToken, served: JoinHandle<()>) {
     let grace = router.boot().bounds.grace;
     let stopped_at = router.now();
@@ -233,8 +233,8 @@
 
 /// Returns the time left until the process exits, whatever is in hand.
 fn time_to_exit(router: &Router) -> Millis {
-    let last_response = router.process_end.last_response();
-    last_response.map_or(Millis::ZERO, |end| {
-        (end + RESPONSE_WRITE_TIME).since(router.now())
+    let stop = router.process_end.times();
+    stop.map_or(Millis::ZERO, |stop| {
+        (stop.last_response + RESPONSE_WRITE_TIME).since(router.now())
     })
 }
--- a/crates/chicoryrail-router/src/state/process_end.rs
+++ b/crates/chicoryrail-router/src/state/process_end.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 
 use chicoryrail_core::Millis;
+use chicoryrail_policy::StopTimes;
 use chicoryrail_runtime::CancellationToken;
 
 /// Time from the last response to the end of the grace period, when the platform kills the process.
@@ -35,10 +36,14 @@
         }
     }
 
-    /// Returns the time from which on the process gives no responses; `None` before the stop signal.
-    pub(crate) fn last_response(&self) -> Option<Millis> {
-        let end = self.stopped_at.get()? + self.grace.get();
-        Some(Millis(end.0.saturating_sub(EXIT_MARGIN.0)))
+    /// Returns the times of the stop; `None` before the stop signal.
+    pub(crate) fn times(&self) -> Option<StopTimes> {
+        let begun = self.stopped_at.get()?;
+        let end = begun + self.grace.get();
+        Some(StopTimes {
+            begun,
+            last_response: Millis(end.0.saturating_sub(EXIT_MARGIN.0)),
+        })
     }
 
     /// Returns a token that is cancelled when the end changes.
--- a/crates/chicoryrail-router/src/state/route_stats.rs
+++ b/crates/chicoryrail-router/src/state/route_stats.rs
@@ -29,6 +29,11 @@
         observed.unwrap_or(latency_target.0 as f64 * 333.0)
     }
 
+    /// Returns [`Self::expected_work_us`] in milliseconds.
+    pub(crate) fn expected_work(&self, route: &str, latency_target: Millis) -> Millis {
+        Millis((self.expected_work_us(route, latency_target) / 1_000.0) as u64)
+    }
+
     /// Returns the mean service time of the route's requests, in microseconds; `None` before the first observation.
     pub(crate) fn observed_work_us(&self, route: &str) -> Option<f64> {
         self.work_means.borrow().get(route).copied()
