--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -86,7 +86,7 @@
     in_flight.body_sent = body.sent_flag();
     let conn = in_flight.attach(conn);
     let sent_at = router.now();
-    call.progress.record_write();
+    call.progress.record_write(sent_at);
     let request = new_request(call, &target, body, call.time_to_respond(router));
     let response = match conn.send(request).await {
         Ok(response) => response,
--- a/crates/chicoryrail-router/src/route/forward.rs
+++ b/crates/chicoryrail-router/src/route/forward.rs
@@ -193,7 +193,7 @@
     };
     *request.uri_mut() = uri;
     call.stats.borrow_mut().via = Some(forwarder.addr);
-    call.progress.record_write();
+    call.progress.record_write(router.now());
     let conn = in_flight.attach_forwarder(conn, forwarder);
     let mut error = match conn.send(request).await {
         Ok(response) => return handle_end(router, call, response, in_flight).await,
--- a/crates/chicoryrail-router/src/state/in_hand.rs
+++ b/crates/chicoryrail-router/src/state/in_hand.rs
@@ -37,9 +37,10 @@
     /// Logs what each request waits for, and whether it was sent, as `at` is reached.
     pub(crate) fn log(&self, now: Millis, at: &str) {
         for request in self.requests.borrow().values().take(LOGGED_MAX) {
+            let written = (request.writes.get() > 0).then(|| now.since(request.written_at.get()).0);
             log::info!(request = request.id, at = at, stage = request.stage.get().name(),
                 scheduler:? = request.scheduler.get(), writes = request.writes.get(),
-                age_ms = now.since(request.arrived).0; "in_hand");
+                written_ms:? = written, age_ms = now.since(request.arrived).0; "in_hand");
         }
     }
 }
--- a/crates/chicoryrail-router/src/state/request_progress.rs
+++ b/crates/chicoryrail-router/src/state/request_progress.rs
@@ -54,6 +54,8 @@
     pub(crate) scheduler: Cell<Option<SocketAddr>>,
     /// Number of times that the request was written to a connection.
     pub(crate) writes: Cell<u32>,
+    /// Time of the last write; zero before the first.
+    pub(crate) written_at: Cell<Millis>,
 }
 
 impl RequestProgress {
@@ -65,11 +67,13 @@
             stage: Cell::default(),
             scheduler: Cell::default(),
             writes: Cell::default(),
+            written_at: Cell::default(),
         }
     }
 
     /// Records that the request is being written to a connection.
-    pub(crate) fn record_write(&self) {
+    pub(crate) fn record_write(&self, now: Millis) {
+        self.written_at.set(now);
         self.writes.set(self.writes.get() + 1);
         self.stage.set(Stage::Response);
     }
