test(router): requests that a stopping host cuts or refuses without need

Three tests that fail on: queued requests when a reload ends the grace period, a body awaited after the stop, and a request refused although a server is free.

--- a/crates/chicoryrail-router/tests/waiting_at_stop.rs
+++ b/crates/chicoryrail-router/tests/waiting_at_stop.rs
@@ -314,3 +314,80 @@
         check_end(&mut hosts[1]).await;
     });
 }
+
+/// Guards against a stop that is cut short by a reload: a grace period that is over already leaves no time, but requests
+/// in the queue of another host must still be refused before the process exits.
+#[test]
+fn queued_requests_are_refused_if_a_reload_ends_the_grace_period() {
+    block_on(async {
+        let world = World::start("ended").await;
+        configure_tolerant(&world).await;
+        let _server = start_server(&world, "desk").await;
+        let mut hosts = Vec::new();
+        for name in ["a", "b"] {
+            hosts.push(world.router_with_grace(name, 9).await);
+        }
+        wait_until("one host schedules", async || {
+            let _ = hosts[0].caller().get("/read/x").await;
+            hosts.iter().filter(|h| schedules(h)).count() == 1
+        })
+        .await;
+        let at = hosts.iter().position(|h| !schedules(h)).unwrap();
+        let running = send(&hosts[1 - at], "POST", "/order/x?work_us=4000000");
+        sleep(SETTLED).await;
+        let mut waiting = Vec::new();
+        for _ in 0..6 {
+            waiting.push(send(&hosts[at], "POST", ORDER));
+            sleep(Duration::from_millis(20)).await;
+        }
+        sleep(SETTLED).await;
+        hosts[at].signal(Signal::SIGTERM);
+        sleep(Duration::from_millis(1_500)).await;
+        hosts[at].edit_boot("grace_period_s = 9", "grace_period_s = 1");
+        hosts[at].signal(Signal::SIGHUP);
+        let statuses = join_all(waiting).await;
+        assert!(
+            statuses.iter().all(|s| *s == Some(503)),
+            "{statuses:?} {}",
+            hosts[at].log()
+        );
+        assert_eq!(running.await, Some(200));
+        check_end(&mut hosts[at]).await;
+    });
+}
+
+/// Guards against a refusal that blames the caller's body for the end of the host: an upload that arrives after the stop
+/// is refused like one that arrived before it.
+#[test]
+fn a_body_that_is_awaited_after_the_stop_is_refused_for_the_stop() {
+    block_on(async {
+        let world = World::start("after").await;
+        configure_tolerant(&world).await;
+        let _server = start_server(&world, "desk").await;
+        let mut host = world.router_with_grace("a", GRACE_S).await;
+        host.signal(Signal::SIGTERM);
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(send_half(&host).await, Some(503), "{}", host.log());
+        check_end(&mut host).await;
+    });
+}
+
+/// Guards against a refusal at a stopping host of a request that a free server would have served at once. Load: a route
+/// whose responses take a few milliseconds, with a latency target of 1 s, at a host that has 1.6 s left.
+#[test]
+fn a_stopping_host_serves_a_request_for_which_a_server_is_free() {
+    block_on(async {
+        let world = World::start("free").await;
+        configure_tolerant(&world).await;
+        let _server = start_server(&world, "desk").await;
+        let mut host = world.router_with_grace("a", GRACE_S).await;
+        for _ in 0..210 {
+            assert_eq!(send(&host, "POST", "/order/x").await, Some(200));
+        }
+        host.signal(Signal::SIGTERM);
+        sleep(Duration::from_millis(50)).await;
+        let status = send(&host, "POST", "/order/x").await;
+        assert_eq!(status, Some(200), "{}", host.log());
+        check_end(&mut host).await;
+    });
+}
