fix(router): a stop that a reload ends, and refusals that blamed others for it

- Callers of a host whose grace period a reload ended lost queued requests without a response: the wait for a scheduler's reply was not woken by the new end, and the process left 61 ms after the reload.
- A body awaited after SIGTERM was refused with 408 slow_body, as if the caller were slow; 503 stopping now.
- by_process_end says which bound is nearer, not that it has passed: a silent server behind a stopping host was not recorded, nor one that the caller's own deadline ended.
Both now ask whether the time is over.
- A connection or a host that passes on is awaited for no longer than the request may be sent, so that 504 is not said of what was not sent.
- The latency target of a request in a scheduler's queue stays; what is compared is the earlier of it and the deadline.
- The bounds of a route's responses are computed only while the process stops.

--- a/crates/chicoryrail-policy/src/local/request_bounds.rs
+++ b/crates/chicoryrail-policy/src/local/request_bounds.rs
@@ -36,31 +36,29 @@
 }
 
 impl RequestBounds {
-    /// Returns the bounds of a request with this `deadline`; `stop` is `None` while the process is not told to stop.
+    /// Returns the bounds of a request with this `deadline` at a host that is not told to stop.
+    #[must_use]
+    pub const fn new(deadline: Millis) -> Self {
+        Self {
+            send_by: earlier(deadline, SEND_TIME_MIN),
+            respond_by: deadline,
+            by_process_end: false,
+        }
+    }
+
+    /// Returns the bounds at a host that stops.
     ///
-    /// A stopping process sends a request only while almost all responses of its route would still arrive. It serves for at
-    /// least half of its time, as long as the usual response arrives.
+    /// It sends a request only while almost all responses of its route would still arrive. It serves for at least half of
+    /// its time, as long as the usual response arrives.
     #[must_use]
-    pub fn new(deadline: Millis, stop: Option<StopTimes>, response: ResponseTime) -> Self {
-        let send_by = earlier(deadline, SEND_TIME_MIN);
-        let Some(StopTimes {
-            begun,
-            last_response,
-        }) = stop
-        else {
-            return Self {
-                send_by,
-                respond_by: deadline,
-                by_process_end: false,
-            };
-        };
-        let half = Millis(last_response.since(begun).0 / 2);
+    pub fn within(self, stop: StopTimes, response: ResponseTime) -> Self {
+        let half = Millis(stop.last_response.since(stop.begun).0 / 2);
         let kept = response.longest.min(half).max(response.usual);
-        let last_send = earlier(last_response, kept.max(SEND_TIME_MIN));
+        let last_send = earlier(stop.last_response, kept.max(SEND_TIME_MIN));
         Self {
-            send_by: send_by.min(last_send),
-            respond_by: deadline.min(last_response),
-            by_process_end: last_send < send_by,
+            send_by: self.send_by.min(last_send),
+            respond_by: self.respond_by.min(stop.last_response),
+            by_process_end: last_send < self.send_by,
         }
     }
 }
--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -115,7 +115,7 @@
         }
         let mut waiting = self.waiting.iter_mut();
         match waiting.find(|w| w.request.ticket == request.ticket) {
-            Some(known) => known.request.limit_deadline(request.deadline),
+            Some(known) => known.request.deadline = known.request.deadline.min(request.deadline),
             None => {
                 self.any_tolerant |= request.tolerates_waiting;
                 self.waiting.push(WaitingRequest::new(now, request));
@@ -206,7 +206,7 @@
         let server = self.try_send(now, waiting, *ahead_us, view);
         if server.is_none() && waiting.may_wait_late() {
             let response_us = view.response_in_us(&waiting.request, placement, *ahead_us);
-            let left = waiting.request.latency_target.since(now);
+            let left = waiting.request.valuable_until().since(now);
             waiting.is_late = response_us.is_none_or(|us| us > left.0 as f64 * 1_000.0);
             if waiting.is_late {
                 return None;
--- a/crates/chicoryrail-policy/src/scheduler/slot_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/slot_request.rs
@@ -42,11 +42,9 @@
 }
 
 impl SlotRequest {
-    /// Brings the deadline forward to `deadline` if that is earlier. A response after it has no value, so the latency
-    /// target is not later.
-    pub(crate) fn limit_deadline(&mut self, deadline: Millis) {
-        self.deadline = self.deadline.min(deadline);
-        self.latency_target = self.latency_target.min(self.deadline);
+    /// Returns the time until which a response from this host has its full value: none after the deadline has any.
+    pub(crate) fn valuable_until(&self) -> Millis {
+        self.latency_target.min(self.deadline)
     }
 }
 
--- a/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
@@ -32,8 +32,7 @@
 }
 
 impl WaitingRequest {
-    pub(crate) fn new(now: Millis, mut request: SlotRequest) -> Self {
-        request.limit_deadline(request.deadline);
+    pub(crate) const fn new(now: Millis, request: SlotRequest) -> Self {
         Self {
             request,
             enqueued_at: now,
@@ -51,7 +50,8 @@
     /// Updates whether the request would meet its latency target if it went next.
     pub(crate) fn check_target(&mut self, now: Millis, view: &LoadView) {
         let earliest = view.response_in_us(&self.request, self.placement, 0.0);
-        let in_time = |us: f64| now + Millis((us / 1_000.0) as u64) <= self.request.latency_target;
+        let in_time =
+            |us: f64| now + Millis((us / 1_000.0) as u64) <= self.request.valuable_until();
         self.in_time = earliest.is_some_and(in_time);
         self.is_late = (self.is_late || !self.in_time) && self.may_wait_late();
     }
--- a/crates/chicoryrail-policy/tests/request_bounds.rs
+++ b/crates/chicoryrail-policy/tests/request_bounds.rs
@@ -40,5 +40,7 @@
         respond_by: Millis(respond_by),
         by_process_end,
     };
-    assert_eq!(RequestBounds::new(DEADLINE, stop, response), expected);
+    let bounds = RequestBounds::new(DEADLINE);
+    let bounds = stop.map_or(bounds, |stop| bounds.within(stop, response));
+    assert_eq!(bounds, expected);
 }
--- a/crates/chicoryrail-router/src/route/attempts.rs
+++ b/crates/chicoryrail-router/src/route/attempts.rs
@@ -166,6 +166,9 @@
     /// Returns the refusal if the request has waited for too long since `begun`.
     async fn wait_for_turn(&self, begun: Millis) -> Result<(), Refusal> {
         self.call.progress.stage.set(Stage::Turn);
+        if self.call.is_host_out_of_time(self.router) {
+            return Err(self.refuse_out_of_time());
+        }
         let now = self.router.now();
         let wait_max = self
             .call
--- a/crates/chicoryrail-router/src/route/caller_request/bounds.rs
+++ b/crates/chicoryrail-router/src/route/caller_request/bounds.rs
@@ -14,14 +14,17 @@
 use crate::route::refusal::Cause;
 use crate::state::Router;
 
+/// Multiple of the latency target within which almost all responses arrive, as long as too few were observed.
+const LATENCY_TARGET_FACTOR: u64 = 2;
+
 impl CallerRequest {
     /// Returns the times until which the request may wait.
     pub(crate) fn bounds(&self, router: &Router) -> RequestBounds {
-        RequestBounds::new(
-            self.deadline,
-            router.process_end.times(),
-            self.response_time(router),
-        )
+        let bounds = RequestBounds::new(self.deadline);
+        match router.process_end.times() {
+            Some(stop) => bounds.within(stop, self.response_time(router)),
+            None => bounds,
+        }
     }
 
     /// Returns why the request is refused if the time to send it has ended. If only this host has no time left, its caller
@@ -68,7 +71,7 @@
         run_in_time(router, || self.time_to_respond(router), waiting).await
     }
 
-    /// Returns how long the responses of the request's route take; before enough of them, the latency target.
+    /// Returns how long the responses of the request's route take.
     fn response_time(&self, router: &Router) -> ResponseTime {
         let route = &self.route;
         let longest = router.route_stats.unanswered_after(route);
@@ -76,7 +79,7 @@
             usual: router
                 .route_stats
                 .expected_work(&route.name, route.latency_target),
-            longest: longest.unwrap_or(route.latency_target),
+            longest: longest.unwrap_or(route.latency_target.saturating_mul(LATENCY_TARGET_FACTOR)),
         }
     }
 }
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -208,15 +208,15 @@
     let begun = router.now();
     let acquiring = target.pool.acquire(target.addr);
     let acquired = if has_alternative {
-        let acquired = timeout(CONNECT_WAIT_MAX.to_duration(), acquiring).await;
-        acquired.ok()
+        let wait_max = CONNECT_WAIT_MAX.min(call.time_to_send(router));
+        timeout(wait_max.to_duration(), acquiring).await.ok()
     } else {
         call.wait_to_send(router, acquiring).await
     };
     let error = match acquired {
         Some(Ok(conn)) => return Ok(conn),
         Some(Err(e)) => e,
-        None if call.bounds(router).by_process_end => return Err(NoConnection::Stopping),
+        None if call.is_host_out_of_time(router) => return Err(NoConnection::Stopping),
         None => io::ErrorKind::TimedOut.into(),
     };
     let now = router.now();
--- a/crates/chicoryrail-router/src/route/forward.rs
+++ b/crates/chicoryrail-router/src/route/forward.rs
@@ -177,7 +177,8 @@
 ) -> Asked {
     forwarder.begin_use(router.now());
     let connected = forwarder.pool.acquire(forwarder.addr);
-    let Ok(Ok(conn)) = timeout(CONNECT_TIMEOUT.to_duration(), connected).await else {
+    let wait_max = CONNECT_TIMEOUT.min(call.time_to_send(router));
+    let Ok(Ok(conn)) = timeout(wait_max.to_duration(), connected).await else {
         return Asked::NotSent(Box::new(in_flight), None);
     };
     let target = &in_flight.target;
--- a/crates/chicoryrail-router/src/route/send.rs
+++ b/crates/chicoryrail-router/src/route/send.rs
@@ -56,7 +56,7 @@
     let exchange = exchange_unless_cut(router, call, body, in_flight);
     let sent = match call.wait_to_respond(router, exchange).await {
         Some(sent) => sent,
-        None if call.bounds(router).by_process_end => {
+        None if router.process_end.is_past(router.now()) => {
             SendOutcome::Indeterminate(Indeterminate::Stopping)
         }
         None if body.flow().is_some_and(UploadFlow::awaits_caller) => {
--- a/crates/chicoryrail-router/src/route/slot_query.rs
+++ b/crates/chicoryrail-router/src/route/slot_query.rs
@@ -184,7 +184,7 @@
         };
         let wait = next_step.since(silence).min(time_to_send) + Millis(1);
         let changed = pin!(pending_reply.changed.wait_past(seen));
-        let _ = timeout(wait.to_duration(), changed).await;
+        let _ = timeout(wait.to_duration(), call.wait_to_send(router, changed)).await;
     }
 }
 
--- a/crates/chicoryrail-router/src/route/upload.rs
+++ b/crates/chicoryrail-router/src/route/upload.rs
@@ -78,7 +78,11 @@
     reading: impl Future<Output = Result<(), BodyError>>,
 ) -> Result<(), Refusal> {
     match call.wait_to_send(router, reading).await {
-        Some(read) => read.map_err(|error| Cause::from(error).into()),
+        Some(Ok(())) => Ok(()),
+        Some(Err(BodyError::Slow)) if call.is_host_out_of_time(router) => {
+            Err(call.refuse(router, Cause::Stopping, Millis::ZERO))
+        }
+        Some(Err(error)) => Err(Cause::from(error).into()),
         None => {
             let cause = call.out_of_time_cause(router);
             Err(call.refuse(router, cause, Millis::ZERO))
--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -53,8 +53,8 @@
 /// a host after two failed checks, so it sends no new callers here after this time.
 const BALANCER_REMOVAL_TIME: Millis = Millis(2_600);
 
-/// Time after the end of all requests for writing their responses.
-const RESPONSE_WRITE_TIME: Millis = Millis(150);
+/// Longest time for ending the leader's term after the last response.
+const TERM_END_TIME: Millis = Millis(150);
 
 /// Error that prevents the process from running.
 #[derive(Debug, Snafu)]
@@ -182,7 +182,7 @@
     ));
     stop.cancelled().await;
     shut_down(&router, &callers_stop, served).await;
-    let _ = timeout(Millis(200).to_duration(), elected).await;
+    let _ = timeout(TERM_END_TIME.to_duration(), elected).await;
     internal_stop.cancel();
     router.in_hand.log(router.now(), "stop");
     log::info!(serving = router.serving.get(); "stop");
@@ -204,7 +204,8 @@
 }
 
 /// Waits until the load balancer sends no more callers, then closes callers' connections and waits for the requests in
-/// progress. Each ends by itself when [`ProcessEnd`](crate::state::ProcessEnd) says so, at the latest.
+/// progress. Each ends by itself before [`ProcessEnd::exit`](crate::state::ProcessEnd), except for a response that is
+/// still being streamed.
 async fn shut_down(router: &Router, callers: &CancellationToken, served: JoinHandle<()>) {
     let grace = router.boot().bounds.grace;
     let stopped_at = router.now();
@@ -233,8 +234,6 @@
 
 /// Returns the time left until the process exits, whatever is in hand.
 fn time_to_exit(router: &Router) -> Millis {
-    let stop = router.process_end.times();
-    stop.map_or(Millis::ZERO, |stop| {
-        (stop.last_response + RESPONSE_WRITE_TIME).since(router.now())
-    })
+    let exit = router.process_end.exit();
+    exit.map_or(Millis::ZERO, |exit| exit.since(router.now()))
 }
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -211,7 +211,7 @@
     pub(crate) fn reload(&self, boot: Boot) -> bool {
         let changed = **self.boot.borrow() != boot;
         self.budget.set_limit(body_memory(&boot));
-        self.process_end.limit_grace(boot.bounds.grace);
+        self.process_end.limit_grace(self.now(), boot.bounds.grace);
         *self.boot.borrow_mut() = Rc::new(boot);
         changed
     }
