test(testkit): chaos runs in which requests wait longer than the grace period

Callers of a stopping host saw their connections closed 5.6 to 6.2 s after SIGTERM with no response, some of them for uploads that no server had run. No chaos run found it.

cut_by_stop is the rule for it and fires as it stands: every request had 1 s, so none was in hand at the end of a grace period of 6 s.

--- a/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
@@ -85,6 +85,10 @@
         .env("CHICORYRAIL_TESTKIT_UPLOADS")
         .help("Makes orders uploads, some of whose callers send and read slowly")
         .switch();
+    let long_waits = long("long-waits")
+        .env("CHICORYRAIL_TESTKIT_LONG_WAITS")
+        .help("Makes orders tolerate waits of 10 s, at servers that are overloaded with them")
+        .switch();
     let (
         deployment,
         seed,
@@ -97,6 +101,7 @@
         no_proxy,
         busy,
         uploads,
+        long_waits,
         program_dir,
         keep_evidence,
     ) = construct!(
@@ -111,6 +116,7 @@
         no_proxy,
         busy,
         uploads,
+        long_waits,
         program_dir,
         keep_evidence
     )
@@ -131,6 +137,7 @@
     options.proxied = !no_proxy;
     options.busy = busy;
     options.uploads = uploads;
+    options.long_waits = long_waits;
     options.program_dir = program_dir;
     options.keep_evidence = keep_evidence;
 
--- a/crates/chicoryrail-testkit/src/chaos/options.rs
+++ b/crates/chicoryrail-testkit/src/chaos/options.rs
@@ -36,6 +36,8 @@
     pub fault_kinds: Vec<String>,
     /// Whether orders are uploads, some of whose callers send and read slowly.
     pub uploads: bool,
+    /// Whether orders tolerate waits longer than the grace period of the hosts, at servers that are overloaded with them.
+    pub long_waits: bool,
     /// Directory of the programs; `None` for that of the running program.
     pub program_dir: Option<PathBuf>,
     /// Whether logs and ledgers are kept after a run without violations.
@@ -62,6 +64,7 @@
             busy: 0,
             fault_kinds: Vec::new(),
             uploads: false,
+            long_waits: false,
             program_dir: None,
             keep_evidence: false,
             stop: Arc::default(),
--- a/crates/chicoryrail-testkit/src/chaos/run.rs
+++ b/crates/chicoryrail-testkit/src/chaos/run.rs
@@ -12,6 +12,7 @@
 use crate::ClusterOptions;
 use crate::Evidence;
 use crate::HostTime;
+use crate::LONG_WAIT_TIMEOUT;
 use crate::Load;
 use crate::LoadKind;
 use crate::LoadOptions;
@@ -102,6 +103,7 @@
     cluster.busy = options.busy;
     cluster.seed = options.seed;
     cluster.uploads = options.uploads;
+    cluster.long_waits = options.long_waits;
     cluster.program_dir.clone_from(&options.program_dir);
     Cluster::start(cluster)
 }
@@ -113,6 +115,9 @@
             service.kind = LoadKind::Upload;
             service.body = UPLOAD_RESPONSE_BYTES;
         }
+        if options.long_waits && service.kind.runs_once() {
+            service.deadline = Some(LONG_WAIT_TIMEOUT);
+        }
         service
     };
     LoadOptions {
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -92,7 +92,7 @@
         /// The same at the hosts in touch.
         others: [usize; 2],
     },
-    /// A request ended without a response while its router was stopped as planned, or just after.
+    /// A request ended without a complete response while its router was stopped as planned, or just after.
     CutByStop {
         /// Id of the request.
         request: String,
--- a/crates/chicoryrail-testkit/src/cluster.rs
+++ b/crates/chicoryrail-testkit/src/cluster.rs
@@ -17,6 +17,7 @@
 mod stand_ins;
 
 pub use deployment::Deployment;
+pub(crate) use deployment::LONG_WAIT_TIMEOUT;
 pub use deployment::ServicePlan;
 pub use error::ClusterError;
 pub use harness::Cluster;
--- a/crates/chicoryrail-testkit/src/cluster/deployment.rs
+++ b/crates/chicoryrail-testkit/src/cluster/deployment.rs
@@ -33,6 +33,12 @@
 /// Latency target of a request.
 const LATENCY_TARGET: Millis = Millis(300);
 
+/// Timeout of an order that tolerates long waits: longer than the grace period of a host.
+pub(crate) const LONG_WAIT_TIMEOUT: Millis = Millis(10_000);
+
+/// Latency target of an order that tolerates long waits.
+const LONG_WAIT_LATENCY_TARGET: Millis = Millis(1_500);
+
 /// A deployment of the specification.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Deployment {
@@ -168,9 +174,9 @@
     }
 
     /// Returns the first configuration, for servers that warm up for `warmup` after their start; with `uploads` the routes
-    /// for orders are for uploads.
+    /// for orders are for uploads, with `long_waits` they tolerate long waits.
     #[must_use]
-    pub fn site(self, warmup: Millis, uploads: bool) -> Site {
+    pub fn site(self, warmup: Millis, uploads: bool, long_waits: bool) -> Site {
         let service = |s: &ServicePlan| ServiceSpec {
             name: s.name.into(),
             health_path: "/healthz".to_owned(),
@@ -184,24 +190,31 @@
             1,
             CallerLimits::default(),
             services.clone().map(service).collect(),
-            services.map(|s| self.route(s, uploads)).collect(),
+            services
+                .map(|s| self.route(s, uploads, long_waits))
+                .collect(),
         )
         .with_organisations(self.organisations())
     }
 
-    fn route(self, plan: &ServicePlan, uploads: bool) -> Route {
+    fn route(self, plan: &ServicePlan, uploads: bool, long_waits: bool) -> Route {
         let (kind, attempts) = match plan.load_kind {
             LoadKind::Order if !uploads => (RouteKind::Order, 1),
             LoadKind::Order | LoadKind::Upload => (RouteKind::Upload, 1),
             LoadKind::Lookup | LoadKind::Report => (RouteKind::Read, 2),
         };
+        let (timeout, latency_target) = if long_waits && plan.load_kind.runs_once() {
+            (LONG_WAIT_TIMEOUT, LONG_WAIT_LATENCY_TARGET)
+        } else {
+            (REQUEST_TIMEOUT, LATENCY_TARGET)
+        };
         Route {
             name: plan.name.to_owned(),
             host: self.host().to_owned(),
             prefix: plan.path(),
             kind,
-            timeout: REQUEST_TIMEOUT,
-            latency_target: LATENCY_TARGET,
+            timeout,
+            latency_target,
             priority: u8::from(plan.load_kind == LoadKind::Report),
             max_attempts: attempts,
             public: false,
--- a/crates/chicoryrail-testkit/src/cluster/harness.rs
+++ b/crates/chicoryrail-testkit/src/cluster/harness.rs
@@ -145,7 +145,8 @@
     #[must_use]
     pub fn site(&self) -> Site {
         let options = &self.options;
-        options.deployment.site(options.warmup, options.uploads)
+        let (uploads, long_waits) = (options.uploads, options.long_waits);
+        options.deployment.site(options.warmup, uploads, long_waits)
     }
 
     fn start_stand_ins(&mut self) -> Result<(), ClusterError> {
--- a/crates/chicoryrail-testkit/src/cluster/options.rs
+++ b/crates/chicoryrail-testkit/src/cluster/options.rs
@@ -33,6 +33,8 @@
     pub seed: u64,
     /// Whether orders are uploads.
     pub uploads: bool,
+    /// Whether orders tolerate long waits, at servers that are slow.
+    pub long_waits: bool,
     /// Whether hosts connect to the store and the targets through fault-injecting proxies.
     pub proxied: bool,
     /// Additional command-line flags of every router.
@@ -58,6 +60,7 @@
             reads_per_s: None,
             seed: 1,
             uploads: false,
+            long_waits: false,
             proxied: false,
             router_flags: Vec::new(),
             log_level: "info".to_owned(),
--- a/crates/chicoryrail-testkit/src/cluster/plan.rs
+++ b/crates/chicoryrail-testkit/src/cluster/plan.rs
@@ -12,6 +12,10 @@
 use crate::cluster::error::PortSnafu;
 use crate::cluster::ports::free_addr;
 
+/// Service time of orders that tolerate long waits, in microseconds. At the default rate of a chaos run, the servers get
+/// two to three times the orders that they can run.
+const OVERLOADED_SERVICE_US: u64 = 700_000;
+
 pub(crate) fn listen_addr() -> Result<SocketAddr, ClusterError> {
     free_addr().context(PortSnafu)
 }
@@ -80,6 +84,11 @@
     ) -> Vec<String> {
         let deployment = options.deployment;
         let plan = &deployment.services()[self.service];
+        let service_us = if options.long_waits && plan.load_kind.runs_once() {
+            OVERLOADED_SERVICE_US
+        } else {
+            options.service_us
+        };
         let mut args = Vec::new();
         args.extend(flag_and_value("--listen", &self.addr));
         args.extend(flag_and_value("--shown", &self.advertised_addr));
@@ -89,7 +98,7 @@
         args.extend(flag_and_value("--data-centre", &self.dc));
         args.extend(flag_and_value("--slots", &deployment.slots()));
         args.extend(flag_and_value("--connections", &deployment.connections()));
-        args.extend(flag_and_value("--service-us", &options.service_us));
+        args.extend(flag_and_value("--service-us", &service_us));
         args.extend(flag_and_value("--cold-ms", &options.warmup.0));
         args.extend(flag_and_value("--cold-bears", &deployment.warmup_limit()));
         args.extend(flag_and_value("--ledger", &self.ledger.display()));
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -49,6 +49,7 @@
 pub use cluster::ClusterOptions;
 pub use cluster::Deployment;
 pub use cluster::HostPlan;
+pub(crate) use cluster::LONG_WAIT_TIMEOUT;
 pub use cluster::Links;
 pub use cluster::Member;
 pub use cluster::Operator;
--- a/crates/chicoryrail-testkit/src/load/call.rs
+++ b/crates/chicoryrail-testkit/src/load/call.rs
@@ -14,6 +14,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::RETRY_AFTER;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use monoio::time::sleep;
@@ -55,7 +56,7 @@
     pub kind: LoadKind,
     /// Path without the query.
     pub path: String,
-    /// Host that was tried last.
+    /// Host that was tried last, in the last attempt.
     pub host: SocketAddr,
     /// Time at which the request was due to start, in microseconds since 1970.
     pub intended: u64,
@@ -77,6 +78,12 @@
     /// API key that the request carried, by its owner.
     #[serde(default)]
     pub caller: CallerKind,
+    /// Time after which a refused caller was asked to return.
+    #[serde(default)]
+    pub retry_after: Option<Millis>,
+    /// Time of the last attempt in microseconds since 1970, if the caller returned after a refusal.
+    #[serde(default)]
+    pub returned: Option<u64>,
 }
 
 /// Whose API key a request carried.
@@ -120,6 +127,8 @@
                 Some(name) => CallerKind::Organisation(name.clone()),
             },
         },
+        retry_after: None,
+        returned: None,
     };
     let limit = (deadline + HANG_GRACE).to_duration();
     let sent = send(pool, hosts, planned, deadline, &mut record);
@@ -206,11 +215,12 @@
         record.wrong = mismatch(planned, stamped, text(&call_header::REQUEST_ID), &body);
         return;
     }
-    record.outcome = if means_not_run(head.status) && !stamped {
-        Outcome::NotRun
+    if means_not_run(head.status) && !stamped {
+        record.outcome = Outcome::NotRun;
+        record.retry_after = text(&RETRY_AFTER).and_then(parse_seconds);
     } else {
-        Outcome::Unknown
-    };
+        record.outcome = Outcome::Unknown;
+    }
 }
 
 /// Reads a response body, with a pause before each piece.
@@ -230,6 +240,11 @@
     }
 }
 
+fn parse_seconds(text: &str) -> Option<Millis> {
+    let seconds: f64 = text.parse().ok()?;
+    Some(Millis((seconds * 1_000.0) as u64))
+}
+
 /// Returns `true` if a status guarantees that the request did not run, if no server stamped the response.
 const fn means_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/chicoryrail-testkit/src/load/mix.rs
+++ b/crates/chicoryrail-testkit/src/load/mix.rs
@@ -64,6 +64,9 @@
     pub body: u64,
     /// API keys of which each request carries one, chosen uniformly at random; empty if requests need none.
     pub callers: Vec<LoadCaller>,
+    /// Deadline of each request, whose caller returns after a refusal; if `None`, that of the run, and callers don't
+    /// return.
+    pub deadline: Option<Millis>,
 }
 
 /// An API key and the organisation that it belongs to.
@@ -89,6 +92,7 @@
             skew: 0.0,
             body: 200,
             callers: Vec::new(),
+            deadline: None,
         }
     }
 
@@ -131,6 +135,8 @@
     pub(crate) pause: Millis,
     /// API key that the request carries; `None` if it needs none.
     pub(crate) caller: Option<LoadCaller>,
+    /// Deadline of the request; that of the run if `None`.
+    pub(crate) deadline: Option<Millis>,
 }
 
 /// Generates the requests of a run at random.
@@ -182,6 +188,7 @@
             id,
             response_bytes: service.body,
             caller: service.callers.choose(rng).cloned(),
+            deadline: service.deadline,
         }
     }
 
--- a/crates/chicoryrail-testkit/src/load/run.rs
+++ b/crates/chicoryrail-testkit/src/load/run.rs
@@ -21,6 +21,7 @@
 use crate::load::balancer::Balancer;
 use crate::load::call::call;
 use crate::load::mix::Mix;
+use crate::load::mix::PlannedRequest;
 use crate::load::pool::Pool;
 use crate::unix_micros;
 
@@ -28,6 +29,12 @@
 /// their intended start.
 const MAX_IN_FLIGHT: u32 = 2_000;
 
+/// Least time before its deadline at which a refused caller returns: slow callers need half of it to send and read.
+const RETURN_TIME_MIN: Millis = Millis(1_000);
+
+/// Longest time for which a refused caller stays away, even if it was asked to return later.
+const RETURN_DELAY_MAX: Millis = Millis(500);
+
 /// Options of a run of load.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LoadOptions {
@@ -195,22 +202,22 @@
 }
 
 async fn send_one(shared: &Shared, intended: u64) {
-    let (request, hosts) = {
+    let request = {
         let mut rng = shared.rng.borrow_mut();
-        let request = shared.mix.borrow_mut().next(&mut rng);
-        let keeps = shared.options.keeps_connections;
-        let is_connected = |host| keeps && shared.pool.has_idle(host);
-        let hosts = shared.balancer.host_order(&mut rng, is_connected);
-        (request, hosts)
+        shared.mix.borrow_mut().next(&mut rng)
     };
-    let record = call(
-        &shared.pool,
-        &hosts,
-        &request,
-        intended,
-        shared.options.deadline,
-    )
-    .await;
+    let deadline = request.deadline.unwrap_or(shared.options.deadline);
+    let mut record = shared.call(&request, intended, deadline).await;
+    while let Some(returned) = return_time(&record, &request) {
+        monoio::time::sleep(Duration::from_micros(
+            returned.saturating_sub(unix_micros()),
+        ))
+        .await;
+        let returned = unix_micros();
+        let left = Millis(record.deadline.saturating_sub(returned) / 1_000);
+        record = shared.call(&request, intended, left).await;
+        record.returned = Some(returned);
+    }
     let progress = &shared.progress;
     let counter = match record.outcome {
         Outcome::Done => &progress.done,
@@ -229,7 +236,26 @@
     }
 }
 
+/// Returns the time at which a refused caller returns, in microseconds since 1970; `None` if it does not. Only callers
+/// with a deadline of their own do.
+fn return_time(record: &CallRecord, request: &PlannedRequest) -> Option<u64> {
+    let retry_after = record.retry_after.filter(|_| request.deadline.is_some())?;
+    let time = record.ended + retry_after.min(RETURN_DELAY_MAX).0 * 1_000;
+    (time + RETURN_TIME_MIN.0 * 1_000 <= record.deadline).then_some(time)
+}
+
 impl Shared {
+    /// Sends a request and records its outcome.
+    async fn call(&self, request: &PlannedRequest, intended: u64, deadline: Millis) -> CallRecord {
+        let hosts = {
+            let keeps = self.options.keeps_connections;
+            let is_connected = |host| keeps && self.pool.has_idle(host);
+            let mut rng = self.rng.borrow_mut();
+            self.balancer.host_order(&mut rng, is_connected)
+        };
+        call(&self.pool, &hosts, request, intended, deadline).await
+    }
+
     fn last_failed(&self) -> bool {
         let records = self.records.borrow();
         records.last().is_some_and(|r| r.outcome != Outcome::Done)
--- a/crates/chicoryrail-testkit/tests/chaos.rs
+++ b/crates/chicoryrail-testkit/tests/chaos.rs
@@ -67,6 +67,23 @@
     assert!(summary.ok > 0 && !summary.faults.is_empty());
 }
 
+/// Guards against a host that exits with requests in hand: uploads that tolerate waiting queue at overloaded servers for
+/// longer than the grace period, while hosts are stopped one after the other. Each must be answered or refused.
+#[test]
+fn requests_that_wait_long_are_answered_before_their_host_exits() {
+    let _serial = SERIAL.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut options = ChaosOptions::new(Deployment::Updraft, 7506).with_duration(Millis(12_000));
+    options.program_dir = Some(programs());
+    options.quiet = Millis(3_000);
+    options.fault_kinds = vec!["stop-series".to_owned()];
+    options.uploads = true;
+    options.long_waits = true;
+    let summary = run_chaos(&options).unwrap();
+    let failures = (summary.found, summary.crashed);
+    assert_eq!(failures, (Vec::new(), Vec::new()), "{:?}", summary.kept);
+    assert!(summary.ok > 0 && !summary.faults.is_empty());
+}
+
 /// Guards against keys that two servers hold: servers restart under their names, take a grant that was meant for the
 /// process before, and register later.
 #[test]
--- a/crates/chicoryrail-testkit/tests/checker.rs
+++ b/crates/chicoryrail-testkit/tests/checker.rs
@@ -67,6 +67,8 @@
         wrong: None,
         hung: false,
         caller: CallerKind::Anybody,
+        retry_after: None,
+        returned: None,
     }
 }
 
@@ -262,6 +264,8 @@
 #[case::cut(0, 5_000, 1)]
 #[case::answered(502, 5_000, 0)]
 #[case::before(0, 900, 0)]
+#[case::detected_late(0, 1_006_000, 1)]
+#[case::after(0, 1_006_001, 0)]
 fn finds_request_cut_by_planned_stop(
     #[case] status: u16,
     #[case] ended: u64,
@@ -282,6 +286,58 @@
     );
 }
 
+/// A response breaks off in its body during a planned stop of its router. After its caller's deadline it may.
+#[rstest]
+#[case::before_the_deadline(5_001, 1)]
+#[case::after_the_deadline(4_999, 0)]
+fn finds_response_truncated_by_planned_stop(#[case] deadline: u64, #[case] expected: usize) {
+    let mut evidence = clean();
+    let record = &mut evidence.records[4];
+    (record.status, record.ended, record.deadline) = (200, 5_000, deadline);
+    let (host, request) = (record.host, record.request.clone());
+    evidence.stops.push(HostTime {
+        host,
+        from: 1_000,
+        until: 6_000,
+    });
+    assert_eq!(
+        check(&evidence),
+        vec![Violation::CutByStop { request }; expected]
+    );
+}
+
+/// A caller that was refused before the close returns, and its request crosses the close; times in milliseconds since
+/// SIGTERM.
+#[rstest]
+#[case::returned_beside_the_close(2_600, 2_602, 0)]
+#[case::returned_before_the_close(2_499, 2_500, 1)]
+#[case::returned_long_before_the_end(2_600, 2_801, 1)]
+fn a_request_of_a_returned_caller_may_cross_a_close(
+    #[case] returned: u64,
+    #[case] ended: u64,
+    #[case] expected: usize,
+) {
+    let mut evidence = clean();
+    let host = evidence.records[4].host;
+    evidence.stops.push(HostTime {
+        host,
+        from: 0,
+        until: 6_000_000,
+    });
+    evidence.records[4] = CallRecord {
+        ended: ended * 1_000,
+        deadline: 0,
+        status: 0,
+        returned: Some(returned * 1_000),
+        ..record("cut", Outcome::Unknown)
+    };
+    let request = "cut".to_owned();
+    assert_eq!(
+        check(&evidence),
+        vec![Violation::CutByStop { request }; expected]
+    );
+}
+
 /// A request that crosses the close of its idle connection is no violation if it reached no server; times in milliseconds
 /// since SIGTERM.
 #[rstest]
--- a/crates/chicoryrail-testkit/tests/load.rs
+++ b/crates/chicoryrail-testkit/tests/load.rs
@@ -52,11 +52,15 @@
 /// Runs load against one target that has a fault, and returns the records.
 async fn run_under(fault: &TargetFault) -> Vec<CallRecord> {
     let addr = target(TargetOptions::new("kits-01")).await;
+    put_fault(addr, fault).await;
+    Load::new(options(&[addr])).run().await
+}
+
+async fn put_fault(addr: SocketAddr, fault: &TargetFault) {
     let body = Bytes::from(serde_json::to_vec(fault).unwrap());
     let request = Request::put("/testkit/fault").body(body).unwrap();
     let client = HttpClient::default();
     client.call(addr, request, Millis(20_000)).await.unwrap();
-    Load::new(options(&[addr])).run().await
 }
 
 fn lookups(records: &[CallRecord]) -> impl Iterator<Item = &CallRecord> {
@@ -83,6 +87,35 @@
     });
 }
 
+/// Guards against refused callers that don't return although they tolerate waiting, or that return after their deadline.
+#[test]
+fn refused_callers_with_a_deadline_of_their_own_return() {
+    block_on(async {
+        let refuse = TargetFault::Refuse {
+            for_ms: 500,
+            share: 1.0,
+            backoff_ms: Some(100),
+        };
+        let addr = target(TargetOptions::new("lots-01")).await;
+        put_fault(addr, &refuse).await;
+        let orders = LoadService::new("shop.example", "/v1/lots/", LoadKind::Order);
+        let load = LoadOptions {
+            services: vec![LoadService {
+                deadline: Some(Millis(5_000)),
+                ..orders
+            }],
+            ..options(&[addr])
+        };
+        let records = Load::new(load).run().await;
+        assert!(!records.is_empty());
+        for record in &records {
+            assert_eq!(record.outcome, Outcome::Done, "{record:?}");
+            let returned = record.returned.unwrap();
+            assert!(returned > record.intended && returned < record.deadline);
+        }
+    });
+}
+
 #[test]
 fn complete_and_own_responses_are_done_and_right() {
     block_on(async {
--- a/xtask/src/chaos.rs
+++ b/xtask/src/chaos.rs
@@ -49,6 +49,8 @@
     busy: usize,
     /// Makes orders uploads, some of whose callers send and read slowly
     uploads: bool,
+    /// Makes orders tolerate waits of 10 s, at servers that are overloaded with them
+    long_waits: bool,
     /// Keeps logs and ledgers even if no violation was found
     keep: bool,
 }
@@ -72,6 +74,7 @@
             options.proxied = !self.no_proxy;
             options.busy = self.busy;
             options.uploads = self.uploads;
+            options.long_waits = self.long_waits;
             options.keep_evidence = self.keep;
             options.stop = Arc::clone(&stop);
             match run_chaos(&options) {
