fix(router): a scheduler that stops passes on its queue

What callers saw: after SIGTERM of the host that schedules for a server, requests were sent beyond the server's slots and came back refused by it, or were refused by the router although they had waited.

Cause: a stopping host tells the others by heartbeat that it schedules no more, so new queries go to another host. Those that wait at it stayed until the process exited, up to 5.65 s later. Meanwhile two hosts assigned the same slots, each without the other's assignments, and each free slot was given twice.

Change: from 700 ms after the stop, a repeated query of a waiting request is answered with `Elsewhere` if another host schedules for it. The reply goes out only to repeated queries, so a host with an outdated view returns at most once in 120 ms, and no query crosses the reply. The queue's order follows the request's latency target and deadline, so its place is kept; a place booked for a caller that returns is not. Requests with a quota token stay, as the other host may have none for them, and so do all if no other host schedules.

Test: scheduler_stop, a server with one slot.

--- a/crates/chicoryrail-router/src/control/scheduling/mod.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/mod.rs
@@ -14,6 +14,7 @@
 mod server_sync;
 mod slot_ends;
 mod slot_queries;
+mod stop;
 mod takeover;
 mod tokens;
 
