test(router): a leader that stops while it moves keys

What was to be shown: whether grants and releases in flight at a leader that gets SIGTERM are lost or made twice, and how long keys have no owner.

Result: three hosts, three servers, one of which begins to drain 0, 20, 60 or 400 ms before the leader's SIGTERM. No change of behaviour.

--- /dev/null
+++ b/crates/chicoryrail-router/tests/leader_stop.rs
@@ -0,0 +1,91 @@
+//! The leader stops while it moves keys.
+
+mod support;
+
+use std::rc::Rc;
+
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::Clock;
+use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::TargetFault;
+use monoio::time::sleep;
+use nix::sys::signal::Signal;
+use rstest::rstest;
+use support::RouterProcess;
+use support::Server;
+use support::World;
+use support::wait_until;
+
+const KEYS: [u16; 6] = [0, 9_000, 21_845, 33_000, 50_000, 65_535];
+
+/// Time for which the hosts exchange heartbeats before the stop.
+const SETTLE_TIME: Millis = Millis(1_500);
+
+/// Time in which the keys are watched.
+const WATCHED_TIME: Millis = Millis(8_000);
+
+/// Longest time for which a key may have no owner while it moves and the leader changes.
+const UNOWNED_MAX: Millis = Millis(1_500);
+
+fn owners(servers: &[Rc<Server>], key: u16) -> usize {
+    servers.iter().filter(|s| s.owns(key)).count()
+}
+
+/// Stops the leader this long after a server with keys begins to drain.
+async fn stop_leader(drain_first: Millis) {
+    let world = World::start("leader-stop").await;
+    world.configure().await;
+    let mut servers = Vec::new();
+    for name in ["k-1", "k-2", "k-3"] {
+        servers.push(world.server(name, "kits").await);
+    }
+    let hosts = [
+        world.router("a").await,
+        world.router("b").await,
+        world.router("c").await,
+    ];
+    wait_until("all keys are granted", async || {
+        KEYS.iter().all(|k| owners(&servers, *k) == 1)
+    })
+    .await;
+    sleep(SETTLE_TIME.to_duration()).await;
+    let leads = |h: &&RouterProcess| h.log().contains("log=leader_won");
+    let leader = hosts.iter().find(leads).unwrap();
+    servers[0].fault(TargetFault::Leave);
+    sleep(drain_first.to_duration()).await;
+    leader.signal(Signal::SIGTERM);
+    let clock = Clock::start();
+    let mut unowned_since = [None; KEYS.len()];
+    let mut longest = Millis::ZERO;
+    while clock.now() < WATCHED_TIME {
+        for (key, since) in KEYS.iter().zip(&mut unowned_since) {
+            match owners(&servers, *key) {
+                0 => {
+                    let since = since.get_or_insert(clock.now());
+                    longest = longest.max(clock.now().since(*since));
+                }
+                1 => *since = None,
+                count => panic!("{count} servers own key {key}"),
+            }
+        }
+        sleep(Millis(5).to_duration()).await;
+    }
+    let moved = KEYS.iter().all(|k| !servers[0].owns(*k));
+    println!("unowned for {longest:?}");
+    let successors = hosts.iter().filter(|h| h.name != leader.name);
+    let replaced = successors.filter(|h| leads(h)).count();
+    assert_eq!(replaced, 1);
+    assert!(moved);
+    assert!(longest < UNOWNED_MAX, "{longest:?}");
+}
+
+/// Guards against keys that are owned twice, or by no server for long, after a leader that stops with grants and releases
+/// in flight.
+#[rstest]
+#[case::at_once(Millis::ZERO)]
+#[case::after_20_ms(Millis(20))]
+#[case::after_60_ms(Millis(60))]
+#[case::after_400_ms(Millis(400))]
+fn a_leader_that_stops_loses_no_key(#[case] drain_first: Millis) {
+    block_on(stop_leader(drain_first));
+}
