--- a/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
@@ -9,7 +9,6 @@
 use crate::control::scheduling::decisions::assign_waiting;
 use crate::control::scheduling::request_reports::report_requests;
 use crate::control::scheduling::server_bytes::log_bytes;
-use crate::control::scheduling::stop::record_stop;
 use crate::messages::PartName;
 use crate::messages::ServerPace;
 use crate::state::Router;
@@ -40,7 +39,6 @@
     loop {
         await_waiting(&router).await;
         if router.now().since(rendezvous.evaluated_at) >= RENDEZVOUS_INTERVAL {
-            record_stop(&router);
             rendezvous.evaluate(&router);
             report_requests(&router);
         }
--- a/crates/chicoryrail-router/src/control/scheduling/stop.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/stop.rs
@@ -18,14 +18,6 @@
 /// waits 150 ms for their reports.
 const TAKEOVER_TIME: Millis = Millis(700);
 
-/// Records the time of the stop.
-pub(super) fn record_stop(router: &Router) {
-    let stopped_at = &router.schedulers.stopped_at;
-    if router.process.stop.is_cancelled() && stopped_at.get().is_none() {
-        stopped_at.set(Some(router.now()));
-    }
-}
-
 /// Redirects a request that waits here, at its repeated query, if this host is stopping and another one schedules in its
 /// place. Returns `false` if the request stays.
 ///
@@ -39,8 +31,8 @@
     query: &SlotQuery,
     from: Option<SocketAddr>,
 ) -> bool {
-    let stopped_at = router.schedulers.stopped_at.get();
-    if stopped_at.is_none_or(|at| router.now().since(at) < TAKEOVER_TIME) {
+    let stop = router.process_end.times();
+    if stop.is_none_or(|stop| router.now().since(stop.begun) < TAKEOVER_TIME) {
         return false;
     }
     let has_token = {
--- a/crates/chicoryrail-router/src/state/schedulers.rs
+++ b/crates/chicoryrail-router/src/state/schedulers.rs
@@ -1,6 +1,5 @@
 //! Schedulers of parts of services, with the origins of the queries that they decide on.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -40,8 +39,6 @@
     pub(crate) origins: RefCell<HashMap<u64, QueryOrigin>>,
     /// Notified when a request begins to wait.
     pub(crate) enqueued: ChangeSignal,
-    /// When the process was told to stop.
-    pub(crate) stopped_at: Cell<Option<Millis>>,
     /// Data centres; a position in this list identifies one in the schedulers.
     dcs: RefCell<Vec<DcName>>,
     /// Free slots that the schedulers of partitioned services reported.
