fix(router): a host that stops does not campaign for the lead

What was seen: when two hosts stop one after the other, as in a rolling restart, the second could win the lead 50 ms after its own SIGTERM and give it up 4 to 12 ms later: one more term, in which each key record is read and no key can move.

Cause: whether the process is stopping was looked at before the random wait of up to 660 ms ahead of a campaign, and not again after it.

Change: it is looked at after the wait too.

Test: leader_stop, a_stopping_host_does_not_campaign.

--- a/crates/chicoryrail-router/src/control/leader/elect.rs
+++ b/crates/chicoryrail-router/src/control/leader/elect.rs
@@ -76,7 +76,9 @@
             wait = wait + NOT_WATCHING_DELAY;
         }
         router.process.clock.sleep(wait).await;
-        if router.store_view.borrow().own(LEADER).is_some() {
+        // The process may have been told to stop during the wait.
+        let stopping = router.process.stop.is_cancelled();
+        if stopping || router.store_view.borrow().own(LEADER).is_some() {
             continue;
         }
         match campaign(&router).await {
--- a/crates/chicoryrail-router/tests/leader_stop.rs
+++ b/crates/chicoryrail-router/tests/leader_stop.rs
@@ -1,4 +1,4 @@
-//! The leader stops while it moves keys.
+//! Hosts stop while they move keys, or while they wait to campaign.
 
 mod support;
 
@@ -89,3 +89,38 @@
 fn a_leader_that_stops_loses_no_key(#[case] drain_first: Millis) {
     block_on(stop_leader(drain_first));
 }
+
+/// Time after the end of a term at which a weak host waits to campaign.
+const BEFORE_CAMPAIGN: Millis = Millis(130);
+
+/// Time in which a host that waits to campaign would have won.
+const CAMPAIGN_TIME: Millis = Millis(1_000);
+
+/// Guards against a stopping host that becomes the leader, only to give up its term at once. The last two hosts are told to
+/// stop, the second while it waits to campaign.
+#[test]
+fn a_stopping_host_does_not_campaign() {
+    block_on(async {
+        let world = World::start("campaign-stop").await;
+        world.configure().await;
+        let _server = world.server("k-1", "kits").await;
+        let leader = world.router("a").await;
+        let weak = world.low_power_router("b").await;
+        wait_until("both are core hosts", async || {
+            weak.log().contains("log=core_host")
+        })
+        .await;
+        sleep(SETTLE_TIME.to_duration()).await;
+        leader.signal(Signal::SIGTERM);
+        wait_until("the leader has given up its term", async || {
+            leader.log().contains("log=leader_lost")
+        })
+        .await;
+        sleep(BEFORE_CAMPAIGN.to_duration()).await;
+        weak.signal(Signal::SIGTERM);
+        sleep(CAMPAIGN_TIME.to_duration()).await;
+        let log = weak.log();
+        assert!(log.contains("log=stopping"), "{log}");
+        assert!(!log.contains("log=leader_won"), "{log}");
+    });
+}
