refactor(testkit): break the circle of imports in the chaos modules

inject imported host_series and target_series, which imported pause, pause_router and with_latency_target from inject, some of them through series_task. The pauses have a module of their own, and the configuration with another latency target is a method of RunContext. No behaviour changes.

--- a/crates/chicoryrail-testkit/src/chaos.rs
+++ b/crates/chicoryrail-testkit/src/chaos.rs
@@ -7,6 +7,7 @@
 mod host_series;
 mod inject;
 mod options;
+mod pause;
 mod random_fault;
 mod run;
 mod series_task;
--- a/crates/chicoryrail-testkit/src/chaos/context.rs
+++ b/crates/chicoryrail-testkit/src/chaos/context.rs
@@ -10,6 +10,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use chicoryrail_core::Millis;
+use chicoryrail_core::Site;
+
 use crate::Cluster;
 use crate::HostTime;
 use crate::Operator;
@@ -74,6 +77,17 @@
         self.events.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the first configuration with another latency target of its first route.
+    pub(crate) fn site_with_latency_target(&self, latency_target: Millis) -> Site {
+        let site = self.cluster().site();
+        let mut routes: Vec<_> = site.routes().iter().map(|r| (**r).clone()).collect();
+        routes[0].latency_target = latency_target;
+        let organisations = site.organisations();
+        let organisations = organisations.map(|all| all.iter().map(|o| (**o).clone()).collect());
+        Site::new(site.version, site.limits, site.services.clone(), routes)
+            .with_organisations(organisations)
+    }
+
     /// Records that a router did not run from `from` until now, and returns the period.
     pub(crate) fn record_interruption(&self, host: usize, from: u64) -> HostTime {
         let host = self.cluster().hosts()[host].caller_addr;
--- a/crates/chicoryrail-testkit/src/chaos/host_series.rs
+++ b/crates/chicoryrail-testkit/src/chaos/host_series.rs
@@ -4,7 +4,6 @@
 
 use crate::Member;
 use crate::chaos::context::RunContext;
-use crate::chaos::inject::with_latency_target;
 use crate::unix_micros;
 
 /// Longest time for a planned stop of a process, in milliseconds; a slower process is killed.
@@ -59,7 +58,7 @@
         }
         context.cluster().reload(Member::Router(host));
         let latency_target = if host % 2 == 0 { 250 } else { 300 };
-        let site = with_latency_target(context, Millis(latency_target));
+        let site = context.site_with_latency_target(Millis(latency_target));
         let put = context.operator.put_config("series", &site);
         notes.extend(put.err().map(|e| e.to_string()));
         context.sleep(gap_ms);
--- a/crates/chicoryrail-testkit/src/chaos/inject.rs
+++ b/crates/chicoryrail-testkit/src/chaos/inject.rs
@@ -2,7 +2,6 @@
 
 use chicoryrail_core::DcName;
 use chicoryrail_core::Millis;
-use chicoryrail_core::Site;
 
 use crate::HostTime;
 use crate::Link;
@@ -17,6 +16,8 @@
 use crate::chaos::host_series::reload_series;
 use crate::chaos::host_series::rolling_restart;
 use crate::chaos::host_series::stop_series;
+use crate::chaos::pause::pause;
+use crate::chaos::pause::pause_router;
 use crate::chaos::target_faults::inject_target_fault;
 use crate::chaos::target_faults::stall_targets;
 use crate::chaos::target_series::pause_many;
@@ -151,21 +152,6 @@
     restarted.map_err(|e| e.to_string())
 }
 
-pub(crate) fn pause(context: &RunContext, member: Member, for_ms: u64) -> Result<(), String> {
-    context.cluster().pause(member);
-    context.sleep(for_ms);
-    context.cluster().resume(member);
-    Ok(())
-}
-
-pub(crate) fn pause_router(context: &RunContext, host: usize, for_ms: u64) -> Result<(), String> {
-    let from = unix_micros();
-    pause(context, Member::Router(host), for_ms)?;
-    let period = context.record_interruption(host, from);
-    context.events().frozen.push(period);
-    Ok(())
-}
-
 /// Cuts the paths from a host to all targets for a time.
 fn lose_paths(context: &RunContext, host: usize, form: CutForm, for_ms: u64) -> Result<(), String> {
     let set = |lines: &str| {
@@ -250,8 +236,8 @@
 /// Writes two configurations at once that differ in a route's latency target.
 fn race_operators(context: &RunContext) -> Result<(), String> {
     let operator = &context.operator;
-    let first_site = with_latency_target(context, Millis(250));
-    let second_site = with_latency_target(context, Millis(350));
+    let first_site = context.site_with_latency_target(Millis(250));
+    let second_site = context.site_with_latency_target(Millis(350));
     let (first, second) = std::thread::scope(|s| {
         let first = s.spawn(|| operator.put_config("ada", &first_site));
         let second = operator.put_config("ben", &second_site);
@@ -264,17 +250,6 @@
     }
 }
 
-/// Returns the first configuration with another latency target of its first route.
-pub(crate) fn with_latency_target(context: &RunContext, latency_target: Millis) -> Site {
-    let site = context.cluster().site();
-    let mut routes: Vec<_> = site.routes().iter().map(|r| (**r).clone()).collect();
-    routes[0].latency_target = latency_target;
-    let organisations = site.organisations();
-    let organisations = organisations.map(|all| all.iter().map(|o| (**o).clone()).collect());
-    Site::new(site.version, site.limits, site.services.clone(), routes)
-        .with_organisations(organisations)
-}
-
 fn drain_dc(context: &RunContext, centre: usize, for_ms: u64) -> Result<(), String> {
     let (name, servers) = {
         let cluster = context.cluster();
--- a/crates/chicoryrail-testkit/src/chaos/series_task.rs
+++ b/crates/chicoryrail-testkit/src/chaos/series_task.rs
@@ -3,8 +3,8 @@
 use crate::Member;
 use crate::TargetFault;
 use crate::chaos::context::RunContext;
-use crate::chaos::inject::pause;
-use crate::chaos::inject::pause_router;
+use crate::chaos::pause::pause;
+use crate::chaos::pause::pause_router;
 
 /// What is done to one process in a round of a series.
 #[derive(Clone, Copy, Debug)]
