fix(runtime): a refused caller that is still sending receives its refusal

What callers saw: the connection closed or reset in place of the response, when a request with a body was refused before its body was read: no route, no key, no configuration yet (a host that has just started), a limit. Only uploads that had been admitted were read on.

Change: whatever is refused, the rest of the body is read for 2 s and 1 MiB at most and dropped, unless the caller waits for 100-continue.

uploads.rs a_caller_that_is_still_sending_receives_its_refusal: both cases failed before (broken pipe) and pass; uploads (32), bad_input (33), slow_uploads, waiting_at_stop (13) pass.

--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -10,6 +10,7 @@
 use chicoryrail_runtime::Body;
 use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
+use chicoryrail_runtime::discard_body;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -52,9 +53,18 @@
         Ok(call) => {
             serving.track(&call.progress);
             let body = upload::wrap_body(&router, &call, body, expects_continue);
-            run(&router, call, body).await
+            let response = run(&router, call, Rc::clone(&body)).await;
+            if !expects_continue {
+                body.discard();
+            }
+            response
+        }
+        Err(cause) => {
+            if !expects_continue {
+                discard_body(body);
+            }
+            refuse_unparsed(&router, id.as_ref(), cause)
         }
-        Err(cause) => refuse_unparsed(&router, id.as_ref(), cause),
     };
     if let Some(id) = id {
         response.headers_mut().insert(call_header::REQUEST_ID, id);
--- a/crates/chicoryrail-router/tests/uploads.rs
+++ b/crates/chicoryrail-router/tests/uploads.rs
@@ -229,6 +229,27 @@
     });
 }
 
+/// Guards against a refusal that its caller never receives: it is still sending its body, and a connection that is closed
+/// with bytes unread is reset.
+#[rstest]
+#[case::no_route("/none/x", 404)]
+#[case::no_key("/key/x", 400)]
+fn a_caller_that_is_still_sending_receives_its_refusal(#[case] path: &str, #[case] expected: u16) {
+    block_on(async {
+        let fixture = Fixture::start("unread", 300, &[]).await;
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: shop.example\r\nchicoryrail-request-id: unread\r\n\
+             content-length: 400000\r\n\r\n"
+        );
+        let mut stream = fixture.send(head.into_bytes()).await;
+        for _ in 0..4 {
+            sleep(Duration::from_millis(100)).await;
+            stream.write_all(vec![b'a'; 100_000]).await.0.unwrap();
+        }
+        assert_eq!(statuses(&read(&mut stream).await), [expected]);
+    });
+}
+
 /// Guards against a caller that stops sending and keeps the only slot. If nothing was sent to a server the response
 /// says that the upload has not run.
 #[rstest]
--- a/crates/chicoryrail-runtime/src/discard.rs
+++ b/crates/chicoryrail-runtime/src/discard.rs
@@ -1,4 +1,4 @@
-//! Reads and drops what the caller of a refused upload is still sending.
+//! Reads and drops what the caller of a refused request is still sending.
 
 use std::future::poll_fn;
 
@@ -8,15 +8,21 @@
 
 use crate::Body;
 
-/// Longest time for which the rest of a refused upload is read and dropped. Closing the connection before the caller has
+/// Longest time for which the rest of a refused body is read and dropped. Closing the connection before the caller has
 /// sent it would reset the connection, and the caller would lose the response.
 const DISCARD_TIME_MAX: Millis = Millis(2_000);
 
-/// Bytes of a refused upload that are read and dropped at most.
+/// Bytes of a refused body that are read and dropped at most.
 const DISCARD_BYTES_MAX: usize = 1 << 20;
 
-/// Reads the rest of `body` for a short time and drops it.
-pub(crate) async fn discard_rest(mut body: Body) {
+/// Reads the rest of a body for a short time and drops it, so that its caller receives the response.
+pub fn discard_body(body: Body) {
+    if !body.is_end_stream() {
+        monoio::spawn(discard_rest(body));
+    }
+}
+
+async fn discard_rest(mut body: Body) {
     let read_rest = async {
         let mut left = DISCARD_BYTES_MAX;
         while let Some(Ok(frame)) = poll_fn(|cx| body.as_mut().poll_frame(cx)).await {
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -68,6 +68,7 @@
 pub use connect::check_address;
 #[cfg(feature = "fault-injection")]
 pub use cut_paths::CUT_FILE_VARIABLE;
+pub use discard::discard_body;
 pub use guarded_body::guard_body;
 pub use held_bytes::HeldBytes;
 pub use hop_by_hop::strip_hop_by_hop;
--- a/crates/chicoryrail-runtime/src/request_body.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -17,7 +17,7 @@
 use crate::BodyError;
 use crate::UploadFlow;
 use crate::UploadLimits;
-use crate::discard::discard_rest;
+use crate::discard::discard_body;
 use crate::replay_buffer::ReplayBuffer;
 
 /// Bytes at the start of a body that are buffered for a retry. They are also read before the request takes a slot of
@@ -152,21 +152,22 @@
         std::future::pending::<()>().await;
     }
 
-    /// Ends an upload: nothing more of it is sent. What its caller is still sending is read for a short time and dropped,
-    /// so that the caller receives its response.
+    /// Ends the body: nothing more of it is sent. What the caller is still sending is read for a short time and dropped, so
+    /// that it receives its response.
     pub fn discard(&self) {
-        let Some(upload) = &self.upload else {
-            return;
-        };
         let Some(body) = self.inner.borrow_mut().take() else {
             return;
         };
         // A send that is still in progress must not take this for the end of the body.
         self.error.set(self.error.get().or(Some(BodyError::Cut)));
-        if upload.was_never_asked() {
+        if self
+            .upload
+            .as_ref()
+            .is_some_and(UploadFlow::was_never_asked)
+        {
             return;
         }
-        monoio::spawn(discard_rest(body));
+        discard_body(body);
     }
 
     /// Returns `true` if there is no body.
