refactor(router): the end of a request is logged in a file of its own

AbandonGuard and log_end have files of their own, and the refusal of a request is built by the request, so that refusal.rs and caller_request.rs do not import each other.

--- a/crates/chicoryrail-router/src/route/attempt_refusal.rs
+++ b/crates/chicoryrail-router/src/route/attempt_refusal.rs
@@ -67,6 +67,6 @@
             };
             return cause.into();
         }
-        self.call.refuse(self.router, cause, capacity_in)
+        self.call.refuse(self.router.now(), cause, capacity_in)
     }
 }
--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -14,17 +14,18 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::header::CONNECTION;
 use http::header::EXPECT;
 use http::request::Parts;
 use monoio::time::timeout;
 
+use crate::route::abandon_guard::AbandonGuard;
 use crate::route::attempts;
 use crate::route::caller_request::CallerRequest;
 use crate::route::destination::find_route;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
+use crate::route::request_log::log_end;
 use crate::route::serving_guard::ServingGuard;
 use crate::route::traffic::refuse_limited;
 use crate::route::upload;
@@ -119,42 +120,10 @@
             task.await
         }
     };
-    guard.ended = true;
+    guard.end();
     finish(router, &call, result)
 }
 
-/// Counts and logs a request whose caller disconnects before its response: the HTTP layer then drops the future that
-/// serves the request, and this guard with it.
-struct AbandonGuard {
-    router: Rc<Router>,
-    call: Rc<CallerRequest>,
-    ended: bool,
-}
-
-impl AbandonGuard {
-    fn new(router: &Rc<Router>, call: &Rc<CallerRequest>) -> Self {
-        Self {
-            router: Rc::clone(router),
-            call: Rc::clone(call),
-            ended: false,
-        }
-    }
-}
-
-impl Drop for AbandonGuard {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        self.call.caller_left.cancel();
-        let took = self.router.now().since(self.call.arrived);
-        let labels = [self.call.service_name().as_str(), "given_up"];
-        let requests = &self.router.counters.requests;
-        requests.with_label_values(&labels).inc();
-        log_end(&self.call, "given_up", took, None, None);
-    }
-}
-
 async fn forward(
     router: &Rc<Router>,
     call: &CallerRequest,
@@ -241,38 +210,6 @@
     }
 }
 
-/// Logs the end of a request, with the values that determined its outcome.
-fn log_end(
-    call: &CallerRequest,
-    outcome: &str,
-    took: Millis,
-    status: Option<StatusCode>,
-    refusal: Option<Refusal>,
-) {
-    let stats = call.stats.borrow();
-    let server = stats
-        .server
-        .as_ref()
-        .map_or_else(|| "-".to_owned(), ToString::to_string);
-    let via = stats
-        .via
-        .map_or_else(|| "-".to_owned(), |addr| addr.to_string());
-    let chosen_by = if stats.decided_by_scheduler {
-        "scheduler"
-    } else {
-        "host"
-    };
-    let cause = refusal.map_or("-", |r| r.cause.name());
-    let retry_after = refusal.and_then(|r| r.retry_after).map_or(0, |m| m.0);
-    let key = call.key.map_or_else(|| "-".to_owned(), |k| k.to_string());
-    log::info!(request = call.id, route = call.route.name, service:% = call.service_name(),
-        status = status.map_or(0, |s| s.as_u16()), cause = cause, retry_after_ms = retry_after,
-        took_ms = took.0, waited_ms = stats.waited.0, aim_ms = call.route.latency_target.0,
-        time_ms = call.time_limit().0, server = server, sends = stats.sends, via = via,
-        stage = call.progress.stage.get().name(), writes = call.progress.writes.get(),
-        chosen_by = chosen_by, key = key, config = call.config_version; "request_{outcome}");
-}
-
 fn outcome(response: &Response<Body>, took: Millis, latency_target: Millis) -> &'static str {
     if !response.status().is_success() {
         "failed"
--- a/crates/chicoryrail-router/src/route/caller_request.rs
+++ b/crates/chicoryrail-router/src/route/caller_request.rs
@@ -34,6 +34,7 @@
 use crate::route::destination::find_route;
 use crate::route::destination::pick_service;
 use crate::route::refusal::Cause;
+use crate::route::refusal::Refusal;
 use crate::route::request_identity::RequestIdentity;
 use crate::route::request_stats::RequestStats;
 use crate::state::RequestProgress;
@@ -227,10 +228,13 @@
         self.deadline.since(self.arrived)
     }
 
-    /// Returns the time after which the caller of a refused request should retry if capacity is expected after
-    /// `capacity_in`.
-    pub(crate) fn retry_after(&self, now: Millis, capacity_in: Millis) -> Millis {
-        retry_after(&mut rand::rng(), capacity_in, self.deadline.since(now))
+    /// Builds the refusal of the request, of which nothing was sent; capacity is expected after `capacity_in`.
+    pub(crate) fn refuse(&self, now: Millis, cause: Cause, capacity_in: Millis) -> Refusal {
+        let time_left = self.deadline.since(now);
+        Refusal {
+            cause,
+            retry_after: Some(retry_after(&mut rand::rng(), capacity_in, time_left)),
+        }
     }
 
     /// Returns `true` if the request may run more than once.
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -1,5 +1,6 @@
 //! Handles a caller's request: parse it, choose a server, send, respond.
 
+mod abandon_guard;
 mod acquire;
 mod admission;
 mod attempt;
@@ -18,6 +19,7 @@
 mod queue_identity;
 mod refusal;
 mod request_identity;
+mod request_log;
 mod request_stats;
 mod response_body;
 mod response_limit;
--- a/crates/chicoryrail-router/src/route/refusal.rs
+++ b/crates/chicoryrail-router/src/route/refusal.rs
@@ -12,9 +12,6 @@
 use http::header::RETRY_AFTER;
 use http::header::WWW_AUTHENTICATE;
 
-use crate::route::caller_request::CallerRequest;
-use crate::state::Router;
-
 /// Authentication scheme that a caller without a valid API key is asked to use.
 const CHALLENGE: &str = "ApiKey";
 
@@ -182,16 +179,6 @@
     }
 }
 
-impl CallerRequest {
-    /// Builds the refusal of the request, of which nothing was sent; capacity is expected after `capacity_in`.
-    pub(super) fn refuse(&self, router: &Router, cause: Cause, capacity_in: Millis) -> Refusal {
-        Refusal {
-            cause,
-            retry_after: Some(self.retry_after(router.now(), capacity_in)),
-        }
-    }
-}
-
 impl From<BodyError> for Cause {
     /// Returns the cause with which a request is refused of whose body nothing was sent.
     fn from(error: BodyError) -> Self {
--- a/crates/chicoryrail-router/src/route/upload.rs
+++ b/crates/chicoryrail-router/src/route/upload.rs
@@ -59,7 +59,7 @@
     let Some(plan) = UploadPlan::new(router.options.upload_reading, declared, free) else {
         let stats = &router.route_stats;
         let memory_in = stats.expected_work(&call.route.name, call.route.latency_target);
-        return Err(call.refuse(router, Cause::HostMemory, memory_in));
+        return Err(call.refuse(router.now(), Cause::HostMemory, memory_in));
     };
     flow.hold(router.budget.take(plan.held));
     let left = call.time_to_send(router);
@@ -80,12 +80,12 @@
     match call.wait_to_send(router, reading).await {
         Some(Ok(())) => Ok(()),
         Some(Err(BodyError::Slow)) if call.is_host_out_of_time(router) => {
-            Err(call.refuse(router, Cause::Stopping, Millis::ZERO))
+            Err(call.refuse(router.now(), Cause::Stopping, Millis::ZERO))
         }
         Some(Err(error)) => Err(Cause::from(error).into()),
         None => {
             let cause = call.out_of_time_cause(router);
-            Err(call.refuse(router, cause, Millis::ZERO))
+            Err(call.refuse(router.now(), cause, Millis::ZERO))
         }
     }
 }
