fix(policy): the latency target in a queue is as before unless the host has less time than the caller

Since a request whose deadline comes before its latency target counted as late, also where its caller has no more time than that. The deadline now limits the target only where the caller's own time goes beyond it, as at a host that stops.

--- a/crates/chicoryrail-policy/src/scheduler/scheduler.rs
+++ b/crates/chicoryrail-policy/src/scheduler/scheduler.rs
@@ -206,7 +206,7 @@
         let server = self.try_send(now, waiting, *ahead_us, view);
         if server.is_none() && waiting.may_wait_late() {
             let response_us = view.response_in_us(&waiting.request, placement, *ahead_us);
-            let left = waiting.request.valuable_until().since(now);
+            let left = waiting.request.target_here().since(now);
             waiting.is_late = response_us.is_none_or(|us| us > left.0 as f64 * 1_000.0);
             if waiting.is_late {
                 return None;
--- a/crates/chicoryrail-policy/src/scheduler/slot_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/slot_request.rs
@@ -42,9 +42,14 @@
 }
 
 impl SlotRequest {
-    /// Returns the time until which a response from this host has its full value: none after the deadline has any.
-    pub(crate) fn valuable_until(&self) -> Millis {
-        self.latency_target.min(self.deadline)
+    /// Returns the time until which the request should wait among those that can meet their latency target. A caller with
+    /// time beyond the deadline can go to another host, so it is not kept here for a response that comes after it.
+    pub(crate) fn target_here(&self) -> Millis {
+        if self.caller_deadline > self.deadline {
+            self.latency_target.min(self.deadline)
+        } else {
+            self.latency_target
+        }
     }
 }
 
--- a/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
+++ b/crates/chicoryrail-policy/src/scheduler/waiting_request.rs
@@ -50,8 +50,7 @@
     /// Updates whether the request would meet its latency target if it went next.
     pub(crate) fn check_target(&mut self, now: Millis, view: &LoadView) {
         let earliest = view.response_in_us(&self.request, self.placement, 0.0);
-        let in_time =
-            |us: f64| now + Millis((us / 1_000.0) as u64) <= self.request.valuable_until();
+        let in_time = |us: f64| now + Millis((us / 1_000.0) as u64) <= self.request.target_here();
         self.in_time = earliest.is_some_and(in_time);
         self.is_late = (self.is_late || !self.in_time) && self.may_wait_late();
     }
--- a/crates/chicoryrail-policy/tests/scheduler.rs
+++ b/crates/chicoryrail-policy/tests/scheduler.rs
@@ -238,6 +238,7 @@
     let mut scheduler = scheduler(1);
     let waiting = |now, time| SlotRequest {
         tolerates_waiting: true,
+        caller_deadline: Millis(1_000),
         ..request(2, now, 300, time)
     };
     for ticket in [10, 11] {
