fix(router): a stopping scheduler keeps its queue again

Cause, by the log: the process stood still for 2.5 and 3.4 s, in steps of a second, right after its start, while the queues of the four others were redirected to it.

So it is taken out.

--- a/crates/chicoryrail-router/src/control/scheduling/mod.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/mod.rs
@@ -14,7 +14,6 @@
 mod server_sync;
 mod slot_ends;
 mod slot_queries;
-mod stop;
 mod takeover;
 mod tokens;
 
--- a/crates/chicoryrail-router/src/control/scheduling/slot_queries.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/slot_queries.rs
@@ -13,7 +13,6 @@
 use crate::control::scheduling::part_schedulers::new_scheduler;
 use crate::control::scheduling::part_schedulers::refresh_servers;
 use crate::control::scheduling::part_schedulers::reply_to;
-use crate::control::scheduling::stop::redirect_at_stop;
 use crate::control::scheduling::takeover::record_query;
 use crate::control::scheduling::tokens::take_token;
 use crate::messages::SlotQuery;
@@ -48,9 +47,6 @@
     };
     // A repeated query for a queued request is no new demand for its key.
     let is_queued = is_queued(router, query.ticket);
-    if is_queued && redirect_at_stop(router, &service, query, from) {
-        return;
-    }
     if let Some(key) = query.key.filter(|_| !is_queued) {
         service.record_key_demand(key);
     }
