test(router): one check of which host schedules, in place of four

scheduler_loss, stopping, waiting_at_stop and scheduler_stop each read the same log line in a function of their own; they differed in the service and its slots alone. Assertions are unchanged.

--- a/crates/chicoryrail-router/tests/scheduler_loss.rs
+++ b/crates/chicoryrail-router/tests/scheduler_loss.rs
@@ -7,7 +7,6 @@
 use chicoryrail_testkit::TargetOptions;
 use futures_util::future::join;
 use futures_util::future::join_all;
-use support::RouterProcess;
 use support::World;
 use support::wait_until;
 
@@ -19,13 +18,6 @@
 /// Time after the loss at which both are still running.
 const SAMPLED_AFTER: Millis = Millis(450);
 
-/// Returns `true` if the host's log shows that it schedules a server of the service `kits`.
-fn schedules(router: &RouterProcess) -> bool {
-    let log = router.log();
-    let mut lines = log.lines().filter(|l| l.starts_with("log=scheduler "));
-    lines.any(|l| l.contains("service=kits") && l.ends_with("slots=2"))
-}
-
 /// Guards against a new scheduler that fills the slots of a server which are taken already. Load: a server with two slots
 /// and no queue runs two requests of 700 ms for one host when its scheduler is killed. Then both remaining hosts get
 /// three more requests for it, of which the server may refuse none as beyond its queue while the two run.
@@ -50,10 +42,10 @@
         wait_until("the key is granted", async || server.owns(KEY)).await;
         wait_until("one host schedules", async || {
             let _ = routers[0].caller().key(KEY).await;
-            routers.iter().filter(|r| schedules(r)).count() == 1
+            routers.iter().filter(|r| r.schedules("kits", 2)).count() == 1
         })
         .await;
-        let at = routers.iter().position(schedules).unwrap();
+        let at = routers.iter().position(|r| r.schedules("kits", 2)).unwrap();
         let scheduler = routers.remove(at);
         let callers = [routers[0].caller(), routers[0].caller()];
         let long = callers.map(|caller| {
--- a/crates/chicoryrail-router/tests/scheduler_stop.rs
+++ b/crates/chicoryrail-router/tests/scheduler_stop.rs
@@ -38,13 +38,6 @@
 /// Time for which the hosts exchange heartbeats before the server registers.
 const SETTLE_TIME: Millis = Millis(1_500);
 
-/// Returns `true` if the host's log shows that it schedules the server.
-fn schedules(router: &RouterProcess) -> bool {
-    let log = router.log();
-    let mut lines = log.lines().filter(|l| l.starts_with("log=scheduler "));
-    lines.any(|l| l.contains("service=desk") && l.ends_with("slots=1"))
-}
-
 /// Starts three hosts and a server with one slot and no queue; returns the hosts, the scheduler first. All hosts know the
 /// time that an upload takes.
 async fn start(world: &World) -> (Rc<Server>, Vec<RouterProcess>) {
@@ -78,10 +71,10 @@
         .await;
     }
     wait_until("one host schedules", async || {
-        hosts.iter().filter(|h| schedules(h)).count() == 1
+        hosts.iter().filter(|h| h.schedules("desk", 1)).count() == 1
     })
     .await;
-    hosts.sort_by_key(|h| !schedules(h));
+    hosts.sort_by_key(|h| !h.schedules("desk", 1));
     (server, hosts)
 }
 
--- a/crates/chicoryrail-router/tests/stopping.rs
+++ b/crates/chicoryrail-router/tests/stopping.rs
@@ -263,12 +263,6 @@
     ReceivingStops,
 }
 
-fn schedules(host: &RouterProcess) -> bool {
-    let log = host.log();
-    let mut lines = log.lines().filter(|l| l.starts_with("log=scheduler "));
-    lines.any(|l| l.contains("service=desk") && l.ends_with("slots=1"))
-}
-
 /// Sends a request with a new caller.
 fn send(host: &RouterProcess, method: &'static str, path: &'static str) -> JoinHandle<u16> {
     let caller = host.caller();
@@ -303,11 +297,11 @@
         }
         wait_until("one host schedules", async || {
             let _ = hosts[0].caller().get("/read/x").await;
-            hosts.iter().filter(|h| schedules(h)).count() == 1
+            hosts.iter().filter(|h| h.schedules("desk", 1)).count() == 1
         })
         .await;
-        let scheduler = hosts.iter().find(|h| schedules(h)).unwrap();
-        let other = hosts.iter().find(|h| !schedules(h));
+        let scheduler = hosts.iter().find(|h| h.schedules("desk", 1)).unwrap();
+        let other = hosts.iter().find(|h| !h.schedules("desk", 1));
         let receiving = other.unwrap_or(scheduler);
         let running = send(receiving, "POST", LONG_ORDER);
         sleep(AT_WORK.to_duration()).await;
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -529,6 +529,14 @@
         std::fs::read_to_string(&self.log).unwrap()
     }
 
+    /// Returns `true` if the log shows that this host schedules this number of slots of a service.
+    pub fn schedules(&self, service: &str, slots: u32) -> bool {
+        let log = self.log();
+        let (service, slots) = (format!("service={service}"), format!("slots={slots}"));
+        let mut lines = log.lines().filter(|l| l.starts_with("log=scheduler "));
+        lines.any(|l| l.contains(&service) && l.ends_with(&slots))
+    }
+
     /// Returns a new caller with its own connection.
     pub fn caller(&self) -> Caller {
         let next = self.next.get() + 1;
--- a/crates/chicoryrail-router/tests/waiting_at_stop.rs
+++ b/crates/chicoryrail-router/tests/waiting_at_stop.rs
@@ -86,12 +86,6 @@
     time.unwrap_or_else(|| panic!("{log}"))
 }
 
-fn schedules(host: &RouterProcess) -> bool {
-    let log = host.log();
-    let mut lines = log.lines().filter(|l| l.starts_with("log=scheduler "));
-    lines.any(|l| l.contains("service=desk") && l.ends_with("slots=1"))
-}
-
 /// When the requests are sent.
 #[derive(Clone, Copy, Debug)]
 enum Arrival {
@@ -127,12 +121,12 @@
         }
         wait_until("one host schedules", async || {
             let _ = hosts[0].caller().get("/read/x").await;
-            hosts.iter().filter(|h| schedules(h)).count() == 1
+            hosts.iter().filter(|h| h.schedules("desk", 1)).count() == 1
         })
         .await;
         let at = match queue {
             Queue::OwnScheduler => 0,
-            Queue::OtherScheduler => hosts.iter().position(|h| !schedules(h)).unwrap(),
+            Queue::OtherScheduler => hosts.iter().position(|h| !h.schedules("desk", 1)).unwrap(),
         };
         let runs = server.executed();
         let running = send(&hosts[at], "POST", ORDER);
@@ -329,10 +323,10 @@
         }
         wait_until("one host schedules", async || {
             let _ = hosts[0].caller().get("/read/x").await;
-            hosts.iter().filter(|h| schedules(h)).count() == 1
+            hosts.iter().filter(|h| h.schedules("desk", 1)).count() == 1
         })
         .await;
-        let at = hosts.iter().position(|h| !schedules(h)).unwrap();
+        let at = hosts.iter().position(|h| !h.schedules("desk", 1)).unwrap();
         let running = send(&hosts[1 - at], "POST", "/order/x?work_us=4000000");
         sleep(SETTLED).await;
         let mut waiting = Vec::new();
