--- a/crates/chicoryrail-router/src/control/scheduling/decisions.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/decisions.rs
@@ -13,6 +13,7 @@
 use crate::messages::PartName;
 use crate::messages::SlotReply;
 use crate::state::Router;
+use crate::state::Target;
 
 /// Updates a part's servers, and decides on its waiting requests where possible.
 pub(super) fn assign_waiting(router: &Rc<Router>, part: &PartName) {
@@ -54,6 +55,7 @@
             let Some(target) = targets.values().find(|t| t.id == id) else {
                 return;
             };
+            log_warmup_assignment(router, target, ticket);
             SlotReply::Send(target.life.clone())
         }
     };
@@ -77,3 +79,21 @@
     }
     reply_to(router, origin.from, ticket, reply);
 }
+
+/// Logs that a request is assigned to a server that is warming up, and since when this host schedules for that server.
+fn log_warmup_assignment(router: &Router, target: &Target, ticket: u64) {
+    let now = router.now();
+    if !target.is_warming_up(now) {
+        return;
+    }
+    let origins = router.schedulers.origins.borrow();
+    let origin = origins.get(&ticket);
+    let scheduled_ms = match target.scheduled_here.get() {
+        Some(true) => now.since(target.scheduled_since.get()).0 as i64,
+        Some(false) | None => -1,
+    };
+    log::info!(request = origin.map_or("-", |o| o.id.as_str()), server:% = target.life,
+        from:? = origin.and_then(|o| o.from), scheduled_ms = scheduled_ms,
+        core_hosts = router.peers.borrow().core_host_count(),
+        warmup_left_ms = target.warmup_until.get().since(now).0; "warmup_assigned");
+}
--- a/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/maintenance.rs
@@ -115,6 +115,7 @@
                 let here = router.target_scheduler(&service, target) == SchedulerHost::Here;
                 let before = target.scheduled_here.replace(Some(here));
                 if before != Some(here) {
+                    target.scheduled_since.set(self.evaluated_at);
                     if here && may_have_requests(router, &service, before) {
                         target.taken_over_at.set(Some(self.evaluated_at));
                     }
--- a/crates/chicoryrail-router/src/route/acquire.rs
+++ b/crates/chicoryrail-router/src/route/acquire.rs
@@ -60,7 +60,10 @@
         stats.waited = stats.waited + self.router.now().since(started);
         stats.decided_by_scheduler = decided_by_scheduler;
         if let Ok((target, _)) = &assignment {
+            let now = self.router.now();
             stats.server = Some(target.life.clone());
+            stats.assigned_at = now;
+            stats.warmup_left = target.warmup_until.get().since(now);
             stats.sends += 1;
         }
         assignment
--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -20,6 +20,7 @@
 use crate::route::server_exchange::handle_response;
 use crate::route::server_exchange::new_request;
 use crate::route::suspicion::is_held_back;
+use crate::route::warmup_log::log_warmup_send;
 use crate::state::Router;
 use crate::state::Service;
 use crate::state::Target;
@@ -87,6 +88,7 @@
     let conn = in_flight.attach(conn);
     let sent_at = router.now();
     call.progress.record_write(sent_at);
+    log_warmup_send(router, call, &target);
     let request = new_request(call, &target, body, call.time_to_respond(router));
     let response = match conn.send(request).await {
         Ok(response) => response,
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -36,6 +36,7 @@
 mod suspicion;
 mod traffic;
 mod upload;
+mod warmup_log;
 mod watched_body;
 
 pub(crate) use caller::may_begin_early;
--- a/crates/chicoryrail-router/src/route/request_stats.rs
+++ b/crates/chicoryrail-router/src/route/request_stats.rs
@@ -10,6 +10,10 @@
 pub(crate) struct RequestStats {
     /// Server to which the request was last assigned.
     pub(crate) server: Option<Life>,
+    /// When the request was last assigned to a server.
+    pub(crate) assigned_at: Millis,
+    /// Remaining warm-up of that server by this host's view; zero for a server that it took as warm.
+    pub(crate) warmup_left: Millis,
     /// Number of times that the request was assigned to a server, including servers that could not be reached.
     pub(crate) sends: u32,
     /// Total time for which the request waited for a server.
--- a/crates/chicoryrail-router/src/route/server_report.rs
+++ b/crates/chicoryrail-router/src/route/server_report.rs
@@ -33,10 +33,15 @@
     }
     let warmup_left =
         call_header::text(headers, &call_header::WARMUP_LEFT).and_then(|t| t.parse().ok());
-    if let Some(left) = warmup_left
-        && target.extend_warmup(now, Millis(left))
-    {
-        service.record_change(target);
+    if let Some(left) = warmup_left {
+        let known = target.is_warming_up(now);
+        if target.extend_warmup(now, Millis(left)) {
+            service.record_change(target);
+            if !known {
+                log::info!(server:% = target.life, service:% = service.name, left_ms = left;
+                    "server_warms_up");
+            }
+        }
     }
 }
 
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -30,6 +30,8 @@
     pub(crate) held_bytes: IntGauge,
     /// Attempts at servers by service and result.
     pub(crate) sends: IntCounterVec,
+    /// Sends to servers that are warming up by service and by who chose the server.
+    pub(crate) warmup_sends: IntCounterVec,
     /// Sends of routes that tolerate waiting without a response, by service and end.
     pub(crate) unanswered: IntCounterVec,
     /// Changes of the number of requests that silent servers are given at once, by service and direction.
@@ -116,6 +118,11 @@
                 "Attempts at servers, by service and result",
                 &["service", "end"],
             ),
+            warmup_sends: metrics.counter_family(
+                "warmup_sends_total",
+                "Sends to servers that are warming up, by service and who chose the server",
+                &["service", "chosen_by"],
+            ),
             unanswered: metrics.counter_family(
                 "unanswered_total",
                 "Sends of routes that tolerate waiting without a response, by service and end",
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -53,6 +53,8 @@
     pub(crate) warmup: RefCell<WarmupPacer>,
     /// Latest end of a warm-up that the server has reported; zero if it has reported none.
     pub(crate) warmup_until: Cell<Millis>,
+    /// When this host learned of that warm-up.
+    pub(crate) warmup_since: Cell<Millis>,
     /// Rate limit that the server's responses advertise.
     pub(crate) limit: Cell<AdvertisedLimit>,
     /// Path of this host to the server.
@@ -68,6 +70,8 @@
     pub(crate) admission: Cell<Admission>,
     /// Whether this host schedules the requests for the server; `None` until that is determined.
     pub(crate) scheduled_here: Cell<Option<bool>>,
+    /// When that was last determined to have changed.
+    pub(crate) scheduled_since: Cell<Millis>,
     /// When this host began to schedule the requests in place of another one, if most routes to the service tolerate
     /// waiting.
     pub(crate) taken_over_at: Cell<Option<Millis>>,
@@ -94,6 +98,7 @@
             pool: Rc::default(),
             warmup: RefCell::default(),
             warmup_until: Cell::default(),
+            warmup_since: Cell::default(),
             limit: Cell::default(),
             path: Cell::default(),
             found_alive: Cell::default(),
@@ -102,6 +107,7 @@
             share: Cell::new(Share::ALL),
             admission: Cell::new(Admission::Closed),
             scheduled_here: Cell::new(None),
+            scheduled_since: Cell::default(),
             taken_over_at: Cell::new(None),
             scheduled_generation: Cell::new(0),
         }
@@ -182,6 +188,9 @@
         let until = self.warmup_until.get();
         let is_longer = left > Millis::ZERO && now + left > until;
         if is_longer {
+            if !self.is_warming_up(now) {
+                self.warmup_since.set(now);
+            }
             self.warmup_until.set(now + left);
         }
         is_longer
--- a/crates/chicoryrail-router/src/state/view_log.rs
+++ b/crates/chicoryrail-router/src/state/view_log.rs
@@ -1,5 +1,6 @@
 //! Log lines of changes of the store view.
 
+use chicoryrail_core::Millis;
 use chicoryrail_runtime::Invariant;
 
 use crate::state::Router;
@@ -23,8 +24,10 @@
         let gone = |c: &&ViewChange| matches!(c, ViewChange::ServerGone(_));
         let gone = changes.iter().filter(gone).count();
         let view = self.store_view.borrow();
+        let warming_up = |e: &&ServerEntry| e.member.warmup_left > Millis::ZERO;
+        let warming_up = view.servers().filter(warming_up).count();
         log::info!(changed = servers - gone, gone = gone, known = view.servers().count(),
-            revision = view.revision(); "servers");
+            warming_up = warming_up, revision = view.revision(); "servers");
         drop(view);
         let others = changes.iter().filter(|c| !is_server(c));
         others.for_each(|change| self.log(change));
