--- /dev/null
+++ b/crates/chicoryrail-router/tests/warm_up.rs
@@ -0,0 +1,112 @@
+//! Hosts without a common scheduler, and a server that is warming up.
+
+mod support;
+
+use std::rc::Rc;
+
+use chicoryrail_core::Member;
+use chicoryrail_core::Millis;
+use chicoryrail_runtime::Clock;
+use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::TargetOptions;
+use futures_util::future::join_all;
+use nix::sys::signal::Signal;
+use support::RouterProcess;
+use support::Server;
+use support::World;
+use support::ready_member;
+
+/// Requests that all hosts together may send to the server in any second: `cold_per_s` x `cold_over` + `cold_slack`.
+const WARMUP_RATE_MAX: usize = 12;
+
+/// Number of weak hosts: more than requests a second.
+const LEAVES: usize = 14;
+
+/// Time for which callers send requests after the loss: longer than the silence after which a host sends on its own.
+const LOAD_TIME: Millis = Millis(7_000);
+
+/// Pause of a caller between two requests.
+const REQUEST_PAUSE: Millis = Millis(20);
+
+/// Registers a server that warms up for the whole test.
+async fn warming_server(world: &World) -> Rc<Server> {
+    let server = Server::start(TargetOptions {
+        service: "desk".into(),
+        ..TargetOptions::new("i-1")
+    });
+    let member = Member {
+        warmup_left: Millis(600_000),
+        slots: 50,
+        ..ready_member("i-1", "desk", server.addr)
+    };
+    world.put_members(std::slice::from_ref(&member)).await;
+    server
+}
+
+/// Starts weak hosts at the same time.
+async fn start_leaves(world: &World) -> Vec<RouterProcess> {
+    let names: Vec<String> = (0..LEAVES).map(|i| format!("leaf-{i}")).collect();
+    join_all(names.iter().map(|name| world.low_power_router(name))).await
+}
+
+/// Sends requests one after the other for [`LOAD_TIME`].
+async fn send_reads(host: &RouterProcess) {
+    let (clock, caller) = (Clock::start(), host.caller());
+    while clock.now() < LOAD_TIME {
+        let _ = caller.get("/read/x").await;
+        monoio::time::sleep(REQUEST_PAUSE.to_duration()).await;
+    }
+}
+
+/// Returns the largest number of requests that arrived at the server within a second.
+fn most_in_a_second(server: &Server) -> usize {
+    let ledger = server.ledger();
+    let mut starts: Vec<u64> = ledger.runs.iter().map(|run| run.start).collect();
+    starts.sort_unstable();
+    let counts = starts.iter().map(|first| {
+        let window = starts
+            .iter()
+            .filter(|t| **t >= *first && **t < first + 1_000_000);
+        window.count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+/// Guards against weak hosts that have lost all schedulers sending a server more than its warm-up rate together.
+#[test]
+fn hosts_that_lose_their_schedulers_keep_to_the_warm_up_rate() {
+    block_on(async {
+        let world = World::start("warm-up-lost").await;
+        world.configure().await;
+        let server = warming_server(&world).await;
+        let mut core = Vec::new();
+        for name in ["a", "b", "c"] {
+            core.push(world.router(name).await);
+        }
+        let leaves = start_leaves(&world).await;
+        // Each host has run for longer than a process waits before it sends on its own.
+        monoio::time::sleep(Millis(6_000).to_duration()).await;
+        for host in &core {
+            host.signal(Signal::SIGKILL);
+        }
+        join_all(leaves.iter().map(send_reads)).await;
+        let most = most_in_a_second(&server);
+        println!("{most} of {WARMUP_RATE_MAX} in a second");
+        assert!(most <= WARMUP_RATE_MAX, "{most} in a second");
+    });
+}
+
+/// Guards against hosts that start together sending a server more than its warm-up rate before they know each other.
+#[test]
+fn hosts_that_start_together_keep_to_the_warm_up_rate() {
+    block_on(async {
+        let world = World::start("warm-up-start").await;
+        world.configure().await;
+        let server = warming_server(&world).await;
+        let leaves = start_leaves(&world).await;
+        join_all(leaves.iter().map(send_reads)).await;
+        let most = most_in_a_second(&server);
+        println!("{most} of {WARMUP_RATE_MAX} in a second");
+        assert!(most <= WARMUP_RATE_MAX, "{most} in a second");
+    });
+}
