fix(router): hosts without a common scheduler share the warm-up rate of a server

Cause: a limit over all hosts was used by whoever took itself for its scheduler. A scheduler uses half of the limit, which allows for two of them, and nothing bounded their number: a leaf host that saw no core host scheduled for itself with half of the limit, and core hosts that start together scheduled one after the other without the wait of 1.12 s, which they had counted as leaf hosts. Besides, a host that got no reply from a scheduler had a share of the other half by the number of hosts, and its first request was free: with more hosts than requests a second each sent one at the same moment.

Change: a scheduler's part of the limit is multiplied with the fraction of the known core hosts that it sees; groups of hosts that can't see each other have no host in common, so the sum is bounded by the limit, however many groups there are. A host that is no core host has no part. The wait of a new scheduler counts from when it began to schedule for others, also where no request told it so. WarmupPacer is gone: what no scheduler counts is not sent to a server that warms up. What can't be sent before the warm-up ends is refused at once.

--- a/crates/chicoryrail-ownership/src/peers.rs
+++ b/crates/chicoryrail-ownership/src/peers.rs
@@ -211,6 +211,20 @@
         select_by_score(others.chain(own), dc, name).unwrap_or(SchedulerHost::Here)
     }
 
+    /// Returns the fraction of the known core hosts that this host sees: itself and those that schedule, or 0 if this host
+    /// does not schedule for others.
+    ///
+    /// A limit over all hosts that a scheduler may not exceed is multiplied with it. Hosts that can't see each other
+    /// select a scheduler each; groups of them have no host in common, so their fractions add up to 1 at most.
+    #[must_use]
+    pub fn visible_share(&self, now: Millis, schedules: bool) -> f64 {
+        if !schedules {
+            return 0.0;
+        }
+        let seen = self.schedulers(now).count() + 1;
+        seen as f64 / self.core_host_count() as f64
+    }
+
     /// Returns a hash of the other hosts that schedule, which changes when one joins, leaves or changes its
     /// power.
     #[must_use]
--- a/crates/chicoryrail-ownership/tests/peers.rs
+++ b/crates/chicoryrail-ownership/tests/peers.rs
@@ -201,6 +201,42 @@
     assert_eq!(Peers::default().sharing_hosts(), 8);
 }
 
+/// Guards against groups of core hosts that can't see each other each using all of a limit: a limit is multiplied with
+/// the share of one host in each group, whose sum must not exceed the whole.
+#[rstest]
+#[case(&[6])]
+#[case(&[4, 2])]
+#[case(&[3, 3])]
+#[case(&[10, 1, 1])]
+#[case(&[1; 24])]
+fn groups_of_hosts_share_a_limit(#[case] groups: &[u16]) {
+    let now = Millis(5_000);
+    let hosts: u16 = groups.iter().sum();
+    let mut shares = Vec::new();
+    let mut first = 0;
+    for size in groups {
+        let mut peers = Peers::default();
+        let others = (0..hosts).filter(|i| *i != first);
+        peers.set_listed(now, others.map(|i| (host(i), addr(i))).collect());
+        for i in first + 1..first + size {
+            let state = HostState {
+                schedules: true,
+                ..HostState::default()
+            };
+            peers.record_heartbeat(now, &host(i), addr(i), state);
+        }
+        shares.push(peers.visible_share(now, true));
+        assert_eq!(
+            peers.visible_share(now, false),
+            0.0,
+            "a host that schedules for no other"
+        );
+        first += size;
+    }
+    let sum: f64 = shares.iter().sum();
+    assert!((sum - 1.0).abs() < 1e-9, "{shares:?}");
+}
+
 /// Guards against the longer grants for a store outage while one host may still reach the store: a host that
 /// reports the store as available or has not replied recently may lead by now.
 #[test]
--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -42,7 +42,6 @@
 //! [`TrafficRule`] is an operator's rule that limits requests or servers or pins keys, and [`ShareCounter`] admits the
 //! share of requests that such a rule allows.
 //!
-//! See also [`WarmupPacer`] for servers that warm up, [`RetryBudget`] for retries, and [`retry_after`] for the time
 //! that a refused caller is told to wait before it retries.
 
 mod admission;
@@ -78,7 +77,6 @@
 pub use local::ServerNotices;
 pub use local::ServerPath;
 pub use local::StopTimes;
-pub use local::WarmupPacer;
 pub use local::WeightedRoundRobin;
 pub use local::Withheld;
 pub use local::parse_backoff_time;
--- a/crates/chicoryrail-policy/src/local/mod.rs
+++ b/crates/chicoryrail-policy/src/local/mod.rs
@@ -1,7 +1,6 @@
 //! Load balancing over servers that many hosts send to without coordination.
 //!
 //! A host knows its own requests in flight exactly, and learns of those of other hosts from the load that a server
-//! reports with each response. [`LocalBalancer`] selects among the servers of a service; [`WarmupPacer`] and
 //! [`RetryBudget`] limit a host to its share of a limit that holds over all hosts together. [`ServerNotices`] bind each
 //! host on its own, whoever selects the server.
 
@@ -18,7 +17,6 @@
 mod server_notices;
 mod server_path;
 pub(crate) mod server_view;
-mod warmup_pacer;
 mod weights;
 
 pub use advertised_limit::AdvertisedLimit;
@@ -41,5 +39,4 @@
 pub use server_path::PathChoice;
 pub use server_path::ServerPath;
 pub use server_view::Failure;
-pub use warmup_pacer::WarmupPacer;
 pub use weights::WeightedRoundRobin;
--- a/crates/chicoryrail-policy/src/scheduler/load_view.rs
+++ b/crates/chicoryrail-policy/src/scheduler/load_view.rs
@@ -63,7 +63,7 @@
         now: Millis,
         servers: impl Iterator<Item = (ServerId, &'a ServerSlots)>,
     ) -> Self {
-        let accepting = servers.filter(|(_, s)| s.state.accepting);
+        let accepting = servers.filter(|(_, s)| s.accepts(now));
         let mut view = Self {
             now,
             servers: accepting
--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -46,7 +46,7 @@
             state,
             view: ServerView::new(state.slots),
             in_flight: RequestsInFlight::default(),
-            warmup_rate: WarmupRate::new(now),
+            warmup_rate: WarmupRate::default(),
             bucket: RateBucket::empty(now),
             learned: LearnedLimit::default(),
             byte_limit: None,
@@ -65,16 +65,21 @@
     /// Updates the server's state. The bucket is emptied when this host begins to schedule the server, or the server
     /// gets a rate limit.
     pub(crate) fn set(&mut self, now: Millis, state: ServerStatus) {
-        let starts = state.scheduled_here && !self.state.scheduled_here;
-        if starts {
-            self.warmup_rate.start_scheduling(now);
-        }
+        // Another host may have scheduled the server since the last update, which comes with a request.
+        let continues =
+            self.state.scheduled_here && self.state.scheduled_since == state.scheduled_since;
+        let starts = state.scheduled_here && !continues;
         if starts || self.state.rate_limit.is_none() {
             self.bucket = RateBucket::empty(now);
         }
         self.state = state;
     }
 
+    /// Returns `true` if the server may get requests, now or later, while its state does not change.
+    pub(crate) fn accepts(&self, now: Millis) -> bool {
+        self.state.accepting && !WarmupRate::is_withheld(now, &self.state)
+    }
+
     /// Returns `true` if the request is in flight at the server.
     pub(crate) fn has_request(&self, ticket: u64) -> bool {
         self.in_flight.contains(ticket)
--- a/crates/chicoryrail-policy/src/scheduler/server_status.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_status.rs
@@ -11,7 +11,8 @@
     pub accepting: bool,
     /// End of its warm-up; in the past for a warm server.
     pub warmup_until: Millis,
-    /// Requests per second, from all hosts together, that it can process during its warm-up.
+    /// Requests per second that this host, and those that it sees, may send it during its warm-up: their share of what it
+    /// can process from all hosts together.
     pub warmup_rate_max: f64,
     /// Requests per second that it accepts from all hosts together; `None` without a limit.
     pub rate_limit: Option<f64>,
@@ -20,6 +21,8 @@
     /// Whether this host schedules the server. Another host may schedule it too while hosts disagree about which hosts
     /// are alive.
     pub scheduled_here: bool,
+    /// When this host began to schedule the server for other hosts.
+    pub scheduled_since: Millis,
     /// When this host began to schedule the server in place of another one, if hosts then report their requests there.
     pub taken_over_at: Option<Millis>,
 }
@@ -36,6 +39,7 @@
             rate_limit: None,
             dc_index: 0,
             scheduled_here: true,
+            scheduled_since: Millis::ZERO,
             taken_over_at: None,
         }
     }
--- a/crates/chicoryrail-policy/src/scheduler/warmup_rate.rs
+++ b/crates/chicoryrail-policy/src/scheduler/warmup_rate.rs
@@ -15,26 +15,17 @@
 const WARMUP_WINDOW: Millis = Millis(1_120);
 
 /// Recent sends to a server, for the limit on their rate during its warm-up.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct WarmupRate {
     /// Times of the sends within [`WARMUP_WINDOW`].
     sends: VecDeque<Millis>,
-    /// Time at which this host began to schedule the server. Sends before it are unknown.
-    scheduling_since: Millis,
 }
 
 impl WarmupRate {
-    /// Returns the state of a server that this host begins to schedule.
-    pub(super) const fn new(now: Millis) -> Self {
-        Self {
-            sends: VecDeque::new(),
-            scheduling_since: now,
-        }
-    }
-
-    /// Records that this host begins to schedule the server. Its own earlier sends still count.
-    pub(super) const fn start_scheduling(&mut self, now: Millis) {
-        self.scheduling_since = now;
+    /// Returns `true` if the server is warming up and may get no request from this host's part of the hosts before it is
+    /// warm.
+    pub(super) fn is_withheld(now: Millis, state: &ServerStatus) -> bool {
+        now < state.warmup_until && state.warmup_rate_max * WARMUP_RATE_FRACTION < 1.0
     }
 
     /// Returns `true` if the warm-up rate allows one more request.
@@ -43,7 +34,7 @@
             return true;
         }
         // Other hosts may have sent requests in the second before this host began to schedule the server.
-        if !state.scheduled_here || now.since(self.scheduling_since) < WARMUP_WINDOW {
+        if !state.scheduled_here || now.since(state.scheduled_since) < WARMUP_WINDOW {
             return false;
         }
         let recent = self.sends.iter().filter(|t| now.since(**t) < WARMUP_WINDOW);
--- a/crates/chicoryrail-policy/tests/scheduler.rs
+++ b/crates/chicoryrail-policy/tests/scheduler.rs
@@ -317,6 +317,97 @@
     assert!(sent.len() >= 14, "{}", sent.len());
 }
 
+/// Guards against overload when a data centre restarts under full traffic and groups of hosts that can't see each other
+/// schedule the same servers, two hosts in each group. At any alignment of the hosts' sends, no window of a second exceeds
+/// the warm-up rate.
+#[rstest]
+#[case(1, 12.95)]
+#[case(2, 17.45)]
+#[case(10, 12.95)]
+#[case(11, 12.95)]
+#[case(8, 12.95)]
+#[case(3, 12.95)]
+#[case(4, 30.0)]
+#[case(24, 17.45)]
+#[case(84, 17.45)]
+fn a_server_gets_at_most_its_warm_up_rate(#[case] groups: usize, #[case] bound: f64) {
+    for seed in 0..20 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let warming_up = ServerStatus {
+            warmup_until: Millis(10_000),
+            warmup_rate_max: bound / groups as f64,
+            ..ServerStatus::warm(50)
+        };
+        let mut schedulers = vec![Scheduler::default(); 2 * groups];
+        for scheduler in &mut schedulers {
+            scheduler.update_server(Millis(0), ServerId(0), warming_up);
+        }
+        let mut arrived = Vec::new();
+        for now in 0..4_000 {
+            for scheduler in &mut schedulers {
+                if !rng.random_bool(0.2) {
+                    continue;
+                }
+                scheduler.enqueue(Millis(now), request(now + 1, now, 300, 800));
+                for (ticket, decision) in scheduler.poll(Millis(now), any) {
+                    if decision == Decision::Send(ServerId(0)) {
+                        arrived.push(now + rng.random_range(0..60));
+                        scheduler.release(Millis(now), &end(ticket, ServerId(0), 1_000.0));
+                    }
+                }
+            }
+        }
+        arrived.sort_unstable();
+        let most = arrived.iter().map(|t| {
+            let window = arrived.iter().filter(|a| *t <= **a && **a < *t + 1_000);
+            window.count()
+        });
+        let most = most.max().unwrap_or(0);
+        assert!(most as f64 <= bound, "{most} with seed {seed}");
+        assert_eq!(most > 0, bound / groups as f64 >= 2.0);
+    }
+}
+
+/// Guards against requests that wait to the end of their time for a server that may get none before it is warm.
+#[test]
+fn a_request_does_not_wait_for_a_server_withheld_until_it_is_warm() {
+    let mut scheduler = Scheduler::default();
+    let warming_up = ServerStatus {
+        warmup_until: Millis(3_000),
+        warmup_rate_max: 0.0,
+        ..ServerStatus::warm(50)
+    };
+    scheduler.update_server(Millis(0), ServerId(0), warming_up);
+    scheduler.enqueue(Millis(100), request(1, 100, 300, 800));
+    let decisions = scheduler.poll(Millis(100), any);
+    assert!(
+        matches!(decisions[..], [(1, Decision::Refuse(_))]),
+        "{decisions:?}"
+    );
+    scheduler.enqueue(Millis(3_000), request(2, 3_000, 300, 800));
+    let decisions = scheduler.poll(Millis(3_000), any);
+    assert_eq!(decisions, [(2, Decision::Send(ServerId(0)))]);
+}
+
+/// Guards against a host that schedules again assigning at once, while another host's last requests arrive.
+#[test]
+fn a_scheduler_that_returns_waits_for_the_requests_of_the_other() {
+    let mut scheduler = Scheduler::default();
+    let status = |since| ServerStatus {
+        warmup_until: Millis(10_000),
+        warmup_rate_max: 12.0,
+        scheduled_since: since,
+        ..ServerStatus::warm(50)
+    };
+    scheduler.update_server(Millis(0), ServerId(0), status(Millis(0)));
+    // Another host scheduled in between, when no request of this one asked for the server.
+    scheduler.update_server(Millis(5_000), ServerId(0), status(Millis(4_900)));
+    scheduler.enqueue(Millis(5_000), request(1, 5_000, 300, 3_000));
+    assert!(scheduler.poll(Millis(5_000), any).is_empty());
+    let decisions = scheduler.poll(Millis(6_100), any);
+    assert_eq!(decisions, [(1, Decision::Send(ServerId(0)))]);
+}
+
 /// Guards against a server that fails half of its requests and still gets its full share while others have capacity.
 #[test]
 fn a_failing_server_gets_few_requests() {
--- a/crates/chicoryrail-router/src/control/membership/presence.rs
+++ b/crates/chicoryrail-router/src/control/membership/presence.rs
@@ -31,7 +31,7 @@
 pub(crate) async fn register_core_host(router: Rc<Router>, addr: SocketAddr) {
     join_core(&router).await;
     log::info!(power = router.power(); "core_host");
-    router.source.set_core_host();
+    router.source.set_core_host(router.now());
     let mut lease = None;
     loop {
         let result = match lease {
--- a/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
@@ -123,6 +123,11 @@
             rate_limit,
             dc_index: self.router.schedulers.dc_index(&target.dc),
             scheduled_here: target.scheduled_here.get().unwrap_or(false),
+            // A leaf host that knew no core host may have scheduled for itself before it became one.
+            scheduled_since: target
+                .scheduled_since
+                .get()
+                .max(self.router.source.core_since.get()),
             taken_over_at: target.taken_over_at.get(),
         };
         scheduler.update_server(self.now, target.id, status);
--- a/crates/chicoryrail-router/src/route/acquire.rs
+++ b/crates/chicoryrail-router/src/route/acquire.rs
@@ -7,6 +7,7 @@
 
 use crate::route::attempts::Attempts;
 use crate::route::choose::Choice;
+use crate::route::choose::NO_SERVER_RETRY;
 use crate::route::choose::choose;
 use crate::route::refusal::Cause;
 use crate::route::refusal::Refusal;
@@ -108,6 +109,7 @@
                     Choice::Send(target) => return Ok(target),
                     Choice::Wait(cause, capacity_in) => (cause, capacity_in),
                     Choice::Refuse(why) => return Err(self.refuse_withheld(why)),
+                    Choice::Unscheduled => return Err(self.refuse(Cause::Full, NO_SERVER_RETRY)),
                 };
             let wait_max = match cause {
                 Cause::KeyMoving => Millis(latency_target.0 / KEY_MOVE_WAIT_DIVISOR),
--- a/crates/chicoryrail-router/src/route/choose.rs
+++ b/crates/chicoryrail-router/src/route/choose.rs
@@ -26,20 +26,14 @@
     Wait(Cause, Millis),
     /// No server may receive the request from this host, and waiting does not change that.
     Refuse(Withheld),
+    /// The servers that may run the request get only what a scheduler assigns.
+    Unscheduled,
 }
 
 /// Time after which a key that moves is expected to be granted to its new owner: the former owner releases it
 /// only when the requests that are running on it have ended.
 const KEY_MOVE_RETRY: Millis = Millis(150);
 
-/// Time without a message from the leader after which this host assumes a network partition, in which the scheduler of
-/// a server that is warming up may stay unreachable. Longer than an election, which also interrupts these messages.
-const LEADER_SILENCE_MAX: Millis = Millis(2_500);
-
-/// Fraction of the rate limit of a server that is warming up that all hosts without a scheduler may use together. Hosts
-/// that reach the scheduler may use the other half at the same time.
-const LOCAL_WARMUP_FRACTION: f64 = 0.5;
-
 /// Time after which a request may be retried when no server of the service accepts work.
 pub(super) const NO_SERVER_RETRY: Millis = Millis(500);
 
@@ -78,14 +72,14 @@
     if let SendPermit::Withheld(why) = permit(router, call, &target, now) {
         return Choice::Refuse(why);
     }
+    if !is_unlimited(&target, now) {
+        return Choice::Unscheduled;
+    }
     let work = router
         .route_stats
         .expected_work_us(&call.route.name, call.route.latency_target);
     let loads = service.loads.borrow();
-    if loads.has_capacity(now, target.id)
-        && has_share(router, service, call, target.id, now)
-        && take_rate_permit(router, call, &target, now)
-    {
+    if loads.has_capacity(now, target.id) && has_share(router, service, call, target.id, now) {
         return Choice::Send(target);
     }
     Choice::Wait(Cause::Full, loads.capacity_in(now, target.id, work))
@@ -98,13 +92,17 @@
     tried: &[Life],
     now: Millis,
 ) -> Choice {
-    let accepting = match unkeyed_candidates(router, service, call, now) {
+    let mut accepting = match unkeyed_candidates(router, service, call, now) {
         Ok(candidates) => candidates.targets,
         Err(why) => return Choice::Refuse(why),
     };
     if accepting.is_empty() {
         return Choice::Wait(Cause::NoServer, NO_SERVER_RETRY);
     }
+    accepting.retain(|target| is_unlimited(target, now));
+    if accepting.is_empty() {
+        return Choice::Unscheduled;
+    }
     let work = router
         .route_stats
         .expected_work_us(&call.route.name, call.route.latency_target);
@@ -121,8 +119,7 @@
         let index = ids.iter().position(|i| *i == id).unwrap_or(0);
         ids.swap_remove(index);
         let target = untried.swap_remove(index);
-        if has_share(router, service, call, id, now) && take_rate_permit(router, call, target, now)
-        {
+        if has_share(router, service, call, id, now) {
             return Choice::Send(Rc::clone(target));
         }
     }
@@ -149,27 +146,10 @@
     service.loads.borrow().has_share(now, server, hosts)
 }
 
-/// Returns `true` if the warm-up rate and the advertised rate limit of a server allow one more request, and counts it.
-fn take_rate_permit(router: &Router, call: &CallerRequest, target: &Target, now: Millis) -> bool {
-    // The scheduler distributes the whole of an advertised rate limit: it is too low to be divided among hosts.
-    if target.limit.get().rate(now).is_some() {
-        return false;
-    }
-    if !target.is_warming_up(now) {
-        return true;
-    }
-    // The scheduler distributes half of the warm-up rate. A host that receives the leader's messages, but got no reply
-    // from the scheduler in time, sends such a server nothing: all such hosts together would exceed the rate, as
-    // the scheduler still uses its half.
-    if router.is_discovering_hosts(now)
-        || router
-            .peers
-            .borrow()
-            .leader_seen_within(now, LEADER_SILENCE_MAX)
-    {
-        return false;
-    }
-    let rate_max = router.warmup_rate_max(call.service_name()) * LOCAL_WARMUP_FRACTION;
-    let hosts = router.peers.borrow().sharing_hosts();
-    target.warmup.borrow_mut().try_take(now, rate_max, hosts)
+/// Returns `true` if a server may get requests that no scheduler counts: one that is warm and advertises no rate limit.
+///
+/// Neither limit can be divided among hosts that don't know of each other's requests. They are more than the requests
+/// per second that a server allows, and may all begin at the same moment.
+fn is_unlimited(target: &Target, now: Millis) -> bool {
+    !target.is_warming_up(now) && target.limit.get().rate(now).is_none()
 }
--- a/crates/chicoryrail-router/src/route/warmup_log.rs
+++ b/crates/chicoryrail-router/src/route/warmup_log.rs
@@ -19,12 +19,17 @@
     };
     let scheduler = call.progress.scheduler.get();
     let scheduler = scheduler.map_or_else(|| "-".to_owned(), |addr| addr.to_string());
+    // A host that passes a request on sends it at once.
+    let assigned_at = match call.is_forwarded {
+        true => call.arrived,
+        false => stats.assigned_at,
+    };
     let labels = [call.service_name().as_str(), chosen_by];
     let counter = router.counters.warmup_sends.with_label_values(&labels);
     counter.inc();
     log::info!(request = call.id, server:% = target.life, service:% = call.service_name(),
         chosen_by = chosen_by, scheduler = scheduler,
-        assigned_ms = now.since(stats.assigned_at).0,
+        assigned_ms = now.since(assigned_at).0,
         warmup_left_ms = target.warmup_until.get().since(now).0,
         warmup_known_ms = now.since(target.warmup_since.get()).0,
         hosts = router.peers.borrow().sharing_hosts(),
--- a/crates/chicoryrail-router/src/state/part_sync.rs
+++ b/crates/chicoryrail-router/src/state/part_sync.rs
@@ -25,6 +25,6 @@
 pub(crate) struct SyncRules {
     /// Whether draining servers get no requests, since others are ready.
     pub(crate) ready_only: bool,
-    /// Bound on requests per second to a server that is warming up.
+    /// Bound on requests per second from this host, and those that it sees, to a server that is warming up.
     pub(crate) warmup_rate_max: f64,
 }
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -441,12 +441,15 @@
         !self.store_up.get() && self.peers.borrow().all_lost_store(now)
     }
 
-    /// Returns the bound on requests per second that all hosts together may send to a server that is warming up.
+    /// Returns the bound on requests per second that this host, and those that it sees, may send to a server that is
+    /// warming up: their share of the bound for all hosts.
     pub(crate) fn warmup_rate_max(&self, service: &ServiceName) -> f64 {
         let bounds = self.boot().bounds;
         let site = self.site();
         let rate = site.and_then(|s| s.service(service).map(|s| s.warmup_rate_max));
-        rate.unwrap_or(0.0) * bounds.cold_over + bounds.cold_slack
+        let all_hosts = rate.unwrap_or(0.0) * bounds.cold_over + bounds.cold_slack;
+        let peers = self.peers.borrow();
+        all_hosts * peers.visible_share(self.now(), self.schedules())
     }
 
     /// Returns the index of the next service of a route by weighted round robin. The start depends on the process, so
--- a/crates/chicoryrail-router/src/state/source.rs
+++ b/crates/chicoryrail-router/src/state/source.rs
@@ -26,6 +26,8 @@
 pub(crate) struct SourceState {
     /// Whether this is a core host: it is listed in the store, schedules requests and may lead.
     pub(crate) is_core_host: Cell<bool>,
+    /// When this host became a core host; zero before that.
+    pub(crate) core_since: Cell<Millis>,
     /// Notified when this host becomes a core host.
     became_core: ChangeSignal,
     /// When the list of core hosts was first read; `None` before that.
@@ -45,9 +47,10 @@
 }
 
 impl SourceState {
-    /// Records that this host is a core host from now on.
-    pub(crate) fn set_core_host(&self) {
+    /// Records that this host is a core host from `now` on.
+    pub(crate) fn set_core_host(&self, now: Millis) {
         self.is_core_host.set(true);
+        self.core_since.set(now);
         self.became_core.notify();
     }
 
--- a/crates/chicoryrail-router/src/state/target.rs
+++ b/crates/chicoryrail-router/src/state/target.rs
@@ -1,7 +1,6 @@
 //! One incarnation of a server: from its start until it ends.
 
 use std::cell::Cell;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -15,7 +14,6 @@
 use chicoryrail_policy::ServerNotices;
 use chicoryrail_policy::ServerPath;
 use chicoryrail_policy::Share;
-use chicoryrail_policy::WarmupPacer;
 use chicoryrail_runtime::ServerPool;
 use http::HeaderValue;
 
@@ -49,8 +47,6 @@
     /// Value of the request header that names the expected server.
     pub(crate) expect_header: HeaderValue,
     pub(crate) pool: Rc<ServerPool>,
-    /// Pacing of requests while the server warms up.
-    pub(crate) warmup: RefCell<WarmupPacer>,
     /// Latest end of a warm-up that the server has reported; zero if it has reported none.
     pub(crate) warmup_until: Cell<Millis>,
     /// When this host learned of that warm-up.
@@ -96,7 +92,6 @@
             first_seen: now,
             expect_header,
             pool: Rc::default(),
-            warmup: RefCell::default(),
             warmup_until: Cell::default(),
             warmup_since: Cell::default(),
             limit: Cell::default(),
