fix(router): a server's advertised rate is shared by hosts that can't see each other

Cause: each leaf host that has lost all core hosts scheduled for itself with the whole rate, and so did each of several groups of core hosts.

Change: the rate is multiplied with the visible share, and a host that schedules for no other sends such a server nothing and refuses at once, as it did without a scheduler's reply.

Evidence: hosts_that_lose_their_schedulers_keep_to_an_advertised_rate failed on from the first window on (24 arrivals in 4 s of 23 allowed, and rising: 14 hosts), and passes.

--- a/crates/chicoryrail-policy/src/scheduler/server_slots.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_slots.rs
@@ -118,7 +118,7 @@
 
     /// Returns `true` if a request may be sent now: the server has a free slot and no limit forbids the request.
     pub(crate) fn has_slot(&self, now: Millis) -> bool {
-        self.state.accepting
+        self.accepts(now)
             && !self.view.is_paused(now)
             && self.busy() < self.assignable_slots(now) as usize
             && self.warmup_rate.allows_send(now, &self.state)
--- a/crates/chicoryrail-policy/src/scheduler/server_status.rs
+++ b/crates/chicoryrail-policy/src/scheduler/server_status.rs
@@ -14,7 +14,8 @@
     /// Requests per second that this host, and those that it sees, may send it during its warm-up: their share of what it
     /// can process from all hosts together.
     pub warmup_rate_max: f64,
-    /// Requests per second that it accepts from all hosts together; `None` without a limit.
+    /// Requests per second that this host, and those that it sees, may send it: their share of what it accepts from all
+    /// hosts together; `None` without a limit.
     pub rate_limit: Option<f64>,
     /// Index of its data centre.
     pub dc_index: u32,
--- a/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
@@ -63,6 +63,7 @@
     SyncRules {
         ready_only: any_ready && !service.is_keyed(),
         warmup_rate_max: router.warmup_rate_max(&service.name),
+        visible_share: router.visible_share(),
     }
 }
 
@@ -111,16 +112,19 @@
         if changes_with_time {
             sync.timed.insert(target.id, Rc::clone(target));
         }
+        let accepts = if self.rules.ready_only {
+            target.is_ready()
+        } else {
+            target.accepts_requests(self.now)
+        };
+        // The whole of the limit is for the hosts that schedule for others.
+        let is_withheld = rate_limit.is_some() && self.rules.visible_share == 0.0;
         let status = ServerStatus {
             slots: target.usable_slots(),
-            accepting: if self.rules.ready_only {
-                target.is_ready()
-            } else {
-                target.accepts_requests(self.now)
-            },
+            accepting: accepts && !is_withheld,
             warmup_until: target.warmup_until.get(),
             warmup_rate_max: self.rules.warmup_rate_max,
-            rate_limit,
+            rate_limit: rate_limit.map(|rate| rate * self.rules.visible_share),
             dc_index: self.router.schedulers.dc_index(&target.dc),
             scheduled_here: target.scheduled_here.get().unwrap_or(false),
             // A leaf host that knew no core host may have scheduled for itself before it became one.
--- a/crates/chicoryrail-router/src/state/part_sync.rs
+++ b/crates/chicoryrail-router/src/state/part_sync.rs
@@ -27,4 +27,6 @@
     pub(crate) ready_only: bool,
     /// Bound on requests per second from this host, and those that it sees, to a server that is warming up.
     pub(crate) warmup_rate_max: f64,
+    /// Part of the rate limits that servers advertise that is for this host and those that it sees.
+    pub(crate) visible_share: f64,
 }
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -448,8 +448,14 @@
         let site = self.site();
         let rate = site.and_then(|s| s.service(service).map(|s| s.warmup_rate_max));
         let all_hosts = rate.unwrap_or(0.0) * bounds.cold_over + bounds.cold_slack;
+        all_hosts * self.visible_share()
+    }
+
+    /// Returns the part of a limit over all hosts that is for this host and those that it sees; 0 if this host does not
+    /// schedule for others.
+    pub(crate) fn visible_share(&self) -> f64 {
         let peers = self.peers.borrow();
-        all_hosts * peers.visible_share(self.now(), self.schedules())
+        peers.visible_share(self.now(), self.schedules())
     }
 
     /// Returns the index of the next service of a route by weighted round robin. The start depends on the process, so
--- a/crates/chicoryrail-router/tests/lost_schedulers.rs
+++ b/crates/chicoryrail-router/tests/lost_schedulers.rs
@@ -8,6 +8,7 @@
 use chicoryrail_core::Millis;
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
+use chicoryrail_testkit::TargetFault;
 use chicoryrail_testkit::TargetOptions;
 use futures_util::future::join_all;
 use nix::sys::signal::Signal;
@@ -115,3 +116,24 @@
         assert!(most <= WARMUP_RATE_MAX, "{most} in a second");
     });
 }
+
+/// Guards against weak hosts that have lost all schedulers each using all of the rate limit that a server advertises.
+#[test]
+fn hosts_that_lose_their_schedulers_keep_to_an_advertised_rate() {
+    block_on(async {
+        let world = World::start("rate-lost").await;
+        world.configure().await;
+        let server = world.server("i-1", "desk").await;
+        let (core, leaves) = start_hosts(&world).await;
+        server.fault(TargetFault::NameLimit {
+            for_ms: 60_000,
+            rate: 3.0,
+        });
+        join_all(leaves.iter().map(send_reads)).await;
+        for host in &core {
+            host.signal(Signal::SIGKILL);
+        }
+        join_all(leaves.iter().map(send_reads)).await;
+        assert_eq!(server.ledger().limit_overruns, []);
+    });
+}
