fix(router): leaf hosts without a scheduler share organisations' limits by all hosts

Change: a host that does not schedule for others divides the limit by the number of hosts that may send on their own, as it does where no scheduler replies.

--- a/crates/chicoryrail-router/src/state/quota_shares.rs
+++ b/crates/chicoryrail-router/src/state/quota_shares.rs
@@ -91,9 +91,14 @@
     }
 
     fn params(&self, router: &Router, limit: QuotaLimit) -> ShareParams {
+        // A leaf host schedules for itself if it sees no core host, and so may all others.
+        let schedulers = match router.schedules() {
+            true => router.peers.borrow().core_host_count(),
+            false => router.standalone_hosts(),
+        };
         ShareParams {
             limit,
-            schedulers: router.peers.borrow().core_host_count(),
+            schedulers,
             standalone: self.is_standalone(router.now()),
             tolerance: router.quota_tolerance(),
         }
--- a/crates/chicoryrail-router/tests/lost_schedulers.rs
+++ b/crates/chicoryrail-router/tests/lost_schedulers.rs
@@ -12,6 +12,7 @@
 use chicoryrail_testkit::TargetOptions;
 use futures_util::future::join_all;
 use nix::sys::signal::Signal;
+use serde_json::json;
 use support::RouterProcess;
 use support::Server;
 use support::World;
@@ -29,6 +30,18 @@
 /// Pause of a caller between two requests.
 const REQUEST_PAUSE: Millis = Millis(20);
 
+/// Requests per second of an organisation's limit, and its burst.
+const QUOTA_RATE: u64 = 20;
+
+/// Requests that may run in [`QUOTA_WINDOW`]: the rate and a tenth of it, the burst, and `quota_slack`.
+const QUOTA_RUNS_MAX: usize = 150;
+
+/// Window in which the requests of an organisation are counted.
+const QUOTA_WINDOW: Millis = Millis(5_000);
+
+/// API key of the organisation.
+const API_KEY: &str = "school-secret";
+
 /// Registers a server that warms up for the whole test.
 async fn warming_server(world: &World) -> Rc<Server> {
     let server = Server::start(TargetOptions {
@@ -59,15 +72,24 @@
     }
 }
 
-/// Returns the largest number of requests that arrived at the server within a second.
-fn most_in_a_second(server: &Server) -> usize {
+/// The same, with the API key of an organisation.
+async fn send_reads_with_key(host: &RouterProcess) {
+    let (clock, caller) = (Clock::start(), host.caller());
+    while clock.now() < LOAD_TIME {
+        let _ = caller.get_with_api_key("/read/x", API_KEY).await;
+        monoio::time::sleep(REQUEST_PAUSE.to_duration()).await;
+    }
+}
+
+/// Returns the largest number of requests that the server started within a window of this length.
+fn most_within(server: &Server, window: Millis) -> usize {
     let ledger = server.ledger();
     let mut starts: Vec<u64> = ledger.runs.iter().map(|run| run.start).collect();
     starts.sort_unstable();
     let counts = starts.iter().map(|first| {
         let window = starts
             .iter()
-            .filter(|t| **t >= *first && **t < first + 1_000_000);
+            .filter(|t| **t >= *first && **t < first + window.0 * 1_000);
         window.count()
     });
     counts.max().unwrap_or(0)
@@ -96,7 +118,7 @@
             host.signal(Signal::SIGKILL);
         }
         join_all(leaves.iter().map(send_reads)).await;
-        let most = most_in_a_second(&server);
+        let most = most_within(&server, Millis(1_000));
         println!("{most} of {WARMUP_RATE_MAX} in a second");
         assert!(most <= WARMUP_RATE_MAX, "{most} in a second");
     });
@@ -111,7 +133,7 @@
         let server = warming_server(&world).await;
         let leaves = start_leaves(&world).await;
         join_all(leaves.iter().map(send_reads)).await;
-        let most = most_in_a_second(&server);
+        let most = most_within(&server, Millis(1_000));
         println!("{most} of {WARMUP_RATE_MAX} in a second");
         assert!(most <= WARMUP_RATE_MAX, "{most} in a second");
     });
@@ -137,3 +159,25 @@
         assert_eq!(server.ledger().limit_overruns, []);
     });
 }
+
+/// Guards against weak hosts that have lost all schedulers each using a core host's share of an organisation's limit.
+#[test]
+fn hosts_that_lose_their_schedulers_keep_to_a_quota() {
+    block_on(async {
+        let world = World::start("quota-lost").await;
+        let mut config = world.next_config();
+        config["tenants"] = json!([{"name": "school", "api_keys": [API_KEY],
+            "rate_per_s": QUOTA_RATE, "burst": QUOTA_RATE}]);
+        world.put("op/config", &config).await;
+        let server = world.server("i-1", "desk").await;
+        let (core, leaves) = start_hosts(&world).await;
+        for host in &core {
+            host.signal(Signal::SIGKILL);
+        }
+        join_all(leaves.iter().map(send_reads_with_key)).await;
+        let most = most_within(&server, QUOTA_WINDOW);
+        println!("{most} of {QUOTA_RUNS_MAX} in a window");
+        assert!(most > 0);
+        assert!(most <= QUOTA_RUNS_MAX, "{most} in a window");
+    });
+}
--- a/crates/chicoryrail-router/tests/support/world.rs
+++ b/crates/chicoryrail-router/tests/support/world.rs
@@ -588,6 +588,18 @@
         self.send(method, path, key, left, Bytes::new()).await
     }
 
+    /// Sends a read with an organisation's API key.
+    pub async fn get_with_api_key(
+        &self,
+        path: &str,
+        api_key: &str,
+    ) -> Result<Response<Bytes>, HttpError> {
+        let request = self.request("GET", path, 1_500);
+        let request = request.header(call_header::API_KEY, api_key);
+        let request = request.body(Bytes::new()).unwrap();
+        self.client.call(self.addr, request, WAIT_TIMEOUT).await
+    }
+
     /// Posts a body of this length.
     pub async fn post_bytes(
         &self,
@@ -606,19 +618,24 @@
         left: u64,
         body: Bytes,
     ) -> Result<Response<Bytes>, HttpError> {
+        let mut request = self.request(method, path, left);
+        if let Some(key) = key {
+            request = request.header(call_header::KEY, key);
+        }
+        let request = request.body(body).unwrap();
+        self.client.call(self.addr, request, WAIT_TIMEOUT).await
+    }
+
+    /// Begins a request with the next id.
+    fn request(&self, method: &str, path: &str, left: u64) -> http::request::Builder {
         let sent = self.sent.get() + 1;
         self.sent.set(sent);
-        let mut request = Request::builder()
+        Request::builder()
             .method(method)
             .uri(path)
             .header("host", "shop.example")
             .header(call_header::REQUEST_ID, format!("{}-{sent}", self.name))
-            .header(call_header::TIME_LEFT, left);
-        if let Some(key) = key {
-            request = request.header(call_header::KEY, key);
-        }
-        let request = request.body(body).unwrap();
-        self.client.call(self.addr, request, WAIT_TIMEOUT).await
+            .header(call_header::TIME_LEFT, left)
     }
 
     /// Sends a request and disconnects if there is no response within `timeout`.
