--- a/crates/chicoryrail-router/tests/lost_schedulers.rs
+++ b/crates/chicoryrail-router/tests/lost_schedulers.rs
@@ -4,8 +4,10 @@
 
 use std::rc::Rc;
 
+use chicoryrail_core::HostName;
 use chicoryrail_core::Member;
 use chicoryrail_core::Millis;
+use chicoryrail_ownership::store_key::host_key;
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::TargetFault;
@@ -30,6 +32,9 @@
 /// Pause of a caller between two requests.
 const REQUEST_PAUSE: Millis = Millis(20);
 
+/// Number of listed core hosts that a host does not see.
+const UNSEEN_HOSTS: usize = 3;
+
 /// Requests per second of an organisation's limit, and its burst.
 const QUOTA_RATE: u64 = 20;
 
@@ -139,6 +144,30 @@
     });
 }
 
+/// Guards against core hosts that can't see each other each sending what all may send together: one of four keeps to a
+/// fourth.
+#[test]
+fn a_core_host_that_sees_no_other_keeps_to_its_part() {
+    block_on(async {
+        let world = World::start("warm-up-part").await;
+        world.configure().await;
+        let server = warming_server(&world).await;
+        for i in 0..UNSEEN_HOSTS {
+            let key = host_key(&HostName::new(&format!("unseen-{i}")));
+            world.put_own(&key, "127.0.0.1:9 500").await;
+        }
+        let host = world.router("a").await;
+        send_reads(&host).await;
+        let most = most_within(&server, Millis(1_000));
+        println!("{most} in a second");
+        assert!(most > 0);
+        assert!(
+            most <= WARMUP_RATE_MAX / (UNSEEN_HOSTS + 1),
+            "{most} in a second"
+        );
+    });
+}
+
 /// Guards against weak hosts that have lost all schedulers each using all of the rate limit that a server advertises.
 #[test]
 fn hosts_that_lose_their_schedulers_keep_to_an_advertised_rate() {
