test(testkit): chaos runs in which servers warm up for long enough to be checked

The checker counts overruns of a warm-up rate from 2 s after the start of the warm-up, and servers of chaos runs warmed up for 1.5 s: none could be found. It passes on this code; on the code before it was not run.

--- a/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
+++ b/crates/chicoryrail-testkit/src/bin/testkit-chaos.rs
@@ -60,6 +60,12 @@
         .argument::<usize>("N")
         .fallback(5)
         .display_fallback();
+    let warmup_ms = long("warmup-ms")
+        .env("CHICORYRAIL_TESTKIT_WARMUP_MS")
+        .help("Time for which a server warms up after its start, in milliseconds; its rate is checked from 2000 on")
+        .argument::<u64>("N")
+        .fallback(1_500)
+        .display_fallback();
     let keyed_servers = long("keyed-servers")
         .env("CHICORYRAIL_TESTKIT_KEYED_SERVERS")
         .help("Number of servers of each service with keys; that of the deployment if absent")
@@ -96,6 +102,7 @@
         quiet_seconds,
         fault_kinds,
         hosts,
+        warmup_ms,
         keyed_servers,
         rate,
         no_proxy,
@@ -111,6 +118,7 @@
         quiet_seconds,
         fault_kinds,
         hosts,
+        warmup_ms,
         keyed_servers,
         rate,
         no_proxy,
@@ -132,6 +140,7 @@
         .collect();
     options.quiet = Millis(quiet_seconds * 1000);
     options.hosts = hosts;
+    options.warmup = Millis(warmup_ms);
     options.keyed_servers = keyed_servers;
     options.rate = f64::from(rate);
     options.proxied = !no_proxy;
--- a/crates/chicoryrail-testkit/src/chaos/options.rs
+++ b/crates/chicoryrail-testkit/src/chaos/options.rs
@@ -9,6 +9,9 @@
 use crate::ClusterError;
 use crate::Deployment;
 
+/// Default time for which a target warms up.
+const WARMUP_TIME: Millis = Millis(1_500);
+
 /// Options of a chaos run.
 #[derive(Clone, Debug)]
 pub struct ChaosOptions {
@@ -21,6 +24,9 @@
     pub quiet: Millis,
     /// Deployment whose data centres, services and targets the cluster has.
     pub deployment: Deployment,
+    /// Time for which a target warms up after its start. Its warm-up rate is checked from 2 s on, when all hosts know of the
+    /// warm-up.
+    pub warmup: Millis,
     /// Number of entry hosts.
     pub hosts: usize,
     /// Number of servers of each service with keys; that of the deployment if `None`.
@@ -57,6 +63,7 @@
             duration: Millis(20_000),
             quiet: Millis::ZERO,
             deployment,
+            warmup: WARMUP_TIME,
             hosts: 5,
             keyed_servers: None,
             rate: 250.0,
@@ -86,6 +93,7 @@
     pub fn check(&self) -> Result<(), ClusterError> {
         let sizes = [
             ("hosts", Some(self.hosts as u64), 1, 100),
+            ("warmup-ms", Some(self.warmup.0), 0, 60_000),
             (
                 "keyed-servers",
                 self.keyed_servers.map(|n| n as u64),
--- a/crates/chicoryrail-testkit/src/chaos/run.rs
+++ b/crates/chicoryrail-testkit/src/chaos/run.rs
@@ -34,9 +34,6 @@
 /// Time before the end of the load in which no fault starts, so that the cluster can recover.
 const RECOVERY_TIME: Millis = Millis(4_000);
 
-/// Warm-up time of a target.
-const WARMUP_TIME: Millis = Millis(1_500);
-
 /// Timeout for the first successful readiness check of each host.
 const READY_TIMEOUT: Millis = Millis(30_000);
 
@@ -60,7 +57,12 @@
     cluster.configure(READY_TIMEOUT)?;
     // Wait until the targets are warmed up: while every server is warming up, none has a usual service time to
     // compare with. Later warm-ups come from faults.
-    std::thread::sleep(WARMUP_TIME.to_duration().saturating_sub(started.elapsed()));
+    std::thread::sleep(
+        options
+            .warmup
+            .to_duration()
+            .saturating_sub(started.elapsed()),
+    );
     let size = ClusterSize {
         hosts: cluster.hosts().len(),
         targets: cluster.targets().len(),
@@ -97,7 +99,7 @@
 fn start(options: &ChaosOptions) -> Result<Cluster, ClusterError> {
     let mut cluster = ClusterOptions::new(options.deployment)
         .with_hosts(options.hosts)
-        .with_warmup(WARMUP_TIME);
+        .with_warmup(options.warmup);
     cluster.proxied = options.proxied;
     cluster.keyed_servers = options.keyed_servers;
     cluster.busy = options.busy;
--- a/crates/chicoryrail-testkit/tests/chaos.rs
+++ b/crates/chicoryrail-testkit/tests/chaos.rs
@@ -37,6 +37,24 @@
     assert!(summary.ok > 0 && !summary.faults.is_empty());
 }
 
+/// Guards against hosts that are killed and started again sending servers more than their warm-up rate.
+#[test]
+fn servers_that_warm_up_get_no_more_than_their_rate() {
+    let _serial = SERIAL.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut options = ChaosOptions::new(Deployment::Updraft, 7_901).with_duration(Millis(12_000));
+    options.program_dir = Some(programs());
+    options.warmup = Millis(6_000);
+    options.hosts = 8;
+    options.rate = 100.0;
+    options.fault_kinds = ["kill-router", "kill-target", "target-cold"]
+        .map(str::to_owned)
+        .to_vec();
+    let summary = run_chaos(&options).unwrap();
+    let failures = (summary.found, summary.crashed);
+    assert_eq!(failures, (Vec::new(), Vec::new()), "{:?}", summary.kept);
+    assert!(summary.ok > 0 && !summary.faults.is_empty());
+}
+
 /// Guards against hosts that have lost their paths to the servers and refuse their callers, and against orders that run
 /// twice or false "not run" on the way through other hosts.
 #[test]
--- a/xtask/src/chaos.rs
+++ b/xtask/src/chaos.rs
@@ -36,6 +36,9 @@
     /// Number of entry hosts
     #[bpaf(argument("N"), fallback(5), display_fallback)]
     hosts: usize,
+    /// Time for which a server warms up after its start, in milliseconds; its rate is checked from 2000 on
+    #[bpaf(argument("N"), fallback(1_500), display_fallback)]
+    warmup_ms: u64,
     /// Number of servers of each service with keys; that of the deployment if absent
     #[bpaf(argument("N"))]
     keyed_servers: Option<usize>,
@@ -69,6 +72,7 @@
             options.fault_kinds.clone_from(&self.only);
             options.quiet = Millis(self.quiet_seconds * 1_000);
             options.hosts = self.hosts;
+            options.warmup = Millis(self.warmup_ms);
             options.keyed_servers = self.keyed_servers;
             options.rate = f64::from(self.rate);
             options.proxied = !self.no_proxy;
