--- a/crates/chicoryrail-policy/src/lib.rs
+++ b/crates/chicoryrail-policy/src/lib.rs
@@ -42,7 +42,8 @@
 //! [`TrafficRule`] is an operator's rule that limits requests or servers or pins keys, and [`ShareCounter`] admits the
 //! share of requests that such a rule allows.
 //!
-//! that a refused caller is told to wait before it retries.
+//! See also [`RetryBudget`] for retries, and [`retry_after`] for the time that a refused caller is told to wait before it
+//! retries.
 
 mod admission;
 mod crash;
--- a/crates/chicoryrail-policy/src/local/mod.rs
+++ b/crates/chicoryrail-policy/src/local/mod.rs
@@ -1,8 +1,9 @@
 //! Load balancing over servers that many hosts send to without coordination.
 //!
 //! A host knows its own requests in flight exactly, and learns of those of other hosts from the load that a server
-//! [`RetryBudget`] limit a host to its share of a limit that holds over all hosts together. [`ServerNotices`] bind each
-//! host on its own, whoever selects the server.
+//! reports with each response. [`LocalBalancer`] selects among the servers of a service; [`RetryBudget`] limits a host to
+//! its share of a limit that holds over all hosts together. [`ServerNotices`] bind each host on its own, whoever selects
+//! the server.
 
 mod advertised_limit;
 mod backoff_time;
--- a/crates/chicoryrail-router/src/control/scheduling/decisions.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/decisions.rs
@@ -89,7 +89,7 @@
     let origins = router.schedulers.origins.borrow();
     let origin = origins.get(&ticket);
     let scheduled_ms = match target.scheduled_here.get() {
-        Some(true) => now.since(target.scheduled_since.get()).0 as i64,
+        Some(true) => now.since(router.scheduled_since(target)).0 as i64,
         Some(false) | None => -1,
     };
     log::info!(request = origin.map_or("-", |o| o.id.as_str()), server:% = target.life,
--- a/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
+++ b/crates/chicoryrail-router/src/control/scheduling/server_sync.rs
@@ -117,7 +117,7 @@
         } else {
             target.accepts_requests(self.now)
         };
-        // The whole of the limit is for the hosts that schedule for others.
+        // A host that schedules for itself alone is one of any number.
         let is_withheld = rate_limit.is_some() && self.rules.visible_share == 0.0;
         let status = ServerStatus {
             slots: target.usable_slots(),
@@ -127,11 +127,7 @@
             rate_limit: rate_limit.map(|rate| rate * self.rules.visible_share),
             dc_index: self.router.schedulers.dc_index(&target.dc),
             scheduled_here: target.scheduled_here.get().unwrap_or(false),
-            // A leaf host that knew no core host may have scheduled for itself before it became one.
-            scheduled_since: target
-                .scheduled_since
-                .get()
-                .max(self.router.source.core_since.get()),
+            scheduled_since: self.router.scheduled_since(target),
             taken_over_at: target.taken_over_at.get(),
         };
         scheduler.update_server(self.now, target.id, status);
--- a/crates/chicoryrail-router/src/route/request_log.rs
+++ b/crates/chicoryrail-router/src/route/request_log.rs
@@ -35,5 +35,6 @@
         took_ms = took.0, waited_ms = stats.waited.0, aim_ms = call.route.latency_target.0,
         time_ms = call.time_limit().0, server = server, sends = stats.sends, via = via,
         stage = call.progress.stage.get().name(), writes = call.progress.writes.get(),
-        chosen_by = chosen_by, warmup_ms = stats.warmup_left.0, key = key, config = call.config_version; "request_{outcome}");
+        chosen_by = chosen_by, warmup_ms = stats.warmup_left.0, key = key,
+        config = call.config_version; "request_{outcome}");
 }
--- a/crates/chicoryrail-router/src/state/router.rs
+++ b/crates/chicoryrail-router/src/state/router.rs
@@ -458,6 +458,15 @@
         peers.visible_share(self.now(), self.schedules())
     }
 
+    /// Returns when this host began to schedule a server for other hosts. A leaf host that knew no core host scheduled for
+    /// itself before it became one.
+    pub(crate) fn scheduled_since(&self, target: &Target) -> Millis {
+        target
+            .scheduled_since
+            .get()
+            .max(self.source.core_since.get())
+    }
+
     /// Returns the index of the next service of a route by weighted round robin. The start depends on the process, so
     /// that hosts do not all begin with the same one.
     pub(crate) fn next_weighted(&self, route: &str, weights: &[u32]) -> usize {
