feat(router): each send of a request's body is reported with its bytes and its end

The record shows an order that reached its server with fewer bytes than its client sent, and nothing in the logs said how often its body was sent, how many bytes each send got, whether the caller's body had ended and whether the response came first.

A send now keeps count of the bytes it hands over and reports once, when it ends, to whoever began it. The router logs body_sent for each send that is not the only and whole one of its body, for those on behalf of other hosts and for a sample, and counts all by end; body_spent says that a body was not sent again. No decision changes.

--- a/crates/chicoryrail-router/src/route/direct.rs
+++ b/crates/chicoryrail-router/src/route/direct.rs
@@ -13,6 +13,8 @@
 
 use crate::control::ServerCheck;
 use crate::control::check_server;
+use crate::route::body_log::log_spent;
+use crate::route::body_log::observe_send;
 use crate::route::caller_request::CallerRequest;
 use crate::route::candidates::permit;
 use crate::route::in_flight::InFlight;
@@ -86,10 +88,12 @@
         target.pool.release(conn);
         return Ok(SendOutcome::NotRun(NotRun::Suspected));
     }
-    let (conn, bytes) = match BusyConn::begin(conn, body) {
+    let observer = observe_send(router, call, body, &target.life);
+    let (conn, bytes) = match BusyConn::begin(conn, body, observer) {
         Ok(begun) => begun,
         Err(spent) => {
             let (conn, BodySpent) = *spent;
+            log_spent(call, body, &target.life);
             target.pool.release(conn);
             return Ok(SendOutcome::NotRun(NotRun::BodySpent));
         }
--- a/crates/chicoryrail-router/src/route/forward.rs
+++ b/crates/chicoryrail-router/src/route/forward.rs
@@ -17,6 +17,8 @@
 use crate::messages::FORWARD_PREFIX;
 use crate::messages::ForwardEnd;
 use crate::messages::ForwardHead;
+use crate::route::body_log::log_spent;
+use crate::route::body_log::observe_send;
 use crate::route::caller_request::CallerRequest;
 use crate::route::candidates::permit;
 use crate::route::in_flight::InFlight;
@@ -197,10 +199,12 @@
         forwarder.pool.release(conn);
         return Asked::NotSent(Box::new(in_flight), None);
     };
-    let (conn, bytes) = match BusyConn::begin(conn, body) {
+    let observer = observe_send(router, call, body, &forwarder.addr);
+    let (conn, bytes) = match BusyConn::begin(conn, body, observer) {
         Ok(begun) => begun,
         Err(spent) => {
             let (conn, BodySpent) = *spent;
+            log_spent(call, body, &forwarder.addr);
             forwarder.pool.release(conn);
             return Asked::Spent;
         }
--- a/crates/chicoryrail-router/src/route/mod.rs
+++ b/crates/chicoryrail-router/src/route/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod attempt_refusal;
 mod attempts;
+mod body_log;
 mod caller;
 mod caller_request;
 mod candidates;
--- a/crates/chicoryrail-router/src/state/counters.rs
+++ b/crates/chicoryrail-router/src/state/counters.rs
@@ -44,6 +44,8 @@
     pub(crate) forwards: IntCounterVec,
     /// Requests that this host was asked to pass on, by service and end.
     pub(crate) forwarded: IntCounterVec,
+    /// Sends of requests' bodies by end.
+    pub(crate) body_sends: IntCounterVec,
     /// Calls to the store by kind and result.
     pub(crate) store_calls: IntCounterVec,
     /// Calls that grant or release keys by kind and result.
@@ -153,6 +155,11 @@
                 "Requests that this host was asked to pass on, by service and end",
                 &["service", "end"],
             ),
+            body_sends: metrics.counter_family(
+                "body_sends_total",
+                "Sends of requests' bodies to servers and other hosts, by end",
+                &["end"],
+            ),
             store_calls: metrics.counter_family(
                 "store_calls_total",
                 "Calls to the store, by kind and result",
--- a/crates/chicoryrail-runtime/src/body_send.rs
+++ b/crates/chicoryrail-runtime/src/body_send.rs
@@ -8,6 +8,9 @@
 
 use crate::Body;
 use crate::RequestBody;
+use crate::SendEnd;
+use crate::SendObserver;
+use crate::SendReport;
 use crate::empty_body;
 use crate::send_attempt::SendAttempt;
 
@@ -17,28 +20,21 @@
 
 /// One send of a request's body. At most one send at a time reads what is not buffered; dropping it ends the send, which
 /// takes nothing more from the caller. The connection that carries the rest then breaks.
-#[derive(Debug)]
 pub struct BodySend {
     source: Rc<RequestBody>,
     state: Rc<SendState>,
+    number: u32,
+    observer: Option<SendObserver>,
 }
 
 /// How far a send has come. The connection that carries the body shares it.
 #[derive(Debug, Default)]
 pub(crate) struct SendState {
-    end: Cell<SendEnd>,
+    /// How the send ended; `None` while there is more to send.
+    end: Cell<Option<SendEnd>>,
     ended: CancellationToken,
-}
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum SendEnd {
-    /// There is more to send.
-    #[default]
-    Open,
-    /// All bytes were handed to the connection.
-    Sent,
-    /// The send was given up, or the body or the connection broke.
-    Broken,
+    sent_bytes: Cell<u64>,
+    is_early: Cell<bool>,
 }
 
 impl RequestBody {
@@ -53,23 +49,39 @@
             return Err(BodySpent);
         }
         let state = Rc::new(SendState::default());
-        self.set_reader(&state);
+        let number = self.set_reader(&state);
         let body = if self.is_empty() {
-            state.finish(SendEnd::Sent);
+            state.finish(SendEnd::Whole);
             empty_body()
         } else {
             Box::pin(SendAttempt::new(Rc::clone(self), Rc::clone(&state)))
         };
         let source = Rc::clone(self);
-        Ok((BodySend { source, state }, body))
+        let send = BodySend {
+            source,
+            state,
+            number,
+            observer: None,
+        };
+        Ok((send, body))
     }
 }
 
 impl BodySend {
+    /// Reports the end of the send to `observer`.
+    pub fn observe(&mut self, observer: SendObserver) {
+        self.observer = Some(observer);
+    }
+
+    /// Records the head of a response.
+    pub(crate) fn record_response(&self) {
+        self.state.is_early.set(self.state.is_open());
+    }
+
     /// Returns `true` if all bytes were handed to the connection.
     #[must_use]
     pub fn is_sent(&self) -> bool {
-        self.state.end.get() == SendEnd::Sent
+        self.state.end.get() == Some(SendEnd::Whole)
     }
 
     /// Waits until all bytes were handed to the connection, or the send has failed; returns `true` in the first case.
@@ -77,26 +89,43 @@
         self.state.ended.cancelled().await;
         self.is_sent()
     }
+
+    fn report(&self) -> SendReport {
+        SendReport {
+            number: self.number,
+            sent_bytes: self.state.sent_bytes.get(),
+            received_bytes: self.source.received_bytes(),
+            is_received: self.source.is_received(),
+            is_early: self.state.is_early.get(),
+            end: self.state.end.get().unwrap_or(SendEnd::Broken),
+        }
+    }
 }
 
 impl Drop for BodySend {
     fn drop(&mut self) {
         self.state.record_broken();
+        let report = self.report();
         self.source.end_send();
+        if let Some(observer) = self.observer.take() {
+            observer(report);
+        }
     }
 }
 
 impl SendState {
     pub(crate) fn is_open(&self) -> bool {
-        self.end.get() == SendEnd::Open
+        self.end.get().is_none()
     }
 
+    /// Returns `true` if the send has ended before the body did.
     pub(crate) fn is_broken(&self) -> bool {
-        self.end.get() == SendEnd::Broken
+        self.end.get().is_some_and(|end| end != SendEnd::Whole)
     }
 
-    pub(crate) fn record_sent(&self) {
-        self.finish(SendEnd::Sent);
+    /// Counts bytes that are handed to the connection.
+    pub(crate) fn add_sent(&self, bytes: usize) {
+        self.sent_bytes.set(self.sent_bytes.get() + bytes as u64);
     }
 
     /// Ends the send unless all bytes were handed to the connection.
@@ -104,14 +133,24 @@
         self.finish(SendEnd::Broken);
     }
 
-    fn finish(&self, end: SendEnd) {
+    pub(crate) fn finish(&self, end: SendEnd) {
         if self.is_open() {
-            self.end.set(end);
+            self.end.set(Some(end));
             self.ended.cancel();
         }
     }
 }
 
+impl fmt::Debug for BodySend {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("BodySend")
+            .field("source", &self.source)
+            .field("state", &self.state)
+            .field("number", &self.number)
+            .finish_non_exhaustive()
+    }
+}
+
 impl fmt::Debug for RequestBody {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("RequestBody")
--- a/crates/chicoryrail-runtime/src/busy_conn.rs
+++ b/crates/chicoryrail-runtime/src/busy_conn.rs
@@ -14,6 +14,7 @@
 use crate::BodySend;
 use crate::BodySpent;
 use crate::RequestBody;
+use crate::SendObserver;
 use crate::ServerConn;
 
 /// A connection that carries a request. It becomes a [`ServerConn`] again only after the whole body of the request was
@@ -26,7 +27,7 @@
 }
 
 impl BusyConn {
-    /// Assigns a connection to a send of `body`, and returns the bytes to send.
+    /// Assigns a connection to a send of `body`, and returns the bytes to send. Its end is reported to `observer`.
     ///
     /// # Errors
     ///
@@ -34,9 +35,15 @@
     pub fn begin(
         conn: ServerConn,
         body: &Rc<RequestBody>,
+        observer: Option<SendObserver>,
     ) -> Result<(Self, Body), Box<(ServerConn, BodySpent)>> {
         match body.begin_send() {
-            Ok((send, bytes)) => Ok((Self { send, conn }, bytes)),
+            Ok((mut send, bytes)) => {
+                if let Some(observer) = observer {
+                    send.observe(observer);
+                }
+                Ok((Self { send, conn }, bytes))
+            }
             Err(spent) => Err(Box::new((conn, spent))),
         }
     }
@@ -50,7 +57,11 @@
         &mut self,
         request: Request<Body>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
-        self.conn.send(request).await
+        let response = self.conn.send(request).await;
+        if response.is_ok() {
+            self.send.record_response();
+        }
+        response
     }
 
     /// Records the head of a response, like [`ServerConn::record_response`].
--- a/crates/chicoryrail-runtime/src/request_body.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -34,6 +34,8 @@
     /// Whether bytes were sent that are not buffered.
     streamed: Cell<bool>,
     error: Cell<Option<BodyError>>,
+    /// Number of sends that were begun.
+    sends: Cell<u32>,
     /// The last send that was begun. Only this one reads what is not buffered.
     reader: RefCell<Option<Rc<SendState>>>,
     /// Whether the body is discarded once that send has ended.
@@ -66,6 +68,7 @@
             max_bytes,
             streamed: Cell::default(),
             error: Cell::new(too_large.then_some(BodyError::TooLarge)),
+            sends: Cell::default(),
             reader: RefCell::default(),
             discards: Cell::default(),
             upload,
@@ -213,12 +216,16 @@
         }
     }
 
-    /// Makes a send the only one that reads what is not buffered. One that has the whole body in the buffer goes on.
-    pub(crate) fn set_reader(&self, state: &Rc<SendState>) {
+    /// Makes a send the only one that reads what is not buffered, and returns its number, from 1. One that has the whole
+    /// body in the buffer goes on.
+    pub(crate) fn set_reader(&self, state: &Rc<SendState>) -> u32 {
         let former = self.reader.replace(Some(Rc::clone(state)));
         if let Some(former) = former.filter(|_| !self.is_received()) {
             former.record_broken();
         }
+        let number = self.sends.get() + 1;
+        self.sends.set(number);
+        number
     }
 
     /// Discards the body after the end of a send, if that was put off until then.
--- a/crates/chicoryrail-runtime/src/send_attempt.rs
+++ b/crates/chicoryrail-runtime/src/send_attempt.rs
@@ -12,6 +12,7 @@
 use hyper::body::Frame;
 
 use crate::RequestBody;
+use crate::SendEnd;
 use crate::body_send::SendState;
 
 /// Size below which a chunk of a streamed upload is copied. Each chunk of a caller that sends a few bytes at a time
@@ -34,10 +35,17 @@
         }
     }
 
+    /// Hands a chunk to the connection.
+    fn hand_over(&self, data: Bytes) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        self.state.add_sent(data.len());
+        self.record_sent();
+        Poll::Ready(Some(Ok(Frame::data(data))))
+    }
+
     /// Records the end of the send once there is nothing more to send.
     fn record_sent(&self) {
         if self.is_end_stream() {
-            self.state.record_sent();
+            self.state.finish(SendEnd::Whole);
         }
     }
 
@@ -68,8 +76,7 @@
         let chunk = self.source.start().chunk(self.next_chunk);
         if let Some(data) = chunk {
             self.next_chunk += 1;
-            self.record_sent();
-            return Poll::Ready(Some(Ok(Frame::data(data))));
+            return self.hand_over(data);
         }
         if let Some(upload) = self.source.flow() {
             ready!(upload.poll_window(cx));
@@ -86,8 +93,7 @@
             }
             Poll::Ready(Some(Ok(data))) => {
                 self.source.record_streamed();
-                self.record_sent();
-                Poll::Ready(Some(Ok(Frame::data(self.send_in_window(data)))))
+                self.hand_over(self.send_in_window(data))
             }
         }
     }
