fix(runtime): the end of a body is sent only behind all bytes that its caller has sent

Cause: whether a body had ended was read off two other facts, that there was no source left and no error.

Change: that a caller has sent the whole body is a state of its own (BodySource), which only the end of its stream sets. SendAttempt is the one place that ends a body, and does so only if it has handed over as many bytes as the caller has sent; otherwise the connection breaks, whatever led there, and the invariant whole-body is reported.

--- a/crates/chicoryrail-router/src/route/body_log.rs
+++ b/crates/chicoryrail-router/src/route/body_log.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 
+use chicoryrail_runtime::Invariant;
 use chicoryrail_runtime::RequestBody;
 use chicoryrail_runtime::SendEnd;
 use chicoryrail_runtime::SendObserver;
@@ -23,8 +24,13 @@
     let (request, peer) = (call.id.clone(), peer.to_string());
     let is_logged = call.is_forwarded || call.is_sampled(router);
     let sends = router.counters.body_sends.clone();
+    let invariants = router.process.invariants.clone();
     let observer: SendObserver = Box::new(move |report: SendReport| {
         sends.with_label_values(&[report.end.name()]).inc();
+        let has_all = report.end != SendEnd::Short;
+        invariants.check(Invariant::WholeBody, has_all, || {
+            format!("request={request} to={peer} {report:?}")
+        });
         let is_ordinary = report.end == SendEnd::Whole && report.number == 1 && !report.is_early;
         if is_logged || !is_ordinary {
             log::info!(request = request, to = peer, number = report.number, end = report.end.name(),
--- a/crates/chicoryrail-runtime/src/body_send.rs
+++ b/crates/chicoryrail-runtime/src/body_send.rs
@@ -123,6 +123,11 @@
         self.end.get().is_some_and(|end| end != SendEnd::Whole)
     }
 
+    /// Returns the bytes that were handed to the connection.
+    pub(crate) fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.get()
+    }
+
     /// Counts bytes that are handed to the connection.
     pub(crate) fn add_sent(&self, bytes: usize) {
         self.sent_bytes.set(self.sent_bytes.get() + bytes as u64);
--- a/crates/chicoryrail-runtime/src/invariant.rs
+++ b/crates/chicoryrail-runtime/src/invariant.rs
@@ -11,6 +11,8 @@
     NotRunTrue,
     /// A request that must not run twice is retried only if it is certain that no server ran it.
     OrderOnce,
+    /// The end of a request's body is sent only behind all bytes that its caller has sent.
+    WholeBody,
     /// The active configuration is replaced only by one with a higher version.
     ConfigForward,
     /// A key record is replaced only by one with a higher fencing token.
@@ -19,11 +21,12 @@
 
 impl Invariant {
     /// All invariants, in the order of `docs/INVARIANTS.md`.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::StoredFirst,
         Self::OwnAnswer,
         Self::NotRunTrue,
         Self::OrderOnce,
+        Self::WholeBody,
         Self::ConfigForward,
         Self::FenceForward,
     ];
@@ -36,6 +39,7 @@
             Self::OwnAnswer => "own-answer",
             Self::NotRunTrue => "not-run-true",
             Self::OrderOnce => "order-once",
+            Self::WholeBody => "whole-body",
             Self::ConfigForward => "config-forward",
             Self::FenceForward => "fence-forward",
         }
--- a/crates/chicoryrail-runtime/src/lib.rs
+++ b/crates/chicoryrail-runtime/src/lib.rs
@@ -23,6 +23,7 @@
 mod body;
 mod body_error;
 mod body_send;
+mod body_source;
 mod busy_conn;
 mod byte_budget;
 mod call_client;
--- a/crates/chicoryrail-runtime/src/replay_buffer.rs
+++ b/crates/chicoryrail-runtime/src/replay_buffer.rs
@@ -30,11 +30,6 @@
         self.chunks.borrow().get(index).cloned()
     }
 
-    /// Returns the number of chunks.
-    pub(crate) fn chunk_count(&self) -> usize {
-        self.chunks.borrow().len()
-    }
-
     /// Passes the first `limit` bytes to `visit`, in order.
     pub(crate) fn visit(&self, limit: usize, mut visit: impl FnMut(&[u8])) {
         let mut left = limit;
--- a/crates/chicoryrail-runtime/src/request_body.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -18,6 +18,7 @@
 use crate::UploadFlow;
 use crate::UploadLimits;
 use crate::body_send::SendState;
+use crate::body_source::BodySource;
 use crate::discard::discard_body;
 use crate::replay_buffer::ReplayBuffer;
 
@@ -27,13 +28,12 @@
 
 /// A request's body. Its start is buffered and can be sent again; the rest is streamed once.
 pub struct RequestBody {
-    inner: RefCell<Option<Body>>,
+    source: RefCell<BodySource>,
     start: ReplayBuffer,
     received_bytes: Cell<u64>,
     max_bytes: u64,
     /// Whether bytes were sent that are not buffered.
     streamed: Cell<bool>,
-    error: Cell<Option<BodyError>>,
     /// Number of sends that were begun.
     sends: Cell<u32>,
     /// The last send that was begun. Only this one reads what is not buffered.
@@ -58,16 +58,12 @@
     }
 
     fn with_flow(body: Body, max_bytes: u64, upload: Option<UploadFlow>) -> Rc<Self> {
-        let ended = body.is_end_stream();
-        // A declared length above the limit is refused before any byte is read.
-        let too_large = body.size_hint().lower() > max_bytes;
         Rc::new(Self {
-            inner: RefCell::new((!ended).then_some(body)),
+            source: RefCell::new(BodySource::new(body, max_bytes)),
             start: ReplayBuffer::default(),
             received_bytes: Cell::default(),
             max_bytes,
             streamed: Cell::default(),
-            error: Cell::new(too_large.then_some(BodyError::TooLarge)),
             sends: Cell::default(),
             reader: RefCell::default(),
             discards: Cell::default(),
@@ -84,8 +80,7 @@
     /// Returns the declared length of what was not read yet, in bytes; `None` if it is unknown.
     #[must_use]
     pub fn declared_rest(&self) -> Option<u64> {
-        let inner = self.inner.borrow();
-        inner.as_ref().map_or(Some(0), |b| b.size_hint().exact())
+        self.source.borrow().declared_rest()
     }
 
     /// Reads the start of the body into the buffer, for at most `limit`.
@@ -103,17 +98,17 @@
     ///
     /// Returns a [`BodyError`] like [`Self::prefetch`].
     pub async fn read_ahead(&self, bytes: usize, limit: Millis) -> Result<(), BodyError> {
-        if let Some(error) = self.error.get() {
+        if let Some(error) = self.error() {
             return Err(error);
         }
-        if self.inner.borrow().is_none() {
+        if self.is_received() {
             return Ok(());
         }
         let read_start = async {
             while self.start.len() < bytes {
                 match poll_fn(|cx| self.poll_chunk(cx)).await {
                     Some(Ok(data)) => self.buffer(data),
-                    Some(Err(_)) => return Err(self.error.get().unwrap_or(BodyError::Cut)),
+                    Some(Err(_)) => return Err(self.error().unwrap_or(BodyError::Cut)),
                     None => break,
                 }
             }
@@ -135,7 +130,7 @@
     /// Returns `true` if the caller has sent the whole body.
     #[must_use]
     pub fn is_received(&self) -> bool {
-        self.inner.borrow().is_none() && self.error.get().is_none()
+        matches!(&*self.source.borrow(), BodySource::Received)
     }
 
     /// Returns the number of bytes that the caller has sent so far.
@@ -163,11 +158,9 @@
         if is_sending {
             return;
         }
-        let Some(body) = self.inner.borrow_mut().take() else {
+        let Some(rest) = self.source.borrow_mut().abandon() else {
             return;
         };
-        // A later send must not take this for the end of the body.
-        self.error.set(self.error.get().or(Some(BodyError::Cut)));
         if self
             .upload
             .as_ref()
@@ -175,7 +168,7 @@
         {
             return;
         }
-        discard_body(body);
+        discard_body(rest);
     }
 
     /// Returns `true` if there is no body.
@@ -198,13 +191,13 @@
     /// Returns why the body could not be read completely, if so.
     #[must_use]
     pub fn error(&self) -> Option<BodyError> {
-        self.error.get()
+        self.source.borrow().error()
     }
 
     /// Returns why the body of an upload could not be read completely, if so.
     #[must_use]
     pub fn upload_error(&self) -> Option<BodyError> {
-        self.error.get().filter(|_| self.upload.is_some())
+        self.error().filter(|_| self.upload.is_some())
     }
 
     fn buffer(&self, data: Bytes) {
@@ -245,12 +238,14 @@
         &self.start
     }
 
-    /// Reads the next chunk of the body that is not buffered.
+    /// Reads the next chunk of the body that is not buffered; `None` after the whole body.
     pub(crate) fn poll_chunk(&self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
-        let mut inner = self.inner.borrow_mut();
+        let mut source = self.source.borrow_mut();
         loop {
-            let Some(body) = inner.as_mut() else {
-                return Poll::Ready(self.error.get().map(|_| Err(io::Error::other("cut"))));
+            let body = match &mut *source {
+                BodySource::Open(body) => body,
+                BodySource::Received => return Poll::Ready(None),
+                BodySource::Failed(..) => return Poll::Ready(Some(Err(io::Error::other("cut")))),
             };
             if let Some(upload) = &self.upload {
                 upload.record_start();
@@ -260,8 +255,7 @@
                     if !self.upload.as_ref().is_some_and(|u| u.is_silent(cx)) {
                         return Poll::Pending;
                     }
-                    self.error.set(Some(BodyError::Slow));
-                    *inner = None;
+                    *source = BodySource::Failed(BodyError::Slow, None);
                     return Poll::Ready(Some(Err(io::ErrorKind::TimedOut.into())));
                 }
                 Poll::Ready(frame) => frame,
@@ -270,27 +264,25 @@
                 upload.record_received();
             }
             match frame {
-                None => *inner = None,
+                None => *source = BodySource::Received,
                 Some(Err(e)) => {
-                    self.error.set(Some(BodyError::Cut));
-                    *inner = None;
+                    *source = BodySource::Failed(BodyError::Cut, None);
                     return Poll::Ready(Some(Err(e)));
                 }
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else {
                         continue;
                     };
-                    self.received_bytes
-                        .set(self.received_bytes.get() + data.len() as u64);
-                    if self.received_bytes.get() > self.max_bytes {
-                        self.error.set(Some(BodyError::TooLarge));
-                        *inner = None;
+                    let received = self.received_bytes.get() + data.len() as u64;
+                    self.received_bytes.set(received);
+                    if received > self.max_bytes {
+                        *source = BodySource::Failed(BodyError::TooLarge, None);
                         return Poll::Ready(Some(Err(io::Error::other("body exceeds the limit"))));
                     }
                     // The declared length tells the end before a further read would, which the connection to the server
                     // does not ask for.
                     if body.is_end_stream() {
-                        *inner = None;
+                        *source = BodySource::Received;
                     }
                     return Poll::Ready(Some(Ok(data)));
                 }
--- a/crates/chicoryrail-runtime/src/send_attempt.rs
+++ b/crates/chicoryrail-runtime/src/send_attempt.rs
@@ -35,18 +35,28 @@
         }
     }
 
+    /// Returns `true` if the caller has sent the whole body, and all of its bytes were handed to the connection.
+    fn is_whole(&self) -> bool {
+        self.source.is_received() && self.state.sent_bytes() == self.source.received_bytes()
+    }
+
     /// Hands a chunk to the connection.
     fn hand_over(&self, data: Bytes) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         self.state.add_sent(data.len());
-        self.record_sent();
+        if self.is_whole() {
+            self.state.finish(SendEnd::Whole);
+        }
         Poll::Ready(Some(Ok(Frame::data(data))))
     }
 
-    /// Records the end of the send once there is nothing more to send.
-    fn record_sent(&self) {
-        if self.is_end_stream() {
+    /// Ends the body. The connection gets an error in place of the end if a part of the body is missing.
+    fn end(&self) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if self.is_whole() {
             self.state.finish(SendEnd::Whole);
+            return Poll::Ready(None);
         }
+        self.state.finish(SendEnd::Short);
+        Poll::Ready(Some(Err(io::Error::other("a part of the body is missing"))))
     }
 
     /// Counts a chunk of an upload in its window.
@@ -83,10 +93,7 @@
         }
         match self.source.poll_chunk(cx) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(None) => {
-                self.record_sent();
-                Poll::Ready(None)
-            }
+            Poll::Ready(None) => self.end(),
             Poll::Ready(Some(Err(e))) => {
                 self.state.record_broken();
                 Poll::Ready(Some(Err(e)))
@@ -99,7 +106,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.next_chunk >= self.source.start().chunk_count() && self.source.is_received()
+        self.is_whole()
     }
 }
 
--- a/crates/chicoryrail-runtime/src/send_report.rs
+++ b/crates/chicoryrail-runtime/src/send_report.rs
@@ -27,6 +27,8 @@
     Whole,
     /// The send was given up, or the body or the connection broke; the connection got no end of the body.
     Broken,
+    /// A part of the body was missing where it was to end; the connection got no end of it. A fault of the program.
+    Short,
 }
 
 impl SendEnd {
@@ -36,6 +38,7 @@
         match self {
             Self::Whole => "whole",
             Self::Broken => "broken",
+            Self::Short => "short",
         }
     }
 }
