feat(testkit): the checker compares the bodies that servers run with those that were sent

Callers and servers now record length and hash of each body, and BodyChanged reports a run with another one. One order in four has 16 KiB, 16 KiB and a byte, 40,000 or 90,000 bytes; half of these, and half of the uploads, come in chunks.

--- a/crates/chicoryrail-testkit/src/checker.rs
+++ b/crates/chicoryrail-testkit/src/checker.rs
@@ -2,6 +2,7 @@
 
 mod abandoned;
 mod availability;
+mod bodies;
 mod cut_hosts;
 mod evidence;
 mod exclusivity;
--- a/crates/chicoryrail-testkit/src/checker/find.rs
+++ b/crates/chicoryrail-testkit/src/checker/find.rs
@@ -3,6 +3,7 @@
 use crate::Evidence;
 use crate::Violation;
 use crate::checker::abandoned;
+use crate::checker::bodies;
 use crate::checker::cut_hosts;
 use crate::checker::exclusivity;
 use crate::checker::grant_fences;
@@ -24,6 +25,7 @@
         found.extend(holds::check(evidence));
         found.extend(stored_owners::check(evidence));
         found.extend(orders::check(evidence));
+        found.extend(bodies::check(evidence));
         found.extend(responses::check(evidence));
         found.extend(versions::check(evidence));
         found.extend(server_limits::check(evidence));
--- a/crates/chicoryrail-testkit/src/checker/violation.rs
+++ b/crates/chicoryrail-testkit/src/checker/violation.rs
@@ -71,6 +71,17 @@
         /// The servers that ran it.
         servers: Vec<String>,
     },
+    /// A server ran a request with another body than its caller sent.
+    BodyChanged {
+        /// Id of the request.
+        request: String,
+        /// Server that ran it.
+        server: String,
+        /// Bytes of the body that the caller sent.
+        sent: u64,
+        /// Bytes of the body that the server ran.
+        ran: u64,
+    },
     /// A caller got an incomplete response, or the response to another request.
     AnswerWrong {
         /// Id of the request.
--- a/crates/chicoryrail-testkit/src/lib.rs
+++ b/crates/chicoryrail-testkit/src/lib.rs
@@ -20,6 +20,7 @@
 //! See [`Cluster`] for a whole system of processes, [`Load`] for generated load, [`Violation::find`] for the checked
 //! guarantees, and [`TargetFault`], [`StoreFault`] and [`LinkFault`] for the faults.
 
+mod body_mark;
 mod chaos;
 mod checker;
 mod cluster;
@@ -33,6 +34,7 @@
 mod timed;
 mod wall_clock;
 
+pub use body_mark::BodyMark;
 pub use chaos::ChaosOptions;
 pub use chaos::Summary;
 pub use chaos::run as run_chaos;
--- a/crates/chicoryrail-testkit/src/load/call.rs
+++ b/crates/chicoryrail-testkit/src/load/call.rs
@@ -22,6 +22,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::BodyMark;
 use crate::LoadKind;
 use crate::ResponseHead;
 use crate::load::mix::PlannedRequest;
@@ -78,6 +79,9 @@
     /// API key that the request carried, by its owner.
     #[serde(default)]
     pub caller: CallerKind,
+    /// The request's body; `None` if it is not known.
+    #[serde(default)]
+    pub body: Option<BodyMark>,
     /// Time after which a refused caller was asked to return.
     #[serde(default)]
     pub retry_after: Option<Millis>,
@@ -127,6 +131,7 @@
                 Some(name) => CallerKind::Organisation(name.clone()),
             },
         },
+        body: Some(BodyMark::of(&planned.body)),
         retry_after: None,
         returned: None,
     };
@@ -186,10 +191,10 @@
         builder = builder.header(call_header::KEY, key);
     }
     let body = planned.body.clone();
-    let body: Body = if planned.pause == Millis::ZERO {
+    let body: Body = if planned.pause == Millis::ZERO && !planned.is_chunked {
         full_body(body)
     } else {
-        Box::pin(PacedBody::new(body, planned.pause))
+        Box::pin(PacedBody::new(body, planned.pause, planned.is_chunked))
     };
     builder
         .body(body)
--- a/crates/chicoryrail-testkit/src/load/mix.rs
+++ b/crates/chicoryrail-testkit/src/load/mix.rs
@@ -12,6 +12,12 @@
 /// Bytes of the note in an order's body.
 const ORDER_NOTE_BYTES: usize = 200;
 
+/// Lengths of long orders' bodies in bytes: around the part that a host keeps for a retry, and above it.
+const LONG_ORDER_BYTES: [usize; 4] = [16 << 10, (16 << 10) + 1, 40_000, 90_000];
+
+/// One in this many orders is long. Every second of these, and of the uploads, is sent in chunks.
+const LONG_ORDER_INTERVAL: u64 = 4;
+
 /// Longest body of an upload in bytes.
 const UPLOAD_BYTES_MAX: usize = 120_000;
 
@@ -131,6 +137,8 @@
     /// Bytes of the response body after its first line.
     pub(crate) response_bytes: u64,
     pub(crate) body: Bytes,
+    /// Whether the body is sent in chunks, and not with its length stated.
+    pub(crate) is_chunked: bool,
     /// Pause between two pieces of the body or of the response; zero for a caller that is not slow.
     pub(crate) pause: Millis,
     /// API key that the request carries; `None` if it needs none.
@@ -168,13 +176,18 @@
         let number = self.pick_key(index, rng);
         let service = &self.services[index];
         let mut pause = Millis::ZERO;
+        let is_long = self.count.is_multiple_of(LONG_ORDER_INTERVAL);
         let body = match service.kind {
+            LoadKind::Order if is_long => {
+                let bytes = LONG_ORDER_BYTES[number as usize % LONG_ORDER_BYTES.len()];
+                numbered_body(&id, bytes).into()
+            }
             LoadKind::Order => order_body(&id).into(),
             LoadKind::Upload => {
                 if rng.random_ratio(1, SLOW_CALLER_INTERVAL) {
                     pause = SLOW_CALLER_PAUSE;
                 }
-                vec![b'u'; rng.random_range(1..=UPLOAD_BYTES_MAX)].into()
+                numbered_body(&id, rng.random_range(1..=UPLOAD_BYTES_MAX)).into()
             }
             LoadKind::Lookup | LoadKind::Report => Bytes::new(),
         };
@@ -184,6 +197,8 @@
             path: format!("{}key-{number:05}", service.path),
             key: service.keyed.then(|| spread_key(number)),
             body,
+            is_chunked: self.count.is_multiple_of(2 * LONG_ORDER_INTERVAL)
+                || (service.kind == LoadKind::Upload && self.count.is_multiple_of(2)),
             pause,
             id,
             response_bytes: service.body,
@@ -235,6 +250,20 @@
         .collect()
 }
 
+/// Returns a body of which no two parts are alike.
+fn numbered_body(id: &str, bytes: usize) -> Vec<u8> {
+    let parts = (0_usize..).map(|i| format!("{id}:{i};"));
+    let mut body = Vec::with_capacity(bytes + 64);
+    for part in parts {
+        if body.len() >= bytes {
+            break;
+        }
+        body.extend_from_slice(part.as_bytes());
+    }
+    body.truncate(bytes);
+    body
+}
+
 fn order_body(id: &str) -> String {
     format!(
         "{{\"order\":\"{id}\",\"note\":\"{}\"}}",
--- a/crates/chicoryrail-testkit/src/load/paced_body.rs
+++ b/crates/chicoryrail-testkit/src/load/paced_body.rs
@@ -21,14 +21,17 @@
 pub(crate) struct PacedBody {
     rest: Bytes,
     pause: Millis,
+    is_chunked: bool,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl PacedBody {
-    pub(crate) fn new(body: Bytes, pause: Millis) -> Self {
+    /// Sends a body in chunks, or with its length stated.
+    pub(crate) fn new(body: Bytes, pause: Millis, is_chunked: bool) -> Self {
         Self {
             rest: body,
             pause,
+            is_chunked,
             timer: None,
         }
     }
@@ -59,6 +62,9 @@
     }
 
     fn size_hint(&self) -> SizeHint {
+        if self.is_chunked {
+            return SizeHint::default();
+        }
         SizeHint::with_exact(self.rest.len() as u64)
     }
 }
--- a/crates/chicoryrail-testkit/src/target/execution.rs
+++ b/crates/chicoryrail-testkit/src/target/execution.rs
@@ -139,6 +139,7 @@
         request: work.request.clone(),
         order: work.order,
         organisation: work.organisation.clone(),
+        body: work.body,
         key_leaked: work.key_leaked,
         fence: permit.map(|p| p.fence),
         start,
--- a/crates/chicoryrail-testkit/src/target/ledger.rs
+++ b/crates/chicoryrail-testkit/src/target/ledger.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::BodyMark;
 use crate::HoldChange;
 use crate::ServerStart;
 
@@ -26,6 +27,9 @@
     /// Organisation named by the host, if any.
     #[serde(default)]
     pub organisation: Option<String>,
+    /// The request's body; `None` if it is not known.
+    #[serde(default)]
+    pub body: Option<BodyMark>,
     /// Whether the request carried the caller's API key, which must not reach a server.
     #[serde(default)]
     pub key_leaked: bool,
--- a/crates/chicoryrail-testkit/src/target/respond.rs
+++ b/crates/chicoryrail-testkit/src/target/respond.rs
@@ -13,6 +13,7 @@
 use http::Response;
 use hyper::body::Incoming;
 
+use crate::BodyMark;
 use crate::ConnectionCut;
 use crate::target::execution::run;
 use crate::target::held_body::HeldBody;
@@ -46,7 +47,7 @@
 
 async fn run_and_respond(
     state: &Rc<State>,
-    work: Work,
+    mut work: Work,
     body: Incoming,
 ) -> Result<Response<Body>, ConnectionCut> {
     let _held = HeldBody::new(state, work.body_bytes);
@@ -55,9 +56,11 @@
         state.crash.cancel();
         return Err(ConnectionCut);
     }
-    let Ok(_) = collect_body(body, BODY_MAX_BYTES).await else {
+    let Ok(body) = collect_body(body, BODY_MAX_BYTES).await else {
         return Err(ConnectionCut);
     };
+    work.body = Some(BodyMark::of(&body));
+    drop(body);
     let injected = state.faults.borrow_mut().sample_refusal(state.now());
     if let Some(injected) = injected {
         let mut response = refusal(state, &work.request, RequestEnd::Refused);
--- a/crates/chicoryrail-testkit/src/target/work.rs
+++ b/crates/chicoryrail-testkit/src/target/work.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use http::header::CONTENT_LENGTH;
 
+use crate::BodyMark;
 use crate::query_param;
 use crate::target::state::State;
 
@@ -32,6 +33,8 @@
     pub(super) crashes_at: Option<u64>,
     /// Declared length of the body.
     pub(super) body_bytes: u64,
+    /// The body, once it was read.
+    pub(super) body: Option<BodyMark>,
 }
 
 impl Work {
@@ -56,6 +59,7 @@
             body_bytes: text(&CONTENT_LENGTH)
                 .and_then(|v| v.parse().ok())
                 .unwrap_or(0),
+            body: None,
         }
     }
 }
--- a/crates/chicoryrail-testkit/tests/checker.rs
+++ b/crates/chicoryrail-testkit/tests/checker.rs
@@ -4,6 +4,7 @@
 
 use chicoryrail_testkit::Arrival;
 use chicoryrail_testkit::Availability;
+use chicoryrail_testkit::BodyMark;
 use chicoryrail_testkit::CallRecord;
 use chicoryrail_testkit::CallerKind;
 use chicoryrail_testkit::CancelledRun;
@@ -35,6 +36,7 @@
         request: request.to_owned(),
         order: false,
         organisation: None,
+        body: None,
         key_leaked: false,
         fence: Some(fence),
         start: start * 1000,
@@ -67,6 +69,7 @@
         wrong: None,
         hung: false,
         caller: CallerKind::Anybody,
+        body: None,
         retry_after: None,
         returned: None,
     }
@@ -226,6 +229,30 @@
     );
 }
 
+/// Guards against a checker that overlooks a body of which a part is missing, or other bytes of the same length.
+#[rstest]
+#[case::same(b"order 17", true)]
+#[case::part(b"order 1", false)]
+#[case::none(b"", false)]
+#[case::other_bytes(b"order 71", false)]
+fn finds_changed_body(#[case] body: &[u8], #[case] is_same: bool) {
+    let sent = b"order 17";
+    let mut evidence = clean();
+    evidence.records[3].body = Some(BodyMark::of(sent));
+    let request = evidence.records[3].request.clone();
+    let run = evidence.runs.iter_mut().find(|r| r.request == request);
+    let run = run.unwrap();
+    run.body = Some(BodyMark::of(body));
+    let expected = Violation::BodyChanged {
+        request,
+        server: run.server.clone(),
+        sent: sent.len() as u64,
+        ran: body.len() as u64,
+    };
+    let expected: Vec<_> = (!is_same).then_some(expected).into_iter().collect();
+    assert_eq!(check(&evidence), expected);
+}
+
 #[test]
 fn finds_wrong_response() {
     let mut evidence = clean();
