fix(runtime): a host that ends a connection reads on until its caller has read the responses

Cause: the host closed the socket at once behind its last response. The caller can't know yet, sends its next request, and the system answers data on a closed socket with a reset, which discards what is still in the send buffer.

--- a/crates/chicoryrail-runtime/src/callers/caller_io.rs
+++ b/crates/chicoryrail-runtime/src/callers/caller_io.rs
@@ -8,9 +8,11 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use bytes::BytesMut;
+use chicoryrail_core::Millis;
 use hyper::rt::Read;
 use hyper::rt::ReadBuf;
 use hyper::rt::ReadBufCursor;
@@ -18,6 +20,7 @@
 use monoio::time::Sleep;
 use monoio::time::sleep;
 
+use crate::Clock;
 use crate::callers::HeadScanner;
 
 /// Number of requests in flight on one connection. Clones share the count.
@@ -65,6 +68,16 @@
     read_ahead: BytesMut,
     /// Whether more than one chunk was read ahead since the buffer was last empty.
     is_large: bool,
+    clock: Clock,
+    /// When something was last written; `None` before that.
+    written_at: Option<Millis>,
+}
+
+impl<T: Write + Unpin> CallerStream<T> {
+    /// Ends the stream to the caller behind what was written.
+    pub(crate) fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
 }
 
 impl<T: Read + Unpin> CallerStream<T> {
@@ -74,9 +87,24 @@
             scanner,
             read_ahead: BytesMut::new(),
             is_large: false,
+            clock: Clock::start(),
+            written_at: None,
         }
     }
 
+    /// Returns the time since something was last written; `None` if nothing was.
+    pub(crate) fn idle_time(&self) -> Option<Millis> {
+        self.written_at.map(|at| self.clock.now().since(at))
+    }
+
+    /// Reads and drops what the caller has sent. Ready with `true` when the caller has ended its stream, or the read failed.
+    pub(crate) fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        let mut storage = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
+        let mut chunk = ReadBuf::uninit(&mut storage);
+        let read = ready!(Pin::new(&mut self.inner).poll_read(cx, chunk.unfilled()));
+        Poll::Ready(read.is_err() || chunk.filled().is_empty())
+    }
+
     /// Reads ahead. Ready when the caller has closed the connection or the read failed.
     pub(crate) fn poll_disconnect(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         while self.read_ahead.len() < MAX_READ_AHEAD_BYTES {
@@ -181,7 +209,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream.borrow_mut().inner).poll_write(cx, buf)
+        let mut stream = self.stream.borrow_mut();
+        stream.written_at = Some(stream.clock.now());
+        Pin::new(&mut stream.inner).poll_write(cx, buf)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -201,6 +231,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream.borrow_mut().inner).poll_write_vectored(cx, bufs)
+        let mut stream = self.stream.borrow_mut();
+        stream.written_at = Some(stream.clock.now());
+        Pin::new(&mut stream.inner).poll_write_vectored(cx, bufs)
     }
 }
--- a/crates/chicoryrail-runtime/src/callers/mod.rs
+++ b/crates/chicoryrail-runtime/src/callers/mod.rs
@@ -1,8 +1,10 @@
 //! Serves callers' connections: limits on their use of the listener, and pipelined requests.
 
 mod caller_io;
+mod connection;
 mod head_scanner;
 mod http_server;
+mod linger;
 mod pipeline;
 
 pub use head_scanner::HeadScanner;
