fix(router): texts of other writers are escaped in log lines

The service of an entry with a NUL stood raw in the log (log=server), as did escape sequences of a terminal: only newlines, spaces and quotes led to quoting. Every value with a character that is not printable is now quoted and escaped.

--- a/crates/chicoryrail-router/src/log_line.rs
+++ b/crates/chicoryrail-router/src/log_line.rs
@@ -1,6 +1,7 @@
 //! Format of log lines.
 //!
-//! `log=KIND t=SECONDS level=LEVEL host=NAME key=value ...`; values with spaces are quoted. `docs/OPERATIONS.md`
+//! `log=KIND t=SECONDS level=LEVEL host=NAME key=value ...`; values with spaces or unprintable characters are quoted and
+//! escaped. `docs/OPERATIONS.md`
 //! describes the keys.
 
 use std::fmt::Write as _;
@@ -52,7 +53,10 @@
 impl<'kvs> kv::VisitSource<'kvs> for PairWriter<'_> {
     fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
         let value = value.to_string();
-        let is_plain = !value.is_empty() && !value.contains([' ', '"', '\n']);
+        // Texts of callers, servers and other writers must neither end a line nor control a terminal.
+        let is_plain = !value.is_empty()
+            && !value.contains([' ', '"'])
+            && value.escape_debug().eq(value.chars());
         let _ = if is_plain {
             write!(self.0, " {key}={value}")
         } else {
