--- a/crates/chicoryrail-runtime/src/server_pool.rs
+++ b/crates/chicoryrail-runtime/src/server_pool.rs
@@ -32,8 +32,11 @@
     /// Limits the open connections to the server's slots plus a reserve, or to `connections` if that is less. The limit
     /// is at least 1.
     pub fn set_max_connections(&self, slots: u32, connections: u32) {
-        self.max_connections
-            .set(connections.min(slots + SPARE_CONNECTIONS).max(1));
+        self.max_connections.set(
+            connections
+                .min(slots.saturating_add(SPARE_CONNECTIONS))
+                .max(1),
+        );
     }
 
     /// Returns the number of open connections, idle or in use.
