fix(core): a time at the end of its range ends no host

What operators saw: hosts that used a configuration with target_latency_ms = 2^63 or more, or header_timeout_ms or idle_timeout_ms = 2^64-1, ended at the first request or connection (the timer of monoio: 'Duration too far into the future').

Cause: each timer got whatever a configuration or an entry said. Millis::to_duration, through which all of them go, now gives at most 100 years.

--- a/crates/chicoryrail-core/src/millis.rs
+++ b/crates/chicoryrail-core/src/millis.rs
@@ -10,6 +10,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Longest duration that a timer gets: 100 years.
+const DURATION_MAX: Millis = Millis(100 * 365 * 24 * 3_600_000);
+
 /// A point in time or a duration, in milliseconds.
 ///
 /// A point in time counts from the start of one process's monotonic clock. Points of different processes must not be
@@ -38,9 +41,13 @@
     /// The latest point in time; as a deadline, it never passes.
     pub const MAX: Self = Self(u64::MAX);
 
-    /// Converts the value to a standard duration.
+    /// Converts the value to a standard duration of at most 100 years. Timers do not accept one that ends beyond the range
+    /// of the clock.
     #[must_use]
     pub const fn to_duration(self) -> Duration {
+        if self.0 > DURATION_MAX.0 {
+            return Duration::from_millis(DURATION_MAX.0);
+        }
         Duration::from_millis(self.0)
     }
 
