--- a/crates/chicoryrail-router/tests/endless_responses.rs
+++ b/crates/chicoryrail-router/tests/endless_responses.rs
@@ -19,6 +19,7 @@
 use chicoryrail_runtime::Clock;
 use chicoryrail_runtime::block_on;
 use chicoryrail_testkit::ResponseHead;
+use futures_util::future::join_all;
 use rstest::rstest;
 use support::RouterProcess;
 use support::Server;
@@ -334,3 +335,60 @@
         assert!(grown < GROWTH_MAX_KIB, "{grown} KiB");
     });
 }
+
+/// Endless servers of each form, and callers, where most servers send without end.
+const ENDLESS_EACH: usize = 3;
+const CALLERS: usize = 24;
+
+/// Requests of each of these callers.
+const REQUESTS_EACH: usize = 12;
+
+/// Guards against memory that fills where many servers send without end at once, also to orders and downloads, and against a
+/// process that ends with it.
+#[test]
+fn many_servers_that_send_without_end_fill_no_memory() {
+    block_on(async {
+        let (world, _servers, mut router) = start("endless-many").await;
+        let forms = [
+            INTERIM_HEADS,
+            NO_STATUS_LINE,
+            HEADERS,
+            CHUNKS,
+            CHUNK_EXTENSION,
+            TRAILERS,
+            UNTIL_CLOSE,
+        ];
+        let forms = forms.iter().cycle().take(forms.len() * ENDLESS_EACH);
+        let endless: Vec<_> = forms.map(|form| EndlessServer::start(*form)).collect();
+        let members = endless.iter().enumerate();
+        let members: Vec<_> = members
+            .map(|(i, server)| ready_member(&format!("endless-{i}"), "desk", server.addr))
+            .collect();
+        world.put_members(&members).await;
+        wait_until("the servers are known", async || {
+            router.log().contains("server=endless-20")
+        })
+        .await;
+        let before = router.memory();
+        let callers = (0..CALLERS).map(|i| {
+            let caller = router.caller();
+            async move {
+                for j in 0..REQUESTS_EACH {
+                    let _ = match (i + j) % 3 {
+                        0 => caller.get("/read/x").await,
+                        1 => caller.post("/order/x").await,
+                        _ => caller.get("/manual/x").await,
+                    };
+                }
+            }
+        });
+        join_all(callers).await;
+        let grown = router.peak_memory().saturating_sub(before);
+        let sent: usize = endless.iter().map(EndlessServer::requests).sum();
+        println!("{sent} sent there, {grown} KiB");
+        assert!(sent >= endless.len(), "{sent} sent there");
+        assert!(grown < GROWTH_MAX_KIB, "{grown} KiB");
+        assert_eq!(router.exit_code(), None);
+        assert!(router.is_ready().await);
+    });
+}
