fix(router): SIGHUP is handled from the first line of the process

A process whose settings file changed right after its start ended, as the handler was installed only after the settings were read and the runtime stood. It is the first thing now, and a signal that comes before the runtime is kept for it. Before main a signal still ends the process.

--- a/crates/chicoryrail-router/src/run.rs
+++ b/crates/chicoryrail-router/src/run.rs
@@ -1,5 +1,6 @@
 //! Startup and shutdown of the process.
 
+use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -72,7 +73,7 @@
         /// Address of the socket.
         addr: SocketAddr,
         /// The operating system's error.
-        source: std::io::Error,
+        source: io::Error,
     },
     /// The boot file lacks the address for callers or for the load balancer's readiness checks.
     #[snafu(display("the boot file has no address for {what}"))]
@@ -85,6 +86,8 @@
 /// Reads the settings, runs the router until a stop signal and returns the exit code.
 #[must_use]
 pub fn run_from_args() -> ExitCode {
+    // Settings may change as soon as the process exists.
+    let reloads = chicoryrail_runtime::reload_signals();
     let options = match parse_args(&options()) {
         Ok(options) => options,
         Err(code) => return code,
@@ -99,7 +102,7 @@
     }
     let sink = LogSink::new(options.log_lines);
     log_line::init(&boot.host, &sink);
-    let result = block_on(run(boot, options, sink.clone()));
+    let result = block_on(run(boot, options, sink.clone(), reloads));
     if let Err(e) = &result {
         log::error!(error:% = e; "start_failed");
     }
@@ -116,7 +119,12 @@
 /// # Errors
 ///
 /// Returns a [`RunError`] if a listener or socket can't be opened, or the boot file lacks an address.
-pub async fn run(boot: Boot, options: Options, sink: LogSink) -> Result<(), RunError> {
+pub async fn run(
+    boot: Boot,
+    options: Options,
+    sink: LogSink,
+    reloads: io::Result<ReloadSignals>,
+) -> Result<(), RunError> {
     let callers = boot
         .callers
         .ok_or(RunError::NoAddress { what: "callers" })?;
@@ -135,7 +143,7 @@
     if let Err(e) = stop_on_signal(stop.clone()) {
         log::error!(error:% = e; "signals_not_caught");
     }
-    match chicoryrail_runtime::reload_signals() {
+    match reloads {
         Ok(signals) => {
             monoio::spawn(reload(Rc::clone(&router), signals));
         }
--- a/crates/chicoryrail-runtime/src/start.rs
+++ b/crates/chicoryrail-runtime/src/start.rs
@@ -56,19 +56,23 @@
 /// Stream of requests to reload the settings, sent as SIGHUP.
 #[derive(Debug)]
 pub struct ReloadSignals {
-    pipe: UnixStream,
+    pipe: StdUnixStream,
 }
 
 impl ReloadSignals {
     /// Waits for the next request. Returns `false` if no more can follow.
     pub async fn next(&mut self) -> bool {
+        let Ok(mut pipe) = self.pipe.try_clone().and_then(UnixStream::from_std) else {
+            return false;
+        };
         // Coalesces signals that arrived together: the reload happens after the last of them.
-        let (read, _) = self.pipe.read(vec![0_u8; 64]).await;
+        let (read, _) = pipe.read(vec![0_u8; 64]).await;
         read.is_ok_and(|n| n > 0)
     }
 }
 
-/// Installs a handler for SIGHUP, whose default action ends the process.
+/// Installs a handler for SIGHUP, whose default action ends the process. A signal that comes before the runtime starts is
+/// kept until then.
 ///
 /// # Errors
 ///
@@ -77,8 +81,7 @@
     let (reader, writer) = StdUnixStream::pair()?;
     signal_hook::low_level::pipe::register(SIGHUP, writer)?;
     reader.set_nonblocking(true)?;
-    let pipe = UnixStream::from_std(reader)?;
-    Ok(ReloadSignals { pipe })
+    Ok(ReloadSignals { pipe: reader })
 }
 
 /// Exit code after an invalid flag, environment variable or file.
