fix(runtime): a caller that goes on sending does not keep the thread busy while its connection ends

What is read and dropped behind the last response is limited to 1 MiB, as for the rest of a refused body.

--- a/crates/chicoryrail-router/src/log_line.rs
+++ b/crates/chicoryrail-router/src/log_line.rs
@@ -1,8 +1,7 @@
 //! Format of log lines.
 //!
 //! `log=KIND t=SECONDS level=LEVEL host=NAME key=value ...`; values with spaces or unprintable characters are quoted and
-//! escaped. `docs/OPERATIONS.md`
-//! describes the keys.
+//! escaped. `docs/OPERATIONS.md` describes the keys.
 
 use std::fmt::Write as _;
 use std::io;
--- a/crates/chicoryrail-runtime/src/callers/caller_io.rs
+++ b/crates/chicoryrail-runtime/src/callers/caller_io.rs
@@ -97,12 +97,12 @@
         self.written_at.map(|at| self.clock.now().since(at))
     }
 
-    /// Reads and drops what the caller has sent. Ready with `true` when the caller has ended its stream, or the read failed.
-    pub(crate) fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+    /// Reads and drops bytes that the caller has sent, and returns their number: 0 if the caller has ended its stream.
+    pub(crate) fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         let mut storage = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
         let mut chunk = ReadBuf::uninit(&mut storage);
-        let read = ready!(Pin::new(&mut self.inner).poll_read(cx, chunk.unfilled()));
-        Poll::Ready(read.is_err() || chunk.filled().is_empty())
+        ready!(Pin::new(&mut self.inner).poll_read(cx, chunk.unfilled()))?;
+        Poll::Ready(Ok(chunk.filled().len()))
     }
 
     /// Reads ahead. Ready when the caller has closed the connection or the read failed.
--- a/crates/chicoryrail-runtime/src/callers/linger.rs
+++ b/crates/chicoryrail-runtime/src/callers/linger.rs
@@ -14,6 +14,9 @@
 /// closed earlier and the caller sends something, as it resets the connection then.
 const LINGER_TIME_MAX: Millis = Millis(5_000);
 
+/// Bytes that are read and dropped meanwhile at most.
+const LINGER_BYTES_MAX: usize = 1 << 20;
+
 /// Ends the stream to the caller, then reads and drops what the caller still sends, until the caller has ended its stream too
 /// or the time that it has for reading is over.
 pub(crate) async fn linger<T: Read + Write + Unpin>(stream: &RefCell<CallerStream<T>>) {
@@ -26,6 +29,14 @@
     {
         return;
     }
-    let drain = async { while !poll_fn(|cx| stream.borrow_mut().poll_discard(cx)).await {} };
+    let drain = async {
+        let mut left = LINGER_BYTES_MAX;
+        while let Ok(read @ 1..) = poll_fn(|cx| stream.borrow_mut().poll_discard(cx)).await {
+            if read >= left {
+                return;
+            }
+            left -= read;
+        }
+    };
     let _ = timeout(LINGER_TIME_MAX.since(idle).to_duration(), drain).await;
 }
