--- a/crates/chicoryctl/src/status.rs
+++ b/crates/chicoryctl/src/status.rs
@@ -154,7 +154,7 @@
         for bad in &self.bad_entries {
             let _ = writeln!(text, "can't be read: {bad}");
         }
-        Ok(text)
+        Ok(escape_controls(&text))
     }
 
     fn render_organisations(&self, text: &mut String) {
@@ -231,3 +231,16 @@
     text.push('\n');
     Ok(text)
 }
+
+/// Escapes control characters other than line ends. Keys and texts of other writers could control the operator's terminal.
+fn escape_controls(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for c in text.chars() {
+        if c.is_control() && c != '\n' {
+            escaped.extend(c.escape_default());
+        } else {
+            escaped.push(c);
+        }
+    }
+    escaped
+}
--- a/crates/chicoryctl/tests/commands.rs
+++ b/crates/chicoryctl/tests/commands.rs
@@ -147,6 +147,40 @@
     });
 }
 
+/// Guards against an entry of another writer that ends the command, is added up beyond the type of a sum, or controls the
+/// operator's terminal.
+#[test]
+fn status_shows_odd_entries_as_unreadable() {
+    block_on(async {
+        let operator = Operator::start();
+        let file = file("odd-status", SITE);
+        operator
+            .run(Command::Put { file, expect: None })
+            .await
+            .unwrap();
+        for name in ["i-1", "i-2"] {
+            operator.register_server(name, "west", u32::MAX).await;
+        }
+        let nested = "[".repeat(20_000);
+        let entries = ["\0", &nested, "{\"service\":\"\u{1b}[2J\"}"];
+        for (i, entry) in entries.iter().enumerate() {
+            let name = format!("odd-\u{1b}[31m{i}");
+            let subject = Subject::Server(name.as_str().into());
+            operator.write(&subject, entry.as_bytes()).await;
+        }
+        let status = operator.run(Command::Status).await.unwrap();
+        assert_eq!(
+            status.matches("can't be read: servers/").count(),
+            5,
+            "{status}"
+        );
+        assert!(
+            !status.contains(|c: char| c.is_control() && c != '\n'),
+            "{status:?}"
+        );
+    });
+}
+
 #[test]
 fn status_and_owner_show_what_is_stored() {
     block_on(async {
