--- a/crates/chicoryrail-router/tests/odd_entries.rs
+++ b/crates/chicoryrail-router/tests/odd_entries.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use chicoryrail_platform::OWN_PREFIX;
 use chicoryrail_platform::Txn;
 use chicoryrail_runtime::block_on;
 use rstest::rstest;
@@ -92,19 +93,19 @@
         "op/unknown",
     ];
     let own = [
-        "leader",
-        "hosts/x",
-        "keys/desk",
-        "keys/kits/x",
-        "blocks/x",
-        "traffic",
-        "quota/x",
-        "x",
+        "live/hosts/odd",
+        "live/crashes/odd",
+        "live/traffic/rule/odd",
+        "live/traffic/watch/odd",
+        "traffic/state/odd",
+        "keys/odd",
+        "keys/odd/1",
+        "odd",
     ];
     let values = [arrays.into_bytes(), b"{}".to_vec(), b"\xff".to_vec()];
     for (i, value) in values.into_iter().enumerate() {
         keyed.extend(keys.map(|key| (key.to_owned(), value.clone())));
-        keyed.extend(own.map(|key| (format!("chicoryrail/odd-{i}/{key}"), value.clone())));
+        keyed.extend(own.map(|key| (format!("{OWN_PREFIX}{key}-{i}"), value.clone())));
     }
     keyed
 }
