fix(runtime): a response that breaks off looks complete to no caller of HTTP/1.0

Callers of HTTP/1.0 saw 200, a part of the body and the end of the connection in order, which is how they learn that a body is complete, where the server, the host or the host that passes the request on broke off.

Cause: HTTP/1.0 has no chunks, so a body without a length ends with its connection, and the host, or the system for a process that ends, ends that in order after an error too.

From the head of such a response until all of it is written, closing the connection resets it, whatever closes it. Refusing HTTP/1.0 was weighed: proxies and checkers speak it, and their short responses are sound. Collecting the body for its length was: it has no bound.

--- a/crates/chicoryrail-runtime/src/callers/caller_io.rs
+++ b/crates/chicoryrail-runtime/src/callers/caller_io.rs
@@ -17,11 +17,14 @@
 use hyper::rt::ReadBuf;
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
+use monoio::net::tcp::stream_poll::TcpStreamPoll;
 use monoio::time::Sleep;
 use monoio::time::sleep;
+use monoio_compat::hyper::MonoioIo;
 
 use crate::Clock;
 use crate::callers::HeadScanner;
+use crate::callers::reset_on_close::set_reset_on_close;
 
 /// Number of requests in flight on one connection. Clones share the count.
 #[derive(Clone, Debug, Default)]
@@ -71,6 +74,30 @@
     clock: Clock,
     /// When something was last written; `None` before that.
     written_at: Option<Millis>,
+    /// Whether closing the connection resets it.
+    resets: bool,
+}
+
+/// A caller's TCP stream.
+pub(crate) type CallerTcpStream = CallerStream<MonoioIo<TcpStreamPoll>>;
+
+impl CallerTcpStream {
+    /// Sets whether closing the connection resets it. It must until the end of a response that ends with its connection:
+    /// in order, a part of the response would look complete.
+    pub(crate) fn set_reset_on_close(&mut self, resets: bool) {
+        if self.resets == resets {
+            return;
+        }
+        match set_reset_on_close(&*self.inner, resets) {
+            Ok(()) => self.resets = resets,
+            Err(e) => log::error!(resets = resets, error:% = e; "connection_end_not_set"),
+        }
+    }
+
+    /// Returns `true` if closing the connection resets it.
+    pub(crate) const fn resets_on_close(&self) -> bool {
+        self.resets
+    }
 }
 
 impl<T: Write + Unpin> CallerStream<T> {
@@ -89,6 +116,7 @@
             is_large: false,
             clock: Clock::start(),
             written_at: None,
+            resets: false,
         }
     }
 
--- a/crates/chicoryrail-runtime/src/callers/connection.rs
+++ b/crates/chicoryrail-runtime/src/callers/connection.rs
@@ -24,7 +24,6 @@
 use hyper::server::conn::http1::Connection as Http1;
 use hyper::service::service_fn;
 use monoio::net::TcpStream;
-use monoio::net::tcp::stream_poll::TcpStreamPoll;
 use monoio::time::timeout;
 use monoio_compat::hyper::MonoioIo;
 use monoio_compat::hyper::MonoioTimer;
@@ -35,10 +34,12 @@
 use crate::callers::HttpLimits;
 use crate::callers::caller_io::CallerIo;
 use crate::callers::caller_io::CallerStream;
+use crate::callers::caller_io::CallerTcpStream;
 use crate::callers::caller_io::InFlight;
 use crate::callers::linger::linger;
 use crate::callers::pipeline::Callbacks;
 use crate::callers::pipeline::Pipeline;
+use crate::framing::is_close_delimited;
 use crate::guard_body;
 use crate::is_connection_close;
 
@@ -64,23 +65,28 @@
     let stream = CallerStream::new(MonoioIo::new(io), Rc::clone(&scanner));
     let stream = Rc::new(RefCell::new(stream));
     let pipeline = Rc::new(RefCell::new(Pipeline::new(callbacks, scanner)));
-    if serve_requests(&stream, &pipeline, limits, stop).await == ConnectionEnd::Closed {
-        linger(&stream).await;
+    match serve_requests(&stream, &pipeline, limits, stop).await {
+        ConnectionEnd::Complete => stream.borrow_mut().set_reset_on_close(false),
+        ConnectionEnd::Broken if !stream.borrow().resets_on_close() => {}
+        ConnectionEnd::Broken | ConnectionEnd::CallerLeft => return,
     }
+    linger(&stream).await;
 }
 
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionEnd {
-    /// The HTTP layer is done with it.
-    Closed,
+    /// All responses were written, and the stream to the caller has ended.
+    Complete,
+    /// A message in either direction broke off.
+    Broken,
     /// The caller disconnected while a request was served.
     CallerLeft,
 }
 
 /// Serves the requests of a connection.
 async fn serve_requests(
-    stream: &Rc<RefCell<CallerStream<MonoioIo<TcpStreamPoll>>>>,
+    stream: &Rc<RefCell<CallerTcpStream>>,
     pipeline: &Rc<RefCell<Pipeline>>,
     limits: HttpLimits,
     stop: CancellationToken,
@@ -110,14 +116,18 @@
                 has_request.set(true);
                 let guard = in_flight.start();
                 let body_guard = bodies.start();
+                let version = request.version();
                 let request = request.map(|b| -> Body {
                     guard_body(Box::pin(b.map_err(io::Error::other)), body_guard)
                 });
                 let response = pipeline.borrow_mut().serve_current(request);
-                let pipeline = Rc::clone(&pipeline);
+                let (pipeline, stream) = (Rc::clone(&pipeline), Rc::clone(stream));
                 async move {
                     let mut response = response.await;
                     set_connection_close(&mut pipeline.borrow_mut(), &mut response);
+                    if is_close_delimited(version, &response) {
+                        stream.borrow_mut().set_reset_on_close(true);
+                    }
                     Ok::<_, Infallible>(response.map(|body| guard_body(body, guard)))
                 }
             })
@@ -125,8 +135,11 @@
     let mut served = pin!(served);
     // Ready when the connection has ended.
     let drive = |served: Pin<&mut Http1<_, _>>, cx: &mut Context<'_>| -> Poll<ConnectionEnd> {
-        if served.poll(cx).is_ready() {
-            return Poll::Ready(ConnectionEnd::Closed);
+        if let Poll::Ready(result) = served.poll(cx) {
+            return Poll::Ready(match result {
+                Ok(()) => ConnectionEnd::Complete,
+                Err(_) => ConnectionEnd::Broken,
+            });
         }
         let disconnected =
             !in_flight.is_idle() && stream.borrow_mut().poll_disconnect(cx).is_ready();
--- a/crates/chicoryrail-runtime/src/callers/mod.rs
+++ b/crates/chicoryrail-runtime/src/callers/mod.rs
@@ -6,6 +6,7 @@
 mod http_server;
 mod linger;
 mod pipeline;
+mod reset_on_close;
 
 pub use head_scanner::HeadScanner;
 pub use head_scanner::ScannedHead;
--- a/crates/chicoryrail-runtime/src/framing.rs
+++ b/crates/chicoryrail-runtime/src/framing.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use http::Request;
 use http::Response;
+use http::Version;
 use http::header::CONTENT_LENGTH;
 use http::header::TRANSFER_ENCODING;
 use hyper::body::Body as HttpBody;
@@ -49,3 +50,10 @@
         headers.insert(CONTENT_LENGTH, length);
     }
 }
+
+/// Returns `true` if the end of a response to a request of `version` is the end of its connection: the length of the body
+/// is not known, and the caller does not know chunks.
+pub(crate) fn is_close_delimited(version: Version, response: &Response<Body>) -> bool {
+    let body = response.body();
+    version < Version::HTTP_11 && !body.is_end_stream() && body.size_hint().exact().is_none()
+}
