fix(runtime): the refusal of a long upload reaches a caller that sends all of it first

A caller that sends an upload of a few MB before it reads the response got a broken pipe in place of the refusal, so it could not know that its upload had not run.

Cause: behind a refusal 1 MiB was read and dropped as the rest of the body, and 1 MiB more behind the end of the stream. Then the connection was closed with bytes unread, which resets it, and the system discards the refusal.

--- a/crates/chicoryrail-router/src/route/caller.rs
+++ b/crates/chicoryrail-router/src/route/caller.rs
@@ -62,7 +62,7 @@
         }
         Err(cause) => {
             if !expects_continue {
-                discard_body(body);
+                discard_body(body, router.limits.get().max_body_bytes);
             }
             refuse_unparsed(&router, id.as_ref(), cause)
         }
--- a/crates/chicoryrail-router/src/state/apply.rs
+++ b/crates/chicoryrail-router/src/state/apply.rs
@@ -146,6 +146,7 @@
             }
             let mut limits = self.limits.get();
             limits.max_head_bytes = site.limits.max_head;
+            limits.max_body_bytes = site.limits.max_body;
             limits.head_timeout = site.limits.head_timeout;
             limits.idle_timeout = site.limits.idle_timeout;
             self.limits.set(limits);
--- a/crates/chicoryrail-runtime/src/callers/caller_io.rs
+++ b/crates/chicoryrail-runtime/src/callers/caller_io.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -82,6 +83,11 @@
 pub(crate) type CallerTcpStream = CallerStream<MonoioIo<TcpStreamPoll>>;
 
 impl CallerTcpStream {
+    /// Returns the caller's address.
+    pub(crate) fn peer_addr(&self) -> io::Result<SocketAddr> {
+        self.inner.peer_addr()
+    }
+
     /// Sets whether closing the connection resets it. It must until the end of a response that ends with its connection:
     /// in order, a part of the response would look complete.
     pub(crate) fn set_reset_on_close(&mut self, resets: bool) {
--- a/crates/chicoryrail-runtime/src/callers/http_server.rs
+++ b/crates/chicoryrail-runtime/src/callers/http_server.rs
@@ -26,6 +26,9 @@
     pub max_head_bytes: usize,
     /// Maximum number of headers of a request.
     pub max_headers: usize,
+    /// Largest request body in bytes. The handler refuses longer ones. Of a request that is answered before its body has
+    /// arrived, as much is still read, so that its caller gets the response.
+    pub max_body_bytes: u64,
     /// Timeout for receiving a request head, from its first byte.
     pub head_timeout: Millis,
     /// Time for which a connection without a request is kept open. Values below `head_timeout` count as
@@ -41,6 +44,7 @@
         Self {
             max_head_bytes: 16 << 10,
             max_headers: 64,
+            max_body_bytes: 1 << 20,
             head_timeout: Millis(3_000),
             idle_timeout: Millis(15_000),
             max_connections: 4_000,
--- a/crates/chicoryrail-runtime/src/discard.rs
+++ b/crates/chicoryrail-runtime/src/discard.rs
@@ -12,21 +12,19 @@
 /// sent it would reset the connection, and the caller would lose the response.
 const DISCARD_TIME_MAX: Millis = Millis(2_000);
 
-/// Bytes of a refused body that are read and dropped at most.
-const DISCARD_BYTES_MAX: usize = 1 << 20;
-
-/// Reads the rest of a body for a short time and drops it, so that its caller receives the response.
-pub fn discard_body(body: Body) {
+/// Reads the rest of a body, at most `max_bytes` bytes and for a short time, and drops it, so that its caller receives the
+/// response.
+pub fn discard_body(body: Body, max_bytes: u64) {
     if !body.is_end_stream() {
-        monoio::spawn(discard_rest(body));
+        monoio::spawn(discard_rest(body, max_bytes));
     }
 }
 
-async fn discard_rest(mut body: Body) {
+async fn discard_rest(mut body: Body, max_bytes: u64) {
     let read_rest = async {
-        let mut left = DISCARD_BYTES_MAX;
+        let mut left = max_bytes;
         while let Some(Ok(frame)) = poll_fn(|cx| body.as_mut().poll_frame(cx)).await {
-            let length = frame.data_ref().map_or(0, Bytes::len);
+            let length = frame.data_ref().map_or(0, Bytes::len) as u64;
             if length >= left {
                 return;
             }
--- a/crates/chicoryrail-runtime/src/request_body.rs
+++ b/crates/chicoryrail-runtime/src/request_body.rs
@@ -168,7 +168,7 @@
         {
             return;
         }
-        discard_body(rest);
+        discard_body(rest, self.max_bytes);
     }
 
     /// Returns `true` if there is no body.
