--- a/crates/chicoryrail-runtime/src/callers/linger.rs
+++ b/crates/chicoryrail-runtime/src/callers/linger.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::future::poll_fn;
 
+use chicoryrail_core::Millis;
 use monoio::time::timeout;
 
 use crate::callers::HttpLimits;
@@ -21,6 +22,10 @@
     {
         return;
     }
+    let time_left = limits.linger_time.since(idle);
+    if time_left == Millis::ZERO {
+        return;
+    }
     let dropped = Cell::new(0);
     let drain = async {
         while dropped.get() < limits.max_body_bytes {
@@ -32,8 +37,8 @@
         }
         Some("bytes")
     };
-    let time_left = limits.linger_time.since(idle).to_duration();
-    let limit = timeout(time_left, drain).await.unwrap_or(Some("time"));
+    let drained = timeout(time_left.to_duration(), drain).await;
+    let limit = drained.unwrap_or(Some("time"));
     if let Some(limit) = limit {
         let stream = stream.borrow();
         let idle = stream.idle_time().unwrap_or_default();
