--- a/crates/chicoryrail-runtime/src/callers/caller_io.rs
+++ b/crates/chicoryrail-runtime/src/callers/caller_io.rs
@@ -76,7 +76,7 @@
     /// When something was last written; `None` before that.
     written_at: Option<Millis>,
     /// Whether closing the connection resets it.
-    resets: bool,
+    resets_on_close: bool,
 }
 
 /// A caller's TCP stream.
@@ -91,18 +91,18 @@
     /// Sets whether closing the connection resets it. It must until the end of a response that ends with its connection:
     /// in order, a part of the response would look complete.
     pub(crate) fn set_reset_on_close(&mut self, resets: bool) {
-        if self.resets == resets {
+        if self.resets_on_close == resets {
             return;
         }
         match set_reset_on_close(&*self.inner, resets) {
-            Ok(()) => self.resets = resets,
+            Ok(()) => self.resets_on_close = resets,
             Err(e) => log::error!(resets = resets, error:% = e; "connection_end_not_set"),
         }
     }
 
     /// Returns `true` if closing the connection resets it.
     pub(crate) const fn resets_on_close(&self) -> bool {
-        self.resets
+        self.resets_on_close
     }
 }
 
@@ -122,7 +122,7 @@
             is_large: false,
             clock: Clock::start(),
             written_at: None,
-            resets: false,
+            resets_on_close: false,
         }
     }
 
--- a/crates/chicoryrail-runtime/src/callers/connection.rs
+++ b/crates/chicoryrail-runtime/src/callers/connection.rs
@@ -67,8 +67,10 @@
     let pipeline = Rc::new(RefCell::new(Pipeline::new(callbacks, scanner)));
     match serve_requests(&stream, &pipeline, limits, stop).await {
         ConnectionEnd::Complete => stream.borrow_mut().set_reset_on_close(false),
-        ConnectionEnd::Broken if !stream.borrow().resets_on_close() => {}
-        ConnectionEnd::Broken | ConnectionEnd::CallerLeft => return,
+        // In order, the end of the connection would be the end of the response that broke off.
+        ConnectionEnd::Broken if stream.borrow().resets_on_close() => return,
+        ConnectionEnd::Broken => {}
+        ConnectionEnd::CallerLeft => return,
     }
     linger(&stream, limits).await;
 }
