fix(runtime): a caller that pauses gets its pipelined responses when its connection is closed as idle

A caller that pipelined reads, read nothing for longer than the idle timeout, or for 5 s at a planned stop, and went on, lost the responses that it had not read (LOST at a stop): 48,886 of 240,000 bytes arrived.

Cause: a host reads on behind its last response until 5 s after the last write. A connection that was idle for longer was closed at once and reset by what its caller sent next; the system discards what is not delivered then.

A caller that has pipelined has the 5 s from the end of the stream. Others read before they send again, so nothing resets their connection under a response, and a stop need not wait for those that notice its end late.

idle_pipelines 2 of 2, unread_responses, pipelined, pipeline, stopping, refused_uploads, close_delimited and passing_host_stop pass.

--- a/crates/chicoryrail-runtime/src/callers/connection.rs
+++ b/crates/chicoryrail-runtime/src/callers/connection.rs
@@ -72,7 +72,8 @@
         ConnectionEnd::Broken => {}
         ConnectionEnd::CallerLeft => return,
     }
-    linger(&stream, limits).await;
+    let is_pipelined = pipeline.borrow().is_pipelined();
+    linger(&stream, limits, is_pipelined).await;
 }
 
 /// How a connection ended.
--- a/crates/chicoryrail-runtime/src/callers/http_server.rs
+++ b/crates/chicoryrail-runtime/src/callers/http_server.rs
@@ -34,8 +34,9 @@
     /// Time for which a connection without a request is kept open. Values below `head_timeout` count as
     /// `head_timeout`.
     pub idle_timeout: Millis,
-    /// Time after the last write for which a caller may read what was written. The system discards it if the connection is
-    /// closed earlier and the caller sends something, as it resets the connection then.
+    /// Time for which a caller may read what was written, after the last write, or after the end of the stream if it
+    /// pipelines. The system discards it if the connection is closed earlier and the caller sends something, as it resets
+    /// the connection then.
     pub linger_time: Millis,
     /// Maximum number of connections open at a time. Further ones are closed on accept, so that the file descriptors
     /// needed for servers and peers stay free.
--- a/crates/chicoryrail-runtime/src/callers/linger.rs
+++ b/crates/chicoryrail-runtime/src/callers/linger.rs
@@ -12,7 +12,14 @@
 
 /// Ends the stream to the caller, then reads and drops what the caller still sends, until the caller has ended its stream too,
 /// has sent as much as the largest body, or the time that it has for reading is over.
-pub(crate) async fn linger(stream: &RefCell<CallerTcpStream>, limits: HttpLimits) {
+///
+/// A caller that pipelines may send on before it has read any response, however long ago it was written, so it has the
+/// whole time from here. Others read a response before they send again, and their idle connections are closed at once.
+pub(crate) async fn linger(
+    stream: &RefCell<CallerTcpStream>,
+    limits: HttpLimits,
+    is_pipelined: bool,
+) {
     let Some(idle) = stream.borrow().idle_time() else {
         return;
     };
@@ -22,7 +29,8 @@
     {
         return;
     }
-    let time_left = limits.linger_time.since(idle);
+    let passed = if is_pipelined { Millis::ZERO } else { idle };
+    let time_left = limits.linger_time.since(passed);
     if time_left == Millis::ZERO {
         return;
     }
--- a/crates/chicoryrail-runtime/src/callers/pipeline.rs
+++ b/crates/chicoryrail-runtime/src/callers/pipeline.rs
@@ -46,6 +46,8 @@
     allows_early: bool,
     /// Whether the connection is being closed: no further request starts early.
     closing: bool,
+    /// Whether the caller has ever sent a request before the response to an earlier one.
+    is_pipelined: bool,
 }
 
 /// A request that hyper has not read yet.
@@ -73,6 +75,7 @@
             queue: VecDeque::new(),
             allows_early: false,
             closing: false,
+            is_pipelined: false,
         }
     }
 
@@ -101,6 +104,7 @@
     /// Starts the requests that may start early, and polls those already started.
     pub(crate) fn poll_queued(&mut self, cx: &mut Context<'_>) {
         self.queue_scanned();
+        self.is_pipelined |= !self.queue.is_empty();
         if self.allows_early && !self.closing {
             self.start_early();
         }
@@ -118,6 +122,11 @@
         self.closing = true;
     }
 
+    /// Returns `true` if the caller has ever sent a request before the response to an earlier one.
+    pub(crate) const fn is_pipelined(&self) -> bool {
+        self.is_pipelined
+    }
+
     /// Returns `true` if the connection is being closed.
     pub(crate) const fn is_closing(&self) -> bool {
         self.closing
