--- a/crates/chicoryrail-router/tests/close_delimited.rs
+++ b/crates/chicoryrail-router/tests/close_delimited.rs
@@ -46,21 +46,21 @@
 /// Bytes read at a time, without a pause.
 const READING: (usize, Duration) = (64 << 10, Duration::ZERO);
 
-/// What a caller sends.
+/// The version and connection header of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Request {
-    Old,
-    OldKeepAlive,
-    /// HTTP/1.1, with the wish that the connection ends behind the response.
-    NewClose,
+    Http10,
+    Http10KeepAlive,
+    /// The connection is to end behind the response.
+    Http11Close,
 }
 
 impl Request {
     const fn words(self) -> (&'static str, &'static str) {
         match self {
-            Self::Old => ("HTTP/1.0", ""),
-            Self::OldKeepAlive => ("HTTP/1.0", "connection: keep-alive\r\n"),
-            Self::NewClose => ("HTTP/1.1", "connection: close\r\n"),
+            Self::Http10 => ("HTTP/1.0", ""),
+            Self::Http10KeepAlive => ("HTTP/1.0", "connection: keep-alive\r\n"),
+            Self::Http11Close => ("HTTP/1.1", "connection: close\r\n"),
         }
     }
 }
@@ -158,7 +158,7 @@
 }
 
 async fn is_served(addr: SocketAddr) -> bool {
-    let mut stream = send(addr, "warm", Request::Old).await;
+    let mut stream = send(addr, "warm", Request::Http10).await;
     let (_, seen) = read_to_end(&mut stream, READING).await;
     seen.starts_with(b"HTTP/1.0 200")
 }
@@ -186,8 +186,8 @@
 /// Returns `true` if a caller takes what it has read for a complete response.
 fn looks_complete(request: Request, end: &io::Result<()>, seen: &[u8]) -> bool {
     match request {
-        Request::Old | Request::OldKeepAlive => end.is_ok(),
-        Request::NewClose => seen.ends_with(b"\r\n0\r\n\r\n"),
+        Request::Http10 | Request::Http10KeepAlive => end.is_ok(),
+        Request::Http11Close => seen.ends_with(b"\r\n0\r\n\r\n"),
     }
 }
 
@@ -221,7 +221,7 @@
 fn a_response_that_breaks_off_does_not_look_complete(
     #[case] framing: Framing,
     #[case] how: Break,
-    #[values(Request::Old, Request::OldKeepAlive, Request::NewClose)] request: Request,
+    #[values(Request::Http10, Request::Http10KeepAlive, Request::Http11Close)] request: Request,
 ) {
     block_on(async {
         let end = match how {
@@ -275,7 +275,7 @@
             Framing::Close => End::Close,
         };
         let fixture = Fixture::start(&["a"], framing, BODY_BYTES, end).await;
-        let mut stream = send(fixture.hosts[0].callers, "r-1", Request::Old).await;
+        let mut stream = send(fixture.hosts[0].callers, "r-1", Request::Http10).await;
         if let Some(signal) = signal {
             sleep(Duration::from_millis(50)).await;
             fixture.hosts[0].signal(signal);
