fix(tests): keys_move_when_their_release_is_answered allows for a lease that was waited out

Trace of that run: the host was paused for up to 2.9 s at a time (log=paused), its release got no response in 1 s (release_silent), it waited until the former owner's lease had ended (hold_waited_out) and granted the keys; a later term released them again, and that release ended after the grant. RULES.md forbids a key for another server "before that one's hold would have run out", which it had.

The check now asks whether the grant came before the end of the release and of the last lease at the former owner.

--- a/crates/chicoryrail-router/tests/duplicate_key_answers.rs
+++ b/crates/chicoryrail-router/tests/duplicate_key_answers.rs
@@ -138,6 +138,10 @@
             let overlaps = |g: &KeyGrant| g.first <= release.last && release.first <= g.last;
             let granted = next.grants.iter().find(|(grant, _)| overlaps(grant));
             let early = granted.zip(*ended).filter(|((_, at), ended)| at < ended);
+            // A leader that gets no response to a release waits until the lease has ended.
+            let leases = former.grants.iter().filter(|(g, _)| overlaps(g));
+            let leased_until = leases.map(|(g, at)| *at + g.lease.to_duration()).max();
+            let early = early.filter(|((_, at), _)| leased_until.is_none_or(|end| *at < end));
             assert!(early.is_none(), "{release:?} {granted:?} {ended:?}");
         }
     });
