refactor(tests): one response with a body and one connection with options for the router's tests

idle_pipelines, passing_host_stop and unread_responses each built the same 200 and opened a socket with small buffers in the same six lines. Both are in tests/support now. The assertions, sizes and times are as they were; unread_responses.rs changes in these calls alone.

--- a/crates/chicoryrail-router/tests/idle_pipelines.rs
+++ b/crates/chicoryrail-router/tests/idle_pipelines.rs
@@ -2,25 +2,20 @@
 
 mod support;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use chicoryrail_platform::call_header;
 use chicoryrail_runtime::block_on;
 use monoio::io::AsyncReadRent;
 use monoio::io::AsyncWriteRentExt;
-use monoio::net::TcpStream;
 use monoio::time::sleep;
 use nix::sys::signal::Signal;
 use rstest::rstest;
 use serde_json::json;
-use socket2::Domain;
-use socket2::Protocol;
-use socket2::Socket;
-use socket2::Type;
 use support::End;
 use support::RawServer;
 use support::World;
+use support::connect_with;
+use support::response_with_body;
 use support::wait_until;
 
 /// Requests that the caller sends at once.
@@ -44,15 +39,6 @@
 /// Bytes that the caller reads at a time, and its pause behind them.
 const READING: (usize, Duration) = (10_000, Duration::from_millis(20));
 
-/// Connects with a small receive buffer.
-fn connect(addr: SocketAddr) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
-    socket.connect(&addr.into()).unwrap();
-    socket.set_nonblocking(true).unwrap();
-    TcpStream::from_std(socket.into()).unwrap()
-}
-
 fn request(id: usize) -> Vec<u8> {
     format!(
         "GET /read/x HTTP/1.1\r\nhost: shop.example\r\nchicoryrail-request-id: p-{id}\r\nchicoryrail-deadline-ms: 9000\r\n\r\n"
@@ -71,15 +57,8 @@
         let mut config = world.next_config();
         config["limits"]["idle_timeout_ms"] = json!(IDLE_TIMEOUT_MS);
         world.put("op/config", &config).await;
-        let server = RawServer::start_with("i-1", |id| {
-            let (id_header, stamp) = (call_header::REQUEST_ID, call_header::UPSTREAM_STAMP);
-            let head = format!(
-                "HTTP/1.1 200 OK\r\n{id_header}: {id}\r\n{stamp}: x\r\ncontent-length: {BODY_BYTES}\r\n\r\n"
-            );
-            let mut bytes = head.into_bytes();
-            bytes.resize(bytes.len() + BODY_BYTES, b'r');
-            (bytes, End::Keep)
-        });
+        let server =
+            RawServer::start_with("i-1", |id| (response_with_body(id, BODY_BYTES), End::Keep));
         let members = std::slice::from_ref(&server.member);
         world.put_members(members).await;
         let host = world.router("a").await;
@@ -88,7 +67,9 @@
             response.is_ok_and(|r| r.status() == 200)
         })
         .await;
-        let mut stream = connect(host.callers);
+        let mut stream = connect_with(host.callers, |s| {
+            s.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+        });
         let requests: Vec<u8> = (0..REQUESTS).flat_map(request).collect();
         stream.write_all(requests).await.0.unwrap();
         if stops {
--- a/crates/chicoryrail-router/tests/passing_host_stop.rs
+++ b/crates/chicoryrail-router/tests/passing_host_stop.rs
@@ -3,10 +3,8 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
-use chicoryrail_platform::call_header;
 use chicoryrail_runtime::block_on;
 use monoio::io::AsyncReadRent;
 use monoio::io::AsyncWriteRentExt;
@@ -14,13 +12,11 @@
 use monoio::time::sleep;
 use nix::sys::signal::Signal;
 use rstest::rstest;
-use socket2::Domain;
-use socket2::Protocol;
-use socket2::Socket;
-use socket2::Type;
 use support::End;
 use support::RawServer;
 use support::World;
+use support::connect_with;
+use support::response_with_body;
 
 /// Bytes of the other host's receive buffer. A small one leaves most of a response at the host that sends it.
 const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
@@ -36,12 +32,10 @@
 
 /// Connects over a path that holds few bytes.
 fn connect(addr: SocketAddr) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
-    socket.set_mss(SEGMENT_BYTES).unwrap();
-    socket.connect(&addr.into()).unwrap();
-    socket.set_nonblocking(true).unwrap();
-    TcpStream::from_std(socket.into()).unwrap()
+    connect_with(addr, |socket| {
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        socket.set_mss(SEGMENT_BYTES)
+    })
 }
 
 /// Message with which another host asks for a request to be passed on to the server `i-1`.
@@ -49,19 +43,6 @@
     chicoryrail-deadline-ms: 1500\r\nchicoryrail-forward-server: i-1\r\nchicoryrail-forward-born: 1\r\n\
     chicoryrail-forward-service: desk\r\n\r\n";
 
-/// Starts a server whose responses have a body of so many bytes.
-fn start_server(body_bytes: usize) -> Rc<RawServer> {
-    RawServer::start_with("i-1", move |id| {
-        let (id_header, stamp) = (call_header::REQUEST_ID, call_header::UPSTREAM_STAMP);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\n{id_header}: {id}\r\n{stamp}: x\r\ncontent-length: {body_bytes}\r\n\r\n"
-        );
-        let mut response = head.into_bytes();
-        response.resize(response.len() + body_bytes, b'r');
-        (response, End::Keep)
-    })
-}
-
 /// Guards against a stopping host that ends before it has written a response that it passes on. How much the way holds
 /// differs by a few segments, so there are several lengths.
 #[rstest]
@@ -74,7 +55,9 @@
     block_on(async {
         let world = World::start("passing-stop").await;
         world.configure().await;
-        let server = start_server(body_bytes);
+        let server = RawServer::start_with("i-1", move |id| {
+            (response_with_body(id, body_bytes), End::Keep)
+        });
         let members = std::slice::from_ref(&server.member);
         world.put_members(members).await;
         let mut host = world.router_with_grace("a", GRACE_S).await;
--- a/crates/chicoryrail-router/tests/support/raw_server.rs
+++ b/crates/chicoryrail-router/tests/support/raw_server.rs
@@ -178,3 +178,14 @@
     format!("HTTP/1.1 {status}\r\n{id_header}: {id}\r\n{header}: x\r\ncontent-length: 0\r\n\r\n")
         .into_bytes()
 }
+
+/// Returns a complete successful response with a body of so many bytes `r`.
+pub fn response_with_body(id: &str, body_bytes: usize) -> Vec<u8> {
+    let (id_header, stamp) = (call_header::REQUEST_ID, call_header::UPSTREAM_STAMP);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{id_header}: {id}\r\n{stamp}: x\r\ncontent-length: {body_bytes}\r\n\r\n"
+    );
+    let mut response = head.into_bytes();
+    response.resize(response.len() + body_bytes, b'r');
+    response
+}
--- a/crates/chicoryrail-router/tests/support/reader.rs
+++ b/crates/chicoryrail-router/tests/support/reader.rs
@@ -1,6 +1,7 @@
 //! Reads and writes messages byte by byte.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use monoio::io::AsyncReadRent;
@@ -8,6 +9,22 @@
 use monoio::io::AsyncWriteRentExt;
 use monoio::net::TcpStream;
 use monoio::time::sleep;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::Socket;
+use socket2::Type;
+
+/// Opens a connection whose socket gets its options before, as sizes of buffers and segments must be set.
+pub fn connect_with(
+    addr: SocketAddr,
+    set_options: impl FnOnce(&Socket) -> io::Result<()>,
+) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
+    set_options(&socket).unwrap();
+    socket.connect(&addr.into()).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    TcpStream::from_std(socket.into()).unwrap()
+}
 
 /// Returns the value of a header in a head in lower case.
 pub fn field(head: &str, name: &str) -> Option<String> {
--- a/crates/chicoryrail-router/tests/unread_responses.rs
+++ b/crates/chicoryrail-router/tests/unread_responses.rs
@@ -12,16 +12,13 @@
 use futures_util::future::join_all;
 use monoio::io::AsyncReadRent;
 use monoio::io::AsyncWriteRentExt;
-use monoio::net::TcpStream;
 use monoio::time::sleep;
 use nix::sys::signal::Signal;
-use socket2::Domain;
-use socket2::Protocol;
-use socket2::Socket;
-use socket2::Type;
 use support::End;
 use support::RawServer;
 use support::World;
+use support::connect_with;
+use support::response_with_body;
 use support::wait_until;
 
 /// Bytes of a response.
@@ -53,15 +50,6 @@
     is_closed: bool,
 }
 
-/// Connects with a small receive buffer.
-fn connect(addr: SocketAddr) -> TcpStream {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP)).unwrap();
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
-    socket.connect(&addr.into()).unwrap();
-    socket.set_nonblocking(true).unwrap();
-    TcpStream::from_std(socket.into()).unwrap()
-}
-
 /// Takes the complete responses from what was read, and returns the number of these.
 fn take_responses(buffer: &mut Vec<u8>, seen: &mut Seen) -> usize {
     let mut taken = 0;
@@ -84,7 +72,7 @@
 
 /// Sends reads behind one another, and reads the responses slowly, until the connection ends.
 async fn read_slowly(addr: SocketAddr, caller: usize) -> Seen {
-    let mut stream = connect(addr);
+    let mut stream = connect_with(addr, |s| s.set_recv_buffer_size(RECEIVE_BUFFER_BYTES));
     let (mut seen, mut buffer) = (Seen::default(), Vec::new());
     let (mut sent, mut waiting) = (0, 0);
     loop {
@@ -117,13 +105,7 @@
         let world = World::start("unread").await;
         world.configure_uploads(Millis(600), BODY_BYTES_MAX).await;
         let server = RawServer::start_with("i-1", |id| {
-            let (id_header, stamp) = (call_header::REQUEST_ID, call_header::UPSTREAM_STAMP);
-            let head = format!(
-                "HTTP/1.1 200 OK\r\n{id_header}: {id}\r\n{stamp}: x\r\ncontent-length: {RESPONSE_BYTES}\r\n\r\n"
-            );
-            let mut bytes = head.into_bytes();
-            bytes.resize(bytes.len() + RESPONSE_BYTES, b'r');
-            (bytes, End::Keep)
+            (response_with_body(id, RESPONSE_BYTES), End::Keep)
         });
         world
             .put_members(std::slice::from_ref(&server.member))
