test(runtime): cut responses on kept connections, and heads that state no length

cut_responses tried new connections only, but for calls about keys, and only heads with a length, in chunks or without a body. It tries the store's and the hosts' clients behind a whole response too, and heads of HTTP/1.1 and 1.0 without a length. One function makes the call of each client for both tests.

--- a/crates/chicoryrail-runtime/tests/cut_responses.rs
+++ b/crates/chicoryrail-runtime/tests/cut_responses.rs
@@ -39,14 +39,25 @@
 enum Client {
     /// The one for the store, for control messages between hosts, and for tools.
     Http,
+    /// The same, on the connection of an earlier call.
+    HttpKept,
     /// The one for requests that another host passes on.
     Host,
+    /// The same, on the connection of an earlier request.
+    HostKept,
     /// The one for calls about keys, each on a connection of its own.
     CallOnce,
     /// The same, on the connection of an earlier call.
     CallRepeatedly,
 }
 
+impl Client {
+    /// Returns `true` if the call that is cut follows a whole one on its connection.
+    const fn is_kept(self) -> bool {
+        matches!(self, Self::HttpKept | Self::HostKept | Self::CallRepeatedly)
+    }
+}
+
 /// Reads a request's head; `false` if the connection ends before.
 fn read_head(stream: &mut TcpStream) -> bool {
     let mut head = Vec::new();
@@ -96,15 +107,44 @@
 }
 
 /// Sends a request like one that another host passes on; `true` if there is a whole response.
-async fn is_passed_on(addr: SocketAddr) -> bool {
-    let mut conn = HostPool::new(1).acquire(addr).await.unwrap();
+async fn is_passed_on(pool: &HostPool, addr: SocketAddr) -> bool {
+    let mut conn = pool.acquire(addr).await.unwrap();
     let request = Request::get("/").body(empty_body()).unwrap();
-    match conn.send(request).await {
-        Ok(response) => {
-            let body = collect_body(response.into_body(), RESPONSE_BYTES_MAX);
-            body.await.is_ok()
+    let Ok(response) = conn.send(request).await else {
+        return false;
+    };
+    let body = collect_body(response.into_body(), RESPONSE_BYTES_MAX).await;
+    pool.release(conn);
+    body.is_ok()
+}
+
+/// Makes a call, behind a whole response if the client keeps its connection; `true` if there is a whole response.
+async fn is_answered(client: Client, addr: SocketAddr) -> bool {
+    match client {
+        Client::Http | Client::HttpKept => {
+            let http = HttpClient::default();
+            if client.is_kept() {
+                http.call(addr, call(), CALL_TIME).await.unwrap();
+            }
+            http.call(addr, call(), CALL_TIME).await.is_ok()
+        }
+        Client::Host | Client::HostKept => {
+            let pool = HostPool::new(1);
+            if client.is_kept() {
+                assert!(is_passed_on(&pool, addr).await);
+            }
+            is_passed_on(&pool, addr).await
+        }
+        Client::CallOnce => {
+            let calls = CallClient::<u8>::new(RESPONSE_BYTES_MAX);
+            calls.call_once(addr, call(), CALL_TIME).await.is_ok()
+        }
+        Client::CallRepeatedly => {
+            let calls = CallClient::new(RESPONSE_BYTES_MAX);
+            let send = || calls.call_repeatedly(addr, (0_u8, 0..=9), call(), CALL_TIME);
+            send().await.unwrap();
+            send().await.is_ok()
         }
-        Err(_) => false,
     }
 }
 
@@ -126,29 +166,37 @@
 fn a_cut_response_is_no_response(
     #[case] response: &'static str,
     #[values(End::Close, End::HalfClose, End::Reset)] end: End,
-    #[values(Client::Http, Client::Host, Client::CallOnce, Client::CallRepeatedly)] client: Client,
+    #[values(
+        Client::Http,
+        Client::HttpKept,
+        Client::Host,
+        Client::HostKept,
+        Client::CallOnce,
+        Client::CallRepeatedly
+    )]
+    client: Client,
 ) {
-    let begins_whole = matches!(client, Client::CallRepeatedly);
-    let addr = start_peer(response.into(), end, begins_whole);
+    let addr = start_peer(response.into(), end, client.is_kept());
     block_on(async {
         for cut in 0..response.len() {
-            let is_whole = match client {
-                Client::Http => {
-                    let client = HttpClient::default();
-                    client.call(addr, call(), CALL_TIME).await.is_ok()
-                }
-                Client::Host => is_passed_on(addr).await,
-                Client::CallOnce => {
-                    let client = CallClient::<u8>::new(RESPONSE_BYTES_MAX);
-                    client.call_once(addr, call(), CALL_TIME).await.is_ok()
-                }
-                Client::CallRepeatedly => {
-                    let client = CallClient::new(RESPONSE_BYTES_MAX);
-                    let send = || client.call_repeatedly(addr, (0_u8, 0..=9), call(), CALL_TIME);
-                    send().await.unwrap();
-                    send().await.is_ok()
-                }
-            };
+            let is_whole = is_answered(client, addr).await;
+            assert!(!is_whole, "cut behind byte {cut}");
+        }
+    });
+}
+
+/// Guards against the same within a head that states no length: its connection's end must not count as the body's.
+#[rstest]
+fn a_cut_head_without_a_length_is_no_response(
+    #[values("HTTP/1.1 200 OK\r\nx: y\r\n\r\n", "HTTP/1.0 200 OK\r\nx: y\r\n\r\n")]
+    head: &'static str,
+    #[values(End::Close, End::HalfClose, End::Reset)] end: End,
+    #[values(Client::Http, Client::Host, Client::CallOnce)] client: Client,
+) {
+    let addr = start_peer(head.into(), end, client.is_kept());
+    block_on(async {
+        for cut in 0..head.len() {
+            let is_whole = is_answered(client, addr).await;
             assert!(!is_whole, "cut behind byte {cut}");
         }
     });
